--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+# Developer entry points. `make demo` and `make test` need Go only.
+GO ?= go
+BIN := bin
+
+.PHONY: build test lint proto
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test:
+	$(GO) test ./...
+
+lint:
+	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "gofmt:"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# Regenerates committed protobuf code; needs protoc and the two Go plugins.
+proto:
+	protoc -I . --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative $$(git ls-files '*.proto')
