Lay the shared types: records, documents, ledger and follower

Cause: every part of the system decides on the same folded state, so its types come first. Change: record envelope and bodies, document types, the ledger's fold with revisions, budget account, waves, members and jobs, and a follower that reads the log and proposes.

--- /dev/null
+++ b/internal/ledger/apply.go
@@ -0,0 +1,224 @@
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Status says what became of a record at its offset.
+type Status string
+
+// Statuses of a record.
+const (
+	// Effective: the state changed as the record says.
+	Effective Status = "effective"
+	// Stale: another record changed the subject first.
+	Stale Status = "stale"
+	// Duplicate: a second copy of the subject's latest record.
+	Duplicate Status = "duplicate"
+	// Refused: current, but not allowed, as over a budget.
+	Refused Status = "refused"
+	// Malformed: not a record, or of a kind this build does not know.
+	Malformed Status = "malformed"
+)
+
+// Outcome is the fold's answer to one record. It is equal on every node.
+type Outcome struct {
+	Offset  uint64
+	ID      string
+	Kind    record.Kind
+	Subject record.Subject
+	Status  Status
+	// Reason explains any status but Effective, for an operator to read.
+	Reason string
+	// Current is the subject's revision after the record.
+	Current record.Revision
+}
+
+// refusal is a domain rule's "no", with the reason for the operator; empty
+// means allowed.
+type refusal string
+
+const allowed refusal = ""
+
+func refusef(format string, args ...any) refusal {
+	return refusal(fmt.Sprintf(format, args...))
+}
+
+// ApplyData folds the raw entry at offset.
+func (s *State) ApplyData(offset uint64, data []byte) Outcome {
+	rec, err := record.Decode(data)
+	if err != nil {
+		s.advance(offset)
+		return Outcome{Offset: offset, Status: Malformed, Reason: err.Error()}
+	}
+	return s.Apply(offset, rec)
+}
+
+// Apply folds the record at offset. Offsets must rise; a gap is allowed, since
+// the log may skip numbers.
+//
+// A refused record moves its subject's revision as an effective one does. So
+// every copy of a record, effective or refused, is void by its Base alone, and
+// no list of seen IDs is needed: without this, a copy of a refused drain that
+// surfaced minutes later could take effect behind its author's back.
+func (s *State) Apply(offset uint64, rec record.Record) Outcome {
+	s.advance(offset)
+	out := Outcome{Offset: offset, ID: rec.ID, Kind: rec.Body.Kind(), Subject: rec.Subject}
+	if status, reason := s.current(rec); status != Effective {
+		out.Status, out.Reason = status, reason
+		out.Current = s.Revision(rec.Subject)
+		return out
+	}
+	if rec.Time.After(s.Now) {
+		s.Now = rec.Time.UTC().Round(0)
+	}
+	no := s.applyBody(rec)
+	out.Status = Effective
+	if no != allowed {
+		out.Status, out.Reason = Refused, string(no)
+	}
+	s.settle(rec, no)
+	out.Current = s.Revision(rec.Subject)
+	return out
+}
+
+func (s *State) advance(offset uint64) {
+	if offset <= s.Offset {
+		panic(fmt.Sprintf("ledger: offset %d applied after %d", offset, s.Offset))
+	}
+	s.Offset = offset
+	s.expireRetired()
+}
+
+// settle moves the subject's revision to the record's offset. A creating record
+// that was refused leaves a retired subject behind, which voids its copies.
+func (s *State) settle(rec record.Record, no refusal) {
+	if !checksBase(rec.Body) {
+		return
+	}
+	h := Head{Revision: record.Revision(s.Offset), LastID: rec.ID}
+	if _, ok := s.head(rec.Subject); ok {
+		s.setHead(rec.Subject, h)
+		return
+	}
+	if no != allowed {
+		s.retire(rec.Subject, h)
+	}
+}
+
+// checksBase reports whether the record competes for its subject's revision.
+// Suspicions of several members about one member must not void each other.
+func checksBase(b record.Body) bool {
+	switch b.(type) {
+	case record.MemberSuspect, record.MemberTrust:
+		return false
+	}
+	return true
+}
+
+// current decides whether the record was decided on the subject's present
+// revision.
+func (s *State) current(rec record.Record) (Status, string) {
+	h, exists := s.head(rec.Subject)
+	if h.LastID == rec.ID && rec.ID != "" {
+		return Duplicate, fmt.Sprintf("record %s already took its turn at offset %d", rec.ID, h.Revision)
+	}
+	if !checksBase(rec.Body) {
+		return Effective, ""
+	}
+	if exists {
+		if rec.Base != h.Revision {
+			return Stale, fmt.Sprintf("%s is at revision %d, the record was decided on %d", rec.Subject, h.Revision, rec.Base)
+		}
+		return Effective, ""
+	}
+	if rec.Base != 0 {
+		return Stale, fmt.Sprintf("%s does not exist (any more)", rec.Subject)
+	}
+	if rec.Seen+RetiredSpan < s.Offset {
+		return Stale, fmt.Sprintf("the record arrived more than %d offsets after it was written", RetiredSpan)
+	}
+	if h.Revision != 0 && rec.Seen < uint64(h.Revision) {
+		return Stale, fmt.Sprintf("%s was ended at offset %d, after this record was written", rec.Subject, h.Revision)
+	}
+	return Effective, ""
+}
+
+func (s *State) applyBody(rec record.Record) refusal {
+	if no := subjectKind(rec); no != allowed {
+		return no
+	}
+	switch b := rec.Body.(type) {
+	case record.DocumentPublish:
+		return s.publish(rec, b)
+	case record.DocumentRemove:
+		return s.removeService(rec)
+	case record.VMRegister:
+		return s.registerVM(rec, b)
+	case record.VMDrain:
+		return s.drainVM(rec, b)
+	case record.VMAdvance:
+		return s.advanceVM(rec, b)
+	case record.VMJoin:
+		return s.joinVM(rec, b)
+	case record.VMDown:
+		return s.downVM(rec, b)
+	case record.VMUp:
+		return s.upVM(rec)
+	case record.VMGone:
+		return s.goneVM(rec)
+	case record.VMQuarantine:
+		return s.quarantineVM(rec, b)
+	case record.WaveStart:
+		return s.startWave(rec, b)
+	case record.WaveControl:
+		return s.controlWave(rec, b)
+	case record.WaveSkip:
+		return s.skipWave(rec, b)
+	case record.MemberJoin:
+		return s.joinMember(rec, b)
+	case record.MemberLeave:
+		return s.leaveMember(rec)
+	case record.MemberRefresh:
+		return s.refreshMember(rec)
+	case record.MemberSuspect:
+		return s.suspectMember(rec, b)
+	case record.MemberTrust:
+		return s.trustMember(rec, b)
+	case record.JobSubmit:
+		return s.submitJob(rec, b)
+	case record.JobPlace:
+		return s.placeJob(rec, b)
+	case record.JobEnd:
+		return s.endJob(rec, b)
+	case record.JobCancel:
+		return s.cancelJob(rec, b)
+	}
+	return refusef("no rule for %s", rec.Body.Kind())
+}
+
+// subjectKind refuses a body that does not belong to its subject's kind, as a
+// VM drain addressed to a service: it would move a foreign revision.
+func subjectKind(rec record.Record) refusal {
+	want := bodySubject(rec.Body)
+	if rec.Subject.Kind != want {
+		return refusef("%s belongs to a %s, not to %s", rec.Body.Kind(), want, rec.Subject)
+	}
+	return allowed
+}
+
+func bodySubject(b record.Body) record.SubjectKind {
+	switch b.(type) {
+	case record.DocumentPublish, record.DocumentRemove:
+		return record.SubjectService
+	case record.WaveStart, record.WaveControl, record.WaveSkip:
+		return record.SubjectWave
+	case record.MemberJoin, record.MemberLeave, record.MemberRefresh, record.MemberSuspect, record.MemberTrust:
+		return record.SubjectMember
+	case record.JobSubmit, record.JobPlace, record.JobEnd, record.JobCancel:
+		return record.SubjectJob
+	}
+	return record.SubjectVM
+}
--- /dev/null
+++ b/internal/ledger/budget.go
@@ -0,0 +1,235 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Cause is what took a VM out of service.
+type Cause int
+
+// Causes of unavailability, in the order of Segment.Out.
+const (
+	CauseMaintenance Cause = iota
+	CauseMove
+	CauseOperator
+	CauseFailure
+	CauseMissing // the pool has fewer VMs than its document asks for
+	causeCount
+)
+
+// String returns the cause's name in reports.
+func (c Cause) String() string {
+	return [...]string{"maintenance", "move", "operator", "failure", "missing"}[c]
+}
+
+// Causes lists all causes in order.
+func Causes() []Cause {
+	return []Cause{CauseMaintenance, CauseMove, CauseOperator, CauseFailure, CauseMissing}
+}
+
+// Segment is a stretch of time in which a pool's unavailability was constant.
+type Segment struct {
+	From  time.Time       `json:"from"`
+	To    time.Time       `json:"to"`
+	Short int             `json:"short"` // VMs missing to the declared size
+	Size  int             `json:"size"`
+	Out   [causeCount]int `json:"out"` // VMs out of service by cause
+}
+
+// Account is a pool's record of unavailability. A pool is charged the VM-seconds
+// by which its serving VMs fall short of the declared size. A VM stops counting
+// as serving at the offset of its drain, and counts again when it is seen
+// healthy, whatever the platform's lagging list says meanwhile.
+type Account struct {
+	// Open is the segment in progress; its To is unset.
+	Open Segment `json:"open"`
+	// Closed holds the segments with Short > 0 that end inside the window.
+	Closed []Segment `json:"closed,omitempty"`
+	// Idle is the VM-seconds of VMs that served beyond the declared size.
+	Idle float64 `json:"idle"`
+	// Spare is how many VMs serve beyond the declared size now.
+	Spare int `json:"spare"`
+}
+
+// Unavailability counts a pool's VMs now.
+type Unavailability struct {
+	Size    int
+	Serving int
+	Short   int // max(0, Size - Serving)
+	Out     [causeCount]int
+}
+
+// Unavailability returns the counts of a pool.
+func (s *State) Unavailability(pool string) Unavailability {
+	var u Unavailability
+	svc, ok := s.Services[pool]
+	if ok {
+		u.Size = svc.Doc.Pool.Size
+	}
+	vms := s.poolVMs[pool]
+	for _, vm := range vms {
+		if vm.Serving() {
+			u.Serving++
+			continue
+		}
+		u.Out[outCause(vm)]++
+	}
+	u.Short = max(0, u.Size-u.Serving)
+	u.Out[CauseMissing] = max(0, u.Size-len(vms))
+	return u
+}
+
+func outCause(vm *VM) Cause {
+	switch {
+	case vm.Drain == nil:
+		return CauseFailure
+	case vm.Drain.Reason == record.DrainMaintenance:
+		return CauseMaintenance
+	case vm.Drain.Reason == record.DrainMove:
+		return CauseMove
+	}
+	return CauseOperator
+}
+
+// account closes the pool's open segment at s.Now and opens the next one. It is
+// called after every change to the pool's VMs or document.
+func (s *State) account(pool string) {
+	svc, ok := s.Services[pool]
+	if !ok {
+		return
+	}
+	a := &svc.Account
+	u := s.Unavailability(pool)
+	next := Segment{From: s.Now, Short: u.Short, Size: u.Size, Out: u.Out}
+	spare := max(0, u.Serving-u.Size)
+	if a.Open.Short == next.Short && a.Open.Out == next.Out && a.Open.Size == next.Size && a.Spare == spare {
+		return
+	}
+	if !a.Open.From.IsZero() {
+		a.Idle += float64(a.Spare) * s.Now.Sub(a.Open.From).Seconds()
+	}
+	if a.Open.Short > 0 && s.Now.After(a.Open.From) {
+		closed := a.Open
+		closed.To = s.Now
+		a.Closed = append(a.Closed, closed)
+	}
+	a.Open = next
+	a.Spare = spare
+	a.prune(s.Now.Add(-svc.Doc.Budget.Window))
+}
+
+func (a *Account) prune(before time.Time) {
+	n := 0
+	for n < len(a.Closed) && !a.Closed[n].To.After(before) {
+		n++
+	}
+	a.Closed = a.Closed[n:]
+}
+
+// Spent returns the VM-seconds charged between from and to.
+func (a *Account) Spent(from, to time.Time) float64 {
+	var sum float64
+	for _, seg := range a.Closed {
+		sum += overlap(seg.From, seg.To, from, to) * float64(seg.Short)
+	}
+	return sum + overlap(a.Open.From, to, from, to)*float64(a.Open.Short)
+}
+
+// SpentBy divides what was charged between from and to among its causes, in
+// proportion to the VMs that each cause had out of service.
+func (a *Account) SpentBy(from, to time.Time) [causeCount]float64 {
+	var by [causeCount]float64
+	add := func(seg Segment, end time.Time) {
+		seconds := overlap(seg.From, end, from, to) * float64(seg.Short)
+		total := 0
+		for _, n := range seg.Out {
+			total += n
+		}
+		if total == 0 {
+			return
+		}
+		for c, n := range seg.Out {
+			by[c] += seconds * float64(n) / float64(total)
+		}
+	}
+	for _, seg := range a.Closed {
+		add(seg, seg.To)
+	}
+	add(a.Open, to)
+	return by
+}
+
+// overlap returns the seconds that [from, to) and [lo, hi) share.
+func overlap(from, to, lo, hi time.Time) float64 {
+	if from.IsZero() {
+		return 0
+	}
+	if from.Before(lo) {
+		from = lo
+	}
+	if to.After(hi) {
+		to = hi
+	}
+	if !to.After(from) {
+		return 0
+	}
+	return to.Sub(from).Seconds()
+}
+
+// AllowedSeconds is the budget of a pool in VM-seconds per window.
+func AllowedSeconds(doc document.Document) float64 {
+	return doc.Budget.Allowed * float64(doc.Pool.Size) * doc.Budget.Window.Seconds()
+}
+
+// MayDrain reports whether the pool's budget bears one more planned drain, of
+// this VM, at the time now; the reason is empty when it does. Planners call it
+// before they propose and the fold calls it at the record's offset: of two
+// drains that race for the last unit of budget the later one is refused.
+func (s *State) MayDrain(vm *VM, estimate time.Duration, now time.Time) string {
+	svc, ok := s.Services[vm.Pool]
+	if !ok || !vm.Serving() {
+		return ""
+	}
+	u := s.Unavailability(vm.Pool)
+	short := max(0, u.Size-(u.Serving-1))
+	if short == 0 {
+		return ""
+	}
+	budget := svc.Doc.Budget
+	if short > budget.MaxUnavailable {
+		return string(refusef("pool %s has %d of %d VMs serving; one less would exceed max_unavailable = %d",
+			vm.Pool, u.Serving, u.Size, budget.MaxUnavailable))
+	}
+	if other := s.otherDomain(vm); budget.OneDomain && other != nil {
+		return string(refusef("VM %s in rack %s of pool %s is out already; one_domain allows one rack at a time",
+			other.ID, other.Rack, vm.Pool))
+	}
+	if now.Before(s.Now) {
+		now = s.Now
+	}
+	spent := svc.Account.Spent(now.Add(-budget.Window), now)
+	need := float64(short) * estimate.Seconds()
+	if allowed := AllowedSeconds(svc.Doc); spent+need > allowed {
+		return string(refusef("pool %s spent %.0f of %.0f VM-seconds in its window; this drain needs about %.0f more",
+			vm.Pool, spent, allowed, need))
+	}
+	return ""
+}
+
+// otherDomain returns a VM of the pool that is out of service in another rack,
+// the first by ID, or nil.
+func (s *State) otherDomain(vm *VM) *VM {
+	var first *VM
+	for _, other := range s.poolVMs[vm.Pool] {
+		if other.Serving() || other.Rack == vm.Rack {
+			continue
+		}
+		if first == nil || other.ID < first.ID {
+			first = other
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/internal/ledger/member.go
@@ -0,0 +1,129 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Member is one run (incarnation) of an entry process.
+type Member struct {
+	Head
+	Name     string    `json:"name"`
+	Node     string    `json:"node"`
+	Zone     string    `json:"zone"`
+	Address  string    `json:"address"`
+	JoinedAt uint64    `json:"joined_at"` // offset
+	Joined   time.Time `json:"joined"`
+	// Electorate is who may evict this member, itself included, sorted. Only
+	// the member's own join and refresh records set it: a member that is cut
+	// off from the log still knows whose word keeps it safe, though others have
+	// joined meanwhile.
+	Electorate []string `json:"electorate"`
+	// Votes holds the latest word of other members about this one, by member.
+	Votes map[string]Vote `json:"votes,omitempty"`
+}
+
+// Vote is one member's latest word about another.
+type Vote struct {
+	Seq     uint64 `json:"seq"`
+	Suspect bool   `json:"suspect"`
+}
+
+func (s *State) joinMember(rec record.Record, b record.MemberJoin) refusal {
+	if _, ok := s.Members[rec.Subject.Name]; ok {
+		return refusef("member %s has joined already", rec.Subject.Name)
+	}
+	for _, name := range s.MemberNames() {
+		if s.Members[name].Node == b.Node {
+			s.removeMember(name)
+		}
+	}
+	m := &Member{
+		Head:     Head{Revision: record.Revision(s.Offset), LastID: rec.ID},
+		Name:     rec.Subject.Name,
+		Node:     b.Node,
+		Zone:     b.Zone,
+		Address:  b.Address,
+		JoinedAt: s.Offset,
+		Joined:   s.Now,
+	}
+	s.Members[m.Name] = m
+	m.Electorate = s.MemberNames()
+	return allowed
+}
+
+func (s *State) leaveMember(rec record.Record) refusal {
+	if _, ok := s.Members[rec.Subject.Name]; !ok {
+		return refusef("%s is no member", rec.Subject.Name)
+	}
+	s.removeMember(rec.Subject.Name)
+	return allowed
+}
+
+func (s *State) refreshMember(rec record.Record) refusal {
+	m, ok := s.Members[rec.Subject.Name]
+	if !ok {
+		return refusef("%s is no member", rec.Subject.Name)
+	}
+	m.Electorate = s.MemberNames()
+	s.evictIfSuspected(m)
+	return allowed
+}
+
+func (s *State) suspectMember(rec record.Record, b record.MemberSuspect) refusal {
+	return s.vote(rec.Subject.Name, b.By, Vote{Seq: b.Seq, Suspect: true})
+}
+
+func (s *State) trustMember(rec record.Record, b record.MemberTrust) refusal {
+	return s.vote(rec.Subject.Name, b.By, Vote{Seq: b.Seq})
+}
+
+// vote takes by's word about a member. A copy of an older word is refused: a
+// suspicion that surfaced again after by took it back would count towards an
+// eviction while by still tells the member that it is safe.
+func (s *State) vote(name, by string, v Vote) refusal {
+	m, ok := s.Members[name]
+	if !ok {
+		return refusef("%s is no member", name)
+	}
+	if _, ok := s.Members[by]; !ok || by == name {
+		return refusef("%s has no vote on %s", by, name)
+	}
+	if last, ok := m.Votes[by]; ok && v.Seq <= last.Seq {
+		return refusef("%s has voted on %s since (%d after %d)", by, name, last.Seq, v.Seq)
+	}
+	if m.Votes == nil {
+		m.Votes = map[string]Vote{}
+	}
+	m.Votes[by] = v
+	s.evictIfSuspected(m)
+	return allowed
+}
+
+// evictIfSuspected removes m once a strict majority of its electorate suspects
+// it. A member that hears from half of its electorate, itself counted, cannot
+// have been evicted: see docs/adr for the argument.
+func (s *State) evictIfSuspected(m *Member) {
+	votes := 0
+	for by, v := range m.Votes {
+		_, present := s.Members[by]
+		if v.Suspect && present && slices.Contains(m.Electorate, by) {
+			votes++
+		}
+	}
+	if 2*votes > len(m.Electorate) {
+		s.removeMember(m.Name)
+	}
+}
+
+func (s *State) removeMember(name string) {
+	m := s.Members[name]
+	delete(s.Members, name)
+	sub := record.Subject{Kind: record.SubjectMember, Name: name}
+	s.retire(sub, Head{Revision: record.Revision(s.Offset), LastID: m.LastID})
+}
+
+// MemberNames returns the members' names, sorted.
+func (s *State) MemberNames() []string { return sortedKeys(s.Members) }
--- /dev/null
+++ b/internal/ledger/service.go
@@ -0,0 +1,46 @@
+package ledger
+
+import (
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// publish puts a document in force. A document that does not pass validation is
+// refused on every node alike, and the last good one stays in force.
+func (s *State) publish(rec record.Record, b record.DocumentPublish) refusal {
+	doc, problems := document.Parse(rec.Subject.Name+".toml", []byte(b.Text))
+	if len(problems) > 0 {
+		return refusef("%s (and %d more)", problems[0], len(problems)-1)
+	}
+	if doc.Service != rec.Subject.Name {
+		return refusef("the document is for service %q, the record for %q", doc.Service, rec.Subject.Name)
+	}
+	svc, ok := s.Services[doc.Service]
+	if !ok {
+		svc = &Service{}
+		s.Services[doc.Service] = svc
+	}
+	svc.Head = Head{Revision: record.Revision(s.Offset), LastID: rec.ID}
+	svc.Text = b.Text
+	svc.Doc = doc
+	svc.Author = rec.Author
+	svc.PublishedAt = s.Now
+	s.account(doc.Service)
+	return allowed
+}
+
+// removeService is refused while VMs or jobs depend on the service: shrink the
+// pool to 0 first, so that every VM leaves by a drain.
+func (s *State) removeService(rec record.Record) refusal {
+	name := rec.Subject.Name
+	svc, ok := s.Services[name]
+	if !ok {
+		return refusef("there is no service %s", name)
+	}
+	if n := len(s.poolVMs[name]); n > 0 {
+		return refusef("pool %s still has %d VMs; publish size = 0 and wait until they have left", name, n)
+	}
+	delete(s.Services, svc.Doc.Service)
+	s.retire(rec.Subject, Head{Revision: record.Revision(s.Offset), LastID: rec.ID})
+	return allowed
+}
--- /dev/null
+++ b/internal/ledger/state.go
@@ -0,0 +1,214 @@
+// Package ledger folds the platform's log into the state that every node
+// shares. State.Apply is deterministic: it reads no clock, does no I/O and
+// depends on no map order, so nodes at the same offset hold equal state.
+package ledger
+
+import (
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// RetiredSpan is for how many offsets an ended or removed subject is
+// remembered. A creating record whose Seen lies further back is void, so a copy
+// that arrives after the subject was forgotten cannot create it a second time.
+const RetiredSpan = 16384
+
+// Head is the revision of a subject and the ID of the record that set it.
+type Head struct {
+	Revision record.Revision `json:"revision"`
+	LastID   string          `json:"last_id"`
+}
+
+// State is the fold of the log up to and including Offset.
+type State struct {
+	Offset uint64 `json:"offset"`
+	// Now is the highest record time seen; charges are dated by it.
+	Now      time.Time           `json:"now"`
+	Services map[string]*Service `json:"services"`
+	VMs      map[string]*VM      `json:"vms"`
+	Waves    map[string]*Wave    `json:"waves"`
+	Members  map[string]*Member  `json:"members"`
+	Jobs     map[string]*Job     `json:"jobs"`
+	// Retired holds the heads of removed subjects, RetireQueue their order.
+	Retired     map[record.Subject]Head `json:"-"`
+	RetireQueue []Retirement            `json:"retire_queue"`
+
+	// Indexes, derived from the above.
+	poolVMs    map[string]map[string]*VM  // pool -> VM ID
+	workerJobs map[string]map[string]*Job // worker -> job, placed jobs only
+	teamUse    map[teamKey]Resources
+}
+
+// Retirement is a removed subject and the offset of its removal.
+type Retirement struct {
+	Subject record.Subject `json:"subject"`
+	Head    Head           `json:"head"`
+	At      uint64         `json:"at"`
+}
+
+// Service is a service's document in force and its budget account. The
+// service's pool has the service's name.
+type Service struct {
+	Head
+	Text        string    `json:"text"`
+	Author      string    `json:"author"`
+	PublishedAt time.Time `json:"published_at"`
+	Account     Account   `json:"account"`
+
+	// Doc is parsed from Text.
+	Doc document.Document `json:"-"`
+}
+
+// VM is what is decided and known about one VM.
+type VM struct {
+	Head
+	ID           string         `json:"id"`
+	Zone         string         `json:"zone"`
+	Rack         string         `json:"rack"`
+	Address      string         `json:"address"`
+	Cores        int            `json:"cores"`
+	MemoryMB     int            `json:"memory_mb"`
+	Accelerators int            `json:"accelerators"`
+	Pool         string         `json:"pool"` // empty: in no pool
+	Phase        record.VMPhase `json:"phase"`
+	PhaseSince   time.Time      `json:"phase_since"`
+	Down         bool           `json:"down"` // found unhealthy
+	DownCause    string         `json:"down_cause,omitempty"`
+	// Drain is the drain in progress, nil when serving or free.
+	Drain *Drain `json:"drain,omitempty"`
+	// MaintainedAt is when the VM last came back from a maintenance reboot.
+	MaintainedAt time.Time `json:"maintained_at"`
+	Quarantined  bool      `json:"quarantined,omitempty"`
+	Moves        int       `json:"moves"`   // joins after a first pool
+	Drains       int       `json:"drains"`  // drains that took effect
+	Reboots      int       `json:"reboots"` // reboots that took effect
+}
+
+// Drain is an effective drain decision. Fence, its offset, is the fencing token
+// of the actions that carry it out.
+type Drain struct {
+	Reason   record.DrainReason `json:"reason"`
+	Wave     string             `json:"wave,omitempty"`
+	Target   string             `json:"target,omitempty"`
+	Fence    uint64             `json:"fence"`
+	ID       string             `json:"id"`
+	Since    time.Time          `json:"since"`
+	Estimate time.Duration      `json:"estimate"`
+	Rebooted bool               `json:"rebooted,omitempty"`
+}
+
+// Serving reports whether the VM takes requests for its pool.
+func (v *VM) Serving() bool {
+	return v.Phase == record.PhaseServing && !v.Down
+}
+
+// New returns the state before the first record.
+func New() *State {
+	return &State{
+		Services:   map[string]*Service{},
+		VMs:        map[string]*VM{},
+		Waves:      map[string]*Wave{},
+		Members:    map[string]*Member{},
+		Jobs:       map[string]*Job{},
+		Retired:    map[record.Subject]Head{},
+		poolVMs:    map[string]map[string]*VM{},
+		workerJobs: map[string]map[string]*Job{},
+		teamUse:    map[teamKey]Resources{},
+	}
+}
+
+// PoolVMs returns the VMs of a pool by ID. The caller must not change the map.
+func (s *State) PoolVMs(pool string) map[string]*VM { return s.poolVMs[pool] }
+
+// WorkerJobs returns the jobs placed on a worker by ID. The caller must not
+// change the map.
+func (s *State) WorkerJobs(worker string) map[string]*Job { return s.workerJobs[worker] }
+
+// head returns the revision of a subject; ok is false when it does not exist.
+// A retired subject has ok false and its last head.
+func (s *State) head(sub record.Subject) (Head, bool) {
+	switch sub.Kind {
+	case record.SubjectService:
+		if v, ok := s.Services[sub.Name]; ok {
+			return v.Head, true
+		}
+	case record.SubjectVM:
+		if v, ok := s.VMs[sub.Name]; ok {
+			return v.Head, true
+		}
+	case record.SubjectWave:
+		if v, ok := s.Waves[sub.Name]; ok {
+			return v.Head, true
+		}
+	case record.SubjectMember:
+		if v, ok := s.Members[sub.Name]; ok {
+			return v.Head, true
+		}
+	case record.SubjectJob:
+		if v, ok := s.Jobs[sub.Name]; ok {
+			return v.Head, true
+		}
+	}
+	return s.Retired[sub], false
+}
+
+// Revision returns the subject's current revision, 0 when it does not exist.
+func (s *State) Revision(sub record.Subject) record.Revision {
+	h, ok := s.head(sub)
+	if !ok {
+		return 0
+	}
+	return h.Revision
+}
+
+func (s *State) setHead(sub record.Subject, h Head) {
+	switch sub.Kind {
+	case record.SubjectService:
+		if v, ok := s.Services[sub.Name]; ok {
+			v.Head = h
+		}
+	case record.SubjectVM:
+		if v, ok := s.VMs[sub.Name]; ok {
+			v.Head = h
+		}
+	case record.SubjectWave:
+		if v, ok := s.Waves[sub.Name]; ok {
+			v.Head = h
+		}
+	case record.SubjectMember:
+		if v, ok := s.Members[sub.Name]; ok {
+			v.Head = h
+		}
+	case record.SubjectJob:
+		if v, ok := s.Jobs[sub.Name]; ok {
+			v.Head = h
+		}
+	}
+}
+
+// retire remembers a removed subject for RetiredSpan offsets.
+func (s *State) retire(sub record.Subject, h Head) {
+	s.Retired[sub] = h
+	s.RetireQueue = append(s.RetireQueue, Retirement{Subject: sub, Head: h, At: s.Offset})
+}
+
+// expireRetired forgets subjects retired more than RetiredSpan offsets ago.
+func (s *State) expireRetired() {
+	n := 0
+	for n < len(s.RetireQueue) && s.RetireQueue[n].At+RetiredSpan < s.Offset {
+		r := s.RetireQueue[n]
+		if s.Retired[r.Subject] == r.Head {
+			delete(s.Retired, r.Subject)
+		}
+		if j, ok := s.Jobs[r.Subject.Name]; ok && r.Subject.Kind == record.SubjectJob && j.Ended() {
+			delete(s.Jobs, r.Subject.Name)
+		}
+		if w, ok := s.Waves[r.Subject.Name]; ok && r.Subject.Kind == record.SubjectWave && !w.Active() {
+			delete(s.Waves, r.Subject.Name)
+		}
+		n++
+	}
+	s.RetireQueue = s.RetireQueue[n:]
+}
--- /dev/null
+++ b/internal/ledger/wave.go
@@ -0,0 +1,174 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// WaveStatus is the status of a maintenance wave.
+type WaveStatus string
+
+// Statuses of a wave.
+const (
+	WaveRunning WaveStatus = "running"
+	WavePaused  WaveStatus = "paused"
+	WaveAborted WaveStatus = "aborted"
+	WaveDone    WaveStatus = "done"
+)
+
+// WaveProgress is how far one VM is in a wave.
+type WaveProgress string
+
+// Progress of a VM in a wave.
+const (
+	WavePending WaveProgress = "pending"
+	WaveOut     WaveProgress = "out" // drained or rebooting
+	WaveBack    WaveProgress = "back"
+	WaveSkipped WaveProgress = "skipped"
+)
+
+// Wave is a maintenance wave: every VM that its pools had at its start is
+// drained, rebooted and taken back once.
+type Wave struct {
+	Head
+	ID         string     `json:"id"`
+	Pools      []string   `json:"pools"`
+	Deadline   time.Time  `json:"deadline"`
+	Status     WaveStatus `json:"status"`
+	Reason     string     `json:"reason,omitempty"`
+	StartedAt  time.Time  `json:"started_at"`
+	FinishedAt time.Time  `json:"finished_at"`
+	// VMs is the progress by VM ID, Skips the reasons of the skipped ones.
+	VMs   map[string]WaveProgress `json:"vms"`
+	Skips map[string]string       `json:"skips,omitempty"`
+}
+
+// Active reports whether the wave is running or paused.
+func (w *Wave) Active() bool { return w.Status == WaveRunning || w.Status == WavePaused }
+
+func (s *State) startWave(rec record.Record, b record.WaveStart) refusal {
+	if _, ok := s.Waves[rec.Subject.Name]; ok {
+		return refusef("wave %s exists already", rec.Subject.Name)
+	}
+	if len(b.Pools) == 0 {
+		return refusef("a wave needs at least one pool")
+	}
+	vms := map[string]WaveProgress{}
+	for _, pool := range b.Pools {
+		if _, ok := s.Services[pool]; !ok {
+			return refusef("there is no pool %q", pool)
+		}
+		if other := s.activeWaveOf(pool); other != "" {
+			return refusef("pool %s is in wave %s already; wait for it or abort it", pool, other)
+		}
+		for id := range s.poolVMs[pool] {
+			vms[id] = WavePending
+		}
+	}
+	w := &Wave{
+		Head:      Head{Revision: record.Revision(s.Offset), LastID: rec.ID},
+		ID:        rec.Subject.Name,
+		Pools:     b.Pools,
+		Deadline:  b.Deadline,
+		Status:    WaveRunning,
+		StartedAt: s.Now,
+		VMs:       vms,
+		Skips:     map[string]string{},
+	}
+	s.Waves[w.ID] = w
+	s.finishIfComplete(w)
+	return allowed
+}
+
+func (s *State) activeWaveOf(pool string) string {
+	for _, id := range sortedKeys(s.Waves) {
+		w := s.Waves[id]
+		if !w.Active() {
+			continue
+		}
+		for _, p := range w.Pools {
+			if p == pool {
+				return id
+			}
+		}
+	}
+	return ""
+}
+
+func (s *State) controlWave(rec record.Record, b record.WaveControl) refusal {
+	w, ok := s.Waves[rec.Subject.Name]
+	if !ok {
+		return refusef("there is no wave %s", rec.Subject.Name)
+	}
+	if !w.Active() {
+		return refusef("wave %s is %s", w.ID, w.Status)
+	}
+	switch b.Command {
+	case record.WavePause:
+		w.Status = WavePaused
+	case record.WaveResume:
+		w.Status = WaveRunning
+	case record.WaveAbort:
+		s.closeWave(w, WaveAborted)
+	case record.WaveFinish:
+		s.closeWave(w, WaveDone)
+	default:
+		return refusef("unknown wave command %q", b.Command)
+	}
+	w.Reason = b.Reason
+	return allowed
+}
+
+func (s *State) skipWave(rec record.Record, b record.WaveSkip) refusal {
+	w, ok := s.Waves[rec.Subject.Name]
+	if !ok || !w.Active() {
+		return refusef("wave %s is not active", rec.Subject.Name)
+	}
+	progress, ok := w.VMs[b.VM]
+	if !ok || progress == WaveBack || progress == WaveSkipped {
+		return refusef("VM %s has no turn left in wave %s", b.VM, w.ID)
+	}
+	s.skipVM(w, b.VM, b.Reason)
+	return allowed
+}
+
+func (s *State) skipVM(w *Wave, vm, reason string) {
+	w.VMs[vm] = WaveSkipped
+	w.Skips[vm] = reason
+	s.finishIfComplete(w)
+}
+
+// finishIfComplete ends a wave whose VMs are all back or skipped.
+func (s *State) finishIfComplete(w *Wave) {
+	if !w.Active() {
+		return
+	}
+	for _, progress := range w.VMs {
+		if progress == WavePending || progress == WaveOut {
+			return
+		}
+	}
+	s.closeWave(w, WaveDone)
+}
+
+// closeWave ends a wave and keeps it for RetiredSpan offsets.
+func (s *State) closeWave(w *Wave, status WaveStatus) {
+	w.Status = status
+	w.FinishedAt = s.Now
+	sub := record.Subject{Kind: record.SubjectWave, Name: w.ID}
+	s.RetireQueue = append(s.RetireQueue, Retirement{Subject: sub, At: s.Offset})
+}
+
+// markWave sets the progress of a VM in its wave, if it has one.
+func (s *State) markWave(wave, vm string, progress WaveProgress) {
+	w, ok := s.Waves[wave]
+	if !ok {
+		return
+	}
+	if _, ok := w.VMs[vm]; !ok {
+		return
+	}
+	w.VMs[vm] = progress
+	s.finishIfComplete(w)
+}
--- /dev/null
+++ b/internal/record/record.go
@@ -0,0 +1,152 @@
+// Package record defines the records that the system appends to the platform's
+// log: one envelope and one typed body per kind. A record is a proposal; the
+// ledger decides at the record's offset whether it is effective.
+package record
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Revision is the offset of the record that last changed a subject. 0 means
+// that the subject was never written.
+type Revision uint64
+
+// SubjectKind names the kind of thing a record changes.
+type SubjectKind string
+
+// Kinds of subject.
+const (
+	SubjectService SubjectKind = "service"
+	SubjectVM      SubjectKind = "vm"
+	SubjectWave    SubjectKind = "wave"
+	SubjectMember  SubjectKind = "member"
+	SubjectJob     SubjectKind = "job"
+)
+
+// Subject is the thing whose revision a record was decided on.
+type Subject struct {
+	Kind SubjectKind `json:"kind"`
+	Name string      `json:"name"`
+}
+
+// String returns kind and name joined by a slash.
+func (s Subject) String() string { return string(s.Kind) + "/" + s.Name }
+
+// Record is one entry of the log.
+//
+// Base is the revision of Subject that the author decided on; a record whose
+// Base is no longer current is void. For a subject that does not exist yet,
+// Base is 0 and Seen is the offset that the author had folded, which bounds how
+// late a copy of a creating record can take effect.
+type Record struct {
+	// ID is unique per decision (a ULID); a second copy of an ID is void.
+	ID      string
+	Subject Subject
+	Base    Revision
+	// Seen is the highest offset that the author had folded.
+	Seen uint64
+	// Author is the node or operator that wrote the record.
+	Author string
+	// Time is the author's clock. It dates budget charges and reports and never
+	// decides an order.
+	Time time.Time
+	Body Body
+}
+
+// Body is the typed content of a record.
+type Body interface {
+	// Kind names the body on the log.
+	Kind() Kind
+}
+
+// Kind names a body type on the log.
+type Kind string
+
+type envelope struct {
+	ID      string          `json:"id"`
+	Subject Subject         `json:"subject"`
+	Base    Revision        `json:"base"`
+	Seen    uint64          `json:"seen"`
+	Author  string          `json:"author"`
+	Time    time.Time       `json:"time"`
+	Kind    Kind            `json:"kind"`
+	Body    json.RawMessage `json:"body"`
+}
+
+// Errors of Decode.
+var (
+	// ErrMalformed means that the bytes are no record envelope.
+	ErrMalformed = errors.New("malformed record")
+	// ErrUnknownKind means that the record's kind is not known to this build,
+	// as when a newer build shares the log.
+	ErrUnknownKind = errors.New("unknown record kind")
+)
+
+// Encode returns the record as one JSON object.
+func Encode(r Record) ([]byte, error) {
+	if r.Body == nil {
+		return nil, errors.Wrap(ErrMalformed, "no body")
+	}
+	body, err := json.Marshal(r.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode body")
+	}
+	data, err := json.Marshal(envelope{
+		ID:      r.ID,
+		Subject: r.Subject,
+		Base:    r.Base,
+		Seen:    r.Seen,
+		Author:  r.Author,
+		Time:    r.Time,
+		Kind:    r.Body.Kind(),
+		Body:    body,
+	})
+	return data, errors.Wrap(err, "encode record")
+}
+
+// Decode is the inverse of Encode. Its error is ErrMalformed or ErrUnknownKind;
+// every node gets the same error for the same bytes, so such a record is void
+// everywhere.
+func Decode(data []byte) (Record, error) {
+	var e envelope
+	if err := json.Unmarshal(data, &e); err != nil {
+		return Record{}, errors.Wrap(ErrMalformed, err.Error())
+	}
+	if e.ID == "" || e.Subject.Kind == "" || e.Subject.Name == "" {
+		return Record{}, errors.Wrap(ErrMalformed, "id or subject missing")
+	}
+	body, err := decodeBody(e.Kind, e.Body)
+	if err != nil {
+		return Record{}, err
+	}
+	return Record{
+		ID:      e.ID,
+		Subject: e.Subject,
+		Base:    e.Base,
+		Seen:    e.Seen,
+		Author:  e.Author,
+		Time:    e.Time,
+		Body:    body,
+	}, nil
+}
+
+func decodeBody(kind Kind, data json.RawMessage) (Body, error) {
+	decode, ok := decoders[kind]
+	if !ok {
+		return nil, errors.Wrapf(ErrUnknownKind, "%q", kind)
+	}
+	body, err := decode(data)
+	if err != nil {
+		return nil, errors.Wrapf(ErrMalformed, "%s: %v", kind, err)
+	}
+	return body, nil
+}
+
+func decoderOf[T Body](data json.RawMessage) (Body, error) {
+	var body T
+	err := json.Unmarshal(data, &body)
+	return body, err
+}
