--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -33,9 +33,9 @@
 	Worker      string           `json:"worker,omitempty"`
 	// Fence is the offset of the placement, the fencing token of its task.
 	Fence      uint64 `json:"fence,omitempty"`
-	Attempt    int `json:"attempt"`
-	MilliCores int `json:"milli_cores"` // reserved by the placement
-	MemoryMB   int `json:"memory_mb"`
+	Attempt    int    `json:"attempt"`
+	MilliCores int    `json:"milli_cores"` // reserved by the placement
+	MemoryMB   int    `json:"memory_mb"`
 	// CancelAsked is set when a placed job was cancelled.
 	CancelAsked bool             `json:"cancel_asked,omitempty"`
 	Checkpoint  string           `json:"checkpoint,omitempty"`
--- a/internal/record/body.go
+++ b/internal/record/body.go
@@ -209,8 +209,8 @@
 
 // JobSubmit asks for a job. Subject: the job.
 type JobSubmit struct {
-	Service      string        `json:"service"` // whose pool runs it
-	Team         string        `json:"team"`    // whose quota it counts against
+	Service      string        `json:"service"`     // whose pool runs it
+	Team         string        `json:"team"`        // whose quota it counts against
 	MilliCores   int           `json:"milli_cores"` // thousandths of a core
 	MemoryMB     int           `json:"memory_mb"`
 	Accelerators int           `json:"accelerators"`
