--- a/internal/tomlfile/describe.go
+++ b/internal/tomlfile/describe.go
@@ -22,25 +22,31 @@
 }
 
 // tomlType names the TOML type that decodes into goType, the name of the type
-// that refused the value, or into at, the type of the whole key.
+// that refused the value. at is the type of the whole key, or nil; it tells
+// what a named type such as "settings.LogFormat" is.
 func tomlType(goType string, at reflect.Type) string {
 	switch {
-	case goType == "string":
-		return "a string"
-	case goType == "bool":
-		return "true or false"
-	case strings.HasPrefix(goType, "int"), strings.HasPrefix(goType, "uint"):
-		return "an integer"
-	case strings.HasPrefix(goType, "float"):
-		return "a number"
-	case strings.HasPrefix(goType, "[]"):
-		return "an array"
 	case goType == reflect.TypeFor[Duration]().String():
 		return durationForm
 	case goType == reflect.TypeFor[Address]().String():
 		return addressForm
-	case at != nil && reflect.PointerTo(at).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()):
+	case strings.HasPrefix(goType, "[]"):
+		return "an array"
+	case strings.Contains(goType, ".") && at != nil:
+		if reflect.PointerTo(element(at)).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()) {
+			return "a string"
+		}
+		goType = element(at).Kind().String()
+	}
+	switch strings.TrimRight(goType, "0123456789") {
+	case "string":
 		return "a string"
+	case "bool":
+		return "true or false"
+	case "int", "uint":
+		return "an integer"
+	case "float":
+		return "a number"
 	default:
 		return "a table"
 	}
