--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -126,7 +126,8 @@
 
 // TaskSpec is what the platform is asked to run on a worker.
 type TaskSpec struct {
-	ID           string        `json:"id"` // one run of one job
+	ID           string        `json:"id"`            // one run of one job
+	Job          string        `json:"job,omitempty"` // the job that the run belongs to
 	Worker       string        `json:"worker"`
 	Cores        float64       `json:"cores"`
 	MemoryMB     int           `json:"memory_mb"`
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,209 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Defaults of ClientOptions.
+const (
+	DefaultTimeout     = 5 * time.Second
+	DefaultDialTimeout = 2 * time.Second
+	idleConns          = 8
+	idleTimeout        = 30 * time.Second
+)
+
+// ClientOptions tunes a Client; zero values take the defaults.
+type ClientOptions struct {
+	// Timeout bounds a call whose context has no deadline of its own. A read
+	// that waits for entries gets its wait on top.
+	Timeout time.Duration
+	// DialTimeout bounds the connecting alone.
+	DialTimeout time.Duration
+}
+
+// Client speaks to the platform over HTTP and JSON. It implements Log, Fleet
+// and Tasks, sends every request at most once and is safe for concurrent use.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+var (
+	_ Log   = (*Client)(nil)
+	_ Fleet = (*Client)(nil)
+	_ Tasks = (*Client)(nil)
+)
+
+// NewClient returns a client of the platform at addr, an "IP:port".
+func NewClient(addr string, opts ClientOptions) *Client {
+	if opts.Timeout <= 0 {
+		opts.Timeout = DefaultTimeout
+	}
+	if opts.DialTimeout <= 0 {
+		opts.DialTimeout = DefaultDialTimeout
+	}
+	transport := &http.Transport{
+		DialContext:         dialWitness(&net.Dialer{Timeout: opts.DialTimeout}),
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	return &Client{
+		base:    "http://" + addr,
+		timeout: opts.Timeout,
+		http: &http.Client{
+			Transport: transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error {
+				return http.ErrUseLastResponse
+			},
+		},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// call is one request. acts is true when it changes something on the platform:
+// only then a missing reply is an unknown outcome rather than unavailability.
+type call struct {
+	method string
+	path   string
+	in     any
+	out    any
+	acts   bool
+	wait   time.Duration
+	// refusal is filled from the body of a refusal.
+	refusal ErrorReply
+}
+
+// do sends the call once and sorts its outcome into the errors of this package.
+func (c *Client) do(ctx context.Context, k *call) error {
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.timeout+k.wait)
+		defer cancel()
+	}
+	if err := ctx.Err(); err != nil {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	var used connUse
+	req, err := c.request(httptrace.WithClientTrace(ctx, used.trace()), k)
+	if err != nil {
+		return errors.Wrap(ErrRejected, err.Error())
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return k.lost(used.written(), err)
+	}
+	defer resp.Body.Close()
+	return k.answer(resp)
+}
+
+// request builds the HTTP request. The Transport replays a request by itself
+// when a reused connection breaks and the request is "replayable"; a POST
+// without GetBody and without an idempotency header never is.
+func (c *Client) request(ctx context.Context, k *call) (*http.Request, error) {
+	var body io.Reader
+	if k.in != nil {
+		data, err := json.Marshal(k.in)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, k.method, c.base+k.path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	if k.in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return req, nil
+}
+
+// lost sorts a call without a complete reply.
+func (k *call) lost(written bool, cause error) error {
+	if k.acts && written {
+		return errors.Wrap(ErrUnknownOutcome, cause.Error())
+	}
+	return errors.Wrap(ErrUnavailable, cause.Error())
+}
+
+// answer sorts a reply. A success counts only when its body is whole; a
+// refusal's status line says enough by itself.
+func (k *call) answer(resp *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes+1))
+	if err == nil && len(data) > MaxBodyBytes {
+		err = errors.New("reply exceeds the limit")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return k.refused(resp.StatusCode, data)
+	}
+	if err != nil {
+		return k.lost(true, err)
+	}
+	if k.out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, k.out); err != nil {
+		return k.lost(true, errors.Wrap(err, "malformed reply"))
+	}
+	return nil
+}
+
+// refused maps a status code to an error of this package.
+func (k *call) refused(status int, data []byte) error {
+	if json.Unmarshal(data, &k.refusal) != nil || k.refusal.Message == "" {
+		k.refusal.Message = http.StatusText(status)
+	}
+	message := k.refusal.Message
+	switch {
+	case status == http.StatusConflict:
+		return errors.Wrap(ErrFenced, message)
+	case status == http.StatusGone:
+		return errors.Wrap(ErrTrimmed, message)
+	case status == http.StatusTooManyRequests:
+		return errors.Wrap(ErrThrottled, message)
+	case status == http.StatusNotFound:
+		return errors.Wrap(ErrNotFound, message)
+	case status == http.StatusServiceUnavailable:
+		return errors.Wrap(ErrUnavailable, message)
+	case status >= http.StatusInternalServerError:
+		return k.lost(true, errors.New(message))
+	default:
+		return errors.Wrap(ErrRejected, message)
+	}
+}
+
+// connUse follows which connection a request got and whether it wrote to it.
+// The Transport sets it on the goroutine of the call.
+type connUse struct {
+	conn *witnessConn
+	mark uint64
+}
+
+func (u *connUse) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		u.conn, _ = info.Conn.(*witnessConn)
+		if u.conn != nil {
+			u.mark = u.conn.mark()
+		}
+	}}
+}
+
+// written reports whether any byte of the failed request can have left, and
+// makes sure that none leaves later.
+func (u *connUse) written() bool {
+	return u.conn != nil && u.conn.seal(u.mark)
+}
--- /dev/null
+++ b/internal/standin/backend.go
@@ -0,0 +1,351 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Headers that a backend server knows.
+const (
+	// HeaderKey carries the request's key, by which runs are counted.
+	HeaderKey = "Yuccadrift-Key"
+	// HeaderBackend says NotRun when the server refused a request unrun.
+	HeaderBackend = "Yuccadrift-Backend"
+	// NotRun is the value of HeaderBackend.
+	NotRun = "not-run"
+	// HeaderWorkMS sets how long the run takes, in milliseconds (a decimal).
+	HeaderWorkMS = "X-Standin-Work-Ms"
+	// HeaderReplyBytes sets the size of the answer's body.
+	HeaderReplyBytes = "X-Standin-Reply-Bytes"
+	// HeaderEcho is a token that the answer repeats in its header and body.
+	HeaderEcho = "X-Standin-Echo"
+	// HeaderVM names the VM that answered.
+	HeaderVM = "X-Standin-Vm"
+	// HeaderRun is the number of the run among those of the key.
+	HeaderRun = "X-Standin-Run"
+)
+
+// Bounds of a backend server.
+const (
+	maxWork        = 10 * time.Minute
+	maxReplyBytes  = 64 << 20
+	maxBodyBytes   = 64 << 20
+	freezePoll     = 10 * time.Millisecond
+	readHeaderWait = 10 * time.Second
+)
+
+// backend is the backend server of one VM. It keeps its counts over reboots.
+type backend struct {
+	vm       string
+	platform *Platform
+	slots    int
+	work     time.Duration
+
+	mu       sync.Mutex
+	counts   VMCounters
+	keys     map[string]KeyCounters
+	busy     int
+	inFlight int
+	boots    int
+	server   *http.Server
+	stopped  chan struct{} // closed when the present boot ends
+}
+
+// open serves on listener until close.
+func (b *backend) open(listener net.Listener, connections, boots int) {
+	limited := &limitListener{
+		Listener: listener,
+		limit:    connections,
+		refuse:   func() { b.count(func(c *VMCounters) { c.RefusedConnections++ }) },
+		cut: func() bool {
+			_, ok := b.platform.takeFault(CutBeforeRead, b.vm)
+			return ok
+		},
+	}
+	stopped := make(chan struct{})
+	server := &http.Server{
+		Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { b.serve(w, r, stopped) }),
+		ReadHeaderTimeout: readHeaderWait,
+	}
+	b.mu.Lock()
+	b.server, b.stopped, b.boots = server, stopped, boots
+	b.mu.Unlock()
+	go server.Serve(limited)
+}
+
+// close cuts the connections, as a VM does that goes down, and counts the
+// requests that it cut.
+func (b *backend) close() {
+	b.mu.Lock()
+	server := b.server
+	b.server = nil
+	if server != nil {
+		b.counts.CutInFlight += b.inFlight
+		b.inFlight = 0
+		close(b.stopped)
+	}
+	b.mu.Unlock()
+	if server != nil {
+		server.Close()
+	}
+}
+
+func (b *backend) isOpen() (boots int, open bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.boots, b.server != nil
+}
+
+func (b *backend) count(f func(*VMCounters)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f(&b.counts)
+}
+
+// serve handles one request of the boot that ends with stopped.
+func (b *backend) serve(w http.ResponseWriter, r *http.Request, stopped <-chan struct{}) {
+	if r.URL.Path == HealthPath {
+		b.serveHealth(w)
+		return
+	}
+	run := &backendRun{backend: b, w: w, r: r, key: r.Header.Get(HeaderKey), stopped: stopped}
+	if !b.arrive(run.key, stopped) {
+		cut()
+	}
+	defer b.depart(stopped)
+	run.serve()
+}
+
+func (b *backend) serveHealth(w http.ResponseWriter) {
+	if _, ok := b.platform.takeFault(BackendUnhealthy, b.vm); ok {
+		http.Error(w, "unhealthy", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ok\n")
+}
+
+// arrive counts a request; false means that the VM has gone down meanwhile.
+func (b *backend) arrive(key string, stopped <-chan struct{}) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts.Seen++
+	b.counts.LastSeen = b.platform.now()
+	b.countKey(key, KeyCounters{Seen: 1})
+	select {
+	case <-stopped:
+		b.counts.CutInFlight++
+		return false
+	default:
+		b.inFlight++
+		return true
+	}
+}
+
+// depart ends a request unless the VM went down and counted it as cut.
+func (b *backend) depart(stopped <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case <-stopped:
+	default:
+		b.inFlight--
+	}
+}
+
+func (b *backend) countKey(key string, add KeyCounters) KeyCounters {
+	if key == "" {
+		return add
+	}
+	c := b.keys[key].plus(add)
+	b.keys[key] = c
+	return c
+}
+
+// enter takes a slot, or counts the refusal.
+func (b *backend) enter(key string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.busy >= b.slots {
+		b.counts.Refused++
+		b.countKey(key, KeyCounters{Refused: 1})
+		return false
+	}
+	b.busy++
+	b.counts.MaxBusy = max(b.counts.MaxBusy, b.busy)
+	return true
+}
+
+func (b *backend) leave() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.busy--
+}
+
+// countRun counts the start of a run and returns its number for the key.
+func (b *backend) countRun(key string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts.Runs++
+	return b.countKey(key, KeyCounters{Runs: 1}).Runs
+}
+
+// backendRun is the handling of one request.
+type backendRun struct {
+	backend *backend
+	w       http.ResponseWriter
+	r       *http.Request
+	key     string
+	stopped <-chan struct{}
+}
+
+// cut breaks the connection; net/http takes this panic for just that.
+func cut() { panic(http.ErrAbortHandler) }
+
+func (run *backendRun) fault(kind FaultKind) (Fault, bool) {
+	return run.backend.platform.takeFault(kind, run.backend.vm)
+}
+
+func (run *backendRun) cutIf(kind FaultKind) {
+	if _, ok := run.fault(kind); ok {
+		cut()
+	}
+}
+
+func (run *backendRun) serve() {
+	run.cutIf(CutAfterHeader)
+	if _, ok := run.fault(BackendError); ok {
+		http.Error(run.w, "ordered to fail", http.StatusInternalServerError)
+		return
+	}
+	if !run.backend.enter(run.key) {
+		run.w.Header().Set(HeaderBackend, NotRun)
+		http.Error(run.w, "all slots are busy", http.StatusServiceUnavailable)
+		return
+	}
+	defer run.backend.leave()
+	body, err := io.Copy(io.Discard, http.MaxBytesReader(run.w, run.r.Body, maxBodyBytes))
+	if err != nil {
+		cut()
+	}
+	run.freeze()
+	number := run.backend.countRun(run.key)
+	run.workFor()
+	run.cutIf(CutAfterRun)
+	if f, ok := run.fault(BackendLate); ok {
+		run.sleep(f.Delay())
+	}
+	run.answer(number, body)
+}
+
+// freeze holds the request for the fault's delay, or until the fault ends.
+func (run *backendRun) freeze() {
+	f, ok := run.fault(BackendFreeze)
+	if !ok {
+		return
+	}
+	run.sleep(f.Delay())
+	for f.DelayMS == 0 && run.backend.platform.isActive(f.ID) {
+		run.sleep(freezePoll)
+		if run.r.Context().Err() != nil {
+			cut()
+		}
+	}
+}
+
+// workFor spends the run's time. A run goes on when its client leaves.
+func (run *backendRun) workFor() {
+	work := run.backend.work
+	if ms, err := strconv.ParseFloat(run.r.Header.Get(HeaderWorkMS), 64); err == nil && ms >= 0 {
+		work = time.Duration(min(ms*float64(time.Millisecond), float64(maxWork)))
+	}
+	if f, ok := run.fault(BackendSlow); ok {
+		work = time.Duration(scale(float64(work), f.Factor)) + f.Delay()
+	}
+	run.sleep(work)
+}
+
+// sleep waits for d; when the VM goes down first, the run ends there.
+func (run *backendRun) sleep(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-run.stopped:
+		cut()
+	}
+}
+
+// answer writes the answer whole within the handler, so that a request counts
+// as in flight until the answer has left.
+func (run *backendRun) answer(number int, bodyBytes int64) {
+	echo := run.r.Header.Get(HeaderEcho)
+	size, err := strconv.Atoi(run.r.Header.Get(HeaderReplyBytes))
+	body := ReplyBody(echo, min(size, maxReplyBytes))
+	if err != nil || size < 0 {
+		body = run.describe(number, bodyBytes)
+	}
+	header := run.w.Header()
+	header.Set(HeaderVM, run.backend.vm)
+	header.Set(HeaderEcho, echo)
+	header.Set(HeaderRun, strconv.Itoa(number))
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	header.Set("Content-Type", "application/octet-stream")
+	_, cutMid := run.fault(CutMidAnswer)
+	if cutMid {
+		body = body[:len(body)/2]
+	}
+	run.w.Write(body)
+	if http.NewResponseController(run.w).Flush() != nil || cutMid {
+		cut()
+	}
+}
+
+// Answer is the body of an answer whose size was not asked for.
+type Answer struct {
+	VM        string `json:"vm"`
+	Path      string `json:"path"`
+	Key       string `json:"key"`
+	Echo      string `json:"echo"`
+	Run       int    `json:"run"`
+	BodyBytes int64  `json:"body_bytes"`
+}
+
+func (run *backendRun) describe(number int, bodyBytes int64) []byte {
+	return mustJSON(Answer{
+		VM:        run.backend.vm,
+		Path:      run.r.URL.Path,
+		Key:       run.key,
+		Echo:      run.r.Header.Get(HeaderEcho),
+		Run:       number,
+		BodyBytes: bodyBytes,
+	})
+}
+
+// ReplyBody is the body of an answer of size bytes to a request with an echo
+// token: the token over and over.
+func ReplyBody(echo string, size int) []byte {
+	if echo == "" {
+		echo = "-"
+	}
+	if size <= 0 {
+		return nil
+	}
+	return []byte(strings.Repeat(echo, size/len(echo)+1)[:size])
+}
+
+// listenOn binds a backend server's address.
+func listenOn(address string) (net.Listener, error) {
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+	return listener, errors.Wrapf(err, "listen on %s", address)
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,333 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+)
+
+// Group is a set of alike VMs. They go over the zones in turn and fill racks
+// there, which groups share.
+type Group struct {
+	Prefix       string
+	Count        int
+	Zones        []string
+	RackSize     int
+	Cores        int
+	MemoryMB     int
+	Accelerators int
+	// Slots is how many requests a backend server runs at a time, Connections
+	// how many it keeps open.
+	Slots       int
+	Connections int
+	// BasePort is the port of the first backend server; 0 means any free ports.
+	BasePort int
+	// Boot is how long a reboot takes.
+	Boot time.Duration
+}
+
+// Defaults of Group, the sizes of the brief.
+const (
+	DefaultRackSize    = 4
+	DefaultSlots       = 8
+	DefaultConnections = 64
+	DefaultCores       = 32
+	DefaultMemoryMB    = 64 << 10
+	defaultZone        = "zone-a"
+)
+
+func (g Group) withDefaults() Group {
+	orDefault := func(field *int, value int) {
+		if *field <= 0 {
+			*field = value
+		}
+	}
+	orDefault(&g.RackSize, DefaultRackSize)
+	orDefault(&g.Slots, DefaultSlots)
+	orDefault(&g.Connections, DefaultConnections)
+	orDefault(&g.Cores, DefaultCores)
+	orDefault(&g.MemoryMB, DefaultMemoryMB)
+	if g.Boot <= 0 {
+		g.Boot = DefaultBoot
+	}
+	if len(g.Zones) == 0 {
+		g.Zones = []string{defaultZone}
+	}
+	return g
+}
+
+// vmState is one VM and its past.
+type vmState struct {
+	vm      platform.VM
+	group   *groupState
+	port    int // of the backend server; 0 means any
+	up      bool
+	lost    bool
+	drained bool
+	booting bool
+	bootDue time.Time // when booting; zero when it never comes back
+	boots   int
+	fence   platform.Offset
+	ops     map[string]*operation
+	past    []listed
+}
+
+// listed is what the list said of a VM from a time on; gone means nothing.
+type listed struct {
+	at   time.Time
+	vm   platform.VM
+	gone bool
+}
+
+// operation is one action on a VM.
+type operation struct {
+	verb   string
+	status platform.OperationStatus
+}
+
+type groupState struct {
+	Group
+	made int
+}
+
+// fleetState holds the VMs in the order in which they appeared.
+type fleetState struct {
+	groups  map[string]*groupState
+	vms     map[string]*vmState
+	order   []*vmState
+	inZones map[string]int
+	served  bool          // a Server binds the addresses
+	changed chan struct{} // tells the Server of a change
+}
+
+func newFleetState() fleetState {
+	return fleetState{
+		groups:  map[string]*groupState{},
+		vms:     map[string]*vmState{},
+		inZones: map[string]int{},
+		changed: make(chan struct{}, 1),
+	}
+}
+
+// AddGroup adds the VMs of a group. Until a Server gives a VM the address of its
+// backend server it has one that nobody listens at.
+func (p *Platform) AddGroup(group Group) {
+	now := p.look()
+	defer p.mu.Unlock()
+	g := &groupState{Group: group.withDefaults()}
+	p.fleet.groups[g.Prefix] = g
+	for range g.Count {
+		p.newVM(g, now)
+	}
+}
+
+func (p *Platform) addOne(prefix string, now time.Time) error {
+	g, ok := p.fleet.groups[prefix]
+	if !ok {
+		return errors.Errorf("no group of VMs %q", prefix)
+	}
+	p.newVM(g, now)
+	return nil
+}
+
+func (p *Platform) newVM(g *groupState, now time.Time) {
+	f := &p.fleet
+	zone := g.Zones[g.made%len(g.Zones)]
+	number := len(f.order)
+	v := &vmState{group: g, up: true, boots: 1, ops: map[string]*operation{}}
+	v.vm = platform.VM{
+		ID:           fmt.Sprintf("%s-%02d", g.Prefix, g.made+1),
+		Zone:         zone,
+		Rack:         fmt.Sprintf("%s-r%02d", zone, f.inZones[zone]/g.RackSize+1),
+		Address:      fmt.Sprintf("10.%d.%d.%d:8000", number>>16, number>>8&0xff, number&0xff),
+		Cores:        g.Cores,
+		MemoryMB:     g.MemoryMB,
+		Accelerators: g.Accelerators,
+		State:        platform.VMLive,
+	}
+	v.vm.BootID = bootID(v.vm.ID, v.boots)
+	if g.BasePort > 0 {
+		v.port = g.BasePort + g.made
+	}
+	if f.served {
+		v.vm.Address = ""
+	}
+	g.made++
+	f.inZones[zone]++
+	f.vms[v.vm.ID] = v
+	f.order = append(f.order, v)
+	p.record(v, now)
+}
+
+func bootID(vm string, boot int) string { return fmt.Sprintf("%s-boot-%d", vm, boot) }
+
+// record notes what the list says of the VM from now on and tells the Server.
+func (p *Platform) record(v *vmState, now time.Time) {
+	v.vm.State = platform.VMLive
+	if v.drained || v.booting {
+		v.vm.State = platform.VMLeaving
+	}
+	v.past = append(v.past, listed{at: now, vm: v.vm, gone: v.lost})
+	select {
+	case p.fleet.changed <- struct{}{}:
+	default:
+	}
+}
+
+// List implements platform.Fleet.
+func (p *Platform) List(ctx context.Context) (platform.VMList, error) {
+	if err := p.apiGate(ctx, "list"); err != nil {
+		return platform.VMList{}, errors.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	now := p.look()
+	defer p.mu.Unlock()
+	asOf := now
+	if lag, ok := p.faults.take(ListLag, now); ok {
+		asOf = now.Add(-lag.Delay())
+	}
+	if asOf.Before(p.started) {
+		asOf = p.started
+	}
+	list := platform.VMList{AsOf: asOf, VMs: []platform.VM{}}
+	for _, v := range p.fleet.order {
+		if vm, ok := v.at(asOf); ok {
+			list.VMs = append(list.VMs, vm)
+		}
+	}
+	return list, nil
+}
+
+// at returns what the list said of the VM at a time.
+func (v *vmState) at(asOf time.Time) (platform.VM, bool) {
+	for i := len(v.past) - 1; i >= 0; i-- {
+		if !v.past[i].at.After(asOf) {
+			return v.past[i].vm, !v.past[i].gone && v.vm.Address != ""
+		}
+	}
+	return platform.VM{}, false
+}
+
+// apiGate applies the faults that come before a call on a VM or task acts. A
+// fault's target is one of the subjects.
+func (p *Platform) apiGate(ctx context.Context, subjects ...string) error {
+	if _, ok := p.takeFault(APIRefuse, subjects...); ok {
+		return errors.Wrap(platform.ErrUnavailable, "the platform refuses")
+	}
+	if f, ok := p.takeFault(APISlow, subjects...); ok {
+		if err := pause(ctx, f.Delay()); err != nil {
+			return errors.Wrap(platform.ErrUnknownOutcome, err.Error())
+		}
+	}
+	return nil
+}
+
+// Drain implements platform.Fleet.
+func (p *Platform) Drain(ctx context.Context, vm string, op platform.Operation) (platform.OperationStatus, error) {
+	return p.actOnVM(ctx, vm, platform.VerbDrain, op)
+}
+
+// Undrain implements platform.Fleet.
+func (p *Platform) Undrain(ctx context.Context, vm string, op platform.Operation) (platform.OperationStatus, error) {
+	return p.actOnVM(ctx, vm, platform.VerbUndrain, op)
+}
+
+// Reboot implements platform.Fleet. It does not wait for a drain.
+func (p *Platform) Reboot(ctx context.Context, vm string, op platform.Operation) (platform.OperationStatus, error) {
+	return p.actOnVM(ctx, vm, platform.VerbReboot, op)
+}
+
+// Operation implements platform.Fleet.
+func (p *Platform) Operation(ctx context.Context, vm, id string) (platform.OperationStatus, error) {
+	if err := p.apiGate(ctx, vm, "operation"); err != nil {
+		return "", errors.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	p.look()
+	defer p.mu.Unlock()
+	v, ok := p.fleet.vms[vm]
+	if !ok {
+		return "", errors.Wrapf(platform.ErrNotFound, "VM %q", vm)
+	}
+	op, ok := v.ops[id]
+	if !ok {
+		return "", errors.Wrapf(platform.ErrNotFound, "operation %q on VM %q", id, vm)
+	}
+	return op.status, nil
+}
+
+func (p *Platform) actOnVM(ctx context.Context, id, verb string, op platform.Operation) (platform.OperationStatus, error) {
+	if err := p.apiGate(ctx, id, verb); err != nil {
+		return "", err
+	}
+	now := p.look()
+	defer p.mu.Unlock()
+	done, err := p.carryOut(id, verb, op, now)
+	if err != nil {
+		return "", err
+	}
+	p.finishDrains()
+	if _, ok := p.faults.take(APILoseReply, now, id, verb); ok {
+		return "", errors.Wrap(platform.ErrUnknownOutcome, "reply lost")
+	}
+	return done.status, nil
+}
+
+// carryOut does an action on a VM once per operation ID.
+func (p *Platform) carryOut(id, verb string, op platform.Operation, now time.Time) (*operation, error) {
+	v, ok := p.fleet.vms[id]
+	if !ok || v.lost {
+		return nil, errors.Wrapf(platform.ErrNotFound, "VM %q", id)
+	}
+	if op.ID == "" {
+		return nil, errors.Wrap(platform.ErrRejected, "the operation has no ID")
+	}
+	if known, ok := v.ops[op.ID]; ok {
+		if known.verb != verb {
+			return nil, errors.Wrapf(platform.ErrRejected, "operation %q is a %s", op.ID, known.verb)
+		}
+		return known, nil
+	}
+	if op.Fence < v.fence {
+		return nil, errors.Wrapf(platform.ErrFenced, "VM %q has seen %d, got %d", id, v.fence, op.Fence)
+	}
+	v.fence = op.Fence
+	done := &operation{verb: verb, status: platform.OperationRunning}
+	v.ops[op.ID] = done
+	p.act(v, done, now)
+	return done, nil
+}
+
+func (p *Platform) act(v *vmState, op *operation, now time.Time) {
+	switch op.verb {
+	case platform.VerbDrain:
+		v.drained = true
+	case platform.VerbUndrain:
+		v.drained = false
+		v.settle(platform.VerbDrain, platform.OperationFailed)
+		op.status = platform.OperationDone
+	case platform.VerbReboot:
+		p.reboot(v, now)
+	}
+	p.record(v, now)
+}
+
+// settle ends the running operations of one verb, or of all when it is empty.
+func (v *vmState) settle(verb string, status platform.OperationStatus) {
+	for _, op := range v.ops {
+		if op.status == platform.OperationRunning && (verb == "" || op.verb == verb) {
+			op.status = status
+		}
+	}
+}
+
+// finishDrains ends the drains of VMs on which no task runs any more.
+func (p *Platform) finishDrains() {
+	for _, v := range p.fleet.order {
+		if v.drained && !p.tasks.runningOn(v.vm.ID) {
+			v.settle(platform.VerbDrain, platform.OperationDone)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/machines.go
@@ -0,0 +1,57 @@
+package standin
+
+// machine is what the Server needs to know of a VM.
+type machine struct {
+	id          string
+	zone        string
+	address     string // empty until the Server has bound one
+	port        int    // to bind when the address is empty
+	up          bool
+	boots       int
+	slots       int
+	connections int
+}
+
+// serveBackends says that a Server binds the addresses of all VMs. Until it has
+// done so for a VM, the list leaves that VM out.
+func (p *Platform) serveBackends() {
+	p.look()
+	defer p.mu.Unlock()
+	p.fleet.served = true
+	for _, v := range p.fleet.order {
+		v.setAddress("")
+	}
+}
+
+func (p *Platform) machines() []machine {
+	p.look()
+	defer p.mu.Unlock()
+	machines := make([]machine, 0, len(p.fleet.order))
+	for _, v := range p.fleet.order {
+		machines = append(machines, machine{
+			id:          v.vm.ID,
+			zone:        v.vm.Zone,
+			address:     v.vm.Address,
+			port:        v.port,
+			up:          v.up,
+			boots:       v.boots,
+			slots:       v.group.Slots,
+			connections: v.group.Connections,
+		})
+	}
+	return machines
+}
+
+func (p *Platform) setAddress(vm, address string) {
+	p.look()
+	defer p.mu.Unlock()
+	p.fleet.vms[vm].setAddress(address)
+}
+
+// setAddress also amends the past: an address never changes once it is bound.
+func (v *vmState) setAddress(address string) {
+	v.vm.Address = address
+	for i := range v.past {
+		v.past[i].vm.Address = address
+	}
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,185 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/thejerf/suture/v4"
+)
+
+// reconcilePeriod is how often the Server looks whether VMs went down or came up.
+const reconcilePeriod = 10 * time.Millisecond
+
+// ServerOptions sets a Server up.
+type ServerOptions struct {
+	// Listen is the "IP:port" of the platform's interface and the control page;
+	// backend servers listen on the same IP. "127.0.0.1:0" when empty.
+	Listen string
+	// Work is how long a request runs that does not say; 0 means no time.
+	Work time.Duration
+	// Logger gets what happens; nothing is logged when nil.
+	Logger hclog.Logger
+}
+
+// Server puts a Platform behind HTTP and runs the backend servers of its VMs.
+type Server struct {
+	platform *Platform
+	work     time.Duration
+	logger   hclog.Logger
+	ip       string
+	listener net.Listener
+
+	mu       sync.Mutex
+	backends map[string]*backend
+}
+
+// NewServer binds all addresses, so that they are known before Serve runs.
+func NewServer(p *Platform, opts ServerOptions) (*Server, error) {
+	if opts.Listen == "" {
+		opts.Listen = "127.0.0.1:0"
+	}
+	if opts.Logger == nil {
+		opts.Logger = hclog.NewNullLogger()
+	}
+	listener, err := listenOn(opts.Listen)
+	if err != nil {
+		return nil, err
+	}
+	ip, _, err := net.SplitHostPort(listener.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		platform: p,
+		work:     opts.Work,
+		logger:   opts.Logger,
+		ip:       ip,
+		listener: listener,
+		backends: map[string]*backend{},
+	}
+	p.serveBackends()
+	if err := s.reconcile(); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Addr returns the "IP:port" of the platform's interface and the control page.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// BackendAddresses returns the addresses of the backend servers in the order in
+// which their VMs appeared.
+func (s *Server) BackendAddresses() []string {
+	var addresses []string
+	for _, m := range s.platform.machines() {
+		addresses = append(addresses, m.address)
+	}
+	return addresses
+}
+
+// Serve runs until ctx ends, then closes every address. It runs once: when the
+// interface can't be served any more, the supervisor is told to give up.
+func (s *Server) Serve(ctx context.Context) error {
+	server := &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderWait}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(s.listener) }()
+	defer s.close()
+	defer server.Close()
+	ticker := time.NewTicker(reconcilePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			s.logger.Error("the platform's interface can't be served", "error", err)
+			return suture.ErrTerminateSupervisorTree
+		case <-s.platform.fleet.changed:
+		case <-ticker.C:
+		}
+		if err := s.reconcile(); err != nil {
+			s.logger.Warn("a backend server can't listen yet", "error", err)
+		}
+	}
+}
+
+func (s *Server) close() {
+	s.listener.Close()
+	for _, b := range s.all() {
+		b.close()
+	}
+}
+
+func (s *Server) all() []*backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*backend, 0, len(s.backends))
+	for _, b := range s.backends {
+		list = append(list, b)
+	}
+	return list
+}
+
+// reconcile opens and closes backend servers to match their VMs. A VM whose
+// address is still in use is tried again the next time.
+func (s *Server) reconcile() error {
+	var failed error
+	for _, m := range s.platform.machines() {
+		if err := s.match(m); err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
+func (s *Server) match(m machine) error {
+	b := s.backendOf(m)
+	boots, open := b.isOpen()
+	if open && (!m.up || boots != m.boots) {
+		b.close()
+		open = false
+		s.logger.Info("VM went down", "vm", m.id)
+	}
+	if open || !m.up {
+		return nil
+	}
+	address := m.address
+	if address == "" {
+		address = net.JoinHostPort(s.ip, strconv.Itoa(m.port))
+	}
+	listener, err := listenOn(address)
+	if err != nil {
+		return err
+	}
+	b.open(listener, m.connections, m.boots)
+	s.platform.setAddress(m.id, listener.Addr().String())
+	s.logger.Info("VM is up", "vm", m.id, "zone", m.zone, "address", listener.Addr().String(), "boots", m.boots)
+	return nil
+}
+
+func (s *Server) backendOf(m machine) *backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.backends[m.id]
+	if !ok {
+		b = &backend{vm: m.id, platform: s.platform, slots: m.slots, work: s.work, keys: map[string]KeyCounters{}}
+		s.backends[m.id] = b
+	}
+	return b
+}
+
+// mustJSON encodes a message of this package; one that can't be is a bug here.
+func mustJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return append(data, '\n')
+}
--- /dev/null
+++ b/internal/standin/tasks.go
@@ -0,0 +1,364 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+)
+
+// task is one task that was started. Its real needs may differ from its spec.
+type task struct {
+	spec     platform.TaskSpec
+	phase    platform.TaskPhase
+	reason   string
+	started  time.Time
+	ended    time.Time
+	cores    float64
+	memoryMB int
+	// left is the unthrottled run time still needed at since; share is the part
+	// of full speed granted from then on.
+	left       time.Duration
+	since      time.Time
+	share      float64
+	leaseUntil time.Time
+	failAt     time.Time // set on a worker that fails everything
+	checkpoint string
+}
+
+// taskState holds the tasks: running ones by ID, ended ones in order of ending,
+// what was saved by checkpoints, and fences and operations per task ID.
+type taskState struct {
+	running     map[string]*task
+	ended       []*task
+	checkpoints map[string]time.Duration
+	fences      map[string]platform.Offset
+	ops         map[taskOp]platform.TaskStatus
+}
+
+type taskOp struct {
+	task string
+	op   string
+}
+
+func newTaskState() taskState {
+	return taskState{
+		running:     map[string]*task{},
+		checkpoints: map[string]time.Duration{},
+		fences:      map[string]platform.Offset{},
+		ops:         map[taskOp]platform.TaskStatus{},
+	}
+}
+
+func (t *task) status() platform.TaskStatus {
+	return platform.TaskStatus{
+		ID:         t.spec.ID,
+		Worker:     t.spec.Worker,
+		Phase:      t.phase,
+		Checkpoint: t.checkpoint,
+		Reason:     t.reason,
+	}
+}
+
+// remaining returns the unthrottled run time still needed at now.
+func (t *task) remaining(now time.Time) time.Duration {
+	return t.left - time.Duration(float64(now.Sub(t.since))*t.share)
+}
+
+// finishAt returns when the task will succeed; false when it is stopped short.
+func (t *task) finishAt() (time.Time, bool) {
+	if t.share <= 0 {
+		return time.Time{}, false
+	}
+	return t.since.Add(time.Duration(float64(t.left) / t.share)), true
+}
+
+func (s *taskState) runningOn(worker string) bool {
+	for _, t := range s.running {
+		if t.spec.Worker == worker {
+			return true
+		}
+	}
+	return false
+}
+
+// find returns the running task with the ID, else the one that ended last.
+func (s *taskState) find(id string) (*task, bool) {
+	if t, ok := s.running[id]; ok {
+		return t, true
+	}
+	for _, t := range slices.Backward(s.ended) {
+		if t.spec.ID == id {
+			return t, true
+		}
+	}
+	return nil, false
+}
+
+// end moves a running task to the ended ones.
+func (s *taskState) end(t *task, phase platform.TaskPhase, reason string, now time.Time) {
+	t.phase, t.reason, t.ended = phase, reason, now
+	delete(s.running, t.spec.ID)
+	s.ended = append(s.ended, t)
+}
+
+// nextTaskEvent offers the earliest end of a running task.
+func (p *Platform) nextTaskEvent(first *earliest) {
+	for _, t := range p.tasks.running {
+		end := func(phase platform.TaskPhase, reason string) func(time.Time) {
+			return func(now time.Time) { p.tasks.end(t, phase, reason, now) }
+		}
+		if at, ok := t.finishAt(); ok {
+			first.offer(at, end(platform.TaskSucceeded, ""))
+		}
+		first.offer(t.leaseUntil, end(platform.TaskExpired, "the lease lapsed"))
+		if !t.failAt.IsZero() {
+			first.offer(t.failAt, end(platform.TaskFailed, "the worker failed the task"))
+		}
+	}
+}
+
+// endTasksOf fails the running tasks of a worker that goes down.
+func (p *Platform) endTasksOf(worker, reason string, now time.Time) {
+	for _, t := range p.tasks.running {
+		if t.spec.Worker == worker {
+			p.tasks.end(t, platform.TaskFailed, reason, now)
+		}
+	}
+}
+
+func (p *Platform) forgetTasks(now time.Time) {
+	p.tasks.ended = slices.DeleteFunc(p.tasks.ended, func(t *task) bool {
+		return now.Sub(t.ended) > endedTaskRetention
+	})
+}
+
+// onTask runs one operation on a task ID: once per operation ID, not below the
+// fence, and with the reply lost if that was ordered.
+func (p *Platform) onTask(ctx context.Context, id, verb string, op platform.Operation, do func(time.Time) (*task, error)) (platform.TaskStatus, error) {
+	if err := p.apiGate(ctx, id, verb); err != nil {
+		return platform.TaskStatus{}, err
+	}
+	now := p.look()
+	defer p.mu.Unlock()
+	status, err := p.once(id, op, func() (*task, error) { return do(now) })
+	if err != nil {
+		return platform.TaskStatus{}, err
+	}
+	if _, ok := p.faults.take(APILoseReply, now, id, verb); ok {
+		return platform.TaskStatus{}, errors.Wrap(platform.ErrUnknownOutcome, "reply lost")
+	}
+	return status, nil
+}
+
+// once does an operation that is new. One that was done before gets the present
+// status of its task, or the one it had then if the task is forgotten.
+func (p *Platform) once(id string, op platform.Operation, do func() (*task, error)) (platform.TaskStatus, error) {
+	if id == "" || op.ID == "" {
+		return platform.TaskStatus{}, errors.Wrap(platform.ErrRejected, "the task or the operation has no ID")
+	}
+	key := taskOp{task: id, op: op.ID}
+	if then, ok := p.tasks.ops[key]; ok {
+		if t, ok := p.tasks.find(id); ok {
+			return t.status(), nil
+		}
+		return then, nil
+	}
+	if seen := p.tasks.fences[id]; op.Fence < seen {
+		return platform.TaskStatus{}, errors.Wrapf(platform.ErrFenced, "task %q has seen %d, got %d", id, seen, op.Fence)
+	}
+	t, err := do()
+	if err != nil {
+		return platform.TaskStatus{}, err
+	}
+	p.tasks.fences[id] = op.Fence
+	p.tasks.ops[key] = t.status()
+	return t.status(), nil
+}
+
+// Start implements platform.Tasks. A further operation ID on a task ID is a
+// further start: that a run is started once is for the caller to see to.
+func (p *Platform) Start(ctx context.Context, spec platform.TaskSpec, op platform.Operation) (platform.TaskStatus, error) {
+	if err := p.apiGate(ctx, spec.Worker); err != nil {
+		return platform.TaskStatus{}, err
+	}
+	return p.onTask(ctx, spec.ID, "start", op, func(now time.Time) (*task, error) {
+		return p.start(spec, now)
+	})
+}
+
+func (p *Platform) start(spec platform.TaskSpec, now time.Time) (*task, error) {
+	if spec.Lease <= 0 || spec.Work < 0 || spec.Cores < 0 || spec.MemoryMB < 0 || spec.Accelerators < 0 {
+		return nil, errors.Wrap(platform.ErrRejected, "lease, work or size is out of range")
+	}
+	v, ok := p.fleet.vms[spec.Worker]
+	if !ok {
+		return nil, errors.Wrapf(platform.ErrNotFound, "worker %q", spec.Worker)
+	}
+	if !v.up || v.drained {
+		return nil, errors.Wrapf(platform.ErrRejected, "worker %q takes no tasks", spec.Worker)
+	}
+	if !p.fits(spec, v) {
+		return nil, errors.Wrapf(platform.ErrRejected, "worker %q has no room", spec.Worker)
+	}
+	t, err := p.newTask(spec, now)
+	if err != nil {
+		return nil, err
+	}
+	p.counters.taskStarts[spec.ID]++
+	if spec.Job != "" {
+		p.counters.jobStarts[spec.Job]++
+	}
+	if t.memoryMB > v.vm.MemoryMB {
+		p.tasks.end(t, platform.TaskFailed, "out of memory", now)
+		return t, nil
+	}
+	p.tasks.running[spec.ID] = t
+	return t, nil
+}
+
+// fits compares declared sizes, throttled ones by their share of cores.
+func (p *Platform) fits(spec platform.TaskSpec, v *vmState) bool {
+	cores, memory, accelerators := spec.Cores, spec.MemoryMB, spec.Accelerators
+	for _, t := range p.tasks.running {
+		if t.spec.Worker == spec.Worker {
+			cores += t.spec.Cores * t.share
+			memory += t.spec.MemoryMB
+			accelerators += t.spec.Accelerators
+		}
+	}
+	return cores <= float64(v.vm.Cores) && memory <= v.vm.MemoryMB && accelerators <= v.vm.Accelerators
+}
+
+func (p *Platform) newTask(spec platform.TaskSpec, now time.Time) (*task, error) {
+	real, _ := p.faults.take(TaskReality, now, spec.ID, spec.Job)
+	t := &task{
+		spec:       spec,
+		phase:      platform.TaskRunning,
+		started:    now,
+		cores:      scale(spec.Cores, real.CoresFactor),
+		memoryMB:   int(scale(float64(spec.MemoryMB), real.MemoryFactor)),
+		left:       time.Duration(scale(float64(spec.Work), real.WorkFactor)),
+		since:      now,
+		share:      1,
+		leaseUntil: now.Add(spec.Lease),
+	}
+	if spec.Checkpoint != "" {
+		left, ok := p.tasks.checkpoints[spec.Checkpoint]
+		if !ok {
+			return nil, errors.Wrapf(platform.ErrNotFound, "checkpoint %q", spec.Checkpoint)
+		}
+		t.left = left
+	}
+	if f, ok := p.faults.take(WorkerFails, now, spec.Worker); ok {
+		t.failAt = now.Add(f.Delay())
+	}
+	return t, nil
+}
+
+// scale multiplies by a factor, of which 0 stands for 1.
+func scale(value, factor float64) float64 {
+	if factor == 0 {
+		return value
+	}
+	return value * factor
+}
+
+// Renew implements platform.Tasks. It renews what it can; tasks that do not run
+// on the worker any more are named in ErrNotFound.
+func (p *Platform) Renew(ctx context.Context, worker string, ids []string, lease time.Duration, fence platform.Offset) error {
+	if err := p.apiGate(ctx, worker, "renew"); err != nil {
+		return err
+	}
+	if lease <= 0 {
+		return errors.Wrap(platform.ErrRejected, "the lease is not positive")
+	}
+	now := p.look()
+	defer p.mu.Unlock()
+	var fenced, missing []string
+	for _, id := range ids {
+		t, ok := p.tasks.running[id]
+		switch {
+		case !ok || t.spec.Worker != worker:
+			missing = append(missing, id)
+		case fence < p.tasks.fences[id]:
+			fenced = append(fenced, id)
+		default:
+			t.leaseUntil = now.Add(lease)
+		}
+	}
+	if _, ok := p.faults.take(APILoseReply, now, worker, "renew"); ok {
+		return errors.Wrap(platform.ErrUnknownOutcome, "reply lost")
+	}
+	if len(fenced) > 0 {
+		return errors.Wrapf(platform.ErrFenced, "tasks %s", strings.Join(fenced, ", "))
+	}
+	if len(missing) > 0 {
+		return errors.Wrapf(platform.ErrNotFound, "tasks %s", strings.Join(missing, ", "))
+	}
+	return nil
+}
+
+// onRunning is onTask for actions on a running task; an ended one is left as it is.
+func (p *Platform) onRunning(ctx context.Context, id, verb string, op platform.Operation, do func(*task, time.Time)) (platform.TaskStatus, error) {
+	return p.onTask(ctx, id, verb, op, func(now time.Time) (*task, error) {
+		t, ok := p.tasks.find(id)
+		if !ok {
+			return nil, errors.Wrapf(platform.ErrNotFound, "task %q", id)
+		}
+		if t.phase == platform.TaskRunning {
+			do(t, now)
+		}
+		return t, nil
+	})
+}
+
+// Checkpoint implements platform.Tasks: the task's progress is saved and it ends.
+func (p *Platform) Checkpoint(ctx context.Context, id string, op platform.Operation) (platform.TaskStatus, error) {
+	return p.onRunning(ctx, id, platform.VerbCheckpoint, op, func(t *task, now time.Time) {
+		t.checkpoint = fmt.Sprintf("checkpoint-%d", len(p.tasks.checkpoints)+1)
+		p.tasks.checkpoints[t.checkpoint] = t.remaining(now)
+		p.tasks.end(t, platform.TaskCheckpointed, "", now)
+	})
+}
+
+// Throttle implements platform.Tasks: the task goes on at a share of its speed.
+func (p *Platform) Throttle(ctx context.Context, id string, share float64, op platform.Operation) (platform.TaskStatus, error) {
+	if !(share >= 0 && share <= 1) {
+		return platform.TaskStatus{}, errors.Wrap(platform.ErrRejected, "the share is not within 0 and 1")
+	}
+	return p.onRunning(ctx, id, platform.VerbThrottle, op, func(t *task, now time.Time) {
+		t.left, t.since, t.share = t.remaining(now), now, share
+	})
+}
+
+// Stop implements platform.Tasks.
+func (p *Platform) Stop(ctx context.Context, id string, op platform.Operation) (platform.TaskStatus, error) {
+	return p.onRunning(ctx, id, platform.VerbStop, op, func(t *task, now time.Time) {
+		p.tasks.end(t, platform.TaskStopped, "", now)
+	})
+}
+
+// Status implements platform.Tasks.
+func (p *Platform) Status(ctx context.Context, worker string) ([]platform.TaskStatus, error) {
+	if err := p.apiGate(ctx, worker, "status"); err != nil {
+		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	p.look()
+	defer p.mu.Unlock()
+	if _, ok := p.fleet.vms[worker]; !ok {
+		return nil, errors.Wrapf(platform.ErrNotFound, "worker %q", worker)
+	}
+	statuses := []platform.TaskStatus{}
+	for t := range p.eachTask() {
+		if t.spec.Worker == worker {
+			statuses = append(statuses, t.status())
+		}
+	}
+	return statuses, nil
+}
--- /dev/null
+++ b/internal/standin/usage.go
@@ -0,0 +1,63 @@
+package standin
+
+import (
+	"context"
+	"iter"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+)
+
+// eachTask yields the ended tasks in order of ending, then the running ones by ID.
+func (p *Platform) eachTask() iter.Seq[*task] {
+	return func(yield func(*task) bool) {
+		for _, t := range p.tasks.ended {
+			if !yield(t) {
+				return
+			}
+		}
+		for _, id := range slices.Sorted(maps.Keys(p.tasks.running)) {
+			if !yield(p.tasks.running[id]) {
+				return
+			}
+		}
+	}
+}
+
+// Usage implements platform.Tasks: what the tasks that ran at AsOf really used.
+// A throttled task is reported at its present share, also for the past.
+func (p *Platform) Usage(ctx context.Context) ([]platform.Usage, error) {
+	if err := p.apiGate(ctx, "usage"); err != nil {
+		return nil, errors.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	now := p.look()
+	defer p.mu.Unlock()
+	asOf := now
+	if lag, ok := p.faults.take(UsageLag, now); ok {
+		asOf = now.Add(-lag.Delay())
+	}
+	reports := []platform.Usage{}
+	for t := range p.eachTask() {
+		if t.ranAt(asOf) {
+			reports = append(reports, platform.Usage{
+				Task:     t.spec.ID,
+				Worker:   t.spec.Worker,
+				Cores:    t.cores * t.share,
+				MemoryMB: t.memoryMB,
+				AsOf:     asOf,
+			})
+		}
+	}
+	return reports, nil
+}
+
+func (t *task) ranAt(at time.Time) bool {
+	if t.started.After(at) {
+		return false
+	}
+	return t.phase == platform.TaskRunning || t.ended.After(at)
+}
