Let VMs leave a pool for the common reserve, guarded by the fold

Cause: a pool could not give a VM back, and two planners that each saw one VM too many, or one gap, could together take two VMs or fill the gap twice. Change: a drain may release; a leaving drain is refused when the pool has no healthy VM to give away; a join names the count it wants. Conclusion: races of planners end at the offset, like all others.

--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -76,6 +76,8 @@
 	PhaseSince   time.Time      `json:"phase_since"`
 	Down         bool           `json:"down"` // found unhealthy
 	DownCause    string         `json:"down_cause,omitempty"`
+	// HealthSince is when Down last changed.
+	HealthSince time.Time `json:"health_since"`
 	// Drain is the drain in progress, nil when serving or free.
 	Drain *Drain `json:"drain,omitempty"`
 	// MaintainedAt is when the VM last came back from a maintenance reboot.
@@ -92,6 +94,7 @@
 	Reason   record.DrainReason `json:"reason"`
 	Wave     string             `json:"wave,omitempty"`
 	Target   string             `json:"target,omitempty"`
+	Release  bool               `json:"release,omitempty"`
 	Fence    uint64             `json:"fence"`
 	ID       string             `json:"id"`
 	Since    time.Time          `json:"since"`
@@ -104,6 +107,15 @@
 	return v.Phase == record.PhaseServing && !v.Down
 }
 
+// Staying reports whether the VM is a member of its pool that no drain in
+// progress takes away.
+func (v *VM) Staying() bool {
+	if v.Drain == nil || v.Phase == record.PhaseReturning {
+		return v.Pool != ""
+	}
+	return v.Drain.Target == "" && !v.Drain.Release
+}
+
 // New returns the state before the first record.
 func New() *State {
 	return &State{
--- a/internal/ledger/vm.go
+++ b/internal/ledger/vm.go
@@ -37,6 +37,9 @@
 	if _, ok := s.Services[b.Target]; b.Target != "" && !ok {
 		return refusef("there is no pool %q to move to", b.Target)
 	}
+	if no := s.mayLeave(vm, b); no != allowed {
+		return no
+	}
 	if reason := s.MayDrain(vm, b.Estimate, rec.Time); reason != "" {
 		return refusal(reason)
 	}
@@ -44,6 +47,7 @@
 		Reason:   b.Reason,
 		Wave:     b.Wave,
 		Target:   b.Target,
+		Release:  b.Release,
 		Fence:    s.Offset,
 		ID:       rec.ID,
 		Since:    s.Now,
@@ -74,12 +78,45 @@
 	return allowed
 }
 
+// mayLeave refuses to take a serving VM away from a pool that would have too few
+// left. Two planners that each saw one VM too many would else take two.
+func (s *State) mayLeave(vm *VM, b record.VMDrain) refusal {
+	if b.Target != "" && b.Release {
+		return refusef("a drain cannot have both a target pool and a release")
+	}
+	if b.Target == "" && !b.Release {
+		return allowed
+	}
+	if b.Target == vm.Pool {
+		return refusef("VM %s is in pool %s already", vm.ID, vm.Pool)
+	}
+	svc, ok := s.Services[vm.Pool]
+	if !ok || !vm.Serving() {
+		return allowed
+	}
+	if n, size := s.Healthy(vm.Pool), svc.Doc.Pool.Size; n <= size {
+		return refusef("pool %s has %d healthy VMs for size %d; none to give away", vm.Pool, n, size)
+	}
+	return allowed
+}
+
+// Healthy counts the VMs that stay in the pool and are not down.
+func (s *State) Healthy(pool string) int {
+	n := 0
+	for _, vm := range s.poolVMs[pool] {
+		if vm.Staying() && !vm.Down {
+			n++
+		}
+	}
+	return n
+}
+
 // nextPhases lists where a VM in a drain may go. A join leads from released to
 // returning and an up from returning to serving; both have their own records.
 var nextPhases = map[record.VMPhase][]record.VMPhase{
 	record.PhaseDraining:  {record.PhaseDrained},
-	record.PhaseDrained:   {record.PhaseRebooting, record.PhaseReleased, record.PhaseReturning},
-	record.PhaseRebooting: {record.PhaseReleased, record.PhaseReturning},
+	record.PhaseDrained:   {record.PhaseRebooting, record.PhaseReleased, record.PhaseFree, record.PhaseReturning},
+	record.PhaseRebooting: {record.PhaseReleased, record.PhaseFree, record.PhaseReturning},
 }
 
 func (s *State) advanceVM(rec record.Record, b record.VMAdvance) refusal {
@@ -96,7 +133,10 @@
 	if b.To == record.PhaseReleased && vm.Drain.Target == "" {
 		return refusef("VM %s has no pool to move to", vm.ID)
 	}
-	if b.To == record.PhaseRebooting {
+	switch b.To {
+	case record.PhaseFree:
+		return s.freeVM(vm)
+	case record.PhaseRebooting:
 		vm.Drain.Rebooted = true
 		vm.Reboots++
 	}
@@ -104,6 +144,24 @@
 	return allowed
 }
 
+// freeVM ends a release: the VM leaves its pool for the common reserve.
+func (s *State) freeVM(vm *VM) refusal {
+	d := vm.Drain
+	if !d.Release {
+		return refusef("VM %s stays in pool %s; its drain is no release", vm.ID, vm.Pool)
+	}
+	vm.Drain = nil
+	if d.Rebooted {
+		vm.MaintainedAt = s.Now
+	}
+	s.movePool(vm, "")
+	s.setPhase(vm, record.PhaseFree)
+	if d.Wave != "" {
+		s.markWave(d.Wave, vm.ID, WaveBack)
+	}
+	return allowed
+}
+
 func (s *State) joinVM(rec record.Record, b record.VMJoin) refusal {
 	vm, no := s.vm(rec)
 	if no != allowed {
@@ -115,7 +173,10 @@
 	if vm.Phase != record.PhaseFree && vm.Phase != record.PhaseReleased {
 		return refusef("VM %s is %s; only a free or released VM can join a pool", vm.ID, vm.Phase)
 	}
-	if vm.Pool != "" {
+	if no := s.wanted(vm, b); no != allowed {
+		return no
+	}
+	if vm.Pool != "" && vm.Pool != b.Pool {
 		vm.Moves++
 	}
 	s.movePool(vm, b.Pool)
@@ -123,6 +184,22 @@
 	return allowed
 }
 
+func (s *State) wanted(vm *VM, b record.VMJoin) refusal {
+	if vm.Phase != record.PhaseFree {
+		return allowed
+	}
+	if vm.Down {
+		return refusef("VM %s is down", vm.ID)
+	}
+	if b.Want == 0 {
+		return allowed
+	}
+	if n := s.Healthy(b.Pool); n >= b.Want {
+		return refusef("pool %s has %d healthy VMs of the %d wanted", b.Pool, n, b.Want)
+	}
+	return allowed
+}
+
 func (s *State) downVM(rec record.Record, b record.VMDown) refusal {
 	vm, no := s.vm(rec)
 	if no != allowed {
@@ -133,6 +210,7 @@
 	}
 	vm.Down = true
 	vm.DownCause = b.Cause
+	vm.HealthSince = s.Now
 	s.account(vm.Pool)
 	return allowed
 }
@@ -147,6 +225,7 @@
 	}
 	vm.Down = false
 	vm.DownCause = ""
+	vm.HealthSince = s.Now
 	if vm.Phase == record.PhaseReturning {
 		s.finishDrain(vm)
 		return allowed
--- a/internal/record/body.go
+++ b/internal/record/body.go
@@ -95,6 +95,9 @@
 	// Target is the pool to join afterwards; empty keeps the pool. A drain with
 	// both Wave and Target makes one disturbance serve both.
 	Target string `json:"target,omitempty"`
+	// Release lets the VM leave its pool for the common reserve of free VMs. It
+	// excludes Target.
+	Release bool `json:"release,omitempty"`
 	// Estimate is how long the VM is expected to be unavailable.
 	Estimate time.Duration `json:"estimate"`
 }
@@ -104,7 +107,8 @@
 
 // Phases of a VM. A pool VM is serving, or on its way through a drain:
 // draining -> drained -> [rebooting] -> returning -> serving, with a move
-// draining -> drained -> [rebooting] -> released -> (join) -> returning -> serving.
+// draining -> drained -> [rebooting] -> released -> (join) -> returning -> serving,
+// and with a release draining -> drained -> [rebooting] -> free.
 const (
 	PhaseFree      VMPhase = "free" // in no pool
 	PhaseServing   VMPhase = "serving"
@@ -124,6 +128,10 @@
 // VMJoin puts a free or released VM into a pool.
 type VMJoin struct {
 	Pool string `json:"pool"`
+	// Want is how many VMs the author wants the pool to have. A join of a free
+	// VM that finds as many there is refused, so that two planners cannot fill
+	// one gap twice; 0 means no such check.
+	Want int `json:"want,omitempty"`
 }
 
 // VMDown records that a VM was found unhealthy.
