--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -8,14 +8,17 @@
 // Document is one service's declaration. Times are durations; sizes of memory
 // are in MB, of requests in bytes.
 type Document struct {
+	// Service is lower-case letters, digits and dashes. Callers name it in the
+	// first element of the request's path.
 	Service string
-	Team    string
-	Pool    Pool
-	Budget  Budget
-	Routes  []Route
-	Limits  Limits
-	Quotas  []Quota
-	Jobs    Jobs
+	// Team owns the document.
+	Team   string
+	Pool   Pool
+	Budget Budget
+	Routes []Route
+	Limits Limits
+	Quotas []Quota
+	Jobs   Jobs
 	// Weigh sets what the pool's planning gives up first.
 	Weigh Weigh
 }
@@ -23,6 +26,7 @@
 // Pool is how much of the fleet the service needs. The pool's name is the
 // service's name.
 type Pool struct {
+	// Size is the number of VMs; 0 empties the pool.
 	Size int
 	// MinZones and MinRacks are the least number of availability zones and
 	// racks that the pool's VMs are spread over.
@@ -58,7 +62,14 @@
 )
 
 // Route maps a path prefix of the service to how its requests are treated.
+//
+// A request for /booking/chairs/7 is for service booking; what follows the
+// first path element, here /chairs/7, is matched against the prefixes. A prefix
+// matches whole path elements: /chairs matches /chairs and /chairs/7 but not
+// /chairs-old, and / matches everything. The longest matching prefix wins. A
+// request that no prefix matches is refused.
 type Route struct {
+	// Prefix starts with a slash and ends with none, / itself excepted.
 	Prefix string
 	Class  Class
 	// Repeatable requests may be sent again after an unknown outcome.
@@ -117,3 +128,8 @@
 	WeighBuffer Weigh = "buffer" // fewest idle VMs
 	WeighMoves  Weigh = "moves"  // fewest VMs disturbed
 )
+
+// AllowedSeconds returns the budget in VM-seconds per window.
+func (d Document) AllowedSeconds() float64 {
+	return d.Budget.Allowed * float64(d.Pool.Size) * d.Budget.Window.Seconds()
+}
--- a/internal/ledger/budget.go
+++ b/internal/ledger/budget.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
@@ -178,8 +177,3 @@
 	}
 	return to.Sub(from).Seconds()
 }
-
-// AllowedSeconds is the budget of a pool in VM-seconds per window.
-func AllowedSeconds(doc document.Document) float64 {
-	return doc.Budget.Allowed * float64(doc.Pool.Size) * doc.Budget.Window.Seconds()
-}
--- a/internal/ledger/headroom.go
+++ b/internal/ledger/headroom.go
@@ -36,7 +36,7 @@
 		Size:     svc.Doc.Pool.Size,
 		Budget:   svc.Doc.Budget,
 		Spent:    svc.Account.Spent(now.Add(-svc.Doc.Budget.Window), now),
-		Allowed:  AllowedSeconds(svc.Doc),
+		Allowed:  svc.Doc.AllowedSeconds(),
 		OutRacks: map[string]int{},
 	}
 	for _, vm := range s.poolVMs[pool] {
