--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,119 @@
+// Package admin serves a daemon's operators over HTTP: metrics, health,
+// readiness and, where the settings allow it, profiles.
+package admin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/yuccadrift/yuccadrift/internal/supervise"
+)
+
+// Bounds of one admin connection. They keep a stuck scraper from holding
+// connections; answers may take long, as a profile does.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = time.Minute
+	maxHeader     = 16 << 10
+	// stopTimeout is what answers in progress get when the daemon stops.
+	stopTimeout = 2 * time.Second
+)
+
+// Config is what a Server serves.
+type Config struct {
+	Listener  net.Listener
+	Registry  *prometheus.Registry
+	Readiness *Readiness
+	Profiles  bool // serve /debug/pprof/
+	Logger    hclog.Logger
+}
+
+// Server is the admin endpoint of one daemon.
+type Server struct {
+	config Config
+	mux    *http.ServeMux
+}
+
+// New returns a Server on config.Listener, which it owns from then on.
+func New(config Config) *Server {
+	s := &Server{config: config, mux: http.NewServeMux()}
+	s.mux.Handle("GET /metrics", promhttp.HandlerFor(config.Registry, promhttp.HandlerOpts{}))
+	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		writeText(w, http.StatusOK, "ok")
+	})
+	s.mux.HandleFunc("GET /readyz", s.readyz)
+	if config.Profiles {
+		s.profiles()
+	}
+	return s
+}
+
+// Handle adds a page; it must be called before Serve.
+func (s *Server) Handle(pattern string, handler http.Handler) {
+	s.mux.Handle(pattern, handler)
+}
+
+// Serve answers until ctx ends. It is a duty's Serve function. The listener
+// cannot be taken up again after a failure, so errors are fatal.
+func (s *Server) Serve(ctx context.Context) error {
+	server := &http.Server{
+		Handler:           s.mux,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          s.config.Logger.StandardLogger(nil),
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(s.config.Listener) }()
+	select {
+	case err := <-ended:
+		return supervise.Fatal(errors.Wrap(err, "admin server"))
+	case <-ctx.Done():
+		stop(server)
+		<-ended
+		return ctx.Err()
+	}
+}
+
+// stop lets answers in progress finish and then closes their connections.
+func stop(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close() // the listener is closed already, only connections remain
+	}
+}
+
+// readyz lists why the process is not ready, one reason a line.
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	reasons := s.config.Readiness.Reasons()
+	if len(reasons) == 0 {
+		writeText(w, http.StatusOK, "ready")
+		return
+	}
+	writeText(w, http.StatusServiceUnavailable, strings.Join(reasons, "\n"))
+}
+
+func (s *Server) profiles() {
+	s.mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	s.mux.HandleFunc("GET /debug/pprof/cmdline", pprof.Cmdline)
+	s.mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	s.mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	s.mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = fmt.Fprintln(w, text) // a caller that left needs no answer
+}
--- /dev/null
+++ b/internal/listen/listen.go
@@ -0,0 +1,37 @@
+// Package listen binds the addresses of a daemon and explains failures in the
+// operator's terms.
+package listen
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/tomlfile"
+)
+
+// TCP binds address. key is the setting that holds it. The error names the
+// setting and says what to do.
+func TCP(ctx context.Context, key string, address tomlfile.Address) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address.String())
+	if err == nil {
+		return listener, nil
+	}
+	return nil, errors.Errorf("%s: cannot listen on %s: %s", key, address, explain(err))
+}
+
+func explain(err error) string {
+	switch {
+	case errors.Is(err, syscall.EADDRINUSE):
+		return "address already in use, stop the process that holds it or set another port"
+	case errors.Is(err, syscall.EADDRNOTAVAIL):
+		return "no interface of this VM has that IP number"
+	case errors.Is(err, syscall.EACCES):
+		return "no permission, ports below 1024 need a privilege"
+	default:
+		return err.Error()
+	}
+}
