Run the thin path of the steward: register, join, drain, reboot, take back

Cause: nothing yet acted on the folded decisions. Change: internal/pool (view, round, joins), internal/maintenance (wave drains, steps of a drain), internal/steward (list, health, planner, executor duties) and cmd/yuccadrift-steward. Conclusion: over the in-process stand-in a wave over 12 VMs reboots each once and never has more out than max_unavailable (TestWaveOverOnePool).

--- /dev/null
+++ b/cmd/yuccadrift-steward/main.go
@@ -0,0 +1,88 @@
+// Command yuccadrift-steward makes and carries out the fleet decisions of one
+// entry VM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/admin"
+	"github.com/yuccadrift/yuccadrift/internal/follower"
+	"github.com/yuccadrift/yuccadrift/internal/listen"
+	"github.com/yuccadrift/yuccadrift/internal/logging"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/settings"
+	"github.com/yuccadrift/yuccadrift/internal/steward"
+	"github.com/yuccadrift/yuccadrift/internal/supervise"
+)
+
+const binary = "yuccadrift-steward"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  binary,
+		Usage: "make and carry out the fleet decisions of this VM",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "read settings from `FILE` (TOML)", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			s, err := settings.LoadSteward(cmd.String("config"))
+			if err != nil || cmd.Bool("check") {
+				return err
+			}
+			return run(ctx, s)
+		},
+	}
+}
+
+func run(ctx context.Context, s settings.Steward) error {
+	logger := logging.New(binary, s.Node, s.Log, os.Stderr)
+	adminListener, err := listen.TCP(ctx, "admin.listen", s.Admin.Listen)
+	if err != nil {
+		return err
+	}
+	client := platform.NewClient(s.Platform.Address.String(), platform.ClientOptions{Timeout: s.Platform.RequestTimeout.Duration})
+	defer client.Close()
+	follow := follower.New(follower.Config{Log: client, Stream: s.Platform.Stream, Logger: logger.Named("log")})
+	readiness := admin.NewReadiness()
+	st := steward.New(steward.Config{
+		Node:          s.Node.ID,
+		Follower:      follow,
+		Fleet:         client,
+		Entries:       steward.UnreachableEntries{},
+		Health:        steward.NewHTTPChecker(),
+		Logger:        logger,
+		PlanInterval:  s.Planning.Interval.Duration,
+		ListInterval:  s.Planning.ListInterval.Duration,
+		MaxActions:    s.Planning.MaxActions,
+		ActionTimeout: s.Planning.ActionTimeout.Duration,
+	})
+	server := admin.New(admin.Config{
+		Listener:  adminListener,
+		Registry:  admin.NewRegistry(binary),
+		Readiness: readiness,
+		Profiles:  s.Admin.Profiles,
+		Logger:    logger.Named("admin"),
+	})
+	duties := append(st.Duties(),
+		supervise.Duty{Name: "follow", Serve: follow.Serve},
+		supervise.Duty{Name: "admin", Serve: server.Serve},
+	)
+	logger.Info("steward started", "admin", adminListener.Addr())
+	return supervise.Run(ctx, binary, logger, duties...)
+}
--- /dev/null
+++ b/internal/pool/view.go
@@ -0,0 +1,144 @@
+// Package pool plans which VMs are in which pools: it fills gaps from the free
+// VMs, moves VMs from pools that have too many and gives surplus back. It is
+// pure: a plan is a function of a View and a Policy, equal on every node.
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// View is a copy of what planning needs of the folded state, so that a round
+// holds no lock and sees one moment. It is not changed after NewView.
+type View struct {
+	Offset uint64
+	Now    time.Time
+	VMs    []*VM   // by ID
+	Pools  []*Pool // by name
+	Free   []*VM   // in no pool and not down, by ID
+	Waves  []*Wave // active, by ID
+	byPool map[string]*Pool
+	byVM   map[string]*VM
+}
+
+// VM is one VM of a View.
+type VM struct {
+	ledger.VM
+	// Jobs counts the jobs placed on the VM.
+	Jobs int
+}
+
+// Pool is one service's pool.
+type Pool struct {
+	Name        string
+	Doc         document.Document
+	PublishedAt time.Time
+	Headroom    ledger.Headroom
+	VMs         []*VM // by ID
+}
+
+// Wave is an active maintenance wave.
+type Wave struct {
+	ID       string
+	Revision record.Revision
+	Pools    []string
+	Deadline time.Time
+	Running  bool
+	Started  time.Time
+	VMs      map[string]ledger.WaveProgress
+}
+
+// NewView copies the state at the time now.
+func NewView(s *ledger.State, now time.Time) *View {
+	v := &View{
+		Offset: s.Offset,
+		Now:    now,
+		VMs:    make([]*VM, 0, len(s.VMs)),
+		byPool: make(map[string]*Pool, len(s.Services)),
+		byVM:   make(map[string]*VM, len(s.VMs)),
+	}
+	v.copyPools(s)
+	v.copyVMs(s)
+	v.copyWaves(s)
+	return v
+}
+
+func (v *View) copyPools(s *ledger.State) {
+	for name, svc := range s.Services {
+		p := &Pool{Name: name, Doc: svc.Doc, PublishedAt: svc.PublishedAt}
+		p.Headroom, _ = s.Headroom(name, v.Now)
+		v.Pools = append(v.Pools, p)
+		v.byPool[name] = p
+	}
+	slices.SortFunc(v.Pools, func(a, b *Pool) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+func (v *View) copyVMs(s *ledger.State) {
+	copies := make([]VM, 0, len(s.VMs))
+	for id, vm := range s.VMs {
+		copies = append(copies, VM{VM: *vm, Jobs: len(s.WorkerJobs(id))})
+	}
+	slices.SortFunc(copies, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
+	for i := range copies {
+		vm := &copies[i]
+		if vm.Drain != nil {
+			d := *vm.Drain
+			vm.Drain = &d
+		}
+		v.VMs = append(v.VMs, vm)
+		v.byVM[vm.ID] = vm
+		v.index(vm)
+	}
+}
+
+func (v *View) index(vm *VM) {
+	if p, ok := v.byPool[vm.Pool]; ok {
+		p.VMs = append(p.VMs, vm)
+	}
+	if vm.Phase == record.PhaseFree && !vm.Down {
+		v.Free = append(v.Free, vm)
+	}
+}
+
+func (v *View) copyWaves(s *ledger.State) {
+	for id, w := range s.Waves {
+		if !w.Active() {
+			continue
+		}
+		vms := make(map[string]ledger.WaveProgress, len(w.VMs))
+		for vm, progress := range w.VMs {
+			vms[vm] = progress
+		}
+		v.Waves = append(v.Waves, &Wave{
+			ID:       id,
+			Revision: w.Revision,
+			Pools:    slices.Clone(w.Pools),
+			Deadline: w.Deadline,
+			Running:  w.Status == ledger.WaveRunning,
+			Started:  w.StartedAt,
+			VMs:      vms,
+		})
+	}
+	slices.SortFunc(v.Waves, func(a, b *Wave) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Pool returns a pool by name, nil when it has no document.
+func (v *View) Pool(name string) *Pool { return v.byPool[name] }
+
+// VM returns a VM by ID, nil when it is not known.
+func (v *View) VM(id string) *VM { return v.byVM[id] }
+
+// DueWave returns the running wave in which the VM still has its turn, or nil.
+func (v *View) DueWave(vm *VM) *Wave {
+	for _, w := range v.Waves {
+		if w.Running && w.VMs[vm.ID] == ledger.WavePending {
+			return w
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/steward/health.go
@@ -0,0 +1,145 @@
+package steward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/maintenance"
+	"github.com/yuccadrift/yuccadrift/internal/pool"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Checker asks a backend server whether it is healthy; nil means yes.
+type Checker interface {
+	Check(ctx context.Context, address string) error
+}
+
+// Bounds of health checks.
+const (
+	checkTimeout  = time.Second
+	checkParallel = 32
+	downAfter     = 3 // failures in a row
+	upAfter       = 2 // successes in a row
+)
+
+// HTTPChecker checks backend servers over HTTP.
+type HTTPChecker struct{ client *http.Client }
+
+// NewHTTPChecker returns a checker with its own connections.
+func NewHTTPChecker() *HTTPChecker {
+	return &HTTPChecker{client: &http.Client{
+		Timeout:   checkTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second},
+	}}
+}
+
+// Check implements Checker.
+func (c *HTTPChecker) Check(ctx context.Context, address string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/healthz", nil)
+	if err != nil {
+		return errors.Wrap(err, "health check")
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "health check")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("health check: status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// health watches the VMs of this steward's share.
+type health struct {
+	*Steward
+	streaks map[string]*streak
+}
+
+// streak counts like results in a row.
+type streak struct {
+	good, bad int
+	cause     string
+}
+
+func newHealth(s *Steward) *health { return &health{Steward: s, streaks: map[string]*streak{}} }
+
+func (h *health) serve(ctx context.Context) error {
+	return every(ctx, h.cfg.CheckInterval, h.round)
+}
+
+func (h *health) round(ctx context.Context) {
+	vms, seen := h.watched()
+	results := h.checkAll(ctx, vms)
+	var proposals []pool.Proposal
+	for i, vm := range vms {
+		s := h.note(vm.ID, results[i])
+		if body := verdict(vm, s); body != nil {
+			proposals = append(proposals, pool.OnVM(&pool.VM{VM: vm}, body, vm.ID, s.cause))
+		}
+	}
+	if h.mayDecide() {
+		h.propose.all(ctx, seen, proposals)
+	}
+}
+
+// watched returns the VMs of this steward's share that are not on their way
+// through a drain: those are the executor's.
+func (h *health) watched() ([]ledger.VM, uint64) {
+	var vms []ledger.VM
+	var seen uint64
+	h.cfg.Follower.View(func(st *ledger.State) {
+		seen = st.Offset
+		for id, vm := range st.VMs {
+			if maintenance.Next(vm) == maintenance.StepNone && h.shares.rank(id) == 0 {
+				vms = append(vms, copyVM(vm))
+			}
+		}
+	})
+	return vms, seen
+}
+
+func (h *health) checkAll(ctx context.Context, vms []ledger.VM) []error {
+	results := make([]error, len(vms))
+	room := make(chan struct{}, checkParallel)
+	var wg sync.WaitGroup
+	for i := range vms {
+		room <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-room }()
+			results[i] = h.cfg.Health.Check(ctx, vms[i].Address)
+		})
+	}
+	wg.Wait()
+	return results
+}
+
+func (h *health) note(vm string, result error) *streak {
+	s := h.streaks[vm]
+	if s == nil {
+		s = &streak{}
+		h.streaks[vm] = s
+	}
+	if result == nil {
+		s.good, s.bad, s.cause = s.good+1, 0, "healthy again"
+		return s
+	}
+	s.good, s.bad, s.cause = 0, s.bad+1, result.Error()
+	return s
+}
+
+// verdict returns the record that the evidence calls for, or nil.
+func verdict(vm ledger.VM, s *streak) record.Body {
+	switch {
+	case !vm.Down && s.bad >= downAfter:
+		return record.VMDown{Cause: s.cause}
+	case vm.Down && s.good >= upAfter:
+		return record.VMUp{}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/steward/planner.go
@@ -0,0 +1,73 @@
+package steward
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/maintenance"
+	"github.com/yuccadrift/yuccadrift/internal/pool"
+)
+
+// planner runs the planning rounds.
+type planner struct {
+	*Steward
+	changed <-chan struct{}
+}
+
+func newPlanner(s *Steward) *planner {
+	return &planner{Steward: s, changed: s.cfg.Follower.Changed()}
+}
+
+// minRoundPause is the least pause between rounds: a burst of records is met by
+// one round, not by one each.
+const minRoundPause = 200 * time.Millisecond
+
+// serve plans at each interval, and sooner after a change.
+func (p *planner) serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		p.round(ctx)
+		pause(ctx, minRoundPause, nil)
+		pause(ctx, p.cfg.PlanInterval-minRoundPause, p.changed)
+	}
+	return ctx.Err()
+}
+
+// pause waits for d, or until ctx ends or a value comes.
+func pause(ctx context.Context, d time.Duration, until <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-until:
+	}
+}
+
+func (p *planner) round(ctx context.Context) {
+	if !p.mayDecide() {
+		return
+	}
+	var view *pool.View
+	p.cfg.Follower.View(func(st *ledger.State) {
+		p.shares.follow(st)
+		view = pool.NewView(st, time.Now())
+	})
+	var mine []pool.Proposal
+	for _, d := range Plan(view, p.cfg.Policy) {
+		item := fmt.Sprintf("plan/%s/%s/%d", d.Body.Kind(), d.Subject, d.Base)
+		if p.shares.mine(d.Share, item, view.Now) {
+			mine = append(mine, d)
+		}
+	}
+	p.propose.all(ctx, view.Offset, mine)
+}
+
+// Plan is one planning round: what every steward would propose on this view.
+func Plan(view *pool.View, policy pool.Policy) []pool.Proposal {
+	r := pool.NewRound(view, policy)
+	pool.Joins(r)
+	maintenance.Drains(r)
+	return r.Proposals
+}
--- /dev/null
+++ b/internal/steward/steward.go
@@ -0,0 +1,137 @@
+// Package steward carries the fleet decisions: it watches the platform's list
+// and the VMs' health, plans, appends what was planned, and carries out what
+// took effect. Every node runs one; none leads.
+package steward
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/yuccadrift/yuccadrift/internal/follower"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/pool"
+	"github.com/yuccadrift/yuccadrift/internal/supervise"
+)
+
+// Config is what a Steward needs. Zero durations take the defaults.
+type Config struct {
+	Node     string
+	Follower *follower.Follower
+	Fleet    platform.Fleet
+	// Entries tells the requests in flight at the entry processes.
+	Entries Entries
+	// Health checks a backend server.
+	Health Checker
+	Logger hclog.Logger
+
+	Policy        pool.Policy
+	PlanInterval  time.Duration
+	ListInterval  time.Duration
+	CheckInterval time.Duration
+	MaxActions    int
+	ActionTimeout time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultPlanInterval  = time.Second
+	DefaultListInterval  = 2 * time.Second
+	DefaultCheckInterval = time.Second
+	DefaultMaxActions    = 16
+	DefaultActionTimeout = 5 * time.Second
+	// freshWithin is how old the latest read of the log's end may be for a
+	// disruptive decision. A steward that is cut off from the log decides
+	// nothing: its picture may be hours old.
+	freshWithin = 5 * time.Second
+)
+
+// Steward is the duties of one node over one follower.
+type Steward struct {
+	cfg     Config
+	propose *proposer
+	shares  *shares
+}
+
+// New returns a Steward; Duties are to be supervised by the caller.
+func New(cfg Config) *Steward {
+	cfg = withDefaults(cfg)
+	return &Steward{
+		cfg:     cfg,
+		propose: newProposer(cfg.Follower, cfg.Node, cfg.Logger.Named("propose")),
+		shares:  newShares(cfg.Node),
+	}
+}
+
+func withDefaults(cfg Config) Config {
+	orDefault := func(d *time.Duration, value time.Duration) {
+		if *d <= 0 {
+			*d = value
+		}
+	}
+	orDefault(&cfg.PlanInterval, DefaultPlanInterval)
+	orDefault(&cfg.ListInterval, DefaultListInterval)
+	orDefault(&cfg.CheckInterval, DefaultCheckInterval)
+	orDefault(&cfg.ActionTimeout, DefaultActionTimeout)
+	if cfg.MaxActions <= 0 {
+		cfg.MaxActions = DefaultMaxActions
+	}
+	if cfg.Policy.MaxProposals == 0 {
+		cfg.Policy = pool.DefaultPolicy()
+	}
+	return cfg
+}
+
+// Duties returns the steward's duties.
+func (s *Steward) Duties() []supervise.Duty {
+	return []supervise.Duty{
+		{Name: "list", Serve: newLister(s).serve},
+		{Name: "health", Serve: newHealth(s).serve},
+		{Name: "plan", Serve: newPlanner(s).serve},
+		{Name: "act", Serve: newExecutor(s).serve},
+	}
+}
+
+// mayDecide reports whether the folded state is recent enough for a decision
+// that disturbs a VM.
+func (s *Steward) mayDecide() bool {
+	fresh := s.cfg.Follower.Fresh()
+	return !fresh.IsZero() && time.Since(fresh) <= freshWithin
+}
+
+// vm returns a copy of a VM's state.
+func (s *Steward) vm(id string) (ledger.VM, bool) {
+	var vm ledger.VM
+	found := false
+	s.cfg.Follower.View(func(st *ledger.State) {
+		if v, ok := st.VMs[id]; ok {
+			vm, found = copyVM(v), true
+		}
+	})
+	return vm, found
+}
+
+func copyVM(v *ledger.VM) ledger.VM {
+	vm := *v
+	if v.Drain != nil {
+		d := *v.Drain
+		vm.Drain = &d
+	}
+	return vm
+}
+
+// every calls f at once and then at each tick until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
