Offer the Operator service: a node's status for the command line

A status call can wait for an offset, so that the command line measures the time to in force without polling over the network. The acting offset is told apart from the folded one: an entry node acts on a document only once its routing table has it.

--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,61 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/yuccadrift/yuccadrift/internal/operator/operatorpb"
+)
+
+// ErrUnreachable means that no process answered at a node's address.
+var ErrUnreachable = errors.New("node unreachable")
+
+// Client asks one process.
+type Client struct {
+	addr string
+	conn *grpc.ClientConn
+	rpc  operatorpb.OperatorClient
+}
+
+// NewClient returns a client for the process whose peer address is addr
+// (IP:port). It connects on the first call.
+func NewClient(addr string) (*Client, error) {
+	conn, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return nil, errors.Wrapf(err, "node %s", addr)
+	}
+	return &Client{addr: addr, conn: conn, rpc: operatorpb.NewOperatorClient(conn)}, nil
+}
+
+// Close ends the connection.
+func (c *Client) Close() error { return c.conn.Close() }
+
+// Status returns the process's status now. The error is ErrUnreachable or
+// ctx's.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return c.ask(ctx, &operatorpb.StatusRequest{})
+}
+
+// StatusAfter returns the status once the process acts on offset, or when wait
+// is over.
+func (c *Client) StatusAfter(ctx context.Context, offset uint64, wait time.Duration) (Status, error) {
+	return c.ask(ctx, &operatorpb.StatusRequest{AfterOffset: offset, MaxWait: durationpb.New(wait)})
+}
+
+func (c *Client) ask(ctx context.Context, req *operatorpb.StatusRequest) (Status, error) {
+	reply, err := c.rpc.Status(ctx, req)
+	switch status.Code(err) {
+	case codes.OK:
+		return statusOf(reply), nil
+	case codes.Unavailable, codes.DeadlineExceeded:
+		return Status{}, errors.Wrapf(ErrUnreachable, "%s: %s", c.addr, status.Convert(err).Message())
+	}
+	return Status{}, errors.Wrapf(err, "node %s", c.addr)
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,110 @@
+package operator
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/operator/operatorpb"
+)
+
+// Limits of a waiting Status call.
+const (
+	// waitPoll is how often a waiting call looks at the offset, and so the
+	// resolution of the time to in force that the command line measures.
+	waitPoll = 5 * time.Millisecond
+	// maxWait bounds one call, so that callers who left cost nothing for long.
+	maxWait = 30 * time.Second
+)
+
+// State is the folded state of the process; a follower.Follower is one.
+type State interface {
+	View(func(*ledger.State))
+	Fresh() time.Time
+}
+
+// ServerConfig is what a daemon tells about itself. Acting and Unready may be
+// nil.
+type ServerConfig struct {
+	Node  string
+	Role  Role
+	Zone  string
+	State State
+	// Acting returns the offset up to which the process acts on what it folded.
+	// Nil means that it acts on the folded state itself.
+	Acting func() uint64
+	// Unready returns why the process is not ready, empty when it is.
+	Unready func() []string
+}
+
+type server struct {
+	operatorpb.UnimplementedOperatorServer
+	cfg ServerConfig
+}
+
+// Register adds the Operator service to a daemon's gRPC server.
+func Register(to grpc.ServiceRegistrar, cfg ServerConfig) {
+	operatorpb.RegisterOperatorServer(to, &server{cfg: cfg})
+}
+
+// Status implements the gRPC service.
+func (s *server) Status(ctx context.Context, req *operatorpb.StatusRequest) (*operatorpb.StatusReply, error) {
+	wait := min(req.GetMaxWait().AsDuration(), maxWait)
+	s.await(ctx, req.GetAfterOffset(), wait)
+	return s.status().proto(), nil
+}
+
+// await returns once the process acts on offset, wait is over or ctx ends.
+func (s *server) await(ctx context.Context, offset uint64, wait time.Duration) {
+	if s.acting() >= offset || wait <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	tick := time.NewTicker(waitPoll)
+	defer tick.Stop()
+	for s.acting() < offset {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *server) acting() uint64 {
+	if s.cfg.Acting != nil {
+		return s.cfg.Acting()
+	}
+	var offset uint64
+	s.cfg.State.View(func(state *ledger.State) { offset = state.Offset })
+	return offset
+}
+
+func (s *server) status() Status {
+	out := Status{
+		Node:         s.cfg.Node,
+		Role:         s.cfg.Role,
+		Zone:         s.cfg.Zone,
+		ActingOffset: s.acting(),
+		Fresh:        s.cfg.State.Fresh(),
+		Now:          time.Now(),
+	}
+	if s.cfg.Unready != nil {
+		out.Unready = s.cfg.Unready()
+	}
+	s.cfg.State.View(func(state *ledger.State) { fill(&out, state) })
+	return out
+}
+
+func fill(out *Status, state *ledger.State) {
+	out.Offset = state.Offset
+	out.Members = state.MemberNames()
+	for _, name := range slices.Sorted(maps.Keys(state.Services)) {
+		out.Documents = append(out.Documents, Document{Service: name, Revision: state.Services[name].Revision})
+	}
+}
