Let a starting follower read at once and bound each append

A process that starts on an empty log waited for a whole long poll before it knew that it was at the end, and an append whose reply never came held Propose back until its context ended though the record was folded.

The first read does not wait, and each append has a second.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -23,6 +23,10 @@
 	// proposePause is how long Propose waits for its record to come back
 	// before it appends a second copy under the same ID.
 	proposePause = time.Second
+	// appendTimeout bounds one append. Without it an append whose reply never
+	// comes would hold Propose back until its context ends, though the record
+	// was folded long before.
+	appendTimeout = time.Second
 )
 
 // Config is what a Follower needs.
@@ -85,7 +89,7 @@
 	wait := f.await(rec.ID)
 	defer f.forget(rec.ID)
 	for {
-		_, err := f.cfg.Log.Append(ctx, f.cfg.Stream, [][]byte{data})
+		err := f.append(ctx, data)
 		if errors.Is(err, platform.ErrRejected) {
 			return ledger.Outcome{}, err
 		}
@@ -99,6 +103,13 @@
 	}
 }
 
+func (f *Follower) append(ctx context.Context, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := f.cfg.Log.Append(ctx, f.cfg.Stream, [][]byte{data})
+	return err
+}
+
 func (f *Follower) await(id string) <-chan ledger.Outcome {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -127,9 +138,13 @@
 func (f *Follower) step(ctx context.Context) error {
 	f.mu.RLock()
 	from := platform.Offset(f.state.Offset + 1)
+	wait := readWait
+	if f.fresh.IsZero() { // a process that starts learns at once that the log is empty
+		wait = 0
+	}
 	f.mu.RUnlock()
 	sent := time.Now()
-	batch, err := f.cfg.Log.Read(ctx, f.cfg.Stream, from, readMax, readWait)
+	batch, err := f.cfg.Log.Read(ctx, f.cfg.Stream, from, readMax, wait)
 	if err != nil {
 		return err
 	}
