Add the command line: check, publish and status

The commands fold the log themselves and keep nothing. publish names the revision that it was based on and tells accepted, unchanged, void, rejected or unknown apart, by its output and by its exit code; after "unknown" it prints the command that sends the same record again.

--- /dev/null
+++ b/internal/operatorcmd/check.go
@@ -0,0 +1,98 @@
+package operatorcmd
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+)
+
+// source is one document file and what is wrong with it.
+type source struct {
+	file     string
+	text     string
+	doc      document.Document
+	problems []document.Problem
+}
+
+// checkResult is one file's line of the output.
+type checkResult struct {
+	File     string   `json:"file"`
+	Service  string   `json:"service,omitempty"`
+	Problems []string `json:"problems"`
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "validate documents and report every mistake with its line",
+		ArgsUsage: "FILE...",
+		Description: `Needs no platform. Examples:
+   yuccadrift check services/booking.toml
+   yuccadrift check --output json services/*.toml`,
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			o, err := loadOptions(cmd)
+			if err != nil {
+				return err
+			}
+			sources, err := readSources(cmd.Args().Slice())
+			if err != nil {
+				return err
+			}
+			return showChecked(cmd, o.format, sources)
+		},
+	}
+}
+
+// readSources reads and validates files. The error is one of usage; mistakes in
+// documents are in the sources.
+func readSources(files []string) ([]source, error) {
+	if len(files) == 0 {
+		return nil, failf(ExitUsage, "which document? give one or more files")
+	}
+	var sources []source
+	byService := map[string]string{}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return nil, failf(ExitUsage, "cannot read the document: %v", err)
+		}
+		src := source{file: file, text: string(text)}
+		src.doc, src.problems = document.Parse(file, text)
+		name := src.doc.Service
+		if other, ok := byService[name]; ok && name != "" {
+			src.problems = append(src.problems, document.Problem{File: file, Line: 1, Key: "service", Wrong: name + " is described by " + other + " too"})
+		}
+		byService[name] = file
+		sources = append(sources, src)
+	}
+	return sources, nil
+}
+
+func showChecked(cmd *cli.Command, f format, sources []source) error {
+	var results []checkResult
+	t := &table{title: "documents", header: []string{"FILE", "SERVICE", "VERDICT"}}
+	wrong := 0
+	for _, src := range sources {
+		r := checkResult{File: src.file, Service: src.doc.Service, Problems: []string{}}
+		for _, p := range src.problems {
+			r.Problems = append(r.Problems, p.String())
+			t.add(src.file, orDash(src.doc.Service), p.String())
+		}
+		if len(src.problems) == 0 {
+			t.add(src.file, src.doc.Service, "good")
+		} else {
+			wrong++
+		}
+		results = append(results, r)
+	}
+	if err := show(cmd.Root().Writer, f, results, t); err != nil {
+		return err
+	}
+	if wrong > 0 {
+		return failf(ExitRejected, "%d of %d documents have mistakes", wrong, len(sources))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operatorcmd/exit.go
@@ -0,0 +1,59 @@
+package operatorcmd
+
+import (
+	"github.com/pkg/errors"
+)
+
+// Exit codes of the command line. They are part of its interface: scripts
+// decide by them whether to repeat a command.
+const (
+	ExitOK          = 0
+	ExitRejected    = 1 // invalid input, or the ledger refused the change
+	ExitUsage       = 2 // wrong command, argument, flag or settings file
+	ExitConflict    = 3 // void: another change of the subject came first
+	ExitUnreachable = 4 // the platform or a node did not answer
+	ExitUnknown     = 5 // the change was sent and its outcome is not known
+)
+
+const exitHelp = `Exit codes:
+   0  done
+   1  invalid input, or the change was refused; the reason is printed
+   2  wrong command, argument, flag or settings file
+   3  void by conflict: another change came first; look at it and decide anew
+   4  the platform or a node could not be reached
+   5  outcome unknown: the change may have taken or may yet take effect`
+
+// failure is an error with the exit code that it leads to.
+type failure struct {
+	code int
+	err  error
+}
+
+func (f *failure) Error() string { return f.err.Error() }
+
+func (f *failure) Unwrap() error { return f.err }
+
+func failf(code int, format string, args ...any) error {
+	return &failure{code: code, err: errors.Errorf(format, args...)}
+}
+
+// exitCode maps an error to the exit code; errors of the argument parser carry
+// none and are mistakes of usage.
+func exitCode(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var f *failure
+	if errors.As(err, &f) {
+		return f.code
+	}
+	return ExitUsage
+}
+
+// worse returns the error with the higher exit code, the first on a tie.
+func worse(a, b error) error {
+	if exitCode(b) > exitCode(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/operatorcmd/inforce.go
@@ -0,0 +1,89 @@
+package operatorcmd
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/operator"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// nodeInForce is how long after the append a node had a document in force.
+type nodeInForce struct {
+	Address string        `json:"address"`
+	Node    string        `json:"node,omitempty"`
+	Role    operator.Role `json:"role,omitempty"`
+	After   time.Duration `json:"after_ns"`
+	Problem string        `json:"problem,omitempty"`
+}
+
+// awaitInForce asks all nodes at once and returns when each acts on the
+// revision or the timeout is over.
+func (s *session) awaitInForce(ctx context.Context, service string, rev record.Revision, sent time.Time) ([]nodeInForce, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	addrs := s.nodeAddresses()
+	if len(addrs) == 0 {
+		return nil, failf(ExitUsage, "which nodes? give --%s: no entry member is on the log", flagNodes)
+	}
+	results := make([]nodeInForce, len(addrs))
+	var wg sync.WaitGroup
+	for i, addr := range addrs {
+		wg.Go(func() { results[i] = awaitNode(ctx, addr, service, rev, sent) })
+	}
+	wg.Wait()
+	var late []string
+	for _, r := range results {
+		if r.Problem != "" {
+			late = append(late, r.Address+": "+r.Problem)
+		}
+	}
+	if len(late) > 0 {
+		return results, failf(ExitUnreachable, "not seen in force on every node: %s", strings.Join(late, "; "))
+	}
+	return results, nil
+}
+
+// awaitNode asks one node until it acts on the revision or ctx ends.
+func awaitNode(ctx context.Context, addr, service string, rev record.Revision, sent time.Time) nodeInForce {
+	r := nodeInForce{Address: addr}
+	client, err := operator.NewClient(addr)
+	if err != nil {
+		r.Problem = err.Error()
+		return r
+	}
+	defer client.Close()
+	for {
+		st, err := client.StatusAfter(ctx, uint64(rev), time.Second)
+		if err == nil && st.ActingOffset >= uint64(rev) && st.Revision(service) >= rev {
+			r.Node, r.Role, r.After = st.Node, st.Role, time.Since(sent)
+			return r
+		}
+		if ctx.Err() != nil {
+			r.Problem = "still behind"
+			if err != nil {
+				r.Problem = err.Error()
+			}
+			return r
+		}
+		if err != nil {
+			pause(ctx, nodeRetryPause)
+		}
+	}
+}
+
+func inForceTable(results []publishResult) *table {
+	t := &table{title: "in force", header: []string{"SERVICE", "NODE", "ROLE", "ADDRESS", "AFTER"}}
+	for _, r := range results {
+		for _, n := range r.InForce {
+			after := short(n.After)
+			if n.Problem != "" {
+				after = n.Problem
+			}
+			t.add(r.Service, orDash(n.Node), orDash(string(n.Role)), n.Address, after)
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/operatorcmd/nodes.go
@@ -0,0 +1,74 @@
+package operatorcmd
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/operator"
+)
+
+// nodeRetryPause is the pause before a node that did not answer is asked again.
+const nodeRetryPause = 100 * time.Millisecond
+
+// nodeStatus is one node's answer, or why there is none.
+type nodeStatus struct {
+	Address string           `json:"address"`
+	Status  *operator.Status `json:"status,omitempty"`
+	Problem string           `json:"problem,omitempty"`
+}
+
+// nodeAddresses returns the peer addresses to ask: those given, or else those
+// of the entry members on the log.
+func (s *session) nodeAddresses() []string {
+	if len(s.nodes) > 0 {
+		return s.nodes
+	}
+	var addrs []string
+	s.follower.View(func(state *ledger.State) {
+		for _, name := range state.MemberNames() {
+			addrs = append(addrs, state.Members[name].Address)
+		}
+	})
+	return addrs
+}
+
+// askNodes asks all nodes at once.
+func askNodes(ctx context.Context, addrs []string, timeout time.Duration) []nodeStatus {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	results := make([]nodeStatus, len(addrs))
+	var wg sync.WaitGroup
+	for i, addr := range addrs {
+		wg.Go(func() { results[i] = askNode(ctx, addr) })
+	}
+	wg.Wait()
+	return results
+}
+
+func askNode(ctx context.Context, addr string) nodeStatus {
+	r := nodeStatus{Address: addr}
+	client, err := operator.NewClient(addr)
+	if err != nil {
+		r.Problem = err.Error()
+		return r
+	}
+	defer client.Close()
+	st, err := client.Status(ctx)
+	if err != nil {
+		r.Problem = err.Error()
+		return r
+	}
+	r.Status = &st
+	return r
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/operatorcmd/output.go
@@ -0,0 +1,113 @@
+package operatorcmd
+
+import (
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// format is how results are printed.
+type format string
+
+const (
+	formatTable format = "table"
+	formatJSON  format = "json"
+	formatCSV   format = "csv"
+)
+
+func (f format) known() bool {
+	return f == formatTable || f == formatJSON || f == formatCSV
+}
+
+// table is one block of a result.
+type table struct {
+	title  string
+	header []string
+	rows   [][]string
+}
+
+func (t *table) add(cells ...string) { t.rows = append(t.rows, cells) }
+
+// show prints a result: value as JSON, or the tables. As CSV each row begins
+// with its table's title, so that one output can hold several.
+func show(out io.Writer, f format, value any, tables ...*table) error {
+	switch f {
+	case formatJSON:
+		enc := json.NewEncoder(out)
+		enc.SetIndent("", "  ")
+		return errors.Wrap(enc.Encode(value), "print the result")
+	case formatCSV:
+		return showCSV(out, tables)
+	}
+	return showText(out, tables)
+}
+
+func showCSV(out io.Writer, tables []*table) error {
+	w := csv.NewWriter(out)
+	for _, t := range tables {
+		for _, row := range append([][]string{t.header}, t.rows...) {
+			if err := w.Write(append([]string{t.title}, row...)); err != nil {
+				return errors.Wrap(err, "print the result")
+			}
+		}
+	}
+	w.Flush()
+	return errors.Wrap(w.Error(), "print the result")
+}
+
+func showText(out io.Writer, tables []*table) error {
+	first := true
+	for _, t := range tables {
+		if len(t.rows) == 0 {
+			continue
+		}
+		if !first {
+			fmt.Fprintln(out)
+		}
+		first = false
+		fmt.Fprintln(out, t.title)
+		w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+		for _, row := range append([][]string{t.header}, t.rows...) {
+			fmt.Fprintln(w, "  "+strings.Join(row, "\t"))
+		}
+		if err := w.Flush(); err != nil {
+			return errors.Wrap(err, "print the result")
+		}
+	}
+	return nil
+}
+
+// dash stands for a value that there is none of.
+const dash = "-"
+
+func orDash(s string) string {
+	if s == "" {
+		return dash
+	}
+	return s
+}
+
+// short rounds a duration for a table.
+func short(d time.Duration) string {
+	switch {
+	case d < time.Second:
+		return d.Round(time.Millisecond).String()
+	case d < time.Minute:
+		return d.Round(100 * time.Millisecond).String()
+	}
+	return d.Round(time.Second).String()
+}
+
+// stamp prints a time for a table, in UTC.
+func stamp(t time.Time) string {
+	if t.IsZero() {
+		return dash
+	}
+	return t.UTC().Format("2006-01-02T15:04:05.000Z")
+}
--- /dev/null
+++ b/internal/operatorcmd/publish.go
@@ -0,0 +1,189 @@
+package operatorcmd
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Flags of publish.
+const (
+	flagBasedOn     = "based-on"
+	flagRecordID    = "record-id"
+	flagWaitInForce = "wait-in-force"
+)
+
+// publishStatus is what became of one document.
+type publishStatus string
+
+const (
+	publishAccepted  publishStatus = "accepted"
+	publishUnchanged publishStatus = "unchanged"
+	publishVoid      publishStatus = "void"
+	publishRejected  publishStatus = "rejected"
+	publishUnknown   publishStatus = "unknown"
+)
+
+// publishResult is one document's line of the output.
+type publishResult struct {
+	File    string          `json:"file"`
+	Service string          `json:"service"`
+	Status  publishStatus   `json:"status"`
+	BasedOn record.Revision `json:"based_on"`
+	// Revision is the one in force after the publish, the accepted one or the
+	// one that came first.
+	Revision record.Revision `json:"revision"`
+	RecordID string          `json:"record_id,omitempty"`
+	Reason   string          `json:"reason,omitempty"`
+	// InForce is the time from the append to in force, by node.
+	InForce []nodeInForce `json:"in_force,omitempty"`
+
+	sent time.Time
+}
+
+func publishCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "publish",
+		Usage:     "put documents in force and print what became of each",
+		ArgsUsage: "FILE...",
+		Description: `Validates all files first and publishes none when one has a mistake. A document
+that is in force already, letter for letter, is left alone. Without --based-on
+the revision in force is taken as the one that the change was decided on; give
+the revision that you edited from to be told of a change made meanwhile.
+
+Examples:
+   yuccadrift publish services/booking.toml
+   yuccadrift publish --based-on 42 services/booking.toml
+   yuccadrift --nodes 10.0.0.1:7400,10.0.0.2:7400 publish --wait-in-force services/*.toml
+
+After "unknown", repeat the command that it prints: it sends the same record
+again, and a record takes effect once, however often it is sent.`,
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: flagBasedOn, Usage: "the `REVISION` that the change was decided on"},
+			&cli.StringFlag{Name: flagRecordID, Usage: "send the record `ID` of an earlier try again; needs --based-on"},
+			&cli.BoolFlag{Name: flagWaitInForce, Usage: "wait until every node has it in force and print the times"},
+		},
+		Action: publish,
+	}
+}
+
+func publish(ctx context.Context, cmd *cli.Command) error {
+	if cmd.IsSet(flagRecordID) && !cmd.IsSet(flagBasedOn) {
+		return failf(ExitUsage, "--%s needs --%s, as the earlier try printed them", flagRecordID, flagBasedOn)
+	}
+	sources, err := readSources(cmd.Args().Slice())
+	if err != nil {
+		return err
+	}
+	if len(sources) > 1 && cmd.IsSet(flagBasedOn) {
+		return failf(ExitUsage, "--%s belongs to one document; give one file", flagBasedOn)
+	}
+	for _, src := range sources {
+		if len(src.problems) > 0 {
+			return showChecked(cmd, formatOf(cmd), sources)
+		}
+	}
+	s, err := open(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	return s.publishAll(ctx, cmd, sources)
+}
+
+// formatOf returns the output format before the settings are read.
+func formatOf(cmd *cli.Command) format { return format(cmd.String(flagOutput)) }
+
+func (s *session) publishAll(ctx context.Context, cmd *cli.Command, sources []source) error {
+	var results []publishResult
+	var worst error
+	for _, src := range sources {
+		rec := s.draft(record.Subject{Kind: record.SubjectService, Name: src.doc.Service}, record.DocumentPublish{Text: src.text})
+		if cmd.IsSet(flagBasedOn) {
+			rec.Base = record.Revision(cmd.Uint64(flagBasedOn))
+		}
+		if cmd.IsSet(flagRecordID) {
+			rec.ID = cmd.String(flagRecordID)
+		}
+		r, err := s.publishOne(ctx, src, rec)
+		if cmd.Bool(flagWaitInForce) && r.inForceSomewhere() {
+			var late error
+			r.InForce, late = s.awaitInForce(ctx, r.Service, r.Revision, r.sent)
+			err = worse(err, late)
+		}
+		results = append(results, r)
+		worst = worse(worst, err)
+	}
+	if err := show(cmd.Root().Writer, s.format, results, publishTable(results), inForceTable(results)); err != nil {
+		return err
+	}
+	return worst
+}
+
+func (r publishResult) inForceSomewhere() bool {
+	return r.Status == publishAccepted || r.Status == publishUnchanged
+}
+
+// publishOne proposes one document and tells its outcome.
+func (s *session) publishOne(ctx context.Context, src source, rec record.Record) (publishResult, error) {
+	r := publishResult{File: src.file, Service: src.doc.Service, BasedOn: rec.Base, RecordID: rec.ID, sent: time.Now()}
+	if text, head, ok := s.inForce(src.doc.Service); ok && text == src.text {
+		r.Status, r.Revision = publishUnchanged, head.Revision
+		if head.LastID == rec.ID {
+			r.Status = publishAccepted
+		}
+		return r, nil
+	}
+	out, err := s.propose(ctx, rec)
+	r.Revision = out.Current
+	switch exitCode(err) {
+	case ExitOK:
+		r.Status = publishAccepted
+	case ExitConflict:
+		r.Status = publishVoid
+		r.Reason = fmt.Sprintf("revision %d came first: %s", out.Current, out.Reason)
+		err = failf(ExitConflict, "%s: void because revision %d came first", src.file, out.Current)
+	case ExitUnknown:
+		r.Status = publishUnknown
+		r.Reason = fmt.Sprintf("repeat with: publish --%s %d --%s %s %s", flagBasedOn, rec.Base, flagRecordID, rec.ID, src.file)
+		err = failf(ExitUnknown, "%s: %v", src.file, err)
+	default:
+		r.Status, r.Reason = publishRejected, out.Reason
+		err = failf(ExitRejected, "%s: %v", src.file, err)
+	}
+	return r, err
+}
+
+// inForce returns a service's document in force.
+func (s *session) inForce(service string) (text string, head ledger.Head, ok bool) {
+	s.follower.View(func(state *ledger.State) {
+		svc, found := state.Services[service]
+		if found {
+			text, head, ok = svc.Text, svc.Head, true
+		}
+	})
+	return text, head, ok
+}
+
+func publishTable(results []publishResult) *table {
+	t := &table{title: "published", header: []string{"FILE", "SERVICE", "OUTCOME", "BASED ON"}}
+	for _, r := range results {
+		t.add(r.File, r.Service, r.outcome(), fmt.Sprint(r.BasedOn))
+	}
+	return t
+}
+
+func (r publishResult) outcome() string {
+	switch r.Status {
+	case publishAccepted:
+		return fmt.Sprintf("accepted at offset %d", r.Revision)
+	case publishUnchanged:
+		return fmt.Sprintf("unchanged, in force since offset %d", r.Revision)
+	}
+	return fmt.Sprintf("%s: %s", r.Status, r.Reason)
+}
--- /dev/null
+++ b/internal/operatorcmd/session.go
@@ -0,0 +1,145 @@
+package operatorcmd
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/follower"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// freshPoll is how often open looks whether the log is folded to its end.
+const freshPoll = 2 * time.Millisecond
+
+// session is one command's connection to the platform, with the log folded to
+// its end.
+type session struct {
+	options
+	client   *platform.Client
+	follower *follower.Follower
+	stop     func()
+}
+
+// open connects and folds the log up to its present end.
+func open(ctx context.Context, cmd *cli.Command) (*session, error) {
+	o, err := loadOptions(cmd)
+	if err != nil {
+		return nil, err
+	}
+	return openWith(ctx, o)
+}
+
+func openWith(ctx context.Context, o options) (*session, error) {
+	client, err := connect(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	s := &session{options: o, client: client}
+	s.follower = follower.New(follower.Config{
+		Log:    client,
+		Stream: o.stream,
+		Logger: hclog.NewNullLogger(),
+	})
+	s.follow(ctx)
+	if err := s.awaitFresh(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// connect returns a client after one read has shown that the platform answers.
+func connect(ctx context.Context, o options) (*platform.Client, error) {
+	if o.platform == "" {
+		return nil, failf(ExitUsage, "which platform? give --%s IP:PORT or a settings file", flagPlatform)
+	}
+	client := platform.NewClient(o.platform, platform.ClientOptions{Timeout: o.timeout})
+	probe, cancel := context.WithTimeout(ctx, o.timeout)
+	defer cancel()
+	_, err := client.Read(probe, o.stream, 1, 1, 0)
+	if err != nil && !errors.Is(err, platform.ErrTrimmed) {
+		client.Close()
+		return nil, failf(ExitUnreachable, "cannot reach the platform at %s: %v", o.platform, errors.Cause(err))
+	}
+	return client, nil
+}
+
+// follow starts the follower under a supervisor; Close ends both.
+func (s *session) follow(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	supervisor := suture.New("yuccadrift", suture.Spec{PassThroughPanics: true})
+	supervisor.Add(s.follower)
+	done := supervisor.ServeBackground(ctx)
+	s.stop = func() {
+		cancel()
+		<-done
+	}
+}
+
+func (s *session) awaitFresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	tick := time.NewTicker(freshPoll)
+	defer tick.Stop()
+	for s.follower.Fresh().IsZero() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return failf(ExitUnreachable, "the log at %s could not be read to its end within %s", s.platform, s.timeout)
+		}
+	}
+	return nil
+}
+
+// Close ends the follower and the connections.
+func (s *session) Close() {
+	s.stop()
+	s.client.Close()
+}
+
+// newID returns a record ID.
+func newID() string {
+	return ulid.MustNew(ulid.Now(), rand.Reader).String()
+}
+
+// draft returns a record on the subject's present revision.
+func (s *session) draft(sub record.Subject, body record.Body) record.Record {
+	rec := record.Record{ID: newID(), Subject: sub, Author: s.author, Time: time.Now().UTC(), Body: body}
+	s.follower.View(func(state *ledger.State) {
+		rec.Base = state.Revision(sub)
+		rec.Seen = state.Offset
+	})
+	return rec
+}
+
+// propose appends rec and waits for its outcome. The error's exit code says
+// what became of it; nil means that it is effective.
+func (s *session) propose(ctx context.Context, rec record.Record) (ledger.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	out, err := s.follower.Propose(ctx, rec)
+	if errors.Is(err, platform.ErrRejected) {
+		return out, failf(ExitRejected, "%v", err)
+	}
+	if err != nil {
+		return out, failf(ExitUnknown, "outcome unknown after %s: record %s may have taken or may yet take effect", s.timeout, rec.ID)
+	}
+	switch out.Status {
+	case ledger.Effective:
+		return out, nil
+	case ledger.Stale:
+		return out, failf(ExitConflict, "void: revision %d came first (%s)", out.Current, out.Reason)
+	case ledger.Duplicate:
+		return out, failf(ExitConflict, "void: %s", out.Reason)
+	}
+	return out, failf(ExitRejected, "rejected: %s", out.Reason)
+}
--- /dev/null
+++ b/internal/operatorcmd/status.go
@@ -0,0 +1,173 @@
+package operatorcmd
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// statusResult is the JSON output of status.
+type statusResult struct {
+	Offset   uint64          `json:"offset"` // end of the log as folded here
+	Nodes    []nodeStatus    `json:"nodes"`
+	Services []serviceStatus `json:"services"`
+	Members  []memberStatus  `json:"members"`
+}
+
+// serviceStatus is one service on the log.
+type serviceStatus struct {
+	Service     string          `json:"service"`
+	Revision    record.Revision `json:"revision"`
+	Author      string          `json:"author"`
+	PublishedAt time.Time       `json:"published_at"`
+	// Behind lists the nodes that have another revision in force.
+	Behind  []string `json:"behind"`
+	Size    int      `json:"size"`
+	Serving int      `json:"serving"`
+	// Spent and Allowed are VM-seconds in the budget's window.
+	Spent   float64 `json:"spent_vm_seconds"`
+	Allowed float64 `json:"allowed_vm_seconds"`
+}
+
+// memberStatus is one entry member on the log.
+type memberStatus struct {
+	Name    string    `json:"name"`
+	Node    string    `json:"node"`
+	Zone    string    `json:"zone"`
+	Address string    `json:"address"`
+	Joined  time.Time `json:"joined"`
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show every node: offset, lag, digest, documents in force, members, budgets",
+		Description: `Nodes at the same offset must show the same digest. Examples:
+   yuccadrift status
+   yuccadrift --nodes 10.0.0.1:7400,10.0.0.1:7500 status --output json`,
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			o, err := loadOptions(cmd)
+			if err != nil {
+				return err
+			}
+			return showStatus(ctx, cmd, o)
+		},
+	}
+}
+
+// showStatus shows what can be had: with the platform out of reach it still
+// asks the nodes that it was given.
+func showStatus(ctx context.Context, cmd *cli.Command, o options) error {
+	s, err := openWith(ctx, o)
+	if err != nil && (exitCode(err) != ExitUnreachable || len(o.nodes) == 0) {
+		return err
+	}
+	var result statusResult
+	addrs := o.nodes
+	if s != nil {
+		defer s.Close()
+		addrs = s.nodeAddresses()
+		s.follower.View(func(state *ledger.State) { result = statusOf(state, time.Now()) })
+	}
+	result.Nodes = askNodes(ctx, addrs, o.timeout)
+	result.markBehind()
+	tables := []*table{result.nodeTable(), result.serviceTable(), result.memberTable()}
+	if showErr := show(cmd.Root().Writer, o.format, result, tables...); showErr != nil {
+		return showErr
+	}
+	return worse(err, unreachable(result.Nodes))
+}
+
+func unreachable(nodes []nodeStatus) error {
+	var silent []string
+	for _, n := range nodes {
+		if n.Status == nil {
+			silent = append(silent, n.Address)
+		}
+	}
+	if len(silent) == 0 {
+		return nil
+	}
+	return failf(ExitUnreachable, "no answer from %s", strings.Join(silent, ", "))
+}
+
+func statusOf(state *ledger.State, now time.Time) statusResult {
+	r := statusResult{Offset: state.Offset}
+	for _, name := range sortedKeys(state.Services) {
+		svc := state.Services[name]
+		u := state.Unavailability(name)
+		r.Services = append(r.Services, serviceStatus{
+			Service:     name,
+			Revision:    svc.Revision,
+			Author:      svc.Author,
+			PublishedAt: svc.PublishedAt,
+			Size:        u.Size,
+			Serving:     u.Serving,
+			Spent:       svc.Account.Spent(now.Add(-svc.Doc.Budget.Window), now),
+			Allowed:     svc.Doc.AllowedSeconds(),
+		})
+	}
+	for _, name := range state.MemberNames() {
+		m := state.Members[name]
+		r.Members = append(r.Members, memberStatus{Name: name, Node: m.Node, Zone: m.Zone, Address: m.Address, Joined: m.Joined})
+	}
+	return r
+}
+
+// markBehind names, for each service, the nodes with another revision in force.
+func (r *statusResult) markBehind() {
+	for i := range r.Services {
+		svc := &r.Services[i]
+		for _, n := range r.Nodes {
+			if n.Status != nil && n.Status.Revision(svc.Service) != svc.Revision {
+				svc.Behind = append(svc.Behind, n.Status.Node+"/"+string(n.Status.Role))
+			}
+		}
+	}
+}
+
+func (r statusResult) nodeTable() *table {
+	t := &table{title: "nodes", header: []string{"NODE", "ROLE", "ZONE", "ADDRESS", "OFFSET", "ACTING", "LAG", "DIGEST", "READY"}}
+	for _, n := range r.Nodes {
+		if n.Status == nil {
+			t.add(dash, dash, dash, n.Address, dash, dash, dash, dash, n.Problem)
+			continue
+		}
+		st := n.Status
+		lag := "never read the log"
+		if d, known := st.Lag(); known {
+			lag = short(d)
+		}
+		ready := "yes"
+		if len(st.Unready) > 0 {
+			ready = "no: " + strings.Join(st.Unready, "; ")
+		}
+		t.add(st.Node, string(st.Role), st.Zone, n.Address, fmt.Sprint(st.Offset), fmt.Sprint(st.ActingOffset),
+			lag, fmt.Sprintf("%016x", st.Digest), ready)
+	}
+	return t
+}
+
+func (r statusResult) serviceTable() *table {
+	t := &table{title: "services", header: []string{"SERVICE", "REVISION", "AUTHOR", "SERVING", "BUDGET SPENT", "NODES ELSEWHERE"}}
+	for _, svc := range r.Services {
+		budget := fmt.Sprintf("%.0f of %.0f VM-s", svc.Spent, svc.Allowed)
+		t.add(svc.Service, fmt.Sprint(svc.Revision), svc.Author, fmt.Sprintf("%d of %d", svc.Serving, svc.Size),
+			budget, orDash(strings.Join(svc.Behind, ", ")))
+	}
+	return t
+}
+
+func (r statusResult) memberTable() *table {
+	t := &table{title: "entry members", header: []string{"MEMBER", "NODE", "ZONE", "ADDRESS", "JOINED"}}
+	for _, m := range r.Members {
+		t.add(m.Name, m.Node, m.Zone, m.Address, stamp(m.Joined))
+	}
+	return t
+}
