--- /dev/null
+++ b/internal/claim/key.go
@@ -0,0 +1,66 @@
+package claim
+
+import (
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
+)
+
+// ErrBadKey means that a key is neither a ULID nor a version 7 UUID.
+var ErrBadKey = errors.New("key is neither a ULID (26 characters) nor a version 7 UUID (36 characters)")
+
+// Key names one not-repeatable request of a caller. Its first 48 bits are the
+// Unix time in milliseconds at which the caller minted it, in both accepted
+// notations. The zero Key is not valid.
+type Key struct {
+	// Service scopes the key: equal IDs sent to two services do not meet.
+	Service string
+	ID      [16]byte
+}
+
+// ParseKey reads a ULID or a version 7 UUID. The error is ErrBadKey.
+func ParseKey(service, text string) (Key, error) {
+	switch len(text) {
+	case ulid.EncodedSize:
+		id, err := ulid.ParseStrict(strings.ToUpper(text))
+		if err != nil {
+			return Key{}, errors.Wrap(ErrBadKey, err.Error())
+		}
+		return Key{Service: service, ID: id}, nil
+	case uuidSize:
+		id, ok := parseUUIDv7(text)
+		if !ok {
+			return Key{}, errors.Wrap(ErrBadKey, "36 characters, but no version 7 UUID")
+		}
+		return Key{Service: service, ID: id}, nil
+	}
+	return Key{}, errors.Wrapf(ErrBadKey, "length %d", len(text))
+}
+
+// Minted returns when the caller made the key, by the caller's clock.
+func (k Key) Minted() time.Time { return ulid.ULID(k.ID).Timestamp().UTC() }
+
+// String returns the service and the ID as a ULID.
+func (k Key) String() string { return k.Service + "/" + ulid.ULID(k.ID).String() }
+
+// Notation of a UUID: 32 hexadecimal digits in groups of 8-4-4-4-12.
+const (
+	uuidSize    = 36
+	uuidVersion = 7
+)
+
+func parseUUIDv7(text string) (id [16]byte, ok bool) {
+	if text[8] != '-' || text[13] != '-' || text[18] != '-' || text[23] != '-' {
+		return id, false
+	}
+	digits := text[:8] + text[9:13] + text[14:18] + text[19:23] + text[24:]
+	if _, err := hex.Decode(id[:], []byte(digits)); err != nil {
+		return id, false
+	}
+	version := id[6] >> 4
+	variant := id[8] >> 6
+	return id, version == uuidVersion && variant == 0b10
+}
--- /dev/null
+++ b/internal/claim/key_test.go
@@ -0,0 +1,34 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestParseKey(t *testing.T) {
+	minted := time.UnixMilli(1_733_000_000_000).UTC()
+	cases := []struct {
+		text string
+		ok   bool
+	}{
+		{"01JDZDJWG0ABCDEFGHJKMNPQRS", true},
+		{"01jdzdjwg0abcdefghjkmnpqrs", true},
+		{"01937dbb-9ca0-7abc-8def-0123456789ab", false}, // another mint time
+		{"01937ed9-7200-7abc-8def-0123456789ab", true},
+		{"01937ed9-7200-4abc-8def-0123456789ab", false}, // version 4
+		{"01937ed9-7200-7abc-0def-0123456789ab", false}, // variant
+		{"01937ed9x7200-7abc-8def-0123456789ab", false},
+		{"01JDZDJWG0ABCDEFGHJKMNPQRU", false}, // U is no digit of ULID
+		{"81JDZEK780ABCDEFGHJKMNPQRS", false}, // over 128 bits
+		{"", false},
+	}
+	for _, c := range cases {
+		k, err := ParseKey("orders", c.text)
+		if err != nil {
+			require.ErrorIs(t, err, ErrBadKey, c.text)
+		}
+		require.Equal(t, c.ok, err == nil && k.Minted().Equal(minted), "%s: %v %v", c.text, k.Minted(), err)
+	}
+}
--- /dev/null
+++ b/internal/claim/owner.go
@@ -0,0 +1,249 @@
+package claim
+
+import (
+	"slices"
+	"time"
+)
+
+// Instant is one reading of both clocks.
+type Instant struct {
+	// Wall is the time of day. VMs agree on it within Config.Skew.
+	Wall time.Time
+	// Mono is a clock of this process that never steps.
+	Mono time.Duration
+}
+
+// Config bounds an Owner. All nodes must use equal durations.
+type Config struct {
+	// Window is for how long after its mint time a key may be used.
+	Window time.Duration
+	// Ahead is how far in the future a key may be minted.
+	Ahead time.Duration
+	// Skew is the largest difference between the clocks of two VMs.
+	Skew time.Duration
+	// Handover is for how long the claims of a removed member are awaited from
+	// it before they count as lost.
+	Handover time.Duration
+	// MaxRecords bounds the keys in memory.
+	MaxRecords int
+	// MaxAnswer and MaxAnswers bound one kept reply and all of them, in bytes.
+	MaxAnswer  int
+	MaxAnswers int
+}
+
+// expireBatch is how many expired records one call drops at most.
+const expireBatch = 16
+
+// Right tells whether the member may grant claims now.
+type Right interface {
+	Valid(now Instant) bool
+}
+
+// Code is an owner's answer to a claim.
+type Code uint8
+
+// Codes. All but the first four mean "ask again or elsewhere".
+const (
+	CodeUnknown Code = iota
+	CodeGranted
+	CodeRan
+	CodeNotRun
+	// CodeInProgress: another attempt holds the claim.
+	CodeInProgress
+	// CodeNotOwner: by the member's state another one owns the key, or the
+	// asking member is none.
+	CodeNotOwner
+	// CodeMoving: the key's claims have not all arrived yet.
+	CodeMoving
+	// CodeNoLease: the member may not grant at present.
+	CodeNoLease
+)
+
+// Reply is an owner's answer to a claim.
+type Reply struct {
+	Code   Code
+	Reason Reason
+	Answer *Answer
+	// Offset is the membership that the owner answered by.
+	Offset uint64
+}
+
+// Owner is one member's part in granting claims. It is not safe for concurrent
+// use.
+type Owner struct {
+	cfg     Config
+	self    string
+	right   Right
+	members []string
+	offset  uint64
+	// retired is set once the member was removed or is leaving; it is final.
+	retired bool
+	table   *table
+	debts   []debt
+	floors  []Floor
+}
+
+// NewOwner returns the Owner of member self, which owns nothing before Join.
+func NewOwner(cfg Config, self string, right Right) *Owner {
+	return &Owner{cfg: cfg, self: self, right: right, table: newTable()}
+}
+
+// Claim decides on an attempt. until is when the attempt counts as lost if its
+// end was not reported.
+//
+// The order of the checks matters. What is remembered as run is true whatever
+// else is going on. Next come the reasons for which this memory may be
+// incomplete; only then may a missing record mean that nothing ran.
+func (o *Owner) Claim(now Instant, req Request, attempt Attempt, until time.Time) Reply {
+	o.table.expire(o.horizon(now), expireBatch)
+	if o.owner(req.Key) != o.self || !contains(o.members, attempt.Holder) {
+		return o.reply(CodeNotOwner, ReasonUnreachable)
+	}
+	rec := o.table.get(req.Key)
+	if rec != nil && rec.State == StateRan {
+		return o.remembered(now, rec, req, attempt)
+	}
+	if o.indebted(req.Key) {
+		return o.reply(CodeMoving, ReasonMoving)
+	}
+	if rec != nil && (rec.State != StateReleased || rec.releasedBefore(attempt)) {
+		return o.remembered(now, rec, req, attempt)
+	}
+	if no := o.inadmissible(now, req.Key); no != nil {
+		return *no
+	}
+	if rec == nil && len(o.table.records) >= o.cfg.MaxRecords {
+		return o.reply(CodeNotRun, ReasonFull)
+	}
+	if o.retired || !o.right.Valid(now) {
+		return o.reply(CodeNoLease, ReasonUnreachable)
+	}
+	o.grant(rec, req, attempt, until)
+	return o.reply(CodeGranted, ReasonNone)
+}
+
+// inadmissible returns the answer to a key whose age forbids a grant.
+func (o *Owner) inadmissible(now Instant, k Key) *Reply {
+	minted := k.Minted()
+	var r Reply
+	switch {
+	case minted.Before(now.Wall.Add(-o.cfg.Window)):
+		r = o.reply(CodeUnknown, ReasonTooOld)
+	case o.floored(k):
+		r = o.reply(CodeUnknown, ReasonOwnerLost)
+	case minted.After(now.Wall.Add(o.cfg.Ahead)):
+		r = o.reply(CodeNotRun, ReasonTooNew)
+	default:
+		return nil
+	}
+	return &r
+}
+
+func (o *Owner) grant(rec *Record, req Request, attempt Attempt, until time.Time) {
+	if rec == nil {
+		rec = &Record{Key: req.Key}
+		o.table.put(rec)
+	}
+	rec.State = StateInProgress
+	rec.Attempt = attempt
+	rec.Fingerprint = req.Fingerprint
+	rec.Until = until
+}
+
+// remembered answers from the record of an earlier attempt.
+func (o *Owner) remembered(now Instant, rec *Record, req Request, attempt Attempt) Reply {
+	if rec.Fingerprint != 0 && req.Fingerprint != 0 && rec.Fingerprint != req.Fingerprint {
+		return o.reply(CodeUnknown, ReasonMismatch)
+	}
+	if rec.State == StateInProgress && rec.Attempt != attempt && now.Wall.After(rec.Until) {
+		rec.State = StateUnknown
+		rec.Reason = ReasonReported
+	}
+	switch rec.State {
+	case StateRan:
+		r := o.reply(CodeRan, ReasonNone)
+		r.Answer = rec.Answer
+		return r
+	case StateInProgress:
+		if rec.Attempt == attempt {
+			return o.reply(CodeGranted, ReasonNone)
+		}
+		return o.reply(CodeInProgress, ReasonInProgress)
+	case StateReleased:
+		return o.reply(CodeNotRun, ReasonNone)
+	}
+	return o.reply(CodeUnknown, rec.Reason)
+}
+
+// Report takes the end of an attempt. It returns false when another member owns
+// the key, which must then get the report.
+//
+// A report without a record is kept too: the owner that granted the claim may
+// be gone, and what its holder says is true all the same.
+func (o *Owner) Report(now Instant, res Result) bool {
+	if o.owner(res.Key) != o.self {
+		return false
+	}
+	if res.Key.Minted().Before(now.Wall.Add(-o.cfg.Window)) {
+		return true
+	}
+	rec := o.table.get(res.Key)
+	if rec == nil {
+		rec = &Record{Key: res.Key, Attempt: res.Attempt}
+		o.table.put(rec)
+	}
+	o.settleAttempt(rec, res)
+	return true
+}
+
+func (o *Owner) settleAttempt(rec *Record, res Result) {
+	current := rec.Attempt == res.Attempt
+	switch {
+	case res.End == EndRan:
+		rec.State = StateRan
+		rec.Attempt = res.Attempt
+		o.table.keep(rec, res.Answer, o.cfg.MaxAnswer, o.cfg.MaxAnswers)
+	case res.End == EndNotRun && current && rec.State != StateRan:
+		rec.release(res.Attempt)
+	case res.End == EndUnknown && current && rec.State != StateRan:
+		rec.State = StateUnknown
+		rec.Reason = ReasonReported
+	}
+}
+
+// Counts returns the number of records and of those in progress.
+func (o *Owner) Counts() (records, inProgress int) {
+	for _, r := range o.table.records {
+		if r.State == StateInProgress {
+			inProgress++
+		}
+	}
+	return len(o.table.records), inProgress
+}
+
+// Retire makes the member stop granting for good, as before a planned leave.
+func (o *Owner) Retire() { o.retired = true }
+
+// Members returns the members that the Owner goes by, sorted, and the offset.
+func (o *Owner) Members() ([]string, uint64) { return slices.Clone(o.members), o.offset }
+
+func (o *Owner) owner(k Key) string { return ownerOf(o.members, k) }
+
+func (o *Owner) reply(c Code, r Reason) Reply {
+	return Reply{Code: c, Reason: r, Offset: o.offset}
+}
+
+// horizon is the mint time before which records are dropped. It lies twice the
+// clock difference before the window's edge: a record that this member dropped
+// must not be missed by another one, whose slower clock still admits the key.
+func (o *Owner) horizon(now Instant) time.Time {
+	return now.Wall.Add(-o.cfg.Window - 2*o.cfg.Skew)
+}
+
+// InProgress reports whether another attempt than the given one holds the claim
+// on a key that this member owns.
+func (o *Owner) InProgress(now Instant, k Key, attempt Attempt) bool {
+	r := o.table.get(k)
+	return o.owner(k) == o.self && r != nil && r.State == StateInProgress &&
+		r.Attempt != attempt && !now.Wall.After(r.Until)
+}
--- /dev/null
+++ b/internal/entrypeer/decide.go
@@ -0,0 +1,56 @@
+package entrypeer
+
+import (
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/claim"
+)
+
+const (
+	// maxRun is how long a run without a deadline may take before its claim
+	// counts as lost.
+	maxRun = time.Hour
+	// reportSlack is how long after a run's deadline its report may arrive.
+	reportSlack = 10 * time.Second
+	// retrySoon is the Retry-After of a condition that passes by itself.
+	retrySoon = time.Second
+)
+
+// decide turns an owner's last reply into the decision for the caller.
+func decide(req claim.Request, attempt claim.Attempt, r claim.Reply) claim.Decision {
+	d := claim.Decision{Reason: r.Reason, Answer: r.Answer}
+	switch r.Code {
+	case claim.CodeGranted:
+		d.Verdict = claim.Granted
+		d.Attempt = attempt
+	case claim.CodeRan:
+		d.Verdict = claim.Ran
+	case claim.CodeNotRun:
+		d.Verdict = claim.NotRun
+		if r.Reason != claim.ReasonTooNew {
+			d.RetryAfter = retrySoon
+		}
+	case claim.CodeInProgress:
+		d.Verdict = claim.Unknown
+		d.RetryAfter = retrySoon
+	case claim.CodeUnknown:
+		d.Verdict = withoutRecord(req, r.Reason)
+	default:
+		d.Verdict = withoutRecord(req, claim.ReasonUnreachable)
+		d.RetryAfter = retrySoon
+	}
+	return d
+}
+
+// withoutRecord is the verdict where nothing is known of earlier attempts: the
+// caller's word that there is none settles it, since this attempt has not run
+// and will not.
+func withoutRecord(req claim.Request, reason claim.Reason) claim.Verdict {
+	switch reason {
+	case claim.ReasonTooOld, claim.ReasonOwnerLost, claim.ReasonUnreachable, claim.ReasonMoving:
+		if req.First {
+			return claim.NotRun
+		}
+	}
+	return claim.Unknown
+}
