--- /dev/null
+++ b/internal/peerserver/peerserver_test.go
@@ -0,0 +1,50 @@
+package peerserver_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/operator"
+	"github.com/yuccadrift/yuccadrift/internal/peerserver"
+)
+
+type emptyState struct{}
+
+func (emptyState) View(f func(*ledger.State)) { f(ledger.New()) }
+func (emptyState) Fresh() time.Time           { return time.Time{} }
+
+// A command line waits for an offset that never comes while the daemon is told
+// to stop. The daemon must stop all the same, within the time for calls in
+// progress, and the caller must be told that the node is gone.
+func TestStopCutsWaitingCalls(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := peerserver.New(listener)
+	operator.Register(server.Registrar(), operator.ServerConfig{Node: "n1", Role: operator.RoleSteward, State: emptyState{}})
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- server.Serve(ctx) }()
+
+	client, err := operator.NewClient(listener.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	status, err := client.Status(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, "n1", status.Node)
+	_, known := status.Lag()
+	require.False(t, known)
+
+	waited := make(chan error, 1)
+	go func() {
+		_, err := client.StatusAfter(t.Context(), 1, time.Minute)
+		waited <- err
+	}()
+	cancel()
+	require.ErrorIs(t, <-stopped, context.Canceled)
+	require.ErrorIs(t, <-waited, operator.ErrUnreachable)
+}
