Fold preemptions, failed attempts, probation and slots of jobs

Cause: urgent work, at-most-once tasks and black-hole workers need facts that the fold did not keep: the operation ID of a placement after later records, who makes room for whom, which attempts failed where, and a probation. Change: job.preempt (checkpoint, throttle, restore), peaks of use in job.end, Job.PlaceID, Failures, Lapses; a worker set aside, on probation or without a free slot is refused a placement; retries are bounded by failed attempts only. Conclusion: a driver can be restarted at any point and go on from the fold.

--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -195,6 +195,8 @@
 		return s.endJob(rec, b)
 	case record.JobCancel:
 		return s.cancelJob(rec, b)
+	case record.JobPreempt:
+		return s.preemptJob(rec, b)
 	}
 	return refusef("no rule for %s", rec.Body.Kind())
 }
@@ -217,7 +219,7 @@
 		return record.SubjectWave
 	case record.MemberJoin, record.MemberLeave, record.MemberRefresh, record.MemberSuspect, record.MemberTrust:
 		return record.SubjectMember
-	case record.JobSubmit, record.JobPlace, record.JobEnd, record.JobCancel:
+	case record.JobSubmit, record.JobPlace, record.JobEnd, record.JobCancel, record.JobPreempt:
 		return record.SubjectJob
 	}
 	return record.SubjectVM
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -6,8 +6,12 @@
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
-// MaxAttempts bounds how often a repeatable job is placed.
-const MaxAttempts = 5
+// MaxTries bounds how many attempts of a repeatable job may fail or lapse.
+const MaxTries = 5
+
+// ProbationJobs is how many jobs a worker that was let back from quarantine
+// runs one at a time.
+const ProbationJobs = 3
 
 // JobStatus is where a job is in its life.
 type JobStatus string
@@ -32,17 +36,49 @@
 	EndedAt     time.Time        `json:"ended_at"`
 	Worker      string           `json:"worker,omitempty"`
 	// Fence is the offset of the placement, the fencing token of its task.
-	Fence      uint64 `json:"fence,omitempty"`
+	Fence uint64 `json:"fence,omitempty"`
+	// PlaceID is the ID of the placement's record, the operation ID of the
+	// task's start.
+	PlaceID    string `json:"place_id,omitempty"`
 	Attempt    int    `json:"attempt"`
-	MilliCores int    `json:"milli_cores"` // reserved by the placement
+	MilliCores int    `json:"milli_cores"` // reserved on the worker
 	MemoryMB   int    `json:"memory_mb"`
-	// CancelAsked is set when a placed job was cancelled.
+	// FullMilliCores is what the placement reserved before any throttling.
+	FullMilliCores int `json:"full_milli_cores,omitempty"`
+	// Preempt is the latest decision that the placed job makes room, or nil.
+	Preempt *Preemption `json:"preempt,omitempty"`
+	// CancelAsked is set when a placed job was cancelled; CancelID and
+	// CancelFence identify the stop of its task.
 	CancelAsked bool             `json:"cancel_asked,omitempty"`
+	CancelID    string           `json:"cancel_id,omitempty"`
+	CancelFence uint64           `json:"cancel_fence,omitempty"`
 	Checkpoint  string           `json:"checkpoint,omitempty"`
 	Result      record.JobResult `json:"result,omitempty"`
 	Reason      string           `json:"reason,omitempty"`
-	// FailedOn lists the workers of failed attempts, latest last.
-	FailedOn []string `json:"failed_on,omitempty"`
+	// PeakMilliCores and PeakMemoryMB are the most that an attempt was seen to
+	// use; 0 when not known.
+	PeakMilliCores int `json:"peak_milli_cores,omitempty"`
+	PeakMemoryMB   int `json:"peak_memory_mb,omitempty"`
+	// Failures lists the failed attempts, latest last; Lapses counts those
+	// whose lease lapsed.
+	Failures []Failure `json:"failures,omitempty"`
+	Lapses   int       `json:"lapses,omitempty"`
+}
+
+// Failure is one failed attempt of a job.
+type Failure struct {
+	Worker  string    `json:"worker"`
+	Started time.Time `json:"started"`
+	Ended   time.Time `json:"ended"`
+}
+
+// Preemption is an effective decision that a placed job makes room. ID and
+// Fence identify the action on its task.
+type Preemption struct {
+	Action record.PreemptAction `json:"action"`
+	ID     string               `json:"id"`
+	Fence  uint64               `json:"fence"`
+	For    string               `json:"for,omitempty"`
 }
 
 // Ended reports whether the job is over.
@@ -107,143 +143,14 @@
 	return Resources{}, false
 }
 
-func (s *State) submitJob(rec record.Record, b record.JobSubmit) refusal {
-	if _, ok := s.Jobs[rec.Subject.Name]; ok {
-		return refusef("job %s exists already", rec.Subject.Name)
-	}
-	if _, ok := s.Services[b.Service]; !ok {
-		return refusef("there is no service %q", b.Service)
-	}
-	if _, ok := s.Quota(b.Service, b.Team); !ok {
-		return refusef("team %q has no quota in service %s; its document's owner can add one", b.Team, b.Service)
-	}
-	s.Jobs[rec.Subject.Name] = &Job{
-		Head:        Head{Revision: record.Revision(s.Offset), LastID: rec.ID},
-		ID:          rec.Subject.Name,
-		Spec:        b,
-		Status:      JobQueued,
-		SubmittedAt: s.Now,
-		QueuedAt:    s.Now,
-	}
-	return allowed
-}
-
-// placeJob reserves a worker for a job. The checks make a placement that was
-// planned on older state harmless: two planners cannot overfill a worker or a
-// quota between them.
-func (s *State) placeJob(rec record.Record, b record.JobPlace) refusal {
-	j, no := s.job(rec)
-	if no != allowed {
-		return no
-	}
-	if j.Status != JobQueued {
-		return refusef("job %s is %s", j.ID, j.Status)
-	}
-	vm, ok := s.VMs[b.Worker]
-	if !ok || vm.Pool != j.Spec.Service || !vm.Serving() {
-		return refusef("worker %s does not serve pool %s", b.Worker, j.Spec.Service)
-	}
-	want := Resources{MilliCores: b.MilliCores, MemoryMB: b.MemoryMB, Accelerators: j.Spec.Accelerators}
-	if !s.WorkerUse(vm.ID).Add(want, 1).Within(vm.Resources()) {
-		return refusef("worker %s has no room for job %s", vm.ID, j.ID)
-	}
-	quota, _ := s.Quota(j.Spec.Service, j.Spec.Team)
-	if !s.TeamUse(j.Spec.Service, j.Spec.Team).Add(want, 1).Within(quota) {
-		return refusef("team %s would exceed its quota in service %s", j.Spec.Team, j.Spec.Service)
-	}
-	j.Status = JobPlaced
-	j.Worker = vm.ID
-	j.Fence = s.Offset
-	j.Attempt++
-	j.MilliCores, j.MemoryMB = b.MilliCores, b.MemoryMB
-	j.StartedAt = s.Now
-	s.indexPlaced(j, 1)
-	return allowed
-}
-
-func (s *State) endJob(rec record.Record, b record.JobEnd) refusal {
-	j, no := s.job(rec)
-	if no != allowed {
-		return no
-	}
-	if j.Ended() {
-		return refusef("job %s is %s", j.ID, j.Status)
-	}
-	if j.Status == JobQueued && b.Result != record.JobUnplaceable {
-		return refusef("job %s is not placed", j.ID)
-	}
-	if j.Status == JobPlaced {
-		s.indexPlaced(j, -1)
-	}
-	if b.Result == record.JobFailed {
-		j.FailedOn = append(j.FailedOn, j.Worker)
-	}
-	if b.Checkpoint != "" {
-		j.Checkpoint = b.Checkpoint
-	}
-	j.Result, j.Reason = b.Result, b.Reason
-	s.afterEnd(j)
-	return allowed
-}
-
-// afterEnd queues the job again or ends it.
-func (s *State) afterEnd(j *Job) {
-	switch {
-	case j.CancelAsked:
-		s.closeJob(j, JobCancelled)
-	case j.startsAgain():
-		j.Status = JobQueued
-		j.QueuedAt = s.Now
-		j.Worker = ""
-	default:
-		s.closeJob(j, JobDone)
-	}
-}
-
-// startsAgain decides whether a job whose attempt is over may be placed once
-// more. A job that is not repeatable starts again only when its attempt
-// certainly did not run or was checkpointed: after a lapsed lease its task may
-// still be running, and a second start would run it twice.
-func (j *Job) startsAgain() bool {
-	switch j.Result {
-	case record.JobNotStarted, record.JobPreempted:
-		return true
-	case record.JobFailed, record.JobLapsed:
-		return j.Spec.Repeatable && j.Attempt < MaxAttempts
-	}
-	return false
-}
-
-func (s *State) cancelJob(rec record.Record, b record.JobCancel) refusal {
-	j, no := s.job(rec)
-	if no != allowed {
-		return no
-	}
-	if j.Ended() {
-		return refusef("job %s is %s", j.ID, j.Status)
-	}
-	j.CancelAsked = true
-	j.Reason = b.Reason
-	if j.Status == JobQueued {
-		s.closeJob(j, JobCancelled)
-	}
-	return allowed
-}
-
-// closeJob ends a job and keeps it for RetiredSpan offsets.
-func (s *State) closeJob(j *Job, status JobStatus) {
-	j.Status = status
-	j.EndedAt = s.Now
-	sub := record.Subject{Kind: record.SubjectJob, Name: j.ID}
-	s.RetireQueue = append(s.RetireQueue, Retirement{Subject: sub, At: s.Offset})
-}
-
-func (s *State) job(rec record.Record) (*Job, refusal) {
-	j, ok := s.Jobs[rec.Subject.Name]
-	if !ok {
-		return nil, refusef("there is no job %s", rec.Subject.Name)
+// indexJobs builds the indexes of a state whose jobs were restored.
+func (s *State) indexJobs() {
+	for _, j := range s.Jobs {
+		indexInto(s.poolJobs, j.Spec.Service, j.ID, j)
+		if j.Status == JobPlaced {
+			s.indexPlaced(j, 1)
+		}
 	}
-	return j, allowed
 }
 
 // indexPlaced adds (times = 1) or removes (times = -1) a placed job.
--- /dev/null
+++ b/internal/ledger/job_rules.go
@@ -0,0 +1,271 @@
+package ledger
+
+import (
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+func (s *State) submitJob(rec record.Record, b record.JobSubmit) refusal {
+	if _, ok := s.Jobs[rec.Subject.Name]; ok {
+		return refusef("job %s exists already", rec.Subject.Name)
+	}
+	if _, ok := s.Services[b.Service]; !ok {
+		return refusef("there is no service %q", b.Service)
+	}
+	if b.MilliCores <= 0 || b.MemoryMB < 0 || b.Accelerators < 0 || b.RunTime < 0 {
+		return refusef("job %s needs a size: milli_cores over 0, nothing negative", rec.Subject.Name)
+	}
+	if _, ok := s.Quota(b.Service, b.Team); !ok {
+		return refusef("team %q has no quota in service %s; its document's owner can add one", b.Team, b.Service)
+	}
+	j := &Job{
+		Head:        Head{Revision: record.Revision(s.Offset), LastID: rec.ID},
+		ID:          rec.Subject.Name,
+		Spec:        b,
+		Status:      JobQueued,
+		SubmittedAt: s.Now,
+		QueuedAt:    s.Now,
+	}
+	s.Jobs[j.ID] = j
+	indexInto(s.poolJobs, b.Service, j.ID, j)
+	return allowed
+}
+
+// placeJob reserves a worker for a job. The checks make a placement that was
+// planned on older state harmless: two planners cannot overfill a worker or a
+// quota between them.
+func (s *State) placeJob(rec record.Record, b record.JobPlace) refusal {
+	j, no := s.job(rec)
+	if no != allowed {
+		return no
+	}
+	if j.Status != JobQueued {
+		return refusef("job %s is %s", j.ID, j.Status)
+	}
+	vm, ok := s.VMs[b.Worker]
+	if !ok || vm.Pool != j.Spec.Service || !vm.Serving() {
+		return refusef("worker %s does not serve pool %s", b.Worker, j.Spec.Service)
+	}
+	if b.MilliCores < 0 || b.MemoryMB < 0 {
+		return refusef("the reservation for job %s is negative", j.ID)
+	}
+	if no := s.mayTakeJob(vm); no != allowed {
+		return no
+	}
+	want := Resources{MilliCores: b.MilliCores, MemoryMB: b.MemoryMB, Accelerators: j.Spec.Accelerators}
+	if no := s.mayReserve(j, vm, want); no != allowed {
+		return no
+	}
+	j.Status = JobPlaced
+	j.Worker = vm.ID
+	j.Fence = s.Offset
+	j.PlaceID = rec.ID
+	j.Attempt++
+	j.MilliCores, j.MemoryMB = b.MilliCores, b.MemoryMB
+	j.FullMilliCores = b.MilliCores
+	j.StartedAt = s.Now
+	s.indexPlaced(j, 1)
+	return allowed
+}
+
+// mayTakeJob refuses a worker that is set aside, that is on probation and busy,
+// or whose slots are taken.
+func (s *State) mayTakeJob(vm *VM) refusal {
+	if vm.Quarantined {
+		return refusef("worker %s is set aside", vm.ID)
+	}
+	placed := len(s.workerJobs[vm.ID])
+	if vm.ProbationLeft > 0 && placed > 0 {
+		return refusef("worker %s is on probation and runs a job", vm.ID)
+	}
+	if slots := s.Services[vm.Pool].Doc.Limits.Slots; slots > 0 && placed >= slots {
+		return refusef("all %d slots of worker %s are taken", slots, vm.ID)
+	}
+	return allowed
+}
+
+// mayReserve checks that more fits the worker and the team's quota on top of
+// what is reserved.
+func (s *State) mayReserve(j *Job, vm *VM, more Resources) refusal {
+	if !s.WorkerUse(vm.ID).Add(more, 1).Within(vm.Resources()) {
+		return refusef("worker %s has no room for job %s", vm.ID, j.ID)
+	}
+	quota, _ := s.Quota(j.Spec.Service, j.Spec.Team)
+	if !s.TeamUse(j.Spec.Service, j.Spec.Team).Add(more, 1).Within(quota) {
+		return refusef("team %s would exceed its quota in service %s", j.Spec.Team, j.Spec.Service)
+	}
+	return allowed
+}
+
+func (s *State) endJob(rec record.Record, b record.JobEnd) refusal {
+	j, no := s.job(rec)
+	if no != allowed {
+		return no
+	}
+	if no := j.mayEnd(b); no != allowed {
+		return no
+	}
+	if j.Status == JobPlaced {
+		s.indexPlaced(j, -1)
+	}
+	switch b.Result {
+	case record.JobFailed:
+		j.Failures = append(j.Failures, Failure{Worker: j.Worker, Started: j.StartedAt, Ended: s.Now})
+	case record.JobLapsed:
+		j.Lapses++
+	case record.JobSucceeded:
+		s.passProbation(j.Worker)
+	}
+	if b.Checkpoint != "" {
+		j.Checkpoint = b.Checkpoint
+	}
+	j.PeakMilliCores = max(j.PeakMilliCores, b.PeakMilliCores)
+	j.PeakMemoryMB = max(j.PeakMemoryMB, b.PeakMemoryMB)
+	j.Result = b.Result
+	if b.Reason != "" {
+		j.Reason = b.Reason
+	}
+	j.Preempt = nil
+	s.afterEnd(j)
+	return allowed
+}
+
+// mayEnd refuses a result that does not belong to the job's status.
+func (j *Job) mayEnd(b record.JobEnd) refusal {
+	if j.Ended() {
+		return refusef("job %s is %s", j.ID, j.Status)
+	}
+	switch b.Result {
+	case record.JobUnplaceable:
+		if j.Status != JobQueued {
+			return refusef("job %s is %s, so it could be placed", j.ID, j.Status)
+		}
+		return allowed
+	case record.JobSucceeded, record.JobFailed, record.JobPreempted,
+		record.JobNotStarted, record.JobLapsed, record.JobStopped:
+	default:
+		return refusef("%q is no result of a job", b.Result)
+	}
+	if j.Status != JobPlaced {
+		return refusef("job %s is not placed", j.ID)
+	}
+	if b.Result == record.JobPreempted && b.Checkpoint == "" && !j.Spec.Repeatable {
+		return refusef("job %s is not repeatable and was not checkpointed", j.ID)
+	}
+	return allowed
+}
+
+// afterEnd queues the job again or ends it.
+func (s *State) afterEnd(j *Job) {
+	switch {
+	case j.CancelAsked && j.Result != record.JobSucceeded:
+		s.closeJob(j, JobCancelled)
+	case j.startsAgain():
+		j.Status = JobQueued
+		j.QueuedAt = s.Now
+		j.Worker = ""
+	default:
+		s.closeJob(j, JobDone)
+	}
+}
+
+// startsAgain decides whether a job whose attempt is over may be placed once
+// more. A job that is not repeatable starts again only when its attempt
+// certainly did not run or was checkpointed: after a lapsed lease its task may
+// still be running, and a second start would run it twice.
+func (j *Job) startsAgain() bool {
+	switch j.Result {
+	case record.JobNotStarted:
+		return true
+	case record.JobPreempted:
+		return true
+	case record.JobFailed, record.JobLapsed, record.JobStopped:
+		return j.Spec.Repeatable && len(j.Failures)+j.Lapses < MaxTries
+	}
+	return false
+}
+
+// preemptJob records that a placed job makes room. A throttle lowers what it
+// reserves at once; the room is real when the platform has throttled the task.
+func (s *State) preemptJob(rec record.Record, b record.JobPreempt) refusal {
+	j, no := s.job(rec)
+	if no != allowed {
+		return no
+	}
+	if j.Status != JobPlaced {
+		return refusef("job %s is %s", j.ID, j.Status)
+	}
+	if j.Preempt != nil && j.Preempt.Action == record.PreemptCheckpoint {
+		return refusef("job %s is being checkpointed", j.ID)
+	}
+	if no := s.mayPreempt(j, b); no != allowed {
+		return no
+	}
+	if b.Action != record.PreemptCheckpoint {
+		s.indexPlaced(j, -1)
+		j.MilliCores = b.MilliCores
+		s.indexPlaced(j, 1)
+	}
+	j.Preempt = &Preemption{Action: b.Action, ID: rec.ID, Fence: s.Offset, For: b.For}
+	return allowed
+}
+
+func (s *State) mayPreempt(j *Job, b record.JobPreempt) refusal {
+	switch b.Action {
+	case record.PreemptCheckpoint:
+		if !j.Spec.Checkpointable {
+			return refusef("job %s cannot be checkpointed", j.ID)
+		}
+		return allowed
+	case record.PreemptThrottle:
+		if b.MilliCores <= 0 || b.MilliCores >= j.MilliCores {
+			return refusef("a throttle of job %s leaves it more than 0 and less than %d thousandths of a core", j.ID, j.MilliCores)
+		}
+		return allowed
+	case record.PreemptRestore:
+		if b.MilliCores <= j.MilliCores || b.MilliCores > j.FullMilliCores {
+			return refusef("job %s is restored to more than %d and at most %d thousandths of a core", j.ID, j.MilliCores, j.FullMilliCores)
+		}
+		vm, ok := s.VMs[j.Worker]
+		if !ok {
+			return refusef("there is no VM %s", j.Worker)
+		}
+		return s.mayReserve(j, vm, Resources{MilliCores: b.MilliCores - j.MilliCores})
+	}
+	return refusef("%q is no way to make room", b.Action)
+}
+
+func (s *State) cancelJob(rec record.Record, b record.JobCancel) refusal {
+	j, no := s.job(rec)
+	if no != allowed {
+		return no
+	}
+	if j.Ended() {
+		return refusef("job %s is %s", j.ID, j.Status)
+	}
+	if j.CancelAsked {
+		return refusef("job %s was cancelled already", j.ID)
+	}
+	j.CancelAsked = true
+	j.CancelID, j.CancelFence = rec.ID, s.Offset
+	j.Reason = b.Reason
+	if j.Status == JobQueued {
+		s.closeJob(j, JobCancelled)
+	}
+	return allowed
+}
+
+// closeJob ends a job and keeps it for RetiredSpan offsets.
+func (s *State) closeJob(j *Job, status JobStatus) {
+	j.Status = status
+	j.EndedAt = s.Now
+	sub := record.Subject{Kind: record.SubjectJob, Name: j.ID}
+	s.RetireQueue = append(s.RetireQueue, Retirement{Subject: sub, At: s.Offset})
+}
+
+func (s *State) job(rec record.Record) (*Job, refusal) {
+	j, ok := s.Jobs[rec.Subject.Name]
+	if !ok {
+		return nil, refusef("there is no job %s", rec.Subject.Name)
+	}
+	return j, allowed
+}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -38,6 +38,7 @@
 	// Indexes, derived from the above.
 	poolVMs    map[string]map[string]*VM  // pool -> VM ID
 	workerJobs map[string]map[string]*Job // worker -> job, placed jobs only
+	poolJobs   map[string]map[string]*Job // pool -> job, ended ones included
 	teamUse    map[teamKey]Resources
 }
 
@@ -82,10 +83,18 @@
 	Drain *Drain `json:"drain,omitempty"`
 	// MaintainedAt is when the VM last came back from a maintenance reboot.
 	MaintainedAt time.Time `json:"maintained_at"`
-	Quarantined  bool      `json:"quarantined,omitempty"`
-	Moves        int       `json:"moves"`   // joins after a first pool
-	Drains       int       `json:"drains"`  // drains that took effect
-	Reboots      int       `json:"reboots"` // reboots that took effect
+	// Quarantined is set while the worker is set aside for job placement.
+	Quarantined bool `json:"quarantined,omitempty"`
+	// QuarantineChanged is when the worker was last set aside or let back.
+	QuarantineChanged time.Time `json:"quarantine_changed,omitzero"`
+	// ProbationLeft is how many jobs must still succeed, one at a time, before
+	// a worker that was let back takes several at once again.
+	ProbationLeft int `json:"probation_left,omitempty"`
+	// Quarantines counts how often it was set aside without passing probation.
+	Quarantines int `json:"quarantines,omitempty"`
+	Moves       int `json:"moves"`   // joins after a first pool
+	Drains      int `json:"drains"`  // drains that took effect
+	Reboots     int `json:"reboots"` // reboots that took effect
 }
 
 // Drain is an effective drain decision. Fence, its offset, is the fencing token
@@ -127,6 +136,7 @@
 		Retired:    map[record.Subject]Head{},
 		poolVMs:    map[string]map[string]*VM{},
 		workerJobs: map[string]map[string]*Job{},
+		poolJobs:   map[string]map[string]*Job{},
 		teamUse:    map[teamKey]Resources{},
 	}
 }
@@ -134,6 +144,10 @@
 // PoolVMs returns the VMs of a pool by ID. The caller must not change the map.
 func (s *State) PoolVMs(pool string) map[string]*VM { return s.poolVMs[pool] }
 
+// PoolJobs returns the jobs of a service by ID, those that ended within
+// RetiredSpan offsets included. The caller must not change the map.
+func (s *State) PoolJobs(service string) map[string]*Job { return s.poolJobs[service] }
+
 // WorkerJobs returns the jobs placed on a worker by ID. The caller must not
 // change the map.
 func (s *State) WorkerJobs(worker string) map[string]*Job { return s.workerJobs[worker] }
@@ -216,6 +230,7 @@
 		}
 		if j, ok := s.Jobs[r.Subject.Name]; ok && r.Subject.Kind == record.SubjectJob && j.Ended() {
 			delete(s.Jobs, r.Subject.Name)
+			delete(s.poolJobs[j.Spec.Service], r.Subject.Name)
 		}
 		if w, ok := s.Waves[r.Subject.Name]; ok && r.Subject.Kind == record.SubjectWave && !w.Active() {
 			delete(s.Waves, r.Subject.Name)
--- a/internal/ledger/vm.go
+++ b/internal/ledger/vm.go
@@ -272,10 +272,32 @@
 	if no != allowed {
 		return no
 	}
+	if vm.Quarantined == b.On {
+		return refusef("VM %s is set aside already or not at all (%t)", vm.ID, b.On)
+	}
 	vm.Quarantined = b.On
+	vm.QuarantineChanged = s.Now
+	vm.ProbationLeft = 0
+	if b.On {
+		vm.Quarantines++
+		return allowed
+	}
+	vm.ProbationLeft = ProbationJobs
 	return allowed
 }
 
+// passProbation counts a job that succeeded on a worker under probation.
+func (s *State) passProbation(worker string) {
+	vm, ok := s.VMs[worker]
+	if !ok || vm.ProbationLeft == 0 {
+		return
+	}
+	vm.ProbationLeft--
+	if vm.ProbationLeft == 0 {
+		vm.Quarantines = 0
+	}
+}
+
 func (s *State) vm(rec record.Record) (*VM, refusal) {
 	vm, ok := s.VMs[rec.Subject.Name]
 	if !ok {
--- a/internal/record/body.go
+++ b/internal/record/body.go
@@ -29,6 +29,7 @@
 	KindJobPlace        Kind = "job.place"
 	KindJobEnd          Kind = "job.end"
 	KindJobCancel       Kind = "job.cancel"
+	KindJobPreempt      Kind = "job.preempt"
 )
 
 var decoders = map[Kind]func(json.RawMessage) (Body, error){
@@ -54,6 +55,7 @@
 	KindJobPlace:        decoderOf[JobPlace],
 	KindJobEnd:          decoderOf[JobEnd],
 	KindJobCancel:       decoderOf[JobCancel],
+	KindJobPreempt:      decoderOf[JobPreempt],
 }
 
 // DocumentPublish replaces a service's document. Subject: the service.
@@ -252,6 +254,7 @@
 	JobNotStarted  JobResult = "not-started"
 	JobLapsed      JobResult = "lapsed" // lease lapsed, end unknown
 	JobUnplaceable JobResult = "unplaceable"
+	JobStopped     JobResult = "stopped" // after a cancellation
 )
 
 // JobEnd records the end of a placement, or that a job can never be placed.
@@ -259,6 +262,31 @@
 	Result     JobResult `json:"result"`
 	Reason     string    `json:"reason,omitempty"`
 	Checkpoint string    `json:"checkpoint,omitempty"`
+	// PeakMilliCores and PeakMemoryMB are the most that usage reports showed
+	// the task to use; 0 when none came. Later jobs of its shape are sized by
+	// them.
+	PeakMilliCores int `json:"peak_milli_cores,omitempty"`
+	PeakMemoryMB   int `json:"peak_memory_mb,omitempty"`
+}
+
+// PreemptAction is how a placed job makes room.
+type PreemptAction string
+
+// Ways to make room, and to take a throttling back.
+const (
+	PreemptCheckpoint PreemptAction = "checkpoint"
+	PreemptThrottle   PreemptAction = "throttle"
+	PreemptRestore    PreemptAction = "restore"
+)
+
+// JobPreempt is the decision that a placed job makes room for urgent work or
+// for a drain. Its offset is the fencing token of the action on the task.
+type JobPreempt struct {
+	Action PreemptAction `json:"action"`
+	// MilliCores is what stays reserved after a throttle or restore.
+	MilliCores int `json:"milli_cores,omitempty"`
+	// For names the urgent job or the VM that needs the room.
+	For string `json:"for,omitempty"`
 }
 
 // JobCancel withdraws a job.
@@ -331,3 +359,6 @@
 
 // Kind implements Body.
 func (JobCancel) Kind() Kind { return KindJobCancel }
+
+// Kind implements Body.
+func (JobPreempt) Kind() Kind { return KindJobPreempt }
