Move the health check of backend servers into their peer package

Cause: the structure test found net/http in internal/steward; I/O with backend servers belongs to internal/backend. Conclusion: the steward decides on a Checker interface only.

--- a/cmd/yuccadrift-steward/main.go
+++ b/cmd/yuccadrift-steward/main.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/yuccadrift/yuccadrift/internal/admin"
+	"github.com/yuccadrift/yuccadrift/internal/backend"
 	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/listen"
 	"github.com/yuccadrift/yuccadrift/internal/logging"
@@ -71,7 +72,7 @@
 		Follower:      follow,
 		Fleet:         client,
 		Entries:       steward.UnreachableEntries{},
-		Health:        steward.NewHTTPChecker(),
+		Health:        backend.NewHealthChecker(),
 		Logger:        logger,
 		PlanInterval:  s.Planning.Interval.Duration,
 		ListInterval:  s.Planning.ListInterval.Duration,
--- a/internal/steward/health.go
+++ b/internal/steward/health.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
-	"time"
-
-	"github.com/pkg/errors"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/maintenance"
@@ -21,40 +17,11 @@
 
 // Bounds of health checks.
 const (
-	checkTimeout  = time.Second
 	checkParallel = 32
 	downAfter     = 3 // failures in a row
 	upAfter       = 2 // successes in a row
 )
 
-// HTTPChecker checks backend servers over HTTP.
-type HTTPChecker struct{ client *http.Client }
-
-// NewHTTPChecker returns a checker with its own connections.
-func NewHTTPChecker() *HTTPChecker {
-	return &HTTPChecker{client: &http.Client{
-		Timeout:   checkTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second},
-	}}
-}
-
-// Check implements Checker.
-func (c *HTTPChecker) Check(ctx context.Context, address string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/healthz", nil)
-	if err != nil {
-		return errors.Wrap(err, "health check")
-	}
-	resp, err := c.client.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "health check")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("health check: status %d", resp.StatusCode)
-	}
-	return nil
-}
-
 // health watches the VMs of this steward's share.
 type health struct {
 	*Steward
