Keep the latest membership changes in the folded state

Cause: owners of claims must go through membership changes one by one; a member that joined and left between two looks at the state may have granted claims. And while a member's electorate refresh is in flight it must still know who can evict it, or a log outage right after a join would stop every owner. Change: State.MemberChanges (64, delta coded); MemberRefresh names the electorate outright; a join replaces the member at the same address, which cannot be running, and no longer one with the same node name, which can.

--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -182,7 +182,7 @@
 	case record.MemberLeave:
 		return s.leaveMember(rec)
 	case record.MemberRefresh:
-		return s.refreshMember(rec)
+		return s.refreshMember(rec, b)
 	case record.MemberSuspect:
 		return s.suspectMember(rec, b)
 	case record.MemberTrust:
--- a/internal/ledger/member.go
+++ b/internal/ledger/member.go
@@ -31,12 +31,41 @@
 	Suspect bool   `json:"suspect"`
 }
 
+// MemberRef names a member and where it answers other entry VMs.
+type MemberRef struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// MemberChange is what the record at Offset changed about the membership.
+type MemberChange struct {
+	Offset  uint64      `json:"offset"`
+	Joined  []MemberRef `json:"joined,omitempty"`
+	Removed []MemberRef `json:"removed,omitempty"`
+}
+
+// maxMemberChanges bounds State.MemberChanges. A node that is further behind
+// joins anew.
+const maxMemberChanges = 64
+
+// memberChange returns the change of the record being applied.
+func (s *State) memberChange() *MemberChange {
+	n := len(s.MemberChanges)
+	if n == 0 || s.MemberChanges[n-1].Offset != s.Offset {
+		s.MemberChanges = append(s.MemberChanges, MemberChange{Offset: s.Offset})
+		if n == maxMemberChanges {
+			s.MemberChanges = slices.Delete(s.MemberChanges, 0, 1)
+		}
+	}
+	return &s.MemberChanges[len(s.MemberChanges)-1]
+}
+
 func (s *State) joinMember(rec record.Record, b record.MemberJoin) refusal {
 	if _, ok := s.Members[rec.Subject.Name]; ok {
 		return refusef("member %s has joined already", rec.Subject.Name)
 	}
 	for _, name := range s.MemberNames() {
-		if s.Members[name].Node == b.Node {
+		if s.Members[name].Address == b.Address {
 			s.removeMember(name)
 		}
 	}
@@ -51,6 +80,8 @@
 	}
 	s.Members[m.Name] = m
 	m.Electorate = s.MemberNames()
+	c := s.memberChange()
+	c.Joined = append(c.Joined, MemberRef{Name: m.Name, Address: m.Address})
 	return allowed
 }
 
@@ -62,12 +93,17 @@
 	return allowed
 }
 
-func (s *State) refreshMember(rec record.Record) refusal {
+// refreshMember takes the electorate that the member names. Names of members
+// that are gone do no harm: their votes don't count.
+func (s *State) refreshMember(rec record.Record, b record.MemberRefresh) refusal {
 	m, ok := s.Members[rec.Subject.Name]
 	if !ok {
 		return refusef("%s is no member", rec.Subject.Name)
 	}
-	m.Electorate = s.MemberNames()
+	if !slices.Contains(b.Electorate, m.Name) {
+		return refusef("the electorate of %s lacks the member itself", m.Name)
+	}
+	m.Electorate = slices.Compact(slices.Sorted(slices.Values(b.Electorate)))
 	s.evictIfSuspected(m)
 	return allowed
 }
@@ -121,6 +157,8 @@
 func (s *State) removeMember(name string) {
 	m := s.Members[name]
 	delete(s.Members, name)
+	c := s.memberChange()
+	c.Removed = append(c.Removed, MemberRef{Name: m.Name, Address: m.Address})
 	sub := record.Subject{Kind: record.SubjectMember, Name: name}
 	s.retire(sub, Head{Revision: record.Revision(s.Offset), LastID: m.LastID})
 }
--- /dev/null
+++ b/internal/ledger/member_change_test.go
@@ -0,0 +1,80 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// members folds membership records at rising offsets.
+type members struct {
+	t     *testing.T
+	state *State
+	ids   int
+}
+
+func (m *members) apply(name string, body record.Body) Status {
+	m.ids++
+	sub := record.Subject{Kind: record.SubjectMember, Name: name}
+	return m.state.Apply(m.state.Offset+1, record.Record{
+		ID:      fmt.Sprintf("id-%d", m.ids),
+		Subject: sub,
+		Base:    m.state.Revision(sub),
+		Seen:    m.state.Offset,
+		Body:    body,
+	}).Status
+}
+
+func (m *members) join(name, address string) {
+	require.Equal(m.t, Effective, m.apply(name, record.MemberJoin{Node: name, Address: address}))
+}
+
+// A VM is replaced and its new entry process takes the old one's address. The
+// old member goes in the same step, and the change tells other nodes of both:
+// an owner that saw only the join would not know whose claims are lost.
+func TestJoinAtTheSameAddressReplaces(t *testing.T) {
+	m := &members{t: t, state: New()}
+	m.join("a1", "10.0.0.1:7000")
+	m.join("b1", "10.0.0.2:7000")
+	m.join("a2", "10.0.0.1:7000")
+	require.Equal(t, []string{"a2", "b1"}, m.state.MemberNames())
+	require.Equal(t, MemberChange{
+		Offset:  3,
+		Joined:  []MemberRef{{Name: "a2", Address: "10.0.0.1:7000"}},
+		Removed: []MemberRef{{Name: "a1", Address: "10.0.0.1:7000"}},
+	}, m.state.MemberChanges[2])
+}
+
+// Three of five members suspect a fourth, which has shrunk its electorate to
+// itself and two of them. A strict majority of that electorate evicts it; a
+// vote from outside does not count, and neither does one taken back.
+func TestEvictionCountsTheMembersOwnElectorate(t *testing.T) {
+	m := &members{t: t, state: New()}
+	for i, name := range []string{"a", "b", "c", "d", "e"} {
+		m.join(name, fmt.Sprintf("10.0.0.%d:7000", i))
+	}
+	require.Equal(t, Refused, m.apply("a", record.MemberRefresh{Electorate: []string{"b", "c"}}))
+	require.Equal(t, Effective, m.apply("a", record.MemberRefresh{Electorate: []string{"c", "a", "b", "b"}}))
+	m.apply("a", record.MemberSuspect{By: "d", Seq: 1})
+	m.apply("a", record.MemberSuspect{By: "b", Seq: 1})
+	m.apply("a", record.MemberTrust{By: "b", Seq: 2})
+	require.Equal(t, Refused, m.apply("a", record.MemberSuspect{By: "b", Seq: 1}))
+	m.apply("a", record.MemberSuspect{By: "c", Seq: 1})
+	require.Contains(t, m.state.Members, "a")
+	m.apply("a", record.MemberSuspect{By: "b", Seq: 3})
+	require.NotContains(t, m.state.Members, "a")
+	last := m.state.MemberChanges[len(m.state.MemberChanges)-1]
+	require.Equal(t, []MemberRef{{Name: "a", Address: "10.0.0.0:7000"}}, last.Removed)
+}
+
+func TestMemberChangesAreBounded(t *testing.T) {
+	m := &members{t: t, state: New()}
+	for i := range 2 * maxMemberChanges {
+		m.join(fmt.Sprintf("a%d", i), "10.0.0.1:7000")
+	}
+	require.Len(t, m.state.MemberChanges, maxMemberChanges)
+	require.Equal(t, m.state.Offset, m.state.MemberChanges[maxMemberChanges-1].Offset)
+}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -31,6 +31,9 @@
 	Waves    map[string]*Wave    `json:"waves"`
 	Members  map[string]*Member  `json:"members"`
 	Jobs     map[string]*Job     `json:"jobs"`
+	// MemberChanges holds the latest changes of the membership, oldest first.
+	// The owners of claims go through them one by one: see internal/claim.
+	MemberChanges []MemberChange `json:"member_changes"`
 	// Retired holds the heads of removed subjects, RetireQueue their order.
 	Retired     map[record.Subject]Head `json:"-"`
 	RetireQueue []Retirement            `json:"retire_queue"`
--- a/internal/record/body.go
+++ b/internal/record/body.go
@@ -186,7 +186,8 @@
 }
 
 // MemberJoin makes one run of an entry process a member. Subject: the member,
-// named by node and incarnation. An older incarnation of Node is removed.
+// named by node and incarnation. A member with the same Address is removed: the
+// joining process has bound the address, so the older one cannot be running.
 type MemberJoin struct {
 	Node    string `json:"node"`
 	Zone    string `json:"zone"`
@@ -196,10 +197,12 @@
 // MemberLeave is a planned leave, after claims were handed over.
 type MemberLeave struct{}
 
-// MemberRefresh sets the subject's electorate to the members at the record's
-// offset. Only the subject itself writes it, so a member always knows who can
-// evict it.
-type MemberRefresh struct{}
+// MemberRefresh sets the subject's electorate. Only the subject itself writes it
+// and it names the electorate outright, so a member always knows who can evict
+// it: while the record's outcome is unknown, the old electorate or this one.
+type MemberRefresh struct {
+	Electorate []string `json:"electorate"`
+}
 
 // MemberSuspect records that member By cannot reach the subject. The subject is
 // evicted once a strict majority of its electorate suspects it. Base is not
