Add history, drain, wave and jobs to the command line

Each change is one record on the subject's present revision, and the command prints the ledger's word: effective at its offset, void, refused with the limit that was met, or unknown. history folds the retained log and shows every record with its outcome, malformed ones included.

Tests run them against the stand-in: a second drain that one_domain refuses, a second wave over a pool, control of an ended wave, a job without a quota, an explained and cancelled job, a void publish and a malformed entry in the list.

--- /dev/null
+++ b/internal/operatorcmd/change_test.go
@@ -0,0 +1,147 @@
+package operatorcmd
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/settings"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+// propose appends records as the stewards would, each on its subject's present
+// revision, and requires that they take effect.
+func (b *bench) propose(sub record.Subject, bodies ...record.Body) {
+	b.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	o := options{platform: b.addr, stream: settings.DefaultStream, timeout: time.Minute, author: "test"}
+	s, err := openWith(ctx, o)
+	require.NoError(b.t, err)
+	defer s.Close()
+	for _, body := range bodies {
+		_, err := s.propose(ctx, s.draft(sub, body))
+		require.NoError(b.t, err)
+	}
+}
+
+// pool publishes the booking document and fills its pool with n serving VMs,
+// four to a rack.
+func (b *bench) pool(n int) {
+	b.t.Helper()
+	code, out, errOut := b.run("publish", b.example("booking", "size = 12", "size = 12"))
+	require.Equal(b.t, ExitOK, code, out+errOut)
+	for i := range n {
+		vm := record.Subject{Kind: record.SubjectVM, Name: fmt.Sprintf("vm-%02d", i)}
+		zone := string(rune('a' + i/4))
+		register := record.VMRegister{Zone: zone, Rack: "rack-" + zone, Address: "127.0.0.1:1", Cores: 32, MemoryMB: 65536}
+		b.propose(vm, register, record.VMJoin{Pool: "booking"}, record.VMUp{})
+	}
+}
+
+// The pool is two VMs short already. One more drain would break its budget: the
+// operator gets the ledger's refusal with the limit, and the VM stays in
+// service. A drain that the budget bears is effective at once.
+func TestDrainWithinBudget(t *testing.T) {
+	b := newBench(t, standin.Options{})
+	b.pool(12)
+	code, first := runJSON[changeResult](b, "drain", "vm-00")
+	require.Equal(t, ExitOK, code)
+	require.Equal(t, ledger.Effective, first.Status)
+	require.Positive(t, first.Offset)
+
+	code, other := runJSON[changeResult](b, "drain", "vm-11")
+	require.Equal(t, ExitRejected, code)
+	require.Equal(t, ledger.Refused, other.Status)
+	require.Contains(t, other.Reason, "one_domain")
+
+	code, again := runJSON[changeResult](b, "drain", "vm-00")
+	require.Equal(t, ExitRejected, code)
+	require.Contains(t, again.Reason, "draining")
+}
+
+func TestWaveCommands(t *testing.T) {
+	b := newBench(t, standin.Options{})
+	b.pool(2)
+	steps := []struct {
+		code int
+		word string
+		args []string
+	}{
+		{ExitRejected, "no pool", []string{"wave", "start", "--name", "w0", "--pools", "nowhere"}},
+		{ExitOK, "effective", []string{"wave", "start", "--name", "w1", "--pools", "booking"}},
+		{ExitRejected, "in wave w1 already", []string{"wave", "start", "--name", "w2", "--pools", "booking"}},
+		{ExitOK, "effective", []string{"wave", "pause", "--reason", "rack lost", "w1"}},
+		{ExitOK, "rack lost", []string{"wave", "show", "w1"}},
+		{ExitOK, "effective", []string{"wave", "resume", "w1"}},
+		{ExitUnknown, "not over", []string{"--timeout", "300ms", "wave", "show", "--wait", "w1"}},
+		{ExitOK, "effective", []string{"wave", "abort", "w1"}},
+		{ExitOK, "aborted", []string{"wave", "show", "--wait", "w1"}},
+		{ExitRejected, "is aborted", []string{"wave", "resume", "w1"}},
+		{ExitUsage, "argument", []string{"wave", "pause"}},
+		{ExitUsage, "no command", []string{"wave", "cancel"}},
+	}
+	for _, s := range steps {
+		code, out, errOut := b.run(s.args...)
+		require.Equal(t, s.code, code, "%v: %s%s", s.args, out, errOut)
+		require.Contains(t, out+errOut, s.word, s.args)
+	}
+}
+
+func TestJobCommands(t *testing.T) {
+	b := newBench(t, standin.Options{})
+	b.pool(1)
+	submit := []string{"jobs", "submit", "--service", "booking", "--team", "ramcharan-booking", "--cores", "0.25"}
+	code, refused := runJSON[changeResult](b, "jobs", "submit", "--service", "booking", "--team", "strangers", "j0")
+	require.Equal(t, ExitRejected, code)
+	require.Contains(t, refused.Reason, "no quota")
+
+	code, _, errOut := b.run(append(submit, "j1")...)
+	require.Equal(t, ExitOK, code, errOut)
+	code, list := runJSON[[]ledger.Job](b, "jobs", "list", "--status", "queued")
+	require.Equal(t, ExitOK, code)
+	require.Len(t, list, 1)
+	require.Equal(t, 250, list[0].Spec.MilliCores)
+	code, why := runJSON[explanation](b, "jobs", "explain", "j1")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, why.Facts, "1 workers of the pool are large enough, 1 of them have room now")
+
+	code, _, errOut = b.run("jobs", "cancel", "--reason", "typed wrong", "j1")
+	require.Equal(t, ExitOK, code, errOut)
+	code, out, _ := b.run("jobs", "explain", "j1")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "typed wrong")
+	code, _, _ = b.run("jobs", "explain", "j9")
+	require.Equal(t, ExitRejected, code)
+}
+
+// Each outcome of a service's records is listed with its author and reason, and
+// a record of a kind that this build does not know is listed, not hidden.
+func TestHistory(t *testing.T) {
+	b := newBench(t, standin.Options{})
+	b.pool(1)
+	_, _, _ = b.run("--author", "ada", "publish", "--based-on", "7", b.example("booking", "size = 12", "size = 13"))
+	_, err := b.platform.Append(context.Background(), settings.DefaultStream, [][]byte{[]byte(`{"kind":"later"}`)})
+	require.NoError(t, err)
+
+	code, lines := runJSON[[]historyLine](b, "history", "service/booking")
+	require.Equal(t, ExitOK, code)
+	require.Len(t, lines, 2)
+	require.Equal(t, ledger.Effective, lines[0].Status)
+	require.Equal(t, ledger.Stale, lines[1].Status)
+	require.Equal(t, "ada", lines[1].Author)
+	require.Equal(t, record.Revision(7), lines[1].BasedOn)
+
+	code, lines = runJSON[[]historyLine](b, "history", "--last", "1")
+	require.Equal(t, ExitOK, code)
+	require.Equal(t, ledger.Malformed, lines[0].Status)
+
+	code, out, _ := b.run("--output", "csv", "history", "--kind", "vm.join", "vm-00")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "history,3,")
+}
--- /dev/null
+++ b/internal/operatorcmd/drain.go
@@ -0,0 +1,122 @@
+package operatorcmd
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Flags of drain.
+const (
+	flagTo       = "to"
+	flagRelease  = "release"
+	flagEstimate = "estimate"
+)
+
+const defaultEstimate = 5 * time.Minute
+
+// changeResult is the output of a command that changes one subject.
+type changeResult struct {
+	Subject  record.Subject  `json:"subject"`
+	Change   string          `json:"change"`
+	Status   ledger.Status   `json:"status"`
+	Offset   uint64          `json:"offset,omitempty"`
+	BasedOn  record.Revision `json:"based_on"`
+	RecordID string          `json:"record_id"`
+	Reason   string          `json:"reason,omitempty"`
+}
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "drain",
+		Usage:     "take one VM out of service, within its pool's budget",
+		ArgsUsage: "VM",
+		Description: `The VM gets no new work, its requests in flight finish, and it comes back to its
+pool unless it is told to go elsewhere. The ledger refuses the drain when the
+pool's availability budget does not bear it; the reason names the limit.
+
+Examples:
+   yuccadrift drain vm-17
+   yuccadrift drain --to returns vm-17
+   yuccadrift drain --release vm-17`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagTo, Usage: "join this `POOL` afterwards"},
+			&cli.BoolFlag{Name: flagRelease, Usage: "leave the pool for the common reserve afterwards"},
+			&cli.DurationFlag{Name: flagEstimate, Usage: "expected `DURATION` out of service; the budget must bear it", Value: defaultEstimate},
+		},
+		Action: drain,
+	}
+}
+
+func drain(ctx context.Context, cmd *cli.Command) error {
+	vm, err := oneArg(cmd, "VM")
+	if err != nil {
+		return err
+	}
+	if cmd.IsSet(flagTo) && cmd.Bool(flagRelease) {
+		return failf(ExitUsage, "--%s and --%s exclude each other", flagTo, flagRelease)
+	}
+	body := record.VMDrain{
+		Reason:   record.DrainOperator,
+		Target:   cmd.String(flagTo),
+		Release:  cmd.Bool(flagRelease),
+		Estimate: cmd.Duration(flagEstimate),
+	}
+	if body.Target != "" || body.Release {
+		body.Reason = record.DrainMove
+	}
+	return change(ctx, cmd, record.Subject{Kind: record.SubjectVM, Name: vm}, body, "drain")
+}
+
+// oneArg returns the command's only argument.
+func oneArg(cmd *cli.Command, what string) (string, error) {
+	if cmd.Args().Len() != 1 {
+		return "", failf(ExitUsage, "%s takes one argument, the %s", cmd.FullName(), what)
+	}
+	return cmd.Args().First(), nil
+}
+
+// change proposes one record on the subject's present revision and prints its
+// outcome.
+func change(ctx context.Context, cmd *cli.Command, sub record.Subject, body record.Body, what string) error {
+	s, err := open(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	return s.change(ctx, cmd, sub, body, what)
+}
+
+func (s *session) change(ctx context.Context, cmd *cli.Command, sub record.Subject, body record.Body, what string) error {
+	rec := s.draft(sub, body)
+	out, err := s.propose(ctx, rec)
+	r := changeResult{Subject: sub, Change: what, Status: out.Status, Offset: out.Offset, BasedOn: rec.Base, RecordID: rec.ID, Reason: out.Reason}
+	if exitCode(err) == ExitUnknown {
+		r.Status = statusUnknown
+	}
+	t := &table{title: "change", header: []string{"SUBJECT", "CHANGE", "OUTCOME", "BASED ON"}}
+	t.add(sub.String(), what, r.outcome(), fmt.Sprint(r.BasedOn))
+	if showErr := show(cmd.Root().Writer, s.format, r, t); showErr != nil {
+		return showErr
+	}
+	return err
+}
+
+// statusUnknown stands beside the ledger's statuses for a change whose outcome
+// is not known.
+const statusUnknown ledger.Status = "unknown"
+
+func (r changeResult) outcome() string {
+	switch r.Status {
+	case ledger.Effective:
+		return fmt.Sprintf("effective at offset %d", r.Offset)
+	case statusUnknown:
+		return "unknown; look at history before you repeat it"
+	}
+	return fmt.Sprintf("%s at offset %d: %s", r.Status, r.Offset, r.Reason)
+}
--- /dev/null
+++ b/internal/operatorcmd/explain.go
@@ -0,0 +1,97 @@
+package operatorcmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+)
+
+// explanation is why a job is where it is.
+type explanation struct {
+	Job   string   `json:"job"`
+	Facts []string `json:"facts"`
+}
+
+func jobExplainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "say why a job runs, waits or ended, and what to do",
+		ArgsUsage: "JOB",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			id, err := oneArg(cmd, "job")
+			if err != nil {
+				return err
+			}
+			s, err := open(ctx, cmd)
+			if err != nil {
+				return err
+			}
+			defer s.Close()
+			e := explanation{Job: id}
+			s.follower.View(func(state *ledger.State) {
+				if j, ok := state.Jobs[id]; ok {
+					e.Facts = explain(state, j)
+				}
+			})
+			if len(e.Facts) == 0 {
+				return failf(ExitRejected, "there is no job %s (any more)", id)
+			}
+			t := &table{title: "job " + id, header: []string{"FACT"}}
+			for _, fact := range e.Facts {
+				t.add(fact)
+			}
+			return show(cmd.Root().Writer, s.format, e, t)
+		},
+	}
+}
+
+func explain(state *ledger.State, j *ledger.Job) []string {
+	facts := []string{fmt.Sprintf("submitted %s by team %s to service %s", stamp(j.SubmittedAt), j.Spec.Team, j.Spec.Service)}
+	if j.Attempt > 0 {
+		facts = append(facts, fmt.Sprintf("%d attempts, %d failed and %d lapsed of at most %d", j.Attempt, len(j.Failures), j.Lapses, ledger.MaxTries))
+	}
+	for _, f := range j.Failures {
+		facts = append(facts, fmt.Sprintf("failed on %s at %s", f.Worker, stamp(f.Ended)))
+	}
+	switch j.Status {
+	case ledger.JobQueued:
+		return append(facts, waiting(state, j)...)
+	case ledger.JobPlaced:
+		facts = append(facts, fmt.Sprintf("placed on %s since %s with %s cores and %d MB", j.Worker, stamp(j.StartedAt), cores(j.MilliCores), j.MemoryMB))
+	default:
+		facts = append(facts, fmt.Sprintf("%s %s, result %s", j.Status, stamp(j.EndedAt), orDash(string(j.Result))))
+	}
+	if j.Reason != "" {
+		facts = append(facts, j.Reason)
+	}
+	if j.Result == "lapsed" && !j.Spec.Repeatable {
+		facts = append(facts, "it is not repeatable and its end is not known, so it is not started again; check its effect and submit a new job if it did not run")
+	}
+	return facts
+}
+
+// waiting says what a queued job waits for: its quota, or room on a worker.
+func waiting(state *ledger.State, j *ledger.Job) []string {
+	facts := []string{"queued since " + stamp(j.QueuedAt)}
+	want := ledger.Resources{MilliCores: j.Spec.MilliCores, MemoryMB: j.Spec.MemoryMB, Accelerators: j.Spec.Accelerators}
+	quota, _ := state.Quota(j.Spec.Service, j.Spec.Team)
+	use := state.TeamUse(j.Spec.Service, j.Spec.Team)
+	if !use.Add(want, 1).Within(quota) {
+		facts = append(facts, fmt.Sprintf("team %s uses %s of %s cores and %d of %d MB of its quota; wait for its jobs or ask the document's owner for more",
+			j.Spec.Team, cores(use.MilliCores), cores(quota.MilliCores), use.MemoryMB, quota.MemoryMB))
+	}
+	fits, room := 0, 0
+	for id, vm := range state.PoolVMs(j.Spec.Service) {
+		if !want.Within(vm.Resources()) {
+			continue
+		}
+		fits++
+		if vm.Serving() && !vm.Quarantined && state.WorkerUse(id).Add(want, 1).Within(vm.Resources()) {
+			room++
+		}
+	}
+	return append(facts, fmt.Sprintf("%d workers of the pool are large enough, %d of them have room now", fits, room))
+}
--- /dev/null
+++ b/internal/operatorcmd/history.go
@@ -0,0 +1,138 @@
+package operatorcmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Flags of history.
+const (
+	flagLast = "last"
+	flagKind = "kind"
+)
+
+const defaultLast = 50
+
+// step is one entry of the log with the outcome of its record.
+type step struct {
+	Entry   platform.Entry
+	Record  record.Record // zero when malformed
+	Outcome ledger.Outcome
+}
+
+// historyLine is one record in the output.
+type historyLine struct {
+	Offset  uint64          `json:"offset"`
+	Time    time.Time       `json:"time"`
+	Author  string          `json:"author"`
+	Subject string          `json:"subject"`
+	Kind    record.Kind     `json:"kind"`
+	Status  ledger.Status   `json:"status"`
+	Reason  string          `json:"reason,omitempty"`
+	BasedOn record.Revision `json:"based_on"`
+	ID      string          `json:"id"`
+	Body    json.RawMessage `json:"body,omitempty"`
+}
+
+func historyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "history",
+		Usage:     "list the records on the log with their outcomes",
+		ArgsUsage: "[SUBJECT]",
+		Description: `SUBJECT is kind/name, as service/booking or vm/vm-17, or a name of any kind.
+
+Examples:
+   yuccadrift history
+   yuccadrift history service/booking
+   yuccadrift history --kind vm.drain --last 10 --output json`,
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: flagLast, Usage: "the latest `N` records; 0 for all that the log retains", Value: defaultLast},
+			&cli.StringFlag{Name: flagKind, Usage: "only records of this `KIND`"},
+		},
+		Action: history,
+	}
+}
+
+func history(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() > 1 {
+		return failf(ExitUsage, "history takes one subject at most")
+	}
+	s, err := open(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	lines := []historyLine{}
+	err = s.walk(ctx, func(st step) {
+		if matches(st.Outcome, cmd.Args().First(), cmd.String(flagKind)) {
+			lines = append(lines, lineOf(st))
+		}
+	})
+	if err != nil {
+		return err
+	}
+	if last := cmd.Int(flagLast); last > 0 && len(lines) > last {
+		lines = lines[len(lines)-last:]
+	}
+	return show(cmd.Root().Writer, s.format, lines, historyTable(lines))
+}
+
+func matches(out ledger.Outcome, subject, kind string) bool {
+	if kind != "" && string(out.Kind) != kind {
+		return false
+	}
+	return subject == "" || subject == out.Subject.String() || subject == out.Subject.Name
+}
+
+func lineOf(st step) historyLine {
+	line := historyLine{
+		Offset:  st.Outcome.Offset,
+		Time:    st.Record.Time,
+		Author:  st.Record.Author,
+		Kind:    st.Outcome.Kind,
+		Status:  st.Outcome.Status,
+		Reason:  st.Outcome.Reason,
+		BasedOn: st.Record.Base,
+		ID:      st.Outcome.ID,
+	}
+	if st.Record.Body != nil {
+		line.Subject = st.Outcome.Subject.String()
+		line.Body, _ = json.Marshal(st.Record.Body) // it was decoded from JSON
+	}
+	return line
+}
+
+func historyTable(lines []historyLine) *table {
+	t := &table{title: "history", header: []string{"OFFSET", "TIME", "AUTHOR", "SUBJECT", "KIND", "OUTCOME", "BASED ON", "DETAILS"}}
+	for _, l := range lines {
+		details := summary(l)
+		if l.Reason != "" {
+			details = l.Reason
+		}
+		t.add(fmt.Sprint(l.Offset), stamp(l.Time), orDash(l.Author), orDash(l.Subject), orDash(string(l.Kind)), string(l.Status), fmt.Sprint(l.BasedOn), orDash(details))
+	}
+	return t
+}
+
+// maxSummary bounds the body's text in a table; JSON output has all of it.
+const maxSummary = 80
+
+func summary(l historyLine) string {
+	if l.Kind == record.KindDocumentPublish {
+		return "the document"
+	}
+	text := strings.NewReplacer(`"`, "", "{", "", "}", "").Replace(string(l.Body))
+	if len(text) > maxSummary {
+		text = text[:maxSummary] + "..."
+	}
+	return text
+}
--- a/internal/operatorcmd/root.go
+++ b/internal/operatorcmd/root.go
@@ -58,6 +58,10 @@
 			checkCommand(),
 			publishCommand(),
 			statusCommand(),
+			historyCommand(),
+			drainCommand(),
+			waveCommand(),
+			jobsCommand(),
 		},
 	}
 	quietUsage(root)
--- /dev/null
+++ b/internal/operatorcmd/wave.go
@@ -0,0 +1,204 @@
+package operatorcmd
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Flags of wave.
+const (
+	flagPools    = "pools"
+	flagDeadline = "deadline"
+	flagName     = "name"
+	flagReason   = "reason"
+	flagWait     = "wait"
+)
+
+// wavePoll is how often wave show --wait looks at the wave.
+const wavePoll = 100 * time.Millisecond
+
+func waveCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "wave",
+		Usage:  "run maintenance waves: drain, reboot and take back every VM of some pools",
+		Action: unknownCommand,
+		Commands: []*cli.Command{
+			waveStartCommand(),
+			waveControlCommand("pause", "start no further drain; VMs that are out come back", record.WavePause),
+			waveControlCommand("resume", "go on with a paused wave", record.WaveResume),
+			waveControlCommand("abort", "end a wave; VMs that are out come back", record.WaveAbort),
+			waveShowCommand(),
+		},
+	}
+}
+
+func waveStartCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "start",
+		Usage: "start a wave over pools",
+		Description: `Every VM that the pools have now is drained, rebooted and taken back once, as
+fast as the pools' availability budgets allow.
+
+Examples:
+   yuccadrift wave start --pools booking,returns --deadline 8h
+   yuccadrift wave start --name kernel-6.12 --pools export`,
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: flagPools, Usage: "`POOL,...` to maintain", Required: true},
+			&cli.DurationFlag{Name: flagDeadline, Usage: "the wave should be over this `DURATION` from now", Value: 24 * time.Hour},
+			&cli.StringFlag{Name: flagName, Usage: "`NAME` of the wave; default: wave- and a unique ID"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			name := cmd.String(flagName)
+			if name == "" {
+				name = "wave-" + strings.ToLower(newID())
+			}
+			body := record.WaveStart{Pools: cmd.StringSlice(flagPools), Deadline: time.Now().Add(cmd.Duration(flagDeadline)).UTC()}
+			return change(ctx, cmd, record.Subject{Kind: record.SubjectWave, Name: name}, body, "start")
+		},
+	}
+}
+
+func waveControlCommand(name, usage string, command record.WaveCommand) *cli.Command {
+	return &cli.Command{
+		Name:      name,
+		Usage:     usage,
+		ArgsUsage: "WAVE",
+		Flags:     []cli.Flag{&cli.StringFlag{Name: flagReason, Usage: "`TEXT` that is kept with the wave"}},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			wave, err := oneArg(cmd, "wave")
+			if err != nil {
+				return err
+			}
+			body := record.WaveControl{Command: command, Reason: cmd.String(flagReason)}
+			return change(ctx, cmd, record.Subject{Kind: record.SubjectWave, Name: wave}, body, name)
+		},
+	}
+}
+
+// waveResult is one wave in the output of show.
+type waveResult struct {
+	Wave     string            `json:"wave"`
+	Status   ledger.WaveStatus `json:"status"`
+	Reason   string            `json:"reason,omitempty"`
+	Pools    []string          `json:"pools"`
+	Started  time.Time         `json:"started"`
+	Finished time.Time         `json:"finished"`
+	Deadline time.Time         `json:"deadline"`
+	Pending  int               `json:"pending"`
+	Out      int               `json:"out"`
+	Back     int               `json:"back"`
+	Skipped  map[string]string `json:"skipped,omitempty"`
+}
+
+func waveShowCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "show",
+		Usage:     "show waves and how far they are",
+		ArgsUsage: "[WAVE]",
+		Description: `Examples:
+   yuccadrift wave show
+   yuccadrift --timeout 2h wave show --wait kernel-6.12`,
+		Flags:  []cli.Flag{&cli.BoolFlag{Name: flagWait, Usage: "wait until the wave is over, at most --timeout"}},
+		Action: waveShow,
+	}
+}
+
+func waveShow(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Bool(flagWait) && cmd.Args().Len() != 1 {
+		return failf(ExitUsage, "--%s needs the name of a wave", flagWait)
+	}
+	s, err := open(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	wanted := cmd.Args().First()
+	var late error
+	if cmd.Bool(flagWait) {
+		late = s.awaitWave(ctx, wanted)
+	}
+	waves := s.waves(wanted)
+	if wanted != "" && len(waves) == 0 {
+		return failf(ExitRejected, "there is no wave %s (any more)", wanted)
+	}
+	return worse(late, show(cmd.Root().Writer, s.format, waves, waveTable(waves), skipTable(waves)))
+}
+
+// awaitWave returns when the wave is over, gone or the timeout is over.
+func (s *session) awaitWave(ctx context.Context, name string) error {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		over := true
+		s.follower.View(func(state *ledger.State) {
+			if w, ok := state.Waves[name]; ok {
+				over = !w.Active()
+			}
+		})
+		if over {
+			return nil
+		}
+		pause(ctx, wavePoll)
+	}
+	return failf(ExitUnknown, "wave %s is not over after %s", name, s.timeout)
+}
+
+func (s *session) waves(wanted string) []waveResult {
+	results := []waveResult{}
+	s.follower.View(func(state *ledger.State) {
+		for _, id := range sortedKeys(state.Waves) {
+			if wanted == "" || wanted == id {
+				results = append(results, waveOf(state.Waves[id]))
+			}
+		}
+	})
+	return results
+}
+
+func waveOf(w *ledger.Wave) waveResult {
+	r := waveResult{Wave: w.ID, Status: w.Status, Reason: w.Reason, Pools: w.Pools, Started: w.StartedAt,
+		Finished: w.FinishedAt, Deadline: w.Deadline, Skipped: map[string]string{}}
+	for vm, progress := range w.VMs {
+		switch progress {
+		case ledger.WavePending:
+			r.Pending++
+		case ledger.WaveOut:
+			r.Out++
+		case ledger.WaveBack:
+			r.Back++
+		case ledger.WaveSkipped:
+			r.Skipped[vm] = w.Skips[vm]
+		}
+	}
+	return r
+}
+
+func waveTable(waves []waveResult) *table {
+	t := &table{title: "waves", header: []string{"WAVE", "STATUS", "POOLS", "PENDING", "OUT", "BACK", "SKIPPED", "STARTED", "TOOK", "DEADLINE", "REASON"}}
+	for _, w := range waves {
+		took := dash
+		if !w.Finished.IsZero() {
+			took = short(w.Finished.Sub(w.Started))
+		}
+		t.add(w.Wave, string(w.Status), strings.Join(w.Pools, ","), fmt.Sprint(w.Pending), fmt.Sprint(w.Out), fmt.Sprint(w.Back),
+			fmt.Sprint(len(w.Skipped)), stamp(w.Started), took, stamp(w.Deadline), orDash(w.Reason))
+	}
+	return t
+}
+
+func skipTable(waves []waveResult) *table {
+	t := &table{title: "skipped VMs", header: []string{"WAVE", "VM", "REASON"}}
+	for _, w := range waves {
+		for _, vm := range sortedKeys(w.Skipped) {
+			t.add(w.Wave, vm, w.Skipped[vm])
+		}
+	}
+	return t
+}
