--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -308,3 +308,20 @@
 	}
 	assert.Len(t, rules, 7, "a new rule needs an example above")
 }
+
+// A library that comes in says what it is for.
+func TestDependenciesAreDescribed(t *testing.T) {
+	mod, err := os.ReadFile(filepath.Join("..", "..", "go.mod"))
+	require.NoError(t, err)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "DEPENDENCIES.md"))
+	require.NoError(t, err)
+	described := 0
+	for line := range strings.Lines(string(mod)) {
+		path, version, found := strings.Cut(strings.TrimSpace(line), " v")
+		if found && strings.HasPrefix(line, "\t") && !strings.Contains(version, "// indirect") {
+			assert.Contains(t, string(page), "| "+path+" |")
+			described++
+		}
+	}
+	assert.NotZero(t, described)
+}
