--- /dev/null
+++ b/internal/platform/appender_test.go
@@ -0,0 +1,107 @@
+package platform
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func newGatedLog() *gatedLog {
+	return &gatedLog{calls: make(chan [][]byte, 16), verdict: make(chan error, 16)}
+}
+
+// appendAll starts an append per entry and returns their results in that order.
+func appendAll(ctx context.Context, a *Appender, entries ...string) []chan appended {
+	var results []chan appended
+	for _, data := range entries {
+		result := make(chan appended, 1)
+		results = append(results, result)
+		go func() {
+			offset, err := a.Append(ctx, []byte(data))
+			result <- appended{offset: offset, err: err}
+		}()
+		synctest.Wait()
+	}
+	return results
+}
+
+func TestAppenderBatchesAndGivesEachItsOffset(t *testing.T) {
+	// Five callers wait. Three see adjacent offsets from one append to the log;
+	// the fourth's entry does not fit and goes with the next, still before the
+	// fifth's.
+	synctest.Test(t, func(t *testing.T) {
+		log := newGatedLog()
+		a := NewAppender(log, "s", AppenderOptions{BatchBytes: 6, Linger: time.Second, Rate: 10})
+		results := appendAll(t.Context(), a, "aa", "bb", "cc", "dd", "ee")
+		go a.Serve(t.Context())
+		require.Equal(t, [][]byte{[]byte("aa"), []byte("bb"), []byte("cc")}, <-log.calls)
+		log.verdict <- nil
+		log.verdict <- nil
+		for i, result := range results {
+			require.Equal(t, appended{offset: Offset(i + 1)}, <-result)
+		}
+		require.Equal(t, [][]byte{[]byte("dd"), []byte("ee")}, <-log.calls)
+	})
+}
+
+func TestAppenderKeepsToItsRate(t *testing.T) {
+	// Ten entries come one after the other, each after the last was answered.
+	// At two appends a second the tenth is answered no sooner than 4.5 s on.
+	synctest.Test(t, func(t *testing.T) {
+		log := newGatedLog()
+		a := NewAppender(log, "s", AppenderOptions{Rate: 2})
+		go a.Serve(t.Context())
+		start := time.Now()
+		for range 10 {
+			log.verdict <- nil
+			_, err := a.Append(t.Context(), []byte("x"))
+			require.NoError(t, err)
+			<-log.calls
+		}
+		require.GreaterOrEqual(t, time.Since(start), 4500*time.Millisecond)
+	})
+}
+
+func TestAppenderTellsWithdrawnFromUnknown(t *testing.T) {
+	// The first entry is with the log, the second still waits, when both callers
+	// give up. The first sees ErrUnknownOutcome, the second ErrUnavailable; the
+	// second's entry must then never be sent, or a retry would double it.
+	synctest.Test(t, func(t *testing.T) {
+		log := newGatedLog()
+		a := NewAppender(log, "s", AppenderOptions{})
+		go a.Serve(t.Context())
+		ctx, cancel := context.WithCancel(t.Context())
+		first := appendAll(ctx, a, "sent")[0]
+		<-log.calls
+		second := appendAll(ctx, a, "withdrawn")[0]
+		cancel()
+		require.ErrorIs(t, (<-first).err, ErrUnknownOutcome)
+		require.ErrorIs(t, (<-second).err, ErrUnavailable)
+		third := appendAll(t.Context(), a, "third")[0]
+		log.verdict <- nil
+		log.verdict <- ErrThrottled
+		require.Equal(t, [][]byte{[]byte("third")}, <-log.calls)
+		require.ErrorIs(t, (<-third).err, ErrThrottled)
+	})
+}
+
+func TestAppenderFinishesTheAppendUnderWay(t *testing.T) {
+	// The process is told to stop while an append is with the log. Its caller
+	// sees the offset, not "unknown": the append isn't cut with the duty.
+	synctest.Test(t, func(t *testing.T) {
+		log := newGatedLog()
+		a := NewAppender(log, "s", AppenderOptions{})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- a.Serve(ctx) }()
+		result := appendAll(t.Context(), a, "x")[0]
+		<-log.calls
+		cancel()
+		log.verdict <- nil
+		require.Equal(t, appended{offset: 1}, <-result)
+		require.ErrorIs(t, <-ended, context.Canceled)
+	})
+}
--- /dev/null
+++ b/internal/standin/backend_test.go
@@ -0,0 +1,354 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+)
+
+const (
+	eventWait = 10 * time.Second
+	eventPoll = time.Millisecond
+)
+
+// bench is a Server with one VM, a platform client and an HTTP client that
+// opens a connection per request.
+type bench struct {
+	*Server
+	fake   *Platform
+	client *platform.Client
+	http   http.Client
+	vm     string
+}
+
+func startBench(t *testing.T, group Group) *bench {
+	t.Helper()
+	group.Prefix, group.Count = "vm", 1
+	fake := New(Options{RetentionEntries: 3, Groups: []Group{group}})
+	server, err := NewServer(fake, ServerOptions{})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx) }()
+	b := &bench{Server: server, fake: fake, vm: server.BackendAddresses()[0]}
+	b.client = platform.NewClient(server.Addr(), platform.ClientOptions{})
+	b.http.Transport = &http.Transport{DisableKeepAlives: true}
+	t.Cleanup(func() {
+		b.client.Close()
+		cancel()
+		require.ErrorIs(t, <-ended, context.Canceled)
+	})
+	return b
+}
+
+// call sends a request with a key and returns the status and body, or an error.
+func (b *bench) call(t *testing.T, key string, headers ...string) (*http.Response, []byte, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+b.vm+"/path", strings.NewReader("body"))
+	require.NoError(t, err)
+	req.Header.Set(HeaderKey, key)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := b.http.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, body, err
+}
+
+func (b *bench) key(key string) KeyCounters { return b.Counters(false, key).Backends.Keys[key] }
+
+// await waits until the counters say so.
+func (b *bench) await(t *testing.T, ok func(BackendCounters) bool) {
+	t.Helper()
+	require.Eventually(t, func() bool { return ok(b.Counters(true).Backends) }, eventWait, eventPoll)
+}
+
+func TestAnswerEchoesItsRequest(t *testing.T) {
+	b := startBench(t, Group{})
+	resp, body, err := b.call(t, "k", HeaderEcho, "abc", HeaderReplyBytes, "10")
+	require.NoError(t, err)
+	require.Equal(t, "abcabcabca", string(body))
+	require.Equal(t, "abc", resp.Header.Get(HeaderEcho))
+	_, body, err = b.call(t, "k", HeaderEcho, "abc")
+	require.NoError(t, err)
+	var answer Answer
+	require.NoError(t, json.Unmarshal(body, &answer))
+	require.Equal(t, Answer{VM: "vm-01", Path: "/path", Key: "k", Echo: "abc", Run: 2, BodyBytes: 4}, answer)
+	health, err := http.Get("http://" + b.vm + HealthPath)
+	require.NoError(t, err)
+	health.Body.Close()
+	require.Equal(t, http.StatusOK, health.StatusCode)
+	require.Equal(t, 2, b.Counters(false).Backends.Seen, "health checks are not counted")
+	require.Equal(t, 2, b.Counters(false).Backends.MaxRunsPerKey)
+}
+
+func TestBackendFaults(t *testing.T) {
+	// What the client of a backend server sees under each fault, and whether the
+	// request was seen and ran: a cut after the run looks like one before it.
+	cases := []struct {
+		kind   FaultKind
+		status int // 0 when the connection breaks
+		want   KeyCounters
+	}{
+		{CutBeforeRead, 0, KeyCounters{}},
+		{CutAfterHeader, 0, KeyCounters{Seen: 1}},
+		{CutAfterRun, 0, KeyCounters{Seen: 1, Runs: 1}},
+		{CutMidAnswer, 0, KeyCounters{Seen: 1, Runs: 1}},
+		{BackendError, http.StatusInternalServerError, KeyCounters{Seen: 1}},
+		{BackendSlow, http.StatusOK, KeyCounters{Seen: 1, Runs: 1}},
+		{BackendLate, http.StatusOK, KeyCounters{Seen: 1, Runs: 1}},
+		{BackendFreeze, http.StatusOK, KeyCounters{Seen: 1, Runs: 1}},
+	}
+	b := startBench(t, Group{})
+	for _, tc := range cases {
+		t.Run(string(tc.kind), func(t *testing.T) {
+			key := string(tc.kind)
+			const delay = 50 * time.Millisecond
+			order(t, b.fake, Fault{Kind: tc.kind, Target: "vm-01", Count: 1, DelayMS: delay.Milliseconds()})
+			start := time.Now()
+			resp, _, err := b.call(t, key, HeaderReplyBytes, "100000")
+			if tc.status == 0 {
+				require.Error(t, err)
+			} else {
+				require.NoError(t, err)
+				require.Equal(t, tc.status, resp.StatusCode)
+				require.Empty(t, resp.Header.Get(HeaderBackend), "only a refusal says not run")
+			}
+			if tc.status == http.StatusOK {
+				require.GreaterOrEqual(t, time.Since(start), delay)
+			}
+			require.Equal(t, tc.want, b.key(key))
+			require.Empty(t, b.fake.Faults(), "the fault is used up")
+		})
+	}
+}
+
+func TestHealthCheckFaults(t *testing.T) {
+	// A health check sees 503 while that is ordered, and passes unharmed where
+	// only a request is to be cut.
+	b := startBench(t, Group{})
+	order(t, b.fake, Fault{Kind: BackendUnhealthy, Count: 1}, Fault{Kind: CutBeforeRead})
+	for _, want := range []int{http.StatusServiceUnavailable, http.StatusOK} {
+		resp, err := http.Get("http://" + b.vm + HealthPath)
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, want, resp.StatusCode)
+	}
+}
+
+func TestFullSlotsAnswerNotRun(t *testing.T) {
+	// Two frozen requests fill both slots. A third sees 503 with "not-run" and
+	// did not run; after the freeze both others run and are answered.
+	b := startBench(t, Group{Slots: 2})
+	ids := order(t, b.fake, Fault{Kind: BackendFreeze})
+	answers := make(chan error, 2)
+	for range 2 {
+		go func() {
+			_, _, err := b.call(t, "held")
+			answers <- err
+		}()
+	}
+	b.await(t, func(c BackendCounters) bool { return c.VMs["vm-01"].MaxBusy == 2 })
+	resp, _, err := b.call(t, "third")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, NotRun, resp.Header.Get(HeaderBackend))
+	require.Equal(t, KeyCounters{Seen: 1, Refused: 1}, b.key("third"))
+	b.fake.Clear(ids...)
+	require.NoError(t, <-answers)
+	require.NoError(t, <-answers)
+	require.Equal(t, KeyCounters{Seen: 2, Runs: 2}, b.key("held"))
+}
+
+func TestConnectionsAboveTheLimitAreClosed(t *testing.T) {
+	// Two idle connections are open; a third is closed at accept, before anything
+	// is read. When one of the two ends there is room again.
+	b := startBench(t, Group{Connections: 2})
+	var open []net.Conn
+	for range 2 {
+		conn, err := net.Dial("tcp", b.vm)
+		require.NoError(t, err)
+		defer conn.Close()
+		open = append(open, conn)
+	}
+	third, err := net.Dial("tcp", b.vm)
+	require.NoError(t, err)
+	defer third.Close()
+	_, err = third.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.Equal(t, 1, b.Counters(false).Backends.RefusedConnections)
+	open[0].Close()
+	require.Eventually(t, func() bool {
+		_, _, err := b.call(t, "k")
+		return err == nil
+	}, eventWait, eventPoll)
+}
+
+func TestRebootCutsAndComesBack(t *testing.T) {
+	// A VM is rebooted while a request runs on it: the caller's connection
+	// breaks, the cut is counted, nothing listens until the VM is brought back, and
+	// then the same address serves again, its one slot free and the counts kept.
+	b := startBench(t, Group{Slots: 1})
+	order(t, b.fake, Fault{Kind: BootNever})
+	failed := make(chan error, 1)
+	go func() {
+		_, _, err := b.call(t, "long", HeaderWorkMS, "600000")
+		failed <- err
+	}()
+	b.await(t, func(c BackendCounters) bool { return c.Runs == 1 })
+	_, err := b.client.Reboot(t.Context(), "vm-01", op("r", 1))
+	require.NoError(t, err)
+	require.Error(t, <-failed)
+	_, err = net.Dial("tcp", b.vm)
+	require.Error(t, err)
+	order(t, b.fake, Fault{Kind: VMRecover, Target: "vm-01"})
+	require.Eventually(t, func() bool {
+		resp, _, err := b.call(t, "after")
+		return err == nil && resp.StatusCode == http.StatusOK
+	}, eventWait, eventPoll)
+	counters := b.Counters(true)
+	require.Equal(t, 1, counters.Backends.CutInFlight)
+	require.Equal(t, KeyCounters{Seen: 1, Runs: 1}, counters.Backends.Keys["long"])
+	require.Equal(t, map[string]int{"vm-01": 1}, counters.Reboots)
+}
+
+func TestAddedVMIsListedWithItsAddress(t *testing.T) {
+	// A VM is added while the system runs. The list shows it only once its
+	// backend server is bound, and then that address answers.
+	b := startBench(t, Group{})
+	order(t, b.fake, Fault{Kind: VMAdd, Target: "vm"})
+	var added platform.VM
+	require.Eventually(t, func() bool {
+		list, err := b.client.List(t.Context())
+		require.NoError(t, err)
+		for _, vm := range list.VMs {
+			require.Contains(t, vm.Address, "127.0.0.1:")
+		}
+		added = list.VMs[len(list.VMs)-1]
+		return added.ID == "vm-02"
+	}, eventWait, eventPoll)
+	b.vm = added.Address
+	_, _, err := b.call(t, "k")
+	require.NoError(t, err)
+}
+
+func TestControlPage(t *testing.T) {
+	// A tester orders two faults over HTTP, sees them on the page, clears one by
+	// ID, and resets. A malformed order is refused with a reason.
+	b := startBench(t, Group{})
+	control := "http://" + b.Addr() + "/control/"
+	post := func(path string, in any) (int, []byte) {
+		data, err := json.Marshal(in)
+		require.NoError(t, err)
+		resp, err := http.Post(control+path, "application/json", bytes.NewReader(data))
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		return resp.StatusCode, body
+	}
+	_, body := post("faults", FaultOrder{Order: []Fault{{Kind: LogSlow, DelayMS: 5}, {Kind: LogRefuse, ForMS: 60_000}}})
+	var reply FaultReply
+	require.NoError(t, json.Unmarshal(body, &reply))
+	require.Len(t, reply.IDs, 2)
+	_, body = post("faults", FaultOrder{Clear: reply.IDs[:1]})
+	require.NoError(t, json.Unmarshal(body, &reply))
+	require.Len(t, reply.Active, 1)
+	require.Equal(t, LogRefuse, reply.Active[0].Kind)
+	status, body := post("faults", FaultOrder{Order: []Fault{{Kind: "typo"}}})
+	require.Equal(t, http.StatusBadRequest, status)
+	require.Contains(t, string(body), "typo")
+	resp, err := http.Get(control)
+	require.NoError(t, err)
+	page, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	require.NoError(t, err)
+	require.Contains(t, string(page), "for_ms\":60000")
+	_, _, err = b.call(t, "k")
+	require.NoError(t, err)
+	post("reset", struct{}{})
+	require.Empty(t, b.fake.Faults())
+	require.Zero(t, b.Counters(true).Backends.Seen)
+	require.Empty(t, b.Counters(true).Backends.Keys)
+}
+
+func TestClientSeesTheSameOutcomesAsInProcess(t *testing.T) {
+	// Every outcome of the fake in process reaches the client over HTTP as the
+	// same error; where the reply is lost the append is in the log all the same.
+	b := startBench(t, Group{})
+	_, err := b.client.Append(t.Context(), "s", entries("a", "b"))
+	require.NoError(t, err)
+	order(t, b.fake, Fault{Kind: LogLoseReply, Count: 1})
+	_, err = b.client.Append(t.Context(), "s", entries("c"))
+	require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+	require.Equal(t, []string{"a", "b", "c"}, texts(t, b.client, 1))
+	order(t, b.fake, Fault{Kind: LogRefuse, Count: 1})
+	_, err = b.client.Append(t.Context(), "s", entries("d"))
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = b.client.Append(t.Context(), "s", entries("d"))
+	require.NoError(t, err)
+	batch, err := b.client.Read(t.Context(), "s", 1, 1, 0)
+	require.ErrorIs(t, err, platform.ErrTrimmed)
+	require.Equal(t, platform.Batch{First: 2, Next: 5}, batch)
+	order(t, b.fake, Fault{Kind: LogHang, Count: 1})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = b.client.Read(ctx, "s", 1, 1, 0)
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = b.client.Read(t.Context(), "s", 0, 1, 0)
+	require.ErrorIs(t, err, platform.ErrRejected)
+	_, err = b.client.Drain(t.Context(), "vm-01", op("d", 5))
+	require.NoError(t, err)
+	_, err = b.client.Undrain(t.Context(), "vm-01", op("u", 4))
+	require.ErrorIs(t, err, platform.ErrFenced)
+	_, err = b.client.Operation(t.Context(), "vm-01", "u")
+	require.ErrorIs(t, err, platform.ErrNotFound)
+	status, err := b.client.Undrain(t.Context(), "vm-01", op("u", 5))
+	require.NoError(t, err)
+	require.Equal(t, platform.OperationDone, status)
+}
+
+func TestClientRunsTasks(t *testing.T) {
+	// A task is started, renewed, throttled, seen in status and usage,
+	// checkpointed and a second one stopped, all over HTTP.
+	b := startBench(t, Group{})
+	c, ctx := b.client, t.Context()
+	for _, id := range []string{"t 1", "t/2"} {
+		status, err := c.Start(ctx, spec(id, time.Hour, time.Hour), op("s", 1))
+		require.NoError(t, err)
+		require.Equal(t, platform.TaskStatus{ID: id, Worker: "vm-01", Phase: platform.TaskRunning}, status)
+	}
+	require.NoError(t, c.Renew(ctx, "vm-01", []string{"t 1", "t/2"}, time.Hour, 1))
+	_, err := c.Throttle(ctx, "t 1", 0.25, op("th", 1))
+	require.NoError(t, err)
+	usage, err := c.Usage(ctx)
+	require.NoError(t, err)
+	require.Len(t, usage, 2)
+	require.Equal(t, 1.0, usage[0].Cores)
+	status, err := c.Checkpoint(ctx, "t 1", op("c", 1))
+	require.NoError(t, err)
+	require.Equal(t, platform.TaskCheckpointed, status.Phase)
+	_, err = c.Stop(ctx, "t/2", op("x", 1))
+	require.NoError(t, err)
+	statuses, err := c.Status(ctx, "vm-01")
+	require.NoError(t, err)
+	require.Len(t, statuses, 2)
+	_, err = c.Stop(ctx, "t 3", op("x", 1))
+	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.False(t, errors.Is(err, platform.ErrUnknownOutcome))
+}
--- /dev/null
+++ b/internal/standin/tasks_test.go
@@ -0,0 +1,187 @@
+package standin
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+)
+
+func spec(id string, lease, work time.Duration) platform.TaskSpec {
+	return platform.TaskSpec{ID: id, Job: "job", Worker: "vm-01", Cores: 4, MemoryMB: 1000, Lease: lease, Work: work}
+}
+
+func start(t *testing.T, p *Platform, s platform.TaskSpec) {
+	t.Helper()
+	_, err := p.Start(t.Context(), s, op("start "+s.ID, 1))
+	require.NoError(t, err)
+}
+
+func requirePhase(t *testing.T, p *Platform, id string, want platform.TaskPhase) {
+	t.Helper()
+	statuses, err := p.Status(t.Context(), "vm-01")
+	require.NoError(t, err)
+	for _, status := range statuses {
+		if status.ID == id {
+			require.Equal(t, want, status.Phase, status.Reason)
+			return
+		}
+	}
+	require.Failf(t, "no such task", "%s", id)
+}
+
+func TestLeaseLapses(t *testing.T) {
+	// The holder renews once and is then paused past the lease: the platform
+	// stops the task 10 s after the renewal. The holder wakes up, renews and sees
+	// ErrNotFound with the task's name.
+	synctest.Test(t, func(t *testing.T) {
+		p := New(sixVMs())
+		start(t, p, spec("t", 10*time.Second, time.Hour))
+		time.Sleep(9 * time.Second)
+		require.NoError(t, p.Renew(t.Context(), "vm-01", []string{"t"}, 10*time.Second, 1))
+		time.Sleep(9 * time.Second)
+		requirePhase(t, p, "t", platform.TaskRunning)
+		time.Sleep(time.Second)
+		requirePhase(t, p, "t", platform.TaskExpired)
+		err := p.Renew(t.Context(), "vm-01", []string{"t"}, 10*time.Second, 1)
+		require.ErrorIs(t, err, platform.ErrNotFound)
+		require.ErrorContains(t, err, "t")
+	})
+}
+
+func TestRenewIsFenced(t *testing.T) {
+	// A holder with an older token than the task's can't keep its lease alive.
+	synctest.Test(t, func(t *testing.T) {
+		p := New(sixVMs())
+		_, err := p.Start(t.Context(), spec("t", 10*time.Second, time.Hour), op("s", 7))
+		require.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		require.ErrorIs(t, p.Renew(t.Context(), "vm-01", []string{"t"}, time.Minute, 6), platform.ErrFenced)
+		time.Sleep(5 * time.Second)
+		requirePhase(t, p, "t", platform.TaskExpired)
+	})
+}
+
+func TestStartIsCountedPerOperation(t *testing.T) {
+	// The reply to a start is lost after its effect. Sent again with its
+	// operation ID it is one start; a new ID for the same task is a second one,
+	// which the counters show so that a test can forbid it.
+	synctest.Test(t, func(t *testing.T) {
+		p := New(sixVMs())
+		order(t, p, Fault{Kind: APILoseReply, Target: "start", Count: 1})
+		s := spec("t", time.Hour, time.Second)
+		_, err := p.Start(t.Context(), s, op("a", 1))
+		require.ErrorIs(t, err, platform.ErrUnknownOutcome)
+		status, err := p.Start(t.Context(), s, op("a", 1))
+		require.NoError(t, err)
+		require.Equal(t, platform.TaskRunning, status.Phase)
+		require.Equal(t, 1, p.Counters().MaxTaskStarts)
+		time.Sleep(2 * time.Hour)
+		status, err = p.Start(t.Context(), s, op("a", 1))
+		require.NoError(t, err, "an operation is known beyond the hour of its task")
+		require.Equal(t, "t", status.ID)
+		_, err = p.Start(t.Context(), s, op("b", 1))
+		require.NoError(t, err)
+		counters := p.Counters()
+		require.Equal(t, map[string]int{"t": 2}, counters.TaskStarts)
+		require.Equal(t, map[string]int{"job": 2}, counters.JobStarts)
+	})
+}
+
+func TestThrottleCheckpointAndResume(t *testing.T) {
+	// A task of 10 s runs 2 s, then at half speed for 4 s, then is checkpointed:
+	// 6 s are left, and resumed elsewhere it ends after just these.
+	synctest.Test(t, func(t *testing.T) {
+		p := New(sixVMs())
+		start(t, p, spec("t", time.Hour, 10*time.Second))
+		time.Sleep(2 * time.Second)
+		_, err := p.Throttle(t.Context(), "t", 0.5, op("throttle", 2))
+		require.NoError(t, err)
+		time.Sleep(4 * time.Second)
+		status, err := p.Checkpoint(t.Context(), "t", op("checkpoint", 3))
+		require.NoError(t, err)
+		require.Equal(t, platform.TaskCheckpointed, status.Phase)
+		resumed := spec("t2", time.Hour, 10*time.Second)
+		resumed.Checkpoint = status.Checkpoint
+		start(t, p, resumed)
+		time.Sleep(6*time.Second - time.Millisecond)
+		requirePhase(t, p, "t2", platform.TaskRunning)
+		time.Sleep(time.Millisecond)
+		requirePhase(t, p, "t2", platform.TaskSucceeded)
+	})
+}
+
+func TestWorkerThatFailsEverything(t *testing.T) {
+	// Every start on the worker is accepted as running and fails half a second
+	// later; starts on other workers are not touched.
+	synctest.Test(t, func(t *testing.T) {
+		p := New(sixVMs())
+		order(t, p, Fault{Kind: WorkerFails, Target: "vm-01", DelayMS: 500})
+		start(t, p, spec("t", time.Hour, time.Minute))
+		other := spec("other", time.Hour, time.Minute)
+		other.Worker = "vm-02"
+		start(t, p, other)
+		requirePhase(t, p, "t", platform.TaskRunning)
+		time.Sleep(time.Second)
+		requirePhase(t, p, "t", platform.TaskFailed)
+		statuses, err := p.Status(t.Context(), "vm-02")
+		require.NoError(t, err)
+		require.Equal(t, platform.TaskRunning, statuses[0].Phase)
+	})
+}
+
+func TestRealSizesAndLateUsage(t *testing.T) {
+	// A job's tasks use twice the cores and three times the time declared. Usage
+	// lags by 20 s: it shows nothing before, and goes on after the task ended.
+	synctest.Test(t, func(t *testing.T) {
+		p := New(sixVMs())
+		order(t, p, Fault{Kind: TaskReality, Target: "job", CoresFactor: 2, WorkFactor: 3}, Fault{Kind: UsageLag, DelayMS: 20_000})
+		start(t, p, spec("t", time.Hour, 10*time.Second))
+		time.Sleep(19 * time.Second)
+		usage, err := p.Usage(t.Context())
+		require.NoError(t, err)
+		require.Empty(t, usage)
+		time.Sleep(10 * time.Second)
+		requirePhase(t, p, "t", platform.TaskRunning)
+		time.Sleep(time.Second)
+		requirePhase(t, p, "t", platform.TaskSucceeded)
+		usage, err = p.Usage(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, []platform.Usage{{Task: "t", Worker: "vm-01", Cores: 8, MemoryMB: 1000, AsOf: time.Now().Add(-20 * time.Second)}}, usage)
+		time.Sleep(20 * time.Second)
+		usage, err = p.Usage(t.Context())
+		require.NoError(t, err)
+		require.Empty(t, usage)
+	})
+}
+
+func TestWorkersRefuseWhatTheyCannotTake(t *testing.T) {
+	// A start is refused on a full, a draining and an unknown worker, and a
+	// reboot fails the tasks that run.
+	synctest.Test(t, func(t *testing.T) {
+		p := New(sixVMs())
+		for _, id := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
+			start(t, p, spec(id, time.Hour, time.Hour))
+		}
+		_, err := p.Start(t.Context(), spec("9", time.Hour, time.Hour), op("s", 1))
+		require.ErrorIs(t, err, platform.ErrRejected)
+		_, err = p.Stop(t.Context(), "1", op("stop", 2))
+		require.NoError(t, err)
+		_, err = p.Drain(t.Context(), "vm-01", op("d", 1))
+		require.NoError(t, err)
+		_, err = p.Start(t.Context(), spec("9", time.Hour, time.Hour), op("s", 1))
+		require.ErrorIs(t, err, platform.ErrRejected)
+		unknown := spec("9", time.Hour, time.Hour)
+		unknown.Worker = "nobody"
+		_, err = p.Start(t.Context(), unknown, op("s", 1))
+		require.ErrorIs(t, err, platform.ErrNotFound)
+		_, err = p.Reboot(t.Context(), "vm-01", op("r", 1))
+		require.NoError(t, err)
+		requirePhase(t, p, "1", platform.TaskStopped)
+		requirePhase(t, p, "2", platform.TaskFailed)
+		require.NotContains(t, p.Counters().TaskStarts, "9")
+	})
+}
