Let a follower catch up beside its long read

A process that was paused has to read the log before it sends new work, while its long read may sit on a connection that broke meanwhile. CatchUp reads to the end at once; entries that both reads bring are folded once.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -136,12 +136,29 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	f.mu.RLock()
-	from := platform.Offset(f.state.Offset + 1)
 	wait := readWait
-	if f.fresh.IsZero() { // a process that starts learns at once that the log is empty
+	if f.Fresh().IsZero() { // a process that starts learns at once that the log is empty
 		wait = 0
 	}
+	return f.read(ctx, wait)
+}
+
+// CatchUp reads and folds the log to its present end. It may run beside Serve:
+// a process that was paused needs the end of the log at once, while Serve may
+// wait on a connection that broke meanwhile.
+func (f *Follower) CatchUp(ctx context.Context) error {
+	began := time.Now()
+	for f.Fresh().Before(began) {
+		if err := f.read(ctx, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Follower) read(ctx context.Context, wait time.Duration) error {
+	f.mu.RLock()
+	from := platform.Offset(f.state.Offset + 1)
 	f.mu.RUnlock()
 	sent := time.Now()
 	batch, err := f.cfg.Log.Read(ctx, f.cfg.Stream, from, readMax, wait)
@@ -152,17 +169,22 @@
 	return nil
 }
 
+// fold applies a batch. Entries that another read brought before are passed
+// over.
 func (f *Follower) fold(batch platform.Batch, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range batch.Entries {
+		if uint64(e.Offset) <= f.state.Offset {
+			continue
+		}
 		out := f.state.ApplyData(uint64(e.Offset), e.Data)
 		if ch, ok := f.waiters[out.ID]; ok {
 			delete(f.waiters, out.ID)
 			ch <- out
 		}
 	}
-	if platform.Offset(f.state.Offset)+1 >= batch.Next {
+	if platform.Offset(f.state.Offset)+1 >= batch.Next && sent.After(f.fresh) {
 		f.fresh = sent
 	}
 	if len(batch.Entries) == 0 {
