--- /dev/null
+++ b/internal/routing/health.go
@@ -0,0 +1,104 @@
+package routing
+
+import (
+	"time"
+)
+
+// Tuning of outlier ejection.
+const (
+	// errorDecay is the weight that one more result leaves to the past ones.
+	errorDecay = 0.85
+	// ejectErrors is the error rate from which a backend is ejected.
+	ejectErrors = 0.5
+	// ejectBase is the first ejection's length; it doubles up to ejectDoublings
+	// times while the backend goes on failing.
+	ejectBase      = 2 * time.Second
+	ejectDoublings = 4
+	// ejectDivisor: at most 1/ejectDivisor of the pool, rounded up, is ejected.
+	ejectDivisor = 3
+)
+
+// Evidence is what one attempt showed of a backend server.
+type Evidence int
+
+// Evidence of an attempt.
+const (
+	// EvidenceNone says nothing, as when the caller went away.
+	EvidenceNone Evidence = iota
+	// EvidenceGood: a complete answer below 500.
+	EvidenceGood
+	// EvidenceBad: no connection, a broken answer, a timeout, or an answer of
+	// 500 and up.
+	EvidenceBad
+	// EvidenceFull: the backend refused because its slots are in use.
+	EvidenceFull
+)
+
+// health is the evidence about one backend.
+type health struct {
+	errors       float64 // decaying share of bad results, 0 to 1
+	ejections    int     // since the latest good result
+	ejectedUntil time.Time
+	// probing is true from an ejection to the next result: one request at a
+	// time finds out whether the backend has recovered.
+	probing bool
+}
+
+func (h *health) open(now time.Time, inFlight int) bool {
+	if !h.probing {
+		return true
+	}
+	return !now.Before(h.ejectedUntil) && inFlight == 0
+}
+
+func (h *health) good() {
+	h.errors *= errorDecay
+	if h.probing {
+		h.errors = ejectErrors / 2
+	}
+	h.probing = false
+	h.ejections = 0
+}
+
+// bad notes a failure and ejects the backend once failures prevail, unless too
+// much of the pool is out already. A failure that hits the whole pool, as a bad
+// release or a cut network, would else empty it, and the last backends that
+// still answer now and then would be lost as well.
+func (p *Pool) bad(now time.Time, ep *endpoint) {
+	h := &ep.health
+	h.errors = h.errors*errorDecay + (1 - errorDecay)
+	if h.errors < ejectErrors && !h.probing {
+		return
+	}
+	if !h.probing && p.ejected() >= p.maxEjected() {
+		return
+	}
+	if h.probing && now.Before(h.ejectedUntil) {
+		return
+	}
+	h.ejectedUntil = now.Add(ejectBase << min(h.ejections, ejectDoublings))
+	h.ejections++
+	h.probing = true
+}
+
+func (p *Pool) ejected() int {
+	n := 0
+	for _, ep := range p.listed {
+		if ep.health.probing {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *Pool) maxEjected() int {
+	n := len(p.listed)
+	return min((n+ejectDivisor-1)/ejectDivisor, n-1)
+}
+
+// Ejected returns how many backends are out by evidence.
+func (p *Pool) Ejected() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ejected()
+}
--- /dev/null
+++ b/internal/routing/pool.go
@@ -0,0 +1,253 @@
+package routing
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+)
+
+// Tuning of the choice of a backend server.
+const (
+	// zoneSpill is the share of a backend's slots in use from which a choice
+	// within the own availability zone is compared with one from all zones.
+	zoneSpill = 0.75
+	// othersHalfLife is how fast the memory of slots that other entry VMs were
+	// using fades.
+	othersHalfLife = 100 * time.Millisecond
+	// errorWeight is how much an error rate of 1 adds to a backend's load: an
+	// instantly failing backend has none in flight and would else attract work.
+	errorWeight = 16.0
+)
+
+// Refusal says why no backend server may take a request now. All of them mean
+// that the request did not run.
+type Refusal string
+
+// Refusals.
+const (
+	Admitted Refusal = ""
+	// NoBackends: the service has no backend server at all.
+	NoBackends Refusal = "no-backends"
+	// Busy: every backend server that may be tried has its slots in use.
+	Busy Refusal = "busy"
+	// LongShed: the room that is left is kept for quick requests.
+	LongShed Refusal = "long-shed"
+)
+
+// Query is one attempt that needs a backend server.
+type Query struct {
+	Class document.Class
+	// Tried are the VMs that were tried for this request.
+	Tried []string
+}
+
+// Pool is the set of one service's backend servers as one entry process sees
+// them. It is safe for concurrent use.
+type Pool struct {
+	zone string
+
+	mu        sync.Mutex
+	endpoints map[string]*endpoint
+	listed    []*endpoint // backends of the table
+	slots     int         // per backend
+	perEntry  int         // most in flight to one backend from this process
+	members   int
+	demand    demand
+}
+
+// endpoint is what this process knows about one backend server.
+type endpoint struct {
+	Backend
+	inFlight int
+	long     int
+	others   float64 // slots seen in use by other entry VMs at othersAt
+	othersAt time.Time
+	health   health
+	listed   bool
+}
+
+// Lease is the right to send one attempt to Backend. It ends with Pool.Done.
+type Lease struct {
+	Backend
+	ep    *endpoint
+	class document.Class
+}
+
+// NewPool returns an empty pool for a process in zone.
+func NewPool(zone string) *Pool {
+	return &Pool{zone: zone, endpoints: map[string]*endpoint{}, members: 1}
+}
+
+// Update takes over a service's backends and limits. What is known of a backend
+// that stays is kept.
+func (p *Pool) Update(svc *Service, members int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members = max(1, members)
+	p.slots = max(1, svc.Limits.Slots)
+	p.perEntry = min(p.slots, ConnectionShare(svc.Limits, members))
+	for _, ep := range p.endpoints {
+		ep.listed = false
+	}
+	p.listed = p.listed[:0]
+	for _, b := range svc.Backends {
+		ep := p.endpoints[b.VM]
+		if ep == nil {
+			ep = &endpoint{}
+			p.endpoints[b.VM] = ep
+		}
+		ep.Backend = b
+		ep.listed = true
+		p.listed = append(p.listed, ep)
+	}
+	for vm, ep := range p.endpoints {
+		if !ep.listed && ep.inFlight == 0 {
+			delete(p.endpoints, vm)
+		}
+	}
+}
+
+// ConnectionShare is how many of a backend server's connections one of members
+// entry processes may use.
+func ConnectionShare(limits document.Limits, members int) int {
+	return max(1, limits.Connections/max(1, members))
+}
+
+// Pick chooses a backend server for one attempt, or refuses.
+func (p *Pool) Pick(now time.Time, rnd *rand.Rand, q Query) (Lease, Refusal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.listed) == 0 {
+		return Lease{}, NoBackends
+	}
+	if q.Class == document.ClassLong && !p.longFits(now) {
+		return Lease{}, LongShed
+	}
+	ep := p.choose(now, rnd, q)
+	if ep == nil {
+		return Lease{}, Busy
+	}
+	ep.inFlight++
+	if q.Class == document.ClassLong {
+		ep.long++
+	}
+	p.demand.start(now, q.Class)
+	return Lease{Backend: ep.Backend, ep: ep, class: q.Class}, Admitted
+}
+
+func (p *Pool) choose(now time.Time, rnd *rand.Rand, q Query) *endpoint {
+	near := p.twoOf(now, rnd, q, func(ep *endpoint) bool { return ep.Zone == p.zone && !ep.Down })
+	if near != nil && near.use(now)/float64(p.slots) < zoneSpill && near.health.errors < ejectErrors {
+		return near
+	}
+	far := p.twoOf(now, rnd, q, func(ep *endpoint) bool { return !ep.Down })
+	if best := lighter(now, near, far); best != nil {
+		return best
+	}
+	return p.twoOf(now, rnd, q, func(ep *endpoint) bool { return ep.Down })
+}
+
+// twoOf draws two backends at random among those that pass and returns the one
+// with less load, or nil when none passes.
+func (p *Pool) twoOf(now time.Time, rnd *rand.Rand, q Query, pass func(*endpoint) bool) *endpoint {
+	var a, b *endpoint
+	n := 0
+	for _, ep := range p.listed {
+		if !pass(ep) || !p.open(now, ep, q) {
+			continue
+		}
+		// Reservoir sampling of two, so that no list has to be built.
+		n++
+		switch k := rnd.IntN(n); {
+		case n == 1:
+			a = ep
+		case n == 2 && k == 0:
+			a, b = ep, a
+		case n == 2:
+			b = ep
+		case k == 0:
+			a = ep
+		case k == 1:
+			b = ep
+		}
+	}
+	return lighter(now, a, b)
+}
+
+// open reports whether the backend may take this attempt now.
+func (p *Pool) open(now time.Time, ep *endpoint, q Query) bool {
+	if ep.inFlight >= p.perEntry || slices.Contains(q.Tried, ep.VM) {
+		return false
+	}
+	if !ep.health.open(now, ep.inFlight) {
+		return false
+	}
+	if q.Class == document.ClassLong {
+		return ep.use(now) < float64(p.slots-p.reservePerBackend())
+	}
+	return true
+}
+
+func lighter(now time.Time, a, b *endpoint) *endpoint {
+	if a == nil {
+		return b
+	}
+	if b == nil || a.load(now) <= b.load(now) {
+		return a
+	}
+	return b
+}
+
+// use is the estimated number of slots in use by all entry VMs.
+func (ep *endpoint) use(now time.Time) float64 {
+	others := 0.0
+	if ep.others > 0 {
+		age := now.Sub(ep.othersAt)
+		others = ep.others * math.Exp2(-float64(age)/float64(othersHalfLife))
+	}
+	return float64(ep.inFlight) + others
+}
+
+// load orders backends: slots in use, made heavier by errors.
+func (ep *endpoint) load(now time.Time) float64 {
+	return (ep.use(now) + 1) * (1 + errorWeight*ep.health.errors)
+}
+
+// Done ends a lease with what the attempt showed of the backend.
+func (p *Pool) Done(now time.Time, l Lease, e Evidence) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ep := l.ep
+	ep.inFlight--
+	if l.class == document.ClassLong {
+		ep.long--
+	}
+	p.demand.end(l.class)
+	switch e {
+	case EvidenceFull:
+		ep.others = math.Max(0, float64(p.slots-ep.inFlight))
+		ep.othersAt = now
+	case EvidenceGood:
+		ep.health.good()
+	case EvidenceBad:
+		p.bad(now, ep)
+	}
+	if !ep.listed && ep.inFlight == 0 {
+		delete(p.endpoints, ep.VM)
+	}
+}
+
+// InFlight returns how many attempts of this process are under way at a VM,
+// also when the VM has left the table.
+func (p *Pool) InFlight(vm string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ep := p.endpoints[vm]; ep != nil {
+		return ep.inFlight
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,111 @@
+// Package routing decides where a request goes: which service and route its
+// path names, which backend server takes it, whether it is admitted at all and
+// whether it may be tried again. It does no I/O and reads no clock.
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Backend is one backend server of a service.
+type Backend struct {
+	VM      string
+	Zone    string
+	Address string // IP:port
+	// Down is true when the VM was found unhealthy. It gets requests only when
+	// no other backend server is left, so that a wrong verdict about a whole
+	// pool does not stop the service.
+	Down bool
+}
+
+// Service is how requests to one service are treated. It must not be changed.
+type Service struct {
+	Name   string
+	Limits document.Limits
+	// Routes are sorted with the longest prefix first.
+	Routes []document.Route
+	// Backends are sorted by VM.
+	Backends []Backend
+}
+
+// Table is what the request path needs of the folded state at one offset. It
+// must not be changed once built.
+type Table struct {
+	Offset   uint64
+	Services map[string]*Service
+	// Members is the number of entry processes that share the backend servers,
+	// at least 1.
+	Members int
+}
+
+// Build derives the table from the state. It keeps nothing of the state that a
+// later record changes.
+func Build(state *ledger.State) *Table {
+	t := &Table{
+		Offset:   state.Offset,
+		Services: make(map[string]*Service, len(state.Services)),
+		Members:  max(1, len(state.Members)),
+	}
+	for name, svc := range state.Services {
+		t.Services[name] = &Service{
+			Name:     name,
+			Limits:   svc.Doc.Limits,
+			Routes:   sortRoutes(svc.Doc.Routes),
+			Backends: backends(state.PoolVMs(name)),
+		}
+	}
+	return t
+}
+
+func sortRoutes(routes []document.Route) []document.Route {
+	out := slices.Clone(routes)
+	slices.SortStableFunc(out, func(a, b document.Route) int {
+		return cmp.Compare(len(b.Prefix), len(a.Prefix))
+	})
+	return out
+}
+
+func backends(vms map[string]*ledger.VM) []Backend {
+	out := make([]Backend, 0, len(vms))
+	for _, vm := range vms {
+		if vm.Phase != record.PhaseServing {
+			continue
+		}
+		out = append(out, Backend{VM: vm.ID, Zone: vm.Zone, Address: vm.Address, Down: vm.Down})
+	}
+	slices.SortFunc(out, func(a, b Backend) int { return cmp.Compare(a.VM, b.VM) })
+	return out
+}
+
+// Split divides a request path into the service's name, its first element, and
+// the rest, which starts with a slash.
+func Split(path string) (service, rest string) {
+	path = strings.TrimPrefix(path, "/")
+	service, rest, _ = strings.Cut(path, "/")
+	return service, "/" + rest
+}
+
+// Route returns the route with the longest prefix that covers path. A prefix
+// covers whole path elements only: /book covers /book and /book/7, not /booking.
+func (s *Service) Route(path string) (document.Route, bool) {
+	for _, r := range s.Routes {
+		if covers(r.Prefix, path) {
+			return r, true
+		}
+	}
+	return document.Route{}, false
+}
+
+func covers(prefix, path string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	if !ok {
+		return false
+	}
+	return rest == "" || strings.HasSuffix(prefix, "/") || strings.HasPrefix(rest, "/")
+}
