--- /dev/null
+++ b/internal/backend/receive.go
@@ -0,0 +1,122 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+)
+
+// receive reads an answer's start. Up to HoldMax bytes are held until they are
+// complete; of a longer answer the remainder is left to be streamed.
+func (c *Client) receive(ctx context.Context, pool *connPool, cn *conn, req *Request, res *http.Response) Answer {
+	if unframed(req.Method, res) {
+		pool.drop(cn)
+		return Answer{Outcome: outcome.Unknown, Failure: FailureUnframed, Err: errors.New("answer without a length")}
+	}
+	length := res.ContentLength
+	if bodiless(req.Method, res.StatusCode) {
+		length = 0
+	}
+	held, whole, err := hold(res.Body, length, c.cfg.HoldMax)
+	if err != nil {
+		pool.drop(cn)
+		return Answer{Outcome: outcome.Unknown, Failure: lateFailure(ctx), Err: err}
+	}
+	ans := Answer{Outcome: outcome.Ran, Status: res.StatusCode, Header: res.Header, Body: held, response: res}
+	if !whole {
+		ans.Rest = &rest{body: res.Body, pool: pool, conn: cn}
+		return ans
+	}
+	_ = res.Body.Close()
+	pool.put(cn)
+	if refused(res) {
+		ans.Outcome = outcome.NotRun
+		ans.Failure = FailureRefused
+	}
+	return ans
+}
+
+// unframed reports whether the answer's body ends only with its connection.
+func unframed(method string, res *http.Response) bool {
+	if res.StatusCode == http.StatusSwitchingProtocols {
+		return true
+	}
+	return !bodiless(method, res.StatusCode) && res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
+// bodiless reports whether an answer has no body whatever its header says.
+func bodiless(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+func refused(res *http.Response) bool {
+	return res.StatusCode == http.StatusServiceUnavailable &&
+		res.Header.Get(outcome.HeaderBackend) == outcome.BackendNotRun
+}
+
+// hold reads at most most bytes. whole is true when the body ended within them.
+func hold(body io.Reader, length int64, most int) (held []byte, whole bool, err error) {
+	if length == 0 {
+		return nil, true, nil
+	}
+	if length > 0 && length <= int64(most) {
+		held = make([]byte, length)
+		_, err = io.ReadFull(body, held)
+		if err != nil {
+			return nil, false, err
+		}
+		return held, true, expectEnd(body)
+	}
+	if length > int64(most) {
+		return nil, false, nil
+	}
+	held, err = io.ReadAll(io.LimitReader(body, int64(most)+1))
+	if err != nil {
+		return nil, false, err
+	}
+	return held, len(held) <= most, nil
+}
+
+// expectEnd reads the end of a body whose length was reached, so that net/http
+// sees the end and keeps the connection.
+func expectEnd(body io.Reader) error {
+	var one [1]byte
+	n, err := body.Read(one[:])
+	if n == 0 && (err == nil || errors.Is(err, io.EOF)) {
+		return nil
+	}
+	return errors.New("answer longer than its length")
+}
+
+// rest is the remainder of an answer that is streamed.
+type rest struct {
+	body io.ReadCloser
+	pool *connPool
+	conn *conn
+	done bool // read to its end
+}
+
+// Read implements io.Reader. An error other than io.EOF means that the answer
+// broke off.
+func (r *rest) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	if errors.Is(err, io.EOF) {
+		r.done = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer and frees the connection.
+func (r *rest) Close() error {
+	err := r.body.Close()
+	if r.done {
+		r.pool.put(r.conn)
+		return err
+	}
+	r.pool.drop(r.conn)
+	return err
+}
