Take callers' requests and pass whole answers back

Bodies are read before anything is sent on, small answers are held until they are complete, long ones are aborted when they break off.

--- /dev/null
+++ b/internal/caller/answer.go
@@ -0,0 +1,119 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/backend"
+	"github.com/yuccadrift/yuccadrift/internal/dispatch"
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+)
+
+// chunkSize is how much of a long answer is passed on at a time.
+const chunkSize = 32 << 10
+
+var chunks = sync.Pool{New: func() any { return new([chunkSize]byte) }}
+
+// answer passes the result to the caller and reports whether all of it came
+// from the backend server and was written.
+func (h *Handler) answer(w http.ResponseWriter, r *http.Request, res *dispatch.Result) bool {
+	ans := &res.Answer
+	if ans.Status == 0 {
+		h.line(w, ownStatus(res), res.Outcome, res.Reason, res.RetryAfter, ownLine(res))
+		return true
+	}
+	copyAnswerHeader(w.Header(), ans.Header)
+	if ans.Rest != nil {
+		return h.stream(w, res)
+	}
+	return h.held(w, r, res)
+}
+
+// held writes an answer that is complete already.
+func (h *Handler) held(w http.ResponseWriter, r *http.Request, res *dispatch.Result) bool {
+	ans := &res.Answer
+	trailer := ans.Trailer()
+	length := len(ans.Body)
+	if len(trailer) > 0 || bodiless(r.Method, ans.Status) {
+		length = -1
+	}
+	h.head(w, ans.Status, res.Outcome, length)
+	if len(ans.Body) > 0 {
+		if _, err := w.Write(ans.Body); err != nil {
+			return false
+		}
+	}
+	setTrailer(w.Header(), trailer)
+	return true
+}
+
+// stream passes a long answer on as it comes.
+func (h *Handler) stream(w http.ResponseWriter, res *dispatch.Result) bool {
+	ans := &res.Answer
+	h.head(w, ans.Status, res.Outcome, -1)
+	if _, err := w.Write(ans.Body); err != nil {
+		return false
+	}
+	buf := chunks.Get().(*[chunkSize]byte)
+	defer chunks.Put(buf)
+	for {
+		n, err := ans.Rest.Read(buf[:])
+		if n > 0 && !h.pass(w, buf[:n]) {
+			return false
+		}
+		if errors.Is(err, io.EOF) {
+			setTrailer(w.Header(), ans.Trailer())
+			return true
+		}
+		if err != nil {
+			return false
+		}
+	}
+}
+
+// pass writes one chunk at once, within StallTimeout.
+func (h *Handler) pass(w http.ResponseWriter, chunk []byte) bool {
+	h.extend(w)
+	if _, err := w.Write(chunk); err != nil {
+		return false
+	}
+	return http.NewResponseController(w).Flush() == nil
+}
+
+func setTrailer(header, trailer http.Header) {
+	for name, values := range trailer {
+		header[http.TrailerPrefix+name] = values
+	}
+}
+
+// bodiless reports whether the answer has no body, so that its Content-Length
+// must stay as the backend server said.
+func bodiless(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// ownStatus is the status of an answer that no backend server gave.
+func ownStatus(res *dispatch.Result) int {
+	switch {
+	case res.Denied:
+		return http.StatusConflict
+	case res.Outcome == outcome.NotRun:
+		return http.StatusServiceUnavailable
+	case res.Reason == outcome.Reason(backend.FailureTimeout):
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+func ownLine(res *dispatch.Result) string {
+	switch res.Outcome {
+	case outcome.NotRun:
+		return "the request did not run (" + string(res.Reason) + "); it is safe to send it again"
+	case outcome.Ran:
+		return "the request ran before (" + string(res.Reason) + "); its answer is not kept"
+	}
+	return "it is not known whether the request ran (" + string(res.Reason) + ")"
+}
--- /dev/null
+++ b/internal/caller/body.go
@@ -0,0 +1,111 @@
+package caller
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/yuccadrift/yuccadrift/internal/dispatch"
+)
+
+// memory bounds the request bodies that are held at once.
+type memory struct {
+	bytes *semaphore.Weighted
+}
+
+// readBody reads the whole request body before anything is sent on: a body that
+// breaks off halfway has then reached no backend server, and a try can be
+// repeated at another one. The returned function gives the memory back.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, call *dispatch.Call) (free func(), p *problem) {
+	free = func() {}
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		return free, nil
+	}
+	most := min(call.Route.MaxBody, h.cfg.MaxBody)
+	if r.ContentLength > most {
+		return free, tooLarge(most)
+	}
+	need := r.ContentLength
+	if need < 0 {
+		need = most
+	}
+	if !h.memory.bytes.TryAcquire(need) {
+		return free, &problem{
+			status: http.StatusServiceUnavailable,
+			reason: ReasonMemory,
+			line:   "too many request bodies are held at once; try again",
+			after:  time.Second,
+		}
+	}
+	free = func() { h.memory.bytes.Release(need) }
+	body, err := h.receive(w, r, call, most)
+	if err == nil {
+		call.Body = body
+		return free, nil
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return free, tooLarge(most)
+	}
+	return free, badRequest(ReasonBodyCut, "the body broke off or took too long: %v", err)
+}
+
+// receive reads the body within the call's deadline and StallTimeout per read.
+func (h *Handler) receive(w http.ResponseWriter, r *http.Request, call *dispatch.Call, most int64) ([]byte, error) {
+	control := http.NewResponseController(w)
+	stall := &stallReader{
+		body:     http.MaxBytesReader(w, r.Body, most),
+		control:  control,
+		deadline: call.Deadline,
+		stall:    h.cfg.StallTimeout,
+	}
+	body, err := readAll(stall, r.ContentLength)
+	if err != nil {
+		return nil, err
+	}
+	return body, control.SetReadDeadline(time.Time{})
+}
+
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, err
+	}
+	return body, nil
+}
+
+// stallReader bounds each read, so that a caller that sends no byte does not
+// hold a connection and memory for the whole deadline.
+type stallReader struct {
+	body     io.Reader
+	control  *http.ResponseController
+	deadline time.Time
+	stall    time.Duration
+}
+
+// Read implements io.Reader.
+func (s *stallReader) Read(b []byte) (int, error) {
+	until := time.Now().Add(s.stall)
+	if s.deadline.Before(until) {
+		until = s.deadline
+	}
+	if err := s.control.SetReadDeadline(until); err != nil {
+		return 0, err
+	}
+	return s.body.Read(b)
+}
+
+func tooLarge(most int64) *problem {
+	return &problem{
+		status: http.StatusRequestEntityTooLarge,
+		reason: ReasonBodySize,
+		line:   fmt.Sprintf("the body is too large; at most %d bytes are taken here", most),
+	}
+}
--- /dev/null
+++ b/internal/caller/handler.go
@@ -0,0 +1,145 @@
+// Package caller is the peer package for callers: it takes their requests over
+// HTTP, checks them, and passes back either the whole answer of a backend
+// server or a line of its own, each with the request's outcome.
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/yuccadrift/yuccadrift/internal/dispatch"
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+	"github.com/yuccadrift/yuccadrift/internal/routing"
+)
+
+// Dispatcher sends calls to backend servers. It is implemented by
+// dispatch.Dispatcher.
+type Dispatcher interface {
+	Table() *routing.Table
+	Do(ctx context.Context, call *dispatch.Call) dispatch.Result
+}
+
+// Observer takes what the metrics show.
+type Observer interface {
+	// Began and Ended frame every request. service is empty for a request that
+	// names none.
+	Began()
+	Ended(service string, class document.Class, o outcome.Outcome, why outcome.Reason, took time.Duration)
+}
+
+// HandlerConfig is what a Handler needs. Sizes are in bytes.
+type HandlerConfig struct {
+	Dispatcher Dispatcher
+	Observer   Observer
+	// CheckKey tells what is wrong with a key.
+	CheckKey func(service, key string) error
+	// MaxHeader bounds request line and header, MaxBody every route's own limit
+	// and BodyMemory all bodies held at once.
+	MaxHeader  int
+	MaxBody    int64
+	BodyMemory int64
+	// StallTimeout ends a connection whose caller takes or sends no byte.
+	StallTimeout time.Duration
+}
+
+// Handler answers callers.
+type Handler struct {
+	cfg      HandlerConfig
+	memory   memory
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+}
+
+// NewHandler returns a Handler.
+func NewHandler(cfg HandlerConfig) *Handler {
+	return &Handler{cfg: cfg, memory: memory{bytes: semaphore.NewWeighted(cfg.BodyMemory)}}
+}
+
+// Leave makes every further answer close its connection, so that callers go
+// elsewhere without losing a request.
+func (h *Handler) Leave() { h.leaving.Store(true) }
+
+// InFlight returns the number of requests in progress.
+func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inFlight.Add(1)
+	defer h.inFlight.Add(-1)
+	h.cfg.Observer.Began()
+	began := time.Now()
+	call, p := h.parse(r, began)
+	if p != nil {
+		h.refuse(w, p)
+		h.ended(call, outcome.NotRun, p.reason, began)
+		return
+	}
+	free, p := h.readBody(w, r, call)
+	defer free()
+	if p != nil {
+		h.refuse(w, p)
+		h.ended(call, outcome.NotRun, p.reason, began)
+		return
+	}
+	call.Header = forwardHeader(r)
+	res := h.cfg.Dispatcher.Do(r.Context(), call)
+	whole := false
+	defer func() {
+		res.Close(whole)
+		h.ended(call, res.Outcome, res.Reason, began)
+	}()
+	whole = h.answer(w, r, &res)
+	if !whole {
+		// An answer that broke off must not look whole to the caller.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (h *Handler) ended(call *dispatch.Call, o outcome.Outcome, why outcome.Reason, began time.Time) {
+	if call == nil {
+		call = &dispatch.Call{}
+	}
+	h.cfg.Observer.Ended(call.Service, call.Route.Class, o, why, time.Since(began))
+}
+
+// refuse answers a request that was not sent on.
+func (h *Handler) refuse(w http.ResponseWriter, p *problem) {
+	h.line(w, p.status, outcome.NotRun, p.reason, p.after, p.line)
+}
+
+// line writes an answer of the system's own.
+func (h *Handler) line(w http.ResponseWriter, status int, o outcome.Outcome, why outcome.Reason, after time.Duration, text string) {
+	header := w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set(outcome.HeaderReason, string(why))
+	if after > 0 {
+		header.Set("Retry-After", strconv.Itoa(int((after+time.Second-1)/time.Second)))
+	}
+	h.head(w, status, o, len(text)+1)
+	_, _ = io.WriteString(w, text+"\n") // a caller that left needs no answer
+}
+
+func (h *Handler) head(w http.ResponseWriter, status int, o outcome.Outcome, length int) {
+	header := w.Header()
+	header[outcome.HeaderOutcome] = []string{string(o)}
+	if h.leaving.Load() {
+		header["Connection"] = []string{"close"}
+	}
+	if length >= 0 {
+		header["Content-Length"] = []string{strconv.Itoa(length)}
+	}
+	h.extend(w)
+	w.WriteHeader(status)
+}
+
+// extend gives a slow caller StallTimeout for what is written next.
+func (h *Handler) extend(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.cfg.StallTimeout))
+}
--- /dev/null
+++ b/internal/caller/header.go
@@ -0,0 +1,69 @@
+package caller
+
+import (
+	"net"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+)
+
+// Fields of one connection only, which are not passed on (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// ownFields are written by the system only.
+var ownFields = []string{outcome.HeaderOutcome, outcome.HeaderReason, outcome.HeaderBackend}
+
+// Names of further fields that are set here.
+const (
+	fieldForwarded = "X-Forwarded-For"
+	fieldUserAgent = "User-Agent"
+	fieldExpect    = "Expect"
+)
+
+func removeHop(header http.Header) {
+	for _, line := range header["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			delete(header, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name)))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(header, name)
+	}
+	for _, name := range ownFields {
+		delete(header, name)
+	}
+}
+
+// forwardHeader makes the caller's header fit for a backend server.
+func forwardHeader(r *http.Request) http.Header {
+	header := r.Header
+	removeHop(header)
+	delete(header, fieldExpect)
+	if _, ok := header[fieldUserAgent]; !ok {
+		header[fieldUserAgent] = []string{""} // else net/http names itself
+	}
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		header[fieldForwarded] = append(header[fieldForwarded], host)
+	}
+	return header
+}
+
+// copyAnswerHeader puts the backend server's fields into to.
+func copyAnswerHeader(to, from http.Header) {
+	removeHop(from)
+	for name, values := range from {
+		to[name] = values
+	}
+}
