--- /dev/null
+++ b/internal/entry/rig_test.go
@@ -0,0 +1,189 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/admin"
+	"github.com/yuccadrift/yuccadrift/internal/dispatch"
+	"github.com/yuccadrift/yuccadrift/internal/entry"
+	"github.com/yuccadrift/yuccadrift/internal/follower"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/settings"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/supervise"
+)
+
+const (
+	stream = "yuccadrift"
+	text   = `service = "booking"
+team = "booking"
+[pool]
+size = 3
+[budget]
+window = "168h"
+allowed = 0.2
+max_unavailable = 1
+[limits]
+slots = 8
+connections = 64
+retry_share = 0.5
+drain = "20s"
+[[route]]
+prefix = "/lookup"
+class = "quick"
+repeatable = true
+deadline = "2s"
+max_body = 100000
+[[route]]
+prefix = "/reservations"
+class = "quick"
+repeatable = false
+deadline = "3s"
+max_body = 100000
+[[route]]
+prefix = "/audit"
+class = "long"
+repeatable = true
+deadline = "20s"
+`
+)
+
+// rig is one entry process's request path in front of a stand-in.
+type rig struct {
+	t      *testing.T
+	fake   *standin.Platform
+	follow *follower.Follower
+	entry  *entry.Entry
+	ready  *admin.Readiness
+	url    string
+	stop   context.CancelFunc // as SIGTERM
+	ended  chan struct{}
+	err    error // of the process, once ended is closed
+}
+
+func settingsText(zone string) string {
+	return "[node]\nid=\"entry-1\"\nzone=\"" + zone + "\"\n[platform]\naddress=\"127.0.0.1:1\"\n[peers]\nlisten=\"127.0.0.1:0\"\n" +
+		"[admin]\nlisten=\"127.0.0.1:0\"\n[callers]\nlisten=\"127.0.0.1:0\"\nmax_header_bytes=8192\n[drain]\nnotice=\"300ms\"\nlimit=\"5s\"\n"
+}
+
+func newRig(t *testing.T, claims dispatch.Claims) *rig {
+	t.Helper()
+	fake := standin.New(standin.Options{Groups: []standin.Group{{Prefix: "vm", Count: 3, Zones: []string{"a", "b", "c"}}}})
+	server, err := standin.NewServer(fake, standin.ServerOptions{})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = server.Serve(ctx) }()
+
+	s, problems := settings.ParseEntry("entry.toml", []byte(settingsText("a")))
+	require.NoError(t, problems.Err())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	logger := hclog.New(&hclog.LoggerOptions{Level: hclog.Warn, Output: t.Output()})
+	r := &rig{
+		t:      t,
+		fake:   fake,
+		follow: follower.New(follower.Config{Log: fake, Stream: stream, Logger: logger}),
+		ready:  admin.NewReadiness(),
+		url:    "http://" + listener.Addr().String(),
+		ended:  make(chan struct{}),
+	}
+	stop, cancelStop := context.WithCancel(ctx)
+	r.stop = cancelStop
+	r.entry = entry.New(entry.Config{
+		Settings:  s,
+		Callers:   listener,
+		Follower:  r.follow,
+		Claims:    claims,
+		CheckKey:  entry.CheckKey,
+		Registry:  prometheus.NewRegistry(),
+		Readiness: r.ready,
+		Logger:    logger,
+		Stop:      stop.Done(),
+	})
+	duties := append(r.entry.Duties(), supervise.Duty{Name: "follow", Serve: r.follow.Serve})
+	go func() {
+		defer close(r.ended)
+		r.err = supervise.Run(ctx, "entry", logger, duties...)
+	}()
+	t.Cleanup(func() { cancel(); <-r.ended })
+	r.fill()
+	return r
+}
+
+// fill publishes the document and puts every VM into its pool.
+func (r *rig) fill() {
+	r.propose(record.SubjectService, "booking", record.DocumentPublish{Text: text})
+	list, err := r.fake.List(r.t.Context())
+	require.NoError(r.t, err)
+	for _, vm := range list.VMs {
+		r.propose(record.SubjectVM, vm.ID, registration(vm))
+		r.propose(record.SubjectVM, vm.ID, record.VMJoin{Pool: "booking"})
+		r.propose(record.SubjectVM, vm.ID, record.VMUp{})
+	}
+	r.until(func() bool { return r.entry.Offset() == r.offset() })
+}
+
+func registration(vm platform.VM) record.VMRegister {
+	return record.VMRegister{
+		Zone: vm.Zone, Rack: vm.Rack, Address: vm.Address,
+		Cores: vm.Cores, MemoryMB: vm.MemoryMB, Accelerators: vm.Accelerators,
+	}
+}
+
+func (r *rig) offset() uint64 {
+	var at uint64
+	r.follow.View(func(s *ledger.State) { at = s.Offset })
+	return at
+}
+
+func (r *rig) propose(kind record.SubjectKind, name string, body record.Body) {
+	r.t.Helper()
+	sub := record.Subject{Kind: kind, Name: name}
+	rec := record.Record{ID: ulid.Make().String(), Subject: sub, Author: "test", Time: time.Now(), Body: body}
+	r.follow.View(func(s *ledger.State) { rec.Base, rec.Seen = s.Revision(sub), s.Offset })
+	out, err := r.follow.Propose(r.t.Context(), rec)
+	require.NoError(r.t, err)
+	require.Equal(r.t, ledger.Effective, out.Status, out.Reason)
+}
+
+// until waits for a condition that an event of another goroutine brings about.
+func (r *rig) until(done func() bool) {
+	r.t.Helper()
+	require.Eventually(r.t, done, 10*time.Second, time.Millisecond)
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // from the transport or of a body that broke off
+}
+
+func (r *rig) send(method, path string, header http.Header, body io.Reader) reply {
+	req, err := http.NewRequestWithContext(r.t.Context(), method, r.url+path, body)
+	require.NoError(r.t, err)
+	if header != nil {
+		req.Header = header
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	return reply{status: res.StatusCode, header: res.Header, body: string(text), err: err}
+}
--- /dev/null
+++ b/internal/entry/table.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/routing"
+)
+
+// catchUpTimeout bounds one reading of the log after a pause.
+const catchUpTimeout = time.Second
+
+// Follower is the folded state. It is implemented by follower.Follower.
+type Follower interface {
+	View(func(*ledger.State))
+	Fresh() time.Time
+	Changed() <-chan struct{}
+	// CatchUp reads and folds the log to its end.
+	CatchUp(ctx context.Context) error
+}
+
+// followTable puts a new table in use after each change of the state.
+func (e *Entry) followTable(ctx context.Context) error {
+	changed := e.cfg.Follower.Changed()
+	for {
+		e.refresh()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// refresh builds a table of the present state. Fresh is read first: the state
+// seen after holds at least what that read brought.
+func (e *Entry) refresh() {
+	fresh := e.cfg.Follower.Fresh()
+	var table *routing.Table
+	e.cfg.Follower.View(func(s *ledger.State) { table = routing.Build(s) })
+	e.dispatcher.Update(table, fresh)
+	if len(table.Services) == 0 {
+		e.cfg.Readiness.Unready("table", "no service document is known yet")
+		return
+	}
+	e.cfg.Readiness.Ready("table")
+}
+
+// beat notices that the process was paused and has the log read again, which
+// lets held requests go on.
+func (e *Entry) beat(ctx context.Context) error {
+	ticker := time.NewTicker(routing.PauseBeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		if e.dispatcher.Beat(time.Now()) {
+			e.catchUp(ctx)
+		}
+	}
+}
+
+func (e *Entry) catchUp(ctx context.Context) {
+	e.cfg.Logger.Warn("the process was paused; reading the log before sending new work")
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	if err := e.cfg.Follower.CatchUp(ctx); err != nil {
+		e.cfg.Logger.Warn("cannot read the log after a pause", "error", err)
+		return
+	}
+	e.refresh()
+}
