Plan moves, releases, lending and the order of wave turns

Cause: the thin path only filled gaps from free VMs and drained by rack. Change: pools fill gaps from free VMs and lasting surplus by augmenting paths over tiers of disturbance; a drain in progress can be redirected (vm.redirect); surplus goes back to the reserve; a wave keeps back one unit of max_unavailable and a part of the window for failures until its deadline is at risk, and gets free VMs beyond the reserve lent. The fold keeps since when a pool has a gap or a surplus, which is what the planner's patience goes by. A failed VM that was replaced no longer blocks drains in other racks.

--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -161,6 +161,8 @@
 		return s.drainVM(rec, b)
 	case record.VMAdvance:
 		return s.advanceVM(rec, b)
+	case record.VMRedirect:
+		return s.redirectVM(rec, b)
 	case record.VMJoin:
 		return s.joinVM(rec, b)
 	case record.VMDown:
--- a/internal/ledger/budget.go
+++ b/internal/ledger/budget.go
@@ -51,6 +51,24 @@
 	Idle float64 `json:"idle"`
 	// Spare is how many VMs serve beyond the declared size now.
 	Spare int `json:"spare"`
+	// GapSince is since when the pool has had fewer healthy VMs than its size,
+	// SurplusSince since when it has had more; zero when it has not. Planning
+	// waits by them, so that a change that is soon taken back moves no VM.
+	GapSince     time.Time `json:"gap_since"`
+	SurplusSince time.Time `json:"surplus_since"`
+}
+
+func (a *Account) balance(healthy, size int, now time.Time) {
+	since := func(t *time.Time, holds bool) {
+		switch {
+		case !holds:
+			*t = time.Time{}
+		case t.IsZero():
+			*t = now
+		}
+	}
+	since(&a.GapSince, healthy < size)
+	since(&a.SurplusSince, healthy > size)
 }
 
 // Unavailability counts a pool's VMs now.
@@ -81,9 +99,11 @@
 	return u
 }
 
+// outCause says what keeps a VM out. A VM that was drained and then found
+// unhealthy, as one that did not come back from its reboot, counts as failed.
 func outCause(vm *VM) Cause {
 	switch {
-	case vm.Drain == nil:
+	case vm.Drain == nil || vm.Down:
 		return CauseFailure
 	case vm.Drain.Reason == record.DrainMaintenance:
 		return CauseMaintenance
@@ -102,6 +122,7 @@
 	}
 	a := &svc.Account
 	u := s.Unavailability(pool)
+	a.balance(s.Healthy(pool), u.Size, s.Now)
 	next := Segment{From: s.Now, Short: u.Short, Size: u.Size, Out: u.Out}
 	spare := max(0, u.Serving-u.Size)
 	if a.Open.Short == next.Short && a.Open.Out == next.Out && a.Open.Size == next.Size && a.Spare == spare {
--- a/internal/ledger/headroom.go
+++ b/internal/ledger/headroom.go
@@ -17,7 +17,9 @@
 	// Spent and Allowed are VM-seconds in the window that ends now.
 	Spent   float64
 	Allowed float64
-	// OutRacks counts the VMs that are out of service by rack.
+	// OutRacks counts the VMs that are out of service by rack. VMs that failed
+	// and were replaced are left out: the pool is whole without them, and one
+	// that never comes back would else block every drain in other racks.
 	OutRacks map[string]int
 }
 
@@ -39,12 +41,15 @@
 		Allowed:  svc.Doc.AllowedSeconds(),
 		OutRacks: map[string]int{},
 	}
+	replaced := s.Healthy(pool) >= h.Size
 	for _, vm := range s.poolVMs[pool] {
-		if vm.Serving() {
+		switch {
+		case vm.Serving():
 			h.Serving++
-			continue
+		case vm.Down && replaced:
+		default:
+			h.OutRacks[vm.Rack]++
 		}
-		h.OutRacks[vm.Rack]++
 	}
 	return h, true
 }
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -128,6 +128,19 @@
 	return v.Drain.Target == "" && !v.Drain.Release
 }
 
+// Redirectable reports whether the VM is on its way through a drain that brings
+// it back to its pool and could still lead it elsewhere.
+func (v *VM) Redirectable() bool {
+	if v.Drain == nil || v.Drain.Target != "" || v.Drain.Release {
+		return false
+	}
+	switch v.Phase {
+	case record.PhaseDraining, record.PhaseDrained, record.PhaseRebooting:
+		return true
+	}
+	return false
+}
+
 // New returns the state before the first record.
 func New() *State {
 	return &State{
--- a/internal/ledger/vm.go
+++ b/internal/ledger/vm.go
@@ -34,10 +34,7 @@
 	if no := s.mayJoinWave(vm, b); no != allowed {
 		return no
 	}
-	if _, ok := s.Services[b.Target]; b.Target != "" && !ok {
-		return refusef("there is no pool %q to move to", b.Target)
-	}
-	if no := s.mayLeave(vm, b); no != allowed {
+	if no := s.mayLeave(vm, b.Target, b.Release); no != allowed {
 		return no
 	}
 	if reason := s.MayDrain(vm, b.Estimate, rec.Time); reason != "" {
@@ -78,20 +75,23 @@
 	return allowed
 }
 
-// mayLeave refuses to take a serving VM away from a pool that would have too few
+// mayLeave refuses to take a healthy VM away from a pool that would have too few
 // left. Two planners that each saw one VM too many would else take two.
-func (s *State) mayLeave(vm *VM, b record.VMDrain) refusal {
-	if b.Target != "" && b.Release {
+func (s *State) mayLeave(vm *VM, target string, release bool) refusal {
+	if target != "" && release {
 		return refusef("a drain cannot have both a target pool and a release")
 	}
-	if b.Target == "" && !b.Release {
+	if target == "" && !release {
 		return allowed
 	}
-	if b.Target == vm.Pool {
+	if target == vm.Pool {
 		return refusef("VM %s is in pool %s already", vm.ID, vm.Pool)
 	}
+	if _, ok := s.Services[target]; target != "" && !ok {
+		return refusef("there is no pool %q to move to", target)
+	}
 	svc, ok := s.Services[vm.Pool]
-	if !ok || !vm.Serving() {
+	if !ok || vm.Down {
 		return allowed
 	}
 	if n, size := s.Healthy(vm.Pool), svc.Doc.Pool.Size; n <= size {
@@ -100,6 +100,23 @@
 	return allowed
 }
 
+// redirectVM changes where a drain in progress leads.
+func (s *State) redirectVM(rec record.Record, b record.VMRedirect) refusal {
+	vm, no := s.vm(rec)
+	if no != allowed {
+		return no
+	}
+	if !vm.Redirectable() {
+		return refusef("VM %s has no drain that could lead elsewhere", vm.ID)
+	}
+	if no := s.mayLeave(vm, b.Target, b.Release); no != allowed {
+		return no
+	}
+	vm.Drain.Target, vm.Drain.Release = b.Target, b.Release
+	s.account(vm.Pool)
+	return allowed
+}
+
 // Healthy counts the VMs that stay in the pool and are not down.
 func (s *State) Healthy(pool string) int {
 	n := 0
--- a/internal/maintenance/step.go
+++ b/internal/maintenance/step.go
@@ -1,6 +1,8 @@
 package maintenance
 
 import (
+	"fmt"
+
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
@@ -61,3 +63,40 @@
 	}
 	return record.PhaseReturning
 }
+
+// Verb is an action on a VM at the platform.
+type Verb string
+
+// Actions on a VM.
+const (
+	VerbDrain   Verb = "drain"
+	VerbReboot  Verb = "reboot"
+	VerbUndrain Verb = "undrain"
+)
+
+// Action is what a step asks of the platform. Its ID is derived from the
+// decision, so that every steward and every retry sends the same one and the
+// platform carries it out once.
+type Action struct {
+	Verb  Verb
+	ID    string
+	Fence uint64
+}
+
+// ActionOf returns the action of the VM's present step, or false when the step
+// needs none. Drain and reboot carry the drain's offset as fencing token. The
+// undrain carries the VM's latest revision, above that: a reboot of the drain
+// that is still on its way is refused from then on, when the VM may be serving.
+func ActionOf(vm *ledger.VM) (Action, bool) {
+	d := vm.Drain
+	switch Next(vm) {
+	case StepQuiesce:
+		return Action{Verb: VerbDrain, ID: d.ID, Fence: d.Fence}, true
+	case StepReboot:
+		return Action{Verb: VerbReboot, ID: d.ID + "/reboot", Fence: d.Fence}, true
+	case StepReturn:
+		revision := uint64(vm.Revision)
+		return Action{Verb: VerbUndrain, ID: fmt.Sprintf("%s/undrain/%d", vm.ID, revision), Fence: revision}, true
+	}
+	return Action{}, false
+}
--- a/internal/maintenance/wave.go
+++ b/internal/maintenance/wave.go
@@ -5,51 +5,190 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/pool"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
-// Drains proposes the next drains of the running waves, as many as the pools'
-// budgets bear.
+// Plan is one planning round: what every steward proposes on this view. Each
+// step sees what the earlier ones used of VMs and budgets.
+func Plan(v *pool.View, p pool.Policy) []pool.Proposal {
+	r := pool.NewRound(v, p)
+	pool.Fill(r)
+	Drains(r)
+	pool.Lend(r)
+	pool.Release(r)
+	return r.Proposals
+}
+
+// Drains proposes the next drains of the running waves: for each pool, in the
+// order of its turns, as many as its budget bears.
 func Drains(r *pool.Round) {
 	for _, w := range r.View.Waves {
 		if !w.Running {
 			continue
 		}
-		for _, vm := range turns(r, w) {
-			if r.Full() {
-				return
+		skips(r, w)
+		for _, p := range r.View.Pools {
+			if due := turns(r, w, p); len(due) > 0 {
+				drains(r, w, p, due)
 			}
-			body := record.VMDrain{
-				Reason:   record.DrainMaintenance,
-				Wave:     w.ID,
-				Estimate: r.Policy.Estimate[record.DrainMaintenance],
-			}
-			r.Drain(vm, body, "its turn in the wave")
 		}
 	}
 }
 
-// turns returns the VMs that could be drained now, by rack, so that one rack
-// of a pool is finished before the next is begun.
-func turns(r *pool.Round, w *pool.Wave) []*pool.VM {
+func drains(r *pool.Round, w *pool.Wave, p *pool.Pool, due []*pool.VM) {
+	pressed := pressed(r, w, p, len(due))
+	left := r.WaveTurns(p)
+	for _, vm := range due {
+		if r.Full() || hold(r, p, vm, pressed) != "" {
+			return
+		}
+		release := r.Policy.Reserve == pool.ReserveShared && r.Surplus(p) >= left
+		body := r.WaveDrain(vm, "", release)
+		body.Estimate += untilIdle(r, vm)
+		if r.Drain(vm, body, "its turn in the wave") == "" {
+			left--
+		}
+	}
+}
+
+// turns returns the pool's VMs that could be drained now in the order of their
+// turns: zones and racks that have VMs out already come first, so that one
+// failure domain is finished before the next is begun, then VMs without jobs.
+func turns(r *pool.Round, w *pool.Wave, p *pool.Pool) []*pool.VM {
 	var due []*pool.VM
-	for id, progress := range w.VMs {
-		vm := r.View.VM(id)
-		if progress != ledger.WavePending || vm == nil || r.Taken(vm) {
+	for _, vm := range p.VMs {
+		if w.VMs[vm.ID] != ledger.WavePending || vm.Phase != record.PhaseServing || r.Taken(vm) {
 			continue
 		}
-		if vm.Phase == record.PhaseServing {
-			due = append(due, vm)
+		if vm.Jobs > 0 && p.Doc.Jobs.OnDrain == document.LongJobsSkip {
+			continue
 		}
+		due = append(due, vm)
 	}
+	zones, racks := outDomains(p)
 	slices.SortFunc(due, func(a, b *pool.VM) int {
-		if c := cmp.Compare(a.Rack, b.Rack); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.ID, b.ID)
+		return cmp.Or(
+			cmp.Compare(zones[b.Zone], zones[a.Zone]),
+			cmp.Compare(racks[b.Rack], racks[a.Rack]),
+			cmp.Compare(waiting(p, a), waiting(p, b)),
+			cmp.Compare(a.Zone, b.Zone),
+			cmp.Compare(a.Rack, b.Rack),
+			cmp.Compare(a.ID, b.ID),
+		)
 	})
 	return due
 }
+
+// outDomains counts the pool's VMs in a wave's drain by zone and rack.
+func outDomains(p *pool.Pool) (zones, racks map[string]int) {
+	zones, racks = map[string]int{}, map[string]int{}
+	for _, vm := range p.VMs {
+		if vm.Drain != nil && vm.Drain.Wave != "" {
+			zones[vm.Zone]++
+			racks[vm.Rack]++
+		}
+	}
+	return zones, racks
+}
+
+// waiting counts the jobs that a drain of the VM would wait for.
+func waiting(p *pool.Pool, vm *pool.VM) int {
+	if p.Doc.Jobs.OnDrain == document.LongJobsWait {
+		return vm.Jobs
+	}
+	return 0
+}
+
+// untilIdle is how long a drain waits for the VM's jobs by their declaration.
+func untilIdle(r *pool.Round, vm *pool.VM) time.Duration {
+	p := r.View.Pool(vm.Pool)
+	if vm.Jobs == 0 || p.Doc.Jobs.OnDrain != document.LongJobsWait {
+		return 0
+	}
+	return max(0, vm.JobsUntil.Sub(r.View.Now))
+}
+
+// hold returns why a wave keeps back from the pool for now though its budget
+// might bear the drain, or an empty string. One unit of max_unavailable and a
+// part of the window's VM-seconds are left for failures, until the deadline is
+// at risk.
+func hold(r *pool.Round, p *pool.Pool, vm *pool.VM, pressed bool) string {
+	if !vm.Serving() {
+		return "" // it failed and is charged already
+	}
+	h := r.Headroom(p.Name)
+	estimate := r.Policy.Estimate[record.DrainMaintenance] + untilIdle(r, vm)
+	if pressed {
+		return h.Refusal(vm.Rack, estimate)
+	}
+	careful := *h
+	careful.Budget.MaxUnavailable = parallel(p)
+	careful.Allowed *= r.Policy.WaveShare
+	return careful.Refusal(vm.Rack, estimate)
+}
+
+// parallel is how many VMs of the pool a wave takes at once while it is not
+// pressed.
+func parallel(p *pool.Pool) int {
+	return max(min(1, p.Doc.Budget.MaxUnavailable), p.Doc.Budget.MaxUnavailable-1)
+}
+
+// pressed reports whether the wave's deadline is at risk at the careful pace.
+func pressed(r *pool.Round, w *pool.Wave, p *pool.Pool, turns int) bool {
+	if w.Deadline.IsZero() {
+		return false
+	}
+	width := max(1, parallel(p))
+	if p.Doc.Budget.OneDomain {
+		width = 1
+	}
+	rounds := (turns + width - 1) / width
+	need := time.Duration(rounds) * r.Policy.Estimate[record.DrainMaintenance]
+	return r.View.Now.Add(need).After(w.Deadline)
+}
+
+// skips takes the VMs out of the wave that cannot have their turn: those that
+// left their pool, and at the deadline those whose jobs may not be disturbed.
+func skips(r *pool.Round, w *pool.Wave) {
+	for _, id := range sortedPending(w) {
+		vm := r.View.VM(id)
+		if vm == nil || r.Full() {
+			continue
+		}
+		if reason := skipReason(r, w, vm); reason != "" {
+			r.ProposeWave(w, record.WaveSkip{VM: id, Reason: reason}, "it cannot have its turn")
+			return // the next skip needs the wave's new revision
+		}
+	}
+}
+
+func skipReason(r *pool.Round, w *pool.Wave, vm *pool.VM) string {
+	if vm.Phase == record.PhaseFree {
+		return "the VM is in no pool any more"
+	}
+	p := r.View.Pool(vm.Pool)
+	if p == nil || vm.Jobs == 0 || p.Doc.Jobs.OnDrain != document.LongJobsSkip {
+		return ""
+	}
+	late := !w.Deadline.IsZero() && r.View.Now.Add(r.Policy.Estimate[record.DrainMaintenance]).After(w.Deadline)
+	if late {
+		return "a job that may not be disturbed ran on it until the deadline"
+	}
+	return ""
+}
+
+func sortedPending(w *pool.Wave) []string {
+	var ids []string
+	for id, progress := range w.VMs {
+		if progress == ledger.WavePending {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/pool/fill.go
@@ -0,0 +1,94 @@
+package pool
+
+import (
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Fill gives VMs to the pools that are short: free ones first, then the lasting
+// surplus of other pools.
+func Fill(r *Round) {
+	gaps := r.gaps()
+	if len(gaps) == 0 {
+		return
+	}
+	s := r.supply()
+	a := assign(gaps, s.classes, s.surplus)
+	for i, c := range a.classes {
+		for j, g := range a.gaps {
+			for range a.flow[i][j] {
+				if r.Full() {
+					return
+				}
+				r.give(c, g)
+			}
+		}
+	}
+}
+
+// give sends the best VM of a class to a gap.
+func (r *Round) give(c *class, g *gap) {
+	vm := r.pick(c, g.pool)
+	if vm == nil {
+		return
+	}
+	to := g.pool.Name
+	switch c.tier {
+	case tierFree:
+		r.join(vm, to, g.want, "the pool is short of its size")
+	case tierOut:
+		r.leaving[vm.ID] = true
+		r.joining[to] = append(r.joining[to], vm)
+		r.Propose(vm, record.VMRedirect{Target: to}, vm.Pool, "out of service already and wanted elsewhere")
+	case tierDue:
+		r.Drain(vm, r.WaveDrain(vm, to, false), "its turn in the wave, and wanted elsewhere")
+	case tierServe:
+		body := record.VMDrain{Reason: record.DrainMove, Target: to, Estimate: r.Policy.Estimate[record.DrainMove]}
+		r.Drain(vm, body, "its pool has too many, the target too few")
+	}
+}
+
+// join proposes that a free VM joins a pool that wants want VMs.
+func (r *Round) join(vm *VM, pool string, want int, why string) {
+	r.joining[pool] = append(r.joining[pool], vm)
+	r.Propose(vm, record.VMJoin{Pool: pool, Want: want}, pool, why)
+}
+
+// WaveDrain returns the drain for a VM's turn in a wave, which may end in
+// another pool or in the reserve. The VM must be due in a wave.
+func (r *Round) WaveDrain(vm *VM, target string, release bool) record.VMDrain {
+	return record.VMDrain{
+		Reason:   record.DrainMaintenance,
+		Wave:     r.View.DueWave(vm).ID,
+		Target:   target,
+		Release:  release,
+		Estimate: r.Policy.Estimate[record.DrainMaintenance],
+	}
+}
+
+// pick returns the VM of the class that suits the pool best: one without jobs,
+// then the one that spreads the pool widest.
+func (r *Round) pick(c *class, to *Pool) *VM {
+	target := r.spread(to)
+	var donor spread
+	from := r.View.Pool(c.donor)
+	if from != nil {
+		donor = r.spread(from)
+	}
+	var best *VM
+	for _, vm := range c.vms {
+		if r.Taken(vm) || (from != nil && !donor.bears(from, vm)) {
+			continue
+		}
+		if best == nil || preferred(target, vm, best) {
+			best = vm
+		}
+	}
+	return best
+}
+
+func preferred(s spread, a, b *VM) bool {
+	if (a.Jobs == 0) != (b.Jobs == 0) {
+		return a.Jobs == 0
+	}
+	return s.better(a, b)
+}
--- /dev/null
+++ b/internal/pool/gap.go
@@ -0,0 +1,97 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// gap is a pool that has fewer VMs than it should.
+type gap struct {
+	pool *Pool
+	want int
+	have int
+	// mayMove says that the gap has lasted, or hurts, enough to drain a VM of
+	// another pool for it.
+	mayMove bool
+}
+
+func (g *gap) short() int { return g.want - g.have }
+
+// want returns how many VMs the pool is to have.
+func (r *Round) want(p *Pool) int {
+	if r.Policy.Reserve == ReserveOwn {
+		return p.Doc.Pool.Size + max(1, r.Spare().Own[p.Name])
+	}
+	return p.Doc.Pool.Size
+}
+
+// Spare returns the spare VMs that the fleet of the view needs.
+func (r *Round) Spare() Spare {
+	if r.spare == nil {
+		s := SpareFor(r.View.Pools, r.Policy.Rates, r.Policy.FailureShare)
+		r.spare = &s
+	}
+	return *r.spare
+}
+
+// gaps returns the pools that are short, the neediest first.
+func (r *Round) gaps() []*gap {
+	var gaps []*gap
+	for _, p := range r.View.Pools {
+		g := &gap{pool: p, want: r.want(p), have: r.Present(p)}
+		if g.short() > 0 {
+			g.mayMove = r.lasting(p.GapSince, r.Policy.patience(p).Move) || r.hurts(p)
+			gaps = append(gaps, g)
+		}
+	}
+	slices.SortFunc(gaps, neediest)
+	return gaps
+}
+
+// neediest orders gaps by the share of the pool that is missing.
+func neediest(a, b *gap) int {
+	if c := cmp.Compare(b.short()*a.want, a.short()*b.want); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.pool.Name, b.pool.Name)
+}
+
+func (r *Round) lasting(since time.Time, wait time.Duration) bool {
+	return !since.IsZero() && r.View.Now.Sub(since) >= wait
+}
+
+// hurts reports whether a pool is at the end of what its budget bears, so that
+// waiting costs more than a move.
+func (r *Round) hurts(p *Pool) bool {
+	h := &p.Headroom
+	return h.Size-h.Serving >= max(1, h.Budget.MaxUnavailable) || h.Spent > h.Allowed/2
+}
+
+// Present counts the VMs that the pool can rely on: those that stay, unless
+// down for so long that they are replaced, and those on their way in.
+func (r *Round) Present(p *Pool) int {
+	n := r.incoming[p.Name] + len(r.joining[p.Name])
+	for _, vm := range p.VMs {
+		if vm.Staying() && !r.lost(vm, p) && !r.leaving[vm.ID] {
+			n++
+		}
+	}
+	return n
+}
+
+// Surplus counts the VMs that the pool has too many and that are in good health.
+func (r *Round) Surplus(p *Pool) int {
+	n := r.incoming[p.Name] + len(r.joining[p.Name])
+	for _, vm := range p.VMs {
+		if vm.Staying() && !vm.Down && !r.leaving[vm.ID] {
+			n++
+		}
+	}
+	return max(0, n-r.want(p))
+}
+
+// lost reports whether a VM has been down for so long that it is replaced.
+func (r *Round) lost(vm *VM, p *Pool) bool {
+	return vm.Down && r.View.Now.Sub(vm.HealthSince) >= r.Policy.patience(p).Replace
+}
--- /dev/null
+++ b/internal/pool/release.go
@@ -0,0 +1,124 @@
+package pool
+
+import (
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Release gives a lasting surplus back to the reserve of free VMs, where the
+// pool's document weighs that higher than the disturbance. A VM that is out of
+// service anyway goes at once. Pools with turns left in a wave are passed over:
+// the wave's last turns give the surplus back without a drain of its own.
+func Release(r *Round) {
+	if r.Policy.Reserve == ReserveOwn {
+		return
+	}
+	for _, p := range r.View.Pools {
+		patience := r.Policy.patience(p)
+		if r.WaveTurns(p) > 0 {
+			continue
+		}
+		spread := r.spread(p)
+		for n := r.Surplus(p); n > 0 && !r.Full(); n-- {
+			vm := r.surplusVM(p, spread, patience.Release > 0 && r.lasting(p.SurplusSince, patience.Release))
+			if vm == nil || !r.release(vm) {
+				break
+			}
+		}
+	}
+}
+
+// WaveTurns counts the pool's VMs that wait for their turn in a running wave.
+func (r *Round) WaveTurns(p *Pool) int {
+	n := 0
+	for _, vm := range p.VMs {
+		if !r.Taken(vm) && r.View.DueWave(vm) != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// surplusVM returns the VM whose leaving costs least, or nil. Serving VMs are
+// taken only if the surplus has lasted.
+func (r *Round) surplusVM(p *Pool, s spread, lasted bool) *VM {
+	var best *VM
+	for _, vm := range p.VMs {
+		if r.Taken(vm) || vm.Down || !vm.Staying() || !s.bears(p, vm) {
+			continue
+		}
+		if !vm.Redirectable() && (!vm.Serving() || !lasted) {
+			continue
+		}
+		if best == nil || cheaper(s, vm, best) {
+			best = vm
+		}
+	}
+	return best
+}
+
+// cheaper prefers a VM that is out already, then one without jobs, then one of
+// the densest rack.
+func cheaper(s spread, a, b *VM) bool {
+	if a.Redirectable() != b.Redirectable() {
+		return a.Redirectable()
+	}
+	if (a.Jobs == 0) != (b.Jobs == 0) {
+		return a.Jobs == 0
+	}
+	return s.better(b, a)
+}
+
+func (r *Round) release(vm *VM) bool {
+	if vm.Redirectable() {
+		r.leaving[vm.ID] = true
+		r.Propose(vm, record.VMRedirect{Release: true}, vm.Pool, "out of service already and surplus")
+		return true
+	}
+	body := record.VMDrain{Reason: record.DrainMove, Release: true, Estimate: r.Policy.Estimate[record.DrainMove]}
+	return r.Drain(vm, body, "surplus for longer than the pool's document bears") == ""
+}
+
+// Lend gives free VMs beyond the reserve to pools that are in the middle of a
+// wave, so that a VM can be out without the pool being short.
+func Lend(r *Round) {
+	if r.Policy.Reserve == ReserveOwn {
+		return
+	}
+	room := r.untakenFree() - r.Spare().Shared
+	for _, p := range r.View.Pools {
+		if room <= 0 || r.Full() {
+			return
+		}
+		if r.WaveTurns(p) < 2 || r.Surplus(p) >= r.Policy.Surge || r.Present(p) < r.want(p) {
+			continue
+		}
+		if vm := r.bestFree(p); vm != nil {
+			r.join(vm, p.Name, r.want(p)+r.Policy.Surge, "lent for the wave")
+			room--
+		}
+	}
+}
+
+func (r *Round) untakenFree() int {
+	n := 0
+	for _, vm := range r.View.Free {
+		if !r.Taken(vm) {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *Round) bestFree(p *Pool) *VM {
+	s := r.spread(p)
+	var best *VM
+	for _, vm := range r.View.Free {
+		if r.Taken(vm) || !Fits(vm, p.Doc.Pool) {
+			continue
+		}
+		if best == nil || s.better(vm, best) {
+			best = vm
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/pool/reserve.go
@@ -0,0 +1,151 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+// Rates is how often VMs are lost and for how long.
+type Rates struct {
+	VM     float64 // losses of one VM a day
+	Rack   float64 // losses of one rack a day
+	Repair time.Duration
+}
+
+// DefaultRates returns the rates of an ordinary fleet: 26 of 4,000 VMs a day,
+// and one of a thousand racks a week.
+func DefaultRates() Rates {
+	return Rates{VM: 26.0 / 4000, Rack: 1.0 / 7000, Repair: 4 * time.Hour}
+}
+
+// maxSpare bounds the search for a spare count.
+const maxSpare = 512
+
+// Spare is how many spare VMs a fleet needs.
+type Spare struct {
+	// Own is the count by pool when each keeps its own, Shared the count when
+	// all draw on one reserve of free VMs.
+	Own    map[string]int
+	Shared int
+}
+
+// OwnTotal returns the sum of the pools' own spare VMs.
+func (s Spare) OwnTotal() int {
+	sum := 0
+	for _, n := range s.Own {
+		sum += n
+	}
+	return sum
+}
+
+// SpareFor sizes the spare VMs so that failures are expected to use no more
+// than failureShare of any pool's availability budget. VMs fail on their own
+// and by racks; a spare VM covers a lost one until the repair. One reserve for
+// all needs fewer VMs, as the pools' bad days fall on different days.
+func SpareFor(pools []*Pool, rates Rates, failureShare float64) Spare {
+	s := Spare{Own: map[string]int{}}
+	all := lossDistribution{1}
+	size := 0
+	racks := map[string]int{}
+	for _, p := range pools {
+		n := p.Doc.Pool.Size
+		size += n
+		own := map[string]int{}
+		for _, vm := range p.VMs {
+			own[vm.Rack]++
+			racks[vm.Rack]++
+		}
+		loss := lossDistribution{1}.poisson(rates.mean(n)).racks(own, rates)
+		s.Own[p.Name] = loss.spare(failureShare * p.Doc.Budget.Allowed * float64(n))
+	}
+	all = all.poisson(rates.mean(size)).racks(racks, rates)
+	s.Shared = all.spare(failureShare * tightest(pools) * float64(size))
+	return s
+}
+
+// tightest returns the smallest allowed share among the pools: a shortage of
+// the shared reserve meets the pools in proportion to their sizes, so the pool
+// with the smallest allowance sets the bound.
+func tightest(pools []*Pool) float64 {
+	least := 1.0
+	for _, p := range pools {
+		if p.Doc.Pool.Size > 0 {
+			least = min(least, p.Doc.Budget.Allowed)
+		}
+	}
+	return least
+}
+
+// mean returns the expected count of n VMs that are down at one moment.
+func (r Rates) mean(n int) float64 { return float64(n) * r.VM * r.Repair.Hours() / 24 }
+
+// lossDistribution is the probability of each count of VMs down at one moment.
+type lossDistribution []float64
+
+// poisson adds independent losses with the given mean.
+func (d lossDistribution) poisson(mean float64) lossDistribution {
+	terms := lossDistribution{}
+	p := math.Exp(-mean)
+	for k := 0; k < maxSpare && (p > 1e-12 || float64(k) < mean); k++ {
+		terms = append(terms, p)
+		p *= mean / float64(k+1)
+	}
+	return d.plus(terms)
+}
+
+// racks adds the loss of whole racks, which hold counts VMs each.
+func (d lossDistribution) racks(counts map[string]int, r Rates) lossDistribution {
+	byCount := map[int]int{}
+	most := 0
+	for _, n := range counts {
+		byCount[n]++
+		most = max(most, n)
+	}
+	down := r.Rack * r.Repair.Hours() / 24
+	for n := 1; n <= most; n++ {
+		for range byCount[n] {
+			event := make(lossDistribution, n+1)
+			event[0] = 1 - down
+			event[n] = down
+			d = d.plus(event)
+		}
+	}
+	return d
+}
+
+// plus returns the distribution of the sum of two independent counts.
+func (d lossDistribution) plus(o lossDistribution) lossDistribution {
+	sum := make(lossDistribution, min(len(d)+len(o)-1, maxSpare))
+	for i, p := range d {
+		for j, q := range o {
+			if k := i + j; k < len(sum) {
+				sum[k] += p * q
+			}
+		}
+	}
+	return sum.trim()
+}
+
+// trim drops a tail too unlikely to matter, which keeps sums of many racks short.
+func (d lossDistribution) trim() lossDistribution {
+	n := len(d)
+	for n > 1 && d[n-1] < 1e-15 {
+		n--
+	}
+	return d[:n]
+}
+
+// spare returns the least count k with an expected shortage beyond k of at most
+// bound VMs.
+func (d lossDistribution) spare(bound float64) int {
+	for k := range maxSpare {
+		shortage := 0.0
+		for n := k + 1; n < len(d); n++ {
+			shortage += float64(n-k) * d[n]
+		}
+		if shortage <= bound {
+			return k
+		}
+	}
+	return maxSpare
+}
--- a/internal/pool/round.go
+++ b/internal/pool/round.go
@@ -1,39 +1,11 @@
 package pool
 
 import (
-	"time"
-
 	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
-// Policy bounds and paces planning.
-type Policy struct {
-	// MaxProposals bounds the proposals of one round.
-	MaxProposals int
-	// ReplaceAfter is how long a VM must be down before its pool gets another.
-	ReplaceAfter time.Duration
-	// Estimate is how long a drain of each reason keeps a VM out of service.
-	Estimate map[record.DrainReason]time.Duration
-}
-
-// DefaultMaxProposals keeps a round well under the log's append ceiling.
-const DefaultMaxProposals = 64
-
-// DefaultPolicy returns the policy used unless settings say otherwise.
-func DefaultPolicy() Policy {
-	return Policy{
-		MaxProposals: DefaultMaxProposals,
-		ReplaceAfter: 2 * time.Minute,
-		Estimate: map[record.DrainReason]time.Duration{
-			record.DrainMaintenance: 3 * time.Minute,
-			record.DrainMove:        time.Minute,
-			record.DrainOperator:    3 * time.Minute,
-		},
-	}
-}
-
 // Round is one planning round: the view and what was decided so far, so that
 // later steps see the earlier ones' use of VMs and budgets.
 type Round struct {
@@ -43,18 +15,29 @@
 
 	taken    map[string]bool
 	headroom map[string]*ledger.Headroom
-	joining  map[string][]*VM // VMs proposed to join, by pool
+	incoming map[string]int   // VMs on their way by an effective drain, by pool
+	joining  map[string][]*VM // VMs that the round sends, by pool
+	leaving  map[string]bool  // VMs that the round takes from their pool
+	spare    *Spare
 }
 
 // NewRound begins a round over the view.
 func NewRound(v *View, p Policy) *Round {
-	return &Round{
+	r := &Round{
 		View:     v,
 		Policy:   p,
 		taken:    map[string]bool{},
 		headroom: map[string]*ledger.Headroom{},
+		incoming: map[string]int{},
 		joining:  map[string][]*VM{},
+		leaving:  map[string]bool{},
+	}
+	for _, vm := range v.VMs {
+		if vm.Drain != nil && vm.Drain.Target != "" && vm.Pool != vm.Drain.Target {
+			r.incoming[vm.Drain.Target]++
+		}
 	}
+	return r
 }
 
 // Full reports whether the round has as many proposals as it may.
@@ -103,6 +86,12 @@
 		}
 		h.Take(vm.Rack)
 	}
+	if body.Target != "" || body.Release {
+		r.leaving[vm.ID] = true
+	}
+	if body.Target != "" {
+		r.joining[body.Target] = append(r.joining[body.Target], vm)
+	}
 	r.Propose(vm, body, vm.Pool, why)
 	return ""
 }
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -29,17 +29,21 @@
 // VM is one VM of a View.
 type VM struct {
 	ledger.VM
-	// Jobs counts the jobs placed on the VM.
-	Jobs int
+	// Jobs counts the jobs placed on the VM; JobsUntil is when the last of them
+	// ends by its declaration.
+	Jobs      int
+	JobsUntil time.Time
 }
 
 // Pool is one service's pool.
 type Pool struct {
-	Name        string
-	Doc         document.Document
-	PublishedAt time.Time
-	Headroom    ledger.Headroom
-	VMs         []*VM // by ID
+	Name     string
+	Doc      document.Document
+	Headroom ledger.Headroom
+	// GapSince and SurplusSince are those of ledger.Account.
+	GapSince     time.Time
+	SurplusSince time.Time
+	VMs          []*VM // by ID
 }
 
 // Wave is an active maintenance wave.
@@ -70,7 +74,12 @@
 
 func (v *View) copyPools(s *ledger.State) {
 	for name, svc := range s.Services {
-		p := &Pool{Name: name, Doc: svc.Doc, PublishedAt: svc.PublishedAt}
+		p := &Pool{
+			Name:         name,
+			Doc:          svc.Doc,
+			GapSince:     svc.Account.GapSince,
+			SurplusSince: svc.Account.SurplusSince,
+		}
 		p.Headroom, _ = s.Headroom(name, v.Now)
 		v.Pools = append(v.Pools, p)
 		v.byPool[name] = p
@@ -81,21 +90,31 @@
 func (v *View) copyVMs(s *ledger.State) {
 	copies := make([]VM, 0, len(s.VMs))
 	for id, vm := range s.VMs {
-		copies = append(copies, VM{VM: *vm, Jobs: len(s.WorkerJobs(id))})
+		copies = append(copies, copyVM(vm, s.WorkerJobs(id)))
 	}
 	slices.SortFunc(copies, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
 	for i := range copies {
 		vm := &copies[i]
-		if vm.Drain != nil {
-			d := *vm.Drain
-			vm.Drain = &d
-		}
 		v.VMs = append(v.VMs, vm)
 		v.byVM[vm.ID] = vm
 		v.index(vm)
 	}
 }
 
+func copyVM(vm *ledger.VM, jobs map[string]*ledger.Job) VM {
+	c := VM{VM: *vm, Jobs: len(jobs)}
+	if vm.Drain != nil {
+		d := *vm.Drain
+		c.Drain = &d
+	}
+	for _, j := range jobs {
+		if end := j.StartedAt.Add(j.Spec.RunTime); end.After(c.JobsUntil) {
+			c.JobsUntil = end
+		}
+	}
+	return c
+}
+
 func (v *View) index(vm *VM) {
 	if p, ok := v.byPool[vm.Pool]; ok {
 		p.VMs = append(p.VMs, vm)
--- a/internal/record/body.go
+++ b/internal/record/body.go
@@ -12,6 +12,7 @@
 	KindVMRegister      Kind = "vm.register"
 	KindVMDrain         Kind = "vm.drain"
 	KindVMAdvance       Kind = "vm.advance"
+	KindVMRedirect      Kind = "vm.redirect"
 	KindVMJoin          Kind = "vm.join"
 	KindVMDown          Kind = "vm.down"
 	KindVMUp            Kind = "vm.up"
@@ -38,6 +39,7 @@
 	KindVMRegister:      decoderOf[VMRegister],
 	KindVMDrain:         decoderOf[VMDrain],
 	KindVMAdvance:       decoderOf[VMAdvance],
+	KindVMRedirect:      decoderOf[VMRedirect],
 	KindVMJoin:          decoderOf[VMJoin],
 	KindVMDown:          decoderOf[VMDown],
 	KindVMUp:            decoderOf[VMUp],
@@ -127,6 +129,14 @@
 	To VMPhase `json:"to"`
 }
 
+// VMRedirect gives a drain in progress another end: the VM joins Target, or is
+// released, instead of going back to its pool. One disturbance then serves
+// both.
+type VMRedirect struct {
+	Target  string `json:"target,omitempty"`
+	Release bool   `json:"release,omitempty"`
+}
+
 // VMJoin puts a free or released VM into a pool.
 type VMJoin struct {
 	Pool string `json:"pool"`
@@ -312,6 +322,9 @@
 // Kind implements Body.
 func (VMAdvance) Kind() Kind { return KindVMAdvance }
 
+// Kind implements Body.
+func (VMRedirect) Kind() Kind { return KindVMRedirect }
+
 // Kind implements Body.
 func (VMJoin) Kind() Kind { return KindVMJoin }
 
--- a/internal/steward/planner.go
+++ b/internal/steward/planner.go
@@ -55,7 +55,7 @@
 		view = pool.NewView(st, time.Now())
 	})
 	var mine []pool.Proposal
-	for _, d := range Plan(view, p.cfg.Policy) {
+	for _, d := range maintenance.Plan(view, p.cfg.Policy) {
 		item := fmt.Sprintf("plan/%s/%s/%d", d.Body.Kind(), d.Subject, d.Base)
 		if p.shares.mine(d.Share, item, view.Now) {
 			mine = append(mine, d)
@@ -63,11 +63,3 @@
 	}
 	p.propose.all(ctx, view.Offset, mine)
 }
-
-// Plan is one planning round: what every steward would propose on this view.
-func Plan(view *pool.View, policy pool.Policy) []pool.Proposal {
-	r := pool.NewRound(view, policy)
-	pool.Joins(r)
-	maintenance.Drains(r)
-	return r.Proposals
-}
--- a/internal/steward/step.go
+++ b/internal/steward/step.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/pkg/errors"
 
@@ -36,51 +35,53 @@
 	}
 }
 
-// Operation IDs are derived from the decision, so that every steward and every
-// retry sends the same one.
-func drainOperation(d *ledger.Drain) platform.Operation {
-	return platform.Operation{ID: d.ID, Fence: platform.Offset(d.Fence)}
-}
-
-func rebootOperation(d *ledger.Drain) platform.Operation {
-	return platform.Operation{ID: d.ID + "/reboot", Fence: platform.Offset(d.Fence)}
-}
-
-// undrainOperation carries the VM's latest revision, above the fence of the
-// drain that it ends: a reboot of that drain which is still on its way is
-// refused from then on.
-func undrainOperation(vm *ledger.VM) platform.Operation {
-	return platform.Operation{
-		ID:    fmt.Sprintf("%s/undrain/%d", vm.ID, vm.Revision),
-		Fence: platform.Offset(vm.Revision),
+// act sends the action of the VM's step and reports whether its outcome is
+// known and good.
+func (e *executor) act(ctx context.Context, vm *ledger.VM) bool {
+	a, ok := maintenance.ActionOf(vm)
+	if !ok {
+		return false
 	}
+	op := platform.Operation{ID: a.ID, Fence: platform.Offset(a.Fence)}
+	var status platform.OperationStatus
+	var err error
+	switch a.Verb {
+	case maintenance.VerbDrain:
+		status, err = e.cfg.Fleet.Drain(ctx, vm.ID, op)
+	case maintenance.VerbReboot:
+		status, err = e.cfg.Fleet.Reboot(ctx, vm.ID, op)
+	case maintenance.VerbUndrain:
+		status, err = e.cfg.Fleet.Undrain(ctx, vm.ID, op)
+	}
+	return e.done(vm, a.Verb, status, err)
 }
 
 func (e *executor) quiesce(ctx context.Context, vm *ledger.VM) {
-	status, err := e.cfg.Fleet.Drain(ctx, vm.ID, drainOperation(vm.Drain))
-	if !e.done(vm, "drain", status, err) {
-		return
-	}
-	if !e.quiet(ctx, vm) {
-		return
+	if e.act(ctx, vm) && e.quiet(ctx, vm) {
+		e.advance(ctx, vm, record.PhaseDrained)
 	}
-	e.advance(ctx, vm, record.PhaseDrained)
 }
 
 func (e *executor) reboot(ctx context.Context, vm *ledger.VM) {
-	status, err := e.cfg.Fleet.Reboot(ctx, vm.ID, rebootOperation(vm.Drain))
-	if e.done(vm, "reboot", status, err) {
+	if e.act(ctx, vm) {
 		e.advance(ctx, vm, maintenance.After(vm))
 	}
 }
 
+// join puts a released VM into its target, or back into its old pool when the
+// target was removed meanwhile.
 func (e *executor) join(ctx context.Context, vm *ledger.VM) {
-	e.decide(ctx, vm, record.VMJoin{Pool: vm.Drain.Target}, "released for its new pool")
+	target := vm.Drain.Target
+	e.cfg.Follower.View(func(st *ledger.State) {
+		if _, ok := st.Services[target]; !ok {
+			target = vm.Pool
+		}
+	})
+	e.decide(ctx, vm, record.VMJoin{Pool: target}, "released for its new pool")
 }
 
 func (e *executor) takeBack(ctx context.Context, vm *ledger.VM) {
-	status, err := e.cfg.Fleet.Undrain(ctx, vm.ID, undrainOperation(vm))
-	if !e.done(vm, "undrain", status, err) {
+	if !e.act(ctx, vm) {
 		return
 	}
 	if err := e.cfg.Health.Check(ctx, vm.Address); err != nil {
@@ -104,7 +105,7 @@
 // done reports whether an action's outcome is known and good. After any error
 // the action is sent again under the same operation ID at the next look: a lost
 // reply is unknown, never failed.
-func (e *executor) done(vm *ledger.VM, action string, status platform.OperationStatus, err error) bool {
+func (e *executor) done(vm *ledger.VM, action maintenance.Verb, status platform.OperationStatus, err error) bool {
 	switch {
 	case errors.Is(err, platform.ErrFenced):
 		e.cfg.Logger.Info("a later decision holds the VM", "vm", vm.ID, "action", action)
