--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -105,6 +105,9 @@
 	}
 }
 
+// Header is a header on its way through packages that open no connection.
+type Header = http.Header
+
 // Request is one attempt. Body is nil when empty. Header must hold end-to-end
 // fields only.
 type Request struct {
@@ -136,6 +139,9 @@
 	response *http.Response
 }
 
+// ServerError reports whether the answer blames the backend server.
+func (a *Answer) ServerError() bool { return a.Status >= http.StatusInternalServerError }
+
 // Trailer returns the answer's trailer; with Rest it is there once Rest was
 // read to its end.
 func (a *Answer) Trailer() http.Header {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -18,6 +18,9 @@
 // answers 431 by itself, also before anything was sent on.
 const headerSlack = 32 << 10
 
+// Listener is a listener on its way through packages that open none.
+type Listener = net.Listener
+
 // Readiness tells the balancer whether to send callers here.
 type Readiness interface {
 	Unready(source, reason string)
@@ -25,7 +28,7 @@
 
 // ServerConfig is what a Server needs.
 type ServerConfig struct {
-	Listener       net.Listener
+	Listener       Listener
 	Handler        *Handler
 	Readiness      Readiness
 	Logger         hclog.Logger
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"net/url"
 	"time"
 
@@ -48,7 +47,7 @@
 	Method   string
 	URL      *url.URL
 	Host     string
-	Header   http.Header
+	Header   backend.Header
 	Body     []byte
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,7 +60,7 @@
 	Claims         Claims
 	Observer       Observer
 	// Rand chooses among backend servers. It must be safe for concurrent use.
-	Rand *rand.Rand
+	Rand routing.Rand
 }
 
 // Dispatcher sends callers' requests on. It is safe for concurrent use.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -74,7 +73,7 @@
 
 // header returns the call's header with the time that is left. A later try gets
 // a copy, as the goroutine that wrote an earlier one may still read it.
-func (r *run) header(left time.Duration) http.Header {
+func (r *run) header(left time.Duration) backend.Header {
 	h := r.call.Header
 	if len(r.tried) > 1 {
 		h = maps.Clone(h)
@@ -112,7 +111,7 @@
 	if r.last.Outcome == outcome.Unknown {
 		return r.last.Failure != backend.FailureUnframed
 	}
-	return r.last.Status >= http.StatusInternalServerError && r.last.Rest == nil
+	return r.last.ServerError() && r.last.Rest == nil
 }
 
 // result makes one answer of all tries. Once a try may have run, a later one
@@ -146,7 +145,7 @@
 	r.cancel()
 	ev := routing.EvidenceNone
 	if whole {
-		ev = answerEvidence(r.answer.Status)
+		ev = answerEvidence(&r.answer)
 	}
 	r.svc.pool.Done(time.Now(), r.lease, ev)
 }
@@ -166,13 +165,13 @@
 		}
 		return routing.EvidenceBad
 	case backend.FailureNone:
-		return answerEvidence(ans.Status)
+		return answerEvidence(ans)
 	}
 	return routing.EvidenceBad
 }
 
-func answerEvidence(status int) routing.Evidence {
-	if status >= http.StatusInternalServerError {
+func answerEvidence(ans *backend.Answer) routing.Evidence {
+	if ans.ServerError() {
 		return routing.EvidenceBad
 	}
 	return routing.EvidenceGood
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -33,7 +32,7 @@
 // Config is what an Entry needs.
 type Config struct {
 	Settings  settings.Entry
-	Callers   net.Listener
+	Callers   caller.Listener
 	Follower  Follower
 	Claims    dispatch.Claims
 	CheckKey  func(service, key string) error
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +37,11 @@
 	LongShed Refusal = "long-shed"
 )
 
+// Rand draws a number from 0 to n-1. It is implemented by math/rand/v2.Rand.
+type Rand interface {
+	IntN(n int) int
+}
+
 // Query is one attempt that needs a backend server.
 type Query struct {
 	Class document.Class
@@ -118,7 +122,7 @@
 }
 
 // Pick chooses a backend server for one attempt, or refuses.
-func (p *Pool) Pick(now time.Time, rnd *rand.Rand, q Query) (Lease, Refusal) {
+func (p *Pool) Pick(now time.Time, rnd Rand, q Query) (Lease, Refusal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.listed) == 0 {
@@ -139,7 +143,7 @@
 	return Lease{Backend: ep.Backend, ep: ep, class: q.Class}, Admitted
 }
 
-func (p *Pool) choose(now time.Time, rnd *rand.Rand, q Query) *endpoint {
+func (p *Pool) choose(now time.Time, rnd Rand, q Query) *endpoint {
 	near := p.twoOf(now, rnd, q, func(ep *endpoint) bool { return ep.Zone == p.zone && !ep.Down })
 	if near != nil && near.use(now)/float64(p.slots) < zoneSpill && near.health.errors < ejectErrors {
 		return near
@@ -153,7 +157,7 @@
 
 // twoOf draws two backends at random among those that pass and returns the one
 // with less load, or nil when none passes.
-func (p *Pool) twoOf(now time.Time, rnd *rand.Rand, q Query, pass func(*endpoint) bool) *endpoint {
+func (p *Pool) twoOf(now time.Time, rnd Rand, q Query, pass func(*endpoint) bool) *endpoint {
 	var a, b *endpoint
 	n := 0
 	for _, ep := range p.listed {
