--- /dev/null
+++ b/internal/placement/place.go
@@ -0,0 +1,229 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+)
+
+// maxCandidates bounds how many feasible workers are ranked for one job. The
+// search starts at a worker that the job's ID picks, so that a bound does not
+// favour the first workers.
+const maxCandidates = 64
+
+// Rank orders feasible workers.
+type Rank int
+
+// Ways to rank.
+const (
+	// BestFit fills workers up, which keeps large rooms whole for large and
+	// urgent jobs.
+	BestFit Rank = iota
+	// Spread keeps the load of workers even.
+	Spread
+	// FirstFit takes the first that fits: the baseline of the measurements.
+	FirstFit
+)
+
+// Policy switches parts of the decisions off, for the baselines.
+type Policy struct {
+	Rank Rank
+	// IgnoreHold places other work into the room held back for urgent work.
+	IgnoreHold bool
+	// NoPreempt starts urgent work from free room only.
+	NoPreempt bool
+	// FirstCome queues by time of submission instead of by the teams' shares.
+	FirstCome bool
+	// NoAging lets small jobs pass a large one for ever.
+	NoAging bool
+	// MinMin queues the job first that is expected to complete first, after
+	// HMHS (Chen et al.); see docs/adr/0018.
+	MinMin bool
+}
+
+// obstacle is why a worker does not take a job now.
+type obstacle int
+
+const (
+	fits obstacle = iota
+	setAside
+	doubtful
+	failedThere
+	noSlot
+	noCores
+	noMemory
+	noAccelerators
+	heldUrgent
+	heldOther
+	obstacleCount
+)
+
+// obstacle returns why the worker cannot take the job, or fits.
+func (p *Pool) obstacle(w *Worker, j *Job, pol Policy) obstacle {
+	switch {
+	case w.Standing == SetAside:
+		return setAside
+	case w.Slots <= 0:
+		return noSlot
+	case w.Free.MilliCores < j.Want.MilliCores:
+		return noCores
+	case w.Free.MemoryMB < j.Want.MemoryMB:
+		return noMemory
+	case w.Free.Accelerators < j.Want.Accelerators:
+		return noAccelerators
+	case w.heldFor != "" && w.heldFor != j.ID && !j.Urgent:
+		return heldOther
+	case w.Standing != Open && (len(w.Running) > 0 || j.Urgent || !j.Repeatable):
+		return doubtful
+	case slices.Contains(j.FailedOn, w.ID):
+		return failedThere
+	case !j.Urgent && !pol.IgnoreHold && p.eatsHold(w, j.Want, 1):
+		return heldUrgent
+	}
+	return fits
+}
+
+// eatsHold reports whether more use of the worker would take room that is held
+// back for urgent work.
+func (p *Pool) eatsHold(w *Worker, more ledger.Resources, slots int) bool {
+	if p.UrgentHold <= 0 {
+		return false
+	}
+	before := p.urgentRoom(w)
+	after := Worker{Free: w.Free.Add(more, -1), Slots: w.Slots - slots, Standing: w.Standing}
+	lost := before - p.urgentRoom(&after)
+	return lost > 0 && p.usable-lost < p.UrgentHold
+}
+
+// find returns the best worker for the job, or nil.
+func (p *Pool) find(j *Job, pol Policy) *Worker {
+	n := len(p.Workers)
+	if n == 0 {
+		return nil
+	}
+	start := 0
+	if pol.Rank != FirstFit && n > maxCandidates {
+		start = int(xxhash.Sum64String(j.ID) % uint64(n))
+	}
+	var best *Worker
+	bestScore := math.Inf(-1)
+	candidates := 0
+	for i := range n {
+		w := &p.Workers[(start+i)%n]
+		if p.obstacle(w, j, pol) != fits {
+			continue
+		}
+		if pol.Rank == FirstFit {
+			return w
+		}
+		if s := score(w, j, pol.Rank); s > bestScore {
+			best, bestScore = w, s
+		}
+		if candidates++; candidates == maxCandidates {
+			break
+		}
+	}
+	return best
+}
+
+// Weights of a score. Fullness alone lies within 0 and 1.
+const (
+	doubtPenalty       = 4.0
+	acceleratorPenalty = 2.0
+)
+
+// score ranks a feasible worker: higher is better.
+func score(w *Worker, j *Job, rank Rank) float64 {
+	s := fullness(w, j)
+	if rank == Spread {
+		s = -s
+	}
+	if w.Standing != Open {
+		s -= doubtPenalty
+	}
+	if j.Want.Accelerators == 0 && w.Capacity.Accelerators > 0 {
+		s -= acceleratorPenalty
+	}
+	return s
+}
+
+// fullness is how full the worker would be: the mean of its cores' and its
+// memory's shares, so that a job that fills both is preferred over one that
+// strands the other.
+func fullness(w *Worker, j *Job) float64 {
+	left := w.Free.Add(j.Want, -1)
+	return 1 - (share(left.MilliCores, w.Capacity.MilliCores)+share(left.MemoryMB, w.Capacity.MemoryMB))/2
+}
+
+func share(part, whole int) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// Place finds a worker for one job and reserves its room in the snapshot.
+func (p *Pool) Place(j *Job, pol Policy, now time.Time) Decision {
+	if reason := p.Never(j); reason != "" {
+		return Decision{Job: j.ID, Kind: Unplaceable, Reason: reason}
+	}
+	if !p.quotaAllows(j) {
+		return Decision{Job: j.ID, Kind: Waits}
+	}
+	w := p.find(j, pol)
+	if w == nil && p.failedEverywhere(j) {
+		again := *j
+		again.FailedOn = nil
+		w = p.find(&again, pol)
+	}
+	if w == nil {
+		return Decision{Job: j.ID, Kind: Waits}
+	}
+	p.take(w, j, now)
+	return Decision{Job: j.ID, Kind: Placed, Worker: w.ID, Reserved: j.Want}
+}
+
+func (p *Pool) quotaAllows(j *Job) bool {
+	q := p.Teams[j.Team]
+	return q.Used.Add(j.Want, 1).Within(q.Limit)
+}
+
+// failedEverywhere reports whether the job has failed on every worker that
+// could take it; then it is tried on them again.
+func (p *Pool) failedEverywhere(j *Job) bool {
+	if len(j.FailedOn) == 0 {
+		return false
+	}
+	for i := range p.Workers {
+		w := &p.Workers[i]
+		if w.Standing != SetAside && j.Want.Within(w.Capacity) && !slices.Contains(j.FailedOn, w.ID) {
+			return false
+		}
+	}
+	return true
+}
+
+// Kind is what was decided about a job.
+type Kind int
+
+// Kinds of decision.
+const (
+	Waits Kind = iota
+	Placed
+	Unplaceable
+)
+
+// Decision is what Plan decided about one job.
+type Decision struct {
+	Job      string
+	Kind     Kind
+	Worker   string
+	Reserved ledger.Resources
+	// Reason explains Unplaceable. Explain gives it for Waits, as its text is
+	// not needed at every round.
+	Reason string
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,249 @@
+package placement_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/placement"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// TestMain fixes the seed of the random checks.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20260301"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var now = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+func size(cores, memoryMB int) ledger.Resources {
+	return ledger.Resources{MilliCores: cores * 1000, MemoryMB: memoryMB}
+}
+
+// pool returns a pool of alike workers and one team "a" that may fill it.
+func pool(workers, cores, memoryMB int) *placement.Pool {
+	p := &placement.Pool{Name: "p", Admitted: []ledger.Resources{size(cores, memoryMB)}}
+	for i := range workers {
+		p.Workers = append(p.Workers, placement.Worker{
+			ID:       fmt.Sprintf("w%02d", i),
+			Capacity: size(cores, memoryMB),
+			Free:     size(cores, memoryMB),
+			Slots:    8,
+		})
+	}
+	p.Teams = map[string]placement.Quota{"a": {Limit: size(workers*cores, workers*memoryMB)}}
+	p.Prepare()
+	return p
+}
+
+func job(id string, cores, memoryMB int) placement.Job {
+	s := size(cores, memoryMB)
+	return placement.Job{ID: id, Team: "a", Want: s, Declared: s, Repeatable: true, Submitted: now, Queued: now, RunTime: time.Hour}
+}
+
+// run puts a running job on worker i.
+func run(p *placement.Pool, i int, id string, cores int, change func(*placement.Running)) {
+	r := placement.Running{Job: id, Team: "a", Reserved: size(cores, 1), FullMilliCores: cores * 1000, Started: now.Add(-time.Hour)}
+	if change != nil {
+		change(&r)
+	}
+	w := &p.Workers[i]
+	w.Running = append(w.Running, r)
+	w.Free = w.Free.Add(r.Reserved, -1)
+	w.Slots--
+	p.Prepare()
+}
+
+func TestJobThatCanNeverBePlacedSaysWhy(t *testing.T) {
+	p := pool(2, 32, 65536)
+	p.Teams["b"] = placement.Quota{Limit: size(4, 65536)}
+	for want, change := range map[string]func(*placement.Job){
+		"more than any worker": func(j *placement.Job) { j.Declared = size(33, 1) },
+		"whole quota":          func(j *placement.Job) { j.Team = "b" },
+		"has no quota":         func(j *placement.Job) { j.Team = "c" },
+	} {
+		j := job("j", 8, 1)
+		change(&j)
+		r := placement.Plan(p, []placement.Job{j}, placement.Policy{}, now)
+		require.Len(t, r.Decisions, 1)
+		assert.Equal(t, placement.Unplaceable, r.Decisions[0].Kind)
+		assert.Contains(t, r.Decisions[0].Reason, want)
+	}
+}
+
+func TestJobThatMustWaitSaysForWhat(t *testing.T) {
+	p := pool(3, 32, 65536)
+	run(p, 0, "x", 30, nil)
+	p.Workers[1].Standing = placement.SetAside
+	p.UrgentHold, p.UrgentPiece = 32000, size(32, 1)
+	p.Prepare()
+	j := job("j", 8, 1)
+	assert.Empty(t, placement.Plan(p, []placement.Job{j}, placement.Policy{}, now).Decisions)
+	assert.Equal(t, "waits for room (8 cores, 1 MB): of 3 workers 1 set aside, 1 without the cores, "+
+		"1 with room that is held back for urgent work", p.Explain(&j, placement.Policy{}))
+}
+
+func TestUrgentJobTakesTheHeldRoomAndTheRestIsKept(t *testing.T) {
+	p := pool(2, 32, 65536)
+	p.UrgentHold, p.UrgentPiece = 32000, size(16, 1)
+	p.Prepare()
+	urgent := job("u", 16, 1)
+	urgent.Urgent = true
+	r := placement.Plan(p, []placement.Job{job("a", 16, 1), job("b", 16, 1), job("c", 16, 1), urgent}, placement.Policy{}, now)
+	var placed []string
+	for _, d := range r.Decisions {
+		placed = append(placed, d.Job)
+	}
+	assert.Equal(t, []string{"u", "a"}, placed)
+}
+
+func TestUrgentJobDisturbsTheFewestWithTheLeastProgress(t *testing.T) {
+	checkpointable := func(ran time.Duration) func(*placement.Running) {
+		return func(r *placement.Running) { r.Checkpointable, r.Repeatable, r.Started = true, true, now.Add(-ran) }
+	}
+	p := pool(3, 32, 65536)
+	run(p, 0, "old", 30, checkpointable(time.Hour))
+	run(p, 1, "young", 30, checkpointable(time.Minute))
+	run(p, 2, "half-1", 15, checkpointable(time.Second))
+	run(p, 2, "half-2", 15, checkpointable(time.Second))
+	urgent := job("u", 30, 1)
+	urgent.Urgent = true
+	r := placement.Plan(p, []placement.Job{urgent, job("later", 8, 1)}, placement.Policy{}, now)
+	assert.Equal(t, []placement.Preemption{{Victim: "young", Worker: "w01", Action: record.PreemptCheckpoint, For: "u"}}, r.Preemptions)
+	assert.Empty(t, r.Decisions, "the room that is being made is not given to others")
+}
+
+func TestUrgentJobThrottlesWorkThatCannotBeCheckpointed(t *testing.T) {
+	p := pool(1, 32, 65536)
+	run(p, 0, "long", 32, nil)
+	urgent := job("u", 20, 1)
+	urgent.Urgent = true
+	r := placement.Plan(p, []placement.Job{urgent}, placement.Policy{}, now)
+	assert.Equal(t, []placement.Preemption{{Victim: "long", Worker: "w00", Action: record.PreemptThrottle, MilliCores: 8000, For: "u"}}, r.Preemptions)
+
+	p = pool(1, 32, 65536)
+	run(p, 0, "long", 8, func(r *placement.Running) { r.FullMilliCores = 32000 })
+	r = placement.Plan(p, nil, placement.Policy{}, now)
+	assert.Equal(t, []placement.Preemption{{Victim: "long", Worker: "w00", Action: record.PreemptRestore, MilliCores: 32000}}, r.Preemptions)
+}
+
+// A large job waits while small ones keep taking each room that comes free.
+// After StarvingAfter one worker is kept for it: small jobs go elsewhere.
+func TestLargeJobIsNotStarvedBySmallOnes(t *testing.T) {
+	p := pool(2, 32, 65536)
+	run(p, 0, "x", 4, func(r *placement.Running) { r.Ends = now.Add(time.Minute) })
+	run(p, 1, "y", 4, func(r *placement.Running) { r.Ends = now.Add(time.Hour) })
+	large := job("large", 32, 1)
+	large.Queued = now.Add(-placement.StarvingAfter)
+	r := placement.Plan(p, []placement.Job{large, job("small", 4, 1)}, placement.Policy{}, now)
+	require.Len(t, r.Decisions, 1)
+	assert.Equal(t, "w01", r.Decisions[0].Worker)
+}
+
+func TestTeamsTakeTurnsByTheirShareOfQuota(t *testing.T) {
+	p := pool(1, 4, 65536)
+	p.Teams["b"] = placement.Quota{Limit: size(4, 65536)}
+	var queue []placement.Job
+	for i := range 4 {
+		queue = append(queue, job(fmt.Sprintf("a%d", i), 1, 1))
+	}
+	for i := range 2 {
+		j := job(fmt.Sprintf("b%d", i), 1, 1)
+		j.Team, j.Submitted = "b", now.Add(time.Second)
+		queue = append(queue, j)
+	}
+	var placed []string
+	for _, d := range placement.Plan(p, queue, placement.Policy{}, now).Decisions {
+		placed = append(placed, d.Job)
+	}
+	assert.Equal(t, []string{"a0", "b0", "a1", "b1"}, placed)
+}
+
+func TestDoubtfulWorkerGetsOneRepeatableJobAtATime(t *testing.T) {
+	p := pool(1, 32, 65536)
+	p.Workers[0].Standing = placement.Doubtful
+	once := job("a-once", 1, 1)
+	once.Repeatable = false
+	r := placement.Plan(p, []placement.Job{once, job("b", 1, 1), job("c", 1, 1)}, placement.Policy{}, now)
+	require.Len(t, r.Decisions, 1)
+	assert.Equal(t, "b", r.Decisions[0].Job)
+}
+
+// Whatever the snapshot and the queue: no worker, slot or quota is exceeded,
+// the held room is not eaten by other work, and a job waits only where no
+// worker is free for it.
+func TestPlanKeepsEveryLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, queue := randomPool(t)
+		pol := placement.Policy{Rank: placement.Rank(rapid.IntRange(0, 2).Draw(t, "rank")), NoPreempt: true}
+		before := usable(p)
+		for i := range queue {
+			queue[i].Urgent = queue[i].Urgent && p.UrgentHold == 0
+		}
+		round := placement.Plan(p, queue, pol, now)
+		require.GreaterOrEqual(t, usable(p), min(before, p.UrgentHold), "room held back for urgent work was given away")
+		for _, w := range p.Workers {
+			require.True(t, ledger.Resources{}.Within(w.Free), "worker %s is overfilled: %+v", w.ID, w.Free)
+			require.GreaterOrEqual(t, w.Slots, 0)
+		}
+		for team, q := range p.Teams {
+			require.True(t, q.Used.Within(q.Limit), "team %s holds %+v of %+v", team, q.Used, q.Limit)
+		}
+		decided := map[string]bool{}
+		for _, d := range round.Decisions {
+			decided[d.Job] = true
+		}
+		for i := range queue {
+			if !decided[queue[i].ID] && len(round.Decisions) < 64 {
+				require.NotEqual(t, "is about to be placed", p.Explain(&queue[i], pol), queue[i].ID)
+			}
+		}
+	})
+}
+
+// usable counts the room for urgent jobs of the pool's piece, in thousandths of
+// a core.
+func usable(p *placement.Pool) int {
+	n := 0
+	for _, w := range p.Workers {
+		if w.Standing == placement.Open {
+			n += max(0, min(w.Slots, w.Free.MilliCores/p.UrgentPiece.MilliCores, w.Free.MemoryMB/p.UrgentPiece.MemoryMB))
+		}
+	}
+	return n * p.UrgentPiece.MilliCores
+}
+
+func randomPool(t *rapid.T) (*placement.Pool, []placement.Job) {
+	p := pool(rapid.IntRange(1, 6).Draw(t, "workers"), 16, 4096)
+	p.Teams["b"] = placement.Quota{Limit: size(rapid.IntRange(1, 40).Draw(t, "quota"), 1<<20)}
+	for i := range p.Workers {
+		p.Workers[i].Standing = placement.Standing(rapid.SampledFrom([]int{0, 0, 0, 1, 2, 3}).Draw(t, "standing"))
+		for k := range rapid.IntRange(0, 3).Draw(t, "running") {
+			run(p, i, fmt.Sprintf("r%d-%d", i, k), rapid.IntRange(1, 5).Draw(t, "cores"), nil)
+		}
+	}
+	p.UrgentHold = 1000 * rapid.SampledFrom([]int{0, 4, 16, 32}).Draw(t, "hold")
+	p.UrgentPiece = size(rapid.IntRange(1, 16).Draw(t, "piece"), 64)
+	p.Prepare()
+	var queue []placement.Job
+	for i := range rapid.IntRange(0, 30).Draw(t, "queue") {
+		j := job(fmt.Sprintf("j%02d", i), rapid.IntRange(1, 16).Draw(t, "cores"), rapid.IntRange(1, 4096).Draw(t, "memory"))
+		j.Team = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team")
+		j.Urgent = rapid.Bool().Draw(t, "urgent")
+		j.Repeatable = rapid.Bool().Draw(t, "repeatable")
+		j.Queued = now.Add(-time.Duration(rapid.IntRange(0, 20).Draw(t, "waited")) * time.Minute)
+		queue = append(queue, j)
+	}
+	return p, queue
+}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,236 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+)
+
+// Bounds of one planning round.
+const (
+	// maxRound bounds the placements of one round, so that a burst of
+	// submissions neither floods the log nor delays urgent work behind it.
+	maxRound = 64
+	// StarvingAfter is the wait after which a job that fits no worker gets one
+	// kept free for it.
+	StarvingAfter = 5 * time.Minute
+	// maxHeld bounds the workers kept for starving jobs, as a share of the pool.
+	maxHeld = 0.25
+)
+
+// Round is what one planning round decided.
+type Round struct {
+	Decisions []Decision // of jobs that do not wait
+	// Preemptions make room for urgent jobs that found none, and give throttled
+	// jobs their cores back.
+	Preemptions []Preemption
+}
+
+// Plan decides on the queue in one pass. It changes the snapshot as it goes.
+func Plan(p *Pool, queue []Job, pol Policy, now time.Time) Round {
+	var r Round
+	keepForStarving(p, queue, pol, now)
+	full := map[shape]bool{}
+	urgentWaits, restored := false, false
+	next := order(p, queue, pol)
+	for j := next(); j != nil && len(r.Decisions) < maxRound; j = next() {
+		if !j.Urgent && !restored && !urgentWaits {
+			r.Preemptions = append(r.Preemptions, p.restore(pol)...)
+			restored = true
+		}
+		if !full[shapeOf(j)] && !r.decide(p, j, pol, now) {
+			full[shapeOf(j)] = true
+			urgentWaits = urgentWaits || j.Urgent && p.quotaAllows(j)
+		}
+	}
+	if !restored && !urgentWaits {
+		r.Preemptions = append(r.Preemptions, p.restore(pol)...)
+	}
+	return r
+}
+
+// decide reports whether something was decided about the job.
+func (r *Round) decide(p *Pool, j *Job, pol Policy, now time.Time) bool {
+	d := p.Place(j, pol, now)
+	if d.Kind != Waits {
+		r.Decisions = append(r.Decisions, d)
+		return true
+	}
+	if !j.Urgent || pol.NoPreempt {
+		return false
+	}
+	pre, ok := p.MakeRoom(j, now)
+	r.Preemptions = append(r.Preemptions, pre...)
+	return ok
+}
+
+// shape is what decides whether a job fits: once one job of a shape found no
+// worker in a round, the others are not tried.
+type shape struct {
+	team       string
+	want       ledger.Resources
+	urgent     bool
+	repeatable bool
+	id         string // of a job with a history or worker of its own
+}
+
+func shapeOf(j *Job) shape {
+	s := shape{team: j.Team, want: j.Want, urgent: j.Urgent, repeatable: j.Repeatable}
+	if len(j.FailedOn) > 0 {
+		s.id = j.ID
+	}
+	return s
+}
+
+// order returns an iterator over the queue: urgent jobs first, then job by job
+// from the team that holds the smallest share of its quota. First come, first
+// served would let one team's burst keep the others waiting.
+func order(p *Pool, queue []Job, pol Policy) func() *Job {
+	sorted := make([]*Job, 0, len(queue))
+	for i := range queue {
+		sorted = append(sorted, &queue[i])
+	}
+	slices.SortFunc(sorted, func(a, b *Job) int {
+		if a.Urgent != b.Urgent {
+			return cmp.Compare(rankOf(b.Urgent), rankOf(a.Urgent))
+		}
+		if pol.MinMin {
+			return cmp.Or(cmp.Compare(a.RunTime, b.RunTime), cmp.Compare(a.ID, b.ID))
+		}
+		return cmp.Or(a.Submitted.Compare(b.Submitted), cmp.Compare(a.ID, b.ID))
+	})
+	urgent := 0
+	for urgent < len(sorted) && sorted[urgent].Urgent {
+		urgent++
+	}
+	if pol.FirstCome || pol.MinMin {
+		urgent = len(sorted)
+	}
+	return inTurn(p, sorted[:urgent], sorted[urgent:])
+}
+
+func rankOf(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// inTurn yields first as it is, then rest by the teams' shares.
+func inTurn(p *Pool, first, rest []*Job) func() *Job {
+	teams := map[string][]*Job{}
+	var names []string
+	for _, j := range rest {
+		if _, ok := teams[j.Team]; !ok {
+			names = append(names, j.Team)
+		}
+		teams[j.Team] = append(teams[j.Team], j)
+	}
+	slices.Sort(names)
+	return func() *Job {
+		if len(first) > 0 {
+			j := first[0]
+			first = first[1:]
+			return j
+		}
+		best := ""
+		bestShare := 0.0
+		for _, name := range names {
+			if len(teams[name]) == 0 {
+				continue
+			}
+			if s := dominantShare(p.Teams[name]); best == "" || s < bestShare {
+				best, bestShare = name, s
+			}
+		}
+		if best == "" {
+			return nil
+		}
+		j := teams[best][0]
+		teams[best] = teams[best][1:]
+		return j
+	}
+}
+
+// dominantShare is the largest share of its quota that a team holds of any
+// resource.
+func dominantShare(q Quota) float64 {
+	return max(
+		share(q.Used.MilliCores, q.Limit.MilliCores),
+		share(q.Used.MemoryMB, q.Limit.MemoryMB),
+		share(q.Used.Accelerators, q.Limit.Accelerators),
+	)
+}
+
+// keepForStarving keeps one worker's room for each job that has waited long.
+// Without it a job that needs most of a worker waits for ever while small ones
+// take each crumb of room that comes free.
+func keepForStarving(p *Pool, queue []Job, pol Policy, now time.Time) {
+	if pol.NoAging || len(p.Workers) < 2 {
+		return
+	}
+	var starving []*Job
+	for i := range queue {
+		if now.Sub(queue[i].Queued) >= StarvingAfter && p.Never(&queue[i]) == "" {
+			starving = append(starving, &queue[i])
+		}
+	}
+	slices.SortFunc(starving, func(a, b *Job) int {
+		return cmp.Or(a.Submitted.Compare(b.Submitted), cmp.Compare(a.ID, b.ID))
+	})
+	limit := max(1, int(maxHeld*float64(len(p.Workers))))
+	for _, j := range starving {
+		if limit == 0 {
+			return
+		}
+		if !p.quotaAllows(j) {
+			continue // waits for its team, not for a worker
+		}
+		if w := p.soonest(j, now); w != nil {
+			w.heldFor = j.ID
+			limit--
+		}
+	}
+}
+
+// soonest returns the worker on which the job's room is expected to be free
+// first, or nil.
+func (p *Pool) soonest(j *Job, now time.Time) *Worker {
+	var best *Worker
+	var bestAt time.Time
+	for i := range p.Workers {
+		w := &p.Workers[i]
+		if w.heldFor != "" || w.Standing != Open || !j.Want.Within(w.Capacity) || slices.Contains(j.FailedOn, w.ID) {
+			continue
+		}
+		at := w.freeAt(j.Want, now)
+		if best == nil || at.Before(bestAt) {
+			best, bestAt = w, at
+		}
+	}
+	return best
+}
+
+// freeAt returns when the room is expected to be free, if nothing else is
+// placed on the worker meanwhile.
+func (w *Worker) freeAt(want ledger.Resources, now time.Time) time.Time {
+	free, slots := w.Free, w.Slots
+	ends := slices.Clone(w.Running)
+	slices.SortFunc(ends, func(a, b Running) int {
+		return cmp.Or(a.Ends.Compare(b.Ends), cmp.Compare(a.Job, b.Job))
+	})
+	at := now
+	for _, r := range ends {
+		if slots > 0 && want.Within(free) {
+			return at
+		}
+		free = free.Add(r.Reserved, 1)
+		slots++
+		if r.Ends.After(at) {
+			at = r.Ends
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/internal/placement/preempt.go
@@ -0,0 +1,261 @@
+package placement
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Bounds of making room.
+const (
+	// throttleKeep is the part of its cores that a throttled job keeps, so that
+	// it goes on and its lease is worth renewing.
+	throttleKeep = 4 // one part in four
+	// maxExact bounds the victims that are tried in every combination.
+	maxExact = 8
+)
+
+// Preemption asks one placed job to make room for an urgent one.
+type Preemption struct {
+	Victim string
+	Worker string
+	Action record.PreemptAction
+	// MilliCores is what a throttled victim keeps.
+	MilliCores int
+	For        string
+}
+
+// cost of a way to make room: fewer is better, in the order of the fields.
+type cost struct {
+	once int           // jobs that are not repeatable
+	jobs int           // jobs disturbed
+	lost time.Duration // progress that a checkpoint may lose
+}
+
+func (c cost) compare(o cost) int {
+	return cmp.Or(cmp.Compare(c.once, o.once), cmp.Compare(c.jobs, o.jobs), cmp.Compare(c.lost, o.lost))
+}
+
+// MakeRoom chooses the jobs that make room for an urgent job that found none:
+// the fewest on one worker, by throttling where cores alone lack, else by
+// checkpointing those with the least progress. It reserves the room in the
+// snapshot, so that other jobs do not take it.
+func (p *Pool) MakeRoom(j *Job, now time.Time) ([]Preemption, bool) {
+	if !p.quotaAllows(j) {
+		return nil, false
+	}
+	var best *Worker
+	var bestSet []Preemption
+	var bestCost cost
+	for i := range p.Workers {
+		w := &p.Workers[i]
+		if w.Standing != Open || !j.Want.Within(w.Capacity) || slices.Contains(j.FailedOn, w.ID) {
+			continue
+		}
+		set, c, ok := w.cheapest(j, now)
+		if ok && (best == nil || c.compare(bestCost) < 0) {
+			best, bestSet, bestCost = w, set, c
+		}
+	}
+	if best == nil {
+		return nil, false
+	}
+	p.usable -= p.urgentRoom(best)
+	best.yield(bestSet)
+	p.usable += p.urgentRoom(best)
+	p.take(best, j, now)
+	return bestSet, true
+}
+
+// cheapest returns the cheapest way to make room on the worker.
+func (w *Worker) cheapest(j *Job, now time.Time) ([]Preemption, cost, bool) {
+	coming, comingSlots := w.coming()
+	lack := shortfall(j.Want, w.Free.Add(coming, 1))
+	slotLacks := w.Slots+comingSlots <= 0
+	if lack == (ledger.Resources{}) && !slotLacks {
+		return nil, cost{}, true // room that is being made already
+	}
+	throttle, tc, canThrottle := w.subset(j, lack, slotLacks, record.PreemptThrottle, now)
+	checkpoint, cc, canCheckpoint := w.subset(j, lack, slotLacks, record.PreemptCheckpoint, now)
+	if canThrottle && (!canCheckpoint || tc.compare(cc) <= 0) {
+		return throttle, tc, true
+	}
+	return checkpoint, cc, canCheckpoint
+}
+
+// coming is the room that decided actions will free.
+func (w *Worker) coming() (ledger.Resources, int) {
+	var sum ledger.Resources
+	slots := 0
+	for _, r := range w.Running {
+		sum = sum.Add(r.Coming, 1)
+		slots += r.ComingSlots
+	}
+	return sum, slots
+}
+
+func shortfall(want, free ledger.Resources) ledger.Resources {
+	return ledger.Resources{
+		MilliCores:   max(0, want.MilliCores-free.MilliCores),
+		MemoryMB:     max(0, want.MemoryMB-free.MemoryMB),
+		Accelerators: max(0, want.Accelerators-free.Accelerators),
+	}
+}
+
+// frees returns the room that the action on a running job frees.
+func (r *Running) frees(action record.PreemptAction) (ledger.Resources, bool) {
+	if r.Urgent || r.Pending {
+		return ledger.Resources{}, false
+	}
+	if action == record.PreemptCheckpoint {
+		return r.Reserved, r.Checkpointable
+	}
+	gain := r.Reserved.MilliCores - r.FullMilliCores/throttleKeep
+	return ledger.Resources{MilliCores: gain}, gain > 0 && r.FullMilliCores >= throttleKeep
+}
+
+// subset finds the cheapest set of running jobs that frees enough by one
+// action. Up to maxExact victims every combination is tried.
+func (w *Worker) subset(j *Job, lack ledger.Resources, slotLacks bool, action record.PreemptAction, now time.Time) ([]Preemption, cost, bool) {
+	if action == record.PreemptThrottle && (slotLacks || lack.MemoryMB > 0 || lack.Accelerators > 0) {
+		return nil, cost{}, false
+	}
+	victims := w.victims(action, now)
+	var best uint
+	var bestCost cost
+	found := false
+	for mask := uint(1); mask < 1<<len(victims); mask++ {
+		if found && bits.OnesCount(mask) > bestCost.jobs && bestCost.once == 0 {
+			continue
+		}
+		var freed ledger.Resources
+		var c cost
+		for i := range victims {
+			if mask&(1<<i) != 0 {
+				freed = freed.Add(victims[i].freed, 1)
+				c = c.plus(victims[i].cost)
+			}
+		}
+		if lack.Within(freed) && (!found || c.compare(bestCost) < 0) {
+			best, bestCost, found = mask, c, true
+		}
+	}
+	if !found {
+		return nil, cost{}, false
+	}
+	var set []Preemption
+	for i, v := range victims {
+		if best&(1<<i) != 0 {
+			set = append(set, v.preemption(w, j, action))
+		}
+	}
+	return set, bestCost, true
+}
+
+func (c cost) plus(o cost) cost {
+	return cost{once: c.once + o.once, jobs: c.jobs + o.jobs, lost: c.lost + o.lost}
+}
+
+// victim is a running job that can make room.
+type victim struct {
+	running *Running
+	freed   ledger.Resources
+	cost    cost
+}
+
+// victims lists the jobs that the action can be taken on, the largest first and
+// at most maxExact.
+func (w *Worker) victims(action record.PreemptAction, now time.Time) []victim {
+	var list []victim
+	for i := range w.Running {
+		r := &w.Running[i]
+		freed, ok := r.frees(action)
+		if !ok {
+			continue
+		}
+		v := victim{running: r, freed: freed, cost: cost{jobs: 1}}
+		if action == record.PreemptCheckpoint {
+			v.cost.lost = now.Sub(r.Started)
+			v.cost.once = rankOf(!r.Repeatable)
+		}
+		list = append(list, v)
+	}
+	slices.SortFunc(list, func(a, b victim) int {
+		return cmp.Or(
+			cmp.Compare(b.freed.MilliCores, a.freed.MilliCores),
+			cmp.Compare(b.freed.MemoryMB, a.freed.MemoryMB),
+			cmp.Compare(a.running.Job, b.running.Job),
+		)
+	})
+	return list[:min(len(list), maxExact)]
+}
+
+func (v victim) preemption(w *Worker, j *Job, action record.PreemptAction) Preemption {
+	pre := Preemption{Victim: v.running.Job, Worker: w.ID, Action: action, For: j.ID}
+	if action == record.PreemptThrottle {
+		pre.MilliCores = v.running.Reserved.MilliCores - v.freed.MilliCores
+	}
+	return pre
+}
+
+// restore gives throttled jobs their cores back where room has come free that
+// neither urgent work nor its reserve needs.
+func (p *Pool) restore(pol Policy) []Preemption {
+	var list []Preemption
+	for i := range p.Workers {
+		w := &p.Workers[i]
+		for k := range w.Running {
+			r := &w.Running[k]
+			gain := ledger.Resources{MilliCores: r.Throttled()}
+			if gain.MilliCores <= 0 || r.Pending || !p.mayGrow(w, r, gain, pol) {
+				continue
+			}
+			list = append(list, Preemption{
+				Victim:     r.Job,
+				Worker:     w.ID,
+				Action:     record.PreemptRestore,
+				MilliCores: r.FullMilliCores,
+			})
+			p.usable -= p.urgentRoom(w)
+			w.Free = w.Free.Add(gain, -1)
+			p.usable += p.urgentRoom(w)
+			q := p.Teams[r.Team]
+			q.Used = q.Used.Add(gain, 1)
+			p.Teams[r.Team] = q
+			r.Reserved = r.Reserved.Add(gain, 1)
+			r.Pending = true
+		}
+	}
+	return list
+}
+
+func (p *Pool) mayGrow(w *Worker, r *Running, gain ledger.Resources, pol Policy) bool {
+	q := p.Teams[r.Team]
+	if !gain.Within(w.Free) || !q.Used.Add(gain, 1).Within(q.Limit) {
+		return false
+	}
+	return pol.IgnoreHold || !p.eatsHold(w, gain, 0)
+}
+
+// yield marks the victims and adds the room they free.
+func (w *Worker) yield(set []Preemption) {
+	for _, pre := range set {
+		for i := range w.Running {
+			r := &w.Running[i]
+			if r.Job != pre.Victim {
+				continue
+			}
+			freed, _ := r.frees(pre.Action)
+			w.Free = w.Free.Add(freed, 1)
+			if pre.Action == record.PreemptCheckpoint {
+				w.Slots++
+			}
+			r.Pending = true
+			r.Reserved = r.Reserved.Add(freed, -1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/snapshot.go
@@ -0,0 +1,248 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Knowledge is what a driver knows beyond the folded state. Nil functions mean
+// that it knows nothing.
+type Knowledge struct {
+	// Want returns what to reserve for a job.
+	Want func(*ledger.Job) ledger.Resources
+	// RunTime returns how long a job is expected to run.
+	RunTime func(*ledger.Job) time.Duration
+	// Standing returns how far a serving worker may be used.
+	Standing func(*ledger.VM) Standing
+	// Measured returns what the worker's tasks were last seen to use; zero when
+	// not known.
+	Measured func(worker string) ledger.Resources
+	// Applied reports whether the platform has carried a preemption out.
+	Applied func(id string) bool
+}
+
+func (k Knowledge) withDefaults() Knowledge {
+	if k.Want == nil {
+		k.Want = declared
+	}
+	if k.RunTime == nil {
+		k.RunTime = func(j *ledger.Job) time.Duration { return j.Spec.RunTime }
+	}
+	if k.Standing == nil {
+		k.Standing = func(vm *ledger.VM) Standing {
+			switch {
+			case vm.Quarantined:
+				return SetAside
+			case vm.ProbationLeft > 0:
+				return Probation
+			}
+			return Open
+		}
+	}
+	if k.Measured == nil {
+		k.Measured = func(string) ledger.Resources { return ledger.Resources{} }
+	}
+	if k.Applied == nil {
+		k.Applied = func(string) bool { return true }
+	}
+	return k
+}
+
+func declared(j *ledger.Job) ledger.Resources {
+	return ledger.Resources{MilliCores: j.Spec.MilliCores, MemoryMB: j.Spec.MemoryMB, Accelerators: j.Spec.Accelerators}
+}
+
+// FromState takes a snapshot of a service's pool and queue. It keeps nothing of
+// the state.
+func FromState(st *ledger.State, service string, k Knowledge) (*Pool, []Job) {
+	k = k.withDefaults()
+	p := &Pool{Name: service, Teams: map[string]Quota{}}
+	svc, ok := st.Services[service]
+	if !ok {
+		return p, nil
+	}
+	for _, q := range svc.Doc.Quotas {
+		p.Teams[q.Team] = Quota{
+			Limit: ledger.Resources{MilliCores: q.MilliCores, MemoryMB: q.MemoryMB, Accelerators: q.Accelerators},
+			Used:  st.TeamUse(service, q.Team),
+		}
+	}
+	for _, vm := range st.PoolVMs(service) {
+		if vm.Serving() {
+			p.Workers = append(p.Workers, worker(st, vm, svc.Doc.Limits.Slots, k))
+		}
+	}
+	slices.SortFunc(p.Workers, func(a, b Worker) int { return cmp.Compare(a.ID, b.ID) })
+	var queue []Job
+	for _, j := range st.PoolJobs(service) {
+		p.noteUrgent(j)
+		if j.Status == ledger.JobQueued {
+			queue = append(queue, queued(j, k))
+		}
+	}
+	slices.SortFunc(queue, func(a, b Job) int { return cmp.Compare(a.ID, b.ID) })
+	if len(queue) > 0 {
+		p.Admitted = admitted(st, svc.Doc.Pool)
+	}
+	p.clamp(queue)
+	p.hold(svc.Doc.Jobs.UrgentMilliCores)
+	p.Prepare()
+	return p, queue
+}
+
+func worker(st *ledger.State, vm *ledger.VM, slots int, k Knowledge) Worker {
+	w := Worker{
+		ID:       vm.ID,
+		Zone:     vm.Zone,
+		Rack:     vm.Rack,
+		Capacity: vm.Resources(),
+		Standing: k.Standing(vm),
+	}
+	var used ledger.Resources
+	for _, j := range st.WorkerJobs(vm.ID) {
+		r := running(j, k)
+		used = used.Add(r.Reserved, 1)
+		if r.Coming != (ledger.Resources{}) && r.ComingSlots == 0 {
+			used = used.Add(r.Coming, 1)
+		}
+		w.Running = append(w.Running, r)
+	}
+	slices.SortFunc(w.Running, func(a, b Running) int { return cmp.Compare(a.Job, b.Job) })
+	measured := k.Measured(vm.ID)
+	used.MilliCores = max(used.MilliCores, measured.MilliCores)
+	used.MemoryMB = max(used.MemoryMB, measured.MemoryMB)
+	w.Free = w.Capacity.Add(used, -1)
+	if slots <= 0 {
+		slots = document.DefaultSlots
+	}
+	w.Slots = slots - len(w.Running)
+	return w
+}
+
+// running describes a placed job. A throttle that the platform has not carried
+// out yet still holds the cores that it will give up.
+func running(j *ledger.Job, k Knowledge) Running {
+	r := Running{
+		Job:            j.ID,
+		Team:           j.Spec.Team,
+		Reserved:       j.Reserved(),
+		FullMilliCores: j.FullMilliCores,
+		Urgent:         j.Spec.Urgent,
+		Repeatable:     j.Spec.Repeatable,
+		Checkpointable: j.Spec.Checkpointable,
+		Started:        j.StartedAt,
+		Ends:           j.StartedAt.Add(k.RunTime(j)),
+	}
+	if j.Preempt == nil {
+		return r
+	}
+	switch j.Preempt.Action {
+	case record.PreemptCheckpoint:
+		r.Pending, r.Coming, r.ComingSlots = true, r.Reserved, 1
+	case record.PreemptThrottle:
+		if !k.Applied(j.Preempt.ID) {
+			r.Pending, r.Coming = true, ledger.Resources{MilliCores: r.Throttled()}
+		}
+	}
+	return r
+}
+
+func queued(j *ledger.Job, k Knowledge) Job {
+	q := Job{
+		ID:             j.ID,
+		Team:           j.Spec.Team,
+		Want:           k.Want(j),
+		Declared:       declared(j),
+		Urgent:         j.Spec.Urgent,
+		Repeatable:     j.Spec.Repeatable,
+		Checkpointable: j.Spec.Checkpointable,
+		Submitted:      j.SubmittedAt,
+		Queued:         j.QueuedAt,
+		RunTime:        k.RunTime(j),
+	}
+	for _, f := range j.Failures {
+		q.FailedOn = append(q.FailedOn, f.Worker)
+	}
+	return q
+}
+
+// admitted returns the sizes of VMs that the pool's needs admit, sorted.
+func admitted(st *ledger.State, needs document.Pool) []ledger.Resources {
+	seen := map[ledger.Resources]bool{}
+	for _, vm := range st.VMs {
+		if vm.Cores >= needs.MinCores && vm.MemoryMB >= needs.MinMemoryMB && vm.Accelerators >= needs.MinAccelerators {
+			seen[vm.Resources()] = true
+		}
+	}
+	return slices.SortedFunc(maps.Keys(seen), func(a, b ledger.Resources) int {
+		return cmp.Or(
+			cmp.Compare(a.MilliCores, b.MilliCores),
+			cmp.Compare(a.MemoryMB, b.MemoryMB),
+			cmp.Compare(a.Accelerators, b.Accelerators),
+		)
+	})
+}
+
+// most returns the most of each resource that one of the sizes has.
+func most(sizes []ledger.Resources) ledger.Resources {
+	var m ledger.Resources
+	for _, r := range sizes {
+		m.MilliCores = max(m.MilliCores, r.MilliCores)
+		m.MemoryMB = max(m.MemoryMB, r.MemoryMB)
+		m.Accelerators = max(m.Accelerators, r.Accelerators)
+	}
+	return m
+}
+
+// clamp keeps corrected sizes placeable: what a job declares fits, so what is
+// learnt about it must not make it wait for ever. Beyond the declared size it
+// reserves no more than the quota and the smallest worker that takes it.
+func (p *Pool) clamp(queue []Job) {
+	for i := range queue {
+		j := &queue[i]
+		limit := p.Teams[j.Team].Limit
+		for _, size := range p.Admitted {
+			if j.Declared.Within(size) {
+				limit.MilliCores = min(limit.MilliCores, size.MilliCores)
+				limit.MemoryMB = min(limit.MemoryMB, size.MemoryMB)
+				break
+			}
+		}
+		j.Want.MilliCores = min(j.Want.MilliCores, max(limit.MilliCores, j.Declared.MilliCores))
+		j.Want.MemoryMB = min(j.Want.MemoryMB, max(limit.MemoryMB, j.Declared.MemoryMB))
+	}
+}
+
+// noteUrgent grows the urgent piece to the size of the pool's urgent jobs.
+func (p *Pool) noteUrgent(j *ledger.Job) {
+	if !j.Spec.Urgent {
+		return
+	}
+	d := declared(j)
+	p.UrgentPiece.MilliCores = max(p.UrgentPiece.MilliCores, d.MilliCores)
+	p.UrgentPiece.MemoryMB = max(p.UrgentPiece.MemoryMB, d.MemoryMB)
+	p.UrgentPiece.Accelerators = max(p.UrgentPiece.Accelerators, d.Accelerators)
+}
+
+// hold sets the room held back. While no urgent job has been seen, one piece is
+// taken to be half of the smallest worker.
+func (p *Pool) hold(milliCores int) {
+	p.UrgentHold = milliCores
+	if milliCores <= 0 || len(p.Workers) == 0 {
+		return
+	}
+	smallest := p.Workers[0].Capacity.MilliCores
+	for i := range p.Workers {
+		smallest = min(smallest, p.Workers[i].Capacity.MilliCores)
+	}
+	if p.UrgentPiece.MilliCores == 0 {
+		p.UrgentPiece = ledger.Resources{MilliCores: smallest / 2}
+	}
+	p.UrgentPiece.MilliCores = max(1, min(p.UrgentPiece.MilliCores, smallest, milliCores))
+}
