--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
@@ -46,6 +47,17 @@
 	return refusal(fmt.Sprintf(format, args...))
 }
 
+// maxReason bounds texts that the state keeps.
+const maxReason = 1000
+
+// clip shortens a text to maxReason bytes, at a character's boundary.
+func clip(text string) string {
+	if len(text) <= maxReason {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxReason], "") + " ..."
+}
+
 // ApplyData folds the raw entry at offset.
 func (s *State) ApplyData(offset uint64, data []byte) Outcome {
 	rec, err := record.Decode(data)
@@ -65,15 +77,13 @@
 // surfaced minutes later could take effect behind its author's back.
 func (s *State) Apply(offset uint64, rec record.Record) Outcome {
 	s.advance(offset)
+	s.tick(rec)
 	out := Outcome{Offset: offset, ID: rec.ID, Kind: rec.Body.Kind(), Subject: rec.Subject}
 	if status, reason := s.current(rec); status != Effective {
 		out.Status, out.Reason = status, reason
 		out.Current = s.Revision(rec.Subject)
 		return out
 	}
-	if rec.Time.After(s.Now) {
-		s.Now = rec.Time.UTC().Round(0)
-	}
 	no := s.applyBody(rec)
 	out.Status = Effective
 	if no != allowed {
@@ -112,7 +122,7 @@
 // Suspicions of several members about one member must not void each other.
 func checksBase(b record.Body) bool {
 	switch b.(type) {
-	case record.MemberSuspect, record.MemberTrust:
+	case record.MemberSuspect, record.MemberTrust, record.ClockWitness:
 		return false
 	}
 	return true
@@ -137,6 +147,9 @@
 	if rec.Base != 0 {
 		return Stale, fmt.Sprintf("%s does not exist (any more)", rec.Subject)
 	}
+	if rec.Seen >= s.Offset {
+		return Stale, fmt.Sprintf("the record claims to have seen offset %d, which is not before its own", rec.Seen)
+	}
 	if rec.Seen+RetiredSpan < s.Offset {
 		return Stale, fmt.Sprintf("the record arrived more than %d offsets after it was written", RetiredSpan)
 	}
@@ -200,6 +213,9 @@
 	case record.JobPreempt:
 		return s.preemptJob(rec, b)
 	}
+	if _, ok := rec.Body.(record.ClockWitness); ok {
+		return allowed // its time was all it had to say
+	}
 	return refusef("no rule for %s", rec.Body.Kind())
 }
 
@@ -224,5 +240,8 @@
 	case record.JobSubmit, record.JobPlace, record.JobEnd, record.JobCancel, record.JobPreempt:
 		return record.SubjectJob
 	}
+	if _, ok := b.(record.ClockWitness); ok {
+		return record.SubjectClock
+	}
 	return record.SubjectVM
 }
--- a/internal/ledger/budget.go
+++ b/internal/ledger/budget.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/record"
@@ -29,11 +30,11 @@
 	return []Cause{CauseMaintenance, CauseMove, CauseOperator, CauseFailure, CauseMissing}
 }
 
-// Segment is a stretch of time in which a pool's unavailability was constant.
+// Segment is the stretch of time since a pool's counts last changed.
 type Segment struct {
 	From  time.Time       `json:"from"`
-	To    time.Time       `json:"to"`
 	Short int             `json:"short"` // VMs missing to the declared size
+	Spare int             `json:"spare"` // VMs serving beyond it
 	Size  int             `json:"size"`
 	Out   [causeCount]int `json:"out"` // VMs out of service by cause
 }
@@ -43,14 +44,20 @@
 // as serving at the offset of its drain, and counts again when it is seen
 // healthy, whatever the platform's lagging list says meanwhile.
 type Account struct {
-	// Open is the segment in progress; its To is unset.
-	Open Segment `json:"open"`
-	// Closed holds the segments with Short > 0 that end inside the window.
-	Closed []Segment `json:"closed,omitempty"`
-	// Idle is the VM-seconds of VMs that served beyond the declared size.
-	Idle float64 `json:"idle"`
-	// Spare is how many VMs serve beyond the declared size now.
-	Spare int `json:"spare"`
+	// Since is when the account was opened.
+	Since time.Time `json:"since"`
+	Open  Segment   `json:"open"`
+	// Closed holds what was spent before Open, oldest first.
+	Closed []Charge `json:"closed,omitempty"`
+	// SpareTotal is the VM-milliseconds of spare VMs from Since to Open.From.
+	SpareTotal int64 `json:"spare_total"`
+	// Events counts what took VMs out of service, by cause.
+	Events [causeCount]int `json:"events"`
+	// Moves counts VMs that came from other pools, Reboots those rebooted.
+	Moves   int `json:"moves"`
+	Reboots int `json:"reboots"`
+	// Lasted holds how long the latest drains lasted, oldest first.
+	Lasted []time.Duration `json:"lasted,omitempty"`
 	// GapSince is since when the pool has had fewer healthy VMs than its size,
 	// SurplusSince since when it has had more; zero when it has not. Planning
 	// waits by them, so that a change that is soon taken back moves no VM.
@@ -82,32 +89,37 @@
 // Unavailability returns the counts of a pool.
 func (s *State) Unavailability(pool string) Unavailability {
 	var u Unavailability
-	svc, ok := s.Services[pool]
-	if ok {
+	if svc, ok := s.Services[pool]; ok {
 		u.Size = svc.Doc.Pool.Size
 	}
-	vms := s.poolVMs[pool]
-	for _, vm := range vms {
-		if vm.Serving() {
-			u.Serving++
-			continue
-		}
+	members, out := len(s.poolVMs[pool]), s.poolOut[pool]
+	for _, vm := range out {
 		u.Out[outCause(vm)]++
 	}
+	u.Serving = members - len(out)
 	u.Short = max(0, u.Size-u.Serving)
-	u.Out[CauseMissing] = max(0, u.Size-len(vms))
+	u.Out[CauseMissing] = max(0, u.Size-members)
 	return u
 }
 
-// outCause says what keeps a VM out. A VM that was drained and then found
-// unhealthy, as one that did not come back from its reboot, counts as failed.
+// outCause says what keeps a VM out of service. A VM that was drained and then
+// found unhealthy, as one that did not come back from its reboot, counts as
+// failed; one that has joined and was not seen healthy yet, as moved.
 func outCause(vm *VM) Cause {
 	switch {
-	case vm.Drain == nil || vm.Down:
+	case vm.Down:
 		return CauseFailure
-	case vm.Drain.Reason == record.DrainMaintenance:
+	case vm.Drain == nil:
+		return CauseMove
+	}
+	return drainCause(vm.Drain.Reason)
+}
+
+func drainCause(r record.DrainReason) Cause {
+	switch r {
+	case record.DrainMaintenance:
 		return CauseMaintenance
-	case vm.Drain.Reason == record.DrainMove:
+	case record.DrainMove:
 		return CauseMove
 	}
 	return CauseOperator
@@ -120,81 +132,65 @@
 	if !ok {
 		return
 	}
-	a := &svc.Account
 	u := s.Unavailability(pool)
-	a.balance(s.Healthy(pool), u.Size, s.Now)
-	next := Segment{From: s.Now, Short: u.Short, Size: u.Size, Out: u.Out}
-	spare := max(0, u.Serving-u.Size)
-	if a.Open.Short == next.Short && a.Open.Out == next.Out && a.Open.Size == next.Size && a.Spare == spare {
-		return
+	svc.Account.balance(s.Healthy(pool), u.Size, s.Now)
+	svc.Account.update(s, Segment{
+		From:  s.Now,
+		Short: u.Short,
+		Spare: max(0, u.Serving-u.Size),
+		Size:  u.Size,
+		Out:   u.Out,
+	}, max(keepCharges, svc.Doc.Budget.Window))
+}
+
+// accountReserve does the same for the VMs that are in no pool.
+func (s *State) accountReserve() {
+	s.Reserve.update(s, Segment{From: s.Now, Spare: len(s.free)}, keepCharges)
+}
+
+func (a *Account) update(s *State, next Segment, keep time.Duration) {
+	if a.Since.IsZero() {
+		a.Since = s.Now
 	}
-	if !a.Open.From.IsZero() {
-		a.Idle += float64(a.Spare) * s.Now.Sub(a.Open.From).Seconds()
+	if a.Open.same(next) {
+		return
 	}
-	if a.Open.Short > 0 && s.Now.After(a.Open.From) {
-		closed := a.Open
-		closed.To = s.Now
-		a.Closed = append(a.Closed, closed)
+	a.put(next, s.Now)
+	end := s.Now
+	if before, ok := s.Clock.doubtful(); ok {
+		end = before
 	}
-	a.Open = next
-	a.Spare = spare
-	a.prune(s.Now.Add(-svc.Doc.Budget.Window))
+	a.prune(end.Add(-keep))
 }
 
-func (a *Account) prune(before time.Time) {
-	n := 0
-	for n < len(a.Closed) && !a.Closed[n].To.After(before) {
-		n++
-	}
-	a.Closed = a.Closed[n:]
+// same reports whether two segments differ in nothing but their beginning.
+func (s Segment) same(o Segment) bool {
+	o.From = s.From
+	return s == o
 }
 
-// Spent returns the VM-seconds charged between from and to.
-func (a *Account) Spent(from, to time.Time) float64 {
-	var sum float64
-	for _, seg := range a.Closed {
-		sum += overlap(seg.From, seg.To, from, to) * float64(seg.Short)
-	}
-	return sum + overlap(a.Open.From, to, from, to)*float64(a.Open.Short)
-}
+// lastedMax is how many drains an account remembers, lastedMin how many it takes
+// before they correct an estimate.
+const (
+	lastedMax = 16
+	lastedMin = 3
+)
 
-// SpentBy divides what was charged between from and to among its causes, in
-// proportion to the VMs that each cause had out of service.
-func (a *Account) SpentBy(from, to time.Time) [causeCount]float64 {
-	var by [causeCount]float64
-	add := func(seg Segment, end time.Time) {
-		seconds := overlap(seg.From, end, from, to) * float64(seg.Short)
-		total := 0
-		for _, n := range seg.Out {
-			total += n
-		}
-		if total == 0 {
-			return
-		}
-		for c, n := range seg.Out {
-			by[c] += seconds * float64(n) / float64(total)
-		}
-	}
-	for _, seg := range a.Closed {
-		add(seg, seg.To)
+func (a *Account) drainLasted(d time.Duration) {
+	a.Lasted = append(a.Lasted, d)
+	if len(a.Lasted) > lastedMax {
+		a.Lasted = slices.Clone(a.Lasted[len(a.Lasted)-lastedMax:])
 	}
-	add(a.Open, to)
-	return by
 }
 
-// overlap returns the seconds that [from, to) and [lo, hi) share.
-func overlap(from, to, lo, hi time.Time) float64 {
-	if from.IsZero() {
-		return 0
-	}
-	if from.Before(lo) {
-		from = lo
-	}
-	if to.After(hi) {
-		to = hi
-	}
-	if !to.After(from) {
+// Typical returns how long three quarters of the pool's latest drains lasted at
+// most, 0 when too few are known. Estimates below it are raised to it: a
+// planner whose estimates are far too small would else overspend the budget
+// with every drain.
+func (a *Account) Typical() time.Duration {
+	if len(a.Lasted) < lastedMin {
 		return 0
 	}
-	return to.Sub(from).Seconds()
+	sorted := slices.Sorted(slices.Values(a.Lasted))
+	return sorted[(3*len(sorted)-1)/4]
 }
--- /dev/null
+++ b/internal/ledger/drain.go
@@ -0,0 +1,192 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+func (s *State) drainVM(rec record.Record, b record.VMDrain) refusal {
+	vm, no := s.vm(rec)
+	if no != allowed {
+		return no
+	}
+	if vm.Phase != record.PhaseServing {
+		return refusef("VM %s is %s; only a serving VM can be drained", vm.ID, vm.Phase)
+	}
+	if no := soundDrain(b); no != allowed {
+		return no
+	}
+	if no := s.mayJoinWave(vm, b); no != allowed {
+		return no
+	}
+	if no := s.mayLeave(vm, b.Target, b.Release); no != allowed {
+		return no
+	}
+	if no := s.mayDisturb(vm, b); no != allowed {
+		return no
+	}
+	if no := s.mayCharge(vm, b); no != allowed {
+		return no
+	}
+	vm.Drains++
+	s.changeVM(vm, func() {
+		vm.Drain = &Drain{
+			Reason:   b.Reason,
+			Wave:     b.Wave,
+			Target:   b.Target,
+			Release:  b.Release,
+			Fence:    s.Offset,
+			ID:       rec.ID,
+			Since:    s.Now,
+			Estimate: b.Estimate,
+		}
+		s.enter(vm, record.PhaseDraining)
+	})
+	s.countEvent(vm.Pool, drainCause(b.Reason))
+	if b.Wave != "" {
+		s.markWave(s.Waves[b.Wave], vm.ID, WaveOut)
+	}
+	return allowed
+}
+
+// MaxEstimate is the longest estimate of a drain.
+const MaxEstimate = 7 * 24 * time.Hour
+
+// soundDrain refuses a drain that makes no sense by itself. A negative estimate
+// would lower what the budget check adds to what is spent.
+func soundDrain(b record.VMDrain) refusal {
+	switch b.Reason {
+	case record.DrainMaintenance, record.DrainMove, record.DrainOperator:
+	default:
+		return refusef("%q is no reason for a drain", b.Reason)
+	}
+	if b.Estimate < 0 || b.Estimate > MaxEstimate {
+		return refusef("an estimate of %s; it is 0 to %s", b.Estimate, MaxEstimate)
+	}
+	return allowed
+}
+
+// mayTarget refuses a drain to a pool that could not take the VM.
+func (s *State) mayTarget(vm *VM, target string) refusal {
+	if target == "" {
+		return allowed
+	}
+	svc, ok := s.Services[target]
+	if !ok {
+		return refusef("there is no pool %q to move to", target)
+	}
+	return vm.fits(target, svc.Doc.Pool)
+}
+
+// fits refuses a VM that is too small for a pool.
+func (v *VM) fits(pool string, need document.Pool) refusal {
+	if v.Cores >= need.MinCores && v.MemoryMB >= need.MinMemoryMB && v.Accelerators >= need.MinAccelerators {
+		return allowed
+	}
+	return refusef("VM %s with %d cores, %d MB and %d accelerators is too small for pool %s",
+		v.ID, v.Cores, v.MemoryMB, v.Accelerators, pool)
+}
+
+// mayDisturb refuses to drain a VM whose jobs may not be disturbed, by the
+// document of its pool. An operator's drain goes on and waits for them.
+func (s *State) mayDisturb(vm *VM, b record.VMDrain) refusal {
+	svc, ok := s.Services[vm.Pool]
+	if !ok || b.Reason == record.DrainOperator || svc.Doc.Jobs.OnDrain != document.LongJobsSkip {
+		return allowed
+	}
+	if n := len(s.workerJobs[vm.ID]); n > 0 {
+		return refusef("VM %s runs %d jobs and pool %s has jobs.on_drain = %q; its turn comes when they have ended",
+			vm.ID, n, vm.Pool, document.LongJobsSkip)
+	}
+	return allowed
+}
+
+func (s *State) mayJoinWave(vm *VM, b record.VMDrain) refusal {
+	if b.Wave == "" {
+		return allowed
+	}
+	w, ok := s.Waves[b.Wave]
+	if !ok {
+		return refusef("there is no wave %s", b.Wave)
+	}
+	if w.Status != WaveRunning {
+		return refusef("wave %s is %s", w.ID, w.Status)
+	}
+	if w.VMs[vm.ID] != WavePending {
+		return refusef("VM %s has no turn left in wave %s", vm.ID, w.ID)
+	}
+	return allowed
+}
+
+// mayLeave refuses to take a healthy VM away from a pool that would have too few
+// left. Two planners that each saw one VM too many would else take two.
+func (s *State) mayLeave(vm *VM, target string, release bool) refusal {
+	if target != "" && release {
+		return refusef("a drain cannot have both a target pool and a release")
+	}
+	if target == "" && !release {
+		return allowed
+	}
+	if target == vm.Pool {
+		return refusef("VM %s is in pool %s already", vm.ID, vm.Pool)
+	}
+	if no := s.mayTarget(vm, target); no != allowed {
+		return no
+	}
+	svc, ok := s.Services[vm.Pool]
+	if !ok || vm.Down {
+		return allowed
+	}
+	if n, size := s.Healthy(vm.Pool), svc.Doc.Pool.Size; n <= size {
+		return refusef("pool %s has %d healthy VMs for size %d; none to give away", vm.Pool, n, size)
+	}
+	return allowed
+}
+
+// redirectVM changes where a drain in progress leads.
+func (s *State) redirectVM(rec record.Record, b record.VMRedirect) refusal {
+	vm, no := s.vm(rec)
+	if no != allowed {
+		return no
+	}
+	if !vm.Redirectable() {
+		return refusef("VM %s has no drain that could lead elsewhere", vm.ID)
+	}
+	if no := s.mayLeave(vm, b.Target, b.Release); no != allowed {
+		return no
+	}
+	s.changeVM(vm, func() { vm.Drain.Target, vm.Drain.Release = b.Target, b.Release })
+	return allowed
+}
+
+// Healthy counts the VMs that stay in the pool and are not down.
+func (s *State) Healthy(pool string) int {
+	n := 0
+	for _, vm := range s.poolOut[pool] {
+		if vm.Staying() && !vm.Down {
+			n++
+		}
+	}
+	return n + len(s.poolVMs[pool]) - len(s.poolOut[pool])
+}
+
+// closeTurn ends a VM's turn in every wave that waits for it, when it is back
+// from a drain. One reboot serves all of them; a VM that left for the common
+// reserve without one has no turn any more, since only serving VMs are drained.
+func (s *State) closeTurn(vm *VM, d *Drain) {
+	if d.Rebooted {
+		vm.MaintainedAt = s.Now
+	}
+	for _, id := range s.wavesOf(vm.ID) {
+		switch w := s.Waves[id]; {
+		case d.Rebooted:
+			s.markWave(w, vm.ID, WaveBack)
+		case vm.Phase == record.PhaseFree:
+			s.skipVM(w, vm.ID, "it left its pool")
+		case d.Wave == id:
+			s.markWave(w, vm.ID, WavePending)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledger/fold_test.go
@@ -0,0 +1,123 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// epoch is when every history begins.
+var epoch = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+// history folds records that tests write, at rising offsets.
+type history struct {
+	t   *testing.T
+	s   *State
+	now time.Time
+	ids int
+}
+
+func newHistory(t *testing.T) *history { return &history{t: t, s: New(), now: epoch} }
+
+// draft returns a record decided on the present state by author "a".
+func (h *history) draft(kind record.SubjectKind, name string, body record.Body) record.Record {
+	h.ids++
+	sub := record.Subject{Kind: kind, Name: name}
+	return record.Record{
+		ID:      fmt.Sprintf("id-%d", h.ids),
+		Subject: sub,
+		Base:    h.s.Revision(sub),
+		Seen:    h.s.Offset,
+		Author:  "a",
+		Time:    h.now,
+		Body:    body,
+	}
+}
+
+func (h *history) apply(rec record.Record) Outcome { return h.s.Apply(h.s.Offset+1, rec) }
+
+func (h *history) do(kind record.SubjectKind, name string, body record.Body) Outcome {
+	return h.apply(h.draft(kind, name, body))
+}
+
+// must folds a record that has to take effect.
+func (h *history) must(kind record.SubjectKind, name string, body record.Body) {
+	h.t.Helper()
+	out := h.do(kind, name, body)
+	require.Equal(h.t, Effective, out.Status, out.Reason)
+}
+
+// refused folds a record that has to be refused for the reason.
+func (h *history) refused(reason string, kind record.SubjectKind, name string, body record.Body) {
+	h.t.Helper()
+	out := h.do(kind, name, body)
+	require.Equal(h.t, Refused, out.Status)
+	require.Contains(h.t, out.Reason, reason)
+}
+
+func (h *history) vm(name string, bodies ...record.Body) {
+	h.t.Helper()
+	for _, b := range bodies {
+		h.must(record.SubjectVM, name, b)
+	}
+}
+
+// pool publishes a document and joins VMs name-1 to name-n, two to a rack.
+func (h *history) pool(name string, size, vms int, more string) {
+	h.t.Helper()
+	h.publish(name, size, more)
+	for i := range vms {
+		id := fmt.Sprintf("%s-%d", name, i+1)
+		h.vm(id, register(fmt.Sprintf("%s-r%d", name, i/2+1)), record.VMJoin{Pool: name}, record.VMUp{})
+	}
+}
+
+func (h *history) publish(name string, size int, more string) {
+	h.t.Helper()
+	h.must(record.SubjectService, name, record.DocumentPublish{Text: text(name, size, more)})
+}
+
+// text is a document whose budget is up to 3 VMs at once and 0.1 of 24 hours.
+func text(name string, size int, more string) string {
+	return fmt.Sprintf(`service = %q
+team = "team"
+[pool]
+size = %d
+[budget]
+window = "24h"
+allowed = 0.1
+max_unavailable = %d
+one_domain = false
+[[quota]]
+team = "team"
+cores = 1000
+memory_mb = 1000000
+%s`, name, size, max(1, min(3, size-1)), more)
+}
+
+func register(rack string) record.VMRegister {
+	return record.VMRegister{Zone: "z1", Rack: rack, Address: "10.0.0.1:80", Cores: 32, MemoryMB: 65536}
+}
+
+func drain(reason record.DrainReason, estimate time.Duration) record.VMDrain {
+	return record.VMDrain{Reason: reason, Estimate: estimate}
+}
+
+// back takes a drained VM through to service again.
+var back = []record.Body{
+	record.VMAdvance{To: record.PhaseDrained},
+	record.VMAdvance{To: record.PhaseReturning},
+	record.VMUp{},
+}
+
+func job(service string) record.JobSubmit {
+	return record.JobSubmit{Service: service, Team: "team", MilliCores: 1000, MemoryMB: 1000}
+}
+
+func (h *history) spent(pool string) float64 {
+	return h.s.Services[pool].Account.Spent(h.now.Add(-24*time.Hour), h.now)
+}
--- a/internal/ledger/headroom.go
+++ b/internal/ledger/headroom.go
@@ -1,9 +1,11 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
 // Headroom is what a pool's availability budget bears at one moment. Planners
@@ -17,6 +19,12 @@
 	// Spent and Allowed are VM-seconds in the window that ends now.
 	Spent   float64
 	Allowed float64
+	// Typical is how long the pool's drains lasted lately; a smaller estimate is
+	// raised to it.
+	Typical time.Duration
+	// Left holds, for each VM that is out or missing, how much longer it is
+	// expected to be so; 0 where nothing is known.
+	Left []time.Duration
 	// OutRacks counts the VMs that are out of service by rack. VMs that failed
 	// and were replaced are left out: the pool is whole without them, and one
 	// that never comes back would else block every drain in other racks.
@@ -36,44 +44,84 @@
 	h := Headroom{
 		Pool:     pool,
 		Size:     svc.Doc.Pool.Size,
+		Serving:  len(s.poolVMs[pool]) - len(s.poolOut[pool]),
 		Budget:   svc.Doc.Budget,
-		Spent:    svc.Account.Spent(now.Add(-svc.Doc.Budget.Window), now),
+		Spent:    s.spent(svc, now),
 		Allowed:  svc.Doc.AllowedSeconds(),
+		Typical:  svc.Account.Typical(),
 		OutRacks: map[string]int{},
 	}
 	replaced := s.Healthy(pool) >= h.Size
-	for _, vm := range s.poolVMs[pool] {
-		switch {
-		case vm.Serving():
-			h.Serving++
-		case vm.Down && replaced:
-		default:
+	for _, vm := range s.poolOut[pool] {
+		h.Left = append(h.Left, vm.left(now))
+		if !vm.Down || !replaced {
 			h.OutRacks[vm.Rack]++
 		}
 	}
+	for range min(h.Size-len(s.poolVMs[pool]), h.Budget.MaxUnavailable) { // more are refused anyway
+		h.Left = append(h.Left, 0)
+	}
+	h.Left = slices.Clip(h.Left)
 	return h, true
 }
 
+// spent returns what counts against the pool's budget at the time now. While
+// the fold's time has made a doubtful jump, the window before it counts too: a
+// wrong clock could else move all charges out of the window.
+func (s *State) spent(svc *Service, now time.Time) float64 {
+	window := svc.Doc.Budget.Window
+	spent := svc.Account.Spent(now.Add(-window), now)
+	if before, ok := s.Clock.doubtful(); ok {
+		spent = max(spent, svc.Account.Spent(before.Add(-window), before))
+	}
+	return spent
+}
+
+// left returns how much longer a VM that is out is expected to be so, by the
+// estimate of its drain.
+func (v *VM) left(now time.Time) time.Duration {
+	if v.Drain == nil {
+		return 0
+	}
+	return max(0, v.Drain.Since.Add(v.Drain.Estimate).Sub(now))
+}
+
 // Refusal returns why one more planned drain in the rack, expected to last for
 // estimate, does not fit, or an empty string when it does. VMs beyond the
 // declared size are drained free of charge.
-//
-// The need counts every VM that is short, not only the new one: those that are
-// out already may stay out as long again.
 func (h *Headroom) Refusal(rack string, estimate time.Duration) string {
-	short := h.Size - (h.Serving - 1)
+	return h.refusal(rack, estimate, h.Size-(h.Serving-1), 1)
+}
+
+// RefusalOf is Refusal for a certain VM and drain. The drain of a VM that is
+// down already costs no VM now, but keeps it from coming back for as long as
+// the drain lasts, so the bounds hold for it too. Only to leave its pool it is
+// always free: the pool loses nothing by it.
+func (h *Headroom) RefusalOf(vm *VM, b record.VMDrain) string {
+	switch {
+	case vm.Serving():
+		return h.Refusal(vm.Rack, b.Estimate)
+	case b.Target != "" || b.Release:
+		return ""
+	}
+	return h.refusal(vm.Rack, b.Estimate, h.Size-h.Serving, 0)
+}
+
+// refusal checks the bounds for a pool that would be short of so many VMs, with
+// more VMs out than now.
+func (h *Headroom) refusal(rack string, estimate time.Duration, short, more int) string {
 	if short <= 0 {
 		return ""
 	}
 	if short > h.Budget.MaxUnavailable {
-		return string(refusef("pool %s has %d of %d VMs serving; one less would exceed max_unavailable = %d",
-			h.Pool, h.Serving, h.Size, h.Budget.MaxUnavailable))
+		return string(refusef("pool %s has %d of %d VMs serving; %d short would exceed max_unavailable = %d",
+			h.Pool, h.Serving, h.Size, short, h.Budget.MaxUnavailable))
 	}
 	if other := h.otherRack(rack); h.Budget.OneDomain && other != "" {
 		return string(refusef("rack %s of pool %s has VMs out already; one_domain allows one rack at a time",
 			other, h.Pool))
 	}
-	need := float64(short) * estimate.Seconds()
+	need := h.need(max(estimate, h.Typical), short, more)
 	if h.Spent+need > h.Allowed {
 		return string(refusef("pool %s spent %.0f of %.0f VM-seconds in its window; this drain needs about %.0f more",
 			h.Pool, h.Spent, h.Allowed, need))
@@ -81,10 +129,31 @@
 	return ""
 }
 
+// need returns the VM-seconds that will be charged until all VMs are back. Each
+// VM that is out counts with what is left of its own estimate, and at least
+// with the new one's: those that are overdue, or failed, may stay out as long
+// again. The longest ones are those that spare VMs stand in for.
+func (h *Headroom) need(estimate time.Duration, short, more int) float64 {
+	left := slices.Clone(h.Left)
+	for range more {
+		left = append(left, 0)
+	}
+	for i := range left {
+		left[i] = max(left[i], estimate)
+	}
+	slices.Sort(left)
+	sum := time.Duration(0)
+	for _, d := range left[:min(short, len(left))] {
+		sum += d
+	}
+	return sum.Seconds()
+}
+
 // Take counts one more VM of the rack as out of service.
 func (h *Headroom) Take(rack string) {
 	h.Serving--
 	h.OutRacks[rack]++
+	h.Left = append(h.Left, 0)
 }
 
 // otherRack returns the first rack by name, other than rack, with VMs out.
@@ -98,17 +167,12 @@
 	return first
 }
 
-// MayDrain reports whether the pool's budget bears one more planned drain, of
-// this VM, at the time now; the reason is empty when it does. The fold calls it
-// at the record's offset: of two drains that race for the last unit of budget
-// the later one is refused.
-func (s *State) MayDrain(vm *VM, estimate time.Duration, now time.Time) string {
-	if !vm.Serving() {
-		return ""
-	}
-	h, ok := s.Headroom(vm.Pool, now)
+// mayCharge refuses a drain that the pool's budget does not bear. Of two drains
+// that race for the last unit of budget the later one is refused.
+func (s *State) mayCharge(vm *VM, b record.VMDrain) refusal {
+	h, ok := s.Headroom(vm.Pool, s.Now)
 	if !ok {
-		return ""
+		return allowed
 	}
-	return h.Refusal(vm.Rack, estimate)
+	return refusal(h.RefusalOf(vm, b))
 }
--- a/internal/ledger/index.go
+++ b/internal/ledger/index.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"maps"
 	"slices"
+
+	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
@@ -19,3 +21,68 @@
 	}
 	m[outer][inner] = v
 }
+
+// rebuild makes the indexes anew.
+func (s *State) rebuild() {
+	s.poolVMs = map[string]map[string]*VM{}
+	s.poolOut = map[string]map[string]*VM{}
+	s.free = map[string]*VM{}
+	s.workerJobs = map[string]map[string]*Job{}
+	s.poolJobs = map[string]map[string]*Job{}
+	s.teamUse = map[teamKey]Resources{}
+	s.Retired = map[record.Subject]Head{}
+	for _, r := range s.RetireQueue {
+		if r.Head.Revision != 0 {
+			s.Retired[r.Subject] = r.Head
+		}
+	}
+	for _, vm := range s.VMs {
+		s.indexVM(vm)
+	}
+	s.indexJobs()
+}
+
+// indexVM puts a VM where its pool, phase and health belong. unindexVM takes it
+// out before any of them changes.
+func (s *State) indexVM(vm *VM) {
+	if vm.Pool == "" {
+		if !vm.Down {
+			s.free[vm.ID] = vm
+		}
+		return
+	}
+	indexInto(s.poolVMs, vm.Pool, vm.ID, vm)
+	if !vm.Serving() {
+		indexInto(s.poolOut, vm.Pool, vm.ID, vm)
+	}
+}
+
+func (s *State) unindexVM(vm *VM) {
+	delete(s.free, vm.ID)
+	removeFrom(s.poolVMs, vm.Pool, vm.ID)
+	removeFrom(s.poolOut, vm.Pool, vm.ID)
+}
+
+// changeVM changes a VM's pool, phase or health and keeps indexes and accounts
+// in step with it.
+func (s *State) changeVM(vm *VM, change func()) {
+	old := vm.Pool
+	s.unindexVM(vm)
+	change()
+	s.indexVM(vm)
+	s.account(old)
+	if vm.Pool != old {
+		s.account(vm.Pool)
+	}
+	if vm.Pool == "" || old == "" {
+		s.accountReserve()
+	}
+}
+
+// removeFrom takes inner out of the map under outer, and that when it is empty.
+func removeFrom[V any](m map[string]map[string]V, outer, inner string) {
+	delete(m[outer], inner)
+	if len(m[outer]) == 0 {
+		delete(m, outer)
+	}
+}
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -13,6 +13,10 @@
 // runs one at a time.
 const ProbationJobs = 3
 
+// MaxJobs bounds the jobs in the state, ended ones that are still remembered
+// included: a runaway submitter may not fill every node's memory.
+const MaxJobs = 50_000
+
 // JobStatus is where a job is in its life.
 type JobStatus string
 
@@ -161,5 +165,8 @@
 		indexInto(s.workerJobs, j.Worker, j.ID, j)
 		return
 	}
-	delete(s.workerJobs[j.Worker], j.ID)
+	removeFrom(s.workerJobs, j.Worker, j.ID)
+	if s.teamUse[key] == (Resources{}) {
+		delete(s.teamUse, key)
+	}
 }
--- a/internal/ledger/job_rules.go
+++ b/internal/ledger/job_rules.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
@@ -14,6 +15,12 @@
 	if b.MilliCores <= 0 || b.MemoryMB < 0 || b.Accelerators < 0 || b.RunTime < 0 {
 		return refusef("job %s needs a size: milli_cores over 0, nothing negative", rec.Subject.Name)
 	}
+	if b.MilliCores > 1000*document.MaxCores || b.MemoryMB > document.MaxMemoryMB || b.Accelerators > document.MaxAccelerators {
+		return refusef("job %s asks for more than any VM can have", rec.Subject.Name)
+	}
+	if n := len(s.Jobs); n >= MaxJobs {
+		return refusef("%d jobs are queued, placed or lately ended; no more are taken until some are forgotten", n)
+	}
 	if _, ok := s.Quota(b.Service, b.Team); !ok {
 		return refusef("team %q has no quota in service %s; its document's owner can add one", b.Team, b.Service)
 	}
@@ -45,8 +52,8 @@
 	if !ok || vm.Pool != j.Spec.Service || !vm.Serving() {
 		return refusef("worker %s does not serve pool %s", b.Worker, j.Spec.Service)
 	}
-	if b.MilliCores < 0 || b.MemoryMB < 0 {
-		return refusef("the reservation for job %s is negative", j.ID)
+	if b.MilliCores < 0 || b.MilliCores > 1000*document.MaxCores || b.MemoryMB < 0 || b.MemoryMB > document.MaxMemoryMB {
+		return refusef("the reservation for job %s is negative or larger than any VM", j.ID)
 	}
 	if no := s.mayTakeJob(vm); no != allowed {
 		return no
@@ -104,6 +111,12 @@
 	if no := j.mayEnd(b); no != allowed {
 		return no
 	}
+	s.endAttempt(j, b)
+	return allowed
+}
+
+// endAttempt ends the job's attempt, or a job that is never placed.
+func (s *State) endAttempt(j *Job, b record.JobEnd) {
 	if j.Status == JobPlaced {
 		s.indexPlaced(j, -1)
 	}
@@ -122,11 +135,10 @@
 	j.PeakMemoryMB = max(j.PeakMemoryMB, b.PeakMemoryMB)
 	j.Result = b.Result
 	if b.Reason != "" {
-		j.Reason = b.Reason
+		j.Reason = clip(b.Reason)
 	}
 	j.Preempt = nil
 	s.afterEnd(j)
-	return allowed
 }
 
 // mayEnd refuses a result that does not belong to the job's status.
@@ -247,7 +259,7 @@
 	}
 	j.CancelAsked = true
 	j.CancelID, j.CancelFence = rec.ID, s.Offset
-	j.Reason = b.Reason
+	j.Reason = clip(b.Reason)
 	if j.Status == JobQueued {
 		s.closeJob(j, JobCancelled)
 	}
--- a/internal/ledger/member.go
+++ b/internal/ledger/member.go
@@ -64,10 +64,20 @@
 	if _, ok := s.Members[rec.Subject.Name]; ok {
 		return refusef("member %s has joined already", rec.Subject.Name)
 	}
+	if b.Node == "" || b.Address == "" {
+		return refusef("a member needs node and address")
+	}
 	for _, name := range s.MemberNames() {
-		if s.Members[name].Address == b.Address {
-			s.removeMember(name)
+		m := s.Members[name]
+		if m.Address != b.Address {
+			continue
+		}
+		// A join that was on its way for long may come from a run that is over,
+		// and would remove the member that runs at the address now.
+		if rec.Seen < m.JoinedAt {
+			return refusef("%s joined at %s after this record was written", name, b.Address)
 		}
+		s.removeMember(name)
 	}
 	m := &Member{
 		Head:     Head{Revision: record.Revision(s.Offset), LastID: rec.ID},
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -10,7 +10,7 @@
 func (s *State) publish(rec record.Record, b record.DocumentPublish) refusal {
 	doc, problems := document.Parse(rec.Subject.Name+".toml", []byte(b.Text))
 	if len(problems) > 0 {
-		return refusef("%s (and %d more)", problems[0], len(problems)-1)
+		return refusal(clip(problems.Error()))
 	}
 	if doc.Service != rec.Subject.Name {
 		return refusef("the document is for service %q, the record for %q", doc.Service, rec.Subject.Name)
@@ -29,8 +29,8 @@
 	return allowed
 }
 
-// removeService is refused while VMs or jobs depend on the service: shrink the
-// pool to 0 first, so that every VM leaves by a drain.
+// removeService is refused while VMs, jobs or a wave depend on the service:
+// shrink the pool to 0 first, so that every VM leaves by a drain.
 func (s *State) removeService(rec record.Record) refusal {
 	name := rec.Subject.Name
 	svc, ok := s.Services[name]
@@ -40,7 +40,29 @@
 	if n := len(s.poolVMs[name]); n > 0 {
 		return refusef("pool %s still has %d VMs; publish size = 0 and wait until they have left", name, n)
 	}
+	if no := s.dependsOn(name); no != allowed {
+		return no
+	}
 	delete(s.Services, svc.Doc.Service)
 	s.retire(rec.Subject, Head{Revision: record.Revision(s.Offset), LastID: rec.ID})
 	return allowed
 }
+
+// dependsOn refuses to remove a service that something else still names: its
+// jobs would wait, VMs be released for a pool and a wave go on, without end.
+func (s *State) dependsOn(service string) refusal {
+	if wave := s.activeWaveOf(service); wave != "" {
+		return refusef("pool %s is in wave %s; wait for it or abort it", service, wave)
+	}
+	for _, id := range sortedKeys(s.poolJobs[service]) {
+		if !s.Jobs[id].Ended() {
+			return refusef("job %s of service %s is %s; cancel it first", id, service, s.Jobs[id].Status)
+		}
+	}
+	for _, id := range sortedKeys(s.VMs) {
+		if vm := s.VMs[id]; vm.Drain != nil && vm.Drain.Target == service {
+			return refusef("VM %s is on its way to pool %s", id, service)
+		}
+	}
+	return allowed
+}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -24,13 +24,16 @@
 // State is the fold of the log up to and including Offset.
 type State struct {
 	Offset uint64 `json:"offset"`
-	// Now is the highest record time seen; charges are dated by it.
+	// Now is the fold's time, by which charges are dated: see Clock.
 	Now      time.Time           `json:"now"`
+	Clock    Clock               `json:"clock"`
 	Services map[string]*Service `json:"services"`
 	VMs      map[string]*VM      `json:"vms"`
 	Waves    map[string]*Wave    `json:"waves"`
 	Members  map[string]*Member  `json:"members"`
 	Jobs     map[string]*Job     `json:"jobs"`
+	// Reserve is the account of the VMs that are in no pool.
+	Reserve Account `json:"reserve"`
 	// MemberChanges holds the latest changes of the membership, oldest first.
 	// The owners of claims go through them one by one: see internal/claim.
 	MemberChanges []MemberChange `json:"member_changes"`
@@ -40,6 +43,8 @@
 
 	// Indexes, derived from the above.
 	poolVMs    map[string]map[string]*VM  // pool -> VM ID
+	poolOut    map[string]map[string]*VM  // pool -> VM ID, VMs not serving
+	free       map[string]*VM             // VMs in no pool that are not down
 	workerJobs map[string]map[string]*Job // worker -> job, placed jobs only
 	poolJobs   map[string]map[string]*Job // pool -> job, ended ones included
 	teamUse    map[teamKey]Resources
@@ -143,18 +148,15 @@
 
 // New returns the state before the first record.
 func New() *State {
-	return &State{
-		Services:   map[string]*Service{},
-		VMs:        map[string]*VM{},
-		Waves:      map[string]*Wave{},
-		Members:    map[string]*Member{},
-		Jobs:       map[string]*Job{},
-		Retired:    map[record.Subject]Head{},
-		poolVMs:    map[string]map[string]*VM{},
-		workerJobs: map[string]map[string]*Job{},
-		poolJobs:   map[string]map[string]*Job{},
-		teamUse:    map[teamKey]Resources{},
+	s := &State{
+		Services: map[string]*Service{},
+		VMs:      map[string]*VM{},
+		Waves:    map[string]*Wave{},
+		Members:  map[string]*Member{},
+		Jobs:     map[string]*Job{},
 	}
+	s.rebuild()
+	return s
 }
 
 // PoolVMs returns the VMs of a pool by ID. The caller must not change the map.
@@ -246,7 +248,7 @@
 		}
 		if j, ok := s.Jobs[r.Subject.Name]; ok && r.Subject.Kind == record.SubjectJob && j.Ended() {
 			delete(s.Jobs, r.Subject.Name)
-			delete(s.poolJobs[j.Spec.Service], r.Subject.Name)
+			removeFrom(s.poolJobs, j.Spec.Service, r.Subject.Name)
 		}
 		if w, ok := s.Waves[r.Subject.Name]; ok && r.Subject.Kind == record.SubjectWave && !w.Active() {
 			delete(s.Waves, r.Subject.Name)
--- a/internal/ledger/vm.go
+++ b/internal/ledger/vm.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
@@ -8,7 +9,10 @@
 	if _, ok := s.VMs[rec.Subject.Name]; ok {
 		return refusef("VM %s is registered already", rec.Subject.Name)
 	}
-	s.VMs[rec.Subject.Name] = &VM{
+	if no := soundVM(b); no != allowed {
+		return no
+	}
+	vm := &VM{
 		Head:         Head{Revision: record.Revision(s.Offset), LastID: rec.ID},
 		ID:           rec.Subject.Name,
 		Zone:         b.Zone,
@@ -20,114 +24,27 @@
 		Phase:        record.PhaseFree,
 		PhaseSince:   s.Now,
 	}
+	s.VMs[vm.ID] = vm
+	s.changeVM(vm, func() {})
 	return allowed
 }
 
-func (s *State) drainVM(rec record.Record, b record.VMDrain) refusal {
-	vm, no := s.vm(rec)
-	if no != allowed {
-		return no
-	}
-	if vm.Phase != record.PhaseServing {
-		return refusef("VM %s is %s; only a serving VM can be drained", vm.ID, vm.Phase)
-	}
-	if no := s.mayJoinWave(vm, b); no != allowed {
-		return no
-	}
-	if no := s.mayLeave(vm, b.Target, b.Release); no != allowed {
-		return no
-	}
-	if reason := s.MayDrain(vm, b.Estimate, rec.Time); reason != "" {
-		return refusal(reason)
-	}
-	vm.Drain = &Drain{
-		Reason:   b.Reason,
-		Wave:     b.Wave,
-		Target:   b.Target,
-		Release:  b.Release,
-		Fence:    s.Offset,
-		ID:       rec.ID,
-		Since:    s.Now,
-		Estimate: b.Estimate,
-	}
-	vm.Drains++
-	s.setPhase(vm, record.PhaseDraining)
-	if b.Wave != "" {
-		s.markWave(b.Wave, vm.ID, WaveOut)
-	}
-	return allowed
-}
-
-func (s *State) mayJoinWave(vm *VM, b record.VMDrain) refusal {
-	if b.Wave == "" {
-		return allowed
-	}
-	w, ok := s.Waves[b.Wave]
-	if !ok {
-		return refusef("there is no wave %s", b.Wave)
-	}
-	if w.Status != WaveRunning {
-		return refusef("wave %s is %s", w.ID, w.Status)
-	}
-	if w.VMs[vm.ID] != WavePending {
-		return refusef("VM %s has no turn left in wave %s", vm.ID, w.ID)
-	}
-	return allowed
-}
-
-// mayLeave refuses to take a healthy VM away from a pool that would have too few
-// left. Two planners that each saw one VM too many would else take two.
-func (s *State) mayLeave(vm *VM, target string, release bool) refusal {
-	if target != "" && release {
-		return refusef("a drain cannot have both a target pool and a release")
-	}
-	if target == "" && !release {
-		return allowed
-	}
-	if target == vm.Pool {
-		return refusef("VM %s is in pool %s already", vm.ID, vm.Pool)
-	}
-	if _, ok := s.Services[target]; target != "" && !ok {
-		return refusef("there is no pool %q to move to", target)
-	}
-	svc, ok := s.Services[vm.Pool]
-	if !ok || vm.Down {
-		return allowed
-	}
-	if n, size := s.Healthy(vm.Pool), svc.Doc.Pool.Size; n <= size {
-		return refusef("pool %s has %d healthy VMs for size %d; none to give away", vm.Pool, n, size)
+// soundVM refuses sizes that no VM has: sums over them would overflow, and a
+// negative one would make room on a full worker.
+func soundVM(b record.VMRegister) refusal {
+	switch {
+	case b.Zone == "" || b.Rack == "" || b.Address == "":
+		return refusef("a VM needs zone, rack and address")
+	case b.Cores < 1 || b.Cores > document.MaxCores:
+		return refusef("%d cores; a VM has 1 to %d", b.Cores, document.MaxCores)
+	case b.MemoryMB < 1 || b.MemoryMB > document.MaxMemoryMB:
+		return refusef("%d MB of memory; a VM has 1 to %d", b.MemoryMB, document.MaxMemoryMB)
+	case b.Accelerators < 0 || b.Accelerators > document.MaxAccelerators:
+		return refusef("%d accelerators; a VM has 0 to %d", b.Accelerators, document.MaxAccelerators)
 	}
 	return allowed
 }
 
-// redirectVM changes where a drain in progress leads.
-func (s *State) redirectVM(rec record.Record, b record.VMRedirect) refusal {
-	vm, no := s.vm(rec)
-	if no != allowed {
-		return no
-	}
-	if !vm.Redirectable() {
-		return refusef("VM %s has no drain that could lead elsewhere", vm.ID)
-	}
-	if no := s.mayLeave(vm, b.Target, b.Release); no != allowed {
-		return no
-	}
-	vm.Drain.Target, vm.Drain.Release = b.Target, b.Release
-	s.account(vm.Pool)
-	return allowed
-}
-
-// Healthy counts the VMs that stay in the pool and are not down.
-func (s *State) Healthy(pool string) int {
-	n := 0
-	for _, vm := range s.poolVMs[pool] {
-		if vm.Staying() && !vm.Down {
-			n++
-		}
-	}
-	return n
-}
-
 // nextPhases lists where a VM in a drain may go. A join leads from released to
 // returning and an up from returning to serving; both have their own records.
 var nextPhases = map[record.VMPhase][]record.VMPhase{
@@ -150,12 +67,18 @@
 	if b.To == record.PhaseReleased && vm.Drain.Target == "" {
 		return refusef("VM %s has no pool to move to", vm.ID)
 	}
+	if n := len(s.workerJobs[vm.ID]); b.To == record.PhaseDrained && n > 0 {
+		return refusef("VM %s has %d jobs placed; they end or are checkpointed first", vm.ID, n)
+	}
 	switch b.To {
 	case record.PhaseFree:
 		return s.freeVM(vm)
 	case record.PhaseRebooting:
 		vm.Drain.Rebooted = true
 		vm.Reboots++
+		if svc, ok := s.Services[vm.Pool]; ok {
+			svc.Account.Reboots++
+		}
 	}
 	s.setPhase(vm, b.To)
 	return allowed
@@ -167,15 +90,12 @@
 	if !d.Release {
 		return refusef("VM %s stays in pool %s; its drain is no release", vm.ID, vm.Pool)
 	}
-	vm.Drain = nil
-	if d.Rebooted {
-		vm.MaintainedAt = s.Now
-	}
-	s.movePool(vm, "")
-	s.setPhase(vm, record.PhaseFree)
-	if d.Wave != "" {
-		s.markWave(d.Wave, vm.ID, WaveBack)
-	}
+	s.changeVM(vm, func() {
+		vm.Drain = nil
+		vm.Pool = ""
+		s.enter(vm, record.PhaseFree)
+	})
+	s.closeTurn(vm, d)
 	return allowed
 }
 
@@ -195,19 +115,32 @@
 	}
 	if vm.Pool != "" && vm.Pool != b.Pool {
 		vm.Moves++
+		s.Services[b.Pool].Account.Moves++
 	}
-	s.movePool(vm, b.Pool)
-	s.setPhase(vm, record.PhaseReturning)
+	s.changeVM(vm, func() {
+		vm.Pool = b.Pool
+		s.enter(vm, record.PhaseReturning)
+	})
 	return allowed
 }
 
+// wanted refuses a join that the pool does not want. A released VM has left its
+// old pool for its target and may join that, or turn back, whatever a later
+// document says: it would hang between the two. It may be down, since its new
+// pool counts on it only once it is seen healthy.
 func (s *State) wanted(vm *VM, b record.VMJoin) refusal {
 	if vm.Phase != record.PhaseFree {
+		if b.Pool != vm.Drain.Target && b.Pool != vm.Pool {
+			return refusef("VM %s was released for pool %s", vm.ID, vm.Drain.Target)
+		}
 		return allowed
 	}
 	if vm.Down {
 		return refusef("VM %s is down", vm.ID)
 	}
+	if no := vm.fits(b.Pool, s.Services[b.Pool].Doc.Pool); no != allowed {
+		return no
+	}
 	if b.Want == 0 {
 		return allowed
 	}
@@ -225,10 +158,14 @@
 	if vm.Down {
 		return refusef("VM %s is down already", vm.ID)
 	}
-	vm.Down = true
-	vm.DownCause = b.Cause
-	vm.HealthSince = s.Now
-	s.account(vm.Pool)
+	if vm.Pool != "" && vm.Drain == nil {
+		s.countEvent(vm.Pool, CauseFailure)
+	}
+	s.changeVM(vm, func() {
+		vm.Down = true
+		vm.DownCause = clip(b.Cause)
+		vm.HealthSince = s.Now
+	})
 	return allowed
 }
 
@@ -240,29 +177,22 @@
 	if !vm.Down && vm.Phase != record.PhaseReturning {
 		return refusef("VM %s is %s and not down", vm.ID, vm.Phase)
 	}
-	vm.Down = false
-	vm.DownCause = ""
-	vm.HealthSince = s.Now
-	if vm.Phase == record.PhaseReturning {
-		s.finishDrain(vm)
-		return allowed
-	}
-	s.account(vm.Pool)
-	return allowed
-}
-
-// finishDrain puts a VM that was seen healthy back into service and ends the
-// charge to its pool's budget.
-func (s *State) finishDrain(vm *VM) {
 	d := vm.Drain
-	vm.Drain = nil
-	if d != nil && d.Rebooted {
-		vm.MaintainedAt = s.Now
-	}
-	s.setPhase(vm, record.PhaseServing)
-	if d != nil && d.Wave != "" {
-		s.markWave(d.Wave, vm.ID, WaveBack)
+	returned := vm.Phase == record.PhaseReturning
+	s.changeVM(vm, func() {
+		vm.Down = false
+		vm.DownCause = ""
+		vm.HealthSince = s.Now
+		if returned {
+			vm.Drain = nil
+			s.enter(vm, record.PhaseServing)
+		}
+	})
+	if returned && d != nil {
+		s.Services[vm.Pool].Account.drainLasted(max(0, s.Now.Sub(d.Since)))
+		s.closeTurn(vm, d)
 	}
+	return allowed
 }
 
 func (s *State) goneVM(rec record.Record) refusal {
@@ -270,20 +200,30 @@
 	if no != allowed {
 		return no
 	}
-	pool := vm.Pool
-	s.movePool(vm, "")
+	s.unindexVM(vm)
 	delete(s.VMs, vm.ID)
+	s.account(vm.Pool)
+	s.accountReserve()
 	s.retire(rec.Subject, Head{Revision: record.Revision(s.Offset), LastID: rec.ID})
-	s.account(pool)
-	for _, id := range sortedKeys(s.Waves) {
-		w := s.Waves[id]
-		if p, ok := w.VMs[vm.ID]; ok && w.Active() && (p == WavePending || p == WaveOut) {
-			s.skipVM(w, vm.ID, "the platform no longer has the VM")
-		}
+	for _, id := range s.wavesOf(vm.ID) {
+		s.skipVM(s.Waves[id], vm.ID, "the platform no longer has the VM")
 	}
+	s.loseJobs(rec, vm.ID)
 	return allowed
 }
 
+// loseJobs ends the attempts that were placed on a VM that is gone. Nobody can
+// say any more how they ended, so they count as lapsed: a repeatable job is
+// queued again, another one is over with its end unknown. Each job's revision
+// moves, which voids what was decided about the attempt meanwhile.
+func (s *State) loseJobs(rec record.Record, vm string) {
+	for _, id := range sortedKeys(s.workerJobs[vm]) {
+		j := s.Jobs[id]
+		s.endAttempt(j, record.JobEnd{Result: record.JobLapsed, Reason: "VM " + vm + " is gone"})
+		j.Head = Head{Revision: record.Revision(s.Offset), LastID: rec.ID}
+	}
+}
+
 func (s *State) quarantineVM(rec record.Record, b record.VMQuarantine) refusal {
 	vm, no := s.vm(rec)
 	if no != allowed {
@@ -324,21 +264,17 @@
 }
 
 func (s *State) setPhase(vm *VM, phase record.VMPhase) {
+	s.changeVM(vm, func() { s.enter(vm, phase) })
+}
+
+// enter sets the phase inside changeVM.
+func (s *State) enter(vm *VM, phase record.VMPhase) {
 	vm.Phase = phase
 	vm.PhaseSince = s.Now
-	s.account(vm.Pool)
 }
 
-// movePool changes the VM's only pool and both pools' accounts.
-func (s *State) movePool(vm *VM, pool string) {
-	old := vm.Pool
-	if m := s.poolVMs[old]; m != nil {
-		delete(m, vm.ID)
-	}
-	vm.Pool = pool
-	if pool != "" {
-		indexInto(s.poolVMs, pool, vm.ID, vm)
-	}
-	s.account(old)
-	s.account(pool)
+func (s *State) countEvent(pool string, cause Cause) {
+	if svc, ok := s.Services[pool]; ok {
+		svc.Account.Events[cause]++
+	}
 }
--- a/internal/ledger/wave.go
+++ b/internal/ledger/wave.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/record"
@@ -54,8 +55,9 @@
 	if len(b.Pools) == 0 {
 		return refusef("a wave needs at least one pool")
 	}
+	pools := slices.Compact(slices.Sorted(slices.Values(b.Pools)))
 	vms := map[string]WaveProgress{}
-	for _, pool := range b.Pools {
+	for _, pool := range pools {
 		if _, ok := s.Services[pool]; !ok {
 			return refusef("there is no pool %q", pool)
 		}
@@ -69,8 +71,8 @@
 	w := &Wave{
 		Head:      Head{Revision: record.Revision(s.Offset), LastID: rec.ID},
 		ID:        rec.Subject.Name,
-		Pools:     b.Pools,
-		Deadline:  b.Deadline,
+		Pools:     pools,
+		Deadline:  b.Deadline.UTC(),
 		Status:    WaveRunning,
 		StartedAt: s.Now,
 		VMs:       vms,
@@ -116,7 +118,7 @@
 	default:
 		return refusef("unknown wave command %q", b.Command)
 	}
-	w.Reason = b.Reason
+	w.Reason = clip(b.Reason)
 	return allowed
 }
 
@@ -135,7 +137,7 @@
 
 func (s *State) skipVM(w *Wave, vm, reason string) {
 	w.VMs[vm] = WaveSkipped
-	w.Skips[vm] = reason
+	w.Skips[vm] = clip(reason)
 	s.finishIfComplete(w)
 }
 
@@ -160,15 +162,20 @@
 	s.RetireQueue = append(s.RetireQueue, Retirement{Subject: sub, At: s.Offset})
 }
 
-// markWave sets the progress of a VM in its wave, if it has one.
-func (s *State) markWave(wave, vm string, progress WaveProgress) {
-	w, ok := s.Waves[wave]
-	if !ok {
-		return
-	}
-	if _, ok := w.VMs[vm]; !ok {
-		return
+// wavesOf returns the active waves in which the VM's turn is not over, sorted.
+func (s *State) wavesOf(vm string) []string {
+	var ids []string
+	for id, w := range s.Waves {
+		if p := w.VMs[vm]; w.Active() && (p == WavePending || p == WaveOut) {
+			ids = append(ids, id)
+		}
 	}
+	slices.Sort(ids)
+	return ids
+}
+
+// markWave sets the progress of a VM in a wave.
+func (s *State) markWave(w *Wave, vm string, progress WaveProgress) {
 	w.VMs[vm] = progress
 	s.finishIfComplete(w)
 }
--- a/internal/pool/round.go
+++ b/internal/pool/round.go
@@ -80,11 +80,13 @@
 // returns the reason when not.
 func (r *Round) Drain(vm *VM, body record.VMDrain, why string) string {
 	h := r.Headroom(vm.Pool)
-	if h != nil && vm.Serving() {
-		if reason := h.Refusal(vm.Rack, body.Estimate); reason != "" {
+	if h != nil {
+		if reason := h.RefusalOf(&vm.VM, body); reason != "" {
 			return reason
 		}
-		h.Take(vm.Rack)
+		if vm.Serving() {
+			h.Take(vm.Rack)
+		}
 	}
 	if body.Target != "" || body.Release {
 		r.leaving[vm.ID] = true
--- a/internal/record/body.go
+++ b/internal/record/body.go
@@ -31,6 +31,7 @@
 	KindJobEnd          Kind = "job.end"
 	KindJobCancel       Kind = "job.cancel"
 	KindJobPreempt      Kind = "job.preempt"
+	KindClockWitness    Kind = "clock.witness"
 )
 
 var decoders = map[Kind]func(json.RawMessage) (Body, error){
@@ -58,6 +59,7 @@
 	KindJobEnd:          decoderOf[JobEnd],
 	KindJobCancel:       decoderOf[JobCancel],
 	KindJobPreempt:      decoderOf[JobPreempt],
+	KindClockWitness:    decoderOf[ClockWitness],
 }
 
 // DocumentPublish replaces a service's document. Subject: the service.
@@ -307,6 +309,11 @@
 	Reason string `json:"reason,omitempty"`
 }
 
+// ClockWitness says no more than its record's author and time: what the
+// author's clock shows. Subject: clock and the author's node. Base is not
+// checked.
+type ClockWitness struct{}
+
 // Kind implements Body.
 func (DocumentPublish) Kind() Kind { return KindDocumentPublish }
 
@@ -378,3 +385,6 @@
 
 // Kind implements Body.
 func (JobPreempt) Kind() Kind { return KindJobPreempt }
+
+// Kind implements Body.
+func (ClockWitness) Kind() Kind { return KindClockWitness }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -24,6 +24,7 @@
 	SubjectWave    SubjectKind = "wave"
 	SubjectMember  SubjectKind = "member"
 	SubjectJob     SubjectKind = "job"
+	SubjectClock   SubjectKind = "clock"
 )
 
 // Subject is the thing whose revision a record was decided on.
@@ -51,7 +52,7 @@
 	// Author is the node or operator that wrote the record.
 	Author string
 	// Time is the author's clock. It dates budget charges and reports and never
-	// decides an order.
+	// decides an order; ledger.Clock says how a wrong one is met.
 	Time time.Time
 	Body Body
 }
@@ -76,6 +77,13 @@
 	Body    json.RawMessage `json:"body"`
 }
 
+// Bounds of a record. The state keeps names of subjects, so without a bound
+// one bad writer could fill the memory of every node.
+const (
+	MaxSize = 2 << 20 // bytes of the encoded record
+	MaxName = 256     // bytes of ID, subject and author
+)
+
 // Errors of Decode.
 var (
 	// ErrMalformed means that the bytes are no record envelope.
@@ -111,6 +119,9 @@
 // every node gets the same error for the same bytes, so such a record is void
 // everywhere.
 func Decode(data []byte) (Record, error) {
+	if len(data) > MaxSize {
+		return Record{}, errors.Wrapf(ErrMalformed, "%d bytes, more than %d", len(data), MaxSize)
+	}
 	var e envelope
 	if err := json.Unmarshal(data, &e); err != nil {
 		return Record{}, errors.Wrap(ErrMalformed, err.Error())
@@ -118,6 +129,9 @@
 	if e.ID == "" || e.Subject.Kind == "" || e.Subject.Name == "" {
 		return Record{}, errors.Wrap(ErrMalformed, "id or subject missing")
 	}
+	if max(len(e.ID), len(e.Subject.Kind), len(e.Subject.Name), len(e.Author)) > MaxName {
+		return Record{}, errors.Wrapf(ErrMalformed, "id, subject or author longer than %d bytes", MaxName)
+	}
 	body, err := decodeBody(e.Kind, e.Body)
 	if err != nil {
 		return Record{}, err
--- a/internal/steward/quiet.go
+++ b/internal/steward/quiet.go
@@ -43,6 +43,7 @@
 func (s *Steward) quiet(ctx context.Context, vm *ledger.VM) bool {
 	var members []string
 	var bound time.Duration
+	jobs := 0
 	s.cfg.Follower.View(func(st *ledger.State) {
 		for _, name := range st.MemberNames() {
 			members = append(members, st.Members[name].Address)
@@ -50,7 +51,11 @@
 		if svc, ok := st.Services[vm.Pool]; ok {
 			bound = svc.Doc.Limits.Drain
 		}
+		jobs = len(st.WorkerJobs(vm.ID))
 	})
+	if jobs > 0 { // the fold refuses the next phase until their ends are recorded
+		return false
+	}
 	if time.Since(vm.Drain.Since) > bound+drainGrace {
 		return true
 	}
