--- a/cmd/yuccadrift-standin/main.go
+++ b/cmd/yuccadrift-standin/main.go
@@ -11,13 +11,14 @@
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
-	"github.com/thejerf/suture/v4"
 	"github.com/urfave/cli/v3"
 
 	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/supervise"
 )
 
+const binary = "yuccadrift-standin"
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -29,7 +30,7 @@
 
 func command() *cli.Command {
 	return &cli.Command{
-		Name:  "yuccadrift-standin",
+		Name:  binary,
 		Usage: "stand in for the platform in development and tests",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Usage: "read settings from `FILE` (TOML)", Required: true},
@@ -47,7 +48,7 @@
 
 func run(ctx context.Context, s settings) error {
 	logger := hclog.New(&hclog.LoggerOptions{
-		Name:       "yuccadrift-standin",
+		Name:       binary,
 		Level:      hclog.LevelFromString(s.LogLevel),
 		JSONFormat: s.LogFormat == "json",
 	})
@@ -61,15 +62,5 @@
 		return err
 	}
 	logger.Info("serving", "control", "http://"+server.Addr()+"/control/", "backends", server.BackendAddresses())
-	supervisor := suture.New("yuccadrift-standin", suture.Spec{
-		PassThroughPanics: true,
-		EventHook:         func(e suture.Event) { logger.Warn("supervisor", "event", e.String()) },
-	})
-	supervisor.Add(server)
-	err = supervisor.Serve(ctx)
-	if errors.Is(err, context.Canceled) {
-		logger.Info("stopped")
-		return nil
-	}
-	return err
+	return supervise.Run(ctx, binary, logger, supervise.Duty{Name: "platform", Serve: server.Serve})
 }
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -82,13 +82,17 @@
 }
 
 // close cuts the connections, as a VM does that goes down, and counts the
-// requests that it cut.
-func (b *backend) close() {
+// requests that it cut: a lost VM's apart, for no one could have spared those.
+func (b *backend) close(lost bool) {
 	b.mu.Lock()
 	server := b.server
 	b.server = nil
 	if server != nil {
-		b.counts.CutInFlight += b.inFlight
+		if lost {
+			b.counts.LostInFlight += b.inFlight
+		} else {
+			b.counts.CutInFlight += b.inFlight
+		}
 		b.inFlight = 0
 		close(b.stopped)
 	}
--- a/internal/standin/backend_test.go
+++ b/internal/standin/backend_test.go
@@ -227,6 +227,22 @@
 	require.Equal(t, map[string]int{"vm-01": 1}, counters.Reboots)
 }
 
+func TestLostVMCutsApart(t *testing.T) {
+	// A VM is lost while a request runs on it: the caller's connection breaks, and
+	// the cut is not counted among those that a drain would have spared.
+	b := startBench(t, Group{})
+	failed := make(chan error, 1)
+	go func() {
+		_, _, err := b.call(t, "long", HeaderWorkMS, "600000")
+		failed <- err
+	}()
+	b.await(t, func(c BackendCounters) bool { return c.Runs == 1 })
+	order(t, b.fake, Fault{Kind: VMCrash, Target: "zone/zone-a"})
+	require.Error(t, <-failed)
+	counters := b.Counters(false).Backends
+	require.Equal(t, []int{0, 1}, []int{counters.CutInFlight, counters.LostInFlight})
+}
+
 func TestAddedVMIsListedWithItsAddress(t *testing.T) {
 	// A VM is added while the system runs. The list shows it only once its
 	// backend server is bound, and then that address answers.
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -29,8 +29,10 @@
 	Runs               int `json:"runs"`
 	Refused            int `json:"refused"`
 	RefusedConnections int `json:"refused_connections"`
-	// CutInFlight is how many requests were cut because the VM went down.
-	CutInFlight int `json:"cut_in_flight"`
+	// CutInFlight is how many requests were cut by a reboot, LostInFlight by the
+	// loss of the VM.
+	CutInFlight  int `json:"cut_in_flight"`
+	LostInFlight int `json:"lost_in_flight"`
 	// MaxBusy is the most slots in use at a time.
 	MaxBusy int `json:"max_busy"`
 	// LastSeen is when the last request arrived.
@@ -44,6 +46,7 @@
 	Refused            int                   `json:"refused"`
 	RefusedConnections int                   `json:"refused_connections"`
 	CutInFlight        int                   `json:"cut_in_flight"`
+	LostInFlight       int                   `json:"lost_in_flight"`
 	MaxRunsPerKey      int                   `json:"max_runs_per_key"`
 	VMs                map[string]VMCounters `json:"vms"`
 	// Keys holds the keys that were asked for; by default those that ran twice
@@ -147,6 +150,7 @@
 	sum.Refused += b.counts.Refused
 	sum.RefusedConnections += b.counts.RefusedConnections
 	sum.CutInFlight += b.counts.CutInFlight
+	sum.LostInFlight += b.counts.LostInFlight
 	for key, counts := range b.keys {
 		keys[key] = keys[key].plus(counts)
 	}
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -7,6 +7,7 @@
 	address     string // empty until the Server has bound one
 	port        int    // to bind when the address is empty
 	up          bool
+	lost        bool
 	boots       int
 	slots       int
 	connections int
@@ -34,6 +35,7 @@
 			address:     v.vm.Address,
 			port:        v.port,
 			up:          v.up,
+			lost:        v.lost,
 			boots:       v.boots,
 			slots:       v.group.Slots,
 			connections: v.group.Connections,
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/thejerf/suture/v4"
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/supervise"
 )
 
 // reconcilePeriod is how often the Server looks whether VMs went down or came up.
@@ -84,8 +86,8 @@
 	return addresses
 }
 
-// Serve runs until ctx ends, then closes every address. It runs once: when the
-// interface can't be served any more, the supervisor is told to give up.
+// Serve runs until ctx ends, then closes every address. It runs once: no restart
+// mends an interface that can't be served any more.
 func (s *Server) Serve(ctx context.Context) error {
 	server := &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderWait}
 	failed := make(chan error, 1)
@@ -99,8 +101,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case err := <-failed:
-			s.logger.Error("the platform's interface can't be served", "error", err)
-			return suture.ErrTerminateSupervisorTree
+			return supervise.Fatal(errors.Wrap(err, "serve the platform's interface"))
 		case <-s.platform.fleet.changed:
 		case <-ticker.C:
 		}
@@ -113,7 +114,7 @@
 func (s *Server) close() {
 	s.listener.Close()
 	for _, b := range s.all() {
-		b.close()
+		b.close(false)
 	}
 }
 
@@ -143,7 +144,7 @@
 	b := s.backendOf(m)
 	boots, open := b.isOpen()
 	if open && (!m.up || boots != m.boots) {
-		b.close()
+		b.close(m.lost)
 		open = false
 		s.logger.Info("VM went down", "vm", m.id)
 	}
