Offer the status of the entry process to the command line

Operators could ask the stewards only. The entry process listens on its peer address and tells the offset that its routing table rests on as the acting one, so that "in force" means that requests are treated by the document.

--- a/cmd/yuccadrift-entry/main.go
+++ b/cmd/yuccadrift-entry/main.go
@@ -15,6 +15,8 @@
 	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/listen"
 	"github.com/yuccadrift/yuccadrift/internal/logging"
+	"github.com/yuccadrift/yuccadrift/internal/operator"
+	"github.com/yuccadrift/yuccadrift/internal/peerserver"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
 	"github.com/yuccadrift/yuccadrift/internal/settings"
 	"github.com/yuccadrift/yuccadrift/internal/supervise"
@@ -62,6 +64,10 @@
 	if err != nil {
 		return err
 	}
+	peerListener, err := listen.TCP(ctx, "peers.listen", s.Peers.Listen)
+	if err != nil {
+		return err
+	}
 	client := platform.NewClient(s.Platform.Address.String(), platform.ClientOptions{Timeout: s.Platform.RequestTimeout.Duration})
 	defer client.Close()
 	follow := follower.New(follower.Config{Log: client, Stream: s.Platform.Stream, Logger: logger.Named("log")})
@@ -85,9 +91,19 @@
 		Profiles:  s.Admin.Profiles,
 		Logger:    logger.Named("admin"),
 	})
+	peers := peerserver.New(peerListener)
+	operator.Register(peers.Registrar(), operator.ServerConfig{
+		Node:    s.Node.ID,
+		Role:    operator.RoleEntry,
+		Zone:    s.Node.Zone,
+		State:   follow,
+		Acting:  ent.Offset,
+		Unready: readiness.Reasons,
+	})
 	duties := append(ent.Duties(),
 		supervise.Duty{Name: "follow", Serve: follow.Serve},
 		supervise.Duty{Name: "admin", Serve: server.Serve},
+		supervise.Duty{Name: "peers", Serve: peers.Serve},
 	)
 	logger.Info("entry started", "callers", callers.Addr(), "admin", adminListener.Addr())
 	return supervise.Run(ctx, binary, logger, duties...)
