--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,13 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build test lint proto
+.PHONY: build demo test lint proto
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
+demo:
+	@GO="$(GO)" ./scripts/demo.sh
+
 test:
 	GO="$(GO)" ./scripts/test.sh
 
