Claim not-repeatable requests and prove outcomes where attempts break

The request path asks entrypeer for claims; the binary still refuses not-repeatable requests until that has peers.

--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -4,15 +4,129 @@
 	"context"
 	"time"
 
-	"github.com/oklog/ulid/v2"
-	"github.com/pkg/errors"
+	"github.com/cespare/xxhash/v2"
 
+	"github.com/yuccadrift/yuccadrift/internal/backend"
+	"github.com/yuccadrift/yuccadrift/internal/claim"
 	"github.com/yuccadrift/yuccadrift/internal/dispatch"
+	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
+	"github.com/yuccadrift/yuccadrift/internal/invariant"
 	"github.com/yuccadrift/yuccadrift/internal/outcome"
 )
 
-// reasonNoClaims is given while nothing guards not-repeatable requests.
-const reasonNoClaims outcome.Reason = "claims-not-available"
+// reasons are the short codes that callers see for a claim's reasons.
+var reasons = map[claim.Reason]outcome.Reason{
+	claim.ReasonTooOld:      "key-too-old",
+	claim.ReasonTooNew:      "key-in-future",
+	claim.ReasonMismatch:    "key-reused",
+	claim.ReasonInProgress:  "in-progress",
+	claim.ReasonHolderLost:  "earlier-attempt-lost",
+	claim.ReasonReported:    "earlier-attempt-unknown",
+	claim.ReasonOwnerLost:   "claims-lost",
+	claim.ReasonUnreachable: "claims-unreachable",
+	claim.ReasonMoving:      "claims-moving",
+	claim.ReasonFull:        "claims-full",
+}
+
+// reasonRan is given with the kept or lost answer of an attempt that ran.
+const reasonRan outcome.Reason = "ran-before"
+
+// claims lets the request path ask entrypeer for claims.
+type claims struct{ claimer entrypeer.Claimer }
+
+// NewClaims returns the request path's view of claimer.
+func NewClaims(claimer entrypeer.Claimer) dispatch.Claims { return claims{claimer: claimer} }
+
+// CheckKey tells what is wrong with a key.
+func CheckKey(service, key string) error {
+	_, err := claim.ParseKey(service, key)
+	return err
+}
+
+// Begin implements dispatch.Claims.
+func (c claims) Begin(ctx context.Context, call *dispatch.Call) (dispatch.Permit, dispatch.Denial) {
+	key, err := claim.ParseKey(call.Service, call.Key)
+	invariant.Check(err == nil, "a call's key was checked when it was parsed, yet: %v", err)
+	decision := c.claimer.Claim(ctx, claim.Request{Key: key, Fingerprint: fingerprint(call), First: call.First})
+	if decision.Verdict == claim.Granted {
+		return &permit{claimer: c.claimer, key: key, attempt: decision.Attempt}, dispatch.Denial{}
+	}
+	return nil, denial(decision)
+}
+
+func denial(d claim.Decision) dispatch.Denial {
+	out := dispatch.Denial{Reason: reasons[d.Reason], RetryAfter: d.RetryAfter}
+	switch d.Verdict {
+	case claim.Ran:
+		out.Outcome = outcome.Ran
+		out.Reason = reasonRan
+		out.Answer = kept(d.Answer)
+	case claim.NotRun:
+		out.Outcome = outcome.NotRun
+	default:
+		out.Outcome = outcome.Unknown
+	}
+	return out
+}
+
+// fingerprint tells requests apart that were sent under one key by mistake.
+func fingerprint(call *dispatch.Call) uint64 {
+	const separator = "\x00"
+	h := xxhash.New()
+	for _, part := range []string{call.Method, call.URL.EscapedPath(), call.URL.RawQuery} {
+		_, _ = h.WriteString(part + separator)
+	}
+	_, _ = h.Write(call.Body)
+	return h.Sum64()
+}
+
+// permit is a granted claim.
+type permit struct {
+	claimer entrypeer.Claimer
+	key     claim.Key
+	attempt claim.Attempt
+}
+
+// End implements dispatch.Permit.
+func (p *permit) End(o outcome.Outcome, answer *backend.Answer) {
+	res := claim.Result{Key: p.key, Attempt: p.attempt}
+	switch o {
+	case outcome.Ran:
+		res.End = claim.EndRan
+		res.Answer = keep(answer)
+	case outcome.NotRun:
+		res.End = claim.EndNotRun
+	default:
+		res.End = claim.EndUnknown
+	}
+	p.claimer.Report(res)
+}
+
+// keep copies what a retry is answered with.
+func keep(answer *backend.Answer) *claim.Answer {
+	if answer == nil {
+		return nil
+	}
+	out := &claim.Answer{Status: answer.Status, Body: answer.Body}
+	for name, values := range answer.Header {
+		for _, v := range values {
+			out.Header = append(out.Header, claim.HeaderField{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// kept is the answer to a retry; its Status is 0 when none was kept.
+func kept(answer *claim.Answer) backend.Answer {
+	if answer == nil {
+		return backend.Answer{}
+	}
+	header := backend.Header{}
+	for _, f := range answer.Header {
+		header.Add(f.Name, f.Value)
+	}
+	return backend.Answer{Outcome: outcome.Ran, Status: answer.Status, Header: header, Body: answer.Body}
+}
 
 // NoClaims refuses every not-repeatable request: without claims two entry VMs
 // could both run it.
@@ -20,11 +134,5 @@
 
 // Begin implements dispatch.Claims.
 func (NoClaims) Begin(context.Context, *dispatch.Call) (dispatch.Permit, dispatch.Denial) {
-	return nil, dispatch.Denial{Outcome: outcome.NotRun, Reason: reasonNoClaims, RetryAfter: time.Second}
-}
-
-// CheckKey tells what is wrong with a key.
-func CheckKey(_, key string) error {
-	_, err := ulid.ParseStrict(key)
-	return errors.Wrap(err, "not a ULID")
+	return nil, dispatch.Denial{Outcome: outcome.NotRun, Reason: reasons[claim.ReasonUnreachable], RetryAfter: time.Second}
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,10 +1,15 @@
 package entry_test
 
 import (
+	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 
+	"github.com/oklog/ulid/v2"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/yuccadrift/yuccadrift/internal/entry"
 	"github.com/yuccadrift/yuccadrift/internal/outcome"
@@ -23,3 +28,129 @@
 	assert.Contains(t, got.body, `"path":"/lookup/7"`)
 	assert.Equal(t, "tok", got.header.Get(standin.HeaderEcho))
 }
+
+// A request that is wrong in itself gets a 4xx, "not-run", a reason and one line
+// that helps, and no backend server hears of it.
+func TestWrongRequestsAreRefusedWithALineThatHelps(t *testing.T) {
+	r := newRig(t, localClaims())
+	key := http.Header{outcome.HeaderKey: {ulid.Make().String()}}
+	with := func(name, value string) http.Header {
+		h := key.Clone()
+		h.Set(name, value)
+		return h
+	}
+	cases := []struct {
+		name, method, path string
+		header             http.Header
+		body               io.Reader
+		status             int
+		reason, line       string
+	}{
+		{"unknown service", "GET", "/nothing/lookup", nil, nil, 404, "unknown-service", `"nothing"`},
+		{"no path", "GET", "/", nil, nil, 404, "unknown-service", "first path element"},
+		{"unknown route", "GET", "/booking/lookups", nil, nil, 404, "unknown-route", `"/lookups"`},
+		{"dot segments", "GET", "/booking/lookup/%2e%2e/reservations", nil, nil, 400, "bad-path", "no . or .."},
+		{"encoded slash", "GET", "/booking/lookup/a%2Fb", nil, nil, 400, "bad-path", "encoded slash"},
+		{"empty element", "GET", "/booking//lookup", nil, nil, 400, "bad-path", "empty element"},
+		{"no key", "POST", "/booking/reservations", nil, nil, 400, "key-missing", outcome.HeaderKey},
+		{"random key", "POST", "/booking/reservations", with(outcome.HeaderKey, "abc"), nil, 400, "bad-key", "ULID"},
+		{"oversized key", "POST", "/booking/reservations", with(outcome.HeaderKey, strings.Repeat("7", 300)), nil, 400, "bad-key", "length 300"},
+		{"deadline in words", "POST", "/booking/reservations", with(outcome.HeaderDeadline, "2s"), nil, 400, "bad-deadline", "milliseconds"},
+		{"deadline of 0", "GET", "/booking/lookup", with(outcome.HeaderDeadline, "0"), nil, 400, "bad-deadline", "from 1"},
+		{"attempt 0", "GET", "/booking/lookup", with(outcome.HeaderAttempt, "0"), nil, 400, "bad-attempt", "from 1"},
+		{"large header", "GET", "/booking/lookup", with("X-Large", strings.Repeat("x", 9000)), nil, 431, "header-too-large", "at most 8192"},
+		{"large body", "POST", "/booking/reservations", key, strings.NewReader(strings.Repeat("x", 100_001)), 413, "body-too-large", "100000 bytes"},
+		{"large chunked body", "POST", "/booking/reservations", key, io.MultiReader(strings.NewReader(strings.Repeat("x", 100_001))), 413, "body-too-large", "100000 bytes"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := r.send(c.method, c.path, c.header, c.body)
+			require.NoError(t, got.err)
+			assert.Equal(t, c.status, got.status)
+			assert.Equal(t, string(outcome.NotRun), got.header.Get(outcome.HeaderOutcome))
+			assert.Equal(t, c.reason, got.header.Get(outcome.HeaderReason))
+			assert.Contains(t, got.body, c.line)
+			assert.Equal(t, 1, strings.Count(got.body, "\n"))
+		})
+	}
+	assert.Zero(t, r.seen())
+}
+
+// A booking whose connection breaks at some point of its way is run at most
+// once, retries included, and each answer tells the truth about it. The backend
+// server counts what it saw and ran per key.
+func TestBookingRunsAtMostOnceWhereverItBreaks(t *testing.T) {
+	cases := []struct {
+		fault   standin.FaultKind
+		first   outcome.Outcome
+		retried outcome.Outcome
+		runs    int
+	}{
+		{standin.CutBeforeRead, outcome.Unknown, outcome.Unknown, 0},
+		{standin.CutAfterHeader, outcome.Unknown, outcome.Unknown, 0},
+		{standin.CutAfterRun, outcome.Unknown, outcome.Unknown, 1},
+		{standin.CutMidAnswer, outcome.Unknown, outcome.Unknown, 1},
+		{standin.BackendError, outcome.Ran, outcome.Ran, 0},
+	}
+	r := newRig(t, localClaims())
+	for _, c := range cases {
+		t.Run(string(c.fault), func(t *testing.T) {
+			defer r.fake.ClearAll()
+			key := ulid.Make().String()
+			header := http.Header{outcome.HeaderKey: {key}}
+			r.order(standin.Fault{Kind: c.fault, Count: 1})
+			first := r.send(http.MethodPost, "/booking/reservations", header, strings.NewReader("chair 7"))
+			assert.Equal(t, string(c.first), first.header.Get(outcome.HeaderOutcome), first.body)
+			again := r.send(http.MethodPost, "/booking/reservations", header, strings.NewReader("chair 7"))
+			assert.Equal(t, string(c.retried), again.header.Get(outcome.HeaderOutcome), again.body)
+			assert.Equal(t, c.runs, r.key(key).Runs)
+			assert.LessOrEqual(t, r.key(key).Seen, 1)
+		})
+	}
+}
+
+// A retry of a booking that ran, as after the caller lost the answer, gets the
+// first answer again and runs nothing; another request under the same key is
+// refused.
+func TestRetryOfBookingGetsTheFirstAnswer(t *testing.T) {
+	r := newRig(t, localClaims())
+	header := http.Header{outcome.HeaderKey: {ulid.Make().String()}}
+	first := r.send(http.MethodPost, "/booking/reservations", header, strings.NewReader("chair 7"))
+	again := r.send(http.MethodPost, "/booking/reservations", header, strings.NewReader("chair 7"))
+	require.Equal(t, http.StatusOK, first.status, first.body)
+	assert.Equal(t, first.body, again.body)
+	assert.Equal(t, string(outcome.Ran), again.header.Get(outcome.HeaderOutcome))
+	other := r.send(http.MethodPost, "/booking/reservations", header, strings.NewReader("chair 8"))
+	assert.Equal(t, "key-reused", other.header.Get(outcome.HeaderReason))
+	assert.Equal(t, 1, r.key(header.Get(outcome.HeaderKey)).Runs)
+}
+
+// A lookup whose backend server breaks off is tried at another one, and the
+// caller sees one whole answer.
+func TestLookupIsTriedAtAnotherBackend(t *testing.T) {
+	for _, fault := range []standin.FaultKind{standin.CutBeforeRead, standin.CutAfterRun, standin.CutMidAnswer, standin.BackendError} {
+		t.Run(string(fault), func(t *testing.T) {
+			r := newRig(t, localClaims())
+			r.order(standin.Fault{Kind: fault, Count: 1})
+			got := r.send(http.MethodGet, "/booking/lookup", http.Header{standin.HeaderReplyBytes: {"1000"}}, nil)
+			require.NoError(t, got.err)
+			assert.Equal(t, http.StatusOK, got.status, got.body)
+			assert.Equal(t, string(outcome.Ran), got.header.Get(outcome.HeaderOutcome))
+			assert.Len(t, got.body, 1000)
+		})
+	}
+}
+
+// A long answer that breaks off at the backend server must not look whole: the
+// caller's client sees its connection break.
+func TestCutLongAnswerBreaksTheCallersConnection(t *testing.T) {
+	r := newRig(t, localClaims())
+	const size = 300_000
+	header := http.Header{standin.HeaderReplyBytes: {strconv.Itoa(size)}}
+	whole := r.send(http.MethodGet, "/booking/lookup", header.Clone(), nil)
+	require.NoError(t, whole.err)
+	require.Len(t, whole.body, size)
+	r.order(standin.Fault{Kind: standin.CutMidAnswer, Count: 1})
+	cut := r.send(http.MethodGet, "/booking/lookup", header.Clone(), nil)
+	assert.Error(t, cut.err)
+}
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -14,8 +14,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/yuccadrift/yuccadrift/internal/admin"
+	"github.com/yuccadrift/yuccadrift/internal/claim"
 	"github.com/yuccadrift/yuccadrift/internal/dispatch"
 	"github.com/yuccadrift/yuccadrift/internal/entry"
+	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
 	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
@@ -64,6 +66,7 @@
 type rig struct {
 	t      *testing.T
 	fake   *standin.Platform
+	server *standin.Server
 	follow *follower.Follower
 	entry  *entry.Entry
 	ready  *admin.Readiness
@@ -95,6 +98,7 @@
 	r := &rig{
 		t:      t,
 		fake:   fake,
+		server: server,
 		follow: follower.New(follower.Config{Log: fake, Stream: stream, Logger: logger}),
 		ready:  admin.NewReadiness(),
 		url:    "http://" + listener.Addr().String(),
@@ -159,6 +163,27 @@
 	require.Equal(r.t, ledger.Effective, out.Status, out.Reason)
 }
 
+// order makes a fault happen and clears it at the test's end.
+func (r *rig) order(f standin.Fault) {
+	r.t.Helper()
+	_, err := r.fake.Order(f)
+	require.NoError(r.t, err)
+}
+
+func (r *rig) seen() int { return r.server.Counters(false).Backends.Seen }
+
+func (r *rig) key(key string) standin.KeyCounters {
+	return r.server.Counters(false, key).Backends.Keys[key]
+}
+
+// localClaims guards keys as an entry VM without peers does.
+func localClaims() dispatch.Claims {
+	return entry.NewClaims(entrypeer.NewLocal("entry-1", claim.Config{
+		Window: time.Minute, Ahead: time.Second, Skew: time.Second, Handover: time.Second,
+		MaxRecords: 1000, MaxAnswer: 4096, MaxAnswers: 1 << 20,
+	}))
+}
+
 // until waits for a condition that an event of another goroutine brings about.
 func (r *rig) until(done func() bool) {
 	r.t.Helper()
