--- a/internal/claim/handover.go
+++ b/internal/claim/handover.go
@@ -130,6 +130,9 @@
 	})
 }
 
+// Floors returns the number of floors.
+func (o *Owner) Floors() int { return len(o.floors) }
+
 func (o *Owner) indebted(k Key) bool {
 	for _, d := range o.debts {
 		if ownerOf(d.before, k) == d.Source {
--- a/internal/claim/owner.go
+++ b/internal/claim/owner.go
@@ -227,6 +227,9 @@
 // Members returns the members that the Owner goes by, sorted, and the offset.
 func (o *Owner) Members() ([]string, uint64) { return slices.Clone(o.members), o.offset }
 
+// OwnerOf returns the member that owns the key.
+func (o *Owner) OwnerOf(k Key) string { return o.owner(k) }
+
 func (o *Owner) owner(k Key) string { return ownerOf(o.members, k) }
 
 func (o *Owner) reply(c Code, r Reason) Reply {
--- /dev/null
+++ b/internal/entrypeer/conns.go
@@ -0,0 +1,93 @@
+package entrypeer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	pb "github.com/yuccadrift/yuccadrift/internal/entrypeer/entrypeerpb"
+)
+
+// Bounds of a connection to a peer.
+const (
+	// maxMessage bounds one message, in bytes.
+	maxMessage     = 4 << 20
+	connectTimeout = time.Second
+	redialMin      = 50 * time.Millisecond
+	redialMax      = time.Second
+)
+
+// conns keeps one connection per peer address. It carries no credentials yet:
+// entry VMs talk in plain text inside their own network.
+type conns struct {
+	mu     sync.Mutex
+	closed bool
+	open   map[string]*grpc.ClientConn
+}
+
+func newConns() *conns { return &conns{open: map[string]*grpc.ClientConn{}} }
+
+// to returns a client for the peer at address (IP:port).
+func (c *conns) to(address string) (pb.EntryPeerClient, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, errors.New("connections to peers are closed")
+	}
+	if conn, ok := c.open[address]; ok {
+		return pb.NewEntryPeerClient(conn), nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: redialMin, Multiplier: 2, Jitter: 0.2, MaxDelay: redialMax},
+			MinConnectTimeout: connectTimeout,
+		}))
+	if err != nil {
+		return nil, errors.Wrapf(err, "entry peer %s", address)
+	}
+	c.open[address] = conn
+	return pb.NewEntryPeerClient(conn), nil
+}
+
+// drop closes the connection to address; the next call dials anew. After a
+// network split TCP would go on retransmitting at its grown interval for many
+// seconds, in which the peer seems lost though it can be reached again.
+func (c *conns) drop(address string) {
+	c.mu.Lock()
+	conn := c.open[address]
+	delete(c.open, address)
+	c.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close() // nothing to do about an error: the connection is given up
+	}
+}
+
+// retain closes the connections to all other addresses.
+func (c *conns) retain(keep map[string]bool) {
+	c.mu.Lock()
+	var gone []*grpc.ClientConn
+	for a, conn := range c.open {
+		if !keep[a] {
+			gone = append(gone, conn)
+			delete(c.open, a)
+		}
+	}
+	c.mu.Unlock()
+	for _, conn := range gone {
+		_ = conn.Close()
+	}
+}
+
+func (c *conns) close() {
+	c.retain(nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+}
--- /dev/null
+++ b/internal/entrypeer/node.go
@@ -0,0 +1,197 @@
+package entrypeer
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/claim"
+	pb "github.com/yuccadrift/yuccadrift/internal/entrypeer/entrypeerpb"
+)
+
+// InFlight is what an entry process says about its requests in flight.
+type InFlight struct {
+	// Offset is how far the process acted on the log when it counted.
+	Offset uint64
+	// VMs counts requests in flight by backend VM.
+	VMs map[string]int
+}
+
+// NodeConfig is what a Node needs. InFlight is nil in a process that serves no
+// callers.
+type NodeConfig struct {
+	Logger   hclog.Logger
+	InFlight func() InFlight
+	// CallTimeout bounds one call to a peer that answers at once.
+	CallTimeout time.Duration
+	// Patience is for how long a claim is tried again while its owner cannot be
+	// reached or must not grant.
+	Patience time.Duration
+}
+
+// Node is this process among the entry VMs. It is the Claimer of the request
+// path.
+type Node struct {
+	cfg   NodeConfig
+	conns *conns
+
+	mu      sync.Mutex
+	members []*Member // the current one is last; older ones still hand over
+	joined  bool
+
+	reports   chan report
+	reporting atomic.Int64
+	dropped   atomic.Int64
+}
+
+// maxMemberships is how many earlier memberships of this process are kept to
+// hand their claims over.
+const maxMemberships = 3
+
+// NewNode returns a Node without membership. It grants nothing before Begin.
+func NewNode(cfg NodeConfig) *Node {
+	return &Node{cfg: cfg, conns: newConns(), reports: make(chan report, maxReports)}
+}
+
+// Close ends the connections to peers.
+func (n *Node) Close() { n.conns.close() }
+
+// Begin makes m the current membership.
+func (n *Node) Begin(m *Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members = append(n.members, m)
+	if len(n.members) > maxMemberships {
+		n.members = n.members[1:]
+	}
+	n.joined = true
+}
+
+// End ends the current membership. It goes on handing over.
+func (n *Node) End() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.joined = false
+}
+
+// current returns the current membership, or nil.
+func (n *Node) current() *Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.joined {
+		return nil
+	}
+	return n.members[len(n.members)-1]
+}
+
+// member returns a membership of this process by name, or nil.
+func (n *Node) member(name string) *Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, m := range n.members {
+		if m.Name() == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// Ready returns why the node cannot grant claims, or "".
+func (n *Node) Ready() string {
+	m := n.current()
+	switch {
+	case m == nil:
+		return "not a member of the entry VMs"
+	case !m.Valid():
+		return "no lease: too few other entry VMs answer, or the clock is wrong"
+	}
+	return ""
+}
+
+// Stats returns figures of the current membership, zero without one.
+func (n *Node) Stats() Stats {
+	if m := n.current(); m != nil {
+		return m.Stats()
+	}
+	return Stats{}
+}
+
+// Lease asks the peer for its promise on behalf of m.
+func (n *Node) Lease(ctx context.Context, m *Member, peer, address string) error {
+	c, err := n.conns.to(address)
+	if err != nil {
+		return err
+	}
+	sent := Now()
+	r, err := c.Lease(ctx, &pb.LeaseRequest{Member: m.Name()})
+	if err != nil {
+		return errors.Wrapf(err, "lease from %s", peer)
+	}
+	if r.GetMember() != peer {
+		return errors.Errorf("%s answers at the address of %s", r.GetMember(), peer)
+	}
+	m.leaseAnswered(peer, r.GetAcked(), r.GetClock().AsTime(), sent)
+	return nil
+}
+
+// Probe asks whether any entry process answers at address.
+func (n *Node) Probe(ctx context.Context, address string) error {
+	c, err := n.conns.to(address)
+	if err != nil {
+		return err
+	}
+	_, err = c.Lease(ctx, &pb.LeaseRequest{})
+	return errors.Wrapf(err, "probe %s", address)
+}
+
+// Drop closes the connection to address, so that the next call dials anew.
+func (n *Node) Drop(address string) { n.conns.drop(address) }
+
+// Retain closes the connections to all but the given addresses.
+func (n *Node) Retain(addresses map[string]bool) { n.conns.retain(addresses) }
+
+// Pull asks the source of the debt for its claims on behalf of m.
+func (n *Node) Pull(ctx context.Context, m *Member, d claim.Debt) (claim.Handover, claim.PullStatus, error) {
+	var h claim.Handover
+	c, err := n.conns.to(m.Address(d.Source))
+	if err != nil {
+		return h, claim.PullLater, err
+	}
+	stream, err := c.Pull(ctx, &pb.PullRequest{Source: d.Source, Puller: m.Name(), Offset: d.Offset})
+	if err != nil {
+		return h, claim.PullLater, errors.Wrapf(err, "pull from %s", d.Source)
+	}
+	code := claim.PullLater
+	for {
+		part, err := stream.Recv()
+		if err == io.EOF {
+			return h, code, nil
+		}
+		if err != nil {
+			return claim.Handover{}, claim.PullLater, errors.Wrapf(err, "pull from %s", d.Source)
+		}
+		code = claim.PullStatus(part.GetStatus())
+		if err := addPart(&h, part); err != nil {
+			return claim.Handover{}, claim.PullLater, err
+		}
+	}
+}
+
+func addPart(h *claim.Handover, part *pb.PullReply) error {
+	for _, r := range part.GetRecords() {
+		rec, err := recordOf(r)
+		if err != nil {
+			return err
+		}
+		h.Records = append(h.Records, rec)
+	}
+	for _, f := range part.GetFloors() {
+		h.Floors = append(h.Floors, floorOf(f))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entrypeer/reports.go
@@ -0,0 +1,111 @@
+package entrypeer
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/yuccadrift/yuccadrift/internal/claim"
+	pb "github.com/yuccadrift/yuccadrift/internal/entrypeer/entrypeerpb"
+)
+
+const (
+	// maxReports bounds the reports that wait for delivery. A report over it is
+	// dropped, and its key's retries get "unknown" after the attempt's deadline.
+	maxReports = 4096
+	// maxDeliveries bounds the deliveries at one time.
+	maxDeliveries = 256
+	// reportFor is for how long delivery of one report is tried.
+	reportFor = 15 * time.Second
+	// flushPoll is how often Flush looks.
+	flushPoll = 5 * time.Millisecond
+)
+
+// report is a result on its way to the key's owner.
+type report struct {
+	result claim.Result
+	until  time.Time
+}
+
+// Report implements Claimer.
+func (n *Node) Report(res claim.Result) {
+	m := n.current()
+	if m != nil && m.report(res) {
+		return
+	}
+	n.reporting.Add(1)
+	select {
+	case n.reports <- report{result: res, until: time.Now().Add(reportFor)}:
+	default:
+		n.reporting.Add(-1)
+		n.dropped.Add(1)
+	}
+}
+
+// DroppedReports returns how many reports could not be delivered.
+func (n *Node) DroppedReports() int64 { return n.dropped.Load() }
+
+// Serve delivers reports until ctx ends. It is a duty's Serve function.
+func (n *Node) Serve(ctx context.Context) error {
+	var deliveries errgroup.Group
+	deliveries.SetLimit(maxDeliveries)
+	defer func() { _ = deliveries.Wait() }() // deliveries return no error
+	for {
+		select {
+		case r := <-n.reports:
+			deliveries.Go(func() error {
+				n.deliver(ctx, r)
+				return nil
+			})
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Flush waits until all reports are delivered or given up, or ctx ends.
+func (n *Node) Flush(ctx context.Context) {
+	for n.reporting.Load() > 0 && ctx.Err() == nil {
+		sleep(ctx, flushPoll)
+	}
+}
+
+// deliver tries until the present owner of the key has taken the report.
+func (n *Node) deliver(ctx context.Context, r report) {
+	defer n.reporting.Add(-1)
+	pause := retryMin
+	for ctx.Err() == nil && time.Now().Before(r.until) {
+		if n.deliverOnce(ctx, r.result) {
+			return
+		}
+		sleep(ctx, pause)
+		pause = min(2*pause, retryMax)
+	}
+	n.dropped.Add(1)
+}
+
+func (n *Node) deliverOnce(ctx context.Context, res claim.Result) bool {
+	m := n.current()
+	if m == nil {
+		return false
+	}
+	owner, address := m.route(res.Key)
+	if owner == m.Name() {
+		return m.report(res)
+	}
+	c, err := n.conns.to(address)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.CallTimeout)
+	defer cancel()
+	r, err := c.Report(ctx, &pb.ReportRequest{
+		Owner:   owner,
+		Key:     keyProto(res.Key),
+		Attempt: attemptProto(res.Attempt),
+		End:     uint32(res.End),
+		Answer:  answerProto(res.Answer),
+	})
+	return err == nil && r.GetTaken()
+}
--- /dev/null
+++ b/internal/entrypeer/server.go
@@ -0,0 +1,147 @@
+package entrypeer
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/yuccadrift/yuccadrift/internal/claim"
+	pb "github.com/yuccadrift/yuccadrift/internal/entrypeer/entrypeerpb"
+)
+
+// server answers other entry VMs for a Node.
+type server struct {
+	pb.UnimplementedEntryPeerServer
+	node *Node
+}
+
+// Register adds the EntryPeer service to the daemon's gRPC server.
+func (n *Node) Register(to grpc.ServiceRegistrar) {
+	pb.RegisterEntryPeerServer(to, &server{node: n})
+}
+
+var errNoMember = status.Error(codes.FailedPrecondition, "no such member here")
+
+func badRequest(err error) error { return status.Error(codes.InvalidArgument, err.Error()) }
+
+// member returns the named membership of this process. A message for another
+// one, as from before a restart at the same address, must not be taken: the
+// sender means a memory that is gone.
+func (s *server) member(name string) (*Member, error) {
+	if m := s.node.member(name); m != nil {
+		return m, nil
+	}
+	return nil, errNoMember
+}
+
+// Claim implements the gRPC service.
+func (s *server) Claim(_ context.Context, in *pb.ClaimRequest) (*pb.ClaimReply, error) {
+	m, err := s.member(in.GetOwner())
+	if err != nil {
+		return nil, err
+	}
+	key, attempt, err := subject(in.GetKey(), in.GetAttempt())
+	if err != nil {
+		return nil, badRequest(err)
+	}
+	req := claim.Request{Key: key, Fingerprint: in.GetFingerprint()}
+	r := m.claim(req, attempt, in.GetUntil().AsTime())
+	return &pb.ClaimReply{
+		Code:   uint32(r.Code),
+		Reason: string(r.Reason),
+		Answer: answerProto(r.Answer),
+		Offset: r.Offset,
+	}, nil
+}
+
+// Await implements the gRPC service.
+func (s *server) Await(ctx context.Context, in *pb.AwaitRequest) (*pb.AwaitReply, error) {
+	m, err := s.member(in.GetOwner())
+	if err != nil {
+		return nil, err
+	}
+	key, attempt, err := subject(in.GetKey(), in.GetAttempt())
+	if err != nil {
+		return nil, badRequest(err)
+	}
+	return &pb.AwaitReply{Full: !m.await(ctx, key, attempt)}, nil
+}
+
+// Report implements the gRPC service.
+func (s *server) Report(_ context.Context, in *pb.ReportRequest) (*pb.ReportReply, error) {
+	m, err := s.member(in.GetOwner())
+	if err != nil {
+		return nil, err
+	}
+	key, attempt, err := subject(in.GetKey(), in.GetAttempt())
+	if err != nil {
+		return nil, badRequest(err)
+	}
+	taken := m.report(claim.Result{
+		Key:     key,
+		Attempt: attempt,
+		End:     claim.End(in.GetEnd()),
+		Answer:  answerOf(in.GetAnswer()),
+	})
+	return &pb.ReportReply{Taken: taken}, nil
+}
+
+// Lease implements the gRPC service.
+func (s *server) Lease(_ context.Context, in *pb.LeaseRequest) (*pb.LeaseReply, error) {
+	out := &pb.LeaseReply{}
+	if m := s.node.current(); m != nil {
+		out.Member = m.Name()
+		out.Acked = m.leaseAsked(in.GetMember())
+	}
+	out.Clock = timeProto(Now().Wall)
+	return out, nil
+}
+
+// pullBatch bounds the records of one message, and with MaxAnswer its bytes.
+const pullBatch = 32
+
+// Pull implements the gRPC service.
+func (s *server) Pull(in *pb.PullRequest, stream grpc.ServerStreamingServer[pb.PullReply]) error {
+	m, err := s.member(in.GetSource())
+	if err != nil {
+		return err
+	}
+	h, code := m.pull(in.GetOffset(), in.GetPuller())
+	for len(h.Records) > 0 {
+		n := min(pullBatch, len(h.Records))
+		part := &pb.PullReply{Status: uint32(claim.PullLater)}
+		for _, r := range h.Records[:n] {
+			part.Records = append(part.Records, recordProto(r))
+		}
+		if err := stream.Send(part); err != nil {
+			return err
+		}
+		h.Records = h.Records[n:]
+	}
+	last := &pb.PullReply{Status: uint32(code)}
+	for _, f := range h.Floors {
+		last.Floors = append(last.Floors, floorProto(f))
+	}
+	if err := stream.Send(last); err != nil {
+		return err
+	}
+	if code == claim.PullDone {
+		m.handedOver(in.GetOffset(), in.GetPuller())
+	}
+	return nil
+}
+
+// InFlight implements the gRPC service.
+func (s *server) InFlight(context.Context, *pb.InFlightRequest) (*pb.InFlightReply, error) {
+	if s.node.cfg.InFlight == nil {
+		return nil, status.Error(codes.Unimplemented, "this process serves no callers")
+	}
+	f := s.node.cfg.InFlight()
+	out := &pb.InFlightReply{Offset: f.Offset, Vms: map[string]int64{}}
+	for vm, n := range f.VMs {
+		out.Vms[vm] = int64(n)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/entrypeer/waiting.go
@@ -0,0 +1,103 @@
+package entrypeer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/claim"
+)
+
+// maxWaiters bounds the attempts that wait at one owner for others to end.
+const maxWaiters = 1024
+
+// waiting are the attempts that wait for a key to change. The Member's lock
+// guards it.
+type waiting struct {
+	keys  map[claim.Key][]chan struct{}
+	count int
+}
+
+func newWaiting() waiting { return waiting{keys: map[claim.Key][]chan struct{}{}} }
+
+func (w *waiting) add(k claim.Key) chan struct{} {
+	ch := make(chan struct{})
+	w.keys[k] = append(w.keys[k], ch)
+	w.count++
+	return ch
+}
+
+func (w *waiting) remove(k claim.Key, ch chan struct{}) {
+	before := len(w.keys[k])
+	w.keys[k] = slices.DeleteFunc(w.keys[k], func(x chan struct{}) bool { return x == ch })
+	w.count -= before - len(w.keys[k])
+	if len(w.keys[k]) == 0 {
+		delete(w.keys, k)
+	}
+}
+
+func (w *waiting) wake(k claim.Key) {
+	for _, ch := range w.keys[k] {
+		close(ch)
+	}
+	w.count -= len(w.keys[k])
+	delete(w.keys, k)
+}
+
+func (w *waiting) wakeAll() {
+	for k := range w.keys {
+		w.wake(k)
+	}
+}
+
+// claim asks the owner for a decision. The clock is read with the request in
+// hand: a request that waited while the process was paused is judged by the
+// time after the pause.
+func (m *Member) claim(req claim.Request, attempt claim.Attempt, until time.Time) claim.Reply {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owner.Claim(Now(), req, attempt, until)
+}
+
+// report passes the end of an attempt on and wakes the attempts that wait for
+// it. It returns false when another member owns the key.
+func (m *Member) report(res claim.Result) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.owner.Report(Now(), res) {
+		return false
+	}
+	m.waiting.wake(res.Key)
+	return true
+}
+
+// await returns when something about the key may have changed, or at ctx's end.
+// It returns false at once when too many attempts wait already.
+func (m *Member) await(ctx context.Context, k claim.Key, attempt claim.Attempt) bool {
+	ch, ok := m.enqueue(k, attempt)
+	if ch == nil {
+		return ok
+	}
+	select {
+	case <-ch:
+	case <-ctx.Done():
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.waiting.remove(k, ch)
+	}
+	return true
+}
+
+// enqueue returns no channel when the key is not in progress any more, or, with
+// false, when too many attempts wait.
+func (m *Member) enqueue(k claim.Key, attempt claim.Attempt) (chan struct{}, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.owner.InProgress(Now(), k, attempt) {
+		return nil, true
+	}
+	if m.waiting.count >= maxWaiters {
+		return nil, false
+	}
+	return m.waiting.add(k), true
+}
