Share claims among the entry VMs: leases, handover, eviction

Cause: a retry can reach another entry VM, and the first one may be gone. Change: internal/entrypeer asks the owner of a key over gRPC and delivers reports; internal/membership joins, renews the lease by peers' acks, goes through membership changes one by one, pulls claims from old owners, votes on silent peers and leaves in order. The right to grant rests on acks from half of the member's own electorate alone, so a takeover needs no wait for a lease that a read of the log could have renewed.

--- a/internal/claim/watch.go
+++ b/internal/claim/watch.go
@@ -30,7 +30,7 @@
 type watched struct {
 	trust   trust
 	seq     uint64
-	acked   time.Duration // last ack given
+	acked   time.Duration // last ack given, or when the peer came
 	heard   time.Duration // last request from the peer
 	reached time.Duration // last answer from the peer
 }
@@ -56,7 +56,7 @@
 func (w *Watch) SetPeers(now Instant, names []string) {
 	for _, n := range names {
 		if w.peers[n] == nil {
-			w.peers[n] = &watched{heard: now.Mono, reached: now.Mono}
+			w.peers[n] = &watched{acked: now.Mono, heard: now.Mono, reached: now.Mono}
 		}
 	}
 	maps.DeleteFunc(w.peers, func(n string, _ *watched) bool { return !contains(names, n) })
--- a/internal/entrypeer/conns.go
+++ b/internal/entrypeer/conns.go
@@ -1,6 +1,8 @@
 package entrypeer
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -24,12 +26,23 @@
 // conns keeps one connection per peer address. It carries no credentials yet:
 // entry VMs talk in plain text inside their own network.
 type conns struct {
+	dial   func(ctx context.Context, address string) (net.Conn, error)
 	mu     sync.Mutex
 	closed bool
 	open   map[string]*grpc.ClientConn
 }
 
-func newConns() *conns { return &conns{open: map[string]*grpc.ClientConn{}} }
+func newConns(dial func(ctx context.Context, address string) (net.Conn, error)) *conns {
+	if dial == nil {
+		dial = dialTCP
+	}
+	return &conns{dial: dial, open: map[string]*grpc.ClientConn{}}
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
 
 // to returns a client for the peer at address (IP:port).
 func (c *conns) to(address string) (pb.EntryPeerClient, error) {
@@ -44,6 +57,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+		grpc.WithContextDialer(c.dial),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: redialMin, Multiplier: 2, Jitter: 0.2, MaxDelay: redialMax},
--- a/internal/entrypeer/member.go
+++ b/internal/entrypeer/member.go
@@ -133,6 +133,25 @@
 	return peers
 }
 
+// Contacts returns the addresses that this member may still have to call: of the
+// members and of those that owe it claims. It forgets all others.
+func (m *Member) Contacts() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	members, _ := m.owner.Members()
+	for _, d := range m.owner.Debts() {
+		members = append(members, d.Source)
+	}
+	keep := map[string]bool{}
+	addresses := map[string]string{}
+	for _, n := range members {
+		addresses[n] = m.addresses[n]
+		keep[m.addresses[n]] = true
+	}
+	m.addresses = addresses
+	return keep
+}
+
 // Address returns where a member, or one removed lately, answers.
 func (m *Member) Address(name string) string {
 	m.mu.Lock()
--- a/internal/entrypeer/node.go
+++ b/internal/entrypeer/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,8 @@
 	// Patience is for how long a claim is tried again while its owner cannot be
 	// reached or must not grant.
 	Patience time.Duration
+	// Dial connects to a peer address; nil stands for TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Node is this process among the entry VMs. It is the Claimer of the request
@@ -55,7 +58,7 @@
 
 // NewNode returns a Node without membership. It grants nothing before Begin.
 func NewNode(cfg NodeConfig) *Node {
-	return &Node{cfg: cfg, conns: newConns(), reports: make(chan report, maxReports)}
+	return &Node{cfg: cfg, conns: newConns(cfg.Dial), reports: make(chan report, maxReports)}
 }
 
 // Close ends the connections to peers.
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,291 @@
+// Package membership keeps this process a member of the entry VMs: it joins,
+// keeps the lease, follows the changes of the membership one by one, pulls
+// claims from old owners, votes on peers that fell silent, and leaves in order.
+//
+// What makes this safe is argued in docs/adr/0011-membership-leases-and-eviction.md.
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/claim"
+	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Log is what the duty needs of the process's follower.
+type Log interface {
+	View(func(*ledger.State))
+	Fresh() time.Time
+	Changed() <-chan struct{}
+	Propose(ctx context.Context, rec record.Record) (ledger.Outcome, error)
+}
+
+// Config is what a Duty needs.
+type Config struct {
+	// Node, Zone and Address (IP:port of the peer server) go into the join.
+	Node    string
+	Zone    string
+	Address string
+	Log     Log
+	Peers   *entrypeer.Node
+	Claim   claim.Config
+	Lease   claim.LeaseConfig
+	Logger  hclog.Logger
+}
+
+const (
+	// stepsPerSilence is how often the watch over peers moves on in the time
+	// after which a peer counts as lost.
+	stepsPerSilence = 20
+	// beatsPerLease is how often a lease is renewed in its duration.
+	beatsPerLease = 5
+	// logQuiet is how old the latest read that reached the end of the log may
+	// be while the log counts as reachable; a read waits for up to 2 s.
+	logQuiet = 5 * time.Second
+	// rejoinMin and rejoinMax bound the pause before a removed member joins
+	// again, which doubles with each removal.
+	rejoinMin = time.Second
+	rejoinMax = time.Minute
+	// probeTimeout bounds the question whether a peer can be reached.
+	probeTimeout = 500 * time.Millisecond
+)
+
+// Duty keeps the membership. Serve is its Serve function.
+type Duty struct {
+	cfg Config
+
+	leave    chan struct{}
+	leaving  sync.Once
+	left     chan struct{}
+	departed sync.Once
+}
+
+// New returns a Duty that joins once it is served.
+func New(cfg Config) *Duty {
+	return &Duty{cfg: cfg, leave: make(chan struct{}), left: make(chan struct{})}
+}
+
+// Leave gives up the membership in good order and returns when the claims were
+// handed over, or when ctx ends. The process must have ended its requests
+// before: claims of a member that is gone count as unknown.
+func (d *Duty) Leave(ctx context.Context) error {
+	d.leaving.Do(func() { close(d.leave) })
+	select {
+	case <-d.left:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "leave the entry VMs")
+	}
+}
+
+// Serve joins, keeps the membership, and joins anew after a removal, until ctx
+// ends.
+func (d *Duty) Serve(ctx context.Context) error {
+	wait := rejoinMin
+	changed := d.cfg.Log.Changed()
+	for first := true; ; first = false {
+		if !d.mayJoin(ctx, changed, first) {
+			d.departed.Do(func() { close(d.left) })
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		s, err := d.join(ctx)
+		if err != nil {
+			return err
+		}
+		began := time.Now()
+		over := s.serve(ctx, changed)
+		d.cfg.Peers.End()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if over == leftInOrder {
+			continue
+		}
+		d.cfg.Logger.Warn("removed from the entry VMs", "member", s.name, "joining_again_in", wait)
+		if time.Since(began) > rejoinMax {
+			wait = rejoinMin
+		}
+		d.rest(ctx, wait)
+		wait = min(2*wait, rejoinMax)
+	}
+}
+
+// rest pauses, and ends early when the process leaves.
+func (d *Duty) rest(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-d.leave:
+	case <-ctx.Done():
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Duty) isLeaving() bool {
+	select {
+	case <-d.leave:
+		return true
+	default:
+		return false
+	}
+}
+
+// mayJoin waits until this process may join. It returns false when the process
+// leaves or ctx ends.
+//
+// The state must have been read to its end once: a join decided on an old state
+// would be void. After a removal at least half of the members must answer, so
+// that a VM which is cut off does not come and go.
+func (d *Duty) mayJoin(ctx context.Context, changed <-chan struct{}, first bool) bool {
+	for ctx.Err() == nil && !d.isLeaving() {
+		if !d.cfg.Log.Fresh().IsZero() && (first || d.reachesHalf(ctx)) {
+			return true
+		}
+		timer := time.NewTimer(rejoinMin)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-d.leave:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return false
+}
+
+func (d *Duty) reachesHalf(ctx context.Context) bool {
+	var addresses []string
+	d.cfg.Log.View(func(s *ledger.State) {
+		for _, m := range s.Members {
+			addresses = append(addresses, m.Address)
+		}
+	})
+	answers := make(chan bool, len(addresses))
+	for _, a := range addresses {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			answers <- d.cfg.Peers.Probe(ctx, a) == nil
+		}()
+	}
+	reached := 0
+	for range addresses {
+		if <-answers {
+			reached++
+		}
+	}
+	return 2*reached >= len(addresses)
+}
+
+// join proposes the join of a new incarnation until it took effect, and returns
+// the session with it.
+func (d *Duty) join(ctx context.Context) (*session, error) {
+	for {
+		name := d.cfg.Node + "." + ulid.Make().String()
+		out, err := d.cfg.Log.Propose(ctx, d.record(name, record.MemberJoin{
+			Node:    d.cfg.Node,
+			Zone:    d.cfg.Zone,
+			Address: d.cfg.Address,
+		}))
+		if err != nil {
+			return nil, errors.Wrap(err, "join the entry VMs")
+		}
+		if out.Status != ledger.Effective {
+			d.cfg.Logger.Warn("join is void", "status", out.Status, "reason", out.Reason)
+			d.rest(ctx, rejoinMin)
+			continue
+		}
+		if s := d.begin(name, out.Offset); s != nil {
+			d.cfg.Logger.Info("joined the entry VMs", "member", name, "offset", out.Offset)
+			return s, nil
+		}
+	}
+}
+
+// record returns a record about the named member, decided on the state now.
+func (d *Duty) record(name string, body record.Body) record.Record {
+	sub := record.Subject{Kind: record.SubjectMember, Name: name}
+	rec := record.Record{
+		ID:      ulid.Make().String(),
+		Subject: sub,
+		Author:  d.cfg.Node,
+		Time:    time.Now(),
+		Body:    body,
+	}
+	d.cfg.Log.View(func(s *ledger.State) {
+		rec.Base = s.Revision(sub)
+		rec.Seen = s.Offset
+	})
+	return rec
+}
+
+// begin returns the session of the member that joined at offset, or nil when
+// the state does not hold that change any more.
+func (d *Duty) begin(name string, offset uint64) *session {
+	var before []ledger.MemberRef
+	var change ledger.MemberChange
+	found := false
+	d.cfg.Log.View(func(s *ledger.State) {
+		before, change, found = membersBefore(s, offset)
+	})
+	if !found {
+		return nil
+	}
+	m := entrypeer.NewMember(entrypeer.MemberConfig{Name: name, Claim: d.cfg.Claim, Lease: d.cfg.Lease})
+	m.Join(before, change)
+	s := &session{duty: d, name: name, member: m, offset: offset, votes: map[string]context.CancelFunc{}, pulls: map[claim.Debt]bool{}}
+	s.electorate()
+	d.cfg.Peers.Begin(m)
+	return s
+}
+
+// membersBefore returns the change at offset and the members before it, by
+// undoing the changes since.
+func membersBefore(s *ledger.State, offset uint64) ([]ledger.MemberRef, ledger.MemberChange, bool) {
+	members := map[string]ledger.MemberRef{}
+	for name, m := range s.Members {
+		members[name] = ledger.MemberRef{Name: name, Address: m.Address}
+	}
+	for i := len(s.MemberChanges) - 1; i >= 0; i-- {
+		c := s.MemberChanges[i]
+		if c.Offset < offset {
+			break
+		}
+		for _, r := range c.Joined {
+			delete(members, r.Name)
+		}
+		for _, r := range c.Removed {
+			members[r.Name] = r
+		}
+		if c.Offset == offset {
+			return refs(members), c, true
+		}
+	}
+	return nil, ledger.MemberChange{}, false
+}
+
+func refs(members map[string]ledger.MemberRef) []ledger.MemberRef {
+	list := make([]ledger.MemberRef, 0, len(members))
+	for _, r := range members {
+		list = append(list, r)
+	}
+	return list
+}
