--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -53,6 +53,9 @@
 	if s.Peers.Listen.IsValid() && s.Peers.Listen.Addr().IsUnspecified() {
 		c.add("peers.listen", s.Peers.Listen.String()+" names no single address", "the address of this VM that other nodes dial")
 	}
+	if s.Peers.Advertise.IsValid() {
+		c.remote("peers.advertise", s.Peers.Advertise)
+	}
 	for i, seed := range s.Peers.Seeds {
 		c.remote(fmt.Sprintf("peers.seeds[%d]", i), seed)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,10 +41,21 @@
 type Peers struct {
 	// Listen is dialled by other nodes, so it names one address of this VM.
 	Listen tomlfile.Address `toml:"listen"`
+	// Advertise is what other nodes dial instead, where an address translation
+	// or a proxy stands in between; Listen when unset.
+	Advertise tomlfile.Address `toml:"advertise"`
 	// Seeds are peers to ask for their state while the log cannot be read.
 	Seeds []tomlfile.Address `toml:"seeds"`
 }
 
+// Address returns what other nodes dial.
+func (p Peers) Address() tomlfile.Address {
+	if p.Advertise.IsValid() {
+		return p.Advertise
+	}
+	return p.Listen
+}
+
 // Admin is the HTTP endpoint for metrics, health and profiles.
 type Admin struct {
 	Listen tomlfile.Address `toml:"listen"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -36,6 +36,10 @@
 	require.NoError(t, problems.Err())
 	assert.Equal(t, settings.DefaultMaxActions, steward.Planning.MaxActions)
 	assert.Equal(t, "10.0.0.2:7400", steward.Peers.Seeds[0].String())
+	assert.Equal(t, "10.0.0.1:7400", steward.Peers.Address().String())
+	steward, problems = settings.ParseSteward("steward.toml", []byte(strings.Replace(common, "seeds", "advertise = '10.1.0.1:7400'\nseeds", 1)))
+	require.NoError(t, problems.Err())
+	assert.Equal(t, "10.1.0.1:7400", steward.Peers.Address().String())
 }
 
 func TestParseReportsAllMistakesAtOnce(t *testing.T) {
@@ -49,6 +53,7 @@
 		`request_timeout = 250`,
 		`[peers]`,
 		`listen = "0.0.0.0:7400"`,
+		`advertise = "0.0.0.0:7400"`,
 		`seeds = ["10.0.0.2:7400", "10.0.0.3:0"]`,
 		`[admin]`,
 		`listen = "10.0.0.1:7400"`,
@@ -73,15 +78,16 @@
 		`e.toml:6: platform.snapshot_stream: is the same as platform.stream, expected a stream of its own`,
 		`e.toml:7: platform.request_timeout: "250" is not a duration, expected a duration with its unit in quotes, such as "250ms" or "1h30m"`,
 		`e.toml:9: peers.listen: 0.0.0.0:7400 names no single address, expected the address of this VM that other nodes dial`,
-		`e.toml:10: peers.seeds[1]: has port 0, expected the port that the other side listens on`,
-		`e.toml:12: admin.listen: 10.0.0.1:7400 is taken by peers.listen, expected another address or port`,
-		`e.toml:14: callers.listen: 10.0.0.1:7400 is taken by peers.listen, expected another address or port`,
-		`e.toml:15: callers.max_connections: 0 is out of range, expected 1 to 1048576`,
-		`e.toml:17: backends.check_timeout: 5s is over the interval, expected at most backends.check_interval, 1s`,
-		`e.toml:18: claims.clock_allowance: 500ms leaves nothing of the lease, expected less than claims.lease, 400ms`,
-		`e.toml:20: planning: unknown key, expected one of node, platform, peers, admin, log, callers, drain, backends, claims`,
-		`e.toml:23: log.level: "loud" is not known, expected one of trace, debug, info, warn, error`,
-		`e.toml:24: log.format: is of type integer, expected a string`,
+		`e.toml:10: peers.advertise: 0.0.0.0 cannot be dialled, expected the address of one VM`,
+		`e.toml:11: peers.seeds[1]: has port 0, expected the port that the other side listens on`,
+		`e.toml:13: admin.listen: 10.0.0.1:7400 is taken by peers.listen, expected another address or port`,
+		`e.toml:15: callers.listen: 10.0.0.1:7400 is taken by peers.listen, expected another address or port`,
+		`e.toml:16: callers.max_connections: 0 is out of range, expected 1 to 1048576`,
+		`e.toml:18: backends.check_timeout: 5s is over the interval, expected at most backends.check_interval, 1s`,
+		`e.toml:19: claims.clock_allowance: 500ms leaves nothing of the lease, expected less than claims.lease, 400ms`,
+		`e.toml:21: planning: unknown key, expected one of node, platform, peers, admin, log, callers, drain, backends, claims`,
+		`e.toml:24: log.level: "loud" is not known, expected one of trace, debug, info, warn, error`,
+		`e.toml:25: log.format: is of type integer, expected a string`,
 	}, "\n"), problems.Error())
 }
 
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -67,6 +67,11 @@
 	Active []Fault  `json:"active"`
 }
 
+// AdvertiseOrder is the body of a POST of advertised addresses, by VM.
+type AdvertiseOrder struct {
+	Addresses map[string]string `json:"addresses"`
+}
+
 // Query parameters of the counters.
 const (
 	// QueryKey asks for the counters of one key; it may be repeated.
@@ -85,6 +90,12 @@
 		query := r.URL.Query()
 		return s.Counters(query.Get(QueryAllKeys) == "1", query[QueryKey]...), nil
 	}))
+	mux.HandleFunc("POST /control/advertise", handle(func(_ *http.Request, in *AdvertiseOrder) (any, error) {
+		if err := s.platform.Advertise(in.Addresses); err != nil {
+			return nil, errors.Wrap(platform.ErrRejected, err.Error())
+		}
+		return struct{}{}, nil
+	}))
 	mux.HandleFunc("POST /control/reset", func(w http.ResponseWriter, _ *http.Request) {
 		s.Reset()
 		w.WriteHeader(http.StatusNoContent)
@@ -97,6 +108,7 @@
 	fmt.Fprintln(w, "GET  /control/faults    active faults")
 	fmt.Fprintln(w, `POST /control/faults    {"order":[{"kind":"log_refuse","for_ms":5000}],"clear":["1"],"clear_all":false}`)
 	fmt.Fprintln(w, "GET  /control/counters  counters (?key=K, ?all_keys=1)")
+	fmt.Fprintln(w, `POST /control/advertise {"addresses":{"vm-01":"127.0.0.1:4001"}}  what the list shows`)
 	fmt.Fprintln(w, "POST /control/reset     clear faults and counters")
 	fmt.Fprintln(w, "\nFaults take target, skip, count, for_ms and where named delay_ms and factors:")
 	for _, help := range FaultHelp {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -65,6 +65,8 @@
 	vm      platform.VM
 	group   *groupState
 	port    int // of the backend server; 0 means any
+	// advertised is the address that the list shows, empty for the real one.
+	advertised string
 	up      bool
 	lost    bool
 	drained bool
@@ -205,7 +207,11 @@
 func (v *vmState) at(asOf time.Time) (platform.VM, bool) {
 	for i := len(v.past) - 1; i >= 0; i-- {
 		if !v.past[i].at.After(asOf) {
-			return v.past[i].vm, !v.past[i].gone && v.vm.Address != ""
+			vm := v.past[i].vm
+			if v.advertised != "" {
+				vm.Address = v.advertised
+			}
+			return vm, !v.past[i].gone && v.vm.Address != ""
 		}
 	}
 	return platform.VM{}, false
--- a/internal/standin/machines.go
+++ b/internal/standin/machines.go
@@ -1,5 +1,7 @@
 package standin
 
+import "github.com/pkg/errors"
+
 // machine is what the Server needs to know of a VM.
 type machine struct {
 	id          string
@@ -57,3 +59,19 @@
 		v.past[i].vm.Address = address
 	}
 }
+
+// Advertise makes the list show other addresses, by VM, than those that the
+// backend servers listen on: those of proxies that stand in front of them.
+func (p *Platform) Advertise(addresses map[string]string) error {
+	p.look()
+	defer p.mu.Unlock()
+	for vm := range addresses {
+		if p.fleet.vms[vm] == nil {
+			return errors.Errorf("no VM %q", vm)
+		}
+	}
+	for vm, address := range addresses {
+		p.fleet.vms[vm].advertised = address
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/testkit/caller.go
@@ -0,0 +1,135 @@
+package testkit
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+// Request is a caller's request. Path begins with the service's name.
+type Request struct {
+	Method   string // POST when empty
+	Path     string
+	Key      string
+	Attempt  int           // sent when not 0
+	Deadline time.Duration // sent when not 0
+	Work     time.Duration // how long the run takes
+	// ReplyBytes is the size of the answer's body.
+	ReplyBytes int
+	Body       []byte
+}
+
+// Answer is what the caller got. Err tells that none came, or not all of it.
+type Answer struct {
+	Status  int
+	Outcome outcome.Outcome
+	Reason  outcome.Reason
+	VM      string // that ran the request
+	Header  http.Header
+	Body    []byte
+	Err     error
+	Took    time.Duration
+
+	echo  string
+	bytes int
+}
+
+// Key returns a fresh key.
+func Key() string { return ulid.Make().String() }
+
+// callers keeps connections as a caller's client does.
+var callers = &http.Client{Transport: &http.Transport{
+	MaxIdleConnsPerHost: 256,
+	IdleConnTimeout:     30 * time.Second,
+	DisableCompression:  true,
+}}
+
+// Send sends a request to the node's entry and reads the whole answer.
+func (n *Node) Send(ctx context.Context, r Request) Answer {
+	began := time.Now()
+	a := n.send(ctx, r)
+	a.Took = time.Since(began)
+	return a
+}
+
+func (n *Node) send(ctx context.Context, r Request) Answer {
+	a := Answer{echo: ulid.Make().String(), bytes: r.ReplyBytes}
+	method := r.Method
+	if method == "" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	req.GetBody = nil // the client must not send a request twice by itself
+	r.fill(req.Header)
+	req.Header.Set(standin.HeaderEcho, a.echo)
+	res, err := callers.Do(req)
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	defer res.Body.Close()
+	a.Status, a.Header = res.StatusCode, res.Header
+	a.Outcome = outcome.Outcome(res.Header.Get(outcome.HeaderOutcome))
+	a.Reason = outcome.Reason(res.Header.Get(outcome.HeaderReason))
+	a.VM = res.Header.Get(standin.HeaderVM)
+	a.Body, a.Err = io.ReadAll(res.Body)
+	return a
+}
+
+func (r Request) fill(h http.Header) {
+	if r.Key != "" {
+		h.Set(outcome.HeaderKey, r.Key)
+	}
+	if r.Attempt > 0 {
+		h.Set(outcome.HeaderAttempt, strconv.Itoa(r.Attempt))
+	}
+	if r.Deadline > 0 {
+		h.Set(outcome.HeaderDeadline, strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	}
+	if r.Work > 0 {
+		h.Set(standin.HeaderWorkMS, strconv.FormatFloat(float64(r.Work)/float64(time.Millisecond), 'f', -1, 64))
+	}
+	h.Set(standin.HeaderReplyBytes, strconv.Itoa(r.ReplyBytes))
+}
+
+// OK reports whether the request ran and its answer came whole.
+func (a Answer) OK() bool {
+	return a.Err == nil && a.Status == http.StatusOK && a.Outcome == outcome.Ran
+}
+
+// Problem tells what is wrong with an answer that came to its end: one that is
+// cut short and looks whole, another caller's, or one without an outcome. It is
+// empty when nothing is.
+func (a Answer) Problem() string {
+	if a.Err != nil {
+		return "" // the caller sees that the answer broke off
+	}
+	switch a.Outcome {
+	case outcome.Ran, outcome.NotRun, outcome.Unknown:
+	default:
+		return fmt.Sprintf("status %d without an outcome (%q)", a.Status, a.Outcome)
+	}
+	if !a.OK() || a.VM == "" {
+		return "" // not a backend server's answer to a run
+	}
+	if got := a.Header.Get(standin.HeaderEcho); got != a.echo {
+		return fmt.Sprintf("another request's answer: echo %q, want %q", got, a.echo)
+	}
+	if want := standin.ReplyBody(a.echo, a.bytes); !bytes.Equal(a.Body, want) {
+		return fmt.Sprintf("body of %d bytes is not the %d bytes asked for", len(a.Body), len(want))
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/testkit/cluster.go
@@ -0,0 +1,274 @@
+package testkit
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+// Settings are lines of a settings file: dotted key to TOML value, as
+// {"claims.lease": `"2s"`}.
+type Settings map[string]string
+
+// Group is a set of alike VMs with backend servers; see standin.Group. Boot is
+// in seconds.
+type Group struct {
+	Prefix      string
+	Count       int
+	Zones       []string
+	RackSize    int
+	BootSeconds float64
+}
+
+// Options describe a cluster.
+type Options struct {
+	// Nodes holds the availability zone of each entry VM.
+	Nodes []string
+	Fleet []Group
+	// Entry, Steward and Standin override settings of the daemons.
+	Entry   Settings
+	Steward Settings
+	Standin Settings
+	// BackendLinks puts a Link before every backend server. A backend server
+	// that is down then breaks connections rather than refusing them.
+	BackendLinks bool
+	// NoStewards leaves the stewards out; Node.Steward can be started later.
+	NoStewards bool
+}
+
+// Cluster is a stand-in with entry VMs.
+type Cluster struct {
+	Standin *Standin
+	Nodes   []*Node
+	// Backends holds the link before each backend server, by VM.
+	Backends map[string]*Link
+
+	t    testing.TB
+	dir  string
+	ip   string
+	opts Options
+}
+
+// Node is one entry VM with its two daemons.
+type Node struct {
+	Name string
+	Zone string
+	// Entry and Steward are the VM's daemons.
+	Entry   *Process
+	Steward *Process
+	// EntryPlatform and StewardPlatform are the daemons' ways to the platform,
+	// and Peers is the other nodes' way to this entry.
+	EntryPlatform   *Link
+	StewardPlatform *Link
+	Peers           *Link
+
+	c       *Cluster
+	entry   addresses
+	steward addresses
+	callers string
+}
+
+// addresses are what one daemon listens on.
+type addresses struct{ peers, admin string }
+
+// clusters counts the clusters of this process.
+var clusters atomic.Int32
+
+// loopback returns a loopback IP that no other live cluster has.
+func loopback() string {
+	pid := os.Getpid()
+	const first, span = 64, 128
+	return fmt.Sprintf("127.%d.%d.%d", first+int(clusters.Add(1))%span, pid>>8&0xff, pid&0xff)
+}
+
+// Start starts the stand-in and the entry VMs and waits until all processes
+// answer. Entries are ready only once a document is in force: see AwaitReady.
+func Start(t testing.TB, opts Options) *Cluster {
+	t.Helper()
+	c := &Cluster{t: t, dir: t.TempDir(), ip: loopback(), opts: opts, Backends: map[string]*Link{}}
+	c.startStandin()
+	var held []net.Listener
+	for i, zone := range opts.Nodes {
+		c.Nodes = append(c.Nodes, c.newNode(i, zone, &held))
+	}
+	for _, listener := range held {
+		_ = listener.Close()
+	}
+	for _, n := range c.Nodes {
+		n.writeSettings()
+		n.Entry.Start()
+		if !opts.NoStewards {
+			n.Steward.Start()
+		}
+	}
+	for _, n := range c.Nodes {
+		until(t, n.Name+" answers", func() bool { return n.alive(n.entry) && (opts.NoStewards || n.alive(n.steward)) })
+	}
+	return c
+}
+
+// hold binds a free port of the cluster's IP until the listener is closed.
+func (c *Cluster) hold(held *[]net.Listener) string {
+	listener, err := net.Listen("tcp", c.ip+":0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	*held = append(*held, listener)
+	return listener.Addr().String()
+}
+
+func (c *Cluster) newNode(i int, zone string, held *[]net.Listener) *Node {
+	n := &Node{Name: fmt.Sprintf("entry-%d", i+1), Zone: zone, c: c}
+	n.entry = addresses{peers: c.hold(held), admin: c.hold(held)}
+	n.steward = addresses{peers: c.hold(held), admin: c.hold(held)}
+	n.callers = c.hold(held)
+	n.EntryPlatform = newLink(c.t, n.Name+"-entry-platform", c.ip, c.Standin.address)
+	n.StewardPlatform = newLink(c.t, n.Name+"-steward-platform", c.ip, c.Standin.address)
+	n.Peers = newLink(c.t, n.Name+"-peers", c.ip, n.entry.peers)
+	n.Entry = newProcess(c.t, c.dir, n.Name, binary(c.t, binEntry), "--config", n.file("entry"))
+	n.Steward = newProcess(c.t, c.dir, n.Name+"-steward", binary(c.t, binSteward), "--config", n.file("steward"))
+	return n
+}
+
+func (n *Node) file(daemon string) string { return filepath.Join(n.c.dir, n.Name+"-"+daemon+".toml") }
+
+// writeSettings writes both daemons' files.
+func (n *Node) writeSettings() {
+	entrySeeds, stewardSeeds := n.seeds()
+	common := Settings{
+		"node.id":   quote(n.Name),
+		"node.zone": quote(n.Zone),
+		"log.level": quote("debug"),
+	}
+	entry := Settings{
+		"platform.address": quote(n.EntryPlatform.Address()),
+		"peers.listen":     quote(n.entry.peers),
+		"peers.advertise":  quote(n.Peers.Address()),
+		"peers.seeds":      entrySeeds,
+		"admin.listen":     quote(n.entry.admin),
+		"callers.listen":   quote(n.callers),
+		"drain.notice":     quote("300ms"),
+	}
+	steward := Settings{
+		"platform.address":       quote(n.StewardPlatform.Address()),
+		"peers.listen":           quote(n.steward.peers),
+		"peers.seeds":            stewardSeeds,
+		"admin.listen":           quote(n.steward.admin),
+		"planning.interval":      quote("100ms"),
+		"planning.list_interval": quote("200ms"),
+	}
+	n.c.write(n.file("entry"), common, entry, n.c.opts.Entry)
+	n.c.write(n.file("steward"), common, steward, n.c.opts.Steward)
+}
+
+// seeds returns the other nodes' peer addresses as TOML arrays.
+func (n *Node) seeds() (entries, stewards string) {
+	var e, s []string
+	for _, other := range n.c.Nodes {
+		if other != n {
+			e = append(e, quote(other.Peers.Address()))
+			s = append(s, quote(other.steward.peers))
+		}
+	}
+	return "[" + strings.Join(e, ",") + "]", "[" + strings.Join(s, ",") + "]"
+}
+
+func quote(text string) string { return fmt.Sprintf("%q", text) }
+
+// write writes a settings file; later settings override earlier ones.
+func (c *Cluster) write(file string, layers ...Settings) {
+	all := Settings{}
+	for _, layer := range layers {
+		maps.Copy(all, layer)
+	}
+	var text strings.Builder
+	for _, key := range slices.Sorted(maps.Keys(all)) {
+		fmt.Fprintf(&text, "%s = %s\n", key, all[key])
+	}
+	if err := os.WriteFile(file, []byte(text.String()), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// Kill ends both daemons at once, as the loss of the VM does.
+func (n *Node) Kill() {
+	n.Entry.Kill()
+	n.Steward.Kill()
+}
+
+// Start starts both daemons again.
+func (n *Node) Start() {
+	n.Entry.Start()
+	n.Steward.Start()
+}
+
+// Pause stops both daemons without their knowing.
+func (n *Node) Pause() {
+	n.Entry.Pause()
+	n.Steward.Pause()
+}
+
+// Resume lets both daemons go on.
+func (n *Node) Resume() {
+	n.Entry.Resume()
+	n.Steward.Resume()
+}
+
+// CutPlatform takes the VM's way to the platform, HealPlatform gives it back.
+func (n *Node) CutPlatform() {
+	n.EntryPlatform.Cut()
+	n.StewardPlatform.Cut()
+}
+
+// HealPlatform ends the faults on the VM's way to the platform.
+func (n *Node) HealPlatform() {
+	n.EntryPlatform.Heal()
+	n.StewardPlatform.Heal()
+}
+
+// EntryPeers and StewardPeers are the daemons' peer addresses, without a Link.
+func (n *Node) EntryPeers() string { return n.entry.peers }
+
+// StewardPeers is the steward's peer address.
+func (n *Node) StewardPeers() string { return n.steward.peers }
+
+// AwaitReady waits until the entries take callers' requests.
+func (c *Cluster) AwaitReady() {
+	c.t.Helper()
+	for _, n := range c.Nodes {
+		n.AwaitReady()
+	}
+}
+
+// AwaitReady waits until the entry takes callers' requests.
+func (n *Node) AwaitReady() {
+	n.c.t.Helper()
+	until(n.c.t, n.Name+" is ready", n.Ready)
+}
+
+// Ready reports whether the entry says that it takes callers' requests.
+func (n *Node) Ready() bool { return answers("http://" + n.entry.admin + "/readyz") }
+
+func (n *Node) alive(a addresses) bool { return answers("http://" + a.admin + "/healthz") }
+
+func answers(url string) bool {
+	res, err := http.Get(url)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// Until waits for a condition that the processes bring about.
+func (c *Cluster) Until(what string, holds func() bool) {
+	c.t.Helper()
+	until(c.t, what, holds)
+}
--- /dev/null
+++ b/internal/testkit/race_off.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package testkit
+
+const raceEnabled = false
--- /dev/null
+++ b/internal/testkit/standin.go
@@ -0,0 +1,209 @@
+package testkit
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/settings"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+// Standin is the stand-in's process, seen from outside and past all links.
+type Standin struct {
+	*Process
+	// Client reaches the platform without a fault in between.
+	Client  *platform.Client
+	t       testing.TB
+	address string
+}
+
+func (c *Cluster) startStandin() {
+	c.t.Helper()
+	var held []net.Listener
+	address := c.hold(&held)
+	file := filepath.Join(c.dir, "standin.toml")
+	c.write(file, Settings{"listen": quote(address), "fleet": c.fleet()}, c.opts.Standin)
+	process := newProcess(c.t, c.dir, "standin", binary(c.t, binStandin), "--config", file)
+	client := platform.NewClient(address, platform.ClientOptions{Timeout: waitLimit})
+	c.t.Cleanup(client.Close)
+	c.Standin = &Standin{Process: process, Client: client, t: c.t, address: address}
+	_ = held[0].Close()
+	process.Start()
+	until(c.t, "the stand-in answers", func() bool { return answers("http://" + address + "/control/") })
+	if c.opts.BackendLinks {
+		c.linkBackends()
+	}
+}
+
+// fleet returns the groups of VMs as a TOML array.
+func (c *Cluster) fleet() string {
+	var text bytes.Buffer
+	for _, g := range c.opts.Fleet {
+		zones, _ := json.Marshal(g.Zones)
+		fmt.Fprintf(&text, "{prefix=%q, count=%d, zones=%s, rack_size=%d, boot_seconds=%f},", g.Prefix, g.Count, zones, g.RackSize, g.BootSeconds)
+	}
+	return "[" + text.String() + "]"
+}
+
+// linkBackends puts a Link before every backend server and has the list show it.
+func (c *Cluster) linkBackends() {
+	order := standin.AdvertiseOrder{Addresses: map[string]string{}}
+	for _, vm := range c.Standin.List().VMs {
+		link := newLink(c.t, vm.ID, c.ip, vm.Address)
+		c.Backends[vm.ID] = link
+		order.Addresses[vm.ID] = link.Address()
+	}
+	c.Standin.post("advertise", order, nil)
+}
+
+// List returns the platform's list of VMs.
+func (s *Standin) List() platform.VMList {
+	s.t.Helper()
+	list, err := s.Client.List(s.t.Context())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return list
+}
+
+// Order orders faults and returns their IDs.
+func (s *Standin) Order(faults ...standin.Fault) []string {
+	s.t.Helper()
+	var reply standin.FaultReply
+	s.post("faults", standin.FaultOrder{Order: faults}, &reply)
+	return reply.IDs
+}
+
+// Clear ends the faults with these IDs, or all when there is none.
+func (s *Standin) Clear(ids ...string) {
+	s.t.Helper()
+	s.post("faults", standin.FaultOrder{Clear: ids, ClearAll: len(ids) == 0}, nil)
+}
+
+// Counters returns the counters, with those of every key.
+func (s *Standin) Counters() standin.Counters {
+	s.t.Helper()
+	return s.counters(url.Values{standin.QueryAllKeys: {"1"}})
+}
+
+// Key returns the counters of one key.
+func (s *Standin) Key(key string) standin.KeyCounters {
+	s.t.Helper()
+	return s.counters(url.Values{standin.QueryKey: {key}}).Backends.Keys[key]
+}
+
+func (s *Standin) counters(query url.Values) standin.Counters {
+	s.t.Helper()
+	var c standin.Counters
+	s.call(http.MethodGet, "counters?"+query.Encode(), nil, &c)
+	return c
+}
+
+func (s *Standin) post(page string, in, out any) {
+	s.t.Helper()
+	body, err := json.Marshal(in)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.call(http.MethodPost, page, bytes.NewReader(body), out)
+}
+
+func (s *Standin) call(method, page string, body io.Reader, out any) {
+	s.t.Helper()
+	req, err := http.NewRequest(method, "http://"+s.address+"/control/"+page, body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil || res.StatusCode != http.StatusOK {
+		s.t.Fatalf("stand-in: %s %s: %s %s %v", method, page, res.Status, text, err)
+	}
+	if out == nil {
+		return
+	}
+	if err := json.Unmarshal(text, out); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// Entries returns what the platform's log holds of the records' stream.
+func (s *Standin) Entries() []platform.Entry {
+	s.t.Helper()
+	return s.Stream(settings.DefaultStream)
+}
+
+// Stream returns what the platform's log holds of a stream, from its first
+// retained entry on.
+func (s *Standin) Stream(name string) []platform.Entry {
+	s.t.Helper()
+	const most = 1000
+	var entries []platform.Entry
+	from := platform.Offset(1)
+	for {
+		batch, err := s.Client.Read(s.t.Context(), name, from, most, 0)
+		if err != nil && batch.First > from {
+			from = batch.First
+			continue
+		}
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		entries = append(entries, batch.Entries...)
+		from += platform.Offset(len(batch.Entries))
+		if from >= batch.Next {
+			return entries
+		}
+	}
+}
+
+// State folds the records that the log holds.
+func (s *Standin) State() *ledger.State {
+	s.t.Helper()
+	state := ledger.New()
+	for _, e := range s.Entries() {
+		state.ApplyData(uint64(e.Offset), e.Data)
+	}
+	return state
+}
+
+// TraceEntry is one line of a saved stream.
+type TraceEntry struct {
+	Offset platform.Offset `json:"offset"`
+	Data   json.RawMessage `json:"data"`
+}
+
+// SaveStream writes the retained entries of a stream to a file, as gzipped JSON
+// lines of TraceEntry.
+func (s *Standin) SaveStream(name, file string) {
+	s.t.Helper()
+	var text bytes.Buffer
+	zip := gzip.NewWriter(&text)
+	lines := json.NewEncoder(zip)
+	for _, e := range s.Stream(name) {
+		if err := lines.Encode(TraceEntry{Offset: e.Offset, Data: e.Data}); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	if err := zip.Close(); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := os.WriteFile(file, text.Bytes(), 0o644); err != nil {
+		s.t.Fatal(err)
+	}
+}
