Record runs as traces and replay them against stated outcomes

A trace is compressed JSON lines: the log's entries with their outcomes, changes on the platform's list, requests with the callers' outcome and the backend servers' counts, and the facts at the end. replay folds it again and says where outcomes or facts differ; it also checks that revisions never fall, a VM is in one pool, drains stay within max_unavailable, no VM boots without a decision or failure, nothing that is not repeatable ran twice and nothing ran behind a not-run. Facts stand in for the digest, which changes with the state's layout.

--- a/internal/operatorcmd/root.go
+++ b/internal/operatorcmd/root.go
@@ -62,6 +62,8 @@
 			drainCommand(),
 			waveCommand(),
 			jobsCommand(),
+			recordCommand(),
+			replayCommand(),
 		},
 	}
 	quietUsage(root)
--- /dev/null
+++ b/internal/trace/recorder.go
@@ -0,0 +1,152 @@
+package trace
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+)
+
+// Limits of a recording.
+const (
+	readMax = 1000
+	// pollPause is the pause between looks at the log and the list of VMs.
+	pollPause = 100 * time.Millisecond
+	// listEvery is how many looks at the log there are to one at the list.
+	listEvery = 5
+)
+
+// Source is what a recording reads.
+type Source interface {
+	platform.Log
+	List(ctx context.Context) (platform.VMList, error)
+}
+
+// Recorder writes a trace of the platform's log and list.
+type Recorder struct {
+	source Source
+	stream string
+	writer *Writer
+	state  *ledger.State
+	counts map[ledger.Status]int
+	vms    map[string]platform.VM
+}
+
+// NewRecorder begins a trace that starts with the first entry of the stream.
+func NewRecorder(source Source, stream, note string, to io.Writer) (*Recorder, error) {
+	w, err := NewWriter(to, Header{Recorded: time.Now().UTC(), Stream: stream, Note: note})
+	if err != nil {
+		return nil, err
+	}
+	return &Recorder{
+		source: source,
+		stream: stream,
+		writer: w,
+		state:  ledger.New(),
+		counts: map[ledger.Status]int{},
+		vms:    map[string]platform.VM{},
+	}, nil
+}
+
+// Follow records until ctx ends. What the platform does not answer meanwhile is
+// asked again: outages belong to what is recorded.
+func (r *Recorder) Follow(ctx context.Context) error {
+	for n := 0; ctx.Err() == nil; n++ {
+		if err := r.Entries(ctx); err != nil && !passing(err) {
+			return err
+		}
+		if n%listEvery == 0 {
+			if err := r.List(ctx); err != nil && !passing(err) {
+				return err
+			}
+		}
+		pause(ctx, pollPause)
+	}
+	return nil
+}
+
+// passing reports whether the platform may answer later.
+func passing(err error) bool {
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome) ||
+		errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
+
+// Entries records the log up to its present end. The error is of the platform,
+// with ErrTrimmed when entries were lost to the recording, or of writing.
+func (r *Recorder) Entries(ctx context.Context) error {
+	for {
+		from := platform.Offset(r.state.Offset + 1)
+		batch, err := r.source.Read(ctx, r.stream, from, readMax, 0)
+		if err != nil {
+			return err
+		}
+		for _, e := range batch.Entries {
+			if err := r.entry(e); err != nil {
+				return err
+			}
+		}
+		if platform.Offset(r.state.Offset)+1 >= batch.Next || len(batch.Entries) == 0 {
+			return nil
+		}
+	}
+}
+
+func (r *Recorder) entry(e platform.Entry) error {
+	out := r.state.ApplyData(uint64(e.Offset), e.Data)
+	r.counts[out.Status]++
+	line := NewEntry(e.Data, out)
+	return r.writer.Write(Line{Entry: &line})
+}
+
+// List records what changed on the list of VMs.
+func (r *Recorder) List(ctx context.Context) error {
+	list, err := r.source.List(ctx)
+	if err != nil {
+		return err
+	}
+	present := map[string]bool{}
+	for _, vm := range list.VMs {
+		present[vm.ID] = true
+		old, known := r.vms[vm.ID]
+		if known && old.State == vm.State && old.BootID == vm.BootID {
+			continue
+		}
+		r.vms[vm.ID] = vm
+		line := VM{At: list.AsOf, ID: vm.ID, State: string(vm.State), BootID: vm.BootID}
+		if err := r.writer.Write(Line{VM: &line}); err != nil {
+			return err
+		}
+	}
+	for _, id := range sortedKeys(r.vms) {
+		if present[id] {
+			continue
+		}
+		delete(r.vms, id)
+		if err := r.writer.Write(Line{VM: &VM{At: list.AsOf, ID: id}}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Request records one request.
+func (r *Recorder) Request(q Request) error { return r.writer.Write(Line{Request: &q}) }
+
+// Close states the end and closes the trace.
+func (r *Recorder) Close() (End, error) {
+	end := End{Offset: r.state.Offset, Statuses: r.counts, Facts: FactsOf(r.state)}
+	return end, r.writer.Close(end)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/trace/replay.go
@@ -0,0 +1,228 @@
+package trace
+
+import (
+	"fmt"
+	"io"
+	"maps"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Difference is a place where the replay does not bear out what the trace
+// states, or where a promise is broken.
+type Difference struct {
+	Line   int    `json:"line"`
+	Offset uint64 `json:"offset"` // of the latest entry before or at Line
+	What   string `json:"what"`
+}
+
+// Result is what a replay found.
+type Result struct {
+	Header      Header                `json:"header"`
+	Entries     int                   `json:"entries"`
+	VMEvents    int                   `json:"vm_events"`
+	Requests    int                   `json:"requests"`
+	Statuses    map[ledger.Status]int `json:"statuses"`
+	Offset      uint64                `json:"offset"`
+	Differences []Difference          `json:"differences"`
+	// State is the state at the end.
+	State *ledger.State `json:"-"`
+}
+
+// replay is a Result in the making.
+type replay struct {
+	Result
+	line  int
+	boots map[string]*boots // by VM
+	tries map[string]bool   // not-repeatable jobs whose last attempt may have run
+}
+
+// boots counts a VM's boots beside what could have caused them.
+type boots struct {
+	id    string // latest boot ID
+	seen  int    // boots after the first
+	cause int    // effective reboots and failures
+}
+
+// Replay folds the trace's entries again and checks them. The error is
+// ErrFormat.
+func Replay(from io.Reader) (Result, error) {
+	r := &replay{
+		Result: Result{Statuses: map[ledger.Status]int{}, State: ledger.New()},
+		boots:  map[string]*boots{},
+		tries:  map[string]bool{},
+	}
+	if err := Read(from, r.take); err != nil {
+		return r.Result, err
+	}
+	r.finish()
+	return r.Result, nil
+}
+
+func (r *replay) differ(format string, args ...any) {
+	r.Differences = append(r.Differences, Difference{Line: r.line, Offset: r.State.Offset, What: fmt.Sprintf(format, args...)})
+}
+
+func (r *replay) take(line Line) {
+	r.line++
+	switch {
+	case line.Header != nil:
+		r.Header = *line.Header
+	case line.Entry != nil:
+		r.entry(*line.Entry)
+	case line.VM != nil:
+		r.VMEvents++
+		r.vm(*line.VM)
+	case line.Request != nil:
+		r.Requests++
+		r.request(*line.Request)
+	case line.End != nil:
+		r.end(*line.End)
+	}
+}
+
+// entry folds one entry. Reasons are not compared: they are for people and may
+// be reworded.
+func (r *replay) entry(e Entry) {
+	r.Entries++
+	if e.Offset <= r.State.Offset {
+		r.differ("offset %d comes after %d", e.Offset, r.State.Offset)
+		return
+	}
+	var before record.Revision
+	rec, err := record.Decode(e.Bytes())
+	if err == nil {
+		before = r.State.Revision(rec.Subject)
+	}
+	out := r.State.ApplyData(e.Offset, e.Bytes())
+	r.Statuses[out.Status]++
+	if out.Status != e.Status || out.Current != e.Current {
+		r.differ("record %s on %s: stated %s with revision %d, replayed %s with revision %d (%s)",
+			out.ID, out.Subject, e.Status, e.Current, out.Status, out.Current, out.Reason)
+	}
+	if out.Status != ledger.Effective {
+		return
+	}
+	if out.Current != 0 && out.Current < before {
+		r.differ("%s fell from revision %d to %d", out.Subject, before, out.Current)
+	}
+	r.effective(rec)
+}
+
+// effective checks the promises after an effective record.
+func (r *replay) effective(rec record.Record) {
+	switch b := rec.Body.(type) {
+	case record.VMDown:
+		r.bootsOf(rec.Subject.Name).cause++
+	case record.VMAdvance:
+		if b.To == record.PhaseRebooting {
+			r.bootsOf(rec.Subject.Name).cause++
+		}
+	case record.VMDrain:
+		r.drained(rec.Subject.Name)
+	case record.VMJoin:
+		r.joined(rec.Subject.Name)
+	case record.JobPlace, record.JobEnd:
+		r.job(rec)
+	}
+}
+
+// drained checks that a planned drain stayed within its pool's bound.
+func (r *replay) drained(vm string) {
+	pool := r.State.VMs[vm].Pool
+	svc, ok := r.State.Services[pool]
+	if !ok {
+		return
+	}
+	u := r.State.Unavailability(pool)
+	if u.Short > svc.Doc.Budget.MaxUnavailable {
+		r.differ("the drain of %s leaves pool %s short of %d VMs, allowed are %d", vm, pool, u.Short, svc.Doc.Budget.MaxUnavailable)
+	}
+}
+
+// joined checks that the VM is in one pool.
+func (r *replay) joined(vm string) {
+	var pools []string
+	for name := range maps.Keys(r.State.Services) {
+		if _, ok := r.State.PoolVMs(name)[vm]; ok {
+			pools = append(pools, name)
+		}
+	}
+	if len(pools) != 1 {
+		r.differ("VM %s is in %d pools: %v", vm, len(pools), pools)
+	}
+}
+
+// job checks that a job that is not repeatable is not placed again after an
+// attempt that may have run to its end.
+func (r *replay) job(rec record.Record) {
+	id := rec.Subject.Name
+	j, ok := r.State.Jobs[id]
+	if !ok || j.Spec.Repeatable {
+		return
+	}
+	switch b := rec.Body.(type) {
+	case record.JobPlace:
+		if r.tries[id] {
+			r.differ("job %s is not repeatable and was placed again", id)
+		}
+		r.tries[id] = true
+	case record.JobEnd:
+		r.tries[id] = b.Result != record.JobNotStarted && b.Result != record.JobPreempted
+	}
+}
+
+func (r *replay) bootsOf(vm string) *boots {
+	b, ok := r.boots[vm]
+	if !ok {
+		b = &boots{}
+		r.boots[vm] = b
+	}
+	return b
+}
+
+// vm counts boots. The boot that a VM has when it is first listed, or listed
+// anew, is none of them.
+func (r *replay) vm(e VM) {
+	b := r.bootsOf(e.ID)
+	if b.id != "" && e.BootID != "" && b.id != e.BootID {
+		b.seen++
+	}
+	b.id = e.BootID
+}
+
+// request checks the outcome that a caller was told.
+func (r *replay) request(q Request) {
+	switch {
+	case q.Outcome == "not-run" && q.Runs > 0:
+		r.differ("the caller of %s was told not-run, it ran %d times", q.Key, q.Runs)
+	case q.Outcome == "ran" && q.Runs == 0:
+		r.differ("the caller of %s was told ran, it did not run", q.Key)
+	case !q.Repeatable && q.Runs > 1:
+		r.differ("%s is not repeatable and ran %d times", q.Key, q.Runs)
+	}
+}
+
+func (r *replay) end(e End) {
+	if r.State.Offset != e.Offset {
+		r.differ("the trace states offset %d at its end", e.Offset)
+	}
+	for _, what := range e.Facts.Differ(FactsOf(r.State)) {
+		r.differ("%s", what)
+	}
+	if !maps.Equal(r.Statuses, e.Statuses) {
+		r.differ("stated %v, replayed %v", e.Statuses, r.Statuses)
+	}
+}
+
+// finish checks what only the whole trace shows. Boots are compared at the end,
+// since the platform's list lags behind the log.
+func (r *replay) finish() {
+	r.Offset = r.State.Offset
+	for _, vm := range sortedKeys(r.boots) {
+		if b := r.boots[vm]; b.seen > b.cause {
+			r.differ("VM %s booted %d times, with %d reboots and failures on the log", vm, b.seen, b.cause)
+		}
+	}
+}
