Run the membership in the entry process

Cause: not-repeatable requests were refused for want of claims. Change: yuccadrift-entry joins the entry VMs, claims at the key's owner, and leaves in order once its callers are drained. The lease's default falls from 5 s to 2 s. Requests in flight by backend VM are offered for the steward's drains. NoClaims is gone: it answered not-run to retries that may have run.

--- /dev/null
+++ b/cmd/yuccadrift-entry/run.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/yuccadrift/yuccadrift/internal/admin"
+	"github.com/yuccadrift/yuccadrift/internal/caller"
+	"github.com/yuccadrift/yuccadrift/internal/entry"
+	"github.com/yuccadrift/yuccadrift/internal/follower"
+	"github.com/yuccadrift/yuccadrift/internal/listen"
+	"github.com/yuccadrift/yuccadrift/internal/logging"
+	"github.com/yuccadrift/yuccadrift/internal/membership"
+	"github.com/yuccadrift/yuccadrift/internal/operator"
+	"github.com/yuccadrift/yuccadrift/internal/peerserver"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/settings"
+	"github.com/yuccadrift/yuccadrift/internal/supervise"
+)
+
+// run serves until the callers' server has left, which begins when stop ends:
+// the other duties are needed until then.
+func run(stop context.Context, s settings.Entry) error {
+	ctx := context.WithoutCancel(stop)
+	logger := logging.New(binary, s.Node, s.Log, os.Stderr)
+	adminListener, err := listen.TCP(ctx, "admin.listen", s.Admin.Listen)
+	if err != nil {
+		return err
+	}
+	callers, err := listen.TCP(ctx, "callers.listen", s.Callers.Listen)
+	if err != nil {
+		return err
+	}
+	peerListener, err := listen.TCP(ctx, "peers.listen", s.Peers.Listen)
+	if err != nil {
+		return err
+	}
+	client := platform.NewClient(s.Platform.Address.String(), platform.ClientOptions{Timeout: s.Platform.RequestTimeout.Duration})
+	defer client.Close()
+	follow := follower.New(follower.Config{Log: client, Stream: s.Platform.Stream, Logger: logger.Named("log")})
+	readiness := admin.NewReadiness()
+	registry := admin.NewRegistry(binary)
+	peers := peerserver.New(peerListener)
+	var ent *entry.Entry
+	member, node := membership.NewEntry(membership.Entry{
+		Settings:  s,
+		Address:   peerListener.Addr().String(),
+		Registry:  registry,
+		Log:       follow,
+		Readiness: readiness,
+		Logger:    logger,
+		InFlight:  func() (uint64, map[string]int) { return ent.InFlights() },
+	})
+	defer node.Close()
+	node.Register(peers.Registrar())
+	ent = entry.New(entry.Config{
+		Settings:  s,
+		Callers:   callers,
+		Follower:  follow,
+		Claims:    entry.NewClaims(node),
+		CheckKey:  entry.CheckKey,
+		Registry:  registry,
+		Readiness: readiness,
+		Logger:    logger,
+		Stop:      stop.Done(),
+		Drained:   member.Leave,
+	})
+	operator.Register(peers.Registrar(), status(s, follow, ent, readiness))
+	duties := append(ent.Duties(), member.Duties()...)
+	duties = append(duties,
+		supervise.Duty{Name: "follow", Serve: follow.Serve},
+		supervise.Duty{Name: "admin", Serve: operators(s, adminListener, registry, readiness, logger).Serve},
+		supervise.Duty{Name: "peers", Serve: peers.Serve},
+	)
+	logger.Info("entry started", "callers", callers.Addr(), "admin", adminListener.Addr())
+	return supervise.Run(ctx, binary, logger, duties...)
+}
+
+// status is what the process tells the command line about itself.
+func status(s settings.Entry, follow *follower.Follower, ent *entry.Entry, readiness *admin.Readiness) operator.ServerConfig {
+	return operator.ServerConfig{
+		Node:    s.Node.ID,
+		Role:    operator.RoleEntry,
+		Zone:    s.Node.Zone,
+		State:   follow,
+		Acting:  ent.Offset,
+		Unready: readiness.Reasons,
+	}
+}
+
+// operators serves metrics, health and readiness.
+func operators(s settings.Entry, l caller.Listener, registry *prometheus.Registry, readiness *admin.Readiness, logger hclog.Logger) *admin.Server {
+	return admin.New(admin.Config{
+		Listener:  l,
+		Registry:  registry,
+		Readiness: readiness,
+		Profiles:  s.Admin.Profiles,
+		Logger:    logger.Named("admin"),
+	})
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -144,6 +144,19 @@
 	return n
 }
 
+// InFlights returns how many attempts of this process are under way, by VM, and
+// the offset of the log that the table in use rested on before they were
+// counted: no attempt starts at a VM that this table has not.
+func (d *Dispatcher) InFlights() (offset uint64, counts map[string]int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counts = map[string]int{}
+	for _, s := range d.services {
+		s.pool.AddInFlight(counts)
+	}
+	return d.Table().Offset, counts
+}
+
 // Ejected returns how many backend servers of a service are out by evidence.
 func (d *Dispatcher) Ejected(name string) int {
 	if s := d.view.Load().services[name]; s != nil {
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -127,12 +126,3 @@
 	}
 	return backend.Answer{Outcome: outcome.Ran, Status: answer.Status, Header: header, Body: answer.Body}
 }
-
-// NoClaims refuses every not-repeatable request: without claims two entry VMs
-// could both run it.
-type NoClaims struct{}
-
-// Begin implements dispatch.Claims.
-func (NoClaims) Begin(context.Context, *dispatch.Call) (dispatch.Permit, dispatch.Denial) {
-	return nil, dispatch.Denial{Outcome: outcome.NotRun, Reason: reasons[claim.ReasonUnreachable], RetryAfter: time.Second}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/yuccadrift/yuccadrift/internal/backend"
@@ -41,6 +42,9 @@
 	Logger    hclog.Logger
 	// Stop is closed when the process is told to end.
 	Stop <-chan struct{}
+	// Drained is called once no caller is served any more, before the process
+	// ends: to leave the entry VMs in order.
+	Drained func(context.Context)
 }
 
 // Readiness tells the balancer whether to send callers here.
@@ -115,6 +119,10 @@
 // InFlight returns how many requests of this process are under way at a VM.
 func (e *Entry) InFlight(vm string) int { return e.dispatcher.InFlight(vm) }
 
+// InFlights returns how many requests of this process are under way, by VM, and
+// the offset of the log that the process acted on when it counted.
+func (e *Entry) InFlights() (offset uint64, counts map[string]int) { return e.dispatcher.InFlights() }
+
 // Offset returns the offset of the log that the table in use rests on.
 func (e *Entry) Offset() uint64 { return e.dispatcher.Table().Offset }
 
@@ -134,8 +142,16 @@
 		{Name: "table", Serve: e.followTable},
 		{Name: "beat", Serve: e.beat},
 		{Name: "connections", Serve: e.trimConnections},
-		{Name: "callers", Serve: e.server.Serve, StopWithin: stopWithin},
+		{Name: "callers", Serve: e.serveCallers, StopWithin: stopWithin},
+	}
+}
+
+func (e *Entry) serveCallers(ctx context.Context) error {
+	err := e.server.Serve(ctx)
+	if errors.Is(err, supervise.ErrStop) && e.cfg.Drained != nil {
+		e.cfg.Drained(ctx)
 	}
+	return err
 }
 
 // trimConnections closes connections to backend servers that were idle too long.
--- a/internal/entrypeer/node.go
+++ b/internal/entrypeer/node.go
@@ -15,19 +15,19 @@
 	pb "github.com/yuccadrift/yuccadrift/internal/entrypeer/entrypeerpb"
 )
 
-// InFlight is what an entry process says about its requests in flight.
-type InFlight struct {
-	// Offset is how far the process acted on the log when it counted.
-	Offset uint64
-	// VMs counts requests in flight by backend VM.
-	VMs map[string]int
-}
+// Bounds that suit the latencies of today's sizes.
+const (
+	DefaultCallTimeout = 300 * time.Millisecond
+	DefaultPatience    = time.Second
+)
 
-// NodeConfig is what a Node needs. InFlight is nil in a process that serves no
-// callers.
+// NodeConfig is what a Node needs.
 type NodeConfig struct {
-	Logger   hclog.Logger
-	InFlight func() InFlight
+	Logger hclog.Logger
+	// InFlight returns the requests in flight by backend VM and how far the
+	// process acted on the log when it counted. Nil in a process that serves no
+	// callers.
+	InFlight func() (offset uint64, vms map[string]int)
 	// CallTimeout bounds one call to a peer that answers at once.
 	CallTimeout time.Duration
 	// Patience is for how long a claim is tried again while its owner cannot be
--- a/internal/entrypeer/server.go
+++ b/internal/entrypeer/server.go
@@ -138,9 +138,9 @@
 	if s.node.cfg.InFlight == nil {
 		return nil, status.Error(codes.Unimplemented, "this process serves no callers")
 	}
-	f := s.node.cfg.InFlight()
-	out := &pb.InFlightReply{Offset: f.Offset, Vms: map[string]int64{}}
-	for vm, n := range f.VMs {
+	offset, vms := s.node.cfg.InFlight()
+	out := &pb.InFlightReply{Offset: offset, Vms: map[string]int64{}}
+	for vm, n := range vms {
 		out.Vms[vm] = int64(n)
 	}
 	return out, nil
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -38,7 +38,15 @@
 	Peers   *entrypeer.Node
 	Claim   claim.Config
 	Lease   claim.LeaseConfig
-	Logger  hclog.Logger
+	// Readiness is told while the process is no member, nil for nobody.
+	Readiness Readiness
+	Logger    hclog.Logger
+}
+
+// Readiness tells the balancer whether to send callers here.
+type Readiness interface {
+	Unready(source, reason string)
+	Ready(source string)
 }
 
 const (
@@ -56,6 +64,10 @@
 	rejoinMax = time.Minute
 	// probeTimeout bounds the question whether a peer can be reached.
 	probeTimeout = 500 * time.Millisecond
+	// leaveLimit bounds a leave, the handing over included.
+	leaveLimit = 10 * time.Second
+	// readinessSource names this duty to Readiness.
+	readinessSource = "membership"
 )
 
 // Duty keeps the membership. Serve is its Serve function.
@@ -74,15 +86,17 @@
 }
 
 // Leave gives up the membership in good order and returns when the claims were
-// handed over, or when ctx ends. The process must have ended its requests
+// handed over, or after leaveLimit. The process must have ended its requests
 // before: claims of a member that is gone count as unknown.
-func (d *Duty) Leave(ctx context.Context) error {
+func (d *Duty) Leave(ctx context.Context) {
 	d.leaving.Do(func() { close(d.leave) })
+	timer := time.NewTimer(leaveLimit)
+	defer timer.Stop()
 	select {
 	case <-d.left:
-		return nil
+	case <-timer.C:
+		d.cfg.Logger.Warn("did not leave the entry VMs in time")
 	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "leave the entry VMs")
 	}
 }
 
@@ -101,9 +115,11 @@
 		if err != nil {
 			return err
 		}
+		d.ready("")
 		began := time.Now()
 		over := s.serve(ctx, changed)
 		d.cfg.Peers.End()
+		d.ready("removed from the entry VMs")
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -119,6 +135,19 @@
 	}
 }
 
+// ready tells whether the process is a member; unready is why not, or "". A
+// process that has not joined yet is not reported: with the log out at the
+// start it may still serve repeatable requests, and so may all of them.
+func (d *Duty) ready(unready string) {
+	switch {
+	case d.cfg.Readiness == nil:
+	case unready == "":
+		d.cfg.Readiness.Ready(readinessSource)
+	default:
+		d.cfg.Readiness.Unready(readinessSource, unready)
+	}
+}
+
 // rest pauses, and ends early when the process leaves.
 func (d *Duty) rest(ctx context.Context, pause time.Duration) {
 	timer := time.NewTimer(pause)
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -255,3 +255,14 @@
 	}
 	return 0
 }
+
+// AddInFlight adds the attempts under way to the counts by VM.
+func (p *Pool) AddInFlight(counts map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for vm, ep := range p.endpoints {
+		if ep.inFlight > 0 {
+			counts[vm] += ep.inFlight
+		}
+	}
+}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -34,7 +34,7 @@
 	// DefaultBackendConnections is what a backend server of today takes from
 	// all entry VMs together.
 	DefaultBackendConnections = 64
-	DefaultClaimLease         = 5 * time.Second
+	DefaultClaimLease         = 2 * time.Second
 	DefaultClockAllowance     = 500 * time.Millisecond
 	DefaultClaimWindow        = 10 * time.Minute
 )
