Hold new work after a pause and leave without cutting a request

After a pause each try, and the first byte of each, waits for a table from a read of the log sent after the resume. A failure rate fades with time: a backend avoided for its errors was never tried again. In-flight counts come with the offset that they hold for.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -14,11 +14,12 @@
 	"github.com/yuccadrift/yuccadrift/internal/routing"
 )
 
-// Reasons given by this package.
-const (
-	ReasonStale    outcome.Reason = "table-not-current"
-	ReasonDeadline outcome.Reason = "deadline"
-)
+// reasonGone is given when the caller's time was up before anything was sent.
+const reasonGone outcome.Reason = "deadline"
+
+// refusedStale: the process was paused, and its time was up before the log was
+// read again.
+const refusedStale routing.Refusal = "table-not-current"
 
 // Bounds of the tries for one request.
 const (
@@ -73,10 +74,6 @@
 // that was sent goes on until its deadline, so that its end is known.
 func (d *Dispatcher) Do(ctx context.Context, call *Call) Result {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
-	if !d.current(ctx) {
-		cancel()
-		return noAnswer(outcome.NotRun, ReasonStale, retryShed)
-	}
 	if call.Route.Repeatable {
 		return d.tries(ctx, cancel, call)
 	}
@@ -125,7 +122,7 @@
 	cancel()
 	if gone {
 		permit.End(outcome.NotRun, nil)
-		return noAnswer(outcome.NotRun, ReasonDeadline, 0)
+		return noAnswer(outcome.NotRun, reasonGone, 0)
 	}
 	ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), call.Deadline)
 	return d.report(d.tries(ctx, cancel, call), permit)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -133,15 +133,16 @@
 // Table returns the table in use.
 func (d *Dispatcher) Table() *routing.Table { return d.view.Load().table }
 
-// InFlight returns how many attempts of this process are under way at a VM.
-func (d *Dispatcher) InFlight(vm string) int {
+// InFlight counts the attempts of this process by VM. The offset is that of the
+// table in use before the count: no VM that left up to it gets a further one.
+func (d *Dispatcher) InFlight() (offset uint64, vms map[string]int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	n := 0
+	vms = map[string]int{}
 	for _, s := range d.services {
-		n += s.pool.InFlight(vm)
+		s.pool.AddInFlight(vms)
 	}
-	return n
+	return d.Table().Offset, vms
 }
 
 // InFlights returns how many attempts of this process are under way, by VM, and
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -28,6 +28,10 @@
 
 // again makes one try and reports whether another one should follow.
 func (r *run) again(ctx context.Context) bool {
+	if !r.d.current(ctx) {
+		r.shed = refusedStale
+		return false
+	}
 	query := routing.Query{Class: r.call.Route.Class, Tried: r.tried}
 	lease, refusal := r.svc.pool.Pick(time.Now(), r.d.cfg.Rand, query)
 	if refusal != routing.Admitted {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -116,8 +116,9 @@
 	})
 }
 
-// InFlight returns how many requests of this process are under way at a VM.
-func (e *Entry) InFlight(vm string) int { return e.dispatcher.InFlight(vm) }
+// InFlight counts the requests under way by VM. No VM that was drained up to
+// offset gets a further one.
+func (e *Entry) InFlight() (offset uint64, vms map[string]int) { return e.dispatcher.InFlight() }
 
 // InFlights returns how many requests of this process are under way, by VM, and
 // the offset of the log that the process acted on when it counted.
--- /dev/null
+++ b/internal/entry/leave_test.go
@@ -0,0 +1,151 @@
+package entry_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/entry"
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+// balancerLag is how long the platform's balancer goes on sending requests to
+// an entry VM that turned unready; it is below the rig's notice.
+const balancerLag = 200 * time.Millisecond
+
+// callers sends POSTs, which no client repeats by itself, one after the other
+// on kept connections, as long as the balancer sends them to the entry.
+type callers struct {
+	wg  sync.WaitGroup
+	mu  sync.Mutex
+	got []reply
+}
+
+func (r *rig) callers(n int, path string, header http.Header) *callers {
+	c := &callers{}
+	for range n {
+		c.wg.Go(func() {
+			for !r.leftByBalancer() {
+				got := r.send(http.MethodPost, path, header.Clone(), nil)
+				c.mu.Lock()
+				c.got = append(c.got, got)
+				c.mu.Unlock()
+			}
+		})
+	}
+	return c
+}
+
+func (r *rig) leftByBalancer() bool {
+	if len(r.ready.Reasons()) == 0 {
+		return false
+	}
+	at := r.unready.Load()
+	if at == nil {
+		now := time.Now()
+		r.unready.CompareAndSwap(nil, &now)
+		return false
+	}
+	return time.Since(*at) > balancerLag
+}
+
+func (c *callers) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.got)
+}
+
+// whole checks that every request got its whole answer.
+func (c *callers) whole(t *testing.T) {
+	t.Helper()
+	c.wg.Wait()
+	for _, got := range c.got {
+		require.NoError(t, got.err)
+		require.Equal(t, string(outcome.Ran), got.header.Get(outcome.HeaderOutcome), got.body)
+	}
+}
+
+// SIGTERM under load: the process turns unready, still takes the requests that
+// the balancer sends meanwhile, finishes those in flight, long ones included,
+// and ends. No caller sees a refused or broken connection.
+func TestStopUnderLoadCutsNoRequest(t *testing.T) {
+	r := newRig(t, entry.NoClaims{})
+	quick := r.callers(8, "/booking/lookup", http.Header{standin.HeaderWorkMS: {"2"}})
+	long := r.callers(2, "/booking/audit", http.Header{standin.HeaderWorkMS: {"900"}})
+	r.until(func() bool { return quick.count() > 50 })
+	r.stop()
+	r.until(func() bool { return len(r.ready.Reasons()) > 0 })
+	before := quick.count()
+	quick.whole(t)
+	long.whole(t)
+	assert.Greater(t, quick.count(), before, "the balancer needs time to look elsewhere")
+	assert.NotZero(t, long.count())
+	<-r.ended
+	assert.NoError(t, r.err)
+}
+
+// A drain takes effect while a request is in flight at the VM and others follow.
+// Once the drain is folded the VM gets no new request, the one in flight gets
+// its whole answer, and it is counted until then.
+func TestDrainedBackendGetsNoNewWorkAndFinishesItsOwn(t *testing.T) {
+	r := newRig(t, entry.NoClaims{})
+	busy := func() string {
+		for vm, c := range r.server.Counters(false).Backends.VMs {
+			if c.Runs > 0 {
+				return vm
+			}
+		}
+		return ""
+	}
+	held := make(chan reply, 1)
+	go func() {
+		held <- r.send(http.MethodGet, "/booking/audit", http.Header{standin.HeaderWorkMS: {"700"}}, nil)
+	}()
+	r.until(func() bool { return busy() != "" })
+	vm := busy()
+	r.propose(record.SubjectVM, vm, record.VMDrain{Reason: record.DrainOperator, Estimate: time.Minute})
+	r.until(func() bool { return r.entry.Offset() == r.offset() })
+	_, inFlight := r.entry.InFlight()
+	assert.Equal(t, 1, inFlight[vm])
+	for range 50 {
+		got := r.send(http.MethodGet, "/booking/lookup", nil, nil)
+		assert.Equal(t, http.StatusOK, got.status, got.body)
+	}
+	got := <-held
+	assert.NoError(t, got.err)
+	assert.Equal(t, http.StatusOK, got.status)
+	assert.Equal(t, 1, r.server.Counters(false).Backends.VMs[vm].Seen)
+	_, inFlight = r.entry.InFlight()
+	assert.Zero(t, inFlight[vm])
+}
+
+// A burst fills every slot: what does not fit is told "not-run" with Retry-After
+// at once instead of being parked, and truly did not run.
+func TestSurplusIsShedAtOnceAndDidNotRun(t *testing.T) {
+	r := newRig(t, entry.NoClaims{})
+	const slots, surplus = 3 * 8, 10
+	gate := standin.Fault{Kind: standin.BackendFreeze}
+	r.order(gate)
+	answers := make(chan reply, slots+surplus)
+	for range slots + surplus {
+		go func() { answers <- r.send(http.MethodPost, "/booking/lookup", nil, nil) }()
+	}
+	for range surplus {
+		got := <-answers
+		assert.Equal(t, http.StatusServiceUnavailable, got.status)
+		assert.Equal(t, string(outcome.NotRun), got.header.Get(outcome.HeaderOutcome))
+		assert.NotEmpty(t, got.header.Get("Retry-After"))
+	}
+	r.fake.ClearAll()
+	for range slots {
+		got := <-answers
+		assert.Equal(t, http.StatusOK, got.status, got.body)
+	}
+	assert.Equal(t, slots, r.server.Counters(false).Backends.Runs)
+}
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,16 +65,17 @@
 
 // rig is one entry process's request path in front of a stand-in.
 type rig struct {
-	t      *testing.T
-	fake   *standin.Platform
-	server *standin.Server
-	follow *follower.Follower
-	entry  *entry.Entry
-	ready  *admin.Readiness
-	url    string
-	stop   context.CancelFunc // as SIGTERM
-	ended  chan struct{}
-	err    error // of the process, once ended is closed
+	t       *testing.T
+	fake    *standin.Platform
+	server  *standin.Server
+	follow  *follower.Follower
+	entry   *entry.Entry
+	ready   *admin.Readiness
+	url     string
+	stop    context.CancelFunc // as SIGTERM
+	ended   chan struct{}
+	unready atomic.Pointer[time.Time] // when the balancer noticed
+	err     error                     // of the process, once ended is closed
 }
 
 func settingsText(zone string) string {
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 )
 
@@ -8,6 +9,9 @@
 const (
 	// errorDecay is the weight that one more result leaves to the past ones.
 	errorDecay = 0.85
+	// errorHalfLife is how fast failures are forgotten when a backend, avoided
+	// for them, shows nothing new. Else it would be avoided for good.
+	errorHalfLife = 4 * time.Second
 	// ejectErrors is the error rate from which a backend is ejected.
 	ejectErrors = 0.5
 	// ejectBase is the first ejection's length; it doubles up to ejectDoublings
@@ -36,7 +40,8 @@
 
 // health is the evidence about one backend.
 type health struct {
-	errors       float64 // decaying share of bad results, 0 to 1
+	errors       float64 // decaying share of bad results at errorsAt, 0 to 1
+	errorsAt     time.Time
 	ejections    int     // since the latest good result
 	ejectedUntil time.Time
 	// probing is true from an ejection to the next result: one request at a
@@ -51,8 +56,17 @@
 	return !now.Before(h.ejectedUntil) && inFlight == 0
 }
 
-func (h *health) good() {
-	h.errors *= errorDecay
+// rate is the decaying share of bad results, 0 to 1.
+func (h *health) rate(now time.Time) float64 {
+	if h.errors == 0 {
+		return 0
+	}
+	return h.errors * math.Exp2(-float64(now.Sub(h.errorsAt))/float64(errorHalfLife))
+}
+
+func (h *health) good(now time.Time) {
+	h.errors = h.rate(now) * errorDecay
+	h.errorsAt = now
 	if h.probing {
 		h.errors = ejectErrors / 2
 	}
@@ -66,7 +80,8 @@
 // still answer now and then would be lost as well.
 func (p *Pool) bad(now time.Time, ep *endpoint) {
 	h := &ep.health
-	h.errors = h.errors*errorDecay + (1 - errorDecay)
+	h.errors = h.rate(now)*errorDecay + (1 - errorDecay)
+	h.errorsAt = now
 	if h.errors < ejectErrors && !h.probing {
 		return
 	}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -145,7 +145,7 @@
 
 func (p *Pool) choose(now time.Time, rnd Rand, q Query) *endpoint {
 	near := p.twoOf(now, rnd, q, func(ep *endpoint) bool { return ep.Zone == p.zone && !ep.Down })
-	if near != nil && near.use(now)/float64(p.slots) < zoneSpill && near.health.errors < ejectErrors {
+	if near != nil && near.use(now)/float64(p.slots) < zoneSpill && near.health.rate(now) < ejectErrors {
 		return near
 	}
 	far := p.twoOf(now, rnd, q, func(ep *endpoint) bool { return !ep.Down })
@@ -218,7 +218,7 @@
 
 // load orders backends: slots in use, made heavier by errors.
 func (ep *endpoint) load(now time.Time) float64 {
-	return (ep.use(now) + 1) * (1 + errorWeight*ep.health.errors)
+	return (ep.use(now) + 1) * (1 + errorWeight*ep.health.rate(now))
 }
 
 // Done ends a lease with what the attempt showed of the backend.
@@ -236,7 +236,7 @@
 		ep.others = math.Max(0, float64(p.slots-ep.inFlight))
 		ep.othersAt = now
 	case EvidenceGood:
-		ep.health.good()
+		ep.health.good(now)
 	case EvidenceBad:
 		p.bad(now, ep)
 	}
@@ -245,15 +245,16 @@
 	}
 }
 
-// InFlight returns how many attempts of this process are under way at a VM,
-// also when the VM has left the table.
-func (p *Pool) InFlight(vm string) int {
+// AddInFlight adds the attempts under way to each VM's count, also for VMs that
+// have left the table.
+func (p *Pool) AddInFlight(vms map[string]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if ep := p.endpoints[vm]; ep != nil {
-		return ep.inFlight
+	for vm, ep := range p.endpoints {
+		if ep.inFlight > 0 {
+			vms[vm] += ep.inFlight
+		}
 	}
-	return 0
 }
 
 // AddInFlight adds the attempts under way to the counts by VM.
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,257 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func seeded() Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func service(n int, zones ...string) *Service {
+	svc := &Service{Limits: document.Limits{Slots: 8, Connections: 64}}
+	for i := range n {
+		svc.Backends = append(svc.Backends, Backend{VM: fmt.Sprintf("vm-%d", i), Zone: zones[i%len(zones)]})
+	}
+	return svc
+}
+
+func pool(n, members int, zones ...string) *Pool {
+	p := NewPool("a")
+	p.Update(service(n, zones...), members)
+	return p
+}
+
+func pick(t *testing.T, p *Pool, now time.Time, r Rand, q Query) Lease {
+	l, no := p.Pick(now, r, q)
+	require.Equal(t, Admitted, no)
+	return l
+}
+
+func inFlight(p *Pool) map[string]int {
+	vms := map[string]int{}
+	p.AddInFlight(vms)
+	return vms
+}
+
+func TestRouteWithTheLongestPrefixOfWholeElementsApplies(t *testing.T) {
+	svc := &Service{Routes: sortRoutes([]document.Route{{Prefix: "/book"}, {Prefix: "/"}, {Prefix: "/book/export"}})}
+	for path, want := range map[string]string{
+		"/": "/", "/x": "/", "/book": "/book", "/book/7": "/book", "/booking": "/", "/book/export": "/book/export",
+		"/book/exported": "/book",
+	} {
+		r, ok := svc.Route(path)
+		assert.True(t, ok)
+		assert.Equal(t, want, r.Prefix, path)
+	}
+	_, ok := (&Service{Routes: []document.Route{{Prefix: "/book"}}}).Route("/")
+	assert.False(t, ok)
+}
+
+// Callers see added latency when requests leave their availability zone without
+// need, and refusals when the own zone is full while others are free.
+func TestOwnZoneFirstThenOthers(t *testing.T) {
+	p := pool(6, 1, "a", "b")
+	r := seeded()
+	seen := map[string]int{}
+	for range 3 * 8 * 2 {
+		seen[pick(t, p, start, r, Query{}).Zone]++
+	}
+	assert.Equal(t, map[string]int{"a": 24, "b": 24}, seen)
+	_, no := p.Pick(start, r, Query{})
+	assert.Equal(t, Busy, no)
+	p = pool(6, 1, "a", "b")
+	for range 10 {
+		assert.Equal(t, "a", pick(t, p, start, r, Query{}).Zone)
+	}
+}
+
+// A backend that fails at once has nothing in flight and would by load alone
+// take most requests: callers would see a pool of ten fail nearly always.
+func TestFastErrorsDoNotAttractWork(t *testing.T) {
+	p := pool(10, 1, "a")
+	r := seeded()
+	bad := 0
+	var busy []Lease
+	for i := range 400 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		l := pick(t, p, now, r, Query{})
+		if l.VM == "vm-0" {
+			bad++
+			p.Done(now, l, EvidenceBad)
+			continue
+		}
+		if busy = append(busy, l); len(busy) > 20 { // others hold theirs for a while
+			p.Done(now, busy[0], EvidenceGood)
+			busy = busy[1:]
+		}
+	}
+	assert.LessOrEqual(t, bad, 8)
+	later := start.Add(time.Minute)
+	for range 80 - len(busy) { // forgotten in time, it is tried again
+		pick(t, p, later, r, Query{})
+	}
+	assert.Equal(t, 8, inFlight(p)["vm-0"])
+}
+
+// A bad release fails on every backend. If evidence could eject them all,
+// callers would be refused though some requests still succeed.
+func TestSharedFailureNeverEmptiesThePool(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "backends")
+		p := NewPool("a")
+		p.Update(service(n, "a", "b"), 1)
+		r := seeded()
+		for i := range 200 {
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			l, no := p.Pick(now, r, Query{})
+			if no != Admitted {
+				t.Fatalf("refused %s with %d of %d ejected", no, p.Ejected(), n)
+			}
+			ev := EvidenceBad
+			if rapid.IntRange(0, 9).Draw(t, "luck") == 0 {
+				ev = EvidenceGood
+			}
+			p.Done(now, l, ev)
+			if p.Ejected() > (n+ejectDivisor-1)/ejectDivisor || p.Ejected() >= n {
+				t.Fatalf("%d of %d ejected", p.Ejected(), n)
+			}
+		}
+	})
+}
+
+func TestEjectedBackendIsProbedByOneRequestAtATime(t *testing.T) {
+	p := pool(3, 1, "a")
+	only := Query{Tried: []string{"vm-1", "vm-2"}}
+	for range 5 {
+		p.Done(start, pick(t, p, start, seeded(), only), EvidenceBad)
+	}
+	_, no := p.Pick(start.Add(ejectBase-1), seeded(), only)
+	require.Equal(t, Busy, no)
+	probe := pick(t, p, start.Add(ejectBase), seeded(), only)
+	_, no = p.Pick(start.Add(ejectBase), seeded(), only)
+	assert.Equal(t, Busy, no, "a second request beside the probe")
+	p.Done(start.Add(ejectBase), probe, EvidenceGood)
+	pick(t, p, start.Add(ejectBase), seeded(), only)
+}
+
+// Long requests hold slots for seconds. Were they let into all of them, quick
+// lookups would be refused until the first one ends.
+func TestLongRequestsLeaveRoomForQuickOnes(t *testing.T) {
+	p := pool(4, 1, "a")
+	r := seeded()
+	long := Query{Class: document.ClassLong}
+	for range 12 { // quick demand seen before
+		p.Done(start, pick(t, p, start, r, Query{Class: document.ClassQuick}), EvidenceGood)
+	}
+	n := 0
+	for {
+		if _, no := p.Pick(start, r, long); no != Admitted {
+			assert.Equal(t, LongShed, no)
+			break
+		}
+		n++
+	}
+	assert.Equal(t, 28, n, "of 32 slots an eighth stays free")
+	for range 4 {
+		pick(t, p, start, r, Query{Class: document.ClassQuick})
+	}
+}
+
+// A refusal tells that other entry VMs use the slots; for a while the backend is
+// taken for full, so that tries go where slots may be free.
+func TestRefusalTurnsChoicesAwayForAWhile(t *testing.T) {
+	p := pool(2, 1, "a")
+	r := seeded()
+	p.Done(start, pick(t, p, start, r, Query{Tried: []string{"vm-1"}}), EvidenceFull)
+	for range 6 {
+		assert.Equal(t, "vm-1", pick(t, p, start, r, Query{}).VM)
+	}
+	later := start.Add(10 * othersHalfLife)
+	assert.Equal(t, "vm-0", pick(t, p, later, r, Query{}).VM)
+}
+
+func TestDownBackendsServeOnlyWhenNoOtherIsLeft(t *testing.T) {
+	svc := service(2, "a")
+	svc.Backends[0].Down = true
+	p := NewPool("a")
+	p.Update(svc, 1)
+	r := seeded()
+	for range 8 {
+		assert.Equal(t, "vm-1", pick(t, p, start, r, Query{}).VM)
+	}
+	assert.Equal(t, "vm-0", pick(t, p, start, r, Query{}).VM)
+}
+
+// A backend that left the table gets no further request, while those in flight
+// stay counted: the steward must not reboot its VM before they end.
+func TestLeavingBackendGetsNothingAndStaysCounted(t *testing.T) {
+	p := pool(2, 1, "a")
+	r := seeded()
+	l := pick(t, p, start, r, Query{Tried: []string{"vm-1"}})
+	rest := service(2, "a")
+	rest.Backends = rest.Backends[1:]
+	p.Update(rest, 1)
+	for range 8 {
+		assert.Equal(t, "vm-1", pick(t, p, start, r, Query{}).VM)
+	}
+	assert.Equal(t, 1, inFlight(p)["vm-0"])
+	p.Done(start, l, EvidenceGood)
+	assert.Zero(t, inFlight(p)["vm-0"])
+}
+
+// Without a budget a pool that fails every request would get each of them
+// several times.
+func TestRetriesStayAShareOfFreshRequests(t *testing.T) {
+	b := NewBudget()
+	spent := 0
+	for range 1000 {
+		b.Earn(0.1)
+		if b.Spend() {
+			spent++
+		}
+	}
+	assert.InDelta(t, 100+budgetBurst, spent, 1)
+}
+
+// A process stopped across a drain wakes up with an old table. The first request
+// after the resume, whichever goroutine runs first, must be held until the log
+// was read after the resume; with the log out it goes on after a bound.
+func TestPauseHoldsNewWorkUntilTheLogWasRead(t *testing.T) {
+	resumed := start.Add(10 * time.Second)
+	t.Run("request runs first", func(t *testing.T) {
+		p := NewPause(start)
+		assert.True(t, p.Held(resumed, start))
+		assert.True(t, p.Held(resumed.Add(time.Millisecond), start), "a read from before the pause does not count")
+		assert.False(t, p.Held(resumed.Add(time.Second), resumed.Add(time.Millisecond)))
+	})
+	t.Run("beat runs first", func(t *testing.T) {
+		p := NewPause(start)
+		p.Beat(resumed)
+		assert.True(t, p.Held(resumed, start))
+	})
+	t.Run("log is out", func(t *testing.T) {
+		p := NewPause(start)
+		assert.True(t, p.Held(resumed, start))
+		p.Beat(resumed.Add(pauseHold / 2))
+		assert.True(t, p.Held(resumed.Add(pauseHold/2), start))
+		assert.False(t, p.Held(resumed.Add(pauseHold+1), start))
+	})
+	t.Run("never paused", func(t *testing.T) {
+		p := NewPause(start)
+		for i := range 100 {
+			now := start.Add(time.Duration(i) * PauseBeat)
+			p.Beat(now)
+			assert.False(t, p.Held(now, start))
+		}
+	})
+}
