--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -42,7 +42,7 @@
 type health struct {
 	errors       float64 // decaying share of bad results at errorsAt, 0 to 1
 	errorsAt     time.Time
-	ejections    int     // since the latest good result
+	ejections    int // since the latest good result
 	ejectedUntil time.Time
 	// probing is true from an ejection to the next result: one request at a
 	// time finds out whether the backend has recovered.
