Count requests in flight once and keep refused retries from a false not-run

Two counts by VM had come from two sides; one stays. A retry that is refused before its key is claimed hears unknown, since its first attempt may have run.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -39,6 +39,8 @@
 			reason: ReasonMemory,
 			line:   "too many request bodies are held at once; try again",
 			after:  time.Second,
+
+			transient: true,
 		}
 	}
 	free = func() { h.memory.bytes.Release(need) }
@@ -51,7 +53,9 @@
 	if errors.As(err, &large) {
 		return free, tooLarge(most)
 	}
-	return free, badRequest(ReasonBodyCut, "the body broke off or took too long: %v", err)
+	p = badRequest(ReasonBodyCut, "the body broke off or took too long: %v", err)
+	p.transient = true
+	return free, p
 }
 
 // receive reads the body within the call's deadline and StallTimeout per read.
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -77,15 +77,13 @@
 	began := time.Now()
 	call, p := h.parse(r, began)
 	if p != nil {
-		h.refuse(w, p)
-		h.ended(call, outcome.NotRun, p.reason, began)
+		h.refuse(w, p, call, began)
 		return
 	}
 	free, p := h.readBody(w, r, call)
 	defer free()
 	if p != nil {
-		h.refuse(w, p)
-		h.ended(call, outcome.NotRun, p.reason, began)
+		h.refuse(w, p, call, began)
 		return
 	}
 	call.Header = forwardHeader(r)
@@ -110,8 +108,24 @@
 }
 
 // refuse answers a request that was not sent on.
-func (h *Handler) refuse(w http.ResponseWriter, p *problem) {
-	h.line(w, p.status, outcome.NotRun, p.reason, p.after, p.line)
+func (h *Handler) refuse(w http.ResponseWriter, p *problem, call *dispatch.Call, began time.Time) {
+	o := refusalOutcome(p, call)
+	h.line(w, p.status, o, p.reason, p.after, p.line)
+	h.ended(call, o, p.reason, began)
+}
+
+// refusalOutcome is what can be said of a request that is refused before its
+// key is claimed. This attempt did not run, but of a not-repeatable request an
+// earlier one may have: told "not-run", its caller would start afresh under a
+// new key and run it twice.
+func refusalOutcome(p *problem, call *dispatch.Call) outcome.Outcome {
+	if call == nil || call.Route.Repeatable || p.reason == ReasonNoKey || p.reason == ReasonKey {
+		return outcome.NotRun
+	}
+	if call.Retry || p.transient && !call.First {
+		return outcome.Unknown
+	}
+	return outcome.NotRun
 }
 
 // line writes an answer of the system's own.
--- a/internal/caller/parse.go
+++ b/internal/caller/parse.go
@@ -42,6 +42,8 @@
 	reason outcome.Reason
 	line   string
 	after  time.Duration
+	// transient: an earlier attempt may have met no such problem.
+	transient bool
 }
 
 func badRequest(reason outcome.Reason, format string, args ...any) *problem {
@@ -124,6 +126,7 @@
 		return badRequest(ReasonAttempt, "%s %q: must be a number from 1 to %d", outcome.HeaderAttempt, clip(text), maxAttempt)
 	}
 	call.First = n == 1
+	call.Retry = n > 1
 	return nil
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -43,6 +43,7 @@
 	Route   document.Route
 	Key     string // of a not-repeatable request
 	First   bool   // the caller says that this is its first attempt
+	Retry   bool   // the caller says that it is not
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	Method   string
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -133,18 +133,6 @@
 // Table returns the table in use.
 func (d *Dispatcher) Table() *routing.Table { return d.view.Load().table }
 
-// InFlight counts the attempts of this process by VM. The offset is that of the
-// table in use before the count: no VM that left up to it gets a further one.
-func (d *Dispatcher) InFlight() (offset uint64, vms map[string]int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	vms = map[string]int{}
-	for _, s := range d.services {
-		s.pool.AddInFlight(vms)
-	}
-	return d.Table().Offset, vms
-}
-
 // InFlights returns how many attempts of this process are under way, by VM, and
 // the offset of the log that the table in use rested on before they were
 // counted: no attempt starts at a VM that this table has not.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -159,7 +159,7 @@
 			if !c.repeatable {
 				assert.Equal(t, []outcome.Outcome{c.want}, claims.ends)
 			}
-			_, inFlight := d.InFlight()
+			_, inFlight := d.InFlights()
 			assert.Empty(t, inFlight)
 		})
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -116,10 +116,6 @@
 	})
 }
 
-// InFlight counts the requests under way by VM. No VM that was drained up to
-// offset gets a further one.
-func (e *Entry) InFlight() (offset uint64, vms map[string]int) { return e.dispatcher.InFlight() }
-
 // InFlights returns how many requests of this process are under way, by VM, and
 // the offset of the log that the process acted on when it counted.
 func (e *Entry) InFlights() (offset uint64, counts map[string]int) { return e.dispatcher.InFlights() }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -75,6 +75,22 @@
 	assert.Zero(t, r.seen())
 }
 
+// A retry is refused for what its first attempt did not have. "Not run" would
+// make the caller book anew under another key, though the first attempt ran.
+func TestRefusedRetryIsNotToldThatTheBookingDidNotRun(t *testing.T) {
+	r := newRig(t, localClaims())
+	header := http.Header{outcome.HeaderKey: {ulid.Make().String()}}
+	first := r.send(http.MethodPost, "/booking/reservations", header, nil)
+	require.Equal(t, http.StatusOK, first.status, first.body)
+	header.Set(outcome.HeaderDeadline, "soon")
+	for attempt, want := range map[string]outcome.Outcome{"1": outcome.NotRun, "2": outcome.Unknown} {
+		header.Set(outcome.HeaderAttempt, attempt)
+		got := r.send(http.MethodPost, "/booking/reservations", header, nil)
+		assert.Equal(t, http.StatusBadRequest, got.status)
+		assert.Equal(t, string(want), got.header.Get(outcome.HeaderOutcome), "attempt %s", attempt)
+	}
+}
+
 // A booking whose connection breaks at some point of its way is run at most
 // once, retries included, and each answer tells the truth about it. The backend
 // server counts what it saw and ran per key.
--- a/internal/entry/leave_test.go
+++ b/internal/entry/leave_test.go
@@ -9,7 +9,6 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/yuccadrift/yuccadrift/internal/entry"
 	"github.com/yuccadrift/yuccadrift/internal/outcome"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 	"github.com/yuccadrift/yuccadrift/internal/standin"
@@ -75,7 +74,7 @@
 // the balancer sends meanwhile, finishes those in flight, long ones included,
 // and ends. No caller sees a refused or broken connection.
 func TestStopUnderLoadCutsNoRequest(t *testing.T) {
-	r := newRig(t, entry.NoClaims{})
+	r := newRig(t, localClaims())
 	quick := r.callers(8, "/booking/lookup", http.Header{standin.HeaderWorkMS: {"2"}})
 	long := r.callers(2, "/booking/audit", http.Header{standin.HeaderWorkMS: {"900"}})
 	r.until(func() bool { return quick.count() > 50 })
@@ -94,7 +93,7 @@
 // Once the drain is folded the VM gets no new request, the one in flight gets
 // its whole answer, and it is counted until then.
 func TestDrainedBackendGetsNoNewWorkAndFinishesItsOwn(t *testing.T) {
-	r := newRig(t, entry.NoClaims{})
+	r := newRig(t, localClaims())
 	busy := func() string {
 		for vm, c := range r.server.Counters(false).Backends.VMs {
 			if c.Runs > 0 {
@@ -111,7 +110,7 @@
 	vm := busy()
 	r.propose(record.SubjectVM, vm, record.VMDrain{Reason: record.DrainOperator, Estimate: time.Minute})
 	r.until(func() bool { return r.entry.Offset() == r.offset() })
-	_, inFlight := r.entry.InFlight()
+	_, inFlight := r.entry.InFlights()
 	assert.Equal(t, 1, inFlight[vm])
 	for range 50 {
 		got := r.send(http.MethodGet, "/booking/lookup", nil, nil)
@@ -121,14 +120,14 @@
 	assert.NoError(t, got.err)
 	assert.Equal(t, http.StatusOK, got.status)
 	assert.Equal(t, 1, r.server.Counters(false).Backends.VMs[vm].Seen)
-	_, inFlight = r.entry.InFlight()
+	_, inFlight = r.entry.InFlights()
 	assert.Zero(t, inFlight[vm])
 }
 
 // A burst fills every slot: what does not fit is told "not-run" with Retry-After
 // at once instead of being parked, and truly did not run.
 func TestSurplusIsShedAtOnceAndDidNotRun(t *testing.T) {
-	r := newRig(t, entry.NoClaims{})
+	r := newRig(t, localClaims())
 	const slots, surplus = 3 * 8, 10
 	gate := standin.Fault{Kind: standin.BackendFreeze}
 	r.order(gate)
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -256,14 +256,3 @@
 		}
 	}
 }
-
-// AddInFlight adds the attempts under way to the counts by VM.
-func (p *Pool) AddInFlight(counts map[string]int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for vm, ep := range p.endpoints {
-		if ep.inFlight > 0 {
-			counts[vm] += ep.inFlight
-		}
-	}
-}
