Hold random histories of the fleet against its promises

Cause: budgets, membership and acts were only tried on the good path. Change: rapid histories (fixed seed, 2,000) of two stewards on old views, doubled, delayed and lost appends, lost replies, lost racks, operators and hours without the log; the executor's decisions moved into the pure package; a VM that does not come back is given up (vm.down, wave.skip) after a bound.

--- /dev/null
+++ b/internal/maintenance/history_test.go
@@ -0,0 +1,193 @@
+package maintenance_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// TestMain fixes the seed, so that a failure in CI is the same one everywhere.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261202")
+	_ = flag.Set("rapid.checks", "2000")
+	os.Exit(m.Run())
+}
+
+// What operators and callers rely on, under anything that may happen: two
+// stewards plan and act on views that are behind, appends are doubled, delayed
+// or lost to their author, replies of the platform are lost after the action
+// took effect, racks fail in mid-wave, operators drain and publish meanwhile,
+// and the log is away for hours. No planned drain may break a pool's budget, no
+// VM may be in two pools, no reboot may start but for a decision in effect at
+// that moment, and each decision is carried out once. Why it can hold: only the
+// fold lets a decision take effect, and the platform carries out an operation
+// ID once and refuses fencing tokens below the highest it has seen.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rt)
+		for range rapid.IntRange(20, 120).Draw(rt, "steps") {
+			w.step()
+			w.check()
+		}
+		w.heal()
+	})
+}
+
+// step lets one thing happen.
+func (w *world) step() {
+	node := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(w.t, "node")]
+	switch rapid.IntRange(0, 15).Draw(w.t, "event") {
+	case 0, 1, 2:
+		w.catchUp(node, rapid.IntRange(1, 30).Draw(w.t, "records"))
+	case 3, 4, 5:
+		w.plan(node)
+	case 6, 7, 8:
+		w.act(node)
+	case 9, 10:
+		w.pass(time.Duration(rapid.IntRange(1, 120).Draw(w.t, "seconds")) * time.Second)
+	case 11:
+		w.watch(node)
+	case 12:
+		w.operate(node)
+	case 13:
+		w.breakOrMend()
+	case 14:
+		w.deliverLate()
+	case 15:
+		w.outage()
+	}
+}
+
+// operate is an operator's act, decided on a node's view.
+func (w *world) operate(n *node) {
+	vm := w.drawVM()
+	switch rapid.IntRange(0, 5).Draw(w.t, "operator") {
+	case 0:
+		w.send(n, subjectVM(vm), record.VMDrain{Reason: record.DrainOperator, Estimate: time.Minute})
+	case 1:
+		w.send(n, subjectVM(vm), record.VMDrain{Reason: record.DrainOperator, Release: true, Estimate: time.Minute})
+	case 2, 3:
+		w.publish(n, w.drawPool(), rapid.IntRange(2, 6).Draw(w.t, "size"))
+	case 4:
+		w.waves++
+		body := record.WaveStart{Pools: pools, Deadline: w.now.Add(time.Hour)}
+		w.send(n, record.Subject{Kind: record.SubjectWave, Name: fmt.Sprintf("w%d", w.waves)}, body)
+	case 5:
+		command := rapid.SampledFrom([]record.WaveCommand{record.WavePause, record.WaveResume, record.WaveAbort}).Draw(w.t, "command")
+		w.send(n, record.Subject{Kind: record.SubjectWave, Name: fmt.Sprintf("w%d", w.waves)}, record.WaveControl{Command: command})
+	}
+}
+
+// check holds the state against what must always be true of it.
+func (w *world) check() {
+	members := map[string]string{}
+	for _, pool := range pools {
+		for id := range w.head.PoolVMs(pool) {
+			other, twice := members[id]
+			require.False(w.t, twice, "VM %s is in pools %s and %s", id, other, pool)
+			members[id] = pool
+		}
+	}
+	for id, vm := range w.head.VMs {
+		require.Equal(w.t, vm.Pool, members[id], "VM %s", id)
+		require.Equal(w.t, vm.Pool == "", vm.Phase == record.PhaseFree, "VM %s in pool %q is %s", id, vm.Pool, vm.Phase)
+	}
+}
+
+// checkDrain holds an effective drain against the budget as this test knows it:
+// short VMs and spent VM-seconds are its own sums, not the ledger's accounts.
+func (w *world) checkDrain(before ledger.VM, body record.VMDrain) {
+	if !before.Serving() {
+		return
+	}
+	doc := w.head.Services[before.Pool].Doc
+	serving, otherRack := 0, ""
+	for _, vm := range w.head.PoolVMs(before.Pool) {
+		switch {
+		case vm.Serving():
+			serving++
+		case vm.Rack != before.Rack && !vm.Down:
+			otherRack = vm.Rack
+		}
+	}
+	short := doc.Pool.Size - serving
+	if short <= 0 {
+		return
+	}
+	require.LessOrEqual(w.t, short, doc.Budget.MaxUnavailable, "drain of %s", before.ID)
+	if doc.Budget.OneDomain {
+		require.Empty(w.t, otherRack, "drain of %s in rack %s", before.ID, before.Rack)
+	}
+	spent := w.spent[before.Pool].since(w.head.Now.Add(-doc.Budget.Window))
+	allowed := doc.Budget.Allowed * float64(doc.Pool.Size) * doc.Budget.Window.Seconds()
+	need := float64(short) * body.Estimate.Seconds()
+	require.LessOrEqual(w.t, spent+need, allowed+1, "drain of %s", before.ID)
+}
+
+// heal ends all faults and lets the stewards go on: every drain must come to its
+// end, every wave too, the pools get their sizes, and the platform has rebooted
+// each VM as often as was decided.
+func (w *world) heal() {
+	w.mendAll()
+	for range 400 {
+		for _, n := range w.nodes {
+			w.catchUp(n, len(w.log))
+			w.watch(n)
+			w.catchUp(n, len(w.log))
+			w.plan(n)
+			w.catchUp(n, len(w.log))
+			w.act(n)
+		}
+		w.check()
+		if w.settled() {
+			break
+		}
+		w.pass(10 * time.Second)
+	}
+	w.checkSettled()
+}
+
+func (w *world) checkSettled() {
+	for id, vm := range w.head.VMs {
+		require.Nil(w.t, vm.Drain, "VM %s is still %s", id, vm.Phase)
+		require.Equal(w.t, vm.Reboots, w.fake.Counters().Reboots[id], "reboots of %s", id)
+	}
+	free := 0
+	for _, vm := range w.head.VMs {
+		if vm.Phase == record.PhaseFree {
+			free++
+		}
+	}
+	for _, pool := range pools {
+		u := w.head.Unavailability(pool)
+		require.True(w.t, u.Short == 0 || free == 0, "pool %s is short of %d with %d VMs free", pool, u.Short, free)
+	}
+}
+
+// settled reports whether nothing is left to do.
+func (w *world) settled() bool {
+	for _, vm := range w.head.VMs {
+		if vm.Drain != nil || vm.Phase == record.PhaseReturning {
+			return false
+		}
+	}
+	for _, wave := range w.head.Waves {
+		if wave.Status == ledger.WaveRunning {
+			return false
+		}
+	}
+	for _, pool := range pools {
+		if w.head.Unavailability(pool).Short > 0 && w.hasFree() {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/maintenance/step.go
+++ b/internal/maintenance/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/record"
@@ -100,3 +101,51 @@
 	}
 	return Action{}, false
 }
+
+// Result is what is known of an action.
+type Result int
+
+// Results of an action.
+const (
+	// ResultUnknown: no reply, or one that tells nothing. It is sent again.
+	ResultUnknown Result = iota
+	ResultRunning
+	ResultDone
+	ResultFailed
+	// ResultNotFound: the platform does not have the VM, perhaps for now.
+	ResultNotFound
+)
+
+// Settled reports whether the VM's step is through, by the result of its action
+// and whether the VM answers its health check. On a VM that the platform lost
+// no task runs, which is all that a drain asks for. A reboot that failed but left
+// the VM healthy is over too, as when the VM went down on its own meanwhile.
+func Settled(vm *ledger.VM, r Result, healthy bool) bool {
+	switch Next(vm) {
+	case StepNone:
+		return false
+	case StepQuiesce:
+		return r == ResultDone || r == ResultFailed || r == ResultNotFound
+	case StepReboot:
+		return r == ResultDone || (r == ResultFailed && healthy)
+	case StepReturn:
+		return r == ResultDone && healthy
+	}
+	return true
+}
+
+// Bounds after which a VM that is out counts as failed.
+const (
+	overdueFactor  = 3
+	minimalOverdue = 10 * time.Minute
+)
+
+// Overdue reports whether the VM has been in its phase for so much longer than
+// its drain's estimate that it is not expected back.
+func Overdue(vm *ledger.VM, now time.Time) bool {
+	bound := minimalOverdue
+	if vm.Drain != nil {
+		bound = max(bound, overdueFactor*vm.Drain.Estimate)
+	}
+	return Next(vm) != StepNone && now.Sub(vm.PhaseSince) > bound
+}
--- /dev/null
+++ b/internal/maintenance/world_test.go
@@ -0,0 +1,231 @@
+package maintenance_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/maintenance"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/pool"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+var pools = []string{"alpha", "beta"}
+
+const (
+	vmCount  = 11
+	rackSize = 2
+)
+
+// world is a log with its fold, two stewards that fold it late, and the
+// in-process stand-in.
+type world struct {
+	t     *rapid.T
+	now   time.Time
+	log   []record.Record
+	head  *ledger.State
+	nodes []*node
+	late  []record.Record // appended, not yet in the log
+	fake  *standin.Platform
+	waves int
+	ids   int
+	lost  map[string]bool // VMs that do not answer
+	spent map[string]*meter
+}
+
+// node is a steward's own fold.
+type node struct {
+	name  string
+	state *ledger.State
+	away  bool // cut off from the log
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t:     t,
+		now:   time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC),
+		head:  ledger.New(),
+		lost:  map[string]bool{},
+		spent: map[string]*meter{},
+	}
+	w.fake = standin.New(standin.Options{
+		Now:    func() time.Time { return w.now },
+		Groups: []standin.Group{{Prefix: "vm", Count: vmCount, RackSize: rackSize, Zones: []string{"a", "b", "c"}, Boot: 20 * time.Second}},
+	})
+	for _, name := range []string{"one", "two"} {
+		w.nodes = append(w.nodes, &node{name: name, state: ledger.New()})
+	}
+	for _, name := range pools {
+		w.spent[name] = &meter{}
+		w.publish(w.nodes[0], name, 4)
+	}
+	list, err := w.fake.List(context.Background())
+	require.NoError(t, err)
+	for _, vm := range list.VMs {
+		w.append(w.record(w.nodes[0], subjectVM(vm.ID), record.VMRegister{
+			Zone: vm.Zone, Rack: vm.Rack, Address: vm.Address, Cores: vm.Cores, MemoryMB: vm.MemoryMB,
+		}))
+	}
+	return w
+}
+
+func subjectVM(id string) record.Subject { return record.Subject{Kind: record.SubjectVM, Name: id} }
+
+// record returns a decision made on the node's view.
+func (w *world) record(n *node, sub record.Subject, body record.Body) record.Record {
+	w.ids++
+	return record.Record{
+		ID:      fmt.Sprintf("r%d", w.ids),
+		Subject: sub,
+		Base:    n.state.Revision(sub),
+		Seen:    n.state.Offset,
+		Author:  n.name,
+		Time:    w.now,
+		Body:    body,
+	}
+}
+
+// send appends a decision: once, twice, or at some later time.
+func (w *world) send(n *node, sub record.Subject, body record.Body) {
+	rec := w.record(n, sub, body)
+	switch rapid.IntRange(0, 9).Draw(w.t, "append") {
+	case 0:
+		w.append(rec)
+		w.append(rec)
+	case 1:
+		w.append(rec)
+		w.late = append(w.late, rec)
+	case 2:
+		w.late = append(w.late, rec)
+	default:
+		w.append(rec)
+	}
+}
+
+func (w *world) append(rec record.Record) {
+	var before ledger.VM
+	if vm, ok := w.head.VMs[rec.Subject.Name]; ok {
+		before = *vm
+	}
+	w.measure()
+	w.log = append(w.log, rec)
+	out := w.head.Apply(uint64(len(w.log)), rec)
+	if body, ok := rec.Body.(record.VMDrain); ok && out.Status == ledger.Effective {
+		w.checkDrain(before, body)
+	}
+	w.measure()
+}
+
+// deliverLate lets one delayed append take effect.
+func (w *world) deliverLate() {
+	if len(w.late) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.late)-1).Draw(w.t, "late")
+	rec := w.late[i]
+	w.late = append(w.late[:i:i], w.late[i+1:]...)
+	w.append(rec)
+}
+
+func (w *world) catchUp(n *node, records int) {
+	for n.state.Offset < uint64(len(w.log)) && records > 0 && !n.away {
+		n.state.Apply(n.state.Offset+1, w.log[n.state.Offset])
+		records--
+	}
+}
+
+func (w *world) plan(n *node) {
+	policy := pool.DefaultPolicy()
+	policy.Rates = pool.Rates{}
+	for _, p := range maintenance.Plan(pool.NewView(n.state, w.now), policy) {
+		w.send(n, p.Subject, p.Body)
+	}
+}
+
+// act carries out the steps that the node's view calls for, however old it is:
+// a paused process wakes up with an old view.
+func (w *world) act(n *node) {
+	for _, id := range sortedVMs(n.state) {
+		if vm := n.state.VMs[id]; maintenance.Next(vm) != maintenance.StepNone {
+			w.actOn(n, vm)
+		}
+	}
+}
+
+func (w *world) actOn(n *node, vm *ledger.VM) {
+	result := maintenance.ResultDone
+	if a, ok := maintenance.ActionOf(vm); ok {
+		result = w.perform(vm, a)
+	}
+	if !maintenance.Settled(vm, result, !w.lost[vm.ID]) {
+		return
+	}
+	switch maintenance.Next(vm) {
+	case maintenance.StepJoin:
+		w.send(n, subjectVM(vm.ID), record.VMJoin{Pool: vm.Drain.Target})
+	case maintenance.StepReturn:
+		w.send(n, subjectVM(vm.ID), record.VMUp{})
+	default:
+		w.send(n, subjectVM(vm.ID), record.VMAdvance{To: maintenance.After(vm)})
+	}
+}
+
+// perform sends an action to the platform. A reboot that starts must be decided
+// in the log at this moment, whatever the sender's view.
+func (w *world) perform(vm *ledger.VM, a maintenance.Action) maintenance.Result {
+	if rapid.IntRange(0, 5).Draw(w.t, "reply") == 0 {
+		_, err := w.fake.Order(standin.Fault{Kind: standin.APILoseReply, Target: vm.ID, Count: 1})
+		require.NoError(w.t, err)
+	}
+	before := w.fake.Counters().Reboots[vm.ID]
+	op := platform.Operation{ID: a.ID, Fence: platform.Offset(a.Fence)}
+	send := map[maintenance.Verb]func(context.Context, string, platform.Operation) (platform.OperationStatus, error){
+		maintenance.VerbDrain:   w.fake.Drain,
+		maintenance.VerbReboot:  w.fake.Reboot,
+		maintenance.VerbUndrain: w.fake.Undrain,
+	}
+	status, err := send[a.Verb](context.Background(), vm.ID, op)
+	if w.fake.Counters().Reboots[vm.ID] > before {
+		now := w.head.VMs[vm.ID]
+		require.Equal(w.t, record.PhaseRebooting, now.Phase, "VM %s was rebooted", vm.ID)
+		require.Equal(w.t, vm.Drain.ID, now.Drain.ID, "VM %s was rebooted", vm.ID)
+	}
+	return result(status, err)
+}
+
+func result(status platform.OperationStatus, err error) maintenance.Result {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return maintenance.ResultNotFound
+	case err != nil:
+		return maintenance.ResultUnknown
+	case status == platform.OperationDone:
+		return maintenance.ResultDone
+	case status == platform.OperationFailed:
+		return maintenance.ResultFailed
+	}
+	return maintenance.ResultRunning
+}
+
+// watch turns what VMs answer into evidence, decided on the node's view.
+func (w *world) watch(n *node) {
+	for _, id := range sortedVMs(n.state) {
+		vm := n.state.VMs[id]
+		if maintenance.Next(vm) != maintenance.StepNone {
+			continue
+		}
+		switch {
+		case w.lost[id] && !vm.Down:
+			w.send(n, subjectVM(id), record.VMDown{Cause: "no answer"})
+		case !w.lost[id] && vm.Down:
+			w.send(n, subjectVM(id), record.VMUp{})
+		}
+	}
+}
--- a/internal/steward/step.go
+++ b/internal/steward/step.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -21,26 +23,63 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.ActionTimeout)
 	defer cancel()
+	if result := e.act(ctx, &vm); !maintenance.Settled(&vm, result, e.healthy(ctx, &vm)) {
+		e.overdue(ctx, &vm)
+		return
+	}
 	switch maintenance.Next(&vm) {
 	case maintenance.StepQuiesce:
-		e.quiesce(ctx, &vm)
-	case maintenance.StepDecide:
-		e.advance(ctx, &vm, maintenance.After(&vm))
-	case maintenance.StepReboot:
-		e.reboot(ctx, &vm)
+		if e.quiet(ctx, &vm) {
+			e.decide(ctx, &vm, record.VMAdvance{To: maintenance.After(&vm)}, "no task and no request is left on it")
+		}
+	case maintenance.StepDecide, maintenance.StepReboot:
+		e.decide(ctx, &vm, record.VMAdvance{To: maintenance.After(&vm)}, "the step before is done")
 	case maintenance.StepJoin:
 		e.join(ctx, &vm)
 	case maintenance.StepReturn:
-		e.takeBack(ctx, &vm)
+		e.decide(ctx, &vm, record.VMUp{}, "seen healthy")
+	}
+}
+
+// overdue gives a VM up that is out for far longer than expected: it counts as
+// failed from then on, so that its pool can get another, and its wave goes on
+// without it. Should it come back after all, the drain goes on.
+func (e *executor) overdue(ctx context.Context, vm *ledger.VM) {
+	if !maintenance.Overdue(vm, time.Now()) {
+		return
+	}
+	if !vm.Down {
+		e.decide(ctx, vm, record.VMDown{Cause: "did not come back from " + string(vm.Phase)}, "out for too long")
+		return
+	}
+	e.skipTurn(ctx, vm)
+}
+
+// skipTurn takes a VM that was given up out of its wave.
+func (e *executor) skipTurn(ctx context.Context, vm *ledger.VM) {
+	if vm.Drain == nil || vm.Drain.Wave == "" || !e.mayDecide() {
+		return
+	}
+	var w *pool.Wave
+	var seen uint64
+	e.cfg.Follower.View(func(st *ledger.State) {
+		seen = st.Offset
+		if wave, ok := st.Waves[vm.Drain.Wave]; ok && wave.Active() && wave.VMs[vm.ID] == ledger.WaveOut {
+			w = &pool.Wave{ID: wave.ID, Revision: wave.Revision}
+		}
+	})
+	if w == nil {
+		return
 	}
+	reason := fmt.Sprintf("did not come back: %s since %s", vm.Phase, vm.PhaseSince.Format(time.RFC3339))
+	e.propose.one(ctx, seen, pool.OnWave(w, record.WaveSkip{VM: vm.ID, Reason: reason}, "out for too long"))
 }
 
-// act sends the action of the VM's step and reports whether its outcome is
-// known and good.
-func (e *executor) act(ctx context.Context, vm *ledger.VM) bool {
+// act sends the action of the VM's step.
+func (e *executor) act(ctx context.Context, vm *ledger.VM) maintenance.Result {
 	a, ok := maintenance.ActionOf(vm)
 	if !ok {
-		return false
+		return maintenance.ResultDone
 	}
 	op := platform.Operation{ID: a.ID, Fence: platform.Offset(a.Fence)}
 	var status platform.OperationStatus
@@ -53,19 +92,36 @@
 	case maintenance.VerbUndrain:
 		status, err = e.cfg.Fleet.Undrain(ctx, vm.ID, op)
 	}
-	return e.done(vm, a.Verb, status, err)
+	if err != nil {
+		e.cfg.Logger.Debug("action not confirmed", "vm", vm.ID, "action", a.Verb, "error", err)
+	}
+	return resultOf(status, err)
 }
 
-func (e *executor) quiesce(ctx context.Context, vm *ledger.VM) {
-	if e.act(ctx, vm) && e.quiet(ctx, vm) {
-		e.advance(ctx, vm, record.PhaseDrained)
+// resultOf tells what a reply proves. After any error the action is sent again
+// under the same operation ID at the next look: a lost reply is unknown, never
+// failed.
+func resultOf(status platform.OperationStatus, err error) maintenance.Result {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return maintenance.ResultNotFound
+	case err != nil:
+		return maintenance.ResultUnknown
+	case status == platform.OperationDone:
+		return maintenance.ResultDone
+	case status == platform.OperationFailed:
+		return maintenance.ResultFailed
 	}
+	return maintenance.ResultRunning
 }
 
-func (e *executor) reboot(ctx context.Context, vm *ledger.VM) {
-	if e.act(ctx, vm) {
-		e.advance(ctx, vm, maintenance.After(vm))
+// healthy asks the VM itself; only reboots and returns depend on the answer.
+func (e *executor) healthy(ctx context.Context, vm *ledger.VM) bool {
+	switch maintenance.Next(vm) {
+	case maintenance.StepReboot, maintenance.StepReturn:
+		return e.cfg.Health.Check(ctx, vm.Address) == nil
 	}
+	return true
 }
 
 // join puts a released VM into its target, or back into its old pool when the
@@ -80,39 +136,9 @@
 	e.decide(ctx, vm, record.VMJoin{Pool: target}, "released for its new pool")
 }
 
-func (e *executor) takeBack(ctx context.Context, vm *ledger.VM) {
-	if !e.act(ctx, vm) {
-		return
-	}
-	if err := e.cfg.Health.Check(ctx, vm.Address); err != nil {
-		e.cfg.Logger.Debug("not healthy yet", "vm", vm.ID, "error", err)
-		return
-	}
-	e.decide(ctx, vm, record.VMUp{}, "seen healthy")
-}
-
-func (e *executor) advance(ctx context.Context, vm *ledger.VM, to record.VMPhase) {
-	e.decide(ctx, vm, record.VMAdvance{To: to}, "the step before is done")
-}
-
 func (e *executor) decide(ctx context.Context, vm *ledger.VM, body record.Body, why string) {
 	if !e.mayDecide() {
 		return
 	}
 	e.propose.one(ctx, uint64(vm.Revision), pool.OnVM(&pool.VM{VM: *vm}, body, vm.ID, why))
 }
-
-// done reports whether an action's outcome is known and good. After any error
-// the action is sent again under the same operation ID at the next look: a lost
-// reply is unknown, never failed.
-func (e *executor) done(vm *ledger.VM, action maintenance.Verb, status platform.OperationStatus, err error) bool {
-	switch {
-	case errors.Is(err, platform.ErrFenced):
-		e.cfg.Logger.Info("a later decision holds the VM", "vm", vm.ID, "action", action)
-	case err != nil:
-		e.cfg.Logger.Debug("action not confirmed", "vm", vm.ID, "action", action, "error", err)
-	case status == platform.OperationFailed:
-		e.cfg.Logger.Warn("action failed on the platform", "vm", vm.ID, "action", action)
-	}
-	return err == nil && status == platform.OperationDone
-}
