Ask the entry processes before a drained VM is rebooted

Cause: every drain waited for its full bound, as nobody was asked. Change: the steward asks each member for its requests in flight on the VM. Conclusion: a drain ends as soon as all members have folded it and report none.

--- a/cmd/yuccadrift-steward/main.go
+++ b/cmd/yuccadrift-steward/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/admin"
 	"github.com/yuccadrift/yuccadrift/internal/backend"
+	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
 	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/listen"
 	"github.com/yuccadrift/yuccadrift/internal/logging"
@@ -65,13 +66,15 @@
 	}
 	client := platform.NewClient(s.Platform.Address.String(), platform.ClientOptions{Timeout: s.Platform.RequestTimeout.Duration})
 	defer client.Close()
+	entries := entrypeer.NewAsker()
+	defer entries.Close()
 	follow := follower.New(follower.Config{Log: client, Stream: s.Platform.Stream, Logger: logger.Named("log")})
 	readiness := admin.NewReadiness()
 	st := steward.New(steward.Config{
 		Node:          s.Node.ID,
 		Follower:      follow,
 		Fleet:         client,
-		Entries:       steward.UnreachableEntries{},
+		Entries:       entries,
 		Health:        backend.NewHealthChecker(),
 		Logger:        logger,
 		PlanInterval:  s.Planning.Interval.Duration,
--- a/internal/steward/quiet.go
+++ b/internal/steward/quiet.go
@@ -9,18 +9,11 @@
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 )
 
-// InFlight is what one entry process says about its requests in flight.
-type InFlight struct {
-	// Offset is how far the process had folded the log when it counted.
-	Offset uint64
-	// VMs counts requests in flight by VM.
-	VMs map[string]int
-}
-
 // Entries asks entry processes.
 type Entries interface {
-	// InFlight asks the entry process at the peer address.
-	InFlight(ctx context.Context, address string) (InFlight, error)
+	// InFlight returns the requests in flight by VM of the entry process at the
+	// peer address, and the offset of the log that it acted on when it counted.
+	InFlight(ctx context.Context, address string) (offset uint64, vms map[string]int, err error)
 }
 
 // UnreachableEntries stands for entry processes that cannot be asked: every
@@ -28,8 +21,8 @@
 type UnreachableEntries struct{}
 
 // InFlight implements Entries.
-func (UnreachableEntries) InFlight(context.Context, string) (InFlight, error) {
-	return InFlight{}, errors.New("entry processes cannot be asked")
+func (UnreachableEntries) InFlight(context.Context, string) (uint64, map[string]int, error) {
+	return 0, nil, errors.New("entry processes cannot be asked")
 }
 
 // drainGrace is what a drain waits beyond the document's bound on requests in
@@ -60,12 +53,12 @@
 		return true
 	}
 	for _, address := range members {
-		in, err := s.cfg.Entries.InFlight(ctx, address)
+		offset, vms, err := s.cfg.Entries.InFlight(ctx, address)
 		if err != nil {
 			s.cfg.Logger.Debug("an entry process does not answer", "address", address, "error", err)
 			return false
 		}
-		if in.Offset < vm.Drain.Fence || in.VMs[vm.ID] > 0 {
+		if offset < vm.Drain.Fence || vms[vm.ID] > 0 {
 			return false
 		}
 	}
