--- /dev/null
+++ b/internal/proof/request_test.go
@@ -0,0 +1,138 @@
+package proof
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
+)
+
+// pool starts nodes and a service "booking" with vms VMs that serve.
+func pool(t *testing.T, vms int, opts testkit.Options) *testkit.Cluster {
+	t.Helper()
+	opts.Fleet = []testkit.Group{{Prefix: "vm", Count: vms, Zones: []string{"a", "b"}, BootSeconds: 0.3}}
+	c := testkit.Start(t, opts)
+	c.Publish(document("booking", vms, 1))
+	awaitServing(c, "booking", vms)
+	c.AwaitReady()
+	return c
+}
+
+// together sends n requests at once and returns the channel of their answers.
+func together(n *testkit.Node, count int, r func() testkit.Request) <-chan testkit.Answer {
+	answers := make(chan testkit.Answer, count)
+	for range count {
+		go func() { answers <- n.Send(context.Background(), r()) }()
+	}
+	return answers
+}
+
+// An entry VM is stopped, a backend server is drained meanwhile, and callers'
+// requests pile up at the stopped process. When it is resumed it still holds the
+// old table: it must read the log before it sends any of them on, so that the
+// drained backend server gets nothing, and every caller still gets its answer.
+func TestEntryStoppedAcrossDrainSendsNothingToTheDrainedBackend(t *testing.T) {
+	const vms, callers = 4, 24
+	c := pool(t, vms, testkit.Options{Nodes: []string{"a", "b"}})
+	stopped := c.Nodes[1]
+	lookup := func() testkit.Request { return testkit.Request{Path: "/booking/lookup", Work: 20 * time.Millisecond} }
+	drained := ""
+	for answers := together(stopped, callers, lookup); drained == ""; { // a VM that the process does use
+		a := <-answers
+		require.True(t, a.OK(), "%+v", a)
+		drained = a.VM
+	}
+	c.Until("all slots are free", func() bool {
+		n := 0
+		for _, vm := range c.Standin.Counters().Backends.VMs {
+			n += vm.Runs
+		}
+		return n == callers
+	})
+
+	stopped.Entry.Pause()
+	const pause = 1500 * time.Millisecond // more than a stall of the machine
+	resume := time.After(pause)
+	c.Must("drain", drained)
+	c.Until("the drain is effective", func() bool { return c.Standin.State().VMs[drained].Phase == record.PhaseDraining })
+	before := c.Standin.Counters().Backends.VMs[drained].Seen
+	answers := together(stopped, callers, lookup)
+	<-resume
+	stopped.Entry.Resume()
+	for range callers {
+		a := <-answers
+		assert.True(t, a.OK(), "%+v", a)
+	}
+	assert.Equal(t, before, c.Standin.Counters().Backends.VMs[drained].Seen)
+}
+
+// SIGTERM reaches an entry VM while long requests are in flight: each gets its
+// whole answer, and the process ends by itself without an error.
+func TestEntryToldToStopFinishesLongRequests(t *testing.T) {
+	const long = 6
+	c := pool(t, 2, testkit.Options{Nodes: []string{"a"}})
+	answers := together(c.Nodes[0], long, func() testkit.Request {
+		return testkit.Request{Path: "/booking/lookup", Work: 2 * time.Second, ReplyBytes: 200_000}
+	})
+	c.Until("they run", func() bool { return c.Standin.Counters().Backends.Runs == long })
+	c.Nodes[0].Entry.Terminate()
+	for range long {
+		a := <-answers
+		assert.True(t, a.OK(), "%+v", a)
+		assert.Empty(t, a.Problem())
+	}
+	assert.NoError(t, c.Nodes[0].Entry.Wait())
+}
+
+// The network between an entry VM and the backend servers fails in some way
+// while a booking is sent, and the caller retries at the other entry VM, during
+// the fault and after it. The booking runs at most once, and "not-run" is only
+// said when no backend server saw it.
+func TestBookingOverBrokenNetworkRunsAtMostOnce(t *testing.T) {
+	faults := map[string]func(*testkit.Link){
+		"refused":                   (*testkit.Link).Cut,
+		"answer cut in the header":  func(l *testkit.Link) { l.CutAfter(20) },
+		"answer cut in the body":    func(l *testkit.Link) { l.CutAfter(1000) },
+		"no byte passes":            (*testkit.Link).Blackhole,
+		"requests pass, no answers": (*testkit.Link).BlackholeReplies,
+	}
+	c := pool(t, 2, testkit.Options{Nodes: []string{"a", "b"}, BackendLinks: true})
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			key := testkit.Key()
+			send := func(node, attempt int) testkit.Answer {
+				return c.Nodes[node].Send(t.Context(), testkit.Request{
+					Path: "/booking/book", Key: key, Attempt: attempt, ReplyBytes: 5000,
+					Deadline: 700 * time.Millisecond, Body: []byte("chair 7"),
+				})
+			}
+			check := func(a testkit.Answer) {
+				require.NoError(t, a.Err)
+				if k := c.Standin.Key(key); a.Outcome == outcome.NotRun {
+					assert.Zero(t, k.Seen, "told not-run with reason %s", a.Reason)
+				}
+				assert.LessOrEqual(t, c.Standin.Key(key).Runs, 1)
+			}
+			for _, l := range c.Backends {
+				fault(l)
+			}
+			check(send(0, 1))
+			check(send(1, 2))
+			for _, l := range c.Backends {
+				l.Heal()
+			}
+			last := send(1, 3)
+			check(last)
+			assert.LessOrEqual(t, c.Standin.Key(key).Seen, 1)
+			if name == "refused" {
+				assert.True(t, last.OK(), "nothing was ever sent, so the retry may run: %+v", last)
+			}
+		})
+	}
+}
