Cut pairs of VMs off from each other in tests

Cause: all that dial one peer address share one proxy, so a partition of two groups of entry VMs could not be made.

Change: a gate before each daemon's peer address finds the dialing process by its socket and leads the connection over a toxiproxy link of just that pair; Cluster.Partition and HealPeers use them. Groups of VMs can have a size.

Conclusion: TestGateTellsDialersApart cuts one of two dialers of one address.

--- a/internal/testkit/cluster.go
+++ b/internal/testkit/cluster.go
@@ -17,13 +17,15 @@
 // {"claims.lease": `"2s"`}.
 type Settings map[string]string
 
-// Group is a set of alike VMs with backend servers; see standin.Group. Boot is
-// in seconds.
+// Group is a set of alike VMs with backend servers; see standin.Group for what
+// 0 means.
 type Group struct {
 	Prefix      string
 	Count       int
 	Zones       []string
 	RackSize    int
+	Cores       int
+	MemoryMB    int
 	BootSeconds float64
 }
 
@@ -63,16 +65,16 @@
 	// Entry and Steward are the VM's daemons.
 	Entry   *Process
 	Steward *Process
-	// EntryPlatform and StewardPlatform are the daemons' ways to the platform,
-	// and Peers is the other nodes' way to this entry.
+	// EntryPlatform and StewardPlatform are the daemons' ways to the platform.
 	EntryPlatform   *Link
 	StewardPlatform *Link
-	Peers           *Link
 
-	c       *Cluster
-	entry   addresses
-	steward addresses
-	callers string
+	c           *Cluster
+	entry       addresses
+	steward     addresses
+	entryGate   *gate
+	stewardGate *gate
+	callers     string
 }
 
 // addresses are what one daemon listens on.
@@ -102,6 +104,8 @@
 		_ = listener.Close()
 	}
 	for _, n := range c.Nodes {
+		n.entryGate.open()
+		n.stewardGate.open()
 		n.writeSettings()
 		n.Entry.Start()
 		if !opts.NoStewards {
@@ -131,7 +135,8 @@
 	n.callers = c.hold(held)
 	n.EntryPlatform = newLink(c.t, n.Name+"-entry-platform", c.ip, c.Standin.address)
 	n.StewardPlatform = newLink(c.t, n.Name+"-steward-platform", c.ip, c.Standin.address)
-	n.Peers = newLink(c.t, n.Name+"-peers", c.ip, n.entry.peers)
+	n.entryGate = newGate(c, n.Name, n.entry.peers)
+	n.stewardGate = newGate(c, n.Name+"-steward", n.steward.peers)
 	n.Entry = newProcess(c.t, c.dir, n.Name, binary(c.t, binEntry), "--config", n.file("entry"))
 	n.Steward = newProcess(c.t, c.dir, n.Name+"-steward", binary(c.t, binSteward), "--config", n.file("steward"))
 	return n
@@ -150,7 +155,7 @@
 	entry := Settings{
 		"platform.address": quote(n.EntryPlatform.Address()),
 		"peers.listen":     quote(n.entry.peers),
-		"peers.advertise":  quote(n.Peers.Address()),
+		"peers.advertise":  quote(n.entryGate.address()),
 		"peers.seeds":      entrySeeds,
 		"admin.listen":     quote(n.entry.admin),
 		"callers.listen":   quote(n.callers),
@@ -159,6 +164,7 @@
 	steward := Settings{
 		"platform.address":       quote(n.StewardPlatform.Address()),
 		"peers.listen":           quote(n.steward.peers),
+		"peers.advertise":        quote(n.stewardGate.address()),
 		"peers.seeds":            stewardSeeds,
 		"admin.listen":           quote(n.steward.admin),
 		"planning.interval":      quote("100ms"),
@@ -173,8 +179,8 @@
 	var e, s []string
 	for _, other := range n.c.Nodes {
 		if other != n {
-			e = append(e, quote(other.Peers.Address()))
-			s = append(s, quote(other.steward.peers))
+			e = append(e, quote(other.entryGate.address()))
+			s = append(s, quote(other.stewardGate.address()))
 		}
 	}
 	return "[" + strings.Join(e, ",") + "]", "[" + strings.Join(s, ",") + "]"
@@ -233,10 +239,10 @@
 	n.StewardPlatform.Heal()
 }
 
-// EntryPeers and StewardPeers are the daemons' peer addresses, without a Link.
+// EntryPeers returns the entry's peer address, past all links.
 func (n *Node) EntryPeers() string { return n.entry.peers }
 
-// StewardPeers is the steward's peer address.
+// StewardPeers returns the steward's peer address, past all links.
 func (n *Node) StewardPeers() string { return n.steward.peers }
 
 // AwaitReady waits until the entries take callers' requests.
--- /dev/null
+++ b/internal/testkit/gate.go
@@ -0,0 +1,213 @@
+package testkit
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+)
+
+// gate stands before a daemon's peer address. It finds out which VM dials and
+// leads the connection over a Link of just these two VMs: a partition cuts pairs
+// of VMs, and all that dial one address would else share one proxy.
+type gate struct {
+	c        *Cluster
+	name     string
+	upstream string
+	listener net.Listener
+
+	mu    sync.Mutex
+	links map[*Node]*Link
+	conns map[net.Conn]bool
+}
+
+// newGate binds the gate's address; open lets connections in.
+func newGate(c *Cluster, name, upstream string) *gate {
+	c.t.Helper()
+	listener, err := net.Listen("tcp", c.ip+":0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	g := &gate{c: c, name: name, upstream: upstream, listener: listener, links: map[*Node]*Link{}, conns: map[net.Conn]bool{}}
+	c.t.Cleanup(g.close)
+	return g
+}
+
+// open must come after the cluster's VMs are known.
+func (g *gate) open() { go g.accept() }
+
+func (g *gate) address() string { return g.listener.Addr().String() }
+
+// from returns the link of connections from a VM.
+func (g *gate) from(n *Node) *Link {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	link := g.links[n]
+	if link == nil {
+		link = newLink(g.c.t, n.Name+"-to-"+g.name, g.c.ip, g.upstream)
+		g.links[n] = link
+	}
+	return link
+}
+
+func (g *gate) heal() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, link := range g.links {
+		link.Heal()
+	}
+}
+
+func (g *gate) accept() {
+	for {
+		conn, err := g.listener.Accept()
+		if err != nil {
+			return // closed
+		}
+		go g.carry(conn)
+	}
+}
+
+// carry passes a connection on. One of an unknown process, as of the test, goes
+// straight through.
+func (g *gate) carry(conn net.Conn) {
+	target := g.upstream
+	if n := g.c.dialer(conn); n != nil {
+		target = g.from(n).Address()
+	}
+	far, err := net.Dial("tcp", target)
+	if err != nil || !g.track(conn, far) {
+		_ = conn.Close()
+		return
+	}
+	defer g.forget(conn, far)
+	ended := make(chan struct{}, 2)
+	pass := func(to, from net.Conn) {
+		_, _ = io.Copy(to, from) // ends with either connection
+		ended <- struct{}{}
+	}
+	go pass(far, conn)
+	go pass(conn, far)
+	<-ended
+}
+
+func (g *gate) track(conns ...net.Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.conns == nil {
+		return false
+	}
+	for _, conn := range conns {
+		g.conns[conn] = true
+	}
+	return true
+}
+
+func (g *gate) forget(conns ...net.Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.Close()
+		delete(g.conns, conn)
+	}
+}
+
+func (g *gate) close() {
+	_ = g.listener.Close()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for conn := range g.conns {
+		_ = conn.Close()
+	}
+	g.conns = nil
+}
+
+// dialer returns the VM whose process holds the far end of an accepted
+// connection, nil for any other process.
+func (c *Cluster) dialer(conn net.Conn) *Node {
+	socket := socketOf(conn.RemoteAddr().String(), conn.LocalAddr().String())
+	if socket == "" {
+		return nil
+	}
+	for _, n := range c.Nodes {
+		if n.Entry.holds(socket) || n.Steward.holds(socket) {
+			return n
+		}
+	}
+	return nil
+}
+
+// socketOf returns how /proc/PID/fd names the socket of a local connection.
+func socketOf(local, remote string) string {
+	file, err := os.Open("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	defer file.Close()
+	const localField, remoteField, inodeField = 1, 2, 9
+	local, remote = procAddress(local), procAddress(remote)
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		fields := strings.Fields(lines.Text())
+		if len(fields) > inodeField && fields[localField] == local && fields[remoteField] == remote {
+			return "socket:[" + fields[inodeField] + "]"
+		}
+	}
+	return ""
+}
+
+// procAddress writes an IPv4 address as /proc/net/tcp does.
+func procAddress(text string) string {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return ""
+	}
+	ip := address.Addr().As4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], address.Port())
+}
+
+// holds reports whether the process has the socket open.
+func (p *Process) holds(socket string) bool {
+	if !p.Running() {
+		return false
+	}
+	dir := fmt.Sprintf("/proc/%d/fd", p.PID())
+	files, _ := os.ReadDir(dir) // the process may have ended
+	for _, f := range files {
+		if name, _ := os.Readlink(filepath.Join(dir, f.Name())); name == socket {
+			return true
+		}
+	}
+	return false
+}
+
+// Partition lets only the VMs of the same group reach each other's daemons, in
+// both directions. Connections stand and pass no byte. VMs in no group are left
+// alone. The ways to the platform and to backend servers are not touched.
+func (c *Cluster) Partition(groups ...[]*Node) {
+	for i, group := range groups {
+		for _, n := range group {
+			for j, others := range groups {
+				if i == j {
+					continue
+				}
+				for _, other := range others {
+					n.entryGate.from(other).Blackhole()
+					n.stewardGate.from(other).Blackhole()
+				}
+			}
+		}
+	}
+}
+
+// HealPeers ends all partitions.
+func (c *Cluster) HealPeers() {
+	for _, n := range c.Nodes {
+		n.entryGate.heal()
+		n.stewardGate.heal()
+	}
+}
--- /dev/null
+++ b/internal/testkit/gate_test.go
@@ -0,0 +1,68 @@
+package testkit
+
+import (
+	"bufio"
+	"net"
+	"os/exec"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Two VMs dial the same peer address. A partition cuts off the one and leaves the
+// other alone, and a connection that stood before passes nothing either.
+func TestGateTellsDialersApart(t *testing.T) {
+	c := &Cluster{t: t, ip: loopback()}
+	upstream, err := net.Listen("tcp", c.ip+":0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = upstream.Close() })
+	lines := make(chan string, 10)
+	go func() {
+		for {
+			conn, err := upstream.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				for scan := bufio.NewScanner(conn); scan.Scan(); {
+					lines <- scan.Text()
+				}
+			}()
+		}
+	}()
+	target := &Node{Name: "target", entryGate: newGate(c, "target", upstream.Addr().String())}
+	target.stewardGate = target.entryGate
+	host, port, err := net.SplitHostPort(target.entryGate.address())
+	require.NoError(t, err)
+	// A shell stands for a daemon that dials: it says its name again and again.
+	bash, err := exec.LookPath("bash")
+	require.NoError(t, err)
+	var nodes []*Node
+	for _, name := range []string{"one", "two"} {
+		script := "exec 3<>/dev/tcp/" + host + "/" + port + "; while echo " + name + " >&3; do sleep 0.01; done"
+		n := &Node{Name: name, Entry: newProcess(t, t.TempDir(), name, bash, "-c", script), Steward: &Process{}}
+		n.entryGate, n.stewardGate = target.entryGate, target.entryGate
+		nodes = append(nodes, n)
+	}
+	c.Nodes = nodes
+	target.entryGate.open()
+	for _, n := range nodes {
+		n.Entry.Start()
+	}
+	awaitBoth(lines)
+	c.Partition([]*Node{target}, []*Node{nodes[0]})
+	for len(lines) > 0 {
+		<-lines
+	}
+	<-lines // may have been on its way
+	for range 20 {
+		require.Equal(t, "two", <-lines)
+	}
+}
+
+func awaitBoth(lines <-chan string) {
+	seen := map[string]bool{}
+	for len(seen) < 2 {
+		seen[<-lines] = true
+	}
+}
--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -87,6 +87,13 @@
 	}
 }
 
+// PID returns the id of the latest run.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 // Terminate asks the process to leave, as an operator's SIGTERM does; Wait waits
 // until it has.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM, true) }
--- a/internal/testkit/standin.go
+++ b/internal/testkit/standin.go
@@ -51,7 +51,8 @@
 	var text bytes.Buffer
 	for _, g := range c.opts.Fleet {
 		zones, _ := json.Marshal(g.Zones)
-		fmt.Fprintf(&text, "{prefix=%q, count=%d, zones=%s, rack_size=%d, boot_seconds=%f},", g.Prefix, g.Count, zones, g.RackSize, g.BootSeconds)
+		fmt.Fprintf(&text, "{prefix=%q, count=%d, zones=%s, rack_size=%d, cores=%d, memory_mb=%d, boot_seconds=%f},",
+			g.Prefix, g.Count, zones, g.RackSize, g.Cores, g.MemoryMB, g.BootSeconds)
 	}
 	return "[" + text.String() + "]"
 }
