--- a/cmd/yuccadrift-entry/run.go
+++ b/cmd/yuccadrift-entry/run.go
@@ -47,7 +47,7 @@
 	var ent *entry.Entry
 	member, node := membership.NewEntry(membership.Entry{
 		Settings:  s,
-		Address:   peerListener.Addr().String(),
+		Address:   peerAddress(s, peerListener),
 		Registry:  registry,
 		Log:       follow,
 		Readiness: readiness,
@@ -79,6 +79,15 @@
 	return supervise.Run(ctx, binary, logger, duties...)
 }
 
+// peerAddress is what other nodes dial. The listener knows its port also where
+// the settings leave that to the system.
+func peerAddress(s settings.Entry, l caller.Listener) string {
+	if s.Peers.Advertise.IsValid() {
+		return s.Peers.Advertise.String()
+	}
+	return l.Addr().String()
+}
+
 // status is what the process tells the command line about itself.
 func status(s settings.Entry, follow *follower.Follower, ent *entry.Entry, readiness *admin.Readiness) operator.ServerConfig {
 	return operator.ServerConfig{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,14 +48,6 @@
 	Seeds []tomlfile.Address `toml:"seeds"`
 }
 
-// Address returns what other nodes dial.
-func (p Peers) Address() tomlfile.Address {
-	if p.Advertise.IsValid() {
-		return p.Advertise
-	}
-	return p.Listen
-}
-
 // Admin is the HTTP endpoint for metrics, health and profiles.
 type Admin struct {
 	Listen tomlfile.Address `toml:"listen"`
