Bound what a lost owner granted by its own clock

Cause: the floor of a new owner was computed from that VM's clock, which can be behind after a suspension; it would then grant keys that the lost owner granted. Records that an old owner had dropped could be granted by a slower clock too. Change: a lease request carries its sender's clock, a peer acks only a clock that is not ahead, and a suspicion says until when the acked leases run by that clock; the fold puts the latest into the membership change, so all nodes take the same floor. A handover says up to which mint time records were dropped. Conclusion: no grant of a lost owner lies above the floor, whatever the clocks of the others say, and fresh keys need not wait for the takeover any more.

--- a/internal/claim/handover.go
+++ b/internal/claim/handover.go
@@ -12,6 +12,9 @@
 	Offset  uint64
 	Joined  []string
 	Removed []string
+	// Until is when the removed members had stopped granting at the latest, by
+	// their own wall clocks: see Watch.
+	Until time.Time
 }
 
 // Debt is a set of claims that the member has yet to get from Source before it
@@ -66,31 +69,31 @@
 		o.retired = true
 	}
 	for _, m := range c.Removed {
-		o.loseSource(now, m)
-		o.debts = append(o.debts, o.lapsing(now, debt{Debt: Debt{Offset: c.Offset, Source: m}, before: before}))
+		o.loseSource(now, m, c.Until)
+		o.debts = append(o.debts, o.lapsing(now, c.Until, debt{Debt: Debt{Offset: c.Offset, Source: m}, before: before}))
 	}
 	o.loseHolders(c.Removed)
 }
 
 // lapsing sets when the debt to a removed source turns into a floor.
 //
-// The removed member granted only keys minted up to its clock plus Ahead, and
-// only while its lease held. Its removal took effect after that lease had
-// ended, and was read here later still; so by this clock its last key was
-// minted at most Ahead and Skew after now.
-func (o *Owner) lapsing(now Instant, d debt) debt {
+// The removed member granted only keys minted up to its own clock plus Ahead,
+// and only while its lease held by that clock, which was until the given time
+// at the latest. This member's clock plays no part. Skew allows for a leave or
+// a join, whose time may be another process's.
+func (o *Owner) lapsing(now Instant, until time.Time, d debt) debt {
 	d.removed = true
 	d.lapses = now.Mono + o.cfg.Handover
-	d.floor = now.Wall.Add(o.cfg.Ahead + o.cfg.Skew)
+	d.floor = until.Add(o.cfg.Ahead + o.cfg.Skew)
 	return d
 }
 
 // loseSource makes the debts to a member lapse that was removed before it
 // handed over.
-func (o *Owner) loseSource(now Instant, m string) {
+func (o *Owner) loseSource(now Instant, m string, until time.Time) {
 	for i, d := range o.debts {
 		if d.Source == m && !d.removed {
-			o.debts[i] = o.lapsing(now, d)
+			o.debts[i] = o.lapsing(now, until, d)
 		}
 	}
 }
@@ -126,7 +129,7 @@
 		return lapsed
 	})
 	o.floors = slices.DeleteFunc(o.floors, func(f Floor) bool {
-		return f.Until.Before(o.horizon(now))
+		return f.Until.Before(o.dropped)
 	})
 }
 
@@ -171,6 +174,9 @@
 type Handover struct {
 	Records []Record
 	Floors  []Floor
+	// Dropped is the mint time up to which the old owner may have dropped
+	// records.
+	Dropped time.Time
 }
 
 // Pull hands the claims that puller owns since the change at offset over to
@@ -188,7 +194,7 @@
 			return Handover{}, PullLater
 		}
 	}
-	h := Handover{Floors: slices.Clone(o.floors)}
+	h := Handover{Floors: slices.Clone(o.floors), Dropped: o.dropped}
 	for _, r := range o.table.records {
 		if o.owner(r.Key) == puller {
 			h.Records = append(h.Records, *r)
@@ -207,6 +213,7 @@
 	for _, f := range h.Floors {
 		o.addFloor(f)
 	}
+	o.drop(h.Dropped)
 	for i := range h.Records {
 		o.merge(&h.Records[i])
 	}
--- a/internal/claim/lease.go
+++ b/internal/claim/lease.go
@@ -13,6 +13,8 @@
 	Margin   time.Duration
 	// Silence is after how long without an exchange a peer counts as lost.
 	Silence time.Duration
+	// Skew is how far a member's clock may be ahead of a peer's for an ack.
+	Skew time.Duration
 }
 
 // Lease is a member's right to grant claims. A peer's ack says: I have no
@@ -52,9 +54,9 @@
 //
 // The monotonic clock stops while a VM is suspended, so a suspended member
 // could believe in a lease that ended hours ago. The wall clock is checked too:
-// either it has jumped on, and the lease shows as ended, or it has not, and
-// keys that it admits were minted before the suspension and are answered
-// "unknown" by any new owner.
+// either it has jumped on, and the lease shows as ended, or it has not, and the
+// keys that it admits are as old as the lease, for which any new owner answers
+// "unknown" (see Watch).
 func (l *Lease) Valid(now Instant) bool {
 	return l.holds(l.electorate, now) && (l.proposed == nil || l.holds(l.proposed, now))
 }
--- a/internal/claim/owner.go
+++ b/internal/claim/owner.go
@@ -81,6 +81,9 @@
 	table   *table
 	debts   []debt
 	floors  []Floor
+	// dropped is the mint time up to which records may have been dropped, here
+	// or by an old owner. No such key is granted, whatever the clock says later.
+	dropped time.Time
 }
 
 // NewOwner returns the Owner of member self, which owns nothing before Join.
@@ -95,7 +98,7 @@
 // else is going on. Next come the reasons for which this memory may be
 // incomplete; only then may a missing record mean that nothing ran.
 func (o *Owner) Claim(now Instant, req Request, attempt Attempt, until time.Time) Reply {
-	o.table.expire(o.horizon(now), expireBatch)
+	o.expire(now)
 	if o.owner(req.Key) != o.self || !contains(o.members, attempt.Holder) {
 		return o.reply(CodeNotOwner, ReasonUnreachable)
 	}
@@ -109,30 +112,28 @@
 	if rec != nil && (rec.State != StateReleased || rec.releasedBefore(attempt)) {
 		return o.remembered(now, rec, req, attempt)
 	}
-	if no := o.inadmissible(now, req.Key); no != nil {
+	if no := o.refused(now, req.Key, rec == nil); no != nil {
 		return *no
 	}
-	if rec == nil && len(o.table.records) >= o.cfg.MaxRecords {
-		return o.reply(CodeNotRun, ReasonFull)
-	}
-	if o.retired || !o.right.Valid(now) {
-		return o.reply(CodeNoLease, ReasonUnreachable)
-	}
 	o.grant(rec, req, attempt, until)
 	return o.reply(CodeGranted, ReasonNone)
 }
 
-// inadmissible returns the answer to a key whose age forbids a grant.
-func (o *Owner) inadmissible(now Instant, k Key) *Reply {
+// refused returns the answer to a key that may not be granted, nil otherwise.
+func (o *Owner) refused(now Instant, k Key, fresh bool) *Reply {
 	minted := k.Minted()
 	var r Reply
 	switch {
-	case minted.Before(now.Wall.Add(-o.cfg.Window)):
+	case minted.Before(now.Wall.Add(-o.cfg.Window)) || !minted.After(o.dropped):
 		r = o.reply(CodeUnknown, ReasonTooOld)
 	case o.floored(k):
 		r = o.reply(CodeUnknown, ReasonOwnerLost)
+	case o.retired || !o.right.Valid(now):
+		r = o.reply(CodeNoLease, ReasonUnreachable)
 	case minted.After(now.Wall.Add(o.cfg.Ahead)):
 		r = o.reply(CodeNotRun, ReasonTooNew)
+	case fresh && len(o.table.records) >= o.cfg.MaxRecords:
+		r = o.reply(CodeNotRun, ReasonFull)
 	default:
 		return nil
 	}
@@ -184,7 +185,8 @@
 	if o.owner(res.Key) != o.self {
 		return false
 	}
-	if res.Key.Minted().Before(now.Wall.Add(-o.cfg.Window)) {
+	o.expire(now)
+	if !res.Key.Minted().After(o.dropped) {
 		return true
 	}
 	rec := o.table.get(res.Key)
@@ -236,11 +238,18 @@
 	return Reply{Code: c, Reason: r, Offset: o.offset}
 }
 
-// horizon is the mint time before which records are dropped. It lies twice the
-// clock difference before the window's edge: a record that this member dropped
-// must not be missed by another one, whose slower clock still admits the key.
-func (o *Owner) horizon(now Instant) time.Time {
-	return now.Wall.Add(-o.cfg.Window - 2*o.cfg.Skew)
+// expire drops records that lie before the claim window. It leaves the clock
+// difference out of account, so that a new owner whose clock is slower still
+// admits every key inside its own window.
+func (o *Owner) expire(now Instant) {
+	o.drop(now.Wall.Add(-o.cfg.Window - 2*o.cfg.Skew))
+	o.table.expire(o.dropped, expireBatch)
+}
+
+func (o *Owner) drop(until time.Time) {
+	if until.After(o.dropped) {
+		o.dropped = until
+	}
 }
 
 // InProgress reports whether another attempt than the given one holds the claim
--- a/internal/claim/watch.go
+++ b/internal/claim/watch.go
@@ -11,6 +11,10 @@
 	Member  string
 	Suspect bool
 	Seq     uint64
+	// Until is when the last lease that was acked runs out, by the member's own
+	// wall clock. Every key that the member could grant under that ack was
+	// minted before Until plus the allowance.
+	Until time.Time
 }
 
 type trust uint8
@@ -33,6 +37,7 @@
 	acked   time.Duration // last ack given, or when the peer came
 	heard   time.Duration // last request from the peer
 	reached time.Duration // last answer from the peer
+	until   time.Time     // end of the last lease acked, by the peer's wall clock
 }
 
 // Watch is a member's part in the leases and the eviction of its peers.
@@ -62,17 +67,23 @@
 	maps.DeleteFunc(w.peers, func(n string, _ *watched) bool { return !contains(names, n) })
 }
 
-// Request notes a lease request from a peer and returns whether it is acked.
-func (w *Watch) Request(now Instant, peer string) bool {
+// Request notes a lease request that a peer sent at the given time of its wall
+// clock, and returns whether it is acked. A peer whose clock is ahead gets no
+// ack: it would admit keys that a new owner must refuse for as long after its
+// eviction.
+func (w *Watch) Request(now Instant, peer string, sent time.Time) bool {
 	p := w.peers[peer]
 	if p == nil {
 		return false
 	}
 	p.heard = now.Mono
-	if p.trust != trusted {
+	if p.trust != trusted || sent.After(now.Wall.Add(w.cfg.Skew)) {
 		return false
 	}
 	p.acked = now.Mono
+	if until := sent.Add(w.cfg.Duration); until.After(p.until) {
+		p.until = until
+	}
 	return true
 }
 
@@ -101,7 +112,7 @@
 		}
 		if w.step(now, p, logUp) {
 			p.seq++
-			votes = append(votes, Vote{Member: name, Suspect: p.trust == suspecting, Seq: p.seq})
+			votes = append(votes, Vote{Member: name, Suspect: p.trust == suspecting, Seq: p.seq, Until: p.until})
 		}
 	}
 	return votes
--- a/internal/entrypeer/member.go
+++ b/internal/entrypeer/member.go
@@ -108,7 +108,7 @@
 }
 
 func claimChange(c ledger.MemberChange) claim.Change {
-	return claim.Change{Offset: c.Offset, Joined: names(c.Joined), Removed: names(c.Removed)}
+	return claim.Change{Offset: c.Offset, Joined: names(c.Joined), Removed: names(c.Removed), Until: c.Until}
 }
 
 func names(refs []ledger.MemberRef) []string {
@@ -263,10 +263,10 @@
 }
 
 // leaseAsked answers a peer's lease request.
-func (m *Member) leaseAsked(peer string) bool {
+func (m *Member) leaseAsked(peer string, clock time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.watch.Request(Now(), peer)
+	return m.watch.Request(Now(), peer, clock)
 }
 
 // leaseAnswered takes a peer's answer to a lease request.
--- a/internal/entrypeer/node.go
+++ b/internal/entrypeer/node.go
@@ -131,7 +131,7 @@
 		return err
 	}
 	sent := Now()
-	r, err := c.Lease(ctx, &pb.LeaseRequest{Member: m.Name()})
+	r, err := c.Lease(ctx, &pb.LeaseRequest{Member: m.Name(), Clock: timeProto(sent.Wall)})
 	if err != nil {
 		return errors.Wrapf(err, "lease from %s", peer)
 	}
@@ -196,5 +196,8 @@
 	for _, f := range part.GetFloors() {
 		h.Floors = append(h.Floors, floorOf(f))
 	}
+	if d := part.GetDropped(); d != nil {
+		h.Dropped = d.AsTime()
+	}
 	return nil
 }
--- a/internal/entrypeer/server.go
+++ b/internal/entrypeer/server.go
@@ -93,7 +93,7 @@
 	out := &pb.LeaseReply{}
 	if m := s.node.current(); m != nil {
 		out.Member = m.Name()
-		out.Acked = m.leaseAsked(in.GetMember())
+		out.Acked = m.leaseAsked(in.GetMember(), in.GetClock().AsTime())
 	}
 	out.Clock = timeProto(Now().Wall)
 	return out, nil
@@ -120,7 +120,7 @@
 		}
 		h.Records = h.Records[n:]
 	}
-	last := &pb.PullReply{Status: uint32(code)}
+	last := &pb.PullReply{Status: uint32(code), Dropped: timeProto(h.Dropped)}
 	for _, f := range h.Floors {
 		last.Floors = append(last.Floors, floorProto(f))
 	}
--- a/internal/ledger/member.go
+++ b/internal/ledger/member.go
@@ -27,8 +27,9 @@
 
 // Vote is one member's latest word about another.
 type Vote struct {
-	Seq     uint64 `json:"seq"`
-	Suspect bool   `json:"suspect"`
+	Seq     uint64    `json:"seq"`
+	Suspect bool      `json:"suspect"`
+	Until   time.Time `json:"until"` // see record.MemberSuspect
 }
 
 // MemberRef names a member and where it answers other entry VMs.
@@ -42,6 +43,9 @@
 	Offset  uint64      `json:"offset"`
 	Joined  []MemberRef `json:"joined,omitempty"`
 	Removed []MemberRef `json:"removed,omitempty"`
+	// Until is when the removed members had stopped granting claims at the
+	// latest, by their own wall clocks or, for a join or leave, its author's.
+	Until time.Time `json:"until"`
 }
 
 // maxMemberChanges bounds State.MemberChanges. A node that is further behind
@@ -49,7 +53,7 @@
 const maxMemberChanges = 64
 
 // memberChange returns the change of the record being applied.
-func (s *State) memberChange() *MemberChange {
+func (s *State) memberChange(until time.Time) *MemberChange {
 	n := len(s.MemberChanges)
 	if n == 0 || s.MemberChanges[n-1].Offset != s.Offset {
 		s.MemberChanges = append(s.MemberChanges, MemberChange{Offset: s.Offset})
@@ -57,7 +61,9 @@
 			s.MemberChanges = slices.Delete(s.MemberChanges, 0, 1)
 		}
 	}
-	return &s.MemberChanges[len(s.MemberChanges)-1]
+	c := &s.MemberChanges[len(s.MemberChanges)-1]
+	c.Until = until.UTC().Round(0)
+	return c
 }
 
 func (s *State) joinMember(rec record.Record, b record.MemberJoin) refusal {
@@ -77,7 +83,7 @@
 		if rec.Seen < m.JoinedAt {
 			return refusef("%s joined at %s after this record was written", name, b.Address)
 		}
-		s.removeMember(name)
+		s.removeMember(name, rec.Time)
 	}
 	m := &Member{
 		Head:     Head{Revision: record.Revision(s.Offset), LastID: rec.ID},
@@ -90,7 +96,7 @@
 	}
 	s.Members[m.Name] = m
 	m.Electorate = s.MemberNames()
-	c := s.memberChange()
+	c := s.memberChange(rec.Time)
 	c.Joined = append(c.Joined, MemberRef{Name: m.Name, Address: m.Address})
 	return allowed
 }
@@ -99,7 +105,7 @@
 	if _, ok := s.Members[rec.Subject.Name]; !ok {
 		return refusef("%s is no member", rec.Subject.Name)
 	}
-	s.removeMember(rec.Subject.Name)
+	s.removeMember(rec.Subject.Name, rec.Time)
 	return allowed
 }
 
@@ -119,7 +125,7 @@
 }
 
 func (s *State) suspectMember(rec record.Record, b record.MemberSuspect) refusal {
-	return s.vote(rec.Subject.Name, b.By, Vote{Seq: b.Seq, Suspect: true})
+	return s.vote(rec.Subject.Name, b.By, Vote{Seq: b.Seq, Suspect: true, Until: b.Until.UTC()})
 }
 
 func (s *State) trustMember(rec record.Record, b record.MemberTrust) refusal {
@@ -153,21 +159,25 @@
 // have been evicted: see docs/adr for the argument.
 func (s *State) evictIfSuspected(m *Member) {
 	votes := 0
+	var until time.Time
 	for by, v := range m.Votes {
 		_, present := s.Members[by]
 		if v.Suspect && present && slices.Contains(m.Electorate, by) {
 			votes++
+			if v.Until.After(until) {
+				until = v.Until
+			}
 		}
 	}
 	if 2*votes > len(m.Electorate) {
-		s.removeMember(m.Name)
+		s.removeMember(m.Name, until)
 	}
 }
 
-func (s *State) removeMember(name string) {
+func (s *State) removeMember(name string, until time.Time) {
 	m := s.Members[name]
 	delete(s.Members, name)
-	c := s.memberChange()
+	c := s.memberChange(until)
 	c.Removed = append(c.Removed, MemberRef{Name: m.Name, Address: m.Address})
 	sub := record.Subject{Kind: record.SubjectMember, Name: name}
 	s.retire(sub, Head{Revision: record.Revision(s.Offset), LastID: m.LastID})
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -41,5 +41,6 @@
 		Duration: s.Lease.Duration,
 		Margin:   s.Lease.Duration / marginPart,
 		Silence:  s.Lease.Duration,
+		Skew:     s.ClockAllowance.Duration,
 	}
 }
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -12,7 +12,7 @@
 // Entry is what an entry process has besides its settings.
 type Entry struct {
 	Settings  settings.Entry
-	Address   string // IP:port of the peer server
+	Address   string // IP:port at which other nodes reach the peer server
 	Registry  prometheus.Registerer
 	Log       Log
 	Readiness Readiness
--- a/internal/membership/harness_test.go
+++ b/internal/membership/harness_test.go
@@ -173,6 +173,7 @@
 		Duration: 2 * time.Second,
 		Margin:   200 * time.Millisecond,
 		Silence:  2 * time.Second,
+		Skew:     500 * time.Millisecond,
 	}
 )
 
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -194,7 +194,7 @@
 func (s *session) cast(ctx context.Context, v claim.Vote) {
 	var body record.Body = record.MemberTrust{By: s.name, Seq: v.Seq}
 	if v.Suspect {
-		body = record.MemberSuspect{By: s.name, Seq: v.Seq}
+		body = record.MemberSuspect{By: s.name, Seq: v.Seq, Until: v.Until}
 	}
 	s.duty.cfg.Logger.Warn("vote on an entry VM", "member", v.Member, "suspect", v.Suspect, "seq", v.Seq)
 	out, err := s.duty.cfg.Log.Propose(ctx, s.duty.record(v.Member, body))
--- a/internal/record/body.go
+++ b/internal/record/body.go
@@ -224,6 +224,9 @@
 	// Seq rises with every suspect or trust record of By about the subject. A
 	// copy that surfaces after a later word of By has a lower Seq and is void.
 	Seq uint64 `json:"seq"`
+	// Until is when the last lease that By acked runs out, by the subject's own
+	// wall clock.
+	Until time.Time `json:"until"`
 }
 
 // MemberTrust takes By's suspicion back.
