--- a/cmd/yuccadrift-steward/main.go
+++ b/cmd/yuccadrift-steward/main.go
@@ -8,11 +8,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/yuccadrift/yuccadrift/internal/admin"
 	"github.com/yuccadrift/yuccadrift/internal/backend"
+	"github.com/yuccadrift/yuccadrift/internal/burnmetrics"
 	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
 	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/listen"
@@ -82,9 +84,11 @@
 		MaxActions:    s.Planning.MaxActions,
 		ActionTimeout: s.Planning.ActionTimeout.Duration,
 	})
+	registry := admin.NewRegistry(binary)
+	registry.MustRegister(burnmetrics.New(follow, time.Now))
 	server := admin.New(admin.Config{
 		Listener:  adminListener,
-		Registry:  admin.NewRegistry(binary),
+		Registry:  registry,
 		Readiness: readiness,
 		Profiles:  s.Admin.Profiles,
 		Logger:    logger.Named("admin"),
--- /dev/null
+++ b/internal/measure/measure.go
@@ -0,0 +1,212 @@
+// Package measure computes the measures of the brief from the folded state:
+// burn of the availability budgets, buffer cost, roll-out time and moves. It is
+// pure. The command line's report and the metrics show the same numbers.
+package measure
+
+import (
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// Windows are the windows that burn rates are given over, shortest first. Pairs
+// of a short and a long one tell a burn that goes on from one that is over.
+func Windows() []time.Duration {
+	return []time.Duration{5 * time.Minute, 30 * time.Minute, time.Hour, 6 * time.Hour, 24 * time.Hour}
+}
+
+// Burn is the burn rate of a budget over a window: 1 spends the budget exactly
+// in the budget's own window, 2 in half of it.
+type Burn struct {
+	Window time.Duration `json:"window_ns"`
+	Rate   float64       `json:"rate"`
+}
+
+// Cause is what one cause has spent and how often it took VMs out.
+type Cause struct {
+	Name      string  `json:"cause"`
+	VMSeconds float64 `json:"vm_seconds"` // in the budget's window
+	Events    int     `json:"events"`     // since the pool's account was opened
+}
+
+// Service is the measures of one service and its pool.
+type Service struct {
+	Name     string          `json:"service"`
+	Revision record.Revision `json:"revision"`
+	Size     int             `json:"size"`
+	Serving  int             `json:"serving"`
+	// Window is the budget's window; Allowed, Spent and Left are VM-seconds in
+	// it. Left is negative once the budget is broken.
+	Window  time.Duration `json:"window_ns"`
+	Allowed float64       `json:"allowed_vm_seconds"`
+	Spent   float64       `json:"spent_vm_seconds"`
+	Left    float64       `json:"left_vm_seconds"`
+	Burns   []Burn        `json:"burns"`
+	// RunsOut is when Left is spent at the rate of the last hour; nil when
+	// nothing was spent in it. Spending that leaves the window meanwhile is not
+	// counted, so the true time is no sooner.
+	RunsOut *time.Time `json:"runs_out,omitempty"`
+	Causes  []Cause    `json:"causes"`
+	// Spare is VMs serving beyond the size now, SpareVMSeconds their time in the
+	// budget's window: the pool's own buffer.
+	Spare          int     `json:"spare"`
+	SpareVMSeconds float64 `json:"spare_vm_seconds"`
+	Moves          int     `json:"moves"`
+	Reboots        int     `json:"reboots"`
+}
+
+// Wave is the roll-out of one maintenance wave.
+type Wave struct {
+	Name     string            `json:"wave"`
+	Status   ledger.WaveStatus `json:"status"`
+	Started  time.Time         `json:"started"`
+	Took     time.Duration     `json:"took_ns"` // so far, while it is active
+	VMs      int               `json:"vms"`
+	Finished int               `json:"finished"` // back
+	Skipped  int               `json:"skipped"`
+}
+
+// Fleet sums over all pools.
+type Fleet struct {
+	VMs int `json:"vms"`
+	// Free is VMs in no pool now, the common reserve, FreeVMSeconds their time
+	// in the last day.
+	Free          int     `json:"free"`
+	FreeVMSeconds float64 `json:"free_vm_seconds_last_day"`
+	// Buffer is the share of VMs that are spare or free now.
+	Buffer float64 `json:"buffer"`
+	Moves  int     `json:"moves"`
+}
+
+// Report is all measures at one time.
+type Report struct {
+	Time     time.Time `json:"time"`
+	Offset   uint64    `json:"offset"`
+	Fleet    Fleet     `json:"fleet"`
+	Services []Service `json:"services"`
+	Waves    []Wave    `json:"waves"`
+}
+
+const day = 24 * time.Hour
+
+// Of returns the measures of a state at the time now.
+func Of(s *ledger.State, now time.Time) Report {
+	if now.Before(s.Now) {
+		now = s.Now
+	}
+	r := Report{Time: now, Offset: s.Offset, Services: []Service{}, Waves: []Wave{}}
+	for _, name := range sortedNames(s.Services) {
+		r.Services = append(r.Services, serviceOf(s, name, now))
+	}
+	for _, name := range sortedNames(s.Waves) {
+		r.Waves = append(r.Waves, waveOf(s.Waves[name], now))
+	}
+	r.Fleet = fleetOf(s, r.Services, now)
+	return r
+}
+
+func serviceOf(s *ledger.State, name string, now time.Time) Service {
+	svc := s.Services[name]
+	budget, account := svc.Doc.Budget, &svc.Account
+	u := s.Unavailability(name)
+	from := now.Add(-budget.Window)
+	m := Service{
+		Name:           name,
+		Revision:       svc.Revision,
+		Size:           u.Size,
+		Serving:        u.Serving,
+		Window:         budget.Window,
+		Allowed:        svc.Doc.AllowedSeconds(),
+		Spent:          account.Spent(from, now),
+		Spare:          max(0, u.Serving-u.Size),
+		SpareVMSeconds: account.SpareSeconds(from, now),
+		Moves:          account.Moves,
+		Reboots:        account.Reboots,
+	}
+	m.Left = m.Allowed - m.Spent
+	for _, w := range Windows() {
+		m.Burns = append(m.Burns, Burn{Window: w, Rate: burnRate(account.Spent(now.Add(-w), now), w, m)})
+	}
+	m.RunsOut = runsOut(m, account.Spent(now.Add(-time.Hour), now), now)
+	by := account.SpentBy(from, now)
+	for _, c := range ledger.Causes() {
+		m.Causes = append(m.Causes, Cause{Name: c.String(), VMSeconds: by[c], Events: account.Events[c]})
+	}
+	return m
+}
+
+// burnRate relates what was spent in a window to an even use of the budget.
+func burnRate(spent float64, window time.Duration, m Service) float64 {
+	even := m.Allowed * window.Seconds() / m.Window.Seconds()
+	if even <= 0 {
+		return 0
+	}
+	return spent / even
+}
+
+// runsOut returns when the budget is spent at the pace of the last hour.
+func runsOut(m Service, lastHour float64, now time.Time) *time.Time {
+	if m.Left <= 0 {
+		return &now
+	}
+	if lastHour <= 0 {
+		return nil
+	}
+	hours := m.Left / lastHour
+	if hours > float64(maxAhead/time.Hour) {
+		return nil
+	}
+	at := now.Add(time.Duration(hours * float64(time.Hour)))
+	return &at
+}
+
+// maxAhead is how far ahead a budget's end is told; beyond it the pace of one
+// hour says nothing.
+const maxAhead = 365 * day
+
+func waveOf(w *ledger.Wave, now time.Time) Wave {
+	m := Wave{Name: w.ID, Status: w.Status, Started: w.StartedAt, VMs: len(w.VMs)}
+	end := w.FinishedAt
+	if w.Active() {
+		end = now
+	}
+	m.Took = end.Sub(w.StartedAt)
+	for _, progress := range w.VMs {
+		switch progress {
+		case ledger.WaveBack:
+			m.Finished++
+		case ledger.WaveSkipped:
+			m.Skipped++
+		}
+	}
+	return m
+}
+
+func fleetOf(s *ledger.State, services []Service, now time.Time) Fleet {
+	f := Fleet{VMs: len(s.VMs), FreeVMSeconds: s.Reserve.SpareSeconds(now.Add(-day), now)}
+	for _, vm := range s.VMs {
+		if vm.Phase == record.PhaseFree {
+			f.Free++
+		}
+	}
+	buffer := f.Free
+	for _, m := range services {
+		buffer += m.Spare
+		f.Moves += m.Moves
+	}
+	if f.VMs > 0 {
+		f.Buffer = float64(buffer) / float64(f.VMs)
+	}
+	return f
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,146 @@
+package measure_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/measure"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// document allows 10% of 4 VMs over 10 hours: 4 VM-hours.
+const document = `service = "booking"
+team = "t"
+[pool]
+size = 4
+[budget]
+window = "10h"
+allowed = 0.1
+max_unavailable = 2
+[[route]]
+prefix = "/"
+`
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// history folds records at times of their own.
+type history struct {
+	t *testing.T
+	s *ledger.State
+}
+
+func (h history) put(after time.Duration, kind record.SubjectKind, name string, body record.Body) {
+	h.t.Helper()
+	sub := record.Subject{Kind: kind, Name: name}
+	rec := record.Record{
+		ID: fmt.Sprint(h.s.Offset + 1), Subject: sub, Base: h.s.Revision(sub), Seen: h.s.Offset,
+		Author: "test", Time: start.Add(after), Body: body,
+	}
+	out := h.s.Apply(h.s.Offset+1, rec)
+	require.Equal(h.t, ledger.Effective, out.Status, out.Reason)
+}
+
+func (h history) vm(after time.Duration, name string, bodies ...record.Body) {
+	for _, b := range bodies {
+		h.put(after, record.SubjectVM, name, b)
+	}
+}
+
+// pool is the service with n VMs serving and one VM in the reserve.
+func pool(t *testing.T, n int) history {
+	h := history{t: t, s: ledger.New()}
+	register := record.VMRegister{Zone: "a", Rack: "r", Address: "127.0.0.1:1", Cores: 32, MemoryMB: 65536}
+	for i := range n + 1 {
+		h.vm(0, fmt.Sprintf("vm-%d", i), register)
+	}
+	h.put(0, record.SubjectService, "booking", record.DocumentPublish{Text: document})
+	for i := range n {
+		h.vm(0, fmt.Sprintf("vm-%d", i), record.VMJoin{Pool: "booking"}, record.VMUp{})
+	}
+	return h
+}
+
+func rates(m measure.Service) map[time.Duration]float64 {
+	rates := map[time.Duration]float64{}
+	for _, b := range m.Burns {
+		rates[b.Window] = b.Rate
+	}
+	return rates
+}
+
+// A VM fails at 1h and is up again at 3h; another is drained at 2h30 and out
+// until 3h30. Over ten hours that is 3 of 4 VM-hours: the short windows at 4h
+// show that it is over, the long ones what it cost.
+func TestBurn(t *testing.T) {
+	h := pool(t, 4)
+	h.vm(time.Hour, "vm-0", record.VMDown{Cause: "gone"})
+	h.vm(150*time.Minute, "vm-1", record.VMDrain{Reason: record.DrainOperator, Estimate: time.Minute})
+	h.vm(3*time.Hour, "vm-0", record.VMUp{})
+	h.vm(3*time.Hour, "vm-1", record.VMAdvance{To: record.PhaseDrained})
+	h.vm(210*time.Minute, "vm-1", record.VMAdvance{To: record.PhaseReturning}, record.VMUp{})
+
+	m := measure.Of(h.s, start.Add(4*time.Hour)).Services[0]
+	require.InDelta(t, 4*3600, m.Allowed, 1)
+	require.InDelta(t, 3*3600, m.Spent, 1)
+	require.InDelta(t, 3600, m.Left, 1)
+	require.Equal(t, 4, m.Serving)
+	// An even use spends 0.4 VM-hours an hour; the last hour spent 0.5.
+	got := rates(m)
+	require.Zero(t, got[5*time.Minute])
+	require.Zero(t, got[30*time.Minute])
+	require.InDelta(t, 0.5/0.4, got[time.Hour], 0.01)
+	require.InDelta(t, 3/2.4, got[6*time.Hour], 0.01)
+	require.Equal(t, start.Add(6*time.Hour), *m.RunsOut, "one VM-hour left at half a VM-hour an hour")
+
+	by := map[string]float64{}
+	for _, c := range m.Causes {
+		by[c.Name] = c.VMSeconds / 3600
+	}
+	require.InDelta(t, 2, by["failure"], 0.01)
+	require.InDelta(t, 1, by["operator"], 0.01)
+}
+
+// While the pool is short the burn goes on without any new record, and a budget
+// that is spent says so.
+func TestBurnGoesOn(t *testing.T) {
+	h := pool(t, 4)
+	h.vm(0, "vm-0", record.VMDown{Cause: "gone"})
+	m := measure.Of(h.s, start.Add(2*time.Hour)).Services[0]
+	require.InDelta(t, 1/0.4, rates(m)[5*time.Minute], 0.01)
+	require.Equal(t, start.Add(4*time.Hour), *m.RunsOut)
+
+	now := start.Add(5 * time.Hour)
+	m = measure.Of(h.s, now).Services[0]
+	require.Negative(t, m.Left)
+	require.Equal(t, now, *m.RunsOut)
+}
+
+func TestBufferAndQuiet(t *testing.T) {
+	h := pool(t, 5)
+	r := measure.Of(h.s, start.Add(2*time.Hour))
+	m := r.Services[0]
+	require.Equal(t, 1, m.Spare)
+	require.InDelta(t, 2*3600, m.SpareVMSeconds, 1)
+	require.Nil(t, m.RunsOut)
+	require.Equal(t, 1, r.Fleet.Free)
+	require.InDelta(t, 2*3600, r.Fleet.FreeVMSeconds, 1)
+	require.InDelta(t, 2.0/6, r.Fleet.Buffer, 0.001)
+}
+
+func TestWave(t *testing.T) {
+	h := pool(t, 4)
+	h.put(time.Hour, record.SubjectWave, "w", record.WaveStart{Pools: []string{"booking"}, Deadline: start.Add(day)})
+	h.put(2*time.Hour, record.SubjectWave, "w", record.WaveSkip{VM: "vm-0", Reason: "lost"})
+	w := measure.Of(h.s, start.Add(3*time.Hour)).Waves[0]
+	require.Equal(t, 2*time.Hour, w.Took)
+	require.Equal(t, 4, w.VMs)
+	require.Equal(t, 1, w.Skipped)
+	h.put(4*time.Hour, record.SubjectWave, "w", record.WaveControl{Command: record.WaveAbort})
+	require.Equal(t, 3*time.Hour, measure.Of(h.s, start.Add(9*time.Hour)).Waves[0].Took)
+}
+
+const day = 24 * time.Hour
--- a/internal/operatorcmd/change_test.go
+++ b/internal/operatorcmd/change_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/measure"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 	"github.com/yuccadrift/yuccadrift/internal/settings"
 	"github.com/yuccadrift/yuccadrift/internal/standin"
@@ -145,3 +146,24 @@
 	require.Equal(t, ExitOK, code)
 	require.Contains(t, out, "history,3,")
 }
+
+// A drained VM spends its pool's budget: the report names the cause and shows
+// the same numbers in every format.
+func TestReport(t *testing.T) {
+	b := newBench(t, standin.Options{})
+	b.pool(12)
+	code, _, errOut := b.run("drain", "vm-00")
+	require.Equal(t, ExitOK, code, errOut)
+	code, r := runJSON[measure.Report](b, "report")
+	require.Equal(t, ExitOK, code)
+	require.Equal(t, 11, r.Services[0].Serving)
+	require.Equal(t, 12, r.Fleet.VMs)
+
+	code, out, _ := b.run("report")
+	require.Equal(t, ExitOK, code)
+	require.Regexp(t, `booking +11 of 12 .* VM-s +40\.3 VM-h `, out)
+	require.Regexp(t, `booking +operator .* 1\n`, out)
+	code, out, _ = b.run("--output", "csv", "report")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, out, "budget burn,booking,11 of 12,")
+}
--- /dev/null
+++ b/internal/operatorcmd/report.go
@@ -0,0 +1,122 @@
+package operatorcmd
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/burnmetrics"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/measure"
+)
+
+func reportCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "report",
+		Usage: "show service-level burn beside buffer cost, roll-out time and moves",
+		Description: `The burn rate relates what was spent in a window to an even use of the budget: at
+1 the budget lasts exactly its own window. A long and a short window above the
+same rate mean that the burn goes on.
+
+Examples:
+   yuccadrift report
+   yuccadrift report --output csv
+   yuccadrift report --output json`,
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			s, err := open(ctx, cmd)
+			if err != nil {
+				return err
+			}
+			defer s.Close()
+			var r measure.Report
+			s.follower.View(func(state *ledger.State) { r = measure.Of(state, time.Now().UTC()) })
+			return show(cmd.Root().Writer, s.format, r, burnTable(r), causeTable(r), bufferTable(r), rollOutTable(r))
+		},
+	}
+}
+
+func burnTable(r measure.Report) *table {
+	t := &table{title: "budget burn", header: []string{"SERVICE", "SERVING", "SPENT", "ALLOWED", "LEFT", "RUNS OUT"}}
+	for _, w := range measure.Windows() {
+		t.header = append(t.header, "BURN "+strings.ToUpper(burnmetrics.WindowName(w)))
+	}
+	for _, m := range r.Services {
+		row := []string{
+			m.Name,
+			fmt.Sprintf("%d of %d", m.Serving, m.Size),
+			vmTime(m.Spent),
+			vmTime(m.Allowed),
+			leftOf(m),
+			runsOut(m, r.Time),
+		}
+		for _, b := range m.Burns {
+			row = append(row, fmt.Sprintf("%.2f", b.Rate))
+		}
+		t.add(row...)
+	}
+	return t
+}
+
+// vmTime prints VM-seconds in the unit that keeps the number readable.
+func vmTime(seconds float64) string {
+	const minute, hour = 60, 3600
+	switch {
+	case seconds >= hour:
+		return fmt.Sprintf("%.1f VM-h", seconds/hour)
+	case seconds >= minute:
+		return fmt.Sprintf("%.1f VM-min", seconds/minute)
+	}
+	return fmt.Sprintf("%.0f VM-s", seconds)
+}
+
+func leftOf(m measure.Service) string {
+	if m.Allowed <= 0 {
+		return dash
+	}
+	return fmt.Sprintf("%.1f%%", 100*m.Left/m.Allowed)
+}
+
+func runsOut(m measure.Service, now time.Time) string {
+	switch {
+	case m.Left <= 0:
+		return "spent"
+	case m.RunsOut == nil:
+		return "not at this rate"
+	}
+	return "in " + short(m.RunsOut.Sub(now).Round(time.Minute))
+}
+
+func causeTable(r measure.Report) *table {
+	t := &table{title: "what spent it", header: []string{"SERVICE", "CAUSE", "SPENT", "TIMES"}}
+	for _, m := range r.Services {
+		for _, c := range m.Causes {
+			if c.VMSeconds > 0 || c.Events > 0 {
+				t.add(m.Name, c.Name, vmTime(c.VMSeconds), fmt.Sprint(c.Events))
+			}
+		}
+	}
+	return t
+}
+
+func bufferTable(r measure.Report) *table {
+	t := &table{title: "buffer and moves", header: []string{"POOL", "SPARE NOW", "SPARE IN WINDOW", "MOVES", "REBOOTS"}}
+	reboots := 0
+	for _, m := range r.Services {
+		reboots += m.Reboots
+		t.add(m.Name, fmt.Sprint(m.Spare), vmTime(m.SpareVMSeconds), fmt.Sprint(m.Moves), fmt.Sprint(m.Reboots))
+	}
+	t.add("(reserve)", fmt.Sprint(r.Fleet.Free), vmTime(r.Fleet.FreeVMSeconds)+" in 24h", dash, dash)
+	t.add(fmt.Sprintf("(all %d VMs)", r.Fleet.VMs), fmt.Sprintf("%.1f%%", 100*r.Fleet.Buffer), dash, fmt.Sprint(r.Fleet.Moves), fmt.Sprint(reboots))
+	return t
+}
+
+func rollOutTable(r measure.Report) *table {
+	t := &table{title: "roll-out", header: []string{"WAVE", "STATUS", "VMS", "BACK", "SKIPPED", "TOOK"}}
+	for _, w := range r.Waves {
+		t.add(w.Name, string(w.Status), fmt.Sprint(w.VMs), fmt.Sprint(w.Finished), fmt.Sprint(w.Skipped), short(w.Took))
+	}
+	return t
+}
--- a/internal/operatorcmd/root.go
+++ b/internal/operatorcmd/root.go
@@ -59,6 +59,7 @@
 			publishCommand(),
 			statusCommand(),
 			historyCommand(),
+			reportCommand(),
 			drainCommand(),
 			waveCommand(),
 			jobsCommand(),
