Index a pool's jobs and let tasks carry their declared size

Cause: a driver looks at one pool's jobs and queue at a time, and the stand-in took a corrected size for the task's real need, so that each correction raised the next. Change: State.JobPools and Queued; TaskSpec.Declared, which the stand-in takes for the need. Conclusion: a round costs what its pool holds, and corrections converge.

--- /dev/null
+++ b/internal/jobrunner/core.go
@@ -0,0 +1,259 @@
+package jobrunner
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/placement"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/usage"
+)
+
+// Times of the driver.
+const (
+	// pauseLimit is the gap between two steps that counts as a pause of the
+	// process.
+	pauseLimit = 2 * time.Second
+	// staleLimit is how old the latest read of the log's end may be for new
+	// decisions. An idle follower reads every 2 s.
+	staleLimit = 5 * time.Second
+	// takeover is how long work of a better placed steward may lie undone for
+	// each rank before the next one does it.
+	takeover = 1500 * time.Millisecond
+	// keepers is how many stewards renew the leases of a pool's tasks, so that
+	// the death of one costs no task.
+	keepers = 2
+	// usageInterval is the pause between reads of the usage reports.
+	usageInterval = 10 * time.Second
+	// rememberFor is for how long undone work is remembered for a takeover.
+	rememberFor = 10 * time.Minute
+)
+
+// CoreConfig is what a Core needs.
+type CoreConfig struct {
+	// Node names this process in the records that it writes.
+	Node string
+	// NewID returns a unique record ID.
+	NewID func() string
+	// Rank returns how many live stewards come before this one for a pool.
+	Rank func(pool string) int
+	// Policy of placement; the zero value is the full policy.
+	Policy placement.Policy
+	// NoCorrection reserves what jobs declare: a baseline of the measurements.
+	NoCorrection bool
+}
+
+// Core decides what is due. It is not safe for concurrent use.
+type Core struct {
+	cfg CoreConfig
+
+	lastStep time.Time
+	// wakeAt is when the process began or last woke from a pause. Nothing is
+	// decided on what was folded before.
+	wakeAt time.Time
+
+	estimates *usage.Estimator
+	counted   map[string]bool             // ended jobs whose use was counted
+	placed    map[string]time.Time        // own placements, by record ID
+	tasks     map[string]*task            // by job
+	workers   map[string]*worker          // by VM
+	since     map[string]time.Time        // undone work of others
+	applied   map[string]string           // preemptions carried out, by ID: job
+	busy      map[string]bool             // keys of actions in flight
+	inFlight  [laneCount]int              // actions in flight
+	usageAt   time.Time                   // when usage was last asked for
+	reports   map[string]ledger.Resources // latest use, by task
+	out       []Action
+	plannedAt map[string]time.Time // by pool
+	turn      int                  // rotates which pool comes first
+	Stats     Stats
+}
+
+// Stats counts what happened, for metrics and measurements.
+type Stats struct {
+	Started     int // starts that the platform confirmed
+	Refused     int // starts that the platform refused
+	Lapsed      int
+	Unplaceable int
+	Preempted   int
+	SetAside    int
+	StartWaits  []StartWait // drained by the Runner
+}
+
+// StartWait is how long a job waited from its submission to its start.
+type StartWait struct {
+	Urgent bool
+	Wait   time.Duration
+}
+
+// worker is what is remembered about a VM.
+type worker struct {
+	// closedUntil keeps new jobs away after a refused start.
+	closedUntil time.Time
+	refusals    int
+	// renewAfter puts renewals off after a failed one.
+	renewAfter time.Time
+}
+
+// NewCore returns a Core that knows nothing. It decides nothing before a read
+// of the log that was sent after now.
+func NewCore(cfg CoreConfig, now time.Time) *Core {
+	return &Core{
+		cfg:       cfg,
+		lastStep:  now,
+		wakeAt:    now,
+		estimates: usage.NewEstimator(),
+		counted:   map[string]bool{},
+		placed:    map[string]time.Time{},
+		tasks:     map[string]*task{},
+		workers:   map[string]*worker{},
+		since:     map[string]time.Time{},
+		applied:   map[string]string{},
+		busy:      map[string]bool{},
+		reports:   map[string]ledger.Resources{},
+		plannedAt: map[string]time.Time{},
+	}
+}
+
+// Step returns the actions that are due. fresh is when the latest read that
+// reached the end of the log was sent.
+//
+// A process that was paused past its leases may have lost its tasks to a
+// takeover: on its old picture it would renew a task that others have given up,
+// or start a job that was cancelled. So after a gap it does nothing until the
+// log was read again, and renews only tasks whose status it has seen since.
+func (c *Core) Step(st *ledger.State, fresh, now time.Time) []Action {
+	if now.Sub(c.lastStep) > pauseLimit {
+		c.wakeAt = now
+	}
+	c.lastStep = now
+	c.out = nil
+	if fresh.Before(c.wakeAt) {
+		return nil
+	}
+	c.forget(st, now)
+	mayDecide := now.Sub(fresh) <= staleLimit
+	pools := st.JobPools()
+	c.turn++
+	for i := range pools {
+		pool := pools[(i+c.turn)%len(pools)]
+		rank := c.cfg.Rank(pool)
+		c.attendPool(st, pool, rank, mayDecide, now)
+		if mayDecide && c.planDue(st, pool, rank, now) {
+			c.planPool(st, pool, rank, now)
+		}
+	}
+	c.askUsage(now)
+	return c.out
+}
+
+// Awake reports whether the log was read since the process began or woke.
+func (c *Core) Awake(fresh time.Time) bool { return !fresh.Before(c.wakeAt) }
+
+// emit adds an action unless its key is held or its lane is full.
+func (c *Core) emit(a Action) bool {
+	if c.busy[a.Key] || c.inFlight[a.Lane] >= laneLimits[a.Lane] {
+		return false
+	}
+	c.busy[a.Key] = true
+	c.inFlight[a.Lane]++
+	a.NotAfter = c.lastStep.Add(pauseLimit)
+	c.out = append(c.out, a)
+	return true
+}
+
+// propose emits a record about a job or VM.
+func (c *Core) propose(st *ledger.State, sub record.Subject, body record.Body, now time.Time) (string, bool) {
+	id := c.cfg.NewID()
+	ok := c.emit(Action{
+		Verb: VerbPropose,
+		Lane: LaneLog,
+		Key:  "propose/" + sub.String(),
+		Job:  sub.Name,
+		Record: record.Record{
+			ID:      id,
+			Subject: sub,
+			Base:    st.Revision(sub),
+			Seen:    st.Offset,
+			Author:  c.cfg.Node,
+			Time:    now,
+			Body:    body,
+		},
+	})
+	return id, ok
+}
+
+func jobSubject(id string) record.Subject {
+	return record.Subject{Kind: record.SubjectJob, Name: id}
+}
+
+// due reports whether undone work falls to this steward now. item names the
+// work and what it was decided on, so that it is new after every change.
+func (c *Core) due(item string, rank int, now time.Time) bool {
+	if rank == 0 {
+		return true
+	}
+	first, ok := c.since[item]
+	if !ok {
+		c.since[item] = now
+		return false
+	}
+	return now.Sub(first) >= time.Duration(rank)*takeover
+}
+
+// forget drops what is remembered about jobs and workers that are gone.
+func (c *Core) forget(st *ledger.State, now time.Time) {
+	for id, t := range c.tasks {
+		if j, ok := st.Jobs[id]; !ok || j.Status != ledger.JobPlaced || j.PlaceID != t.placeID {
+			delete(c.tasks, id)
+			delete(c.reports, t.id)
+		}
+	}
+	for id := range c.counted {
+		if _, ok := st.Jobs[id]; !ok {
+			delete(c.counted, id)
+		}
+	}
+	for id := range c.workers {
+		if _, ok := st.VMs[id]; !ok {
+			delete(c.workers, id)
+		}
+	}
+	for id, job := range c.applied {
+		if c.tasks[job] == nil {
+			delete(c.applied, id)
+		}
+	}
+	forgetOld(c.since, now)
+	forgetOld(c.placed, now)
+}
+
+func forgetOld(m map[string]time.Time, now time.Time) {
+	for key, at := range m {
+		if now.Sub(at) > rememberFor {
+			delete(m, key)
+		}
+	}
+}
+
+func (c *Core) worker(id string) *worker {
+	w, ok := c.workers[id]
+	if !ok {
+		w = &worker{}
+		c.workers[id] = w
+	}
+	return w
+}
+
+// Tasks lists the jobs placed on a worker, sorted: what a drain waits for,
+// checkpoints or skips.
+func Tasks(st *ledger.State, worker string) []*ledger.Job {
+	var jobs []*ledger.Job
+	for _, j := range st.WorkerJobs(worker) {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *ledger.Job) int { return strings.Compare(a.ID, b.ID) })
+	return jobs
+}
--- /dev/null
+++ b/internal/jobrunner/core_test.go
@@ -0,0 +1,305 @@
+package jobrunner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/jobrunner"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+func once(s *record.JobSubmit) { s.Repeatable = false }
+
+func ended(w *world, id string) func() bool {
+	return func() bool { return w.job(id).Ended() }
+}
+
+func placed(w *world, id string) func() bool {
+	return func() bool { return w.job(id).Status == ledger.JobPlaced }
+}
+
+func TestJobRunsOnceAndItsEndIsFolded(t *testing.T) {
+	w := newWorld(t, 3, 2)
+	w.submit("j", once)
+	require.True(t, w.run(time.Minute, ended(w, "j")))
+	assert.Equal(t, record.JobSucceeded, w.job("j").Result)
+	assert.Equal(t, 1, w.starts("j"))
+	assert.Less(t, w.job("j").EndedAt.Sub(w.job("j").SubmittedAt), 22*time.Second)
+}
+
+// The caller sees an export run once. The platform starts the task and the
+// reply is lost: the steward sends the start again under the same operation ID
+// and learns that it runs. A start under a new ID would run it a second time.
+func TestLostReplyToAStartDoesNotStartTwice(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.order(standin.Fault{Kind: standin.APILoseReply, Target: "j.1", Count: 3})
+	w.submit("j", once)
+	require.True(t, w.run(time.Minute, ended(w, "j")))
+	assert.Equal(t, record.JobSucceeded, w.job("j").Result)
+	assert.Equal(t, 1, w.starts("j"))
+}
+
+// The steward that placed an export dies with its start on the way. The next
+// one finds no task and cannot know whether the start still arrives, so the
+// export ends as lapsed and is never started again.
+func TestPlacementOfADeadStewardIsNotStartedByAnother(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.submit("j", once)
+	require.True(t, w.run(time.Minute, placed(w, "j")))
+	w.nodes[0] = nil
+	require.True(t, w.run(time.Minute, ended(w, "j")))
+	assert.Equal(t, record.JobLapsed, w.job("j").Result)
+	assert.Contains(t, w.job("j").Reason, "whether the job started is unknown")
+	assert.Zero(t, w.starts("j"))
+}
+
+func TestRepeatablePlacementOfADeadStewardIsStartedByTheNext(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.submit("j", func(s *record.JobSubmit) { s.Urgent = true })
+	require.True(t, w.run(time.Minute, placed(w, "j")))
+	w.nodes[0] = nil
+	require.True(t, w.run(6700*time.Millisecond, func() bool { return w.starts("j") == 1 }))
+}
+
+// A steward starts a job and is stopped past the lease; nobody else lives to
+// renew it. The platform ends the task. On waking, the steward must not renew
+// or start on its old picture: the job ends as lapsed, once, and only a
+// repeatable one runs again.
+func TestPausedStewardReadsLogAndStatusBeforeItActs(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		w := newWorld(t, 1, 2)
+		w.submit("j", func(s *record.JobSubmit) { s.Repeatable, s.RunTime = repeatable, time.Minute })
+		require.True(t, w.run(time.Minute, func() bool { return w.starts("j") == 1 }))
+		w.nodes[0].wakes = w.now.Add(3 * lease)
+		w.run(3*lease-time.Second, nil)
+		w.nodes[0].cutOff = true // awake, but the log cannot be read yet
+		w.run(5*time.Second, nil)
+		assert.Equal(t, ledger.JobPlaced, w.job("j").Status)
+		assert.Equal(t, 1, w.starts("j"))
+		w.nodes[0].cutOff = false
+		require.True(t, w.run(5*time.Minute, ended(w, "j")))
+		assert.Equal(t, map[bool]int{true: 2, false: 1}[repeatable], w.starts("j"))
+		assert.Equal(t, map[bool]record.JobResult{true: record.JobSucceeded, false: record.JobLapsed}[repeatable], w.job("j").Result)
+	}
+}
+
+// The log is out for minutes while the platform runs tasks. Leases are renewed
+// all the while, since giving up every long job would be the greater harm, and
+// nothing new is started.
+func TestLeasesAreRenewedWhileTheLogIsOut(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.submit("long", func(s *record.JobSubmit) { s.RunTime = 4 * time.Minute; s.Repeatable = false })
+	require.True(t, w.run(time.Minute, func() bool { return w.starts("long") == 1 }))
+	for _, n := range w.nodes {
+		n.cutOff = true
+	}
+	w.submit("later", nil)
+	w.run(5*time.Minute, nil)
+	assert.Zero(t, w.starts("later"))
+	for _, n := range w.nodes {
+		n.cutOff = false
+	}
+	require.True(t, w.run(time.Minute, ended(w, "long")))
+	assert.Equal(t, record.JobSucceeded, w.job("long").Result)
+	require.True(t, w.run(time.Minute, func() bool { return w.starts("later") == 1 }))
+}
+
+// A hundred jobs are submitted and all but the running ones are cancelled at
+// once. No cancelled one starts afterwards, and the running ones are stopped.
+func TestBurstOfCancellationsStartsNothing(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	ids := []string{}
+	for i := range 100 {
+		id := "j" + string(rune('a'+i/26)) + string(rune('a'+i%26))
+		ids = append(ids, id)
+		w.submit(id, func(s *record.JobSubmit) { s.RunTime = time.Hour })
+	}
+	w.run(time.Second, nil)
+	before := w.p.Counters().JobStarts
+	for _, id := range ids {
+		w.must(jobSubject(id), record.JobCancel{})
+	}
+	require.True(t, w.run(30*time.Second, func() bool {
+		for _, id := range ids {
+			if !w.job(id).Ended() {
+				return false
+			}
+		}
+		return true
+	}))
+	after := w.p.Counters().JobStarts
+	assert.NotEmpty(t, before)
+	assert.Equal(t, before, after, "a cancelled job was started")
+	for _, id := range ids {
+		assert.Equal(t, ledger.JobCancelled, w.job(id).Status)
+		assert.False(t, w.running(id))
+	}
+}
+
+// Both workers are full of checkpointable work when an urgent job comes: one
+// job is checkpointed, the urgent one starts within 6.7 s, and the displaced
+// one goes on later from its checkpoint.
+func TestUrgentJobDisplacesCheckpointableWork(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.edit(noHold)
+	for _, id := range []string{"x", "y"} {
+		w.submit(id, func(s *record.JobSubmit) { s.MilliCores, s.Checkpointable, s.RunTime = 6000, true, time.Minute })
+	}
+	w.run(2*time.Second, nil)
+	w.submit("u", func(s *record.JobSubmit) { s.MilliCores, s.Urgent, s.RunTime = 8000, true, 10*time.Second })
+	require.True(t, w.run(6700*time.Millisecond, func() bool { return w.starts("u") == 1 }))
+	require.True(t, w.run(5*time.Minute, func() bool { return ended(w, "x")() && ended(w, "y")() }))
+	assert.Equal(t, 3, w.starts("x")+w.starts("y"))
+	assert.NotEmpty(t, w.job("x").Checkpoint+w.job("y").Checkpoint)
+}
+
+// The only running work cannot be checkpointed: it is throttled for the urgent
+// job and restored after it.
+func TestUrgentJobThrottlesOtherWork(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.edit(noHold)
+	w.submit("x", func(s *record.JobSubmit) { s.MilliCores, s.RunTime, s.Repeatable = 8000, time.Minute, false })
+	w.run(2*time.Second, nil)
+	w.submit("u", func(s *record.JobSubmit) { s.MilliCores, s.Urgent, s.RunTime = 6000, true, 10*time.Second })
+	require.True(t, w.run(6700*time.Millisecond, func() bool { return w.starts("u") == 1 }))
+	assert.Equal(t, 2000, w.job("x").MilliCores)
+	require.True(t, w.run(30*time.Second, func() bool { return w.job("x").MilliCores == 8000 }))
+	require.True(t, w.run(2*time.Minute, ended(w, "x")))
+	assert.Equal(t, 1, w.starts("x"))
+	assert.Equal(t, record.JobSucceeded, w.job("x").Result)
+}
+
+func TestJobThatCanNeverRunIsEndedAtOnceWithTheReason(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.submit("j", func(s *record.JobSubmit) { s.MilliCores = 9000 })
+	require.True(t, w.run(time.Second, ended(w, "j")))
+	assert.Equal(t, record.JobUnplaceable, w.job("j").Result)
+	assert.Contains(t, w.job("j").Reason, "9 cores of 8")
+}
+
+// One worker of five fails everything at once and so is always free. Jobs of
+// several shapes fail there and succeed elsewhere: it is set aside, comes back
+// on probation after FirstTerm with one job at a time, and, mended, is trusted
+// again.
+func TestBlackHoleIsSetAsideAndComesBackOnProbation(t *testing.T) {
+	w := newWorld(t, 2, 5)
+	w.edit(func(d *document.Document) { d.Quotas[0].MilliCores = 40_000 })
+	w.order(standin.Fault{Kind: standin.WorkerFails, Target: "vm-01", DelayMS: 50})
+	n := 0
+	feed := func() bool {
+		if n++; n%3 == 0 {
+			w.submit("j"+time.Duration(n).String(), func(s *record.JobSubmit) { s.MilliCores, s.RunTime = 2000, 5*time.Second })
+		}
+		return w.main.VMs["vm-01"].Quarantined
+	}
+	require.True(t, w.run(5*time.Minute, feed))
+	failures := 0
+	for _, j := range w.main.Jobs {
+		failures += len(j.Failures)
+	}
+	assert.LessOrEqual(t, failures, 8, "jobs wasted on the worker")
+
+	w.p.ClearAll()
+	require.True(t, w.run(10*time.Minute, func() bool { feed(); return w.main.VMs["vm-01"].ProbationLeft > 0 }))
+	require.True(t, w.run(10*time.Minute, func() bool {
+		feed()
+		assert.LessOrEqual(t, len(w.main.WorkerJobs("vm-01")), 1)
+		return w.main.VMs["vm-01"].ProbationLeft == 0
+	}))
+	assert.Zero(t, w.main.VMs["vm-01"].Quarantines)
+}
+
+// Jobs declare one core and use three. Late reports correct the size: once the
+// shape is known, a worker of 8 cores is given two of them and not eight.
+func TestReservationFollowsLateUsageReports(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.order(
+		standin.Fault{Kind: standin.TaskReality, CoresFactor: 3},
+		standin.Fault{Kind: standin.UsageLag, DelayMS: 5000},
+	)
+	w.submit("first", func(s *record.JobSubmit) { s.RunTime = 40 * time.Second })
+	require.True(t, w.run(2*time.Minute, ended(w, "first")))
+	assert.Equal(t, 3000, w.job("first").PeakMilliCores)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		w.submit(id, func(s *record.JobSubmit) { s.RunTime = 40 * time.Second })
+	}
+	w.run(5*time.Second, nil)
+	assert.Equal(t, ledger.Resources{MilliCores: 3300, MemoryMB: 563}, w.main.WorkerUse("vm-01"), "the rest is held back for urgent work")
+}
+
+// A worker is drained with a checkpointable and another job on it: the first is
+// checkpointed and goes on elsewhere, the second is waited for.
+func TestDrainChecksPointsJobsByTheDocument(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.submit("c", func(s *record.JobSubmit) { s.MilliCores, s.Checkpointable, s.RunTime = 3000, true, time.Minute })
+	w.submit("w", func(s *record.JobSubmit) { s.RunTime, s.Repeatable = time.Minute, false })
+	require.True(t, w.run(time.Minute, func() bool { return w.starts("c")+w.starts("w") == 2 }))
+	worker := w.job("c").Worker
+	require.Equal(t, worker, w.job("w").Worker, "best fit puts both on one worker")
+	w.main.VMs[worker].Phase = record.PhaseDraining
+	for _, n := range w.nodes {
+		n.state.VMs[worker].Phase = record.PhaseDraining
+	}
+	require.True(t, w.run(10*time.Second, func() bool { return w.starts("c") == 2 }))
+	assert.NotEqual(t, worker, w.job("c").Worker)
+	require.True(t, w.run(3*time.Minute, ended(w, "w")))
+	assert.Equal(t, record.JobSucceeded, w.job("w").Result)
+}
+
+// A job is placed while the platform refuses calls, and is cancelled before the
+// start gets through. When the platform answers again the job is not started:
+// the cancellation is seen, also by a steward that was paused meanwhile and
+// cannot read the log at once when it wakes.
+func TestJobCancelledBeforeItsStartIsNeverStarted(t *testing.T) {
+	for _, paused := range []bool{false, true} {
+		w := newWorld(t, 1, 2)
+		w.order(standin.Fault{Kind: standin.APIRefuse, ForMS: 5000})
+		w.submit("j", nil)
+		require.True(t, w.run(time.Second, placed(w, "j")))
+		w.run(time.Second, nil)
+		if paused {
+			w.nodes[0].wakes = w.now.Add(4 * time.Second)
+			w.nodes[0].cutOff = true
+		}
+		w.must(jobSubject("j"), record.JobCancel{})
+		w.run(6*time.Second, nil)
+		w.nodes[0].cutOff = false
+		require.True(t, w.run(time.Minute, ended(w, "j")))
+		assert.Equal(t, ledger.JobCancelled, w.job("j").Status)
+		assert.Zero(t, w.starts("j"))
+	}
+}
+
+// A start got no reply, and the job is cancelled. The start is not sent again:
+// if the first copy never arrived, the job never runs.
+func TestUncertainStartIsNotResentAfterACancellation(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.strays = func() (time.Duration, bool) { return time.Hour, true }
+	w.submit("j", nil)
+	w.run(time.Second, nil)
+	w.strays = func() (time.Duration, bool) { return 0, false }
+	w.must(jobSubject("j"), record.JobCancel{})
+	require.True(t, w.run(time.Minute, ended(w, "j")))
+	assert.Equal(t, ledger.JobCancelled, w.job("j").Status)
+	assert.Zero(t, w.starts("j"))
+}
+
+// After a pause another steward may have given the task up: its status is read
+// before its lease is renewed.
+func TestStatusIsReadBeforeARenewalAfterAPause(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.submit("j", func(s *record.JobSubmit) { s.RunTime = time.Hour })
+	w.run(8*lease, nil)
+	w.nodes[0].wakes = w.now.Add(lease / 2)
+	w.run(lease/2-stepTime, nil)
+	w.trace = nil
+	w.run(2*time.Second, nil)
+	require.Contains(t, w.trace, jobrunner.VerbRenew)
+	assert.Equal(t, jobrunner.VerbStatus, w.trace[0])
+}
--- /dev/null
+++ b/internal/jobrunner/decide.go
@@ -0,0 +1,206 @@
+package jobrunner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/placement"
+	"github.com/yuccadrift/yuccadrift/internal/quarantine"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/usage"
+)
+
+// Pauses between two plans of one pool.
+const (
+	// busyPause applies while jobs are queued, idlePause otherwise.
+	busyPause = 50 * time.Millisecond
+	idlePause = time.Second
+	// takeoverPause applies to pools that a better placed steward drives.
+	takeoverPause = 500 * time.Millisecond
+	// maxRank is how many stewards, one after the other, take a pool's undone
+	// work over.
+	maxRank = 4
+)
+
+// planDue reports whether the pool is to be planned now.
+func (c *Core) planDue(st *ledger.State, pool string, rank int, now time.Time) bool {
+	if rank >= maxRank {
+		return false
+	}
+	pause := idlePause
+	if st.Queued(pool) > 0 {
+		pause = busyPause
+	}
+	if rank > 0 {
+		pause = max(pause, takeoverPause)
+	}
+	if now.Sub(c.plannedAt[pool]) < pause {
+		return false
+	}
+	c.plannedAt[pool] = now
+	return true
+}
+
+// planPool decides on a pool's queue and on its workers' standing. A steward of
+// a lower rank takes only what has lain undone for long.
+func (c *Core) planPool(st *ledger.State, pool string, rank int, now time.Time) {
+	c.learn(st, pool)
+	found := quarantine.Assess(st, pool, now)
+	know := placement.Knowledge{
+		Want:     c.want,
+		RunTime:  c.runTime,
+		Standing: func(vm *ledger.VM) placement.Standing { return c.standing(vm, found, now) },
+		Measured: func(worker string) ledger.Resources { return c.measuredOn(st, worker) },
+		Applied:  func(id string) bool { return c.applied[id] != "" },
+	}
+	p, queue := placement.FromState(st, pool, know)
+	queue = slices.DeleteFunc(queue, func(j placement.Job) bool {
+		key := "job/" + j.ID
+		return c.busy["propose/"+key] || !c.due("place/"+j.ID+"/"+j.Queued.String(), rank, now)
+	})
+	round := placement.Plan(p, queue, c.cfg.Policy, now)
+	for _, d := range round.Decisions {
+		c.decided(st, d, now)
+	}
+	for _, pre := range round.Preemptions {
+		c.preempted(st, pre, rank, now)
+	}
+	c.judge(st, found, rank, now)
+	c.clearForDrains(st, pool, rank, now)
+}
+
+func (c *Core) want(j *ledger.Job) ledger.Resources {
+	if c.cfg.NoCorrection {
+		return ledger.Resources{MilliCores: j.Spec.MilliCores, MemoryMB: j.Spec.MemoryMB, Accelerators: j.Spec.Accelerators}
+	}
+	return c.estimates.Size(usage.ShapeOf(j.Spec))
+}
+
+func (c *Core) runTime(j *ledger.Job) time.Duration {
+	return c.estimates.RunTime(usage.ShapeOf(j.Spec))
+}
+
+// standing says how far a worker may be used now.
+func (c *Core) standing(vm *ledger.VM, found quarantine.Assessment, now time.Time) placement.Standing {
+	switch {
+	case vm.Quarantined || now.Before(c.worker(vm.ID).closedUntil):
+		return placement.SetAside
+	case found.Probation[vm.ID]:
+		return placement.Probation
+	case found.Doubtful[vm.ID]:
+		return placement.Doubtful
+	}
+	return placement.Open
+}
+
+// measuredOn sums the latest reports on a worker's tasks. One that has not been
+// reported yet counts as what it reserved, and so does a throttled one, whose
+// report may be older than its throttling.
+func (c *Core) measuredOn(st *ledger.State, worker string) ledger.Resources {
+	var sum ledger.Resources
+	for _, j := range st.WorkerJobs(worker) {
+		seen, ok := c.reports[TaskID(j.ID, j.Attempt)]
+		if !ok || j.MilliCores < j.FullMilliCores {
+			seen = j.Reserved()
+		}
+		sum = sum.Add(seen, 1)
+	}
+	return sum
+}
+
+// decided proposes a placement, or the end of a job that can never be placed.
+func (c *Core) decided(st *ledger.State, d placement.Decision, now time.Time) {
+	switch d.Kind {
+	case placement.Unplaceable:
+		c.propose(st, jobSubject(d.Job), record.JobEnd{Result: record.JobUnplaceable, Reason: d.Reason}, now)
+	case placement.Placed:
+		id, ok := c.propose(st, jobSubject(d.Job), record.JobPlace{
+			Worker:     d.Worker,
+			MilliCores: d.Reserved.MilliCores,
+			MemoryMB:   d.Reserved.MemoryMB,
+			Attempt:    st.Jobs[d.Job].Attempt + 1,
+		}, now)
+		if ok {
+			c.placed[id] = now
+		}
+	}
+}
+
+func (c *Core) preempted(st *ledger.State, pre placement.Preemption, rank int, now time.Time) {
+	if !c.due("make-room/"+pre.Victim+"/"+pre.For, rank, now) {
+		return
+	}
+	c.propose(st, jobSubject(pre.Victim), record.JobPreempt{Action: pre.Action, MilliCores: pre.MilliCores, For: pre.For}, now)
+}
+
+// judge proposes which workers are set aside and which come back.
+func (c *Core) judge(st *ledger.State, found quarantine.Assessment, rank int, now time.Time) {
+	for _, f := range found.SetAside {
+		if c.due("set-aside/"+f.Worker+"/"+f.Jobs[0], rank, now) {
+			c.propose(st, vmSubject(f.Worker), record.VMQuarantine{On: true, Evidence: f.Jobs}, now)
+		}
+	}
+	for _, id := range found.LetBack {
+		if c.due("let-back/"+id+"/"+st.VMs[id].QuarantineChanged.String(), rank, now) {
+			c.propose(st, vmSubject(id), record.VMQuarantine{}, now)
+		}
+	}
+}
+
+func vmSubject(id string) record.Subject { return record.Subject{Kind: record.SubjectVM, Name: id} }
+
+// learn takes the peaks of jobs that ended since the last look. They come from
+// the fold, so a steward that has just started learns from all that is
+// remembered.
+func (c *Core) learn(st *ledger.State, pool string) {
+	var fresh []*ledger.Job
+	for _, j := range st.PoolJobs(pool) {
+		if j.Ended() && !c.counted[j.ID] {
+			fresh = append(fresh, j)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *ledger.Job) int { return a.EndedAt.Compare(b.EndedAt) })
+	for _, j := range fresh {
+		c.counted[j.ID] = true
+		if !j.Succeeded() {
+			continue
+		}
+		s := usage.Sample{MilliCores: j.PeakMilliCores, MemoryMB: j.PeakMemoryMB}
+		if j.Attempt == 1 && j.MilliCores == j.FullMilliCores {
+			s.Ran = j.EndedAt.Sub(j.StartedAt)
+		}
+		c.estimates.Ended(usage.ShapeOf(j.Spec), s)
+	}
+}
+
+// clearForDrains checkpoints the jobs on draining workers where the document
+// says so. Jobs that cannot be checkpointed are waited for.
+func (c *Core) clearForDrains(st *ledger.State, pool string, rank int, now time.Time) {
+	svc, ok := st.Services[pool]
+	if !ok || svc.Doc.Jobs.OnDrain != document.LongJobsCheckpoint {
+		return
+	}
+	for id, vm := range st.PoolVMs(pool) {
+		if vm.Phase != record.PhaseDraining {
+			continue
+		}
+		for _, j := range Tasks(st, id) {
+			checkpointing := j.Preempt != nil && j.Preempt.Action == record.PreemptCheckpoint
+			if j.Spec.Checkpointable && !checkpointing && c.due("clear/"+id+"/"+j.PlaceID, rank, now) {
+				c.propose(st, jobSubject(j.ID), record.JobPreempt{Action: record.PreemptCheckpoint, For: id}, now)
+			}
+		}
+	}
+}
+
+// askUsage reads the usage reports now and then, while there are tasks.
+func (c *Core) askUsage(now time.Time) {
+	if len(c.tasks) == 0 || now.Sub(c.usageAt) < usageInterval {
+		return
+	}
+	if c.emit(Action{Verb: VerbUsage, Lane: LaneTasks, Key: "usage"}) {
+		c.usageAt = now
+	}
+}
--- /dev/null
+++ b/internal/jobrunner/property_test.go
@@ -0,0 +1,181 @@
+package jobrunner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+// Three stewards drive one pool while jobs come and are cancelled, stewards
+// die, are paused or cut off from the log, replies are lost, calls arrive late,
+// and workers crash or fail everything. Whatever the order: no worker, slot or
+// quota is exceeded, a job that is not repeatable starts at most once (and once
+// more for each checkpoint), a job cancelled before it was placed never starts,
+// and once the faults are over every job comes to its end.
+func TestRandomHistoriesKeepThePromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 3, 4)
+		w.latency = func() time.Duration {
+			return time.Duration(rapid.SampledFrom([]int{0, 0, 0, 1, 3, 25}).Draw(t, "latency")) * stepTime
+		}
+		w.strays = func() (time.Duration, bool) {
+			seconds := rapid.SampledFrom([]int{0, 0, 0, 0, 1, 5, 30}).Draw(t, "stray")
+			return time.Duration(seconds) * time.Second, seconds > 0
+		}
+		h := &history{world: w, t: t}
+		for range rapid.IntRange(10, 40).Draw(t, "events") {
+			h.event()
+			w.run(time.Duration(rapid.IntRange(1, 30).Draw(t, "steps"))*stepTime, nil)
+			h.check()
+		}
+		h.heal()
+		require.True(t, w.run(40*time.Minute, h.over), "jobs are left over: %s", h.left())
+		h.check()
+	})
+}
+
+// history makes random events happen in a world.
+type history struct {
+	*world
+	t    *rapid.T
+	jobs int
+	down []string
+}
+
+func (h *history) event() {
+	switch rapid.SampledFrom([]string{"submit", "submit", "submit", "cancel", "die", "pause", "cut", "join", "lose", "crash", "recover", "fail"}).Draw(h.t, "event") {
+	case "submit":
+		h.submitRandom()
+	case "cancel":
+		if id := h.anyJob(); id != "" {
+			h.write(jobSubject(id), record.JobCancel{})
+		}
+	case "die":
+		h.boot(h.anyNode())
+	case "pause":
+		h.nodes[h.anyNode()].wakes = h.now.Add(time.Duration(rapid.IntRange(1, 40).Draw(h.t, "pause")) * time.Second)
+	case "cut":
+		h.nodes[h.anyNode()].cutOff = true
+	case "join":
+		h.nodes[h.anyNode()].cutOff = false
+	case "lose":
+		h.order(standin.Fault{Kind: standin.APILoseReply, Count: rapid.IntRange(1, 5).Draw(h.t, "lost")})
+	case "crash":
+		h.crash(h.anyWorker())
+	case "recover":
+		h.recover()
+	case "fail":
+		h.order(standin.Fault{Kind: standin.WorkerFails, Target: h.anyWorker(), DelayMS: 100, ForMS: 20_000})
+	}
+}
+
+func (h *history) submitRandom() {
+	for range rapid.IntRange(1, 6).Draw(h.t, "jobs") {
+		h.jobs++
+		h.write(jobSubject(fmt.Sprintf("j%03d", h.jobs)), record.JobSubmit{
+			Service:        service,
+			Team:           rapid.SampledFrom([]string{"a", "b"}).Draw(h.t, "team"),
+			MilliCores:     1000 * rapid.IntRange(1, 9).Draw(h.t, "cores"),
+			MemoryMB:       rapid.IntRange(1, 9000).Draw(h.t, "memory"),
+			RunTime:        time.Duration(rapid.IntRange(1, 60).Draw(h.t, "run")) * time.Second,
+			Urgent:         rapid.IntRange(0, 4).Draw(h.t, "urgent") == 0,
+			Repeatable:     rapid.Bool().Draw(h.t, "repeatable"),
+			Checkpointable: rapid.Bool().Draw(h.t, "checkpointable"),
+		})
+	}
+}
+
+func (h *history) anyNode() int { return rapid.IntRange(0, len(h.nodes)-1).Draw(h.t, "node") }
+
+func (h *history) anyWorker() string {
+	return fmt.Sprintf("vm-%02d", rapid.IntRange(1, 4).Draw(h.t, "worker"))
+}
+
+func (h *history) anyJob() string {
+	if h.jobs == 0 {
+		return ""
+	}
+	return fmt.Sprintf("j%03d", rapid.IntRange(1, h.jobs).Draw(h.t, "job"))
+}
+
+func (h *history) crash(id string) {
+	if h.main.VMs[id].Down || len(h.down) > 1 {
+		return
+	}
+	h.down = append(h.down, id)
+	h.order(standin.Fault{Kind: standin.VMCrash, Target: id})
+	if rapid.Bool().Draw(h.t, "noticed") {
+		h.must(vmSubject(id), record.VMDown{Cause: "crash"})
+	}
+}
+
+func (h *history) recover() {
+	for _, id := range h.down {
+		h.order(standin.Fault{Kind: standin.VMRecover, Target: id})
+		if h.main.VMs[id].Down {
+			h.must(vmSubject(id), record.VMUp{})
+		}
+	}
+	h.down = nil
+}
+
+// heal ends all faults.
+func (h *history) heal() {
+	h.p.ClearAll()
+	h.recover()
+	h.latency = func() time.Duration { return 0 }
+	h.strays = func() (time.Duration, bool) { return 0, false }
+	for i, n := range h.nodes {
+		n.cutOff = false
+		if n.wakes.After(h.now.Add(time.Minute)) {
+			h.boot(i)
+		}
+	}
+}
+
+func (h *history) over() bool { return h.left() == "" }
+
+func (h *history) left() string {
+	for id, j := range h.main.Jobs {
+		if !j.Ended() {
+			return fmt.Sprintf("%s is %s on %s: %+v", id, j.Status, j.Worker, j.Spec)
+		}
+	}
+	return ""
+}
+
+func (h *history) check() {
+	counters := h.p.Counters()
+	for id, vm := range h.main.VMs {
+		require.True(h.t, h.main.WorkerUse(id).Within(vm.Resources()), "worker %s is overfilled", id)
+		require.LessOrEqual(h.t, len(h.main.WorkerJobs(id)), 4)
+	}
+	for _, team := range []string{"a", "b"} {
+		quota, _ := h.main.Quota(service, team)
+		require.True(h.t, h.main.TeamUse(service, team).Within(quota), "team %s is over its quota", team)
+	}
+	for id, j := range h.main.Jobs {
+		starts := counters.JobStarts[id]
+		if !j.Spec.Repeatable {
+			require.LessOrEqual(h.t, starts, 1+h.checkpoints(j), "job %s is not repeatable", id)
+		}
+		if j.Status == ledger.JobCancelled && j.Attempt == 0 {
+			require.Zero(h.t, starts, "job %s was cancelled before it was placed", id)
+		}
+	}
+}
+
+// checkpoints counts the placements of a job that ended by a checkpoint.
+func (h *history) checkpoints(j *ledger.Job) int {
+	if j.Checkpoint == "" {
+		return 0
+	}
+	return j.Attempt - 1
+}
--- /dev/null
+++ b/internal/jobrunner/runner.go
@@ -0,0 +1,196 @@
+package jobrunner
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/follower"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/supervise"
+)
+
+// Pauses and timeouts of the duties.
+const (
+	// tick is the pause between steps when nothing changes.
+	tick = 200 * time.Millisecond
+	// minGap is the least pause between two steps: changes that come meanwhile
+	// are met together.
+	minGap = 10 * time.Millisecond
+	// proposeTimeout bounds the wait for a record's outcome.
+	proposeTimeout = 10 * time.Second
+	// catchUpTimeout bounds one read to the end of the log after a pause.
+	catchUpTimeout = 2 * time.Second
+	// DefaultCallTimeout bounds one call to the platform.
+	DefaultCallTimeout = 2 * time.Second
+)
+
+// Config is what a Runner needs.
+type Config struct {
+	Core     CoreConfig
+	Follower *follower.Follower
+	Tasks    platform.Tasks
+	Logger   hclog.Logger
+	Metrics  *Metrics // nil: none
+	// CallTimeout bounds one call to the platform; 0 takes the default.
+	CallTimeout time.Duration
+}
+
+// Runner executes what a Core decides.
+type Runner struct {
+	cfg     Config
+	core    *Core
+	lanes   [laneCount]chan Action
+	results chan Result
+}
+
+// New returns a Runner; its Duties are to be supervised by the caller.
+func New(cfg Config) *Runner {
+	if cfg.CallTimeout <= 0 {
+		cfg.CallTimeout = DefaultCallTimeout
+	}
+	r := &Runner{cfg: cfg, core: NewCore(cfg.Core, time.Now())}
+	total := 0
+	for lane, limit := range laneLimits {
+		r.lanes[lane] = make(chan Action, limit)
+		total += limit
+	}
+	r.results = make(chan Result, total)
+	return r
+}
+
+// Duties returns the runner's duties: one that decides, and the executors of
+// each lane. A lane's channel holds as many actions as may be in flight, so the
+// deciding duty never waits for an executor.
+func (r *Runner) Duties() []supervise.Duty {
+	duties := []supervise.Duty{{Name: "jobs", Serve: r.decide}}
+	names := [laneCount]string{LaneLog: "job records", LaneTasks: "job tasks", LaneUrgent: "urgent job tasks"}
+	for lane, limit := range laneLimits {
+		for range limit {
+			duties = append(duties, supervise.Duty{Name: names[lane], Serve: r.executor(r.lanes[lane])})
+		}
+	}
+	return duties
+}
+
+// decide steps the core after each change and result.
+func (r *Runner) decide(ctx context.Context) error {
+	changed := r.cfg.Follower.Changed()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		case <-changed:
+		case res := <-r.results:
+			r.done(res)
+		}
+		r.gather(ctx)
+		r.step(ctx)
+	}
+}
+
+// gather waits a moment for further results, so that one step meets them all.
+func (r *Runner) gather(ctx context.Context) {
+	gap := time.NewTimer(minGap)
+	defer gap.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-gap.C:
+			return
+		case res := <-r.results:
+			r.done(res)
+		}
+	}
+}
+
+func (r *Runner) done(res Result) {
+	if res.Err != nil && !errors.Is(res.Err, context.Canceled) {
+		r.cfg.Logger.Debug("an action failed", "verb", res.Action.Verb, "key", res.Action.Key, "error", res.Err)
+	}
+	r.core.Done(res, time.Now())
+}
+
+func (r *Runner) step(ctx context.Context) {
+	fresh := r.cfg.Follower.Fresh()
+	var actions []Action
+	r.cfg.Follower.View(func(st *ledger.State) {
+		actions = r.core.Step(st, fresh, time.Now())
+	})
+	for _, a := range actions {
+		r.lanes[a.Lane] <- a
+	}
+	if !r.core.Awake(fresh) {
+		r.catchUp(ctx)
+	}
+	r.cfg.Metrics.observe(&r.core.Stats)
+}
+
+// catchUp reads the log to its end after a start or a pause. When the log
+// cannot be read, the follower's own reads bring the state up later.
+func (r *Runner) catchUp(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	if err := r.cfg.Follower.CatchUp(ctx); err != nil && ctx.Err() == nil {
+		r.cfg.Logger.Warn("cannot read the log; no job is started or renewed before it can", "error", err)
+	}
+}
+
+// executor returns a duty that carries actions out one at a time.
+func (r *Runner) executor(lane <-chan Action) func(context.Context) error {
+	return func(ctx context.Context) error {
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case a := <-lane:
+				res := r.execute(ctx, a)
+				res.Action = a
+				r.results <- res // never full: it holds all that may be in flight
+			}
+		}
+	}
+}
+
+func (r *Runner) execute(ctx context.Context, a Action) Result {
+	if time.Now().After(a.NotAfter) {
+		return Result{Err: ErrOutdated}
+	}
+	if a.Verb == VerbPropose {
+		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+		defer cancel()
+		out, err := r.cfg.Follower.Propose(ctx, a.Record)
+		return Result{Outcome: out, Err: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.CallTimeout)
+	defer cancel()
+	return r.call(ctx, a)
+}
+
+func (r *Runner) call(ctx context.Context, a Action) (res Result) {
+	tasks := r.cfg.Tasks
+	switch a.Verb {
+	case VerbStart:
+		res.Status, res.Err = tasks.Start(ctx, a.Spec, a.Op)
+	case VerbStop:
+		res.Status, res.Err = tasks.Stop(ctx, a.Task, a.Op)
+	case VerbCheckpoint:
+		res.Status, res.Err = tasks.Checkpoint(ctx, a.Task, a.Op)
+	case VerbThrottle:
+		res.Status, res.Err = tasks.Throttle(ctx, a.Task, a.Share, a.Op)
+	case VerbRenew:
+		res.Err = tasks.Renew(ctx, a.Worker, a.Tasks, a.Lease, a.Fence)
+	case VerbStatus:
+		res.Statuses, res.Err = tasks.Status(ctx, a.Worker)
+	case VerbUsage:
+		res.Usage, res.Err = tasks.Usage(ctx)
+	}
+	return res
+}
--- a/internal/ledger/index.go
+++ b/internal/ledger/index.go
@@ -30,6 +30,7 @@
 	s.workerJobs = map[string]map[string]*Job{}
 	s.poolJobs = map[string]map[string]*Job{}
 	s.teamUse = map[teamKey]Resources{}
+	s.queued = map[string]int{}
 	s.Retired = map[record.Subject]Head{}
 	for _, r := range s.RetireQueue {
 		if r.Head.Revision != 0 {
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -88,6 +88,9 @@
 // Ended reports whether the job is over.
 func (j *Job) Ended() bool { return j.Status == JobDone || j.Status == JobCancelled }
 
+// Succeeded reports whether the job is over and did its work.
+func (j *Job) Succeeded() bool { return j.Status == JobDone && j.Result == record.JobSucceeded }
+
 // Resources is an amount of worker resources.
 type Resources struct {
 	MilliCores   int
@@ -151,6 +154,9 @@
 func (s *State) indexJobs() {
 	for _, j := range s.Jobs {
 		indexInto(s.poolJobs, j.Spec.Service, j.ID, j)
+		if j.Status == JobQueued {
+			s.queued[j.Spec.Service]++
+		}
 		if j.Status == JobPlaced {
 			s.indexPlaced(j, 1)
 		}
@@ -170,3 +176,14 @@
 		delete(s.teamUse, key)
 	}
 }
+
+// setStatus changes a job's status and the count of queued jobs with it.
+func (s *State) setStatus(j *Job, status JobStatus) {
+	if j.Status == JobQueued {
+		s.queued[j.Spec.Service]--
+	}
+	if status == JobQueued {
+		s.queued[j.Spec.Service]++
+	}
+	j.Status = status
+}
--- a/internal/ledger/job_rules.go
+++ b/internal/ledger/job_rules.go
@@ -28,11 +28,11 @@
 		Head:        Head{Revision: record.Revision(s.Offset), LastID: rec.ID},
 		ID:          rec.Subject.Name,
 		Spec:        b,
-		Status:      JobQueued,
 		SubmittedAt: s.Now,
 		QueuedAt:    s.Now,
 	}
 	s.Jobs[j.ID] = j
+	s.setStatus(j, JobQueued)
 	indexInto(s.poolJobs, b.Service, j.ID, j)
 	return allowed
 }
@@ -62,7 +62,7 @@
 	if no := s.mayReserve(j, vm, want); no != allowed {
 		return no
 	}
-	j.Status = JobPlaced
+	s.setStatus(j, JobPlaced)
 	j.Worker = vm.ID
 	j.Fence = s.Offset
 	j.PlaceID = rec.ID
@@ -172,7 +172,7 @@
 	case j.CancelAsked && j.Result != record.JobSucceeded:
 		s.closeJob(j, JobCancelled)
 	case j.startsAgain():
-		j.Status = JobQueued
+		s.setStatus(j, JobQueued)
 		j.QueuedAt = s.Now
 		j.Worker = ""
 	default:
@@ -268,7 +268,7 @@
 
 // closeJob ends a job and keeps it for RetiredSpan offsets.
 func (s *State) closeJob(j *Job, status JobStatus) {
-	j.Status = status
+	s.setStatus(j, status)
 	j.EndedAt = s.Now
 	sub := record.Subject{Kind: record.SubjectJob, Name: j.ID}
 	s.RetireQueue = append(s.RetireQueue, Retirement{Subject: sub, At: s.Offset})
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -48,6 +48,7 @@
 	workerJobs map[string]map[string]*Job // worker -> job, placed jobs only
 	poolJobs   map[string]map[string]*Job // pool -> job, ended ones included
 	teamUse    map[teamKey]Resources
+	queued     map[string]int // pool -> jobs that wait for a placement
 }
 
 // Retirement is a removed subject and the offset of its removal.
@@ -166,6 +167,13 @@
 // RetiredSpan offsets included. The caller must not change the map.
 func (s *State) PoolJobs(service string) map[string]*Job { return s.poolJobs[service] }
 
+// JobPools returns the services that jobs were submitted to, sorted, removed
+// ones included while they have jobs.
+func (s *State) JobPools() []string { return sortedKeys(s.poolJobs) }
+
+// Queued returns how many jobs of a service wait for a placement.
+func (s *State) Queued(service string) int { return s.queued[service] }
+
 // WorkerJobs returns the jobs placed on a worker by ID. The caller must not
 // change the map.
 func (s *State) WorkerJobs(worker string) map[string]*Job { return s.workerJobs[worker] }
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -149,7 +149,7 @@
 	for i := range f.workers {
 		vm := fmt.Sprintf("vm-%d", i)
 		service := fmt.Sprintf("pool-%d", i%f.pools)
-		apply(record.SubjectVM, vm, record.VMRegister{Cores: 32, MemoryMB: 65536})
+		apply(record.SubjectVM, vm, record.VMRegister{Zone: "a", Rack: "a-1", Address: "10.0.0.1:80", Cores: 32, MemoryMB: 65536})
 		apply(record.SubjectVM, vm, record.VMJoin{Pool: service})
 		apply(record.SubjectVM, vm, record.VMUp{})
 		for k := range 5 {
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -138,6 +138,15 @@
 	Work time.Duration `json:"work"`
 	// Checkpoint names the checkpoint to resume from, or is empty.
 	Checkpoint string `json:"checkpoint,omitempty"`
+	// Declared is what the job's owner declared, where the size above was
+	// corrected since; the stand-in takes it for what the task really needs.
+	Declared Size `json:"declared,omitzero"`
+}
+
+// Size is an amount of cores and memory.
+type Size struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
 }
 
 // TaskPhase is the phase of a task on the platform.
--- a/internal/standin/tasks.go
+++ b/internal/standin/tasks.go
@@ -237,12 +237,16 @@
 
 func (p *Platform) newTask(spec platform.TaskSpec, now time.Time) (*task, error) {
 	real, _ := p.faults.take(TaskReality, now, spec.ID, spec.Job)
+	needs := spec.Declared
+	if needs == (platform.Size{}) {
+		needs = platform.Size{Cores: spec.Cores, MemoryMB: spec.MemoryMB}
+	}
 	t := &task{
 		spec:       spec,
 		phase:      platform.TaskRunning,
 		started:    now,
-		cores:      scale(spec.Cores, real.CoresFactor),
-		memoryMB:   int(scale(float64(spec.MemoryMB), real.MemoryFactor)),
+		cores:      scale(needs.Cores, real.CoresFactor),
+		memoryMB:   int(scale(float64(needs.MemoryMB), real.MemoryFactor)),
 		left:       time.Duration(scale(float64(spec.Work), real.WorkFactor)),
 		since:      now,
 		share:      1,
