--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,163 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/quarantine"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+var begin = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+// fold is a pool of ten workers whose jobs run and end by records.
+type fold struct {
+	st  *ledger.State
+	now time.Time
+	n   int
+}
+
+func newFold() *fold {
+	f := &fold{st: ledger.New(), now: begin}
+	f.st.Services["p"] = &ledger.Service{Doc: document.Document{
+		Service: "p",
+		Quotas:  []document.Quota{{Team: "a", MilliCores: 1 << 20, MemoryMB: 1 << 20}},
+	}}
+	for i := range 10 {
+		vm := fmt.Sprintf("w%d", i)
+		sub := record.Subject{Kind: record.SubjectVM, Name: vm}
+		f.apply(sub, record.VMRegister{Zone: "a", Rack: "r", Address: "10.0.0.1:80", Cores: 64, MemoryMB: 1 << 16})
+		f.apply(sub, record.VMJoin{Pool: "p"})
+		f.apply(sub, record.VMUp{})
+	}
+	f.pass(time.Second)
+	return f
+}
+
+func (f *fold) pass(d time.Duration) { f.now = f.now.Add(d) }
+
+func (f *fold) apply(sub record.Subject, body record.Body) {
+	f.n++
+	out := f.st.Apply(uint64(f.n), record.Record{
+		ID: fmt.Sprint(f.n), Subject: sub, Base: f.st.Revision(sub), Seen: uint64(f.n - 1), Time: f.now, Body: body,
+	})
+	if out.Status != ledger.Effective {
+		panic(out.Reason)
+	}
+}
+
+// start places a new job of the shape on the worker and returns its end.
+func (f *fold) start(shape int, worker string) func(record.JobResult) {
+	f.n++
+	sub := record.Subject{Kind: record.SubjectJob, Name: fmt.Sprintf("job-%d", f.n)}
+	f.apply(sub, record.JobSubmit{Service: "p", Team: "a", MilliCores: shape, MemoryMB: 1})
+	f.apply(sub, record.JobPlace{Worker: worker, MilliCores: shape, MemoryMB: 1})
+	return func(result record.JobResult) { f.apply(sub, record.JobEnd{Result: result}) }
+}
+
+// run lets one job run for a time and end.
+func (f *fold) run(shape int, worker string, result record.JobResult) {
+	end := f.start(shape, worker)
+	f.pass(2 * time.Second)
+	end(result)
+}
+
+func (f *fold) assess() quarantine.Assessment { return quarantine.Assess(f.st, "p", f.now) }
+
+func (f *fold) setAside() []string {
+	var names []string
+	for _, found := range f.assess().SetAside {
+		names = append(names, found.Worker)
+	}
+	return names
+}
+
+func TestWorkerThatFailsSeveralJobsThatSucceedElsewhereIsSetAside(t *testing.T) {
+	f := newFold()
+	f.run(1, "w1", record.JobSucceeded)
+	f.run(1, "w0", record.JobFailed)
+	f.run(1, "w0", record.JobFailed)
+	assert.Empty(t, f.setAside(), "two jobs are too few")
+	assert.Equal(t, map[string]bool{"w0": true}, f.assess().Doubtful)
+	f.run(1, "w0", record.JobFailed)
+	assert.Equal(t, []string{"w0"}, f.setAside())
+	assert.Len(t, f.assess().SetAside[0].Jobs, quarantine.MinJobs)
+}
+
+func TestBrokenJobsDoNotSpeakAgainstWorkers(t *testing.T) {
+	f := newFold()
+	for i := range 6 {
+		f.run(1, fmt.Sprintf("w%d", i%2), record.JobFailed)
+	}
+	assert.Empty(t, f.setAside(), "the shape has succeeded nowhere")
+	assert.Empty(t, f.assess().Doubtful)
+}
+
+func TestSuccessAnswersEarlierFailures(t *testing.T) {
+	f := newFold()
+	f.run(1, "w1", record.JobSucceeded)
+	f.run(1, "w0", record.JobFailed)
+	f.run(1, "w0", record.JobFailed)
+	f.run(1, "w0", record.JobSucceeded)
+	f.run(1, "w0", record.JobFailed)
+	assert.Empty(t, f.setAside())
+}
+
+// A worker crashes with five jobs on it: all fail at the same moment. That is
+// one event, and the worker is not set aside for it.
+func TestCrashIsNoEvidence(t *testing.T) {
+	f := newFold()
+	f.run(1, "w1", record.JobSucceeded)
+	var ends []func(record.JobResult)
+	for range 5 {
+		ends = append(ends, f.start(1, "w0"))
+		f.pass(time.Minute)
+	}
+	for _, end := range ends {
+		end(record.JobFailed)
+	}
+	assert.Empty(t, f.setAside())
+}
+
+// Half of the pool fails jobs, as after a bad image. Setting them all aside
+// would empty the pool, so two of ten are, and the shared cause is reported.
+func TestSharedFailureDoesNotEmptyThePool(t *testing.T) {
+	f := newFold()
+	f.run(1, "w9", record.JobSucceeded)
+	for range 3 {
+		for w := range 5 {
+			f.run(1, fmt.Sprintf("w%d", w), record.JobFailed)
+		}
+	}
+	assert.Equal(t, []string{"w0", "w1"}, f.setAside())
+	a := f.assess()
+	assert.True(t, a.Shared)
+	assert.Empty(t, a.Doubtful)
+}
+
+func TestWorkerComesBackOnProbationAndLongerAsideEachTime(t *testing.T) {
+	f := newFold()
+	vm := record.Subject{Kind: record.SubjectVM, Name: "w0"}
+	f.apply(vm, record.VMQuarantine{On: true})
+	f.pass(quarantine.FirstTerm - time.Second)
+	assert.Empty(t, f.assess().LetBack)
+	f.pass(time.Second)
+	assert.Equal(t, []string{"w0"}, f.assess().LetBack)
+
+	f.apply(vm, record.VMQuarantine{})
+	f.run(1, "w1", record.JobSucceeded)
+	assert.True(t, f.assess().Probation["w0"])
+	f.run(1, "w0", record.JobFailed)
+	assert.Equal(t, []string{"w0"}, f.setAside(), "one failure suffices on probation")
+
+	f.apply(vm, record.VMQuarantine{On: true})
+	f.pass(2*quarantine.FirstTerm - time.Second)
+	assert.Empty(t, f.assess().LetBack)
+	f.pass(time.Second)
+	assert.Equal(t, []string{"w0"}, f.assess().LetBack)
+}
