Drive jobs from the steward: place, start once, renew, stop, make room

Cause: placements must be carried out by any steward, through lost replies, pauses, deaths and log outages, without a second start of a job that is not repeatable. Change: internal/jobrunner. Core decides without I/O and is stepped over the fold; Runner carries out in three lanes, so that slow calls to dead workers do not hold urgent starts back.

--- a/cmd/yuccadrift-steward/main.go
+++ b/cmd/yuccadrift-steward/main.go
@@ -86,6 +86,7 @@
 	})
 	registry := admin.NewRegistry(binary)
 	registry.MustRegister(burnmetrics.New(follow, time.Now))
+	jobs := newJobs(s, follow, client, st, registry, logger)
 	server := admin.New(admin.Config{
 		Listener:  adminListener,
 		Registry:  registry,
@@ -101,7 +102,7 @@
 		State:   follow,
 		Unready: readiness.Reasons,
 	})
-	duties := append(st.Duties(),
+	duties := append(append(st.Duties(), jobs.Duties()...),
 		supervise.Duty{Name: "follow", Serve: follow.Serve},
 		supervise.Duty{Name: "admin", Serve: server.Serve},
 		supervise.Duty{Name: "peers", Serve: peers.Serve},
--- a/internal/jobrunner/runner.go
+++ b/internal/jobrunner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -62,16 +63,15 @@
 	return r
 }
 
-// Duties returns the runner's duties: one that decides, and the executors of
-// each lane. A lane's channel holds as many actions as may be in flight, so the
-// deciding duty never waits for an executor.
+// Duties returns the runner's duties: one that decides, and one for each lane,
+// which carries as many actions out at a time as the lane admits. A lane's
+// channel holds as many as may be in flight, so the deciding duty never waits
+// for an executor.
 func (r *Runner) Duties() []supervise.Duty {
-	duties := []supervise.Duty{{Name: "jobs", Serve: r.decide}}
 	names := [laneCount]string{LaneLog: "job records", LaneTasks: "job tasks", LaneUrgent: "urgent job tasks"}
-	for lane, limit := range laneLimits {
-		for range limit {
-			duties = append(duties, supervise.Duty{Name: names[lane], Serve: r.executor(r.lanes[lane])})
-		}
+	duties := []supervise.Duty{{Name: "jobs", Serve: r.decide}}
+	for lane, name := range names {
+		duties = append(duties, supervise.Duty{Name: name, Serve: r.lane(Lane(lane))})
 	}
 	return duties
 }
@@ -143,18 +143,28 @@
 	}
 }
 
-// executor returns a duty that carries actions out one at a time.
-func (r *Runner) executor(lane <-chan Action) func(context.Context) error {
+// lane returns the duty of a lane.
+func (r *Runner) lane(lane Lane) func(context.Context) error {
 	return func(ctx context.Context) error {
-		for {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case a := <-lane:
-				res := r.execute(ctx, a)
-				res.Action = a
-				r.results <- res // never full: it holds all that may be in flight
-			}
+		var executors sync.WaitGroup
+		for range laneLimits[lane] {
+			executors.Go(func() { r.executor(ctx, r.lanes[lane]) })
+		}
+		executors.Wait()
+		return ctx.Err()
+	}
+}
+
+// executor carries actions out one at a time.
+func (r *Runner) executor(ctx context.Context, lane <-chan Action) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-lane:
+			res := r.execute(ctx, a)
+			res.Action = a
+			r.results <- res // never full: it holds all that may be in flight
 		}
 	}
 }
