Show each node's digest and the fleet's counts in status

Nodes showed no digest, so an operator could not see that two nodes at one offset differ, and nothing told how many VMs the system knows. The digest is kept per offset, since it encodes the whole state.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -4,9 +4,12 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/operator/operatorpb"
@@ -43,7 +46,30 @@
 
 type server struct {
 	operatorpb.UnimplementedOperatorServer
-	cfg ServerConfig
+	cfg    ServerConfig
+	digest digest
+}
+
+// digest keeps the latest digest: computing one encodes the whole state, which
+// would make each of many waiting calls hold the state's lock for milliseconds.
+type digest struct {
+	mu     sync.Mutex
+	offset uint64
+	value  uint64
+}
+
+func (d *digest) of(state *ledger.State) (uint64, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.offset == state.Offset {
+		return d.value, nil
+	}
+	value, err := state.Digest()
+	if err != nil {
+		return 0, err
+	}
+	d.offset, d.value = state.Offset, value
+	return value, nil
 }
 
 // Register adds the Operator service to a daemon's gRPC server.
@@ -55,7 +81,11 @@
 func (s *server) Status(ctx context.Context, req *operatorpb.StatusRequest) (*operatorpb.StatusReply, error) {
 	wait := min(req.GetMaxWait().AsDuration(), maxWait)
 	s.await(ctx, req.GetAfterOffset(), wait)
-	return s.status().proto(), nil
+	out, err := s.status()
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	return out.proto(), nil
 }
 
 // await returns once the process acts on offset, wait is over or ctx ends.
@@ -85,7 +115,7 @@
 	return offset
 }
 
-func (s *server) status() Status {
+func (s *server) status() (Status, error) {
 	out := Status{
 		Node:         s.cfg.Node,
 		Role:         s.cfg.Role,
@@ -97,8 +127,12 @@
 	if s.cfg.Unready != nil {
 		out.Unready = s.cfg.Unready()
 	}
-	s.cfg.State.View(func(state *ledger.State) { fill(&out, state) })
-	return out
+	var err error
+	s.cfg.State.View(func(state *ledger.State) {
+		fill(&out, state)
+		out.Digest, err = s.digest.of(state)
+	})
+	return out, err
 }
 
 func fill(out *Status, state *ledger.State) {
--- a/internal/operatorcmd/output.go
+++ b/internal/operatorcmd/output.go
@@ -100,10 +100,14 @@
 		return d.Round(time.Millisecond).String()
 	case d < time.Minute:
 		return d.Round(100 * time.Millisecond).String()
+	case d < 2*day:
+		return d.Round(time.Second).String()
 	}
-	return d.Round(time.Second).String()
+	return fmt.Sprintf("%d days", d/day)
 }
 
+const day = 24 * time.Hour
+
 // stamp prints a time for a table, in UTC.
 func stamp(t time.Time) string {
 	if t.IsZero() {
--- a/internal/operatorcmd/publish_test.go
+++ b/internal/operatorcmd/publish_test.go
@@ -110,6 +110,8 @@
 	require.Nil(t, st.Nodes[2].Status)
 	require.Equal(t, got[0].Revision, st.Nodes[0].Status.Revision("booking"))
 	require.Empty(t, st.Services[0].Behind)
+	require.NotZero(t, st.Nodes[0].Status.Digest)
+	require.Equal(t, st.Nodes[0].Status.Digest, st.Nodes[1].Status.Digest, "nodes at one offset")
 }
 
 func TestUsageAndReach(t *testing.T) {
--- a/internal/operatorcmd/report.go
+++ b/internal/operatorcmd/report.go
@@ -86,7 +86,7 @@
 	case m.RunsOut == nil:
 		return "not at this rate"
 	}
-	return "in " + short(m.RunsOut.Sub(now).Round(time.Minute))
+	return "in " + short(m.RunsOut.Sub(now))
 }
 
 func causeTable(r measure.Report) *table {
--- a/internal/operatorcmd/status.go
+++ b/internal/operatorcmd/status.go
@@ -18,6 +18,15 @@
 	Nodes    []nodeStatus    `json:"nodes"`
 	Services []serviceStatus `json:"services"`
 	Members  []memberStatus  `json:"members"`
+	Fleet    fleetStatus     `json:"fleet"`
+}
+
+// fleetStatus counts the VMs that the log knows.
+type fleetStatus struct {
+	VMs   int `json:"vms"`
+	Free  int `json:"free"` // in no pool
+	Down  int `json:"down"` // found unhealthy
+	Drain int `json:"drain"`
 }
 
 // serviceStatus is one service on the log.
@@ -77,7 +86,7 @@
 	}
 	result.Nodes = askNodes(ctx, addrs, o.timeout)
 	result.markBehind()
-	tables := []*table{result.nodeTable(), result.serviceTable(), result.memberTable()}
+	tables := []*table{result.nodeTable(), result.serviceTable(), result.memberTable(), result.fleetTable()}
 	if showErr := show(cmd.Root().Writer, o.format, result, tables...); showErr != nil {
 		return showErr
 	}
@@ -117,9 +126,25 @@
 		m := state.Members[name]
 		r.Members = append(r.Members, memberStatus{Name: name, Node: m.Node, Zone: m.Zone, Address: m.Address, Joined: m.Joined})
 	}
+	for _, vm := range state.VMs {
+		r.Fleet.count(vm)
+	}
 	return r
 }
 
+func (f *fleetStatus) count(vm *ledger.VM) {
+	f.VMs++
+	if vm.Pool == "" {
+		f.Free++
+	}
+	if vm.Down {
+		f.Down++
+	}
+	if vm.Drain != nil {
+		f.Drain++
+	}
+}
+
 // markBehind names, for each service, the nodes with another revision in force.
 func (r *statusResult) markBehind() {
 	for i := range r.Services {
@@ -171,3 +196,11 @@
 	}
 	return t
 }
+
+func (r statusResult) fleetTable() *table {
+	t := &table{title: "fleet", header: []string{"VMS", "FREE", "DOWN", "DRAINING"}}
+	if r.Fleet.VMs > 0 {
+		t.add(fmt.Sprint(r.Fleet.VMs), fmt.Sprint(r.Fleet.Free), fmt.Sprint(r.Fleet.Down), fmt.Sprint(r.Fleet.Drain))
+	}
+	return t
+}
