Start urgent work past quotas and dead stewards, settle bursts of cancellations

Cause: the first process test showed an urgent job wait for ever for a quota that its own team's long jobs held; a third-placed steward took its delay once for each step, past 6.7 s; cancelling a batch in turn started each next job of it. Process tests for lost replies with killed stewards, urgent starts with one dead, a steward stopped past the lease, and cancelled batches.

--- a/internal/jobrunner/core.go
+++ b/internal/jobrunner/core.go
@@ -43,6 +43,10 @@
 	Policy placement.Policy
 	// NoCorrection reserves what jobs declare: a baseline of the measurements.
 	NoCorrection bool
+	// NoSettling places the jobs of a team that is cancelling many: a baseline.
+	NoSettling bool
+	// NoQuarantine trusts every worker: a baseline.
+	NoQuarantine bool
 }
 
 // Core decides what is due. It is not safe for concurrent use.
@@ -56,7 +60,7 @@
 
 	estimates *usage.Estimator
 	counted   map[string]bool             // ended jobs whose use was counted
-	placed    map[string]time.Time        // own placements, by record ID
+	own       map[string]time.Time        // placements and preemptions written here, by record ID
 	tasks     map[string]*task            // by job
 	workers   map[string]*worker          // by VM
 	since     map[string]time.Time        // undone work of others
@@ -106,7 +110,7 @@
 		wakeAt:    now,
 		estimates: usage.NewEstimator(),
 		counted:   map[string]bool{},
-		placed:    map[string]time.Time{},
+		own:       map[string]time.Time{},
 		tasks:     map[string]*task{},
 		workers:   map[string]*worker{},
 		since:     map[string]time.Time{},
@@ -227,7 +231,7 @@
 		}
 	}
 	forgetOld(c.since, now)
-	forgetOld(c.placed, now)
+	forgetOld(c.own, now)
 }
 
 func forgetOld(m map[string]time.Time, now time.Time) {
--- a/internal/jobrunner/decide.go
+++ b/internal/jobrunner/decide.go
@@ -47,8 +47,13 @@
 // a lower rank takes only what has lain undone for long.
 func (c *Core) planPool(st *ledger.State, pool string, rank int, now time.Time) {
 	c.learn(st, pool)
-	found := quarantine.Assess(st, pool, now)
+	found := quarantine.Assessment{}
+	if !c.cfg.NoQuarantine {
+		found = quarantine.Assess(st, pool, now)
+	}
+	settles := settling(st, pool, now)
 	know := placement.Knowledge{
+		Settling: func(team string) bool { return settles[team] && !c.cfg.NoSettling },
 		Want:     c.want,
 		RunTime:  c.runTime,
 		Standing: func(vm *ledger.VM) placement.Standing { return c.standing(vm, found, now) },
@@ -123,16 +128,22 @@
 			Attempt:    st.Jobs[d.Job].Attempt + 1,
 		}, now)
 		if ok {
-			c.placed[id] = now
+			c.own[id] = now
 		}
 	}
 }
 
+// preempted proposes that a job makes room or gets its cores back. Room for an
+// urgent job is due as soon as its placement was: to wait a second time would
+// eat up the bound.
 func (c *Core) preempted(st *ledger.State, pre placement.Preemption, rank int, now time.Time) {
-	if !c.due("make-room/"+pre.Victim+"/"+pre.For, rank, now) {
+	if pre.For == "" && !c.due("restore/"+pre.Victim+"/"+st.Jobs[pre.Victim].PlaceID, rank, now) {
 		return
 	}
-	c.propose(st, jobSubject(pre.Victim), record.JobPreempt{Action: pre.Action, MilliCores: pre.MilliCores, For: pre.For}, now)
+	id, ok := c.propose(st, jobSubject(pre.Victim), record.JobPreempt{Action: pre.Action, MilliCores: pre.MilliCores, For: pre.For}, now)
+	if ok {
+		c.own[id] = now
+	}
 }
 
 // judge proposes which workers are set aside and which come back.
--- a/internal/jobrunner/result.go
+++ b/internal/jobrunner/result.go
@@ -40,15 +40,15 @@
 	}
 }
 
-// proposed forgets a placement that did not take effect. One whose outcome is
-// unknown may yet do so, and is still this process's own to start.
+// proposed forgets a decision that did not take effect. One whose outcome is
+// unknown may yet do so, and is still this process's own to carry out.
 func (c *Core) proposed(r Result) {
 	if r.Err != nil && !errors.Is(r.Err, platform.ErrRejected) && !errors.Is(r.Err, ErrOutdated) {
 		return
 	}
 	effective := r.Err == nil && r.Outcome.Status == ledger.Effective
 	if !effective {
-		delete(c.placed, r.Action.Record.ID)
+		delete(c.own, r.Action.Record.ID)
 		return
 	}
 	switch b := r.Action.Record.Body.(type) {
--- a/internal/jobrunner/task.go
+++ b/internal/jobrunner/task.go
@@ -71,14 +71,13 @@
 	if t, ok := c.tasks[j.ID]; ok && t.placeID == j.PlaceID {
 		return t
 	}
-	_, mine := c.placed[j.PlaceID]
 	t := &task{
 		id:        TaskID(j.ID, j.Attempt),
 		job:       j.ID,
 		placeID:   j.PlaceID,
 		worker:    j.Worker,
 		shape:     usage.ShapeOf(j.Spec),
-		mine:      mine,
+		mine:      c.wrote(j.PlaceID),
 		seenAt:    now,
 		submitted: j.SubmittedAt,
 		urgent:    j.Spec.Urgent,
@@ -104,13 +103,10 @@
 		if j.Status != ledger.JobPlaced {
 			continue
 		}
-		if _, mine := c.placed[j.PlaceID]; !mine && rank >= keepers && c.tasks[j.ID] == nil {
+		if rank >= keepers && !c.isOwn(j) {
 			continue
 		}
 		t := c.task(j, now)
-		if rank >= keepers && (!t.mine || t.known) {
-			continue
-		}
 		c.attend(st, j, t, rank, lease, mayDecide, now)
 		byWorker[j.Worker] = append(byWorker[j.Worker], t)
 	}
@@ -119,6 +115,22 @@
 	}
 }
 
+// isOwn reports whether this process wrote a decision on the job that is still
+// to be carried out.
+func (c *Core) isOwn(j *ledger.Job) bool {
+	if j.Preempt != nil && c.wrote(j.Preempt.ID) && c.applied[j.Preempt.ID] == "" {
+		return true
+	}
+	t := c.tasks[j.ID]
+	return c.wrote(j.PlaceID) && (t == nil || !t.known)
+}
+
+// wrote reports whether this process wrote the record.
+func (c *Core) wrote(id string) bool {
+	_, ok := c.own[id]
+	return ok
+}
+
 func leaseOf(svc *ledger.Service) time.Duration {
 	if svc == nil || svc.Doc.Jobs.Lease <= 0 {
 		return defaultLease
@@ -225,7 +237,7 @@
 
 // preempt carries a decision to make room out on the task.
 func (c *Core) preempt(j *ledger.Job, t *task, rank int, now time.Time) {
-	if now.Before(t.retryAt) || !c.due("preempt/"+j.Preempt.ID, rank, now) {
+	if now.Before(t.retryAt) || !c.wrote(j.Preempt.ID) && !c.due("preempt/"+j.Preempt.ID, rank, now) {
 		return
 	}
 	a := Action{
@@ -269,8 +281,12 @@
 	return e
 }
 
-// end proposes the end of a placement.
+// end proposes the end of a placement. The end that a checkpoint of this process
+// brought about is due at once, as urgent work waits for the room.
 func (c *Core) end(st *ledger.State, j *ledger.Job, t *task, body record.JobEnd, rank int, now time.Time) {
+	if j.Preempt != nil && c.wrote(j.Preempt.ID) {
+		rank = 0
+	}
 	if c.due("end/"+t.placeID, rank, now) {
 		c.propose(st, jobSubject(j.ID), body, now)
 	}
--- a/internal/ledger/job.go
+++ b/internal/ledger/job.go
@@ -51,9 +51,10 @@
 	FullMilliCores int `json:"full_milli_cores,omitempty"`
 	// Preempt is the latest decision that the placed job makes room, or nil.
 	Preempt *Preemption `json:"preempt,omitempty"`
-	// CancelAsked is set when a placed job was cancelled; CancelID and
-	// CancelFence identify the stop of its task.
+	// CancelAsked is set when the job was cancelled, at CancelledAt; CancelID
+	// and CancelFence identify the stop of its task.
 	CancelAsked bool             `json:"cancel_asked,omitempty"`
+	CancelledAt time.Time        `json:"cancelled_at,omitzero"`
 	CancelID    string           `json:"cancel_id,omitempty"`
 	CancelFence uint64           `json:"cancel_fence,omitempty"`
 	Checkpoint  string           `json:"checkpoint,omitempty"`
--- a/internal/ledger/job_rules.go
+++ b/internal/ledger/job_rules.go
@@ -258,6 +258,7 @@
 		return refusef("job %s was cancelled already", j.ID)
 	}
 	j.CancelAsked = true
+	j.CancelledAt = s.Now
 	j.CancelID, j.CancelFence = rec.ID, s.Offset
 	j.Reason = clip(b.Reason)
 	if j.Status == JobQueued {
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -171,7 +171,7 @@
 	if reason := p.Never(j); reason != "" {
 		return Decision{Job: j.ID, Kind: Unplaceable, Reason: reason}
 	}
-	if !p.quotaAllows(j) {
+	if !p.quotaAllows(j) || p.settles(j) {
 		return Decision{Job: j.ID, Kind: Waits}
 	}
 	w := p.find(j, pol)
@@ -192,6 +192,8 @@
 	return q.Used.Add(j.Want, 1).Within(q.Limit)
 }
 
+func (p *Pool) settles(j *Job) bool { return p.Teams[j.Team].Settling && !j.Urgent }
+
 // failedEverywhere reports whether the job has failed on every worker that
 // could take it; then it is tried on them again.
 func (p *Pool) failedEverywhere(j *Job) bool {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -124,6 +124,22 @@
 	assert.Empty(t, r.Decisions, "the room that is being made is not given to others")
 }
 
+// The team's quota is used up by its own long jobs, while workers have room: the
+// urgent job displaces one of them rather than wait for a quota that its own
+// team holds. Another team's jobs would not help and are left alone.
+func TestUrgentJobTakesQuotaBackFromItsOwnTeam(t *testing.T) {
+	p := pool(2, 32, 65536)
+	p.Teams["a"] = placement.Quota{Limit: size(16, 1<<20), Used: size(16, 2)}
+	p.Teams["b"] = placement.Quota{Limit: size(64, 1<<20), Used: size(20, 1)}
+	run(p, 0, "theirs", 20, func(r *placement.Running) { r.Team, r.Checkpointable = "b", true })
+	run(p, 1, "own", 16, func(r *placement.Running) { r.Checkpointable = true })
+	urgent := job("u", 8, 1)
+	urgent.Urgent = true
+	r := placement.Plan(p, []placement.Job{urgent}, placement.Policy{}, now)
+	require.Len(t, r.Preemptions, 1)
+	assert.Equal(t, "own", r.Preemptions[0].Victim)
+}
+
 func TestUrgentJobThrottlesWorkThatCannotBeCheckpointed(t *testing.T) {
 	p := pool(1, 32, 65536)
 	run(p, 0, "long", 32, nil)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -72,6 +72,9 @@
 type Quota struct {
 	Limit ledger.Resources
 	Used  ledger.Resources
+	// Settling is set while the team is cancelling many jobs: its others wait,
+	// since the next cancellation may be theirs.
+	Settling bool
 }
 
 // Pool is a snapshot of one pool.
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -42,12 +42,11 @@
 
 // MakeRoom chooses the jobs that make room for an urgent job that found none:
 // the fewest on one worker, by throttling where cores alone lack, else by
-// checkpointing those with the least progress. It reserves the room in the
-// snapshot, so that other jobs do not take it.
+// checkpointing those with the least progress. Where the team's quota is used
+// up, its own lesser jobs give way. The room is reserved in the snapshot, so
+// that other jobs do not take it.
 func (p *Pool) MakeRoom(j *Job, now time.Time) ([]Preemption, bool) {
-	if !p.quotaAllows(j) {
-		return nil, false
-	}
+	need := need{job: j, quota: p.quotaLack(j)}
 	var best *Worker
 	var bestSet []Preemption
 	var bestCost cost
@@ -56,7 +55,7 @@
 		if w.Standing != Open || !j.Want.Within(w.Capacity) || slices.Contains(j.FailedOn, w.ID) {
 			continue
 		}
-		set, c, ok := w.cheapest(j, now)
+		set, c, ok := w.cheapest(need, now)
 		if ok && (best == nil || c.compare(bestCost) < 0) {
 			best, bestSet, bestCost = w, set, c
 		}
@@ -65,22 +64,54 @@
 		return nil, false
 	}
 	p.usable -= p.urgentRoom(best)
-	best.yield(bestSet)
+	p.yield(best, bestSet)
 	p.usable += p.urgentRoom(best)
 	p.take(best, j, now)
 	return bestSet, true
 }
 
+// need is what an urgent job lacks on a worker: room, a slot, and what its
+// team's own jobs must give back for the quota to allow it.
+type need struct {
+	job   *Job
+	room  ledger.Resources
+	slot  bool
+	quota ledger.Resources
+}
+
+func (n need) none() bool {
+	return n.room == (ledger.Resources{}) && n.quota == (ledger.Resources{}) && !n.slot
+}
+
+// quotaLack returns by how much the job exceeds its team's quota, room that is
+// being given back left out.
+func (p *Pool) quotaLack(j *Job) ledger.Resources {
+	q := p.Teams[j.Team]
+	lack := shortfall(q.Used.Add(j.Want, 1), q.Limit)
+	if lack == (ledger.Resources{}) {
+		return lack
+	}
+	var coming ledger.Resources
+	for i := range p.Workers {
+		for _, r := range p.Workers[i].Running {
+			if r.Team == j.Team && r.ComingSlots > 0 {
+				coming = coming.Add(r.Coming, 1)
+			}
+		}
+	}
+	return shortfall(lack, coming)
+}
+
 // cheapest returns the cheapest way to make room on the worker.
-func (w *Worker) cheapest(j *Job, now time.Time) ([]Preemption, cost, bool) {
+func (w *Worker) cheapest(n need, now time.Time) ([]Preemption, cost, bool) {
 	coming, comingSlots := w.coming()
-	lack := shortfall(j.Want, w.Free.Add(coming, 1))
-	slotLacks := w.Slots+comingSlots <= 0
-	if lack == (ledger.Resources{}) && !slotLacks {
+	n.room = shortfall(n.job.Want, w.Free.Add(coming, 1))
+	n.slot = w.Slots+comingSlots <= 0
+	if n.none() {
 		return nil, cost{}, true // room that is being made already
 	}
-	throttle, tc, canThrottle := w.subset(j, lack, slotLacks, record.PreemptThrottle, now)
-	checkpoint, cc, canCheckpoint := w.subset(j, lack, slotLacks, record.PreemptCheckpoint, now)
+	throttle, tc, canThrottle := w.subset(n, record.PreemptThrottle, now)
+	checkpoint, cc, canCheckpoint := w.subset(n, record.PreemptCheckpoint, now)
 	if canThrottle && (!canCheckpoint || tc.compare(cc) <= 0) {
 		return throttle, tc, true
 	}
@@ -120,11 +151,11 @@
 
 // subset finds the cheapest set of running jobs that frees enough by one
 // action. Up to maxExact victims every combination is tried.
-func (w *Worker) subset(j *Job, lack ledger.Resources, slotLacks bool, action record.PreemptAction, now time.Time) ([]Preemption, cost, bool) {
-	if action == record.PreemptThrottle && (slotLacks || lack.MemoryMB > 0 || lack.Accelerators > 0) {
+func (w *Worker) subset(n need, action record.PreemptAction, now time.Time) ([]Preemption, cost, bool) {
+	if action == record.PreemptThrottle && (n.slot || n.room.MemoryMB > 0 || n.room.Accelerators > 0) {
 		return nil, cost{}, false
 	}
-	victims := w.victims(action, now)
+	victims := w.victims(n.job.Team, action, now)
 	var best uint
 	var bestCost cost
 	found := false
@@ -132,28 +163,26 @@
 		if found && bits.OnesCount(mask) > bestCost.jobs && bestCost.once == 0 {
 			continue
 		}
-		var freed ledger.Resources
+		var freed, own ledger.Resources
 		var c cost
 		for i := range victims {
 			if mask&(1<<i) != 0 {
 				freed = freed.Add(victims[i].freed, 1)
+				own = own.Add(victims[i].own, 1)
 				c = c.plus(victims[i].cost)
 			}
 		}
-		if lack.Within(freed) && (!found || c.compare(bestCost) < 0) {
+		if n.room.Within(freed) && n.quota.Within(own) && (!found || c.compare(bestCost) < 0) {
 			best, bestCost, found = mask, c, true
 		}
 	}
-	if !found {
-		return nil, cost{}, false
-	}
 	var set []Preemption
 	for i, v := range victims {
 		if best&(1<<i) != 0 {
-			set = append(set, v.preemption(w, j, action))
+			set = append(set, v.preemption(w, n.job, action))
 		}
 	}
-	return set, bestCost, true
+	return set, bestCost, found
 }
 
 func (c cost) plus(o cost) cost {
@@ -164,12 +193,13 @@
 type victim struct {
 	running *Running
 	freed   ledger.Resources
+	own     ledger.Resources // of freed, what the urgent job's team gives back
 	cost    cost
 }
 
 // victims lists the jobs that the action can be taken on, the largest first and
 // at most maxExact.
-func (w *Worker) victims(action record.PreemptAction, now time.Time) []victim {
+func (w *Worker) victims(team string, action record.PreemptAction, now time.Time) []victim {
 	var list []victim
 	for i := range w.Running {
 		r := &w.Running[i]
@@ -178,6 +208,9 @@
 			continue
 		}
 		v := victim{running: r, freed: freed, cost: cost{jobs: 1}}
+		if r.Team == team {
+			v.own = freed
+		}
 		if action == record.PreemptCheckpoint {
 			v.cost.lost = now.Sub(r.Started)
 			v.cost.once = rankOf(!r.Repeatable)
@@ -241,8 +274,8 @@
 	return pol.IgnoreHold || !p.eatsHold(w, gain, 0)
 }
 
-// yield marks the victims and adds the room they free.
-func (w *Worker) yield(set []Preemption) {
+// yield marks the victims and adds the room and the quota that they free.
+func (p *Pool) yield(w *Worker, set []Preemption) {
 	for _, pre := range set {
 		for i := range w.Running {
 			r := &w.Running[i]
@@ -251,6 +284,9 @@
 			}
 			freed, _ := r.frees(pre.Action)
 			w.Free = w.Free.Add(freed, 1)
+			q := p.Teams[r.Team]
+			q.Used = q.Used.Add(freed, -1)
+			p.Teams[r.Team] = q
 			if pre.Action == record.PreemptCheckpoint {
 				w.Slots++
 			}
--- a/internal/placement/snapshot.go
+++ b/internal/placement/snapshot.go
@@ -23,6 +23,8 @@
 	// Measured returns what the worker's tasks were last seen to use; zero when
 	// not known.
 	Measured func(worker string) ledger.Resources
+	// Settling reports whether a team is cancelling many jobs.
+	Settling func(team string) bool
 	// Applied reports whether the platform has carried a preemption out.
 	Applied func(id string) bool
 }
@@ -48,6 +50,9 @@
 	if k.Measured == nil {
 		k.Measured = func(string) ledger.Resources { return ledger.Resources{} }
 	}
+	if k.Settling == nil {
+		k.Settling = func(string) bool { return false }
+	}
 	if k.Applied == nil {
 		k.Applied = func(string) bool { return true }
 	}
@@ -69,8 +74,9 @@
 	}
 	for _, q := range svc.Doc.Quotas {
 		p.Teams[q.Team] = Quota{
-			Limit: ledger.Resources{MilliCores: q.MilliCores, MemoryMB: q.MemoryMB, Accelerators: q.Accelerators},
-			Used:  st.TeamUse(service, q.Team),
+			Limit:    ledger.Resources{MilliCores: q.MilliCores, MemoryMB: q.MemoryMB, Accelerators: q.Accelerators},
+			Used:     st.TeamUse(service, q.Team),
+			Settling: k.Settling(q.Team),
 		}
 	}
 	for _, vm := range st.PoolVMs(service) {
--- /dev/null
+++ b/internal/proof/jobs_test.go
@@ -0,0 +1,190 @@
+package proof
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
+)
+
+// urgentBound is how soon urgent work starts.
+const urgentBound = 6700 * time.Millisecond
+
+// jobsCluster starts entry VMs and one pool of four workers with 8 cores each
+// for jobs.
+func jobsCluster(t *testing.T, nodes int, lease time.Duration) *testkit.Cluster {
+	c := testkit.Start(t, testkit.Options{
+		Nodes: []string{"a", "b", "c"}[:nodes],
+		Fleet: []testkit.Group{{Prefix: "vm", Count: 4, Zones: []string{"a", "b"}, RackSize: 2, Cores: 8, MemoryMB: 16384}},
+	})
+	c.Publish(document("export", 4, 1) + fmt.Sprintf(`
+[[quota]]
+team = "proof"
+cores = 32.0
+memory_mb = 65536
+[jobs]
+on_drain = "checkpoint"
+urgent_cores = 0.0
+lease = %q
+`, lease.String()))
+	awaitServing(c, "export", 4)
+	return c
+}
+
+func submit(c *testkit.Cluster, name string, flags ...string) {
+	args := append([]string{"jobs", "submit", "--service", "export", "--team", "proof", "--memory-mb", "64"}, flags...)
+	c.Must(append(args, name)...)
+}
+
+// started returns how often a task of the job was started.
+func started(c *testkit.Cluster, job string) int { return c.Standin.Counters().JobStarts[job] }
+
+// jobsEnded reports whether every job is over.
+func jobsEnded(c *testkit.Cluster) bool {
+	for _, j := range c.Standin.State().Jobs {
+		if !j.Ended() {
+			return false
+		}
+	}
+	return true
+}
+
+// The owner of an export sees it run at most once. Replies to starts are lost
+// after the platform started the task, and each steward in turn is killed while
+// jobs are being placed and started. What was started is adopted by the others;
+// a job whose start is in doubt ends as lapsed and is not started again.
+func TestExportsRunAtMostOnceThroughLostRepliesAndKills(t *testing.T) {
+	c := jobsCluster(t, 3, 3*time.Second)
+	c.Standin.Order(standin.Fault{Kind: standin.APILoseReply, Target: "start", Count: 12})
+	const jobs = 24
+	for i := range jobs {
+		flags := []string{"--cores", "1", "--run-time", "2s"}
+		if i%3 == 0 {
+			flags = append(flags, "--repeatable")
+		}
+		submit(c, fmt.Sprintf("export-%02d", i), flags...)
+		if i%8 == 4 {
+			c.Nodes[i/8].Steward.Kill()
+		}
+		if i%8 == 7 {
+			c.Nodes[i/8].Steward.Start()
+		}
+	}
+	c.Until("all jobs are over", func() bool { return jobsEnded(c) })
+	results := map[record.JobResult]int{}
+	starts := c.Standin.Counters().JobStarts
+	for id, j := range c.Standin.State().Jobs {
+		results[j.Result]++
+		if !j.Spec.Repeatable {
+			assert.LessOrEqual(t, starts[id], 1, "%s ended %s", id, j.Result)
+			assert.Contains(t, []record.JobResult{record.JobSucceeded, record.JobLapsed}, j.Result, id)
+			continue
+		}
+		assert.Equal(t, record.JobSucceeded, j.Result, id)
+	}
+	t.Logf("results of %d jobs: %v", jobs, results)
+	assert.GreaterOrEqual(t, results[record.JobSucceeded], jobs/2)
+}
+
+// The pool is full of long work that can be checkpointed when urgent jobs come,
+// and a steward is dead: whichever pool it drove, another makes room. Each
+// urgent job starts within the bound.
+func TestUrgentJobsStartWithinTheirBoundOnAFullPool(t *testing.T) {
+	c := jobsCluster(t, 3, 3*time.Second)
+	for i := range 4 {
+		submit(c, fmt.Sprintf("long-%d", i), "--cores", "8", "--run-time", "10m", "--repeatable", "--checkpointable")
+	}
+	c.Until("the pool is full", func() bool {
+		counters := c.Standin.Counters()
+		return len(counters.JobStarts) == 4
+	})
+	for i := range 3 {
+		c.Nodes[i].Steward.Kill()
+		name := fmt.Sprintf("urgent-%d", i)
+		submit(c, name, "--cores", "4", "--run-time", "1s", "--urgent", "--repeatable")
+		from := time.Now()
+		c.Until(name+" is started", func() bool { return started(c, name) > 0 })
+		took := time.Since(from)
+		t.Logf("%s started after %v with steward %d dead", name, took.Round(time.Millisecond), i)
+		assert.Less(t, took, urgentBound)
+		c.Nodes[i].Steward.Start()
+	}
+}
+
+// The only steward is stopped past the lease of a running export, and the
+// platform ends the task. On waking the steward neither renews nor starts it
+// again: the export ends as lapsed. A repeatable job beside it runs once more.
+func TestStewardStoppedPastTheLeaseStartsNoExportAgain(t *testing.T) {
+	c := jobsCluster(t, 1, time.Second)
+	submit(c, "export", "--run-time", "20s")
+	submit(c, "report", "--run-time", "6s", "--repeatable")
+	c.Until("both run", func() bool { return started(c, "export")+started(c, "report") == 2 })
+	c.Nodes[0].Steward.Pause()
+	awaitLapse(t, c, "export", "report")
+	c.Nodes[0].Steward.Resume()
+	c.Until("both are over", func() bool { return jobsEnded(c) })
+	state := c.Standin.State()
+	assert.Equal(t, record.JobLapsed, state.Jobs["export"].Result)
+	assert.Equal(t, 1, started(c, "export"))
+	assert.Equal(t, record.JobSucceeded, state.Jobs["report"].Result)
+	assert.Equal(t, 2, started(c, "report"))
+}
+
+// awaitLapse waits until the platform has ended the jobs' tasks.
+func awaitLapse(t *testing.T, c *testkit.Cluster, jobs ...string) {
+	state := c.Standin.State()
+	for _, id := range jobs {
+		worker := state.Jobs[id].Worker
+		c.Until(id+" has lapsed", func() bool {
+			statuses, err := c.Standin.Client.Status(t.Context(), worker)
+			for _, s := range statuses {
+				if err == nil && strings.HasPrefix(s.ID, id+".") && s.Phase == "expired" {
+					return true
+				}
+			}
+			return false
+		})
+	}
+}
+
+// Sixty jobs wait for a full pool and are cancelled within moments of each
+// other. None of them is started afterwards.
+func TestCancelledJobsAreNotStarted(t *testing.T) {
+	c := jobsCluster(t, 2, 3*time.Second)
+	const jobs = 60
+	for i := range jobs {
+		submit(c, fmt.Sprintf("job-%02d", i), "--cores", "4", "--run-time", "5m", "--repeatable")
+	}
+	state := c.Standin.State()
+	queued := 0
+	for _, j := range state.Jobs {
+		if j.Status == ledger.JobQueued {
+			queued++
+		}
+	}
+	require.Positive(t, queued)
+	for i := range jobs {
+		c.Must("jobs", "cancel", fmt.Sprintf("job-%02d", i))
+	}
+	c.Until("all jobs are over", func() bool { return jobsEnded(c) })
+	state = c.Standin.State()
+	starts := c.Standin.Counters().JobStarts
+	never := 0
+	for id, j := range state.Jobs {
+		assert.Equal(t, ledger.JobCancelled, j.Status, id)
+		if j.Attempt == 0 {
+			never++
+			assert.Zero(t, starts[id], id)
+		}
+	}
+	t.Logf("%d jobs were queued at the first cancellation, %d were never placed, %d were started", queued, never, len(starts))
+	assert.Positive(t, never)
+}
