Share the work among living stewards and weigh failures with them

Cause: the shares came from the membership alone, and a steward whose own network is cut would have recorded every VM as down. Change: internal/stewardpeer (Hello, Check); shares over the stewards that answer and may decide, with a takeover after 3 s a rank; a failure counts only if no peer reaches the VM, and without a peer's word only within one rack. Conclusion: TestFailuresSeenByOneStewardOnly.

--- a/internal/maintenance/step.go
+++ b/internal/maintenance/step.go
@@ -116,6 +116,11 @@
 	ResultNotFound
 )
 
+// String returns the result's name in metrics.
+func (r Result) String() string {
+	return [...]string{"unknown", "running", "done", "failed", "not-found"}[r]
+}
+
 // Settled reports whether the VM's step is through, by the result of its action
 // and whether the VM answers its health check. On a VM that the platform lost
 // no task runs, which is all that a drain asks for. A reboot that failed but left
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,10 +44,20 @@
 	// Advertise is what other nodes dial instead, where an address translation
 	// or a proxy stands in between; Listen when unset.
 	Advertise tomlfile.Address `toml:"advertise"`
-	// Seeds are peers to ask for their state while the log cannot be read.
+	// Seeds are the peers of the same kind on other VMs. They are asked for their
+	// state while the log cannot be read, and stewards share their work with them.
 	Seeds []tomlfile.Address `toml:"seeds"`
 }
 
+// SeedAddresses returns the seeds as IP:port.
+func (p Peers) SeedAddresses() []string {
+	addresses := make([]string, 0, len(p.Seeds))
+	for _, seed := range p.Seeds {
+		addresses = append(addresses, seed.String())
+	}
+	return addresses
+}
+
 // Admin is the HTTP endpoint for metrics, health and profiles.
 type Admin struct {
 	Listen tomlfile.Address `toml:"listen"`
--- /dev/null
+++ b/internal/steward/daemon.go
@@ -0,0 +1,126 @@
+package steward
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/yuccadrift/yuccadrift/internal/admin"
+	"github.com/yuccadrift/yuccadrift/internal/backend"
+	"github.com/yuccadrift/yuccadrift/internal/burnmetrics"
+	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
+	"github.com/yuccadrift/yuccadrift/internal/follower"
+	"github.com/yuccadrift/yuccadrift/internal/jobrunner"
+	"github.com/yuccadrift/yuccadrift/internal/listen"
+	"github.com/yuccadrift/yuccadrift/internal/operator"
+	"github.com/yuccadrift/yuccadrift/internal/peerserver"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/settings"
+	"github.com/yuccadrift/yuccadrift/internal/stewardpeer"
+	"github.com/yuccadrift/yuccadrift/internal/supervise"
+)
+
+// Run runs the daemon name by its settings until ctx ends or a duty fails for
+// good.
+func Run(ctx context.Context, name string, s settings.Steward, logger hclog.Logger) error {
+	adminListener, err := listen.TCP(ctx, "admin.listen", s.Admin.Listen)
+	if err != nil {
+		return err
+	}
+	peerListener, err := listen.TCP(ctx, "peers.listen", s.Peers.Listen)
+	if err != nil {
+		return err
+	}
+	client := platform.NewClient(s.Platform.Address.String(), platform.ClientOptions{Timeout: s.Platform.RequestTimeout.Duration})
+	defer client.Close()
+	entries := entrypeer.NewAsker()
+	defer entries.Close()
+	stewards, err := stewardpeer.NewPeers(s.Peers.SeedAddresses(), logger.Named("peers"))
+	if err != nil {
+		return err
+	}
+	defer stewards.Close()
+	d := daemon{
+		settings:  s,
+		logger:    logger,
+		follower:  follower.New(follower.Config{Log: client, Stream: s.Platform.Stream, Logger: logger.Named("log")}),
+		readiness: admin.NewReadiness(),
+		health:    backend.NewHealthChecker(),
+	}
+	registry := admin.NewRegistry(name)
+	registry.MustRegister(burnmetrics.New(d.follower, time.Now))
+	steward := New(Config{
+		Node:          s.Node.ID,
+		Follower:      d.follower,
+		Fleet:         client,
+		Entries:       entries,
+		Health:        d.health,
+		Peers:         stewards,
+		Logger:        logger,
+		Metrics:       registry,
+		PlanInterval:  s.Planning.Interval.Duration,
+		ListInterval:  s.Planning.ListInterval.Duration,
+		MaxActions:    s.Planning.MaxActions,
+		ActionTimeout: s.Planning.ActionTimeout.Duration,
+	})
+	server := admin.New(admin.Config{
+		Listener:  adminListener,
+		Registry:  registry,
+		Readiness: d.readiness,
+		Profiles:  s.Admin.Profiles,
+		Logger:    logger.Named("admin"),
+	})
+	peers := peerserver.New(peerListener)
+	d.offer(peers, steward)
+	logger.Info("steward started", "admin", adminListener.Addr())
+	duties := append(steward.Duties(), d.jobs(client, steward, registry).Duties()...)
+	return supervise.Run(ctx, name, logger, append(duties,
+		supervise.Duty{Name: "follow", Serve: d.follower.Serve},
+		supervise.Duty{Name: "admin", Serve: server.Serve},
+		supervise.Duty{Name: "peers", Serve: peers.Serve},
+		supervise.Duty{Name: "greet", Serve: stewards.Serve},
+	)...)
+}
+
+// daemon is what the daemon's services share.
+type daemon struct {
+	settings  settings.Steward
+	logger    hclog.Logger
+	follower  *follower.Follower
+	readiness *admin.Readiness
+	health    Checker
+}
+
+// offer registers what the daemon answers on its peer address.
+func (d daemon) offer(peers *peerserver.Server, s *Steward) {
+	operator.Register(peers.Registrar(), operator.ServerConfig{
+		Node:    d.settings.Node.ID,
+		Role:    operator.RoleSteward,
+		Zone:    d.settings.Node.Zone,
+		State:   d.follower,
+		Unready: d.readiness.Reasons,
+	})
+	stewardpeer.Register(peers.Registrar(), stewardpeer.ServerConfig{
+		Node:  d.settings.Node.ID,
+		Able:  s.MayDecide,
+		Check: d.health.Check,
+	})
+}
+
+// jobs returns the driver of the pools' jobs.
+func (d daemon) jobs(tasks platform.Tasks, s *Steward, registry prometheus.Registerer) *jobrunner.Runner {
+	return jobrunner.New(jobrunner.Config{
+		Core: jobrunner.CoreConfig{
+			Node:  d.settings.Node.ID,
+			NewID: func() string { return ulid.Make().String() },
+			Rank:  s.Rank,
+		},
+		Follower: d.follower,
+		Tasks:    tasks,
+		Logger:   d.logger.Named("jobs"),
+		Metrics:  jobrunner.NewMetrics(registry),
+	})
+}
--- /dev/null
+++ b/internal/steward/evidence_test.go
@@ -0,0 +1,86 @@
+package steward_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/steward"
+)
+
+// failing is a Checker that fails for the VMs whose address has a prefix.
+type failing struct{ prefix atomic.Value }
+
+func (f *failing) Check(_ context.Context, address string) error {
+	if p, _ := f.prefix.Load().(string); p != "" && strings.HasPrefix(address, p) {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+// opinion is a peer that reaches all VMs, or none, or does not answer itself.
+type opinion struct {
+	reaches bool
+	silent  bool
+}
+
+func (o opinion) Configured() bool { return true }
+func (o opinion) Nodes() []string  { return nil }
+func (o opinion) Healthy(_ context.Context, addresses []string) (map[string]bool, int) {
+	healthy := map[string]bool{}
+	for _, a := range addresses {
+		healthy[a] = o.reaches
+	}
+	if o.silent {
+		return nil, 0
+	}
+	return healthy, 1
+}
+
+// A steward's network towards the backend servers is cut while it still reaches
+// the log: every VM fails its health checks at that steward, none fails for
+// callers. Recorded as down, all pools would lose their budgets and VMs would
+// be replaced that serve. Order: VMs serve, the checks begin to fail in all
+// racks, the peer is asked. Only failures that a peer sees too, or that lie in
+// one rack when no peer can be heard, count.
+func TestFailuresSeenByOneStewardOnly(t *testing.T) {
+	cases := map[string]struct {
+		peer   opinion
+		prefix string
+		down   int
+	}{
+		"a peer reaches them":            {opinion{reaches: true}, "10.", 0},
+		"a peer fails too":               {opinion{}, "10.", 12},
+		"no peer, several racks":         {opinion{silent: true}, "10.", 0},
+		"no peer, one VM":                {opinion{silent: true}, "10.0.0.3:", 1},
+		"one VM that a peer still sees":  {opinion{reaches: true}, "10.0.0.3:", 0},
+		"one VM that no steward reaches": {opinion{}, "10.0.0.3:", 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fake := standin.New(standin.Options{Groups: []standin.Group{{Prefix: "vm", Count: 12, Zones: []string{"a", "b", "c"}}}})
+				check := &failing{}
+				n := startNode(t, fake, "entry-1", func(cfg *steward.Config) { cfg.Health, cfg.Peers = check, c.peer })
+				time.Sleep(time.Second)
+				publish(t, n, "ramcharan", "booking")
+				time.Sleep(20 * time.Second)
+				check.prefix.Store(c.prefix)
+				time.Sleep(20 * time.Second)
+				assert.Equal(t, c.down, n.count(func(vm *ledger.VM) bool { return vm.Down }))
+				check.prefix.Store("")
+				time.Sleep(20 * time.Second)
+				assert.Zero(t, n.count(func(vm *ledger.VM) bool { return vm.Down || vm.Phase != record.PhaseServing }))
+			})
+		})
+	}
+}
--- a/internal/steward/executor.go
+++ b/internal/steward/executor.go
@@ -64,7 +64,7 @@
 	now := time.Now()
 	var due []string
 	e.cfg.Follower.View(func(st *ledger.State) {
-		e.shares.follow(st)
+		e.shares.follow(st, e.cfg.Peers)
 		for id, vm := range st.VMs {
 			if maintenance.Next(vm) == maintenance.StepNone {
 				continue
--- a/internal/steward/health.go
+++ b/internal/steward/health.go
@@ -44,13 +44,20 @@
 	vms, seen := h.watched()
 	results := h.checkAll(ctx, vms)
 	var proposals []pool.Proposal
+	var failing []suspect
 	for i, vm := range vms {
 		s := h.note(vm.ID, results[i])
-		if body := verdict(vm, s); body != nil {
-			proposals = append(proposals, pool.OnVM(&pool.VM{VM: vm}, body, vm.ID, s.cause))
+		switch {
+		case !vm.Down && s.bad >= downAfter:
+			failing = append(failing, suspect{vm: vm, cause: s.cause})
+		case vm.Down && s.good >= upAfter:
+			proposals = append(proposals, pool.OnVM(&pool.VM{VM: vm}, record.VMUp{}, vm.ID, "healthy again"))
 		}
 	}
-	if h.mayDecide() {
+	for _, s := range h.convicted(ctx, failing, len(vms)) {
+		proposals = append(proposals, pool.OnVM(&pool.VM{VM: s.vm}, record.VMDown{Cause: s.cause}, s.vm.ID, s.cause))
+	}
+	if h.MayDecide() {
 		h.propose.all(ctx, seen, proposals)
 	}
 }
@@ -93,20 +100,9 @@
 		h.streaks[vm] = s
 	}
 	if result == nil {
-		s.good, s.bad, s.cause = s.good+1, 0, "healthy again"
+		s.good, s.bad, s.cause = s.good+1, 0, ""
 		return s
 	}
 	s.good, s.bad, s.cause = 0, s.bad+1, result.Error()
 	return s
 }
-
-// verdict returns the record that the evidence calls for, or nil.
-func verdict(vm ledger.VM, s *streak) record.Body {
-	switch {
-	case !vm.Down && s.bad >= downAfter:
-		return record.VMDown{Cause: s.cause}
-	case vm.Down && s.good >= upAfter:
-		return record.VMUp{}
-	}
-	return nil
-}
--- a/internal/steward/lister.go
+++ b/internal/steward/lister.go
@@ -35,7 +35,7 @@
 		l.cfg.Logger.Warn("cannot list the platform's VMs", "error", err)
 		return
 	}
-	if !l.mayDecide() || !list.AsOf.After(l.asOf) {
+	if !l.MayDecide() || !list.AsOf.After(l.asOf) {
 		return
 	}
 	l.asOf = list.AsOf
@@ -49,7 +49,7 @@
 	listed := map[string]bool{}
 	var seen uint64
 	l.cfg.Follower.View(func(st *ledger.State) {
-		l.shares.follow(st)
+		l.shares.follow(st, l.cfg.Peers)
 		seen = st.Offset
 		for _, vm := range list.VMs {
 			listed[vm.ID] = true
--- a/internal/steward/planner.go
+++ b/internal/steward/planner.go
@@ -14,6 +14,7 @@
 type planner struct {
 	*Steward
 	changed <-chan struct{}
+	spareAt time.Time
 }
 
 func newPlanner(s *Steward) *planner {
@@ -46,20 +47,38 @@
 }
 
 func (p *planner) round(ctx context.Context) {
-	if !p.mayDecide() {
+	if !p.MayDecide() {
 		return
 	}
+	start := time.Now()
 	var view *pool.View
 	p.cfg.Follower.View(func(st *ledger.State) {
-		p.shares.follow(st)
-		view = pool.NewView(st, time.Now())
+		p.shares.follow(st, p.cfg.Peers)
+		view = pool.NewView(st, start)
 	})
+	plan := maintenance.Plan(view, p.cfg.Policy)
+	p.metrics.planned(time.Since(start))
 	var mine []pool.Proposal
-	for _, d := range maintenance.Plan(view, p.cfg.Policy) {
+	for _, d := range plan {
 		item := fmt.Sprintf("plan/%s/%s/%d", d.Body.Kind(), d.Subject, d.Base)
 		if p.shares.mine(d.Share, item, view.Now) {
 			mine = append(mine, d)
 		}
 	}
 	p.propose.all(ctx, view.Offset, mine)
+	p.showSpare(view)
+}
+
+// spareInterval is the pause between sizings of the spare VMs, which change
+// only with documents and pools.
+const spareInterval = time.Minute
+
+func (p *planner) showSpare(view *pool.View) {
+	if view.Now.Sub(p.spareAt) < spareInterval {
+		return
+	}
+	p.spareAt = view.Now
+	spare := pool.SpareFor(view.Pools, p.cfg.Policy.Rates, p.cfg.Policy.FailureShare)
+	p.metrics.spare.WithLabelValues(string(pool.ReserveShared)).Set(float64(spare.Shared))
+	p.metrics.spare.WithLabelValues(string(pool.ReserveOwn)).Set(float64(spare.OwnTotal()))
 }
--- a/internal/steward/propose.go
+++ b/internal/steward/propose.go
@@ -27,10 +27,7 @@
 	follower *follower.Follower
 	author   string
 	logger   hclog.Logger
-}
-
-func newProposer(f *follower.Follower, author string, logger hclog.Logger) *proposer {
-	return &proposer{follower: f, author: author, logger: logger}
+	metrics  *metrics
 }
 
 // one appends a proposal that was decided at offset seen and reports whether it
@@ -49,9 +46,11 @@
 		Body:    d.Body,
 	})
 	if err != nil {
+		p.metrics.proposed(d.Body.Kind(), outcomeUnknown)
 		p.logger.Warn("outcome unknown", "subject", d.Subject, "kind", d.Body.Kind(), "error", err)
 		return false
 	}
+	p.metrics.proposed(d.Body.Kind(), out.Status)
 	p.logger.Debug("proposed", "subject", d.Subject, "kind", d.Body.Kind(), "why", d.Why,
 		"status", out.Status, "reason", out.Reason, "offset", out.Offset)
 	return out.Status == ledger.Effective
--- a/internal/steward/shares.go
+++ b/internal/steward/shares.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -28,14 +29,19 @@
 	return &shares{self: self, nodes: []string{self}, since: map[string]time.Time{}}
 }
 
-// follow takes the nodes from the folded membership: each entry VM runs an
+// follow takes the stewards to share with: the peers that are there, or, when
+// none are set, the nodes of the folded membership, since each entry VM runs an
 // entry process, which is a member, and a steward.
-func (s *shares) follow(st *ledger.State) {
-	seen := map[string]bool{s.self: true}
+func (s *shares) follow(st *ledger.State, peers Peers) {
+	others := peers.Nodes()
+	if !peers.Configured() {
+		for _, name := range st.MemberNames() {
+			others = append(others, st.Members[name].Node)
+		}
+	}
 	nodes := []string{s.self}
-	for _, name := range st.MemberNames() {
-		if node := st.Members[name].Node; !seen[node] {
-			seen[node] = true
+	for _, node := range others {
+		if !slices.Contains(nodes, node) {
 			nodes = append(nodes, node)
 		}
 	}
--- a/internal/steward/step.go
+++ b/internal/steward/step.go
@@ -57,7 +57,7 @@
 
 // skipTurn takes a VM that was given up out of its wave.
 func (e *executor) skipTurn(ctx context.Context, vm *ledger.VM) {
-	if vm.Drain == nil || vm.Drain.Wave == "" || !e.mayDecide() {
+	if vm.Drain == nil || vm.Drain.Wave == "" || !e.MayDecide() {
 		return
 	}
 	var w *pool.Wave
@@ -95,7 +95,9 @@
 	if err != nil {
 		e.cfg.Logger.Debug("action not confirmed", "vm", vm.ID, "action", a.Verb, "error", err)
 	}
-	return resultOf(status, err)
+	result := resultOf(status, err)
+	e.metrics.acted(a.Verb, result)
+	return result
 }
 
 // resultOf tells what a reply proves. After any error the action is sent again
@@ -137,7 +139,7 @@
 }
 
 func (e *executor) decide(ctx context.Context, vm *ledger.VM, body record.Body, why string) {
-	if !e.mayDecide() {
+	if !e.MayDecide() {
 		return
 	}
 	e.propose.one(ctx, uint64(vm.Revision), pool.OnVM(&pool.VM{VM: *vm}, body, vm.ID, why))
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
@@ -25,7 +26,11 @@
 	Entries Entries
 	// Health checks a backend server.
 	Health Checker
+	// Peers are the other stewards; nil means none.
+	Peers  Peers
 	Logger hclog.Logger
+	// Metrics takes the steward's metrics; nil keeps them unseen.
+	Metrics prometheus.Registerer
 
 	Policy        pool.Policy
 	PlanInterval  time.Duration
@@ -53,15 +58,18 @@
 	cfg     Config
 	propose *proposer
 	shares  *shares
+	metrics *metrics
 }
 
 // New returns a Steward; Duties are to be supervised by the caller.
 func New(cfg Config) *Steward {
 	cfg = withDefaults(cfg)
+	m := newMetrics(cfg.Metrics)
 	return &Steward{
 		cfg:     cfg,
-		propose: newProposer(cfg.Follower, cfg.Node, cfg.Logger.Named("propose")),
+		propose: &proposer{follower: cfg.Follower, author: cfg.Node, logger: cfg.Logger.Named("propose"), metrics: m},
 		shares:  newShares(cfg.Node),
+		metrics: m,
 	}
 }
 
@@ -75,6 +83,9 @@
 	orDefault(&cfg.ListInterval, DefaultListInterval)
 	orDefault(&cfg.CheckInterval, DefaultCheckInterval)
 	orDefault(&cfg.ActionTimeout, DefaultActionTimeout)
+	if cfg.Peers == nil {
+		cfg.Peers = NoPeers{}
+	}
 	if cfg.MaxActions <= 0 {
 		cfg.MaxActions = DefaultMaxActions
 	}
@@ -97,9 +108,9 @@
 // Rank returns how many live stewards come before this one for a pool's jobs.
 func (s *Steward) Rank(pool string) int { return s.shares.rank("jobs/" + pool) }
 
-// mayDecide reports whether the folded state is recent enough for a decision
+// MayDecide reports whether the folded state is recent enough for a decision
 // that disturbs a VM.
-func (s *Steward) mayDecide() bool {
+func (s *Steward) MayDecide() bool {
 	fresh := s.cfg.Follower.Fresh()
 	return !fresh.IsZero() && time.Since(fresh) <= freshWithin
 }
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -34,24 +34,41 @@
 	stop   context.CancelFunc
 }
 
-func startNode(t *testing.T, fake *standin.Platform, name string) *node {
+func startNode(t *testing.T, fake *standin.Platform, name string, options ...func(*steward.Config)) *node {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	logger := hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Warn, Output: t.Output()})
 	f := follower.New(follower.Config{Log: fake, Stream: stream, Logger: logger})
-	s := steward.New(steward.Config{
+	cfg := steward.Config{
 		Node:     name,
 		Follower: f,
 		Fleet:    fake,
 		Entries:  steward.UnreachableEntries{},
 		Health:   alwaysHealthy{},
 		Logger:   logger,
-	})
+	}
+	for _, option := range options {
+		option(&cfg)
+	}
+	s := steward.New(cfg)
 	duties := append(s.Duties(), supervise.Duty{Name: "follow", Serve: f.Serve})
 	go func() { _ = supervise.Run(ctx, name, logger, duties...) }()
 	return &node{follow: f, stop: cancel}
 }
 
+// count counts the VMs that f holds for.
+func (n *node) count(f func(*ledger.VM) bool) int {
+	sum := 0
+	n.follow.View(func(s *ledger.State) {
+		for _, vm := range s.VMs {
+			if f(vm) {
+				sum++
+			}
+		}
+	})
+	return sum
+}
+
 func (n *node) propose(t *testing.T, sub record.Subject, body record.Body) {
 	t.Helper()
 	var base record.Revision
--- /dev/null
+++ b/internal/stewardpeer/peers.go
@@ -0,0 +1,154 @@
+package stewardpeer
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	pb "github.com/yuccadrift/yuccadrift/internal/stewardpeer/stewardpeerpb"
+)
+
+// Pace of the greetings.
+const (
+	helloInterval = time.Second
+	helloTimeout  = time.Second
+	// aliveFor is how long a peer counts as there after its last answer.
+	aliveFor = 3 * time.Second
+)
+
+// Peers greets the other stewards and knows which of them are there.
+type Peers struct {
+	logger hclog.Logger
+	peers  []*peer
+}
+
+type peer struct {
+	address string
+	conn    *grpc.ClientConn
+	rpc     pb.StewardPeerClient
+
+	mu   sync.Mutex
+	node string
+	at   time.Time // of the last answer that said "able"
+}
+
+// NewPeers returns Peers for the stewards at the addresses (IP:port). Serve
+// makes it greet them.
+func NewPeers(addresses []string, logger hclog.Logger) (*Peers, error) {
+	p := &Peers{logger: logger}
+	for _, address := range addresses {
+		conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		if err != nil {
+			return nil, errors.Wrapf(err, "steward %s", address)
+		}
+		p.peers = append(p.peers, &peer{address: address, conn: conn, rpc: pb.NewStewardPeerClient(conn)})
+	}
+	return p, nil
+}
+
+// Close ends the connections.
+func (p *Peers) Close() {
+	for _, peer := range p.peers {
+		_ = peer.conn.Close()
+	}
+}
+
+// Serve greets the peers until ctx ends. It is a duty's Serve function.
+func (p *Peers) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(helloInterval)
+	defer ticker.Stop()
+	for {
+		p.greet(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *Peers) greet(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, peer := range p.peers {
+		wg.Go(func() {
+			if err := peer.hello(ctx); err != nil {
+				p.logger.Debug("a steward does not answer", "address", peer.address, "error", err)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (p *peer) hello(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	sent := time.Now()
+	reply, err := p.rpc.Hello(ctx, &pb.HelloRequest{})
+	if err != nil || !reply.GetAble() {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.node, p.at = reply.GetNode(), sent
+	return nil
+}
+
+func (p *peer) alive() (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.node, time.Since(p.at) < aliveFor
+}
+
+// Configured reports whether any peer is set.
+func (p *Peers) Configured() bool { return len(p.peers) > 0 }
+
+// Nodes returns the nodes whose stewards answered lately and may decide, sorted.
+func (p *Peers) Nodes() []string {
+	var nodes []string
+	for _, peer := range p.peers {
+		if node, ok := peer.alive(); ok {
+			nodes = append(nodes, node)
+		}
+	}
+	slices.Sort(nodes)
+	return nodes
+}
+
+// maxAsked is how many peers give a second opinion.
+const maxAsked = 2
+
+// Healthy asks living peers which of the backend servers answer them, and how
+// many peers did reply. A server is in the result if any of them reached it.
+func (p *Peers) Healthy(ctx context.Context, addresses []string) (healthy map[string]bool, asked int) {
+	healthy = map[string]bool{}
+	for _, peer := range p.peers {
+		if _, ok := peer.alive(); !ok || asked == maxAsked {
+			continue
+		}
+		if peer.check(ctx, addresses, healthy) == nil {
+			asked++
+		}
+	}
+	return healthy, asked
+}
+
+func (p *peer) check(ctx context.Context, addresses []string, healthy map[string]bool) error {
+	for part := range slices.Chunk(addresses, maxAddresses) {
+		callCtx, cancel := context.WithTimeout(ctx, checkTimeout+helloTimeout)
+		reply, err := p.rpc.Check(callCtx, &pb.CheckRequest{Addresses: part})
+		cancel()
+		if err != nil {
+			return errors.Wrapf(err, "steward %s", p.address)
+		}
+		for _, address := range reply.GetHealthy() {
+			healthy[address] = true
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/stewardpeer/server.go
@@ -0,0 +1,74 @@
+// Package stewardpeer is the peer package for the other nodes' stewards: who is
+// there to share the work, and a second opinion on a backend server's health.
+package stewardpeer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	pb "github.com/yuccadrift/yuccadrift/internal/stewardpeer/stewardpeerpb"
+)
+
+// Bounds of one Check.
+const (
+	maxAddresses  = 256
+	checkParallel = 32
+	checkTimeout  = 2 * time.Second
+)
+
+// ServerConfig is what a steward tells its peers.
+type ServerConfig struct {
+	Node string
+	// Able reports whether the steward may decide now.
+	Able func() bool
+	// Check asks one backend server; nil means healthy.
+	Check func(ctx context.Context, address string) error
+}
+
+type server struct {
+	pb.UnimplementedStewardPeerServer
+	cfg ServerConfig
+}
+
+// Register adds the service to a daemon's gRPC server.
+func Register(to grpc.ServiceRegistrar, cfg ServerConfig) {
+	pb.RegisterStewardPeerServer(to, &server{cfg: cfg})
+}
+
+// Hello implements the gRPC service.
+func (s *server) Hello(context.Context, *pb.HelloRequest) (*pb.HelloReply, error) {
+	return &pb.HelloReply{Node: s.cfg.Node, Able: s.cfg.Able()}, nil
+}
+
+// Check implements the gRPC service.
+func (s *server) Check(ctx context.Context, req *pb.CheckRequest) (*pb.CheckReply, error) {
+	addresses := req.GetAddresses()
+	if len(addresses) > maxAddresses {
+		return nil, status.Errorf(codes.InvalidArgument, "%d addresses, at most %d", len(addresses), maxAddresses)
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	healthy := make([]bool, len(addresses))
+	room := make(chan struct{}, checkParallel)
+	var wg sync.WaitGroup
+	for i, address := range addresses {
+		room <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-room }()
+			healthy[i] = s.cfg.Check(ctx, address) == nil
+		})
+	}
+	wg.Wait()
+	reply := &pb.CheckReply{}
+	for i, ok := range healthy {
+		if ok {
+			reply.Healthy = append(reply.Healthy, addresses[i])
+		}
+	}
+	return reply, nil
+}
