--- a/internal/steward/daemon.go
+++ b/internal/steward/daemon.go
@@ -82,9 +82,21 @@
 		supervise.Duty{Name: "admin", Serve: server.Serve},
 		supervise.Duty{Name: "peers", Serve: peers.Serve},
 		supervise.Duty{Name: "greet", Serve: stewards.Serve},
+		supervise.Duty{Name: "ready", Serve: func(ctx context.Context) error { return d.watchLog(ctx, steward) }},
 	)...)
 }
 
+// watchLog shows on the readiness page whether the steward may decide.
+func (d daemon) watchLog(ctx context.Context, s *Steward) error {
+	return every(ctx, time.Second, func(context.Context) {
+		if s.MayDecide() {
+			d.readiness.Ready("log")
+			return
+		}
+		d.readiness.Unready("log", "the end of the log was not reached lately; nothing is decided")
+	})
+}
+
 // daemon is what the daemon's services share.
 type daemon struct {
 	settings  settings.Steward
--- a/internal/steward/executor.go
+++ b/internal/steward/executor.go
@@ -50,7 +50,8 @@
 		case <-ctx.Done():
 			return
 		case id := <-e.work:
-			e.step(ctx, id)
+			for e.step(ctx, id) && ctx.Err() == nil {
+			}
 			e.mu.Lock()
 			delete(e.busy, id)
 			e.mu.Unlock()
--- a/internal/steward/health.go
+++ b/internal/steward/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/maintenance"
@@ -67,10 +68,11 @@
 func (h *health) watched() ([]ledger.VM, uint64) {
 	var vms []ledger.VM
 	var seen uint64
+	now := time.Now()
 	h.cfg.Follower.View(func(st *ledger.State) {
 		seen = st.Offset
 		for id, vm := range st.VMs {
-			if maintenance.Next(vm) == maintenance.StepNone && h.shares.rank(id) == 0 {
+			if maintenance.Next(vm) == maintenance.StepNone && h.shares.first(id, now) {
 				vms = append(vms, copyVM(vm))
 			}
 		}
--- a/internal/steward/shares.go
+++ b/internal/steward/shares.go
@@ -16,17 +16,24 @@
 type shares struct {
 	self string
 
-	mu    sync.Mutex
-	nodes []string
-	since map[string]time.Time // when a key's work was first seen undone
+	mu      sync.Mutex
+	nodes   []string
+	since   map[string]time.Time // when a key's work was first seen undone
+	suspect map[string]time.Time // until when a node counts as gone
 }
 
-// takeoverAfter is how long the work of a better placed steward may lie undone
-// before the next one does it, as after that steward's death.
-const takeoverAfter = 3 * time.Second
+// Times of taking over the work of a steward that seems to be gone.
+const (
+	// takeoverAfter is how long the work of a better placed steward may lie
+	// undone before the next one does it.
+	takeoverAfter = 3 * time.Second
+	// suspectFor is for how long a steward whose work was taken over is passed
+	// over, so that the wait comes once and not with every step.
+	suspectFor = 30 * time.Second
+)
 
 func newShares(self string) *shares {
-	return &shares{self: self, nodes: []string{self}, since: map[string]time.Time{}}
+	return &shares{self: self, nodes: []string{self}, since: map[string]time.Time{}, suspect: map[string]time.Time{}}
 }
 
 // follow takes the stewards to share with: the peers that are there, or, when
@@ -50,18 +57,23 @@
 	s.nodes = nodes
 }
 
-// rank returns how many stewards come before this one for the key.
-func (s *shares) rank(key string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// before returns the stewards that come before this one for the key.
+func (s *shares) before(key string, now time.Time) []string {
 	own := weight(s.self, key)
-	n := 0
+	var nodes []string
 	for _, node := range s.nodes {
-		if w := weight(node, key); w > own || (w == own && node > s.self) {
-			n++
+		if w := weight(node, key); w > own && !now.Before(s.suspect[node]) {
+			nodes = append(nodes, node)
 		}
 	}
-	return n
+	return nodes
+}
+
+// first reports whether this steward is the first for the key.
+func (s *shares) first(key string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.before(key, now)) == 0
 }
 
 func weight(node, key string) uint64 { return xxhash.Sum64String(node + "\x00" + key) }
@@ -70,18 +82,24 @@
 // item names the work and the revision that it was decided on, so that it is
 // new after every change.
 func (s *shares) mine(key, item string, now time.Time) bool {
-	rank := s.rank(key)
-	if rank == 0 {
-		return true
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.before(key, now)
+	if len(before) == 0 {
+		return true
+	}
 	first, ok := s.since[item]
 	if !ok {
 		s.since[item] = now
 		return false
 	}
-	return now.Sub(first) >= time.Duration(rank)*takeoverAfter
+	if now.Sub(first) < time.Duration(len(before))*takeoverAfter {
+		return false
+	}
+	for _, node := range before {
+		s.suspect[node] = now.Add(suspectFor)
+	}
+	return true
 }
 
 // forget drops items first seen before the time.
--- a/internal/steward/step.go
+++ b/internal/steward/step.go
@@ -14,31 +14,32 @@
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
-// step does what the VM's phase calls for now. It does not wait: a step that is
-// not through is done again at the next look.
-func (e *executor) step(ctx context.Context, id string) {
+// step does what the VM's phase calls for now and reports whether a decision
+// took effect, so that the next step can follow at once. It does not wait: a
+// step that is not through is done again at the next look.
+func (e *executor) step(ctx context.Context, id string) bool {
 	vm, ok := e.vm(id)
 	if !ok {
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.ActionTimeout)
 	defer cancel()
 	if result := e.act(ctx, &vm); !maintenance.Settled(&vm, result, e.healthy(ctx, &vm)) {
 		e.overdue(ctx, &vm)
-		return
+		return false
 	}
 	switch maintenance.Next(&vm) {
 	case maintenance.StepQuiesce:
-		if e.quiet(ctx, &vm) {
+		return e.quiet(ctx, &vm) &&
 			e.decide(ctx, &vm, record.VMAdvance{To: maintenance.After(&vm)}, "no task and no request is left on it")
-		}
 	case maintenance.StepDecide, maintenance.StepReboot:
-		e.decide(ctx, &vm, record.VMAdvance{To: maintenance.After(&vm)}, "the step before is done")
+		return e.decide(ctx, &vm, record.VMAdvance{To: maintenance.After(&vm)}, "the step before is done")
 	case maintenance.StepJoin:
-		e.join(ctx, &vm)
+		return e.join(ctx, &vm)
 	case maintenance.StepReturn:
-		e.decide(ctx, &vm, record.VMUp{}, "seen healthy")
+		return e.decide(ctx, &vm, record.VMUp{}, "seen healthy")
 	}
+	return false
 }
 
 // overdue gives a VM up that is out for far longer than expected: it counts as
@@ -128,19 +129,19 @@
 
 // join puts a released VM into its target, or back into its old pool when the
 // target was removed meanwhile.
-func (e *executor) join(ctx context.Context, vm *ledger.VM) {
+func (e *executor) join(ctx context.Context, vm *ledger.VM) bool {
 	target := vm.Drain.Target
 	e.cfg.Follower.View(func(st *ledger.State) {
 		if _, ok := st.Services[target]; !ok {
 			target = vm.Pool
 		}
 	})
-	e.decide(ctx, vm, record.VMJoin{Pool: target}, "released for its new pool")
+	return e.decide(ctx, vm, record.VMJoin{Pool: target}, "released for its new pool")
 }
 
-func (e *executor) decide(ctx context.Context, vm *ledger.VM, body record.Body, why string) {
+func (e *executor) decide(ctx context.Context, vm *ledger.VM, body record.Body, why string) bool {
 	if !e.MayDecide() {
-		return
+		return false
 	}
-	e.propose.one(ctx, uint64(vm.Revision), pool.OnVM(&pool.VM{VM: *vm}, body, vm.ID, why))
+	return e.propose.one(ctx, uint64(vm.Revision), pool.OnVM(&pool.VM{VM: *vm}, body, vm.ID, why))
 }
