--- a/internal/steward/health.go
+++ b/internal/steward/health.go
@@ -72,7 +72,7 @@
 	h.cfg.Follower.View(func(st *ledger.State) {
 		seen = st.Offset
 		for id, vm := range st.VMs {
-			if maintenance.Next(vm) == maintenance.StepNone && h.shares.first(id, now) {
+			if maintenance.Next(vm) == maintenance.StepNone && h.shares.rank(id, now) == 0 {
 				vms = append(vms, copyVM(vm))
 			}
 		}
--- a/internal/steward/shares.go
+++ b/internal/steward/shares.go
@@ -69,11 +69,11 @@
 	return nodes
 }
 
-// first reports whether this steward is the first for the key.
-func (s *shares) first(key string, now time.Time) bool {
+// rank returns how many living stewards come before this one for the key.
+func (s *shares) rank(key string, now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.before(key, now)) == 0
+	return len(s.before(key, now))
 }
 
 func weight(node, key string) uint64 { return xxhash.Sum64String(node + "\x00" + key) }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -106,7 +106,7 @@
 }
 
 // Rank returns how many live stewards come before this one for a pool's jobs.
-func (s *Steward) Rank(pool string) int { return s.shares.rank("jobs/" + pool) }
+func (s *Steward) Rank(pool string) int { return s.shares.rank("jobs/"+pool, time.Now()) }
 
 // MayDecide reports whether the folded state is recent enough for a decision
 // that disturbs a VM.
