--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -112,3 +112,8 @@
 	}
 	return Fits(cl.vms[0], g.pool.Doc.Pool)
 }
+
+// String names the tier.
+func (t tier) String() string {
+	return [...]string{"free", "out", "due", "serving"}[t]
+}
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -88,14 +88,15 @@
 }
 
 func (v *View) copyVMs(s *ledger.State) {
-	copies := make([]VM, 0, len(s.VMs))
+	copies := make([]VM, len(s.VMs))
+	n := 0
 	for id, vm := range s.VMs {
-		copies = append(copies, copyVM(vm, s.WorkerJobs(id)))
+		copies[n] = copyVM(vm, s.WorkerJobs(id))
+		v.VMs = append(v.VMs, &copies[n])
+		n++
 	}
-	slices.SortFunc(copies, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
-	for i := range copies {
-		vm := &copies[i]
-		v.VMs = append(v.VMs, vm)
+	slices.SortFunc(v.VMs, func(a, b *VM) int { return cmp.Compare(a.ID, b.ID) })
+	for _, vm := range v.VMs {
 		v.byVM[vm.ID] = vm
 		v.index(vm)
 	}
--- a/internal/steward/planner.go
+++ b/internal/steward/planner.go
@@ -21,16 +21,21 @@
 	return &planner{Steward: s, changed: s.cfg.Follower.Changed()}
 }
 
-// minRoundPause is the least pause between rounds: a burst of records is met by
-// one round, not by one each.
-const minRoundPause = 200 * time.Millisecond
+// Pauses between rounds. A burst of records is met by one round, not by one
+// each, and planning takes at most one part in pausePerRound of a core, however
+// large the fleet is.
+const (
+	minRoundPause = 200 * time.Millisecond
+	pausePerRound = 50
+)
 
 // serve plans at each interval, and sooner after a change.
 func (p *planner) serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		p.round(ctx)
-		pause(ctx, minRoundPause, nil)
-		pause(ctx, p.cfg.PlanInterval-minRoundPause, p.changed)
+		took := p.round(ctx)
+		least := max(minRoundPause, pausePerRound*took)
+		pause(ctx, least, nil)
+		pause(ctx, p.cfg.PlanInterval-least, p.changed)
 	}
 	return ctx.Err()
 }
@@ -46,9 +51,11 @@
 	}
 }
 
-func (p *planner) round(ctx context.Context) {
+// round plans once and appends what falls to this steward. It returns how long
+// planning took.
+func (p *planner) round(ctx context.Context) time.Duration {
 	if !p.MayDecide() {
-		return
+		return 0
 	}
 	start := time.Now()
 	var view *pool.View
@@ -57,7 +64,8 @@
 		view = pool.NewView(st, start)
 	})
 	plan := maintenance.Plan(view, p.cfg.Policy)
-	p.metrics.planned(time.Since(start))
+	took := time.Since(start)
+	p.metrics.planned(took)
 	var mine []pool.Proposal
 	for _, d := range plan {
 		item := fmt.Sprintf("plan/%s/%s/%d", d.Body.Kind(), d.Subject, d.Base)
@@ -67,6 +75,7 @@
 	}
 	p.propose.all(ctx, view.Offset, mine)
 	p.showSpare(view)
+	return took
 }
 
 // spareInterval is the pause between sizings of the spare VMs, which change
