--- a/internal/maintenance/wave.go
+++ b/internal/maintenance/wave.go
@@ -44,12 +44,15 @@
 	pressed := pressed(r, w, p, len(due))
 	left := r.WaveTurns(p)
 	for _, vm := range due {
-		if r.Full() || hold(r, p, vm, pressed) != "" {
-			return
-		}
 		release := r.Policy.Reserve == pool.ReserveShared && r.Surplus(p) >= left
 		body := r.WaveDrain(vm, "", release)
 		body.Estimate += untilIdle(r, vm)
+		if r.Full() {
+			return
+		}
+		if !pressed && hold(r, p, vm, body) != "" {
+			continue
+		}
 		if r.Drain(vm, body, "its turn in the wave") == "" {
 			left--
 		}
@@ -117,19 +120,11 @@
 // might bear the drain, or an empty string. One unit of max_unavailable and a
 // part of the window's VM-seconds are left for failures, until the deadline is
 // at risk.
-func hold(r *pool.Round, p *pool.Pool, vm *pool.VM, pressed bool) string {
-	if !vm.Serving() {
-		return "" // it failed and is charged already
-	}
-	h := r.Headroom(p.Name)
-	estimate := r.Policy.Estimate[record.DrainMaintenance] + untilIdle(r, vm)
-	if pressed {
-		return h.Refusal(vm.Rack, estimate)
-	}
-	careful := *h
+func hold(r *pool.Round, p *pool.Pool, vm *pool.VM, body record.VMDrain) string {
+	careful := *r.Headroom(p.Name)
 	careful.Budget.MaxUnavailable = parallel(p)
 	careful.Allowed *= r.Policy.WaveShare
-	return careful.Refusal(vm.Rack, estimate)
+	return careful.RefusalOf(&vm.VM, body)
 }
 
 // parallel is how many VMs of the pool a wave takes at once while it is not
--- a/internal/pool/round.go
+++ b/internal/pool/round.go
@@ -76,7 +76,7 @@
 	return &h
 }
 
-// Drain proposes to drain a serving VM if its pool's budget bears it. It
+// Drain proposes to drain a VM if its pool's budget bears it. It
 // returns the reason when not.
 func (r *Round) Drain(vm *VM, body record.VMDrain, why string) string {
 	h := r.Headroom(vm.Pool)
