Decide a cancellation again that lost a race

In a burst of 20 cancellations two ended as void, because a steward had placed the job a moment before. A cancellation and a command to a wave mean the same whatever came before, so the command line proposes them again on the new revision, ten times at most.

--- a/internal/operatorcmd/drain.go
+++ b/internal/operatorcmd/drain.go
@@ -93,8 +93,7 @@
 }
 
 func (s *session) change(ctx context.Context, cmd *cli.Command, sub record.Subject, body record.Body, what string) error {
-	rec := s.draft(sub, body)
-	out, err := s.propose(ctx, rec)
+	rec, out, err := s.decide(ctx, sub, body)
 	r := changeResult{Subject: sub, Change: what, Status: out.Status, Offset: out.Offset, BasedOn: rec.Base, RecordID: rec.ID, Reason: out.Reason}
 	if exitCode(err) == ExitUnknown {
 		r.Status = statusUnknown
@@ -107,6 +106,32 @@
 	return err
 }
 
+// maxDecisions bounds how often a withdrawal is decided anew.
+const maxDecisions = 10
+
+// decide proposes body on the subject's present revision. A withdrawal that
+// lost a race is decided again: a job that was placed a moment before its
+// cancellation is to be cancelled all the same, and a burst of cancellations
+// loses many such races.
+func (s *session) decide(ctx context.Context, sub record.Subject, body record.Body) (record.Record, ledger.Outcome, error) {
+	for n := 1; ; n++ {
+		rec := s.draft(sub, body)
+		out, err := s.propose(ctx, rec)
+		if out.Status != ledger.Stale || out.Current == 0 || !withdraws(body) || n == maxDecisions {
+			return rec, out, err
+		}
+	}
+}
+
+// withdraws reports whether the change means the same whatever came before it.
+func withdraws(body record.Body) bool {
+	switch body.(type) {
+	case record.JobCancel, record.WaveControl:
+		return true
+	}
+	return false
+}
+
 // statusUnknown stands beside the ledger's statuses for a change whose outcome
 // is not known.
 const statusUnknown ledger.Status = "unknown"
