--- /dev/null
+++ b/internal/proof/traces_test.go
@@ -0,0 +1,311 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/settings"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
+	"github.com/yuccadrift/yuccadrift/internal/trace"
+)
+
+// recordInto names the directory that TestRecordTraces writes traces into. It
+// is not set in CI: recorded traces are committed and replayed by
+// internal/trace, so that a new build is held against an old run.
+const recordInto = "YUCCADRIFT_RECORD_TRACES"
+
+// jobTerms are the lines of a document that let team proof run jobs.
+const jobTerms = `[[quota]]
+team = "proof"
+cores = 256.0
+memory_mb = 65536
+[jobs]
+on_drain = "wait"
+urgent_cores = 0.0
+lease = "2s"
+`
+
+// requestPause is the pause of a caller between two requests; it keeps traces
+// small.
+const requestPause = 100 * time.Millisecond
+
+// rig is a cluster whose run is being recorded.
+type rig struct {
+	*testkit.Cluster
+	t   *testing.T
+	vms int
+	mu  sync.Mutex
+	// requests by key, to be completed with the backend servers' counts.
+	requests map[string]trace.Request
+}
+
+// A scenario is one run that is recorded.
+type scenario struct {
+	name string
+	note string
+	opts testkit.Options
+	run  func(r *rig)
+}
+
+var scenarios = []scenario{
+	{"conflicting-publish", "two operators publish on the same revision at once", testkit.Options{}, conflictingPublish},
+	{"wave-rack-lost", "a rack is lost in the middle of a wave and comes back", testkit.Options{}, waveRackLost},
+	{"log-outage", "the log is out in the middle of a wave, a VM fails meanwhile, then nodes rejoin", testkit.Options{}, logOutage},
+	{"paused-holder", "an entry VM is paused past its lease, evicted, and wakes up", testkit.Options{}, pausedHolder},
+	{"lapsed-lease", "all stewards are paused past the leases of two jobs, one of them repeatable", testkit.Options{}, lapsedLease},
+	{"cancellation-burst", "most of a burst of jobs is cancelled at once", testkit.Options{}, cancellationBurst},
+	{"black-hole-worker", "one worker fails every task at once and is set aside", testkit.Options{}, blackHoleWorker},
+	{"lost-replies", "replies of the log and of VM actions are lost after their effect", testkit.Options{}, lostReplies},
+}
+
+// TestRecordTraces records each scenario from real processes. Run it by hand:
+//
+//	YUCCADRIFT_RECORD_TRACES=$PWD/testdata/traces go test ./internal/proof -run TestRecordTraces
+func TestRecordTraces(t *testing.T) {
+	dir := os.Getenv(recordInto)
+	if dir == "" {
+		t.Skipf("records only when %s names a directory", recordInto)
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) { recordScenario(t, dir, s) })
+	}
+}
+
+func recordScenario(t *testing.T, dir string, s scenario) {
+	const vms = 8
+	if s.opts.Nodes == nil {
+		s.opts.Nodes = []string{"a", "b", "c"}
+	}
+	s.opts.Fleet = []testkit.Group{{Prefix: "vm", Count: vms, Zones: []string{"a", "b"}, BootSeconds: 0.3}}
+	r := &rig{Cluster: testkit.Start(t, s.opts), t: t, vms: vms, requests: map[string]trace.Request{}}
+	file := filepath.Join(dir, s.name+".jsonl.gz")
+	out, err := os.Create(file)
+	require.NoError(t, err)
+	defer out.Close()
+	rec, err := trace.NewRecorder(r.Standin.Client, settings.DefaultStream, s.note, out)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- rec.Follow(ctx) }()
+
+	r.Publish(document("booking", vms, 4) + jobTerms)
+	awaitServing(r.Cluster, "booking", vms)
+	s.run(r)
+	cancel()
+	require.NoError(t, <-ended)
+	require.NoError(t, rec.Entries(t.Context()))
+	require.NoError(t, rec.List(t.Context()))
+	counters := r.Standin.Counters().Backends.Keys
+	for key, q := range r.requests {
+		q.Runs, q.Seen = counters[key].Runs, counters[key].Seen
+		require.NoError(t, rec.Request(q))
+	}
+	_, err = rec.Close()
+	require.NoError(t, err)
+	replayed, err := os.Open(file)
+	require.NoError(t, err)
+	defer replayed.Close()
+	result, err := trace.Replay(replayed)
+	require.NoError(t, err)
+	require.Empty(t, result.Differences)
+	t.Logf("%s: %d entries, %d VM events, %d requests, %v", s.name, result.Entries, result.VMEvents, result.Requests, result.Statuses)
+}
+
+// load sends lookups through all nodes until the returned function is called.
+func (r *rig) load() (stop func()) {
+	return r.send("/booking/lookup", true)
+}
+
+func (r *rig) send(path string, repeatable bool) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for w := range r.Nodes {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				key := testkit.Key()
+				at := time.Now().UTC()
+				a := r.Nodes[w].Send(ctx, testkit.Request{Path: path, Key: key, Work: 20 * time.Millisecond})
+				if a.Err != nil && ctx.Err() != nil {
+					return
+				}
+				r.mu.Lock()
+				r.requests[key] = trace.Request{At: at, Key: key, Service: "booking", Outcome: string(a.Outcome), Repeatable: repeatable}
+				r.mu.Unlock()
+				time.Sleep(requestPause)
+			}
+		})
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+// wave starts a wave over the pool; awaitWave waits until it is over.
+func (r *rig) wave() {
+	r.Must("wave", "start", "--name", "w1", "--pools", "booking", "--deadline", "1h")
+}
+
+func (r *rig) awaitWave() {
+	r.Until("the wave is over", func() bool { return r.Standin.State().Waves["w1"].Status == ledger.WaveDone })
+}
+
+func (r *rig) awaitBack(n int) {
+	r.Until(fmt.Sprintf("%d VMs are back", n), func() bool {
+		back := 0
+		for _, progress := range r.Standin.State().Waves["w1"].VMs {
+			if progress == ledger.WaveBack {
+				back++
+			}
+		}
+		return back >= n
+	})
+}
+
+func (r *rig) revision() record.Revision { return r.Standin.State().Services["booking"].Revision }
+
+func conflictingPublish(r *rig) {
+	base := strconv.FormatUint(uint64(r.revision()), 10)
+	codes := make(chan int, 4)
+	for i := range cap(codes) {
+		file := r.File(fmt.Sprintf("rival-%d.toml", i), document("booking", r.vms, 1+i%3))
+		go func() { codes <- r.Command("publish", "--based-on", base, file).Code }()
+	}
+	counts := map[int]int{}
+	for range cap(codes) {
+		counts[<-codes]++
+	}
+	require.Equal(r.t, map[int]int{0: 1, 3: 3}, counts, "one publish is accepted, the others are void")
+}
+
+func waveRackLost(r *rig) {
+	stop := r.load()
+	defer stop()
+	r.wave()
+	r.awaitBack(2)
+	rack := r.Standin.List().VMs[r.vms-1].Rack
+	r.Standin.Order(standin.Fault{Kind: standin.VMCrash, Target: "rack/" + rack})
+	r.Until("the rack's VMs are down", func() bool { return r.Standin.State().Unavailability("booking").Short > 2 })
+	r.Standin.Order(standin.Fault{Kind: standin.VMRecover, Target: "rack/" + rack})
+	r.awaitWave()
+	awaitServing(r.Cluster, "booking", r.vms)
+}
+
+func logOutage(r *rig) {
+	stop := r.load()
+	defer stop()
+	r.wave()
+	r.awaitBack(1)
+	outage := r.Standin.Order(standin.Fault{Kind: standin.LogRefuse})
+	vm := r.Standin.List().VMs[r.vms-1].ID
+	r.Standin.Order(standin.Fault{Kind: standin.VMCrash, Target: vm})
+	time.Sleep(8 * time.Second) // longer than a state counts as fresh
+	r.Standin.Clear(outage...)
+	r.Until("the failure is on the log", func() bool { return r.Standin.State().VMs[vm].Down })
+	r.Standin.Order(standin.Fault{Kind: standin.VMRecover, Target: vm})
+	r.awaitWave()
+	awaitServing(r.Cluster, "booking", r.vms)
+}
+
+func pausedHolder(r *rig) {
+	r.Until("three members", func() bool { return len(r.Standin.State().Members) == 3 })
+	stop := r.send("/booking/book", false)
+	defer stop()
+	r.Nodes[0].Pause()
+	r.Until("the paused member is evicted", func() bool { return len(r.Standin.State().Members) == 2 })
+	r.Nodes[0].Resume()
+	r.Until("it has joined again", func() bool { return len(r.Standin.State().Members) == 3 })
+}
+
+func lostReplies(r *rig) {
+	r.Standin.Order(
+		standin.Fault{Kind: standin.LogLoseReply, Count: 20},
+		// These surface after the author has sent a second copy.
+		standin.Fault{Kind: standin.LogLate, Skip: 20, Count: 6, DelayMS: 2500},
+		standin.Fault{Kind: standin.APILoseReply, Count: 12},
+	)
+	stop := r.load()
+	defer stop()
+	r.wave()
+	r.Must("publish", r.File("next.toml", document("booking", r.vms, 2)))
+	r.awaitWave()
+}
+
+// submit submits a job that takes runTime.
+func (r *rig) submit(name string, runTime time.Duration, flags ...string) {
+	args := []string{"jobs", "submit", "--service", "booking", "--team", "proof", "--memory-mb", "256", "--run-time", runTime.String()}
+	r.Must(append(append(args, flags...), name)...)
+}
+
+// each calls f for n names at once.
+func each(n int, f func(name string)) {
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { f(fmt.Sprintf("job-%02d", i)) })
+	}
+	wg.Wait()
+}
+
+// awaitJobs waits until every job is over.
+func (r *rig) awaitJobs() {
+	r.Until("all jobs are over", func() bool {
+		for _, j := range r.Standin.State().Jobs {
+			if !j.Ended() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func lapsedLease(r *rig) {
+	r.submit("once", time.Minute)
+	r.submit("again", 4*time.Second, "--repeatable")
+	r.Until("both run", func() bool {
+		jobs := r.Standin.State().Jobs
+		return jobs["once"].Status == ledger.JobPlaced && jobs["again"].Status == ledger.JobPlaced && len(r.Standin.Counters().JobStarts) == 2
+	})
+	for _, n := range r.Nodes {
+		n.Steward.Pause()
+	}
+	time.Sleep(4 * time.Second) // twice the lease
+	for _, n := range r.Nodes {
+		n.Steward.Resume()
+	}
+	r.awaitJobs()
+	starts := r.Standin.Counters().JobStarts
+	require.Equal(r.t, 1, starts["once"], "a job that is not repeatable starts once")
+}
+
+func cancellationBurst(r *rig) {
+	const burst, kept = 24, 4
+	each(burst, func(name string) { r.submit(name, 3*time.Second, "--repeatable") })
+	each(burst-kept, func(name string) { r.Must("jobs", "cancel", "--reason", "burst", name) })
+	r.awaitJobs()
+}
+
+func blackHoleWorker(r *rig) {
+	worker := r.Standin.List().VMs[0].ID
+	r.Standin.Order(standin.Fault{Kind: standin.WorkerFails, Target: worker})
+	// Jobs of one burst may fail for one reason, so evidence takes several; each
+	// job takes a worker, so that a worker in doubt is needed too.
+	burst := 0
+	r.Until("the worker is set aside", func() bool {
+		burst++
+		each(10, func(name string) { r.submit(fmt.Sprintf("%s-%d", name, burst), 500*time.Millisecond, "--repeatable", "--cores", "30") })
+		time.Sleep(time.Second)
+		return r.Standin.State().VMs[worker].Quarantined
+	})
+	r.awaitJobs()
+}
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -132,10 +132,20 @@
 	}
 }
 
+// recorded are the traces that must be there, as internal/proof records them.
+var recorded = []string{
+	"conflicting-publish", "wave-rack-lost", "log-outage", "paused-holder", "lapsed-lease",
+	"cancellation-burst", "black-hole-worker", "lost-replies",
+}
+
 // Every recorded trace must still fold to what was stated when it was recorded.
 func TestRecordedTraces(t *testing.T) {
-	files, err := filepath.Glob(filepath.Join("..", "..", "testdata", "traces", "*.jsonl.gz"))
+	const dir = "../../testdata/traces"
+	files, err := filepath.Glob(filepath.Join(dir, "*.jsonl.gz"))
 	require.NoError(t, err)
+	for _, name := range recorded {
+		require.Contains(t, files, filepath.Join(dir, name+".jsonl.gz"))
+	}
 	for _, file := range files {
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			in, err := os.Open(file)
