Forecast a wave with the fold and the planner themselves

Cause: an operator could not see a wave's plan, its length or why it waits. Estimates follow the document's bound on requests in flight and the pool's latest drains. A free VM that is lent serves before the first drain of a wave. forecast joins archtest's list of pure packages. Conclusion: the wave that is started ends when its forecast said; documents changed back and forth move no VM; move and maintenance share one drain.

--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -30,7 +30,7 @@
 
 // pure packages decide without I/O: time and randomness come in as arguments.
 var pure = []string{
-	"record", "document", "ledger", "pool", "maintenance", "placement", "usage", "quarantine", "claim", "routing", "measure", "tomlfile", "invariant",
+	"record", "document", "ledger", "pool", "maintenance", "placement", "usage", "quarantine", "claim", "routing", "measure", "tomlfile", "invariant", "forecast",
 }
 
 // peers are the packages that may open connections: one for each peer that the
--- /dev/null
+++ b/internal/forecast/policy_test.go
@@ -0,0 +1,176 @@
+package forecast_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/forecast"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/pool"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// policyNoFailures sizes the reserve for a fleet that never fails, so that tests
+// say how many free VMs they mean.
+func policyNoFailures() pool.Policy {
+	p := pool.DefaultPolicy()
+	p.Rates = pool.Rates{}
+	return p
+}
+
+// Two documents are changed back and forth every half minute, one up and the
+// other down. Operators see no VM shuffled between the pools, as neither the
+// gap nor the surplus lasts. Then the change stays, and just the VMs that it
+// asks for move, each once.
+func TestDocumentsChangedBackAndForthMoveNoVM(t *testing.T) {
+	for _, deployment := range []struct {
+		name       string
+		zones      int
+		up, down   string
+		upN, downN int
+	}{{"ramcharan", 3, "booking", "dispatch", 12, 11}, {"feldkamm", 4, "preview", "conversion", 12, 11}} {
+		t.Run(deployment.name, func(t *testing.T) {
+			r := readDeployment(t, deployment.name, deployment.zones).start(t, 0, policyNoFailures())
+			change := func(by int) {
+				resize(t, r, deployment.up, deployment.upN+by)
+				resize(t, r, deployment.down, deployment.downN-by)
+				r.To(r.Now.Add(30 * time.Second))
+			}
+			for range 20 {
+				change(1)
+				change(0)
+			}
+			drains, moves := disturbed(r)
+			assert.Zero(t, drains)
+			assert.Zero(t, moves)
+			change(1)
+			r.To(r.Now.Add(20 * time.Minute))
+			r.To(r.Now.Add(20 * time.Minute))
+			drains, moves = disturbed(r)
+			assert.Equal(t, 1, drains)
+			assert.Equal(t, 1, moves)
+			assert.Zero(t, r.State.Unavailability(deployment.up).Short)
+		})
+	}
+}
+
+// A pool shrinks and another grows while a wave runs over the first. Callers
+// see each VM out once: the VM that moves is one whose turn is to come, and its
+// drain serves both.
+func TestMoveAndMaintenanceShareOneDrain(t *testing.T) {
+	r := readDeployment(t, "feldkamm", 4).start(t, 0, policyNoFailures())
+	startWave(t, r, 24*time.Hour, "conversion")
+	r.To(r.Now.Add(3 * time.Minute))
+	resize(t, r, "conversion", 10)
+	resize(t, r, "preview", 13)
+	r.To(r.Now.Add(11 * time.Minute))
+	r.To(r.Now.Add(3 * time.Hour))
+	drains, moves := disturbed(r)
+	assert.Equal(t, 11, drains, "one for each VM of the wave, none for the move")
+	assert.Equal(t, 1, moves)
+	assert.Equal(t, ledger.WaveDone, r.State.Waves["w"].Status)
+	for _, vm := range r.State.PoolVMs("preview") {
+		assert.True(t, vm.Serving(), vm.ID)
+	}
+	assert.Len(t, r.State.PoolVMs("preview"), 13)
+}
+
+// A surplus stays where the document weighs moves, and goes back to the reserve
+// where it weighs the buffer, after it has lasted; a wave takes it along in both.
+func TestSurplusByWeigh(t *testing.T) {
+	cases := []struct {
+		deployment, pool string
+		zones, size      int
+		weigh            document.Weigh
+		free             int
+	}{
+		{"ramcharan", "booking", 3, 10, document.WeighBuffer, 2},
+		{"feldkamm", "preview", 4, 10, document.WeighMoves, 0},
+	}
+	for _, c := range cases {
+		t.Run(string(c.weigh), func(t *testing.T) {
+			r := readDeployment(t, c.deployment, c.zones).start(t, 0, policyNoFailures())
+			require.Equal(t, c.weigh, r.State.Services[c.pool].Doc.Weigh)
+			resize(t, r, c.pool, c.size)
+			r.To(r.Now.Add(20 * time.Minute))
+			assert.Zero(t, free(r), "patience")
+			for range 6 {
+				r.To(r.Now.Add(10 * time.Minute))
+			}
+			assert.Equal(t, c.free, free(r))
+			startWave(t, r, 24*time.Hour, c.pool)
+			r.To(r.Now.Add(3 * time.Hour))
+			assert.Equal(t, 2, free(r))
+			drains, _ := disturbed(r)
+			assert.Equal(t, 12, drains, "the wave's last turns lead to the reserve")
+		})
+	}
+}
+
+// A free VM beyond the reserve is lent to a pool in the middle of a wave: the
+// pool is then never short, and the wave gives the VM back without a drain more.
+func TestWaveBorrowsFromTheReserve(t *testing.T) {
+	r := readDeployment(t, "ramcharan", 3).start(t, 1, policyNoFailures())
+	startWave(t, r, 24*time.Hour, "booking")
+	r.To(r.Now.Add(5 * time.Hour))
+	require.Equal(t, ledger.WaveDone, r.State.Waves["w"].Status)
+	drains, _ := disturbed(r)
+	assert.Equal(t, 12, drains)
+	assert.Equal(t, 1, free(r))
+	assert.Zero(t, r.State.Services["booking"].Account.Spent(epoch, r.Now.Add(time.Hour))-joinCharge(r))
+}
+
+// joinCharge is what filling the pool at the beginning cost.
+func joinCharge(r *forecast.Run) float64 {
+	return r.State.Services["booking"].Account.Spent(epoch, epoch.Add(time.Hour))
+}
+
+// A VM that is lost for good is replaced from the reserve after a while, does
+// not hold up a wave of the other racks, and its return fills no gap twice.
+func TestLostVMIsReplacedAndBlocksNoWave(t *testing.T) {
+	r := readDeployment(t, "ramcharan", 3).start(t, 1, policyNoFailures())
+	var lost string
+	for id := range r.State.PoolVMs("booking") {
+		lost = max(lost, id)
+	}
+	r.Lost = func(id string) bool { return id == lost }
+	r.OnVM(lost, record.VMDown{Cause: "no answer"})
+	r.To(r.Now.Add(time.Minute))
+	assert.Equal(t, 1, free(r), "patience")
+	r.To(r.Now.Add(2 * time.Minute))
+	r.To(r.Now.Add(2 * time.Minute))
+	assert.Zero(t, free(r))
+	assert.Zero(t, r.State.Unavailability("booking").Short)
+	startWave(t, r, 24*time.Hour, "booking")
+	r.To(r.Now.Add(3 * time.Hour))
+	left := 0
+	for _, progress := range r.State.Waves["w"].VMs {
+		if progress != ledger.WaveBack {
+			left++
+		}
+	}
+	assert.Equal(t, 1, left, "only the lost VM")
+}
+
+// The shared reserve needs no more VMs than the pools' own, and grows with the
+// rates of failure.
+func TestSpareFor(t *testing.T) {
+	r := readDeployment(t, "ramcharan", 3).start(t, 0, policyNoFailures())
+	view := pool.NewView(r.State, r.Now)
+	before := pool.Spare{Own: map[string]int{}}
+	for _, scale := range []float64{0, 1, 10, 100} {
+		rates := pool.DefaultRates()
+		rates.VM *= scale
+		rates.Rack *= scale
+		s := pool.SpareFor(view.Pools, rates, pool.DefaultFailureShare)
+		assert.LessOrEqual(t, s.Shared, s.OwnTotal())
+		assert.GreaterOrEqual(t, s.Shared, before.Shared)
+		assert.GreaterOrEqual(t, s.OwnTotal(), before.OwnTotal())
+		before = s
+	}
+	assert.Positive(t, before.Shared)
+}
--- /dev/null
+++ b/internal/forecast/run.go
@@ -0,0 +1,174 @@
+// Package forecast plays the planning forward over a copy of the folded state:
+// the same planner and the same fold as in production, with drains, reboots and
+// returns that take as long as told. The dry run of a wave is such a run, and so
+// are the measurements of planning policies. It is pure.
+package forecast
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/maintenance"
+	"github.com/yuccadrift/yuccadrift/internal/pool"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// authors sign the records of a run in turns. The fold doubts a jump of its time
+// until a second author confirms it.
+var authors = [...]string{"forecast-1", "forecast-2"}
+
+// Times is how long the steps of a drain take.
+type Times struct {
+	Drain  time.Duration // until no request and no task is left
+	Reboot time.Duration
+	Return time.Duration // until seen healthy
+}
+
+// Learned returns the times of a VM's pool as its latest drains took them, and
+// otherwise where the pool has had too few.
+func Learned(s *ledger.State, otherwise Times) func(*ledger.VM) Times {
+	return func(vm *ledger.VM) Times {
+		svc, ok := s.Services[vm.Pool]
+		if !ok || svc.Account.Typical() == 0 {
+			return otherwise
+		}
+		total := otherwise.Drain + otherwise.Reboot + otherwise.Return
+		share := float64(svc.Account.Typical()) / float64(max(total, 1))
+		scale := func(d time.Duration) time.Duration { return time.Duration(share * float64(d)) }
+		return Times{Drain: scale(otherwise.Drain), Reboot: scale(otherwise.Reboot), Return: scale(otherwise.Return)}
+	}
+}
+
+// Planner returns the proposals of one round.
+type Planner func(*pool.View, pool.Policy) []pool.Proposal
+
+// Run is a state that planning and its consequences move forward.
+type Run struct {
+	State  *ledger.State
+	Now    time.Time
+	Policy pool.Policy
+	Plan   Planner
+	// Times returns how long the steps take on a VM.
+	Times func(vm *ledger.VM) Times
+	// Lost reports whether a VM does not answer; its steps do not end.
+	Lost func(vm string) bool
+
+	due map[string]step
+	ids int
+}
+
+// step is what a VM is busy with.
+type step struct {
+	revision record.Revision
+	done     time.Time
+}
+
+// New returns a run over state, which it changes, with the production planner.
+func New(state *ledger.State, now time.Time, policy pool.Policy, times Times) *Run {
+	return &Run{
+		State:  state,
+		Now:    now,
+		Policy: policy,
+		Plan:   maintenance.Plan,
+		Times:  func(*ledger.VM) Times { return times },
+		Lost:   func(string) bool { return false },
+		due:    map[string]step{},
+	}
+}
+
+// Append folds a record that was decided on the present state.
+func (r *Run) Append(sub record.Subject, body record.Body) ledger.Outcome {
+	r.ids++
+	return r.State.Apply(r.State.Offset+1, record.Record{
+		ID:      fmt.Sprintf("forecast-%d-%d", r.State.Offset, r.ids),
+		Subject: sub,
+		Base:    r.State.Revision(sub),
+		Seen:    r.State.Offset,
+		Author:  authors[r.ids%len(authors)],
+		Time:    r.Now,
+		Body:    body,
+	})
+}
+
+// OnVM folds a record about a VM.
+func (r *Run) OnVM(id string, body record.Body) ledger.Outcome {
+	return r.Append(record.Subject{Kind: record.SubjectVM, Name: id}, body)
+}
+
+// Round plans once, folds the proposals and reports how many took effect.
+func (r *Run) Round() int {
+	effective := 0
+	for _, p := range r.Plan(pool.NewView(r.State, r.Now), r.Policy) {
+		if r.Append(p.Subject, p.Body).Status == ledger.Effective {
+			effective++
+		}
+	}
+	return effective
+}
+
+// To moves the run to a time: steps end in the order in which they fall due, and
+// planning follows each.
+func (r *Run) To(end time.Time) {
+	for {
+		for r.Round() > 0 {
+		}
+		id, at := r.next()
+		if id == "" || at.After(end) {
+			r.Now = end
+			return
+		}
+		if at.After(r.Now) {
+			r.Now = at
+		}
+		r.finish(id)
+	}
+}
+
+// next returns the VM whose step ends first.
+func (r *Run) next() (string, time.Time) {
+	first, at := "", time.Time{}
+	for _, id := range slices.Sorted(maps.Keys(r.State.VMs)) {
+		vm := r.State.VMs[id]
+		if maintenance.Next(vm) == maintenance.StepNone || r.Lost(id) {
+			continue
+		}
+		s, ok := r.due[id]
+		if !ok || s.revision != vm.Revision {
+			s = step{revision: vm.Revision, done: r.Now.Add(r.duration(vm))}
+			r.due[id] = s
+		}
+		if first == "" || s.done.Before(at) {
+			first, at = id, s.done
+		}
+	}
+	return first, at
+}
+
+func (r *Run) duration(vm *ledger.VM) time.Duration {
+	switch maintenance.Next(vm) {
+	case maintenance.StepQuiesce:
+		return r.Times(vm).Drain
+	case maintenance.StepReboot:
+		return r.Times(vm).Reboot
+	case maintenance.StepReturn:
+		return r.Times(vm).Return
+	}
+	return 0
+}
+
+// finish ends a VM's step with the record that a steward would write.
+func (r *Run) finish(id string) {
+	vm := r.State.VMs[id]
+	delete(r.due, id)
+	switch maintenance.Next(vm) {
+	case maintenance.StepJoin:
+		r.OnVM(id, record.VMJoin{Pool: vm.Drain.Target})
+	case maintenance.StepReturn:
+		r.OnVM(id, record.VMUp{})
+	default:
+		r.OnVM(id, record.VMAdvance{To: maintenance.After(vm)})
+	}
+}
--- /dev/null
+++ b/internal/forecast/wave_test.go
@@ -0,0 +1,74 @@
+package forecast_test
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/forecast"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/maintenance"
+	"github.com/yuccadrift/yuccadrift/internal/pool"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// An operator tries a wave before it starts one: the forecast names each VM's
+// turn and the end, changes nothing, and the wave that is then started ends when
+// the forecast said.
+func TestForecastIsWhatTheWaveDoes(t *testing.T) {
+	r := readDeployment(t, "feldkamm", 4).start(t, 1, policyNoFailures())
+	before, err := r.State.Digest()
+	require.NoError(t, err)
+	start := record.WaveStart{Pools: []string{"compare", "preview"}, Deadline: r.Now.Add(24 * time.Hour)}
+	w, err := forecast.ForWave(r.State, r.Now, start, r.Policy, usual)
+	require.NoError(t, err)
+	after, err := r.State.Digest()
+	require.NoError(t, err)
+	assert.Equal(t, before, after)
+	assert.Len(t, w.Turns, 22)
+	assert.Empty(t, w.Waiting)
+
+	startWave(t, r, 24*time.Hour, start.Pools...)
+	for r.State.Waves["w"].Status == ledger.WaveRunning {
+		r.To(r.Now.Add(time.Minute))
+	}
+	assert.WithinDuration(t, w.End, r.State.Waves["w"].FinishedAt, 2*time.Minute)
+
+	_, err = forecast.ForWave(r.State, r.Now, record.WaveStart{Pools: []string{"nowhere"}}, r.Policy, usual)
+	assert.ErrorIs(t, err, forecast.ErrRefused)
+}
+
+// A pool's budget is all but spent. The forecast tells the operator that the
+// wave would wait until old charges leave the window, and the running wave
+// does wait, with a reason, and goes on by itself.
+func TestWaveWaitsForTheBudgetByItself(t *testing.T) {
+	r := readDeployment(t, "ramcharan", 3).start(t, 0, policyNoFailures())
+	vm := slices.Min(slices.Collect(maps.Keys(r.State.PoolVMs("dispatch"))))
+	r.Lost = func(id string) bool { return id == vm }
+	r.OnVM(vm, record.VMDown{Cause: "no answer"})
+	r.To(r.Now.Add(30 * time.Hour)) // of the 37 VM-hours in a window
+	r.OnVM(vm, record.VMUp{})
+	r.Lost = func(string) bool { return false }
+
+	const month = 30 * 24 * time.Hour
+	w, err := forecast.ForWave(r.State, r.Now, record.WaveStart{Pools: []string{"dispatch"}, Deadline: r.Now.Add(month)}, r.Policy, usual)
+	require.NoError(t, err)
+	assert.Greater(t, w.Duration(), 5*24*time.Hour)
+	assert.Less(t, w.Duration(), 7*24*time.Hour)
+
+	startWave(t, r, month, "dispatch")
+	r.To(r.Now.Add(time.Hour))
+	drains, _ := disturbed(r)
+	assert.Zero(t, drains)
+	waits := maintenance.Round(pool.NewView(r.State, r.Now), r.Policy).Waits
+	require.Len(t, waits, 1)
+	assert.Contains(t, waits[0].Reason, "VM-seconds in its window")
+	for range 7 * 24 {
+		r.To(r.Now.Add(time.Hour))
+	}
+	assert.Equal(t, ledger.WaveDone, r.State.Waves["w"].Status)
+}
--- a/internal/maintenance/wave.go
+++ b/internal/maintenance/wave.go
@@ -15,13 +15,16 @@
 
 // Plan is one planning round: what every steward proposes on this view. Each
 // step sees what the earlier ones used of VMs and budgets.
-func Plan(v *pool.View, p pool.Policy) []pool.Proposal {
+func Plan(v *pool.View, p pool.Policy) []pool.Proposal { return Round(v, p).Proposals }
+
+// Round is Plan with what the round found besides.
+func Round(v *pool.View, p pool.Policy) *pool.Round {
 	r := pool.NewRound(v, p)
 	pool.Fill(r)
-	Drains(r)
 	pool.Lend(r)
+	Drains(r)
 	pool.Release(r)
-	return r.Proposals
+	return r
 }
 
 // Drains proposes the next drains of the running waves: for each pool, in the
@@ -40,23 +43,41 @@
 	}
 }
 
+// drains begins the turns of one pool. When it begins none, the round tells why:
+// a wave pauses by itself while failures use up what the pool bears, and goes on
+// by itself.
 func drains(r *pool.Round, w *pool.Wave, p *pool.Pool, due []*pool.VM) {
-	pressed := pressed(r, w, p, len(due))
+	pressed := pressed(r, w, p, due)
+	if !pressed && r.Arriving(p) {
+		return // soon a drain costs the pool less
+	}
 	left := r.WaveTurns(p)
+	begun, reason := 0, ""
 	for _, vm := range due {
-		release := r.Policy.Reserve == pool.ReserveShared && r.Surplus(p) >= left
-		body := r.WaveDrain(vm, "", release)
-		body.Estimate += untilIdle(r, vm)
 		if r.Full() {
 			return
 		}
-		if !pressed && hold(r, p, vm, body) != "" {
-			continue
-		}
-		if r.Drain(vm, body, "its turn in the wave") == "" {
+		release := r.Policy.Reserve == pool.ReserveShared && r.Surplus(p) >= left
+		no := begin(r, vm, r.WaveDrain(vm, "", release), pressed)
+		if no == "" {
+			begun++
 			left--
 		}
+		reason = cmp.Or(reason, no)
+	}
+	if begun == 0 && reason != "" && !r.Out(w, p) {
+		r.Waits = append(r.Waits, pool.Wait{Wave: w.ID, Pool: p.Name, Reason: reason})
+	}
+}
+
+// begin proposes a turn, or returns why it has to wait.
+func begin(r *pool.Round, vm *pool.VM, body record.VMDrain, pressed bool) string {
+	if !pressed {
+		if reason := hold(r, r.View.Pool(vm.Pool), vm, body); reason != "" {
+			return reason
+		}
 	}
+	return r.Drain(vm, body, "its turn in the wave")
 }
 
 // turns returns the pool's VMs that could be drained now in the order of their
@@ -107,15 +128,6 @@
 	return 0
 }
 
-// untilIdle is how long a drain waits for the VM's jobs by their declaration.
-func untilIdle(r *pool.Round, vm *pool.VM) time.Duration {
-	p := r.View.Pool(vm.Pool)
-	if vm.Jobs == 0 || p.Doc.Jobs.OnDrain != document.LongJobsWait {
-		return 0
-	}
-	return max(0, vm.JobsUntil.Sub(r.View.Now))
-}
-
 // hold returns why a wave keeps back from the pool for now though its budget
 // might bear the drain, or an empty string. One unit of max_unavailable and a
 // part of the window's VM-seconds are left for failures, until the deadline is
@@ -134,7 +146,7 @@
 }
 
 // pressed reports whether the wave's deadline is at risk at the careful pace.
-func pressed(r *pool.Round, w *pool.Wave, p *pool.Pool, turns int) bool {
+func pressed(r *pool.Round, w *pool.Wave, p *pool.Pool, due []*pool.VM) bool {
 	if w.Deadline.IsZero() {
 		return false
 	}
@@ -142,11 +154,20 @@
 	if p.Doc.Budget.OneDomain {
 		width = 1
 	}
-	rounds := (turns + width - 1) / width
-	need := time.Duration(rounds) * r.Policy.Estimate[record.DrainMaintenance]
+	rounds := (len(due) + width - 1) / width
+	need := time.Duration(rounds) * pace(r, p, due[0])
 	return r.View.Now.Add(need).After(w.Deadline)
 }
 
+// pace is how long one turn of the pool takes: as its latest drains did, or by
+// the estimate while there were none.
+func pace(r *pool.Round, p *pool.Pool, vm *pool.VM) time.Duration {
+	if p.Headroom.Typical > 0 {
+		return p.Headroom.Typical
+	}
+	return r.Estimate(vm, record.DrainMaintenance)
+}
+
 // skips takes the VMs out of the wave that cannot have their turn: those that
 // left their pool, and at the deadline those whose jobs may not be disturbed.
 func skips(r *pool.Round, w *pool.Wave) {
@@ -170,7 +191,7 @@
 	if p == nil || vm.Jobs == 0 || p.Doc.Jobs.OnDrain != document.LongJobsSkip {
 		return ""
 	}
-	late := !w.Deadline.IsZero() && r.View.Now.Add(r.Policy.Estimate[record.DrainMaintenance]).After(w.Deadline)
+	late := !w.Deadline.IsZero() && r.View.Now.Add(r.Estimate(vm, record.DrainMaintenance)).After(w.Deadline)
 	if late {
 		return "a job that may not be disturbed ran on it until the deadline"
 	}
--- a/internal/operatorcmd/change_test.go
+++ b/internal/operatorcmd/change_test.go
@@ -75,6 +75,8 @@
 		args []string
 	}{
 		{ExitRejected, "no pool", []string{"wave", "start", "--name", "w0", "--pools", "nowhere"}},
+		{ExitRejected, "no pool", []string{"wave", "start", "--dry-run", "--pools", "nowhere"}},
+		{ExitOK, "IN TIME", []string{"wave", "start", "--dry-run", "--name", "w1", "--pools", "booking"}},
 		{ExitOK, "effective", []string{"wave", "start", "--name", "w1", "--pools", "booking"}},
 		{ExitRejected, "in wave w1 already", []string{"wave", "start", "--name", "w2", "--pools", "booking"}},
 		{ExitOK, "effective", []string{"wave", "pause", "--reason", "rack lost", "w1"}},
--- a/internal/operatorcmd/wave.go
+++ b/internal/operatorcmd/wave.go
@@ -9,6 +9,8 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/maintenance"
+	"github.com/yuccadrift/yuccadrift/internal/pool"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
@@ -19,6 +21,8 @@
 	flagName     = "name"
 	flagReason   = "reason"
 	flagWait     = "wait"
+	flagDryRun   = "dry-run"
+	flagReboot   = "reboot"
 )
 
 // wavePoll is how often wave show --wait looks at the wave.
@@ -47,12 +51,15 @@
 fast as the pools' availability budgets allow.
 
 Examples:
+   yuccadrift wave start --pools booking,returns --dry-run
    yuccadrift wave start --pools booking,returns --deadline 8h
    yuccadrift wave start --name kernel-6.12 --pools export`,
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: flagPools, Usage: "`POOL,...` to maintain", Required: true},
 			&cli.DurationFlag{Name: flagDeadline, Usage: "the wave should be over this `DURATION` from now", Value: 24 * time.Hour},
 			&cli.StringFlag{Name: flagName, Usage: "`NAME` of the wave; default: wave- and a unique ID"},
+			&cli.BoolFlag{Name: flagDryRun, Usage: "show the plan and how long it would take, and start nothing"},
+			&cli.DurationFlag{Name: flagReboot, Usage: "`DURATION` of a reboot, for pools of which no drains are known yet", Value: defaultReboot},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			name := cmd.String(flagName)
@@ -60,6 +67,9 @@
 				name = "wave-" + strings.ToLower(newID())
 			}
 			body := record.WaveStart{Pools: cmd.StringSlice(flagPools), Deadline: time.Now().Add(cmd.Duration(flagDeadline)).UTC()}
+			if cmd.Bool(flagDryRun) {
+				return dryRun(ctx, cmd, body)
+			}
 			return change(ctx, cmd, record.Subject{Kind: record.SubjectWave, Name: name}, body, "start")
 		},
 	}
@@ -95,6 +105,8 @@
 	Out      int               `json:"out"`
 	Back     int               `json:"back"`
 	Skipped  map[string]string `json:"skipped,omitempty"`
+	// Waits says by pool why no turn can begin now.
+	Waits map[string]string `json:"waits,omitempty"`
 }
 
 func waveShowCommand() *cli.Command {
@@ -128,7 +140,7 @@
 	if wanted != "" && len(waves) == 0 {
 		return failf(ExitRejected, "there is no wave %s (any more)", wanted)
 	}
-	return worse(late, show(cmd.Root().Writer, s.format, waves, waveTable(waves), skipTable(waves)))
+	return worse(late, show(cmd.Root().Writer, s.format, waves, waveTable(waves), skipTable(waves), waitTable(waves)))
 }
 
 // awaitWave returns when the wave is over, gone or the timeout is over.
@@ -153,18 +165,24 @@
 func (s *session) waves(wanted string) []waveResult {
 	results := []waveResult{}
 	s.follower.View(func(state *ledger.State) {
+		round := maintenance.Round(pool.NewView(state, time.Now()), pool.DefaultPolicy())
 		for _, id := range sortedKeys(state.Waves) {
 			if wanted == "" || wanted == id {
-				results = append(results, waveOf(state.Waves[id]))
+				results = append(results, waveOf(state.Waves[id], round.Waits))
 			}
 		}
 	})
 	return results
 }
 
-func waveOf(w *ledger.Wave) waveResult {
+func waveOf(w *ledger.Wave, waits []pool.Wait) waveResult {
 	r := waveResult{Wave: w.ID, Status: w.Status, Reason: w.Reason, Pools: w.Pools, Started: w.StartedAt,
-		Finished: w.FinishedAt, Deadline: w.Deadline, Skipped: map[string]string{}}
+		Finished: w.FinishedAt, Deadline: w.Deadline, Skipped: map[string]string{}, Waits: map[string]string{}}
+	for _, wait := range waits {
+		if wait.Wave == w.ID {
+			r.Waits[wait.Pool] = wait.Reason
+		}
+	}
 	for vm, progress := range w.VMs {
 		switch progress {
 		case ledger.WavePending:
--- a/internal/pool/fill.go
+++ b/internal/pool/fill.go
@@ -42,7 +42,7 @@
 	case tierDue:
 		r.Drain(vm, r.WaveDrain(vm, to, false), "its turn in the wave, and wanted elsewhere")
 	case tierServe:
-		body := record.VMDrain{Reason: record.DrainMove, Target: to, Estimate: r.Policy.Estimate[record.DrainMove]}
+		body := record.VMDrain{Reason: record.DrainMove, Target: to, Estimate: r.Estimate(vm, record.DrainMove)}
 		r.Drain(vm, body, "its pool has too many, the target too few")
 	}
 }
@@ -61,7 +61,7 @@
 		Wave:     r.View.DueWave(vm).ID,
 		Target:   target,
 		Release:  release,
-		Estimate: r.Policy.Estimate[record.DrainMaintenance],
+		Estimate: r.Estimate(vm, record.DrainMaintenance),
 	}
 }
 
--- a/internal/pool/policy.go
+++ b/internal/pool/policy.go
@@ -15,7 +15,8 @@
 	// Patience sets how long planning waits before it disturbs VMs, by what the
 	// pool's document weighs.
 	Patience map[document.Weigh]Patience
-	// Estimate is how long a drain of each reason keeps a VM out of service.
+	// Estimate is how long a drain of each reason keeps a VM out of service
+	// beyond the time in which its requests finish.
 	Estimate map[record.DrainReason]time.Duration
 	// Reserve says where spare VMs are kept.
 	Reserve ReserveMode
@@ -71,9 +72,8 @@
 			document.WeighMoves:  {Replace: 10 * time.Minute, Move: 10 * time.Minute},
 		},
 		Estimate: map[record.DrainReason]time.Duration{
-			record.DrainMaintenance: 3 * time.Minute,
-			record.DrainMove:        time.Minute,
-			record.DrainOperator:    3 * time.Minute,
+			record.DrainMaintenance: 2 * time.Minute,
+			record.DrainMove:        30 * time.Second,
 		},
 		Reserve:      ReserveShared,
 		Rates:        DefaultRates(),
--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -38,6 +38,16 @@
 	return n
 }
 
+// Out reports whether the wave has VMs of the pool out of service.
+func (r *Round) Out(w *Wave, p *Pool) bool {
+	for _, vm := range p.VMs {
+		if vm.Drain != nil && vm.Drain.Wave == w.ID && !vm.Down {
+			return true
+		}
+	}
+	return false
+}
+
 // surplusVM returns the VM whose leaving costs least, or nil. Serving VMs are
 // taken only if the surplus has lasted.
 func (r *Round) surplusVM(p *Pool, s spread, lasted bool) *VM {
@@ -74,7 +84,7 @@
 		r.Propose(vm, record.VMRedirect{Release: true}, vm.Pool, "out of service already and surplus")
 		return true
 	}
-	body := record.VMDrain{Reason: record.DrainMove, Release: true, Estimate: r.Policy.Estimate[record.DrainMove]}
+	body := record.VMDrain{Reason: record.DrainMove, Release: true, Estimate: r.Estimate(vm, record.DrainMove)}
 	return r.Drain(vm, body, "surplus for longer than the pool's document bears") == ""
 }
 
@@ -99,6 +109,22 @@
 	}
 }
 
+// Arriving reports whether a free VM is on its way into the pool and will serve
+// before long.
+func (r *Round) Arriving(p *Pool) bool {
+	for _, vm := range r.joining[p.Name] {
+		if vm.Phase == record.PhaseFree {
+			return true
+		}
+	}
+	for _, vm := range p.VMs {
+		if vm.Phase == record.PhaseReturning && vm.Drain == nil && !vm.Down {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Round) untakenFree() int {
 	n := 0
 	for _, vm := range r.View.Free {
--- a/internal/pool/round.go
+++ b/internal/pool/round.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"time"
+
 	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/record"
@@ -12,6 +14,8 @@
 	View      *View
 	Policy    Policy
 	Proposals []Proposal
+	// Waits says which pools a running wave holds back from for now, and why.
+	Waits []Wait
 
 	taken    map[string]bool
 	headroom map[string]*ledger.Headroom
@@ -21,6 +25,13 @@
 	spare    *Spare
 }
 
+// Wait is a pool with turns left in a running wave of which none can begin now.
+type Wait struct {
+	Wave   string
+	Pool   string
+	Reason string
+}
+
 // NewRound begins a round over the view.
 func NewRound(v *View, p Policy) *Round {
 	r := &Round{
@@ -98,6 +109,22 @@
 	return ""
 }
 
+// Estimate returns how long a drain of the VM is expected to keep it out of
+// service: the longest that requests may take to finish, the wait for its jobs
+// where the document asks for it, and what the reason adds.
+func (r *Round) Estimate(vm *VM, reason record.DrainReason) time.Duration {
+	estimate := r.Policy.Estimate[reason]
+	p := r.View.Pool(vm.Pool)
+	if p == nil {
+		return estimate
+	}
+	estimate += p.Doc.Limits.Drain
+	if vm.Jobs > 0 && p.Doc.Jobs.OnDrain == document.LongJobsWait {
+		estimate += max(0, vm.JobsUntil.Sub(r.View.Now))
+	}
+	return estimate
+}
+
 // Fits reports whether the VM has what the pool's document needs.
 func Fits(vm *VM, need document.Pool) bool {
 	return vm.Cores >= need.MinCores && vm.MemoryMB >= need.MinMemoryMB && vm.Accelerators >= need.MinAccelerators
--- a/internal/steward/planner.go
+++ b/internal/steward/planner.go
@@ -15,6 +15,7 @@
 	*Steward
 	changed <-chan struct{}
 	spareAt time.Time
+	waiting map[string]bool // by wave and pool
 }
 
 func newPlanner(s *Steward) *planner {
@@ -63,11 +64,11 @@
 		p.shares.follow(st, p.cfg.Peers)
 		view = pool.NewView(st, start)
 	})
-	plan := maintenance.Plan(view, p.cfg.Policy)
+	plan := maintenance.Round(view, p.cfg.Policy)
 	took := time.Since(start)
 	p.metrics.planned(took)
 	var mine []pool.Proposal
-	for _, d := range plan {
+	for _, d := range plan.Proposals {
 		item := fmt.Sprintf("plan/%s/%s/%d", d.Body.Kind(), d.Subject, d.Base)
 		if p.shares.mine(d.Share, item, view.Now) {
 			mine = append(mine, d)
@@ -75,9 +76,28 @@
 	}
 	p.propose.all(ctx, view.Offset, mine)
 	p.showSpare(view)
+	p.showWaits(plan.Waits)
 	return took
 }
 
+// showWaits logs when a wave begins to hold back from a pool, and when it goes on.
+func (p *planner) showWaits(waits []pool.Wait) {
+	now := map[string]bool{}
+	for _, w := range waits {
+		key := w.Wave + "/" + w.Pool
+		now[key] = true
+		if !p.waiting[key] {
+			p.cfg.Logger.Info("wave waits", "wave", w.Wave, "pool", w.Pool, "reason", w.Reason)
+		}
+	}
+	for key := range p.waiting {
+		if !now[key] {
+			p.cfg.Logger.Info("wave goes on", "wave", key)
+		}
+	}
+	p.waiting = now
+}
+
 // spareInterval is the pause between sizings of the spare VMs, which change
 // only with documents and pools.
 const spareInterval = time.Minute
