Serve nothing from old documents while an entry process starts

A restarted entry process was ready after its first read of the log, which brings 1000 records; with more on the log it served on documents that had been replaced, and a second restart showed the revert.

Change: no table is built until the log was read to its end once. Until then the process is unready, and a caller who reaches it nevertheless gets 503, not-run, reason starting, with Retry-After, in place of 404 for a service it can't know.

Conclusion: TestStartingEntryServesNothingFromOldDocuments holds the second read back; without the change the table of offset 1000 is in use there.

--- a/internal/caller/parse.go
+++ b/internal/caller/parse.go
@@ -15,6 +15,7 @@
 
 // Reasons for refusing a request that is wrong in itself.
 const (
+	ReasonStarting outcome.Reason = "starting"
 	ReasonService  outcome.Reason = "unknown-service"
 	ReasonRoute    outcome.Reason = "unknown-route"
 	ReasonPath     outcome.Reason = "bad-path"
@@ -64,6 +65,14 @@
 	}
 	name, rest := routing.Split(r.URL.Path)
 	table := h.cfg.Dispatcher.Table()
+	if table.Offset == 0 {
+		return nil, &problem{
+			status: http.StatusServiceUnavailable,
+			reason: ReasonStarting,
+			line:   "this entry VM has just started and knows no service yet; try another one",
+			after:  time.Second,
+		}
+	}
 	svc, ok := table.Services[name]
 	if !ok {
 		return nil, &problem{
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -86,6 +86,14 @@
 func newRig(t *testing.T, claims dispatch.Claims) *rig {
 	t.Helper()
 	fake := standin.New(standin.Options{Groups: []standin.Group{{Prefix: "vm", Count: 3, Zones: []string{"a", "b", "c"}}}})
+	r := startRig(t, claims, fake, fake)
+	r.fill()
+	return r
+}
+
+// startRig starts the process on a log.
+func startRig(t *testing.T, claims dispatch.Claims, fake *standin.Platform, log platform.Log) *rig {
+	t.Helper()
 	server, err := standin.NewServer(fake, standin.ServerOptions{})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -101,7 +109,7 @@
 		t:      t,
 		fake:   fake,
 		server: server,
-		follow: follower.New(follower.Config{Log: fake, Stream: stream, Logger: logger}),
+		follow: follower.New(follower.Config{Log: log, Stream: stream, Logger: logger}),
 		ready:  admin.NewReadiness(),
 		url:    "http://" + listener.Addr().String(),
 		ended:  make(chan struct{}),
@@ -125,7 +133,6 @@
 		r.err = supervise.Run(ctx, "entry", logger, duties...)
 	}()
 	t.Cleanup(func() { cancel(); <-r.ended })
-	r.fill()
 	return r
 }
 
--- /dev/null
+++ b/internal/entry/start_test.go
@@ -0,0 +1,80 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/caller"
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+// gatedLog lets reads beyond an offset through only when its gate is open.
+type gatedLog struct {
+	platform.Log
+	beyond platform.Offset
+	gate   chan struct{}
+	once   sync.Once
+	waits  chan struct{} // closed when a read waits at the gate
+}
+
+// Read implements platform.Log.
+func (l *gatedLog) Read(ctx context.Context, stream string, from platform.Offset, most int, wait time.Duration) (platform.Batch, error) {
+	if from > l.beyond {
+		l.once.Do(func() { close(l.waits) })
+		<-l.gate
+	}
+	return l.Log.Read(ctx, stream, from, most, wait)
+}
+
+// An entry VM starts while the log holds more than one read brings. The document
+// in the first part was replaced since, and knew another route. Until the process
+// has read the log to its end, callers are told that nothing ran; the old
+// document never serves.
+func TestStartingEntryServesNothingFromOldDocuments(t *testing.T) {
+	const entries = 1500 // more than a read of 1000
+	fake := standin.New(standin.Options{AppendsPerSecond: -1})
+	var data [][]byte
+	for i := range entries {
+		rec := record.Record{ID: ulid.Make().String(), Subject: record.Subject{Kind: record.SubjectService, Name: "booking"}, Author: "test", Time: time.Now(), Base: record.Revision(i), Seen: uint64(i)}
+		rec.Body = record.DocumentPublish{Text: strings.Replace(text, "/lookup", "/old", 1)}
+		if i == entries-1 {
+			rec.Body = record.DocumentPublish{Text: text}
+		}
+		one, err := record.Encode(rec)
+		require.NoError(t, err)
+		data = append(data, one)
+	}
+	for _, part := range [][][]byte{data[:entries/2], data[entries/2:]} {
+		_, err := fake.Append(t.Context(), stream, part)
+		require.NoError(t, err)
+	}
+	log := &gatedLog{Log: fake, beyond: 1, gate: make(chan struct{}), waits: make(chan struct{})}
+	r := startRig(t, nil, fake, log)
+	<-log.waits
+	r.until(func() bool { return r.offset() > 0 })
+
+	got := r.send(http.MethodGet, "/booking/old", nil, nil)
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.Equal(t, string(outcome.NotRun), got.header.Get(outcome.HeaderOutcome))
+	assert.Equal(t, string(caller.ReasonStarting), got.header.Get(outcome.HeaderReason))
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	assert.Zero(t, r.entry.Offset())
+	assert.Contains(t, strings.Join(r.ready.Reasons(), "\n"), "read to its end")
+
+	close(log.gate)
+	r.until(func() bool { return r.entry.Offset() == entries })
+	got = r.send(http.MethodGet, "/booking/old", nil, nil)
+	assert.Equal(t, http.StatusNotFound, got.status)
+	assert.Empty(t, r.ready.Reasons())
+}
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -35,8 +35,16 @@
 
 // refresh builds a table of the present state. Fresh is read first: the state
 // seen after holds at least what that read brought.
+//
+// Until the log was read to its end once, none is built. A process that starts
+// folds old records first: it would serve on documents that were replaced long
+// ago, and send requests to VMs that have left their pool since.
 func (e *Entry) refresh() {
 	fresh := e.cfg.Follower.Fresh()
+	if fresh.IsZero() {
+		e.cfg.Readiness.Unready("table", "the log has not been read to its end yet")
+		return
+	}
 	var table *routing.Table
 	e.cfg.Follower.View(func(s *ledger.State) { table = routing.Build(s) })
 	e.dispatcher.Update(table, fresh)
