Run all faults together and check every promise from outside

Cause: promises were tried one by one. Faults come together, and the checks must not lean on the code under test.

Change: make faults runs 8 entry VMs' processes, 108 backend servers and the documents of both deployments under process kills, pauses, SIGTERM, platform outages, lost and late replies, partitions, lost VMs, broken backend servers and links, while operators publish against each other, move VMs, run waves and submit jobs. Fourteen promises are checked from callers' answers, the stand-in's counters, the log and the daemons' status; the budget account is the check's own. A short form with 4 entry VMs runs in go test. The seed is printed and can be given. TESTKIT_LOGS keeps the processes' logs.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,11 @@
 test:
 	GO="$(GO)" ./scripts/test.sh
 
+# All faults at once against 8 entry VMs' processes, about three minutes, on
+# loopback. FAULTS_SEED=N repeats the faults of a run.
+faults:
+	$(GO) test -tags faults ./internal/proof -run '^TestFaultsTogether$$' -count=1 -v -timeout 15m
+
 lint:
 	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "gofmt:"; echo "$$out"; exit 1; fi
 	$(GO) vet ./...
--- /dev/null
+++ b/internal/proof/faults_load_test.go
@@ -0,0 +1,168 @@
+package proof
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
+)
+
+// Bounds of the callers.
+const (
+	balancerPause  = 50 * time.Millisecond
+	callerPatience = 6 * time.Second // more than the deadline that callers give
+	callerDeadline = 3 * time.Second
+	maxAttempts    = 4
+	maxLatency     = int64(time.Minute / time.Microsecond)
+)
+
+// route is what callers ask of a service.
+type route struct {
+	service    string
+	path       string
+	repeatable bool
+	long       bool
+}
+
+// routes of the example documents that the callers use.
+var routes = []route{
+	{"booking", "/lookup", true, false},
+	{"booking", "/reservations", false, false},
+	{"booking", "/audit", true, true},
+	{"fitting", "/appointments", false, false},
+	{"returns", "/status", true, false},
+	{"returns", "/receipts", false, false},
+	{"dispatch", "/orders", false, false},
+	{"back-office", "/invoices", false, true},
+	{"preview", "/rotations", true, false},
+	{"compare", "/comparisons", true, true},
+	{"catalogue", "/search", true, false},
+	{"conversion", "/conversions", false, true},
+	{"export", "/exports", false, true},
+}
+
+// attempt is one try of one request, as its caller saw it.
+type attempt struct {
+	route
+	key   string
+	node  string
+	began time.Time
+	ended time.Time
+	testkit.Answer
+}
+
+// callers send requests through the nodes that a balancer takes for ready. They
+// try a request again under the same key, at another node, unless it ran.
+type callers struct {
+	c     *testkit.Cluster
+	ready []atomic.Bool
+	wg    sync.WaitGroup
+
+	mu       sync.Mutex
+	attempts []attempt
+	latency  map[string]*hdrhistogram.Histogram // in microseconds, of requests that ran
+}
+
+func startCallers(ctx context.Context, c *testkit.Cluster, routes []route, perRoute int, pause time.Duration, seed uint64) *callers {
+	cs := &callers{c: c, ready: make([]atomic.Bool, len(c.Nodes)), latency: map[string]*hdrhistogram.Histogram{}}
+	for i, n := range c.Nodes {
+		cs.wg.Go(func() {
+			for ctx.Err() == nil {
+				cs.ready[i].Store(n.Ready())
+				time.Sleep(balancerPause)
+			}
+		})
+	}
+	for i, r := range routes {
+		for j := range perRoute {
+			random := rand.New(rand.NewPCG(seed, uint64(i*perRoute+j)))
+			cs.wg.Go(func() {
+				for ctx.Err() == nil {
+					cs.request(ctx, r, random)
+					time.Sleep(time.Duration(random.Int64N(int64(2 * pause))))
+				}
+			})
+		}
+	}
+	return cs
+}
+
+// pick returns a node that the balancer takes for ready, other than last where
+// there is another, or nil.
+func (cs *callers) pick(random *rand.Rand, last *testkit.Node) *testkit.Node {
+	var ready []*testkit.Node
+	for i, n := range cs.c.Nodes {
+		if cs.ready[i].Load() && n != last {
+			ready = append(ready, n)
+		}
+	}
+	if len(ready) == 0 {
+		return last
+	}
+	return ready[random.IntN(len(ready))]
+}
+
+// request sends one request until it ran or the caller gives up. It finishes
+// after ctx has ended, so that every request has an end.
+func (cs *callers) request(ctx context.Context, r route, random *rand.Rand) {
+	req := testkit.Request{Path: "/" + r.service + r.path, Key: testkit.Key(), Deadline: callerDeadline}
+	req.Work = time.Duration(1+random.IntN(20)) * time.Millisecond
+	req.ReplyBytes = random.IntN(4096)
+	if r.long {
+		req.Work = time.Duration(100+random.IntN(900)) * time.Millisecond
+		req.ReplyBytes = random.IntN(300_000) // beyond what is held until complete
+	}
+	var last *testkit.Node
+	for n := 1; n <= maxAttempts; n++ {
+		node := cs.pick(random, last)
+		if node == nil {
+			time.Sleep(balancerPause)
+			return
+		}
+		last = node
+		req.Attempt = n
+		a := cs.send(node, r, req)
+		if a.Outcome == outcome.Ran && a.Err == nil {
+			return
+		}
+		if a.Outcome == outcome.NotRun && (ctx.Err() != nil || random.IntN(3) == 0) {
+			return // its last word is "not-run"
+		}
+		time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
+	}
+}
+
+func (cs *callers) send(node *testkit.Node, r route, req testkit.Request) attempt {
+	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+	defer cancel()
+	a := attempt{route: r, key: req.Key, node: node.Name, began: time.Now()}
+	a.Answer = node.Send(ctx, req)
+	a.ended = time.Now()
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.attempts = append(cs.attempts, a)
+	if a.OK() {
+		cs.record(a)
+	}
+	return a
+}
+
+func (cs *callers) record(a attempt) {
+	class := "quick"
+	if a.long {
+		class = "long"
+	}
+	h := cs.latency[class]
+	if h == nil {
+		const digits = 3
+		h = hdrhistogram.New(1, maxLatency, digits)
+		cs.latency[class] = h
+	}
+	_ = h.RecordValue(a.Took.Microseconds()) // callerPatience is within its range
+}
--- /dev/null
+++ b/internal/proof/faults_long_test.go
@@ -0,0 +1,41 @@
+//go:build faults
+
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
+)
+
+// The long form: both deployments' documents, 8 entry VMs in 4 zones, about 100
+// backend servers, and two waves while VMs move between pools.
+func TestFaultsTogether(t *testing.T) {
+	fleet := func(prefix string, count, cores, memory int, linked bool, zones ...string) testkit.Group {
+		return testkit.Group{Prefix: prefix, Count: count, Cores: cores, MemoryMB: memory, Linked: linked, Zones: zones, BootSeconds: 1}
+	}
+	runFaults(t, uint64(time.Now().UnixNano()), faultPlan{
+		nodes: []string{"a", "b", "c", "d", "a", "b", "c", "d"},
+		documents: []string{
+			"ramcharan/booking", "ramcharan/fitting", "ramcharan/returns", "ramcharan/dispatch", "ramcharan/back-office",
+			"feldkamm/preview", "feldkamm/compare", "feldkamm/conversion", "feldkamm/export", "feldkamm/catalogue",
+		},
+		fleet: []testkit.Group{
+			fleet("rc", 48, 32, 64<<10, false, "a", "b", "c"),
+			fleet("rl", 6, 32, 64<<10, true, "a", "b", "c"),
+			fleet("fk", 48, 64, 256<<10, false, "a", "b", "c", "d"),
+			fleet("fl", 6, 64, 256<<10, true, "a", "b", "c", "d"),
+		},
+		// The pace of real stewards: at that of other tests 8 of them would check
+		// 108 VMs ten times a second.
+		steward:   testkit.Settings{"planning.interval": `"1s"`, "planning.list_interval": `"2s"`},
+		victims:   10,
+		length:    2 * time.Minute,
+		pause:     time.Second,
+		operators: 1500 * time.Millisecond,
+		perRoute:  3,
+		think:     50 * time.Millisecond,
+		waves:     [][]string{{"booking", "preview"}, {"returns", "compare"}},
+	})
+}
--- /dev/null
+++ b/internal/proof/faults_test.go
@@ -0,0 +1,174 @@
+package proof
+
+import (
+	"context"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
+)
+
+// seedVariable gives the seed of the random faults.
+const seedVariable = "FAULTS_SEED"
+
+// faultPlan describes a run of all faults at once.
+type faultPlan struct {
+	nodes     []string // zones
+	documents []string
+	fleet     []testkit.Group
+	steward   testkit.Settings
+	victims   int // VMs that may crash
+	length    time.Duration
+	pause     time.Duration // between faults
+	operators time.Duration // between operators' acts
+	perRoute  int           // callers
+	think     time.Duration // of a caller
+	waves     [][]string
+}
+
+// A short form with few processes. Everything fails that can: processes and VMs
+// are lost, paused and stopped, the platform is out, its replies are lost, entry
+// VMs are cut off from each other, backend servers break in every way, while
+// operators publish against each other, move VMs, run a wave and submit jobs. No
+// promise may break.
+func TestFaultsTogetherShort(t *testing.T) {
+	runFaults(t, 1, faultPlan{
+		nodes:     []string{"a", "b", "c", "a"},
+		documents: []string{"ramcharan/booking", "ramcharan/fitting"},
+		fleet: []testkit.Group{
+			{Prefix: "rc", Count: 18, Zones: []string{"a", "b", "c"}, BootSeconds: 0.5},
+			{Prefix: "ln", Count: 6, Zones: []string{"a", "b", "c"}, BootSeconds: 0.5, Linked: true},
+		},
+		victims:   4,
+		length:    10 * time.Second,
+		pause:     600 * time.Millisecond,
+		operators: 500 * time.Millisecond,
+		perRoute:  3,
+		think:     20 * time.Millisecond,
+		waves:     [][]string{{"booking", "fitting"}},
+	})
+}
+
+func runFaults(t *testing.T, seed uint64, plan faultPlan) {
+	if text := os.Getenv(seedVariable); text != "" {
+		var err error
+		seed, err = strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+	}
+	t.Logf("%s=%d", seedVariable, seed)
+	c := testkit.Start(t, testkit.Options{
+		Nodes:   plan.nodes,
+		Fleet:   plan.fleet,
+		Entry:   testkit.Settings{"drain.notice": `"1s"`},
+		Steward: plan.steward,
+	})
+	texts := map[string]string{}
+	for _, name := range plan.documents {
+		texts[name[strings.IndexByte(name, '/')+1:]] = testkit.Example(t, name)
+	}
+	services := slices.Sorted(maps.Keys(texts))
+	c.Publish(slices.Collect(maps.Values(texts))...)
+	for _, service := range services {
+		var size int
+		state := c.Standin.State()
+		size = state.Services[service].Doc.Pool.Size
+		awaitServing(c, service, size)
+	}
+	c.AwaitReady()
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w := startWatch(ctx, c)
+	begin := c.Standin.State().Offset
+	c.Until("the observer has read the log", func() bool { return w.offset() >= begin })
+	var whole, victims, linked []string
+	for _, vm := range c.Standin.List().VMs {
+		if c.Backends[vm.ID] != nil {
+			linked = append(linked, vm.ID)
+			continue
+		}
+		whole = append(whole, vm.ID)
+	}
+	for i := range plan.victims {
+		victims = append(victims, whole[i*len(whole)/plan.victims])
+	}
+	x := newChaos(t, c, seed, victims, linked)
+	used := slices.DeleteFunc(slices.Clone(routes), func(r route) bool { return texts[r.service] == "" })
+	busy, stop := context.WithCancel(ctx)
+	load := startCallers(busy, c, used, plan.perRoute, plan.think, seed)
+	ops := startOperators(busy, c, w, texts, services, plan.operators, seed)
+	for i, pools := range plan.waves {
+		ops.wave("wave-"+strconv.Itoa(i), pools...)
+	}
+	x.run(plan.length, plan.pause)
+	healed := time.Now()
+	stop()
+	ops.wg.Wait()
+	load.wg.Wait()
+	end := w.offset()
+	var behind []string
+	defer func() {
+		for _, b := range behind {
+			t.Log("behind: " + b)
+		}
+	}()
+	c.Until("every node is ready and at the end of the log", func() bool {
+		behind = w.behind(healed, end)
+		return len(behind) == 0
+	})
+	final := c.Standin.Counters()
+	cancel()
+	w.wg.Wait()
+
+	e := &evidence{
+		began: x.began, log: w.log, reports: w.reports, counters: w.counters,
+		attempts: load.attempts, harmed: x.past, operators: ops, final: final,
+	}
+	describe(t, e, x, load, w)
+	promises := e.verdict()
+	printTable(t.Output(), promises)
+	for _, p := range promises {
+		for _, broken := range p.broken[:min(len(p.broken), 5)] {
+			t.Errorf("%s: %s", p.name, broken)
+		}
+	}
+}
+
+// describe prints what the run was made of.
+func describe(t *testing.T, e *evidence, x *chaos, load *callers, w *watch) {
+	for _, name := range slices.Sorted(maps.Keys(x.made)) {
+		t.Logf("%4d times: %s", x.made[name], name)
+	}
+	outcomes := map[outcome.Outcome]int{}
+	for _, a := range e.attempts {
+		if a.Err != nil {
+			outcomes["broke off"]++
+			continue
+		}
+		outcomes[a.Outcome]++
+	}
+	t.Logf("%d attempts: %v", len(e.attempts), outcomes)
+	for class, h := range load.latency {
+		t.Logf("%s requests that ran: p50 %.1f ms, p99 %.1f ms, max %.1f ms", class,
+			float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, float64(h.Max())/1000)
+	}
+	t.Logf("%d documents accepted, %d publishes with unknown outcome, %d jobs", len(e.operators.accepted), e.operators.unsettled, e.operators.jobs)
+	w.view(func(s *ledger.State) {
+		for id, wave := range s.Waves {
+			counts := map[ledger.WaveProgress]int{}
+			for _, progress := range wave.VMs {
+				counts[progress]++
+			}
+			t.Logf("wave %s: %s %v", id, wave.Status, counts)
+		}
+	})
+}
--- a/internal/testkit/cluster.go
+++ b/internal/testkit/cluster.go
@@ -27,6 +27,9 @@
 	Cores       int
 	MemoryMB    int
 	BootSeconds float64
+	// Linked puts a Link before each backend server. One that is down then
+	// breaks connections rather than refusing them.
+	Linked bool
 }
 
 // Options describe a cluster.
@@ -38,8 +41,7 @@
 	Entry   Settings
 	Steward Settings
 	Standin Settings
-	// BackendLinks puts a Link before every backend server. A backend server
-	// that is down then breaks connections rather than refusing them.
+	// BackendLinks has every group Linked.
 	BackendLinks bool
 	// NoStewards leaves the stewards out; Node.Steward can be started later.
 	NoStewards bool
@@ -49,7 +51,7 @@
 type Cluster struct {
 	Standin *Standin
 	Nodes   []*Node
-	// Backends holds the link before each backend server, by VM.
+	// Backends holds the links before backend servers, by VM.
 	Backends map[string]*Link
 
 	t    testing.TB
--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -22,6 +22,9 @@
 	tailBytes = 6 << 10
 )
 
+// logsVariable names a directory that keeps the processes' logs after the test.
+const logsVariable = "TESTKIT_LOGS"
+
 // Process is one of the system's processes. It is safe for concurrent use.
 type Process struct {
 	Name string
@@ -38,6 +41,9 @@
 }
 
 func newProcess(t testing.TB, dir, name, path string, args ...string) *Process {
+	if keep := os.Getenv(logsVariable); keep != "" {
+		dir = keep
+	}
 	p := &Process{Name: name, t: t, path: path, args: args, log: filepath.Join(dir, name+".log")}
 	t.Cleanup(p.finish)
 	return p
--- a/internal/testkit/standin.go
+++ b/internal/testkit/standin.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
@@ -41,9 +43,7 @@
 	_ = held[0].Close()
 	process.Start()
 	until(c.t, "the stand-in answers", func() bool { return answers("http://" + address + "/control/") })
-	if c.opts.BackendLinks {
-		c.linkBackends()
-	}
+	c.linkBackends()
 }
 
 // fleet returns the groups of VMs as a TOML array.
@@ -57,10 +57,18 @@
 	return "[" + text.String() + "]"
 }
 
-// linkBackends puts a Link before every backend server and has the list show it.
+// linkBackends puts a Link before backend servers and has the list show it.
 func (c *Cluster) linkBackends() {
+	linked := func(vm string) bool {
+		return c.opts.BackendLinks || slices.ContainsFunc(c.opts.Fleet, func(g Group) bool {
+			return g.Linked && strings.HasPrefix(vm, g.Prefix+"-")
+		})
+	}
 	order := standin.AdvertiseOrder{Addresses: map[string]string{}}
 	for _, vm := range c.Standin.List().VMs {
+		if !linked(vm.ID) {
+			continue
+		}
 		link := newLink(c.t, vm.ID, c.ip, vm.Address)
 		c.Backends[vm.ID] = link
 		order.Addresses[vm.ID] = link.Address()
@@ -208,3 +216,9 @@
 		s.t.Fatal(err)
 	}
 }
+
+// VMCounters returns the backend servers' counters, by VM.
+func (s *Standin) VMCounters() map[string]standin.VMCounters {
+	s.t.Helper()
+	return s.counters(nil).Backends.VMs
+}
