--- a/cmd/yuccadrift-entry/run.go
+++ b/cmd/yuccadrift-entry/run.go
@@ -10,6 +10,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/admin"
 	"github.com/yuccadrift/yuccadrift/internal/caller"
 	"github.com/yuccadrift/yuccadrift/internal/entry"
+	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
 	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/listen"
 	"github.com/yuccadrift/yuccadrift/internal/logging"
@@ -40,9 +41,12 @@
 	}
 	client := platform.NewClient(s.Platform.Address.String(), platform.ClientOptions{Timeout: s.Platform.RequestTimeout.Duration})
 	defer client.Close()
-	follow := follower.New(follower.Config{Log: client, Stream: s.Platform.Stream, Logger: logger.Named("log")})
+	states := entrypeer.NewStates(s.Peers.SeedAddresses())
+	defer states.Close()
+	follow := follower.New(follower.FromSettings(s.Common, client, states, logger))
 	readiness := admin.NewReadiness()
 	registry := admin.NewRegistry(binary)
+	registry.MustRegister(follow)
 	peers := peerserver.New(peerListener)
 	var ent *entry.Entry
 	member, node := membership.NewEntry(membership.Entry{
@@ -53,6 +57,7 @@
 		Readiness: readiness,
 		Logger:    logger,
 		InFlight:  func() (uint64, map[string]int) { return ent.InFlights() },
+		State:     follow.Snapshot,
 	})
 	defer node.Close()
 	node.Register(peers.Registrar())
@@ -70,8 +75,8 @@
 	})
 	operator.Register(peers.Registrar(), status(s, follow, ent, readiness))
 	duties := append(ent.Duties(), member.Duties()...)
+	duties = append(duties, follow.Duties()...)
 	duties = append(duties,
-		supervise.Duty{Name: "follow", Serve: follow.Serve},
 		supervise.Duty{Name: "admin", Serve: operators(s, adminListener, registry, readiness, logger).Serve},
 		supervise.Duty{Name: "peers", Serve: peers.Serve},
 	)
--- a/internal/entrypeer/node.go
+++ b/internal/entrypeer/node.go
@@ -28,6 +28,9 @@
 	// process acted on the log when it counted. Nil in a process that serves no
 	// callers.
 	InFlight func() (offset uint64, vms map[string]int)
+	// State returns the folded state as a snapshot, for nodes that start while
+	// the log is out. Nil where none is passed on.
+	State func() ([]byte, error)
 	// CallTimeout bounds one call to a peer that answers at once.
 	CallTimeout time.Duration
 	// Patience is for how long a claim is tried again while its owner cannot be
--- /dev/null
+++ b/internal/entrypeer/state.go
@@ -0,0 +1,182 @@
+package entrypeer
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	pb "github.com/yuccadrift/yuccadrift/internal/entrypeer/entrypeerpb"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+)
+
+// Bounds of passing on a state.
+const (
+	// statePart is the size of one message, in bytes.
+	statePart = 256 << 10
+	// stateFirst bounds the wait for the peers' offsets, stateTimeout the whole.
+	stateFirst   = 2 * time.Second
+	stateTimeout = 10 * time.Second
+)
+
+// stateSource returns the folded state as a snapshot, as
+// follower.Follower.Snapshot does.
+type stateSource func() ([]byte, error)
+
+// stateServer offers the State call alone.
+type stateServer struct {
+	pb.UnimplementedEntryPeerServer
+	source stateSource
+}
+
+// RegisterState offers the folded state to peers from a daemon that is no entry
+// process.
+func RegisterState(to grpc.ServiceRegistrar, source func() ([]byte, error)) {
+	pb.RegisterEntryPeerServer(to, &stateServer{source: source})
+}
+
+// State implements the gRPC service.
+func (s *stateServer) State(in *pb.StateRequest, out grpc.ServerStreamingServer[pb.StateReply]) error {
+	return s.source.send(in.GetAbove(), out)
+}
+
+// State implements the gRPC service.
+func (s *server) State(in *pb.StateRequest, out grpc.ServerStreamingServer[pb.StateReply]) error {
+	return stateSource(s.node.cfg.State).send(in.GetAbove(), out)
+}
+
+func (s stateSource) send(above uint64, out grpc.ServerStreamingServer[pb.StateReply]) error {
+	if s == nil {
+		return status.Error(codes.Unimplemented, "this process passes on no state")
+	}
+	snapshot, err := s()
+	if err != nil {
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	offset, err := ledger.SnapshotOffset(snapshot)
+	if err != nil {
+		return status.Error(codes.Internal, err.Error())
+	}
+	if offset <= above {
+		return nil
+	}
+	for part := range slices.Chunk(snapshot, statePart) {
+		if err := out.Send(&pb.StateReply{Offset: offset, Part: part}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// States asks peers for their folded state. It implements follower.Peers.
+type States struct {
+	conns     *conns
+	addresses []string
+}
+
+// NewStates returns a States that asks the peers at the addresses (IP:port).
+// Close ends its connections.
+func NewStates(addresses []string) *States {
+	return &States{conns: newConns(nil), addresses: addresses}
+}
+
+// Close ends the connections.
+func (s *States) Close() { s.conns.close() }
+
+// offer is a peer's state of which the first part has come.
+type offer struct {
+	offset uint64
+	begun  []byte
+	rest   grpc.ServerStreamingClient[pb.StateReply]
+}
+
+var errNoOffer = errors.New("no peer has a state to pass on")
+
+// NewestState returns the snapshot with the highest offset among the peers that
+// answer. The error is that of one of them when none does.
+func (s *States) NewestState(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	offers, err := s.offers(ctx)
+	slices.SortFunc(offers, func(a, b offer) int { return cmp.Compare(b.offset, a.offset) })
+	for _, o := range offers {
+		var snapshot []byte
+		if snapshot, err = o.take(); err == nil {
+			return snapshot, nil
+		}
+	}
+	if err == nil {
+		err = errNoOffer
+	}
+	return nil, err
+}
+
+// offers asks all peers at once and waits until each has answered, or for
+// stateFirst.
+func (s *States) offers(ctx context.Context) ([]offer, error) {
+	type answer struct {
+		offer offer
+		err   error
+	}
+	answers := make(chan answer, len(s.addresses))
+	for _, address := range s.addresses {
+		go func() {
+			o, err := s.ask(ctx, address)
+			answers <- answer{o, err}
+		}()
+	}
+	late := time.NewTimer(stateFirst)
+	defer late.Stop()
+	var offers []offer
+	var last error
+	for range s.addresses {
+		select {
+		case a := <-answers:
+			if a.err != nil {
+				last = a.err
+				continue
+			}
+			offers = append(offers, a.offer)
+		case <-late.C:
+			return offers, errors.New("peers did not answer in time")
+		}
+	}
+	return offers, last
+}
+
+func (s *States) ask(ctx context.Context, address string) (offer, error) {
+	c, err := s.conns.to(address)
+	if err != nil {
+		return offer{}, err
+	}
+	stream, err := c.State(ctx, &pb.StateRequest{})
+	if err != nil {
+		return offer{}, errors.Wrapf(err, "state of %s", address)
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		return offer{}, errors.Wrapf(err, "state of %s", address)
+	}
+	return offer{offset: first.GetOffset(), begun: first.GetPart(), rest: stream}, nil
+}
+
+// take receives the rest of the state.
+func (o offer) take() ([]byte, error) {
+	snapshot := o.begun
+	for {
+		part, err := o.rest.Recv()
+		if errors.Is(err, io.EOF) {
+			return snapshot, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "state of a peer")
+		}
+		snapshot = append(snapshot, part.GetPart()...)
+	}
+}
--- /dev/null
+++ b/internal/entrypeer/state_test.go
@@ -0,0 +1,61 @@
+package entrypeer
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// serve offers source on a loopback address.
+func serve(t *testing.T, source func() ([]byte, error)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := grpc.NewServer()
+	RegisterState(s, source)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Stop)
+	return l.Addr().String()
+}
+
+// stateAt returns a snapshot at the offset, of more than one message.
+func stateAt(t *testing.T, offset uint64) func() ([]byte, error) {
+	s := ledger.New()
+	for o := range offset {
+		id := fmt.Sprintf("vm-%d-%d", offset, o)
+		s.Apply(o+1, record.Record{ID: id, Subject: record.Subject{Kind: record.SubjectVM, Name: id}, Seen: o,
+			Body: record.VMRegister{Zone: "z", Rack: "r", Address: "a", Cores: 1, MemoryMB: 1}})
+	}
+	data, err := ledger.EncodeSnapshot(s)
+	require.NoError(t, err)
+	return func() ([]byte, error) { return data, nil }
+}
+
+// A node that starts while the log is out asks its peers: one is dead, one has
+// no state yet, one is behind. It gets the state of the one that is furthest.
+func TestNewestStateOfPeers(t *testing.T) {
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, dead.Close())
+	empty := serve(t, func() ([]byte, error) { return nil, errNoOffer })
+	behind := serve(t, stateAt(t, 10))
+	furthest := stateAt(t, 20_000)
+	want, _ := furthest()
+	require.Greater(t, len(want), statePart)
+
+	states := NewStates([]string{dead.Addr().String(), behind, empty, serve(t, furthest)})
+	defer states.Close()
+	got, err := states.NewestState(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+
+	lonely := NewStates([]string{dead.Addr().String(), empty})
+	defer lonely.Close()
+	_, err = lonely.NewestState(t.Context())
+	require.Error(t, err)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -1,5 +1,6 @@
-// Package follower drives the ledger: it reads the platform's log, folds it,
-// and appends this process's proposals. Every daemon has one.
+// Package follower drives the ledger: it starts from the newest snapshot, reads
+// the platform's log, folds it, appends this process's proposals and publishes
+// snapshots. Every daemon has one.
 package follower
 
 import (
@@ -12,44 +13,127 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
-	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/supervise"
 )
 
-// Limits of one read and pauses between attempts.
-const (
-	readMax    = 1000
-	readWait   = 2 * time.Second
-	retryPause = 200 * time.Millisecond
-	// proposePause is how long Propose waits for its record to come back
-	// before it appends a second copy under the same ID.
-	proposePause = time.Second
-	// appendTimeout bounds one append. Without it an append whose reply never
-	// comes would hold Propose back until its context ends, though the record
-	// was folded long before.
-	appendTimeout = time.Second
-)
-
-// Config is what a Follower needs.
+// Config is what a Follower needs. Only Log, Stream and Logger are required.
 type Config struct {
 	Log    platform.Log
 	Stream string
 	Logger hclog.Logger
-}
+	// Appender batches proposals; without it each is appended by itself. Its
+	// Serve is among the Follower's duties.
+	Appender *platform.Appender
+	// ReadWait is how long a read at the end of the log waits for an entry. On a
+	// quiet log Fresh becomes twice as old: a read that waits was sent when the
+	// one before it ended. DefaultReadWait when zero.
+	ReadWait time.Duration
+	// SnapshotStream is the stream of snapshots. Empty means that the process
+	// starts from the first entry of the log and publishes no snapshots.
+	SnapshotStream string
+	// SnapshotInterval is the longest pause between two snapshots of all nodes
+	// together. Retention of both streams must be at least twice as long.
+	// DefaultSnapshotInterval when zero.
+	SnapshotInterval time.Duration
+	// Peers are asked for their state where the log does not help; may be nil.
+	Peers Peers
+	// Node signs clock witnesses; empty writes none.
+	Node string
+}
+
+// Peers are other processes that may have folded further.
+type Peers interface {
+	// NewestState returns the snapshot with the highest offset that any peer
+	// has. The error is that of the last peer when none answers.
+	NewestState(ctx context.Context) (snapshot []byte, err error)
+}
+
+// Condition is how the process stands to the log.
+type Condition string
+
+// Conditions. Whatever it is, the state goes on being served; Fresh goes up
+// only while Following, so decisions and leases end with it.
+const (
+	// Starting: no state is known yet.
+	Starting Condition = "starting"
+	// Following: the log is read and folded.
+	Following Condition = "following"
+	// CutOff: the log cannot be read.
+	CutOff Condition = "cut-off"
+	// Gap: the log no longer holds entries that were not folded, and neither a
+	// snapshot nor a peer covers them.
+	Gap Condition = "gap"
+	// Foreign: the log is not the one that the state was folded from, as after
+	// the platform lost or replaced it.
+	Foreign Condition = "foreign-log"
+)
 
-// Follower keeps the folded state of one process.
+// DefaultReadWait keeps Fresh within a second on a quiet log.
+const DefaultReadWait = 500 * time.Millisecond
+
+// Follower keeps the folded state of one process. It is safe for concurrent use.
 type Follower struct {
-	cfg Config
+	cfg     Config
+	store   snapshotStore
+	metrics *metrics
+
+	mu        sync.RWMutex
+	state     *ledger.State
+	condition Condition
+	detail    string
+	begun     bool              // the newest snapshot was looked for
+	doubt     bool              // whether the log continues the state is to be checked
+	fresh     time.Time         // when the latest read that reached the tail was sent
+	lastRead  time.Time         // when the latest read succeeded
+	first     platform.Offset   // lowest retained offset at the latest read
+	next      platform.Offset   // next offset at the latest read
+	waiters   map[string]waiter // by record ID
+	changed   []chan struct{}
 
-	mu      sync.RWMutex
-	state   *ledger.State
-	fresh   time.Time // when the latest read that reached the tail was sent
-	waiters map[string]chan ledger.Outcome
-	changed []chan struct{}
+	encoded encodedState
 }
 
-// New returns a Follower at offset 0. Serve makes it follow the log.
+type waiter chan ledger.Outcome
+
+// encodedState is the latest snapshot made for peers.
+type encodedState struct {
+	mu     sync.Mutex
+	offset uint64
+	data   []byte
+}
+
+// New returns a Follower at offset 0. Its duties make it follow the log.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, state: ledger.New(), waiters: map[string]chan ledger.Outcome{}}
+	if cfg.ReadWait <= 0 {
+		cfg.ReadWait = DefaultReadWait
+	}
+	if cfg.SnapshotInterval <= 0 {
+		cfg.SnapshotInterval = DefaultSnapshotInterval
+	}
+	f := &Follower{
+		cfg:       cfg,
+		store:     snapshotStore{log: cfg.Log, stream: cfg.SnapshotStream},
+		state:     ledger.New(),
+		condition: Starting,
+		waiters:   map[string]waiter{},
+	}
+	f.metrics = newMetrics(f)
+	return f
+}
+
+// Duties returns what has to run.
+func (f *Follower) Duties() []supervise.Duty {
+	duties := []supervise.Duty{{Name: "follow", Serve: f.Serve}}
+	if f.cfg.Appender != nil {
+		duties = append(duties, supervise.Duty{Name: "append", Serve: f.cfg.Appender.Serve})
+	}
+	if f.cfg.SnapshotStream != "" {
+		duties = append(duties, supervise.Duty{Name: "snapshots", Serve: f.serveSnapshots})
+	}
+	if f.cfg.Node != "" {
+		duties = append(duties, supervise.Duty{Name: "witness", Serve: f.serveWitness})
+	}
+	return duties
 }
 
 // View calls f with the state under a read lock. f must not keep or change it.
@@ -67,6 +151,14 @@
 	return f.fresh
 }
 
+// Condition returns how the process stands to the log, with a line for the
+// operator; the line is empty while Following.
+func (f *Follower) Condition() (Condition, string) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.condition, f.detail
+}
+
 // Changed returns a channel that gets a value after the state has changed. The
 // channel holds one value: a slow reader misses repeats, never the last change.
 func (f *Follower) Changed() <-chan struct{} {
@@ -77,132 +169,77 @@
 	return ch
 }
 
-// Propose appends a record and waits until it is folded. The outcome says
-// whether it took effect. A lost reply is met by appending the same record
-// again: its second copy is void. The error is ctx's when the outcome is still
-// unknown at its end; the record may yet take effect.
-func (f *Follower) Propose(ctx context.Context, rec record.Record) (ledger.Outcome, error) {
-	data, err := record.Encode(rec)
-	if err != nil {
-		return ledger.Outcome{}, err
-	}
-	wait := f.await(rec.ID)
-	defer f.forget(rec.ID)
-	for {
-		err := f.append(ctx, data)
-		if errors.Is(err, platform.ErrRejected) {
-			return ledger.Outcome{}, err
-		}
+// notify tells the readers of Changed; f.mu is held.
+func (f *Follower) notify() {
+	for _, ch := range f.changed {
 		select {
-		case out := <-wait:
-			return out, nil
-		case <-ctx.Done():
-			return ledger.Outcome{}, errors.Wrap(ctx.Err(), "outcome of the record is unknown")
-		case <-time.After(proposePause):
+		case ch <- struct{}{}:
+		default:
 		}
 	}
 }
 
-func (f *Follower) append(ctx context.Context, data []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	_, err := f.cfg.Log.Append(ctx, f.cfg.Stream, [][]byte{data})
-	return err
-}
-
-func (f *Follower) await(id string) <-chan ledger.Outcome {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	ch := make(chan ledger.Outcome, 1)
-	f.waiters[id] = ch
-	return ch
+// Digest returns the offset and the digest of the state at it.
+func (f *Follower) Digest() (offset, digest uint64, err error) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	digest, err = f.state.Digest()
+	return f.state.Offset, digest, err
 }
 
-func (f *Follower) forget(id string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.waiters, id)
-}
+// errEmpty means that there is no state to pass on yet.
+var errEmpty = errors.New("nothing was folded yet")
 
-// Serve follows the log until ctx ends. It is a suture service.
-func (f *Follower) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil {
-			f.cfg.Logger.Warn("cannot read the log", "error", err)
-			pause(ctx, retryPause)
-		}
+// Snapshot returns the present state for a peer. Peers that start together get
+// the same bytes, so that a restart of all nodes costs one encoding.
+func (f *Follower) Snapshot() ([]byte, error) {
+	f.encoded.mu.Lock()
+	defer f.encoded.mu.Unlock()
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if f.state.Offset == 0 {
+		return nil, errEmpty
 	}
-	return ctx.Err()
-}
-
-func (f *Follower) step(ctx context.Context) error {
-	wait := readWait
-	if f.Fresh().IsZero() { // a process that starts learns at once that the log is empty
-		wait = 0
+	if f.encoded.offset == f.state.Offset {
+		return f.encoded.data, nil
 	}
-	return f.read(ctx, wait)
-}
-
-// CatchUp reads and folds the log to its present end. It may run beside Serve:
-// a process that was paused needs the end of the log at once, while Serve may
-// wait on a connection that broke meanwhile.
-func (f *Follower) CatchUp(ctx context.Context) error {
-	began := time.Now()
-	for f.Fresh().Before(began) {
-		if err := f.read(ctx, 0); err != nil {
-			return err
-		}
+	data, err := ledger.EncodeSnapshot(f.state)
+	if err != nil {
+		return nil, err
 	}
-	return nil
+	f.encoded.offset, f.encoded.data = f.state.Offset, data
+	return data, nil
 }
 
-func (f *Follower) read(ctx context.Context, wait time.Duration) error {
-	f.mu.RLock()
-	from := platform.Offset(f.state.Offset + 1)
-	f.mu.RUnlock()
-	sent := time.Now()
-	batch, err := f.cfg.Log.Read(ctx, f.cfg.Stream, from, readMax, wait)
+// adopt takes over a state that is further than the present one and reports
+// whether it did. A node never steps back to a lower offset: documents in force
+// and effective drains would be undone.
+func (f *Follower) adopt(data []byte, from string) bool {
+	s, err := ledger.DecodeSnapshot(data)
 	if err != nil {
-		return err
+		f.cfg.Logger.Warn("cannot use a snapshot", "from", from, "error", errors.Cause(err))
+		return false
 	}
-	f.fold(batch, sent)
-	return nil
-}
-
-// fold applies a batch. Entries that another read brought before are passed
-// over.
-func (f *Follower) fold(batch platform.Batch, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, e := range batch.Entries {
-		if uint64(e.Offset) <= f.state.Offset {
-			continue
-		}
-		out := f.state.ApplyData(uint64(e.Offset), e.Data)
-		if ch, ok := f.waiters[out.ID]; ok {
-			delete(f.waiters, out.ID)
-			ch <- out
-		}
-	}
-	if platform.Offset(f.state.Offset)+1 >= batch.Next && sent.After(f.fresh) {
-		f.fresh = sent
-	}
-	if len(batch.Entries) == 0 {
-		return
-	}
-	for _, ch := range f.changed {
-		select {
-		case ch <- struct{}{}:
-		default:
-		}
+	if s.Offset <= f.state.Offset {
+		return false
 	}
+	f.cfg.Logger.Info("took over a state", "from", from, "offset", s.Offset, "own_offset", f.state.Offset)
+	f.state = s
+	f.doubt = true
+	f.notify()
+	return true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+// setCondition notes and reports a condition. It stays until another is set.
+func (f *Follower) setCondition(c Condition, detail string) {
+	f.mu.Lock()
+	if f.condition == c && f.detail == detail {
+		f.mu.Unlock()
+		return
 	}
+	f.condition, f.detail = c, detail
+	f.mu.Unlock()
+	f.cfg.Logger.Info("condition", "now", c, "detail", detail)
 }
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,335 @@
+package follower_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/follower"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+// The log keeps 100 entries. Three nodes write 400 and fall silent for three
+// hours, in which retention by age removes all entries and early snapshots. A node that starts at any of these times must find a snapshot and
+// end with the others' state; few snapshots are doubled by nodes that race.
+func TestStartFromSnapshotAndTail(t *testing.T) {
+	run(t, func(t *testing.T) {
+		log := standin.New(standin.Options{RetentionEntries: 100, RetentionAge: time.Hour})
+		a, b, c := start(t, log, "a", nil), start(t, log, "b", nil), start(t, log, "c", nil)
+		for range 4 {
+			for range 100 {
+				a.write(1)
+				settle(2 * time.Second)
+			}
+			late := start(t, log, "late", nil)
+			settle(2 * time.Second)
+			same(t, a, late)
+		}
+		settle(3 * time.Hour)
+		late := start(t, log, "late", nil)
+		settle(2 * time.Second)
+		for _, n := range []*node{b, c, late} {
+			same(t, a, n)
+			require.Equal(t, follower.Following, n.condition())
+		}
+		due := 3*6 + 400/50 // by time, and at each half of the retained range
+		require.LessOrEqual(t, snapshotsOn(t, log), due*3/2)
+	})
+}
+
+// A node was cut off from the log for so long that retention removed entries
+// that it had not folded. While no snapshot covers them it asks its peers. Where
+// those are behind it keeps its state, says so and lets Fresh grow old, so that
+// it decides nothing; once a snapshot is there it goes on.
+func TestGap(t *testing.T) {
+	run(t, func(t *testing.T) {
+		log := standin.New(standin.Options{RetentionEntries: 50})
+		a := start(t, log, "a", noSnapshots)
+		asked, behind := &peers{}, &peers{}
+		old := start(t, log, "old", nil)
+		lone := start(t, log, "lone", func(c *follower.Config, _ *link) { c.Peers = behind })
+		withPeers := start(t, log, "with", func(c *follower.Config, _ *link) { c.Peers = asked })
+		settle(time.Second)
+		a.write(5)
+		old.link.cut.Store(true)
+		settle(time.Second)
+		a.write(5)
+		settle(time.Second)
+		for _, n := range []*node{lone, withPeers} {
+			n.link.cut.Store(true)
+		}
+		settle(time.Second) // reads under way end
+		a.write(100)
+		asked.list, behind.list = []*node{a}, []*node{old}
+		for _, n := range []*node{lone, withPeers} {
+			n.link.cut.Store(false)
+		}
+		settle(5 * time.Second)
+		same(t, a, withPeers)
+		require.Equal(t, follower.Following, withPeers.condition())
+		require.Equal(t, follower.Gap, lone.condition())
+		require.EqualValues(t, 10, lone.offset())
+		require.Greater(t, time.Since(lone.Fresh()), 4*time.Second)
+		settle(time.Minute) // the node with peers has published a snapshot meanwhile
+		same(t, a, lone)
+		require.Equal(t, follower.Following, lone.condition())
+	})
+}
+
+// A node starts while the log is out. It serves the highest state of its peers,
+// and never a lower one; once the log is back it follows that.
+func TestStartWhileTheLogIsOut(t *testing.T) {
+	run(t, func(t *testing.T) {
+		log := standin.New(standin.Options{})
+		a, behind := start(t, log, "a", nil), start(t, log, "behind", nil)
+		settle(time.Second)
+		a.write(5)
+		settle(time.Second)
+		behind.link.cut.Store(true)
+		settle(time.Second)
+		a.write(5)
+		_, err := log.Order(standin.Fault{Kind: standin.LogRefuse, Target: stream}, standin.Fault{Kind: standin.LogRefuse, Target: snapshots})
+		require.NoError(t, err)
+		asked := &peers{list: []*node{a, behind}}
+		late := start(t, log, "late", func(c *follower.Config, _ *link) { c.Peers = asked })
+		settle(time.Second)
+		same(t, a, late)
+		require.Equal(t, follower.CutOff, late.condition())
+		require.Zero(t, late.Fresh())
+		lonely := start(t, log, "lonely", nil)
+		settle(time.Minute)
+		require.Equal(t, follower.Starting, lonely.condition())
+
+		log.ClearAll()
+		settle(5 * time.Second)
+		a.write(1)
+		settle(time.Second)
+		same(t, a, late)
+		same(t, a, lonely)
+		require.Equal(t, follower.Following, late.condition())
+	})
+}
+
+// The platform loses its log and begins an empty one. A node keeps its state and
+// decides nothing. Others fill the new log past the node's offset: its entries
+// must not be folded on top of the old state. When the old log is back, the node
+// goes on.
+func TestForeignLog(t *testing.T) {
+	run(t, func(t *testing.T) {
+		log, fresh := standin.New(standin.Options{}), standin.New(standin.Options{})
+		n := start(t, log, "n", nil)
+		settle(time.Second)
+		n.write(20)
+		digest := n.digest()
+		n.link.log.Store(fresh)
+		settle(5 * time.Second)
+		require.Equal(t, follower.Foreign, n.condition())
+		other := start(t, fresh, "other", noSnapshots)
+		settle(time.Second)
+		other.write(40)
+		settle(time.Minute)
+		require.Equal(t, follower.Foreign, n.condition())
+		require.Equal(t, digest, n.digest())
+		require.Greater(t, time.Since(n.Fresh()), time.Minute)
+
+		n.link.log.Store(log)
+		settle(5 * time.Second)
+		require.Equal(t, follower.Following, n.condition())
+		n.write(1)
+	})
+}
+
+// The same replacement happens while the node is stopped: it never sees the
+// short log, only one that has grown past its offset. After the pause it reads
+// the log through CatchUp before anything else.
+func TestForeignLogAfterAPause(t *testing.T) {
+	run(t, func(t *testing.T) {
+		log, fresh := standin.New(standin.Options{}), standin.New(standin.Options{})
+		n := start(t, log, "n", nil)
+		settle(time.Second)
+		n.write(5)
+		n.link.cut.Store(true)
+		other := start(t, fresh, "other", noSnapshots)
+		settle(time.Minute)
+		other.write(40)
+		n.link.log.Store(fresh)
+		n.link.cut.Store(false)
+		require.Error(t, n.CatchUp(t.Context()))
+		settle(5 * time.Second)
+		require.EqualValues(t, 5, n.offset())
+		require.Equal(t, follower.Foreign, n.condition())
+	})
+}
+
+// Replies to appends are lost, appends come late or never act, and the log
+// throttles, while fifty proposals are under way at once. Each ends with the outcome of its first
+// copy and takes effect once.
+func TestProposeOverAFaultyLog(t *testing.T) {
+	for _, batched := range []bool{true, false} {
+		run(t, func(t *testing.T) {
+			log := standin.New(standin.Options{AppendsPerSecond: 40})
+			n := start(t, log, "n", func(c *follower.Config, l *link) {
+				if !batched {
+					c.Appender = nil
+				}
+			})
+			settle(time.Second)
+			_, err := log.Order(standin.Fault{Kind: standin.LogLoseReply, Target: stream, Count: 5},
+				standin.Fault{Kind: standin.LogHang, Target: "append", Count: 3},
+				standin.Fault{Kind: standin.LogLate, Target: stream, Count: 5, DelayMS: 3000})
+			require.NoError(t, err)
+			var all sync.WaitGroup
+			for range 50 {
+				rec := n.draft()
+				all.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+					defer cancel()
+					out, err := n.Propose(ctx, rec)
+					assert.NoError(t, err)
+					assert.Equal(t, ledger.Effective, out.Status, out.Reason)
+				})
+			}
+			all.Wait()
+			settle(10 * time.Second)
+			n.View(func(s *ledger.State) { require.Len(t, s.VMs, 50) })
+		})
+	}
+}
+
+// The log is out. A proposal ends with its caller's context and an unknown
+// outcome, since a copy may still be on its way.
+func TestProposeWhileTheLogIsOut(t *testing.T) {
+	run(t, func(t *testing.T) {
+		log := standin.New(standin.Options{})
+		n := start(t, log, "n", nil)
+		settle(time.Second)
+		n.link.cut.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		began := time.Now()
+		_, err := n.Propose(ctx, n.draft())
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.Equal(t, 10*time.Second, time.Since(began))
+		rec := n.draft()
+		n.link.cut.Store(false)
+		_, err = log.Order(standin.Fault{Kind: standin.LogHang, Target: "append"})
+		require.NoError(t, err)
+		ctx, cancel = context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		_, err = n.Propose(ctx, rec)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+	})
+}
+
+// Leases rest on Fresh: on a quiet log it must never be older than a second, and
+// it must stand still from the moment the log cannot be read. A slow answer says
+// nothing about what was appended since its read was sent.
+func TestFresh(t *testing.T) {
+	run(t, func(t *testing.T) {
+		log := standin.New(standin.Options{})
+		n := start(t, log, "n", nil)
+		for range 100 {
+			settle(370 * time.Millisecond)
+			require.LessOrEqual(t, time.Since(n.Fresh()), time.Second)
+		}
+		_, err := log.Order(standin.Fault{Kind: standin.LogSlow, Target: "read", DelayMS: 3000})
+		require.NoError(t, err)
+		settle(5 * time.Second)
+		for range 20 {
+			settle(370 * time.Millisecond)
+			require.GreaterOrEqual(t, time.Since(n.Fresh()), 3*time.Second)
+		}
+		log.ClearAll()
+		settle(5 * time.Second)
+		n.link.cut.Store(true)
+		settle(2 * time.Second) // a read that was under way still counts
+		last := n.Fresh()
+		settle(time.Hour)
+		require.Equal(t, last, n.Fresh())
+		require.Equal(t, follower.CutOff, n.condition())
+		n.link.cut.Store(false)
+		settle(3 * time.Second)
+		require.LessOrEqual(t, time.Since(n.Fresh()), time.Second)
+	})
+}
+
+// A node with a clock 74 years ahead writes one record and nothing else is
+// written. The other nodes tell their clocks by themselves and time goes back.
+func TestWrongClockIsToldByWitnesses(t *testing.T) {
+	run(t, func(t *testing.T) {
+		log := standin.New(standin.Options{})
+		a := start(t, log, "a", nil)
+		start(t, log, "b", nil)
+		settle(time.Second)
+		rec := a.draft()
+		rec.Author, rec.Time = "wrong", time.Now().AddDate(74, 0, 0)
+		_, err := a.Propose(t.Context(), rec)
+		require.NoError(t, err)
+		a.View(func(s *ledger.State) { require.True(t, s.ClockAhead(time.Now())) })
+		settle(15 * time.Second)
+		a.View(func(s *ledger.State) {
+			require.False(t, s.ClockAhead(time.Now()))
+			require.Equal(t, []string{"wrong"}, s.Clock.Distrusted)
+		})
+	})
+}
+
+// A snapshot that does not fit one entry goes in parts, which may stand between
+// those of another node; unfinished and damaged ones are passed over.
+func TestLargeSnapshots(t *testing.T) {
+	run(t, func(t *testing.T) {
+		log := standin.New(standin.Options{RetentionEntries: 500})
+		a := start(t, log, "a", nil)
+		settle(time.Second)
+		for range 30 {
+			rec := a.draft()
+			rec.Subject = record.Subject{Kind: record.SubjectService, Name: rec.ID}
+			rec.Body = record.DocumentPublish{Text: incompressible(rec.ID)}
+			out, err := a.Propose(t.Context(), rec)
+			require.NoError(t, err)
+			require.Equal(t, ledger.Effective, out.Status, out.Reason)
+		}
+		data, err := a.Snapshot()
+		require.NoError(t, err)
+		require.Greater(t, len(data), 2*platform.MaxEntryBytes)
+		settle(11 * time.Minute)
+		require.Greater(t, snapshotsOn(t, log), 2)
+		for _, junk := range []string{"", "yd-part-1\n", "yd-part-1\n12345678\x00\x00\x00\x02half"} {
+			_, err := log.Append(t.Context(), snapshots, [][]byte{[]byte(junk)})
+			require.NoError(t, err)
+		}
+		a.write(490)
+		late := start(t, log, "late", nil)
+		settle(2 * time.Second)
+		same(t, a, late)
+	})
+}
+
+func TestMetrics(t *testing.T) {
+	run(t, func(t *testing.T) {
+		n := start(t, standin.New(standin.Options{}), "n", nil)
+		registry := prometheus.NewPedanticRegistry()
+		require.NoError(t, registry.Register(n))
+		settle(time.Second)
+		n.write(3)
+		families, err := registry.Gather()
+		require.NoError(t, err)
+		values := map[string]float64{}
+		for _, f := range families {
+			m := f.GetMetric()[0]
+			values[f.GetName()] = m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		}
+		require.Equal(t, 3.0, values["yuccadrift_log_records_total"])
+		require.Equal(t, 3.0, values["yuccadrift_log_appends_total"])
+		require.Equal(t, 3.0, values["yuccadrift_log_offset"])
+		require.Equal(t, 1.0, values["yuccadrift_log_following"])
+	})
+}
--- /dev/null
+++ b/internal/follower/harness_test.go
@@ -0,0 +1,174 @@
+package follower_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/follower"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+const (
+	stream    = "records"
+	snapshots = "snapshots"
+)
+
+// link is one process's way to the log. It can be cut, or led to another log.
+type link struct {
+	log atomic.Pointer[standin.Platform]
+	cut atomic.Bool
+}
+
+func (l *link) Append(ctx context.Context, name string, entries [][]byte) (platform.Offset, error) {
+	if l.cut.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	return l.log.Load().Append(ctx, name, entries)
+}
+
+func (l *link) Read(ctx context.Context, name string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	if l.cut.Load() {
+		return platform.Batch{}, platform.ErrUnavailable
+	}
+	return l.log.Load().Read(ctx, name, from, limit, wait)
+}
+
+// node is one process with a follower.
+type node struct {
+	*follower.Follower
+	t    *testing.T
+	link *link
+	name string
+	ids  int
+}
+
+// peers offers the states of other nodes; its own errors stand for silence.
+type peers struct{ list []*node }
+
+func (p *peers) NewestState(context.Context) ([]byte, error) {
+	var best []byte
+	var top uint64
+	for _, n := range p.list {
+		data, err := n.Snapshot()
+		if err != nil {
+			continue
+		}
+		if offset, _ := ledger.SnapshotOffset(data); offset > top {
+			best, top = data, offset
+		}
+	}
+	if best == nil {
+		return nil, platform.ErrUnavailable
+	}
+	return best, nil
+}
+
+// start runs a node until the test ends. change edits its settings.
+func start(t *testing.T, log *standin.Platform, name string, change func(*follower.Config, *link)) *node {
+	l := &link{}
+	l.log.Store(log)
+	cfg := follower.Config{Log: l, Stream: stream, SnapshotStream: snapshots, Node: name, Logger: hclog.NewNullLogger()}
+	cfg.Appender = platform.NewAppender(l, stream, platform.AppenderOptions{})
+	if change != nil {
+		change(&cfg, l)
+	}
+	n := &node{Follower: follower.New(cfg), t: t, link: l, name: name}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for _, duty := range n.Duties() {
+		running.Go(func() { _ = duty.Serve(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return n
+}
+
+func noSnapshots(c *follower.Config, _ *link) { c.SnapshotStream = "" }
+
+// run gives f a bubble of its own with a fake clock.
+func run(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
+
+func (n *node) offset() uint64 {
+	var offset uint64
+	n.View(func(s *ledger.State) { offset = s.Offset })
+	return offset
+}
+
+func (n *node) condition() follower.Condition {
+	c, _ := n.Condition()
+	return c
+}
+
+func (n *node) digest() uint64 {
+	_, digest, err := n.Digest()
+	require.NoError(n.t, err)
+	return digest
+}
+
+// draft returns a record that registers a new VM.
+func (n *node) draft() record.Record {
+	n.ids++
+	id := fmt.Sprintf("%s-%d", n.name, n.ids)
+	rec := record.Record{ID: id, Subject: record.Subject{Kind: record.SubjectVM, Name: id}, Author: "test", Time: time.Now(),
+		Body: record.VMRegister{Zone: "z", Rack: "r", Address: "10.0.0.1:80", Cores: 1, MemoryMB: 1}}
+	n.View(func(s *ledger.State) { rec.Seen = s.Offset })
+	return rec
+}
+
+func (n *node) write(records int) {
+	n.t.Helper()
+	for range records {
+		ctx, cancel := context.WithTimeout(n.t.Context(), time.Minute)
+		out, err := n.Propose(ctx, n.draft())
+		cancel()
+		require.NoError(n.t, err)
+		require.Equal(n.t, ledger.Effective, out.Status, out.Reason)
+	}
+}
+
+// settle lets d pass and everything due in it happen.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func same(t *testing.T, a, b *node) {
+	t.Helper()
+	require.Equal(t, a.offset(), b.offset())
+	require.Equal(t, a.digest(), b.digest())
+}
+
+// snapshotsOn counts the entries of the snapshot stream, also trimmed ones.
+func snapshotsOn(t *testing.T, log *standin.Platform) int {
+	batch, err := log.Read(t.Context(), snapshots, 1, 1, 0)
+	if err != nil {
+		require.ErrorIs(t, err, platform.ErrTrimmed)
+	}
+	return int(batch.Next) - 1
+}
+
+// incompressible returns a document with a large comment of random digits.
+func incompressible(service string) string {
+	r := rand.New(rand.NewPCG(1, uint64(len(service))))
+	var b strings.Builder
+	fmt.Fprintf(&b, "service = %q\nteam = \"t\"\n[pool]\nsize = 0\n[budget]\nwindow = \"1h\"\nallowed = 0.5\n", service)
+	for b.Len() < 250<<10 {
+		fmt.Fprintf(&b, "# %x\n", r.Uint64()^uint64(b.Len()))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/follower/publish.go
@@ -0,0 +1,144 @@
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+)
+
+// Pace of snapshots.
+const (
+	// DefaultSnapshotInterval is the longest pause between two snapshots.
+	DefaultSnapshotInterval = 10 * time.Minute
+	// snapshotEvery is after how many entries a snapshot is due, which bounds
+	// what a starting node has to fold.
+	snapshotEvery = 8192
+	// lookPause is the pause between looks for the snapshots of other nodes.
+	lookPause = 15 * time.Second
+	// publishSpread is the range of the random wait before a due snapshot is
+	// published, so that mostly one of the nodes does it.
+	publishSpread = 20 * time.Second
+	// publishTimeout bounds the appends of one snapshot.
+	publishTimeout = 30 * time.Second
+	// publishFresh is how old the latest read of the log's end may be.
+	publishFresh = 5 * time.Second
+)
+
+// publisher decides when this process publishes a snapshot. It knows of others'
+// by reading what is new on the stream.
+type publisher struct {
+	f       *Follower
+	next    platform.Offset // first entry of the stream not looked at yet
+	parts   assembly
+	covered uint64    // offset of the newest snapshot
+	since   time.Time // when that was seen
+}
+
+// serveSnapshots publishes snapshots that are due. Two nodes that publish at
+// once do no harm.
+func (f *Follower) serveSnapshots(ctx context.Context) error {
+	p := &publisher{f: f, parts: assembly{}, since: time.Now()}
+	for ctx.Err() == nil {
+		if err := p.round(ctx); err != nil && ctx.Err() == nil {
+			f.cfg.Logger.Debug("snapshot not published", "error", errors.Cause(err))
+		}
+		pause(ctx, lookPause)
+	}
+	return ctx.Err()
+}
+
+// round looks twice before it publishes: when the snapshot is due, and after a
+// random wait in which another node may have published.
+func (p *publisher) round(ctx context.Context) error {
+	if due, err := p.lookDue(ctx); !due || err != nil {
+		return err
+	}
+	pause(ctx, rand.N(publishSpread))
+	if due, err := p.lookDue(ctx); !due || err != nil {
+		return err
+	}
+	return p.publish(ctx)
+}
+
+func (p *publisher) lookDue(ctx context.Context) (bool, error) {
+	if err := p.look(ctx); err != nil {
+		return false, err
+	}
+	return p.due(time.Now()), nil
+}
+
+// look takes note of snapshots that appeared on the stream.
+func (p *publisher) look(ctx context.Context) error {
+	store := p.f.store
+	first, next, err := store.bounds(ctx)
+	if err != nil {
+		return err
+	}
+	if p.next == 0 && next > 1 { // of those published before only the newest counts
+		p.next = next - 1
+	}
+	for p.next = max(p.next, first); p.next < next; p.next++ {
+		entry, err := store.entry(ctx, p.next)
+		if err != nil {
+			return err
+		}
+		snapshot := p.parts.add(entry)
+		if snapshot == nil {
+			continue
+		}
+		clear(p.parts)
+		if offset, err := ledger.SnapshotOffset(snapshot); err == nil && offset >= p.covered {
+			p.covered, p.since = offset, time.Now()
+		}
+	}
+	if first == next && first > 1 { // retention has removed them all
+		p.covered = 0
+	}
+	return nil
+}
+
+// due reports whether a snapshot has to be published: none covers the retained
+// range, the newest is past its half, or it is too long ago in entries or time.
+func (p *publisher) due(now time.Time) bool {
+	f := p.f
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	offset := f.state.Offset
+	if f.condition != Following || offset == 0 || now.Sub(f.fresh) > publishFresh {
+		return false
+	}
+	if now.Sub(p.since) >= f.cfg.SnapshotInterval {
+		return true // even if nothing was folded: retention removes old snapshots
+	}
+	if offset <= p.covered {
+		return false
+	}
+	covered := platform.Offset(p.covered)
+	trimmed := f.first > 1
+	return trimmed && covered < f.first+(f.next-f.first)/2 || offset-p.covered >= snapshotEvery
+}
+
+func (p *publisher) publish(ctx context.Context) error {
+	data, err := p.f.Snapshot()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	if err := p.f.store.put(ctx, data); err != nil {
+		return err
+	}
+	offset, err := ledger.SnapshotOffset(data)
+	if err != nil {
+		return err
+	}
+	p.covered, p.since = offset, time.Now()
+	p.f.metrics.snapshots.Inc()
+	p.f.cfg.Logger.Info("published a snapshot", "offset", offset, "bytes", len(data))
+	return nil
+}
--- /dev/null
+++ b/internal/follower/read.go
@@ -0,0 +1,271 @@
+package follower
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+)
+
+// Limits of reads and pauses between attempts.
+const (
+	readMax = 1000
+	// readTimeout bounds a read beyond the time that it may wait for entries.
+	readTimeout = 5 * time.Second
+	retryMin    = 100 * time.Millisecond
+	retryMax    = 2 * time.Second
+	// doubtAfter is for how long no read may have succeeded before it is checked
+	// that the log still continues the state.
+	doubtAfter = 30 * time.Second
+)
+
+// Errors of reading, beside those of platform.Log.
+var (
+	errGap     = errors.New("entries that were not folded are gone from the log")
+	errForeign = errors.New("the log does not continue the state")
+)
+
+// newBackoff returns growing pauses with jitter, so that nodes that lost the log
+// together do not come back together.
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = retryMin
+	b.MaxInterval = retryMax
+	return b
+}
+
+// Serve follows the log until ctx ends. It is a suture service.
+func (f *Follower) Serve(ctx context.Context) error {
+	retry := newBackoff()
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			retry.Reset()
+			continue
+		}
+		if ctx.Err() == nil {
+			f.failed(err)
+		}
+		pause(ctx, retry.NextBackOff())
+	}
+	return ctx.Err()
+}
+
+// failed sets the condition that a failure of a step means.
+func (f *Follower) failed(err error) {
+	f.metrics.readErrors.Inc()
+	f.mu.RLock()
+	offset := f.state.Offset
+	empty := offset == 0 && f.fresh.IsZero()
+	f.mu.RUnlock()
+	switch {
+	case errors.Is(err, errForeign):
+		f.setCondition(Foreign, fmt.Sprintf("%v; the state at offset %d is kept and nothing is decided", err, offset))
+	case errors.Is(err, errGap):
+		f.setCondition(Gap, fmt.Sprintf("%v; the state at offset %d is kept and nothing is decided", err, offset))
+	case empty:
+		f.setCondition(Starting, "no state yet and the log cannot be read: "+errors.Cause(err).Error())
+	default:
+		f.setCondition(CutOff, "the log cannot be read: "+errors.Cause(err).Error())
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	if err := f.begin(ctx); err != nil {
+		return err
+	}
+	wait := f.cfg.ReadWait
+	if f.Fresh().IsZero() { // a process that starts learns at once that the log is empty
+		wait = 0
+	}
+	err := f.read(ctx, wait)
+	if errors.Is(err, platform.ErrTrimmed) {
+		return f.bridge(ctx)
+	}
+	return err
+}
+
+// begin looks for the newest snapshot, or, while the log is out, for the state
+// of a peer. A process that started from a peer still looks for the snapshot
+// once the log is back.
+func (f *Follower) begin(ctx context.Context) error {
+	f.mu.RLock()
+	begun, offset := f.begun, f.state.Offset
+	f.mu.RUnlock()
+	if begun || f.cfg.SnapshotStream == "" {
+		return nil
+	}
+	data, err := f.store.newest(ctx)
+	if err != nil {
+		if offset == 0 {
+			f.askPeers(ctx)
+		}
+		return err
+	}
+	if data != nil {
+		f.adopt(data, "snapshot stream")
+	}
+	f.mu.Lock()
+	f.begun = true
+	f.mu.Unlock()
+	return nil
+}
+
+// askPeers takes over the newest state of the peers, if it is further.
+func (f *Follower) askPeers(ctx context.Context) bool {
+	if f.cfg.Peers == nil {
+		return false
+	}
+	data, err := f.cfg.Peers.NewestState(ctx)
+	if err != nil {
+		f.cfg.Logger.Debug("no state from peers", "error", errors.Cause(err))
+		return false
+	}
+	return f.adopt(data, "peer")
+}
+
+// bridge looks for a state beyond entries that retention has removed before
+// they were folded.
+func (f *Follower) bridge(ctx context.Context) error {
+	if f.cfg.SnapshotStream != "" {
+		data, err := f.store.newest(ctx)
+		if err != nil {
+			return err
+		}
+		if data != nil && f.adopt(data, "snapshot stream") && !f.trimmed() {
+			return nil
+		}
+	}
+	if f.askPeers(ctx) && !f.trimmed() {
+		return nil
+	}
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return errors.Wrapf(errGap, "folded up to %d, retained from %d", f.state.Offset, f.first)
+}
+
+// trimmed reports whether the entry after the state is gone.
+func (f *Follower) trimmed() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return platform.Offset(f.state.Offset)+1 < f.first
+}
+
+// CatchUp reads and folds the log to its present end. It may run beside Serve:
+// a process that was paused needs the end of the log at once, while Serve may
+// wait on a connection that broke meanwhile.
+func (f *Follower) CatchUp(ctx context.Context) error {
+	began := time.Now()
+	for f.Fresh().Before(began) {
+		if err := f.read(ctx, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// read reads once and folds what came.
+func (f *Follower) read(ctx context.Context, wait time.Duration) error {
+	if err := f.verify(ctx); err != nil {
+		return err
+	}
+	f.mu.RLock()
+	from := platform.Offset(f.state.Offset + 1)
+	f.mu.RUnlock()
+	sent := time.Now()
+	batch, err := f.get(ctx, from, readMax, wait)
+	if err != nil {
+		return err
+	}
+	if batch.Next < from {
+		f.mu.Lock()
+		f.doubt = true
+		f.mu.Unlock()
+		return errors.Wrapf(errForeign, "folded up to %d, the log's next offset is %d", from-1, batch.Next)
+	}
+	f.fold(batch, sent)
+	f.setCondition(Following, "")
+	return nil
+}
+
+// get reads entries and notes the retained range.
+func (f *Follower) get(ctx context.Context, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	batch, err := f.cfg.Log.Read(ctx, f.cfg.Stream, from, limit, wait)
+	if err != nil && !errors.Is(err, platform.ErrTrimmed) {
+		return batch, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.first, f.next = batch.First, batch.Next
+	return batch, err
+}
+
+// verify checks, after a takeover or a long time without a read, that the log
+// holds at the state's offset the entry that was folded there. A log that was
+// lost and has grown again past that offset would else be folded on top of a
+// state that it does not continue.
+func (f *Follower) verify(ctx context.Context) error {
+	f.mu.RLock()
+	offset, tail := f.state.Offset, f.state.Tail
+	doubt := f.doubt || (!f.lastRead.IsZero() && time.Since(f.lastRead) > doubtAfter)
+	f.mu.RUnlock()
+	if !doubt || offset == 0 {
+		return nil
+	}
+	batch, err := f.get(ctx, platform.Offset(offset), 1, 0)
+	switch {
+	case batch.Next != 0 && batch.Next <= platform.Offset(offset):
+		return errors.Wrapf(errForeign, "folded up to %d, the log's next offset is %d", offset, batch.Next)
+	case errors.Is(err, platform.ErrTrimmed): // nothing left to compare with
+	case err != nil:
+		return err
+	case len(batch.Entries) > 0 && uint64(batch.Entries[0].Offset) == offset && tail != 0 && xxhash.Sum64(batch.Entries[0].Data) != tail:
+		return errors.Wrapf(errForeign, "its entry at offset %d is not the one folded", offset)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.doubt = false
+	f.lastRead = time.Now()
+	return nil
+}
+
+// fold applies a batch. Entries that another read brought before are passed
+// over.
+func (f *Follower) fold(batch platform.Batch, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range batch.Entries {
+		if uint64(e.Offset) <= f.state.Offset {
+			continue
+		}
+		out := f.state.ApplyData(uint64(e.Offset), e.Data)
+		f.metrics.records.WithLabelValues(string(out.Status)).Inc()
+		if w, ok := f.waiters[out.ID]; ok {
+			delete(f.waiters, out.ID)
+			w <- out
+		}
+	}
+	f.lastRead = time.Now()
+	if platform.Offset(f.state.Offset)+1 >= batch.Next && sent.After(f.fresh) {
+		f.fresh = sent
+	}
+	if len(batch.Entries) > 0 {
+		f.notify()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/follower/snapshots.go
@@ -0,0 +1,155 @@
+package follower
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+)
+
+// A snapshot is cut into parts that fit an entry of the log. Each part starts
+// with the mark, a hash over the whole snapshot, its own number and their count.
+const (
+	partMark   = "yd-part-1\n"
+	partHeader = len(partMark) + 8 + 2 + 2
+	partMax    = platform.MaxEntryBytes - partHeader
+	// maxParts bounds a snapshot, maxScan how many entries are looked through
+	// for one: the parts of two that were published at once, and a few more.
+	maxParts = 64
+	maxScan  = 3 * maxParts
+)
+
+// snapshotStore is the stream of snapshots.
+type snapshotStore struct {
+	log    platform.Log
+	stream string
+}
+
+// part is one part of a snapshot.
+type part struct {
+	id          uint64
+	index, size int
+	data        []byte
+}
+
+func split(snapshot []byte) ([][]byte, error) {
+	count := (len(snapshot) + partMax - 1) / partMax
+	if count > maxParts {
+		return nil, errors.Errorf("a snapshot of %d bytes is too large", len(snapshot))
+	}
+	id := xxhash.Sum64(snapshot)
+	var parts [][]byte
+	for i := range count {
+		var b bytes.Buffer
+		b.WriteString(partMark)
+		b.Write(binary.BigEndian.AppendUint64(nil, id))
+		b.Write(binary.BigEndian.AppendUint16(nil, uint16(i)))
+		b.Write(binary.BigEndian.AppendUint16(nil, uint16(count)))
+		b.Write(snapshot[i*partMax : min((i+1)*partMax, len(snapshot))])
+		parts = append(parts, b.Bytes())
+	}
+	return parts, nil
+}
+
+func parsePart(entry []byte) (part, bool) {
+	if len(entry) < partHeader || string(entry[:len(partMark)]) != partMark {
+		return part{}, false
+	}
+	head := entry[len(partMark):]
+	p := part{
+		id:    binary.BigEndian.Uint64(head),
+		index: int(binary.BigEndian.Uint16(head[8:])),
+		size:  int(binary.BigEndian.Uint16(head[10:])),
+		data:  entry[partHeader:],
+	}
+	return p, p.size >= 1 && p.size <= maxParts && p.index < p.size
+}
+
+// assembly collects the parts of several snapshots until one is whole.
+type assembly map[uint64]map[int][]byte
+
+// add returns the snapshot that the entry completes, or nil.
+func (a assembly) add(entry []byte) []byte {
+	p, ok := parsePart(entry)
+	if !ok {
+		return nil
+	}
+	if a[p.id] == nil {
+		a[p.id] = map[int][]byte{}
+	}
+	a[p.id][p.index] = p.data
+	if len(a[p.id]) < p.size {
+		return nil
+	}
+	var whole []byte
+	for i := range p.size {
+		whole = append(whole, a[p.id][i]...)
+	}
+	if xxhash.Sum64(whole) != p.id {
+		return nil
+	}
+	return whole
+}
+
+// bounds returns the retained range of the stream.
+func (s snapshotStore) bounds(ctx context.Context) (first, next platform.Offset, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	batch, err := s.log.Read(ctx, s.stream, 1, 1, 0)
+	if errors.Is(err, platform.ErrTrimmed) {
+		err = nil
+	}
+	return batch.First, batch.Next, err
+}
+
+// newest returns the newest whole snapshot of the stream, or nil when there is
+// none. Damaged and unfinished ones are passed over.
+func (s snapshotStore) newest(ctx context.Context) ([]byte, error) {
+	first, next, err := s.bounds(ctx)
+	if err != nil {
+		return nil, err
+	}
+	parts := assembly{}
+	for at := next; at > first && next-at < maxScan; at-- {
+		entry, err := s.entry(ctx, at-1)
+		if err != nil {
+			return nil, err
+		}
+		if snapshot := parts.add(entry); snapshot != nil {
+			return snapshot, nil
+		}
+	}
+	return nil, nil
+}
+
+// entry returns one entry, nil when it was trimmed meanwhile.
+func (s snapshotStore) entry(ctx context.Context, at platform.Offset) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	batch, err := s.log.Read(ctx, s.stream, at, 1, 0)
+	if err != nil && !errors.Is(err, platform.ErrTrimmed) {
+		return nil, err
+	}
+	if len(batch.Entries) == 0 {
+		return nil, nil
+	}
+	return batch.Entries[0].Data, nil
+}
+
+// put appends a snapshot. Parts of two nodes may mix: each is told by its hash.
+func (s snapshotStore) put(ctx context.Context, snapshot []byte) error {
+	parts, err := split(snapshot)
+	if err != nil {
+		return err
+	}
+	for _, p := range parts {
+		if _, err := s.log.Append(ctx, s.stream, [][]byte{p}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/follower/witness.go
@@ -0,0 +1,55 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// witnessPause is the pause between looks at the fold's time.
+const witnessPause = 5 * time.Second
+
+// serveWitness tells this node's clock when the fold's time runs ahead of it:
+// some node's clock may be far ahead, and only the word of others can overthrow
+// it. See ledger.Clock.
+func (f *Follower) serveWitness(ctx context.Context) error {
+	told := uint64(0)
+	for ctx.Err() == nil {
+		pause(ctx, witnessPause)
+		if jump := f.clockJump(time.Now()); jump > told && f.witness(ctx) {
+			told = jump
+		}
+	}
+	return ctx.Err()
+}
+
+// clockJump returns the offset of the jump that put the fold's time ahead of
+// now, 0 when it is not.
+func (f *Follower) clockJump(now time.Time) uint64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if f.condition != Following || !f.state.ClockAhead(now) {
+		return 0
+	}
+	return f.state.Clock.JumpAt
+}
+
+func (f *Follower) witness(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, witnessPause)
+	defer cancel()
+	rec := record.Record{
+		ID:      ulid.Make().String(),
+		Subject: record.Subject{Kind: record.SubjectClock, Name: f.cfg.Node},
+		Author:  f.cfg.Node,
+		Time:    time.Now().UTC(),
+		Body:    record.ClockWitness{},
+	}
+	f.View(func(s *ledger.State) { rec.Seen = s.Offset })
+	_, err := f.Propose(ctx, rec)
+	f.cfg.Logger.Warn("the fold's time is ahead of this clock", "told", err == nil)
+	return err == nil
+}
--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
@@ -63,9 +65,12 @@
 	rec, err := record.Decode(data)
 	if err != nil {
 		s.advance(offset)
+		s.Tail = xxhash.Sum64(data)
 		return Outcome{Offset: offset, Status: Malformed, Reason: err.Error()}
 	}
-	return s.Apply(offset, rec)
+	out := s.Apply(offset, rec)
+	s.Tail = xxhash.Sum64(data)
+	return out
 }
 
 // Apply folds the record at offset. Offsets must rise; a gap is allowed, since
@@ -99,6 +104,7 @@
 		panic(fmt.Sprintf("ledger: offset %d applied after %d", offset, s.Offset))
 	}
 	s.Offset = offset
+	s.Tail = 0
 	s.expireRetired()
 }
 
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -24,6 +24,9 @@
 // State is the fold of the log up to and including Offset.
 type State struct {
 	Offset uint64 `json:"offset"`
+	// Tail is a hash of the entry at Offset, by which a follower sees whether a
+	// log continues this state; 0 when that entry was not folded from its bytes.
+	Tail uint64 `json:"tail"`
 	// Now is the fold's time, by which charges are dated: see Clock.
 	Now      time.Time           `json:"now"`
 	Clock    Clock               `json:"clock"`
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -18,6 +18,8 @@
 	Readiness Readiness
 	Logger    hclog.Logger
 	InFlight  func() (offset uint64, vms map[string]int)
+	// State returns the folded state as a snapshot, for peers.
+	State func() ([]byte, error)
 }
 
 // NewEntry returns the membership of an entry process and its node among the
@@ -28,6 +30,7 @@
 		CallTimeout: entrypeer.DefaultCallTimeout,
 		Patience:    entrypeer.DefaultPatience,
 		InFlight:    e.InFlight,
+		State:       e.State,
 	})
 	e.Registry.MustRegister(entrypeer.NewCollector(node))
 	duty := New(Config{
--- a/internal/operatorcmd/session.go
+++ b/internal/operatorcmd/session.go
@@ -47,7 +47,9 @@
 	s.follower = follower.New(follower.Config{
 		Log:    client,
 		Stream: o.stream,
-		Logger: hclog.NewNullLogger(),
+		// A log whose beginning retention has removed is read from a snapshot on.
+		SnapshotStream: o.snapshotStream,
+		Logger:         hclog.NewNullLogger(),
 	})
 	s.follow(ctx)
 	if err := s.awaitFresh(ctx); err != nil {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -11,7 +11,7 @@
 	DefaultStream         = "yuccadrift"
 	DefaultSnapshotStream = "yuccadrift-snapshots"
 	DefaultRequestTimeout = 2 * time.Second
-	DefaultReadWait       = 2 * time.Second
+	DefaultReadWait       = 500 * time.Millisecond
 	DefaultLogLevel       = "info"
 	DefaultLogFormat      = LogText
 )
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,7 +33,8 @@
 	// RequestTimeout bounds one request. An append that runs into it has an
 	// unknown outcome.
 	RequestTimeout tomlfile.Duration `toml:"request_timeout"`
-	// ReadWait is how long a read at the end of a stream waits for an entry.
+	// ReadWait is how long a read at the end of a stream waits for an entry. The
+	// state may be twice as old on a quiet log.
 	ReadWait tomlfile.Duration `toml:"read_wait"`
 }
 
--- a/internal/steward/daemon.go
+++ b/internal/steward/daemon.go
@@ -43,15 +43,11 @@
 		return err
 	}
 	defer stewards.Close()
-	d := daemon{
-		settings:  s,
-		logger:    logger,
-		follower:  follower.New(follower.Config{Log: client, Stream: s.Platform.Stream, Logger: logger.Named("log")}),
-		readiness: admin.NewReadiness(),
-		health:    backend.NewHealthChecker(),
-	}
+	states := entrypeer.NewStates(s.Peers.SeedAddresses())
+	defer states.Close()
+	d := newDaemon(s, client, states, logger)
 	registry := admin.NewRegistry(name)
-	registry.MustRegister(burnmetrics.New(d.follower, time.Now))
+	registry.MustRegister(d.follower, burnmetrics.New(d.follower, time.Now))
 	steward := New(Config{
 		Node:          s.Node.ID,
 		Follower:      d.follower,
@@ -76,9 +72,9 @@
 	peers := peerserver.New(peerListener)
 	d.offer(peers, steward)
 	logger.Info("steward started", "admin", adminListener.Addr())
-	duties := append(steward.Duties(), d.jobs(client, steward, registry).Duties()...)
+	duties := append(d.follower.Duties(), steward.Duties()...)
+	duties = append(duties, d.jobs(client, steward, registry).Duties()...)
 	return supervise.Run(ctx, name, logger, append(duties,
-		supervise.Duty{Name: "follow", Serve: d.follower.Serve},
 		supervise.Duty{Name: "admin", Serve: server.Serve},
 		supervise.Duty{Name: "peers", Serve: peers.Serve},
 		supervise.Duty{Name: "greet", Serve: stewards.Serve},
@@ -93,7 +89,8 @@
 			d.readiness.Ready("log")
 			return
 		}
-		d.readiness.Unready("log", "the end of the log was not reached lately; nothing is decided")
+		_, detail := d.follower.Condition()
+		d.readiness.Unready("log", "the end of the log was not reached lately; nothing is decided; "+detail)
 	})
 }
 
@@ -106,6 +103,16 @@
 	health    Checker
 }
 
+func newDaemon(s settings.Steward, log platform.Log, states follower.Peers, logger hclog.Logger) daemon {
+	return daemon{
+		settings:  s,
+		logger:    logger,
+		follower:  follower.New(follower.FromSettings(s.Common, log, states, logger)),
+		readiness: admin.NewReadiness(),
+		health:    backend.NewHealthChecker(),
+	}
+}
+
 // offer registers what the daemon answers on its peer address.
 func (d daemon) offer(peers *peerserver.Server, s *Steward) {
 	operator.Register(peers.Registrar(), operator.ServerConfig{
@@ -115,6 +122,7 @@
 		State:   d.follower,
 		Unready: d.readiness.Reasons,
 	})
+	entrypeer.RegisterState(peers.Registrar(), d.follower.Snapshot)
 	stewardpeer.Register(peers.Registrar(), stewardpeer.ServerConfig{
 		Node:  d.settings.Node.ID,
 		Able:  s.MayDecide,
