--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -142,9 +142,18 @@
 		if r.Taken(vm) || !Fits(vm, p.Doc.Pool) {
 			continue
 		}
-		if best == nil || s.better(vm, best) {
+		if best == nil || smaller(s, vm, best) {
 			best = vm
 		}
 	}
 	return best
 }
+
+// smaller prefers the smaller of two VMs that fit, then the one that spreads
+// the pool wider.
+func smaller(s spread, a, b *VM) bool {
+	if c := compareShape(a, b); c != 0 {
+		return c < 0
+	}
+	return s.better(a, b)
+}
--- a/internal/pool/supply.go
+++ b/internal/pool/supply.go
@@ -1,6 +1,9 @@
 package pool
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // supply collects the VMs that may be given to gaps.
 type supply struct {
@@ -27,10 +30,23 @@
 	for _, p := range r.View.Pools {
 		r.donate(p, s)
 	}
-	slices.SortStableFunc(s.classes, func(a, b *class) int { return int(a.tier) - int(b.tier) })
+	slices.SortStableFunc(s.classes, func(a, b *class) int {
+		return cmp.Or(int(a.tier)-int(b.tier), compareShape(a.vms[0], b.vms[0]))
+	})
 	return s
 }
 
+// compareShape orders VMs from the smallest to the largest. Pools are given the
+// smallest VM that fits: a pool that takes larger ones than it asks for leaves
+// a later document that needs them short, with smaller VMs lying free.
+func compareShape(a, b *VM) int {
+	return cmp.Or(
+		cmp.Compare(a.Accelerators, b.Accelerators),
+		cmp.Compare(a.Cores, b.Cores),
+		cmp.Compare(a.MemoryMB, b.MemoryMB),
+	)
+}
+
 func (s *supply) add(t tier, donor string, vm *VM) {
 	key := classKey{t, donor, shape{vm.Cores, vm.MemoryMB, vm.Accelerators}}
 	c := s.index[key]
