Let the demo judge the promises and end what it started in order

The demo ran a wave and printed tables. It now waits until every VM is registered, shows progress on and off a terminal, prints the report, and judges seven promises from the callers' answers, the backend servers' counters, the ledger and a replay of the run; it exits with 1 if one broke. Daemons are told to stop before the stand-in.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,28 +5,37 @@
 # wave. Ends with a non-zero status if a promise broke. Needs Go only.
 #
 #   DEMO_PORT      first of about 30 ports on 127.0.0.1 (default 27100)
-#   DEMO_REQUESTS  requests to send (default 4000)
 #   DEMO_KEEP      keep logs and settings in this directory
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go=${GO:-go}
 port=${DEMO_PORT:-27100}
-requests=${DEMO_REQUESTS:-4000}
-limit=110 # seconds for the whole run, the build not counted
+vms=104
+limit=110        # seconds for the whole run, the build not counted
+load_seconds=30  # of load; the wave takes some 20 of them
 zones=(zone-a zone-b zone-c)
 pools=booking,conversion
+routes=(
+	name=lookup,path=/booking/lookup,rate=60,work=10ms,reply=2000
+	name=reservation,path=/booking/reservations,rate=15,work=40ms,keyed=true
+	name=status,path=/conversion/status,rate=30,work=5ms
+	name=conversion,path=/conversion/conversions,rate=3,work=1500ms,keyed=true,body=100000
+	name=rotation,path=/preview/rotations,rate=40,work=15ms,reply=64000
+)
 bin=$PWD/bin
 
 dir=${DEMO_KEEP:-$(mktemp -d)}
 mkdir -p "$dir"
-pids=()
+pids=()    # of daemons, the stand-in first
+helpers=() # of what ends by itself
+load_pid=
 
 # finish ends what this script started, by process ID, also after Ctrl-C. The
 # stand-in, which was started first, ends last.
 finish() {
 	local status=$? pid deadline
 	trap - EXIT
-	for pid in "${pids[@]:1}"; do kill -TERM "$pid" 2>/dev/null || true; done
+	for pid in "${helpers[@]+"${helpers[@]}"}" "${pids[@]:1}"; do kill -TERM "$pid" 2>/dev/null || true; done
 	deadline=$((SECONDS + 15))
 	for pid in "${pids[@]:1}" "${pids[@]:0:1}"; do
 		[[ $pid != "${pids[0]}" ]] || kill -TERM "$pid" 2>/dev/null || true
@@ -40,7 +49,18 @@
 trap 'exit 130' INT TERM
 
 say() { printf '[%3ds] %s\n' "$SECONDS" "$*"; }
-progress() { [[ ! -t 1 ]] || printf '\r\033[K[%3ds] %s' "$SECONDS" "$*"; }
+
+# progress shows a line that the next one replaces; off a terminal, a line now
+# and then.
+told=0
+progress() {
+	if [[ -t 1 ]]; then
+		printf '\r\033[K[%3ds] %s' "$SECONDS" "$*"
+	elif ((SECONDS >= told + 5)); then
+		say "$*"
+		told=$SECONDS
+	fi
+}
 progress_done() { [[ ! -t 1 ]] || printf '\r\033[K'; }
 
 die() {
@@ -77,7 +97,7 @@
 
 		[[fleet]]
 		prefix = "rml"
-		count = 52
+		count = $((vms / 2))
 		zones = ["zone-a", "zone-b", "zone-c"]
 		cores = 32
 		memory_mb = 65536
@@ -85,7 +105,7 @@
 
 		[[fleet]]
 		prefix = "fkv"
-		count = 52
+		count = $((vms / 2))
 		zones = ["zone-a", "zone-b", "zone-c", "zone-d"]
 		cores = 64
 		memory_mb = 262144
@@ -143,6 +163,17 @@
 	done
 }
 
+# await_fleet waits until the stewards have registered every VM, so that the
+# pools choose among all of them.
+await_fleet() {
+	until cli --output csv status | grep -q "^fleet,$vms,"; do
+		within_limit
+		alive
+		progress "VMs are being registered"
+		sleep 0.2
+	done
+}
+
 # await_pools waits until every pool serves at its declared size.
 await_pools() {
 	local title service revision author serving full total
@@ -163,15 +194,36 @@
 	say "all $total pools serve at their size"
 }
 
-# await_wave waits until the wave is over.
-await_wave() {
-	local title wave status pools pending out back
+# start_load sends requests through all entry VMs in the background.
+start_load() {
+	local route args=()
+	if [[ ! -d cmd/yuccadrift-load ]]; then
+		say "no load generator in this build: the wave runs without requests"
+		return
+	fi
+	for route in "${routes[@]}"; do args+=(--route "$route"); done
+	"$bin/yuccadrift-load" "${targets[@]}" "${args[@]}" --warm 0s --duration "${load_seconds}s" >"$dir/load.log" 2>&1 &
+	load_pid=$!
+	helpers+=("$load_pid")
+	disown
+	say "callers send 148 requests a second for $load_seconds s, long conversions among them"
+}
+
+# await_run waits until wave and load are over and sets wave_status.
+await_run() {
+	local title wave pools pending out back rest load_over
 	while :; do
-		while IFS=, read -r title wave status rest; do
-			[[ $title == waves && $wave == demo ]] && break
+		wave_status=gone
+		while IFS=, read -r title wave status pools rest; do
+			[[ $title == waves && $wave == demo ]] || continue
+			wave_status=$status
+			rest=${rest##*\"}
+			IFS=, read -r pending out back _ <<<"${rest#,}"
 		done < <(cli --output csv wave show demo)
-		progress "wave $status, load $(tail -c 200 "$dir/load.log" 2>/dev/null | tr '\r' '\n' | tail -n 1)"
-		[[ $status == running || $status == paused ]] || break
+		load_over=yes
+		[[ -z $load_pid ]] || ! kill -0 "$load_pid" 2>/dev/null || load_over=no
+		progress "wave $wave_status: $back VMs back, $out out, $pending to come; load over: $load_over"
+		[[ $wave_status == running || $load_over == no ]] || break
 		within_limit
 		alive
 		sleep 0.5
@@ -179,6 +231,68 @@
 	progress_done
 }
 
+# counter prints a number from the backend servers' part of the stand-in's
+# counters, read once into $counters.
+counters=
+read_counters() {
+	exec 3<>"/dev/tcp/127.0.0.1/$port"
+	printf 'GET /control/counters HTTP/1.0\r\nHost: demo\r\n\r\n' >&3
+	counters=$(cat <&3)
+	exec 3>&-
+	counters=${counters#*\"backends\":}
+	counters=${counters%%\"vms\":*}
+}
+counter() {
+	[[ $counters =~ \"$1\":([0-9]+) ]] || die "the stand-in has no counter $1"
+	echo "${BASH_REMATCH[1]}"
+}
+
+# promise prints one line of the verdict.
+broken_promises=0
+promise() { # TEXT TRIED BROKEN
+	local verdict=kept
+	[[ $2 != 0 ]] || verdict="not tried"
+	if [[ $3 != 0 ]]; then
+		verdict=BROKEN
+		broken_promises=$((broken_promises + 1))
+	fi
+	printf '  %-58s %8s %8s  %s\n' "$1" "$2" "$3" "$verdict"
+}
+
+verdict() {
+	local name n_sent n_good rate failed notrun unknown broken wrong rest
+	local sent=0 cut=0 mixed=0 skipped overspent=0 services=0 left
+	if [[ -n $load_pid ]]; then
+		while read -r name n_sent n_good rate failed notrun unknown broken wrong rest; do
+			[[ $name != route && -n $wrong ]] || continue
+			sent=$((sent + n_sent)) cut=$((cut + broken)) mixed=$((mixed + wrong))
+		done <"$dir/load.log"
+		((sent > 0)) || die "the load generator sent nothing: $(cat "$dir/load.log")"
+	fi
+	read_counters
+	local row
+	while IFS= read -r row; do
+		services=$((services + 1))
+		[[ $row != *,spent,* ]] || overspent=$((overspent + 1))
+	done < <(cli --output csv report | grep '^budget burn,' | grep -v ',SERVICE,')
+	skipped=$(cli --output csv wave show demo | grep -c '^skipped VMs,demo,') || true
+	[[ $wave_status == done ]] || skipped=$((skipped + 1))
+	cli record --note "demo" "$dir/demo.jsonl.gz" >/dev/null
+	local differ=0
+	cli replay "$dir/demo.jsonl.gz" >"$dir/replay.txt" 2>&1 || differ=1
+
+	echo
+	printf '  %-58s %8s %8s\n' "promise" tried broken
+	promise "answers are whole and the caller's own" "$sent" "$mixed"
+	promise "no request is cut: connections and partial answers" "$sent" "$cut"
+	promise "no request is cut: in flight at a VM that went down" "$(counter runs)" "$(counter cut_in_flight)"
+	promise "a request with a key runs at most once (most runs)" "$(counter max_runs_per_key)" "$(($(counter max_runs_per_key) > 1))"
+	promise "the wave maintains every VM" "$wave_vms" "$skipped"
+	promise "pools stay within their availability budget" "$services" "$overspent"
+	promise "a fresh fold of the log comes to the same outcomes" 1 "$differ"
+	((broken_promises == 0)) || die "$broken_promises promises broke"
+}
+
 say "building"
 make build GO="$go" >/dev/null
 SECONDS=0
@@ -187,22 +301,37 @@
 
 start standin yuccadrift-standin "$dir/standin.toml"
 await_platform
-say "stand-in of the platform runs: 104 VMs with backend servers, control page http://$platform/control/"
+say "the stand-in of the platform runs: $vms VMs with backend servers, faults to order at http://$platform/control/"
+targets=()
 for i in 0 1 2; do
+	first=$((port + 10 * (i + 1)))
 	start "steward-$i" yuccadrift-steward "$dir/steward-$i.toml"
-	nodes+=("127.0.0.1:$((port + 10 * (i + 1) + 5))")
-	if [[ -x $bin/yuccadrift-entry ]]; then
-		start "entry-$i" yuccadrift-entry "$dir/entry-$i.toml"
-		nodes+=("127.0.0.1:$((port + 10 * (i + 1)))")
-	fi
+	start "entry-$i" yuccadrift-entry "$dir/entry-$i.toml"
+	nodes+=("127.0.0.1:$first" "127.0.0.1:$((first + 5))")
+	targets+=(--target "127.0.0.1:$((first + 2))")
 done
 await_nodes
-say "three entry VMs run in ${zones[*]}"
+say "three entry VMs run, in ${zones[*]}"
+await_fleet
 cli publish --wait-in-force examples/ramcharan/*.toml examples/feldkamm/*.toml >"$dir/publish.txt"
-say "ten documents published and in force on every node"
+slowest=$(grep -oE '[0-9.]+m?s$' "$dir/publish.txt" | sort -V | tail -n 1)
+say "ten documents published; each in force on all six processes, the slowest after $slowest"
 await_pools
+
+start_load
+sleep 1
 cli wave start --name demo --pools "$pools" --deadline 10m >"$dir/wave.txt"
-say "maintenance wave over $pools started"
-await_wave
-cli wave show demo
-cli status
+wave_vms=0
+for n in $(cli --output json wave show demo | grep -oE '"(pending|out|back)": [0-9]+' | grep -oE '[0-9]+'); do
+	wave_vms=$((wave_vms + n))
+done
+say "maintenance wave over $pools started: $wave_vms VMs to drain, reboot and take back"
+await_run
+say "wave and load are over"
+echo
+[[ -z $load_pid ]] || cat "$dir/load.log"
+echo
+cli report
+verdict
+echo
+say "all promises kept"
