--- a/internal/forecast/fleet_test.go
+++ b/internal/forecast/fleet_test.go
@@ -109,4 +109,3 @@
 	}
 	return n
 }
-
--- a/internal/forecast/run.go
+++ b/internal/forecast/run.go
@@ -53,7 +53,8 @@
 	Plan   Planner
 	// Times returns how long the steps take on a VM.
 	Times func(vm *ledger.VM) Times
-	// Lost reports whether a VM does not answer; its steps do not end.
+	// Lost reports whether a VM does not answer; its steps do not end, and it is
+	// given up in the end.
 	Lost func(vm string) bool
 
 	due map[string]step
@@ -132,21 +133,57 @@
 	first, at := "", time.Time{}
 	for _, id := range slices.Sorted(maps.Keys(r.State.VMs)) {
 		vm := r.State.VMs[id]
-		if maintenance.Next(vm) == maintenance.StepNone || r.Lost(id) {
+		if maintenance.Next(vm) == maintenance.StepNone {
 			continue
 		}
-		s, ok := r.due[id]
-		if !ok || s.revision != vm.Revision {
-			s = step{revision: vm.Revision, done: r.Now.Add(r.duration(vm))}
-			r.due[id] = s
-		}
-		if first == "" || s.done.Before(at) {
-			first, at = id, s.done
+		done, ends := r.ends(vm)
+		if ends && (first == "" || done.Before(at)) {
+			first, at = id, done
 		}
 	}
 	return first, at
 }
 
+// ends returns when a VM's step ends. A lost VM's step ends with giving it up.
+func (r *Run) ends(vm *ledger.VM) (time.Time, bool) {
+	if r.Lost(vm.ID) {
+		return vm.PhaseSince.Add(maintenance.OverdueAfter(vm)), !r.givenUp(vm)
+	}
+	s, ok := r.due[vm.ID]
+	if !ok || s.revision != vm.Revision {
+		s = step{revision: vm.Revision, done: r.Now.Add(r.duration(vm))}
+		r.due[vm.ID] = s
+	}
+	return s.done, true
+}
+
+// givenUp reports whether a VM that does not come back is down for the fold and
+// out of its wave.
+func (r *Run) givenUp(vm *ledger.VM) bool {
+	return vm.Down && r.waveOf(vm) == ""
+}
+
+// waveOf returns the active wave that waits for the VM, or an empty string.
+func (r *Run) waveOf(vm *ledger.VM) string {
+	if vm.Drain == nil {
+		return ""
+	}
+	if w, ok := r.State.Waves[vm.Drain.Wave]; ok && w.Active() && w.VMs[vm.ID] == ledger.WaveOut {
+		return w.ID
+	}
+	return ""
+}
+
+// giveUp records that a VM does not come back.
+func (r *Run) giveUp(vm *ledger.VM) {
+	if !vm.Down {
+		r.OnVM(vm.ID, record.VMDown{Cause: "did not come back"})
+	}
+	if wave := r.waveOf(vm); wave != "" {
+		r.Append(record.Subject{Kind: record.SubjectWave, Name: wave}, record.WaveSkip{VM: vm.ID, Reason: "did not come back"})
+	}
+}
+
 func (r *Run) duration(vm *ledger.VM) time.Duration {
 	switch maintenance.Next(vm) {
 	case maintenance.StepQuiesce:
@@ -163,6 +200,10 @@
 func (r *Run) finish(id string) {
 	vm := r.State.VMs[id]
 	delete(r.due, id)
+	if r.Lost(id) {
+		r.giveUp(vm)
+		return
+	}
 	switch maintenance.Next(vm) {
 	case maintenance.StepJoin:
 		r.OnVM(id, record.VMJoin{Pool: vm.Drain.Target})
--- a/internal/maintenance/step.go
+++ b/internal/maintenance/step.go
@@ -145,12 +145,17 @@
 	minimalOverdue = 10 * time.Minute
 )
 
-// Overdue reports whether the VM has been in its phase for so much longer than
-// its drain's estimate that it is not expected back.
-func Overdue(vm *ledger.VM, now time.Time) bool {
-	bound := minimalOverdue
-	if vm.Drain != nil {
-		bound = max(bound, overdueFactor*vm.Drain.Estimate)
+// OverdueAfter returns for how long a VM may be in its phase: far longer than its
+// drain's estimate.
+func OverdueAfter(vm *ledger.VM) time.Duration {
+	if vm.Drain == nil {
+		return minimalOverdue
 	}
-	return Next(vm) != StepNone && now.Sub(vm.PhaseSince) > bound
+	return max(minimalOverdue, overdueFactor*vm.Drain.Estimate)
+}
+
+// Overdue reports whether the VM has been in its phase for so long that it is
+// not expected back.
+func Overdue(vm *ledger.VM, now time.Time) bool {
+	return Next(vm) != StepNone && now.Sub(vm.PhaseSince) > OverdueAfter(vm)
 }
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -1,5 +1,7 @@
 package pool
 
+import "slices"
+
 // tier orders supply by what its use disturbs.
 type tier int
 
@@ -38,17 +40,18 @@
 // gap that another fits. The sets of VMs that can be given away at once form a
 // matroid, so taking the cheapest first ends at the least disturbance among the
 // largest assignments. surplus bounds what each donor gives over all its
-// classes.
-func assign(gaps []*gap, classes []*class, surplus map[string]int) *assignment {
+// classes, limit all that are given away.
+func assign(gaps []*gap, classes []*class, surplus map[string]int, limit int) *assignment {
 	a := &assignment{gaps: gaps, classes: classes, filled: make([]int, len(gaps))}
 	a.flow = make([][]int, len(classes))
 	for i := range classes {
 		a.flow[i] = make([]int, len(gaps))
 	}
 	for i, c := range classes {
-		for c.left > 0 && (c.donor == "" || surplus[c.donor] > 0) && a.augment(i) {
+		for limit > 0 && c.left > 0 && (c.donor == "" || surplus[c.donor] > 0) && a.augment(i) {
 			c.left--
 			surplus[c.donor]--
+			limit--
 		}
 	}
 	return a
@@ -67,10 +70,12 @@
 	queue := []int{from}
 	seen := make([]bool, len(a.classes))
 	seen[from] = true
+	order := a.neediest()
 	for len(queue) > 0 {
 		c := queue[0]
 		queue = queue[1:]
-		for j, g := range a.gaps {
+		for _, j := range order {
+			g := a.gaps[j]
 			if viaClass[j] >= 0 || !a.fits(c, g) {
 				continue
 			}
@@ -91,6 +96,19 @@
 	return false
 }
 
+// neediest returns the gaps by what they still need, so that scarce VMs are
+// spread over the pools by need and do not all go to the first.
+func (a *assignment) neediest() []int {
+	order := make([]int, len(a.gaps))
+	for j := range order {
+		order[j] = j
+	}
+	slices.SortStableFunc(order, func(i, j int) int {
+		return a.gaps[i].need(a.filled[i]).compare(a.gaps[j].need(a.filled[j]))
+	})
+	return order
+}
+
 // shift moves one VM along the path that ends at gap end.
 func (a *assignment) shift(from, end int, viaClass, viaGap []int) {
 	a.filled[end]++
--- a/internal/pool/fill.go
+++ b/internal/pool/fill.go
@@ -1,18 +1,20 @@
 package pool
 
 import (
+	"slices"
+
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
 // Fill gives VMs to the pools that are short: free ones first, then the lasting
-// surplus of other pools.
+// surplus of other pools, then what an exchange sets free.
 func Fill(r *Round) {
 	gaps := r.gaps()
 	if len(gaps) == 0 {
 		return
 	}
 	s := r.supply()
-	a := assign(gaps, s.classes, s.surplus)
+	a := assign(gaps, s.classes, s.surplus, r.Policy.MaxProposals-len(r.Proposals))
 	for i, c := range a.classes {
 		for j, g := range a.gaps {
 			for range a.flow[i][j] {
@@ -23,6 +25,32 @@
 			}
 		}
 	}
+	for j, g := range a.gaps {
+		if a.filled[j] < g.short() && g.mayMove {
+			r.exchange(g)
+		}
+	}
+}
+
+// exchange gives a free VM, which does not fit the gap, to a pool that has VMs
+// which do. That pool then has a surplus, which moves to the gap once it has
+// lasted. Without this a pool stays short while others hold larger VMs than they
+// need and smaller ones lie free.
+func (r *Round) exchange(g *gap) {
+	for _, p := range r.View.Pools {
+		if r.Full() || p == g.pool || r.Surplus(p) > 0 || !r.holds(p, g.pool) {
+			continue
+		}
+		if vm := r.bestFree(p); vm != nil && !Fits(vm, g.pool.Doc.Pool) {
+			r.join(vm, p.Name, r.want(p)+1, "in exchange for one that fits pool "+g.pool.Name)
+			return
+		}
+	}
+}
+
+// holds reports whether the pool has a VM that fits another one.
+func (r *Round) holds(p, other *Pool) bool {
+	return slices.ContainsFunc(p.VMs, func(vm *VM) bool { return vm.Serving() && !r.Taken(vm) && Fits(vm, other.Doc.Pool) })
 }
 
 // give sends the best VM of a class to a gap.
--- a/internal/pool/gap.go
+++ b/internal/pool/gap.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 )
 
@@ -35,7 +34,7 @@
 	return *r.spare
 }
 
-// gaps returns the pools that are short, the neediest first.
+// gaps returns the pools that are short, by name.
 func (r *Round) gaps() []*gap {
 	var gaps []*gap
 	for _, p := range r.View.Pools {
@@ -45,16 +44,24 @@
 			gaps = append(gaps, g)
 		}
 	}
-	slices.SortFunc(gaps, neediest)
 	return gaps
 }
 
-// neediest orders gaps by the share of the pool that is missing.
-func neediest(a, b *gap) int {
-	if c := cmp.Compare(b.short()*a.want, a.short()*b.want); c != 0 {
-		return c
+// need is how much a gap wants its next VM: the share of the declared size that
+// is missing, then the share of what the pool should have beyond it.
+type need struct{ missing, spare float64 }
+
+// need returns the gap's need once it has got so many VMs.
+func (g *gap) need(got int) need {
+	size := g.pool.Doc.Pool.Size
+	return need{
+		missing: float64(max(0, size-g.have-got)) / float64(max(1, size)),
+		spare:   float64(g.short()-got) / float64(max(1, g.want)),
 	}
-	return cmp.Compare(a.pool.Name, b.pool.Name)
+}
+
+func (n need) compare(o need) int {
+	return cmp.Or(cmp.Compare(o.missing, n.missing), cmp.Compare(o.spare, n.spare))
 }
 
 func (r *Round) lasting(since time.Time, wait time.Duration) bool {
