Queue quick requests for a slot, keep room for them, and add a load generator

Room for quick requests follows their need, shed ones included: by slots in use alone long requests took over.

--- /dev/null
+++ b/cmd/yuccadrift-load/main.go
@@ -0,0 +1,85 @@
+// Command yuccadrift-load sends a bounded load of callers' requests to entry
+// VMs on this machine and checks every answer.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/load"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "yuccadrift-load",
+		Usage: "send a bounded load to entry VMs on this machine and check every answer",
+		Description: `A route is a list of key=value: name, path, rate (requests a second), work, reply
+and body (bytes), keyed (true for not-repeatable routes), deadline.
+
+Example:
+   yuccadrift-load --target 127.0.0.1:8080 --duration 10s \
+      --route name=lookup,path=/booking/lookup,rate=200,work=5ms \
+      --route name=book,path=/booking/reservations,rate=20,work=50ms,keyed=true`,
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "target", Usage: "`IP:PORT` of an entry VM's callers' address (repeatable)", Required: true},
+			&cli.StringSliceFlag{Name: "route", Usage: "a kind of request (repeatable)", Required: true},
+			&cli.DurationFlag{Name: "duration", Usage: "how long requests are sent", Value: 10 * time.Second},
+			&cli.DurationFlag{Name: "warm", Usage: "first part that is not counted", Value: time.Second},
+			&cli.IntFlag{Name: "in-flight", Usage: "most requests under way", Value: 5000},
+			&cli.IntFlag{Name: "retries", Usage: "attempts after unknown or not-run"},
+			&cli.Uint64Flag{Name: "seed", Usage: "fixes the arrivals", Value: 1},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON instead of a table"},
+		},
+		// A comma separates the parts of one route, not routes.
+		DisableSliceFlagSeparator: true,
+		Action:                    run,
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	plan := load.Plan{
+		Targets:  cmd.StringSlice("target"),
+		Duration: cmd.Duration("duration"),
+		Warm:     cmd.Duration("warm"),
+		InFlight: cmd.Int("in-flight"),
+		Retries:  cmd.Int("retries"),
+		Seed:     cmd.Uint64("seed"),
+	}
+	for _, text := range cmd.StringSlice("route") {
+		route, err := load.ParseRoute(text)
+		if err != nil {
+			return err
+		}
+		plan.Routes = append(plan.Routes, route)
+	}
+	report, err := load.Run(ctx, plan)
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("json") {
+		err = json.NewEncoder(os.Stdout).Encode(report)
+	} else {
+		err = report.WriteTable(os.Stdout)
+	}
+	if err == nil && report.Wrong() > 0 {
+		return errors.New("wrong answers: of other requests, or partial ones that look whole")
+	}
+	return err
+}
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -77,13 +77,13 @@
 	began := time.Now()
 	call, p := h.parse(r, began)
 	if p != nil {
-		h.refuse(w, p, call, began)
+		h.refuse(w, r, p, call, began)
 		return
 	}
 	free, p := h.readBody(w, r, call)
 	defer free()
 	if p != nil {
-		h.refuse(w, p, call, began)
+		h.refuse(w, r, p, call, began)
 		return
 	}
 	call.Header = forwardHeader(r)
@@ -108,8 +108,8 @@
 }
 
 // refuse answers a request that was not sent on.
-func (h *Handler) refuse(w http.ResponseWriter, p *problem, call *dispatch.Call, began time.Time) {
-	o := refusalOutcome(p, call)
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, p *problem, call *dispatch.Call, began time.Time) {
+	o := refusalOutcome(p, call, r.Header)
 	h.line(w, p.status, o, p.reason, p.after, p.line)
 	h.ended(call, o, p.reason, began)
 }
@@ -118,11 +118,13 @@
 // key is claimed. This attempt did not run, but of a not-repeatable request an
 // earlier one may have: told "not-run", its caller would start afresh under a
 // new key and run it twice.
-func refusalOutcome(p *problem, call *dispatch.Call) outcome.Outcome {
-	if call == nil || call.Route.Repeatable || p.reason == ReasonNoKey || p.reason == ReasonKey {
+func refusalOutcome(p *problem, call *dispatch.Call, header http.Header) outcome.Outcome {
+	repeatable := call != nil && call.Route.Repeatable
+	if repeatable || header.Get(outcome.HeaderKey) == "" || p.reason == ReasonKey {
 		return outcome.NotRun
 	}
-	if call.Retry || p.transient && !call.First {
+	n, _ := strconv.Atoi(header.Get(outcome.HeaderAttempt)) // 0: the caller does not say
+	if n > 1 || n == 0 && p.transient {
 		return outcome.Unknown
 	}
 	return outcome.NotRun
--- a/internal/caller/parse.go
+++ b/internal/caller/parse.go
@@ -71,6 +71,8 @@
 			reason: ReasonStarting,
 			line:   "this entry VM has just started and knows no service yet; try another one",
 			after:  time.Second,
+
+			transient: true,
 		}
 	}
 	svc, ok := table.Services[name]
@@ -135,7 +137,6 @@
 		return badRequest(ReasonAttempt, "%s %q: must be a number from 1 to %d", outcome.HeaderAttempt, clip(text), maxAttempt)
 	}
 	call.First = n == 1
-	call.Retry = n > 1
 	return nil
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -24,6 +24,10 @@
 // Bounds of the tries for one request.
 const (
 	maxTries = 4
+	// refusedTries refusals are followed by a try elsewhere at once, and
+	// maxRefusals in all.
+	refusedTries = 2
+	maxRefusals  = 20
 	// refusalShare is the share of fresh requests that may be tried again after
 	// a refusal of a backend server.
 	refusalShare = 1.0
@@ -43,7 +47,6 @@
 	Route   document.Route
 	Key     string // of a not-repeatable request
 	First   bool   // the caller says that this is its first attempt
-	Retry   bool   // the caller says that it is not
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	Method   string
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,7 +60,8 @@
 	Claims         Claims
 	Observer       Observer
 	// Rand chooses among backend servers. It must be safe for concurrent use.
-	Rand routing.Rand
+	Rand    routing.Rand
+	Sharing routing.Sharing
 }
 
 // Dispatcher sends callers' requests on. It is safe for concurrent use.
@@ -82,6 +83,7 @@
 
 type service struct {
 	pool    *routing.Pool
+	queue   queue
 	retries *routing.Budget
 	// refusals bounds tries after a backend server refused for want of a slot.
 	// They are cheap, but under overload they would multiply.
@@ -108,7 +110,7 @@
 	for name, svc := range table.Services {
 		s := d.services[name]
 		if s == nil {
-			s = newService(d.cfg.Zone)
+			s = newService(d.cfg)
 			d.services[name] = s
 		}
 		s.pool.Update(svc, table.Members)
@@ -126,8 +128,8 @@
 	d.view.Store(&view{table: table, services: services, fresh: fresh})
 }
 
-func newService(zone string) *service {
-	return &service{pool: routing.NewPool(zone), retries: routing.NewBudget(), refusals: routing.NewBudget()}
+func newService(cfg Config) *service {
+	return &service{pool: routing.NewPool(cfg.Zone, cfg.Sharing), retries: routing.NewBudget(), refusals: routing.NewBudget()}
 }
 
 // Table returns the table in use.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/backend"
+	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/outcome"
 	"github.com/yuccadrift/yuccadrift/internal/routing"
 )
@@ -18,12 +19,16 @@
 	svc    *service
 	cancel context.CancelFunc
 
-	tried    []string
-	lease    routing.Lease // of last
-	last     backend.Answer
-	answer   backend.Answer  // the latest complete answer, Status 0 if none
-	shed     routing.Refusal // why no further try was made
-	maybeRan bool            // a try ended with outcome unknown
+	tried     []string // VMs not to be tried again
+	tries     int
+	refusals  int  // tries that a backend server refused
+	queued    bool // waits for a slot in turn, until waitUntil at most
+	waitUntil time.Time
+	lease     routing.Lease // of last
+	last      backend.Answer
+	answer    backend.Answer  // the latest complete answer, Status 0 if none
+	shed      routing.Refusal // why no further try was made
+	maybeRan  bool            // a try ended with outcome unknown
 }
 
 // again makes one try and reports whether another one should follow.
@@ -32,18 +37,18 @@
 		r.shed = refusedStale
 		return false
 	}
-	query := routing.Query{Class: r.call.Route.Class, Tried: r.tried}
-	lease, refusal := r.svc.pool.Pick(time.Now(), r.d.cfg.Rand, query)
+	lease, refusal := r.acquire(ctx)
 	if refusal != routing.Admitted {
 		r.shed = refusal
 		return false
 	}
 	r.lease = lease
+	r.tries++
 	r.tried = append(r.tried, lease.VM)
 	began := time.Now()
 	r.last = r.send(ctx, began)
 	if r.last.Rest == nil {
-		r.svc.pool.Done(time.Now(), lease, evidence(&r.last, r.call, time.Since(began)))
+		r.done(evidence(&r.last, r.call, time.Since(began)))
 	}
 	switch r.last.Outcome {
 	case outcome.Ran:
@@ -54,11 +59,68 @@
 	return r.mayRetry(ctx)
 }
 
+// acquire picks a backend server. A quick call waits a short while for a slot
+// when all are in use; those that come while others wait queue up behind them.
+func (r *run) acquire(ctx context.Context) (routing.Lease, routing.Refusal) {
+	if !r.quick() {
+		return r.pick()
+	}
+	if !r.queued && r.svc.queue.length() == 0 {
+		lease, refusal := r.pick()
+		if refusal != routing.Busy {
+			return lease, refusal
+		}
+	}
+	return r.acquireQueued(ctx)
+}
+
+func (r *run) acquireQueued(ctx context.Context) (routing.Lease, routing.Refusal) {
+	if r.waitUntil.IsZero() {
+		now := time.Now()
+		r.waitUntil = now.Add(r.svc.queue.patience(r.call.Deadline.Sub(now)))
+	}
+	for {
+		w := r.svc.queue.join(r.queued, (r.svc.pool.Share()+1)/2)
+		if w == nil {
+			return routing.Lease{}, routing.Busy
+		}
+		r.queued = true
+		if !r.svc.queue.turn(ctx, w, r.waitUntil) {
+			return routing.Lease{}, routing.Busy
+		}
+		r.forgetRefused()
+		if lease, refusal := r.pick(); refusal != routing.Busy {
+			return lease, refusal
+		}
+	}
+}
+
+func (r *run) quick() bool { return r.call.Route.Class == document.ClassQuick }
+
+func (r *run) pick() (routing.Lease, routing.Refusal) {
+	return r.svc.pool.Pick(time.Now(), r.d.cfg.Rand, routing.Query{Class: r.call.Route.Class, Tried: r.tried})
+}
+
+// forgetRefused lets a backend server be tried again that had no slot before.
+func (r *run) forgetRefused() {
+	if r.last.Failure == backend.FailureRefused && !r.maybeRan {
+		r.tried = r.tried[:0]
+	}
+}
+
+// done ends the lease of the last try and lets a waiting call have its slot.
+func (r *run) done(ev routing.Evidence) {
+	r.svc.pool.Done(time.Now(), r.lease, ev)
+	if ev != routing.EvidenceFull {
+		r.svc.queue.wake()
+	}
+}
+
 // send makes the try. A hung backend server takes half of a repeatable call's
 // time at most, so that the rest is left for another one.
 func (r *run) send(ctx context.Context, now time.Time) backend.Answer {
 	left := r.call.Deadline.Sub(now)
-	if r.call.Route.Repeatable && len(r.tried) == 1 {
+	if r.call.Route.Repeatable && r.tries-r.refusals == 1 {
 		tryCtx, cancelTry := context.WithCancel(ctx)
 		slow := time.AfterFunc(left/2, cancelTry)
 		defer slow.Stop()
@@ -79,7 +141,7 @@
 // a copy, as the goroutine that wrote an earlier one may still read it.
 func (r *run) header(left time.Duration) backend.Header {
 	h := r.call.Header
-	if len(r.tried) > 1 {
+	if r.tries > 1 {
 		h = maps.Clone(h)
 	}
 	h[outcome.HeaderDeadline] = []string{strconv.FormatInt(max(1, left.Milliseconds()), 10)}
@@ -87,23 +149,34 @@
 }
 
 func (r *run) mayRetry(ctx context.Context) bool {
-	if ctx.Err() != nil || len(r.tried) >= maxTries {
+	if ctx.Err() != nil || !r.safe() {
 		return false
 	}
-	if !r.safe() {
-		return false
-	}
-	budget := r.svc.retries
 	if r.last.Failure == backend.FailureRefused {
-		budget = r.svc.refusals
+		return r.mayRetryRefused()
 	}
-	if !budget.Spend() {
+	if r.tries-r.refusals >= maxTries || !r.svc.retries.Spend() {
 		return false
 	}
 	r.d.cfg.Observer.Retried(r.call.Service, r.last.Failure)
 	return true
 }
 
+// mayRetryRefused decides on a try after a backend server had no slot. The first
+// ones go elsewhere at once, within a budget; then a quick call queues up, where
+// the pace of the queue bounds its tries.
+func (r *run) mayRetryRefused() bool {
+	r.refusals++
+	if r.refusals <= refusedTries && !r.queued && r.svc.refusals.Spend() {
+		return true
+	}
+	if !r.quick() || r.refusals >= maxRefusals {
+		return false
+	}
+	r.queued = true
+	return r.waitUntil.IsZero() || time.Now().Before(r.waitUntil)
+}
+
 // safe reports whether a further try can do no harm and may do good.
 func (r *run) safe() bool {
 	if r.last.Outcome == outcome.NotRun {
@@ -121,7 +194,8 @@
 // result makes one answer of all tries. Once a try may have run, a later one
 // that did not run cannot turn the call into not-run.
 func (r *run) result() Result {
-	res := Result{Tries: len(r.tried), Close: func(bool) { r.cancel() }}
+	r.noteDemand()
+	res := Result{Tries: r.tries, Close: func(bool) { r.cancel() }}
 	if r.answer.Status != 0 {
 		res.Answer = r.answer
 		res.Outcome = outcome.Ran
@@ -144,6 +218,18 @@
 	return res
 }
 
+// noteDemand tells the queue and the pool whether a quick call got a slot.
+func (r *run) noteDemand() {
+	if !r.quick() {
+		return
+	}
+	shed := r.answer.Status == 0 && (r.shed == routing.Busy || r.last.Failure == backend.FailureRefused)
+	r.svc.queue.ended(shed)
+	if shed {
+		r.svc.pool.Unmet(time.Now())
+	}
+}
+
 func (r *run) closeStream(whole bool) {
 	_ = r.answer.Rest.Close()
 	r.cancel()
@@ -151,7 +237,7 @@
 	if whole {
 		ev = answerEvidence(&r.answer)
 	}
-	r.svc.pool.Done(time.Now(), r.lease, ev)
+	r.done(ev)
 }
 
 // evidence says what a try showed of its backend server. A caller's short
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/caller"
 	"github.com/yuccadrift/yuccadrift/internal/dispatch"
 	"github.com/yuccadrift/yuccadrift/internal/requestmetrics"
+	"github.com/yuccadrift/yuccadrift/internal/routing"
 	"github.com/yuccadrift/yuccadrift/internal/settings"
 	"github.com/yuccadrift/yuccadrift/internal/supervise"
 )
@@ -45,6 +46,8 @@
 	// Drained is called once no caller is served any more, before the process
 	// ends: to leave the entry VMs in order.
 	Drained func(context.Context)
+	// Sharing is how slots of backend servers are shared.
+	Sharing routing.Sharing
 }
 
 // Readiness tells the balancer whether to send callers here.
@@ -84,6 +87,7 @@
 		Claims:         cfg.Claims,
 		Observer:       metrics,
 		Rand:           rand.New(sharedRand{}),
+		Sharing:        cfg.Sharing,
 	})
 	e := &Entry{cfg: cfg, backends: backends, dispatcher: dispatcher}
 	e.server = e.callers(metrics)
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -23,6 +24,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
 	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/routing"
 	"github.com/yuccadrift/yuccadrift/internal/settings"
 	"github.com/yuccadrift/yuccadrift/internal/standin"
 	"github.com/yuccadrift/yuccadrift/internal/supervise"
@@ -63,19 +65,31 @@
 `
 )
 
-// rig is one entry process's request path in front of a stand-in.
+// rig is entry processes' request paths, in this process, in front of a
+// stand-in. The tests of one entry use the first.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	fake    *standin.Platform
 	server  *standin.Server
 	follow  *follower.Follower
 	entry   *entry.Entry
+	entries []*entry.Entry
+	targets []string // callers' addresses
 	ready   *admin.Readiness
 	url     string
 	stop    context.CancelFunc // as SIGTERM
 	ended   chan struct{}
 	unready atomic.Pointer[time.Time] // when the balancer noticed
-	err     error                     // of the process, once ended is closed
+	err     error                     // of the first entry, once ended is closed
+}
+
+// rigOptions says how large a rig is.
+type rigOptions struct {
+	zones    []string
+	backends int
+	entries  int
+	sharing  routing.Sharing
+	claims   dispatch.Claims
 }
 
 func settingsText(zone string) string {
@@ -83,61 +97,76 @@
 		"[admin]\nlisten=\"127.0.0.1:0\"\n[callers]\nlisten=\"127.0.0.1:0\"\nmax_header_bytes=8192\n[drain]\nnotice=\"300ms\"\nlimit=\"5s\"\n"
 }
 
-func newRig(t *testing.T, claims dispatch.Claims) *rig {
+func newRig(t testing.TB, claims dispatch.Claims) *rig {
+	return newRigOf(t, rigOptions{zones: []string{"a", "b", "c"}, backends: 3, entries: 1, claims: claims})
+}
+
+func newRigOf(t testing.TB, opts rigOptions) *rig {
 	t.Helper()
-	fake := standin.New(standin.Options{Groups: []standin.Group{{Prefix: "vm", Count: 3, Zones: []string{"a", "b", "c"}}}})
-	r := startRig(t, claims, fake, fake)
-	r.fill()
+	fake := standin.New(standin.Options{Groups: []standin.Group{{Prefix: "vm", Count: opts.backends, Zones: opts.zones}}})
+	r := startRig(t, opts, fake, fake)
+	r.fill(opts.entries)
 	return r
 }
 
-// startRig starts the process on a log.
-func startRig(t *testing.T, claims dispatch.Claims, fake *standin.Platform, log platform.Log) *rig {
+// startRig starts the processes on a log.
+func startRig(t testing.TB, opts rigOptions, fake *standin.Platform, log platform.Log) *rig {
 	t.Helper()
 	server, err := standin.NewServer(fake, standin.ServerOptions{})
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = server.Serve(ctx) }()
-
-	s, problems := settings.ParseEntry("entry.toml", []byte(settingsText("a")))
-	require.NoError(t, problems.Err())
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	logger := hclog.New(&hclog.LoggerOptions{Level: hclog.Warn, Output: t.Output()})
-	r := &rig{
-		t:      t,
-		fake:   fake,
-		server: server,
-		follow: follower.New(follower.Config{Log: log, Stream: stream, Logger: logger}),
-		ready:  admin.NewReadiness(),
-		url:    "http://" + listener.Addr().String(),
-		ended:  make(chan struct{}),
+	r := &rig{t: t, fake: fake, server: server, ended: make(chan struct{})}
+	r.follow = follower.New(follower.Config{Log: log, Stream: stream, Logger: logger})
+	for i := range opts.entries {
+		r.start(ctx, cancel, logger, opts, i)
 	}
+	r.entry, r.url = r.entries[0], "http://"+r.targets[0]
+	return r
+}
+
+// start runs the ith entry; the first one also follows the log for all.
+func (r *rig) start(ctx context.Context, cancel func(), logger hclog.Logger, opts rigOptions, i int) {
+	s, problems := settings.ParseEntry("entry.toml", []byte(settingsText(opts.zones[i%len(opts.zones)])))
+	require.NoError(r.t, problems.Err())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(r.t, err)
 	stop, cancelStop := context.WithCancel(ctx)
-	r.stop = cancelStop
-	r.entry = entry.New(entry.Config{
+	ready := admin.NewReadiness()
+	e := entry.New(entry.Config{
 		Settings:  s,
 		Callers:   listener,
 		Follower:  r.follow,
-		Claims:    claims,
+		Claims:    opts.claims,
 		CheckKey:  entry.CheckKey,
 		Registry:  prometheus.NewRegistry(),
-		Readiness: r.ready,
+		Readiness: ready,
 		Logger:    logger,
 		Stop:      stop.Done(),
+		Sharing:   opts.sharing,
 	})
-	duties := append(r.entry.Duties(), supervise.Duty{Name: "follow", Serve: r.follow.Serve})
+	r.entries = append(r.entries, e)
+	r.targets = append(r.targets, listener.Addr().String())
+	duties := e.Duties()
+	ended := make(chan struct{})
+	if i == 0 {
+		r.stop, r.ready, ended = cancelStop, ready, r.ended
+		duties = append(duties, supervise.Duty{Name: "follow", Serve: r.follow.Serve})
+	}
 	go func() {
-		defer close(r.ended)
-		r.err = supervise.Run(ctx, "entry", logger, duties...)
+		defer close(ended)
+		err := supervise.Run(ctx, "entry", logger, duties...)
+		if i == 0 {
+			r.err = err
+		}
 	}()
-	t.Cleanup(func() { cancel(); <-r.ended })
-	return r
+	r.t.Cleanup(func() { cancel(); cancelStop(); <-ended })
 }
 
 // fill publishes the document and puts every VM into its pool.
-func (r *rig) fill() {
+func (r *rig) fill(entries int) {
 	r.propose(record.SubjectService, "booking", record.DocumentPublish{Text: text})
 	list, err := r.fake.List(r.t.Context())
 	require.NoError(r.t, err)
@@ -146,7 +175,18 @@
 		r.propose(record.SubjectVM, vm.ID, record.VMJoin{Pool: "booking"})
 		r.propose(record.SubjectVM, vm.ID, record.VMUp{})
 	}
-	r.until(func() bool { return r.entry.Offset() == r.offset() })
+	for i := range entries {
+		name := fmt.Sprintf("entry-%d", i)
+		r.propose(record.SubjectMember, name, record.MemberJoin{Node: name, Zone: "a", Address: fmt.Sprintf("127.0.0.1:%d", i+1)})
+	}
+	r.until(func() bool {
+		for _, e := range r.entries {
+			if e.Offset() != r.offset() {
+				return false
+			}
+		}
+		return true
+	})
 }
 
 func registration(vm platform.VM) record.VMRegister {
--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -60,7 +60,7 @@
 		require.NoError(t, err)
 	}
 	log := &gatedLog{Log: fake, beyond: 1, gate: make(chan struct{}), waits: make(chan struct{})}
-	r := startRig(t, nil, fake, log)
+	r := startRig(t, rigOptions{zones: []string{"a"}, entries: 1}, fake, log)
 	<-log.waits
 	r.until(func() bool { return r.offset() > 0 })
 
@@ -69,6 +69,9 @@
 	assert.Equal(t, string(outcome.NotRun), got.header.Get(outcome.HeaderOutcome))
 	assert.Equal(t, string(caller.ReasonStarting), got.header.Get(outcome.HeaderReason))
 	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	keyed := http.Header{outcome.HeaderKey: {ulid.Make().String()}}
+	got = r.send(http.MethodPost, "/booking/reservations", keyed, nil)
+	assert.Equal(t, string(outcome.Unknown), got.header.Get(outcome.HeaderOutcome), "it may be a retry of a booking that ran")
 	assert.Zero(t, r.entry.Offset())
 	assert.Contains(t, strings.Join(r.ready.Reasons(), "\n"), "read to its end")
 
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,199 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+// requestLimit bounds one attempt whose route sets no deadline.
+const requestLimit = 5 * time.Minute
+
+// retryPause is waited between attempts, besides what Retry-After says.
+const retryPause = 20 * time.Millisecond
+
+// Run carries the plan out and waits for its last answer.
+func Run(ctx context.Context, p Plan) (Report, error) {
+	if err := p.Check(); err != nil {
+		return Report{}, err
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: p.InFlight, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	g := &generator{plan: p, client: &http.Client{Transport: transport}, slots: make(chan struct{}, p.InFlight)}
+	report := Report{Seconds: (p.Duration - p.Warm).Seconds()}
+	var arrivals sync.WaitGroup
+	recorders := make([]*recorder, len(p.Routes))
+	for i, route := range p.Routes {
+		recorders[i] = newRecorder()
+		arrivals.Go(func() { g.arrive(ctx, route, recorders[i], rand.New(rand.NewPCG(p.Seed, uint64(i)))) })
+	}
+	arrivals.Wait()
+	g.sending.Wait()
+	for i, route := range p.Routes {
+		report.Routes = append(report.Routes, recorders[i].report(route.Name, report.Seconds))
+	}
+	return report, ctx.Err()
+}
+
+type generator struct {
+	plan    Plan
+	client  *http.Client
+	slots   chan struct{}
+	sending sync.WaitGroup
+}
+
+// arrive starts the route's requests at random, independent moments (a Poisson
+// process), whether or not earlier ones were answered.
+func (g *generator) arrive(ctx context.Context, route Route, rec *recorder, rnd *rand.Rand) {
+	if route.Rate == 0 {
+		return
+	}
+	began := time.Now()
+	due := time.Duration(0)
+	for n := 0; ; n++ {
+		due += time.Duration(rnd.ExpFloat64() / route.Rate * float64(time.Second))
+		if due > g.plan.Duration || !sleepUntil(ctx, began.Add(due)) {
+			return
+		}
+		at, counted := began.Add(due), due >= g.plan.Warm
+		target := g.plan.Targets[rnd.IntN(len(g.plan.Targets))]
+		select {
+		case g.slots <- struct{}{}:
+		default:
+			if counted {
+				rec.notSent()
+			}
+			continue
+		}
+		g.sending.Go(func() {
+			defer func() { <-g.slots }()
+			last, retries := g.send(ctx, route, target)
+			if counted {
+				rec.add(last, retries, time.Since(at))
+			}
+		})
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	left := time.Until(at)
+	if left <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt is how one attempt ended.
+type attempt struct {
+	outcome outcome.Outcome
+	reason  outcome.Reason
+	failed  bool // answer of 500 and up
+	broken  bool
+	wrong   bool
+	after   time.Duration // Retry-After
+}
+
+// send sends one request with its retries, each at the next target.
+func (g *generator) send(ctx context.Context, route Route, target string) (last attempt, retries int) {
+	key := ""
+	if route.Keyed {
+		key = ulid.Make().String()
+	}
+	for {
+		last = g.try(ctx, route, target, key, retries+1)
+		again := last.broken || last.outcome == outcome.NotRun || last.outcome == outcome.Unknown
+		if !again || retries == g.plan.Retries {
+			return last, retries
+		}
+		if !sleepUntil(ctx, time.Now().Add(retryPause+last.after)) {
+			return last, retries
+		}
+		retries++
+		target = g.plan.Targets[(indexOf(g.plan.Targets, target)+1)%len(g.plan.Targets)]
+	}
+}
+
+func indexOf(list []string, s string) int {
+	for i, v := range list {
+		if v == s {
+			return i
+		}
+	}
+	return 0
+}
+
+func (g *generator) try(ctx context.Context, route Route, target, key string, n int) attempt {
+	ctx, cancel := context.WithTimeout(ctx, requestLimit)
+	defer cancel()
+	echo := strconv.FormatUint(rand.Uint64(), 36)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+route.Path, bytes.NewReader(make([]byte, route.BodyBytes)))
+	if err != nil {
+		return attempt{broken: true}
+	}
+	req.GetBody = nil // the client must not send a request twice by itself
+	route.fill(req.Header, key, n)
+	req.Header.Set(standin.HeaderEcho, echo)
+	res, err := g.client.Do(req)
+	if err != nil {
+		return attempt{broken: true}
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return attempt{broken: true}
+	}
+	return judge(route, res, body, echo)
+}
+
+func (r Route) fill(h http.Header, key string, n int) {
+	h.Set(standin.HeaderReplyBytes, strconv.Itoa(r.ReplyBytes))
+	if r.Work > 0 {
+		h.Set(standin.HeaderWorkMS, strconv.FormatFloat(r.Work.Seconds()*1000, 'f', -1, 64))
+	}
+	if r.Deadline > 0 {
+		h.Set(outcome.HeaderDeadline, strconv.FormatInt(r.Deadline.Milliseconds(), 10))
+	}
+	if key != "" {
+		h.Set(outcome.HeaderKey, key)
+		h.Set(outcome.HeaderAttempt, strconv.Itoa(n))
+	}
+}
+
+// judge checks an answer that looks whole.
+func judge(route Route, res *http.Response, body []byte, echo string) attempt {
+	a := attempt{
+		outcome: outcome.Outcome(res.Header.Get(outcome.HeaderOutcome)),
+		reason:  outcome.Reason(res.Header.Get(outcome.HeaderReason)),
+	}
+	if s, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil {
+		a.after = time.Duration(s) * time.Second
+	}
+	switch a.outcome {
+	case outcome.NotRun, outcome.Unknown:
+	case outcome.Ran:
+		a.failed = res.StatusCode >= http.StatusInternalServerError
+		if res.StatusCode == http.StatusOK {
+			a.wrong = res.Header.Get(standin.HeaderEcho) != echo || !bytes.Equal(body, standin.ReplyBody(echo, route.ReplyBytes))
+		}
+	default:
+		a.wrong = true
+	}
+	return a
+}
--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -14,16 +14,15 @@
 	// could not be got back when quick ones come.
 	reserveShare = 0.125
 	// demandHalfLife is how fast the memory of the quick requests' need fades.
-	demandHalfLife = 2 * time.Second
+	demandHalfLife = time.Second
 )
 
 // demand follows how many slots each class uses through this process.
 type demand struct {
-	quick   int
-	long    int
-	peak    float64 // decaying peak of quick, at peakAt
-	peakAt  time.Time
-	started bool
+	quick  int
+	long   int
+	need   float64 // decaying mean of quick, at needAt
+	needAt time.Time
 }
 
 func (d *demand) start(now time.Time, c document.Class) {
@@ -32,9 +31,12 @@
 		return
 	}
 	d.quick++
-	d.peak = math.Max(d.decayed(now), float64(d.quick))
-	d.peakAt = now
-	d.started = true
+	if d.needAt.IsZero() {
+		d.needAt = now
+	}
+	old := d.weight(now)
+	d.need = old*d.need + (1-old)*float64(d.quick)
+	d.needAt = now
 }
 
 func (d *demand) end(c document.Class) {
@@ -45,18 +47,32 @@
 	d.quick--
 }
 
-func (d *demand) decayed(now time.Time) float64 {
-	if !d.started {
-		return 0
-	}
-	return d.peak * math.Exp2(-float64(now.Sub(d.peakAt))/float64(demandHalfLife))
+// weight is what the past mean counts for at now.
+func (d *demand) weight(now time.Time) float64 {
+	return math.Exp2(-float64(now.Sub(d.needAt)) / float64(demandHalfLife))
+}
+
+// Unmet notes a quick request that found no slot. Each takes one more slot from
+// long requests: by slots in use alone, quick requests that long ones crowd out
+// would seem to need fewer and fewer.
+func (p *Pool) Unmet(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := &p.demand
+	d.need = math.Min(d.weight(now)*d.need+1, p.share())
+	d.needAt = now
+}
+
+// share is the slots that fall to this process when all use the pool alike.
+func (p *Pool) share() float64 {
+	return float64(p.slots*len(p.listed)) / float64(p.members)
 }
 
 // longFits reports whether one more long request leaves this process's share of
 // the pool's slots enough room for quick ones.
 func (p *Pool) longFits(now time.Time) bool {
-	share := float64(p.slots*len(p.listed)) / float64(p.members)
-	keep := math.Max(share*reserveShare, p.demand.decayed(now))
+	share := p.share()
+	keep := math.Max(share*reserveShare, p.demand.weight(now)*p.demand.need)
 	// A process whose share is below one slot may still run one long request.
 	return p.demand.long == 0 || float64(p.demand.long+1) <= share-keep
 }
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -16,7 +16,7 @@
 	zoneSpill = 0.75
 	// othersHalfLife is how fast the memory of slots that other entry VMs were
 	// using fades.
-	othersHalfLife = 100 * time.Millisecond
+	othersHalfLife = 50 * time.Millisecond
 	// errorWeight is how much an error rate of 1 adds to a backend's load: an
 	// instantly failing backend has none in flight and would else attract work.
 	errorWeight = 16.0
@@ -42,6 +42,19 @@
 	IntN(n int) int
 }
 
+// Sharing is how entry processes share the slots of a backend server.
+type Sharing int
+
+// Ways to share slots.
+const (
+	// SharingChoices lets each process use any slot: of two random backends the
+	// one with fewer slots in use is chosen, and a full backend refuses.
+	SharingChoices Sharing = iota
+	// SharingFixed gives each process its part of the slots. It is the baseline
+	// of measurements.
+	SharingFixed
+)
+
 // Query is one attempt that needs a backend server.
 type Query struct {
 	Class document.Class
@@ -52,7 +65,8 @@
 // Pool is the set of one service's backend servers as one entry process sees
 // them. It is safe for concurrent use.
 type Pool struct {
-	zone string
+	zone    string
+	sharing Sharing
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
@@ -82,8 +96,8 @@
 }
 
 // NewPool returns an empty pool for a process in zone.
-func NewPool(zone string) *Pool {
-	return &Pool{zone: zone, endpoints: map[string]*endpoint{}, members: 1}
+func NewPool(zone string, sharing Sharing) *Pool {
+	return &Pool{zone: zone, sharing: sharing, endpoints: map[string]*endpoint{}, members: 1}
 }
 
 // Update takes over a service's backends and limits. What is known of a backend
@@ -94,6 +108,9 @@
 	p.members = max(1, members)
 	p.slots = max(1, svc.Limits.Slots)
 	p.perEntry = min(p.slots, ConnectionShare(svc.Limits, members))
+	if p.sharing == SharingFixed {
+		p.perEntry = max(1, p.slots/p.members)
+	}
 	for _, ep := range p.endpoints {
 		ep.listed = false
 	}
@@ -184,7 +201,7 @@
 
 // open reports whether the backend may take this attempt now.
 func (p *Pool) open(now time.Time, ep *endpoint, q Query) bool {
-	if ep.inFlight >= p.perEntry || slices.Contains(q.Tried, ep.VM) {
+	if ep.inFlight >= p.perEntry || ep.use(now) > float64(p.slots)-0.5 || slices.Contains(q.Tried, ep.VM) {
 		return false
 	}
 	if !ep.health.open(now, ep.inFlight) {
@@ -245,6 +262,14 @@
 	}
 }
 
+// Share is how many slots fall to this process when all use the pool alike, at
+// least 1.
+func (p *Pool) Share() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(1, int(p.share()))
+}
+
 // AddInFlight adds the attempts under way to each VM's count, also for VMs that
 // have left the table.
 func (p *Pool) AddInFlight(vms map[string]int) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -26,7 +26,7 @@
 }
 
 func pool(n, members int, zones ...string) *Pool {
-	p := NewPool("a")
+	p := NewPool("a", SharingChoices)
 	p.Update(service(n, zones...), members)
 	return p
 }
@@ -108,7 +108,7 @@
 func TestSharedFailureNeverEmptiesThePool(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(t, "backends")
-		p := NewPool("a")
+		p := NewPool("a", SharingChoices)
 		p.Update(service(n, "a", "b"), 1)
 		r := seeded()
 		for i := range 200 {
@@ -183,7 +183,7 @@
 func TestDownBackendsServeOnlyWhenNoOtherIsLeft(t *testing.T) {
 	svc := service(2, "a")
 	svc.Backends[0].Down = true
-	p := NewPool("a")
+	p := NewPool("a", SharingChoices)
 	p.Update(svc, 1)
 	r := seeded()
 	for range 8 {
