Work on a log whose beginning retention has removed

history, record and publish failed, or would have stated outcomes from half a history, once the log no longer began at its first entry.

A ninth trace records an entry VM that was cut off for longer than the log retains.

--- a/internal/follower/snapshots.go
+++ b/internal/follower/snapshots.go
@@ -106,6 +106,12 @@
 	return batch.First, batch.Next, err
 }
 
+// NewestSnapshot returns the newest whole snapshot of a stream, or nil when
+// there is none.
+func NewestSnapshot(ctx context.Context, log platform.Log, stream string) ([]byte, error) {
+	return snapshotStore{log: log, stream: stream}.newest(ctx)
+}
+
 // newest returns the newest whole snapshot of the stream, or nil when there is
 // none. Damaged and unfinished ones are passed over.
 func (s snapshotStore) newest(ctx context.Context) ([]byte, error) {
--- a/internal/operatorcmd/change_test.go
+++ b/internal/operatorcmd/change_test.go
@@ -169,3 +169,20 @@
 	require.Equal(t, ExitOK, code)
 	require.Contains(t, out, "budget burn,booking,11 of 12,")
 }
+
+// Retention has removed the log's beginning and no snapshot is there: outcomes
+// cannot be known, and the operator is told so instead of being shown wrong
+// ones.
+func TestTrimmedLogWithoutSnapshot(t *testing.T) {
+	b := newBench(t, standin.Options{RetentionEntries: 4})
+	for range 6 {
+		_, err := b.platform.Append(context.Background(), settings.DefaultStream, [][]byte{[]byte("{}")})
+		require.NoError(t, err)
+	}
+	code, _, errOut := b.run("--timeout", "300ms", "history")
+	require.Equal(t, ExitUnreachable, code)
+	require.Contains(t, errOut, "gap")
+	code, _, errOut = b.run("record", b.dir+"/trace.jsonl.gz")
+	require.Equal(t, ExitRejected, code)
+	require.Contains(t, errOut, "retained from offset 3")
+}
--- a/internal/operatorcmd/history.go
+++ b/internal/operatorcmd/history.go
@@ -72,7 +72,7 @@
 	}
 	defer s.Close()
 	lines := []historyLine{}
-	err = s.walk(ctx, func(st step) {
+	from, err := s.walk(ctx, func(st step) {
 		if matches(st.Outcome, cmd.Args().First(), cmd.String(flagKind)) {
 			lines = append(lines, lineOf(st))
 		}
@@ -80,6 +80,9 @@
 	if err != nil {
 		return err
 	}
+	if from > 0 {
+		fmt.Fprintf(cmd.Root().ErrWriter, "yuccadrift: the log's beginning is no longer retained; records are listed from the snapshot at offset %d on\n", from)
+	}
 	if last := cmd.Int(flagLast); last > 0 && len(lines) > last {
 		lines = lines[len(lines)-last:]
 	}
--- a/internal/operatorcmd/replay.go
+++ b/internal/operatorcmd/replay.go
@@ -57,7 +57,11 @@
 		return failf(ExitUsage, "cannot write the trace: %v", err)
 	}
 	defer out.Close()
-	rec, err := trace.NewRecorder(client, o.stream, cmd.String(flagNote), out)
+	snapshot, err := startOf(ctx, client, o)
+	if err != nil {
+		return err
+	}
+	rec, err := trace.NewRecorder(client, o.stream, cmd.String(flagNote), snapshot, out)
 	if err != nil {
 		return failf(ExitUsage, "%v", err)
 	}
--- a/internal/operatorcmd/session.go
+++ b/internal/operatorcmd/session.go
@@ -11,6 +11,7 @@
 	"github.com/thejerf/suture/v4"
 	"github.com/urfave/cli/v3"
 
+	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
 	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
@@ -25,6 +26,7 @@
 type session struct {
 	options
 	client   *platform.Client
+	states   *entrypeer.States
 	follower *follower.Follower
 	stop     func()
 }
@@ -44,11 +46,14 @@
 		return nil, err
 	}
 	s := &session{options: o, client: client}
+	s.states = entrypeer.NewStates(o.nodes)
 	s.follower = follower.New(follower.Config{
 		Log:    client,
 		Stream: o.stream,
-		// A log whose beginning retention has removed is read from a snapshot on.
+		// A log whose beginning retention has removed is read from a snapshot on,
+		// or from the state of a node where none was published yet.
 		SnapshotStream: o.snapshotStream,
+		Peers:          s.states,
 		Logger:         hclog.NewNullLogger(),
 	})
 	s.follow(ctx)
@@ -96,7 +101,8 @@
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
-			return failf(ExitUnreachable, "the log at %s could not be read to its end within %s", s.platform, s.timeout)
+			condition, detail := s.follower.Condition()
+			return failf(ExitUnreachable, "the log at %s could not be read to its end within %s: %s %s", s.platform, s.timeout, condition, detail)
 		}
 	}
 	return nil
@@ -105,6 +111,7 @@
 // Close ends the follower and the connections.
 func (s *session) Close() {
 	s.stop()
+	s.states.Close()
 	s.client.Close()
 }
 
--- a/internal/operatorcmd/walk.go
+++ b/internal/operatorcmd/walk.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
 	"github.com/yuccadrift/yuccadrift/internal/record"
@@ -13,25 +14,57 @@
 // walkMax is how many entries one read of a walk asks for.
 const walkMax = 1000
 
-// walk folds the retained log anew, up to its end at the time of the call, and
-// calls visit for each entry.
-func (s *session) walk(ctx context.Context, visit func(step)) error {
+// startOf returns the snapshot that a fold of the whole retained log has to
+// start from: none while the log is complete. Once retention has removed its
+// beginning, outcomes are known from the newest snapshot on only, since what an
+// entry did depends on all entries before it.
+func startOf(ctx context.Context, log platform.Log, o options) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.timeout)
+	defer cancel()
+	batch, err := log.Read(ctx, o.stream, 1, 1, 0)
+	if err == nil {
+		return nil, nil
+	}
+	if !errors.Is(err, platform.ErrTrimmed) {
+		return nil, failf(ExitUnreachable, "cannot read the log: %v", errors.Cause(err))
+	}
+	snapshot, err := follower.NewestSnapshot(ctx, log, o.snapshotStream)
+	if err != nil {
+		return nil, failf(ExitUnreachable, "cannot read the snapshots: %v", errors.Cause(err))
+	}
+	if snapshot == nil {
+		return nil, failf(ExitRejected, "the log is retained from offset %d on and there is no snapshot", batch.First)
+	}
+	return snapshot, nil
+}
+
+// walk folds the log anew, up to its end at the time of the call, and calls
+// visit for each entry whose outcome can be known. It returns the offset before
+// the first of these.
+func (s *session) walk(ctx context.Context, visit func(step)) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
+	snapshot, err := startOf(ctx, s.client, s.options)
+	if err != nil {
+		return 0, err
+	}
 	state := ledger.New()
+	if snapshot != nil {
+		if state, err = ledger.DecodeSnapshot(snapshot); err != nil {
+			return 0, failf(ExitRejected, "%v", err)
+		}
+	}
+	from := state.Offset
 	for {
 		batch, err := s.client.Read(ctx, s.stream, platform.Offset(state.Offset+1), walkMax, 0)
-		if errors.Is(err, platform.ErrTrimmed) {
-			return failf(ExitRejected, "the log retains offsets from %d on only", batch.First)
-		}
 		if err != nil {
-			return failf(ExitUnreachable, "cannot read the log: %v", err)
+			return from, failf(ExitUnreachable, "cannot read the log: %v", errors.Cause(err))
 		}
 		for _, e := range batch.Entries {
 			visit(fold(state, e))
 		}
 		if platform.Offset(state.Offset)+1 >= batch.Next || len(batch.Entries) == 0 {
-			return nil
+			return from, nil
 		}
 	}
 }
--- a/internal/proof/traces_test.go
+++ b/internal/proof/traces_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/operator"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 	"github.com/yuccadrift/yuccadrift/internal/settings"
 	"github.com/yuccadrift/yuccadrift/internal/standin"
@@ -66,6 +67,9 @@
 	{"lapsed-lease", "all stewards are paused past the leases of two jobs, one of them repeatable", testkit.Options{}, lapsedLease},
 	{"cancellation-burst", "most of a burst of jobs is cancelled at once", testkit.Options{}, cancellationBurst},
 	{"black-hole-worker", "one worker fails every task at once and is set aside", testkit.Options{}, blackHoleWorker},
+	{"retention-gap", "a node is cut off for longer than the log retains", testkit.Options{
+		Standin: testkit.Settings{"log.retention_entries": "150"},
+	}, retentionGap},
 	{"lost-replies", "replies of the log and of VM actions are lost after their effect", testkit.Options{}, lostReplies},
 }
 
@@ -93,7 +97,7 @@
 	out, err := os.Create(file)
 	require.NoError(t, err)
 	defer out.Close()
-	rec, err := trace.NewRecorder(r.Standin.Client, settings.DefaultStream, s.note, out)
+	rec, err := trace.NewRecorder(r.Standin.Client, settings.DefaultStream, s.note, nil, out)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -244,7 +248,8 @@
 
 // submit submits a job that takes runTime.
 func (r *rig) submit(name string, runTime time.Duration, flags ...string) {
-	args := []string{"jobs", "submit", "--service", "booking", "--team", "proof", "--memory-mb", "256", "--run-time", runTime.String()}
+	// Where the log is trimmed and no snapshot is there yet, a node's state helps.
+	args := []string{"--nodes", r.Nodes[1].EntryPeers(), "jobs", "submit", "--service", "booking", "--team", "proof", "--memory-mb", "256", "--run-time", runTime.String()}
 	r.Must(append(append(args, flags...), name)...)
 }
 
@@ -303,9 +308,38 @@
 	burst := 0
 	r.Until("the worker is set aside", func() bool {
 		burst++
-		each(10, func(name string) { r.submit(fmt.Sprintf("%s-%d", name, burst), 500*time.Millisecond, "--repeatable", "--cores", "30") })
+		each(10, func(name string) {
+			r.submit(fmt.Sprintf("%s-%d", name, burst), 500*time.Millisecond, "--repeatable", "--cores", "30")
+		})
 		time.Sleep(time.Second)
 		return r.Standin.State().VMs[worker].Quarantined
 	})
 	r.awaitJobs()
 }
+
+// retentionGap cuts one entry VM off the log while others append more than is
+// retained, and gives it back: the node goes on from a snapshot or a peer.
+func retentionGap(r *rig) {
+	const jobs = 70 // three records each
+	r.Until("three members", func() bool { return len(r.Standin.State().Members) == 3 })
+	n := r.Nodes[0]
+	n.EntryPlatform.Cut()
+	before := r.offset(n)
+	each(jobs, func(name string) { r.submit(name, 100*time.Millisecond, "--repeatable") })
+	r.Until("the entries that the node lacks are gone", func() bool {
+		batch, _ := r.Standin.Client.Read(r.t.Context(), settings.DefaultStream, 1, 1, 0)
+		return uint64(batch.First) > before+1
+	})
+	n.EntryPlatform.Heal()
+	r.Until("the node has caught up", func() bool { return r.offset(n) >= r.offset(r.Nodes[1]) })
+}
+
+// offset asks an entry how far it has folded.
+func (r *rig) offset(n *testkit.Node) uint64 {
+	client, err := operator.NewClient(n.EntryPeers())
+	require.NoError(r.t, err)
+	defer client.Close()
+	status, err := client.Status(r.t.Context())
+	require.NoError(r.t, err)
+	return status.Offset
+}
--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -36,9 +36,17 @@
 	vms    map[string]platform.VM
 }
 
-// NewRecorder begins a trace that starts with the first entry of the stream.
-func NewRecorder(source Source, stream, note string, to io.Writer) (*Recorder, error) {
-	w, err := NewWriter(to, Header{Recorded: time.Now().UTC(), Stream: stream, Note: note})
+// NewRecorder begins a trace of a stream. It starts with the entry after the
+// snapshot, or with the first one when that is empty.
+func NewRecorder(source Source, stream, note string, snapshot []byte, to io.Writer) (*Recorder, error) {
+	state := ledger.New()
+	if len(snapshot) > 0 {
+		var err error
+		if state, err = ledger.DecodeSnapshot(snapshot); err != nil {
+			return nil, err
+		}
+	}
+	w, err := NewWriter(to, Header{Recorded: time.Now().UTC(), Stream: stream, Note: note, Snapshot: snapshot})
 	if err != nil {
 		return nil, err
 	}
@@ -46,7 +54,7 @@
 		source: source,
 		stream: stream,
 		writer: w,
-		state:  ledger.New(),
+		state:  state,
 		counts: map[ledger.Status]int{},
 		vms:    map[string]platform.VM{},
 	}, nil
--- a/internal/trace/replay.go
+++ b/internal/trace/replay.go
@@ -68,7 +68,7 @@
 	r.line++
 	switch {
 	case line.Header != nil:
-		r.Header = *line.Header
+		r.begin(*line.Header)
 	case line.Entry != nil:
 		r.entry(*line.Entry)
 	case line.VM != nil:
@@ -82,6 +82,20 @@
 	}
 }
 
+func (r *replay) begin(h Header) {
+	r.Header = h
+	r.Header.Snapshot = nil
+	if len(h.Snapshot) == 0 {
+		return
+	}
+	state, err := ledger.DecodeSnapshot(h.Snapshot)
+	if err != nil {
+		r.differ("the snapshot that the trace begins with: %v", err)
+		return
+	}
+	r.State = state
+}
+
 // entry folds one entry. Reasons are not compared: they are for people and may
 // be reworded.
 func (r *replay) entry(e Entry) {
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -38,6 +38,8 @@
 	Recorded time.Time `json:"recorded"`
 	Stream   string    `json:"stream"`
 	Note     string    `json:"note,omitempty"`
+	// Snapshot is the state before the first entry; empty for the empty state.
+	Snapshot []byte `json:"snapshot,omitempty"`
 }
 
 // Entry is one entry of the log with the outcome that the recording process
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -45,7 +45,7 @@
 	put(t, p, "3", down, record.VMUp{})
 
 	var out bytes.Buffer
-	rec, err := trace.NewRecorder(p, stream, "a VM fails", &out)
+	rec, err := trace.NewRecorder(p, stream, "a VM fails", nil, &out)
 	require.NoError(t, err)
 	require.NoError(t, rec.Entries(t.Context()))
 	require.NoError(t, rec.List(t.Context()))
@@ -121,6 +121,31 @@
 	return out.Bytes()
 }
 
+// The beginning of the log is gone: a recording starts from a snapshot, and its
+// replay comes to the outcomes that depend on what came before.
+func TestReplayFromASnapshot(t *testing.T) {
+	p := standin.New(standin.Options{})
+	rev := put(t, p, "1", 0, record.VMRegister{Zone: "a", Rack: "r", Address: "127.0.0.1:1", Cores: 1, MemoryMB: 1})
+	state := ledger.New()
+	batch, err := p.Read(t.Context(), stream, 1, 10, 0)
+	require.NoError(t, err)
+	state.ApplyData(1, batch.Entries[0].Data)
+	snapshot, err := ledger.EncodeSnapshot(state)
+	require.NoError(t, err)
+	put(t, p, "2", rev, record.VMDown{Cause: "no answer"})
+
+	var out bytes.Buffer
+	rec, err := trace.NewRecorder(p, stream, "from a snapshot", snapshot, &out)
+	require.NoError(t, err)
+	require.NoError(t, rec.Entries(t.Context()))
+	_, err = rec.Close()
+	require.NoError(t, err)
+	result, err := trace.Replay(&out)
+	require.NoError(t, err)
+	require.Empty(t, result.Differences)
+	require.Equal(t, map[ledger.Status]int{ledger.Effective: 1}, result.Statuses)
+}
+
 // A trace that was cut short, as by a full disk, must not pass as complete.
 func TestReplayRefusesBrokenTraces(t *testing.T) {
 	good := recording(t)
@@ -135,7 +160,7 @@
 // recorded are the traces that must be there, as internal/proof records them.
 var recorded = []string{
 	"conflicting-publish", "wave-rack-lost", "log-outage", "paused-holder", "lapsed-lease",
-	"cancellation-burst", "black-hole-worker", "lost-replies",
+	"cancellation-burst", "black-hole-worker", "retention-gap", "lost-replies",
 }
 
 // Every recorded trace must still fold to what was stated when it was recorded.
