Hold the claims against a model of pauses, cuts, evictions and joins

Cause: the argument for at-most-once had holes that only a model showed. With several faults at once a key ran twice: a member that had granted alone was evicted by an electorate that it joined later; the first member after a total loss granted keys of earlier ones; a key that moved on before its handover was left out; a lost owner took with it what it was still owed; and a suspended owner called a key that had run elsewhere not-run for being too new. Change: a refresh says when it was asked for, and floors reach to it and to all earlier removals; a first member sets a floor for all keys; a handover goes by the members after its own change; when an owner is lost, all members are asked for what they hold of its keys; a key from the future gets unknown unless the caller vouches for a first attempt. Waiting for an ack to run out before a suspicion is gone: the suspicion says until when the lease runs.

--- /dev/null
+++ b/internal/claim/attempt_test.go
@@ -0,0 +1,130 @@
+package claim
+
+import "time"
+
+// drive moves one attempt of the node on, as entrypeer.Node does.
+func (n *simNode) drive(a *simAttempt) {
+	switch {
+	case a.report != nil:
+		n.deliverReport(a)
+	case a.phase == asking && n.w.now >= a.until:
+		n.giveUp(a, ReasonUnreachable)
+	case a.phase == asking && n.w.now >= a.callDue:
+		n.ask(a)
+	case a.phase == granted && n.w.now >= a.runAt:
+		n.run(a)
+	}
+}
+
+func (n *simNode) ask(a *simAttempt) {
+	a.call++
+	a.callDue = n.w.now + 3
+	call := a.call
+	req := Request{Key: a.key.key, First: a.first}
+	until := n.clock().Wall.Add(5 * time.Second)
+	owner := n.owner.OwnerOf(a.key.key)
+	if owner == n.name {
+		n.answered(a, n.owner.Claim(n.clock(), req, a.id, until))
+		return
+	}
+	p := n.peer(owner)
+	if p == nil {
+		return
+	}
+	a.open = true
+	n.w.send(n, p, func() {
+		if p.owner == nil {
+			return
+		}
+		r := p.owner.Claim(p.clock(), req, a.id, until)
+		n.w.send(p, n, func() {
+			if a.phase == asking && a.call == call {
+				n.answered(a, r)
+			}
+		})
+	})
+}
+
+func (n *simNode) answered(a *simAttempt, r Reply) {
+	switch r.Code {
+	case CodeGranted:
+		a.phase = granted
+		a.runAt = n.w.now + n.w.rng.IntN(15)
+		n.w.grants++
+	case CodeRan:
+		if a.key.runs != 1 {
+			n.w.fail("%s: told ran after %d runs", a.key.key, a.key.runs)
+		}
+		n.end(a)
+	case CodeNotRun:
+		n.w.toldNotRun(a, r.Reason)
+		n.end(a)
+	case CodeUnknown:
+		n.giveUp(a, r.Reason)
+	}
+}
+
+// giveUp answers "not-run" to an attempt that the caller called its first, and
+// else "unknown".
+func (n *simNode) giveUp(a *simAttempt, why Reason) {
+	if a.first && why != ReasonHolderLost && why != ReasonReported {
+		n.w.toldNotRun(a, why)
+	} else {
+		n.w.unknowns++
+	}
+	n.end(a)
+}
+
+// end ends an attempt without a grant; a claim that may have been granted in an
+// unheard reply is given back.
+func (n *simNode) end(a *simAttempt) {
+	a.phase = over
+	if a.open {
+		a.report = &Result{Key: a.key.key, Attempt: a.id, End: EndNotRun}
+		a.callDue = n.w.now
+	}
+}
+
+func (n *simNode) run(a *simAttempt) {
+	a.phase = over
+	res := &Result{Key: a.key.key, Attempt: a.id, End: EndRan}
+	switch {
+	case n.w.chance(0.1):
+		res.End = EndNotRun // refused by the backend server
+		n.w.toldNotRun(a, "refused")
+	case n.w.chance(0.1):
+		res.End = EndUnknown // the reply was lost
+		n.w.run(a)
+	default:
+		n.w.run(a)
+	}
+	a.report = res
+	a.callDue = n.w.now
+}
+
+func (n *simNode) deliverReport(a *simAttempt) {
+	if n.w.now < a.callDue {
+		return
+	}
+	a.callDue = n.w.now + 3
+	if a.repeats++; a.repeats > 50 {
+		a.report = nil
+		return
+	}
+	res := *a.report
+	owner := n.owner.OwnerOf(res.Key)
+	if owner == n.name {
+		if n.owner.Report(n.clock(), res) {
+			a.report = nil
+		}
+		return
+	}
+	if p := n.peer(owner); p != nil {
+		n.w.send(n, p, func() {
+			if p.owner == nil || !p.owner.Report(p.clock(), res) {
+				return
+			}
+			n.w.send(p, n, func() { a.report = nil })
+		})
+	}
+}
--- a/internal/claim/lease.go
+++ b/internal/claim/lease.go
@@ -7,8 +7,8 @@
 
 // LeaseConfig holds the durations of leases. All nodes must use equal ones.
 type LeaseConfig struct {
-	// Duration is for how long a peer's ack forbids the peer to suspect the
-	// member. The member itself counts on it for Margin less.
+	// Duration is for how long a peer's ack keeps the right to grant. The member
+	// itself counts on it for Margin less.
 	Duration time.Duration
 	Margin   time.Duration
 	// Silence is after how long without an exchange a peer counts as lost.
@@ -18,10 +18,12 @@
 }
 
 // Lease is a member's right to grant claims. A peer's ack says: I have no
-// suspicion of you on the log, and shall append none for Duration. A member is
-// removed only by the suspicion of a strict majority of its own electorate; so
-// one with acks from half of it, itself counted, is still a member, whatever
-// it can read of the log.
+// suspicion of you on the log, and if I append one, it will say that you may
+// have granted until the end of this lease. A member is removed only by the
+// suspicion of a strict majority of its own electorate; so for one with acks
+// from half of it, itself counted, at least one of those suspicions comes from
+// a peer that gave an ack, and what was granted under it lies below the floor
+// of every new owner, whatever the member could read of the log.
 type Lease struct {
 	cfg        LeaseConfig
 	self       string
--- /dev/null
+++ b/internal/claim/model_test.go
@@ -0,0 +1,179 @@
+package claim
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "20261202")
+	}
+	os.Exit(m.Run())
+}
+
+// fault is one fault of a schedule.
+type fault struct {
+	Kind  string
+	At    int // tick
+	For   int // ticks
+	Node  int
+	Other int
+}
+
+var faultKinds = []string{"cut", "halves", "pair", "logDown", "logCut", "pause", "suspend", "kill", "replace", "join", "leave"}
+
+// drawFaults draws faults that come together at a few moments.
+func drawFaults(t *rapid.T) []fault {
+	moments := rapid.SliceOfN(rapid.IntRange(1, 210), 1, 3).Draw(t, "moments")
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+		return fault{
+			Kind:  rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+			At:    rapid.SampledFrom(moments).Draw(t, "moment") + rapid.IntRange(0, 30).Draw(t, "after"),
+			For:   rapid.IntRange(5, 80).Draw(t, "for"),
+			Node:  rapid.IntRange(0, 100).Draw(t, "node"),
+			Other: rapid.IntRange(0, 100).Draw(t, "other"),
+		}
+	}), 0, 10).Draw(t, "faults")
+}
+
+// inject begins a fault and returns what ends it.
+func (w *world) inject(f fault) (end func()) {
+	n := w.nodes[f.Node%len(w.nodes)]
+	other := w.nodes[f.Other%len(w.nodes)]
+	switch f.Kind {
+	case "cut":
+		return w.cutOff(n, w.nodes)
+	case "pair":
+		return w.cutOff(n, []*simNode{other})
+	case "halves":
+		return w.split(f.Other)
+	case "logDown":
+		w.logDown = true
+		return func() { w.logDown = false }
+	case "logCut":
+		n.logCut = true
+		return func() { n.logCut = false }
+	case "pause":
+		n.paused = true
+		return func() { n.paused = false }
+	case "suspend":
+		n.suspended = true
+		return func() { w.wake(n, f.Other) }
+	case "kill":
+		n.alive = false
+	case "replace": // only one process can have bound the address
+		for _, o := range w.nodes {
+			o.alive = o.alive && o.address != n.address
+		}
+		w.start(n.address)
+	case "join":
+		w.start(fmt.Sprintf("10.0.1.%d:1", len(w.nodes)))
+	case "leave":
+		n.leave()
+	}
+	return func() {}
+}
+
+// wake ends a suspension. The clock is set at once, or only when the fault that
+// stands for its correction comes.
+func (w *world) wake(n *simNode, other int) {
+	n.suspended = false
+	if other%2 == 0 {
+		n.lagWall = 0
+	}
+}
+
+func (w *world) cutOff(n *simNode, from []*simNode) func() {
+	cut := map[*simNode]bool{}
+	for _, o := range from {
+		if o != n {
+			cut[o] = true
+		}
+	}
+	n.cut = cut
+	return func() { n.cut = nil }
+}
+
+func (w *world) split(bits int) func() {
+	var ends []func()
+	for i, n := range w.nodes {
+		if bits>>(i%7)&1 == 0 {
+			continue
+		}
+		var far []*simNode
+		for j, o := range w.nodes {
+			if bits>>(j%7)&1 == 0 {
+				far = append(far, o)
+			}
+		}
+		ends = append(ends, w.cutOff(n, far))
+	}
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
+const (
+	modelTicks = 330
+	calmTicks  = 90 // at the end, without faults
+)
+
+// play runs a schedule of faults and stops at the first broken promise.
+func (w *world) play(faults []fault) {
+	ends := map[int][]func(){}
+	for now := 1; now <= modelTicks && len(w.bad) == 0; now++ {
+		for _, end := range ends[now] {
+			end()
+		}
+		for _, f := range faults {
+			if f.At == now {
+				over := min(now+f.For, modelTicks-calmTicks)
+				ends[over] = append(ends[over], w.inject(f))
+			}
+		}
+		w.rejoin()
+		w.step()
+	}
+}
+
+// rejoin starts a new incarnation of nodes that were evicted.
+func (w *world) rejoin() {
+	for _, n := range w.nodes {
+		if n.alive && n.rejoinTick > 0 && w.now > n.rejoinTick {
+			n.rejoinTick = 0
+			w.start(n.address + "+")
+		}
+	}
+}
+
+// Whatever happens to nodes, network and log, in any order and together: no
+// key runs twice, no caller is told "not run" about a request that ran, and
+// "ran" is said only of one that did. In half of the schedules the nodes'
+// membership really changes hands; the counts below show that.
+func TestModelKeepsPromises(t *testing.T) {
+	var grants, evictions, handovers, unknowns int
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "nodes"), allSafeguards)
+		w.play(drawFaults(t))
+		grants += w.grants
+		evictions += w.evictions
+		handovers += w.handovers
+		unknowns += w.unknowns
+		if len(w.bad) > 0 {
+			t.Fatalf("%v", w.bad)
+		}
+	})
+	t.Logf("grants %d, removals seen %d, records handed over %d, unknowns %d", grants, evictions, handovers, unknowns)
+	require.Positive(t, grants)
+	require.Positive(t, evictions)
+	require.Positive(t, handovers)
+}
--- /dev/null
+++ b/internal/claim/node_test.go
@@ -0,0 +1,312 @@
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// simNode is one entry process of the model. Like internal/membership it feeds
+// the machines from the folded log and from messages.
+type simNode struct {
+	w       *world
+	name    string
+	address string
+	alive   bool
+	// paused: nothing runs, clocks go on. suspended: clocks stand still too.
+	paused, suspended bool
+	skew              time.Duration
+	lagMono, lagWall  time.Duration
+	cut               map[*simNode]bool
+	logCut            bool
+
+	state      *ledger.State
+	reading    bool
+	readDue    int
+	readTo     int
+	joinID     string
+	owner      *Owner
+	lease      *Lease
+	watch      *Watch
+	gone       bool // removed, or leaving
+	refreshID  string
+	votes      map[string]Vote // proposed trust votes by record ID
+	attempts   []*simAttempt
+	pulling    map[Debt]int
+	rejoinTick int
+}
+
+func (n *simNode) running() bool { return n.alive && !n.paused && !n.suspended }
+
+func (n *simNode) cutFrom(o *simNode) bool { return n.cut[o] || o.cut[n] }
+
+func (n *simNode) tickClock() {
+	if n.suspended {
+		n.lagMono += tick
+		n.lagWall += tick
+	}
+}
+
+func (n *simNode) clock() Instant {
+	t := time.Duration(n.w.now) * tick
+	return Instant{Wall: epoch.Add(t + n.skew - n.lagWall), Mono: t - n.lagMono}
+}
+
+// Valid is the node's right to grant, with the safeguards that are left out.
+func (n *simNode) Valid(now Instant) bool {
+	switch n.w.broken {
+	case noLease:
+		return true
+	case noWallClock:
+		now.Wall = epoch.Add(-time.Hour)
+	}
+	return n.lease.Valid(now)
+}
+
+func (n *simNode) step() {
+	n.read()
+	if n.owner == nil {
+		if n.joinID == "" && n.state.Offset == uint64(len(n.w.log)) && !n.w.logDown && !n.logCut {
+			n.joinID = n.w.propose(n, n.name, record.MemberJoin{Node: n.name, Address: n.address})
+		}
+		return
+	}
+	now := n.clock()
+	n.owner.Lapse(now)
+	switch n.w.broken {
+	case noFloor:
+		n.owner.floors = nil
+	case noAskAll:
+		n.owner.debts = slices.DeleteFunc(n.owner.debts, func(d debt) bool { return d.Lost != "" })
+	case lowFloor:
+		for i := range n.owner.floors {
+			n.owner.floors[i].Until = n.owner.floors[i].Until.Add(-modelLease.Duration - modelClaim.Ahead - modelClaim.Skew)
+		}
+	}
+	for _, a := range n.attempts {
+		n.drive(a)
+	}
+	n.attempts = slices.DeleteFunc(n.attempts, func(a *simAttempt) bool { return a.phase == over && a.report == nil })
+	n.pull()
+	if n.gone {
+		return
+	}
+	for _, v := range n.watch.Step(now, !n.w.logDown && !n.logCut) {
+		var body record.Body = record.MemberTrust{By: n.name, Seq: v.Seq}
+		if v.Suspect {
+			body = record.MemberSuspect{By: n.name, Seq: v.Seq, Until: v.Until}
+		}
+		n.votes[n.w.propose(n, v.Member, body)] = v
+		if n.w.broken == hastyTrust {
+			n.watch.Settled(v)
+		}
+	}
+	if n.w.now%2 == 0 {
+		n.renew()
+	}
+	n.refresh()
+}
+
+// read follows the log. One read is under way at a time; its reply holds what
+// the log held when it was sent, however late the node takes it up.
+func (n *simNode) read() {
+	if !n.reading {
+		if n.w.logDown || n.logCut {
+			return
+		}
+		n.reading, n.readTo, n.readDue = true, len(n.w.log), n.w.now+n.w.rng.IntN(3)
+		return
+	}
+	if n.readDue > n.w.now {
+		return
+	}
+	n.reading = false
+	before, changed := n.members(), false
+	var last Change
+	for int(n.state.Offset) < n.readTo {
+		members := n.members()
+		out := n.state.Apply(n.state.Offset+1, n.w.log[n.state.Offset])
+		if v, ok := n.votes[out.ID]; ok && out.Status == ledger.Effective {
+			n.watch.Settled(v)
+		}
+		if c, ok := n.change(out.Offset); ok {
+			changed, last = true, c
+			if n.w.broken != jumpedChanges || n.owner == nil {
+				n.apply(members, c)
+				before = n.members()
+			}
+		}
+		if m := n.state.Members[n.name]; m != nil && n.lease != nil && n.refreshID == "" {
+			n.lease.SetElectorate(m.Electorate)
+		}
+		if out.ID == n.refreshID && n.refreshID != "" {
+			n.refreshID = ""
+			if m := n.state.Members[n.name]; m != nil {
+				n.lease.SetElectorate(m.Electorate)
+			}
+			n.lease.Proposed()
+		}
+	}
+	if after := n.members(); n.w.broken == jumpedChanges && changed && !slices.Equal(before, after) {
+		n.apply(before, Change{Offset: last.Offset, Until: last.Until, Joined: without(after, before), Removed: without(before, after)})
+	}
+}
+
+func (n *simNode) members() []string { return n.state.MemberNames() }
+
+func (n *simNode) change(offset uint64) (Change, bool) {
+	all := n.state.MemberChanges
+	if len(all) == 0 || all[len(all)-1].Offset != offset {
+		return Change{}, false
+	}
+	c := all[len(all)-1]
+	return Change{Offset: offset, Joined: refNames(c.Joined), Removed: refNames(c.Removed), Until: c.Until}, true
+}
+
+func refNames(refs []ledger.MemberRef) (names []string) {
+	for _, r := range refs {
+		names = append(names, r.Name)
+	}
+	return names
+}
+
+func (n *simNode) apply(before []string, c Change) {
+	now := n.clock()
+	switch {
+	case n.owner == nil && contains(c.Joined, n.name):
+		cfg := modelClaim
+		if n.w.broken == noAhead {
+			cfg.Ahead = time.Hour
+		}
+		n.owner = NewOwner(cfg, n.name, n)
+		n.lease = NewLease(modelLease, n.name)
+		n.watch = NewWatch(modelLease)
+		n.votes = map[string]Vote{}
+		n.pulling = map[Debt]int{}
+		n.owner.Join(now, before, c)
+		if n.w.broken == noFirstFloor {
+			n.owner.floors = nil
+		}
+	case n.owner == nil:
+		return
+	default:
+		if contains(c.Removed, n.name) && !n.gone {
+			n.gone = true
+			n.rejoinTick = n.w.now + 30
+		}
+		n.owner.Apply(now, c)
+		n.w.evictions += len(c.Removed)
+	}
+	if n.w.broken == noAhead {
+		for i := range n.owner.debts {
+			n.owner.debts[i].floor = c.Until.Add(modelClaim.Ahead + modelClaim.Skew)
+		}
+	}
+	n.watch.SetPeers(now, without(n.members(), []string{n.name}))
+}
+
+func (n *simNode) peer(name string) *simNode {
+	for _, o := range n.w.nodes {
+		if o.name == name {
+			return o
+		}
+	}
+	return nil
+}
+
+// renew asks all peers for their promise.
+func (n *simNode) renew() {
+	sent := n.clock()
+	for _, name := range without(n.members(), []string{n.name}) {
+		p := n.peer(name)
+		n.w.send(n, p, func() {
+			if p.watch == nil || p.gone {
+				return
+			}
+			acked := p.watch.Request(p.clock(), n.name, sent.Wall)
+			if n.w.broken == ackSuspected {
+				acked = true
+			}
+			n.w.send(p, n, func() {
+				n.watch.Reached(n.clock(), p.name)
+				if acked {
+					n.lease.Acked(p.name, sent)
+				}
+			})
+		})
+	}
+}
+
+func (n *simNode) refresh() {
+	m := n.state.Members[n.name]
+	if m == nil || n.refreshID != "" || n.w.logDown || n.logCut || !n.w.chance(0.1) {
+		return
+	}
+	if members := n.members(); !slices.Equal(members, m.Electorate) {
+		if n.w.broken != oldElectorate {
+			n.lease.Propose(members)
+		}
+		n.refreshID = n.w.propose(n, n.name, record.MemberRefresh{Electorate: members})
+	}
+}
+
+// pull asks the sources of all debts.
+func (n *simNode) pull() {
+	for _, d := range n.owner.Debts() {
+		if n.pulling[d] > n.w.now {
+			continue
+		}
+		n.pulling[d] = n.w.now + 5
+		src := n.peer(d.Source)
+		req, _ := n.owner.PullFor(d)
+		n.w.send(n, src, func() {
+			if src.owner == nil {
+				return
+			}
+			h, status := src.handOver(req)
+			n.w.send(src, n, func() {
+				if status != PullDone {
+					return
+				}
+				n.w.handovers += len(h.Records)
+				if n.w.broken == noHandover {
+					h.Records = nil
+				}
+				n.owner.Settle(d, h)
+			})
+		})
+	}
+}
+
+func (n *simNode) handOver(req PullRequest) (Handover, PullStatus) {
+	switch n.w.broken {
+	case earlyPull:
+		req.Offset = 0
+		h, status := n.owner.Pull(req)
+		if status == PullRefused { // not known yet: give everything
+			for _, r := range n.owner.table.records {
+				h.Records = append(h.Records, *r)
+			}
+			status = PullDone
+		}
+		return h, status
+	case hungryPull:
+		req.Whole = false
+	case presentOwner:
+		if req.Whole {
+			req.Members = n.owner.members
+		}
+	}
+	return n.owner.Pull(req)
+}
+
+// leave begins a planned leave.
+func (n *simNode) leave() {
+	if n.owner != nil && !n.gone {
+		n.owner.Retire()
+		n.gone = true
+		n.w.propose(n, n.name, record.MemberLeave{})
+	}
+}
--- a/internal/claim/owner.go
+++ b/internal/claim/owner.go
@@ -131,7 +131,9 @@
 	case o.retired || !o.right.Valid(now):
 		r = o.reply(CodeNoLease, ReasonUnreachable)
 	case minted.After(now.Wall.Add(o.cfg.Ahead)):
-		r = o.reply(CodeNotRun, ReasonTooNew)
+		// Not "not run": a member that was suspended, with its clock, may have
+		// been replaced as owner since, and the key may have run.
+		r = o.reply(CodeUnknown, ReasonTooNew)
 	case fresh && len(o.table.records) >= o.cfg.MaxRecords:
 		r = o.reply(CodeNotRun, ReasonFull)
 	default:
@@ -146,6 +148,7 @@
 		o.table.put(rec)
 	}
 	rec.State = StateInProgress
+	rec.handed = false
 	rec.Attempt = attempt
 	rec.Fingerprint = req.Fingerprint
 	rec.Until = until
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -1,11 +1,14 @@
 package claim
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // State is what an owner knows of a key.
 type State uint8
 
-// States of a record.
+// States of a record. A higher one says more of a run.
 const (
 	// StateReleased: attempts under the key ended without a run.
 	StateReleased State = iota
@@ -32,6 +35,10 @@
 	// their request that arrives late gets no claim: nobody would ever report
 	// its end.
 	Released []Attempt
+
+	// handed is set once the record was handed over: by then another owner may
+	// know better.
+	handed bool
 }
 
 // maxReleased bounds Record.Released.
@@ -51,7 +58,7 @@
 	if r.releasedBefore(a) {
 		return
 	}
-	r.Released = append(r.Released, a)
+	r.Released = append(slices.Clone(r.Released), a) // handed over copies share the old one
 	if len(r.Released) > maxReleased {
 		r.Released = r.Released[1:]
 	}
--- a/internal/claim/watch.go
+++ b/internal/claim/watch.go
@@ -22,8 +22,6 @@
 const (
 	// trusted: acks are given.
 	trusted trust = iota
-	// refusing: no acks are given, and no suspicion is on the log.
-	refusing
 	// suspecting: a suspicion is on the log or may be.
 	suspecting
 	// trusting: a record that takes the suspicion back is on its way.
@@ -34,7 +32,6 @@
 type watched struct {
 	trust   trust
 	seq     uint64
-	acked   time.Duration // last ack given, or when the peer came
 	heard   time.Duration // last request from the peer
 	reached time.Duration // last answer from the peer
 	until   time.Time     // end of the last lease acked, by the peer's wall clock
@@ -42,10 +39,11 @@
 
 // Watch is a member's part in the leases and the eviction of its peers.
 //
-// The promise of an ack is kept by three rules. A suspicion is appended only
-// once the last ack has run out. No ack is given from then on. And acks are
-// given again only after a trust record with a higher sequence number was read
-// back, which makes every copy of the suspicion void, also one still under way.
+// The meaning of an ack is kept by three rules. A suspicion says until when the
+// last lease runs that was acked. No ack is given once a suspicion was appended.
+// And acks are given again only after a trust record with a higher sequence
+// number was read back, which makes every copy of the suspicion void, also one
+// still under way.
 type Watch struct {
 	cfg     LeaseConfig
 	peers   map[string]*watched
@@ -61,7 +59,7 @@
 func (w *Watch) SetPeers(now Instant, names []string) {
 	for _, n := range names {
 		if w.peers[n] == nil {
-			w.peers[n] = &watched{acked: now.Mono, heard: now.Mono, reached: now.Mono}
+			w.peers[n] = &watched{heard: now.Mono, reached: now.Mono}
 		}
 	}
 	maps.DeleteFunc(w.peers, func(n string, _ *watched) bool { return !contains(names, n) })
@@ -80,7 +78,6 @@
 	if p.trust != trusted || sent.After(now.Wall.Add(w.cfg.Skew)) {
 		return false
 	}
-	p.acked = now.Mono
 	if until := sent.Add(w.cfg.Duration); until.After(p.until) {
 		p.until = until
 	}
@@ -123,15 +120,7 @@
 	silent := now.Mono-min(p.heard, p.reached) > w.cfg.Silence
 	switch p.trust {
 	case trusted:
-		if silent {
-			p.trust = refusing
-		}
-	case refusing:
-		if !silent {
-			p.trust = trusted
-			return false
-		}
-		if logUp && now.Mono-p.acked > w.cfg.Duration {
+		if silent && logUp {
 			p.trust = suspecting
 			return true
 		}
--- a/internal/entrypeer/convert.go
+++ b/internal/entrypeer/convert.go
@@ -114,9 +114,9 @@
 }
 
 func floorProto(f claim.Floor) *pb.Floor {
-	return &pb.Floor{Source: f.Source, Members: f.Members, Until: timeProto(f.Until)}
+	return &pb.Floor{Owner: f.Owner, Members: f.Members, Until: timeProto(f.Until)}
 }
 
 func floorOf(f *pb.Floor) claim.Floor {
-	return claim.Floor{Source: f.GetSource(), Members: f.GetMembers(), Until: f.GetUntil().AsTime()}
+	return claim.Floor{Owner: f.GetOwner(), Members: f.GetMembers(), Until: f.GetUntil().AsTime()}
 }
--- a/internal/entrypeer/decide.go
+++ b/internal/entrypeer/decide.go
@@ -27,9 +27,7 @@
 		d.Verdict = claim.Ran
 	case claim.CodeNotRun:
 		d.Verdict = claim.NotRun
-		if r.Reason != claim.ReasonTooNew {
-			d.RetryAfter = retrySoon
-		}
+		d.RetryAfter = retrySoon
 	case claim.CodeInProgress:
 		d.Verdict = claim.Unknown
 		d.RetryAfter = retrySoon
@@ -47,7 +45,7 @@
 // and will not.
 func withoutRecord(req claim.Request, reason claim.Reason) claim.Verdict {
 	switch reason {
-	case claim.ReasonTooOld, claim.ReasonOwnerLost, claim.ReasonUnreachable, claim.ReasonMoving:
+	case claim.ReasonTooOld, claim.ReasonTooNew, claim.ReasonOwnerLost, claim.ReasonUnreachable, claim.ReasonMoving:
 		if req.First {
 			return claim.NotRun
 		}
--- a/internal/entrypeer/member.go
+++ b/internal/entrypeer/member.go
@@ -226,6 +226,13 @@
 	return m.owner.Debts()
 }
 
+// pullFor returns the request that settles a debt.
+func (m *Member) pullFor(d claim.Debt) (claim.PullRequest, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owner.PullFor(d)
+}
+
 // Settle takes the handover for a debt.
 func (m *Member) Settle(d claim.Debt, h claim.Handover) {
 	m.mu.Lock()
@@ -235,10 +242,10 @@
 }
 
 // pull answers a peer's pull.
-func (m *Member) pull(offset uint64, puller string) (claim.Handover, claim.PullStatus) {
+func (m *Member) pull(req claim.PullRequest) (claim.Handover, claim.PullStatus) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.owner.Pull(offset, puller)
+	return m.owner.Pull(req)
 }
 
 // handedOver notes that a peer received a whole handover.
--- a/internal/entrypeer/node.go
+++ b/internal/entrypeer/node.go
@@ -164,11 +164,22 @@
 // Pull asks the source of the debt for its claims on behalf of m.
 func (n *Node) Pull(ctx context.Context, m *Member, d claim.Debt) (claim.Handover, claim.PullStatus, error) {
 	var h claim.Handover
+	req, open := m.pullFor(d)
+	if !open {
+		return h, claim.PullLater, nil
+	}
 	c, err := n.conns.to(m.Address(d.Source))
 	if err != nil {
 		return h, claim.PullLater, err
 	}
-	stream, err := c.Pull(ctx, &pb.PullRequest{Source: d.Source, Puller: m.Name(), Offset: d.Offset})
+	stream, err := c.Pull(ctx, &pb.PullRequest{
+		Source:  req.Source,
+		Puller:  req.Puller,
+		Offset:  req.Offset,
+		Owner:   req.Owner,
+		Members: req.Members,
+		Whole:   req.Whole,
+	})
 	if err != nil {
 		return h, claim.PullLater, errors.Wrapf(err, "pull from %s", d.Source)
 	}
--- a/internal/entrypeer/server.go
+++ b/internal/entrypeer/server.go
@@ -108,7 +108,14 @@
 	if err != nil {
 		return err
 	}
-	h, code := m.pull(in.GetOffset(), in.GetPuller())
+	h, code := m.pull(claim.PullRequest{
+		Source:  in.GetSource(),
+		Puller:  in.GetPuller(),
+		Offset:  in.GetOffset(),
+		Owner:   in.GetOwner(),
+		Members: in.GetMembers(),
+		Whole:   in.GetWhole(),
+	})
 	for len(h.Records) > 0 {
 		n := min(pullBatch, len(h.Records))
 		part := &pb.PullReply{Status: uint32(claim.PullLater)}
--- a/internal/ledger/member.go
+++ b/internal/ledger/member.go
@@ -21,6 +21,10 @@
 	// off from the log still knows whose word keeps it safe, though others have
 	// joined meanwhile.
 	Electorate []string `json:"electorate"`
+	// ElectedAt is when the member asked for Electorate, by its own wall clock:
+	// until then it granted claims on the word of an earlier electorate, of
+	// which the present one's votes know nothing.
+	ElectedAt time.Time `json:"elected_at"`
 	// Votes holds the latest word of other members about this one, by member.
 	Votes map[string]Vote `json:"votes,omitempty"`
 }
@@ -43,8 +47,9 @@
 	Offset  uint64      `json:"offset"`
 	Joined  []MemberRef `json:"joined,omitempty"`
 	Removed []MemberRef `json:"removed,omitempty"`
-	// Until is when the removed members had stopped granting claims at the
-	// latest, by their own wall clocks or, for a join or leave, its author's.
+	// Until is when all members removed up to this change had stopped granting
+	// claims at the latest, by their own wall clocks or, for a join or leave, its
+	// author's.
 	Until time.Time `json:"until"`
 }
 
@@ -61,8 +66,11 @@
 			s.MemberChanges = slices.Delete(s.MemberChanges, 0, 1)
 		}
 	}
+	if until = until.UTC().Round(0); until.After(s.MembersUntil) {
+		s.MembersUntil = until
+	}
 	c := &s.MemberChanges[len(s.MemberChanges)-1]
-	c.Until = until.UTC().Round(0)
+	c.Until = s.MembersUntil
 	return c
 }
 
@@ -120,6 +128,7 @@
 		return refusef("the electorate of %s lacks the member itself", m.Name)
 	}
 	m.Electorate = slices.Compact(slices.Sorted(slices.Values(b.Electorate)))
+	m.ElectedAt = rec.Time.UTC().Round(0)
 	s.evictIfSuspected(m)
 	return allowed
 }
@@ -166,7 +175,7 @@
 // have been evicted: see docs/adr for the argument.
 func (s *State) evictIfSuspected(m *Member) {
 	votes := 0
-	var until time.Time
+	until := m.ElectedAt
 	for by, v := range m.Votes {
 		_, present := s.Members[by]
 		if v.Suspect && present && slices.Contains(m.Electorate, by) {
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -40,6 +40,8 @@
 	// MemberChanges holds the latest changes of the membership, oldest first.
 	// The owners of claims go through them one by one: see internal/claim.
 	MemberChanges []MemberChange `json:"member_changes"`
+	// MembersUntil is the latest MemberChange.Until.
+	MembersUntil time.Time `json:"members_until"`
 	// Retired holds the heads of removed subjects, RetireQueue their order.
 	Retired     map[record.Subject]Head `json:"-"`
 	RetireQueue []Retirement            `json:"retire_queue"`
