--- a/internal/document/defaults.go
+++ b/internal/document/defaults.go
@@ -22,8 +22,10 @@
 
 // Bounds of what a document may ask for.
 const (
-	// MaxText is the largest document in bytes: it must fit one log record.
-	MaxText = 256 << 10
+	// MaxText is the largest document in bytes, room for some 400 quotas. Every
+	// node parses each document as it folds the log, and the decoder's time grows
+	// with the square of the text where keys are unknown.
+	MaxText = 32 << 10
 	// MaxName is the longest service or team name.
 	MaxName = 63
 	// MaxPoolSize is the largest pool.
--- a/internal/tomlfile/decode.go
+++ b/internal/tomlfile/decode.go
@@ -35,14 +35,14 @@
 		}
 		var unknown *toml.StrictMissingError
 		if errors.As(err, &unknown) {
-			for i := range unknown.Errors {
+			for i := range min(len(unknown.Errors), MaxProblems) {
 				problems.Add(positions.unknownKey(&unknown.Errors[i], value))
 			}
 			return value, positions, problems
 		}
 		problem, offset := positions.decodeError(err, rest, value)
 		problems.Add(problem)
-		if !positions.blank(rest, offset) {
+		if len(problems) >= MaxProblems || !positions.blank(rest, offset) {
 			return value, positions, problems
 		}
 	}
--- a/internal/tomlfile/problem.go
+++ b/internal/tomlfile/problem.go
@@ -33,6 +33,11 @@
 	return text
 }
 
+// MaxProblems is how many mistakes of one text are reported. The decoder stops
+// at each, so a text with thousands would be read thousands of times; a service
+// document is read by every node as it folds the log.
+const MaxProblems = 100
+
 // Problems are the mistakes of one text, in the order of its lines.
 type Problems []Problem
 
@@ -60,10 +65,13 @@
 	return slices.ContainsFunc(ps, func(p Problem) bool { return p.Malformed })
 }
 
-// Add takes p in, in line order. A key that has a problem already keeps its
+// Add takes p in, in line order, unless MaxProblems were found. A key that has a problem already keeps its
 // first one: a value that could not be decoded still holds its default, and a
 // second complaint about that default would mislead.
 func (ps *Problems) Add(p Problem) {
+	if len(*ps) >= MaxProblems {
+		return
+	}
 	if p.Key != "" && slices.ContainsFunc(*ps, func(q Problem) bool { return q.Key == p.Key }) {
 		return
 	}
