Measure what a node costs as the fleet grows

Cause: the size to design for has 40 times the VMs of today, and no figure said which duty outgrows what a node may spend on control.

--- /dev/null
+++ b/internal/capacity/inforce_test.go
@@ -0,0 +1,83 @@
+package capacity
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/operator"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/settings"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
+)
+
+// inForceNodes is the number of entry VMs of each deployment today.
+const inForceNodes = 8
+
+// BenchmarkInForce is the time from the start of a publish's append until the
+// entry processes of all entry VMs act on the document, one document after the
+// other over the fleet's services.
+func BenchmarkInForce(b *testing.B) {
+	for _, slow := range []time.Duration{0, 100 * time.Millisecond} {
+		b.Run("log-delay="+slow.String(), func(b *testing.B) { inForce(b, slow) })
+	}
+}
+
+func inForce(b *testing.B, slow time.Duration) {
+	var h *history
+	c := startCluster(b, 1000, inForceNodes, func(s *testkit.Standin) { h = seed(b, s) })
+	var clients []*operator.Client
+	for _, n := range c.Nodes {
+		client, err := operator.NewClient(n.EntryPeers())
+		require.NoError(b, err)
+		defer client.Close()
+		clients = append(clients, client)
+	}
+	time.Sleep(settle)
+	if slow > 0 {
+		c.Standin.Order(standin.Fault{Kind: standin.LogSlow, DelayMS: slow.Milliseconds()})
+	}
+	var took []time.Duration
+	for b.Loop() {
+		took = append(took, publishAndWait(b, c, h, clients, len(took)))
+	}
+	slices.Sort(took)
+	for name, share := range map[string]float64{"p50-ms": 0.5, "p99-ms": 0.99, "max-ms": 1} {
+		i := min(len(took)-1, int(share*float64(len(took))))
+		b.ReportMetric(float64(took[i].Microseconds())/1e3, name)
+	}
+}
+
+func publishAndWait(b *testing.B, c *testkit.Cluster, h *history, clients []*operator.Client, i int) time.Duration {
+	name := service(i % pools)
+	text := h.state.Services[name].Text + "# changed\n"
+	rec := h.record(record.SubjectService, name, record.DocumentPublish{Text: text})
+	rec.Base, rec.Seen = h.revisions[name], h.state.Offset
+	data, err := record.Encode(rec)
+	require.NoError(b, err)
+	began := time.Now()
+	offset, err := c.Standin.Client.Append(b.Context(), settings.DefaultStream, [][]byte{data})
+	require.NoError(b, err)
+	h.revisions[name] = record.Revision(offset)
+	type reply struct {
+		status operator.Status
+		err    error
+	}
+	replies := make(chan reply, len(clients))
+	for _, client := range clients {
+		go func() {
+			status, err := client.StatusAfter(b.Context(), uint64(offset), time.Minute)
+			replies <- reply{status, err}
+		}()
+	}
+	for range clients {
+		r := <-replies
+		require.NoError(b, r.err)
+		require.GreaterOrEqual(b, r.status.ActingOffset, uint64(offset))
+		require.Equal(b, record.Revision(offset), r.status.Revision(name), "the document took effect")
+	}
+	return time.Since(began)
+}
--- a/internal/testkit/cluster.go
+++ b/internal/testkit/cluster.go
@@ -43,6 +43,11 @@
 	Standin Settings
 	// BackendLinks has every group Linked.
 	BackendLinks bool
+	// Before is called once the stand-in answers and before any node starts.
+	Before func(*Standin)
+	// Direct leaves the links and gates out of all ways, for measurements: they
+	// cost more than the daemons, and no fault can be set.
+	Direct bool
 	// NoStewards leaves the stewards out; Node.Steward can be started later.
 	NoStewards bool
 }
@@ -98,6 +103,9 @@
 	t.Helper()
 	c := &Cluster{t: t, dir: t.TempDir(), ip: loopback(), opts: opts, Backends: map[string]*Link{}}
 	c.startStandin()
+	if opts.Before != nil {
+		opts.Before(c.Standin)
+	}
 	var held []net.Listener
 	for i, zone := range opts.Nodes {
 		c.Nodes = append(c.Nodes, c.newNode(i, zone, &held))
@@ -172,6 +180,12 @@
 		"planning.interval":      quote("100ms"),
 		"planning.list_interval": quote("200ms"),
 	}
+	if n.c.opts.Direct {
+		for _, daemon := range []Settings{entry, steward} {
+			daemon["platform.address"] = quote(n.c.Standin.address)
+			daemon["peers.advertise"] = daemon["peers.listen"]
+		}
+	}
 	n.c.write(n.file("entry"), common, entry, n.c.opts.Entry)
 	n.c.write(n.file("steward"), common, steward, n.c.opts.Steward)
 }
@@ -180,7 +194,12 @@
 func (n *Node) seeds() (entries, stewards string) {
 	var e, s []string
 	for _, other := range n.c.Nodes {
-		if other != n {
+		switch {
+		case other == n:
+		case n.c.opts.Direct:
+			e = append(e, quote(other.entry.peers))
+			s = append(s, quote(other.steward.peers))
+		default:
 			e = append(e, quote(other.entryGate.address()))
 			s = append(s, quote(other.stewardGate.address()))
 		}
