--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -313,6 +313,30 @@
 	})
 }
 
+// Every process looks for the snapshots of others each few seconds. Were a whole
+// snapshot read to learn that there is no new one, that would be most of what a
+// process reads. In an hour two nodes read each snapshot once.
+func TestSnapshotsAreReadOnce(t *testing.T) {
+	run(t, func(t *testing.T) {
+		log := standin.New(standin.Options{})
+		a := start(t, log, "a", nil)
+		b := start(t, log, "b", nil)
+		settle(time.Second)
+		a.write(50)
+		settle(time.Hour)
+		var published int64
+		batch, err := log.Read(t.Context(), snapshots, 1, 1000, 0)
+		require.NoError(t, err)
+		for _, e := range batch.Entries {
+			published += int64(len(e.Data))
+		}
+		require.Greater(t, published, int64(0))
+		for _, n := range []*node{a, b} {
+			require.LessOrEqual(t, n.link.snapshotBytes.Load(), published)
+		}
+	})
+}
+
 func TestMetrics(t *testing.T) {
 	run(t, func(t *testing.T) {
 		n := start(t, standin.New(standin.Options{}), "n", nil)
--- a/internal/follower/harness_test.go
+++ b/internal/follower/harness_test.go
@@ -30,6 +30,8 @@
 type link struct {
 	log atomic.Pointer[standin.Platform]
 	cut atomic.Bool
+	// snapshotBytes counts what was read of the stream of snapshots.
+	snapshotBytes atomic.Int64
 }
 
 func (l *link) Append(ctx context.Context, name string, entries [][]byte) (platform.Offset, error) {
@@ -43,7 +45,13 @@
 	if l.cut.Load() {
 		return platform.Batch{}, platform.ErrUnavailable
 	}
-	return l.log.Load().Read(ctx, name, from, limit, wait)
+	batch, err := l.log.Load().Read(ctx, name, from, limit, wait)
+	if name == snapshots {
+		for _, e := range batch.Entries {
+			l.snapshotBytes.Add(int64(len(e.Data)))
+		}
+	}
+	return batch, err
 }
 
 // node is one process with a follower.
--- a/internal/follower/publish.go
+++ b/internal/follower/publish.go
@@ -72,34 +72,48 @@
 	return p.due(time.Now()), nil
 }
 
-// look takes note of snapshots that appeared on the stream.
+// look takes note of snapshots that appeared on the stream. It reads from the
+// first entry not looked at: a read of an older one would bring a whole snapshot
+// each time, which in every process is more than all other reads together.
 func (p *publisher) look(ctx context.Context) error {
 	store := p.f.store
-	first, next, err := store.bounds(ctx)
-	if err != nil {
-		return err
-	}
-	if p.next == 0 && next > 1 { // of those published before only the newest counts
-		p.next = next - 1
+	if p.next == 0 {
+		first, next, err := store.bounds(ctx)
+		if err != nil {
+			return err
+		}
+		p.next = max(first, next-1) // of those published before only the newest counts
 	}
-	for p.next = max(p.next, first); p.next < next; p.next++ {
-		entry, err := store.entry(ctx, p.next)
+	for {
+		batch, err := store.read(ctx, p.next)
 		if err != nil {
 			return err
 		}
-		snapshot := p.parts.add(entry)
-		if snapshot == nil {
+		if p.next < batch.First { // trimmed unseen
+			p.next = batch.First
 			continue
 		}
-		clear(p.parts)
-		if offset, err := ledger.SnapshotOffset(snapshot); err == nil && offset >= p.covered {
-			p.covered, p.since = offset, time.Now()
+		if len(batch.Entries) == 0 {
+			if batch.First == batch.Next && batch.First > 1 { // retention has removed them all
+				p.covered = 0
+			}
+			return nil
 		}
+		p.note(batch.Entries[0].Data)
+		p.next++
 	}
-	if first == next && first > 1 { // retention has removed them all
-		p.covered = 0
+}
+
+// note takes note of an entry that may complete a snapshot.
+func (p *publisher) note(entry []byte) {
+	snapshot := p.parts.add(entry)
+	if snapshot == nil {
+		return
+	}
+	clear(p.parts)
+	if offset, err := ledger.SnapshotOffset(snapshot); err == nil && offset >= p.covered {
+		p.covered, p.since = offset, time.Now()
 	}
-	return nil
 }
 
 // due reports whether a snapshot has to be published: none covers the retained
--- a/internal/follower/snapshots.go
+++ b/internal/follower/snapshots.go
@@ -97,13 +97,19 @@
 
 // bounds returns the retained range of the stream.
 func (s snapshotStore) bounds(ctx context.Context) (first, next platform.Offset, err error) {
+	batch, err := s.read(ctx, 1)
+	return batch.First, batch.Next, err
+}
+
+// read returns at most one entry, none when it was trimmed or is yet to come.
+func (s snapshotStore) read(ctx context.Context, at platform.Offset) (platform.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	batch, err := s.log.Read(ctx, s.stream, 1, 1, 0)
+	batch, err := s.log.Read(ctx, s.stream, at, 1, 0)
 	if errors.Is(err, platform.ErrTrimmed) {
 		err = nil
 	}
-	return batch.First, batch.Next, err
+	return batch, err
 }
 
 // NewestSnapshot returns the newest whole snapshot of a stream, or nil when
@@ -134,15 +140,10 @@
 
 // entry returns one entry, nil when it was trimmed meanwhile.
 func (s snapshotStore) entry(ctx context.Context, at platform.Offset) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	batch, err := s.log.Read(ctx, s.stream, at, 1, 0)
-	if err != nil && !errors.Is(err, platform.ErrTrimmed) {
+	batch, err := s.read(ctx, at)
+	if err != nil || len(batch.Entries) == 0 {
 		return nil, err
 	}
-	if len(batch.Entries) == 0 {
-		return nil, nil
-	}
 	return batch.Entries[0].Data, nil
 }
 
