Bound a node's control traffic as the fleet grows

Cause: at 4,000 VMs every steward read the whole list each 2 s and checked every VM of its share each second; all nodes exchanged messages with all, to each of which grpc-go added a ping and a window update; a step of a drain that was not through was tried five times a second.

Change: the stewards read the list by turns and in gzip; health checks of VMs without news take turns, 20 a second; greetings of stewards are bounded in number; flow control windows are fixed; the pause before a step is tried again doubles up to a second.

--- a/internal/entrypeer/conns.go
+++ b/internal/entrypeer/conns.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	pb "github.com/yuccadrift/yuccadrift/internal/entrypeer/entrypeerpb"
+	"github.com/yuccadrift/yuccadrift/internal/peerserver"
 )
 
 // Bounds of a connection to a peer.
@@ -54,7 +55,7 @@
 	if conn, ok := c.open[address]; ok {
 		return pb.NewEntryPeerClient(conn), nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
+	options := append(peerserver.DialOptions(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 		grpc.WithContextDialer(c.dial),
@@ -63,6 +64,7 @@
 			Backoff:           backoff.Config{BaseDelay: redialMin, Multiplier: 2, Jitter: 0.2, MaxDelay: redialMax},
 			MinConnectTimeout: connectTimeout,
 		}))
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, errors.Wrapf(err, "entry peer %s", address)
 	}
--- a/internal/peerserver/peerserver.go
+++ b/internal/peerserver/peerserver.go
@@ -24,10 +24,23 @@
 	pingTimeout = 2 * time.Second
 	// minPing is the shortest interval at which peers may ping.
 	minPing = time.Second
+	// window is the flow control window in bytes, of streams and connections.
+	// It is fixed: with grpc-go's estimate of a connection's bandwidth each
+	// message of a few bytes is answered by a ping and a window update, which
+	// doubles the bytes of leases and greetings.
+	window = 1 << 20
 	// stopTimeout is what calls in progress get when the daemon stops.
 	stopTimeout = 2 * time.Second
 )
 
+// DialOptions are what clients of a Server add to their options.
+func DialOptions() []grpc.DialOption {
+	return []grpc.DialOption{
+		grpc.WithStaticStreamWindowSize(window),
+		grpc.WithStaticConnWindowSize(window),
+	}
+}
+
 // Server is the gRPC server of one daemon.
 type Server struct {
 	listener net.Listener
@@ -40,6 +53,8 @@
 		listener: listener,
 		grpc: grpc.NewServer(
 			grpc.MaxConcurrentStreams(maxStreams),
+			grpc.StaticStreamWindowSize(window),
+			grpc.StaticConnWindowSize(window),
 			grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingAfter, Timeout: pingTimeout}),
 			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPing, PermitWithoutStream: true}),
 		),
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -56,7 +56,9 @@
 		DialContext:         dialWitness(&net.Dialer{Timeout: opts.DialTimeout}),
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		// The Transport asks for gzip: the list of VMs and batches of records
+		// shrink to a fraction. A platform that knows no gzip answers plainly.
+		DisableCompression: false,
 	}
 	return &Client{
 		base:    "http://" + addr,
--- a/internal/standin/api.go
+++ b/internal/standin/api.go
@@ -1,10 +1,13 @@
 package standin
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,12 +63,32 @@
 			refuse(w, err, batch)
 			return
 		}
-		reply(w, http.StatusOK, out)
+		answer(w, r, out)
 	}
 }
 
-func reply(w http.ResponseWriter, status int, out any) {
+// compressFrom is the size in bytes from which an answer is compressed.
+const compressFrom = 1 << 10
+
+// answer replies with a success, compressed when it is large and the client
+// accepts that.
+func answer(w http.ResponseWriter, r *http.Request, out any) {
 	body := mustJSON(out)
+	if len(body) < compressFrom || !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		send(w, http.StatusOK, body)
+		return
+	}
+	var small bytes.Buffer
+	zip := gzip.NewWriter(&small)
+	zip.Write(body) // a Buffer takes all
+	zip.Close()
+	w.Header().Set("Content-Encoding", "gzip")
+	send(w, http.StatusOK, small.Bytes())
+}
+
+func reply(w http.ResponseWriter, status int, out any) { send(w, status, mustJSON(out)) }
+
+func send(w http.ResponseWriter, status int, body []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
--- a/internal/steward/evidence.go
+++ b/internal/steward/evidence.go
@@ -39,8 +39,9 @@
 // own network is cut: all VMs then fail here at once, and recording them as down
 // would spend the budgets of pools that serve. So a peer that reaches a VM
 // clears it; without any peer's word, failures in several racks at once count
-// as this node's own.
-func (h *health) convicted(ctx context.Context, failing []suspect, watched int) []suspect {
+// as this node's own. sample holds the round's results of VMs that were checked
+// whether or not they had failed before.
+func (h *health) convicted(ctx context.Context, failing []suspect, sample []error) []suspect {
 	if len(failing) == 0 {
 		return nil
 	}
@@ -51,7 +52,7 @@
 		racks[s.vm.Rack] = true
 	}
 	reached, asked := h.cfg.Peers.Healthy(ctx, addresses)
-	own := len(racks) > 1 && (h.cfg.Peers.Configured() || 2*len(failing) >= watched)
+	own := len(racks) > 1 && (h.cfg.Peers.Configured() || mostFailed(sample))
 	if asked == 0 && own {
 		h.metrics.held.Add(float64(len(failing)))
 		h.cfg.Logger.Warn("failures held back: this node's own network may be cut", "vms", len(failing), "racks", len(racks))
@@ -68,3 +69,13 @@
 	}
 	return down
 }
+
+func mostFailed(results []error) bool {
+	failed := 0
+	for _, err := range results {
+		if err != nil {
+			failed++
+		}
+	}
+	return 2*failed >= len(results)
+}
--- a/internal/steward/executor.go
+++ b/internal/steward/executor.go
@@ -3,17 +3,23 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/maintenance"
+	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
 // Pauses of the executor.
 const (
 	// lookInterval is the pause between looks for VMs with a step due.
 	lookInterval = 200 * time.Millisecond
+	// maxStepPause bounds the pause before a step that was not through is done
+	// again. It doubles from lookInterval: a drain or reboot that takes minutes
+	// would else ask the platform and every entry process five times a second.
+	maxStepPause = time.Second
 	// rememberFor is for how long undone work is remembered for a takeover.
 	rememberFor = 10 * time.Minute
 )
@@ -25,12 +31,25 @@
 	*Steward
 	work chan string
 
-	mu   sync.Mutex
-	busy map[string]bool
+	mu    sync.Mutex
+	busy  map[string]bool
+	rests map[string]rest
+}
+
+// rest is the pause before a VM's step is tried again.
+type rest struct {
+	revision record.Revision // of the VM; the pause ends when it changes
+	pause    time.Duration
+	until    time.Time
 }
 
 func newExecutor(s *Steward) *executor {
-	return &executor{Steward: s, work: make(chan string, s.cfg.MaxActions), busy: map[string]bool{}}
+	return &executor{
+		Steward: s,
+		work:    make(chan string, s.cfg.MaxActions),
+		busy:    map[string]bool{},
+		rests:   map[string]rest{},
+	}
 }
 
 // serve looks for due steps and hands them to a fixed number of workers over a
@@ -52,9 +71,7 @@
 		case id := <-e.work:
 			for e.step(ctx, id) && ctx.Err() == nil {
 			}
-			e.mu.Lock()
-			delete(e.busy, id)
-			e.mu.Unlock()
+			e.finish(id, time.Now())
 		}
 	}
 }
@@ -70,12 +87,13 @@
 			if maintenance.Next(vm) == maintenance.StepNone {
 				continue
 			}
-			if e.shares.mine(id, fmt.Sprintf("act/%s/%d", id, vm.Revision), now) {
+			if !e.resting(vm, now) && e.shares.mine(id, fmt.Sprintf("act/%s/%d", id, vm.Revision), now) {
 				due = append(due, id)
 			}
 		}
 	})
 	e.shares.forget(now.Add(-rememberFor))
+	e.forget(now.Add(-rememberFor))
 	for _, id := range due {
 		if !e.offer(id) {
 			return
@@ -83,6 +101,36 @@
 	}
 }
 
+// finish ends the work on a VM and lets it rest.
+func (e *executor) finish(id string, now time.Time) {
+	vm, _ := e.vm(id)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.busy, id)
+	r := e.rests[id]
+	if r.revision != vm.Revision {
+		r = rest{revision: vm.Revision}
+	}
+	r.pause = min(max(2*r.pause, lookInterval), maxStepPause)
+	r.until = now.Add(r.pause)
+	e.rests[id] = r
+}
+
+// forget drops the rests that ended before the time.
+func (e *executor) forget(before time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.rests, func(_ string, r rest) bool { return r.until.Before(before) })
+}
+
+// resting reports whether the VM's step is to be left for now.
+func (e *executor) resting(vm *ledger.VM, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, ok := e.rests[vm.ID]
+	return ok && r.revision == vm.Revision && now.Before(r.until)
+}
+
 func (e *executor) offer(id string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/steward/health.go
+++ b/internal/steward/health.go
@@ -1,7 +1,9 @@
 package steward
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +23,10 @@
 	checkParallel = 32
 	downAfter     = 3 // failures in a row
 	upAfter       = 2 // successes in a row
+	// checksPerSecond bounds the checks of VMs without news. In a large share
+	// each VM's turn comes later; one that fails, or recovers, is checked at
+	// every interval until that is settled.
+	checksPerSecond = 20
 )
 
 // health watches the VMs of this steward's share.
@@ -33,6 +39,7 @@
 type streak struct {
 	good, bad int
 	cause     string
+	at        time.Time // of the latest check
 }
 
 func newHealth(s *Steward) *health { return &health{Steward: s, streaks: map[string]*streak{}} }
@@ -42,12 +49,15 @@
 }
 
 func (h *health) round(ctx context.Context) {
-	vms, seen := h.watched()
+	share, seen := h.watched()
+	vms, sample := h.due(share)
 	results := h.checkAll(ctx, vms)
+	now := time.Now()
 	var proposals []pool.Proposal
 	var failing []suspect
 	for i, vm := range vms {
 		s := h.note(vm.ID, results[i])
+		s.at = now
 		switch {
 		case !vm.Down && s.bad >= downAfter:
 			failing = append(failing, suspect{vm: vm, cause: s.cause})
@@ -55,7 +65,7 @@
 			proposals = append(proposals, pool.OnVM(&pool.VM{VM: vm}, record.VMUp{}, vm.ID, "healthy again"))
 		}
 	}
-	for _, s := range h.convicted(ctx, failing, len(vms)) {
+	for _, s := range h.convicted(ctx, failing, results[:sample]) {
 		proposals = append(proposals, pool.OnVM(&pool.VM{VM: s.vm}, record.VMDown{Cause: s.cause}, s.vm.ID, s.cause))
 	}
 	if h.MayDecide() {
@@ -80,6 +90,22 @@
 	return vms, seen
 }
 
+// due returns the VMs to check in this round: those whose latest check is the
+// oldest, whose number sample also returns, and those with news to settle.
+func (h *health) due(share []ledger.VM) (vms []ledger.VM, sample int) {
+	slices.SortFunc(share, func(a, b ledger.VM) int {
+		return cmp.Or(h.streak(a.ID).at.Compare(h.streak(b.ID).at), cmp.Compare(a.ID, b.ID))
+	})
+	sample = min(len(share), max(1, int(checksPerSecond*h.cfg.CheckInterval.Seconds())))
+	vms = slices.Clone(share[:sample])
+	for _, vm := range share[sample:] {
+		if s := h.streak(vm.ID); (!vm.Down && s.bad > 0) || (vm.Down && s.good > 0) {
+			vms = append(vms, vm)
+		}
+	}
+	return vms, sample
+}
+
 func (h *health) checkAll(ctx context.Context, vms []ledger.VM) []error {
 	results := make([]error, len(vms))
 	room := make(chan struct{}, checkParallel)
@@ -95,12 +121,17 @@
 	return results
 }
 
-func (h *health) note(vm string, result error) *streak {
+func (h *health) streak(vm string) *streak {
 	s := h.streaks[vm]
 	if s == nil {
 		s = &streak{}
 		h.streaks[vm] = s
 	}
+	return s
+}
+
+func (h *health) note(vm string, result error) *streak {
+	s := h.streak(vm)
 	if result == nil {
 		s.good, s.bad, s.cause = s.good+1, 0, ""
 		return s
--- a/internal/steward/lister.go
+++ b/internal/steward/lister.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
@@ -10,21 +11,33 @@
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
-// goneAfter is how many lists in a row must lack a VM before it counts as gone.
+// goneAfter is for how many list intervals lists must lack a VM before it
+// counts as gone.
 const goneAfter = 5
 
+// manyListed is how many registrations and removals one steward proposes
+// without regard to shares.
+const manyListed = 64
+
 // lister reads the platform's list of VMs. The list lags: it makes VMs known
 // and, with the VM's own silence, ends them, and decides nothing else.
 type lister struct {
 	*Steward
 	asOf   time.Time
-	absent map[string]int
+	absent map[string]time.Time // since which list a VM is missing
 }
 
-func newLister(s *Steward) *lister { return &lister{Steward: s, absent: map[string]int{}} }
+func newLister(s *Steward) *lister { return &lister{Steward: s, absent: map[string]time.Time{}} }
 
+// serve reads the list by turns with the other stewards, so that one of them
+// reads it in each interval. The list has a line for every VM: were it read by
+// all of them at each interval, it would cost a node more than all else.
 func (l *lister) serve(ctx context.Context) error {
-	return every(ctx, l.cfg.ListInterval, l.poll)
+	for ctx.Err() == nil {
+		l.poll(ctx)
+		pause(ctx, l.shares.turn(time.Now(), l.cfg.ListInterval), nil)
+	}
+	return ctx.Err()
 }
 
 func (l *lister) poll(ctx context.Context) {
@@ -43,7 +56,9 @@
 	l.propose.all(ctx, seen, proposals)
 }
 
-// compare returns the registrations and removals that the list calls for.
+// compare returns the registrations and removals that the list calls for. This
+// steward has the newest list, so it proposes them whoever's share they are. Of
+// many at once, as when all stewards start, it proposes those of its share only.
 func (l *lister) compare(list platform.VMList) (uint64, []pool.Proposal) {
 	var proposals []pool.Proposal
 	listed := map[string]bool{}
@@ -53,21 +68,23 @@
 		seen = st.Offset
 		for _, vm := range list.VMs {
 			listed[vm.ID] = true
-			if _, ok := st.VMs[vm.ID]; !ok && l.due(vm.ID, "register") {
+			if _, ok := st.VMs[vm.ID]; !ok {
 				proposals = append(proposals, register(vm))
 			}
 		}
 		for id, vm := range st.VMs {
-			if l.gone(vm, listed[id]) && l.due(id, "gone") {
+			if l.gone(vm, listed[id]) {
 				proposals = append(proposals, pool.OnVM(&pool.VM{VM: copyVM(vm)}, record.VMGone{}, id, "neither listed nor healthy"))
 			}
 		}
 	})
-	return seen, proposals
-}
-
-func (l *lister) due(vm, what string) bool {
-	return l.shares.mine(vm, what+"/"+vm, time.Now())
+	if len(proposals) <= manyListed {
+		return seen, proposals
+	}
+	now := time.Now()
+	return seen, slices.DeleteFunc(proposals, func(d pool.Proposal) bool {
+		return !l.shares.mine(d.Share, string(d.Body.Kind())+"/"+d.Share, now)
+	})
 }
 
 // gone reports whether a VM is to be removed. Absence from the list alone does
@@ -77,8 +94,12 @@
 		delete(l.absent, vm.ID)
 		return false
 	}
-	l.absent[vm.ID]++
-	return l.absent[vm.ID] >= goneAfter && vm.Down
+	since, ok := l.absent[vm.ID]
+	if !ok {
+		l.absent[vm.ID] = l.asOf
+		return false
+	}
+	return vm.Down && l.asOf.Sub(since) >= goneAfter*l.cfg.ListInterval
 }
 
 func register(vm platform.VM) pool.Proposal {
--- a/internal/steward/shares.go
+++ b/internal/steward/shares.go
@@ -69,6 +69,26 @@
 	return nodes
 }
 
+// turn returns how long it is to this steward's next turn, when the stewards take
+// turns of the given length in the order of their names. It goes by the clock:
+// one that is wrong makes two turns fall together, no more.
+func (s *shares) turn(now time.Time, length time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := 0
+	for _, node := range s.nodes {
+		if node < s.self {
+			before++
+		}
+	}
+	cycle := time.Duration(len(s.nodes)) * length
+	wait := (time.Duration(before)*length - time.Duration(now.UnixNano())%cycle + cycle) % cycle
+	if wait == 0 {
+		return cycle
+	}
+	return wait
+}
+
 // rank returns how many living stewards come before this one for the key.
 func (s *shares) rank(key string, now time.Time) int {
 	s.mu.Lock()
--- a/internal/stewardpeer/peers.go
+++ b/internal/stewardpeer/peers.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"github.com/yuccadrift/yuccadrift/internal/peerserver"
 	pb "github.com/yuccadrift/yuccadrift/internal/stewardpeer/stewardpeerpb"
 )
 
@@ -18,20 +19,27 @@
 const (
 	helloInterval = time.Second
 	helloTimeout  = time.Second
-	// aliveFor is how long a peer counts as there after its last answer.
-	aliveFor = 3 * time.Second
+	// hellosPerInterval bounds the greetings sent in one interval. With more
+	// peers each is greeted less often, so that greetings cost a node the same
+	// however many there are.
+	hellosPerInterval = 8
+	// aliveFor is how many rounds of greetings a peer counts as there after its
+	// last answer.
+	aliveFor = 3
 )
 
 // Peers greets the other stewards and knows which of them are there.
 type Peers struct {
-	logger hclog.Logger
-	peers  []*peer
+	logger   hclog.Logger
+	peers    []*peer
+	interval time.Duration // between greetings of one peer
 }
 
 type peer struct {
-	address string
-	conn    *grpc.ClientConn
-	rpc     pb.StewardPeerClient
+	address  string
+	conn     *grpc.ClientConn
+	rpc      pb.StewardPeerClient
+	aliveFor time.Duration
 
 	mu   sync.Mutex
 	node string
@@ -41,13 +49,20 @@
 // NewPeers returns Peers for the stewards at the addresses (IP:port). Serve
 // makes it greet them.
 func NewPeers(addresses []string, logger hclog.Logger) (*Peers, error) {
-	p := &Peers{logger: logger}
+	rounds := max(1, (len(addresses)+hellosPerInterval-1)/hellosPerInterval)
+	p := &Peers{logger: logger, interval: time.Duration(rounds) * helloInterval}
 	for _, address := range addresses {
-		conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		options := append(peerserver.DialOptions(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+		conn, err := grpc.NewClient("passthrough:///"+address, options...)
 		if err != nil {
 			return nil, errors.Wrapf(err, "steward %s", address)
 		}
-		p.peers = append(p.peers, &peer{address: address, conn: conn, rpc: pb.NewStewardPeerClient(conn)})
+		p.peers = append(p.peers, &peer{
+			address:  address,
+			conn:     conn,
+			rpc:      pb.NewStewardPeerClient(conn),
+			aliveFor: aliveFor * p.interval,
+		})
 	}
 	return p, nil
 }
@@ -61,7 +76,7 @@
 
 // Serve greets the peers until ctx ends. It is a duty's Serve function.
 func (p *Peers) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(helloInterval)
+	ticker := time.NewTicker(p.interval)
 	defer ticker.Stop()
 	for {
 		p.greet(ctx)
@@ -102,7 +117,7 @@
 func (p *peer) alive() (string, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.node, time.Since(p.at) < aliveFor
+	return p.node, time.Since(p.at) < p.aliveFor
 }
 
 // Configured reports whether any peer is set.
