--- a/internal/maintenance/wave.go
+++ b/internal/maintenance/wave.go
@@ -83,6 +83,8 @@
 // turns returns the pool's VMs that could be drained now in the order of their
 // turns: zones and racks that have VMs out already come first, so that one
 // failure domain is finished before the next is begun, then VMs without jobs.
+// VMs that are down get their turn once no other is left: until then they may
+// come back, and the rest does not wait for them.
 func turns(r *pool.Round, w *pool.Wave, p *pool.Pool) []*pool.VM {
 	var due []*pool.VM
 	for _, vm := range p.VMs {
@@ -94,6 +96,9 @@
 		}
 		due = append(due, vm)
 	}
+	if slices.ContainsFunc(due, func(vm *pool.VM) bool { return !vm.Down }) {
+		due = slices.DeleteFunc(due, func(vm *pool.VM) bool { return vm.Down })
+	}
 	zones, racks := outDomains(p)
 	slices.SortFunc(due, func(a, b *pool.VM) int {
 		return cmp.Or(
