Prove bookings at most once while entry VMs are killed, stopped and split

Cause: the claims were proved by a model and in one process only. Change: tests with real processes: an entry VM killed between run and answer; two retries in one instant; an owner stopped past its lease and woken; entry VMs split from each other; the log out and an entry VM lost; entry VMs stopped in order, started, killed and started under load. Backend servers count the runs.

--- /dev/null
+++ b/internal/proof/claims_test.go
@@ -0,0 +1,369 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
+)
+
+// bookings is a caller that sends bookings and remembers what it was told.
+type bookings struct {
+	t  *testing.T
+	c  *testkit.Cluster
+	mu sync.Mutex
+	// told holds the answers by key; an answer that never came has outcome "".
+	told map[string][]outcome.Outcome
+}
+
+func newBookings(t *testing.T, c *testkit.Cluster) *bookings {
+	return &bookings{t: t, c: c, told: map[string][]outcome.Outcome{}}
+}
+
+func (b *bookings) send(node *testkit.Node, key string, attempt int, work time.Duration) testkit.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	a := node.Send(ctx, testkit.Request{
+		Path: "/booking/book", Key: key, Attempt: attempt, Work: work, Deadline: 4 * time.Second, ReplyBytes: 200,
+	})
+	told := a.Outcome
+	if a.Err != nil {
+		told = ""
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.told[key] = append(b.told[key], told)
+	return a
+}
+
+// check holds the promises against the backend servers' counts: no key ran
+// twice, one told "ran" did, and one told nothing but "not-run" did not.
+func (b *bookings) check() {
+	b.t.Helper()
+	keys := b.c.Standin.Counters().Backends.Keys
+	for key, told := range b.told {
+		runs := keys[key].Runs
+		assert.LessOrEqual(b.t, runs, 1, "%s told %q", key, told)
+		if strings.Contains(fmt.Sprint(told), string(outcome.Ran)) {
+			assert.Equal(b.t, 1, runs, "%s told %q", key, told)
+		}
+		if last := told[len(told)-1]; last == outcome.NotRun {
+			assert.Zero(b.t, runs, "%s told %q", key, told)
+		}
+	}
+}
+
+// count returns how many keys had this outcome as their last.
+func (b *bookings) count(o outcome.Outcome) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, told := range b.told {
+		if told[len(told)-1] == o {
+			n++
+		}
+	}
+	return n
+}
+
+// members returns how many entry VMs are members by the log.
+func members(c *testkit.Cluster) int { return len(c.Standin.State().Members) }
+
+// settle waits until all nodes are members and grant claims.
+func settle(c *testkit.Cluster) {
+	c.Until("all entry VMs are members", func() bool { return members(c) == len(c.Nodes) })
+	for _, n := range c.Nodes {
+		c.Until(n.Name+" grants", func() bool {
+			a := n.Send(context.Background(), testkit.Request{Path: "/booking/book", Key: testkit.Key(), Attempt: 1})
+			return a.OK()
+		})
+	}
+}
+
+func claimsCluster(t *testing.T, nodes, vms int) *testkit.Cluster {
+	zones := []string{"a", "b", "c", "a", "b", "c", "a", "b"}
+	c := pool(t, vms, testkit.Options{Nodes: zones[:nodes]})
+	settle(c)
+	return c
+}
+
+// begun waits until the backend servers have begun to run all of the keys.
+func begun(c *testkit.Cluster, keys []string) {
+	c.Until("the bookings run", func() bool {
+		counted := c.Standin.Counters().Backends.Keys
+		for _, k := range keys {
+			if counted[k].Seen == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Bookings run when the entry VM that sent them is killed: the callers see their
+// connections break. Some retry at once at another entry VM and wait there for
+// the attempt that is lost, others only after the VM was evicted. All of them
+// are told "unknown", which is the truth: no booking runs again.
+func TestEntryKilledBetweenRunAndAnswer(t *testing.T) {
+	c := claimsCluster(t, 3, 3)
+	b := newBookings(t, c)
+	var keys []string
+	var wg sync.WaitGroup
+	for i := range 12 {
+		key := testkit.Key()
+		keys = append(keys, key)
+		wg.Go(func() {
+			a := b.send(c.Nodes[0], key, 1, time.Second)
+			assert.Error(t, a.Err)
+			if i%2 == 0 {
+				a = b.send(c.Nodes[1+i%4/2], key, 2, 0)
+				assert.NotEqual(t, outcome.NotRun, a.Outcome)
+			}
+		})
+	}
+	begun(c, keys)
+	c.Nodes[0].Kill()
+	wg.Wait()
+	c.Until("the killed VM is evicted", func() bool { return members(c) == 2 })
+	for i, key := range keys {
+		c.Until("an answer without a hand-over under way", func() bool {
+			a := b.send(c.Nodes[1+i%2], key, 3, 0)
+			return a.Outcome == outcome.Unknown && a.Reason != "claims-moving" && a.Reason != "claims-unreachable"
+		})
+	}
+	b.check()
+	for _, n := range c.Nodes[1:] {
+		a := b.send(n, testkit.Key(), 1, 0)
+		assert.True(t, a.OK(), "%+v", a)
+	}
+}
+
+// A caller's connection breaks while its booking runs, and its client sends the
+// retry to two entry VMs in the same instant. Both wait for the first attempt
+// and hand out its answer; the booking runs once.
+func TestTwoRetriesAtTheSameInstant(t *testing.T) {
+	c := claimsCluster(t, 3, 3)
+	for range 10 {
+		b := newBookings(t, c)
+		key := testkit.Key()
+		ctx, leave := context.WithCancel(t.Context())
+		go c.Nodes[0].Send(ctx, testkit.Request{Path: "/booking/book", Key: key, Attempt: 1, Work: 300 * time.Millisecond, ReplyBytes: 200})
+		begun(c, []string{key})
+		leave()
+		var wg sync.WaitGroup
+		for _, n := range c.Nodes[1:] {
+			wg.Go(func() {
+				a := b.send(n, key, 2, 0)
+				assert.True(t, a.OK(), "%+v", a)
+				assert.Len(t, a.Body, 200)
+			})
+		}
+		wg.Wait()
+		b.check()
+	}
+}
+
+// An entry VM is stopped past its lease and evicted; others take its keys over
+// and run bookings. When it wakes up it believes itself the owner still, and at
+// that instant gets retries of those bookings, and fresh ones. No booking that
+// ran meanwhile runs again at its hands.
+func TestOwnerStoppedPastItsLease(t *testing.T) {
+	c := claimsCluster(t, 3, 3)
+	stopped := c.Nodes[0]
+	for round := range 3 {
+		b := newBookings(t, c)
+		stopped.Pause()
+		c.Until("the stopped VM is evicted", func() bool { return members(c) == 2 })
+		var keys []string
+		c.Until("others run bookings of all keys", func() bool {
+			for i := range 20 {
+				key := testkit.Key()
+				if a := b.send(c.Nodes[1+i%2], key, 1, 0); !a.OK() {
+					return false
+				}
+				keys = append(keys, key)
+			}
+			return true
+		})
+		var wg sync.WaitGroup
+		for _, key := range keys {
+			wg.Go(func() { b.send(stopped, key, 2, 0) })
+			wg.Go(func() { b.send(stopped, testkit.Key(), 1, 0) })
+		}
+		stopped.Resume()
+		wg.Wait()
+		b.check()
+		c.Until(fmt.Sprintf("it is a member again, round %d", round), func() bool { return members(c) == 3 })
+		settle(c)
+	}
+}
+
+// The entry VMs lose each other, not the log. None of them hears from half of
+// them, so none may grant: first attempts are told "not-run" and may go on with
+// a new key, others "unknown". Afterwards they find together again.
+func TestEntriesSplitFromEachOther(t *testing.T) {
+	c := claimsCluster(t, 3, 3)
+	b := newBookings(t, c)
+	c.Partition(c.Nodes[:1], c.Nodes[1:2], c.Nodes[2:])
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var refused atomic.Int64
+	for i := range 6 {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				key := testkit.Key()
+				if a := b.send(c.Nodes[(i+n)%3], key, 1, 0); a.Outcome == outcome.NotRun {
+					refused.Add(1)
+				}
+				b.send(c.Nodes[(i+n+1)%3], key, 2, 0)
+			}
+		})
+	}
+	c.Until("many are refused", func() bool { return refused.Load() > 60 })
+	close(stop)
+	wg.Wait()
+	c.HealPeers()
+	settle(c)
+	b.check()
+}
+
+// The log goes out, and then an entry VM is lost. Bookings go on at the others:
+// only keys of the lost one, about a third, get no grant, and nobody is evicted.
+// When the log is back, the lost VM is evicted and all keys are granted again.
+func TestBookingsWhileTheLogIsOut(t *testing.T) {
+	c := claimsCluster(t, 3, 3)
+	b := newBookings(t, c)
+	c.Standin.Order(standin.Fault{Kind: standin.LogRefuse})
+	for i := range 30 {
+		a := b.send(c.Nodes[i%3], testkit.Key(), 1, 0)
+		assert.True(t, a.OK(), "%+v", a)
+	}
+	c.Nodes[2].Kill()
+	ran := 0
+	for i := range 30 {
+		a := b.send(c.Nodes[i%2], testkit.Key(), 1, 0)
+		if a.OK() {
+			ran++
+			continue
+		}
+		assert.Equal(t, outcome.NotRun, a.Outcome, "%+v", a)
+	}
+	assert.Greater(t, ran, 10)
+	assert.Less(t, ran, 30)
+	c.Standin.Clear()
+	c.Until("the lost VM is evicted", func() bool { return members(c) == 2 })
+	c.Until("all keys are granted", func() bool {
+		for i := range 20 {
+			if a := b.send(c.Nodes[i%2], testkit.Key(), 1, 0); !a.OK() {
+				return false
+			}
+		}
+		return true
+	})
+	b.check()
+}
+
+// Callers book all the time, each retrying at another entry VM until it knows
+// the end, while entry VMs are stopped in order, started, killed and started.
+// Nothing runs twice; and stopping in order costs no caller an "unknown".
+func TestMembershipChangesUnderLoad(t *testing.T) {
+	c := claimsCluster(t, 4, 4)
+	b := newBookings(t, c)
+	load := b.book(8, true)
+	for _, n := range c.Nodes[:2] {
+		n.Entry.Terminate()
+		require.NoError(t, n.Entry.Wait())
+		n.Entry.Start()
+		n.AwaitReady()
+		c.Until("it is a member", func() bool { return members(c) == 4 })
+	}
+	assert.Zero(t, b.count(outcome.Unknown), "stopping in order")
+	c.Nodes[2].Kill()
+	c.Until("the killed VM is evicted", func() bool { return members(c) == 3 })
+	c.Nodes[2].Start()
+	c.Until("it is a member", func() bool { return members(c) == 4 })
+	load()
+	b.check()
+	t.Logf("%d bookings, last told ran %d, not-run %d, unknown %d", len(b.told), b.count(outcome.Ran), b.count(outcome.NotRun), b.count(outcome.Unknown))
+}
+
+// retriesOf bounds the attempts at one booking.
+const retriesOf = 8
+
+// book sends bookings from workers until the returned function is called. vouch
+// says that callers mark their first attempts.
+func (b *bookings) book(workers int, vouch bool) (stop func()) {
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	for w := range workers {
+		random := rand.New(rand.NewPCG(uint64(w), 7))
+		wg.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					b.one(random, vouch)
+				}
+			}
+		})
+	}
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
+// one books once: it retries under the same key after a broken connection, goes
+// on with a new key after "not-run", and ends at "ran" and "unknown".
+func (b *bookings) one(random *rand.Rand, vouch bool) {
+	key, attempt := testkit.Key(), 1
+	for range retriesOf {
+		node := b.c.Nodes[random.IntN(len(b.c.Nodes))]
+		number := 0
+		if vouch || attempt > 1 {
+			number = attempt
+		}
+		a := b.send(node, key, number, 20*time.Millisecond)
+		switch {
+		case errors.Is(a.Err, syscall.ECONNREFUSED): // nothing was sent
+			b.forget(key)
+		case a.Err != nil:
+			attempt++
+		case a.Outcome == outcome.NotRun:
+			time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
+			key, attempt = testkit.Key(), 1
+		default:
+			return
+		}
+	}
+}
+
+// forget takes the latest attempt back, which never reached an entry VM.
+func (b *bookings) forget(key string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if told := b.told[key]; len(told) > 1 {
+		b.told[key] = told[:len(told)-1]
+		return
+	}
+	delete(b.told, key)
+}
