--- a/internal/forecast/measure_test.go
+++ b/internal/forecast/measure_test.go
@@ -64,7 +64,7 @@
 			n := 0
 			for _, vm := range p.VMs {
 				if n < p.Doc.Budget.MaxUnavailable && w.VMs[vm.ID] == ledger.WavePending && vm.Serving() {
-					if r.Drain(vm, r.WaveDrain(vm, "", false), "next batch") == "" {
+					if r.Drain(vm, r.WaveDrain(vm, ""), "next batch") == "" {
 						n++
 					}
 				}
--- a/internal/maintenance/wave.go
+++ b/internal/maintenance/wave.go
@@ -51,17 +51,14 @@
 	if !pressed && r.Arriving(p) {
 		return // soon a drain costs the pool less
 	}
-	left := r.WaveTurns(p)
 	begun, reason := 0, ""
 	for _, vm := range due {
 		if r.Full() {
 			return
 		}
-		release := r.Policy.Reserve == pool.ReserveShared && r.Surplus(p) >= left
-		no := begin(r, vm, r.WaveDrain(vm, "", release), pressed)
+		no := begin(r, vm, r.WaveDrain(vm, ""), pressed)
 		if no == "" {
 			begun++
-			left--
 		}
 		reason = cmp.Or(reason, no)
 	}
--- a/internal/pool/fill.go
+++ b/internal/pool/fill.go
@@ -68,7 +68,7 @@
 		r.joining[to] = append(r.joining[to], vm)
 		r.Propose(vm, record.VMRedirect{Target: to}, vm.Pool, "out of service already and wanted elsewhere")
 	case tierDue:
-		r.Drain(vm, r.WaveDrain(vm, to, false), "its turn in the wave, and wanted elsewhere")
+		r.Drain(vm, r.WaveDrain(vm, to), "its turn in the wave, and wanted elsewhere")
 	case tierServe:
 		body := record.VMDrain{Reason: record.DrainMove, Target: to, Estimate: r.Estimate(vm, record.DrainMove)}
 		r.Drain(vm, body, "its pool has too many, the target too few")
@@ -82,13 +82,12 @@
 }
 
 // WaveDrain returns the drain for a VM's turn in a wave, which may end in
-// another pool or in the reserve. The VM must be due in a wave.
-func (r *Round) WaveDrain(vm *VM, target string, release bool) record.VMDrain {
+// another pool. The VM must be due in a wave.
+func (r *Round) WaveDrain(vm *VM, target string) record.VMDrain {
 	return record.VMDrain{
 		Reason:   record.DrainMaintenance,
 		Wave:     r.View.DueWave(vm).ID,
 		Target:   target,
-		Release:  release,
 		Estimate: r.Estimate(vm, record.DrainMaintenance),
 	}
 }
--- a/internal/pool/release.go
+++ b/internal/pool/release.go
@@ -7,7 +7,8 @@
 // Release gives a lasting surplus back to the reserve of free VMs, where the
 // pool's document weighs that higher than the disturbance. A VM that is out of
 // service anyway goes at once. Pools with turns left in a wave are passed over:
-// the wave's last turns give the surplus back without a drain of its own.
+// the VMs of the wave's last turns are redirected, so that the surplus goes back
+// without a drain of its own.
 func Release(r *Round) {
 	if r.Policy.Reserve == ReserveOwn {
 		return
