--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -148,6 +148,13 @@
 	return d.Table().Offset, counts
 }
 
+// SetHealthy takes the finding of a health check.
+func (d *Dispatcher) SetHealthy(name, vm string, healthy bool) {
+	if s := d.view.Load().services[name]; s != nil {
+		s.pool.SetHealthy(vm, healthy)
+	}
+}
+
 // Ejected returns how many backend servers of a service are out by evidence.
 func (d *Dispatcher) Ejected(name string) int {
 	if s := d.view.Load().services[name]; s != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -142,6 +142,7 @@
 	return []supervise.Duty{
 		{Name: "table", Serve: e.followTable},
 		{Name: "beat", Serve: e.beat},
+		{Name: "watch", Serve: e.watch},
 		{Name: "connections", Serve: e.trimConnections},
 		{Name: "callers", Serve: e.serveCallers, StopWithin: stopWithin},
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -169,3 +169,28 @@
 	cut := r.send(http.MethodGet, "/booking/lookup", header.Clone(), nil)
 	assert.Error(t, cut.err)
 }
+
+// A backend server hangs: it takes connections and answers nothing, nor its
+// health checks. Before a booking is lost on it, this process's own checks take
+// it out; a check that succeeds takes it back.
+func TestHungBackendIsTakenOutByHealthChecks(t *testing.T) {
+	r := newRig(t, localClaims())
+	list, err := r.fake.List(t.Context())
+	require.NoError(t, err)
+	hung := list.VMs[0].ID
+	used := func() bool {
+		return r.send(http.MethodGet, "/booking/lookup", nil, nil).header.Get(standin.HeaderVM) == hung
+	}
+	r.until(used)
+	r.order(standin.Fault{Kind: standin.BackendUnhealthy, Target: hung})
+	r.until(func() bool {
+		for range 30 {
+			if used() {
+				return false
+			}
+		}
+		return true
+	})
+	r.fake.ClearAll()
+	r.until(used)
+}
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -94,7 +94,7 @@
 
 func settingsText(zone string) string {
 	return "[node]\nid=\"entry-1\"\nzone=\"" + zone + "\"\n[platform]\naddress=\"127.0.0.1:1\"\n[peers]\nlisten=\"127.0.0.1:0\"\n" +
-		"[admin]\nlisten=\"127.0.0.1:0\"\n[callers]\nlisten=\"127.0.0.1:0\"\nmax_header_bytes=8192\n[drain]\nnotice=\"300ms\"\nlimit=\"5s\"\n"
+		"[admin]\nlisten=\"127.0.0.1:0\"\n[callers]\nlisten=\"127.0.0.1:0\"\nmax_header_bytes=8192\n[drain]\nnotice=\"300ms\"\nlimit=\"5s\"\n[backends]\ncheck_interval=\"300ms\"\ncheck_timeout=\"300ms\"\n"
 }
 
 func newRig(t testing.TB, claims dispatch.Claims) *rig {
--- /dev/null
+++ b/internal/entry/watch.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccadrift/yuccadrift/internal/backend"
+)
+
+// Bounds of the health checks.
+const (
+	// watchMost is how many backend servers one process checks at most, so that
+	// its cost does not grow with the fleet. Of more it takes those that a
+	// rendezvous hash gives it; the others show by requests, and by the steward's
+	// word on the log.
+	watchMost = 64
+	// watchAtOnce is how many checks run at once.
+	watchAtOnce = 8
+	// watchFailures in a row make a backend server unhealthy, one success heals.
+	watchFailures = 2
+	// watchJitter spreads the checks of several processes, as a share of the
+	// interval.
+	watchJitter = 0.2
+)
+
+// watched is a backend server to check.
+type watched struct {
+	target
+	address string
+	weight  uint64
+}
+
+// target names a backend server of a service.
+type target struct{ service, vm string }
+
+// watch checks backend servers, so that a hung one is found without a caller's
+// request being lost on it.
+func (e *Entry) watch(ctx context.Context) error {
+	interval := e.cfg.Settings.Backends.CheckInterval.Duration
+	checker := backend.NewHealthChecker()
+	failures := map[target]int{}
+	for {
+		spread := 1 + watchJitter*(2*rand.Float64()-1)
+		timer := time.NewTimer(time.Duration(float64(interval) * spread))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+		failures = e.checkAll(ctx, checker, failures)
+	}
+}
+
+// checkAll checks each backend server of this process's share once and returns
+// the failures in a row. One that left the share counts as healthy again.
+func (e *Entry) checkAll(ctx context.Context, checker *backend.HealthChecker, before map[target]int) map[target]int {
+	list := e.share()
+	found := make([]int, len(list))
+	slots := make(chan struct{}, watchAtOnce)
+	var wg sync.WaitGroup
+	for i, w := range list {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			found[i] = e.check(ctx, checker, w, before[w.target])
+		})
+	}
+	wg.Wait()
+	after := make(map[target]int, len(list))
+	for i, w := range list {
+		after[w.target] = found[i]
+		e.dispatcher.SetHealthy(w.service, w.vm, found[i] < watchFailures)
+	}
+	for t := range before {
+		if _, ok := after[t]; !ok {
+			e.dispatcher.SetHealthy(t.service, t.vm, true)
+		}
+	}
+	return after
+}
+
+func (e *Entry) check(ctx context.Context, checker *backend.HealthChecker, w watched, before int) int {
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.Settings.Backends.CheckTimeout.Duration)
+	defer cancel()
+	if err := checker.Check(ctx, w.address); err != nil {
+		if before+1 == watchFailures {
+			e.cfg.Logger.Warn("a backend server is unhealthy", "vm", w.vm, "error", err)
+		}
+		return before + 1
+	}
+	return 0
+}
+
+// share returns the backend servers that this process checks.
+func (e *Entry) share() []watched {
+	var list []watched
+	for name, svc := range e.dispatcher.Table().Services {
+		for _, b := range svc.Backends {
+			weight := xxhash.Sum64String(e.cfg.Settings.Node.ID + "/" + b.VM)
+			list = append(list, watched{target: target{name, b.VM}, address: b.Address, weight: weight})
+		}
+	}
+	slices.SortFunc(list, func(a, b watched) int { return cmp.Compare(a.weight, b.weight) })
+	return list[:min(len(list), watchMost)]
+}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -86,8 +86,13 @@
 	othersAt time.Time
 	health   health
 	listed   bool
+	// unhealthy is this process's own finding by health checks.
+	unhealthy bool
 }
 
+// out reports whether the backend is only a last resort.
+func (ep *endpoint) out() bool { return ep.Down || ep.unhealthy }
+
 // Lease is the right to send one attempt to Backend. It ends with Pool.Done.
 type Lease struct {
 	Backend
@@ -132,10 +137,18 @@
 	}
 }
 
+// Connections of a backend server that are kept for health checks: one for each
+// entry process, and some for stewards. A connection over the limit is closed
+// with the request unread, which its caller can only be told as unknown.
+const (
+	entryChecks   = 1
+	stewardChecks = 4
+)
+
 // ConnectionShare is how many of a backend server's connections one of members
-// entry processes may use.
+// entry processes may use for requests.
 func ConnectionShare(limits document.Limits, members int) int {
-	return max(1, limits.Connections/max(1, members))
+	return max(1, (limits.Connections-stewardChecks)/max(1, members)-entryChecks)
 }
 
 // Pick chooses a backend server for one attempt, or refuses.
@@ -161,15 +174,15 @@
 }
 
 func (p *Pool) choose(now time.Time, rnd Rand, q Query) *endpoint {
-	near := p.twoOf(now, rnd, q, func(ep *endpoint) bool { return ep.Zone == p.zone && !ep.Down })
+	near := p.twoOf(now, rnd, q, func(ep *endpoint) bool { return ep.Zone == p.zone && !ep.out() })
 	if near != nil && near.use(now)/float64(p.slots) < zoneSpill && near.health.rate(now) < ejectErrors {
 		return near
 	}
-	far := p.twoOf(now, rnd, q, func(ep *endpoint) bool { return !ep.Down })
+	far := p.twoOf(now, rnd, q, func(ep *endpoint) bool { return !ep.out() })
 	if best := lighter(now, near, far); best != nil {
 		return best
 	}
-	return p.twoOf(now, rnd, q, func(ep *endpoint) bool { return ep.Down })
+	return p.twoOf(now, rnd, q, func(ep *endpoint) bool { return ep.out() })
 }
 
 // twoOf draws two backends at random among those that pass and returns the one
@@ -270,6 +283,17 @@
 	return max(1, int(p.share()))
 }
 
+// SetHealthy takes the finding of this process's health checks. A backend found
+// unhealthy gets requests only when no other is left: when all checks fail, the
+// checks are as likely to be wrong as the backends.
+func (p *Pool) SetHealthy(vm string, healthy bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ep := p.endpoints[vm]; ep != nil {
+		ep.unhealthy = !healthy
+	}
+}
+
 // AddInFlight adds the attempts under way to each VM's count, also for VMs that
 // have left the table.
 func (p *Pool) AddInFlight(vms map[string]int) {
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -190,6 +190,14 @@
 		assert.Equal(t, "vm-1", pick(t, p, start, r, Query{}).VM)
 	}
 	assert.Equal(t, "vm-0", pick(t, p, start, r, Query{}).VM)
+
+	p = pool(2, 1, "a")
+	p.SetHealthy("vm-1", false)
+	for range 8 {
+		assert.Equal(t, "vm-0", pick(t, p, start, r, Query{}).VM)
+	}
+	p.SetHealthy("vm-1", true)
+	assert.Equal(t, "vm-1", pick(t, p, start, r, Query{}).VM)
 }
 
 // A backend that left the table gets no further request, while those in flight
--- a/internal/testkit/cluster.go
+++ b/internal/testkit/cluster.go
@@ -266,6 +266,9 @@
 // StewardPeers returns the steward's peer address, past all links.
 func (n *Node) StewardPeers() string { return n.steward.peers }
 
+// Callers returns the address at which the entry takes callers' requests.
+func (n *Node) Callers() string { return n.callers }
+
 // AwaitReady waits until the entries take callers' requests.
 func (c *Cluster) AwaitReady() {
 	c.t.Helper()
