Act on the platform only from a state that is caught up

Cause: a steward that woke from a pause sent the actions of its old view first. They did no harm, by operation ID and fencing token, but cost calls. Change: the executor waits until the end of the log was read lately. Conclusion: the tests of package steward pass.

--- a/internal/steward/executor.go
+++ b/internal/steward/executor.go
@@ -77,8 +77,12 @@
 }
 
 // look hands out the VMs whose step falls to this steward. A full channel is
-// met by the next look.
+// met by the next look. A steward that was paused or cut off acts only once it
+// has caught up: what it holds for the next step may be long done.
 func (e *executor) look(ctx context.Context) {
+	if !e.MayDecide() {
+		return
+	}
 	now := time.Now()
 	var due []string
 	e.cfg.Follower.View(func(st *ledger.State) {
