--- /dev/null
+++ b/internal/proof/inforce_test.go
@@ -0,0 +1,50 @@
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
+)
+
+// BenchmarkPublishInForce publishes a changed document again and again, and
+// reports how long after the append the slowest of 8 entry processes and 8
+// stewards acted on it.
+func BenchmarkPublishInForce(b *testing.B) {
+	c := testkit.Start(b, testkit.Options{
+		Nodes: []string{"a", "b", "c", "d", "a", "b", "c", "d"},
+		Fleet: []testkit.Group{{Prefix: "vm", Count: 8, Zones: []string{"a", "b", "c", "d"}}},
+	})
+	c.Publish(document("booking", 8, 1))
+	c.AwaitReady()
+	var nodes []string
+	for _, n := range c.Nodes {
+		nodes = append(nodes, n.EntryPeers(), n.StewardPeers())
+	}
+	var slowest []time.Duration
+	for i := 0; b.Loop(); i++ {
+		file := c.File("next.toml", document("booking", 8, 1+i%2)+fmt.Sprintf("# %d\n", i))
+		ran := c.Must("--output", "json", "--nodes", strings.Join(nodes, ","), "publish", "--wait-in-force", file)
+		var results []struct {
+			InForce []struct {
+				After time.Duration `json:"after_ns"`
+			} `json:"in_force"`
+		}
+		if err := json.Unmarshal([]byte(ran.Out), &results); err != nil || len(results[0].InForce) != len(nodes) {
+			b.Fatal(err, ran.Out)
+		}
+		worst := time.Duration(0)
+		for _, n := range results[0].InForce {
+			worst = max(worst, n.After)
+		}
+		slowest = append(slowest, worst)
+	}
+	slices.Sort(slowest)
+	b.ReportMetric(float64(slowest[len(slowest)/2])/1e6, "ms-p50")
+	b.ReportMetric(float64(slowest[len(slowest)*99/100])/1e6, "ms-p99")
+	b.ReportMetric(float64(slowest[len(slowest)-1])/1e6, "ms-max")
+}
