Compare the nodes' states at checkpoints

Cause: the digest was computed nowhere but in tests, so a fold that went apart would have gone unseen. Conclusion: nodes at equal offsets are compared without any message between them.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -89,6 +90,7 @@
 	next      platform.Offset   // next offset at the latest read
 	waiters   map[string]waiter // by record ID
 	changed   []chan struct{}
+	checked   Checkpoint
 
 	encoded encodedState
 }
@@ -187,6 +189,40 @@
 	return f.state.Offset, digest, err
 }
 
+// checkpointEvery is the distance of checkpoints in offsets. A checkpoint costs
+// an encoding of the state.
+const checkpointEvery = 8192
+
+// Checkpoint is a digest of the state at an offset at which every node takes
+// one: the first entry at or past each multiple of checkpointEvery.
+type Checkpoint struct {
+	Offset uint64
+	Digest uint64
+}
+
+// Checkpoint returns the latest checkpoint; its Offset is 0 before the first.
+// Nodes whose checkpoints differ at one offset hold different states, which is a
+// fault of the fold, of a build or of a node's memory.
+func (f *Follower) Checkpoint() Checkpoint {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.checked
+}
+
+// checkpoint takes one if the state has just passed a multiple; f.mu is held.
+func (f *Follower) checkpoint(before uint64) {
+	if before/checkpointEvery == f.state.Offset/checkpointEvery {
+		return
+	}
+	digest, err := f.state.Digest()
+	if err != nil {
+		f.cfg.Logger.Error("the state cannot be encoded", "error", err)
+		return
+	}
+	f.checked = Checkpoint{Offset: f.state.Offset, Digest: digest}
+	f.cfg.Logger.Info("checkpoint", "offset", f.state.Offset, "digest", fmt.Sprintf("%016x", digest))
+}
+
 // errEmpty means that there is no state to pass on yet.
 var errEmpty = errors.New("nothing was folded yet")
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"regexp"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -337,6 +340,38 @@
 	})
 }
 
+// Nodes compare their states: both take a checkpoint at the same entries, though
+// one started from a snapshot in between. A node whose memory went wrong shows
+// another digest from then on.
+func TestCheckpoints(t *testing.T) {
+	run(t, func(t *testing.T) {
+		log := standin.New(standin.Options{AppendsPerSecond: -1})
+		a := start(t, log, "a", nil)
+		settle(time.Second)
+		junk := func(entries int) {
+			for range entries / 1000 {
+				_, err := log.Append(t.Context(), stream, slices.Repeat([][]byte{[]byte("junk")}, 1000))
+				require.NoError(t, err)
+			}
+			settle(time.Second)
+		}
+		junk(9000)
+		require.EqualValues(t, 8192, a.Checkpoint().Offset)
+		settle(11 * time.Minute) // a snapshot was published
+		b := start(t, log, "b", nil)
+		settle(time.Second)
+		require.Zero(t, b.Checkpoint())
+		wrong := start(t, log, "wrong", nil)
+		settle(time.Second)
+		wrong.View(func(s *ledger.State) { s.Members["ghost"] = &ledger.Member{} })
+		junk(9000)
+		require.EqualValues(t, 16384, a.Checkpoint().Offset)
+		require.Equal(t, a.Checkpoint(), b.Checkpoint())
+		require.Equal(t, a.Checkpoint().Offset, wrong.Checkpoint().Offset)
+		require.NotEqual(t, a.Checkpoint().Digest, wrong.Checkpoint().Digest)
+	})
+}
+
 func TestMetrics(t *testing.T) {
 	run(t, func(t *testing.T) {
 		n := start(t, standin.New(standin.Options{}), "n", nil)
@@ -344,16 +379,35 @@
 		require.NoError(t, registry.Register(n))
 		settle(time.Second)
 		n.write(3)
-		families, err := registry.Gather()
+		got := values(t, registry)
+		require.Equal(t, 3.0, got["yuccadrift_log_records_total"])
+		require.Equal(t, 3.0, got["yuccadrift_log_appends_total"])
+		require.Equal(t, 3.0, got["yuccadrift_log_offset"])
+		require.Equal(t, 1.0, got["yuccadrift_log_following"])
+		require.NotContains(t, got, "yuccadrift_log_checkpoint_info")
+		for range 9 {
+			_, err := n.link.log.Load().Append(t.Context(), stream, slices.Repeat([][]byte{{}}, 1000))
+			require.NoError(t, err)
+		}
+		settle(time.Second)
+		got = values(t, registry)
+		require.Equal(t, 1.0, got["yuccadrift_log_checkpoint_info"])
+		rules, err := os.ReadFile("../../examples/alerts-log.yml")
 		require.NoError(t, err)
-		values := map[string]float64{}
-		for _, f := range families {
-			m := f.GetMetric()[0]
-			values[f.GetName()] = m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		for _, name := range regexp.MustCompile(`yuccadrift_[a-z_]+`).FindAllString(string(rules), -1) {
+			require.Contains(t, got, name, "an alert on a metric that nobody exports never fires")
 		}
-		require.Equal(t, 3.0, values["yuccadrift_log_records_total"])
-		require.Equal(t, 3.0, values["yuccadrift_log_appends_total"])
-		require.Equal(t, 3.0, values["yuccadrift_log_offset"])
-		require.Equal(t, 1.0, values["yuccadrift_log_following"])
 	})
 }
+
+// values returns the first value of each metric.
+func values(t *testing.T, registry *prometheus.Registry) map[string]float64 {
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	out := map[string]float64{}
+	for _, f := range families {
+		m := f.GetMetric()[0]
+		out[f.GetName()] = m.GetCounter().GetValue() + m.GetGauge().GetValue()
+	}
+	return out
+}
--- a/internal/follower/metrics.go
+++ b/internal/follower/metrics.go
@@ -1,6 +1,8 @@
 package follower
 
 import (
+	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,11 +41,18 @@
 	}
 }
 
+// checkpointDesc describes the latest checkpoint, as labels: a digest does not
+// fit a value.
+var checkpointDesc = prometheus.NewDesc("yuccadrift_log_checkpoint_info",
+	"1, with the offset and digest of the state at its latest checkpoint. Equal offsets have equal digests.",
+	[]string{"offset", "digest"}, nil)
+
 // Describe implements prometheus.Collector.
 func (f *Follower) Describe(ch chan<- *prometheus.Desc) {
 	for _, c := range f.metrics.all() {
 		c.Describe(ch)
 	}
+	ch <- checkpointDesc
 }
 
 // Collect implements prometheus.Collector.
@@ -51,6 +60,10 @@
 	for _, c := range f.metrics.all() {
 		c.Collect(ch)
 	}
+	if p := f.Checkpoint(); p.Offset > 0 {
+		ch <- prometheus.MustNewConstMetric(checkpointDesc, prometheus.GaugeValue, 1,
+			strconv.FormatUint(p.Offset, 10), fmt.Sprintf("%016x", p.Digest))
+	}
 }
 
 func (m *metrics) all() []prometheus.Collector {
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -245,7 +245,9 @@
 		if uint64(e.Offset) <= f.state.Offset {
 			continue
 		}
+		before := f.state.Offset
 		out := f.state.ApplyData(uint64(e.Offset), e.Data)
+		f.checkpoint(before)
 		f.metrics.records.WithLabelValues(string(out.Status)).Inc()
 		if w, ok := f.waiters[out.ID]; ok {
 			delete(f.waiters, out.ID)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -62,20 +62,20 @@
 
 // vmState is one VM and its past.
 type vmState struct {
-	vm      platform.VM
-	group   *groupState
-	port    int // of the backend server; 0 means any
+	vm    platform.VM
+	group *groupState
+	port  int // of the backend server; 0 means any
 	// advertised is the address that the list shows, empty for the real one.
 	advertised string
-	up      bool
-	lost    bool
-	drained bool
-	booting bool
-	bootDue time.Time // when booting; zero when it never comes back
-	boots   int
-	fence   platform.Offset
-	ops     map[string]*operation
-	past    []listed
+	up         bool
+	lost       bool
+	drained    bool
+	booting    bool
+	bootDue    time.Time // when booting; zero when it never comes back
+	boots      int
+	fence      platform.Offset
+	ops        map[string]*operation
+	past       []listed
 }
 
 // listed is what the list said of a VM from a time on; gone means nothing.
