--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,7 +1,10 @@
 package entry_test
 
 import (
+	"bufio"
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -194,3 +197,50 @@
 	r.fake.ClearAll()
 	r.until(used)
 }
+
+// The caller hangs up while its booking runs. The run goes on to its end and is
+// recorded, so that the caller's retry gets the answer in place of "unknown".
+func TestCallerLeavesWhileItsBookingRuns(t *testing.T) {
+	r := newRig(t, localClaims())
+	key := ulid.Make().String()
+	header := http.Header{outcome.HeaderKey: {key}, standin.HeaderWorkMS: {"200"}}
+	ctx, hangUp := context.WithCancel(t.Context())
+	left := make(chan reply, 1)
+	go func() { left <- r.sendIn(ctx, http.MethodPost, "/booking/reservations", header.Clone(), nil) }()
+	r.until(func() bool { return r.key(key).Runs == 1 })
+	hangUp()
+	assert.Error(t, (<-left).err)
+	again := r.send(http.MethodPost, "/booking/reservations", header.Clone(), nil)
+	assert.Equal(t, http.StatusOK, again.status, again.body)
+	assert.Equal(t, string(outcome.Ran), again.header.Get(outcome.HeaderOutcome))
+	assert.Equal(t, 1, r.key(key).Runs)
+}
+
+// Callers that stop reading a long answer, or stop sending their body, hold a
+// slot, a connection and memory. Both are cut off after the stall timeout; the
+// one whose body is missing is told that nothing ran.
+func TestStalledCallersAreCutOff(t *testing.T) {
+	r := newRig(t, localClaims())
+	dial := func(text string) net.Conn {
+		conn, err := net.Dial("tcp", r.targets[0])
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		_, err = io.WriteString(conn, text)
+		require.NoError(t, err)
+		return conn
+	}
+	busy := func() int {
+		_, vms := r.entry.InFlights()
+		return len(vms)
+	}
+	dial("GET /booking/lookup HTTP/1.1\r\nHost: h\r\n" + standin.HeaderReplyBytes + ": 60000000\r\n\r\n")
+	r.until(func() bool { return busy() == 1 })
+	r.until(func() bool { return busy() == 0 })
+
+	conn := dial("POST /booking/lookup HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf")
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusBadRequest, res.StatusCode)
+	assert.Equal(t, string(outcome.NotRun), res.Header.Get(outcome.HeaderOutcome))
+	assert.Equal(t, "body-incomplete", res.Header.Get(outcome.HeaderReason))
+}
--- a/internal/entry/rig_test.go
+++ b/internal/entry/rig_test.go
@@ -94,7 +94,7 @@
 
 func settingsText(zone string) string {
 	return "[node]\nid=\"entry-1\"\nzone=\"" + zone + "\"\n[platform]\naddress=\"127.0.0.1:1\"\n[peers]\nlisten=\"127.0.0.1:0\"\n" +
-		"[admin]\nlisten=\"127.0.0.1:0\"\n[callers]\nlisten=\"127.0.0.1:0\"\nmax_header_bytes=8192\n[drain]\nnotice=\"300ms\"\nlimit=\"5s\"\n[backends]\ncheck_interval=\"300ms\"\ncheck_timeout=\"300ms\"\n"
+		"[admin]\nlisten=\"127.0.0.1:0\"\n[callers]\nlisten=\"127.0.0.1:0\"\nmax_header_bytes=8192\nstall_timeout=\"700ms\"\n[drain]\nnotice=\"300ms\"\nlimit=\"5s\"\n[backends]\ncheck_interval=\"300ms\"\ncheck_timeout=\"300ms\"\n"
 }
 
 func newRig(t testing.TB, claims dispatch.Claims) *rig {
@@ -248,7 +248,11 @@
 }
 
 func (r *rig) send(method, path string, header http.Header, body io.Reader) reply {
-	req, err := http.NewRequestWithContext(r.t.Context(), method, r.url+path, body)
+	return r.sendIn(r.t.Context(), method, path, header, body)
+}
+
+func (r *rig) sendIn(ctx context.Context, method, path string, header http.Header, body io.Reader) reply {
+	req, err := http.NewRequestWithContext(ctx, method, r.url+path, body)
 	require.NoError(r.t, err)
 	if header != nil {
 		req.Header = header
