Show each service's pool in the metrics

Backend servers, ejected and unhealthy ones, attempts in flight and requests that wait. A table never takes back the freshness of the one before it.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -105,6 +105,9 @@
 	if table.Offset < d.Table().Offset {
 		return // two duties build tables; the older one may come last
 	}
+	if cur := d.view.Load().fresh; fresh.Before(cur) {
+		fresh = cur // what the table in use holds, this one holds as well
+	}
 	shares := map[string]int{}
 	services := make(map[string]*service, len(table.Services))
 	for name, svc := range table.Services {
@@ -155,12 +158,21 @@
 	}
 }
 
-// Ejected returns how many backend servers of a service are out by evidence.
-func (d *Dispatcher) Ejected(name string) int {
-	if s := d.view.Load().services[name]; s != nil {
-		return s.pool.Ejected()
+// Status is a service as one entry process sees it.
+type Status struct {
+	Service string
+	Pool    routing.Status
+	Waiting int // quick requests that wait for a slot
+}
+
+// Status returns the services of the table in use.
+func (d *Dispatcher) Status() []Status {
+	services := d.view.Load().services
+	out := make([]Status, 0, len(services))
+	for name, s := range services {
+		out = append(out, Status{Service: name, Pool: s.pool.Status(), Waiting: s.queue.length()})
 	}
-	return 0
+	return out
 }
 
 // Beat notes that the process runs and reports whether new work is held until
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -89,6 +89,7 @@
 		Rand:           rand.New(sharedRand{}),
 		Sharing:        cfg.Sharing,
 	})
+	cfg.Registry.MustRegister(requestmetrics.Services(dispatcher.Status))
 	e := &Entry{cfg: cfg, backends: backends, dispatcher: dispatcher}
 	e.server = e.callers(metrics)
 	return e
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -111,9 +111,23 @@
 	return min((n+ejectDivisor-1)/ejectDivisor, n-1)
 }
 
-// Ejected returns how many backends are out by evidence.
-func (p *Pool) Ejected() int {
+// Status is a pool as one entry process sees it.
+type Status struct {
+	Backends  int // in the table
+	Ejected   int // out by the evidence of requests
+	Unhealthy int // last resort, by health checks or the log
+	InFlight  int
+}
+
+// Status returns the pool's counts.
+func (p *Pool) Status() Status {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.ejected()
+	s := Status{Backends: len(p.listed), Ejected: p.ejected(), InFlight: p.demand.quick + p.demand.long}
+	for _, ep := range p.listed {
+		if ep.out() {
+			s.Unhealthy++
+		}
+	}
+	return s
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -115,15 +115,15 @@
 			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
 			l, no := p.Pick(now, r, Query{})
 			if no != Admitted {
-				t.Fatalf("refused %s with %d of %d ejected", no, p.Ejected(), n)
+				t.Fatalf("refused %s with %d of %d ejected", no, p.Status().Ejected, n)
 			}
 			ev := EvidenceBad
 			if rapid.IntRange(0, 9).Draw(t, "luck") == 0 {
 				ev = EvidenceGood
 			}
 			p.Done(now, l, ev)
-			if p.Ejected() > (n+ejectDivisor-1)/ejectDivisor || p.Ejected() >= n {
-				t.Fatalf("%d of %d ejected", p.Ejected(), n)
+			if p.Status().Ejected > (n+ejectDivisor-1)/ejectDivisor || p.Status().Ejected >= n {
+				t.Fatalf("%d of %d ejected", p.Status().Ejected, n)
 			}
 		}
 	})
