Prove the start from peers with real processes

Cause: that a daemon starts while the log is out was tested with fakes only. Change: both processes of an entry VM are killed and started during an outage; they must take the state of the other VM's and follow the log afterwards.

--- /dev/null
+++ b/internal/proof/start_test.go
@@ -0,0 +1,63 @@
+package proof
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/operator"
+	"github.com/yuccadrift/yuccadrift/internal/settings"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
+)
+
+// While the platform's log is out, both processes of an entry VM are killed and
+// started anew. Operators see the VM serve the documents that were in force
+// before, and no older state: the processes have no disk and cannot read the log,
+// so they take the state from the processes of the other VM. Once the log is
+// back they follow it.
+func TestProcessesStartFromPeersWhileTheLogIsOut(t *testing.T) {
+	c := testkit.Start(t, testkit.Options{
+		Nodes: []string{"a", "b"},
+		Fleet: []testkit.Group{{Prefix: "vm", Count: 4, Zones: []string{"a", "b"}}},
+	})
+	c.Publish(document("booking", 4, 1))
+	awaitServing(c, "booking", 4)
+	kept, fresh := c.Nodes[0], c.Nodes[1]
+	c.Until("both nodes have folded the same", func() bool {
+		return offsetOf(t, kept.EntryPeers()) == offsetOf(t, fresh.EntryPeers())
+	})
+	out := c.Standin.Order(standin.Fault{Kind: standin.LogRefuse, Target: settings.DefaultStream},
+		standin.Fault{Kind: standin.LogRefuse, Target: settings.DefaultSnapshotStream})
+	want := offsetOf(t, kept.EntryPeers())
+	require.NotZero(t, want)
+
+	fresh.Kill()
+	fresh.Start()
+	for _, address := range []string{fresh.EntryPeers(), fresh.StewardPeers()} {
+		c.Until(address+" has the state of its peer", func() bool { return offsetOf(t, address) >= want })
+	}
+	c.Standin.Clear(out...)
+	c.Publish(document("booking", 4, 2))
+	published := c.Standin.State().Offset
+	for _, address := range []string{fresh.EntryPeers(), fresh.StewardPeers()} {
+		c.Until(address+" follows the log", func() bool { return offsetOf(t, address) >= published })
+	}
+}
+
+// offsetOf returns how far the process has folded the log, 0 when it does not
+// answer.
+func offsetOf(t *testing.T, address string) uint64 {
+	client, err := operator.NewClient(address)
+	require.NoError(t, err)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	s, err := client.Status(ctx)
+	if err != nil {
+		return 0
+	}
+	return s.Offset
+}
