Show pools, waves and jobs through an outage of the platform

In an outage the commands that only show something ended with exit code 4, though every node still had the state.

--- a/internal/operatorcmd/change_test.go
+++ b/internal/operatorcmd/change_test.go
@@ -186,3 +186,25 @@
 	require.Equal(t, ExitRejected, code)
 	require.Contains(t, errOut, "retained from offset 3")
 }
+
+// The platform is out for hours. The operator still sees the pools, as the
+// nodes last folded them, with a word on where that comes from; a change is
+// refused with exit code 4 and takes no effect.
+func TestLookWhileThePlatformIsOut(t *testing.T) {
+	b := newBench(t, standin.Options{})
+	b.pool(12)
+	node := b.node("n1")
+	b.run("--nodes", node, "publish", "--wait-in-force", b.example("booking", "size = 12", "size = 12"))
+	b.order(standin.Fault{Kind: standin.LogRefuse})
+	code, r := runJSON[measure.Report](b, "--timeout", "2s", "--nodes", node, "report")
+	require.Equal(t, ExitOK, code)
+	require.Equal(t, 12, r.Services[0].Serving)
+	code, _, errOut := b.run("--timeout", "2s", "--nodes", node, "wave", "show")
+	require.Equal(t, ExitOK, code)
+	require.Contains(t, errOut, "as a node has it")
+	code, _, errOut = b.run("--timeout", "2s", "--nodes", node, "drain", "vm-00")
+	require.Equal(t, ExitUnreachable, code)
+	require.Contains(t, errOut, "cannot reach the platform")
+	code, _, _ = b.run("--timeout", "2s", "report")
+	require.Equal(t, ExitUnreachable, code)
+}
--- a/internal/operatorcmd/explain.go
+++ b/internal/operatorcmd/explain.go
@@ -25,13 +25,13 @@
 			if err != nil {
 				return err
 			}
-			s, err := open(ctx, cmd)
+			s, err := look(ctx, cmd)
 			if err != nil {
 				return err
 			}
 			defer s.Close()
 			e := explanation{Job: id}
-			s.follower.View(func(state *ledger.State) {
+			s.view(func(state *ledger.State) {
 				if j, ok := state.Jobs[id]; ok {
 					e.Facts = explain(state, j)
 				}
--- a/internal/operatorcmd/harness_test.go
+++ b/internal/operatorcmd/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 
+	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
 	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/operator"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
@@ -64,6 +65,7 @@
 	require.NoError(b.t, err)
 	server := grpc.NewServer()
 	operator.Register(server, operator.ServerConfig{Node: name, Role: operator.RoleEntry, Zone: "a", State: f})
+	entrypeer.RegisterState(server, f.Snapshot)
 	go func() { _ = server.Serve(listener) }()
 	b.t.Cleanup(server.Stop)
 	return listener.Addr().String()
--- a/internal/operatorcmd/jobs.go
+++ b/internal/operatorcmd/jobs.go
@@ -111,7 +111,7 @@
 			&cli.StringFlag{Name: flagStatus, Usage: "only jobs with this `STATUS`: queued, placed, done, cancelled"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			s, err := open(ctx, cmd)
+			s, err := look(ctx, cmd)
 			if err != nil {
 				return err
 			}
@@ -125,7 +125,7 @@
 // jobs returns copies of the jobs; empty arguments match all.
 func (s *session) jobs(service string, status ledger.JobStatus) []ledger.Job {
 	jobs := []ledger.Job{}
-	s.follower.View(func(state *ledger.State) {
+	s.view(func(state *ledger.State) {
 		for _, id := range sortedKeys(state.Jobs) {
 			j := state.Jobs[id]
 			if (service == "" || j.Spec.Service == service) && (status == "" || j.Status == status) {
--- a/internal/operatorcmd/report.go
+++ b/internal/operatorcmd/report.go
@@ -26,13 +26,13 @@
    yuccadrift report --output csv
    yuccadrift report --output json`,
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			s, err := open(ctx, cmd)
+			s, err := look(ctx, cmd)
 			if err != nil {
 				return err
 			}
 			defer s.Close()
 			var r measure.Report
-			s.follower.View(func(state *ledger.State) { r = measure.Of(state, time.Now().UTC()) })
+			s.view(func(state *ledger.State) { r = measure.Of(state, time.Now().UTC()) })
 			return show(cmd.Root().Writer, s.format, r, burnTable(r), causeTable(r), bufferTable(r), rollOutTable(r))
 		},
 	}
--- a/internal/operatorcmd/session.go
+++ b/internal/operatorcmd/session.go
@@ -29,6 +29,8 @@
 	states   *entrypeer.States
 	follower *follower.Follower
 	stop     func()
+	// passed is a node's state in place of the log's; nil as a rule.
+	passed *ledger.State
 }
 
 // open connects and folds the log up to its present end.
@@ -110,6 +112,9 @@
 
 // Close ends the follower and the connections.
 func (s *session) Close() {
+	if s.passed != nil {
+		return
+	}
 	s.stop()
 	s.states.Close()
 	s.client.Close()
--- a/internal/operatorcmd/wave.go
+++ b/internal/operatorcmd/wave.go
@@ -126,7 +126,7 @@
 	if cmd.Bool(flagWait) && cmd.Args().Len() != 1 {
 		return failf(ExitUsage, "--%s needs the name of a wave", flagWait)
 	}
-	s, err := open(ctx, cmd)
+	s, err := look(ctx, cmd)
 	if err != nil {
 		return err
 	}
@@ -149,7 +149,7 @@
 	defer cancel()
 	for ctx.Err() == nil {
 		over := true
-		s.follower.View(func(state *ledger.State) {
+		s.view(func(state *ledger.State) {
 			if w, ok := state.Waves[name]; ok {
 				over = !w.Active()
 			}
@@ -164,7 +164,7 @@
 
 func (s *session) waves(wanted string) []waveResult {
 	results := []waveResult{}
-	s.follower.View(func(state *ledger.State) {
+	s.view(func(state *ledger.State) {
 		round := maintenance.Round(pool.NewView(state, time.Now()), pool.DefaultPolicy())
 		for _, id := range sortedKeys(state.Waves) {
 			if wanted == "" || wanted == id {
--- a/internal/operatorcmd/wave_forecast.go
+++ b/internal/operatorcmd/wave_forecast.go
@@ -48,14 +48,14 @@
 // dryRun plays the wave forward on a copy of the state, with the planner that
 // the stewards use.
 func dryRun(ctx context.Context, cmd *cli.Command, start record.WaveStart) error {
-	s, err := open(ctx, cmd)
+	s, err := look(ctx, cmd)
 	if err != nil {
 		return err
 	}
 	defer s.Close()
 	times := forecast.Times{Drain: usualDrain, Reboot: cmd.Duration(flagReboot), Return: usualReturn}
 	var wave forecast.Wave
-	s.follower.View(func(state *ledger.State) {
+	s.view(func(state *ledger.State) {
 		wave, err = forecast.ForWave(state, time.Now(), start, pool.DefaultPolicy(), times)
 	})
 	if errors.Is(err, forecast.ErrRefused) {
