--- /dev/null
+++ b/internal/proof/loss_bench_test.go
@@ -0,0 +1,74 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
+)
+
+// BenchmarkLossOfOneOfEight kills one of 8 entry VMs under bookings of 20 ms
+// from 64 callers and counts the answers that were not "ran", with callers that
+// mark their first attempts and with ones that don't. Its metrics are for one
+// lost entry VM; in-flight is what it had under way when it was killed.
+func BenchmarkLossOfOneOfEight(b *testing.B) {
+	const vms, callers = 8, 64
+	for _, vouch := range []bool{true, false} {
+		b.Run(fmt.Sprintf("marked=%t", vouch), func(b *testing.B) {
+			for range b.N {
+				c := testkit.Start(b, testkit.Options{
+					Nodes: []string{"a", "b", "c", "a", "b", "c", "a", "b"},
+					Fleet: []testkit.Group{{Prefix: "vm", Count: 12, Zones: []string{"a", "b", "c"}}},
+				})
+				c.Publish(document("booking", 12, 1))
+				awaitServing(c, "booking", 12)
+				c.AwaitReady()
+				c.Until("all entry VMs are members", func() bool { return members(c) == vms })
+				granting(c)
+				loseOne(b, c, callers, vouch)
+			}
+		})
+	}
+}
+
+func loseOne(b *testing.B, c *testkit.Cluster, callers int, vouch bool) {
+	load := newBookings(b, c)
+	stop := load.book(callers, vouch)
+	time.Sleep(3 * time.Second) // a load that has settled, not a proof
+	before := load.counts()
+	lost := c.Nodes[5]
+	inFlight := callers / len(c.Nodes) // of the callers, each with one booking under way
+	killed := time.Now()
+	lost.Kill()
+	c.Until("the lost VM is evicted", func() bool { return members(c) == len(c.Nodes)-1 })
+	b.ReportMetric(time.Since(killed).Seconds(), "s-to-eviction")
+	c.Nodes = append(c.Nodes[:5:5], c.Nodes[6:]...)
+	granting(c)
+	b.ReportMetric(time.Since(killed).Seconds(), "s-to-all-granted")
+	time.Sleep(2 * time.Second)
+	stop()
+	load.check()
+	after := load.counts()
+	b.ReportMetric(float64(after[outcome.Unknown]-before[outcome.Unknown]), "unknown")
+	b.ReportMetric(float64(after[outcome.NotRun]-before[outcome.NotRun]), "not-run")
+	b.ReportMetric(float64(after[outcome.Ran]-before[outcome.Ran]), "ran")
+	b.ReportMetric(float64(inFlight), "in-flight")
+	b.ReportMetric(0, "ns/op")
+}
+
+// granting waits until bookings with many keys are granted at all nodes.
+func granting(c *testkit.Cluster) {
+	c.Until("all keys are granted", func() bool {
+		for range 8 {
+			for _, n := range c.Nodes {
+				if a := n.Send(context.Background(), testkit.Request{Path: "/booking/book", Key: testkit.Key(), Attempt: 1}); !a.OK() {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
