--- /dev/null
+++ b/internal/operatorcmd/member.go
@@ -0,0 +1,84 @@
+package operatorcmd
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/operator"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+const flagStopped = "stopped"
+
+// memberProbe bounds the question whether a member still answers.
+const memberProbe = 2 * time.Second
+
+func memberCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "member",
+		Usage:  "see to the membership of the entry VMs",
+		Action: unknownCommand,
+		Commands: []*cli.Command{
+			{
+				Name:      "remove",
+				Usage:     "remove a lost entry VM that the others cannot evict",
+				ArgsUsage: "MEMBER",
+				Description: `Needed only when half or more of the entry VMs were lost at once: the rest are
+then no majority. A member that still runs, though out of reach, could go on
+granting not-repeatable requests that another one grants as well. So make sure
+that its VM is stopped, and say so with --stopped.
+
+Example:
+   yuccadrift member remove --stopped entry-3.01JDZDJWG0ABCDEFGHJKMNPQRS`,
+				Flags: []cli.Flag{
+					&cli.BoolFlag{Name: flagStopped, Usage: "the member's VM is stopped or gone for good"},
+				},
+				Action: removeMember,
+			},
+		},
+	}
+}
+
+func removeMember(ctx context.Context, cmd *cli.Command) error {
+	name, err := oneArg(cmd, "MEMBER")
+	if err != nil {
+		return err
+	}
+	if !cmd.Bool(flagStopped) {
+		return failf(ExitUsage, "make sure that the VM of %s is stopped and say so with --%s", name, flagStopped)
+	}
+	s, err := open(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	address := ""
+	s.follower.View(func(st *ledger.State) {
+		if m, ok := st.Members[name]; ok {
+			address = m.Address
+		}
+	})
+	if address == "" {
+		return failf(ExitRejected, "%s is no member; yuccadrift status lists them", name)
+	}
+	if answersAt(ctx, address) {
+		return failf(ExitRejected, "%s is not stopped: a process answers at %s", name, address)
+	}
+	return s.change(ctx, cmd, record.Subject{Kind: record.SubjectMember, Name: name}, record.MemberLeave{}, "remove")
+}
+
+// answersAt reports whether a process of the system answers at a peer address.
+func answersAt(ctx context.Context, address string) bool {
+	c, err := operator.NewClient(address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	ctx, cancel := context.WithTimeout(ctx, memberProbe)
+	defer cancel()
+	_, err = c.Status(ctx)
+	return err == nil
+}
--- a/internal/operatorcmd/root.go
+++ b/internal/operatorcmd/root.go
@@ -63,6 +63,7 @@
 			drainCommand(),
 			waveCommand(),
 			jobsCommand(),
+			memberCommand(),
 			recordCommand(),
 			replayCommand(),
 		},
