--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -15,6 +15,10 @@
 	reserveShare = 0.125
 	// demandHalfLife is how fast the memory of the quick requests' need fades.
 	demandHalfLife = time.Second
+	// unmetSlots is how much of a slot one shed quick request takes from long
+	// ones: a few sheds at the edge of the load must not stop long requests,
+	// many must.
+	unmetSlots = 0.25
 )
 
 // demand follows how many slots each class uses through this process.
@@ -52,14 +56,14 @@
 	return math.Exp2(-float64(now.Sub(d.needAt)) / float64(demandHalfLife))
 }
 
-// Unmet notes a quick request that found no slot. Each takes one more slot from
-// long requests: by slots in use alone, quick requests that long ones crowd out
+// Unmet notes a quick request that found no slot. Each takes some room from long
+// requests: by slots in use alone, quick requests that long ones crowd out
 // would seem to need fewer and fewer.
 func (p *Pool) Unmet(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := &p.demand
-	d.need = math.Min(d.weight(now)*d.need+1, p.share())
+	d.need = math.Min(d.weight(now)*d.need+unmetSlots, p.share())
 	d.needAt = now
 }
 
