--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -60,6 +60,9 @@
 
 // receive reads the body within the call's deadline and StallTimeout per read.
 func (h *Handler) receive(w http.ResponseWriter, r *http.Request, call *dispatch.Call, most int64) ([]byte, error) {
+	// net/http may write "100 Continue" now; the write deadline of an earlier
+	// answer on this connection may have passed.
+	h.extend(w)
 	control := http.NewResponseController(w)
 	stall := &stallReader{
 		body:     http.MaxBytesReader(w, r.Body, most),
