Stay unready while every new key would be answered unknown

Cause: since the first member to join puts a floor under all keys minted up to its join plus the clock allowances, as earlier members may have granted them. The process was ready at once, so a balancer sent it callers whose first attempts were answered 'unknown (claims-lost)' for 1 to 1.5 s: TestCleanWaveCutsAndDoublesNothing and TestBookingOverBrokenNetworkRunsAtMostOnce failed. Ruled out: dropping the floor on an empty log; operators may have started a new stream while callers still hold keys of the old one. Change: the entry process is unready while joining (3 s at most, for a start with the log out) and while such a floor covers present keys.

--- a/internal/claim/handover.go
+++ b/internal/claim/handover.go
@@ -218,6 +218,14 @@
 	}
 }
 
+// Blind reports whether a floor covers every key that is minted now, as after
+// the first join: each not-repeatable request would be answered "unknown".
+func (o *Owner) Blind(now Instant) bool {
+	return slices.ContainsFunc(o.floors, func(f Floor) bool {
+		return f.Owner == "" && f.Until.After(now.Wall)
+	})
+}
+
 // Floors returns the number of floors.
 func (o *Owner) Floors() int { return len(o.floors) }
 
--- a/internal/entrypeer/member.go
+++ b/internal/entrypeer/member.go
@@ -173,6 +173,14 @@
 	return right{m}.Valid(Now())
 }
 
+// Blind reports whether the member must answer "unknown" to every key that is
+// minted now.
+func (m *Member) Blind() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owner.Blind(Now())
+}
+
 // Retire makes the member stop granting for good, as before a planned leave.
 func (m *Member) Retire() {
 	m.mu.Lock()
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -68,6 +68,10 @@
 	leaveLimit = 10 * time.Second
 	// readinessSource names this duty to Readiness.
 	readinessSource = "membership"
+	// joinGrace is for how long a process that starts waits for its join before
+	// it takes requests without one. With the log out it can still serve
+	// repeatable requests, and so may all others that start.
+	joinGrace = 3 * time.Second
 )
 
 // Duty keeps the membership. Serve is its Serve function.
@@ -105,6 +109,9 @@
 func (d *Duty) Serve(ctx context.Context) error {
 	wait := rejoinMin
 	changed := d.cfg.Log.Changed()
+	d.ready("joining the entry VMs")
+	grace := time.AfterFunc(joinGrace, func() { d.ready("") })
+	defer grace.Stop()
 	for first := true; ; first = false {
 		if !d.mayJoin(ctx, changed, first) {
 			d.departed.Do(func() { close(d.left) })
@@ -115,7 +122,7 @@
 		if err != nil {
 			return err
 		}
-		d.ready("")
+		grace.Stop()
 		began := time.Now()
 		over := s.serve(ctx, changed)
 		d.cfg.Peers.End()
@@ -135,9 +142,7 @@
 	}
 }
 
-// ready tells whether the process is a member; unready is why not, or "". A
-// process that has not joined yet is not reported: with the log out at the
-// start it may still serve repeatable requests, and so may all of them.
+// ready tells whether callers are welcome; unready is why not, or "".
 func (d *Duty) ready(unready string) {
 	switch {
 	case d.cfg.Readiness == nil:
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -66,6 +66,7 @@
 			s.member.Retire()
 			return removed
 		}
+		s.report()
 		s.beat(ctx)
 		s.pull(ctx)
 		s.refresh(ctx)
@@ -82,6 +83,17 @@
 	}
 }
 
+// report tells the readiness. A balancer that sent callers to a member that is
+// blind, for the second or two after the first join, would earn them "unknown"
+// for requests that never ran.
+func (s *session) report() {
+	if s.member.Blind() {
+		s.duty.ready("keys that are minted now may be known to lost entry VMs")
+		return
+	}
+	s.duty.ready("")
+}
+
 func (s *session) logUp() bool { return time.Since(s.duty.cfg.Log.Fresh()) < logQuiet }
 
 // follow applies the changes of the membership since the last call. It returns
