Blame a mistyped value alone

Cause: a value of the wrong type leaves its key at a default. Checks of other keys against it then complained: pool.size = "ten" also gave "pool.min_zones: is 3, expected 1 to 1", likewise limits.slots, limits.drain and a quota's cores. The service's name was lost too, so check's table showed none. Change: checks that compare two keys are left out while one of them has a problem (Problems.Has); Parse keeps a valid service name. What is accepted does not change. Result: the new test fails on the old code (limits.slots: 2 complaints in place of 1) and passes.

--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -141,6 +141,32 @@
 	}
 }
 
+// A team mistypes one value, which decodes to no value or to its default. Only
+// that line may be blamed: a check of a sound key against the default would send
+// the team to the wrong line. The service's name is kept for the message.
+func TestMistypedValueIsTheOnlyComplaint(t *testing.T) {
+	for change, key := range map[string]string{
+		"size = 10->size = \"ten\"\nmin_zones = 3":                                "pool.size",
+		"size = 10->min_zones = 3":                                                "pool.size",
+		"allowed = 0.02->allowed = 0.02\nmax_unavailable = \"1\"":                 "budget.max_unavailable",
+		"$->[limits]\nslots = \"2\"\nconnections = 4":                             "limits.slots",
+		"$->[limits]\ndrain = 60\n[[route]]\nprefix = \"/a\"\ndeadline = \"40s\"": "limits.drain",
+		"$->[[quota]]\nteam = \"a\"\ncores = \"1\"\nmemory_mb = 1":                "quota[0].cores",
+	} {
+		from, to, _ := strings.Cut(change, "->")
+		text := minimal + to
+		if from != "$" {
+			text = strings.Replace(minimal, from, to, 1)
+		}
+		doc, problems := document.Parse("b.toml", []byte(text))
+		require.Len(t, problems, 1, problems.Error())
+		assert.Equal(t, key, problems[0].Key)
+		assert.Equal(t, document.Document{Service: "booking"}, doc)
+	}
+	doc, _ := document.Parse("b.toml", []byte("service = \"Booking\"\n"))
+	assert.Empty(t, doc.Service, "a name that is no name is not passed on")
+}
+
 func TestParseAcceptsAnEmptyPool(t *testing.T) {
 	_, problems := document.Parse("b.toml", []byte(strings.Replace(minimal, "size = 10", "size = 0", 1)))
 	assert.NoError(t, problems.Err())
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -91,9 +91,9 @@
 }
 
 // Parse reads and validates a document. It returns every mistake found, in the
-// order of the lines; the document is usable only when there is none. It is
-// deterministic, as the ledger calls it at each publish record. name is the
-// file's name in problems.
+// order of the lines. With a mistake the document holds no more than a valid
+// Service, for messages. Parse is deterministic, as the ledger calls it at each
+// publish record. name is the file's name in problems.
 func Parse(name string, text []byte) (Document, tomlfile.Problems) {
 	if len(text) > MaxText {
 		what := fmt.Sprintf("the document has %d bytes", len(text))
@@ -106,10 +106,13 @@
 	doc := f.document()
 	v := validator{doc: doc, file: f, positions: positions, problems: problems}
 	v.validate()
-	if len(v.problems) > 0 {
+	switch {
+	case len(v.problems) == 0:
+		return doc, nil
+	case v.problems.Has("service"):
 		return Document{}, v.problems
 	}
-	return doc, nil
+	return Document{Service: doc.Service}, v.problems
 }
 
 // Reload decodes a document that passed Parse before, maybe that of another
--- a/internal/document/validate.go
+++ b/internal/document/validate.go
@@ -37,8 +37,8 @@
 	oneOf(v, "weigh", v.doc.Weigh, WeighBuffer, WeighMoves)
 	v.pool()
 	v.budget()
-	v.routes()
 	v.limits()
+	v.routes()
 	v.quotas()
 	v.jobs()
 }
@@ -107,11 +107,11 @@
 	between(v, "pool.min_cores", p.MinCores, 0, MaxCores)
 	between(v, "pool.min_memory_mb", p.MinMemoryMB, 0, MaxMemoryMB)
 	between(v, "pool.min_accelerators", p.MinAccelerators, 0, MaxAccelerators)
-	if !between(v, "pool.size", p.Size, 0, MaxPoolSize) {
-		return
-	}
+	between(v, "pool.size", p.Size, 0, MaxPoolSize)
 	if p.Size == 1 {
 		v.refuse("pool.size", "is 1: a lone VM cannot be maintained without an outage", "2 or more, or 0 to empty the pool")
+	}
+	if v.problems.Has("pool.size") {
 		return
 	}
 	most := max(1, p.Size)
@@ -130,7 +130,7 @@
 		}
 		v.refuse("budget.allowed", wrong, "a share over 0 and under 1")
 	}
-	if size < 2 || size > MaxPoolSize {
+	if size == 0 || v.problems.Has("pool.size") {
 		return
 	}
 	if b.MaxUnavailable < 1 || b.MaxUnavailable >= size {
@@ -159,7 +159,7 @@
 			continue
 		}
 		// A drain that ends before the longest request does would cut it.
-		if drain := v.doc.Limits.Drain; r.Deadline > drain && drain > 0 {
+		if drain := v.doc.Limits.Drain; r.Deadline > drain && !v.problems.Has("limits.drain") {
 			v.refuse(key+".deadline", fmt.Sprintf("is %s, but limits.drain cuts requests after %s", r.Deadline, drain),
 				"a deadline up to limits.drain; raise limits.drain")
 		}
@@ -191,7 +191,7 @@
 	}
 	slots := between(v, "limits.slots", l.Slots, 1, MaxSlots)
 	connections := between(v, "limits.connections", l.Connections, 1, MaxSlots)
-	if slots && connections && l.Connections < l.Slots {
+	if slots && connections && l.Connections < l.Slots && !v.problems.Has("limits.slots") {
 		v.refuse("limits.connections", fmt.Sprintf("is %d, fewer than limits.slots = %d", l.Connections, l.Slots),
 			"at least one connection per slot: a connection carries one request at a time")
 	}
@@ -210,7 +210,7 @@
 		v.cores(key+".cores", q.Cores)
 		between(v, key+".memory_mb", q.MemoryMB, 0, MaxMemoryMB)
 		between(v, key+".accelerators", q.Accelerators, 0, MaxAccelerators)
-		if q.Cores == 0 || q.MemoryMB == 0 {
+		if (q.Cores == 0 || q.MemoryMB == 0) && !v.problems.Has(key+".cores") && !v.problems.Has(key+".memory_mb") {
 			v.refuse(key, "leaves the team no cores or no memory", "both over 0; leave the quota out to refuse the team")
 		}
 	}
--- a/internal/tomlfile/problem.go
+++ b/internal/tomlfile/problem.go
@@ -65,14 +65,21 @@
 	return slices.ContainsFunc(ps, func(p Problem) bool { return p.Malformed })
 }
 
-// Add takes p in, in line order, unless MaxProblems were found. A key that has a problem already keeps its
-// first one: a value that could not be decoded still holds its default, and a
-// second complaint about that default would mislead.
+// Has tells whether key has a problem. Its value then may be a default that the
+// text never named, so a check of another key against it would mislead.
+func (ps Problems) Has(key string) bool {
+	return slices.ContainsFunc(ps, func(p Problem) bool { return p.Key == key })
+}
+
+// Add takes p in, in line order, unless MaxProblems were found. A key that has
+// a problem already keeps its first one: a value that could not be decoded
+// still holds its default, and a second complaint about that default would
+// mislead.
 func (ps *Problems) Add(p Problem) {
 	if len(*ps) >= MaxProblems {
 		return
 	}
-	if p.Key != "" && slices.ContainsFunc(*ps, func(q Problem) bool { return q.Key == p.Key }) {
+	if p.Key != "" && ps.Has(p.Key) {
 		return
 	}
 	*ps = append(*ps, p)
