Hold functions to 50 lines and packages to a comment

Change: the fold switches over the subject's kind first, one function each; the daemons' starts are split; archtest bounds functions at 50 lines, asks for "Package x" or "Command x" in each package, and checks its own lists.

--- a/cmd/yuccadrift-entry/run.go
+++ b/cmd/yuccadrift-entry/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"slices"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
@@ -27,15 +28,7 @@
 func run(stop context.Context, s settings.Entry) error {
 	ctx := context.WithoutCancel(stop)
 	logger := logging.New(binary, s.Node, s.Log, os.Stderr)
-	adminListener, err := listen.TCP(ctx, "admin.listen", s.Admin.Listen)
-	if err != nil {
-		return err
-	}
-	callers, err := listen.TCP(ctx, "callers.listen", s.Callers.Listen)
-	if err != nil {
-		return err
-	}
-	peerListener, err := listen.TCP(ctx, "peers.listen", s.Peers.Listen)
+	listeners, err := bind(ctx, s)
 	if err != nil {
 		return err
 	}
@@ -47,11 +40,11 @@
 	readiness := admin.NewReadiness()
 	registry := admin.NewRegistry(binary)
 	registry.MustRegister(follow)
-	peers := peerserver.New(peerListener)
+	peers := peerserver.New(listeners.peers)
 	var ent *entry.Entry
 	member, node := membership.NewEntry(membership.Entry{
 		Settings:  s,
-		Address:   peerAddress(s, peerListener),
+		Address:   peerAddress(s, listeners.peers),
 		Registry:  registry,
 		Log:       follow,
 		Readiness: readiness,
@@ -63,7 +56,7 @@
 	node.Register(peers.Registrar())
 	ent = entry.New(entry.Config{
 		Settings:  s,
-		Callers:   callers,
+		Callers:   listeners.callers,
 		Follower:  follow,
 		Claims:    entry.NewClaims(node),
 		CheckKey:  entry.CheckKey,
@@ -74,16 +67,32 @@
 		Drained:   member.Leave,
 	})
 	operator.Register(peers.Registrar(), status(s, follow, ent, readiness))
-	duties := append(ent.Duties(), member.Duties()...)
-	duties = append(duties, follow.Duties()...)
-	duties = append(duties,
-		supervise.Duty{Name: "admin", Serve: operators(s, adminListener, registry, readiness, logger).Serve},
-		supervise.Duty{Name: "peers", Serve: peers.Serve},
-	)
-	logger.Info("entry started", "callers", callers.Addr(), "admin", adminListener.Addr())
+	duties := slices.Concat(ent.Duties(), member.Duties(), follow.Duties(), []supervise.Duty{
+		{Name: "admin", Serve: operators(s, listeners.admin, registry, readiness, logger).Serve},
+		{Name: "peers", Serve: peers.Serve},
+	})
+	logger.Info("entry started", "callers", listeners.callers.Addr(), "admin", listeners.admin.Addr())
 	return supervise.Run(ctx, binary, logger, duties...)
 }
 
+// listeners are the process's bound addresses, one for each kind of peer.
+type listeners struct {
+	admin, callers, peers caller.Listener
+}
+
+// bind opens all addresses first, so that one in use ends the start before
+// anything else was begun.
+func bind(ctx context.Context, s settings.Entry) (l listeners, err error) {
+	if l.admin, err = listen.TCP(ctx, "admin.listen", s.Admin.Listen); err != nil {
+		return l, err
+	}
+	if l.callers, err = listen.TCP(ctx, "callers.listen", s.Callers.Listen); err != nil {
+		return l, err
+	}
+	l.peers, err = listen.TCP(ctx, "peers.listen", s.Peers.Listen)
+	return l, err
+}
+
 // peerAddress is what other nodes dial. The listener knows its port also where
 // the settings leave that to the system.
 func peerAddress(s settings.Entry, l caller.Listener) string {
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -9,6 +9,7 @@
 	"go/token"
 	"io/fs"
 	"os"
+	"path"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -23,7 +24,7 @@
 	module = "github.com/yuccadrift/yuccadrift/"
 	// maxFileLines bounds a product file, maxFunctionLines a function.
 	maxFileLines     = 400
-	maxFunctionLines = 60
+	maxFunctionLines = 50
 	// maxMainLines bounds cmd/*/main.go, which only wires.
 	maxMainLines = 120
 )
@@ -260,8 +261,38 @@
 	}
 }
 
-// productFiles parses every Go file but tests, the test kit and generated code.
+// Each package says what it is for. The comment stands in a product file, or in
+// a test file where the package has only tests.
+func TestPackagesHaveAComment(t *testing.T) {
+	documented, packages := map[string]bool{}, map[string]bool{}
+	for _, s := range parsedFiles(t, filepath.Join("..", "..")) {
+		dir := path.Dir(s.path)
+		packages[dir] = true
+		if s.file.Doc == nil {
+			continue
+		}
+		want := "Package " + s.file.Name.Name + " "
+		if s.file.Name.Name == "main" {
+			want = "Command " + path.Base(dir) + " "
+		}
+		documented[dir] = documented[dir] || strings.HasPrefix(s.file.Doc.Text(), want)
+	}
+	for dir := range packages {
+		assert.True(t, documented[dir], "%s has no package comment", dir)
+	}
+	for _, name := range slices.Concat(pure, peers) {
+		assert.True(t, packages["internal/"+name], "the lists above name %s, which is no package", name)
+	}
+}
+
+// productFiles returns every Go file but tests, the test kit and generated code.
 func productFiles(t *testing.T, root string) []source {
+	return slices.DeleteFunc(parsedFiles(t, root), func(s source) bool {
+		return strings.HasSuffix(s.path, "_test.go") || strings.HasPrefix(s.path, "internal/testkit/") || ast.IsGenerated(s.file)
+	})
+}
+
+func parsedFiles(t *testing.T, root string) []source {
 	var sources []source
 	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
@@ -269,16 +300,9 @@
 		}
 		relative, err := filepath.Rel(root, path)
 		require.NoError(t, err)
-		relative = filepath.ToSlash(relative)
 		text, err := os.ReadFile(path)
 		require.NoError(t, err)
-		if strings.HasSuffix(path, "_test.go") || strings.HasPrefix(relative, "internal/testkit/") {
-			return nil
-		}
-		s := parse(t, relative, string(text))
-		if !ast.IsGenerated(s.file) {
-			sources = append(sources, s)
-		}
+		sources = append(sources, parse(t, filepath.ToSlash(relative), string(text)))
 		return nil
 	})
 	require.NoError(t, err)
@@ -300,7 +324,7 @@
 		"pure packages read no clock and start no goroutine": {"internal/pool/a.go", "package a\nvar t = time.Now()\n", "internal/pool/a.go:2: pure package uses time.Now"},
 		"only peer packages open connections":                {"internal/follower/a.go", "package a\nimport \"net\"\n", "internal/follower/a.go:2: imports net outside the peer packages"},
 		"mains only wire":                                    {"cmd/x/main.go", "package main\nfunc main() { go f() }\n", "cmd/x/main.go:2: *ast.GoStmt in a main"},
-		"files and functions are short":                      {"internal/x/a.go", "package a\nfunc f() {" + strings.Repeat("\n", maxFunctionLines) + "}\n", "internal/x/a.go:2: f has 61 lines, at most 60"},
+		"files and functions are short":                      {"internal/x/a.go", "package a\nfunc f() {" + strings.Repeat("\n", maxFunctionLines) + "}\n", "internal/x/a.go:2: f has 51 lines, at most 50"},
 		"exported items have a doc comment":                  {"internal/x/a.go", "package a\ntype T int\n", "internal/x/a.go:2: T has no doc comment"},
 	} {
 		require.Contains(t, rules, name)
--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -169,11 +169,37 @@
 	if no := subjectKind(rec); no != allowed {
 		return no
 	}
+	switch rec.Subject.Kind {
+	case record.SubjectService:
+		return s.applyToService(rec)
+	case record.SubjectVM:
+		return s.applyToVM(rec)
+	case record.SubjectWave:
+		return s.applyToWave(rec)
+	case record.SubjectMember:
+		return s.applyToMember(rec)
+	case record.SubjectJob:
+		return s.applyToJob(rec)
+	case record.SubjectClock:
+		return allowed // its time was all that a witness had to say
+	}
+	return noRule(rec)
+}
+
+func noRule(rec record.Record) refusal { return refusef("no rule for %s", rec.Body.Kind()) }
+
+func (s *State) applyToService(rec record.Record) refusal {
 	switch b := rec.Body.(type) {
 	case record.DocumentPublish:
 		return s.publish(rec, b)
 	case record.DocumentRemove:
 		return s.removeService(rec)
+	}
+	return noRule(rec)
+}
+
+func (s *State) applyToVM(rec record.Record) refusal {
+	switch b := rec.Body.(type) {
 	case record.VMRegister:
 		return s.registerVM(rec, b)
 	case record.VMDrain:
@@ -192,12 +218,24 @@
 		return s.goneVM(rec)
 	case record.VMQuarantine:
 		return s.quarantineVM(rec, b)
+	}
+	return noRule(rec)
+}
+
+func (s *State) applyToWave(rec record.Record) refusal {
+	switch b := rec.Body.(type) {
 	case record.WaveStart:
 		return s.startWave(rec, b)
 	case record.WaveControl:
 		return s.controlWave(rec, b)
 	case record.WaveSkip:
 		return s.skipWave(rec, b)
+	}
+	return noRule(rec)
+}
+
+func (s *State) applyToMember(rec record.Record) refusal {
+	switch b := rec.Body.(type) {
 	case record.MemberJoin:
 		return s.joinMember(rec, b)
 	case record.MemberLeave:
@@ -208,6 +246,12 @@
 		return s.suspectMember(rec, b)
 	case record.MemberTrust:
 		return s.trustMember(rec, b)
+	}
+	return noRule(rec)
+}
+
+func (s *State) applyToJob(rec record.Record) refusal {
+	switch b := rec.Body.(type) {
 	case record.JobSubmit:
 		return s.submitJob(rec, b)
 	case record.JobPlace:
@@ -219,10 +263,7 @@
 	case record.JobPreempt:
 		return s.preemptJob(rec, b)
 	}
-	if _, ok := rec.Body.(record.ClockWitness); ok {
-		return allowed // its time was all it had to say
-	}
-	return refusef("no rule for %s", rec.Body.Kind())
+	return noRule(rec)
 }
 
 // subjectKind refuses a body that does not belong to its subject's kind, as a
@@ -245,8 +286,7 @@
 		return record.SubjectMember
 	case record.JobSubmit, record.JobPlace, record.JobEnd, record.JobCancel, record.JobPreempt:
 		return record.SubjectJob
-	}
-	if _, ok := b.(record.ClockWitness); ok {
+	case record.ClockWitness:
 		return record.SubjectClock
 	}
 	return record.SubjectVM
--- a/internal/steward/daemon.go
+++ b/internal/steward/daemon.go
@@ -48,20 +48,7 @@
 	d := newDaemon(s, client, states, logger)
 	registry := admin.NewRegistry(name)
 	registry.MustRegister(d.follower, burnmetrics.New(d.follower, time.Now))
-	steward := New(Config{
-		Node:          s.Node.ID,
-		Follower:      d.follower,
-		Fleet:         client,
-		Entries:       entries,
-		Health:        d.health,
-		Peers:         stewards,
-		Logger:        logger,
-		Metrics:       registry,
-		PlanInterval:  s.Planning.Interval.Duration,
-		ListInterval:  s.Planning.ListInterval.Duration,
-		MaxActions:    s.Planning.MaxActions,
-		ActionTimeout: s.Planning.ActionTimeout.Duration,
-	})
+	steward := d.steward(client, entries, stewards, registry)
 	server := admin.New(admin.Config{
 		Listener:  adminListener,
 		Registry:  registry,
@@ -130,6 +117,24 @@
 	})
 }
 
+// steward returns the decider and its duties' common part.
+func (d daemon) steward(fleet platform.Fleet, entries Entries, peers Peers, registry prometheus.Registerer) *Steward {
+	return New(Config{
+		Node:          d.settings.Node.ID,
+		Follower:      d.follower,
+		Fleet:         fleet,
+		Entries:       entries,
+		Health:        d.health,
+		Peers:         peers,
+		Logger:        d.logger,
+		Metrics:       registry,
+		PlanInterval:  d.settings.Planning.Interval.Duration,
+		ListInterval:  d.settings.Planning.ListInterval.Duration,
+		MaxActions:    d.settings.Planning.MaxActions,
+		ActionTimeout: d.settings.Planning.ActionTimeout.Duration,
+	})
+}
+
 // jobs returns the driver of the pools' jobs.
 func (d daemon) jobs(tasks platform.Tasks, s *Steward, registry prometheus.Registerer) *jobrunner.Runner {
 	return jobrunner.New(jobrunner.Config{
