Watch measured waves for the same time, also after their end

Cause: a wave that ended sooner was charged for less time, which favoured the planned waves. Change: each run lasts five hours; TestMeasureSpareNeeded prints pool.SpareFor.

--- a/internal/forecast/measure_test.go
+++ b/internal/forecast/measure_test.go
@@ -226,20 +226,20 @@
 	resize(e.t, e.run, pool, e.run.State.Services[pool].Doc.Pool.Size+by)
 }
 
-// measureWave runs one wave over all pools.
+// measured is how long each run of a wave is watched, also after its end, so
+// that sums over time compare.
+const measured = 5 * time.Hour
+
+// measureWave runs one wave over all pools. One that does not end counts as
+// ended at the end of the run.
 func measureWave(t testing.TB, v variant, d deployment, spare int, setup func(*episode), seed uint64) *episode {
 	e := newEpisode(t, v.run(t, d, spare), d, seed)
 	setup(e)
 	startWave(t, e.run, 24*time.Hour, d.pools...)
-	e.play(10*time.Second, func() bool {
-		if w := e.run.State.Waves["w"]; w.Status != ledger.WaveRunning {
-			e.end = w.FinishedAt
-			return true
-		}
-		return e.run.Now.Sub(e.start) > 12*time.Hour
-	})
-	if e.end.IsZero() {
-		e.end = e.run.Now
+	e.play(10*time.Second, func() bool { return e.run.Now.Sub(e.start) >= measured })
+	e.end = e.run.Now
+	if w := e.run.State.Waves["w"]; w.Status != ledger.WaveRunning {
+		e.end = w.FinishedAt
 	}
 	return e
 }
@@ -274,7 +274,7 @@
 			e := measureWave(t, v, d, oneEach, setup, seed)
 			took := e.end.Sub(e.start)
 			rollout = append(rollout, took.Minutes())
-			buffer = append(buffer, e.buffer/max(1, took.Seconds()))
+			buffer = append(buffer, e.buffer/measured.Seconds())
 			short = append(short, e.short)
 			over = append(over, e.over)
 			n, _ := disturbed(e.run)
@@ -286,6 +286,25 @@
 	}
 }
 
+// TestMeasureSpareNeeded prints the counts of pool.SpareFor.
+func TestMeasureSpareNeeded(t *testing.T) {
+	if os.Getenv(measureEnv) == "" {
+		t.Skip("set " + measureEnv + "=1 to print the table")
+	}
+	fmt.Println("| deployment | loss rates | shared | own, sum |")
+	fmt.Println("|---|---|---|---|")
+	for _, d := range []deployment{readDeployment(t, "ramcharan", 3), readDeployment(t, "feldkamm", 4)} {
+		view := pool.NewView(d.start(t, 0, pool.DefaultPolicy()).State, epoch)
+		for _, scale := range []float64{1, 10, 50} {
+			rates := pool.DefaultRates()
+			rates.VM *= scale
+			rates.Rack *= scale
+			s := pool.SpareFor(view.Pools, rates, pool.DefaultFailureShare)
+			fmt.Printf("| %s | x%g | %d | %d |\n", d.name, scale, s.Shared, s.OwnTotal())
+		}
+	}
+}
+
 // measureSpare shows what fewer spare VMs cost under each reserve.
 func measureSpare(t *testing.T, d deployment) {
 	fmt.Printf("\n%s, mixed, by spare VMs, %d seeds\n\n", d.name, seeds)
