Hold the turns of VMs with jobs and the width near a deadline to their word

Cause: neither was tested, and a forecast of a wave that waits for a job would have run in small steps to its horizon.

--- a/internal/forecast/run.go
+++ b/internal/forecast/run.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/maintenance"
 	"github.com/yuccadrift/yuccadrift/internal/pool"
@@ -187,7 +188,7 @@
 func (r *Run) duration(vm *ledger.VM) time.Duration {
 	switch maintenance.Next(vm) {
 	case maintenance.StepQuiesce:
-		return r.Times(vm).Drain
+		return max(r.Times(vm).Drain, r.jobsLeft(vm))
 	case maintenance.StepReboot:
 		return r.Times(vm).Reboot
 	case maintenance.StepReturn:
@@ -196,6 +197,30 @@
 	return 0
 }
 
+// jobsLeft is how long a drain waits for the VM's jobs by their declaration.
+func (r *Run) jobsLeft(vm *ledger.VM) time.Duration {
+	svc, ok := r.State.Services[vm.Pool]
+	if !ok || svc.Doc.Jobs.OnDrain != document.LongJobsWait {
+		return 0
+	}
+	left := time.Duration(0)
+	for _, j := range r.State.WorkerJobs(vm.ID) {
+		left = max(left, j.StartedAt.Add(j.Spec.RunTime).Sub(r.Now))
+	}
+	return left
+}
+
+// endJobs ends what a drain has waited for, or preempts what it does not wait for.
+func (r *Run) endJobs(vm *ledger.VM) {
+	result := record.JobPreempted
+	if svc, ok := r.State.Services[vm.Pool]; ok && svc.Doc.Jobs.OnDrain == document.LongJobsWait {
+		result = record.JobSucceeded
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.State.WorkerJobs(vm.ID))) {
+		r.Append(record.Subject{Kind: record.SubjectJob, Name: id}, record.JobEnd{Result: result, Checkpoint: "forecast"})
+	}
+}
+
 // finish ends a VM's step with the record that a steward would write.
 func (r *Run) finish(id string) {
 	vm := r.State.VMs[id]
@@ -205,6 +230,9 @@
 		return
 	}
 	switch maintenance.Next(vm) {
+	case maintenance.StepQuiesce:
+		r.endJobs(vm)
+		r.OnVM(id, record.VMAdvance{To: maintenance.After(vm)})
 	case maintenance.StepJoin:
 		r.OnVM(id, record.VMJoin{Pool: vm.Drain.Target})
 	case maintenance.StepReturn:
--- /dev/null
+++ b/internal/forecast/turns_test.go
@@ -0,0 +1,98 @@
+package forecast_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/forecast"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// place runs a job of the pool on one of its VMs and returns the VM.
+func place(t *testing.T, r *forecast.Run, service string, runTime time.Duration) string {
+	t.Helper()
+	svc := r.State.Services[service]
+	vm := ""
+	for id := range r.State.PoolVMs(service) {
+		if vm == "" || id < vm {
+			vm = id
+		}
+	}
+	job := record.Subject{Kind: record.SubjectJob, Name: "long"}
+	out := r.Append(job, record.JobSubmit{Service: service, Team: svc.Doc.Quotas[0].Team, MilliCores: 1000, MemoryMB: 1024, RunTime: runTime})
+	require.Equal(t, ledger.Effective, out.Status, out.Reason)
+	out = r.Append(job, record.JobPlace{Worker: vm, MilliCores: 1000, MemoryMB: 1024, Attempt: 1})
+	require.Equal(t, ledger.Effective, out.Status, out.Reason)
+	return vm
+}
+
+// back counts the VMs that have had their turn.
+func back(r *forecast.Run) int {
+	n := 0
+	for _, progress := range r.State.Waves["w"].VMs {
+		if progress == ledger.WaveBack {
+			n++
+		}
+	}
+	return n
+}
+
+// A job runs on the VM whose turn would come first. Where the document says
+// skip, callers' other VMs are maintained, that VM is never drained, and at the
+// deadline the wave reports it and ends. Where it says wait, the VM's turn is the
+// last and the drain's estimate covers the job.
+func TestLongJobsDecideTheTurn(t *testing.T) {
+	d := readDeployment(t, "feldkamm", 4)
+	t.Run("skip", func(t *testing.T) {
+		r := d.start(t, 0, policyNoFailures())
+		busy := place(t, r, "export", 24*time.Hour)
+		startWave(t, r, 3*time.Hour, "export")
+		r.To(r.Now.Add(2 * time.Hour))
+		assert.Equal(t, 8, back(r))
+		assert.Equal(t, ledger.WaveRunning, r.State.Waves["w"].Status)
+		for range 60 {
+			r.To(r.Now.Add(time.Minute))
+		}
+		assert.Equal(t, ledger.WaveDone, r.State.Waves["w"].Status)
+		assert.Contains(t, r.State.Waves["w"].Skips[busy], "may not be disturbed")
+		assert.Zero(t, r.State.VMs[busy].Drains)
+	})
+	t.Run("wait", func(t *testing.T) {
+		r := d.start(t, 0, policyNoFailures())
+		busy := place(t, r, "conversion", 2*time.Hour)
+		startWave(t, r, 24*time.Hour, "conversion")
+		for r.State.VMs[busy].Drain == nil {
+			r.To(r.Now.Add(time.Minute))
+		}
+		assert.Equal(t, 10, back(r))
+		assert.GreaterOrEqual(t, r.State.VMs[busy].Drain.Estimate, 90*time.Minute)
+		r.To(r.Now.Add(2 * time.Hour))
+		assert.Equal(t, ledger.WaveDone, r.State.Waves["w"].Status, "it ends with the job")
+	})
+}
+
+// Twelve VMs take two minutes each, in racks that may be out together. With a day
+// to go a wave leaves one unit of max_unavailable for failures; with ten minutes
+// it takes all that the budget bears, and not more.
+func TestDeadlineSetsTheWidth(t *testing.T) {
+	for deadline, width := range map[time.Duration]int{24 * time.Hour: 1, 10 * time.Minute: 2} {
+		t.Run(fmt.Sprint(deadline), func(t *testing.T) {
+			r := readDeployment(t, "ramcharan", 3).start(t, 0, policyNoFailures())
+			svc := r.State.Services["booking"]
+			publish(t, r, "booking", strings.Replace(svc.Text, "one_domain = true", "one_domain = false", 1))
+			startWave(t, r, deadline, "booking")
+			widest := 0
+			for r.State.Waves["w"].Status == ledger.WaveRunning {
+				r.To(r.Now.Add(10 * time.Second))
+				widest = max(widest, r.State.Unavailability("booking").Short)
+			}
+			assert.Equal(t, width, widest)
+		})
+	}
+}
