Measure the fleet decisions with a tool

Cause: internal/forecast held 550 lines of test files that print tables and check nothing, skipped unless an environment variable was set.

Change: cmd/yuccadrift-bench with waves, buffer, moves and turns, over internal/bench/deployment (runs of the example deployments), internal/bench/waves and internal/bench/figure (samples, tables, JSON, CSV). Tests of forecast use internal/bench/deployment. TestMeasuredPlansKeepBudgets, the one check among the measurements, moves along unchanged.

--- /dev/null
+++ b/cmd/yuccadrift-bench/main.go
@@ -0,0 +1,64 @@
+// Command yuccadrift-bench measures the system's decisions, each beside a plain
+// baseline in the same run, and prints the median and range over several seeds.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/bench/deployment"
+	"github.com/yuccadrift/yuccadrift/internal/bench/figure"
+	"github.com/yuccadrift/yuccadrift/internal/bench/waves"
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "yuccadrift-bench",
+		Usage: "measure each decision beside a plain baseline",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "seeds", Usage: "runs of each policy, by seeds from 0", Value: 7},
+			&cli.StringFlag{Name: "output", Usage: "table, json or csv", Value: string(figure.FormatTable)},
+			&cli.StringFlag{Name: "examples", Usage: "`DIRECTORY` of the example deployments", Value: "examples"},
+		},
+		Commands: []*cli.Command{
+			measurement("waves", "maintenance waves: planned against batches, in simulated time", overDeployments(waves.Policies)),
+			measurement("buffer", "free VMs: a shared reserve against buffers of the pools", overDeployments(waves.Reserve)),
+			measurement("moves", "patience with changing documents against none", overDeployments(waves.Patience)),
+			measurement("turns", "the order of a wave's turns where reboot places are few", flowShop),
+		},
+	}
+}
+
+func measurement(name, usage string, run func(*cli.Command) ([]figure.Table, error)) *cli.Command {
+	return &cli.Command{Name: name, Usage: usage, Action: func(_ context.Context, cmd *cli.Command) error {
+		tables, err := run(cmd)
+		if err != nil {
+			return err
+		}
+		return figure.Write(os.Stdout, figure.Format(cmd.String("output")), tables)
+	}}
+}
+
+func overDeployments(run func([]deployment.Deployment, int) ([]figure.Table, error)) func(*cli.Command) ([]figure.Table, error) {
+	return func(cmd *cli.Command) ([]figure.Table, error) {
+		deployments, err := deployment.Examples(cmd.String("examples"))
+		if err != nil {
+			return nil, err
+		}
+		return run(deployments, cmd.Int("seeds"))
+	}
+}
+
+func flowShop(cmd *cli.Command) ([]figure.Table, error) {
+	return waves.FlowShop(cmd.Int("seeds"))
+}
--- /dev/null
+++ b/internal/bench/deployment/deployment.go
@@ -0,0 +1,163 @@
+// Package deployment turns the documents of a deployment into a run of the
+// planning in simulated time, with the acts of its operators.
+package deployment
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/forecast"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/pool"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// The VMs of a run: as large as any of the deployments has, four to a rack.
+const (
+	vmCores    = 64
+	vmMemoryMB = 256 << 10
+	perRack    = 4
+	// fillTime is more than the pools take to get their VMs.
+	fillTime = time.Hour
+)
+
+// WaveID names the wave that StartWave starts.
+const WaveID = "w"
+
+// Epoch is when each run begins.
+var Epoch = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+
+// Usual is how long a drain takes where a run does not say otherwise.
+var Usual = forecast.Times{Drain: 10 * time.Second, Reboot: 100 * time.Second, Return: 10 * time.Second}
+
+// Deployment is the documents of one deployment and its zones.
+type Deployment struct {
+	Name  string
+	Texts []string
+	Pools []string // the services' names, as Texts
+	Zones int
+	Size  int // VMs that the documents ask for
+}
+
+// zonesOf are the availability zones of the example deployments.
+var zonesOf = map[string]int{"ramcharan": 3, "feldkamm": 4}
+
+// Names are the example deployments.
+var Names = []string{"ramcharan", "feldkamm"}
+
+// Examples reads the example deployments under a directory.
+func Examples(dir string) ([]Deployment, error) {
+	var list []Deployment
+	for _, name := range Names {
+		d, err := Read(dir, name)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, d)
+	}
+	return list, nil
+}
+
+// Read reads one of the example deployments under a directory. It fails where
+// there is no valid document of it.
+func Read(dir, name string) (Deployment, error) {
+	files, err := filepath.Glob(filepath.Join(dir, name, "*.toml"))
+	if err != nil {
+		return Deployment{}, errors.Wrap(err, "list the documents")
+	}
+	d := Deployment{Name: name, Zones: zonesOf[name]}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return Deployment{}, errors.Wrap(err, "read a document")
+		}
+		doc, problems := document.Parse(file, text)
+		if len(problems) > 0 || doc.Service == "" {
+			continue // settings and other files lie beside the documents
+		}
+		d.Texts = append(d.Texts, string(text))
+		d.Pools = append(d.Pools, doc.Service)
+		d.Size += doc.Pool.Size
+	}
+	if len(d.Pools) == 0 || d.Zones == 0 {
+		return Deployment{}, errors.Errorf("no documents of %s in %s", name, dir)
+	}
+	return d, nil
+}
+
+// Start returns a run in which all pools have their VMs and spare ones are free.
+func (d Deployment) Start(spare int, policy pool.Policy) (*forecast.Run, error) {
+	r := forecast.New(ledger.New(), Epoch, policy, Usual)
+	for i, text := range d.Texts {
+		if err := Publish(r, d.Pools[i], text); err != nil {
+			return nil, err
+		}
+	}
+	for v := range d.Size + spare {
+		zone := fmt.Sprintf("z%d", v%d.Zones)
+		out := r.OnVM(fmt.Sprintf("vm-%03d", v), record.VMRegister{
+			Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, v/d.Zones/perRack), Address: "10.0.0.1:80",
+			Cores: vmCores, MemoryMB: vmMemoryMB, Accelerators: 1,
+		})
+		if err := effective(out); err != nil {
+			return nil, err
+		}
+	}
+	r.To(r.Now.Add(fillTime))
+	return r, nil
+}
+
+func effective(out ledger.Outcome) error {
+	if out.Status != ledger.Effective {
+		return errors.Errorf("record is %s: %s", out.Status, out.Reason)
+	}
+	return nil
+}
+
+// Publish publishes a service's document. It fails where that is not effective.
+func Publish(r *forecast.Run, service, text string) error {
+	sub := record.Subject{Kind: record.SubjectService, Name: service}
+	return errors.Wrapf(effective(r.Append(sub, record.DocumentPublish{Text: text})), "publish %s", service)
+}
+
+// Resize publishes a service's document again with another size.
+func Resize(r *forecast.Run, service string, size int) error {
+	svc := r.State.Services[service]
+	was := fmt.Sprintf("size = %d", svc.Doc.Pool.Size)
+	if !strings.Contains(svc.Text, was) {
+		return errors.Errorf("document of %s has no %q", service, was)
+	}
+	return Publish(r, service, strings.Replace(svc.Text, was, fmt.Sprintf("size = %d", size), 1))
+}
+
+// StartWave starts the wave WaveID.
+func StartWave(r *forecast.Run, deadline time.Duration, pools ...string) error {
+	sub := record.Subject{Kind: record.SubjectWave, Name: WaveID}
+	return errors.Wrap(effective(r.Append(sub, record.WaveStart{Pools: pools, Deadline: r.Now.Add(deadline)})), "start the wave")
+}
+
+// Disturbed counts the drains of all VMs, and their moves to another pool.
+func Disturbed(r *forecast.Run) (drains, moves int) {
+	for _, vm := range r.State.VMs {
+		drains += vm.Drains
+		moves += vm.Moves
+	}
+	return drains, moves
+}
+
+// Free counts the VMs of the reserve.
+func Free(r *forecast.Run) int {
+	n := 0
+	for _, vm := range r.State.VMs {
+		if vm.Phase == record.PhaseFree {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/bench/figure/figure.go
@@ -0,0 +1,87 @@
+// Package figure holds what measurements give, a table of samples over several
+// seeds or runs, and writes it for people, pages and programs.
+package figure
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Sample is one quantity, one value for each seed or run.
+type Sample []float64
+
+// Median returns the middle value, the upper one of an even number, and NaN of none.
+func (s Sample) Median() float64 { return s.at(func(n int) int { return n / 2 }) }
+
+// Least returns the smallest value.
+func (s Sample) Least() float64 { return s.at(func(int) int { return 0 }) }
+
+// Greatest returns the greatest value.
+func (s Sample) Greatest() float64 { return s.at(func(n int) int { return n - 1 }) }
+
+func (s Sample) at(index func(n int) int) float64 {
+	if len(s) == 0 {
+		return math.NaN()
+	}
+	return slices.Sorted(slices.Values(s))[index(len(s))]
+}
+
+// String returns the median and, of several values, the range.
+func (s Sample) String() string {
+	digits := s.digits()
+	if len(s) == 1 {
+		return fmt.Sprintf("%.*f", digits, s[0])
+	}
+	return fmt.Sprintf("%.*f (%.*f-%.*f)", digits, s.Median(), digits, s.Least(), digits, s.Greatest())
+}
+
+// digits is how many decimals tell the values apart.
+func (s Sample) digits() int {
+	whole := !slices.ContainsFunc(s, func(v float64) bool { return v != math.Trunc(v) })
+	switch most := s.Greatest(); {
+	case whole || most >= 100:
+		return 0
+	case most > 0 && most < 1:
+		return 2
+	}
+	return 1
+}
+
+// Table is a measurement: rows named by labels, with a sample for each quantity.
+type Table struct {
+	Title      string
+	Labels     []string // what the rows' labels are, such as "policy"
+	Quantities []string // what the samples are, with their units
+	Rows       []Row
+}
+
+// Row is one line of a table.
+type Row struct {
+	Labels  []string
+	Samples []Sample
+}
+
+// Add appends a row. Samples come in the order of the table's quantities.
+func (t *Table) Add(samples []Sample, labels ...string) {
+	t.Rows = append(t.Rows, Row{Labels: labels, Samples: samples})
+}
+
+// Collect runs a measurement for each seed from 0 and returns the samples of its
+// quantities. It stops at the first error.
+func Collect(seeds int, measure func(seed uint64) ([]float64, error)) ([]Sample, error) {
+	var samples []Sample
+	for seed := range uint64(seeds) {
+		values, err := measure(seed)
+		if err != nil {
+			return nil, err
+		}
+		if samples == nil {
+			samples = make([]Sample, len(values))
+		}
+		for i, v := range values {
+			samples[i] = append(samples[i], v)
+		}
+	}
+	return samples, nil
+}
--- /dev/null
+++ b/internal/bench/waves/episode.go
@@ -0,0 +1,145 @@
+package waves
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/bench/deployment"
+	"github.com/yuccadrift/yuccadrift/internal/forecast"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// event is something that happens at a time after the episode's start.
+type event struct {
+	at   time.Duration
+	what func(*episode)
+}
+
+// episode is one measured run.
+type episode struct {
+	run    *forecast.Run
+	rand   *rand.Rand
+	lost   map[string]bool
+	pools  []string
+	events []event
+	err    error // of the first act that was refused
+
+	start, end  time.Time
+	buffer      float64 // VM-seconds free or beyond the sizes
+	trapped     float64 // VM-seconds beyond the sizes
+	short, over float64 // VM-seconds short, and beyond max_unavailable
+	in          map[string]string
+	changes     int // VMs that changed pool or left one
+}
+
+// newEpisode returns an episode whose VMs take 2 to 22 s to drain, 60 to 150 s
+// to reboot and 3 to 9 s to be seen healthy.
+func newEpisode(r *forecast.Run, d deployment.Deployment, seed uint64) *episode {
+	e := &episode{
+		run: r, rand: rand.New(rand.NewPCG(seed, 1)), lost: map[string]bool{},
+		pools: d.Pools, start: r.Now, in: map[string]string{},
+	}
+	r.Lost = func(id string) bool { return e.lost[id] }
+	r.Times = func(*ledger.VM) forecast.Times {
+		return forecast.Times{
+			Drain:  time.Duration(2+e.rand.IntN(20)) * time.Second,
+			Reboot: time.Duration(60+e.rand.IntN(90)) * time.Second,
+			Return: time.Duration(3+e.rand.IntN(6)) * time.Second,
+		}
+	}
+	for id, vm := range r.State.VMs {
+		e.in[id] = vm.Pool
+	}
+	return e
+}
+
+// at plans an event.
+func (e *episode) at(d time.Duration, what func(*episode)) {
+	e.events = append(e.events, event{d, what})
+}
+
+// fail loses a VM for a time.
+func (e *episode) fail(id string, d time.Duration) {
+	vm := e.run.State.VMs[id]
+	if e.lost[id] {
+		return
+	}
+	e.lost[id] = true
+	if !vm.Down {
+		e.run.OnVM(id, record.VMDown{Cause: "lost"})
+	}
+	e.at(e.run.Now.Add(d).Sub(e.start), func(e *episode) {
+		e.lost[id] = false
+		e.run.OnVM(id, record.VMUp{})
+	})
+}
+
+// failRack loses the VMs of a random rack for a time.
+func (e *episode) failRack(d time.Duration) {
+	racks := map[string]bool{}
+	for _, vm := range e.run.State.VMs {
+		racks[vm.Rack] = true
+	}
+	names := slices.Sorted(maps.Keys(racks))
+	rack := names[e.rand.IntN(len(names))]
+	for _, id := range slices.Sorted(maps.Keys(e.run.State.VMs)) {
+		if e.run.State.VMs[id].Rack == rack {
+			e.fail(id, d)
+		}
+	}
+}
+
+func (e *episode) randomVM() string {
+	ids := slices.Sorted(maps.Keys(e.run.State.VMs))
+	return ids[e.rand.IntN(len(ids))]
+}
+
+func (e *episode) resize(pool string, by int) {
+	size := e.run.State.Services[pool].Doc.Pool.Size + by
+	if err := deployment.Resize(e.run, pool, size); err != nil && e.err == nil {
+		e.err = err
+	}
+}
+
+// play moves on in steps for a time after the start and sums up.
+func (e *episode) play(step, total time.Duration) {
+	for e.run.Now.Sub(e.start) < total && e.err == nil {
+		slices.SortStableFunc(e.events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+		for len(e.events) > 0 && e.run.Now.Sub(e.start) >= e.events[0].at {
+			next := e.events[0]
+			e.events = e.events[1:]
+			next.what(e)
+		}
+		e.run.To(e.run.Now.Add(step))
+		e.sum(step.Seconds())
+	}
+}
+
+func (e *episode) sum(seconds float64) {
+	e.buffer += float64(deployment.Free(e.run)) * seconds
+	for _, name := range e.pools {
+		u := e.run.State.Unavailability(name)
+		spare := float64(max(0, u.Serving-u.Size)) * seconds
+		e.buffer += spare
+		e.trapped += spare
+		e.short += float64(u.Short) * seconds
+		e.over += float64(max(0, u.Short-e.run.State.Services[name].Doc.Budget.MaxUnavailable)) * seconds
+	}
+	for id, vm := range e.run.State.VMs {
+		if was := e.in[id]; was != vm.Pool {
+			e.in[id] = vm.Pool
+			if was != "" {
+				e.changes++
+			}
+		}
+	}
+}
+
+func (e *episode) drains() int {
+	n, _ := deployment.Disturbed(e.run)
+	return n
+}
--- /dev/null
+++ b/internal/bench/waves/patience.go
@@ -0,0 +1,110 @@
+package waves
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/bench/deployment"
+	"github.com/yuccadrift/yuccadrift/internal/bench/figure"
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/pool"
+)
+
+// Three days of changing documents.
+const (
+	days         = 3
+	changesSpare = 2
+	changesStep  = 30 * time.Second
+	// leastSize is the size of a pool that is not shrunk further.
+	leastSize = 6
+	// A fleet of designedVMs loses dailyLosses of them on an ordinary day; here
+	// VMs fail lossFactor times as often.
+	designedVMs, dailyLosses, lossFactor = 4000, 26, 50
+)
+
+// setting is how long gaps, moves and surpluses must last before VMs move.
+type setting struct {
+	name string
+	wait pool.Patience
+}
+
+func settings() []setting {
+	usual := pool.DefaultPolicy().Patience
+	return []setting{
+		{"no patience", pool.Patience{Release: time.Second}},
+		{"weigh = buffer", usual[document.WeighBuffer]},
+		{"buffer, release after 2 h", pool.Patience{Replace: 2 * time.Minute, Move: time.Minute, Release: 2 * time.Hour}},
+		{"weigh = moves", usual[document.WeighMoves]},
+		{"moves, wait 1 h", pool.Patience{Replace: time.Hour, Move: time.Hour}},
+	}
+}
+
+// Patience measures the frontier between buffer and moves: three days in which
+// documents change every hour, half of the changes taken back within ten
+// minutes, and VMs fail fifty times as often as on an ordinary day.
+func Patience(deployments []deployment.Deployment, seeds int) ([]figure.Table, error) {
+	var tables []figure.Table
+	for _, d := range deployments {
+		table := figure.Table{
+			Title:      fmt.Sprintf("%s, %d days of changing documents, %d spare", d.Name, days, changesSpare),
+			Labels:     []string{"setting"},
+			Quantities: []string{"VMs beyond their pool's size", "short VM-s", "drains", "pool changes"},
+		}
+		for _, s := range settings() {
+			samples, err := figure.Collect(seeds, func(seed uint64) ([]float64, error) {
+				e, err := s.play(d, seed)
+				if err != nil {
+					return nil, err
+				}
+				return []float64{e.trapped / (days * 24 * 3600), e.short, float64(e.drains()), float64(e.changes)}, nil
+			})
+			if err != nil {
+				return nil, err
+			}
+			table.Add(samples, s.name)
+		}
+		tables = append(tables, table)
+	}
+	return tables, nil
+}
+
+func (s setting) play(d deployment.Deployment, seed uint64) (*episode, error) {
+	policy := pool.DefaultPolicy()
+	policy.Patience = map[document.Weigh]pool.Patience{document.WeighBuffer: s.wait, document.WeighMoves: s.wait}
+	r, err := d.Start(changesSpare, policy)
+	if err != nil {
+		return nil, err
+	}
+	e := newEpisode(r, d, seed)
+	for hour := 1; hour < days*24; hour++ {
+		e.change(time.Duration(hour)*time.Hour, d.Size)
+	}
+	e.play(changesStep, days*24*time.Hour)
+	return e, e.err
+}
+
+// change plans a change of two documents at a time, in half of the cases that it
+// is taken back, and now and then a lost VM.
+func (e *episode) change(at time.Duration, fleet int) {
+	grow := e.pools[e.rand.IntN(len(e.pools))]
+	shrink := e.pools[e.rand.IntN(len(e.pools))]
+	if grow == shrink {
+		return
+	}
+	e.at(at, func(e *episode) { e.shift(grow, shrink) })
+	if e.rand.IntN(2) == 0 {
+		e.at(at+time.Duration(1+e.rand.IntN(10))*time.Minute, func(e *episode) { e.shift(shrink, grow) })
+	}
+	if e.rand.IntN(24*days) < lossFactor*days*dailyLosses*fleet/designedVMs {
+		e.at(at+17*time.Minute, func(e *episode) { e.fail(e.randomVM(), time.Duration(5+e.rand.IntN(240))*time.Minute) })
+	}
+}
+
+// shift takes a VM from one document to another while both stay sensible.
+func (e *episode) shift(grow, shrink string) {
+	if e.run.State.Services[shrink].Doc.Pool.Size <= leastSize {
+		return
+	}
+	e.resize(shrink, -1)
+	e.resize(grow, 1)
+}
--- /dev/null
+++ b/internal/bench/waves/variant.go
@@ -0,0 +1,63 @@
+// Package waves measures the decisions about a fleet, each beside a plain
+// baseline, over the example deployments in simulated time: maintenance waves,
+// the reserve of free VMs, patience with changing documents, and the order of
+// turns. Figures are in docs/MEASUREMENTS.md, section "Fleet decisions".
+package waves
+
+import (
+	"github.com/yuccadrift/yuccadrift/internal/bench/deployment"
+	"github.com/yuccadrift/yuccadrift/internal/forecast"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/pool"
+)
+
+// variant is a policy with its planner.
+type variant struct {
+	name    string
+	reserve pool.ReserveMode
+	batches bool // first-come waves in fixed batches
+}
+
+// variants of the policy. The baseline is the last: each pool keeps its own
+// buffer, waves go in batches.
+var variants = []variant{
+	{"shared reserve, planned waves", pool.ReserveShared, false},
+	{"own buffers, planned waves", pool.ReserveOwn, false},
+	{"shared reserve, batches", pool.ReserveShared, true},
+	{"own buffers, batches (plain)", pool.ReserveOwn, true},
+}
+
+func (v variant) start(d deployment.Deployment, spare int) (*forecast.Run, error) {
+	policy := pool.DefaultPolicy()
+	policy.Reserve = v.reserve
+	r, err := d.Start(spare, policy)
+	if err == nil && v.batches {
+		r.Plan = planBatches
+	}
+	return r, err
+}
+
+// planBatches fills gaps as the planner does and runs waves plainly: the first
+// VMs by ID that are due, max_unavailable at once, and the next batch when the
+// last VM of this one is back.
+func planBatches(v *pool.View, policy pool.Policy) []pool.Proposal {
+	r := pool.NewRound(v, policy)
+	pool.Fill(r)
+	for _, w := range v.Waves {
+		for _, p := range v.Pools {
+			if r.Out(w, p) {
+				continue
+			}
+			n := 0
+			for _, vm := range p.VMs {
+				if n < p.Doc.Budget.MaxUnavailable && w.VMs[vm.ID] == ledger.WavePending && vm.Serving() {
+					if r.Drain(vm, r.WaveDrain(vm, ""), "next batch") == "" {
+						n++
+					}
+				}
+			}
+		}
+	}
+	pool.Release(r)
+	return r.Proposals
+}
--- /dev/null
+++ b/internal/bench/waves/waves_test.go
@@ -0,0 +1,31 @@
+package waves
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/bench/deployment"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+)
+
+// TestMeasuredPlansKeepBudgets holds what the measurement rests on: under each
+// policy, without faults, no pool is ever short by more than its document allows
+// and every wave ends.
+func TestMeasuredPlansKeepBudgets(t *testing.T) {
+	deployments, err := deployment.Examples(filepath.Join("..", "..", "..", "examples"))
+	require.NoError(t, err)
+	require.Len(t, deployments, 2)
+	for _, d := range deployments {
+		for _, v := range variants {
+			t.Run(d.Name+"/"+strings.ReplaceAll(v.name, " ", "-"), func(t *testing.T) {
+				e, err := noFaults.play(v, d, oneEach, 1)
+				require.NoError(t, err)
+				require.Equal(t, ledger.WaveDone, e.run.State.Waves[deployment.WaveID].Status)
+				require.Zero(t, e.over)
+			})
+		}
+	}
+}
--- a/internal/forecast/policy_test.go
+++ b/internal/forecast/policy_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/bench/deployment"
 	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/forecast"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
@@ -31,33 +32,32 @@
 // gap nor the surplus lasts. Then the change stays, and just the VMs that it
 // asks for move, each once.
 func TestDocumentsChangedBackAndForthMoveNoVM(t *testing.T) {
-	for _, deployment := range []struct {
+	for _, c := range []struct {
 		name       string
-		zones      int
 		up, down   string
 		upN, downN int
-	}{{"ramcharan", 3, "booking", "dispatch", 12, 11}, {"feldkamm", 4, "preview", "conversion", 12, 11}} {
-		t.Run(deployment.name, func(t *testing.T) {
-			r := readDeployment(t, deployment.name, deployment.zones).start(t, 0, policyNoFailures())
+	}{{"ramcharan", "booking", "dispatch", 12, 11}, {"feldkamm", "preview", "conversion", 12, 11}} {
+		t.Run(c.name, func(t *testing.T) {
+			r := start(t, c.name, 0)
 			change := func(by int) {
-				resize(t, r, deployment.up, deployment.upN+by)
-				resize(t, r, deployment.down, deployment.downN-by)
+				resize(t, r, c.up, c.upN+by)
+				resize(t, r, c.down, c.downN-by)
 				r.To(r.Now.Add(30 * time.Second))
 			}
 			for range 20 {
 				change(1)
 				change(0)
 			}
-			drains, moves := disturbed(r)
+			drains, moves := deployment.Disturbed(r)
 			assert.Zero(t, drains)
 			assert.Zero(t, moves)
 			change(1)
 			r.To(r.Now.Add(20 * time.Minute))
 			r.To(r.Now.Add(20 * time.Minute))
-			drains, moves = disturbed(r)
+			drains, moves = deployment.Disturbed(r)
 			assert.Equal(t, 1, drains)
 			assert.Equal(t, 1, moves)
-			assert.Zero(t, r.State.Unavailability(deployment.up).Short)
+			assert.Zero(t, r.State.Unavailability(c.up).Short)
 		})
 	}
 }
@@ -66,14 +66,14 @@
 // see each VM out once: the VM that moves is one whose turn is to come, and its
 // drain serves both.
 func TestMoveAndMaintenanceShareOneDrain(t *testing.T) {
-	r := readDeployment(t, "feldkamm", 4).start(t, 0, policyNoFailures())
+	r := start(t, "feldkamm", 0)
 	startWave(t, r, 24*time.Hour, "conversion")
 	r.To(r.Now.Add(3 * time.Minute))
 	resize(t, r, "conversion", 10)
 	resize(t, r, "preview", 13)
 	r.To(r.Now.Add(11 * time.Minute))
 	r.To(r.Now.Add(3 * time.Hour))
-	drains, moves := disturbed(r)
+	drains, moves := deployment.Disturbed(r)
 	assert.Equal(t, 11, drains, "one for each VM of the wave, none for the move")
 	assert.Equal(t, 1, moves)
 	assert.Equal(t, ledger.WaveDone, r.State.Waves["w"].Status)
@@ -88,28 +88,28 @@
 func TestSurplusByWeigh(t *testing.T) {
 	cases := []struct {
 		deployment, pool string
-		zones, size      int
+		size             int
 		weigh            document.Weigh
 		free             int
 	}{
-		{"ramcharan", "booking", 3, 10, document.WeighBuffer, 2},
-		{"feldkamm", "preview", 4, 10, document.WeighMoves, 0},
+		{"ramcharan", "booking", 10, document.WeighBuffer, 2},
+		{"feldkamm", "preview", 10, document.WeighMoves, 0},
 	}
 	for _, c := range cases {
 		t.Run(string(c.weigh), func(t *testing.T) {
-			r := readDeployment(t, c.deployment, c.zones).start(t, 0, policyNoFailures())
+			r := start(t, c.deployment, 0)
 			require.Equal(t, c.weigh, r.State.Services[c.pool].Doc.Weigh)
 			resize(t, r, c.pool, c.size)
 			r.To(r.Now.Add(20 * time.Minute))
-			assert.Zero(t, free(r), "patience")
+			assert.Zero(t, deployment.Free(r), "patience")
 			for range 6 {
 				r.To(r.Now.Add(10 * time.Minute))
 			}
-			assert.Equal(t, c.free, free(r))
+			assert.Equal(t, c.free, deployment.Free(r))
 			startWave(t, r, 24*time.Hour, c.pool)
 			r.To(r.Now.Add(3 * time.Hour))
-			assert.Equal(t, 2, free(r))
-			drains, _ := disturbed(r)
+			assert.Equal(t, 2, deployment.Free(r))
+			drains, _ := deployment.Disturbed(r)
 			assert.Equal(t, 12, drains, "the wave's last turns lead to the reserve")
 		})
 	}
@@ -118,25 +118,25 @@
 // A free VM beyond the reserve is lent to a pool in the middle of a wave: the
 // pool is then never short, and the wave gives the VM back without a drain more.
 func TestWaveBorrowsFromTheReserve(t *testing.T) {
-	r := readDeployment(t, "ramcharan", 3).start(t, 1, policyNoFailures())
+	r := start(t, "ramcharan", 1)
 	startWave(t, r, 24*time.Hour, "booking")
 	r.To(r.Now.Add(5 * time.Hour))
 	require.Equal(t, ledger.WaveDone, r.State.Waves["w"].Status)
-	drains, _ := disturbed(r)
+	drains, _ := deployment.Disturbed(r)
 	assert.Equal(t, 12, drains)
-	assert.Equal(t, 1, free(r))
-	assert.Zero(t, r.State.Services["booking"].Account.Spent(epoch, r.Now.Add(time.Hour))-joinCharge(r))
+	assert.Equal(t, 1, deployment.Free(r))
+	assert.Zero(t, r.State.Services["booking"].Account.Spent(deployment.Epoch, r.Now.Add(time.Hour))-joinCharge(r))
 }
 
 // joinCharge is what filling the pool at the beginning cost.
 func joinCharge(r *forecast.Run) float64 {
-	return r.State.Services["booking"].Account.Spent(epoch, epoch.Add(time.Hour))
+	return r.State.Services["booking"].Account.Spent(deployment.Epoch, deployment.Epoch.Add(time.Hour))
 }
 
 // A VM that is lost for good is replaced from the reserve after a while, does
 // not hold up a wave of the other racks, and its return fills no gap twice.
 func TestLostVMIsReplacedAndBlocksNoWave(t *testing.T) {
-	r := readDeployment(t, "ramcharan", 3).start(t, 1, policyNoFailures())
+	r := start(t, "ramcharan", 1)
 	var lost string
 	for id := range r.State.PoolVMs("booking") {
 		lost = max(lost, id)
@@ -144,10 +144,10 @@
 	r.Lost = func(id string) bool { return id == lost }
 	r.OnVM(lost, record.VMDown{Cause: "no answer"})
 	r.To(r.Now.Add(time.Minute))
-	assert.Equal(t, 1, free(r), "patience")
+	assert.Equal(t, 1, deployment.Free(r), "patience")
 	r.To(r.Now.Add(2 * time.Minute))
 	r.To(r.Now.Add(2 * time.Minute))
-	assert.Zero(t, free(r))
+	assert.Zero(t, deployment.Free(r))
 	assert.Zero(t, r.State.Unavailability("booking").Short)
 	startWave(t, r, 24*time.Hour, "booking")
 	r.To(r.Now.Add(3 * time.Hour))
@@ -159,7 +159,7 @@
 // The shared reserve needs no more VMs than the pools' own, and grows with the
 // rates of failure.
 func TestSpareFor(t *testing.T) {
-	r := readDeployment(t, "ramcharan", 3).start(t, 0, policyNoFailures())
+	r := start(t, "ramcharan", 0)
 	view := pool.NewView(r.State, r.Now)
 	before := pool.Spare{Own: map[string]int{}}
 	for _, scale := range []float64{0, 1, 10, 100} {
@@ -179,8 +179,8 @@
 // small ones, holds them all, and small VMs are free. Its owner must not wait
 // for ever: a small VM joins that pool and a large one moves over.
 func TestLargeVMsAreExchangedForSmallOnes(t *testing.T) {
-	d := readDeployment(t, "feldkamm", 4)
-	r := forecast.New(ledger.New(), epoch, policyNoFailures(), usual)
+	d := read(t, "feldkamm")
+	r := forecast.New(ledger.New(), deployment.Epoch, policyNoFailures(), deployment.Usual)
 	register := func(prefix string, n, cores int) {
 		for v := range n {
 			zone := fmt.Sprintf("z%d", v%4)
@@ -189,13 +189,13 @@
 			})
 		}
 	}
-	modest := strings.Replace(strings.Replace(d.texts[0], "min_cores = 64", "min_cores = 32", 1), "min_memory_mb = 262144", "", 1)
-	publish(t, r, d.pools[0], modest)
+	modest := strings.Replace(strings.Replace(d.Texts[0], "min_cores = 64", "min_cores = 32", 1), "min_memory_mb = 262144", "", 1)
+	publish(t, r, d.Pools[0], modest)
 	register("large", 8, 64)
 	r.To(r.Now.Add(time.Hour))
 	register("small", 8, 32)
-	hungry := d.pools[1]
-	publish(t, r, hungry, d.texts[1])
+	hungry := d.Pools[1]
+	publish(t, r, hungry, d.Texts[1])
 	for range 120 {
 		r.To(r.Now.Add(time.Minute))
 	}
@@ -203,5 +203,5 @@
 		r.To(r.Now.Add(10 * time.Minute))
 	}
 	assert.Len(t, r.State.PoolVMs(hungry), 8, "all the large VMs there are")
-	assert.Zero(t, r.State.Unavailability(d.pools[0]).Short)
+	assert.Zero(t, r.State.Unavailability(d.Pools[0]).Short)
 }
--- a/internal/forecast/turns_test.go
+++ b/internal/forecast/turns_test.go
@@ -48,9 +48,8 @@
 // deadline the wave reports it and ends. Where it says wait, the VM's turn is the
 // last and the drain's estimate covers the job.
 func TestLongJobsDecideTheTurn(t *testing.T) {
-	d := readDeployment(t, "feldkamm", 4)
 	t.Run("skip", func(t *testing.T) {
-		r := d.start(t, 0, policyNoFailures())
+		r := start(t, "feldkamm", 0)
 		busy := place(t, r, "export", 24*time.Hour)
 		startWave(t, r, 3*time.Hour, "export")
 		r.To(r.Now.Add(2 * time.Hour))
@@ -64,7 +63,7 @@
 		assert.Zero(t, r.State.VMs[busy].Drains)
 	})
 	t.Run("wait", func(t *testing.T) {
-		r := d.start(t, 0, policyNoFailures())
+		r := start(t, "feldkamm", 0)
 		busy := place(t, r, "conversion", 2*time.Hour)
 		startWave(t, r, 24*time.Hour, "conversion")
 		for r.State.VMs[busy].Drain == nil {
@@ -83,7 +82,7 @@
 func TestDeadlineSetsTheWidth(t *testing.T) {
 	for deadline, width := range map[time.Duration]int{24 * time.Hour: 1, 10 * time.Minute: 2} {
 		t.Run(fmt.Sprint(deadline), func(t *testing.T) {
-			r := readDeployment(t, "ramcharan", 3).start(t, 0, policyNoFailures())
+			r := start(t, "ramcharan", 0)
 			svc := r.State.Services["booking"]
 			publish(t, r, "booking", strings.Replace(svc.Text, "one_domain = true", "one_domain = false", 1))
 			startWave(t, r, deadline, "booking")
--- a/internal/forecast/wave_test.go
+++ b/internal/forecast/wave_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/bench/deployment"
 	"github.com/yuccadrift/yuccadrift/internal/forecast"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/maintenance"
@@ -20,11 +21,11 @@
 // turn and the end, changes nothing, and the wave that is then started ends when
 // the forecast said.
 func TestForecastIsWhatTheWaveDoes(t *testing.T) {
-	r := readDeployment(t, "feldkamm", 4).start(t, 1, policyNoFailures())
+	r := start(t, "feldkamm", 1)
 	before, err := r.State.Digest()
 	require.NoError(t, err)
 	start := record.WaveStart{Pools: []string{"compare", "preview"}, Deadline: r.Now.Add(24 * time.Hour)}
-	w, err := forecast.ForWave(r.State, r.Now, start, r.Policy, usual)
+	w, err := forecast.ForWave(r.State, r.Now, start, r.Policy, deployment.Usual)
 	require.NoError(t, err)
 	after, err := r.State.Digest()
 	require.NoError(t, err)
@@ -38,7 +39,7 @@
 	}
 	assert.WithinDuration(t, w.End, r.State.Waves["w"].FinishedAt, 2*time.Minute)
 
-	_, err = forecast.ForWave(r.State, r.Now, record.WaveStart{Pools: []string{"nowhere"}}, r.Policy, usual)
+	_, err = forecast.ForWave(r.State, r.Now, record.WaveStart{Pools: []string{"nowhere"}}, r.Policy, deployment.Usual)
 	assert.ErrorIs(t, err, forecast.ErrRefused)
 }
 
@@ -46,7 +47,7 @@
 // wave would wait until old charges leave the window, and the running wave
 // does wait, with a reason, and goes on by itself.
 func TestWaveWaitsForTheBudgetByItself(t *testing.T) {
-	r := readDeployment(t, "ramcharan", 3).start(t, 0, policyNoFailures())
+	r := start(t, "ramcharan", 0)
 	vm := slices.Min(slices.Collect(maps.Keys(r.State.PoolVMs("dispatch"))))
 	r.Lost = func(id string) bool { return id == vm }
 	r.OnVM(vm, record.VMDown{Cause: "no answer"})
@@ -55,14 +56,14 @@
 	r.Lost = func(string) bool { return false }
 
 	const month = 30 * 24 * time.Hour
-	w, err := forecast.ForWave(r.State, r.Now, record.WaveStart{Pools: []string{"dispatch"}, Deadline: r.Now.Add(month)}, r.Policy, usual)
+	w, err := forecast.ForWave(r.State, r.Now, record.WaveStart{Pools: []string{"dispatch"}, Deadline: r.Now.Add(month)}, r.Policy, deployment.Usual)
 	require.NoError(t, err)
 	assert.Greater(t, w.Duration(), 5*24*time.Hour)
 	assert.Less(t, w.Duration(), 7*24*time.Hour)
 
 	startWave(t, r, month, "dispatch")
 	r.To(r.Now.Add(time.Hour))
-	drains, _ := disturbed(r)
+	drains, _ := deployment.Disturbed(r)
 	assert.Zero(t, drains)
 	waits := maintenance.Round(pool.NewView(r.State, r.Now), r.Policy).Waits
 	require.Len(t, waits, 1)
