Measure the ways of claims with the tool

Cause: internal/entrypeer/ways_bench_test.go measured two designs against each other and tested nothing.

Change: internal/bench/claims and the tool's command claims; the same code, with errors in place of test failures.

--- a/cmd/yuccadrift-bench/main.go
+++ b/cmd/yuccadrift-bench/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/yuccadrift/yuccadrift/internal/bench/claims"
 	"github.com/yuccadrift/yuccadrift/internal/bench/deployment"
 	"github.com/yuccadrift/yuccadrift/internal/bench/figure"
 	"github.com/yuccadrift/yuccadrift/internal/bench/waves"
@@ -28,6 +29,7 @@
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "seeds", Usage: "runs of each policy, by seeds from 0", Value: 7},
 			&cli.StringFlag{Name: "output", Usage: "table, json or csv", Value: string(figure.FormatTable)},
+			&cli.IntFlag{Name: "requests", Usage: "requests of a run of claims", Value: 4000},
 			&cli.StringFlag{Name: "examples", Usage: "`DIRECTORY` of the example deployments", Value: "examples"},
 		},
 		Commands: []*cli.Command{
@@ -35,13 +37,14 @@
 			measurement("buffer", "free VMs: a shared reserve against buffers of the pools", overDeployments(waves.Reserve)),
 			measurement("moves", "patience with changing documents against none", overDeployments(waves.Patience)),
 			measurement("turns", "the order of a wave's turns where reboot places are few", flowShop),
+			measurement("claims", "claims on request keys: owners in memory against the log", claimWays),
 		},
 	}
 }
 
-func measurement(name, usage string, run func(*cli.Command) ([]figure.Table, error)) *cli.Command {
-	return &cli.Command{Name: name, Usage: usage, Action: func(_ context.Context, cmd *cli.Command) error {
-		tables, err := run(cmd)
+func measurement(name, usage string, run func(context.Context, *cli.Command) ([]figure.Table, error)) *cli.Command {
+	return &cli.Command{Name: name, Usage: usage, Action: func(ctx context.Context, cmd *cli.Command) error {
+		tables, err := run(ctx, cmd)
 		if err != nil {
 			return err
 		}
@@ -49,8 +52,8 @@
 	}}
 }
 
-func overDeployments(run func([]deployment.Deployment, int) ([]figure.Table, error)) func(*cli.Command) ([]figure.Table, error) {
-	return func(cmd *cli.Command) ([]figure.Table, error) {
+func overDeployments(run func([]deployment.Deployment, int) ([]figure.Table, error)) func(context.Context, *cli.Command) ([]figure.Table, error) {
+	return func(_ context.Context, cmd *cli.Command) ([]figure.Table, error) {
 		deployments, err := deployment.Examples(cmd.String("examples"))
 		if err != nil {
 			return nil, err
@@ -59,6 +62,10 @@
 	}
 }
 
-func flowShop(cmd *cli.Command) ([]figure.Table, error) {
+func flowShop(_ context.Context, cmd *cli.Command) ([]figure.Table, error) {
 	return waves.FlowShop(cmd.Int("seeds"))
 }
+
+func claimWays(ctx context.Context, cmd *cli.Command) ([]figure.Table, error) {
+	return claims.Ways(ctx, cmd.Int("seeds"), cmd.Int("requests"))
+}
