--- a/internal/proof/faults_chaos_test.go
+++ b/internal/proof/faults_chaos_test.go
@@ -31,6 +31,12 @@
 	from, to time.Time
 }
 
+// Requests that are in flight when an entry process is told to stop.
+const (
+	inFlightAtStop = 4
+	inFlightPause  = 50 * time.Millisecond
+)
+
 // chaos makes faults, several at once.
 type chaos struct {
 	t       *testing.T
@@ -39,6 +45,8 @@
 	began   time.Time
 	victims []string // VMs that may crash
 	linked  []string // VMs behind links
+	// long sends a request that runs longer than a stopping process gives notice.
+	long func(*testkit.Node)
 
 	wg   sync.WaitGroup
 	mu   sync.Mutex
@@ -208,6 +216,10 @@
 		return
 	}
 	over := x.harm(harmStopped, n)
+	for range inFlightAtStop {
+		x.wg.Go(func() { x.long(n) })
+	}
+	time.Sleep(inFlightPause) // the requests are on their way, without proof: a late one is refused
 	n.Entry.Terminate()
 	x.during("stop entry process (SIGTERM)", x.between(0, time.Second), func() {
 		if err := n.Entry.Wait(); err != nil {
--- a/internal/proof/faults_load_test.go
+++ b/internal/proof/faults_load_test.go
@@ -19,6 +19,8 @@
 	callerPatience = 6 * time.Second // more than the deadline that callers give
 	callerDeadline = 3 * time.Second
 	maxAttempts    = 4
+	longRun        = 2 * time.Second // more than notice
+	notice         = "1s"            // of an entry process that stops
 	maxLatency     = int64(time.Minute / time.Microsecond)
 )
 
@@ -138,6 +140,15 @@
 	}
 }
 
+// sendLong sends one request with a long run.
+func (cs *callers) sendLong(node *testkit.Node) {
+	for _, r := range routes {
+		if r.long && r.repeatable && r.service == "booking" {
+			cs.send(node, r, testkit.Request{Path: "/booking" + r.path, Key: testkit.Key(), Deadline: callerDeadline, Work: longRun})
+		}
+	}
+}
+
 func (cs *callers) send(node *testkit.Node, r route, req testkit.Request) attempt {
 	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
 	defer cancel()
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -68,7 +68,7 @@
 	c := testkit.Start(t, testkit.Options{
 		Nodes:   plan.nodes,
 		Fleet:   plan.fleet,
-		Entry:   testkit.Settings{"drain.notice": `"1s"`},
+		Entry:   testkit.Settings{"drain.notice": `"` + notice + `"`},
 		Steward: plan.steward,
 	})
 	texts := map[string]string{}
@@ -105,6 +105,7 @@
 	used := slices.DeleteFunc(slices.Clone(routes), func(r route) bool { return texts[r.service] == "" })
 	busy, stop := context.WithCancel(ctx)
 	load := startCallers(busy, c, used, plan.perRoute, plan.think, seed)
+	x.long = load.sendLong
 	ops := startOperators(busy, c, w, texts, services, plan.operators, seed)
 	for i, pools := range plan.waves {
 		ops.wave("wave-"+strconv.Itoa(i), pools...)
