Follow the log through peers while it cannot be read

Cause: an entry VM that lost its way to the platform alone sent requests to a drained backend server for as long as it was cut off, found by a process test.

Fresh, and with it leases and decisions, still rises by own reads only. A process is Started, and an entry serves, once the log was read to its end or a peer's newest state stands in for it.

--- a/cmd/yuccadrift-entry/run.go
+++ b/cmd/yuccadrift-entry/run.go
@@ -50,7 +50,7 @@
 		Readiness: readiness,
 		Logger:    logger,
 		InFlight:  func() (uint64, map[string]int) { return ent.InFlights() },
-		State:     follow.Snapshot,
+		State:     follow,
 	})
 	defer node.Close()
 	node.Register(peers.Registrar())
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -15,6 +15,8 @@
 type Follower interface {
 	View(func(*ledger.State))
 	Fresh() time.Time
+	// Started reports whether the state is fit to serve on.
+	Started() bool
 	Changed() <-chan struct{}
 	// CatchUp reads and folds the log to its end.
 	CatchUp(ctx context.Context) error
@@ -36,12 +38,13 @@
 // refresh builds a table of the present state. Fresh is read first: the state
 // seen after holds at least what that read brought.
 //
-// Until the log was read to its end once, none is built. A process that starts
-// folds old records first: it would serve on documents that were replaced long
-// ago, and send requests to VMs that have left their pool since.
+// Until the log was read to its end once, or a peer's state stands in for it, none
+// is built. A process that starts folds old records first: it would serve on
+// documents that were replaced long ago, and send requests to VMs that have left
+// their pool since.
 func (e *Entry) refresh() {
 	fresh := e.cfg.Follower.Fresh()
-	if fresh.IsZero() {
+	if !e.cfg.Follower.Started() {
 		e.cfg.Readiness.Unready("table", "the log has not been read to its end yet")
 		return
 	}
--- a/internal/entrypeer/node.go
+++ b/internal/entrypeer/node.go
@@ -28,9 +28,8 @@
 	// process acted on the log when it counted. Nil in a process that serves no
 	// callers.
 	InFlight func() (offset uint64, vms map[string]int)
-	// State returns the folded state as a snapshot, for nodes that start while
-	// the log is out. Nil where none is passed on.
-	State func() ([]byte, error)
+	// State is passed on to nodes that cannot read the log. Nil where none is.
+	State StateSource
 	// CallTimeout bounds one call to a peer that answers at once.
 	CallTimeout time.Duration
 	// Patience is for how long a claim is tried again while its owner cannot be
--- a/internal/entrypeer/state.go
+++ b/internal/entrypeer/state.go
@@ -14,6 +14,7 @@
 
 	pb "github.com/yuccadrift/yuccadrift/internal/entrypeer/entrypeerpb"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
 )
 
 // Bounds of passing on a state.
@@ -25,37 +26,40 @@
 	stateTimeout = 10 * time.Second
 )
 
-// stateSource returns the folded state as a snapshot, as
-// follower.Follower.Snapshot does.
-type stateSource func() ([]byte, error)
+// StateSource is the folded state of a process and the entries of the log that it
+// folded last. It is implemented by follower.Follower.
+type StateSource interface {
+	Snapshot() ([]byte, error)
+	Tail(after, hash uint64) (entries []platform.Entry, gap bool, err error)
+}
 
-// stateServer offers the State call alone.
+// stateServer offers the State and Tail calls alone.
 type stateServer struct {
 	pb.UnimplementedEntryPeerServer
-	source stateSource
+	source StateSource
 }
 
 // RegisterState offers the folded state to peers from a daemon that is no entry
 // process.
-func RegisterState(to grpc.ServiceRegistrar, source func() ([]byte, error)) {
+func RegisterState(to grpc.ServiceRegistrar, source StateSource) {
 	pb.RegisterEntryPeerServer(to, &stateServer{source: source})
 }
 
 // State implements the gRPC service.
 func (s *stateServer) State(in *pb.StateRequest, out grpc.ServerStreamingServer[pb.StateReply]) error {
-	return s.source.send(in.GetAbove(), out)
+	return sendState(s.source, in.GetAbove(), out)
 }
 
 // State implements the gRPC service.
 func (s *server) State(in *pb.StateRequest, out grpc.ServerStreamingServer[pb.StateReply]) error {
-	return stateSource(s.node.cfg.State).send(in.GetAbove(), out)
+	return sendState(s.node.cfg.State, in.GetAbove(), out)
 }
 
-func (s stateSource) send(above uint64, out grpc.ServerStreamingServer[pb.StateReply]) error {
-	if s == nil {
+func sendState(source StateSource, above uint64, out grpc.ServerStreamingServer[pb.StateReply]) error {
+	if source == nil {
 		return status.Error(codes.Unimplemented, "this process passes on no state")
 	}
-	snapshot, err := s()
+	snapshot, err := source.Snapshot()
 	if err != nil {
 		return status.Error(codes.Unavailable, err.Error())
 	}
--- a/internal/entrypeer/state_test.go
+++ b/internal/entrypeer/state_test.go
@@ -9,15 +9,25 @@
 	"google.golang.org/grpc"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 )
 
+// stateFunc is a StateSource without entries.
+type stateFunc func() ([]byte, error)
+
+// Snapshot implements StateSource.
+func (f stateFunc) Snapshot() ([]byte, error) { return f() }
+
+// Tail implements StateSource.
+func (stateFunc) Tail(uint64, uint64) ([]platform.Entry, bool, error) { return nil, true, nil }
+
 // serve offers source on a loopback address.
 func serve(t *testing.T, source func() ([]byte, error)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := grpc.NewServer()
-	RegisterState(s, source)
+	RegisterState(s, stateFunc(source))
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
 	return l.Addr().String()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -47,6 +47,9 @@
 	// NewestState returns the snapshot with the highest offset that any peer
 	// has. The error is that of the last peer when none answers.
 	NewestState(ctx context.Context) (snapshot []byte, err error)
+	// Tail returns the entries that a peer folded after an offset; see
+	// Follower.Tail.
+	Tail(ctx context.Context, after, hash uint64) (entries []platform.Entry, gap bool, err error)
 }
 
 // Condition is how the process stands to the log.
@@ -84,6 +87,8 @@
 	detail    string
 	begun     bool              // the newest snapshot was looked for
 	doubt     bool              // whether the log continues the state is to be checked
+	leaned    bool              // a peer's state was asked for and came
+	tail      tail              // for peers
 	fresh     time.Time         // when the latest read that reached the tail was sent
 	lastRead  time.Time         // when the latest read succeeded
 	first     platform.Offset   // lowest retained offset at the latest read
@@ -132,6 +137,9 @@
 	if f.cfg.SnapshotStream != "" {
 		duties = append(duties, supervise.Duty{Name: "snapshots", Serve: f.serveSnapshots})
 	}
+	if f.cfg.Peers != nil {
+		duties = append(duties, supervise.Duty{Name: "relay", Serve: f.serveRelay})
+	}
 	if f.cfg.Node != "" {
 		duties = append(duties, supervise.Duty{Name: "witness", Serve: f.serveWitness})
 	}
@@ -263,6 +271,7 @@
 	}
 	f.cfg.Logger.Info("took over a state", "from", from, "offset", s.Offset, "own_offset", f.state.Offset)
 	f.state = s
+	f.tail = tail{}
 	f.doubt = true
 	f.notify()
 	return true
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -71,7 +71,8 @@
 		}
 		settle(time.Second) // reads under way end
 		a.write(100)
-		asked.list, behind.list = []*node{a}, []*node{old}
+		asked.set(a)
+		behind.set(old)
 		for _, n := range []*node{lone, withPeers} {
 			n.link.cut.Store(false)
 		}
@@ -107,9 +108,11 @@
 		same(t, a, late)
 		require.Equal(t, follower.CutOff, late.condition())
 		require.Zero(t, late.Fresh())
+		require.True(t, late.Started())
 		lonely := start(t, log, "lonely", nil)
 		settle(time.Minute)
 		require.Equal(t, follower.Starting, lonely.condition())
+		require.False(t, lonely.Started())
 
 		log.ClearAll()
 		settle(5 * time.Second)
@@ -121,6 +124,51 @@
 	})
 }
 
+// A node loses its way to the log, not that to its peers. It learns within seconds
+// what the others fold, through their latest entries or, where those do not reach
+// back far enough, their state; its own knowledge of the log's end stays old. A
+// peer on another log teaches it nothing.
+func TestFollowThroughPeers(t *testing.T) {
+	run(t, func(t *testing.T) {
+		log := standin.New(standin.Options{AppendsPerSecond: -1})
+		asked := &peers{}
+		a := start(t, log, "a", nil)
+		cut := start(t, log, "cut", func(c *follower.Config, _ *link) { c.Peers = asked })
+		settle(time.Second)
+		a.write(5)
+		settle(time.Second)
+		cut.link.cut.Store(true)
+		asked.set(a)
+		lost := time.Now()
+		settle(2 * time.Second)
+		a.write(5)
+		settle(time.Second)
+		same(t, a, cut)
+		require.False(t, cut.Fresh().After(lost))
+
+		asked.set()
+		a.write(1500) // more than a node keeps
+		asked.set(a)
+		settle(time.Second)
+		same(t, a, cut)
+
+		fresh := standin.New(standin.Options{AppendsPerSecond: -1})
+		other := start(t, fresh, "other", noSnapshots)
+		settle(time.Second)
+		other.write(int(cut.offset()) + 10)
+		asked.set(other)
+		digest := cut.digest()
+		settle(time.Minute)
+		require.Equal(t, digest, cut.digest())
+
+		cut.link.cut.Store(false)
+		a.write(1)
+		settle(5 * time.Second)
+		same(t, a, cut)
+		require.Equal(t, follower.Following, cut.condition())
+	})
+}
+
 // The platform loses its log and begins an empty one. A node keeps its state and
 // decides nothing. Others fill the new log past the node's offset: its entries
 // must not be folded on top of the old state. When the old log is back, the node
--- a/internal/follower/harness_test.go
+++ b/internal/follower/harness_test.go
@@ -64,12 +64,27 @@
 }
 
 // peers offers the states of other nodes; its own errors stand for silence.
-type peers struct{ list []*node }
+type peers struct {
+	mu   sync.Mutex
+	list []*node
+}
+
+func (p *peers) set(list ...*node) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = list
+}
+
+func (p *peers) get() []*node {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list
+}
 
 func (p *peers) NewestState(context.Context) ([]byte, error) {
 	var best []byte
 	var top uint64
-	for _, n := range p.list {
+	for _, n := range p.get() {
 		data, err := n.Snapshot()
 		if err != nil {
 			continue
@@ -84,6 +99,19 @@
 	return best, nil
 }
 
+// Tail asks the peers in turn.
+func (p *peers) Tail(_ context.Context, after, hash uint64) ([]platform.Entry, bool, error) {
+	last, behind := error(platform.ErrUnavailable), false
+	for _, n := range p.get() {
+		entries, gap, err := n.Follower.Tail(after, hash)
+		if len(entries) > 0 {
+			return entries, false, nil
+		}
+		behind, last = behind || gap, err
+	}
+	return nil, behind, last
+}
+
 // start runs a node until the test ends. change edits its settings.
 func start(t *testing.T, log *standin.Platform, name string, change func(*follower.Config, *link)) *node {
 	l := &link{}
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -116,7 +116,8 @@
 	return nil
 }
 
-// askPeers takes over the newest state of the peers, if it is further.
+// askPeers takes over the newest state of the peers, if it is further. Its answer
+// is what a process starts from that cannot read the log.
 func (f *Follower) askPeers(ctx context.Context) bool {
 	if f.cfg.Peers == nil {
 		return false
@@ -126,6 +127,9 @@
 		f.cfg.Logger.Debug("no state from peers", "error", errors.Cause(err))
 		return false
 	}
+	f.mu.Lock()
+	f.leaned = true
+	f.mu.Unlock()
 	return f.adopt(data, "peer")
 }
 
@@ -241,26 +245,32 @@
 func (f *Follower) fold(batch platform.Batch, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, e := range batch.Entries {
+	f.lastRead = time.Now()
+	if last := f.apply(batch.Entries); last+1 >= batch.Next && sent.After(f.fresh) {
+		f.fresh = sent
+	}
+}
+
+// apply folds entries and returns the offset reached; f.mu is held.
+func (f *Follower) apply(entries []platform.Entry) platform.Offset {
+	for _, e := range entries {
 		if uint64(e.Offset) <= f.state.Offset {
 			continue
 		}
 		before := f.state.Offset
 		out := f.state.ApplyData(uint64(e.Offset), e.Data)
 		f.checkpoint(before)
+		f.tail.add(e)
 		f.metrics.records.WithLabelValues(string(out.Status)).Inc()
 		if w, ok := f.waiters[out.ID]; ok {
 			delete(f.waiters, out.ID)
 			w <- out
 		}
 	}
-	f.lastRead = time.Now()
-	if platform.Offset(f.state.Offset)+1 >= batch.Next && sent.After(f.fresh) {
-		f.fresh = sent
-	}
-	if len(batch.Entries) > 0 {
+	if len(entries) > 0 {
 		f.notify()
 	}
+	return platform.Offset(f.state.Offset)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/follower/relay.go
@@ -0,0 +1,126 @@
+package follower
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+)
+
+// Bounds of following the log through peers.
+const (
+	// relayPause is the pause between two questions to peers.
+	relayPause = 250 * time.Millisecond
+	// relayGrace is how much longer than ReadWait no read may have succeeded
+	// before peers are asked. With the pause it stays below the 3 s within which
+	// a drained backend server must get no more work.
+	relayGrace = time.Second
+	// tailEntries and tailBytes bound the entries kept for peers.
+	tailEntries = 1000
+	tailBytes   = 1 << 20
+)
+
+// ErrForeignTail means that a peer folded another entry at the offset asked for.
+var ErrForeignTail = errors.New("the peer follows another log")
+
+// tail holds the entries folded last, without a gap.
+type tail struct {
+	entries []platform.Entry
+	bytes   int
+}
+
+func (t *tail) add(e platform.Entry) {
+	t.entries = append(t.entries, e)
+	t.bytes += len(e.Data)
+	drop := 0
+	for len(t.entries)-drop > tailEntries || t.bytes > tailBytes {
+		t.bytes -= len(t.entries[drop].Data)
+		drop++
+	}
+	t.entries = slices.Delete(t.entries, 0, drop)
+}
+
+// Started reports whether the state is fit to act on: the log was read to its
+// end once or, while it cannot be read, the newest state of the peers was taken
+// over. Before that a process would serve on documents that were replaced long
+// ago.
+func (f *Follower) Started() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return !f.fresh.IsZero() || f.leaned
+}
+
+// Tail returns the entries folded after an offset, for a peer that cannot read
+// the log. hash is that of the entry there, 0 when the peer does not know it.
+// gap means that this process is further and no longer holds the entries. The
+// error is ErrForeignTail.
+func (f *Follower) Tail(after, hash uint64) (entries []platform.Entry, gap bool, err error) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if after >= f.state.Offset {
+		return nil, false, nil
+	}
+	i, found := slices.BinarySearchFunc(f.tail.entries, platform.Offset(after), func(e platform.Entry, o platform.Offset) int {
+		return int(e.Offset) - int(o)
+	})
+	if !found {
+		return nil, true, nil
+	}
+	if hash != 0 && xxhash.Sum64(f.tail.entries[i].Data) != hash {
+		return nil, false, errors.WithStack(ErrForeignTail)
+	}
+	return slices.Clone(f.tail.entries[i+1:]), false, nil
+}
+
+// serveRelay follows the log through peers while it cannot be read. A process
+// that lost its way to the platform alone would else send work to a backend
+// server that the others have long drained, and serve replaced documents. Fresh
+// stays as it was: leases and decisions rest on the process's own reads.
+func (f *Follower) serveRelay(ctx context.Context) error {
+	began := time.Now()
+	for ctx.Err() == nil {
+		if f.silent(began) {
+			f.relay(ctx)
+		}
+		pause(ctx, relayPause)
+	}
+	return ctx.Err()
+}
+
+// silent reports whether a read is overdue.
+func (f *Follower) silent(began time.Time) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	last := f.lastRead
+	if last.IsZero() {
+		last = began
+	}
+	return time.Since(last) > f.cfg.ReadWait+relayGrace
+}
+
+func (f *Follower) relay(ctx context.Context) {
+	if !f.Started() {
+		f.askPeers(ctx)
+		return
+	}
+	f.mu.RLock()
+	after, hash, foreign := f.state.Offset, f.state.Tail, f.condition == Foreign
+	f.mu.RUnlock()
+	entries, gap, err := f.cfg.Peers.Tail(ctx, after, hash)
+	switch {
+	case err != nil:
+		f.cfg.Logger.Debug("no entries from peers", "error", errors.Cause(err))
+	case gap && foreign: // the peers may follow that other log
+	case gap:
+		f.askPeers(ctx)
+	case len(entries) > 0:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.apply(entries)
+		f.cfg.Logger.Debug("followed the log through a peer", "offset", f.state.Offset)
+	}
+}
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -18,8 +18,8 @@
 	Readiness Readiness
 	Logger    hclog.Logger
 	InFlight  func() (offset uint64, vms map[string]int)
-	// State returns the folded state as a snapshot, for peers.
-	State func() ([]byte, error)
+	// State is passed on to peers that cannot read the log.
+	State entrypeer.StateSource
 }
 
 // NewEntry returns the membership of an entry process and its node among the
--- a/internal/steward/daemon.go
+++ b/internal/steward/daemon.go
@@ -109,7 +109,7 @@
 		State:   d.follower,
 		Unready: d.readiness.Reasons,
 	})
-	entrypeer.RegisterState(peers.Registrar(), d.follower.Snapshot)
+	entrypeer.RegisterState(peers.Registrar(), d.follower)
 	stewardpeer.Register(peers.Registrar(), stewardpeer.ServerConfig{
 		Node:  d.settings.Node.ID,
 		Able:  s.MayDecide,
--- a/internal/testkit/cluster.go
+++ b/internal/testkit/cluster.go
@@ -1,6 +1,7 @@
 package testkit
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"net"
@@ -11,6 +12,8 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+
+	"github.com/yuccadrift/yuccadrift/internal/operator"
 )
 
 // Settings are lines of a settings file: dotted key to TOML value, as
@@ -302,3 +305,20 @@
 	c.t.Helper()
 	until(c.t, what, holds)
 }
+
+// Status returns the entry's word about itself, asked for past all links.
+func (n *Node) Status(t testing.TB) operator.Status {
+	t.Helper()
+	client, err := operator.NewClient(n.entry.peers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+	defer cancel()
+	status, err := client.Status(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return status
+}
