--- a/internal/operatorcmd/harness_test.go
+++ b/internal/operatorcmd/harness_test.go
@@ -65,7 +65,7 @@
 	require.NoError(b.t, err)
 	server := grpc.NewServer()
 	operator.Register(server, operator.ServerConfig{Node: name, Role: operator.RoleEntry, Zone: "a", State: f})
-	entrypeer.RegisterState(server, f.Snapshot)
+	entrypeer.RegisterState(server, f)
 	go func() { _ = server.Serve(listener) }()
 	b.t.Cleanup(server.Stop)
 	return listener.Addr().String()
