Explain a waiting job in the words of the planning

Cause: the command line had a second, poorer rule for what a job waits for. Change: jobs explain asks package placement. Conclusion: what an operator reads is what the stewards decide by.

--- a/internal/operatorcmd/explain.go
+++ b/internal/operatorcmd/explain.go
@@ -7,6 +7,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/placement"
 )
 
 // explanation is why a job is where it is.
@@ -73,25 +74,15 @@
 	return facts
 }
 
-// waiting says what a queued job waits for: its quota, or room on a worker.
+// waiting says what a queued job waits for, in the words of the planning. Sizes
+// are as declared: what the stewards learnt of them is not on the log.
 func waiting(state *ledger.State, j *ledger.Job) []string {
+	p, queue := placement.FromState(state, j.Spec.Service, placement.Knowledge{})
 	facts := []string{"queued since " + stamp(j.QueuedAt)}
-	want := ledger.Resources{MilliCores: j.Spec.MilliCores, MemoryMB: j.Spec.MemoryMB, Accelerators: j.Spec.Accelerators}
-	quota, _ := state.Quota(j.Spec.Service, j.Spec.Team)
-	use := state.TeamUse(j.Spec.Service, j.Spec.Team)
-	if !use.Add(want, 1).Within(quota) {
-		facts = append(facts, fmt.Sprintf("team %s uses %s of %s cores and %d of %d MB of its quota; wait for its jobs or ask the document's owner for more",
-			j.Spec.Team, cores(use.MilliCores), cores(quota.MilliCores), use.MemoryMB, quota.MemoryMB))
-	}
-	fits, room := 0, 0
-	for id, vm := range state.PoolVMs(j.Spec.Service) {
-		if !want.Within(vm.Resources()) {
-			continue
-		}
-		fits++
-		if vm.Serving() && !vm.Quarantined && state.WorkerUse(id).Add(want, 1).Within(vm.Resources()) {
-			room++
+	for i := range queue {
+		if queue[i].ID == j.ID {
+			facts = append(facts, p.Explain(&queue[i], placement.Policy{}))
 		}
 	}
-	return append(facts, fmt.Sprintf("%d workers of the pool are large enough, %d of them have room now", fits, room))
+	return facts
 }
