--- a/internal/jobrunner/action.go
+++ b/internal/jobrunner/action.go
@@ -70,6 +70,7 @@
 	Share   float64
 
 	Worker string
+	Jobs   []string // whose tasks on the worker a renewal or status is for
 	Tasks  []string
 	Lease  time.Duration
 	Fence  platform.Offset
--- a/internal/jobrunner/core.go
+++ b/internal/jobrunner/core.go
@@ -1,6 +1,7 @@
 package jobrunner
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -254,10 +255,9 @@
 // Tasks lists the jobs placed on a worker, sorted: what a drain waits for,
 // checkpoints or skips.
 func Tasks(st *ledger.State, worker string) []*ledger.Job {
-	var jobs []*ledger.Job
-	for _, j := range st.WorkerJobs(worker) {
-		jobs = append(jobs, j)
-	}
-	slices.SortFunc(jobs, func(a, b *ledger.Job) int { return strings.Compare(a.ID, b.ID) })
-	return jobs
+	return slices.SortedFunc(maps.Values(st.WorkerJobs(worker)), byID)
 }
+
+// byID orders jobs, so that the same state gives the same actions in the same
+// order.
+func byID(a, b *ledger.Job) int { return strings.Compare(a.ID, b.ID) }
--- a/internal/jobrunner/decide.go
+++ b/internal/jobrunner/decide.go
@@ -1,6 +1,8 @@
 package jobrunner
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -84,7 +86,7 @@
 }
 
 func (c *Core) runTime(j *ledger.Job) time.Duration {
-	return c.estimates.RunTime(usage.ShapeOf(j.Spec))
+	return c.estimates.RunTime(usage.ShapeOf(j.Spec), j.Spec.RunTime)
 }
 
 // standing says how far a worker may be used now.
@@ -172,7 +174,9 @@
 			fresh = append(fresh, j)
 		}
 	}
-	slices.SortFunc(fresh, func(a, b *ledger.Job) int { return a.EndedAt.Compare(b.EndedAt) })
+	slices.SortFunc(fresh, func(a, b *ledger.Job) int {
+		return cmp.Or(a.EndedAt.Compare(b.EndedAt), cmp.Compare(a.ID, b.ID))
+	})
 	for _, j := range fresh {
 		c.counted[j.ID] = true
 		if !j.Succeeded() {
@@ -180,7 +184,7 @@
 		}
 		s := usage.Sample{MilliCores: j.PeakMilliCores, MemoryMB: j.PeakMemoryMB}
 		if j.Attempt == 1 && j.MilliCores == j.FullMilliCores {
-			s.Ran = j.EndedAt.Sub(j.StartedAt)
+			s.Ran, s.Declared = j.EndedAt.Sub(j.StartedAt), j.Spec.RunTime
 		}
 		c.estimates.Ended(usage.ShapeOf(j.Spec), s)
 	}
@@ -193,8 +197,9 @@
 	if !ok || svc.Doc.Jobs.OnDrain != document.LongJobsCheckpoint {
 		return
 	}
-	for id, vm := range st.PoolVMs(pool) {
-		if vm.Phase != record.PhaseDraining {
+	vms := st.PoolVMs(pool)
+	for _, id := range slices.Sorted(maps.Keys(vms)) {
+		if vms[id].Phase != record.PhaseDraining {
 			continue
 		}
 		for _, j := range Tasks(st, id) {
--- a/internal/jobrunner/keep.go
+++ b/internal/jobrunner/keep.go
@@ -14,9 +14,11 @@
 )
 
 // keep renews the leases of a worker's tasks in one call, and asks for their
-// status when one is due.
-func (c *Core) keep(st *ledger.State, id string, tasks []*task, lease time.Duration, now time.Time) {
-	var renew []string
+// status when one is due. The first keeper renews after a third of the lease,
+// the second after two thirds: when the first dies, its last renewal lasts
+// beyond the second's next one.
+func (c *Core) keep(st *ledger.State, id string, tasks []*task, rank int, lease time.Duration, now time.Time) {
+	var jobs, renew []string
 	var fence uint64
 	due, look := false, false
 	for _, t := range tasks {
@@ -24,6 +26,7 @@
 			continue
 		}
 		j := st.Jobs[t.job]
+		jobs = append(jobs, t.job)
 		look = look || c.looksDue(j, t, lease, now)
 		if !t.known || t.verified.Before(c.wakeAt) {
 			continue
@@ -33,13 +36,14 @@
 		if j.Preempt != nil {
 			fence = max(fence, j.Preempt.Fence)
 		}
-		due = due || now.Sub(t.renewedAt) >= lease/renewShare
+		due = due || now.Sub(t.renewedAt) >= lease*time.Duration(1+min(rank, keepers-1))/renewShare
 	}
 	if due && !now.Before(c.worker(id).renewAfter) && c.emit(Action{
 		Verb:   VerbRenew,
 		Lane:   LaneTasks,
 		Key:    "renew/" + id,
 		Worker: id,
+		Jobs:   jobs,
 		Tasks:  renew,
 		Lease:  lease,
 		Fence:  platform.Offset(fence),
@@ -47,7 +51,7 @@
 		return
 	}
 	if look && !c.busy["renew/"+id] {
-		c.emit(Action{Verb: VerbStatus, Lane: LaneTasks, Key: "status/" + id, Worker: id})
+		c.emit(Action{Verb: VerbStatus, Lane: LaneTasks, Key: "status/" + id, Worker: id, Jobs: jobs})
 	}
 }
 
@@ -66,7 +70,7 @@
 	case t.lookPause <= lease/renewShare:
 		return true
 	}
-	expected := j.StartedAt.Add(c.estimates.RunTime(t.shape))
+	expected := j.StartedAt.Add(c.runTime(j))
 	return t.lookedAt.Before(expected.Add(lookMargin)) && !now.Before(expected.Add(lookMargin))
 }
 
--- a/internal/jobrunner/result.go
+++ b/internal/jobrunner/result.go
@@ -144,6 +144,17 @@
 	}
 }
 
+// tasksOf returns the tasks on a worker that a renewal or status was for.
+func (c *Core) tasksOf(a Action) []*task {
+	var tasks []*task
+	for _, job := range a.Jobs {
+		if t, ok := c.tasks[job]; ok && t.worker == a.Worker {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
 // renewed takes the reply to a renewal. A task that the platform names as not
 // running has ended: its status is asked for.
 func (c *Core) renewed(r Result, now time.Time) {
@@ -155,10 +166,7 @@
 	if r.Err != nil && !missing {
 		return
 	}
-	for _, t := range c.tasks {
-		if t.worker != r.Action.Worker {
-			continue
-		}
+	for _, t := range c.tasksOf(r.Action) {
 		t.renewedAt = now
 		if missing {
 			t.lookedAt, t.lookPause = time.Time{}, firstLook
@@ -173,10 +181,7 @@
 	for _, s := range r.Statuses {
 		shown[s.ID] = s
 	}
-	for _, t := range c.tasks {
-		if t.worker != r.Action.Worker {
-			continue
-		}
+	for _, t := range c.tasksOf(r.Action) {
 		s, ok := shown[t.id]
 		switch {
 		case ok:
--- a/internal/jobrunner/task.go
+++ b/internal/jobrunner/task.go
@@ -1,6 +1,8 @@
 package jobrunner
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,7 +24,7 @@
 	firstLook = time.Second
 	// lookMargin is how long after the expected end a task is looked at.
 	lookMargin = 200 * time.Millisecond
-	// renewShare is the part of its lease after which a task is renewed.
+	// renewShare is the part of its lease after which a task is renewed first.
 	renewShare = 3
 	// maxRefusals bounds the refused starts of one job in a row, as when its
 	// checkpoint is lost.
@@ -99,19 +101,20 @@
 	svc := st.Services[pool]
 	lease := leaseOf(svc)
 	byWorker := map[string][]*task{}
+	var placed []*ledger.Job
 	for _, j := range st.PoolJobs(pool) {
-		if j.Status != ledger.JobPlaced {
-			continue
-		}
-		if rank >= keepers && !c.isOwn(j) {
-			continue
+		if j.Status == ledger.JobPlaced && (rank < keepers || c.isOwn(j)) {
+			placed = append(placed, j)
 		}
+	}
+	slices.SortFunc(placed, byID)
+	for _, j := range placed {
 		t := c.task(j, now)
 		c.attend(st, j, t, rank, lease, mayDecide, now)
 		byWorker[j.Worker] = append(byWorker[j.Worker], t)
 	}
-	for id, tasks := range byWorker {
-		c.keep(st, id, tasks, lease, now)
+	for _, id := range slices.Sorted(maps.Keys(byWorker)) {
+		c.keep(st, id, byWorker[id], rank, lease, now)
 	}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -138,19 +138,28 @@
 		okOn:     map[usage.Shape]map[string]bool{},
 		badOn:    map[usage.Shape]map[string]bool{},
 	}
-	for _, j := range st.PoolJobs(service) {
-		shape := usage.ShapeOf(j.Spec)
+	jobs := st.PoolJobs(service)
+	for _, j := range jobs {
 		for _, f := range j.Failures {
 			if now.Sub(f.Ended) <= Window {
+				shape := usage.ShapeOf(j.Spec)
 				h.failures[f.Worker] = append(h.failures[f.Worker], failure{job: j.ID, shape: shape, Failure: f})
 				note(h.badOn, shape, f.Worker)
 			}
 		}
-		if j.Succeeded() && now.Sub(j.EndedAt) <= Window {
+	}
+	if len(h.failures) == 0 {
+		return h
+	}
+	for _, j := range jobs {
+		if !j.Succeeded() || now.Sub(j.EndedAt) > Window {
+			continue
+		}
+		if shape := usage.ShapeOf(j.Spec); h.badOn[shape] != nil {
 			note(h.okOn, shape, j.Worker)
-			if j.EndedAt.After(h.lastOK[j.Worker]) {
-				h.lastOK[j.Worker] = j.EndedAt
-			}
+		}
+		if j.EndedAt.After(h.lastOK[j.Worker]) {
+			h.lastOK[j.Worker] = j.EndedAt
 		}
 	}
 	return h
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -30,14 +30,14 @@
 )
 
 // Shape names jobs that are expected to use alike: those of one team in one
-// pool that declare the same.
+// pool that declare the same size. Their run times may differ, as one program
+// takes inputs of all lengths.
 type Shape struct {
 	Service      string
 	Team         string
 	MilliCores   int
 	MemoryMB     int
 	Accelerators int
-	RunTime      time.Duration
 }
 
 // ShapeOf returns the shape of a job.
@@ -48,16 +48,16 @@
 		MilliCores:   spec.MilliCores,
 		MemoryMB:     spec.MemoryMB,
 		Accelerators: spec.Accelerators,
-		RunTime:      spec.RunTime,
 	}
 }
 
 // Sample is what one job used: the peaks that reports showed, 0 when none came,
-// and how long it ran.
+// and how long it ran of the run time that it declared, 0 when not known.
 type Sample struct {
 	MilliCores int
 	MemoryMB   int
 	Ran        time.Duration
+	Declared   time.Duration
 }
 
 // Estimator holds the estimates. It is not safe for concurrent use.
@@ -69,14 +69,15 @@
 type estimate struct {
 	milliCores quantity
 	memoryMB   quantity
-	runTime    time.Duration // 0: none seen
+	runTime    float64 // real run time by declared; 0: none seen
 	used       uint64
 }
 
 // quantity is the estimate of one resource.
 type quantity struct {
-	value float64
-	ended int
+	declared float64
+	value    float64
+	ended    int
 }
 
 // NewEstimator returns an Estimator that knows nothing.
@@ -95,18 +96,33 @@
 	est := e.of(shape)
 	est.milliCores.end(s.MilliCores)
 	est.memoryMB.end(s.MemoryMB)
-	if s.Ran <= 0 {
+	if s.Ran <= 0 || s.Declared <= 0 {
 		return
 	}
+	ratio := float64(s.Ran) / float64(s.Declared)
 	if est.runTime == 0 {
-		est.runTime = s.Ran
+		est.runTime = ratio
 		return
 	}
-	est.runTime += time.Duration(runTimeStep * float64(s.Ran-est.runTime))
+	est.runTime += runTimeStep * (ratio - est.runTime)
+}
+
+func newQuantity(declared int) quantity {
+	return quantity{declared: float64(declared), value: float64(declared)}
+}
+
+// target is what one job's peak asks to reserve. A peak within the declared size
+// confirms it: a margin on top would take room for nothing.
+func (q *quantity) target(seen int) float64 {
+	t := float64(seen) * (1 + margin)
+	if float64(seen) <= q.declared {
+		return min(t, q.declared)
+	}
+	return t
 }
 
 func (q *quantity) raise(seen int) {
-	q.value = max(q.value, float64(seen)*(1+margin))
+	q.value = max(q.value, q.target(seen))
 }
 
 func (q *quantity) end(seen int) {
@@ -114,7 +130,7 @@
 		return
 	}
 	q.ended++
-	target := float64(seen) * (1 + margin)
+	target := q.target(seen)
 	if target >= q.value {
 		q.value = target
 		return
@@ -137,11 +153,11 @@
 }
 
 // RunTime returns how long a job of the shape is expected to run.
-func (e *Estimator) RunTime(shape Shape) time.Duration {
+func (e *Estimator) RunTime(shape Shape, declared time.Duration) time.Duration {
 	if est, ok := e.shapes[shape]; ok && est.runTime > 0 {
-		return est.runTime
+		return time.Duration(est.runTime * float64(declared))
 	}
-	return shape.RunTime
+	return declared
 }
 
 func (e *Estimator) of(shape Shape) *estimate {
@@ -150,8 +166,8 @@
 	if !ok {
 		e.makeRoom()
 		est = &estimate{
-			milliCores: quantity{value: float64(shape.MilliCores)},
-			memoryMB:   quantity{value: float64(shape.MemoryMB)},
+			milliCores: newQuantity(shape.MilliCores),
+			memoryMB:   newQuantity(shape.MemoryMB),
 		}
 		e.shapes[shape] = est
 	}
