Spread the return of shed callers

All that a burst shed were told to come back after the same second. Long requests are told 5 s and more.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -34,8 +34,12 @@
 	// slowShare: an attempt that took this share of the route's deadline without
 	// an answer speaks against the backend server.
 	slowShare = 0.25
-	// retryShed is what a caller is told to wait after being shed.
-	retryShed = time.Second
+	// retryShed is the least that a caller is told to wait after being shed, and
+	// retryShedLong for a long request. retrySpread seconds are drawn on top: told
+	// the same time, all that were shed in a burst would return as one.
+	retryShed     = time.Second
+	retryShedLong = 5 * time.Second
+	retrySpread   = 3
 	// staleCheck is how often a held request looks for a current table.
 	staleCheck = 5 * time.Millisecond
 )
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -214,10 +214,18 @@
 		res.Reason = outcome.Reason(r.shed)
 		r.d.cfg.Observer.Shed(r.call.Service, r.call.Route.Class, r.shed)
 	}
-	res.RetryAfter = retryShed
+	res.RetryAfter = r.retryAfter()
 	return res
 }
 
+func (r *run) retryAfter() time.Duration {
+	least := retryShedLong
+	if r.quick() {
+		least = retryShed
+	}
+	return least + time.Duration(r.d.cfg.Rand.IntN(retrySpread))*time.Second
+}
+
 // noteDemand tells the queue and the pool whether a quick call got a slot.
 func (r *run) noteDemand() {
 	if !r.quick() {
