Give one pause, one look-up of heads and one reading of replies to all

Change: package wait; State.liveHead; the test uses steward.ResultOf; defaults stand in settings only. Behaviour is the same.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -11,6 +11,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/yuccadrift/yuccadrift/internal/supervise"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // headerSlack is what net/http itself takes beyond MaxHeader. Within it the
@@ -90,7 +91,7 @@
 	s.cfg.Readiness.Unready("callers", "the process is stopping")
 	s.cfg.Handler.Leave()
 	s.cfg.Logger.Info("stopping: unready, still taking requests", "notice", s.cfg.Notice)
-	wait(ctx, s.cfg.Notice)
+	wait.Sleep(ctx, s.cfg.Notice)
 	limit := s.cfg.Drain()
 	s.cfg.Logger.Info("stopping: finishing requests in flight", "in_flight", s.cfg.Handler.InFlight(), "limit", limit)
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -100,12 +101,3 @@
 		_ = s.http.Close()
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/follower/publish.go
+++ b/internal/follower/publish.go
@@ -9,6 +9,7 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // Pace of snapshots.
@@ -47,7 +48,7 @@
 		if err := p.round(ctx); err != nil && ctx.Err() == nil {
 			f.cfg.Logger.Debug("snapshot not published", "error", errors.Cause(err))
 		}
-		pause(ctx, lookPause)
+		wait.Sleep(ctx, lookPause)
 	}
 	return ctx.Err()
 }
@@ -58,7 +59,7 @@
 	if due, err := p.lookDue(ctx); !due || err != nil {
 		return err
 	}
-	pause(ctx, rand.N(publishSpread))
+	wait.Sleep(ctx, rand.N(publishSpread))
 	if due, err := p.lookDue(ctx); !due || err != nil {
 		return err
 	}
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // Limits of reads and pauses between attempts.
@@ -51,7 +52,7 @@
 		if ctx.Err() == nil {
 			f.failed(err)
 		}
-		pause(ctx, retry.NextBackOff())
+		wait.Sleep(ctx, retry.NextBackOff())
 	}
 	return ctx.Err()
 }
@@ -272,12 +273,3 @@
 	}
 	return platform.Offset(f.state.Offset)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/follower/witness.go
+++ b/internal/follower/witness.go
@@ -8,6 +8,7 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // witnessPause is the pause between looks at the fold's time.
@@ -19,7 +20,7 @@
 func (f *Follower) serveWitness(ctx context.Context) error {
 	told := uint64(0)
 	for ctx.Err() == nil {
-		pause(ctx, witnessPause)
+		wait.Sleep(ctx, witnessPause)
 		if jump := f.clockJump(time.Now()); jump > told && f.witness(ctx) {
 			told = jump
 		}
--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -115,8 +115,8 @@
 		return
 	}
 	h := Head{Revision: record.Revision(s.Offset), LastID: rec.ID}
-	if _, ok := s.head(rec.Subject); ok {
-		s.setHead(rec.Subject, h)
+	if live := s.liveHead(rec.Subject); live != nil {
+		*live = h
 		return
 	}
 	if no != allowed {
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -183,31 +183,39 @@
 // change the map.
 func (s *State) WorkerJobs(worker string) map[string]*Job { return s.workerJobs[worker] }
 
-// head returns the revision of a subject; ok is false when it does not exist.
-// A retired subject has ok false and its last head.
-func (s *State) head(sub record.Subject) (Head, bool) {
+// liveHead returns the head of a subject that exists, else nil.
+func (s *State) liveHead(sub record.Subject) *Head {
 	switch sub.Kind {
 	case record.SubjectService:
 		if v, ok := s.Services[sub.Name]; ok {
-			return v.Head, true
+			return &v.Head
 		}
 	case record.SubjectVM:
 		if v, ok := s.VMs[sub.Name]; ok {
-			return v.Head, true
+			return &v.Head
 		}
 	case record.SubjectWave:
 		if v, ok := s.Waves[sub.Name]; ok {
-			return v.Head, true
+			return &v.Head
 		}
 	case record.SubjectMember:
 		if v, ok := s.Members[sub.Name]; ok {
-			return v.Head, true
+			return &v.Head
 		}
 	case record.SubjectJob:
 		if v, ok := s.Jobs[sub.Name]; ok {
-			return v.Head, true
+			return &v.Head
 		}
 	}
+	return nil
+}
+
+// head returns the revision of a subject; ok is false when it does not exist.
+// A retired subject has ok false and its last head.
+func (s *State) head(sub record.Subject) (h Head, ok bool) {
+	if live := s.liveHead(sub); live != nil {
+		return *live, true
+	}
 	return s.Retired[sub], false
 }
 
@@ -220,31 +228,6 @@
 	return h.Revision
 }
 
-func (s *State) setHead(sub record.Subject, h Head) {
-	switch sub.Kind {
-	case record.SubjectService:
-		if v, ok := s.Services[sub.Name]; ok {
-			v.Head = h
-		}
-	case record.SubjectVM:
-		if v, ok := s.VMs[sub.Name]; ok {
-			v.Head = h
-		}
-	case record.SubjectWave:
-		if v, ok := s.Waves[sub.Name]; ok {
-			v.Head = h
-		}
-	case record.SubjectMember:
-		if v, ok := s.Members[sub.Name]; ok {
-			v.Head = h
-		}
-	case record.SubjectJob:
-		if v, ok := s.Jobs[sub.Name]; ok {
-			v.Head = h
-		}
-	}
-}
-
 // retire remembers a removed subject for RetiredSpan offsets.
 func (s *State) retire(sub record.Subject, h Head) {
 	s.Retired[sub] = h
--- a/internal/maintenance/world_test.go
+++ b/internal/maintenance/world_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -15,6 +14,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/pool"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/steward"
 )
 
 var pools = []string{"alpha", "beta"}
@@ -197,21 +197,7 @@
 		require.Equal(w.t, record.PhaseRebooting, now.Phase, "VM %s was rebooted", vm.ID)
 		require.Equal(w.t, vm.Drain.ID, now.Drain.ID, "VM %s was rebooted", vm.ID)
 	}
-	return result(status, err)
-}
-
-func result(status platform.OperationStatus, err error) maintenance.Result {
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		return maintenance.ResultNotFound
-	case err != nil:
-		return maintenance.ResultUnknown
-	case status == platform.OperationDone:
-		return maintenance.ResultDone
-	case status == platform.OperationFailed:
-		return maintenance.ResultFailed
-	}
-	return maintenance.ResultRunning
+	return steward.ResultOf(status, err)
 }
 
 // watch turns what VMs answer into evidence, decided on the node's view.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -18,6 +18,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // Log is what the duty needs of the process's follower.
@@ -107,7 +108,7 @@
 // Serve joins, keeps the membership, and joins anew after a removal, until ctx
 // ends.
 func (d *Duty) Serve(ctx context.Context) error {
-	wait := rejoinMin
+	rejoin := rejoinMin
 	changed := d.cfg.Log.Changed()
 	d.ready("joining the entry VMs")
 	grace := time.AfterFunc(joinGrace, func() { d.ready("") })
@@ -133,12 +134,12 @@
 		if over == leftInOrder {
 			continue
 		}
-		d.cfg.Logger.Warn("removed from the entry VMs", "member", s.name, "joining_again_in", wait)
+		d.cfg.Logger.Warn("removed from the entry VMs", "member", s.name, "joining_again_in", rejoin)
 		if time.Since(began) > rejoinMax {
-			wait = rejoinMin
+			rejoin = rejoinMin
 		}
-		d.rest(ctx, wait)
-		wait = min(2*wait, rejoinMax)
+		wait.SleepUntil(ctx, rejoin, d.leave)
+		rejoin = min(2*rejoin, rejoinMax)
 	}
 }
 
@@ -153,26 +154,6 @@
 	}
 }
 
-// rest pauses, and ends early when the process leaves.
-func (d *Duty) rest(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-d.leave:
-	case <-ctx.Done():
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (d *Duty) isLeaving() bool {
 	select {
 	case <-d.leave:
@@ -244,7 +225,7 @@
 		}
 		if out.Status != ledger.Effective {
 			d.cfg.Logger.Warn("join is void", "status", out.Status, "reason", out.Reason)
-			d.rest(ctx, rejoinMin)
+			wait.SleepUntil(ctx, rejoinMin, d.leave)
 			continue
 		}
 		if s := d.begin(name, out.Offset); s != nil {
--- a/internal/membership/session.go
+++ b/internal/membership/session.go
@@ -10,6 +10,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // ending is how a membership ended.
@@ -289,7 +290,7 @@
 		if err != nil {
 			s.duty.cfg.Logger.Debug("pull failed", "from", debt.Source, "error", err)
 		}
-		pause(ctx, pullPause)
+		wait.Sleep(ctx, pullPause)
 	}
 }
 
--- a/internal/operatorcmd/inforce.go
+++ b/internal/operatorcmd/inforce.go
@@ -8,6 +8,7 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/operator"
 	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // nodeInForce is how long after the append a node had a document in force.
@@ -69,7 +70,7 @@
 			return r
 		}
 		if err != nil {
-			pause(ctx, nodeRetryPause)
+			wait.Sleep(ctx, nodeRetryPause)
 		}
 	}
 }
--- a/internal/operatorcmd/nodes.go
+++ b/internal/operatorcmd/nodes.go
@@ -63,12 +63,3 @@
 	r.Status = &st
 	return r
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/operatorcmd/wave.go
+++ b/internal/operatorcmd/wave.go
@@ -12,6 +12,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/maintenance"
 	"github.com/yuccadrift/yuccadrift/internal/pool"
 	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // Flags of wave.
@@ -157,7 +158,7 @@
 		if over {
 			return nil
 		}
-		pause(ctx, wavePoll)
+		wait.Sleep(ctx, wavePoll)
 	}
 	return failf(ExitUnknown, "wave %s is not over after %s", name, s.timeout)
 }
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // Group is a set of alike VMs. They go over the zones in turn and fill racks
@@ -224,7 +225,7 @@
 		return errors.Wrap(platform.ErrUnavailable, "the platform refuses")
 	}
 	if f, ok := p.takeFault(APISlow, subjects...); ok {
-		if err := pause(ctx, f.Delay()); err != nil {
+		if err := wait.Sleep(ctx, f.Delay()); err != nil {
 			return errors.Wrap(platform.ErrUnknownOutcome, err.Error())
 		}
 	}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // logState is the log service.
@@ -165,7 +166,7 @@
 		return errors.Wrap(platform.ErrUnavailable, "the log refuses")
 	}
 	if f, ok := p.takeFault(LogSlow, name, verb); ok {
-		if err := pause(ctx, f.Delay()); err != nil {
+		if err := wait.Sleep(ctx, f.Delay()); err != nil {
 			return errors.Wrap(platform.ErrUnknownOutcome, err.Error())
 		}
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -9,7 +9,6 @@
 package standin
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -129,21 +128,6 @@
 	}
 }
 
-// pause waits for d or until ctx ends, whichever comes first.
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // newLimiter returns the append ceiling. Its burst is a quarter second's worth,
 // so the ceiling also holds over a single second within a quarter.
 func newLimiter(perSecond int) *rate.Limiter {
--- a/internal/steward/lister.go
+++ b/internal/steward/lister.go
@@ -9,6 +9,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/platform"
 	"github.com/yuccadrift/yuccadrift/internal/pool"
 	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // goneAfter is for how many list intervals lists must lack a VM before it
@@ -35,7 +36,7 @@
 func (l *lister) serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		l.poll(ctx)
-		pause(ctx, l.shares.turn(time.Now(), l.cfg.ListInterval), nil)
+		wait.Sleep(ctx, l.shares.turn(time.Now(), l.cfg.ListInterval))
 	}
 	return ctx.Err()
 }
--- a/internal/steward/planner.go
+++ b/internal/steward/planner.go
@@ -8,6 +8,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/maintenance"
 	"github.com/yuccadrift/yuccadrift/internal/pool"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // planner runs the planning rounds.
@@ -35,23 +36,12 @@
 	for ctx.Err() == nil {
 		took := p.round(ctx)
 		least := max(minRoundPause, pausePerRound*took)
-		pause(ctx, least, nil)
-		pause(ctx, p.cfg.PlanInterval-least, p.changed)
+		wait.Sleep(ctx, least)
+		wait.SleepUntil(ctx, p.cfg.PlanInterval-least, p.changed)
 	}
 	return ctx.Err()
 }
 
-// pause waits for d, or until ctx ends or a value comes.
-func pause(ctx context.Context, d time.Duration, until <-chan struct{}) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-until:
-	}
-}
-
 // round plans once and appends what falls to this steward. It returns how long
 // planning took.
 func (p *planner) round(ctx context.Context) time.Duration {
--- a/internal/steward/step.go
+++ b/internal/steward/step.go
@@ -96,15 +96,15 @@
 	if err != nil {
 		e.cfg.Logger.Debug("action not confirmed", "vm", vm.ID, "action", a.Verb, "error", err)
 	}
-	result := resultOf(status, err)
+	result := ResultOf(status, err)
 	e.metrics.acted(a.Verb, result)
 	return result
 }
 
-// resultOf tells what a reply proves. After any error the action is sent again
+// ResultOf tells what a reply proves. After any error the action is sent again
 // under the same operation ID at the next look: a lost reply is unknown, never
 // failed.
-func resultOf(status platform.OperationStatus, err error) maintenance.Result {
+func ResultOf(status platform.OperationStatus, err error) maintenance.Result {
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
 		return maintenance.ResultNotFound
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -14,10 +14,12 @@
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
 	"github.com/yuccadrift/yuccadrift/internal/pool"
+	"github.com/yuccadrift/yuccadrift/internal/settings"
 	"github.com/yuccadrift/yuccadrift/internal/supervise"
 )
 
-// Config is what a Steward needs. Zero durations take the defaults.
+// Config is what a Steward needs. Zero durations and counts take the defaults of
+// the settings.
 type Config struct {
 	Node     string
 	Follower *follower.Follower
@@ -40,13 +42,9 @@
 	ActionTimeout time.Duration
 }
 
-// Defaults of Config.
 const (
-	DefaultPlanInterval  = time.Second
-	DefaultListInterval  = 2 * time.Second
-	DefaultCheckInterval = time.Second
-	DefaultMaxActions    = 16
-	DefaultActionTimeout = 5 * time.Second
+	// defaultCheckInterval is the pause between rounds of health checks.
+	defaultCheckInterval = time.Second
 	// freshWithin is how old the latest read of the log's end may be for a
 	// disruptive decision. A steward that is cut off from the log decides
 	// nothing: its picture may be hours old.
@@ -79,15 +77,15 @@
 			*d = value
 		}
 	}
-	orDefault(&cfg.PlanInterval, DefaultPlanInterval)
-	orDefault(&cfg.ListInterval, DefaultListInterval)
-	orDefault(&cfg.CheckInterval, DefaultCheckInterval)
-	orDefault(&cfg.ActionTimeout, DefaultActionTimeout)
+	orDefault(&cfg.PlanInterval, settings.DefaultPlanningInterval)
+	orDefault(&cfg.ListInterval, settings.DefaultListInterval)
+	orDefault(&cfg.CheckInterval, defaultCheckInterval)
+	orDefault(&cfg.ActionTimeout, settings.DefaultActionTimeout)
 	if cfg.Peers == nil {
 		cfg.Peers = NoPeers{}
 	}
 	if cfg.MaxActions <= 0 {
-		cfg.MaxActions = DefaultMaxActions
+		cfg.MaxActions = settings.DefaultMaxActions
 	}
 	if cfg.Policy.MaxProposals == 0 {
 		cfg.Policy = pool.DefaultPolicy()
--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -9,6 +9,7 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // Limits of a recording.
@@ -72,7 +73,7 @@
 				return err
 			}
 		}
-		pause(ctx, pollPause)
+		wait.Sleep(ctx, pollPause)
 	}
 	return nil
 }
@@ -149,12 +150,3 @@
 	end := End{Offset: r.state.Offset, Statuses: r.counts, Facts: FactsOf(r.state)}
 	return end, r.writer.Close(end)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
