Use the shared pause in the follower's relay as well

Cause: the relay landed with a call of the follower's own pause, which is gone. Change: it calls wait.Sleep. Behaviour is the same. Result: tests of follower and archtest pass.

--- a/internal/follower/relay.go
+++ b/internal/follower/relay.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 // Bounds of following the log through peers.
@@ -86,7 +87,7 @@
 		if f.silent(began) {
 			f.relay(ctx)
 		}
-		pause(ctx, relayPause)
+		wait.Sleep(ctx, relayPause)
 	}
 	return ctx.Err()
 }
