--- a/internal/proof/request_test.go
+++ b/internal/proof/request_test.go
@@ -136,3 +136,41 @@
 		})
 	}
 }
+
+// Callers keep both entry VMs busy while a backend server is drained. From 3 s
+// after the effective drain on it gets no request from either; those in flight,
+// a long one among them, end with their whole answers before it is released.
+func TestDrainedBackendGetsNoNewWorkFromAnyEntry(t *testing.T) {
+	const vms = 3
+	const bound = 3 * time.Second
+	c := pool(t, vms, testkit.Options{Nodes: []string{"a", "b"}})
+	held := together(c.Nodes[0], 1, func() testkit.Request {
+		return testkit.Request{Path: "/booking/lookup", Work: 2 * time.Second, ReplyBytes: 100_000}
+	})
+	drained := ""
+	c.Until("the long request runs", func() bool {
+		for vm, n := range c.Standin.Counters().Backends.VMs {
+			if n.Runs > 0 {
+				drained = vm
+			}
+		}
+		return drained != ""
+	})
+	stop := stream(c, 8, func(int, int) testkit.Request {
+		return testkit.Request{Path: "/booking/lookup", Work: 10 * time.Millisecond, ReplyBytes: 1000}
+	})
+	c.Until("others run", func() bool { return c.Standin.Counters().Backends.Runs > 100 })
+
+	c.Must("drain", drained) // returns once the drain is effective
+	effective := time.Now()
+	c.Until("its requests have ended", func() bool {
+		return c.Standin.State().VMs[drained].Phase != record.PhaseDraining
+	})
+	last := c.Standin.Counters().Backends.VMs[drained].LastSeen
+	for _, a := range append(stop(), <-held) {
+		assert.True(t, a.OK(), "%+v", a)
+		assert.Empty(t, a.Problem())
+	}
+	assert.Less(t, last.Sub(effective), bound)
+	t.Logf("last request %s after the drain", last.Sub(effective))
+}
