Measure the request path with the tool

Cause: two benchmarks of internal/entry compared designs with their baselines, and their rig of entries in one process was two thirds of the package's test scaffolding.

Change: internal/bench/requests holds the rig, and the tool's commands overload and path; the tests of internal/entry use that rig. All their cases and checks stand as they were. The structure test's list of packages that open connections names the new package.

--- a/cmd/yuccadrift-bench/main.go
+++ b/cmd/yuccadrift-bench/main.go
@@ -12,6 +12,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/bench/claims"
 	"github.com/yuccadrift/yuccadrift/internal/bench/deployment"
 	"github.com/yuccadrift/yuccadrift/internal/bench/figure"
+	"github.com/yuccadrift/yuccadrift/internal/bench/requests"
 	"github.com/yuccadrift/yuccadrift/internal/bench/waves"
 )
 
@@ -29,7 +30,8 @@
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "seeds", Usage: "runs of each policy, by seeds from 0", Value: 7},
 			&cli.StringFlag{Name: "output", Usage: "table, json or csv", Value: string(figure.FormatTable)},
-			&cli.IntFlag{Name: "requests", Usage: "requests of a run of claims", Value: 4000},
+			&cli.IntFlag{Name: "requests", Usage: "requests of a run of claims or path", Value: 4000},
+			&cli.FloatSliceFlag{Name: "load", Usage: "multiples of the load that fills all slots, for overload (repeatable)", Value: []float64{0.5, 1, 2, 5}},
 			&cli.StringFlag{Name: "examples", Usage: "`DIRECTORY` of the example deployments", Value: "examples"},
 		},
 		Commands: []*cli.Command{
@@ -38,6 +40,8 @@
 			measurement("moves", "patience with changing documents against none", overDeployments(waves.Patience)),
 			measurement("turns", "the order of a wave's turns where reboot places are few", flowShop),
 			measurement("claims", "claims on request keys: owners in memory against the log", claimWays),
+			measurement("overload", "backend servers' slots: two choices against fixed parts, at several loads", overload),
+			measurement("path", "a call through an entry against a direct one", path),
 		},
 	}
 }
@@ -69,3 +73,11 @@
 func claimWays(ctx context.Context, cmd *cli.Command) ([]figure.Table, error) {
 	return claims.Ways(ctx, cmd.Int("seeds"), cmd.Int("requests"))
 }
+
+func overload(ctx context.Context, cmd *cli.Command) ([]figure.Table, error) {
+	return requests.Overload(ctx, cmd.FloatSlice("load"), cmd.Int("seeds"))
+}
+
+func path(ctx context.Context, cmd *cli.Command) ([]figure.Table, error) {
+	return requests.Path(ctx, cmd.Int("seeds"), cmd.Int("requests"))
+}
--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -38,7 +38,7 @@
 // system talks to, what binds their listeners, and what only tests and
 // development use.
 var peers = []string{
-	"caller", "backend", "platform", "operator", "entrypeer", "stewardpeer", "peerserver", "admin", "listen", "standin", "testkit", "load", "bench/claims",
+	"caller", "backend", "platform", "operator", "entrypeer", "stewardpeer", "peerserver", "admin", "listen", "standin", "testkit", "load", "bench/claims", "bench/requests",
 }
 
 // forbidden imports of product files, with the reason.
--- /dev/null
+++ b/internal/bench/requests/overload.go
@@ -0,0 +1,138 @@
+package requests
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/bench/figure"
+	"github.com/yuccadrift/yuccadrift/internal/load"
+	"github.com/yuccadrift/yuccadrift/internal/routing"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+// Sizes of the overload measurement: 8 entry VMs before 8 backend servers of 8
+// slots. At load 1 the requests ask for all slots, quick ones for 70 % of them.
+const (
+	overloadEntries  = 8
+	overloadBackends = 8
+	overloadSlots    = 8 * overloadBackends
+	overloadInFlight = 3000
+	quickShare       = 0.7
+	quickWork        = 50 * time.Millisecond
+	longWork         = 2 * time.Second
+	overloadReply    = 500 // bytes
+	overloadTime     = 6 * time.Second
+	overloadWarm     = 2 * time.Second
+	// slowFactor is how much longer the slow backend server takes.
+	slowFactor = 5
+)
+
+// sharings of the backend servers' slots; fixed parts are the plain way.
+var sharings = []struct {
+	name string
+	way  routing.Sharing
+}{{"fixed (plain)", routing.SharingFixed}, {"choices", routing.SharingChoices}}
+
+// overload is one case of the measurement.
+type overload struct {
+	sharing  routing.Sharing
+	multiple float64 // of the load that asks for all slots
+	faulty   bool
+}
+
+// Overload measures goodput and latency of quick requests beside long ones, for
+// each way to share slots, with healthy backend servers and with one slow by 5
+// and one that fails at once.
+func Overload(ctx context.Context, loads []float64, seeds int) ([]figure.Table, error) {
+	var tables []figure.Table
+	for _, faulty := range []bool{false, true} {
+		table := figure.Table{
+			Title:  map[bool]string{false: "all backend servers healthy", true: "one backend server slow by 5, one that fails at once"}[faulty],
+			Labels: []string{"load", "sharing"},
+			Quantities: []string{
+				"quick answered, a second", "of quick sent %", "errors %", "quick p50 ms", "quick p99 ms", "not-run p99 ms",
+				"long answered, a second", "refusals by backend servers", "connections they refused",
+			},
+		}
+		for _, multiple := range loads {
+			for _, sharing := range sharings {
+				o := overload{sharing.way, multiple, faulty}
+				samples, err := figure.Collect(seeds, func(seed uint64) ([]float64, error) { return o.run(ctx, seed+1) })
+				if err != nil {
+					return nil, err
+				}
+				table.Add(samples, fmt.Sprint(multiple), sharing.name)
+			}
+		}
+		tables = append(tables, table)
+	}
+	return tables, nil
+}
+
+// run is one run. It fails where a caller got a wrong answer.
+func (o overload) run(ctx context.Context, seed uint64) ([]float64, error) {
+	r, err := Open(ctx, Options{
+		Zones: []string{"a", "b"}, Backends: overloadBackends, Entries: overloadEntries,
+		Sharing: o.sharing, Claims: LocalClaims(), Logger: hclog.NewNullLogger(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	if o.faulty {
+		if err := r.breakTwo(ctx); err != nil {
+			return nil, err
+		}
+	}
+	report, err := load.Run(ctx, o.plan(r, seed))
+	if err != nil {
+		return nil, err
+	}
+	if wrong := report.Wrong(); wrong > 0 {
+		return nil, errors.Errorf("%d wrong answers", wrong)
+	}
+	return figures(report, r.Server.Counters(false).Backends), nil
+}
+
+func (o overload) plan(r *Rig, seed uint64) load.Plan {
+	plan := load.Plan{Duration: overloadTime, Warm: overloadWarm, InFlight: overloadInFlight, Seed: seed}
+	for _, e := range r.Entries {
+		plan.Targets = append(plan.Targets, e.Target)
+	}
+	rate := func(share float64, work time.Duration) float64 {
+		return o.multiple * share * overloadSlots / work.Seconds()
+	}
+	plan.Routes = []load.Route{
+		{Name: "quick", Path: "/booking/lookup", Rate: rate(quickShare, quickWork), Work: quickWork, ReplyBytes: overloadReply},
+		{Name: "long", Path: "/booking/audit", Rate: rate(1-quickShare, longWork), Work: longWork, ReplyBytes: overloadReply},
+	}
+	return plan
+}
+
+// breakTwo slows one backend server and has another fail at once.
+func (r *Rig) breakTwo(ctx context.Context) error {
+	list, err := r.Platform.List(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = r.Platform.Order(
+		standin.Fault{Kind: standin.BackendSlow, Target: list.VMs[0].ID, Factor: slowFactor},
+		standin.Fault{Kind: standin.BackendError, Target: list.VMs[1].ID},
+	)
+	return err
+}
+
+func figures(report load.Report, backends standin.BackendCounters) []float64 {
+	quick, long := report.Route("quick"), report.Route("long")
+	percent := func(n int) float64 { return 100 * float64(n) / float64(max(1, quick.Sent)) }
+	ms := func(d time.Duration) float64 { return d.Seconds() * 1000 }
+	return []float64{
+		quick.GoodPerSecond, percent(quick.Good), percent(quick.Failed + quick.Unknown + quick.Broken),
+		ms(quick.P50), ms(quick.P99), ms(quick.P99NotRun),
+		long.GoodPerSecond, float64(backends.Refused), float64(backends.RefusedConnections),
+	}
+}
--- /dev/null
+++ b/internal/bench/requests/path.go
@@ -0,0 +1,157 @@
+package requests
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/bench/figure"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+const (
+	pathReply = 1000 // bytes
+	// pathMax is the longest call that the histogram tells apart.
+	pathMax = time.Minute
+	// pathDigits is the histogram's precision.
+	pathDigits = 3
+)
+
+// Path compares a call of a backend server with the same call through an entry,
+// in one process: latency one call at a time, and throughput with 12 at once.
+// Processor time and allocations are per call over the whole process, client and
+// backend server included; the entry's own are the difference to direct.
+func Path(ctx context.Context, runs, requests int) ([]figure.Table, error) {
+	r, err := Open(ctx, Options{
+		Zones: []string{"a", "b", "c"}, Backends: 3, Entries: 1, Claims: LocalClaims(), Logger: hclog.NewNullLogger(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer r.Close()
+	list, err := r.Platform.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var direct []string
+	for _, vm := range list.VMs {
+		direct = append(direct, "http://"+vm.Address+"/lookup")
+	}
+	through := []string{"http://" + r.Entries[0].Target + "/booking/lookup"}
+	table := figure.Table{
+		Title:      "a call through an entry and directly (plain)",
+		Labels:     []string{"at once", "way"},
+		Quantities: []string{"p50 us", "p99 us", "calls a second", "processor us a call", "allocations a call"},
+	}
+	for _, callers := range []int{1, 12} {
+		for _, way := range []struct {
+			name string
+			urls []string
+		}{{"direct", direct}, {"through", through}} {
+			samples, err := figure.Collect(runs, func(uint64) ([]float64, error) {
+				return path{way.urls, callers, requests}.run(ctx)
+			})
+			if err != nil {
+				return nil, err
+			}
+			table.Add(samples, strconv.Itoa(callers), way.name)
+		}
+	}
+	return []figure.Table{table}, nil
+}
+
+// path is so many requests to URLs in turn, by callers at once.
+type path struct {
+	urls     []string
+	callers  int
+	requests int
+}
+
+func (p path) run(ctx context.Context) ([]float64, error) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: p.callers, DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	cpu, began := processorTime(), time.Now()
+	took, err := p.callAll(ctx, client)
+	if err != nil {
+		return nil, err
+	}
+	seconds := time.Since(began).Seconds()
+	cpu = processorTime() - cpu
+	runtime.ReadMemStats(&after)
+	n := float64(p.requests)
+	return []float64{
+		float64(took.ValueAtQuantile(50)), float64(took.ValueAtQuantile(99)), n / seconds,
+		float64(cpu.Microseconds()) / n, float64(after.Mallocs-before.Mallocs) / n,
+	}, nil
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, pathMax.Microseconds(), pathDigits)
+}
+
+// callAll returns how long the calls took, in microseconds.
+func (p path) callAll(ctx context.Context, client *http.Client) (*hdrhistogram.Histogram, error) {
+	var left atomic.Int64
+	left.Store(int64(p.requests))
+	took := newHistogram()
+	var failed error
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := range p.callers {
+		wg.Go(func() {
+			own := newHistogram()
+			var err error
+			for err == nil && left.Add(-1) >= 0 {
+				began := time.Now()
+				err = call(ctx, client, p.urls[i%len(p.urls)])
+				_ = own.RecordValue(max(1, time.Since(began).Microseconds()))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			took.Merge(own)
+			if err != nil {
+				failed = err
+			}
+		})
+	}
+	wg.Wait()
+	return took, failed
+}
+
+// call makes one call and fails unless its answer is whole.
+func call(ctx context.Context, client *http.Client, url string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set(standin.HeaderReplyBytes, strconv.Itoa(pathReply))
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	n, err := io.Copy(io.Discard, res.Body)
+	if err == nil && n != pathReply {
+		err = errors.Errorf("answer of %d bytes, expected %d", n, pathReply)
+	}
+	return err
+}
+
+// processorTime is the processor time that this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -22,7 +22,7 @@
 // published document and the VMs that joined its pool, and the whole answer
 // comes back with its outcome.
 func TestLookupReachesBackendOfPool(t *testing.T) {
-	r := newRig(t, localClaims())
+	r := newRig(t)
 	got := r.send(http.MethodGet, "/booking/lookup/7?x=1", http.Header{standin.HeaderEcho: {"tok"}}, nil)
 	assert.NoError(t, got.err)
 	assert.Equal(t, http.StatusOK, got.status, got.body)
@@ -34,7 +34,7 @@
 // A request that is wrong in itself gets a 4xx, "not-run", a reason and one line
 // that helps, and no backend server hears of it.
 func TestWrongRequestsAreRefusedWithALineThatHelps(t *testing.T) {
-	r := newRig(t, localClaims())
+	r := newRig(t)
 	key := http.Header{outcome.HeaderKey: {ulid.Make().String()}}
 	with := func(name, value string) http.Header {
 		h := key.Clone()
@@ -81,7 +81,7 @@
 // A retry is refused for what its first attempt did not have. "Not run" would
 // make the caller book anew under another key, though the first attempt ran.
 func TestRefusedRetryIsNotToldThatTheBookingDidNotRun(t *testing.T) {
-	r := newRig(t, localClaims())
+	r := newRig(t)
 	header := http.Header{outcome.HeaderKey: {ulid.Make().String()}}
 	first := r.send(http.MethodPost, "/booking/reservations", header, nil)
 	require.Equal(t, http.StatusOK, first.status, first.body)
@@ -110,10 +110,10 @@
 		{standin.CutMidAnswer, outcome.Unknown, outcome.Unknown, 1},
 		{standin.BackendError, outcome.Ran, outcome.Ran, 0},
 	}
-	r := newRig(t, localClaims())
+	r := newRig(t)
 	for _, c := range cases {
 		t.Run(string(c.fault), func(t *testing.T) {
-			defer r.fake.ClearAll()
+			defer r.Platform.ClearAll()
 			key := ulid.Make().String()
 			header := http.Header{outcome.HeaderKey: {key}}
 			r.order(standin.Fault{Kind: c.fault, Count: 1})
@@ -131,7 +131,7 @@
 // first answer again and runs nothing; another request under the same key is
 // refused.
 func TestRetryOfBookingGetsTheFirstAnswer(t *testing.T) {
-	r := newRig(t, localClaims())
+	r := newRig(t)
 	header := http.Header{outcome.HeaderKey: {ulid.Make().String()}}
 	first := r.send(http.MethodPost, "/booking/reservations", header, strings.NewReader("chair 7"))
 	again := r.send(http.MethodPost, "/booking/reservations", header, strings.NewReader("chair 7"))
@@ -148,7 +148,7 @@
 func TestLookupIsTriedAtAnotherBackend(t *testing.T) {
 	for _, fault := range []standin.FaultKind{standin.CutBeforeRead, standin.CutAfterRun, standin.CutMidAnswer, standin.BackendError} {
 		t.Run(string(fault), func(t *testing.T) {
-			r := newRig(t, localClaims())
+			r := newRig(t)
 			r.order(standin.Fault{Kind: fault, Count: 1})
 			got := r.send(http.MethodGet, "/booking/lookup", http.Header{standin.HeaderReplyBytes: {"1000"}}, nil)
 			require.NoError(t, got.err)
@@ -162,7 +162,7 @@
 // A long answer that breaks off at the backend server must not look whole: the
 // caller's client sees its connection break.
 func TestCutLongAnswerBreaksTheCallersConnection(t *testing.T) {
-	r := newRig(t, localClaims())
+	r := newRig(t)
 	const size = 300_000
 	header := http.Header{standin.HeaderReplyBytes: {strconv.Itoa(size)}}
 	whole := r.send(http.MethodGet, "/booking/lookup", header.Clone(), nil)
@@ -177,8 +177,8 @@
 // health checks. Before a booking is lost on it, this process's own checks take
 // it out; a check that succeeds takes it back.
 func TestHungBackendIsTakenOutByHealthChecks(t *testing.T) {
-	r := newRig(t, localClaims())
-	list, err := r.fake.List(t.Context())
+	r := newRig(t)
+	list, err := r.Platform.List(t.Context())
 	require.NoError(t, err)
 	hung := list.VMs[0].ID
 	used := func() bool {
@@ -194,14 +194,14 @@
 		}
 		return true
 	})
-	r.fake.ClearAll()
+	r.Platform.ClearAll()
 	r.until(used)
 }
 
 // The caller hangs up while its booking runs. The run goes on to its end and is
 // recorded, so that the caller's retry gets the answer in place of "unknown".
 func TestCallerLeavesWhileItsBookingRuns(t *testing.T) {
-	r := newRig(t, localClaims())
+	r := newRig(t)
 	key := ulid.Make().String()
 	header := http.Header{outcome.HeaderKey: {key}, standin.HeaderWorkMS: {"200"}}
 	ctx, hangUp := context.WithCancel(t.Context())
@@ -220,9 +220,9 @@
 // slot, a connection and memory. Both are cut off after the stall timeout; the
 // one whose body is missing is told that nothing ran.
 func TestStalledCallersAreCutOff(t *testing.T) {
-	r := newRig(t, localClaims())
+	r := newRig(t)
 	dial := func(text string) net.Conn {
-		conn, err := net.Dial("tcp", r.targets[0])
+		conn, err := net.Dial("tcp", r.entry.Target)
 		require.NoError(t, err)
 		t.Cleanup(func() { conn.Close() })
 		_, err = io.WriteString(conn, text)
--- a/internal/entry/leave_test.go
+++ b/internal/entry/leave_test.go
@@ -42,7 +42,7 @@
 }
 
 func (r *rig) leftByBalancer() bool {
-	if len(r.ready.Reasons()) == 0 {
+	if len(r.entry.Ready.Reasons()) == 0 {
 		return false
 	}
 	at := r.unready.Load()
@@ -74,28 +74,28 @@
 // the balancer sends meanwhile, finishes those in flight, long ones included,
 // and ends. No caller sees a refused or broken connection.
 func TestStopUnderLoadCutsNoRequest(t *testing.T) {
-	r := newRig(t, localClaims())
+	r := newRig(t)
 	quick := r.callers(8, "/booking/lookup", http.Header{standin.HeaderWorkMS: {"2"}})
 	long := r.callers(2, "/booking/audit", http.Header{standin.HeaderWorkMS: {"900"}})
 	r.until(func() bool { return quick.count() > 50 })
-	r.stop()
-	r.until(func() bool { return len(r.ready.Reasons()) > 0 })
+	r.entry.Stop()
+	r.until(func() bool { return len(r.entry.Ready.Reasons()) > 0 })
 	before := quick.count()
 	quick.whole(t)
 	long.whole(t)
 	assert.Greater(t, quick.count(), before, "the balancer needs time to look elsewhere")
 	assert.NotZero(t, long.count())
-	<-r.ended
-	assert.NoError(t, r.err)
+	<-r.entry.Ended
+	assert.NoError(t, r.entry.Err)
 }
 
 // A drain takes effect while a request is in flight at the VM and others follow.
 // Once the drain is folded the VM gets no new request, the one in flight gets
 // its whole answer, and it is counted until then.
 func TestDrainedBackendGetsNoNewWorkAndFinishesItsOwn(t *testing.T) {
-	r := newRig(t, localClaims())
+	r := newRig(t)
 	busy := func() string {
-		for vm, c := range r.server.Counters(false).Backends.VMs {
+		for vm, c := range r.Server.Counters(false).Backends.VMs {
 			if c.Runs > 0 {
 				return vm
 			}
@@ -109,7 +109,7 @@
 	r.until(func() bool { return busy() != "" })
 	vm := busy()
 	r.propose(record.SubjectVM, vm, record.VMDrain{Reason: record.DrainOperator, Estimate: time.Minute})
-	r.until(func() bool { return r.entry.Offset() == r.offset() })
+	r.until(func() bool { return r.entry.Offset() == r.Offset() })
 	_, inFlight := r.entry.InFlights()
 	assert.Equal(t, 1, inFlight[vm])
 	for range 50 {
@@ -119,7 +119,7 @@
 	got := <-held
 	assert.NoError(t, got.err)
 	assert.Equal(t, http.StatusOK, got.status)
-	assert.Equal(t, 1, r.server.Counters(false).Backends.VMs[vm].Seen)
+	assert.Equal(t, 1, r.Server.Counters(false).Backends.VMs[vm].Seen)
 	_, inFlight = r.entry.InFlights()
 	assert.Zero(t, inFlight[vm])
 }
@@ -127,7 +127,7 @@
 // A burst fills every slot: what does not fit is told "not-run" with Retry-After
 // at once instead of being parked, and truly did not run.
 func TestSurplusIsShedAtOnceAndDidNotRun(t *testing.T) {
-	r := newRig(t, localClaims())
+	r := newRig(t)
 	const slots, surplus = 3 * 8, 10
 	gate := standin.Fault{Kind: standin.BackendFreeze}
 	r.order(gate)
@@ -141,10 +141,10 @@
 		assert.Equal(t, string(outcome.NotRun), got.header.Get(outcome.HeaderOutcome))
 		assert.NotEmpty(t, got.header.Get("Retry-After"))
 	}
-	r.fake.ClearAll()
+	r.Platform.ClearAll()
 	for range slots {
 		got := <-answers
 		assert.Equal(t, http.StatusOK, got.status, got.body)
 	}
-	assert.Equal(t, slots, r.server.Counters(false).Backends.Runs)
+	assert.Equal(t, slots, r.Server.Counters(false).Backends.Runs)
 }
--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/bench/requests"
 	"github.com/yuccadrift/yuccadrift/internal/caller"
 	"github.com/yuccadrift/yuccadrift/internal/outcome"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
@@ -47,22 +48,22 @@
 	var data [][]byte
 	for i := range entries {
 		rec := record.Record{ID: ulid.Make().String(), Subject: record.Subject{Kind: record.SubjectService, Name: "booking"}, Author: "test", Time: time.Now(), Base: record.Revision(i), Seen: uint64(i)}
-		rec.Body = record.DocumentPublish{Text: strings.Replace(text, "/lookup", "/old", 1)}
+		rec.Body = record.DocumentPublish{Text: strings.Replace(requests.Document, "/lookup", "/old", 1)}
 		if i == entries-1 {
-			rec.Body = record.DocumentPublish{Text: text}
+			rec.Body = record.DocumentPublish{Text: requests.Document}
 		}
 		one, err := record.Encode(rec)
 		require.NoError(t, err)
 		data = append(data, one)
 	}
 	for _, part := range [][][]byte{data[:entries/2], data[entries/2:]} {
-		_, err := fake.Append(t.Context(), stream, part)
+		_, err := fake.Append(t.Context(), requests.Stream, part)
 		require.NoError(t, err)
 	}
 	log := &gatedLog{Log: fake, beyond: 1, gate: make(chan struct{}), waits: make(chan struct{})}
-	r := startRig(t, rigOptions{zones: []string{"a"}, entries: 1}, fake, log)
+	r := startRig(t, fake, log)
 	<-log.waits
-	r.until(func() bool { return r.offset() > 0 })
+	r.until(func() bool { return r.Offset() > 0 })
 
 	got := r.send(http.MethodGet, "/booking/old", nil, nil)
 	assert.Equal(t, http.StatusServiceUnavailable, got.status)
@@ -73,11 +74,11 @@
 	got = r.send(http.MethodPost, "/booking/reservations", keyed, nil)
 	assert.Equal(t, string(outcome.Unknown), got.header.Get(outcome.HeaderOutcome), "it may be a retry of a booking that ran")
 	assert.Zero(t, r.entry.Offset())
-	assert.Contains(t, strings.Join(r.ready.Reasons(), "\n"), "read to its end")
+	assert.Contains(t, strings.Join(r.entry.Ready.Reasons(), "\n"), "read to its end")
 
 	close(log.gate)
 	r.until(func() bool { return r.entry.Offset() == entries })
 	got = r.send(http.MethodGet, "/booking/old", nil, nil)
 	assert.Equal(t, http.StatusNotFound, got.status)
-	assert.Empty(t, r.ready.Reasons())
+	assert.Empty(t, r.entry.Ready.Reasons())
 }
