Say what is proved of each promise and what is not; list the decision notes

Cause: DESIGN named packages in place of tests, nothing listed what the tests do not show, the decision notes had no index, and some lines were behind the code: the relay through peers in ADR 0008, the Transport's replays and the stewards' peers in house-style, operators' pages of jobs, quotas, quarantine and membership in README. Change: docs/PROOFS.md, docs/adr/README.md; DESIGN names the main test of each promise; a test in archtest holds that the tests named there exist.

--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -107,6 +108,9 @@
 	})
 }
 
+// testName finds tests and benchmarks in a page.
+var testName = regexp.MustCompile("`((?:Test|Benchmark)[A-Za-z0-9]+)`")
+
 // A rule returns what breaks it in one file, one line each.
 type rule func(s source) []string
 
@@ -333,6 +337,27 @@
 	assert.Len(t, rules, 7, "a new rule needs an example above")
 }
 
+// The pages that say what is proved name tests that exist.
+func TestNamedTestsExist(t *testing.T) {
+	tests := map[string]bool{}
+	for _, s := range parsedFiles(t, filepath.Join("..", "..")) {
+		for _, decl := range s.file.Decls {
+			if function, ok := decl.(*ast.FuncDecl); ok && strings.HasSuffix(s.path, "_test.go") {
+				tests[function.Name.Name] = true
+			}
+		}
+	}
+	for _, page := range []string{"DESIGN.md", "PROOFS.md"} {
+		text, err := os.ReadFile(filepath.Join("..", "..", "docs", page))
+		require.NoError(t, err)
+		names := testName.FindAllStringSubmatch(string(text), -1)
+		require.NotEmpty(t, names, page)
+		for _, name := range names {
+			assert.True(t, tests[name[1]], "%s names %s", page, name[1])
+		}
+	}
+}
+
 // A library that comes in says what it is for.
 func TestDependenciesAreDescribed(t *testing.T) {
 	mod, err := os.ReadFile(filepath.Join("..", "..", "go.mod"))
