--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -49,6 +49,7 @@
 	"math/rand":         "math/rand/v2 is used",
 	"log":               "hclog is used",
 	"flag":              "urfave/cli is used",
+	"errors":            "pkg/errors is used",
 	"unsafe":            "no memory tricks",
 }
 
--- a/internal/proof/bookings_test.go
+++ b/internal/proof/bookings_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -11,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 
 	"github.com/yuccadrift/yuccadrift/internal/outcome"
--- a/internal/steward/evidence_test.go
+++ b/internal/steward/evidence_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
--- a/internal/steward/faults_test.go
+++ b/internal/steward/faults_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
--- a/internal/steward/pace_test.go
+++ b/internal/steward/pace_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
--- a/internal/testkit/build.go
+++ b/internal/testkit/build.go
@@ -8,12 +8,13 @@
 package testkit
 
 import (
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
 	"testing"
+
+	"github.com/pkg/errors"
 )
 
 // Names of the binaries.
@@ -65,7 +66,7 @@
 	cmd := exec.Command("go", append(args, "./cmd/...")...)
 	cmd.Dir = root
 	if out, err := cmd.CombinedOutput(); err != nil {
-		return dir, fmt.Errorf("go build: %w\n%s", err, out)
+		return dir, errors.Wrapf(err, "go build: %s", out)
 	}
 	return dir, nil
 }
@@ -82,7 +83,7 @@
 		}
 		up := filepath.Dir(dir)
 		if up == dir {
-			return "", fmt.Errorf("no go.mod above the working directory")
+			return "", errors.New("no go.mod above the working directory")
 		}
 		dir = up
 	}
--- a/internal/testkit/command.go
+++ b/internal/testkit/command.go
@@ -2,12 +2,13 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
 // Ran is what a run of the operators' command line printed.
--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Bounds of waiting. They only keep a broken run from hanging: tests assert on
