Name things by what they are, and show durations in history

Cause: reading as a newcomer: three copies of a sort of map keys, a "witness" connection and "convicted" VMs for counting, sealing and confirming, comments of DocumentRemove and JobResult that the ledger does not keep, and history printed a drain's estimate in nanoseconds ("estimate:"). Change: slices.Sorted(maps.Keys(m)) in place; sealableConn, confirmed; the comments say what the fold does; history prints 4m30s. Result: the new test of history fails on the old code and passes; tests of the packages concerned pass.

--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -120,7 +122,7 @@
 		f.add(tb, f.draft(record.SubjectJob, name, record.JobEnd{Result: record.JobNotStarted}))
 		return
 	}
-	for _, id := range sortedKeys(f.s.poolVMs[j.Spec.Service])[:1] {
+	for _, id := range slices.Sorted(maps.Keys(f.s.poolVMs[j.Spec.Service]))[:1] {
 		f.add(tb, f.draft(record.SubjectJob, name, record.JobPlace{Worker: id, MilliCores: 100, MemoryMB: 100}))
 	}
 }
--- a/internal/ledger/member.go
+++ b/internal/ledger/member.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -232,4 +233,4 @@
 }
 
 // MemberNames returns the members' names, sorted.
-func (s *State) MemberNames() []string { return sortedKeys(s.Members) }
+func (s *State) MemberNames() []string { return slices.Sorted(maps.Keys(s.Members)) }
--- a/internal/ledger/property_test.go
+++ b/internal/ledger/property_test.go
@@ -95,7 +95,7 @@
 	require.Equal(t, keys(want.poolJobs), keys(s.poolJobs))
 	require.Equal(t, want.teamUse, s.teamUse)
 	require.Equal(t, want.Retired, s.Retired)
-	require.Equal(t, sortedKeys(want.free), sortedKeys(s.free))
+	require.Equal(t, slices.Sorted(maps.Keys(want.free)), slices.Sorted(maps.Keys(s.free)))
 	in := map[string]int{}
 	for pool, vms := range s.poolVMs {
 		for id, vm := range vms {
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/record"
+	"maps"
+	"slices"
 )
 
 // publish puts a document in force. A document that does not pass validation is
@@ -54,12 +56,12 @@
 	if wave := s.activeWaveOf(service); wave != "" {
 		return refusef("pool %s is in wave %s; wait for it or abort it", service, wave)
 	}
-	for _, id := range sortedKeys(s.poolJobs[service]) {
+	for _, id := range slices.Sorted(maps.Keys(s.poolJobs[service])) {
 		if !s.Jobs[id].Ended() {
 			return refusef("job %s of service %s is %s; cancel it first", id, service, s.Jobs[id].Status)
 		}
 	}
-	for _, id := range sortedKeys(s.VMs) {
+	for _, id := range slices.Sorted(maps.Keys(s.VMs)) {
 		if vm := s.VMs[id]; vm.Drain != nil && vm.Drain.Target == service {
 			return refusef("VM %s is on its way to pool %s", id, service)
 		}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -4,6 +4,8 @@
 package ledger
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/document"
@@ -174,7 +176,7 @@
 
 // JobPools returns the services that jobs were submitted to, sorted, removed
 // ones included while they have jobs.
-func (s *State) JobPools() []string { return sortedKeys(s.poolJobs) }
+func (s *State) JobPools() []string { return slices.Sorted(maps.Keys(s.poolJobs)) }
 
 // Queued returns how many jobs of a service wait for a placement.
 func (s *State) Queued(service string) int { return s.queued[service] }
--- a/internal/ledger/vm.go
+++ b/internal/ledger/vm.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/record"
+	"maps"
+	"slices"
 )
 
 func (s *State) registerVM(rec record.Record, b record.VMRegister) refusal {
@@ -61,7 +63,7 @@
 	if vm.Drain == nil {
 		return refusef("VM %s has no drain in progress", vm.ID)
 	}
-	if !contains(nextPhases[vm.Phase], b.To) {
+	if !slices.Contains(nextPhases[vm.Phase], b.To) {
 		return refusef("VM %s cannot go from %s to %s", vm.ID, vm.Phase, b.To)
 	}
 	if b.To == record.PhaseReleased && vm.Drain.Target == "" {
@@ -217,7 +219,7 @@
 // queued again, another one is over with its end unknown. Each job's revision
 // moves, which voids what was decided about the attempt meanwhile.
 func (s *State) loseJobs(rec record.Record, vm string) {
-	for _, id := range sortedKeys(s.workerJobs[vm]) {
+	for _, id := range slices.Sorted(maps.Keys(s.workerJobs[vm])) {
 		j := s.Jobs[id]
 		s.endAttempt(j, record.JobEnd{Result: record.JobLapsed, Reason: "VM " + vm + " is gone"})
 		j.Head = Head{Revision: record.Revision(s.Offset), LastID: rec.ID}
--- a/internal/ledger/wave.go
+++ b/internal/ledger/wave.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -86,7 +87,7 @@
 }
 
 func (s *State) activeWaveOf(pool string) string {
-	for _, id := range sortedKeys(s.Waves) {
+	for _, id := range slices.Sorted(maps.Keys(s.Waves)) {
 		w := s.Waves[id]
 		if !w.Active() {
 			continue
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -1,9 +1,10 @@
-// Package measure computes the measures of the brief from the folded state:
-// burn of the availability budgets, buffer cost, roll-out time and moves. It is
-// pure. The command line's report and the metrics show the same numbers.
+// Package measure computes from the folded state what the users measure: burn
+// of the availability budgets, buffer cost, roll-out time and moves. It is pure.
+// The command line's report and the metrics show the same numbers.
 package measure
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -97,10 +98,10 @@
 		now = s.Now
 	}
 	r := Report{Time: now, Offset: s.Offset, Services: []Service{}, Waves: []Wave{}}
-	for _, name := range sortedNames(s.Services) {
+	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
 		r.Services = append(r.Services, serviceOf(s, name, now))
 	}
-	for _, name := range sortedNames(s.Waves) {
+	for _, name := range slices.Sorted(maps.Keys(s.Waves)) {
 		r.Waves = append(r.Waves, waveOf(s.Waves[name], now))
 	}
 	r.Fleet = fleetOf(s, r.Services, now)
@@ -201,12 +202,3 @@
 	}
 	return f
 }
-
-func sortedNames[V any](m map[string]V) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- a/internal/operatorcmd/change_test.go
+++ b/internal/operatorcmd/change_test.go
@@ -149,6 +149,14 @@
 	require.Contains(t, out, "history,3,")
 }
 
+func TestHistoryShowsDurations(t *testing.T) {
+	b := newBench(t, standin.Options{})
+	b.pool(12)
+	b.run("drain", "--estimate", "90s", "vm-00")
+	_, out, _ := b.run("history", "--last", "1")
+	require.Contains(t, out, "estimate:1m30s")
+}
+
 // A drained VM spends its pool's budget: the report names the cause and shows
 // the same numbers in every format.
 func TestReport(t *testing.T) {
--- a/internal/operatorcmd/history.go
+++ b/internal/operatorcmd/history.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -126,6 +128,9 @@
 	return t
 }
 
+// durationField finds the durations in a body, which JSON has in nanoseconds.
+var durationField = regexp.MustCompile(`"(?:estimate|run_time)":\d+`)
+
 // maxSummary bounds the body's text in a table; JSON output has all of it.
 const maxSummary = 80
 
@@ -133,7 +138,12 @@
 	if l.Kind == record.KindDocumentPublish {
 		return "the document"
 	}
-	text := strings.NewReplacer(`"`, "", "{", "", "}", "").Replace(string(l.Body))
+	text := durationField.ReplaceAllStringFunc(string(l.Body), func(field string) string {
+		key, value, _ := strings.Cut(field, ":")
+		ns, _ := strconv.ParseInt(value, 10, 64) // too long for a duration: shown as the largest
+		return key + ":" + time.Duration(ns).String()
+	})
+	text = strings.NewReplacer(`"`, "", "{", "", "}", "").Replace(text)
 	if len(text) > maxSummary {
 		text = text[:maxSummary] + "..."
 	}
--- a/internal/operatorcmd/jobs.go
+++ b/internal/operatorcmd/jobs.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -126,7 +128,7 @@
 func (s *session) jobs(service string, status ledger.JobStatus) []ledger.Job {
 	jobs := []ledger.Job{}
 	s.view(func(state *ledger.State) {
-		for _, id := range sortedKeys(state.Jobs) {
+		for _, id := range slices.Sorted(maps.Keys(state.Jobs)) {
 			j := state.Jobs[id]
 			if (service == "" || j.Spec.Service == service) && (status == "" || j.Status == status) {
 				jobs = append(jobs, *j)
--- a/internal/operatorcmd/replay.go
+++ b/internal/operatorcmd/replay.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -176,7 +178,7 @@
 
 func counts(statuses map[ledger.Status]int) string {
 	text := ""
-	for _, status := range sortedKeys(statuses) {
+	for _, status := range slices.Sorted(maps.Keys(statuses)) {
 		text += fmt.Sprintf("%d %s, ", statuses[status], status)
 	}
 	if text == "" {
--- a/internal/operatorcmd/status.go
+++ b/internal/operatorcmd/status.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -108,7 +110,7 @@
 
 func statusOf(state *ledger.State, now time.Time) statusResult {
 	r := statusResult{Offset: state.Offset}
-	for _, name := range sortedKeys(state.Services) {
+	for _, name := range slices.Sorted(maps.Keys(state.Services)) {
 		svc := state.Services[name]
 		u := state.Unavailability(name)
 		r.Services = append(r.Services, serviceStatus{
--- a/internal/operatorcmd/wave.go
+++ b/internal/operatorcmd/wave.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -167,7 +169,7 @@
 	results := []waveResult{}
 	s.view(func(state *ledger.State) {
 		round := maintenance.Round(pool.NewView(state, time.Now()), pool.DefaultPolicy())
-		for _, id := range sortedKeys(state.Waves) {
+		for _, id := range slices.Sorted(maps.Keys(state.Waves)) {
 			if wanted == "" || wanted == id {
 				results = append(results, waveOf(state.Waves[id], round.Waits))
 			}
@@ -215,7 +217,7 @@
 func skipTable(waves []waveResult) *table {
 	t := &table{title: "skipped VMs", header: []string{"WAVE", "VM", "REASON"}}
 	for _, w := range waves {
-		for _, vm := range sortedKeys(w.Skipped) {
+		for _, vm := range slices.Sorted(maps.Keys(w.Skipped)) {
 			t.add(w.Wave, vm, w.Skipped[vm])
 		}
 	}
--- a/internal/operatorcmd/wave_forecast.go
+++ b/internal/operatorcmd/wave_forecast.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -118,7 +120,7 @@
 func waitTable(waves []waveResult) *table {
 	t := &table{title: "waiting pools", header: []string{"WAVE", "POOL", "REASON"}}
 	for _, w := range waves {
-		for _, pool := range sortedKeys(w.Waits) {
+		for _, pool := range slices.Sorted(maps.Keys(w.Waits)) {
 			t.add(w.Wave, pool, w.Waits[pool])
 		}
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -53,7 +53,7 @@
 		opts.DialTimeout = DefaultDialTimeout
 	}
 	transport := &http.Transport{
-		DialContext:         dialWitness(&net.Dialer{Timeout: opts.DialTimeout}),
+		DialContext:         dialSealable(&net.Dialer{Timeout: opts.DialTimeout}),
 		MaxIdleConnsPerHost: idleConns,
 		IdleConnTimeout:     idleTimeout,
 		// The Transport asks for gzip: the list of VMs and batches of records
@@ -191,13 +191,13 @@
 // connUse follows which connection a request got and whether it wrote to it.
 // The Transport sets it on the goroutine of the call.
 type connUse struct {
-	conn *witnessConn
+	conn *sealableConn
 	mark uint64
 }
 
 func (u *connUse) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		u.conn, _ = info.Conn.(*witnessConn)
+		u.conn, _ = info.Conn.(*sealableConn)
 		if u.conn != nil {
 			u.mark = u.conn.mark()
 		}
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -159,7 +159,7 @@
 	// must not reach the platform.
 	near, far := net.Pipe()
 	defer far.Close()
-	conn := &witnessConn{Conn: near}
+	conn := &sealableConn{Conn: near}
 	require.False(t, conn.seal(conn.mark()))
 	_, err := conn.Write([]byte("late"))
 	require.ErrorIs(t, err, errSealed)
--- a/internal/platform/conn.go
+++ b/internal/platform/conn.go
@@ -11,15 +11,14 @@
 // errSealed is what a write gets after the connection was sealed.
 var errSealed = errors.New("connection sealed")
 
-// witnessConn remembers how often it was written to and can be sealed against
-// further writes.
+// sealableConn counts its writes and can be sealed against further ones.
 //
 // The failure it is for: a request fails, and whether any byte left decides
 // between ErrUnavailable and ErrUnknownOutcome. The Transport writes on a
 // goroutine of its own, so "nothing written yet" may be false a moment later.
 // Sealing and asking under one lock makes the answer final: a write that comes
 // after is refused, one that came before is counted.
-type witnessConn struct {
+type sealableConn struct {
 	net.Conn
 
 	mu     sync.Mutex
@@ -28,7 +27,7 @@
 }
 
 // Write counts the write before it happens, so a partial one counts too.
-func (c *witnessConn) Write(p []byte) (int, error) {
+func (c *sealableConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.sealed {
 		c.mu.Unlock()
@@ -40,27 +39,27 @@
 }
 
 // mark returns the number of writes so far.
-func (c *witnessConn) mark() uint64 {
+func (c *sealableConn) mark() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.writes
 }
 
 // seal refuses all further writes and reports whether any came after mark.
-func (c *witnessConn) seal(mark uint64) bool {
+func (c *sealableConn) seal(mark uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sealed = true
 	return c.writes > mark
 }
 
-// dialWitness wraps a dialer so that its connections are witnessConns.
-func dialWitness(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+// dialSealable wraps a dialer so that its connections are sealableConns.
+func dialSealable(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &witnessConn{Conn: conn}, nil
+		return &sealableConn{Conn: conn}, nil
 	}
 }
--- a/internal/record/body.go
+++ b/internal/record/body.go
@@ -65,7 +65,8 @@
 	Text string `json:"text"`
 }
 
-// DocumentRemove removes a service; its VMs become free as they drain.
+// DocumentRemove removes a service. It is refused while VMs, jobs or a wave
+// depend on the service.
 type DocumentRemove struct{}
 
 // VMRegister makes a VM of the platform's list known. Subject: the VM.
@@ -268,8 +269,9 @@
 // JobResult is how one attempt, or the whole job, ended.
 type JobResult string
 
-// Results of a job. Preempted and Failed return a repeatable or checkpointed
-// job to the queue; Unknown does so only for repeatable jobs.
+// Results of a job. One that was not started or was preempted goes back to the
+// queue; after a failure, lapse or stop a job does so only if it is repeatable,
+// and only a bounded number of times.
 const (
 	JobSucceeded   JobResult = "succeeded"
 	JobFailed      JobResult = "failed"
--- a/internal/steward/evidence.go
+++ b/internal/steward/evidence.go
@@ -35,13 +35,13 @@
 	cause string
 }
 
-// convicted returns the suspects that are down. The failure is that this node's
+// confirmed returns the suspects that are down. The failure is that this node's
 // own network is cut: all VMs then fail here at once, and recording them as down
 // would spend the budgets of pools that serve. So a peer that reaches a VM
 // clears it; without any peer's word, failures in several racks at once count
 // as this node's own. sample holds the round's results of VMs that were checked
 // whether or not they had failed before.
-func (h *health) convicted(ctx context.Context, failing []suspect, sample []error) []suspect {
+func (h *health) confirmed(ctx context.Context, failing []suspect, sample []error) []suspect {
 	if len(failing) == 0 {
 		return nil
 	}
--- a/internal/steward/health.go
+++ b/internal/steward/health.go
@@ -65,7 +65,7 @@
 			proposals = append(proposals, pool.OnVM(&pool.VM{VM: vm}, record.VMUp{}, vm.ID, "healthy again"))
 		}
 	}
-	for _, s := range h.convicted(ctx, failing, results[:sample]) {
+	for _, s := range h.confirmed(ctx, failing, results[:sample]) {
 		proposals = append(proposals, pool.OnVM(&pool.VM{VM: s.vm}, record.VMDown{Cause: s.cause}, s.vm.ID, s.cause))
 	}
 	if h.MayDecide() {
--- a/internal/trace/facts.go
+++ b/internal/trace/facts.go
@@ -62,7 +62,7 @@
 		counts[progress]++
 	}
 	fact := string(w.Status)
-	for _, progress := range sortedKeys(counts) {
+	for _, progress := range slices.Sorted(maps.Keys(counts)) {
 		fact += fmt.Sprintf(", %d %s", counts[progress], progress)
 	}
 	return fact
@@ -88,7 +88,7 @@
 		all = map[string]V{}
 	}
 	maps.Copy(all, got)
-	for _, name := range sortedKeys(all) {
+	for _, name := range slices.Sorted(maps.Keys(all)) {
 		a, inStated := stated[name]
 		b, inGot := got[name]
 		if a != b || inStated != inGot {
--- a/internal/trace/recorder.go
+++ b/internal/trace/recorder.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -130,7 +132,7 @@
 			return err
 		}
 	}
-	for _, id := range sortedKeys(r.vms) {
+	for _, id := range slices.Sorted(maps.Keys(r.vms)) {
 		if present[id] {
 			continue
 		}
--- a/internal/trace/replay.go
+++ b/internal/trace/replay.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"slices"
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/record"
@@ -234,7 +235,7 @@
 // since the platform's list lags behind the log.
 func (r *replay) finish() {
 	r.Offset = r.State.Offset
-	for _, vm := range sortedKeys(r.boots) {
+	for _, vm := range slices.Sorted(maps.Keys(r.boots)) {
 		if b := r.boots[vm]; b.seen > b.cause {
 			r.differ("VM %s booted %d times, with %d reboots and failures on the log", vm, b.seen, b.cause)
 		}
