Let a steward that is told to stop start what it has placed

Change: on SIGTERM the jobs duty decides nothing new, reads the log and starts its own placements, for at most 3 s; executors and calls in flight go on meanwhile. Conclusion: replacing stewards leaves no export in doubt; killing one still may.

--- a/internal/jobrunner/core.go
+++ b/internal/jobrunner/core.go
@@ -71,6 +71,8 @@
 	usageAt   time.Time                   // when usage was last asked for
 	reports   map[string]ledger.Resources // latest use, by task
 	out       []Action
+	leaving   bool
+	unsettled int                  // own placements not known to run, while leaving
 	plannedAt map[string]time.Time // by pool
 	turn      int                  // rotates which pool comes first
 	Stats     Stats
@@ -140,6 +142,10 @@
 	}
 	c.forget(st, now)
 	mayDecide := now.Sub(fresh) <= staleLimit
+	if c.leaving {
+		c.settle(st, mayDecide, now)
+		return c.out
+	}
 	pools := st.JobPools()
 	c.turn++
 	for i := range pools {
@@ -154,6 +160,37 @@
 	return c.out
 }
 
+// Leave makes the core decide nothing new: it only starts what it has placed.
+// Without that, each placement that a stopping steward leaves behind is one whose
+// start is in doubt to the others, and a job that is not repeatable is lost.
+func (c *Core) Leave() { c.leaving = true }
+
+// Settled reports whether a leaving core has nothing left to do.
+func (c *Core) Settled() bool {
+	flying := 0
+	for _, n := range c.inFlight {
+		flying += n
+	}
+	return c.leaving && c.unsettled == 0 && flying == 0
+}
+
+// settle starts own placements and counts those that are not known to run.
+func (c *Core) settle(st *ledger.State, mayDecide bool, now time.Time) {
+	c.unsettled = 0
+	for _, pool := range st.JobPools() {
+		lease := leaseOf(st.Services[pool])
+		for _, j := range st.PoolJobs(pool) {
+			if j.Status != ledger.JobPlaced || !c.wrote(j.PlaceID) {
+				continue
+			}
+			if t := c.task(j, now); !t.known {
+				c.unsettled++
+				c.begin(st, j, t, 0, lease, mayDecide, now)
+			}
+		}
+	}
+}
+
 // Awake reports whether the log was read since the process began or woke.
 func (c *Core) Awake(fresh time.Time) bool { return !fresh.Before(c.wakeAt) }
 
--- a/internal/jobrunner/core_test.go
+++ b/internal/jobrunner/core_test.go
@@ -337,3 +337,17 @@
 	require.Contains(t, w.trace, jobrunner.VerbRenew)
 	assert.Equal(t, jobrunner.VerbStatus, w.trace[0])
 }
+
+func TestLeavingStewardStartsWhatItPlacedAndNothingElse(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.order(standin.Fault{Kind: standin.APIRefuse, ForMS: 1000})
+	w.submit("placed", once)
+	require.True(t, w.run(time.Second, placed(w, "placed")))
+	w.nodes[0].core.Leave()
+	w.submit("later", once)
+	w.step()
+	assert.False(t, w.nodes[0].core.Settled())
+	require.True(t, w.run(5*time.Second, w.nodes[0].core.Settled))
+	assert.Equal(t, 1, w.starts("placed"))
+	assert.Equal(t, ledger.JobQueued, w.job("later").Status)
+}
--- a/internal/jobrunner/runner.go
+++ b/internal/jobrunner/runner.go
@@ -25,6 +25,10 @@
 	proposeTimeout = 10 * time.Second
 	// catchUpTimeout bounds one read to the end of the log after a pause.
 	catchUpTimeout = 2 * time.Second
+	// leaveLimit bounds the settling of own placements when the process stops,
+	// stopWithin that and the calls in flight.
+	leaveLimit = 3 * time.Second
+	stopWithin = leaveLimit + DefaultCallTimeout
 	// DefaultCallTimeout bounds one call to the platform.
 	DefaultCallTimeout = 2 * time.Second
 )
@@ -46,6 +50,7 @@
 	core    *Core
 	lanes   [laneCount]chan Action
 	results chan Result
+	left    chan struct{} // closed once the deciding duty has settled
 }
 
 // New returns a Runner; its Duties are to be supervised by the caller.
@@ -53,7 +58,7 @@
 	if cfg.CallTimeout <= 0 {
 		cfg.CallTimeout = DefaultCallTimeout
 	}
-	r := &Runner{cfg: cfg, core: NewCore(cfg.Core, time.Now())}
+	r := &Runner{cfg: cfg, left: make(chan struct{}), core: NewCore(cfg.Core, time.Now())}
 	total := 0
 	for lane, limit := range laneLimits {
 		r.lanes[lane] = make(chan Action, limit)
@@ -69,9 +74,9 @@
 // for an executor.
 func (r *Runner) Duties() []supervise.Duty {
 	names := [laneCount]string{LaneLog: "job records", LaneTasks: "job tasks", LaneUrgent: "urgent job tasks"}
-	duties := []supervise.Duty{{Name: "jobs", Serve: r.decide}}
+	duties := []supervise.Duty{{Name: "jobs", Serve: r.decide, StopWithin: stopWithin}}
 	for lane, name := range names {
-		duties = append(duties, supervise.Duty{Name: name, Serve: r.lane(Lane(lane))})
+		duties = append(duties, supervise.Duty{Name: name, Serve: r.lane(Lane(lane)), StopWithin: stopWithin})
 	}
 	return duties
 }
@@ -84,6 +89,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			r.leave(ctx)
 			return ctx.Err()
 		case <-ticker.C:
 		case <-changed:
@@ -95,6 +101,23 @@
 	}
 }
 
+// leave settles what this process has placed, for at most leaveLimit. The
+// follower's own duty may have ended already, so the log is read here.
+func (r *Runner) leave(ctx context.Context) {
+	defer close(r.left)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveLimit)
+	defer cancel()
+	r.core.Leave()
+	for ctx.Err() == nil {
+		r.catchUp(ctx)
+		r.step(ctx)
+		if r.core.Settled() {
+			return
+		}
+		r.gather(ctx)
+	}
+}
+
 // gather waits a moment for further results, so that one step meets them all.
 func (r *Runner) gather(ctx context.Context) {
 	gap := time.NewTimer(minGap)
@@ -143,19 +166,24 @@
 	}
 }
 
-// lane returns the duty of a lane.
+// lane returns the duty of a lane. Its executors go on until the deciding duty
+// has settled, beyond the end of ctx.
 func (r *Runner) lane(lane Lane) func(context.Context) error {
 	return func(ctx context.Context) error {
+		work, stop := context.WithCancel(context.WithoutCancel(ctx))
+		defer stop()
 		var executors sync.WaitGroup
 		for range laneLimits[lane] {
-			executors.Go(func() { r.executor(ctx, r.lanes[lane]) })
+			executors.Go(func() { r.executor(work, r.lanes[lane]) })
 		}
+		<-r.left
+		stop()
 		executors.Wait()
 		return ctx.Err()
 	}
 }
 
-// executor carries actions out one at a time.
+// executor carries actions out one at a time until ctx ends.
 func (r *Runner) executor(ctx context.Context, lane <-chan Action) {
 	for {
 		select {
--- a/internal/proof/jobs_test.go
+++ b/internal/proof/jobs_test.go
@@ -188,3 +188,24 @@
 	t.Logf("%d jobs were queued at the first cancellation, %d were never placed, %d were started", queued, never, len(starts))
 	assert.Positive(t, never)
 }
+
+// Stewards are replaced one after the other while exports come in. A steward
+// that is told to stop decides nothing new, but starts what it has placed
+// before it ends, so no export is left in doubt.
+func TestStewardToldToStopLeavesNoExportInDoubt(t *testing.T) {
+	c := jobsCluster(t, 3, 3*time.Second)
+	const jobs = 15
+	for i := range jobs {
+		steward := c.Nodes[i%3].Steward
+		submit(c, fmt.Sprintf("export-%02d", i), "--cores", "1", "--run-time", "1s")
+		steward.Terminate()
+		require.NoError(t, steward.Wait())
+		steward.Start()
+	}
+	c.Until("all jobs are over", func() bool { return jobsEnded(c) })
+	starts := c.Standin.Counters().JobStarts
+	for id, j := range c.Standin.State().Jobs {
+		assert.Equal(t, record.JobSucceeded, j.Result, "%s: %s", id, j.Reason)
+		assert.Equal(t, 1, starts[id], id)
+	}
+}
