Use the stand-in's log in the membership tests

Cause: they had a log in memory of their own beside the stand-in's, which the follower's tests use already. Change: a wrapper that is out for one node or all, over the stand-in's log.

--- a/internal/membership/harness_test.go
+++ b/internal/membership/harness_test.go
@@ -21,71 +21,46 @@
 	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
 )
 
-// memLog is a log in memory that can be down for all or for one node.
-type memLog struct {
-	mu      sync.Mutex
-	entries []platform.Entry
-	grown   chan struct{}
-	down    map[string]bool // by node; "" for all
+// outages tells for which nodes the log is down; "" stands for all.
+type outages struct {
+	mu   sync.Mutex
+	down map[string]bool
 }
 
-func (l *memLog) isDown(node string) bool { return l.down[""] || l.down[node] }
+func (o *outages) setDown(node string, down bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.down[node] = down
+}
 
-func (l *memLog) setDown(node string, down bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.down[node] = down
+func (o *outages) isDown(node string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.down[""] || o.down[node]
 }
 
 // port is one node's access to the log.
 type port struct {
-	log  *memLog
-	node string
+	platform.Log
+	outages *outages
+	node    string
 }
 
-func (p port) Append(_ context.Context, _ string, data [][]byte) (platform.Offset, error) {
-	l := p.log
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.isDown(p.node) {
+func (p port) Append(ctx context.Context, stream string, data [][]byte) (platform.Offset, error) {
+	if p.outages.isDown(p.node) {
 		return 0, platform.ErrUnavailable
 	}
-	for _, d := range data {
-		l.entries = append(l.entries, platform.Entry{Offset: platform.Offset(len(l.entries) + 1), Data: d})
-	}
-	close(l.grown)
-	l.grown = make(chan struct{})
-	return platform.Offset(len(l.entries)), nil
+	return p.Log.Append(ctx, stream, data)
 }
 
-func (p port) Read(ctx context.Context, _ string, from platform.Offset, _ int, wait time.Duration) (platform.Batch, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for waited := false; ; {
-		p.log.mu.Lock()
-		if p.log.isDown(p.node) {
-			p.log.mu.Unlock()
-			return platform.Batch{}, platform.ErrUnavailable
-		}
-		b := platform.Batch{First: 1, Next: platform.Offset(len(p.log.entries) + 1)}
-		if from < b.Next {
-			b.Entries = slices.Clone(p.log.entries[from-1:])
-		}
-		grown := p.log.grown
-		p.log.mu.Unlock()
-		if len(b.Entries) > 0 || waited {
-			return b, nil
-		}
-		select {
-		case <-grown:
-		case <-timer.C:
-			waited = true
-		case <-ctx.Done():
-			return platform.Batch{}, ctx.Err()
-		}
+func (p port) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	if p.outages.isDown(p.node) {
+		return platform.Batch{}, platform.ErrUnavailable
 	}
+	return p.Log.Read(ctx, stream, from, limit, wait)
 }
 
 // network connects nodes in memory and can be cut between two of them.
@@ -144,7 +119,8 @@
 // cluster is a set of nodes in one synctest bubble.
 type cluster struct {
 	t     *testing.T
-	log   *memLog
+	fake  *standin.Platform
+	log   *outages
 	net   *network
 	nodes map[string]*node
 }
@@ -183,7 +159,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			t:     t,
-			log:   &memLog{grown: make(chan struct{}), down: map[string]bool{}},
+			fake:  standin.New(standin.Options{}),
+			log:   &outages{down: map[string]bool{}},
 			net:   &network{listeners: map[string]chan net.Conn{}, cut: map[[2]string]bool{}, conns: map[[2]string][]net.Conn{}},
 			nodes: map[string]*node{},
 		}
@@ -206,7 +183,7 @@
 		logger = hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Debug})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	f := follower.New(follower.Config{Log: port{c.log, name}, Stream: "s", Logger: hclog.NewNullLogger()})
+	f := follower.New(follower.Config{Log: port{c.fake, c.log, name}, Stream: "s", Logger: hclog.NewNullLogger()})
 	peers := entrypeer.NewNode(entrypeer.NodeConfig{
 		Logger:      logger,
 		CallTimeout: 300 * time.Millisecond,
