--- a/internal/testkit/standin.go
+++ b/internal/testkit/standin.go
@@ -2,14 +2,12 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -191,32 +189,6 @@
 	return state
 }
 
-// TraceEntry is one line of a saved stream.
-type TraceEntry struct {
-	Offset platform.Offset `json:"offset"`
-	Data   json.RawMessage `json:"data"`
-}
-
-// SaveStream writes the retained entries of a stream to a file, as gzipped JSON
-// lines of TraceEntry.
-func (s *Standin) SaveStream(name, file string) {
-	s.t.Helper()
-	var text bytes.Buffer
-	zip := gzip.NewWriter(&text)
-	lines := json.NewEncoder(zip)
-	for _, e := range s.Stream(name) {
-		if err := lines.Encode(TraceEntry{Offset: e.Offset, Data: e.Data}); err != nil {
-			s.t.Fatal(err)
-		}
-	}
-	if err := zip.Close(); err != nil {
-		s.t.Fatal(err)
-	}
-	if err := os.WriteFile(file, text.Bytes(), 0o644); err != nil {
-		s.t.Fatal(err)
-	}
-}
-
 // VMCounters returns the backend servers' counters, by VM.
 func (s *Standin) VMCounters() map[string]standin.VMCounters {
 	s.t.Helper()
