--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -1,7 +1,7 @@
 // Package trace records what happened in a real run as compressed JSON lines,
 // and replays it: the log's entries are folded again and compared with the
-// outcomes that were recorded, and the promises are checked against the
-// platform's and the callers' side of the story.
+// outcomes that were recorded, and the promises are checked against what the
+// platform listed and what callers were told.
 package trace
 
 import (
