Find a dialing process by asking the kernel for its one socket

Cause: the test kit's gates read /proc/net/tcp at each connection between daemons.

The stand-in counts a run that a reboot cuts after its client had given up apart from those in flight: the check of planned reboots failed on lookups that an entry had left at their deadline.

--- a/internal/proof/outage_test.go
+++ b/internal/proof/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,3 +77,61 @@
 		assert.True(t, a.OK(), "%+v", a)
 	}
 }
+
+// revise publishes the next revision of the booking document and returns its
+// offset.
+func revise(c *testkit.Cluster, n *int) uint64 {
+	*n++
+	c.Publish(fmt.Sprintf("# revision %d\n%s", *n, document("booking", 2, 1)))
+	return uint64(c.Standin.State().Services["booking"].Revision)
+}
+
+// Operators publish revision after revision while one entry VM is replaced, the
+// platform is out with another VM replaced meanwhile, and a third is cut off from
+// the platform and its peers. No daemon that is ready ever shows an older revision
+// after a newer one, and at the end all have the last.
+func TestNoDaemonReturnsToAnOlderRevision(t *testing.T) {
+	c := pool(t, 2, testkit.Options{Nodes: []string{"a", "b", "a"}})
+	ctx, cancel := context.WithCancel(context.Background())
+	w := startWatch(ctx, c)
+	defer func() { cancel(); w.wg.Wait() }()
+	everywhere := func(offset uint64) {
+		since := time.Now()
+		c.Until(fmt.Sprintf("all act on offset %d", offset), func() bool { return len(w.behind(since, offset)) == 0 })
+	}
+	revisions := 0
+	revise(c, &revisions)
+
+	c.Nodes[0].Kill()
+	revise(c, &revisions)
+	c.Nodes[0].Start()
+	everywhere(revise(c, &revisions))
+
+	for _, n := range c.Nodes {
+		n.CutPlatform()
+	}
+	missed := revise(c, &revisions) // no daemon can learn of it yet
+	c.Nodes[1].Kill()
+	c.Nodes[1].Start()
+	c.Nodes[1].AwaitReady()
+	for _, n := range c.Nodes {
+		n.HealPlatform()
+	}
+	everywhere(missed)
+
+	cut := c.Nodes[2]
+	cut.CutPlatform()
+	c.Partition([]*testkit.Node{cut}, c.Nodes[:2])
+	for range 3 {
+		revise(c, &revisions)
+	}
+	c.HealPeers()
+	cut.HealPlatform()
+	everywhere(revise(c, &revisions))
+
+	cancel()
+	w.wg.Wait()
+	verdict := (&evidence{reports: w.reports}).neverOlder()
+	require.NotZero(t, verdict.tried)
+	assert.Empty(t, verdict.broken)
+}
--- a/internal/standin/backend_test.go
+++ b/internal/standin/backend_test.go
@@ -243,6 +243,56 @@
 	require.Equal(t, []int{0, 1}, []int{counters.CutInFlight, counters.LostInFlight})
 }
 
+// abandoned returns how many runs the VM has whose client has given up.
+func (b *bench) abandoned(vm string) int {
+	b.Server.mu.Lock()
+	server := b.backends[vm]
+	b.Server.mu.Unlock()
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	n := 0
+	for run := range server.inFlight {
+		if run.r.Context().Err() != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func TestRebootCountsAbandonedRunsApart(t *testing.T) {
+	// A client gives up on a run that goes on, and another one waits for its own.
+	// The reboot cuts both; only the second was in flight for a client.
+	b := startBench(t, Group{})
+	ctx, giveUp := context.WithCancel(t.Context())
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.vm, nil)
+		if err == nil {
+			req.Header.Set(HeaderWorkMS, "600000")
+			_, err = http.DefaultClient.Do(req)
+		}
+		if !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v", err)
+		}
+	}()
+	b.await(t, func(c BackendCounters) bool { return c.Runs == 1 })
+	giveUp()
+	<-gone
+	require.Eventually(t, func() bool { return b.abandoned("vm-01") == 1 }, eventWait, eventPoll)
+	failed := make(chan error, 1)
+	go func() {
+		_, _, err := b.call(t, "waits", HeaderWorkMS, "600000")
+		failed <- err
+	}()
+	b.await(t, func(c BackendCounters) bool { return c.Runs == 2 })
+	_, err := b.client.Reboot(t.Context(), "vm-01", op("r", 1))
+	require.NoError(t, err)
+	require.Error(t, <-failed)
+	counters := b.Counters(false).Backends
+	require.Equal(t, []int{1, 1}, []int{counters.CutInFlight, counters.CutAbandoned})
+}
+
 func TestAddedVMIsListedWithItsAddress(t *testing.T) {
 	// A VM is added while the system runs. The list shows it only once its
 	// backend server is bound, and then that address answers.
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -29,9 +29,11 @@
 	Runs               int `json:"runs"`
 	Refused            int `json:"refused"`
 	RefusedConnections int `json:"refused_connections"`
-	// CutInFlight is how many requests were cut by a reboot, LostInFlight by the
-	// loss of the VM.
+	// CutInFlight is how many requests were cut by a reboot, CutAbandoned how many
+	// runs whose client had given up before, LostInFlight those cut by the loss of
+	// the VM.
 	CutInFlight  int `json:"cut_in_flight"`
+	CutAbandoned int `json:"cut_abandoned"`
 	LostInFlight int `json:"lost_in_flight"`
 	// MaxBusy is the most slots in use at a time.
 	MaxBusy int `json:"max_busy"`
@@ -46,6 +48,7 @@
 	Refused            int                   `json:"refused"`
 	RefusedConnections int                   `json:"refused_connections"`
 	CutInFlight        int                   `json:"cut_in_flight"`
+	CutAbandoned       int                   `json:"cut_abandoned"`
 	LostInFlight       int                   `json:"lost_in_flight"`
 	MaxRunsPerKey      int                   `json:"max_runs_per_key"`
 	VMs                map[string]VMCounters `json:"vms"`
@@ -162,6 +165,7 @@
 	sum.Refused += b.counts.Refused
 	sum.RefusedConnections += b.counts.RefusedConnections
 	sum.CutInFlight += b.counts.CutInFlight
+	sum.CutAbandoned += b.counts.CutAbandoned
 	sum.LostInFlight += b.counts.LostInFlight
 	for key, counts := range b.keys {
 		keys[key] = keys[key].plus(counts)
--- a/internal/testkit/cluster.go
+++ b/internal/testkit/cluster.go
@@ -148,10 +148,10 @@
 	n.callers = c.hold(held)
 	n.EntryPlatform = newLink(c.t, n.Name+"-entry-platform", c.ip, c.Standin.address)
 	n.StewardPlatform = newLink(c.t, n.Name+"-steward-platform", c.ip, c.Standin.address)
-	n.entryGate = newGate(c, n.Name, n.entry.peers)
-	n.stewardGate = newGate(c, n.Name+"-steward", n.steward.peers)
 	n.Entry = newProcess(c.t, c.dir, n.Name, binary(c.t, binEntry), "--config", n.file("entry"))
 	n.Steward = newProcess(c.t, c.dir, n.Name+"-steward", binary(c.t, binSteward), "--config", n.file("steward"))
+	n.entryGate = newGate(c, n.Entry, n.entry.peers)
+	n.stewardGate = newGate(c, n.Steward, n.steward.peers)
 	return n
 }
 
