Check the backend servers of an entry process by turns

Cause: each entry process checked 64 backend servers every second.

Change: 10 of the share are checked in an interval, by turns; one whose latest check failed is checked at each interval until it answers. A hung server of a share of 64 is found up to 6 s later, one of a share of 10 as before.

--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -20,6 +20,10 @@
 	// rendezvous hash gives it; the others show by requests, and by the steward's
 	// word on the log.
 	watchMost = 64
+	// watchPerRound is how many of them are checked in one interval, by turns,
+	// beside those that failed: a node's control traffic has to bear the checks
+	// beside those of the steward, the leases and the log.
+	watchPerRound = 10
 	// watchAtOnce is how many checks run at once.
 	watchAtOnce = 8
 	// watchFailures in a row make a backend server unhealthy, one success heals.
@@ -45,7 +49,7 @@
 	interval := e.cfg.Settings.Backends.CheckInterval.Duration
 	checker := backend.NewHealthChecker()
 	failures := map[target]int{}
-	for {
+	for round := 0; ; round++ {
 		spread := 1 + watchJitter*(2*rand.Float64()-1)
 		timer := time.NewTimer(time.Duration(float64(interval) * spread))
 		select {
@@ -54,14 +58,15 @@
 			return ctx.Err()
 		case <-timer.C:
 		}
-		failures = e.checkAll(ctx, checker, failures)
+		failures = e.checkAll(ctx, checker, failures, round)
 	}
 }
 
-// checkAll checks each backend server of this process's share once and returns
-// the failures in a row. One that left the share counts as healthy again.
-func (e *Entry) checkAll(ctx context.Context, checker *backend.HealthChecker, before map[target]int) map[target]int {
-	list := e.share()
+// checkAll checks the backend servers whose turn it is and returns the failures in
+// a row of this process's share. One that left the share counts as healthy again.
+func (e *Entry) checkAll(ctx context.Context, checker *backend.HealthChecker, before map[target]int, round int) map[target]int {
+	share := e.share()
+	list := inTurn(share, before, round)
 	found := make([]int, len(list))
 	slots := make(chan struct{}, watchAtOnce)
 	var wg sync.WaitGroup
@@ -73,7 +78,10 @@
 		})
 	}
 	wg.Wait()
-	after := make(map[target]int, len(list))
+	after := make(map[target]int, len(share))
+	for _, w := range share {
+		after[w.target] = before[w.target]
+	}
 	for i, w := range list {
 		after[w.target] = found[i]
 		e.dispatcher.SetHealthy(w.service, w.vm, found[i] < watchFailures)
@@ -86,6 +94,19 @@
 	return after
 }
 
+// inTurn returns the backend servers of a share to check in a round: a part of
+// them by turns, and those whose latest check failed.
+func inTurn(share []watched, failures map[target]int, round int) []watched {
+	turns := max(1, (len(share)+watchPerRound-1)/watchPerRound)
+	var list []watched
+	for i, w := range share {
+		if i%turns == round%turns || failures[w.target] > 0 {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 func (e *Entry) check(ctx context.Context, checker *backend.HealthChecker, w watched, before int) int {
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.Settings.Backends.CheckTimeout.Duration)
 	defer cancel()
