Bound what a member's wrong clock does to later removals

Change: ledger.MembersEnd cuts such a time, and ElectedAt, once two authors that had folded it show clocks behind it and the fold's time is behind it too; ClockAhead names it, so followers write witnesses for it.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -312,8 +312,9 @@
 	})
 }
 
-// A node with a clock 74 years ahead writes one record and nothing else is
-// written. The other nodes tell their clocks by themselves and time goes back.
+// A node with a clock 74 years ahead joins as a member and nothing else is
+// written. The other nodes tell their clocks by themselves; time goes back, and
+// so does the time until which removed members count as granting.
 func TestWrongClockIsToldByWitnesses(t *testing.T) {
 	run(t, func(t *testing.T) {
 		log := standin.New(standin.Options{})
@@ -322,13 +323,15 @@
 		settle(time.Second)
 		rec := a.draft()
 		rec.Author, rec.Time = "wrong", time.Now().AddDate(74, 0, 0)
+		rec.Subject.Kind, rec.Body = record.SubjectMember, record.MemberJoin{Node: "wrong", Address: "10.0.0.1:1"}
 		_, err := a.Propose(t.Context(), rec)
 		require.NoError(t, err)
-		a.View(func(s *ledger.State) { require.True(t, s.ClockAhead(time.Now())) })
+		a.View(func(s *ledger.State) { require.NotZero(t, s.ClockAhead(time.Now())) })
 		settle(15 * time.Second)
 		a.View(func(s *ledger.State) {
-			require.False(t, s.ClockAhead(time.Now()))
+			require.Zero(t, s.ClockAhead(time.Now()))
 			require.Equal(t, []string{"wrong"}, s.Clock.Distrusted)
+			require.WithinRange(t, s.MembersUntil, time.Now(), time.Now().Add(ledger.MaxSkew))
 		})
 	})
 }
--- a/internal/follower/witness.go
+++ b/internal/follower/witness.go
@@ -28,15 +28,15 @@
 	return ctx.Err()
 }
 
-// clockJump returns the offset of the jump that put the fold's time ahead of
-// now, 0 when it is not.
+// clockJump returns the offset of the record that put the fold's time or
+// members' ends ahead of now, 0 when none did.
 func (f *Follower) clockJump(now time.Time) uint64 {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	if f.condition != Following || !f.state.ClockAhead(now) {
+	if f.condition != Following {
 		return 0
 	}
-	return f.state.Clock.JumpAt
+	return f.state.ClockAhead(now)
 }
 
 func (f *Follower) witness(ctx context.Context) bool {
--- a/internal/ledger/apply.go
+++ b/internal/ledger/apply.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -83,6 +84,9 @@
 func (s *State) Apply(offset uint64, rec record.Record) Outcome {
 	s.advance(offset)
 	s.tick(rec)
+	s.written = rec.Time
+	defer func() { s.written = time.Time{} }()
+	s.contradictMembersEnd(rec)
 	out := Outcome{Offset: offset, ID: rec.ID, Kind: rec.Body.Kind(), Subject: rec.Subject}
 	if status, reason := s.current(rec); status != Effective {
 		out.Status, out.Reason = status, reason
--- a/internal/ledger/clock.go
+++ b/internal/ledger/clock.go
@@ -142,10 +142,20 @@
 	return false
 }
 
-// ClockAhead reports whether the fold's time is too far ahead of now, a node's
-// own clock. The node then writes a record.ClockWitness, so that a wrong clock
-// is overthrown also when nothing else is to be written.
-func (s *State) ClockAhead(now time.Time) bool { return s.Now.After(now.Add(MaxSkew)) }
+// ClockAhead returns the offset of what is too far ahead of now, a node's own
+// clock: the fold's time or MembersEnd; 0 when neither is. The node then writes
+// a record.ClockWitness, so that a wrong clock is overthrown also when nothing
+// else is to be written.
+func (s *State) ClockAhead(now time.Time) uint64 {
+	at := uint64(0)
+	if s.Now.After(now.Add(MaxSkew)) {
+		at = s.Clock.JumpAt
+	}
+	if s.MembersEnd.Time.After(now.Add(MaxSkew + s.MembersEnd.Lead)) {
+		at = max(at, s.MembersEnd.At, s.Clock.JumpAt)
+	}
+	return at
+}
 
 // tick moves the fold's time by one record.
 func (s *State) tick(rec record.Record) {
--- a/internal/ledger/clock_test.go
+++ b/internal/ledger/clock_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -34,11 +35,11 @@
 	wrong := h.draft(record.SubjectVM, "p-2", record.VMDown{Cause: "no answer"})
 	wrong.Author, wrong.Time = "w", h.now.AddDate(74, 0, 0)
 	require.Equal(t, Effective, h.apply(wrong).Status)
-	require.True(t, h.s.ClockAhead(h.now))
+	require.NotZero(t, h.s.ClockAhead(h.now))
 	h.refused("VM-seconds in its window", record.SubjectVM, "p-3", drain(record.DrainMaintenance, 3*time.Hour))
 
 	h.now = h.now.Add(time.Minute)
-	require.True(t, h.s.ClockAhead(h.now), "one contradiction could be a slow clock")
+	require.NotZero(t, h.s.ClockAhead(h.now), "one contradiction could be a slow clock")
 	h.witness("b", h.now)
 	require.Equal(t, h.now, h.s.Now)
 	require.Equal(t, charged, h.spent("p"), "down for no time yet by the fold's time")
@@ -48,7 +49,7 @@
 	wrong = h.draft(record.SubjectVM, "p-2", record.VMUp{})
 	wrong.Author, wrong.Time = "w", h.now.AddDate(74, 0, 0)
 	h.apply(wrong)
-	require.False(t, h.s.ClockAhead(h.now), "a distrusted clock is passed over")
+	require.Zero(t, h.s.ClockAhead(h.now), "a distrusted clock is passed over")
 	require.Equal(t, h.now, h.s.Now)
 	require.Equal(t, charged+time.Hour.Seconds(), h.spent("p"), "p-2 was down for this hour")
 	h.witness("w", h.now.Add(time.Second))
@@ -89,3 +90,57 @@
 	h.witness("w", h.now.AddDate(74, 0, 0))
 	h.refused("spent 82800 of 86400", record.SubjectVM, "p-2", drain(record.DrainMaintenance, 2*time.Hour))
 }
+
+// An entry VM is replaced, and the new process's clock is 74 years ahead: by its
+// join, claims of the old one count as granted until then, and so would those of
+// every member that is removed later. Others read the record and tell their
+// clocks: the fold's time goes back first, then the members' end, and a member
+// that leaves later gets an end by its own clock. One clock alone cuts nothing,
+// and neither do records that were written before the join was read.
+func TestFarFutureMemberDoesNotBlindLaterOwners(t *testing.T) {
+	h := newHistory(t)
+	for i, name := range []string{"m1", "m2", "m3"} {
+		h.must(record.SubjectMember, name, record.MemberJoin{Node: name, Address: fmt.Sprintf("10.0.0.%d:1", i)})
+	}
+	late := h.draft(record.SubjectClock, "d", record.ClockWitness{})
+	late.Author = "d"
+	wrong := h.draft(record.SubjectMember, "w", record.MemberJoin{Node: "w", Address: "10.0.0.0:1"})
+	wrong.Author, wrong.Time = "w", h.now.AddDate(74, 0, 0)
+	require.Equal(t, Effective, h.apply(wrong).Status)
+	refresh := h.draft(record.SubjectMember, "w", record.MemberRefresh{Electorate: []string{"m2", "m3", "w"}})
+	refresh.Author, refresh.Time = "w", wrong.Time.Add(time.Second)
+	require.Equal(t, Effective, h.apply(refresh).Status)
+	require.Equal(t, h.s.Offset, h.s.ClockAhead(h.now))
+	h.witness("b", h.now)
+	h.witness("c", h.now)
+	require.Equal(t, h.now, h.s.Now)
+	require.NotZero(t, h.s.ClockAhead(h.now), "the members' end is still ahead")
+	h.now = h.now.Add(5 * time.Second)
+	h.witness("c", h.now)
+	h.apply(late)
+	h.witness("c", h.now)
+	h.witness("w", wrong.Time.Add(5*time.Second))
+	require.Equal(t, wrong.Time, h.s.MembersUntil, "one clock cuts nothing")
+	h.witness("b", h.now)
+	require.Zero(t, h.s.ClockAhead(h.now))
+	for _, end := range []time.Time{h.s.MembersUntil, h.s.Members["w"].ElectedAt, h.s.MemberChanges[3].Until} {
+		require.Equal(t, h.now.Add(MaxSkew), end)
+	}
+	h.now = h.now.Add(time.Hour)
+	h.must(record.SubjectMember, "m2", record.MemberLeave{AcksUntil: h.now.Add(2 * time.Second)})
+	require.Equal(t, h.now.Add(2*time.Second), h.s.MembersUntil)
+}
+
+// The only writer of a quiet night is a member that leaves five hours later: its
+// time is honest, and clocks near it cut nothing.
+func TestHonestLeaveAfterAQuietNightStands(t *testing.T) {
+	h := newHistory(t)
+	h.must(record.SubjectMember, "m1", record.MemberJoin{Node: "m1", Address: "10.0.0.1:1"})
+	h.now = h.now.Add(5 * time.Hour)
+	left := h.now.Add(time.Hour)
+	h.must(record.SubjectMember, "m1", record.MemberLeave{AcksUntil: left})
+	for _, author := range []string{"b", "c", "d"} {
+		h.witness(author, h.now.Add(-MaxSkew))
+	}
+	require.Equal(t, left, h.s.MembersUntil)
+}
--- a/internal/ledger/member.go
+++ b/internal/ledger/member.go
@@ -67,14 +67,20 @@
 			s.MemberChanges = slices.Delete(s.MemberChanges, 0, 1)
 		}
 	}
-	if until = until.UTC().Round(0); until.After(s.MembersUntil) {
-		s.MembersUntil = until
-	}
+	s.raiseMembersUntil(until)
 	c := &s.MemberChanges[len(s.MemberChanges)-1]
 	c.Until = s.MembersUntil
 	return c
 }
 
+func (s *State) raiseMembersUntil(until time.Time) {
+	until = until.UTC().Round(0)
+	if until.After(s.MembersUntil) {
+		s.MembersUntil = until
+	}
+	s.noteMembersEnd(until)
+}
+
 func (s *State) joinMember(rec record.Record, b record.MemberJoin) refusal {
 	if _, ok := s.Members[rec.Subject.Name]; ok {
 		return refusef("member %s has joined already", rec.Subject.Name)
@@ -136,9 +142,7 @@
 	if until.IsZero() {
 		return
 	}
-	if until = until.UTC().Round(0); until.After(s.MembersUntil) {
-		s.MembersUntil = until
-	}
+	s.raiseMembersUntil(until)
 	for _, other := range s.MemberNames() {
 		m := s.Members[other]
 		i := slices.Index(m.Electorate, name)
@@ -162,6 +166,7 @@
 	}
 	m.Electorate = slices.Compact(slices.Sorted(slices.Values(b.Electorate)))
 	m.ElectedAt = rec.Time.UTC().Round(0)
+	s.noteMembersEnd(m.ElectedAt)
 	s.evictIfSuspected(m)
 	return allowed
 }
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -43,11 +43,15 @@
 	// The owners of claims go through them one by one: see internal/claim.
 	MemberChanges []MemberChange `json:"member_changes"`
 	// MembersUntil is the latest MemberChange.Until.
-	MembersUntil time.Time `json:"members_until"`
+	MembersUntil time.Time  `json:"members_until"`
+	MembersEnd   MembersEnd `json:"members_end"`
 	// Retired holds the heads of removed subjects, RetireQueue their order.
 	Retired     map[record.Subject]Head `json:"-"`
 	RetireQueue []Retirement            `json:"retire_queue"`
 
+	// written is the time on the record being applied, zero between records.
+	written time.Time
+
 	// Indexes, derived from the above.
 	poolVMs    map[string]map[string]*VM  // pool -> VM ID
 	poolOut    map[string]map[string]*VM  // pool -> VM ID, VMs not serving
