Measure the job policies with the tool

Cause: internal/jobrunner/replay_test.go compared policies and tested nothing, and its world stood in the package's tests.

Change: internal/bench/jobs holds the world (stewards and the stand-in under a virtual clock) and the replay, the tool's command jobs runs it. The tests of internal/jobrunner use that world; their cases, properties, bounds and seeds stand.

--- a/cmd/yuccadrift-bench/main.go
+++ b/cmd/yuccadrift-bench/main.go
@@ -12,6 +12,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/bench/claims"
 	"github.com/yuccadrift/yuccadrift/internal/bench/deployment"
 	"github.com/yuccadrift/yuccadrift/internal/bench/figure"
+	"github.com/yuccadrift/yuccadrift/internal/bench/jobs"
 	"github.com/yuccadrift/yuccadrift/internal/bench/requests"
 	"github.com/yuccadrift/yuccadrift/internal/bench/waves"
 )
@@ -38,7 +39,8 @@
 			measurement("waves", "maintenance waves: planned against batches, in simulated time", overDeployments(waves.Policies)),
 			measurement("buffer", "free VMs: a shared reserve against buffers of the pools", overDeployments(waves.Reserve)),
 			measurement("moves", "patience with changing documents against none", overDeployments(waves.Patience)),
-			measurement("turns", "the order of a wave's turns where reboot places are few", flowShop),
+			measurement("turns", "the order of a wave's turns where reboot places are few", bySeeds(waves.FlowShop)),
+			measurement("jobs", "placement, correction, quarantine and settling against first fit, in simulated time", bySeeds(jobs.Replay)),
 			measurement("claims", "claims on request keys: owners in memory against the log", claimWays),
 			measurement("overload", "backend servers' slots: two choices against fixed parts, at several loads", overload),
 			measurement("path", "a call through an entry against a direct one", path),
@@ -66,8 +68,8 @@
 	}
 }
 
-func flowShop(_ context.Context, cmd *cli.Command) ([]figure.Table, error) {
-	return waves.FlowShop(cmd.Int("seeds"))
+func bySeeds(run func(int) ([]figure.Table, error)) func(context.Context, *cli.Command) ([]figure.Table, error) {
+	return func(_ context.Context, cmd *cli.Command) ([]figure.Table, error) { return run(cmd.Int("seeds")) }
 }
 
 func claimWays(ctx context.Context, cmd *cli.Command) ([]figure.Table, error) {
--- /dev/null
+++ b/internal/bench/jobs/replay.go
@@ -0,0 +1,209 @@
+package jobs
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/bench/figure"
+	"github.com/yuccadrift/yuccadrift/internal/jobrunner"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/placement"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+)
+
+const (
+	replayTime = 30 * time.Minute
+	replayTick = 250 * time.Millisecond
+	usageLag   = 10 * time.Second
+	// urgentBound is what the users ask for; a later start is late.
+	urgentBound = 6700 * time.Millisecond
+	// soonStopped counts a start as wasted when its job is cancelled that soon.
+	soonStopped = 5 * time.Second
+)
+
+// policy is one way to run the pool.
+type policy struct {
+	name string
+	cfg  jobrunner.CoreConfig
+}
+
+var policies = []policy{
+	{name: "full"},
+	{name: "plain", cfg: jobrunner.CoreConfig{
+		Policy:       placement.Policy{Rank: placement.FirstFit, IgnoreHold: true, NoPreempt: true, FirstCome: true, NoAging: true},
+		NoCorrection: true, NoSettling: true, NoQuarantine: true,
+	}},
+	{name: "no-hold", cfg: jobrunner.CoreConfig{Policy: placement.Policy{IgnoreHold: true}}},
+	{name: "no-preempt", cfg: jobrunner.CoreConfig{Policy: placement.Policy{NoPreempt: true}}},
+	{name: "no-correction", cfg: jobrunner.CoreConfig{NoCorrection: true}},
+	{name: "no-quarantine", cfg: jobrunner.CoreConfig{NoQuarantine: true}},
+	{name: "no-settling", cfg: jobrunner.CoreConfig{NoSettling: true}},
+	{name: "spread", cfg: jobrunner.CoreConfig{Policy: placement.Policy{Rank: placement.Spread}}},
+	{name: "min-min", cfg: jobrunner.CoreConfig{Policy: placement.Policy{MinMin: true}}},
+}
+
+// quantities of one replay.
+var quantities = []string{
+	"late urgent, %", "urgent p99, s", "wasted starts", "lost jobs", "cores used, %", "overload, %", "jobs done", "mean wait, s", "preempted",
+}
+
+// Replay measures the policies against their plain baselines on one pool of each
+// deployment. Arrivals depend on the seed alone, so that all policies see the
+// same jobs.
+func Replay(seeds int) ([]figure.Table, error) {
+	table := figure.Table{
+		Title: "half an hour of jobs in a pool of each deployment", Labels: []string{"pool", "case", "policy"}, Quantities: quantities,
+	}
+	for _, d := range deployments {
+		for _, sc := range scenarios {
+			for i, pol := range policies {
+				if i > 1 && !slices.Contains(sc.without, pol.name) {
+					continue
+				}
+				samples, err := figure.Collect(seeds, func(seed uint64) ([]float64, error) { return replay(d, sc, pol, seed+1) })
+				if err != nil {
+					return nil, err
+				}
+				table.Add(samples, d.name, sc.name, pol.name)
+			}
+		}
+	}
+	return []figure.Table{table}, nil
+}
+
+// tally sums what is sampled while a replay runs.
+type tally struct {
+	used, over, capacity float64
+	firstStart           map[string]time.Time
+	starts               map[string]int
+}
+
+func replay(d deployment, sc scenario, pol policy, seed uint64) ([]float64, error) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	plans := d.arrivals(r, sc.misdeclared)
+	if sc.plans != nil {
+		plans = append(plans, sc.plans(d)...)
+	}
+	slices.SortStableFunc(plans, func(a, b plan) int { return cmp.Compare(a.at, b.at) })
+	w := New(Shape{
+		Stewards: 1, Workers: d.workers, Cores: d.cores, MemoryMB: d.memoryMB,
+		Doc: d.document(), Core: pol.cfg, Tick: replayTick,
+	})
+	plans = slices.Insert(plans, 0, plan{fault: &standin.Fault{Kind: standin.UsageLag, DelayMS: usageLag.Milliseconds()}})
+	sum := &tally{firstStart: map[string]time.Time{}, starts: map[string]int{}}
+	for step := 0; w.Now.Sub(Begin) < replayTime; step++ {
+		for len(plans) > 0 && plans[0].at <= w.Now.Sub(Begin) {
+			if err := w.do(plans[0]); err != nil {
+				return nil, err
+			}
+			plans = plans[1:]
+		}
+		w.Step()
+		if err := sum.sample(w, step); err != nil {
+			return nil, err
+		}
+	}
+	return w.measure(sum), nil
+}
+
+// do lets one planned event happen. What the fold makes of its record is part of
+// what is measured.
+func (w *World) do(p plan) error {
+	sub := record.Subject{Kind: record.SubjectJob, Name: p.id}
+	switch {
+	case p.fault != nil:
+		_, err := w.Platform.Order(*p.fault)
+		return err
+	case p.cancel:
+		w.Write(sub, record.JobCancel{})
+	default:
+		w.Write(sub, p.spec)
+	}
+	return nil
+}
+
+// sample notes first starts at each step, and the workers' use each second.
+func (s *tally) sample(w *World, step int) error {
+	for id, n := range w.Platform.Counters().JobStarts {
+		if s.starts[id] == 0 && n > 0 {
+			s.firstStart[id] = w.Now
+		}
+		s.starts[id] = n
+	}
+	if step%int(time.Second/replayTick) != 0 {
+		return nil
+	}
+	reports, err := w.Platform.Usage(context.Background())
+	if err != nil {
+		return err
+	}
+	used := map[string]float64{}
+	for _, u := range reports {
+		used[u.Worker] += u.Cores
+	}
+	for _, cores := range used {
+		s.used += min(cores, float64(w.Cores))
+		s.over += max(0, cores-float64(w.Cores))
+	}
+	s.capacity += float64(w.Workers * w.Cores)
+	return nil
+}
+
+func (w *World) measure(s *tally) []float64 {
+	var waits, urgent []float64
+	late, urgentJobs, wasted, lost, done := 0, 0, 0, 0, 0
+	for id, j := range w.Main.Jobs {
+		from := j.SubmittedAt
+		first, started := s.firstStart[id]
+		wait := first.Sub(from).Seconds()
+		switch {
+		case j.Result == record.JobUnplaceable || w.Now.Sub(from) < urgentBound:
+		case j.Spec.Urgent:
+			urgentJobs++
+			if !started || first.Sub(from) > urgentBound {
+				late++
+			}
+			if !started {
+				wait = w.Now.Sub(from).Seconds()
+			}
+			urgent = append(urgent, wait)
+		case started:
+			waits = append(waits, wait)
+		}
+		wasted += len(j.Failures) + j.Lapses
+		if started && j.Status == ledger.JobCancelled && j.EndedAt.Sub(first) < soonStopped {
+			wasted++
+		}
+		if j.Succeeded() {
+			done++
+		} else if j.Status == ledger.JobDone && j.Result != record.JobUnplaceable {
+			lost++
+		}
+	}
+	stats := w.Nodes[0].Core.Stats
+	wasted += stats.Refused
+	return []float64{
+		100 * float64(late) / max(1, float64(urgentJobs)), quantile(urgent, 0.99), float64(wasted), float64(lost),
+		100 * s.used / s.capacity, 100 * s.over / s.capacity, float64(done), mean(waits), float64(stats.Preempted),
+	}
+}
+
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[int(q*float64(len(values)-1)+0.5)]
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / max(1, float64(len(values)))
+}
--- a/internal/jobrunner/bench_test.go
+++ b/internal/jobrunner/bench_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/bench/jobs"
 	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/jobrunner"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
@@ -84,7 +85,7 @@
 			Jobs:    document.Jobs{Lease: 30 * time.Second},
 		}}
 	}
-	offset, now := uint64(0), begin
+	offset, now := uint64(0), jobs.Begin
 	apply := func(sub record.Subject, body record.Body) {
 		offset++
 		out := st.Apply(offset, record.Record{ID: fmt.Sprint(offset), Subject: sub, Base: st.Revision(sub), Seen: offset - 1, Time: now, Body: body})
--- a/internal/jobrunner/core_test.go
+++ b/internal/jobrunner/core_test.go
@@ -53,7 +53,7 @@
 	w := newWorld(t, 2, 2)
 	w.submit("j", once)
 	require.True(t, w.run(time.Minute, placed(w, "j")))
-	w.nodes[0] = nil
+	w.Nodes[0] = nil
 	require.True(t, w.run(time.Minute, ended(w, "j")))
 	assert.Equal(t, record.JobLapsed, w.job("j").Result)
 	assert.Contains(t, w.job("j").Reason, "whether the job started is unknown")
@@ -64,7 +64,7 @@
 	w := newWorld(t, 2, 2)
 	w.submit("j", func(s *record.JobSubmit) { s.Urgent = true })
 	require.True(t, w.run(time.Minute, placed(w, "j")))
-	w.nodes[0] = nil
+	w.Nodes[0] = nil
 	require.True(t, w.run(6700*time.Millisecond, func() bool { return w.starts("j") == 1 }))
 }
 
@@ -77,13 +77,13 @@
 		w := newWorld(t, 1, 2)
 		w.submit("j", func(s *record.JobSubmit) { s.Repeatable, s.RunTime = repeatable, time.Minute })
 		require.True(t, w.run(time.Minute, func() bool { return w.starts("j") == 1 }))
-		w.nodes[0].wakes = w.now.Add(3 * lease)
+		w.Nodes[0].Wakes = w.Now.Add(3 * lease)
 		w.run(3*lease-time.Second, nil)
-		w.nodes[0].cutOff = true // awake, but the log cannot be read yet
+		w.Nodes[0].CutOff = true // awake, but the log cannot be read yet
 		w.run(5*time.Second, nil)
 		assert.Equal(t, ledger.JobPlaced, w.job("j").Status)
 		assert.Equal(t, 1, w.starts("j"))
-		w.nodes[0].cutOff = false
+		w.Nodes[0].CutOff = false
 		require.True(t, w.run(5*time.Minute, ended(w, "j")))
 		assert.Equal(t, map[bool]int{true: 2, false: 1}[repeatable], w.starts("j"))
 		assert.Equal(t, map[bool]record.JobResult{true: record.JobSucceeded, false: record.JobLapsed}[repeatable], w.job("j").Result)
@@ -97,14 +97,14 @@
 	w := newWorld(t, 2, 2)
 	w.submit("long", func(s *record.JobSubmit) { s.RunTime = 4 * time.Minute; s.Repeatable = false })
 	require.True(t, w.run(time.Minute, func() bool { return w.starts("long") == 1 }))
-	for _, n := range w.nodes {
-		n.cutOff = true
+	for _, n := range w.Nodes {
+		n.CutOff = true
 	}
 	w.submit("later", nil)
 	w.run(5*time.Minute, nil)
 	assert.Zero(t, w.starts("later"))
-	for _, n := range w.nodes {
-		n.cutOff = false
+	for _, n := range w.Nodes {
+		n.CutOff = false
 	}
 	require.True(t, w.run(time.Minute, ended(w, "long")))
 	assert.Equal(t, record.JobSucceeded, w.job("long").Result)
@@ -122,7 +122,7 @@
 		w.submit(id, func(s *record.JobSubmit) { s.RunTime = time.Hour })
 	}
 	w.run(time.Second, nil)
-	before := w.p.Counters().JobStarts
+	before := w.Platform.Counters().JobStarts
 	for _, id := range ids {
 		w.must(jobSubject(id), record.JobCancel{})
 	}
@@ -134,7 +134,7 @@
 		}
 		return true
 	}))
-	after := w.p.Counters().JobStarts
+	after := w.Platform.Counters().JobStarts
 	assert.NotEmpty(t, before)
 	assert.Equal(t, before, after, "a cancelled job was started")
 	for _, id := range ids {
@@ -153,12 +153,12 @@
 		w.submit(id(i), func(s *record.JobSubmit) { s.RunTime = time.Hour })
 	}
 	w.run(time.Second, nil)
-	before := len(w.p.Counters().JobStarts)
+	before := len(w.Platform.Counters().JobStarts)
 	for i := range 100 {
 		w.must(jobSubject(id(i)), record.JobCancel{})
 		w.run(2*stepTime, nil)
 	}
-	assert.LessOrEqual(t, len(w.p.Counters().JobStarts)-before, 4)
+	assert.LessOrEqual(t, len(w.Platform.Counters().JobStarts)-before, 4)
 	w.submit("next", nil)
 	assert.True(t, w.run(3*time.Second, func() bool { return w.starts("next") == 1 }))
 }
@@ -181,7 +181,7 @@
 	}
 	w.run(2*time.Second, nil)
 	for i := range dead {
-		w.nodes[i] = nil
+		w.Nodes[i] = nil
 	}
 	w.submit("u", func(s *record.JobSubmit) { s.MilliCores, s.Urgent, s.RunTime = 8000, true, 10*time.Second })
 	require.True(t, w.run(6700*time.Millisecond, func() bool { return w.starts("u") == 1 }), "%d dead", dead)
@@ -230,23 +230,23 @@
 		if n++; n%3 == 0 {
 			w.submit("j"+time.Duration(n).String(), func(s *record.JobSubmit) { s.MilliCores, s.RunTime = 2000, 5*time.Second })
 		}
-		return w.main.VMs["vm-01"].Quarantined
+		return w.Main.VMs["vm-01"].Quarantined
 	}
 	require.True(t, w.run(5*time.Minute, feed))
 	failures := 0
-	for _, j := range w.main.Jobs {
+	for _, j := range w.Main.Jobs {
 		failures += len(j.Failures)
 	}
 	assert.LessOrEqual(t, failures, 8, "jobs wasted on the worker")
 
-	w.p.ClearAll()
-	require.True(t, w.run(10*time.Minute, func() bool { feed(); return w.main.VMs["vm-01"].ProbationLeft > 0 }))
+	w.Platform.ClearAll()
+	require.True(t, w.run(10*time.Minute, func() bool { feed(); return w.Main.VMs["vm-01"].ProbationLeft > 0 }))
 	require.True(t, w.run(10*time.Minute, func() bool {
 		feed()
-		assert.LessOrEqual(t, len(w.main.WorkerJobs("vm-01")), 1)
-		return w.main.VMs["vm-01"].ProbationLeft == 0
+		assert.LessOrEqual(t, len(w.Main.WorkerJobs("vm-01")), 1)
+		return w.Main.VMs["vm-01"].ProbationLeft == 0
 	}))
-	assert.Zero(t, w.main.VMs["vm-01"].Quarantines)
+	assert.Zero(t, w.Main.VMs["vm-01"].Quarantines)
 }
 
 // Jobs declare one core and use three. Late reports correct the size: once the
@@ -264,7 +264,7 @@
 		w.submit(id, func(s *record.JobSubmit) { s.RunTime = 40 * time.Second })
 	}
 	w.run(5*time.Second, nil)
-	assert.Equal(t, ledger.Resources{MilliCores: 3300, MemoryMB: 512}, w.main.WorkerUse("vm-01"), "the rest is held back for urgent work")
+	assert.Equal(t, ledger.Resources{MilliCores: 3300, MemoryMB: 512}, w.Main.WorkerUse("vm-01"), "the rest is held back for urgent work")
 }
 
 // A worker is drained with a checkpointable and another job on it: the first is
@@ -276,9 +276,9 @@
 	require.True(t, w.run(time.Minute, func() bool { return w.starts("c")+w.starts("w") == 2 }))
 	worker := w.job("c").Worker
 	require.Equal(t, worker, w.job("w").Worker, "best fit puts both on one worker")
-	w.main.VMs[worker].Phase = record.PhaseDraining
-	for _, n := range w.nodes {
-		n.state.VMs[worker].Phase = record.PhaseDraining
+	w.Main.VMs[worker].Phase = record.PhaseDraining
+	for _, n := range w.Nodes {
+		n.State.VMs[worker].Phase = record.PhaseDraining
 	}
 	require.True(t, w.run(10*time.Second, func() bool { return w.starts("c") == 2 }))
 	assert.NotEqual(t, worker, w.job("c").Worker)
@@ -298,12 +298,12 @@
 		require.True(t, w.run(time.Second, placed(w, "j")))
 		w.run(time.Second, nil)
 		if paused {
-			w.nodes[0].wakes = w.now.Add(4 * time.Second)
-			w.nodes[0].cutOff = true
+			w.Nodes[0].Wakes = w.Now.Add(4 * time.Second)
+			w.Nodes[0].CutOff = true
 		}
 		w.must(jobSubject("j"), record.JobCancel{})
 		w.run(6*time.Second, nil)
-		w.nodes[0].cutOff = false
+		w.Nodes[0].CutOff = false
 		require.True(t, w.run(time.Minute, ended(w, "j")))
 		assert.Equal(t, ledger.JobCancelled, w.job("j").Status)
 		assert.Zero(t, w.starts("j"))
@@ -314,10 +314,10 @@
 // if the first copy never arrived, the job never runs.
 func TestUncertainStartIsNotResentAfterACancellation(t *testing.T) {
 	w := newWorld(t, 2, 2)
-	w.strays = func() (time.Duration, bool) { return time.Hour, true }
+	w.Strays = func() (time.Duration, bool) { return time.Hour, true }
 	w.submit("j", nil)
 	w.run(time.Second, nil)
-	w.strays = func() (time.Duration, bool) { return 0, false }
+	w.Strays = func() (time.Duration, bool) { return 0, false }
 	w.must(jobSubject("j"), record.JobCancel{})
 	require.True(t, w.run(time.Minute, ended(w, "j")))
 	assert.Equal(t, ledger.JobCancelled, w.job("j").Status)
@@ -330,12 +330,12 @@
 	w := newWorld(t, 1, 1)
 	w.submit("j", func(s *record.JobSubmit) { s.RunTime = time.Hour })
 	w.run(8*lease, nil)
-	w.nodes[0].wakes = w.now.Add(lease / 2)
+	w.Nodes[0].Wakes = w.Now.Add(lease / 2)
 	w.run(lease/2-stepTime, nil)
-	w.trace = nil
+	w.Trace = nil
 	w.run(2*time.Second, nil)
-	require.Contains(t, w.trace, jobrunner.VerbRenew)
-	assert.Equal(t, jobrunner.VerbStatus, w.trace[0])
+	require.Contains(t, w.Trace, jobrunner.VerbRenew)
+	assert.Equal(t, jobrunner.VerbStatus, w.Trace[0])
 }
 
 func TestLeavingStewardStartsWhatItPlacedAndNothingElse(t *testing.T) {
@@ -343,11 +343,11 @@
 	w.order(standin.Fault{Kind: standin.APIRefuse, ForMS: 1000})
 	w.submit("placed", once)
 	require.True(t, w.run(time.Second, placed(w, "placed")))
-	w.nodes[0].core.Leave()
+	w.Nodes[0].Core.Leave()
 	w.submit("later", once)
-	w.step()
-	assert.False(t, w.nodes[0].core.Settled())
-	require.True(t, w.run(5*time.Second, w.nodes[0].core.Settled))
+	w.Step()
+	assert.False(t, w.Nodes[0].Core.Settled())
+	require.True(t, w.run(5*time.Second, w.Nodes[0].Core.Settled))
 	assert.Equal(t, 1, w.starts("placed"))
 	assert.Equal(t, ledger.JobQueued, w.job("later").Status)
 }
--- a/internal/jobrunner/property_test.go
+++ b/internal/jobrunner/property_test.go
@@ -23,10 +23,10 @@
 func TestRandomHistoriesKeepThePromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, 3, 4)
-		w.latency = func() time.Duration {
+		w.Latency = func() time.Duration {
 			return time.Duration(rapid.SampledFrom([]int{0, 0, 0, 1, 3, 25}).Draw(t, "latency")) * stepTime
 		}
-		w.strays = func() (time.Duration, bool) {
+		w.Strays = func() (time.Duration, bool) {
 			seconds := rapid.SampledFrom([]int{0, 0, 0, 0, 1, 5, 30}).Draw(t, "stray")
 			return time.Duration(seconds) * time.Second, seconds > 0
 		}
@@ -56,16 +56,16 @@
 		h.submitRandom()
 	case "cancel":
 		if id := h.anyJob(); id != "" {
-			h.write(jobSubject(id), record.JobCancel{})
+			h.Write(jobSubject(id), record.JobCancel{})
 		}
 	case "die":
-		h.boot(h.anyNode())
+		h.Boot(h.anyNode())
 	case "pause":
-		h.nodes[h.anyNode()].wakes = h.now.Add(time.Duration(rapid.IntRange(1, 40).Draw(h.t, "pause")) * time.Second)
+		h.Nodes[h.anyNode()].Wakes = h.Now.Add(time.Duration(rapid.IntRange(1, 40).Draw(h.t, "pause")) * time.Second)
 	case "cut":
-		h.nodes[h.anyNode()].cutOff = true
+		h.Nodes[h.anyNode()].CutOff = true
 	case "join":
-		h.nodes[h.anyNode()].cutOff = false
+		h.Nodes[h.anyNode()].CutOff = false
 	case "lose":
 		h.order(standin.Fault{Kind: standin.APILoseReply, Count: rapid.IntRange(1, 5).Draw(h.t, "lost")})
 	case "crash":
@@ -80,7 +80,7 @@
 func (h *history) submitRandom() {
 	for range rapid.IntRange(1, 6).Draw(h.t, "jobs") {
 		h.jobs++
-		h.write(jobSubject(fmt.Sprintf("j%03d", h.jobs)), record.JobSubmit{
+		h.Write(jobSubject(fmt.Sprintf("j%03d", h.jobs)), record.JobSubmit{
 			Service:        service,
 			Team:           rapid.SampledFrom([]string{"a", "b"}).Draw(h.t, "team"),
 			MilliCores:     1000 * rapid.IntRange(1, 9).Draw(h.t, "cores"),
@@ -93,7 +93,7 @@
 	}
 }
 
-func (h *history) anyNode() int { return rapid.IntRange(0, len(h.nodes)-1).Draw(h.t, "node") }
+func (h *history) anyNode() int { return rapid.IntRange(0, len(h.Nodes)-1).Draw(h.t, "node") }
 
 func (h *history) anyWorker() string {
 	return fmt.Sprintf("vm-%02d", rapid.IntRange(1, 4).Draw(h.t, "worker"))
@@ -107,7 +107,7 @@
 }
 
 func (h *history) crash(id string) {
-	if h.main.VMs[id].Down || len(h.down) > 1 {
+	if h.Main.VMs[id].Down || len(h.down) > 1 {
 		return
 	}
 	h.down = append(h.down, id)
@@ -120,7 +120,7 @@
 func (h *history) recover() {
 	for _, id := range h.down {
 		h.order(standin.Fault{Kind: standin.VMRecover, Target: id})
-		if h.main.VMs[id].Down {
+		if h.Main.VMs[id].Down {
 			h.must(vmSubject(id), record.VMUp{})
 		}
 	}
@@ -129,14 +129,14 @@
 
 // heal ends all faults.
 func (h *history) heal() {
-	h.p.ClearAll()
+	h.Platform.ClearAll()
 	h.recover()
-	h.latency = func() time.Duration { return 0 }
-	h.strays = func() (time.Duration, bool) { return 0, false }
-	for i, n := range h.nodes {
-		n.cutOff = false
-		if n.wakes.After(h.now.Add(time.Minute)) {
-			h.boot(i)
+	h.Latency = func() time.Duration { return 0 }
+	h.Strays = func() (time.Duration, bool) { return 0, false }
+	for i, n := range h.Nodes {
+		n.CutOff = false
+		if n.Wakes.After(h.Now.Add(time.Minute)) {
+			h.Boot(i)
 		}
 	}
 }
@@ -144,7 +144,7 @@
 func (h *history) over() bool { return h.left() == "" }
 
 func (h *history) left() string {
-	for id, j := range h.main.Jobs {
+	for id, j := range h.Main.Jobs {
 		if !j.Ended() {
 			return fmt.Sprintf("%s is %s on %s: %+v", id, j.Status, j.Worker, j.Spec)
 		}
@@ -153,16 +153,16 @@
 }
 
 func (h *history) check() {
-	counters := h.p.Counters()
-	for id, vm := range h.main.VMs {
-		require.True(h.t, h.main.WorkerUse(id).Within(vm.Resources()), "worker %s is overfilled", id)
-		require.LessOrEqual(h.t, len(h.main.WorkerJobs(id)), 4)
+	counters := h.Platform.Counters()
+	for id, vm := range h.Main.VMs {
+		require.True(h.t, h.Main.WorkerUse(id).Within(vm.Resources()), "worker %s is overfilled", id)
+		require.LessOrEqual(h.t, len(h.Main.WorkerJobs(id)), 4)
 	}
 	for _, team := range []string{"a", "b"} {
-		quota, _ := h.main.Quota(service, team)
-		require.True(h.t, h.main.TeamUse(service, team).Within(quota), "team %s is over its quota", team)
+		quota, _ := h.Main.Quota(service, team)
+		require.True(h.t, h.Main.TeamUse(service, team).Within(quota), "team %s is over its quota", team)
 	}
-	for id, j := range h.main.Jobs {
+	for id, j := range h.Main.Jobs {
 		starts := counters.JobStarts[id]
 		if !j.Spec.Repeatable {
 			require.LessOrEqual(h.t, starts, 1+h.checkpoints(j), "job %s is not repeatable", id)
@@ -203,9 +203,9 @@
 		}
 		w.run(time.Duration(rapid.IntRange(20, 100).Draw(t, "steps"))*stepTime, nil)
 		for i := range rapid.IntRange(0, 2).Draw(t, "dead") {
-			w.nodes[i] = nil
+			w.Nodes[i] = nil
 		}
-		w.latency = func() time.Duration {
+		w.Latency = func() time.Duration {
 			return time.Duration(rapid.IntRange(0, 2).Draw(t, "latency")) * stepTime
 		}
 		w.submit("u", func(s *record.JobSubmit) {
