--- a/cmd/yuccadrift-bench/main.go
+++ b/cmd/yuccadrift-bench/main.go
@@ -41,6 +41,7 @@
 			measurement("moves", "patience with changing documents against none", overDeployments(waves.Patience)),
 			measurement("turns", "the order of a wave's turns where reboot places are few", bySeeds(waves.FlowShop)),
 			measurement("jobs", "placement, correction, quarantine and settling against first fit, in simulated time", bySeeds(jobs.Replay)),
+			measurement("batch", "Min-Min against plain orders for a batch on unequal workers", bySeeds(jobs.Batch)),
 			measurement("claims", "claims on request keys: owners in memory against the log", claimWays),
 			measurement("overload", "backend servers' slots: two choices against fixed parts, at several loads", overload),
 			measurement("path", "a call through an entry against a direct one", path),
--- /dev/null
+++ b/internal/bench/jobs/batch.go
@@ -0,0 +1,182 @@
+package jobs
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/bench/figure"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/placement"
+)
+
+// Size of a batch.
+const (
+	batchJobs     = 300
+	batchJobMB    = 100
+	batchWorkers  = 10
+	batchCores    = 32
+	batchMemoryMB = 65536
+	batchSlots    = 8
+)
+
+// Batch measures Min-Min of HMHS (Chen, Shen, Chen and Guo, "HMHS: Hybrid
+// Multistage Heuristic Scheduling Algorithm for Heterogeneous MapReduce System",
+// section 3.2) against plain orders: a batch of jobs, all there at time zero, on
+// workers of unequal speed whose speeds are known, with run times that are known
+// and ones that are wrong.
+func Batch(seeds int) ([]figure.Table, error) {
+	table := figure.Table{
+		Title:      fmt.Sprintf("%d jobs at time zero on %d workers with speeds 0.5 to 1.5", batchJobs, batchWorkers),
+		Labels:     []string{"rule"},
+		Quantities: []string{"run times known: makespan, s", "mean completion, s", "wrong by up to 4 times: makespan, s", "mean completion, s"},
+	}
+	for _, rule := range batchRules {
+		samples, err := figure.Collect(seeds, func(seed uint64) ([]float64, error) {
+			span, mean := newBatch(seed, true).run(rule.pick)
+			wrongSpan, wrongMean := newBatch(seed, false).run(rule.pick)
+			return []float64{span, mean, wrongSpan, wrongMean}, nil
+		})
+		if err != nil {
+			return nil, err
+		}
+		table.Add(samples, rule.name)
+	}
+	return []figure.Table{table}, nil
+}
+
+// batch is jobs and workers with their speeds.
+type batch struct {
+	workers []placement.Worker
+	queue   []placement.Job
+	real    map[string]float64 // seconds that a job needs at speed 1
+	speed   []float64
+	ends    []ending
+	now     float64
+}
+
+type ending struct {
+	at     float64
+	worker int
+	job    placement.Job
+}
+
+// newBatch draws jobs and workers. Declared run times are the real ones,
+// or, where not known, wrong by up to four times either way.
+func newBatch(seed uint64, known bool) *batch {
+	r, wrong := rand.New(rand.NewPCG(seed, 7)), rand.New(rand.NewPCG(seed, 8))
+	s := &batch{real: map[string]float64{}}
+	room := ledger.Resources{MilliCores: 1000 * batchCores, MemoryMB: batchMemoryMB}
+	for i := range batchWorkers {
+		s.workers = append(s.workers, placement.Worker{ID: fmt.Sprintf("w%02d", i), Capacity: room, Free: room, Slots: batchSlots})
+		s.speed = append(s.speed, 0.5+r.Float64())
+	}
+	for i := range batchJobs {
+		cores := []int{1, 2, 2, 4, 4, 8, 16}[r.IntN(7)]
+		j := placement.Job{ID: fmt.Sprintf("j%03d", i), Want: ledger.Resources{MilliCores: 1000 * cores, MemoryMB: batchJobMB}}
+		seconds := 5 + 120*r.ExpFloat64()
+		s.real[j.ID] = seconds
+		if !known {
+			seconds *= []float64{0.25, 0.5, 1, 2, 4}[wrong.IntN(5)]
+		}
+		j.RunTime = time.Duration(seconds * float64(time.Second))
+		s.queue = append(s.queue, j)
+	}
+	return s
+}
+
+// pick returns the next job of the queue and its worker, or false.
+type pick func(s *batch) (job, worker int, ok bool)
+
+var batchRules = []struct {
+	name string
+	pick pick
+}{
+	{"first come first fit (plain)", func(s *batch) (int, int, bool) { return s.firstCome(func(int, int) float64 { return 0 }) }},
+	{"first come best fit", func(s *batch) (int, int, bool) { return s.firstCome(s.fullness) }},
+	{"first come fastest", func(s *batch) (int, int, bool) { return s.firstCome(func(_, w int) float64 { return s.speed[w] }) }},
+	{"Min-Min (HMHS)", minMin},
+	{"longest first fastest", func(s *batch) (int, int, bool) {
+		slices.SortFunc(s.queue, func(a, b placement.Job) int {
+			return cmp.Or(cmp.Compare(b.RunTime, a.RunTime), cmp.Compare(a.ID, b.ID))
+		})
+		return s.firstCome(func(_, w int) float64 { return s.speed[w] })
+	}},
+}
+
+func (s *batch) fits(j, w int) bool {
+	return s.workers[w].Slots > 0 && s.queue[j].Want.Within(s.workers[w].Free)
+}
+
+func (s *batch) fullness(j, w int) float64 {
+	return -float64(s.workers[w].Free.MilliCores - s.queue[j].Want.MilliCores)
+}
+
+// firstCome returns the first job of the queue that fits, on the worker with
+// the highest score.
+func (s *batch) firstCome(score func(j, w int) float64) (int, int, bool) {
+	for j := range s.queue {
+		best := -1
+		for w := range s.speed {
+			if s.fits(j, w) && (best < 0 || score(j, w) > score(j, best)) {
+				best = w
+			}
+		}
+		if best >= 0 {
+			return j, best, true
+		}
+	}
+	return 0, 0, false
+}
+
+// minMin returns the pair that is expected to complete first.
+func minMin(s *batch) (int, int, bool) {
+	bestJ, bestW, bestAt := -1, -1, 0.0
+	for j := range s.queue {
+		for w := range s.speed {
+			at := s.queue[j].RunTime.Seconds() / s.speed[w]
+			if s.fits(j, w) && (bestJ < 0 || at < bestAt) {
+				bestJ, bestW, bestAt = j, w, at
+			}
+		}
+	}
+	return bestJ, bestW, bestJ >= 0
+}
+
+// run places and ends jobs until none is left. It returns when the last one ended
+// and the mean of their ends, in seconds.
+func (s *batch) run(pick pick) (makespan, mean float64) {
+	n := float64(len(s.queue))
+	for len(s.queue)+len(s.ends) > 0 {
+		for j, w, ok := pick(s); ok; j, w, ok = pick(s) {
+			s.start(j, w)
+		}
+		next := 0
+		for i := range s.ends {
+			if s.ends[i].at < s.ends[next].at {
+				next = i
+			}
+		}
+		s.end(next)
+		mean += s.now / n
+	}
+	return s.now, mean
+}
+
+func (s *batch) start(j, w int) {
+	started := s.queue[j]
+	s.queue = slices.Delete(s.queue, j, j+1)
+	s.workers[w].Free = s.workers[w].Free.Add(started.Want, -1)
+	s.workers[w].Slots--
+	s.ends = append(s.ends, ending{at: s.now + s.real[started.ID]/s.speed[w], worker: w, job: started})
+}
+
+func (s *batch) end(i int) {
+	e := s.ends[i]
+	s.now = e.at
+	s.workers[e.worker].Free = s.workers[e.worker].Free.Add(e.job.Want, 1)
+	s.workers[e.worker].Slots++
+	s.ends = slices.Delete(s.ends, i, i+1)
+}
