Measure the slopes of state and planning with the tool

Cause: internal/capacity measured pure code by the fleet's size in _test.go, and its builder of a fleet was closed to others.

Measurements that need processes, and the scrape, stay in internal/capacity over that fleet.

--- a/cmd/yuccadrift-bench/main.go
+++ b/cmd/yuccadrift-bench/main.go
@@ -14,6 +14,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/bench/figure"
 	"github.com/yuccadrift/yuccadrift/internal/bench/jobs"
 	"github.com/yuccadrift/yuccadrift/internal/bench/requests"
+	"github.com/yuccadrift/yuccadrift/internal/bench/state"
 	"github.com/yuccadrift/yuccadrift/internal/bench/waves"
 )
 
@@ -42,6 +43,7 @@
 			measurement("turns", "the order of a wave's turns where reboot places are few", bySeeds(waves.FlowShop)),
 			measurement("jobs", "placement, correction, quarantine and settling against first fit, in simulated time", bySeeds(jobs.Replay)),
 			measurement("batch", "Min-Min against plain orders for a batch on unequal workers", bySeeds(jobs.Batch)),
+			measurement("state", "state, planning and the platform's list as the fleet grows", bySeeds(state.Slopes)),
 			measurement("claims", "claims on request keys: owners in memory against the log", claimWays),
 			measurement("overload", "backend servers' slots: two choices against fixed parts, at several loads", overload),
 			measurement("path", "a call through an entry against a direct one", path),
--- a/internal/capacity/inforce_test.go
+++ b/internal/capacity/inforce_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/bench/fleet"
 	"github.com/yuccadrift/yuccadrift/internal/operator"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 	"github.com/yuccadrift/yuccadrift/internal/settings"
@@ -27,7 +28,7 @@
 }
 
 func inForce(b *testing.B, slow time.Duration) {
-	var h *history
+	var h *fleet.History
 	c := startCluster(b, 1000, inForceNodes, func(s *testkit.Standin) { h = seed(b, s) })
 	var clients []*operator.Client
 	for _, n := range c.Nodes {
@@ -51,17 +52,17 @@
 	}
 }
 
-func publishAndWait(b *testing.B, c *testkit.Cluster, h *history, clients []*operator.Client, i int) time.Duration {
-	name := service(i % pools)
-	text := h.state.Services[name].Text + "# changed\n"
-	rec := h.record(record.SubjectService, name, record.DocumentPublish{Text: text})
-	rec.Base, rec.Seen = h.revisions[name], h.state.Offset
+func publishAndWait(b *testing.B, c *testkit.Cluster, h *fleet.History, clients []*operator.Client, i int) time.Duration {
+	name := fleet.Service(i % fleet.Pools)
+	text := h.State.Services[name].Text + "# changed\n"
+	rec := h.Record(record.SubjectService, name, record.DocumentPublish{Text: text})
+	rec.Base, rec.Seen = h.Revisions[name], h.State.Offset
 	data, err := record.Encode(rec)
 	require.NoError(b, err)
 	began := time.Now()
 	offset, err := c.Standin.Client.Append(b.Context(), settings.DefaultStream, [][]byte{data})
 	require.NoError(b, err)
-	h.revisions[name] = record.Revision(offset)
+	h.Revisions[name] = record.Revision(offset)
 	type reply struct {
 		status operator.Status
 		err    error
--- a/internal/capacity/node_test.go
+++ b/internal/capacity/node_test.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/bench/fleet"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 	"github.com/yuccadrift/yuccadrift/internal/settings"
 	"github.com/yuccadrift/yuccadrift/internal/testkit"
@@ -74,11 +75,11 @@
 }
 
 // seed puts the log of a fleet at rest on the platform, as its first entries.
-func seed(tb testing.TB, s *testkit.Standin) *history {
-	h := fleet(tb, s.List())
+func seed(tb testing.TB, s *testkit.Standin) *fleet.History {
+	h := fleet.AtRest(s.List())
 	const batch = 500
-	for i := 0; i < len(h.entries); i += batch {
-		_, err := s.Client.Append(tb.Context(), settings.DefaultStream, h.entries[i:min(i+batch, len(h.entries))])
+	for i := 0; i < len(h.Entries); i += batch {
+		_, err := s.Client.Append(tb.Context(), settings.DefaultStream, h.Entries[i:min(i+batch, len(h.Entries))])
 		require.NoError(tb, err)
 		time.Sleep(time.Second / 50) // under the ceiling of appends
 	}
@@ -89,7 +90,7 @@
 func nodeZones(n int) []string {
 	var list []string
 	for i := range n {
-		list = append(list, fmt.Sprintf("zone-%c", 'a'+i%zones))
+		list = append(list, fmt.Sprintf("zone-%c", 'a'+i%fleet.Zones))
 	}
 	return list
 }
@@ -117,9 +118,9 @@
 func submit(b *testing.B, c *testkit.Cluster, jobs int) {
 	var entries [][]byte
 	for i := range jobs {
-		h := newHistory(b)
-		rec := h.record(record.SubjectJob, fmt.Sprintf("job-%05d", i), record.JobSubmit{
-			Service: service(i % pools), Team: fmt.Sprintf("team-%03d", i%pools),
+		h := fleet.NewHistory()
+		rec := h.Record(record.SubjectJob, fmt.Sprintf("job-%05d", i), record.JobSubmit{
+			Service: fleet.Service(i % fleet.Pools), Team: fmt.Sprintf("team-%03d", i%fleet.Pools),
 			MilliCores: 1000, MemoryMB: 1024, RunTime: time.Hour, Repeatable: true,
 		})
 		rec.ID, rec.Seen = ulid.Make().String(), 1
@@ -142,7 +143,7 @@
 	all := []string{"zone-a", "zone-b", "zone-c", "zone-d", "zone-e", "zone-f"}
 	c := testkit.Start(b, testkit.Options{
 		Nodes:   nodeZones(nodes),
-		Fleet:   []testkit.Group{{Prefix: "vm", Count: vms, Zones: all, RackSize: perRack, BootSeconds: 1}},
+		Fleet:   []testkit.Group{{Prefix: "vm", Count: vms, Zones: all, RackSize: fleet.PerRack, BootSeconds: 1}},
 		Entry:   testkit.Settings{"log.level": `"error"`},
 		Steward: testkit.Settings{"log.level": `"error"`, "planning.interval": `"1s"`, "planning.list_interval": `"2s"`},
 		Standin: testkit.Settings{"log_level": `"warn"`, "log.retention_entries": "1000000"},
--- a/internal/capacity/scrape_test.go
+++ b/internal/capacity/scrape_test.go
@@ -10,35 +10,32 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/bench/fleet"
 	"github.com/yuccadrift/yuccadrift/internal/burnmetrics"
 	"github.com/yuccadrift/yuccadrift/internal/document"
-	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/outcome"
 	"github.com/yuccadrift/yuccadrift/internal/requestmetrics"
 )
 
-// View makes a history the state of a collector.
-func (h *history) View(f func(*ledger.State)) { f(h.state) }
-
 // BenchmarkScrape is one scrape of the metrics that have a line for each
 // service: the budgets of a steward, and the requests of an entry process that
 // has seen every class and the common outcomes of every service.
 func BenchmarkScrape(b *testing.B) {
-	h := fleet(b, vmList(4000))
+	h := fleet.AtRest(fleet.VMs(4000))
 	budgets := prometheus.NewRegistry()
 	later := 0
 	budgets.MustRegister(burnmetrics.New(h, func() time.Time { // never the report kept from the last scrape
 		later++
-		return epoch.Add(time.Hour + time.Duration(later)*time.Minute)
+		return fleet.Epoch.Add(time.Hour + time.Duration(later)*time.Minute)
 	}))
 	b.Run("steward", func(b *testing.B) { scrape(b, budgets) })
 	requests := prometheus.NewRegistry()
 	m := requestmetrics.New(requests)
-	for i := range pools {
+	for i := range fleet.Pools {
 		for _, class := range []document.Class{document.ClassQuick, document.ClassLong} {
 			for _, o := range []outcome.Outcome{outcome.Ran, outcome.NotRun, outcome.Unknown} {
 				m.Began()
-				m.Ended(service(i), class, o, "", time.Millisecond)
+				m.Ended(fleet.Service(i), class, o, "", time.Millisecond)
 			}
 		}
 	}
