Measure the fold of a history with the tool

Cause: internal/ledger/bench_test.go was the measurement of rates, sizes and memory by the fleet's size, with a world of its own.

Change: internal/bench/state takes it over, the tool's command history prints it; each seed is another history.

--- a/cmd/yuccadrift-bench/main.go
+++ b/cmd/yuccadrift-bench/main.go
@@ -44,6 +44,7 @@
 			measurement("jobs", "placement, correction, quarantine and settling against first fit, in simulated time", bySeeds(jobs.Replay)),
 			measurement("batch", "Min-Min against plain orders for a batch on unequal workers", bySeeds(jobs.Batch)),
 			measurement("state", "state, planning and the platform's list as the fleet grows", bySeeds(state.Slopes)),
+			measurement("history", "the fold of a busy fleet's history, and its snapshots", bySeeds(state.History)),
 			measurement("claims", "claims on request keys: owners in memory against the log", claimWays),
 			measurement("overload", "backend servers' slots: two choices against fixed parts, at several loads", overload),
 			measurement("path", "a call through an entry against a direct one", path),
--- /dev/null
+++ b/internal/bench/state/busy.go
@@ -0,0 +1,157 @@
+package state
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/bench/fleet"
+	"github.com/yuccadrift/yuccadrift/internal/invariant"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// busySize is a fleet to fold the history of.
+type busySize struct{ vms, pools, teams, jobs int }
+
+// busySizes are the size to design for, a quarter and four times of it.
+var busySizes = []busySize{
+	{vms: 1000, pools: 24, teams: 160, jobs: 1000},
+	{vms: 4000, pools: 94, teams: 640, jobs: 4000},
+	{vms: 16000, pools: 376, teams: 2560, jobs: 16000},
+}
+
+func (s busySize) String() string {
+	return fmt.Sprintf("%d / %d / %d / %d", s.vms, s.pools, s.teams, s.jobs)
+}
+
+func (s busySize) teamsPerPool() int { return max(1, s.teams/s.pools) }
+
+// busy is a folded fleet and the means to go on with its history.
+type busy struct {
+	size  busySize
+	state *ledger.State
+	now   time.Time
+	ids   int
+	log   [][]byte // entries since the start
+	rand  *rand.Rand
+}
+
+// newBusy returns a fleet whose pools are full and whose jobs are queued.
+func newBusy(size busySize, seed uint64) *busy {
+	f := &busy{size: size, state: ledger.New(), now: fleet.Epoch, rand: rand.New(rand.NewPCG(seed, 2))}
+	perPool := size.vms / size.pools
+	for p := range size.pools {
+		f.must(record.SubjectService, poolName(p), record.DocumentPublish{Text: f.document(p, perPool)})
+	}
+	for v := range size.vms {
+		id := vmName(v)
+		f.must(record.SubjectVM, id, record.VMRegister{
+			Zone: fmt.Sprintf("region-%d-zone-%d", v%3, v%6), Rack: fmt.Sprintf("rack-%04d", v/4),
+			Address: fmt.Sprintf("10.%d.%d.%d:8080", v>>16, v>>8&255, v&255), Cores: 32, MemoryMB: 65536,
+		})
+		f.must(record.SubjectVM, id, record.VMJoin{Pool: poolName(min(v/perPool, size.pools-1))})
+		f.must(record.SubjectVM, id, record.VMUp{})
+	}
+	for j := range size.jobs {
+		p := j % size.pools
+		f.must(record.SubjectJob, jobName(j), record.JobSubmit{
+			Service: poolName(p), Team: teamName(p, j%size.teamsPerPool()),
+			MilliCores: 2000, MemoryMB: 2048, RunTime: time.Hour, Repeatable: true,
+		})
+	}
+	return f
+}
+
+func poolName(p int) string    { return fmt.Sprintf("service-%03d", p) }
+func teamName(p, n int) string { return fmt.Sprintf("team-%03d-%d", p, n) }
+func vmName(v int) string      { return fmt.Sprintf("vm-%05d", v) }
+func jobName(j int) string     { return fmt.Sprintf("job-%06d", j) }
+
+func (f *busy) document(p, n int) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, `service = %q
+team = "owner"
+[pool]
+size = %d
+[budget]
+window = "168h"
+allowed = 0.5
+max_unavailable = %d
+one_domain = false
+`, poolName(p), n, n-1)
+	for q := range f.size.teamsPerPool() {
+		fmt.Fprintf(&text, "[[quota]]\nteam = %q\ncores = 100000\nmemory_mb = 100000000\n", teamName(p, q))
+	}
+	return text.String()
+}
+
+func (f *busy) draft(kind record.SubjectKind, name string, body record.Body) record.Record {
+	f.ids++
+	sub := record.Subject{Kind: kind, Name: name}
+	return record.Record{
+		ID: fmt.Sprintf("01JQZX%020d", f.ids), Subject: sub, Base: f.state.Revision(sub), Seen: f.state.Offset,
+		Author: fmt.Sprintf("entry-%d", f.ids%8), Time: f.now, Body: body,
+	}
+}
+
+func (f *busy) must(kind record.SubjectKind, name string, body record.Body) {
+	out := f.state.Apply(f.state.Offset+1, f.draft(kind, name, body))
+	invariant.Check(out.Status == ledger.Effective, "%s of a busy fleet: %s", name, out.Reason)
+}
+
+// goOn writes n entries: VMs that fail and come back, drains with reboots, jobs
+// placed and ended. It folds them as it goes; some do not take effect.
+func (f *busy) goOn(n int) {
+	for len(f.log) < n {
+		id := vmName(f.rand.IntN(f.size.vms))
+		f.now = f.now.Add(3 * time.Second)
+		if f.rand.IntN(2) == 0 {
+			f.job()
+			continue
+		}
+		f.add(f.draft(record.SubjectVM, id, f.vmBody(f.state.VMs[id])))
+	}
+}
+
+// vmBody is what could come next for a VM.
+func (f *busy) vmBody(vm *ledger.VM) record.Body {
+	switch {
+	case vm.Down || vm.Phase == record.PhaseReturning:
+		return record.VMUp{}
+	case vm.Phase == record.PhaseDraining:
+		return record.VMAdvance{To: record.PhaseDrained}
+	case vm.Phase == record.PhaseDrained:
+		return record.VMAdvance{To: record.PhaseRebooting}
+	case vm.Phase == record.PhaseRebooting:
+		return record.VMAdvance{To: record.PhaseReturning}
+	case f.rand.IntN(3) == 0:
+		return record.VMDown{Cause: downCause}
+	}
+	return record.VMDrain{Reason: record.DrainMaintenance, Estimate: 3 * time.Minute}
+}
+
+func (f *busy) job() {
+	name := jobName(f.rand.IntN(f.size.jobs))
+	j := f.state.Jobs[name]
+	if j == nil || j.Ended() {
+		return
+	}
+	if j.Status == ledger.JobPlaced {
+		f.add(f.draft(record.SubjectJob, name, record.JobEnd{Result: record.JobNotStarted}))
+		return
+	}
+	if vms := slices.Sorted(maps.Keys(f.state.PoolVMs(j.Spec.Service))); len(vms) > 0 {
+		f.add(f.draft(record.SubjectJob, name, record.JobPlace{Worker: vms[0], MilliCores: 100, MemoryMB: 100}))
+	}
+}
+
+func (f *busy) add(rec record.Record) {
+	data, err := record.Encode(rec)
+	invariant.Check(err == nil, "a record cannot be encoded: %v", err)
+	f.log = append(f.log, data)
+	f.state.ApplyData(f.state.Offset+1, data)
+}
