--- a/cmd/yuccadrift-load/main.go
+++ b/cmd/yuccadrift-load/main.go
@@ -5,28 +5,19 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/yuccadrift/yuccadrift/internal/command"
 	"github.com/yuccadrift/yuccadrift/internal/load"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { command.Main(loadCommand()) }
 
-func command() *cli.Command {
+func loadCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "yuccadrift-load",
 		Usage: "send a bounded load to entry VMs on this machine and check every answer",
--- a/cmd/yuccadrift-standin/main.go
+++ b/cmd/yuccadrift-standin/main.go
@@ -5,14 +5,10 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/urfave/cli/v3"
 
+	"github.com/yuccadrift/yuccadrift/internal/command"
 	"github.com/yuccadrift/yuccadrift/internal/standin"
 	"github.com/yuccadrift/yuccadrift/internal/supervise"
 )
@@ -20,30 +16,7 @@
 const binary = "yuccadrift-standin"
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
-
-func command() *cli.Command {
-	return &cli.Command{
-		Name:  binary,
-		Usage: "stand in for the platform in development and tests",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "read settings from `FILE` (TOML)", Required: true},
-			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
-		},
-		Action: func(ctx context.Context, cmd *cli.Command) error {
-			s, err := loadSettings(cmd.String("config"))
-			if err != nil || cmd.Bool("check") {
-				return err
-			}
-			return run(ctx, s)
-		},
-	}
+	command.Main(command.Daemon(binary, "stand in for the platform in development and tests", loadSettings, run))
 }
 
 func run(ctx context.Context, s settings) error {
