Measure planning rounds and a steward's steps with the tool

Cause: two measurements by the fleet's size stood in _test.go with builders of fleets of their own.

Change: internal/bench/planning and the tool's command rounds; Steady in internal/bench/jobs and the command steps. Setting up now stops on a record that does not take effect.

--- a/cmd/yuccadrift-bench/main.go
+++ b/cmd/yuccadrift-bench/main.go
@@ -13,6 +13,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/bench/deployment"
 	"github.com/yuccadrift/yuccadrift/internal/bench/figure"
 	"github.com/yuccadrift/yuccadrift/internal/bench/jobs"
+	"github.com/yuccadrift/yuccadrift/internal/bench/planning"
 	"github.com/yuccadrift/yuccadrift/internal/bench/requests"
 	"github.com/yuccadrift/yuccadrift/internal/bench/state"
 	"github.com/yuccadrift/yuccadrift/internal/bench/waves"
@@ -45,6 +46,8 @@
 			measurement("batch", "Min-Min against plain orders for a batch on unequal workers", bySeeds(jobs.Batch)),
 			measurement("state", "state, planning and the platform's list as the fleet grows", bySeeds(state.Slopes)),
 			measurement("history", "the fold of a busy fleet's history, and its snapshots", bySeeds(state.History)),
+			measurement("rounds", "planning rounds as the fleet grows", bySeeds(planning.Rounds)),
+			measurement("steps", "a steward's care for running tasks as the fleet grows", bySeeds(jobs.Steady)),
 			measurement("claims", "claims on request keys: owners in memory against the log", claimWays),
 			measurement("overload", "backend servers' slots: two choices against fixed parts, at several loads", overload),
 			measurement("path", "a call through an entry against a direct one", path),
--- /dev/null
+++ b/internal/bench/jobs/steady.go
@@ -0,0 +1,133 @@
+package jobs
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/bench/figure"
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/invariant"
+	"github.com/yuccadrift/yuccadrift/internal/jobrunner"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+const (
+	steadyPools    = 94
+	steadyStewards = 8
+	steadyJobs     = 2 // on each worker
+	steadyLease    = 30 * time.Second
+	steadyTick     = 200 * time.Millisecond
+	// warmSteps are two minutes, until every task is known.
+	warmSteps = 600
+	// steadyTime is how long steps are timed, by the real clock.
+	steadyTime = 2 * time.Second
+	steadyRoom = 1 << 30 // no quota is met
+)
+
+// Steady measures one steward of eight in steady state: 94 pools, two running
+// jobs on each worker with a lease of 30 s and a run time of an hour, a step
+// every 200 ms of a virtual clock. It gives the share of a core and the calls to
+// the platform for each second of that clock.
+func Steady(runs int) ([]figure.Table, error) {
+	table := figure.Table{
+		Title:      "one of eight stewards in steady state, two tasks a worker",
+		Labels:     []string{"workers"},
+		Quantities: []string{"share of a core, %", "calls to the platform a second"},
+	}
+	for _, workers := range []int{1000, 4000, 16000} {
+		samples, err := figure.Collect(runs, func(uint64) ([]float64, error) { return steady(workers) })
+		if err != nil {
+			return nil, err
+		}
+		table.Add(samples, strconv.Itoa(workers))
+	}
+	return []figure.Table{table}, nil
+}
+
+func steady(workers int) ([]float64, error) {
+	st, now := steadyState(workers)
+	ids, calls := 0, 0
+	var failed error
+	core := jobrunner.NewCore(jobrunner.CoreConfig{
+		Node:  "node-0",
+		NewID: func() string { ids++; return fmt.Sprint("id-", ids) },
+		Rank: func(pool string) int {
+			n, err := strconv.Atoi(strings.TrimPrefix(pool, "pool-"))
+			if err != nil {
+				failed = errors.Wrap(err, "name of a pool")
+			}
+			return n % steadyStewards // an eighth of the pools for each
+		},
+	}, now)
+	step := func() {
+		now = now.Add(steadyTick)
+		for _, a := range core.Step(st, now, now) {
+			calls++
+			core.Done(answer(st, a), now)
+		}
+	}
+	for range warmSteps {
+		step()
+	}
+	calls = 0
+	began, steps := time.Now(), 0
+	for time.Since(began) < steadyTime {
+		step()
+		steps++
+	}
+	seconds := float64(steps) * steadyTick.Seconds()
+	return []float64{100 * time.Since(began).Seconds() / seconds, float64(calls) / seconds}, failed
+}
+
+// answer is the reply of a platform on which every task runs.
+func answer(st *ledger.State, a jobrunner.Action) jobrunner.Result {
+	res := jobrunner.Result{Action: a}
+	if a.Verb == jobrunner.VerbStatus {
+		for _, j := range st.WorkerJobs(a.Worker) {
+			res.Statuses = append(res.Statuses, platform.TaskStatus{
+				ID: jobrunner.TaskID(j.ID, j.Attempt), Worker: a.Worker, Phase: platform.TaskRunning,
+			})
+		}
+	}
+	return res
+}
+
+// steadyState folds a fleet with running jobs on each worker.
+func steadyState(workers int) (*ledger.State, time.Time) {
+	st := ledger.New()
+	for i := range steadyPools {
+		name := fmt.Sprintf("pool-%d", i)
+		st.Services[name] = &ledger.Service{Doc: document.Document{
+			Service: name,
+			Quotas:  []document.Quota{{Team: "a", MilliCores: steadyRoom, MemoryMB: steadyRoom}},
+			Jobs:    document.Jobs{Lease: steadyLease},
+		}}
+	}
+	now := Begin
+	apply := func(kind record.SubjectKind, name string, body record.Body) {
+		offset := st.Offset + 1
+		sub := record.Subject{Kind: kind, Name: name}
+		out := st.Apply(offset, record.Record{
+			ID: fmt.Sprint(offset), Subject: sub, Base: st.Revision(sub), Seen: st.Offset, Time: now, Body: body,
+		})
+		invariant.Check(out.Status == ledger.Effective, "%s of a steady fleet: %s", name, out.Reason)
+	}
+	for i := range workers {
+		vm, pool := fmt.Sprintf("vm-%d", i), fmt.Sprintf("pool-%d", i%steadyPools)
+		apply(record.SubjectVM, vm, record.VMRegister{Zone: "a", Rack: "r", Address: "10.0.0.1:80", Cores: 32, MemoryMB: 65536})
+		apply(record.SubjectVM, vm, record.VMJoin{Pool: pool})
+		apply(record.SubjectVM, vm, record.VMUp{})
+		for k := range steadyJobs {
+			id := fmt.Sprintf("job-%d-%d", i, k)
+			apply(record.SubjectJob, id, record.JobSubmit{Service: pool, Team: "a", MilliCores: 4000, MemoryMB: 4096, RunTime: time.Hour})
+			apply(record.SubjectJob, id, record.JobPlace{Worker: vm, MilliCores: 4000, MemoryMB: 4096})
+		}
+	}
+	return st, now
+}
