Try stewards against hours without the platform

Cause: no test held stewards away from the platform for longer than a quarter of an hour, and none checked what a steward rests on when it returns, nor what it does on a log that comes back trimmed or begun anew.

Change: three stewards in one bubble of fake time, in mid-wave, each with a way to the platform that can be cut and that notes what is tried: six hours out, the first three with the VMs still in reach, racks lost, a wave aborted and a document published by an operator who reaches the log, more records than one read brings, slow reads; then a log trimmed past the offset and another that is shorter.

--- /dev/null
+++ b/internal/steward/outage_test.go
@@ -0,0 +1,276 @@
+package steward_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/follower"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/steward"
+)
+
+// act is something that a steward did: an append, or an action on a VM.
+type act struct {
+	at     time.Time
+	what   string
+	offset uint64 // that the steward had folded
+}
+
+// way is one steward's way to the platform. Its two parts can be cut, and it
+// notes what the steward tries, also while it is cut.
+type way struct {
+	platform.Fleet
+	log              atomic.Pointer[standin.Platform]
+	node             atomic.Pointer[node]
+	noLog, noActions atomic.Bool
+
+	mu   sync.Mutex
+	acts []act
+}
+
+func (w *way) note(what string) {
+	a := act{at: time.Now(), what: what}
+	if n := w.node.Load(); n != nil {
+		n.follow.View(func(s *ledger.State) { a.offset = s.Offset })
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.acts = append(w.acts, a)
+}
+
+// since returns what was tried after the time.
+func (w *way) since(at time.Time) []act {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(w.acts), func(a act) bool { return !a.at.After(at) })
+}
+
+func (w *way) Append(ctx context.Context, name string, entries [][]byte) (platform.Offset, error) {
+	w.note("append")
+	if w.noLog.Load() {
+		return 0, platform.ErrUnavailable
+	}
+	return w.log.Load().Append(ctx, name, entries)
+}
+
+func (w *way) Read(ctx context.Context, name string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+	if w.noLog.Load() {
+		return platform.Batch{}, platform.ErrUnavailable
+	}
+	return w.log.Load().Read(ctx, name, from, limit, wait)
+}
+
+type action func(context.Context, string, platform.Operation) (platform.OperationStatus, error)
+
+func (w *way) act(ctx context.Context, do action, verb, vm string, op platform.Operation) (platform.OperationStatus, error) {
+	w.note(verb + " " + vm)
+	if w.noActions.Load() {
+		return "", platform.ErrUnavailable
+	}
+	return do(ctx, vm, op)
+}
+
+func (w *way) Drain(ctx context.Context, vm string, op platform.Operation) (platform.OperationStatus, error) {
+	return w.act(ctx, w.Fleet.Drain, "drain", vm, op)
+}
+
+func (w *way) Undrain(ctx context.Context, vm string, op platform.Operation) (platform.OperationStatus, error) {
+	return w.act(ctx, w.Fleet.Undrain, "undrain", vm, op)
+}
+
+func (w *way) Reboot(ctx context.Context, vm string, op platform.Operation) (platform.OperationStatus, error) {
+	return w.act(ctx, w.Fleet.Reboot, "reboot", vm, op)
+}
+
+func (w *way) List(ctx context.Context) (platform.VMList, error) {
+	if w.noActions.Load() {
+		return platform.VMList{}, platform.ErrUnavailable
+	}
+	return w.Fleet.List(ctx)
+}
+
+// midWave is three stewards in the middle of a wave, and an operator who has a
+// way of his own to the log.
+type midWave struct {
+	*testing.T
+	fake     *standin.Platform
+	ways     []*way
+	operator *node
+}
+
+func startMidWave(t *testing.T, opts standin.Options) *midWave {
+	opts.AppendsPerSecond = -1
+	opts.Groups = []standin.Group{{Prefix: "vm", Count: 14, Zones: []string{"a", "b", "c"}}}
+	m := &midWave{T: t, fake: standin.New(opts)}
+	m.operator = &node{follow: follower.New(follower.Config{Log: m.fake, Stream: stream, Logger: hclog.NewNullLogger()})}
+	go func() { _ = m.operator.follow.Serve(t.Context()) }()
+	for i := range 3 {
+		w := &way{Fleet: m.fake}
+		w.log.Store(m.fake)
+		w.node.Store(startNode(t, w, fmt.Sprintf("entry-%d", i+1), func(cfg *steward.Config) { cfg.Health = listed{m.fake} }))
+		m.ways = append(m.ways, w)
+	}
+	time.Sleep(time.Second)
+	publish(t, m.operator, "ramcharan", "booking")
+	time.Sleep(time.Minute)
+	m.operator.propose(t, record.Subject{Kind: record.SubjectWave, Name: "w1"}, record.WaveStart{Pools: []string{"booking"}, Deadline: time.Now().Add(24 * time.Hour)})
+	for m.operator.count(func(vm *ledger.VM) bool { return vm.Reboots > 0 }) < 2 {
+		time.Sleep(time.Second)
+	}
+	require.Positive(t, m.operator.count(func(vm *ledger.VM) bool { return vm.Drain != nil }), "VMs are under way")
+	return m
+}
+
+// fail loses a VM, or those of a rack.
+func (m *midWave) fail(target string) {
+	_, err := m.fake.Order(standin.Fault{Kind: standin.VMCrash, Target: target})
+	require.NoError(m, err)
+}
+
+// idle lets d pass and checks that no steward tried anything once its state had
+// grown old, except to end an append that was under way.
+func (m *midWave) idle(d time.Duration) {
+	m.Helper()
+	time.Sleep(15 * time.Second)
+	began := time.Now()
+	time.Sleep(d)
+	for i, w := range m.ways {
+		tried := w.since(began)
+		assert.Empty(m, tried[:min(3, len(tried))], "%d acts of steward %d", len(tried), i+1)
+	}
+}
+
+// write appends more records than one read brings, and returns the log's end.
+func (m *midWave) write(records int) uint64 {
+	const most = 500
+	for ; records > 0; records -= most {
+		_, err := m.fake.Append(m.Context(), stream, slices.Repeat([][]byte{[]byte("of another system")}, min(most, records)))
+		require.NoError(m, err)
+	}
+	time.Sleep(time.Second)
+	var tail uint64
+	m.operator.follow.View(func(s *ledger.State) { tail = s.Offset })
+	return tail
+}
+
+// In the middle of a wave the log is out of the stewards' reach for three hours,
+// in which they still reach the VMs, and then all of the platform for three
+// more. Racks fail meanwhile. Nobody sees a VM drained, rebooted or moved. An
+// operator who still reaches the log aborts the wave and publishes a document,
+// the last of more records than the stewards fold in one read, and reads are
+// slow. The first thing that each steward does after its return rests on all of
+// them: the wave takes no further VM, and what failed is replaced. Why: a
+// decision needs a read of the log's end that is seconds old at most, and a read
+// that ended before the end does not count.
+func TestPlatformOutOfReachForHours(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		m := startMidWave(t, standin.Options{})
+		for _, w := range m.ways {
+			w.noLog.Store(true)
+		}
+		m.fail("rack/a-r01")
+		m.idle(3 * time.Hour)
+		for _, w := range m.ways {
+			w.noActions.Store(true)
+		}
+		m.fail("vm-02")
+		m.idle(3 * time.Hour)
+
+		m.write(3500)
+		m.operator.propose(t, record.Subject{Kind: record.SubjectWave, Name: "w1"}, record.WaveControl{Command: record.WaveAbort})
+		publish(t, m.operator, "ramcharan", "returns")
+		tail := m.write(0)
+		_, err := m.fake.Order(standin.Fault{Kind: standin.LogSlow, Target: "read", DelayMS: 900})
+		require.NoError(t, err)
+		rejoin := time.Now()
+		for _, w := range m.ways {
+			w.noLog.Store(false)
+			w.noActions.Store(false)
+		}
+		time.Sleep(5 * time.Minute)
+		var did []act
+		for i, w := range m.ways {
+			acts := w.since(rejoin)
+			if len(acts) > 0 {
+				assert.GreaterOrEqual(t, acts[0].offset, tail, "steward %d: %s", i+1, acts[0].what)
+			}
+			did = append(did, acts...)
+		}
+		assert.NotEmpty(t, did, "the stewards go on")
+		m.operator.follow.View(func(s *ledger.State) {
+			assert.Equal(t, ledger.WaveAborted, s.Waves["w1"].Status)
+			assert.NotNil(t, s.Services["returns"])
+			for id, vm := range s.VMs {
+				if vm.Drain != nil && vm.Drain.Wave != "" {
+					assert.LessOrEqual(t, vm.Drain.Fence, tail, "%s was drained for a wave that is over", id)
+				}
+				assert.LessOrEqual(t, m.fake.Counters().Reboots[id], 1, id)
+			}
+		})
+	})
+}
+
+// After an outage the log comes back without the records that the stewards had
+// not folded yet, or as another one that begins anew and is shorter. A rack has
+// failed. No steward acts on what it has: it keeps its state and says what is
+// wrong. When the true log is back, they act on its end.
+func TestLogThatComesBackOtherThanItWas(t *testing.T) {
+	t.Parallel()
+	for _, condition := range []follower.Condition{follower.Gap, follower.Foreign} {
+		t.Run(string(condition), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := startMidWave(t, standin.Options{RetentionEntries: 1000})
+				another := standin.New(standin.Options{})
+				_, err := another.Append(t.Context(), stream, [][]byte{[]byte("first")})
+				require.NoError(t, err)
+				for _, w := range m.ways {
+					w.noLog.Store(true)
+				}
+				m.fail("rack/a-r01")
+				m.idle(20 * time.Minute)
+				if condition == follower.Gap {
+					m.write(4000)
+				}
+				for _, w := range m.ways {
+					if condition == follower.Foreign {
+						w.log.Store(another)
+					}
+					w.noLog.Store(false)
+				}
+				m.idle(20 * time.Minute)
+				for _, w := range m.ways {
+					is, detail := w.node.Load().follow.Condition()
+					assert.Equal(t, condition, is)
+					assert.NotEmpty(t, detail)
+				}
+				if condition == follower.Gap {
+					return
+				}
+				tail := m.write(10)
+				back := time.Now()
+				for _, w := range m.ways {
+					w.log.Store(m.fake)
+				}
+				time.Sleep(5 * time.Minute)
+				for _, w := range m.ways {
+					require.NotEmpty(t, w.since(back))
+					assert.GreaterOrEqual(t, w.since(back)[0].offset, tail)
+				}
+			})
+		})
+	}
+}
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/platform"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 	"github.com/yuccadrift/yuccadrift/internal/standin"
 	"github.com/yuccadrift/yuccadrift/internal/steward"
@@ -34,7 +35,13 @@
 	stop   context.CancelFunc
 }
 
-func startNode(t *testing.T, fake *standin.Platform, name string, options ...func(*steward.Config)) *node {
+// world is what a steward has of the platform.
+type world interface {
+	platform.Log
+	platform.Fleet
+}
+
+func startNode(t *testing.T, fake world, name string, options ...func(*steward.Config)) *node {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	logger := hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Warn, Output: t.Output()})
