--- /dev/null
+++ b/internal/membership/outage_test.go
@@ -0,0 +1,160 @@
+package membership
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/backend"
+	"github.com/yuccadrift/yuccadrift/internal/dispatch"
+	"github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/entry"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/outcome"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+	"github.com/yuccadrift/yuccadrift/internal/routing"
+)
+
+const shop = `service = "shop"
+team = "t"
+[pool]
+size = 3
+[budget]
+window = "1h"
+allowed = 0.5
+[[route]]
+prefix = "/look"
+class = "quick"
+repeatable = true
+[[route]]
+prefix = "/book"
+class = "quick"
+repeatable = false
+`
+
+// runners are backend servers that run each request and count.
+type runners struct{ runs atomic.Int64 }
+
+func (r *runners) Update(map[string]int) {}
+func (r *runners) Do(context.Context, *backend.Request) backend.Answer {
+	r.runs.Add(1)
+	return backend.Answer{Outcome: outcome.Ran, Status: http.StatusOK}
+}
+
+type unobserved struct{}
+
+func (unobserved) Retried(string, backend.Failure)              {}
+func (unobserved) Shed(string, document.Class, routing.Refusal) {}
+
+// dispatch runs the request path of a node over its state and its claims.
+func (c *cluster) dispatch(n *node, to *runners) *dispatch.Dispatcher {
+	d := dispatch.New(dispatch.Config{Zone: "z", MaxConnections: 64, Backends: to, Claims: entry.NewClaims(n.peers),
+		Observer: unobserved{}, Rand: rand.New(rand.NewPCG(1, 2))})
+	changed := n.follow.Changed()
+	ctx, stop := context.WithCancel(context.Background())
+	kill := n.stop
+	n.stop = func() { stop(); kill() }
+	go func() {
+		beat := time.NewTicker(routing.PauseBeat)
+		defer beat.Stop()
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+			case now := <-beat.C:
+				d.Beat(now)
+			case <-changed:
+				fresh := n.follow.Fresh()
+				n.follow.View(func(s *ledger.State) { d.Update(routing.Build(s), fresh) })
+			}
+		}
+	}()
+	return d
+}
+
+// put makes a record effective.
+func (n *node) put(t *testing.T, kind record.SubjectKind, name string, body record.Body) {
+	t.Helper()
+	rec := record.Record{ID: ulid.Make().String(), Subject: record.Subject{Kind: kind, Name: name}, Author: "test", Time: time.Now(), Body: body}
+	n.follow.View(func(s *ledger.State) { rec.Base, rec.Seen = s.Revision(rec.Subject), s.Offset })
+	out, err := n.follow.Propose(t.Context(), rec)
+	require.NoError(t, err)
+	require.Equal(t, ledger.Effective, out.Status, out.Reason)
+}
+
+// The log is out for six hours. Callers notice nothing: every quarter of an hour
+// each entry VM answers lookups, and bookings with keys of all owners, and a
+// retry of a booking at another entry VM gets its answer and no second run.
+// Nobody is evicted, in the outage or at the return, and bookings go on then.
+// Why: the table stays in use, and an owner's right to grant rests on its peers'
+// word, not on the log, as long as nobody can be evicted either.
+func TestEntriesAnswerThroughHoursWithoutTheLog(t *testing.T) {
+	t.Parallel()
+	inCluster(t, 3, func(c *cluster) {
+		to := &runners{}
+		var paths []*dispatch.Dispatcher
+		for i := range 3 {
+			paths = append(paths, c.dispatch(c.nodes[fmt.Sprintf("n%d", i)], to))
+		}
+		n := c.nodes["n0"]
+		n.put(c.t, record.SubjectService, "shop", record.DocumentPublish{Text: shop})
+		for _, vm := range []string{"vm-1", "vm-2", "vm-3"} {
+			n.put(c.t, record.SubjectVM, vm, record.VMRegister{Zone: "z", Rack: "r", Address: vm + ":80", Cores: 8, MemoryMB: 1024})
+			n.put(c.t, record.SubjectVM, vm, record.VMJoin{Pool: "shop"})
+			n.put(c.t, record.SubjectVM, vm, record.VMUp{})
+		}
+		time.Sleep(time.Second)
+		before := c.nodes["n1"].names()
+		c.log.setDown("", true)
+		for range 24 {
+			time.Sleep(15 * time.Minute)
+			c.serve(paths, to)
+			require.Equal(c.t, before, c.nodes["n1"].names())
+		}
+		c.log.setDown("", false)
+		for range 10 {
+			time.Sleep(3 * time.Second)
+			c.serve(paths, to)
+		}
+		require.Equal(c.t, before, c.nodes["n1"].names(), "nobody was evicted at the return")
+	})
+}
+
+// names returns the members that the node knows of.
+func (n *node) names() (names []string) {
+	n.follow.View(func(s *ledger.State) { names = s.MemberNames() })
+	return names
+}
+
+// serve sends lookups and bookings, each booking twice, and checks the answers.
+func (c *cluster) serve(paths []*dispatch.Dispatcher, to *runners) {
+	c.t.Helper()
+	send := func(d *dispatch.Dispatcher, path, key string, first bool) {
+		svc := d.Table().Services["shop"]
+		route := svc.Routes[slices.IndexFunc(svc.Routes, func(r document.Route) bool { return r.Prefix == path })]
+		res := d.Do(c.t.Context(), &dispatch.Call{Service: "shop", Limits: svc.Limits, Route: route, Key: key, First: first,
+			Deadline: time.Now().Add(2 * time.Second), Method: http.MethodPost, URL: &url.URL{Path: path}, Header: backend.Header{}})
+		res.Close(true)
+		assert.Equal(c.t, outcome.Ran, res.Outcome, "%s: %s", path, res.Reason)
+	}
+	const rounds = 8
+	ran := to.runs.Load()
+	for i := range rounds {
+		for _, d := range paths {
+			send(d, "/look", "", true)
+		}
+		key := ulid.Make().String()
+		send(paths[i%3], "/book", key, true)
+		send(paths[(i+1)%3], "/book", key, false)
+	}
+	assert.EqualValues(c.t, rounds*(len(paths)+1), to.runs.Load()-ran, "a retry runs nothing")
+}
