Show the spare VMs of the plain way beside the buffer in the report

Cause: report showed the buffer held and nothing to hold it against.

Change: measure.BaselineOf sizes the spare VMs that failures call for as one shared reserve and, the baseline, for each pool its own, by the function that the stewards' policy uses; report shows both in all formats.

Conclusion: TestBaseline fails with the two figures mixed up; three tight pools of four need 3 spare VMs of their own, or 1 shared.

--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -88,6 +88,8 @@
 	Fleet    Fleet     `json:"fleet"`
 	Services []Service `json:"services"`
 	Waves    []Wave    `json:"waves"`
+	// Baseline is set by those who show it beside the buffer.
+	Baseline *Baseline `json:"buffer_baseline,omitempty"`
 }
 
 const day = 24 * time.Hour
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -144,3 +145,19 @@
 }
 
 const day = 24 * time.Hour
+
+// Three pools with tight budgets: the baseline keeps spare VMs for each of them,
+// one reserve needs fewer.
+func TestBaseline(t *testing.T) {
+	h := pool(t, 4)
+	tight := strings.Replace(document, "allowed = 0.1", "allowed = 0.0003", 1)
+	for i, name := range []string{"booking", "returns", "fitting"} {
+		h.put(time.Hour, record.SubjectService, name, record.DocumentPublish{Text: strings.Replace(tight, "booking", name, 1)})
+		for j := range 4 * min(1, i) { // the first has its VMs
+			vm := fmt.Sprintf("%s-%d", name, j)
+			h.vm(time.Hour, vm, record.VMRegister{Zone: "a", Rack: vm, Address: "127.0.0.1:1", Cores: 32, MemoryMB: 65536}, record.VMJoin{Pool: name}, record.VMUp{})
+		}
+	}
+	b := measure.BaselineOf(h.s, start.Add(2*time.Hour))
+	require.Equal(t, measure.Baseline{Shared: 1, Own: map[string]int{"booking": 1, "returns": 1, "fitting": 1}, OwnTotal: 3}, b)
+}
--- a/internal/operatorcmd/change_test.go
+++ b/internal/operatorcmd/change_test.go
@@ -176,6 +176,8 @@
 	code, out, _ = b.run("--output", "csv", "report")
 	require.Equal(t, ExitOK, code)
 	require.Contains(t, out, "budget burn,booking,11 of 12,")
+	require.Equal(t, &measure.Baseline{Own: map[string]int{"booking": 0}}, r.Baseline, "one pool with a wide budget needs none")
+	require.Contains(t, out, "buffer against its baseline,(all),0,0,0")
 }
 
 // Retention has removed the log's beginning and no snapshot is there: outcomes
--- a/internal/operatorcmd/report.go
+++ b/internal/operatorcmd/report.go
@@ -32,8 +32,13 @@
 			}
 			defer s.Close()
 			var r measure.Report
-			s.view(func(state *ledger.State) { r = measure.Of(state, time.Now().UTC()) })
-			return show(cmd.Root().Writer, s.format, r, burnTable(r), causeTable(r), bufferTable(r), rollOutTable(r))
+			s.view(func(state *ledger.State) {
+				now := time.Now().UTC()
+				r = measure.Of(state, now)
+				b := measure.BaselineOf(state, now)
+				r.Baseline = &b
+			})
+			return show(cmd.Root().Writer, s.format, r, burnTable(r), causeTable(r), bufferTable(r), baselineTable(r), rollOutTable(r))
 		},
 	}
 }
@@ -113,6 +118,18 @@
 	return t
 }
 
+// baselineTable shows the spare VMs held beside those that failures call for.
+func baselineTable(r measure.Report) *table {
+	t := &table{title: "buffer against its baseline", header: []string{"POOL", "HELD", "NEEDED SHARED", "BASELINE: EACH POOL ITS OWN"}}
+	held := r.Fleet.Free
+	for _, m := range r.Services {
+		held += m.Spare
+		t.add(m.Name, fmt.Sprint(m.Spare), dash, fmt.Sprint(r.Baseline.Own[m.Name]))
+	}
+	t.add("(all)", fmt.Sprint(held), fmt.Sprint(r.Baseline.Shared), fmt.Sprint(r.Baseline.OwnTotal))
+	return t
+}
+
 func rollOutTable(r measure.Report) *table {
 	t := &table{title: "roll-out", header: []string{"WAVE", "STATUS", "VMS", "BACK", "SKIPPED", "TOOK"}}
 	for _, w := range r.Waves {
