Record a trace of hours without the platform and the return

Cause: the trace log-outage holds 8 s in which nobody wrote and the wave went on; none had an operator's abort and document to be caught up with.

Change: scenario outage-rejoin: three entry VMs cut off from the platform in mid-wave for 25 s in place of hours, with leases of 0.4 s; an operator aborts the wave and publishes; a VM fails; all rejoin.

Conclusion: same members, nothing rebooted while cut off, only the operator's two records on the log.

--- a/internal/proof/traces_test.go
+++ b/internal/proof/traces_test.go
@@ -63,6 +63,9 @@
 	{"conflicting-publish", "two operators publish on the same revision at once", testkit.Options{}, conflictingPublish},
 	{"wave-rack-lost", "a rack is lost in the middle of a wave and comes back", testkit.Options{}, waveRackLost},
 	{"log-outage", "the log is out in the middle of a wave, a VM fails meanwhile, then nodes rejoin", testkit.Options{}, logOutage},
+	{"outage-rejoin", "nobody reaches the platform for 25 s, which stand for hours: 60 leases of 0.4 s; an operator aborts the wave and publishes meanwhile; then all rejoin", testkit.Options{
+		Entry: testkit.Settings{"claims.lease": `"400ms"`, "claims.clock_allowance": `"100ms"`},
+	}, outageRejoin},
 	{"paused-holder", "an entry VM is paused past its lease, evicted, and wakes up", testkit.Options{}, pausedHolder},
 	{"lapsed-lease", "all stewards are paused past the leases of two jobs, one of them repeatable", testkit.Options{}, lapsedLease},
 	{"cancellation-burst", "most of a burst of jobs is cancelled at once", testkit.Options{}, cancellationBurst},
@@ -222,6 +225,46 @@
 	awaitServing(r.Cluster, "booking", r.vms)
 }
 
+// outageRejoin cuts all processes off in mid-wave. Only the operator reaches the
+// log. At the return the nodes fold what he wrote before they decide.
+func outageRejoin(r *rig) {
+	r.Until("three members", func() bool { return len(r.Standin.State().Members) == 3 })
+	stop := r.load()
+	defer stop()
+	book := r.send("/booking/book", false)
+	defer book()
+	members := r.Standin.State().MemberNames()
+	r.wave()
+	r.awaitBack(1)
+	for _, n := range r.Nodes {
+		n.CutPlatform()
+	}
+	vm := r.Standin.List().VMs[r.vms-1].ID
+	r.Standin.Order(standin.Fault{Kind: standin.VMCrash, Target: vm})
+	time.Sleep(6 * time.Second) // until no state counts as fresh
+	cut := r.Standin.State()
+	reboots := r.Standin.Counters().Reboots
+	time.Sleep(17 * time.Second)
+	r.Must("wave", "abort", "w1")
+	r.Must("publish", r.File("next.toml", document("booking", r.vms, 2)+jobTerms))
+	tail := r.Standin.State()
+	require.Equal(r.t, cut.Offset+2, tail.Offset, "only the operator wrote")
+	require.Equal(r.t, reboots, r.Standin.Counters().Reboots)
+	time.Sleep(2 * time.Second)
+	for _, n := range r.Nodes {
+		n.HealPlatform()
+	}
+	r.Until("the failure is on the log", func() bool { return r.Standin.State().VMs[vm].Down })
+	r.Standin.Order(standin.Fault{Kind: standin.VMRecover, Target: vm})
+	awaitServing(r.Cluster, "booking", r.vms)
+	for _, n := range r.Nodes {
+		r.Until(n.Name+" has rejoined", func() bool { return r.offset(n) > tail.Offset })
+	}
+	end := r.Standin.State()
+	require.Equal(r.t, members, end.MemberNames(), "nobody was evicted")
+	require.Equal(r.t, ledger.WaveAborted, end.Waves["w1"].Status)
+}
+
 func pausedHolder(r *rig) {
 	r.Until("three members", func() bool { return len(r.Standin.State().Members) == 3 })
 	stop := r.send("/booking/book", false)
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -159,7 +159,7 @@
 
 // recorded are the traces that must be there, as internal/proof records them.
 var recorded = []string{
-	"conflicting-publish", "wave-rack-lost", "log-outage", "paused-holder", "lapsed-lease",
+	"conflicting-publish", "wave-rack-lost", "log-outage", "outage-rejoin", "paused-holder", "lapsed-lease",
 	"cancellation-burst", "black-hole-worker", "retention-gap", "lost-replies",
 }
 
