--- a/cmd/yuccadrift-bench/main.go
+++ b/cmd/yuccadrift-bench/main.go
@@ -47,6 +47,7 @@
 			measurement("state", "state, planning and the platform's list as the fleet grows", bySeeds(state.Slopes)),
 			measurement("history", "the fold of a busy fleet's history, and its snapshots", bySeeds(state.History)),
 			measurement("rounds", "planning rounds as the fleet grows", bySeeds(planning.Rounds)),
+			measurement("placement", "placement as the fleet grows", bySeeds(jobs.Speed)),
 			measurement("steps", "a steward's care for running tasks as the fleet grows", bySeeds(jobs.Steady)),
 			measurement("claims", "claims on request keys: owners in memory against the log", claimWays),
 			measurement("overload", "backend servers' slots: two choices against fixed parts, at several loads", overload),
