Measure a scrape with the tool

Cause: the last measurement of internal/capacity without processes stood in _test.go.

Change: Scrape in internal/bench/requests, the tool's command scrape.

--- a/cmd/yuccadrift-bench/main.go
+++ b/cmd/yuccadrift-bench/main.go
@@ -49,6 +49,7 @@
 			measurement("rounds", "planning rounds as the fleet grows", bySeeds(planning.Rounds)),
 			measurement("placement", "placement as the fleet grows", bySeeds(jobs.Speed)),
 			measurement("steps", "a steward's care for running tasks as the fleet grows", bySeeds(jobs.Steady)),
+			measurement("scrape", "a scrape of the metrics with a line for each service", bySeeds(requests.Scrape)),
 			measurement("claims", "claims on request keys: owners in memory against the log", claimWays),
 			measurement("overload", "backend servers' slots: two choices against fixed parts, at several loads", overload),
 			measurement("path", "a call through an entry against a direct one", path),
