Give tests one line to the log that can be cut

Cause: the tests of follower, membership and steward each had a fake of a process's way to the log, with the same checks.

Change: testkit.LogLine, used by the three. No case changes. With its appends not cut, TestProposeWhileTheLogIsOut and TestLogThatComesBackOtherThanItWas fail; the tests of membership rest on cut reads and pass.

--- a/internal/follower/harness_test.go
+++ b/internal/follower/harness_test.go
@@ -19,6 +19,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/platform"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
 )
 
 const (
@@ -26,26 +27,15 @@
 	snapshots = "snapshots"
 )
 
-// link is one process's way to the log. It can be cut, or led to another log.
+// link is one process's way to the log.
 type link struct {
-	log atomic.Pointer[standin.Platform]
-	cut atomic.Bool
+	*testkit.LogLine
 	// snapshotBytes counts what was read of the stream of snapshots.
 	snapshotBytes atomic.Int64
 }
 
-func (l *link) Append(ctx context.Context, name string, entries [][]byte) (platform.Offset, error) {
-	if l.cut.Load() {
-		return 0, platform.ErrUnavailable
-	}
-	return l.log.Load().Append(ctx, name, entries)
-}
-
 func (l *link) Read(ctx context.Context, name string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
-	if l.cut.Load() {
-		return platform.Batch{}, platform.ErrUnavailable
-	}
-	batch, err := l.log.Load().Read(ctx, name, from, limit, wait)
+	batch, err := l.LogLine.Read(ctx, name, from, limit, wait)
 	if name == snapshots {
 		for _, e := range batch.Entries {
 			l.snapshotBytes.Add(int64(len(e.Data)))
@@ -114,8 +104,7 @@
 
 // start runs a node until the test ends. change edits its settings.
 func start(t *testing.T, log *standin.Platform, name string, change func(*follower.Config, *link)) *node {
-	l := &link{}
-	l.log.Store(log)
+	l := &link{LogLine: testkit.NewLogLine(log)}
 	cfg := follower.Config{Log: l, Stream: stream, SnapshotStream: snapshots, Node: name, Logger: hclog.NewNullLogger()}
 	cfg.Appender = platform.NewAppender(l, stream, platform.AppenderOptions{})
 	if change != nil {
--- a/internal/membership/harness_test.go
+++ b/internal/membership/harness_test.go
@@ -20,49 +20,10 @@
 	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
 	"github.com/yuccadrift/yuccadrift/internal/follower"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
-	"github.com/yuccadrift/yuccadrift/internal/platform"
 	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
 )
 
-// outages tells for which nodes the log is down; "" stands for all.
-type outages struct {
-	mu   sync.Mutex
-	down map[string]bool
-}
-
-func (o *outages) setDown(node string, down bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.down[node] = down
-}
-
-func (o *outages) isDown(node string) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.down[""] || o.down[node]
-}
-
-// port is one node's access to the log.
-type port struct {
-	platform.Log
-	outages *outages
-	node    string
-}
-
-func (p port) Append(ctx context.Context, stream string, data [][]byte) (platform.Offset, error) {
-	if p.outages.isDown(p.node) {
-		return 0, platform.ErrUnavailable
-	}
-	return p.Log.Append(ctx, stream, data)
-}
-
-func (p port) Read(ctx context.Context, stream string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
-	if p.outages.isDown(p.node) {
-		return platform.Batch{}, platform.ErrUnavailable
-	}
-	return p.Log.Read(ctx, stream, from, limit, wait)
-}
-
 // network connects nodes in memory and can be cut between two of them.
 type network struct {
 	mu        sync.Mutex
@@ -119,8 +80,7 @@
 // cluster is a set of nodes in one synctest bubble.
 type cluster struct {
 	t     *testing.T
-	fake  *standin.Platform
-	log   *outages
+	log   *testkit.LogLine // of all nodes
 	net   *network
 	nodes map[string]*node
 }
@@ -159,8 +119,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			t:     t,
-			fake:  standin.New(standin.Options{}),
-			log:   &outages{down: map[string]bool{}},
+			log:   testkit.NewLogLine(standin.New(standin.Options{})),
 			net:   &network{listeners: map[string]chan net.Conn{}, cut: map[[2]string]bool{}, conns: map[[2]string][]net.Conn{}},
 			nodes: map[string]*node{},
 		}
@@ -183,7 +142,7 @@
 		logger = hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Debug})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	f := follower.New(follower.Config{Log: port{c.fake, c.log, name}, Stream: "s", Logger: hclog.NewNullLogger()})
+	f := follower.New(follower.Config{Log: c.log, Stream: "s", Logger: hclog.NewNullLogger()})
 	peers := entrypeer.NewNode(entrypeer.NodeConfig{
 		Logger:      logger,
 		CallTimeout: 300 * time.Millisecond,
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -91,7 +91,7 @@
 // log is back, the lost one is evicted.
 func TestLogOutageKeepsGranting(t *testing.T) {
 	inCluster(t, 8, func(c *cluster) {
-		c.log.setDown("", true)
+		c.log.Cut(true)
 		time.Sleep(10 * time.Minute)
 		for range 50 {
 			require.Equal(c.t, claim.Granted, c.claim("n3", key()).Verdict)
@@ -109,7 +109,7 @@
 		}
 		require.Greater(c.t, granted, 50)
 		require.Equal(c.t, 8, c.nodes["n0"].members())
-		c.log.setDown("", false)
+		c.log.Cut(false)
 		c.until("evicted", func() bool { return c.nodes["n0"].members() == 7 })
 	})
 }
@@ -178,16 +178,16 @@
 	inCluster(t, 5, func(c *cluster) {
 		c.start("n5")
 		c.until("joined", func() bool { return c.nodes["n0"].members() == 6 })
-		c.log.setDown("", true)
+		c.log.Cut(true)
 		time.Sleep(time.Minute)
-		c.log.setDown("", false)
-		c.log.setDown("", true)
+		c.log.Cut(false)
+		c.log.Cut(true)
 		time.Sleep(10 * time.Second)
 		require.Len(c.t, c.ready(), 6)
 		for range 50 {
 			require.Equal(c.t, claim.Granted, c.claim("n5", key()).Verdict)
 		}
-		c.log.setDown("", false)
+		c.log.Cut(false)
 	})
 }
 
--- a/internal/membership/outage_test.go
+++ b/internal/membership/outage_test.go
@@ -114,13 +114,13 @@
 		}
 		time.Sleep(time.Second)
 		before := c.nodes["n1"].names()
-		c.log.setDown("", true)
+		c.log.Cut(true)
 		for range 24 {
 			time.Sleep(15 * time.Minute)
 			c.serve(paths, to)
 			require.Equal(c.t, before, c.nodes["n1"].names())
 		}
-		c.log.setDown("", false)
+		c.log.Cut(false)
 		for range 10 {
 			time.Sleep(3 * time.Second)
 			c.serve(paths, to)
--- a/internal/steward/outage_test.go
+++ b/internal/steward/outage_test.go
@@ -20,6 +20,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/record"
 	"github.com/yuccadrift/yuccadrift/internal/standin"
 	"github.com/yuccadrift/yuccadrift/internal/steward"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
 )
 
 // act is something that a steward did: an append, or an action on a VM.
@@ -33,9 +34,9 @@
 // notes what the steward tries, also while it is cut.
 type way struct {
 	platform.Fleet
-	log              atomic.Pointer[standin.Platform]
-	node             atomic.Pointer[node]
-	noLog, noActions atomic.Bool
+	*testkit.LogLine
+	node      atomic.Pointer[node]
+	noActions atomic.Bool
 
 	mu   sync.Mutex
 	acts []act
@@ -60,17 +61,7 @@
 
 func (w *way) Append(ctx context.Context, name string, entries [][]byte) (platform.Offset, error) {
 	w.note("append")
-	if w.noLog.Load() {
-		return 0, platform.ErrUnavailable
-	}
-	return w.log.Load().Append(ctx, name, entries)
-}
-
-func (w *way) Read(ctx context.Context, name string, from platform.Offset, limit int, wait time.Duration) (platform.Batch, error) {
-	if w.noLog.Load() {
-		return platform.Batch{}, platform.ErrUnavailable
-	}
-	return w.log.Load().Read(ctx, name, from, limit, wait)
+	return w.LogLine.Append(ctx, name, entries)
 }
 
 type action func(context.Context, string, platform.Operation) (platform.OperationStatus, error)
@@ -118,8 +109,7 @@
 	m.operator = &node{follow: follower.New(follower.Config{Log: m.fake, Stream: stream, Logger: hclog.NewNullLogger()})}
 	go func() { _ = m.operator.follow.Serve(t.Context()) }()
 	for i := range 3 {
-		w := &way{Fleet: m.fake}
-		w.log.Store(m.fake)
+		w := &way{Fleet: m.fake, LogLine: testkit.NewLogLine(m.fake)}
 		w.node.Store(startNode(t, w, fmt.Sprintf("entry-%d", i+1), func(cfg *steward.Config) { cfg.Health = listed{m.fake} }))
 		m.ways = append(m.ways, w)
 	}
@@ -180,7 +170,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := startMidWave(t, standin.Options{})
 		for _, w := range m.ways {
-			w.noLog.Store(true)
+			w.Cut(true)
 		}
 		m.fail("rack/a-r01")
 		m.idle(3 * time.Hour)
@@ -198,7 +188,7 @@
 		require.NoError(t, err)
 		rejoin := time.Now()
 		for _, w := range m.ways {
-			w.noLog.Store(false)
+			w.Cut(false)
 			w.noActions.Store(false)
 		}
 		time.Sleep(5 * time.Minute)
@@ -238,7 +228,7 @@
 				_, err := another.Append(t.Context(), stream, [][]byte{[]byte("first")})
 				require.NoError(t, err)
 				for _, w := range m.ways {
-					w.noLog.Store(true)
+					w.Cut(true)
 				}
 				m.fail("rack/a-r01")
 				m.idle(20 * time.Minute)
@@ -247,9 +237,9 @@
 				}
 				for _, w := range m.ways {
 					if condition == follower.Foreign {
-						w.log.Store(another)
+						w.Lead(another)
 					}
-					w.noLog.Store(false)
+					w.Cut(false)
 				}
 				m.idle(20 * time.Minute)
 				for _, w := range m.ways {
@@ -263,7 +253,7 @@
 				tail := m.write(10)
 				back := time.Now()
 				for _, w := range m.ways {
-					w.log.Store(m.fake)
+					w.Lead(m.fake)
 				}
 				time.Sleep(5 * time.Minute)
 				for _, w := range m.ways {
