--- a/internal/bench/claims/log.go
+++ b/internal/bench/claims/log.go
@@ -14,6 +14,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/entrypeer"
 	"github.com/yuccadrift/yuccadrift/internal/platform"
 	"github.com/yuccadrift/yuccadrift/internal/standin"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 )
 
 const (
@@ -21,6 +22,8 @@
 	// readLimit and readWait are those of a follower.
 	readLimit = 1000
 	readWait  = time.Second
+	// readPause follows a read that failed.
+	readPause = 50 * time.Millisecond
 	// reportTimeout is how long a report may wait for its append.
 	reportTimeout = 10 * time.Second
 )
@@ -80,7 +83,8 @@
 	for from := platform.Offset(1); ctx.Err() == nil; {
 		batch, err := l.log.Read(ctx, claimStream, from, readLimit, readWait)
 		if err != nil {
-			return // the measured log has no outage; only the end of ctx comes here
+			_ = wait.Sleep(ctx, readPause)
+			continue
 		}
 		l.mu.Lock()
 		for _, raw := range batch.Entries {
