--- a/internal/claim/model_test.go
+++ b/internal/claim/model_test.go
@@ -1,22 +1,16 @@
 package claim
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/yuccadrift/yuccadrift/internal/testkit/randomcheck"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "20261202")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { randomcheck.Main(m, 20261202, 0) }
 
 // fault is one fault of a schedule.
 type fault struct {
--- a/internal/jobrunner/world_test.go
+++ b/internal/jobrunner/world_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"flag"
-	"os"
 	"testing"
 	"time"
 
@@ -16,16 +14,11 @@
 	"github.com/yuccadrift/yuccadrift/internal/platform"
 	"github.com/yuccadrift/yuccadrift/internal/record"
 	"github.com/yuccadrift/yuccadrift/internal/standin"
+
+	"github.com/yuccadrift/yuccadrift/internal/testkit/randomcheck"
 )
 
-// TestMain fixes the seed of the random checks.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20260301"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { randomcheck.Main(m, 20260301, 0) }
 
 const (
 	stepTime = 100 * time.Millisecond
--- a/internal/ledger/generate_test.go
+++ b/internal/ledger/generate_test.go
@@ -1,27 +1,20 @@
 package ledger
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/yuccadrift/yuccadrift/internal/record"
+
+	"github.com/yuccadrift/yuccadrift/internal/testkit/randomcheck"
 )
 
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "20260302", "rapid.checks": "150", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { randomcheck.Main(m, 20260302, 150) }
 
 // entry is one entry of a generated log.
 type entry struct {
--- a/internal/maintenance/history_test.go
+++ b/internal/maintenance/history_test.go
@@ -1,9 +1,7 @@
 package maintenance_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -12,14 +10,11 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/record"
+
+	"github.com/yuccadrift/yuccadrift/internal/testkit/randomcheck"
 )
 
-// TestMain fixes the seed, so that a failure in CI is the same one everywhere.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261202")
-	_ = flag.Set("rapid.checks", "2000")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { randomcheck.Main(m, 20261202, 2000) }
 
 // What operators and callers rely on, under anything that may happen: two
 // stewards plan and act on views that are behind, appends are doubled, delayed
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,9 +1,7 @@
 package placement_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -14,16 +12,11 @@
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
 	"github.com/yuccadrift/yuccadrift/internal/placement"
 	"github.com/yuccadrift/yuccadrift/internal/record"
+
+	"github.com/yuccadrift/yuccadrift/internal/testkit/randomcheck"
 )
 
-// TestMain fixes the seed of the random checks.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "20260301"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { randomcheck.Main(m, 20260301, 0) }
 
 var now = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
 
--- a/internal/pool/assign_test.go
+++ b/internal/pool/assign_test.go
@@ -1,8 +1,6 @@
 package pool
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -10,14 +8,11 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/document"
 	"github.com/yuccadrift/yuccadrift/internal/ledger"
+
+	"github.com/yuccadrift/yuccadrift/internal/testkit/randomcheck"
 )
 
-// TestMain fixes the seed, so that a failure in CI is the same one everywhere.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "20261202")
-	_ = flag.Set("rapid.checks", "500")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { randomcheck.Main(m, 20261202, 500) }
 
 // score is an assignment's worth: VMs given away, and how many of each tier.
 type score struct {
