--- a/internal/claim/key_test.go
+++ b/internal/claim/key_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -32,3 +33,27 @@
 		require.Equal(t, c.ok, err == nil && k.Minted().Equal(minted), "%s: %v %v", c.text, k.Minted(), err)
 	}
 }
+
+// FuzzParseKey holds that a text is either refused as a bad key or names one
+// key in every notation: two notations that met as different keys would let a
+// retry run a second time.
+func FuzzParseKey(f *testing.F) {
+	f.Add("01JDZDJWG0ABCDEFGHJKMNPQRS")
+	f.Add("01937ed9-7200-7abc-8def-0123456789ab")
+	f.Add("")
+	f.Fuzz(func(t *testing.T, text string) {
+		k, err := ParseKey("orders", text)
+		if err != nil {
+			require.ErrorIs(t, err, ErrBadKey)
+			require.Zero(t, k)
+			return
+		}
+		_, id, _ := strings.Cut(k.String(), "/")
+		again, err := ParseKey("orders", id)
+		require.NoError(t, err)
+		require.Equal(t, k, again)
+		lower, err := ParseKey("orders", strings.ToLower(text))
+		require.NoError(t, err)
+		require.Equal(t, k, lower)
+	})
+}
