--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -157,14 +157,18 @@
 		t.Logf("%4d times: %s", x.made[name], name)
 	}
 	outcomes := map[outcome.Outcome]int{}
+	unknown := map[outcome.Reason]int{}
 	for _, a := range e.attempts {
 		if a.Err != nil {
 			outcomes["broke off"]++
 			continue
 		}
 		outcomes[a.Outcome]++
+		if a.Outcome == outcome.Unknown {
+			unknown[a.Reason]++
+		}
 	}
-	t.Logf("%d attempts: %v", len(e.attempts), outcomes)
+	t.Logf("%d attempts: %v; unknown by reason: %v", len(e.attempts), outcomes, unknown)
 	for class, h := range load.latency {
 		t.Logf("%s requests that ran: p50 %.1f ms, p99 %.1f ms, max %.1f ms", class,
 			float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, float64(h.Max())/1000)
