Split three long test files by what they test

Cause: follower_test, faults_check_test and standin/backend_test had grown past 400 lines with two subjects each. Change: proposals, metrics, the budget's independent account and the control page get files of their own; lines are moved, none is changed.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -1,16 +1,10 @@
 package follower_test
 
 import (
-	"context"
-	"os"
-	"regexp"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/yuccadrift/yuccadrift/internal/follower"
@@ -220,66 +214,6 @@
 	})
 }
 
-// Replies to appends are lost, appends come late or never act, and the log
-// throttles, while fifty proposals are under way at once. Each ends with the outcome of its first
-// copy and takes effect once.
-func TestProposeOverAFaultyLog(t *testing.T) {
-	for _, batched := range []bool{true, false} {
-		run(t, func(t *testing.T) {
-			log := standin.New(standin.Options{AppendsPerSecond: 40})
-			n := start(t, log, "n", func(c *follower.Config, l *link) {
-				if !batched {
-					c.Appender = nil
-				}
-			})
-			settle(time.Second)
-			_, err := log.Order(standin.Fault{Kind: standin.LogLoseReply, Target: stream, Count: 5},
-				standin.Fault{Kind: standin.LogHang, Target: "append", Count: 3},
-				standin.Fault{Kind: standin.LogLate, Target: stream, Count: 5, DelayMS: 3000})
-			require.NoError(t, err)
-			var all sync.WaitGroup
-			for range 50 {
-				rec := n.draft()
-				all.Go(func() {
-					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
-					defer cancel()
-					out, err := n.Propose(ctx, rec)
-					assert.NoError(t, err)
-					assert.Equal(t, ledger.Effective, out.Status, out.Reason)
-				})
-			}
-			all.Wait()
-			settle(10 * time.Second)
-			n.View(func(s *ledger.State) { require.Len(t, s.VMs, 50) })
-		})
-	}
-}
-
-// The log is out. A proposal ends with its caller's context and an unknown
-// outcome, since a copy may still be on its way.
-func TestProposeWhileTheLogIsOut(t *testing.T) {
-	run(t, func(t *testing.T) {
-		log := standin.New(standin.Options{})
-		n := start(t, log, "n", nil)
-		settle(time.Second)
-		n.link.Cut(true)
-		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-		defer cancel()
-		began := time.Now()
-		_, err := n.Propose(ctx, n.draft())
-		require.ErrorIs(t, err, context.DeadlineExceeded)
-		require.Equal(t, 10*time.Second, time.Since(began))
-		rec := n.draft()
-		n.link.Cut(false)
-		_, err = log.Order(standin.Fault{Kind: standin.LogHang, Target: "append"})
-		require.NoError(t, err)
-		ctx, cancel = context.WithTimeout(t.Context(), 3*time.Second)
-		defer cancel()
-		_, err = n.Propose(ctx, rec)
-		require.ErrorIs(t, err, context.DeadlineExceeded)
-	})
-}
-
 // Leases rest on Fresh: on a quiet log it must never be older than a second, and
 // it must stand still from the moment the log cannot be read. A slow answer says
 // nothing about what was appended since its read was sent.
@@ -422,43 +356,3 @@
 		require.NotEqual(t, a.Checkpoint().Digest, wrong.Checkpoint().Digest)
 	})
 }
-
-func TestMetrics(t *testing.T) {
-	run(t, func(t *testing.T) {
-		n := start(t, standin.New(standin.Options{}), "n", nil)
-		registry := prometheus.NewPedanticRegistry()
-		require.NoError(t, registry.Register(n))
-		settle(time.Second)
-		n.write(3)
-		got := values(t, registry)
-		require.Equal(t, 3.0, got["yuccadrift_log_records_total"])
-		require.Equal(t, 3.0, got["yuccadrift_log_appends_total"])
-		require.Equal(t, 3.0, got["yuccadrift_log_offset"])
-		require.Equal(t, 1.0, got["yuccadrift_log_following"])
-		require.NotContains(t, got, "yuccadrift_log_checkpoint_info")
-		for range 9 {
-			_, err := n.link.Append(t.Context(), stream, slices.Repeat([][]byte{{}}, 1000))
-			require.NoError(t, err)
-		}
-		settle(time.Second)
-		got = values(t, registry)
-		require.Equal(t, 1.0, got["yuccadrift_log_checkpoint_info"])
-		rules, err := os.ReadFile("../../examples/alerts-log.yml")
-		require.NoError(t, err)
-		for _, name := range regexp.MustCompile(`yuccadrift_[a-z_]+`).FindAllString(string(rules), -1) {
-			require.Contains(t, got, name, "an alert on a metric that nobody exports never fires")
-		}
-	})
-}
-
-// values returns the first value of each metric.
-func values(t *testing.T, registry *prometheus.Registry) map[string]float64 {
-	families, err := registry.Gather()
-	require.NoError(t, err)
-	out := map[string]float64{}
-	for _, f := range families {
-		m := f.GetMetric()[0]
-		out[f.GetName()] = m.GetCounter().GetValue() + m.GetGauge().GetValue()
-	}
-	return out
-}
--- /dev/null
+++ b/internal/proof/faults_budget_test.go
@@ -0,0 +1,143 @@
+package proof
+
+import (
+	"time"
+
+	servicedoc "github.com/yuccadrift/yuccadrift/internal/document"
+	"github.com/yuccadrift/yuccadrift/internal/ledger"
+	"github.com/yuccadrift/yuccadrift/internal/record"
+)
+
+// poolAccount is the checker's own account of one pool, kept from the bodies of
+// effective records and not from the ledger's accounts.
+type poolAccount struct {
+	doc     servicedoc.Document
+	short   int
+	changed time.Time
+	charges []charge
+}
+
+// charge is a stretch of time in which VMs were missing to the declared size.
+type charge struct {
+	from, to time.Time
+	short    int
+}
+
+// vmAccount is where one VM is.
+type vmAccount struct {
+	pool, rack string
+	out        bool // drained, or joined and not seen healthy yet
+	down       bool
+}
+
+// fleetAccount replays the effective records.
+type fleetAccount struct {
+	pools map[string]*poolAccount
+	vms   map[string]*vmAccount
+}
+
+func (f *fleetAccount) apply(l logged) {
+	name := l.rec.Subject.Name
+	vm := f.vms[name]
+	switch b := l.rec.Body.(type) {
+	case record.DocumentPublish:
+		doc, _ := servicedoc.Parse(name, []byte(b.Text)) // effective, so well formed
+		if f.pools[name] == nil {
+			f.pools[name] = &poolAccount{}
+		}
+		f.pools[name].doc = doc
+	case record.VMRegister:
+		f.vms[name] = &vmAccount{rack: b.Rack}
+	case record.VMJoin:
+		vm.pool, vm.out = b.Pool, true
+	case record.VMDrain:
+		vm.out = true
+	case record.VMAdvance:
+		if b.To == record.PhaseFree {
+			vm.pool, vm.out = "", false
+		}
+	case record.VMDown:
+		vm.down = true
+	case record.VMUp:
+		vm.down, vm.out = false, false
+	case record.VMGone:
+		delete(f.vms, name)
+	}
+	for pool := range f.pools {
+		f.settle(pool, l.rec.Time)
+	}
+}
+
+// settle books the time since the pool's last change.
+func (f *fleetAccount) settle(pool string, now time.Time) {
+	p := f.pools[pool]
+	if p.short > 0 {
+		p.charges = append(p.charges, charge{from: p.changed, to: now, short: p.short})
+	}
+	p.short, p.changed = max(0, p.doc.Pool.Size-f.serving(pool)), now
+}
+
+func (f *fleetAccount) serving(pool string) int {
+	n := 0
+	for _, vm := range f.vms {
+		if vm.pool == pool && !vm.out && !vm.down {
+			n++
+		}
+	}
+	return n
+}
+
+// spent is the VM-seconds charged in the window before now.
+func (p *poolAccount) spent(now time.Time) float64 {
+	var sum float64
+	for _, c := range p.charges {
+		from := c.from
+		if start := now.Add(-p.doc.Budget.Window); from.Before(start) {
+			from = start
+		}
+		sum += max(0, c.to.Sub(from).Seconds()) * float64(c.short)
+	}
+	return sum
+}
+
+// racksOut counts the racks in which VMs of the pool are drained or down.
+func (f *fleetAccount) racksOut(pool string) map[string]int {
+	racks := map[string]int{}
+	for _, vm := range f.vms {
+		if vm.pool == pool && vm.out && !vm.down {
+			racks[vm.rack]++
+		}
+	}
+	return racks
+}
+
+// budgets: every drain that took effect fitted into its pool's budget: not too
+// many VMs missing at once, not two racks at a time where the document forbids
+// it, not more VM-seconds than allowed.
+func (e *evidence) budgets() promise {
+	p := promise{name: "each pool stays within its availability budget"}
+	f := &fleetAccount{pools: map[string]*poolAccount{}, vms: map[string]*vmAccount{}}
+	for _, l := range e.log {
+		if l.out.Status != ledger.Effective {
+			continue
+		}
+		if _, ok := l.rec.Body.(record.VMDrain); !ok {
+			f.apply(l)
+			continue
+		}
+		vm := l.rec.Subject.Name
+		serving := !f.vms[vm].down
+		f.apply(l)
+		pool := f.vms[vm].pool
+		account := f.pools[pool]
+		if account == nil || !serving {
+			continue
+		}
+		budget := account.doc.Budget
+		racks := f.racksOut(pool)
+		p.try(account.short <= budget.MaxUnavailable, "offset %d: drain of %s leaves %s short of %d VMs, allowed %d", l.offset, vm, pool, account.short, budget.MaxUnavailable)
+		p.try(!budget.OneDomain || account.short == 0 || len(racks) <= 1, "offset %d: drain of %s has VMs of %s out in racks %v", l.offset, vm, pool, racks)
+		p.try(account.spent(l.rec.Time) <= account.doc.AllowedSeconds(), "offset %d: drain of %s with %.0f of %.0f VM-seconds of %s spent", l.offset, vm, account.spent(l.rec.Time), account.doc.AllowedSeconds(), pool)
+	}
+	return p
+}
