--- /dev/null
+++ b/internal/node/contact.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+)
+
+// outOfTouch is how long after the last good call the store counts as lost. The
+// node makes several calls a second.
+const outOfTouch = 1500 * time.Millisecond
+
+// contact knows whether the store answers this node.
+type contact struct {
+	logger hclog.Logger
+
+	mu   sync.Mutex
+	good time.Time
+	lost bool
+}
+
+// called notes the outcome of a call to the store.
+func (c *contact) called(ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if ok {
+		if c.lost {
+			c.logger.Info("store answers again", "away_ms", now.Sub(c.good).Milliseconds())
+		}
+		c.good = now
+		c.lost = false
+		return
+	}
+	if !c.lost && now.Sub(c.good) > outOfTouch {
+		c.lost = true
+		c.logger.Warn("store does not answer", "since_ms", now.Sub(c.good).Milliseconds())
+	}
+}
+
+// check tells why the store counts as lost, nil if it doesn't.
+func (c *contact) check() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if age := time.Since(c.good); age > outOfTouch {
+		return errors.Errorf("no answer of the store for %s", age.Round(time.Millisecond))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,230 @@
+// Package node assembles the process that runs on each entry VM of the users'
+// platform.
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/ulid/v2"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/yuccadrift/yuccadrift/internal/admin"
+	"github.com/yuccadrift/yuccadrift/internal/front"
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/logging"
+	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
+	"github.com/yuccadrift/yuccadrift/internal/owner"
+	"github.com/yuccadrift/yuccadrift/internal/ownership"
+	"github.com/yuccadrift/yuccadrift/internal/published"
+	"github.com/yuccadrift/yuccadrift/internal/registry"
+	"github.com/yuccadrift/yuccadrift/internal/settings"
+	"github.com/yuccadrift/yuccadrift/internal/supervise"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+const binary = "yuccadrift-node"
+
+// lease is how long a run lives without renewal: longer than the detection of a
+// lost owner and the takeover together, which take about 2.2 s, and else as short
+// as it can be, as the tasks of a lost worker wait for it.
+const lease = 3500 * time.Millisecond
+
+// Node is the process.
+type Node struct {
+	settings  platform.Settings
+	logger    hclog.Logger
+	store     *platform.Store
+	contact   *contact
+	published *published.Follower
+	registry  *registry.Follower
+	manager   *ownership.Manager
+	owners    *owners
+	deps      owner.Deps
+	front     *front.Server
+	admin     *admin.Server
+	peers     net.Listener
+}
+
+// Run runs a node by the settings file at path until ctx ends.
+func Run(ctx context.Context, path string, out io.Writer) error {
+	began := time.Now()
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	async := logging.NewAsync(out)
+	defer async.Close()
+	logger := logging.New(binary, settings.Node{ID: s.Node, Zone: s.Zone}, settings.Log{Level: "info", Format: settings.LogJSON}, async)
+	n, err := build(s, logger, async)
+	if err != nil {
+		return err
+	}
+	logger.Info("started", "took", time.Since(began).String(), "callers", s.Caller, "store", s.Store.Address, "partitions", s.Store.Partitions)
+	err = supervise.Run(ctx, binary, logger, n.duties(path)...)
+	logger.Info("stopped", "dropped_lines", async.Dropped(), "error", fmt.Sprint(err))
+	return err
+}
+
+func build(s platform.Settings, logger hclog.Logger, async *logging.Async) (*Node, error) {
+	n := &Node{settings: s, logger: logger}
+	registryOfMetrics := prometheus.NewRegistry()
+	registryOfMetrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "yuccadrift_log_lines_dropped_total",
+		Help: "Log lines that were dropped because nobody read them fast enough.",
+	}, func() float64 { return float64(async.Dropped()) }))
+	n.contact = &contact{logger: logger.Named("store"), good: time.Now()}
+	n.store = platform.NewStore(s.Store, n.contact.called)
+	n.published = published.New(n.store, logger.Named("published"))
+	n.registry = registry.New(n.store, logger.Named("registry"))
+	n.deps = owner.Deps{
+		Store:      n.store,
+		Workers:    platform.NewWorkers(),
+		Adviser:    platform.NewAdviser(s.Advice),
+		Fleet:      platform.NewMachines(s.Machines),
+		Published:  n.published,
+		Registry:   n.registry,
+		Logger:     logger.Named("owner"),
+		Metrics:    owner.NewMetrics(registryOfMetrics),
+		Bounds:     s.Bounds,
+		Partitions: s.Store.Partitions,
+		Lease:      min(lease, s.Bounds.MaxLease),
+	}
+	self := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0]+1))
+	n.owners = &owners{partitions: s.Store.Partitions, self: self, clients: nodepeer.NewClients(), local: map[int]*owner.Owner{}}
+	unique := func() string { return ulid.Make().String() }
+	n.manager = ownership.New(n.store, logger.Named("ownership"), s.Node, self, []string{joblog.Topic, joblog.FleetTopic}, unique, n.own)
+	n.owners.manager = n.manager
+	return n, n.listen(registryOfMetrics)
+}
+
+// listen binds the process's addresses.
+func (n *Node) listen(metrics *prometheus.Registry) error {
+	s := n.settings
+	callers, err := net.Listen("tcp", s.Caller)
+	if err != nil {
+		return errors.Wrap(err, "address for callers")
+	}
+	ready, err := net.Listen("tcp", s.Ready)
+	if err != nil {
+		return errors.Wrap(err, "address for readiness")
+	}
+	n.peers, err = net.Listen("tcp", n.owners.self)
+	if err != nil {
+		return errors.Wrap(err, "address for other nodes")
+	}
+	page, err := net.Listen("tcp", net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPorts[0])))
+	if err != nil {
+		return errors.Wrap(err, "address for metrics")
+	}
+	n.front = front.NewServer(callers, ready, n.ready, n.logger.Named("front"))
+	n.front.SetHandler(&front.Handler{
+		Config:  n.published.Config,
+		Jobs:    n,
+		Owners:  n.owners,
+		Logger:  n.logger.Named("front"),
+		Metrics: front.NewMetrics(metrics),
+		Leaving: n.front.Leaving,
+	})
+	n.admin = admin.New(admin.Config{Listener: page, Registry: metrics, Readiness: admin.NewReadiness(), Profiles: true, Logger: n.logger.Named("admin")})
+	return nil
+}
+
+// ready tells why the node should get no new connections.
+func (n *Node) ready() error {
+	if n.published.Config() == nil {
+		return errors.New("no configuration was read yet")
+	}
+	return n.contact.check()
+}
+
+// Accept stores a record of a caller's request with its service's jobs.
+func (n *Node) Accept(ctx context.Context, service string, r workload.Record) (platform.StoreStatus, error) {
+	return joblog.New(n.store, joblog.Topic, n.owners.partitionOf(service)).Accept(ctx, r)
+}
+
+// own runs what the group gave to this node.
+func (n *Node) own(ctx context.Context, p platform.Partition, epoch int64) error {
+	if p.Topic != joblog.Topic {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if !n.used(ctx, p.Part) {
+		return ctx.Err()
+	}
+	n.registry.Need(true)
+	own := owner.New(n.deps, p.Part, epoch)
+	n.owners.set(p.Part, own)
+	defer n.owners.unset(p.Part, own)
+	return own.Run(ctx)
+}
+
+// usedCheck is the pause between looks whether a partition has got a service.
+const usedCheck = 100 * time.Millisecond
+
+// used waits until a service's jobs lie in the partition.
+func (n *Node) used(ctx context.Context, partition int) bool {
+	for ctx.Err() == nil {
+		if c := n.published.Config(); c != nil {
+			for _, s := range c.Services {
+				if n.owners.partitionOf(s.Name) == partition {
+					return true
+				}
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(usedCheck):
+		}
+	}
+	return false
+}
+
+// duties are the process's goroutines.
+func (n *Node) duties(path string) []supervise.Duty {
+	return []supervise.Duty{
+		{Name: "front", Serve: n.serveFront, StopWithin: n.settings.Bounds.Grace},
+		{Name: "published", Serve: n.published.Run},
+		{Name: "registry", Serve: n.registry.Run},
+		{Name: "ownership", Serve: n.manager.Run},
+		{Name: "peers", Serve: n.servePeers},
+		{Name: "admin", Serve: n.admin.Serve},
+		{Name: "reload", Serve: func(ctx context.Context) error { return n.reload(ctx, path) }},
+	}
+}
+
+func (n *Node) serveFront(ctx context.Context) error { return n.front.Run(ctx) }
+
+func (n *Node) servePeers(ctx context.Context) error {
+	return nodepeer.Serve(ctx, n.peers, peerHandler{n.owners})
+}
+
+// reload checks the settings at each SIGHUP. What a process is and where it
+// listens can't change while it runs.
+func (n *Node) reload(ctx context.Context, path string) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-signals:
+			if _, err := platform.LoadSettings(path); err != nil {
+				n.logger.Error("settings can't be read, the last good ones stay", "error", err)
+				continue
+			}
+			n.logger.Info("settings were read again, they take effect at the next start")
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/owners.go
@@ -0,0 +1,155 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
+	"github.com/yuccadrift/yuccadrift/internal/owner"
+	"github.com/yuccadrift/yuccadrift/internal/ownership"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// Times of questions to owners.
+const (
+	// askTimeout is for one question; an owner answers within milliseconds, and
+	// one that does not is better asked again.
+	askTimeout = 400 * time.Millisecond
+	// askRetry is the pause before a question is put again, as while a partition
+	// is handed over.
+	askRetry = 80 * time.Millisecond
+)
+
+// owners finds the owner of a service's jobs, here or on another node.
+type owners struct {
+	partitions int
+	self       string // address for other nodes
+	clients    *nodepeer.Clients
+	manager    *ownership.Manager
+
+	mu    sync.Mutex
+	local map[int]*owner.Owner
+}
+
+func (o *owners) get(partition int) *owner.Owner {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.local[partition]
+}
+
+func (o *owners) set(partition int, own *owner.Owner) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.local[partition] = own
+}
+
+func (o *owners) unset(partition int, own *owner.Owner) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.local[partition] == own {
+		delete(o.local, partition)
+	}
+}
+
+// ask puts a question to the owner until it answers or ctx ends.
+func (o *owners) ask(ctx context.Context, m nodepeer.Method, a nodepeer.Ask) (nodepeer.Answer, bool) {
+	for refresh := false; ctx.Err() == nil; refresh = true {
+		answer, ok := o.askOnce(ctx, m, a, refresh)
+		if ok && answer.Owner {
+			return answer, true
+		}
+		wait.Pause(ctx, askRetry)
+	}
+	return nodepeer.Answer{}, false
+}
+
+func (o *owners) askOnce(ctx context.Context, m nodepeer.Method, a nodepeer.Ask, refresh bool) (nodepeer.Answer, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if o.get(a.Partition) != nil {
+		answer, err := o.serve(ctx, m, a)
+		return answer, err == nil
+	}
+	address := o.manager.Owner(ctx, platform.Partition{Topic: joblog.Topic, Part: a.Partition}, refresh)
+	if address == "" || address == o.self {
+		return nodepeer.Answer{}, false
+	}
+	answer, err := o.clients.Ask(ctx, address, m, a)
+	return answer, err == nil
+}
+
+// State asks for a job's state.
+func (o *owners) State(ctx context.Context, service string, id workload.JobID) (state workload.State, known, ok bool) {
+	a, ok := o.ask(ctx, nodepeer.JobState, nodepeer.Ask{Partition: o.partitionOf(service), Job: id})
+	return a.State, a.Known, ok
+}
+
+// Waiting asks how many jobs of a queue wait.
+func (o *owners) Waiting(ctx context.Context, service, queue string) (int, bool) {
+	a, ok := o.ask(ctx, nodepeer.Waiting, nodepeer.Ask{Partition: o.partitionOf(service), Queue: queue})
+	return a.Waiting, ok
+}
+
+// Empty asks the owner of a service to empty a worker, once. It tells whether the
+// worker is empty.
+func (o *owners) Empty(ctx context.Context, service, worker string) (empty, ok bool) {
+	a, ok := o.askOnce(ctx, nodepeer.Evacuate, nodepeer.Ask{Partition: o.partitionOf(service), Worker: worker}, false)
+	return a.Empty, ok && a.Owner
+}
+
+func (o *owners) partitionOf(service string) int {
+	return joblog.PartitionOf(service, o.partitions)
+}
+
+// serve answers a question from what is owned here.
+func (o *owners) serve(ctx context.Context, m nodepeer.Method, a nodepeer.Ask) (nodepeer.Answer, error) {
+	switch m {
+	case nodepeer.JobState:
+		return o.JobState(ctx, a)
+	case nodepeer.Waiting:
+		return o.waiting(ctx, a)
+	default:
+		return o.Evacuate(ctx, a)
+	}
+}
+
+// JobState answers another node.
+func (o *owners) JobState(ctx context.Context, a nodepeer.Ask) (nodepeer.Answer, error) {
+	own := o.get(a.Partition)
+	if own == nil {
+		return nodepeer.Answer{}, nil
+	}
+	s, ok := own.State(ctx, a.Job)
+	return nodepeer.Answer{Owner: ok, Known: s.Known, State: s.State}, nil
+}
+
+func (o *owners) waiting(ctx context.Context, a nodepeer.Ask) (nodepeer.Answer, error) {
+	own := o.get(a.Partition)
+	if own == nil {
+		return nodepeer.Answer{}, nil
+	}
+	n, ok := own.Waiting(ctx, a.Queue)
+	return nodepeer.Answer{Owner: ok, Waiting: n}, nil
+}
+
+// Evacuate answers another node.
+func (o *owners) Evacuate(ctx context.Context, a nodepeer.Ask) (nodepeer.Answer, error) {
+	own := o.get(a.Partition)
+	if own == nil {
+		return nodepeer.Answer{}, nil
+	}
+	empty, ok := own.Evacuate(ctx, a.Worker)
+	return nodepeer.Answer{Owner: ok, Empty: empty}, nil
+}
+
+// peerHandler is owners as other nodes see it.
+type peerHandler struct{ *owners }
+
+// Waiting answers another node.
+func (p peerHandler) Waiting(ctx context.Context, a nodepeer.Ask) (nodepeer.Answer, error) {
+	return p.owners.waiting(ctx, a)
+}
--- /dev/null
+++ b/internal/nodepeer/nodepeer.go
@@ -0,0 +1,170 @@
+// Package nodepeer is the talk between nodes: questions about jobs to the node
+// that owns their service, over gRPC.
+package nodepeer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// Times of connections between nodes.
+const (
+	// pingAfter and pingTimeout find a connection that went silent.
+	pingAfter   = 10 * time.Second // the shortest that grpc allows
+	pingTimeout = time.Second
+	idleAfter   = 30 * time.Second
+	connectTime = 500 * time.Millisecond
+)
+
+// reconnect is the pause before a new try at a node that can't be reached: a
+// restarted node is back within a second.
+var reconnect = backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond}
+
+// Ask is a question to the owner of a partition.
+type Ask struct {
+	Partition int            `json:"p"`
+	Job       workload.JobID `json:"j,omitempty"`
+	Queue     string         `json:"q,omitempty"`
+	Worker    string         `json:"w,omitempty"`
+}
+
+// Answer is what the owner says.
+type Answer struct {
+	Owner   bool           `json:"o"` // the node owns the partition and has read it
+	Known   bool           `json:"k,omitempty"`
+	State   workload.State `json:"s,omitempty"`
+	Waiting int            `json:"w,omitempty"`
+	Empty   bool           `json:"e,omitempty"`
+}
+
+// Handler answers what other nodes ask.
+type Handler interface {
+	JobState(ctx context.Context, a Ask) (Answer, error)
+	Waiting(ctx context.Context, a Ask) (Answer, error)
+	Evacuate(ctx context.Context, a Ask) (Answer, error)
+}
+
+// Method is one of the questions.
+type Method string
+
+// The methods.
+const (
+	JobState Method = "JobState"
+	Waiting  Method = "Waiting"
+	Evacuate Method = "Evacuate"
+)
+
+const serviceName = "yuccadrift.Node"
+
+// jsonCodec puts messages on the wire as JSON: they are small and few, and no
+// generated code is needed for them.
+type jsonCodec struct{}
+
+func (jsonCodec) Marshal(v any) ([]byte, error)      { return json.Marshal(v) }
+func (jsonCodec) Unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
+func (jsonCodec) Name() string                       { return "json" }
+
+func init() { encoding.RegisterCodec(jsonCodec{}) }
+
+// unary makes the gRPC method of a handler's one.
+func unary(m Method, serve func(Handler, context.Context, Ask) (Answer, error)) grpc.MethodDesc {
+	return grpc.MethodDesc{
+		MethodName: string(m),
+		Handler: func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+			var a Ask
+			if err := decode(&a); err != nil {
+				return nil, err
+			}
+			answer, err := serve(srv.(Handler), ctx, a)
+			return &answer, err
+		},
+	}
+}
+
+// Serve answers other nodes on a listener until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, h Handler) error {
+	server := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAfter / 2, PermitWithoutStream: true}))
+	server.RegisterService(&grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*Handler)(nil),
+		Methods: []grpc.MethodDesc{
+			unary(JobState, Handler.JobState),
+			unary(Waiting, Handler.Waiting),
+			unary(Evacuate, Handler.Evacuate),
+		},
+	}, h)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	select {
+	case err := <-ended:
+		return errors.Wrap(err, "serve other nodes")
+	case <-ctx.Done():
+		server.Stop()
+		<-ended
+		return ctx.Err()
+	}
+}
+
+// Clients keeps one connection to each node. It is safe for concurrent use.
+type Clients struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewClients returns no connections yet.
+func NewClients() *Clients { return &Clients{conns: map[string]*grpc.ClientConn{}} }
+
+// Ask puts a question to the node at an address.
+func (c *Clients) Ask(ctx context.Context, address string, m Method, a Ask) (Answer, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return Answer{}, err
+	}
+	var answer Answer
+	err = conn.Invoke(ctx, "/"+serviceName+"/"+string(m), &a, &answer, grpc.CallContentSubtype("json"))
+	if err != nil && ctx.Err() != nil {
+		// It may have gone silent; the next call gets a new connection.
+		c.drop(address, conn)
+	}
+	return answer, errors.Wrapf(err, "ask %s", address)
+}
+
+func (c *Clients) conn(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithIdleTimeout(idleAfter),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: connectTime, Backoff: reconnect}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "connection to a node")
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+func (c *Clients) drop(address string, conn *grpc.ClientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+		conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/owner/orders.go
@@ -0,0 +1,135 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// carryOut sends orders. Each runs in a goroutine of its own; the machine bounds
+// how many are in flight to one worker, so their number is bounded too.
+func (o *Owner) carryOut(ctx context.Context, orders scheduler.Orders) {
+	for _, d := range orders.Decisions {
+		o.logDecision(d)
+	}
+	for _, h := range orders.Holds {
+		go o.hold(ctx, h)
+	}
+	for _, s := range orders.Stops {
+		go o.stop(ctx, s)
+	}
+	for _, s := range orders.Starts {
+		go o.start(ctx, s)
+	}
+	for _, p := range orders.Paces {
+		go o.pace(ctx, p)
+	}
+	for _, a := range orders.Advise {
+		go o.advise(ctx, a)
+	}
+	if orders.Write != nil {
+		go o.write(ctx, *orders.Write)
+	}
+}
+
+func (o *Owner) hold(ctx context.Context, h scheduler.HoldOrder) {
+	sent := time.Now()
+	held, answer := o.deps.Workers.Hold(ctx, h.Worker, h.Hold)
+	if h.Hold.Wait == 0 {
+		o.deps.Metrics.order("hold", answer, sent)
+	}
+	result := scheduler.HoldResult{Worker: h.Worker.ID, Token: h.Hold.Token, SentAt: sent, Held: held, Answer: answer}
+	o.send(ctx, func(c *scheduler.Core, now time.Time) { c.Held(result, now) })
+}
+
+func (o *Owner) start(ctx context.Context, s scheduler.StartOrder) {
+	sent := time.Now()
+	answer := o.deps.Workers.Start(ctx, s.Worker, s.Start)
+	o.deps.Metrics.order("start", answer, sent)
+	result := scheduler.OrderResult{Worker: s.Worker.ID, Task: s.Start.Task, Run: s.Start.Run, Token: s.Start.Token, Answer: answer}
+	o.send(ctx, func(c *scheduler.Core, now time.Time) { c.Started(result, now) })
+}
+
+func (o *Owner) stop(ctx context.Context, s scheduler.StopOrder) {
+	sent := time.Now()
+	answer := o.deps.Workers.Stop(ctx, s.Worker, s.Task, s.Run, s.Token)
+	o.deps.Metrics.order("stop", answer, sent)
+	result := scheduler.OrderResult{Worker: s.Worker.ID, Task: s.Task, Run: s.Run, Token: s.Token, Answer: answer}
+	o.send(ctx, func(c *scheduler.Core, now time.Time) { c.Stopped(result, now) })
+}
+
+func (o *Owner) pace(ctx context.Context, p scheduler.PaceOrder) {
+	sent := time.Now()
+	answer := o.deps.Workers.Pace(ctx, p.Worker, p.Task, p.Run, p.Percent, p.Token)
+	o.deps.Metrics.order("pace", answer, sent)
+	result := scheduler.OrderResult{Worker: p.Worker.ID, Task: p.Task, Run: p.Run, Token: p.Token, Answer: answer}
+	o.send(ctx, func(c *scheduler.Core, now time.Time) { c.Paced(result, now) })
+}
+
+func (o *Owner) advise(ctx context.Context, a scheduler.AdviseOrder) {
+	sent := time.Now()
+	tickets, valid, err := o.deps.Adviser.Ask(ctx, a.Step, a.Workers)
+	result := scheduler.AdviceResult{Order: a, SentAt: sent, OK: err == nil, Valid: valid, Tickets: map[string]string{}}
+	if err != nil {
+		o.logger.Warn("no advice", "step", a.Step.StepName(), "error", err)
+	}
+	for _, t := range tickets {
+		result.Tickets[t.Worker] = t.Text
+	}
+	o.send(ctx, func(c *scheduler.Core, now time.Time) { c.Advised(result, now) })
+}
+
+// write stores records, and tries until it is known whether they are: a write
+// whose answer was lost is sent again under its sequence, which has no second
+// effect.
+func (o *Owner) write(ctx context.Context, w scheduler.WriteOrder) {
+	records, err := joblog.Encode(w.Records, w.Delete)
+	if err != nil {
+		o.logger.Error("records can't be encoded", "error", err)
+		o.send(ctx, func(c *scheduler.Core, _ time.Time) { c.GiveUp("records can't be encoded") })
+		return
+	}
+	for ctx.Err() == nil {
+		status, err := o.log.Write(ctx, o.epoch, w.Sequence, records)
+		switch status {
+		case platform.StoreOK:
+			o.send(ctx, func(c *scheduler.Core, _ time.Time) { c.Written() })
+			return
+		case platform.StoreFenced, platform.StoreSequence, platform.StoreInvalid:
+			reason := "write " + status.String() + ": " + err.Error()
+			o.send(ctx, func(c *scheduler.Core, _ time.Time) { c.GiveUp(reason) })
+			return
+		}
+		o.logger.Debug("ends can't be stored yet", "sequence", w.Sequence, "status", status.String(), "error", err)
+		wait.Pause(ctx, writeRetry)
+	}
+}
+
+// logDecision writes one line for a decision.
+func (o *Owner) logDecision(d scheduler.Decision) {
+	args := []any{"reason", d.Reason, "age_ms", d.Age.Milliseconds()}
+	if d.Job != "" {
+		args = append(args, "job", string(d.Job))
+	}
+	if d.Queue != "" {
+		args = append(args, "queue", d.Queue)
+	}
+	if d.Task != "" {
+		args = append(args, "task", d.Task, "run", d.Run)
+	}
+	if d.Worker != "" {
+		args = append(args, "worker", d.Worker)
+	}
+	switch {
+	case d.Critical:
+		o.logger.Warn(d.Verb, args...)
+	case d.Verb == "placed":
+		o.logger.Debug(d.Verb, args...)
+	default:
+		o.logger.Info(d.Verb, args...)
+	}
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,323 @@
+// Package owner runs the scheduling machine of one partition: it reads the
+// partition's jobs, hands all that happens to the machine in turn, and carries
+// its orders out.
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/published"
+	"github.com/yuccadrift/yuccadrift/internal/registry"
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// Times and sizes of an owner.
+const (
+	// stepPause is the shortest time between two steps: what happens meanwhile is
+	// decided on together, which bounds the processor time under load.
+	stepPause = 3 * time.Millisecond
+	// tickInterval is the longest time between two steps.
+	tickInterval = 50 * time.Millisecond
+	inboxSize    = 1024
+	// readWait is how long a read of the partition waits for a record.
+	readWait  = time.Second
+	readRetry = 100 * time.Millisecond
+	// writeRetry is the pause before a write is sent again.
+	writeRetry = 100 * time.Millisecond
+	// registryWait is how long a new owner waits for a list of workers that was
+	// read after it fenced earlier ones.
+	registryWait = 3 * time.Second
+	fenceWait    = 10 * time.Second
+)
+
+// ErrLost is returned by Run when a later owner was seen.
+var ErrLost = errors.New("ownership is lost")
+
+// Workers carries orders to workers.
+type Workers interface {
+	Start(ctx context.Context, w workload.Worker, s workload.Start) workload.WorkerAnswer
+	Stop(ctx context.Context, w workload.Worker, task workload.TaskKey, run, token int64) workload.WorkerAnswer
+	Pace(ctx context.Context, w workload.Worker, task workload.TaskKey, run int64, percent int, token int64) workload.WorkerAnswer
+	Hold(ctx context.Context, w workload.Worker, h workload.Hold) (workload.Held, workload.WorkerAnswer)
+}
+
+// Adviser asks which workers may run a step.
+type Adviser interface {
+	Ask(ctx context.Context, step workload.TaskKey, workers []string) ([]platform.Ticket, time.Duration, error)
+}
+
+// Fleet lists the VMs.
+type Fleet interface {
+	List(ctx context.Context) ([]workload.VM, error)
+}
+
+// Deps is what all owners of a node share.
+type Deps struct {
+	Store     joblog.Store
+	Workers   Workers
+	Adviser   Adviser
+	Fleet     Fleet
+	Published *published.Follower
+	Registry  *registry.Follower
+	Logger    hclog.Logger
+	Metrics   *Metrics
+	Bounds    platform.Bounds
+	// Partitions is how many the topic has.
+	Partitions int
+	// Lease of all runs.
+	Lease time.Duration
+}
+
+// event is something that happened, to be handed to the machine.
+type event func(c *scheduler.Core, now time.Time)
+
+// Owner owns one partition while Run runs.
+type Owner struct {
+	deps      Deps
+	partition int
+	epoch     int64
+	log       *joblog.Log
+	logger    hclog.Logger
+	inbox     chan event
+	// loaded is closed once the machine knows all that is stored.
+	loaded  chan struct{}
+	version int64 // of the list of workers
+	config  *workload.Config
+	counts  scheduler.Counts
+}
+
+// New returns the owner of a partition. epoch is unique and above all earlier
+// owners' ones.
+func New(deps Deps, partition int, epoch int64) *Owner {
+	return &Owner{
+		deps:      deps,
+		partition: partition,
+		epoch:     epoch,
+		log:       joblog.New(deps.Store, joblog.Topic, partition),
+		logger:    deps.Logger.With("partition", partition, "epoch", epoch),
+		inbox:     make(chan event, inboxSize),
+		loaded:    make(chan struct{}),
+	}
+}
+
+// Run takes the partition over and runs its jobs until ctx ends or a later owner
+// is seen.
+func (o *Owner) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	began := time.Now()
+	if err := o.fence(ctx); err != nil {
+		return err
+	}
+	batch, err := o.snapshot(ctx)
+	if err != nil {
+		return err
+	}
+	core := o.takeOver(ctx)
+	o.apply(core, batch, time.Now())
+	recall(core, batch)
+	go o.tail(ctx, batch.Next)
+	close(o.loaded)
+	o.logger.Info("partition taken over", "records", len(batch.Records), "took", time.Since(began).String())
+	return o.loop(ctx, core)
+}
+
+// fence keeps earlier owners from writing. It comes before the snapshot: what
+// they stored before it is in the snapshot, and nothing comes after.
+func (o *Owner) fence(ctx context.Context) error {
+	deadline := time.Now().Add(fenceWait)
+	for ctx.Err() == nil {
+		status, err := o.log.Fence(ctx, o.epoch)
+		switch status {
+		case platform.StoreOK:
+			return nil
+		case platform.StoreFenced:
+			return errors.Wrap(ErrLost, "a later owner has fenced the partition")
+		}
+		o.logger.Warn("partition can't be fenced yet", "status", status.String(), "error", err)
+		if time.Now().After(deadline) {
+			return errors.Wrap(err, "fence the partition")
+		}
+		wait.Pause(ctx, readRetry)
+	}
+	return ctx.Err()
+}
+
+func (o *Owner) snapshot(ctx context.Context) (platform.Batch, error) {
+	for ctx.Err() == nil {
+		batch, status, err := o.log.Snapshot(ctx)
+		if status == platform.StoreOK {
+			return batch, nil
+		}
+		o.logger.Warn("stored jobs can't be read yet", "status", status.String(), "error", err)
+		wait.Pause(ctx, readRetry)
+	}
+	return platform.Batch{}, ctx.Err()
+}
+
+// takeOver makes the machine, with the workers that may run what an earlier
+// owner started: those registered, and those that the list of VMs names.
+func (o *Owner) takeOver(ctx context.Context) *scheduler.Core {
+	fenced := time.Now()
+	snap := o.freshWorkers(ctx, fenced)
+	var suspects []string
+	for _, w := range snap.Workers {
+		if o.owns(w.Service) {
+			suspects = append(suspects, w.ID)
+		}
+	}
+	doubtful := !snap.Settled || snap.SentAt.Before(fenced)
+	vms, err := o.deps.Fleet.List(ctx)
+	if err != nil {
+		o.logger.Warn("VMs can't be listed at takeover, runs on unlisted workers are waited for", "error", err)
+	} else {
+		doubtful = false
+	}
+	for _, vm := range vms {
+		if vm.Worker != "" && vm.State == workload.VMUp && o.owns(vm.Pool) {
+			suspects = append(suspects, vm.Worker)
+		}
+	}
+	return scheduler.New(scheduler.Settings{
+		Epoch:        o.epoch,
+		Lease:        o.deps.Lease,
+		StateKept:    o.deps.Bounds.StateKept,
+		RemoteFactor: o.deps.Bounds.RemoteFactor,
+	}, fenced, suspects, doubtful)
+}
+
+func (o *Owner) freshWorkers(ctx context.Context, since time.Time) registry.Snapshot {
+	deadline := since.Add(registryWait)
+	for {
+		snap := o.deps.Registry.Snapshot(time.Now())
+		if !snap.SentAt.Before(since) || ctx.Err() != nil || time.Now().After(deadline) {
+			return snap
+		}
+		wait.Pause(ctx, readRetry/4)
+	}
+}
+
+func (o *Owner) owns(service string) bool {
+	return joblog.PartitionOf(service, o.deps.Partitions) == o.partition
+}
+
+// apply hands stored records to the machine.
+func (o *Owner) apply(core *scheduler.Core, batch platform.Batch, now time.Time) {
+	records, bad := joblog.Decode(batch)
+	for _, err := range bad {
+		o.logger.Error("stored record can't be read and is left out", "error", err)
+	}
+	for _, r := range records {
+		switch {
+		case r.Submission != nil:
+			core.Submitted(r.Job, r.Submission)
+		case r.Cancel:
+			core.CancelRequested(r.Job, now)
+		}
+	}
+}
+
+// recall hands over what earlier owners stored. Records of this owner's own are
+// read back too, and are of no use: the machine knows more.
+func recall(core *scheduler.Core, batch platform.Batch) {
+	records, _ := joblog.Decode(batch) // unreadable ones were logged by apply
+	for _, r := range records {
+		if r.Progress != nil {
+			core.Recalled(r.Job, r.Progress)
+		}
+	}
+}
+
+// tail reads what is accepted from then on.
+func (o *Owner) tail(ctx context.Context, next int64) {
+	for ctx.Err() == nil {
+		batch, status, err := o.log.Read(ctx, next, readWait)
+		if status == platform.StoreDropped {
+			o.logger.Warn("stored records were dropped before they were read, reading the newest", "from", next)
+			batch, status, err = o.log.Snapshot(ctx)
+		}
+		if status != platform.StoreOK {
+			o.logger.Debug("partition can't be read", "status", status.String(), "error", err)
+			wait.Pause(ctx, readRetry)
+			continue
+		}
+		next = batch.Next
+		if len(batch.Records) > 0 {
+			o.send(ctx, func(c *scheduler.Core, now time.Time) { o.apply(c, batch, now) })
+		}
+	}
+}
+
+// send hands an event over; it waits while the inbox is full, which slows what
+// sends to the pace of the machine.
+func (o *Owner) send(ctx context.Context, e event) {
+	select {
+	case o.inbox <- e:
+	case <-ctx.Done():
+	}
+}
+
+// loop steps the machine after each event.
+func (o *Owner) loop(ctx context.Context, core *scheduler.Core) error {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case e := <-o.inbox:
+			e(core, time.Now())
+			o.drain(core)
+		case <-tick.C:
+		}
+		o.refresh(core)
+		orders := core.Step(time.Now())
+		if reason := core.Lost(); reason != "" {
+			return errors.Wrap(ErrLost, reason)
+		}
+		o.carryOut(ctx, orders)
+		o.deps.Metrics.observe(core.Counts, &o.counts)
+		wait.Pause(ctx, stepPause)
+	}
+}
+
+// drain applies the events that are there already.
+func (o *Owner) drain(core *scheduler.Core) {
+	for range inboxSize {
+		select {
+		case e := <-o.inbox:
+			e(core, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// refresh hands over a new configuration and list of workers.
+func (o *Owner) refresh(core *scheduler.Core) {
+	if config := o.deps.Published.Config(); config != nil && config != o.config {
+		o.config = config
+		core.SetConfig(config)
+	}
+	now := time.Now()
+	snap := o.deps.Registry.Snapshot(now)
+	if snap.Version == o.version {
+		return
+	}
+	o.version = snap.Version
+	var own []workload.Worker
+	for _, w := range snap.Workers {
+		if o.owns(w.Service) {
+			own = append(own, w)
+		}
+	}
+	core.SetWorkers(own, now)
+}
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,229 @@
+// Package ownership shares the partitions of jobs out among the nodes. The
+// store's group says who should own what; as it may reassign at a whim, that is
+// a hint. What keeps two owners apart is the epoch: it is the generation in which
+// the group gave the partition to this process, so no other has the same, and
+// the store and the workers refuse lower ones.
+package ownership
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/yuccadrift/yuccadrift/internal/wait"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// Times of membership.
+const (
+	// joinInterval is the pause between joins; several fit into the time to live.
+	joinInterval = 300 * time.Millisecond
+	// memberTTL is after how long without a join a member's partitions go to
+	// others. With the takeover it must stay within a lease.
+	memberTTL = 1500 * time.Millisecond
+	// ownersInterval is how old the known owners may be; a failed question reads
+	// them again at once, but not more often than ownersRetry.
+	ownersInterval = time.Second
+	ownersRetry    = 150 * time.Millisecond
+)
+
+const group = "yuccadrift"
+
+// Store is what is needed of the platform's store.
+type Store interface {
+	Join(ctx context.Context, m platform.Member) (platform.Assignment, platform.StoreStatus, error)
+	Leave(ctx context.Context, group, member string) (platform.StoreStatus, error)
+	Owners(ctx context.Context, group string) ([]platform.Owner, platform.StoreStatus, error)
+}
+
+// Runner is run while the node owns a partition.
+type Runner func(ctx context.Context, p platform.Partition, epoch int64) error
+
+// Manager keeps this process a member and runs what it owns. It is safe for
+// concurrent use.
+type Manager struct {
+	store  Store
+	logger hclog.Logger
+	run    Runner
+	topics []string
+	name   func() string // a new member name
+
+	mu       sync.Mutex
+	member   string
+	held     map[platform.Partition]*holding
+	owners   map[platform.Partition]string // addresses
+	ownersAt time.Time
+	renew    bool // the membership is to begin anew
+}
+
+// holding is one owned partition.
+type holding struct {
+	epoch  int64
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// nameSeparator joins the parts of a member's name: node, address for other
+// nodes, and what makes it unique to this process.
+const nameSeparator = "|"
+
+// New returns a manager. The name of a member tells others the address at which
+// the node answers; unique must differ for each call, as a restarted process
+// that took up its old name would share the old one's epoch.
+func New(store Store, logger hclog.Logger, node, address string, topics []string, unique func() string, run Runner) *Manager {
+	m := &Manager{
+		store:  store,
+		logger: logger,
+		run:    run,
+		topics: topics,
+		name:   func() string { return strings.Join([]string{node, address, unique()}, nameSeparator) },
+		held:   map[platform.Partition]*holding{},
+		owners: map[platform.Partition]string{},
+	}
+	m.member = m.name()
+	return m
+}
+
+// Run keeps the membership until ctx ends, and then gives all up.
+func (m *Manager) Run(ctx context.Context) error {
+	ttl := memberTTL
+	generation := int64(0)
+	for ctx.Err() == nil {
+		generation = m.restart(ctx, generation)
+		member := platform.Member{Group: group, Name: m.member, Topics: m.topics, TTL: ttl, Generation: generation}
+		a, status, err := m.store.Join(ctx, member)
+		if status == platform.StoreOK {
+			generation = a.Generation
+			m.assign(ctx, a)
+		} else {
+			m.logger.Debug("group can't be joined", "status", status.String(), "error", err)
+		}
+		wait.Pause(ctx, joinInterval)
+	}
+	m.release()
+	return ctx.Err()
+}
+
+// restart begins the membership anew if an owner found itself fenced: a later
+// generation gives it an epoch above the one that fenced it.
+func (m *Manager) restart(ctx context.Context, generation int64) int64 {
+	m.mu.Lock()
+	renew := m.renew
+	m.renew = false
+	old := m.member
+	if renew {
+		m.member = m.name()
+	}
+	m.mu.Unlock()
+	if !renew {
+		return generation
+	}
+	m.stopAll()
+	if _, err := m.store.Leave(ctx, group, old); err != nil {
+		m.logger.Debug("old membership can't be left, it lapses by itself", "member", old, "error", err)
+	}
+	return 0
+}
+
+// assign starts and stops owners by what the group says.
+func (m *Manager) assign(ctx context.Context, a platform.Assignment) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	listed := map[platform.Partition]bool{}
+	for _, p := range a.Parts {
+		listed[p] = true
+		if m.held[p] == nil {
+			m.held[p] = m.start(ctx, p, a.Generation)
+		}
+	}
+	for p, h := range m.held {
+		if !listed[p] {
+			m.logger.Info("partition handed over", "topic", p.Topic, "partition", p.Part, "generation", a.Generation)
+			h.cancel()
+			delete(m.held, p)
+		}
+	}
+}
+
+func (m *Manager) start(ctx context.Context, p platform.Partition, epoch int64) *holding {
+	ctx, cancel := context.WithCancel(ctx)
+	h := &holding{epoch: epoch, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(h.done)
+		err := m.run(ctx, p, epoch)
+		if ctx.Err() != nil {
+			return
+		}
+		m.logger.Warn("ownership ended", "topic", p.Topic, "partition", p.Part, "epoch", epoch, "error", err)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.renew = true
+	}()
+	return h
+}
+
+// Owns tells whether the node owns any partition of a topic.
+func (m *Manager) Owns(topic string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for p := range m.held {
+		if p.Topic == topic {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Manager) stopAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for p, h := range m.held {
+		h.cancel()
+		delete(m.held, p)
+	}
+}
+
+// leaveTimeout bounds the last call of a process that stops.
+const leaveTimeout = 500 * time.Millisecond
+
+// release gives all up, so that others need not wait for the time to live.
+func (m *Manager) release() {
+	m.stopAll()
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if status, err := m.store.Leave(ctx, group, m.member); status != platform.StoreOK {
+		m.logger.Warn("group can't be left, the membership lapses by itself", "status", status.String(), "error", err)
+	}
+}
+
+// Owner returns the address of the node that owns a partition, "" if none is
+// known. With refresh, what is known has just proved wrong.
+func (m *Manager) Owner(ctx context.Context, p platform.Partition, refresh bool) string {
+	m.mu.Lock()
+	age := time.Since(m.ownersAt)
+	known := m.owners[p]
+	stale := age > ownersInterval || (refresh || known == "") && age > ownersRetry
+	if stale {
+		m.ownersAt = time.Now() // others go on with what is known meanwhile
+	}
+	m.mu.Unlock()
+	if !stale {
+		return known
+	}
+	list, status, err := m.store.Owners(ctx, group)
+	if status != platform.StoreOK {
+		m.logger.Debug("owners can't be read", "status", status.String(), "error", err)
+		return known
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, o := range list {
+		if parts := strings.Split(o.Member, nameSeparator); len(parts) == 3 {
+			m.owners[o.Partition] = parts[1]
+		}
+	}
+	return m.owners[p]
+}
--- /dev/null
+++ b/internal/registry/follower.go
@@ -0,0 +1,135 @@
+package registry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// Times of reading.
+const (
+	// readInterval is the pause between reads. Workers write often; reading each
+	// entry as it comes would cost a call each. A worker that leaves is to get no
+	// work 2 s after its entry says so.
+	readInterval = 250 * time.Millisecond
+	// idleInterval is the pause of a node that needs no list.
+	idleInterval = 50 * time.Millisecond
+)
+
+// Source is where entries are read from.
+type Source interface {
+	NewestWorkers(ctx context.Context) (platform.Batch, platform.StoreStatus, error)
+	ReadWorkers(ctx context.Context, from int64) (platform.Batch, platform.StoreStatus, error)
+}
+
+// Follower keeps a View while it is needed. It is safe for concurrent use.
+type Follower struct {
+	source Source
+	logger hclog.Logger
+
+	mu      sync.Mutex
+	view    *View
+	version int64
+	readAt  time.Time // when the latest good read was sent
+	needed  bool
+	next    int64
+}
+
+// New returns a follower.
+func New(source Source, logger hclog.Logger) *Follower {
+	return &Follower{source: source, logger: logger, view: NewView(), next: -1}
+}
+
+// Need says whether the list is needed: only nodes that order workers read it.
+func (f *Follower) Need(needed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.needed = needed
+}
+
+// Snapshot is the list at a time.
+type Snapshot struct {
+	Workers []workload.Worker
+	Version int64     // rises with each change
+	SentAt  time.Time // of the read that it rests on; zero before the first
+	Settled bool      // no outage of the store has ended just now
+}
+
+// Snapshot returns the list.
+func (f *Follower) Snapshot(now time.Time) Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Snapshot{Workers: f.view.List(now), Version: f.version, SentAt: f.readAt, Settled: f.view.Settled(now)}
+}
+
+// Run reads until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		needed := f.needed
+		f.mu.Unlock()
+		pause := idleInterval
+		if needed {
+			f.read(ctx)
+			pause = readInterval
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) read(ctx context.Context) {
+	sent := time.Now()
+	whole := f.next < 0
+	var batch platform.Batch
+	var status platform.StoreStatus
+	var err error
+	if whole {
+		batch, status, err = f.source.NewestWorkers(ctx)
+	} else {
+		batch, status, err = f.source.ReadWorkers(ctx, f.next)
+	}
+	if status == platform.StoreDropped {
+		f.next = -1
+		return
+	}
+	if status != platform.StoreOK {
+		f.logger.Debug("workers can't be read", "status", status.String(), "error", err)
+		return
+	}
+	f.next = batch.Next
+	f.apply(batch, whole, sent)
+}
+
+func (f *Follower) apply(batch platform.Batch, whole bool, sent time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.Good(time.Now())
+	f.readAt = sent
+	f.version++
+	var list []workload.Worker
+	for _, r := range batch.Records {
+		w, ok, err := platform.DecodeWorker(r)
+		switch {
+		case err != nil:
+			f.logger.Error("entry of a worker can't be read", "worker", r.Key, "error", err)
+		case ok && whole:
+			list = append(list, w)
+		case ok:
+			f.view.Set(w)
+		default:
+			f.view.Remove(r.Key)
+		}
+	}
+	if whole {
+		f.view.Replace(list)
+	}
+}
--- /dev/null
+++ b/internal/registry/view.go
@@ -0,0 +1,86 @@
+// Package registry follows the list of workers that are registered on the
+// platform.
+package registry
+
+import (
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// returnTime is how long after the store's return entries of workers that live
+// may still be missing: they lapse while it is away and are back within about
+// two seconds. A removal in that time says nothing.
+const returnTime = 2300 * time.Millisecond
+
+// outageAfter is how long reads must have failed for entries to have lapsed.
+const outageAfter = 500 * time.Millisecond
+
+// View is what is known of the workers. It decides on arguments only.
+type View struct {
+	workers map[string]workload.Worker
+	// removed holds entries that are gone, since when, and may come back.
+	removed    map[string]bool
+	lastGood   time.Time
+	returnedAt time.Time // end of the latest outage
+}
+
+// NewView returns a view that knows no worker.
+func NewView() *View {
+	return &View{workers: map[string]workload.Worker{}, removed: map[string]bool{}}
+}
+
+// Good notes a read that succeeded at now.
+func (v *View) Good(now time.Time) {
+	if !v.lastGood.IsZero() && now.Sub(v.lastGood) > outageAfter {
+		v.returnedAt = now
+	}
+	v.lastGood = now
+}
+
+// Set takes an entry.
+func (v *View) Set(w workload.Worker) {
+	v.workers[w.ID] = w
+	delete(v.removed, w.ID)
+}
+
+// Remove takes the removal of an entry.
+func (v *View) Remove(id string) {
+	if _, ok := v.workers[id]; ok {
+		v.removed[id] = true
+	}
+}
+
+// Replace takes the complete list.
+func (v *View) Replace(list []workload.Worker) {
+	present := map[string]bool{}
+	for _, w := range list {
+		present[w.ID] = true
+		v.Set(w)
+	}
+	for id := range v.workers {
+		if !present[id] {
+			v.removed[id] = true
+		}
+	}
+}
+
+// Settled tells whether the list is complete: no outage has ended just now.
+func (v *View) Settled(now time.Time) bool {
+	return !v.lastGood.IsZero() && (v.returnedAt.IsZero() || now.Sub(v.returnedAt) > returnTime)
+}
+
+// List returns the workers that count as registered at now.
+func (v *View) List(now time.Time) []workload.Worker {
+	if v.Settled(now) {
+		for id := range v.removed {
+			delete(v.workers, id)
+			delete(v.removed, id)
+		}
+	}
+	list := make([]workload.Worker, 0, len(v.workers))
+	for _, w := range v.workers {
+		list = append(list, w)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/scheduler/core.go
@@ -0,0 +1,270 @@
+// Package scheduler is the machine that runs the jobs of services on their
+// workers. It is deterministic and pure: messages and the time go in, orders and
+// records to be stored come out. One node, the owner, runs it for the services
+// of one partition of the store.
+//
+// What it rests on:
+//
+//   - Every accepted job is stored before its caller hears of it, and every end
+//     that matters is stored before it is acknowledged to the worker, which
+//     keeps it until then. So what a new owner reads from the store, together
+//     with what the workers list, is all that has happened.
+//   - A worker refuses orders with a lower fencing token than one it has seen.
+//     A new owner holds each worker with its own token before it starts
+//     anything: from that answer on, no order of an earlier owner has effect
+//     there, and the answer lists all that runs.
+//   - A run lives only while its lease does. What a worker that does not answer
+//     may run is over once the last lease it may have got has lapsed.
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// Settings of a Core.
+type Settings struct {
+	// Epoch is unique to this ownership and above all earlier ones.
+	Epoch int64
+	// Lease is how long a run lives without renewal.
+	Lease time.Duration
+	// StateKept is for how long an ended job is known.
+	StateKept time.Duration
+	// RemoteFactor is how many times as long a task takes away from its data.
+	RemoteFactor float64
+}
+
+// Times that decisions rest on.
+const (
+	// clockMargin is what a worker's clock may be slow, as a share of a lease;
+	// the platform says 2%.
+	clockMargin = 0.03
+	// lapseSlack is added to a lease before it counts as lapsed: the way of the
+	// order and the turn of timers at both ends.
+	lapseSlack = 150 * time.Millisecond
+	// tokenStep leaves room below the epoch for raising the token at one worker.
+	tokenStep = 1 << 10
+	// runStep leaves room below the epoch for the runs of one step, so that a new
+	// owner needs to know nothing of earlier runs to number higher.
+	runStep = 1 << 16
+	// sweepInterval is the pause between looks for jobs to be forgotten.
+	sweepInterval = 5 * time.Second
+)
+
+// Core holds the jobs and workers of one partition. It is not safe for
+// concurrent use.
+type Core struct {
+	cfg    Settings
+	config *workload.Config
+
+	jobs    map[workload.JobID]*job
+	active  []*job // not ended, in the order of their acceptance here
+	workers map[string]*worker
+	order   []*worker // sorted by ID
+
+	// blockedUntil is when the last lease of an earlier owner has lapsed. Until
+	// then a worker that has not answered may run any task.
+	blockedUntil time.Time
+	// suspects are the workers that may run what an earlier owner started.
+	suspects map[string]bool
+	// doubtful is set while the list of workers may lack some that run tasks.
+	doubtful bool
+
+	dirty     map[workload.JobID]*job
+	expired   []workload.JobID // to be deleted from the store
+	writing   *write
+	writeSeq  int64
+	sweptAt   time.Time
+	plannedAt time.Time
+	copiedAt  time.Time
+	lost      string
+	dirtyPlan bool
+	out       Orders
+	Counts    Counts
+}
+
+// Counts are totals for metrics.
+type Counts struct {
+	Started, Done, FailedRuns, Lapsed, Refused, Uncertain int
+	Completed, Failed, Cancelled                          int
+}
+
+// New returns a core that takes over at now. suspects are the workers that an
+// earlier owner may have given work to; doubtful says that there may be more.
+func New(cfg Settings, now time.Time, suspects []string, doubtful bool) *Core {
+	c := &Core{
+		cfg:          cfg,
+		config:       &workload.Config{},
+		jobs:         map[workload.JobID]*job{},
+		workers:      map[string]*worker{},
+		dirty:        map[workload.JobID]*job{},
+		suspects:     map[string]bool{},
+		blockedUntil: now.Add(lapse(cfg.Lease)),
+		doubtful:     doubtful,
+	}
+	for _, id := range suspects {
+		c.suspects[id] = true
+	}
+	return c
+}
+
+// lapse is the time after which a lease given now is over on every clock.
+func lapse(lease time.Duration) time.Duration {
+	return lease + time.Duration(float64(lease)*clockMargin) + lapseSlack
+}
+
+// Lost tells why the ownership is lost, "" while it is not.
+func (c *Core) Lost() string { return c.lost }
+
+// SetConfig puts a configuration in force.
+func (c *Core) SetConfig(config *workload.Config) {
+	if config.Version >= c.config.Version {
+		c.config = config
+		c.dirtyPlan = true
+	}
+}
+
+// Submitted takes a stored job. The first record of an ID counts.
+func (c *Core) Submitted(id workload.JobID, s *workload.Submission) {
+	j := c.job(id)
+	if j.sub != nil {
+		return
+	}
+	j.open(s)
+	if j.progress != nil {
+		c.restore(j)
+	}
+	c.settle(j)
+	c.active = append(c.active, j)
+	c.dirtyPlan = true
+}
+
+// CancelRequested takes a stored cancel, also one that is read before its job.
+func (c *Core) CancelRequested(id workload.JobID, now time.Time) {
+	j := c.job(id)
+	if j.final.Ended() || j.cancelled {
+		return
+	}
+	j.cancelled = true
+	if j.sub == nil {
+		return
+	}
+	c.end(j, workload.Cancelled, now)
+}
+
+// Recalled takes what an earlier owner stored of a job.
+func (c *Core) Recalled(id workload.JobID, p *workload.Progress) {
+	j := c.job(id)
+	j.progress = p
+	if j.sub != nil {
+		c.restore(j)
+		c.settle(j)
+	}
+}
+
+// job returns the job of an ID, made if need be.
+func (c *Core) job(id workload.JobID) *job {
+	j, ok := c.jobs[id]
+	if !ok {
+		j = &job{id: id, shown: workload.Pending}
+		c.jobs[id] = j
+	}
+	return j
+}
+
+// State returns a job's state as callers may be told it. ok is false if there
+// is no such job. An end is shown only once it is stored: an owner that shows
+// it and is lost would otherwise be followed by one that runs the job again.
+func (c *Core) State(id workload.JobID) (s workload.State, ok bool) {
+	j, ok := c.jobs[id]
+	if !ok || j.sub == nil {
+		return "", false
+	}
+	if j.shown.Ended() {
+		return j.shown, true
+	}
+	if j.begun {
+		return workload.Running, true
+	}
+	return workload.Pending, true
+}
+
+// Waiting is how many accepted jobs of a queue have not begun.
+func (c *Core) Waiting(queue string) int {
+	n := 0
+	for _, j := range c.active {
+		if j.sub.Queue == queue && !j.begun && !j.final.Ended() {
+			n++
+		}
+	}
+	return n
+}
+
+// SetWorkers takes the list of workers that are registered.
+func (c *Core) SetWorkers(list []workload.Worker, now time.Time) {
+	present := map[string]bool{}
+	for _, info := range list {
+		present[info.ID] = true
+		w, ok := c.workers[info.ID]
+		if !ok {
+			w = &worker{token: c.cfg.Epoch * tokenStep, pace: fullPace, since: now}
+			c.workers[info.ID] = w
+			c.order = append(c.order, w)
+		}
+		w.info = info
+		w.missing = false
+	}
+	slices.SortFunc(c.order, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
+	for _, w := range c.order {
+		if !present[w.info.ID] {
+			w.missing = true
+		}
+	}
+	c.dirtyPlan = true
+}
+
+// Step returns what is due.
+func (c *Core) Step(now time.Time) Orders {
+	c.expireRuns(now)
+	c.forgetWorkers()
+	c.holdWorkers(now)
+	c.evacuate(now)
+	c.place(now)
+	c.copyStragglers(now)
+	c.forgetJobs(now)
+	c.write()
+	out := c.out
+	c.out = Orders{}
+	return out
+}
+
+// forgetWorkers drops workers that are gone and run nothing any more.
+func (c *Core) forgetWorkers() {
+	c.order = slices.DeleteFunc(c.order, func(w *worker) bool {
+		if !w.missing || len(w.runs) > 0 {
+			return false
+		}
+		delete(c.workers, w.info.ID)
+		delete(c.suspects, w.info.ID)
+		return true
+	})
+}
+
+// forgetJobs drops jobs that ended long ago, here and in the store.
+func (c *Core) forgetJobs(now time.Time) {
+	c.active = slices.DeleteFunc(c.active, func(j *job) bool { return j.shown.Ended() && j.live == 0 })
+	if now.Before(c.sweptAt.Add(sweepInterval)) {
+		return
+	}
+	for id, j := range c.jobs {
+		if j.shown.Ended() && j.live == 0 && now.UnixMilli()-j.endedMS > (2*c.cfg.StateKept).Milliseconds() {
+			c.expired = append(c.expired, id)
+			delete(c.jobs, id)
+		}
+	}
+	slices.Sort(c.expired)
+	c.sweptAt = now
+}
--- /dev/null
+++ b/internal/scheduler/evacuate.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import "time"
+
+// evacuateFor is how long a worker stays closed after the last wish to empty it.
+// Who empties it repeats the wish several times in that; if that process dies,
+// the worker takes work again.
+const evacuateFor = 2 * time.Second
+
+// drainReason and others name why runs are stopped.
+const (
+	evacuationReason = "its VM is to be emptied"
+	drainReason      = "its worker is leaving"
+)
+
+// shortRest is how long a task may still have to run so that it is let finish
+// rather than moved: a move costs a stop, a restart and what was done since the
+// last checkpoint.
+const shortRest = 1500 * time.Millisecond
+
+// Evacuate closes a worker for a while and empties it. It returns whether
+// nothing runs there any more, nor can begin.
+func (c *Core) Evacuate(id string, now time.Time) (empty bool) {
+	w := c.workers[id]
+	if w == nil {
+		return !c.suspects[id]
+	}
+	if !now.Before(w.evacuateUntil) {
+		c.note(Decision{Verb: "evacuating", Worker: id, Reason: "asked for", Critical: true})
+	}
+	w.evacuateUntil = now.Add(evacuateFor)
+	return w.synced && len(w.runs) == 0 && !c.blocked(now)
+}
+
+// evacuate moves on what can't be let finish on workers that are to be empty.
+func (c *Core) evacuate(now time.Time) {
+	for _, w := range c.order {
+		evacuating := now.Before(w.evacuateUntil)
+		if !evacuating && !w.info.Draining {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.state == runRunning && r.movesNow(evacuating, now) {
+				reason := drainReason
+				if evacuating {
+					reason = evacuationReason
+				}
+				c.stop(r, reason)
+			}
+		}
+	}
+}
+
+// movesNow tells whether a run is to be stopped so that it goes on elsewhere.
+// The budget of a lasting step counts only where its worker could go on.
+func (r *run) movesNow(evacuating bool, now time.Time) bool {
+	spec := r.step.spec
+	if spec.Lasting {
+		return !evacuating || r.worker.info.Draining || r.step.mayMiss(r.index)
+	}
+	if spec.Gang || !spec.Checkpoints {
+		return false
+	}
+	rest := estimate(spec) - now.Sub(r.orderedAt)
+	return rest > shortRest
+}
+
+// mayMiss tells whether the step bears the loss of one more task: all others
+// must be fully at work but for fewer than the number that it may miss.
+func (s *step) mayMiss(index int) bool {
+	if s.spec.MayMiss == 0 {
+		return true
+	}
+	away := 0
+	for i := range s.tasks {
+		if i != index && !s.tasks[i].atWork() {
+			away++
+		}
+	}
+	return away < s.spec.MayMiss
+}
+
+// atWork tells whether a lasting task does its full work.
+func (t *task) atWork() bool {
+	for _, r := range t.runs {
+		if r.state == runRunning && r.percent >= fullPace && !r.worker.silent {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/scheduler/held.go
@@ -0,0 +1,248 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// maxListedEnds is how many ends one answer lists at most; more follow once
+// these are acknowledged.
+const maxListedEnds = 500
+
+// HoldResult is the outcome of a HoldOrder.
+type HoldResult struct {
+	Worker string
+	Token  int64
+	SentAt time.Time
+	Held   workload.Held
+	Answer workload.WorkerAnswer
+}
+
+// Held takes the outcome of a look.
+func (c *Core) Held(r HoldResult, now time.Time) {
+	w := c.workers[r.Worker]
+	if w == nil {
+		return
+	}
+	w.holding = false
+	w.heard(r.Answer.Clock, now)
+	switch r.Answer.Status {
+	case workload.WorkerOK:
+		c.heldOK(w, r, now)
+	case workload.WorkerFenced:
+		c.fenced(w, r.Token)
+	case workload.WorkerReplaced:
+		c.replaced(w)
+	default:
+		if !w.silent {
+			c.note(Decision{Verb: "worker-silent", Worker: w.info.ID, Reason: r.Answer.Status.String(), Age: now.Sub(w.answered), Critical: true})
+		}
+		w.silent = true
+		w.holdAfter = now.Add(holdRetry)
+	}
+}
+
+// fenced gives up if a later owner has ordered the worker. An order that was
+// overtaken by a raise of this owner's own token is simply void.
+func (c *Core) fenced(w *worker, token int64) {
+	if token >= w.token {
+		c.GiveUp("worker " + w.info.ID + " has seen a higher fencing token")
+	}
+}
+
+// replaced drops a worker whose address another incarnation answers at: its
+// process has ended, and all that it ran.
+func (c *Core) replaced(w *worker) {
+	c.note(Decision{Verb: "worker-lost", Worker: w.info.ID, Reason: "another incarnation answers", Critical: true})
+	for _, r := range slices.Clone(w.runs) {
+		c.remove(r)
+	}
+	w.missing = true
+	w.synced = false
+}
+
+func (c *Core) heldOK(w *worker, r HoldResult, now time.Time) {
+	w.answered = now
+	w.silent = false
+	w.holdAfter = now.Add(holdPause)
+	for _, e := range r.Held.Finished {
+		if e.Number > w.seen {
+			w.seen = e.Number
+			c.ended(w, e, now)
+		}
+	}
+	if len(r.Held.Finished) > 0 {
+		w.holdAfter = now.Add(ackPause)
+	}
+	for _, row := range r.Held.Running {
+		c.listed(w, row, now)
+	}
+	if len(r.Held.Finished) < maxListedEnds {
+		c.missed(w, r, now)
+	}
+	if !w.synced {
+		w.synced = true
+		delete(c.suspects, w.info.ID)
+		c.note(Decision{Verb: "worker-synced", Worker: w.info.ID, Reason: "answered under the owner's token", Age: now.Sub(w.since)})
+	}
+	c.balancePace(w, now)
+	c.dirtyPlan = true
+}
+
+// listed takes a run that a worker lists.
+func (c *Core) listed(w *worker, row workload.RunState, now time.Time) {
+	r := w.find(row.Task, row.Run)
+	if r == nil {
+		r = c.adopt(w, row, now)
+		if r == nil {
+			return
+		}
+	}
+	if r.state == runStarting || r.state == runUncertain {
+		r.state = runRunning
+		r.since = now
+	}
+	if row.Percent != r.percent || row.Checkpoint != r.checkpoint || r.moved.IsZero() {
+		r.moved = now
+	}
+	r.confirmed = true
+	r.percent = row.Percent
+	r.load = row.Load
+	r.checkpoint = row.Checkpoint
+	if row.Checkpoint != "" {
+		r.task().checkpoint = row.Checkpoint
+		r.step.checkpoint = row.Checkpoint
+	}
+	if r.state == runStopping {
+		c.sendStop(r, now)
+	}
+}
+
+// adopt takes over a run that an earlier owner started. One that is not wanted
+// is stopped.
+func (c *Core) adopt(w *worker, row workload.RunState, now time.Time) *run {
+	s, t := c.find(row.Task)
+	if s == nil {
+		c.out.Stops = append(c.out.Stops, StopOrder{Worker: w.info, Task: row.Task, Run: row.Run, Token: w.token})
+		return nil
+	}
+	r := &run{step: s, index: row.Task.Index, number: row.Run, worker: w, state: runRunning, since: now, orderedAt: now, paced: fullPace}
+	others := len(t.runs)
+	w.add(r)
+	switch {
+	case s.job.final.Ended() || t.done:
+		c.stop(r, "no longer wanted")
+	case others > 0 && !s.spec.Speculative:
+		c.stop(r, "runs elsewhere")
+	}
+	return r
+}
+
+// missed looks for runs that the worker no longer lists.
+func (c *Core) missed(w *worker, res HoldResult, now time.Time) {
+	for _, r := range slices.Clone(w.runs) {
+		if r.since.After(res.SentAt) || r.state == runStarting || isListed(res.Held.Running, r) {
+			continue
+		}
+		switch {
+		case r.state == runUncertain:
+			// The start was not carried out so far. A stop that is answered
+			// keeps it from being carried out later.
+			c.stop(r, "start without an answer")
+			c.sendStop(r, now)
+		case r.state == runStopping && !r.stopped:
+			c.sendStop(r, now)
+		default:
+			c.remove(r)
+		}
+	}
+}
+
+func isListed(rows []workload.RunState, r *run) bool {
+	return slices.ContainsFunc(rows, func(row workload.RunState) bool { return row.Run == r.number && row.Task == r.key() })
+}
+
+// ended takes the end of a run.
+func (c *Core) ended(w *worker, e workload.RunEnd, now time.Time) {
+	if r := w.find(e.Task, e.Run); r != nil {
+		c.remove(r)
+	}
+	s, t := c.find(e.Task)
+	if s == nil || s.job.sub == nil {
+		return
+	}
+	if e.Checkpoint != "" {
+		t.checkpoint = e.Checkpoint
+		s.checkpoint = e.Checkpoint
+	}
+	w.trust.count(e, s, now)
+	switch {
+	case s.job.final.Ended() || t.done:
+	case e.How == workload.EndDone && !s.spec.Lasting:
+		c.done(s, t, now)
+	case e.How == workload.EndFailed:
+		c.failed(w, s, t, e, now)
+	case e.How == workload.EndLapsed:
+		c.Counts.Lapsed++
+	}
+	c.dirtyPlan = true
+}
+
+// done marks a task done; of a gang one end stands for all.
+func (c *Core) done(s *step, t *task, now time.Time) {
+	c.Counts.Done++
+	if s.spec.Gang {
+		for i := range s.tasks {
+			s.finish(&s.tasks[i])
+		}
+	} else {
+		s.finish(t)
+	}
+	for _, r := range t.runs {
+		c.stop(r, "another copy is done")
+	}
+	c.dirty[s.job.id] = s.job
+	if s.job.remaining == 0 {
+		c.end(s.job, workload.Completed, now)
+	}
+}
+
+// failed counts an attempt that failed by its own fault.
+func (c *Core) failed(w *worker, s *step, t *task, e workload.RunEnd, now time.Time) {
+	c.Counts.FailedRuns++
+	if !slices.Contains(t.avoid, w.info.ID) {
+		t.avoid = append(t.avoid, w.info.ID)
+	}
+	if s.spec.Lasting {
+		return // these have no limit of attempts
+	}
+	if slices.Contains(t.failed, e.Run) {
+		return
+	}
+	t.failed = append(t.failed, e.Run)
+	c.dirty[s.job.id] = s.job
+	q := c.config.Queue(s.job.sub.Queue)
+	attempts := defaultAttempts
+	if q != nil && q.MaxAttempts > 0 {
+		attempts = q.MaxAttempts
+	}
+	if s.failures() >= attempts && s.spec.Gang || len(t.failed) >= attempts {
+		c.end(s.job, workload.Failed, now)
+	}
+}
+
+// defaultAttempts is taken where the queue was removed while its jobs run.
+const defaultAttempts = 2
+
+// failures counts the runs of a gang that failed, each once.
+func (s *step) failures() int {
+	seen := map[int64]bool{}
+	for i := range s.tasks {
+		for _, n := range s.tasks[i].failed {
+			seen[n] = true
+		}
+	}
+	return len(seen)
+}
--- /dev/null
+++ b/internal/scheduler/orders.go
@@ -0,0 +1,138 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// Orders are what is due, all to be carried out by the owner's process.
+type Orders struct {
+	Holds     []HoldOrder
+	Starts    []StartOrder
+	Stops     []StopOrder
+	Paces     []PaceOrder
+	Advise    []AdviseOrder
+	Write     *WriteOrder // nil if nothing is to be stored
+	Decisions []Decision
+}
+
+// HoldOrder renews and looks at a worker. Its outcome goes to Held.
+type HoldOrder struct {
+	Worker workload.Worker
+	Hold   workload.Hold
+}
+
+// StartOrder starts a run. Its outcome goes to Started.
+type StartOrder struct {
+	Worker workload.Worker
+	Start  workload.Start
+}
+
+// StopOrder stops a run. Its outcome goes to Stopped.
+type StopOrder struct {
+	Worker workload.Worker
+	Task   workload.TaskKey
+	Run    int64
+	Token  int64
+}
+
+// PaceOrder slows a run down or lets it go.
+type PaceOrder struct {
+	Worker  workload.Worker
+	Task    workload.TaskKey
+	Run     int64
+	Percent int
+	Token   int64
+}
+
+// AdviseOrder asks which of the workers may run a step. Its outcome goes to
+// Advised.
+type AdviseOrder struct {
+	Step    workload.TaskKey // Index is of no meaning
+	Workers []string
+}
+
+// WriteOrder stores records. It is to be tried until its outcome is known, and
+// then reported to Written; no other write is ordered meanwhile.
+type WriteOrder struct {
+	Sequence int64 // from 1, without gaps
+	Records  []workload.Record
+	Delete   []workload.JobID
+}
+
+// Decision is one line of the log: what was decided, on what.
+type Decision struct {
+	Verb     string // "placed", "ended", "stopped", ...
+	Job      workload.JobID
+	Task     string
+	Queue    string
+	Worker   string
+	Run      int64
+	Reason   string
+	Age      time.Duration // of what was decided on
+	Critical bool          // to be logged also where lines are left out
+}
+
+func (c *Core) note(d Decision) { c.out.Decisions = append(c.out.Decisions, d) }
+
+// write is one that is under way, with what it makes true.
+type write struct {
+	jobs  map[workload.JobID]workload.State
+	acked map[string]int64
+}
+
+// write orders the storing of what has changed, one write at a time. Ends that
+// come meanwhile go together into the next, which bounds the calls.
+func (c *Core) write() {
+	if c.writing != nil {
+		return
+	}
+	if len(c.dirty) == 0 && len(c.expired) == 0 {
+		// What ended without changing a job needs no record.
+		for _, w := range c.order {
+			w.acked = w.seen
+		}
+		return
+	}
+	c.writeSeq++
+	c.writing = &write{jobs: map[workload.JobID]workload.State{}, acked: map[string]int64{}}
+	order := &WriteOrder{Sequence: c.writeSeq, Delete: c.expired}
+	for _, j := range c.active {
+		if c.dirty[j.id] != nil {
+			order.Records = append(order.Records, workload.Record{Job: j.id, Progress: j.storedProgress()})
+			c.writing.jobs[j.id] = j.final
+		}
+	}
+	for _, w := range c.order {
+		c.writing.acked[w.info.ID] = w.seen
+	}
+	clear(c.dirty)
+	c.expired = nil
+	c.out.Write = order
+}
+
+// Written reports that the write under way is stored.
+func (c *Core) Written() {
+	if c.writing == nil {
+		return
+	}
+	for id, final := range c.writing.jobs {
+		if j := c.jobs[id]; j != nil && final.Ended() {
+			j.shown = final
+		}
+	}
+	for id, n := range c.writing.acked {
+		if w := c.workers[id]; w != nil {
+			w.acked = max(w.acked, n)
+		}
+	}
+	c.writing = nil
+}
+
+// GiveUp ends the ownership: a later owner has fenced this one.
+func (c *Core) GiveUp(reason string) {
+	if c.lost == "" {
+		c.lost = reason
+	}
+}
--- /dev/null
+++ b/internal/scheduler/place.go
@@ -0,0 +1,224 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// place orders starts: feasible, rank, limit, over the room that is known now.
+func (c *Core) place(now time.Time) {
+	if !c.dirtyPlan && now.Before(c.plannedAt.Add(planInterval)) || c.blocked(now) {
+		return
+	}
+	c.dirtyPlan = false
+	c.plannedAt = now
+	pools := c.pools(now)
+	for _, cand := range c.ranked(now) {
+		pool := pools[cand.job.sub.Service]
+		if pool == nil {
+			continue
+		}
+		for _, s := range cand.job.steps {
+			if s.idle > 0 && s.ready(now) {
+				c.placeStep(pool, s, now)
+			}
+		}
+	}
+}
+
+// planInterval is the longest pause between two plans while nothing changes:
+// due times and pauses run out without a message.
+const planInterval = 100 * time.Millisecond
+
+// blocked tells whether an earlier owner's runs may still be unknown. Starting a
+// task then could run it twice.
+func (c *Core) blocked(now time.Time) bool {
+	if !now.Before(c.blockedUntil) {
+		return false
+	}
+	if c.doubtful {
+		return true
+	}
+	for id := range c.suspects {
+		if w := c.workers[id]; w == nil || !w.synced {
+			return true
+		}
+	}
+	return false
+}
+
+// pool is the workers of a service that can take starts.
+type pool struct {
+	workers []*worker
+	// roomiest is the most room that any of them may have, to pass over tasks
+	// that fit nowhere without a look at each worker.
+	roomiest workload.Resources
+}
+
+func (c *Core) pools(now time.Time) map[string]*pool {
+	pools := map[string]*pool{}
+	for _, w := range c.order {
+		if !w.takes(now) {
+			continue
+		}
+		p := pools[w.info.Service]
+		if p == nil {
+			p = &pool{}
+			pools[w.info.Service] = p
+		}
+		p.workers = append(p.workers, w)
+	}
+	for _, p := range pools {
+		p.measure()
+	}
+	return pools
+}
+
+func (p *pool) measure() {
+	p.roomiest = workload.Resources{}
+	for _, w := range p.workers {
+		free := w.free()
+		p.roomiest.CPU = max(p.roomiest.CPU, free.CPU)
+		p.roomiest.MemoryMB = max(p.roomiest.MemoryMB, free.MemoryMB)
+		p.roomiest.GPU = max(p.roomiest.GPU, free.GPU)
+	}
+}
+
+// takes tells whether the worker may get starts at all.
+func (w *worker) takes(now time.Time) bool {
+	return w.synced && !w.silent && !w.missing && !w.info.Draining &&
+		w.orders < maxOrders && !now.Before(w.fullUntil) &&
+		!now.Before(w.evacuateUntil) && w.trust.allows(now, len(w.runs))
+}
+
+func (w *worker) free() workload.Resources { return w.info.Capacity.Sub(w.used) }
+
+// placeStep starts the idle tasks of a step as far as there is room.
+func (c *Core) placeStep(p *pool, s *step, now time.Time) {
+	if !s.spec.Reserve().Fits(p.roomiest) {
+		return
+	}
+	if !c.advised(p, s, now) {
+		return
+	}
+	if s.spec.Gang {
+		c.placeGang(p, s, now)
+		return
+	}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
+			continue
+		}
+		w := p.best(s, t, now)
+		if w == nil {
+			if len(t.avoid) > 0 {
+				continue // another task of the step may have more choice
+			}
+			return
+		}
+		c.start(w, s, i, s.nextRun(c.cfg.Epoch), t.checkpoint, now)
+		p.measure()
+	}
+}
+
+// nextRun numbers a run above all earlier ones of the step: those of earlier
+// owners have lower epochs.
+func (s *step) nextRun(epoch int64) int64 {
+	s.lastRun++
+	return epoch*runStep + s.lastRun
+}
+
+// best returns the worker for a task: where its data is, where no attempt of it
+// failed, and where the least room is left over, so that large tasks still fit
+// elsewhere. nil if it fits nowhere.
+func (p *pool) best(s *step, t *task, now time.Time) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range p.workers {
+		if !s.fits(w, now) || slices.Contains(t.avoid, w.info.ID) && len(t.avoid) < len(p.workers) {
+			continue
+		}
+		score := s.score(w)
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// fits tells whether a worker may run a task of the step now.
+func (s *step) fits(w *worker, now time.Time) bool {
+	if w.orders >= maxOrders || !s.spec.Reserve().Fits(w.free()) || !w.info.HasLabel(s.spec.Label) {
+		return false
+	}
+	if s.spec.MaxPerWorker > 0 && s.perWorker[w.info.ID] >= s.spec.MaxPerWorker {
+		return false
+	}
+	return s.ticketFor(w.info.ID, now) != nil || s.tickets == nil
+}
+
+// Weights of a worker's score. Being near the data outweighs any fit.
+const (
+	nearWeight  = 10.0
+	quietWeight = 2.0 // a filling task beside no serving one
+)
+
+func (s *step) score(w *worker) float64 {
+	score := 0.0
+	if s.spec.Rack != "" && w.info.HasLabel(s.spec.Rack) {
+		score += nearWeight
+	}
+	used := w.load()
+	if s.spec.Fills {
+		// It lives on what others leave, and disturbs serving tasks beside it.
+		score -= used
+		if !w.serves() {
+			score += quietWeight
+		}
+		return score
+	}
+	if s.spec.Lasting {
+		return score - used // apart from one another and from what disturbs them
+	}
+	return score + used
+}
+
+// load is the larger share of processors and memory in use.
+func (w *worker) load() float64 {
+	cpu := float64(w.used.CPU) / float64(max(1, w.info.Capacity.CPU))
+	memory := float64(w.used.MemoryMB) / float64(max(1, w.info.Capacity.MemoryMB))
+	return max(cpu, memory)
+}
+
+// serves tells whether a serving task runs on the worker.
+func (w *worker) serves() bool {
+	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.step.spec.TargetMS > 0 })
+}
+
+// start orders a run.
+func (c *Core) start(w *worker, s *step, index int, number int64, checkpoint string, now time.Time) {
+	r := &run{step: s, index: index, number: number, worker: w, state: runStarting, since: now, orderedAt: now, moved: now, paced: fullPace, checkpoint: checkpoint}
+	begun := s.job.begun
+	w.add(r)
+	w.orders++
+	order := workload.Start{
+		Task:       r.key(),
+		Run:        number,
+		Payload:    s.job.sub.Spec.Payload,
+		LeaseUntil: c.grant(w, now),
+		Token:      w.token,
+		Checkpoint: checkpoint,
+	}
+	if t := s.ticketFor(w.info.ID, now); t != nil {
+		order.Ticket = t.Text
+	}
+	c.out.Starts = append(c.out.Starts, StartOrder{Worker: w.info, Start: order})
+	verb := "placed"
+	if !begun {
+		verb = "first-placed"
+	}
+	c.note(Decision{Verb: verb, Job: s.job.id, Task: r.key().String(), Queue: s.job.sub.Queue, Worker: w.info.ID, Run: number, Age: now.Sub(time.UnixMilli(s.job.sub.AcceptedMS))})
+}
--- /dev/null
+++ b/internal/scheduler/rank.go
@@ -0,0 +1,143 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// class says what a job can still win; lower ones come first.
+type class int
+
+const (
+	// classLasting: lasting tasks are owed within seconds however full the
+	// service is, and there are few.
+	classLasting class = iota
+	classOnTime        // can still be completed within its objective
+	classLate          // earns the worth of a late answer
+	classPast          // earns nothing any more, and is finished all the same
+)
+
+// lateFactor is how many times the objective a job may take to earn anything.
+const lateFactor = 3
+
+// starveAfter is how long a job past winning waits before it goes ahead of all
+// others: nothing that was accepted may wait for ever.
+const starveAfter = 20 * time.Second
+
+// defaultObjective is taken where the queue was removed.
+const defaultObjective = 2 * time.Second
+
+// candidate is a job with idle tasks, with what it is ranked by.
+type candidate struct {
+	job      *job
+	class    class
+	priority int
+	work     float64 // core-seconds that are left, by estimate
+}
+
+// ranked lists the jobs that have tasks to place, the most worth having first.
+// Credit falls at the objective and ends at three times it, and is earned by
+// whole jobs; so among jobs that can still win, the one with the least work left
+// comes first.
+func (c *Core) ranked(now time.Time) []candidate {
+	list := make([]candidate, 0, len(c.active))
+	for _, j := range c.active {
+		if j.final.Ended() || j.idleTasks() == 0 {
+			continue
+		}
+		list = append(list, c.rank(j, now))
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.class, b.class),
+			cmp.Compare(a.priority, b.priority),
+			cmp.Compare(a.work, b.work),
+		)
+	})
+	return list
+}
+
+func (c *Core) rank(j *job, now time.Time) candidate {
+	cand := candidate{job: j, work: j.workLeft()}
+	objective, stretch := defaultObjective, 1.0
+	if q := c.config.Queue(j.sub.Queue); q != nil {
+		cand.priority = q.Priority
+		objective, stretch = q.Objective, q.Stretch
+	}
+	if j.lasts() {
+		cand.class = classLasting
+		return cand
+	}
+	total, left := j.chains()
+	aim := objective + time.Duration(float64(total)*stretch)
+	age := now.Sub(time.UnixMilli(j.sub.AcceptedMS))
+	end := age + left
+	switch {
+	case j.sub.Spec.Repeat > 0 || end <= aim:
+		cand.class = classOnTime
+	case end <= lateFactor*aim:
+		cand.class = classLate
+	case age > lateFactor*aim+starveAfter:
+		cand.class = classLasting
+	default:
+		cand.class = classPast
+	}
+	return cand
+}
+
+func (j *job) idleTasks() int {
+	n := 0
+	for _, s := range j.steps {
+		n += s.idle
+	}
+	return n
+}
+
+func (j *job) lasts() bool {
+	return slices.ContainsFunc(j.steps, func(s *step) bool { return s.spec.Lasting })
+}
+
+// workLeft is the processor time of all tasks that are not done, by estimate.
+func (j *job) workLeft() float64 {
+	work := 0.0
+	for _, s := range j.steps {
+		left := float64(len(s.tasks) - s.done)
+		work += left * estimate(s.spec).Seconds() * float64(s.spec.Need.CPU) / 1000
+	}
+	return work
+}
+
+// defaultEstimate is taken for a task without an estimate.
+const defaultEstimate = time.Second
+
+func estimate(s *workload.Step) time.Duration {
+	if s.EstimateMS <= 0 {
+		return defaultEstimate
+	}
+	return time.Duration(s.EstimateMS) * time.Millisecond
+}
+
+// chains is the longest chain of work of one occurrence by estimate, in all and
+// of what is left.
+func (j *job) chains() (total, left time.Duration) {
+	n := len(j.sub.Spec.Steps)
+	totals := make([]time.Duration, n)
+	lefts := make([]time.Duration, n)
+	for i := range n {
+		s := j.steps[i]
+		for _, d := range s.spec.DependsOn {
+			totals[i] = max(totals[i], totals[d])
+			lefts[i] = max(lefts[i], lefts[d])
+		}
+		totals[i] += estimate(s.spec)
+		if s.done < len(s.tasks) {
+			lefts[i] += estimate(s.spec)
+		}
+		total = max(total, totals[i])
+		left = max(left, lefts[i])
+	}
+	return total, left
+}
--- /dev/null
+++ b/internal/scheduler/worker.go
@@ -0,0 +1,217 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// Times of holds and orders.
+const (
+	// holdWait is how long a worker may hold back its answer while nothing ends.
+	// Twice that and a lost answer are within a lease.
+	holdWait = time.Second
+	// watchWait is the same where the load of serving tasks is watched, or a
+	// task's return to work is waited for.
+	watchWait = 400 * time.Millisecond
+	// shortWait is the same where it is to be learned whether a run has begun.
+	shortWait = 50 * time.Millisecond
+	// ackPause is the pause between looks at a worker whose ends can't be
+	// acknowledged yet, as while the store is away: it would answer each at once.
+	ackPause = 400 * time.Millisecond
+	// holdPause is the shortest pause between two looks: ends that come closely
+	// one after the other are read together.
+	holdPause = 15 * time.Millisecond
+	// holdRetry is the pause after a look without an answer.
+	holdRetry = 250 * time.Millisecond
+	// stopRetry is the pause before a stop without an answer is sent again.
+	stopRetry = 300 * time.Millisecond
+	// maxOrders bounds the orders in flight to one worker.
+	maxOrders = 12
+	// lateOrder is the longest after which an order without an answer may still
+	// be carried out; the platform has seen 12 s.
+	lateOrder = 13 * time.Second
+	fullPace  = 100 // percent
+)
+
+// runState is what is known of a run.
+type runState int
+
+const (
+	runStarting  runState = iota // ordered, no answer yet
+	runUncertain                 // ordered, no answer came
+	runRunning
+	runStopping // is to end; may not have begun
+)
+
+// run is one run of a task on a worker, from its order to its known end. It
+// takes its room all that time.
+type run struct {
+	step   *step
+	index  int
+	number int64
+	worker *worker
+	state  runState
+	// since is when the state began: a look that was sent earlier says nothing
+	// of it.
+	since      time.Time
+	orderedAt  time.Time
+	stopSentAt time.Time
+	stopping   bool // a stop is in flight
+	stopped    bool // a stop was answered: the run can't begin any more
+	confirmed  bool // the worker has answered the start or listed the run
+	percent    int
+	paced      int // percent last ordered
+	pacing     bool
+	load       float64
+	moved      time.Time // when it last showed progress
+	checkpoint string
+}
+
+func (r *run) key() workload.TaskKey { return r.step.key(r.index) }
+func (r *run) task() *task           { return &r.step.tasks[r.index] }
+
+// worker is what is known of a worker.
+type worker struct {
+	info  workload.Worker
+	token int64
+	since time.Time // first seen
+	// synced is set once it answered under this owner's token and has not been
+	// silent since: its list of runs is complete.
+	synced  bool
+	missing bool // no longer registered
+	// clock is the worker's time in milliseconds at clockAt.
+	clock   int64
+	clockAt time.Time
+	// leaseOver is when the last lease that it may have got has lapsed.
+	leaseOver time.Time
+	holding   bool
+	holdAfter time.Time
+	silent    bool // the last look got no answer
+	answered  time.Time
+	orders    int // in flight
+	seen      int64
+	acked     int64
+	used      workload.Resources
+	runs      []*run
+	// evacuateUntil is until when the worker is being emptied; the wish is
+	// renewed by who has it.
+	evacuateUntil time.Time
+	pace          int // of its filling tasks, percent
+	pacedAt       time.Time
+	trust         trust
+	fullUntil     time.Time
+}
+
+// clockNow estimates the worker's time in milliseconds.
+func (w *worker) clockNow(now time.Time) int64 {
+	return w.clock + now.Sub(w.clockAt).Milliseconds()
+}
+
+func (w *worker) heard(clock int64, now time.Time) {
+	if clock != 0 {
+		w.clock = clock
+		w.clockAt = now
+	}
+}
+
+// grant returns the end of a lease given now, on the worker's clock, and
+// remembers when it will have lapsed.
+func (c *Core) grant(w *worker, now time.Time) int64 {
+	w.leaseOver = now.Add(lapse(c.cfg.Lease))
+	return w.clockNow(now) + c.cfg.Lease.Milliseconds()
+}
+
+func (w *worker) find(k workload.TaskKey, number int64) *run {
+	for _, r := range w.runs {
+		if r.number == number && r.key() == k {
+			return r
+		}
+	}
+	return nil
+}
+
+// add puts a run on the worker and its task.
+func (w *worker) add(r *run) {
+	w.runs = append(w.runs, r)
+	w.used = w.used.Add(r.step.spec.Reserve())
+	r.step.attach(r.task(), r)
+}
+
+// remove takes a run that has ended off the worker and its task.
+func (c *Core) remove(r *run) {
+	w := r.worker
+	i := slices.Index(w.runs, r)
+	if i < 0 {
+		return
+	}
+	w.runs = slices.Delete(w.runs, i, i+1)
+	w.used = w.used.Sub(r.step.spec.Reserve())
+	r.step.detach(r.task(), r)
+	c.dirtyPlan = true
+}
+
+// expireRuns drops runs whose lease has lapsed on a worker that does not answer.
+// A start that got no answer may be carried out much later, with its lease
+// counted from then; it is kept as long as that.
+func (c *Core) expireRuns(now time.Time) {
+	for _, w := range c.order {
+		if !w.silent || now.Before(w.leaseOver) {
+			continue
+		}
+		for _, r := range slices.Clone(w.runs) {
+			if !r.confirmed && !r.stopped && !w.missing && now.Before(r.orderedAt.Add(lateOrder+lapse(c.cfg.Lease))) {
+				continue
+			}
+			c.Counts.Lapsed++
+			c.note(Decision{Verb: "lapsed", Job: r.step.job.id, Task: r.key().String(), Worker: w.info.ID, Run: r.number, Reason: "no answer, lease is over", Age: now.Sub(w.answered)})
+			c.remove(r)
+		}
+		if w.synced {
+			w.synced = false
+			c.note(Decision{Verb: "worker-lost", Worker: w.info.ID, Reason: "no answer, lease is over", Age: now.Sub(w.answered), Critical: true})
+		}
+	}
+}
+
+// holdWorkers orders a look at each worker that has something to tell.
+func (c *Core) holdWorkers(now time.Time) {
+	for _, w := range c.order {
+		if w.holding || now.Before(w.holdAfter) {
+			continue
+		}
+		needed := !w.synced || len(w.runs) > 0 || w.seen > w.acked
+		if !needed {
+			continue
+		}
+		h := workload.Hold{Token: w.token, Acked: w.acked}
+		// A worker that may be gone gets no longer lease: its tasks would have to
+		// wait for that one to lapse, too.
+		if len(w.runs) > 0 && w.synced && !w.silent {
+			h.LeaseUntil = c.grant(w, now)
+		}
+		if w.synced && !w.silent && w.seen == w.acked {
+			h.Wait = c.waitFor(w)
+		}
+		w.holding = true
+		c.out.Holds = append(c.out.Holds, HoldOrder{Worker: w.info, Hold: h})
+	}
+}
+
+// waitFor is how long a look may wait for an end.
+func (c *Core) waitFor(w *worker) time.Duration {
+	serving, filling, rising := false, false, false
+	for _, r := range w.runs {
+		serving = serving || r.step.spec.TargetMS > 0
+		filling = filling || r.step.spec.Fills
+		rising = rising || r.step.spec.Lasting && r.percent < fullPace && !r.step.spec.Fills
+		if !r.confirmed && r.state != runStarting {
+			return shortWait
+		}
+	}
+	if serving && filling || rising {
+		return watchWait
+	}
+	return holdWait
+}
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -26,3 +26,10 @@
 	}
 	return ctx.Err()
 }
+
+// Pause is Sleep for loops that look at their context themselves.
+func Pause(ctx context.Context, d time.Duration) {
+	if err := Sleep(ctx, d); err != nil {
+		return // the loop's condition sees it
+	}
+}
--- /dev/null
+++ b/internal/workload/fleet.go
@@ -0,0 +1,147 @@
+package workload
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Queue is where callers submit jobs of one kind; its service's workers run
+// them.
+type Queue struct {
+	Name     string
+	Host     string
+	Prefix   string // of the path, ends before the job's ID
+	Service  string
+	Priority int // 0 comes first
+	// MaxAttempts is how many runs of one task may fail before the job fails.
+	MaxAttempts int
+	// Stretch times the longest chain of work, plus Objective, is the time in
+	// which a job ought to be completed.
+	Stretch   float64
+	Objective time.Duration
+	Timeout   time.Duration // of one request
+	Advice    *Advice
+}
+
+// Advice is the policy of a queue whose steps only some workers may run, which
+// a service outside knows.
+type Advice struct {
+	Decision time.Duration // of one question
+	Each     time.Duration // more for each worker in it
+	Valid    time.Duration // of a ticket
+}
+
+// Service is a pool of VMs whose workers run the jobs of its queues.
+type Service struct {
+	Name string
+	// Guarded is set if the workers refuse what exceeds their capacity.
+	Guarded bool
+	// Standby marks the spare pool, whose VMs are off and cost nothing.
+	Standby bool
+}
+
+// Limits bound a caller's request.
+type Limits struct {
+	MaxHeader     int // bytes
+	MaxBody       int // bytes
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is what operators have published, in full.
+type Config struct {
+	Version  int64
+	Queues   []Queue
+	Services []Service
+	Limits   Limits
+}
+
+// Queue returns the queue named, nil if there is none.
+func (c *Config) Queue(name string) *Queue {
+	for i := range c.Queues {
+		if c.Queues[i].Name == name {
+			return &c.Queues[i]
+		}
+	}
+	return nil
+}
+
+// Route returns the queue of a request: the longest prefix of its path among
+// the queues of its host. nil if there is none.
+func (c *Config) Route(host, path string) *Queue {
+	var best *Queue
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if q.Host != host || !strings.HasPrefix(path, q.Prefix) {
+			continue
+		}
+		if best == nil || len(q.Prefix) > len(best.Prefix) {
+			best = q
+		}
+	}
+	return best
+}
+
+// Worker is one incarnation of a process that runs tasks on a VM.
+type Worker struct {
+	ID       string // of the incarnation
+	Service  string
+	Address  string
+	Zone     string
+	Labels   []string // the VM's kind, then its rack
+	Capacity Resources
+	Draining bool
+}
+
+// HasLabel tells whether the worker has a label; "" is had by all.
+func (w *Worker) HasLabel(label string) bool {
+	return label == "" || slices.Contains(w.Labels, label)
+}
+
+// Rack is the worker's rack, "" if it is not known.
+func (w *Worker) Rack() string {
+	if len(w.Labels) < 2 {
+		return ""
+	}
+	return w.Labels[len(w.Labels)-1]
+}
+
+// VMState is what the platform says of a VM.
+type VMState string
+
+// States of a VM.
+const (
+	VMUp          VMState = "up"
+	VMMoving      VMState = "moving"
+	VMMaintenance VMState = "maintenance"
+	VMDown        VMState = "down"
+)
+
+// VM is a line of the platform's list.
+type VM struct {
+	ID       string
+	Pool     string
+	State    VMState
+	Zone     string
+	Labels   []string
+	Capacity Resources
+	Worker   string // ID of its worker, "" if it has none
+}
+
+// Wave asks for maintenance of VMs.
+type Wave struct {
+	Number   int64
+	VMs      []string
+	Duration time.Duration // in which all are to be done
+	Cap      int           // at most so many at once
+}
+
+// WaveState is how far a wave is.
+type WaveState string
+
+// States of a wave.
+const (
+	WaveRunning   WaveState = "running"
+	WaveCompleted WaveState = "completed"
+)
--- /dev/null
+++ b/internal/workload/workload.go
@@ -0,0 +1,208 @@
+// Package workload has the job model: queues, jobs of steps and tasks, and the
+// workers that run them. It is pure; the adapter of the users' platform
+// translates their formats to it.
+package workload
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// JobID is chosen by the caller, 16 hexadecimal digits.
+type JobID string
+
+// Resources is what a task reserves or a worker has.
+type Resources struct {
+	CPU      int `json:"c,omitempty"` // thousandths of a core
+	MemoryMB int `json:"m,omitempty"`
+	GPU      int `json:"g,omitempty"`
+}
+
+// Add returns the sum.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{CPU: r.CPU + o.CPU, MemoryMB: r.MemoryMB + o.MemoryMB, GPU: r.GPU + o.GPU}
+}
+
+// Sub returns the difference, which may be negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{CPU: r.CPU - o.CPU, MemoryMB: r.MemoryMB - o.MemoryMB, GPU: r.GPU - o.GPU}
+}
+
+// Fits tells whether r is within o.
+func (r Resources) Fits(o Resources) bool {
+	return r.CPU <= o.CPU && r.MemoryMB <= o.MemoryMB && r.GPU <= o.GPU
+}
+
+// Step is a set of alike tasks of a job.
+type Step struct {
+	Count int       `json:"n"`
+	Need  Resources `json:"r"`
+	// EstimateMS is the caller's rough estimate of a task's run time in
+	// milliseconds, 0 if there is none.
+	EstimateMS int64 `json:"e,omitempty"`
+	// DependsOn numbers earlier steps whose tasks must all be done before.
+	DependsOn   []int  `json:"d,omitempty"`
+	Checkpoints bool   `json:"k,omitempty"`
+	Gang        bool   `json:"gg,omitempty"` // all tasks run at once or not at all
+	SameRack    bool   `json:"sr,omitempty"` // a gang that is slower over several racks
+	Label       string `json:"l,omitempty"`  // label that the worker must have
+	Rack        string `json:"ra,omitempty"` // rack where the data lies
+	// MaxPerWorker bounds the tasks of one occurrence of the step on one
+	// worker; 0 is unbounded.
+	MaxPerWorker int    `json:"x,omitempty"`
+	Speculative  bool   `json:"sp,omitempty"` // copies may run in parallel
+	Lasting      bool   `json:"la,omitempty"` // runs until the job is cancelled
+	Image        string `json:"i,omitempty"`
+	// TargetMS bounds the tail of the response times of a serving task, in
+	// milliseconds; 0 is none.
+	TargetMS int64 `json:"t,omitempty"`
+	// Fills marks tasks that use the processor time that others leave over;
+	// their processors aren't reserved.
+	Fills bool `json:"f,omitempty"`
+	// MayMiss is how many tasks of a lasting step may be away at once by acts of
+	// the system; 0 is no bound.
+	MayMiss int `json:"mm,omitempty"`
+}
+
+// Reserve is what one task of the step takes of a worker's capacity.
+func (s *Step) Reserve() Resources {
+	r := s.Need
+	if s.Fills {
+		r.CPU = 0
+	}
+	return r
+}
+
+// Spec is what the caller asks to be run.
+type Spec struct {
+	Payload string `json:"p"` // handed to the workers as it is
+	Steps   []Step `json:"s"`
+	// Repeat is how many occurrences the job has, 0 for a job that runs once
+	// and at once.
+	Repeat int `json:"rp,omitempty"`
+	// StartAtMS is when occurrence 0 is due, IntervalMS the time between two,
+	// both in milliseconds, the first since 1970.
+	StartAtMS  int64 `json:"st,omitempty"`
+	IntervalMS int64 `json:"iv,omitempty"`
+}
+
+// Occurrences is how many times the steps run.
+func (s *Spec) Occurrences() int { return max(1, s.Repeat) }
+
+// Due is when an occurrence may begin; the zero time is at once.
+func (s *Spec) Due(occurrence int) time.Time {
+	if s.Repeat == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(s.StartAtMS + int64(occurrence)*s.IntervalMS)
+}
+
+// Bounds of a job that is accepted.
+const (
+	maxPayload     = 4000    // bytes, the platform's bound
+	maxTasks       = 100_000 // of one job with all occurrences; keeps one job from exhausting a node's memory
+	maxOccurrences = 10_000
+)
+
+// Check returns why the job cannot be taken.
+func (s *Spec) Check() error {
+	if len(s.Payload) > maxPayload {
+		return errors.Errorf("spec has %d bytes, at most %d are taken", len(s.Payload), maxPayload)
+	}
+	if len(s.Steps) == 0 {
+		return errors.New("a job needs at least one step")
+	}
+	if s.Repeat < 0 || s.Repeat > maxOccurrences {
+		return errors.Errorf("%d occurrences, between 0 and %d are taken", s.Repeat, maxOccurrences)
+	}
+	tasks := 0
+	for i := range s.Steps {
+		if err := s.Steps[i].check(i); err != nil {
+			return err
+		}
+		tasks += s.Steps[i].Count
+	}
+	if tasks*s.Occurrences() > maxTasks {
+		return errors.Errorf("the job has more than %d tasks", maxTasks)
+	}
+	return nil
+}
+
+func (s *Step) check(i int) error {
+	if s.Count < 1 || s.Count > maxTasks {
+		return errors.Errorf("step %d: count %d is not between 1 and %d", i, s.Count, maxTasks)
+	}
+	if s.Need.CPU < 0 || s.Need.MemoryMB < 0 || s.Need.GPU < 0 {
+		return errors.Errorf("step %d: a need is negative", i)
+	}
+	for _, d := range s.DependsOn {
+		if d < 0 || d >= i {
+			return errors.Errorf("step %d: depends on step %d, which is not an earlier one", i, d)
+		}
+	}
+	return nil
+}
+
+// ParseJobID checks an ID.
+func ParseJobID(text string) (JobID, error) {
+	if len(text) != 16 {
+		return "", errors.Errorf("job ID %q does not have 16 digits", text)
+	}
+	for _, r := range text {
+		if !strings.ContainsRune("0123456789abcdefABCDEF", r) {
+			return "", errors.Errorf("job ID %q is not hexadecimal", text)
+		}
+	}
+	return JobID(text), nil
+}
+
+// TaskKey names a task.
+type TaskKey struct {
+	Job                     JobID
+	Occurrence, Step, Index int
+}
+
+// String is the task's name, ID.OCCURRENCE.STEP.INDEX.
+func (k TaskKey) String() string {
+	return k.StepName() + "." + strconv.Itoa(k.Index)
+}
+
+// StepName is the name of the task's step, ID.OCCURRENCE.STEP.
+func (k TaskKey) StepName() string {
+	return string(k.Job) + "." + strconv.Itoa(k.Occurrence) + "." + strconv.Itoa(k.Step)
+}
+
+// ParseTaskKey reads what String writes.
+func ParseTaskKey(text string) (TaskKey, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskKey{}, errors.Errorf("task name %q does not have four parts", text)
+	}
+	k := TaskKey{Job: JobID(parts[0])}
+	for i, into := range []*int{&k.Occurrence, &k.Step, &k.Index} {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil || n < 0 {
+			return TaskKey{}, errors.Errorf("task name %q: %q is no number", text, parts[i+1])
+		}
+		*into = n
+	}
+	return k, nil
+}
+
+// State of a job as callers see it.
+type State string
+
+// The states of a job.
+const (
+	Pending   State = "pending"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Ended tells whether the state is final.
+func (s State) Ended() bool { return s == Completed || s == Failed || s == Cancelled }
