Maintain VMs in waves and move them to the pools that need them

Change: internal/fleet decides on VMs over the services' loads; internal/fleetowner runs it on the fleet's owner; a worker is emptied by its owner before its VM is ordered.

--- /dev/null
+++ b/internal/fleet/core.go
@@ -0,0 +1,308 @@
+// Package fleet decides on VMs: which go through maintenance now, and which
+// change their pool. It is pure; the fleet's owner feeds it and carries its
+// orders out. A VM is emptied before it is ordered: its worker's owner lets what
+// is short finish, moves what has a checkpoint and keeps the budgets of lasting
+// tasks.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// Settings of a Core.
+type Settings struct {
+	Migration   time.Duration // of a VM to another pool
+	Maintenance time.Duration // of a VM
+	// QuietFor is how long a new owner orders nothing: orders of two holders for
+	// one VM are to be at least this far apart.
+	QuietFor time.Duration
+}
+
+// Times that decisions rest on.
+const (
+	// settleSlack is what a VM may take longer than told to come back, and the
+	// list to show it.
+	settleSlack = 4 * time.Second
+	// orderRetry is the pause after an order that was not taken.
+	orderRetry = 400 * time.Millisecond
+	// waveShare is the part of a wave's time in which it is to be done; the rest
+	// is for what comes between.
+	waveShare = 0.6
+	// turnTime is what one VM's maintenance takes with emptying it and its
+	// return, without the maintenance itself.
+	turnTime = 2 * time.Second
+	// patience is how long a VM may take to be emptied before another one of its
+	// pool is taken along.
+	patience = 3 * time.Second
+)
+
+// phase is how far the work on a VM is.
+type phase int
+
+const (
+	phaseEmptying phase = iota
+	phaseOrdered        // an order is in flight
+	phaseSettling       // the order was taken; the VM is not back yet
+)
+
+// work is what is under way on a VM.
+type work struct {
+	vm        string
+	pool      string // it was in
+	worker    string // it had
+	wave      int64  // 0 for a move
+	to        string // pool of a move
+	phase     phase
+	since     time.Time // of the phase
+	retryAt   time.Time
+	empty     bool
+	emptyAt   time.Time
+	wantedFor time.Time // a move is dropped after this
+}
+
+// waveState is what is known of a wave.
+type waveState struct {
+	wave  workload.Wave
+	begun time.Time // first seen here
+	done  map[string]bool
+	state workload.WaveState
+}
+
+// Core holds what is under way. It is not safe for concurrent use.
+type Core struct {
+	cfg     Settings
+	started time.Time
+	works   map[string]*work
+	waves   map[int64]*waveState
+	vms     []workload.VM
+	byID    map[string]workload.VM
+	listed  time.Time // when the list was asked for
+	loads   map[string]*poolLoad
+	standby string
+	out     []Action
+	// dirtyWaves are to be stored.
+	dirtyWaves map[int64]bool
+}
+
+// Verb says what an Action does.
+type Verb int
+
+// The verbs.
+const (
+	Empty    Verb = iota // ask the worker's owner to empty it
+	Maintain             // begin maintenance
+	Move                 // move to a pool
+	Store                // store how far a wave is
+)
+
+// Action is something to be done now.
+type Action struct {
+	Verb   Verb
+	VM     string
+	Pool   string // of the worker for Empty, the new one for Move
+	Worker string
+	Wave   int64
+	State  workload.WaveState
+	Done   []string // VMs of the wave, for Store
+	Reason string
+}
+
+// New returns a core of an owner that took over at now.
+func New(cfg Settings, now time.Time) *Core {
+	return &Core{
+		cfg:        cfg,
+		started:    now,
+		works:      map[string]*work{},
+		waves:      map[int64]*waveState{},
+		byID:       map[string]workload.VM{},
+		loads:      map[string]*poolLoad{},
+		dirtyWaves: map[int64]bool{},
+	}
+}
+
+// SetWaves takes all waves that were asked for.
+func (c *Core) SetWaves(waves []workload.Wave, now time.Time) {
+	for _, w := range waves {
+		if s, ok := c.waves[w.Number]; ok {
+			s.wave = w
+			continue
+		}
+		c.waves[w.Number] = &waveState{wave: w, begun: now, done: map[string]bool{}}
+		c.dirtyWaves[w.Number] = true
+	}
+}
+
+// Recalled takes what an earlier owner stored of a wave.
+func (c *Core) Recalled(wave int64, done []string, now time.Time) {
+	s, ok := c.waves[wave]
+	if !ok {
+		s = &waveState{wave: workload.Wave{Number: wave}, begun: now, done: map[string]bool{}}
+		c.waves[wave] = s
+	}
+	for _, vm := range done {
+		s.done[vm] = true
+	}
+}
+
+// SetVMs takes the list of VMs that was asked for at a time.
+func (c *Core) SetVMs(vms []workload.VM, asked time.Time) {
+	slices.SortFunc(vms, func(a, b workload.VM) int { return cmp.Compare(a.ID, b.ID) })
+	c.vms = vms
+	c.listed = asked
+	clear(c.byID)
+	for _, vm := range vms {
+		c.byID[vm.ID] = vm
+	}
+}
+
+// SetConfig takes the services; one of them may be the spare pool.
+func (c *Core) SetConfig(config *workload.Config) {
+	c.standby = ""
+	for _, s := range config.Services {
+		if s.Standby {
+			c.standby = s.Name
+		}
+	}
+}
+
+// Step returns what is due.
+func (c *Core) Step(now time.Time) []Action {
+	c.out = nil
+	c.settle(now)
+	if now.Sub(c.started) >= c.cfg.QuietFor && len(c.vms) > 0 {
+		c.planWaves(now)
+		c.planMoves(now)
+		c.advance(now)
+	}
+	c.report()
+	return c.out
+}
+
+// settle ends works whose VM is back.
+func (c *Core) settle(now time.Time) {
+	for id, w := range c.works {
+		if w.phase != phaseSettling {
+			continue
+		}
+		vm, known := c.byID[id]
+		expected := c.cfg.Maintenance
+		if w.wave == 0 {
+			expected = c.cfg.Migration
+		}
+		back := c.listed.After(w.since.Add(expected)) && known && vm.State == workload.VMUp && vm.Worker != w.worker
+		if back || now.Sub(w.since) > expected+settleSlack {
+			delete(c.works, id)
+		}
+	}
+}
+
+// advance carries works on: asks for emptying, and orders what is empty.
+func (c *Core) advance(now time.Time) {
+	for _, id := range c.workIDs() {
+		w := c.works[id]
+		if w.phase != phaseEmptying || now.Before(w.retryAt) {
+			continue
+		}
+		vm, known := c.byID[id]
+		switch {
+		case !known || vm.State != workload.VMUp && vm.State != workload.VMDown || vm.Pool != w.pool:
+			delete(c.works, id) // it left, or something else happened to it
+		case w.wave == 0 && now.After(w.wantedFor):
+			delete(c.works, id)
+		case vm.Worker == "" || w.empty && now.Sub(w.emptyAt) < emptyValid:
+			c.order(w, now)
+		default:
+			w.worker = vm.Worker
+			c.out = append(c.out, Action{Verb: Empty, VM: id, Pool: w.pool, Worker: vm.Worker})
+		}
+	}
+}
+
+// emptyValid is how long the word that a worker is empty holds: its owner keeps
+// it closed for a while after the last wish.
+const emptyValid = time.Second
+
+func (c *Core) order(w *work, now time.Time) {
+	w.phase = phaseOrdered
+	w.since = now
+	if w.wave != 0 {
+		c.out = append(c.out, Action{Verb: Maintain, VM: w.vm, Wave: w.wave, Reason: "emptied for maintenance"})
+		return
+	}
+	c.out = append(c.out, Action{Verb: Move, VM: w.vm, Pool: w.to, Reason: "pool needs it more than " + w.pool})
+}
+
+// Emptied takes the answer to an Empty.
+func (c *Core) Emptied(vm, worker string, empty bool, now time.Time) {
+	w := c.works[vm]
+	if w == nil || w.phase != phaseEmptying || w.worker != worker {
+		return
+	}
+	w.empty = empty
+	w.emptyAt = now
+}
+
+// Result is how an order for a VM ended.
+type Result int
+
+// Results of an order.
+const (
+	Taken   Result = iota
+	Refused        // not carried out, may be tried again
+	Invalid        // makes no sense (any more)
+	Unclear        // may have been carried out
+)
+
+// Ordered takes the outcome of a Maintain or Move.
+func (c *Core) Ordered(vm string, result Result, now time.Time) {
+	w := c.works[vm]
+	if w == nil || w.phase != phaseOrdered {
+		return
+	}
+	w.since = now
+	switch result {
+	case Taken:
+		w.phase = phaseSettling
+		if s := c.waves[w.wave]; s != nil {
+			s.done[vm] = true
+			c.dirtyWaves[w.wave] = true
+		}
+	case Refused, Unclear:
+		// Ordering again what was carried out is answered as taken.
+		w.phase = phaseEmptying
+		w.empty = false
+		w.retryAt = now.Add(orderRetry)
+	case Invalid:
+		if s := c.waves[w.wave]; s != nil {
+			s.done[vm] = true
+			c.dirtyWaves[w.wave] = true
+		}
+		delete(c.works, vm)
+	}
+}
+
+func (c *Core) workIDs() []string {
+	ids := make([]string, 0, len(c.works))
+	for id := range c.works {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Busy tells whether the list of VMs is needed often.
+func (c *Core) Busy() bool {
+	if len(c.works) > 0 || len(c.vms) == 0 {
+		return true
+	}
+	for _, s := range c.waves {
+		if s.state != workload.WaveCompleted {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fleet/waves.go
@@ -0,0 +1,156 @@
+package fleet
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// planWaves takes VMs into maintenance, as many at once as the wave's time asks
+// for and its cap allows.
+func (c *Core) planWaves(now time.Time) {
+	for _, n := range c.waveNumbers() {
+		s := c.waves[n]
+		if s.state == workload.WaveCompleted {
+			continue
+		}
+		due := c.due(s)
+		if len(due) == 0 {
+			continue
+		}
+		for c.underWay(n) < c.pace(s, len(due), now) {
+			vm, ok := c.next(due)
+			if !ok {
+				break
+			}
+			c.works[vm.ID] = &work{vm: vm.ID, pool: vm.Pool, worker: vm.Worker, wave: n, since: now}
+		}
+	}
+}
+
+// due lists the VMs of a wave that have not begun and are there.
+func (c *Core) due(s *waveState) []workload.VM {
+	var due []workload.VM
+	for _, id := range s.wave.VMs {
+		vm, known := c.byID[id]
+		if s.done[id] || !known {
+			continue
+		}
+		due = append(due, vm)
+	}
+	return due
+}
+
+// pace is how many VMs of a wave are to be under way at once: enough to be done
+// in its share of the time, and no more, as each takes room from its pool.
+func (c *Core) pace(s *waveState, left int, now time.Time) int {
+	target := time.Duration(float64(s.wave.Duration) * waveShare)
+	remaining := max(time.Second, target-now.Sub(s.begun))
+	each := c.cfg.Maintenance + turnTime
+	n := int(math.Ceil(float64(left) * float64(each) / float64(remaining)))
+	slow := 0
+	for _, w := range c.works {
+		if w.wave == s.wave.Number && w.phase == phaseEmptying && now.Sub(w.since) > patience {
+			slow++ // it waits for others' tasks; another VM goes on meanwhile
+		}
+	}
+	return min(n+slow, max(1, s.wave.Cap))
+}
+
+func (c *Core) underWay(wave int64) int {
+	n := 0
+	for _, w := range c.works {
+		if w.wave == wave {
+			n++
+		}
+	}
+	return n
+}
+
+// next picks the VM whose absence costs least: one without work, else one of the
+// pool with the most room left over.
+func (c *Core) next(due []workload.VM) (workload.VM, bool) {
+	best, bestCost := -1, 0.0
+	for i, vm := range due {
+		if c.works[vm.ID] != nil || vm.State != workload.VMUp && !(vm.State == workload.VMDown && vm.Worker == "") {
+			continue
+		}
+		cost := c.cost(vm)
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		return workload.VM{}, false
+	}
+	return due[best], true
+}
+
+// absentCost weighs a VM of a pool that others are already away from.
+const absentCost = 1.0
+
+func (c *Core) cost(vm workload.VM) float64 {
+	if vm.Worker == "" || vm.Pool == c.standby {
+		return 0
+	}
+	cost := 0.1
+	if l := c.loads[vm.Pool]; l != nil {
+		cost += l.use(vm)
+		cost += float64(l.load.Workers[vm.Worker].Lasting)
+	}
+	for _, w := range c.works {
+		if w.pool == vm.Pool {
+			cost += absentCost
+		}
+	}
+	return cost
+}
+
+// report stores what has changed of the waves.
+func (c *Core) report() {
+	for _, n := range c.waveNumbers() {
+		s := c.waves[n]
+		if s.wave.VMs == nil {
+			continue // only an earlier owner's word of it was read so far
+		}
+		state := workload.WaveRunning
+		if len(c.vms) > 0 && len(c.due(s)) == 0 && !c.ordering(n) {
+			state = workload.WaveCompleted
+		}
+		if state == s.state && !c.dirtyWaves[n] {
+			continue
+		}
+		s.state = state
+		delete(c.dirtyWaves, n)
+		done := make([]string, 0, len(s.done))
+		for vm := range s.done {
+			done = append(done, vm)
+		}
+		slices.Sort(done)
+		c.out = append(c.out, Action{Verb: Store, Wave: n, State: state, Done: done})
+	}
+}
+
+// ordering tells whether an order of a wave is in flight.
+func (c *Core) ordering(wave int64) bool {
+	for _, w := range c.works {
+		if w.wave == wave && w.phase == phaseOrdered {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) waveNumbers() []int64 {
+	numbers := make([]int64, 0, len(c.waves))
+	for n := range c.waves {
+		numbers = append(numbers, n)
+	}
+	slices.Sort(numbers)
+	return numbers
+}
+
+// StoreFailed takes back that a wave's state was stored.
+func (c *Core) StoreFailed(wave int64) { c.dirtyWaves[wave] = true }
--- /dev/null
+++ b/internal/fleetowner/fleetowner.go
@@ -0,0 +1,276 @@
+// Package fleetowner runs the decisions on VMs on the one node that owns the
+// fleet.
+package fleetowner
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/internal/fleet"
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/published"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// Times of the fleet's owner.
+const (
+	stepInterval = 100 * time.Millisecond
+	// listBusy is the pause between lists of VMs while work is under way,
+	// listIdle while none is. Each list is a call that costs.
+	listBusy = 400 * time.Millisecond
+	listIdle = 2 * time.Second
+	// loadInterval is the pause between questions for a service's load.
+	loadInterval = 300 * time.Millisecond
+	retry        = 200 * time.Millisecond
+	inboxSize    = 256
+	// maxCalls bounds the calls in flight.
+	maxCalls = 32
+)
+
+// ErrLost is returned by Run when a later owner was seen.
+var ErrLost = errors.New("ownership of the fleet is lost")
+
+// Machines lists and orders VMs.
+type Machines interface {
+	List(ctx context.Context) ([]workload.VM, error)
+	Move(ctx context.Context, h platform.Holder, vm, pool string) (platform.ActStatus, error)
+	Maintain(ctx context.Context, h platform.Holder, vm string, wave int64) (platform.ActStatus, error)
+}
+
+// Services are the owners of the services' jobs.
+type Services interface {
+	Empty(ctx context.Context, service, worker string) (empty, ok bool)
+	LoadsOf(ctx context.Context, service string) ([]workload.ServiceLoad, bool)
+}
+
+// Store is what is needed of the platform's store.
+type Store interface {
+	joblog.Store
+	WriteWaveState(ctx context.Context, wave int64, state workload.WaveState) (platform.StoreStatus, error)
+}
+
+// Deps is what an Owner needs.
+type Deps struct {
+	Node      string
+	Store     Store
+	Machines  Machines
+	Services  Services
+	Published *published.Follower
+	Bounds    platform.Bounds
+	Logger    hclog.Logger
+}
+
+type event func(c *fleet.Core, now time.Time)
+
+// Owner owns the fleet while Run runs.
+type Owner struct {
+	deps   Deps
+	epoch  int64
+	log    *joblog.Log
+	logger hclog.Logger
+	inbox  chan event
+	slots  chan struct{}
+
+	sequence int64
+	writes   sync.Mutex // one write at a time, in the order of their numbers
+	lost     chan error
+	asking   map[string]bool // workers that are asked about
+	listing  bool
+	listedAt time.Time
+	loading  bool
+	loadedAt time.Time
+}
+
+// New returns the fleet's owner. epoch is above all earlier owners' ones, and is
+// the fencing token of its orders.
+func New(deps Deps, partition int, epoch int64) *Owner {
+	return &Owner{
+		deps:   deps,
+		epoch:  epoch,
+		log:    joblog.New(deps.Store, joblog.FleetTopic, partition),
+		logger: deps.Logger.With("epoch", epoch),
+		inbox:  make(chan event, inboxSize),
+		slots:  make(chan struct{}, maxCalls),
+		lost:   make(chan error, 1),
+		asking: map[string]bool{},
+	}
+}
+
+// waveKey is the key of what is stored of a wave.
+const waveKey = "wave/"
+
+// storedWave is what is stored of a wave.
+type storedWave struct {
+	Done []string `json:"done"` // VMs whose maintenance was ordered
+}
+
+// Run owns the fleet until ctx ends or a later owner is seen.
+func (o *Owner) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	core := fleet.New(fleet.Settings{
+		Migration:   o.deps.Bounds.Migration,
+		Maintenance: o.deps.Bounds.Maintenance,
+		QuietFor:    o.deps.Bounds.HolderLease,
+	}, time.Now())
+	if err := o.takeOver(ctx, core); err != nil {
+		return err
+	}
+	o.logger.Info("fleet taken over", "quiet_for", o.deps.Bounds.HolderLease.String())
+	tick := time.NewTicker(stepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-o.lost:
+			return err
+		case e := <-o.inbox:
+			e(core, time.Now())
+			continue
+		case <-tick.C:
+		}
+		o.step(ctx, core, time.Now())
+	}
+}
+
+// takeOver fences earlier owners and reads how far the waves are.
+func (o *Owner) takeOver(ctx context.Context, core *fleet.Core) error {
+	for ctx.Err() == nil {
+		status, err := o.log.Fence(ctx, o.epoch)
+		if status == platform.StoreFenced {
+			return errors.Wrap(ErrLost, "a later owner has fenced the fleet")
+		}
+		if status != platform.StoreOK {
+			o.logger.Warn("fleet can't be fenced yet", "status", status.String(), "error", err)
+			wait.Pause(ctx, retry)
+			continue
+		}
+		batch, status, err := o.log.Snapshot(ctx)
+		if status != platform.StoreOK {
+			o.logger.Warn("stored waves can't be read yet", "status", status.String(), "error", err)
+			wait.Pause(ctx, retry)
+			continue
+		}
+		o.recall(core, batch)
+		return nil
+	}
+	return ctx.Err()
+}
+
+func (o *Owner) recall(core *fleet.Core, batch platform.Batch) {
+	for _, r := range batch.Records {
+		number, ok := strings.CutPrefix(r.Key, waveKey)
+		if !ok {
+			continue
+		}
+		wave, err := strconv.ParseInt(number, 10, 64)
+		var stored storedWave
+		if err == nil {
+			err = json.Unmarshal(r.Value, &stored)
+		}
+		if err != nil {
+			o.logger.Error("stored wave can't be read and is left out", "key", r.Key, "error", err)
+			continue
+		}
+		core.Recalled(wave, stored.Done, time.Now())
+	}
+}
+
+func (o *Owner) step(ctx context.Context, core *fleet.Core, now time.Time) {
+	config := o.deps.Published.Config()
+	if config == nil {
+		return
+	}
+	core.SetConfig(config)
+	core.SetWaves(o.deps.Published.Waves(), now)
+	o.look(ctx, core, config, now)
+	for _, a := range core.Step(now) {
+		o.act(ctx, a)
+	}
+}
+
+// look asks for the list of VMs and the services' loads when they are due.
+func (o *Owner) look(ctx context.Context, core *fleet.Core, config *workload.Config, now time.Time) {
+	pause := listIdle
+	if core.Busy() {
+		pause = listBusy
+	}
+	if !o.listing && now.Sub(o.listedAt) >= pause {
+		o.listing = true
+		o.listedAt = now
+		o.do(ctx, o.list)
+	}
+	if !o.loading && now.Sub(o.loadedAt) >= loadInterval {
+		o.loading = true
+		o.loadedAt = now
+		o.do(ctx, func(ctx context.Context) { o.loads(ctx, config) })
+	}
+}
+
+// do runs a call beside the loop; their number is bounded.
+func (o *Owner) do(ctx context.Context, call func(ctx context.Context)) {
+	go func() {
+		select {
+		case o.slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		defer func() { <-o.slots }()
+		call(ctx)
+	}()
+}
+
+func (o *Owner) send(ctx context.Context, e event) {
+	select {
+	case o.inbox <- e:
+	case <-ctx.Done():
+	}
+}
+
+func (o *Owner) list(ctx context.Context) {
+	asked := time.Now()
+	vms, err := o.deps.Machines.List(ctx)
+	if err != nil {
+		o.logger.Warn("VMs can't be listed", "error", err)
+	}
+	o.send(ctx, func(c *fleet.Core, _ time.Time) {
+		o.listing = false
+		if err == nil {
+			c.SetVMs(vms, asked)
+		}
+	})
+}
+
+func (o *Owner) loads(ctx context.Context, config *workload.Config) {
+	var all []workload.ServiceLoad
+	for _, s := range config.Services {
+		if s.Standby {
+			continue
+		}
+		loads, ok := o.deps.Services.LoadsOf(ctx, s.Name)
+		if !ok {
+			o.logger.Debug("load of a service is not known", "service", s.Name)
+		}
+		for _, l := range loads {
+			if l.Service == s.Name {
+				all = append(all, l)
+			}
+		}
+	}
+	o.send(ctx, func(c *fleet.Core, now time.Time) {
+		o.loading = false
+		for _, l := range all {
+			c.SetLoad(l, now)
+		}
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/yuccadrift/yuccadrift/internal/admin"
+	"github.com/yuccadrift/yuccadrift/internal/fleetowner"
 	"github.com/yuccadrift/yuccadrift/internal/front"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/logging"
@@ -50,6 +51,7 @@
 	registry  *registry.Follower
 	manager   *ownership.Manager
 	owners    *owners
+	machines  *platform.Machines
 	deps      owner.Deps
 	front     *front.Server
 	admin     *admin.Server
@@ -87,11 +89,12 @@
 	n.store = platform.NewStore(s.Store, n.contact.called)
 	n.published = published.New(n.store, logger.Named("published"))
 	n.registry = registry.New(n.store, logger.Named("registry"))
+	n.machines = platform.NewMachines(s.Machines)
 	n.deps = owner.Deps{
 		Store:      n.store,
 		Workers:    platform.NewWorkers(),
 		Adviser:    platform.NewAdviser(s.Advice),
-		Fleet:      platform.NewMachines(s.Machines),
+		Fleet:      n.machines,
 		Published:  n.published,
 		Registry:   n.registry,
 		Logger:     logger.Named("owner"),
@@ -156,8 +159,7 @@
 // own runs what the group gave to this node.
 func (n *Node) own(ctx context.Context, p platform.Partition, epoch int64) error {
 	if p.Topic != joblog.Topic {
-		<-ctx.Done()
-		return ctx.Err()
+		return n.ownFleet(ctx, p.Part, epoch)
 	}
 	if !n.used(ctx, p.Part) {
 		return ctx.Err()
@@ -169,6 +171,25 @@
 	return own.Run(ctx)
 }
 
+// fleetPartition is the one partition of its topic that stands for the fleet.
+const fleetPartition = 0
+
+func (n *Node) ownFleet(ctx context.Context, partition int, epoch int64) error {
+	if partition != fleetPartition {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return fleetowner.New(fleetowner.Deps{
+		Node:      n.settings.Node,
+		Store:     n.store,
+		Machines:  n.machines,
+		Services:  n.owners,
+		Published: n.published,
+		Bounds:    n.settings.Bounds,
+		Logger:    n.logger.Named("fleet"),
+	}, partition, epoch).Run(ctx)
+}
+
 // usedCheck is the pause between looks whether a partition has got a service.
 const usedCheck = 100 * time.Millisecond
 
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -101,6 +101,13 @@
 	return a.Empty, ok && a.Owner
 }
 
+// LoadsOf asks the owner of a service, once, what the services of its partition
+// carry.
+func (o *owners) LoadsOf(ctx context.Context, service string) ([]workload.ServiceLoad, bool) {
+	a, ok := o.askOnce(ctx, nodepeer.Loads, nodepeer.Ask{Partition: o.partitionOf(service)}, false)
+	return a.Loads, ok && a.Owner
+}
+
 func (o *owners) partitionOf(service string) int {
 	return joblog.PartitionOf(service, o.partitions)
 }
@@ -112,6 +119,8 @@
 		return o.JobState(ctx, a)
 	case nodepeer.Waiting:
 		return o.waiting(ctx, a)
+	case nodepeer.Loads:
+		return o.Loads(ctx, a)
 	default:
 		return o.Evacuate(ctx, a)
 	}
@@ -146,6 +155,16 @@
 	return nodepeer.Answer{Owner: ok, Empty: empty}, nil
 }
 
+// Loads answers another node.
+func (o *owners) Loads(ctx context.Context, a nodepeer.Ask) (nodepeer.Answer, error) {
+	own := o.get(a.Partition)
+	if own == nil {
+		return nodepeer.Answer{}, nil
+	}
+	loads, ok := own.Loads(ctx)
+	return nodepeer.Answer{Owner: ok, Loads: loads}, nil
+}
+
 // peerHandler is owners as other nodes see it.
 type peerHandler struct{ *owners }
 
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -42,11 +42,12 @@
 
 // Answer is what the owner says.
 type Answer struct {
-	Owner   bool           `json:"o"` // the node owns the partition and has read it
-	Known   bool           `json:"k,omitempty"`
-	State   workload.State `json:"s,omitempty"`
-	Waiting int            `json:"w,omitempty"`
-	Empty   bool           `json:"e,omitempty"`
+	Owner   bool                   `json:"o"` // the node owns the partition and has read it
+	Known   bool                   `json:"k,omitempty"`
+	State   workload.State         `json:"s,omitempty"`
+	Waiting int                    `json:"w,omitempty"`
+	Empty   bool                   `json:"e,omitempty"`
+	Loads   []workload.ServiceLoad `json:"l,omitempty"`
 }
 
 // Handler answers what other nodes ask.
@@ -54,6 +55,7 @@
 	JobState(ctx context.Context, a Ask) (Answer, error)
 	Waiting(ctx context.Context, a Ask) (Answer, error)
 	Evacuate(ctx context.Context, a Ask) (Answer, error)
+	Loads(ctx context.Context, a Ask) (Answer, error)
 }
 
 // Method is one of the questions.
@@ -64,6 +66,7 @@
 	JobState Method = "JobState"
 	Waiting  Method = "Waiting"
 	Evacuate Method = "Evacuate"
+	Loads    Method = "Loads"
 )
 
 const serviceName = "yuccadrift.Node"
@@ -103,6 +106,7 @@
 			unary(JobState, Handler.JobState),
 			unary(Waiting, Handler.Waiting),
 			unary(Evacuate, Handler.Evacuate),
+			unary(Loads, Handler.Loads),
 		},
 	}, h)
 	ended := make(chan error, 1)
--- a/internal/owner/ask.go
+++ b/internal/owner/ask.go
@@ -49,3 +49,8 @@
 func (o *Owner) Evacuate(ctx context.Context, worker string) (empty, ok bool) {
 	return ask(ctx, o, func(c *scheduler.Core, now time.Time) bool { return c.Evacuate(worker, now) })
 }
+
+// Loads returns what the services of the partition carry.
+func (o *Owner) Loads(ctx context.Context) ([]workload.ServiceLoad, bool) {
+	return ask(ctx, o, func(c *scheduler.Core, now time.Time) []workload.ServiceLoad { return c.Loads(now) })
+}
--- /dev/null
+++ b/internal/workload/load.go
@@ -0,0 +1,22 @@
+package workload
+
+// ServiceLoad is what a service's workers carry and what waits for them.
+type ServiceLoad struct {
+	Service string                `json:"s"`
+	Used    Resources             `json:"u"`
+	Workers map[string]WorkerLoad `json:"w,omitempty"` // by ID
+	// Waiting is what ready tasks that can still win anything ask for.
+	Waiting Resources `json:"q"`
+	// Coming is the same for tasks whose earlier steps still run.
+	Coming Resources `json:"f"`
+	// Spread is on how many workers the service's lasting tasks must lie at
+	// least, as no more than a given number of a step may share one.
+	Spread int `json:"p,omitempty"`
+}
+
+// WorkerLoad is what one worker carries.
+type WorkerLoad struct {
+	Runs    int       `json:"n,omitempty"`
+	Lasting int       `json:"l,omitempty"`
+	Used    Resources `json:"u"`
+}
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -31,6 +31,11 @@
 	return Resources{CPU: r.CPU - o.CPU, MemoryMB: r.MemoryMB - o.MemoryMB, GPU: r.GPU - o.GPU}
 }
 
+// Times returns r for n tasks.
+func (r Resources) Times(n int) Resources {
+	return Resources{CPU: n * r.CPU, MemoryMB: n * r.MemoryMB, GPU: n * r.GPU}
+}
+
 // Fits tells whether r is within o.
 func (r Resources) Fits(o Resources) bool {
 	return r.CPU <= o.CPU && r.MemoryMB <= o.MemoryMB && r.GPU <= o.GPU
