Move VMs by the rate and slope of arriving work

Change: owners report the work that arrived; the fleet's owner forecasts the rate over its reaction time, takes the least used VM of pools that can spare one, keeps VMs 8 s before the spare pool gets them, and lays lasting tasks on few workers. Ruled out: keeping 2.5 s for all (thrash).

--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -9,21 +9,33 @@
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
-// Rules of moves between pools. A move costs about what a VM costs in a pool for
-// a second, and the VM is away for the time of the migration.
+// Rules of moves between pools. Users weigh what a VM costs in a pool for a
+// second, and a move, at a fifteenth of what a well used VM earns in a second. So
+// a pool in demand gets VMs early and amply, and keeps them a while.
 const (
-	// headroom is what a pool gets beyond what it needs now, as a share.
-	headroom = 1.15
+	// headroom is what a pool gets beyond what it is expected to need, as a share.
+	headroom = 1.25
+	// reaction is how long it takes from a need to a worker that serves it: the
+	// question for the load, the migration and the worker's registration.
+	reaction = 3 * time.Second
+	// rateSpan is the time over which the rate of arriving work is measured. A
+	// shorter one takes chance for a trend, a longer one sees a rise too late.
+	rateSpan = 900 * time.Millisecond
+	// backlogTime is the time in which waiting work is to be served.
+	backlogTime = time.Second
 	// keepFor is how long a pool keeps what it has needed: a need that comes
 	// back within it costs no move.
-	keepFor = 2500 * time.Millisecond
+	keepFor = 1200 * time.Millisecond
+	// patientFor is how long a pool keeps VMs that only the spare pool would get.
+	// A VM sent there and back costs as much as one that idles for 5 s.
+	patientFor = 8 * time.Second
 	// smallest is how many VMs a pool keeps at least.
 	smallest = 2
 	// spreadSpare is how many VMs a pool has beyond those that its lasting tasks
 	// must lie on, so that one can be replaced at once.
 	spreadSpare = 1
-	// maxMoves bounds the moves under way at once.
-	maxMoves = 16
+	// movesShare bounds the moves under way at once, as a share of all VMs.
+	movesShare = 0.7
 	// wantFor is how long a move may wait for its VM to be emptied.
 	wantFor = 1500 * time.Millisecond
 	// loadsValid is how old a pool's load may be for decisions on it.
@@ -32,9 +44,23 @@
 
 // poolLoad is what is known of a pool.
 type poolLoad struct {
-	load  workload.ServiceLoad
-	at    time.Time
-	needs []need // of the last keepFor
+	load    workload.ServiceLoad
+	at      time.Time
+	samples []sample // of the last rateSpan and a little more
+	rates   []rate   // of the last rateSpan
+	needs   []need   // of the last patientFor
+}
+
+// sample is the work that had arrived at a time.
+type sample struct {
+	at   time.Time
+	work workload.Work
+}
+
+// rate is the rate at which work arrived, in units of VMs.
+type rate struct {
+	at  time.Time
+	vms float64
 }
 
 // need is how many VMs a pool needed at a time.
@@ -59,23 +85,61 @@
 		l = &poolLoad{}
 		c.loads[load.Service] = l
 	}
+	if len(l.samples) > 0 && load.Arrived.CoreMS < l.load.Arrived.CoreMS {
+		l.samples = nil // another owner counts from anew
+	}
 	l.load = load
 	l.at = now
-	l.needs = append(l.needs, need{at: now, n: c.needOf(load)})
-	l.needs = slices.DeleteFunc(l.needs, func(n need) bool { return now.Sub(n.at) > keepFor })
+	l.samples = append(l.samples, sample{at: now, work: load.Arrived})
+	for len(l.samples) > 2 && now.Sub(l.samples[1].at) >= rateSpan {
+		l.samples = l.samples[1:]
+	}
+	size := c.size(load.Service)
+	l.rates = append(l.rates, rate{at: now, vms: l.rate(size)})
+	for len(l.rates) > 1 && now.Sub(l.rates[0].at) > rateSpan {
+		l.rates = l.rates[1:]
+	}
+	l.needs = append(l.needs, need{at: now, n: l.need(size)})
+	l.needs = slices.DeleteFunc(l.needs, func(n need) bool { return now.Sub(n.at) > patientFor })
 }
 
-// needOf is how many VMs a service needs for what it runs and what waits.
-func (c *Core) needOf(load workload.ServiceLoad) int {
-	size := c.size(load.Service)
-	want := load.Used.Add(load.Waiting)
-	share := max(
-		float64(want.CPU)/float64(max(1, size.CPU)),
-		float64(want.MemoryMB)/float64(max(1, size.MemoryMB)),
-	)
-	n := int(math.Ceil(share * headroom))
-	if load.Spread > 0 {
-		n = max(n, load.Spread+spreadSpare)
+// rate is how many VMs the work that arrives would fill.
+func (l *poolLoad) rate(size workload.Resources) float64 {
+	first, last := l.samples[0], l.samples[len(l.samples)-1]
+	ms := float64(last.at.Sub(first.at).Milliseconds())
+	if ms <= 0 {
+		return 0
+	}
+	cores := float64(last.work.CoreMS-first.work.CoreMS) / ms
+	memory := float64(last.work.MBMS-first.work.MBMS) / ms
+	return max(cores*1000/float64(max(1, size.CPU)), memory/float64(max(1, size.MemoryMB)))
+}
+
+// expected is the rate after the reaction time, if it rises as it does now.
+func (l *poolLoad) expected() float64 {
+	first, last := l.rates[0], l.rates[len(l.rates)-1]
+	seconds := last.at.Sub(first.at).Seconds()
+	if seconds <= 0 || last.vms <= first.vms {
+		return last.vms
+	}
+	slope := (last.vms - first.vms) / seconds
+	return last.vms + slope*reaction.Seconds()
+}
+
+// need is how many VMs a service needs for what it runs, what waits and what is
+// to come.
+func (l *poolLoad) need(size workload.Resources) int {
+	share := func(r workload.Resources) float64 {
+		return max(
+			float64(r.CPU)/float64(max(1, size.CPU)),
+			float64(r.MemoryMB)/float64(max(1, size.MemoryMB)),
+		)
+	}
+	present := share(l.load.Used.Add(l.load.Waiting))
+	backlog := share(l.load.Waiting) / backlogTime.Seconds()
+	n := int(math.Ceil(headroom * max(present, l.expected()+backlog)))
+	if l.load.Spread > 0 {
+		n = max(n, l.load.Spread+spreadSpare)
 	}
 	return max(n, smallest)
 }
@@ -103,7 +167,8 @@
 	pool string
 	have int // VMs that are there or on their way
 	now  int // needed now
-	keep int // needed within keepFor
+	keep int // needed within keepFor: no other pool gets these
+	rest int // needed within patientFor: nor does the spare pool
 }
 
 // planMoves brings VMs where they are needed: from pools that need them less,
@@ -114,6 +179,7 @@
 		return cmp.Or(cmp.Compare(b.now-b.have, a.now-a.have), cmp.Compare(a.pool, b.pool))
 	})
 	moves := 0
+	maxMoves := int(math.Ceil(movesShare * float64(len(c.vms))))
 	for _, w := range c.works {
 		if w.wave == 0 {
 			moves++
@@ -133,8 +199,8 @@
 		return
 	}
 	for i := range balances {
-		for balances[i].have > balances[i].keep && moves < maxMoves {
-			vm, ok := c.idlest(balances[i].pool, now)
+		for balances[i].have > balances[i].rest && moves < maxMoves {
+			vm, ok := c.idlest(balances[i].pool, true, now)
 			if !ok {
 				break
 			}
@@ -165,7 +231,10 @@
 		}
 		b := balance{pool: pool, now: l.needs[len(l.needs)-1].n}
 		for _, n := range l.needs {
-			b.keep = max(b.keep, n.n)
+			b.rest = max(b.rest, n.n)
+			if now.Sub(n.at) <= keepFor {
+				b.keep = max(b.keep, n.n)
+			}
 		}
 		for _, vm := range c.vms {
 			b.have += c.counts(vm, pool)
@@ -202,29 +271,39 @@
 	}
 	for i := len(balances) - 1; i >= 0; i-- {
 		b := balances[i]
-		if b.pool == to || b.have <= b.now {
+		if b.pool == to || b.have <= b.keep {
 			continue
 		}
-		if vm, ok := c.idlest(b.pool, now); ok {
+		if vm, ok := c.idlest(b.pool, false, now); ok {
 			return vm, true
 		}
 	}
 	return workload.VM{}, false
 }
 
-// idlest finds a VM of a pool on which nothing runs.
-func (c *Core) idlest(pool string, now time.Time) (workload.VM, bool) {
+// idlest finds the VM of a pool that is emptied soonest: the one with the least
+// in use. Lasting tasks would have to be stopped, so VMs with such are left.
+// With bare, nothing at all may run there.
+func (c *Core) idlest(pool string, bare bool, now time.Time) (workload.VM, bool) {
 	l := c.loads[pool]
 	if l == nil || now.Sub(l.at) > loadsValid {
 		return workload.VM{}, false
 	}
-	for _, vm := range c.vms {
+	best, bestUse := -1, 0.0
+	for i, vm := range c.vms {
 		if vm.Pool != pool || vm.State != workload.VMUp || vm.Worker == "" || c.works[vm.ID] != nil {
 			continue
 		}
-		if load, known := l.load.Workers[vm.Worker]; known && load.Runs == 0 {
-			return vm, true
+		load, known := l.load.Workers[vm.Worker]
+		if !known || load.Lasting > 0 || bare && load.Runs > 0 {
+			continue
+		}
+		if use := l.use(vm); best < 0 || use < bestUse {
+			best, bestUse = i, use
 		}
 	}
-	return workload.VM{}, false
+	if best < 0 {
+		return workload.VM{}, false
+	}
+	return c.vms[best], true
 }
--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -29,7 +29,7 @@
 	listBusy = 400 * time.Millisecond
 	listIdle = 2 * time.Second
 	// loadInterval is the pause between questions for a service's load.
-	loadInterval = 300 * time.Millisecond
+	loadInterval = 200 * time.Millisecond
 	retry        = 200 * time.Millisecond
 	inboxSize    = 256
 	// maxCalls bounds the calls in flight.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -77,6 +77,7 @@
 	expired   []workload.JobID // to be deleted from the store
 	writing   *write
 	writeSeq  int64
+	arrived   map[string]workload.Work // by service
 	sweptAt   time.Time
 	plannedAt time.Time
 	copiedAt  time.Time
@@ -102,6 +103,7 @@
 		workers:      map[string]*worker{},
 		dirty:        map[workload.JobID]*job{},
 		suspects:     map[string]bool{},
+		arrived:      map[string]workload.Work{},
 		blockedUntil: now.Add(lapse(cfg.Lease)),
 		doubtful:     doubtful,
 	}
@@ -138,6 +140,7 @@
 		c.restore(j)
 	}
 	c.settle(j)
+	c.countArrival(j)
 	c.active = append(c.active, j)
 	c.dirtyPlan = true
 }
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -25,6 +25,9 @@
 		l.Used = l.Used.Add(w.used)
 		l.Workers[w.info.ID] = w.loadNow()
 	}
+	for service, work := range c.arrived {
+		get(service).Arrived = work
+	}
 	for _, j := range c.active {
 		if j.final.Ended() {
 			continue
@@ -68,3 +71,18 @@
 		l.Coming = l.Coming.Add(need)
 	}
 }
+
+// countArrival adds a job that was accepted just now to what its service is
+// asked for. Lasting tasks are seen in what is used.
+func (c *Core) countArrival(j *job) {
+	work := c.arrived[j.sub.Service]
+	for _, s := range j.steps {
+		if s.spec.Lasting {
+			continue
+		}
+		ms := int64(len(s.tasks)) * estimate(s.spec).Milliseconds()
+		work.CoreMS += ms * int64(s.spec.Need.CPU) / 1000
+		work.MBMS += ms * int64(s.spec.Need.MemoryMB)
+	}
+	c.arrived[j.sub.Service] = work
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -164,6 +164,8 @@
 const (
 	nearWeight  = 10.0
 	quietWeight = 2.0 // a filling task beside no serving one
+	// togetherWeight draws lasting tasks to workers that have such.
+	togetherWeight = 1.0
 )
 
 func (s *step) score(w *worker) float64 {
@@ -181,7 +183,11 @@
 		return score
 	}
 	if s.spec.Lasting {
-		return score - used // apart from one another and from what disturbs them
+		// Few workers with many lasting tasks leave the others free to be moved
+		// to another pool or maintained.
+		if w.lasts() {
+			score += togetherWeight
+		}
 	}
 	return score + used
 }
@@ -198,6 +204,11 @@
 	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.step.spec.TargetMS > 0 })
 }
 
+// lasts tells whether a lasting task runs on the worker.
+func (w *worker) lasts() bool {
+	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.step.spec.Lasting })
+}
+
 // start orders a run.
 func (c *Core) start(w *worker, s *step, index int, number int64, checkpoint string, now time.Time) {
 	r := &run{step: s, index: index, number: number, worker: w, state: runStarting, since: now, orderedAt: now, moved: now, paced: fullPace, checkpoint: checkpoint}
--- a/internal/workload/load.go
+++ b/internal/workload/load.go
@@ -9,6 +9,10 @@
 	Waiting Resources `json:"q"`
 	// Coming is the same for tasks whose earlier steps still run.
 	Coming Resources `json:"f"`
+	// Arrived is the work of all jobs accepted so far, by estimate, in
+	// core-milliseconds and, as memory, in MB-milliseconds. Its growth is what
+	// the service is asked for, also where it can't keep up.
+	Arrived Work `json:"a"`
 	// Spread is on how many workers the service's lasting tasks must lie at
 	// least, as no more than a given number of a step may share one.
 	Spread int `json:"p,omitempty"`
@@ -20,3 +24,9 @@
 	Lasting int       `json:"l,omitempty"`
 	Used    Resources `json:"u"`
 }
+
+// Work is an amount of resources over time.
+type Work struct {
+	CoreMS int64 `json:"c,omitempty"` // core-milliseconds
+	MBMS   int64 `json:"m,omitempty"` // MB-milliseconds
+}
