Hand partitions over with word of their runs, and refuse at once while the store is away

Cause: a successor waited for every worker that did not answer, up to a lease; a new fleet owner ordered nothing for 3 s and, where many VMs had moved, longer. Ruled out: a wait only for VMs ordered within 15 s (all had been). Change: an owner that stops leaves its runs in a record; the fleet's owner stores an order ahead and leaves just those VMs alone; Evacuate waits for stored ends.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -17,8 +17,8 @@
 type Settings struct {
 	Migration   time.Duration // of a VM to another pool
 	Maintenance time.Duration // of a VM
-	// QuietFor is how long a new owner orders nothing: orders of two holders for
-	// one VM are to be at least this far apart.
+	// QuietFor is how long a new owner leaves VMs alone that an earlier one has
+	// ordered: orders of two holders for one VM are to be this far apart.
 	QuietFor time.Duration
 }
 
@@ -27,6 +27,11 @@
 	// settleSlack is what a VM may take longer than told to come back, and the
 	// list to show it.
 	settleSlack = 4 * time.Second
+	// quietSlack is added to the time that a VM is left alone, for an order of
+	// the earlier owner that is on its way.
+	quietSlack = 500 * time.Millisecond
+	// clockSlack is how far the clocks of two nodes may be apart.
+	clockSlack = 2500 * time.Millisecond
 	// orderRetry is the pause after an order that was not taken.
 	orderRetry = 400 * time.Millisecond
 	// waveShare is the part of a wave's time in which it is to be done; the rest
@@ -84,6 +89,8 @@
 	loads   map[string]*poolLoad
 	standby string
 	out     []Action
+	// quietUntil is until when VMs that an earlier owner ordered are left alone.
+	quietUntil map[string]time.Time
 	// dirtyWaves are to be stored.
 	dirtyWaves map[int64]bool
 }
@@ -121,6 +128,7 @@
 		byID:       map[string]workload.VM{},
 		loads:      map[string]*poolLoad{},
 		dirtyWaves: map[int64]bool{},
+		quietUntil: map[string]time.Time{},
 	}
 }
 
@@ -148,6 +156,21 @@
 	}
 }
 
+// OrderedBefore notes that an earlier owner has ordered a VM at a time by its
+// clock.
+func (c *Core) OrderedBefore(vm string, at time.Time) {
+	until := at.Add(c.cfg.QuietFor + clockSlack)
+	if latest := c.started.Add(c.cfg.QuietFor + quietSlack); until.After(latest) {
+		until = latest
+	}
+	c.quietUntil[vm] = until
+}
+
+// mayOrder tells whether a VM may be ordered by this owner yet.
+func (c *Core) mayOrder(vm string, now time.Time) bool {
+	return !now.Before(c.quietUntil[vm])
+}
+
 // SetVMs takes the list of VMs that was asked for at a time.
 func (c *Core) SetVMs(vms []workload.VM, asked time.Time) {
 	slices.SortFunc(vms, func(a, b workload.VM) int { return cmp.Compare(a.ID, b.ID) })
@@ -173,7 +196,7 @@
 func (c *Core) Step(now time.Time) []Action {
 	c.out = nil
 	c.settle(now)
-	if now.Sub(c.started) >= c.cfg.QuietFor && len(c.vms) > 0 {
+	if len(c.vms) > 0 {
 		c.planWaves(now)
 		c.planMoves(now)
 		c.advance(now)
@@ -213,6 +236,7 @@
 			delete(c.works, id) // it left, or something else happened to it
 		case w.wave == 0 && now.After(w.wantedFor):
 			delete(c.works, id)
+		case !c.mayOrder(id, now):
 		case vm.Worker == "" || w.empty && now.Sub(w.emptyAt) < emptyValid:
 			c.order(w, now)
 		default:
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -264,7 +264,7 @@
 func (c *Core) donor(balances []balance, to string, now time.Time) (workload.VM, bool) {
 	if c.standby != "" {
 		for _, vm := range c.vms {
-			if vm.Pool == c.standby && c.works[vm.ID] == nil && vm.State != workload.VMMoving && vm.State != workload.VMMaintenance {
+			if vm.Pool == c.standby && c.works[vm.ID] == nil && vm.State != workload.VMMoving && vm.State != workload.VMMaintenance && c.mayOrder(vm.ID, now) {
 				return vm, true
 			}
 		}
@@ -291,7 +291,7 @@
 	}
 	best, bestUse := -1, 0.0
 	for i, vm := range c.vms {
-		if vm.Pool != pool || vm.State != workload.VMUp || vm.Worker == "" || c.works[vm.ID] != nil {
+		if vm.Pool != pool || vm.State != workload.VMUp || vm.Worker == "" || c.works[vm.ID] != nil || !c.mayOrder(vm.ID, now) {
 			continue
 		}
 		load, known := l.load.Workers[vm.Worker]
--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		for c.underWay(n) < c.pace(s, len(due), now) {
-			vm, ok := c.next(due)
+			vm, ok := c.next(due, now)
 			if !ok {
 				break
 			}
@@ -71,10 +71,10 @@
 
 // next picks the VM whose absence costs least: one without work, else one of the
 // pool with the most room left over.
-func (c *Core) next(due []workload.VM) (workload.VM, bool) {
+func (c *Core) next(due []workload.VM, now time.Time) (workload.VM, bool) {
 	best, bestCost := -1, 0.0
 	for i, vm := range due {
-		if c.works[vm.ID] != nil || vm.State != workload.VMUp && !(vm.State == workload.VMDown && vm.Worker == "") {
+		if c.works[vm.ID] != nil || !c.mayOrder(vm.ID, now) || vm.State != workload.VMUp && !(vm.State == workload.VMDown && vm.Worker == "") {
 			continue
 		}
 		cost := c.cost(vm)
--- a/internal/fleetowner/acts.go
+++ b/internal/fleetowner/acts.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccadrift/yuccadrift/internal/fleet"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
@@ -22,11 +23,9 @@
 		o.asking[a.Worker] = true
 		o.do(ctx, func(ctx context.Context) { o.empty(ctx, a) })
 	case fleet.Maintain, fleet.Move:
-		o.do(ctx, func(ctx context.Context) { o.order(ctx, a) })
+		go o.announce(ctx, a) // bounded: one a VM
 	case fleet.Store:
-		o.sequence++
-		sequence := o.sequence
-		o.do(ctx, func(ctx context.Context) { o.store(ctx, a, sequence) })
+		go o.store(ctx, a) // bounded: one a wave
 	}
 }
 
@@ -38,6 +37,31 @@
 	})
 }
 
+// vmKey is the key of what is stored of a VM.
+const vmKey = "vm/"
+
+// storedOrder is stored before a VM is ordered. A later owner leaves the VM
+// alone for a while after it: orders of two holders for one VM must not follow
+// each other closely. VMs without one it may order at once.
+type storedOrder struct {
+	AtMS int64 `json:"at"` // since 1970, by the owner's clock
+}
+
+// announce stores that a VM is to be ordered, and then orders it.
+func (o *Owner) announce(ctx context.Context, a fleet.Action) {
+	value, err := json.Marshal(storedOrder{AtMS: time.Now().UnixMilli()})
+	if err == nil {
+		err = o.writer.put(ctx, vmKey+a.VM, value)
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			o.lose(errors.Wrap(ErrLost, err.Error()))
+		}
+		return
+	}
+	o.do(ctx, func(ctx context.Context) { o.order(ctx, a) })
+}
+
 func (o *Owner) order(ctx context.Context, a fleet.Action) {
 	holder := platform.Holder{Node: o.deps.Node, Token: o.epoch}
 	var status platform.ActStatus
@@ -77,25 +101,21 @@
 }
 
 // store stores how far a wave is, for a later owner and for operators.
-func (o *Owner) store(ctx context.Context, a fleet.Action, sequence int64) {
-	o.writes.Lock()
-	defer o.writes.Unlock()
+func (o *Owner) store(ctx context.Context, a fleet.Action) {
 	value, err := json.Marshal(storedWave{Done: a.Done})
-	if err != nil {
-		o.logger.Error("wave can't be encoded", "wave", a.Wave, "error", err)
-		return
+	if err == nil {
+		err = o.writer.put(ctx, waveKey+strconv.FormatInt(a.Wave, 10), value)
 	}
-	record := platform.KeyedRecord{Key: waveKey + strconv.FormatInt(a.Wave, 10), Value: value}
-	status, err := o.log.Write(ctx, o.epoch, sequence, []platform.KeyedRecord{record})
-	if status == platform.StoreFenced {
-		o.lose(errors.Wrap(ErrLost, "a later owner has fenced the fleet"))
+	if err != nil {
+		if ctx.Err() == nil {
+			o.lose(errors.Wrap(ErrLost, err.Error()))
+		}
 		return
 	}
-	if status == platform.StoreOK {
-		status, err = o.deps.Store.WriteWaveState(ctx, a.Wave, a.State)
-	}
+	status, err := o.deps.Store.WriteWaveState(ctx, a.Wave, a.State)
 	if status != platform.StoreOK {
 		o.logger.Warn("state of a wave can't be stored yet", "wave", a.Wave, "status", status.String(), "error", err)
+		wait.Pause(ctx, writeRetry)
 		o.send(ctx, func(c *fleet.Core, _ time.Time) { c.StoreFailed(a.Wave) })
 		return
 	}
--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -80,8 +79,7 @@
 	inbox  chan event
 	slots  chan struct{}
 
-	sequence int64
-	writes   sync.Mutex // one write at a time, in the order of their numbers
+	writer   *writer
 	lost     chan error
 	asking   map[string]bool // workers that are asked about
 	listing  bool
@@ -93,10 +91,12 @@
 // New returns the fleet's owner. epoch is above all earlier owners' ones, and is
 // the fencing token of its orders.
 func New(deps Deps, partition int, epoch int64) *Owner {
+	log := joblog.New(deps.Store, joblog.FleetTopic, partition)
 	return &Owner{
 		deps:   deps,
 		epoch:  epoch,
-		log:    joblog.New(deps.Store, joblog.FleetTopic, partition),
+		log:    log,
+		writer: newWriter(log, epoch, deps.Logger),
 		logger: deps.Logger.With("epoch", epoch),
 		inbox:  make(chan event, inboxSize),
 		slots:  make(chan struct{}, maxCalls),
@@ -125,7 +125,8 @@
 	if err := o.takeOver(ctx, core); err != nil {
 		return err
 	}
-	o.logger.Info("fleet taken over", "quiet_for", o.deps.Bounds.HolderLease.String())
+	go o.writer.run(ctx)
+	o.logger.Info("fleet taken over")
 	tick := time.NewTicker(stepInterval)
 	defer tick.Stop()
 	for {
@@ -168,22 +169,40 @@
 }
 
 func (o *Owner) recall(core *fleet.Core, batch platform.Batch) {
+	now := time.Now()
 	for _, r := range batch.Records {
-		number, ok := strings.CutPrefix(r.Key, waveKey)
-		if !ok {
+		if len(r.Value) == 0 {
 			continue
 		}
-		wave, err := strconv.ParseInt(number, 10, 64)
-		var stored storedWave
-		if err == nil {
-			err = json.Unmarshal(r.Value, &stored)
+		if err := recallRecord(core, r, now); err != nil {
+			o.logger.Error("stored record of the fleet can't be read and is left out", "key", r.Key, "error", err)
 		}
-		if err != nil {
-			o.logger.Error("stored wave can't be read and is left out", "key", r.Key, "error", err)
-			continue
+	}
+}
+
+func recallRecord(core *fleet.Core, r platform.KeyedRecord, now time.Time) error {
+	if vm, ok := strings.CutPrefix(r.Key, vmKey); ok {
+		var stored storedOrder
+		if err := json.Unmarshal(r.Value, &stored); err != nil {
+			return errors.Wrap(err, "order")
 		}
-		core.Recalled(wave, stored.Done, time.Now())
+		core.OrderedBefore(vm, time.UnixMilli(stored.AtMS))
+		return nil
+	}
+	number, ok := strings.CutPrefix(r.Key, waveKey)
+	if !ok {
+		return nil
+	}
+	wave, err := strconv.ParseInt(number, 10, 64)
+	if err != nil {
+		return errors.Wrap(err, "number of a wave")
+	}
+	var stored storedWave
+	if err := json.Unmarshal(r.Value, &stored); err != nil {
+		return errors.Wrap(err, "wave")
 	}
+	core.Recalled(wave, stored.Done, now)
+	return nil
 }
 
 func (o *Owner) step(ctx context.Context, core *fleet.Core, now time.Time) {
--- /dev/null
+++ b/internal/fleetowner/writer.go
@@ -0,0 +1,109 @@
+package fleetowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// writerSize is how many writes wait; each is for one VM or wave.
+const writerSize = 512
+
+// writeRetry is the pause before a write is sent again.
+const writeRetry = 100 * time.Millisecond
+
+// pendingWrite is a record to be stored. done gets nil once it is, and is then
+// closed; an error means that it never will be by this owner.
+type pendingWrite struct {
+	record platform.KeyedRecord
+	done   chan error
+}
+
+// writer stores the owner's records, those that wait together in one call. A
+// write without an answer is sent again under its sequence until its outcome is
+// known: leaving it out would leave a gap in the sequence, after which the store
+// takes no write of this owner any more.
+type writer struct {
+	log    *joblog.Log
+	epoch  int64
+	logger hclog.Logger
+	queue  chan pendingWrite
+}
+
+func newWriter(log *joblog.Log, epoch int64, logger hclog.Logger) *writer {
+	return &writer{log: log, epoch: epoch, logger: logger, queue: make(chan pendingWrite, writerSize)}
+}
+
+// put stores a record and returns once it is stored.
+func (w *writer) put(ctx context.Context, key string, value []byte) error {
+	p := pendingWrite{record: platform.KeyedRecord{Key: key, Value: value}, done: make(chan error, 1)}
+	select {
+	case w.queue <- p:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-p.done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// run stores until ctx ends.
+func (w *writer) run(ctx context.Context) {
+	for sequence := int64(1); ; sequence++ {
+		batch := w.next(ctx)
+		if batch == nil {
+			return
+		}
+		err := w.write(ctx, sequence, batch)
+		for _, p := range batch {
+			p.done <- err
+		}
+	}
+}
+
+// next returns what waits, at least one record; nil once ctx has ended.
+func (w *writer) next(ctx context.Context) []pendingWrite {
+	var batch []pendingWrite
+	select {
+	case p := <-w.queue:
+		batch = append(batch, p)
+	case <-ctx.Done():
+		return nil
+	}
+	for len(batch) < writerSize {
+		select {
+		case p := <-w.queue:
+			batch = append(batch, p)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (w *writer) write(ctx context.Context, sequence int64, batch []pendingWrite) error {
+	records := make([]platform.KeyedRecord, len(batch))
+	for i, p := range batch {
+		records[i] = p.record
+	}
+	for ctx.Err() == nil {
+		status, err := w.log.Write(ctx, w.epoch, sequence, records)
+		switch status {
+		case platform.StoreOK:
+			return nil
+		case platform.StoreFenced, platform.StoreSequence, platform.StoreInvalid:
+			return err
+		}
+		w.logger.Debug("records of the fleet can't be stored yet", "sequence", sequence, "status", status.String(), "error", err)
+		wait.Pause(ctx, writeRetry)
+	}
+	return ctx.Err()
+}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -206,7 +206,7 @@
 		default:
 			return failure(http.StatusInternalServerError, "store: "+err.Error())
 		}
-		late := !maybe && time.Since(req.began) > giveUpAfter
+		late := status == platform.StoreRefused && time.Since(req.began) > giveUpAfter
 		if late || ctx.Err() != nil || wait.Sleep(ctx, storeRetry) != nil {
 			break
 		}
--- a/internal/node/contact.go
+++ b/internal/node/contact.go
@@ -12,6 +12,11 @@
 // node makes several calls a second.
 const outOfTouch = 1500 * time.Millisecond
 
+// hopeless is how long after the last good call nothing new is sent on behalf of
+// callers. The node's own calls go on and find the store's return; a slow store
+// answers within half of it.
+const hopeless = 900 * time.Millisecond
+
 // contact knows whether the store answers this node.
 type contact struct {
 	logger hclog.Logger
@@ -40,11 +45,16 @@
 	}
 }
 
-// check tells why the store counts as lost, nil if it doesn't.
-func (c *contact) check() error {
+// age is how long ago the store last answered.
+func (c *contact) age() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if age := time.Since(c.good); age > outOfTouch {
+	return time.Since(c.good)
+}
+
+// check tells why the store counts as lost, nil if it doesn't.
+func (c *contact) check() error {
+	if age := c.age(); age > outOfTouch {
 		return errors.Errorf("no answer of the store for %s", age.Round(time.Millisecond))
 	}
 	return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,8 +151,14 @@
 	return n.contact.check()
 }
 
-// Accept stores a record of a caller's request with its service's jobs.
+// Accept stores a record of a caller's request with its service's jobs. While
+// the store is away the caller is refused at once: a call that is not sent has
+// certainly no effect, so the refusal is true, and the caller need not wait for
+// a time-out that tells it nothing.
 func (n *Node) Accept(ctx context.Context, service string, r workload.Record) (platform.StoreStatus, error) {
+	if age := n.contact.age(); age > hopeless {
+		return platform.StoreRefused, errors.Errorf("no answer of the store for %s", age.Round(time.Millisecond))
+	}
 	return joblog.New(n.store, joblog.Topic, n.owners.partitionOf(service)).Accept(ctx, r)
 }
 
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -32,6 +32,7 @@
 		go o.advise(ctx, a)
 	}
 	if orders.Write != nil {
+		o.unfinished = *orders.Write
 		go o.write(ctx, *orders.Write)
 	}
 }
@@ -109,6 +110,21 @@
 	}
 }
 
+// finishWrite stores the write that was under way when the owner was stopped, as
+// the next one must follow its sequence. Storing it twice has no second effect.
+func (o *Owner) finishWrite(ctx context.Context) bool {
+	records, err := joblog.Encode(o.unfinished.Records, o.unfinished.Delete)
+	if err != nil {
+		o.logger.Error("records can't be encoded", "error", err)
+		return false
+	}
+	status, err := o.log.Write(ctx, o.epoch, o.unfinished.Sequence, records)
+	if status != platform.StoreOK {
+		o.logger.Warn("last write is not finished, no word of the runs is left", "status", status.String(), "error", err)
+	}
+	return status == platform.StoreOK
+}
+
 // logDecision writes one line for a decision.
 func (o *Owner) logDecision(d scheduler.Decision) {
 	args := []any{"reason", d.Reason, "age_ms", d.Age.Milliseconds()}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -92,6 +92,8 @@
 	version int64 // of the list of workers
 	config  *workload.Config
 	counts  scheduler.Counts
+	// unfinished is the latest write; it may be under way.
+	unfinished scheduler.WriteOrder
 }
 
 // New returns the owner of a partition. epoch is unique and above all earlier
@@ -121,13 +123,61 @@
 	if err != nil {
 		return err
 	}
-	core := o.takeOver(ctx)
+	left := leftBy(batch)
+	core := o.takeOver(ctx, left != nil)
 	o.apply(core, batch, time.Now())
 	recall(core, batch)
+	if left != nil {
+		core.Inherit(left, time.Now())
+	}
 	go o.tail(ctx, batch.Next)
 	close(o.loaded)
-	o.logger.Info("partition taken over", "records", len(batch.Records), "took", time.Since(began).String())
-	return o.loop(ctx, core)
+	o.logger.Info("partition taken over", "records", len(batch.Records), "took", time.Since(began).String(), "handed_over", left != nil)
+	err = o.loop(ctx, core)
+	if core.Lost() == "" {
+		o.handOver(core)
+	}
+	return err
+}
+
+// leftBy returns the last owner's word of its runs, nil if it left none. Only
+// that of the owner just before counts: later ones have started more.
+func leftBy(batch platform.Batch) *workload.Handover {
+	records, _ := joblog.Decode(batch) // unreadable ones are logged by apply
+	var left *workload.Handover
+	last := int64(0)
+	for _, r := range records {
+		if r.Handover != nil {
+			left = r.Handover
+		}
+		if r.Takeover != nil {
+			last = r.Takeover.Epoch
+		}
+	}
+	if left == nil || left.Epoch != last {
+		return nil
+	}
+	return left
+}
+
+// handOverTimeout bounds the last write of an owner.
+const handOverTimeout = 400 * time.Millisecond
+
+// handOver leaves word of what runs. Orders that are still on their way are in
+// it. Without the word the next owner waits for leases to lapse.
+func (o *Owner) handOver(core *scheduler.Core) {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	if !core.Recorded() && !o.finishWrite(ctx) {
+		return
+	}
+	records, err := joblog.Encode([]workload.Record{{Handover: core.Handover()}}, nil)
+	if err != nil {
+		o.logger.Error("handover can't be encoded", "error", err)
+		return
+	}
+	status, err := o.log.Write(ctx, o.epoch, core.NextSequence(), records)
+	o.logger.Info("partition left", "runs", len(core.Handover().Runs), "status", status.String(), "error", err)
 }
 
 // fence keeps earlier owners from writing. It comes before the snapshot: what
@@ -163,10 +213,20 @@
 	return platform.Batch{}, ctx.Err()
 }
 
-// takeOver makes the machine, with the workers that may run what an earlier
+// takeOver makes the machine. Where the last owner left no word of its runs, it
+// begins with the workers that may run what an earlier
 // owner started: those registered, and those that the list of VMs names.
-func (o *Owner) takeOver(ctx context.Context) *scheduler.Core {
+func (o *Owner) takeOver(ctx context.Context, told bool) *scheduler.Core {
 	fenced := time.Now()
+	cfg := scheduler.Settings{
+		Epoch:        o.epoch,
+		Lease:        o.deps.Lease,
+		StateKept:    o.deps.Bounds.StateKept,
+		RemoteFactor: o.deps.Bounds.RemoteFactor,
+	}
+	if told {
+		return scheduler.New(cfg, fenced, nil, false)
+	}
 	snap := o.freshWorkers(ctx, fenced)
 	var suspects []string
 	for _, w := range snap.Workers {
@@ -186,12 +246,7 @@
 			suspects = append(suspects, vm.Worker)
 		}
 	}
-	return scheduler.New(scheduler.Settings{
-		Epoch:        o.epoch,
-		Lease:        o.deps.Lease,
-		StateKept:    o.deps.Bounds.StateKept,
-		RemoteFactor: o.deps.Bounds.RemoteFactor,
-	}, fenced, suspects, doubtful)
+	return scheduler.New(cfg, fenced, suspects, doubtful)
 }
 
 func (o *Owner) freshWorkers(ctx context.Context, since time.Time) registry.Snapshot {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -177,13 +177,19 @@
 	return false
 }
 
+// stopAll stops all owners and waits until they have left word of their runs.
 func (m *Manager) stopAll() {
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	var stopped []*holding
 	for p, h := range m.held {
 		h.cancel()
+		stopped = append(stopped, h)
 		delete(m.held, p)
 	}
+	m.mu.Unlock()
+	for _, h := range stopped {
+		<-h.done
+	}
 }
 
 // leaveTimeout bounds the last call of a process that stops.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -68,7 +68,8 @@
 	// blockedUntil is when the last lease of an earlier owner has lapsed. Until
 	// then a worker that has not answered may run any task.
 	blockedUntil time.Time
-	// suspects are the workers that may run what an earlier owner started.
+	// suspects are the workers that may run what an earlier owner started. There
+	// are none where that owner has left word of its runs.
 	suspects map[string]bool
 	// doubtful is set while the list of workers may lack some that run tasks.
 	doubtful bool
@@ -78,6 +79,9 @@
 	writing   *write
 	writeSeq  int64
 	arrived   map[string]workload.Work // by service
+	startedAt time.Time
+	opened    bool // this owner has stored that it took over
+	unblocked bool // nothing waits for an earlier owner's runs any more
 	sweptAt   time.Time
 	plannedAt time.Time
 	copiedAt  time.Time
@@ -106,6 +110,7 @@
 		arrived:      map[string]workload.Work{},
 		blockedUntil: now.Add(lapse(cfg.Lease)),
 		doubtful:     doubtful,
+		startedAt:    now,
 	}
 	for _, id := range suspects {
 		c.suspects[id] = true
@@ -211,16 +216,10 @@
 	present := map[string]bool{}
 	for _, info := range list {
 		present[info.ID] = true
-		w, ok := c.workers[info.ID]
-		if !ok {
-			w = &worker{token: c.cfg.Epoch * tokenStep, pace: fullPace, since: now}
-			c.workers[info.ID] = w
-			c.order = append(c.order, w)
-		}
+		w := c.worker(info.ID, now)
 		w.info = info
 		w.missing = false
 	}
-	slices.SortFunc(c.order, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
 	for _, w := range c.order {
 		if !present[w.info.ID] {
 			w.missing = true
@@ -229,6 +228,18 @@
 	c.dirtyPlan = true
 }
 
+// worker returns the worker of an ID, made if need be.
+func (c *Core) worker(id string, now time.Time) *worker {
+	if w, ok := c.workers[id]; ok {
+		return w
+	}
+	w := &worker{info: workload.Worker{ID: id}, token: c.cfg.Epoch * tokenStep, pace: fullPace, since: now, silent: true, missing: true}
+	c.workers[id] = w
+	c.order = append(c.order, w)
+	slices.SortFunc(c.order, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
+	return w
+}
+
 // Step returns what is due.
 func (c *Core) Step(now time.Time) Orders {
 	c.expireRuns(now)
@@ -258,6 +269,7 @@
 
 // forgetJobs drops jobs that ended long ago, here and in the store.
 func (c *Core) forgetJobs(now time.Time) {
+	c.noteUnblocked(now)
 	c.active = slices.DeleteFunc(c.active, func(j *job) bool { return j.shown.Ended() && j.live == 0 })
 	if now.Before(c.sweptAt.Add(sweepInterval)) {
 		return
--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -19,7 +19,8 @@
 const shortRest = 1500 * time.Millisecond
 
 // Evacuate closes a worker for a while and empties it. It returns whether
-// nothing runs there any more, nor can begin.
+// nothing runs there any more, nor can begin, and all its ends are stored: those
+// that are not go with it.
 func (c *Core) Evacuate(id string, now time.Time) (empty bool) {
 	w := c.workers[id]
 	if w == nil {
@@ -29,7 +30,7 @@
 		c.note(Decision{Verb: "evacuating", Worker: id, Reason: "asked for", Critical: true})
 	}
 	w.evacuateUntil = now.Add(evacuateFor)
-	return w.synced && len(w.runs) == 0 && !c.blocked(now)
+	return w.synced && len(w.runs) == 0 && w.seen == w.acked && !c.blocked(now)
 }
 
 // evacuate moves on what can't be let finish on workers that are to be empty.
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -88,7 +88,7 @@
 	if c.writing != nil {
 		return
 	}
-	if len(c.dirty) == 0 && len(c.expired) == 0 {
+	if len(c.dirty) == 0 && len(c.expired) == 0 && c.writeSeq > 0 {
 		// What ended without changing a job needs no record.
 		for _, w := range c.order {
 			w.acked = w.seen
@@ -98,6 +98,10 @@
 	c.writeSeq++
 	c.writing = &write{jobs: map[workload.JobID]workload.State{}, acked: map[string]int64{}}
 	order := &WriteOrder{Sequence: c.writeSeq, Delete: c.expired}
+	if c.writeSeq == 1 {
+		// From here on the word of the owner before says too little.
+		order.Records = append(order.Records, workload.Record{Takeover: &workload.Takeover{Epoch: c.cfg.Epoch}})
+	}
 	for _, j := range c.active {
 		if c.dirty[j.id] != nil {
 			order.Records = append(order.Records, workload.Record{Job: j.id, Progress: j.storedProgress()})
@@ -112,6 +116,12 @@
 	c.out.Write = order
 }
 
+// Recorded tells whether no write is under way.
+func (c *Core) Recorded() bool { return c.writing == nil }
+
+// NextSequence is the sequence of the write that would follow.
+func (c *Core) NextSequence() int64 { return c.writeSeq + 1 }
+
 // Written reports that the write under way is stored.
 func (c *Core) Written() {
 	if c.writing == nil {
@@ -128,6 +138,7 @@
 		}
 	}
 	c.writing = nil
+	c.opened = true
 }
 
 // GiveUp ends the ownership: a later owner has fenced this one.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -35,6 +35,9 @@
 // blocked tells whether an earlier owner's runs may still be unknown. Starting a
 // task then could run it twice.
 func (c *Core) blocked(now time.Time) bool {
+	if !c.opened {
+		return true // a later owner must not take an earlier one's word for the last
+	}
 	if !now.Before(c.blockedUntil) {
 		return false
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -178,7 +178,7 @@
 // holdWorkers orders a look at each worker that has something to tell.
 func (c *Core) holdWorkers(now time.Time) {
 	for _, w := range c.order {
-		if w.holding || now.Before(w.holdAfter) {
+		if w.holding || now.Before(w.holdAfter) || w.info.Address == "" {
 			continue
 		}
 		needed := !w.synced || len(w.runs) > 0 || w.seen > w.acked
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -38,15 +38,43 @@
 	kindSubmission = "s/"
 	kindCancel     = "c/"
 	kindProgress   = "p/"
+
+	keyHandover = "owner/left"
+	keyTakeover = "owner/last"
 )
 
-// Record is a stored fact about a job. Exactly one of Submission, Cancel and
-// Progress is set; none is set where the record was deleted.
+// Handover is what an owner that gives a partition up in good order says of the
+// runs that it leaves. With it the next owner knows what a worker that does not
+// answer may run.
+type Handover struct {
+	Epoch int64     `json:"e"` // of the owner that wrote it
+	Runs  []LeftRun `json:"r,omitempty"`
+}
+
+// LeftRun is one run of a Handover.
+type LeftRun struct {
+	Worker string `json:"w"`
+	Task   string `json:"t"`
+	Run    int64  `json:"n"`
+	// Confirmed is set if the worker has answered the start or listed the run;
+	// else the start may yet be carried out.
+	Confirmed bool `json:"c,omitempty"`
+}
+
+// Takeover names the owner that took a partition over last.
+type Takeover struct {
+	Epoch int64 `json:"e"`
+}
+
+// Record is a stored fact about a job, or about the owner of the partition. One
+// of the pointers and Cancel is set; none is where the record was deleted.
 type Record struct {
 	Job        JobID
 	Submission *Submission
 	Progress   *Progress
 	Cancel     bool
+	Handover   *Handover
+	Takeover   *Takeover
 }
 
 // Encode returns the key and value under which a record is stored.
@@ -58,6 +86,12 @@
 	case r.Progress != nil:
 		value, err = json.Marshal(r.Progress)
 		return kindProgress + string(r.Job), value, errors.Wrap(err, "progress")
+	case r.Handover != nil:
+		value, err = json.Marshal(r.Handover)
+		return keyHandover, value, errors.Wrap(err, "handover")
+	case r.Takeover != nil:
+		value, err = json.Marshal(r.Takeover)
+		return keyTakeover, value, errors.Wrap(err, "takeover")
 	case r.Cancel:
 		return kindCancel + string(r.Job), []byte("1"), nil
 	default:
@@ -78,6 +112,12 @@
 	}
 	r.Job = JobID(key[2:])
 	switch {
+	case key == keyHandover:
+		r.Handover = &Handover{}
+		err = json.Unmarshal(value, r.Handover)
+	case key == keyTakeover:
+		r.Takeover = &Takeover{}
+		err = json.Unmarshal(value, r.Takeover)
 	case strings.HasPrefix(key, kindSubmission):
 		r.Submission = &Submission{}
 		err = json.Unmarshal(value, r.Submission)
