Play random histories against the scheduling machine; mend what they found

Change: Handover stores unstored ends with it, and says nothing while starts are blocked; a look follows the stored end at once.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -171,13 +171,17 @@
 	if !core.Recorded() && !o.finishWrite(ctx) {
 		return
 	}
-	records, err := joblog.Encode([]workload.Record{{Handover: core.Handover()}}, nil)
+	left := core.Handover(time.Now())
+	if len(left) == 0 {
+		return
+	}
+	records, err := joblog.Encode(left, nil)
 	if err != nil {
 		o.logger.Error("handover can't be encoded", "error", err)
 		return
 	}
 	status, err := o.log.Write(ctx, o.epoch, core.NextSequence(), records)
-	o.logger.Info("partition left", "runs", len(core.Handover().Runs), "status", status.String(), "error", err)
+	o.logger.Info("partition left", "records", len(records), "status", status.String(), "error", err)
 }
 
 // fence keeps earlier owners from writing. It comes before the snapshot: what
--- /dev/null
+++ b/internal/scheduler/fakeworker_test.go
@@ -0,0 +1,279 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// fakeWorker is a worker with the platform's semantics.
+type fakeWorker struct {
+	w     *world
+	info  workload.Worker
+	speed float64 // of its clock, 0.98 to 1
+	born  time.Time
+	dark  bool // cut off, runs on
+	gone  bool // has ended
+
+	token    int64
+	leaseEnd int64 // on its clock, milliseconds
+	runs     []*fakeRun
+	ends     []workload.RunEnd
+	number   int64
+	highest  map[string]int64 // of runs that stopped or ended, by task
+	waiting  []func()
+}
+
+type fakeRun struct {
+	task    workload.TaskKey
+	number  int64
+	need    workload.Resources
+	ended   bool
+	stopped bool
+}
+
+// stopTime is what a stop takes.
+const stopTime = 400 * time.Millisecond
+
+func (w *world) addWorker(id string, capacity workload.Resources) *fakeWorker {
+	f := &fakeWorker{
+		w:       w,
+		info:    workload.Worker{ID: id, Service: "service", Address: id, Capacity: capacity, Labels: []string{"a", "rack"}},
+		speed:   0.98 + 0.02*w.rng.Float64(),
+		born:    w.now.Add(-time.Hour),
+		highest: map[string]int64{},
+	}
+	w.workers[id] = f
+	w.listed = append(w.listed, f.info)
+	return f
+}
+
+func (f *fakeWorker) clock() int64 {
+	return int64(float64(f.w.now.Sub(f.born).Milliseconds()) * f.speed)
+}
+
+// receive carries an order out unless the worker has ended; ok is false where no
+// answer can come.
+func (f *fakeWorker) receive(order func(f *fakeWorker) workload.WorkerAnswer) (workload.WorkerAnswer, bool) {
+	if f.gone {
+		return workload.WorkerAnswer{}, false
+	}
+	a := order(f)
+	a.Clock = f.clock()
+	return a, !f.dark
+}
+
+func (f *fakeWorker) fenced(token int64) bool {
+	if token < f.token {
+		return true
+	}
+	f.token = token
+	return false
+}
+
+func (f *fakeWorker) lease(until int64) {
+	if until > f.leaseEnd {
+		f.leaseEnd = until
+		real := time.Duration(float64(until-f.clock())/f.speed) * time.Millisecond
+		f.w.after(real+2*time.Millisecond, f.lapse) // past the rounding of the clock
+	}
+}
+
+func (f *fakeWorker) lapse() {
+	if f.gone || f.clock() < f.leaseEnd {
+		return
+	}
+	for _, r := range slices.Clone(f.runs) {
+		f.end(r, workload.EndLapsed)
+	}
+}
+
+func (f *fakeWorker) used() workload.Resources {
+	var sum workload.Resources
+	for _, r := range f.runs {
+		sum = sum.Add(r.need)
+	}
+	return sum
+}
+
+func (f *fakeWorker) start(s workload.Start) workload.WorkerAnswer {
+	if f.fenced(s.Token) {
+		return workload.WorkerAnswer{Status: workload.WorkerFenced}
+	}
+	name := s.Task.String()
+	for _, r := range f.runs {
+		if r.task == s.Task && r.number == s.Run {
+			return workload.WorkerAnswer{}
+		}
+	}
+	if s.Run <= f.highest[name] {
+		f.lease(s.LeaseUntil)
+		return workload.WorkerAnswer{Status: workload.WorkerOld}
+	}
+	if s.LeaseUntil <= f.clock() {
+		return workload.WorkerAnswer{Status: workload.WorkerLate}
+	}
+	f.lease(s.LeaseUntil)
+	j := f.w.jobs[s.Task.Job]
+	spec := &j.sub.Spec.Steps[s.Task.Step]
+	if !spec.Reserve().Fits(f.info.Capacity.Sub(f.used())) {
+		return workload.WorkerAnswer{Status: workload.WorkerFull}
+	}
+	f.w.checkStart(j, spec, s, f)
+	r := &fakeRun{task: s.Task, number: s.Run, need: spec.Reserve()}
+	f.runs = append(f.runs, r)
+	f.w.starts++
+	if !spec.Lasting {
+		took := time.Duration(float64(spec.EstimateMS)*(0.7+0.6*f.w.rng.Float64())) * time.Millisecond
+		how := workload.EndDone
+		if f.w.chance(f.w.faults.failedTask) {
+			how = workload.EndFailed
+		}
+		f.w.after(took, func() { f.end(r, how) })
+	}
+	return workload.WorkerAnswer{}
+}
+
+// end lists a run's end.
+func (f *fakeWorker) end(r *fakeRun, how workload.How) {
+	if r.ended || f.gone {
+		return
+	}
+	r.ended = true
+	f.runs = slices.DeleteFunc(f.runs, func(x *fakeRun) bool { return x == r })
+	f.number++
+	name := r.task.String()
+	f.highest[name] = max(f.highest[name], r.number)
+	f.ends = append(f.ends, workload.RunEnd{Number: f.number, Task: r.task, Run: r.number, How: how})
+	if how == workload.EndDone {
+		f.w.jobs[r.task.Job].done[name] = true
+	}
+	waiting := f.waiting
+	f.waiting = nil
+	for _, tell := range waiting {
+		tell()
+	}
+}
+
+// whenEnded calls tell once ends are listed, or after wait.
+func (f *fakeWorker) whenEnded(wait time.Duration, tell func()) {
+	if wait == 0 || len(f.ends) > 0 {
+		tell()
+		return
+	}
+	told := false
+	once := func() {
+		if !told {
+			told = true
+			tell()
+		}
+	}
+	f.waiting = append(f.waiting, once)
+	f.w.after(wait, once)
+}
+
+func (f *fakeWorker) stop(s scheduler.StopOrder) workload.WorkerAnswer {
+	if f.fenced(s.Token) {
+		return workload.WorkerAnswer{Status: workload.WorkerFenced}
+	}
+	name := s.Task.String()
+	f.highest[name] = max(f.highest[name], s.Run)
+	for _, r := range f.runs {
+		if r.task == s.Task && r.number <= s.Run && !r.stopped {
+			r.stopped = true
+			f.w.after(stopTime, func() { f.end(r, workload.EndStopped) })
+		}
+	}
+	return workload.WorkerAnswer{}
+}
+
+func (f *fakeWorker) hold(h workload.Hold) workload.WorkerAnswer {
+	if f.fenced(h.Token) {
+		return workload.WorkerAnswer{Status: workload.WorkerFenced}
+	}
+	if h.LeaseUntil > 0 {
+		f.lease(h.LeaseUntil)
+	}
+	f.ends = slices.DeleteFunc(f.ends, func(e workload.RunEnd) bool {
+		if e.Number > h.Acked {
+			return false
+		}
+		j := f.w.jobs[e.Task.Job]
+		switch e.How {
+		case workload.EndDone:
+			j.noted[e.Task.String()] = true
+		case workload.EndFailed:
+			j.failed[e.Task.String()]++
+		}
+		return true
+	})
+	return workload.WorkerAnswer{}
+}
+
+func (f *fakeWorker) list() workload.Held {
+	var held workload.Held
+	for _, r := range f.runs {
+		held.Running = append(held.Running, workload.RunState{Task: r.task, Run: r.number, Percent: 100})
+	}
+	held.Finished = slices.Clone(f.ends)
+	return held
+}
+
+// crash ends the worker; its entry goes after three heartbeats, and another
+// incarnation comes.
+func (f *fakeWorker) crash() {
+	f.gone = true
+	f.runs = nil
+	f.w.after(4500*time.Millisecond, func() { f.unregister() })
+	f.w.after(5*time.Second, func() { f.w.addWorker(f.info.ID+"'", f.info.Capacity) })
+}
+
+func (f *fakeWorker) unregister() {
+	f.w.listed = slices.DeleteFunc(f.w.listed, func(i workload.Worker) bool { return i.ID == f.info.ID })
+}
+
+// checkStart checks the promises about a start.
+func (w *world) checkStart(j *fakeJob, spec *workload.Step, s workload.Start, on *fakeWorker) {
+	name := s.Task.String()
+	if j.noted[name] && !spec.Speculative {
+		w.breaks("TWICE", name+" starts after its end was acknowledged")
+	}
+	if j.shown == workload.Completed {
+		w.breaks("TWICE", name+" starts after its job was shown as completed")
+	}
+	for _, other := range w.workers {
+		for _, r := range other.runs {
+			if r.task == s.Task && !spec.Speculative {
+				w.breaks("TWICE", fmt.Sprintf("%s run %d starts on %s while run %d is on %s", name, s.Run, on.info.ID, r.number, other.info.ID))
+			}
+		}
+	}
+	for _, d := range spec.DependsOn {
+		for i := range j.sub.Spec.Steps[d].Count {
+			before := workload.TaskKey{Job: j.id, Occurrence: s.Task.Occurrence, Step: d, Index: i}.String()
+			if !j.done[before] {
+				w.breaks("ORDER", name+" starts before "+before+" is done")
+			}
+		}
+	}
+	if !j.cancelled.IsZero() && w.now.Sub(j.cancelled) > 3*time.Second {
+		w.breaks("UNASKED", name+" starts "+w.now.Sub(j.cancelled).String()+" after its job was cancelled")
+	}
+	if j.failed[name] >= testConfig.Queues[0].MaxAttempts && !spec.Lasting {
+		w.breaks("BUDGET", name+" starts after all its attempts have failed")
+	}
+	if spec.MaxPerWorker > 0 {
+		n := 0
+		for _, r := range on.runs {
+			if r.task.Job == s.Task.Job && r.task.Step == s.Task.Step && r.task.Occurrence == s.Task.Occurrence {
+				n++
+			}
+		}
+		if n >= spec.MaxPerWorker {
+			w.breaks("ROUTE", name+" is one too many of its step on "+on.info.ID)
+		}
+	}
+}
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -6,9 +6,21 @@
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
-// Handover is what the next owner needs to know of the runs that are left. It is
-// to be called after the last step, as each step may start more.
-func (c *Core) Handover() *workload.Handover {
+// Handover returns what is to be stored when the owner stops, all or nothing: the
+// ends that are not stored yet, and the runs that are left. It is to be called
+// after the last step, as each step may start more.
+//
+// The ends belong to it: a task whose end this owner has heard of is in none of
+// the runs that are left, so a successor that knew only those would start it
+// again at once.
+//
+// An owner that does not know yet what the one before it has left says nothing of
+// runs: its word would leave those out.
+func (c *Core) Handover(now time.Time) []workload.Record {
+	records := c.dirtyRecords()
+	if c.blocked(now) {
+		return records
+	}
 	h := &workload.Handover{Epoch: c.cfg.Epoch}
 	for _, w := range c.order {
 		for _, r := range w.runs {
@@ -20,7 +32,18 @@
 			})
 		}
 	}
-	return h
+	return append(records, workload.Record{Handover: h})
+}
+
+// dirtyRecords are the jobs whose progress is not stored yet.
+func (c *Core) dirtyRecords() []workload.Record {
+	var records []workload.Record
+	for _, j := range c.active {
+		if c.dirty[j.id] != nil {
+			records = append(records, workload.Record{Job: j.id, Progress: j.storedProgress()})
+		}
+	}
+	return records
 }
 
 // Inherit takes an earlier owner's word of its runs, once the jobs are known.
--- /dev/null
+++ b/internal/scheduler/history_test.go
@@ -0,0 +1,156 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// histories is how many seeds a run of the tests plays; YUCCADRIFT_HISTORIES
+// asks for more.
+func histories(t *testing.T) uint64 {
+	text := os.Getenv("YUCCADRIFT_HISTORIES")
+	if text == "" {
+		return 150
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	require.NoError(t, err)
+	return n
+}
+
+// randomSpec draws a job like those of the users.
+func (w *world) randomSpec() workload.Spec {
+	spec := workload.Spec{Payload: "work"}
+	for i := range 1 + w.rng.IntN(3) {
+		s := workload.Step{
+			Count:       1 + w.rng.IntN(6),
+			Need:        workload.Resources{CPU: 500 + w.rng.IntN(4000), MemoryMB: 500 + w.rng.IntN(8000)},
+			EstimateMS:  100 + w.rng.Int64N(2500),
+			Checkpoints: w.rng.IntN(3) == 0,
+		}
+		if i > 0 && w.rng.IntN(2) == 0 {
+			s.DependsOn = []int{w.rng.IntN(i)}
+		}
+		if w.rng.IntN(4) == 0 {
+			s.MaxPerWorker = 2
+		}
+		spec.Steps = append(spec.Steps, s)
+	}
+	if w.rng.IntN(10) == 0 {
+		spec.Steps = []workload.Step{{Count: 4, Need: workload.Resources{CPU: 2000, MemoryMB: 4000}, Lasting: true, MayMiss: 1, MaxPerWorker: 2}}
+	}
+	return spec
+}
+
+// history plays 25 s of jobs with faults and 60 s without, and returns the world.
+func history(seed uint64) *world {
+	w := newWorld(seed, faults{lostAnswer: 0.01, lateOrder: 0.01, failedTask: 0.01, storeLost: 0.02})
+	for i := range 6 {
+		w.addWorker("worker-"+strconv.Itoa(i), workload.Resources{CPU: 32000, MemoryMB: 64000})
+	}
+	w.takeOver()
+	for at := time.Duration(0); at < 25*time.Second; at += w.between(20*time.Millisecond, 400*time.Millisecond) {
+		w.after(at, func() {
+			j := w.submit(w.randomSpec(), "quick")
+			if w.rng.IntN(8) == 0 {
+				w.after(w.between(0, 3*time.Second), func() { w.cancel(j) })
+			}
+		})
+	}
+	for range 8 {
+		w.after(w.between(time.Second, 25*time.Second), w.trouble)
+	}
+	w.after(26*time.Second, func() {
+		w.quiet = true
+		w.store.down = false
+		for _, f := range w.workers {
+			f.dark = false
+		}
+	})
+	w.run(86 * time.Second)
+	return w
+}
+
+// trouble draws one thing that goes wrong.
+func (w *world) trouble() {
+	ids := make([]string, 0, len(w.listed))
+	for _, info := range w.listed {
+		ids = append(ids, info.ID)
+	}
+	f := w.workers[ids[w.rng.IntN(len(ids))]]
+	switch w.rng.IntN(6) {
+	case 0:
+		if !w.owner.dead {
+			w.kill(w.between(300*time.Millisecond, 4*time.Second))
+		}
+	case 1:
+		if !w.owner.dead {
+			w.handOver(w.between(20*time.Millisecond, 600*time.Millisecond))
+		}
+	case 2:
+		// The owner is frozen or cut off: another one takes over while it lives.
+		if !w.owner.dead {
+			w.takeOver()
+		}
+	case 3:
+		if !f.gone {
+			f.crash()
+		}
+	case 4:
+		f.dark = true
+		w.after(w.between(500*time.Millisecond, 8*time.Second), func() { f.dark = false })
+	case 5:
+		w.store.down = true
+		w.after(w.between(time.Second, 6*time.Second), func() { w.store.down = false })
+	}
+}
+
+// TestRandomHistories plays histories in which owners are killed, replaced and
+// hand over, workers crash and are cut off, answers get lost, orders are carried
+// out seconds late and the store is away. The caller sees each of its jobs end as
+// it should, and no worker sees a task that it must not.
+func TestRandomHistories(t *testing.T) {
+	starts := 0
+	for seed := range histories(t) {
+		w := history(seed)
+		starts += w.starts
+		require.Empty(t, w.broken, "seed %d", seed)
+		for _, j := range w.jobs {
+			state, known := w.owner.core.State(j.id)
+			require.True(t, known, "seed %d: job %s is not known", seed, j.id)
+			switch {
+			case !j.cancelled.IsZero():
+				assert.True(t, state.Ended(), "seed %d: cancelled job %s is %s", seed, j.id, state)
+			case j.sub.Spec.Steps[0].Lasting:
+				assert.Equal(t, workload.Running, state, "seed %d: job %s", seed, j.id)
+				assert.Equal(t, 4, w.running(j.id), "seed %d: lasting tasks of %s", seed, j.id)
+			default:
+				assert.Contains(t, []workload.State{workload.Completed, workload.Failed}, state, "seed %d: job %s", seed, j.id)
+			}
+		}
+		if t.Failed() {
+			return
+		}
+	}
+	t.Log(fmt.Sprint(starts, " starts"))
+}
+
+// running counts the runs of a job that are on workers that live.
+func (w *world) running(id workload.JobID) int {
+	n := 0
+	for _, f := range w.workers {
+		for _, r := range f.runs {
+			if r.task.Job == id && !f.gone {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -91,7 +91,7 @@
 	if len(c.dirty) == 0 && len(c.expired) == 0 && c.writeSeq > 0 {
 		// What ended without changing a job needs no record.
 		for _, w := range c.order {
-			w.acked = w.seen
+			w.noted(w.seen)
 		}
 		return
 	}
@@ -102,11 +102,9 @@
 		// From here on the word of the owner before says too little.
 		order.Records = append(order.Records, workload.Record{Takeover: &workload.Takeover{Epoch: c.cfg.Epoch}})
 	}
-	for _, j := range c.active {
-		if c.dirty[j.id] != nil {
-			order.Records = append(order.Records, workload.Record{Job: j.id, Progress: j.storedProgress()})
-			c.writing.jobs[j.id] = j.final
-		}
+	order.Records = append(order.Records, c.dirtyRecords()...)
+	for id, j := range c.dirty {
+		c.writing.jobs[id] = j.final
 	}
 	for _, w := range c.order {
 		c.writing.acked[w.info.ID] = w.seen
@@ -134,7 +132,7 @@
 	}
 	for id, n := range c.writing.acked {
 		if w := c.workers[id]; w != nil {
-			w.acked = max(w.acked, n)
+			w.noted(n)
 		}
 	}
 	c.writing = nil
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -104,6 +104,19 @@
 	fullUntil     time.Time
 }
 
+// noted allows the acknowledgement of ends up to a number. The worker is looked
+// at again at once: until it has the acknowledgement it answers without waiting
+// for the next end, so it was left alone.
+func (w *worker) noted(n int64) {
+	if n <= w.acked {
+		return
+	}
+	w.acked = n
+	if w.acked == w.seen && !w.silent {
+		w.holdAfter = time.Time{}
+	}
+}
+
 // clockNow estimates the worker's time in milliseconds.
 func (w *worker) clockNow(now time.Time) int64 {
 	return w.clock + now.Sub(w.clockAt).Milliseconds()
--- /dev/null
+++ b/internal/scheduler/world_test.go
@@ -0,0 +1,488 @@
+package scheduler_test
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// epochStart is when each history begins.
+var epochStart = time.UnixMilli(1_700_000_000_000)
+
+// event is something that happens at a time of a history.
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].seq < e[j].seq
+	}
+	return e[i].at.Before(e[j].at)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// world is one history in virtual time: workers, a store, owners that follow one
+// another, and faults. It checks the promises from what workers and the store
+// see, never from what an owner believes.
+type world struct {
+	now    time.Time
+	rng    *rand.Rand
+	queue  events
+	seq    int
+	faults faults
+	quiet  bool // no more faults
+
+	store   *fakeStore
+	workers map[string]*fakeWorker
+	listed  []workload.Worker // the registry
+	owner   *fakeOwner
+	epoch   int64
+	jobs    map[workload.JobID]*fakeJob
+	broken  []string
+	nextID  int
+	starts  int
+}
+
+// faults are the chances of what goes wrong, each between 0 and 1.
+type faults struct {
+	lostAnswer float64 // an order is carried out and its answer is lost
+	lateOrder  float64 // an order has no answer and is carried out seconds later
+	failedTask float64
+	storeLost  float64 // a write is done and its answer is lost
+}
+
+// fakeJob is what the caller knows.
+type fakeJob struct {
+	id        workload.JobID
+	sub       *workload.Submission
+	cancelled time.Time // when the cancel was stored
+	done      map[string]bool
+	noted     map[string]bool // ends that were acknowledged
+	failed    map[string]int
+	shown     workload.State
+}
+
+func newWorld(seed uint64, f faults) *world {
+	return &world{
+		now:     epochStart,
+		rng:     rand.New(rand.NewPCG(seed, 7)),
+		faults:  f,
+		store:   &fakeStore{values: map[string][]byte{}},
+		workers: map[string]*fakeWorker{},
+		jobs:    map[workload.JobID]*fakeJob{},
+	}
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at: w.now.Add(d), seq: w.seq, do: do})
+}
+
+// run plays until a time.
+func (w *world) run(until time.Duration) {
+	end := epochStart.Add(until)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+func (w *world) chance(p float64) bool { return !w.quiet && w.rng.Float64() < p }
+
+// between draws a duration.
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.rng.Int64N(int64(high-low)+1))
+}
+
+func (w *world) breaks(rule, what string) {
+	w.broken = append(w.broken, rule+" at "+w.now.Sub(epochStart).String()+": "+what)
+}
+
+// fakeStore keeps the newest record of each key and refuses fenced writers.
+type fakeStore struct {
+	keys   []string // in the order of their first record
+	values map[string][]byte
+	log    []string // keys of all records, in order
+	epoch  int64
+	last   int64 // sequence of the epoch's last write
+	down   bool
+}
+
+func (s *fakeStore) put(r workload.Record) {
+	key, value, err := r.Encode()
+	if err != nil {
+		panic(err)
+	}
+	if _, ok := s.values[key]; !ok {
+		s.keys = append(s.keys, key)
+	}
+	s.values[key] = value
+	s.log = append(s.log, key)
+}
+
+// fence puts an epoch in force.
+func (s *fakeStore) fence(epoch int64) bool {
+	if s.down || epoch < s.epoch {
+		return false
+	}
+	s.epoch, s.last = epoch, 0
+	return true
+}
+
+func (s *fakeStore) records() []workload.Record {
+	var out []workload.Record
+	for _, key := range s.keys {
+		r, ok, err := workload.DecodeRecord(key, s.values[key])
+		if err != nil {
+			panic(err)
+		}
+		if ok {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// submit stores a job, as a node does before it tells the caller.
+func (w *world) submit(spec workload.Spec, queue string) *fakeJob {
+	w.nextID++
+	id := workload.JobID([]byte("0000000000000000"))
+	digits := []byte(id)
+	for i, n := 15, w.nextID; n > 0; i, n = i-1, n/10 {
+		digits[i] = byte('0' + n%10)
+	}
+	id = workload.JobID(digits)
+	sub := &workload.Submission{Queue: queue, Service: "service", AcceptedMS: w.now.UnixMilli(), Spec: spec}
+	j := &fakeJob{id: id, sub: sub, done: map[string]bool{}, noted: map[string]bool{}, failed: map[string]int{}}
+	w.jobs[id] = j
+	w.stored(workload.Record{Job: id, Submission: sub})
+	return j
+}
+
+func (w *world) cancel(j *fakeJob) {
+	if j.cancelled.IsZero() {
+		j.cancelled = w.now
+		w.stored(workload.Record{Job: j.id, Cancel: true})
+	}
+}
+
+// stored stores a record of a caller's and tells the owner, which follows the log.
+func (w *world) stored(r workload.Record) {
+	w.store.put(r)
+	o := w.owner
+	w.after(w.between(time.Millisecond, 20*time.Millisecond), func() {
+		if o != nil && o.loaded && !o.dead {
+			o.apply(r)
+		}
+	})
+}
+
+// fakeOwner runs a Core as an owner's process does.
+type fakeOwner struct {
+	w       *world
+	core    *scheduler.Core
+	epoch   int64
+	loaded  bool
+	dead    bool // killed, or gone: it sends nothing any more
+	pending *scheduler.WriteOrder
+}
+
+var testConfig = &workload.Config{
+	Version: 1,
+	Queues: []workload.Queue{
+		{Name: "quick", Service: "service", MaxAttempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond},
+	},
+	Services: []workload.Service{{Name: "service", Guarded: true}},
+}
+
+// takeOver starts a new owner, as the owner package does: fence, then read.
+func (w *world) takeOver() {
+	w.epoch++
+	o := &fakeOwner{w: w, epoch: w.epoch}
+	w.owner = o
+	o.fence()
+}
+
+func (o *fakeOwner) fence() {
+	w := o.w
+	if o.dead {
+		return
+	}
+	if !w.store.fence(o.epoch) {
+		w.after(100*time.Millisecond, o.fence)
+		return
+	}
+	w.after(w.between(5*time.Millisecond, 30*time.Millisecond), o.load)
+}
+
+func (o *fakeOwner) load() {
+	w := o.w
+	if o.dead {
+		return
+	}
+	var left *workload.Handover
+	last := int64(0)
+	records := w.store.records()
+	for _, r := range records {
+		if r.Handover != nil {
+			left = r.Handover
+		}
+		if r.Takeover != nil {
+			last = r.Takeover.Epoch
+		}
+	}
+	if left != nil && left.Epoch != last {
+		left = nil
+	}
+	var suspects []string
+	if left == nil {
+		for _, info := range w.listed {
+			suspects = append(suspects, info.ID)
+		}
+	}
+	o.core = scheduler.New(scheduler.Settings{Epoch: o.epoch, Lease: testLease, StateKept: time.Hour, RemoteFactor: 2}, w.now, suspects, false)
+	o.core.SetConfig(testConfig)
+	for _, r := range records {
+		o.apply(r)
+	}
+	for _, r := range records {
+		if r.Progress != nil {
+			o.core.Recalled(r.Job, r.Progress)
+		}
+	}
+	if left != nil {
+		o.core.Inherit(left, w.now)
+	}
+	o.loaded = true
+	o.tick()
+}
+
+func (o *fakeOwner) apply(r workload.Record) {
+	switch {
+	case r.Submission != nil:
+		o.core.Submitted(r.Job, r.Submission)
+	case r.Cancel:
+		o.core.CancelRequested(r.Job, o.w.now)
+	}
+}
+
+// testLease is the lease of all runs in histories.
+const testLease = 3500 * time.Millisecond
+
+func (o *fakeOwner) tick() {
+	if o.dead {
+		return
+	}
+	o.core.SetWorkers(o.w.listed, o.w.now)
+	o.step()
+	o.w.after(50*time.Millisecond, o.tick)
+}
+
+// step carries out what is due.
+func (o *fakeOwner) step() {
+	if o.dead {
+		return
+	}
+	w := o.w
+	orders := o.core.Step(w.now)
+	if o.core.Lost() != "" {
+		o.dead = true
+		if w.owner == o {
+			w.after(w.between(100*time.Millisecond, time.Second), w.takeOver)
+		}
+		return
+	}
+	for _, h := range orders.Holds {
+		o.hold(h)
+	}
+	for _, s := range orders.Stops {
+		o.order(s.Worker.ID, func(f *fakeWorker) workload.WorkerAnswer { return f.stop(s) }, func(a workload.WorkerAnswer) {
+			o.core.Stopped(scheduler.OrderResult{Worker: s.Worker.ID, Task: s.Task, Run: s.Run, Token: s.Token, Answer: a}, w.now)
+		})
+	}
+	for _, s := range orders.Starts {
+		o.order(s.Worker.ID, func(f *fakeWorker) workload.WorkerAnswer { return f.start(s.Start) }, func(a workload.WorkerAnswer) {
+			o.core.Started(scheduler.OrderResult{Worker: s.Worker.ID, Task: s.Start.Task, Run: s.Start.Run, Token: s.Start.Token, Answer: a}, w.now)
+		})
+	}
+	if orders.Write != nil {
+		o.pending = orders.Write
+		o.write()
+	}
+}
+
+// write stores until the outcome is known.
+func (o *fakeOwner) write() {
+	w := o.w
+	w.after(w.between(4*time.Millisecond, 12*time.Millisecond), func() {
+		if o.dead {
+			return
+		}
+		if o.epoch < w.store.epoch {
+			o.core.GiveUp("fenced")
+			o.step()
+			return
+		}
+		if w.store.down {
+			w.after(100*time.Millisecond, o.write)
+			return
+		}
+		if o.pending.Sequence > w.store.last {
+			w.store.last = o.pending.Sequence
+			for _, r := range o.pending.Records {
+				w.store.put(r)
+			}
+		}
+		if w.chance(w.faults.storeLost) {
+			w.after(time.Second, o.write)
+			return
+		}
+		o.pending = nil
+		o.core.Written()
+		w.look()
+		o.step()
+	})
+}
+
+// order sends one order on its way, with the faults of the history.
+func (o *fakeOwner) order(worker string, carryOut func(f *fakeWorker) workload.WorkerAnswer, told func(workload.WorkerAnswer)) {
+	w := o.w
+	answer := func(a workload.WorkerAnswer, after time.Duration) {
+		w.after(after, func() {
+			if !o.dead {
+				told(a)
+				o.step()
+			}
+		})
+	}
+	f := w.workers[worker]
+	way := w.between(500*time.Microsecond, 3*time.Millisecond)
+	unknown := workload.WorkerAnswer{Status: workload.WorkerUnknown}
+	switch {
+	case w.chance(w.faults.lateOrder):
+		w.after(w.between(2*time.Second, 12*time.Second), func() { f.receive(carryOut) })
+		answer(unknown, time.Second)
+	case w.chance(w.faults.lostAnswer):
+		w.after(way, func() { f.receive(carryOut) })
+		answer(unknown, time.Second)
+	case f.dark || f.gone:
+		answer(unknown, time.Second)
+	default:
+		w.after(way, func() {
+			a, ok := f.receive(carryOut)
+			if !ok {
+				answer(unknown, time.Second)
+				return
+			}
+			answer(a, way)
+		})
+	}
+}
+
+// hold sends a look; its answer waits for an end.
+func (o *fakeOwner) hold(h scheduler.HoldOrder) {
+	w := o.w
+	sent := w.now
+	f := w.workers[h.Worker.ID]
+	told := func(held workload.Held, a workload.WorkerAnswer) {
+		if !o.dead {
+			o.core.Held(scheduler.HoldResult{Worker: h.Worker.ID, Token: h.Hold.Token, SentAt: sent, Held: held, Answer: a}, w.now)
+			o.step()
+		}
+	}
+	unknown := workload.WorkerAnswer{Status: workload.WorkerUnknown}
+	way := w.between(500*time.Microsecond, 3*time.Millisecond)
+	if f.dark || f.gone || w.chance(w.faults.lostAnswer) {
+		if !f.dark && !f.gone {
+			w.after(way, func() { f.receive(func(f *fakeWorker) workload.WorkerAnswer { return f.hold(h.Hold) }) })
+		}
+		w.after(time.Second, func() { told(workload.Held{}, unknown) })
+		return
+	}
+	w.after(way, func() {
+		a, ok := f.receive(func(f *fakeWorker) workload.WorkerAnswer { return f.hold(h.Hold) })
+		if !ok {
+			w.after(time.Second, func() { told(workload.Held{}, unknown) })
+			return
+		}
+		f.whenEnded(h.Hold.Wait, func() {
+			if f.dark || f.gone {
+				w.after(time.Second, func() { told(workload.Held{}, unknown) })
+				return
+			}
+			held := f.list()
+			a.Clock = f.clock()
+			w.after(way, func() { told(held, a) })
+		})
+	})
+}
+
+// kill ends the owner without a word, and another one follows.
+func (w *world) kill(after time.Duration) {
+	w.owner.dead = true
+	w.after(after, w.takeOver)
+}
+
+// handOver ends the owner in good order.
+func (w *world) handOver(after time.Duration) {
+	o := w.owner
+	o.dead = true
+	if o.loaded && !w.store.down && o.epoch == w.store.epoch {
+		if o.pending != nil && o.pending.Sequence > w.store.last {
+			for _, r := range o.pending.Records {
+				w.store.put(r)
+			}
+		}
+		for _, r := range o.core.Handover(w.now) {
+			w.store.put(r)
+		}
+	}
+	w.after(after, w.takeOver)
+}
+
+// look reads what callers are shown.
+func (w *world) look() {
+	if w.owner == nil || !w.owner.loaded {
+		return
+	}
+	for _, j := range w.jobs {
+		state, known := w.owner.core.State(j.id)
+		if !known {
+			continue
+		}
+		if state == workload.Completed && j.shown != workload.Completed {
+			for o := range j.sub.Spec.Occurrences() {
+				for s := range j.sub.Spec.Steps {
+					for i := range j.sub.Spec.Steps[s].Count {
+						key := workload.TaskKey{Job: j.id, Occurrence: o, Step: s, Index: i}.String()
+						if !j.done[key] {
+							w.breaks("MIXED", key+" is not done, its job is shown as completed")
+						}
+					}
+				}
+			}
+		}
+		if j.shown.Ended() && state != j.shown {
+			w.breaks("MIXED", string(j.id)+" was "+string(j.shown)+" and is "+string(state))
+		}
+		j.shown = state
+	}
+}
