Order a VM only on the word of the worker that the list shows; test the fleet's decisions

Cause: a VM that the list showed without a worker was ordered at once. Change: only spare VMs are ordered without emptying; an emptying counts for the worker it was given for; a new fleet owner gives nothing back before it has known a pool for a while.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -216,7 +216,8 @@
 		if w.wave == 0 {
 			expected = c.cfg.Migration
 		}
-		back := c.listed.After(w.since.Add(expected)) && known && vm.State == workload.VMUp && vm.Worker != w.worker
+		back := c.listed.After(w.since.Add(expected)) && known && vm.State == workload.VMUp &&
+			(vm.Pool == c.standby || vm.Worker != "" && vm.Worker != w.worker)
 		if back || now.Sub(w.since) > expected+settleSlack {
 			delete(c.works, id)
 		}
@@ -237,8 +238,10 @@
 		case w.wave == 0 && now.After(w.wantedFor):
 			delete(c.works, id)
 		case !c.mayOrder(id, now):
-		case vm.Worker == "" || w.empty && now.Sub(w.emptyAt) < emptyValid:
-			c.order(w, now)
+		case vm.Pool == c.standby || w.empty && vm.Worker == w.worker && now.Sub(w.emptyAt) < emptyValid:
+			c.order(w, now) // spare VMs are off and run nothing
+		case vm.Worker == "":
+			// The list lags: its worker may be there already, with tasks.
 		default:
 			w.worker = vm.Worker
 			c.out = append(c.out, Action{Verb: Empty, VM: id, Pool: w.pool, Worker: vm.Worker})
--- /dev/null
+++ b/internal/fleet/core_test.go
@@ -0,0 +1,242 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/fleet"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+var begin = time.UnixMilli(1_700_000_000_000)
+
+const (
+	migration   = 1500 * time.Millisecond
+	maintenance = 2 * time.Second
+	quietFor    = 3 * time.Second
+)
+
+var vmSize = workload.Resources{CPU: 32000, MemoryMB: 65536}
+
+func newCore() *fleet.Core {
+	c := fleet.New(fleet.Settings{Migration: migration, Maintenance: maintenance, QuietFor: quietFor}, begin)
+	c.SetConfig(&workload.Config{Services: []workload.Service{{Name: "booking"}, {Name: "returns"}, {Name: "spare", Standby: true}}})
+	return c
+}
+
+func up(id, pool, worker string) workload.VM {
+	return workload.VM{ID: id, Pool: pool, State: workload.VMUp, Capacity: vmSize, Worker: worker}
+}
+
+func verbs(actions []fleet.Action, verb fleet.Verb) []fleet.Action {
+	var out []fleet.Action
+	for _, a := range actions {
+		if a.Verb == verb {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func wave(n int64, limit int, vms ...string) workload.Wave {
+	return workload.Wave{Number: n, VMs: vms, Duration: 20 * time.Second, Cap: limit}
+}
+
+// A VM is ordered only once its worker's owner has said that it is empty, and
+// that word is only as good as the worker it was given for: the list may show
+// another one by then.
+func TestVMIsOrderedOnlyWhenItsWorkerIsEmpty(t *testing.T) {
+	c := newCore()
+	c.SetWaves([]workload.Wave{wave(1, 1, "vm-1")}, begin)
+	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-1")}, begin)
+	actions := c.Step(begin)
+	require.Len(t, verbs(actions, fleet.Empty), 1)
+	assert.Empty(t, verbs(actions, fleet.Maintain))
+
+	c.Emptied("vm-1", "w-1", false, begin.Add(100*time.Millisecond))
+	assert.Empty(t, verbs(c.Step(begin.Add(200*time.Millisecond)), fleet.Maintain))
+
+	c.Emptied("vm-1", "w-1", true, begin.Add(300*time.Millisecond))
+	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-2")}, begin.Add(300*time.Millisecond))
+	assert.Empty(t, verbs(c.Step(begin.Add(400*time.Millisecond)), fleet.Maintain), "another worker is there")
+
+	c.Emptied("vm-1", "w-2", true, begin.Add(500*time.Millisecond))
+	assert.Len(t, verbs(c.Step(begin.Add(600*time.Millisecond)), fleet.Maintain), 1)
+}
+
+// The list lags. A VM that is just back shows no worker yet, although tasks may
+// run on it already: ordering it would end them.
+func TestVMWithoutListedWorkerIsNotOrdered(t *testing.T) {
+	c := newCore()
+	c.SetWaves([]workload.Wave{wave(1, 1, "vm-1")}, begin)
+	c.SetVMs([]workload.VM{up("vm-1", "booking", "")}, begin)
+	for at := time.Duration(0); at < 5*time.Second; at += 100 * time.Millisecond {
+		require.Empty(t, verbs(c.Step(begin.Add(at)), fleet.Maintain), "after %s", at)
+	}
+}
+
+// Spare VMs are off: nothing has to be emptied.
+func TestSpareVMIsOrderedAtOnce(t *testing.T) {
+	c := newCore()
+	c.SetWaves([]workload.Wave{wave(1, 2, "vm-1")}, begin)
+	c.SetVMs([]workload.VM{up("vm-1", "spare", "")}, begin)
+	assert.Len(t, verbs(c.Step(begin), fleet.Maintain), 1)
+}
+
+// At most the wave's cap of VMs are away at once, from the order until they are
+// seen back.
+func TestWaveKeepsItsCap(t *testing.T) {
+	c := newCore()
+	ids := []string{"vm-1", "vm-2", "vm-3", "vm-4", "vm-5"}
+	c.SetWaves([]workload.Wave{{Number: 1, VMs: ids, Duration: time.Second, Cap: 2}}, begin)
+	list := func(worker string) []workload.VM {
+		var vms []workload.VM
+		for _, id := range ids {
+			vms = append(vms, up(id, "booking", worker+id))
+		}
+		return vms
+	}
+	c.SetVMs(list("a-"), begin)
+	away := map[string]bool{}
+	for at := time.Duration(0); at < 1900*time.Millisecond; at += 100 * time.Millisecond {
+		now := begin.Add(at)
+		for _, a := range c.Step(now) {
+			switch a.Verb {
+			case fleet.Empty:
+				c.Emptied(a.VM, a.Worker, true, now)
+			case fleet.Maintain:
+				away[a.VM] = true
+				c.Ordered(a.VM, fleet.Taken, now)
+			}
+		}
+		require.LessOrEqual(t, len(away), 2)
+	}
+	require.Len(t, away, 2)
+	later := begin.Add(3 * time.Second)
+	c.SetVMs(list("b-"), later)
+	assert.NotEmpty(t, c.Step(later), "the next two follow")
+}
+
+// A wave is completed once each VM of it that is there has begun its
+// maintenance, and not before.
+func TestWaveIsCompletedWhenAllHaveBegun(t *testing.T) {
+	c := newCore()
+	c.SetWaves([]workload.Wave{wave(1, 5, "vm-1", "vm-gone")}, begin)
+	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-1")}, begin)
+	stored := verbs(c.Step(begin), fleet.Store)
+	require.Len(t, stored, 1)
+	assert.Equal(t, workload.WaveRunning, stored[0].State)
+	c.Emptied("vm-1", "w-1", true, begin)
+	require.Len(t, verbs(c.Step(begin.Add(100*time.Millisecond)), fleet.Maintain), 1)
+	assert.Empty(t, verbs(c.Step(begin.Add(200*time.Millisecond)), fleet.Store), "the order is on its way")
+	c.Ordered("vm-1", fleet.Taken, begin.Add(300*time.Millisecond))
+	stored = verbs(c.Step(begin.Add(400*time.Millisecond)), fleet.Store)
+	require.Len(t, stored, 1)
+	assert.Equal(t, workload.WaveCompleted, stored[0].State)
+	assert.Equal(t, []string{"vm-1"}, stored[0].Done)
+}
+
+// An order without an answer may have been carried out. It is given again, after
+// the VM was asked to be emptied again.
+func TestOrderWithoutAnAnswerIsGivenAgain(t *testing.T) {
+	c := newCore()
+	c.SetWaves([]workload.Wave{wave(1, 1, "vm-1")}, begin)
+	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-1")}, begin)
+	c.Step(begin)
+	c.Emptied("vm-1", "w-1", true, begin)
+	require.Len(t, verbs(c.Step(begin), fleet.Maintain), 1)
+	c.Ordered("vm-1", fleet.Unclear, begin.Add(time.Second))
+	later := begin.Add(2 * time.Second)
+	require.Len(t, verbs(c.Step(later), fleet.Empty), 1)
+	c.Emptied("vm-1", "w-1", true, later)
+	assert.Len(t, verbs(c.Step(later), fleet.Maintain), 1)
+}
+
+// Two holders must not order one VM closely one after the other. A new owner
+// leaves those alone that the one before ordered lately, and only those.
+func TestNewOwnerLeavesLatelyOrderedVMsAlone(t *testing.T) {
+	c := newCore()
+	c.OrderedBefore("vm-1", begin.Add(-100*time.Millisecond))
+	c.OrderedBefore("vm-2", begin.Add(-time.Minute))
+	c.SetWaves([]workload.Wave{wave(1, 5, "vm-1", "vm-2", "vm-3")}, begin)
+	c.SetVMs([]workload.VM{up("vm-1", "spare", ""), up("vm-2", "spare", ""), up("vm-3", "spare", "")}, begin)
+	ordered := map[string]time.Duration{}
+	for at := time.Duration(0); at < 6*time.Second; at += 100 * time.Millisecond {
+		for _, a := range verbs(c.Step(begin.Add(at)), fleet.Maintain) {
+			ordered[a.VM] = at
+			c.Ordered(a.VM, fleet.Taken, begin.Add(at))
+		}
+	}
+	assert.Less(t, ordered["vm-2"], time.Second)
+	assert.Less(t, ordered["vm-3"], 5*time.Second)
+	assert.GreaterOrEqual(t, ordered["vm-1"], quietFor)
+}
+
+// What an earlier owner has ordered is not ordered again.
+func TestNewOwnerKnowsWhatIsDone(t *testing.T) {
+	c := newCore()
+	c.Recalled(1, []string{"vm-1"}, begin)
+	c.SetWaves([]workload.Wave{wave(1, 5, "vm-1")}, begin)
+	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-1")}, begin)
+	actions := c.Step(begin)
+	assert.Empty(t, verbs(actions, fleet.Empty))
+	stored := verbs(actions, fleet.Store)
+	require.Len(t, stored, 1)
+	assert.Equal(t, workload.WaveCompleted, stored[0].State)
+}
+
+func load(service string, used, waiting int, arrivedCoreMS int64, workers map[string]workload.WorkerLoad) workload.ServiceLoad {
+	return workload.ServiceLoad{
+		Service: service,
+		Used:    workload.Resources{CPU: used},
+		Waiting: workload.Resources{CPU: waiting},
+		Arrived: workload.Work{CoreMS: arrivedCoreMS},
+		Workers: workers,
+	}
+}
+
+// A pool in demand gets spare VMs first, then idle ones of other pools. VMs with
+// lasting tasks stay where they are.
+func TestPoolInDemandGetsVMs(t *testing.T) {
+	c := newCore()
+	c.SetVMs([]workload.VM{
+		up("vm-1", "booking", "w-1"), up("vm-2", "booking", "w-2"),
+		up("vm-3", "returns", "w-3"), up("vm-4", "returns", "w-4"), up("vm-5", "returns", "w-5"),
+		up("vm-6", "spare", ""),
+	}, begin)
+	c.SetLoad(load("returns", 0, 0, 0, map[string]workload.WorkerLoad{"w-3": {Runs: 1, Lasting: 1}, "w-4": {}, "w-5": {}}), begin)
+	c.SetLoad(load("booking", 64000, 64000, 0, map[string]workload.WorkerLoad{"w-1": {Runs: 9}, "w-2": {Runs: 9}}), begin)
+	actions := c.Step(begin)
+	moves := verbs(actions, fleet.Move)
+	require.Len(t, moves, 1)
+	assert.Equal(t, "vm-6", moves[0].VM)
+	assert.Equal(t, "booking", moves[0].Pool)
+	empties := verbs(actions, fleet.Empty)
+	require.Len(t, empties, 1, "returns keeps two")
+	assert.Equal(t, "vm-4", empties[0].VM)
+}
+
+// A pool gives VMs back to the spare pool only after a while without need.
+func TestIdleVMsGoBackAfterAWhile(t *testing.T) {
+	c := newCore()
+	vms := []workload.VM{up("vm-1", "booking", "w-1"), up("vm-2", "booking", "w-2"), up("vm-3", "booking", "w-3")}
+	idle := map[string]workload.WorkerLoad{"w-1": {}, "w-2": {}, "w-3": {}}
+	first := time.Duration(-1)
+	for at := time.Duration(0); at < 20*time.Second && first < 0; at += 200 * time.Millisecond {
+		now := begin.Add(at)
+		c.SetVMs(vms, now)
+		used := 0
+		if at < 2*time.Second {
+			used = 90000
+		}
+		c.SetLoad(load("booking", used, 0, 0, idle), now)
+		if len(verbs(c.Step(now), fleet.Empty)) > 0 {
+			first = at
+		}
+	}
+	assert.Greater(t, first, 5*time.Second)
+	assert.Less(t, first, 15*time.Second)
+}
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -46,9 +46,10 @@
 type poolLoad struct {
 	load    workload.ServiceLoad
 	at      time.Time
-	samples []sample // of the last rateSpan and a little more
-	rates   []rate   // of the last rateSpan
-	needs   []need   // of the last patientFor
+	since   time.Time // of the first load
+	samples []sample  // of the last rateSpan and a little more
+	rates   []rate    // of the last rateSpan
+	needs   []need    // of the last patientFor
 }
 
 // sample is the work that had arrived at a time.
@@ -82,7 +83,7 @@
 func (c *Core) SetLoad(load workload.ServiceLoad, now time.Time) {
 	l := c.loads[load.Service]
 	if l == nil {
-		l = &poolLoad{}
+		l = &poolLoad{since: now}
 		c.loads[load.Service] = l
 	}
 	if len(l.samples) > 0 && load.Arrived.CoreMS < l.load.Arrived.CoreMS {
@@ -239,6 +240,9 @@
 		for _, vm := range c.vms {
 			b.have += c.counts(vm, pool)
 		}
+		if now.Sub(l.since) < patientFor {
+			b.rest = max(b.rest, b.have) // not long enough known to be idle
+		}
 		list = append(list, b)
 	}
 	return list
