--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -61,6 +61,7 @@
 	worker    string // it had
 	wave      int64  // 0 for a move
 	to        string // pool of a move
+	reason    string // of a move
 	phase     phase
 	since     time.Time // of the phase
 	retryAt   time.Time
@@ -89,6 +90,8 @@
 	loads   map[string]*poolLoad
 	standby string
 	out     []Action
+	// workerSeen is when a worker was listed first.
+	workerSeen map[string]time.Time
 	// quietUntil is until when VMs that an earlier owner ordered are left alone.
 	quietUntil map[string]time.Time
 	// dirtyWaves are to be stored.
@@ -177,9 +180,18 @@
 	c.vms = vms
 	c.listed = asked
 	clear(c.byID)
+	seen := make(map[string]time.Time, len(vms))
 	for _, vm := range vms {
 		c.byID[vm.ID] = vm
+		if vm.Worker == "" {
+			continue
+		}
+		seen[vm.Worker] = asked
+		if at, known := c.workerSeen[vm.Worker]; known {
+			seen[vm.Worker] = at
+		}
 	}
+	c.workerSeen = seen
 }
 
 // SetConfig takes the services; one of them may be the spare pool.
@@ -260,7 +272,7 @@
 		c.out = append(c.out, Action{Verb: Maintain, VM: w.vm, Wave: w.wave, Reason: "emptied for maintenance"})
 		return
 	}
-	c.out = append(c.out, Action{Verb: Move, VM: w.vm, Pool: w.to, Reason: "pool needs it more than " + w.pool})
+	c.out = append(c.out, Action{Verb: Move, VM: w.vm, Pool: w.to, Reason: w.reason})
 }
 
 // Emptied takes the answer to an Empty.
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -207,8 +207,8 @@
 		up("vm-3", "returns", "w-3"), up("vm-4", "returns", "w-4"), up("vm-5", "returns", "w-5"),
 		up("vm-6", "spare", ""),
 	}, begin)
-	c.SetLoad(load("returns", 0, 0, 0, map[string]workload.WorkerLoad{"w-3": {Runs: 1, Lasting: 1}, "w-4": {}, "w-5": {}}), begin)
-	c.SetLoad(load("booking", 64000, 64000, 0, map[string]workload.WorkerLoad{"w-1": {Runs: 9}, "w-2": {Runs: 9}}), begin)
+	c.SetLoad(load("returns", 0, 0, 0, map[string]workload.WorkerLoad{"w-3": {Usable: true, Runs: 1, Lasting: 1}, "w-4": {Usable: true}, "w-5": {Usable: true}}), begin)
+	c.SetLoad(load("booking", 64000, 64000, 0, map[string]workload.WorkerLoad{"w-1": {Usable: true, Runs: 9}, "w-2": {Usable: true, Runs: 9}}), begin)
 	actions := c.Step(begin)
 	moves := verbs(actions, fleet.Move)
 	require.Len(t, moves, 1)
@@ -223,7 +223,7 @@
 func TestIdleVMsGoBackAfterAWhile(t *testing.T) {
 	c := newCore()
 	vms := []workload.VM{up("vm-1", "booking", "w-1"), up("vm-2", "booking", "w-2"), up("vm-3", "booking", "w-3")}
-	idle := map[string]workload.WorkerLoad{"w-1": {}, "w-2": {}, "w-3": {}}
+	idle := map[string]workload.WorkerLoad{"w-1": {Usable: true}, "w-2": {Usable: true}, "w-3": {Usable: true}}
 	first := time.Duration(-1)
 	for at := time.Duration(0); at < 20*time.Second && first < 0; at += 200 * time.Millisecond {
 		now := begin.Add(at)
@@ -240,3 +240,16 @@
 	assert.Greater(t, first, 5*time.Second)
 	assert.Less(t, first, 15*time.Second)
 }
+
+// The platform lists a VM as up whose worker has crashed. Its pool gets another.
+func TestVMWithoutUsableWorkerDoesNotCount(t *testing.T) {
+	c := newCore()
+	vms := []workload.VM{up("vm-1", "booking", "w-1"), up("vm-2", "booking", "w-2"), up("vm-3", "spare", "")}
+	later := begin.Add(10 * time.Second)
+	c.SetVMs(vms, begin)
+	c.SetVMs(vms, later)
+	c.SetLoad(load("booking", 0, 0, 0, map[string]workload.WorkerLoad{"w-1": {Usable: true}}), later)
+	moves := verbs(c.Step(later), fleet.Move)
+	require.Len(t, moves, 1)
+	assert.Equal(t, "booking", moves[0].Pool)
+}
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -14,7 +15,7 @@
 // a pool in demand gets VMs early and amply, and keeps them a while.
 const (
 	// headroom is what a pool gets beyond what it is expected to need, as a share.
-	headroom = 1.25
+	headroom = 1.1
 	// reaction is how long it takes from a need to a worker that serves it: the
 	// question for the load, the migration and the worker's registration.
 	reaction = 3 * time.Second
@@ -27,8 +28,8 @@
 	// back within it costs no move.
 	keepFor = 1200 * time.Millisecond
 	// patientFor is how long a pool keeps VMs that only the spare pool would get.
-	// A VM sent there and back costs as much as one that idles for 5 s.
-	patientFor = 8 * time.Second
+	// A VM sent there and back costs about as much as one that idles for 4 s.
+	patientFor = 4 * time.Second
 	// smallest is how many VMs a pool keeps at least.
 	smallest = 2
 	// spreadSpare is how many VMs a pool has beyond those that its lasting tasks
@@ -38,6 +39,12 @@
 	movesShare = 0.7
 	// wantFor is how long a move may wait for its VM to be emptied.
 	wantFor = 1500 * time.Millisecond
+	// joinTime is how long a worker may take from the list of VMs to its first
+	// answer to the owner of its service. One that takes longer counts as lost.
+	joinTime = 3 * time.Second
+	// trendJobs is how many jobs must have arrived within rateSpan for their rate
+	// to count: a few large ones are chance, and are seen in what waits.
+	trendJobs = 5
 	// loadsValid is how old a pool's load may be for decisions on it.
 	loadsValid = 1500 * time.Millisecond
 )
@@ -108,7 +115,7 @@
 func (l *poolLoad) rate(size workload.Resources) float64 {
 	first, last := l.samples[0], l.samples[len(l.samples)-1]
 	ms := float64(last.at.Sub(first.at).Milliseconds())
-	if ms <= 0 {
+	if ms <= 0 || last.work.Jobs-first.work.Jobs < trendJobs {
 		return 0
 	}
 	cores := float64(last.work.CoreMS-first.work.CoreMS) / ms
@@ -192,7 +199,7 @@
 			if !ok {
 				break
 			}
-			c.move(vm, b.pool, balances, now)
+			c.move(vm, b.pool, balances, now, fmt.Sprintf("%s has %d usable VMs and needs %d", b.pool, b.have, b.now))
 			moves++
 		}
 	}
@@ -205,14 +212,15 @@
 			if !ok {
 				break
 			}
-			c.move(vm, c.standby, balances, now)
+			b := balances[i]
+			c.move(vm, c.standby, balances, now, fmt.Sprintf("%s has %d usable VMs and has needed %d for a while", b.pool, b.have, b.rest))
 			moves++
 		}
 	}
 }
 
-func (c *Core) move(vm workload.VM, to string, balances []balance, now time.Time) {
-	c.works[vm.ID] = &work{vm: vm.ID, pool: vm.Pool, worker: vm.Worker, to: to, since: now, wantedFor: now.Add(wantFor)}
+func (c *Core) move(vm workload.VM, to string, balances []balance, now time.Time, reason string) {
+	c.works[vm.ID] = &work{vm: vm.ID, reason: reason, pool: vm.Pool, worker: vm.Worker, to: to, since: now, wantedFor: now.Add(wantFor)}
 	for i := range balances {
 		if balances[i].pool == vm.Pool {
 			balances[i].have--
@@ -238,7 +246,7 @@
 			}
 		}
 		for _, vm := range c.vms {
-			b.have += c.counts(vm, pool)
+			b.have += c.counts(vm, pool, now)
 		}
 		if now.Sub(l.since) < patientFor {
 			b.rest = max(b.rest, b.have) // not long enough known to be idle
@@ -249,7 +257,7 @@
 }
 
 // counts is 1 for a VM that a pool has or will have when what is under way ends.
-func (c *Core) counts(vm workload.VM, pool string) int {
+func (c *Core) counts(vm workload.VM, pool string, now time.Time) int {
 	w := c.works[vm.ID]
 	if w != nil && w.wave == 0 {
 		if w.to == pool {
@@ -257,12 +265,30 @@
 		}
 		return 0
 	}
-	if vm.Pool == pool && (vm.State == workload.VMUp || vm.State == workload.VMMaintenance || vm.State == workload.VMMoving) {
+	if vm.Pool != pool {
+		return 0
+	}
+	switch vm.State {
+	case workload.VMMaintenance, workload.VMMoving:
 		return 1
+	case workload.VMUp:
+		if w != nil || c.usable(vm, now) {
+			return 1
+		}
 	}
 	return 0
 }
 
+// usable tells whether a VM's worker does its part for its pool, or is about to.
+// The platform lists VMs as up whose worker has crashed or is cut off.
+func (c *Core) usable(vm workload.VM, now time.Time) bool {
+	if now.Sub(c.workerSeen[vm.Worker]) < joinTime {
+		return true
+	}
+	l := c.loads[vm.Pool]
+	return l != nil && l.load.Workers[vm.Worker].Usable
+}
+
 // donor finds a VM for a pool: first a spare one, then one that idles in a pool
 // that has more than it needs.
 func (c *Core) donor(balances []balance, to string, now time.Time) (workload.VM, bool) {
@@ -299,7 +325,7 @@
 			continue
 		}
 		load, known := l.load.Workers[vm.Worker]
-		if !known || load.Lasting > 0 || bare && load.Runs > 0 {
+		if !known || !load.Usable || load.Lasting > 0 || bare && load.Runs > 0 {
 			continue
 		}
 		if use := l.use(vm); best < 0 || use < bestUse {
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -37,7 +37,7 @@
 		c.replaced(w)
 	default:
 		if !w.silent {
-			c.note(Decision{Verb: "worker-silent", Worker: w.info.ID, Reason: r.Answer.Status.String(), Age: now.Sub(w.answered), Critical: true})
+			c.note(Decision{Verb: "worker-silent", Worker: w.info.ID, Reason: reasonOf(r.Answer), Age: now.Sub(w.answered), Critical: true})
 		}
 		w.silent = true
 		w.holdAfter = now.Add(holdRetry)
@@ -166,7 +166,9 @@
 
 // ended takes the end of a run.
 func (c *Core) ended(w *worker, e workload.RunEnd, now time.Time) {
+	took := time.Duration(0)
 	if r := w.find(e.Task, e.Run); r != nil {
+		took = now.Sub(r.orderedAt)
 		c.remove(r)
 	}
 	s, t := c.find(e.Task)
@@ -177,7 +179,7 @@
 		t.checkpoint = e.Checkpoint
 		s.checkpoint = e.Checkpoint
 	}
-	w.trust.count(e, s, now)
+	w.trust.count(e.How, s, took, now)
 	switch {
 	case s.job.final.Ended() || t.done:
 	case e.How == workload.EndDone && !s.spec.Lasting:
@@ -212,9 +214,8 @@
 // failed counts an attempt that failed by its own fault.
 func (c *Core) failed(w *worker, s *step, t *task, e workload.RunEnd, now time.Time) {
 	c.Counts.FailedRuns++
-	if !slices.Contains(t.avoid, w.info.ID) {
-		t.avoid = append(t.avoid, w.info.ID)
-	}
+	t.avoid = w.info.ID
+	t.avoidUntil = now.Add(avoidFor)
 	if s.spec.Lasting {
 		return // these have no limit of attempts
 	}
@@ -233,6 +234,10 @@
 	}
 }
 
+// avoidFor is how long a task that failed on a worker waits for room on others.
+// After that it may run there again: its failure may be its own.
+const avoidFor = time.Second
+
 // defaultAttempts is taken where the queue was removed while its jobs run.
 const defaultAttempts = 2
 
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -142,6 +142,35 @@
 	t.Log(fmt.Sprint(starts, " starts"))
 }
 
+// TestHandoversRunNothingTwice plays histories in which owners follow one another
+// every second or so, each with word of its runs. The caller notices nothing: no
+// task runs twice, and none is forgotten, though ends come in all the while.
+func TestHandoversRunNothingTwice(t *testing.T) {
+	for seed := range histories(t) / 3 {
+		w := newWorld(seed, faults{})
+		for i := range 12 { // room for all, also where many tasks last
+			w.addWorker("worker-"+strconv.Itoa(i), workload.Resources{CPU: 32000, MemoryMB: 64000})
+		}
+		w.takeOver()
+		for at := time.Duration(0); at < 15*time.Second; at += w.between(20*time.Millisecond, 300*time.Millisecond) {
+			w.after(at, func() { w.submit(w.randomSpec(), "quick") })
+		}
+		for at := time.Second; at < 16*time.Second; at += w.between(300*time.Millisecond, 1500*time.Millisecond) {
+			w.after(at, func() {
+				if !w.owner.dead {
+					w.handOver(w.between(10*time.Millisecond, 100*time.Millisecond))
+				}
+			})
+		}
+		w.run(60 * time.Second)
+		require.Empty(t, w.broken, "seed %d", seed)
+		for _, j := range w.jobs {
+			state, _ := w.owner.core.State(j.id)
+			require.True(t, state == workload.Completed || j.sub.Spec.Steps[0].Lasting, "seed %d: job %s is %s", seed, j.id, state)
+		}
+	}
+}
+
 // running counts the runs of a job that are on workers that live.
 func (w *world) running(id workload.JobID) int {
 	n := 0
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -44,7 +44,8 @@
 	runs       []*run  // live
 	failed     []int64 // run numbers that ended by the task's own fault
 	checkpoint string
-	avoid      []string  // workers where it failed
+	avoid      string    // worker where it failed last
+	avoidUntil time.Time // until then it isn't tried there again
 	notBefore  time.Time // the next run
 }
 
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -23,7 +23,7 @@
 		}
 		l := get(w.info.Service)
 		l.Used = l.Used.Add(w.used)
-		l.Workers[w.info.ID] = w.loadNow()
+		l.Workers[w.info.ID] = w.loadNow(now)
 	}
 	for service, work := range c.arrived {
 		get(service).Arrived = work
@@ -46,8 +46,9 @@
 }
 
 // loadNow is what a worker carries, by how hard it is to move.
-func (w *worker) loadNow() workload.WorkerLoad {
-	l := workload.WorkerLoad{Runs: len(w.runs), Used: w.used}
+func (w *worker) loadNow(now time.Time) workload.WorkerLoad {
+	usable := w.synced && !w.silent && !w.info.Draining && !now.Before(w.trust.suspendUntil)
+	l := workload.WorkerLoad{Usable: usable, Runs: len(w.runs), Used: w.used}
 	for _, r := range w.runs {
 		if r.step.spec.Lasting {
 			l.Lasting++
@@ -76,6 +77,7 @@
 // asked for. Lasting tasks are seen in what is used.
 func (c *Core) countArrival(j *job) {
 	work := c.arrived[j.sub.Service]
+	work.Jobs++
 	for _, s := range j.steps {
 		if s.spec.Lasting {
 			continue
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -93,7 +93,7 @@
 func (w *worker) takes(now time.Time) bool {
 	return w.synced && !w.silent && !w.missing && !w.info.Draining &&
 		w.orders < maxOrders && !now.Before(w.fullUntil) &&
-		!now.Before(w.evacuateUntil) && w.trust.allows(now, len(w.runs))
+		!now.Before(w.evacuateUntil) && w.trust.allows(now, w.passing())
 }
 
 func (w *worker) free() workload.Resources { return w.info.Capacity.Sub(w.used) }
@@ -117,7 +117,7 @@
 		}
 		w := p.best(s, t, now)
 		if w == nil {
-			if len(t.avoid) > 0 {
+			if t.avoid != "" {
 				continue // another task of the step may have more choice
 			}
 			return
@@ -141,10 +141,16 @@
 	var best *worker
 	var bestScore float64
 	for _, w := range p.workers {
-		if !s.fits(w, now) || slices.Contains(t.avoid, w.info.ID) && len(t.avoid) < len(p.workers) {
+		if !s.fits(w, now) {
 			continue
 		}
 		score := s.score(w)
+		if w.info.ID == t.avoid {
+			if now.Before(t.avoidUntil) && !s.spec.Lasting {
+				continue
+			}
+			score -= avoidWeight
+		}
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -167,6 +173,7 @@
 const (
 	nearWeight  = 10.0
 	quietWeight = 2.0 // a filling task beside no serving one
+	avoidWeight = 5.0 // against a worker where the task failed last
 	// togetherWeight draws lasting tasks to workers that have such.
 	togetherWeight = 1.0
 )
@@ -207,6 +214,17 @@
 	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.step.spec.TargetMS > 0 })
 }
 
+// passing is how many runs will end by themselves.
+func (w *worker) passing() int {
+	n := 0
+	for _, r := range w.runs {
+		if !r.step.spec.Lasting {
+			n++
+		}
+	}
+	return n
+}
+
 // lasts tells whether a lasting task runs on the worker.
 func (w *worker) lasts() bool {
 	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.step.spec.Lasting })
--- a/internal/scheduler/started.go
+++ b/internal/scheduler/started.go
@@ -59,7 +59,7 @@
 		r.since = now
 	case workload.WorkerUnknown:
 		c.Counts.Uncertain++
-		c.note(Decision{Verb: "uncertain", Job: o.Task.Job, Task: o.Task.String(), Worker: w.info.ID, Run: o.Run, Reason: "start without an answer", Critical: true})
+		c.note(Decision{Verb: "uncertain", Job: o.Task.Job, Task: o.Task.String(), Worker: w.info.ID, Run: o.Run, Reason: "start without an answer: " + reasonOf(o.Answer), Critical: true})
 		if r.state == runStarting {
 			r.state = runUncertain
 		}
@@ -73,7 +73,7 @@
 // refused takes a start that certainly did nothing.
 func (c *Core) refused(w *worker, r *run, o OrderResult, now time.Time) {
 	c.Counts.Refused++
-	c.note(Decision{Verb: "refused", Job: o.Task.Job, Task: o.Task.String(), Worker: w.info.ID, Run: o.Run, Reason: o.Answer.Status.String()})
+	c.note(Decision{Verb: "refused", Job: o.Task.Job, Task: o.Task.String(), Worker: w.info.ID, Run: o.Run, Reason: reasonOf(o.Answer)})
 	t := r.task()
 	t.notBefore = now.Add(refusedPause)
 	c.remove(r)
@@ -158,3 +158,11 @@
 		r.paced = -1
 	}
 }
+
+// reasonOf says how a worker answered, for the log.
+func reasonOf(a workload.WorkerAnswer) string {
+	if a.Err == nil {
+		return a.Status.String()
+	}
+	return a.Status.String() + ": " + a.Err.Error()
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -194,7 +194,9 @@
 		if w.holding || now.Before(w.holdAfter) || w.info.Address == "" {
 			continue
 		}
-		needed := !w.synced || len(w.runs) > 0 || w.seen > w.acked
+		// One that did not answer gets nothing until it does, so it is asked also
+		// when it has nothing to tell.
+		needed := !w.synced || w.silent || len(w.runs) > 0 || w.seen > w.acked
 		if !needed {
 			continue
 		}
--- a/internal/workload/load.go
+++ b/internal/workload/load.go
@@ -20,6 +20,8 @@
 
 // WorkerLoad is what one worker carries.
 type WorkerLoad struct {
+	// Usable is set if the worker answers and may get starts now or soon.
+	Usable  bool      `json:"k,omitempty"`
 	Runs    int       `json:"n,omitempty"`
 	Lasting int       `json:"l,omitempty"`
 	Used    Resources `json:"u"`
@@ -27,6 +29,7 @@
 
 // Work is an amount of resources over time.
 type Work struct {
+	Jobs   int64 `json:"j,omitempty"`
 	CoreMS int64 `json:"c,omitempty"` // core-milliseconds
 	MBMS   int64 `json:"m,omitempty"` // MB-milliseconds
 }
