Check starts after ends that are acknowledged later in the random histories

Cause: the checker saw a doubled run only if the first end had been acknowledged before; leaving out the unstored ends of a handover passed it. Change: it remembers runs that ended before a start, and takes their later acknowledgement for a break, unless the lease lapsed between.

--- a/internal/scheduler/fakeworker_test.go
+++ b/internal/scheduler/fakeworker_test.go
@@ -24,6 +24,7 @@
 	ends     []workload.RunEnd
 	number   int64
 	highest  map[string]int64 // of runs that stopped or ended, by task
+	lapsed   int64            // ends up to this number were listed when the lease lapsed
 	waiting  []func()
 }
 
@@ -86,6 +87,7 @@
 	if f.gone || f.clock() < f.leaseEnd {
 		return
 	}
+	f.lapsed = f.number
 	for _, r := range slices.Clone(f.runs) {
 		f.end(r, workload.EndLapsed)
 	}
@@ -149,7 +151,9 @@
 	f.highest[name] = max(f.highest[name], r.number)
 	f.ends = append(f.ends, workload.RunEnd{Number: f.number, Task: r.task, Run: r.number, How: how})
 	if how == workload.EndDone {
-		f.w.jobs[r.task.Job].done[name] = true
+		j := f.w.jobs[r.task.Job]
+		j.done[name] = true
+		j.doneRuns[name] = append(j.doneRuns[name], r.number)
 	}
 	waiting := f.waiting
 	f.waiting = nil
@@ -204,7 +208,14 @@
 		j := f.w.jobs[e.Task.Job]
 		switch e.How {
 		case workload.EndDone:
-			j.noted[e.Task.String()] = true
+			name := e.Task.String()
+			if e.Number <= f.lapsed {
+				break // nobody could know of it in time
+			}
+			j.noted[name] = true
+			if j.again[runName(name, e.Run)] {
+				f.w.breaks("TWICE", name+" was started again before its end was acknowledged")
+			}
 		case workload.EndFailed:
 			j.failed[e.Task.String()]++
 		}
@@ -235,12 +246,17 @@
 	f.w.listed = slices.DeleteFunc(f.w.listed, func(i workload.Worker) bool { return i.ID == f.info.ID })
 }
 
+func runName(task string, run int64) string { return fmt.Sprint(task, "#", run) }
+
 // checkStart checks the promises about a start.
 func (w *world) checkStart(j *fakeJob, spec *workload.Step, s workload.Start, on *fakeWorker) {
 	name := s.Task.String()
 	if j.noted[name] && !spec.Speculative {
 		w.breaks("TWICE", name+" starts after its end was acknowledged")
 	}
+	for _, run := range j.doneRuns[name] {
+		j.again[runName(name, run)] = !spec.Speculative // allowed only where that end is lost
+	}
 	if j.shown == workload.Completed {
 		w.breaks("TWICE", name+" starts after its job was shown as completed")
 	}
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -52,6 +52,7 @@
 	workers map[string]*fakeWorker
 	listed  []workload.Worker // the registry
 	owner   *fakeOwner
+	owners  []*fakeOwner // all that there were
 	epoch   int64
 	jobs    map[workload.JobID]*fakeJob
 	broken  []string
@@ -74,6 +75,8 @@
 	cancelled time.Time // when the cancel was stored
 	done      map[string]bool
 	noted     map[string]bool // ends that were acknowledged
+	doneRuns  map[string][]int64
+	again     map[string]bool // runs that ended as done before another start
 	failed    map[string]int
 	shown     workload.State
 }
@@ -171,7 +174,7 @@
 	}
 	id = workload.JobID(digits)
 	sub := &workload.Submission{Queue: queue, Service: "service", AcceptedMS: w.now.UnixMilli(), Spec: spec}
-	j := &fakeJob{id: id, sub: sub, done: map[string]bool{}, noted: map[string]bool{}, failed: map[string]int{}}
+	j := &fakeJob{id: id, sub: sub, done: map[string]bool{}, noted: map[string]bool{}, doneRuns: map[string][]int64{}, again: map[string]bool{}, failed: map[string]int{}}
 	w.jobs[id] = j
 	w.stored(workload.Record{Job: id, Submission: sub})
 	return j
@@ -184,15 +187,17 @@
 	}
 }
 
-// stored stores a record of a caller's and tells the owner, which follows the log.
+// stored stores a record of a caller's and tells all owners that live, as each
+// follows the log.
 func (w *world) stored(r workload.Record) {
 	w.store.put(r)
-	o := w.owner
-	w.after(w.between(time.Millisecond, 20*time.Millisecond), func() {
-		if o != nil && o.loaded && !o.dead {
-			o.apply(r)
-		}
-	})
+	for _, o := range w.owners {
+		w.after(w.between(time.Millisecond, 20*time.Millisecond), func() {
+			if o.loaded && !o.dead {
+				o.apply(r)
+			}
+		})
+	}
 }
 
 // fakeOwner runs a Core as an owner's process does.
@@ -218,6 +223,7 @@
 	w.epoch++
 	o := &fakeOwner{w: w, epoch: w.epoch}
 	w.owner = o
+	w.owners = append(w.owners, o)
 	o.fence()
 }
 
