Keep room for lasting tasks on a full service

Ruled out: a worker set aside (none was), tickets, the budget of its step. Change: a task that is owed and fits nowhere keeps one worker from lower ranks.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -481,3 +481,54 @@
 	}
 	assert.Contains(t, started, first)
 }
+
+// A service is full of short tasks, and a large lasting one has to start again.
+// Each bit of room that comes free would go to short ones for ever: room is kept
+// for it on one worker until it fits.
+func TestLargeLastingTaskGetsRoomOnAFullService(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1", "w-2")
+	n := 0
+	fill := func() {
+		n++
+		r.submit("00000000000001"+string(rune('0'+n/10))+string(rune('0'+n%10)), batch(8, 1000))
+	}
+	running := map[string][]scheduler.StartOrder{}
+	number := map[string]int64{}
+	step := func() (lasting bool) {
+		for _, s := range r.step(100 * time.Millisecond).Starts {
+			r.started(s, workload.WorkerOK)
+			lasting = lasting || s.Start.Task.Job == "0000000000000999"
+			running[s.Worker.ID] = append(running[s.Worker.ID], s)
+		}
+		return lasting
+	}
+	fill()
+	fill()
+	fill()
+	step()
+	r.submit("0000000000000999", workload.Step{Count: 1, Need: workload.Resources{CPU: 6000, MemoryMB: 100}, Lasting: true})
+	for round := range 40 {
+		if step() {
+			return
+		}
+		// One task ends on each worker in turn, and more jobs come.
+		worker := []string{"w-1", "w-2"}[round%2]
+		if len(running[worker]) == 0 {
+			continue
+		}
+		done := running[worker][0]
+		running[worker] = running[worker][1:]
+		number[worker]++
+		var held workload.Held
+		for _, s := range running[worker] {
+			held.Running = append(held.Running, workload.RunState{Task: s.Start.Task, Run: s.Start.Run, Percent: 100})
+		}
+		held.Finished = end(number[worker], done, workload.EndDone).Finished
+		r.held(worker, r.now.Add(time.Millisecond), held)
+		if round%3 == 0 {
+			fill()
+		}
+	}
+	t.Fatal("the lasting task never got room")
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -21,13 +21,52 @@
 			continue
 		}
 		for _, s := range cand.job.steps {
-			if s.idle > 0 && s.ready(now) {
-				c.placeStep(pool, s, now)
+			if s.idle == 0 || !s.ready(now) {
+				continue
+			}
+			c.placeStep(pool, s, now)
+			if cand.class == classLasting && s.idle > 0 {
+				pool.keepRoom(s)
 			}
 		}
 	}
 }
 
+// keepRoom keeps room for a task that is owed and fits nowhere: one worker that
+// could run it gets nothing of lower rank until it fits. Without it each bit of
+// room that comes free goes to smaller tasks, and a large one waits for ever.
+// The worker with the most room is taken: it gets nothing new, so it stays the
+// one with the most room from plan to plan.
+func (p *pool) keepRoom(s *step) {
+	best := -1
+	for i, w := range p.workers {
+		if !s.spec.Reserve().Fits(w.info.Capacity.Sub(w.lastingUse())) || !w.info.HasLabel(s.spec.Label) {
+			continue
+		}
+		if s.spec.MaxPerWorker > 0 && s.perWorker[w.info.ID] >= s.spec.MaxPerWorker {
+			continue
+		}
+		if best < 0 || w.load() < p.workers[best].load() {
+			best = i
+		}
+	}
+	if best >= 0 {
+		p.workers = slices.Delete(p.workers, best, best+1)
+		p.measure()
+	}
+}
+
+// lastingUse is what lasting tasks have reserved; it doesn't come free by itself.
+func (w *worker) lastingUse() workload.Resources {
+	var sum workload.Resources
+	for _, r := range w.runs {
+		if r.step.spec.Lasting {
+			sum = sum.Add(r.step.spec.Reserve())
+		}
+	}
+	return sum
+}
+
 // planInterval is the longest pause between two plans while nothing changes:
 // due times and pauses run out without a message.
 const planInterval = 100 * time.Millisecond
