--- /dev/null
+++ b/internal/testkit/jobs.go
@@ -0,0 +1,198 @@
+package testkit
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform/standin"
+)
+
+const binNode = "yuccadrift-node"
+
+// settingsFlag names the settings file to a node's process.
+const settingsFlag = "--config"
+
+// JobCluster is a stand-in of the users' platform with nodes as processes.
+type JobCluster struct {
+	Platform *standin.Platform
+	Nodes    []*JobNode
+
+	t      testing.TB
+	client *http.Client
+	nextID int
+}
+
+// JobNode is a node of a JobCluster.
+type JobNode struct {
+	*Process
+	caller, ready string
+}
+
+// StartJobs starts a stand-in and so many nodes, and waits until they are ready.
+func StartJobs(t testing.TB, o standin.Options, nodes int) *JobCluster {
+	t.Helper()
+	p, err := standin.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Stop)
+	c := &JobCluster{Platform: p, t: t, client: &http.Client{Timeout: 4 * time.Second}}
+	ip, dir := loopback(), t.TempDir()
+	for i := range nodes {
+		c.Nodes = append(c.Nodes, c.newNode(dir, ip, i))
+	}
+	for _, n := range c.Nodes {
+		n.Start()
+	}
+	c.AwaitReady()
+	return c
+}
+
+// ports of a node, next to one another.
+const nodePorts = 4
+
+func (c *JobCluster) newNode(dir, ip string, i int) *JobNode {
+	first := freePorts(c.t, ip)
+	place := standin.NodePlace{
+		Name: "node-" + strconv.Itoa(i), Zone: "zone-" + strconv.Itoa(i%2), IP: ip,
+		Caller: first, Ready: first + 1, FirstPeer: first + 2, LastPeer: first + 3,
+	}
+	file := filepath.Join(dir, place.Name+".toml")
+	if err := os.WriteFile(file, []byte(c.Platform.Settings(place)), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return &JobNode{
+		Process: newProcess(c.t, dir, place.Name, binary(c.t, binNode), settingsFlag, file),
+		caller:  "http://" + net.JoinHostPort(ip, strconv.Itoa(place.Caller)),
+		ready:   "http://" + net.JoinHostPort(ip, strconv.Itoa(place.Ready)),
+	}
+}
+
+// freePorts finds ports next to one another that are free on an IP number of
+// this process's own.
+func freePorts(t testing.TB, ip string) int {
+	t.Helper()
+	for range 50 {
+		first, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := first.Addr().(*net.TCPAddr).Port
+		held := []net.Listener{first}
+		for i := 1; i < nodePorts; i++ {
+			if l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port+i))); err == nil {
+				held = append(held, l)
+			}
+		}
+		for _, l := range held {
+			_ = l.Close()
+		}
+		if len(held) == nodePorts {
+			return port
+		}
+	}
+	t.Fatal("no free ports next to one another")
+	return 0
+}
+
+// AwaitReady waits until all nodes that run are ready.
+func (c *JobCluster) AwaitReady() {
+	c.t.Helper()
+	for _, n := range c.Nodes {
+		if n.Running() {
+			c.Until(n.Name+" is ready", func() bool { return answers(n.ready + "/v1/readyz") })
+		}
+	}
+}
+
+// Until waits for a condition.
+func (c *JobCluster) Until(what string, holds func() bool) {
+	c.t.Helper()
+	until(c.t, what, holds)
+}
+
+// NewID returns a new job ID.
+func (c *JobCluster) NewID() workload.JobID {
+	c.nextID++
+	return workload.JobID(fmt.Sprintf("%016x", c.nextID))
+}
+
+// JobBody is the body of a job of steps that follow one another, each with so
+// many tasks that take a time.
+func JobBody(takes time.Duration, counts ...int) string {
+	steps := ""
+	for i, n := range counts {
+		after := ""
+		if i > 0 {
+			steps += ","
+			after = fmt.Sprintf(`,"depends_on":[%d]`, i-1)
+		}
+		steps += fmt.Sprintf(`{"count":%d,"cpu":1000,"mem_mb":500,"estimated_ms":%d%s}`, n, takes.Milliseconds(), after)
+	}
+	return fmt.Sprintf(`{"spec":%q,"steps":[%s]}`, standin.Payload(takes), steps)
+}
+
+// Call sends one call to a node and returns the status, 0 without an answer.
+func (c *JobCluster) Call(n *JobNode, method, path, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(c.t.Context(), 4*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, n.caller+path, bytes.NewBufferString(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	req.Host = standin.Host
+	req.Header.Set("X-Request-Timeout-Ms", "3000")
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(data)
+}
+
+// Submit submits a job until a node takes it: a caller tries other nodes with the
+// same ID after anything but an answer that it was taken.
+func (c *JobCluster) Submit(service string, id workload.JobID, body string) {
+	c.t.Helper()
+	tries := 0
+	c.Until("job "+string(id)+" is taken", func() bool {
+		tries++
+		n := c.Nodes[(c.nextID+tries)%len(c.Nodes)]
+		status, _ := c.Call(n, http.MethodPost, standin.Prefix(service)+string(id), body)
+		return status == http.StatusOK
+	})
+}
+
+// State asks nodes for a job's state until one tells it.
+func (c *JobCluster) State(service string, id workload.JobID) string {
+	for _, n := range c.Nodes {
+		if !n.Running() {
+			continue
+		}
+		if status, body := c.Call(n, http.MethodGet, standin.Prefix(service)+string(id), ""); status == http.StatusOK {
+			return body
+		}
+	}
+	return ""
+}
+
+// AwaitState waits until a job has a state.
+func (c *JobCluster) AwaitState(service string, id workload.JobID, state workload.State) {
+	c.t.Helper()
+	want := `{"state":"` + string(state) + `"}`
+	c.Until(fmt.Sprintf("job %s is %s", id, state), func() bool { return c.State(service, id) == want })
+}
