Count VMs that an earlier fleet owner has ordered to a wave's cap

Change: VMs that the list shows in maintenance count, and those with a stored order that the list may not show yet. The new test fails before.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -253,3 +253,18 @@
 	require.Len(t, moves, 1)
 	assert.Equal(t, "booking", moves[0].Pool)
 }
+
+// An owner of the fleet is killed with VMs of a wave away. The one that follows
+// counts them to the cap: those that the list shows, and those that were ordered
+// just now, which it may not show yet.
+func TestNewOwnerCountsVMsThatAreAwayToTheCap(t *testing.T) {
+	c := newCore()
+	c.OrderedBefore("vm-2", begin.Add(-50*time.Millisecond))
+	c.SetWaves([]workload.Wave{{Number: 1, VMs: []string{"vm-1", "vm-2", "vm-3", "vm-4"}, Duration: time.Second, Cap: 2}}, begin)
+	away := up("vm-1", "booking", "")
+	away.State = workload.VMMaintenance
+	c.SetVMs([]workload.VM{away, up("vm-2", "booking", "w-2"), up("vm-3", "booking", "w-3"), up("vm-4", "booking", "w-4")}, begin)
+	actions := c.Step(begin.Add(100 * time.Millisecond))
+	assert.Empty(t, verbs(actions, fleet.Empty))
+	assert.Empty(t, verbs(actions, fleet.Maintain))
+}
--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -20,7 +20,7 @@
 		if len(due) == 0 {
 			continue
 		}
-		for c.underWay(n) < c.pace(s, len(due), now) {
+		for c.underWay(s, now) < c.pace(s, len(due), now) {
 			vm, ok := c.next(due, now)
 			if !ok {
 				break
@@ -59,10 +59,15 @@
 	return min(n+slow, max(1, s.wave.Cap))
 }
 
-func (c *Core) underWay(wave int64) int {
+// underWay is how many VMs of a wave are away or about to be. An earlier owner's
+// orders count, too: by the list, and where they are too new for it by the word
+// that was stored ahead of them.
+func (c *Core) underWay(s *waveState, now time.Time) int {
 	n := 0
-	for _, w := range c.works {
-		if w.wave == wave {
+	for _, id := range s.wave.VMs {
+		w := c.works[id]
+		ours := w != nil && w.wave == s.wave.Number
+		if ours || c.byID[id].State == workload.VMMaintenance || w == nil && !c.mayOrder(id, now) {
 			n++
 		}
 	}
