Doubt runs that an earlier owner may have told to stop; take new workers only when confirmed

Change: a run that was taken over counts as at work once it is listed after a stop would have ended it; a list of workers counts once a later join has confirmed the ownership.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,6 +118,9 @@
 	unique := func() string { return ulid.Make().String() }
 	n.manager = ownership.New(n.store, logger.Named("ownership"), s.Node, self, []string{joblog.Topic, joblog.FleetTopic}, unique, n.own)
 	n.owners.manager = n.manager
+	n.deps.Confirmed = func(partition int) time.Time {
+		return n.manager.Confirmed(platform.Partition{Topic: joblog.Topic, Part: partition})
+	}
 	return n, n.listen(ctx, registryOfMetrics)
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -70,6 +70,8 @@
 	Logger    hclog.Logger
 	Metrics   *Metrics
 	Bounds    platform.Bounds
+	// Confirmed is when it was last certain that no other node owns a partition.
+	Confirmed func(partition int) time.Time
 	// Partitions is how many the topic has.
 	Partitions int
 	// Lease of all runs.
@@ -89,7 +91,8 @@
 	inbox     chan event
 	// loaded is closed once the machine knows all that is stored.
 	loaded  chan struct{}
-	version int64 // of the list of workers
+	version int64 // of the list of workers that the machine has
+	listed  registry.Snapshot
 	config  *workload.Config
 	counts  scheduler.Counts
 	// unfinished is the latest write; it may be under way.
@@ -227,6 +230,7 @@
 		Lease:        o.deps.Lease,
 		StateKept:    o.deps.Bounds.StateKept,
 		RemoteFactor: o.deps.Bounds.RemoteFactor,
+		Stop:         o.deps.Bounds.Stop,
 	}
 	if told {
 		return scheduler.New(cfg, fenced, nil, false)
@@ -361,19 +365,27 @@
 }
 
 // refresh hands over a new configuration and list of workers.
+//
+// A list counts only once the group has confirmed the ownership after it was
+// read. An owner that was replaced without knowing could otherwise start a task
+// on a worker that registered since, which the next owner has not held yet and
+// so not closed to it. With the rule the next owner, which reads the list after
+// that, has that worker on it and holds it before it starts anything.
 func (o *Owner) refresh(core *scheduler.Core) {
 	if config := o.deps.Published.Config(); config != nil && config != o.config {
 		o.config = config
 		core.SetConfig(config)
 	}
 	now := time.Now()
-	snap := o.deps.Registry.Snapshot(now)
-	if snap.Version == o.version {
+	if o.listed.Version == o.version {
+		o.listed = o.deps.Registry.Snapshot(now)
+	}
+	if o.listed.Version == o.version || o.deps.Confirmed(o.partition).Before(o.listed.AnsweredAt) {
 		return
 	}
-	o.version = snap.Version
+	o.version = o.listed.Version
 	var own []workload.Worker
-	for _, w := range snap.Workers {
+	for _, w := range o.listed.Workers {
 		if o.owns(w.Service) {
 			own = append(own, w)
 		}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -20,7 +20,7 @@
 // Times of membership.
 const (
 	// joinInterval is the pause between joins; several fit into the time to live.
-	joinInterval = 300 * time.Millisecond
+	joinInterval = 200 * time.Millisecond
 	// memberTTL is after how long without a join a member's partitions go to
 	// others. With the takeover it must stay within a lease.
 	memberTTL = 1500 * time.Millisecond
@@ -64,6 +64,8 @@
 	epoch  int64
 	cancel context.CancelFunc
 	done   chan struct{}
+	// confirmed is when the latest join was sent whose answer listed it.
+	confirmed time.Time
 }
 
 // nameSeparator joins the parts of a member's name: node, address for other
@@ -94,10 +96,11 @@
 	for ctx.Err() == nil {
 		generation = m.restart(ctx, generation)
 		member := platform.Member{Group: group, Name: m.member, Topics: m.topics, TTL: ttl, Generation: generation}
+		sent := time.Now()
 		a, status, err := m.store.Join(ctx, member)
 		if status == platform.StoreOK {
 			generation = a.Generation
-			m.assign(ctx, a)
+			m.assign(ctx, a, sent)
 		} else {
 			m.logger.Debug("group can't be joined", "status", status.String(), "error", err)
 		}
@@ -128,8 +131,8 @@
 	return 0
 }
 
-// assign starts and stops owners by what the group says.
-func (m *Manager) assign(ctx context.Context, a platform.Assignment) {
+// assign starts and stops owners by what the group said to a join sent at a time.
+func (m *Manager) assign(ctx context.Context, a platform.Assignment, sent time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	listed := map[platform.Partition]bool{}
@@ -138,6 +141,7 @@
 		if m.held[p] == nil {
 			m.held[p] = m.start(ctx, p, a.Generation)
 		}
+		m.held[p].confirmed = sent
 	}
 	for p, h := range m.held {
 		if !listed[p] {
@@ -165,6 +169,17 @@
 	return h
 }
 
+// Confirmed is when the latest join was sent that confirmed a partition to this
+// process: no other has taken it over before. Zero if it isn't held.
+func (m *Manager) Confirmed(p platform.Partition) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h := m.held[p]; h != nil {
+		return h.confirmed
+	}
+	return time.Time{}
+}
+
 // Owns tells whether the node owns any partition of a topic.
 func (m *Manager) Owns(topic string) bool {
 	m.mu.Lock()
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -36,6 +36,7 @@
 	view    *View
 	version int64
 	readAt  time.Time // when the latest good read was sent
+	goodAt  time.Time // when it was answered
 	needed  bool
 	next    int64
 }
@@ -57,14 +58,16 @@
 	Workers []workload.Worker
 	Version int64     // rises with each change
 	SentAt  time.Time // of the read that it rests on; zero before the first
-	Settled bool      // no outage of the store has ended just now
+	// AnsweredAt is when that read was answered.
+	AnsweredAt time.Time
+	Settled    bool // no outage of the store has ended just now
 }
 
 // Snapshot returns the list.
 func (f *Follower) Snapshot(now time.Time) Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Snapshot{Workers: f.view.List(now), Version: f.version, SentAt: f.readAt, Settled: f.view.Settled(now)}
+	return Snapshot{Workers: f.view.List(now), Version: f.version, SentAt: f.readAt, AnsweredAt: f.goodAt, Settled: f.view.Settled(now)}
 }
 
 // Run reads until ctx ends.
@@ -112,7 +115,8 @@
 func (f *Follower) apply(batch platform.Batch, whole bool, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.Good(time.Now())
+	f.goodAt = time.Now()
+	f.view.Good(f.goodAt)
 	f.readAt = sent
 	f.version++
 	var list []workload.Worker
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -33,6 +33,8 @@
 	Lease time.Duration
 	// StateKept is for how long an ended job is known.
 	StateKept time.Duration
+	// Stop is what a stop takes at most.
+	Stop time.Duration
 	// RemoteFactor is how many times as long a task takes away from its data.
 	RemoteFactor float64
 }
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -20,7 +20,7 @@
 
 func newRig(t *testing.T, suspects ...string) *rig {
 	r := &rig{t: t, now: epochStart}
-	r.core = scheduler.New(scheduler.Settings{Epoch: 3, Lease: testLease, StateKept: time.Hour, RemoteFactor: 2}, r.now, suspects, false)
+	r.core = scheduler.New(scheduler.Settings{Epoch: 3, Lease: testLease, StateKept: time.Hour, RemoteFactor: 2, Stop: stopTime}, r.now, suspects, false)
 	r.core.SetConfig(testConfig)
 	return r
 }
@@ -459,7 +459,7 @@
 	require.Len(t, left.Runs, 1)
 
 	next := &rig{t: t, now: r.now}
-	next.core = scheduler.New(scheduler.Settings{Epoch: 4, Lease: testLease, StateKept: time.Hour, RemoteFactor: 2}, next.now, nil, false)
+	next.core = scheduler.New(scheduler.Settings{Epoch: 4, Lease: testLease, StateKept: time.Hour, RemoteFactor: 2, Stop: stopTime}, next.now, nil, false)
 	next.core.SetConfig(testConfig)
 	next.submit(string(first), batch(1, 1000))
 	second := next.submit("0000000000000002", batch(1, 1000))
--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -81,10 +81,10 @@
 	return away < s.spec.MayMiss
 }
 
-// atWork tells whether a lasting task does its full work.
+// atWork tells whether a lasting task does its full work, and surely goes on.
 func (t *task) atWork() bool {
 	for _, r := range t.runs {
-		if r.state == runRunning && r.percent >= fullPace && !r.worker.silent {
+		if r.state == runRunning && r.percent >= fullPace && !r.worker.silent && r.sure {
 			return true
 		}
 	}
--- a/internal/scheduler/fakeworker_test.go
+++ b/internal/scheduler/fakeworker_test.go
@@ -29,6 +29,8 @@
 }
 
 type fakeRun struct {
+	lasting bool
+	begun   time.Time
 	task    workload.TaskKey
 	number  int64
 	need    workload.Resources
@@ -125,7 +127,9 @@
 		return workload.WorkerAnswer{Status: workload.WorkerFull}
 	}
 	f.w.checkStart(j, spec, s, f)
-	r := &fakeRun{task: s.Task, number: s.Run, need: spec.Reserve()}
+	r := &fakeRun{task: s.Task, number: s.Run, need: spec.Reserve(), lasting: spec.Lasting, begun: f.w.now}
+	delete(j.ordered, name)
+	j.lastSeen[name] = f.w.now
 	f.runs = append(f.runs, r)
 	f.w.starts++
 	if !spec.Lasting {
@@ -145,6 +149,7 @@
 		return
 	}
 	r.ended = true
+	f.w.jobs[r.task.Job].lastSeen[r.task.String()] = f.w.now
 	f.runs = slices.DeleteFunc(f.runs, func(x *fakeRun) bool { return x == r })
 	f.number++
 	name := r.task.String()
@@ -187,6 +192,7 @@
 	f.highest[name] = max(f.highest[name], s.Run)
 	for _, r := range f.runs {
 		if r.task == s.Task && r.number <= s.Run && !r.stopped {
+			f.w.checkStop(r)
 			r.stopped = true
 			f.w.after(stopTime, func() { f.end(r, workload.EndStopped) })
 		}
@@ -237,6 +243,9 @@
 // incarnation comes.
 func (f *fakeWorker) crash() {
 	f.gone = true
+	for _, r := range f.runs {
+		f.w.jobs[r.task.Job].lastSeen[r.task.String()] = f.w.now
+	}
 	f.runs = nil
 	f.w.after(4500*time.Millisecond, func() { f.unregister() })
 	f.w.after(5*time.Second, func() { f.w.addWorker(f.info.ID+"'", f.info.Capacity) })
@@ -246,6 +255,47 @@
 	f.w.listed = slices.DeleteFunc(f.w.listed, func(i workload.Worker) bool { return i.ID == f.info.ID })
 }
 
+// notice is how long a lasting task may be away before it counts as missing
+// whatever the cause.
+const notice = 4500 * time.Millisecond
+
+// checkStop checks that the step of a lasting task bears its stop: others that
+// were stopped, or are away for long, are within what it may miss.
+func (w *world) checkStop(r *fakeRun) {
+	j := w.jobs[r.task.Job]
+	spec := &j.sub.Spec.Steps[r.task.Step]
+	name := r.task.String()
+	if !spec.Lasting || spec.MayMiss == 0 || !j.cancelled.IsZero() {
+		return
+	}
+	away := 0
+	for i := range spec.Count {
+		other := workload.TaskKey{Job: j.id, Step: r.task.Step, Index: i}
+		if other == r.task || w.atWork(other) {
+			continue
+		}
+		if j.ordered[other.String()] || w.now.Sub(j.lastSeen[other.String()]) > notice {
+			away++
+		}
+	}
+	if away >= spec.MayMiss {
+		w.breaks("AVAIL", fmt.Sprintf("%s is stopped while %d others are away", name, away))
+	}
+	j.ordered[name] = true
+}
+
+// atWork tells whether a task runs on a worker that lives.
+func (w *world) atWork(key workload.TaskKey) bool {
+	for _, f := range w.workers {
+		for _, r := range f.runs {
+			if r.task == key && !f.gone && !r.stopped {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func runName(task string, run int64) string { return fmt.Sprint(task, "#", run) }
 
 // checkStart checks the promises about a start.
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -73,6 +73,8 @@
 			moved:     now,
 			paced:     fullPace,
 			confirmed: left.Confirmed,
+
+			doubtUntil: now.Add(c.cfg.Stop + stopSlack),
 		})
 	}
 }
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -77,7 +77,7 @@
 		w.holdAfter = now.Add(ackPause)
 	}
 	for _, row := range r.Held.Running {
-		c.listed(w, row, now)
+		c.listed(w, row, r.SentAt, now)
 	}
 	if len(r.Held.Finished) < maxListedEnds {
 		c.missed(w, r, now)
@@ -91,8 +91,8 @@
 	c.dirtyPlan = true
 }
 
-// listed takes a run that a worker lists.
-func (c *Core) listed(w *worker, row workload.RunState, now time.Time) {
+// listed takes a run that a worker lists in answer to a look sent at a time.
+func (c *Core) listed(w *worker, row workload.RunState, sent, now time.Time) {
 	r := w.find(row.Task, row.Run)
 	if r == nil {
 		r = c.adopt(w, row, now)
@@ -108,6 +108,7 @@
 		r.moved = now
 	}
 	r.confirmed = true
+	r.sure = !sent.Before(r.doubtUntil)
 	r.percent = row.Percent
 	r.load = row.Load
 	r.checkpoint = row.Checkpoint
@@ -128,7 +129,7 @@
 		c.out.Stops = append(c.out.Stops, StopOrder{Worker: w.info, Task: row.Task, Run: row.Run, Token: w.token})
 		return nil
 	}
-	r := &run{step: s, index: row.Task.Index, number: row.Run, worker: w, state: runRunning, since: now, orderedAt: now, paced: fullPace}
+	r := &run{step: s, index: row.Task.Index, number: row.Run, worker: w, state: runRunning, since: now, orderedAt: now, paced: fullPace, doubtUntil: now.Add(c.cfg.Stop + stopSlack)}
 	others := len(t.runs)
 	w.add(r)
 	switch {
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -191,6 +191,63 @@
 	return false
 }
 
+// TestEmptyingInRandomHistories plays histories in which workers are emptied one
+// after the other, as in a wave, while owners are killed and hand over, workers
+// crash or are cut off, and orders get lost or late. No more of a step's lasting
+// tasks are taken away at once than it may miss, and each worker becomes empty.
+func TestEmptyingInRandomHistories(t *testing.T) {
+	for seed := range histories(t) {
+		w := newWorld(seed, faults{lostAnswer: 0.01, failedTask: 0.01, storeLost: 0.02})
+		for i := range 8 {
+			w.addWorker("worker-"+strconv.Itoa(i), workload.Resources{CPU: 32000, MemoryMB: 64000})
+		}
+		w.takeOver()
+		for range 6 {
+			w.after(w.between(0, 2*time.Second), func() {
+				w.submit(workload.Spec{Steps: []workload.Step{{Count: 3 + w.rng.IntN(4), Need: workload.Resources{CPU: 2000, MemoryMB: 4000}, Lasting: true, MayMiss: 1, MaxPerWorker: 2}}}, "quick")
+			})
+		}
+		for at := time.Duration(0); at < 25*time.Second; at += w.between(100*time.Millisecond, 600*time.Millisecond) {
+			w.after(at, func() { w.submit(w.randomSpec(), "quick") })
+		}
+		for range 4 {
+			w.after(w.between(3*time.Second, 25*time.Second), w.trouble)
+		}
+		emptied := 0
+		for i := range 12 {
+			w.after(4*time.Second+time.Duration(i)*1500*time.Millisecond, func() { w.evacuate("worker-"+strconv.Itoa(i%8), &emptied) })
+		}
+		w.after(26*time.Second, func() { w.quiet = true })
+		w.run(60 * time.Second)
+		require.Empty(t, w.broken, "seed %d", seed)
+	}
+}
+
+// evacuate asks the owner to empty a worker until it is, for some seconds, as
+// the fleet's owner does, and then takes its VM away for maintenance.
+func (w *world) evacuate(id string, emptied *int) {
+	deadline := w.now.Add(8 * time.Second)
+	var ask func()
+	ask = func() {
+		f := w.workers[id]
+		if f == nil || f.gone || w.now.After(deadline) {
+			return
+		}
+		if !w.owner.dead && w.owner.loaded && w.owner.core.Evacuate(id, w.now) {
+			if len(f.runs) > 0 {
+				w.breaks("CUT", id+" is said to be empty and runs tasks")
+			}
+			*emptied++
+			f.gone = true
+			f.unregister()
+			w.after(2*time.Second, func() { w.addWorker(id+"+", f.info.Capacity) })
+			return
+		}
+		w.after(150*time.Millisecond, ask)
+	}
+	ask()
+}
+
 // running counts the runs of a job that are on workers that live.
 func (w *world) running(id workload.JobID) int {
 	n := 0
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -33,6 +33,8 @@
 	// be carried out; the platform has seen 12 s.
 	lateOrder = 13 * time.Second
 	fullPace  = 100 // percent
+	// stopSlack is added to what a stop takes, for the order's way.
+	stopSlack = 200 * time.Millisecond
 )
 
 // runState is what is known of a run.
@@ -60,6 +62,11 @@
 	stopSentAt time.Time
 	stopping   bool // a stop is in flight
 	stopped    bool // a stop was answered: the run can't begin any more
+	// doubtUntil is until when a run of an earlier owner may be one that it has
+	// told to stop: the worker lists it as running until it has ended. sure is set
+	// once it was listed in answer to a look that was sent later.
+	doubtUntil time.Time
+	sure       bool
 	confirmed  bool // the worker has answered the start or listed the run
 	percent    int
 	paced      int // percent last ordered
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -78,6 +78,8 @@
 	doneRuns  map[string][]int64
 	again     map[string]bool // runs that ended as done before another start
 	failed    map[string]int
+	ordered   map[string]bool      // lasting tasks that were stopped and are not back
+	lastSeen  map[string]time.Time // when a lasting task was last known to run
 	shown     workload.State
 }
 
@@ -174,7 +176,7 @@
 	}
 	id = workload.JobID(digits)
 	sub := &workload.Submission{Queue: queue, Service: "service", AcceptedMS: w.now.UnixMilli(), Spec: spec}
-	j := &fakeJob{id: id, sub: sub, done: map[string]bool{}, noted: map[string]bool{}, doneRuns: map[string][]int64{}, again: map[string]bool{}, failed: map[string]int{}}
+	j := &fakeJob{id: id, sub: sub, done: map[string]bool{}, noted: map[string]bool{}, doneRuns: map[string][]int64{}, again: map[string]bool{}, failed: map[string]int{}, ordered: map[string]bool{}, lastSeen: map[string]time.Time{}}
 	w.jobs[id] = j
 	w.stored(workload.Record{Job: id, Submission: sub})
 	return j
@@ -264,7 +266,7 @@
 			suspects = append(suspects, info.ID)
 		}
 	}
-	o.core = scheduler.New(scheduler.Settings{Epoch: o.epoch, Lease: testLease, StateKept: time.Hour, RemoteFactor: 2}, w.now, suspects, false)
+	o.core = scheduler.New(scheduler.Settings{Epoch: o.epoch, Lease: testLease, StateKept: time.Hour, RemoteFactor: 2, Stop: stopTime}, w.now, suspects, false)
 	o.core.SetConfig(testConfig)
 	for _, r := range records {
 		o.apply(r)
@@ -297,7 +299,10 @@
 	if o.dead {
 		return
 	}
-	o.core.SetWorkers(o.w.listed, o.w.now)
+	if o.w.owner == o {
+		// An owner hears of new workers only while the group confirms it.
+		o.core.SetWorkers(o.w.listed, o.w.now)
+	}
 	o.step()
 	o.w.after(50*time.Millisecond, o.tick)
 }
