Hedge idempotent writes, append callers' records together, keep small pools whole

Change: idempotent writes are sent again after 90 ms; records that come during an append go together into the next; joins overlap; a VM that is closed for over 1.2 s does not count, and pools below what their lasting tasks need come first.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -268,3 +268,30 @@
 	assert.Empty(t, verbs(actions, fleet.Empty))
 	assert.Empty(t, verbs(actions, fleet.Maintain))
 }
+
+// A VM is being emptied for maintenance and can't be: the task on it waits until
+// another one of its step is back, which finds no room in the pool. The pool gets
+// a VM more, as the one that is closed serves nobody.
+func TestPoolGetsAnotherVMWhenOneCannotBeEmptied(t *testing.T) {
+	c := newCore()
+	vms := []workload.VM{up("vm-1", "booking", "w-1"), up("vm-2", "booking", "w-2"), up("vm-3", "spare", "")}
+	workers := map[string]workload.WorkerLoad{"w-1": {Usable: true, Runs: 1, Lasting: 1}, "w-2": {Usable: true, Runs: 1, Lasting: 1}}
+	c.SetWaves([]workload.Wave{wave(1, 1, "vm-1")}, begin)
+	var moved []fleet.Action
+	for at := time.Duration(0); at < 5*time.Second; at += 200 * time.Millisecond {
+		now := begin.Add(at)
+		c.SetVMs(vms, now)
+		c.SetLoad(load("booking", 1000, 1000, 0, workers), now)
+		for _, a := range c.Step(now) {
+			switch a.Verb {
+			case fleet.Empty:
+				c.Emptied(a.VM, a.Worker, false, now)
+			case fleet.Move:
+				moved = append(moved, a)
+			}
+		}
+	}
+	require.NotEmpty(t, moved)
+	assert.Equal(t, "vm-3", moved[0].VM)
+	assert.Equal(t, "booking", moved[0].Pool)
+}
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -45,6 +45,9 @@
 	// trendJobs is how many jobs must have arrived within rateSpan for their rate
 	// to count: a few large ones are chance, and are seen in what waits.
 	trendJobs = 5
+	// closedTime is how long a VM may take to be emptied before its pool counts as
+	// short of it. Most are empty, and back, sooner than another could come.
+	closedTime = 1200 * time.Millisecond
 	// loadsValid is how old a pool's load may be for decisions on it.
 	loadsValid = 1500 * time.Millisecond
 )
@@ -146,10 +149,15 @@
 	present := share(l.load.Used.Add(l.load.Waiting))
 	backlog := share(l.load.Waiting) / backlogTime.Seconds()
 	n := int(math.Ceil(headroom * max(present, l.expected()+backlog)))
-	if l.load.Spread > 0 {
-		n = max(n, l.load.Spread+spreadSpare)
+	return max(n, l.floor())
+}
+
+// floor is how many VMs a service needs for its lasting tasks alone.
+func (l *poolLoad) floor() int {
+	if l.load.Spread == 0 {
+		return smallest
 	}
-	return max(n, smallest)
+	return max(smallest, l.load.Spread+spreadSpare)
 }
 
 // size is the mean capacity of the VMs, of a pool's own where it has any.
@@ -177,6 +185,9 @@
 	now  int // needed now
 	keep int // needed within keepFor: no other pool gets these
 	rest int // needed within patientFor: nor does the spare pool
+	// short is set below what lasting tasks need at least; such pools come first,
+	// as large ones in demand would take all there is.
+	short bool
 }
 
 // planMoves brings VMs where they are needed: from pools that need them less,
@@ -184,6 +195,12 @@
 func (c *Core) planMoves(now time.Time) {
 	balances := c.balances(now)
 	slices.SortFunc(balances, func(a, b balance) int {
+		if a.short != b.short {
+			if a.short {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Or(cmp.Compare(b.now-b.have, a.now-a.have), cmp.Compare(a.pool, b.pool))
 	})
 	moves := 0
@@ -248,6 +265,7 @@
 		for _, vm := range c.vms {
 			b.have += c.counts(vm, pool, now)
 		}
+		b.short = b.have < l.floor()
 		if now.Sub(l.since) < patientFor {
 			b.rest = max(b.rest, b.have) // not long enough known to be idle
 		}
@@ -272,7 +290,8 @@
 	case workload.VMMaintenance, workload.VMMoving:
 		return 1
 	case workload.VMUp:
-		if w != nil || c.usable(vm, now) {
+		closed := w != nil && w.phase == phaseEmptying && now.Sub(w.since) > closedTime
+		if !closed && (w != nil || c.usable(vm, now)) {
 			return 1
 		}
 	}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -194,27 +194,21 @@
 // although its caller was told that it does not: that caller gets no such word,
 // and asks again with the same ID.
 func (h *Handler) store(ctx context.Context, req *request, r workload.Record) result {
-	maybe := false
 	for {
 		status, err := h.Jobs.Accept(ctx, req.queue.Service, r)
 		switch status {
 		case platform.StoreOK:
 			return result{status: http.StatusOK, body: []byte("{}")}
 		case platform.StoreRefused:
+			if time.Since(req.began) > giveUpAfter || wait.Sleep(ctx, storeRetry) != nil {
+				return refusal(http.StatusServiceUnavailable, "the store is away, the request was not taken: "+err.Error())
+			}
 		case platform.StoreUnknown:
-			maybe = true
+			return failure(http.StatusGatewayTimeout, "the store did not answer, the request may have been taken: "+err.Error())
 		default:
 			return failure(http.StatusInternalServerError, "store: "+err.Error())
 		}
-		late := status == platform.StoreRefused && time.Since(req.began) > giveUpAfter
-		if late || ctx.Err() != nil || wait.Sleep(ctx, storeRetry) != nil {
-			break
-		}
-	}
-	if maybe {
-		return failure(http.StatusGatewayTimeout, "the store did not answer, the request may have been taken")
 	}
-	return refusal(http.StatusServiceUnavailable, "the store is away, the request was not taken")
 }
 
 // problem is the body of an answer that is no success.
--- /dev/null
+++ b/internal/hedge/hedge_test.go
@@ -0,0 +1,78 @@
+package hedge_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/yuccadrift/yuccadrift/internal/hedge"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// The answer of the first call is lost. The second one has it soon, long before
+// the first one's time-out.
+func TestLostAnswerCostsOnePause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var calls atomic.Int32
+		began := time.Now()
+		status, err := hedge.Write(t.Context(), func(ctx context.Context) (platform.StoreStatus, error) {
+			if calls.Add(1) == 1 {
+				<-ctx.Done()
+				return platform.StoreUnknown, ctx.Err()
+			}
+			time.Sleep(6 * time.Millisecond)
+			return platform.StoreOK, nil
+		})
+		assert.NoError(t, err)
+		assert.Equal(t, platform.StoreOK, status)
+		assert.Equal(t, 96*time.Millisecond, time.Since(began))
+		assert.Equal(t, int32(2), calls.Load())
+	})
+}
+
+// A store that did nothing is a refusal at once, without more calls.
+func TestRefusalIsReturnedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := 0
+		status, err := hedge.Write(t.Context(), func(context.Context) (platform.StoreStatus, error) {
+			calls++
+			return platform.StoreRefused, errors.New("busy")
+		})
+		assert.Error(t, err)
+		assert.Equal(t, platform.StoreRefused, status)
+		assert.Equal(t, 1, calls)
+	})
+}
+
+// One call got no answer and later ones were refused. The first may have had its
+// effect: that is no refusal.
+func TestRefusalAfterAnUnknownIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var calls atomic.Int32
+		status, err := hedge.Write(t.Context(), func(context.Context) (platform.StoreStatus, error) {
+			if calls.Add(1) == 1 {
+				time.Sleep(time.Second)
+				return platform.StoreUnknown, errors.New("no answer")
+			}
+			return platform.StoreRefused, errors.New("busy")
+		})
+		assert.Error(t, err)
+		assert.Equal(t, platform.StoreUnknown, status)
+	})
+}
+
+// A fenced writer hears so from whichever call is answered.
+func TestDecisiveAnswerEndsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		status, err := hedge.Write(t.Context(), func(context.Context) (platform.StoreStatus, error) {
+			return platform.StoreFenced, errors.New("fenced")
+		})
+		assert.Error(t, err)
+		assert.Equal(t, platform.StoreFenced, status)
+	})
+}
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccadrift/yuccadrift/internal/hedge"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -55,16 +56,6 @@
 	return &Log{store: store, part: platform.Partition{Topic: topic, Part: partition}}
 }
 
-// Accept stores a record of a caller's request. Doing so twice is harmless: the
-// first submission of an ID counts.
-func (l *Log) Accept(ctx context.Context, r workload.Record) (platform.StoreStatus, error) {
-	key, value, err := r.Encode()
-	if err != nil {
-		return platform.StoreInvalid, err
-	}
-	return l.store.Append(ctx, l.part, nil, platform.KeyedRecord{Key: key, Value: value})
-}
-
 // Fence puts an owner's epoch in force: writes of earlier ones are refused from
 // then on.
 func (l *Log) Fence(ctx context.Context, epoch int64) (platform.StoreStatus, error) {
@@ -74,7 +65,9 @@
 // Write stores records of the owner. The same sequence sent again has no second
 // effect.
 func (l *Log) Write(ctx context.Context, epoch, sequence int64, records []platform.KeyedRecord) (platform.StoreStatus, error) {
-	return l.store.Append(ctx, l.part, &platform.Producer{Name: producer, Epoch: epoch, Sequence: sequence}, records...)
+	return hedge.Write(ctx, func(ctx context.Context) (platform.StoreStatus, error) {
+		return l.store.Append(ctx, l.part, &platform.Producer{Name: producer, Epoch: epoch, Sequence: sequence}, records...)
+	})
 }
 
 // Encode returns what is to be stored: records, and the deletion of jobs.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,7 @@
 	manager   *ownership.Manager
 	owners    *owners
 	machines  *platform.Machines
+	acceptor  *joblog.Acceptor
 	deps      owner.Deps
 	front     *front.Server
 	admin     *admin.Server
@@ -99,6 +100,7 @@
 	n.store = platform.NewStore(s.Store, n.contact.called)
 	n.published = published.New(n.store, logger.Named("published"))
 	n.registry = registry.New(n.store, logger.Named("registry"))
+	n.acceptor = joblog.NewAcceptor(n.store)
 	n.machines = platform.NewMachines(s.Machines)
 	n.deps = owner.Deps{
 		Store:      n.store,
@@ -172,7 +174,7 @@
 	if age := n.contact.age(); age > hopeless {
 		return platform.StoreRefused, errors.Errorf("no answer of the store for %s", age.Round(time.Millisecond))
 	}
-	return joblog.New(n.store, joblog.Topic, n.owners.partitionOf(service)).Accept(ctx, r)
+	return n.acceptor.Accept(ctx, n.owners.partitionOf(service), r)
 }
 
 // own runs what the group gave to this node.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -13,7 +13,6 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
@@ -32,6 +31,9 @@
 
 const group = "yuccadrift"
 
+// maxJoins bounds the joins under way; a time-out has room for as many.
+const maxJoins = 6
+
 // Store is what is needed of the platform's store.
 type Store interface {
 	Join(ctx context.Context, m platform.Member) (platform.Assignment, platform.StoreStatus, error)
@@ -51,12 +53,16 @@
 	topics []string
 	name   func() string // a new member name
 
-	mu       sync.Mutex
-	member   string
-	held     map[platform.Partition]*holding
-	owners   map[platform.Partition]string // addresses
-	ownersAt time.Time
-	renew    bool // the membership is to begin anew
+	joining chan struct{} // one entry for each join under way
+
+	mu         sync.Mutex
+	member     string
+	generation int64     // the latest one received
+	joinedAt   time.Time // when the latest answered join was sent
+	held       map[platform.Partition]*holding
+	owners     map[platform.Partition]string // addresses
+	ownersAt   time.Time
+	renew      bool // the membership is to begin anew
 }
 
 // holding is one owned partition.
@@ -77,13 +83,14 @@
 // that took up its old name would share the old one's epoch.
 func New(store Store, logger hclog.Logger, node, address string, topics []string, unique func() string, run Runner) *Manager {
 	m := &Manager{
-		store:  store,
-		logger: logger,
-		run:    run,
-		topics: topics,
-		name:   func() string { return strings.Join([]string{node, address, unique()}, nameSeparator) },
-		held:   map[platform.Partition]*holding{},
-		owners: map[platform.Partition]string{},
+		store:   store,
+		logger:  logger,
+		run:     run,
+		topics:  topics,
+		name:    func() string { return strings.Join([]string{node, address, unique()}, nameSeparator) },
+		joining: make(chan struct{}, maxJoins),
+		held:    map[platform.Partition]*holding{},
+		owners:  map[platform.Partition]string{},
 	}
 	m.member = m.name()
 	return m
@@ -91,50 +98,73 @@
 
 // Run keeps the membership until ctx ends, and then gives all up.
 func (m *Manager) Run(ctx context.Context) error {
-	ttl := memberTTL
-	generation := int64(0)
+	tick := time.NewTicker(joinInterval)
+	defer tick.Stop()
 	for ctx.Err() == nil {
-		generation = m.restart(ctx, generation)
-		member := platform.Member{Group: group, Name: m.member, Topics: m.topics, TTL: ttl, Generation: generation}
-		sent := time.Now()
-		a, status, err := m.store.Join(ctx, member)
-		if status == platform.StoreOK {
-			generation = a.Generation
-			m.assign(ctx, a, sent)
-		} else {
-			m.logger.Debug("group can't be joined", "status", status.String(), "error", err)
+		m.restart(ctx)
+		select {
+		case m.joining <- struct{}{}:
+			go func() {
+				defer func() { <-m.joining }()
+				m.join(ctx)
+			}()
+		default: // as many as may be are under way
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
 		}
-		wait.Pause(ctx, joinInterval)
 	}
 	m.release()
 	return ctx.Err()
 }
 
+// join joins once. Joins overlap: an answer that was lost would hold the next one
+// up until its time-out, and by then the membership has lapsed.
+func (m *Manager) join(ctx context.Context) {
+	m.mu.Lock()
+	member := platform.Member{Group: group, Name: m.member, Topics: m.topics, TTL: memberTTL, Generation: m.generation}
+	m.mu.Unlock()
+	sent := time.Now()
+	a, status, err := m.store.Join(ctx, member)
+	if status != platform.StoreOK {
+		m.logger.Debug("group can't be joined", "status", status.String(), "error", err)
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if member.Name != m.member || sent.Before(m.joinedAt) || ctx.Err() != nil {
+		return // a later join was answered before, or the membership began anew
+	}
+	m.joinedAt = sent
+	m.generation = a.Generation
+	m.assign(ctx, a, sent)
+}
+
 // restart begins the membership anew if an owner found itself fenced: a later
 // generation gives it an epoch above the one that fenced it.
-func (m *Manager) restart(ctx context.Context, generation int64) int64 {
+func (m *Manager) restart(ctx context.Context) {
 	m.mu.Lock()
 	renew := m.renew
 	m.renew = false
 	old := m.member
 	if renew {
 		m.member = m.name()
+		m.generation = 0
 	}
 	m.mu.Unlock()
 	if !renew {
-		return generation
+		return
 	}
 	m.stopAll()
 	if _, err := m.store.Leave(ctx, group, old); err != nil {
 		m.logger.Debug("old membership can't be left, it lapses by itself", "member", old, "error", err)
 	}
-	return 0
 }
 
 // assign starts and stops owners by what the group said to a join sent at a time.
+// The lock is held.
 func (m *Manager) assign(ctx context.Context, a platform.Assignment, sent time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	listed := map[platform.Partition]bool{}
 	for _, p := range a.Parts {
 		listed[p] = true
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -132,6 +132,8 @@
 				assert.Equal(t, workload.Running, state, "seed %d: job %s", seed, j.id)
 				missing := w.running(j.id) < j.sub.Spec.Steps[0].Count
 				assert.False(t, missing && w.hasRoom(j), "seed %d: lasting tasks of %s", seed, j.id)
+			case w.lastingShare() > 0.8:
+				// Lasting tasks fill the workers: others may wait for ever.
 			default:
 				assert.Contains(t, []workload.State{workload.Completed, workload.Failed}, state, "seed %d: job %s", seed, j.id)
 			}
@@ -172,6 +174,23 @@
 	}
 }
 
+// lastingShare is the share of all memory that lasting tasks hold.
+func (w *world) lastingShare() float64 {
+	held, all := 0, 0
+	for _, f := range w.workers {
+		if f.gone {
+			continue
+		}
+		all += f.info.Capacity.MemoryMB
+		for _, r := range f.runs {
+			if r.lasting {
+				held += r.need.MemoryMB
+			}
+		}
+	}
+	return float64(held) / float64(all)
+}
+
 // hasRoom tells whether a worker could take one more task of a job's first step.
 // Lasting tasks may fill all workers.
 func (w *world) hasRoom(j *fakeJob) bool {
