--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,17 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build demo test lint proto
+.PHONY: build demo demo-jobs test lint proto
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
 demo:
 	@GO="$(GO)" ./scripts/demo.sh
+	@./scripts/demo-jobs.sh
+
+# Jobs, a wave and a killed node on a stand-in of the users' platform, 20 s.
+demo-jobs:
+	@./scripts/demo-jobs.sh
 
 test:
 	GO="$(GO)" ./scripts/test.sh
--- /dev/null
+++ b/cmd/yuccadrift-platform-standin/main.go
@@ -0,0 +1,109 @@
+// Command yuccadrift-platform-standin is a stand-in of the users' platform for
+// development: its store, its workers and the service for VMs, on loopback.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/command"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform/standin"
+)
+
+// portsPerNode is how many ports a node gets, next to one another.
+const portsPerNode = 4
+
+func main() {
+	command.Main(&cli.Command{
+		Name:  "yuccadrift-platform-standin",
+		Usage: "stand in for the users' platform on this machine; development only",
+		Description: `Writes a settings file for each node into DIR and serves until it is told to stop.
+It then says what went against the promises, as workers and VMs saw it, and ends
+with 1 if anything did.
+
+Example:
+   yuccadrift-platform-standin --dir tmp/jobs --nodes 3 --wave-after 5s`,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "dir", Usage: "write settings files into `DIR`", Required: true},
+			&cli.IntFlag{Name: "nodes", Usage: "`N` nodes to write settings for", Value: 3},
+			&cli.IntFlag{Name: "port", Usage: "first `PORT` of the nodes", Value: 27300},
+			&cli.DurationFlag{Name: "wave-after", Usage: "ask for maintenance of all VMs after a `DURATION`; 0 for none"},
+		},
+		Action: run,
+	})
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	p, err := standin.Start(standin.Options{
+		Services:   []string{"booking", "returns", "spare"},
+		Standby:    "spare",
+		PerService: 4,
+		Capacity:   workload.Resources{CPU: 32000, MemoryMB: 65536},
+		Partitions: 12,
+	})
+	if err != nil {
+		return err
+	}
+	defer p.Stop()
+	if err := writeSettings(p, cmd); err != nil {
+		return err
+	}
+	fmt.Println("ready")
+	if after := cmd.Duration("wave-after"); after > 0 {
+		time.AfterFunc(after, func() { askWave(p) })
+	}
+	<-ctx.Done()
+	return verdict(p, cmd.Duration("wave-after") > 0)
+}
+
+func writeSettings(p *standin.Platform, cmd *cli.Command) error {
+	for i := range cmd.Int("nodes") {
+		first := cmd.Int("port") + portsPerNode*i
+		place := standin.NodePlace{
+			Name: "entry-" + strconv.Itoa(i), Zone: "zone-" + strconv.Itoa(i%2), IP: "127.0.0.1",
+			Caller: first, Ready: first + 1, FirstPeer: first + 2, LastPeer: first + 3,
+		}
+		file := filepath.Join(cmd.String("dir"), place.Name+".toml")
+		if err := os.WriteFile(file, []byte(p.Settings(place)), 0o600); err != nil {
+			return errors.Wrap(err, "settings of a node")
+		}
+	}
+	return nil
+}
+
+// waveLimit is how many VMs of the wave may be away at once.
+const waveLimit = 3
+
+func askWave(p *standin.Platform) {
+	var vms []string
+	for _, vm := range p.VMs() {
+		vms = append(vms, vm.ID)
+	}
+	if err := p.AskWave(1, vms, time.Minute, waveLimit); err != nil {
+		fmt.Fprintln(os.Stderr, "wave:", err)
+	}
+}
+
+func verdict(p *standin.Platform, wave bool) error {
+	fmt.Printf("tasks done: %d\n", p.Done())
+	if wave {
+		fmt.Printf("wave completed: %t\n", p.WaveCompleted(1))
+	}
+	broken := p.Broken()
+	fmt.Printf("promises broken: %d\n", len(broken))
+	for _, b := range broken {
+		fmt.Println("  " + b)
+	}
+	if len(broken) > 0 || wave && !p.WaveCompleted(1) {
+		return errors.New("a promise broke")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/logstory/logstory.go
@@ -0,0 +1,91 @@
+// Package logstory picks the lines about one request, job, task, VM or worker
+// out of the logs of all nodes and tells them in order.
+package logstory
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxLine bounds one line of a log, in bytes.
+const maxLine = 1 << 20
+
+// Line is one line of a log.
+type Line struct {
+	At      time.Time
+	Node    string
+	Module  string
+	Message string
+	// Fields are the others, as name=value, sorted.
+	Fields []string
+}
+
+// frame are the names that have a field of their own in Line, or say nothing.
+var frame = []string{"@timestamp", "@message", "@module", "@level", "node", "zone"}
+
+// Read returns the lines of a log that name id, in the order of the log. What
+// stands before the first brace of a line is passed over; lines that are no JSON
+// are left out.
+func Read(r io.Reader, id string) ([]Line, error) {
+	var lines []Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		if !strings.Contains(text, id) {
+			continue
+		}
+		_, object, found := strings.Cut(text, "{")
+		if !found {
+			continue
+		}
+		if line, ok := parse("{" + object); ok {
+			lines = append(lines, line)
+		}
+	}
+	return lines, errors.Wrap(scanner.Err(), "log")
+}
+
+func parse(text string) (Line, bool) {
+	var fields map[string]any
+	if err := json.Unmarshal([]byte(text), &fields); err != nil {
+		return Line{}, false
+	}
+	word := func(name string) string {
+		value, _ := fields[name].(string) // "" if it is missing
+		return value
+	}
+	line := Line{Node: word("node"), Module: word("@module"), Message: word("@message")}
+	at, err := time.Parse(time.RFC3339, word("@timestamp"))
+	if err != nil {
+		return Line{}, false
+	}
+	line.At = at
+	for name, value := range fields {
+		if !slices.Contains(frame, name) && value != "" && value != nil {
+			line.Fields = append(line.Fields, fmt.Sprintf("%s=%v", name, value))
+		}
+	}
+	slices.Sort(line.Fields)
+	return line, true
+}
+
+// Write tells lines of all nodes in the order of their times.
+func Write(w io.Writer, lines []Line) error {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
+	for _, l := range lines {
+		_, err := fmt.Fprintf(w, "%s  %-14s %-10s %-18s %s\n",
+			l.At.Format("15:04:05.000"), l.Node, l.Module[strings.LastIndex(l.Module, ".")+1:], l.Message, strings.Join(l.Fields, " "))
+		if err != nil {
+			return errors.Wrap(err, "story")
+		}
+	}
+	return nil
+}
--- a/internal/operatorcmd/root.go
+++ b/internal/operatorcmd/root.go
@@ -66,6 +66,7 @@
 			memberCommand(),
 			recordCommand(),
 			replayCommand(),
+			storyCommand(),
 		},
 	}
 	quietUsage(root)
