--- a/internal/logstory/logstory.go
+++ b/internal/logstory/logstory.go
@@ -55,7 +55,9 @@
 
 func parse(text string) (Line, bool) {
 	var fields map[string]any
-	if err := json.Unmarshal([]byte(text), &fields); err != nil {
+	decoder := json.NewDecoder(strings.NewReader(text))
+	decoder.UseNumber() // run numbers are long
+	if err := decoder.Decode(&fields); err != nil {
 		return Line{}, false
 	}
 	word := func(name string) string {
