--- /dev/null
+++ b/cmd/yuccadrift-load/jobs.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/load"
+)
+
+func jobsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "jobs",
+		Usage: "send jobs to the queues of nodes and wait until all are completed",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "target", Usage: "`IP:PORT` of a node's callers' address (repeatable)", Required: true},
+			&cli.StringFlag{Name: "host", Usage: "`HOST` of the queues", Required: true},
+			&cli.StringSliceFlag{Name: "queue", Usage: "path `PREFIX` of a queue (repeatable)", Required: true},
+			&cli.IntFlag{Name: "jobs", Usage: "`N` jobs", Value: 200},
+			&cli.FloatFlag{Name: "rate", Usage: "jobs a second", Value: 20},
+			&cli.DurationFlag{Name: "takes", Usage: "what a task takes", Value: 200 * time.Millisecond},
+			&cli.DurationFlag{Name: "patience", Usage: "how long a job may take", Value: 30 * time.Second},
+			&cli.Uint64Flag{Name: "seed", Usage: "fixes the jobs", Value: 1},
+		},
+		Action: runJobs,
+	}
+}
+
+func runJobs(ctx context.Context, cmd *cli.Command) error {
+	report, err := load.RunJobs(ctx, load.JobPlan{
+		Targets:  cmd.StringSlice("target"),
+		Host:     cmd.String("host"),
+		Queues:   cmd.StringSlice("queue"),
+		Jobs:     cmd.Int("jobs"),
+		Rate:     cmd.Float("rate"),
+		Takes:    cmd.Duration("takes"),
+		Patience: cmd.Duration("patience"),
+		Seed:     cmd.Uint64("seed"),
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("jobs sent %d, taken %d, refused %d, completed %d, open %d; slowest %s\n",
+		report.Sent, report.Taken, report.Refused, report.Completed, report.Open, report.Slowest.Round(time.Millisecond))
+	if report.Completed != report.Sent {
+		return errors.New("not all jobs were completed")
+	}
+	return nil
+}
