Don't wait at a takeover for entries of VMs that were moved away

Cause: entries outlive their workers by 4.5 s; after all nodes were killed during moves, a new owner waited 2.9 s for workers that no VM has any more. Ruled out: trusting the list of VMs alone, as a VM that is listed as down may run on. Change: entries that no VM claims are suspects only while a VM is unaccounted for.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -236,12 +236,6 @@
 		return scheduler.New(cfg, fenced, nil, false)
 	}
 	snap := o.freshWorkers(ctx, fenced)
-	var suspects []string
-	for _, w := range snap.Workers {
-		if o.owns(w.Service) {
-			suspects = append(suspects, w.ID)
-		}
-	}
 	doubtful := !snap.Settled || snap.SentAt.Before(fenced)
 	vms, err := o.deps.Fleet.List(ctx)
 	if err != nil {
@@ -249,12 +243,22 @@
 	} else {
 		doubtful = false
 	}
-	for _, vm := range vms {
-		if vm.Worker != "" && vm.State == workload.VMUp && o.owns(vm.Pool) {
-			suspects = append(suspects, vm.Worker)
+	suspects := suspectsOf(snap.Workers, vms, o.standby(), o.owns)
+	return scheduler.New(cfg, fenced, suspects, doubtful)
+}
+
+// standby is the name of the spare pool, "" if there is none.
+func (o *Owner) standby() string {
+	config := o.deps.Published.Config()
+	if config == nil {
+		return ""
+	}
+	for _, s := range config.Services {
+		if s.Standby {
+			return s.Name
 		}
 	}
-	return scheduler.New(cfg, fenced, suspects, doubtful)
+	return ""
 }
 
 func (o *Owner) freshWorkers(ctx context.Context, since time.Time) registry.Snapshot {
