Look once more before a silent worker's tasks are given up; tell no unknown job while reading late

Ruled out: leases given too long (deadlines are absolute), orders sent twice. Change: tasks are given up only after a look sent when the lease was over had no answer, and not while the process's own steps are far apart; an unknown job is no answer while the partition was last read over 2.2 s ago. Test: TestTasksAreNotGivenUpWhileThisProcessHardlyGetsOn fails before.

--- a/internal/owner/ask.go
+++ b/internal/owner/ask.go
@@ -30,14 +30,23 @@
 type JobState struct {
 	State workload.State
 	Known bool // false if there is no such job
+	// Stale is set if the job isn't known and may have been taken lately.
+	Stale bool
 }
 
-// State returns a job's state; ok is false if the owner can't tell.
+// staleAfter is how old what was read of the partition may be for a job that is
+// not in it to count as none. An accepted job must be known within 3 s.
+const staleAfter = 2200 * time.Millisecond
+
+// State returns a job's state; ok is false if the owner can't tell. That is so for
+// an unknown job while the partition can't be read, or is read late: it may have
+// been taken.
 func (o *Owner) State(ctx context.Context, id workload.JobID) (JobState, bool) {
-	return ask(ctx, o, func(c *scheduler.Core, _ time.Time) JobState {
+	s, ok := ask(ctx, o, func(c *scheduler.Core, now time.Time) JobState {
 		state, known := c.State(id)
-		return JobState{State: state, Known: known}
+		return JobState{State: state, Known: known, Stale: !known && now.Sub(o.readAt) > staleAfter}
 	})
+	return s, ok && !s.Stale
 }
 
 // Waiting returns how many jobs of a queue have not begun.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -95,6 +95,9 @@
 	listed  registry.Snapshot
 	config  *workload.Config
 	counts  scheduler.Counts
+	// readAt is when the latest read of the partition was sent whose records the
+	// machine has.
+	readAt time.Time
 	// unfinished is the latest write; it may be under way.
 	unfinished scheduler.WriteOrder
 }
@@ -126,6 +129,7 @@
 	if err != nil {
 		return err
 	}
+	o.readAt = began
 	left := leftBy(batch)
 	core := o.takeOver(ctx, left != nil)
 	o.apply(core, batch, time.Now())
@@ -276,53 +280,6 @@
 	return joblog.PartitionOf(service, o.deps.Partitions) == o.partition
 }
 
-// apply hands stored records to the machine.
-func (o *Owner) apply(core *scheduler.Core, batch platform.Batch, now time.Time) {
-	records, bad := joblog.Decode(batch)
-	for _, err := range bad {
-		o.logger.Error("stored record can't be read and is left out", "error", err)
-	}
-	for _, r := range records {
-		switch {
-		case r.Submission != nil:
-			core.Submitted(r.Job, r.Submission)
-		case r.Cancel:
-			core.CancelRequested(r.Job, now)
-		}
-	}
-}
-
-// recall hands over what earlier owners stored. Records of this owner's own are
-// read back too, and are of no use: the machine knows more.
-func recall(core *scheduler.Core, batch platform.Batch) {
-	records, _ := joblog.Decode(batch) // unreadable ones were logged by apply
-	for _, r := range records {
-		if r.Progress != nil {
-			core.Recalled(r.Job, r.Progress)
-		}
-	}
-}
-
-// tail reads what is accepted from then on.
-func (o *Owner) tail(ctx context.Context, next int64) {
-	for ctx.Err() == nil {
-		batch, status, err := o.log.Read(ctx, next, readWait)
-		if status == platform.StoreDropped {
-			o.logger.Warn("stored records were dropped before they were read, reading the newest", "from", next)
-			batch, status, err = o.log.Snapshot(ctx)
-		}
-		if status != platform.StoreOK {
-			o.logger.Debug("partition can't be read", "status", status.String(), "error", err)
-			wait.Pause(ctx, readRetry)
-			continue
-		}
-		next = batch.Next
-		if len(batch.Records) > 0 {
-			o.send(ctx, func(c *scheduler.Core, now time.Time) { o.apply(c, batch, now) })
-		}
-	}
-}
-
 // send hands an event over; it waits while the inbox is full, which slows what
 // sends to the pace of the machine.
 func (o *Owner) send(ctx context.Context, e event) {
--- /dev/null
+++ b/internal/owner/tail.go
@@ -0,0 +1,60 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// apply hands stored records to the machine.
+func (o *Owner) apply(core *scheduler.Core, batch platform.Batch, now time.Time) {
+	records, bad := joblog.Decode(batch)
+	for _, err := range bad {
+		o.logger.Error("stored record can't be read and is left out", "error", err)
+	}
+	for _, r := range records {
+		switch {
+		case r.Submission != nil:
+			core.Submitted(r.Job, r.Submission)
+		case r.Cancel:
+			core.CancelRequested(r.Job, now)
+		}
+	}
+}
+
+// recall hands over what earlier owners stored. Records of this owner's own are
+// read back too, and are of no use: the machine knows more.
+func recall(core *scheduler.Core, batch platform.Batch) {
+	records, _ := joblog.Decode(batch) // unreadable ones were logged by apply
+	for _, r := range records {
+		if r.Progress != nil {
+			core.Recalled(r.Job, r.Progress)
+		}
+	}
+}
+
+// tail reads what is accepted from then on.
+func (o *Owner) tail(ctx context.Context, next int64) {
+	for ctx.Err() == nil {
+		sent := time.Now()
+		batch, status, err := o.log.Read(ctx, next, readWait)
+		if status == platform.StoreDropped {
+			o.logger.Warn("stored records were dropped before they were read, reading the newest", "from", next)
+			batch, status, err = o.log.Snapshot(ctx)
+		}
+		if status != platform.StoreOK {
+			o.logger.Debug("partition can't be read", "status", status.String(), "error", err)
+			wait.Pause(ctx, readRetry)
+			continue
+		}
+		next = batch.Next
+		o.send(ctx, func(c *scheduler.Core, now time.Time) {
+			o.apply(c, batch, now)
+			o.readAt = sent
+		})
+	}
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -82,15 +82,18 @@
 	writeSeq  int64
 	arrived   map[string]workload.Work // by service
 	startedAt time.Time
-	opened    bool // this owner has stored that it took over
-	unblocked bool // nothing waits for an earlier owner's runs any more
-	sweptAt   time.Time
-	plannedAt time.Time
-	copiedAt  time.Time
-	lost      string
-	dirtyPlan bool
-	out       Orders
-	Counts    Counts
+	steppedAt time.Time
+	// unwellUntil is until when the process counts as one that hardly gets on.
+	unwellUntil time.Time
+	opened      bool // this owner has stored that it took over
+	unblocked   bool // nothing waits for an earlier owner's runs any more
+	sweptAt     time.Time
+	plannedAt   time.Time
+	copiedAt    time.Time
+	lost        string
+	dirtyPlan   bool
+	out         Orders
+	Counts      Counts
 }
 
 // Counts are totals for metrics.
@@ -244,6 +247,7 @@
 
 // Step returns what is due.
 func (c *Core) Step(now time.Time) Orders {
+	c.feel(now)
 	c.expireRuns(now)
 	c.forgetWorkers()
 	c.holdWorkers(now)
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -466,19 +466,26 @@
 	next.core.Inherit(left, next.now)
 	next.workers("w-1", "w-2")
 	next.step(0)
+	next.core.Held(scheduler.HoldResult{Worker: "w-1", Token: 4 << 10, SentAt: next.now, Answer: workload.WorkerAnswer{Status: workload.WorkerUnknown}}, next.now)
 	next.core.Held(scheduler.HoldResult{Worker: "w-2", Token: 4 << 10, SentAt: next.now, Answer: workload.WorkerAnswer{Clock: 1000}}, next.now)
 	var started []workload.JobID
-	for range 30 {
-		for _, s := range next.step(100 * time.Millisecond).Starts {
-			started = append(started, s.Start.Task.Job)
+	play := func(steps int) {
+		for range steps {
+			orders := next.step(100 * time.Millisecond)
+			for _, s := range orders.Starts {
+				started = append(started, s.Start.Task.Job)
+			}
+			for _, h := range orders.Holds {
+				if h.Worker.ID != "w-1" {
+					continue // it waits for an end
+				}
+				next.core.Held(scheduler.HoldResult{Worker: h.Worker.ID, Token: h.Hold.Token, SentAt: next.now, Answer: workload.WorkerAnswer{Status: workload.WorkerUnknown}}, next.now)
+			}
 		}
 	}
+	play(30)
 	assert.Equal(t, []workload.JobID{second}, started)
-	for range 12 {
-		for _, s := range next.step(100 * time.Millisecond).Starts {
-			started = append(started, s.Start.Task.Job)
-		}
-	}
+	play(12)
 	assert.Contains(t, started, first)
 }
 
@@ -532,3 +539,29 @@
 	}
 	t.Fatal("the lasting task never got room")
 }
+
+// The owner's process stands still while a worker answers it, and wakes to calls
+// that have timed out. It asks once more before it gives the worker's tasks up:
+// the answer lists one as done, and the caller's task runs once.
+func TestTasksAreNotGivenUpWhileThisProcessHardlyGetsOn(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1", "w-2")
+	job := r.submit("0000000000000001", batch(1, 1000))
+	start := r.step(20 * time.Millisecond).Starts[0]
+	r.started(start, workload.WorkerOK)
+	sent := r.now
+	r.step(20 * time.Millisecond)
+	r.now = r.now.Add(6 * time.Second)
+	r.core.Held(scheduler.HoldResult{Worker: start.Worker.ID, Token: 3 << 10, SentAt: sent, Answer: workload.WorkerAnswer{Status: workload.WorkerUnknown}}, r.now)
+	var holds []scheduler.HoldOrder
+	for range 4 {
+		orders := r.step(100 * time.Millisecond)
+		require.Empty(t, orders.Starts)
+		holds = append(holds, orders.Holds...)
+	}
+	require.NotEmpty(t, holds)
+	r.held(start.Worker.ID, r.now, end(1, start, workload.EndDone))
+	r.step(100 * time.Millisecond)
+	state, _ := r.core.State(job)
+	assert.Equal(t, workload.Completed, state)
+}
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -40,6 +40,7 @@
 			c.note(Decision{Verb: "worker-silent", Worker: w.info.ID, Reason: reasonOf(r.Answer), Age: now.Sub(w.answered), Critical: true})
 		}
 		w.silent = true
+		w.unanswered = r.SentAt
 		w.holdAfter = now.Add(holdRetry)
 	}
 }
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -242,6 +242,31 @@
 	}
 }
 
+// TestSlowOwnersRunNothingTwice plays histories in which the owner's process hardly
+// gets on for seconds at a time, as on an overloaded VM: answers lie unread while
+// leases go on. The caller waits longer; no task runs twice.
+func TestSlowOwnersRunNothingTwice(t *testing.T) {
+	for seed := range histories(t) {
+		w := newWorld(seed, faults{lostAnswer: 0.01, failedTask: 0.01, storeLost: 0.02})
+		for i := range 8 {
+			w.addWorker("worker-"+strconv.Itoa(i), workload.Resources{CPU: 32000, MemoryMB: 64000})
+		}
+		w.takeOver()
+		for at := time.Duration(0); at < 20*time.Second; at += w.between(50*time.Millisecond, 300*time.Millisecond) {
+			w.after(at, func() { w.submit(w.randomSpec(), "quick") })
+		}
+		for range 4 {
+			w.after(w.between(time.Second, 18*time.Second), func() {
+				w.owner.slowUntil = w.now.Add(w.between(2*time.Second, 6*time.Second))
+			})
+		}
+		w.after(w.between(2*time.Second, 18*time.Second), w.trouble)
+		w.after(22*time.Second, func() { w.quiet = true })
+		w.run(60 * time.Second)
+		require.Empty(t, w.broken, "seed %d", seed)
+	}
+}
+
 // evacuate asks the owner to empty a worker until it is, for some seconds, as
 // the fleet's owner does, and then takes its VM away for maintenance.
 func (w *world) evacuate(id string, emptied *int) {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -96,12 +96,14 @@
 	holding   bool
 	holdAfter time.Time
 	silent    bool // the last look got no answer
-	answered  time.Time
-	orders    int // in flight
-	seen      int64
-	acked     int64
-	used      workload.Resources
-	runs      []*run
+	// unanswered is when the latest look without an answer was sent.
+	unanswered time.Time
+	answered   time.Time
+	orders     int // in flight
+	seen       int64
+	acked      int64
+	used       workload.Resources
+	runs       []*run
 	// evacuateUntil is until when the worker is being emptied; the wish is
 	// renewed by who has it.
 	evacuateUntil time.Time
@@ -172,12 +174,34 @@
 	c.dirtyPlan = true
 }
 
+// wellGap is the longest pause between two steps of a process that gets on.
+const wellGap = 400 * time.Millisecond
+
+// unwellFor is how long after a longer pause the silence of workers says nothing:
+// their answers may lie unread here.
+const unwellFor = 2 * time.Second
+
+// feel notes how far apart steps are.
+func (c *Core) feel(now time.Time) {
+	if !c.steppedAt.IsZero() && now.Sub(c.steppedAt) > wellGap {
+		c.unwellUntil = now.Add(unwellFor)
+	}
+	c.steppedAt = now
+}
+
 // expireRuns drops runs whose lease has lapsed on a worker that does not answer.
+// The last word is a look that was sent after that: a worker that answers it may
+// list ends as done, and a task that was started again meanwhile would run twice.
+// A process that hardly gets on does not take silence for an answer at all.
 // A start that got no answer may be carried out much later, with its lease
 // counted from then; it is kept as long as that.
 func (c *Core) expireRuns(now time.Time) {
 	for _, w := range c.order {
-		if !w.silent || now.Before(w.leaseOver) {
+		if !w.silent || now.Before(w.leaseOver) || now.Before(c.unwellUntil) {
+			continue
+		}
+		canAsk := w.info.Address != "" // not where only an earlier owner named it
+		if canAsk && w.unanswered.Before(w.leaseOver) {
 			continue
 		}
 		for _, r := range slices.Clone(w.runs) {
@@ -216,6 +240,7 @@
 		if w.synced && !w.silent && w.seen == w.acked {
 			h.Wait = c.waitFor(w)
 		}
+		h.Brief = w.silent && w.synced
 		w.holding = true
 		c.out.Holds = append(c.out.Holds, HoldOrder{Worker: w.info, Hold: h})
 	}
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -210,6 +210,29 @@
 	loaded  bool
 	dead    bool // killed, or gone: it sends nothing any more
 	pending *scheduler.WriteOrder
+	// slowUntil is until when the process hardly gets on: what is told to it waits,
+	// in order, and its steps are far apart.
+	slowUntil time.Time
+	told      time.Time // when the latest of what waits is taken up
+}
+
+// tell hands something to the owner's process, which takes it up in order.
+func (o *fakeOwner) tell(do func()) {
+	w := o.w
+	at := w.now
+	if w.now.Before(o.slowUntil) {
+		at = w.now.Add(w.between(0, 1500*time.Millisecond))
+	}
+	if at.Before(o.told) {
+		at = o.told
+	}
+	o.told = at
+	w.after(at.Sub(w.now), func() {
+		if !o.dead {
+			do()
+			o.step()
+		}
+	})
 }
 
 var testConfig = &workload.Config{
@@ -304,7 +327,11 @@
 		o.core.SetWorkers(o.w.listed, o.w.now)
 	}
 	o.step()
-	o.w.after(50*time.Millisecond, o.tick)
+	pause := 50 * time.Millisecond
+	if o.w.now.Before(o.slowUntil) {
+		pause = o.w.between(200*time.Millisecond, 1200*time.Millisecond)
+	}
+	o.w.after(pause, o.tick)
 }
 
 // step carries out what is due.
@@ -377,12 +404,7 @@
 func (o *fakeOwner) order(worker string, carryOut func(f *fakeWorker) workload.WorkerAnswer, told func(workload.WorkerAnswer)) {
 	w := o.w
 	answer := func(a workload.WorkerAnswer, after time.Duration) {
-		w.after(after, func() {
-			if !o.dead {
-				told(a)
-				o.step()
-			}
-		})
+		w.after(after, func() { o.tell(func() { told(a) }) })
 	}
 	f := w.workers[worker]
 	way := w.between(500*time.Microsecond, 3*time.Millisecond)
@@ -414,10 +436,9 @@
 	sent := w.now
 	f := w.workers[h.Worker.ID]
 	told := func(held workload.Held, a workload.WorkerAnswer) {
-		if !o.dead {
+		o.tell(func() {
 			o.core.Held(scheduler.HoldResult{Worker: h.Worker.ID, Token: h.Hold.Token, SentAt: sent, Held: held, Answer: a}, w.now)
-			o.step()
-		}
+		})
 	}
 	unknown := workload.WorkerAnswer{Status: workload.WorkerUnknown}
 	way := w.between(500*time.Microsecond, 3*time.Millisecond)
--- a/internal/workload/orders.go
+++ b/internal/workload/orders.go
@@ -53,6 +53,8 @@
 	Acked      int64 // ends up to this number are known and may be forgotten
 	LeaseUntil int64 // on the worker's clock, milliseconds; 0 leaves the lease as it is
 	Wait       time.Duration
+	// Brief asks for a short time-out: the worker has not answered before.
+	Brief bool
 }
 
 // How a run ended.
