--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -81,6 +81,7 @@
 	writing   *write
 	writeSeq  int64
 	arrived   map[string]workload.Work // by service
+	starting  int                      // starts in flight
 	startedAt time.Time
 	steppedAt time.Time
 	// unwellUntil is until when the process counts as one that hardly gets on.
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -565,3 +565,25 @@
 	state, _ := r.core.State(job)
 	assert.Equal(t, workload.Completed, state)
 }
+
+// Hundreds of tasks are ready at once. Their starts go out in portions: on a small
+// VM all of them together would be answered too late, and count as unknown.
+func TestStartsInFlightAreBounded(t *testing.T) {
+	r := newRig(t)
+	var ids []string
+	for i := range 30 {
+		ids = append(ids, "w-"+string(rune('a'+i)))
+	}
+	r.ready(ids...)
+	for i := range 30 {
+		r.submit("00000000000001"+string(rune('0'+i/10))+string(rune('0'+i%10)), batch(8, 1000))
+	}
+	first := r.step(20 * time.Millisecond).Starts
+	require.NotEmpty(t, first)
+	require.LessOrEqual(t, len(first), 64)
+	assert.Empty(t, r.step(20*time.Millisecond).Starts, "none was answered yet")
+	for _, s := range first {
+		r.started(s, workload.WorkerOK)
+	}
+	assert.NotEmpty(t, r.step(20*time.Millisecond).Starts)
+}
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -67,7 +67,7 @@
 func (c *Core) heldOK(w *worker, r HoldResult, now time.Time) {
 	w.answered = now
 	w.silent = false
-	w.holdAfter = now.Add(holdPause)
+	w.holdAfter = now.Add(holdPause + time.Duration(len(c.order))*holdPauseEach)
 	for _, e := range r.Held.Finished {
 		if e.Number > w.seen {
 			w.seen = e.Number
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -154,6 +154,10 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
 			continue
 		}
+		if c.starting >= maxInFlight {
+			c.dirtyPlan = true
+			return
+		}
 		w := p.best(s, t, now)
 		if w == nil {
 			if t.avoid != "" {
@@ -275,6 +279,7 @@
 	begun := s.job.begun
 	w.add(r)
 	w.orders++
+	c.starting++
 	order := workload.Start{
 		Task:       r.key(),
 		Run:        number,
--- a/internal/scheduler/started.go
+++ b/internal/scheduler/started.go
@@ -35,6 +35,7 @@
 
 // Started takes the outcome of a start.
 func (c *Core) Started(o OrderResult, now time.Time) {
+	c.starting--
 	w, r := c.answered(o, now)
 	if w == nil {
 		return
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -23,12 +23,20 @@
 	// holdPause is the shortest pause between two looks: ends that come closely
 	// one after the other are read together.
 	holdPause = 15 * time.Millisecond
+	// holdPauseEach is added for each worker of the owner, so that all of them
+	// together are looked at about a thousand times a second at most, which a
+	// fifth of a core bears.
+	holdPauseEach = 700 * time.Microsecond
 	// holdRetry is the pause after a look without an answer.
 	holdRetry = 250 * time.Millisecond
 	// stopRetry is the pause before a stop without an answer is sent again.
 	stopRetry = 300 * time.Millisecond
 	// maxOrders bounds the orders in flight to one worker.
-	maxOrders = 12
+	maxOrders = 10
+	// maxInFlight bounds the starts in flight to all workers. An order takes some
+	// 5 ms, so it allows thousands a second; without it a small VM sends so many at
+	// once that none of them is answered in time.
+	maxInFlight = 64
 	// lateOrder is the longest after which an order without an answer may still
 	// be carried out; the platform has seen 12 s.
 	lateOrder = 13 * time.Second
@@ -181,6 +189,12 @@
 // their answers may lie unread here.
 const unwellFor = 2 * time.Second
 
+// longSilence is how long a worker that is registered may be silent before its
+// tasks are given up. One that has crashed is no longer registered after 4.5 s;
+// one that is cut off has most likely ended its short tasks, and tells when it is
+// back.
+const longSilence = 10 * time.Second
+
 // feel notes how far apart steps are.
 func (c *Core) feel(now time.Time) {
 	if !c.steppedAt.IsZero() && now.Sub(c.steppedAt) > wellGap {
@@ -192,7 +206,8 @@
 // expireRuns drops runs whose lease has lapsed on a worker that does not answer.
 // The last word is a look that was sent after that: a worker that answers it may
 // list ends as done, and a task that was started again meanwhile would run twice.
-// A process that hardly gets on does not take silence for an answer at all.
+// A process that hardly gets on does not take silence for an answer at all, and a
+// worker that is still registered lives, and will most likely tell.
 // A start that got no answer may be carried out much later, with its lease
 // counted from then; it is kept as long as that.
 func (c *Core) expireRuns(now time.Time) {
@@ -201,7 +216,7 @@
 			continue
 		}
 		canAsk := w.info.Address != "" // not where only an earlier owner named it
-		if canAsk && w.unanswered.Before(w.leaseOver) {
+		if canAsk && (w.unanswered.Before(w.leaseOver) || !w.missing && now.Sub(w.answered) < longSilence) {
 			continue
 		}
 		for _, r := range slices.Clone(w.runs) {
