--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccadrift/yuccadrift/internal/fleet"
+	"github.com/yuccadrift/yuccadrift/internal/hedge"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/published"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
@@ -61,6 +62,7 @@
 type Deps struct {
 	Node      string
 	Store     Store
+	Hedger    *hedge.Hedger
 	Machines  Machines
 	Services  Services
 	Published *published.Follower
@@ -91,7 +93,7 @@
 // New returns the fleet's owner. epoch is above all earlier owners' ones, and is
 // the fencing token of its orders.
 func New(deps Deps, partition int, epoch int64) *Owner {
-	log := joblog.New(deps.Store, joblog.FleetTopic, partition)
+	log := joblog.New(deps.Store, deps.Hedger, joblog.FleetTopic, partition)
 	return &Owner{
 		deps:   deps,
 		epoch:  epoch,
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -20,7 +21,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var calls atomic.Int32
 		began := time.Now()
-		status, err := hedge.Write(t.Context(), func(ctx context.Context) (platform.StoreStatus, error) {
+		status, err := hedge.New().Write(t.Context(), func(ctx context.Context) (platform.StoreStatus, error) {
 			if calls.Add(1) == 1 {
 				<-ctx.Done()
 				return platform.StoreUnknown, ctx.Err()
@@ -39,7 +40,7 @@
 func TestRefusalIsReturnedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		calls := 0
-		status, err := hedge.Write(t.Context(), func(context.Context) (platform.StoreStatus, error) {
+		status, err := hedge.New().Write(t.Context(), func(context.Context) (platform.StoreStatus, error) {
 			calls++
 			return platform.StoreRefused, errors.New("busy")
 		})
@@ -54,7 +55,7 @@
 func TestRefusalAfterAnUnknownIsUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var calls atomic.Int32
-		status, err := hedge.Write(t.Context(), func(context.Context) (platform.StoreStatus, error) {
+		status, err := hedge.New().Write(t.Context(), func(context.Context) (platform.StoreStatus, error) {
 			if calls.Add(1) == 1 {
 				time.Sleep(time.Second)
 				return platform.StoreUnknown, errors.New("no answer")
@@ -69,10 +70,48 @@
 // A fenced writer hears so from whichever call is answered.
 func TestDecisiveAnswerEndsIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		status, err := hedge.Write(t.Context(), func(context.Context) (platform.StoreStatus, error) {
+		status, err := hedge.New().Write(t.Context(), func(context.Context) (platform.StoreStatus, error) {
 			return platform.StoreFenced, errors.New("fenced")
 		})
 		assert.Error(t, err)
 		assert.Equal(t, platform.StoreFenced, status)
 	})
 }
+
+// The store has become slow. The first slow answer costs some calls more; after
+// it, calls are not sent again before they are due by what answers take now, and
+// when the store is quick again, hedging is quick again.
+func TestSlowStoreIsNotAskedTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := hedge.New()
+		calls := 0
+		write := func(takes time.Duration) {
+			var mu sync.Mutex
+			_, err := h.Write(t.Context(), func(ctx context.Context) (platform.StoreStatus, error) {
+				mu.Lock()
+				calls++
+				mu.Unlock()
+				select {
+				case <-time.After(takes):
+					return platform.StoreOK, nil
+				case <-ctx.Done():
+					return platform.StoreUnknown, ctx.Err()
+				}
+			})
+			assert.NoError(t, err)
+			synctest.Wait()
+		}
+		write(400 * time.Millisecond)
+		calls = 0
+		for range 10 {
+			write(400 * time.Millisecond)
+		}
+		assert.Equal(t, 10, calls)
+		for range 60 {
+			write(5 * time.Millisecond)
+		}
+		calls = 0
+		write(200 * time.Millisecond)
+		assert.Greater(t, calls, 1)
+	})
+}
--- a/internal/joblog/acceptor.go
+++ b/internal/joblog/acceptor.go
@@ -19,7 +19,8 @@
 // appends to a partition one at a time, and a slow one would have a queue of them
 // longer than callers wait. It is safe for concurrent use.
 type Acceptor struct {
-	store Store
+	store  Store
+	hedger *hedge.Hedger
 
 	mu     sync.Mutex
 	queues map[int]*acceptQueue
@@ -43,8 +44,8 @@
 }
 
 // NewAcceptor returns an acceptor.
-func NewAcceptor(store Store) *Acceptor {
-	return &Acceptor{store: store, queues: map[int]*acceptQueue{}}
+func NewAcceptor(store Store, hedger *hedge.Hedger) *Acceptor {
+	return &Acceptor{store: store, hedger: hedger, queues: map[int]*acceptQueue{}}
 }
 
 // Accept stores a record of a caller's request. Doing so twice is harmless: the
@@ -111,7 +112,7 @@
 		part := platform.Partition{Topic: Topic, Part: partition}
 		// The calls have time-outs of their own; a caller that leaves does not end
 		// the append of the others.
-		status, err := hedge.Write(context.Background(), func(ctx context.Context) (platform.StoreStatus, error) {
+		status, err := a.hedger.Write(context.Background(), func(ctx context.Context) (platform.StoreStatus, error) {
 			return a.store.Append(ctx, part, nil, records...)
 		})
 		for _, w := range batch {
--- a/internal/joblog/acceptor_test.go
+++ b/internal/joblog/acceptor_test.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 
+	"github.com/yuccadrift/yuccadrift/internal/hedge"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -59,7 +60,7 @@
 func TestRecordsThatComeTogetherAreAppendedTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &slowStore{takes: 80 * time.Millisecond}
-		a := joblog.NewAcceptor(store)
+		a := joblog.NewAcceptor(store, hedge.New())
 		began := time.Now()
 		var all sync.WaitGroup
 		for i := range 40 {
@@ -81,7 +82,7 @@
 func TestOnlyRecordsThatWereNotSentAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &slowStore{takes: 10 * time.Second, fails: errors.New("no answer")}
-		a := joblog.NewAcceptor(store)
+		a := joblog.NewAcceptor(store, hedge.New())
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		first := make(chan platform.StoreStatus, 1)
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -47,13 +47,14 @@
 
 // Log is one partition.
 type Log struct {
-	store Store
-	part  platform.Partition
+	store  Store
+	part   platform.Partition
+	hedger *hedge.Hedger
 }
 
 // New returns the log of a partition of a topic.
-func New(store Store, topic string, partition int) *Log {
-	return &Log{store: store, part: platform.Partition{Topic: topic, Part: partition}}
+func New(store Store, hedger *hedge.Hedger, topic string, partition int) *Log {
+	return &Log{store: store, hedger: hedger, part: platform.Partition{Topic: topic, Part: partition}}
 }
 
 // Fence puts an owner's epoch in force: writes of earlier ones are refused from
@@ -65,7 +66,7 @@
 // Write stores records of the owner. The same sequence sent again has no second
 // effect.
 func (l *Log) Write(ctx context.Context, epoch, sequence int64, records []platform.KeyedRecord) (platform.StoreStatus, error) {
-	return hedge.Write(ctx, func(ctx context.Context) (platform.StoreStatus, error) {
+	return l.hedger.Write(ctx, func(ctx context.Context) (platform.StoreStatus, error) {
 		return l.store.Append(ctx, l.part, &platform.Producer{Name: producer, Epoch: epoch, Sequence: sequence}, records...)
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/admin"
 	"github.com/yuccadrift/yuccadrift/internal/fleetowner"
 	"github.com/yuccadrift/yuccadrift/internal/front"
+	"github.com/yuccadrift/yuccadrift/internal/hedge"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/listen"
 	"github.com/yuccadrift/yuccadrift/internal/logging"
@@ -100,10 +101,12 @@
 	n.store = platform.NewStore(s.Store, n.contact.called)
 	n.published = published.New(n.store, logger.Named("published"))
 	n.registry = registry.New(n.store, logger.Named("registry"))
-	n.acceptor = joblog.NewAcceptor(n.store)
+	hedger := hedge.New()
+	n.acceptor = joblog.NewAcceptor(n.store, hedger)
 	n.machines = platform.NewMachines(s.Machines)
 	n.deps = owner.Deps{
 		Store:      n.store,
+		Hedger:     hedger,
 		Workers:    platform.NewWorkers(),
 		Adviser:    platform.NewAdviser(s.Advice),
 		Fleet:      n.machines,
@@ -203,6 +206,7 @@
 	return fleetowner.New(fleetowner.Deps{
 		Node:      n.settings.Node,
 		Store:     n.store,
+		Hedger:    n.deps.Hedger,
 		Machines:  n.machines,
 		Services:  n.owners,
 		Published: n.published,
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/yuccadrift/yuccadrift/internal/hedge"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/published"
 	"github.com/yuccadrift/yuccadrift/internal/registry"
@@ -62,6 +63,7 @@
 // Deps is what all owners of a node share.
 type Deps struct {
 	Store     joblog.Store
+	Hedger    *hedge.Hedger
 	Workers   Workers
 	Adviser   Adviser
 	Fleet     Fleet
@@ -109,7 +111,7 @@
 		deps:      deps,
 		partition: partition,
 		epoch:     epoch,
-		log:       joblog.New(deps.Store, joblog.Topic, partition),
+		log:       joblog.New(deps.Store, deps.Hedger, joblog.Topic, partition),
 		logger:    deps.Logger.With("partition", partition, "epoch", epoch),
 		inbox:     make(chan event, inboxSize),
 		loaded:    make(chan struct{}),
