--- a/internal/load/jobs.go
+++ b/internal/load/jobs.go
@@ -13,6 +13,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccadrift/yuccadrift/internal/wait"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
 )
 
 // JobPlan is a load of jobs.
@@ -41,6 +43,16 @@
 	jobTries       = 20
 )
 
+// maxWidth is how many tasks the first step of a job has at most.
+const maxWidth = 5
+
+// spec is a job of two steps.
+func (p JobPlan) spec(width int) workload.Spec {
+	first := workload.Step{Count: width, Need: workload.Resources{CPU: 1000, MemoryMB: 500}, EstimateMS: p.Takes.Milliseconds()}
+	second := workload.Step{Count: 1, Need: workload.Resources{CPU: 2000, MemoryMB: 500}, EstimateMS: p.Takes.Milliseconds(), DependsOn: []int{0}}
+	return workload.Spec{Payload: p.Takes.String(), Steps: []workload.Step{first, second}}
+}
+
 // jobCaller submits jobs and asks for them.
 type jobCaller struct {
 	plan   JobPlan
@@ -62,8 +74,10 @@
 	for i := range plan.Jobs {
 		id := fmt.Sprintf("%016x", rng.Uint64())
 		queue := plan.Queues[i%len(plan.Queues)]
-		body := fmt.Sprintf(`{"spec":%q,"steps":[{"count":%d,"cpu":1000,"mem_mb":500,"estimated_ms":%d},{"count":1,"cpu":2000,"mem_mb":500,"estimated_ms":%d,"depends_on":[0]}]}`,
-			plan.Takes.String(), 1+rng.IntN(5), plan.Takes.Milliseconds(), plan.Takes.Milliseconds())
+		body, err := platform.EncodeJob(plan.spec(1 + rng.IntN(maxWidth)))
+		if err != nil {
+			return c.report, err
+		}
 		jobs.Go(func() { c.job(ctx, i, queue+id, body) })
 		if err := wait.Sleep(ctx, time.Duration(float64(time.Second)/plan.Rate)); err != nil {
 			break
@@ -74,7 +88,7 @@
 }
 
 // job takes one job from its submission to its end.
-func (c *jobCaller) job(ctx context.Context, i int, path, body string) {
+func (c *jobCaller) job(ctx context.Context, i int, path string, body []byte) {
 	began := time.Now()
 	taken := c.submit(ctx, i, path, body)
 	c.count(func(r *JobReport) {
@@ -106,7 +120,7 @@
 	add(&c.report)
 }
 
-func (c *jobCaller) submit(ctx context.Context, i int, path, body string) bool {
+func (c *jobCaller) submit(ctx context.Context, i int, path string, body []byte) bool {
 	for try := range jobTries {
 		if status, _ := c.call(ctx, http.MethodPost, i+try, path, body); status == http.StatusOK {
 			return true
@@ -122,8 +136,8 @@
 	ctx, cancel := context.WithTimeout(ctx, c.plan.Patience)
 	defer cancel()
 	for try := i; ctx.Err() == nil; try++ {
-		status, text := c.call(ctx, http.MethodGet, try, path, "")
-		if status == http.StatusOK && bytes.Contains(text, []byte(`"completed"`)) {
+		status, text := c.call(ctx, http.MethodGet, try, path, nil)
+		if status == http.StatusOK && bytes.Equal(text, platform.EncodeState(workload.Completed)) {
 			return true
 		}
 		wait.Pause(ctx, jobPoll)
@@ -132,9 +146,9 @@
 }
 
 // call sends one call; the status is 0 without an answer.
-func (c *jobCaller) call(ctx context.Context, method string, n int, path, body string) (int, []byte) {
+func (c *jobCaller) call(ctx context.Context, method string, n int, path string, body []byte) (int, []byte) {
 	target := c.plan.Targets[n%len(c.plan.Targets)]
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+target+path, bytes.NewBufferString(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+target+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
--- a/internal/proof/platformjobs_test.go
+++ b/internal/proof/platformjobs_test.go
@@ -31,7 +31,7 @@
 	for i := range n {
 		id := c.NewID()
 		service := []string{"booking", "returns"}[i%2]
-		c.Submit(service, id, testkit.JobBody(takes, 3, 2))
+		c.Submit(service, id, testkit.Chain(takes, 3, 2))
 		jobs[id] = service
 	}
 	return jobs
@@ -110,7 +110,7 @@
 	jobs := submitMany(c, 6, 400*time.Millisecond)
 	c.Nodes[0].Terminate()
 	id := c.NewID()
-	status, body := c.Call(c.Nodes[0], http.MethodPost, standin.Prefix("booking")+string(id), testkit.JobBody(50*time.Millisecond, 1))
+	status, body := c.Call(c.Nodes[0], http.MethodPost, standin.Prefix("booking")+string(id), testkit.Body(t, testkit.Chain(50*time.Millisecond, 1)))
 	assert.Equal(t, http.StatusOK, status, body)
 	jobs[id] = "booking"
 	require.NoError(t, c.Nodes[0].Wait())
@@ -126,7 +126,7 @@
 	c := testkit.StartJobs(t, jobOptions(), 2)
 	id := c.NewID()
 	path := standin.Prefix("booking") + string(id)
-	body := testkit.JobBody(100*time.Millisecond, 3)
+	body := testkit.Body(t, testkit.Chain(100*time.Millisecond, 3))
 	answers := make(chan int, len(c.Nodes))
 	for _, n := range c.Nodes {
 		go func() {
@@ -149,13 +149,13 @@
 	t.Parallel()
 	c := testkit.StartJobs(t, jobOptions(), 2)
 	running := c.NewID()
-	c.Submit("booking", running, testkit.JobBody(300*time.Millisecond, 2, 2))
+	c.Submit("booking", running, testkit.Chain(300*time.Millisecond, 2, 2))
 	refused := map[workload.JobID]bool{}
 	for _, fault := range []standin.StoreFault{standin.Busy, standin.Silent} {
 		c.Platform.Store.SetFault(fault, "")
 		c.Until("callers are refused", func() bool {
 			id := c.NewID()
-			status, _ := c.Call(c.Nodes[0], http.MethodPost, standin.Prefix("returns")+string(id), testkit.JobBody(50*time.Millisecond, 1))
+			status, _ := c.Call(c.Nodes[0], http.MethodPost, standin.Prefix("returns")+string(id), testkit.Body(t, testkit.Chain(50*time.Millisecond, 1)))
 			refused[id] = status == http.StatusServiceUnavailable
 			return refused[id]
 		})
@@ -164,7 +164,7 @@
 	}
 	c.AwaitState("booking", running, workload.Completed)
 	last := c.NewID()
-	c.Submit("returns", last, testkit.JobBody(50*time.Millisecond, 1))
+	c.Submit("returns", last, testkit.Chain(50*time.Millisecond, 1))
 	c.AwaitState("returns", last, workload.Completed)
 	for id, certain := range refused {
 		if certain {
@@ -184,12 +184,12 @@
 	c.Platform.Store.SetFault(standin.LoseWrites, "")
 	id := c.NewID()
 	path := standin.Prefix("booking") + string(id)
-	body := testkit.JobBody(50*time.Millisecond, 2)
-	status, _ := c.Call(c.Nodes[0], http.MethodPost, path, body)
+	job := testkit.Chain(50*time.Millisecond, 2)
+	status, _ := c.Call(c.Nodes[0], http.MethodPost, path, testkit.Body(t, job))
 	assert.Equal(t, http.StatusGatewayTimeout, status)
 	c.Platform.Store.SetFault(standin.Healthy, "")
 	c.AwaitReady()
-	c.Submit("booking", id, body)
+	c.Submit("booking", id, job)
 	c.AwaitState("booking", id, workload.Completed)
 	assert.Equal(t, 2, c.Platform.Done())
 	assert.Empty(t, c.Platform.Broken())
@@ -223,8 +223,9 @@
 	t.Parallel()
 	c := testkit.StartJobs(t, jobOptions(), 2)
 	id := c.NewID()
-	body := `{"spec":"0s","steps":[{"count":3,"cpu":1000,"mem_mb":500,"long_running":true,"may_miss":1,"anti_affinity":1}]}`
-	c.Submit("booking", id, body)
+	c.Submit("booking", id, workload.Spec{Payload: standin.Payload(0), Steps: []workload.Step{{
+		Count: 3, Need: workload.Resources{CPU: 1000, MemoryMB: 500}, Lasting: true, MayMiss: 1, MaxPerWorker: 1,
+	}}})
 	c.Until("all tasks run", func() bool { return c.Platform.Running(id) == 3 })
 	for _, vm := range c.Platform.VMs() {
 		if vm.Pool == "booking" {
@@ -272,7 +273,7 @@
 		return strings.Contains(n.Log(), "published change can't be read, the last good state stays")
 	})
 	id := c.NewID()
-	c.Submit("booking", id, testkit.JobBody(50*time.Millisecond, 1))
+	c.Submit("booking", id, testkit.Chain(50*time.Millisecond, 1))
 	c.AwaitState("booking", id, workload.Completed)
 	require.NoError(t, c.Platform.Publish("returns"))
 	c.Until("the new queue is known", func() bool {
--- a/internal/testkit/jobs.go
+++ b/internal/testkit/jobs.go
@@ -14,9 +14,13 @@
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
 	"github.com/yuccadrift/yuccadrift/platform/standin"
 )
 
+// callerPatience is how long callers of tests wait for an answer.
+const callerPatience = 3 * time.Second
+
 const binNode = "yuccadrift-node"
 
 // settingsFlag names the settings file to a node's process.
@@ -110,7 +114,7 @@
 	c.t.Helper()
 	for _, n := range c.Nodes {
 		if n.Running() {
-			c.Until(n.Name+" is ready", func() bool { return answers(n.ready + "/v1/readyz") })
+			c.Until(n.Name+" is ready", func() bool { return answers(n.ready + platform.ReadyPath) })
 		}
 	}
 }
@@ -127,19 +131,28 @@
 	return workload.JobID(fmt.Sprintf("%016x", c.nextID))
 }
 
-// JobBody is the body of a job of steps that follow one another, each with so
-// many tasks that take a time.
-func JobBody(takes time.Duration, counts ...int) string {
-	steps := ""
+// Body is the body of a job, as callers send it.
+func Body(t testing.TB, spec workload.Spec) string {
+	t.Helper()
+	data, err := platform.EncodeJob(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// Chain is a job of steps that follow one another, each with so many tasks that
+// take a time.
+func Chain(takes time.Duration, counts ...int) workload.Spec {
+	spec := workload.Spec{Payload: standin.Payload(takes)}
 	for i, n := range counts {
-		after := ""
+		s := workload.Step{Count: n, Need: workload.Resources{CPU: 1000, MemoryMB: 500}, EstimateMS: takes.Milliseconds()}
 		if i > 0 {
-			steps += ","
-			after = fmt.Sprintf(`,"depends_on":[%d]`, i-1)
+			s.DependsOn = []int{i - 1}
 		}
-		steps += fmt.Sprintf(`{"count":%d,"cpu":1000,"mem_mb":500,"estimated_ms":%d%s}`, n, takes.Milliseconds(), after)
+		spec.Steps = append(spec.Steps, s)
 	}
-	return fmt.Sprintf(`{"spec":%q,"steps":[%s]}`, standin.Payload(takes), steps)
+	return spec
 }
 
 // Call sends one call to a node and returns the status, 0 without an answer.
@@ -151,7 +164,7 @@
 		c.t.Fatal(err)
 	}
 	req.Host = standin.Host
-	req.Header.Set("X-Request-Timeout-Ms", "3000")
+	platform.SetCallerTimeout(req, callerPatience)
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0, err.Error()
@@ -166,8 +179,9 @@
 
 // Submit submits a job until a node takes it: a caller tries other nodes with the
 // same ID after anything but an answer that it was taken.
-func (c *JobCluster) Submit(service string, id workload.JobID, body string) {
+func (c *JobCluster) Submit(service string, id workload.JobID, spec workload.Spec) {
 	c.t.Helper()
+	body := Body(c.t, spec)
 	tries := 0
 	c.Until("job "+string(id)+" is taken", func() bool {
 		tries++
