Say once what an order's outcome says of its worker; read workers only while owning

Cause: three copies of the same lines; a node that had owned a partition once went on reading all workers' entries; fields that nothing used. Change: answered takes fences and replacements for all kinds of orders; Need is counted and given back.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,7 +188,7 @@
 	if !n.used(ctx, p.Part) {
 		return ctx.Err()
 	}
-	n.registry.Need(true)
+	defer n.registry.Need()()
 	own := owner.New(n.deps, p.Part, epoch)
 	n.owners.set(p.Part, own)
 	defer n.owners.unset(p.Part, own)
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -210,18 +210,6 @@
 	return time.Time{}
 }
 
-// Owns tells whether the node owns any partition of a topic.
-func (m *Manager) Owns(topic string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for p := range m.held {
-		if p.Topic == topic {
-			return true
-		}
-	}
-	return false
-}
-
 // stopAll stops all owners and waits until they have left word of their runs.
 func (m *Manager) stopAll() {
 	m.mu.Lock()
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -37,7 +37,7 @@
 	version int64
 	readAt  time.Time // when the latest good read was sent
 	goodAt  time.Time // when it was answered
-	needed  bool
+	needs   int // how many need it
 	next    int64
 }
 
@@ -46,11 +46,17 @@
 	return &Follower{source: source, logger: logger, view: NewView(), next: -1}
 }
 
-// Need says whether the list is needed: only nodes that order workers read it.
-func (f *Follower) Need(needed bool) {
+// Need says that the list is needed until done is called: only nodes that order
+// workers read it.
+func (f *Follower) Need() (done func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.needed = needed
+	f.needs++
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.needs--
+	}
 }
 
 // Snapshot is the list at a time.
@@ -74,7 +80,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		needed := f.needed
+		needed := f.needs > 0
 		f.mu.Unlock()
 		pause := idleInterval
 		if needed {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -76,25 +76,27 @@
 	// doubtful is set while the list of workers may lack some that run tasks.
 	doubtful bool
 
-	dirty     map[workload.JobID]*job
-	expired   []workload.JobID // to be deleted from the store
-	writing   *write
-	writeSeq  int64
-	arrived   map[string]workload.Work // by service
-	starting  int                      // starts in flight
-	startedAt time.Time
-	steppedAt time.Time
+	// What is to be stored, and is being stored.
+	dirty    map[workload.JobID]*job
+	expired  []workload.JobID // to be deleted
+	writing  *write           // nil if none is under way
+	writeSeq int64
+	opened   bool // this owner has stored that it took over
+
+	arrived  map[string]workload.Work // by service
+	starting int                      // starts in flight
+	// dirtyPlan is set when something has changed that a plan rests on.
+	dirtyPlan bool
 	// unwellUntil is until when the process counts as one that hardly gets on.
 	unwellUntil time.Time
-	opened      bool // this owner has stored that it took over
 	unblocked   bool // nothing waits for an earlier owner's runs any more
-	sweptAt     time.Time
-	plannedAt   time.Time
-	copiedAt    time.Time
-	lost        string
-	dirtyPlan   bool
-	out         Orders
-	Counts      Counts
+
+	// When things were done last.
+	startedAt, steppedAt, sweptAt, plannedAt, copiedAt time.Time
+
+	lost   string // why the ownership is lost, "" while it is not
+	out    Orders // of the present step
+	Counts Counts
 }
 
 // Counts are totals for metrics.
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -70,7 +70,6 @@
 			state:     runUncertain,
 			since:     now,
 			orderedAt: now,
-			moved:     now,
 			paced:     fullPace,
 			confirmed: left.Confirmed,
 
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -105,9 +105,6 @@
 		r.state = runRunning
 		r.since = now
 	}
-	if row.Percent != r.percent || row.Checkpoint != r.checkpoint || r.moved.IsZero() {
-		r.moved = now
-	}
 	r.confirmed = true
 	r.sure = !sent.Before(r.doubtUntil)
 	r.percent = row.Percent
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -275,7 +275,7 @@
 
 // start orders a run.
 func (c *Core) start(w *worker, s *step, index int, number int64, checkpoint string, now time.Time) {
-	r := &run{step: s, index: index, number: number, worker: w, state: runStarting, since: now, orderedAt: now, moved: now, paced: fullPace, checkpoint: checkpoint}
+	r := &run{step: s, index: index, number: number, worker: w, state: runStarting, since: now, orderedAt: now, paced: fullPace, checkpoint: checkpoint}
 	begun := s.job.begun
 	w.add(r)
 	w.orders++
--- a/internal/scheduler/started.go
+++ b/internal/scheduler/started.go
@@ -22,34 +22,32 @@
 	Answer workload.WorkerAnswer
 }
 
-// answered looks up what an outcome is about. Either may be nil.
-func (c *Core) answered(o OrderResult, now time.Time) (*worker, *run) {
+// answered looks up what an outcome is about, and takes what it says of the
+// worker itself. The run is nil if it is no longer known there.
+func (c *Core) answered(o OrderResult, now time.Time) *run {
 	w := c.workers[o.Worker]
 	if w == nil {
-		return nil, nil
+		return nil
 	}
 	w.orders--
 	w.heard(o.Answer.Clock, now)
-	return w, w.find(o.Task, o.Run)
+	switch o.Answer.Status {
+	case workload.WorkerFenced:
+		c.fenced(w, o.Token)
+	case workload.WorkerReplaced:
+		c.replaced(w)
+	}
+	return w.find(o.Task, o.Run)
 }
 
 // Started takes the outcome of a start.
 func (c *Core) Started(o OrderResult, now time.Time) {
 	c.starting--
-	w, r := c.answered(o, now)
-	if w == nil {
-		return
-	}
-	if o.Answer.Status == workload.WorkerFenced {
-		c.fenced(w, o.Token)
-	}
-	if o.Answer.Status == workload.WorkerReplaced {
-		c.replaced(w)
-		return
-	}
+	r := c.answered(o, now)
 	if r == nil || r.state != runStarting && r.state != runStopping {
 		return // a look has told already
 	}
+	w := r.worker
 	switch o.Answer.Status {
 	case workload.WorkerOK:
 		c.Counts.Started++
@@ -118,17 +116,7 @@
 
 // Stopped takes the outcome of a stop.
 func (c *Core) Stopped(o OrderResult, now time.Time) {
-	w, r := c.answered(o, now)
-	if w == nil {
-		return
-	}
-	if o.Answer.Status == workload.WorkerFenced {
-		c.fenced(w, o.Token)
-	}
-	if o.Answer.Status == workload.WorkerReplaced {
-		c.replaced(w)
-		return
-	}
+	r := c.answered(o, now)
 	if r == nil {
 		return
 	}
@@ -137,20 +125,14 @@
 	if o.Answer.Status == workload.WorkerOK {
 		r.stopped = true
 		r.since = now
-		w.holdAfter = now
+		r.worker.holdAfter = now
 	}
 }
 
 // Paced takes the outcome of a pace. One that was not taken is ordered again
 // when the worker next lists the run.
 func (c *Core) Paced(o OrderResult, now time.Time) {
-	w, r := c.answered(o, now)
-	if w == nil {
-		return
-	}
-	if o.Answer.Status == workload.WorkerFenced {
-		c.fenced(w, o.Token)
-	}
+	r := c.answered(o, now)
 	if r == nil {
 		return
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -80,7 +80,6 @@
 	paced      int // percent last ordered
 	pacing     bool
 	load       float64
-	moved      time.Time // when it last showed progress
 	checkpoint string
 }
 
