--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -37,7 +37,7 @@
 	version int64
 	readAt  time.Time // when the latest good read was sent
 	goodAt  time.Time // when it was answered
-	needs   int // how many need it
+	needs   int       // how many need it
 	next    int64
 }
 
