--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -587,3 +587,28 @@
 	}
 	assert.NotEmpty(t, r.step(20*time.Millisecond).Starts)
 }
+
+// A task ends while another runs on the worker. Until its end is stored the worker
+// is left alone, as it would answer each look at once; then it is looked at without
+// a pause. Otherwise every end costs the next one on that worker 400 ms.
+func TestLookFollowsAStoredEndAtOnce(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1")
+	r.submit("0000000000000001", batch(2, 1000))
+	starts := r.step(20 * time.Millisecond).Starts
+	require.Len(t, starts, 2)
+	for _, s := range starts {
+		r.started(s, workload.WorkerOK)
+	}
+	held := end(1, starts[0], workload.EndDone)
+	held.Running = []workload.RunState{{Task: starts[1].Start.Task, Run: starts[1].Start.Run, Percent: 100}}
+	r.held("w-1", r.now.Add(time.Millisecond), held)
+	r.now = r.now.Add(20 * time.Millisecond)
+	orders := r.core.Step(r.now)
+	require.NotNil(t, orders.Write)
+	assert.Empty(t, orders.Holds)
+	r.core.Written()
+	holds := r.core.Step(r.now.Add(5 * time.Millisecond)).Holds
+	require.Len(t, holds, 1)
+	assert.Equal(t, int64(1), holds[0].Hold.Acked)
+}
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -25,6 +25,19 @@
 	return n
 }
 
+// keptSeeds have shown a fault, or an artefact of the test, outside the range that
+// each run plays.
+var keptSeeds = []uint64{589, 726, 787, 1208}
+
+// seeds are those that a test plays: the first n, and the kept ones.
+func seeds(n uint64) []uint64 {
+	var list []uint64
+	for seed := range n {
+		list = append(list, seed)
+	}
+	return append(list, keptSeeds...)
+}
+
 // randomSpec draws a job like those of the users.
 func (w *world) randomSpec() workload.Spec {
 	spec := workload.Spec{Payload: "work"}
@@ -118,7 +131,7 @@
 // it should, and no worker sees a task that it must not.
 func TestRandomHistories(t *testing.T) {
 	starts := 0
-	for seed := range histories(t) {
+	for _, seed := range seeds(histories(t)) {
 		w := history(seed)
 		starts += w.starts
 		require.Empty(t, w.broken, "seed %d", seed)
@@ -149,7 +162,7 @@
 // every second or so, each with word of its runs. The caller notices nothing: no
 // task runs twice, and none is forgotten, though ends come in all the while.
 func TestHandoversRunNothingTwice(t *testing.T) {
-	for seed := range histories(t) / 3 {
+	for _, seed := range seeds(histories(t) / 3) {
 		w := newWorld(seed, faults{})
 		for i := range 12 { // room for all, also where many tasks last
 			w.addWorker("worker-"+strconv.Itoa(i), workload.Resources{CPU: 32000, MemoryMB: 64000})
@@ -215,7 +228,7 @@
 // crash or are cut off, and orders get lost or late. No more of a step's lasting
 // tasks are taken away at once than it may miss, and each worker becomes empty.
 func TestEmptyingInRandomHistories(t *testing.T) {
-	for seed := range histories(t) {
+	for _, seed := range seeds(histories(t)) {
 		w := newWorld(seed, faults{lostAnswer: 0.01, failedTask: 0.01, storeLost: 0.02})
 		for i := range 8 {
 			w.addWorker("worker-"+strconv.Itoa(i), workload.Resources{CPU: 32000, MemoryMB: 64000})
@@ -246,7 +259,7 @@
 // gets on for seconds at a time, as on an overloaded VM: answers lie unread while
 // leases go on. The caller waits longer; no task runs twice.
 func TestSlowOwnersRunNothingTwice(t *testing.T) {
-	for seed := range histories(t) {
+	for _, seed := range seeds(histories(t)) {
 		w := newWorld(seed, faults{lostAnswer: 0.01, failedTask: 0.01, storeLost: 0.02})
 		for i := range 8 {
 			w.addWorker("worker-"+strconv.Itoa(i), workload.Resources{CPU: 32000, MemoryMB: 64000})
