Stop gangs that can't be complete; ask an emptied worker before it gets work

The refusals came from workers that had been emptied and moved with their VM: they stay on the list of workers for some seconds, and their closing runs out after two.

Ruled out: members too far apart in time (all are ordered in one step); room (the workers were gone: "connection refused").

Change: a gang is watched until all its members have answered. One that misses a member is stopped at once, one that is incomplete after half of the gang's time-out too, and starts anew. A worker that was emptied counts as silent until it has answered a look. core_test.go is split by subject.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -237,6 +237,7 @@
 		StateKept:    o.deps.Bounds.StateKept,
 		RemoteFactor: o.deps.Bounds.RemoteFactor,
 		Stop:         o.deps.Bounds.Stop,
+		GangTimeout:  o.deps.Bounds.GangTimeout,
 	}
 	if told {
 		return scheduler.New(cfg, fenced, nil, false)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -35,6 +35,8 @@
 	StateKept time.Duration
 	// Stop is what a stop takes at most.
 	Stop time.Duration
+	// GangTimeout is how long a member of a gang waits for the others.
+	GangTimeout time.Duration
 	// RemoteFactor is how many times as long a task takes away from its data.
 	RemoteFactor float64
 }
@@ -85,6 +87,7 @@
 
 	arrived  map[string]workload.Work // by service
 	starting int                      // starts in flight
+	forming  []forming
 	// dirtyPlan is set when something has changed that a plan rests on.
 	dirtyPlan bool
 	// unwellUntil is until when the process counts as one that hardly gets on.
@@ -255,6 +258,7 @@
 	c.forgetWorkers()
 	c.holdWorkers(now)
 	c.evacuate(now)
+	c.watchGangs(now)
 	c.place(now)
 	c.copyStragglers(now)
 	c.forgetJobs(now)
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -11,81 +11,6 @@
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
-// rig is a Core with workers that answer only what a test says.
-type rig struct {
-	t    *testing.T
-	core *scheduler.Core
-	now  time.Time
-}
-
-func newRig(t *testing.T, suspects ...string) *rig {
-	r := &rig{t: t, now: epochStart}
-	r.core = scheduler.New(scheduler.Settings{Epoch: 3, Lease: testLease, StateKept: time.Hour, RemoteFactor: 2, Stop: stopTime}, r.now, suspects, false)
-	r.core.SetConfig(testConfig)
-	return r
-}
-
-func (r *rig) workers(ids ...string) {
-	var list []workload.Worker
-	for _, id := range ids {
-		list = append(list, workload.Worker{
-			ID: id, Service: "service", Address: id, Labels: []string{"a", "rack"},
-			Capacity: workload.Resources{CPU: 8000, MemoryMB: 16000},
-		})
-	}
-	r.core.SetWorkers(list, r.now)
-}
-
-// step steps after d and stores what is to be stored.
-func (r *rig) step(d time.Duration) scheduler.Orders {
-	r.now = r.now.Add(d)
-	orders := r.core.Step(r.now)
-	if orders.Write != nil {
-		r.core.Written()
-		more := r.core.Step(r.now)
-		orders.Starts = append(orders.Starts, more.Starts...)
-		orders.Stops = append(orders.Stops, more.Stops...)
-		orders.Holds = append(orders.Holds, more.Holds...)
-	}
-	return orders
-}
-
-// held answers a look.
-func (r *rig) held(worker string, sent time.Time, held workload.Held) {
-	r.core.Held(scheduler.HoldResult{Worker: worker, Token: 3 << 10, SentAt: sent, Held: held, Answer: workload.WorkerAnswer{Clock: 1000}}, r.now)
-}
-
-func (r *rig) started(s scheduler.StartOrder, status workload.WorkerStatus) {
-	r.core.Started(scheduler.OrderResult{
-		Worker: s.Worker.ID, Task: s.Start.Task, Run: s.Start.Run, Token: s.Start.Token,
-		Answer: workload.WorkerAnswer{Status: status, Clock: 1000},
-	}, r.now)
-}
-
-func (r *rig) submit(id string, steps ...workload.Step) workload.JobID {
-	job := workload.JobID(id)
-	r.core.Submitted(job, &workload.Submission{Queue: "quick", Service: "service", AcceptedMS: r.now.UnixMilli(), Spec: workload.Spec{Payload: "work", Steps: steps}})
-	return job
-}
-
-func batch(count, cpu int) workload.Step {
-	return workload.Step{Count: count, Need: workload.Resources{CPU: cpu, MemoryMB: 100}, EstimateMS: 500}
-}
-
-// ready syncs workers and returns the starts that follow.
-func (r *rig) ready(ids ...string) []scheduler.StartOrder {
-	r.workers(ids...)
-	r.step(0)
-	for _, id := range ids {
-		r.held(id, r.now, workload.Held{})
-	}
-	return r.step(10 * time.Millisecond).Starts
-}
-
-func end(n int64, s scheduler.StartOrder, how workload.How) workload.Held {
-	return workload.Held{Finished: []workload.RunEnd{{Number: n, Task: s.Start.Task, Run: s.Start.Run, How: how}}}
-}
-
 // The caller's job takes one look more to begin. A worker may run what an earlier
 // owner started there: nothing is started anywhere before each one has answered
 // under the new token, as the same task could run on the one that has not.
@@ -238,29 +163,6 @@
 	assert.Len(t, r.step(400*time.Millisecond).Starts, 1)
 }
 
-// Lasting tasks fail by themselves now and then, and such failures say nothing of
-// their worker: however many there were, it goes on getting them.
-func TestLastingTasksAreStartedAgainWhereverTheyFailed(t *testing.T) {
-	r := newRig(t)
-	r.ready("w-1")
-	lasting := workload.Step{Count: 1, Need: workload.Resources{CPU: 1000, MemoryMB: 100}, Lasting: true}
-	r.submit("0000000000000001", lasting)
-	r.submit("0000000000000002", lasting)
-	n := int64(0)
-	for range 8 {
-		starts := r.step(400 * time.Millisecond).Starts
-		require.NotEmpty(t, starts)
-		for _, s := range starts {
-			r.started(s, workload.WorkerOK)
-		}
-		r.step(3 * time.Second)
-		for _, s := range starts {
-			n++
-			r.held("w-1", r.now, end(n, s, workload.EndFailed))
-		}
-	}
-}
-
 // A worker fails all that it starts. After a few failures of several jobs it is
 // set aside, and the jobs are run elsewhere.
 func TestWorkerThatFailsAllIsSetAside(t *testing.T) {
@@ -281,166 +183,6 @@
 	}
 }
 
-// A step waits for all tasks of the step that it depends on.
-func TestStepsFollowTheirDependencies(t *testing.T) {
-	r := newRig(t)
-	r.ready("w-1")
-	second := batch(1, 1000)
-	second.DependsOn = []int{0}
-	r.submit("0000000000000001", batch(2, 1000), second)
-	starts := r.step(20 * time.Millisecond).Starts
-	require.Len(t, starts, 2)
-	for _, s := range starts {
-		r.started(s, workload.WorkerOK)
-	}
-	first := end(1, starts[0], workload.EndDone)
-	first.Running = []workload.RunState{{Task: starts[1].Start.Task, Run: starts[1].Start.Run, Percent: 100}}
-	r.held("w-1", r.now, first)
-	assert.Empty(t, r.step(100*time.Millisecond).Starts)
-	r.held("w-1", r.now, end(2, starts[1], workload.EndDone))
-	after := r.step(100 * time.Millisecond).Starts
-	require.Len(t, after, 1)
-	assert.Equal(t, 1, after[0].Start.Task.Step)
-}
-
-// A gang starts with all its members, under one run number, or not at all.
-func TestGangStartsWholeOrNotAtAll(t *testing.T) {
-	r := newRig(t)
-	r.ready("w-1")
-	gang := batch(3, 3000)
-	gang.Gang = true
-	r.submit("0000000000000001", gang)
-	assert.Empty(t, r.step(20*time.Millisecond).Starts, "two fit, three don't")
-	starts := r.ready("w-1", "w-2")
-	require.Len(t, starts, 3)
-	assert.Equal(t, starts[0].Start.Run, starts[1].Start.Run)
-	assert.Equal(t, starts[0].Start.Run, starts[2].Start.Run)
-}
-
-// An occurrence does not begin before it is due.
-func TestOccurrencesWaitForTheirTime(t *testing.T) {
-	r := newRig(t)
-	r.ready("w-1")
-	due := r.now.Add(2 * time.Second)
-	r.core.Submitted("0000000000000001", &workload.Submission{Queue: "quick", Service: "service", AcceptedMS: r.now.UnixMilli(), Spec: workload.Spec{
-		Steps: []workload.Step{batch(1, 1000)}, Repeat: 2, StartAtMS: due.UnixMilli(), IntervalMS: 1000,
-	}})
-	var at []time.Time
-	for r.now.Before(due.Add(3 * time.Second)) {
-		for range r.step(100 * time.Millisecond).Starts {
-			at = append(at, r.now)
-		}
-		r.held("w-1", r.now, workload.Held{})
-	}
-	require.Len(t, at, 2)
-	assert.False(t, at[0].Before(due))
-	assert.False(t, at[1].Before(due.Add(time.Second)))
-}
-
-// A VM is to be emptied, and one of two lasting tasks may be missing. They leave
-// one after the other: the second one goes only when the first is fully at work
-// elsewhere.
-func TestEmptyingKeepsTheBudgetOfLastingTasks(t *testing.T) {
-	r := newRig(t)
-	r.ready("w-1", "w-2")
-	r.submit("0000000000000001", workload.Step{Count: 2, Need: workload.Resources{CPU: 1000, MemoryMB: 100}, Lasting: true, MayMiss: 1})
-	starts := r.step(20 * time.Millisecond).Starts
-	require.Len(t, starts, 2)
-	home := starts[0].Worker.ID
-	require.Equal(t, home, starts[1].Worker.ID, "lasting tasks lie together")
-	running := func(s scheduler.StartOrder, percent int) workload.RunState {
-		return workload.RunState{Task: s.Start.Task, Run: s.Start.Run, Percent: percent}
-	}
-	for _, s := range starts {
-		r.started(s, workload.WorkerOK)
-	}
-	r.held(home, r.now.Add(time.Millisecond), workload.Held{Running: []workload.RunState{running(starts[0], 100), running(starts[1], 100)}})
-	assert.False(t, r.core.Evacuate(home, r.now))
-	stops := r.step(20 * time.Millisecond).Stops
-	require.Len(t, stops, 1)
-	stopped, left := starts[0], starts[1]
-	if stops[0].Task == starts[1].Start.Task {
-		stopped, left = left, stopped
-	}
-	ended := end(1, stopped, workload.EndStopped)
-	ended.Running = []workload.RunState{running(left, 100)}
-	r.held(home, r.now.Add(time.Millisecond), ended)
-	r.core.Evacuate(home, r.now)
-	moved := r.step(20 * time.Millisecond)
-	require.Len(t, moved.Starts, 1)
-	require.NotEqual(t, home, moved.Starts[0].Worker.ID)
-	r.started(moved.Starts[0], workload.WorkerOK)
-	r.core.Evacuate(home, r.now)
-	assert.Empty(t, r.step(20*time.Millisecond).Stops, "the first is not at work yet")
-	r.held(moved.Starts[0].Worker.ID, r.now.Add(time.Millisecond), workload.Held{Running: []workload.RunState{running(moved.Starts[0], 100)}})
-	r.core.Evacuate(home, r.now)
-	assert.Len(t, r.step(20*time.Millisecond).Stops, 1)
-}
-
-// A serving task is over its target because of a filling one beside it. The
-// filling one is slowed down, and let go again once the tail is well below.
-func TestFillingTasksAreSlowedBesideServingOnes(t *testing.T) {
-	r := newRig(t)
-	r.ready("w-1")
-	serve := workload.Step{Count: 1, Need: workload.Resources{CPU: 1000, MemoryMB: 100}, Lasting: true, TargetMS: 100}
-	fill := workload.Step{Count: 1, Need: workload.Resources{CPU: 4000, MemoryMB: 100}, Lasting: true, Fills: true}
-	r.submit("0000000000000001", serve, fill)
-	starts := r.step(20 * time.Millisecond).Starts
-	require.Len(t, starts, 2)
-	for _, s := range starts {
-		r.started(s, workload.WorkerOK)
-	}
-	look := func(tail float64) []scheduler.PaceOrder {
-		var rows []workload.RunState
-		for _, s := range starts {
-			row := workload.RunState{Task: s.Start.Task, Run: s.Start.Run, Percent: 100}
-			if s.Start.Task.Step == 0 {
-				row.Load = tail
-			}
-			rows = append(rows, row)
-		}
-		r.held("w-1", r.now.Add(time.Millisecond), workload.Held{Running: rows})
-		paces := r.step(600 * time.Millisecond).Paces
-		for _, p := range paces {
-			r.core.Paced(scheduler.OrderResult{Worker: "w-1", Task: p.Task, Run: p.Run, Token: p.Token, Answer: workload.WorkerAnswer{Clock: 1000}}, r.now)
-		}
-		return paces
-	}
-	paces := look(150)
-	require.Len(t, paces, 1)
-	assert.Equal(t, 50, paces[0].Percent)
-	assert.Equal(t, 1, paces[0].Task.Step)
-	paces = look(120)
-	require.Len(t, paces, 1)
-	assert.Equal(t, 25, paces[0].Percent)
-	paces = look(30)
-	require.Len(t, paces, 1)
-	assert.Equal(t, 40, paces[0].Percent)
-}
-
-// A queue whose steps only some workers may run is asked about first; a start
-// carries the ticket, and goes to no worker without one.
-func TestAdviceIsAskedBeforeAStart(t *testing.T) {
-	r := newRig(t)
-	config := *testConfig
-	config.Version = 2
-	config.Queues = []workload.Queue{{Name: "quick", Service: "service", MaxAttempts: 2, Stretch: 2, Objective: time.Second, Advice: &workload.Advice{Valid: 3 * time.Second}}}
-	r.core.SetConfig(&config)
-	r.ready("w-1", "w-2")
-	r.submit("0000000000000001", batch(2, 1000))
-	orders := r.step(20 * time.Millisecond)
-	assert.Empty(t, orders.Starts)
-	require.Len(t, orders.Advise, 1)
-	assert.Empty(t, r.step(20*time.Millisecond).Advise, "one question at a time")
-	r.core.Advised(scheduler.AdviceResult{Order: orders.Advise[0], SentAt: r.now, OK: true, Valid: 3 * time.Second, Tickets: map[string]string{"w-2": "ticket"}}, r.now)
-	starts := r.step(20 * time.Millisecond).Starts
-	require.Len(t, starts, 2)
-	for _, s := range starts {
-		assert.Equal(t, "w-2", s.Worker.ID)
-		assert.Equal(t, "ticket", s.Start.Ticket)
-	}
-}
-
 // An owner hands over while a worker does not answer. The next one knows what it
 // may run: other tasks start at once, that one when the lease is over.
 func TestHandoverKeepsOnlyWhatMayRunWaiting(t *testing.T) {
@@ -459,7 +201,7 @@
 	require.Len(t, left.Runs, 1)
 
 	next := &rig{t: t, now: r.now}
-	next.core = scheduler.New(scheduler.Settings{Epoch: 4, Lease: testLease, StateKept: time.Hour, RemoteFactor: 2, Stop: stopTime}, next.now, nil, false)
+	next.core = scheduler.New(testSettings(4), next.now, nil, false)
 	next.core.SetConfig(testConfig)
 	next.submit(string(first), batch(1, 1000))
 	second := next.submit("0000000000000002", batch(1, 1000))
@@ -489,57 +231,6 @@
 	assert.Contains(t, started, first)
 }
 
-// A service is full of short tasks, and a large lasting one has to start again.
-// Each bit of room that comes free would go to short ones for ever: room is kept
-// for it on one worker until it fits.
-func TestLargeLastingTaskGetsRoomOnAFullService(t *testing.T) {
-	r := newRig(t)
-	r.ready("w-1", "w-2")
-	n := 0
-	fill := func() {
-		n++
-		r.submit("00000000000001"+string(rune('0'+n/10))+string(rune('0'+n%10)), batch(8, 1000))
-	}
-	running := map[string][]scheduler.StartOrder{}
-	number := map[string]int64{}
-	step := func() (lasting bool) {
-		for _, s := range r.step(100 * time.Millisecond).Starts {
-			r.started(s, workload.WorkerOK)
-			lasting = lasting || s.Start.Task.Job == "0000000000000999"
-			running[s.Worker.ID] = append(running[s.Worker.ID], s)
-		}
-		return lasting
-	}
-	fill()
-	fill()
-	fill()
-	step()
-	r.submit("0000000000000999", workload.Step{Count: 1, Need: workload.Resources{CPU: 6000, MemoryMB: 100}, Lasting: true})
-	for round := range 40 {
-		if step() {
-			return
-		}
-		// One task ends on each worker in turn, and more jobs come.
-		worker := []string{"w-1", "w-2"}[round%2]
-		if len(running[worker]) == 0 {
-			continue
-		}
-		done := running[worker][0]
-		running[worker] = running[worker][1:]
-		number[worker]++
-		var held workload.Held
-		for _, s := range running[worker] {
-			held.Running = append(held.Running, workload.RunState{Task: s.Start.Task, Run: s.Start.Run, Percent: 100})
-		}
-		held.Finished = end(number[worker], done, workload.EndDone).Finished
-		r.held(worker, r.now.Add(time.Millisecond), held)
-		if round%3 == 0 {
-			fill()
-		}
-	}
-	t.Fatal("the lasting task never got room")
-}
-
 // The owner's process stands still while a worker answers it, and wakes to calls
 // that have timed out. It asks once more before it gives the worker's tasks up:
 // the answer lists one as done, and the caller's task runs once.
--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -37,6 +37,9 @@
 func (c *Core) evacuate(now time.Time) {
 	for _, w := range c.order {
 		evacuating := now.Before(w.evacuateUntil)
+		if !evacuating {
+			w.reopen()
+		}
 		if !evacuating && !w.info.Draining {
 			continue
 		}
@@ -52,6 +55,20 @@
 	}
 }
 
+// reopen ends the closing of a worker. One that was emptied has most likely left
+// with its VM, though it is listed for seconds yet: it counts as silent until it
+// has answered a look. A start there would be refused, which costs a task its
+// pause and a gang all its members.
+func (w *worker) reopen() {
+	if w.evacuateUntil.IsZero() {
+		return
+	}
+	w.evacuateUntil = time.Time{}
+	if len(w.runs) == 0 {
+		w.silent = true
+	}
+}
+
 // movesNow tells whether a run is to be stopped so that it goes on elsewhere.
 // The budget of a lasting step counts only where its worker could go on.
 func (r *run) movesNow(evacuating bool, now time.Time) bool {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -28,9 +28,73 @@
 	for i, w := range seats {
 		c.start(w, s, i, number, s.checkpoint, now)
 	}
+	c.forming = append(c.forming, forming{step: s, run: number, since: now})
 	p.measure()
 }
 
+// forming is a gang whose members have been ordered and are not all known to be
+// there.
+type forming struct {
+	step  *step
+	run   int64 // of all members
+	since time.Time
+}
+
+// watchGangs stops gangs that will not be complete in time. A member that is
+// refused, as by a worker that has just left, or whose start gets no answer,
+// leaves the others waiting: they hold their room, get nothing done and end
+// `alone` when the platform's time for it is over. Stopped at once, they cost
+// what a stop takes, and the gang starts anew.
+func (c *Core) watchGangs(now time.Time) {
+	c.forming = slices.DeleteFunc(c.forming, func(g forming) bool {
+		switch g.step.presence(g.run) {
+		case gangComplete:
+			return true
+		case gangPartial:
+			if now.Before(g.since.Add(c.cfg.GangTimeout / 2)) {
+				return false
+			}
+		}
+		for i := range g.step.tasks {
+			for _, r := range g.step.tasks[i].runs {
+				if r.number == g.run {
+					c.stop(r, "its gang is not complete")
+				}
+			}
+		}
+		return true
+	})
+}
+
+// presence is how much of a gang is there.
+type presence int
+
+const (
+	gangComplete presence = iota
+	gangPartial           // some members are not known to be there yet
+	gangBroken            // a member is not there and won't be
+)
+
+// presence tells how much of a run of a gang is there. Of one that has ended as
+// done nothing is waited for.
+func (s *step) presence(number int64) presence {
+	found := gangComplete
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.done {
+			return gangComplete
+		}
+		k := slices.IndexFunc(t.runs, func(r *run) bool { return r.number == number })
+		if k < 0 {
+			return gangBroken
+		}
+		if !t.runs[k].confirmed {
+			found = gangPartial
+		}
+	}
+	return found
+}
+
 // seatInOneRack finds workers in one rack, first in that of the data. A gang
 // that doesn't ask for one rack may lie anywhere.
 func (s *step) seatInOneRack(p *pool, now time.Time) []*worker {
--- /dev/null
+++ b/internal/scheduler/step_test.go
@@ -0,0 +1,91 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// A step waits for all tasks of the step that it depends on.
+func TestStepsFollowTheirDependencies(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1")
+	second := batch(1, 1000)
+	second.DependsOn = []int{0}
+	r.submit("0000000000000001", batch(2, 1000), second)
+	starts := r.step(20 * time.Millisecond).Starts
+	require.Len(t, starts, 2)
+	for _, s := range starts {
+		r.started(s, workload.WorkerOK)
+	}
+	first := end(1, starts[0], workload.EndDone)
+	first.Running = []workload.RunState{{Task: starts[1].Start.Task, Run: starts[1].Start.Run, Percent: 100}}
+	r.held("w-1", r.now, first)
+	assert.Empty(t, r.step(100*time.Millisecond).Starts)
+	r.held("w-1", r.now, end(2, starts[1], workload.EndDone))
+	after := r.step(100 * time.Millisecond).Starts
+	require.Len(t, after, 1)
+	assert.Equal(t, 1, after[0].Start.Task.Step)
+}
+
+// A gang starts with all its members, under one run number, or not at all.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1")
+	gang := batch(3, 3000)
+	gang.Gang = true
+	r.submit("0000000000000001", gang)
+	assert.Empty(t, r.step(20*time.Millisecond).Starts, "two fit, three don't")
+	starts := r.ready("w-1", "w-2")
+	require.Len(t, starts, 3)
+	assert.Equal(t, starts[0].Start.Run, starts[1].Start.Run)
+	assert.Equal(t, starts[0].Start.Run, starts[2].Start.Run)
+}
+
+// An occurrence does not begin before it is due.
+func TestOccurrencesWaitForTheirTime(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1")
+	due := r.now.Add(2 * time.Second)
+	r.core.Submitted("0000000000000001", &workload.Submission{Queue: "quick", Service: "service", AcceptedMS: r.now.UnixMilli(), Spec: workload.Spec{
+		Steps: []workload.Step{batch(1, 1000)}, Repeat: 2, StartAtMS: due.UnixMilli(), IntervalMS: 1000,
+	}})
+	var at []time.Time
+	for r.now.Before(due.Add(3 * time.Second)) {
+		for range r.step(100 * time.Millisecond).Starts {
+			at = append(at, r.now)
+		}
+		r.held("w-1", r.now, workload.Held{})
+	}
+	require.Len(t, at, 2)
+	assert.False(t, at[0].Before(due))
+	assert.False(t, at[1].Before(due.Add(time.Second)))
+}
+
+// A queue whose steps only some workers may run is asked about first; a start
+// carries the ticket, and goes to no worker without one.
+func TestAdviceIsAskedBeforeAStart(t *testing.T) {
+	r := newRig(t)
+	config := *testConfig
+	config.Version = 2
+	config.Queues = []workload.Queue{{Name: "quick", Service: "service", MaxAttempts: 2, Stretch: 2, Objective: time.Second, Advice: &workload.Advice{Valid: 3 * time.Second}}}
+	r.core.SetConfig(&config)
+	r.ready("w-1", "w-2")
+	r.submit("0000000000000001", batch(2, 1000))
+	orders := r.step(20 * time.Millisecond)
+	assert.Empty(t, orders.Starts)
+	require.Len(t, orders.Advise, 1)
+	assert.Empty(t, r.step(20*time.Millisecond).Advise, "one question at a time")
+	r.core.Advised(scheduler.AdviceResult{Order: orders.Advise[0], SentAt: r.now, OK: true, Valid: 3 * time.Second, Tickets: map[string]string{"w-2": "ticket"}}, r.now)
+	starts := r.step(20 * time.Millisecond).Starts
+	require.Len(t, starts, 2)
+	for _, s := range starts {
+		assert.Equal(t, "w-2", s.Worker.ID)
+		assert.Equal(t, "ticket", s.Start.Ticket)
+	}
+}
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -289,7 +289,7 @@
 			suspects = append(suspects, info.ID)
 		}
 	}
-	o.core = scheduler.New(scheduler.Settings{Epoch: o.epoch, Lease: testLease, StateKept: time.Hour, RemoteFactor: 2, Stop: stopTime}, w.now, suspects, false)
+	o.core = scheduler.New(testSettings(o.epoch), w.now, suspects, false)
 	o.core.SetConfig(testConfig)
 	for _, r := range records {
 		o.apply(r)
