Ration VMs where all pools ask for more than there is; rank occurrences singly

Cause: on a copy of a site with jobs of many occurrences one pool "needed" 374 of 49 VMs: all occurrences of a job counted as asked for at once, and the pool that is furthest behind got every VM and kept it. Another one in demand stood at 3 VMs for 14 s. An occurrence that was long past its time also counted as on time for ever, and the job's work as that of all its occurrences.

Ruled out: the owner short of processor time (7.6% of a core at most), loads that are not told (needs were right for the small pools).

Change: pools share what there is by equal parts until those that ask for less are served (fleet/ration.go). Occurrences are candidates of their own, timed from when they are due; those due within 3 s are told to the fleet's owner as coming.

--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -219,6 +219,33 @@
 	assert.Equal(t, "vm-4", empties[0].VM)
 }
 
+// Two pools ask for more than there is, one of them for far more. Neither takes all
+// VMs: both get as many, and a third one keeps the little that it needs.
+func TestPoolsInDemandShareWhatThereIs(t *testing.T) {
+	c := newCore()
+	c.SetConfig(&workload.Config{Version: 1, Services: []workload.Service{{Name: "booking"}, {Name: "fitting"}, {Name: "returns"}, {Name: "spare", Standby: true}}})
+	var vms []workload.VM
+	workers := map[string]map[string]workload.WorkerLoad{"booking": {}, "fitting": {}, "returns": {}}
+	for i, pool := range []string{"booking", "booking", "fitting", "fitting", "returns", "returns", "spare", "spare", "spare", "spare", "spare", "spare"} {
+		name := string(rune('a' + i))
+		vm := up("vm-"+name, pool, "")
+		if pool != "spare" {
+			vm.Worker = "w-" + name
+			workers[pool][vm.Worker] = workload.WorkerLoad{Usable: true, Runs: 5, Used: vmSize}
+		}
+		vms = append(vms, vm)
+	}
+	c.SetVMs(vms, begin)
+	c.SetLoad(load("booking", 64000, 9_000_000, 0, workers["booking"]), begin)
+	c.SetLoad(load("fitting", 64000, 300_000, 0, workers["fitting"]), begin)
+	c.SetLoad(load("returns", 10000, 0, 0, workers["returns"]), begin)
+	got := map[string]int{}
+	for _, a := range verbs(c.Step(begin), fleet.Move) {
+		got[a.Pool]++
+	}
+	assert.Equal(t, map[string]int{"booking": 3, "fitting": 3}, got)
+}
+
 // A pool gives VMs back to the spare pool only after a while without need.
 func TestIdleVMsGoBackAfterAWhile(t *testing.T) {
 	c := newCore()
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -146,7 +146,7 @@
 			float64(r.MemoryMB)/float64(max(1, size.MemoryMB)),
 		)
 	}
-	present := share(l.load.Used.Add(l.load.Waiting))
+	present := share(l.load.Used.Add(l.load.Waiting).Add(l.load.Coming))
 	backlog := share(l.load.Waiting) / backlogTime.Seconds()
 	n := int(math.Ceil(headroom * max(present, l.expected()+backlog)))
 	return max(n, l.floor())
@@ -185,8 +185,10 @@
 	now  int // needed now
 	keep int // needed within keepFor: no other pool gets these
 	rest int // needed within patientFor: nor does the spare pool
-	// short is set below what lasting tasks need at least; such pools come first,
-	// as large ones in demand would take all there is.
+	// floor is what lasting tasks need at least.
+	floor int
+	// short is set below the floor; such pools come first, as large ones in demand
+	// would take all there is.
 	short bool
 }
 
@@ -194,6 +196,7 @@
 // and from the spare pool; what no pool needs goes back to it.
 func (c *Core) planMoves(now time.Time) {
 	balances := c.balances(now)
+	ration(balances, c.spares(now))
 	slices.SortFunc(balances, func(a, b balance) int {
 		if a.short != b.short {
 			if a.short {
@@ -255,7 +258,7 @@
 		if pool == c.standby || now.Sub(l.at) > loadsValid {
 			continue
 		}
-		b := balance{pool: pool, now: l.needs[len(l.needs)-1].n}
+		b := balance{pool: pool, now: l.needs[len(l.needs)-1].n, floor: l.floor()}
 		for _, n := range l.needs {
 			b.rest = max(b.rest, n.n)
 			if now.Sub(n.at) <= keepFor {
@@ -265,7 +268,7 @@
 		for _, vm := range c.vms {
 			b.have += c.counts(vm, pool, now)
 		}
-		b.short = b.have < l.floor()
+		b.short = b.have < b.floor
 		if now.Sub(l.since) < patientFor {
 			b.rest = max(b.rest, b.have) // not long enough known to be idle
 		}
@@ -308,14 +311,28 @@
 	return l != nil && l.load.Workers[vm.Worker].Usable
 }
 
+// spare tells whether a VM of the spare pool can be had.
+func (c *Core) spare(vm workload.VM, now time.Time) bool {
+	away := vm.State == workload.VMMoving || vm.State == workload.VMMaintenance
+	return c.standby != "" && vm.Pool == c.standby && c.works[vm.ID] == nil && !away && c.mayOrder(vm.ID, now)
+}
+
+func (c *Core) spares(now time.Time) int {
+	n := 0
+	for _, vm := range c.vms {
+		if c.spare(vm, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // donor finds a VM for a pool: first a spare one, then one that idles in a pool
 // that has more than it needs.
 func (c *Core) donor(balances []balance, to string, now time.Time) (workload.VM, bool) {
-	if c.standby != "" {
-		for _, vm := range c.vms {
-			if vm.Pool == c.standby && c.works[vm.ID] == nil && vm.State != workload.VMMoving && vm.State != workload.VMMaintenance && c.mayOrder(vm.ID, now) {
-				return vm, true
-			}
+	for _, vm := range c.vms {
+		if c.spare(vm, now) {
+			return vm, true
 		}
 	}
 	for i := len(balances) - 1; i >= 0; i-- {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -70,6 +70,12 @@
 	}
 }
 
+// occurrence returns the steps of one occurrence.
+func (j *job) occurrence(o int) []*step {
+	n := len(j.sub.Spec.Steps)
+	return j.steps[o*n : (o+1)*n]
+}
+
 // step returns a step by occurrence and number, nil if there is none.
 func (j *job) step(occurrence, number int) *step {
 	if j.sub == nil || number >= len(j.sub.Spec.Steps) || occurrence >= j.sub.Spec.Occurrences() {
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -33,9 +33,14 @@
 			continue
 		}
 		l := get(j.sub.Service)
-		rank := c.rank(j, now)
-		for _, s := range j.steps {
-			addStep(l, s, rank, now)
+		for o := range j.sub.Spec.Occurrences() {
+			if now.Add(foresight).Before(j.sub.Spec.Due(o)) {
+				break // later ones are due later
+			}
+			rank := c.rank(j, o, now)
+			for _, s := range rank.steps {
+				addStep(l, s, rank.class, now)
+			}
 		}
 	}
 	list := make([]workload.ServiceLoad, 0, len(byService))
@@ -57,25 +62,34 @@
 	return l
 }
 
-// addStep adds what a step waits for.
-func addStep(l *workload.ServiceLoad, s *step, rank candidate, now time.Time) {
+// foresight is how long before it is due an occurrence counts as coming: a VM
+// takes about as long to another pool.
+const foresight = 3 * time.Second
+
+// addStep adds what a step waits for, or will.
+func addStep(l *workload.ServiceLoad, s *step, rank class, now time.Time) {
 	if s.spec.Lasting && s.spec.MaxPerWorker > 0 {
 		l.Spread = max(l.Spread, (len(s.tasks)+s.spec.MaxPerWorker-1)/s.spec.MaxPerWorker)
 	}
-	if s.idle == 0 || rank.class > classOnTime {
+	if s.idle == 0 || rank > classOnTime {
 		return
 	}
 	need := s.spec.Reserve().Times(s.idle)
-	if s.ready(now) {
+	switch {
+	case s.ready(now):
 		l.Waiting = l.Waiting.Add(need)
-	} else if s.job.live > 0 {
+	case len(s.spec.DependsOn) == 0:
 		l.Coming = l.Coming.Add(need)
 	}
 }
 
 // countArrival adds a job that was accepted just now to what its service is
-// asked for. Lasting tasks are seen in what is used.
+// asked for. Lasting tasks are seen in what is used, occurrences in what is
+// coming and waits: a job with many asks for them one after the other.
 func (c *Core) countArrival(j *job) {
+	if j.sub.Spec.Repeat > 0 {
+		return
+	}
 	work := c.arrived[j.sub.Service]
 	work.Jobs++
 	for _, s := range j.steps {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -20,7 +20,7 @@
 		if pool == nil {
 			continue
 		}
-		for _, s := range cand.job.steps {
+		for _, s := range cand.steps {
 			if s.idle == 0 || !s.ready(now) {
 				continue
 			}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -30,9 +30,10 @@
 // defaultObjective is taken where the queue was removed.
 const defaultObjective = 2 * time.Second
 
-// candidate is a job with idle tasks, with what it is ranked by.
+// candidate is one occurrence of a job with idle tasks, with what it is ranked by.
 type candidate struct {
 	job      *job
+	steps    []*step
 	class    class
 	priority int
 	work     float64 // core-seconds that are left, by estimate
@@ -45,10 +46,17 @@
 func (c *Core) ranked(now time.Time) []candidate {
 	list := make([]candidate, 0, len(c.active))
 	for _, j := range c.active {
-		if j.final.Ended() || j.idleTasks() == 0 {
+		if j.final.Ended() {
 			continue
 		}
-		list = append(list, c.rank(j, now))
+		for o := range j.sub.Spec.Occurrences() {
+			if now.Before(j.sub.Spec.Due(o)) {
+				break // later ones are due later
+			}
+			if idleTasks(j.occurrence(o)) > 0 {
+				list = append(list, c.rank(j, o, now))
+			}
+		}
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(
@@ -60,8 +68,9 @@
 	return list
 }
 
-func (c *Core) rank(j *job, now time.Time) candidate {
-	cand := candidate{job: j, work: j.workLeft()}
+func (c *Core) rank(j *job, occurrence int, now time.Time) candidate {
+	steps := j.occurrence(occurrence)
+	cand := candidate{job: j, steps: steps, work: workLeft(steps)}
 	objective, stretch := defaultObjective, 1.0
 	if q := c.config.Queue(j.sub.Queue); q != nil {
 		cand.priority = q.Priority
@@ -71,12 +80,12 @@
 		cand.class = classLasting
 		return cand
 	}
-	total, left := j.chains()
+	total, left := chains(steps)
 	aim := objective + time.Duration(float64(total)*stretch)
-	age := now.Sub(time.UnixMilli(j.sub.AcceptedMS))
+	age := now.Sub(j.since(occurrence))
 	end := age + left
 	switch {
-	case j.sub.Spec.Repeat > 0 || end <= aim:
+	case end <= aim:
 		cand.class = classOnTime
 	case end <= lateFactor*aim:
 		cand.class = classLate
@@ -88,9 +97,18 @@
 	return cand
 }
 
-func (j *job) idleTasks() int {
+// since is when the time of an occurrence begins to count: when it was due, or
+// when its job was accepted.
+func (j *job) since(occurrence int) time.Time {
+	if due := j.sub.Spec.Due(occurrence); !due.IsZero() {
+		return due
+	}
+	return time.UnixMilli(j.sub.AcceptedMS)
+}
+
+func idleTasks(steps []*step) int {
 	n := 0
-	for _, s := range j.steps {
+	for _, s := range steps {
 		n += s.idle
 	}
 	return n
@@ -101,9 +119,9 @@
 }
 
 // workLeft is the processor time of all tasks that are not done, by estimate.
-func (j *job) workLeft() float64 {
+func workLeft(steps []*step) float64 {
 	work := 0.0
-	for _, s := range j.steps {
+	for _, s := range steps {
 		left := float64(len(s.tasks) - s.done)
 		work += left * estimate(s.spec).Seconds() * float64(s.spec.Need.CPU) / 1000
 	}
@@ -120,14 +138,12 @@
 	return time.Duration(s.EstimateMS) * time.Millisecond
 }
 
-// chains is the longest chain of work of one occurrence by estimate, in all and
-// of what is left.
-func (j *job) chains() (total, left time.Duration) {
-	n := len(j.sub.Spec.Steps)
-	totals := make([]time.Duration, n)
-	lefts := make([]time.Duration, n)
-	for i := range n {
-		s := j.steps[i]
+// chains is the longest chain of work of an occurrence by estimate, in all and of
+// what is left.
+func chains(steps []*step) (total, left time.Duration) {
+	totals := make([]time.Duration, len(steps))
+	lefts := make([]time.Duration, len(steps))
+	for i, s := range steps {
 		for _, d := range s.spec.DependsOn {
 			totals[i] = max(totals[i], totals[d])
 			lefts[i] = max(lefts[i], lefts[d])
--- a/internal/scheduler/step_test.go
+++ b/internal/scheduler/step_test.go
@@ -89,3 +89,32 @@
 		assert.Equal(t, "ticket", s.Start.Ticket)
 	}
 }
+
+// A job with many occurrences asks for one after the other. Its service is shown
+// what is due now or within seconds: all of them together would draw every VM to
+// its pool.
+func TestOccurrencesAreAskedForOneAfterTheOther(t *testing.T) {
+	r := newRig(t)
+	r.core.Submitted("0000000000000001", &workload.Submission{Queue: "quick", Service: "service", AcceptedMS: r.now.UnixMilli(), Spec: workload.Spec{
+		Steps: []workload.Step{batch(2, 1000)}, Repeat: 8, StartAtMS: r.now.UnixMilli(), IntervalMS: 2000,
+	}})
+	loads := r.core.Loads(r.now)
+	require.Len(t, loads, 1)
+	assert.Zero(t, loads[0].Arrived.CoreMS)
+	assert.Equal(t, 2000, loads[0].Waiting.CPU)
+	assert.Equal(t, 2000, loads[0].Coming.CPU)
+}
+
+// An occurrence is long past its time, and a caller's job came just now. There is
+// room for one task: the job gets it, as the occurrence can win nothing any more.
+func TestOverdueOccurrenceStandsBackForAJobThatIsOnTime(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1")
+	r.core.Submitted("0000000000000001", &workload.Submission{Queue: "quick", Service: "service", AcceptedMS: r.now.UnixMilli(), Spec: workload.Spec{
+		Steps: []workload.Step{batch(1, 8000)}, Repeat: 1, StartAtMS: r.now.Add(-15 * time.Second).UnixMilli(), IntervalMS: 1000,
+	}})
+	job := r.submit("0000000000000002", batch(1, 8000))
+	starts := r.step(20 * time.Millisecond).Starts
+	require.Len(t, starts, 1)
+	assert.Equal(t, job, starts[0].Start.Task.Job)
+}
--- a/internal/workload/load.go
+++ b/internal/workload/load.go
@@ -7,7 +7,7 @@
 	Workers map[string]WorkerLoad `json:"w,omitempty"` // by ID
 	// Waiting is what ready tasks that can still win anything ask for.
 	Waiting Resources `json:"q"`
-	// Coming is the same for tasks whose earlier steps still run.
+	// Coming is the same for occurrences that are due within seconds.
 	Coming Resources `json:"f"`
 	// Arrived is the work of all jobs accepted so far, by estimate, in
 	// core-milliseconds and, as memory, in MB-milliseconds. Its growth is what
