Let VMs with little processor time stand back from owning; test the list rule

Cause: the store's group deals partitions out evenly.

Ruled out: start orders in bursts (bounded before, LOST stayed), memory, links.

Change: a member's name tells its processor time. A VM beside two members with twice as much does not join, or leaves after 4 s, and takes over within a second when they are gone (ADR 0048). The rule that a list of workers counts only after a later join is a type of its own (owner/confirmed.go) and has the test it lacked.

VMs of one size are not concerned but for a read of the owners every 2 s.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,8 +120,14 @@
 	}
 	self := peerAddress(s, peersPort)
 	n.owners = &owners{partitions: s.Store.Partitions, self: self, clients: nodepeer.NewClients(), local: map[int]*owner.Owner{}}
-	unique := func() string { return ulid.Make().String() }
-	n.manager = ownership.New(n.store, logger.Named("ownership"), s.Node, self, []string{joblog.Topic, joblog.FleetTopic}, unique, n.own)
+	n.manager = ownership.New(n.store, ownership.Config{
+		Node:       s.Node,
+		Address:    self,
+		MilliCores: s.MilliCores,
+		Topics:     []string{joblog.Topic, joblog.FleetTopic},
+		Unique:     func() string { return ulid.Make().String() },
+		Logger:     logger.Named("ownership"),
+	}, n.own)
 	n.owners.manager = n.manager
 	n.deps.Confirmed = func(partition int) time.Time {
 		return n.manager.Confirmed(platform.Partition{Topic: joblog.Topic, Part: partition})
--- /dev/null
+++ b/internal/owner/confirmed_test.go
@@ -0,0 +1,60 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/registry"
+)
+
+// A worker registers while another node takes the partition over, and the owner
+// before does not know yet. It must not order that worker, which the next owner
+// may not have held: the list counts only when a join that was sent after it was
+// read has confirmed the ownership, and that join never succeeds.
+func TestListOfWorkersWaitsForALaterConfirmation(t *testing.T) {
+	start := time.UnixMilli(1_700_000_000_000)
+	snap := registry.Snapshot{Version: 1, AnsweredAt: start, Workers: registeredAs("w-1")}
+	read := func() registry.Snapshot { return snap }
+	var l confirmedList
+	_, ok := l.next(read, start.Add(-time.Millisecond))
+	assert.False(t, ok, "joined before the list was read")
+	list, ok := l.next(read, start)
+	require.True(t, ok)
+	assert.Len(t, list, 1)
+
+	_, ok = l.next(read, start.Add(time.Second))
+	assert.False(t, ok, "nothing new")
+
+	snap = registry.Snapshot{Version: 2, AnsweredAt: start.Add(2 * time.Second), Workers: registeredAs("w-1", "w-2")}
+	for age := time.Second; age < 2*time.Second; age += 100 * time.Millisecond {
+		_, ok = l.next(read, start.Add(age))
+		require.False(t, ok)
+	}
+	list, ok = l.next(read, start.Add(2*time.Second))
+	require.True(t, ok)
+	assert.Len(t, list, 2)
+}
+
+// The list changes faster than joins confirm it. The one that waits is passed on
+// once it is confirmed, rather than put off by each newer one.
+func TestListThatChangesOftenIsPassedOn(t *testing.T) {
+	start := time.UnixMilli(1_700_000_000_000)
+	version := int64(0)
+	var now time.Time
+	read := func() registry.Snapshot {
+		version++
+		return registry.Snapshot{Version: version, AnsweredAt: now}
+	}
+	var l confirmedList
+	passed := 0
+	for at := time.Duration(0); at < 2*time.Second; at += 50 * time.Millisecond {
+		now = start.Add(at)
+		if _, ok := l.next(read, start.Add(at.Truncate(200*time.Millisecond))); ok {
+			passed++
+		}
+	}
+	assert.GreaterOrEqual(t, passed, 8)
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -93,8 +93,7 @@
 	inbox     chan event
 	// loaded is closed once the machine knows all that is stored.
 	loaded  chan struct{}
-	version int64 // of the list of workers that the machine has
-	listed  registry.Snapshot
+	workers confirmedList
 	config  *workload.Config
 	counts  scheduler.Counts
 	// readAt is when the latest read of the partition was sent whose records the
@@ -329,30 +328,25 @@
 }
 
 // refresh hands over a new configuration and list of workers.
-//
-// A list counts only once the group has confirmed the ownership after it was
-// read. An owner that was replaced without knowing could otherwise start a task
-// on a worker that registered since, which the next owner has not held yet and
-// so not closed to it. With the rule the next owner, which reads the list after
-// that, has that worker on it and holds it before it starts anything.
 func (o *Owner) refresh(core *scheduler.Core) {
 	if config := o.deps.Published.Config(); config != nil && config != o.config {
 		o.config = config
 		core.SetConfig(config)
 	}
 	now := time.Now()
-	if o.listed.Version == o.version {
-		o.listed = o.deps.Registry.Snapshot(now)
+	read := func() registry.Snapshot { return o.deps.Registry.Snapshot(now) }
+	if list, ok := o.workers.next(read, o.deps.Confirmed(o.partition)); ok {
+		core.SetWorkers(o.own(list), now)
 	}
-	if o.listed.Version == o.version || o.deps.Confirmed(o.partition).Before(o.listed.AnsweredAt) {
-		return
-	}
-	o.version = o.listed.Version
+}
+
+// own picks the workers of the partition's services.
+func (o *Owner) own(list []workload.Worker) []workload.Worker {
 	var own []workload.Worker
-	for _, w := range o.listed.Workers {
+	for _, w := range list {
 		if o.owns(w.Service) {
 			own = append(own, w)
 		}
 	}
-	core.SetWorkers(own, now)
+	return own
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -7,12 +7,12 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
@@ -53,6 +53,8 @@
 	topics []string
 	name   func() string // a new member name
 
+	milliCores int // of this process's VM
+
 	joining chan struct{} // one entry for each join under way
 
 	mu         sync.Mutex
@@ -60,9 +62,10 @@
 	generation int64     // the latest one received
 	joinedAt   time.Time // when the latest answered join was sent
 	held       map[platform.Partition]*holding
-	owners     map[platform.Partition]string // addresses
+	owners     map[platform.Partition]peer
 	ownersAt   time.Time
 	renew      bool // the membership is to begin anew
+	reserve    reserve
 }
 
 // holding is one owned partition.
@@ -74,23 +77,32 @@
 	confirmed time.Time
 }
 
-// nameSeparator joins the parts of a member's name: node, address for other
-// nodes, and what makes it unique to this process.
-const nameSeparator = "|"
+// Config of a Manager.
+type Config struct {
+	Node    string
+	Address string // at which the node answers other nodes
+	// MilliCores is the processor time of the VM in thousandths of a core, 0 if it
+	// isn't known.
+	MilliCores int
+	Topics     []string
+	// Unique must return another text at each call: a restarted process that took
+	// up its old name would share the old one's epoch.
+	Unique func() string
+	Logger hclog.Logger
+}
 
-// New returns a manager. The name of a member tells others the address at which
-// the node answers; unique must differ for each call, as a restarted process
-// that took up its old name would share the old one's epoch.
-func New(store Store, logger hclog.Logger, node, address string, topics []string, unique func() string, run Runner) *Manager {
+// New returns a manager that runs what it owns with run.
+func New(store Store, c Config, run Runner) *Manager {
 	m := &Manager{
-		store:   store,
-		logger:  logger,
-		run:     run,
-		topics:  topics,
-		name:    func() string { return strings.Join([]string{node, address, unique()}, nameSeparator) },
-		joining: make(chan struct{}, maxJoins),
-		held:    map[platform.Partition]*holding{},
-		owners:  map[platform.Partition]string{},
+		store:      store,
+		logger:     c.Logger,
+		run:        run,
+		topics:     c.Topics,
+		name:       func() string { return nameOf(c) },
+		milliCores: c.MilliCores,
+		joining:    make(chan struct{}, maxJoins),
+		held:       map[platform.Partition]*holding{},
+		owners:     map[platform.Partition]peer{},
 	}
 	m.member = m.name()
 	return m
@@ -100,7 +112,19 @@
 func (m *Manager) Run(ctx context.Context) error {
 	tick := time.NewTicker(joinInterval)
 	defer tick.Stop()
+	m.firstLook(ctx)
+	go m.watchStronger(ctx)
+	member := false
 	for ctx.Err() == nil {
+		if m.standsBack() {
+			if member {
+				m.withdraw()
+			}
+			member = false
+			wait.Pause(ctx, joinInterval)
+			continue
+		}
+		member = true
 		m.restart(ctx)
 		select {
 		case m.joining <- struct{}{}:
@@ -115,7 +139,9 @@
 		case <-ctx.Done():
 		}
 	}
-	m.release()
+	if member {
+		m.release()
+	}
 	return ctx.Err()
 }
 
@@ -242,27 +268,43 @@
 // known. With refresh, what is known has just proved wrong.
 func (m *Manager) Owner(ctx context.Context, p platform.Partition, refresh bool) string {
 	m.mu.Lock()
-	age := time.Since(m.ownersAt)
-	known := m.owners[p]
-	stale := age > ownersInterval || (refresh || known == "") && age > ownersRetry
+	unknown := m.owners[p].address == ""
+	m.mu.Unlock()
+	age := ownersInterval
+	if refresh || unknown {
+		age = ownersRetry
+	}
+	m.readOwners(ctx, age)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owners[p].address
+}
+
+// readOwners reads who owns what, unless that is known from a read that was sent
+// less than age ago. It tells whether it is.
+func (m *Manager) readOwners(ctx context.Context, age time.Duration) bool {
+	m.mu.Lock()
+	stale := time.Since(m.ownersAt) > age
 	if stale {
 		m.ownersAt = time.Now() // others go on with what is known meanwhile
 	}
 	m.mu.Unlock()
 	if !stale {
-		return known
+		return true
 	}
 	list, status, err := m.store.Owners(ctx, group)
 	if status != platform.StoreOK {
 		m.logger.Debug("owners can't be read", "status", status.String(), "error", err)
-		return known
+		return false
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, o := range list {
-		if parts := strings.Split(o.Member, nameSeparator); len(parts) == 3 {
-			m.owners[o.Partition] = parts[1]
+		if who, ok := parseName(o.Member); ok {
+			m.owners[o.Partition] = who
+		} else {
+			delete(m.owners, o.Partition)
 		}
 	}
-	return m.owners[p]
+	return true
 }
--- /dev/null
+++ b/internal/ownership/reserve_test.go
@@ -0,0 +1,158 @@
+package ownership
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// fakeGroup is a group in which others own a partition each, and a member that
+// joins gets one more.
+type fakeGroup struct {
+	mu     sync.Mutex
+	others []string // members that own a partition
+	joins  map[string]int
+	left   map[string]bool
+}
+
+func (g *fakeGroup) Join(_ context.Context, m platform.Member) (platform.Assignment, platform.StoreStatus, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.joins[m.Name]++
+	return platform.Assignment{Generation: 1, Parts: []platform.Partition{{Topic: "jobs", Part: 99}}}, platform.StoreOK, nil
+}
+
+func (g *fakeGroup) Leave(_ context.Context, _, member string) (platform.StoreStatus, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.left[member] = true
+	return platform.StoreOK, nil
+}
+
+func (g *fakeGroup) Owners(context.Context, string) ([]platform.Owner, platform.StoreStatus, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]platform.Owner, len(g.others))
+	for i, name := range g.others {
+		list[i] = platform.Owner{Partition: platform.Partition{Topic: "jobs", Part: i}, Member: name}
+	}
+	return list, platform.StoreOK, nil
+}
+
+func (g *fakeGroup) set(others ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.others = others
+}
+
+func (g *fakeGroup) joined() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.joins)
+}
+
+// playMember runs a manager of a VM with 192 thousandths of a core in a bubble.
+func playMember(t *testing.T, others []string, play func(g *fakeGroup, owns func() bool)) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &fakeGroup{joins: map[string]int{}, left: map[string]bool{}}
+		g.set(others...)
+		var mu sync.Mutex
+		running := 0
+		run := func(ctx context.Context, _ platform.Partition, _ int64) error {
+			mu.Lock()
+			running++
+			mu.Unlock()
+			<-ctx.Done()
+			mu.Lock()
+			running--
+			mu.Unlock()
+			return ctx.Err()
+		}
+		names := 0
+		m := New(g, Config{Node: "weak", Address: "weak:1", MilliCores: 192, Topics: []string{"jobs"}, Logger: hclog.NewNullLogger(), Unique: func() string {
+			names++
+			return string(rune('a' + names))
+		}}, run)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx) }()
+		play(g, func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return running > 0
+		})
+		cancel()
+		<-done
+	})
+}
+
+func member(name, milliCores string) string { return name + "|" + name + ":1|x|" + milliCores }
+
+// A weak VM starts beside two strong ones. It never joins, so nothing passes on to
+// it that it could not bear, nor is anything dealt anew.
+func TestWeakVMDoesNotJoinBesideStrongOnes(t *testing.T) {
+	playMember(t, []string{member("s-1", "800"), member("s-2", "800")}, func(g *fakeGroup, owns func() bool) {
+		time.Sleep(20 * time.Second)
+		assert.Zero(t, g.joined())
+		assert.False(t, owns())
+	})
+}
+
+// The strong VMs are lost. The weak one takes over within a second of their rows:
+// with their time to live that is within the lease of what they ran.
+func TestWeakVMTakesOverWhenStrongOnesAreLost(t *testing.T) {
+	playMember(t, []string{member("s-1", "800"), member("s-2", "800")}, func(g *fakeGroup, owns func() bool) {
+		time.Sleep(5 * time.Second)
+		g.set("", member("s-2", "800"))
+		time.Sleep(time.Second)
+		assert.True(t, owns())
+	})
+}
+
+// A weak VM was first. Strong ones come and stay: it leaves the group after some
+// seconds, in good order, and stays out.
+func TestWeakMemberLeavesOnceStrongOnesStay(t *testing.T) {
+	playMember(t, nil, func(g *fakeGroup, owns func() bool) {
+		time.Sleep(3 * time.Second)
+		assert.True(t, owns())
+		g.set(member("s-1", "800"), member("s-2", "800"))
+		time.Sleep(3 * time.Second)
+		assert.True(t, owns(), "they may be gone in a moment")
+		time.Sleep(5 * time.Second)
+		assert.False(t, owns())
+		assert.Equal(t, 1, g.joined())
+		assert.Len(t, g.left, 1)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, 1, g.joined())
+	})
+}
+
+// VMs of one size all join, also where one strong one is among them: it may be
+// lost, and a single owner would bear everything.
+func TestVMsOfOneSizeJoin(t *testing.T) {
+	playMember(t, []string{member("n-1", "192"), member("n-2", "192"), member("s-1", "800")}, func(g *fakeGroup, owns func() bool) {
+		time.Sleep(10 * time.Second)
+		assert.True(t, owns())
+		assert.Equal(t, 1, g.joined())
+	})
+}
+
+// A member of another version has no processor time in its name: it is no reason
+// to stand back, and its address is not taken from a name that can't be read.
+func TestNamesThatCannotBeReadArePassedOver(t *testing.T) {
+	for _, name := range []string{"", "n|a:1|x", "n|a:1|x|many", "n|a:1|x|1|2"} {
+		_, ok := parseName(name)
+		assert.False(t, ok, name)
+	}
+	p, ok := parseName(nameOf(Config{Node: "n", Address: "a:1", MilliCores: 400, Unique: func() string { return "x" }}))
+	assert.True(t, ok)
+	assert.Equal(t, "a:1", p.address)
+	assert.Equal(t, 400, p.milliCores)
+}
