Do not order a VM on an old word that it is empty; hand over what is closed

Cause: an order for a VM is announced in the store before it is given. Looking for the same between other parties, a random history found a second way: a partition passes on in good order, and its next owner starts tasks on a worker whose VM is about to be ordered on the word of the one before.

Ruled out: a budget misjudged by the owner of the task (its log shows one task moved at a time); orders carried out late (they had ended at 18.06 s).

Change: an order carries until when the word holds (1 s; the worker stays closed for 2 s) and is not sent later, the VM is emptied anew. A handover names the workers that are being emptied, and the next owner keeps them closed.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -118,6 +118,9 @@
 	Wave   int64
 	State  workload.WaveState
 	Done   []string // VMs of the wave, for Store
+	// Until is until when a Maintain or Move may be sent: the VM's worker is surely
+	// empty so long. Zero is for ever, as for a VM that is off.
+	Until  time.Time
 	Reason string
 }
 
@@ -268,11 +271,14 @@
 func (c *Core) order(w *work, now time.Time) {
 	w.phase = phaseOrdered
 	w.since = now
+	a := Action{Verb: Move, VM: w.vm, Pool: w.to, Reason: w.reason}
 	if w.wave != 0 {
-		c.out = append(c.out, Action{Verb: Maintain, VM: w.vm, Wave: w.wave, Reason: "emptied for maintenance"})
-		return
+		a = Action{Verb: Maintain, VM: w.vm, Wave: w.wave, Reason: "emptied for maintenance"}
+	}
+	if w.empty {
+		a.Until = w.emptyAt.Add(emptyValid)
 	}
-	c.out = append(c.out, Action{Verb: Move, VM: w.vm, Pool: w.to, Reason: w.reason})
+	c.out = append(c.out, a)
 }
 
 // Emptied takes the answer to an Empty.
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -64,7 +64,9 @@
 	assert.Empty(t, verbs(c.Step(begin.Add(400*time.Millisecond)), fleet.Maintain), "another worker is there")
 
 	c.Emptied("vm-1", "w-2", true, begin.Add(500*time.Millisecond))
-	assert.Len(t, verbs(c.Step(begin.Add(600*time.Millisecond)), fleet.Maintain), 1)
+	orders := verbs(c.Step(begin.Add(600*time.Millisecond)), fleet.Maintain)
+	require.Len(t, orders, 1)
+	assert.Equal(t, begin.Add(1500*time.Millisecond), orders[0].Until, "the word holds for a second")
 }
 
 // The list lags. A VM that is just back shows no worker yet, although tasks may
@@ -83,7 +85,9 @@
 	c := newCore()
 	c.SetWaves([]workload.Wave{wave(1, 2, "vm-1")}, begin)
 	c.SetVMs([]workload.VM{up("vm-1", "spare", "")}, begin)
-	assert.Len(t, verbs(c.Step(begin), fleet.Maintain), 1)
+	orders := verbs(c.Step(begin), fleet.Maintain)
+	require.Len(t, orders, 1)
+	assert.Zero(t, orders[0].Until)
 }
 
 // At most the wave's cap of VMs are away at once, from the order until they are
--- a/internal/fleetowner/acts.go
+++ b/internal/fleetowner/acts.go
@@ -62,7 +62,16 @@
 	o.do(ctx, func(ctx context.Context) { o.order(ctx, a) })
 }
 
+// order orders a VM, unless the word that it is empty has grown old meanwhile: the
+// store may have been away while the order was announced, or calls have waited
+// for a slot. The worker is open again then, and an order would end what it runs.
 func (o *Owner) order(ctx context.Context, a fleet.Action) {
+	if !a.Until.IsZero() && time.Now().After(a.Until) {
+		o.logger.Info("VM not ordered", "vm", a.VM, "wave", a.Wave, "pool", a.Pool,
+			"reason", "the word that it is empty is too old", "age_ms", time.Since(a.Until).Milliseconds())
+		o.send(ctx, func(c *fleet.Core, now time.Time) { c.Ordered(a.VM, fleet.Refused, now) })
+		return
+	}
 	holder := platform.Holder{Node: o.deps.Node, Token: o.epoch}
 	var status platform.ActStatus
 	var err error
--- /dev/null
+++ b/internal/fleetowner/acts_test.go
@@ -0,0 +1,87 @@
+package fleetowner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/yuccadrift/yuccadrift/internal/fleet"
+	"github.com/yuccadrift/yuccadrift/internal/hedge"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// slowStore takes writes a while after they were sent.
+type slowStore struct{ takes time.Duration }
+
+func (s *slowStore) Append(context.Context, platform.Partition, *platform.Producer, ...platform.KeyedRecord) (platform.StoreStatus, error) {
+	time.Sleep(s.takes)
+	return platform.StoreOK, nil
+}
+
+func (s *slowStore) Read(context.Context, platform.Partition, int64, time.Duration) (platform.Batch, platform.StoreStatus, error) {
+	return platform.Batch{}, platform.StoreOK, nil
+}
+
+func (s *slowStore) Newest(context.Context, platform.Partition) (platform.Batch, platform.StoreStatus, error) {
+	return platform.Batch{}, platform.StoreOK, nil
+}
+
+func (s *slowStore) WriteWaveState(context.Context, int64, workload.WaveState) (platform.StoreStatus, error) {
+	return platform.StoreOK, nil
+}
+
+// orderedVMs notes when VMs are ordered.
+type orderedVMs struct {
+	mu    sync.Mutex
+	moved []time.Time
+}
+
+func (m *orderedVMs) List(context.Context) ([]workload.VM, error) { return nil, nil }
+
+func (m *orderedVMs) Move(context.Context, platform.Holder, string, string) (platform.ActStatus, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.moved = append(m.moved, time.Now())
+	return platform.ActOK, nil
+}
+
+func (m *orderedVMs) Maintain(context.Context, platform.Holder, string, int64) (platform.ActStatus, error) {
+	return platform.ActOK, nil
+}
+
+// playMove has a move of an emptied VM announced on a store that takes a while, and
+// returns how many orders went out.
+func playMove(t *testing.T, storeTakes time.Duration, until func(now time.Time) time.Time) int {
+	machines := &orderedVMs{}
+	synctest.Test(t, func(t *testing.T) {
+		o := New(Deps{Store: &slowStore{takes: storeTakes}, Hedger: hedge.New(), Machines: machines, Logger: hclog.NewNullLogger()}, 0, 7)
+		ctx, cancel := context.WithCancel(t.Context())
+		go o.writer.run(ctx)
+		o.act(ctx, fleet.Action{Verb: fleet.Move, VM: "vm-1", Pool: "booking", Until: until(time.Now())})
+		time.Sleep(30 * time.Second)
+		cancel()
+		synctest.Wait()
+	})
+	return len(machines.moved)
+}
+
+// The store is away for seconds while an order is announced there. By its return
+// the worker is open again and has got tasks, among them a lasting one whose step
+// may miss no more: the order would end it. It is not given; the VM is emptied anew.
+func TestOrderIsNotGivenOnAnOldWordOfEmptiness(t *testing.T) {
+	inASecond := func(now time.Time) time.Time { return now.Add(time.Second) }
+	assert.Zero(t, playMove(t, 4*time.Second, inASecond))
+	assert.Equal(t, 1, playMove(t, 20*time.Millisecond, inASecond))
+}
+
+// A VM of the spare pool is off: no wait can make it busy.
+func TestOrderForASpareVMIsGivenHoweverLate(t *testing.T) {
+	never := func(time.Time) time.Time { return time.Time{} }
+	assert.Equal(t, 1, playMove(t, 4*time.Second, never))
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -255,7 +255,7 @@
 func (c *Core) Step(now time.Time) Orders {
 	c.feel(now)
 	c.expireRuns(now)
-	c.forgetWorkers()
+	c.forgetWorkers(now)
 	c.holdWorkers(now)
 	c.evacuate(now)
 	c.watchGangs(now)
@@ -268,10 +268,11 @@
 	return out
 }
 
-// forgetWorkers drops workers that are gone and run nothing any more.
-func (c *Core) forgetWorkers() {
+// forgetWorkers drops workers that are gone and run nothing any more. One that is
+// closed is kept: it may be on no list yet, and open when it comes.
+func (c *Core) forgetWorkers(now time.Time) {
 	c.order = slices.DeleteFunc(c.order, func(w *worker) bool {
-		if !w.missing || len(w.runs) > 0 {
+		if !w.missing || len(w.runs) > 0 || now.Before(w.evacuateUntil) {
 			return false
 		}
 		delete(c.workers, w.info.ID)
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -23,6 +23,9 @@
 	}
 	h := &workload.Handover{Epoch: c.cfg.Epoch}
 	for _, w := range c.order {
+		if now.Before(w.evacuateUntil) {
+			h.Closed = append(h.Closed, w.info.ID)
+		}
 		for _, r := range w.runs {
 			h.Runs = append(h.Runs, workload.LeftRun{
 				Worker:    w.info.ID,
@@ -48,8 +51,13 @@
 
 // Inherit takes an earlier owner's word of its runs, once the jobs are known.
 // They count as running until their worker answers or their lease has lapsed.
+// Workers that were being emptied stay closed: a task that is started on one is
+// ended when its VM leaves.
 // No other task can run anywhere, so nothing else has to wait.
 func (c *Core) Inherit(h *workload.Handover, now time.Time) {
+	for _, id := range h.Closed {
+		c.worker(id, now).evacuateUntil = now.Add(evacuateFor)
+	}
 	for _, left := range h.Runs {
 		key, err := workload.ParseTaskKey(left.Task)
 		if err != nil {
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -305,6 +305,64 @@
 	ask()
 }
 
+// TestEmptiedWorkersStayEmptyUntilTheirVMLeaves plays histories in which a VM is
+// ordered up to a second after its worker was said to be empty, as an order takes
+// its way, while owners hand over or are replaced meanwhile. No task is there when
+// the VM leaves.
+func TestEmptiedWorkersStayEmptyUntilTheirVMLeaves(t *testing.T) {
+	emptied := 0
+	for seed := range histories(t) / 3 {
+		w := newWorld(seed, faults{lostAnswer: 0.01})
+		for i := range 8 {
+			w.addWorker("worker-"+strconv.Itoa(i), workload.Resources{CPU: 32000, MemoryMB: 64000})
+		}
+		w.takeOver()
+		for at := time.Duration(0); at < 20*time.Second; at += w.between(50*time.Millisecond, 300*time.Millisecond) {
+			w.after(at, func() { w.submit(w.randomSpec(), "quick") })
+		}
+		for at := 3 * time.Second; at < 20*time.Second; at += w.between(300*time.Millisecond, 1500*time.Millisecond) {
+			w.after(at, func() {
+				if !w.owner.dead && w.owner.loaded {
+					w.handOver(w.between(20*time.Millisecond, 200*time.Millisecond))
+				}
+			})
+		}
+		for i := range 16 {
+			w.after(2*time.Second+time.Duration(i)*time.Second, func() { w.evacuateAndOrder("worker-"+strconv.Itoa(i%8), &emptied) })
+		}
+		w.run(30 * time.Second)
+		require.Empty(t, w.broken, "seed %d", seed)
+	}
+	require.NotZero(t, emptied)
+}
+
+// evacuateAndOrder is evacuate with an order that arrives a while after the word.
+func (w *world) evacuateAndOrder(id string, emptied *int) {
+	deadline := w.now.Add(8 * time.Second)
+	var ask func()
+	ask = func() {
+		f := w.workers[id]
+		if f == nil || f.gone || w.now.After(deadline) {
+			return
+		}
+		if w.owner.dead || !w.owner.loaded || !w.owner.core.Evacuate(id, w.now) {
+			w.after(150*time.Millisecond, ask)
+			return
+		}
+		*emptied++
+		w.after(w.between(0, time.Second), func() {
+			if len(f.runs) > 0 {
+				w.breaks("CUT", id+" was said to be empty and runs tasks when its VM leaves")
+			}
+			f.gone = true
+			f.runs = nil
+			f.unregister()
+			w.after(2*time.Second, func() { w.addWorker(id+"+", f.info.Capacity) })
+		})
+	}
+	ask()
+}
+
 // running counts the runs of a job that are on workers that live.
 func (w *world) running(id workload.JobID) int {
 	n := 0
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -49,6 +49,9 @@
 type Handover struct {
 	Epoch int64     `json:"e"` // of the owner that wrote it
 	Runs  []LeftRun `json:"r,omitempty"`
+	// Closed are the workers that are being emptied: their VMs may be ordered any
+	// moment, on this owner's word that nothing runs there.
+	Closed []string `json:"x,omitempty"`
 }
 
 // LeftRun is one run of a Handover.
