Stop less urgent runs where an urgent job finds no room

Cause: a queue's priority only ranked its jobs. On a full service urgent ones waited for what was less urgent.

Change: scheduler/preempt.go (ADR 0049): runs of less urgent queues that lose little are stopped, one worker at a time, and go on from their checkpoint later.

It is kept for deployments whose pools can't grow.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -31,7 +31,8 @@
 	number     int
 	tasks      []task
 	done       int
-	idle       int // tasks that are neither done nor have a run
+	idle       int       // tasks that are neither done nor have a run
+	waits      time.Time // since when idle tasks find no room, zero if none do
 	lastRun    int64
 	perWorker  map[string]int // live runs by worker
 	checkpoint string         // of a gang
@@ -121,6 +122,9 @@
 	if len(t.runs) == 0 && !t.done {
 		s.idle--
 	}
+	if s.idle == 0 {
+		s.waits = time.Time{}
+	}
 	t.runs = append(t.runs, r)
 	s.perWorker[r.worker.info.ID]++
 	s.job.live++
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -25,6 +25,9 @@
 				continue
 			}
 			c.placeStep(pool, s, now)
+			if s.idle > 0 {
+				c.preempt(pool, cand, s, now)
+			}
 			if cand.class == classLasting && s.idle > 0 {
 				pool.keepRoom(s)
 			}
--- /dev/null
+++ b/internal/scheduler/preempt_test.go
@@ -0,0 +1,132 @@
+package scheduler_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// fullOf fills the only worker, which holds eight cores, with a step of a queue of
+// less urgent work.
+func fullOf(r *rig, step workload.Step) []scheduler.StartOrder {
+	r.ready("w-1")
+	r.submitTo("slow", "0000000000000001", step)
+	starts := r.step(20 * time.Millisecond).Starts
+	for _, s := range starts {
+		r.started(s, workload.WorkerOK)
+	}
+	return starts
+}
+
+// submitTo submits a job to a queue.
+func (r *rig) submitTo(queue, id string, steps ...workload.Step) workload.JobID {
+	job := workload.JobID(id)
+	r.core.Submitted(job, &workload.Submission{Queue: queue, Service: "service", AcceptedMS: r.now.UnixMilli(), Spec: workload.Spec{Payload: "work", Steps: steps}})
+	return job
+}
+
+func checkpointing(count, cpu int) workload.Step {
+	s := batch(count, cpu)
+	s.EstimateMS = 10_000
+	s.Checkpoints = true
+	return s
+}
+
+// Long tasks of a less urgent queue fill the service when an urgent job comes. As
+// many of them as it takes are stopped, those that have least to lose; the urgent
+// job starts once they have ended, and they go on from their checkpoint later.
+func TestUrgentJobTakesTheRoomOfLessUrgentRuns(t *testing.T) {
+	r := newRig(t)
+	starts := fullOf(r, checkpointing(4, 2000))
+	require.Len(t, starts, 4)
+	urgent := r.submit("0000000000000002", batch(1, 3000))
+	assert.Empty(t, r.step(50*time.Millisecond).Stops, "room may come by itself")
+	var stops []scheduler.StopOrder
+	for range 5 {
+		stops = append(stops, r.step(100*time.Millisecond).Stops...)
+	}
+	require.Len(t, stops, 2, "two make room, and no more are stopped while they end")
+	var ends []workload.RunEnd
+	for i, s := range stops {
+		ends = append(ends, workload.RunEnd{Number: int64(i + 1), Task: s.Task, Run: s.Run, How: workload.EndStopped, Checkpoint: "half"})
+	}
+	r.held("w-1", r.now.Add(time.Millisecond), workload.Held{Finished: ends})
+	next := r.step(20 * time.Millisecond).Starts
+	require.NotEmpty(t, next)
+	assert.Equal(t, urgent, next[0].Start.Task.Job)
+}
+
+// What is as urgent, lasts, works together or has much to lose is not stopped.
+func TestOnlyLessUrgentRunsThatLoseLittleGiveWay(t *testing.T) {
+	lasting := batch(4, 2000)
+	lasting.Lasting = true
+	gang := checkpointing(4, 2000)
+	gang.Gang = true
+	costly := checkpointing(4, 2000)
+	costly.Checkpoints = false
+	for name, s := range map[string]workload.Step{"lasting": lasting, "gang": gang, "costly": costly} {
+		r := newRig(t)
+		require.Len(t, fullOf(r, s), 4, name)
+		r.now = r.now.Add(5 * time.Second)
+		r.submit("0000000000000002", batch(1, 2000))
+		assert.Empty(t, r.play(time.Second).Stops, name)
+	}
+	r := newRig(t)
+	r.ready("w-1")
+	r.submit("0000000000000001", checkpointing(4, 2000))
+	for _, s := range r.step(20 * time.Millisecond).Starts {
+		r.started(s, workload.WorkerOK)
+	}
+	r.submit("0000000000000002", batch(1, 2000))
+	assert.Empty(t, r.play(time.Second).Stops, "of one queue")
+}
+
+// A lasting task of an urgent queue has to start again while less urgent work fills
+// the service. It gets room after a second, also from a run without a checkpoint
+// that loses little.
+func TestLastingTaskTakesRoomFromRunsWithoutCheckpoint(t *testing.T) {
+	r := newRig(t)
+	plain := batch(4, 2000)
+	plain.EstimateMS = 10_000
+	require.Len(t, fullOf(r, plain), 4)
+	r.now = r.now.Add(3 * time.Second)
+	r.submit("0000000000000002", workload.Step{Count: 1, Need: workload.Resources{CPU: 2000, MemoryMB: 100}, Lasting: true})
+	assert.Len(t, r.play(2*time.Second).Stops, 1)
+}
+
+// TestPreemptionInRandomHistories plays histories of an urgent and a less urgent
+// queue on a service that is too small, with the usual troubles. Callers see each
+// job end as it should, and nothing runs that must not.
+func TestPreemptionInRandomHistories(t *testing.T) {
+	for seed := range histories(t) / 3 {
+		w := newWorld(seed, faults{lostAnswer: 0.01, lateOrder: 0.01, failedTask: 0.01, storeLost: 0.02})
+		for i := range 4 {
+			w.addWorker("worker-"+strconv.Itoa(i), workload.Resources{CPU: 8000, MemoryMB: 32000})
+		}
+		w.takeOver()
+		for at := time.Duration(0); at < 15*time.Second; at += w.between(100*time.Millisecond, 700*time.Millisecond) {
+			w.after(at, func() {
+				queue := []string{"quick", "slow"}[w.rng.IntN(2)]
+				w.submit(w.randomSpec(), queue)
+			})
+		}
+		for range 4 {
+			w.after(w.between(time.Second, 15*time.Second), w.trouble)
+		}
+		w.after(16*time.Second, func() {
+			w.quiet = true
+			w.store.down = false
+			for _, f := range w.workers {
+				f.dark = false
+			}
+		})
+		w.run(80 * time.Second)
+		require.Empty(t, w.broken, "seed %d", seed)
+	}
+}
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -239,6 +239,7 @@
 	Version: 1,
 	Queues: []workload.Queue{
 		{Name: "quick", Service: "service", MaxAttempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond},
+		{Name: "slow", Service: "service", Priority: 1, MaxAttempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond},
 	},
 	Services: []workload.Service{{Name: "service", Guarded: true}},
 }
