--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build demo demo-jobs test lint proto
+.PHONY: build demo demo-jobs test soak lint proto
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
@@ -22,6 +22,13 @@
 faults:
 	$(GO) test -tags faults ./internal/proof -run '^TestFaultsTogether$$' -count=1 -v -timeout 15m
 
+# Random faults against nodes as processes: SEEDS seeds that begin at FIRST, four
+# at a time, some 20 s each. `make test` plays a few kept ones.
+SEEDS ?= 50
+FIRST ?= 0
+soak:
+	YUCCADRIFT_SOAK_SEEDS=$(SEEDS) YUCCADRIFT_SOAK_FIRST=$(FIRST) $(GO) test ./internal/proof -run '^TestSoak$$' -count=1 -v -timeout 60m
+
 lint:
 	@out=$$(gofmt -l .); if [ -n "$$out" ]; then echo "gofmt:"; echo "$$out"; exit 1; fi
 	$(GO) vet ./...
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,7 @@
 // Run runs a node by the settings file at path until ctx ends.
 func Run(ctx context.Context, path string, out io.Writer) error {
 	began := time.Now()
+	hangups := catchHangups()
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -85,7 +86,8 @@
 		return err
 	}
 	logger.Info("started", "took", time.Since(began).String(), "callers", s.Caller, "store", s.Store.Address, "partitions", s.Store.Partitions)
-	err = supervise.Run(ctx, binary, logger, n.duties(path)...)
+	context.AfterFunc(ctx, func() { logger.Info("told to stop, callers that wait get their answers") })
+	err = supervise.Run(ctx, binary, logger, n.duties(path, hangups)...)
 	logger.Info("stopped", "dropped_lines", async.Dropped(), "error", fmt.Sprint(err))
 	return err
 }
@@ -243,7 +245,7 @@
 }
 
 // duties are the process's goroutines.
-func (n *Node) duties(path string) []supervise.Duty {
+func (n *Node) duties(path string, hangups <-chan os.Signal) []supervise.Duty {
 	return []supervise.Duty{
 		{Name: "front", Serve: n.serveFront, StopWithin: n.settings.Bounds.Grace},
 		{Name: "published", Serve: n.published.Run},
@@ -251,7 +253,7 @@
 		{Name: "ownership", Serve: n.manager.Run},
 		{Name: "peers", Serve: n.servePeers},
 		{Name: "admin", Serve: n.admin.Serve},
-		{Name: "reload", Serve: func(ctx context.Context) error { return n.reload(ctx, path) }},
+		{Name: "reload", Serve: func(ctx context.Context) error { return n.reload(ctx, path, hangups) }},
 	}
 }
 
@@ -261,17 +263,23 @@
 	return nodepeer.Serve(ctx, n.peers, peerHandler{n.owners})
 }
 
+// catchHangups takes SIGHUP over for the whole life of the process. One that came
+// while nobody took it, as while the process stops, would end it at once, and with
+// it all answers that callers still wait for.
+func catchHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // reload checks the settings at each SIGHUP. What a process is and where it
 // listens can't change while it runs.
-func (n *Node) reload(ctx context.Context, path string) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func (n *Node) reload(ctx context.Context, path string, hangups <-chan os.Signal) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-signals:
+		case <-hangups:
 			if _, err := platform.LoadSettings(path); err != nil {
 				n.logger.Error("settings can't be read, the last good ones stay", "error", err)
 				continue
--- a/internal/proof/platformjobs_test.go
+++ b/internal/proof/platformjobs_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/testkit"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform/standin"
@@ -119,6 +120,29 @@
 	assert.Contains(t, c.Nodes[0].Log(), `"@message":"stopped"`)
 }
 
+// A node that is told to stop is told to read its settings again while it still
+// answers a caller. It ends in good order all the same: the caller gets its answer,
+// where the signal's default action would end the process at once.
+func TestHangupWhileANodeStops(t *testing.T) {
+	t.Parallel()
+	c := testkit.StartJobs(t, jobOptions(), 1)
+	n := c.Nodes[0]
+	c.Platform.Store.SetFault(standin.LoseWrites, "")
+	id := c.NewID()
+	answers := make(chan int, 1)
+	go func() {
+		status, _ := c.Call(n, http.MethodPost, standin.Prefix("booking")+string(id), testkit.Body(t, testkit.Chain(50*time.Millisecond, 1)))
+		answers <- status
+	}()
+	c.Until("the call waits for the store", func() bool { return c.Platform.Store.Holds(joblog.Topic, "s/"+string(id)) })
+	n.Terminate()
+	c.Until("the node has begun to stop", func() bool { return strings.Contains(n.Log(), "told to stop") || !n.Running() })
+	n.Hangup()
+	assert.Equal(t, http.StatusGatewayTimeout, <-answers)
+	c.Platform.Store.SetFault(standin.Healthy, "")
+	require.NoError(t, n.Wait())
+}
+
 // A caller that got no answer asks again at another node with the same ID. It is
 // one job, whose tasks run once.
 func TestSameIDAtTwoNodes(t *testing.T) {
--- a/internal/testkit/jobs.go
+++ b/internal/testkit/jobs.go
@@ -40,10 +40,24 @@
 type JobNode struct {
 	*Process
 	caller, ready string
+	// Store and VMs are the node's links to the platform; nil without links.
+	Store, VMs *Link
 }
 
 // StartJobs starts a stand-in and so many nodes, and waits until they are ready.
 func StartJobs(t testing.TB, o standin.Options, nodes int) *JobCluster {
+	t.Helper()
+	return startJobs(t, o, nodes, false)
+}
+
+// StartLinkedJobs is StartJobs with a link of its own between each node and the
+// platform.
+func StartLinkedJobs(t testing.TB, o standin.Options, nodes int) *JobCluster {
+	t.Helper()
+	return startJobs(t, o, nodes, true)
+}
+
+func startJobs(t testing.TB, o standin.Options, nodes int, linked bool) *JobCluster {
 	t.Helper()
 	p, err := standin.Start(o)
 	if err != nil {
@@ -53,7 +67,7 @@
 	c := &JobCluster{Platform: p, t: t, client: &http.Client{Timeout: 4 * time.Second}}
 	ip, dir := loopback(), t.TempDir()
 	for i := range nodes {
-		c.Nodes = append(c.Nodes, c.newNode(dir, ip, i))
+		c.Nodes = append(c.Nodes, c.newNode(dir, ip, i, linked))
 	}
 	for _, n := range c.Nodes {
 		n.Start()
@@ -65,21 +79,27 @@
 // ports of a node, next to one another.
 const nodePorts = 4
 
-func (c *JobCluster) newNode(dir, ip string, i int) *JobNode {
+func (c *JobCluster) newNode(dir, ip string, i int, linked bool) *JobNode {
 	first := freePorts(c.t, ip)
 	place := standin.NodePlace{
 		Name: "node-" + strconv.Itoa(i), Zone: "zone-" + strconv.Itoa(i%2), IP: ip,
 		Caller: first, Ready: first + 1, FirstPeer: first + 2, LastPeer: first + 3,
 	}
+	n := &JobNode{
+		caller: "http://" + net.JoinHostPort(ip, strconv.Itoa(place.Caller)),
+		ready:  "http://" + net.JoinHostPort(ip, strconv.Itoa(place.Ready)),
+	}
+	if linked {
+		n.Store = newLink(c.t, place.Name+"-store", ip, c.Platform.StoreAddress())
+		n.VMs = newLink(c.t, place.Name+"-vms", ip, c.Platform.VMsAddress())
+		place.Store, place.VMs = n.Store.Address(), n.VMs.Address()
+	}
 	file := filepath.Join(dir, place.Name+".toml")
 	if err := os.WriteFile(file, []byte(c.Platform.Settings(place)), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
-	return &JobNode{
-		Process: newProcess(c.t, dir, place.Name, binary(c.t, binNode), settingsFlag, file),
-		caller:  "http://" + net.JoinHostPort(ip, strconv.Itoa(place.Caller)),
-		ready:   "http://" + net.JoinHostPort(ip, strconv.Itoa(place.Ready)),
-	}
+	n.Process = newProcess(c.t, dir, place.Name, binary(c.t, binNode), settingsFlag, file)
+	return n
 }
 
 // freePorts finds ports next to one another that are free on an IP number of
--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -117,6 +117,9 @@
 // Resume lets a paused process go on.
 func (p *Process) Resume() { p.signal(syscall.SIGCONT, false) }
 
+// Hangup has the process read its settings again.
+func (p *Process) Hangup() { p.signal(syscall.SIGHUP, false) }
+
 // Wait waits until the process has ended; its error tells a bad exit code.
 func (p *Process) Wait() error {
 	p.t.Helper()
