--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -106,7 +106,7 @@
 	mu        sync.Mutex
 	maybe     bool // a call got no answer, or one that leaves open whether it was taken
 	accepted  time.Time
-	cancelled bool // a cancel was sent
+	cancelled bool // a cancel was sent; whether it was taken is another matter
 	completed bool // was shown so
 }
 
@@ -215,9 +215,12 @@
 
 func stateBody(state workload.State) string { return `{"state":"` + string(state) + `"}` }
 
-func (s *soak) cancel(j *soakJob, n *testkit.JobNode) {
+// cancel cancels a job and tells whether that was answered. The caller repeats a
+// cancel without an answer, as its job may run on.
+func (s *soak) cancel(j *soakJob, n *testkit.JobNode) bool {
 	j.mu.Lock()
 	j.cancelled = true
 	j.mu.Unlock()
-	s.c.Call(n, http.MethodDelete, standin.Prefix(j.service)+string(j.id), "") // its answer says nothing that is checked
+	status, _ := s.c.Call(n, http.MethodDelete, standin.Prefix(j.service)+string(j.id), "")
+	return status == http.StatusOK || status == http.StatusGone
 }
