Bring VMs that tasks may run on; let jobs that waited long pass one at a time

Traced by a line for each job that waits (trial): such tasks waited while most of the pool idled. - a pool without a VM of the kind got VMs by its load, of any kind, for ever; - tasks that may run anywhere filled the VMs of that kind; - each job that had waited over 20 s closed a worker for itself, until no worker of the kind took anything, and newer, smaller ones passed the oldest for ever.

Ruled out: too few VMs of the kind in all (others idle held them), orders refused.

Tasks that may run anywhere leave required kinds free. Only the oldest job that waited long goes ahead of the others, and one worker at a time is kept free.

--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -82,10 +82,14 @@
 
 // use is the share of a VM that is in use.
 func (l *poolLoad) use(vm workload.VM) float64 {
-	used := l.load.Workers[vm.Worker].Used
+	return shareOf(l.load.Workers[vm.Worker].Used, vm.Capacity)
+}
+
+// shareOf is the larger share of processors and memory that r takes of a VM.
+func shareOf(r, size workload.Resources) float64 {
 	return max(
-		float64(used.CPU)/float64(max(1, vm.Capacity.CPU)),
-		float64(used.MemoryMB)/float64(max(1, vm.Capacity.MemoryMB)),
+		float64(r.CPU)/float64(max(1, size.CPU)),
+		float64(r.MemoryMB)/float64(max(1, size.MemoryMB)),
 	)
 }
 
@@ -140,14 +144,8 @@
 // need is how many VMs a service needs for what it runs, what waits and what is
 // to come.
 func (l *poolLoad) need(size workload.Resources) int {
-	share := func(r workload.Resources) float64 {
-		return max(
-			float64(r.CPU)/float64(max(1, size.CPU)),
-			float64(r.MemoryMB)/float64(max(1, size.MemoryMB)),
-		)
-	}
-	present := share(l.load.Used.Add(l.load.Waiting).Add(l.load.Coming))
-	backlog := share(l.load.Waiting) / backlogTime.Seconds()
+	present := shareOf(l.load.Used.Add(l.load.Waiting).Add(l.load.Coming), size)
+	backlog := shareOf(l.load.Waiting, size) / backlogTime.Seconds()
 	n := int(math.Ceil(headroom * max(present, l.expected()+backlog)))
 	return max(n, l.floor())
 }
@@ -213,6 +211,7 @@
 			moves++
 		}
 	}
+	moves += c.meetLacks(balances, now)
 	for _, b := range balances {
 		for short := b.now - b.have; short > 0 && moves < maxMoves; short-- {
 			vm, ok := c.donor(balances, b.pool, now)
@@ -330,10 +329,8 @@
 // donor finds a VM for a pool: first a spare one, then one that idles in a pool
 // that has more than it needs.
 func (c *Core) donor(balances []balance, to string, now time.Time) (workload.VM, bool) {
-	for _, vm := range c.vms {
-		if c.spare(vm, now) {
-			return vm, true
-		}
+	if vm, ok := c.bestSpare(to, now); ok {
+		return vm, true
 	}
 	for i := len(balances) - 1; i >= 0; i-- {
 		b := balances[i]
@@ -347,6 +344,16 @@
 	return workload.VM{}, false
 }
 
+// movable tells whether a VM may be taken from its pool, whose load is l: it does
+// its part there and has no lasting task, which would have to be stopped.
+func (c *Core) movable(vm workload.VM, l *poolLoad, now time.Time) bool {
+	if vm.State != workload.VMUp || vm.Worker == "" || c.works[vm.ID] != nil || !c.mayOrder(vm.ID, now) {
+		return false
+	}
+	load, known := l.load.Workers[vm.Worker]
+	return known && load.Usable && load.Lasting == 0
+}
+
 // idlest finds the VM of a pool that is emptied soonest: the one with the least
 // in use. Lasting tasks would have to be stopped, so VMs with such are left.
 // With bare, nothing at all may run there.
@@ -357,11 +364,7 @@
 	}
 	best, bestUse := -1, 0.0
 	for i, vm := range c.vms {
-		if vm.Pool != pool || vm.State != workload.VMUp || vm.Worker == "" || c.works[vm.ID] != nil || !c.mayOrder(vm.ID, now) {
-			continue
-		}
-		load, known := l.load.Workers[vm.Worker]
-		if !known || !load.Usable || load.Lasting > 0 || bare && load.Runs > 0 {
+		if vm.Pool != pool || !c.movable(vm, l, now) || bare && l.load.Workers[vm.Worker].Runs > 0 {
 			continue
 		}
 		if use := l.use(vm); best < 0 || use < bestUse {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -85,8 +85,10 @@
 	writeSeq int64
 	opened   bool // this owner has stored that it took over
 
-	arrived  map[string]workload.Work // by service
-	starting int                      // starts in flight
+	arrived map[string]workload.Work // by service
+	// required are the labels that a service's jobs have asked for so far.
+	required map[string][]string
+	starting int // starts in flight
 	forming  []forming
 	// dirtyPlan is set when something has changed that a plan rests on.
 	dirtyPlan bool
@@ -119,6 +121,7 @@
 		dirty:        map[workload.JobID]*job{},
 		suspects:     map[string]bool{},
 		arrived:      map[string]workload.Work{},
+		required:     map[string][]string{},
 		blockedUntil: now.Add(lapse(cfg.Lease)),
 		doubtful:     doubtful,
 		startedAt:    now,
@@ -157,10 +160,21 @@
 	}
 	c.settle(j)
 	c.countArrival(j)
+	c.noteLabels(s)
 	c.active = append(c.active, j)
 	c.dirtyPlan = true
 }
 
+// noteLabels notes which labels the jobs of a service ask for.
+func (c *Core) noteLabels(s *workload.Submission) {
+	for i := range s.Spec.Steps {
+		label := s.Spec.Steps[i].Label
+		if label != "" && !slices.Contains(c.required[s.Service], label) {
+			c.required[s.Service] = append(c.required[s.Service], label)
+		}
+	}
+}
+
 // CancelRequested takes a stored cancel, also one that is read before its job.
 func (c *Core) CancelRequested(id workload.JobID, now time.Time) {
 	j := c.job(id)
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/workload"
@@ -40,6 +41,7 @@
 			rank := c.rank(j, o, now)
 			for _, s := range rank.steps {
 				addStep(l, s, rank.class, now)
+				c.addLack(l, s, now)
 			}
 		}
 	}
@@ -78,11 +80,52 @@
 	switch {
 	case s.ready(now):
 		l.Waiting = l.Waiting.Add(need)
+		addWants(l, s.spec.Label, need)
+		addWants(l, s.spec.Rack, need)
 	case len(s.spec.DependsOn) == 0:
 		l.Coming = l.Coming.Add(need)
 	}
 }
 
+func addWants(l *workload.ServiceLoad, label string, need workload.Resources) {
+	if label == "" {
+		return
+	}
+	if l.Wants == nil {
+		l.Wants = map[string]workload.Resources{}
+	}
+	l.Wants[label] = l.Wants[label].Add(need)
+}
+
+// addLack adds a step whose tasks wait for want of workers that may run them: none
+// is large enough or has their label, or those that have it are full.
+func (c *Core) addLack(l *workload.ServiceLoad, s *step, now time.Time) {
+	if s.idle == 0 || !s.ready(now) || len(l.Lacks) >= maxLacks {
+		return
+	}
+	lack := workload.Lack{Label: s.spec.Label, Need: s.spec.Reserve(), Never: true}
+	if slices.ContainsFunc(l.Lacks, func(told workload.Lack) bool { return told.Label == lack.Label && lack.Need.Fits(told.Need) }) {
+		return // what is brought for the other one serves
+	}
+	for _, w := range c.order {
+		if w.info.Service != s.job.sub.Service || !w.loadNow(now).Usable || !w.info.HasLabel(lack.Label) {
+			continue
+		}
+		if lack.Need.Fits(w.free()) {
+			return
+		}
+		if lack.Need.Fits(w.info.Capacity.Sub(w.lastingUse())) {
+			lack.Never = false
+		}
+	}
+	if lack.Never || lack.Label != "" {
+		l.Lacks = append(l.Lacks, lack)
+	}
+}
+
+// maxLacks bounds what is told at once; the rest follows when these are met.
+const maxLacks = 8
+
 // countArrival adds a job that was accepted just now to what its service is
 // asked for. Lasting tasks are seen in what is used, occurrences in what is
 // coming and waits: a job with many asks for them one after the other.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -28,7 +28,7 @@
 			if s.idle > 0 {
 				c.preempt(pool, cand, s, now)
 			}
-			if cand.class == classLasting && s.idle > 0 {
+			if cand.class <= classStarved && s.idle > 0 && (s.spec.Lasting || !pool.kept) {
 				pool.keepRoom(s)
 			}
 		}
@@ -40,7 +40,12 @@
 // room that comes free goes to smaller tasks, and a large one waits for ever.
 // The worker with the most room is taken: it gets nothing new, so it stays the
 // one with the most room from plan to plan.
+//
+// Of jobs that have waited long only one at a time keeps a worker. Each of them
+// would else close one, and a service with more such jobs than workers stands
+// still beside its own free room.
 func (p *pool) keepRoom(s *step) {
+	p.kept = true
 	best := -1
 	for i, w := range p.workers {
 		if !s.spec.Reserve().Fits(w.info.Capacity.Sub(w.lastingUse())) || !w.info.HasLabel(s.spec.Label) {
@@ -97,6 +102,9 @@
 // pool is the workers of a service that can take starts.
 type pool struct {
 	workers []*worker
+	// required are the labels that the service's jobs ask for.
+	required []string
+	kept     bool // a worker is kept free for a task that fits nowhere
 	// roomiest is the most room that any of them may have, to pass over tasks
 	// that fit nowhere without a look at each worker.
 	roomiest workload.Resources
@@ -110,7 +118,7 @@
 		}
 		p := pools[w.info.Service]
 		if p == nil {
-			p = &pool{}
+			p = &pool{required: c.required[w.info.Service]}
 			pools[w.info.Service] = p
 		}
 		p.workers = append(p.workers, w)
@@ -191,6 +199,9 @@
 			continue
 		}
 		score := s.score(w)
+		if s.spec.Label == "" && p.isRequired(w) {
+			score -= requiredWeight
+		}
 		if w.info.ID == t.avoid {
 			if now.Before(t.avoidUntil) && !s.spec.Lasting {
 				continue
@@ -204,6 +215,11 @@
 	return best
 }
 
+// isRequired tells whether a worker has a label that some jobs must have.
+func (p *pool) isRequired(w *worker) bool {
+	return slices.ContainsFunc(p.required, w.info.HasLabel)
+}
+
 // fits tells whether a worker may run a task of the step now.
 func (s *step) fits(w *worker, now time.Time) bool {
 	if w.orders >= maxOrders || !s.spec.Reserve().Fits(w.free()) || !w.info.HasLabel(s.spec.Label) {
@@ -220,6 +236,10 @@
 	nearWeight  = 10.0
 	quietWeight = 2.0 // a filling task beside no serving one
 	avoidWeight = 5.0 // against a worker where the task failed last
+	// requiredWeight keeps tasks that may run anywhere off workers with a label that
+	// others must have: they fill those up while the rest idles. It outweighs
+	// togetherWeight, as lasting tasks would hold them for good.
+	requiredWeight = 3.0
 	// togetherWeight draws lasting tasks to workers that have such.
 	togetherWeight = 1.0
 )
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -15,9 +15,11 @@
 	// classLasting: lasting tasks are owed within seconds however full the
 	// service is, and there are few.
 	classLasting class = iota
-	classOnTime        // can still be completed within its objective
-	classLate          // earns the worth of a late answer
-	classPast          // earns nothing any more, and is finished all the same
+	// classStarved: the oldest job of a service that has waited very long.
+	classStarved
+	classOnTime // can still be completed within its objective
+	classLate   // earns the worth of a late answer
+	classPast   // earns nothing any more, and is finished all the same
 )
 
 // lateFactor is how many times the objective a job may take to earn anything.
@@ -36,7 +38,8 @@
 	steps    []*step
 	class    class
 	priority int
-	work     float64 // core-seconds that are left, by estimate
+	since    time.Time // when its time began to count
+	work     float64   // core-seconds that are left, by estimate
 }
 
 // ranked lists the jobs that have tasks to place, the most worth having first.
@@ -58,6 +61,7 @@
 			}
 		}
 	}
+	oneStarved(list)
 	slices.SortStableFunc(list, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.class, b.class),
@@ -68,9 +72,30 @@
 	return list
 }
 
+// oneStarved leaves the oldest starved job of each service ahead of the others, and
+// ranks the rest as what they are worth. Under lasting overload all jobs that
+// could still win would otherwise stand behind those that can't.
+func oneStarved(list []candidate) {
+	oldest := map[string]*candidate{}
+	for i := range list {
+		cand := &list[i]
+		if cand.class != classStarved {
+			continue
+		}
+		service := cand.job.sub.Service
+		cand.class = classPast
+		if o := oldest[service]; o == nil || cand.since.Before(o.since) {
+			oldest[service] = cand
+		}
+	}
+	for _, cand := range oldest {
+		cand.class = classStarved
+	}
+}
+
 func (c *Core) rank(j *job, occurrence int, now time.Time) candidate {
 	steps := j.occurrence(occurrence)
-	cand := candidate{job: j, steps: steps, work: workLeft(steps)}
+	cand := candidate{job: j, steps: steps, since: j.since(occurrence), work: workLeft(steps)}
 	objective, stretch := defaultObjective, 1.0
 	if q := c.config.Queue(j.sub.Queue); q != nil {
 		cand.priority = q.Priority
@@ -82,7 +107,7 @@
 	}
 	total, left := chains(steps)
 	aim := objective + time.Duration(float64(total)*stretch)
-	age := now.Sub(j.since(occurrence))
+	age := now.Sub(cand.since)
 	end := age + left
 	switch {
 	case end <= aim:
@@ -90,7 +115,7 @@
 	case end <= lateFactor*aim:
 		cand.class = classLate
 	case age > lateFactor*aim+starveAfter:
-		cand.class = classLasting
+		cand.class = classStarved
 	default:
 		cand.class = classPast
 	}
--- a/internal/scheduler/step_test.go
+++ b/internal/scheduler/step_test.go
@@ -118,3 +118,108 @@
 	require.Len(t, starts, 1)
 	assert.Equal(t, job, starts[0].Start.Task.Job)
 }
+
+// A task needs a label that no worker of its service has, or more room than any has.
+// The fleet's owner is told what to bring; what only waits for room is not named.
+func TestTasksThatNoWorkerCanRunAreTold(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1")
+	special := batch(2, 1000)
+	special.Label = "b"
+	r.submit("0000000000000001", special)
+	r.submit("0000000000000002", batch(1, 9000))
+	r.submit("0000000000000003", batch(9, 3000))
+	near := batch(2, 8000)
+	near.Rack = "rack-7"
+	r.submit("0000000000000004", near)
+	r.step(20 * time.Millisecond)
+	loads := r.core.Loads(r.now)
+	require.Len(t, loads, 1)
+	assert.Equal(t, []workload.Lack{
+		{Label: "b", Need: workload.Resources{CPU: 1000, MemoryMB: 100}, Never: true},
+		{Need: workload.Resources{CPU: 9000, MemoryMB: 100}, Never: true},
+	}, loads[0].Lacks)
+	assert.Equal(t, 2000, loads[0].Wants["b"].CPU)
+	assert.Equal(t, 8000, loads[0].Wants["rack-7"].CPU)
+}
+
+// Data lies in one rack. Tasks run there while it has room, and elsewhere rather
+// than wait once it has none.
+func TestTasksRunNearTheirData(t *testing.T) {
+	r := newRig(t)
+	r.core.SetWorkers([]workload.Worker{
+		{ID: "w-1", Service: "service", Address: "w-1", Labels: []string{"a", "rack-1"}, Capacity: workload.Resources{CPU: 8000, MemoryMB: 16000}},
+		{ID: "w-2", Service: "service", Address: "w-2", Labels: []string{"a", "rack-2"}, Capacity: workload.Resources{CPU: 8000, MemoryMB: 16000}},
+	}, r.now)
+	r.step(0)
+	r.held("w-1", r.now, workload.Held{})
+	r.held("w-2", r.now, workload.Held{})
+	near := batch(3, 3000)
+	near.Rack = "rack-2"
+	r.submit("0000000000000001", near)
+	at := map[string]int{}
+	for _, s := range r.step(20 * time.Millisecond).Starts {
+		at[s.Worker.ID]++
+	}
+	assert.Equal(t, map[string]int{"w-1": 1, "w-2": 2}, at)
+}
+
+// Some jobs of a service need one kind of VM. Tasks that may run anywhere leave that
+// kind free while others have room: the next job that needs it starts at once.
+func TestTasksThatMayRunAnywhereLeaveRequiredKindsFree(t *testing.T) {
+	r := newRig(t)
+	r.core.SetWorkers([]workload.Worker{
+		{ID: "w-1", Service: "service", Address: "w-1", Labels: []string{"a", "rack-1"}, Capacity: workload.Resources{CPU: 8000, MemoryMB: 16000}},
+		{ID: "w-2", Service: "service", Address: "w-2", Labels: []string{"b", "rack-1"}, Capacity: workload.Resources{CPU: 8000, MemoryMB: 16000}},
+	}, r.now)
+	r.step(0)
+	r.held("w-1", r.now, workload.Held{})
+	r.held("w-2", r.now, workload.Held{})
+	special := batch(1, 1000)
+	special.Label = "a"
+	first := r.submit("0000000000000001", special)
+	anywhere := batch(3, 2000)
+	r.submit("0000000000000002", anywhere)
+	for _, s := range r.step(20 * time.Millisecond).Starts {
+		if s.Start.Task.Job == first {
+			assert.Equal(t, "w-1", s.Worker.ID)
+		} else {
+			assert.Equal(t, "w-2", s.Worker.ID)
+		}
+	}
+}
+
+// Two jobs have waited for half a minute for more room than any worker has free. One
+// worker is kept free for the first of them; on the other a caller's small task
+// starts. Were each to keep one, the service would stand still beside free room.
+func TestJobsThatWaitedLongDoNotCloseAllWorkers(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1", "w-2")
+	r.submit("0000000000000001", batch(2, 7000))
+	require.Len(t, r.step(20*time.Millisecond).Starts, 2)
+	for _, id := range []string{"0000000000000002", "0000000000000003"} {
+		r.core.Submitted(workload.JobID(id), &workload.Submission{Queue: "quick", Service: "service", AcceptedMS: r.now.Add(-40 * time.Second).UnixMilli(), Spec: workload.Spec{Steps: []workload.Step{batch(1, 5000)}}})
+	}
+	assert.Empty(t, r.step(20*time.Millisecond).Starts)
+	small := r.submit("0000000000000004", batch(1, 500))
+	starts := r.step(20 * time.Millisecond).Starts
+	require.Len(t, starts, 1)
+	assert.Equal(t, small, starts[0].Start.Task.Job)
+}
+
+// Jobs have waited long, and smaller ones keep joining them. The oldest goes first,
+// however large it is: else it would wait for ever. The others that can win nothing
+// any more do not pass a job that can.
+func TestOldestOfTheJobsThatWaitedLongGoesFirst(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1")
+	for i, cpu := range []int{1000, 7000, 2000} {
+		age := []time.Duration{40, 60, 50}[i] * time.Second
+		r.core.Submitted(workload.JobID("000000000000000"+string(rune('1'+i))), &workload.Submission{Queue: "quick", Service: "service", AcceptedMS: r.now.Add(-age).UnixMilli(), Spec: workload.Spec{Steps: []workload.Step{batch(1, cpu)}}})
+	}
+	onTime := r.submit("0000000000000004", batch(1, 1000))
+	starts := r.step(20 * time.Millisecond).Starts
+	require.Len(t, starts, 2)
+	assert.Equal(t, workload.JobID("0000000000000002"), starts[0].Start.Task.Job)
+	assert.Equal(t, onTime, starts[1].Start.Task.Job)
+}
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -129,6 +129,12 @@
 	Worker   string // ID of its worker, "" if it has none
 }
 
+// CanRun tells whether a worker on the VM could run what a service lacks a worker
+// for.
+func (v *VM) CanRun(l Lack) bool {
+	return l.Need.Fits(v.Capacity) && (l.Label == "" || slices.Contains(v.Labels, l.Label))
+}
+
 // Wave asks for maintenance of VMs.
 type Wave struct {
 	Number   int64
--- a/internal/workload/load.go
+++ b/internal/workload/load.go
@@ -16,6 +16,21 @@
 	// Spread is on how many workers the service's lasting tasks must lie at
 	// least, as no more than a given number of a step may share one.
 	Spread int `json:"p,omitempty"`
+	// Wants is what ready tasks ask for by label: the one that their worker must
+	// have, and the rack of their data.
+	Wants map[string]Resources `json:"t,omitempty"`
+	// Lacks are ready tasks that wait for want of workers that may run them,
+	// whatever room the others have.
+	Lacks []Lack `json:"x,omitempty"`
+}
+
+// Lack is what a VM must have for tasks that a service's own can't take.
+type Lack struct {
+	Label string    `json:"l,omitempty"`
+	Need  Resources `json:"n"` // of one task
+	// Never is set if no worker of the service could run them, not even an empty
+	// one.
+	Never bool `json:"v,omitempty"`
 }
 
 // WorkerLoad is what one worker carries.
