Count the word that a worker is empty from the question, not from its answer

Cause: the fleet's owner dated the word when it took it from its inbox.

Ruled out: the order itself held up (it is not sent later than a second after the word); the worker's owner replaced meanwhile (its successor comes 1.5 s later at the earliest).

Before: TestWordOfEmptinessCountsFromTheQuestion fails. After: passes.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -281,14 +281,16 @@
 	c.out = append(c.out, a)
 }
 
-// Emptied takes the answer to an Empty.
-func (c *Core) Emptied(vm, worker string, empty bool, now time.Time) {
+// Emptied takes the answer to an Empty that was asked at a time. The answer counts
+// from then: a process that stood still since would take it for a fresh one, while
+// the worker is open again and runs tasks.
+func (c *Core) Emptied(vm, worker string, empty bool, asked time.Time) {
 	w := c.works[vm]
 	if w == nil || w.phase != phaseEmptying || w.worker != worker {
 		return
 	}
 	w.empty = empty
-	w.emptyAt = now
+	w.emptyAt = asked
 }
 
 // Result is how an order for a VM ended.
--- a/internal/fleetowner/acts.go
+++ b/internal/fleetowner/acts.go
@@ -30,10 +30,11 @@
 }
 
 func (o *Owner) empty(ctx context.Context, a fleet.Action) {
+	asked := time.Now()
 	empty, ok := o.deps.Services.Empty(ctx, a.Pool, a.Worker)
-	o.send(ctx, func(c *fleet.Core, now time.Time) {
+	o.send(ctx, func(c *fleet.Core, _ time.Time) {
 		delete(o.asking, a.Worker)
-		c.Emptied(a.VM, a.Worker, empty && ok, now)
+		c.Emptied(a.VM, a.Worker, empty && ok, asked)
 	})
 }
 
--- a/internal/fleetowner/acts_test.go
+++ b/internal/fleetowner/acts_test.go
@@ -85,3 +85,41 @@
 	never := func(time.Time) time.Time { return time.Time{} }
 	assert.Equal(t, 1, playMove(t, 4*time.Second, never))
 }
+
+// slowService says that a worker is empty, and its answer arrives a while later.
+type slowService struct{ takes time.Duration }
+
+func (s slowService) Empty(context.Context, string, string) (empty, ok bool) {
+	time.Sleep(s.takes)
+	return true, true
+}
+
+func (slowService) LoadsOf(context.Context, string) ([]workload.ServiceLoad, bool) { return nil, false }
+
+// The fleet's owner stands still between its question and the answer that a worker
+// is empty. When it wakes the worker is open again and has got tasks. The word counts
+// from the question, so it is too old, and the VM is not ordered.
+func TestWordOfEmptinessCountsFromTheQuestion(t *testing.T) {
+	for takes, ordered := range map[time.Duration]int{1600 * time.Millisecond: 0, 20 * time.Millisecond: 1} {
+		synctest.Test(t, func(t *testing.T) {
+			o := New(Deps{Services: slowService{takes: takes}, Logger: hclog.NewNullLogger()}, 0, 7)
+			core := fleet.New(fleet.Settings{}, time.Now())
+			core.SetWaves([]workload.Wave{{Number: 1, VMs: []string{"vm-1"}, Duration: 20 * time.Second, Cap: 1}}, time.Now())
+			core.SetVMs([]workload.VM{{ID: "vm-1", Pool: "booking", State: workload.VMUp, Worker: "w-1"}}, time.Now())
+			orders := 0
+			for _, a := range core.Step(time.Now()) {
+				if a.Verb == fleet.Empty {
+					o.act(t.Context(), a)
+				}
+			}
+			e := <-o.inbox
+			e(core, time.Now())
+			for _, a := range core.Step(time.Now()) {
+				if a.Verb == fleet.Maintain {
+					orders++
+				}
+			}
+			assert.Equal(t, ordered, orders, "the answer took %s", takes)
+		})
+	}
+}
