--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/semaphore"
 
 	"github.com/yuccadrift/yuccadrift/internal/dispatch"
@@ -47,6 +48,7 @@
 	BodyMemory int64
 	// StallTimeout ends a connection whose caller takes or sends no byte.
 	StallTimeout time.Duration
+	Logger       hclog.Logger
 }
 
 // Handler answers callers.
@@ -155,7 +157,10 @@
 	w.WriteHeader(status)
 }
 
-// extend gives a slow caller StallTimeout for what is written next.
+// extend gives a slow caller StallTimeout for what is written next. Where that
+// fails the connection has ended, and so does the write.
 func (h *Handler) extend(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.cfg.StallTimeout))
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.cfg.StallTimeout)); err != nil {
+		h.cfg.Logger.Debug("caller has gone before its answer was written", "error", err)
+	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -105,6 +105,7 @@
 		MaxBody:      s.MaxBodyBytes,
 		BodyMemory:   max(bodyMemory, s.MaxBodyBytes),
 		StallTimeout: s.StallTimeout.Duration,
+		Logger:       e.cfg.Logger.Named("callers"),
 	})
 	return caller.NewServer(caller.ServerConfig{
 		Listener:       e.cfg.Callers,
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -11,6 +11,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/yuccadrift/yuccadrift/internal/invariant"
 	"github.com/yuccadrift/yuccadrift/internal/outcome"
 )
 
@@ -129,17 +130,23 @@
 		r.counts.Broken++
 	case a.outcome == outcome.NotRun:
 		r.counts.NotRun++
-		_ = r.notRun.RecordValue(us) // within range
+		record(r.notRun, us)
 	case a.outcome == outcome.Unknown:
 		r.counts.Unknown++
 	case a.failed:
 		r.counts.Failed++
 	default:
 		r.counts.Good++
-		_ = r.good.RecordValue(us)
+		record(r.good, us)
 	}
 }
 
+// record adds a time that was brought into the histogram's range.
+func record(h *hdrhistogram.Histogram, us int64) {
+	err := h.RecordValue(us)
+	invariant.Check(err == nil, "a time of %d us is out of the histogram's range: %v", us, err)
+}
+
 func (r *recorder) notSent() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/internal/scheduler/fakeowner_test.go
@@ -0,0 +1,297 @@
+package scheduler_test
+
+import (
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// fakeOwner runs a Core as an owner's process does.
+type fakeOwner struct {
+	w       *world
+	core    *scheduler.Core
+	epoch   int64
+	loaded  bool
+	dead    bool // killed, or gone: it sends nothing any more
+	pending *scheduler.WriteOrder
+	// slowUntil is until when the process hardly gets on: what is told to it waits,
+	// in order, and its steps are far apart.
+	slowUntil time.Time
+	told      time.Time // when the latest of what waits is taken up
+}
+
+// tell hands something to the owner's process, which takes it up in order.
+func (o *fakeOwner) tell(do func()) {
+	w := o.w
+	at := w.now
+	if w.now.Before(o.slowUntil) {
+		at = w.now.Add(w.between(0, 1500*time.Millisecond))
+	}
+	if at.Before(o.told) {
+		at = o.told
+	}
+	o.told = at
+	w.after(at.Sub(w.now), func() {
+		if !o.dead {
+			do()
+			o.step()
+		}
+	})
+}
+
+var testConfig = &workload.Config{
+	Version: 1,
+	Queues: []workload.Queue{
+		{Name: "quick", Service: "service", MaxAttempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond},
+		{Name: "slow", Service: "service", Priority: 1, MaxAttempts: 3, Stretch: 1.6, Objective: 600 * time.Millisecond},
+	},
+	Services: []workload.Service{{Name: "service", Guarded: true}},
+}
+
+// takeOver starts a new owner, as the owner package does: fence, then read.
+func (w *world) takeOver() {
+	w.epoch++
+	o := &fakeOwner{w: w, epoch: w.epoch}
+	w.owner = o
+	w.owners = append(w.owners, o)
+	o.fence()
+}
+
+func (o *fakeOwner) fence() {
+	w := o.w
+	if o.dead {
+		return
+	}
+	if !w.store.fence(o.epoch) {
+		w.after(100*time.Millisecond, o.fence)
+		return
+	}
+	w.after(w.between(5*time.Millisecond, 30*time.Millisecond), o.load)
+}
+
+func (o *fakeOwner) load() {
+	w := o.w
+	if o.dead {
+		return
+	}
+	var left *workload.Handover
+	last := int64(0)
+	records := w.store.records()
+	for _, r := range records {
+		if r.Handover != nil {
+			left = r.Handover
+		}
+		if r.Takeover != nil {
+			last = r.Takeover.Epoch
+		}
+	}
+	if left != nil && left.Epoch != last {
+		left = nil
+	}
+	var suspects []string
+	if left == nil {
+		for _, info := range w.listed {
+			suspects = append(suspects, info.ID)
+		}
+	}
+	o.core = scheduler.New(testSettings(o.epoch), w.now, suspects, false)
+	o.core.SetConfig(testConfig)
+	for _, r := range records {
+		o.apply(r)
+	}
+	for _, r := range records {
+		if r.Progress != nil {
+			o.core.Recalled(r.Job, r.Progress)
+		}
+	}
+	if left != nil {
+		o.core.Inherit(left, w.now)
+	}
+	o.loaded = true
+	o.tick()
+}
+
+func (o *fakeOwner) apply(r workload.Record) {
+	switch {
+	case r.Submission != nil:
+		o.core.Submitted(r.Job, r.Submission)
+	case r.Cancel:
+		o.core.CancelRequested(r.Job, o.w.now)
+	}
+}
+
+// testLease is the lease of all runs in histories.
+const testLease = 3500 * time.Millisecond
+
+func (o *fakeOwner) tick() {
+	if o.dead {
+		return
+	}
+	if o.w.owner == o {
+		// An owner hears of new workers only while the group confirms it.
+		o.core.SetWorkers(o.w.listed, o.w.now)
+	}
+	o.step()
+	pause := 50 * time.Millisecond
+	if o.w.now.Before(o.slowUntil) {
+		pause = o.w.between(200*time.Millisecond, 1200*time.Millisecond)
+	}
+	o.w.after(pause, o.tick)
+}
+
+// step carries out what is due.
+func (o *fakeOwner) step() {
+	if o.dead {
+		return
+	}
+	w := o.w
+	orders := o.core.Step(w.now)
+	if o.core.Lost() != "" {
+		o.dead = true
+		if w.owner == o {
+			w.after(w.between(100*time.Millisecond, time.Second), w.takeOver)
+		}
+		return
+	}
+	for _, h := range orders.Holds {
+		o.hold(h)
+	}
+	for _, s := range orders.Stops {
+		o.order(s.Worker.ID, func(f *fakeWorker) workload.WorkerAnswer { return f.stop(s) }, func(a workload.WorkerAnswer) {
+			o.core.Stopped(scheduler.OrderResult{Worker: s.Worker.ID, Task: s.Task, Run: s.Run, Token: s.Token, Answer: a}, w.now)
+		})
+	}
+	for _, s := range orders.Starts {
+		o.order(s.Worker.ID, func(f *fakeWorker) workload.WorkerAnswer { return f.start(s.Start) }, func(a workload.WorkerAnswer) {
+			o.core.Started(scheduler.OrderResult{Worker: s.Worker.ID, Task: s.Start.Task, Run: s.Start.Run, Token: s.Start.Token, Answer: a}, w.now)
+		})
+	}
+	if orders.Write != nil {
+		o.pending = orders.Write
+		o.write()
+	}
+}
+
+// write stores until the outcome is known.
+func (o *fakeOwner) write() {
+	w := o.w
+	w.after(w.between(4*time.Millisecond, 12*time.Millisecond), func() {
+		if o.dead {
+			return
+		}
+		if o.epoch < w.store.epoch {
+			o.core.GiveUp("fenced")
+			o.step()
+			return
+		}
+		if w.store.down {
+			w.after(100*time.Millisecond, o.write)
+			return
+		}
+		if o.pending.Sequence > w.store.last {
+			w.store.last = o.pending.Sequence
+			for _, r := range o.pending.Records {
+				w.store.put(r)
+			}
+		}
+		if w.chance(w.faults.storeLost) {
+			w.after(time.Second, o.write)
+			return
+		}
+		o.pending = nil
+		o.core.Written()
+		w.look()
+		o.step()
+	})
+}
+
+// order sends one order on its way, with the faults of the history.
+func (o *fakeOwner) order(worker string, carryOut func(f *fakeWorker) workload.WorkerAnswer, told func(workload.WorkerAnswer)) {
+	w := o.w
+	answer := func(a workload.WorkerAnswer, after time.Duration) {
+		w.after(after, func() { o.tell(func() { told(a) }) })
+	}
+	f := w.workers[worker]
+	way := w.between(500*time.Microsecond, 3*time.Millisecond)
+	unknown := workload.WorkerAnswer{Status: workload.WorkerUnknown}
+	switch {
+	case w.chance(w.faults.lateOrder):
+		w.after(w.between(2*time.Second, 12*time.Second), func() { f.receive(carryOut) })
+		answer(unknown, time.Second)
+	case w.chance(w.faults.lostAnswer):
+		w.after(way, func() { f.receive(carryOut) })
+		answer(unknown, time.Second)
+	case f.dark || f.gone:
+		answer(unknown, time.Second)
+	default:
+		w.after(way, func() {
+			a, ok := f.receive(carryOut)
+			if !ok {
+				answer(unknown, time.Second)
+				return
+			}
+			answer(a, way)
+		})
+	}
+}
+
+// hold sends a look; its answer waits for an end.
+func (o *fakeOwner) hold(h scheduler.HoldOrder) {
+	w := o.w
+	sent := w.now
+	f := w.workers[h.Worker.ID]
+	told := func(held workload.Held, a workload.WorkerAnswer) {
+		o.tell(func() {
+			o.core.Held(scheduler.HoldResult{Worker: h.Worker.ID, Token: h.Hold.Token, SentAt: sent, Held: held, Answer: a}, w.now)
+		})
+	}
+	unknown := workload.WorkerAnswer{Status: workload.WorkerUnknown}
+	way := w.between(500*time.Microsecond, 3*time.Millisecond)
+	if f.dark || f.gone || w.chance(w.faults.lostAnswer) {
+		if !f.dark && !f.gone {
+			w.after(way, func() { f.receive(func(f *fakeWorker) workload.WorkerAnswer { return f.hold(h.Hold) }) })
+		}
+		w.after(time.Second, func() { told(workload.Held{}, unknown) })
+		return
+	}
+	w.after(way, func() {
+		a, ok := f.receive(func(f *fakeWorker) workload.WorkerAnswer { return f.hold(h.Hold) })
+		if !ok {
+			w.after(time.Second, func() { told(workload.Held{}, unknown) })
+			return
+		}
+		f.whenEnded(h.Hold.Wait, func() {
+			if f.dark || f.gone {
+				w.after(time.Second, func() { told(workload.Held{}, unknown) })
+				return
+			}
+			held := f.list()
+			a.Clock = f.clock()
+			w.after(way, func() { told(held, a) })
+		})
+	})
+}
+
+// kill ends the owner without a word, and another one follows.
+func (w *world) kill(after time.Duration) {
+	w.owner.dead = true
+	w.after(after, w.takeOver)
+}
+
+// handOver ends the owner in good order.
+func (w *world) handOver(after time.Duration) {
+	o := w.owner
+	o.dead = true
+	if o.loaded && !w.store.down && o.epoch == w.store.epoch {
+		if o.pending != nil && o.pending.Sequence > w.store.last {
+			for _, r := range o.pending.Records {
+				w.store.put(r)
+			}
+		}
+		for _, r := range o.core.Handover(w.now) {
+			w.store.put(r)
+		}
+	}
+	w.after(after, w.takeOver)
+}
