--- a/internal/testkit/jobs.go
+++ b/internal/testkit/jobs.go
@@ -66,8 +66,16 @@
 	t.Cleanup(p.Stop)
 	c := &JobCluster{Platform: p, t: t, client: &http.Client{Timeout: 4 * time.Second}}
 	ip, dir := loopback(), t.TempDir()
+	// Links come first: one that was made later could get a port that is found to be
+	// free for a node.
 	for i := range nodes {
-		c.Nodes = append(c.Nodes, c.newNode(dir, ip, i, linked))
+		c.Nodes = append(c.Nodes, &JobNode{})
+		if linked {
+			c.link(c.Nodes[i], ip, i)
+		}
+	}
+	for i, first := range freePorts(t, ip, nodes) {
+		c.prepare(c.Nodes[i], dir, ip, i, first)
 	}
 	for _, n := range c.Nodes {
 		n.Start()
@@ -79,54 +87,73 @@
 // ports of a node, next to one another.
 const nodePorts = 4
 
-func (c *JobCluster) newNode(dir, ip string, i int, linked bool) *JobNode {
-	first := freePorts(c.t, ip)
+func nodeName(i int) string { return "node-" + strconv.Itoa(i) }
+
+func (c *JobCluster) link(n *JobNode, ip string, i int) {
+	n.Store = newLink(c.t, nodeName(i)+"-store", ip, c.Platform.StoreAddress())
+	n.VMs = newLink(c.t, nodeName(i)+"-vms", ip, c.Platform.VMsAddress())
+}
+
+// prepare gives a node its ports and settings file.
+func (c *JobCluster) prepare(n *JobNode, dir, ip string, i, first int) {
 	place := standin.NodePlace{
-		Name: "node-" + strconv.Itoa(i), Zone: "zone-" + strconv.Itoa(i%2), IP: ip,
+		Name: nodeName(i), Zone: "zone-" + strconv.Itoa(i%2), IP: ip,
 		Caller: first, Ready: first + 1, FirstPeer: first + 2, LastPeer: first + 3,
 	}
-	n := &JobNode{
-		caller: "http://" + net.JoinHostPort(ip, strconv.Itoa(place.Caller)),
-		ready:  "http://" + net.JoinHostPort(ip, strconv.Itoa(place.Ready)),
-	}
-	if linked {
-		n.Store = newLink(c.t, place.Name+"-store", ip, c.Platform.StoreAddress())
-		n.VMs = newLink(c.t, place.Name+"-vms", ip, c.Platform.VMsAddress())
+	if n.Store != nil {
 		place.Store, place.VMs = n.Store.Address(), n.VMs.Address()
 	}
 	file := filepath.Join(dir, place.Name+".toml")
 	if err := os.WriteFile(file, []byte(c.Platform.Settings(place)), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
+	n.caller = "http://" + net.JoinHostPort(ip, strconv.Itoa(place.Caller))
+	n.ready = "http://" + net.JoinHostPort(ip, strconv.Itoa(place.Ready))
 	n.Process = newProcess(c.t, dir, place.Name, binary(c.t, binNode), settingsFlag, file)
-	return n
 }
 
-// freePorts finds ports next to one another that are free on an IP number of
-// this process's own.
-func freePorts(t testing.TB, ip string) int {
+// freePorts finds, for each node, ports next to one another that are free on an IP
+// number of this process's own. It returns the first of each. All are held until
+// the last are found, so that no two nodes get the same.
+func freePorts(t testing.TB, ip string, nodes int) []int {
 	t.Helper()
-	for range 50 {
-		first, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-		if err != nil {
-			t.Fatal(err)
+	var firsts []int
+	var held []net.Listener
+	defer func() {
+		for _, l := range held {
+			_ = l.Close() // nothing was accepted
 		}
-		port := first.Addr().(*net.TCPAddr).Port
-		held := []net.Listener{first}
-		for i := 1; i < nodePorts; i++ {
-			if l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port+i))); err == nil {
-				held = append(held, l)
-			}
+	}()
+	for tries := 0; len(firsts) < nodes; tries++ {
+		if tries == 50*nodes {
+			t.Fatal("no free ports next to one another")
 		}
-		for _, l := range held {
-			_ = l.Close()
+		first, listeners := hold(t, ip)
+		held = append(held, listeners...)
+		if len(listeners) == nodePorts {
+			firsts = append(firsts, first)
 		}
-		if len(held) == nodePorts {
-			return port
+	}
+	return firsts
+}
+
+// hold listens on a free port and on those that follow it, as far as they are free.
+func hold(t testing.TB, ip string) (first int, held []net.Listener) {
+	t.Helper()
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	held = append(held, l)
+	first = l.Addr().(*net.TCPAddr).Port
+	for i := 1; i < nodePorts; i++ {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(first+i)))
+		if err != nil {
+			return first, held
 		}
+		held = append(held, l)
 	}
-	t.Fatal("no free ports next to one another")
-	return 0
+	return first, held
 }
 
 // AwaitReady waits until all nodes that run are ready.
