Look for what a service lacks at little cost, and only once workers have answered

Each step that waits was compared with each worker and its runs in every report of loads, which grows with the product under overload; a task that any worker could run now ends the look at the first. While no worker has answered, as at a takeover, nothing is said to be missing, or VMs would be moved for nothing.

--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -52,10 +52,14 @@
 	return list
 }
 
+// usable tells whether the worker answers and may get starts now or soon.
+func (w *worker) usable(now time.Time) bool {
+	return w.synced && !w.silent && !w.info.Draining && !now.Before(w.trust.suspendUntil)
+}
+
 // loadNow is what a worker carries, by how hard it is to move.
 func (w *worker) loadNow(now time.Time) workload.WorkerLoad {
-	usable := w.synced && !w.silent && !w.info.Draining && !now.Before(w.trust.suspendUntil)
-	l := workload.WorkerLoad{Usable: usable, Runs: len(w.runs), Used: w.used}
+	l := workload.WorkerLoad{Usable: w.usable(now), Runs: len(w.runs), Used: w.used}
 	for _, r := range w.runs {
 		if r.step.spec.Lasting {
 			l.Lasting++
@@ -107,18 +111,24 @@
 	if slices.ContainsFunc(l.Lacks, func(told workload.Lack) bool { return told.Label == lack.Label && lack.Need.Fits(told.Need) }) {
 		return // what is brought for the other one serves
 	}
+	known := false // as long as no worker has answered, none is known to be missing
 	for _, w := range c.order {
-		if w.info.Service != s.job.sub.Service || !w.loadNow(now).Usable || !w.info.HasLabel(lack.Label) {
+		if w.info.Service != s.job.sub.Service || !w.usable(now) {
+			continue
+		}
+		known = true
+		if !w.info.HasLabel(lack.Label) {
 			continue
 		}
-		if lack.Need.Fits(w.free()) {
+		able := lack.Need.Fits(w.info.Capacity.Sub(w.lastingUse()))
+		if lack.Need.Fits(w.free()) || able && lack.Label == "" {
 			return
 		}
-		if lack.Need.Fits(w.info.Capacity.Sub(w.lastingUse())) {
+		if able {
 			lack.Never = false
 		}
 	}
-	if lack.Never || lack.Label != "" {
+	if known && (lack.Never || lack.Label != "") {
 		l.Lacks = append(l.Lacks, lack)
 	}
 }
--- a/internal/scheduler/step_test.go
+++ b/internal/scheduler/step_test.go
@@ -143,6 +143,17 @@
 	assert.Equal(t, 8000, loads[0].Wants["rack-7"].CPU)
 }
 
+// An owner has just taken over, and no worker has answered yet. Nothing is said to be
+// missing: VMs would be moved for nothing.
+func TestNothingIsLackedBeforeWorkersAnswer(t *testing.T) {
+	r := newRig(t)
+	r.workers("w-1")
+	r.submit("0000000000000001", batch(1, 1000))
+	loads := r.core.Loads(r.now)
+	require.Len(t, loads, 1)
+	assert.Empty(t, loads[0].Lacks)
+}
+
 // Data lies in one rack. Tasks run there while it has room, and elsewhere rather
 // than wait once it has none.
 func TestTasksRunNearTheirData(t *testing.T) {
