--- a/internal/fleet/labels.go
+++ b/internal/fleet/labels.go
@@ -10,15 +10,15 @@
 
 // meetLacks moves VMs to pools whose tasks wait for want of VMs that may run them,
 // for their label or size. The pool's load alone would bring any VMs, which these
-// tasks can't use, and they would wait however many it gets. It returns how many
-// moves it has begun.
-func (c *Core) meetLacks(balances []balance, now time.Time) int {
+// tasks can't use, and they would wait however many it gets. It begins limit moves
+// at most and returns how many it has begun.
+func (c *Core) meetLacks(balances []balance, limit int, now time.Time) int {
 	begun := 0
 	for i := range balances {
 		b := &balances[i]
 		l := c.loads[b.pool]
 		for _, lack := range l.load.Lacks {
-			for n := c.lacking(b.pool, lack) - c.coming(b.pool, lack, now); n > 0; n-- {
+			for n := c.lacking(b.pool, lack) - c.coming(b.pool, lack, now); n > 0 && begun < limit; n-- {
 				vm, ok := c.able(b.pool, lack, balances, now)
 				if !ok {
 					break
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -211,7 +211,7 @@
 			moves++
 		}
 	}
-	moves += c.meetLacks(balances, now)
+	moves += c.meetLacks(balances, maxMoves-moves, now)
 	for _, b := range balances {
 		for short := b.now - b.have; short > 0 && moves < maxMoves; short-- {
 			vm, ok := c.donor(balances, b.pool, now)
--- a/internal/fleetowner/acts.go
+++ b/internal/fleetowner/acts.go
@@ -67,7 +67,7 @@
 // store may have been away while the order was announced, or calls have waited
 // for a slot. The worker is open again then, and an order would end what it runs.
 func (o *Owner) order(ctx context.Context, a fleet.Action) {
-	if !a.Until.IsZero() && time.Now().After(a.Until) {
+	if !a.Until.IsZero() && past(a.Until, time.Now()) {
 		o.logger.Info("VM not ordered", "vm", a.VM, "wave", a.Wave, "pool", a.Pool,
 			"reason", "the word that it is empty is too old", "age_ms", time.Since(a.Until).Milliseconds())
 		o.send(ctx, func(c *fleet.Core, now time.Time) { c.Ordered(a.VM, fleet.Refused, now) })
@@ -90,6 +90,13 @@
 	o.send(ctx, func(c *fleet.Core, now time.Time) { c.Ordered(a.VM, resultOf(status), now) })
 }
 
+// past tells whether a time has passed on the steady clock or by the time of day. A
+// VM that was suspended has a steady clock that knows nothing of it; a time of day
+// that was set forward costs one more look at the worker.
+func past(t, now time.Time) bool {
+	return now.After(t) || now.Round(0).After(t.Round(0))
+}
+
 func resultOf(s platform.ActStatus) fleet.Result {
 	switch s {
 	case platform.ActOK:
--- a/internal/fleetowner/acts_test.go
+++ b/internal/fleetowner/acts_test.go
@@ -123,3 +123,13 @@
 		})
 	}
 }
+
+// After a suspension only the time of day has gone on; times without a reading of
+// the steady clock stand for it here.
+func TestPastByEitherClock(t *testing.T) {
+	now := time.Now()
+	assert.False(t, past(now.Add(time.Second), now))
+	assert.True(t, past(now, now.Add(time.Millisecond)))
+	assert.True(t, past(now.Round(0), now.Add(time.Millisecond)))
+	assert.True(t, past(now, now.Add(time.Millisecond).Round(0)))
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -35,7 +35,8 @@
 	StateKept time.Duration
 	// Stop is what a stop takes at most.
 	Stop time.Duration
-	// GangTimeout is how long a member of a gang waits for the others.
+	// GangTimeout is how long a member of a gang waits for the others; 0 is the
+	// default.
 	GangTimeout time.Duration
 	// RemoteFactor is how many times as long a task takes away from its data.
 	RemoteFactor float64
@@ -113,6 +114,9 @@
 // New returns a core that takes over at now. suspects are the workers that an
 // earlier owner may have given work to; doubtful says that there may be more.
 func New(cfg Settings, now time.Time, suspects []string, doubtful bool) *Core {
+	if cfg.GangTimeout == 0 {
+		cfg.GangTimeout = defaultGangTimeout
+	}
 	c := &Core{
 		cfg:          cfg,
 		config:       &workload.Config{},
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -32,6 +32,10 @@
 	p.measure()
 }
 
+// defaultGangTimeout is taken where the platform does not tell its own; it is what
+// the known deployments have.
+const defaultGangTimeout = 3 * time.Second
+
 // forming is a gang whose members have been ordered and are not all known to be
 // there.
 type forming struct {
@@ -42,9 +46,9 @@
 
 // watchGangs stops gangs that will not be complete in time. A member that is
 // refused, as by a worker that has just left, or whose start gets no answer,
-// leaves the others waiting: they hold their room, get nothing done and end
-// `alone` when the platform's time for it is over. Stopped at once, they cost
-// what a stop takes, and the gang starts anew.
+// leaves the others waiting: they hold their room, get nothing done and are ended
+// when the platform's time for it is over. Stopped at once, they cost what a stop
+// takes, and the gang starts anew.
 func (c *Core) watchGangs(now time.Time) {
 	c.forming = slices.DeleteFunc(c.forming, func(g forming) bool {
 		switch g.step.presence(g.run) {
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -20,6 +20,9 @@
 	// preemptWorth is how much work a preemption may throw away, as a share of the
 	// work that it makes room for.
 	preemptWorth = 0.5
+	// lastingLoss is how many core-seconds it may throw away for a lasting task:
+	// about what one does in four seconds.
+	lastingLoss = 20.0
 )
 
 // preempt stops runs of less urgent queues where a step's tasks find no room.
@@ -42,7 +45,7 @@
 	var best []*run
 	bestLoss := preemptWorth * coreSeconds(s.spec, estimate(s.spec))
 	if s.spec.Lasting {
-		bestLoss = longestLoss
+		bestLoss = lastingLoss
 	}
 	for _, w := range p.workers {
 		victims, loss := c.victims(w, s, cand.priority, now)
@@ -55,10 +58,6 @@
 	}
 }
 
-// longestLoss is how many core-seconds a preemption for a lasting task may throw
-// away; it works for a long time, so that nearly any is worth it.
-const longestLoss = 20.0
-
 // victims are the runs to stop on a worker so that a task of the step fits, and
 // the core-seconds of work that this throws away; nil if it can't be made to fit.
 func (c *Core) victims(w *worker, s *step, priority int, now time.Time) ([]*run, float64) {
