Stop runs of ended jobs that an owner inherits

Cause: an owner that takes a partition over with word of its runs took them all for running, also those of a cancelled job whose stop had not arrived when the owner before left.

Ruled out: a cancel that was lost (the record is stored before it is answered, and the next owner told the job as cancelled).

Change: such runs are inherited as ones that are to end, and are stopped when their worker lists them. Random histories check that nothing of a cancelled job runs on.

Before: TestRunOfACancelledJobIsStoppedAfterAHandover fails.

--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -30,8 +30,9 @@
 
 // soakSeeds are played by each run of the tests: one for the mixture of faults, and
 // those that have failed. 2: SIGHUP ended a node that was stopping. 108: an old word
-// that a worker is empty had a VM ordered whose worker ran tasks again.
-var soakSeeds = []uint64{1, 2, 108}
+// that a worker is empty had a VM ordered whose worker ran tasks again. 352: an owner
+// inherited runs of a cancelled job and let them go on.
+var soakSeeds = []uint64{1, 2, 108, 352}
 
 // seedsOfSoak returns the seeds to play. YUCCADRIFT_SOAK_SEEDS=N plays N seeds that
 // begin at YUCCADRIFT_SOAK_FIRST.
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -303,3 +303,38 @@
 	require.Len(t, holds, 1)
 	assert.Equal(t, int64(1), holds[0].Hold.Acked)
 }
+
+// A caller cancels its job, and the owner hands over before its stop has reached the
+// worker. The next owner knows the cancel and the run: once the worker lists the run
+// it is stopped. Without that a lasting task runs on for ever.
+func TestRunOfACancelledJobIsStoppedAfterAHandover(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1")
+	lasting := workload.Step{Count: 1, Need: workload.Resources{CPU: 1000, MemoryMB: 100}, Lasting: true}
+	job := r.submit("0000000000000001", lasting)
+	start := r.step(20 * time.Millisecond).Starts[0]
+	r.started(start, workload.WorkerOK)
+	r.core.CancelRequested(job, r.now)
+	require.Len(t, r.step(20*time.Millisecond).Stops, 1) // it is lost
+	var left *workload.Handover
+	for _, record := range r.core.Handover(r.now) {
+		if record.Handover != nil {
+			left = record.Handover
+		}
+	}
+	require.Len(t, left.Runs, 1)
+
+	next := &rig{t: t, now: r.now}
+	next.core = scheduler.New(testSettings(4), next.now, nil, false)
+	next.core.SetConfig(testConfig)
+	next.core.CancelRequested(job, next.now)
+	next.submit(string(job), lasting)
+	next.core.Inherit(left, next.now)
+	next.workers("w-1")
+	next.step(0)
+	listed := workload.Held{Running: []workload.RunState{{Task: start.Start.Task, Run: start.Start.Run, Percent: 100}}}
+	next.core.Held(scheduler.HoldResult{Worker: "w-1", Token: 4 << 10, SentAt: next.now, Held: listed, Answer: workload.WorkerAnswer{Clock: 1000}}, next.now)
+	stops := next.step(20 * time.Millisecond).Stops
+	require.Len(t, stops, 1)
+	assert.Equal(t, start.Start.Run, stops[0].Run)
+}
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -70,12 +70,16 @@
 		}
 		w := c.worker(left.Worker, now)
 		w.leaseOver = now.Add(lapse(c.cfg.Lease))
+		state := runUncertain
+		if s.job.final.Ended() || s.tasks[key.Index].done {
+			state = runStopping // the earlier owner's stop may not have arrived
+		}
 		w.add(&run{
 			step:      s,
 			index:     key.Index,
 			number:    left.Run,
 			worker:    w,
-			state:     runUncertain,
+			state:     state,
 			since:     now,
 			orderedAt: now,
 			paced:     fullPace,
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -141,6 +141,7 @@
 			switch {
 			case !j.cancelled.IsZero():
 				assert.True(t, state.Ended(), "seed %d: cancelled job %s is %s", seed, j.id, state)
+				assert.Zero(t, w.running(j.id), "seed %d: cancelled job %s runs on", seed, j.id)
 			case j.sub.Spec.Steps[0].Lasting:
 				assert.Equal(t, workload.Running, state, "seed %d: job %s", seed, j.id)
 				missing := w.running(j.id) < j.sub.Spec.Steps[0].Count
