Use no worker that another writer's entry names

Cause: an update of an entry that could not be read left the worker of the last good one in use, and an entry with fields missing or a state that is not known named a worker. One record without a key ended the reading of a partition for good. Change: entries are checked whole and rejected at once, others hold; records that can't be read are left out and counted; services that the configuration does not name have no workers. Test: entries of twelve kinds, fails before.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -278,7 +278,13 @@
 	}
 }
 
+// owns tells whether a service's jobs lie in the partition. One that the
+// configuration doesn't name has none: another writer's entry may name it, and a
+// worker that never answers would hold a takeover up for a lease.
 func (o *Owner) owns(service string) bool {
+	if config := o.deps.Published.Config(); config != nil && !config.HasService(service) {
+		return false
+	}
 	return joblog.PartitionOf(service, o.deps.Partitions) == o.partition
 }
 
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -39,11 +39,13 @@
 	goodAt  time.Time // when it was answered
 	needs   int       // how many need it
 	next    int64
+	// rejected are the entries that were found unusable, for one log line each.
+	rejected map[string]bool
 }
 
 // New returns a follower.
 func New(source Source, logger hclog.Logger) *Follower {
-	return &Follower{source: source, logger: logger, view: NewView(), next: -1}
+	return &Follower{source: source, logger: logger, view: NewView(), next: -1, rejected: map[string]bool{}}
 }
 
 // Need says that the list is needed until done is called: only nodes that order
@@ -125,12 +127,18 @@
 	f.view.Good(f.goodAt)
 	f.readAt = sent
 	f.version++
+	if batch.Unreadable > 0 {
+		f.logger.Error("records of workers have no key and are left out", "count", batch.Unreadable)
+	}
 	var list []workload.Worker
 	for _, r := range batch.Records {
 		w, ok, err := platform.DecodeWorker(r)
+		if err != nil {
+			f.reject(r.Key, err)
+			continue
+		}
+		delete(f.rejected, r.Key)
 		switch {
-		case err != nil:
-			f.logger.Error("entry of a worker can't be read", "worker", r.Key, "error", err)
 		case ok && whole:
 			list = append(list, w)
 		case ok:
@@ -143,3 +151,17 @@
 		f.view.Replace(list)
 	}
 }
+
+// reject takes an entry that can't be used. Its writer may repeat it each second,
+// so it is logged once.
+func (f *Follower) reject(id string, reason error) {
+	f.view.Reject(id)
+	if f.rejected[id] || len(f.rejected) >= maxRejected {
+		return
+	}
+	f.rejected[id] = true
+	f.logger.Error("entry names no usable worker and is left out", "worker", id, "reason", reason)
+}
+
+// maxRejected bounds the unusable entries that are remembered and logged.
+const maxRejected = 200
--- /dev/null
+++ b/internal/registry/follower_test.go
@@ -0,0 +1,63 @@
+package registry
+
+import (
+	"context"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// fakeSource answers with what it is given next.
+type fakeSource struct {
+	newest, next platform.Batch
+}
+
+func (s *fakeSource) NewestWorkers(context.Context) (platform.Batch, platform.StoreStatus, error) {
+	return s.newest, platform.StoreOK, nil
+}
+
+func (s *fakeSource) ReadWorkers(context.Context, int64) (platform.Batch, platform.StoreStatus, error) {
+	return s.next, platform.StoreOK, nil
+}
+
+const goodEntry = `{"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"ready","sequence":4,"capacity":{"cpu":16000,"mem_mb":65536},"labels":["a"]}`
+
+func entry(key, value string) platform.KeyedRecord {
+	return platform.KeyedRecord{Key: key, Value: []byte(value)}
+}
+
+// Another writer leaves entries beside those of the workers, or in place of one.
+// Tasks that were started on such an "worker" would never begin, and a takeover
+// would wait for its answer. None of them is used, and the others stay.
+func TestEntriesOfAnotherWriterNameNoWorker(t *testing.T) {
+	for name, bad := range map[string]string{
+		"no JSON":            "\x00\xff{",
+		"a list":             `[1,2]`,
+		"service missing":    `{"address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}}`,
+		"address missing":    `{"service":"s","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}}`,
+		"address of no host": `{"service":"s","address":"nowhere","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}}`,
+		"zone missing":       `{"service":"s","address":"10.0.0.9:80","state":"ready","capacity":{"cpu":1,"mem_mb":1}}`,
+		"state missing":      `{"service":"s","address":"10.0.0.9:80","zone":"z","capacity":{"cpu":1,"mem_mb":1}}`,
+		"state not known":    `{"service":"s","address":"10.0.0.9:80","zone":"z","state":"resting","capacity":{"cpu":1,"mem_mb":1}}`,
+		"capacity missing":   `{"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready"}`,
+		"capacity a number":  `{"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":16}`,
+		"slots a text":       `{"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","slots":"8","capacity":{"cpu":1,"mem_mb":1}}`,
+		"labels a text":      `{"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","labels":"a","capacity":{"cpu":1,"mem_mb":1}}`,
+	} {
+		source := &fakeSource{
+			newest: platform.Batch{Records: []platform.KeyedRecord{entry("w-1", goodEntry), entry("other", bad), entry("w-2", goodEntry)}},
+			next:   platform.Batch{Records: []platform.KeyedRecord{entry("other", bad), entry("w-1", bad), entry("w-3", goodEntry)}, Unreadable: 1},
+		}
+		f := New(source, hclog.NewNullLogger())
+		f.read(t.Context())
+		assert.Equal(t, map[string]bool{"w-1": true, "w-2": true}, ids(f.Snapshot(f.goodAt).Workers), name)
+		f.read(t.Context())
+		assert.Equal(t, map[string]bool{"w-2": true, "w-3": true}, ids(f.Snapshot(f.goodAt).Workers), name)
+		source.next = platform.Batch{Records: []platform.KeyedRecord{entry("w-1", goodEntry)}}
+		f.read(t.Context())
+		assert.Len(t, f.Snapshot(f.goodAt).Workers, 3, name)
+	}
+}
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// Reject takes an entry that names no usable worker. It counts at once, also just
+// after an outage: the entry is there and says something else.
+func (v *View) Reject(id string) {
+	delete(v.workers, id)
+	delete(v.removed, id)
+}
+
 // Replace takes the complete list.
 func (v *View) Replace(list []workload.Worker) {
 	present := map[string]bool{}
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -57,6 +57,11 @@
 	Limits   Limits
 }
 
+// HasService tells whether a service is named.
+func (c *Config) HasService(name string) bool {
+	return slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == name })
+}
+
 // Queue returns the queue named, nil if there is none.
 func (c *Config) Queue(name string) *Queue {
 	for i := range c.Queues {
