Store callers' records through the node that owns their partition

Cause: nine nodes that append for themselves to a slow store have more than a second of appends waiting; callers got 504 or were late. Nodes that the store turned away refused callers that their peers could have served. Ruled out: one producer for all (ADR 0050). Change: intake, gRPC Store, one append for all that wait; unknown outcomes are resolved within the caller's time.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -189,10 +189,10 @@
 	return h.store(ctx, req, workload.Record{Job: id, Cancel: true})
 }
 
-// store stores a record before its caller is told. A store that certainly did
-// nothing is a refusal; one that may yet do it is not, as the job would run
-// although its caller was told that it does not: that caller gets no such word,
-// and asks again with the same ID.
+// store stores a record before its caller is told. Where certainly nothing was
+// stored that is a refusal, with which the caller can ask elsewhere. Where it may
+// yet be stored it is not, as the job would run although its caller was told that
+// it does not; Jobs tries as long as the caller waits before it says so.
 func (h *Handler) store(ctx context.Context, req *request, r workload.Record) result {
 	for {
 		status, err := h.Jobs.Accept(ctx, req.queue.Service, r)
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,334 @@
+package intake_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/yuccadrift/yuccadrift/internal/hedge"
+	"github.com/yuccadrift/yuccadrift/internal/intake"
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// serialStore takes the appends to a partition one after the other, as the
+// platform's does, and refuses what would wait for more than 2 s.
+type serialStore struct {
+	takes time.Duration
+	turn  chan struct{} // one entry: held by the append under way
+
+	mu      sync.Mutex
+	waiting int
+	appends int
+	keys    map[string]bool
+}
+
+// longestQueue is the wait beyond which the platform's store refuses an append.
+const longestQueue = 2 * time.Second
+
+// callTimeout is the time-out of one call to the store.
+const callTimeout = 1200 * time.Millisecond
+
+func newSerialStore(takes time.Duration) *serialStore {
+	return &serialStore{takes: takes, turn: make(chan struct{}, 1), keys: map[string]bool{}}
+}
+
+func (s *serialStore) Append(ctx context.Context, _ platform.Partition, _ *platform.Producer, records ...platform.KeyedRecord) (platform.StoreStatus, error) {
+	s.mu.Lock()
+	if time.Duration(s.waiting)*s.takes > longestQueue {
+		s.mu.Unlock()
+		return platform.StoreRefused, errors.New("busy")
+	}
+	s.waiting++
+	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() { // the store goes on when the caller has left
+		s.turn <- struct{}{}
+		time.Sleep(s.takes)
+		s.mu.Lock()
+		s.waiting--
+		s.appends++
+		for _, r := range records {
+			s.keys[r.Key] = true
+		}
+		s.mu.Unlock()
+		<-s.turn
+		close(done)
+	}()
+	select {
+	case <-done:
+		return platform.StoreOK, nil
+	case <-ctx.Done():
+		return platform.StoreUnknown, ctx.Err()
+	case <-time.After(callTimeout):
+		return platform.StoreUnknown, errors.New("no answer in time")
+	}
+}
+
+func (s *serialStore) Read(context.Context, platform.Partition, int64, time.Duration) (platform.Batch, platform.StoreStatus, error) {
+	return platform.Batch{}, platform.StoreRefused, nil
+}
+
+func (s *serialStore) Newest(context.Context, platform.Partition) (platform.Batch, platform.StoreStatus, error) {
+	return platform.Batch{}, platform.StoreRefused, nil
+}
+
+// node is one entry VM of a test.
+type node struct {
+	router   *intake.Router
+	acceptor *joblog.Acceptor
+	away     error // why the store doesn't answer it
+	frozen   bool  // it answers no other node
+}
+
+func (n *node) Await(ctx context.Context, partition int, r workload.Record, bound <-chan time.Time) (platform.StoreStatus, bool, error) {
+	return n.acceptor.Await(ctx, partition, r, bound)
+}
+
+func (n *node) Away() error { return n.away }
+
+// group is the nodes of a test; owner is the address of the partition's one, ""
+// where each node stores for itself.
+type group struct {
+	nodes []*node
+	owner string
+}
+
+func address(i int) string { return fmt.Sprint("node-", i) }
+
+// view is what one node knows of the others.
+type view struct {
+	group *group
+	self  string
+}
+
+func (v view) Owner(context.Context, int) string {
+	if v.group.owner == v.self {
+		return ""
+	}
+	return v.group.owner
+}
+
+func (v view) Others() []string {
+	var others []string
+	for i := range v.group.nodes {
+		if address(i) != v.self {
+			others = append(others, address(i))
+		}
+	}
+	return others
+}
+
+func (v view) Store(ctx context.Context, to string, partition int, r workload.Record) (intake.Reply, error) {
+	for i, n := range v.group.nodes {
+		if address(i) != to {
+			continue
+		}
+		if n.frozen {
+			<-ctx.Done()
+			return intake.Reply{}, ctx.Err()
+		}
+		return n.router.Serve(ctx, partition, r), nil
+	}
+	return intake.Reply{Status: platform.StoreRefused}, errors.New("connection refused")
+}
+
+func newGroup(size int, store joblog.Store, owner string) *group {
+	g := &group{owner: owner}
+	for i := range size {
+		n := &node{acceptor: joblog.NewAcceptor(store, hedge.New(), nil)}
+		n.router = intake.New(n, view{g, address(i)}, hclog.NewNullLogger())
+		g.nodes = append(g.nodes, n)
+	}
+	return g
+}
+
+// drained is a time after which the store has carried out all that it was sent.
+const drained = time.Minute
+
+// play runs a test in virtual time and lets the store finish.
+func play(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		test(t)
+		time.Sleep(drained)
+	})
+}
+
+func cancelOf(i int) workload.Record {
+	return workload.Record{Job: workload.JobID(fmt.Sprintf("%016x", i)), Cancel: true}
+}
+
+// Load of a slow spell: a queue in its turn takes some 40 jobs a second at nine
+// nodes, and each append takes 150 ms, 70 times as long as usual.
+const (
+	spellNodes  = 9
+	spellTakes  = 150 * time.Millisecond
+	spellPause  = 25 * time.Millisecond // between two jobs
+	spellLength = 4 * time.Second
+	callerWaits = 2900 * time.Millisecond
+	// soon is a time after which a quick job can still be in time: the objective of
+	// such a job is some 2 s.
+	soon = 900 * time.Millisecond
+)
+
+// playSpell submits jobs at all nodes in turn while the store is slow, and counts
+// those that are taken soon.
+func playSpell(t *testing.T, owner string) (taken, all int) {
+	g := newGroup(spellNodes, newSerialStore(spellTakes), owner)
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	for began := time.Now(); time.Since(began) < spellLength; all++ {
+		n, record := g.nodes[all%spellNodes], cancelOf(all)
+		callers.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), callerWaits)
+			defer cancel()
+			came := time.Now()
+			status, _ := n.router.Accept(ctx, 0, record)
+			if status == platform.StoreOK && time.Since(came) <= soon {
+				mu.Lock()
+				taken++
+				mu.Unlock()
+			}
+		})
+		time.Sleep(spellPause)
+	}
+	callers.Wait()
+	return taken, all
+}
+
+// The store is slow and takes the appends to a partition one after the other. Where
+// each node appends for itself, nine appends wait at any time, callers are told
+// nothing for over a second, and repeated calls make the queue longer. Where all
+// go through the owner, at most its own append is ahead of a job.
+func TestSlowStoreTakesJobsThroughTheOwner(t *testing.T) {
+	play(t, func(t *testing.T) {
+		alone, all := playSpell(t, "")
+		through, _ := playSpell(t, address(0))
+		t.Logf("of %d jobs taken soon: %d by each node alone, %d through the owner", all, alone, through)
+		assert.Less(t, alone, all/4, "the load is one that nodes can't bear alone")
+		assert.GreaterOrEqual(t, through, all*9/10)
+	})
+}
+
+// The store turns three of nine nodes away for seconds. Their callers would be
+// refused; the other nodes take their jobs, also those of the owner among the three.
+func TestNodesThatTheStoreTurnsAwayTakeJobsThroughOthers(t *testing.T) {
+	for _, owner := range []string{address(0), address(5)} { // turned away, and not
+		play(t, func(t *testing.T) {
+			g := newGroup(9, newSerialStore(2*time.Millisecond), owner)
+			for _, n := range g.nodes[:3] {
+				n.away = errors.New("turned away")
+			}
+			for i := range 90 {
+				status, err := g.nodes[i%3].router.Accept(t.Context(), 0, cancelOf(i))
+				assert.Equal(t, platform.StoreOK, status, "%v", err)
+			}
+		})
+	}
+}
+
+// The owner stands still. The first caller waits for one question's time-out, those
+// after it don't: the node stores for itself meanwhile.
+func TestFrozenOwnerCostsOneTimeOut(t *testing.T) {
+	play(t, func(t *testing.T) {
+		g := newGroup(3, newSerialStore(2*time.Millisecond), address(0))
+		g.nodes[0].frozen = true
+		began := time.Now()
+		status, _ := g.nodes[1].router.Accept(t.Context(), 0, cancelOf(1))
+		assert.Equal(t, platform.StoreOK, status)
+		assert.Less(t, time.Since(began), 500*time.Millisecond)
+		began = time.Now()
+		status, _ = g.nodes[1].router.Accept(t.Context(), 0, cancelOf(2))
+		assert.Equal(t, platform.StoreOK, status)
+		assert.Less(t, time.Since(began), 10*time.Millisecond)
+	})
+}
+
+// The store is away for all nodes. The refusal is certain and comes at once, so
+// that the caller can use its time elsewhere.
+func TestRefusedAtOnceWhereNoNodeHasAWay(t *testing.T) {
+	play(t, func(t *testing.T) {
+		store := newSerialStore(2 * time.Millisecond)
+		g := newGroup(4, store, address(2))
+		for _, n := range g.nodes {
+			n.away = errors.New("away")
+		}
+		began := time.Now()
+		status, err := g.nodes[0].router.Accept(t.Context(), 0, cancelOf(1))
+		assert.Equal(t, platform.StoreRefused, status)
+		assert.Error(t, err)
+		assert.Zero(t, time.Since(began))
+		assert.Empty(t, store.keys)
+	})
+}
+
+// lossyStore carries the first appends out and gives no answer.
+type lossyStore struct {
+	*serialStore
+	lost int
+}
+
+func (s *lossyStore) Append(ctx context.Context, p platform.Partition, producer *platform.Producer, records ...platform.KeyedRecord) (platform.StoreStatus, error) {
+	status, err := s.serialStore.Append(ctx, p, producer, records...)
+	if s.lost > 0 {
+		s.lost--
+		return platform.StoreUnknown, errors.New("connection lost")
+	}
+	return status, err
+}
+
+// All answers of one append are lost. The caller could only be told that nothing is
+// known, after which it doesn't ask again; its time is used to store once more under
+// the same key, which has no second effect.
+func TestUnknownOutcomeIsResolvedWithinTheCallersTime(t *testing.T) {
+	play(t, func(t *testing.T) {
+		store := &lossyStore{newSerialStore(2 * time.Millisecond), 3}
+		g := newGroup(2, store, address(1))
+		ctx, cancel := context.WithTimeout(t.Context(), callerWaits)
+		defer cancel()
+		status, err := g.nodes[0].router.Accept(ctx, 0, cancelOf(1))
+		assert.Equal(t, platform.StoreOK, status, "%v", err)
+		assert.Len(t, store.keys, 1)
+	})
+}
+
+// The store is carried out without an answer until the caller's time is over. It is
+// never told that nothing was stored.
+func TestOpenOutcomeIsNeverARefusal(t *testing.T) {
+	play(t, func(t *testing.T) {
+		store := &lossyStore{newSerialStore(2 * time.Millisecond), 1 << 20}
+		g := newGroup(2, store, address(1))
+		ctx, cancel := context.WithTimeout(t.Context(), callerWaits)
+		defer cancel()
+		status, _ := g.nodes[0].router.Accept(ctx, 0, cancelOf(1))
+		assert.Equal(t, platform.StoreUnknown, status)
+		assert.Len(t, store.keys, 1)
+	})
+}
+
+// The same request reaches two nodes, as a caller that asks again does. Both go
+// through the owner and join the append under way.
+func TestSameRequestAtTwoNodesIsOneRecord(t *testing.T) {
+	play(t, func(t *testing.T) {
+		store := newSerialStore(spellTakes)
+		g := newGroup(3, store, address(0))
+		var callers sync.WaitGroup
+		for _, n := range g.nodes {
+			callers.Go(func() {
+				status, _ := n.router.Accept(t.Context(), 0, cancelOf(7))
+				assert.Equal(t, platform.StoreOK, status)
+			})
+		}
+		callers.Wait()
+		assert.Len(t, store.keys, 1)
+	})
+}
--- a/internal/joblog/acceptor.go
+++ b/internal/joblog/acceptor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -11,8 +12,16 @@
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
-// maxBatch bounds the records of one append.
-const maxBatch = 64
+const (
+	// maxBatch bounds the records of one append.
+	maxBatch = 64
+	// maxQueued bounds the records that wait for one partition: some 8 MB of the
+	// largest jobs, and what a slow store takes in 2 s.
+	maxQueued = 1024
+)
+
+// Stored is told which records of a partition were just stored.
+type Stored func(partition int, records []workload.Record)
 
 // Acceptor stores records of callers' requests. Those that come while an append
 // to their partition is under way go together into the next one: the store takes
@@ -21,77 +30,116 @@
 type Acceptor struct {
 	store  Store
 	hedger *hedge.Hedger
+	stored Stored
 
 	mu     sync.Mutex
 	queues map[int]*acceptQueue
 }
 
-// acceptQueue is what waits for one partition.
+// acceptQueue is what waits for one partition, or is under way to it.
 type acceptQueue struct {
 	waiting []*accept
+	byKey   map[string]*accept // waiting or under way
 	running bool
 }
 
-// accept is one record that waits for its outcome.
+// accept is one record that waits for its outcome. Several callers may: a request
+// that is sent again joins the one under way.
 type accept struct {
-	record platform.KeyedRecord
-	done   chan acceptResult // gets one result
+	record  workload.Record
+	encoded platform.KeyedRecord
+	callers int
+	done    chan struct{} // closed once status and err are set
+	status  platform.StoreStatus
+	err     error
 }
 
-type acceptResult struct {
-	status platform.StoreStatus
-	err    error
+// NewAcceptor returns an acceptor. stored may be nil.
+func NewAcceptor(store Store, hedger *hedge.Hedger, stored Stored) *Acceptor {
+	if stored == nil {
+		stored = func(int, []workload.Record) {}
+	}
+	return &Acceptor{store: store, hedger: hedger, stored: stored, queues: map[int]*acceptQueue{}}
 }
 
-// NewAcceptor returns an acceptor.
-func NewAcceptor(store Store, hedger *hedge.Hedger) *Acceptor {
-	return &Acceptor{store: store, hedger: hedger, queues: map[int]*acceptQueue{}}
+// Accept stores a record of a caller's request, as Await does without a bound.
+func (a *Acceptor) Accept(ctx context.Context, partition int, r workload.Record) (platform.StoreStatus, error) {
+	status, _, err := a.Await(ctx, partition, r, nil)
+	return status, err
 }
 
-// Accept stores a record of a caller's request. Doing so twice is harmless: the
+// Await stores a record of a caller's request. Doing so twice is harmless: the
 // first submission of an ID counts. StoreRefused means that the record certainly
-// is not and will not be stored.
-func (a *Acceptor) Accept(ctx context.Context, partition int, r workload.Record) (platform.StoreStatus, error) {
+// is not and will not be stored. Once bound has passed, pending is returned while
+// the outcome is open; who still wants it calls again.
+func (a *Acceptor) Await(ctx context.Context, partition int, r workload.Record, bound <-chan time.Time) (status platform.StoreStatus, pending bool, err error) {
 	key, value, err := r.Encode()
 	if err != nil {
-		return platform.StoreInvalid, err
+		return platform.StoreInvalid, false, err
+	}
+	own, err := a.enqueue(partition, r, platform.KeyedRecord{Key: key, Value: value})
+	if err != nil {
+		return platform.StoreRefused, false, err
 	}
-	own := &accept{record: platform.KeyedRecord{Key: key, Value: value}, done: make(chan acceptResult, 1)}
-	a.enqueue(partition, own)
 	select {
-	case res := <-own.done:
-		return res.status, res.err
+	case <-own.done:
+		return own.status, false, own.err
+	case <-bound:
+		a.release(own)
+		return platform.StoreUnknown, true, nil
 	case <-ctx.Done():
 	}
 	if a.withdraw(partition, own) {
-		return platform.StoreRefused, errors.New("the request's time ended before it was sent to the store")
+		return platform.StoreRefused, false, errors.New("the request's time ended before it was sent to the store")
 	}
-	return platform.StoreUnknown, ctx.Err()
+	return platform.StoreUnknown, false, ctx.Err()
 }
 
-func (a *Acceptor) enqueue(partition int, own *accept) {
+// enqueue returns the record's place in the queue, the present one if the same is
+// waiting or under way already.
+func (a *Acceptor) enqueue(partition int, r workload.Record, encoded platform.KeyedRecord) (*accept, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	q := a.queues[partition]
 	if q == nil {
-		q = &acceptQueue{}
+		q = &acceptQueue{byKey: map[string]*accept{}}
 		a.queues[partition] = q
 	}
+	if same := q.byKey[encoded.Key]; same != nil {
+		same.callers++
+		return same, nil
+	}
+	if len(q.waiting) >= maxQueued {
+		return nil, errors.Errorf("%d records wait for the store already", len(q.waiting))
+	}
+	own := &accept{record: r, encoded: encoded, callers: 1, done: make(chan struct{})}
 	q.waiting = append(q.waiting, own)
+	q.byKey[encoded.Key] = own
 	if !q.running {
 		q.running = true
 		go a.run(partition, q)
 	}
+	return own, nil
 }
 
-// withdraw takes a record back that no append has taken up.
+// release notes that a caller doesn't wait any more. The record stays in the queue.
+func (a *Acceptor) release(own *accept) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	own.callers--
+}
+
+// withdraw takes a record back that no append has taken up and that nobody else
+// waits for.
 func (a *Acceptor) withdraw(partition int, own *accept) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	own.callers--
 	q := a.queues[partition]
 	for i, w := range q.waiting {
-		if w == own {
+		if w == own && own.callers == 0 {
 			q.waiting = append(q.waiting[:i:i], q.waiting[i+1:]...)
+			delete(q.byKey, own.encoded.Key)
 			return true
 		}
 	}
@@ -105,19 +153,33 @@
 		if batch == nil {
 			return
 		}
-		records := make([]platform.KeyedRecord, len(batch))
+		encoded := make([]platform.KeyedRecord, len(batch))
+		records := make([]workload.Record, len(batch))
 		for i, w := range batch {
+			encoded[i] = w.encoded
 			records[i] = w.record
 		}
 		part := platform.Partition{Topic: Topic, Part: partition}
 		// The calls have time-outs of their own; a caller that leaves does not end
 		// the append of the others.
 		status, err := a.hedger.Write(context.Background(), func(ctx context.Context) (platform.StoreStatus, error) {
-			return a.store.Append(ctx, part, nil, records...)
+			return a.store.Append(ctx, part, nil, encoded...)
 		})
-		for _, w := range batch {
-			w.done <- acceptResult{status, err}
+		if status == platform.StoreOK {
+			a.stored(partition, records)
 		}
+		a.finish(q, batch, status, err)
+	}
+}
+
+// finish tells all who wait for a batch how it ended.
+func (a *Acceptor) finish(q *acceptQueue, batch []*accept, status platform.StoreStatus, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, w := range batch {
+		w.status, w.err = status, err
+		delete(q.byKey, w.encoded.Key)
+		close(w.done)
 	}
 }
 
--- a/internal/joblog/acceptor_test.go
+++ b/internal/joblog/acceptor_test.go
@@ -60,7 +60,7 @@
 func TestRecordsThatComeTogetherAreAppendedTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &slowStore{takes: 80 * time.Millisecond}
-		a := joblog.NewAcceptor(store, hedge.New())
+		a := joblog.NewAcceptor(store, hedge.New(), nil)
 		began := time.Now()
 		var all sync.WaitGroup
 		for i := range 40 {
@@ -82,7 +82,7 @@
 func TestOnlyRecordsThatWereNotSentAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &slowStore{takes: 10 * time.Second, fails: errors.New("no answer")}
-		a := joblog.NewAcceptor(store, hedge.New())
+		a := joblog.NewAcceptor(store, hedge.New(), nil)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		first := make(chan platform.StoreStatus, 1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/fleetowner"
 	"github.com/yuccadrift/yuccadrift/internal/front"
 	"github.com/yuccadrift/yuccadrift/internal/hedge"
+	"github.com/yuccadrift/yuccadrift/internal/intake"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/listen"
 	"github.com/yuccadrift/yuccadrift/internal/logging"
@@ -30,7 +31,6 @@
 	"github.com/yuccadrift/yuccadrift/internal/registry"
 	"github.com/yuccadrift/yuccadrift/internal/settings"
 	"github.com/yuccadrift/yuccadrift/internal/supervise"
-	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
@@ -52,7 +52,7 @@
 	manager   *ownership.Manager
 	owners    *owners
 	machines  *platform.Machines
-	acceptor  *joblog.Acceptor
+	intake    *intake.Router
 	deps      owner.Deps
 	front     *front.Server
 	admin     *admin.Server
@@ -104,7 +104,6 @@
 	n.published = published.New(n.store, logger.Named("published"))
 	n.registry = registry.New(n.store, logger.Named("registry"))
 	hedger := hedge.New()
-	n.acceptor = joblog.NewAcceptor(n.store, hedger)
 	n.machines = platform.NewMachines(s.Machines)
 	n.deps = owner.Deps{
 		Store:      n.store,
@@ -131,6 +130,8 @@
 		Logger:     logger.Named("ownership"),
 	}, n.own)
 	n.owners.manager = n.manager
+	local := localStore{acceptor: joblog.NewAcceptor(n.store, hedger, n.stored), contact: n.contact}
+	n.intake = intake.New(local, storePeers{n.owners}, logger.Named("intake"))
 	n.deps.Confirmed = func(partition int) time.Time {
 		return n.manager.Confirmed(platform.Partition{Topic: joblog.Topic, Part: partition})
 	}
@@ -177,17 +178,6 @@
 	return n.contact.check()
 }
 
-// Accept stores a record of a caller's request with its service's jobs. While
-// the store is away the caller is refused at once: a call that is not sent has
-// certainly no effect, so the refusal is true, and the caller need not wait for
-// a time-out that tells it nothing.
-func (n *Node) Accept(ctx context.Context, service string, r workload.Record) (platform.StoreStatus, error) {
-	if age := n.contact.age(); age > hopeless {
-		return platform.StoreRefused, errors.Errorf("no answer of the store for %s", age.Round(time.Millisecond))
-	}
-	return n.acceptor.Accept(ctx, n.owners.partitionOf(service), r)
-}
-
 // own runs what the group gave to this node.
 func (n *Node) own(ctx context.Context, p platform.Partition, epoch int64) error {
 	if p.Topic != joblog.Topic {
@@ -260,7 +250,7 @@
 func (n *Node) serveFront(ctx context.Context) error { return n.front.Run(ctx) }
 
 func (n *Node) servePeers(ctx context.Context) error {
-	return nodepeer.Serve(ctx, n.peers, peerHandler{n.owners})
+	return nodepeer.Serve(ctx, n.peers, peerHandler{n.owners, n.intake})
 }
 
 // catchHangups takes SIGHUP over for the whole life of the process. One that came
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/intake"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
 	"github.com/yuccadrift/yuccadrift/internal/owner"
@@ -165,8 +166,21 @@
 	return nodepeer.Answer{Owner: ok, Loads: loads}, nil
 }
 
-// peerHandler is owners as other nodes see it.
-type peerHandler struct{ *owners }
+// peerHandler is the node as other nodes see it.
+type peerHandler struct {
+	*owners
+	intake *intake.Router
+}
+
+// Store answers another node.
+func (p peerHandler) Store(ctx context.Context, a nodepeer.Ask) (nodepeer.Answer, error) {
+	record, ok, err := workload.DecodeRecord(a.RecordKey, a.RecordValue)
+	if err != nil || !ok || record.Submission == nil && !record.Cancel {
+		return nodepeer.Answer{Stored: &nodepeer.Stored{Status: platform.StoreInvalid, Reason: "no record of a caller"}}, nil
+	}
+	reply := p.intake.Serve(ctx, a.Partition, record)
+	return nodepeer.Answer{Stored: &nodepeer.Stored{Status: reply.Status, Pending: reply.Pending, Reason: reply.Reason}}, nil
+}
 
 // Waiting answers another node.
 func (p peerHandler) Waiting(ctx context.Context, a nodepeer.Ask) (nodepeer.Answer, error) {
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -15,8 +15,10 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/encoding"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/peer"
 
 	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
 )
 
 // Times of connections between nodes.
@@ -26,6 +28,9 @@
 	pingTimeout = time.Second
 	idleAfter   = 30 * time.Second
 	connectTime = 500 * time.Millisecond
+	// dropAfter is how long a connection that may have gone silent stays open for
+	// the other questions on it: none takes longer.
+	dropAfter = time.Second
 )
 
 // reconnect is the pause before a new try at a node that can't be reached: a
@@ -38,6 +43,9 @@
 	Job       workload.JobID `json:"j,omitempty"`
 	Queue     string         `json:"q,omitempty"`
 	Worker    string         `json:"w,omitempty"`
+	// Record is one to be stored, by its key and value.
+	RecordKey   string `json:"rk,omitempty"`
+	RecordValue []byte `json:"rv,omitempty"`
 }
 
 // Answer is what the owner says.
@@ -48,6 +56,14 @@
 	Waiting int                    `json:"w,omitempty"`
 	Empty   bool                   `json:"e,omitempty"`
 	Loads   []workload.ServiceLoad `json:"l,omitempty"`
+	Stored  *Stored                `json:"st,omitempty"`
+}
+
+// Stored is what became of a record that was to be stored.
+type Stored struct {
+	Status  platform.StoreStatus `json:"s"`
+	Pending bool                 `json:"p,omitempty"`
+	Reason  string               `json:"r,omitempty"`
 }
 
 // Handler answers what other nodes ask.
@@ -56,6 +72,7 @@
 	Waiting(ctx context.Context, a Ask) (Answer, error)
 	Evacuate(ctx context.Context, a Ask) (Answer, error)
 	Loads(ctx context.Context, a Ask) (Answer, error)
+	Store(ctx context.Context, a Ask) (Answer, error)
 }
 
 // Method is one of the questions.
@@ -67,6 +84,7 @@
 	Waiting  Method = "Waiting"
 	Evacuate Method = "Evacuate"
 	Loads    Method = "Loads"
+	Store    Method = "Store"
 )
 
 const serviceName = "yuccadrift.Node"
@@ -107,6 +125,7 @@
 			unary(Waiting, Handler.Waiting),
 			unary(Evacuate, Handler.Evacuate),
 			unary(Loads, Handler.Loads),
+			unary(Store, Handler.Store),
 		},
 	}, h)
 	ended := make(chan error, 1)
@@ -130,6 +149,9 @@
 // NewClients returns no connections yet.
 func NewClients() *Clients { return &Clients{conns: map[string]*grpc.ClientConn{}} }
 
+// ErrNotSent marks a question that never left this node.
+var ErrNotSent = errors.New("not sent")
+
 // Ask puts a question to the node at an address.
 func (c *Clients) Ask(ctx context.Context, address string, m Method, a Ask) (Answer, error) {
 	conn, err := c.conn(address)
@@ -137,11 +159,15 @@
 		return Answer{}, err
 	}
 	var answer Answer
-	err = conn.Invoke(ctx, "/"+serviceName+"/"+string(m), &a, &answer, grpc.CallContentSubtype("json"))
+	var sentTo peer.Peer // stays empty where no connection took the question
+	err = conn.Invoke(ctx, "/"+serviceName+"/"+string(m), &a, &answer, grpc.CallContentSubtype("json"), grpc.Peer(&sentTo))
 	if err != nil && ctx.Err() != nil {
 		// It may have gone silent; the next call gets a new connection.
 		c.drop(address, conn)
 	}
+	if err != nil && sentTo.Addr == nil {
+		return answer, errors.Wrapf(ErrNotSent, "ask %s: %v", address, err)
+	}
 	return answer, errors.Wrapf(err, "ask %s", address)
 }
 
@@ -169,6 +195,6 @@
 	defer c.mu.Unlock()
 	if c.conns[address] == conn {
 		delete(c.conns, address)
-		conn.Close()
+		time.AfterFunc(dropAfter, func() { conn.Close() })
 	}
 }
--- a/internal/owner/tail.go
+++ b/internal/owner/tail.go
@@ -7,6 +7,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/scheduler"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
@@ -16,6 +17,11 @@
 	for _, err := range bad {
 		o.logger.Error("stored record can't be read and is left out", "error", err)
 	}
+	take(core, records, now)
+}
+
+// take hands records of callers to the machine. It may be given one twice.
+func take(core *scheduler.Core, records []workload.Record, now time.Time) {
 	for _, r := range records {
 		switch {
 		case r.Submission != nil:
@@ -26,6 +32,18 @@
 	}
 }
 
+// Stored hands over records that this node has stored in the partition. They come
+// by the tail as well; on this way they are known some milliseconds earlier, and
+// some hundred where the store is slow. Where the inbox is full they are left to
+// the tail.
+func (o *Owner) Stored(records []workload.Record) {
+	select {
+	case o.inbox <- func(c *scheduler.Core, now time.Time) { take(c, records, now) }:
+	default:
+		o.logger.Debug("records are left to the tail, the inbox is full", "records", len(records))
+	}
+}
+
 // recall hands over what earlier owners stored. Records of this owner's own are
 // read back too, and are of no use: the machine knows more.
 func recall(core *scheduler.Core, batch platform.Batch) {
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -280,6 +281,31 @@
 	return m.owners[p].address
 }
 
+// KnownOwner returns the address of the node that owned a partition when that was
+// last read, "" if none is known. It never waits: what is too old is read again
+// beside the caller.
+func (m *Manager) KnownOwner(p platform.Partition) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if time.Since(m.ownersAt) > ownersInterval {
+		go m.readOwners(context.Background(), ownersInterval) // one at a time, with the call's own time-out
+	}
+	return m.owners[p].address
+}
+
+// Addresses lists the nodes that owned something when that was last read.
+func (m *Manager) Addresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []string
+	for _, o := range m.owners {
+		if !slices.Contains(list, o.address) {
+			list = append(list, o.address)
+		}
+	}
+	return list
+}
+
 // readOwners reads who owns what, unless that is known from a read that was sent
 // less than age ago. It tells whether it is.
 func (m *Manager) readOwners(ctx context.Context, age time.Duration) bool {
