Keep one gatherer a partition while the store is slow; wait for a fresh list of workers

Cause (logs of appends): nodes that had not written did not know that the store is slow, and all 44 turned to it when the owner left; appends were given up at 1.2 s though they wait up to 2 s; four calls were sent for each write when all answers became late together; a batch held 64.

The list counts only if it was read since; a takeover asks for it, and for the join that confirms it, at once. Test fails before.

--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -28,12 +28,30 @@
 	// forget is the share of what is known of the time that answers take that each
 	// shorter one takes off; a longer one counts at once.
 	forget = 0.1
+	// maxBlind is how long a further call waits for a sign that the store answers
+	// others: all answers of a store that has just become slow are late together, and
+	// calls that are sent again then only make its queue longer. A slow store answers
+	// within it as a rule.
+	maxBlind = 700 * time.Millisecond
+	// blindCheck is the pause between looks for that sign.
+	blindCheck = 20 * time.Millisecond
+	// heardWithin is how lately the store must have answered any call for its silence
+	// to be a sign: a node makes several calls a second.
+	heardWithin = time.Second
+	// slowAnswer is how long answers take where the store counts as slow,
+	// many times what they take as a rule.
+	slowAnswer = 100 * time.Millisecond
 )
 
 // Hedger knows how long answers of the store take. It is safe for concurrent use.
 type Hedger struct {
 	mu      sync.Mutex
 	typical time.Duration
+	// heard is when the store last answered any call, latest when the latest call
+	// was sent that it has answered.
+	heard, latest time.Time
+	// others is what answers to calls of all kinds take.
+	others time.Duration
 }
 
 // New returns a hedger that takes the store for quick.
@@ -46,14 +64,51 @@
 	return max(shortest, patience*h.typical)
 }
 
+// Heard notes that the store has answered a call that was sent at a time. waited tells
+// that it was told to wait for something: how long it took says nothing then.
+func (h *Hedger) Heard(sent time.Time, waited bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heard = time.Now()
+	if !waited {
+		h.others = follow(h.others, h.heard.Sub(sent))
+	}
+	if sent.After(h.latest) {
+		h.latest = sent
+	}
+}
+
+// Slow tells whether the store takes long for answers at present. Nodes that write
+// nothing know it by their other calls.
+func (h *Hedger) Slow() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(h.typical, h.others) > slowAnswer
+}
+
+// blind tells whether nothing speaks for a lost answer to a call that was sent at a
+// time: no later call was answered either.
+func (h *Hedger) blind(sent time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if sent.Sub(h.heard) > heardWithin || time.Since(sent) > maxBlind {
+		return false
+	}
+	return !h.latest.After(sent)
+}
+
 func (h *Hedger) answered(took time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if took > h.typical {
-		h.typical = took
-		return
+	h.typical = follow(h.typical, took)
+}
+
+// follow takes one more answer into what answers take.
+func follow(typical, took time.Duration) time.Duration {
+	if took > typical {
+		return took
 	}
-	h.typical -= time.Duration(forget * float64(h.typical-took))
+	return typical - time.Duration(forget*float64(typical-took))
 }
 
 // result is the outcome of one call.
@@ -62,25 +117,33 @@
 	err    error
 }
 
+// timed makes one call and takes what its answer took.
+func (h *Hedger) timed(ctx context.Context, began time.Time, call Call) result {
+	status, err := call(ctx)
+	if status == platform.StoreOK {
+		h.answered(time.Since(began))
+	}
+	return result{status, err}
+}
+
+// Call is one call of a write.
+type Call func(ctx context.Context) (platform.StoreStatus, error)
+
 // Write calls until the outcome is known or all calls have ended. It returns
 // StoreRefused only if none of the calls can have had or can have an effect.
-func (h *Hedger) Write(ctx context.Context, call func(ctx context.Context) (platform.StoreStatus, error)) (platform.StoreStatus, error) {
+func (h *Hedger) Write(ctx context.Context, call Call) (platform.StoreStatus, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan result, maxCalls)
+	var latest time.Time // when the latest call was sent
 	send := func() {
-		go func() {
-			began := time.Now()
-			status, err := call(ctx)
-			if status == platform.StoreOK {
-				h.answered(time.Since(began))
-			}
-			results <- result{status, err}
-		}()
+		latest = time.Now()
+		go func(began time.Time) { results <- h.timed(ctx, began, call) }(latest)
 	}
 	send()
-	sent, ended, unsure := 1, 0, false
+	sent, ended := 1, 0
 	var last result
+	var unsure bool
 	delay := h.first()
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -96,7 +159,10 @@
 				return last.status, last.err
 			}
 		case <-timer.C:
-			if sent < maxCalls {
+			switch {
+			case h.blind(latest):
+				timer.Reset(blindCheck)
+			case sent < maxCalls:
 				send()
 				sent++
 				delay = time.Duration(growth * float64(delay))
--- a/internal/hedge/hedge_test.go
+++ b/internal/hedge/hedge_test.go
@@ -115,3 +115,43 @@
 		assert.Greater(t, calls, 1)
 	})
 }
+
+// The store has just become slow: what it was sent lately is answered late together.
+// Calls that were sent again would make its queue longer at the worst moment, four
+// times as long, so none is before a later call shows that the store answers.
+func TestNothingIsSentAgainWhileAllAnswersAreLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := hedge.New()
+		h.Heard(time.Now(), false)
+		calls := 0
+		status, err := h.Write(t.Context(), func(context.Context) (platform.StoreStatus, error) {
+			calls++
+			time.Sleep(600 * time.Millisecond)
+			return platform.StoreOK, nil
+		})
+		assert.NoError(t, err)
+		assert.Equal(t, platform.StoreOK, status)
+		assert.Equal(t, 1, calls)
+	})
+}
+
+// The answer is lost while the store answers others: a later call's answer shows it,
+// and the write is sent again then.
+func TestAnswerToALaterCallShowsALostOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := hedge.New()
+		h.Heard(time.Now(), false)
+		time.AfterFunc(150*time.Millisecond, func() { h.Heard(time.Now().Add(-5*time.Millisecond), false) })
+		var calls atomic.Int32
+		began := time.Now()
+		status, _ := h.Write(t.Context(), func(ctx context.Context) (platform.StoreStatus, error) {
+			if calls.Add(1) == 1 {
+				<-ctx.Done()
+				return platform.StoreUnknown, ctx.Err()
+			}
+			return platform.StoreOK, nil
+		})
+		assert.Equal(t, platform.StoreOK, status)
+		assert.LessOrEqual(t, time.Since(began), 180*time.Millisecond)
+	})
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -12,11 +12,14 @@
 package intake
 
 import (
+	"cmp"
 	"context"
-	"math/rand/v2"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
@@ -31,11 +34,13 @@
 	// outcome is still open. It tells a node that waits for a slow store from one
 	// that is frozen or cut off.
 	relayWait = 250 * time.Millisecond
-	// relayTimeout is for one such question: the wait, and the way there and back
-	// through a busy process.
-	relayTimeout = relayWait + 200*time.Millisecond
+	// slowRelayWait is the same while the store is slow: hundreds of records wait then,
+	// and so many questions a second would take all of the gatherer's processor time.
+	slowRelayWait = 900 * time.Millisecond
+	// relayWay is added for the way there and back through a busy process.
+	relayWay = 200 * time.Millisecond
 	// distrustFor is how long a node that gave no answer isn't asked again, so that
-	// not each caller pays relayTimeout. An owner that is lost is replaced in some
+	// not each caller pays for the silence. An owner that is lost is replaced in some
 	// 2 s.
 	distrustFor = time.Second
 	// retryPause is the pause before all ways are tried again.
@@ -44,7 +49,7 @@
 	maxRelays = 256
 	// maxHelpers is how many other nodes are asked for one attempt. The store may
 	// turn a third of the nodes away at once: one caller in a hundred then meets
-	// four such, and tries again after retryPause with others.
+	// four such; they are left out then, and the next attempt meets others.
 	maxHelpers = 4
 )
 
@@ -55,12 +60,22 @@
 	// Away tells why calls of this node to the store are hopeless, nil if they
 	// aren't.
 	Away() error
+	// Slow tells whether the store takes long for writes.
+	Slow() bool
+}
+
+// Question asks a node to store a record.
+type Question struct {
+	Partition int
+	Record    workload.Record
+	Wait      time.Duration // after which the node answers that the outcome is open
 }
 
 // Reply is what another node said.
 type Reply struct {
 	Status  platform.StoreStatus
 	Pending bool // the outcome is open, the same question may be put again
+	Away    bool // the node has no way to the store
 	Reason  string
 }
 
@@ -69,11 +84,13 @@
 	// Owner is the address of the node that owns a partition, "" if none is known
 	// or it is this one.
 	Owner(ctx context.Context, partition int) string
+	// Self is this node's address.
+	Self() string
 	// Others are addresses of other nodes.
 	Others() []string
 	// Store asks a node to store a record through its own way to the store. A
 	// question that was certainly not sent is answered StoreRefused with an error.
-	Store(ctx context.Context, address string, partition int, r workload.Record) (Reply, error)
+	Store(ctx context.Context, address string, q Question) (Reply, error)
 }
 
 // Router stores records. It is safe for concurrent use.
@@ -96,6 +113,9 @@
 type outcome struct {
 	status platform.StoreStatus
 	err    error
+	// tried is set where a node that has a way to the store has used it: another one
+	// would meet the same store, and its queue would grow by the same record.
+	tried bool
 }
 
 // Accept stores a record. StoreRefused means that it certainly is not and will not
@@ -119,23 +139,19 @@
 	}
 }
 
-// attempt tries the ways in turn until one has an outcome. A refusal after an
-// unknown outcome is unknown.
+// attempt tries the ways in turn until one has an outcome, or a node that has a way
+// to the store has tried. A refusal after an unknown outcome is unknown.
 func (r *Router) attempt(ctx context.Context, partition int, record workload.Record) outcome {
 	unsure := false
 	last := outcome{status: platform.StoreRefused, err: errors.New("no node has a way to the store")}
 	for _, way := range r.ways(ctx, partition) {
-		res := way(ctx, partition, record)
-		if res.status != platform.StoreRefused && res.status != platform.StoreUnknown {
-			return res
-		}
-		unsure = unsure || res.status == platform.StoreUnknown
-		last = res
-		if ctx.Err() != nil {
+		last = way(ctx, partition, record)
+		unsure = unsure || last.status == platform.StoreUnknown
+		if last.tried || ctx.Err() != nil {
 			break
 		}
 	}
-	if unsure {
+	if unsure && last.status == platform.StoreRefused {
 		last.status = platform.StoreUnknown
 	}
 	return last
@@ -144,35 +160,50 @@
 // way is one way to store a record.
 type way func(ctx context.Context, partition int, record workload.Record) outcome
 
-// ways lists the ways to try: the owner, this node's own, and where this node has
-// none, some other nodes.
+// ways lists the ways to try: the owner; this node's own where the store is quick, as
+// it is the shortest; else other nodes, in an order for each partition that all nodes
+// agree on, so that the records of all are gathered there in place of the owner.
 func (r *Router) ways(ctx context.Context, partition int) []way {
 	var ways []way
 	owner := r.peers.Owner(ctx, partition)
 	if owner != "" && r.trusted(owner) {
 		ways = append(ways, r.through(owner))
 	}
-	if r.local.Away() == nil {
+	away := r.local.Away() != nil
+	if owner == "" && !away || !away && !r.local.Slow() {
 		return append(ways, r.direct)
 	}
-	others := r.peers.Others()
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	helpers := 0
-	for _, address := range others {
-		if address != owner && helpers < maxHelpers && r.trusted(address) {
+	gatherers := r.peers.Others()
+	if !away {
+		gatherers = append(gatherers, r.peers.Self())
+	}
+	rankFor(partition, gatherers)
+	for _, address := range gatherers {
+		switch {
+		case address == r.peers.Self():
+			return append(ways, r.direct)
+		case address != owner && r.trusted(address):
 			ways = append(ways, r.through(address))
-			helpers++
+		}
+		if len(ways) >= maxHelpers {
+			break
 		}
 	}
 	return ways
 }
 
+// rankFor sorts addresses in the order in which they gather for a partition.
+func rankFor(partition int, addresses []string) {
+	rank := func(address string) uint64 { return xxhash.Sum64String(strconv.Itoa(partition) + "/" + address) }
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+}
+
 func (r *Router) direct(ctx context.Context, partition int, record workload.Record) outcome {
 	if err := r.local.Away(); err != nil {
-		return outcome{platform.StoreRefused, err}
+		return outcome{status: platform.StoreRefused, err: err}
 	}
 	status, _, err := r.local.Await(ctx, partition, record, nil)
-	return outcome{status, err}
+	return outcome{status: status, err: err, tried: true}
 }
 
 // through stores a record through another node. As long as that node says that the
@@ -183,7 +214,7 @@
 		case r.relays <- struct{}{}:
 			defer func() { <-r.relays }()
 		default:
-			return outcome{platform.StoreRefused, errors.Errorf("%d records are on their way through other nodes", maxRelays)}
+			return outcome{status: platform.StoreRefused, err: errors.Errorf("%d records are on their way through other nodes", maxRelays)}
 		}
 		open := false
 		for {
@@ -192,36 +223,44 @@
 				open = true
 				continue
 			}
-			return settle(reply, err, open)
+			return r.settle(reply, err, open)
 		}
 	}
 }
 
 // settle is the outcome of a last reply. open tells that the node has said before
-// that the outcome was open: its refusal then says nothing of what it has sent.
-func settle(reply Reply, err error, open bool) outcome {
-	switch {
-	case err != nil && (open || reply.Status != platform.StoreRefused):
-		return outcome{platform.StoreUnknown, err}
-	case err != nil:
-		return outcome{platform.StoreRefused, err}
-	case reply.Status == platform.StoreRefused && open:
-		return outcome{platform.StoreUnknown, errors.New(reply.Reason)}
-	case reply.Status == platform.StoreOK:
-		return outcome{status: reply.Status}
-	default:
-		return outcome{reply.Status, errors.New(reply.Reason)}
+// that the outcome was open: its refusal then says nothing of what it has sent. A
+// refusal of a quick store is no last word: it may turn that node away and serve
+// this one.
+func (r *Router) settle(reply Reply, err error, open bool) outcome {
+	res := outcome{status: reply.Status, err: err, tried: err == nil && !reply.Away}
+	if err == nil && reply.Status != platform.StoreOK {
+		res.err = errors.New(reply.Reason)
+	}
+	if err != nil && reply.Status != platform.StoreRefused {
+		res.status = platform.StoreUnknown
 	}
+	if res.status == platform.StoreRefused {
+		res.tried = res.tried && r.local.Slow()
+		if open {
+			res.status = platform.StoreUnknown
+		}
+	}
+	return res
 }
 
 func (r *Router) ask(ctx context.Context, address string, partition int, record workload.Record) (Reply, error) {
-	once, cancel := context.WithTimeout(ctx, relayTimeout)
+	q := Question{Partition: partition, Record: record, Wait: relayWait}
+	if r.local.Slow() {
+		q.Wait = slowRelayWait
+	}
+	once, cancel := context.WithTimeout(ctx, q.Wait+relayWay)
 	defer cancel()
-	reply, err := r.peers.Store(once, address, partition, record)
+	reply, err := r.peers.Store(once, address, q)
 	switch {
 	case err != nil && ctx.Err() == nil:
 		r.distrust(address, err)
-	case err == nil && reply.Status == platform.StoreRefused:
+	case err == nil && reply.Away:
 		r.distrust(address, errors.New(reply.Reason))
 	}
 	return reply, err
@@ -251,13 +290,13 @@
 
 // Serve stores a record for another node, through this node's own way only: one
 // that were passed on once more could go in a circle.
-func (r *Router) Serve(ctx context.Context, partition int, record workload.Record) Reply {
+func (r *Router) Serve(ctx context.Context, q Question) Reply {
 	if err := r.local.Away(); err != nil {
-		return Reply{Status: platform.StoreRefused, Reason: err.Error()}
+		return Reply{Status: platform.StoreRefused, Away: true, Reason: err.Error()}
 	}
-	bound := time.NewTimer(relayWait)
+	bound := time.NewTimer(min(max(0, q.Wait), slowRelayWait))
 	defer bound.Stop()
-	status, pending, err := r.local.Await(ctx, partition, record, bound.C)
+	status, pending, err := r.local.Await(ctx, q.Partition, q.Record, bound.C)
 	reply := Reply{Status: status, Pending: pending}
 	if err != nil {
 		reply.Reason = err.Error()
--- a/internal/joblog/acceptor.go
+++ b/internal/joblog/acceptor.go
@@ -13,8 +13,14 @@
 )
 
 const (
-	// maxBatch bounds the records of one append.
-	maxBatch = 64
+	// maxBatch bounds the records of one append; with the largest jobs they stay below
+	// the 2 MB that the store takes at once.
+	maxBatch = 256
+	// maxAppends is how many appends to a partition are under way at once. The way of
+	// the answer takes as long as the append itself: with a second one on its way a
+	// record waits half as long for its turn. More would make the store's queue longer
+	// for what the owner writes.
+	maxAppends = 2
 	// maxQueued bounds the records that wait for one partition: some 8 MB of the
 	// largest jobs, and what a slow store takes in 2 s.
 	maxQueued = 1024
@@ -40,7 +46,7 @@
 type acceptQueue struct {
 	waiting []*accept
 	byKey   map[string]*accept // waiting or under way
-	running bool
+	running int                // appends
 }
 
 // accept is one record that waits for its outcome. Several callers may: a request
@@ -115,8 +121,8 @@
 	own := &accept{record: r, encoded: encoded, callers: 1, done: make(chan struct{})}
 	q.waiting = append(q.waiting, own)
 	q.byKey[encoded.Key] = own
-	if !q.running {
-		q.running = true
+	if q.running < maxAppends {
+		q.running++
 		go a.run(partition, q)
 	}
 	return own, nil
@@ -188,7 +194,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(q.waiting) == 0 {
-		q.running = false
+		q.running--
 		return nil
 	}
 	n := min(len(q.waiting), maxBatch)
--- a/internal/node/contact.go
+++ b/internal/node/contact.go
@@ -6,6 +6,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+
+	"github.com/yuccadrift/yuccadrift/platform"
 )
 
 // outOfTouch is how long after the last good call the store counts as lost. The
@@ -27,11 +29,11 @@
 }
 
 // called notes the outcome of a call to the store.
-func (c *contact) called(ok bool) {
+func (c *contact) called(call platform.StoreCall) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if ok {
+	if call.Answered {
 		if c.lost {
 			c.logger.Info("store answers again", "away_ms", now.Sub(c.good).Milliseconds())
 		}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccadrift/yuccadrift/internal/hedge"
 	"github.com/yuccadrift/yuccadrift/internal/intake"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
@@ -17,6 +18,7 @@
 type localStore struct {
 	acceptor *joblog.Acceptor
 	contact  *contact
+	hedger   *hedge.Hedger
 }
 
 func (l localStore) Await(ctx context.Context, partition int, r workload.Record, bound <-chan time.Time) (platform.StoreStatus, bool, error) {
@@ -33,6 +35,9 @@
 	return nil
 }
 
+// Slow tells whether the store takes long for writes.
+func (l localStore) Slow() bool { return l.hedger.Slow() }
+
 // storePeers are the other nodes, as intake sees them.
 type storePeers struct{ owners *owners }
 
@@ -47,6 +52,8 @@
 	return address
 }
 
+func (p storePeers) Self() string { return p.owners.self }
+
 func (p storePeers) Others() []string {
 	var others []string
 	for _, a := range p.owners.manager.Addresses() {
@@ -57,12 +64,12 @@
 	return others
 }
 
-func (p storePeers) Store(ctx context.Context, address string, partition int, r workload.Record) (intake.Reply, error) {
-	key, value, err := r.Encode()
+func (p storePeers) Store(ctx context.Context, address string, q intake.Question) (intake.Reply, error) {
+	key, value, err := q.Record.Encode()
 	if err != nil {
 		return intake.Reply{Status: platform.StoreInvalid, Reason: err.Error()}, nil
 	}
-	answer, err := p.owners.clients.Ask(ctx, address, nodepeer.Store, nodepeer.Ask{Partition: partition, RecordKey: key, RecordValue: value})
+	answer, err := p.owners.clients.Ask(ctx, address, nodepeer.Store, nodepeer.Ask{Partition: q.Partition, RecordKey: key, RecordValue: value, WaitMS: q.Wait.Milliseconds()})
 	switch {
 	case errors.Is(err, nodepeer.ErrNotSent):
 		return intake.Reply{Status: platform.StoreRefused}, err
@@ -71,7 +78,8 @@
 	case answer.Stored == nil:
 		return intake.Reply{Status: platform.StoreUnknown}, errors.Errorf("node %s gave no outcome", address)
 	}
-	return intake.Reply{Status: answer.Stored.Status, Pending: answer.Stored.Pending, Reason: answer.Stored.Reason}, nil
+	s := answer.Stored
+	return intake.Reply{Status: s.Status, Pending: s.Pending, Away: s.Away, Reason: s.Reason}, nil
 }
 
 // Accept stores a record of a caller's request with its service's jobs.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,9 @@
 	front     *front.Server
 	admin     *admin.Server
 	peers     listen.Listener
+	// frontServes ends when callers are no longer served.
+	frontServes context.Context
+	frontEnded  context.CancelFunc
 }
 
 // Ports of the process, counted from the first one that is free for it.
@@ -95,16 +98,22 @@
 
 func build(ctx context.Context, s platform.Settings, logger hclog.Logger, async *logging.Async) (*Node, error) {
 	n := &Node{settings: s, logger: logger}
+	n.frontServes, n.frontEnded = context.WithCancel(context.WithoutCancel(ctx))
 	registryOfMetrics := prometheus.NewRegistry()
 	registryOfMetrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "yuccadrift_log_lines_dropped_total",
 		Help: "Log lines that were dropped because nobody read them fast enough.",
 	}, func() float64 { return float64(async.Dropped()) }))
 	n.contact = &contact{logger: logger.Named("store"), good: time.Now()}
-	n.store = platform.NewStore(s.Store, n.contact.called)
+	hedger := hedge.New()
+	n.store = platform.NewStore(s.Store, func(c platform.StoreCall) {
+		n.contact.called(c)
+		if c.Answered {
+			hedger.Heard(c.Began, c.Waited)
+		}
+	})
 	n.published = published.New(n.store, logger.Named("published"))
 	n.registry = registry.New(n.store, logger.Named("registry"))
-	hedger := hedge.New()
 	n.machines = platform.NewMachines(s.Machines)
 	n.deps = owner.Deps{
 		Store:      n.store,
@@ -120,6 +129,13 @@
 		Partitions: s.Store.Partitions,
 		Lease:      min(lease, s.Bounds.MaxLease),
 	}
+	n.joinOthers(hedger)
+	return n, n.listen(ctx, registryOfMetrics)
+}
+
+// joinOthers makes what shares the work among the nodes.
+func (n *Node) joinOthers(hedger *hedge.Hedger) {
+	s, logger := n.settings, n.logger
 	self := peerAddress(s, peersPort)
 	n.owners = &owners{partitions: s.Store.Partitions, self: self, clients: nodepeer.NewClients(), local: map[int]*owner.Owner{}}
 	n.manager = ownership.New(n.store, ownership.Config{
@@ -131,12 +147,12 @@
 		Logger:     logger.Named("ownership"),
 	}, n.own)
 	n.owners.manager = n.manager
-	local := localStore{acceptor: joblog.NewAcceptor(n.store, hedger, n.stored), contact: n.contact}
+	local := localStore{acceptor: joblog.NewAcceptor(n.store, hedger, n.stored), contact: n.contact, hedger: hedger}
 	n.intake = intake.New(local, storePeers{n.owners}, logger.Named("intake"))
+	n.deps.Confirm = n.manager.Confirm
 	n.deps.Confirmed = func(partition int) time.Time {
 		return n.manager.Confirmed(platform.Partition{Topic: joblog.Topic, Part: partition})
 	}
-	return n, n.listen(ctx, registryOfMetrics)
 }
 
 // listen binds the process's addresses.
@@ -242,16 +258,29 @@
 		{Name: "published", Serve: n.published.Run},
 		{Name: "registry", Serve: n.registry.Run},
 		{Name: "ownership", Serve: n.manager.Run},
-		{Name: "peers", Serve: n.servePeers},
+		{Name: "peers", Serve: n.servePeers, StopWithin: n.settings.Bounds.Grace},
 		{Name: "admin", Serve: n.admin.Serve},
 		{Name: "reload", Serve: func(ctx context.Context) error { return n.reload(ctx, path, hangups) }},
 	}
 }
 
-func (n *Node) serveFront(ctx context.Context) error { return n.front.Run(ctx) }
+func (n *Node) serveFront(ctx context.Context) error {
+	defer n.frontEnded()
+	return n.front.Run(ctx)
+}
 
+// servePeers answers other nodes until the last caller here has its answer: what
+// others store through this node would else have an open outcome, and all of them
+// would turn to the store at once.
 func (n *Node) servePeers(ctx context.Context) error {
-	return nodepeer.Serve(ctx, n.peers, peerHandler{n.owners, n.intake})
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	defer context.AfterFunc(n.frontServes, stop)()
+	err := nodepeer.Serve(serving, n.peers, peerHandler{n.owners, n.intake})
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
 }
 
 // catchHangups takes SIGHUP over for the whole life of the process. One that came
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -178,8 +178,8 @@
 	if err != nil || !ok || record.Submission == nil && !record.Cancel {
 		return nodepeer.Answer{Stored: &nodepeer.Stored{Status: platform.StoreInvalid, Reason: "no record of a caller"}}, nil
 	}
-	reply := p.intake.Serve(ctx, a.Partition, record)
-	return nodepeer.Answer{Stored: &nodepeer.Stored{Status: reply.Status, Pending: reply.Pending, Reason: reply.Reason}}, nil
+	reply := p.intake.Serve(ctx, intake.Question{Partition: a.Partition, Record: record, Wait: time.Duration(a.WaitMS) * time.Millisecond})
+	return nodepeer.Answer{Stored: &nodepeer.Stored{Status: reply.Status, Pending: reply.Pending, Away: reply.Away, Reason: reply.Reason}}, nil
 }
 
 // Waiting answers another node.
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -46,6 +46,7 @@
 	// Record is one to be stored, by its key and value.
 	RecordKey   string `json:"rk,omitempty"`
 	RecordValue []byte `json:"rv,omitempty"`
+	WaitMS      int64  `json:"rw,omitempty"` // after which the outcome is told as open
 }
 
 // Answer is what the owner says.
@@ -63,6 +64,7 @@
 type Stored struct {
 	Status  platform.StoreStatus `json:"s"`
 	Pending bool                 `json:"p,omitempty"`
+	Away    bool                 `json:"a,omitempty"` // the node has no way to the store
 	Reason  string               `json:"r,omitempty"`
 }
 
--- a/internal/owner/confirmed_test.go
+++ b/internal/owner/confirmed_test.go
@@ -58,3 +58,23 @@
 	}
 	assert.GreaterOrEqual(t, passed, 8)
 }
+
+// A node owned a service long ago, and has not read the list of workers since. One of
+// them has said meanwhile that it leaves. The node takes the service over from an owner
+// that left word of its runs, so that it may start tasks at once: a task would begin on
+// that worker seconds after it was to get none.
+func TestListThatWasReadBeforeTheTakeoverIsNotPassedOn(t *testing.T) {
+	begin := time.UnixMilli(1_700_000_000_000)
+	took := begin.Add(10 * time.Second)
+	l := confirmedList{since: took}
+	snap := registry.Snapshot{Version: 3, SentAt: begin, AnsweredAt: begin.Add(4 * time.Millisecond), Workers: registeredAs("leaves")}
+	read := func() registry.Snapshot { return snap }
+	_, ok := l.next(read, took.Add(time.Millisecond))
+	assert.False(t, ok)
+	snap = registry.Snapshot{Version: 4, SentAt: took.Add(20 * time.Millisecond), AnsweredAt: took.Add(24 * time.Millisecond)}
+	_, ok = l.next(read, took.Add(21*time.Millisecond))
+	assert.False(t, ok, "no join since")
+	list, ok := l.next(read, took.Add(200*time.Millisecond))
+	assert.True(t, ok)
+	assert.Empty(t, list)
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -78,6 +78,8 @@
 	Bounds    platform.Bounds
 	// Confirmed is when it was last certain that no other node owns a partition.
 	Confirmed func(partition int) time.Time
+	// Confirm asks for a confirmation at once.
+	Confirm func()
 	// Partitions is how many the topic has.
 	Partitions int
 	// Lease of all runs.
@@ -129,6 +131,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	began := time.Now()
+	o.workers.since = began
 	if err := o.fence(ctx); err != nil {
 		return err
 	}
@@ -350,6 +353,9 @@
 	if list, ok := o.workers.next(read, o.deps.Confirmed(o.partition)); ok {
 		core.SetWorkers(o.own(list), now)
 	}
+	if o.workers.wants() {
+		o.deps.Confirm()
+	}
 }
 
 // own picks the workers of the partition's services.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -57,6 +57,7 @@
 	milliCores int // of this process's VM
 
 	joining chan struct{} // one entry for each join under way
+	early   chan struct{} // has an entry if a join is wanted before it is due
 
 	mu         sync.Mutex
 	member     string
@@ -102,6 +103,7 @@
 		name:       func() string { return nameOf(c) },
 		milliCores: c.MilliCores,
 		joining:    make(chan struct{}, maxJoins),
+		early:      make(chan struct{}, 1),
 		held:       map[platform.Partition]*holding{},
 		owners:     map[platform.Partition]peer{},
 	}
@@ -137,6 +139,7 @@
 		}
 		select {
 		case <-tick.C:
+		case <-m.early:
 		case <-ctx.Done():
 		}
 	}
@@ -226,6 +229,14 @@
 	return h
 }
 
+// Confirm asks for a join at once: a VM that has just come waits for its answer.
+func (m *Manager) Confirm() {
+	select {
+	case m.early <- struct{}{}:
+	default: // one is asked for already
+	}
+}
+
 // Confirmed is when the latest join was sent that confirmed a partition to this
 // process: no other has taken it over before. Zero if it isn't held.
 func (m *Manager) Confirmed(p platform.Partition) time.Time {
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -17,8 +17,6 @@
 	// entry as it comes would cost a call each. A worker that leaves is to get no
 	// work 2 s after its entry says so.
 	readInterval = 250 * time.Millisecond
-	// idleInterval is the pause of a node that needs no list.
-	idleInterval = 50 * time.Millisecond
 )
 
 // Source is where entries are read from.
@@ -35,9 +33,10 @@
 	mu      sync.Mutex
 	view    *View
 	version int64
-	readAt  time.Time // when the latest good read was sent
-	goodAt  time.Time // when it was answered
-	needs   int       // how many need it
+	readAt  time.Time     // when the latest good read was sent
+	goodAt  time.Time     // when it was answered
+	needs   int           // how many need it
+	needed  chan struct{} // has an entry once one more needs it
 	next    int64
 	// rejected are the entries that were found unusable, for one log line each.
 	rejected map[string]bool
@@ -45,7 +44,7 @@
 
 // New returns a follower.
 func New(source Source, logger hclog.Logger) *Follower {
-	return &Follower{source: source, logger: logger, view: NewView(), next: -1, rejected: map[string]bool{}}
+	return &Follower{source: source, logger: logger, view: NewView(), next: -1, rejected: map[string]bool{}, needed: make(chan struct{}, 1)}
 }
 
 // Need says that the list is needed until done is called: only nodes that order
@@ -54,6 +53,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.needs++
+	select {
+	case f.needed <- struct{}{}:
+	default:
+	}
 	return func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -78,25 +81,30 @@
 	return Snapshot{Workers: f.view.List(now), Version: f.version, SentAt: f.readAt, AnsweredAt: f.goodAt, Settled: f.view.Settled(now)}
 }
 
-// Run reads until ctx ends.
+// Run reads until ctx ends, while the list is needed. Whoever begins to need it gets a
+// read at once: it takes a service over and can start nothing before.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		f.mu.Lock()
-		needed := f.needs > 0
-		f.mu.Unlock()
-		pause := idleInterval
-		if needed {
+		var due <-chan time.Time
+		if f.isNeeded() {
 			f.read(ctx)
-			pause = readInterval
+			due = time.After(readInterval)
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-due:
+		case <-f.needed:
 		}
 	}
 	return ctx.Err()
 }
 
+func (f *Follower) isNeeded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.needs > 0
+}
+
 func (f *Follower) read(ctx context.Context) {
 	sent := time.Now()
 	whole := f.next < 0
