Let all members be seen, so that weak VMs leave owning to strong ones

Cause: the group lists owners, not members. Change: members join three empty topics, so that each of up to 60 owns a partition. Test: 44 members, dealt so that the strong ones get nothing; fails before.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -105,7 +105,7 @@
 		store:      store,
 		logger:     c.Logger,
 		run:        run,
-		topics:     c.Topics,
+		topics:     withPresence(c.Topics),
 		name:       func() string { return nameOf(c) },
 		milliCores: c.MilliCores,
 		ttl:        max(memberTTL, c.MinTTL),
@@ -204,6 +204,9 @@
 func (m *Manager) assign(ctx context.Context, a platform.Assignment, sent time.Time) {
 	listed := map[platform.Partition]bool{}
 	for _, p := range a.Parts {
+		if isPresence(p) {
+			continue
+		}
 		listed[p] = true
 		if m.held[p] == nil {
 			m.held[p] = m.start(ctx, p, a.Generation)
--- a/internal/ownership/reserve_test.go
+++ b/internal/ownership/reserve_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -156,3 +160,116 @@
 	assert.Equal(t, "a:1", p.address)
 	assert.Equal(t, 400, p.milliCores)
 }
+
+// evenGroup deals the partitions of the topics that members join evenly, in the order
+// of the members' names, and lists who owns them.
+type evenGroup struct {
+	mu      sync.Mutex
+	parts   int // of each topic
+	members map[string][]string
+	order   []string
+	gen     int64
+}
+
+func (g *evenGroup) Join(_ context.Context, m platform.Member) (platform.Assignment, platform.StoreStatus, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, known := g.members[m.Name]; !known {
+		g.members[m.Name] = m.Topics
+		g.order = append(g.order, m.Name)
+		slices.Sort(g.order)
+		g.gen++
+	}
+	a := platform.Assignment{Generation: g.gen}
+	for p, owner := range g.dealt() {
+		if owner == m.Name {
+			a.Parts = append(a.Parts, p)
+		}
+	}
+	return a, platform.StoreOK, nil
+}
+
+func (g *evenGroup) dealt() map[platform.Partition]string {
+	dealt := map[platform.Partition]string{}
+	if len(g.order) == 0 {
+		return dealt
+	}
+	n := 0
+	for _, topic := range g.members[g.order[0]] {
+		for i := range g.parts {
+			dealt[platform.Partition{Topic: topic, Part: i}] = g.order[n%len(g.order)]
+			n++
+		}
+	}
+	return dealt
+}
+
+func (g *evenGroup) Leave(_ context.Context, _, member string) (platform.StoreStatus, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.members, member)
+	g.order = slices.DeleteFunc(g.order, func(name string) bool { return name == member })
+	g.gen++
+	return platform.StoreOK, nil
+}
+
+func (g *evenGroup) Owners(context.Context, string) ([]platform.Owner, platform.StoreStatus, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []platform.Owner
+	for p, owner := range g.dealt() {
+		list = append(list, platform.Owner{Partition: p, Member: owner})
+	}
+	return list, platform.StoreOK, nil
+}
+
+// Forty-four VMs start, six of them strong and a little later, and the group deals 24
+// partitions: the strong ones get none, as it happens. The weak ones would own all services for the
+// whole day, at a quarter of the processor time that one in its busy hour needs, while
+// strong VMs idle. They must see the strong ones and leave.
+func TestWeakVMsLeaveToStrongOnesThatWereDealtNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const weak, strong = 38, 6
+		g := &evenGroup{parts: 12, members: map[string][]string{}}
+		var mu sync.Mutex
+		owners := map[string]int{} // partitions that are worked on, by node
+		ctx, cancel := context.WithCancel(t.Context())
+		var all sync.WaitGroup
+		for i := range weak + strong {
+			name, milliCores := fmt.Sprintf("a-weak-%02d", i), 192
+			if i == weak {
+				time.Sleep(300 * time.Millisecond)
+			}
+			if i >= weak {
+				name, milliCores = fmt.Sprintf("b-strong-%02d", i), 800
+			}
+			run := func(ctx context.Context, _ platform.Partition, _ int64) error {
+				mu.Lock()
+				owners[name]++
+				mu.Unlock()
+				<-ctx.Done()
+				mu.Lock()
+				owners[name]--
+				mu.Unlock()
+				return ctx.Err()
+			}
+			starts := 0
+			m := New(g, Config{Node: name, Address: name + ":1", MilliCores: milliCores, Topics: []string{"jobs", "fleet"}, Logger: hclog.NewNullLogger(), Unique: func() string {
+				starts++
+				return strconv.Itoa(starts)
+			}}, run)
+			all.Go(func() { _ = m.Run(ctx) })
+		}
+		time.Sleep(12 * time.Second)
+		mu.Lock()
+		for name, n := range owners {
+			if strings.HasPrefix(name, "a-weak") {
+				assert.Zero(t, n, name)
+			}
+		}
+		assert.Positive(t, owners["b-strong-43"])
+		mu.Unlock()
+		cancel()
+		all.Wait()
+	})
+}
