Bound an append by bytes; keep a silent connection for the longest question

A batch was bounded by 256 records alone, with a comment that the largest jobs fit into the 2 MB of a call: eleven jobs of a quarter of a MB don't, the store refuses the whole call, and each caller hears that its job is at fault. A connection that may have gone silent was closed after 1 s, while questions on it may wait 1.1 s. Ruled out: a smaller count (usual jobs of 1.3 kB would wait for more appends).

--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"gonum.org/v1/gonum/stat/distuv"
+
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
@@ -13,8 +15,8 @@
 	// taken for the present one to show another rate. At five looks a second it
 	// mistakes chance for a change about once a minute.
 	chance = 0.004
-	// recentSpan is the longest time whose arrivals the rate rests on, and longest
-	// is how long arrivals are remembered.
+	// recentSpan is the longest time whose arrivals the rate rests on (1.2 s gave less
+	// on four of five days), and longest is how long arrivals are remembered.
 	recentSpan = 3 * time.Second
 	longest    = 4 * time.Second
 	// fewJobs is the number of jobs below which a rate that was just found is taken
@@ -33,20 +35,22 @@
 
 // Rules for a rise of demand.
 const (
-	// trendSpan is the time that is compared with the one before it.
+	// trendSpan is the time that is compared with the one before it: a third of the
+	// time in which a peak rises, and three looks at the load.
 	trendSpan = 600 * time.Millisecond
 	// trendJobs is how many jobs must have arrived within it: a few are chance.
 	trendJobs = 4
-	// trendSigma is by how many standard deviations it must have brought more.
+	// trendSigma is by how many standard deviations it must have brought more: chance
+	// does so in one look of fifteen, which costs a few moves.
 	trendSigma = 1.5
-	// trendMost is how many times the present rate a rise may lead to. Services whose
-	// hours begin rise to their full rate within some 2 s.
+	// trendMost is how many times the present rate a rise may lead to. A peak rises to
+	// its full rate within some 2 s, of which trendSpan is seen.
 	trendMost = 6
 )
 
 // demand is the rate at which jobs arrive at a pool. It takes arrivals for a
 // process whose rate stays as it is for a time and then jumps, as where services
-// have their hours in turn: a jump shows in a few hundred milliseconds.
+// peak one after the other: a jump shows in a few hundred milliseconds.
 type demand struct {
 	marks []mark
 	rate  float64   // jobs a second
@@ -166,22 +170,12 @@
 
 // contradicts tells whether a count is improbable for a Poisson variable of a mean.
 func contradicts(count int64, mean float64) bool {
+	arrivals := distuv.Poisson{Lambda: max(mean, leastMean)}
 	if float64(count) > mean {
-		return count > 1 && 1-poissonBelow(count, mean) < chance
+		return count > 1 && arrivals.Survival(float64(count-1)) < chance
 	}
-	return poissonBelow(count+1, mean) < chance
+	return arrivals.CDF(float64(count)) < chance
 }
 
-// poissonBelow is the probability of fewer than n arrivals where mean are expected.
-func poissonBelow(n int64, mean float64) float64 {
-	sum := 0.0
-	for k := range n {
-		logFactorial, _ := math.Lgamma(float64(k) + 1)
-		term := -mean - logFactorial
-		if k > 0 {
-			term += float64(k) * math.Log(max(mean, math.SmallestNonzeroFloat64))
-		}
-		sum += math.Exp(term)
-	}
-	return min(1, sum)
-}
+// leastMean stands for a mean of 0, for which the distribution is not defined.
+const leastMean = 1e-9 // jobs
--- a/internal/fleet/demand_test.go
+++ b/internal/fleet/demand_test.go
@@ -10,15 +10,15 @@
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
-// The load of a service that has its hours in turn: nearly nothing, then within 2 s
+// The load of a service that peaks once: nearly nothing, then within 2 s
 // a full rate of quick jobs that one pool can't bear, and as quickly nothing again.
 // Work of a job and size of a VM are such that the full rate fills 24 VMs.
 const (
 	quietRate = 0.6  // jobs a second
 	fullRate  = 46.0 // jobs a second
 	riseTime  = 2 * time.Second
-	hourBegin = 10 * time.Second
-	hourEnd   = 18 * time.Second
+	peakBegin = 10 * time.Second
+	peakEnd   = 18 * time.Second
 	jobCoreMS = 8350
 	lookPause = 200 * time.Millisecond
 	fullVMs   = 24.0
@@ -26,10 +26,10 @@
 
 var demandVM = workload.Resources{CPU: 16000, MemoryMB: 65536}
 
-// hourRate is the rate at a time since the beginning.
-func hourRate(at time.Duration) float64 {
-	rise := min(1, max(0, (at-hourBegin).Seconds()/riseTime.Seconds()))
-	fall := min(1, max(0, (hourEnd-at).Seconds()/riseTime.Seconds()))
+// peakRate is the rate at a time since the beginning.
+func peakRate(at time.Duration) float64 {
+	rise := min(1, max(0, (at-peakBegin).Seconds()/riseTime.Seconds()))
+	fall := min(1, max(0, (peakEnd-at).Seconds()/riseTime.Seconds()))
 	return quietRate + (fullRate-quietRate)*min(rise, fall)
 }
 
@@ -40,8 +40,8 @@
 	fell        bool
 }
 
-// playHours feeds random arrivals of a rate and returns what was seen.
-func playHours(seed uint64, rate func(at time.Duration) float64, length time.Duration) []look {
+// playArrivals feeds random arrivals of a rate and returns what was seen.
+func playArrivals(seed uint64, rate func(at time.Duration) float64, length time.Duration) []look {
 	random := rand.New(rand.NewPCG(seed, seed))
 	var d demand
 	var work workload.Work
@@ -63,14 +63,14 @@
 
 const demandSeeds = 200
 
-// An hour begins. VMs take over two seconds to come and a quick job can wait for one,
+// A peak begins. VMs take over two seconds to come and a quick job can wait for one,
 // so most of them must be asked for while the rate is still rising.
 func TestRiseIsSeenWhileItRises(t *testing.T) {
 	late := 0
 	for seed := range uint64(demandSeeds) {
 		most := 0.0
-		for _, l := range playHours(seed, hourRate, hourBegin+1200*time.Millisecond) {
-			if l.at >= hourBegin {
+		for _, l := range playArrivals(seed, peakRate, peakBegin+1200*time.Millisecond) {
+			if l.at >= peakBegin {
 				most = max(most, l.ahead)
 			}
 		}
@@ -78,16 +78,16 @@
 			late++
 		}
 	}
-	assert.LessOrEqual(t, late, demandSeeds/10, "most of the VMs are asked for 1.2 s after the hour began")
+	assert.LessOrEqual(t, late, demandSeeds/10, "most of the VMs are asked for 1.2 s after the peak began")
 }
 
 // The rate is full and stays so. Chance looks like a rise again and again; a pool
-// that kept VMs for it would hold all there are until long after its hour.
+// that kept VMs for it would hold all there are until long after its peak.
 func TestChanceIsNotKeptAsDemand(t *testing.T) {
 	held, over := 0, 0
 	for seed := range uint64(demandSeeds) {
-		for _, l := range playHours(seed, hourRate, hourEnd-riseTime) {
-			if l.at > hourBegin+2*riseTime {
+		for _, l := range playArrivals(seed, peakRate, peakEnd-riseTime) {
+			if l.at > peakBegin+2*riseTime {
 				held++
 				if l.held > fullVMs*3/2 {
 					over++
@@ -98,18 +98,18 @@
 	assert.LessOrEqual(t, over, held/20)
 }
 
-// The hour ends. What was needed in it is forgotten soon, so that the VMs can go to
-// the service whose hour begins.
+// The peak ends. What was needed in it is forgotten soon, so that the VMs can go to
+// the service whose peak begins.
 func TestFallIsSeenSoon(t *testing.T) {
 	late := 0
 	for seed := range uint64(demandSeeds) {
 		fell := time.Duration(0)
-		for _, l := range playHours(seed, hourRate, hourEnd+3*time.Second) {
-			if l.at > hourEnd-riseTime && l.fell && fell == 0 {
+		for _, l := range playArrivals(seed, peakRate, peakEnd+3*time.Second) {
+			if l.at > peakEnd-riseTime && l.fell && fell == 0 {
 				fell = l.at
 			}
 		}
-		if fell == 0 || fell > hourEnd+600*time.Millisecond {
+		if fell == 0 || fell > peakEnd+600*time.Millisecond {
 			late++
 		}
 	}
@@ -121,7 +121,7 @@
 func TestSteadyDemandIsNotTakenForAFall(t *testing.T) {
 	looks, falls := 0, 0
 	for seed := range uint64(demandSeeds) {
-		for _, l := range playHours(seed, func(time.Duration) float64 { return 6 }, 30*time.Second) {
+		for _, l := range playArrivals(seed, func(time.Duration) float64 { return 6 }, 30*time.Second) {
 			looks++
 			if l.fell {
 				falls++
@@ -131,7 +131,7 @@
 	assert.LessOrEqual(t, falls, looks/200)
 }
 
-// Another owner counts arrivals from anew, in the middle of an hour. The rate stands
+// Another owner counts arrivals from anew, in the middle of a peak. The rate stands
 // meanwhile: a pool that lost its VMs for it would be short of them for seconds.
 func TestRateSurvivesAChangeOfOwner(t *testing.T) {
 	var d demand
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -33,13 +33,14 @@
 	// calls that are sent again then only make its queue longer. A slow store answers
 	// within it as a rule.
 	maxBlind = 700 * time.Millisecond
-	// blindCheck is the pause between looks for that sign.
+	// blindCheck is the pause between looks for that sign: small beside the 90 ms after
+	// which a call is sent again.
 	blindCheck = 20 * time.Millisecond
 	// heardWithin is how lately the store must have answered any call for its silence
 	// to be a sign: a node makes several calls a second.
 	heardWithin = time.Second
-	// slowAnswer is how long answers take where the store counts as slow,
-	// many times what they take as a rule.
+	// slowAnswer is how long answers take where the store counts as slow: ten times
+	// the 4 to 10 ms that they take as a rule.
 	slowAnswer = 100 * time.Millisecond
 )
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,8 +6,8 @@
 // wrote for itself, a store that is some 60 times as slow as usual would have as
 // many appends waiting as there are nodes, longer than callers wait, and would
 // serve next to nothing though a few large appends carry the whole load. So each
-// partition has one node that gathers what all others have taken: its owner, which
-// all of them know. Any node may store any record, and storing one twice is
+// partition has one writer, the node that owns it: all others send it what they
+// have taken, and it appends what waits together. Any node may store any record, and storing one twice is
 // harmless, so a wrong idea of who the owner is costs time and nothing else.
 package intake
 
@@ -31,21 +31,25 @@
 // Times of asking other nodes.
 const (
 	// relayWait is how long a node that was asked may take before it says that the
-	// outcome is still open. It tells a node that waits for a slow store from one
-	// that is frozen or cut off.
+	// outcome is still open: 20 times what the store takes as a rule. It tells a node
+	// that waits for a slow store from one that is frozen or cut off.
 	relayWait = 250 * time.Millisecond
 	// slowRelayWait is the same while the store is slow: hundreds of records wait then,
-	// and so many questions a second would take all of the gatherer's processor time.
+	// and four questions a second for each would be more than a node of 0.8 of a core
+	// answers.
 	slowRelayWait = 900 * time.Millisecond
-	// relayWay is added for the way there and back through a busy process.
+	// relayWay is added for the way there and back, some 6 ms between zones, through a
+	// process that is busy for some 100 ms.
 	relayWay = 200 * time.Millisecond
 	// distrustFor is how long a node that gave no answer isn't asked again, so that
 	// not each caller pays for the silence. An owner that is lost is replaced in some
 	// 2 s.
 	distrustFor = time.Second
-	// retryPause is the pause before all ways are tried again.
+	// retryPause is the pause before all ways are tried again: a fiftieth of what
+	// callers wait, so that it costs them little.
 	retryPause = 60 * time.Millisecond
-	// maxRelays bounds the questions to other nodes under way.
+	// maxRelays is how many questions to other nodes are under way at most: more than
+	// the 200 jobs a second that all callers of the largest deployment bring at a peak.
 	maxRelays = 256
 	// maxHelpers is how many other nodes are asked for one attempt. The store may
 	// turn a third of the nodes away at once: one caller in a hundred then meets
@@ -60,7 +64,7 @@
 	// Away tells why calls of this node to the store are hopeless, nil if they
 	// aren't.
 	Away() error
-	// Slow tells whether the store takes long for writes.
+	// Slow tells whether the store takes long for answers.
 	Slow() bool
 }
 
@@ -83,7 +87,7 @@
 type Peers interface {
 	// Owner is the address of the node that owns a partition, "" if none is known
 	// or it is this one.
-	Owner(ctx context.Context, partition int) string
+	Owner(partition int) string
 	// Self is this node's address.
 	Self() string
 	// Others are addresses of other nodes.
@@ -144,7 +148,7 @@
 func (r *Router) attempt(ctx context.Context, partition int, record workload.Record) outcome {
 	unsure := false
 	last := outcome{status: platform.StoreRefused, err: errors.New("no node has a way to the store")}
-	for _, way := range r.ways(ctx, partition) {
+	for _, way := range r.ways(partition) {
 		last = way(ctx, partition, record)
 		unsure = unsure || last.status == platform.StoreUnknown
 		if last.tried || ctx.Err() != nil {
@@ -162,10 +166,10 @@
 
 // ways lists the ways to try: the owner; this node's own where the store is quick, as
 // it is the shortest; else other nodes, in an order for each partition that all nodes
-// agree on, so that the records of all are gathered there in place of the owner.
-func (r *Router) ways(ctx context.Context, partition int) []way {
+// agree on, so that one of them is the writer in place of the owner.
+func (r *Router) ways(partition int) []way {
 	var ways []way
-	owner := r.peers.Owner(ctx, partition)
+	owner := r.peers.Owner(partition)
 	if owner != "" && r.trusted(owner) {
 		ways = append(ways, r.through(owner))
 	}
@@ -173,12 +177,12 @@
 	if owner == "" && !away || !away && !r.local.Slow() {
 		return append(ways, r.direct)
 	}
-	gatherers := r.peers.Others()
+	writers := r.peers.Others()
 	if !away {
-		gatherers = append(gatherers, r.peers.Self())
+		writers = append(writers, r.peers.Self())
 	}
-	rankFor(partition, gatherers)
-	for _, address := range gatherers {
+	rankFor(partition, writers)
+	for _, address := range writers {
 		switch {
 		case address == r.peers.Self():
 			return append(ways, r.direct)
@@ -192,7 +196,7 @@
 	return ways
 }
 
-// rankFor sorts addresses in the order in which they gather for a partition.
+// rankFor sorts addresses in the order in which they are a partition's writer.
 func rankFor(partition int, addresses []string) {
 	rank := func(address string) uint64 { return xxhash.Sum64String(strconv.Itoa(partition) + "/" + address) }
 	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -112,7 +112,7 @@
 	self  string
 }
 
-func (v view) Owner(context.Context, int) string {
+func (v view) Owner(int) string {
 	if v.group.owner == v.self {
 		return ""
 	}
--- a/internal/joblog/acceptor.go
+++ b/internal/joblog/acceptor.go
@@ -13,16 +13,20 @@
 )
 
 const (
-	// maxBatch bounds the records of one append; with the largest jobs they stay below
-	// the 2 MB that the store takes at once.
+	// maxBatch is how many records one append has at most: more than a slow store is
+	// brought while it carries one out, some 200 jobs a second for half a second.
 	maxBatch = 256
+	// maxBatchBytes is how many bytes of keys and values it has at most: half of the
+	// 2 MB that the store takes in one call. It refuses a larger one as a whole, and a
+	// single job may have a quarter of a MB.
+	maxBatchBytes = 1 << 20
 	// maxAppends is how many appends to a partition are under way at once. The way of
 	// the answer takes as long as the append itself: with a second one on its way a
 	// record waits half as long for its turn. More would make the store's queue longer
 	// for what the owner writes.
 	maxAppends = 2
-	// maxQueued bounds the records that wait for one partition: some 8 MB of the
-	// largest jobs, and what a slow store takes in 2 s.
+	// maxQueued is how many records wait for one partition at most: what a slow store
+	// takes in some 2 s. Of usual jobs of 1.3 kB they take 1.4 MB of memory.
 	maxQueued = 1024
 )
 
@@ -68,16 +72,10 @@
 	return &Acceptor{store: store, hedger: hedger, stored: stored, queues: map[int]*acceptQueue{}}
 }
 
-// Accept stores a record of a caller's request, as Await does without a bound.
-func (a *Acceptor) Accept(ctx context.Context, partition int, r workload.Record) (platform.StoreStatus, error) {
-	status, _, err := a.Await(ctx, partition, r, nil)
-	return status, err
-}
-
 // Await stores a record of a caller's request. Doing so twice is harmless: the
 // first submission of an ID counts. StoreRefused means that the record certainly
 // is not and will not be stored. Once bound has passed, pending is returned while
-// the outcome is open; who still wants it calls again.
+// the outcome is open; who still wants it calls again. A nil bound never passes.
 func (a *Acceptor) Await(ctx context.Context, partition int, r workload.Record, bound <-chan time.Time) (status platform.StoreStatus, pending bool, err error) {
 	key, value, err := r.Encode()
 	if err != nil {
@@ -197,8 +195,20 @@
 		q.running--
 		return nil
 	}
-	n := min(len(q.waiting), maxBatch)
+	n := batchOf(q.waiting)
 	batch := q.waiting[:n:n]
 	q.waiting = append([]*accept(nil), q.waiting[n:]...)
 	return batch
 }
+
+// batchOf is how many of the records that wait go into one append: at least one.
+func batchOf(waiting []*accept) int {
+	bytes := 0
+	for i, w := range waiting {
+		bytes += len(w.encoded.Key) + len(w.encoded.Value)
+		if i == maxBatch || i > 0 && bytes > maxBatchBytes {
+			return i
+		}
+	}
+	return len(waiting)
+}
--- a/internal/joblog/acceptor_test.go
+++ b/internal/joblog/acceptor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,7 @@
 	appends int
 	records int
 	sent    map[string]int // times by key
+	largest int            // bytes of an append
 }
 
 func (s *slowStore) Append(ctx context.Context, _ platform.Partition, _ *platform.Producer, records ...platform.KeyedRecord) (platform.StoreStatus, error) {
@@ -35,9 +37,12 @@
 	if s.sent == nil {
 		s.sent = map[string]int{}
 	}
+	bytes := 0
 	for _, r := range records {
 		s.sent[r.Key]++
+		bytes += len(r.Key) + len(r.Value)
 	}
+	s.largest = max(s.largest, bytes)
 	s.mu.Unlock()
 	select {
 	case <-time.After(s.takes):
@@ -62,6 +67,12 @@
 	return workload.Record{Job: workload.JobID(strconv.Itoa(i)), Cancel: true}
 }
 
+// accept stores a record and waits as long as ctx allows.
+func accept(ctx context.Context, a *joblog.Acceptor, partition int, r workload.Record) (platform.StoreStatus, error) {
+	status, _, err := a.Await(ctx, partition, r, nil)
+	return status, err
+}
+
 // Forty callers come at once to a store that is slow. The first one's record goes
 // alone, all others together in the next append: each is answered after two.
 func TestRecordsThatComeTogetherAreAppendedTogether(t *testing.T) {
@@ -72,7 +83,7 @@
 		var all sync.WaitGroup
 		for i := range 40 {
 			all.Go(func() {
-				status, err := a.Accept(t.Context(), 3, cancelRecord(i))
+				status, err := accept(t.Context(), a, 3, cancelRecord(i))
 				assert.NoError(t, err)
 				assert.Equal(t, platform.StoreOK, status)
 			})
@@ -95,12 +106,12 @@
 		underWay := make(chan platform.StoreStatus, 2) // as many appends as there may be at once
 		for i := range 2 {
 			go func() {
-				status, _ := a.Accept(ctx, 0, cancelRecord(i))
+				status, _ := accept(ctx, a, 0, cancelRecord(i))
 				underWay <- status
 			}()
 			synctest.Wait()
 		}
-		waiting, _ := a.Accept(ctx, 0, cancelRecord(2))
+		waiting, _ := accept(ctx, a, 0, cancelRecord(2))
 		assert.Equal(t, platform.StoreUnknown, <-underWay)
 		assert.Equal(t, platform.StoreUnknown, <-underWay)
 		assert.Equal(t, platform.StoreRefused, waiting)
@@ -109,3 +120,27 @@
 		assert.Positive(t, store.sent["c/0"])
 	})
 }
+
+// A caller hands in jobs of many steps, a quarter of a MB each, while the store is slow.
+// It takes 2 MB in one call and refuses a larger one as a whole: each caller whose job
+// waited beside the others would be told that its job is at fault.
+func TestLargeJobsAreNotAppendedBeyondWhatTheStoreTakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const storeTakes = 2 << 20 // bytes
+		store := &slowStore{takes: 150 * time.Millisecond}
+		a := joblog.NewAcceptor(store, hedge.New(), nil)
+		large := &workload.Submission{Spec: workload.Spec{Payload: strings.Repeat("x", 250<<10)}}
+		var all sync.WaitGroup
+		for i := range 30 {
+			all.Go(func() {
+				r := workload.Record{Job: workload.JobID(strconv.Itoa(i)), Submission: large}
+				status, err := accept(t.Context(), a, 0, r)
+				assert.NoError(t, err)
+				assert.Equal(t, platform.StoreOK, status)
+			})
+		}
+		all.Wait()
+		assert.Equal(t, 30, len(store.sent))
+		assert.Less(t, store.largest, storeTakes)
+	})
+}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -41,7 +41,7 @@
 // storePeers are the other nodes, as intake sees them.
 type storePeers struct{ owners *owners }
 
-func (p storePeers) Owner(_ context.Context, partition int) string {
+func (p storePeers) Owner(partition int) string {
 	if p.owners.get(partition) != nil {
 		return ""
 	}
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -29,8 +29,9 @@
 	idleAfter   = 30 * time.Second
 	connectTime = 500 * time.Millisecond
 	// dropAfter is how long a connection that may have gone silent stays open for
-	// the other questions on it: none takes longer.
-	dropAfter = time.Second
+	// the other questions on it: the longest wait 1.1 s, for a record while the store
+	// is slow.
+	dropAfter = 1500 * time.Millisecond
 )
 
 // reconnect is the pause before a new try at a node that can't be reached: a
--- a/internal/owner/executor.go
+++ b/internal/owner/executor.go
@@ -7,7 +7,7 @@
 
 // executor runs calls beside the loop, each at once, on goroutines that it keeps.
 // A goroutine made for each call has its stack grown anew each time, which took a
-// twelfth of the processor time of an owner in a busy hour.
+// twelfth of the processor time of an owner at its peak.
 type executor struct {
 	calls chan func()
 	idle  chan struct{} // an entry for each goroutine that waits for a call
--- a/internal/proof/owner_bench_test.go
+++ b/internal/proof/owner_bench_test.go
@@ -18,7 +18,7 @@
 )
 
 // BenchmarkOwnerStarts measures the processor time that a node needs for each start
-// when it owns a service in its busiest hour: quick jobs of eight tasks on 24
+// when it owns a service at its peak: quick jobs of eight tasks on 24
 // workers, some 480 starts a second. Run it with -benchtime 1x. With the environment
 // variable OWNER_PROFILE a processor profile of the node is written to that file.
 func BenchmarkOwnerStarts(b *testing.B) {
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -171,5 +171,6 @@
 	f.logger.Error("entry names no usable worker and is left out", "worker", id, "reason", reason)
 }
 
-// maxRejected bounds the unusable entries that are remembered and logged.
+// maxRejected is how many unusable entries are remembered, and so logged: enough to
+// see what writes them, and some 20 kB of memory.
 const maxRejected = 200
