--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -32,7 +32,7 @@
 		}, []string{"event"}),
 		plans: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccadrift_plan_work_total",
-			Help: "Jobs ranked, and workers and runs looked at, to decide on starts.",
+			Help: "What deciding on starts took: plans, those cut short by starts without an answer, jobs ranked, workers and runs looked at.",
 		}, []string{"work"}),
 		delay: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "yuccadrift_owner_delay_seconds",
@@ -79,5 +79,7 @@
 	add("job_cancelled", now.Cancelled, before.Cancelled)
 	m.plans.WithLabelValues("ranked").Add(float64(now.Ranked - before.Ranked))
 	m.plans.WithLabelValues("looked_at").Add(float64(now.Looks - before.Looks))
+	m.plans.WithLabelValues("plans").Add(float64(now.Plans - before.Plans))
+	m.plans.WithLabelValues("cut_short").Add(float64(now.CutShort - before.CutShort))
 	*before = now
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -112,6 +112,7 @@
 	config  *workload.Config
 	counts  scheduler.Counts
 	lag     lag
+	planned scheduler.Counts // when the lag's interval began
 	// readAt is when the latest read of the partition was sent whose records the
 	// machine has.
 	readAt time.Time
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -114,6 +114,9 @@
 	// Ranked is how many jobs were ranked, and Looks how many workers and runs were
 	// looked at, to decide on starts: what planning costs.
 	Ranked, Looks int
+	// Plans is how many plans were made, and CutShort how many of them ended before
+	// all that has room was started, as too many starts had no answer yet.
+	Plans, CutShort int
 }
 
 // New returns a core that takes over at now. suspects are the workers that an
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -14,6 +14,7 @@
 	}
 	c.dirtyPlan = false
 	c.plannedAt = now
+	c.Counts.Plans++
 	c.refreshRanking(now)
 	r := &c.ranking
 	r.begin(c.pools(now))
@@ -24,6 +25,7 @@
 		c.placeCandidate(cand, now)
 		if c.starting >= maxInFlight {
 			c.dirtyPlan = true // the rest waits for answers
+			c.Counts.CutShort++
 			return
 		}
 	}
