--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -127,9 +127,6 @@
 func (s *step) attach(t *task, r *run) {
 	if len(t.runs) == 0 && !t.done {
 		s.idle--
-		if s.share != nil {
-			s.share.started += coreSeconds(s.spec, estimate(s.spec))
-		}
 	}
 	if s.idle == 0 {
 		s.waits = time.Time{}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -54,6 +54,7 @@
 		cand.waiting.misses++
 		if s.idle < idle {
 			cand.waiting.misses = 0
+			cand.started(s, idle-s.idle)
 		}
 	}
 }
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -150,6 +150,13 @@
 	}
 }
 
+// started counts tasks that were started for a job that can still win.
+func (cand candidate) started(s *step, tasks int) {
+	if s.share != nil && cand.class == classOnTime {
+		s.share.started += float64(tasks) * coreSeconds(s.spec, estimate(s.spec))
+	}
+}
+
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.class, b.class),
