Let the searches of a plan reach all steps in turn

Cause: the bound of four searches a plan, new with the kept ranking, gave them to the same first steps each time; a lasting or urgent task behind them, for which runs could give way, waited as long as the less urgent work lasted. A test beside it holds that a job behind a hundred that fit nowhere starts.

--- a/internal/scheduler/backlog_test.go
+++ b/internal/scheduler/backlog_test.go
@@ -102,3 +102,24 @@
 		})
 	}
 }
+
+// A hundred jobs wait for a label that no worker has, and one with more work for
+// nothing but room, which there is. It starts within two rankings, though a plan leaves
+// a service alone after as many steps that found no room.
+func TestJobStartsBehindManyThatFitNowhere(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1")
+	hopeless := batch(1, 1000)
+	hopeless.Label = "none has it"
+	for i := range 100 {
+		r.submit(fmt.Sprintf("%016d", i), hopeless)
+	}
+	job := r.submit("0000000000000200", batch(1, 2000))
+	var starts []scheduler.StartOrder
+	for range 30 {
+		starts = append(starts, r.step(10*time.Millisecond).Starts...)
+	}
+	if assert.Len(t, starts, 1) {
+		assert.Equal(t, job, starts[0].Start.Task.Job)
+	}
+}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -35,11 +35,13 @@
 	done       int
 	idle       int       // tasks that are neither done nor have a run
 	waits      time.Time // since when idle tasks find no room, zero if none do
-	lastRun    int64
-	perWorker  map[string]int // live runs by worker
-	checkpoint string         // of a gang
-	tickets    *tickets
-	ranked     bool // of the first step: the occurrence is in the ranking
+	// searchAfter is when runs that give way to its tasks are looked for again.
+	searchAfter time.Time
+	lastRun     int64
+	perWorker   map[string]int // live runs by worker
+	checkpoint  string         // of a gang
+	tickets     *tickets
+	ranked      bool // of the first step: the occurrence is in the ranking
 	// share is that of the occurrence's size, nil before it is ranked and for lasting
 	// tasks.
 	share *sizeShare
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -13,7 +13,7 @@
 	// required are the labels that the service's jobs ask for.
 	required []string
 	kept     bool // a worker is kept free for a task that fits nowhere
-	searches int  // for runs that give way, in this plan
+	searches int  // for runs that give way to steps that do not last, in this plan
 	// lowest is the priority of the least urgent runs that may give way, -1 while it
 	// isn't known.
 	lowest int
--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -23,10 +23,14 @@
 	// lastingLoss is how many core-seconds it may throw away for a lasting task:
 	// about what one does in four seconds.
 	lastingLoss = 20.0
-	// maxSearches is how many tasks a plan looks for runs for that give way, in each
+	// maxSearches is how many steps a plan looks for runs for that give way, in each
 	// service. A search looks at all runs of the service; without a bound a plan costs
-	// as much as tasks wait, and an owner with a hundred of them does little else.
+	// as much as steps wait, and an owner with a hundred of them does little else.
+	// Lasting steps are few and owed within seconds, and are searched for beside it.
 	maxSearches = 4
+	// searchPause is how long a step waits after a search that found nothing: as long
+	// as its patience, so that the searches of a plan reach all steps in turn.
+	searchPause = preemptAfter
 	// unknownPriority is that of a pool that wasn't looked at yet.
 	unknownPriority = -1
 )
@@ -42,13 +46,15 @@
 	if s.spec.Lasting {
 		patience = lastingAfter
 	}
-	if cand.class > classOnTime || s.spec.Gang || s.spec.Fills || now.Before(s.waits.Add(patience)) {
+	if cand.class > classOnTime || s.spec.Gang || s.spec.Fills || now.Before(s.waits.Add(patience)) || now.Before(s.searchAfter) {
 		return
 	}
-	if c.lowestPriority(p) <= cand.priority || p.searches >= maxSearches {
+	if c.lowestPriority(p) <= cand.priority || !s.spec.Lasting && p.searches >= maxSearches {
 		return
 	}
-	p.searches++
+	if !s.spec.Lasting {
+		p.searches++
+	}
 	c.Counts.Looks += len(p.workers)
 	if p.comingSeats(s) >= s.idle {
 		return // room is being made
@@ -64,6 +70,9 @@
 			best, bestLoss = victims, loss
 		}
 	}
+	if best == nil {
+		s.searchAfter = now.Add(searchPause)
+	}
 	for _, r := range best {
 		c.stop(r, "gives way to "+s.key(0).StepName()+", which is more urgent")
 	}
--- a/internal/scheduler/preempt_test.go
+++ b/internal/scheduler/preempt_test.go
@@ -130,3 +130,27 @@
 		require.Empty(t, w.broken, "seed %d", seed)
 	}
 }
+
+// More steps wait than a plan searches room for, and none of the first ones can be
+// helped: no worker has their label. One behind them could start in the place of less
+// urgent work. If the same ones used up the searches of each plan, it would wait as
+// long as that work lasts.
+func TestStepIsSearchedForBehindOthersThatCannotBeHelped(t *testing.T) {
+	for _, lasting := range []bool{true, false} {
+		r := newRig(t)
+		require.Len(t, fullOf(r, checkpointing(4, 2000)), 4)
+		for i := range 6 {
+			hopeless := batch(1, 1000)
+			hopeless.Lasting, hopeless.Label = lasting, "none has it"
+			r.submit("00000000000001"+strconv.Itoa(10+i), hopeless)
+		}
+		helped := batch(1, 2000)
+		helped.Lasting = lasting
+		r.submit("0000000000000200", helped)
+		var stops []scheduler.StopOrder
+		for range 15 {
+			stops = append(stops, r.step(100*time.Millisecond).Stops...)
+		}
+		assert.Len(t, stops, 1, "one of the less urgent runs gives way, lasting %t", lasting)
+	}
+}
