--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -16,7 +16,9 @@
 	// rank, so that ranking takes a fortieth of a core at most.
 	rankIntervalEach = 20 * time.Microsecond
 	// maxMisses is how many steps of a service may in turn find no room in a plan before
-	// it leaves the rest alone; the first plan after each ranking tries all.
+	// it leaves the rest alone; the first plan after each ranking tries all. As many as
+	// starts may be in flight: a plan starts no more than that. Chosen, not measured
+	// against other bounds.
 	maxMisses = 64
 )
 
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -10,7 +10,8 @@
 	// it falls to a third: longer than a peak of some seconds, and short enough
 	// that the next one is shared by itself.
 	shareMemory = 10 * time.Second
-	// meanJobs is over how many jobs a queue's mean is taken.
+	// meanJobs is over how many jobs a queue's mean is taken: some seconds of a quiet
+	// queue, half a second of its peak. Chosen, not measured against other lengths.
 	meanJobs = 50
 )
 
