Let a start without an answer hold up itself alone

Cause: of the 64 starts that may be in flight, one whose answer is lost kept its place until it was given up after a second. Ruled out: the owner's processor (its delay was 7 ms), room (there was), the order of jobs (all sizes waited).

Change: a start counts as lost, and no longer to the bound, once one that was sent 64 later was answered. A shorter time-out was weighed: on a node that is behind all answers are late, and it would send more.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -91,7 +91,7 @@
 	arrived map[string]workload.Work // by service
 	// required are the labels that a service's jobs have asked for so far.
 	required map[string][]string
-	starting int // starts in flight
+	starting inFlight
 	forming  []forming
 	// dirtyPlan is set when something has changed that a plan rests on.
 	dirtyPlan bool
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		c.placeCandidate(cand, now)
-		if c.starting >= maxInFlight {
+		if c.starting.full() {
 			c.dirtyPlan = true // the rest waits for answers
 			c.Counts.CutShort++
 			return
@@ -99,7 +99,7 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
 			continue
 		}
-		if c.starting >= maxInFlight {
+		if c.starting.full() {
 			return
 		}
 		c.Counts.Looks += len(p.workers)
@@ -128,7 +128,7 @@
 	begun := s.job.begun
 	w.add(r)
 	w.orders++
-	c.starting++
+	c.starting.add(startID{r.key(), number})
 	order := workload.Start{
 		Task:       r.key(),
 		Run:        number,
--- a/internal/scheduler/started.go
+++ b/internal/scheduler/started.go
@@ -42,7 +42,7 @@
 
 // Started takes the outcome of a start.
 func (c *Core) Started(o OrderResult, now time.Time) {
-	c.starting--
+	c.starting.done(startID{o.Task, o.Run}, o.Answer.Status != workload.WorkerUnknown)
 	r := c.answered(o, now)
 	if r == nil || r.state != runStarting && r.state != runStopping {
 		return // a look has told already
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -33,9 +33,9 @@
 	stopRetry = 300 * time.Millisecond
 	// maxOrders bounds the orders in flight to one worker.
 	maxOrders = 10
-	// maxInFlight bounds the starts in flight to all workers. An order takes some
-	// 5 ms, so it allows thousands a second; without it a small VM sends so many at
-	// once that none of them is answered in time.
+	// maxInFlight bounds the starts in flight to all workers, but for those whose
+	// answer is lost. An order takes some 5 ms, so it allows thousands a second;
+	// without it a small VM sends so many at once that none is answered in time.
 	maxInFlight = 64
 	// lateOrder is the longest after which an order without an answer may still
 	// be carried out; the platform has seen 12 s.
