Look again where a worker's answer is late, and doubt an overtaken start at once

Change: a look's wait ends with the soonest expected end of a run; where the answer is 100 ms late another look is sent, at most two beside the first and 32 in all; an answer that a later one has overtaken says nothing.

--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -43,7 +43,7 @@
 	if h.Hold.Wait == 0 {
 		o.deps.Metrics.order("hold", answer, sent)
 	}
-	result := scheduler.HoldResult{Worker: h.Worker.ID, Token: h.Hold.Token, SentAt: sent, Held: held, Answer: answer}
+	result := scheduler.HoldResult{Worker: h.Worker.ID, Token: h.Hold.Token, SentAt: sent, Extra: h.Extra, Held: held, Answer: answer}
 	o.send(ctx, func(c *scheduler.Core, now time.Time) { c.Held(result, now) })
 }
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -92,7 +92,9 @@
 	// required are the labels that a service's jobs have asked for so far.
 	required map[string][]string
 	starting inFlight
-	forming  []forming
+	// extraLooks is how many are under way.
+	extraLooks int
+	forming    []forming
 	// dirtyPlan is set when something has changed that a plan rests on.
 	dirtyPlan bool
 	// unwellUntil is until when the process counts as one that hardly gets on.
@@ -291,6 +293,7 @@
 func (c *Core) Step(now time.Time) Orders {
 	c.feel(now)
 	c.expireRuns(now)
+	c.doubtStarts(now)
 	c.forgetWorkers(now)
 	c.holdWorkers(now)
 	c.evacuate(now)
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -263,27 +263,31 @@
 	f := w.workers[h.Worker.ID]
 	told := func(held workload.Held, a workload.WorkerAnswer) {
 		o.tell(func() {
-			o.core.Held(scheduler.HoldResult{Worker: h.Worker.ID, Token: h.Hold.Token, SentAt: sent, Held: held, Answer: a}, w.now)
+			o.core.Held(scheduler.HoldResult{Worker: h.Worker.ID, Token: h.Hold.Token, SentAt: sent, Extra: h.Extra, Held: held, Answer: a}, w.now)
 		})
 	}
 	unknown := workload.WorkerAnswer{Status: workload.WorkerUnknown}
+	timeout := time.Second
+	if h.Extra {
+		timeout = 400 * time.Millisecond
+	}
 	way := w.between(500*time.Microsecond, 3*time.Millisecond)
 	if f.dark || f.gone || w.chance(w.faults.lostAnswer) {
 		if !f.dark && !f.gone {
 			w.after(way, func() { f.receive(func(f *fakeWorker) workload.WorkerAnswer { return f.hold(h.Hold) }) })
 		}
-		w.after(time.Second, func() { told(workload.Held{}, unknown) })
+		w.after(timeout, func() { told(workload.Held{}, unknown) })
 		return
 	}
 	w.after(way, func() {
 		a, ok := f.receive(func(f *fakeWorker) workload.WorkerAnswer { return f.hold(h.Hold) })
 		if !ok {
-			w.after(time.Second, func() { told(workload.Held{}, unknown) })
+			w.after(timeout, func() { told(workload.Held{}, unknown) })
 			return
 		}
 		f.whenEnded(h.Hold.Wait, func() {
 			if f.dark || f.gone {
-				w.after(time.Second, func() { told(workload.Held{}, unknown) })
+				w.after(timeout, func() { told(workload.Held{}, unknown) })
 				return
 			}
 			held := f.list()
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -16,25 +16,39 @@
 	Worker string
 	Token  int64
 	SentAt time.Time
+	Extra  bool // as ordered
 	Held   workload.Held
 	Answer workload.WorkerAnswer
 }
 
 // Held takes the outcome of a look.
 func (c *Core) Held(r HoldResult, now time.Time) {
+	if r.Extra {
+		c.extraLooks--
+	}
 	w := c.workers[r.Worker]
 	if w == nil {
 		return
 	}
-	w.holding = false
+	// An answer that a later look has overtaken says nothing any more: what it lists as
+	// running may have ended. Its end, if it lists one, is listed again.
+	overtaken := r.SentAt.Before(w.toldAt)
+	if r.Extra {
+		w.extraLooks--
+	} else if !overtaken {
+		w.holding = false
+	}
 	w.heard(r.Answer.Clock, now)
-	switch r.Answer.Status {
-	case workload.WorkerOK:
-		c.heldOK(w, r, now)
-	case workload.WorkerFenced:
+	switch {
+	case r.Answer.Status == workload.WorkerFenced:
 		c.fenced(w, r.Token)
-	case workload.WorkerReplaced:
+	case r.Answer.Status == workload.WorkerReplaced:
 		c.replaced(w)
+	case overtaken:
+	case r.Answer.Status == workload.WorkerOK:
+		w.toldAt = r.SentAt
+		w.holding = w.holding && !r.Extra // its answer will be overtaken
+		c.heldOK(w, r, now)
 	default:
 		if !w.silent {
 			c.note(Decision{Verb: "worker-silent", Worker: w.info.ID, Reason: reasonOf(r.Answer), Age: now.Sub(w.answered), Critical: true})
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -21,6 +21,8 @@
 type HoldOrder struct {
 	Worker workload.Worker
 	Hold   workload.Hold
+	// Extra is set for a look beside one whose answer is overdue.
+	Extra bool
 }
 
 // StartOrder starts a run. Its outcome goes to Started.
--- a/internal/scheduler/peak_test.go
+++ b/internal/scheduler/peak_test.go
@@ -42,8 +42,8 @@
 }
 
 // playTurns plays two peaks of lookups on a pool.
-func playTurns(seed uint64, workers int, p *processor) *world {
-	w := newWorld(seed, faults{})
+func playTurns(seed uint64, workers int, p *processor, f faults) *world {
+	w := newWorld(seed, f)
 	w.processor = p
 	for i := range workers {
 		w.addWorker("worker-"+strconv.Itoa(1000+i), workload.Resources{CPU: 32000, MemoryMB: 64000})
@@ -109,7 +109,7 @@
 // to 300 a second, and by plans made 30 ms apart, which ended it.
 func TestOwnerKeepsUpWithAPeakOnASmallVM(t *testing.T) {
 	for seed := range uint64(2) {
-		w := playTurns(seed, 220, &processor{})
+		w := playTurns(seed, 220, &processor{}, faults{})
 		jobs := w.bySize()
 		all, tenth := inTime(jobs), inTime(jobs[:len(jobs)/10])
 		assert.Empty(t, w.broken)
@@ -127,7 +127,7 @@
 // asked for here is half of what all are served, as the users ask.
 func TestLargestJobsAreServedByAFullService(t *testing.T) {
 	for seed := range uint64(3) {
-		w := playTurns(seed, 105, nil)
+		w := playTurns(seed, 105, nil, faults{})
 		jobs := w.bySize()
 		all, tenth, fifth := inTime(jobs), inTime(jobs[:len(jobs)/10]), inTime(jobs[len(jobs)/10:3*len(jobs)/10])
 		assert.Empty(t, w.broken)
@@ -137,3 +137,28 @@
 		t.Logf("seed %d: in time %.3f, largest tenth %.3f, next fifth %.3f", seed, all, tenth, fifth)
 	}
 }
+
+// Callers wait for seconds while some of the workers' answers are lost, or some orders are
+// carried out seconds late, though nearly all workers are well and have room.
+//
+// A start without an answer took one of the places for starts until it was given up after
+// a second, and its task waited as long; a look without an answer hid the ends of its
+// worker's tasks for two, after which the worker got no starts for a while. So one lost
+// answer of seven cost most of what the workers could do. What is asked for is nine
+// tenths of what is served without any loss.
+func TestPeakIsServedWhileAnswersAreLost(t *testing.T) {
+	served := func(f faults) float64 {
+		w := playTurns(1, 220, nil, f)
+		assert.Empty(t, w.broken)
+		return inTime(w.bySize())
+	}
+	sound := served(faults{})
+	for name, f := range map[string]faults{
+		"answers are lost": {lostAnswer: 0.15},
+		"orders are late":  {lateOrder: 0.055},
+	} {
+		share := served(f)
+		assert.GreaterOrEqual(t, share, 0.9*sound, "%s", name)
+		t.Logf("%s: %.3f in time, %.3f without", name, share, sound)
+	}
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -128,7 +128,7 @@
 	begun := s.job.begun
 	w.add(r)
 	w.orders++
-	c.starting.add(startID{r.key(), number})
+	c.starting.add(r)
 	order := workload.Start{
 		Task:       r.key(),
 		Run:        number,
--- a/internal/scheduler/started.go
+++ b/internal/scheduler/started.go
@@ -44,28 +44,27 @@
 func (c *Core) Started(o OrderResult, now time.Time) {
 	c.starting.done(startID{o.Task, o.Run}, o.Answer.Status != workload.WorkerUnknown)
 	r := c.answered(o, now)
-	if r == nil || r.state != runStarting && r.state != runStopping {
+	if r == nil || r.state == runRunning {
 		return // a look has told already
 	}
-	w := r.worker
 	switch o.Answer.Status {
 	case workload.WorkerOK:
 		c.Counts.Started++
 		r.confirmed = true
-		if r.state == runStarting {
+		if r.state != runStopping {
 			r.state = runRunning
 		}
 		r.since = now
 	case workload.WorkerUnknown:
-		c.Counts.Uncertain++
-		c.note(Decision{Verb: "uncertain", Job: o.Task.Job, Task: o.Task.String(), Worker: w.info.ID, Run: o.Run, Reason: "start without an answer: " + reasonOf(o.Answer), Critical: true})
-		if r.state == runStarting {
-			r.state = runUncertain
+		switch r.state {
+		case runStarting:
+			c.doubt(r, reasonOf(o.Answer), now)
+		case runStopping:
+			r.since = now
+			r.worker.holdAfter = now
 		}
-		r.since = now
-		w.holdAfter = now
 	default:
-		c.refused(w, r, o, now)
+		c.refused(r.worker, r, o, now)
 	}
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -29,6 +29,17 @@
 	holdPauseEach = 700 * time.Microsecond
 	// holdRetry is the pause after a look without an answer.
 	holdRetry = 250 * time.Millisecond
+	// lookSlack is how long an answer may take beyond the wait that it was asked for
+	// before another look is sent: many times an order and its answer.
+	lookSlack = 100 * time.Millisecond
+	// maxExtraLooks bounds the looks beside the first that are under way to one worker:
+	// of three in a row hardly all are lost. allExtraLooks bounds them for all workers.
+	// One in seven answers lost makes some ten at a time; more are no loss, but a node
+	// that is behind, or workers that are cut off.
+	maxExtraLooks = 2
+	allExtraLooks = 32
+	// endSlack is added to the estimate of a run's end: estimates are rough.
+	endSlack = 100 * time.Millisecond
 	// stopRetry is the pause before a stop without an answer is sent again.
 	stopRetry = 300 * time.Millisecond
 	// maxOrders bounds the orders in flight to one worker.
@@ -100,9 +111,15 @@
 	clockAt time.Time
 	// leaseOver is when the last lease that it may have got has lapsed.
 	leaseOver time.Time
-	holding   bool
+	holding   bool // a look is under way
 	holdAfter time.Time
-	silent    bool // the last look got no answer
+	// overdueAt is when the answer of the latest look is late, and extraLooks how many
+	// are under way beside the first.
+	overdueAt  time.Time
+	extraLooks int
+	// toldAt is when the latest look that was answered was sent.
+	toldAt time.Time
+	silent bool // the last look got no answer
 	// unanswered is when the latest look without an answer was sent.
 	unanswered time.Time
 	answered   time.Time
@@ -239,7 +256,11 @@
 // holdWorkers orders a look at each worker that has something to tell.
 func (c *Core) holdWorkers(now time.Time) {
 	for _, w := range c.order {
-		if w.holding || now.Before(w.holdAfter) || w.info.Address == "" {
+		if w.info.Address == "" || now.Before(w.holdAfter) {
+			continue
+		}
+		if w.holding {
+			c.lookAgain(w, now)
 			continue
 		}
 		// One that did not answer gets nothing until it does, so it is asked also
@@ -255,18 +276,39 @@
 			h.LeaseUntil = c.grant(w, now)
 		}
 		if w.synced && !w.silent && w.seen == w.acked {
-			h.Wait = c.waitFor(w)
+			h.Wait = c.waitFor(w, now)
 		}
 		h.Brief = w.silent && w.synced
 		w.holding = true
+		w.overdueAt = now.Add(h.Wait + lookSlack)
 		c.out.Holds = append(c.out.Holds, HoldOrder{Worker: w.info, Hold: h})
 	}
 }
 
-// waitFor is how long a look may wait for an end.
-func (c *Core) waitFor(w *worker) time.Duration {
+// lookAgain sends another look where the answer of the latest is late. An answer that
+// is lost would else be waited for until its time-out, as long as two or three short
+// tasks take; meanwhile the worker's ends are not seen, nothing new is started in their
+// place, and then it counts as silent.
+func (c *Core) lookAgain(w *worker, now time.Time) {
+	if w.extraLooks >= maxExtraLooks || now.Before(w.overdueAt) || now.Before(c.unwellUntil) || c.extraLooks >= allExtraLooks {
+		return
+	}
+	w.extraLooks++
+	c.extraLooks++
+	w.overdueAt = now.Add(2 * lookSlack)
+	hold := workload.Hold{Token: w.token, Acked: w.acked, Brief: true}
+	c.out.Holds = append(c.out.Holds, HoldOrder{Worker: w.info, Hold: hold, Extra: true})
+}
+
+// waitFor is how long a look may wait for an end. Where a run is expected to end sooner
+// than the longest wait, the answer is expected sooner, too, so that its loss shows.
+func (c *Core) waitFor(w *worker, now time.Time) time.Duration {
 	serving, filling, rising := false, false, false
+	wait := holdWait
 	for _, r := range w.runs {
+		if !r.step.spec.Lasting {
+			wait = min(wait, r.untilEnd(now)+endSlack)
+		}
 		serving = serving || r.step.spec.TargetMS > 0
 		filling = filling || r.step.spec.Fills
 		rising = rising || r.step.spec.Lasting && r.percent < fullPace && !r.step.spec.Fills
@@ -275,7 +317,14 @@
 		}
 	}
 	if serving && filling || rising {
-		return watchWait
+		return min(wait, watchWait)
 	}
-	return holdWait
+	return wait
+}
+
+// untilEnd is how long a run may go on, by estimate. One that has outlasted it may go on
+// as long again.
+func (r *run) untilEnd(now time.Time) time.Duration {
+	rest := estimate(r.step.spec) - now.Sub(r.orderedAt)
+	return max(rest, -rest)
 }
