Move lasting tasks once in a wave, and give their pool a VM for each that is away

Ruled out: the cap (122), the pace (200 at once by then), orders refused (none).

Change: the fleet's owner tells the owners of services which workers are about to leave; lasting tasks that must start avoid them. A pool's floor counts one VM more for each that is emptied or maintained with lasting tasks. Both tests fail without their change.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -60,6 +60,7 @@
 	pool      string // it was in
 	worker    string // it had
 	wave      int64  // 0 for a move
+	lasting   bool   // the VM had lasting tasks when a wave's work began
 	to        string // pool of a move
 	reason    string // of a move
 	phase     phase
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -224,16 +224,24 @@
 		if pool == c.standby || now.Sub(l.at) > loadsValid {
 			continue
 		}
-		b := balance{pool: pool, now: l.ahead, floor: l.floor()}
+		b := balance{pool: pool, floor: l.floor()}
+		for _, vm := range c.vms {
+			n := c.counts(vm, pool, now)
+			b.have += n
+			if w := c.works[vm.ID]; n > 0 && w != nil && w.wave != 0 && w.lasting {
+				// It is about to be maintained, or is, and its lasting tasks need another
+				// one for seconds. With the floor's alone they would wait for each
+				// other, and the wave's next VMs for them.
+				b.floor++
+			}
+		}
+		b.now, b.keep, b.rest = max(l.ahead, b.floor), b.floor, b.floor
 		for _, n := range l.needs {
 			b.rest = max(b.rest, n.n)
 			if now.Sub(n.at) <= keepFor {
 				b.keep = max(b.keep, n.n)
 			}
 		}
-		for _, vm := range c.vms {
-			b.have += c.counts(vm, pool, now)
-		}
 		b.short = b.have < b.floor
 		if now.Sub(l.since) < patientFor {
 			b.rest = max(b.rest, b.have) // not long enough known to be idle
--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -33,7 +33,9 @@
 }
 
 func (c *Core) begin(s *waveState, vm workload.VM, now time.Time) {
-	c.works[vm.ID] = &work{vm: vm.ID, pool: vm.Pool, worker: vm.Worker, wave: s.wave.Number, since: now}
+	l := c.loads[vm.Pool]
+	lasting := l != nil && l.load.Workers[vm.Worker].Lasting > 0
+	c.works[vm.ID] = &work{vm: vm.ID, pool: vm.Pool, worker: vm.Worker, wave: s.wave.Number, lasting: lasting, since: now}
 }
 
 // lastingAtOnce is how many VMs with lasting tasks are emptied at once in each pool. A
@@ -85,6 +87,19 @@
 	return due
 }
 
+// Leaving lists, by pool, the workers whose VMs are yet to begin their maintenance.
+func (c *Core) Leaving() map[string][]string {
+	leaving := map[string][]string{}
+	for _, s := range c.waves {
+		for _, vm := range c.due(s) {
+			if vm.Worker != "" && vm.Pool != c.standby {
+				leaving[vm.Pool] = append(leaving[vm.Pool], vm.Worker)
+			}
+		}
+	}
+	return leaving
+}
+
 // pace is how many VMs of a wave are to be under way at once: enough to be done
 // in its share of the time, and no more, as each takes room from its pool.
 func (c *Core) pace(s *waveState, left int, now time.Time) int {
--- a/internal/fleet/waves_test.go
+++ b/internal/fleet/waves_test.go
@@ -108,3 +108,45 @@
 	}
 	assert.Len(t, ordered, lasting+others)
 }
+
+// Operators see a wave's last VMs follow one another at one in two seconds.
+//
+// A pool has one VM beyond those that its lasting tasks must lie on. While a VM is
+// maintained that one has its tasks, and no other VM can be emptied until it is back. A
+// pool gets one VM more for each that is away so.
+func TestPoolGetsAVMForEachThatIsMaintainedWithLastingTasks(t *testing.T) {
+	const spread = 4
+	c := newCore()
+	workers := map[string]workload.WorkerLoad{}
+	var list []workload.VM
+	for i := range spread + 1 {
+		id := fmt.Sprintf("vm-%d", i)
+		list = append(list, up(id, "booking", "w-"+id))
+		w := workload.WorkerLoad{Usable: true}
+		if i < spread {
+			w.Runs, w.Lasting = 1, 1
+		}
+		workers["w-"+id] = w
+	}
+	for i := range 4 {
+		list = append(list, up(fmt.Sprintf("spare-%d", i), "spare", ""))
+	}
+	c.SetWaves([]workload.Wave{wave(1, 4, "vm-0", "vm-1")}, begin)
+	moved := map[string]bool{}
+	for at := time.Duration(0); at < time.Second; at += 100 * time.Millisecond {
+		now := begin.Add(at)
+		c.SetVMs(list, now)
+		l := load("booking", 1000, 0, 0, workers)
+		l.Spread = spread
+		c.SetLoad(l, now)
+		for _, a := range c.Step(now) {
+			if a.Verb == fleet.Move {
+				assert.Equal(t, "booking", a.Pool)
+				moved[a.VM] = true
+				c.Ordered(a.VM, fleet.Taken, now)
+			}
+		}
+	}
+	assert.Len(t, moved, 2)
+	assert.Equal(t, map[string][]string{"booking": {"w-vm-0", "w-vm-1"}}, c.Leaving())
+}
--- a/internal/fleetowner/acts_test.go
+++ b/internal/fleetowner/acts_test.go
@@ -94,7 +94,9 @@
 	return true, true
 }
 
-func (slowService) LoadsOf(context.Context, string) ([]workload.ServiceLoad, bool) { return nil, false }
+func (slowService) LoadsOf(context.Context, string, []string) ([]workload.ServiceLoad, bool) {
+	return nil, false
+}
 
 // The fleet's owner stands still between its question and the answer that a worker
 // is empty. When it wakes the worker is open again and has got tasks. The word counts
--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -49,7 +49,7 @@
 // Services are the owners of the services' jobs.
 type Services interface {
 	Empty(ctx context.Context, service, worker string) (empty, ok bool)
-	LoadsOf(ctx context.Context, service string) ([]workload.ServiceLoad, bool)
+	LoadsOf(ctx context.Context, service string, leaving []string) ([]workload.ServiceLoad, bool)
 }
 
 // Store is what is needed of the platform's store.
@@ -234,7 +234,8 @@
 	if !o.loading && now.Sub(o.loadedAt) >= loadInterval {
 		o.loading = true
 		o.loadedAt = now
-		o.do(ctx, func(ctx context.Context) { o.loads(ctx, config) })
+		leaving := core.Leaving()
+		o.do(ctx, func(ctx context.Context) { o.loads(ctx, config, leaving) })
 	}
 }
 
@@ -272,13 +273,15 @@
 	})
 }
 
-func (o *Owner) loads(ctx context.Context, config *workload.Config) {
+// loads asks the owners of the services for their loads, and tells them which workers
+// are about to leave, by pool.
+func (o *Owner) loads(ctx context.Context, config *workload.Config, leaving map[string][]string) {
 	var all []workload.ServiceLoad
 	for _, s := range config.Services {
 		if s.Standby {
 			continue
 		}
-		loads, ok := o.deps.Services.LoadsOf(ctx, s.Name)
+		loads, ok := o.deps.Services.LoadsOf(ctx, s.Name, leaving[s.Name])
 		if !ok {
 			o.logger.Debug("load of a service is not known", "service", s.Name)
 		}
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -103,9 +103,9 @@
 }
 
 // LoadsOf asks the owner of a service, once, what the services of its partition
-// carry.
-func (o *owners) LoadsOf(ctx context.Context, service string) ([]workload.ServiceLoad, bool) {
-	a, ok := o.askOnce(ctx, nodepeer.Loads, nodepeer.Ask{Partition: o.partitionOf(service)}, false)
+// carry, and tells it which of the service's workers are about to leave.
+func (o *owners) LoadsOf(ctx context.Context, service string, leaving []string) ([]workload.ServiceLoad, bool) {
+	a, ok := o.askOnce(ctx, nodepeer.Loads, nodepeer.Ask{Partition: o.partitionOf(service), Service: service, Leaving: leaving}, false)
 	return a.Loads, ok && a.Owner
 }
 
@@ -162,7 +162,7 @@
 	if own == nil {
 		return nodepeer.Answer{}, nil
 	}
-	loads, ok := own.Loads(ctx)
+	loads, ok := own.Loads(ctx, a.Service, a.Leaving)
 	return nodepeer.Answer{Owner: ok, Loads: loads}, nil
 }
 
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -44,6 +44,9 @@
 	Job       workload.JobID `json:"j,omitempty"`
 	Queue     string         `json:"q,omitempty"`
 	Worker    string         `json:"w,omitempty"`
+	// Service is whose Leaving workers are named: their VMs are due for maintenance.
+	Service string   `json:"sv,omitempty"`
+	Leaving []string `json:"lv,omitempty"`
 	// Record is one to be stored, by its key and value.
 	RecordKey   string `json:"rk,omitempty"`
 	RecordValue []byte `json:"rv,omitempty"`
--- a/internal/owner/ask.go
+++ b/internal/owner/ask.go
@@ -59,7 +59,11 @@
 	return ask(ctx, o, func(c *scheduler.Core, now time.Time) bool { return c.Evacuate(worker, now) })
 }
 
-// Loads returns what the services of the partition carry.
-func (o *Owner) Loads(ctx context.Context) ([]workload.ServiceLoad, bool) {
-	return ask(ctx, o, func(c *scheduler.Core, now time.Time) []workload.ServiceLoad { return c.Loads(now) })
+// Loads returns what the services of the partition carry, and takes which workers of one
+// of them are about to leave.
+func (o *Owner) Loads(ctx context.Context, service string, leaving []string) ([]workload.ServiceLoad, bool) {
+	return ask(ctx, o, func(c *scheduler.Core, now time.Time) []workload.ServiceLoad {
+		c.SetLeaving(service, leaving, now)
+		return c.Loads(now)
+	})
 }
--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -33,6 +33,21 @@
 	return w.synced && len(w.runs) == 0 && w.seen == w.acked && !c.blocked(now)
 }
 
+// leavingFor is how long the word counts that a worker is about to leave. The fleet's
+// owner repeats it several times a second.
+const leavingFor = time.Second
+
+// SetLeaving takes the workers of a service whose VMs are due for maintenance. They run
+// on, but lasting tasks that must move go elsewhere if they can: on one of these each of
+// them would move a second time, and a step bears only one move after the other.
+func (c *Core) SetLeaving(service string, ids []string, now time.Time) {
+	for _, id := range ids {
+		if w := c.workers[id]; w != nil && w.info.Service == service {
+			w.leavingUntil = now.Add(leavingFor)
+		}
+	}
+}
+
 // evacuate moves on what can't be let finish on workers that are to be empty.
 func (c *Core) evacuate(now time.Time) {
 	for _, w := range c.order {
--- a/internal/scheduler/lasting_test.go
+++ b/internal/scheduler/lasting_test.go
@@ -165,3 +165,36 @@
 	}
 	t.Fatal("the lasting task never got room")
 }
+
+// A wave of maintenance reaches a VM whose worker got a lasting task from another VM of
+// the same wave a moment before: the task moves twice, and a step bears only one move
+// after the other. Lasting tasks lie together, but not on a worker that is about to leave,
+// unless it is the only one; and not for longer than the word of it is repeated.
+func TestLastingTasksAvoidWorkersThatAreAboutToLeave(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1", "w-2")
+	lasting := workload.Step{Count: 1, Need: workload.Resources{CPU: 1000, MemoryMB: 100}, Lasting: true, MayMiss: 1}
+	running := map[string][]workload.RunState{}
+	place := func(id string) string {
+		for _, w := range []string{"w-1", "w-2"} {
+			r.held(w, r.now, workload.Held{Running: running[w]})
+		}
+		r.submit(id, lasting)
+		starts := r.step(20 * time.Millisecond).Starts
+		require.Len(t, starts, 1)
+		s := starts[0]
+		r.started(s, workload.WorkerOK)
+		running[s.Worker.ID] = append(running[s.Worker.ID], workload.RunState{Task: s.Start.Task, Run: s.Start.Run, Percent: 100})
+		return s.Worker.ID
+	}
+	home := place("0000000000000001")
+	r.core.SetLeaving("service", []string{home}, r.now)
+	other := place("0000000000000002")
+	assert.NotEqual(t, home, other)
+	r.core.SetLeaving("service", []string{home, other}, r.now)
+	place("0000000000000003")
+	r.core.SetLeaving("another", []string{other}, r.now)
+	r.now = r.now.Add(2 * time.Second)
+	r.core.SetLeaving("service", []string{other}, r.now)
+	assert.Equal(t, home, place("0000000000000004"))
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -110,7 +110,7 @@
 		if !s.fits(w, now) {
 			continue
 		}
-		score := s.score(w)
+		score := s.score(w, now)
 		if s.spec.Label == "" && p.isRequired(w) {
 			score -= requiredWeight
 		}
@@ -154,9 +154,12 @@
 	requiredWeight = 3.0
 	// togetherWeight draws lasting tasks to workers that have such.
 	togetherWeight = 1.0
+	// leavingWeight keeps lasting tasks off workers that are about to leave. It outweighs
+	// togetherWeight and any fit, which are at most 2 together.
+	leavingWeight = 2.5
 )
 
-func (s *step) score(w *worker) float64 {
+func (s *step) score(w *worker, now time.Time) float64 {
 	score := 0.0
 	if s.spec.Rack != "" && w.info.HasLabel(s.spec.Rack) {
 		score += nearWeight
@@ -176,6 +179,9 @@
 		if w.lasts() {
 			score += togetherWeight
 		}
+		if now.Before(w.leavingUntil) {
+			score -= leavingWeight
+		}
 	}
 	return score + used
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -131,7 +131,8 @@
 	// evacuateUntil is until when the worker is being emptied; the wish is
 	// renewed by who has it.
 	evacuateUntil time.Time
-	pace          int // of its filling tasks, percent
+	leavingUntil  time.Time // its VM is due for maintenance
+	pace          int       // of its filling tasks, percent
 	pacedAt       time.Time
 	trust         trust
 	fullUntil     time.Time
