--- a/internal/bench/state/state.go
+++ b/internal/bench/state/state.go
@@ -1,7 +1,7 @@
 // Package state measures what the folded state, planning and the platform's list
 // cost as the fleet grows: processor time, memory and bytes at a quarter of, at
 // and at four times the size to design for. Figures are in docs/MEASUREMENTS.md,
-// section "Capacity slopes"; docs/CAPACITY.md works with them.
+// section "Capacity slopes".
 package state
 
 import (
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -74,6 +74,7 @@
 	add("run_lapsed", now.Lapsed, before.Lapsed)
 	add("start_refused", now.Refused, before.Refused)
 	add("start_uncertain", now.Uncertain, before.Uncertain)
+	add("looked_again", now.LookedAgain, before.LookedAgain)
 	add("job_completed", now.Completed, before.Completed)
 	add("job_failed", now.Failed, before.Failed)
 	add("job_cancelled", now.Cancelled, before.Cancelled)
--- /dev/null
+++ b/internal/ownership/cluster_test.go
@@ -0,0 +1,207 @@
+package ownership
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// link is a node's way to the store. Nothing arrives from a node that was killed.
+type link struct {
+	*stickyGroup
+	cut *bool
+}
+
+func (l link) Join(ctx context.Context, m platform.Member) (platform.Assignment, platform.StoreStatus, error) {
+	if *l.cut {
+		return platform.Assignment{}, platform.StoreUnknown, nil
+	}
+	return l.stickyGroup.Join(ctx, m)
+}
+
+func (l link) Leave(ctx context.Context, group, member string) (platform.StoreStatus, error) {
+	if *l.cut {
+		return platform.StoreUnknown, nil
+	}
+	return l.stickyGroup.Leave(ctx, group, member)
+}
+
+func (l link) Owners(ctx context.Context, group string) ([]platform.Owner, platform.StoreStatus, error) {
+	if *l.cut {
+		return nil, platform.StoreUnknown, nil
+	}
+	return l.stickyGroup.Owners(ctx, group)
+}
+
+// Sizes of the fleets that are played. Fifteen of a hundred VMs are strong, as where an
+// operator adds small VMs to carry callers.
+const (
+	strongCores  = 800
+	weakCores    = 192
+	strongShare  = 0.15
+	partsOfTopic = 24
+	usedParts    = 6 // partitions in which work lies
+	startSpread  = 300 * time.Millisecond
+	powerGone    = 1600 * time.Millisecond
+)
+
+// cluster is a fleet of nodes on one store.
+type cluster struct {
+	t     *testing.T
+	group *stickyGroup
+	nodes []*clusterNode
+
+	mu     sync.Mutex
+	owner  map[platform.Partition]*clusterNode
+	starts map[platform.Partition]int // owners that began
+	weak   int                        // how often a weak VM began to own what is in use
+}
+
+type clusterNode struct {
+	name       string
+	milliCores int
+	lives      int
+	cancel     context.CancelFunc
+	cut        *bool
+	ended      chan struct{}
+}
+
+func used(p platform.Partition) bool { return p.Topic == "jobs" && p.Part < usedParts }
+
+// playCluster plays a fleet with so many strong and weak VMs in a bubble.
+func playCluster(t *testing.T, strong, weak int, play func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{t: t, group: newStickyGroup(partsOfTopic), owner: map[platform.Partition]*clusterNode{}, starts: map[platform.Partition]int{}}
+		for i := range strong + weak {
+			n := &clusterNode{name: fmt.Sprintf("node-%04d", i), milliCores: weakCores}
+			if i < strong {
+				n.milliCores = strongCores
+			}
+			c.nodes = append(c.nodes, n)
+		}
+		play(c)
+		c.stop(func(*clusterNode) bool { return true })
+	})
+}
+
+func (c *cluster) strong(n *clusterNode) bool { return n.milliCores == strongCores }
+
+// start starts nodes over startSpread, in an order that mixes the strong and the weak.
+func (c *cluster) start(which func(*clusterNode) bool) {
+	var list []*clusterNode
+	for i := range c.nodes {
+		if n := c.nodes[i*7919%len(c.nodes)]; which(n) {
+			list = append(list, n)
+		}
+	}
+	for _, n := range list {
+		c.run(n)
+		time.Sleep(startSpread / time.Duration(len(list)))
+	}
+}
+
+func (c *cluster) run(n *clusterNode) {
+	n.cut = new(bool)
+	n.ended = make(chan struct{})
+	ctx, cancel := context.WithCancel(c.t.Context())
+	n.cancel = cancel
+	own := func(ctx context.Context, p platform.Partition, _ int64) error {
+		c.mu.Lock()
+		c.owner[p] = n
+		if used(p) {
+			c.starts[p]++
+			if !c.strong(n) {
+				c.weak++
+			}
+		}
+		c.mu.Unlock()
+		<-ctx.Done()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.owner[p] == n {
+			delete(c.owner, p)
+		}
+		return ctx.Err()
+	}
+	m := New(link{c.group, n.cut}, Config{
+		Node: n.name, Address: n.name + ":1", MilliCores: n.milliCores,
+		Topics: []string{"jobs", "fleet"}, Partitions: partsOfTopic, InUse: used,
+		Logger: hclog.NewNullLogger(),
+		Unique: func() string {
+			n.lives++
+			return strconv.Itoa(n.lives)
+		},
+	}, own)
+	go func() {
+		defer close(n.ended)
+		_ = m.Run(ctx)
+	}()
+}
+
+// kill ends nodes without a word to the store.
+func (c *cluster) kill(which func(*clusterNode) bool) {
+	for _, n := range c.nodes {
+		if which(n) {
+			*n.cut = true
+		}
+	}
+	c.stop(which)
+}
+
+// stop ends nodes in good order and waits for them.
+func (c *cluster) stop(which func(*clusterNode) bool) {
+	for _, n := range c.nodes {
+		if which(n) {
+			n.cancel()
+		}
+	}
+	for _, n := range c.nodes {
+		if which(n) {
+			<-n.ended
+		}
+	}
+}
+
+// owned tells whether each partition in use is run, by a strong VM if that is asked for.
+func (c *cluster) owned(byStrong bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for part := range usedParts {
+		n := c.owner[platform.Partition{Topic: "jobs", Part: part}]
+		if n == nil || byStrong && !c.strong(n) {
+			return false
+		}
+	}
+	return true
+}
+
+// until waits until all in use is owned, for some seconds at most.
+func (c *cluster) until(byStrong bool) time.Duration {
+	began := time.Now()
+	for !c.owned(byStrong) && time.Since(began) < 20*time.Second {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// changes counts owners that began since the last call: the most of any partition in use,
+// and the weak ones.
+func (c *cluster) changes() (most, weak int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, n := range c.starts {
+		most = max(most, n)
+	}
+	weak = c.weak
+	clear(c.starts)
+	c.weak = 0
+	return most, weak
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -113,6 +113,8 @@
 type Counts struct {
 	Started, Done, FailedRuns, Lapsed, Refused, Uncertain int
 	Completed, Failed, Cancelled                          int
+	// LookedAgain is how many looks at workers were sent beside one whose answer was late.
+	LookedAgain int
 	// Ranked is how many jobs were ranked, and Looks how many workers and runs were
 	// looked at, to decide on starts: what planning costs.
 	Ranked, Looks int
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -296,6 +296,7 @@
 	}
 	w.extraLooks++
 	c.extraLooks++
+	c.Counts.LookedAgain++
 	w.overdueAt = now.Add(2 * lookSlack)
 	hold := workload.Hold{Token: w.token, Acked: w.acked, Brief: true}
 	c.out.Holds = append(c.out.Holds, HoldOrder{Worker: w.info, Hold: hold, Extra: true})
