--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -87,9 +87,12 @@
 	return due
 }
 
-// Leaving lists, by pool, the workers whose VMs are yet to begin their maintenance.
-func (c *Core) Leaving() map[string][]string {
-	leaving := map[string][]string{}
+// Leaving are, by pool, the workers whose VMs are yet to begin their maintenance.
+type Leaving map[string][]string
+
+// Leaving lists the workers that are to leave in a wave.
+func (c *Core) Leaving() Leaving {
+	leaving := Leaving{}
 	for _, s := range c.waves {
 		for _, vm := range c.due(s) {
 			if vm.Worker != "" && vm.Pool != c.standby {
--- a/internal/fleet/waves_test.go
+++ b/internal/fleet/waves_test.go
@@ -148,5 +148,5 @@
 		}
 	}
 	assert.Len(t, moved, 2)
-	assert.Equal(t, map[string][]string{"booking": {"w-vm-0", "w-vm-1"}}, c.Leaving())
+	assert.Equal(t, fleet.Leaving{"booking": {"w-vm-0", "w-vm-1"}}, c.Leaving())
 }
--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -274,8 +274,8 @@
 }
 
 // loads asks the owners of the services for their loads, and tells them which workers
-// are about to leave, by pool.
-func (o *Owner) loads(ctx context.Context, config *workload.Config, leaving map[string][]string) {
+// are about to leave.
+func (o *Owner) loads(ctx context.Context, config *workload.Config, leaving fleet.Leaving) {
 	var all []workload.ServiceLoad
 	for _, s := range config.Services {
 		if s.Standby {
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -90,9 +90,8 @@
 	return list
 }
 
-// view is what is known of the owners, for the decision to stand back. The lock is
-// held.
-func (m *Manager) view() view {
+// lastLook is what the latest look at the owners shows. The lock is held.
+func (m *Manager) lastLook() view {
 	var v view
 	for _, o := range m.members() {
 		if m.outranks(o) {
--- a/internal/ownership/reserve.go
+++ b/internal/ownership/reserve.go
@@ -84,7 +84,7 @@
 		if enough {
 			r.joinAt = now // should they be lost, it joins at the next look
 		}
-		// Ahead of that, owners may be listed that were lost just now.
+		// Soon after a start members may be listed that were lost with all nodes.
 		full := v.full && now.Sub(r.started) > longestWait
 		r.back = enough || full || now.Before(r.joinAt)
 		r.strongSince, r.idleSince = time.Time{}, time.Time{}
--- a/internal/ownership/watch.go
+++ b/internal/ownership/watch.go
@@ -65,7 +65,7 @@
 // decide takes what is known of the owners.
 func (m *Manager) decide(now time.Time) {
 	m.mu.Lock()
-	v := m.view()
+	v := m.lastLook()
 	before := m.reserve.back
 	m.reserve.update(v, now)
 	after := m.reserve.back
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -47,7 +47,7 @@
 	case overtaken:
 	case r.Answer.Status == workload.WorkerOK:
 		w.toldAt = r.SentAt
-		w.holding = w.holding && !r.Extra // its answer will be overtaken
+		w.holding = false // the answer of a look that was sent earlier will be overtaken
 		c.heldOK(w, r, now)
 	default:
 		if !w.silent {
