Do not send a lost stop of a lasting task again while another one is away

A task was told to end as its VM was to be emptied (5.35 s), and the stop was lost; another task of its step had to end as its worker left (6.11 s); the first stop was sent again after its time-out (6.73 s), without counting what was away by then. Ruled out: a change of the owner (none), the looks beside late ones (the stop had no answer for a second, as before).

Change: a stop for an emptied VM is sent again only while the step bears it. The test fails without it.

--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -63,6 +63,7 @@
 				reason := drainReason
 				if evacuating {
 					reason = evacuationReason
+					r.evacuated = true
 				}
 				c.stop(r, reason)
 			}
@@ -98,6 +99,16 @@
 	return rest > shortRest
 }
 
+// mayStopAgain tells whether a stop without an answer may be sent again to a worker that
+// still lists the run. Where a lasting task was to move with its VM, another one of its
+// step may be away by now, as its worker has failed or left: the budget counts anew.
+func (r *run) mayStopAgain() bool {
+	if !r.evacuated || !r.step.spec.Lasting || r.worker.info.Draining || r.step.job.final.Ended() {
+		return true
+	}
+	return r.step.mayMiss(r.index)
+}
+
 // mayMiss tells whether the step bears the loss of one more task: all others
 // must be fully at work but for fewer than the number that it may miss.
 func (s *step) mayMiss(index int) bool {
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -128,7 +128,7 @@
 		r.task().checkpoint = row.Checkpoint
 		r.step.checkpoint = row.Checkpoint
 	}
-	if r.state == runStopping {
+	if r.state == runStopping && r.mayStopAgain() {
 		c.sendStop(r, now)
 	}
 }
--- a/internal/scheduler/lasting_test.go
+++ b/internal/scheduler/lasting_test.go
@@ -198,3 +198,60 @@
 	r.core.SetLeaving("service", []string{other}, r.now)
 	assert.Equal(t, home, place("0000000000000004"))
 }
+
+// A caller's step misses two of its lasting tasks at once, though it may miss one.
+//
+// A VM is to be emptied, and the stop of its task is lost on the way. Meanwhile the worker
+// of another task of the step leaves, which nothing can put off. The stop is sent again
+// once its time-out is over: the worker lists the task as running. It must wait until the
+// other task is back at work elsewhere.
+func TestStopThatWasLostIsNotSentAgainWhileAnotherTaskIsAway(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1", "w-2", "w-3")
+	r.submit("0000000000000001", workload.Step{Count: 2, Need: workload.Resources{CPU: 1000, MemoryMB: 100}, Lasting: true, MayMiss: 1, MaxPerWorker: 1})
+	starts := r.step(20 * time.Millisecond).Starts
+	require.Len(t, starts, 2)
+	first, second := starts[0], starts[1]
+	works := func(s scheduler.StartOrder) workload.Held {
+		return workload.Held{Running: []workload.RunState{{Task: s.Start.Task, Run: s.Start.Run, Percent: 100}}}
+	}
+	for _, s := range starts {
+		r.started(s, workload.WorkerOK)
+		r.held(s.Worker.ID, r.now.Add(time.Millisecond), works(s))
+	}
+	r.core.Evacuate(first.Worker.ID, r.now)
+	stops := r.step(20 * time.Millisecond).Stops
+	require.Len(t, stops, 1)
+
+	list := []workload.Worker{first.Worker, second.Worker}
+	list[1].Draining = true
+	for _, id := range []string{"w-1", "w-2", "w-3"} {
+		if id != first.Worker.ID && id != second.Worker.ID {
+			list = append(list, workload.Worker{ID: id, Service: "service", Address: id, Labels: first.Worker.Labels, Capacity: first.Worker.Capacity})
+		}
+	}
+	r.core.SetWorkers(list, r.now)
+	require.Len(t, r.step(20*time.Millisecond).Stops, 1, "the other worker leaves")
+	r.core.Stopped(scheduler.OrderResult{Worker: first.Worker.ID, Task: stops[0].Task, Run: stops[0].Run, Token: stops[0].Token, Answer: workload.WorkerAnswer{Status: workload.WorkerUnknown}}, r.now)
+	r.now = r.now.Add(time.Second)
+	again := func() int {
+		r.core.Evacuate(first.Worker.ID, r.now)
+		r.held(first.Worker.ID, r.now, works(first))
+		n := 0
+		for _, s := range r.step(20 * time.Millisecond).Stops {
+			if s.Task == first.Start.Task {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Zero(t, again(), "the other one is away")
+
+	r.held(second.Worker.ID, r.now.Add(time.Millisecond), end(1, second, workload.EndStopped))
+	moved := r.step(20 * time.Millisecond).Starts
+	require.Len(t, moved, 1)
+	r.started(moved[0], workload.WorkerOK)
+	assert.Zero(t, again(), "the other one is not at work yet")
+	r.held(moved[0].Worker.ID, r.now.Add(time.Millisecond), works(moved[0]))
+	assert.Equal(t, 1, again())
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -81,6 +81,7 @@
 	stopSentAt time.Time
 	stopping   bool // a stop is in flight
 	stopped    bool // a stop was answered: the run can't begin any more
+	evacuated  bool // it was to end because its VM is to be emptied
 	// doubtUntil is until when a run of an earlier owner may be one that it has
 	// told to stop: the worker lists it as running until it has ended. sure is set
 	// once it was listed in answer to a look that was sent later.
