--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -45,8 +45,8 @@
 
 // beginLasting takes VMs with lasting tasks into maintenance from the wave's beginning
 // on. Emptying one takes about a second, in which others of its pool must wait. Taken
-// last, as the most costly ones, they would end long after all others: with 25 of them
-// in a pool the wave comes late by the half of its time.
+// last, as the most costly ones, they would end long after all others: 25 of them in a
+// pool take 25 s, whatever time the rest of the wave has left.
 func (c *Core) beginLasting(s *waveState, due []workload.VM, now time.Time) {
 	byPool := map[string][]workload.VM{}
 	emptying := map[string]int{}
