Read when a worker started, and log that it has restarted

A worker may restart under the ID that it had; the platform tells its start in its entry and in each of its lists.

The owner logs worker-restarted. No decision rests on it yet.

--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -88,6 +88,7 @@
 }
 
 func (c *Core) heldOK(w *worker, r HoldResult, now time.Time) {
+	c.noteBorn(w, r.Held.Born)
 	w.answered = now
 	w.silent = false
 	w.refuses = false
@@ -117,6 +118,17 @@
 	c.dirtyPlan = true
 }
 
+// noteBorn notes which incarnation gave a list.
+func (c *Core) noteBorn(w *worker, born int64) {
+	if born == 0 {
+		return
+	}
+	if w.born != 0 && w.born != born {
+		c.note(Decision{Verb: "worker-restarted", Worker: w.info.ID, Reason: "its list names another start", Critical: true})
+	}
+	w.born = born
+}
+
 // listed takes a run that a worker lists in answer to a look sent at a time.
 func (c *Core) listed(w *worker, row workload.RunState, sent, now time.Time) {
 	r := w.find(row.Task, row.Run)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -74,6 +74,7 @@
 // worker is what is known of a worker.
 type worker struct {
 	info  workload.Worker
+	born  int64 // of the incarnation that gave the latest list, 0 if it isn't known
 	token int64
 	since time.Time          // first seen
 	most  workload.Resources // that it had room for
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -88,9 +88,11 @@
 	return best
 }
 
-// Worker is one incarnation of a process that runs tasks on a VM.
+// Worker is a process that runs tasks on a VM. Its ID and Born together name the
+// incarnation: a worker that restarts may keep its ID.
 type Worker struct {
-	ID       string // of the incarnation
+	ID       string
+	Born     int64 // when the process started, Unix milliseconds; 0 if it isn't known
 	Service  string
 	Address  string
 	Zone     string
--- a/internal/workload/orders.go
+++ b/internal/workload/orders.go
@@ -95,6 +95,8 @@
 
 // Held is a worker's answer to a Hold.
 type Held struct {
+	Born     int64 // of the incarnation that answered, as in Worker
+	BornErr  error // why Born could not be read, nil if it was read or is missing
 	Running  []RunState
 	Finished []RunEnd
 }
