--- a/internal/scheduler/fakecrash_test.go
+++ b/internal/scheduler/fakecrash_test.go
@@ -32,17 +32,33 @@
 	if f.gone {
 		return
 	}
+	for _, r := range f.die() {
+		name := r.task.String()
+		f.w.jobs[r.task.Job].crashes[name]++
+		if r.task.Job != by.task.Job {
+			f.w.lostRuns++
+		}
+	}
+	if f.w.restarts {
+		f.w.after(f.w.between(300*time.Millisecond, 4*time.Second), f.rise)
+		return
+	}
+	f.w.after(entryLapse, func() { f.unregister() })
+	f.w.after(f.w.between(time.Second, 5*time.Second), func() {
+		f.succeeded = true
+		f.w.addWorker(f.info.ID+"'", f.info.Capacity)
+	})
+}
+
+// die ends the worker's process and returns what it ran. Calls are refused from then on.
+func (f *fakeWorker) die() []*fakeRun {
 	f.gone, f.crashed = true, true
 	runs := f.runs
 	f.runs = nil
 	for _, r := range runs {
+		r.ended = true
 		j := f.w.jobs[r.task.Job]
-		name := r.task.String()
-		j.crashes[name]++
-		j.lastSeen[name] = f.w.now
-		if r.task.Job != by.task.Job {
-			f.w.lostRuns++
-		}
+		j.lastSeen[r.task.String()] = f.w.now
 		if j.sub.Spec.Steps[r.task.Step].Gang {
 			f.w.breakGang(r)
 		}
@@ -52,11 +68,39 @@
 	for _, tell := range waiting {
 		tell()
 	}
-	f.w.after(4500*time.Millisecond, func() { f.unregister() })
-	f.w.after(f.w.between(time.Second, 5*time.Second), func() {
-		f.succeeded = true
-		f.w.addWorker(f.info.ID+"'", f.info.Capacity)
-	})
+	return runs
+}
+
+// restart ends the worker's process and brings it back under its ID after a while.
+func (f *fakeWorker) restart(away time.Duration) {
+	if f.gone {
+		return
+	}
+	f.die()
+	f.w.after(away, f.rise)
+}
+
+// rise starts the worker's process again under its ID: it knows nothing of before, and
+// its clock and its numbers begin anew. Calls that were on their way reach it. Its entry
+// follows within a heartbeat.
+func (f *fakeWorker) rise() {
+	f.gone, f.crashed = false, false
+	f.incarnations++
+	f.born = f.w.now
+	f.token, f.leaseEnd, f.number, f.acked, f.lapsed = 0, 0, 0, 0, 0
+	f.ends = nil
+	f.highest = map[string]int64{}
+	f.info.Born = f.w.now.UnixMilli()
+	f.w.after(f.w.between(0, 600*time.Millisecond), f.register)
+}
+
+// register writes the worker's entry.
+func (f *fakeWorker) register() {
+	if f.gone {
+		return
+	}
+	f.unregister()
+	f.w.listed = append(f.w.listed, f.info)
 }
 
 // refusal is how a call to a worker whose process has ended is answered.
--- a/internal/scheduler/fakeworker_test.go
+++ b/internal/scheduler/fakeworker_test.go
@@ -12,9 +12,11 @@
 type fakeWorker struct {
 	w     *world
 	info  workload.Worker
-	speed float64 // of its clock, 0.98 to 1
-	born  time.Time
-	dark  bool // cut off, runs on
+	speed float64   // of its clock, 0.98 to 1
+	born  time.Time // of its clock
+	// incarnations counts its processes: a restarted one has the same ID.
+	incarnations int
+	dark         bool // cut off, runs on
 	// refuses is set while connections to it are refused; it runs on.
 	refuses bool
 	gone    bool // has ended
@@ -28,6 +30,7 @@
 	leaseEnd int64 // on its clock, milliseconds
 	runs     []*fakeRun
 	ends     []workload.RunEnd
+	acked    int64 // ends up to this number are forgotten, also those that come later
 	number   int64
 	highest  map[string]int64 // of runs that stopped or ended, by task
 	lapsed   int64            // ends up to this number were listed when the lease lapsed
@@ -44,13 +47,16 @@
 	stopped bool
 }
 
+// maxLease is the longest lease that a worker gives, whatever it is asked for.
+const maxLease = 10 * time.Second
+
 // stopTime is what a stop takes.
 const stopTime = 400 * time.Millisecond
 
 func (w *world) addWorker(id string, capacity workload.Resources) *fakeWorker {
 	f := &fakeWorker{
 		w:       w,
-		info:    workload.Worker{ID: id, Service: "service", Address: id, Capacity: capacity, Labels: []string{"a", "rack"}},
+		info:    workload.Worker{ID: id, Born: w.now.UnixMilli(), Service: "service", Address: id, Capacity: capacity, Labels: []string{"a", "rack"}},
 		speed:   0.98 + 0.02*w.rng.Float64(),
 		born:    w.now.Add(-time.Hour),
 		highest: map[string]int64{},
@@ -85,14 +91,14 @@
 
 func (f *fakeWorker) lease(until int64) {
 	if until > f.leaseEnd {
-		f.leaseEnd = until
-		real := time.Duration(float64(until-f.clock())/f.speed) * time.Millisecond
+		f.leaseEnd = min(until, f.clock()+maxLease.Milliseconds())
+		real := time.Duration(float64(f.leaseEnd-f.clock())/f.speed) * time.Millisecond
 		f.w.after(real+2*time.Millisecond, f.lapse) // past the rounding of the clock
 	}
 }
 
 func (f *fakeWorker) lapse() {
-	if f.gone || f.clock() < f.leaseEnd {
+	if f.gone || f.leaseEnd == 0 || f.clock() < f.leaseEnd {
 		return
 	}
 	f.lapsed = f.number
@@ -174,12 +180,17 @@
 	f.number++
 	name := r.task.String()
 	f.highest[name] = max(f.highest[name], r.number)
-	f.ends = append(f.ends, workload.RunEnd{Number: f.number, Task: r.task, Run: r.number, How: how})
+	e := workload.RunEnd{Number: f.number, Task: r.task, Run: r.number, How: how}
 	if how == workload.EndDone {
 		j := f.w.jobs[r.task.Job]
 		j.done[name] = true
 		j.doneRuns[name] = append(j.doneRuns[name], r.number)
 	}
+	if f.number <= f.acked {
+		f.noted(e) // nobody will read it
+	} else {
+		f.ends = append(f.ends, e)
+	}
 	waiting := f.waiting
 	f.waiting = nil
 	for _, tell := range waiting {
@@ -227,31 +238,37 @@
 	if h.LeaseUntil > 0 {
 		f.lease(h.LeaseUntil)
 	}
+	f.acked = max(f.acked, h.Acked)
 	f.ends = slices.DeleteFunc(f.ends, func(e workload.RunEnd) bool {
-		if e.Number > h.Acked {
+		if e.Number > f.acked {
 			return false
 		}
-		j := f.w.jobs[e.Task.Job]
-		switch e.How {
-		case workload.EndDone:
-			name := e.Task.String()
-			if e.Number <= f.lapsed {
-				break // nobody could know of it in time
-			}
-			j.noted[name] = true
-			if j.again[runName(name, e.Run)] {
-				f.w.breaks("TWICE", name+" was started again before its end was acknowledged")
-			}
-		case workload.EndFailed:
-			j.failed[e.Task.String()]++
-		}
+		f.noted(e)
 		return true
 	})
 	return workload.WorkerAnswer{}
 }
 
+// noted takes that an end was acknowledged.
+func (f *fakeWorker) noted(e workload.RunEnd) {
+	j := f.w.jobs[e.Task.Job]
+	switch e.How {
+	case workload.EndDone:
+		name := e.Task.String()
+		if e.Number <= f.lapsed {
+			return // nobody could know of it in time
+		}
+		j.noted[name] = true
+		if j.again[runName(name, e.Run)] {
+			f.w.breaks("TWICE", name+" was started again before its end was acknowledged")
+		}
+	case workload.EndFailed:
+		j.failed[e.Task.String()]++
+	}
+}
+
 func (f *fakeWorker) list() workload.Held {
-	var held workload.Held
+	held := workload.Held{Born: f.info.Born}
 	for _, r := range f.runs {
 		held.Running = append(held.Running, workload.RunState{Task: r.task, Run: r.number, Percent: 100})
 	}
@@ -259,6 +276,9 @@
 	return held
 }
 
+// entryLapse is how long after a worker's last heartbeat its entry goes.
+const entryLapse = 4500 * time.Millisecond
+
 // crash ends the worker; its entry goes after three heartbeats, and another
 // incarnation comes.
 func (f *fakeWorker) crash() {
@@ -267,7 +287,7 @@
 		f.w.jobs[r.task.Job].lastSeen[r.task.String()] = f.w.now
 	}
 	f.runs = nil
-	f.w.after(4500*time.Millisecond, func() { f.unregister() })
+	f.w.after(entryLapse, func() { f.unregister() })
 	f.w.after(5*time.Second, func() { f.w.addWorker(f.info.ID+"'", f.info.Capacity) })
 }
 
