--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -252,6 +252,7 @@
 	cfg := scheduler.Settings{
 		Epoch:        o.epoch,
 		Lease:        o.deps.Lease,
+		MaxLease:     o.deps.Bounds.MaxLease,
 		StateKept:    o.deps.Bounds.StateKept,
 		RemoteFactor: o.deps.Bounds.RemoteFactor,
 		Stop:         o.deps.Bounds.Stop,
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -90,6 +90,9 @@
 		return
 	}
 	for _, id := range r.Order.Workers {
+		if w := c.workers[id]; w != nil && w.restartedAt.After(r.SentAt) {
+			continue // the answer was for the incarnation before
+		}
 		text, good := r.Tickets[id]
 		if !good {
 			s.tickets.refused[id] = true
@@ -112,6 +115,19 @@
 	return &t
 }
 
+// forgetAdvice drops what is known of a worker that has restarted: tickets are valid for
+// one incarnation, and the next one may be of another kind.
+func (c *Core) forgetAdvice(worker string) {
+	for _, j := range c.active {
+		for _, s := range j.steps {
+			if s.tickets != nil {
+				delete(s.tickets.good, worker)
+				delete(s.tickets.refused, worker)
+			}
+		}
+	}
+}
+
 func (s *step) dropTicket(worker string) {
 	if s.tickets != nil {
 		delete(s.tickets.good, worker)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -31,6 +31,8 @@
 	Epoch int64
 	// Lease is how long a run lives without renewal.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker gives, whatever it is asked for.
+	MaxLease time.Duration
 	// StateKept is for how long an ended job is known.
 	StateKept time.Duration
 	// Stop is what a stop takes at most.
@@ -71,6 +73,9 @@
 	shares  map[string]*queueShares // by queue
 	workers map[string]*worker
 	order   []*worker // sorted by ID
+	// lastTokens are the tokens that were in use at workers that are forgotten, by ID: one
+	// of that ID may come back.
+	lastTokens map[string]int64
 
 	// blockedUntil is when the last lease of an earlier owner has lapsed. Until
 	// then a worker that has not answered may run any task.
@@ -122,6 +127,9 @@
 	Completed, Failed, Cancelled                          int
 	// Crashes is how many workers crashed, and RunsLost how many runs with them.
 	Crashes, RunsLost int
+	// Restarts is how many workers came back under their ID, and EndsUnread how many runs
+	// vanished from a worker that listed no end of them.
+	Restarts, EndsUnread int
 	// Trials is how many starts were of suspects, Cleared how many of these got on, and
 	// GivenUp how many jobs failed as one of their tasks crashes workers.
 	Trials, Cleared, GivenUp int
@@ -141,11 +149,13 @@
 	if cfg.GangTimeout == 0 {
 		cfg.GangTimeout = defaultGangTimeout
 	}
+	cfg.MaxLease = max(cfg.MaxLease, cfg.Lease)
 	c := &Core{
 		cfg:          cfg,
 		config:       &workload.Config{},
 		jobs:         map[workload.JobID]*job{},
 		workers:      map[string]*worker{},
+		lastTokens:   map[string]int64{},
 		dirty:        map[workload.JobID]*job{},
 		unheld:       map[string]bool{},
 		elsewhere:    map[string]bool{},
@@ -281,8 +291,7 @@
 	for _, info := range list {
 		present[info.ID] = true
 		w := c.worker(info.ID, now)
-		w.info = info
-		w.most = w.most.Max(info.Capacity)
+		c.takeEntry(w, info, now)
 		w.missing = false
 	}
 	for _, w := range c.order {
@@ -308,7 +317,11 @@
 	if w, ok := c.workers[id]; ok {
 		return w
 	}
-	w := &worker{info: workload.Worker{ID: id}, token: c.cfg.Epoch * tokenStep, pace: fullPace, since: now, silent: true, missing: true}
+	w := &worker{info: workload.Worker{ID: id}, token: c.cfg.Epoch * tokenStep, pace: fullPace, since: now, silent: true, missing: true, unsettled: true}
+	if last, ok := c.lastTokens[id]; ok {
+		w.token = last
+		c.raiseToken(w)
+	}
 	c.workers[id] = w
 	c.order = append(c.order, w)
 	slices.SortFunc(c.order, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
@@ -342,6 +355,7 @@
 		}
 		delete(c.workers, w.info.ID)
 		delete(c.unheld, w.info.ID)
+		c.lastTokens[w.info.ID] = w.token
 		return true
 	})
 }
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -200,7 +200,7 @@
 	require.NotNil(t, left)
 	require.Len(t, left.Runs, 1)
 
-	next := &rig{t: t, now: r.now}
+	next := &rig{t: t, now: r.now, epoch: 4}
 	next.core = scheduler.New(testSettings(4), next.now, nil, false)
 	next.core.SetConfig(testConfig)
 	next.submit(string(first), batch(1, 1000))
@@ -324,7 +324,7 @@
 	}
 	require.Len(t, left.Runs, 1)
 
-	next := &rig{t: t, now: r.now}
+	next := &rig{t: t, now: r.now, epoch: 4}
 	next.core = scheduler.New(testSettings(4), next.now, nil, false)
 	next.core.SetConfig(testConfig)
 	next.core.CancelRequested(job, next.now)
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -12,12 +12,11 @@
 // is there after some seconds.
 const successorWait = 30 * time.Second
 
-// processEnded takes that another process is at a worker's address: all that it ran is
-// lost.
-func (c *Core) processEnded(w *worker, now time.Time) {
+// processEnded takes that a worker's process has ended, and with it the runs that it had.
+func (c *Core) processEnded(w *worker, runs []*run, now time.Time) {
 	delete(c.unheld, w.info.ID)
 	how := "another incarnation answers"
-	cause := c.ordinaryEnd(w, now)
+	cause := c.ordinaryEnd(w, runs, now)
 	switch {
 	case cause != "":
 		how += ", " + cause
@@ -25,14 +24,14 @@
 	case now.Before(w.unclearUntil):
 		c.clarified(w)
 	default:
-		c.crashed(w, false, now)
+		c.crashed(w, runs, false, now)
 	}
 	w.unclearUntil = time.Time{}
-	if w.synced || len(w.runs) > 0 {
+	if w.synced || len(runs) > 0 {
 		c.note(Decision{Verb: "worker-lost", Worker: w.info.ID, Reason: how, Age: now.Sub(w.answered), Critical: true})
 	}
 	w.synced = false
-	for _, r := range slices.Clone(w.runs) {
+	for _, r := range slices.Clone(runs) {
 		c.Counts.RunsLost++
 		c.note(Decision{Verb: "run-lost", Job: r.step.job.id, Task: r.key().String(), Worker: w.info.ID, Run: r.number, Reason: how, Age: now.Sub(r.orderedAt)})
 		if cause == "" {
@@ -50,16 +49,16 @@
 // over, and nothing is proved until its successor shows. But it is stored at once: that
 // may take as long as owners live.
 func (c *Core) mayHaveCrashed(w *worker, now time.Time) {
-	if len(w.runs) == 0 || !w.unclearUntil.IsZero() || c.ordinaryEnd(w, now) != "" {
+	if len(w.runs) == 0 || !w.unclearUntil.IsZero() || c.ordinaryEnd(w, w.runs, now) != "" {
 		return
 	}
-	c.crashed(w, true, now)
+	c.crashed(w, w.runs, true, now)
 	w.unclearUntil = now.Add(successorWait)
 }
 
 // clarify looks whether the list of workers tells what has become of a worker: it lags.
 func (c *Core) clarify(w *worker, now time.Time) {
-	if len(w.victims) > 0 && c.listedEnd(w) != "" {
+	if len(w.victims) > 0 && c.listedEnd(w, w.victims) != "" {
 		c.exonerate(w)
 		return
 	}
@@ -81,7 +80,7 @@
 	for _, r := range w.victims {
 		t := r.task()
 		for i := range t.crashes {
-			if t.crashes[i].Worker == w.info.ID && t.crashes[i].Unclear {
+			if t.crashes[i].Worker == w.info.ID && t.crashes[i].Born == r.born && t.crashes[i].Unclear {
 				t.crashes[i].Unclear = false
 				c.storeCrashes(r.step, t)
 			}
@@ -99,21 +98,25 @@
 
 // ordinaryEnd is why the end of a worker's process is no crash, "" if none is known.
 // Tasks are not to be blamed for workers that leave, are taken away or were cut off.
-func (c *Core) ordinaryEnd(w *worker, now time.Time) string {
+func (c *Core) ordinaryEnd(w *worker, runs []*run, now time.Time) string {
 	switch {
 	case now.Before(w.evacuateUntil):
 		return "its VM was to be emptied"
 	case w.silent && !w.refuses && w.unclearUntil.IsZero() && !now.Before(w.leaseOver):
 		return "its leases were over"
 	}
-	return c.listedEnd(w)
+	return c.listedEnd(w, runs)
 }
 
 // listedEnd is the same as far as the list of workers tells it, which lags by some
-// hundred milliseconds.
-func (c *Core) listedEnd(w *worker) string {
+// hundred milliseconds, of the incarnation that had the runs.
+func (c *Core) listedEnd(w *worker, runs []*run) string {
+	born := w.born
+	if len(runs) > 0 {
+		born = runs[0].born
+	}
 	switch {
-	case w.info.Draining:
+	case w.saidToLeave(born):
 		return "it was leaving"
 	case c.elsewhere[w.info.Address] || c.passedOn(w):
 		return "its address was given to another service"
@@ -121,6 +124,15 @@
 	return ""
 }
 
+// saidToLeave tells whether an incarnation's entry has said that it leaves. The entry may
+// be that of the next one by now.
+func (w *worker) saidToLeave(born int64) bool {
+	if born != 0 && w.drained == born {
+		return true
+	}
+	return w.info.Draining && (born == 0 || w.info.Born == 0 || w.info.Born == born)
+}
+
 // passedOn tells whether a worker of another service of the partition is at its address.
 func (c *Core) passedOn(w *worker) bool {
 	return slices.ContainsFunc(c.order, func(other *worker) bool {
@@ -131,7 +143,8 @@
 // crashed notes against the tasks of a worker that it crashed: the one that was on
 // trial there if there was one, else all. It is unclear where the worker may have been
 // cut off.
-func (c *Core) crashed(w *worker, unclear bool, now time.Time) {
+func (c *Core) crashed(w *worker, runs []*run, unclear bool, now time.Time) {
+	w.victims = nil // of an incarnation before
 	if !unclear {
 		c.Counts.Crashes++
 	}
@@ -139,19 +152,19 @@
 	if w.silent && !w.silentSince.IsZero() {
 		at = w.silentSince
 	}
-	likely := w.likelyCauses(at)
-	crashes := make([]workload.Crash, len(w.runs))
-	for i, r := range w.runs {
+	likely := likelyCauses(runs, at)
+	crashes := make([]workload.Crash, len(runs))
+	for i, r := range runs {
 		age := max(0, at.Sub(r.orderedAt))
 		crashes[i] = workload.Crash{
-			Worker: w.info.ID, Address: w.info.Address, Run: r.number, AtMS: now.UnixMilli(), AgeMS: age.Milliseconds(),
+			Worker: w.info.ID, Born: r.born, Address: w.info.Address, Run: r.number, AtMS: now.UnixMilli(), AgeMS: age.Milliseconds(),
 			Likely:  slices.Contains(likely, r),
-			Sole:    w.soleCause(r, at),
+			Sole:    r.soleCause(runs, at),
 			Unclear: unclear,
 		}
 	}
-	trial := slices.ContainsFunc(w.runs, func(r *run) bool { return r.trial })
-	for i, r := range w.runs {
+	trial := slices.ContainsFunc(runs, func(r *run) bool { return r.trial })
+	for i, r := range runs {
 		t := r.task()
 		if t.done || r.step.job.final.Ended() || trial && !r.trial {
 			continue
@@ -174,20 +187,21 @@
 	c.dirty[s.job.id] = s.job
 }
 
-// likelyCauses are the runs that are most likely to blame for a crash at a time: of those
-// that could be, or of all where none could, those that had just begun, and the last.
-func (w *worker) likelyCauses(at time.Time) []*run {
-	runs := slices.DeleteFunc(slices.Clone(w.runs), func(r *run) bool { return !r.unproven(at) })
-	if len(runs) == 0 {
-		runs = slices.Clone(w.runs)
+// likelyCauses are those of a worker's runs that are most likely to blame for its crash at
+// a time: of those that could be, or of all where none could, those that had just begun,
+// and the last.
+func likelyCauses(runs []*run, at time.Time) []*run {
+	likely := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return !r.unproven(at) })
+	if len(likely) == 0 {
+		likely = slices.Clone(runs)
 	}
 	var last time.Time
-	for _, r := range runs {
+	for _, r := range likely {
 		if r.orderedAt.After(last) {
 			last = r.orderedAt
 		}
 	}
-	return slices.DeleteFunc(runs, func(r *run) bool {
+	return slices.DeleteFunc(likely, func(r *run) bool {
 		return at.Sub(r.orderedAt) >= earlyCrash && r.orderedAt.Before(last)
 	})
 }
@@ -195,8 +209,8 @@
 // soleCause tells whether none of the other runs there can have caused a crash at a
 // time. Others that had got on for long are beyond doubt only beside a trial, which
 // crashes its worker at once or not at all.
-func (w *worker) soleCause(r *run, at time.Time) bool {
-	for _, other := range w.runs {
+func (r *run) soleCause(runs []*run, at time.Time) bool {
+	for _, other := range runs {
 		if !other.isOneWith(r) && (!r.trial || other.unproven(at)) {
 			return false
 		}
@@ -243,7 +257,7 @@
 			}
 			for i := range s.tasks {
 				c.takeBack(s, &s.tasks[i], func(own workload.Crash) bool {
-					return !own.Likely && slices.ContainsFunc(crashes, func(crash workload.Crash) bool { return crash.Worker == own.Worker })
+					return !own.Likely && slices.ContainsFunc(crashes, own.IsOf)
 				})
 			}
 		}
@@ -263,7 +277,7 @@
 // exonerate takes back what a worker's end said about its tasks: it was no crash.
 func (c *Core) exonerate(w *worker) {
 	for _, r := range w.victims {
-		c.takeBack(r.step, r.task(), func(own workload.Crash) bool { return own.Worker == w.info.ID })
+		c.takeBack(r.step, r.task(), func(own workload.Crash) bool { return own.Worker == w.info.ID && own.Born == r.born })
 	}
 	w.victims = nil
 	c.dirtyPlan = true
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -237,7 +237,8 @@
 	unknown := workload.WorkerAnswer{Status: workload.WorkerUnknown}
 	switch {
 	case w.chance(w.faults.lateOrder):
-		w.after(w.between(2*time.Second, 12*time.Second), func() { f.receive(carryOut) })
+		sentTo := f.incarnations
+		w.after(w.between(2*time.Second, 12*time.Second), func() { f.receiveLate(sentTo, carryOut) })
 		answer(unknown, time.Second)
 	case w.chance(w.faults.lostAnswer):
 		w.after(way, func() { f.receive(carryOut) })
--- a/internal/scheduler/fakeworker_test.go
+++ b/internal/scheduler/fakeworker_test.go
@@ -81,6 +81,14 @@
 	return a, !f.dark
 }
 
+// receiveLate carries an order out seconds after it was sent. One that had reached a
+// process which has ended since is lost with it.
+func (f *fakeWorker) receiveLate(sentTo int, order func(f *fakeWorker) workload.WorkerAnswer) {
+	if f.incarnations == sentTo {
+		f.receive(order)
+	}
+}
+
 func (f *fakeWorker) fenced(token int64) bool {
 	if token < f.token {
 		return true
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -31,6 +31,7 @@
 				Worker:    w.info.ID,
 				Task:      r.key().String(),
 				Run:       r.number,
+				Born:      r.born,
 				Confirmed: r.confirmed,
 			})
 		}
@@ -73,7 +74,10 @@
 			r.confirmed = left.Confirmed // a trial, which is stored by itself
 			continue
 		}
-		w.leaseOver = now.Add(lapse(c.cfg.Lease))
+		w.extendLease(now.Add(lapse(c.cfg.Lease)))
+		if !left.Confirmed {
+			w.lateUntil = now.Add(lateOrder)
+		}
 		state := runUncertain
 		if s.job.final.Ended() || s.tasks[key.Index].done {
 			state = runStopping // the earlier owner's stop may not have arrived
@@ -83,6 +87,7 @@
 			index:     key.Index,
 			number:    left.Run,
 			worker:    w,
+			born:      left.Born,
 			state:     state,
 			since:     now,
 			orderedAt: now,
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -31,18 +31,26 @@
 		return
 	}
 	// An answer that a later look has overtaken says nothing any more: what it lists as
-	// running may have ended. Its end, if it lists one, is listed again.
-	overtaken := r.SentAt.Before(w.toldAt)
+	// running may have ended. Its end, if it lists one, is listed again. Nor does one that
+	// was asked for before a restart of the worker was known.
+	overtaken := r.SentAt.Before(w.toldAt) || r.Token < w.token
 	if r.Extra {
 		w.extraLooks--
 	} else if !overtaken {
 		w.holding = false
 	}
-	w.heard(r.Answer.Clock, now)
+	if !overtaken && r.Answer.Status == workload.WorkerOK && w.isOther(r) {
+		w.toldAt = r.SentAt
+		c.restarted(w, r.Held.Born, restartReason(w.born, r.Held.Born), now)
+		return
+	}
+	if r.Token >= w.token {
+		w.heard(r.Answer.Clock, now)
+	}
 	switch {
 	case r.Answer.Status == workload.WorkerFenced:
 		c.fenced(w, r.Token)
-	case r.Answer.Status == workload.WorkerReplaced:
+	case r.Answer.Status == workload.WorkerReplaced && r.Token >= w.token:
 		c.replaced(w, now)
 	case overtaken:
 	case r.Answer.Status == workload.WorkerOK:
@@ -84,14 +92,21 @@
 		return
 	}
 	w.ended = true
-	c.processEnded(w, now)
+	c.processEnded(w, w.runs, now)
 }
 
 func (c *Core) heldOK(w *worker, r HoldResult, now time.Time) {
-	c.noteBorn(w, r.Held.Born)
+	c.takeBorn(w, r.Held)
+	if w.unsettled {
+		c.settleIncarnation(w, r.Held, now)
+	}
+	if !r.Extra {
+		w.ackTaken = max(w.ackTaken, w.ackSent)
+	}
 	w.answered = now
 	w.silent = false
 	w.refuses = false
+	w.inDoubt = !w.entryAgrees()
 	c.wasCutOff(w)
 	w.holdAfter = now.Add(holdPause + time.Duration(len(c.order))*holdPauseEach)
 	for _, e := range r.Held.Finished {
@@ -100,7 +115,10 @@
 			c.ended(w, e, now)
 		}
 	}
-	if len(r.Held.Finished) > 0 {
+	switch {
+	case w.ackOwed() && w.seen == w.acked:
+		w.holdAfter = now
+	case len(r.Held.Finished) > 0:
 		w.holdAfter = now.Add(ackPause)
 	}
 	for _, row := range r.Held.Running {
@@ -118,17 +136,6 @@
 	c.dirtyPlan = true
 }
 
-// noteBorn notes which incarnation gave a list.
-func (c *Core) noteBorn(w *worker, born int64) {
-	if born == 0 {
-		return
-	}
-	if w.born != 0 && w.born != born {
-		c.note(Decision{Verb: "worker-restarted", Worker: w.info.ID, Reason: "its list names another start", Critical: true})
-	}
-	w.born = born
-}
-
 // listed takes a run that a worker lists in answer to a look sent at a time.
 func (c *Core) listed(w *worker, row workload.RunState, sent, now time.Time) {
 	r := w.find(row.Task, row.Run)
@@ -165,7 +172,7 @@
 		c.out.Stops = append(c.out.Stops, StopOrder{Worker: w.info, Task: row.Task, Run: row.Run, Token: w.token})
 		return nil
 	}
-	r := &run{step: s, index: row.Task.Index, number: row.Run, worker: w, state: runRunning, since: now, orderedAt: now, paced: fullPace, doubtUntil: now.Add(c.cfg.Stop + stopSlack)}
+	r := &run{step: s, index: row.Task.Index, number: row.Run, worker: w, born: w.born, state: runRunning, since: now, orderedAt: now, paced: fullPace, adopted: true, doubtUntil: now.Add(c.cfg.Stop + stopSlack)}
 	others := len(t.runs)
 	w.add(r)
 	switch {
@@ -191,6 +198,8 @@
 			c.sendStop(r, now)
 		case r.state == runStopping && !r.stopped:
 			c.sendStop(r, now)
+		case r.confirmed && !r.adopted:
+			c.endUnread(r, now)
 		default:
 			c.remove(r)
 		}
--- /dev/null
+++ b/internal/scheduler/incarnation_test.go
@@ -0,0 +1,568 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// answer answers a look as the incarnation does that started at born.
+func (r *rig) answer(h scheduler.HoldOrder, born int64, held workload.Held) {
+	held.Born = born
+	r.core.Held(scheduler.HoldResult{Worker: h.Worker.ID, Token: h.Hold.Token, SentAt: r.now, Extra: h.Extra, Held: held, Answer: workload.WorkerAnswer{Clock: r.now.UnixMilli() - born}}, r.now)
+}
+
+// entry registers one worker, as started at born.
+func (r *rig) entry(id string, born int64) {
+	r.core.SetWorkers([]workload.Worker{{ID: id, Born: born, Service: "service", Address: id, Labels: []string{"a", "rack"}, Capacity: workload.Resources{CPU: 8000, MemoryMB: 16000}}}, r.now)
+}
+
+// look returns the look at a worker that waits for its answer, after steps until there is
+// one, and the starts meanwhile.
+func (r *rig) look(id string) (h scheduler.HoldOrder, starts []scheduler.StartOrder) {
+	for range 100 {
+		if h, ok := r.looks[id]; ok {
+			delete(r.looks, id)
+			return h, starts
+		}
+		starts = append(starts, r.step(10*time.Millisecond).Starts...)
+	}
+	require.FailNow(r.t, "no look at "+id)
+	return h, starts
+}
+
+// Starts of the worker of these tests, in Unix milliseconds.
+var (
+	firstBorn = epochStart.Add(-time.Hour).UnixMilli()
+	nextBorn  = epochStart.Add(-time.Second).UnixMilli()
+)
+
+// newIncarnationRig returns a rig with one worker that is known to have started at
+// firstBorn.
+func newIncarnationRig(t *testing.T) *rig {
+	r := newRig(t)
+	r.entry("w-1", firstBorn)
+	h, _ := r.look("w-1")
+	r.answer(h, firstBorn, workload.Held{})
+	return r
+}
+
+// run starts the task of a job of one on the worker and has it end as done, as its end n.
+// It returns the look that carries the acknowledgement.
+func (r *rig) run(id string, n int64) scheduler.HoldOrder {
+	s := r.begin(id, batch(1, 1000))[0]
+	h, _ := r.look("w-1")
+	r.answer(h, firstBorn, end(n, s, workload.EndDone))
+	h, _ = r.look("w-1")
+	return h
+}
+
+// Guards against an acknowledgement reaching a process that has listed nothing, which
+// takes it for its own first ends: after any pause in which the worker can have restarted
+// a look goes without it first.
+func TestAcknowledgementTravelsOnlyJustAfterAList(t *testing.T) {
+	r := newIncarnationRig(t)
+	h := r.run("0000000000000001", 1)
+	require.Equal(t, int64(1), h.Hold.Acked)
+	r.unanswered("w-1")
+	h, _ = r.look("w-1")
+	assert.Zero(t, h.Hold.Acked, "the worker was silent")
+	r.answer(h, firstBorn, workload.Held{})
+	h, _ = r.look("w-1")
+	assert.Equal(t, int64(1), h.Hold.Acked)
+	r.answer(h, firstBorn, workload.Held{})
+
+	s := r.begin("0000000000000002", batch(1, 1000))[0]
+	h, _ = r.look("w-1")
+	assert.Zero(t, h.Hold.Acked, "it has been answered")
+	r.now = r.now.Add(300 * time.Millisecond)
+	r.answer(h, firstBorn, end(2, s, workload.EndDone))
+	r.now = r.now.Add(300 * time.Millisecond) // as a slow store takes
+	h, _ = r.look("w-1")
+	assert.Zero(t, h.Hold.Acked, "the list is old")
+	r.answer(h, firstBorn, end(2, s, workload.EndDone))
+	h, _ = r.look("w-1")
+	assert.Equal(t, int64(2), h.Hold.Acked)
+}
+
+// Guards against an acknowledgement that stays here for want of another task on the
+// worker: it would travel with the first look after a restart.
+func TestAcknowledgementIsDeliveredToAnIdleWorker(t *testing.T) {
+	r := newIncarnationRig(t)
+	h := r.run("0000000000000001", 1)
+	assert.Equal(t, int64(1), h.Hold.Acked)
+	assert.Zero(t, h.Hold.Wait)
+	r.answer(h, firstBorn, workload.Held{})
+	assert.Empty(t, r.step(time.Second).Holds)
+}
+
+// Guards against the ends of a new process being left out as known, and against the
+// acknowledgement of what was read of the one before, also where that is stored only now.
+func TestNumbersOfEndsBeginAnew(t *testing.T) {
+	r := newIncarnationRig(t)
+	r.answer(r.run("0000000000000001", 57), firstBorn, workload.Held{})
+	s := r.begin("0000000000000002", batch(1, 1000))[0]
+	h, _ := r.look("w-1")
+	r.answer(h, firstBorn, end(58, s, workload.EndDone))
+	r.now = r.now.Add(30 * time.Millisecond)
+	written := r.core.Step(r.now)
+	require.NotNil(t, written.Write)
+	r.note(written)
+	h, _ = r.look("w-1")
+	r.answer(h, nextBorn, workload.Held{})
+	r.core.Written()
+	r.entry("w-1", nextBorn)
+	h, _ = r.look("w-1")
+	r.answer(h, nextBorn, workload.Held{})
+	require.Empty(t, r.step(20*time.Millisecond).Holds, "nothing is to be acknowledged")
+
+	s = r.begin("0000000000000003", batch(1, 1000))[0]
+	h, _ = r.look("w-1")
+	assert.Zero(t, h.Hold.Acked)
+	r.answer(h, nextBorn, end(1, s, workload.EndDone))
+	h, _ = r.look("w-1")
+	assert.Equal(t, int64(1), h.Hold.Acked)
+	state, _ := r.core.State(s.Start.Task.Job)
+	assert.Equal(t, workload.Completed, state)
+}
+
+// Guards against orders of before a restart having effect on the new process, which has
+// seen no fencing token: its first look carries a higher one, and no task is started
+// before that look is answered.
+func TestEachIncarnationIsFenced(t *testing.T) {
+	r := newIncarnationRig(t)
+	s := r.begin("0000000000000001", batch(1, 1000))[0]
+	h, _ := r.look("w-1")
+	r.entry("w-1", nextBorn)
+	r.answer(h, nextBorn, workload.Held{})
+	r.submit("0000000000000002", batch(1, 1000))
+	fence, starts := r.look("w-1")
+	assert.Empty(t, starts)
+	assert.Greater(t, fence.Hold.Token, s.Start.Token)
+	assert.Zero(t, fence.Hold.LeaseUntil)
+	assert.Zero(t, fence.Hold.Acked)
+	r.answer(fence, nextBorn, workload.Held{})
+	assert.Equal(t, 1, r.core.Counts.RunsLost)
+	starts = r.play(100 * time.Millisecond).Starts
+	require.NotEmpty(t, starts)
+	assert.Equal(t, fence.Hold.Token, starts[0].Start.Token)
+	assert.Empty(t, r.core.Lost())
+}
+
+// Guards against a refusal of an order of before a restart being taken for the word of a
+// later owner.
+func TestOrderThatIsFencedByAnIncarnationEndsNoOwnership(t *testing.T) {
+	r := newIncarnationRig(t)
+	s := r.begin("0000000000000001", batch(1, 1000))[0]
+	h, _ := r.look("w-1")
+	r.answer(h, nextBorn, workload.Held{})
+	r.started(s, workload.WorkerFenced)
+	assert.Empty(t, r.core.Lost())
+}
+
+// Guards against a start that reached the new process being taken for lost with the old
+// one: its task would run twice. It is listed there, or its end is.
+func TestStartThatReachedTheNewProcessGoesOn(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		r := newIncarnationRig(t)
+		r.submit("0000000000000001", batch(1, 1000))
+		s := r.play(100 * time.Millisecond).Starts[0]
+		r.started(s, workload.WorkerUnknown)
+		h, _ := r.look("w-1")
+		r.entry("w-1", nextBorn)
+		r.answer(h, nextBorn, workload.Held{})
+		fence, _ := r.look("w-1")
+		list := workload.Held{Running: []workload.RunState{{Task: s.Start.Task, Run: s.Start.Run, Percent: 100}}}
+		if ended {
+			list = end(1, s, workload.EndDone)
+		}
+		r.answer(fence, nextBorn, list)
+		assert.Empty(t, r.play(500*time.Millisecond).Starts)
+		state, _ := r.core.State(s.Start.Task.Job)
+		assert.Equal(t, ended, state == workload.Completed)
+	}
+}
+
+// Guards against leases by the clock of the process before: the new one would give the
+// longest there is, and its runs outlive the lease that its owner counts with.
+func TestClockAndLeaseOfANewProcess(t *testing.T) {
+	r := newIncarnationRig(t)
+	s := r.begin("0000000000000001", batch(1, 1000))[0]
+	h, _ := r.look("w-1")
+	r.entry("w-1", nextBorn)
+	r.answer(h, nextBorn, workload.Held{})
+	fence, _ := r.look("w-1")
+	r.answer(fence, nextBorn, workload.Held{Running: []workload.RunState{{Task: s.Start.Task, Run: s.Start.Run, Percent: 100}}})
+	// An answer of the process before that comes now says nothing of this one's clock.
+	r.core.Stopped(scheduler.OrderResult{Worker: "w-1", Task: s.Start.Task, Run: s.Start.Run, Token: s.Start.Token, Answer: workload.WorkerAnswer{Clock: r.now.UnixMilli() - firstBorn}}, r.now)
+	h, _ = r.look("w-1")
+	assert.InDelta(t, r.now.UnixMilli()-nextBorn+testLease.Milliseconds(), h.Hold.LeaseUntil, 50)
+
+	// It is cut off now, and no longer registered. The run counts as there for as long as
+	// the longest lease.
+	r.core.SetWorkers(nil, r.now)
+	silent := func(d time.Duration) (starts []scheduler.StartOrder) {
+		for until := r.now.Add(d); r.now.Before(until); {
+			o := r.step(50 * time.Millisecond)
+			starts = append(starts, o.Starts...)
+			if len(o.Holds) > 0 {
+				r.core.Held(scheduler.HoldResult{Worker: "w-1", Token: o.Holds[0].Hold.Token, SentAt: r.now, Extra: o.Holds[0].Extra, Answer: workload.WorkerAnswer{Status: workload.WorkerUnknown}}, r.now)
+			}
+		}
+		return starts
+	}
+	silent(9 * time.Second)
+	assert.Zero(t, r.core.Counts.Lapsed)
+	silent(3 * time.Second)
+	assert.Equal(t, 1, r.core.Counts.Lapsed)
+}
+
+// Guards against the entry and the lists of a worker being weighed as if they came in
+// order: each may be ahead of the other, and neither alone lets tasks start.
+func TestEntryAndListsMayComeInEitherOrder(t *testing.T) {
+	r := newIncarnationRig(t)
+	r.entry("w-1", nextBorn) // the entry is ahead
+	r.submit("0000000000000001", batch(1, 1000))
+	h, starts := r.look("w-1")
+	assert.Empty(t, starts)
+	r.answer(h, nextBorn, workload.Held{})
+	fence, starts := r.look("w-1")
+	assert.Empty(t, starts)
+	r.answer(fence, nextBorn, workload.Held{})
+	assert.Len(t, r.play(100*time.Millisecond).Starts, 1)
+
+	r = newIncarnationRig(t)
+	r.begin("0000000000000001", batch(1, 1000))
+	h, _ = r.look("w-1") // the list is ahead
+	r.answer(h, nextBorn, workload.Held{})
+	fence, _ = r.look("w-1")
+	r.answer(fence, nextBorn, workload.Held{})
+	r.entry("w-1", firstBorn)
+	assert.Empty(t, r.play(500*time.Millisecond).Starts, "the ownership may have passed on since")
+	h, _ = r.look("w-1")
+	r.answer(h, nextBorn, workload.Held{})
+	r.entry("w-1", nextBorn)
+	h, starts = r.look("w-1")
+	r.answer(h, nextBorn, workload.Held{})
+	assert.Len(t, append(starts, r.play(800*time.Millisecond).Starts...), 1)
+}
+
+// Guards against an entry of another writer ending what runs: the worker itself is asked.
+func TestEntryWithAnotherStartEndsNothing(t *testing.T) {
+	r := newIncarnationRig(t)
+	s := r.begin("0000000000000001", batch(1, 1000))[0]
+	listed := workload.Held{Running: []workload.RunState{{Task: s.Start.Task, Run: s.Start.Run, Percent: 100}}}
+	for _, born := range []int64{nextBorn, 1, 9e15} {
+		r.entry("w-1", born)
+		h, starts := r.look("w-1")
+		assert.Empty(t, starts)
+		r.answer(h, firstBorn, listed)
+	}
+	assert.Zero(t, r.core.Counts.Restarts)
+	assert.Zero(t, r.core.Counts.RunsLost)
+}
+
+// Guards against a start that is missing, can't be read or goes back breaking anything.
+// The first two leave it at what is known, told once; the last is another process.
+func TestStartThatIsMissingOrGoesBack(t *testing.T) {
+	r := newIncarnationRig(t)
+	s := r.begin("0000000000000001", batch(1, 1000))[0]
+	listed := workload.Held{Running: []workload.RunState{{Task: s.Start.Task, Run: s.Start.Run, Percent: 100}}}
+	told := 0
+	clock := r.now.UnixMilli() - firstBorn
+	for _, problem := range []error{nil, assert.AnError, nil} {
+		h, _ := r.look("w-1")
+		listed.BornErr = problem
+		r.core.Held(scheduler.HoldResult{Worker: "w-1", Token: h.Hold.Token, SentAt: r.now, Held: listed, Answer: workload.WorkerAnswer{Clock: clock}}, r.now)
+		for _, d := range r.step(0).Decisions {
+			if d.Verb == "worker-start-unknown" {
+				told++
+			}
+		}
+	}
+	assert.Equal(t, 1, told)
+	assert.Zero(t, r.core.Counts.Restarts)
+
+	h, _ := r.look("w-1")
+	r.answer(h, firstBorn-1000, workload.Held{})
+	assert.Equal(t, 1, r.core.Counts.Restarts)
+	h, _ = r.look("w-1")
+	r.answer(h, firstBorn-1000, workload.Held{})
+	assert.Equal(t, 1, r.core.Counts.RunsLost)
+}
+
+// Guards against a restart that stays unseen where lists don't tell the start: the
+// worker's clock begins anew.
+func TestRestartShowsInTheClockWhereNoStartIsTold(t *testing.T) {
+	r := newRig(t)
+	r.workers("w-1")
+	h, _ := r.look("w-1")
+	look := func(clock int64) {
+		r.core.Held(scheduler.HoldResult{Worker: "w-1", Token: h.Hold.Token, SentAt: r.now, Answer: workload.WorkerAnswer{Clock: clock}}, r.now)
+	}
+	look(60_000)
+	r.submit("0000000000000001", batch(1, 1000))
+	r.step(30 * time.Millisecond)
+	h, _ = r.look("w-1")
+	look(500)
+	assert.Equal(t, 1, r.core.Counts.Restarts)
+}
+
+// Guards against a crash going uncounted as the worker keeps its ID: tasks that crash
+// their workers are suspects, and given up, as where the successor has another one.
+func TestRestartUnderTheSameIDIsACrash(t *testing.T) {
+	r := newIncarnationRig(t)
+	job := r.submit("0000000000000001", batch(1, 1000))
+	starts := 0
+	born := firstBorn
+	list := r.play(100 * time.Millisecond).Starts
+	for range 20 {
+		if len(list) > 0 {
+			starts++
+			r.started(list[0], workload.WorkerOK)
+			born += 1000
+			h, _ := r.look("w-1")
+			r.answer(h, born, workload.Held{})
+			r.entry("w-1", born)
+			h, _ = r.look("w-1")
+			r.answer(h, born, workload.Held{})
+		}
+		list = r.play(300 * time.Millisecond).Starts
+	}
+	state, _ := r.core.State(job)
+	assert.Equal(t, workload.Failed, state)
+	assert.Equal(t, 2, starts, "it was alone there")
+	assert.Equal(t, starts, r.core.Counts.Crashes)
+}
+
+// Guards against blame for a planned restart: the incarnation had said that it leaves, and
+// the entry is that of the next one by the time its list comes.
+func TestRestartAfterDrainingIsNoCrash(t *testing.T) {
+	r := newIncarnationRig(t)
+	r.begin("0000000000000001", batch(1, 1000))
+	r.core.SetWorkers([]workload.Worker{{ID: "w-1", Born: firstBorn, Service: "service", Address: "w-1", Draining: true}}, r.now)
+	r.entry("w-1", nextBorn)
+	h, _ := r.look("w-1")
+	r.answer(h, nextBorn, workload.Held{})
+	h, _ = r.look("w-1")
+	r.answer(h, nextBorn, workload.Held{})
+	assert.Equal(t, 1, r.core.Counts.RunsLost)
+	assert.Zero(t, r.core.Counts.Crashes)
+}
+
+// Guards against a worker staying unused for ever once another one had its address: it may
+// start again under its ID elsewhere.
+func TestWorkerWhoseAddressWasTakenComesBack(t *testing.T) {
+	r := newIncarnationRig(t)
+	r.replaced("w-1")
+	r.play(time.Second)
+	r.entry("w-1", nextBorn)
+	h, _ := r.look("w-1")
+	assert.Greater(t, h.Hold.Token, r.token())
+	r.answer(h, nextBorn, workload.Held{})
+	r.begin("0000000000000001", batch(1, 1000))
+}
+
+// Guards against orders of before outranking those of now at a worker that was forgotten
+// and comes back under its ID.
+func TestTokenOfAForgottenWorkerRisesOn(t *testing.T) {
+	r := newIncarnationRig(t)
+	h, _ := r.firstLookAfterRestart()
+	r.core.SetWorkers(nil, r.now)
+	r.step(10 * time.Millisecond)
+	r.entry("w-1", nextBorn+1000)
+	next, _ := r.look("w-1")
+	assert.Greater(t, next.Hold.Token, h.Hold.Token)
+}
+
+// firstLookAfterRestart has the worker restart and answers the look that fences it.
+func (r *rig) firstLookAfterRestart() (scheduler.HoldOrder, []scheduler.StartOrder) {
+	r.entry("w-1", nextBorn)
+	h, _ := r.look("w-1")
+	r.answer(h, nextBorn, workload.Held{})
+	fence, starts := r.look("w-1")
+	r.answer(fence, nextBorn, workload.Held{})
+	return fence, starts
+}
+
+// Guards against tickets outliving the worker that they were given for, also those that
+// were asked for before it restarted.
+func TestTicketsEndWithTheIncarnation(t *testing.T) {
+	r := newRig(t)
+	config := *testConfig
+	config.Version = 2
+	config.Queues = append([]workload.Queue{}, config.Queues...)
+	config.Queues[0].Advice = &workload.Advice{Decision: time.Millisecond, Valid: time.Minute}
+	r.core.SetConfig(&config)
+	r.entry("w-1", firstBorn)
+	h, _ := r.look("w-1")
+	r.answer(h, firstBorn, workload.Held{})
+	r.submit("0000000000000001", batch(1, 1000))
+	asked := r.step(30 * time.Millisecond).Advise
+	require.Len(t, asked, 1)
+	sent := r.now
+	r.firstLookAfterRestart()
+	r.core.Advised(scheduler.AdviceResult{Order: asked[0], SentAt: sent, OK: true, Valid: time.Minute, Tickets: map[string]string{"w-1": "ticket"}}, r.now)
+	again := 0
+	for range 10 {
+		o := r.step(50 * time.Millisecond)
+		assert.Empty(t, o.Starts)
+		again += len(o.Advise)
+	}
+	assert.Equal(t, 1, again)
+}
+
+// Guards against what a worker has failed being held against its next process.
+func TestTrustBeginsAnew(t *testing.T) {
+	r := newIncarnationRig(t)
+	for n, id := range []string{"0000000000000001", "0000000000000002", "0000000000000003"} {
+		s := r.begin(id, batch(1, 1000))[0]
+		h, _ := r.look("w-1")
+		r.answer(h, firstBorn, end(int64(n+1), s, workload.EndFailed))
+		r.core.CancelRequested(s.Start.Task.Job, r.now)
+		h, _ = r.look("w-1")
+		r.answer(h, firstBorn, workload.Held{})
+	}
+	r.submit("0000000000000004", batch(1, 1000))
+	require.Empty(t, r.play(500*time.Millisecond).Starts, "it is set aside")
+	_, starts := r.firstLookAfterRestart()
+	assert.Len(t, append(starts, r.play(200*time.Millisecond).Starts...), 1)
+}
+
+// Guards against a successor of the owner taking runs of before a restart for runs of now:
+// its predecessor's word names the incarnation. One of an older program names none.
+func TestHandoverNamesTheIncarnation(t *testing.T) {
+	for _, named := range []bool{true, false} {
+		r := newIncarnationRig(t)
+		s := r.begin("0000000000000001", batch(1, 1000))[0]
+		var left *workload.Handover
+		for _, rec := range r.core.Handover(r.now) {
+			if rec.Handover != nil {
+				left = rec.Handover
+			}
+		}
+		require.Len(t, left.Runs, 1)
+		require.Equal(t, firstBorn, left.Runs[0].Born)
+		if !named {
+			left.Runs[0].Born = 0
+		}
+		next := r.succeed(s.Start.Task.Job, &workload.Progress{Begun: true})
+		next.core.Inherit(left, next.now)
+		next.entry("w-1", nextBorn)
+		h, _ := next.look("w-1")
+		next.answer(h, nextBorn, workload.Held{})
+		if named {
+			assert.Equal(t, 1, next.core.Counts.Crashes)
+			assert.Len(t, next.play(500*time.Millisecond).Starts, 1)
+			continue
+		}
+		assert.Zero(t, next.core.Counts.Crashes)
+		assert.Len(t, next.step(20*time.Millisecond).Stops, 1, "whether it may yet begin isn't known")
+	}
+}
+
+// Guards against a trial being forgotten with its owner as the worker that crashed under
+// it keeps its ID. A record of an older program names no incarnation, and is read as well.
+func TestTrialOnARestartedWorkerOutlivesItsOwner(t *testing.T) {
+	for _, named := range []bool{true, false} {
+		r := newIncarnationRig(t)
+		crash := workload.Crash{Worker: "w-1", Born: firstBorn, Address: "w-1", Run: 3<<16 + 2, AtMS: r.now.UnixMilli(), Pending: true}
+		before := workload.Crash{Worker: "w-0", Address: "w-0", Run: 3<<16 + 1, AtMS: r.now.UnixMilli() - 1000, Likely: true, Sole: true}
+		if !named {
+			crash.Born = 0
+		}
+		next := r.succeed("0000000000000001", &workload.Progress{Begun: true, Crashes: map[string][]workload.Crash{"0.0.0": {before, crash}}})
+		next.entry("w-1", nextBorn)
+		h, _ := next.look("w-1")
+		next.answer(h, nextBorn, workload.Held{})
+		next.step(30 * time.Millisecond)
+		state, _ := next.core.State("0000000000000001")
+		assert.Equal(t, named, state == workload.Failed)
+	}
+}
+
+// Guards against an earlier crash being taken back as a later process of the same ID was
+// only cut off.
+func TestCrashOfAnEarlierIncarnationStays(t *testing.T) {
+	r := newIncarnationRig(t)
+	r.begin("0000000000000001", batch(1, 1000))
+	r.firstLookAfterRestart()
+	require.Equal(t, 1, r.core.Counts.Crashes)
+	_, stored := r.storing(400 * time.Millisecond)
+	s := r.play(time.Second).Starts
+	for range 20 {
+		starts, more := r.storing(50 * time.Millisecond)
+		s = append(s, starts...)
+		if more != nil {
+			stored = more
+		}
+	}
+	require.NotEmpty(t, s)
+	r.started(s[0], workload.WorkerOK)
+	r.refused("w-1")
+	r.storing(30 * time.Millisecond)
+	h, _ := r.look("w-1")
+	r.answer(h, nextBorn, workload.Held{Running: []workload.RunState{{Task: s[0].Start.Task, Run: s[0].Start.Run, Percent: 100}}})
+	for range 5 {
+		if _, more := r.storing(30 * time.Millisecond); more != nil {
+			stored = more
+		}
+	}
+	require.NotNil(t, stored)
+	crashes := stored.Crashes["0.0.0"]
+	require.NotEmpty(t, crashes)
+	assert.Equal(t, firstBorn, crashes[0].Born)
+}
+
+// Guards against a task being started again, or waited for without end, where its end was
+// acknowledged before anybody read it: it may be done. Its job fails; lasting tasks and
+// copies start again.
+func TestEndThatWasAcknowledgedUnread(t *testing.T) {
+	w := newWorld(1, faults{})
+	f := w.addWorker("worker", workload.Resources{CPU: 32000, MemoryMB: 64000})
+	w.takeOver()
+	w.after(time.Second, func() { f.acked = 3 })
+	var jobs []*fakeJob
+	for i := range 8 {
+		w.after(time.Duration(2+i)*time.Second, func() { jobs = append(jobs, w.submit(workload.Spec{Steps: []workload.Step{batch(1, 1000)}}, "quick")) })
+	}
+	w.run(20 * time.Second)
+	require.Empty(t, w.broken)
+	for i, j := range jobs {
+		state, _ := w.owner.core.State(j.id)
+		want := workload.Completed
+		if i < 3 {
+			want = workload.Failed
+		}
+		assert.Equal(t, want, state, "job %d", i)
+	}
+	assert.Equal(t, 3, w.endsUnread())
+}
+
+// Guards against a worker that was only cut off being taken for a new process: it has the
+// same start, its runs go on and its ends count, beside one that restarted behind the cut.
+func TestWorkerThatWasCutOffGoesOn(t *testing.T) {
+	w := newWorld(1, faults{})
+	same := w.addWorker("same", workload.Resources{CPU: 8000, MemoryMB: 16000})
+	other := w.addWorker("other", workload.Resources{CPU: 8000, MemoryMB: 16000})
+	w.takeOver()
+	long := workload.Step{Count: 8, Need: workload.Resources{CPU: 1000, MemoryMB: 1000}, EstimateMS: 6000, MaxPerWorker: 4}
+	var j *fakeJob
+	w.after(time.Second, func() { j = w.submit(workload.Spec{Steps: []workload.Step{long}}, "quick") })
+	w.after(2*time.Second, func() {
+		same.dark, other.dark = true, true
+		other.restart(500 * time.Millisecond)
+	})
+	w.after(4500*time.Millisecond, func() { same.dark, other.dark = false, false })
+	w.run(30 * time.Second)
+	require.Empty(t, w.broken)
+	state, _ := w.owner.core.State(j.id)
+	assert.Equal(t, workload.Completed, state)
+	assert.Equal(t, 1, w.owner.core.Counts.Restarts)
+	assert.Equal(t, 4, w.owner.core.Counts.RunsLost)
+}
--- a/internal/scheduler/inflight.go
+++ b/internal/scheduler/inflight.go
@@ -94,6 +94,7 @@
 	c.note(Decision{Verb: "uncertain", Job: r.step.job.id, Task: r.key().String(), Worker: r.worker.info.ID, Run: r.number, Reason: "start without an answer: " + reason, Critical: true})
 	r.state = runUncertain
 	r.since = now
+	r.worker.lateUntil = r.orderedAt.Add(lateOrder)
 	r.worker.holdAfter = now
 	r.worker.overdueAt = now // the look under way may wait for an end for long
 }
--- a/internal/scheduler/look.go
+++ b/internal/scheduler/look.go
@@ -75,7 +75,7 @@
 // counted from then; it is kept as long as that.
 func (c *Core) expireRuns(now time.Time) {
 	for _, w := range c.order {
-		if !w.silent || now.Before(w.leaseOver) || now.Before(c.unwellUntil) {
+		if !w.silent || now.Before(w.leaseOver) || now.Before(c.unwellUntil) || c.mayRunLonger(w, now) {
 			continue
 		}
 		canAsk := w.info.Address != "" // not where only an earlier owner named it
@@ -109,17 +109,23 @@
 		}
 		// One that did not answer gets nothing until it does, so it is asked also
 		// when it has nothing to tell.
-		needed := !w.synced || w.silent || len(w.runs) > 0 || w.seen > w.acked
+		watched := len(w.runs) > 0 || now.Before(w.lateUntil)
+		needed := !w.synced || w.silent || watched || w.seen > w.acked || w.ackOwed() || w.inDoubt
 		if !needed {
 			continue
 		}
-		h := workload.Hold{Token: w.token, Acked: w.acked}
+		h := workload.Hold{Token: w.token}
+		if c.mayAcknowledge(w, now) {
+			h.Acked = w.acked
+		}
+		w.ackSent = h.Acked
 		// A worker that may be gone gets no longer lease: its tasks would have to
 		// wait for that one to lapse, too.
-		if len(w.runs) > 0 && w.synced && !w.silent {
+		known := w.synced && !w.silent && !w.inDoubt
+		if len(w.runs) > 0 && known {
 			h.LeaseUntil = c.grant(w, now)
 		}
-		if w.synced && !w.silent && w.seen == w.acked {
+		if watched && known && w.seen == w.acked && (h.Acked > 0 || !w.ackOwed()) {
 			h.Wait = c.waitFor(w, now)
 		}
 		h.Brief = w.silent && w.synced
@@ -141,7 +147,7 @@
 	c.extraLooks++
 	c.Counts.LookedAgain++
 	w.overdueAt = now.Add(2 * lookSlack)
-	hold := workload.Hold{Token: w.token, Acked: w.acked, Brief: true}
+	hold := workload.Hold{Token: w.token, Brief: true}
 	c.out.Holds = append(c.out.Holds, HoldOrder{Worker: w.info, Hold: hold, Extra: true})
 }
 
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -80,8 +80,15 @@
 
 // write is one that is under way, with what it makes true.
 type write struct {
-	jobs  map[workload.JobID]workload.State
-	acked map[string]int64
+	jobs map[workload.JobID]workload.State
+	ends []readEnds
+}
+
+// readEnds is how far the ends of one incarnation of a worker were read.
+type readEnds struct {
+	worker *worker
+	token  int64 // at that incarnation
+	number int64
 }
 
 // writePause is the shortest time between two writes. The ends of tasks come by
@@ -107,7 +114,7 @@
 	}
 	c.writeSeq++
 	c.wroteAt = now
-	c.writing = &write{jobs: map[workload.JobID]workload.State{}, acked: map[string]int64{}}
+	c.writing = &write{jobs: map[workload.JobID]workload.State{}}
 	order := &WriteOrder{Sequence: c.writeSeq, Delete: c.expired}
 	if c.writeSeq == 1 {
 		// From here on the word of the owner before says too little.
@@ -118,7 +125,7 @@
 		c.writing.jobs[id] = j.final
 	}
 	for _, w := range c.order {
-		c.writing.acked[w.info.ID] = w.seen
+		c.writing.ends = append(c.writing.ends, readEnds{worker: w, token: w.token, number: w.seen})
 	}
 	clear(c.dirty)
 	c.expired = nil
@@ -151,9 +158,9 @@
 			j.shown = final
 		}
 	}
-	for id, n := range c.writing.acked {
-		if w := c.workers[id]; w != nil {
-			w.noted(n)
+	for _, read := range c.writing.ends {
+		if read.worker.token == read.token {
+			read.worker.noted(read.number)
 		}
 	}
 	c.writing = nil
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -133,7 +133,7 @@
 
 // start orders a run.
 func (c *Core) start(w *worker, s *step, index int, number int64, checkpoint string, now time.Time) *run {
-	r := &run{step: s, index: index, number: number, worker: w, state: runStarting, since: now, orderedAt: now, paced: fullPace, checkpoint: checkpoint}
+	r := &run{step: s, index: index, number: number, worker: w, born: w.born, state: runStarting, since: now, orderedAt: now, paced: fullPace, checkpoint: checkpoint}
 	begun := s.job.begun
 	w.add(r)
 	w.orders++
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -44,3 +45,135 @@
 		assert.True(t, state.Ended(), "job %s is %s", j.id, state)
 	}
 }
+
+// restartHistory plays 25 s of jobs on 6 workers and 60 s more. Workers crash and restart
+// under their ID, some behind a cut; in every second history owners are killed, replaced
+// and hand over meanwhile, and the store is away. Without late orders nothing that was
+// sent before a restart reaches the new process.
+func restartHistory(seed uint64, f faults) *world {
+	w := newWorld(seed, f)
+	for i := range 6 {
+		w.addWorker("worker-"+strconv.Itoa(i), workload.Resources{CPU: 32000, MemoryMB: 64000})
+	}
+	w.takeOver()
+	for at := time.Duration(0); at < 25*time.Second; at += w.between(20*time.Millisecond, 400*time.Millisecond) {
+		w.after(at, func() {
+			j := w.submit(w.randomSpec(), "quick")
+			if w.rng.IntN(8) == 0 {
+				w.after(w.between(0, 3*time.Second), func() { w.cancel(j) })
+			}
+		})
+	}
+	for range 8 {
+		w.after(w.between(time.Second, 25*time.Second), w.restartOne)
+	}
+	for range 3 {
+		w.after(w.between(time.Second, 25*time.Second), w.cutOne)
+	}
+	if seed%2 == 1 {
+		for range 6 {
+			w.after(w.between(time.Second, 25*time.Second), w.ownerTrouble)
+		}
+	}
+	w.after(26*time.Second, func() {
+		w.quiet = true
+		w.store.down = false
+		for _, f := range w.workers {
+			f.dark = false
+		}
+	})
+	w.run(86 * time.Second)
+	return w
+}
+
+// anyWorker draws one of the workers that are registered.
+func (w *world) anyWorker() *fakeWorker {
+	return w.workers[w.listed[w.rng.IntN(len(w.listed))].ID]
+}
+
+// restartOne lets a worker crash and restart under its ID, at times twice in a row.
+func (w *world) restartOne() {
+	f := w.anyWorker()
+	away := w.between(300*time.Millisecond, 4*time.Second)
+	f.restart(away)
+	if w.rng.IntN(4) == 0 {
+		w.after(away+w.between(0, 300*time.Millisecond), func() { f.restart(w.between(300*time.Millisecond, time.Second)) })
+	}
+}
+
+// cutOne cuts a worker off. It runs on and comes back with the same start, or it restarts
+// behind the cut.
+func (w *world) cutOne() {
+	f := w.anyWorker()
+	span := w.between(500*time.Millisecond, 8*time.Second)
+	f.dark = true
+	w.after(span, func() { f.dark = false })
+	if w.rng.IntN(2) == 0 {
+		w.after(w.between(0, span), func() { f.restart(w.between(300*time.Millisecond, 2*time.Second)) })
+	}
+}
+
+// checkEnds checks that each job ended as its caller may expect. A job may fail where
+// tasks fail by their own fault.
+func checkEnds(t *testing.T, w *world, seed uint64) {
+	for _, j := range w.jobs {
+		state, known := w.owner.core.State(j.id)
+		require.True(t, known, "seed %d: job %s is not known", seed, j.id)
+		switch {
+		case !j.cancelled.IsZero():
+			assert.True(t, state.Ended(), "seed %d: cancelled job %s is %s", seed, j.id, state)
+			assert.Zero(t, w.running(j.id), "seed %d: cancelled job %s runs on", seed, j.id)
+		case j.sub.Spec.Steps[0].Lasting:
+			assert.Equal(t, workload.Running, state, "seed %d: job %s", seed, j.id)
+			missing := w.running(j.id) < j.sub.Spec.Steps[0].Count
+			assert.False(t, missing && w.hasRoom(j), "seed %d: lasting tasks of %s", seed, j.id)
+		case w.lastingShare() > 0.8:
+			// Lasting tasks fill the workers: others may wait for ever.
+		case state == workload.Failed:
+			assert.True(t, w.faults.failedTask > 0 || w.faults.lateOrder > 0, "seed %d: job %s", seed, j.id)
+		default:
+			assert.Equal(t, workload.Completed, state, "seed %d: job %s", seed, j.id)
+		}
+	}
+}
+
+// endsUnread counts the runs whose end no owner could read.
+func (w *world) endsUnread() int {
+	n := 0
+	for _, o := range w.owners {
+		if o.core != nil {
+			n += o.core.Counts.EndsUnread
+		}
+	}
+	return n
+}
+
+// Guards against anything that is known of a worker being taken for known of the process
+// that has its ID after a restart, in random histories with owners that come and go.
+func TestRestartsInRandomHistories(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		f    faults
+	}{
+		{"tasks fail", faults{failedTask: 0.08, storeLost: 0.02}},
+		{"answers lost", faults{lostAnswer: 0.03, storeLost: 0.02}},
+		{"orders late", faults{lostAnswer: 0.01, lateOrder: 0.01, failedTask: 0.02}},
+		{"nothing beside", faults{}},
+	} {
+		name, f := c.name, c.f
+		unread := 0
+		for _, seed := range seeds(histories(t) / 5) {
+			w := restartHistory(seed, f)
+			require.Empty(t, w.broken, "%s, seed %d", name, seed)
+			checkEnds(t, w, seed)
+			unread += w.endsUnread()
+			if t.Failed() {
+				t.Fatal(name)
+			}
+		}
+		if f.lateOrder == 0 {
+			assert.Zero(t, unread, name)
+		}
+		t.Log(name, ": ends unread: ", unread)
+	}
+}
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -13,8 +13,15 @@
 	t    testing.TB
 	core *scheduler.Core
 	now  time.Time
+	// epoch is the core's.
+	epoch int64
+	// looks are the latest that were sent, by worker.
+	looks map[string]scheduler.HoldOrder
 }
 
+// token is the fencing token of the core's first orders to a worker.
+func (r *rig) token() int64 { return r.epoch << 10 }
+
 // gangTimeout is how long members of a gang wait for each other.
 const gangTimeout = 3 * time.Second
 
@@ -22,6 +29,7 @@
 	return scheduler.Settings{
 		Epoch:        epoch,
 		Lease:        testLease,
+		MaxLease:     maxLease,
 		StateKept:    time.Hour,
 		RemoteFactor: 2,
 		Stop:         stopTime,
@@ -30,8 +38,8 @@
 }
 
 func newRig(t testing.TB, suspects ...string) *rig {
-	r := &rig{t: t, now: epochStart}
-	r.core = scheduler.New(testSettings(3), r.now, suspects, false)
+	r := &rig{t: t, now: epochStart, epoch: 3}
+	r.core = scheduler.New(testSettings(r.epoch), r.now, suspects, false)
 	r.core.SetConfig(testConfig)
 	return r
 }
@@ -58,17 +66,30 @@
 		orders.Stops = append(orders.Stops, more.Stops...)
 		orders.Holds = append(orders.Holds, more.Holds...)
 	}
+	r.note(orders)
 	return orders
 }
 
+// note keeps the looks among orders for tests that answer them.
+func (r *rig) note(orders scheduler.Orders) {
+	if r.looks == nil {
+		r.looks = map[string]scheduler.HoldOrder{}
+	}
+	for _, h := range orders.Holds {
+		if !h.Extra {
+			r.looks[h.Worker.ID] = h
+		}
+	}
+}
+
 // held answers a look.
 func (r *rig) held(worker string, sent time.Time, held workload.Held) {
-	r.core.Held(scheduler.HoldResult{Worker: worker, Token: 3 << 10, SentAt: sent, Held: held, Answer: workload.WorkerAnswer{Clock: 1000}}, r.now)
+	r.core.Held(scheduler.HoldResult{Worker: worker, Token: r.token(), SentAt: sent, Held: held, Answer: workload.WorkerAnswer{Clock: 1000}}, r.now)
 }
 
 // replaced answers a look at a worker as its successor at the same address does.
 func (r *rig) replaced(worker string) {
-	r.core.Held(scheduler.HoldResult{Worker: worker, Token: 3 << 10, SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerReplaced}}, r.now)
+	r.core.Held(scheduler.HoldResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerReplaced}}, r.now)
 }
 
 func (r *rig) started(s scheduler.StartOrder, status workload.WorkerStatus) {
--- a/internal/scheduler/started.go
+++ b/internal/scheduler/started.go
@@ -23,13 +23,18 @@
 }
 
 // answered looks up what an outcome is about, and takes what it says of the
-// worker itself. The run is nil if it is no longer known there.
-func (c *Core) answered(o OrderResult, now time.Time) *run {
+// worker itself. The run is nil if it is no longer known there. stale is set for an
+// order that was sent before a restart of the worker was known: either incarnation may
+// have answered it.
+func (c *Core) answered(o OrderResult, now time.Time) (r *run, stale bool) {
 	w := c.workers[o.Worker]
 	if w == nil {
-		return nil
+		return nil, false
 	}
 	w.orders--
+	if o.Token < w.token {
+		return w.find(o.Task, o.Run), true
+	}
 	w.heard(o.Answer.Clock, now)
 	switch o.Answer.Status {
 	case workload.WorkerFenced:
@@ -37,16 +42,19 @@
 	case workload.WorkerReplaced:
 		c.replaced(w, now)
 	}
-	return w.find(o.Task, o.Run)
+	return w.find(o.Task, o.Run), false
 }
 
 // Started takes the outcome of a start.
 func (c *Core) Started(o OrderResult, now time.Time) {
 	c.starting.done(startID{o.Task, o.Run}, o.Answer.Status != workload.WorkerUnknown)
-	r := c.answered(o, now)
+	r, stale := c.answered(o, now)
 	if r == nil || r.state == runRunning {
 		return // a look has told already
 	}
+	if stale && (o.Answer.Status == workload.WorkerOK || o.Answer.Status == workload.WorkerUnknown) {
+		return // the first list of the new incarnation tells
+	}
 	switch o.Answer.Status {
 	case workload.WorkerOK:
 		c.Counts.Started++
@@ -115,8 +123,8 @@
 
 // Stopped takes the outcome of a stop.
 func (c *Core) Stopped(o OrderResult, now time.Time) {
-	r := c.answered(o, now)
-	if r == nil {
+	r, stale := c.answered(o, now)
+	if r == nil || stale {
 		return
 	}
 	r.stopping = false
@@ -131,12 +139,12 @@
 // Paced takes the outcome of a pace. One that was not taken is ordered again
 // when the worker next lists the run.
 func (c *Core) Paced(o OrderResult, now time.Time) {
-	r := c.answered(o, now)
+	r, stale := c.answered(o, now)
 	if r == nil {
 		return
 	}
 	r.pacing = false
-	if o.Answer.Status != workload.WorkerOK {
+	if stale || o.Answer.Status != workload.WorkerOK {
 		r.paced = -1
 	}
 }
--- a/internal/scheduler/suspect_test.go
+++ b/internal/scheduler/suspect_test.go
@@ -15,12 +15,12 @@
 
 // refused answers a look as the address of a process that has ended does.
 func (r *rig) refused(worker string) {
-	r.core.Held(scheduler.HoldResult{Worker: worker, Token: 3 << 10, SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerDown}}, r.now)
+	r.core.Held(scheduler.HoldResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerDown}}, r.now)
 }
 
 // unanswered answers a look with silence.
 func (r *rig) unanswered(worker string) {
-	r.core.Held(scheduler.HoldResult{Worker: worker, Token: 3 << 10, SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerUnknown}}, r.now)
+	r.core.Held(scheduler.HoldResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerUnknown}}, r.now)
 }
 
 // crash ends a worker's process: looks are refused, and then its successor answers.
@@ -284,8 +284,8 @@
 
 // succeed returns the next owner of a job of one task, which has read what is stored.
 func (r *rig) succeed(job workload.JobID, stored *workload.Progress) *rig {
-	next := &rig{t: r.t, now: r.now}
-	next.core = scheduler.New(testSettings(4), next.now, nil, false)
+	next := &rig{t: r.t, now: r.now, epoch: r.epoch + 1}
+	next.core = scheduler.New(testSettings(next.epoch), next.now, nil, false)
 	next.core.SetConfig(testConfig)
 	next.core.Submitted(job, &workload.Submission{Queue: "quick", Service: "service", AcceptedMS: next.now.UnixMilli(), Spec: workload.Spec{Payload: "work", Steps: []workload.Step{batch(1, 1000)}}})
 	next.core.Recalled(job, stored)
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -22,6 +22,7 @@
 // plannedTrial is where and under which number a suspect is going to be started.
 type plannedTrial struct {
 	worker *worker
+	born   int64 // of the incarnation, as in worker
 	run    int64
 }
 
@@ -62,7 +63,7 @@
 		if c.starting.full() {
 			return
 		}
-		if t.planned != nil && p.canTry(s, t.planned.worker, now) {
+		if t.planned != nil && p.canTry(s, t.planned, now) {
 			c.startTrial(s, i, t.checkpoint, now)
 			continue
 		}
@@ -86,16 +87,17 @@
 }
 
 // canTry tells whether a worker can still be had for a trial that was planned there.
-func (p *pool) canTry(s *step, w *worker, now time.Time) bool {
-	return slices.Contains(p.trials, w) && s.fits(w, now) && w.provenAll(now)
+func (p *pool) canTry(s *step, planned *plannedTrial, now time.Time) bool {
+	w := planned.worker
+	return planned.born == w.born && slices.Contains(p.trials, w) && s.fits(w, now) && w.provenAll(now)
 }
 
 // planTrial has it stored that a suspect is going to be started on a worker.
 func (c *Core) planTrial(w *worker, s *step, t *task, number int64, now time.Time) {
-	t.planned = &plannedTrial{worker: w, run: number}
+	t.planned = &plannedTrial{worker: w, born: w.born, run: number}
 	w.plannedUntil = now.Add(keptFor)
 	w.keptUntil = w.plannedUntil
-	t.note(workload.Crash{Worker: w.info.ID, Address: w.info.Address, Run: number, AtMS: now.UnixMilli(), Pending: true})
+	t.note(workload.Crash{Worker: w.info.ID, Born: w.born, Address: w.info.Address, Run: number, AtMS: now.UnixMilli(), Pending: true})
 	c.storeCrashes(s, t)
 }
 
@@ -130,7 +132,7 @@
 		return
 	}
 	r := &run{
-		step: s, index: index, number: crash.Run, worker: w, state: runUncertain,
+		step: s, index: index, number: crash.Run, worker: w, born: crash.Born, state: runUncertain,
 		since: c.startedAt, orderedAt: c.startedAt, paced: fullPace,
 		trial: crash.Pending, restored: true,
 		doubtUntil: c.startedAt.Add(c.cfg.Stop + stopSlack),
@@ -140,7 +142,7 @@
 		w.unclearUntil = c.startedAt.Add(successorWait)
 		return
 	}
-	w.leaseOver = c.startedAt.Add(lapse(c.cfg.Lease))
+	w.extendLease(c.startedAt.Add(lapse(c.cfg.Lease)))
 	w.add(r) // it counts as under way until the worker has answered, or is gone
 }
 
@@ -243,7 +245,7 @@
 	var planned []*worker
 	for _, i := range suspects {
 		trial := s.tasks[i].planned
-		if trial == nil || !p.has(trial.worker) || !trial.worker.provenAll(now) {
+		if trial == nil || trial.born != trial.worker.born || !p.has(trial.worker) || !trial.worker.provenAll(now) {
 			return false
 		}
 		if !slices.Contains(planned, trial.worker) {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -42,6 +42,7 @@
 	index  int
 	number int64
 	worker *worker
+	born   int64 // of the incarnation that the run was ordered to, as in worker
 	state  runState
 	// since is when the state began: a look that was sent earlier says nothing
 	// of it.
@@ -66,6 +67,8 @@
 	trial bool
 	// restored is set for a run that an earlier owner left.
 	restored bool
+	// adopted is set for a run that was listed without an order of this owner.
+	adopted bool
 }
 
 func (r *run) key() workload.TaskKey { return r.step.key(r.index) }
@@ -73,8 +76,20 @@
 
 // worker is what is known of a worker.
 type worker struct {
-	info  workload.Worker
-	born  int64 // of the incarnation that gave the latest list, 0 if it isn't known
+	info workload.Worker
+	// born tells which incarnation it is: when the process started, in Unix milliseconds,
+	// 0 if it isn't known. unsettled is set until that one's first list has told which of
+	// the runs ordered before are there.
+	born        int64
+	unsettled   bool
+	restartedAt time.Time // when a restart under the same ID was last learned, zero if never
+	bornNoted   bool      // that its lists don't tell its start has been logged
+	// inDoubt is set while its entry names another start than its lists do.
+	inDoubt bool
+	// drained is the start of the latest incarnation whose entry said that it leaves.
+	drained int64
+	// token fences each incarnation: it is raised for the next one, so that calls meant for
+	// an earlier one have no effect there.
 	token int64
 	since time.Time          // first seen
 	most  workload.Resources // that it had room for
@@ -112,10 +127,15 @@
 	unanswered time.Time
 	answered   time.Time
 	orders     int // in flight
-	seen       int64
-	acked      int64
-	used       workload.Resources
-	runs       []*run
+	// seen is the highest number of its ends that was read, acked the highest that may be
+	// acknowledged, and ackSent and ackTaken the highest whose acknowledgement was sent
+	// and answered.
+	seen, acked       int64
+	ackSent, ackTaken int64
+	// lateUntil is until when a start without an answer may yet be carried out.
+	lateUntil time.Time
+	used      workload.Resources
+	runs      []*run
 	// evacuateUntil is until when the worker is being emptied; the wish is
 	// renewed by who has it.
 	evacuateUntil time.Time
@@ -147,6 +167,9 @@
 	}
 }
 
+// ackOwed tells whether an acknowledgement has to travel.
+func (w *worker) ackOwed() bool { return w.acked > w.ackTaken }
+
 // clockNow estimates the worker's time in milliseconds.
 func (w *worker) clockNow(now time.Time) int64 {
 	return w.clock + now.Sub(w.clockAt).Milliseconds()
@@ -162,10 +185,17 @@
 // grant returns the end of a lease given now, on the worker's clock, and
 // remembers when it will have lapsed.
 func (c *Core) grant(w *worker, now time.Time) int64 {
-	w.leaseOver = now.Add(lapse(c.cfg.Lease))
+	w.extendLease(now.Add(lapse(c.cfg.Lease)))
 	return w.clockNow(now) + c.cfg.Lease.Milliseconds()
 }
 
+// extendLease notes that a lease may last until a time; it never gets shorter.
+func (w *worker) extendLease(until time.Time) {
+	if until.After(w.leaseOver) {
+		w.leaseOver = until
+	}
+}
+
 func (w *worker) find(k workload.TaskKey, number int64) *run {
 	for _, r := range w.runs {
 		if r.number == number && r.key() == k {
--- a/internal/workload/crash.go
+++ b/internal/workload/crash.go
@@ -2,9 +2,10 @@
 
 // Crash is a crash of a worker's process while it ran a task, or may have.
 type Crash struct {
-	Worker  string `json:"w"` // ID of the incarnation
-	Address string `json:"d"` // of the worker
-	Run     int64  `json:"n"` // of the task
+	Worker  string `json:"w"`           // ID
+	Born    int64  `json:"b,omitempty"` // of the incarnation, as in Worker
+	Address string `json:"d"`           // of the worker
+	Run     int64  `json:"n"`           // of the task
 	// AtMS is when it was noticed, in milliseconds since 1970, and AgeMS how long
 	// after the order to start the run that was, in milliseconds.
 	AtMS  int64 `json:"at"`
@@ -21,3 +22,8 @@
 	// before the run begins.
 	Pending bool `json:"p,omitempty"`
 }
+
+// IsOf tells whether two crashes are of the same process.
+func (c Crash) IsOf(other Crash) bool {
+	return c.Worker == other.Worker && c.Born == other.Born
+}
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -61,6 +61,7 @@
 	Worker string `json:"w"`
 	Task   string `json:"t"`
 	Run    int64  `json:"n"`
+	Born   int64  `json:"b,omitempty"` // of the incarnation that it was ordered to, as in Worker
 	// Confirmed is set if the worker has answered the start or listed the run;
 	// else the start may yet be carried out.
 	Confirmed bool `json:"c,omitempty"`
