Let a late crash prove less than an early one, so that no job of no fault is given up

Cause: two crashes under a task alone on its worker proved the task, however long after its start they came. With a restart of each worker in some 15 s, a task that is tried for two seconds meets one by chance in one trial of eight (worked out). Class: a coincidence taken for a cause, without its base rate. Ruled out: crashes counted twice (the run numbers differ), blame by a task beside it (it was alone).

Why this holds: what crashes its workers does so at its start, again and again; the same by chance needs two restarts within half a second of two starts.

--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -26,6 +26,10 @@
 	// crashesToProve is how many crashes for which nothing else can be to blame prove a
 	// task to be the cause: one may be the worker's own fault.
 	crashesToProve = 2
+	// laterCrashes is how many crashes later than shortestTrial after the start weigh as
+	// much as one before: a worker that crashes by itself then does so by chance within a
+	// task's first second or two, but hardly time and again within its first half second.
+	laterCrashes = 3
 	// suspectCrashes is how many crashes make also a task a suspect that had run for a
 	// while each time, and lay beside likelier ones.
 	suspectCrashes = 3
@@ -58,13 +62,17 @@
 
 // proven tells whether crashes have shown the task to be their cause.
 func (t *task) proven() bool {
-	n := 0
+	early, later := 0, 0
 	for _, crash := range t.crashes {
-		if crash.Sole && !crash.Cleared && !crash.Unclear {
-			n++
+		switch {
+		case !crash.Sole || crash.Cleared || crash.Unclear:
+		case crash.AgeMS < shortestTrial.Milliseconds():
+			early++
+		default:
+			later++
 		}
 	}
-	return n >= crashesToProve
+	return early+later/laterCrashes >= crashesToProve
 }
 
 // trialTime is how long the task must get on to be cleared: well beyond its age at its
