Count a crash after a trial's start without an answer

Cause: a crash of a worker kept for a trial counted against the task only if the start had been answered, as it may not have begun else. A start whose worker crashes at once often has no answer. Ruled out: a fault of the restarts (the log has three starts with lost answers, drawn by chance), trials under another incarnation.

Change: such a crash counts as a later one, three of them as one that proves. What the owner before had planned counts as it did.

Why this holds: nothing else on that worker can be to blame, and by chance three such crashes in a row are as unlikely as one early one.

The histories with restarts under the same ID are new; both faults of workers, restarts by themselves and by a task, are played in one.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -161,6 +161,8 @@
 			Likely:  slices.Contains(likely, r),
 			Sole:    r.soleCause(runs, at),
 			Unclear: unclear,
+
+			Unanswered: !r.confirmed && !r.restored,
 		}
 	}
 	trial := slices.ContainsFunc(runs, func(r *run) bool { return r.trial })
@@ -215,7 +217,7 @@
 			return false
 		}
 	}
-	return r.confirmed || r.trial && r.restored
+	return r.confirmed || r.trial
 }
 
 // unproven tells whether a run could be to blame for a crash at a time. A task that has
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -69,9 +69,11 @@
 // crashHistory plays two minutes of jobs of which a few crash their workers, on 16
 // workers whose room shrinks and grows and which refuse connections at times, in every second history under owners that are
 // killed, replaced and hand over while the store comes and goes, in every third one
-// on workers that don't guard their room.
-func crashHistory(seed uint64) (w *world, crashing []*fakeJob) {
+// on workers that don't guard their room. With restarts, workers that crash come back under
+// their ID, and some restart of themselves.
+func crashHistory(seed uint64, restarts bool) (w *world, crashing []*fakeJob) {
 	w = newWorld(seed, faults{lostAnswer: 0.01, storeLost: 0.02, lateOrder: 0.002})
+	w.restarts = restarts
 	if seed%3 == 0 {
 		w.unguarded = true
 		w.faults.lateOrder = 0 // nobody can know what has shrunk by then
@@ -99,6 +101,11 @@
 		w.after(w.between(time.Second, 80*time.Second), w.shrinkOne)
 		w.after(w.between(time.Second, 80*time.Second), w.refuseOne)
 	}
+	if restarts {
+		for range 10 {
+			w.after(w.between(time.Second, 80*time.Second), w.restartOne)
+		}
+	}
 	w.after(92*time.Second, func() {
 		w.quiet = true
 		w.store.down = false
@@ -143,13 +150,14 @@
 }
 
 // crashSeeds are the first n, and those that have shown a fault beyond them: three owners
-// in a row were lost before the crash that they saw was stored or cleared up.
+// in a row were lost before the crash that they saw was stored or cleared up (47, 81, 223), or
+// three starts in a row had no answer before their workers crashed (212, with restarts).
 func crashSeeds(n uint64) []uint64 {
 	var list []uint64
 	for seed := range n {
 		list = append(list, seed)
 	}
-	return append(list, 47, 81, 223)
+	return append(list, 47, 81, 212, 223)
 }
 
 // The callers of 16 workers see their jobs wait and start anew while tasks of up to
@@ -159,9 +167,19 @@
 // shown as failed after few crashes; no job of others is, and all of these end. No
 // start brings a worker over the room that it has left at the time.
 func TestTasksThatCrashWorkersInRandomHistories(t *testing.T) {
+	playCrashHistories(t, false)
+}
+
+// Guards against a crash that shows only in another start of the same worker: the same
+// histories, with workers that come back under their ID.
+func TestTasksThatCrashRestartingWorkersInRandomHistories(t *testing.T) {
+	playCrashHistories(t, true)
+}
+
+func playCrashHistories(t *testing.T, restarts bool) {
 	crashes, most, lost := 0, 0, 0
 	for _, seed := range crashSeeds(histories(t) / 5) {
-		w, crashing := crashHistory(seed)
+		w, crashing := crashHistory(seed, restarts)
 		require.Empty(t, w.broken, "seed %d", seed)
 		own := map[workload.JobID]bool{}
 		for _, j := range crashing {
--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -26,8 +26,8 @@
 	// crashesToProve is how many crashes for which nothing else can be to blame prove a
 	// task to be the cause: one may be the worker's own fault.
 	crashesToProve = 2
-	// laterCrashes is how many crashes later than shortestTrial after the start weigh as
-	// much as one before: a worker that crashes by itself then does so by chance within a
+	// laterCrashes is how many crashes later than shortestTrial after the start, or after a
+	// start without an answer, weigh as much as an early one: a worker that crashes by itself then does so by chance within a
 	// task's first second or two, but hardly time and again within its first half second.
 	laterCrashes = 3
 	// suspectCrashes is how many crashes make also a task a suspect that had run for a
@@ -66,7 +66,7 @@
 	for _, crash := range t.crashes {
 		switch {
 		case !crash.Sole || crash.Cleared || crash.Unclear:
-		case crash.AgeMS < shortestTrial.Milliseconds():
+		case crash.AgeMS < shortestTrial.Milliseconds() && !crash.Unanswered:
 			early++
 		default:
 			later++
--- a/internal/scheduler/suspect_test.go
+++ b/internal/scheduler/suspect_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -431,3 +432,27 @@
 	r.begin("0000000000000002", batch(1, 1000))
 	assert.Equal(t, 1, r.core.Counts.GivenUp)
 }
+
+// Guards against a task crashing worker after worker as the answers to its starts are
+// lost: a crash after a start without an answer says something, too.
+func TestCrashAfterAStartWithoutAnAnswerCounts(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-0")
+	job := r.begin("0000000000000001", batch(1, 1000))[0].Start.Task.Job
+	r.crash("w-0")
+	starts := 1
+	for n := range 8 {
+		id := "w-" + strconv.Itoa(n+1)
+		r.workers(id)
+		r.step(0)
+		r.held(id, r.now, workload.Held{})
+		for _, s := range r.play(600 * time.Millisecond).Starts {
+			starts++
+			r.crash(id)
+			r.started(s, workload.WorkerUnknown)
+		}
+	}
+	state, _ := r.core.State(job)
+	assert.Equal(t, workload.Failed, state)
+	assert.Equal(t, 4, starts)
+}
--- a/internal/workload/crash.go
+++ b/internal/workload/crash.go
@@ -14,6 +14,8 @@
 	Likely bool `json:"l,omitempty"`
 	// Sole is set if nothing else there can have been the cause.
 	Sole bool `json:"s,omitempty"`
+	// Unanswered is set if the start had no answer: the run may not have begun.
+	Unanswered bool `json:"o,omitempty"`
 	// Unclear is set while the worker may as well have been cut off.
 	Unclear bool `json:"u,omitempty"`
 	// Cleared is set once the task has got on for longer since.
