Try suspects in the order in which they are likely harmless, and ask for VMs for a long queue

Cause: each task that lay in a crash waits for a trial; a trial that crashes takes its worker for some 3.5 s; suspects were tried in the order of their jobs, guilty ones among them, on a quarter of the workers, and asked for no VM. No line of the log told why such a job waits. Ruled out: tasks that can't be placed (they could), trials that take too long by themselves (0.6 s if all is well).

Change: those that had run for longer at their crash go first, those with a crash that speaks against them alone last; half of the workers are kept for trials while nothing else starts; each five that wait ask for one VM, at most for as many as the service has; a task that once ran for a second needs three crashes to be proved. A line suspects-wait.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -105,6 +105,10 @@
 	// extraLooks is how many are under way.
 	extraLooks int
 	forming    []forming
+	// crashedSteps are those under whose tasks workers have crashed.
+	crashedSteps []*step
+	// busyUntil is until when a service counts as busy with tasks that are no suspects.
+	busyUntil map[string]time.Time
 	// suspectsWait is set while what is known of some suspects is being stored.
 	suspectsWait bool
 	// dirtyPlan is set when something has changed that a plan rests on.
@@ -114,7 +118,7 @@
 	unblocked   bool // nothing waits for an earlier owner's runs any more
 
 	// When things were done last.
-	startedAt, steppedAt, sweptAt, plannedAt, copiedAt, wroteAt time.Time
+	startedAt, steppedAt, sweptAt, plannedAt, copiedAt, wroteAt, suspectsNotedAt time.Time
 
 	lost   string // why the ownership is lost, "" while it is not
 	out    Orders // of the present step
@@ -156,6 +160,7 @@
 		jobs:         map[workload.JobID]*job{},
 		workers:      map[string]*worker{},
 		lastTokens:   map[string]int64{},
+		busyUntil:    map[string]time.Time{},
 		dirty:        map[workload.JobID]*job{},
 		unheld:       map[string]bool{},
 		elsewhere:    map[string]bool{},
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -183,12 +183,20 @@
 // storeCrashes has the crashes of a task stored. It isn't started before: one that
 // crashes the next worker, too, would be counted anew by each owner.
 func (c *Core) storeCrashes(s *step, t *task) {
-	s.crashed = true
+	c.markCrashed(s)
 	t.storedIn = c.writeSeq + 1
 	c.suspectsWait = true
 	c.dirty[s.job.id] = s.job
 }
 
+// markCrashed notes that workers have crashed under a step's tasks.
+func (c *Core) markCrashed(s *step) {
+	if !s.crashed {
+		s.crashed = true
+		c.crashedSteps = append(c.crashedSteps, s)
+	}
+}
+
 // likelyCauses are those of a worker's runs that are most likely to blame for its crash at
 // a time: of those that could be, or of all where none could, those that had just begun,
 // and the last.
--- a/internal/scheduler/fakecrash_test.go
+++ b/internal/scheduler/fakecrash_test.go
@@ -50,6 +50,9 @@
 	})
 }
 
+// earlyCrash is how soon after a run's start its worker's crash speaks against the task.
+const earlyCrash = 500 * time.Millisecond
+
 // die ends the worker's process and returns what it ran. Calls are refused from then on.
 func (f *fakeWorker) die() []*fakeRun {
 	f.gone, f.crashed = true, true
@@ -59,6 +62,10 @@
 		r.ended = true
 		j := f.w.jobs[r.task.Job]
 		j.lastSeen[r.task.String()] = f.w.now
+		j.died[r.task.String()]++
+		if f.w.now.Sub(r.begun) < earlyCrash {
+			j.early[r.task.String()]++
+		}
 		if j.sub.Spec.Steps[r.task.Step].Gang {
 			f.w.breakGang(r)
 		}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -211,7 +211,7 @@
 
 // recallCrashes takes what is stored of the crashes under a task.
 func (c *Core) recallCrashes(s *step, index int, crashes []workload.Crash) {
-	s.crashed = true
+	c.markCrashed(s)
 	s.tasks[index].crashes = crashes
 	for _, crash := range crashes {
 		if (crash.Pending || crash.Unclear) && !s.job.progress.Final.Ended() {
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -49,6 +49,10 @@
 			}
 		}
 	}
+	for service, n := range c.waitingSuspects() {
+		l := get(service)
+		l.Waiting = l.Waiting.Add(l.Size.Times(min(n/suspectsPerVM, len(l.Workers))))
+	}
 	list := make([]workload.ServiceLoad, 0, len(byService))
 	for _, l := range byService {
 		list = append(list, *l)
@@ -56,6 +60,22 @@
 	return list
 }
 
+// suspectsPerVM is for how many suspects that wait for a trial a service asks for one more
+// VM, at most for as many as it has. A trial that crashes its worker takes that away for
+// seconds, and on the workers of a small service a long queue takes minutes.
+const suspectsPerVM = 5
+
+// waitingSuspects counts the suspects that wait for a trial, by service.
+func (c *Core) waitingSuspects() map[string]int {
+	waiting := map[string]int{}
+	for _, s := range c.crashedSteps {
+		if !s.job.final.Ended() {
+			waiting[s.job.sub.Service] += s.idleSuspects()
+		}
+	}
+	return waiting
+}
+
 // usable tells whether the worker answers and may get starts now or soon.
 func (w *worker) usable(now time.Time) bool {
 	return w.synced && !w.silent && !w.info.Draining && !now.Before(w.trust.suspendUntil)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -16,7 +16,9 @@
 	c.Counts.Plans++
 	c.refreshRanking(now)
 	r := &c.ranking
-	r.begin(c.pools(now))
+	pools := c.pools(now)
+	r.begin(pools)
+	c.placeTrials(pools, now)
 	for _, cand := range r.list {
 		if cand.class > classStarved && !r.open(cand.waiting) || cand.waiting.pool == nil || cand.job.final.Ended() {
 			continue
@@ -42,6 +44,9 @@
 		idle := s.idle
 		c.placeStep(pool, s, now)
 		lacksRoom := s.idle > s.idleSuspects()
+		if lacksRoom || s.idle < idle {
+			c.busyUntil[s.job.sub.Service] = now.Add(busyFor)
+		}
 		if lacksRoom {
 			c.preempt(pool, cand, s, now)
 		}
@@ -96,9 +101,6 @@
 		c.placeGangTrial(p, s, now)
 		return
 	}
-	if suspects {
-		c.placeTrials(p, s, now)
-	}
 	if s.spec.Gang {
 		c.placeGang(p, s, now)
 		return
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -12,6 +12,8 @@
 	workers []*worker
 	// trials are kept for tasks that may crash them, and in none of the others.
 	trials []*worker
+	// busyUntil is until when the service counts as busy with tasks that are no suspects.
+	busyUntil time.Time
 	// required are the labels that the service's jobs ask for.
 	required []string
 	kept     bool // a worker is kept free for a task that fits nowhere
@@ -32,7 +34,7 @@
 		}
 		p := pools[w.info.Service]
 		if p == nil {
-			p = &pool{required: c.required[w.info.Service], lowest: unknownPriority}
+			p = &pool{required: c.required[w.info.Service], lowest: unknownPriority, busyUntil: c.busyUntil[w.info.Service]}
 			pools[w.info.Service] = p
 		}
 		if w.keptForTrial(now) {
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -113,8 +113,20 @@
 	}
 }
 
+// looksGuilty tells whether two workers have crashed soon after they had started one of the
+// job's tasks, or four while they ran it, which no owner can tell from a task that crashes
+// its workers.
+func (j *fakeJob) looksGuilty() bool {
+	for name, n := range j.died {
+		if n >= 4 || j.early[name] >= 2 {
+			return true
+		}
+	}
+	return false
+}
+
 // checkEnds checks that each job ended as its caller may expect. A job may fail where
-// tasks fail by their own fault.
+// tasks fail by their own fault, or where one of its tasks looks guilty by chance.
 func checkEnds(t *testing.T, w *world, seed uint64) {
 	for _, j := range w.jobs {
 		state, known := w.owner.core.State(j.id)
@@ -123,6 +135,7 @@
 		case !j.cancelled.IsZero():
 			assert.True(t, state.Ended(), "seed %d: cancelled job %s is %s", seed, j.id, state)
 			assert.Zero(t, w.running(j.id), "seed %d: cancelled job %s runs on", seed, j.id)
+		case state == workload.Failed && j.looksGuilty():
 		case j.sub.Spec.Steps[0].Lasting:
 			assert.Equal(t, workload.Running, state, "seed %d: job %s", seed, j.id)
 			missing := w.running(j.id) < j.sub.Spec.Steps[0].Count
@@ -150,7 +163,7 @@
 
 // restartSeeds have shown a fault beyond those that are played anyway: jobs of no fault were
 // given up, and their lasting tasks stopped.
-var restartSeeds = []uint64{36, 59, 146, 152, 276, 286}
+var restartSeeds = []uint64{36, 59, 70, 88, 146, 152, 156, 195, 252, 276, 286, 299}
 
 // Guards against anything that is known of a worker being taken for known of the process
 // that has its ID after a restart, in random histories with owners that come and go.
--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -37,7 +37,7 @@
 	// through the ordinary crashes of months.
 	crashMemory = 10 * time.Minute
 	// keptCrashes bounds what is stored of one task.
-	keptCrashes = 8
+	keptCrashes = 12
 	// shortestTrial is how long a suspect must get on at least to be cleared, and
 	// longestTrial for how long one is watched at most: its worker takes nothing else.
 	shortestTrial = 500 * time.Millisecond
@@ -63,7 +63,9 @@
 // proven tells whether crashes have shown the task to be their cause.
 func (t *task) proven() bool {
 	early, later := 0, 0
+	gotOn := t.gotOn
 	for _, crash := range t.crashes {
+		gotOn = gotOn || !crash.Sole && !crash.Unanswered && crash.AgeMS >= provenAfter.Milliseconds()
 		switch {
 		case !crash.Sole || crash.Cleared || crash.Unclear:
 		case crash.AgeMS < shortestTrial.Milliseconds() && !crash.Unanswered:
@@ -72,7 +74,11 @@
 			later++
 		}
 	}
-	return early+later/laterCrashes >= crashesToProve
+	needed := crashesToProve
+	if gotOn {
+		needed++ // it doesn't crash each worker at its start
+	}
+	return early+later/laterCrashes >= needed
 }
 
 // trialTime is how long the task must get on to be cleared: well beyond its age at its
--- a/internal/scheduler/trial.go
+++ b/internal/scheduler/trial.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,8 +12,19 @@
 
 const (
 	// trialShare is the part of a service's workers, as one in so many, that are kept
-	// for suspects at most: the others go on with everything else.
-	trialShare = 4
+	// for suspects at most while the service is busy with other tasks, and idleTrialShare
+	// the same while it isn't.
+	trialShare     = 4
+	idleTrialShare = 2
+	// busyFor is how long a service counts as busy after other tasks of it have started or
+	// found no room.
+	busyFor = time.Second
+	// soleRank is what a crash that speaks against a task alone takes off its rank among
+	// suspects, and waitRank the share of its wait, as one in so many, that is added.
+	soleRank = time.Second
+	waitRank = 50
+	// suspectsNoted is the shortest time between two lines of the log on suspects that wait.
+	suspectsNoted = 2 * time.Second
 	// keptFor is how long a worker is kept for suspects after the last wish; each plan
 	// that finds one waiting renews it.
 	keptFor = 500 * time.Millisecond
@@ -51,31 +65,76 @@
 	return true
 }
 
-// placeTrials starts suspects of a step, each where it is the only one. Where it is
-// started is stored before: an owner that is lost just then takes along what it saw, and
-// the next one asks what has become of that worker.
-func (c *Core) placeTrials(p *pool, s *step, now time.Time) {
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if !c.mayBeTried(t, now) || !t.suspect() {
+// suspect is a task that waits for a trial.
+type suspect struct {
+	step  *step
+	index int
+	rank  time.Duration
+}
+
+func (x suspect) task() *task { return &x.step.tasks[x.index] }
+
+// placeTrials starts suspects, each where it is the only one. Where it is started is
+// stored before: an owner that is lost just then takes along what it saw, and the next one
+// asks what has become of that worker.
+func (c *Core) placeTrials(pools map[string]*pool, now time.Time) {
+	waiting, kept := 0, 0
+	byService := c.suspects(now)
+	for _, service := range slices.Sorted(maps.Keys(byService)) {
+		p, list := pools[service], byService[service]
+		if p == nil {
 			continue
 		}
-		if c.starting.full() {
-			return
+		for _, x := range list {
+			if c.starting.full() {
+				return
+			}
+			c.placeTrial(p, x, now)
 		}
-		if t.planned != nil && p.canTry(s, t.planned, now) {
-			c.startTrial(s, i, t.checkpoint, now)
+		waiting += len(list)
+		kept += len(p.trials)
+	}
+	c.noteSuspects(waiting, kept, now)
+}
+
+// suspects are those that may be tried now, by service, in the order in which they are.
+func (c *Core) suspects(now time.Time) map[string][]suspect {
+	byService := map[string][]suspect{}
+	c.crashedSteps = slices.DeleteFunc(c.crashedSteps, func(s *step) bool { return s.job.final.Ended() })
+	for _, s := range c.crashedSteps {
+		if s.idle == 0 || s.spec.Gang || !s.ready(now) {
 			continue
 		}
-		c.dropPending(s, t)
-		w := p.trialWorker(s, now)
-		if w == nil {
-			p.keepForTrial(s, now)
-			w = p.trialWorker(s, now)
-		}
-		if w == nil {
-			return
+		for i := range s.tasks {
+			if t := &s.tasks[i]; c.mayBeTried(t, now) && t.suspect() {
+				service := s.job.sub.Service
+				byService[service] = append(byService[service], suspect{s, i, t.likelyHarmless(now)})
+			}
 		}
+	}
+	for _, list := range byService {
+		slices.SortStableFunc(list, func(a, b suspect) int { return cmp.Compare(b.rank, a.rank) })
+	}
+	return byService
+}
+
+// placeTrial starts a suspect where that was planned, or plans it.
+func (c *Core) placeTrial(p *pool, x suspect, now time.Time) {
+	s, t := x.step, x.task()
+	if !c.advised(p, s, now) {
+		return
+	}
+	if t.planned != nil && p.canTry(s, t.planned, now) {
+		c.startTrial(s, x.index, t.checkpoint, now)
+		return
+	}
+	c.dropPending(s, t)
+	w := p.trialWorker(s, now)
+	if w == nil {
+		p.keepForTrial(s, now)
+		w = p.trialWorker(s, now)
+	}
+	if w != nil {
 		c.planTrial(w, s, t, s.nextRun(c.cfg.Epoch), now)
 	}
 }
@@ -186,7 +245,7 @@
 			able++
 		}
 	}
-	if able > 0 && len(p.trials) >= max(1, (len(p.workers)+len(p.trials))/trialShare) {
+	if able > 0 && len(p.trials) >= p.mostForTrials(now) {
 		return
 	}
 	i := p.leastLoaded(s)
@@ -198,6 +257,45 @@
 	p.remove(i)
 }
 
+// likelyHarmless ranks suspects, those that are the least likely to crash a worker first:
+// most of them are cleared in half a second, and one that crashes takes its worker with it
+// for seconds. What crashes its workers does so at its start, so a task that had run for
+// longer at its crash is less likely to blame; one with a crash that speaks against it
+// alone comes last. Who waits moves up, so that none waits for ever.
+func (t *task) likelyHarmless(now time.Time) time.Duration {
+	rank, latest := time.Duration(0), int64(0)
+	for _, crash := range t.crashes {
+		latest = max(latest, crash.AtMS)
+		switch {
+		case crash.Cleared || crash.Pending:
+		case crash.Sole:
+			rank -= soleRank
+		default:
+			rank = max(rank, time.Duration(crash.AgeMS)*time.Millisecond)
+		}
+	}
+	return rank + now.Sub(time.UnixMilli(latest))/waitRank
+}
+
+// noteSuspects logs now and then how many suspects wait: nothing else tells why their jobs
+// don't get on.
+func (c *Core) noteSuspects(waiting, kept int, now time.Time) {
+	if waiting == 0 || now.Before(c.suspectsNotedAt.Add(suspectsNoted)) {
+		return
+	}
+	c.suspectsNotedAt = now
+	c.note(Decision{Verb: "suspects-wait", Reason: fmt.Sprintf("%d tasks that may crash workers wait for a trial, %d workers are kept for such", waiting, kept), Critical: true})
+}
+
+// mostForTrials is how many workers are kept for suspects at most.
+func (p *pool) mostForTrials(now time.Time) int {
+	all := len(p.workers) + len(p.trials)
+	if now.Before(p.busyUntil) {
+		return max(1, all/trialShare)
+	}
+	return max(1, all/idleTrialShare)
+}
+
 // readyForTrial are the kept workers that are ready.
 func (p *pool) readyForTrial(now time.Time) []*worker {
 	var ready []*worker
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -94,6 +94,8 @@
 	again       map[string]bool // runs that ended as done before another start
 	failed      map[string]int
 	crashes     map[string]int       // of workers under a task
+	died        map[string]int       // workers under a task, for whatever cause
+	early       map[string]int       // those that died soon after its start
 	startsAfter map[string]int       // starts after three of these
 	ordered     map[string]bool      // lasting tasks that were stopped and are not back
 	lastSeen    map[string]time.Time // when a lasting task was last known to run
@@ -201,7 +203,7 @@
 	}
 	id = workload.JobID(digits)
 	sub := &workload.Submission{Queue: queue, Service: "service", AcceptedMS: w.now.UnixMilli(), Spec: spec}
-	j := &fakeJob{id: id, sub: sub, done: map[string]bool{}, noted: map[string]bool{}, doneRuns: map[string][]int64{}, again: map[string]bool{}, failed: map[string]int{}, crashes: map[string]int{}, startsAfter: map[string]int{}, ordered: map[string]bool{}, lastSeen: map[string]time.Time{}}
+	j := &fakeJob{id: id, sub: sub, done: map[string]bool{}, noted: map[string]bool{}, doneRuns: map[string][]int64{}, again: map[string]bool{}, failed: map[string]int{}, crashes: map[string]int{}, died: map[string]int{}, early: map[string]int{}, startsAfter: map[string]int{}, ordered: map[string]bool{}, lastSeen: map[string]time.Time{}}
 	w.jobs[id] = j
 	w.stored(workload.Record{Job: id, Submission: sub})
 	return j
