Renew leases beside an entry that names another start, and reckon a trial's age at its crash

- An entry of another writer with another start kept its worker in doubt, and looks in doubt renew no lease: its tasks would have lapsed after 3.5 s.
The plan's time is taken only for the age at a crash.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -156,6 +156,9 @@
 	crashes := make([]workload.Crash, len(runs))
 	for i, r := range runs {
 		age := max(0, at.Sub(r.orderedAt))
+		if !r.plannedAt.IsZero() {
+			age = max(age, at.Sub(r.plannedAt)) // it may have run for long
+		}
 		crashes[i] = workload.Crash{
 			Worker: w.info.ID, Born: r.born, Address: w.info.Address, Run: r.number, AtMS: now.UnixMilli(), AgeMS: age.Milliseconds(),
 			Likely:  slices.Contains(likely, r),
@@ -245,7 +248,7 @@
 // cause.
 func (c *Core) judge(r *run, now time.Time) {
 	t, j := r.task(), r.step.job
-	if j.final.Ended() || !t.proven() {
+	if j.final.Ended() || !t.proven(r.step.spec.Lasting) {
 		return
 	}
 	c.Counts.GivenUp++
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -106,7 +106,7 @@
 	w.answered = now
 	w.silent = false
 	w.refuses = false
-	w.inDoubt = !w.entryAgrees()
+	w.inDoubt = false
 	c.wasCutOff(w)
 	w.holdAfter = now.Add(holdPause + time.Duration(len(c.order))*holdPauseEach)
 	for _, e := range r.Held.Finished {
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -59,6 +59,7 @@
 	w.most = w.most.Max(info.Capacity)
 	if info.Born != before.Born {
 		w.most = info.Capacity // the VM may be another one
+		w.inDoubt = w.inDoubt || !w.entryAgrees()
 	}
 	if info.Draining {
 		w.drained = info.Born
@@ -67,7 +68,6 @@
 		w.ended = false
 		c.restarted(w, info.Born, "another one had its address, and its entry is back", now)
 	}
-	w.inDoubt = w.inDoubt || !w.entryAgrees()
 }
 
 // restarted takes that a worker's process has started again under its ID.
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -218,3 +218,18 @@
 	assert.Equal(t, workload.Running, state)
 	assert.Equal(t, 4, r.core.Counts.Crashes)
 }
+
+// Guards against a lasting job of no fault being given up, and its tasks stopped, as two of
+// its workers restart by themselves soon after the start of one of them.
+func TestLastingJobOfNoFaultIsNotGivenUp(t *testing.T) {
+	w := restartHistory(117, faults{lostAnswer: 0.03, storeLost: 0.02})
+	require.Empty(t, w.broken)
+}
+
+// Guards against a job of no fault being given up as its workers restart by themselves: none
+// did so twice within half a second of a start, nor four times in all.
+func TestJobOfNoFaultIsNotGivenUp(t *testing.T) {
+	w := restartHistory(73, faults{})
+	require.Empty(t, w.broken)
+	checkEnds(t, w, 73)
+}
--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -27,8 +27,9 @@
 	// task to be the cause: one may be the worker's own fault.
 	crashesToProve = 2
 	// laterCrashes is how many crashes later than shortestTrial after the start, or after a
-	// start without an answer, weigh as much as an early one: a worker that crashes by itself then does so by chance within a
-	// task's first second or two, but hardly time and again within its first half second.
+	// start without an answer, weigh as much as an early one. A worker that crashes by
+	// itself does so by chance within a task's first second or two, but hardly time and
+	// again within its first half second.
 	laterCrashes = 3
 	// suspectCrashes is how many crashes make also a task a suspect that had run for a
 	// while each time, and lay beside likelier ones.
@@ -61,7 +62,7 @@
 }
 
 // proven tells whether crashes have shown the task to be their cause.
-func (t *task) proven() bool {
+func (t *task) proven(lasting bool) bool {
 	early, later := 0, 0
 	gotOn := t.gotOn
 	for _, crash := range t.crashes {
@@ -78,6 +79,9 @@
 	if gotOn {
 		needed++ // it doesn't crash each worker at its start
 	}
+	if lasting {
+		needed++ // it meets more random crashes, and its service ends with it
+	}
 	return early+later/laterCrashes >= needed
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -67,6 +67,9 @@
 	trial bool
 	// restored is set for a run that an earlier owner left.
 	restored bool
+	// plannedAt is when an earlier owner planned it as a trial, zero for others: it began
+	// later than that.
+	plannedAt time.Time
 	// adopted is set for a run that was listed without an order of this owner.
 	adopted bool
 }
@@ -84,7 +87,8 @@
 	unsettled   bool
 	restartedAt time.Time // when a restart under the same ID was last learned, zero if never
 	bornNoted   bool      // that its lists don't tell its start has been logged
-	// inDoubt is set while its entry names another start than its lists do.
+	// inDoubt is set from when its entry names another start than its lists do until it has
+	// answered a look.
 	inDoubt bool
 	// drained is the start of the latest incarnation whose entry said that it leaves.
 	drained int64
