--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -50,8 +50,7 @@
 		}
 	}
 	for service, n := range c.waitingSuspects() {
-		l := get(service)
-		l.Waiting = l.Waiting.Add(l.Size.Times(min(n/suspectsPerVM, len(l.Workers))))
+		addSuspects(get(service), n)
 	}
 	list := make([]workload.ServiceLoad, 0, len(byService))
 	for _, l := range byService {
@@ -65,6 +64,12 @@
 // seconds, and on the workers of a small service a long queue takes minutes.
 const suspectsPerVM = 5
 
+// addSuspects adds what suspects that wait ask for.
+func addSuspects(l *workload.ServiceLoad, waiting int) {
+	vms := min(waiting/suspectsPerVM, len(l.Workers))
+	l.Waiting = l.Waiting.Add(l.Size.Times(vms))
+}
+
 // waitingSuspects counts the suspects that wait for a trial, by service.
 func (c *Core) waitingSuspects() map[string]int {
 	waiting := map[string]int{}
