Reserve the ports of tests' processes until the test ends

Cause: the test's kit listened on free ports to choose them, closed these listeners, and started the processes afterwards. Between the two, and whenever a process was down, gates, links and the stand-in's VMs listen on any free port of the same IP number and may get one of those chosen.

Ruled out: another cluster on the same IP number (it holds the process ID and a count); outgoing connections (their source is 127.0.0.1).

Change: each port is bound by a socket that doesn't listen and is kept until the test ends. The kernel gives it to nobody who asks for any port, and a process that names it can listen, as both set SO_REUSEADDR. Rows of ports leave out those that are reserved already.

--- a/internal/testkit/cluster.go
+++ b/internal/testkit/cluster.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -109,12 +108,8 @@
 	if opts.Before != nil {
 		opts.Before(c.Standin)
 	}
-	var held []net.Listener
 	for i, zone := range opts.Nodes {
-		c.Nodes = append(c.Nodes, c.newNode(i, zone, &held))
-	}
-	for _, listener := range held {
-		_ = listener.Close()
+		c.Nodes = append(c.Nodes, c.newNode(i, zone))
 	}
 	for _, n := range c.Nodes {
 		n.entryGate.open()
@@ -131,21 +126,11 @@
 	return c
 }
 
-// hold binds a free port of the cluster's IP until the listener is closed.
-func (c *Cluster) hold(held *[]net.Listener) string {
-	listener, err := net.Listen("tcp", c.ip+":0")
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	*held = append(*held, listener)
-	return listener.Addr().String()
-}
-
-func (c *Cluster) newNode(i int, zone string, held *[]net.Listener) *Node {
+func (c *Cluster) newNode(i int, zone string) *Node {
 	n := &Node{Name: fmt.Sprintf("entry-%d", i+1), Zone: zone, c: c}
-	n.entry = addresses{peers: c.hold(held), admin: c.hold(held)}
-	n.steward = addresses{peers: c.hold(held), admin: c.hold(held)}
-	n.callers = c.hold(held)
+	n.entry = addresses{peers: reserveAddress(c.t, c.ip), admin: reserveAddress(c.t, c.ip)}
+	n.steward = addresses{peers: reserveAddress(c.t, c.ip), admin: reserveAddress(c.t, c.ip)}
+	n.callers = reserveAddress(c.t, c.ip)
 	n.EntryPlatform = newLink(c.t, n.Name+"-entry-platform", c.ip, c.Standin.address)
 	n.StewardPlatform = newLink(c.t, n.Name+"-steward-platform", c.ip, c.Standin.address)
 	n.Entry = newProcess(c.t, c.dir, n.Name, binary(c.t, binEntry), "--config", n.file("entry"))
--- a/internal/testkit/jobs.go
+++ b/internal/testkit/jobs.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -68,15 +69,13 @@
 	t.Cleanup(p.Stop)
 	c := &JobCluster{Platform: p, t: t, client: &http.Client{Timeout: 4 * time.Second}}
 	ip, dir := loopback(), t.TempDir()
-	// Links come first: one that was made later could get a port that is found to be
-	// free for a node.
 	for i := range nodes {
 		c.Nodes = append(c.Nodes, &JobNode{})
 		if linked {
 			c.link(c.Nodes[i], ip, i)
 		}
 	}
-	for i, first := range freePorts(t, ip, nodes) {
+	for i, first := range reserveNodePorts(t, ip, nodes) {
 		c.prepare(c.Nodes[i], dir, ip, i, first)
 	}
 	for _, n := range c.Nodes {
@@ -115,48 +114,17 @@
 	n.Process = newProcess(c.t, dir, place.Name, binary(c.t, binNode), settingsFlag, file)
 }
 
-// freePorts finds, for each node, ports next to one another that are free on an IP
-// number of this process's own. It returns the first of each. All are held until
-// the last are found, so that no two nodes get the same.
-func freePorts(t testing.TB, ip string, nodes int) []int {
+// reserveNodePorts reserves, for each node, ports next to one another, and returns the
+// first of each.
+func reserveNodePorts(t testing.TB, ip string, nodes int) (firsts []int) {
 	t.Helper()
-	var firsts []int
-	var held []net.Listener
-	defer func() {
-		for _, l := range held {
-			_ = l.Close() // nothing was accepted
-		}
-	}()
-	for tries := 0; len(firsts) < nodes; tries++ {
-		if tries == 50*nodes {
-			t.Fatal("no free ports next to one another")
-		}
-		first, listeners := hold(t, ip)
-		held = append(held, listeners...)
-		if len(listeners) == nodePorts {
-			firsts = append(firsts, first)
-		}
-	}
-	return firsts
-}
-
-// hold listens on a free port and on those that follow it, as far as they are free.
-func hold(t testing.TB, ip string) (first int, held []net.Listener) {
-	t.Helper()
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		t.Fatal(err)
+	ofNode := func(port int) bool {
+		return slices.ContainsFunc(firsts, func(first int) bool { return first <= port && port < first+nodePorts })
 	}
-	held = append(held, l)
-	first = l.Addr().(*net.TCPAddr).Port
-	for i := 1; i < nodePorts; i++ {
-		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(first+i)))
-		if err != nil {
-			return first, held
-		}
-		held = append(held, l)
+	for range nodes {
+		firsts = append(firsts, reserveRow(t, ip, nodePorts, ofNode))
 	}
-	return first, held
+	return firsts
 }
 
 // AwaitReady waits until all nodes that run are ready.
--- /dev/null
+++ b/internal/testkit/ports_test.go
@@ -0,0 +1,53 @@
+package testkit
+
+import (
+	"net"
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A process of a test can't listen, "address already in use": its port was free when it was
+// chosen and was given to another listener before the process started, or while it was down.
+func TestReservedPortIsGivenToNobodyElse(t *testing.T) {
+	ip := loopback()
+	const others = 2000
+	address := reserveAddress(t, ip)
+	for range 3 { // as often as a process starts
+		l, err := net.Listen("tcp", address)
+		require.NoError(t, err)
+		require.NoError(t, l.Close())
+	}
+	row := reserveRow(t, ip, nodePorts, func(int) bool { return false })
+	reserved := []string{address}
+	for i := range nodePorts {
+		reserved = append(reserved, net.JoinHostPort(ip, strconv.Itoa(row+i)))
+	}
+	for range others {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		require.False(t, slices.Contains(reserved, l.Addr().String()))
+	}
+	for _, a := range reserved {
+		l, err := net.Listen("tcp", a)
+		require.NoError(t, err, "after %d others", others)
+		require.NoError(t, l.Close())
+	}
+}
+
+// Rows of ports overlap, and two nodes of a cluster get the same port.
+func TestRowsOfPortsDoNotOverlap(t *testing.T) {
+	ip := loopback()
+	var ports []int
+	for range 200 {
+		first := reserveRow(t, ip, nodePorts, func(port int) bool { return slices.Contains(ports, port) })
+		for i := range nodePorts {
+			assert.NotContains(t, ports, first+i)
+			ports = append(ports, first+i)
+		}
+	}
+}
--- a/internal/testkit/standin.go
+++ b/internal/testkit/standin.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"path/filepath"
@@ -30,15 +29,13 @@
 
 func (c *Cluster) startStandin() {
 	c.t.Helper()
-	var held []net.Listener
-	address := c.hold(&held)
+	address := reserveAddress(c.t, c.ip)
 	file := filepath.Join(c.dir, "standin.toml")
 	c.write(file, Settings{"listen": quote(address), "fleet": c.fleet()}, c.opts.Standin)
 	process := newProcess(c.t, c.dir, "standin", binary(c.t, binStandin), "--config", file)
 	client := platform.NewClient(address, platform.ClientOptions{Timeout: waitLimit})
 	c.t.Cleanup(client.Close)
 	c.Standin = &Standin{Process: process, Client: client, t: c.t, address: address}
-	_ = held[0].Close()
 	process.Start()
 	until(c.t, "the stand-in answers", func() bool { return answers("http://" + address + "/control/") })
 	c.linkBackends()
