Show states of jobs only while the owner's membership holds

Cause: node-1 owned the partition and was paused at 0.58 s for 3.0 s. Node-2 took over and completed the job at 1.3 s of its age. Awake at 3.58 s, node-1 answered what had waited in its sockets from its own machine, until its next join told it that it owns nothing.

Change: an owner answers on jobs that go on, or that it doesn't know, only until a time to live after the latest join that confirmed it was sent; nor does it call a worker empty after that. Jobs that have ended are shown as before.

Both new tests of the owner failed before the change.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,6 +158,9 @@
 	n.deps.Confirmed = func(partition int) time.Time {
 		return n.manager.Confirmed(platform.Partition{Topic: joblog.Topic, Part: partition})
 	}
+	n.deps.OwnedUntil = func(partition int) time.Time {
+		return n.manager.OwnedUntil(platform.Partition{Topic: joblog.Topic, Part: partition})
+	}
 }
 
 // listen binds the process's addresses.
--- a/internal/owner/ask.go
+++ b/internal/owner/ask.go
@@ -38,15 +38,22 @@
 // not in it to count as none. An accepted job must be known within 3 s.
 const staleAfter = 2200 * time.Millisecond
 
+// mayBeReplaced tells whether the node's membership may have lapsed, so that another owner
+// has gone on with the partition's jobs. A process that was paused learns that only from
+// its next join.
+func (o *Owner) mayBeReplaced() bool {
+	return !time.Now().Before(o.deps.OwnedUntil(o.partition))
+}
+
 // State returns a job's state; ok is false if the owner can't tell. That is so for
 // an unknown job while the partition can't be read, or is read late: it may have
-// been taken.
+// been taken. It is so for a job that goes on while another owner may have ended it.
 func (o *Owner) State(ctx context.Context, id workload.JobID) (JobState, bool) {
 	s, ok := ask(ctx, o, func(c *scheduler.Core, now time.Time) JobState {
 		state, known := c.State(id)
 		return JobState{State: state, Known: known, Stale: !known && now.Sub(o.readAt) > staleAfter}
 	})
-	return s, ok && !s.Stale
+	return s, ok && !s.Stale && (s.State.Ended() || !o.mayBeReplaced())
 }
 
 // Waiting returns how many jobs of a queue have not begun.
@@ -54,9 +61,11 @@
 	return ask(ctx, o, func(c *scheduler.Core, _ time.Time) int { return c.Waiting(queue) })
 }
 
-// Evacuate empties a worker and tells whether it is empty.
+// Evacuate empties a worker and tells whether it is empty. ok is false if the owner can't
+// tell, as while another one may have started tasks there.
 func (o *Owner) Evacuate(ctx context.Context, worker string) (empty, ok bool) {
-	return ask(ctx, o, func(c *scheduler.Core, now time.Time) bool { return c.Evacuate(worker, now) })
+	empty, ok = ask(ctx, o, func(c *scheduler.Core, now time.Time) bool { return c.Evacuate(worker, now) })
+	return empty, ok && !o.mayBeReplaced()
 }
 
 // Loads returns what the services of the partition carry, and takes which workers of one
--- /dev/null
+++ b/internal/owner/ask_test.go
@@ -0,0 +1,100 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// Jobs of the machine that answers questions in these tests.
+const (
+	waitingJob = workload.JobID("0000000000000001")
+	endedJob   = workload.JobID("0000000000000002")
+	unknownJob = workload.JobID("0000000000000003")
+)
+
+// answering returns an owner that answers until the test ends. ownedUntil is what the
+// group has confirmed of its partition.
+func answering(t *testing.T, ownedUntil *time.Time) *Owner {
+	o := &Owner{inbox: make(chan event, inboxSize), loaded: make(chan struct{})}
+	o.deps.OwnedUntil = func(int) time.Time { return *ownedUntil }
+	o.readAt = time.Now()
+	close(o.loaded)
+	core := scheduler.New(scheduler.Settings{Epoch: 1, StateKept: time.Minute}, time.Now(), nil, false)
+	sub := &workload.Submission{Service: "booking", Queue: "queue", Spec: workload.Spec{Steps: []workload.Step{{Count: 1}}}}
+	core.Submitted(waitingJob, sub)
+	core.Submitted(endedJob, sub)
+	core.Recalled(endedJob, &workload.Progress{Final: workload.Completed})
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan struct{})
+	t.Cleanup(func() {
+		cancel()
+		<-stopped
+	})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case e := <-o.inbox:
+				e.apply(core, time.Now())
+			}
+		}
+	}()
+	return o
+}
+
+// A caller is shown a job as completed by its owner, and 0.04 s later as pending.
+//
+// The process of an earlier owner was paused for three seconds; another node took the
+// partition over and completed the job. Awake again, the earlier one answers from what it
+// knew, until its next join tells it. An owner must answer only while its membership
+// can't have lapsed; a job that has ended stays so and may be shown by any.
+func TestOwnerWhoseMembershipMayHaveLapsedShowsNoStateThatCanChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ownedUntil := time.Now().Add(time.Second)
+		o := answering(t, &ownedUntil)
+		shown := func(id workload.JobID) (JobState, bool) { return o.State(t.Context(), id) }
+
+		s, ok := shown(waitingJob)
+		assert.True(t, ok)
+		assert.Equal(t, workload.Pending, s.State)
+		s, ok = shown(unknownJob)
+		assert.True(t, ok)
+		assert.False(t, s.Known)
+
+		time.Sleep(time.Second)
+		_, ok = shown(waitingJob)
+		assert.False(t, ok, "a state that another owner may have changed")
+		_, ok = shown(unknownJob)
+		assert.False(t, ok, "another owner may know the job")
+		s, ok = shown(endedJob)
+		assert.True(t, ok)
+		assert.Equal(t, workload.Completed, s.State)
+
+		ownedUntil = time.Now().Add(time.Second)
+		_, ok = shown(waitingJob)
+		assert.True(t, ok, "confirmed again")
+	})
+}
+
+// Runs on a VM are cut by its maintenance: an owner that was paused said that the VM's
+// worker is empty, after another owner had started tasks there.
+func TestOwnerWhoseMembershipMayHaveLapsedCallsNoWorkerEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ownedUntil := time.Now().Add(time.Second)
+		o := answering(t, &ownedUntil)
+		empty, ok := o.Evacuate(t.Context(), "w-1")
+		assert.True(t, ok && empty, "a worker that nobody knows")
+		time.Sleep(time.Second)
+		empty, ok = o.Evacuate(t.Context(), "w-1")
+		assert.False(t, ok && empty)
+	})
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -78,6 +78,9 @@
 	Bounds    platform.Bounds
 	// Confirmed is when it was last certain that no other node owns a partition.
 	Confirmed func(partition int) time.Time
+	// OwnedUntil is until when no other node can own a partition unless the group deals
+	// all anew.
+	OwnedUntil func(partition int) time.Time
 	// Confirm asks for a confirmation at once.
 	Confirm func()
 	// Partitions is how many the topic has.
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -70,6 +70,7 @@
 	milliCores int
 	lives      int
 	cancel     context.CancelFunc
+	manager    *Manager
 	cut        *bool
 	ended      chan struct{}
 }
@@ -140,6 +141,7 @@
 			return strconv.Itoa(n.lives)
 		},
 	}, own)
+	n.manager = m
 	go func() {
 		defer close(n.ended)
 		_ = m.Run(ctx)
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -315,6 +315,17 @@
 	return time.Time{}
 }
 
+// OwnedUntil is until when a partition can't pass to another member for want of joins:
+// a time to live after the latest join was sent that confirmed it. Zero if it isn't held.
+// The group may deal all anew at will; the next join, joinInterval later, tells that.
+func (m *Manager) OwnedUntil(p platform.Partition) time.Time {
+	confirmed := m.Confirmed(p)
+	if confirmed.IsZero() {
+		return time.Time{}
+	}
+	return confirmed.Add(m.ttl)
+}
+
 // stopAll stops all owners and waits until they have left word of their runs.
 func (m *Manager) stopAll() {
 	m.mu.Lock()
--- a/internal/ownership/scale_test.go
+++ b/internal/ownership/scale_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/platform"
 )
 
 func all(*clusterNode) bool { return true }
@@ -118,3 +121,37 @@
 		})
 	})
 }
+
+// A node is cut off from the store. By the time another one is dealt what it owned, it
+// must know that this may be so: until then it answers questions about its jobs.
+func TestMembershipIsKnownToHaveLapsedBeforeAnotherOwns(t *testing.T) {
+	playCluster(t, 2, 0, func(c *cluster) {
+		c.start(all)
+		c.until(true)
+		time.Sleep(2 * time.Second)
+		cutOff, other := c.nodes[0], c.nodes[1]
+		var held []platform.Partition
+		c.mu.Lock()
+		for p, n := range c.owner {
+			if n == cutOff {
+				held = append(held, p)
+			}
+		}
+		c.mu.Unlock()
+		require.NotEmpty(t, held)
+		*cutOff.cut = true
+		assert.True(t, cutOff.manager.OwnedUntil(held[0]).After(time.Now()), "while it is only just cut off")
+		for passed := 0; passed < len(held); time.Sleep(time.Millisecond) {
+			passed = 0
+			for _, p := range held {
+				c.mu.Lock()
+				taken := c.owner[p] == other
+				c.mu.Unlock()
+				if taken {
+					passed++
+					require.False(t, cutOff.manager.OwnedUntil(p).After(time.Now()), "partition %v has passed on", p)
+				}
+			}
+		}
+	})
+}
