Count a crash under an inherited run as a late one

Cause, from the history's trace: task 5 of job 6 began at 0.960 s on worker-4, whose process ended by itself at 1.885 s. The owner changed meanwhile. The next one knew the run from the handover and reckoned its age from when it heard of it, so that the crash 0.925 s after the start was noted as one after 0.471 s. A second crash, 0.490 s after the start of the task's next run, then counted as the second early one, and two of these prove a task.

Ruled out: chance within the rule (one of the two crashes was early, not both); a start that the worker never got (both runs had begun); the trial's own age, which is stored.

Change: a run that is known from a handover or from a worker's list is marked as inherited, and a crash under it weighs as one whose age isn't known: a third. Trials that an earlier owner planned are as before, as the plan's time is stored.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -166,6 +166,7 @@
 			Unclear: unclear,
 
 			Unanswered: !r.confirmed && !r.restored,
+			Inherited:  r.inherited,
 		}
 	}
 	trial := slices.ContainsFunc(runs, func(r *run) bool { return r.trial })
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -93,6 +93,7 @@
 			orderedAt: now,
 			paced:     fullPace,
 			confirmed: left.Confirmed,
+			inherited: true,
 
 			doubtUntil: now.Add(c.cfg.Stop + stopSlack),
 		})
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -172,7 +172,7 @@
 		c.out.Stops = append(c.out.Stops, StopOrder{Worker: w.info, Task: row.Task, Run: row.Run, Token: w.token})
 		return nil
 	}
-	r := &run{step: s, index: row.Task.Index, number: row.Run, worker: w, born: w.born, state: runRunning, since: now, orderedAt: now, paced: fullPace, adopted: true, doubtUntil: now.Add(c.cfg.Stop + stopSlack)}
+	r := &run{step: s, index: row.Task.Index, number: row.Run, worker: w, born: w.born, state: runRunning, since: now, orderedAt: now, paced: fullPace, inherited: true, adopted: true, doubtUntil: now.Add(c.cfg.Stop + stopSlack)}
 	others := len(t.runs)
 	w.add(r)
 	switch {
--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -26,10 +26,10 @@
 	// crashesToProve is how many crashes for which nothing else can be to blame prove a
 	// task to be the cause: one may be the worker's own fault.
 	crashesToProve = 2
-	// laterCrashes is how many crashes later than shortestTrial after the start, or after a
-	// start without an answer, weigh as much as an early one. A worker that crashes by
-	// itself does so by chance within a task's first second or two, but hardly time and
-	// again within its first half second.
+	// laterCrashes is how many crashes later than shortestTrial after the start, after a
+	// start without an answer or under a run of an earlier owner weigh as much as an early
+	// one. A worker that crashes by itself does so by chance within a task's first second or
+	// two, but hardly time and again within its first half second.
 	laterCrashes = 3
 	// suspectCrashes is how many crashes make also a task a suspect that had run for a
 	// while each time, and lay beside likelier ones.
@@ -69,7 +69,7 @@
 		gotOn = gotOn || !crash.Sole && !crash.Unanswered && crash.AgeMS >= provenAfter.Milliseconds()
 		switch {
 		case !crash.Sole || crash.Cleared || crash.Unclear:
-		case crash.AgeMS < shortestTrial.Milliseconds() && !crash.Unanswered:
+		case crash.AgeMS < shortestTrial.Milliseconds() && !crash.Unanswered && !crash.Inherited:
 			early++
 		default:
 			later++
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -70,6 +70,9 @@
 	// plannedAt is when an earlier owner planned it as a trial, zero for others: it began
 	// later than that.
 	plannedAt time.Time
+	// inherited is set for a run that an earlier owner started and that is known from its
+	// handover or a worker's list: it is older than orderedAt tells.
+	inherited bool
 	// adopted is set for a run that was listed without an order of this owner.
 	adopted bool
 }
--- a/internal/workload/crash.go
+++ b/internal/workload/crash.go
@@ -16,6 +16,8 @@
 	Sole bool `json:"s,omitempty"`
 	// Unanswered is set if the start had no answer: the run may not have begun.
 	Unanswered bool `json:"o,omitempty"`
+	// Inherited is set if the run began under an earlier owner: it was older than AgeMS.
+	Inherited bool `json:"i,omitempty"`
 	// Unclear is set while the worker may as well have been cut off.
 	Unclear bool `json:"u,omitempty"`
 	// Cleared is set once the task has got on for longer since.
