--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -233,3 +233,51 @@
 	require.Empty(t, w.broken)
 	checkEnds(t, w, 73)
 }
+
+// Guards against a task being started again, or waited for without end, where its end was
+// acknowledged before anybody read it: it may be done. Its job fails; lasting tasks and
+// copies start again.
+func TestEndThatWasAcknowledgedUnread(t *testing.T) {
+	w := newWorld(1, faults{})
+	f := w.addWorker("worker", workload.Resources{CPU: 32000, MemoryMB: 64000})
+	w.takeOver()
+	w.after(time.Second, func() { f.acked = 3 })
+	var jobs []*fakeJob
+	for i := range 8 {
+		w.after(time.Duration(2+i)*time.Second, func() { jobs = append(jobs, w.submit(workload.Spec{Steps: []workload.Step{batch(1, 1000)}}, "quick")) })
+	}
+	w.run(20 * time.Second)
+	require.Empty(t, w.broken)
+	for i, j := range jobs {
+		state, _ := w.owner.core.State(j.id)
+		want := workload.Completed
+		if i < 3 {
+			want = workload.Failed
+		}
+		assert.Equal(t, want, state, "job %d", i)
+	}
+	assert.Equal(t, 3, w.endsUnread())
+}
+
+// Guards against a worker that was only cut off being taken for a new process: it has the
+// same start, its runs go on and its ends count, beside one that restarted behind the cut.
+func TestWorkerThatWasCutOffGoesOn(t *testing.T) {
+	w := newWorld(1, faults{})
+	same := w.addWorker("same", workload.Resources{CPU: 8000, MemoryMB: 16000})
+	other := w.addWorker("other", workload.Resources{CPU: 8000, MemoryMB: 16000})
+	w.takeOver()
+	long := workload.Step{Count: 8, Need: workload.Resources{CPU: 1000, MemoryMB: 1000}, EstimateMS: 6000, MaxPerWorker: 4}
+	var j *fakeJob
+	w.after(time.Second, func() { j = w.submit(workload.Spec{Steps: []workload.Step{long}}, "quick") })
+	w.after(2*time.Second, func() {
+		same.dark, other.dark = true, true
+		other.restart(500 * time.Millisecond)
+	})
+	w.after(4500*time.Millisecond, func() { same.dark, other.dark = false, false })
+	w.run(30 * time.Second)
+	require.Empty(t, w.broken)
+	state, _ := w.owner.core.State(j.id)
+	assert.Equal(t, workload.Completed, state)
+	assert.Equal(t, 1, w.owner.core.Counts.Restarts)
+	assert.Equal(t, 4, w.owner.core.Counts.RunsLost)
+}
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/yuccadrift/yuccadrift/internal/scheduler"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
@@ -122,3 +124,93 @@
 func end(n int64, s scheduler.StartOrder, how workload.How) workload.Held {
 	return workload.Held{Finished: []workload.RunEnd{{Number: n, Task: s.Start.Task, Run: s.Start.Run, How: how}}}
 }
+
+// answer answers a look as the incarnation does that started at born.
+func (r *rig) answer(h scheduler.HoldOrder, born int64, held workload.Held) {
+	held.Born = born
+	r.core.Held(scheduler.HoldResult{Worker: h.Worker.ID, Token: h.Hold.Token, SentAt: r.now, Extra: h.Extra, Held: held, Answer: workload.WorkerAnswer{Clock: r.now.UnixMilli() - born}}, r.now)
+}
+
+// entry registers one worker, as started at born.
+func (r *rig) entry(id string, born int64) {
+	r.core.SetWorkers([]workload.Worker{{ID: id, Born: born, Service: "service", Address: id, Labels: []string{"a", "rack"}, Capacity: workload.Resources{CPU: 8000, MemoryMB: 16000}}}, r.now)
+}
+
+// look returns the look at a worker that waits for its answer, after steps until there is
+// one, and the starts meanwhile.
+func (r *rig) look(id string) (h scheduler.HoldOrder, starts []scheduler.StartOrder) {
+	for range 100 {
+		if h, ok := r.looks[id]; ok {
+			delete(r.looks, id)
+			return h, starts
+		}
+		starts = append(starts, r.step(10*time.Millisecond).Starts...)
+	}
+	require.FailNow(r.t, "no look at "+id)
+	return h, starts
+}
+
+// refused answers a look as the address of a process that has ended does.
+func (r *rig) refused(worker string) {
+	r.core.Held(scheduler.HoldResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerDown}}, r.now)
+}
+
+// unanswered answers a look with silence.
+func (r *rig) unanswered(worker string) {
+	r.core.Held(scheduler.HoldResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerUnknown}}, r.now)
+}
+
+// crash ends a worker's process: looks are refused, and then its successor answers.
+func (r *rig) crash(worker string) {
+	r.refused(worker)
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.refused(worker)
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.replaced(worker)
+}
+
+// refusedFor steps while each look at a worker is refused.
+func (r *rig) refusedFor(worker string, d time.Duration) scheduler.Orders {
+	var all scheduler.Orders
+	for until := r.now.Add(d); r.now.Before(until); {
+		orders := r.step(50 * time.Millisecond)
+		all.Starts = append(all.Starts, orders.Starts...)
+		for _, h := range orders.Holds {
+			if h.Worker.ID == worker {
+				r.refused(worker)
+			}
+		}
+	}
+	return all
+}
+
+// crashBefore ends a worker's process, and others take its place.
+func (r *rig) crashBefore(worker string, others ...string) {
+	r.crash(worker)
+	r.workers(others...)
+	r.step(0)
+	for _, id := range others {
+		r.held(id, r.now, workload.Held{})
+	}
+}
+
+// begin submits a job and answers its starts, which must be as many as it has tasks.
+func (r *rig) begin(id string, spec workload.Step) []scheduler.StartOrder {
+	r.submit(id, spec)
+	starts := r.step(30 * time.Millisecond).Starts
+	require.Len(r.t, starts, spec.Count)
+	for _, s := range starts {
+		r.started(s, workload.WorkerOK)
+	}
+	return starts
+}
+
+// newIncarnationRig returns a rig with one worker that is known to have started at
+// firstBorn.
+func newIncarnationRig(t *testing.T) *rig {
+	r := newRig(t)
+	r.entry("w-1", firstBorn)
+	h, _ := r.look("w-1")
+	r.answer(h, firstBorn, workload.Held{})
+	return r
+}
