A later run shows that the runs of the task before it are over

Cause, from the trace: a task was tried on worker-3 (run 65541), cleared at 10.5 s, lost as worker-3 crashed at 12.0 s, and started again on worker-4 (run 65544) at 14.9 s. The store was away from 9.5 s, so only the plan of the trial was stored. The next owner recalled that trial as a run that may be under way, heard from worker-4 of run 65544, took it for a second run of the task and stopped it.

Ruled out: a second run in fact (worker-3 had restarted, and the owner before knew it); a handover (there was none); an order on its way to worker-3 (its start was answered).

Change: an owner that finds a run listed whose number is higher than that of one which an earlier owner left, and which nobody has listed, counts that one as over. A task is started anew only once its run before is known to be over; that is what keeps tasks from running twice, so it holds for owners that died since. A lower number is stopped as before.

--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -173,6 +173,9 @@
 		return nil
 	}
 	r := &run{step: s, index: row.Task.Index, number: row.Run, worker: w, born: w.born, state: runRunning, since: now, orderedAt: now, paced: fullPace, inherited: true, adopted: true, doubtUntil: now.Add(c.cfg.Stop + stopSlack)}
+	if !s.spec.Speculative {
+		c.dropEarlier(t, row.Run)
+	}
 	others := len(t.runs)
 	w.add(r)
 	switch {
@@ -184,6 +187,18 @@
 	return r
 }
 
+// dropEarlier forgets runs of a task that earlier owners left and that nobody has listed, as
+// one with a higher number is listed: a task is started anew only once its run before is known
+// to be over, though the owner that knew may not have lived to store it.
+func (c *Core) dropEarlier(t *task, number int64) {
+	for _, r := range slices.Clone(t.runs) {
+		if r.number < number && r.state == runUncertain && (r.inherited || r.restored) {
+			c.note(Decision{Verb: "run-over", Job: r.step.job.id, Task: r.key().String(), Worker: r.worker.info.ID, Run: r.number, Reason: "a later run of the task is listed"})
+			c.remove(r)
+		}
+	}
+}
+
 // missed looks for runs that the worker no longer lists.
 func (c *Core) missed(w *worker, res HoldResult, now time.Time) {
 	for _, r := range slices.Clone(w.runs) {
--- a/internal/scheduler/inherited_test.go
+++ b/internal/scheduler/inherited_test.go
@@ -47,6 +47,39 @@
 	}
 }
 
+// Guards against a lasting task being stopped at work, as its new owner counts an earlier run
+// of it as there: the trial that this was had been cleared and its worker had crashed, and
+// the owner did not live to store that. It had started the task anew, so the run before is
+// over.
+func TestLaterRunShowsThatTheOnesBeforeAreOver(t *testing.T) {
+	const job = workload.JobID("0000000000000001")
+	const trial = int64(3<<16 + 2)
+	planned := workload.Crash{Worker: "w-1", Address: "w-1", Run: trial, AtMS: epochStart.UnixMilli() - 5000, Pending: true}
+	next := newRig(t).succeed(job, &workload.Progress{Begun: true, Crashes: map[string][]workload.Crash{"0.0.0": {planned}}})
+	next.workers("w-1", "w-2")
+	h, _ := next.look("w-2")
+	row := workload.RunState{Task: workload.TaskKey{Job: job}, Run: trial + 3, Percent: 100}
+	next.answer(h, 0, workload.Held{Running: []workload.RunState{row}})
+	for range 20 {
+		assert.Empty(t, next.step(20*time.Millisecond).Stops)
+	}
+}
+
+// Guards against the reverse: a run that is older than one that is known is not wanted.
+func TestEarlierRunIsStoppedBesideALaterOne(t *testing.T) {
+	const job = workload.JobID("0000000000000001")
+	const run = int64(3<<16 + 2)
+	next := newRig(t).succeed(job, &workload.Progress{Begun: true})
+	left := workload.LeftRun{Worker: "w-1", Task: workload.TaskKey{Job: job}.String(), Run: run, Confirmed: true}
+	next.core.Inherit(&workload.Handover{Epoch: next.epoch - 1, Runs: []workload.LeftRun{left}}, next.now)
+	next.workers("w-1", "w-2")
+	h, _ := next.look("w-2")
+	next.answer(h, 0, workload.Held{Running: []workload.RunState{{Task: workload.TaskKey{Job: job}, Run: run - 1}}})
+	stops := next.step(20 * time.Millisecond).Stops
+	require.Len(t, stops, 1)
+	assert.Equal(t, run-1, stops[0].Run)
+}
+
 // Guards against a successor of the owner taking runs of before a restart for runs of now:
 // its predecessor's word names the incarnation. One of an older program names none.
 func TestHandoverNamesTheIncarnation(t *testing.T) {
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -163,7 +163,7 @@
 
 // restartSeeds have shown a fault beyond those that are played anyway: jobs of no fault were
 // given up, and their lasting tasks stopped.
-var restartSeeds = []uint64{36, 59, 70, 88, 146, 152, 156, 195, 252, 276, 286, 299}
+var restartSeeds = []uint64{36, 59, 70, 88, 146, 152, 156, 195, 252, 276, 283, 286, 299}
 
 // Guards against anything that is known of a worker being taken for known of the process
 // that has its ID after a restart, in random histories with owners that come and go.
