Take losses in silence soon after a start as weak evidence against a task

Weighed: a loss in silence as a crash (a zone that is cut off makes hundreds of tasks suspects at once, each tried alone); only the number of losses (a task that runs for minutes meets many by chance); a run of losses, each soon after a start (chosen).

Change: a run whose worker fell silent within 2 s of its start and lapsed is noted as an unlikely cause. Three make the task a suspect, as with crashes; two under trials weigh as much as one early crash. The first is not stored. What the silence of a process has said is taken back once it answers again, also under an entry that was forgotten meanwhile.

Where owners are lost in a row such a task still costs more VMs, as what they saw goes with them (ADR 0056).

--- a/internal/scheduler/checks_test.go
+++ b/internal/scheduler/checks_test.go
@@ -99,7 +99,10 @@
 			}
 		}
 	}
-	if w.crashers[name] && j.crashes[name] >= 3 {
+	if w.silentCrashes && w.crashers[name] && j.crashes[name] == mostSilent {
+		w.breaks("BUDGET", fmt.Sprintf("%s is started again after %d VMs were lost under it", name, mostSilent))
+	}
+	if !w.silentCrashes && w.crashers[name] && j.crashes[name] >= 3 {
 		j.startsAfter[name]++
 		if j.startsAfter[name] == 3 {
 			w.breaks("BUDGET", name+" is started three times more after three workers have crashed under it")
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -155,12 +155,8 @@
 	likely := likelyCauses(runs, at)
 	crashes := make([]workload.Crash, len(runs))
 	for i, r := range runs {
-		age := max(0, at.Sub(r.orderedAt))
-		if !r.plannedAt.IsZero() {
-			age = max(age, at.Sub(r.plannedAt)) // it may have run for long
-		}
 		crashes[i] = workload.Crash{
-			Worker: w.info.ID, Born: r.born, Address: w.info.Address, Run: r.number, AtMS: now.UnixMilli(), AgeMS: age.Milliseconds(),
+			Worker: w.info.ID, Born: r.born, Address: w.info.Address, Run: r.number, AtMS: now.UnixMilli(), AgeMS: r.ageAt(at).Milliseconds(),
 			Likely:  slices.Contains(likely, r),
 			Sole:    r.soleCause(runs, at),
 			Unclear: unclear,
@@ -184,6 +180,15 @@
 	}
 }
 
+// ageAt is for how long the run may have been under way at a time.
+func (r *run) ageAt(at time.Time) time.Duration {
+	age := max(0, at.Sub(r.orderedAt))
+	if !r.plannedAt.IsZero() {
+		age = max(age, at.Sub(r.plannedAt))
+	}
+	return age
+}
+
 // storeCrashes has the crashes of a task stored. It isn't started before: one that
 // crashes the next worker, too, would be counted anew by each owner.
 func (c *Core) storeCrashes(s *step, t *task) {
--- a/internal/scheduler/crash_test.go
+++ b/internal/scheduler/crash_test.go
@@ -71,9 +71,27 @@
 // killed, replaced and hand over while the store comes and goes, in every third one
 // on workers that don't guard their room. With restarts, workers that crash come back under
 // their ID, and some restart of themselves.
-func crashHistory(seed uint64, restarts bool) (w *world, crashing []*fakeJob) {
-	w = newWorld(seed, faults{lostAnswer: 0.01, storeLost: 0.02, lateOrder: 0.002})
-	w.restarts = restarts
+func crashHistory(seed uint64) (w *world, crashing []*fakeJob) {
+	return newWorld(seed, crashFaults).playCrashes(seed)
+}
+
+func restartingCrashHistory(seed uint64) (w *world, crashing []*fakeJob) {
+	w = newWorld(seed, crashFaults)
+	w.restarts = true
+	return w.playCrashes(seed)
+}
+
+// silentCrashHistory is crashHistory with workers that crash and take their VMs with them,
+// under one owner: what an owner that dies has seen of a silence is lost with it.
+func silentCrashHistory(seed uint64) (w *world, crashing []*fakeJob) {
+	w = newWorld(seed, crashFaults)
+	w.silentCrashes = true
+	return w.playCrashes(2 * seed)
+}
+
+var crashFaults = faults{lostAnswer: 0.01, storeLost: 0.02, lateOrder: 0.002}
+
+func (w *world) playCrashes(seed uint64) (_ *world, crashing []*fakeJob) {
 	if seed%3 == 0 {
 		w.unguarded = true
 		w.faults.lateOrder = 0 // nobody can know what has shrunk by then
@@ -101,7 +119,7 @@
 		w.after(w.between(time.Second, 80*time.Second), w.shrinkOne)
 		w.after(w.between(time.Second, 80*time.Second), w.refuseOne)
 	}
-	if restarts {
+	if w.restarts {
 		for range 10 {
 			w.after(w.between(time.Second, 80*time.Second), w.restartOne)
 		}
@@ -167,19 +185,30 @@
 // shown as failed after few crashes; no job of others is, and all of these end. No
 // start brings a worker over the room that it has left at the time.
 func TestTasksThatCrashWorkersInRandomHistories(t *testing.T) {
-	playCrashHistories(t, false)
+	playCrashHistories(t, crashHistory)
 }
 
 // Guards against a crash that shows only in another start of the same worker: the same
 // histories, with workers that come back under their ID.
 func TestTasksThatCrashRestartingWorkersInRandomHistories(t *testing.T) {
-	playCrashHistories(t, true)
+	playCrashHistories(t, restartingCrashHistory)
+}
+
+// mostSilent is how many VMs a task may take with it that loses its VM each time: some are
+// lost before it is suspected, and each loss by itself proves less than a crash.
+const mostSilent = 12
+
+// Guards against a task that takes its worker's VM with it each time being started without
+// end: nothing refuses calls then and nothing comes back at the address, so that each loss
+// looks like that of a worker that was cut off.
+func TestTasksThatSilenceTheirWorkersInRandomHistories(t *testing.T) {
+	playCrashHistories(t, silentCrashHistory)
 }
 
-func playCrashHistories(t *testing.T, restarts bool) {
+func playCrashHistories(t *testing.T, play func(seed uint64) (w *world, crashing []*fakeJob)) {
 	crashes, most, lost := 0, 0, 0
 	for _, seed := range crashSeeds(histories(t) / 5) {
-		w, crashing := crashHistory(seed, restarts)
+		w, crashing := play(seed)
 		require.Empty(t, w.broken, "seed %d", seed)
 		own := map[workload.JobID]bool{}
 		for _, j := range crashing {
--- a/internal/scheduler/fakecrash_test.go
+++ b/internal/scheduler/fakecrash_test.go
@@ -39,6 +39,12 @@
 			f.w.lostRuns++
 		}
 	}
+	if f.w.silentCrashes {
+		f.crashed = false // its VM is gone as well: nothing at its address refuses calls
+		f.w.after(entryLapse, func() { f.unregister() })
+		f.w.after(f.w.between(time.Second, 5*time.Second), func() { f.w.addWorker(f.info.ID+"+", f.info.Capacity) })
+		return
+	}
 	if f.w.restarts {
 		f.w.after(f.w.between(300*time.Millisecond, 4*time.Second), f.rise)
 		return
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -130,6 +130,7 @@
 	if !w.synced {
 		w.synced = true
 		delete(c.unheld, w.info.ID)
+		c.answersAgain(w)
 		c.note(Decision{Verb: "worker-synced", Worker: w.info.ID, Reason: "answered under the owner's token", Age: now.Sub(w.since)})
 	}
 	c.balancePace(w, now)
--- a/internal/scheduler/look.go
+++ b/internal/scheduler/look.go
@@ -82,14 +82,7 @@
 		if canAsk && (w.unanswered.Before(w.leaseOver) || !w.missing && now.Sub(w.answered) < longSilence) {
 			continue
 		}
-		for _, r := range slices.Clone(w.runs) {
-			if !r.confirmed && !r.stopped && !w.missing && now.Before(r.orderedAt.Add(lateOrder+lapse(c.cfg.Lease))) {
-				continue
-			}
-			c.Counts.Lapsed++
-			c.note(Decision{Verb: "lapsed", Job: r.step.job.id, Task: r.key().String(), Worker: w.info.ID, Run: r.number, Reason: "no answer, lease is over", Age: now.Sub(w.answered)})
-			c.remove(r)
-		}
+		c.dropLapsed(w, now)
 		if w.synced {
 			w.synced = false
 			c.note(Decision{Verb: "worker-lost", Worker: w.info.ID, Reason: "no answer, lease is over", Age: now.Sub(w.answered), Critical: true})
@@ -97,6 +90,23 @@
 	}
 }
 
+// dropLapsed drops the runs of a worker whose leases are over, but for those that may begin
+// late.
+func (c *Core) dropLapsed(w *worker, now time.Time) {
+	lapsed := slices.DeleteFunc(slices.Clone(w.runs), func(r *run) bool {
+		return !r.confirmed && !r.stopped && !w.missing && now.Before(r.orderedAt.Add(lateOrder+lapse(c.cfg.Lease)))
+	})
+	blamed := c.lostInSilence(w, lapsed, now)
+	for _, r := range lapsed {
+		c.Counts.Lapsed++
+		c.note(Decision{Verb: "lapsed", Job: r.step.job.id, Task: r.key().String(), Worker: w.info.ID, Run: r.number, Reason: "no answer, lease is over", Age: now.Sub(w.answered)})
+		c.remove(r)
+	}
+	for _, r := range blamed {
+		c.judge(r, now)
+	}
+}
+
 // holdWorkers orders a look at each worker that has something to tell.
 func (c *Core) holdWorkers(now time.Time) {
 	for _, w := range c.order {
--- /dev/null
+++ b/internal/scheduler/silence_test.go
@@ -0,0 +1,69 @@
+package scheduler_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// silence has a worker answer nothing until its leases are over and it isn't registered any
+// more, beside another one that answers. It returns the starts there.
+func (r *rig) silence(id, other string) (starts []scheduler.StartOrder) {
+	r.workers(other)
+	for range 200 {
+		if _, ok := r.looks[other]; ok {
+			r.held(other, r.now, workload.Held{})
+		}
+		if _, ok := r.looks[id]; ok {
+			r.unanswered(id)
+		}
+		if starts = append(starts, r.step(50*time.Millisecond).Starts...); len(starts) > 0 {
+			return starts
+		}
+	}
+	return nil
+}
+
+// Guards against tasks being tried one by one, and their jobs given up, after a zone was cut
+// off: hundreds of tasks lose their worker at once, some of them soon after their start, and
+// some do so twice.
+func TestTasksWhoseWorkersFallSilentTwiceAreNoSuspects(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-0")
+	starts := r.begin("0000000000000001", batch(1, 1000))
+	for n := range 2 {
+		starts = r.silence("w-"+strconv.Itoa(n), "w-"+strconv.Itoa(n+1))
+		require.Len(t, starts, 1)
+		r.started(starts[0], workload.WorkerOK)
+	}
+	assert.Equal(t, "w-2", starts[0].Worker.ID)
+	assert.Zero(t, r.core.Counts.Trials)
+	assert.Equal(t, 2, r.core.Counts.Lapsed)
+}
+
+// Guards against a job being given up as its workers are cut off for longer than their
+// leases: one that answers again takes back what its silence said.
+func TestWorkerThatAnswersAgainTakesBackItsSilence(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-0")
+	job := r.begin("0000000000000001", batch(1, 1000))[0].Start.Task.Job
+	for n := range 12 {
+		id, next := "w-"+strconv.Itoa(n), "w-"+strconv.Itoa(n+1)
+		starts := r.silence(id, next)
+		require.Len(t, starts, 1, "%s has lapsed", id)
+		r.started(starts[0], workload.WorkerOK)
+		r.workers(id, next)
+		delete(r.looks, id)
+		h, _ := r.look(id)
+		r.answer(h, 0, workload.Held{})
+	}
+	state, _ := r.core.State(job)
+	assert.Equal(t, workload.Running, state)
+	assert.Zero(t, r.core.Counts.Trials)
+}
--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -63,12 +63,14 @@
 
 // proven tells whether crashes have shown the task to be their cause.
 func (t *task) proven(lasting bool) bool {
-	early, later := 0, 0
+	early, later, silent := 0, 0, 0
 	gotOn := t.gotOn
 	for _, crash := range t.crashes {
-		gotOn = gotOn || !crash.Sole && !crash.Unanswered && crash.AgeMS >= provenAfter.Milliseconds()
+		gotOn = gotOn || !crash.Sole && !crash.Unanswered && !crash.Silent && crash.AgeMS >= provenAfter.Milliseconds()
 		switch {
 		case !crash.Sole || crash.Cleared || crash.Unclear:
+		case crash.Silent:
+			silent++
 		case crash.AgeMS < shortestTrial.Milliseconds() && !crash.Unanswered && !crash.Inherited:
 			early++
 		default:
@@ -82,7 +84,7 @@
 	if lasting {
 		needed++ // it meets more random crashes, and its service ends with it
 	}
-	return early+later/laterCrashes >= needed
+	return early+later/laterCrashes+silent/silentLosses >= needed
 }
 
 // trialTime is how long the task must get on to be cleared: well beyond its age at its
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -67,8 +67,9 @@
 	unguarded bool
 	// crashers are the tasks that crash each worker that starts them, by name.
 	crashers map[string]bool
-	// restarts is set where a worker that crashes under a task comes back under its ID.
-	restarts bool
+	// restarts is set where a worker that crashes under a task comes back under its ID, and
+	// silentCrashes where its VM is lost with it.
+	restarts, silentCrashes bool
 	// lostRuns counts the runs of others that were lost in such crashes.
 	lostRuns int
 	// processor is that of each owner's node, nil where it costs no time.
--- a/internal/workload/crash.go
+++ b/internal/workload/crash.go
@@ -18,6 +18,9 @@
 	Unanswered bool `json:"o,omitempty"`
 	// Inherited is set if the run began under an earlier owner: it was older than AgeMS.
 	Inherited bool `json:"i,omitempty"`
+	// Silent is set if the worker fell silent soon after the start and its leases lapsed: it
+	// may have been cut off.
+	Silent bool `json:"si,omitempty"`
 	// Unclear is set while the worker may as well have been cut off.
 	Unclear bool `json:"u,omitempty"`
 	// Cleared is set once the task has got on for longer since.
