--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -183,7 +183,7 @@
 	for _, n := range c.waveNumbers() {
 		s := c.waves[n]
 		if s.wave.VMs == nil {
-			continue // only an earlier owner's word of it was read so far
+			continue // only an earlier owner's report of it was read so far
 		}
 		state := workload.WaveRunning
 		if len(c.vms) > 0 && len(c.due(s)) == 0 && !c.ordering(n) {
--- a/internal/owner/confirmed.go
+++ b/internal/owner/confirmed.go
@@ -16,7 +16,7 @@
 //
 // Nor does it pass on a list that was read before the ownership began: a node that
 // owned nothing for a while has not read since, and its list still shows workers as
-// ready that have said long ago that they leave. Where the last owner left word of its
+// ready that have said long ago that they leave. Where the last owner left a report of its
 // runs nothing else waits for a later read.
 type confirmedList struct {
 	since  time.Time         // when the ownership began
--- a/internal/owner/confirmed_test.go
+++ b/internal/owner/confirmed_test.go
@@ -61,7 +61,7 @@
 
 // A node owned a service long ago, and has not read the list of workers since. One of
 // them has said meanwhile that it leaves. The node takes the service over from an owner
-// that left word of its runs, so that it may start tasks at once: a task would begin on
+// that left a report of its runs, so that it may start tasks at once: a task would begin on
 // that worker seconds after it was to get none.
 func TestListThatWasReadBeforeTheTakeoverIsNotPassedOn(t *testing.T) {
 	begin := time.UnixMilli(1_700_000_000_000)
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -74,7 +74,7 @@
 	add("run_lapsed", now.Lapsed, before.Lapsed)
 	add("start_refused", now.Refused, before.Refused)
 	add("start_uncertain", now.Uncertain, before.Uncertain)
-	add("looked_again", now.LookedAgain, before.LookedAgain)
+	add("looked_again", now.PolledAgain, before.PolledAgain)
 	add("worker_crashed", now.Crashes, before.Crashes)
 	add("run_lost", now.RunsLost, before.RunsLost)
 	add("suspect_started", now.Trials, before.Trials)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -120,7 +120,7 @@
 	}
 	status, err := o.log.Write(ctx, o.epoch, o.unfinished.Sequence, records)
 	if status != platform.StoreOK {
-		o.logger.Warn("last write is not finished, no word of the runs is left", "status", status.String(), "error", err)
+		o.logger.Warn("last write is not finished, no report of the runs is left", "status", status.String(), "error", err)
 	}
 	return status == platform.StoreOK
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -170,7 +170,7 @@
 	return err
 }
 
-// leftBy returns the last owner's word of its runs, nil if it left none. Only
+// leftBy returns the last owner's report of its runs, nil if it left none. Only
 // that of the owner just before counts: later ones have started more.
 func leftBy(batch platform.Batch) *workload.Handover {
 	records, _ := joblog.Decode(batch) // unreadable ones are logged by apply
@@ -193,8 +193,8 @@
 // handOverTimeout bounds the last write of an owner.
 const handOverTimeout = 400 * time.Millisecond
 
-// handOver leaves word of what runs. Orders that are still on their way are in
-// it. Without the word the next owner waits for leases to lapse.
+// handOver leaves a report of what runs. Orders that are still on their way are in
+// it. Without it the next owner waits for leases to lapse.
 func (o *Owner) handOver(core *scheduler.Core) {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
@@ -247,7 +247,7 @@
 	return platform.Batch{}, ctx.Err()
 }
 
-// takeOver makes the machine. Where the last owner left no word of its runs, it
+// takeOver makes the machine. Where the last owner left no report of its runs, it
 // begins with the workers that may run what an earlier
 // owner started: those registered, and those that the list of VMs names.
 func (o *Owner) takeOver(ctx context.Context, told bool) *scheduler.Core {
--- a/internal/scheduler/copies.go
+++ b/internal/scheduler/copies.go
@@ -43,7 +43,7 @@
 // mayHaveCrashed tells whether the worker is silent and has perhaps crashed. A copy of
 // what it ran could crash the next one; until its lease is over it isn't worth that.
 func (w *worker) mayHaveCrashed(now time.Time) bool {
-	return w.silent && (w.refuses || now.Before(w.silentSince.Add(crashShows)))
+	return w.unreachable && (w.refuses || now.Before(w.unreachableSince.Add(crashShows)))
 }
 
 func (c *Core) copyStep(p *pool, s *step, now time.Time) {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -81,7 +81,7 @@
 	// then a worker that has not answered may run any task.
 	blockedUntil time.Time
 	// unheld are the workers that may run what an earlier owner started. There
-	// are none where that owner has left word of its runs.
+	// are none where that owner has left a report of its runs.
 	unheld map[string]bool
 	// doubtful is set while the list of workers may lack some that run tasks.
 	doubtful bool
@@ -102,8 +102,8 @@
 	// required are the labels that a service's jobs have asked for so far.
 	required map[string][]string
 	starting inFlight
-	// extraLooks is how many are under way.
-	extraLooks int
+	// extraPolls is how many are under way.
+	extraPolls int
 	forming    []forming
 	// crashedSteps are those under whose tasks workers have crashed.
 	crashedSteps []*step
@@ -113,9 +113,9 @@
 	suspectsWait bool
 	// dirtyPlan is set when something has changed that a plan rests on.
 	dirtyPlan bool
-	// unwellUntil is until when the process counts as one that hardly gets on.
-	unwellUntil time.Time
-	unblocked   bool // nothing waits for an earlier owner's runs any more
+	// stalledUntil is until when the process counts as stalled: it hardly gets on.
+	stalledUntil time.Time
+	unblocked    bool // nothing waits for an earlier owner's runs any more
 
 	// When things were done last.
 	startedAt, steppedAt, sweptAt, plannedAt, copiedAt, wroteAt, suspectsNotedAt time.Time
@@ -137,8 +137,8 @@
 	// Trials is how many starts were of suspects, Cleared how many of these got on, and
 	// GivenUp how many jobs failed as one of their tasks crashes workers.
 	Trials, Cleared, GivenUp int
-	// LookedAgain is how many looks at workers were sent beside one whose answer was late.
-	LookedAgain int
+	// PolledAgain is how many polls of workers were sent beside one whose answer was late.
+	PolledAgain int
 	// Ranked is how many jobs were ranked, and Looks how many workers and runs were
 	// looked at, to decide on starts: what planning costs.
 	Ranked, Looks int
@@ -322,7 +322,7 @@
 	if w, ok := c.workers[id]; ok {
 		return w
 	}
-	w := &worker{info: workload.Worker{ID: id}, token: c.cfg.Epoch * tokenStep, pace: fullPace, since: now, silent: true, missing: true, unsettled: true}
+	w := &worker{info: workload.Worker{ID: id}, token: c.cfg.Epoch * tokenStep, pace: fullPace, since: now, unreachable: true, missing: true, unsettled: true}
 	if last, ok := c.lastTokens[id]; ok {
 		w.token = last
 		c.raiseToken(w)
@@ -335,7 +335,7 @@
 
 // Step returns what is due.
 func (c *Core) Step(now time.Time) Orders {
-	c.feel(now)
+	c.noteStall(now)
 	c.expireRuns(now)
 	c.doubtStarts(now)
 	c.forgetWorkers(now)
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -11,7 +11,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
-// The caller's job takes one look more to begin. A worker may run what an earlier
+// The caller's job takes one poll more to begin. A worker may run what an earlier
 // owner started there: nothing is started anywhere before each one has answered
 // under the new token, as the same task could run on the one that has not.
 func TestNothingStartsBeforeAllSuspectsAnswered(t *testing.T) {
@@ -64,7 +64,7 @@
 
 // A start has no answer and is carried out late. The worker's list does not have
 // it at first, so it is stopped; the stop's answer keeps the late start out. Only
-// a look after that frees the task for another worker.
+// a poll after that frees the task for another worker.
 func TestStartWithoutAnAnswerIsStoppedBeforeItIsTriedElsewhere(t *testing.T) {
 	r := newRig(t)
 	r.ready("w-1", "w-2")
@@ -81,7 +81,7 @@
 	r.core.Stopped(scheduler.OrderResult{Worker: start.Worker.ID, Task: start.Start.Task, Run: start.Start.Run, Token: start.Start.Token, Answer: workload.WorkerAnswer{Clock: 1000}}, r.now)
 	before := r.now.Add(-time.Millisecond)
 	r.held(start.Worker.ID, before, workload.Held{})
-	assert.Empty(t, r.step(20*time.Millisecond).Starts, "that look was sent before the stop was answered")
+	assert.Empty(t, r.step(20*time.Millisecond).Starts, "that poll was sent before the stop was answered")
 	r.held(start.Worker.ID, r.now, workload.Held{})
 	again := r.step(20 * time.Millisecond).Starts
 	require.Len(t, again, 1)
@@ -280,9 +280,9 @@
 }
 
 // A task ends while another runs on the worker. Until its end is stored the worker
-// is left alone, as it would answer each look at once; then it is looked at without
+// is left alone, as it would answer each poll at once; then it is polled without
 // a pause. Otherwise every end costs the next one on that worker 400 ms.
-func TestLookFollowsAStoredEndAtOnce(t *testing.T) {
+func TestPollFollowsAStoredEndAtOnce(t *testing.T) {
 	r := newRig(t)
 	r.ready("w-1")
 	r.submit("0000000000000001", batch(2, 1000))
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -56,13 +56,13 @@
 	w.unclearUntil = now.Add(successorWait)
 }
 
-// clarify looks whether the list of workers tells what has become of a worker: it lags.
+// clarify checks whether the list of workers tells what has become of a worker: it lags.
 func (c *Core) clarify(w *worker, now time.Time) {
 	if len(w.victims) > 0 && c.listedEnd(w, w.victims) != "" {
 		c.exonerate(w)
 		return
 	}
-	if w.silent && (len(w.runs) > 0 || now.Before(w.unclearUntil)) && c.hasSuccessor(w) {
+	if w.unreachable && (len(w.runs) > 0 || now.Before(w.unclearUntil)) && c.hasSuccessor(w) {
 		c.replaced(w, now)
 	}
 }
@@ -70,7 +70,7 @@
 // hasSuccessor tells whether another worker of the service answers at the address.
 func (c *Core) hasSuccessor(w *worker) bool {
 	return slices.ContainsFunc(c.order, func(other *worker) bool {
-		return other != w && w.info.Address != "" && other.info.Address == w.info.Address && other.info.Service == w.info.Service && other.synced && !other.silent
+		return other != w && w.info.Address != "" && other.info.Address == w.info.Address && other.info.Service == w.info.Service && other.synced && !other.unreachable
 	})
 }
 
@@ -102,7 +102,7 @@
 	switch {
 	case now.Before(w.evacuateUntil):
 		return "its VM was to be emptied"
-	case w.silent && !w.refuses && w.unclearUntil.IsZero() && !now.Before(w.leaseOver):
+	case w.unreachable && !w.refuses && w.unclearUntil.IsZero() && !now.Before(w.leaseOver):
 		return "its leases were over"
 	}
 	return c.listedEnd(w, runs)
@@ -149,8 +149,8 @@
 		c.Counts.Crashes++
 	}
 	at := now
-	if w.silent && !w.silentSince.IsZero() {
-		at = w.silentSince
+	if w.unreachable && !w.unreachableSince.IsZero() {
+		at = w.unreachableSince
 	}
 	likely := likelyCauses(runs, at)
 	crashes := make([]workload.Crash, len(runs))
@@ -302,7 +302,7 @@
 	c.dirtyPlan = true
 }
 
-// getsOn clears a task of which a look, sent at a time, finds a run at work for longer
+// getsOn clears a task of which a poll, sent at a time, finds a run at work for longer
 // than it ever was at a crash.
 func (c *Core) getsOn(r *run, sent time.Time) {
 	t := r.task()
--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -73,7 +73,7 @@
 
 // reopen ends the closing of a worker. One that was emptied has most likely left
 // with its VM, though it is listed for seconds yet: it counts as silent until it
-// has answered a look. A start there would be refused, which costs a task its
+// has answered a poll. A start there would be refused, which costs a task its
 // pause and a gang all its members.
 func (w *worker) reopen() {
 	if w.evacuateUntil.IsZero() {
@@ -81,7 +81,7 @@
 	}
 	w.evacuateUntil = time.Time{}
 	if len(w.runs) == 0 {
-		w.silent = true
+		w.unreachable = true
 	}
 }
 
@@ -127,7 +127,7 @@
 // atWork tells whether a lasting task does its full work, and surely goes on.
 func (t *task) atWork() bool {
 	for _, r := range t.runs {
-		if r.state == runRunning && r.percent >= fullPace && !r.worker.silent && r.sure {
+		if r.state == runRunning && r.percent >= fullPace && !r.worker.unreachable && r.sure {
 			return true
 		}
 	}
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -263,7 +263,7 @@
 	}
 }
 
-// hold sends a look; its answer waits for an end.
+// hold sends a poll; its answer waits for an end.
 func (o *fakeOwner) hold(h scheduler.HoldOrder) {
 	w := o.w
 	sent := w.now
--- a/internal/scheduler/gang_test.go
+++ b/internal/scheduler/gang_test.go
@@ -22,7 +22,7 @@
 	return starts
 }
 
-// play steps for a while. Workers answer looks and list nothing.
+// play steps for a while. Workers answer polls and list nothing.
 func (r *rig) play(d time.Duration) scheduler.Orders {
 	var all scheduler.Orders
 	for until := r.now.Add(d); r.now.Before(until); {
@@ -85,7 +85,7 @@
 }
 
 // A VM was emptied, and its worker goes with it to another pool. The list names it
-// for seconds yet. It gets no task before it has answered a look again: a start
+// for seconds yet. It gets no task before it has answered a poll again: a start
 // there would be refused and cost its task 0.3 s.
 func TestEmptiedWorkerGetsNoTaskBeforeItHasAnswered(t *testing.T) {
 	r := newRig(t)
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -50,7 +50,7 @@
 	return records
 }
 
-// Inherit takes an earlier owner's word of its runs, once the jobs are known.
+// Inherit takes an earlier owner's report of its runs, once the jobs are known.
 // They count as running until their worker answers or their lease has lapsed.
 // Workers that were being emptied stay closed: a task that is started on one is
 // ended when its VM leaves.
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -21,21 +21,21 @@
 	Answer workload.WorkerAnswer
 }
 
-// Held takes the outcome of a look.
+// Held takes the outcome of a poll.
 func (c *Core) Held(r HoldResult, now time.Time) {
 	if r.Extra {
-		c.extraLooks--
+		c.extraPolls--
 	}
 	w := c.workers[r.Worker]
 	if w == nil {
 		return
 	}
-	// An answer that a later look has overtaken says nothing any more: what it lists as
+	// An answer that a later poll has overtaken says nothing any more: what it lists as
 	// running may have ended. Its end, if it lists one, is listed again. Nor does one that
 	// was asked for before a restart of the worker was known.
 	overtaken := r.SentAt.Before(w.toldAt) || r.Token < w.token
 	if r.Extra {
-		w.extraLooks--
+		w.extraPolls--
 	} else if !overtaken {
 		w.holding = false
 	}
@@ -55,20 +55,20 @@
 	case overtaken:
 	case r.Answer.Status == workload.WorkerOK:
 		w.toldAt = r.SentAt
-		w.holding = false // the answer of a look that was sent earlier will be overtaken
+		w.holding = false // the answer of a poll that was sent earlier will be overtaken
 		c.heldOK(w, r, now)
 	default:
-		c.lookFailed(w, r, now)
+		c.pollFailed(w, r, now)
 	}
 }
 
-// lookFailed takes a look that got no answer, or none that says anything.
-func (c *Core) lookFailed(w *worker, r HoldResult, now time.Time) {
+// pollFailed takes a poll that got no answer, or none that says anything.
+func (c *Core) pollFailed(w *worker, r HoldResult, now time.Time) {
 	w.unanswered = r.SentAt
 	w.holdAfter = now.Add(holdRetry)
-	if !w.silent {
+	if !w.unreachable {
 		c.note(Decision{Verb: "worker-silent", Worker: w.info.ID, Reason: reasonOf(r.Answer), Age: now.Sub(w.answered), Critical: true})
-		w.fallSilent(now)
+		w.markUnreachable(now)
 		w.holdAfter = now.Add(crashRetry)
 	}
 	w.refuses = r.Answer.Status == workload.WorkerDown
@@ -104,7 +104,7 @@
 		w.ackTaken = max(w.ackTaken, w.ackSent)
 	}
 	w.answered = now
-	w.silent = false
+	w.unreachable = false
 	w.refuses = false
 	w.inDoubt = false
 	c.wasCutOff(w)
@@ -137,7 +137,7 @@
 	c.dirtyPlan = true
 }
 
-// listed takes a run that a worker lists in answer to a look sent at a time.
+// listed takes a run that a worker lists in answer to a poll sent at a time.
 func (c *Core) listed(w *worker, row workload.RunState, sent, now time.Time) {
 	r := w.find(row.Task, row.Run)
 	if r == nil {
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -160,7 +160,7 @@
 }
 
 // TestHandoversRunNothingTwice plays histories in which owners follow one another
-// every second or so, each with word of its runs. The caller notices nothing: no
+// every second or so, each with a report of its runs. The caller notices nothing: no
 // task runs twice, and none is forgotten, though ends come in all the while.
 func TestHandoversRunNothingTwice(t *testing.T) {
 	for _, seed := range seeds(histories(t) / 3) {
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -17,8 +17,8 @@
 // keep them harmless:
 //
 //   - Each incarnation has a fencing token of its own. What was sent before is refused
-//     once a look with the new token has been carried out, and no task starts before that
-//     look's list has come.
+//     once a poll with the new token has been carried out, and no task starts before that
+//     poll's list has come.
 //   - An acknowledgement travels only just after a list of the same incarnation. The new
 //     process would take it for its own ends and forget those unread.
 //   - A run that was ordered before counts as lost only once that list shows that it
@@ -169,13 +169,13 @@
 	return w.unsettled && !w.restartedAt.IsZero() && now.Before(w.restartedAt.Add(lapse(c.cfg.MaxLease)))
 }
 
-// mayAcknowledge tells whether an acknowledgement may travel with a look that is sent now.
+// mayAcknowledge tells whether an acknowledgement may travel with a poll that is sent now.
 func (c *Core) mayAcknowledge(w *worker, now time.Time) bool {
-	if !w.ackOwed() || !w.synced || w.silent || w.inDoubt {
+	if !w.ackOwed() || !w.synced || w.unreachable || w.inDoubt {
 		return false
 	}
 	listed := w.answered
-	if now.Before(c.unwellUntil) {
+	if now.Before(c.stalledUntil) {
 		listed = w.toldAt // the answer may have lain unread
 	}
 	return now.Sub(listed) < ackFresh
--- a/internal/scheduler/incarnation_test.go
+++ b/internal/scheduler/incarnation_test.go
@@ -18,45 +18,45 @@
 )
 
 // run starts the task of a job of one on the worker and has it end as done, as its end n.
-// It returns the look that carries the acknowledgement.
+// It returns the poll that carries the acknowledgement.
 func (r *rig) run(id string, n int64) scheduler.HoldOrder {
 	s := r.begin(id, batch(1, 1000))[0]
-	h, _ := r.look("w-1")
+	h, _ := r.poll("w-1")
 	r.answer(h, firstBorn, end(n, s, workload.EndDone))
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	return h
 }
 
 // Guards against an acknowledgement reaching a process that has listed nothing, which
 // takes it for its own first ends: after any pause in which the worker can have restarted
-// a look goes without it first.
+// a poll goes without it first.
 func TestAcknowledgementTravelsOnlyJustAfterAList(t *testing.T) {
 	r := newIncarnationRig(t)
 	h := r.run("0000000000000001", 1)
 	require.Equal(t, int64(1), h.Hold.Acked)
 	r.unanswered("w-1")
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	assert.Zero(t, h.Hold.Acked, "the worker was silent")
 	r.answer(h, firstBorn, workload.Held{})
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	assert.Equal(t, int64(1), h.Hold.Acked)
 	r.answer(h, firstBorn, workload.Held{})
 
 	s := r.begin("0000000000000002", batch(1, 1000))[0]
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	assert.Zero(t, h.Hold.Acked, "it has been answered")
 	r.now = r.now.Add(300 * time.Millisecond)
 	r.answer(h, firstBorn, end(2, s, workload.EndDone))
 	r.now = r.now.Add(300 * time.Millisecond) // as a slow store takes
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	assert.Zero(t, h.Hold.Acked, "the list is old")
 	r.answer(h, firstBorn, end(2, s, workload.EndDone))
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	assert.Equal(t, int64(2), h.Hold.Acked)
 }
 
 // Guards against an acknowledgement that stays here for want of another task on the
-// worker: it would travel with the first look after a restart.
+// worker: it would travel with the first poll after a restart.
 func TestAcknowledgementIsDeliveredToAnIdleWorker(t *testing.T) {
 	r := newIncarnationRig(t)
 	h := r.run("0000000000000001", 1)
@@ -72,41 +72,41 @@
 	r := newIncarnationRig(t)
 	r.answer(r.run("0000000000000001", 57), firstBorn, workload.Held{})
 	s := r.begin("0000000000000002", batch(1, 1000))[0]
-	h, _ := r.look("w-1")
+	h, _ := r.poll("w-1")
 	r.answer(h, firstBorn, end(58, s, workload.EndDone))
 	r.now = r.now.Add(30 * time.Millisecond)
 	written := r.core.Step(r.now)
 	require.NotNil(t, written.Write)
 	r.note(written)
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	r.answer(h, nextBorn, workload.Held{})
 	r.core.Written()
 	r.entry("w-1", nextBorn)
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	r.answer(h, nextBorn, workload.Held{})
 	require.Empty(t, r.step(20*time.Millisecond).Holds, "nothing is to be acknowledged")
 
 	s = r.begin("0000000000000003", batch(1, 1000))[0]
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	assert.Zero(t, h.Hold.Acked)
 	r.answer(h, nextBorn, end(1, s, workload.EndDone))
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	assert.Equal(t, int64(1), h.Hold.Acked)
 	state, _ := r.core.State(s.Start.Task.Job)
 	assert.Equal(t, workload.Completed, state)
 }
 
 // Guards against orders of before a restart having effect on the new process, which has
-// seen no fencing token: its first look carries a higher one, and no task is started
-// before that look is answered.
+// seen no fencing token: its first poll carries a higher one, and no task is started
+// before that poll is answered.
 func TestEachIncarnationIsFenced(t *testing.T) {
 	r := newIncarnationRig(t)
 	s := r.begin("0000000000000001", batch(1, 1000))[0]
-	h, _ := r.look("w-1")
+	h, _ := r.poll("w-1")
 	r.entry("w-1", nextBorn)
 	r.answer(h, nextBorn, workload.Held{})
 	r.submit("0000000000000002", batch(1, 1000))
-	fence, starts := r.look("w-1")
+	fence, starts := r.poll("w-1")
 	assert.Empty(t, starts)
 	assert.Greater(t, fence.Hold.Token, s.Start.Token)
 	assert.Zero(t, fence.Hold.LeaseUntil)
@@ -124,7 +124,7 @@
 func TestOrderThatIsFencedByAnIncarnationEndsNoOwnership(t *testing.T) {
 	r := newIncarnationRig(t)
 	s := r.begin("0000000000000001", batch(1, 1000))[0]
-	h, _ := r.look("w-1")
+	h, _ := r.poll("w-1")
 	r.answer(h, nextBorn, workload.Held{})
 	r.started(s, workload.WorkerFenced)
 	assert.Empty(t, r.core.Lost())
@@ -138,10 +138,10 @@
 		r.submit("0000000000000001", batch(1, 1000))
 		s := r.play(100 * time.Millisecond).Starts[0]
 		r.started(s, workload.WorkerUnknown)
-		h, _ := r.look("w-1")
+		h, _ := r.poll("w-1")
 		r.entry("w-1", nextBorn)
 		r.answer(h, nextBorn, workload.Held{})
-		fence, _ := r.look("w-1")
+		fence, _ := r.poll("w-1")
 		list := workload.Held{Running: []workload.RunState{{Task: s.Start.Task, Run: s.Start.Run, Percent: 100}}}
 		if ended {
 			list = end(1, s, workload.EndDone)
@@ -158,14 +158,14 @@
 func TestClockAndLeaseOfANewProcess(t *testing.T) {
 	r := newIncarnationRig(t)
 	s := r.begin("0000000000000001", batch(1, 1000))[0]
-	h, _ := r.look("w-1")
+	h, _ := r.poll("w-1")
 	r.entry("w-1", nextBorn)
 	r.answer(h, nextBorn, workload.Held{})
-	fence, _ := r.look("w-1")
+	fence, _ := r.poll("w-1")
 	r.answer(fence, nextBorn, workload.Held{Running: []workload.RunState{{Task: s.Start.Task, Run: s.Start.Run, Percent: 100}}})
 	// An answer of the process before that comes now says nothing of this one's clock.
 	r.core.Stopped(scheduler.OrderResult{Worker: "w-1", Task: s.Start.Task, Run: s.Start.Run, Token: s.Start.Token, Answer: workload.WorkerAnswer{Clock: r.now.UnixMilli() - firstBorn}}, r.now)
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	assert.InDelta(t, r.now.UnixMilli()-nextBorn+testLease.Milliseconds(), h.Hold.LeaseUntil, 50)
 
 	// It is cut off now, and no longer registered. The run counts as there for as long as
@@ -193,19 +193,19 @@
 	r := newIncarnationRig(t)
 	r.entry("w-1", nextBorn) // the entry is ahead
 	r.submit("0000000000000001", batch(1, 1000))
-	h, starts := r.look("w-1")
+	h, starts := r.poll("w-1")
 	assert.Empty(t, starts)
 	r.answer(h, nextBorn, workload.Held{})
-	fence, starts := r.look("w-1")
+	fence, starts := r.poll("w-1")
 	assert.Empty(t, starts)
 	r.answer(fence, nextBorn, workload.Held{})
 	assert.Len(t, r.play(100*time.Millisecond).Starts, 1)
 
 	r = newIncarnationRig(t)
 	r.begin("0000000000000001", batch(1, 1000))
-	h, _ = r.look("w-1") // the list is ahead
+	h, _ = r.poll("w-1") // the list is ahead
 	r.answer(h, nextBorn, workload.Held{})
-	fence, _ = r.look("w-1")
+	fence, _ = r.poll("w-1")
 	r.answer(fence, nextBorn, workload.Held{})
 	r.entry("w-1", firstBorn)
 	assert.Empty(t, r.play(500*time.Millisecond).Starts, "the ownership may have passed on since")
@@ -220,10 +220,10 @@
 	listed := workload.Held{Running: []workload.RunState{{Task: s.Start.Task, Run: s.Start.Run, Percent: 100}}}
 	for _, born := range []int64{nextBorn, 1, 9e15} {
 		r.entry("w-1", born)
-		h, starts := r.look("w-1")
+		h, starts := r.poll("w-1")
 		assert.Empty(t, starts)
 		r.answer(h, firstBorn, listed)
-		h, _ = r.look("w-1")
+		h, _ = r.poll("w-1")
 		assert.NotZero(t, h.Hold.LeaseUntil, "its lease is renewed")
 		r.answer(h, firstBorn, listed)
 	}
@@ -240,7 +240,7 @@
 	told := 0
 	clock := r.now.UnixMilli() - firstBorn
 	for _, problem := range []error{nil, assert.AnError, nil} {
-		h, _ := r.look("w-1")
+		h, _ := r.poll("w-1")
 		listed.BornErr = problem
 		r.core.Held(scheduler.HoldResult{Worker: "w-1", Token: h.Hold.Token, SentAt: r.now, Held: listed, Answer: workload.WorkerAnswer{Clock: clock}}, r.now)
 		for _, d := range r.step(0).Decisions {
@@ -252,10 +252,10 @@
 	assert.Equal(t, 1, told)
 	assert.Zero(t, r.core.Counts.Restarts)
 
-	h, _ := r.look("w-1")
+	h, _ := r.poll("w-1")
 	r.answer(h, firstBorn-1000, workload.Held{})
 	assert.Equal(t, 1, r.core.Counts.Restarts)
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	r.answer(h, firstBorn-1000, workload.Held{})
 	assert.Equal(t, 1, r.core.Counts.RunsLost)
 }
@@ -265,15 +265,15 @@
 func TestRestartShowsInTheClockWhereNoStartIsTold(t *testing.T) {
 	r := newRig(t)
 	r.workers("w-1")
-	h, _ := r.look("w-1")
-	look := func(clock int64) {
+	h, _ := r.poll("w-1")
+	poll := func(clock int64) {
 		r.core.Held(scheduler.HoldResult{Worker: "w-1", Token: h.Hold.Token, SentAt: r.now, Answer: workload.WorkerAnswer{Clock: clock}}, r.now)
 	}
-	look(60_000)
+	poll(60_000)
 	r.submit("0000000000000001", batch(1, 1000))
 	r.step(30 * time.Millisecond)
-	h, _ = r.look("w-1")
-	look(500)
+	h, _ = r.poll("w-1")
+	poll(500)
 	assert.Equal(t, 1, r.core.Counts.Restarts)
 }
 
@@ -290,10 +290,10 @@
 			starts++
 			r.started(list[0], workload.WorkerOK)
 			born += 1000
-			h, _ := r.look("w-1")
+			h, _ := r.poll("w-1")
 			r.answer(h, born, workload.Held{})
 			r.entry("w-1", born)
-			h, _ = r.look("w-1")
+			h, _ = r.poll("w-1")
 			r.answer(h, born, workload.Held{})
 		}
 		list = r.play(300 * time.Millisecond).Starts
@@ -311,9 +311,9 @@
 	r.begin("0000000000000001", batch(1, 1000))
 	r.core.SetWorkers([]workload.Worker{{ID: "w-1", Born: firstBorn, Service: "service", Address: "w-1", Draining: true}}, r.now)
 	r.entry("w-1", nextBorn)
-	h, _ := r.look("w-1")
+	h, _ := r.poll("w-1")
 	r.answer(h, nextBorn, workload.Held{})
-	h, _ = r.look("w-1")
+	h, _ = r.poll("w-1")
 	r.answer(h, nextBorn, workload.Held{})
 	assert.Equal(t, 1, r.core.Counts.RunsLost)
 	assert.Zero(t, r.core.Counts.Crashes)
@@ -326,7 +326,7 @@
 	r.replaced("w-1")
 	r.play(time.Second)
 	r.entry("w-1", nextBorn)
-	h, _ := r.look("w-1")
+	h, _ := r.poll("w-1")
 	assert.Greater(t, h.Hold.Token, r.token())
 	r.answer(h, nextBorn, workload.Held{})
 	r.begin("0000000000000001", batch(1, 1000))
@@ -336,20 +336,20 @@
 // and comes back under its ID.
 func TestTokenOfAForgottenWorkerRisesOn(t *testing.T) {
 	r := newIncarnationRig(t)
-	h, _ := r.firstLookAfterRestart()
+	h, _ := r.firstPollAfterRestart()
 	r.core.SetWorkers(nil, r.now)
 	r.step(10 * time.Millisecond)
 	r.entry("w-1", nextBorn+1000)
-	next, _ := r.look("w-1")
+	next, _ := r.poll("w-1")
 	assert.Greater(t, next.Hold.Token, h.Hold.Token)
 }
 
-// firstLookAfterRestart has the worker restart and answers the look that fences it.
-func (r *rig) firstLookAfterRestart() (scheduler.HoldOrder, []scheduler.StartOrder) {
+// firstPollAfterRestart has the worker restart and answers the poll that fences it.
+func (r *rig) firstPollAfterRestart() (scheduler.HoldOrder, []scheduler.StartOrder) {
 	r.entry("w-1", nextBorn)
-	h, _ := r.look("w-1")
+	h, _ := r.poll("w-1")
 	r.answer(h, nextBorn, workload.Held{})
-	fence, starts := r.look("w-1")
+	fence, starts := r.poll("w-1")
 	r.answer(fence, nextBorn, workload.Held{})
 	return fence, starts
 }
@@ -364,13 +364,13 @@
 	config.Queues[0].Advice = &workload.Advice{Decision: time.Millisecond, Valid: time.Minute}
 	r.core.SetConfig(&config)
 	r.entry("w-1", firstBorn)
-	h, _ := r.look("w-1")
+	h, _ := r.poll("w-1")
 	r.answer(h, firstBorn, workload.Held{})
 	r.submit("0000000000000001", batch(1, 1000))
 	asked := r.step(30 * time.Millisecond).Advise
 	require.Len(t, asked, 1)
 	sent := r.now
-	r.firstLookAfterRestart()
+	r.firstPollAfterRestart()
 	r.core.Advised(scheduler.AdviceResult{Order: asked[0], SentAt: sent, OK: true, Valid: time.Minute, Tickets: map[string]string{"w-1": "ticket"}}, r.now)
 	again := 0
 	for range 10 {
@@ -386,14 +386,14 @@
 	r := newIncarnationRig(t)
 	for n, id := range []string{"0000000000000001", "0000000000000002", "0000000000000003"} {
 		s := r.begin(id, batch(1, 1000))[0]
-		h, _ := r.look("w-1")
+		h, _ := r.poll("w-1")
 		r.answer(h, firstBorn, end(int64(n+1), s, workload.EndFailed))
 		r.core.CancelRequested(s.Start.Task.Job, r.now)
-		h, _ = r.look("w-1")
+		h, _ = r.poll("w-1")
 		r.answer(h, firstBorn, workload.Held{})
 	}
 	r.submit("0000000000000004", batch(1, 1000))
 	require.Empty(t, r.play(500*time.Millisecond).Starts, "it is set aside")
-	_, starts := r.firstLookAfterRestart()
+	_, starts := r.firstPollAfterRestart()
 	assert.Len(t, append(starts, r.play(200*time.Millisecond).Starts...), 1)
 }
--- a/internal/scheduler/inflight.go
+++ b/internal/scheduler/inflight.go
@@ -96,5 +96,5 @@
 	r.since = now
 	r.worker.lateUntil = r.orderedAt.Add(lateOrder)
 	r.worker.holdAfter = now
-	r.worker.overdueAt = now // the look under way may wait for an end for long
+	r.worker.overdueAt = now // the poll under way may wait for an end for long
 }
--- a/internal/scheduler/inherited_test.go
+++ b/internal/scheduler/inherited_test.go
@@ -29,7 +29,7 @@
 		}},
 		{"listed", func(next *rig) {
 			next.entry("w-1", firstBorn)
-			h, _ := next.look("w-1")
+			h, _ := next.poll("w-1")
 			next.answer(h, firstBorn, workload.Held{Running: []workload.RunState{{Task: key, Run: inherited}}})
 		}},
 	} {
@@ -37,7 +37,7 @@
 		next := newIncarnationRig(t).succeed(job, &workload.Progress{Begun: true, Crashes: map[string][]workload.Crash{"0.0.0": {before}}})
 		c.tell(next)
 		for next.core.Counts.Crashes == 0 {
-			h, _ := next.look("w-1")
+			h, _ := next.poll("w-1")
 			next.answer(h, nextBorn, workload.Held{})
 		}
 		next.step(30 * time.Millisecond)
@@ -57,7 +57,7 @@
 	planned := workload.Crash{Worker: "w-1", Address: "w-1", Run: trial, AtMS: epochStart.UnixMilli() - 5000, Pending: true}
 	next := newRig(t).succeed(job, &workload.Progress{Begun: true, Crashes: map[string][]workload.Crash{"0.0.0": {planned}}})
 	next.workers("w-1", "w-2")
-	h, _ := next.look("w-2")
+	h, _ := next.poll("w-2")
 	row := workload.RunState{Task: workload.TaskKey{Job: job}, Run: trial + 3, Percent: 100}
 	next.answer(h, 0, workload.Held{Running: []workload.RunState{row}})
 	for range 20 {
@@ -73,7 +73,7 @@
 	left := workload.LeftRun{Worker: "w-1", Task: workload.TaskKey{Job: job}.String(), Run: run, Confirmed: true}
 	next.core.Inherit(&workload.Handover{Epoch: next.epoch - 1, Runs: []workload.LeftRun{left}}, next.now)
 	next.workers("w-1", "w-2")
-	h, _ := next.look("w-2")
+	h, _ := next.poll("w-2")
 	next.answer(h, 0, workload.Held{Running: []workload.RunState{{Task: workload.TaskKey{Job: job}, Run: run - 1}}})
 	stops := next.step(20 * time.Millisecond).Stops
 	require.Len(t, stops, 1)
@@ -100,7 +100,7 @@
 		next := r.succeed(s.Start.Task.Job, &workload.Progress{Begun: true})
 		next.core.Inherit(left, next.now)
 		next.entry("w-1", nextBorn)
-		h, _ := next.look("w-1")
+		h, _ := next.poll("w-1")
 		next.answer(h, nextBorn, workload.Held{})
 		if named {
 			assert.Equal(t, 1, next.core.Counts.Crashes)
@@ -124,7 +124,7 @@
 		}
 		next := r.succeed("0000000000000001", &workload.Progress{Begun: true, Crashes: map[string][]workload.Crash{"0.0.0": {before, crash}}})
 		next.entry("w-1", nextBorn)
-		h, _ := next.look("w-1")
+		h, _ := next.poll("w-1")
 		next.answer(h, nextBorn, workload.Held{})
 		next.step(30 * time.Millisecond)
 		state, _ := next.core.State("0000000000000001")
@@ -137,7 +137,7 @@
 func TestCrashOfAnEarlierIncarnationStays(t *testing.T) {
 	r := newIncarnationRig(t)
 	r.begin("0000000000000001", batch(1, 1000))
-	r.firstLookAfterRestart()
+	r.firstPollAfterRestart()
 	require.Equal(t, 1, r.core.Counts.Crashes)
 	_, stored := r.storing(400 * time.Millisecond)
 	s := r.play(time.Second).Starts
@@ -152,7 +152,7 @@
 	r.started(s[0], workload.WorkerOK)
 	r.refused("w-1")
 	r.storing(30 * time.Millisecond)
-	h, _ := r.look("w-1")
+	h, _ := r.poll("w-1")
 	r.answer(h, nextBorn, workload.Held{Running: []workload.RunState{{Task: s[0].Start.Task, Run: s[0].Start.Run, Percent: 100}}})
 	for range 5 {
 		if _, more := r.storing(30 * time.Millisecond); more != nil {
@@ -212,7 +212,7 @@
 }
 
 // The owner is killed while a suspect runs, and the worker crashes before the next one
-// has looked at it. The start was stored before it was ordered, so that the next owner
+// has polled it. The start was stored before it was ordered, so that the next owner
 // counts that crash, too, and gives the job up after one more.
 func TestTrialOutlivesItsOwner(t *testing.T) {
 	r := newRig(t)
--- a/internal/scheduler/lasting_test.go
+++ b/internal/scheduler/lasting_test.go
@@ -87,7 +87,7 @@
 	for _, s := range starts {
 		r.started(s, workload.WorkerOK)
 	}
-	look := func(tail float64) []scheduler.PaceOrder {
+	poll := func(tail float64) []scheduler.PaceOrder {
 		var rows []workload.RunState
 		for _, s := range starts {
 			row := workload.RunState{Task: s.Start.Task, Run: s.Start.Run, Percent: 100}
@@ -103,14 +103,14 @@
 		}
 		return paces
 	}
-	paces := look(150)
+	paces := poll(150)
 	require.Len(t, paces, 1)
 	assert.Equal(t, 50, paces[0].Percent)
 	assert.Equal(t, 1, paces[0].Task.Step)
-	paces = look(120)
+	paces = poll(120)
 	require.Len(t, paces, 1)
 	assert.Equal(t, 25, paces[0].Percent)
-	paces = look(30)
+	paces = poll(30)
 	require.Len(t, paces, 1)
 	assert.Equal(t, 40, paces[0].Percent)
 }
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -83,7 +83,7 @@
 
 // usable tells whether the worker answers and may get starts now or soon.
 func (w *worker) usable(now time.Time) bool {
-	return w.synced && !w.silent && !w.info.Draining && !now.Before(w.trust.suspendUntil)
+	return w.synced && !w.unreachable && !w.info.Draining && !now.Before(w.trust.suspendUntil)
 }
 
 // loadNow is what a worker carries, by how hard it is to move.
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -17,11 +17,11 @@
 	Decisions []Decision
 }
 
-// HoldOrder renews and looks at a worker. Its outcome goes to Held.
+// HoldOrder renews the leases of a worker and polls it. Its outcome goes to Held.
 type HoldOrder struct {
 	Worker workload.Worker
 	Hold   workload.Hold
-	// Extra is set for a look beside one whose answer is overdue.
+	// Extra is set for a poll beside one whose answer is overdue.
 	Extra bool
 }
 
@@ -92,7 +92,7 @@
 }
 
 // writePause is the shortest time between two writes. The ends of tasks come by
-// the hundred a second, and a worker is not looked at again within holdPause
+// the hundred a second, and a worker is not polled again within holdPause
 // anyway; a job that has ended is stored at once, as its caller waits for it.
 const writePause = 20 * time.Millisecond
 
@@ -117,7 +117,7 @@
 	c.writing = &write{jobs: map[workload.JobID]workload.State{}}
 	order := &WriteOrder{Sequence: c.writeSeq, Delete: c.expired}
 	if c.writeSeq == 1 {
-		// From here on the word of the owner before says too little.
+		// From here on the handover of the owner before says too little.
 		order.Records = append(order.Records, workload.Record{Takeover: &workload.Takeover{Epoch: c.cfg.Epoch}})
 	}
 	order.Records = append(order.Records, c.dirtyRecords()...)
--- a/internal/scheduler/peak_test.go
+++ b/internal/scheduler/peak_test.go
@@ -142,7 +142,7 @@
 // carried out seconds late, though nearly all workers are well and have room.
 //
 // A start without an answer took one of the places for starts until it was given up after
-// a second, and its task waited as long; a look without an answer hid the ends of its
+// a second, and its task waited as long; a poll without an answer hid the ends of its
 // worker's tasks for two, after which the worker got no starts for a while. So one lost
 // answer of seven cost most of what the workers could do. What is asked for is nine
 // tenths of what is served without any loss.
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -115,7 +115,7 @@
 
 // takes tells whether the worker may get starts at all.
 func (w *worker) takes(now time.Time) bool {
-	return w.synced && !w.silent && !w.missing && !w.info.Draining && w.entryAgrees() &&
+	return w.synced && !w.unreachable && !w.missing && !w.info.Draining && w.entryAgrees() &&
 		w.orders < maxOrders && !now.Before(w.fullUntil) &&
 		!now.Before(w.evacuateUntil) && w.trust.allows(now, w.passing())
 }
--- a/internal/scheduler/processor_test.go
+++ b/internal/scheduler/processor_test.go
@@ -8,7 +8,7 @@
 
 // What an owner's processor does for its service, on a small VM's 0.4 of a core.
 const (
-	// answerCost is an order or a look and its answer. A start is two of them and takes
+	// answerCost is an order or a poll and its answer. A start is two of them and takes
 	// 270 us of a core, measured by BenchmarkOwnerStarts with nothing waiting.
 	answerCost = 340 * time.Microsecond
 	// rankCost is one job that a plan ranks and lookCost one worker or run that it
--- a/internal/scheduler/restart_test.go
+++ b/internal/scheduler/restart_test.go
@@ -207,11 +207,11 @@
 		require.Len(t, starts, 1)
 		r.started(starts[0], workload.WorkerOK)
 		r.now = r.now.Add(1500 * time.Millisecond)
-		h, _ := r.look("w-1")
+		h, _ := r.poll("w-1")
 		born += 5000
 		r.answer(h, born, workload.Held{})
 		r.entry("w-1", born)
-		h, _ = r.look("w-1")
+		h, _ = r.poll("w-1")
 		r.answer(h, born, workload.Held{})
 	}
 	state, _ := r.core.State(job)
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -17,8 +17,8 @@
 	now  time.Time
 	// epoch is the core's.
 	epoch int64
-	// looks are the latest that were sent, by worker.
-	looks map[string]scheduler.HoldOrder
+	// polls are the latest that were sent, by worker.
+	polls map[string]scheduler.HoldOrder
 }
 
 // token is the fencing token of the core's first orders to a worker.
@@ -72,24 +72,24 @@
 	return orders
 }
 
-// note keeps the looks among orders for tests that answer them.
+// note keeps the polls among orders for tests that answer them.
 func (r *rig) note(orders scheduler.Orders) {
-	if r.looks == nil {
-		r.looks = map[string]scheduler.HoldOrder{}
+	if r.polls == nil {
+		r.polls = map[string]scheduler.HoldOrder{}
 	}
 	for _, h := range orders.Holds {
 		if !h.Extra {
-			r.looks[h.Worker.ID] = h
+			r.polls[h.Worker.ID] = h
 		}
 	}
 }
 
-// held answers a look.
+// held answers a poll.
 func (r *rig) held(worker string, sent time.Time, held workload.Held) {
 	r.core.Held(scheduler.HoldResult{Worker: worker, Token: r.token(), SentAt: sent, Held: held, Answer: workload.WorkerAnswer{Clock: 1000}}, r.now)
 }
 
-// replaced answers a look at a worker as its successor at the same address does.
+// replaced answers a poll of a worker as its successor at the same address does.
 func (r *rig) replaced(worker string) {
 	r.core.Held(scheduler.HoldResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerReplaced}}, r.now)
 }
@@ -125,7 +125,7 @@
 	return workload.Held{Finished: []workload.RunEnd{{Number: n, Task: s.Start.Task, Run: s.Start.Run, How: how}}}
 }
 
-// answer answers a look as the incarnation does that started at born.
+// answer answers a poll as the incarnation does that started at born.
 func (r *rig) answer(h scheduler.HoldOrder, born int64, held workload.Held) {
 	held.Born = born
 	r.core.Held(scheduler.HoldResult{Worker: h.Worker.ID, Token: h.Hold.Token, SentAt: r.now, Extra: h.Extra, Held: held, Answer: workload.WorkerAnswer{Clock: r.now.UnixMilli() - born}}, r.now)
@@ -136,31 +136,31 @@
 	r.core.SetWorkers([]workload.Worker{{ID: id, Born: born, Service: "service", Address: id, Labels: []string{"a", "rack"}, Capacity: workload.Resources{CPU: 8000, MemoryMB: 16000}}}, r.now)
 }
 
-// look returns the look at a worker that waits for its answer, after steps until there is
+// poll returns the poll of a worker that waits for its answer, after steps until there is
 // one, and the starts meanwhile.
-func (r *rig) look(id string) (h scheduler.HoldOrder, starts []scheduler.StartOrder) {
+func (r *rig) poll(id string) (h scheduler.HoldOrder, starts []scheduler.StartOrder) {
 	for range 100 {
-		if h, ok := r.looks[id]; ok {
-			delete(r.looks, id)
+		if h, ok := r.polls[id]; ok {
+			delete(r.polls, id)
 			return h, starts
 		}
 		starts = append(starts, r.step(10*time.Millisecond).Starts...)
 	}
-	require.FailNow(r.t, "no look at "+id)
+	require.FailNow(r.t, "no poll of "+id)
 	return h, starts
 }
 
-// refused answers a look as the address of a process that has ended does.
+// refused answers a poll as the address of a process that has ended does.
 func (r *rig) refused(worker string) {
 	r.core.Held(scheduler.HoldResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerDown}}, r.now)
 }
 
-// unanswered answers a look with silence.
+// unanswered answers a poll with silence.
 func (r *rig) unanswered(worker string) {
 	r.core.Held(scheduler.HoldResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerUnknown}}, r.now)
 }
 
-// crash ends a worker's process: looks are refused, and then its successor answers.
+// crash ends a worker's process: polls are refused, and then its successor answers.
 func (r *rig) crash(worker string) {
 	r.refused(worker)
 	r.now = r.now.Add(100 * time.Millisecond)
@@ -169,7 +169,7 @@
 	r.replaced(worker)
 }
 
-// refusedFor steps while each look at a worker is refused.
+// refusedFor steps while each poll of a worker is refused.
 func (r *rig) refusedFor(worker string, d time.Duration) scheduler.Orders {
 	var all scheduler.Orders
 	for until := r.now.Add(d); r.now.Before(until); {
@@ -210,7 +210,7 @@
 func newIncarnationRig(t *testing.T) *rig {
 	r := newRig(t)
 	r.entry("w-1", firstBorn)
-	h, _ := r.look("w-1")
+	h, _ := r.poll("w-1")
 	r.answer(h, firstBorn, workload.Held{})
 	return r
 }
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -14,7 +14,7 @@
 // suspect, as unlikely causes are (suspect.go); those under its trials prove it.
 const (
 	// silencedAfter is how long after a start its worker may have fallen silent for the
-	// loss to count. The look that shows it has waited for an answer.
+	// loss to count. The poll that shows it has waited for an answer.
 	silencedAfter = 2 * time.Second
 	// silentLosses is how many losses under trials weigh as much as an early crash.
 	silentLosses = 2
@@ -29,13 +29,13 @@
 	trial := slices.ContainsFunc(runs, func(r *run) bool { return r.trial })
 	for _, r := range runs {
 		t := r.task()
-		age := r.ageAt(w.silentSince)
+		age := r.ageAt(w.unreachableSince)
 		if t.done || r.step.job.final.Ended() || r.inherited || age >= silencedAfter || trial && !r.trial {
 			continue
 		}
 		t.note(workload.Crash{
 			Worker: w.info.ID, Born: r.born, Address: w.info.Address, Run: r.number, AtMS: now.UnixMilli(), AgeMS: age.Milliseconds(),
-			Sole: r.trial && r.soleCause(runs, w.silentSince), Silent: true,
+			Sole: r.trial && r.soleCause(runs, w.unreachableSince), Silent: true,
 		})
 		c.markCrashed(r.step)
 		if r.trial || len(t.crashes) > 1 {
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -17,10 +17,10 @@
 func (r *rig) silence(id, other string) (starts []scheduler.StartOrder) {
 	r.workers(other)
 	for range 200 {
-		if _, ok := r.looks[other]; ok {
+		if _, ok := r.polls[other]; ok {
 			r.held(other, r.now, workload.Held{})
 		}
-		if _, ok := r.looks[id]; ok {
+		if _, ok := r.polls[id]; ok {
 			r.unanswered(id)
 		}
 		if starts = append(starts, r.step(50*time.Millisecond).Starts...); len(starts) > 0 {
@@ -59,8 +59,8 @@
 		require.Len(t, starts, 1, "%s has lapsed", id)
 		r.started(starts[0], workload.WorkerOK)
 		r.workers(id, next)
-		delete(r.looks, id)
-		h, _ := r.look(id)
+		delete(r.polls, id)
+		h, _ := r.poll(id)
 		r.answer(h, 0, workload.Held{})
 	}
 	state, _ := r.core.State(job)
--- a/internal/scheduler/started.go
+++ b/internal/scheduler/started.go
@@ -50,7 +50,7 @@
 	c.starting.done(startID{o.Task, o.Run}, o.Answer.Status != workload.WorkerUnknown)
 	r, stale := c.answered(o, now)
 	if r == nil || r.state == runRunning {
-		return // a look has told already
+		return // a poll has told already
 	}
 	if stale && (o.Answer.Status == workload.WorkerOK || o.Answer.Status == workload.WorkerUnknown) {
 		return // the first list of the new incarnation tells
@@ -91,7 +91,7 @@
 	case workload.WorkerNotSent, workload.WorkerDown:
 		w.fullUntil = now.Add(unhealthyPause)
 		if !w.holding {
-			w.fallSilent(now)
+			w.markUnreachable(now)
 		}
 	case workload.WorkerTicket:
 		r.step.dropTicket(w.info.ID)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -44,7 +44,7 @@
 	worker *worker
 	born   int64 // of the incarnation that the run was ordered to, as in worker
 	state  runState
-	// since is when the state began: a look that was sent earlier says nothing
+	// since is when the state began: a poll that was sent earlier says nothing
 	// of it.
 	since      time.Time
 	orderedAt  time.Time
@@ -54,7 +54,7 @@
 	evacuated  bool // it was to end because its VM is to be emptied
 	// doubtUntil is until when a run of an earlier owner may be one that it has
 	// told to stop: the worker lists it as running until it has ended. sure is set
-	// once it was listed in answer to a look that was sent later.
+	// once it was listed in answer to a poll that was sent later.
 	doubtUntil time.Time
 	sure       bool
 	confirmed  bool // the worker has answered the start or listed the run
@@ -91,7 +91,7 @@
 	restartedAt time.Time // when a restart under the same ID was last learned, zero if never
 	bornNoted   bool      // that its lists don't tell its start has been logged
 	// inDoubt is set from when its entry names another start than its lists do until it has
-	// answered a look.
+	// answered a poll.
 	inDoubt bool
 	// drained is the start of the latest incarnation whose entry said that it leaves.
 	drained int64
@@ -109,17 +109,17 @@
 	clockAt time.Time
 	// leaseOver is when the last lease that it may have got has lapsed.
 	leaseOver time.Time
-	holding   bool // a look is under way
+	holding   bool // a poll is under way
 	holdAfter time.Time
-	// overdueAt is when the answer of the latest look is late, and extraLooks how many
+	// overdueAt is when the answer of the latest poll is late, and extraPolls how many
 	// are under way beside the first.
 	overdueAt  time.Time
-	extraLooks int
-	// toldAt is when the latest look that was answered was sent.
-	toldAt      time.Time
-	silent      bool // the last look got no answer
-	silentSince time.Time
-	refuses     bool // the connection of the last look was refused
+	extraPolls int
+	// toldAt is when the latest poll that was answered was sent.
+	toldAt           time.Time
+	unreachable      bool // the last poll got no answer
+	unreachableSince time.Time
+	refuses          bool // the connection of the last poll was refused
 	// ended is set once another incarnation answered at its address.
 	ended bool
 	// victims are the runs that its crash is held against. It is unclear, and the worker
@@ -130,7 +130,7 @@
 	keptUntil time.Time
 	// plannedUntil is until when it waits for a suspect whose trial is being stored.
 	plannedUntil time.Time
-	// unanswered is when the latest look without an answer was sent.
+	// unanswered is when the latest poll without an answer was sent.
 	unanswered time.Time
 	answered   time.Time
 	orders     int // in flight
@@ -153,15 +153,15 @@
 	fullUntil     time.Time
 }
 
-// fallSilent notes that the worker doesn't answer.
-func (w *worker) fallSilent(now time.Time) {
-	if !w.silent {
-		w.silent = true
-		w.silentSince = now
+// markUnreachable notes that the worker doesn't answer.
+func (w *worker) markUnreachable(now time.Time) {
+	if !w.unreachable {
+		w.unreachable = true
+		w.unreachableSince = now
 	}
 }
 
-// noted allows the acknowledgement of ends up to a number. The worker is looked
+// noted allows the acknowledgement of ends up to a number. The worker is polled
 // at again at once: until it has the acknowledgement it answers without waiting
 // for the next end, so it was left alone.
 func (w *worker) noted(n int64) {
@@ -169,7 +169,7 @@
 		return
 	}
 	w.acked = n
-	if w.acked == w.seen && !w.silent {
+	if w.acked == w.seen && !w.unreachable {
 		w.holdAfter = time.Time{}
 	}
 }
