Count a silence after a trial by the time that the trial may have run

Found in reading the diff: a trial that an earlier owner planned, on a worker that has never answered the new one, had an age of 0 by a silence that began at no known time, and counted as a loss soon after the start. Two of these prove a task.

Change: such a silence is reckoned from the takeover, and the trial's age from its plan, as for crashes. The new test fails without it (the job is shown as failed) and passes with it; a trial that was planned 0.1 s before the takeover counts as before.

--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -26,16 +26,20 @@
 	if len(runs) == 0 || now.Before(w.evacuateUntil) || !w.unclearUntil.IsZero() || c.listedEnd(w, runs) != "" {
 		return nil
 	}
+	at := w.unreachableSince
+	if at.IsZero() {
+		at = c.startedAt // it has never answered this owner
+	}
 	trial := slices.ContainsFunc(runs, func(r *run) bool { return r.trial })
 	for _, r := range runs {
 		t := r.task()
-		age := r.ageAt(w.unreachableSince)
+		age := r.ageAt(at)
 		if t.done || r.step.job.final.Ended() || r.inherited || age >= silencedAfter || trial && !r.trial {
 			continue
 		}
 		t.note(workload.Crash{
 			Worker: w.info.ID, Born: r.born, Address: w.info.Address, Run: r.number, AtMS: now.UnixMilli(), AgeMS: age.Milliseconds(),
-			Sole: r.trial && r.soleCause(runs, w.unreachableSince), Silent: true,
+			Sole: r.trial && r.soleCause(runs, at), Silent: true,
 		})
 		c.markCrashed(r.step)
 		if r.trial || len(t.crashes) > 1 {
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -67,3 +67,31 @@
 	assert.Equal(t, workload.Running, state)
 	assert.Zero(t, r.core.Counts.Trials)
 }
+
+// Guards against a job of no fault being given up by trials of which nobody knows how long
+// they had got on: the owner that planned them was lost, and the worker has never answered
+// the next one. The trial may have run for as long as that.
+func TestTrialThatMayHaveRunForLongProvesNothingBySilence(t *testing.T) {
+	const job = workload.JobID("0000000000000001")
+	for _, c := range []struct {
+		planned time.Duration // before the takeover
+		state   workload.State
+	}{
+		{100 * time.Millisecond, workload.Failed},
+		{3 * time.Second, workload.Running},
+	} {
+		first := newRig(t)
+		var crashes []workload.Crash
+		for n := range 6 {
+			crashes = append(crashes, workload.Crash{Worker: "w-" + strconv.Itoa(n), Run: int64(3<<16 + n), AtMS: first.now.UnixMilli() - 60_000, Sole: n >= 3, Silent: true})
+		}
+		planned := workload.Crash{Worker: "w-9", Address: "w-9", Run: 3<<16 + 9, AtMS: first.now.Add(-c.planned).UnixMilli(), Pending: true}
+		next := first.succeed(job, &workload.Progress{Begun: true, Crashes: map[string][]workload.Crash{"0.0.0": append(crashes, planned)}})
+		for range 200 {
+			next.unanswered("w-9")
+			next.step(50 * time.Millisecond)
+		}
+		state, _ := next.core.State(job)
+		assert.Equal(t, c.state, state, c.planned)
+	}
+}
