--- /dev/null
+++ b/internal/ports/ports_test.go
@@ -0,0 +1,45 @@
+package ports_test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/ports"
+)
+
+const ip = "127.0.0.1"
+
+// A server can't come back at its address, "address already in use": while it was down
+// another listener, or a connection, got its port.
+func TestReservedPortIsThereWheneverItsServerComesBack(t *testing.T) {
+	r, err := ports.Reserve(ip, 0)
+	require.NoError(t, err)
+	t.Cleanup(r.Release)
+	address := fmt.Sprintf("%s:%d", ip, r.Port())
+	const others = 2000
+	for i := range others {
+		l, err := net.Listen("tcp", ip+":0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		require.NotEqual(t, address, l.Addr().String())
+		if i%500 == 0 {
+			server, err := net.Listen("tcp", address)
+			require.NoError(t, err, "after %d others", i)
+			require.NoError(t, server.Close())
+		}
+	}
+}
+
+func TestPortThatCannotBeReserved(t *testing.T) {
+	l, err := net.Listen("tcp", ip+":0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	_, err = ports.Reserve(ip, l.Addr().(*net.TCPAddr).Port)
+	assert.ErrorContains(t, err, "address already in use")
+	_, err = ports.Reserve("localhost", 0)
+	assert.ErrorContains(t, err, `"localhost" is no IPv4 number`)
+}
