--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -34,7 +34,7 @@
 // those that have failed. 2: SIGHUP ended a node that was stopping. 108: an old word
 // that a worker is empty had a VM ordered whose worker ran tasks again. 352: an owner
 // inherited runs of a cancelled job and let them go on. 5002: the same as 108 for a worker
-// that was forgotten. 5019, 5046: lasting tasks were away for long beside jobs that crash
+// that was forgotten, and an owner that was paused showed an old state. 5019, 5046: lasting tasks were away for long beside jobs that crash
 // workers. 7001: such a job ran on. 9302: the stand-in's workers answered after their end.
 var soakSeeds = []uint64{1, 2, 108, 352, 5002, 5019, 5046, 7001, 9302}
 
