Check stops of lasting tasks until an owner has given their job up

The check is as strict as before now, but for jobs that an owner has given up by then, as its decision says.

Before: not checked in these jobs.

--- a/internal/scheduler/checks_test.go
+++ b/internal/scheduler/checks_test.go
@@ -23,12 +23,13 @@
 const notice = 4500 * time.Millisecond
 
 // checkStop checks that the step of a lasting task bears its stop: others that
-// were stopped, or are away for long, are within what it may miss.
+// were stopped, or are away for long, are within what it may miss. A job that was given up
+// has ended, and all its tasks with it.
 func (w *world) checkStop(r *fakeRun) {
 	j := w.jobs[r.task.Job]
 	spec := &j.sub.Spec.Steps[r.task.Step]
 	name := r.task.String()
-	if !spec.Lasting || spec.MayMiss == 0 || !j.cancelled.IsZero() || w.mayBeGivenUp(j) {
+	if !spec.Lasting || spec.MayMiss == 0 || !j.cancelled.IsZero() || j.givenUp {
 		return
 	}
 	away := 0
@@ -47,17 +48,6 @@
 	j.ordered[name] = true
 }
 
-// mayBeGivenUp tells whether a job may be shown as failed, as two workers have crashed
-// under a task that crashes them.
-func (w *world) mayBeGivenUp(j *fakeJob) bool {
-	for name, crashes := range j.crashes {
-		if w.crashers[name] && crashes >= 2 {
-			return true
-		}
-	}
-	return false
-}
-
 // atWork tells whether a task runs on a worker that lives.
 func (w *world) atWork(key workload.TaskKey) bool {
 	for _, f := range w.workers {
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -166,6 +166,11 @@
 	}
 	w := o.w
 	orders := o.core.Step(w.now)
+	for _, d := range orders.Decisions {
+		if d.Verb == "given-up" {
+			w.jobs[d.Job].givenUp = true
+		}
+	}
 	if o.core.Lost() != "" {
 		o.dead = true
 		if w.owner == o {
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -100,6 +100,7 @@
 	startsAfter map[string]int       // starts after three of these
 	ordered     map[string]bool      // lasting tasks that were stopped and are not back
 	lastSeen    map[string]time.Time // when a lasting task was last known to run
+	givenUp     bool                 // by an owner, as its task crashes workers
 	shown       workload.State
 	shownAt     time.Time // when that changed last
 }
