Show that a worker called empty before it is listed gets tasks

Callers see their tasks lost to a maintenance that was to cut nothing.

Cause: an owner that doesn't know a worker answers that it is empty, without closing it. It knows none until it has read its first list; the fleet's owner asks several times a second.

The two tests beside it pass before and after: they hold what the present answer is for.

--- /dev/null
+++ b/internal/scheduler/evacuate_test.go
@@ -0,0 +1,68 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// Guards against tasks being cut by an order for a VM right after a change of owners: the new
+// owner said that a worker is empty before it had read its first list of workers, and started
+// tasks there as soon as the list came.
+func TestWorkerThatIsCalledEmptyBeforeItIsListedStaysClosed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		prepare func(r *rig)
+	}{
+		{"all is handed over", func(r *rig) {
+			r.core.Inherit(&workload.Handover{Epoch: r.epoch - 1}, r.now)
+		}},
+		{"forgotten", func(r *rig) {
+			r.ready("w-1")
+			r.workers()
+			r.play(3 * time.Second)
+		}},
+	} {
+		r := newRig(t)
+		c.prepare(r)
+		require.True(t, r.core.Evacuate("w-1", r.now), "%s: nothing can run there", c.name)
+		r.submit("0000000000000001", batch(1, 1000))
+		clear(r.polls)
+		r.workers("w-1")
+		for range 3 {
+			h, _ := r.poll("w-1")
+			r.answer(h, firstBorn, workload.Held{})
+			assert.Empty(t, r.play(300*time.Millisecond).Starts, "%s: the order for the VM is on its way", c.name)
+		}
+	}
+}
+
+// Guards against a VM that is never maintained: its worker has ended, and the list of VMs
+// still names it.
+func TestWorkerThatIsOnNoListIsCalledEmptyAgainAndAgain(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-2")
+	for range 20 {
+		require.True(t, r.core.Evacuate("w-1", r.now))
+		r.play(200 * time.Millisecond)
+	}
+	assert.NotContains(t, r.core.Loads(r.now)[0].Workers, "w-1")
+}
+
+// Guards against a worker being called empty that may run what an earlier owner started.
+func TestWorkerOfALostOwnerIsNotCalledEmptyBeforeItHasAnswered(t *testing.T) {
+	r := newRig(t, "w-1")
+	for range 3 {
+		require.False(t, r.core.Evacuate("w-1", r.now))
+		r.step(50 * time.Millisecond)
+	}
+	r.workers("w-1")
+	r.step(0)
+	require.False(t, r.core.Evacuate("w-1", r.now), "it is listed and hasn't answered")
+	r.held("w-1", r.now, workload.Held{})
+	assert.True(t, r.core.Evacuate("w-1", r.now))
+}
