Close a worker that is called empty before it is listed

Cause: Evacuate answered for an unknown worker without closing it, as there was no record to close.

Ruled out: to answer "not empty" for unknown workers. One that has ended stays on the list of VMs for a while, and its VM could not be ordered meanwhile (TestWorkerThatIsOnNoListIsCalledEmptyAgainAndAgain); and to wait for the first list only, as a worker that was forgotten comes back later just so (the test's second case).

Change: Evacuate makes the record, as a handover does for workers that were being emptied, and closes it. A worker that is on no list and has no run is empty unless it may run what a lost owner started.

Before: the test fails in both of its cases. After: it passes; all histories of the package pass (67 s).

--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -22,14 +22,15 @@
 // nothing runs there any more, nor can begin, and all its ends are stored: those
 // that are not go with it.
 func (c *Core) Evacuate(id string, now time.Time) (empty bool) {
-	w := c.workers[id]
-	if w == nil {
-		return !c.unheld[id]
-	}
+	// One that is on no list yet is closed, too: tasks would start there as soon as it is.
+	w := c.worker(id, now)
 	if !now.Before(w.evacuateUntil) {
 		c.note(Decision{Verb: "evacuating", Worker: id, Reason: "asked for", Critical: true})
 	}
 	w.evacuateUntil = now.Add(evacuateFor)
+	if w.missing && !w.synced {
+		return len(w.runs) == 0 && !c.unheld[id]
+	}
 	return w.synced && len(w.runs) == 0 && w.seen == w.acked && !c.blocked(now)
 }
 
