Drop what was said of a VM's earlier worker when the next one is listed

A VM's tasks could be cut by an order that rested on the word that the VM's worker before was empty.

Cause: when the list of VMs names another worker, the work on the VM takes its ID, and the word stayed: until the new worker's owner answered, within a second, the VM counted as empty. The answer usually comes before the next step, 0.1 s later, which hid it.

Ruled out: that the age of the word keeps it out (it counts for 1 s, ten steps).

Change: the word goes with the worker.

Before: TestWordOnTheWorkerBeforeDoesNotCountForTheNext orders the VM 0.1 s after the list changes.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -270,7 +270,10 @@
 		case vm.Worker == "":
 			// The list lags: its worker may be there already, with tasks.
 		default:
-			w.worker = vm.Worker
+			if w.worker != vm.Worker {
+				w.worker = vm.Worker
+				w.empty = false
+			}
 			c.out = append(c.out, Action{Verb: Empty, VM: id, Pool: w.pool, Worker: vm.Worker})
 		}
 	}
