Say whether a worker that is to be emptied still answers

Cause: an owner says "empty" of a worker whose process answers and takes nothing, of one that was idle and ended long ago, and of one that is on no list any more. Only the first word is good for an order at once. The fleet's owner told them apart by the load that it had got up to 0.2 s before, and took an idle worker's word without a poll: nobody polls idle workers.

Ruled out: to order only on a list of VMs that is newer than the word, for all workers. Lists come every 0.4 s, so each move and each VM of a wave would wait half of that; and where lists take longer than 0.6 s nothing would be ordered at all.

Change: the owner's answer is one of three, occupied, vacant but unseen, vacant. A worker that is being emptied and runs nothing is polled every 0.1 s, and is vacant while a poll sent within 0.3 s is answered. For one that is unseen the rule on a later list holds, without a look at loads. Owners of earlier versions leave the new field out, which reads as unseen. Its process leaves with the VM, so a poll that fails then is no line in the log.

Tests: changed for the new type, with the same demands; TestIdleWorkerIsVacantOnlyOnceItHas- Answered is new and fails without the age of the answer. An idle worker's VM is ordered 0.1 s later than before.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -66,11 +66,11 @@
 	phase   phase
 	since   time.Time // of the phase
 	retryAt time.Time
-	empty   bool
-	emptyAt time.Time
-	// emptySince is since when each word was that it is empty.
-	emptySince time.Time
-	wantedFor  time.Time // a move is dropped after this
+	// vacancy is what the worker's owner said in answer to a question of askedAt, and to
+	// each one since saidSince.
+	vacancy            workload.Vacancy
+	askedAt, saidSince time.Time
+	wantedFor          time.Time // a move is dropped after this
 }
 
 // waveState is what is known of a wave.
@@ -265,39 +265,38 @@
 		case w.wave == 0 && now.After(w.wantedFor):
 			delete(c.works, id)
 		case !c.mayOrder(id, now):
-		case vm.Pool == c.standby || w.empty && vm.Worker == w.worker && now.Sub(w.emptyAt) < emptyValid && c.isCurrent(vm, w, now):
+		case vm.Pool == c.standby || vm.Worker == w.worker && c.isVacant(w, now):
 			c.order(w, now) // spare VMs are off and run nothing
 		case vm.Worker == "":
 			// The list lags: its worker may be there already, with tasks.
 		default:
 			if w.worker != vm.Worker {
 				w.worker = vm.Worker
-				w.empty = false
+				w.vacancy = workload.Occupied
 			}
 			c.out = append(c.out, Action{Verb: Empty, VM: id, Pool: w.pool, Worker: vm.Worker})
 		}
 	}
 }
 
-// isCurrent tells whether a VM's worker, of which word has come that it is empty, is
-// surely the one that is there. One that its owner has forgotten has ended; the list lags,
-// and its successor may be there by now and run tasks, which an order would cut.
-func (c *Core) isCurrent(vm workload.VM, w *work, now time.Time) bool {
-	l := c.loads[vm.Pool]
-	if l == nil {
-		return true
+// isVacant tells whether a VM's worker surely runs nothing. Where its process hasn't
+// answered, its successor may be there by now and run tasks, which an order would cut, and
+// the list lags.
+func (c *Core) isVacant(w *work, now time.Time) bool {
+	if now.Sub(w.askedAt) >= vacancyValid {
+		return false
 	}
-	_, known := l.load.Workers[vm.Worker]
-	return known || c.listed.After(w.emptySince) && now.Sub(c.listed) < listCurrent
+	return w.vacancy == workload.Vacant ||
+		w.vacancy == workload.VacantUnseen && c.listed.After(w.saidSince) && now.Sub(c.listed) < listCurrent
 }
 
 // listCurrent is how old the list may be to name the worker that is there: one takes
 // longer to start, register and get its first task.
 const listCurrent = 600 * time.Millisecond
 
-// emptyValid is how long the word that a worker is empty holds: its owner keeps
-// it closed for a while after the last wish.
-const emptyValid = time.Second
+// vacancyValid is how long it counts that a worker is vacant: its owner keeps it closed
+// for a while after the last wish.
+const vacancyValid = time.Second
 
 func (c *Core) order(w *work, now time.Time) {
 	w.phase = phaseOrdered
@@ -306,8 +305,8 @@
 	if w.wave != 0 {
 		a = Action{Verb: Maintain, VM: w.vm, Wave: w.wave, Reason: "emptied for maintenance"}
 	}
-	if w.empty {
-		a.Until = w.emptyAt.Add(emptyValid)
+	if w.vacancy != workload.Occupied {
+		a.Until = w.askedAt.Add(vacancyValid)
 	}
 	c.out = append(c.out, a)
 }
@@ -315,16 +314,16 @@
 // Emptied takes the answer to an Empty that was asked at a time. The answer counts
 // from then: a process that stood still since would take it for a fresh one, while
 // the worker is open again and runs tasks.
-func (c *Core) Emptied(vm, worker string, empty bool, asked time.Time) {
+func (c *Core) Emptied(vm, worker string, v workload.Vacancy, asked time.Time) {
 	w := c.works[vm]
 	if w == nil || w.phase != phaseEmptying || w.worker != worker {
 		return
 	}
-	if empty && !w.empty {
-		w.emptySince = asked
+	if v != w.vacancy {
+		w.saidSince = asked
 	}
-	w.empty = empty
-	w.emptyAt = asked
+	w.vacancy = v
+	w.askedAt = asked
 }
 
 // Result is how an order for a VM ended.
@@ -355,7 +354,7 @@
 	case Refused, Unclear:
 		// Ordering again what was carried out is answered as taken.
 		w.phase = phaseEmptying
-		w.empty = false
+		w.vacancy = workload.Occupied
 		w.retryAt = now.Add(orderRetry)
 	case Invalid:
 		if s := c.waves[w.wave]; s != nil {
--- a/internal/fleet/core_test.go
+++ b/internal/fleet/core_test.go
@@ -56,14 +56,14 @@
 	require.Len(t, verbs(actions, fleet.Empty), 1)
 	assert.Empty(t, verbs(actions, fleet.Maintain))
 
-	c.Emptied("vm-1", "w-1", false, begin.Add(100*time.Millisecond))
+	c.Emptied("vm-1", "w-1", workload.Occupied, begin.Add(100*time.Millisecond))
 	assert.Empty(t, verbs(c.Step(begin.Add(200*time.Millisecond)), fleet.Maintain))
 
-	c.Emptied("vm-1", "w-1", true, begin.Add(300*time.Millisecond))
+	c.Emptied("vm-1", "w-1", workload.Vacant, begin.Add(300*time.Millisecond))
 	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-2")}, begin.Add(300*time.Millisecond))
 	assert.Empty(t, verbs(c.Step(begin.Add(400*time.Millisecond)), fleet.Maintain), "another worker is there")
 
-	c.Emptied("vm-1", "w-2", true, begin.Add(500*time.Millisecond))
+	c.Emptied("vm-1", "w-2", workload.Vacant, begin.Add(500*time.Millisecond))
 	orders := verbs(c.Step(begin.Add(600*time.Millisecond)), fleet.Maintain)
 	require.Len(t, orders, 1)
 	assert.Equal(t, begin.Add(1500*time.Millisecond), orders[0].Until, "the word holds for a second")
@@ -110,7 +110,7 @@
 		for _, a := range c.Step(now) {
 			switch a.Verb {
 			case fleet.Empty:
-				c.Emptied(a.VM, a.Worker, true, now)
+				c.Emptied(a.VM, a.Worker, workload.Vacant, now)
 			case fleet.Maintain:
 				away[a.VM] = true
 				c.Ordered(a.VM, fleet.Taken, now)
@@ -133,7 +133,7 @@
 	stored := verbs(c.Step(begin), fleet.Store)
 	require.Len(t, stored, 1)
 	assert.Equal(t, workload.WaveRunning, stored[0].State)
-	c.Emptied("vm-1", "w-1", true, begin)
+	c.Emptied("vm-1", "w-1", workload.Vacant, begin)
 	require.Len(t, verbs(c.Step(begin.Add(100*time.Millisecond)), fleet.Maintain), 1)
 	assert.Empty(t, verbs(c.Step(begin.Add(200*time.Millisecond)), fleet.Store), "the order is on its way")
 	c.Ordered("vm-1", fleet.Taken, begin.Add(300*time.Millisecond))
@@ -150,12 +150,12 @@
 	c.SetWaves([]workload.Wave{wave(1, 1, "vm-1")}, begin)
 	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-1")}, begin)
 	c.Step(begin)
-	c.Emptied("vm-1", "w-1", true, begin)
+	c.Emptied("vm-1", "w-1", workload.Vacant, begin)
 	require.Len(t, verbs(c.Step(begin), fleet.Maintain), 1)
 	c.Ordered("vm-1", fleet.Unclear, begin.Add(time.Second))
 	later := begin.Add(2 * time.Second)
 	require.Len(t, verbs(c.Step(later), fleet.Empty), 1)
-	c.Emptied("vm-1", "w-1", true, later)
+	c.Emptied("vm-1", "w-1", workload.Vacant, later)
 	assert.Len(t, verbs(c.Step(later), fleet.Maintain), 1)
 }
 
@@ -316,7 +316,7 @@
 		for _, a := range c.Step(now) {
 			switch a.Verb {
 			case fleet.Empty:
-				c.Emptied(a.VM, a.Worker, false, now)
+				c.Emptied(a.VM, a.Worker, workload.Occupied, now)
 			case fleet.Move:
 				moved = append(moved, a)
 			}
--- a/internal/fleet/emptied_test.go
+++ b/internal/fleet/emptied_test.go
@@ -22,10 +22,10 @@
 	c.SetLoad(load("booking", 0, 0, 0, map[string]workload.WorkerLoad{"w-2": {Usable: true}}), begin)
 	require.Len(t, verbs(c.Step(begin), fleet.Empty), 1)
 
-	c.Emptied("vm-1", "w-1", true, begin.Add(100*time.Millisecond))
+	c.Emptied("vm-1", "w-1", workload.VacantUnseen, begin.Add(100*time.Millisecond))
 	assert.Empty(t, verbs(c.Step(begin.Add(200*time.Millisecond)), fleet.Maintain))
 	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-1")}, begin.Add(250*time.Millisecond))
-	c.Emptied("vm-1", "w-1", true, begin.Add(300*time.Millisecond))
+	c.Emptied("vm-1", "w-1", workload.VacantUnseen, begin.Add(300*time.Millisecond))
 	assert.Len(t, verbs(c.Step(begin.Add(400*time.Millisecond)), fleet.Maintain), 1)
 }
 
@@ -37,7 +37,7 @@
 	c.SetLoad(load("booking", 0, 0, 0, map[string]workload.WorkerLoad{"w-2": {Usable: true}}), begin)
 	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-1")}, begin)
 	require.Len(t, verbs(c.Step(begin), fleet.Empty), 1)
-	c.Emptied("vm-1", "w-1", true, begin.Add(100*time.Millisecond))
+	c.Emptied("vm-1", "w-1", workload.Vacant, begin.Add(100*time.Millisecond))
 	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-2")}, begin.Add(200*time.Millisecond))
 	for _, at := range []time.Duration{200, 300, 400} {
 		assert.Empty(t, verbs(c.Step(begin.Add(at*time.Millisecond)), fleet.Maintain), "its owner hasn't answered for w-2")
@@ -53,7 +53,7 @@
 	later := begin.Add(2 * time.Second)
 	c.SetLoad(load("booking", 0, 0, 0, map[string]workload.WorkerLoad{"w-1": {Usable: true}}), later.Add(-150*time.Millisecond))
 	require.Len(t, verbs(c.Step(later), fleet.Empty), 1)
-	c.Emptied("vm-1", "w-1", true, later)
+	c.Emptied("vm-1", "w-1", workload.VacantUnseen, later)
 	assert.Empty(t, verbs(c.Step(later.Add(100*time.Millisecond)), fleet.Maintain))
 	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-1")}, later.Add(150*time.Millisecond))
 	assert.Len(t, verbs(c.Step(later.Add(200*time.Millisecond)), fleet.Maintain), 1, "a later list names it")
--- a/internal/fleet/labels_test.go
+++ b/internal/fleet/labels_test.go
@@ -46,7 +46,7 @@
 	require.Len(t, empties, 1)
 	assert.Equal(t, "vm-4", empties[0].VM)
 	assert.Empty(t, verbs(c.Step(begin), fleet.Move))
-	c.Emptied("vm-4", "w-4", true, begin)
+	c.Emptied("vm-4", "w-4", workload.Vacant, begin)
 	moves := verbs(c.Step(begin), fleet.Move)
 	require.Len(t, moves, 1)
 	assert.Equal(t, "booking", moves[0].Pool)
--- a/internal/fleet/waves_test.go
+++ b/internal/fleet/waves_test.go
@@ -93,7 +93,11 @@
 					workers[a.Worker] = w
 					moving = ""
 				}
-				c.Emptied(a.VM, a.Worker, w.Lasting == 0, now)
+				vacancy := workload.Vacant
+				if w.Lasting > 0 {
+					vacancy = workload.Occupied
+				}
+				c.Emptied(a.VM, a.Worker, vacancy, now)
 			case fleet.Maintain:
 				ordered[a.VM] = true
 				c.Ordered(a.VM, fleet.Taken, now)
--- a/internal/fleetowner/acts.go
+++ b/internal/fleetowner/acts.go
@@ -10,6 +10,7 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/fleet"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
@@ -31,10 +32,13 @@
 
 func (o *Owner) empty(ctx context.Context, a fleet.Action) {
 	asked := time.Now()
-	empty, ok := o.deps.Services.Empty(ctx, a.Pool, a.Worker)
+	vacancy, ok := o.deps.Services.Empty(ctx, a.Pool, a.Worker)
+	if !ok {
+		vacancy = workload.Occupied
+	}
 	o.send(ctx, func(c *fleet.Core, _ time.Time) {
 		delete(o.asking, a.Worker)
-		c.Emptied(a.VM, a.Worker, empty && ok, asked)
+		c.Emptied(a.VM, a.Worker, vacancy, asked)
 	})
 }
 
--- a/internal/fleetowner/acts_test.go
+++ b/internal/fleetowner/acts_test.go
@@ -89,9 +89,9 @@
 // slowService says that a worker is empty, and its answer arrives a while later.
 type slowService struct{ takes time.Duration }
 
-func (s slowService) Empty(context.Context, string, string) (empty, ok bool) {
+func (s slowService) Empty(context.Context, string, string) (workload.Vacancy, bool) {
 	time.Sleep(s.takes)
-	return true, true
+	return workload.Vacant, true
 }
 
 func (slowService) LoadsOf(context.Context, string, []string) ([]workload.ServiceLoad, bool) {
--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -48,7 +48,7 @@
 
 // Services are the owners of the services' jobs.
 type Services interface {
-	Empty(ctx context.Context, service, worker string) (empty, ok bool)
+	Empty(ctx context.Context, service, worker string) (v workload.Vacancy, ok bool)
 	LoadsOf(ctx context.Context, service string, leaving []string) ([]workload.ServiceLoad, bool)
 }
 
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -96,10 +96,18 @@
 }
 
 // Empty asks the owner of a service to empty a worker, once. It tells whether the
-// worker is empty.
-func (o *owners) Empty(ctx context.Context, service, worker string) (empty, ok bool) {
+// worker is vacant.
+func (o *owners) Empty(ctx context.Context, service, worker string) (workload.Vacancy, bool) {
 	a, ok := o.askOnce(ctx, nodepeer.Evacuate, nodepeer.Ask{Partition: o.partitionOf(service), Worker: worker}, false)
-	return a.Empty, ok && a.Owner
+	switch {
+	case !ok || !a.Owner:
+		return workload.Occupied, false
+	case !a.Vacant:
+		return workload.Occupied, true
+	case !a.Seen:
+		return workload.VacantUnseen, true
+	}
+	return workload.Vacant, true
 }
 
 // LoadsOf asks the owner of a service, once, what the services of its partition
@@ -152,8 +160,8 @@
 	if own == nil {
 		return nodepeer.Answer{}, nil
 	}
-	empty, ok := own.Evacuate(ctx, a.Worker)
-	return nodepeer.Answer{Owner: ok, Empty: empty}, nil
+	v, ok := own.Evacuate(ctx, a.Worker)
+	return nodepeer.Answer{Owner: ok, Vacant: v != workload.Occupied, Seen: v == workload.Vacant}, nil
 }
 
 // Loads answers another node.
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -55,13 +55,16 @@
 
 // Answer is what the owner says.
 type Answer struct {
-	Owner   bool                   `json:"o"` // the node owns the partition and has read it
-	Known   bool                   `json:"k,omitempty"`
-	State   workload.State         `json:"s,omitempty"`
-	Waiting int                    `json:"w,omitempty"`
-	Empty   bool                   `json:"e,omitempty"`
-	Loads   []workload.ServiceLoad `json:"l,omitempty"`
-	Stored  *Stored                `json:"st,omitempty"`
+	Owner   bool           `json:"o"` // the node owns the partition and has read it
+	Known   bool           `json:"k,omitempty"`
+	State   workload.State `json:"s,omitempty"`
+	Waiting int            `json:"w,omitempty"`
+	// Vacant tells that a worker runs nothing, and Seen that its process has just answered,
+	// which nodes of earlier versions leave out.
+	Vacant bool                   `json:"e,omitempty"`
+	Seen   bool                   `json:"es,omitempty"`
+	Loads  []workload.ServiceLoad `json:"l,omitempty"`
+	Stored *Stored                `json:"st,omitempty"`
 }
 
 // Stored is what became of a record that was to be stored.
--- a/internal/owner/ask.go
+++ b/internal/owner/ask.go
@@ -61,11 +61,11 @@
 	return ask(ctx, o, func(c *scheduler.Core, _ time.Time) int { return c.Waiting(queue) })
 }
 
-// Evacuate empties a worker and tells whether it is empty. ok is false if the owner can't
+// Evacuate empties a worker and tells whether it is vacant. ok is false if the owner can't
 // tell, as while another one may have started tasks there.
-func (o *Owner) Evacuate(ctx context.Context, worker string) (empty, ok bool) {
-	empty, ok = ask(ctx, o, func(c *scheduler.Core, now time.Time) bool { return c.Evacuate(worker, now) })
-	return empty, ok && !o.mayBeReplaced()
+func (o *Owner) Evacuate(ctx context.Context, worker string) (v workload.Vacancy, ok bool) {
+	v, ok = ask(ctx, o, func(c *scheduler.Core, now time.Time) workload.Vacancy { return c.Evacuate(worker, now) })
+	return v, ok && !o.mayBeReplaced()
 }
 
 // Loads returns what the services of the partition carry, and takes which workers of one
--- a/internal/owner/ask_test.go
+++ b/internal/owner/ask_test.go
@@ -91,10 +91,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		ownedUntil := time.Now().Add(time.Second)
 		o := answering(t, &ownedUntil)
-		empty, ok := o.Evacuate(t.Context(), "w-1")
-		assert.True(t, ok && empty, "a worker that nobody knows")
+		vacancy, ok := o.Evacuate(t.Context(), "w-1")
+		assert.True(t, ok && vacancy != workload.Occupied, "a worker that nobody knows")
 		time.Sleep(time.Second)
-		empty, ok = o.Evacuate(t.Context(), "w-1")
-		assert.False(t, ok && empty)
+		_, ok = o.Evacuate(t.Context(), "w-1")
+		assert.False(t, ok)
 	})
 }
--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
 
 // evacuateFor is how long a worker stays closed after the last wish to empty it.
 // Who empties it repeats the wish several times in that; if that process dies,
@@ -18,20 +22,42 @@
 // last checkpoint.
 const shortRest = 1500 * time.Millisecond
 
-// Evacuate closes a worker for a while and empties it. It returns whether
-// nothing runs there any more, nor can begin, and all its ends are stored: those
-// that are not go with it.
-func (c *Core) Evacuate(id string, now time.Time) (empty bool) {
+// Times of a worker that is being emptied and runs nothing: one that is idle isn't polled
+// otherwise.
+const (
+	// vacantPoll is the pause between polls.
+	vacantPoll = 100 * time.Millisecond
+	// vacantSeen is how long an answer shows that its process is there.
+	vacantSeen = 300 * time.Millisecond
+)
+
+// Evacuate closes a worker for a while and empties it. It is vacant once nothing runs
+// there any more, nor can begin, and all its ends are stored: those that are not go with
+// it.
+func (c *Core) Evacuate(id string, now time.Time) workload.Vacancy {
 	// One that is on no list yet is closed, too: tasks would start there as soon as it is.
 	w := c.worker(id, now)
 	if !now.Before(w.evacuateUntil) {
 		c.note(Decision{Verb: "evacuating", Worker: id, Reason: "asked for", Critical: true})
 	}
 	w.evacuateUntil = now.Add(evacuateFor)
-	if w.missing && !w.synced {
-		return len(w.runs) == 0 && !c.unheld[id]
+	switch {
+	case len(w.runs) > 0 || c.unheld[id]:
+		return workload.Occupied
+	case w.missing && !w.synced:
+		return workload.VacantUnseen
+	case !w.synced || w.seen != w.acked || c.blocked(now):
+		return workload.Occupied
+	case w.missing || w.unreachable || now.Sub(w.toldAt) > vacantSeen:
+		return workload.VacantUnseen
 	}
-	return w.synced && len(w.runs) == 0 && w.seen == w.acked && !c.blocked(now)
+	return workload.Vacant
+}
+
+// isVacated tells whether a worker is being emptied and runs nothing any more: its VM may
+// leave at any time.
+func (w *worker) isVacated(now time.Time) bool {
+	return now.Before(w.evacuateUntil) && len(w.runs) == 0
 }
 
 // leavingFor is how long the word counts that a worker is about to leave. The fleet's
--- a/internal/scheduler/evacuate_test.go
+++ b/internal/scheduler/evacuate_test.go
@@ -29,7 +29,7 @@
 	} {
 		r := newRig(t)
 		c.prepare(r)
-		require.True(t, r.core.Evacuate("w-1", r.now), "%s: nothing can run there", c.name)
+		require.Equal(t, workload.VacantUnseen, r.core.Evacuate("w-1", r.now), "%s: nothing can run there", c.name)
 		r.submit("0000000000000001", batch(1, 1000))
 		clear(r.polls)
 		r.workers("w-1")
@@ -51,7 +51,7 @@
 	r := newRig(t)
 	r.ready("w-2")
 	for range 20 {
-		require.True(t, r.core.Evacuate("w-1", r.now))
+		require.Equal(t, workload.VacantUnseen, r.core.Evacuate("w-1", r.now))
 		r.play(200 * time.Millisecond)
 	}
 	assert.NotContains(t, r.core.Loads(r.now)[0].Workers, "w-1")
@@ -61,12 +61,30 @@
 func TestWorkerOfALostOwnerIsNotCalledEmptyBeforeItHasAnswered(t *testing.T) {
 	r := newRig(t, "w-1")
 	for range 3 {
-		require.False(t, r.core.Evacuate("w-1", r.now))
+		require.Equal(t, workload.Occupied, r.core.Evacuate("w-1", r.now))
 		r.step(50 * time.Millisecond)
 	}
 	r.workers("w-1")
 	r.step(0)
-	require.False(t, r.core.Evacuate("w-1", r.now), "it is listed and hasn't answered")
+	require.Equal(t, workload.Occupied, r.core.Evacuate("w-1", r.now), "it is listed and hasn't answered")
 	r.held("w-1", r.now, workload.Held{})
-	assert.True(t, r.core.Evacuate("w-1", r.now))
+	assert.Equal(t, workload.Vacant, r.core.Evacuate("w-1", r.now))
+}
+
+// Guards against a VM's tasks being cut as the process of its idle worker had ended and
+// another one was there: nobody had asked the idle one for long.
+func TestIdleWorkerIsVacantOnlyOnceItHasAnswered(t *testing.T) {
+	r := newRig(t)
+	r.ready("w-1")
+	r.play(5 * time.Second)
+	clear(r.polls)
+	require.Equal(t, workload.VacantUnseen, r.core.Evacuate("w-1", r.now))
+	h, _ := r.poll("w-1")
+	r.answer(h, firstBorn, workload.Held{})
+	require.Equal(t, workload.Vacant, r.core.Evacuate("w-1", r.now))
+	h, _ = r.poll("w-1")
+	r.unanswered(h.Worker.ID)
+	assert.Equal(t, workload.VacantUnseen, r.core.Evacuate("w-1", r.now), "it doesn't answer any more")
+	r.play(400 * time.Millisecond)
+	assert.Equal(t, workload.VacantUnseen, r.core.Evacuate("w-1", r.now))
 }
--- a/internal/scheduler/gang_test.go
+++ b/internal/scheduler/gang_test.go
@@ -90,7 +90,7 @@
 func TestEmptiedWorkerGetsNoTaskBeforeItHasAnswered(t *testing.T) {
 	r := newRig(t)
 	r.ready("w-1")
-	require.True(t, r.core.Evacuate("w-1", r.now))
+	require.Equal(t, workload.Vacant, r.core.Evacuate("w-1", r.now))
 	r.play(3 * time.Second)
 	r.submit("0000000000000001", batch(1, 1000))
 	require.Empty(t, r.step(20*time.Millisecond).Starts)
--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -67,7 +67,9 @@
 	w.unanswered = r.SentAt
 	w.holdAfter = now.Add(holdRetry)
 	if !w.unreachable {
-		c.note(Decision{Verb: "worker-silent", Worker: w.info.ID, Reason: reasonOf(r.Answer), Age: now.Sub(w.answered), Critical: true})
+		if !w.isVacated(now) {
+			c.note(Decision{Verb: "worker-silent", Worker: w.info.ID, Reason: reasonOf(r.Answer), Age: now.Sub(w.answered), Critical: true})
+		}
 		w.markUnreachable(now)
 		w.holdAfter = now.Add(crashRetry)
 	}
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -291,7 +291,7 @@
 		if f == nil || f.gone || w.now.After(deadline) {
 			return
 		}
-		if !w.owner.dead && w.owner.loaded && w.owner.core.Evacuate(id, w.now) {
+		if !w.owner.dead && w.owner.loaded && w.owner.core.Evacuate(id, w.now) != workload.Occupied {
 			if len(f.runs) > 0 {
 				w.breaks("CUT", id+" is said to be empty and runs tasks")
 			}
@@ -346,7 +346,7 @@
 		if f == nil || f.gone || w.now.After(deadline) {
 			return
 		}
-		if w.owner.dead || !w.owner.loaded || !w.owner.core.Evacuate(id, w.now) {
+		if w.owner.dead || !w.owner.loaded || w.owner.core.Evacuate(id, w.now) == workload.Occupied {
 			w.after(150*time.Millisecond, ask)
 			return
 		}
--- a/internal/scheduler/lasting_test.go
+++ b/internal/scheduler/lasting_test.go
@@ -52,7 +52,7 @@
 		r.started(s, workload.WorkerOK)
 	}
 	r.held(home, r.now.Add(time.Millisecond), workload.Held{Running: []workload.RunState{running(starts[0], 100), running(starts[1], 100)}})
-	assert.False(t, r.core.Evacuate(home, r.now))
+	assert.Equal(t, workload.Occupied, r.core.Evacuate(home, r.now))
 	stops := r.step(20 * time.Millisecond).Stops
 	require.Len(t, stops, 1)
 	stopped, left := starts[0], starts[1]
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -120,7 +120,8 @@
 		// One that did not answer gets nothing until it does, so it is asked also
 		// when it has nothing to tell.
 		watched := len(w.runs) > 0 || now.Before(w.lateUntil)
-		needed := !w.synced || w.unreachable || watched || w.seen > w.acked || w.ackOwed() || w.inDoubt
+		needed := !w.synced || w.unreachable || watched || w.seen > w.acked || w.ackOwed() || w.inDoubt ||
+			w.isVacated(now) && now.Sub(w.toldAt) >= vacantPoll
 		if !needed {
 			continue
 		}
