Count a VM as back that comes with its worker's ID

A wave stands still for up to 4 s, and a pool counts a VM as missing, each time a VM comes back from maintenance or a move with a worker of the ID that it had: ADR 0057 listed that as left.

Cause: a VM counts as back once the list names another worker. That tells a list that lags from one that shows the VM's return, and a worker that keeps its ID never shows it.

Ruled out: to take the first list that was asked for after the time that maintenance takes: it may lag, and the VM would be ordered again on the word about the worker before.

Change: the ID may be the same once a list that was asked for after the order has shown the VM as away. Where none has (VMs that can't be listed meanwhile), it is as before.

Before: TestVMThatComesBackWithItsWorkersIDIsBack fails, vm-2's turn comes 4 s late. After: it comes with the first list that shows the return.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -71,6 +71,9 @@
 	vacancy            workload.Vacancy
 	askedAt, saidSince time.Time
 	wantedFor          time.Time // a move is dropped after this
+	// seenAway is set once a list has shown the VM as away after its order: it may come back
+	// with a worker of the same ID.
+	seenAway bool
 }
 
 // waveState is what is known of a wave.
@@ -243,8 +246,11 @@
 		if w.wave == 0 {
 			expected = c.cfg.Migration
 		}
+		if known && vm.State != workload.VMUp && c.listed.After(w.since) {
+			w.seenAway = true
+		}
 		back := c.listed.After(w.since.Add(expected)) && known && vm.State == workload.VMUp &&
-			(vm.Pool == c.standby || vm.Worker != "" && vm.Worker != w.worker)
+			(vm.Pool == c.standby || vm.Worker != "" && (vm.Worker != w.worker || w.seenAway))
 		if back || now.Sub(w.since) > expected+settleSlack {
 			delete(c.works, id)
 		}
--- a/internal/fleet/emptied_test.go
+++ b/internal/fleet/emptied_test.go
@@ -58,3 +58,30 @@
 	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-1")}, later.Add(150*time.Millisecond))
 	assert.Len(t, verbs(c.Step(later.Add(200*time.Millisecond)), fleet.Maintain), 1, "a later list names it")
 }
+
+// Guards against a wave that stands still for seconds, or a pool without a VM that it has, as
+// a VM comes back with a worker of the same ID: the list has shown it as away.
+func TestVMThatComesBackWithItsWorkersIDIsBack(t *testing.T) {
+	c := newCore()
+	c.SetWaves([]workload.Wave{wave(1, 1, "vm-1", "vm-2")}, begin)
+	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-1"), up("vm-2", "booking", "w-2")}, begin)
+	require.Len(t, verbs(c.Step(begin), fleet.Empty), 1)
+	c.Emptied("vm-1", "w-1", workload.Vacant, begin)
+	require.Len(t, verbs(c.Step(begin), fleet.Maintain), 1)
+	c.Ordered("vm-1", fleet.Taken, begin)
+
+	stale := begin.Add(maintenance + 100*time.Millisecond)
+	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-1"), up("vm-2", "booking", "w-2")}, stale)
+	assert.Empty(t, verbs(c.Step(stale), fleet.Empty), "no list has shown it as away: this one may lag")
+
+	away := up("vm-1", "booking", "")
+	away.State = workload.VMMaintenance
+	c.SetVMs([]workload.VM{away, up("vm-2", "booking", "w-2")}, stale.Add(100*time.Millisecond))
+	assert.Empty(t, verbs(c.Step(stale.Add(100*time.Millisecond)), fleet.Empty))
+
+	back := stale.Add(500 * time.Millisecond)
+	c.SetVMs([]workload.VM{up("vm-1", "booking", "w-1"), up("vm-2", "booking", "w-2")}, back)
+	next := verbs(c.Step(back), fleet.Empty)
+	require.Len(t, next, 1, "the wave goes on")
+	assert.Equal(t, "vm-2", next[0].VM)
+}
