Ask about an idle worker twice within a step

Pools that wait for a VM of another pool got it 0.1 s later since a VM is ordered on an answer of its worker: nobody polls idle workers, so the first question hears "unseen", and the fleet's owner asks again a step later.

Ruled out: to poll all idle workers (some thousand on the large site, for nothing); to take an idle worker's word without a poll, which is how tasks were cut.

Change: where the worker is vacant but unseen, its owner is asked again after 30 ms, before the step ends.

TestIdleWorkersVMIsOrderedAtTheNextStep holds the step.

--- a/internal/fleetowner/acts.go
+++ b/internal/fleetowner/acts.go
@@ -30,11 +30,17 @@
 	}
 }
 
+// unseenPause is how long an idle worker, which is polled once it is to be emptied, takes
+// to answer.
+const unseenPause = 30 * time.Millisecond
+
+// empty asks for a worker to be emptied, and once more where its process has not answered
+// lately: the next step would be late for a pool that waits for the VM.
 func (o *Owner) empty(ctx context.Context, a fleet.Action) {
-	asked := time.Now()
-	vacancy, ok := o.deps.Services.Empty(ctx, a.Pool, a.Worker)
-	if !ok {
-		vacancy = workload.Occupied
+	vacancy, asked := o.vacancy(ctx, a)
+	if vacancy == workload.VacantUnseen {
+		wait.Pause(ctx, unseenPause)
+		vacancy, asked = o.vacancy(ctx, a)
 	}
 	o.send(ctx, func(c *fleet.Core, _ time.Time) {
 		delete(o.asking, a.Worker)
@@ -42,6 +48,16 @@
 	})
 }
 
+// vacancy asks a worker's owner, and returns what it said and when it was asked.
+func (o *Owner) vacancy(ctx context.Context, a fleet.Action) (v workload.Vacancy, asked time.Time) {
+	asked = time.Now()
+	v, ok := o.deps.Services.Empty(ctx, a.Pool, a.Worker)
+	if !ok {
+		return workload.Occupied, asked
+	}
+	return v, asked
+}
+
 // vmKey is the key of what is stored of a VM.
 const vmKey = "vm/"
 
--- a/internal/fleetowner/acts_test.go
+++ b/internal/fleetowner/acts_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/yuccadrift/yuccadrift/internal/fleet"
 	"github.com/yuccadrift/yuccadrift/internal/hedge"
@@ -135,3 +136,46 @@
 	assert.True(t, past(now.Round(0), now.Add(time.Millisecond)))
 	assert.True(t, past(now, now.Add(time.Millisecond).Round(0)))
 }
+
+// idleService has a worker that answers its owner a while after it is asked for first.
+type idleService struct {
+	slowService
+	from *time.Time
+}
+
+func (s idleService) Empty(context.Context, string, string) (workload.Vacancy, bool) {
+	if s.from.IsZero() {
+		*s.from = time.Now().Add(10 * time.Millisecond)
+	}
+	if time.Now().Before(*s.from) {
+		return workload.VacantUnseen, true
+	}
+	return workload.Vacant, true
+}
+
+// Guards against a pool waiting a step longer for each VM whose worker is idle: its owner
+// asks it only once it is to be emptied.
+func TestIdleWorkersVMIsOrderedAtTheNextStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := New(Deps{Services: idleService{from: &time.Time{}}, Logger: hclog.NewNullLogger()}, 0, 7)
+		core := fleet.New(fleet.Settings{}, time.Now())
+		core.SetWaves([]workload.Wave{{Number: 1, VMs: []string{"vm-1"}, Duration: 20 * time.Second, Cap: 1}}, time.Now())
+		core.SetVMs([]workload.VM{{ID: "vm-1", Pool: "booking", State: workload.VMUp, Worker: "w-1"}}, time.Now())
+		began := time.Now()
+		for _, a := range core.Step(began) {
+			if a.Verb == fleet.Empty {
+				o.act(t.Context(), a)
+			}
+		}
+		e := <-o.inbox
+		e(core, time.Now())
+		require.Less(t, time.Since(began), stepInterval)
+		orders := 0
+		for _, a := range core.Step(began.Add(stepInterval)) {
+			if a.Verb == fleet.Maintain {
+				orders++
+			}
+		}
+		assert.Equal(t, 1, orders)
+	})
+}
