--- a/internal/operatorcmd/report.go
+++ b/internal/operatorcmd/report.go
@@ -15,8 +15,9 @@
 
 func reportCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "report",
-		Usage: "show service-level burn beside buffer cost, roll-out time and moves",
+		Name:     "report",
+		Commands: []*cli.Command{reportDayCommand()},
+		Usage:    "show service-level burn beside buffer cost, roll-out time and moves",
 		Description: `The burn rate relates what was spent in a window to an even use of the budget: at
 1 the budget lasts exactly its own window. A long and a short window above the
 same rate mean that the burn goes on.
--- /dev/null
+++ b/internal/operatorcmd/report_day.go
@@ -0,0 +1,155 @@
+package operatorcmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/yuccadrift/yuccadrift/internal/dayreport"
+)
+
+const (
+	flagSlow = "slow"
+	flagHTML = "html"
+	// defaultSlow is how long a job may wait for its first start without being counted as
+	// late.
+	defaultSlow = time.Second
+)
+
+func reportDayCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "day",
+		Usage:     "explain a day from the nodes' logs: refusals, late jobs and their causes",
+		ArgsUsage: "[FILE...]",
+		Description: `Reads the logs of all nodes from files, or from standard input if none is given. It
+needs no platform. Lines that can't be read are left out, counted and named.
+
+A job that began late is put down to what held longest while it waited: its owner had
+no store, its partition had no owner, its owner was behind, VMs were on their way to its
+pool; else there was no room for it.
+
+Examples:
+   yuccadrift report day logs/*.log
+   yuccadrift report day --html day.html logs/*.log
+   yuccadrift report day --output json < all.log`,
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: flagSlow, Usage: "count jobs as late that begin this `DURATION` or more after they were taken", Value: defaultSlow},
+			&cli.StringFlag{Name: flagHTML, Usage: "write one HTML page with plots to `FILE`, too"},
+		},
+		Action: explainDay,
+	}
+}
+
+func explainDay(_ context.Context, cmd *cli.Command) error {
+	slow := cmd.Duration(flagSlow)
+	if slow <= 0 {
+		return errors.Errorf("--%s must be more than 0, it is %s", flagSlow, slow)
+	}
+	f := format(cmd.String(flagOutput))
+	if !f.known() {
+		return errors.Errorf("--%s %s is none of table, json, csv", flagOutput, f)
+	}
+	var log dayreport.Log
+	if err := readDay(&log, cmd.Args().Slice(), cmd.Root().Reader); err != nil {
+		return err
+	}
+	r, ok := dayreport.Of(&log, slow)
+	if !ok {
+		return errors.Errorf("no line of a node was found; %d lines of other programs, %d cut ones", log.Foreign, log.Cut)
+	}
+	if name := cmd.String(flagHTML); name != "" {
+		if err := writePage(name, r); err != nil {
+			return err
+		}
+	}
+	return show(cmd.Root().Writer, f, r, dayTable(r), refusalTable(r), slowTable(r), orderTable(r), secondsTable(r), problemTable(r))
+}
+
+func readDay(log *dayreport.Log, files []string, input io.Reader) error {
+	if len(files) == 0 {
+		return log.Read(input, "standard input")
+	}
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return errors.Wrap(err, "log")
+		}
+		err = log.Read(file, name)
+		file.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writePage(name string, r dayreport.Report) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "page")
+	}
+	err = dayreport.WritePage(file, r)
+	if closed := file.Close(); err == nil {
+		err = errors.Wrap(closed, "page")
+	}
+	return err
+}
+
+func dayTable(r dayreport.Report) *table {
+	t := &table{title: "day", header: []string{"FROM", "TO", "NODES", "LINES", "TAKEN", "COMPLETED", "FAILED", "CANCELLED", "OPEN", "START MS 50/95/100", "END MS 50/95/100"}}
+	j := r.Jobs
+	t.add(clock(r.From), clock(r.To), fmt.Sprint(r.Nodes), fmt.Sprint(r.Lines), fmt.Sprint(j.Taken), fmt.Sprint(j.Completed),
+		fmt.Sprint(j.Failed), fmt.Sprint(j.Cancelled), fmt.Sprint(j.Open), times(j.Started), times(j.Ended))
+	return t
+}
+
+func clock(t time.Time) string { return t.UTC().Format(time.TimeOnly) }
+
+func times(t dayreport.Times) string { return fmt.Sprintf("%.0f/%.0f/%.0f", t.Half, t.Of100, t.Most) }
+
+func refusalTable(r dayreport.Report) *table {
+	t := &table{title: "calls refused", header: []string{"CAUSE", "CALL", "STATUS", "TOLD", "TIMES", "FIRST", "LAST"}}
+	for _, x := range r.Refusals {
+		t.add(string(x.Cause), x.Method, fmt.Sprint(x.Status), x.Reason, fmt.Sprint(x.Count), clock(x.First), clock(x.Last))
+	}
+	return t
+}
+
+func slowTable(r dayreport.Report) *table {
+	t := &table{title: "jobs that began late", header: []string{"WAITED FOR", "SERVICE", "JOBS", "LONGEST MS"}}
+	for _, s := range r.Slow {
+		t.add(string(s.Cause), s.Service, fmt.Sprint(s.Count), fmt.Sprint(s.MostMS))
+	}
+	return t
+}
+
+func orderTable(r dayreport.Report) *table {
+	t := &table{title: "orders for VMs", header: []string{"ORDER", "TO POOL", "OUTCOME", "TIMES"}}
+	for _, o := range r.Orders {
+		t.add(o.Kind, o.Pool, o.Outcome, fmt.Sprint(o.Count))
+	}
+	return t
+}
+
+func secondsTable(r dayreport.Report) *table {
+	t := &table{title: "second by second", header: []string{"TIME", "TAKEN", "REFUSED", "BEGAN", "WAIT MS", "COMPLETED", "MEANWHILE"}}
+	for _, s := range r.Seconds {
+		t.add(clock(s.At), fmt.Sprint(s.Taken), fmt.Sprint(s.Refused), fmt.Sprint(s.Began), fmt.Sprintf("%.0f", s.WaitMS),
+			fmt.Sprint(s.Ended), strings.Join(s.Events, "; "))
+	}
+	return t
+}
+
+func problemTable(r dayreport.Report) *table {
+	t := &table{title: fmt.Sprintf("lines left out: %d foreign, %d cut", r.Foreign, r.Cut), header: []string{"FILE", "LINE", "WHAT"}}
+	for _, p := range r.Problems {
+		t.add(p.File, fmt.Sprint(p.Line), p.What)
+	}
+	return t
+}
