Say what each kept seed of the soak guards against, and keep whole logs

Whoever met a failure of the soak saw the last 6 kB of each node's log and a task's name: not enough to trace the order that cut it.

Ruled out: to print whole logs always (some 0.3 MB a seed); tests that wait for the failure.

What is checked is the same.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 	$(GO) test -tags faults ./internal/proof -run '^TestFaultsTogether$$' -count=1 -v -timeout 15m
 
 # Random faults against nodes as processes: SEEDS seeds that begin at FIRST, four
-# at a time, some 20 s each. `make test` plays a few kept ones.
+# at a time, some 20 s each. `make test` plays a few kept ones. YUCCADRIFT_KEPT_LOGS=DIR
+# keeps the whole logs of the nodes of those that fail.
 SEEDS ?= 50
 FIRST ?= 0
 soak:
--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -30,17 +30,28 @@
 	soakAtOnce = 4
 )
 
-// soakSeeds are played by each run of the tests: one for the mixture of faults, and
-// those that have failed. 2: SIGHUP ended a node that was stopping. 108: an old word
-// that a worker is empty had a VM ordered whose worker ran tasks again. 352: an owner
-// inherited runs of a cancelled job and let them go on. 5002: the same as 108 for a worker
-// that was forgotten, and an owner that was paused showed an old state. 5019, 5046: lasting tasks were away for long beside jobs that crash
-// workers. 7001: such a job ran on. 9302: the stand-in's workers answered after their end.
-var soakSeeds = []uint64{1, 2, 108, 352, 5002, 5019, 5046, 7001, 9302}
+// soakSeed is a seed that each run of the tests plays, and the failure that it has shown and
+// guards against.
+type soakSeed struct {
+	seed   uint64
+	guards string
+}
+
+var soakSeeds = []soakSeed{
+	{1, "the mixture of faults; it has shown none"},
+	{2, "SIGHUP ends a node that is stopping"},
+	{108, "a VM is ordered while its worker runs tasks: on an old word, on a worker that is not listed yet, on one that has ended"},
+	{352, "an owner inherits runs of a cancelled job and lets them go on"},
+	{5002, "a VM is ordered whose worker was forgotten; an owner that was paused shows an old state"},
+	{5019, "lasting tasks are away for long beside jobs that crash workers"},
+	{5046, "the same, with other faults"},
+	{7001, "a job that crashes workers runs on"},
+	{9302, "the stand-in's workers answer after their end"},
+}
 
 // seedsOfSoak returns the seeds to play. YUCCADRIFT_SOAK_SEEDS=N plays N seeds that
 // begin at YUCCADRIFT_SOAK_FIRST.
-func seedsOfSoak(t *testing.T) []uint64 {
+func seedsOfSoak(t *testing.T) []soakSeed {
 	text := os.Getenv("YUCCADRIFT_SOAK_SEEDS")
 	if text == "" {
 		return soakSeeds
@@ -52,9 +63,9 @@
 		first, err = strconv.ParseUint(text, 10, 64)
 		require.NoError(t, err)
 	}
-	var seeds []uint64
+	var seeds []soakSeed
 	for i := range n {
-		seeds = append(seeds, first+i)
+		seeds = append(seeds, soakSeed{first + i, "what nobody has seen yet"})
 	}
 	return seeds
 }
@@ -70,11 +81,12 @@
 func TestSoak(t *testing.T) {
 	gate := make(chan struct{}, soakAtOnce)
 	for _, seed := range seedsOfSoak(t) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+		t.Run(fmt.Sprint("seed ", seed.seed), func(t *testing.T) {
 			t.Parallel()
+			t.Log("guards against: ", seed.guards)
 			gate <- struct{}{}
 			defer func() { <-gate }()
-			playSoak(t, seed)
+			playSoak(t, seed.seed)
 		})
 	}
 }
--- a/internal/testkit/process.go
+++ b/internal/testkit/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -181,10 +182,29 @@
 		}
 	}
 	if p.t.Failed() {
+		p.keepLog(text)
 		p.t.Logf("--- end of the log of %s\n%s", p.Name, tail([]byte(text)))
 	}
 }
 
+// keptLogs names a directory that gets the whole logs of processes of tests that fail, in
+// place of their ends alone.
+const keptLogs = "YUCCADRIFT_KEPT_LOGS"
+
+func (p *Process) keepLog(text string) {
+	dir := os.Getenv(keptLogs)
+	if dir == "" {
+		return
+	}
+	name := strings.NewReplacer("/", "_", "#", "_").Replace(p.t.Name())
+	file := filepath.Join(dir, fmt.Sprintf("%s-%d-%s.log", name, os.Getpid(), p.Name))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		p.t.Logf("log of %s can't be kept: %v", p.Name, err)
+		return
+	}
+	p.t.Logf("whole log of %s: %s", p.Name, file)
+}
+
 func tail(text []byte) []byte {
 	if len(text) <= tailBytes {
 		return text
