Put a late job down to what held for most of its wait

Cause: spans were compared one by one, and any overlap was enough.

Ruled out: to name all that held (a reader wants the first thing to look at).

Change: what covers most of the wait, all its spans together, if a quarter or more; else there was no room. Two cases of the test failed before.

--- a/internal/dayreport/conditions.go
+++ b/internal/dayreport/conditions.go
@@ -24,6 +24,10 @@
 	comingFor = 3 * time.Second
 )
 
+// heldShare is the least part of a wait for which a condition must have held to be its
+// cause.
+const heldShare = 0.25
+
 // span is a time in which a condition held.
 type span struct{ from, to time.Time }
 
@@ -39,13 +43,16 @@
 	return max(0, to.Sub(from))
 }
 
-// longest is the longest overlap of a span with one of several.
-func longest(spans []span, with span) time.Duration {
-	var most time.Duration
-	for _, s := range spans {
-		most = max(most, s.overlap(with))
+// covered is how much of a span others cover, which are in the order of their begins.
+func covered(with span, others []span) time.Duration {
+	var sum time.Duration
+	for _, s := range others {
+		sum += with.overlap(s)
+		if s.to.After(with.from) {
+			with.from = s.to // what is counted is not counted again
+		}
 	}
-	return most
+	return sum
 }
 
 // conditions are what held when, as the lines tell it.
@@ -142,10 +149,10 @@
 }
 
 // causeOf returns what a job most likely waited for that has waited until a line of its
-// owner: the condition that held longest meanwhile.
+// owner: the condition that held longest meanwhile, if for a good part of the wait.
 func (c *conditions) causeOf(l Line, service string) Cause {
 	waited := span{l.At.Add(-time.Duration(l.AgeMS) * time.Millisecond), l.At}
-	cause, most := Full, time.Duration(0)
+	cause, most := Full, time.Duration(heldShare*float64(waited.to.Sub(waited.from)))
 	for _, held := range []struct {
 		cause Cause
 		spans []span
@@ -155,7 +162,7 @@
 		{OwnerBehind, c.ownerBehind[l.Partition]},
 		{VMsComing, c.vmsComing[service]},
 	} {
-		if d := longest(held.spans, waited); d > most {
+		if d := covered(waited, held.spans); d > most {
 			cause, most = held.cause, d
 		}
 	}
--- a/internal/dayreport/dayreport_test.go
+++ b/internal/dayreport/dayreport_test.go
@@ -103,6 +103,14 @@
 			owned, at(17, "n-2", "VM ordered", `"pool":"returns","outcome":"ok","maintain":false`),
 			at(17, "n-2", "VM ordered", `"pool":"booking","outcome":"busy","maintain":false`), begins(20, "3000"),
 		}, dayreport.Full},
+		{"VMs were on their way for a second, then there was no room", []string{
+			owned, at(14.5, "n-2", "VM ordered", `"pool":"booking","outcome":"ok","maintain":false`), begins(20, "3000"),
+		}, dayreport.Full},
+		{"its owner was behind for two seconds, with a line for each, and VMs were on their way for less", []string{
+			owned, at(18.3, "n-2", "owner is behind", `"partition":4,"delay_ms":900`),
+			at(19.31, "n-2", "owner is behind", `"partition":4,"delay_ms":900`),
+			at(18.5, "n-2", "VM ordered", `"pool":"booking","outcome":"ok","maintain":false`), begins(20, "3000"),
+		}, dayreport.OwnerBehind},
 	} {
 		r := explain(t, append([]string{taken(0.5, "a")}, c.lines...)...)
 		require.Len(t, r.Slow, 1, c.name)
