--- a/internal/dayreport/conditions.go
+++ b/internal/dayreport/conditions.go
@@ -145,7 +145,7 @@
 		delete(o.left, l.Partition)
 	}
 	o.owner[l.Partition] = l.Node
-	return Takeover{At: l.At, Partition: l.Partition, Node: l.Node, Gap: l.At.Sub(since), HandedOver: l.Left}
+	return Takeover{At: l.At, Partition: l.Partition, Node: l.Node, Gap: l.At.Sub(since), HandedOver: l.Handed}
 }
 
 // causeOf returns what a job most likely waited for that has waited until a line of its
--- a/internal/dayreport/lines.go
+++ b/internal/dayreport/lines.go
@@ -36,7 +36,7 @@
 	SinceMS   int64     `json:"since_ms"`
 	Partition int       `json:"partition"`
 	Topic     string    `json:"topic"`
-	Left      bool      `json:"handed_over"`
+	Handed    bool      `json:"handed_over"` // the owner before left word of its runs
 	VM        string    `json:"vm"`
 	Pool      string    `json:"pool"`
 	Maintain  bool      `json:"maintain"`
--- a/internal/dayreport/seconds.go
+++ b/internal/dayreport/seconds.go
@@ -18,7 +18,7 @@
 	takeovers  int
 	longestGap time.Duration
 	moves      int
-	upkeep     int
+	maintained int
 	other      []string
 }
 
@@ -76,7 +76,7 @@
 		m.behind++
 	case "VM ordered":
 		if l.Maintain {
-			m.upkeep++
+			m.maintained++
 		} else {
 			m.moves++
 		}
@@ -117,7 +117,7 @@
 		{m.storeBack, "nodes have it again"},
 		{m.behind, "owners behind"},
 		{m.moves, "VMs moved"},
-		{m.upkeep, "VMs maintained"},
+		{m.maintained, "VMs maintained"},
 	} {
 		if e.n > 0 {
 			s.Events = append(s.Events, fmt.Sprintf("%s: %d", e.text, e.n))
--- a/internal/scheduler/evacuate.go
+++ b/internal/scheduler/evacuate.go
@@ -35,7 +35,7 @@
 // there any more, nor can begin, and all its ends are stored: those that are not go with
 // it.
 func (c *Core) Evacuate(id string, now time.Time) workload.Vacancy {
-	// One that is on no list yet is closed, too: tasks would start there as soon as it is.
+	// One that isn't listed yet is closed, too: tasks would start there with the next list.
 	w := c.worker(id, now)
 	if !now.Before(w.evacuateUntil) {
 		c.note(Decision{Verb: "evacuating", Worker: id, Reason: "asked for", Critical: true})
