Show tasks that run twice under an owner without the store

Histories with a link for each pair of owner and worker and for each owner and the store. An owner is cut off from the store and renews leases wherever it reaches a worker; its successor can't reach some of the workers, waits one lease from its own creation and starts their tasks elsewhere.

--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -19,6 +19,10 @@
 	// in order, and its steps are far apart.
 	slowUntil time.Time
 	told      time.Time // when the latest of what waits is taken up
+	// links are those to workers that don't work, by worker. noStore is set while it is cut
+	// off from the store.
+	links   map[string]linkFault
+	noStore bool
 	// processor is what the owner's work is done on, nil where that takes no time.
 	processor *processor
 }
@@ -69,7 +73,7 @@
 	if o.dead {
 		return
 	}
-	if !w.store.fence(o.epoch) {
+	if o.noStore || !w.store.fence(o.epoch) {
 		w.after(100*time.Millisecond, o.fence)
 		return
 	}
@@ -128,6 +132,17 @@
 	}
 }
 
+// follow takes a record that is in the store, once the owner reaches it.
+func (o *fakeOwner) follow(r workload.Record) {
+	switch {
+	case !o.loaded || o.dead:
+	case o.noStore:
+		o.w.after(100*time.Millisecond, func() { o.follow(r) })
+	default:
+		o.apply(r)
+	}
+}
+
 // testLease is the lease of all runs in histories.
 const testLease = 3500 * time.Millisecond
 
@@ -135,6 +150,10 @@
 	if o.dead {
 		return
 	}
+	if o.w.joins && !o.noStore && !o.w.store.down && o.w.owner != o {
+		o.dead = true // its join tells it that the partition is another one's
+		return
+	}
 	list := func() {
 		if o.w.owner == o {
 			// An owner hears of new workers only while the group confirms it.
@@ -204,12 +223,12 @@
 		if o.dead {
 			return
 		}
-		if o.epoch < w.store.epoch {
+		if !o.noStore && o.epoch < w.store.epoch {
 			o.core.GiveUp("fenced")
 			o.step()
 			return
 		}
-		if w.store.down {
+		if w.store.down || o.noStore {
 			w.after(100*time.Millisecond, o.write)
 			return
 		}
@@ -250,7 +269,10 @@
 		answer(unknown, time.Second)
 	case f.crashed || f.refuses:
 		answer(f.refusal(), 2*way)
-	case f.dark || f.gone:
+	case f.dark || f.gone || o.links[worker] == linkCut:
+		answer(unknown, time.Second)
+	case o.links[worker] == linkDeaf:
+		w.after(way, func() { f.receive(carryOut) })
 		answer(unknown, time.Second)
 	default:
 		w.after(way, func() {
@@ -288,8 +310,9 @@
 		w.after(2*way, func() { told(workload.Held{}, f.refusal()) })
 		return
 	}
-	if f.dark || f.gone || w.chance(w.faults.lostAnswer) {
-		if !f.dark && !f.gone {
+	link := o.links[h.Worker.ID]
+	if f.dark || f.gone || link != linkUp || w.chance(w.faults.lostAnswer) {
+		if !f.dark && !f.gone && link != linkCut {
 			w.after(way, func() { f.receive(func(f *fakeWorker) workload.WorkerAnswer { return f.hold(h.Hold) }) })
 		}
 		w.after(timeout, func() { told(workload.Held{}, unknown) })
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -72,6 +72,8 @@
 	restarts, silentCrashes bool
 	// lostRuns counts the runs of others that were lost in such crashes.
 	lostRuns int
+	// joins is set where an owner that was replaced learns so from the group.
+	joins bool
 	// processor is that of each owner's node, nil where it costs no time.
 	processor *processor
 }
@@ -223,11 +225,7 @@
 func (w *world) stored(r workload.Record) {
 	w.store.put(r)
 	for _, o := range w.owners {
-		w.after(w.between(time.Millisecond, 20*time.Millisecond), func() {
-			if o.loaded && !o.dead {
-				o.apply(r)
-			}
-		})
+		w.after(w.between(time.Millisecond, 20*time.Millisecond), func() { o.follow(r) })
 	}
 }
 
