Take a partition over anew that may have passed on meanwhile

Had another node owned it in between, this one went on under its old epoch, and a worker that the other one never reached would take its orders, whatever the other one has started since. Nothing showed it but a refusal by a worker or the store.

Where a join is answered after the membership may have lapsed, and the generation says that members have come or gone, the owner is stopped as if it had lost the partition, and begins anew under the new generation once it has left word of its runs. A takeover with such word takes some 60 ms. Where the generation is the same nobody has come or gone, as after an outage of the store for all, and it goes on.

A partition that comes back while its owner here is still stopping waits for that one's last write now: the new owner's fence would have kept it out.

TestPartitionThatMayHavePassedOnIsTakenOverAnew fails without it (epochs 3, in place of 3 and 6).

--- a/internal/ownership/authority_test.go
+++ b/internal/ownership/authority_test.go
@@ -1,9 +1,13 @@
 package ownership
 
 import (
+	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -101,3 +105,87 @@
 		}
 	})
 }
+
+// scriptedStore answers joins as a test says.
+type scriptedStore struct {
+	mu    sync.Mutex
+	gen   int64
+	parts []platform.Partition
+	down  bool
+}
+
+func (s *scriptedStore) set(gen int64, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gen, s.down = gen, down
+}
+
+func (s *scriptedStore) Join(context.Context, platform.Member) (platform.Assignment, platform.StoreStatus, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Assignment{}, platform.StoreUnknown, nil
+	}
+	return platform.Assignment{Generation: s.gen, Parts: s.parts}, platform.StoreOK, nil
+}
+
+func (s *scriptedStore) Leave(context.Context, string, string) (platform.StoreStatus, error) {
+	return platform.StoreOK, nil
+}
+
+func (s *scriptedStore) Owners(context.Context, string) ([]platform.Owner, platform.StoreStatus, error) {
+	return nil, platform.StoreOK, nil
+}
+
+func (s *scriptedStore) Append(context.Context, platform.Partition, *platform.Producer, ...platform.KeyedRecord) (platform.StoreStatus, error) {
+	return platform.StoreOK, nil
+}
+
+func (s *scriptedStore) Newest(context.Context, platform.Partition) (platform.Batch, platform.StoreStatus, error) {
+	return platform.Batch{}, platform.StoreOK, nil
+}
+
+// Guards against an owner that goes on under its old epoch after another node has owned the
+// partition in between: workers that this one never reached would take its orders.
+func TestPartitionThatMayHavePassedOnIsTakenOverAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{gen: 3, parts: []platform.Partition{{Topic: "jobs"}}}
+		var mu sync.Mutex
+		var epochs []int64
+		stopped := 0
+		run := func(ctx context.Context, _ platform.Partition, epoch int64) error {
+			mu.Lock()
+			assert.Equal(t, len(epochs), stopped, "the owner before has stopped")
+			epochs = append(epochs, epoch)
+			mu.Unlock()
+			<-ctx.Done()
+			time.Sleep(50 * time.Millisecond) // it leaves word of its runs
+			mu.Lock()
+			defer mu.Unlock()
+			stopped++
+			return ctx.Err()
+		}
+		m := New(store, Config{Node: "node", Topics: []string{"jobs"}, Unique: func() string { return "1" }, Logger: hclog.NewNullLogger()}, run)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = m.Run(ctx)
+		}()
+		downFor := func(d time.Duration, gen int64) []int64 {
+			store.set(gen, true)
+			time.Sleep(d)
+			store.set(gen, false)
+			time.Sleep(time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			return epochs
+		}
+		time.Sleep(time.Second)
+		assert.Equal(t, []int64{3}, downFor(5*time.Second, 3), "nobody has come or gone")
+		assert.Equal(t, []int64{3}, downFor(500*time.Millisecond, 4), "its membership can't have lapsed")
+		assert.Equal(t, []int64{3, 6}, downFor(5*time.Second, 6))
+		cancel()
+		<-ended
+	})
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -82,6 +82,7 @@
 	vouched    instant   // when the other members were last asked and none could be a successor
 	vouching   *bool     // whether they could, as last logged; nil while joins are answered
 	held       map[platform.Partition]*holding
+	retiring   map[platform.Partition]bool // whose owner here was told to stop and has not yet
 	owners     map[platform.Partition]peer
 	ownersAt   time.Time
 	renew      bool // the membership is to begin anew
@@ -144,6 +145,7 @@
 		joining:    make(chan struct{}, maxJoins),
 		early:      make(chan struct{}, 1),
 		held:       map[platform.Partition]*holding{},
+		retiring:   map[platform.Partition]bool{},
 		owners:     map[platform.Partition]peer{},
 	}
 	if m.inUse == nil {
@@ -230,8 +232,9 @@
 	}
 	m.joined = sent
 	m.vouching = nil
+	changed := a.Generation != m.generation
 	m.generation = a.Generation
-	m.assign(ctx, a, sent)
+	m.assign(ctx, a, sent, changed)
 }
 
 // restart begins the membership anew if an owner found itself fenced: a later
@@ -255,9 +258,9 @@
 	}
 }
 
-// assign starts and stops owners by what the group said to a join sent at a time.
-// The lock is held.
-func (m *Manager) assign(ctx context.Context, a platform.Assignment, sent instant) {
+// assign starts and stops owners by what the group said to a join sent at a time. changed
+// tells whether others have come or gone since the join before. The lock is held.
+func (m *Manager) assign(ctx context.Context, a platform.Assignment, sent instant, changed bool) {
 	if time.Now().Before(m.runFrom) {
 		m.released = m.generation
 		return // others are about to come, and the next deal is another one
@@ -268,6 +271,12 @@
 			continue
 		}
 		listed[p] = true
+		if h := m.held[p]; h != nil && changed && sent.at.After(m.lapse(h.confirmed)) {
+			m.giveUp(p, h, a.Generation, "another member may have owned it since")
+		}
+		if m.retiring[p] {
+			continue // it is started anew once the owner before has left word of its runs
+		}
 		if m.held[p] == nil {
 			m.held[p] = m.start(ctx, p, a.Generation)
 		}
@@ -275,11 +284,7 @@
 	}
 	for p, h := range m.held {
 		if !listed[p] {
-			m.logger.Info("partition handed over", "topic", p.Topic, "partition", p.Part, "generation", a.Generation)
-			h.cancel()
-			delete(m.held, p)
-			m.stopping++
-			go m.awaitStopped(h)
+			m.giveUp(p, h, a.Generation, "the group gave it to another member")
 		}
 	}
 	if m.stopping == 0 {
@@ -287,14 +292,25 @@
 	}
 }
 
+// giveUp stops the owner of a partition. The lock is held.
+func (m *Manager) giveUp(p platform.Partition, h *holding, generation int64, reason string) {
+	m.logger.Info("partition handed over", "topic", p.Topic, "partition", p.Part, "generation", generation, "reason", reason)
+	h.cancel()
+	delete(m.held, p)
+	m.retiring[p] = true
+	m.stopping++
+	go m.awaitStopped(p, h)
+}
+
 // awaitStopped tells the group at once when an owner has stopped whose partition passes
 // on. The group deals the partition out when it hears of a generation in which this
 // process has lost it. Heard earlier, the next owner would fence this one before it has
 // left word of its runs, and wait for their leases: seconds in place of some 60 ms.
-func (m *Manager) awaitStopped(h *holding) {
+func (m *Manager) awaitStopped(p platform.Partition, h *holding) {
 	<-h.done
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	delete(m.retiring, p)
 	m.stopping--
 	if m.stopping == 0 {
 		m.released = m.generation
