Reckon a lease on the least that its worker's time can be

What callers saw, in virtual time: a task ran on a worker that was cut off, and once more on another one, as the lease of the first was over by its owner's reckoning and not by the worker's.

Cause: a lease ends at a time of the worker's clock, which its owner reckons from the latest answer. A worker without tasks isn't polled, so that answer may be minutes old, and the platform allows clocks that are 2% slow: after three minutes the first lease is 3.6 s longer than its owner, and each owner after it, believes. Class: a time reckoned on another clock without a bound on its error.

Evidence: TestLeaseOnAWorkerThatWasIdleIsNoLongerThanReckoned, TWICE before.

Change: the time that has passed since the answer counts as on a clock that is 3% slow, as elsewhere; idle workers are polled every 10 s, so that a first lease is 0.3 s shorter at most. The line clock-old has nothing left to say and goes.

Ruled out: a longer wait of who reckons the lease, which later owners know nothing of. Some 5 polls a minute more for each idle worker.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -135,9 +135,6 @@
 
 // start orders a run.
 func (c *Core) start(w *worker, s *step, index int, number int64, checkpoint string, now time.Time) *run {
-	if age := now.Sub(w.clockAt); age > clockFresh {
-		c.note(Decision{Verb: "clock-old", Worker: w.info.ID, Reason: "a lease is reckoned on an answer of long ago", Age: age, Critical: true})
-	}
 	r := &run{step: s, index: index, number: number, worker: w, born: w.born, state: runStarting, since: now, orderedAt: now, paced: fullPace, checkpoint: checkpoint}
 	begun := s.job.begun
 	w.add(r)
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -121,7 +121,7 @@
 		// when it has nothing to tell.
 		watched := len(w.runs) > 0 || now.Before(w.lateUntil)
 		needed := !w.synced || w.unreachable || watched || w.seen > w.acked || w.ackOwed() || w.inDoubt ||
-			w.isVacated(now) && now.Sub(w.toldAt) >= vacantPoll
+			w.isVacated(now) && now.Sub(w.toldAt) >= vacantPoll || now.Sub(w.clockAt) >= clockFresh
 		if !needed {
 			continue
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -21,9 +21,9 @@
 	// be carried out; the platform has seen 12 s.
 	lateOrder = 13 * time.Second
 	fullPace  = 100 // percent
-	// clockFresh is how old the answer may be by which a worker's time is reckoned: a slow
-	// clock is 0.1 s behind after it.
-	clockFresh = 5 * time.Second
+	// clockFresh is how old the answer may get by which an idle worker's time is reckoned.
+	// Its first lease is shorter by clockMargin of that.
+	clockFresh = 10 * time.Second
 	// stopSlack is added to what a stop takes, for the order's way.
 	stopSlack = 200 * time.Millisecond
 )
@@ -180,9 +180,11 @@
 // ackOwed tells whether an acknowledgement has to travel.
 func (w *worker) ackOwed() bool { return w.acked > w.ackTaken }
 
-// clockNow estimates the worker's time in milliseconds.
+// clockNow is the least that the worker's time can be, in milliseconds: its clock may have
+// been slow since its last answer.
 func (w *worker) clockNow(now time.Time) int64 {
-	return w.clock + now.Sub(w.clockAt).Milliseconds()
+	passed := float64(now.Sub(w.clockAt)) * (1 - clockMargin)
+	return w.clock + time.Duration(passed).Milliseconds()
 }
 
 func (w *worker) heard(clock int64, now time.Time) {
