Wait for a worker that is listed no more as for any other at a takeover

What callers saw, in virtual time: a task ran on a worker that was cut off from the store and from the new owner, and once more on another one, 50 ms after that worker's entry had gone.

Cause: a worker that is no longer listed and has no known runs is forgotten, and with it that it may run what an earlier owner started. A worker that is cut off from the store loses its entry within 4.5 s and runs on, under leases of whoever reaches it. Class: silence taken for an end.

Evidence: TestTakeoverWaitsForAWorkerThatIsListedNoMore, started after 50 ms before, after a lease now.

Change: until the leases of earlier owners are over such a worker isn't forgotten. A takeover beside a worker that has crashed waits for as long as beside one that is silent, at most 4.9 s, where it waited until the entry was gone, 4.5 s after the crash at the latest. The log line on it has nothing left to say and goes.";

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -365,10 +365,10 @@
 		if !w.missing || len(w.runs) > 0 || now.Before(w.evacuateUntil) || now.Before(w.unclearUntil) {
 			return false
 		}
-		delete(c.workers, w.info.ID)
-		if c.unheld[w.info.ID] {
-			c.note(Decision{Verb: "worker-forgotten", Worker: w.info.ID, Reason: "it is not listed any more, and has not told what an earlier owner started there", Age: now.Sub(c.startedAt), Critical: true})
+		if c.unheld[w.info.ID] && now.Before(c.blockedUntil) {
+			return false // it may be cut off from the store and run what an earlier owner started
 		}
+		delete(c.workers, w.info.ID)
 		delete(c.unheld, w.info.ID)
 		c.lastTokens[w.info.ID] = w.token
 		return true
--- a/internal/scheduler/lease_test.go
+++ b/internal/scheduler/lease_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
@@ -46,3 +47,27 @@
 	}
 	require.Equal(t, 2, polls, "in 25 s")
 }
+
+// Guards against a takeover that waits no longer for a worker whose entry is gone: it may
+// be cut off from the store alone, and run what an earlier owner started.
+func TestTakeoverWaitsForAWorkerThatIsListedNoMore(t *testing.T) {
+	r := newRig(t, "w-1", "w-2")
+	r.workers("w-1", "w-2")
+	r.step(0)
+	r.held("w-2", r.now, workload.Held{})
+	r.submit("0000000000000001", batch(1, 1000))
+	r.workers("w-2")
+	began := r.now
+	var starts []scheduler.StartOrder
+	for len(starts) == 0 && r.now.Sub(began) < 10*time.Second {
+		orders := r.step(50 * time.Millisecond)
+		starts = orders.Starts
+		for _, h := range orders.Holds {
+			if h.Worker.ID == "w-1" {
+				r.unanswered("w-1")
+			}
+		}
+	}
+	require.NotEmpty(t, starts)
+	require.GreaterOrEqual(t, r.now.Sub(began), testLease, "a lease that the earlier owner gave may last as long")
+}
