Order no VM once another node may own the fleet

The same class of fault, found by reading: an order for a VM is announced on the store and then sent. What callers would see: more VMs of a wave down than its cap. A process that stands still between the two sends it when its successor has counted the VM as back. The word that the VM's worker is empty bounds that by 1 s where there is one; spare VMs have none.

The order is sent only while the membership holds, suspensions counted.

TestOrderIsNotGivenOnceAnotherNodeMayOwnTheFleet, ordered before. The two reasons for an order that is too late are told by one function.

--- a/internal/fleetowner/acts.go
+++ b/internal/fleetowner/acts.go
@@ -90,9 +90,8 @@
 // store may have been away while the order was announced, or calls have waited
 // for a slot. The worker is open again then, and an order would end what it runs.
 func (o *Owner) order(ctx context.Context, a fleet.Action) {
-	if !a.Until.IsZero() && past(a.Until, time.Now()) {
-		o.logger.Info("VM not ordered", "vm", a.VM, "wave", a.Wave, "pool", a.Pool,
-			"reason", "the word that it is empty is too old", "age_ms", time.Since(a.Until).Milliseconds())
+	if reason := o.tooLate(a, time.Now()); reason != "" {
+		o.logger.Info("VM not ordered", "vm", a.VM, "wave", a.Wave, "pool", a.Pool, "reason", reason)
 		o.send(ctx, func(c *fleet.Core, now time.Time) { c.Ordered(a.VM, fleet.Refused, now) })
 		return
 	}
@@ -113,6 +112,18 @@
 	o.send(ctx, func(c *fleet.Core, now time.Time) { c.Ordered(a.VM, resultOf(status), now) })
 }
 
+// tooLate tells why an order may not be given any more, "" if it may. Another owner counts
+// the VMs that were announced as ordered then, and not later.
+func (o *Owner) tooLate(a fleet.Action, now time.Time) string {
+	switch {
+	case !a.Until.IsZero() && past(a.Until, now):
+		return "the word that it is empty is too old by " + now.Sub(a.Until).String()
+	case o.deps.OwnedUntil != nil && !now.Before(o.deps.OwnedUntil()):
+		return "another node may own the fleet"
+	}
+	return ""
+}
+
 // past tells whether a time has passed on the steady clock or by the time of day. A
 // VM that was suspended has a steady clock that knows nothing of it; a time of day
 // that was set forward costs one more look at the worker.
--- a/internal/fleetowner/acts_test.go
+++ b/internal/fleetowner/acts_test.go
@@ -87,6 +87,26 @@
 	assert.Equal(t, 1, playMove(t, 4*time.Second, never))
 }
 
+// Guards against a VM that is ordered by an owner of the fleet that has a successor by then:
+// its process stood still, or the store was away, after the order was announced. The successor
+// would count the VM as back, and order others of its wave beside it.
+func TestOrderIsNotGivenOnceAnotherNodeMayOwnTheFleet(t *testing.T) {
+	for takes, ordered := range map[time.Duration]int{4 * time.Second: 0, 20 * time.Millisecond: 1} {
+		machines := &orderedVMs{}
+		synctest.Test(t, func(t *testing.T) {
+			ownedUntil := time.Now().Add(time.Second)
+			o := New(Deps{Store: &slowStore{takes: takes}, Hedger: hedge.New(), Machines: machines, OwnedUntil: func() time.Time { return ownedUntil }, Logger: hclog.NewNullLogger()}, 0, 7)
+			ctx, cancel := context.WithCancel(t.Context())
+			go o.writer.run(ctx)
+			o.act(ctx, fleet.Action{Verb: fleet.Move, VM: "vm-1", Pool: "booking"})
+			time.Sleep(10 * time.Second)
+			cancel()
+			synctest.Wait()
+		})
+		assert.Len(t, machines.moved, ordered, "announced within %s", takes)
+	}
+}
+
 // slowService says that a worker is empty, and its answer arrives a while later.
 type slowService struct{ takes time.Duration }
 
--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -67,7 +67,9 @@
 	Services  Services
 	Published *published.Follower
 	Bounds    platform.Bounds
-	Logger    hclog.Logger
+	// OwnedUntil is until when no other node can own the fleet; nil stands for no bound.
+	OwnedUntil func() time.Time
+	Logger     hclog.Logger
 }
 
 type event func(c *fleet.Core, now time.Time)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -245,7 +245,10 @@
 		Services:  n.owners,
 		Published: n.published,
 		Bounds:    n.settings.Bounds,
-		Logger:    n.logger.Named("fleet"),
+		OwnedUntil: func() time.Time {
+			return n.manager.OwnedUntil(platform.Partition{Topic: joblog.FleetTopic, Part: partition})
+		},
+		Logger: n.logger.Named("fleet"),
 	}, partition, epoch).Run(ctx)
 }
 
