Take each member's word for itself while joins get no answer

One round of questions to all members made the word of all depend on the slowest of them: with 30 members and weak VMs among them, one answer of more than 0.4 s in each round would have ended the authority of every owner while the store is away.

Each member is asked on its own now and its word counts for the time to live from its question; the authority rests on the oldest of these words.

--- a/internal/ownership/authority.go
+++ b/internal/ownership/authority.go
@@ -13,8 +13,9 @@
 // from a store that is down for all, where tasks have to run on. The other members tell: a
 // successor is one of them and has had a join answered.
 
-// memberTimeout bounds a question to another member, which answers from memory.
-const memberTimeout = 400 * time.Millisecond
+// memberTimeout bounds a question to another member, which answers from memory. It leaves
+// time to act on the answer before the authority that it gives is over.
+const memberTimeout = 800 * time.Millisecond
 
 // Members asks other members of the group.
 type Members interface {
@@ -92,85 +93,141 @@
 	return LastJoin{Age: time.Since(m.answeredAt)}
 }
 
-// vouch asks the other members, while joins get no answer, whether one of them may be a
+// vouch is what another member told while joins got no answer.
+type vouch struct {
+	asked  instant // of the latest question that it answered without an objection
+	joined instant // since which no other join counts
+	open   bool    // a question is under way
+	reason string  // why it doesn't vouch, "" if it does or was not asked yet
+}
+
+// askMembers asks the other members, while joins get no answer, whether one of them may be a
 // successor of this one.
-func (m *Manager) vouch(ctx context.Context) {
+func (m *Manager) askMembers(ctx context.Context) {
+	var asking sync.WaitGroup
+	defer asking.Wait()
 	for ctx.Err() == nil {
 		wait.Pause(ctx, joinInterval)
-		if addresses, since, needed := m.toAsk(); needed {
-			m.askMembers(ctx, addresses, since)
+		for _, address := range m.toAsk() {
+			asking.Go(func() { m.askMember(ctx, address) })
 		}
+		m.noteVouching()
 	}
 }
 
-// toAsk returns the addresses of the other members, as last read from the group, and the
-// instant of the latest answered join. needed is false while joins are answered, or nothing
-// is held.
-func (m *Manager) toAsk() (addresses []string, joined instant, needed bool) {
+// toAsk returns the members of whom no question is under way, none while joins are answered
+// or nothing is held.
+func (m *Manager) toAsk() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(m.held) == 0 || time.Since(m.joined.at) < 2*joinInterval {
-		return nil, m.joined, false
+		return nil
 	}
+	var addresses []string
+	others := m.others()
+	for _, address := range others {
+		if m.vouches[address] == nil {
+			m.vouches[address] = &vouch{}
+		}
+		if !m.vouches[address].open {
+			m.vouches[address].open = true
+			addresses = append(addresses, address)
+		}
+	}
+	if len(others) == 0 {
+		m.vouched = m.instant() // nobody else is a member
+	}
+	return addresses
+}
+
+// others are the addresses of the other members, as last read from the group. The lock is
+// held.
+func (m *Manager) others() []string {
+	var addresses []string
 	for _, member := range m.members() {
 		if member.address != m.address {
 			addresses = append(addresses, member.address)
 		}
 	}
-	return addresses, m.joined, true
+	return addresses
 }
 
-// askMembers extends the authority if no member has had a join answered since the own
-// membership may have lapsed. A member that doesn't tell may be the successor.
-func (m *Manager) askMembers(ctx context.Context, addresses []string, joined instant) {
-	asked := m.instant()
+// askMember asks one member.
+func (m *Manager) askMember(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
 	defer cancel()
-	objections := make([]string, len(addresses))
-	var asking sync.WaitGroup
-	for i, address := range addresses {
-		asking.Go(func() { objections[i] = m.objection(ctx, address, joined) })
-	}
-	asking.Wait()
-	for i, reason := range objections {
-		if reason != "" {
-			m.noteVouching(false, addresses[i]+" "+reason)
-			return
-		}
-	}
-	m.noteVouching(true, "")
+	asked := m.instant()
+	last, err := m.peers.LastJoin(ctx, address)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.joined == joined {
-		m.vouched = asked
+	v := m.vouches[address]
+	v.open = false
+	switch {
+	case err != nil:
+		v.reason = "does not tell: " + err.Error()
+	case !last.Never && time.Now().Add(-last.Age).After(m.lapse(m.joined)):
+		v.reason = "has joined meanwhile"
+		v.asked = instant{}
+	default:
+		v.reason, v.asked, v.joined = "", asked, m.joined
 	}
+	m.vouched = m.allVouched()
 }
 
-// objection tells why a member may be a successor, "" if it is none.
-func (m *Manager) objection(ctx context.Context, address string, joined instant) string {
-	last, err := m.peers.LastJoin(ctx, address)
-	switch {
-	case err != nil:
-		return "does not tell: " + err.Error()
-	case !last.Never && time.Now().Add(-last.Age).After(m.lapse(joined)):
-		return "has joined meanwhile"
+// allVouched is the earliest instant of those at which the members last vouched, zero if one
+// has not since the latest answered join. The lock is held.
+func (m *Manager) allVouched() instant {
+	var earliest instant
+	for _, address := range m.others() {
+		v := m.vouches[address]
+		if v == nil || v.joined != m.joined || v.asked.at.IsZero() {
+			return instant{}
+		}
+		if earliest.at.IsZero() || v.asked.at.Before(earliest.at) {
+			earliest = v.asked
+		}
 	}
-	return ""
+	return earliest
 }
 
 // noteVouching writes a line when the other members begin to vouch for this one, and when
-// they no longer do.
-func (m *Manager) noteVouching(vouched bool, reason string) {
+// one of them no longer does.
+func (m *Manager) noteVouching() {
 	m.mu.Lock()
-	changed := m.vouching == nil || *m.vouching != vouched
-	m.vouching = &vouched
-	since := time.Since(m.joined.at)
-	m.mu.Unlock()
-	switch {
-	case !changed:
-	case vouched:
-		m.logger.Info("store answers no member, partitions are kept", "since_ms", since.Milliseconds())
-	default:
-		m.logger.Warn("another member may own the partitions", "reason", reason, "since_ms", since.Milliseconds())
+	defer m.mu.Unlock()
+	lapsed := m.lapse(m.joined)
+	if m.joined.at.IsZero() || len(m.held) == 0 || time.Now().Before(lapsed) {
+		m.vouching = unasked
+		return
+	}
+	now := vouchedFor
+	reason := ""
+	if !time.Now().Before(m.lapse(m.vouched)) {
+		now = doubted
+		for _, address := range m.others() {
+			if v := m.vouches[address]; v != nil && v.reason != "" {
+				reason = address + " " + v.reason
+				break
+			}
+		}
+	}
+	if now == m.vouching {
+		return
 	}
+	m.vouching = now
+	since := time.Since(m.joined.at).Milliseconds()
+	if now == vouchedFor {
+		m.logger.Info("store answers no member, partitions are kept", "since_ms", since)
+		return
+	}
+	m.logger.Warn("another member may own the partitions", "reason", reason, "since_ms", since)
 }
+
+// vouching is what the other members said last, for the log.
+type vouching int
+
+const (
+	unasked vouching = iota // joins are answered
+	vouchedFor
+	doubted
+)
--- a/internal/ownership/authority_test.go
+++ b/internal/ownership/authority_test.go
@@ -189,3 +189,27 @@
 		<-ended
 	})
 }
+
+// Guards against an owner that takes the word of some members for that of all: one of them
+// has reached the store again, and owns its partitions now.
+func TestAuthorityEndsWhenOneMemberReachesTheStoreAgain(t *testing.T) {
+	for which := 1; which <= 2; which++ {
+		settled(t, func(c *cluster, n *clusterNode, held []platform.Partition) {
+			for _, other := range c.nodes {
+				*other.cut = true
+			}
+			time.Sleep(3 * time.Second)
+			*c.nodes[which].cut = false
+			for _, p := range held {
+				for c.ownerOf(p) == n {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			time.Sleep(n.manager.TTL())
+			for range 300 {
+				require.False(t, hasAuthority(n, held[0]))
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -74,13 +74,14 @@
 
 	mu         sync.Mutex
 	member     string
-	generation int64     // the latest one received
-	released   int64     // the latest one whose losses are complete here
-	stopping   int       // owners that were told to stop as their partition passes on
-	joined     instant   // when the latest answered join was sent
-	answeredAt time.Time // when it was answered
-	vouched    instant   // when the other members were last asked and none could be a successor
-	vouching   *bool     // whether they could, as last logged; nil while joins are answered
+	generation int64             // the latest one received
+	released   int64             // the latest one whose losses are complete here
+	stopping   int               // owners that were told to stop as their partition passes on
+	joined     instant           // when the latest answered join was sent
+	answeredAt time.Time         // when it was answered
+	vouches    map[string]*vouch // of other members, by address
+	vouched    instant           // since which all of them have said that they are no successors
+	vouching   vouching          // as last logged
 	held       map[platform.Partition]*holding
 	retiring   map[platform.Partition]bool // whose owner here was told to stop and has not yet
 	owners     map[platform.Partition]peer
@@ -147,6 +148,7 @@
 		held:       map[platform.Partition]*holding{},
 		retiring:   map[platform.Partition]bool{},
 		owners:     map[platform.Partition]peer{},
+		vouches:    map[string]*vouch{},
 	}
 	if m.inUse == nil {
 		m.inUse = func(platform.Partition) bool { return true }
@@ -174,7 +176,7 @@
 	defer duties.Wait()
 	duties.Go(func() { m.watch(ctx) })
 	if m.peers != nil {
-		duties.Go(func() { m.vouch(ctx) })
+		duties.Go(func() { m.askMembers(ctx) })
 	}
 	member := false
 	for ctx.Err() == nil {
@@ -231,7 +233,6 @@
 		return // a later join was answered before, or the membership began anew
 	}
 	m.joined = sent
-	m.vouching = nil
 	changed := a.Generation != m.generation
 	m.generation = a.Generation
 	m.assign(ctx, a, sent, changed)
