Cut owners off in the soak beside workers that later owners don't reach

The soak had no link between one node and one worker: a worker was cut off from all nodes or from none, so that no earlier owner kept tasks alive that its successor couldn't see. The stand-in's workers can be reached under the fencing tokens that they know only, and a node loses the store meanwhile. The draws are their own, so that the other choices of each kept seed stay.

--- a/internal/proof/soak_faults_test.go
+++ b/internal/proof/soak_faults_test.go
@@ -84,6 +84,23 @@
 	})
 }
 
+// cutOwnerOff cuts a node off from the store, and the path of later owners to half of the
+// workers: its own successor is one of them.
+func (s *soak) cutOwnerOff(rng *rand.Rand) {
+	n := s.c.Nodes[rng.IntN(len(s.c.Nodes))]
+	lasts := time.Second + time.Duration(rng.Int64N(int64(5*time.Second)))
+	s.during(n.Name+" store", "held", lasts, n.Store.Blackhole, n.Store.Heal)
+	for _, vm := range s.c.Platform.VMs() {
+		worker := vm.Worker
+		if worker == nil || rng.IntN(2) == 0 {
+			continue
+		}
+		s.during(worker.Info.ID, "cut off from later owners", lasts+2*time.Second,
+			func() { worker.SetFault(standin.KnownOwnersOnly) },
+			func() { worker.SetFault(standin.Sound) })
+	}
+}
+
 func (s *soak) restart(n *testkit.JobNode) {
 	if err := n.Wait(); err != nil {
 		s.t.Errorf("%s ended with an error after it was told to stop: %v", n.Name, err)
--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -73,7 +73,8 @@
 // TestSoak plays random faults against nodes as processes, in series and at once:
 // kills, pauses, planned stops, hang-ups, links to the store and to the service
 // for VMs that are cut, held, slow or one-way, a store that is away, loses answers
-// or drops its history, workers that crash, by themselves or by a job, are cut off or answer late; all that
+// or drops its history, workers that crash, by themselves or by a job, are cut off or answer late, owners
+// that reach workers which their successors don't; all that
 // through a wave of maintenance and changes of the configuration. Callers see each
 // job that was taken be known and be completed, or failed if it crashes workers, none
 // that was refused run, and
@@ -100,9 +101,10 @@
 	}
 	require.NoError(t, s.c.Platform.AskWave(1, vms, 20*time.Second, 2))
 	stop := make(chan struct{})
-	// Restarts of workers are drawn by themselves, so that the other choices of a seed stay
+	// Restarts of workers, and owners that are cut off, are drawn by themselves, so that the other choices of a seed stay
 	// as they are.
 	restarts := rand.New(rand.NewPCG(seed, 200))
+	cuts := rand.New(rand.NewPCG(seed, 300))
 	var callers sync.WaitGroup
 	for i := range soakCallers {
 		callers.Go(func() { s.call(rand.New(rand.NewPCG(seed, uint64(i+1))), uint64(i+1), stop) })
@@ -113,6 +115,9 @@
 		if restarts.IntN(3) == 0 {
 			s.restartWorker(restarts)
 		}
+		if cuts.IntN(6) == 0 {
+			s.cutOwnerOff(cuts)
+		}
 	}
 	s.faults.Wait()
 	close(stop)
