Let an owner tell its successor what it leaves

Hypothesis: where the earlier owner lives, as when partitions are dealt anew, it can tell what it leaves, and nothing has to be waited for at all.

A new owner that finds no word in the store asks the node that the last takeover names (ADR 0062).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -144,7 +144,7 @@
 func (n *Node) joinOthers(hedger *hedge.Hedger) {
 	s, logger := n.settings, n.logger
 	self := peerAddress(s, peersPort)
-	n.owners = &owners{partitions: s.Store.Partitions, self: self, clients: nodepeer.NewClients(), local: map[int]*owner.Owner{}}
+	n.owners = &owners{partitions: s.Store.Partitions, self: self, clients: nodepeer.NewClients(), local: map[int]*owner.Owner{}, reports: map[int]owner.Report{}}
 	n.manager = ownership.New(n.store, ownership.Config{
 		Node:       s.Node,
 		Address:    self,
@@ -169,6 +169,8 @@
 		return n.manager.AuthorityUntil(platform.Partition{Topic: joblog.Topic, Part: partition})
 	}
 	n.deps.SuccessorUnseen = n.manager.TTL()
+	n.deps.Address = self
+	n.deps.Release = n.owners.releaseBy
 	n.deps.OwnedUntil = func(partition int) time.Time {
 		return n.manager.OwnedUntil(platform.Partition{Topic: joblog.Topic, Part: partition})
 	}
@@ -226,7 +228,11 @@
 	own := owner.New(n.deps, p.Part, epoch)
 	n.owners.set(p.Part, own)
 	defer n.owners.unset(p.Part, own)
-	return own.Run(ctx)
+	err := own.Run(ctx)
+	if report, ok := own.Report(); ok {
+		n.owners.keep(p.Part, report)
+	}
+	return err
 }
 
 // fleetPartition is the one partition of its topic that stands for the fleet.
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -32,8 +32,9 @@
 	clients    *nodepeer.Clients
 	manager    *ownership.Manager
 
-	mu    sync.Mutex
-	local map[int]*owner.Owner
+	mu      sync.Mutex
+	local   map[int]*owner.Owner
+	reports map[int]owner.Report // of the last owner here that could not store its own, by partition
 }
 
 func (o *owners) get(partition int) *owner.Owner {
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -51,6 +51,7 @@
 	RecordKey   string `json:"rk,omitempty"`
 	RecordValue []byte `json:"rv,omitempty"`
 	WaitMS      int64  `json:"rw,omitempty"` // after which the outcome is told as open
+	Epoch       int64  `json:"ep,omitempty"` // of the owner that asks
 }
 
 // Answer is what the owner says.
@@ -67,6 +68,14 @@
 	Stored *Stored                `json:"st,omitempty"`
 	// LastJoin is of the node's process, whatever it owns.
 	LastJoin *LastJoin `json:"lj,omitempty"`
+	// Report is what an earlier owner of the partition has left, nil if nothing is known.
+	Report []StoredRecord `json:"rp,omitempty"`
+}
+
+// StoredRecord is a record by its key and value.
+type StoredRecord struct {
+	Key   string `json:"k"`
+	Value []byte `json:"v"`
 }
 
 // LastJoin is when the store last answered a join of a node's process.
@@ -91,6 +100,7 @@
 	Loads(ctx context.Context, a Ask) (Answer, error)
 	Store(ctx context.Context, a Ask) (Answer, error)
 	Membership(ctx context.Context, a Ask) (Answer, error)
+	Release(ctx context.Context, a Ask) (Answer, error)
 }
 
 // Method is one of the questions.
@@ -105,6 +115,8 @@
 	Store    Method = "Store"
 	// Membership asks for the node's last join.
 	Membership Method = "Membership"
+	// Release has an earlier owner stop and report what it leaves.
+	Release Method = "Release"
 )
 
 const serviceName = "yuccadrift.Node"
@@ -147,6 +159,7 @@
 			unary(Loads, Handler.Loads),
 			unary(Store, Handler.Store),
 			unary(Membership, Handler.Membership),
+			unary(Release, Handler.Release),
 		},
 	}, h)
 	ended := make(chan error, 1)
--- /dev/null
+++ b/internal/owner/handover_test.go
@@ -0,0 +1,93 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// memoryStore is a partition in memory.
+type memoryStore struct{ records []platform.KeyedRecord }
+
+func (s *memoryStore) put(t *testing.T, records ...workload.Record) {
+	for _, r := range records {
+		key, value, err := r.Encode()
+		require.NoError(t, err)
+		s.records = append(s.records, platform.KeyedRecord{Key: key, Value: value})
+	}
+}
+
+func (s *memoryStore) Append(context.Context, platform.Partition, *platform.Producer, ...platform.KeyedRecord) (platform.StoreStatus, error) {
+	return platform.StoreOK, nil
+}
+
+func (s *memoryStore) Read(context.Context, platform.Partition, int64, time.Duration) (platform.Batch, platform.StoreStatus, error) {
+	return platform.Batch{}, platform.StoreOK, nil
+}
+
+func (s *memoryStore) Newest(context.Context, platform.Partition) (platform.Batch, platform.StoreStatus, error) {
+	return platform.Batch{Records: s.records}, platform.StoreOK, nil
+}
+
+const addressBefore = "10.0.0.2:7061"
+
+// taking returns an owner of epoch 9 that takes over from one of epoch 7, whose node answers
+// with release.
+func taking(t *testing.T, release func(store *memoryStore) ([]workload.Record, error)) *Owner {
+	store := &memoryStore{}
+	store.put(t, workload.Record{Takeover: &workload.Takeover{Epoch: 7, Address: addressBefore}})
+	return &Owner{
+		epoch:  9,
+		logger: hclog.NewNullLogger(),
+		log:    joblog.New(store, nil, joblog.Topic, 0),
+		deps: Deps{Release: func(_ context.Context, address string, _ int, epoch int64) ([]workload.Record, error) {
+			assert.Equal(t, addressBefore, address)
+			assert.Equal(t, int64(9), epoch)
+			return release(store)
+		}},
+	}
+}
+
+// Guards against a task that the owner before has started after the partition was read, of a
+// job that was stored in between: it would be started once more as soon as the job is read.
+func TestPartitionIsReadAgainOnceTheOwnerBeforeHasTold(t *testing.T) {
+	sub := &workload.Submission{Service: "booking", Queue: "queue", Spec: workload.Spec{Steps: []workload.Step{{Count: 1}}}}
+	o := taking(t, func(store *memoryStore) ([]workload.Record, error) {
+		store.put(t, workload.Record{Job: waitingJob, Submission: sub})
+		return []workload.Record{
+			{Job: endedJob, Progress: &workload.Progress{Begun: true}},
+			{Handover: &workload.Handover{Epoch: 7, Runs: []workload.LeftRun{{Worker: "w-1", Task: string(waitingJob) + ".0.0.0", Run: 1}}}},
+		}, nil
+	})
+	batch, left, err := o.read(t.Context())
+	require.NoError(t, err)
+	assert.Len(t, batch.Records, 2)
+	require.NotNil(t, left.handover)
+	assert.Len(t, left.handover.Runs, 1)
+	assert.Contains(t, left.told, endedJob)
+}
+
+// Guards against the word of an owner that was not the last one, or of none, being taken for
+// all that runs: a later one has started more.
+func TestOnlyTheOwnerJustBeforeCanTellWhatRuns(t *testing.T) {
+	for name, release := range map[string]func(*memoryStore) ([]workload.Record, error){
+		"an earlier one": func(*memoryStore) ([]workload.Record, error) {
+			return []workload.Record{{Handover: &workload.Handover{Epoch: 5}}}, nil
+		},
+		"nothing is known there": func(*memoryStore) ([]workload.Record, error) { return nil, nil },
+		"no answer":              func(*memoryStore) ([]workload.Record, error) { return nil, errors.New("timeout") },
+	} {
+		_, left, err := taking(t, release).read(t.Context())
+		require.NoError(t, err)
+		assert.Nil(t, left.handover, name)
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -88,6 +88,11 @@
 	SuccessorUnseen time.Duration
 	// Confirm asks for a confirmation at once.
 	Confirm func()
+	// Address is where the node answers others.
+	Address string
+	// Release asks the node at an address to stop an owner of a partition with a lower epoch,
+	// and returns what that one has left and could not store: nil if nothing is known there.
+	Release func(ctx context.Context, address string, partition int, epoch int64) ([]workload.Record, error)
 	// Partitions is how many the topic has.
 	Partitions int
 	// Lease of all runs.
@@ -129,6 +134,7 @@
 	unconfirmed, idle bool
 	// unfinished is the latest write; it may be under way.
 	unfinished scheduler.WriteOrder
+	report     *Report // what is left and could not be stored, once Run has returned
 }
 
 // New returns the owner of a partition. epoch is unique and above all earlier
@@ -156,72 +162,24 @@
 	if err := o.fence(ctx); err != nil {
 		return err
 	}
-	batch, err := o.snapshot(ctx)
+	fenced := time.Now()
+	o.readAt = began
+	batch, left, err := o.read(ctx)
 	if err != nil {
 		return err
 	}
-	o.readAt = began
-	left := leftBy(batch)
-	core := o.takeOver(ctx, left != nil)
+	core := o.takeOver(ctx, fenced, left.handover != nil)
 	o.apply(core, batch, time.Now())
-	recall(core, batch)
-	if left != nil {
-		core.Inherit(left, time.Now())
-	}
+	recall(core, batch, left.told)
+	left.tell(core, time.Now())
 	go o.tail(ctx, batch.Next)
 	close(o.loaded)
-	o.logger.Info("partition taken over", "records", len(batch.Records), "took", time.Since(began).String(), "handed_over", left != nil)
+	o.logger.Info("partition taken over", "records", len(batch.Records), "took", time.Since(began).String(), "handed_over", left.handover != nil, "told", len(left.told))
 	err = o.loop(ctx, core)
-	if core.Lost() == "" {
-		o.handOver(core)
-	}
+	o.leave(ctx, core)
 	return err
 }
 
-// leftBy returns the last owner's report of its runs, nil if it left none. Only
-// that of the owner just before counts: later ones have started more.
-func leftBy(batch platform.Batch) *workload.Handover {
-	records, _ := joblog.Decode(batch) // unreadable ones are logged by apply
-	var left *workload.Handover
-	last := int64(0)
-	for _, r := range records {
-		if r.Handover != nil {
-			left = r.Handover
-		}
-		if r.Takeover != nil {
-			last = r.Takeover.Epoch
-		}
-	}
-	if left == nil || left.Epoch != last {
-		return nil
-	}
-	return left
-}
-
-// handOverTimeout bounds the last write of an owner.
-const handOverTimeout = 400 * time.Millisecond
-
-// handOver leaves a report of what runs. Orders that are still on their way are in
-// it. Without it the next owner waits for leases to lapse.
-func (o *Owner) handOver(core *scheduler.Core) {
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-	defer cancel()
-	if !core.Recorded() && !o.finishWrite(ctx) {
-		return
-	}
-	left := core.Handover(time.Now())
-	if len(left) == 0 {
-		return
-	}
-	records, err := joblog.Encode(left, nil)
-	if err != nil {
-		o.logger.Error("handover can't be encoded", "error", err)
-		return
-	}
-	status, err := o.log.Write(ctx, o.epoch, core.NextSequence(), records)
-	o.logger.Info("partition left", "records", len(records), "status", status.String(), "error", err)
-}
-
 // fence keeps earlier owners from writing. It comes before the snapshot: what
 // they stored before it is in the snapshot, and nothing comes after.
 func (o *Owner) fence(ctx context.Context) error {
@@ -258,9 +216,9 @@
 // takeOver makes the machine. Where the last owner left no report of its runs, it
 // begins with the workers that may run what an earlier
 // owner started: those registered, and those that the list of VMs names.
-func (o *Owner) takeOver(ctx context.Context, told bool) *scheduler.Core {
-	fenced := time.Now()
+func (o *Owner) takeOver(ctx context.Context, fenced time.Time, told bool) *scheduler.Core {
 	cfg := scheduler.Settings{
+		Address:         o.deps.Address,
 		Epoch:           o.epoch,
 		Lease:           o.deps.Lease,
 		SuccessorUnseen: o.deps.SuccessorUnseen,
--- a/internal/ownership/authority_test.go
+++ b/internal/ownership/authority_test.go
@@ -213,3 +213,48 @@
 		})
 	}
 }
+
+// Guards against an owner that goes on beside the one that asked for its partition, and
+// against one that is started again by an answer of the group from before.
+func TestOwnerIsReleasedForALaterOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		part := platform.Partition{Topic: "jobs"}
+		store := &scriptedStore{gen: 3, parts: []platform.Partition{part}}
+		var mu sync.Mutex
+		var epochs []int64
+		var causes []error
+		run := func(ctx context.Context, _ platform.Partition, epoch int64) error {
+			mu.Lock()
+			epochs = append(epochs, epoch)
+			mu.Unlock()
+			<-ctx.Done()
+			mu.Lock()
+			defer mu.Unlock()
+			causes = append(causes, context.Cause(ctx))
+			return ctx.Err()
+		}
+		m := New(store, Config{Node: "node", Topics: []string{"jobs"}, Unique: func() string { return "1" }, Logger: hclog.NewNullLogger()}, run)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = m.Run(ctx)
+		}()
+		started := func() []int64 {
+			time.Sleep(time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			return epochs
+		}
+		require.Equal(t, []int64{3}, started())
+		m.Release(t.Context(), part, 3)
+		require.Empty(t, causes, "the one that asks is no later one")
+		m.Release(t.Context(), part, 5)
+		require.Equal(t, []error{ErrSuperseded}, causes)
+		assert.Equal(t, []int64{3}, started(), "the group's answers are older than the owner that asked")
+		store.set(6, false)
+		assert.Equal(t, []int64{3, 6}, started())
+		cancel()
+		<-ended
+	})
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -83,7 +83,8 @@
 	vouched    instant           // since which all of them have said that they are no successors
 	vouching   vouching          // as last logged
 	held       map[platform.Partition]*holding
-	retiring   map[platform.Partition]bool // whose owner here was told to stop and has not yet
+	superseded map[platform.Partition]int64    // the epoch of the latest owner that asked for it
+	retiring   map[platform.Partition]*holding // whose owner here was told to stop and has not yet
 	owners     map[platform.Partition]peer
 	ownersAt   time.Time
 	renew      bool // the membership is to begin anew
@@ -92,15 +93,6 @@
 	runFrom    time.Time // nothing that was dealt is run before
 }
 
-// holding is one owned partition.
-type holding struct {
-	epoch  int64
-	cancel context.CancelFunc
-	done   chan struct{}
-	// confirmed is when the latest join was sent whose answer listed it.
-	confirmed instant
-}
-
 // Config of a Manager.
 type Config struct {
 	Node    string
@@ -146,7 +138,8 @@
 		joining:    make(chan struct{}, maxJoins),
 		early:      make(chan struct{}, 1),
 		held:       map[platform.Partition]*holding{},
-		retiring:   map[platform.Partition]bool{},
+		retiring:   map[platform.Partition]*holding{},
+		superseded: map[platform.Partition]int64{},
 		owners:     map[platform.Partition]peer{},
 		vouches:    map[string]*vouch{},
 	}
@@ -259,83 +252,6 @@
 	}
 }
 
-// assign starts and stops owners by what the group said to a join sent at a time. changed
-// tells whether others have come or gone since the join before. The lock is held.
-func (m *Manager) assign(ctx context.Context, a platform.Assignment, sent instant, changed bool) {
-	if time.Now().Before(m.runFrom) {
-		m.released = m.generation
-		return // others are about to come, and the next deal is another one
-	}
-	listed := map[platform.Partition]bool{}
-	for _, p := range a.Parts {
-		if isPresence(p) {
-			continue
-		}
-		listed[p] = true
-		if h := m.held[p]; h != nil && changed && sent.at.After(m.lapse(h.confirmed)) {
-			m.giveUp(p, h, a.Generation, "another member may have owned it since")
-		}
-		if m.retiring[p] {
-			continue // it is started anew once the owner before has left word of its runs
-		}
-		if m.held[p] == nil {
-			m.held[p] = m.start(ctx, p, a.Generation)
-		}
-		m.held[p].confirmed = sent
-	}
-	for p, h := range m.held {
-		if !listed[p] {
-			m.giveUp(p, h, a.Generation, "the group gave it to another member")
-		}
-	}
-	if m.stopping == 0 {
-		m.released = m.generation
-	}
-}
-
-// giveUp stops the owner of a partition. The lock is held.
-func (m *Manager) giveUp(p platform.Partition, h *holding, generation int64, reason string) {
-	m.logger.Info("partition handed over", "topic", p.Topic, "partition", p.Part, "generation", generation, "reason", reason)
-	h.cancel()
-	delete(m.held, p)
-	m.retiring[p] = true
-	m.stopping++
-	go m.awaitStopped(p, h)
-}
-
-// awaitStopped tells the group at once when an owner has stopped whose partition passes
-// on. The group deals the partition out when it hears of a generation in which this
-// process has lost it. Heard earlier, the next owner would fence this one before it has
-// left word of its runs, and wait for their leases: seconds in place of some 60 ms.
-func (m *Manager) awaitStopped(p platform.Partition, h *holding) {
-	<-h.done
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.retiring, p)
-	m.stopping--
-	if m.stopping == 0 {
-		m.released = m.generation
-		m.Confirm()
-	}
-}
-
-func (m *Manager) start(ctx context.Context, p platform.Partition, epoch int64) *holding {
-	ctx, cancel := context.WithCancel(ctx)
-	h := &holding{epoch: epoch, cancel: cancel, done: make(chan struct{})}
-	go func() {
-		defer close(h.done)
-		err := m.run(ctx, p, epoch)
-		if ctx.Err() != nil {
-			return
-		}
-		m.logger.Warn("ownership ended", "topic", p.Topic, "partition", p.Part, "epoch", epoch, "error", err)
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.renew = true
-	}()
-	return h
-}
-
 // Confirm asks for a join at once: a VM that has just come waits for its answer.
 func (m *Manager) Confirm() {
 	select {
@@ -355,21 +271,6 @@
 	return time.Time{}
 }
 
-// stopAll stops all owners and waits until they have left word of their runs.
-func (m *Manager) stopAll() {
-	m.mu.Lock()
-	var stopped []*holding
-	for p, h := range m.held {
-		h.cancel()
-		stopped = append(stopped, h)
-		delete(m.held, p)
-	}
-	m.mu.Unlock()
-	for _, h := range stopped {
-		<-h.done
-	}
-}
-
 // leaveTimeout bounds the last call of a process that stops.
 const leaveTimeout = 500 * time.Millisecond
 
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -29,6 +29,8 @@
 type Settings struct {
 	// Epoch is unique to this ownership and above all earlier ones.
 	Epoch int64
+	// Address is where the owner's node answers others.
+	Address string
 	// Lease is how long a run lives without renewal.
 	Lease time.Duration
 	// SuccessorUnseen is for how long an owner may go on after its successor has begun.
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -14,6 +14,7 @@
 	epoch   int64
 	loaded  bool
 	dead    bool // killed, or gone: it sends nothing any more
+	killed  bool
 	pending *scheduler.WriteOrder
 	// slowUntil is until when the process hardly gets on: what is told to it waits,
 	// in order, and its steps are far apart.
@@ -87,19 +88,27 @@
 	if o.dead {
 		return
 	}
-	var left *workload.Handover
-	last := int64(0)
 	records := w.store.records()
-	for _, r := range records {
-		if r.Handover != nil {
-			left = r.Handover
-		}
-		if r.Takeover != nil {
-			last = r.Takeover.Epoch
-		}
+	if left, last := leftIn(records); left == nil && last > 0 && w.reached > 0 {
+		w.after(w.between(2*time.Millisecond, 40*time.Millisecond), func() { o.begin(records) })
+		return
 	}
-	if left != nil && left.Epoch != last {
-		left = nil
+	o.begin(records)
+}
+
+// begin starts the machine on the records that were read.
+func (o *fakeOwner) begin(records []workload.Record) {
+	w := o.w
+	if o.dead {
+		return
+	}
+	left, last := leftIn(records)
+	var told []workload.Record
+	if left == nil {
+		if told = w.askBefore(last); told != nil {
+			left, _ = leftIn(append([]workload.Record{{Takeover: &workload.Takeover{Epoch: last}}}, told...))
+			records = w.store.records()
+		}
 	}
 	var suspects []string
 	if left == nil {
@@ -115,19 +124,69 @@
 	for _, r := range records {
 		o.apply(r)
 	}
-	for _, r := range records {
+	news := map[workload.JobID]*workload.Progress{}
+	for _, r := range told {
 		if r.Progress != nil {
+			news[r.Job] = r.Progress
+		}
+	}
+	for _, r := range records {
+		if r.Progress != nil && news[r.Job] == nil {
 			o.core.Recalled(r.Job, r.Progress)
 		}
 	}
+	for _, r := range told {
+		if r.Progress != nil {
+			o.core.Told(r.Job, r.Progress)
+		}
+	}
 	if left != nil {
 		o.core.Inherit(left, w.now)
 	}
+	for _, r := range w.store.records() {
+		o.apply(r) // what was stored since the read; it follows the log
+	}
 	o.loaded = true
 	o.processor = w.processor
 	o.tick()
 }
 
+// leftIn returns the report of the last owner, nil if it left none, and that owner's epoch.
+func leftIn(records []workload.Record) (left *workload.Handover, last int64) {
+	for _, r := range records {
+		if r.Handover != nil {
+			left = r.Handover
+		}
+		if r.Takeover != nil {
+			last = r.Takeover.Epoch
+		}
+	}
+	if left != nil && left.Epoch != last {
+		left = nil
+	}
+	return left, last
+}
+
+// askBefore has the owner of an epoch stop and tell what it leaves, where nodes reach each
+// other; nil if nothing is known.
+func (w *world) askBefore(epoch int64) []workload.Record {
+	if w.reached == 0 || !w.chance(w.reached) {
+		return nil
+	}
+	for _, before := range w.owners {
+		if before.epoch != epoch || before.killed || !before.loaded {
+			continue
+		}
+		before.dead = true
+		records := before.core.Report(w.now)
+		if left, _ := leftIn(append([]workload.Record{{Takeover: &workload.Takeover{Epoch: epoch}}}, records...)); left != nil {
+			w.told++
+			return records
+		}
+	}
+	return nil
+}
+
 func (o *fakeOwner) apply(r workload.Record) {
 	switch {
 	case r.Submission != nil:
@@ -362,6 +421,7 @@
 // kill ends the owner without a word, and another one follows.
 func (w *world) kill(after time.Duration) {
 	w.owner.dead = true
+	w.owner.killed = true
 	w.after(after, w.takeOver)
 }
 
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -42,6 +42,29 @@
 	return append(records, workload.Record{Handover: h})
 }
 
+// Report is Handover for an owner that can't store it, to be told to its successor: the
+// write under way may be missing in the store.
+func (c *Core) Report(now time.Time) []workload.Record {
+	if c.writing != nil {
+		for id := range c.writing.jobs {
+			if j := c.jobs[id]; j != nil {
+				c.dirty[id] = j
+			}
+		}
+	}
+	return c.Handover(now)
+}
+
+// Told takes the ends that an earlier owner has reported and could not store. They are shown
+// once this owner has stored them.
+func (c *Core) Told(id workload.JobID, p *workload.Progress) {
+	j := c.job(id)
+	shown := j.shown
+	c.Recalled(id, p)
+	j.shown = shown
+	c.dirty[id] = j
+}
+
 // dirtyRecords are the jobs whose progress is not stored yet.
 func (c *Core) dirtyRecords() []workload.Record {
 	var records []workload.Record
--- a/internal/scheduler/links_test.go
+++ b/internal/scheduler/links_test.go
@@ -61,7 +61,10 @@
 // linkHistory plays 25 s of jobs while owners are cut off from the store and from workers,
 // each link by itself, and 60 s without faults.
 func linkHistory(seed uint64, f faults, trouble func(w *world)) *world {
-	w := newWorld(seed, f)
+	return playLinks(newWorld(seed, f), trouble)
+}
+
+func playLinks(w *world, trouble func(w *world)) *world {
 	w.joins = true
 	for i := range 6 {
 		w.addWorker("worker-"+strconv.Itoa(i), workload.Resources{CPU: 32000, MemoryMB: 64000})
@@ -114,3 +117,25 @@
 		require.Empty(t, w.broken, "seed %d", seed)
 	}
 }
+
+// Guards against tasks that run twice, and jobs that are forgotten, where the earlier owner
+// tells its successor what it leaves: what it could not store is known to these two only.
+func TestOwnersThatTellTheirSuccessorRunNothingTwice(t *testing.T) {
+	told := 0
+	for _, seed := range seeds(histories(t)) {
+		w := newWorld(seed, faults{lostAnswer: 0.01, failedTask: 0.01, storeLost: 0.02})
+		w.reached = 0.8
+		playLinks(w, (*world).trouble)
+		told += w.told
+		require.Empty(t, w.broken, "seed %d", seed)
+		for _, j := range w.jobs {
+			if w.lastingShare() > 0.8 {
+				break // lasting tasks fill the workers: others may wait for ever
+			}
+			state, known := w.owner.core.State(j.id)
+			require.True(t, known && (state.Ended() || j.sub.Spec.Steps[0].Lasting), "seed %d: job %s is %s", seed, j.id, state)
+		}
+	}
+	require.NotZero(t, told)
+	t.Log(told, "owners told what they left")
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -118,7 +118,7 @@
 	order := &WriteOrder{Sequence: c.writeSeq, Delete: c.expired}
 	if c.writeSeq == 1 {
 		// From here on the handover of the owner before says too little.
-		order.Records = append(order.Records, workload.Record{Takeover: &workload.Takeover{Epoch: c.cfg.Epoch}})
+		order.Records = append(order.Records, workload.Record{Takeover: &workload.Takeover{Epoch: c.cfg.Epoch, Address: c.cfg.Address}})
 	}
 	order.Records = append(order.Records, c.dirtyRecords()...)
 	for id, j := range c.dirty {
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -74,6 +74,10 @@
 	lostRuns int
 	// joins is set where an owner that was replaced learns so from the group.
 	joins bool
+	// reached is the chance that an owner reaches the node of the one before, and told how
+	// often one has told what it left.
+	reached float64
+	told    int
 	// processor is that of each owner's node, nil where it costs no time.
 	processor *processor
 }
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -70,6 +70,9 @@
 // Takeover names the owner that took a partition over last.
 type Takeover struct {
 	Epoch int64 `json:"e"`
+	// Address is where the owner's node answers others; owners of earlier versions left it
+	// out.
+	Address string `json:"a,omitempty"`
 }
 
 // Record is a stored fact about a job, or about the owner of the partition. One
