Keep an owner's report for half a minute, and never lengthen an authority by a suspension

A report matters until the next owner begins, seconds later; kept for good, those of a large owner hold memory for nothing. A reading of the time of suspension that is lower than the one before would have made an authority longer.

--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
@@ -10,11 +11,22 @@
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
+// reportKept is how long a report is kept for a successor, which asks as it begins. The store
+// may be away for some time before.
+const reportKept = 30 * time.Second
+
 // keep keeps what an owner here could not store, for its successor.
 func (o *owners) keep(partition int, r owner.Report) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.reports[partition] = r
+	time.AfterFunc(reportKept, func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if o.reports[partition].Epoch == r.Epoch {
+			delete(o.reports, partition)
+		}
+	})
 }
 
 // report is what the last owner of a partition here has left, if its epoch is lower than one.
--- a/internal/ownership/authority.go
+++ b/internal/ownership/authority.go
@@ -47,7 +47,7 @@
 	if i.at.IsZero() {
 		return time.Time{}
 	}
-	return i.at.Add(m.ttl - (m.suspended() - i.suspended))
+	return i.at.Add(m.ttl - max(0, m.suspended()-i.suspended))
 }
 
 // TTL is after how long without a join the group gives a member's partitions to others.
