Tell the order of a worker's lists by its clock

What was seen (an open finding): a run that has ended is listed as running by an answer that was made before the one with its end and comes after it, though its poll was sent later. It was adopted and stopped as not wanted; until then its room counted as taken, and a task that was about to start again as running.

Cause: two polls to one worker may be under way, the first of which waits for an end; the order of their sending isn't that of their answers. The worker's clock in the answers tells it. A poll whose answer says nothing more still is no longer under way.

TestListThatWasMadeEarlierSaysNothingMore failed before. 300 histories of each kind pass."

--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -31,7 +31,7 @@
 	if w == nil {
 		return
 	}
-	// An answer that a later poll has overtaken says nothing any more: what it lists as
+	// An answer that a later one has overtaken says nothing any more: what it lists as
 	// running may have ended. Its end, if it lists one, is listed again. Nor does one that
 	// was asked for before a restart of the worker was known.
 	overtaken := r.SentAt.Before(w.toldAt) || r.Token < w.token
@@ -40,6 +40,7 @@
 	} else if !overtaken {
 		w.holding = false
 	}
+	overtaken = overtaken || w.isOutdated(r)
 	if !overtaken && r.Answer.Status == workload.WorkerOK && w.isOther(r) {
 		w.toldAt = r.SentAt
 		c.restarted(w, r.Held.Born, restartReason(w.born, r.Held.Born), now)
@@ -56,6 +57,7 @@
 	case overtaken:
 	case r.Answer.Status == workload.WorkerOK:
 		w.toldAt = r.SentAt
+		w.listedAt = r.Answer.Clock
 		w.holding = false // the answer of a poll that was sent earlier will be overtaken
 		c.heldOK(w, r, now)
 	default:
@@ -63,6 +65,12 @@
 	}
 }
 
+// isOutdated tells whether a list was made before the one that was taken last: a poll that
+// was sent earlier may have waited longer for its answer.
+func (w *worker) isOutdated(r HoldResult) bool {
+	return r.Answer.Status == workload.WorkerOK && r.Answer.Clock < w.listedAt && !w.isOther(r)
+}
+
 // pollFailed takes a poll that got no answer, or none that says anything.
 func (c *Core) pollFailed(w *worker, r HoldResult, now time.Time) {
 	w.unanswered = r.SentAt
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -84,6 +84,7 @@
 	w.holding = false
 	w.holdAfter = now
 	w.clock = 0
+	w.listedAt = 0
 	w.seen, w.acked, w.ackSent, w.ackTaken = 0, 0, 0, 0
 	w.pace, w.pacedAt = fullPace, time.Time{}
 	w.trust = trust{}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -119,7 +119,9 @@
 	overdueAt  time.Time
 	extraPolls int
 	// toldAt is when the latest poll that was answered was sent.
-	toldAt           time.Time
+	toldAt time.Time
+	// listedAt is when the list that was taken last was made, by the worker's clock.
+	listedAt         int64
 	unreachable      bool // the last poll got no answer
 	unreachableSince time.Time
 	refuses          bool // the connection of the last poll was refused
