Ask other members for the partitions that they hold, too

A hole in the authority, found by reading: the group deals a partition anew just before the store goes down for all. The successor has joined in time, so that its last join was no objection, and the earlier owner kept its authority for as long as the store was down, and for a time to live after its return, whatever the successor did meanwhile. Members tell the partitions that they hold; the same one held twice ends the authority.

TestAuthorityEndsWhereAnotherMemberHoldsThePartition fails without it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,7 +168,7 @@
 	n.deps.AuthorityUntil = func(partition int) time.Time {
 		return n.manager.AuthorityUntil(platform.Partition{Topic: joblog.Topic, Part: partition})
 	}
-	n.deps.SuccessorUnseen = n.manager.TTL()
+	n.deps.Overlap = n.manager.TTL()
 	n.deps.Address = self
 	n.deps.Release = n.owners.releaseBy
 	n.deps.OwnedUntil = func(partition int) time.Time {
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -82,6 +82,8 @@
 type LastJoin struct {
 	Never bool  `json:"n,omitempty"`
 	AgeMS int64 `json:"a"` // since the answer
+	// Held are the partitions that the group has given to the process.
+	Held []platform.Partition `json:"h,omitempty"`
 }
 
 // Stored is what became of a record that was to be stored.
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -16,7 +16,7 @@
 const (
 	// handOverTimeout bounds the last write of an owner.
 	handOverTimeout = 400 * time.Millisecond
-	// releaseTimeout bounds the question to the owner before. A takeover without its answer
+	// releaseTimeout bounds the question to the previous owner. A takeover without its answer
 	// takes about as long for a list of workers.
 	releaseTimeout = 300 * time.Millisecond
 )
@@ -45,13 +45,13 @@
 	records := core.Report(time.Now())
 	if handoverIn(records) != nil {
 		o.report = &Report{Epoch: o.epoch, Records: records}
-		o.logger.Info("partition left, its runs are told to a successor that asks", "records", len(records))
+		o.logger.Info("partition left, its runs are reported to a successor that asks", "records", len(records))
 	}
 }
 
 // handOver stores a report of what runs. Orders that are still on their way are in
 // it. Without it the next owner waits for leases to lapse. It tells whether nothing is left
-// to be told.
+// to be reported.
 func (o *Owner) handOver(core *scheduler.Core) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
@@ -72,64 +72,64 @@
 	return status == platform.StoreOK
 }
 
-// leftover is what the owner before has left, nothing if that isn't known.
-type leftover struct {
+// inheritance is what the previous owner has left, nothing if that isn't known.
+type inheritance struct {
 	handover *workload.Handover
-	// told is the progress of jobs that it could not store.
-	told map[workload.JobID]*workload.Progress
+	// unstored is the progress of jobs that it could not store.
+	unstored map[workload.JobID]*workload.Progress
 }
 
-// tell hands it to the machine, once that knows the jobs.
-func (l leftover) tell(core *scheduler.Core, now time.Time) {
-	for id, p := range l.told {
-		core.Told(id, p)
+// apply hands it to the machine, once that knows the jobs.
+func (l inheritance) apply(core *scheduler.Core, now time.Time) {
+	for id, p := range l.unstored {
+		core.RecallUnstored(id, p)
 	}
 	if l.handover != nil {
 		core.Inherit(l.handover, now)
 	}
 }
 
-// read reads the partition, and what the owner before has left: from the store, or else from
+// read reads the partition, and what the previous owner has left: from the store, or else from
 // its node. That one may have started tasks of jobs that were stored after the first read, so
 // that it is read again once that owner has stopped.
-func (o *Owner) read(ctx context.Context) (platform.Batch, leftover, error) {
+func (o *Owner) read(ctx context.Context) (platform.Batch, inheritance, error) {
 	batch, err := o.snapshot(ctx)
 	if err != nil {
-		return batch, leftover{}, err
+		return batch, inheritance{}, err
 	}
 	left, last := leftIn(batch)
 	if left != nil || last == nil || last.Address == "" {
-		return batch, leftover{handover: left}, nil
+		return batch, inheritance{handover: left}, nil
 	}
-	told, ok := o.askBefore(ctx, last)
+	previous, ok := o.askPrevious(ctx, last)
 	if !ok {
-		return batch, leftover{}, nil
+		return batch, inheritance{}, nil
 	}
 	batch, err = o.snapshot(ctx)
-	return batch, told, err
+	return batch, previous, err
 }
 
-// askBefore asks the node of the owner before.
-func (o *Owner) askBefore(ctx context.Context, last *workload.Takeover) (leftover, bool) {
+// askPrevious asks the node of the previous owner.
+func (o *Owner) askPrevious(ctx context.Context, last *workload.Takeover) (inheritance, bool) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	records, err := o.deps.Release(ctx, last.Address, o.partition, o.epoch)
 	handover := handoverIn(records)
 	switch {
 	case err != nil:
-		o.logger.Info("the owner before does not tell its runs", "address", last.Address, "before", last.Epoch, "error", err)
-		return leftover{}, false
+		o.logger.Info("previous owner gave no report", "address", last.Address, "previous", last.Epoch, "error", err)
+		return inheritance{}, false
 	case handover == nil || handover.Epoch != last.Epoch:
-		o.logger.Info("the owner before is not known at its node", "address", last.Address, "before", last.Epoch)
-		return leftover{}, false
+		o.logger.Info("previous owner is unknown at its node", "address", last.Address, "previous", last.Epoch)
+		return inheritance{}, false
 	}
-	l := leftover{handover: handover, told: map[workload.JobID]*workload.Progress{}}
+	l := inheritance{handover: handover, unstored: map[workload.JobID]*workload.Progress{}}
 	for _, r := range records {
 		if r.Progress != nil {
-			l.told[r.Job] = r.Progress
+			l.unstored[r.Job] = r.Progress
 		}
 	}
-	o.logger.Info("the owner before has told its runs", "address", last.Address, "before", last.Epoch, "runs", len(handover.Runs), "jobs", len(l.told))
+	o.logger.Info("previous owner reported its runs", "address", last.Address, "previous", last.Epoch, "runs", len(handover.Runs), "jobs", len(l.unstored))
 	return l, true
 }
 
--- a/internal/owner/handover_test.go
+++ b/internal/owner/handover_test.go
@@ -38,28 +38,28 @@
 	return platform.Batch{Records: s.records}, platform.StoreOK, nil
 }
 
-const addressBefore = "10.0.0.2:7061"
+const previousAddress = "10.0.0.2:7061"
 
 // taking returns an owner of epoch 9 that takes over from one of epoch 7, whose node answers
 // with release.
 func taking(t *testing.T, release func(store *memoryStore) ([]workload.Record, error)) *Owner {
 	store := &memoryStore{}
-	store.put(t, workload.Record{Takeover: &workload.Takeover{Epoch: 7, Address: addressBefore}})
+	store.put(t, workload.Record{Takeover: &workload.Takeover{Epoch: 7, Address: previousAddress}})
 	return &Owner{
 		epoch:  9,
 		logger: hclog.NewNullLogger(),
 		log:    joblog.New(store, nil, joblog.Topic, 0),
 		deps: Deps{Release: func(_ context.Context, address string, _ int, epoch int64) ([]workload.Record, error) {
-			assert.Equal(t, addressBefore, address)
+			assert.Equal(t, previousAddress, address)
 			assert.Equal(t, int64(9), epoch)
 			return release(store)
 		}},
 	}
 }
 
-// Guards against a task that the owner before has started after the partition was read, of a
+// Guards against a task that the previous owner has started after the partition was read, of a
 // job that was stored in between: it would be started once more as soon as the job is read.
-func TestPartitionIsReadAgainOnceTheOwnerBeforeHasTold(t *testing.T) {
+func TestPartitionIsReadAgainOnceThePreviousOwnerHasReported(t *testing.T) {
 	sub := &workload.Submission{Service: "booking", Queue: "queue", Spec: workload.Spec{Steps: []workload.Step{{Count: 1}}}}
 	o := taking(t, func(store *memoryStore) ([]workload.Record, error) {
 		store.put(t, workload.Record{Job: waitingJob, Submission: sub})
@@ -73,12 +73,12 @@
 	assert.Len(t, batch.Records, 2)
 	require.NotNil(t, left.handover)
 	assert.Len(t, left.handover.Runs, 1)
-	assert.Contains(t, left.told, endedJob)
+	assert.Contains(t, left.unstored, endedJob)
 }
 
 // Guards against the word of an owner that was not the last one, or of none, being taken for
 // all that runs: a later one has started more.
-func TestOnlyTheOwnerJustBeforeCanTellWhatRuns(t *testing.T) {
+func TestOnlyThePreviousOwnersReportCounts(t *testing.T) {
 	for name, release := range map[string]func(*memoryStore) ([]workload.Record, error){
 		"an earlier one": func(*memoryStore) ([]workload.Record, error) {
 			return []workload.Record{{Handover: &workload.Handover{Epoch: 5}}}, nil
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -84,8 +84,8 @@
 	// AuthorityUntil is until when the owner of a partition may start tasks and renew
 	// leases.
 	AuthorityUntil func(partition int) time.Time
-	// SuccessorUnseen is for how long that may be after a successor has begun.
-	SuccessorUnseen time.Duration
+	// Overlap is for how long that may be after a successor has begun.
+	Overlap time.Duration
 	// Confirm asks for a confirmation at once.
 	Confirm func()
 	// Address is where the node answers others.
@@ -170,11 +170,11 @@
 	}
 	core := o.takeOver(ctx, fenced, left.handover != nil)
 	o.apply(core, batch, time.Now())
-	recall(core, batch, left.told)
-	left.tell(core, time.Now())
+	recall(core, batch, left.unstored)
+	left.apply(core, time.Now())
 	go o.tail(ctx, batch.Next)
 	close(o.loaded)
-	o.logger.Info("partition taken over", "records", len(batch.Records), "took", time.Since(began).String(), "handed_over", left.handover != nil, "told", len(left.told))
+	o.logger.Info("partition taken over", "records", len(batch.Records), "took", time.Since(began).String(), "handed_over", left.handover != nil, "reported_jobs", len(left.unstored))
 	err = o.loop(ctx, core)
 	o.leave(ctx, core)
 	return err
@@ -218,15 +218,15 @@
 // owner started: those registered, and those that the list of VMs names.
 func (o *Owner) takeOver(ctx context.Context, fenced time.Time, told bool) *scheduler.Core {
 	cfg := scheduler.Settings{
-		Address:         o.deps.Address,
-		Epoch:           o.epoch,
-		Lease:           o.deps.Lease,
-		SuccessorUnseen: o.deps.SuccessorUnseen,
-		MaxLease:        o.deps.Bounds.MaxLease,
-		StateKept:       o.deps.Bounds.StateKept,
-		RemoteFactor:    o.deps.Bounds.RemoteFactor,
-		Stop:            o.deps.Bounds.Stop,
-		GangTimeout:     o.deps.Bounds.GangTimeout,
+		Address:      o.deps.Address,
+		Epoch:        o.epoch,
+		Lease:        o.deps.Lease,
+		Overlap:      o.deps.Overlap,
+		MaxLease:     o.deps.Bounds.MaxLease,
+		StateKept:    o.deps.Bounds.StateKept,
+		RemoteFactor: o.deps.Bounds.RemoteFactor,
+		Stop:         o.deps.Bounds.Stop,
+		GangTimeout:  o.deps.Bounds.GangTimeout,
 	}
 	if told {
 		return scheduler.New(cfg, fenced, nil, false)
--- a/internal/owner/tail.go
+++ b/internal/owner/tail.go
@@ -45,12 +45,12 @@
 }
 
 // recall hands over what earlier owners stored. Records of this owner's own are
-// read back too, and are of no use: the machine knows more. Jobs of which the owner before has
-// told more are left out.
-func recall(core *scheduler.Core, batch platform.Batch, told map[workload.JobID]*workload.Progress) {
+// read back too, and are of no use: the machine knows more. Jobs of which the previous owner has
+// reported more are left out.
+func recall(core *scheduler.Core, batch platform.Batch, reported map[workload.JobID]*workload.Progress) {
 	records, _ := joblog.Decode(batch) // unreadable ones were logged by apply
 	for _, r := range records {
-		if r.Progress != nil && told[r.Job] == nil {
+		if r.Progress != nil && reported[r.Job] == nil {
 			core.Recalled(r.Job, r.Progress)
 		}
 	}
--- a/internal/ownership/authority.go
+++ b/internal/ownership/authority.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 type LastJoin struct {
 	Never bool
 	Age   time.Duration // since the answer
+	// Held are the partitions that the group has given to the process.
+	Held []platform.Partition
 }
 
 // instant is a time by the steady clock, and for how long the machine had been suspended
@@ -77,8 +81,8 @@
 		return time.Time{}
 	}
 	until := m.lapse(h.confirmed)
-	if vouched := m.lapse(m.vouched); vouched.After(until) {
-		return vouched
+	if unopposed := m.lapse(m.unopposed); unopposed.After(until) {
+		return unopposed
 	}
 	return until
 }
@@ -90,15 +94,15 @@
 	if m.answeredAt.IsZero() {
 		return LastJoin{Never: true}
 	}
-	return LastJoin{Age: time.Since(m.answeredAt)}
+	return LastJoin{Age: time.Since(m.answeredAt), Held: slices.Collect(maps.Keys(m.held))}
 }
 
-// vouch is what another member told while joins got no answer.
-type vouch struct {
-	asked  instant // of the latest question that it answered without an objection
+// memberAnswer is what another member told while joins got no answer.
+type memberAnswer struct {
+	asked  instant // of the latest question that it answered with no later join
 	joined instant // since which no other join counts
 	open   bool    // a question is under way
-	reason string  // why it doesn't vouch, "" if it does or was not asked yet
+	reason string  // why it may be a successor, "" if it is none or was not asked yet
 }
 
 // askMembers asks the other members, while joins get no answer, whether one of them may be a
@@ -111,7 +115,7 @@
 		for _, address := range m.toAsk() {
 			asking.Go(func() { m.askMember(ctx, address) })
 		}
-		m.noteVouching()
+		m.logStanding()
 	}
 }
 
@@ -126,16 +130,16 @@
 	var addresses []string
 	others := m.others()
 	for _, address := range others {
-		if m.vouches[address] == nil {
-			m.vouches[address] = &vouch{}
+		if m.answers[address] == nil {
+			m.answers[address] = &memberAnswer{}
 		}
-		if !m.vouches[address].open {
-			m.vouches[address].open = true
+		if !m.answers[address].open {
+			m.answers[address].open = true
 			addresses = append(addresses, address)
 		}
 	}
 	if len(others) == 0 {
-		m.vouched = m.instant() // nobody else is a member
+		m.unopposed = m.instant() // nobody else is a member
 	}
 	return addresses
 }
@@ -160,26 +164,39 @@
 	last, err := m.peers.LastJoin(ctx, address)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	v := m.vouches[address]
+	v := m.answers[address]
 	v.open = false
-	switch {
-	case err != nil:
+	if err != nil {
 		v.reason = "does not tell: " + err.Error()
-	case !last.Never && time.Now().Add(-last.Age).After(m.lapse(m.joined)):
-		v.reason = "has joined meanwhile"
+		return
+	}
+	v.asked, v.joined = asked, m.joined
+	if v.reason = m.objection(last); v.reason != "" {
 		v.asked = instant{}
-	default:
-		v.reason, v.asked, v.joined = "", asked, m.joined
 	}
-	m.vouched = m.allVouched()
+	m.unopposed = m.allAnswered()
+}
+
+// objection tells why a member may own a partition that is held here, "" if it can't. The
+// lock is held.
+func (m *Manager) objection(last LastJoin) string {
+	if !last.Never && time.Now().Add(-last.Age).After(m.lapse(m.joined)) {
+		return "has joined meanwhile"
+	}
+	for _, p := range last.Held {
+		if m.held[p] != nil {
+			return "holds a partition, too" // the group has dealt it anew
+		}
+	}
+	return ""
 }
 
-// allVouched is the earliest instant of those at which the members last vouched, zero if one
-// has not since the latest answered join. The lock is held.
-func (m *Manager) allVouched() instant {
+// allAnswered is the earliest instant of the latest questions that the members answered with
+// no later join, zero if one of them has not since the latest answered join. The lock is held.
+func (m *Manager) allAnswered() instant {
 	var earliest instant
 	for _, address := range m.others() {
-		v := m.vouches[address]
+		v := m.answers[address]
 		if v == nil || v.joined != m.joined || v.asked.at.IsZero() {
 			return instant{}
 		}
@@ -190,44 +207,44 @@
 	return earliest
 }
 
-// noteVouching writes a line when the other members begin to vouch for this one, and when
-// one of them no longer does.
-func (m *Manager) noteVouching() {
+// logStanding writes a line when the other members tell that none of them is a successor, and
+// when one of them may be.
+func (m *Manager) logStanding() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	lapsed := m.lapse(m.joined)
 	if m.joined.at.IsZero() || len(m.held) == 0 || time.Now().Before(lapsed) {
-		m.vouching = unasked
+		m.standing = confirmed
 		return
 	}
-	now := vouchedFor
+	now := unopposed
 	reason := ""
-	if !time.Now().Before(m.lapse(m.vouched)) {
+	if !time.Now().Before(m.lapse(m.unopposed)) {
 		now = doubted
 		for _, address := range m.others() {
-			if v := m.vouches[address]; v != nil && v.reason != "" {
+			if v := m.answers[address]; v != nil && v.reason != "" {
 				reason = address + " " + v.reason
 				break
 			}
 		}
 	}
-	if now == m.vouching {
+	if now == m.standing {
 		return
 	}
-	m.vouching = now
+	m.standing = now
 	since := time.Since(m.joined.at).Milliseconds()
-	if now == vouchedFor {
+	if now == unopposed {
 		m.logger.Info("store answers no member, partitions are kept", "since_ms", since)
 		return
 	}
 	m.logger.Warn("another member may own the partitions", "reason", reason, "since_ms", since)
 }
 
-// vouching is what the other members said last, for the log.
-type vouching int
+// standing is how certain it is that no other member owns the partitions, for the log.
+type standing int
 
 const (
-	unasked vouching = iota // joins are answered
-	vouchedFor
+	confirmed standing = iota // by a join
+	unopposed                 // by the answers of all other members
 	doubted
 )
--- a/internal/ownership/authority_test.go
+++ b/internal/ownership/authority_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -108,10 +109,11 @@
 
 // scriptedStore answers joins as a test says.
 type scriptedStore struct {
-	mu    sync.Mutex
-	gen   int64
-	parts []platform.Partition
-	down  bool
+	mu     sync.Mutex
+	gen    int64
+	parts  []platform.Partition
+	owners []platform.Owner
+	down   bool
 }
 
 func (s *scriptedStore) set(gen int64, down bool) {
@@ -134,7 +136,7 @@
 }
 
 func (s *scriptedStore) Owners(context.Context, string) ([]platform.Owner, platform.StoreStatus, error) {
-	return nil, platform.StoreOK, nil
+	return s.owners, platform.StoreOK, nil
 }
 
 func (s *scriptedStore) Append(context.Context, platform.Partition, *platform.Producer, ...platform.KeyedRecord) (platform.StoreStatus, error) {
@@ -155,7 +157,7 @@
 		stopped := 0
 		run := func(ctx context.Context, _ platform.Partition, epoch int64) error {
 			mu.Lock()
-			assert.Equal(t, len(epochs), stopped, "the owner before has stopped")
+			assert.Equal(t, len(epochs), stopped, "the previous owner has stopped")
 			epochs = append(epochs, epoch)
 			mu.Unlock()
 			<-ctx.Done()
@@ -258,3 +260,39 @@
 		<-ended
 	})
 }
+
+// memberStub answers for the one other member.
+type memberStub struct{ last atomic.Pointer[LastJoin] }
+
+func (s *memberStub) LastJoin(context.Context, string) (LastJoin, error) { return *s.last.Load(), nil }
+
+// Guards against an owner that goes on while the store is down for all, though the group had
+// dealt its partition to another member just before: that one has joined in time, too.
+func TestAuthorityEndsWhereAnotherMemberHoldsThePartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		part := platform.Partition{Topic: "jobs"}
+		store := &scriptedStore{gen: 3, parts: []platform.Partition{part}, owners: []platform.Owner{{Partition: platform.Partition{Topic: "jobs", Part: 1}, Member: "other|10.0.0.2:7061|1|0"}}}
+		other := &memberStub{}
+		other.last.Store(&LastJoin{Age: time.Hour, Held: []platform.Partition{{Topic: "jobs", Part: 1}}})
+		run := func(ctx context.Context, _ platform.Partition, _ int64) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		m := New(store, Config{Node: "node", Address: "10.0.0.1:7061", Topics: []string{"jobs"}, Unique: func() string { return "1" }, Members: other, Logger: hclog.NewNullLogger()}, run)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = m.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		store.set(3, true)
+		time.Sleep(3 * time.Second)
+		assert.True(t, time.Now().Before(m.AuthorityUntil(part)))
+		other.last.Store(&LastJoin{Age: time.Hour, Held: []platform.Partition{part}})
+		time.Sleep(m.TTL() + joinInterval)
+		assert.False(t, time.Now().Before(m.AuthorityUntil(part)))
+		cancel()
+		<-ended
+	})
+}
--- a/internal/ownership/holdings.go
+++ b/internal/ownership/holdings.go
@@ -36,7 +36,7 @@
 		}
 		switch {
 		case m.retiring[p] != nil:
-			continue // it is started anew once the owner before has left word of its runs
+			continue // it is started anew once the previous owner has left word of its runs
 		case a.Generation < m.superseded[p]:
 			continue // the answer is older than the owner that asked for it
 		}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -74,14 +74,14 @@
 
 	mu         sync.Mutex
 	member     string
-	generation int64             // the latest one received
-	released   int64             // the latest one whose losses are complete here
-	stopping   int               // owners that were told to stop as their partition passes on
-	joined     instant           // when the latest answered join was sent
-	answeredAt time.Time         // when it was answered
-	vouches    map[string]*vouch // of other members, by address
-	vouched    instant           // since which all of them have said that they are no successors
-	vouching   vouching          // as last logged
+	generation int64                    // the latest one received
+	released   int64                    // the latest one whose losses are complete here
+	stopping   int                      // owners that were told to stop as their partition passes on
+	joined     instant                  // when the latest answered join was sent
+	answeredAt time.Time                // when it was answered
+	answers    map[string]*memberAnswer // of other members, by address
+	unopposed  instant                  // since which all of them have said that they are no successors
+	standing   standing                 // as last logged
 	held       map[platform.Partition]*holding
 	superseded map[platform.Partition]int64    // the epoch of the latest owner that asked for it
 	retiring   map[platform.Partition]*holding // whose owner here was told to stop and has not yet
@@ -141,7 +141,7 @@
 		retiring:   map[platform.Partition]*holding{},
 		superseded: map[platform.Partition]int64{},
 		owners:     map[platform.Partition]peer{},
-		vouches:    map[string]*vouch{},
+		answers:    map[string]*memberAnswer{},
 	}
 	if m.inUse == nil {
 		m.inUse = func(platform.Partition) bool { return true }
--- a/internal/scheduler/authority.go
+++ b/internal/scheduler/authority.go
@@ -7,7 +7,7 @@
 // would start their tasks elsewhere. Two bounds that both reckon alike keep them apart:
 //
 //   - An owner starts tasks, renews leases and moves tasks only while it is known that no
-//     successor has begun, or has begun less than Settings.SuccessorUnseen ago.
+//     successor has begun, or has begun less than Settings.Overlap ago.
 //   - A successor waits, where it can't reach a worker, for that long and a lease.
 //
 // A lease ends at a time of the worker's clock that was reckoned before the order was sent.
@@ -25,5 +25,5 @@
 
 // earlierLeases is until when leases of earlier owners may last, for an owner that begins now.
 func earlierLeases(cfg Settings, now time.Time) time.Time {
-	return now.Add(cfg.SuccessorUnseen + lapse(cfg.Lease))
+	return now.Add(cfg.Overlap + lapse(cfg.Lease))
 }
--- a/internal/scheduler/authority_test.go
+++ b/internal/scheduler/authority_test.go
@@ -60,10 +60,10 @@
 }
 
 // Guards against a successor that reckons an earlier owner's last lease from its own
-// beginning: that one may go on for SuccessorUnseen.
+// beginning: that one may go on for Overlap.
 func TestTakeoverWaitsForLeasesGivenAfterItBegan(t *testing.T) {
 	settings := testSettings(3)
-	settings.SuccessorUnseen = memberTTL
+	settings.Overlap = memberTTL
 	r := &rig{t: t, now: epochStart, epoch: 3}
 	r.core = scheduler.New(settings, r.now, []string{"w-1", "w-2"}, false)
 	r.core.SetConfig(testConfig)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -33,8 +33,8 @@
 	Address string
 	// Lease is how long a run lives without renewal.
 	Lease time.Duration
-	// SuccessorUnseen is for how long an owner may go on after its successor has begun.
-	SuccessorUnseen time.Duration
+	// Overlap is for how long an owner may go on after its successor has begun.
+	Overlap time.Duration
 	// MaxLease is the longest lease that a worker gives, whatever it is asked for.
 	MaxLease time.Duration
 	// StateKept is for how long an ended job is known.
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -105,7 +105,7 @@
 	left, last := leftIn(records)
 	var told []workload.Record
 	if left == nil {
-		if told = w.askBefore(last); told != nil {
+		if told = w.askPrevious(last); told != nil {
 			left, _ = leftIn(append([]workload.Record{{Takeover: &workload.Takeover{Epoch: last}}}, told...))
 			records = w.store.records()
 		}
@@ -117,7 +117,7 @@
 		}
 	}
 	settings := testSettings(o.epoch)
-	settings.SuccessorUnseen = memberTTL
+	settings.Overlap = memberTTL
 	o.core = scheduler.New(settings, w.now, suspects, false)
 	o.confirm()
 	o.core.SetConfig(testConfig)
@@ -137,7 +137,7 @@
 	}
 	for _, r := range told {
 		if r.Progress != nil {
-			o.core.Told(r.Job, r.Progress)
+			o.core.RecallUnstored(r.Job, r.Progress)
 		}
 	}
 	if left != nil {
@@ -167,9 +167,9 @@
 	return left, last
 }
 
-// askBefore has the owner of an epoch stop and tell what it leaves, where nodes reach each
+// askPrevious has the owner of an epoch stop and tell what it leaves, where nodes reach each
 // other; nil if nothing is known.
-func (w *world) askBefore(epoch int64) []workload.Record {
+func (w *world) askPrevious(epoch int64) []workload.Record {
 	if w.reached == 0 || !w.chance(w.reached) {
 		return nil
 	}
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -42,8 +42,8 @@
 	return append(records, workload.Record{Handover: h})
 }
 
-// Report is Handover for an owner that can't store it, to be told to its successor: the
-// write under way may be missing in the store.
+// Report is Handover for an owner that can't store it: the write under way may be missing in
+// the store, too.
 func (c *Core) Report(now time.Time) []workload.Record {
 	if c.writing != nil {
 		for id := range c.writing.jobs {
@@ -55,9 +55,9 @@
 	return c.Handover(now)
 }
 
-// Told takes the ends that an earlier owner has reported and could not store. They are shown
-// once this owner has stored them.
-func (c *Core) Told(id workload.JobID, p *workload.Progress) {
+// RecallUnstored is Recalled for what the previous owner could not store: this one stores it,
+// and shows an end once that is done.
+func (c *Core) RecallUnstored(id workload.JobID, p *workload.Progress) {
 	j := c.job(id)
 	shown := j.shown
 	c.Recalled(id, p)
