Take a member's partitions for an objection only if it has joined since

A member that was cut off before the store went down holds, as far as it knows, what has passed on to others since: its word would have ended the authority of the one that owns it now. What counts is what it heard after this one's latest join. The test holds both cases.

--- a/internal/ownership/authority.go
+++ b/internal/ownership/authority.go
@@ -45,13 +45,21 @@
 	return instant{at: time.Now(), suspended: m.suspended()}
 }
 
-// lapse is when a time to live that began at an instant is over by the steady clock. It is
-// earlier by each suspension since. Zero for no instant.
+// onClock is when an instant was, by a steady clock that had counted each suspension since.
+// Zero for no instant.
+func (m *Manager) onClock(i instant) time.Time {
+	if i.at.IsZero() {
+		return time.Time{}
+	}
+	return i.at.Add(-max(0, m.suspended()-i.suspended))
+}
+
+// lapse is when a time to live that began at an instant is over. Zero for no instant.
 func (m *Manager) lapse(i instant) time.Time {
 	if i.at.IsZero() {
 		return time.Time{}
 	}
-	return i.at.Add(m.ttl - max(0, m.suspended()-i.suspended))
+	return m.onClock(i).Add(m.ttl)
 }
 
 // TTL is after how long without a join the group gives a member's partitions to others.
@@ -180,7 +188,11 @@
 // objection tells why a member may own a partition that is held here, "" if it can't. The
 // lock is held.
 func (m *Manager) objection(last LastJoin) string {
-	if !last.Never && time.Now().Add(-last.Age).After(m.lapse(m.joined)) {
+	answered := time.Now().Add(-last.Age)
+	switch {
+	case last.Never || !answered.After(m.onClock(m.joined)):
+		return "" // what it holds has passed on to this one since
+	case answered.After(m.lapse(m.joined)):
 		return "has joined meanwhile"
 	}
 	for _, p := range last.Held {
--- a/internal/ownership/authority_test.go
+++ b/internal/ownership/authority_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -261,10 +260,24 @@
 	})
 }
 
-// memberStub answers for the one other member.
-type memberStub struct{ last atomic.Pointer[LastJoin] }
+// memberStub answers for the one other member, whose last join was answered at a time.
+type memberStub struct {
+	mu       sync.Mutex
+	answered time.Time
+	held     []platform.Partition
+}
 
-func (s *memberStub) LastJoin(context.Context, string) (LastJoin, error) { return *s.last.Load(), nil }
+func (s *memberStub) set(answered time.Time, held ...platform.Partition) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answered, s.held = answered, held
+}
+
+func (s *memberStub) LastJoin(context.Context, string) (LastJoin, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return LastJoin{Age: time.Since(s.answered), Held: s.held}, nil
+}
 
 // Guards against an owner that goes on while the store is down for all, though the group had
 // dealt its partition to another member just before: that one has joined in time, too.
@@ -273,7 +286,7 @@
 		part := platform.Partition{Topic: "jobs"}
 		store := &scriptedStore{gen: 3, parts: []platform.Partition{part}, owners: []platform.Owner{{Partition: platform.Partition{Topic: "jobs", Part: 1}, Member: "other|10.0.0.2:7061|1|0"}}}
 		other := &memberStub{}
-		other.last.Store(&LastJoin{Age: time.Hour, Held: []platform.Partition{{Topic: "jobs", Part: 1}}})
+		other.set(time.Now().Add(-time.Hour), platform.Partition{Topic: "jobs", Part: 1})
 		run := func(ctx context.Context, _ platform.Partition, _ int64) error {
 			<-ctx.Done()
 			return ctx.Err()
@@ -286,10 +299,14 @@
 			_ = m.Run(ctx)
 		}()
 		time.Sleep(time.Second)
+		down := time.Now()
 		store.set(3, true)
 		time.Sleep(3 * time.Second)
 		assert.True(t, time.Now().Before(m.AuthorityUntil(part)))
-		other.last.Store(&LastJoin{Age: time.Hour, Held: []platform.Partition{part}})
+		other.set(time.Now().Add(-time.Hour), part)
+		time.Sleep(m.TTL() + joinInterval)
+		assert.True(t, time.Now().Before(m.AuthorityUntil(part)), "it has not heard that the partition passed on")
+		other.set(down, part)
 		time.Sleep(m.TTL() + joinInterval)
 		assert.False(t, time.Now().Before(m.AuthorityUntil(part)))
 		cancel()
