--- a/internal/ownership/authority_test.go
+++ b/internal/ownership/authority_test.go
@@ -48,7 +48,7 @@
 // reckons: both keep tasks running.
 func TestAuthorityEndsSoonAfterASuccessorBegins(t *testing.T) {
 	settled(t, func(c *cluster, n *clusterNode, held []platform.Partition) {
-		*n.cut = true
+		n.cut.Store(true)
 		for _, p := range held {
 			for c.ownerOf(p) == n {
 				time.Sleep(time.Millisecond)
@@ -63,7 +63,7 @@
 func TestAuthorityLastsWhileTheStoreAnswersNobody(t *testing.T) {
 	settled(t, func(c *cluster, n *clusterNode, held []platform.Partition) {
 		for _, other := range c.nodes {
-			*other.cut = true
+			other.cut.Store(true)
 		}
 		for range 1000 {
 			time.Sleep(10 * time.Millisecond)
@@ -77,7 +77,7 @@
 func TestAuthorityEndsWhereAMemberDoesNotTell(t *testing.T) {
 	settled(t, func(c *cluster, n *clusterNode, held []platform.Partition) {
 		for _, other := range c.nodes {
-			*other.cut = true
+			other.cut.Store(true)
 		}
 		time.Sleep(3 * time.Second)
 		require.True(t, hasAuthority(n, held[0]))
@@ -94,11 +94,11 @@
 // time, in which its partitions have passed on.
 func TestSuspensionEndsAuthorityAndOwnership(t *testing.T) {
 	settled(t, func(c *cluster, n *clusterNode, held []platform.Partition) {
-		*n.cut = true
+		n.cut.Store(true)
 		n.suspended.Store(int64(5 * time.Second))
 		assert.False(t, hasAuthority(n, held[0]))
 		assert.False(t, time.Now().Before(n.manager.OwnedUntil(held[0])))
-		*n.cut = false
+		n.cut.Store(false)
 		time.Sleep(joinInterval + 10*storeLatency)
 		for _, p := range c.heldBy(n) {
 			assert.True(t, hasAuthority(n, p), "it has joined since")
@@ -197,10 +197,10 @@
 	for which := 1; which <= 2; which++ {
 		settled(t, func(c *cluster, n *clusterNode, held []platform.Partition) {
 			for _, other := range c.nodes {
-				*other.cut = true
+				other.cut.Store(true)
 			}
 			time.Sleep(3 * time.Second)
-			*c.nodes[which].cut = false
+			c.nodes[which].cut.Store(false)
 			for _, p := range held {
 				for c.ownerOf(p) == n {
 					time.Sleep(time.Millisecond)
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -18,25 +18,25 @@
 // link is a node's way to the store. Nothing arrives from a node that was killed.
 type link struct {
 	*stickyGroup
-	cut *bool
+	cut *atomic.Bool
 }
 
 func (l link) Join(ctx context.Context, m platform.Member) (platform.Assignment, platform.StoreStatus, error) {
-	if *l.cut {
+	if l.cut.Load() {
 		return platform.Assignment{}, platform.StoreUnknown, nil
 	}
 	return l.stickyGroup.Join(ctx, m)
 }
 
 func (l link) Leave(ctx context.Context, group, member string) (platform.StoreStatus, error) {
-	if *l.cut {
+	if l.cut.Load() {
 		return platform.StoreUnknown, nil
 	}
 	return l.stickyGroup.Leave(ctx, group, member)
 }
 
 func (l link) Owners(ctx context.Context, group string) ([]platform.Owner, platform.StoreStatus, error) {
-	if *l.cut {
+	if l.cut.Load() {
 		return nil, platform.StoreUnknown, nil
 	}
 	return l.stickyGroup.Owners(ctx, group)
@@ -86,7 +86,7 @@
 	lives      int
 	cancel     context.CancelFunc
 	manager    *Manager
-	cut        *bool
+	cut        *atomic.Bool
 	silent     atomic.Bool  // it answers no other node
 	suspended  atomic.Int64 // nanoseconds for which its machine was suspended
 	ended      chan struct{}
@@ -127,7 +127,7 @@
 }
 
 func (c *cluster) run(n *clusterNode) {
-	n.cut = new(bool)
+	n.cut = new(atomic.Bool)
 	n.ended = make(chan struct{})
 	ctx, cancel := context.WithCancel(c.t.Context())
 	n.cancel = cancel
@@ -171,7 +171,7 @@
 func (c *cluster) kill(which func(*clusterNode) bool) {
 	for _, n := range c.nodes {
 		if which(n) {
-			*n.cut = true
+			n.cut.Store(true)
 		}
 	}
 	c.stop(which)
--- a/internal/ownership/scale_test.go
+++ b/internal/ownership/scale_test.go
@@ -139,7 +139,7 @@
 		}
 		c.mu.Unlock()
 		require.NotEmpty(t, held)
-		*cutOff.cut = true
+		cutOff.cut.Store(true)
 		assert.True(t, cutOff.manager.OwnedUntil(held[0]).After(time.Now()), "while it is only just cut off")
 		for passed := 0; passed < len(held); time.Sleep(time.Millisecond) {
 			passed = 0
