--- /dev/null
+++ b/internal/proof/twoowners_test.go
@@ -0,0 +1,67 @@
+package proof_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/testkit"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform/standin"
+)
+
+// Guards against a task that two owners of a partition keep running at once: the earlier one
+// has lost the store and reaches a worker that its successor doesn't.
+func TestOwnerWithoutTheStoreKeepsNoTaskOfItsSuccessor(t *testing.T) {
+	t.Parallel()
+	c := testkit.StartLinkedJobs(t, jobOptions(), 3)
+	id := c.NewID()
+	c.Submit("booking", id, workload.Spec{Payload: standin.Payload(0), Steps: []workload.Step{{
+		Count: 2, Need: workload.Resources{CPU: 500, MemoryMB: 500}, Lasting: true, MaxPerWorker: 1,
+	}}})
+	c.Until("both tasks run", func() bool { return c.Platform.Running(id) == 2 })
+	task := workload.TaskKey{Job: id}.String()
+	worker := c.Platform.WorkerOf(task)
+	require.NotNil(t, worker)
+	worker.SetFault(standin.KnownOwnersOnly)
+	owner := cutOwnerOff(c, "booking")
+	c.Until("the task runs on another worker", func() bool {
+		now := c.Platform.WorkerOf(task)
+		return now != nil && now != worker
+	})
+	assert.Empty(t, c.Platform.Broken())
+
+	worker.SetFault(standin.Sound)
+	owner.Store.Heal()
+	c.AwaitReady()
+	c.Until("both tasks run", func() bool { return c.Platform.Running(id) == 2 })
+	assert.Empty(t, c.Platform.Broken())
+}
+
+// cutOwnerOff cuts the node that owns a service's jobs off from the store, and returns it.
+func cutOwnerOff(c *testkit.JobCluster, service string) (owner *testkit.JobNode) {
+	holder := func() string {
+		return c.Platform.Store.Holder(joblog.Topic, joblog.PartitionOf(service, jobOptions().Partitions))
+	}
+	c.Until("the owner of "+service+" is cut off from the store", func() bool {
+		name := holder()
+		for _, n := range c.Nodes {
+			if strings.HasPrefix(name, n.Name+"|") {
+				owner = n
+			}
+		}
+		if owner == nil {
+			return false
+		}
+		owner.Store.Blackhole()
+		if holder() == name {
+			return true
+		}
+		owner.Store.Heal() // the partition has just passed on
+		return false
+	})
+	return owner
+}
