Put the outage of a test between two joins

The store went down in the same instant of virtual time as a join, and whichever came first decided: 3,022 of 6,000 runs failed (-count=2000 -cpu 1,4,8). Where the join came first, the other member's join was answered at the very instant at which this one's was sent, which can't be after the group dealt anew: no objection, rightly.

The outage begins between two joins now: 0 of 6,000 fail. Without the check that it guards 50 of 50 fail, as before. Ruled out: load; the rate is the same alone.

--- a/internal/ownership/authority_test.go
+++ b/internal/ownership/authority_test.go
@@ -298,7 +298,7 @@
 			defer close(ended)
 			_ = m.Run(ctx)
 		}()
-		time.Sleep(time.Second)
+		time.Sleep(time.Second + joinInterval/2) // between two joins
 		down := time.Now()
 		store.set(3, true)
 		time.Sleep(3 * time.Second)
