standin: close a VM's listener before its requests are cut

Cause: backend.close ended the requests of a VM that went down, and so told their clients, before http.Server.Close closed the listener. A client that dialled between the two was accepted. Ruled out: the order of the counters (they are under the lock of close), another process on the port (the only test that ran).

Change: close closes the listener first, under the same lock.

--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -55,6 +55,7 @@
 	busy     int
 	inFlight map[*backendRequest]struct{}
 	boots    int
+	listener net.Listener
 	server   *http.Server
 	stopped  chan struct{} // closed when the current boot ends
 }
@@ -76,19 +77,21 @@
 		ReadHeaderTimeout: readHeaderWait,
 	}
 	b.mu.Lock()
-	b.server, b.stopped, b.boots = server, stopped, boots
+	b.listener, b.server, b.stopped, b.boots = listener, server, stopped, boots
 	b.inFlight = map[*backendRequest]struct{}{}
 	b.mu.Unlock()
 	go server.Serve(limited)
 }
 
 // close cuts all connections, as when a VM goes down, and counts the requests in
-// flight.
+// flight. It closes the listener first: a client whose request was cut must find
+// that nothing listens any more.
 func (b *backend) close(lost bool) {
 	b.mu.Lock()
 	server := b.server
 	b.server = nil
 	if server != nil {
+		b.listener.Close()
 		for run := range b.inFlight {
 			b.countCut(run, lost)
 		}
