Requests carry a workspace's key (ADR 0063)

Ruled out: a key as the owner of a job (it would be lost with its key), 403 for strangers (it shows that the job exists), a check by the owner before a cancellation is stored (cancels would fail while a service has no owner).

Change: the configuration has workspaces with digests of their keys; the front answers 401 without a known key unless the queue is public; jobs are stored with their workspace, cancellations with who sent them. Records of earlier versions load as before. Without a list of workspaces nothing changes.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -43,9 +43,22 @@
 	Accept(ctx context.Context, service string, r workload.Record) (platform.StoreStatus, error)
 }
 
+// JobStatus is what the owner of a job knows of it.
+type JobStatus struct {
+	State workload.JobState
+	Known bool // false if there is no such job
+	// Workspace handed the job in to Queue, "" if it was handed in without a key.
+	Workspace, Queue string
+}
+
+// isVisibleTo reports whether the job exists and the requester may access it.
+func (s JobStatus) isVisibleTo(r workload.Requester) bool {
+	return s.Known && r.MayAccess(s.Workspace, s.Queue)
+}
+
 // Owners queries the owners of jobs. ok is false if no owner answered.
 type Owners interface {
-	State(ctx context.Context, service string, id workload.JobID) (state workload.JobState, known, ok bool)
+	Status(ctx context.Context, service string, id workload.JobID) (status JobStatus, ok bool)
 	WaitingJobs(ctx context.Context, service, queue string) (n int, ok bool)
 }
 
@@ -69,6 +82,14 @@
 	startedAt  time.Time
 	// configVersion is the version of the configuration that routed the request.
 	configVersion int64
+	// workspace is the workspace whose key the request carries, "" for a request to a public queue
+	// and in a deployment without workspaces.
+	workspace string
+}
+
+// requester returns who sent the request.
+func (r *request) requester() workload.Requester {
+	return workload.Requester{Workspace: r.workspace, Queue: r.queue.Name}
 }
 
 // response is the response to a caller.
@@ -77,6 +98,7 @@
 	body           []byte
 	reason         string // for the log
 	sendRetryAfter bool
+	challengesKey  bool // the request needs a valid key
 }
 
 // ServeHTTP serves one request.
@@ -91,6 +113,9 @@
 	if res.sendRetryAfter {
 		header.Set("Retry-After", strconv.Itoa(retryAfterSeconds))
 	}
+	if res.challengesKey {
+		header.Set(platform.KeyChallenge())
+	}
 	if h.IsStopping() {
 		header.Set("Connection", "close")
 	}
@@ -110,6 +135,9 @@
 	if req.queue == nil {
 		return errorResponse(http.StatusNotFound, "no queue has this host and path")
 	}
+	if res, ok := req.authenticate(config); !ok {
+		return res
+	}
 	req.pathSuffix = strings.TrimPrefix(req.http.URL.Path, req.queue.PathPrefix)
 	timeout := platform.CallerTimeout(req.http, defaultCallerTimeout)
 	ctx, cancel := context.WithTimeout(req.http.Context(), max(responseMargin, timeout-responseMargin))
@@ -127,12 +155,32 @@
 	case http.MethodGet:
 		return h.jobState(ctx, req, id)
 	case http.MethodDelete:
-		return h.cancel(ctx, req, id)
+		return h.cancel(ctx, req, id, config)
 	default:
 		return errorResponse(http.StatusMethodNotAllowed, "method "+req.http.Method+" is not taken")
 	}
 }
 
+// authenticate sets the workspace of a request. If the queue is not public and the request has no
+// key that a workspace has in the configuration, it returns a refusal and false.
+func (r *request) authenticate(config *workload.Config) (response, bool) {
+	if config.Workspaces == nil || r.queue.Public {
+		return response{}, true
+	}
+	reason := "the request has no key"
+	if key := platform.CallerKey(r.http); key != "" {
+		workspace, ok := config.Workspaces.ByKey(key)
+		if ok {
+			r.workspace = workspace.Name
+			return response{}, true
+		}
+		reason = "no workspace has the request's key"
+	}
+	res := errorResponse(http.StatusUnauthorized, reason)
+	res.challengesKey = true
+	return res, false
+}
+
 // hostOf returns the request's host without the port.
 func hostOf(r *http.Request) string {
 	host, _, _ := strings.Cut(r.Host, ":")
@@ -150,15 +198,19 @@
 	return response{status: http.StatusOK, body: platform.EncodeWaiting(n)}
 }
 
+// noSuchJob is the response for a job that doesn't exist or that the requester may not access. The
+// two are not distinguished, so that no workspace learns of the jobs of another.
+func noSuchJob() response { return errorResponse(http.StatusGone, "no such job") }
+
 func (h *Handler) jobState(ctx context.Context, req *request, id workload.JobID) response {
-	state, known, ok := h.Owners.State(ctx, req.queue.Service, id)
+	status, ok := h.Owners.Status(ctx, req.queue.Service, id)
 	if !ok {
 		return retryableResponse(http.StatusServiceUnavailable, "the owner of the service can't be asked")
 	}
-	if !known {
-		return errorResponse(http.StatusGone, "no such job")
+	if !status.isVisibleTo(req.requester()) {
+		return noSuchJob()
 	}
-	return response{status: http.StatusOK, body: platform.EncodeState(state)}
+	return response{status: http.StatusOK, body: platform.EncodeState(status.State)}
 }
 
 func (h *Handler) submit(ctx context.Context, req *request, id workload.JobID, config *workload.Config) response {
@@ -180,14 +232,32 @@
 	sub := &workload.Submission{
 		Queue:        req.queue.Name,
 		Service:      req.queue.Service,
+		Workspace:    req.workspace,
 		AcceptedAtMS: req.startedAt.UnixMilli(),
 		Spec:         spec,
 	}
 	return h.storeRecord(ctx, req, workload.Record{Job: id, Submission: sub})
 }
 
-func (h *Handler) cancel(ctx context.Context, req *request, id workload.JobID) response {
-	return h.storeRecord(ctx, req, workload.Record{Job: id, Cancel: true})
+// accessCheckTimeout bounds the check whether a caller may cancel a job. An owner answers within
+// milliseconds.
+const accessCheckTimeout = 150 * time.Millisecond
+
+// cancel stores a cancellation. Where there are workspaces, it states who sent it, so that the
+// owner ignores it if the requester may not access the job. The check before only makes the
+// response true, and is skipped if the owner doesn't answer.
+func (h *Handler) cancel(ctx context.Context, req *request, id workload.JobID, config *workload.Config) response {
+	record := workload.Record{Job: id, Cancel: true}
+	if config.Workspaces != nil {
+		requester := req.requester()
+		record.CancelledBy = &requester
+		checkCtx, cancelCheck := context.WithTimeout(ctx, accessCheckTimeout)
+		defer cancelCheck()
+		if status, ok := h.Owners.Status(checkCtx, req.queue.Service, id); ok && status.Known && !status.isVisibleTo(requester) {
+			return noSuchJob()
+		}
+	}
+	return h.storeRecord(ctx, req, record)
 }
 
 // storeRecord stores a record before the caller gets a response. If the record is certainly
@@ -246,6 +316,9 @@
 	if req.queue != nil {
 		args = append(args, "job", req.pathSuffix, "queue", req.queue.Name, "service", req.queue.Service)
 	}
+	if req.workspace != "" {
+		args = append(args, "workspace", req.workspace)
+	}
 	if res.reason != "" {
 		args = append(args, "reason", res.reason)
 	}
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/front"
 	"github.com/yuccadrift/yuccadrift/internal/intake"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
@@ -86,10 +87,10 @@
 	return response, err == nil
 }
 
-// State returns the state of a job.
-func (o *ownerDirectory) State(ctx context.Context, service string, id workload.JobID) (state workload.JobState, known, ok bool) {
+// Status returns the status of a job.
+func (o *ownerDirectory) Status(ctx context.Context, service string, id workload.JobID) (front.JobStatus, bool) {
 	response, ok := o.call(ctx, nodepeer.MethodJobState, nodepeer.Request{Partition: o.partitionOf(service), Job: id})
-	return response.State, response.Known, ok
+	return front.JobStatus{State: response.State, Known: response.Known, Workspace: response.Workspace, Queue: response.JobQueue}, ok
 }
 
 // WaitingJobs returns the number of jobs of a queue that have not begun.
@@ -145,7 +146,7 @@
 		return nodepeer.Response{}, nil
 	}
 	s, ok := localOwner.State(ctx, req.Job)
-	return nodepeer.Response{IsOwner: ok, Known: s.Known, State: s.State}, nil
+	return nodepeer.Response{IsOwner: ok, Known: s.Known, State: s.State, Workspace: s.Workspace, JobQueue: s.Queue}, nil
 }
 
 // localWaitingJobs returns the response to MethodWaiting of an owner on this node.
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -60,7 +60,10 @@
 	IsOwner bool              `json:"o"`
 	Known   bool              `json:"k,omitempty"` // the job exists
 	State   workload.JobState `json:"s,omitempty"`
-	Waiting int               `json:"w,omitempty"`
+	// Workspace and JobQueue are those of the job.
+	Workspace string `json:"ws,omitempty"`
+	JobQueue  string `json:"jq,omitempty"`
+	Waiting   int    `json:"w,omitempty"`
 	// Drained is set if the worker runs nothing. DrainConfirmed is set if in addition its
 	// process has just answered; nodes of earlier versions omit it.
 	Drained        bool                   `json:"e,omitempty"`
--- a/internal/owner/queries.go
+++ b/internal/owner/queries.go
@@ -30,6 +30,8 @@
 type JobStatus struct {
 	State workload.JobState
 	Known bool // false if there is no such job
+	// Workspace and Queue are those of the job.
+	Workspace, Queue string
 	// Stale is set if the job is unknown and the last read of the partition is too old to
 	// rule out that it was accepted since.
 	Stale bool
@@ -52,7 +54,8 @@
 func (o *Owner) State(ctx context.Context, id workload.JobID) (JobStatus, bool) {
 	s, ok := queryCore(ctx, o, func(c *scheduler.Core, now time.Time) JobStatus {
 		state, known := c.JobState(id)
-		return JobStatus{State: state, Known: known, Stale: !known && now.Sub(o.lastReadSentAt) > unknownJobMaxReadAge}
+		workspace, queue := c.JobAccess(id)
+		return JobStatus{State: state, Known: known, Workspace: workspace, Queue: queue, Stale: !known && now.Sub(o.lastReadSentAt) > unknownJobMaxReadAge}
 	})
 	return s, ok && !s.Stale && (s.State.IsTerminal() || !o.mayHaveBeenReplaced())
 }
--- a/internal/owner/tail.go
+++ b/internal/owner/tail.go
@@ -28,7 +28,7 @@
 		case r.Submission != nil:
 			core.AddJob(r.Job, r.Submission)
 		case r.Cancel:
-			core.CancelJob(r.Job, now)
+			core.CancelJob(r.Job, r.CancelledBy, now)
 		}
 	}
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -250,17 +250,21 @@
 	}
 }
 
-// CancelJob applies a stored cancellation. The cancellation may be read before the job.
-func (c *Core) CancelJob(id workload.JobID, now time.Time) {
+// CancelJob applies a stored cancellation, which by has sent; nil if that is unknown. One by a
+// requester that may not access the job has no effect. The cancellation may be read before the job.
+func (c *Core) CancelJob(id workload.JobID, by *workload.Requester, now time.Time) {
 	j := c.ensureJob(id)
 	if j.finalState.IsTerminal() || j.cancelRequested {
 		return
 	}
-	j.cancelRequested = true
 	if j.submission == nil {
+		j.earlyCancels = append(j.earlyCancels, by)
 		return
 	}
-	c.endJob(j, workload.Cancelled, now)
+	if j.mayBeCancelledBy(by) {
+		j.cancelRequested = true
+		c.endJob(j, workload.Cancelled, now)
+	}
 }
 
 // RestoreProgress applies the progress that an earlier owner stored for a job.
@@ -300,6 +304,15 @@
 	return workload.Pending, true
 }
 
+// JobAccess returns the workspace of a job and the queue to which it was handed in.
+func (c *Core) JobAccess(id workload.JobID) (workspace, queue string) {
+	j := c.jobs[id]
+	if j == nil || j.submission == nil {
+		return "", ""
+	}
+	return j.submission.Workspace, j.submission.Queue
+}
+
 // WaitingJobs returns the number of active jobs of a queue that have not started.
 func (c *Core) WaitingJobs(queue string) int {
 	n := 0
--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -122,7 +122,7 @@
 	require.Len(t, r.step(20*time.Millisecond).Starts, 1)
 	r.submit("0000000000000001", batchStep(3, 1000))
 	assert.Empty(t, r.step(20*time.Millisecond).Starts)
-	r.core.CancelJob(job, r.now)
+	r.core.CancelJob(job, nil, r.now)
 	r.step(20 * time.Millisecond)
 	r.submit("0000000000000001", batchStep(3, 1000))
 	assert.Empty(t, r.step(20*time.Millisecond).Starts)
@@ -137,7 +137,7 @@
 	r.syncWorkers("w-1")
 	job := r.submit("0000000000000001", batchStep(1, 1000))
 	start := r.step(20 * time.Millisecond).Starts[0]
-	r.core.CancelJob(job, r.now)
+	r.core.CancelJob(job, nil, r.now)
 	r.step(20 * time.Millisecond)
 	r.answerStart(start, workload.WorkerOutcomeUnknown)
 	r.core.HandleStopResult(scheduler.OrderResult{Worker: "w-1", Task: start.Start.Task, Run: start.Start.Run, Token: start.Start.Token, Answer: workload.WorkerAnswer{Status: workload.WorkerOutcomeUnknown}}, r.now)
@@ -313,7 +313,7 @@
 	job := r.submit("0000000000000001", longRunning)
 	start := r.step(20 * time.Millisecond).Starts[0]
 	r.answerStart(start, workload.WorkerOK)
-	r.core.CancelJob(job, r.now)
+	r.core.CancelJob(job, nil, r.now)
 	require.Len(t, r.step(20*time.Millisecond).Stops, 1) // the stop is lost
 	var handover *workload.Handover
 	for _, record := range r.core.HandoverRecords(r.now) {
@@ -326,7 +326,7 @@
 	next := &rig{t: t, now: r.now, epoch: 4}
 	next.core = scheduler.New(testSettings(4), next.now, nil, false)
 	next.core.SetConfig(testConfig)
-	next.core.CancelJob(job, next.now)
+	next.core.CancelJob(job, nil, next.now)
 	next.submit(string(job), longRunning)
 	next.core.RestoreHandover(handover, next.now)
 	next.setWorkers("w-1")
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -194,7 +194,7 @@
 	case r.Submission != nil:
 		o.core.AddJob(r.Job, r.Submission)
 	case r.Cancel:
-		o.core.CancelJob(r.Job, o.world.now)
+		o.core.CancelJob(r.Job, r.CancelledBy, o.world.now)
 	}
 }
 
--- a/internal/scheduler/incarnation_test.go
+++ b/internal/scheduler/incarnation_test.go
@@ -394,7 +394,7 @@
 		s := r.startJob(id, batchStep(1, 1000))[0]
 		poll, _ := r.awaitPoll("w-1")
 		r.answerPollAs(poll, firstIncarnation, exitReport(int64(n+1), s, workload.ExitFailed))
-		r.core.CancelJob(s.Start.Task.Job, r.now)
+		r.core.CancelJob(s.Start.Task.Job, nil, r.now)
 		poll, _ = r.awaitPoll("w-1")
 		r.answerPollAs(poll, firstIncarnation, workload.PollReport{})
 	}
--- a/internal/scheduler/isolationqueue_test.go
+++ b/internal/scheduler/isolationqueue_test.go
@@ -34,7 +34,7 @@
 			r.answerStart(s, workload.WorkerOK)
 			r.now = r.now.Add(time.Second)
 			r.answerPoll("w-3", r.now, workload.PollReport{Running: []workload.ListedRun{{Task: s.Start.Task, Run: s.Start.Run, SpeedPercent: 100}}})
-			r.core.CancelJob(s.Start.Task.Job, r.now)
+			r.core.CancelJob(s.Start.Task.Job, nil, r.now)
 			r.answerPoll("w-3", r.now.Add(time.Millisecond), exitReport(int64(len(isolated)), s, workload.ExitStopped))
 		}
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -15,11 +15,13 @@
 	// queue is the job's queue in the current configuration, nil if it was removed.
 	queue *workload.Queue
 	// steps has one entry for each occurrence and step, ordered by occurrence, then step.
-	steps            []*step
-	remainingTasks   int  // tasks that are not done, long-running ones included
-	liveRuns         int  // runs that are not known to have ended
-	started          bool // one of its tasks has been started
-	cancelRequested  bool
+	steps           []*step
+	remainingTasks  int  // tasks that are not done, long-running ones included
+	liveRuns        int  // runs that are not known to have ended
+	started         bool // one of its tasks has been started
+	cancelRequested bool
+	// earlyCancels are who sent the cancellations that were read before the job; see CancelJob.
+	earlyCancels     []*workload.Requester
 	finalState       workload.JobState // "" until the job ends
 	endedAtMS        int64
 	storedState      workload.JobState  // finalState as stored, pending until then
@@ -238,6 +240,8 @@
 
 // applyEarlyCancel cancels a job whose cancellation was read before the job.
 func (c *Core) applyEarlyCancel(j *job) {
+	j.cancelRequested = j.cancelRequested || slices.ContainsFunc(j.earlyCancels, j.mayBeCancelledBy)
+	j.earlyCancels = nil
 	if j.cancelRequested && !j.finalState.IsTerminal() {
 		j.finalState = workload.Cancelled
 		j.endedAtMS = j.submission.AcceptedAtMS
@@ -245,6 +249,12 @@
 	}
 }
 
+// mayBeCancelledBy reports whether a requester may cancel the job. A cancellation that doesn't
+// state its requester is one of an earlier version or of a deployment without workspaces.
+func (j *job) mayBeCancelledBy(by *workload.Requester) bool {
+	return by == nil || by.MayAccess(j.submission.Workspace, j.submission.Queue)
+}
+
 // endJob gives a job its final state (completed, failed or cancelled) and stops its runs.
 func (c *Core) endJob(j *job, final workload.JobState, now time.Time) {
 	if j.finalState.IsTerminal() {
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -20,6 +20,7 @@
 	Stretch        float64
 	Objective      time.Duration
 	RequestTimeout time.Duration // of one request of a caller
+	Public         bool          // callers need no key
 	Advice         *Advice
 }
 
@@ -54,6 +55,8 @@
 	Queues   []Queue
 	Services []Service
 	Limits   Limits
+	// Workspaces are nil if the deployment has none. Callers need no keys then.
+	Workspaces *Workspaces
 }
 
 // HasService reports whether the configuration has a service of that name.
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -11,7 +11,8 @@
 type Submission struct {
 	Queue        string `json:"q"`
 	Service      string `json:"v"`
-	AcceptedAtMS int64  `json:"a"` // Unix milliseconds, by the clock of the node that accepted the job
+	Workspace    string `json:"w,omitempty"` // whose key handed the job in, "" for none
+	AcceptedAtMS int64  `json:"a"`           // Unix milliseconds, by the clock of the node that accepted the job
 	Spec         Spec   `json:"j"`
 }
 
@@ -45,6 +46,9 @@
 	takeoverKey = "owner/last"
 )
 
+// anonymousCancel is the value of a cancellation that doesn't state who sent it.
+const anonymousCancel = "1"
+
 // Handover is the report that an owner stores when it gives up a partition in an orderly
 // way: the runs that it leaves. With it the next owner knows what an unreachable worker
 // may run.
@@ -82,8 +86,10 @@
 	Submission *Submission
 	Progress   *Progress
 	Cancel     bool
-	Handover   *Handover
-	Takeover   *Takeover
+	// CancelledBy is who sent a cancellation, nil if it was stored without that.
+	CancelledBy *Requester
+	Handover    *Handover
+	Takeover    *Takeover
 }
 
 // Encode returns the key and value of the record in the store.
@@ -101,8 +107,11 @@
 	case r.Takeover != nil:
 		value, err = json.Marshal(r.Takeover)
 		return takeoverKey, value, errors.Wrap(err, "takeover")
+	case r.Cancel && r.CancelledBy == nil:
+		return cancelPrefix + string(r.Job), []byte(anonymousCancel), nil
 	case r.Cancel:
-		return cancelPrefix + string(r.Job), []byte("1"), nil
+		value, err = json.Marshal(r.CancelledBy)
+		return cancelPrefix + string(r.Job), value, errors.Wrap(err, "cancellation")
 	default:
 		return "", nil, errors.New("record without content")
 	}
@@ -135,6 +144,10 @@
 		err = json.Unmarshal(value, r.Progress)
 	case strings.HasPrefix(key, cancelPrefix):
 		r.Cancel = true
+		if string(value) != anonymousCancel {
+			r.CancelledBy = &Requester{}
+			err = json.Unmarshal(value, r.CancelledBy)
+		}
 	default:
 		return Record{}, false, nil
 	}
