A workspace's cap is divided among the owners, which lend their shares (ADR 0065)

Cause: nothing held a workspace's tasks below its cap over all workers; each partition has an owner of its own. Ruled out: fixed parts alone (a peak gets a quarter of what it may have), one granting place (with one partition out of reach after its loss nobody gets anything, or each division is stored).

Change: each owner starts tasks only within its share of a cap, plus what it has borrowed, less what it has lent. The lender stores a loan before it answers; requests carry both epochs and a sequence. A cap that is new or lower settles before it is used: all owners have reported it and that their runs are covered. A workspace at its cap is no miss of a plan, holds no worker, stops no run and asks for no VM.

Tests: random histories of four partitions with an oracle on the workers' side (owners killed, replaced, cut off, slow; requests lost, late, doubled, at a stale owner; orders late; workers restarted; caps lowered, raised, removed and back; copies, best-effort and lasting tasks); a peak of one service gets 90 of 100 cores and more, 30 and less with fixed shares; the lender's share comes back; a task above the cap runs alone; loans outlive the owners; settled caps need no confirmation at a takeover. The first versions of the histories failed: a start within one share while another's runs exceed a lowered cap, a removed workspace that came back, and two partitions that each waited for the whole cap.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,6 +177,7 @@
 	n.ownerDeps.MaxOwnerOverlap = n.manager.TTL()
 	n.ownerDeps.Address = self
 	n.ownerDeps.ReleasePredecessor = n.owners.releasePredecessor
+	n.ownerDeps.RequestLoan = n.owners.requestLoan
 	n.ownerDeps.OwnedUntil = func(partition int) time.Time {
 		return n.manager.OwnedUntil(platform.Partition{Topic: joblog.JobsTopic, Part: partition})
 	}
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -135,6 +135,8 @@
 		return o.localWaitingJobs(ctx, req)
 	case nodepeer.MethodLoads:
 		return o.ServeLoads(ctx, req)
+	case nodepeer.MethodLoan:
+		return o.ServeLoan(ctx, req)
 	default:
 		return o.ServeDrain(ctx, req)
 	}
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -54,7 +54,8 @@
 	// From is the requesting node's address for other nodes. Earlier versions don't state it.
 	From string `json:"fr,omitempty"`
 	// ConfigVersion is the version of the requesting node's configuration, 0 if it has none.
-	ConfigVersion int64 `json:"cv,omitempty"`
+	ConfigVersion int64                 `json:"cv,omitempty"`
+	Loan          *workload.LoanRequest `json:"ln,omitempty"`
 }
 
 // Response holds the results of all methods.
@@ -80,6 +81,8 @@
 	// store, nil if the node has none.
 	HandoverRecords []StoredRecord `json:"rp,omitempty"`
 	Config          *ConfigResult  `json:"cf,omitempty"`
+	// Loan is set if IsOwner is and the request was not refused.
+	Loan *workload.LoanResponse `json:"ln,omitempty"`
 }
 
 // ConfigResult is the configuration of a node and what it knows of other nodes.
@@ -122,6 +125,7 @@
 	ServeMembership(ctx context.Context, req Request) (Response, error)
 	ServeRelease(ctx context.Context, req Request) (Response, error)
 	ServeConfig(ctx context.Context, req Request) (Response, error)
+	ServeLoan(ctx context.Context, req Request) (Response, error)
 }
 
 // Method is the name of a gRPC method.
@@ -141,6 +145,8 @@
 	MethodRelease Method = "Release"
 	// MethodConfig returns the node's configuration if it is newer than the requesting node's.
 	MethodConfig Method = "Config"
+	// MethodLoan asks the owner of a partition for allowances of workspaces.
+	MethodLoan Method = "Loan"
 )
 
 const serviceName = "yuccadrift.Node"
@@ -190,6 +196,7 @@
 			methodDesc(MethodMembership, onRequest, Handler.ServeMembership),
 			methodDesc(MethodRelease, onRequest, Handler.ServeRelease),
 			methodDesc(MethodConfig, onRequest, Handler.ServeConfig),
+			methodDesc(MethodLoan, onRequest, Handler.ServeLoan),
 		},
 	}, h)
 	ended := make(chan error, 1)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -31,6 +31,12 @@
 	for _, a := range orders.AdviceRequests {
 		o.executor.run(ctx, func() { o.requestTickets(ctx, a) })
 	}
+	for _, l := range orders.LoanRequests {
+		o.executor.run(ctx, func() { o.requestLoan(ctx, l) })
+	}
+	for _, r := range orders.LoanReplies {
+		o.answerLoan(r)
+	}
 	if orders.Write != nil {
 		o.lastWrite = *orders.Write
 		o.executor.run(ctx, func() { o.write(ctx, *orders.Write) })
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -101,6 +101,9 @@
 	// owner's epoch is lower than epoch. It returns the records that the stopped owner did
 	// not store, nil if the node has none.
 	ReleasePredecessor func(ctx context.Context, address string, partition int, epoch int64) ([]workload.Record, error)
+	// RequestLoan sends a loan request to the owner of a partition. It returns nil if no owner has
+	// answered or the owner has refused it.
+	RequestLoan func(ctx context.Context, lender int, req workload.LoanRequest) *workload.LoanResponse
 	// Partitions is the number of partitions of the topic of jobs.
 	Partitions int
 	// LeaseDuration is how long a run lives without a renewal of its lease.
@@ -142,6 +145,7 @@
 	membershipUnconfirmed, authorityLapsed bool
 	// lastWrite is the latest write, which may be in flight.
 	lastWrite      scheduler.WriteOrder
+	loanReplies    loanReplies
 	handoverReport *HandoverReport // set before Run returns if the handover was not stored
 }
 
@@ -157,6 +161,8 @@
 		inbox:     make(chan event, inboxSize),
 		executor:  newExecutor(),
 		loaded:    make(chan struct{}),
+
+		loanReplies: loanReplies{waiting: map[int64]chan<- *workload.LoanResponse{}},
 	}
 }
 
@@ -175,7 +181,8 @@
 	if err != nil {
 		return err
 	}
-	core := o.newCore(ctx, fencedAt, predecessor.handover != nil)
+	core := o.newCore(ctx, fencedAt, predecessor.handover != nil, o.allowancesFrom(batch, fencedAt))
+	restoreLoans(core, batch)
 	o.applyBatch(core, batch, time.Now())
 	restoreProgress(core, batch, predecessor.unstoredProgress)
 	predecessor.apply(core, time.Now())
@@ -222,7 +229,7 @@
 
 // newCore returns the scheduler core. Without a handover the core starts with the unresolved
 // workers, which may run tasks of an earlier owner.
-func (o *Owner) newCore(ctx context.Context, fencedAt time.Time, hasHandover bool) *scheduler.Core {
+func (o *Owner) newCore(ctx context.Context, fencedAt time.Time, hasHandover bool, allowancesFrom time.Time) *scheduler.Core {
 	cfg := scheduler.Settings{
 		Address:            o.deps.Address,
 		Epoch:              o.epoch,
@@ -233,6 +240,10 @@
 		RemoteDataSlowdown: o.deps.Bounds.RemoteDataSlowdown,
 		MaxStopDuration:    o.deps.Bounds.MaxStopDuration,
 		GangTimeout:        o.deps.Bounds.GangTimeout,
+		Partition:          o.partition,
+		PartitionOf:        func(service string) int { return joblog.PartitionOf(service, o.deps.Partitions) },
+		ConfigApplyTime:    o.deps.Bounds.MaxConfigApplyTime,
+		AllowancesFrom:     allowancesFrom,
 	}
 	if hasHandover {
 		return scheduler.New(cfg, fencedAt, nil, false)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -44,29 +44,6 @@
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
-// Settings configures a Core.
-type Settings struct {
-	// Epoch identifies this ownership of the partition. It is higher than all earlier epochs.
-	Epoch int64
-	// Address is where the owner's node answers other nodes.
-	Address string
-	// LeaseDuration is the duration of the leases that the owner grants.
-	LeaseDuration time.Duration
-	// MaxOwnerOverlap is how long an owner may still start tasks and renew leases after the next
-	// owner has started.
-	MaxOwnerOverlap time.Duration
-	// MaxLeaseDuration is the longest lease that a worker accepts, whatever an order asks for.
-	MaxLeaseDuration time.Duration
-	// JobRetention is how long an ended job must stay known. It is deleted after twice that.
-	JobRetention time.Duration
-	// MaxStopDuration is the longest time that a worker takes to stop a run.
-	MaxStopDuration time.Duration
-	// GangTimeout is how long a member of a gang waits for the others; 0 is the default.
-	GangTimeout time.Duration
-	// RemoteDataSlowdown is the factor by which a task takes longer away from its data.
-	RemoteDataSlowdown float64
-}
-
 const (
 	// maxClockDrift is by how much a worker's clock may be slow, as a fraction of elapsed time.
 	// The platform states 2%; 3% leaves a margin.
@@ -151,6 +128,27 @@
 	// crashWritePending is set while changed crash records are not stored.
 	crashWritePending bool
 
+	// Workspaces, see allowance.go and loans.go.
+
+	accounts map[string]*account // by workspace
+	hasCaps  bool                // the configuration has a workspace with a cap
+	// capPartitions are the partitions that share the caps. shareDivisor is the number by which the
+	// caps are divided: theirs or, until shareDivisorFrom, that of an earlier configuration.
+	capPartitions    []int
+	shareDivisor     int
+	shareDivisorFrom time.Time // zero if shareDivisor is the current number
+	counterparties   map[int]*counterparty
+	// reportedUncovered and reportedVersion are what the other owners are told of this one.
+	reportedUncovered workload.AmountsByWorkspace
+	reportedVersion   int64
+	// dirtyLoans are the accounts whose loans have changed since the last write. loansGrown is set if
+	// a loan has grown; loansInWrite is the last write with a loan that had grown.
+	dirtyLoans          map[string]*account
+	loansGrown          bool
+	loansInWrite        int64
+	settledCapsUnstored bool // the next owner would have to wait for all others
+	pendingLoanReplies  []pendingLoanReply
+
 	// planStale is set when something has changed that a plan depends on.
 	planStale bool
 	// Until stalledUntil this process counts as stalled, after a long pause between steps.
@@ -159,7 +157,7 @@
 	takeoverComplete bool // starts no longer wait for the runs of an earlier owner
 
 	// Times of the last actions.
-	tookOverAt, lastStepAt, lastJobSweepAt, lastPlanAt, lastSpeculationAt, lastWriteAt, suspectsLoggedAt time.Time
+	tookOverAt, lastStepAt, lastJobSweepAt, lastPlanAt, lastSpeculationAt, lastWriteAt, suspectsLoggedAt, lastLoanUpdateAt, blockedLoggedAt time.Time
 
 	stepDownReason string // why the ownership is lost, "" while it is held
 	orders         Orders // of the step in progress
@@ -172,6 +170,9 @@
 	if settings.GangTimeout == 0 {
 		settings.GangTimeout = defaultGangTimeout
 	}
+	if settings.PartitionOf == nil {
+		settings.PartitionOf = func(string) int { return settings.Partition }
+	}
 	settings.MaxLeaseDuration = max(settings.MaxLeaseDuration, settings.LeaseDuration)
 	c := &Core{
 		settings:              settings,
@@ -186,6 +187,10 @@
 		arrivedWork:           map[string]workload.Work{},
 		requiredLabels:        map[string][]string{},
 		shares:                map[string]*queueShares{},
+		accounts:              map[string]*account{},
+		counterparties:        map[int]*counterparty{},
+		dirtyLoans:            map[string]*account{},
+		shareDivisor:          1,
 		earlierLeasesExpireAt: earlierLeaseExpiry(settings, now),
 		workerListIncomplete:  listIncomplete,
 		tookOverAt:            now,
@@ -212,6 +217,12 @@
 		return
 	}
 	c.config = config
+	now := c.lastStepAt
+	if now.IsZero() {
+		now = c.tookOverAt
+	}
+	c.setCapPartitions(now)
+	c.applyCaps()
 	for _, j := range c.activeJobs {
 		j.queue = config.Queue(j.submission.Queue)
 	}
@@ -226,6 +237,7 @@
 		return
 	}
 	j.createSteps(submission)
+	j.account = c.accountOf(submission.Workspace)
 	j.queue = c.config.Queue(submission.Queue)
 	if j.restoredProgress != nil {
 		c.applyStoredProgress(j)
@@ -376,10 +388,12 @@
 	c.pollWorkers(now)
 	c.evictRuns(now)
 	c.stopIncompleteGangs(now)
+	c.updateLoans(now)
 	c.placeTasks(now)
 	c.startSpeculativeCopies(now)
 	c.sweepJobs(now)
 	c.orderWrite(now)
+	c.sendLoanReplies()
 	orders := c.orders
 	c.orders = Orders{}
 	return orders
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -119,10 +119,16 @@
 	}
 	settings := testSettings(o.epoch)
 	settings.MaxOwnerOverlap = membershipTTL
+	if w.fleet != nil {
+		w.fleet.setPartition(&settings, w)
+	}
 	o.core = scheduler.New(settings, w.now, unresolvedWorkers, false)
 	o.confirmOwnership()
-	o.core.SetConfig(testConfig)
+	o.core.SetConfig(w.config())
 	for _, r := range records {
+		if r.Loans != nil {
+			o.core.RestoreLoans(r.Loans)
+		}
 		o.applyRecord(r)
 	}
 	newerProgress := map[workload.JobID]*workload.Progress{}
@@ -231,6 +237,9 @@
 		return
 	}
 	o.confirmOwnership()
+	if w := o.world; w.fleet != nil {
+		o.core.SetConfig(w.config())
+	}
 	updateWorkers := func() {
 		if o.world.owner == o {
 			// An owner gets the list of workers only while its ownership is confirmed.
@@ -287,6 +296,12 @@
 			o.core.HandleStartResult(scheduler.OrderResult{Worker: s.Worker.ID, Task: s.Start.Task, Run: s.Start.Run, Token: s.Start.Token, Answer: a}, w.now)
 		})
 	}
+	for _, l := range orders.LoanRequests {
+		w.fleet.sendLoanRequest(o, l)
+	}
+	for _, r := range orders.LoanReplies {
+		w.fleet.deliverLoanReply(o, r)
+	}
 	if orders.Write != nil {
 		o.pendingWrite = orders.Write
 		o.write()
--- a/internal/scheduler/fakeworker_test.go
+++ b/internal/scheduler/fakeworker_test.go
@@ -56,7 +56,7 @@
 func (w *world) addWorker(id string, capacity workload.Resources) *fakeWorker {
 	f := &fakeWorker{
 		world:           w,
-		info:            workload.Worker{ID: id, Incarnation: w.now.UnixMilli(), Service: "service", Address: id, Capacity: capacity, Labels: []string{"a", "rack"}},
+		info:            workload.Worker{ID: id, Incarnation: w.now.UnixMilli(), Service: w.service, Address: id, Capacity: capacity, Labels: []string{"a", "rack"}},
 		clockRate:       0.98 + 0.02*w.rng.Float64(),
 		clockStartedAt:  w.now.Add(-time.Hour),
 		highestEndedRun: map[string]int64{},
@@ -150,6 +150,9 @@
 		f.world.checkCapacity(f, taskName)
 	}
 	f.world.checkStart(job, spec, s, f)
+	if f.world.fleet != nil {
+		f.world.fleet.checkCap(f.world, job, spec)
+	}
 	r := &fakeRun{task: s.Task, runNumber: s.Run, reserved: spec.Reservation(), longRunning: spec.LongRunning, startedAt: f.world.now}
 	delete(job.stoppedNotRestarted, taskName)
 	job.lastRunningAt[taskName] = f.world.now
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -19,7 +19,7 @@
 // An owner that does not know all runs of earlier owners yet stores no handover, because the runs
 // that it does not know would be missing there.
 func (c *Core) HandoverRecords(now time.Time) []workload.Record {
-	records := c.unstoredProgressRecords()
+	records := append(c.unstoredProgressRecords(), c.loanRecords(c.NextWriteSequence())...)
 	if c.isPlacementBlocked(now) {
 		return records
 	}
--- a/internal/scheduler/history_test.go
+++ b/internal/scheduler/history_test.go
@@ -14,7 +14,7 @@
 )
 
 // historyCount returns the number of seeds for which a test runs a history; slower tests use a third,
-// a fifth or a tenth of it. YUCCADRIFT_HISTORIES overrides the default.
+// a fifth, a tenth or a fifteenth of it. YUCCADRIFT_HISTORIES overrides the default.
 func historyCount(t *testing.T) uint64 {
 	text := os.Getenv("YUCCADRIFT_HISTORIES")
 	if text == "" {
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -124,7 +124,7 @@
 // worker is no longer available.
 func (c *Core) placeSuspect(p *placementPool, x suspect, now time.Time) {
 	s, t := x.step, x.task()
-	if !c.ensureAdvice(p, s, now) {
+	if !c.admitSuspect(s, now) || !c.ensureAdvice(p, s, now) {
 		return
 	}
 	if t.plannedIsolatedRun != nil && p.canStartPlanned(s, t.plannedIsolatedRun, now) {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -13,7 +13,8 @@
 	id         workload.JobID
 	submission *workload.Submission // nil while only a cancellation or progress was read
 	// queue is the job's queue in the current configuration, nil if it was removed.
-	queue *workload.Queue
+	queue   *workload.Queue
+	account *account // of its workspace, nil if it has none
 	// steps has one entry for each occurrence and step, ordered by occurrence, then step.
 	steps           []*step
 	remainingTasks  int  // tasks that are not done, long-running ones included
@@ -150,6 +151,9 @@
 		s.waitingForCapacitySince = time.Time{}
 	}
 	t.runs = append(t.runs, r)
+	if a := s.job.account; a != nil {
+		a.reserved = a.reserved.Add(s.spec.Resources)
+	}
 	s.liveRunsByWorker[r.worker.info.ID]++
 	s.job.liveRuns++
 	s.job.started = true
@@ -165,6 +169,9 @@
 	if len(t.runs) == 0 && !t.done {
 		s.idleCount++
 	}
+	if a := s.job.account; a != nil {
+		a.reserved = a.reserved.Sub(s.spec.Resources)
+	}
 	s.job.liveRuns--
 	if s.liveRunsByWorker[r.worker.info.ID]--; s.liveRunsByWorker[r.worker.info.ID] == 0 {
 		delete(s.liveRunsByWorker, r.worker.info.ID)
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -18,21 +18,14 @@
 		}
 		return l
 	}
-	for _, w := range c.sortedWorkers {
-		if w.unregistered {
-			continue
-		}
-		l := loadOf(w.info.Service)
-		l.Reserved = l.Reserved.Add(w.reservedResources)
-		l.Workers[w.info.ID] = w.loadReport(now)
-		l.MeanWorkerCapacity = l.MeanWorkerCapacity.Add(w.info.Capacity)
-	}
+	c.addWorkerLoads(loadOf, now)
 	for _, l := range byService {
 		l.MeanWorkerCapacity = l.MeanWorkerCapacity.DividedBy(len(l.Workers))
 	}
 	for service, work := range c.arrivedWork {
 		loadOf(service).ArrivedWork = work
 	}
+	budgets := capBudgets{}
 	for _, j := range c.activeJobs {
 		if j.finalState.IsTerminal() {
 			continue
@@ -44,7 +37,7 @@
 			}
 			cand := c.rankOccurrence(j, o, now)
 			for _, s := range cand.steps {
-				addStepDemand(l, s, cand.class, now)
+				budgets.addStepDemand(l, s, cand.class, now)
 				c.addUnmetRequirement(l, s, now)
 			}
 		}
@@ -59,6 +52,19 @@
 	return list
 }
 
+// addWorkerLoads adds the registered workers and their capacities to the loads of their services.
+func (c *Core) addWorkerLoads(loadOf func(service string) *workload.ServiceLoad, now time.Time) {
+	for _, w := range c.sortedWorkers {
+		if w.unregistered {
+			continue
+		}
+		l := loadOf(w.info.Service)
+		l.Reserved = l.Reserved.Add(w.reservedResources)
+		l.Workers[w.info.ID] = w.loadReport(now)
+		l.MeanWorkerCapacity = l.MeanWorkerCapacity.Add(w.info.Capacity)
+	}
+}
+
 // suspectsPerVM is the number of suspects waiting for an isolated run for which a service
 // requests one more VM, up to as many VMs as it has workers. An isolated run that crashes its
 // worker makes that worker unavailable for seconds, so without more VMs a long queue of suspects
@@ -106,29 +112,53 @@
 // the time that a VM takes to move to another pool.
 const upcomingWindow = 3 * time.Second
 
-// addStepDemand adds the pending or upcoming demand of a step, and raises MinWorkers if the step
-// needs more workers.
-func addStepDemand(l *workload.ServiceLoad, s *step, jobClass rankClass, now time.Time) {
+// capBudgets are what workspaces could still reserve under their caps, by workspace, while the demand
+// of their tasks is added up. Capacity for tasks beyond a cap would stay unused.
+type capBudgets map[*account]workload.Resources
+
+// tasksWithinCap returns how many of a step's waiting tasks fit the rest of its workspace's budget, and
+// takes them from it.
+func (b capBudgets) tasksWithinCap(s *step) int {
+	waiting := s.idleCount - s.idleSuspectCount()
+	a := s.job.account
+	if a == nil || !a.isCapped || waiting == 0 {
+		return waiting
+	}
+	if _, ok := b[a]; !ok {
+		b[a] = a.remainingUnderCap()
+	}
+	n := 0
+	for ; n < waiting && s.spec.Resources.FitsIn(b[a]); n++ {
+		b[a] = b[a].Sub(s.spec.Resources)
+	}
+	return n
+}
+
+// addStepDemand adds the pending or upcoming demand of a step's waiting tasks, and raises MinWorkers if
+// the step needs more workers.
+func (b capBudgets) addStepDemand(l *workload.ServiceLoad, s *step, jobClass rankClass, now time.Time) {
 	if s.spec.LongRunning && s.spec.MaxPerWorker > 0 {
 		l.MinWorkers = max(l.MinWorkers, (len(s.tasks)+s.spec.MaxPerWorker-1)/s.spec.MaxPerWorker)
 	}
-	waiting := s.idleCount - s.idleSuspectCount()
-	if waiting == 0 || jobClass > classOnTime {
+	if jobClass > classOnTime {
 		return
 	}
-	need := s.spec.Reservation().Times(waiting)
-	switch {
-	case s.isReady(now):
-		l.PendingDemand = l.PendingDemand.Add(need)
-		addLabelDemand(l, s.spec.RequiredLabel, need)
-		addLabelDemand(l, s.spec.DataRack, need)
-	case len(s.spec.DependsOn) == 0:
+	isReady := s.isReady(now)
+	if !isReady && len(s.spec.DependsOn) > 0 {
+		return
+	}
+	need := s.spec.Reservation().Times(b.tasksWithinCap(s))
+	if !isReady {
 		l.UpcomingDemand = l.UpcomingDemand.Add(need)
+		return
 	}
+	l.PendingDemand = l.PendingDemand.Add(need)
+	addLabelDemand(l, s.spec.RequiredLabel, need)
+	addLabelDemand(l, s.spec.DataRack, need)
 }
 
 func addLabelDemand(l *workload.ServiceLoad, label string, need workload.Resources) {
-	if label == "" {
+	if label == "" || need == (workload.Resources{}) {
 		return
 	}
 	if l.DemandByLabel == nil {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -13,6 +13,8 @@
 	Stops          []StopOrder
 	Throttles      []ThrottleOrder
 	AdviceRequests []AdviceOrder
+	LoanRequests   []LoanOrder
+	LoanReplies    []LoanReply
 	Write          *WriteOrder // nil if nothing must be stored
 	Decisions      []Decision
 }
@@ -102,10 +104,10 @@
 	if c.pendingWrite != nil {
 		return
 	}
-	if now.Before(c.lastWriteAt.Add(minWriteInterval)) && !c.hasUnstoredJobEnd() {
+	if now.Before(c.lastWriteAt.Add(minWriteInterval)) && !c.hasUnstoredJobEnd() && !c.loansGrown {
 		return
 	}
-	if len(c.dirtyJobs) == 0 && len(c.jobsToDelete) == 0 && c.lastWriteSeq > 0 {
+	if len(c.dirtyJobs) == 0 && len(c.jobsToDelete) == 0 && !c.loansGrown && !c.settledCapsUnstored && c.lastWriteSeq > 0 {
 		// Exits that changed no job need no record.
 		for _, w := range c.sortedWorkers {
 			w.allowAck(w.lastExitSeen)
@@ -121,6 +123,7 @@
 		order.Records = append(order.Records, workload.Record{Takeover: &workload.Takeover{Epoch: c.settings.Epoch, Address: c.settings.Address}})
 	}
 	order.Records = append(order.Records, c.unstoredProgressRecords()...)
+	order.Records = append(order.Records, c.loanRecords(order.Sequence)...)
 	for id, j := range c.dirtyJobs {
 		c.pendingWrite.finalStates[id] = j.finalState
 	}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -18,6 +18,10 @@
 	r := &c.ranking
 	pools := c.placementPoolsByService(now)
 	r.beginPlan(pools)
+	for _, a := range c.accounts {
+		a.beginPlan()
+	}
+	defer c.logBlocked(now)
 	c.placeSuspects(pools, now)
 	for _, cand := range r.candidates {
 		if cand.class > classStarved && !r.canPlaceMore(cand.servicePlan) || cand.servicePlan.pool == nil || cand.job.finalState.IsTerminal() {
@@ -44,7 +48,12 @@
 		c.Counts.PlacementChecks++
 		idleBefore := s.idleCount
 		c.placeStep(pool, s, now)
-		lacksCapacity := s.idleCount > s.idleSuspectCount()
+		waiting := s.idleCount - s.idleSuspectCount()
+		isBlockedByCap := waiting > 0 && !c.isWithinCap(s, s.minTasksPerStart(), now)
+		if isBlockedByCap {
+			c.recordBlocked(s, waiting, now)
+		}
+		lacksCapacity := waiting > 0 && !isBlockedByCap
 		if lacksCapacity || s.idleCount < idleBefore {
 			c.serviceBusyUntil[s.job.submission.Service] = now.Add(serviceBusyDuration)
 		}
@@ -57,7 +66,9 @@
 			}
 			continue
 		}
-		cand.servicePlan.consecutiveMisses++
+		if !isBlockedByCap {
+			cand.servicePlan.consecutiveMisses++
+		}
 		if s.idleCount < idleBefore {
 			cand.servicePlan.consecutiveMisses = 0
 			cand.recordStarted(s, idleBefore-s.idleCount)
@@ -93,7 +104,7 @@
 // whole or not at all. Suspects that are not in a gang are left to placeSuspects.
 func (c *Core) placeStep(p *placementPool, s *step, now time.Time) {
 	hasSuspects := s.idleSuspectCount() > 0
-	if !hasSuspects && !s.spec.Reservation().FitsIn(p.maxFree) {
+	if !hasSuspects && !s.spec.Reservation().FitsIn(p.maxFree) || !c.isWithinCap(s, s.minTasksPerStart(), now) {
 		return
 	}
 	if !c.ensureAdvice(p, s, now) {
@@ -112,7 +123,7 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.isSuspect() {
 			continue
 		}
-		if c.startsInFlight.isFull() {
+		if c.startsInFlight.isFull() || !c.isWithinCap(s, 1, now) {
 			return
 		}
 		c.Counts.PlacementChecks += len(p.workers)
@@ -128,6 +139,14 @@
 	}
 }
 
+// minTasksPerStart returns how many tasks of the step start at least together.
+func (s *step) minTasksPerStart() int {
+	if s.spec.Gang {
+		return len(s.tasks)
+	}
+	return 1
+}
+
 // nextRunNumber returns a run number above all earlier ones of the step. Runs of earlier owners
 // have lower epochs.
 func (s *step) nextRunNumber(epoch int64) int64 {
--- a/internal/scheduler/speculation.go
+++ b/internal/scheduler/speculation.go
@@ -54,7 +54,7 @@
 		if t.done || t.isSuspect() || len(t.runs) != 1 || now.Sub(t.runs[0].orderedAt) < stragglerAge {
 			continue
 		}
-		if t.runs[0].worker.mayHaveCrashed(now) {
+		if t.runs[0].worker.mayHaveCrashed(now) || !c.isWithinCap(s, 1, now) {
 			continue
 		}
 		w := p.bestWorker(s, t, now)
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -81,6 +81,12 @@
 	directHandovers                   int
 	// processor models the CPU of each owner's node. If nil, the owner's work takes no time.
 	processor *processor
+	// fleet has the other partitions, nil in a world of one partition.
+	fleet     *partitionFleet
+	partition int
+	service   string // of the partition
+	// visibleConfig is the fleet's configuration as this partition's owner reads it.
+	visibleConfig *workload.Config
 }
 
 // faults holds the probabilities of faults, each between 0 and 1.
@@ -122,6 +128,7 @@
 		jobs:    map[workload.JobID]*fakeJob{},
 
 		crashingTasks: map[string]bool{},
+		service:       "service",
 	}
 }
 
@@ -227,7 +234,10 @@
 		digits[i] = byte('0' + n%10)
 	}
 	id = workload.JobID(digits)
-	submission := &workload.Submission{Queue: queue, Service: "service", AcceptedAtMS: w.now.UnixMilli(), Spec: spec}
+	submission := &workload.Submission{Queue: queue, Service: w.service, AcceptedAtMS: w.now.UnixMilli(), Spec: spec}
+	if w.fleet != nil {
+		submission.Workspace = w.fleet.drawWorkspace()
+	}
 	job := &fakeJob{id: id, submission: submission, done: map[string]bool{}, acknowledged: map[string]bool{}, doneRuns: map[string][]int64{}, supersededDoneRuns: map[string]bool{}, failures: map[string]int{}, workerCrashes: map[string]int{}, workerExits: map[string]int{}, earlyWorkerExits: map[string]int{}, startsAfterThreeCrashes: map[string]int{}, stoppedNotRestarted: map[string]bool{}, lastRunningAt: map[string]time.Time{}}
 	w.jobs[id] = job
 	w.appendRecord(workload.Record{Job: id, Submission: submission})
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -41,6 +41,7 @@
 	submissionPrefix = "s/"
 	cancelPrefix     = "c/"
 	progressPrefix   = "p/"
+	loansPrefix      = "l/" // followed by a workspace
 
 	handoverKey = "owner/left"
 	takeoverKey = "owner/last"
@@ -80,7 +81,7 @@
 }
 
 // Record is a stored record of a job or of an owner of the partition. Exactly one of
-// Submission, Progress, Cancel, Handover and Takeover is set.
+// Submission, Progress, Cancel, Handover, Takeover and Loans is set.
 type Record struct {
 	Job        JobID
 	Submission *Submission
@@ -90,6 +91,7 @@
 	CancelledBy *Requester
 	Handover    *Handover
 	Takeover    *Takeover
+	Loans       *Loans
 }
 
 // Encode returns the key and value of the record in the store.
@@ -107,6 +109,9 @@
 	case r.Takeover != nil:
 		value, err = json.Marshal(r.Takeover)
 		return takeoverKey, value, errors.Wrap(err, "takeover")
+	case r.Loans != nil:
+		value, err = json.Marshal(r.Loans)
+		return loansPrefix + r.Loans.Workspace, value, errors.Wrap(err, "loans")
 	case r.Cancel && r.CancelledBy == nil:
 		return cancelPrefix + string(r.Job), []byte(anonymousCancel), nil
 	case r.Cancel:
@@ -136,6 +141,9 @@
 	case key == takeoverKey:
 		r.Takeover = &Takeover{}
 		err = json.Unmarshal(value, r.Takeover)
+	case strings.HasPrefix(key, loansPrefix):
+		r.Loans = &Loans{}
+		err = json.Unmarshal(value, r.Loans)
 	case strings.HasPrefix(key, submissionPrefix):
 		r.Submission = &Submission{}
 		err = json.Unmarshal(value, r.Submission)
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -49,6 +49,23 @@
 	return Resources{CPU: max(r.CPU, o.CPU), MemoryMB: max(r.MemoryMB, o.MemoryMB), GPU: max(r.GPU, o.GPU)}
 }
 
+// Min returns the smaller value of each resource.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{CPU: min(r.CPU, o.CPU), MemoryMB: min(r.MemoryMB, o.MemoryMB), GPU: min(r.GPU, o.GPU)}
+}
+
+// AtLeastZero returns r with 0 in place of negative values.
+func (r Resources) AtLeastZero() Resources { return r.Max(Resources{}) }
+
+// String returns the resources as logged: thousandths of a core, MB and, if there are any, GPUs.
+func (r Resources) String() string {
+	text := strconv.Itoa(r.CPU) + "m/" + strconv.Itoa(r.MemoryMB) + "MB"
+	if r.GPU != 0 {
+		text += "/" + strconv.Itoa(r.GPU) + "gpu"
+	}
+	return text
+}
+
 // FitsIn reports whether no resource of r exceeds that of o.
 func (r Resources) FitsIn(o Resources) bool {
 	return r.CPU <= o.CPU && r.MemoryMB <= o.MemoryMB && r.GPU <= o.GPU
