ownership: weak VMs without work leave the group

Cause: the group deals each topic's partitions evenly and shows only members that own one. When the strong VMs lose the store, all weak ones join within 0.5 s: 26 members and more, for 12 partitions of a topic. Ruled out: the saturation rule alone (it counted weaker members, but the strong had not left), the store's return late to some.

Change: a VM that has seen a stronger one leaves after a second, and stays out, while others own all partitions that have work. So a handful of weak owners are left, the strong ones get partitions as soon as they join, and the weak yield to them. Weaker members don't count toward saturation. While one strong VM owns all, weak ones stay out of its way.

--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -96,8 +96,13 @@
 
 // runCluster runs a scenario with a fleet of strong and weak VMs in a synctest bubble.
 func runCluster(t *testing.T, strong, weak int, scenario func(c *cluster)) {
+	runClusterWith(t, strong, weak, partitionsPerTopic, scenario)
+}
+
+// runClusterWith is runCluster with another number of partitions of each topic.
+func runClusterWith(t *testing.T, strong, weak, partitions int, scenario func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
-		c := &cluster{t: t, group: newStickyGroup(partitionsPerTopic), ownerByPartition: map[platform.Partition]*clusterNode{}, runnerStarts: map[platform.Partition]int{}}
+		c := &cluster{t: t, group: newStickyGroup(partitions), ownerByPartition: map[platform.Partition]*clusterNode{}, runnerStarts: map[platform.Partition]int{}}
 		for i := range strong + weak {
 			n := &clusterNode{name: fmt.Sprintf("node-%04d", i), milliCores: weakMilliCores}
 			if i < strong {
@@ -151,7 +156,7 @@
 	}
 	m := New(storeLink{c.group, n.isCut}, Config{
 		Node: n.name, Address: n.name + ":1", MilliCores: n.milliCores,
-		Topics: []string{"jobs", "fleet"}, Partitions: partitionsPerTopic, HasWork: hasWork,
+		Topics: []string{"jobs", "fleet"}, Partitions: c.group.partitionsPerTopic, HasWork: hasWork,
 		MemberClient: clusterMemberClient{c},
 		SuspendedFor: func() time.Duration { return time.Duration(n.suspendedNanos.Load()) },
 		Logger:       hclog.NewNullLogger(),
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -99,7 +99,7 @@
 	}
 	workOwners := map[string]bool{}
 	for p, o := range m.owners {
-		if !isAnnouncement(p) && o.name != m.memberName {
+		if !isAnnouncement(p) && o.name != m.memberName && !m.outranks(o) {
 			workOwners[o.name] = true
 		}
 	}
@@ -108,9 +108,32 @@
 		s.ownsPartition = true
 		s.ownsWork = s.ownsWork || m.hasWork(p)
 	}
+	s.isCovered = m.isWorkCovered()
 	return s
 }
 
+// isWorkCovered reports whether other members own all partitions that have work now. It must be called with mu
+// held.
+func (m *Manager) isWorkCovered() bool {
+	if m.partitions == 0 {
+		return false
+	}
+	for _, topic := range m.workTopics {
+		for part := range m.partitions {
+			p := platform.Partition{Topic: topic, Part: part}
+			if o, ok := m.owners[p]; m.hasWork(p) && (!ok || o.name == m.memberName) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// outranks reports whether this node has at least strongerFactor times the processor time of a member.
+func (m *Manager) outranks(o memberInfo) bool {
+	return o.milliCores > 0 && m.milliCores >= strongerFactor*o.milliCores
+}
+
 // isOutrankedBy reports whether a member has at least strongerFactor times the processor time of this one.
 func (m *Manager) isOutrankedBy(o memberInfo) bool {
 	return m.milliCores > 0 && o.milliCores >= strongerFactor*m.milliCores
--- a/internal/ownership/scale_test.go
+++ b/internal/ownership/scale_test.go
@@ -153,3 +153,38 @@
 		}
 	})
 }
+
+// Guards against weak VMs that keep busy partitions after the strong ones are back. All strong VMs but one
+// and a quarter of the weak ones lose the store for 9 s, while their processes run on, and other weak VMs
+// take over. There are more of them than partitions, so a VM that is back may get none. Within 2 s after
+// the store's return all partitions with work must be with strong VMs, and stay there.
+func TestStrongVMsAreBackSoonAfterTheyLostTheStore(t *testing.T) {
+	const maxReturnTime = 2 * time.Second
+	for _, size := range []struct{ strong, weak, partitions int }{{4, 26, 12}, {6, 36, 12}, {15, 85, 12}, {45, 255, 24}, {150, 850, 24}} {
+		t.Run(strconv.Itoa(size.strong+size.weak), func(t *testing.T) {
+			t.Parallel()
+			runClusterWith(t, size.strong, size.weak, size.partitions, func(c *cluster) {
+				c.start(allNodes)
+				time.Sleep(5 * time.Second)
+				for i, n := range c.nodes {
+					if c.isStrong(n) && i > 0 || i%4 == 1 {
+						n.isCut.Store(true)
+					}
+				}
+				time.Sleep(9 * time.Second)
+				assert.True(t, c.isAllOwned(false /* byStrong */))
+				c.takeRunnerStarts()
+				for _, n := range c.nodes {
+					n.isCut.Store(false)
+				}
+				time.Sleep(maxReturnTime)
+				for range 100 {
+					assert.True(t, c.isAllOwned(true /* byStrong */))
+					time.Sleep(100 * time.Millisecond)
+				}
+				maxStarts, _ := c.takeRunnerStarts()
+				assert.LessOrEqual(t, maxStarts, 2, "owner starts of one partition: as the strong VMs join, and as the weak ones leave")
+			})
+		})
+	}
+}
--- a/internal/ownership/stickygroup_test.go
+++ b/internal/ownership/stickygroup_test.go
@@ -67,13 +67,33 @@
 		}
 	}
 	g.order = order
+	for _, topic := range g.topics {
+		g.distribute(topic, order)
+	}
+	g.forEachPartition(func(p platform.Partition) {
+		if _, lives := g.expiresAt[g.owner[p]]; !lives {
+			g.owner[p] = g.target[p]
+		}
+		switch {
+		case g.owner[p] == g.target[p]:
+			g.revokedIn[p] = 0
+		case g.revokedIn[p] == 0:
+			g.revokedIn[p] = g.gen
+		}
+	})
+}
+
+// distribute chooses the target owners of a topic's partitions, evenly among the members in order. Members
+// keep what they have; if there are more of them than partitions, those that join later get none.
+func (g *stickyGroup) distribute(topic string, order []string) {
 	least, extra := 0, 0 // extra members have one partition more than least
-	if total := len(g.topics) * g.partitionsPerTopic; len(order) > 0 {
-		least, extra = total/len(order), total%len(order)
+	if len(order) > 0 {
+		least, extra = g.partitionsPerTopic/len(order), g.partitionsPerTopic%len(order)
 	}
 	owned := map[string]int{}
 	var unassigned []platform.Partition
-	g.forEachPartition(func(p platform.Partition) {
+	for part := range g.partitionsPerTopic {
+		p := platform.Partition{Topic: topic, Part: part}
 		name := g.target[p]
 		_, lives := g.expiresAt[name]
 		switch {
@@ -82,10 +102,10 @@
 			extra--
 		default:
 			unassigned = append(unassigned, p)
-			return
+			continue
 		}
 		owned[name]++
-	})
+	}
 	for _, share := range []int{least, least + 1} {
 		for _, name := range order {
 			for len(unassigned) > 0 && owned[name] < share {
@@ -98,17 +118,6 @@
 	for _, p := range unassigned {
 		delete(g.target, p)
 	}
-	g.forEachPartition(func(p platform.Partition) {
-		if _, lives := g.expiresAt[g.owner[p]]; !lives {
-			g.owner[p] = g.target[p]
-		}
-		switch {
-		case g.owner[p] == g.target[p]:
-			g.revokedIn[p] = 0
-		case g.revokedIn[p] == 0:
-			g.revokedIn[p] = g.gen
-		}
-	})
 }
 
 func (g *stickyGroup) Join(_ context.Context, m platform.Member) (platform.Assignment, platform.StoreStatus, error) {
--- a/internal/ownership/yield.go
+++ b/internal/ownership/yield.go
@@ -29,6 +29,9 @@
 	// maxInitialWait bounds the initial wait. By then, owners that were lost before the start of a VM are no
 	// longer listed.
 	maxInitialWait = 2 * time.Second
+	// redundantYieldDelay is how long a weak member without work stays in the group while others own all
+	// partitions with work.
+	redundantYieldDelay = time.Second
 	// yieldDelay is how long a member must have seen enough stronger members before it yields. It is
 	// shorter than the pause between checks, so two checks in a row must have seen them.
 	yieldDelay = 100 * time.Millisecond
@@ -40,10 +43,13 @@
 
 // ownershipSnapshot is what one read of the owners shows.
 type ownershipSnapshot struct {
-	strongerMembers int  // members that own any partition and are stronger than this one
-	isSaturated     bool // as many other members own work partitions as there are work partitions
-	ownsPartition   bool // this member owns a work partition
-	ownsWork        bool // this member owns a work partition that has work now
+	strongerMembers int // members that own any partition and are stronger than this one
+	// isSaturated is set if as many other members that are not weaker own work partitions as there are
+	// work partitions.
+	isSaturated   bool
+	ownsPartition bool // this member owns a work partition
+	ownsWork      bool // this member owns a work partition that has work now
+	isCovered     bool // other members own all partitions that have work now
 }
 
 // yieldPolicy decides whether a VM yields. It is not safe for concurrent use.
@@ -56,9 +62,11 @@
 	// joinAt is when a VM that yields joins, unless it has another reason to stay out by then.
 	joinAt time.Time
 	// outrankedSince is the time since which a member has seen enough stronger members. idleSince is the time
-	// since which it has owned no work partition while these were saturated. They are zero while their
-	// condition doesn't hold.
-	outrankedSince, idleSince time.Time
+	// since which it has owned no work partition while these were saturated, redundantSince that since which
+	// it was redundant. They are zero while their condition doesn't hold.
+	outrankedSince, idleSince, redundantSince time.Time
+	// isWeak is set once a stronger member was seen.
+	isWeak bool
 }
 
 // start begins the initial wait, at the first read of the owners. ownMilliCores is the VM's processor time in
@@ -88,18 +96,23 @@
 // update decides from a read of the owners whether the VM yields.
 func (p *yieldPolicy) update(s ownershipSnapshot, now time.Time) {
 	isOutranked := s.strongerMembers >= minStrongerMembers
+	p.isWeak = p.isWeak || s.strongerMembers > 0
+	// The group shows only members that own a partition. If all weak VMs were members, there would be
+	// more members than partitions, and strong VMs that are back would get none and not be seen.
+	isRedundant := p.isWeak && s.isCovered && !s.ownsWork
 	if p.isYielding {
 		if isOutranked {
 			p.joinAt = now // if the stronger members are lost, this VM joins at the next check
 		}
 		// Soon after a start, members that were lost with all nodes may still be listed.
 		isSaturated := s.isSaturated && now.Sub(p.startedAt) > maxInitialWait
-		p.isYielding = isOutranked || isSaturated || now.Before(p.joinAt)
-		p.outrankedSince, p.idleSince = time.Time{}, time.Time{}
+		p.isYielding = isOutranked || isSaturated || isRedundant || now.Before(p.joinAt)
+		p.outrankedSince, p.idleSince, p.redundantSince = time.Time{}, time.Time{}, time.Time{}
 		return
 	}
 	p.outrankedSince = conditionSince(isOutranked, p.outrankedSince, now)
 	p.idleSince = conditionSince(s.isSaturated && !s.ownsPartition, p.idleSince, now)
+	p.redundantSince = conditionSince(isRedundant, p.redundantSince, now)
 	switch {
 	case isOutranked && !s.ownsWork:
 		// Its partitions have no work. If it stayed, the partitions of other weak members that yield
@@ -109,6 +122,8 @@
 		p.isYielding = true
 	case s.isSaturated && !s.ownsPartition && now.Sub(p.idleSince) >= idleYieldDelay:
 		p.isYielding = true
+	case isRedundant && now.Sub(p.redundantSince) >= redundantYieldDelay:
+		p.isYielding = true
 	}
 	if p.isYielding {
 		p.joinAt = now
