owner: a takeover reads its partition once

Cause: a successor reads the partition, asks the predecessor's node for its runs, and read it all again. With 1,044 records, some MB in base64, and a link of 10 Mbit/s that is 1.5 s and more each; a takeover of a weak VM took 4.2 and 9.1 s in two traces. Ruled out: processor time alone (a strong VM took 0.04 s with few records and 0.4 s with 2,340, on 200 Mbit/s).

Change: the second read gets only what was stored since the first one, from its offset on; if the store has dropped that, all as before. The newest record of each key counts, as in a full read.

Test: the number of full reads, records stored, changed and deleted meanwhile.

--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -9,6 +9,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/ownership"
 	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -96,7 +97,7 @@
 
 // readPartition reads the partition. It reads the predecessor's state from the store or, if
 // the store has no handover, from the predecessor's node. The predecessor may have started
-// tasks of jobs that were stored after the first read, so the partition is read again once
+// tasks of jobs that were stored after the first read, so what was stored since is read once
 // the predecessor has stopped.
 func (o *Owner) readPartition(ctx context.Context) (platform.Batch, predecessorState, error) {
 	batch, err := o.readSnapshot(ctx)
@@ -111,10 +112,50 @@
 	if !ok {
 		return batch, predecessorState{}, nil
 	}
-	batch, err = o.readSnapshot(ctx)
+	later, err := o.readSince(ctx, batch.Next)
+	batch.Records = newestRecords(append(batch.Records, later.Records...))
+	batch.Next = later.Next
 	return batch, predecessor, err
 }
 
+// newestRecords returns the last record of each key, without the deleted ones.
+func newestRecords(records []platform.KeyedRecord) []platform.KeyedRecord {
+	last := map[string]int{} // index by key
+	for i, r := range records {
+		last[r.Key] = i
+	}
+	var newest []platform.KeyedRecord
+	for i, r := range records {
+		if last[r.Key] == i && len(r.Value) > 0 {
+			newest = append(newest, r)
+		}
+	}
+	return newest
+}
+
+// readSince returns the records of the partition from an offset on, or all newest ones if some of them
+// were dropped. A busy partition has megabytes, which take a small VM's link a second or more.
+func (o *Owner) readSince(ctx context.Context, from int64) (platform.Batch, error) {
+	all := platform.Batch{Next: from}
+	for ctx.Err() == nil {
+		batch, status, err := o.log.Read(ctx, all.Next, 0)
+		switch status {
+		case platform.StoreOK:
+			all.Records = append(all.Records, batch.Records...)
+			all.Next = batch.Next
+			if batch.Next >= batch.End {
+				return all, nil
+			}
+		case platform.StoreDropped:
+			return o.readSnapshot(ctx)
+		default:
+			o.logger.Warn("records stored since can't be read yet", "status", status.String(), "error", err)
+			wait.Pause(ctx, readRetryInterval)
+		}
+	}
+	return platform.Batch{}, ctx.Err()
+}
+
 // releasePredecessor asks the predecessor's node to stop the predecessor and to return its
 // handover. It returns false unless the handover has the epoch of lastTakeover.
 func (o *Owner) releasePredecessor(ctx context.Context, lastTakeover *workload.Takeover) (predecessorState, bool) {
--- a/internal/owner/handover_test.go
+++ b/internal/owner/handover_test.go
@@ -16,7 +16,11 @@
 )
 
 // memoryStore serves a fixed list of records to Newest. Append and Read have no effect.
-type memoryStore struct{ records []platform.KeyedRecord }
+type memoryStore struct {
+	records      []platform.KeyedRecord
+	dropsHistory bool // records can't be read from an offset
+	fullReads    int
+}
 
 func (s *memoryStore) put(t *testing.T, records ...workload.Record) {
 	for _, r := range records {
@@ -30,12 +34,18 @@
 	return platform.StoreOK, nil
 }
 
-func (s *memoryStore) Read(context.Context, platform.Partition, int64, time.Duration) (platform.Batch, platform.StoreStatus, error) {
-	return platform.Batch{}, platform.StoreOK, nil
+func (s *memoryStore) Read(_ context.Context, _ platform.Partition, from int64, _ time.Duration) (platform.Batch, platform.StoreStatus, error) {
+	end := int64(len(s.records))
+	if s.dropsHistory && from < end {
+		return platform.Batch{}, platform.StoreDropped, nil
+	}
+	return platform.Batch{Records: s.records[from:], Next: end, End: end}, platform.StoreOK, nil
 }
 
 func (s *memoryStore) Newest(context.Context, platform.Partition) (platform.Batch, platform.StoreStatus, error) {
-	return platform.Batch{Records: s.records}, platform.StoreOK, nil
+	s.fullReads++
+	end := int64(len(s.records))
+	return platform.Batch{Records: newestRecords(s.records), Next: end, End: end}, platform.StoreOK, nil
 }
 
 const predecessorAddress = "10.0.0.2:7061"
@@ -92,3 +102,33 @@
 		assert.Nil(t, predecessor.handover, name)
 	}
 }
+
+// Guards against a takeover that reads a busy partition twice, megabytes over the link of a small VM, and
+// against one that misses what was stored meanwhile, or sees an older record after a newer one.
+func TestTakeoverReadsThePartitionOnce(t *testing.T) {
+	sub := &workload.Submission{Service: "booking", Queue: "queue", Spec: workload.Spec{Steps: []workload.Step{{Count: 1}}}}
+	for _, dropsHistory := range []bool{false, true} {
+		var read *memoryStore
+		o := newTakingOverOwner(t, func(store *memoryStore) ([]workload.Record, error) {
+			read = store
+			store.dropsHistory = dropsHistory
+			store.put(t, workload.Record{Job: waitingJob, Submission: sub}, workload.Record{Job: endedJob, Submission: sub})
+			store.put(t, workload.Record{Job: endedJob, Progress: &workload.Progress{Started: true}})
+			store.put(t, workload.Record{Job: endedJob, Progress: &workload.Progress{FinalState: workload.Completed}})
+			store.records = append(store.records, platform.KeyedRecord{Key: workload.JobKeys(waitingJob)[0]}) // deleted
+			return []workload.Record{{Handover: &workload.Handover{Epoch: 7}}}, nil
+		})
+		batch, _, err := o.readPartition(t.Context())
+		require.NoError(t, err)
+		assert.Len(t, batch.Records, 3, "the takeover, and the ended job with its last progress")
+		progress, ok, err := workload.DecodeRecord(batch.Records[2].Key, batch.Records[2].Value)
+		require.NoError(t, err)
+		require.True(t, ok)
+		assert.Equal(t, workload.Completed, progress.Progress.FinalState)
+		wantFullReads := 1
+		if dropsHistory {
+			wantFullReads = 2
+		}
+		assert.Equal(t, wantFullReads, read.fullReads)
+	}
+}
