--- a/internal/dayreport/conditions.go
+++ b/internal/dayreport/conditions.go
@@ -13,6 +13,7 @@
 	OwnerOverloaded  Cause = "owner behind"
 	VMsInTransit     Cause = "VMs on their way"
 	NoConfiguration  Cause = "no configuration"
+	WorkspaceAtCap   Cause = "waits for its cap"
 	NoFreeCapacity   Cause = "no room"
 	OtherCause       Cause = "other"
 )
@@ -21,6 +22,8 @@
 const (
 	// overloadLineInterval is the time before an "owner is behind" line that the line covers.
 	overloadLineInterval = time.Second
+	// capLineInterval is the time before a "waits-for-cap" line that the line covers.
+	capLineInterval = time.Second
 	// vmTransitTime is how long a VM counts as in transit to its pool after the order.
 	vmTransitTime = 3 * time.Second
 )
@@ -63,6 +66,13 @@
 	ownerUnavailable map[int][]period    // by partition of the jobs topic
 	ownerOverloaded  map[int][]period
 	vmsInTransit     map[string][]period // by pool
+	workspaceAtCap   map[capKey][]period
+}
+
+// capKey identifies a workspace's use of a partition.
+type capKey struct {
+	partition int
+	workspace string
 }
 
 // ownershipTracker follows the owners of the partitions of the jobs topic.
@@ -81,6 +91,7 @@
 		ownerUnavailable: map[int][]period{},
 		ownerOverloaded:  map[int][]period{},
 		vmsInTransit:     map[string][]period{},
+		workspaceAtCap:   map[capKey][]period{},
 	}
 	ownership := &ownershipTracker{owner: map[int]string{}, leftAt: map[int]time.Time{}, lastLineAt: map[string]time.Time{}, firstLineAt: lines[0].At}
 	storeLostAt := map[string]time.Time{}
@@ -97,6 +108,10 @@
 			storeLostAt[l.Node] = l.At.Add(-time.Duration(l.SinceMS) * time.Millisecond)
 		case "owner is behind":
 			c.ownerOverloaded[l.Partition] = append(c.ownerOverloaded[l.Partition], period{l.At.Add(-overloadLineInterval), l.At})
+		case "waits-for-cap":
+			key := capKey{l.Partition, l.Workspace}
+			covered := min(capLineInterval, time.Duration(l.AgeMS)*time.Millisecond)
+			c.workspaceAtCap[key] = append(c.workspaceAtCap[key], period{l.At.Add(-covered), l.At})
 		case "VM ordered":
 			if !l.Maintenance && l.Outcome == "ok" {
 				c.vmsInTransit[l.Pool] = append(c.vmsInTransit[l.Pool], period{l.At, l.At.Add(vmTransitTime)})
@@ -165,6 +180,7 @@
 		{OwnerUnavailable, c.ownerUnavailable[l.Partition]},
 		{OwnerOverloaded, c.ownerOverloaded[l.Partition]},
 		{VMsInTransit, c.vmsInTransit[service]},
+		{WorkspaceAtCap, c.workspaceAtCap[capKey{l.Partition, l.Workspace}]},
 	} {
 		if d := coveredDuration(waited, candidate.periods); d > longest {
 			cause, longest = candidate.cause, d
--- a/internal/dayreport/dayreport_test.go
+++ b/internal/dayreport/dayreport_test.go
@@ -111,6 +111,15 @@
 			logLine(19.31, "n-2", "owner is behind", `"partition":4,"delay_ms":900`),
 			logLine(18.5, "n-2", "VM ordered", `"pool":"booking","outcome":"ok","maintain":false`), firstPlaced(20, "3000"),
 		}, dayreport.OwnerOverloaded},
+		{"its workspace waited for its cap", []string{
+			owned, logLine(18.2, "n-2", "waits-for-cap", `"partition":4,"workspace":"ward","age_ms":1000`),
+			logLine(19.2, "n-2", "waits-for-cap", `"partition":4,"workspace":"ward","age_ms":2000`),
+			logLine(20, "n-2", "first-placed", `"job":"a","queue":"q","partition":4,"age_ms":3000,"workspace":"ward"`),
+		}, dayreport.WorkspaceAtCap},
+		{"another workspace waited for its cap", []string{
+			owned, logLine(19.2, "n-2", "waits-for-cap", `"partition":4,"workspace":"clinic","age_ms":2000`),
+			logLine(20, "n-2", "first-placed", `"job":"a","queue":"q","partition":4,"age_ms":3000,"workspace":"ward"`),
+		}, dayreport.NoFreeCapacity},
 	} {
 		r := buildReport(t, append([]string{acceptedJob(0.5, "a")}, c.lines...)...)
 		require.Len(t, r.SlowStarts, 1, c.name)
--- a/internal/dayreport/lines.go
+++ b/internal/dayreport/lines.go
@@ -29,6 +29,7 @@
 	Job         string    `json:"job"`
 	Queue       string    `json:"queue"`
 	Service     string    `json:"service"`
+	Workspace   string    `json:"workspace"`
 	Method      string    `json:"method"`
 	Status      int       `json:"status"` // HTTP status of an answer; a string in other lines
 	Reason      string    `json:"reason"`
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -144,6 +144,9 @@
 	if decision.Queue != "" {
 		args = append(args, "queue", decision.Queue)
 	}
+	if decision.Workspace != "" {
+		args = append(args, "workspace", decision.Workspace)
+	}
 	if decision.Task != "" {
 		args = append(args, "task", decision.Task, "run", decision.Run)
 	}
--- a/internal/scheduler/allowance.go
+++ b/internal/scheduler/allowance.go
@@ -321,7 +321,7 @@
 		if !a.isBlocked() {
 			continue
 		}
-		c.recordDecision(Decision{Verb: "waits-for-cap", Reason: a.String(), Age: now.Sub(a.blockedSince)})
+		c.recordDecision(Decision{Verb: "waits-for-cap", Workspace: a.name, Reason: a.String(), Age: now.Sub(a.blockedSince)})
 	}
 }
 
@@ -338,6 +338,6 @@
 	if a.settlingVersion != 0 {
 		state = fmt.Sprintf(", not all owners have confirmed the cap of configuration %d", a.settlingVersion)
 	}
-	return fmt.Sprintf("workspace %s: cap %s, share %s, borrowed %s, lent %s, reserved %s, waiting %s%s",
-		a.name, a.bounded(a.cap), a.bounded(a.share), borrowed, lent, a.reserved, a.blocked, state)
+	return fmt.Sprintf("cap %s, share %s, borrowed %s, lent %s, reserved %s, waiting %s%s",
+		a.bounded(a.cap), a.bounded(a.share), borrowed, lent, a.reserved, a.blocked, state)
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -71,6 +71,7 @@
 	Job          workload.JobID
 	Task         string
 	Queue        string
+	Workspace    string
 	Worker       string
 	Run          int64
 	Reason       string
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -177,6 +177,6 @@
 	if !jobHadBegun {
 		verb = "first-placed"
 	}
-	c.recordDecision(Decision{Verb: verb, Job: s.job.id, Task: r.taskKey().String(), Queue: s.job.submission.Queue, Worker: w.info.ID, Run: runNumber, Age: now.Sub(time.UnixMilli(s.job.submission.AcceptedAtMS))})
+	c.recordDecision(Decision{Verb: verb, Job: s.job.id, Task: r.taskKey().String(), Queue: s.job.submission.Queue, Workspace: s.job.submission.Workspace, Worker: w.info.ID, Run: runNumber, Age: now.Sub(time.UnixMilli(s.job.submission.AcceptedAtMS))})
 	return r
 }
