scheduler: jobs beyond a workspace's weight come last

Cause: the weight of a workspace had no effect; one that hands in more than its jobs a second took the others' share of a full service. Ways: the ranking as it stands; a token bucket of the workspace's jobs a second, with two seconds' burst, whose overflow ranks behind all jobs that can still earn credit (kept). Fair queueing by work over weight was not built. Ruled out: a strict count by second (small workspaces hand in 0 to 6 jobs where 3 are meant, by chance alone).

Change: the bucket runs on the times at which jobs were accepted, so a takeover marks the same jobs.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -182,6 +182,10 @@
 		return err
 	}
 	core := o.newCore(ctx, fencedAt, predecessor.handover != nil, o.allowancesFrom(batch, fencedAt))
+	if config := o.deps.Published.Config(); config != nil {
+		o.config = config
+		core.SetConfig(config) // the weights of workspaces count when jobs are added
+	}
 	restoreLoans(core, batch)
 	o.applyBatch(core, batch, time.Now())
 	restoreProgress(core, batch, predecessor.unstoredProgress)
--- a/internal/scheduler/allowance.go
+++ b/internal/scheduler/allowance.go
@@ -35,11 +35,13 @@
 type account struct {
 	name string
 	// isCapped is set if the workspace has a cap. Nothing else below is used otherwise, except for
-	// reserved.
-	isCapped bool
-	cap      workload.Resources // a resource without a bound is unlimited
-	share    workload.Resources // of the cap, of this partition
-	reserved workload.Resources // by runs that are not known to have ended
+	// reserved, weight and jobAllowance.
+	isCapped     bool
+	cap          workload.Resources // a resource without a bound is unlimited
+	share        workload.Resources // of the cap, of this partition
+	reserved     workload.Resources // by runs that are not known to have ended
+	weight       float64            // of the workspace, 0 if it has none
+	jobAllowance jobAllowance
 	// settledCap is the last cap that has settled, nil if none has. While settlingVersion is not 0
 	// the current cap hasn't settled; it is the configuration that lowered it.
 	settledCap      *workload.Resources
@@ -112,6 +114,7 @@
 		a.share = c.shareOf(a.cap)
 		return
 	}
+	a.weight = w.Weight
 	a.isCapped = w.Cap != workload.Resources{}
 	a.cap = workload.Resources{CPU: boundOf(w.Cap.CPU), MemoryMB: boundOf(w.Cap.MemoryMB), GPU: boundOf(w.Cap.GPU)}
 	a.share = c.shareOf(a.cap)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -238,6 +238,7 @@
 	}
 	j.createSteps(submission)
 	j.account = c.accountOf(submission.Workspace)
+	c.checkWeight(j)
 	j.queue = c.config.Queue(submission.Queue)
 	if j.restoredProgress != nil {
 		c.applyStoredProgress(j)
@@ -252,16 +253,6 @@
 	c.planStale = true
 }
 
-// recordRequiredLabels records the labels that a job requires.
-func (c *Core) recordRequiredLabels(submission *workload.Submission) {
-	for i := range submission.Spec.Steps {
-		label := submission.Spec.Steps[i].RequiredLabel
-		if label != "" && !slices.Contains(c.requiredLabels[submission.Service], label) {
-			c.requiredLabels[submission.Service] = append(c.requiredLabels[submission.Service], label)
-		}
-	}
-}
-
 // CancelJob applies a stored cancellation, which by has sent; nil if that is unknown. One by a
 // requester that may not access the job has no effect. The cancellation may be read before the job.
 func (c *Core) CancelJob(id workload.JobID, by *workload.Requester, now time.Time) {
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -15,6 +15,8 @@
 	// queue is the job's queue in the current configuration, nil if it was removed.
 	queue   *workload.Queue
 	account *account // of its workspace, nil if it has none
+	// isBeyondWeight is set if its workspace had handed in more jobs than its weight allows.
+	isBeyondWeight bool
 	// steps has one entry for each occurrence and step, ordered by occurrence, then step.
 	steps           []*step
 	remainingTasks  int  // tasks that are not done, long-running ones included
--- a/internal/scheduler/lender.go
+++ b/internal/scheduler/lender.go
@@ -28,6 +28,7 @@
 	clear(a.lent)
 	maps.Copy(a.lent, loans.Lent)
 	a.settledCap = loans.SettledCap
+	c.applyCap(a)
 }
 
 // HandleLoanRequest handles a request of the owner of another partition. The reply with the same id
--- a/internal/scheduler/placementpool.go
+++ b/internal/scheduler/placementpool.go
@@ -239,3 +239,13 @@
 func (w *worker) hasLongRunningTask() bool {
 	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.step.spec.LongRunning })
 }
+
+// recordRequiredLabels records the labels that a job requires.
+func (c *Core) recordRequiredLabels(submission *workload.Submission) {
+	for i := range submission.Spec.Steps {
+		label := submission.Spec.Steps[i].RequiredLabel
+		if label != "" && !slices.Contains(c.requiredLabels[submission.Service], label) {
+			c.requiredLabels[submission.Service] = append(c.requiredLabels[submission.Service], label)
+		}
+	}
+}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -17,8 +17,11 @@
 	// classStarved: the oldest job of a service among those that have waited for starvationTimeout
 	// after they could no longer earn credit.
 	classStarved
-	classOnTime  // can still be completed within its target
-	classLate    // earns reduced credit
+	classOnTime // can still be completed within its target
+	classLate   // earns reduced credit
+	// classBeyondWeight: could earn credit, but its workspace has handed in more jobs than its weight
+	// allows.
+	classBeyondWeight
 	classExpired // earns no credit any more, but is still completed
 )
 
@@ -93,6 +96,9 @@
 	default:
 		cand.class = classExpired
 	}
+	if j.isBeyondWeight && (cand.class == classOnTime || cand.class == classLate) {
+		cand.class = classBeyondWeight
+	}
 	return cand
 }
 
