--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -6,12 +6,10 @@
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/front"
-	"github.com/yuccadrift/yuccadrift/internal/intake"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
 	"github.com/yuccadrift/yuccadrift/internal/owner"
 	"github.com/yuccadrift/yuccadrift/internal/ownership"
-	"github.com/yuccadrift/yuccadrift/internal/published"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -28,8 +26,8 @@
 )
 
 // ownerDirectory finds and calls the owner of a service's jobs, on this or another node. It
-// also serves such calls of other nodes to the owners on this node (the methods Serve...), and
-// keeps the reports of stopped owners for their successors (release.go).
+// also serves such calls of other nodes to the owners on this node (serve.go), and keeps the
+// reports of stopped owners for their successors (release.go).
 type ownerDirectory struct {
 	partitions  int
 	selfAddress string // this node's address for other nodes
@@ -141,66 +139,3 @@
 		return o.ServeDrain(ctx, req)
 	}
 }
-
-// ServeJobState serves MethodJobState.
-func (o *ownerDirectory) ServeJobState(ctx context.Context, req nodepeer.Request) (nodepeer.Response, error) {
-	localOwner := o.localOwner(req.Partition)
-	if localOwner == nil {
-		return nodepeer.Response{}, nil
-	}
-	s, ok := localOwner.State(ctx, req.Job)
-	return nodepeer.Response{IsOwner: ok, Known: s.Known, State: s.State, Workspace: s.Workspace, JobQueue: s.Queue}, nil
-}
-
-// localWaitingJobs returns the response to MethodWaiting of an owner on this node.
-func (o *ownerDirectory) localWaitingJobs(ctx context.Context, req nodepeer.Request) (nodepeer.Response, error) {
-	localOwner := o.localOwner(req.Partition)
-	if localOwner == nil {
-		return nodepeer.Response{}, nil
-	}
-	n, ok := localOwner.WaitingJobs(ctx, req.Queue)
-	return nodepeer.Response{IsOwner: ok, Waiting: n}, nil
-}
-
-// ServeDrain serves MethodDrain.
-func (o *ownerDirectory) ServeDrain(ctx context.Context, req nodepeer.Request) (nodepeer.Response, error) {
-	localOwner := o.localOwner(req.Partition)
-	if localOwner == nil {
-		return nodepeer.Response{}, nil
-	}
-	state, ok := localOwner.DrainWorker(ctx, req.Worker)
-	return nodepeer.Response{IsOwner: ok, Drained: state != workload.NotDrained, DrainConfirmed: state == workload.Drained}, nil
-}
-
-// ServeLoads serves MethodLoads.
-func (o *ownerDirectory) ServeLoads(ctx context.Context, req nodepeer.Request) (nodepeer.Response, error) {
-	localOwner := o.localOwner(req.Partition)
-	if localOwner == nil {
-		return nodepeer.Response{}, nil
-	}
-	loads, ok := localOwner.Loads(ctx, req.Service, req.DueForMaintenance)
-	return nodepeer.Response{IsOwner: ok, Loads: loads}, nil
-}
-
-// peerHandler serves the calls of other nodes.
-type peerHandler struct {
-	*ownerDirectory
-	intake    *intake.Router
-	published *published.Follower
-	peers     configPeers
-}
-
-// ServeStore serves MethodStore. It rejects records other than submissions and cancellations.
-func (p peerHandler) ServeStore(ctx context.Context, req nodepeer.Request) (nodepeer.Response, error) {
-	record, ok, err := workload.DecodeRecord(req.RecordKey, req.RecordValue)
-	if err != nil || !ok || record.Submission == nil && !record.Cancel {
-		return nodepeer.Response{StoreResult: &nodepeer.StoreResult{Status: platform.StoreInvalid, Reason: "no record of a caller"}}, nil
-	}
-	response := p.intake.Serve(ctx, intake.StoreRequest{Partition: req.Partition, Record: record, PendingAfter: time.Duration(req.PendingAfterMS) * time.Millisecond})
-	return nodepeer.Response{StoreResult: &nodepeer.StoreResult{Status: response.Status, Pending: response.Pending, Unavailable: response.Unavailable, Reason: response.Reason}}, nil
-}
-
-// ServeWaiting serves MethodWaiting.
-func (p peerHandler) ServeWaiting(ctx context.Context, req nodepeer.Request) (nodepeer.Response, error) {
-	return p.ownerDirectory.localWaitingJobs(ctx, req)
-}
