--- a/internal/testkit/jobs.go
+++ b/internal/testkit/jobs.go
@@ -32,6 +32,8 @@
 type JobCluster struct {
 	Platform *standin.Platform
 	Nodes    []*JobNode
+	// Key is the workspace's key of all calls, "" for none.
+	Key string
 
 	t      testing.TB
 	client *http.Client
@@ -184,6 +186,9 @@
 	}
 	req.Host = standin.Host
 	platform.SetCallerTimeout(req, callerTimeout)
+	if c.Key != "" {
+		platform.SetCallerKey(req, c.Key)
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0, err.Error()
