Takeovers decode records once, and read ended jobs without their work

Cause: after a loss of all nodes at a peak the busiest partition had 3,911 records and its takeover took 0.85 s on 0.8 of a core; most were of jobs that had ended. Ruled out: waiting for workers (complete 0.09 s after the records).

Change: one decode; the few records of owners are picked by key before.

--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -99,6 +99,18 @@
 	return l.store.Read(ctx, l.partition, from, wait)
 }
 
+// DecodeOwnerRecords decodes only the records of the partition's owners. Errors are left to Decode.
+func DecodeOwnerRecords(batch platform.Batch) []workload.Record {
+	var own platform.Batch
+	for _, r := range batch.Records {
+		if workload.IsOwnerKey(r.Key) {
+			own.Records = append(own.Records, r)
+		}
+	}
+	records, _ := Decode(own)
+	return records
+}
+
 // Decode decodes the records of a batch. It returns an error for each record that can't be
 // decoded, besides the other records.
 func Decode(batch platform.Batch) (records []workload.Record, errs []error) {
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -194,7 +194,7 @@
 // there is none. A handover of any earlier owner doesn't count: later owners have started
 // more runs.
 func predecessorHandover(batch platform.Batch) (*workload.Handover, *workload.Takeover) {
-	records, _ := joblog.Decode(batch) // applyBatch logs the errors
+	records := joblog.DecodeOwnerRecords(batch)
 	var handover *workload.Handover
 	var lastTakeover *workload.Takeover
 	for _, r := range records {
--- a/internal/owner/loans.go
+++ b/internal/owner/loans.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/scheduler"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -55,8 +54,7 @@
 }
 
 // restoreLoans passes the stored loans of earlier owners to the core.
-func restoreLoans(core *scheduler.Core, batch platform.Batch) {
-	records, _ := joblog.Decode(batch) // applyBatch has logged the errors
+func restoreLoans(core *scheduler.Core, records []workload.Record) {
 	for _, r := range records {
 		if r.Loans != nil {
 			core.RestoreLoans(r.Loans)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -186,9 +186,10 @@
 		o.config = config
 		core.SetConfig(config) // the weights of workspaces count when jobs are added
 	}
-	restoreLoans(core, batch)
-	o.applyBatch(core, batch, time.Now())
-	restoreProgress(core, batch, predecessor.unstoredProgress)
+	records := o.decode(batch)
+	restoreLoans(core, records)
+	applyRecords(core, records, time.Now())
+	restoreProgress(core, records, predecessor.unstoredProgress)
 	predecessor.apply(core, time.Now())
 	go o.tail(ctx, batch.Next)
 	close(o.loaded)
--- a/internal/owner/tail.go
+++ b/internal/owner/tail.go
@@ -11,13 +11,13 @@
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
-// applyBatch applies the stored records of callers' requests to the core.
-func (o *Owner) applyBatch(core *scheduler.Core, batch platform.Batch, now time.Time) {
+// decode decodes the records of a batch. It logs those that can't be decoded and skips them.
+func (o *Owner) decode(batch platform.Batch) []workload.Record {
 	records, bad := joblog.Decode(batch)
 	for _, err := range bad {
 		o.logger.Error("stored record can't be decoded and is skipped", "error", err)
 	}
-	applyRecords(core, records, now)
+	return records
 }
 
 // applyRecords applies records of callers' requests to the core. A record may be applied
@@ -47,8 +47,7 @@
 // restoreProgress restores the progress that earlier owners stored. It skips jobs in
 // reported, of which the predecessor has reported later progress. It is not used for
 // records that the tail reads back: the core's own state is newer than those.
-func restoreProgress(core *scheduler.Core, batch platform.Batch, reported map[workload.JobID]*workload.Progress) {
-	records, _ := joblog.Decode(batch) // applyBatch has logged the errors
+func restoreProgress(core *scheduler.Core, records []workload.Record, reported map[workload.JobID]*workload.Progress) {
 	for _, r := range records {
 		if r.Progress != nil && reported[r.Job] == nil {
 			core.RestoreProgress(r.Job, r.Progress)
@@ -71,8 +70,9 @@
 			continue
 		}
 		next = batch.Next
+		records := o.decode(batch)
 		o.enqueue(ctx, func(c *scheduler.Core, now time.Time) {
-			o.applyBatch(c, batch, now)
+			applyRecords(c, records, now)
 			o.lastReadSentAt = sentAt
 		})
 		if len(batch.Records) > 0 {
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -65,12 +65,17 @@
 	c.dirtyJobs[id] = j
 }
 
-// unstoredProgressRecords returns the progress of the jobs whose progress must be stored.
+// unstoredProgressRecords returns the progress of the jobs whose progress must be stored. It replaces the
+// submission of a job that has ended. While the job has live runs a later owner needs the whole
+// submission, to know what they reserve.
 func (c *Core) unstoredProgressRecords() []workload.Record {
 	var records []workload.Record
 	for _, j := range c.activeJobs {
 		if c.dirtyJobs[j.id] != nil {
 			records = append(records, workload.Record{Job: j.id, Progress: j.progressToStore()})
+			if j.finalState.IsTerminal() && j.liveRuns == 0 {
+				records = append(records, workload.Record{Job: j.id, Submission: j.submission.WithoutWork()})
+			}
 		}
 	}
 	return records
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -16,6 +16,15 @@
 	Spec         Spec   `json:"j"`
 }
 
+// WithoutWork returns the submission without its payload, and with one empty step in place of its steps.
+// It replaces the submission of a job that has ended: a later owner still shows the job, and reads a tenth
+// of the bytes.
+func (s *Submission) WithoutWork() *Submission {
+	brief := *s
+	brief.Spec = Spec{Steps: []Step{{Count: 1}}}
+	return &brief
+}
+
 // Progress is the stored record of what the owner knows of a job's runs: completed tasks,
 // failed runs and crashes.
 type Progress struct {
@@ -43,10 +52,14 @@
 	progressPrefix   = "p/"
 	loansPrefix      = "l/" // followed by a workspace
 
-	handoverKey = "owner/left"
-	takeoverKey = "owner/last"
+	ownerPrefix = "owner/"
+	handoverKey = ownerPrefix + "left"
+	takeoverKey = ownerPrefix + "last"
 )
 
+// IsOwnerKey reports whether a record with the key is one of an owner of the partition.
+func IsOwnerKey(key string) bool { return strings.HasPrefix(key, ownerPrefix) }
+
 // anonymousCancel is the value of a cancellation that doesn't state who sent it.
 const anonymousCancel = "1"
 
