loans: ask the others too for what a borrower owes

Cause: an owner that lacked allowance asked for what it had lent from its borrower alone. A borrower that had lent that on, back to the same owner, could give nothing, and the others were not asked: a workspace whose tasks exceed its cap stood still for good with 213 of 900 thousandths unused on a third partition.

Change: each other partition is asked for its part of the whole deficit, the borrower for all it owes; what is too much is given back after a second.

--- a/internal/scheduler/allowance.go
+++ b/internal/scheduler/allowance.go
@@ -41,13 +41,13 @@
 	share        workload.Resources // of the cap, of this partition
 	reserved     workload.Resources // by runs that are not known to have ended
 	weight       float64            // of the workspace, 0 if it has none
-	jobAllowance jobAllowance
+	jobAllowance jobAllowance       // for jobs at full rank
 	// settledCap is the last cap that has settled, nil if none has. While settlingVersion is not 0
 	// the current cap hasn't settled; it is the configuration that lowered it.
 	settledCap      *workload.Resources
 	settlingVersion int64
-	lent            map[int]workload.Resources
-	borrowed        map[int]workload.Resources
+	lent            map[int]workload.Resources // by borrowing partition
+	borrowed        map[int]workload.Resources // by lending partition
 	// recalls are the requests of lenders that want back what this partition has borrowed, by
 	// lender.
 	recalls map[int]recall
--- a/internal/scheduler/loans.go
+++ b/internal/scheduler/loans.go
@@ -214,9 +214,10 @@
 	}
 }
 
-// wantedLoans divides each account's deficit among the other partitions: first what they have
-// borrowed from this one, then equal parts of the rest. The next request follows soon if some have
-// less than their part.
+// wantedLoans divides each account's deficit among the other partitions in equal parts. A partition that
+// has borrowed from this one is asked for all of that, up to the deficit. It doesn't count toward what
+// the others are asked for: the borrower may have lent it on. What is too much is given back, and the
+// next request follows soon if some have less than their part.
 func (c *Core) wantedLoans(others []int) map[int]workload.AmountsByWorkspace {
 	wanted := map[int]workload.AmountsByWorkspace{}
 	if len(others) == 0 {
@@ -237,14 +238,12 @@
 			continue
 		}
 		deficit := a.deficit(c.obtainable(a))
-		for _, borrower := range slices.Sorted(maps.Keys(a.lent)) {
-			own := deficit.Min(a.lent[borrower])
-			want(borrower, a, own)
-			deficit = deficit.Sub(own)
+		if deficit == (workload.Resources{}) {
+			continue
 		}
 		part := deficit.Add(roundUp).DividedBy(len(others))
 		for _, partition := range others {
-			want(partition, a, part)
+			want(partition, a, part.Max(deficit.Min(a.lent[partition])))
 		}
 	}
 	return wanted
