--- a/internal/scheduler/allowance.go
+++ b/internal/scheduler/allowance.go
@@ -256,6 +256,12 @@
 	a.blocked, a.blockedByOverCap = workload.Resources{}, false
 }
 
+// isQuiet reports whether the workspace has nothing here: no run, no blocked task, no loan. Most of many
+// workspaces are quiet.
+func (a *account) isQuiet() bool {
+	return a.reserved == workload.Resources{} && !a.isBlocked() && len(a.lent) == 0 && len(a.borrowed) == 0 && len(a.recalls) == 0
+}
+
 // isBlocked reports whether the plan in progress, or the last one, has left tasks idle for want of
 // allowance.
 func (a *account) isBlocked() bool { return a.blocked != workload.Resources{} }
--- a/internal/scheduler/loans.go
+++ b/internal/scheduler/loans.go
@@ -102,6 +102,9 @@
 	c.applyShareGrowth(now)
 	uncovered := workload.AmountsByWorkspace{}
 	for _, a := range c.accounts {
+		if a.isQuiet() {
+			continue
+		}
 		c.giveBackRecalled(a, now)
 		c.giveBackSurplus(a, now)
 		if amount := a.uncovered(); a.isCapped && amount != (workload.Resources{}) {
@@ -234,7 +237,7 @@
 		wanted[partition][a.name] = wanted[partition][a.name].Add(amount)
 	}
 	for _, a := range c.accounts {
-		if !a.isCapped {
+		if !a.isCapped || a.isQuiet() {
 			continue
 		}
 		deficit := a.deficit(c.obtainable(a))
