--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -2,6 +2,7 @@
 # Runs all tests, but for those listed in KNOWN-RED.txt, which it prints.
 # A line of that file is "PACKAGE TEST | cause | issue", as in
 #   ./internal/claim TestOwnerPausedPastLease | lease read before the pause | issue 4
+# or, for one subtest of a test, "PACKAGE TEST/SUBTEST | cause | issue".
 # Empty lines and lines that start with # are left out. Three lines at most; a
 # line whose test does not exist is an error, so that stale ones do not stay.
 # Arguments are handed to `go test`.
@@ -27,18 +28,29 @@
 packages=$($go list ./...)
 declare -A skip=()
 for line in "${red[@]+"${red[@]}"}"; do
-	[[ $line =~ ^(\./[^ ]+)\ (Test[A-Za-z0-9_]*)\ \|\ [^|]+\ \|\ [^|]+$ ]] || fail "not 'PACKAGE TEST | cause | issue': $line"
+	[[ $line =~ ^(\./[^ ]+)\ (Test[A-Za-z0-9_]*)(/[A-Za-z0-9_]+)?\ \|\ [^|]+\ \|\ [^|]+$ ]] || fail "not 'PACKAGE TEST | cause | issue': $line"
 	package=$($go list "${BASH_REMATCH[1]}")
 	name=${BASH_REMATCH[2]}
 	[[ -n $($go test -list "^$name\$" "$package" | grep -x "$name") ]] || fail "no such test: $package $name"
-	skip[$package]+="${skip[$package]:+|}$name"
+	subtest=${BASH_REMATCH[3]#/}
+	skip[$package]+="${skip[$package]:+|}^$name\$${subtest:+/^$subtest\$}"
 	echo "known red, passed over: $line"
 done
 
-status=0
+# The packages with listed tests run beside the others; their output comes after the others' output.
+output=$(mktemp -d)
+trap 'rm -rf "$output"' EXIT
+status=0 number=0
+pids=()
+for package in "${!skip[@]}"; do
+	$go test "$@" -skip "${skip[$package]}" "$package" >"$output/${#pids[@]}" 2>&1 &
+	pids+=($!)
+done
 # shellcheck disable=SC2086 # one package a word
 $go test "$@" $(grep -vxF -f <(printf '%s\n' "${!skip[@]}" /) <<<"$packages") || status=$?
-for package in "${!skip[@]}"; do
-	$go test "$@" -skip "^(${skip[$package]})\$" "$package" || status=$?
+for pid in "${pids[@]+"${pids[@]}"}"; do
+	wait "$pid" || status=$?
+	cat "$output/$number"
+	((++number))
 done
 exit $status
