joblog: say where errors of owners' records are logged

Cause: DecodeOwnerRecords drops errors, and its comment did not say who reports them. The takeover decodes the same batch again (Owner.decode), which logs each, so a line here would be the same line twice. Ruled out: a handover used wrongly. Without the takeover record no handover counts and the caps wait, by reading; no test shows it.

--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -99,7 +99,9 @@
 	return l.store.Read(ctx, l.partition, from, wait)
 }
 
-// DecodeOwnerRecords decodes only the records of the partition's owners. Errors are left to Decode.
+// DecodeOwnerRecords decodes only the records of the partition's owners. It skips records that can't
+// be decoded without an error: a takeover decodes the same batch with Decode as well, and logs them
+// then.
 func DecodeOwnerRecords(batch platform.Batch) []workload.Record {
 	var own platform.Batch
 	for _, r := range batch.Records {
