front: split submissions and responses off; interfaces for truthful refusals and return times

handler.go held routing, submissions, cancellations and responses in one file, and each refusal built its own answer with the same Retry-After of one second. Three decisions are about to grow there, so each gets a place of its own first: acceptance (what may be said of a job), returntime (when a refused caller should return), and front's refuse, which joins them.

Ruled out: one package for both decisions; what is true of a job doesn't depend on when its caller should return.

Behaviour is the same: a refused attempt counts as never accepted, and each refusal asks for a return after one second, as before.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,7 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/yuccadrift/yuccadrift/internal/wait"
+	"github.com/yuccadrift/yuccadrift/internal/returntime"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -25,14 +23,6 @@
 	// responseMargin is the part of the caller's timeout that is reserved for sending the
 	// response. It is also the shortest timeout with which a request is handled.
 	responseMargin = 100 * time.Millisecond
-	// storeRetryInterval is the pause before a refused record is tried again.
-	storeRetryInterval = 60 * time.Millisecond
-	// maxRefusalRetryTime is how long a refused record is retried. A caller that is refused
-	// early can try elsewhere.
-	maxRefusalRetryTime = 250 * time.Millisecond
-	// retryAfterSeconds is the value of the Retry-After header.
-	retryAfterSeconds   = 1
-	defaultMaxBodyBytes = 256 << 10 // if the configuration sets no limit
 )
 
 // ConfigFunc returns the configuration in force, nil before the first was read.
@@ -92,15 +82,6 @@
 	return workload.Requester{Workspace: r.workspace, Queue: r.queue.Name}
 }
 
-// response is the response to a caller.
-type response struct {
-	status         int
-	body           []byte
-	reason         string // for the log
-	sendRetryAfter bool
-	challengesKey  bool // the request needs a valid key
-}
-
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := &request{http: r, startedAt: time.Now()}
@@ -110,8 +91,8 @@
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(res.body)))
-	if res.sendRetryAfter {
-		header.Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	if res.retryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(wholeSeconds(res.retryAfter)))
 	}
 	if res.challengesKey {
 		header.Set(platform.KeyChallenge())
@@ -128,7 +109,7 @@
 func (h *Handler) handle(req *request) response {
 	config := h.Config()
 	if config == nil {
-		return retryableResponse(http.StatusServiceUnavailable, "no configuration was read yet")
+		return retryableResponse(returntime.NoConfiguration, "no configuration was read yet")
 	}
 	req.configVersion = config.Version
 	req.queue = config.Route(hostOf(req.http), req.http.URL.Path)
@@ -193,7 +174,7 @@
 	}
 	n, ok := h.Owners.WaitingJobs(ctx, req.queue.Service, req.queue.Name)
 	if !ok {
-		return retryableResponse(http.StatusServiceUnavailable, "the owner of the service can't be asked")
+		return retryableResponse(returntime.OwnerUnavailable, "the owner of the service can't be asked")
 	}
 	return response{status: http.StatusOK, body: platform.EncodeWaiting(n)}
 }
@@ -205,7 +186,7 @@
 func (h *Handler) jobState(ctx context.Context, req *request, id workload.JobID) response {
 	status, ok := h.Owners.Status(ctx, req.queue.Service, id)
 	if !ok {
-		return retryableResponse(http.StatusServiceUnavailable, "the owner of the service can't be asked")
+		return retryableResponse(returntime.OwnerUnavailable, "the owner of the service can't be asked")
 	}
 	if !status.isVisibleTo(req.requester()) {
 		return noSuchJob()
@@ -213,96 +194,6 @@
 	return response{status: http.StatusOK, body: platform.EncodeState(status.State)}
 }
 
-func (h *Handler) submit(ctx context.Context, req *request, id workload.JobID, config *workload.Config) response {
-	maxBodyBytes := config.Limits.MaxBodyBytes
-	if maxBodyBytes <= 0 {
-		maxBodyBytes = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(req.http.Body, int64(maxBodyBytes)+1))
-	if err != nil {
-		return errorResponse(http.StatusBadRequest, "the body can't be read: "+err.Error())
-	}
-	if len(body) > maxBodyBytes {
-		return errorResponse(http.StatusRequestEntityTooLarge, "the body has more than "+strconv.Itoa(maxBodyBytes)+" bytes")
-	}
-	spec, err := platform.DecodeJob(body)
-	if err != nil {
-		return errorResponse(http.StatusBadRequest, err.Error())
-	}
-	sub := &workload.Submission{
-		Queue:        req.queue.Name,
-		Service:      req.queue.Service,
-		Workspace:    req.workspace,
-		AcceptedAtMS: req.startedAt.UnixMilli(),
-		Spec:         spec,
-	}
-	return h.storeRecord(ctx, req, workload.Record{Job: id, Submission: sub})
-}
-
-// accessCheckTimeout bounds the check whether a caller may cancel a job. An owner answers within
-// milliseconds.
-const accessCheckTimeout = 150 * time.Millisecond
-
-// cancel stores a cancellation. Where there are workspaces, it states who sent it, so that the
-// owner ignores it if the requester may not access the job. The check before only makes the
-// response true, and is skipped if the owner doesn't answer.
-func (h *Handler) cancel(ctx context.Context, req *request, id workload.JobID, config *workload.Config) response {
-	record := workload.Record{Job: id, Cancel: true}
-	if config.Workspaces != nil {
-		requester := req.requester()
-		record.CancelledBy = &requester
-		checkCtx, cancelCheck := context.WithTimeout(ctx, accessCheckTimeout)
-		defer cancelCheck()
-		if status, ok := h.Owners.Status(checkCtx, req.queue.Service, id); ok && status.Known && !status.isVisibleTo(requester) {
-			return noSuchJob()
-		}
-	}
-	return h.storeRecord(ctx, req, record)
-}
-
-// storeRecord stores a record before the caller gets a response. If the record is certainly
-// not stored the response is a refusal, after which the caller can try elsewhere. If it may
-// still be stored the response is a gateway timeout: after a refusal the job could run
-// although its caller was told that it won't. h.Jobs.Accept retries an unknown outcome as
-// long as the caller waits.
-func (h *Handler) storeRecord(ctx context.Context, req *request, r workload.Record) response {
-	for {
-		status, err := h.Jobs.Accept(ctx, req.queue.Service, r)
-		switch status {
-		case platform.StoreOK:
-			return response{status: http.StatusOK, body: []byte("{}")}
-		case platform.StoreRefused:
-			if time.Since(req.startedAt) > maxRefusalRetryTime || wait.Sleep(ctx, storeRetryInterval) != nil {
-				return retryableResponse(http.StatusServiceUnavailable, "the store is away, the request was not taken: "+err.Error())
-			}
-		case platform.StoreUnknown:
-			return errorResponse(http.StatusGatewayTimeout, "the store did not answer, the request may have been taken: "+err.Error())
-		default:
-			return errorResponse(http.StatusInternalServerError, "store: "+err.Error())
-		}
-	}
-}
-
-// errorBody is the body of an error response.
-type errorBody struct {
-	Error string `json:"error"`
-}
-
-func errorResponse(status int, reason string) response {
-	body, err := json.Marshal(errorBody{Error: reason})
-	if err != nil {
-		body = nil // a string always encodes
-	}
-	return response{status: status, body: body, reason: reason}
-}
-
-// retryableResponse returns an error response that asks the caller to retry.
-func retryableResponse(status int, reason string) response {
-	res := errorResponse(status, reason)
-	res.sendRetryAfter = true
-	return res
-}
-
 // logRequest logs each request that changes something or fails. Successful reads are only
 // counted.
 func (h *Handler) logRequest(req *request, res response) {
--- /dev/null
+++ b/internal/front/response.go
@@ -0,0 +1,41 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/returntime"
+)
+
+// response is the response to a caller.
+type response struct {
+	status        int
+	body          []byte
+	reason        string        // for the log
+	retryAfter    time.Duration // 0 if the request should not be sent again
+	challengesKey bool          // the request needs a valid key
+}
+
+// errorBody is the body of an error response.
+type errorBody struct {
+	Error string `json:"error"`
+}
+
+func errorResponse(status int, reason string) response {
+	body, err := json.Marshal(errorBody{Error: reason})
+	if err != nil {
+		body = nil // a string always encodes
+	}
+	return response{status: status, body: body, reason: reason}
+}
+
+// retryableResponse returns a refusal that tells the caller when to send its request again.
+func retryableResponse(cause returntime.Cause, reason string) response {
+	res := errorResponse(http.StatusServiceUnavailable, reason)
+	res.retryAfter = returntime.After(returntime.Refusal{Cause: cause})
+	return res
+}
+
+// wholeSeconds rounds d up to whole seconds, the unit of the Retry-After header.
+func wholeSeconds(d time.Duration) int { return int((d + time.Second - 1) / time.Second) }
--- /dev/null
+++ b/internal/front/submit.go
@@ -0,0 +1,113 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/acceptance"
+	"github.com/yuccadrift/yuccadrift/internal/returntime"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// Timeouts and sizes of submissions and cancellations.
+const (
+	// storeRetryInterval is the pause before a refused record is tried again.
+	storeRetryInterval = 60 * time.Millisecond
+	// maxRefusalRetryTime is how long a refused record is retried. A caller that is refused
+	// early can try elsewhere.
+	maxRefusalRetryTime = 250 * time.Millisecond
+	defaultMaxBodyBytes = 256 << 10 // if the configuration sets no limit
+)
+
+func (h *Handler) submit(ctx context.Context, req *request, id workload.JobID, config *workload.Config) response {
+	maxBodyBytes := config.Limits.MaxBodyBytes
+	if maxBodyBytes <= 0 {
+		maxBodyBytes = defaultMaxBodyBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(req.http.Body, int64(maxBodyBytes)+1))
+	if err != nil {
+		return errorResponse(http.StatusBadRequest, "the body can't be read: "+err.Error())
+	}
+	if len(body) > maxBodyBytes {
+		return errorResponse(http.StatusRequestEntityTooLarge, "the body has more than "+strconv.Itoa(maxBodyBytes)+" bytes")
+	}
+	spec, err := platform.DecodeJob(body)
+	if err != nil {
+		return errorResponse(http.StatusBadRequest, err.Error())
+	}
+	sub := &workload.Submission{
+		Queue:        req.queue.Name,
+		Service:      req.queue.Service,
+		Workspace:    req.workspace,
+		AcceptedAtMS: req.startedAt.UnixMilli(),
+		Spec:         spec,
+	}
+	return h.storeRecord(ctx, req, workload.Record{Job: id, Submission: sub})
+}
+
+// accessCheckTimeout bounds the check whether a caller may cancel a job. An owner answers within
+// milliseconds.
+const accessCheckTimeout = 150 * time.Millisecond
+
+// cancel stores a cancellation. Where there are workspaces, it states who sent it, so that the
+// owner ignores it if the requester may not access the job. The check before only makes the
+// response true, and is skipped if the owner doesn't answer.
+func (h *Handler) cancel(ctx context.Context, req *request, id workload.JobID, config *workload.Config) response {
+	record := workload.Record{Job: id, Cancel: true}
+	if config.Workspaces != nil {
+		requester := req.requester()
+		record.CancelledBy = &requester
+		checkCtx, cancelCheck := context.WithTimeout(ctx, accessCheckTimeout)
+		defer cancelCheck()
+		if status, ok := h.Owners.Status(checkCtx, req.queue.Service, id); ok && status.Known && !status.isVisibleTo(requester) {
+			return noSuchJob()
+		}
+	}
+	return h.storeRecord(ctx, req, record)
+}
+
+// storeRecord stores a record before the caller gets a response. If the record is certainly
+// not stored the response is a refusal, after which the caller can try elsewhere. If it may
+// still be stored the response is a gateway timeout: after a refusal the job could run
+// although its caller was told that it won't. h.Jobs.Accept retries an unknown outcome as
+// long as the caller waits.
+func (h *Handler) storeRecord(ctx context.Context, req *request, r workload.Record) response {
+	for {
+		status, err := h.Jobs.Accept(ctx, req.queue.Service, r)
+		switch status {
+		case platform.StoreOK:
+			return response{status: http.StatusOK, body: []byte("{}")}
+		case platform.StoreRefused:
+			if time.Since(req.startedAt) > maxRefusalRetryTime || wait.Sleep(ctx, storeRetryInterval) != nil {
+				return h.refuse(ctx, req, r.Job, returntime.StoreUnavailable, "the store is away, the request was not taken: "+err.Error())
+			}
+		case platform.StoreUnknown:
+			return errorResponse(http.StatusGatewayTimeout, "the store did not answer, the request may have been taken: "+err.Error())
+		default:
+			return errorResponse(http.StatusInternalServerError, "store: "+err.Error())
+		}
+	}
+}
+
+// judge returns what is known of a job whose record this attempt has not stored.
+func (h *Handler) judge(_ context.Context, _ *request, _ workload.JobID) acceptance.Verdict {
+	return acceptance.Judge(acceptance.Evidence{AttemptRefused: true})
+}
+
+// refuse returns the response to a submission or cancellation whose record is certainly not stored.
+// The response promises that the request has no effect only if no earlier attempt can have one.
+func (h *Handler) refuse(ctx context.Context, req *request, id workload.JobID, cause returntime.Cause, reason string) response {
+	switch h.judge(ctx, req, id) {
+	case acceptance.Accepted:
+		return response{status: http.StatusOK, body: []byte("{}")}
+	case acceptance.NeverAccepted:
+		return retryableResponse(cause, reason)
+	default:
+		return errorResponse(http.StatusGatewayTimeout, "the request may have been taken before: "+reason)
+	}
+}
