owner: jobs start in the order of the partition's records

An owner that was replaced without knowing it could start a job that its successor starts as well: its tail ignored the takeovers of later owners, and what its own node had stored reached the core past the log's order. Workers refuse its orders once the successor has reached them, and its authority ends in time, so that nothing broke as long as each new owner waited for all workers; a successor could not rely on jobs behind its own takeover being unknown to earlier owners.

Ruled out: starting only what the tail has read. Also ruled out: a fenced write after each append, an append more for each batch.

The store's answer to an append states the offset. An owner now tracks how far it knows the partition without a gap, from its reads and from its own node's appends. A job is shown and counted as before, and starts once its record lies in that prefix; a gap ends the tail's pause. The owner steps down when it reads the takeover of a later owner, and applies nothing behind it. A takeover's record states that its owner does so.

The histories' owners follow the log in order, store part of the jobs through their own node, and submit an eighth of them twice.

--- a/internal/fleetowner/actions_test.go
+++ b/internal/fleetowner/actions_test.go
@@ -20,9 +20,9 @@
 // slowStore accepts writes after a latency.
 type slowStore struct{ latency time.Duration }
 
-func (s *slowStore) Append(context.Context, platform.Partition, *platform.Producer, ...platform.KeyedRecord) (platform.StoreStatus, error) {
+func (s *slowStore) AppendSpan(context.Context, platform.Partition, *platform.Producer, ...platform.KeyedRecord) (platform.Span, platform.StoreStatus, error) {
 	time.Sleep(s.latency)
-	return platform.StoreOK, nil
+	return platform.Span{}, platform.StoreOK, nil
 }
 
 func (s *slowStore) Read(context.Context, platform.Partition, int64, time.Duration) (platform.Batch, platform.StoreStatus, error) {
--- a/internal/fleetowner/writer.go
+++ b/internal/fleetowner/writer.go
@@ -94,7 +94,7 @@
 		records[i] = p.record
 	}
 	for ctx.Err() == nil {
-		status, err := w.log.Write(ctx, w.epoch, sequence, records)
+		_, status, err := w.log.Write(ctx, w.epoch, sequence, records)
 		switch status {
 		case platform.StoreOK:
 			return nil
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -24,8 +24,8 @@
 	hedgeDelayFactor = 3
 	// hedgeDelayGrowth is the factor between the delays of successive calls.
 	hedgeDelayGrowth = 2.5
-	// maxCalls bounds the calls for one write.
-	maxCalls = 4
+	// MaxCalls bounds the calls for one write.
+	MaxCalls = 4
 	// latencyDecay is the share of the difference by which a shorter latency lowers the
 	// estimate. A longer latency replaces the estimate.
 	latencyDecay = 0.1
@@ -135,12 +135,12 @@
 // Call is one call of a write.
 type Call func(ctx context.Context) (platform.StoreStatus, error)
 
-// Write repeats call, up to maxCalls calls in all, until the outcome is known or all calls
+// Write repeats call, up to MaxCalls calls in all, until the outcome is known or all calls
 // have ended. It returns StoreRefused only if no call had or can still have an effect.
 func (h *Hedger) Write(ctx context.Context, call Call) (platform.StoreStatus, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan callResult, maxCalls)
+	results := make(chan callResult, MaxCalls)
 	var latestSentAt time.Time // of the latest call
 	send := func() {
 		latestSentAt = time.Now()
@@ -168,7 +168,7 @@
 			switch {
 			case h.isHedgeDeferred(latestSentAt):
 				timer.Reset(deferralCheckInterval)
-			case sent < maxCalls:
+			case sent < MaxCalls:
 				send()
 				sent++
 				delay = time.Duration(hedgeDelayGrowth * float64(delay))
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -41,11 +41,11 @@
 	return &serialStore{appendTime: appendTime, turn: make(chan struct{}, 1), keys: map[string]bool{}}
 }
 
-func (s *serialStore) Append(ctx context.Context, _ platform.Partition, _ *platform.Producer, records ...platform.KeyedRecord) (platform.StoreStatus, error) {
+func (s *serialStore) AppendSpan(ctx context.Context, _ platform.Partition, _ *platform.Producer, records ...platform.KeyedRecord) (platform.Span, platform.StoreStatus, error) {
 	s.mu.Lock()
 	if time.Duration(s.waiting)*s.appendTime > maxQueueWait {
 		s.mu.Unlock()
-		return platform.StoreRefused, errors.New("busy")
+		return platform.Span{}, platform.StoreRefused, errors.New("busy")
 	}
 	s.waiting++
 	s.mu.Unlock()
@@ -65,11 +65,11 @@
 	}()
 	select {
 	case <-done:
-		return platform.StoreOK, nil
+		return platform.Span{}, platform.StoreOK, nil
 	case <-ctx.Done():
-		return platform.StoreUnknown, ctx.Err()
+		return platform.Span{}, platform.StoreUnknown, ctx.Err()
 	case <-time.After(callTimeout):
-		return platform.StoreUnknown, errors.New("no answer in time")
+		return platform.Span{}, platform.StoreUnknown, errors.New("no answer in time")
 	}
 }
 
@@ -283,13 +283,13 @@
 	answersToLose int
 }
 
-func (s *lossyStore) Append(ctx context.Context, p platform.Partition, producer *platform.Producer, records ...platform.KeyedRecord) (platform.StoreStatus, error) {
-	status, err := s.serialStore.Append(ctx, p, producer, records...)
+func (s *lossyStore) AppendSpan(ctx context.Context, p platform.Partition, producer *platform.Producer, records ...platform.KeyedRecord) (platform.Span, platform.StoreStatus, error) {
+	span, status, err := s.serialStore.AppendSpan(ctx, p, producer, records...)
 	if s.answersToLose > 0 {
 		s.answersToLose--
-		return platform.StoreUnknown, errors.New("connection lost")
+		return platform.Span{}, platform.StoreUnknown, errors.New("connection lost")
 	}
-	return status, err
+	return span, status, err
 }
 
 // The store's answers to three successive appends are lost. Instead of reporting an unknown
--- a/internal/joblog/acceptor.go
+++ b/internal/joblog/acceptor.go
@@ -29,8 +29,9 @@
 	maxQueuedRecords = 1024
 )
 
-// OnStored is called with the records of a partition that were just stored.
-type OnStored func(partition int, records []workload.Record)
+// OnStored is called with the records of a partition that were just stored. Their offsets follow each
+// other within span.
+type OnStored func(partition int, span platform.Span, records []workload.Record)
 
 // Acceptor stores records of callers' requests. Records that arrive while appends to their
 // partition are in flight go together into the next append: the store processes the appends
@@ -66,7 +67,7 @@
 // NewAcceptor returns an acceptor. onStored may be nil.
 func NewAcceptor(store Store, hedger *hedge.Hedger, onStored OnStored) *Acceptor {
 	if onStored == nil {
-		onStored = func(int, []workload.Record) {}
+		onStored = func(int, platform.Span, []workload.Record) {}
 	}
 	return &Acceptor{store: store, hedger: hedger, onStored: onStored, queues: map[int]*partitionQueue{}}
 }
@@ -166,11 +167,9 @@
 		part := platform.Partition{Topic: JobsTopic, Part: partition}
 		// The calls have their own timeouts. A waiter that gives up must not cancel the append,
 		// which has records of others.
-		status, err := a.hedger.Write(context.Background(), func(ctx context.Context) (platform.StoreStatus, error) {
-			return a.store.Append(ctx, part, nil, encoded...)
-		})
+		span, status, err := appendHedged(context.Background(), a.store, a.hedger, part, nil, encoded)
 		if status == platform.StoreOK {
-			a.onStored(partition, records)
+			a.onStored(partition, span, records)
 		}
 		a.completeBatch(q, batch, status, err)
 	}
--- a/internal/joblog/acceptor_test.go
+++ b/internal/joblog/acceptor_test.go
@@ -30,7 +30,7 @@
 	maxAppendBytes int
 }
 
-func (s *slowStore) Append(ctx context.Context, _ platform.Partition, _ *platform.Producer, records ...platform.KeyedRecord) (platform.StoreStatus, error) {
+func (s *slowStore) AppendSpan(ctx context.Context, _ platform.Partition, _ *platform.Producer, records ...platform.KeyedRecord) (platform.Span, platform.StoreStatus, error) {
 	s.mu.Lock()
 	s.appends++
 	s.records += len(records)
@@ -47,12 +47,12 @@
 	select {
 	case <-time.After(s.appendTime):
 	case <-ctx.Done():
-		return platform.StoreUnknown, ctx.Err()
+		return platform.Span{}, platform.StoreUnknown, ctx.Err()
 	}
 	if s.appendErr != nil {
-		return platform.StoreUnknown, s.appendErr
+		return platform.Span{}, platform.StoreUnknown, s.appendErr
 	}
-	return platform.StoreOK, nil
+	return platform.Span{}, platform.StoreOK, nil
 }
 
 func (s *slowStore) Read(context.Context, platform.Partition, int64, time.Duration) (platform.Batch, platform.StoreStatus, error) {
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -40,7 +40,7 @@
 
 // Store is the part of the platform's store that this package uses.
 type Store interface {
-	Append(ctx context.Context, p platform.Partition, producer *platform.Producer, records ...platform.KeyedRecord) (platform.StoreStatus, error)
+	AppendSpan(ctx context.Context, p platform.Partition, producer *platform.Producer, records ...platform.KeyedRecord) (platform.Span, platform.StoreStatus, error)
 	Read(ctx context.Context, p platform.Partition, from int64, wait time.Duration) (platform.Batch, platform.StoreStatus, error)
 	Newest(ctx context.Context, p platform.Partition) (platform.Batch, platform.StoreStatus, error)
 }
@@ -60,15 +60,32 @@
 // Fence sets the epoch of the owner. From then on the store refuses writes of owners with a
 // lower epoch.
 func (l *Log) Fence(ctx context.Context, epoch int64) (platform.StoreStatus, error) {
-	return l.store.Append(ctx, l.partition, &platform.Producer{Name: ownerProducer, Epoch: epoch})
+	_, status, err := l.store.AppendSpan(ctx, l.partition, &platform.Producer{Name: ownerProducer, Epoch: epoch})
+	return status, err
 }
 
-// Write stores records of the owner. A repeated write with the same sequence has no second
-// effect.
-func (l *Log) Write(ctx context.Context, epoch, sequence int64, records []platform.KeyedRecord) (platform.StoreStatus, error) {
-	return l.hedger.Write(ctx, func(ctx context.Context) (platform.StoreStatus, error) {
-		return l.store.Append(ctx, l.partition, &platform.Producer{Name: ownerProducer, Epoch: epoch, Sequence: sequence}, records...)
+// Write stores records of the owner and returns their offsets. A repeated write with the same sequence
+// has no second effect.
+func (l *Log) Write(ctx context.Context, epoch, sequence int64, records []platform.KeyedRecord) (platform.Span, platform.StoreStatus, error) {
+	producer := &platform.Producer{Name: ownerProducer, Epoch: epoch, Sequence: sequence}
+	return appendHedged(ctx, l.store, l.hedger, l.partition, producer, records)
+}
+
+// appendHedged appends records and repeats the call as the hedger decides. Without a producer several
+// calls may each append the records; the span is that of one of them.
+func appendHedged(ctx context.Context, store Store, hedger *hedge.Hedger, p platform.Partition, producer *platform.Producer, records []platform.KeyedRecord) (platform.Span, platform.StoreStatus, error) {
+	spans := make(chan platform.Span, hedge.MaxCalls)
+	status, err := hedger.Write(ctx, func(ctx context.Context) (platform.StoreStatus, error) {
+		span, status, err := store.AppendSpan(ctx, p, producer, records...)
+		if status == platform.StoreOK {
+			spans <- span
+		}
+		return status, err
 	})
+	if status != platform.StoreOK {
+		return platform.Span{}, status, err
+	}
+	return <-spans, status, err
 }
 
 // Encode returns the keyed records that store records and delete jobs.
@@ -122,6 +139,7 @@
 		case err != nil:
 			errs = append(errs, errors.Wrap(err, "stored record"))
 		case ok:
+			record.Offset = r.Offset
 			records = append(records, record)
 		}
 	}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -89,8 +89,8 @@
 
 // onStored passes records that were just stored to the partition's owner if it is on this
 // node. The owner then need not wait until it reads them.
-func (n *Node) onStored(partition int, records []workload.Record) {
+func (n *Node) onStored(partition int, span platform.Span, records []workload.Record) {
 	if localOwner := n.owners.localOwner(partition); localOwner != nil {
-		localOwner.HandleStored(records)
+		localOwner.HandleStored(span, records)
 	}
 }
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -72,7 +72,7 @@
 		o.logger.Error("handover can't be encoded", "error", err)
 		return false
 	}
-	status, err := o.log.Write(ctx, o.epoch, core.NextWriteSequence(), records)
+	_, status, err := o.log.Write(ctx, o.epoch, core.NextWriteSequence(), records)
 	// The line is logged for a failed write, too; status shows whether the records are stored.
 	o.logger.Info("partition left", "records", len(records), "status", status.String(), "error", err)
 	return status == platform.StoreOK
--- a/internal/owner/handover_test.go
+++ b/internal/owner/handover_test.go
@@ -30,8 +30,8 @@
 	}
 }
 
-func (s *memoryStore) Append(context.Context, platform.Partition, *platform.Producer, ...platform.KeyedRecord) (platform.StoreStatus, error) {
-	return platform.StoreOK, nil
+func (s *memoryStore) AppendSpan(context.Context, platform.Partition, *platform.Producer, ...platform.KeyedRecord) (platform.Span, platform.StoreStatus, error) {
+	return platform.Span{}, platform.StoreOK, nil
 }
 
 func (s *memoryStore) Read(_ context.Context, _ platform.Partition, from int64, _ time.Duration) (platform.Batch, platform.StoreStatus, error) {
--- a/internal/owner/loans.go
+++ b/internal/owner/loans.go
@@ -6,7 +6,6 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/scheduler"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
-	"github.com/yuccadrift/yuccadrift/platform"
 )
 
 // loanReplies are the channels of the loan requests that wait for the core's reply, by the ID that
@@ -65,8 +64,8 @@
 // allowancesFrom returns when an owner may begin to use the partition's shares of workspaces' caps.
 // The first owner of a partition waits until the configuration with its service is in force at the
 // owners of the others, which use larger shares until then.
-func (o *Owner) allowancesFrom(batch platform.Batch, now time.Time) time.Time {
-	if _, lastTakeover := predecessorHandover(batch); lastTakeover != nil {
+func (o *Owner) allowancesFrom(lastTakeover *workload.Takeover, now time.Time) time.Time {
+	if lastTakeover != nil {
 		return time.Time{}
 	}
 	return now.Add(o.deps.Bounds.MaxConfigApplyTime)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -100,10 +100,13 @@
 		return
 	}
 	for ctx.Err() == nil {
-		status, err := o.log.Write(ctx, o.epoch, w.Sequence, records)
+		span, status, err := o.log.Write(ctx, o.epoch, w.Sequence, records)
 		switch status {
 		case platform.StoreOK:
-			o.enqueue(ctx, func(c *scheduler.Core, _ time.Time) { c.HandleWriteResult() })
+			o.enqueue(ctx, func(c *scheduler.Core, _ time.Time) {
+				c.HandleWriteResult()
+				c.HandleWrittenSpan(w, span.From, span.To)
+			})
 			return
 		case platform.StoreFenced, platform.StoreOutOfSequence, platform.StoreInvalid:
 			reason := "write " + status.String() + ": " + err.Error()
@@ -124,7 +127,7 @@
 		o.logger.Error("records can't be encoded", "error", err)
 		return false
 	}
-	status, err := o.log.Write(ctx, o.epoch, o.lastWrite.Sequence, records)
+	_, status, err := o.log.Write(ctx, o.epoch, o.lastWrite.Sequence, records)
 	if status != platform.StoreOK {
 		o.logger.Warn("last write did not complete, no handover is stored", "status", status.String(), "error", err)
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -129,6 +129,7 @@
 	log       *joblog.Log
 	logger    hclog.Logger
 	inbox     chan event
+	tailWake  chan struct{}
 	executor  *executor
 	// loaded is closed once the core knows all stored records.
 	loaded            chan struct{}
@@ -159,6 +160,7 @@
 		log:       joblog.New(deps.Store, deps.Hedger, joblog.JobsTopic, partition),
 		logger:    deps.Logger.With("partition", partition, "epoch", epoch),
 		inbox:     make(chan event, inboxSize),
+		tailWake:  make(chan struct{}),
 		executor:  newExecutor(),
 		loaded:    make(chan struct{}),
 
@@ -181,14 +183,18 @@
 	if err != nil {
 		return err
 	}
-	core := o.newCore(ctx, fencedAt, predecessor.handover != nil, o.allowancesFrom(batch, fencedAt))
+	core := o.newCore(ctx, fencedAt, batch, predecessor.handover != nil)
 	if config := o.deps.Published.Config(); config != nil {
 		o.config = config
 		core.SetConfig(config) // the weights of workspaces count when jobs are added
 	}
 	records := o.decode(batch)
 	restoreLoans(core, records)
+	core.SetLogEnd(batch.Next)
 	applyRecords(core, records, time.Now())
+	if reason := core.StepDownReason(); reason != "" {
+		return errors.Wrap(ErrOwnershipLost, reason)
+	}
 	restoreProgress(core, records, predecessor.unstoredProgress)
 	predecessor.apply(core, time.Now())
 	go o.tail(ctx, batch.Next)
@@ -232,9 +238,10 @@
 	return platform.Batch{}, ctx.Err()
 }
 
-// newCore returns the scheduler core. Without a handover the core starts with the unresolved
-// workers, which may run tasks of an earlier owner.
-func (o *Owner) newCore(ctx context.Context, fencedAt time.Time, hasHandover bool, allowancesFrom time.Time) *scheduler.Core {
+// newCore returns the scheduler core for a partition that was read as batch. Without a handover the
+// core starts with the unresolved workers, which may run tasks of an earlier owner.
+func (o *Owner) newCore(ctx context.Context, fencedAt time.Time, batch platform.Batch, hasHandover bool) *scheduler.Core {
+	_, lastTakeover := predecessorHandover(batch)
 	cfg := scheduler.Settings{
 		Address:            o.deps.Address,
 		Epoch:              o.epoch,
@@ -248,7 +255,9 @@
 		Partition:          o.partition,
 		PartitionOf:        func(service string) int { return joblog.PartitionOf(service, o.deps.Partitions) },
 		ConfigApplyTime:    o.deps.Bounds.MaxConfigApplyTime,
-		AllowancesFrom:     allowancesFrom,
+		AllowancesFrom:     o.allowancesFrom(lastTakeover, fencedAt),
+
+		EarlierOwnersInLogOrder: hasHandover || lastTakeover == nil || lastTakeover.InLogOrder,
 	}
 	if hasHandover {
 		return scheduler.New(cfg, fencedAt, nil, false)
@@ -333,6 +342,7 @@
 			return errors.Wrap(ErrOwnershipLost, reason)
 		}
 		o.execute(ctx, orders)
+		o.wakeTail(core)
 		o.deps.Metrics.observeCounts(core.Counts, &o.observedCounts)
 		o.logOverload(core)
 		wait.Pause(ctx, stepPause)
--- a/internal/owner/tail.go
+++ b/internal/owner/tail.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
@@ -20,25 +22,43 @@
 	return records
 }
 
-// applyRecords applies records of callers' requests to the core. A record may be applied
-// more than once.
+// applyRecords applies records of callers' requests, and of takeovers, to the core in the order of their
+// offsets. It stops at the takeover of a later owner. A record may be applied more than once.
 func applyRecords(core *scheduler.Core, records []workload.Record, now time.Time) {
 	for _, r := range records {
 		switch {
 		case r.Submission != nil:
-			core.AddJob(r.Job, r.Submission)
+			core.AddLoggedJob(r.Job, r.Submission, r.Offset)
 		case r.Cancel:
 			core.CancelJob(r.Job, r.CancelledBy, now)
+		case r.Takeover != nil:
+			core.HandleTakeoverRecord(r.Takeover.Epoch, r.Offset)
+		}
+		if core.StepDownReason() != "" {
+			return
 		}
 	}
 }
 
-// HandleStored applies records that this node has stored in the partition. The tail reads
-// them as well; HandleStored makes them known some milliseconds earlier, or some hundred
-// milliseconds if the store is slow. If the inbox is full they are left to the tail.
-func (o *Owner) HandleStored(records []workload.Record) {
+// unknownOffset is beyond all offsets.
+const unknownOffset = math.MaxInt64
+
+// HandleStored applies records that this node has stored at the offsets of span, which is empty if they
+// are unknown. The tail reads them as well; HandleStored makes them known some milliseconds earlier, or
+// some hundred milliseconds if the store is slow. If the inbox is full they are left to the tail.
+func (o *Owner) HandleStored(span platform.Span, records []workload.Record) {
+	located := slices.Clone(records)
+	for i := range located {
+		located[i].Offset = unknownOffset
+		if span.From < span.To {
+			located[i].Offset = span.From + int64(i)
+		}
+	}
 	select {
-	case o.inbox <- newEvent(func(c *scheduler.Core, now time.Time) { applyRecords(c, records, now) }):
+	case o.inbox <- newEvent(func(c *scheduler.Core, now time.Time) {
+		applyRecords(c, located, now)
+		c.ExtendLog(span.From, span.To)
+	}):
 	default:
 		o.logger.Debug("records are left to the tail, the inbox is full", "records", len(records))
 	}
@@ -58,10 +78,12 @@
 // tail reads the partition from offset next on and applies what callers submit and cancel.
 func (o *Owner) tail(ctx context.Context, next int64) {
 	for ctx.Err() == nil {
+		from := next
 		sentAt := time.Now()
-		batch, status, err := o.log.Read(ctx, next, tailReadWait)
-		if status == platform.StoreDropped {
-			o.logger.Warn("stored records were dropped before they were read, reading the newest", "from", next)
+		batch, status, err := o.log.Read(ctx, from, tailReadWait)
+		dropped := status == platform.StoreDropped
+		if dropped {
+			o.logger.Warn("stored records were dropped before they were read, reading the newest", "from", from)
 			batch, status, err = o.log.Snapshot(ctx)
 		}
 		if status != platform.StoreOK {
@@ -73,10 +95,40 @@
 		records := o.decode(batch)
 		o.enqueue(ctx, func(c *scheduler.Core, now time.Time) {
 			applyRecords(c, records, now)
+			switch {
+			case c.StepDownReason() != "":
+			case dropped:
+				c.RecordLogGap(batch.Next)
+			default:
+				c.ExtendLog(from, batch.Next)
+			}
 			o.lastReadSentAt = sentAt
 		})
 		if len(batch.Records) > 0 {
-			wait.Pause(ctx, tailReadPause)
+			o.pauseTail(ctx)
 		}
 	}
 }
+
+// pauseTail pauses the tail for tailReadPause, or until a job waits for the next read.
+func (o *Owner) pauseTail(ctx context.Context) {
+	timer := time.NewTimer(tailReadPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-o.tailWake:
+	case <-ctx.Done():
+	}
+}
+
+// wakeTail ends the tail's pause if a job was stored beyond what the partition is known up to: records of
+// other nodes lie before it.
+func (o *Owner) wakeTail(core *scheduler.Core) {
+	if !core.HasUnorderedJobs() {
+		return
+	}
+	select {
+	case o.tailWake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -84,6 +84,8 @@
 	authorityUntil   time.Time
 	authorityBounded bool
 
+	log logPosition
+
 	// Runs of earlier owners.
 
 	// earlierLeasesExpireAt is when the last lease of an earlier owner has expired. Until
@@ -230,12 +232,13 @@
 	c.planStale = true
 }
 
-// AddJob adds a stored job. Only the first record of an ID counts.
+// AddJob adds a job that was stored before this owner's takeover. Only the first record of an ID counts.
 func (c *Core) AddJob(id workload.JobID, submission *workload.Submission) {
 	j := c.ensureJob(id)
 	if j.submission != nil {
 		return
 	}
+	j.isOrdered = true
 	j.createSteps(submission)
 	j.account = c.accountOf(submission.Workspace)
 	c.checkWeight(j)
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"math"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/scheduler"
@@ -28,6 +29,7 @@
 	confirmedAt time.Time
 	// processor models the CPU time of the owner's work. If nil, the work takes no time.
 	processor *processor
+	readUpTo  int64 // offset from which it reads on
 }
 
 // deliver delivers an answer to the owner's process, which handles answers in order.
@@ -89,6 +91,7 @@
 		return
 	}
 	records := w.store.records()
+	o.readUpTo = int64(len(w.store.log))
 	if handover, lastEpoch := lastHandover(records); handover == nil && lastEpoch > 0 && w.previousOwnerReachableProbability > 0 {
 		w.after(w.durationBetween(2*time.Millisecond, 40*time.Millisecond), func() { o.startCore(records) })
 		return
@@ -109,6 +112,7 @@
 		if fromPrevious = w.requestHandover(lastEpoch); fromPrevious != nil {
 			handover, _ = lastHandover(append([]workload.Record{{Takeover: &workload.Takeover{Epoch: lastEpoch}}}, fromPrevious...))
 			records = w.store.records()
+			o.readUpTo = int64(len(w.store.log))
 		}
 	}
 	var unresolvedWorkers []string
@@ -119,12 +123,14 @@
 	}
 	settings := testSettings(o.epoch)
 	settings.MaxOwnerOverlap = membershipTTL
+	settings.EarlierOwnersInLogOrder = true
 	if w.fleet != nil {
 		w.fleet.setPartition(&settings, w)
 	}
 	o.core = scheduler.New(settings, w.now, unresolvedWorkers, false)
 	o.confirmOwnership()
 	o.core.SetConfig(w.config())
+	o.core.SetLogEnd(o.readUpTo)
 	for _, r := range records {
 		if r.Loans != nil {
 			o.core.RestoreLoans(r.Loans)
@@ -150,10 +156,8 @@
 	if handover != nil {
 		o.core.RestoreHandover(handover, w.now)
 	}
-	for _, r := range w.store.records() {
-		o.applyRecord(r) // also those stored since the read, as the owner follows the log
-	}
 	o.coreStarted = true
+	o.readLog() // what was stored since the first read
 	o.processor = w.processor
 	o.tick()
 }
@@ -198,9 +202,13 @@
 func (o *fakeOwner) applyRecord(r workload.Record) {
 	switch {
 	case r.Submission != nil:
-		o.core.AddJob(r.Job, r.Submission)
+		o.core.AddLoggedJob(r.Job, r.Submission, r.Offset)
 	case r.Cancel:
 		o.core.CancelJob(r.Job, r.CancelledBy, o.world.now)
+	case r.Takeover != nil && !o.world.replacedIgnoreTakeovers:
+		o.core.HandleTakeoverRecord(r.Takeover.Epoch, r.Offset)
+	case r.Takeover != nil && r.Takeover.Epoch == o.epoch:
+		o.core.HandleTakeoverRecord(r.Takeover.Epoch, r.Offset)
 	}
 }
 
@@ -214,14 +222,52 @@
 	o.core.SetAuthority(o.confirmedAt.Add(membershipTTL))
 }
 
-// receiveRecord applies a stored record once the owner can reach the store.
-func (o *fakeOwner) receiveRecord(r workload.Record) {
+// readLog reads the log on from where the last read ended, once the owner can reach the store. It stops
+// at the takeover of a later owner.
+func (o *fakeOwner) readLog() {
+	w := o.world
 	switch {
 	case !o.coreStarted || o.stopped:
+		return
 	case o.storeUnreachable:
-		o.world.after(100*time.Millisecond, func() { o.receiveRecord(r) })
+		w.after(100*time.Millisecond, o.readLog)
+		return
+	}
+	from, end := o.readUpTo, int64(len(w.store.log))
+	o.readUpTo = end
+	o.deliverLog(func() {
+		for _, r := range w.store.log[from:end] {
+			if o.applyRecord(r); o.core.StepDownReason() != "" {
+				return
+			}
+		}
+		o.core.ExtendLog(from, end)
+	})
+}
+
+// handleStored applies a record that this owner's node has stored.
+func (o *fakeOwner) handleStored(r workload.Record, isLocated bool) {
+	located := r
+	if !isLocated {
+		located.Offset = math.MaxInt64
+	}
+	if o.world.replacedIgnoreGaps && o.world.owner != o && r.Submission != nil {
+		o.core.AddJob(r.Job, r.Submission)
+	}
+	o.applyRecord(located)
+	if isLocated {
+		o.core.ExtendLog(r.Offset, r.Offset+1)
+	}
+}
+
+// deliverLog passes records to the owner's process, in order with the answers that wait there.
+func (o *fakeOwner) deliverLog(apply func()) {
+	switch {
+	case !o.coreStarted || o.stopped:
+	case o.processor != nil:
+		apply()
 	default:
-		o.applyRecord(r)
+		o.deliver(apply)
 	}
 }
 
@@ -326,17 +372,22 @@
 		}
 		if o.pendingWrite.Sequence > w.store.lastSequence {
 			w.store.lastSequence = o.pendingWrite.Sequence
+			w.store.lastOffset = int64(len(w.store.log))
 			for _, r := range o.pendingWrite.Records {
 				w.store.put(r)
 			}
+			w.wakeReaders()
 		}
 		if w.chance(w.faults.lostWriteAnswer) {
 			w.after(time.Second, o.write)
 			return
 		}
+		from := w.store.lastOffset
 		o.deliverNow(func() {
+			order := *o.pendingWrite
 			o.pendingWrite = nil
 			o.core.HandleWriteResult()
+			o.core.HandleWrittenSpan(order, from, from+int64(len(order.Records)))
 			w.checkShownStates()
 		})
 	})
--- /dev/null
+++ b/internal/scheduler/logorder.go
@@ -0,0 +1,106 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/yuccadrift/yuccadrift/internal/logorder"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// An owner starts a job only once it knows the partition up to a record of the job and has found no
+// takeover of a later owner before it. So no earlier owner has ever started a job whose records all
+// lie after this owner's takeover: such a job is new.
+
+// logPosition is what the owner knows of the order of its partition's records.
+type logPosition struct {
+	known logorder.Prefix
+	// takeoverOffset is the offset of the record of this owner's takeover, if isTakeoverKnown is set.
+	takeoverOffset  int64
+	isTakeoverKnown bool
+	// hasGap is set if records before the takeover were dropped unread: a job that seems new may have
+	// been submitted there first.
+	hasGap bool
+	// unordered are the jobs with a record beyond known. They are shown and counted, but not started.
+	unordered []*job
+}
+
+// SetLogEnd records that the partition is known up to an offset, from a snapshot. It must be called
+// before jobs are added.
+func (c *Core) SetLogEnd(end int64) { c.log.known.Add(0, end) }
+
+// AddLoggedJob adds a stored job whose record is at an offset of the partition.
+func (c *Core) AddLoggedJob(id workload.JobID, submission *workload.Submission, offset int64) {
+	j := c.ensureJob(id)
+	switch {
+	case j.submission == nil:
+		c.AddJob(id, submission)
+		j.isOrdered = false
+		j.logOffset = offset
+		c.log.unordered = append(c.log.unordered, j)
+	case j.isOrdered:
+		return
+	default:
+		j.logOffset = min(j.logOffset, offset)
+	}
+	if offset < c.log.known.End() {
+		c.orderJobs()
+	}
+}
+
+// HandleTakeoverRecord handles the record of a takeover that was read at an offset. If a later owner has
+// taken over, this one steps down: what lies behind the record is not its to start.
+func (c *Core) HandleTakeoverRecord(epoch, offset int64) {
+	switch {
+	case epoch > c.settings.Epoch:
+		c.StepDown(fmt.Sprintf("the owner of epoch %d has taken the partition over", epoch))
+	case epoch == c.settings.Epoch:
+		c.log.takeoverOffset, c.log.isTakeoverKnown = offset, true
+	}
+}
+
+// ExtendLog records that all records from offset from on, up to but without to, are known: they were
+// read and applied, or this node has stored them.
+func (c *Core) ExtendLog(from, to int64) {
+	c.log.known.Add(from, to)
+	c.orderJobs()
+}
+
+// HandleWrittenSpan records the offsets of a stored write, 0 and 0 if they are unknown.
+func (c *Core) HandleWrittenSpan(w WriteOrder, from, to int64) {
+	if to <= from {
+		return
+	}
+	for i, r := range w.Records {
+		if r.Takeover != nil {
+			c.HandleTakeoverRecord(r.Takeover.Epoch, from+int64(i))
+		}
+	}
+	c.ExtendLog(from, to)
+}
+
+// RecordLogGap records that the partition's next records up to an offset were dropped before they were
+// read, and that the newest ones were read instead.
+func (c *Core) RecordLogGap(end int64) {
+	if !c.log.isTakeoverKnown || c.log.known.End() <= c.log.takeoverOffset {
+		c.log.hasGap = true
+	}
+	c.ExtendLog(c.log.known.End(), end)
+}
+
+// HasUnorderedJobs reports whether jobs wait until the partition is known up to their records.
+func (c *Core) HasUnorderedJobs() bool { return len(c.log.unordered) > 0 }
+
+// orderJobs releases the jobs whose records lie in the known beginning of the partition.
+func (c *Core) orderJobs() {
+	l := &c.log
+	l.unordered = slices.DeleteFunc(l.unordered, func(j *job) bool {
+		if j.logOffset >= l.known.End() {
+			return false
+		}
+		j.isOrdered = true
+		j.isNew = l.isTakeoverKnown && j.logOffset > l.takeoverOffset && !l.hasGap && j.restoredProgress == nil
+		c.planStale = true
+		return true
+	})
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -121,7 +121,7 @@
 	order := &WriteOrder{Sequence: c.lastWriteSeq, DeleteJobs: c.jobsToDelete}
 	if c.lastWriteSeq == 1 {
 		// Once this owner starts tasks the handover of the previous owner is incomplete.
-		order.Records = append(order.Records, workload.Record{Takeover: &workload.Takeover{Epoch: c.settings.Epoch, Address: c.settings.Address}})
+		order.Records = append(order.Records, workload.Record{Takeover: &workload.Takeover{Epoch: c.settings.Epoch, Address: c.settings.Address, InLogOrder: c.settings.EarlierOwnersInLogOrder}})
 	}
 	order.Records = append(order.Records, c.unstoredProgressRecords()...)
 	order.Records = append(order.Records, c.loanRecords(order.Sequence)...)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -24,6 +24,9 @@
 	defer c.logBlocked(now)
 	c.placeSuspects(pools, now)
 	for _, cand := range r.candidates {
+		if !cand.job.isOrdered {
+			continue
+		}
 		if cand.class > classStarved && !r.canPlaceMore(cand.servicePlan) || cand.servicePlan.pool == nil || cand.job.finalState.IsTerminal() {
 			continue
 		}
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -8,6 +8,9 @@
 	Epoch int64
 	// Address is where the owner's node answers other nodes.
 	Address string
+	// EarlierOwnersInLogOrder is set if each earlier owner that may still act starts jobs in the order of
+	// the partition's records (workload.Takeover.InLogOrder), or has handed over.
+	EarlierOwnersInLogOrder bool
 	// LeaseDuration is the duration of the leases that the owner grants.
 	LeaseDuration time.Duration
 	// MaxOwnerOverlap is how long an owner may still start tasks and renew leases after the next
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -48,6 +48,7 @@
 type world struct {
 	now           time.Time
 	rng           *rand.Rand
+	logRNG        *rand.Rand // draws through which nodes records are stored
 	pendingEvents eventHeap
 	lastEventSeq  int
 	faults        faults
@@ -73,6 +74,9 @@
 	// lostRunsOfOtherJobs counts the runs that such crashes ended, without those of the jobs that
 	// caused them.
 	lostRunsOfOtherJobs int
+	// replacedIgnoreTakeovers is set if a replaced owner goes on reading behind a later owner's takeover,
+	// replacedIgnoreGaps if it starts what its node has stored whatever lies before it.
+	replacedIgnoreTakeovers, replacedIgnoreGaps bool
 	// replacedOwnersStop is set if an owner that can reach the store stops once it was replaced.
 	replacedOwnersStop bool
 	// previousOwnerReachableProbability is the probability that a new owner can reach the node of the
@@ -122,8 +126,9 @@
 	return &world{
 		now:     historyStart,
 		rng:     rand.New(rand.NewPCG(seed, 7)),
+		logRNG:  rand.New(rand.NewPCG(seed, 11)),
 		faults:  f,
-		store:   &fakeStore{values: map[string][]byte{}},
+		store:   &fakeStore{values: map[string][]byte{}, offsets: map[string]int64{}},
 		workers: map[string]*fakeWorker{},
 		jobs:    map[workload.JobID]*fakeJob{},
 
@@ -179,17 +184,21 @@
 	w.violations = append(w.violations, rule+" at "+w.now.Sub(historyStart).String()+": "+detail)
 }
 
-// fakeStore keeps the newest record of each key and fences earlier epochs.
+// fakeStore keeps all records of a partition in order, with the newest of each key, and fences earlier
+// epochs.
 type fakeStore struct {
 	keys         []string // in the order of their first record
 	values       map[string][]byte
-	log          []string // keys of all records, in write order
+	offsets      map[string]int64 // of the newest record, by key
+	log          []workload.Record
 	epoch        int64
 	lastSequence int64 // sequence of the last write in this epoch
+	lastOffset   int64 // of the first record of that write
 	unavailable  bool
 }
 
-func (s *fakeStore) put(r workload.Record) {
+// put appends a record and returns its offset.
+func (s *fakeStore) put(r workload.Record) int64 {
 	key, value, err := r.Encode()
 	if err != nil {
 		panic(err)
@@ -198,7 +207,10 @@
 		s.keys = append(s.keys, key)
 	}
 	s.values[key] = value
-	s.log = append(s.log, key)
+	r.Offset = int64(len(s.log))
+	s.offsets[key] = r.Offset
+	s.log = append(s.log, r)
+	return r.Offset
 }
 
 // fence fences all earlier epochs. It returns false if the store is unavailable or this epoch is
@@ -219,6 +231,7 @@
 			panic(err)
 		}
 		if ok {
+			r.Offset = s.offsets[key]
 			out = append(out, r)
 		}
 	}
@@ -240,7 +253,11 @@
 	}
 	job := &fakeJob{id: id, submission: submission, done: map[string]bool{}, acknowledged: map[string]bool{}, doneRuns: map[string][]int64{}, supersededDoneRuns: map[string]bool{}, failures: map[string]int{}, workerCrashes: map[string]int{}, workerExits: map[string]int{}, earlyWorkerExits: map[string]int{}, startsAfterThreeCrashes: map[string]int{}, stoppedNotRestarted: map[string]bool{}, lastRunningAt: map[string]time.Time{}}
 	w.jobs[id] = job
-	w.appendRecord(workload.Record{Job: id, Submission: submission})
+	record := workload.Record{Job: id, Submission: submission}
+	w.appendRecord(record)
+	if w.logRNG.IntN(8) == 0 { // its caller submits it again
+		w.after(time.Duration(w.logRNG.Int64N(int64(2*time.Second))), func() { w.appendRecord(record) })
+	}
 	return job
 }
 
@@ -251,11 +268,26 @@
 	}
 }
 
-// appendRecord stores a caller's record and delivers it to every owner, since owners follow the log.
+// appendRecord stores a caller's record, through the node of one of the owners or another node. Every
+// owner follows the log.
 func (w *world) appendRecord(r workload.Record) {
-	w.store.put(r)
+	r.Offset = w.store.put(r)
+	o := w.owners[w.logRNG.IntN(len(w.owners))]
+	if through := w.logRNG.IntN(4); through > 0 && !o.storeUnreachable {
+		isLocated := through > 1 // else the answer that states the offset is lost
+		o.deliverLog(func() { o.handleStored(r, isLocated) })
+	}
 	for _, o := range w.owners {
-		w.after(w.durationBetween(time.Millisecond, 20*time.Millisecond), func() { o.receiveRecord(r) })
+		w.after(w.durationBetween(time.Millisecond, 20*time.Millisecond), o.readLog)
+	}
+}
+
+// wakeReaders lets all owners read what an owner has stored, after the pause between two reads.
+func (w *world) wakeReaders() {
+	for _, o := range w.owners {
+		if !o.stopped {
+			w.after(time.Duration(w.logRNG.Int64N(int64(100*time.Millisecond))), o.readLog)
+		}
 	}
 }
 
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -91,11 +91,16 @@
 	// Address is where the owner's node answers other nodes. Earlier versions did not
 	// store it.
 	Address string `json:"a,omitempty"`
+	// InLogOrder is set if this owner, and each earlier one that may still act, starts a job only once
+	// it has read the partition up to the job's record and found no later takeover before it.
+	InLogOrder bool `json:"o,omitempty"`
 }
 
 // Record is a stored record of a job or of an owner of the partition. Exactly one of
 // Submission, Progress, Cancel, Handover, Takeover and Loans is set.
 type Record struct {
+	// Offset is the record's place in its partition. It is set on records that were read.
+	Offset     int64
 	Job        JobID
 	Submission *Submission
 	Progress   *Progress
