scheduler: new jobs don't wait for an earlier owner's workers

After the loss of an owner without a handover a partition started nothing until each worker had answered or 4.9 s had passed, so that one dark worker held back all jobs.

A job whose records all lie behind the takeover's record can't have been started by an earlier owner, which starts jobs in the order of the records and stops at a later takeover. Such jobs start at once on workers that have answered. Jobs from before wait as they did; so do suspects, speculative copies, preemption, loans and handovers. What earlier owners' runs may reserve unseen counts against their workspace's cap. Where an earlier owner may be of a version without that order, all jobs wait.

--- a/internal/dayreport/conditions.go
+++ b/internal/dayreport/conditions.go
@@ -1,6 +1,9 @@
 package dayreport
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Cause is what the report attributes a refusal or a slow start to.
 type Cause string
@@ -14,6 +17,7 @@
 	VMsInTransit     Cause = "VMs on their way"
 	NoConfiguration  Cause = "no configuration"
 	WorkspaceAtCap   Cause = "waits for its cap"
+	RunsUnknown      Cause = "silent workers after a takeover"
 	NoFreeCapacity   Cause = "no room"
 	OtherCause       Cause = "other"
 )
@@ -67,6 +71,9 @@
 	ownerOverloaded  map[int][]period
 	vmsInTransit     map[string][]period // by pool
 	workspaceAtCap   map[capKey][]period
+	// runsUnknown are the times from takeovers until all runs of earlier owners were known. Only jobs that
+	// were accepted before such a time wait until its end.
+	runsUnknown map[int][]period
 }
 
 // capKey identifies a workspace's use of a partition.
@@ -92,6 +99,7 @@
 		ownerOverloaded:  map[int][]period{},
 		vmsInTransit:     map[string][]period{},
 		workspaceAtCap:   map[capKey][]period{},
+		runsUnknown:      map[int][]period{},
 	}
 	ownership := &ownershipTracker{owner: map[int]string{}, leftAt: map[int]time.Time{}, lastLineAt: map[string]time.Time{}, firstLineAt: lines[0].At}
 	storeLostAt := map[string]time.Time{}
@@ -122,6 +130,8 @@
 			t := ownership.recordTakeover(l)
 			c.ownerUnavailable[l.Partition] = append(c.ownerUnavailable[l.Partition], period{t.At.Add(-t.Gap), t.At})
 			takeovers = append(takeovers, t)
+		case "takeover-complete":
+			c.runsUnknown[l.Partition] = append(c.runsUnknown[l.Partition], period{lastTakeoverAt(takeovers, l), l.At})
 		}
 		ownership.lastLineAt[l.Node] = l.At
 	}
@@ -132,6 +142,17 @@
 	return c, takeovers
 }
 
+// lastTakeoverAt returns when the node of l took over its partition last, or the time of l if no line
+// shows that.
+func lastTakeoverAt(takeovers []Takeover, l Line) time.Time {
+	for _, t := range slices.Backward(takeovers) {
+		if t.Partition == l.Partition && t.Node == l.Node {
+			return t.At
+		}
+	}
+	return l.At
+}
+
 // recordRestart records that a new process of a node has started. Each partition that the
 // previous process owned and did not leave counts as left at that process's last line.
 func (o *ownershipTracker) recordRestart(node string) {
@@ -166,6 +187,17 @@
 	return Takeover{At: l.At, Partition: l.Partition, Node: l.Node, Gap: l.At.Sub(since), HandedOver: l.HandedOver}
 }
 
+// waitedThrough returns the periods that a wait includes as a whole.
+func waitedThrough(wait period, periods []period) []period {
+	var included []period
+	for _, p := range periods {
+		if wait.from.Before(p.from) && !wait.to.Before(p.to) {
+			included = append(included, p)
+		}
+	}
+	return included
+}
+
 // slowStartCause returns the most likely cause of a job's slow start, where l is its owner's line on
 // that start: the condition that held longest during the wait, if it held for more than minCauseShare
 // of the wait. Otherwise, it assumes NoFreeCapacity.
@@ -181,6 +213,7 @@
 		{OwnerOverloaded, c.ownerOverloaded[l.Partition]},
 		{VMsInTransit, c.vmsInTransit[service]},
 		{WorkspaceAtCap, c.workspaceAtCap[capKey{l.Partition, l.Workspace}]},
+		{RunsUnknown, waitedThrough(waited, c.runsUnknown[l.Partition])},
 	} {
 		if d := coveredDuration(waited, candidate.periods); d > longest {
 			cause, longest = candidate.cause, d
--- a/internal/dayreport/dayreport_test.go
+++ b/internal/dayreport/dayreport_test.go
@@ -120,6 +120,15 @@
 			owned, logLine(19.2, "n-2", "waits-for-cap", `"partition":4,"workspace":"clinic","age_ms":2000`),
 			logLine(20, "n-2", "first-placed", `"job":"a","queue":"q","partition":4,"age_ms":3000,"workspace":"ward"`),
 		}, dayreport.NoFreeCapacity},
+		{"a worker was silent after a takeover", []string{
+			logLine(17.1, "n-2", "partition taken over", `"partition":4`),
+			logLine(19.9, "n-2", "takeover-complete", `"partition":4,"age_ms":2900`), firstPlaced(20, "3000"),
+		}, dayreport.RunsUnknown},
+		{"a worker was silent after a takeover, and the job was accepted later", []string{
+			logLine(17.1, "n-2", "partition taken over", `"partition":4`),
+			logLine(19.9, "n-2", "takeover-complete", `"partition":4,"age_ms":2900`),
+			logLine(20.4, "n-2", "first-placed", `"job":"a","queue":"q","partition":4,"age_ms":3000`),
+		}, dayreport.NoFreeCapacity},
 	} {
 		r := buildReport(t, append([]string{acceptedJob(0.5, "a")}, c.lines...)...)
 		require.Len(t, r.SlowStarts, 1, c.name)
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,6 +17,7 @@
 	planWork      *prometheus.CounterVec
 	maxEventDelay prometheus.Histogram
 	maxStepTime   prometheus.Histogram
+	heldBack      *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics.
@@ -44,8 +46,12 @@
 			Help:    "The longest decision of an owner in a second, in seconds.",
 			Buckets: []float64{0.0002, 0.0005, 0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1},
 		}),
+		heldBack: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "yuccadrift_jobs_waiting_for_workers",
+			Help: "Jobs that don't start because a worker that has not answered since the takeover may run them, by partition.",
+		}, []string{"partition"}),
 	}
-	r.MustRegister(m.orders, m.events, m.planWork, m.maxEventDelay, m.maxStepTime)
+	r.MustRegister(m.orders, m.events, m.planWork, m.maxEventDelay, m.maxStepTime, m.heldBack)
 	return m
 }
 
@@ -58,6 +64,16 @@
 	m.maxStepTime.Observe(l.maxStepTime.Seconds())
 }
 
+// observeHeldBack sets how many jobs of a partition wait for workers; 0 removes the partition.
+func (m *Metrics) observeHeldBack(partition, jobs int) {
+	label := strconv.Itoa(partition)
+	if jobs == 0 {
+		m.heldBack.DeleteLabelValues(label)
+		return
+	}
+	m.heldBack.WithLabelValues(label).Set(float64(jobs))
+}
+
 // observeCounts adds the increase of counts over previous, and sets previous to counts.
 func (m *Metrics) observeCounts(counts scheduler.Counts, previous *scheduler.Counts) {
 	if counts == *previous {
@@ -84,6 +100,7 @@
 	add("job_completed", counts.CompletedJobs, previous.CompletedJobs)
 	add("job_failed", counts.FailedJobs, previous.FailedJobs)
 	add("job_cancelled", counts.CancelledJobs, previous.CancelledJobs)
+	add("run_started_early", counts.EarlyStarts, previous.EarlyStarts)
 	add("loan_granted", counts.LoansGranted, previous.LoansGranted)
 	add("loan_received", counts.LoansReceived, previous.LoansReceived)
 	m.planWork.WithLabelValues("cap_blocked").Add(float64(counts.CapBlockedSteps - previous.CapBlockedSteps))
--- a/internal/owner/overload.go
+++ b/internal/owner/overload.go
@@ -63,6 +63,7 @@
 	o.countsAtLoadStart = core.Counts
 	o.load = l.nextInterval(now)
 	o.deps.Metrics.observeLoad(l)
+	o.deps.Metrics.observeHeldBack(o.partition, core.JobsWaitingForWorkers(now))
 	message := "owner is behind"
 	switch {
 	case l.isOverloaded():
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -201,6 +201,7 @@
 	close(o.loaded)
 	o.logger.Info("partition taken over", "records", len(batch.Records), "took", time.Since(beganAt).String(), "handed_over", predecessor.handover != nil, "reported_jobs", len(predecessor.unstoredProgress))
 	err = o.loop(ctx, core)
+	o.deps.Metrics.observeHeldBack(o.partition, 0)
 	o.preserveHandover(ctx, core)
 	return err
 }
--- a/internal/scheduler/allowance.go
+++ b/internal/scheduler/allowance.go
@@ -17,9 +17,9 @@
 //
 //	allowance = share + borrowed - lent
 //
-// What a task reserves counts from its start order until its run is known to have ended, so an owner
-// that takes over counts all that earlier owners have started before it starts anything itself
-// (isPlacementBlocked).
+// What a task reserves counts from its start order until its run is known to have ended. An owner that
+// takes over counts all that earlier owners have started, or may have started where it can't see yet
+// (unseen.go), before it starts anything itself.
 //
 // A cap that is lowered below what runs stops nothing. But the shares shrink at once, and while one
 // owner's runs exceed its allowance another one's start could exceed the cap. So a cap that is new or
@@ -35,11 +35,12 @@
 type account struct {
 	name string
 	// isCapped is set if the workspace has a cap. Nothing else below is used otherwise, except for
-	// reserved, weight and jobAllowance.
+	// reserved, unseen, weight and jobAllowance.
 	isCapped     bool
 	cap          workload.Resources // a resource without a bound is unlimited
 	share        workload.Resources // of the cap, of this partition
 	reserved     workload.Resources // by runs that are not known to have ended
+	unseen       workload.Resources // by runs of earlier owners that may be unknown, at most
 	weight       float64            // of the workspace, 0 if it has none
 	jobAllowance jobAllowance       // for jobs at full rank
 	// settledCap is the last cap that has settled, nil if none has. While settlingVersion is not 0
@@ -221,11 +222,12 @@
 		return false
 	}
 	allowance := a.usableAllowance()
-	if a.reserved.Add(s.spec.Resources.Times(n)).FitsIn(allowance) {
+	reserved := a.reserved.Add(a.unseen)
+	if reserved.Add(s.spec.Resources.Times(n)).FitsIn(allowance) {
 		return true
 	}
 	exceedsCap := !s.spec.Resources.FitsIn(a.cap)
-	return exceedsCap && n == 1 && a.reserved == workload.Resources{} && a.bounded(c.obtainable(a)).FitsIn(allowance)
+	return exceedsCap && n == 1 && reserved == workload.Resources{} && a.bounded(c.obtainable(a)).FitsIn(allowance)
 }
 
 // bounded returns r without the resources that the cap doesn't bound.
@@ -347,6 +349,9 @@
 	if a.settlingVersion != 0 {
 		state = fmt.Sprintf(", not all owners have confirmed the cap of configuration %d", a.settlingVersion)
 	}
+	if a.unseen != (workload.Resources{}) {
+		state += fmt.Sprintf(", up to %s on workers that have not answered yet", a.unseen)
+	}
 	return fmt.Sprintf("cap %s, share %s, borrowed %s, lent %s, reserved %s, waiting %s%s",
 		a.bounded(a.cap), a.bounded(a.share), borrowed, lent, a.reserved, a.blocked, state)
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -159,7 +159,7 @@
 	takeoverComplete bool // starts no longer wait for the runs of an earlier owner
 
 	// Times of the last actions.
-	tookOverAt, lastStepAt, lastJobSweepAt, lastPlanAt, lastSpeculationAt, lastWriteAt, suspectsLoggedAt, lastLoanUpdateAt, blockedLoggedAt time.Time
+	tookOverAt, lastStepAt, lastJobSweepAt, lastPlanAt, lastSpeculationAt, lastWriteAt, suspectsLoggedAt, lastLoanUpdateAt, blockedLoggedAt, unseenUpdatedAt, waitsLoggedAt time.Time
 
 	stepDownReason string // why the ownership is lost, "" while it is held
 	orders         Orders // of the step in progress
--- a/internal/scheduler/counts.go
+++ b/internal/scheduler/counts.go
@@ -25,4 +25,7 @@
 	// CapBlockedSteps counts the steps that a plan left idle because of their workspace's cap.
 	// LoansGranted and LoansReceived count loans of one workspace's cap to and from other owners.
 	CapBlockedSteps, LoansGranted, LoansReceived int
+	// EarlyStarts counts starts while runs of earlier owners on workers that had not answered were
+	// unknown.
+	EarlyStarts int
 }
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -45,7 +45,7 @@
 		return workload.NotDrained
 	case w.unregistered && !w.synced:
 		return workload.DrainedUnconfirmed
-	case !w.synced || w.lastExitSeen != w.ackAllowed || c.isPlacementBlocked(now):
+	case !w.synced || w.lastExitSeen != w.ackAllowed || c.mayHaveUnknownRuns(now):
 		return workload.NotDrained
 	case w.unregistered || w.unreachable || now.Sub(w.lastAnsweredPollSentAt) > drainedAnswerMaxAge:
 		return workload.DrainedUnconfirmed
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -30,6 +30,8 @@
 	// processor models the CPU time of the owner's work. If nil, the work takes no time.
 	processor *processor
 	readUpTo  int64 // offset from which it reads on
+	// takeoverStoredAt is when the record of its takeover was stored.
+	takeoverStoredAt time.Time
 }
 
 // deliver delivers an answer to the owner's process, which handles answers in order.
@@ -318,8 +320,11 @@
 	w := o.world
 	orders := o.core.Step(w.now)
 	for _, d := range orders.Decisions {
-		if d.Verb == "given-up" {
-			w.jobs[d.Job].failedForCrashes = true
+		switch j := w.jobs[d.Job]; {
+		case d.Verb == "given-up":
+			j.failedForCrashes = true
+		case d.Verb == "first-placed" && j.firstOrderedAt.IsZero():
+			j.firstOrderedAt = w.now
 		}
 	}
 	if o.core.StepDownReason() != "" {
@@ -376,6 +381,9 @@
 			for _, r := range o.pendingWrite.Records {
 				w.store.put(r)
 			}
+			if o.pendingWrite.Sequence == 1 {
+				o.takeoverStoredAt = w.now
+			}
 			w.wakeReaders()
 		}
 		if w.chance(w.faults.lostWriteAnswer) {
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -19,8 +20,8 @@
 // An owner that does not know all runs of earlier owners yet stores no handover, because the runs
 // that it does not know would be missing there.
 func (c *Core) HandoverRecords(now time.Time) []workload.Record {
-	records := append(c.unstoredProgressRecords(), c.loanRecords(c.NextWriteSequence())...)
-	if c.isPlacementBlocked(now) {
+	records := append(c.unstoredProgressRecords(now), c.loanRecords(c.NextWriteSequence())...)
+	if c.mayHaveUnknownRuns(now) {
 		return records
 	}
 	h := &workload.Handover{Epoch: c.settings.Epoch}
@@ -66,14 +67,15 @@
 }
 
 // unstoredProgressRecords returns the progress of the jobs whose progress must be stored. It replaces the
-// submission of a job that has ended. While the job has live runs a later owner needs the whole
-// submission, to know what they reserve.
-func (c *Core) unstoredProgressRecords() []workload.Record {
+// submission of a job that has ended. While the job has live runs, or may have unknown ones, a later
+// owner needs the whole submission, to know what they reserve.
+func (c *Core) unstoredProgressRecords(now time.Time) []workload.Record {
 	var records []workload.Record
+	runsUnknown := c.hasUnresolvedWorkers(now)
 	for _, j := range c.activeJobs {
 		if c.dirtyJobs[j.id] != nil {
 			records = append(records, workload.Record{Job: j.id, Progress: j.progressToStore()})
-			if j.finalState.IsTerminal() && j.liveRuns == 0 {
+			if j.finalState.IsTerminal() && j.liveRuns == 0 && (j.isNew || !runsUnknown) {
 				records = append(records, workload.Record{Job: j.id, Submission: j.submission.WithoutWork()})
 			}
 		}
@@ -133,11 +135,14 @@
 // logTakeoverComplete logs, once, how long starts had to wait because runs of earlier owners might
 // be unknown.
 func (c *Core) logTakeoverComplete(now time.Time) {
-	if c.takeoverComplete || c.isPlacementBlocked(now) {
+	if c.takeoverComplete || c.mayHaveUnknownRuns(now) {
 		return
 	}
 	c.takeoverComplete = true
 	reason := "all runs of earlier owners are known or their leases have expired"
+	if n := c.Counts.EarlyStarts; n > 0 {
+		reason += fmt.Sprintf("; %d tasks of new jobs started before", n)
+	}
 	if ids := c.unresolvedWorkerIDs(); len(ids) > 0 {
 		reason = "the leases of an earlier owner have expired on workers that never answered: " + strings.Join(ids, " ")
 	}
--- a/internal/scheduler/logorder.go
+++ b/internal/scheduler/logorder.go
@@ -10,7 +10,8 @@
 
 // An owner starts a job only once it knows the partition up to a record of the job and has found no
 // takeover of a later owner before it. So no earlier owner has ever started a job whose records all
-// lie after this owner's takeover: such a job is new.
+// lie after this owner's takeover: such a job is new, and starts while runs of earlier owners on
+// workers that have not answered yet are still unknown. docs/design/takeovers.md has the argument.
 
 // logPosition is what the owner knows of the order of its partition's records.
 type logPosition struct {
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -123,7 +123,7 @@
 		// Once this owner starts tasks the handover of the previous owner is incomplete.
 		order.Records = append(order.Records, workload.Record{Takeover: &workload.Takeover{Epoch: c.settings.Epoch, Address: c.settings.Address, InLogOrder: c.settings.EarlierOwnersInLogOrder}})
 	}
-	order.Records = append(order.Records, c.unstoredProgressRecords()...)
+	order.Records = append(order.Records, c.unstoredProgressRecords(now)...)
 	order.Records = append(order.Records, c.loanRecords(order.Sequence)...)
 	for id, j := range c.dirtyJobs {
 		c.pendingWrite.finalStates[id] = j.finalState
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -8,7 +8,11 @@
 
 // placeTasks orders starts for the ranked candidates as far as the free capacity allows.
 func (c *Core) placeTasks(now time.Time) {
-	if !c.planStale && now.Before(c.lastPlanAt.Add(maxPlanInterval)) || c.isPlacementBlocked(now) || !c.hasAuthority(now) {
+	if !c.planStale && now.Before(c.lastPlanAt.Add(maxPlanInterval)) || !c.takeoverStored || !c.hasAuthority(now) {
+		return
+	}
+	runsUnknown := c.mayHaveUnknownRuns(now)
+	if runsUnknown && !c.settings.EarlierOwnersInLogOrder {
 		return
 	}
 	c.planStale = false
@@ -21,10 +25,13 @@
 	for _, a := range c.accounts {
 		a.beginPlan()
 	}
+	c.updateUnseen(runsUnknown, now)
 	defer c.logBlocked(now)
-	c.placeSuspects(pools, now)
+	if !runsUnknown {
+		c.placeSuspects(pools, now)
+	}
 	for _, cand := range r.candidates {
-		if !cand.job.isOrdered {
+		if !cand.job.isOrdered || runsUnknown && !cand.job.isNew {
 			continue
 		}
 		if cand.class > classStarved && !r.canPlaceMore(cand.servicePlan) || cand.servicePlan.pool == nil || cand.job.finalState.IsTerminal() {
@@ -60,7 +67,7 @@
 		if lacksCapacity || s.idleCount < idleBefore {
 			c.serviceBusyUntil[s.job.submission.Service] = now.Add(serviceBusyDuration)
 		}
-		if lacksCapacity {
+		if lacksCapacity && !c.mayHaveUnknownRuns(now) { // a stopped task of an earlier owner could not start again yet
 			c.preempt(pool, cand, s, now)
 		}
 		if cand.class <= classStarved {
@@ -83,12 +90,16 @@
 // reached and backoffs end without an event.
 const maxPlanInterval = 100 * time.Millisecond
 
-// isPlacementBlocked reports whether runs of an earlier owner may still be unknown. Starting a task
-// then could run it twice.
-func (c *Core) isPlacementBlocked(now time.Time) bool {
-	if !c.takeoverStored {
-		return true // until the takeover is stored, a later owner would treat an earlier owner's handover as complete
-	}
+// mayHaveUnknownRuns reports whether runs of an earlier owner may still be unknown. Starting a task of
+// a job that such an owner may have known could run it twice.
+func (c *Core) mayHaveUnknownRuns(now time.Time) bool {
+	// Until the takeover is stored, a later owner would treat an earlier owner's handover as complete.
+	return !c.takeoverStored || c.hasUnresolvedWorkers(now)
+}
+
+// hasUnresolvedWorkers reports whether workers that have not answered this owner may have runs of earlier
+// owners.
+func (c *Core) hasUnresolvedWorkers(now time.Time) bool {
 	if !now.Before(c.earlierLeasesExpireAt) {
 		return false
 	}
@@ -107,6 +118,9 @@
 // whole or not at all. Suspects that are not in a gang are left to placeSuspects.
 func (c *Core) placeStep(p *placementPool, s *step, now time.Time) {
 	hasSuspects := s.idleSuspectCount() > 0
+	if hasSuspects && c.mayHaveUnknownRuns(now) {
+		return
+	}
 	if !hasSuspects && !s.spec.Reservation().FitsIn(p.maxFree) || !c.isWithinCap(s, s.minTasksPerStart(), now) {
 		return
 	}
@@ -161,6 +175,9 @@
 func (c *Core) startRun(w *worker, s *step, index int, runNumber int64, checkpoint string, now time.Time) *run {
 	r := &run{step: s, index: index, number: runNumber, worker: w, incarnation: w.incarnation, state: runStarting, stateChangedAt: now, orderedAt: now, orderedSpeedPercent: fullSpeedPercent, checkpoint: checkpoint}
 	jobHadBegun := s.job.started
+	if c.hasUnresolvedWorkers(now) {
+		c.Counts.EarlyStarts++
+	}
 	w.addRun(r)
 	w.ordersInFlight++
 	c.startsInFlight.add(r)
--- a/internal/scheduler/speculation.go
+++ b/internal/scheduler/speculation.go
@@ -13,7 +13,7 @@
 // startSpeculativeCopies starts second copies of runs that take much longer than estimated, for
 // example on a slow worker. It uses only the free capacity that placeTasks has left.
 func (c *Core) startSpeculativeCopies(now time.Time) {
-	if now.Before(c.lastSpeculationAt.Add(stragglerCheckInterval)) || c.isPlacementBlocked(now) || !c.hasAuthority(now) {
+	if now.Before(c.lastSpeculationAt.Add(stragglerCheckInterval)) || c.mayHaveUnknownRuns(now) || !c.hasAuthority(now) {
 		return
 	}
 	c.lastSpeculationAt = now
--- a/internal/scheduler/sweep.go
+++ b/internal/scheduler/sweep.go
@@ -25,9 +25,10 @@
 }
 
 // sweepJobs removes ended jobs from activeJobs, and deletes jobs that ended long ago here
-// and in the store. It also calls logTakeoverComplete.
+// and in the store. It also logs how a takeover goes on.
 func (c *Core) sweepJobs(now time.Time) {
 	c.logTakeoverComplete(now)
+	c.logWaitingForWorkers(now)
 	c.activeJobs = slices.DeleteFunc(c.activeJobs, func(j *job) bool { return j.storedState.IsTerminal() && j.liveRuns == 0 })
 	if now.Before(c.lastJobSweepAt.Add(jobSweepInterval)) {
 		return
--- /dev/null
+++ b/internal/scheduler/unseen.go
@@ -0,0 +1,102 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// updateUnseen bounds, for each workspace, what runs of earlier owners reserve that this owner may not
+// know yet: each task that may have such a run counts once. The capacity of the workers that have not
+// answered is no bound, as best-effort tasks reserve less there than they count against a cap.
+//
+// Jobs of earlier owners get no starts meanwhile, so the bound only falls, and may be old.
+func (c *Core) updateUnseen(runsUnknown bool, now time.Time) {
+	switch {
+	case !c.hasCaps, !runsUnknown && c.unseenUpdatedAt.IsZero(), runsUnknown && now.Before(c.unseenUpdatedAt.Add(maxPlanInterval)):
+		return
+	}
+	c.unseenUpdatedAt = time.Time{}
+	for _, a := range c.accounts {
+		a.unseen = workload.Resources{}
+	}
+	if !runsUnknown {
+		return
+	}
+	c.unseenUpdatedAt = now
+	for _, j := range c.jobs {
+		if j.account == nil || !j.account.isCapped || j.isNew {
+			continue
+		}
+		for _, s := range j.steps {
+			j.account.unseen = j.account.unseen.Add(s.spec.Resources.Times(s.maxUnseenRuns()))
+		}
+	}
+}
+
+// maxUnseenRuns returns how many runs of the step on workers that have not answered may be unknown at
+// most. A task has one run at a time, or two if it may have a speculative copy; a task that is done has
+// none, unless another copy or member of its gang ended first.
+func (s *step) maxUnseenRuns() int {
+	n := 0
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		limit := 1
+		if s.spec.Speculative {
+			limit = 2
+		}
+		if t.done && !s.spec.Speculative && !s.spec.Gang {
+			limit = 0
+		}
+		n += max(0, limit-len(t.runs))
+	}
+	return n
+}
+
+// waitsLogInterval is the time between two log lines on jobs that wait for workers.
+const waitsLogInterval = time.Second
+
+// maxLoggedWorkers bounds the workers that such a line names.
+const maxLoggedWorkers = 5
+
+// logWaitingForWorkers logs, while jobs of before the takeover wait for workers that have not answered,
+// how many jobs there are and for which workers they wait.
+func (c *Core) logWaitingForWorkers(now time.Time) {
+	if now.Before(c.waitsLoggedAt.Add(waitsLogInterval)) || !c.hasUnresolvedWorkers(now) {
+		return
+	}
+	c.waitsLoggedAt = now
+	jobs := c.JobsWaitingForWorkers(now)
+	if jobs == 0 {
+		return
+	}
+	var silent []string
+	for _, id := range c.unresolvedWorkerIDs() {
+		if w := c.workers[id]; w == nil || !w.synced {
+			silent = append(silent, id)
+		}
+	}
+	named := strings.Join(silent[:min(len(silent), maxLoggedWorkers)], " ")
+	c.recordDecision(Decision{Verb: "waits-for-workers", Age: now.Sub(c.tookOverAt), Reason: fmt.Sprintf("%d jobs wait until %d workers have answered or their leases have expired in %d ms: %s", jobs, len(silent), c.earlierLeasesExpireAt.Sub(now).Milliseconds(), named)})
+}
+
+// JobsWaitingForWorkers returns the number of jobs with ready tasks that don't start because a worker
+// that has not answered may run them on the order of an earlier owner.
+func (c *Core) JobsWaitingForWorkers(now time.Time) int {
+	if !c.hasUnresolvedWorkers(now) {
+		return 0
+	}
+	n := 0
+	for _, j := range c.activeJobs {
+		if j.finalState.IsTerminal() || c.settings.EarlierOwnersInLogOrder && j.isNew {
+			continue
+		}
+		if slices.ContainsFunc(j.steps, func(s *step) bool { return s.idleCount > 0 && s.isReady(now) }) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -118,6 +118,7 @@
 	stoppedNotRestarted     map[string]bool      // long-running tasks that were stopped and have not started again
 	lastRunningAt           map[string]time.Time // when the task last started or ended
 	failedForCrashes        bool                 // an owner failed it because its task crashes workers
+	firstOrderedAt          time.Time            // when an owner first ordered a start of it
 	shownState              workload.JobState
 	shownStateChangedAt     time.Time // when shownState last changed
 }
