owner: a dark VM accounts for entries of its pool and rack only

While one VM was down, each registered worker that no VM listed counted as one that may run tasks of an earlier owner: a rack of eleven VMs that had gone dark while a wave moved others left 93, 25 and 21 such workers in three partitions, none of which had a process.

A move ends the VM's worker and a VM keeps its rack, so that such a worker can only be on a VM of its service's pool and its rack that is not accounted for.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -271,23 +271,16 @@
 	} else {
 		mayBeIncomplete = false
 	}
-	unresolved := unresolvedWorkers(snap.Workers, vms, o.sparePool(), o.ownsService)
-	return scheduler.New(cfg, fencedAt, unresolved, mayBeIncomplete)
-}
-
-// sparePool returns the name of the spare pool, "" if there is none. The VMs of a service
-// form the pool of the same name; those of the standby service are the spare pool.
-func (o *Owner) sparePool() string {
-	config := o.deps.Published.Config()
-	if config == nil {
-		return ""
+	unresolved := unresolvedWorkers(snap.Workers, vms, o.ownsService)
+	var ids []string
+	for _, u := range unresolved {
+		ids = append(ids, u.id)
 	}
-	for _, s := range config.Services {
-		if s.Standby {
-			return s.Name
-		}
+	core := scheduler.New(cfg, fencedAt, ids, mayBeIncomplete)
+	for _, u := range unresolved {
+		core.SetUnresolvedCapacity(u.id, u.capacity)
 	}
-	return ""
+	return core
 }
 
 func (o *Owner) awaitWorkerList(ctx context.Context, since time.Time) registry.Snapshot {
--- a/internal/owner/unresolved.go
+++ b/internal/owner/unresolved.go
@@ -1,39 +1,74 @@
 package owner
 
 import (
+	"slices"
+
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
-// unresolvedWorkers returns the IDs of the workers that may run tasks of an earlier owner:
-// those that a VM lists, and registered workers that are not stale. ownsService reports
-// whether a service's jobs are in the partition; a service's VMs form the pool of the same
-// name.
+// unresolvedWorker is a worker that may run tasks of an earlier owner.
+type unresolvedWorker struct {
+	id string
+	// capacity is the most that its tasks may reserve, zero if it is unknown.
+	capacity workload.Resources
+}
+
+// unresolvedWorkers returns the workers that may run tasks of an earlier owner: those that a VM lists,
+// and registered workers that are not stale. ownsService reports whether a service's jobs are in the
+// partition; a service's VMs form the pool of the same name.
 //
-// Registry entries outlive their workers by some seconds, mainly those of VMs that were
-// just moved or maintained. Such a worker never answers, and waiting for it would delay
-// all jobs by a lease. A registered worker that no VM lists is stale if every VM is
-// accounted for: none is down, and each VM outside the spare pool has a worker, is moving
-// or is in maintenance. Then no VM is left that the worker could run on.
-func unresolvedWorkers(registered []workload.Worker, vms []workload.VM, sparePool string, ownsService func(service string) bool) []string {
-	workersOnVMs := map[string]bool{}
-	allVMsAccountedFor := len(vms) > 0
-	var unresolved []string
-	for _, vm := range vms {
+// Registry entries outlive their workers by some seconds, mainly those of VMs that were just moved or
+// maintained. Such a worker never answers, and waiting for it would delay jobs by a lease. A registered
+// worker that no VM lists is stale unless there is a VM left that it could run on; see mayRunOn.
+func unresolvedWorkers(registered []workload.Worker, vms []workload.VM, ownsService func(service string) bool) []unresolvedWorker {
+	listed := map[string]*workload.VM{} // by worker
+	var unaccounted []workload.VM
+	for i := range vms {
+		vm := &vms[i]
 		if vm.Worker != "" {
-			workersOnVMs[vm.Worker] = true
+			listed[vm.Worker] = vm
 		}
-		if vm.Worker != "" && ownsService(vm.Pool) {
-			unresolved = append(unresolved, vm.Worker)
+		if !isAccountedFor(vm) {
+			unaccounted = append(unaccounted, *vm)
 		}
-		changing := vm.State == workload.VMMoving || vm.State == workload.VMMaintenance
-		if vm.Worker == "" && !changing && vm.Pool != sparePool || vm.State == workload.VMDown {
-			allVMsAccountedFor = false
+	}
+	var unresolved []unresolvedWorker
+	for i := range vms {
+		if vm := &vms[i]; vm.Worker != "" && ownsService(vm.Pool) {
+			unresolved = append(unresolved, unresolvedWorker{vm.Worker, vm.Capacity})
 		}
 	}
 	for _, w := range registered {
-		if ownsService(w.Service) && !workersOnVMs[w.ID] && !allVMsAccountedFor {
-			unresolved = append(unresolved, w.ID)
+		if !ownsService(w.Service) {
+			continue
+		}
+		if vm := listed[w.ID]; vm != nil {
+			i := slices.IndexFunc(unresolved, func(u unresolvedWorker) bool { return u.id == w.ID })
+			if i >= 0 {
+				unresolved[i].capacity = unresolved[i].capacity.Max(w.Capacity)
+			}
+			continue
+		}
+		if len(vms) == 0 || slices.ContainsFunc(unaccounted, func(vm workload.VM) bool { return mayRunOn(w, vm) }) {
+			unresolved = append(unresolved, unresolvedWorker{w.ID, w.Capacity})
 		}
 	}
 	return unresolved
 }
+
+// isAccountedFor reports whether it is known which worker runs on a VM, if any. A VM that is down may be
+// partitioned from the platform and still run the worker that it had.
+func isAccountedFor(vm *workload.VM) bool {
+	isChanging := vm.State == workload.VMMoving || vm.State == workload.VMMaintenance
+	return vm.State != workload.VMDown && (vm.Worker != "" || isChanging)
+}
+
+// mayRunOn reports whether a registered worker may be the process on a VM. A move to another pool ends
+// the VM's worker, and a VM keeps its rack.
+func mayRunOn(w workload.Worker, vm workload.VM) bool {
+	if vm.Pool != w.Service {
+		return false
+	}
+	rack := w.Rack()
+	return rack == "" || len(vm.Labels) < 2 || slices.Contains(vm.Labels, rack)
+}
--- a/internal/owner/unresolved_test.go
+++ b/internal/owner/unresolved_test.go
@@ -18,6 +18,15 @@
 	return list
 }
 
+// unresolvedIDs returns the IDs of the unresolved workers of the service booking.
+func unresolvedIDs(registered []workload.Worker, vms []workload.VM) []string {
+	var ids []string
+	for _, u := range unresolvedWorkers(registered, vms, ownsBooking) {
+		ids = append(ids, u.id)
+	}
+	return ids
+}
+
 // All nodes were killed, and the new owner finds registry entries of VMs that moved away a
 // second ago. Each VM has a worker or is moving, so the entries are stale and no job waits
 // for them.
@@ -28,7 +37,7 @@
 		{ID: "vm-3", Pool: "returns", State: workload.VMUp, Worker: "w-9"},
 		{ID: "vm-4", Pool: "spare", State: workload.VMUp},
 	}
-	assert.Equal(t, []string{"w-1"}, unresolvedWorkers(workersWithIDs("w-1", "w-2"), vms, "spare", ownsBooking))
+	assert.Equal(t, []string{"w-1"}, unresolvedIDs(workersWithIDs("w-1", "w-2"), vms))
 }
 
 // A VM that is listed as down may be partitioned from the platform and still run tasks. An
@@ -38,10 +47,27 @@
 		{ID: "vm-1", Pool: "booking", State: workload.VMUp, Worker: "w-1"},
 		{ID: "vm-2", Pool: "booking", State: workload.VMDown},
 	}
-	assert.Equal(t, []string{"w-1", "w-2"}, unresolvedWorkers(workersWithIDs("w-1", "w-2"), vms, "spare", ownsBooking))
+	assert.Equal(t, []string{"w-1", "w-2"}, unresolvedIDs(workersWithIDs("w-1", "w-2"), vms))
 }
 
 // Without the list of VMs no entry can be ruled out.
 func TestAllEntriesAreUnresolvedWithoutVMList(t *testing.T) {
-	assert.Equal(t, []string{"w-1", "w-2"}, unresolvedWorkers(workersWithIDs("w-1", "w-2"), nil, "spare", ownsBooking))
+	assert.Equal(t, []string{"w-1", "w-2"}, unresolvedIDs(workersWithIDs("w-1", "w-2"), nil))
+}
+
+// A rack goes dark while VMs are moved between pools. Entries of VMs that have left the pool, or that were
+// in other racks, can't belong to the dark VMs, and no job waits for them.
+func TestDarkVMAccountsForEntriesOfItsPoolAndRackOnly(t *testing.T) {
+	capacity := workload.Resources{CPU: 64000}
+	vms := []workload.VM{
+		{ID: "vm-1", Pool: "booking", State: workload.VMDown, Worker: "w-1", Labels: []string{"a", "rack-1"}, Capacity: capacity},
+		{ID: "vm-2", Pool: "returns", State: workload.VMDown, Labels: []string{"a", "rack-2"}},
+	}
+	registered := []workload.Worker{
+		{ID: "w-2", Service: "booking", Labels: []string{"a", "rack-1"}},
+		{ID: "w-3", Service: "booking", Labels: []string{"a", "rack-2"}},
+		{ID: "w-4", Service: "booking"},
+	}
+	assert.Equal(t, []string{"w-1", "w-2", "w-4"}, unresolvedIDs(registered, vms))
+	assert.Equal(t, capacity, unresolvedWorkers(registered, vms, ownsBooking)[0].capacity)
 }
--- a/internal/scheduler/allowance.go
+++ b/internal/scheduler/allowance.go
@@ -36,13 +36,15 @@
 	name string
 	// isCapped is set if the workspace has a cap. Nothing else below is used otherwise, except for
 	// reserved, unseen, weight and jobAllowance.
-	isCapped     bool
-	cap          workload.Resources // a resource without a bound is unlimited
-	share        workload.Resources // of the cap, of this partition
-	reserved     workload.Resources // by runs that are not known to have ended
-	unseen       workload.Resources // by runs of earlier owners that may be unknown, at most
-	weight       float64            // of the workspace, 0 if it has none
-	jobAllowance jobAllowance       // for jobs at full rank
+	isCapped bool
+	cap      workload.Resources // a resource without a bound is unlimited
+	share    workload.Resources // of the cap, of this partition
+	reserved workload.Resources // by runs that are not known to have ended
+	// unseen is the most that unknown runs of earlier owners may reserve. unseenBestEffort is the part of
+	// best-effort tasks that their workers don't reserve.
+	unseen, unseenBestEffort workload.Resources
+	weight                   float64      // of the workspace, 0 if it has none
+	jobAllowance             jobAllowance // for jobs at full rank
 	// settledCap is the last cap that has settled, nil if none has. While settlingVersion is not 0
 	// the current cap hasn't settled; it is the configuration that lowered it.
 	settledCap      *workload.Resources
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -94,6 +94,8 @@
 	// unresolvedWorkers are the IDs of workers that may run tasks of an earlier owner and have
 	// not answered this owner yet. It is empty if the earlier owner left a handover.
 	unresolvedWorkers map[string]bool
+	// unresolvedCapacity is the most that the tasks of each may reserve, as far as it is known.
+	unresolvedCapacity map[string]workload.Resources
 	// workerListIncomplete is set if unresolvedWorkers may lack some workers.
 	workerListIncomplete bool
 
@@ -185,6 +187,7 @@
 		serviceBusyUntil:      map[string]time.Time{},
 		dirtyJobs:             map[workload.JobID]*job{},
 		unresolvedWorkers:     map[string]bool{},
+		unresolvedCapacity:    map[string]workload.Resources{},
 		foreignAddresses:      map[string]bool{},
 		arrivedWork:           map[string]workload.Work{},
 		requiredLabels:        map[string][]string{},
--- a/internal/scheduler/unseen.go
+++ b/internal/scheduler/unseen.go
@@ -9,9 +9,15 @@
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
+// SetUnresolvedCapacity sets the most that the tasks on an unresolved worker may reserve.
+func (c *Core) SetUnresolvedCapacity(id string, capacity workload.Resources) {
+	c.unresolvedCapacity[id] = capacity
+}
+
 // updateUnseen bounds, for each workspace, what runs of earlier owners reserve that this owner may not
-// know yet: each task that may have such a run counts once. The capacity of the workers that have not
-// answered is no bound, as best-effort tasks reserve less there than they count against a cap.
+// know yet: no more than each task that may have such a run, and no more than the workers hold on which
+// they would be. Best-effort tasks reserve no processor on their worker and count against a cap all the
+// same, so that the workers' processors don't bound them.
 //
 // Jobs of earlier owners get no starts meanwhile, so the bound only falls, and may be old.
 func (c *Core) updateUnseen(runsUnknown bool, now time.Time) {
@@ -21,7 +27,7 @@
 	}
 	c.unseenUpdatedAt = time.Time{}
 	for _, a := range c.accounts {
-		a.unseen = workload.Resources{}
+		a.unseen, a.unseenBestEffort = workload.Resources{}, workload.Resources{}
 	}
 	if !runsUnknown {
 		return
@@ -32,9 +38,41 @@
 			continue
 		}
 		for _, s := range j.steps {
-			j.account.unseen = j.account.unseen.Add(s.spec.Resources.Times(s.maxUnseenRuns()))
+			n := s.maxUnseenRuns()
+			reservation := s.spec.Reservation()
+			j.account.unseen = j.account.unseen.Add(reservation.Times(n))
+			j.account.unseenBestEffort = j.account.unseenBestEffort.Add(s.spec.Resources.Sub(reservation).Times(n))
+		}
+	}
+	capacity, isKnown := c.unresolvedCapacitySum()
+	for _, a := range c.accounts {
+		if isKnown {
+			a.unseen = a.unseen.Min(capacity)
+		}
+		a.unseen = a.unseen.Add(a.unseenBestEffort)
+	}
+}
+
+// unresolvedCapacitySum returns what all workers together hold that may have unknown runs. ok is false if
+// not all of them, or their capacities, are known.
+func (c *Core) unresolvedCapacitySum() (sum workload.Resources, ok bool) {
+	if c.workerListIncomplete {
+		return workload.Resources{}, false
+	}
+	for id := range c.unresolvedWorkers {
+		capacity := c.unresolvedCapacity[id]
+		if w := c.workers[id]; w != nil {
+			if w.synced {
+				continue
+			}
+			capacity = capacity.Max(w.maxCapacity)
+		}
+		if capacity.CPU == 0 || capacity.MemoryMB == 0 {
+			return workload.Resources{}, false
 		}
+		sum = sum.Add(capacity)
 	}
+	return sum, true
 }
 
 // maxUnseenRuns returns how many runs of the step on workers that have not answered may be unknown at
