scheduler: a run of a job that isn't read yet is kept

A job that is stored between a new owner's read of the partition and its takeover may have been started by the earlier owner. If its worker answered before the new owner had read the job, the run counted as that of a deleted job: it was stopped and forgotten, its exit acknowledged unread, and the task started again beside it.

Until the partition is known up to the takeover's record, a report that names an unread job is left to the next poll, and the worker stays unresolved. Ruled out: polling only after that read; it delays each takeover, and such reports are rare.

--- a/internal/scheduler/logorder.go
+++ b/internal/scheduler/logorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 
 	"github.com/yuccadrift/yuccadrift/internal/logorder"
@@ -69,17 +70,38 @@
 
 // HandleWrittenSpan records the offsets of a stored write, 0 and 0 if they are unknown.
 func (c *Core) HandleWrittenSpan(w WriteOrder, from, to int64) {
-	if to <= from {
-		return
-	}
 	for i, r := range w.Records {
-		if r.Takeover != nil {
-			c.HandleTakeoverRecord(r.Takeover.Epoch, from+int64(i))
+		if r.Takeover == nil || c.log.isTakeoverKnown {
+			continue
+		}
+		offset := from + int64(i)
+		if to <= from {
+			offset = math.MaxInt64 // until it is read
 		}
+		c.HandleTakeoverRecord(r.Takeover.Epoch, offset)
 	}
 	c.ExtendLog(from, to)
 }
 
+// knowsEarlierRecords reports whether the partition is known up to this owner's takeover: all jobs that an
+// earlier owner can have started.
+func (c *Core) knowsEarlierRecords() bool {
+	return c.takeoverStored && (!c.log.isTakeoverKnown || c.log.known.End() > c.log.takeoverOffset)
+}
+
+// namesUnreadJob reports whether a worker's report names a job that may be stored and was not read yet.
+func (c *Core) namesUnreadJob(report workload.PollReport) bool {
+	if c.knowsEarlierRecords() {
+		return false
+	}
+	isUnread := func(k workload.TaskKey) bool {
+		j := c.jobs[k.Job]
+		return j == nil || j.submission == nil
+	}
+	return slices.ContainsFunc(report.Running, func(r workload.ListedRun) bool { return isUnread(r.Task) }) ||
+		slices.ContainsFunc(report.Exited, func(e workload.RunExit) bool { return isUnread(e.Task) })
+}
+
 // RecordLogGap records that the partition's next records up to an offset were dropped before they were
 // read, and that the newest ones were read instead.
 func (c *Core) RecordLogGap(end int64) {
--- a/internal/scheduler/logorder_test.go
+++ b/internal/scheduler/logorder_test.go
@@ -53,3 +53,31 @@
 	r.core.HandleTakeoverRecord(r.epoch+1, 9)
 	assert.NotEmpty(t, r.core.StepDownReason())
 }
+
+// An earlier owner has started a job that was stored just before the takeover. A worker lists its run
+// before the new owner has read the job. If the run counted as that of a deleted job, it would be stopped
+// and forgotten, and the task would start again beside it.
+func TestRunOfAnUnreadJobIsKept(t *testing.T) {
+	const job = workload.JobID("0000000000000001")
+	r := newRig(t, "w-1")
+	r.core.SetLogEnd(10)
+	r.setWorkers("w-1")
+	r.step(0)
+	r.core.HandleTakeoverRecord(r.epoch, 11)
+	listed := workload.PollReport{Running: []workload.ListedRun{{Task: workload.TaskKey{Job: job}, Run: 2<<16 + 1, SpeedPercent: 100}}}
+	r.awaitPoll("w-1")
+	r.answerPoll("w-1", r.now, listed)
+	require.Empty(t, r.step(0).Stops)
+
+	r.addLogged(job, 10)
+	r.core.ExtendLog(10, 12)
+	r.awaitPoll("w-1")
+	r.answerPoll("w-1", r.now, listed)
+	for range 20 {
+		orders := r.step(50 * time.Millisecond)
+		require.Empty(t, orders.Starts)
+		require.Empty(t, orders.Stops)
+	}
+	state, _ := r.core.JobState(job)
+	assert.Equal(t, workload.Running, state)
+}
--- a/internal/scheduler/pollresult.go
+++ b/internal/scheduler/pollresult.go
@@ -12,6 +12,10 @@
 // acknowledged.
 const maxExitsPerReport = 500
 
+// unreadJobPollInterval is the pause after a report that names a job which was not read yet: about as long
+// as a read of the partition takes.
+const unreadJobPollInterval = 20 * time.Millisecond
+
 // PollResult is the outcome of a PollOrder.
 type PollResult struct {
 	Worker string
@@ -106,8 +110,13 @@
 	c.handleProcessExit(w, w.runs, now)
 }
 
-// handlePollReport handles the report of an answered poll.
+// handlePollReport handles the report of an answered poll. It leaves a report that names an unread job,
+// whose run would be stopped and whose exit dropped, to the next poll.
 func (c *Core) handlePollReport(w *worker, r PollResult, now time.Time) {
+	if c.namesUnreadJob(r.Report) {
+		w.nextPollAt = now.Add(unreadJobPollInterval)
+		return
+	}
 	c.recordIncarnation(w, r.Report)
 	if w.incarnationUnresolved {
 		c.resolveIncarnation(w, r.Report, now)
--- a/internal/scheduler/unseen.go
+++ b/internal/scheduler/unseen.go
@@ -94,7 +94,8 @@
 	return n
 }
 
-// waitsLogInterval is the time between two log lines on jobs that wait for workers.
+// waitsLogInterval is the time between two log lines on jobs that wait for workers, and from the takeover
+// to the first: most workers answer within a second.
 const waitsLogInterval = time.Second
 
 // maxLoggedWorkers bounds the workers that such a line names.
@@ -103,7 +104,7 @@
 // logWaitingForWorkers logs, while jobs of before the takeover wait for workers that have not answered,
 // how many jobs there are and for which workers they wait.
 func (c *Core) logWaitingForWorkers(now time.Time) {
-	if now.Before(c.waitsLoggedAt.Add(waitsLogInterval)) || !c.hasUnresolvedWorkers(now) {
+	if now.Before(c.tookOverAt.Add(waitsLogInterval)) || now.Before(c.waitsLoggedAt.Add(waitsLogInterval)) || !c.hasUnresolvedWorkers(now) {
 		return
 	}
 	c.waitsLoggedAt = now
