owner: a read that was sent into an outage of the store ends with it

When a silent store answered again, the owners' reads of their partitions hung until their timeout.

A read that was sent before or during a silence of the store is given up once another call of the node is answered. Ruled out: a shorter timeout; it costs a busy or slow store more reads.

--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -42,6 +42,9 @@
 	// answered some call within this time before the latest call was sent. Otherwise its
 	// silence says nothing about its latency. A node makes several calls a second.
 	recentAnswerWindow = time.Second
+	// minSilence is the time without any answer of the store after which calls that were sent before
+	// the next answer count as lost: much longer than between two answers to a node that is in touch.
+	minSilence = time.Second
 	// slowLatency is the latency above which the store counts as slow: ten times the longest
 	// of the usual 4 to 10 ms.
 	slowLatency = 100 * time.Millisecond
@@ -54,6 +57,8 @@
 	// lastAnswerAt is when the store last answered a call, lastAnsweredSentAt when the latest
 	// answered call was sent.
 	lastAnswerAt, lastAnsweredSentAt time.Time
+	// silenceEndedAt is when the store answered again after the latest silence of minSilence.
+	silenceEndedAt time.Time
 	// callLatency is the latency of calls of all kinds except long polls.
 	callLatency time.Duration
 }
@@ -73,7 +78,11 @@
 func (h *Hedger) RecordAnswer(sentAt time.Time, wasLongPoll bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lastAnswerAt = time.Now()
+	now := time.Now()
+	if !h.lastAnswerAt.IsZero() && now.Sub(h.lastAnswerAt) > minSilence {
+		h.silenceEndedAt = now
+	}
+	h.lastAnswerAt = now
 	if !wasLongPoll {
 		h.callLatency = updateLatency(h.callLatency, h.lastAnswerAt.Sub(sentAt))
 	}
@@ -82,6 +91,14 @@
 	}
 }
 
+// IsPresumedLost reports whether a call that was sent at sentAt and has no answer is probably lost: the
+// store was silent after it, and has answered another call since.
+func (h *Hedger) IsPresumedLost(sentAt time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return sentAt.Before(h.silenceEndedAt)
+}
+
 // IsSlow reports whether the store is slow to answer. Other calls than writes count as well,
 // so nodes that write nothing can detect it.
 func (h *Hedger) IsSlow() bool {
--- a/internal/owner/tail.go
+++ b/internal/owner/tail.go
@@ -80,7 +80,7 @@
 	for ctx.Err() == nil {
 		from := next
 		sentAt := time.Now()
-		batch, status, err := o.log.Read(ctx, from, tailReadWait)
+		batch, status, err := o.readUnlessLost(ctx, from, sentAt)
 		dropped := status == platform.StoreDropped
 		if dropped {
 			o.logger.Warn("stored records were dropped before they were read, reading the newest", "from", from)
@@ -110,6 +110,29 @@
 	}
 }
 
+// lostReadCheckInterval is the interval of checks whether a read is lost: short compared with tailReadWait.
+const lostReadCheckInterval = 50 * time.Millisecond
+
+// readUnlessLost reads the partition as tail does, and gives up a read that is presumed lost. One that was
+// sent into an outage would end with its timeout only, up to two seconds after the store is back.
+func (o *Owner) readUnlessLost(ctx context.Context, from int64, sentAt time.Time) (platform.Batch, platform.StoreStatus, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		check := time.NewTicker(lostReadCheckInterval)
+		defer check.Stop()
+		for !o.deps.Hedger.IsPresumedLost(sentAt) {
+			select {
+			case <-check.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+		cancel()
+	}()
+	return o.log.Read(ctx, from, tailReadWait)
+}
+
 // pauseTail pauses the tail for tailReadPause, or until a job waits for the next read.
 func (o *Owner) pauseTail(ctx context.Context) {
 	timer := time.NewTimer(tailReadPause)
