owner: a worker's rack counts only where VMs name it

If the labels of VMs and workers didn't name racks alike, no dark VM would account for any entry, and workers that still run would count as gone. The worker's own VM has its rack, so that a rack that no VM names says nothing.

Accounts of workspaces that were removed and keep their cap are bounded by unseen runs, too.

--- a/internal/owner/unresolved.go
+++ b/internal/owner/unresolved.go
@@ -19,7 +19,8 @@
 //
 // Registry entries outlive their workers by some seconds, mainly those of VMs that were just moved or
 // maintained. Such a worker never answers, and waiting for it would delay jobs by a lease. A registered
-// worker that no VM lists is stale unless there is a VM left that it could run on; see mayRunOn.
+// worker that no VM lists is stale unless a VM is left that it could run on: one of its pool and its rack.
+// A move to another pool ends the VM's worker, and a VM keeps its rack.
 func unresolvedWorkers(registered []workload.Worker, vms []workload.VM, ownsService func(service string) bool) []unresolvedWorker {
 	listed := map[string]*workload.VM{} // by worker
 	var unaccounted []workload.VM
@@ -49,7 +50,10 @@
 			}
 			continue
 		}
-		if len(vms) == 0 || slices.ContainsFunc(unaccounted, func(vm workload.VM) bool { return mayRunOn(w, vm) }) {
+		mayRunOn := func(vm workload.VM) bool {
+			return vm.Pool == w.Service && (!isRackKnown(w, vms) || len(vm.Labels) == 0 || slices.Contains(vm.Labels, w.Rack()))
+		}
+		if len(vms) == 0 || slices.ContainsFunc(unaccounted, mayRunOn) {
 			unresolved = append(unresolved, unresolvedWorker{w.ID, w.Capacity})
 		}
 	}
@@ -63,12 +67,8 @@
 	return vm.State != workload.VMDown && (vm.Worker != "" || isChanging)
 }
 
-// mayRunOn reports whether a registered worker may be the process on a VM. A move to another pool ends
-// the VM's worker, and a VM keeps its rack.
-func mayRunOn(w workload.Worker, vm workload.VM) bool {
-	if vm.Pool != w.Service {
-		return false
-	}
+// isRackKnown reports whether a worker's rack is one of the VMs' labels. The worker's own VM has it.
+func isRackKnown(w workload.Worker, vms []workload.VM) bool {
 	rack := w.Rack()
-	return rack == "" || len(vm.Labels) < 2 || slices.Contains(vm.Labels, rack)
+	return rack != "" && slices.ContainsFunc(vms, func(vm workload.VM) bool { return slices.Contains(vm.Labels, rack) })
 }
--- a/internal/owner/unresolved_test.go
+++ b/internal/owner/unresolved_test.go
@@ -67,7 +67,8 @@
 		{ID: "w-2", Service: "booking", Labels: []string{"a", "rack-1"}},
 		{ID: "w-3", Service: "booking", Labels: []string{"a", "rack-2"}},
 		{ID: "w-4", Service: "booking"},
+		{ID: "w-5", Service: "booking", Labels: []string{"a", "rack-9"}}, // no VM names its rack
 	}
-	assert.Equal(t, []string{"w-1", "w-2", "w-4"}, unresolvedIDs(registered, vms))
+	assert.Equal(t, []string{"w-1", "w-2", "w-4", "w-5"}, unresolvedIDs(registered, vms))
 	assert.Equal(t, capacity, unresolvedWorkers(registered, vms, ownsBooking)[0].capacity)
 }
--- a/internal/scheduler/unseen.go
+++ b/internal/scheduler/unseen.go
@@ -21,8 +21,7 @@
 //
 // Jobs of earlier owners get no starts meanwhile, so the bound only falls, and may be old.
 func (c *Core) updateUnseen(runsUnknown bool, now time.Time) {
-	switch {
-	case !c.hasCaps, !runsUnknown && c.unseenUpdatedAt.IsZero(), runsUnknown && now.Before(c.unseenUpdatedAt.Add(maxPlanInterval)):
+	if !runsUnknown && c.unseenUpdatedAt.IsZero() || runsUnknown && now.Before(c.unseenUpdatedAt.Add(maxPlanInterval)) {
 		return
 	}
 	c.unseenUpdatedAt = time.Time{}
