owner: jobs count as new from the fence on

The record of a takeover is written once the new owner has read the partition and has a list of workers, 0.3 to 0.5 s after its fence.

The fence now stores a record with the owner's epoch, in the same append. Ruled out: the takeover's record itself with the fence; an owner lost before it starts anything would void its predecessor's handover.

In the histories owners read up to 0.1 s late, as the tail does. Broken halves of the order show in them as before.

--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -57,10 +57,13 @@
 	return &Log{store: store, hedger: hedger, partition: platform.Partition{Topic: topic, Part: partition}}
 }
 
-// Fence sets the epoch of the owner. From then on the store refuses writes of owners with a
-// lower epoch.
-func (l *Log) Fence(ctx context.Context, epoch int64) (platform.StoreStatus, error) {
-	_, status, err := l.store.AppendSpan(ctx, l.partition, &platform.Producer{Name: ownerProducer, Epoch: epoch})
+// fenceSequence is the sequence of a fence. The first write of the owner follows it.
+const fenceSequence = 0
+
+// Fence sets the epoch of the owner and stores records. From then on the store refuses writes of owners
+// with a lower epoch. A repeated fence has no second effect.
+func (l *Log) Fence(ctx context.Context, epoch int64, records ...platform.KeyedRecord) (platform.StoreStatus, error) {
+	_, status, err := l.store.AppendSpan(ctx, l.partition, &platform.Producer{Name: ownerProducer, Epoch: epoch, Sequence: fenceSequence}, records...)
 	return status, err
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -191,7 +191,7 @@
 	records := o.decode(batch)
 	restoreLoans(core, records)
 	core.SetLogEnd(batch.Next)
-	applyRecords(core, records, time.Now())
+	applyRecords(core, records, core.AddSnapshotJob, time.Now())
 	if reason := core.StepDownReason(); reason != "" {
 		return errors.Wrap(ErrOwnershipLost, reason)
 	}
@@ -209,9 +209,13 @@
 // fence rejects further writes of earlier owners. It must precede the snapshot, which then
 // has all that they stored.
 func (o *Owner) fence(ctx context.Context) error {
+	records, err := joblog.Encode([]workload.Record{{Fence: &workload.Fence{Epoch: o.epoch}}}, nil)
+	if err != nil {
+		return err
+	}
 	deadline := time.Now().Add(fenceTimeout)
 	for ctx.Err() == nil {
-		status, err := o.log.Fence(ctx, o.epoch)
+		status, err := o.log.Fence(ctx, o.epoch, records...)
 		switch status {
 		case platform.StoreOK:
 			return nil
--- a/internal/owner/tail.go
+++ b/internal/owner/tail.go
@@ -22,17 +22,20 @@
 	return records
 }
 
-// applyRecords applies records of callers' requests, and of takeovers, to the core in the order of their
-// offsets. It stops at the takeover of a later owner. A record may be applied more than once.
-func applyRecords(core *scheduler.Core, records []workload.Record, now time.Time) {
+// applyRecords applies records of callers' requests, and of owners' fences and takeovers, to the core. It
+// stops at those of a later owner. addJob adds a job whose record is at an offset. A record may be applied
+// more than once.
+func applyRecords(core *scheduler.Core, records []workload.Record, addJob func(workload.JobID, *workload.Submission, int64), now time.Time) {
 	for _, r := range records {
 		switch {
 		case r.Submission != nil:
-			core.AddLoggedJob(r.Job, r.Submission, r.Offset)
+			addJob(r.Job, r.Submission, r.Offset)
 		case r.Cancel:
 			core.CancelJob(r.Job, r.CancelledBy, now)
 		case r.Takeover != nil:
 			core.HandleTakeoverRecord(r.Takeover.Epoch, r.Offset)
+		case r.Fence != nil:
+			core.HandleFenceRecord(r.Fence.Epoch, r.Offset)
 		}
 		if core.StepDownReason() != "" {
 			return
@@ -56,7 +59,7 @@
 	}
 	select {
 	case o.inbox <- newEvent(func(c *scheduler.Core, now time.Time) {
-		applyRecords(c, located, now)
+		applyRecords(c, located, c.AddLoggedJob, now)
 		c.ExtendLog(span.From, span.To)
 	}):
 	default:
@@ -94,11 +97,11 @@
 		next = batch.Next
 		records := o.decode(batch)
 		o.enqueue(ctx, func(c *scheduler.Core, now time.Time) {
-			applyRecords(c, records, now)
+			applyRecords(c, records, c.AddLoggedJob, now)
 			switch {
 			case c.StepDownReason() != "":
 			case dropped:
-				c.RecordLogGap(batch.Next)
+				c.SetLogEnd(batch.Next)
 			default:
 				c.ExtendLog(from, batch.Next)
 			}
--- a/internal/owner/tail_test.go
+++ b/internal/owner/tail_test.go
@@ -25,7 +25,7 @@
 		{Offset: 1, Job: waitingJob, Submission: sub},
 		{Offset: 2, Takeover: &workload.Takeover{Epoch: 9}},
 		{Offset: 3, Job: endedJob, Submission: sub},
-	}, time.Unix(0, 0))
+	}, core.AddLoggedJob, time.Unix(0, 0))
 	_, known := core.JobState(waitingJob)
 	assert.True(t, known)
 	_, known = core.JobState(endedJob)
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -84,6 +84,8 @@
 		w.after(100*time.Millisecond, o.fence)
 		return
 	}
+	w.store.put(workload.Record{Fence: &workload.Fence{Epoch: o.epoch}})
+	w.wakeReaders()
 	w.after(w.durationBetween(5*time.Millisecond, 30*time.Millisecond), o.load)
 }
 
@@ -137,6 +139,10 @@
 		if r.Loans != nil {
 			o.core.RestoreLoans(r.Loans)
 		}
+		if r.Submission != nil {
+			o.core.AddSnapshotJob(r.Job, r.Submission, r.Offset)
+			continue
+		}
 		o.applyRecord(r)
 	}
 	newerProgress := map[workload.JobID]*workload.Progress{}
@@ -207,10 +213,10 @@
 		o.core.AddLoggedJob(r.Job, r.Submission, r.Offset)
 	case r.Cancel:
 		o.core.CancelJob(r.Job, r.CancelledBy, o.world.now)
-	case r.Takeover != nil && !o.world.replacedIgnoreTakeovers:
-		o.core.HandleTakeoverRecord(r.Takeover.Epoch, r.Offset)
-	case r.Takeover != nil && r.Takeover.Epoch == o.epoch:
+	case r.Takeover != nil && (r.Takeover.Epoch == o.epoch || !o.world.replacedIgnoreTakeovers):
 		o.core.HandleTakeoverRecord(r.Takeover.Epoch, r.Offset)
+	case r.Fence != nil && (r.Fence.Epoch == o.epoch || !o.world.replacedIgnoreTakeovers):
+		o.core.HandleFenceRecord(r.Fence.Epoch, r.Offset)
 	}
 }
 
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -18,9 +18,10 @@
 	// isBeyondWeight is set if its workspace had handed in more jobs than its weight allows.
 	isBeyondWeight bool
 	// isOrdered is set once the partition is known up to the job's record, which is at logOffset; isNew
-	// if the record also lies after this owner's takeover. See logorder.go.
-	isOrdered, isNew bool
-	logOffset        int64
+	// if all its records lie behind this owner's fence; inSnapshot if it was known when the owner began. See
+	// logorder.go.
+	isOrdered, isNew, inSnapshot bool
+	logOffset                    int64
 	// steps has one entry for each occurrence and step, ordered by occurrence, then step.
 	steps           []*step
 	remainingTasks  int  // tasks that are not done, long-running ones included
--- a/internal/scheduler/logorder.go
+++ b/internal/scheduler/logorder.go
@@ -9,27 +9,31 @@
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
-// An owner starts a job only once it knows the partition up to a record of the job and has found no
-// takeover of a later owner before it. So no earlier owner has ever started a job whose records all
-// lie after this owner's takeover: such a job is new, and starts while runs of earlier owners on
-// workers that have not answered yet are still unknown. docs/design/takeovers.md has the argument.
+// An owner starts a job only once it knows the partition up to a record of the job and has found no fence
+// or takeover of a later owner before it. So no earlier owner has ever started a job whose records all
+// lie behind this owner's fence: such a job is new, and starts while runs of earlier owners on workers that
+// have not answered yet are still unknown. docs/design/takeovers.md has the argument.
 
 // logPosition is what the owner knows of the order of its partition's records.
 type logPosition struct {
 	known logorder.Prefix
-	// takeoverOffset is the offset of the record of this owner's takeover, if isTakeoverKnown is set.
-	takeoverOffset  int64
-	isTakeoverKnown bool
-	// hasGap is set if records before the takeover were dropped unread: a job that seems new may have
-	// been submitted there first.
-	hasGap bool
+	// fenceOffset and takeoverOffset are the offsets of the records of this owner's fence and takeover, if
+	// isFenceKnown and isTakeoverKnown are set.
+	fenceOffset, takeoverOffset   int64
+	isFenceKnown, isTakeoverKnown bool
 	// unordered are the jobs with a record beyond known. They are shown and counted, but not started.
 	unordered []*job
 }
 
-// SetLogEnd records that the partition is known up to an offset, from a snapshot. It must be called
-// before jobs are added.
-func (c *Core) SetLogEnd(end int64) { c.log.known.Add(0, end) }
+// SetLogEnd records that the partition is known up to an offset, from its newest records.
+func (c *Core) SetLogEnd(end int64) { c.ExtendLog(c.log.known.End(), end) }
+
+// AddSnapshotJob adds a job of the snapshot with which the owner begins. Its newest record is at an offset,
+// and it may have one before the owner's fence, so that it never counts as new.
+func (c *Core) AddSnapshotJob(id workload.JobID, submission *workload.Submission, offset int64) {
+	c.ensureJob(id).inSnapshot = true
+	c.AddLoggedJob(id, submission, offset)
+}
 
 // AddLoggedJob adds a stored job whose record is at an offset of the partition.
 func (c *Core) AddLoggedJob(id workload.JobID, submission *workload.Submission, offset int64) {
@@ -50,17 +54,30 @@
 	}
 }
 
-// HandleTakeoverRecord handles the record of a takeover that was read at an offset. If a later owner has
-// taken over, this one steps down: what lies behind the record is not its to start.
+// HandleFenceRecord handles the record of an owner's fence that was read at an offset. If a later owner has
+// fenced the partition, this one steps down: what lies behind the record is not its to start.
+func (c *Core) HandleFenceRecord(epoch, offset int64) {
+	c.stepDownForLaterOwner(epoch)
+	if epoch == c.settings.Epoch {
+		c.log.fenceOffset, c.log.isFenceKnown = offset, true
+	}
+}
+
+// HandleTakeoverRecord handles the record of a takeover as HandleFenceRecord does that of a fence. Owners of
+// earlier versions store no record of their fence.
 func (c *Core) HandleTakeoverRecord(epoch, offset int64) {
-	switch {
-	case epoch > c.settings.Epoch:
-		c.StepDown(fmt.Sprintf("the owner of epoch %d has taken the partition over", epoch))
-	case epoch == c.settings.Epoch:
+	c.stepDownForLaterOwner(epoch)
+	if epoch == c.settings.Epoch {
 		c.log.takeoverOffset, c.log.isTakeoverKnown = offset, true
 	}
 }
 
+func (c *Core) stepDownForLaterOwner(epoch int64) {
+	if epoch > c.settings.Epoch {
+		c.StepDown(fmt.Sprintf("the owner of epoch %d has taken the partition over", epoch))
+	}
+}
+
 // ExtendLog records that all records from offset from on, up to but without to, are known: they were
 // read and applied, or this node has stored them.
 func (c *Core) ExtendLog(from, to int64) {
@@ -83,8 +100,8 @@
 	c.ExtendLog(from, to)
 }
 
-// knowsEarlierRecords reports whether the partition is known up to this owner's takeover: all jobs that an
-// earlier owner can have started.
+// knowsEarlierRecords reports whether the partition is known up to this owner's takeover: also the jobs that an
+// earlier owner of a version that starts jobs out of order can have started.
 func (c *Core) knowsEarlierRecords() bool {
 	return c.takeoverStored && (!c.log.isTakeoverKnown || c.log.known.End() > c.log.takeoverOffset)
 }
@@ -102,15 +119,6 @@
 		slices.ContainsFunc(report.Exited, func(e workload.RunExit) bool { return isUnread(e.Task) })
 }
 
-// RecordLogGap records that the partition's next records up to an offset were dropped before they were
-// read, and that the newest ones were read instead.
-func (c *Core) RecordLogGap(end int64) {
-	if !c.log.isTakeoverKnown || c.log.known.End() <= c.log.takeoverOffset {
-		c.log.hasGap = true
-	}
-	c.ExtendLog(c.log.known.End(), end)
-}
-
 // HasUnorderedJobs reports whether jobs wait until the partition is known up to their records.
 func (c *Core) HasUnorderedJobs() bool { return len(c.log.unordered) > 0 }
 
@@ -122,7 +130,7 @@
 			return false
 		}
 		j.isOrdered = true
-		j.isNew = l.isTakeoverKnown && j.logOffset > l.takeoverOffset && !l.hasGap && j.restoredProgress == nil
+		j.isNew = l.isFenceKnown && j.logOffset > l.fenceOffset && !j.inSnapshot && j.restoredProgress == nil
 		c.planStale = true
 		return true
 	})
--- a/internal/scheduler/logorder_test.go
+++ b/internal/scheduler/logorder_test.go
@@ -47,11 +47,17 @@
 func TestOwnerStepsDownAtALaterTakeover(t *testing.T) {
 	r := newRig(t)
 	r.syncWorkers("w-1")
+	r.core.HandleFenceRecord(r.epoch-1, 2)
 	r.core.HandleTakeoverRecord(r.epoch-1, 3)
+	r.core.HandleFenceRecord(r.epoch, 6)
 	r.core.HandleTakeoverRecord(r.epoch, 7)
 	assert.Empty(t, r.core.StepDownReason())
-	r.core.HandleTakeoverRecord(r.epoch+1, 9)
+	r.core.HandleFenceRecord(r.epoch+1, 9)
 	assert.NotEmpty(t, r.core.StepDownReason())
+
+	r = newRig(t)
+	r.core.HandleTakeoverRecord(r.epoch+1, 9)
+	assert.NotEmpty(t, r.core.StepDownReason(), "a later owner of an earlier version stores no record of its fence")
 }
 
 // An earlier owner has started a job that was stored just before the takeover. A worker lists its run
--- a/internal/scheduler/takeoverorder_test.go
+++ b/internal/scheduler/takeoverorder_test.go
@@ -14,6 +14,7 @@
 // it, and its successor can't reach some workers at first. The replaced owner can reach the store: its
 // node goes on to store jobs.
 func runReplacementHistory(w *world) *world {
+	w.maxReadDelay = 100 * time.Millisecond // as long as the tail pauses
 	for i := range 6 {
 		w.addWorker("worker-"+strconv.Itoa(i), workload.Resources{CPU: 32000, MemoryMB: 64000})
 	}
@@ -76,7 +77,7 @@
 		"gaps are ignored":      func(w *world) { w.replacedIgnoreGaps = true },
 	} {
 		violations := 0
-		for seed := range uint64(40) {
+		for seed := range uint64(80) {
 			w := newWorld(seed, faults{})
 			breakRule(w)
 			violations += len(runReplacementHistory(w).violations)
--- a/internal/scheduler/takeoverwait_test.go
+++ b/internal/scheduler/takeoverwait_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
@@ -56,14 +57,40 @@
 	}
 }
 
+// fencedRig returns a rig whose owner has fenced the partition at offset 9 and has read up to 10. The
+// worker w-1 has answered, w-dark has not.
+func fencedRig(t *testing.T, earlierOwnersInLogOrder bool) *rig {
+	r := newRig(t)
+	settings := testSettings(r.epoch)
+	settings.EarlierOwnersInLogOrder = earlierOwnersInLogOrder
+	r.core = scheduler.New(settings, r.now, []string{"w-dark"}, false)
+	r.core.SetConfig(testConfig)
+	r.core.SetLogEnd(10)
+	r.core.HandleFenceRecord(r.epoch, 9)
+	r.syncWorkers("w-1")
+	return r
+}
+
+// Jobs are stored while the new owner reads the partition and waits for the list of workers. Those behind
+// its fence must not wait for dark workers, but one that its snapshot has may have been stored before.
+func TestJobsBehindTheFenceAreNew(t *testing.T) {
+	spec := workload.Spec{Payload: "work", Steps: []workload.Step{batchStep(1, 1000)}}
+	r := fencedRig(t, true)
+	r.core.AddSnapshotJob("0000000000000001", &workload.Submission{Queue: "quick", Service: "service", Spec: spec}, 8)
+	r.core.AddSnapshotJob("0000000000000002", &workload.Submission{Queue: "quick", Service: "service", Spec: spec}, 10)
+	r.addLogged("0000000000000003", 11)
+	r.core.ExtendLog(10, 12)
+	starts := r.step(30 * time.Millisecond).Starts
+	require.Len(t, starts, 1)
+	assert.Equal(t, workload.JobID("0000000000000003"), starts[0].Start.Task.Job)
+	assert.Equal(t, 2, r.core.JobsWaitingForWorkers(r.now))
+}
+
 // Earlier owners of a version that starts jobs out of order may have started any job.
 func TestNewJobsWaitForDarkWorkersOfOwnersOutOfOrder(t *testing.T) {
-	r := newRig(t, "w-dark")
-	r.core.SetLogEnd(10)
-	r.core.HandleTakeoverRecord(r.epoch, 10)
+	r := fencedRig(t, false)
+	r.addLogged("0000000000000001", 10)
 	r.core.ExtendLog(10, 11)
-	r.addLogged("0000000000000001", 11)
-	r.core.ExtendLog(11, 12)
-	assert.Empty(t, r.syncWorkers("w-1"))
+	assert.Empty(t, r.step(30*time.Millisecond).Starts)
 	assert.Equal(t, 1, r.core.JobsWaitingForWorkers(r.now))
 }
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -74,6 +74,8 @@
 	// lostRunsOfOtherJobs counts the runs that such crashes ended, without those of the jobs that
 	// caused them.
 	lostRunsOfOtherJobs int
+	// maxReadDelay is the longest time until an owner reads a caller's record.
+	maxReadDelay time.Duration
 	// replacedIgnoreTakeovers is set if a replaced owner goes on reading behind a later owner's takeover,
 	// replacedIgnoreGaps if it starts what its node has stored whatever lies before it.
 	replacedIgnoreTakeovers, replacedIgnoreGaps bool
@@ -133,6 +135,7 @@
 		workers: map[string]*fakeWorker{},
 		jobs:    map[workload.JobID]*fakeJob{},
 
+		maxReadDelay:  20 * time.Millisecond,
 		crashingTasks: map[string]bool{},
 		service:       "service",
 	}
@@ -279,7 +282,7 @@
 		o.deliverLog(func() { o.handleStored(r, isLocated) })
 	}
 	for _, o := range w.owners {
-		w.after(w.durationBetween(time.Millisecond, 20*time.Millisecond), o.readLog)
+		w.after(w.durationBetween(time.Millisecond, w.maxReadDelay), o.readLog)
 	}
 }
 
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -55,6 +55,7 @@
 	ownerPrefix = "owner/"
 	handoverKey = ownerPrefix + "left"
 	takeoverKey = ownerPrefix + "last"
+	fenceKey    = ownerPrefix + "fence"
 )
 
 // IsOwnerKey reports whether a record with the key is one of an owner of the partition.
@@ -96,8 +97,14 @@
 	InLogOrder bool `json:"o,omitempty"`
 }
 
+// Fence names the owner that fenced the earlier ones last. Its record lies before all that the owner reads
+// and writes.
+type Fence struct {
+	Epoch int64 `json:"e"`
+}
+
 // Record is a stored record of a job or of an owner of the partition. Exactly one of
-// Submission, Progress, Cancel, Handover, Takeover and Loans is set.
+// Submission, Progress, Cancel, Handover, Takeover, Fence and Loans is set.
 type Record struct {
 	// Offset is the record's place in its partition. It is set on records that were read.
 	Offset     int64
@@ -109,6 +116,7 @@
 	CancelledBy *Requester
 	Handover    *Handover
 	Takeover    *Takeover
+	Fence       *Fence
 	Loans       *Loans
 }
 
@@ -127,6 +135,9 @@
 	case r.Takeover != nil:
 		value, err = json.Marshal(r.Takeover)
 		return takeoverKey, value, errors.Wrap(err, "takeover")
+	case r.Fence != nil:
+		value, err = json.Marshal(r.Fence)
+		return fenceKey, value, errors.Wrap(err, "fence")
 	case r.Loans != nil:
 		value, err = json.Marshal(r.Loans)
 		return loansPrefix + r.Loans.Workspace, value, errors.Wrap(err, "loans")
@@ -159,6 +170,9 @@
 	case key == takeoverKey:
 		r.Takeover = &Takeover{}
 		err = json.Unmarshal(value, r.Takeover)
+	case key == fenceKey:
+		r.Fence = &Fence{}
+		err = json.Unmarshal(value, r.Fence)
 	case strings.HasPrefix(key, loansPrefix):
 		r.Loans = &Loans{}
 		err = json.Unmarshal(value, r.Loans)
