--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -22,13 +22,13 @@
 	if response.LastJoin == nil {
 		return ownership.JoinStatus{}, errors.Errorf("response of node %s has no last join", address)
 	}
-	return ownership.JoinStatus{Never: response.LastJoin.Never, Age: time.Duration(response.LastJoin.AgeMS) * time.Millisecond, Owned: response.LastJoin.Owned}, nil
+	return ownership.JoinStatus{Never: response.LastJoin.Never, Age: time.Duration(response.LastJoin.AgeMS) * time.Millisecond, Owned: response.LastJoin.Owned, IsSlowed: response.LastJoin.Slowed}, nil
 }
 
 // ServeMembership serves MethodMembership: it returns this node's last join.
 func (o *ownerDirectory) ServeMembership(context.Context, nodepeer.Request) (nodepeer.Response, error) {
 	last := o.manager.JoinStatus()
-	return nodepeer.Response{LastJoin: &nodepeer.LastJoin{Never: last.Never, AgeMS: last.Age.Milliseconds(), Owned: last.Owned}}, nil
+	return nodepeer.Response{LastJoin: &nodepeer.LastJoin{Never: last.Never, AgeMS: last.Age.Milliseconds(), Owned: last.Owned, Slowed: last.IsSlowed}}, nil
 }
 
 // suspendedFor returns how long the machine was suspended since the process started, 0 if
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	store        *platform.Store
 	storeHealth  *storeHealth
 	suspendMeter *suspend.Meter
+	slowdown     prometheus.Gauge
 	published    *published.Follower
 	registry     *registry.Follower
 	manager      *ownership.Manager
@@ -113,6 +114,12 @@
 		Name: "yuccadrift_log_lines_dropped_total",
 		Help: "Log lines that were dropped because nobody read them fast enough.",
 	}, func() float64 { return float64(async.Dropped()) }))
+	n.slowdown = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "yuccadrift_vm_slowdown_factor",
+		Help: "How many times slower than usual the VM computes, 1 if it is not slowed or owns nothing.",
+	})
+	n.slowdown.Set(1)
+	metrics.MustRegister(n.slowdown)
 	if n.suspendMeter, err = suspend.NewMeter(); err != nil {
 		return nil, err
 	}
@@ -303,6 +310,7 @@
 		{Name: "published-by-peers", Serve: func(ctx context.Context) error { return n.published.RunPeerFetch(ctx, n.peers) }},
 		{Name: "registry", Serve: n.registry.Run},
 		{Name: "ownership", Serve: n.manager.Run},
+		{Name: "speed", Serve: n.watchSpeed},
 		{Name: "peers", Serve: n.servePeers, StopTimeout: n.settings.Bounds.ShutdownGrace},
 		{Name: "admin", Serve: n.admin.Serve},
 		{Name: "reload", Serve: func(ctx context.Context) error { return n.checkSettingsOnHangup(ctx, path, hangups) }},
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -105,6 +105,8 @@
 	AgeMS int64 `json:"a"` // time since the answer
 	// Owned are the partitions that the membership group has assigned to the process.
 	Owned []platform.Partition `json:"h,omitempty"`
+	// Slowed is set if the node's VM is slower than usual.
+	Slowed bool `json:"sl,omitempty"`
 }
 
 // StoreResult is the outcome of storing a record.
--- a/internal/ownership/authority.go
+++ b/internal/ownership/authority.go
@@ -33,6 +33,8 @@
 	Never bool          // the store has not answered a join of this node yet
 	Age   time.Duration // time since the last answer
 	Owned []platform.Partition
+	// IsSlowed is set if the node's VM is slower than usual.
+	IsSlowed bool
 }
 
 // instant is a monotonic time and the total time for which the machine had been suspended by then. The
@@ -103,9 +105,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.lastJoinAnsweredAt.IsZero() {
-		return JoinStatus{Never: true}
+		return JoinStatus{Never: true, IsSlowed: m.isSlowed()}
 	}
-	return JoinStatus{Age: time.Since(m.lastJoinAnsweredAt), Owned: slices.Collect(maps.Keys(m.owned))}
+	return JoinStatus{Age: time.Since(m.lastJoinAnsweredAt), Owned: slices.Collect(maps.Keys(m.owned)), IsSlowed: m.isSlowed()}
 }
 
 // memberAnswer is what another member has answered while the store did not answer this node.
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -93,9 +93,12 @@
 func (m *Manager) snapshot() ownershipSnapshot {
 	var s ownershipSnapshot
 	for _, o := range m.owningMembers() {
-		if m.isOutrankedBy(o) {
+		if m.isOutrankedBy(o) && m.mayBeUnslowed(o) {
 			s.strongerMembers++
 		}
+		if isStronger(o.milliCores, m.milliCores) {
+			s.usuallyStronger++
+		}
 	}
 	workOwners := map[string]bool{}
 	for p, o := range m.owners {
@@ -130,11 +133,13 @@
 }
 
 // outranks reports whether this node has at least strongerFactor times the processor time of a member.
-func (m *Manager) outranks(o memberInfo) bool {
-	return o.milliCores > 0 && m.milliCores >= strongerFactor*o.milliCores
-}
+func (m *Manager) outranks(o memberInfo) bool { return isStronger(m.currentMilliCores(), o.milliCores) }
 
 // isOutrankedBy reports whether a member has at least strongerFactor times the processor time of this one.
 func (m *Manager) isOutrankedBy(o memberInfo) bool {
-	return m.milliCores > 0 && o.milliCores >= strongerFactor*m.milliCores
+	return isStronger(o.milliCores, m.currentMilliCores())
 }
+
+// isStronger reports whether a VM with milliCores is stronger than another one. It is not if the processor time of the
+// other one is unknown.
+func isStronger(milliCores, other int) bool { return other > 0 && milliCores >= strongerFactor*other }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -87,12 +87,14 @@
 	address      string       // for other nodes
 	memberClient MemberClient // nil if other members can't be queried
 	suspendedFor func() time.Duration
-	milliCores   int     // processor time of this VM, 0 if unknown
+	milliCores   int     // usual processor time of this VM, 0 if unknown
 	checkJitter  float64 // from 0 to 1, differs between nodes
 	ttl          time.Duration
 
 	joinSlots     chan struct{} // one entry for each join in flight
 	joinRequested chan struct{} // has an entry if a join is requested before it is due
+	// checkRequested has an entry if a check of the owners is requested before it is due.
+	checkRequested chan struct{}
 
 	mu                     sync.Mutex
 	memberName             string
@@ -111,6 +113,8 @@
 	ownersReadSentAt       time.Time
 	mustRejoin             bool // the node must join under a new name
 	yieldPolicy            yieldPolicy
+	slowdownFactor         float64             // see SetSlowdown
+	unslowedMembers        map[string]struct{} // by address, see queryUnslowedMembers
 	capacityHint           capacityHint
 	runnersStartFrom       time.Time // no runner is started before
 }
@@ -158,6 +162,9 @@
 		ttl:             max(memberTTL, c.MinTTL),
 		joinSlots:       make(chan struct{}, maxJoinsInFlight),
 		joinRequested:   make(chan struct{}, 1),
+		checkRequested:  make(chan struct{}, 1),
+		slowdownFactor:  1,
+		unslowedMembers: map[string]struct{}{},
 		owned:           map[platform.Partition]*ownedPartition{},
 		stoppingRunners: map[platform.Partition]*ownedPartition{},
 		supersededBelow: map[platform.Partition]int64{},
--- a/internal/ownership/scale_test.go
+++ b/internal/ownership/scale_test.go
@@ -188,3 +188,52 @@
 		})
 	}
 }
+
+// Guards against a service whose jobs start late during a peak because the VM of its owner has lost most of its
+// processor time, while other strong VMs have theirs: they must own its partitions within two seconds, weak VMs none.
+// Once the VM is as fast as usual, it must own partitions again.
+func TestASlowedVMHandsItsPartitionsOver(t *testing.T) {
+	forEachFleetSize(t, func(t *testing.T, strong, weak int) {
+		runCluster(t, strong, weak, func(c *cluster) {
+			c.start(allNodes)
+			time.Sleep(5 * time.Second)
+			slowed := c.ownerOf(platform.Partition{Topic: "jobs", Part: 0})
+			c.takeRunnerStarts()
+			slowed.manager.SetSlowdown(5)
+			time.Sleep(2 * time.Second)
+			assert.False(t, slowed.manager.OwnsPartition())
+			assert.True(t, c.isAllOwned(true /* byStrong */))
+			time.Sleep(2 * time.Second)
+			slowed.manager.SetSlowdown(1)
+			time.Sleep(3 * time.Second)
+			assert.True(t, c.isAllOwned(true /* byStrong */))
+			maxStarts, weakStarts := c.takeRunnerStarts()
+			assert.LessOrEqual(t, maxStarts, 2, "owner starts of one partition")
+			assert.Zero(t, weakStarts, "no weak VM may own a partition with work")
+			if strong <= c.group.partitionsPerTopic {
+				assert.True(t, slowed.manager.OwnsPartition())
+			}
+		})
+	})
+}
+
+// Guards against partitions without an owner, or with weak ones, because all strong VMs slow down together and each
+// takes the others for stronger.
+func TestStrongVMsThatSlowDownTogetherKeepThePartitions(t *testing.T) {
+	forEachFleetSize(t, func(t *testing.T, strong, weak int) {
+		runCluster(t, strong, weak, func(c *cluster) {
+			c.start(allNodes)
+			time.Sleep(5 * time.Second)
+			c.takeRunnerStarts()
+			for _, n := range c.nodes[:strong] {
+				n.manager.SetSlowdown(3)
+			}
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				assert.LessOrEqual(t, c.awaitOwned(true /* byStrong */), 500*time.Millisecond)
+			}
+			_, weakStarts := c.takeRunnerStarts()
+			assert.Zero(t, weakStarts, "no weak VM may own a partition with work")
+		})
+	})
+}
--- a/internal/ownership/watch.go
+++ b/internal/ownership/watch.go
@@ -52,10 +52,11 @@
 	for ctx.Err() == nil {
 		m.readCapacityHint(ctx)
 		now := time.Now()
+		m.queryUnslowedMembers(ctx)
 		m.updateYielding(now)
 		m.storeCapacityHint(ctx, now)
 		pause := m.nextCheckDelay(now)
-		wait.Pause(ctx, pause)
+		m.awaitCheck(ctx, pause)
 		for ctx.Err() == nil && !m.readOwners(ctx, pause/2) {
 			wait.Pause(ctx, pause)
 		}
--- a/internal/ownership/yield.go
+++ b/internal/ownership/yield.go
@@ -43,7 +43,9 @@
 
 // ownershipSnapshot is what one read of the owners shows.
 type ownershipSnapshot struct {
-	strongerMembers int // members that own any partition and are stronger than this one
+	strongerMembers int // members that own any partition and are stronger than this one is now
+	// usuallyStronger is the same compared with this VM's usual processor time.
+	usuallyStronger int
 	// isSaturated is set if as many other members that are not weaker own work partitions as there are
 	// work partitions.
 	isSaturated   bool
@@ -65,7 +67,7 @@
 	// since which it has owned no work partition while these were saturated, redundantSince that since which
 	// it was redundant. They are zero while their condition doesn't hold.
 	outrankedSince, idleSince, redundantSince time.Time
-	// isWeak is set once a stronger member was seen.
+	// isWeak is set once a member was seen that is stronger than this VM usually is.
 	isWeak bool
 }
 
@@ -96,7 +98,7 @@
 // update decides from a read of the owners whether the VM yields.
 func (p *yieldPolicy) update(s ownershipSnapshot, now time.Time) {
 	isOutranked := s.strongerMembers >= minStrongerMembers
-	p.isWeak = p.isWeak || s.strongerMembers > 0
+	p.isWeak = p.isWeak || s.usuallyStronger > 0
 	// The group shows only members that own a partition. If all weak VMs were members, there would be
 	// more members than partitions, and strong VMs that are back would get none and not be seen.
 	isRedundant := p.isWeak && s.isCovered && !s.ownsWork
