acceptance: refuse a job only if its owner rules out that it was accepted

A node answered for its own attempt alone: a record that it certainly had not stored was refused, and the caller read that as a word on the job. A job that another node had accepted, and that had already run, was refused when its request came again while the store turned nodes away.

Before a refusal the owner of the partition is asked, once and for 90 ms at most. A job that it knows is accepted, at the first refused attempt and without a record. A refusal needs all of: an owner that no other can have replaced and that has owned the partition for as long as callers send a request again, and a read of the partition that was sent after the question. Otherwise the answer is 504 with Retry-After, which promises nothing. Reads for many questions at a time are shared.

Ruled out: asking the owner before each record, which would lengthen the path of each first request by a call; trusting the owner's last read, which may be a second old on a quiet partition.

Attempts with an unknown outcome at other nodes are not reported to the owner yet.

Tests: each gap in the evidence alone; front with a store that is away; rechecks of the partition. They fail with the former decision.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/returntime"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -50,6 +51,17 @@
 type Owners interface {
 	Status(ctx context.Context, service string, id workload.JobID) (status JobStatus, ok bool)
 	WaitingJobs(ctx context.Context, service, queue string) (n int, ok bool)
+	// Acceptance asks once and doesn't retry.
+	Acceptance(ctx context.Context, service string, r acceptance.Request) AcceptanceReport
+}
+
+// AcceptanceReport is what is known of a job at its owner and at this node. The zero value stands for
+// an owner that didn't answer.
+type AcceptanceReport struct {
+	Status JobStatus // Known only if the owner knows the job
+	// HasOpenAttempt is set if this node made an attempt whose outcome is unknown.
+	HasOpenAttempt bool
+	Owner          acceptance.OwnerReport
 }
 
 // Handler serves callers.
--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -29,9 +31,16 @@
 	records      []workload.Record
 	status       JobStatus
 	ownerAnswers bool
+	outcomes     []platform.StoreStatus // of the next calls of Accept, StoreOK after them
+	report       AcceptanceReport
 }
 
 func (f *fakeJobs) Accept(_ context.Context, _ string, r workload.Record) (platform.StoreStatus, error) {
+	if len(f.outcomes) > 0 {
+		outcome := f.outcomes[0]
+		f.outcomes = f.outcomes[1:]
+		return outcome, errors.New("store: " + outcome.String())
+	}
 	f.records = append(f.records, r)
 	return platform.StoreOK, nil
 }
@@ -43,6 +52,10 @@
 	return f.status, f.ownerAnswers
 }
 
+func (f *fakeJobs) Acceptance(context.Context, string, acceptance.Request) AcceptanceReport {
+	return f.report
+}
+
 func (f *fakeJobs) WaitingJobs(context.Context, string, string) (int, bool) { return 3, f.ownerAnswers }
 
 func testConfig(t *testing.T, keys map[string]string) *workload.Config {
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -37,5 +37,16 @@
 	return res
 }
 
+// uncertainResponse returns a response that promises nothing of the request, and tells the caller when
+// to send it again.
+func uncertainResponse(cause returntime.Cause, reason string) response {
+	res := errorResponse(http.StatusGatewayTimeout, reason)
+	res.retryAfter = returntime.After(returntime.Refusal{Cause: cause})
+	return res
+}
+
+// accepted is the response to a submission or cancellation that is stored.
+func accepted() response { return response{status: http.StatusOK, body: []byte("{}")} }
+
 // wholeSeconds rounds d up to whole seconds, the unit of the Retry-After header.
 func wholeSeconds(d time.Duration) int { return int((d + time.Second - 1) / time.Second) }
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -77,26 +77,43 @@
 // although its caller was told that it won't. h.Jobs.Accept retries an unknown outcome as
 // long as the caller waits.
 func (h *Handler) storeRecord(ctx context.Context, req *request, r workload.Record) response {
-	for {
+	for isFirst := true; ; isFirst = false {
 		status, err := h.Jobs.Accept(ctx, req.queue.Service, r)
 		switch status {
 		case platform.StoreOK:
-			return response{status: http.StatusOK, body: []byte("{}")}
+			return accepted()
 		case platform.StoreRefused:
+			if isFirst && h.judge(ctx, req, r.Job) == acceptance.Accepted {
+				return accepted()
+			}
 			if time.Since(req.startedAt) > maxRefusalRetryTime || wait.Sleep(ctx, storeRetryInterval) != nil {
 				return h.refuse(ctx, req, r.Job, returntime.StoreUnavailable, "the store is away, the request was not taken: "+err.Error())
 			}
 		case platform.StoreUnknown:
-			return errorResponse(http.StatusGatewayTimeout, "the store did not answer, the request may have been taken: "+err.Error())
+			return uncertainResponse(returntime.StoreUnavailable, "the store did not answer, the request may have been taken: "+err.Error())
 		default:
 			return errorResponse(http.StatusInternalServerError, "store: "+err.Error())
 		}
 	}
 }
 
-// judge returns what is known of a job whose record this attempt has not stored.
-func (h *Handler) judge(_ context.Context, _ *request, _ workload.JobID) acceptance.Verdict {
-	return acceptance.Judge(acceptance.Evidence{AttemptRefused: true})
+// evidenceTimeout bounds the call to the owner before a refusal. It fits into responseMargin.
+const evidenceTimeout = 90 * time.Millisecond
+
+// judge returns what is known of a job, or of its cancellation, whose record this attempt has certainly
+// not stored. A job that the requester may not access counts as unknown: its ID must not be told from
+// one that nobody uses.
+func (h *Handler) judge(ctx context.Context, req *request, id workload.JobID) acceptance.Verdict {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), evidenceTimeout)
+	defer cancel()
+	r := acceptance.Request{Job: id, Cancels: req.http.Method == http.MethodDelete}
+	report := h.Owners.Acceptance(ctx, req.queue.Service, r)
+	return acceptance.Judge(acceptance.Evidence{
+		AttemptRefused: true,
+		HasOpenAttempt: report.HasOpenAttempt,
+		Known:          report.Status.isVisibleTo(req.requester()) && (!r.Cancels || report.Status.State == workload.Cancelled),
+		Owner:          report.Owner,
+	})
 }
 
 // refuse returns the response to a submission or cancellation whose record is certainly not stored.
@@ -104,10 +121,10 @@
 func (h *Handler) refuse(ctx context.Context, req *request, id workload.JobID, cause returntime.Cause, reason string) response {
 	switch h.judge(ctx, req, id) {
 	case acceptance.Accepted:
-		return response{status: http.StatusOK, body: []byte("{}")}
+		return accepted()
 	case acceptance.NeverAccepted:
 		return retryableResponse(cause, reason)
 	default:
-		return errorResponse(http.StatusGatewayTimeout, "the request may have been taken before: "+reason)
+		return uncertainResponse(cause, "an earlier attempt may have been taken: "+reason)
 	}
 }
--- /dev/null
+++ b/internal/front/submit_test.go
@@ -0,0 +1,124 @@
+package front
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/yuccadrift/yuccadrift/internal/acceptance"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// storeAway are the outcomes of the attempts of one request while the store is away.
+func storeAway() []platform.StoreStatus {
+	outcomes := make([]platform.StoreStatus, 20)
+	for i := range outcomes {
+		outcomes[i] = platform.StoreRefused
+	}
+	return outcomes
+}
+
+// ruledOut is the report of an owner that rules out that a job was accepted.
+func ruledOut() AcceptanceReport {
+	return AcceptanceReport{Owner: acceptance.OwnerReport{ReadSinceAsked: true, IsCurrent: true, WatchedFor: acceptance.AttemptMemory}}
+}
+
+// knownTo is the report of an owner that knows a job of a workspace.
+func knownTo(workspace string, state workload.JobState) AcceptanceReport {
+	return AcceptanceReport{Status: JobStatus{Known: true, State: state, Workspace: workspace, Queue: "quick"}}
+}
+
+// Guards against a job that was accepted, runs, and is refused when its request arrives again while the
+// store is away.
+func TestAnAcceptedJobIsNotRefusedWhileTheStoreIsAway(t *testing.T) {
+	for _, state := range []workload.JobState{workload.Pending, workload.Running, workload.Completed, workload.Failed, workload.Cancelled} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newFrontRig(t)
+			r.jobs.outcomes = storeAway()
+			r.jobs.report = knownTo("ward", state)
+			began := time.Now()
+			assert.Equal(t, http.StatusOK, r.send(http.MethodPost, jobPath, "Bearer ward-key").StatusCode, state)
+			assert.Zero(t, time.Since(began), "the response needs no store")
+		})
+	}
+}
+
+// Guards against refusals that promise that a job never runs although an earlier attempt may have been
+// accepted: the owner is lost, has no authority, lags, or knows of an attempt with an unknown outcome.
+func TestAJobThatMayHaveBeenAcceptedIsNotRefused(t *testing.T) {
+	for name, weaken := range map[string]func(report *AcceptanceReport){
+		"owner lost":                          func(report *AcceptanceReport) { *report = AcceptanceReport{} },
+		"owner without authority":             func(report *AcceptanceReport) { report.Owner.IsCurrent = false },
+		"record behind the tail":              func(report *AcceptanceReport) { report.Owner.ReadSinceAsked = false },
+		"attempt of another node is open":     func(report *AcceptanceReport) { report.Owner.HasOpenAttempt = true },
+		"attempt of this node is open":        func(report *AcceptanceReport) { report.HasOpenAttempt = true },
+		"takeover after the earlier attempts": func(report *AcceptanceReport) { report.Owner.WatchedFor = time.Second },
+	} {
+		for _, method := range []string{http.MethodPost, http.MethodDelete} {
+			synctest.Test(t, func(t *testing.T) {
+				r := newFrontRig(t)
+				r.jobs.outcomes = storeAway()
+				r.jobs.report = ruledOut()
+				weaken(&r.jobs.report)
+				res := r.send(method, jobPath, "Bearer ward-key")
+				assert.Equal(t, http.StatusGatewayTimeout, res.StatusCode, "%s %s", method, name)
+				assert.NotEmpty(t, res.Header.Get("Retry-After"), name)
+			})
+		}
+	}
+}
+
+// Guards against callers that are told nothing certain although all that could have accepted the job is
+// ruled out.
+func TestAJobThatWasNeverAcceptedIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFrontRig(t)
+		r.jobs.outcomes = storeAway()
+		r.jobs.report = ruledOut()
+		res := r.send(http.MethodPost, jobPath, "Bearer ward-key")
+		assert.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
+		assert.NotEmpty(t, res.Header.Get("Retry-After"))
+	})
+}
+
+// Guards against a workspace that learns from the response to a refused request that another workspace
+// uses the job's ID.
+func TestARefusalDoesNotTellOfAnotherWorkspacesJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFrontRig(t)
+		r.jobs.outcomes = storeAway()
+		r.jobs.report = ruledOut()
+		ofUnusedID := r.send(http.MethodPost, jobPath, "Bearer clinic-key")
+		r.jobs.outcomes = storeAway()
+		r.jobs.report.Status = knownTo("ward", workload.Running).Status
+		ofUsedID := r.send(http.MethodPost, jobPath, "Bearer clinic-key")
+		assert.Equal(t, ofUnusedID.StatusCode, ofUsedID.StatusCode)
+		assert.Equal(t, ofUnusedID.Header, ofUsedID.Header)
+	})
+}
+
+// Guards against a cancellation that stands and is refused, and against one that is acknowledged
+// because its job is known.
+func TestOnlyAStandingCancellationIsAcknowledgedWhileTheStoreIsAway(t *testing.T) {
+	for state, want := range map[workload.JobState]int{workload.Cancelled: http.StatusOK, workload.Running: http.StatusServiceUnavailable} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newFrontRig(t)
+			r.jobs.outcomes = storeAway()
+			r.jobs.status = JobStatus{Known: true, State: state, Workspace: "ward", Queue: "quick"}
+			r.jobs.report = ruledOut()
+			r.jobs.report.Status = r.jobs.status
+			assert.Equal(t, want, r.send(http.MethodDelete, jobPath, "Bearer ward-key").StatusCode, state)
+		})
+	}
+}
+
+// Guards against first requests that wait for the owner although the store takes them.
+func TestAStoredJobDoesNotNeedTheOwner(t *testing.T) {
+	r := newFrontRig(t)
+	r.handler.Owners = nil
+	assert.Equal(t, http.StatusOK, r.send(http.MethodPost, jobPath, "Bearer ward-key").StatusCode)
+}
--- /dev/null
+++ b/internal/node/acceptance.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/acceptance"
+	"github.com/yuccadrift/yuccadrift/internal/front"
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// Acceptance returns what the owner of a service's jobs knows of a request. It calls the owner that
+// was known last, once: an answer that is late is no use to a caller that is to be refused.
+func (o *ownerDirectory) Acceptance(ctx context.Context, service string, r acceptance.Request) front.AcceptanceReport {
+	req := nodepeer.Request{Partition: o.partitionOf(service), Job: r.Job, Cancels: r.Cancels}
+	var response nodepeer.Response
+	var err error
+	if o.localOwner(req.Partition) != nil {
+		response, err = o.ServeAcceptance(ctx, req)
+	} else if address := o.manager.CachedOwner(platform.Partition{Topic: joblog.JobsTopic, Part: req.Partition}); address != "" && address != o.selfAddress {
+		response, err = o.clients.Call(ctx, address, nodepeer.MethodAcceptance, req)
+	}
+	var report front.AcceptanceReport
+	if err != nil {
+		o.logger.Debug("owner doesn't say whether a job was accepted", "job", r.Job, "partition", req.Partition, "error", err)
+		return report
+	}
+	report.Status = front.JobStatus{State: response.State, Known: response.Known, Workspace: response.Workspace, Queue: response.JobQueue}
+	if response.Acceptance != nil {
+		report.Owner = *response.Acceptance
+	}
+	return report
+}
+
+// ServeAcceptance serves MethodAcceptance. While the store doesn't answer this node, the partition is
+// not read again, so that the answer is not late.
+func (o *ownerDirectory) ServeAcceptance(ctx context.Context, req nodepeer.Request) (nodepeer.Response, error) {
+	localOwner := o.localOwner(req.Partition)
+	if localOwner == nil {
+		return nodepeer.Response{}, nil
+	}
+	status, ok := localOwner.JobAccepted(ctx, req.Job)
+	var report acceptance.OwnerReport
+	if ok && !status.Known && o.checkStore() == nil {
+		if err := localOwner.Recheck(ctx); err != nil {
+			o.logger.Debug("a job may be stored that the owner doesn't know", "job", req.Job, "partition", req.Partition, "error", err)
+		} else {
+			report.ReadSinceAsked = true
+			status, ok = localOwner.JobAccepted(ctx, req.Job)
+		}
+	}
+	if !ok {
+		return nodepeer.Response{}, nil
+	}
+	report.IsCurrent = localOwner.IsCurrent()
+	report.WatchedFor = localOwner.OwnedFor(time.Now())
+	return nodepeer.Response{IsOwner: report.IsCurrent, Known: status.Known, State: status.State, Workspace: status.Workspace, JobQueue: status.Queue, Acceptance: &report}, nil
+}
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/yuccadrift/yuccadrift/internal/front"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
@@ -33,6 +35,9 @@
 	selfAddress string // this node's address for other nodes
 	clients     *nodepeer.Clients
 	manager     *ownership.Manager
+	logger      hclog.Logger
+	// checkStore returns an error if the store doesn't answer this node.
+	checkStore func() error
 
 	mu      sync.Mutex
 	local   map[int]*owner.Owner         // by partition
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/peer"
 
+	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -41,6 +42,7 @@
 type Request struct {
 	Partition int            `json:"p"`
 	Job       workload.JobID `json:"j,omitempty"`
+	Cancels   bool           `json:"cx,omitempty"` // asks for the job's cancellation, not its submission
 	Queue     string         `json:"q,omitempty"`
 	Worker    string         `json:"w,omitempty"`
 	// Service is the service of the workers in DueForMaintenance.
@@ -81,6 +83,8 @@
 	// store, nil if the node has none.
 	HandoverRecords []StoredRecord `json:"rp,omitempty"`
 	Config          *ConfigResult  `json:"cf,omitempty"`
+	// Acceptance is set if the job is unknown and the node runs an owner of the partition.
+	Acceptance *acceptance.OwnerReport `json:"ac,omitempty"`
 	// Loan is set if IsOwner is and the request was not refused.
 	Loan *workload.LoanResponse `json:"ln,omitempty"`
 }
@@ -126,6 +130,7 @@
 	ServeRelease(ctx context.Context, req Request) (Response, error)
 	ServeConfig(ctx context.Context, req Request) (Response, error)
 	ServeLoan(ctx context.Context, req Request) (Response, error)
+	ServeAcceptance(ctx context.Context, req Request) (Response, error)
 }
 
 // Method is the name of a gRPC method.
@@ -147,6 +152,9 @@
 	MethodConfig Method = "Config"
 	// MethodLoan asks the owner of a partition for allowances of workspaces.
 	MethodLoan Method = "Loan"
+	// MethodAcceptance returns whether the owner of a partition knows a job, and what rules out that
+	// an unknown one was accepted.
+	MethodAcceptance Method = "Acceptance"
 )
 
 const serviceName = "yuccadrift.Node"
@@ -197,6 +205,7 @@
 			methodDesc(MethodRelease, onRequest, Handler.ServeRelease),
 			methodDesc(MethodConfig, onRequest, Handler.ServeConfig),
 			methodDesc(MethodLoan, onRequest, Handler.ServeLoan),
+			methodDesc(MethodAcceptance, onRequest, Handler.ServeAcceptance),
 		},
 	}, h)
 	ended := make(chan error, 1)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -140,6 +141,11 @@
 	// lastReadSentAt is the time as of which the partition is known: when the latest applied
 	// read was sent, initially when Run began.
 	lastReadSentAt time.Time
+	// loadedAt is when loaded was closed.
+	loadedAt time.Time
+	// tailPosition is the offset up to which the tail has passed all records on to the core.
+	tailPosition atomic.Int64
+	rechecks     rechecks
 	// membershipUnconfirmed is set while the membership may have lapsed, authorityLapsed while
 	// the owner has no authority.
 	membershipUnconfirmed, authorityLapsed bool
@@ -191,7 +197,9 @@
 	applyRecords(core, records, time.Now())
 	restoreProgress(core, records, predecessor.unstoredProgress)
 	predecessor.apply(core, time.Now())
+	o.tailPosition.Store(batch.Next)
 	go o.tail(ctx, batch.Next)
+	o.loadedAt = time.Now()
 	close(o.loaded)
 	o.logger.Info("partition taken over", "records", len(batch.Records), "took", time.Since(beganAt).String(), "handed_over", predecessor.handover != nil, "reported_jobs", len(predecessor.unstoredProgress))
 	err = o.loop(ctx, core)
--- a/internal/owner/tail.go
+++ b/internal/owner/tail.go
@@ -75,6 +75,7 @@
 			applyRecords(c, records, now)
 			o.lastReadSentAt = sentAt
 		})
+		o.tailPosition.Store(next)
 		if len(batch.Records) > 0 {
 			wait.Pause(ctx, tailReadPause)
 		}
