intake: tell owners of attempts with an unknown outcome; don't store a request twice

A node whose append had an unknown outcome answered 504, and the node that the caller came to next refused the job: nobody told it. The append could still be carried out.

Each node remembers its attempts for 20 s, as long as callers come back, also those in flight. An attempt whose outcome is unknown, also because its caller has left, is reported to the node of the partition's owner at once, and again every 100 ms until that answers. The owner's node says so when it is asked before a refusal. It has to have remembered all of that time: after a takeover, a start or more attempts than it has room for, it rules nothing out.

A node by which a request was stored answers a repeat at once and without a second record, which would replace the first under the same key. The owner's node is the first route of the others, so most repeats end there, also while the store is away.

Ruled out: asking all nodes before a refusal (45 calls for each of 60 requests a second); telling the owner before each append, a call more on the path of each first request; a record in the log that bars the ID, which needs the store that is away, and bars the caller's next attempt as well.

What remains: a node that dies in the milliseconds between its append and the report, or before it reaches the owner's node, takes the knowledge with it.

--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -14,8 +14,9 @@
 
 // Request is a submission or a cancellation of a job.
 type Request struct {
-	Job     workload.JobID `json:"j"`
-	Cancels bool           `json:"c,omitempty"`
+	Partition int            `json:"p"` // of the job's service
+	Job       workload.JobID `json:"j"`
+	Cancels   bool           `json:"c,omitempty"`
 }
 
 // AttemptMemory is how long attempts are remembered. A caller sends a request again for up to some
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -96,6 +97,8 @@
 	// Store asks a node to store a record through its own connection to the store. If the
 	// request was certainly not sent, Store returns StoreRefused and an error.
 	Store(ctx context.Context, address string, q StoreRequest) (StoreResponse, error)
+	// ReportOpen tells the node of the partition's owner of attempts whose outcome is unknown.
+	ReportOpen(ctx context.Context, partition int, requests []acceptance.Request) error
 }
 
 // Router stores records. It is safe for concurrent use.
@@ -104,6 +107,7 @@
 	peers      Peers
 	logger     hclog.Logger
 	relaySlots chan struct{}
+	attempts   *attemptLog
 
 	mu             sync.Mutex
 	backedOffUntil map[string]time.Time // by address
@@ -111,7 +115,7 @@
 
 // New returns a router.
 func New(local LocalStore, peers Peers, logger hclog.Logger) *Router {
-	return &Router{local: local, peers: peers, logger: logger, relaySlots: make(chan struct{}, maxRelaysInFlight), backedOffUntil: map[string]time.Time{}}
+	return &Router{local: local, peers: peers, logger: logger, relaySlots: make(chan struct{}, maxRelaysInFlight), attempts: newAttemptLog(peers, logger), backedOffUntil: map[string]time.Time{}}
 }
 
 // outcome is the result of storing a record over one or more routes.
@@ -127,8 +131,13 @@
 
 // Accept stores a record. It returns StoreRefused as soon as no route is left and the record
 // certainly is not and will not be stored. If the outcome is unknown, Accept stores the
-// record again until the outcome is known or ctx ends; it then returns StoreUnknown.
-func (r *Router) Accept(ctx context.Context, partition int, record workload.Record) (platform.StoreStatus, error) {
+// record again until the outcome is known or ctx ends; it then returns StoreUnknown. A record that this
+// node has stored or relayed lately is not stored again.
+func (r *Router) Accept(ctx context.Context, partition int, record workload.Record) (status platform.StoreStatus, err error) {
+	if r.attempts.begin(partition, record) {
+		return platform.StoreOK, nil
+	}
+	defer func() { r.attempts.end(partition, record, status) }()
 	mayBeStored := false
 	for {
 		res := r.tryRoutes(ctx, partition, record)
@@ -138,7 +147,10 @@
 		case res.status == platform.StoreRefused && !mayBeStored:
 			return res.status, res.err
 		}
-		mayBeStored = true
+		if !mayBeStored {
+			mayBeStored = true
+			r.attempts.reportOpen(partition, record)
+		}
 		if wait.Sleep(ctx, retryInterval) != nil {
 			return platform.StoreUnknown, errors.Wrap(res.err, "the outcome stayed open")
 		}
@@ -303,9 +315,16 @@
 	if err := r.local.CheckAvailable(); err != nil {
 		return StoreResponse{Status: platform.StoreRefused, Unavailable: true, Reason: err.Error()}
 	}
+	if r.attempts.begin(q.Partition, q.Record) {
+		return StoreResponse{Status: platform.StoreOK}
+	}
 	pendingTimer := time.NewTimer(min(max(0, q.PendingAfter), slowRelayPendingAfter))
 	defer pendingTimer.Stop()
 	status, pending, err := r.local.Store(ctx, q.Partition, q.Record, pendingTimer.C)
+	r.attempts.end(q.Partition, q.Record, status)
+	if status == platform.StoreUnknown {
+		r.attempts.reportOpen(q.Partition, q.Record)
+	}
 	response := StoreResponse{Status: status, Pending: pending}
 	if err != nil {
 		response.Reason = err.Error()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 
+	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/hedge"
 	"github.com/yuccadrift/yuccadrift/internal/intake"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
@@ -145,6 +146,16 @@
 	return intake.StoreResponse{Status: platform.StoreRefused}, errors.New("connection refused")
 }
 
+func (v peerView) ReportOpen(_ context.Context, _ int, requests []acceptance.Request) error {
+	for i, n := range v.cluster.nodes {
+		if address(i) == v.cluster.owner && !n.frozen {
+			n.router.ServeOpen(requests)
+			return nil
+		}
+	}
+	return errors.New("no owner answers")
+}
+
 func newCluster(size int, store joblog.Store, owner string) *cluster {
 	c := &cluster{owner: owner}
 	for i := range size {
--- a/internal/node/acceptance.go
+++ b/internal/node/acceptance.go
@@ -22,7 +22,7 @@
 	} else if address := o.manager.CachedOwner(platform.Partition{Topic: joblog.JobsTopic, Part: req.Partition}); address != "" && address != o.selfAddress {
 		response, err = o.clients.Call(ctx, address, nodepeer.MethodAcceptance, req)
 	}
-	var report front.AcceptanceReport
+	report := front.AcceptanceReport{HasOpenAttempt: o.intake.HasOpenAttempt(acceptance.Request{Partition: req.Partition, Job: r.Job, Cancels: r.Cancels})}
 	if err != nil {
 		o.logger.Debug("owner doesn't say whether a job was accepted", "job", r.Job, "partition", req.Partition, "error", err)
 		return report
@@ -55,6 +55,18 @@
 		return nodepeer.Response{}, nil
 	}
 	report.IsCurrent = localOwner.IsCurrent()
-	report.WatchedFor = localOwner.OwnedFor(time.Now())
+	report.WatchedFor = min(localOwner.OwnedFor(time.Now()), o.intake.AttemptsCompleteFor())
+	report.HasOpenAttempt = o.intake.HasOpenAttempt(acceptance.Request{Partition: req.Partition, Job: req.Job, Cancels: req.Cancels})
 	return nodepeer.Response{IsOwner: report.IsCurrent, Known: status.Known, State: status.State, Workspace: status.Workspace, JobQueue: status.Queue, Acceptance: &report}, nil
 }
+
+// ServeOpenAttempts serves MethodOpenAttempts. A node that another may have replaced refuses them, so
+// that they reach the owner that answers questions.
+func (o *ownerDirectory) ServeOpenAttempts(_ context.Context, req nodepeer.Request) (nodepeer.Response, error) {
+	localOwner := o.localOwner(req.Partition)
+	if localOwner == nil || !localOwner.IsCurrent() {
+		return nodepeer.Response{}, nil
+	}
+	o.intake.ServeOpen(req.OpenAttempts)
+	return nodepeer.Response{IsOwner: true}, nil
+}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/hedge"
 	"github.com/yuccadrift/yuccadrift/internal/intake"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
@@ -82,6 +83,22 @@
 	return intake.StoreResponse{Status: s.Status, Pending: s.Pending, Unavailable: s.Unavailable, Reason: s.Reason}, nil
 }
 
+// ReportOpen tells the node of the partition's owner, which may be this one, of open attempts.
+func (p storePeers) ReportOpen(ctx context.Context, partition int, requests []acceptance.Request) error {
+	if p.owners.localOwner(partition) != nil {
+		return nil // this node remembers its own attempts
+	}
+	address := p.Owner(partition)
+	if address == "" {
+		return errors.Errorf("no owner of partition %d is known", partition)
+	}
+	response, err := p.owners.clients.Call(ctx, address, nodepeer.MethodOpenAttempts, nodepeer.Request{Partition: partition, OpenAttempts: requests})
+	if err == nil && !response.IsOwner {
+		return errors.Errorf("node %s doesn't own partition %d", address, partition)
+	}
+	return err
+}
+
 // Accept stores a record of a caller's request in the partition of its service.
 func (n *Node) Accept(ctx context.Context, service string, r workload.Record) (platform.StoreStatus, error) {
 	return n.intake.Accept(ctx, n.owners.partitionOf(service), r)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -167,6 +167,7 @@
 	n.peers = configPeers{book: peerbook.New(self, rand.IntN), owners: n.owners}
 	local := localStore{acceptor: joblog.NewAcceptor(n.store, hedger, n.onStored), health: n.storeHealth, hedger: hedger}
 	n.intake = intake.New(local, storePeers{n.owners}, logger.Named("intake"))
+	n.owners.intake = n.intake
 	n.ownerDeps.RequestJoin = n.manager.RequestJoin
 	n.ownerDeps.ConfirmingJoinSentAt = func(partition int) time.Time {
 		return n.manager.ConfirmingJoinSentAt(platform.Partition{Topic: joblog.JobsTopic, Part: partition})
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/yuccadrift/yuccadrift/internal/front"
+	"github.com/yuccadrift/yuccadrift/internal/intake"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
 	"github.com/yuccadrift/yuccadrift/internal/owner"
@@ -38,6 +39,7 @@
 	logger      hclog.Logger
 	// checkStore returns an error if the store doesn't answer this node.
 	checkStore func() error
+	intake     *intake.Router
 
 	mu      sync.Mutex
 	local   map[int]*owner.Owner         // by partition
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -58,6 +58,8 @@
 	// ConfigVersion is the version of the requesting node's configuration, 0 if it has none.
 	ConfigVersion int64                 `json:"cv,omitempty"`
 	Loan          *workload.LoanRequest `json:"ln,omitempty"`
+	// OpenAttempts are attempts of other nodes to store records, whose outcome is unknown.
+	OpenAttempts []acceptance.Request `json:"oa,omitempty"`
 }
 
 // Response holds the results of all methods.
@@ -131,6 +133,7 @@
 	ServeConfig(ctx context.Context, req Request) (Response, error)
 	ServeLoan(ctx context.Context, req Request) (Response, error)
 	ServeAcceptance(ctx context.Context, req Request) (Response, error)
+	ServeOpenAttempts(ctx context.Context, req Request) (Response, error)
 }
 
 // Method is the name of a gRPC method.
@@ -155,6 +158,8 @@
 	// MethodAcceptance returns whether the owner of a partition knows a job, and what rules out that
 	// an unknown one was accepted.
 	MethodAcceptance Method = "Acceptance"
+	// MethodOpenAttempts tells the owner's node of open attempts of another node.
+	MethodOpenAttempts Method = "OpenAttempts"
 )
 
 const serviceName = "yuccadrift.Node"
@@ -206,6 +211,7 @@
 			methodDesc(MethodConfig, onRequest, Handler.ServeConfig),
 			methodDesc(MethodLoan, onRequest, Handler.ServeLoan),
 			methodDesc(MethodAcceptance, onRequest, Handler.ServeAcceptance),
+			methodDesc(MethodOpenAttempts, onRequest, Handler.ServeOpenAttempts),
 		},
 	}, h)
 	ended := make(chan error, 1)
