dayreport: report refusals that something else in the logs contradicts

Nobody could see from a deployment that jobs were refused after they had been accepted; it took a search of all nodes' logs by hand.

`yuccadrift report refusals FILE...` compares the refusals (429, 503) of submissions and cancellations with all other answers to the same request and with the job's first start: accepted, then refused; refused, and ran; unknown (502, 504), then refused, with and without a sign that the job was taken. It lists each with its nodes and times. Answers of nodes without a configuration, which log only the path, count as well.

That one groups answers by their reason; this one follows single jobs, and is what an alert or a check runs.

--- a/internal/dayreport/lines.go
+++ b/internal/dayreport/lines.go
@@ -31,6 +31,7 @@
 	Service     string    `json:"service"`
 	Workspace   string    `json:"workspace"`
 	Method      string    `json:"method"`
+	Path        string    `json:"path"`
 	Status      int       `json:"status"` // HTTP status of an answer; a string in other lines
 	Reason      string    `json:"reason"`
 	AgeMS       int64     `json:"age_ms"`
--- a/internal/operatorcmd/report.go
+++ b/internal/operatorcmd/report.go
@@ -16,7 +16,7 @@
 func reportCommand() *cli.Command {
 	return &cli.Command{
 		Name:     "report",
-		Commands: []*cli.Command{reportDayCommand()},
+		Commands: []*cli.Command{reportDayCommand(), reportRefusalsCommand()},
 		Usage:    "show service-level burn beside buffer cost, roll-out time and moves",
 		Description: `The burn rate is the unavailability in a window relative to an even use of the
 budget: at 1, the budget lasts exactly its own window. If both a long and a short
--- a/internal/operatorcmd/report_day_test.go
+++ b/internal/operatorcmd/report_day_test.go
@@ -63,3 +63,23 @@
 		assert.Contains(t, errOut, c.told)
 	}
 }
+
+func TestReportRefusals(t *testing.T) {
+	const refused = `{"@message":"answered","@timestamp":"2026-01-02T12:00:00.100Z","node":"n-1","method":"POST","status":200,"job":"00000000000000aa"}
+{"@message":"answered","@timestamp":"2026-01-02T12:00:03.100Z","node":"n-2","method":"POST","status":503,"job":"00000000000000aa","reason":"the store is away"}
+`
+	log := filepath.Join(t.TempDir(), "all.log")
+	require.NoError(t, os.WriteFile(log, []byte(refused), 0o600))
+	code, out, errOut := runOffline(t, "report", "refusals", log)
+	require.Zero(t, code, errOut)
+	assert.Contains(t, out, "accepted, then refused  POST  00000000000000aa  12:00:00.100  n-1  12:00:03.100  n-2  1")
+
+	code, r := runJSON[dayreport.RefusalReport](&testEnv{t: t, addr: "127.0.0.1:1"}, "report", "refusals", log)
+	require.Zero(t, code)
+	assert.Equal(t, 1, r.Count(dayreport.AcceptedThenRefused))
+
+	require.NoError(t, os.WriteFile(log, []byte("not of a node\n"), 0o600))
+	code, _, errOut = runOffline(t, "report", "refusals", log)
+	assert.NotZero(t, code)
+	assert.Contains(t, errOut, "no line of a node was found")
+}
