--- a/internal/proof/platformjobs_test.go
+++ b/internal/proof/platformjobs_test.go
@@ -188,36 +188,42 @@
 	assert.Empty(t, c.Platform.Violations())
 }
 
-// The store carries out no calls for a while: first it answers 503, then it doesn't answer.
-// Callers must be refused with 503, a refused job must never run, and jobs that were accepted
-// before must continue.
-func TestRefusedJobsNeverRunWhileTheStoreIsUnavailable(t *testing.T) {
+// Guards against refusals that promise that a job never runs while nobody can know, and against refusals of
+// jobs that were accepted: the store carries out no calls for a while, first it answers 503, then it
+// doesn't answer.
+func TestNoJobIsRefusedFalselyWhileTheStoreIsUnavailable(t *testing.T) {
 	t.Parallel()
 	c := testkit.StartJobs(t, smallPlatform(), 2)
-	running := c.NewID()
-	c.Submit("booking", running, testkit.Chain(300*time.Millisecond, 2, 2))
-	refused := map[workload.JobID]bool{}
+	running, chain := c.NewID(), testkit.Chain(300*time.Millisecond, 2, 2)
+	c.Submit("booking", running, chain)
+	c.AwaitState("booking", running, workload.Running)
+	send := func(n *testkit.JobNode, service string, id workload.JobID, spec workload.Spec) int {
+		status, _ := c.Call(n, http.MethodPost, standin.QueuePrefix(service)+string(id), testkit.Body(t, spec))
+		return status
+	}
+	short := testkit.Chain(50*time.Millisecond, 1)
+	var untaken []workload.JobID
 	for _, fault := range []standin.StoreFault{standin.Busy, standin.Silent} {
 		c.Platform.Store.SetFault(fault, "")
-		c.Until("callers are refused", func() bool {
+		c.Until("callers are told that the store is away", func() bool {
 			id := c.NewID()
-			status, _ := c.Call(c.Nodes[0], http.MethodPost, standin.QueuePrefix("returns")+string(id), testkit.Body(t, testkit.Chain(50*time.Millisecond, 1)))
-			refused[id] = status == http.StatusServiceUnavailable
-			return refused[id]
+			untaken = append(untaken, id)
+			status := send(c.Nodes[0], "returns", id, short)
+			assert.NotEqual(t, http.StatusServiceUnavailable, status, "nobody can know that job %s was not accepted", id)
+			return status == http.StatusGatewayTimeout
 		})
+		for _, n := range c.Nodes {
+			assert.Equal(t, http.StatusOK, send(n, "booking", running, chain), "%s, fault %d: the job was accepted", n.Name, fault)
+		}
 		c.Platform.Store.SetFault(standin.NoStoreFault, "")
 		c.AwaitReady()
 	}
 	c.AwaitState("booking", running, workload.Completed)
-	last := c.NewID()
-	c.Submit("returns", last, testkit.Chain(50*time.Millisecond, 1))
-	c.AwaitState("returns", last, workload.Completed)
-	for id, wasRefused := range refused {
-		if wasRefused {
-			status, _ := c.Call(c.Nodes[1], http.MethodGet, standin.QueuePrefix("returns")+string(id), "")
-			assert.Equal(t, http.StatusGone, status, "job %s was refused", id)
-		}
+	for _, id := range untaken {
+		c.Submit("returns", id, short)
+		c.AwaitState("returns", id, workload.Completed)
 	}
+	assert.Equal(t, 4+len(untaken), c.Platform.DoneTasks(), "each task has run once")
 	assert.Empty(t, c.Platform.Violations())
 }
 
--- a/internal/proof/soak_faults_test.go
+++ b/internal/proof/soak_faults_test.go
@@ -158,7 +158,7 @@
 		if !j.acceptedAt.IsZero() {
 			accepted++
 		}
-		if j.acceptedAt.IsZero() && !j.possiblyAccepted {
+		if j.acceptedAt.IsZero() && (!j.possiblyAccepted || j.lastRefused) {
 			refused++
 			status, body := s.cluster.Call(s.cluster.Nodes[0], http.MethodGet, standin.QueuePrefix(j.service)+string(j.id), "")
 			assert.Equal(s.t, http.StatusGone, status, "job %s was refused: %s", j.id, body)
--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -79,7 +80,7 @@
 //   - owners reach workers that their successors can't reach.
 //
 // Each accepted job must stay known and complete, or fail if it crashes workers. No refused job
-// may run, no job may be reported as completed before all its tasks are done, and no task may run
+// may run, no job may be refused after it was accepted, no job may be reported as completed before all its tasks are done, and no task may run
 // twice.
 func TestSoak(t *testing.T) {
 	running := make(chan struct{}, soakParallelism)
@@ -134,10 +135,12 @@
 	service     string
 	tasks       int
 	longRunning bool
+	body        string // of its submission
 
 	mu               sync.Mutex
 	crashesWorkers   bool // its task crashes each worker that starts the task
 	possiblyAccepted bool // a submission got no answer, or one that leaves open whether the job was accepted
+	lastRefused      bool // the last answer to a submission was a refusal
 	acceptedAt       time.Time
 	cancelSent       bool // a cancel was sent; it may not have been accepted
 	shownCompleted   bool // a node reported the job as completed
@@ -175,6 +178,7 @@
 	// Jobs that crash workers have a generator of their own, so that they don't change the other
 	// choices of a seed.
 	crashRand := rand.New(rand.NewPCG(s.seed, 100+caller))
+	repeatRand := rand.New(rand.NewPCG(s.seed, 400+caller)) // for repeated submissions, likewise
 	for n := uint64(1); ; n++ {
 		select {
 		case <-stop:
@@ -184,6 +188,7 @@
 		j := &soakJob{id: workload.JobID(fmt.Sprintf("%08x%08x", caller, n)), service: []string{"booking", "returns"}[rng.IntN(2)]}
 		j.crashesWorkers = crashRand.IntN(soakJobsPerCrashJob) == 0
 		s.submit(j, rng)
+		s.submitAgain(ownJobs, repeatRand)
 		ownJobs = append(ownJobs, j)
 		s.mu.Lock()
 		s.jobs = append(s.jobs, j)
@@ -213,25 +218,46 @@
 	for _, step := range spec.Steps {
 		j.tasks += step.Count
 	}
-	body := testkit.Body(s.t, spec)
+	j.body = testkit.Body(s.t, spec)
 	for range 1 + rng.IntN(6) {
-		n := s.cluster.Nodes[rng.IntN(len(s.cluster.Nodes))]
-		status, _ := s.cluster.Call(n, http.MethodPost, standin.QueuePrefix(j.service)+string(j.id), body)
-		switch status {
-		case http.StatusOK:
-			j.mu.Lock()
-			j.acceptedAt = time.Now()
-			j.mu.Unlock()
+		if s.sendOnce(j, s.cluster.Nodes[rng.IntN(len(s.cluster.Nodes))]) == http.StatusOK {
 			return
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		default:
-			j.mu.Lock()
-			j.possiblyAccepted = true
-			j.mu.Unlock()
 		}
 	}
 }
 
+// submitAgain submits one in four jobs once more, whatever became of it.
+func (s *soak) submitAgain(jobs []*soakJob, rng *rand.Rand) {
+	if len(jobs) > 0 && rng.IntN(4) == 0 {
+		s.sendOnce(jobs[rng.IntN(len(jobs))], s.cluster.Nodes[rng.IntN(len(s.cluster.Nodes))])
+	}
+}
+
+// sendOnce submits a job to a node and records a refusal that contradicts what the caller knows. A node
+// without a configuration knows no job and has to refuse all: its refusals say nothing of the job.
+func (s *soak) sendOnce(j *soakJob, n *testkit.JobNode) int {
+	status, body := s.cluster.Call(n, http.MethodPost, standin.QueuePrefix(j.service)+string(j.id), j.body)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	switch {
+	case status == http.StatusOK:
+		if j.acceptedAt.IsZero() {
+			j.acceptedAt = time.Now()
+		}
+	case (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && strings.Contains(body, "no configuration"):
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		j.lastRefused = true
+		if !j.acceptedAt.IsZero() {
+			s.recordViolation(j, "is refused by "+n.Name+" although it was accepted: "+body)
+		}
+		return status
+	default:
+		j.possiblyAccepted = true
+	}
+	j.lastRefused = false
+	return status
+}
+
 // checkState gets a job's state from a node and records an answer that contradicts what the
 // caller knows.
 func (s *soak) checkState(j *soakJob, n *testkit.JobNode) {
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -227,6 +227,13 @@
 
 // submit stores a job's submission, as a node does before it answers the caller.
 func (w *world) submit(spec workload.Spec, queue string) *fakeJob {
+	job := w.newJob(spec, queue)
+	w.appendRecord(workload.Record{Job: job.id, Submission: job.submission})
+	return job
+}
+
+// newJob returns a new job, which is not stored yet.
+func (w *world) newJob(spec workload.Spec, queue string) *fakeJob {
 	w.lastJobNumber++
 	id := workload.JobID([]byte("0000000000000000"))
 	digits := []byte(id)
@@ -240,7 +247,6 @@
 	}
 	job := &fakeJob{id: id, submission: submission, done: map[string]bool{}, acknowledged: map[string]bool{}, doneRuns: map[string][]int64{}, supersededDoneRuns: map[string]bool{}, failures: map[string]int{}, workerCrashes: map[string]int{}, workerExits: map[string]int{}, earlyWorkerExits: map[string]int{}, startsAfterThreeCrashes: map[string]int{}, stoppedNotRestarted: map[string]bool{}, lastRunningAt: map[string]time.Time{}}
 	w.jobs[id] = job
-	w.appendRecord(workload.Record{Job: id, Submission: submission})
 	return job
 }
 
