intake: tell the owner of records in flight that don't pass through its node

A caller may leave while its record is in flight at a node that stores it itself, and come to another node before the outcome is known there. That node was told that nothing is open.

A node that stores a record itself although another node owns the partition reports it as open when it sends it, beside the append. Most records pass through the owner's node, and cost nothing more.

Ruled out: a report of each record, also where the owner's node stores it.

What remains is the time between the append and the report's arrival, some milliseconds.

--- a/internal/intake/attempts.go
+++ b/internal/intake/attempts.go
@@ -106,6 +106,14 @@
 	}
 }
 
+// reportInFlight reports an attempt that doesn't pass through the owner's node, which would remember it:
+// the caller may leave while it is in flight, and have its next attempt refused at another node.
+func (r *Router) reportInFlight(partition int, record workload.Record) {
+	if r.peers.Owner(partition) != "" {
+		r.attempts.reportOpen(partition, record)
+	}
+}
+
 // runReports reports open attempts until none is left.
 func (l *attemptLog) runReports() {
 	for {
--- a/internal/intake/attempts_test.go
+++ b/internal/intake/attempts_test.go
@@ -89,6 +89,24 @@
 	})
 }
 
+// Guards against refusals while a record is in flight at a node that stores it itself, because the owner's
+// node can't reach the store, and that its caller has left.
+func TestTheOwnersNodeHearsOfRecordsInFlightElsewhere(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T) {
+		c := newCluster(2, newSerialStore(100*time.Millisecond), address(0))
+		c.nodes[0].unavailable = errors.New("the store rejects this node")
+		record := cancelRecord(1)
+		ctx, leave := context.WithCancel(t.Context())
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			assert.True(t, c.nodes[0].router.HasOpenAttempt(requestOf(4, record)))
+			leave()
+		}()
+		status, _ := c.nodes[1].router.Accept(ctx, 4, record)
+		assert.Equal(t, platform.StoreUnknown, status)
+	})
+}
+
 // Guards against a second record, and a wait for the store, when a request arrives again at a node by
 // which its record was stored; also while the store is away.
 func TestARepeatedRequestIsNotStoredAgain(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -222,6 +222,7 @@
 	if err := r.local.CheckAvailable(); err != nil {
 		return outcome{status: platform.StoreRefused, err: err}
 	}
+	r.reportInFlight(partition, record)
 	status, _, err := r.local.Store(ctx, partition, record, nil)
 	return outcome{status: status, err: err, skipOtherRoutes: true}
 }
@@ -318,6 +319,7 @@
 	if r.attempts.begin(q.Partition, q.Record) {
 		return StoreResponse{Status: platform.StoreOK}
 	}
+	r.reportInFlight(q.Partition, q.Record)
 	pendingTimer := time.NewTimer(min(max(0, q.PendingAfter), slowRelayPendingAfter))
 	defer pendingTimer.Stop()
 	status, pending, err := r.local.Store(ctx, q.Partition, q.Record, pendingTimer.C)
