front: wait for a node's first configuration instead of refusing at once

A node that has just started refuses all jobs, since it knows no queue and so no owner to ask. A start reads its configuration 27 ms after its first request if the store answers, and from another node 1.0 s after if it doesn't.

Requests wait for it for 1.2 s, and for half of their timeout at most. A node that has none then answers 503 as before.

Ruled out: 504 for them, as callers of the users' platform are told to expect 503 there; no listener before there is a configuration, which callers can't tell from a lost node.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/returntime"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -24,6 +25,11 @@
 	// responseMargin is the part of the caller's timeout that is reserved for sending the
 	// response. It is also the shortest timeout with which a request is handled.
 	responseMargin = 100 * time.Millisecond
+	// maxConfigWait is how long a request waits for the node's first configuration: some 30 ms after a
+	// start, and 1 s longer if other nodes have to be asked for it. A node without a configuration has
+	// to answer 503, although another may have accepted the job.
+	maxConfigWait      = 1200 * time.Millisecond
+	configPollInterval = 20 * time.Millisecond
 )
 
 // ConfigFunc returns the configuration in force, nil before the first was read.
@@ -119,7 +125,8 @@
 }
 
 func (h *Handler) handle(req *request) response {
-	config := h.Config()
+	timeout := platform.CallerTimeout(req.http, defaultCallerTimeout)
+	config := h.awaitConfig(req, min(maxConfigWait, timeout/2))
 	if config == nil {
 		return retryableResponse(returntime.NoConfiguration, "no configuration was read yet")
 	}
@@ -132,8 +139,8 @@
 		return res
 	}
 	req.pathSuffix = strings.TrimPrefix(req.http.URL.Path, req.queue.PathPrefix)
-	timeout := platform.CallerTimeout(req.http, defaultCallerTimeout)
-	ctx, cancel := context.WithTimeout(req.http.Context(), max(responseMargin, timeout-responseMargin))
+	waited := time.Since(req.startedAt)
+	ctx, cancel := context.WithTimeout(req.http.Context(), max(responseMargin, timeout-responseMargin-waited))
 	defer cancel()
 	if req.pathSuffix == "" {
 		return h.queueLength(ctx, req)
@@ -154,6 +161,16 @@
 	}
 }
 
+// awaitConfig returns the configuration in force, nil if none was read within maxWait.
+func (h *Handler) awaitConfig(req *request, maxWait time.Duration) *workload.Config {
+	for {
+		config := h.Config()
+		if config != nil || time.Since(req.startedAt) >= maxWait || wait.Sleep(req.http.Context(), configPollInterval) != nil {
+			return config
+		}
+	}
+}
+
 // authenticate sets the workspace of a request. If the queue is not public and the request has no
 // key that a workspace has in the configuration, it returns a refusal and false.
 func (r *request) authenticate(config *workload.Config) (response, bool) {
--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -97,6 +97,10 @@
 }
 
 func (r *frontRig) send(method, path, authorization string) *http.Response {
+	return r.serve(r.newRequest(method, path, authorization))
+}
+
+func (r *frontRig) newRequest(method, path, authorization string) *http.Request {
 	body := ""
 	if method == http.MethodPost {
 		body = testJobBody
@@ -105,6 +109,10 @@
 	if authorization != "" {
 		req.Header.Set("Authorization", authorization)
 	}
+	return req
+}
+
+func (r *frontRig) serve(req *http.Request) *http.Response {
 	w := httptest.NewRecorder()
 	r.handler.ServeHTTP(w, req)
 	return w.Result()
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -150,8 +150,8 @@
 	case acceptance.Accepted:
 		return accepted()
 	case acceptance.NeverAccepted:
-		return retryableResponse(cause, "the request was not taken: "+reason)
+		return retryableResponse(cause, reason+"; the request was not taken")
 	default:
-		return uncertainResponse(cause, "an earlier attempt may have been taken: "+reason)
+		return uncertainResponse(cause, reason+"; an earlier attempt may have been taken")
 	}
 }
--- a/internal/front/submit_test.go
+++ b/internal/front/submit_test.go
@@ -122,3 +122,31 @@
 	r.handler.Owners = nil
 	assert.Equal(t, http.StatusOK, r.send(http.MethodPost, jobPath, "Bearer ward-key").StatusCode)
 }
+
+// Guards against a job that was accepted elsewhere and is refused by a node that has just started and has
+// no configuration yet.
+func TestARequestWaitsForTheFirstConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		configAfter, timeout, want time.Duration
+		status                     int
+	}{
+		{300 * time.Millisecond, 3 * time.Second, 300 * time.Millisecond, http.StatusOK},
+		{time.Hour, 3 * time.Second, maxConfigWait, http.StatusServiceUnavailable},
+		{time.Hour, time.Second, 500 * time.Millisecond, http.StatusServiceUnavailable},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newFrontRig(t)
+			began := time.Now()
+			r.handler.Config = func() *workload.Config {
+				if time.Since(began) < c.configAfter {
+					return nil
+				}
+				return r.config
+			}
+			req := r.newRequest(http.MethodPost, jobPath, "Bearer ward-key")
+			platform.SetCallerTimeout(req, c.timeout)
+			assert.Equal(t, c.status, r.serve(req).StatusCode)
+			assert.InDelta(t, c.want, time.Since(began), float64(configPollInterval))
+		})
+	}
+}
