front: count what was known of jobs whose record was not stored

An operator couldn't tell whether refused callers were refused for certain, answered from what the owner knows, or left without a certain answer. yuccadrift_front_verdicts_total counts them by verdict.

--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -36,6 +36,18 @@
 	NeverAccepted
 )
 
+// String returns the verdict's name in metrics.
+func (v Verdict) String() string {
+	switch v {
+	case Accepted:
+		return "accepted"
+	case NeverAccepted:
+		return "never_accepted"
+	default:
+		return "uncertain"
+	}
+}
+
 // Evidence is what is known of the attempts to hand a job in, or to cancel it, when a request is
 // about to be answered without a record of its own.
 type Evidence struct {
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -10,6 +10,7 @@
 // Metrics are the metrics of callers' requests.
 type Metrics struct {
 	requests *prometheus.HistogramVec
+	verdicts *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -19,7 +20,11 @@
 		Help:    "Time from a caller's request to its answer, in seconds, by method and status.",
 		Buckets: []float64{0.003, 0.01, 0.03, 0.1, 0.3, 1, 3},
 	}, []string{"method", "status"})}
-	r.MustRegister(m.requests)
+	m.verdicts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "yuccadrift_front_verdicts_total",
+		Help: "What was known of jobs whose record was not stored when their owners were asked, by verdict.",
+	}, []string{"verdict"})
+	r.MustRegister(m.requests, m.verdicts)
 	return m
 }
 
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -130,12 +130,14 @@
 	defer cancel()
 	r := acceptance.Request{Job: id, Cancels: req.http.Method == http.MethodDelete}
 	report := h.Owners.Acceptance(ctx, req.queue.Service, r)
-	return acceptance.Judge(acceptance.Evidence{
+	verdict := acceptance.Judge(acceptance.Evidence{
 		AttemptRefused: true,
 		HasOpenAttempt: report.HasOpenAttempt,
 		Known:          report.Status.isVisibleTo(req.requester()) && (!r.Cancels || report.Status.State == workload.Cancelled),
 		Owner:          report.Owner,
 	})
+	h.Metrics.verdicts.WithLabelValues(verdict.String()).Inc()
+	return verdict
 }
 
 // refuse returns the response to a submission or cancellation whose record is certainly not stored.
