front: use the owner's way to the store as soon as it has read there

An owner's node that has read the partition for a question returns to the routes at once, and a record whose job is ruled out is tried as long as one of which nothing is known.

Ruled out: a shorter backoff, which makes each caller of an outage wait for a lost owner.

--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -18,14 +18,12 @@
 const (
 	// storeRetryInterval is the pause before a refused record is tried again.
 	storeRetryInterval = 60 * time.Millisecond
-	// maxRefusalRetryTime is how long a refused record is retried. A caller that is refused
-	// early can try elsewhere.
-	maxRefusalRetryTime = 250 * time.Millisecond
-	// maxUncertainRetryTime is how long a refused record is retried if nothing certain can be said of
-	// the job. A caller that is told so comes back at once, whatever Retry-After says, and has few
-	// attempts: it loses less by waiting here, where its job is taken as soon as the store answers.
-	maxUncertainRetryTime = 700 * time.Millisecond
-	defaultMaxBodyBytes   = 256 << 10 // if the configuration sets no limit
+	// maxRetryTime is how long a refused record is retried. A caller that is told nothing certain
+	// comes back at once, whatever Retry-After says, and has few attempts: it loses less by waiting
+	// here, where its job is taken as soon as the store answers. Where the job is ruled out, its owner
+	// has just read the store, and the next attempt should succeed.
+	maxRetryTime        = 700 * time.Millisecond
+	defaultMaxBodyBytes = 256 << 10 // if the configuration sets no limit
 )
 
 func (h *Handler) submit(ctx context.Context, req *request, id workload.JobID, config *workload.Config) response {
@@ -81,23 +79,18 @@
 // although its caller was told that it won't. h.Jobs.Accept retries an unknown outcome as
 // long as the caller waits.
 func (h *Handler) storeRecord(ctx context.Context, req *request, r workload.Record) response {
-	retryTime := time.Duration(0) // a job that is known needs no second attempt
-	for {
+	for wasJudged := false; ; wasJudged = true {
 		status, err := h.Jobs.Accept(ctx, req.queue.Service, r)
 		switch status {
 		case platform.StoreOK:
 			return accepted()
 		case platform.StoreRefused:
-			reason := "the store is away: " + err.Error()
-			if time.Since(req.startedAt) >= retryTime {
-				verdict := h.judge(ctx, req, r.Job)
-				retryTime = maxRetryTime(verdict)
-				if time.Since(req.startedAt) >= retryTime {
-					return respondUnstored(verdict, returntime.StoreUnavailable, reason)
-				}
+			// A job that is known needs no second attempt.
+			if !wasJudged && h.judge(ctx, req, r.Job) == acceptance.Accepted {
+				return accepted()
 			}
-			if wait.Sleep(ctx, storeRetryInterval) != nil {
-				return h.refuse(ctx, req, r.Job, returntime.StoreUnavailable, reason)
+			if time.Since(req.startedAt) >= maxRetryTime || wait.Sleep(ctx, storeRetryInterval) != nil {
+				return h.refuse(ctx, req, r.Job, returntime.StoreUnavailable, "the store is away: "+err.Error())
 			}
 		case platform.StoreUnknown:
 			return uncertainResponse(returntime.StoreUnavailable, "the store did not answer, the request may have been taken: "+err.Error())
@@ -107,18 +100,6 @@
 	}
 }
 
-// maxRetryTime returns how long after a request's arrival its refused record is tried again.
-func maxRetryTime(v acceptance.Verdict) time.Duration {
-	switch v {
-	case acceptance.Accepted:
-		return 0
-	case acceptance.NeverAccepted:
-		return maxRefusalRetryTime
-	default:
-		return maxUncertainRetryTime
-	}
-}
-
 // evidenceTimeout bounds the call to the owner before a refusal. It fits into responseMargin.
 const evidenceTimeout = 90 * time.Millisecond
 
@@ -140,15 +121,10 @@
 	return verdict
 }
 
-// refuse returns the response to a submission or cancellation whose record is certainly not stored.
+// refuse returns the response to a submission or cancellation whose record is certainly not stored. It
+// promises that the request has no effect only if no earlier attempt can have one.
 func (h *Handler) refuse(ctx context.Context, req *request, id workload.JobID, cause returntime.Cause, reason string) response {
-	return respondUnstored(h.judge(ctx, req, id), cause, reason)
-}
-
-// respondUnstored returns the response to a request whose record is certainly not stored. It promises
-// that the request has no effect only if no earlier attempt can have one.
-func respondUnstored(v acceptance.Verdict, cause returntime.Cause, reason string) response {
-	switch v {
+	switch h.judge(ctx, req, id) {
 	case acceptance.Accepted:
 		return accepted()
 	case acceptance.NeverAccepted:
--- a/internal/intake/attempts_test.go
+++ b/internal/intake/attempts_test.go
@@ -134,3 +134,23 @@
 		assert.Equal(t, 2, store.appends, "another workspace's request is one of its own")
 	})
 }
+
+// Guards against records that are refused for a second after the store's return, as the owner's node has
+// answered before that it doesn't reach it.
+func TestANodeThatReachesTheStoreAgainIsUsedAtOnce(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T) {
+		c := newCluster(2, newSerialStore(time.Millisecond), address(0))
+		for _, n := range c.nodes {
+			n.unavailable = errors.New("the store is away")
+		}
+		accept := func() platform.StoreStatus {
+			status, _ := c.nodes[1].router.Accept(t.Context(), 4, cancelRecord(1))
+			return status
+		}
+		assert.Equal(t, platform.StoreRefused, accept())
+		c.nodes[0].unavailable = nil
+		assert.Equal(t, platform.StoreRefused, accept())
+		c.nodes[1].router.EndBackoff(address(0))
+		assert.Equal(t, platform.StoreOK, accept())
+	})
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -293,6 +293,13 @@
 	return !time.Now().Before(r.backedOffUntil[address])
 }
 
+// EndBackoff returns a node to the routes, since it has just reached the store.
+func (r *Router) EndBackoff(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.backedOffUntil, address)
+}
+
 // backOff excludes a node from the routes for peerBackoffTime. It logs when a backoff begins
 // but not when it is extended.
 func (r *Router) backOff(address string, reason error) {
--- a/internal/node/acceptance.go
+++ b/internal/node/acceptance.go
@@ -21,6 +21,9 @@
 		response, err = o.ServeAcceptance(ctx, req)
 	} else if address := o.manager.CachedOwner(platform.Partition{Topic: joblog.JobsTopic, Part: req.Partition}); address != "" && address != o.selfAddress {
 		response, err = o.clients.Call(ctx, address, nodepeer.MethodAcceptance, req)
+		if response.Acceptance != nil && response.Acceptance.ReadSinceAsked {
+			o.intake.EndBackoff(address)
+		}
 	}
 	report := front.AcceptanceReport{HasOpenAttempt: o.intake.HasOpenAttempt(acceptance.Request{Partition: req.Partition, Job: r.Job, Cancels: r.Cancels})}
 	if err != nil {
