dayreport: a refusal is true if a later attempt explains why the job ran

A start that no later attempt explains is "refused, and ran"; the two kinds of "unknown, then refused" are one, which is no fault by itself.

--- a/internal/dayreport/lines.go
+++ b/internal/dayreport/lines.go
@@ -36,6 +36,7 @@
 	Reason      string    `json:"reason"`
 	AgeMS       int64     `json:"age_ms"`
 	SinceMS     int64     `json:"since_ms"`
+	TookMS      int64     `json:"took_ms"` // of an answer, from the call to it
 	Partition   int       `json:"partition"`
 	Topic       string    `json:"topic"`
 	HandedOver  bool      `json:"handed_over"` // the previous owner handed its runs over
--- a/internal/dayreport/refusals.go
+++ b/internal/dayreport/refusals.go
@@ -25,18 +25,16 @@
 const (
 	// AcceptedThenRefused: the job was accepted (2xx) before the refusal.
 	AcceptedThenRefused Contradiction = "accepted, then refused"
-	// UnknownThenRefused: an earlier answer promised nothing (502 or 504), the job was not accepted
-	// before the refusal, and it ran or was accepted later.
-	UnknownThenRefused Contradiction = "unknown, then refused, and taken"
-	// RefusedAndRan: the last answer is the refusal, no other promised anything else, and the job ran.
+	// RefusedAndRan: the job ran, and no attempt that was sent after the refusal explains it.
 	RefusedAndRan Contradiction = "refused, and ran"
-	// UnknownThenRefusedOnly: as UnknownThenRefused, but nothing shows that the job was taken.
-	UnknownThenRefusedOnly Contradiction = "unknown, then refused, not seen again"
+	// UnknownThenRefused: an earlier answer promised nothing (502 or 504). Nothing else shows that the
+	// refusal was false.
+	UnknownThenRefused Contradiction = "unknown, then refused"
 )
 
 // Contradictions returns all kinds.
 func Contradictions() []Contradiction {
-	return []Contradiction{AcceptedThenRefused, RefusedAndRan, UnknownThenRefused, UnknownThenRefusedOnly}
+	return []Contradiction{AcceptedThenRefused, RefusedAndRan, UnknownThenRefused}
 }
 
 // RefusalReport compares the refusals of submissions and cancellations with all else that the logs have
@@ -154,23 +152,33 @@
 // contradictionOf returns what contradicts the refusals among the answers to one request, in the order of
 // their times. start is the first start of its job, if it ran.
 func contradictionOf(answers []Line, start Line, ran bool) (c ContradictedRefusal, found bool) {
-	accepted, unknown := slices.IndexFunc(answers, isAcceptance), slices.IndexFunc(answers, isUnknown)
-	if accepted >= 0 {
-		if c = contradictedBy(AcceptedThenRefused, answers[accepted], answers[accepted:]); c.Refusals > 0 {
+	if i := slices.IndexFunc(answers, isAcceptance); i >= 0 {
+		if c = contradictedBy(AcceptedThenRefused, answers[i], answers[i:]); c.Refusals > 0 {
 			return c, true
 		}
 	}
-	switch {
-	case unknown >= 0 && (ran || accepted >= 0):
-		c = contradictedBy(UnknownThenRefused, answers[unknown], answers[unknown:])
-	case unknown >= 0:
-		c = contradictedBy(UnknownThenRefusedOnly, answers[unknown], answers[unknown:])
-	case ran && accepted < 0:
-		c = contradictedBy(RefusedAndRan, start, answers)
+	refused := slices.IndexFunc(answers, promisesNoRun)
+	if refused < 0 {
+		return c, false
+	}
+	if ran && !explainsStart(answers[refused:], start) {
+		return contradictedBy(RefusedAndRan, start, answers), true
+	}
+	if i := slices.IndexFunc(answers, isUnknown); i >= 0 {
+		c = contradictedBy(UnknownThenRefused, answers[i], answers[i:])
 	}
 	return c, c.Refusals > 0
 }
 
+// explainsStart reports whether one of the answers to attempts after a refusal promises no refusal, and
+// the attempt was sent before the start.
+func explainsStart(answers []Line, start Line) bool {
+	return slices.ContainsFunc(answers, func(l Line) bool {
+		sentAt := l.At.Add(-time.Duration(l.TookMS) * time.Millisecond)
+		return !promisesNoRun(l) && !sentAt.After(start.At)
+	})
+}
+
 // contradictedBy returns the refusals among answers as contradicted by an earlier line.
 func contradictedBy(kind Contradiction, earlier Line, answers []Line) ContradictedRefusal {
 	c := ContradictedRefusal{Kind: kind, EarlierAt: earlier.At, EarlierBy: earlier.Node}
