--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -33,6 +33,7 @@
 	ownerAnswers bool
 	outcomes     []platform.StoreStatus // of the next calls of Accept, StoreOK after them
 	report       AcceptanceReport
+	reportedFrom time.Time // before that the owner doesn't answer
 }
 
 func (f *fakeJobs) Accept(_ context.Context, _ string, r workload.Record) (platform.StoreStatus, error) {
@@ -53,6 +54,9 @@
 }
 
 func (f *fakeJobs) Acceptance(context.Context, string, acceptance.Request) AcceptanceReport {
+	if time.Now().Before(f.reportedFrom) {
+		return AcceptanceReport{}
+	}
 	return f.report
 }
 
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -20,8 +20,8 @@
 	storeRetryInterval = 60 * time.Millisecond
 	// maxRetryTime is how long a refused record is retried. A caller that is told nothing certain
 	// comes back at once, whatever Retry-After says, and has few attempts: it loses less by waiting
-	// here, where its job is taken as soon as the store answers. Where the job is ruled out, its owner
-	// has just read the store, and the next attempt should succeed.
+	// here, where its job is taken as soon as the store answers. If the job is ruled out then, its
+	// owner has just read the store, and the record is tried once more.
 	maxRetryTime        = 700 * time.Millisecond
 	defaultMaxBodyBytes = 256 << 10 // if the configuration sets no limit
 )
@@ -79,18 +79,24 @@
 // although its caller was told that it won't. h.Jobs.Accept retries an unknown outcome as
 // long as the caller waits.
 func (h *Handler) storeRecord(ctx context.Context, req *request, r workload.Record) response {
-	for wasJudged := false; ; wasJudged = true {
+	wasJudged, isLastTry := false, false
+	for {
 		status, err := h.Jobs.Accept(ctx, req.queue.Service, r)
 		switch status {
 		case platform.StoreOK:
 			return accepted()
 		case platform.StoreRefused:
-			// A job that is known needs no second attempt.
-			if !wasJudged && h.judge(ctx, req, r.Job) == acceptance.Accepted {
-				return accepted()
+			reason := "the store is away: " + err.Error()
+			isOver := time.Since(req.startedAt) >= maxRetryTime
+			if !wasJudged || isOver {
+				verdict := h.judge(ctx, req, r.Job)
+				if verdict == acceptance.Accepted || isOver && (isLastTry || verdict != acceptance.NeverAccepted) {
+					return respondUnstored(verdict, returntime.StoreUnavailable, reason)
+				}
+				wasJudged, isLastTry = true, isOver
 			}
-			if time.Since(req.startedAt) >= maxRetryTime || wait.Sleep(ctx, storeRetryInterval) != nil {
-				return h.refuse(ctx, req, r.Job, returntime.StoreUnavailable, "the store is away: "+err.Error())
+			if wait.Sleep(ctx, storeRetryInterval) != nil {
+				return h.refuse(ctx, req, r.Job, returntime.StoreUnavailable, reason)
 			}
 		case platform.StoreUnknown:
 			return uncertainResponse(returntime.StoreUnavailable, "the store did not answer, the request may have been taken: "+err.Error())
@@ -121,10 +127,15 @@
 	return verdict
 }
 
-// refuse returns the response to a submission or cancellation whose record is certainly not stored. It
-// promises that the request has no effect only if no earlier attempt can have one.
+// refuse returns the response to a submission or cancellation whose record is certainly not stored.
 func (h *Handler) refuse(ctx context.Context, req *request, id workload.JobID, cause returntime.Cause, reason string) response {
-	switch h.judge(ctx, req, id) {
+	return respondUnstored(h.judge(ctx, req, id), cause, reason)
+}
+
+// respondUnstored returns the response to a request whose record is certainly not stored. It promises
+// that the request has no effect only if no earlier attempt can have one.
+func respondUnstored(v acceptance.Verdict, cause returntime.Cause, reason string) response {
+	switch v {
 	case acceptance.Accepted:
 		return accepted()
 	case acceptance.NeverAccepted:
--- a/internal/front/submit_test.go
+++ b/internal/front/submit_test.go
@@ -85,6 +85,17 @@
 	})
 }
 
+// Guards against a job that is refused in the moment in which the store answers its owner again.
+func TestAJobIsTriedOnceMoreIfItsOwnerReachesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFrontRig(t)
+		r.jobs.outcomes = storeAway()[:int(maxRetryTime/storeRetryInterval)+2]
+		r.jobs.report, r.jobs.reportedFrom = ruledOut(), time.Now().Add(maxRetryTime)
+		assert.Equal(t, http.StatusOK, r.send(http.MethodPost, jobPath, "Bearer ward-key").StatusCode)
+		assert.Len(t, r.jobs.records, 1)
+	})
+}
+
 // Guards against a workspace that learns from the response to a refused request that another workspace
 // uses the job's ID.
 func TestARefusalDoesNotTellOfAnotherWorkspacesJob(t *testing.T) {
--- a/internal/intake/attempts_test.go
+++ b/internal/intake/attempts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,6 +49,8 @@
 		assert.True(t, c.nodes[1].router.HasOpenAttempt(requestOf(4, record)))
 		assert.False(t, c.nodes[0].router.HasOpenAttempt(requestOf(4, cancelRecord(2))))
 		time.Sleep(store.delay)
+		store.mu.Lock()
+		defer store.mu.Unlock()
 		assert.True(t, store.keys["c/"+string(record.Job)], "the append was carried out late")
 	})
 }
@@ -66,6 +69,7 @@
 		assert.Equal(t, platform.StoreUnknown, status)
 		time.Sleep(3 * time.Second)
 		assert.False(t, c.nodes[0].router.HasOpenAttempt(requestOf(4, record)))
+		synctest.Wait()
 		c.nodes[0].frozen = false
 		time.Sleep(time.Second)
 		assert.True(t, c.nodes[0].router.HasOpenAttempt(requestOf(4, record)))
