--- a/internal/intake/attempts_test.go
+++ b/internal/intake/attempts_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,7 +60,7 @@
 	runInVirtualTime(t, func(t *testing.T) {
 		store := &lateStore{serialStore: newSerialStore(time.Millisecond), delay: time.Second}
 		c := newCluster(2, store, address(0))
-		c.nodes[0].frozen = true
+		c.nodes[0].frozen.Store(true)
 		record := cancelRecord(1)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -69,8 +68,7 @@
 		assert.Equal(t, platform.StoreUnknown, status)
 		time.Sleep(3 * time.Second)
 		assert.False(t, c.nodes[0].router.HasOpenAttempt(requestOf(4, record)))
-		synctest.Wait()
-		c.nodes[0].frozen = false
+		c.nodes[0].frozen.Store(false)
 		time.Sleep(time.Second)
 		assert.True(t, c.nodes[0].router.HasOpenAttempt(requestOf(4, record)))
 	})
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -87,8 +88,8 @@
 	router      *intake.Router
 	acceptor    *joblog.Acceptor
 	hedger      *hedge.Hedger
-	unavailable error // result of CheckAvailable
-	frozen      bool  // does not answer other nodes
+	unavailable error       // result of CheckAvailable
+	frozen      atomic.Bool // does not answer other nodes
 }
 
 func (n *node) Store(ctx context.Context, partition int, record workload.Record, pendingAfter <-chan time.Time) (platform.StoreStatus, bool, error) {
@@ -137,7 +138,7 @@
 		if address(i) != to {
 			continue
 		}
-		if n.frozen {
+		if n.frozen.Load() {
 			<-ctx.Done()
 			return intake.StoreResponse{}, ctx.Err()
 		}
@@ -148,7 +149,7 @@
 
 func (v peerView) ReportOpen(_ context.Context, _ int, requests []acceptance.Request) error {
 	for i, n := range v.cluster.nodes {
-		if address(i) == v.cluster.owner && !n.frozen {
+		if address(i) == v.cluster.owner && !n.frozen.Load() {
 			n.router.ServeOpen(requests)
 			return nil
 		}
@@ -258,7 +259,7 @@
 func TestFrozenOwnerDelaysOnlyFirstCaller(t *testing.T) {
 	runInVirtualTime(t, func(t *testing.T) {
 		c := newCluster(3, newSerialStore(2*time.Millisecond), address(0))
-		c.nodes[0].frozen = true
+		c.nodes[0].frozen.Store(true)
 		began := time.Now()
 		status, _ := c.nodes[1].router.Accept(t.Context(), 0, cancelRecord(1))
 		assert.Equal(t, platform.StoreOK, status)
