acceptance: ask the owner for the requester, so that no answer tells of another workspace's job

The owner's node didn't read the partition again for a job that it knew, whoever had asked. A workspace that used the ID of another one's job was told 504, and 503 for an ID that nobody uses. A cancellation of a job that was known and not cancelled was told 504 for the same reason.

The question names the requester, and the owner answers whether its request stands. Whatever else it knows is treated as unknown, and no longer leaves the node.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -57,14 +57,14 @@
 type Owners interface {
 	Status(ctx context.Context, service string, id workload.JobID) (status JobStatus, ok bool)
 	WaitingJobs(ctx context.Context, service, queue string) (n int, ok bool)
-	// Acceptance asks once and doesn't retry.
-	Acceptance(ctx context.Context, service string, r acceptance.Request) AcceptanceReport
+	// Acceptance returns what is known of a request by a requester. It asks once and doesn't retry.
+	Acceptance(ctx context.Context, service string, r acceptance.Request, by workload.Requester) AcceptanceReport
 }
 
 // AcceptanceReport is what is known of a job at its owner and at this node. The zero value stands for
 // an owner that didn't answer.
 type AcceptanceReport struct {
-	Status JobStatus // Known only if the owner knows the job
+	Stands bool // the owner knows the requester's job, or that it is cancelled if that was requested
 	// HasOpenAttempt is set if this node made an attempt whose outcome is unknown.
 	HasOpenAttempt bool
 	Owner          acceptance.OwnerReport
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -110,17 +110,16 @@
 const evidenceTimeout = 90 * time.Millisecond
 
 // judge returns what is known of a job, or of its cancellation, whose record this attempt has certainly
-// not stored. A job that the requester may not access counts as unknown: its ID must not be told from
-// one that nobody uses.
+// not stored.
 func (h *Handler) judge(ctx context.Context, req *request, id workload.JobID) acceptance.Verdict {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), evidenceTimeout)
 	defer cancel()
 	r := acceptance.Request{Job: id, Cancels: req.http.Method == http.MethodDelete}
-	report := h.Owners.Acceptance(ctx, req.queue.Service, r)
+	report := h.Owners.Acceptance(ctx, req.queue.Service, r, req.requester())
 	verdict := acceptance.Judge(acceptance.Evidence{
 		AttemptRefused: true,
 		HasOpenAttempt: report.HasOpenAttempt,
-		Known:          report.Status.isVisibleTo(req.requester()) && (!r.Cancels || report.Status.State == workload.Cancelled),
+		Known:          report.Stands,
 		Owner:          report.Owner,
 	})
 	h.Metrics.verdicts.WithLabelValues(verdict.String()).Inc()
--- a/internal/node/acceptance.go
+++ b/internal/node/acceptance.go
@@ -8,13 +8,15 @@
 	"github.com/yuccadrift/yuccadrift/internal/front"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
 // Acceptance returns what the owner of a service's jobs knows of a request. It calls the owner that
 // was known last, once: an answer that is late is no use to a caller that is to be refused.
-func (o *ownerDirectory) Acceptance(ctx context.Context, service string, r acceptance.Request) front.AcceptanceReport {
-	req := nodepeer.Request{Partition: o.partitionOf(service), Job: r.Job, Cancels: r.Cancels}
+func (o *ownerDirectory) Acceptance(ctx context.Context, service string, r acceptance.Request, by workload.Requester) front.AcceptanceReport {
+	r.Partition = o.partitionOf(service)
+	req := nodepeer.Request{Partition: r.Partition, Job: r.Job, Cancels: r.Cancels, Requester: &by}
 	var response nodepeer.Response
 	var err error
 	if o.localOwner(req.Partition) != nil {
@@ -25,12 +27,11 @@
 			o.intake.EndBackoff(address)
 		}
 	}
-	report := front.AcceptanceReport{HasOpenAttempt: o.intake.HasOpenAttempt(acceptance.Request{Partition: req.Partition, Job: r.Job, Cancels: r.Cancels})}
+	report := front.AcceptanceReport{Stands: response.Stands, HasOpenAttempt: o.intake.HasOpenAttempt(r)}
 	if err != nil {
 		o.logger.Debug("owner doesn't say whether a job was accepted", "job", r.Job, "partition", req.Partition, "error", err)
 		return report
 	}
-	report.Status = front.JobStatus{State: response.State, Known: response.Known, Workspace: response.Workspace, Queue: response.JobQueue}
 	if response.Acceptance != nil {
 		report.Owner = *response.Acceptance
 	}
@@ -38,20 +39,20 @@
 }
 
 // ServeAcceptance serves MethodAcceptance. While the store doesn't answer this node, the partition is
-// not read again, so that the answer is not late.
+// not read again, so that the answer is not late. A job of another workspace is treated as unknown.
 func (o *ownerDirectory) ServeAcceptance(ctx context.Context, req nodepeer.Request) (nodepeer.Response, error) {
 	localOwner := o.localOwner(req.Partition)
-	if localOwner == nil {
+	if localOwner == nil || req.Requester == nil {
 		return nodepeer.Response{}, nil
 	}
-	status, ok := localOwner.JobAccepted(ctx, req.Job)
+	stands, ok := localOwner.Stands(ctx, req.Job, req.Cancels, *req.Requester)
 	var report acceptance.OwnerReport
-	if ok && !status.Known && o.checkStore() == nil {
+	if ok && !stands && o.checkStore() == nil {
 		if err := localOwner.Recheck(ctx); err != nil {
 			o.logger.Debug("a job may be stored that the owner doesn't know", "job", req.Job, "partition", req.Partition, "error", err)
 		} else {
 			report.ReadSinceAsked = true
-			status, ok = localOwner.JobAccepted(ctx, req.Job)
+			stands, ok = localOwner.Stands(ctx, req.Job, req.Cancels, *req.Requester)
 		}
 	}
 	if !ok {
@@ -60,7 +61,7 @@
 	report.IsCurrent = localOwner.IsCurrent()
 	report.WatchedFor = min(localOwner.OwnedFor(time.Now()), o.intake.AttemptsCompleteFor())
 	report.HasOpenAttempt = o.intake.HasOpenAttempt(acceptance.Request{Partition: req.Partition, Job: req.Job, Cancels: req.Cancels})
-	return nodepeer.Response{IsOwner: report.IsCurrent, Known: status.Known, State: status.State, Workspace: status.Workspace, JobQueue: status.Queue, Acceptance: &report}, nil
+	return nodepeer.Response{IsOwner: report.IsCurrent, Stands: stands, Acceptance: &report}, nil
 }
 
 // ServeOpenAttempts serves MethodOpenAttempts. A node that another may have replaced refuses them, so
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -43,8 +43,10 @@
 	Partition int            `json:"p"`
 	Job       workload.JobID `json:"j,omitempty"`
 	Cancels   bool           `json:"cx,omitempty"` // asks for the job's cancellation, not its submission
-	Queue     string         `json:"q,omitempty"`
-	Worker    string         `json:"w,omitempty"`
+	// Requester asks whether its job was accepted or its cancellation stands.
+	Requester *workload.Requester `json:"rq,omitempty"`
+	Queue     string              `json:"q,omitempty"`
+	Worker    string              `json:"w,omitempty"`
 	// Service is the service of the workers in DueForMaintenance.
 	Service           string   `json:"sv,omitempty"`
 	DueForMaintenance []string `json:"lv,omitempty"`
@@ -85,7 +87,9 @@
 	// store, nil if the node has none.
 	HandoverRecords []StoredRecord `json:"rp,omitempty"`
 	Config          *ConfigResult  `json:"cf,omitempty"`
-	// Acceptance is set if the job is unknown and the node runs an owner of the partition.
+	// Stands is set if the owner knows the requester's job, or its cancellation if that was asked for.
+	Stands bool `json:"sd,omitempty"`
+	// Acceptance is set if the node runs an owner of the partition.
 	Acceptance *acceptance.OwnerReport `json:"ac,omitempty"`
 	// Loan is set if IsOwner is and the request was not refused.
 	Loan *workload.LoanResponse `json:"ln,omitempty"`
--- a/internal/owner/recheck.go
+++ b/internal/owner/recheck.go
@@ -35,13 +35,13 @@
 	err  error
 }
 
-// JobAccepted returns what the owner knows of a job, whatever the state of its ownership: a job that
-// was accepted once stays so. ok is false if the partition is not taken over yet or ctx ends.
-func (o *Owner) JobAccepted(ctx context.Context, id workload.JobID) (JobStatus, bool) {
-	return queryCore(ctx, o, func(c *scheduler.Core, _ time.Time) JobStatus {
+// Stands reports whether the owner knows a job of the requester or, if cancels is set, that such a job
+// is cancelled, whatever the state of its ownership: what was accepted once stays so. ok is false if the
+// partition is not taken over yet or ctx ends.
+func (o *Owner) Stands(ctx context.Context, id workload.JobID, cancels bool, by workload.Requester) (stands, ok bool) {
+	return queryCore(ctx, o, func(c *scheduler.Core, _ time.Time) bool {
 		state, known := c.JobState(id)
-		workspace, queue := c.JobAccess(id)
-		return JobStatus{State: state, Known: known, Workspace: workspace, Queue: queue}
+		return known && by.MayAccess(c.JobAccess(id)) && (!cancels || state == workload.Cancelled)
 	})
 }
 
