intake: a test reads its store under the lock

The race detector reported TestSameRequestAtSeveralNodesIsStoredUnderOneKey: an append that was sent again is still carried out when the callers have their answers, and the test read the store's keys without its lock. The product was ruled out: both goroutines are the test's store.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -347,6 +347,8 @@
 			})
 		}
 		callers.Wait()
+		store.mu.Lock() // a repeated append may be in progress
+		defer store.mu.Unlock()
 		assert.Len(t, store.keys, 1)
 	})
 }
