acceptance: forget stored requests in time

The memory of attempts rotated by one half at most a call, however long the last call was ago, and a question moved an entry to the recent half. So a node that was idle, or that was asked again and again, acknowledged a stored request without a record long after AttemptMemory, and past the retention of its job, when the ID stands for a new one. The store and the owner were ruled out: begin answers from the memory alone. Now both halves rotate after a longer pause, and questions don't move entries.

--- a/internal/acceptance/memory.go
+++ b/internal/acceptance/memory.go
@@ -77,25 +77,32 @@
 
 // IsOpen reports whether an attempt is in flight or has an unknown outcome.
 func (m *Memory) IsOpen(r Request, now time.Time) bool {
-	a := m.lookUp(r, now)
+	a := m.find(r, now)
 	return a.inFlight > 0 || a.isOpen
 }
 
 // IsStored reports whether a record of the request by this requester is stored.
 func (m *Memory) IsStored(r Request, by workload.Requester, now time.Time) bool {
-	a := m.lookUp(r, now)
+	a := m.find(r, now)
 	return a.isStored && a.by == by
 }
 
 // CompleteFor returns for how long all attempts were remembered, with the present ones.
 func (m *Memory) CompleteFor(now time.Time) time.Duration { return now.Sub(m.completeSince) }
 
+// find returns what is known of a request.
+func (m *Memory) find(r Request, now time.Time) attempts {
+	m.rotateIfDue(now)
+	if a, ok := m.recent[r]; ok {
+		return a
+	}
+	return m.older[r]
+}
+
 // lookUp returns what is known of a request and moves it to the recent ones.
 func (m *Memory) lookUp(r Request, now time.Time) attempts {
-	switch {
-	case now.Sub(m.rotatedAt) >= AttemptMemory:
-		m.rotate(now)
-	case len(m.recent) >= maxAttempts:
+	m.rotateIfDue(now)
+	if len(m.recent) >= maxAttempts {
 		m.completeSince = now
 		m.rotate(now)
 	}
@@ -106,6 +113,17 @@
 	return m.recent[r]
 }
 
+// rotateIfDue rotates every AttemptMemory. After a longer time without a call both halves are too old.
+func (m *Memory) rotateIfDue(now time.Time) {
+	if now.Sub(m.rotatedAt) >= 2*AttemptMemory {
+		m.rotate(now)
+		m.rotate(now)
+	}
+	if due := m.rotatedAt.Add(AttemptMemory); !now.Before(due) {
+		m.rotate(due)
+	}
+}
+
 // rotate forgets the older attempts but those in flight.
 func (m *Memory) rotate(now time.Time) {
 	forgotten := m.older
--- a/internal/acceptance/memory_test.go
+++ b/internal/acceptance/memory_test.go
@@ -44,6 +44,27 @@
 	assert.True(t, m.IsOpen(testRequest, testStart.Add(10*AttemptMemory)))
 }
 
+// Guards against a stored request that an idle node still acknowledges after its job's retention, when
+// the ID stands for a new job.
+func TestAStoredRequestIsForgottenWhileNobodyAsks(t *testing.T) {
+	m := NewMemory(testStart)
+	m.Begin(testRequest, testStart)
+	m.End(testRequest, Stored, testRequester, testStart)
+	assert.True(t, m.IsStored(testRequest, testRequester, testStart.Add(AttemptMemory)))
+	assert.False(t, m.IsStored(testRequest, testRequester, testStart.Add(time.Hour)))
+}
+
+// Guards against a stored request that is acknowledged without end because it arrives again and again.
+func TestARepeatedRequestIsForgottenInTime(t *testing.T) {
+	m := NewMemory(testStart)
+	m.Begin(testRequest, testStart)
+	m.End(testRequest, Stored, testRequester, testStart)
+	for at := time.Duration(0); at < 2*AttemptMemory; at += time.Second {
+		m.IsStored(testRequest, testRequester, testStart.Add(at))
+	}
+	assert.False(t, m.IsStored(testRequest, testRequester, testStart.Add(2*AttemptMemory)))
+}
+
 // Guards against a stored request that counts as another requester's, and against memory for refused ones.
 func TestOnlyItsRequesterIsToldOfAStoredRequest(t *testing.T) {
 	m := NewMemory(testStart)
