front: ask the owner once when the caller's time is over

If a record was refused when the time of its request was over, the owner was asked, the wait before the next try ended at once, and the owner was asked again: up to 180 ms, of which responseMargin covers 100 ms. The caller had left by then. Ruled out: Accept, which ends with its context. The first verdict is the answer now. A test failed before, with 380 ms of 300 ms.

--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -32,7 +32,9 @@
 	status       JobStatus
 	ownerAnswers bool
 	outcomes     []platform.StoreStatus // of the next calls of Accept, StoreOK after them
+	outcomesTake time.Duration          // the time of a call of Accept with one of them
 	report       AcceptanceReport
+	reportTakes  time.Duration
 	reportedFrom time.Time // before that the owner doesn't answer
 }
 
@@ -40,6 +42,7 @@
 	if len(f.outcomes) > 0 {
 		outcome := f.outcomes[0]
 		f.outcomes = f.outcomes[1:]
+		time.Sleep(f.outcomesTake)
 		return outcome, errors.New("store: " + outcome.String())
 	}
 	f.records = append(f.records, r)
@@ -54,6 +57,7 @@
 }
 
 func (f *fakeJobs) Acceptance(context.Context, string, acceptance.Request, workload.Requester) AcceptanceReport {
+	time.Sleep(f.reportTakes)
 	if time.Now().Before(f.reportedFrom) {
 		return AcceptanceReport{}
 	}
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -90,7 +90,8 @@
 			isOver := time.Since(req.startedAt) >= maxRetryTime
 			if !wasJudged || isOver {
 				verdict := h.judge(ctx, req, r.Job)
-				if verdict == acceptance.Accepted || isOver && (isLastTry || verdict != acceptance.NeverAccepted) {
+				isFinal := verdict == acceptance.Accepted || isOver && (isLastTry || verdict != acceptance.NeverAccepted)
+				if isFinal || ctx.Err() != nil {
 					return respondUnstored(verdict, returntime.StoreUnavailable, reason)
 				}
 				wasJudged, isLastTry = true, isOver
--- a/internal/front/submit_test.go
+++ b/internal/front/submit_test.go
@@ -91,6 +91,23 @@
 	})
 }
 
+// Guards against an answer that comes after its caller has left because the owner is asked twice: the
+// record is refused when the caller's time is over, and the owner answers late.
+func TestTheOwnerIsAskedOnceWhenTheTimeIsOver(t *testing.T) {
+	for _, timeout := range []time.Duration{300 * time.Millisecond, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newFrontRig(t)
+			r.jobs.outcomes, r.jobs.outcomesTake = storeAway(), timeout-responseMargin
+			r.jobs.report, r.jobs.reportTakes = ruledOut(), evidenceTimeout
+			req := r.newRequest(http.MethodPost, jobPath, "Bearer ward-key")
+			platform.SetCallerTimeout(req, timeout)
+			began := time.Now()
+			assert.Equal(t, http.StatusServiceUnavailable, r.serve(req).StatusCode)
+			assert.Less(t, time.Since(began), timeout)
+		})
+	}
+}
+
 // Guards against first requests that wait for the owner although the store takes them.
 func TestAStoredJobDoesNotNeedTheOwner(t *testing.T) {
 	r := newFrontRig(t)
