node: an attempt that ends while its job is asked about counts

The owner's node looked at the open attempts after it had read the partition and asked the core. An attempt that was in flight when the read was sent, was stored, and ended before that look was in neither: the job counted as never accepted, was refused and ran. Looking before the read only was ruled out, as an attempt may begin meanwhile.

--- a/internal/intake/attempts.go
+++ b/internal/intake/attempts.go
@@ -175,6 +175,13 @@
 	return r.attempts.memory.IsOpen(request, time.Now())
 }
 
+// HasStored reports whether this node has stored or relayed the requester's record lately.
+func (r *Router) HasStored(request acceptance.Request, by workload.Requester) bool {
+	r.attempts.mu.Lock()
+	defer r.attempts.mu.Unlock()
+	return r.attempts.memory.IsStored(request, by, time.Now())
+}
+
 // AttemptsCompleteFor returns for how long this node has remembered all attempts of which it heard.
 func (r *Router) AttemptsCompleteFor() time.Duration {
 	r.attempts.mu.Lock()
