intake: a lost owner delays no reports of open attempts to others

One goroutine reported the open attempts of all partitions, and began the next round when all owners had answered. With one owner lost, the others heard up to 400 ms late of an attempt, as late as its caller comes back: the next node could refuse the job. A shorter timeout was ruled out, as it would only shorten the delay. Now each partition with open attempts has a goroutine of its own.

--- a/internal/intake/attempts.go
+++ b/internal/intake/attempts.go
@@ -32,11 +32,11 @@
 	mu         sync.Mutex
 	memory     *acceptance.Memory
 	unreported map[acceptance.Request]time.Time // by open attempt: when it is no use to report it any more
-	reporting  bool
+	reporting  map[int]bool                     // by partition: whether runReports runs
 }
 
 func newAttemptLog(peers Peers, logger hclog.Logger) *attemptLog {
-	return &attemptLog{peers: peers, logger: logger, memory: acceptance.NewMemory(time.Now()), unreported: map[acceptance.Request]time.Time{}}
+	return &attemptLog{peers: peers, logger: logger, memory: acceptance.NewMemory(time.Now()), unreported: map[acceptance.Request]time.Time{}, reporting: map[int]bool{}}
 }
 
 // requestOf returns the request that a record stands for, and who has sent it.
@@ -100,9 +100,9 @@
 		return
 	}
 	l.unreported[request] = time.Now().Add(acceptance.AttemptMemory)
-	if !l.reporting {
-		l.reporting = true
-		go l.runReports()
+	if !l.reporting[partition] {
+		l.reporting[partition] = true
+		go l.runReports(partition)
 	}
 }
 
@@ -114,49 +114,48 @@
 	}
 }
 
-// runReports reports open attempts until none is left.
-func (l *attemptLog) runReports() {
+// runReports reports open attempts in a partition until none is left.
+func (l *attemptLog) runReports(partition int) {
 	for {
-		byPartition := l.takeUnreported()
-		if byPartition == nil {
+		requests := l.takeUnreported(partition)
+		if len(requests) == 0 {
 			return
 		}
-		var reports sync.WaitGroup
-		for partition, requests := range byPartition {
-			reports.Go(func() {
-				ctx, cancel := context.WithTimeout(context.Background(), openReportTimeout)
-				defer cancel()
-				if err := l.peers.ReportOpen(ctx, partition, requests); err != nil {
-					l.logger.Debug("open attempts can't be reported yet", "partition", partition, "attempts", len(requests), "error", err)
-					return
-				}
-				l.removeReported(requests)
-			})
+		if err := l.report(partition, requests); err != nil {
+			l.logger.Debug("open attempts can't be reported yet", "partition", partition, "attempts", len(requests), "error", err)
+		} else {
+			l.removeReported(requests)
 		}
-		reports.Wait()
 		wait.Pause(context.Background(), openReportInterval)
 	}
 }
 
-// takeUnreported returns the attempts to report by partition, nil if there are none: the goroutine of
-// reports then ends.
-func (l *attemptLog) takeUnreported() map[int][]acceptance.Request {
+func (l *attemptLog) report(partition int, requests []acceptance.Request) error {
+	ctx, cancel := context.WithTimeout(context.Background(), openReportTimeout)
+	defer cancel()
+	return l.peers.ReportOpen(ctx, partition, requests)
+}
+
+// takeUnreported returns the attempts in a partition to report. If there are none, the partition's
+// goroutine of reports ends.
+func (l *attemptLog) takeUnreported(partition int) []acceptance.Request {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	var byPartition map[int][]acceptance.Request
+	var requests []acceptance.Request
 	for request, until := range l.unreported {
-		if !now.Before(until) {
+		switch {
+		case request.Partition != partition:
+		case now.Before(until):
+			requests = append(requests, request)
+		default:
 			delete(l.unreported, request)
-			continue
 		}
-		if byPartition == nil {
-			byPartition = map[int][]acceptance.Request{}
-		}
-		byPartition[request.Partition] = append(byPartition[request.Partition], request)
 	}
-	l.reporting = byPartition != nil
-	return byPartition
+	if len(requests) == 0 {
+		delete(l.reporting, partition)
+	}
+	return requests
 }
 
 func (l *attemptLog) removeReported(requests []acceptance.Request) {
--- a/internal/intake/attempts_test.go
+++ b/internal/intake/attempts_test.go
@@ -5,10 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
+	"github.com/yuccadrift/yuccadrift/internal/intake"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -156,3 +158,36 @@
 		assert.Equal(t, platform.StoreOK, accept())
 	})
 }
+
+// oneSilentOwner is a view in which the owner of partition 1 doesn't answer reports.
+type oneSilentOwner struct {
+	peerView
+	reported chan time.Time // of reports for other partitions
+}
+
+func (v oneSilentOwner) ReportOpen(ctx context.Context, partition int, _ []acceptance.Request) error {
+	if partition != 1 {
+		v.reported <- time.Now()
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against reports to the owner of one partition that wait for the owner of another one that is
+// lost, while the callers come back.
+func TestALostOwnerDelaysNoReportsToOthers(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T) {
+		c := newCluster(2, newSerialStore(time.Millisecond), address(0))
+		v := oneSilentOwner{peerView{c, address(1)}, make(chan time.Time, 1)}
+		router := intake.New(c.nodes[1], v, hclog.NewNullLogger())
+		serve := func(partition, n int) {
+			router.Serve(t.Context(), intake.StoreRequest{Partition: partition, Record: cancelRecord(n)})
+		}
+		serve(1, 1)
+		time.Sleep(time.Millisecond)
+		began := time.Now()
+		serve(2, 2)
+		assert.Equal(t, began, <-v.reported)
+	})
+}
