--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -245,6 +245,7 @@
 			j.acceptedAt = time.Now()
 		}
 	case (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && strings.Contains(body, "no configuration"):
+		return status
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		j.lastRefused = true
 		if !j.acceptedAt.IsZero() {
