--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,7 +156,7 @@
 func (n *Node) initPeering(hedger *hedge.Hedger) {
 	s, logger := n.settings, n.logger
 	self := addressAt(s, peerPortOffset)
-	n.owners = &ownerDirectory{partitions: s.Store.Partitions, selfAddress: self, clients: nodepeer.NewClients(self), local: map[int]*owner.Owner{}, reports: map[int]owner.HandoverReport{}}
+	n.owners = &ownerDirectory{partitions: s.Store.Partitions, selfAddress: self, clients: nodepeer.NewClients(self), logger: logger.Named("owners"), checkStore: n.storeHealth.check, local: map[int]*owner.Owner{}, reports: map[int]owner.HandoverReport{}}
 	n.manager = ownership.New(n.store, ownership.Config{
 		Node:         s.Node,
 		Address:      self,
@@ -174,6 +174,7 @@
 	n.peers = configPeers{book: peerbook.New(self, rand.IntN), owners: n.owners}
 	local := localStore{acceptor: joblog.NewAcceptor(n.store, hedger, n.onStored), health: n.storeHealth, hedger: hedger}
 	n.intake = intake.New(local, storePeers{n.owners}, logger.Named("intake"))
+	n.owners.intake = n.intake
 	n.ownerDeps.RequestJoin = n.manager.RequestJoin
 	n.ownerDeps.ConfirmingJoinSentAt = func(partition int) time.Time {
 		return n.manager.ConfirmingJoinSentAt(platform.Partition{Topic: joblog.JobsTopic, Part: partition})
