published: a cut-off node keeps asking the node that could read the store

A node that can't read the store asks three nodes at random. Where it knows mostly nodes that are cut off, too, it finds no other one in half of its rounds, and then pauses for 600 ms although another node reads the store.

--- a/internal/published/peers.go
+++ b/internal/published/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,11 +21,12 @@
 	// peersPerRound is how many nodes are asked at once. If a third of the nodes can't read the
 	// store, one round in 27 finds only such nodes.
 	peersPerRound = 3
-	// roundInterval is the pause between two rounds. idleRoundInterval replaces it after a round
-	// in which no node could read the store either: most likely it is down for all, and then
-	// nobody can publish a configuration.
+	// roundInterval is the pause between two rounds. idleRoundInterval replaces it after
+	// maxEmptyRounds rounds in a row in which no node could read the store either: most likely it is
+	// down for all, and then nobody can publish a configuration.
 	roundInterval     = 200 * time.Millisecond
 	idleRoundInterval = 600 * time.Millisecond
+	maxEmptyRounds    = 3
 	peerTimeout       = 400 * time.Millisecond
 )
 
@@ -60,6 +62,8 @@
 // ctx ends.
 func (f *Follower) RunPeerFetch(ctx context.Context, peers Peers) error {
 	isOverdue := false
+	emptyRounds := 0
+	reader := "" // a node that could read the store in the last round, "" if none is known
 	for ctx.Err() == nil {
 		untilOverdue := time.Until(f.LastReadAt().Add(readOverdueAfter))
 		if untilOverdue > 0 {
@@ -71,26 +75,31 @@
 			continue
 		}
 		if !isOverdue {
-			isOverdue = true
+			isOverdue, emptyRounds = true, 0
 			f.logger.Warn("published changes can't be read in time, other nodes are asked for the configuration")
 		}
-		interval := idleRoundInterval
-		if f.askPeers(ctx, peers) {
-			interval = roundInterval
+		var isCurrent bool
+		if reader, isCurrent = f.askPeers(ctx, peers, reader); isCurrent {
+			emptyRounds = 0
+		} else {
+			emptyRounds++
+		}
+		if emptyRounds < maxEmptyRounds {
+			wait.Pause(ctx, roundInterval)
+		} else {
+			wait.Pause(ctx, idleRoundInterval)
 		}
-		wait.Pause(ctx, interval)
 	}
 	return ctx.Err()
 }
 
-// askPeers asks some nodes for a newer configuration. It reports whether one of them reads the
-// store, or had a newer configuration.
-func (f *Follower) askPeers(ctx context.Context, peers Peers) bool {
+// askPeers asks some nodes for a newer configuration, among them lastReader unless it is "". It returns one that
+// could read the store, "" if none could, and whether one of them could or had a newer configuration.
+func (f *Follower) askPeers(ctx context.Context, peers Peers, lastReader string) (reader string, anyCurrent bool) {
 	version := f.version()
 	var mu sync.Mutex
-	anyCurrent := false
 	var asked sync.WaitGroup
-	for _, address := range peers.Sample(peersPerRound) {
+	for _, address := range withReader(peers.Sample(peersPerRound), lastReader) {
 		asked.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 			defer cancel()
@@ -105,10 +114,26 @@
 			mu.Lock()
 			defer mu.Unlock()
 			anyCurrent = anyCurrent || answer.ReadsStore || answer.Record != nil
+			if answer.ReadsStore {
+				reader = address
+			}
 		})
 	}
 	asked.Wait()
-	return anyCurrent
+	return reader, anyCurrent
+}
+
+// withReader returns a sample of nodes that contains reader unless that is "". A node that is cut off may know mostly
+// such nodes, and would otherwise find no other one in many rounds.
+func withReader(sample []string, reader string) []string {
+	if reader == "" || slices.Contains(sample, reader) {
+		return sample
+	}
+	if len(sample) < peersPerRound {
+		return append(sample, reader)
+	}
+	sample[len(sample)-1] = reader
+	return sample
 }
 
 // version returns the version of the configuration in force, 0 before the first.
