scheduler: share a full service among workspaces by work

Jobs of a workspace within its weight in jobs compete by class, size and work only, so one with large jobs takes what the others need.

A new pure package, workshare, holds start-time fair queueing over workspaces by work against weight. The ranking asks it after class and priority. Deployments without workspaces are ranked as before.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -73,6 +73,7 @@
 	activeJobs    []*job // jobs whose end is not stored or that have live runs, in order of arrival
 	ranking       ranking
 	shares        map[string]*queueShares // by queue
+	workShares    workShares
 	workers       map[string]*worker
 	sortedWorkers []*worker // by ID
 	// removedWorkerTokens are the last tokens of removed workers, by ID. A worker may come
@@ -157,7 +158,7 @@
 	takeoverComplete bool // starts no longer wait for the runs of an earlier owner
 
 	// Times of the last actions.
-	tookOverAt, lastStepAt, lastJobSweepAt, lastPlanAt, lastSpeculationAt, lastWriteAt, suspectsLoggedAt, lastLoanUpdateAt, blockedLoggedAt time.Time
+	tookOverAt, lastStepAt, lastJobSweepAt, lastPlanAt, lastSpeculationAt, lastWriteAt, suspectsLoggedAt, lastLoanUpdateAt, blockedLoggedAt, workSharesLoggedAt time.Time
 
 	stepDownReason string // why the ownership is lost, "" while it is held
 	orders         Orders // of the step in progress
@@ -187,6 +188,7 @@
 		arrivedWork:           map[string]workload.Work{},
 		requiredLabels:        map[string][]string{},
 		shares:                map[string]*queueShares{},
+		workShares:            workShares{},
 		accounts:              map[string]*account{},
 		counterparties:        map[int]*counterparty{},
 		dirtyLoans:            map[string]*account{},
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -22,6 +22,7 @@
 		a.beginPlan()
 	}
 	defer c.logBlocked(now)
+	defer c.logShares(now)
 	c.placeSuspects(pools, now)
 	for _, cand := range r.candidates {
 		if cand.class > classStarved && !r.canPlaceMore(cand.servicePlan) || cand.servicePlan.pool == nil || cand.job.finalState.IsTerminal() {
@@ -161,6 +162,7 @@
 	w.addRun(r)
 	w.ordersInFlight++
 	c.startsInFlight.add(r)
+	c.chargeStart(r)
 	order := workload.Start{
 		Task:             r.taskKey(),
 		Run:              runNumber,
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -43,6 +43,7 @@
 	class          rankClass
 	priority       int
 	objectiveStart time.Time // when the time to its target began to count
+	turn           int       // of its workspace, 0 while the service isn't divided
 	servedRatio    float64   // of its job size, 0 if it can't be completed in time
 	remainingWork  float64   // estimated core-seconds
 }
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -81,6 +81,7 @@
 	slices.SortStableFunc(added, compareCandidates)
 	for _, cand := range added {
 		c.assignServedRatio(&cand)
+		c.assignTurn(&cand)
 		position, _ := slices.BinarySearchFunc(r.candidates, cand, compareCandidates)
 		r.candidates = slices.Insert(r.candidates, position, cand)
 	}
@@ -117,6 +118,7 @@
 		c.assignServedRatio(&r.candidates[i])
 	}
 	slices.SortStableFunc(r.candidates, compareCandidates)
+	c.assignTurns(now)
 }
 
 // assignServedRatio sets the served ratio of a candidate that can be completed in time.
@@ -170,11 +172,13 @@
 	}
 }
 
-// compareCandidates orders candidates by class, priority, served ratio and remaining work.
+// compareCandidates orders candidates by class, priority, turn of the workspace, served ratio and remaining
+// work.
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.class, b.class),
 		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.turn, b.turn),
 		cmp.Compare(a.servedRatio, b.servedRatio),
 		cmp.Compare(a.remainingWork, b.remainingWork),
 	)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -51,6 +51,7 @@
 	// sent earlier doesn't list the run has no meaning.
 	stateChangedAt time.Time
 	orderedAt      time.Time
+	chargedWork    float64 // core-seconds that its workspace was charged with, 0 for none
 
 	// Stop of the run.
 	lastStopAt      time.Time
@@ -275,6 +276,7 @@
 	w.runs = slices.Delete(w.runs, i, i+1)
 	w.reservedResources = w.reservedResources.Sub(r.step.spec.Reservation())
 	r.step.removeRun(r.task(), r)
+	c.settleCharge(r)
 	c.endIsolatedRun(r)
 	if r.step.idleCount > 0 && !r.step.job.occurrenceSteps(r.step.occurrence)[0].occurrenceRanked {
 		c.requestRerank(r.step)
--- /dev/null
+++ b/internal/scheduler/workshares_test.go
@@ -0,0 +1,108 @@
+package scheduler_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// workspaceLoad is what one workspace sends in a history: lookups a second, and the factor of their size.
+type workspaceLoad struct {
+	weight, perSecond float64
+	size              int
+}
+
+// runWorkspaces plays 12 s of lookups of several workspaces. jobsOf returns the jobs by workspace.
+func runWorkspaces(t *testing.T, seed uint64, workers int, loads []workspaceLoad, disturb func(w *world)) (w *world, jobsOf map[string][]*fakeJob) {
+	fleet := newPartitionFleet(seed, 1, faults{}, nil)
+	w = fleet.worlds[0]
+	config := *w.visibleConfig
+	config.Workspaces = workload.NewWorkspaces()
+	for i, l := range loads {
+		require.NoError(t, config.Workspaces.Add(workload.Workspace{Name: strconv.Itoa(i), Weight: l.weight}, nil))
+	}
+	w.visibleConfig = &config
+	for i := range workers {
+		w.addWorker("worker-"+strconv.Itoa(1000+i), workload.Resources{CPU: 32000, MemoryMB: 64000})
+	}
+	w.takeOver()
+	const length = 12 * time.Second
+	const tick = 5 * time.Millisecond
+	jobsOf = map[string][]*fakeJob{}
+	for at := 2 * time.Second; at < length; at += tick {
+		for i, l := range loads {
+			if w.rng.Float64() < l.perSecond*tick.Seconds() {
+				w.after(at, func() {
+					name := strconv.Itoa(i)
+					fleet.workspaces = []string{name}
+					spec := w.randomLookupSpec()
+					for s := range spec.Steps {
+						spec.Steps[s].Count *= l.size
+					}
+					jobsOf[name] = append(jobsOf[name], w.submit(spec, "quick"))
+				})
+			}
+		}
+	}
+	if disturb != nil {
+		disturb(w)
+	}
+	w.runUntil(length + 5*time.Second)
+	assert.Empty(t, fleet.violations())
+	return w, jobsOf
+}
+
+// quietLoads are 20 workspaces that use about four fifths of 60 workers.
+func quietLoads() []workspaceLoad {
+	loads := make([]workspaceLoad, 20)
+	for i := range loads {
+		loads[i] = workspaceLoad{weight: 4, perSecond: 2, size: 1}
+	}
+	return loads
+}
+
+// meanInTime returns the mean share in time of all workspaces but the first.
+func meanInTime(jobsOf map[string][]*fakeJob) float64 {
+	sum := 0.0
+	for name, jobs := range jobsOf {
+		if name != "0" {
+			sum += shareInTime(jobs)
+		}
+	}
+	return sum / float64(len(jobsOf)-1)
+}
+
+// Guards against quiet workspaces that lose what one takes that sends seven times its usual, or jobs seven
+// times as large: they lose no more than 0.02 of their jobs in time.
+func TestQuietWorkspacesBesideAHotOne(t *testing.T) {
+	for seed := range uint64(3) {
+		_, usual := runWorkspaces(t, seed, 60, quietLoads(), nil)
+		for name, hot := range map[string]workspaceLoad{
+			"seven times its jobs": {weight: 4, perSecond: 14, size: 1},
+			"seven times the size": {weight: 4, perSecond: 2, size: 7},
+		} {
+			loads := quietLoads()
+			loads[0] = hot
+			_, beside := runWorkspaces(t, seed, 60, loads, nil)
+			t.Logf("seed %d, %s: quiet workspaces in time %.3f, usual %.3f; the hot one %.3f", seed, name, meanInTime(beside), meanInTime(usual), shareInTime(beside["0"]))
+			assert.GreaterOrEqual(t, meanInTime(beside), meanInTime(usual)-0.02, "seed %d, %s", seed, name)
+		}
+	}
+}
+
+// The same while the owner is lost in the middle and its successor knows nothing of what each has had.
+func TestQuietWorkspacesBesideAHotOneWhoseOwnerIsLost(t *testing.T) {
+	lose := func(w *world) { w.after(7*time.Second, func() { w.killOwner(300 * time.Millisecond) }) }
+	for seed := range uint64(2) {
+		_, usual := runWorkspaces(t, seed, 60, quietLoads(), lose)
+		loads := quietLoads()
+		loads[0].perSecond *= 7
+		_, beside := runWorkspaces(t, seed, 60, loads, lose)
+		assert.GreaterOrEqual(t, meanInTime(beside), meanInTime(usual)-0.02, "seed %d", seed)
+	}
+}
--- /dev/null
+++ b/internal/workshare/workshare_test.go
@@ -0,0 +1,236 @@
+package workshare
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// job is a job of a model service that runs one job of work on each group of cores.
+type job struct {
+	workspace string
+	work      float64
+	arrived   int // tick
+}
+
+// service is a model of a service with free cores in ticks of 10 ms. It starts the waiting jobs by turn,
+// then by work; by work alone if division is nil.
+type service struct {
+	cores    float64
+	division *Division
+	weights  map[string]float64
+	waiting  []job
+	endsAt   map[int]float64 // cores that are freed, by tick
+	free     float64
+	started  map[string]float64 // work
+	delays   map[string][]float64
+}
+
+const (
+	jobCores     = 8.0
+	ticksPerSec  = 100
+	ticksPerRank = 10
+)
+
+func newService(cores float64, fair bool, weights map[string]float64) *service {
+	s := &service{cores: cores, free: cores, weights: weights, endsAt: map[int]float64{}, started: map[string]float64{}, delays: map[string][]float64{}}
+	if fair {
+		s.division = &Division{}
+	}
+	return s
+}
+
+func (s *service) tick(now int) {
+	s.free += s.endsAt[now]
+	delete(s.endsAt, now)
+	if now%ticksPerRank == 0 {
+		s.rank()
+	}
+	for len(s.waiting) > 0 && s.free >= jobCores {
+		j := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.free -= jobCores
+		s.endsAt[now+max(1, int(j.work/jobCores*ticksPerSec))] += jobCores
+		s.started[j.workspace] += j.work
+		s.delays[j.workspace] = append(s.delays[j.workspace], float64(now-j.arrived)/ticksPerSec)
+		if s.division != nil {
+			s.division.Charge(j.workspace, s.weights[j.workspace], j.work)
+		}
+	}
+}
+
+func (s *service) rank() {
+	slices.SortStableFunc(s.waiting, func(a, b job) int { return int(math.Copysign(1, a.work-b.work)) })
+	if s.division == nil {
+		return
+	}
+	if float64(len(s.waiting))*jobCores <= s.free {
+		s.division.Reset()
+		return
+	}
+	waiting := map[string]bool{}
+	for _, j := range s.waiting {
+		waiting[j.workspace] = true
+	}
+	var demands []Demand
+	for name := range waiting {
+		demands = append(demands, Demand{Workspace: name, Weight: s.weights[name]})
+	}
+	s.division.Begin(demands, s.cores)
+	turns := make(map[job]int, len(s.waiting))
+	order := make([]int, len(s.waiting))
+	for i, j := range s.waiting {
+		order[i] = s.division.Turn(j.workspace, s.weights[j.workspace], j.work)
+		turns[j] = order[i]
+	}
+	slices.SortStableFunc(s.waiting, func(a, b job) int { return turns[a] - turns[b] })
+}
+
+// inTime returns the share of a workspace's jobs that start within half a second.
+func (s *service) inTime(workspace string) float64 {
+	n := 0
+	for _, d := range s.delays[workspace] {
+		if d <= 0.5 {
+			n++
+		}
+	}
+	return float64(n) / float64(len(s.delays[workspace]))
+}
+
+// runHot plays 20 s of 20 workspaces that together use 0.8 of the service. The first sends factor times
+// its usual.
+func runHot(seed uint64, fair bool, factor float64) *service {
+	weights := map[string]float64{}
+	for i := range 20 {
+		weights[strconv.Itoa(i)] = 1 + float64(i%4)
+	}
+	s := newService(400, fair, weights)
+	rng := rand.New(rand.NewPCG(seed, 3))
+	for now := range 20 * ticksPerSec {
+		for i := range 20 {
+			name := strconv.Itoa(i)
+			rate := weights[name] * 0.8 * s.cores / jobCores / 50 / ticksPerSec
+			if i == 0 {
+				rate *= factor
+			}
+			for ; rate > 0; rate-- {
+				if rng.Float64() < rate {
+					s.waiting = append(s.waiting, job{name, jobCores * (0.3 + 1.4*rng.Float64()), now})
+				}
+			}
+		}
+		s.tick(now)
+	}
+	return s
+}
+
+// One workspace sends seven and more times its usual beside 19 quiet ones. The quiet ones lose no more
+// than 0.02 of their jobs in time.
+func TestHotWorkspaceBesideQuietOnes(t *testing.T) {
+	for seed := range uint64(3) {
+		quiet := func(s *service) float64 {
+			sum := 0.0
+			for i := 1; i < 20; i++ {
+				sum += s.inTime(strconv.Itoa(i))
+			}
+			return sum / 19
+		}
+		usual, fair, unfair := quiet(runHot(seed, true, 1)), quiet(runHot(seed, true, 30)), quiet(runHot(seed, false, 30))
+		t.Logf("seed %d: quiet workspaces in time %.3f, beside a hot one %.3f, by work alone %.3f", seed, usual, fair, unfair)
+		assert.GreaterOrEqual(t, fair, usual-0.02, "seed %d", seed)
+	}
+}
+
+// Two large rivals each ask for twice the service. Over any 5 s each has its weight's share within a tenth.
+func TestRivalsAtTwiceTheRoomGetTheirWeights(t *testing.T) {
+	weights := map[string]float64{"a": 3, "b": 1}
+	s := newService(400, true, weights)
+	rng := rand.New(rand.NewPCG(1, 1))
+	var startedA, startedB []float64
+	for now := range 30 * ticksPerSec {
+		for _, name := range []string{"a", "b"} {
+			s.waiting = append(s.waiting, job{name, jobCores * (0.3 + 1.4*rng.Float64()), now})
+		}
+		s.tick(now)
+		startedA, startedB = append(startedA, s.started["a"]), append(startedB, s.started["b"])
+	}
+	const window = 5 * ticksPerSec
+	for from := ticksPerSec; from+window < len(startedA); from++ {
+		a, b := startedA[from+window]-startedA[from], startedB[from+window]-startedB[from]
+		assert.InDelta(t, 0.75, a/(a+b), 0.025, "from %d", from)
+	}
+}
+
+// A workspace alone uses the whole service. When another one comes it has its share at once: of what is
+// freed it gets the next turns, and it doesn't get all of it for what it left unused before.
+func TestBorrowedRoomComesBack(t *testing.T) {
+	var d Division
+	d.Begin([]Demand{{Workspace: "busy", Weight: 1}}, 100)
+	for range 1000 {
+		d.Charge("busy", 1, 10)
+	}
+	d.Begin([]Demand{{Workspace: "busy", Weight: 1}, {Workspace: "quiet", Weight: 1}}, 100)
+	for i := range 20 {
+		assert.Equal(t, d.Turn("busy", 1, 10), d.Turn("quiet", 1, 10), "job %d", i)
+	}
+}
+
+// Guards against a workspace that waits for something else, such as its cap, and then takes the whole
+// service for the time that it has waited.
+func TestBlockedWorkspaceSavesUpNothing(t *testing.T) {
+	var d Division
+	demands := []Demand{{Workspace: "blocked", Weight: 1, Blocked: true}, {Workspace: "busy", Weight: 1}}
+	for range 100 {
+		d.Begin(demands, 100)
+		d.Charge("busy", 1, 50)
+	}
+	demands[0].Blocked = false
+	d.Begin(demands, 100)
+	assert.LessOrEqual(t, d.Turn("busy", 1, 10)-d.Turn("blocked", 1, 10), 2, "a turn and the last job")
+}
+
+// Guards against a small workspace that pays for one large job with many seconds without any.
+func TestLargeJobOfASmallWorkspaceIsForgiven(t *testing.T) {
+	var d Division
+	demands := []Demand{{Workspace: "small", Weight: 0.1}, {Workspace: "large", Weight: 10}}
+	d.Begin(demands, 100)
+	d.Charge("small", 0.1, 1000)
+	d.Begin(demands, 100)
+	assert.LessOrEqual(t, d.Turn("small", 0.1, 10), int(maxLead/turnDuration))
+}
+
+// The state of a successor is empty: all workspaces start level, and the order within a turn stands.
+func TestSuccessorStartsLevel(t *testing.T) {
+	var d Division
+	assert.Zero(t, d.Turn("a", 1, 10), "nobody waits")
+	d.Begin([]Demand{{Workspace: "a", Weight: 1}, {Workspace: "none"}}, 100)
+	assert.False(t, d.IsContended(), "one workspace alone keeps its own order")
+	d.Begin([]Demand{{Workspace: "a", Weight: 1}, {Workspace: "b", Weight: 1}}, 100)
+	assert.Equal(t, []int{0, 0, 0}, []int{d.Turn("a", 1, 1), d.Turn("b", 1, 1), d.Turn("none", 0, 1)})
+	d.Charge("a", 1, -500)
+	d.Begin([]Demand{{Workspace: "a", Weight: 1}, {Workspace: "b", Weight: 1}}, 100)
+	assert.Equal(t, []int{0, 0}, []int{d.Turn("a", 1, 1), d.Turn("b", 1, 1)}, "work that is taken back earns nothing beyond virtual time")
+	for _, s := range d.Shares() {
+		assert.LessOrEqual(t, s.Lead, time.Duration(0))
+	}
+}
+
+func BenchmarkRound640Workspaces(b *testing.B) {
+	var d Division
+	demands := make([]Demand, 640)
+	for i := range demands {
+		demands[i] = Demand{Workspace: strconv.Itoa(i), Weight: 1 + float64(i%7)}
+	}
+	for b.Loop() {
+		d.Begin(demands, 4000)
+		for _, w := range demands {
+			d.Turn(w.Workspace, w.Weight, 10)
+			d.Charge(w.Workspace, w.Weight, 10)
+		}
+	}
+}
