--- a/internal/workshare/workshare.go
+++ b/internal/workshare/workshare.go
@@ -18,11 +18,12 @@
 	maxLead = 4 * time.Second
 	// arrivalMemory is the time in which recorded arrivals fall to 1/e.
 	arrivalMemory = 5 * time.Second
-	// Of a workspace that asks for more than excessFactor times the others' work for its weight, and for
-	// excessJobs mean jobs more, the excess waits. Less than that is chance: a small workspace hands in 0
-	// to 6 jobs in a second where 3 are meant.
-	excessFactor = 1.2
-	excessJobs   = 4
+	// A workspace asks for more than the others if its jobs exceed those that would match the others' work
+	// for its weight by excessFactor, excessDeviations standard deviations and excessJobs. Less is chance: a
+	// small workspace hands in 0 to 6 jobs in a second where 3 are meant.
+	excessFactor     = 1.1
+	excessDeviations = 3
+	excessJobs       = 2
 )
 
 // Demand is a workspace whose jobs wait for capacity.
@@ -107,13 +108,14 @@
 		work += f.arrived
 		weight += f.weight
 	}
-	allowance := 0.0
-	if d.arrivedJobs > 0 {
-		allowance = excessJobs * work / d.arrivedJobs
+	if d.arrivedJobs <= 0 {
+		return
 	}
+	meanJob := work / d.arrivedJobs
 	for _, f := range d.flows {
 		if others := weight - f.weight; others > 0 {
-			f.hasMore = f.arrived-allowance > excessFactor*f.weight*(work-f.arrived)/others
+			due := f.weight * (work - f.arrived) / others / meanJob
+			f.hasMore = f.arrived/meanJob > excessFactor*due+excessDeviations*math.Sqrt(due)+excessJobs
 		}
 	}
 }
