scheduler: tell when a job that is taken now would begin

An owner knew of each job whether it can still be in time, but not of a job that isn't taken yet. Nobody could be told that there is no hope.

The new pure package prospect takes the work ahead in the rank over the cores now and on their way, and measures predicted against real waits by queue, class and size. admission judges by that, with hysteresis.

Ruled out: a bound on each workspace's queued work.

--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -74,6 +74,7 @@
 	ranking       ranking
 	shares        map[string]*queueShares // by queue
 	workShares    workShares
+	prospects     prospects
 	workers       map[string]*worker
 	sortedWorkers []*worker // by ID
 	// removedWorkerTokens are the last tokens of removed workers, by ID. A worker may come
@@ -189,6 +190,7 @@
 		requiredLabels:        map[string][]string{},
 		shares:                map[string]*queueShares{},
 		workShares:            workShares{},
+		prospects:             newProspects(),
 		accounts:              map[string]*account{},
 		counterparties:        map[int]*counterparty{},
 		dirtyLoans:            map[string]*account{},
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -17,6 +17,7 @@
 	account *account // of its workspace, nil if it has none
 	// isBeyondWeight is set if its workspace had handed in more jobs than its weight allows.
 	isBeyondWeight bool
+	prediction     startPrediction
 	// steps has one entry for each occurrence and step, ordered by occurrence, then step.
 	steps           []*step
 	remainingTasks  int  // tasks that are not done, long-running ones included
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -23,6 +23,7 @@
 	}
 	defer c.logBlocked(now)
 	defer c.logShares(now)
+	defer c.logProspects(now)
 	c.placeSuspects(pools, now)
 	for _, cand := range r.candidates {
 		if cand.class > classStarved && !r.canPlaceMore(cand.servicePlan) || cand.servicePlan.pool == nil || cand.job.finalState.IsTerminal() {
@@ -177,6 +178,7 @@
 	c.orders.Starts = append(c.orders.Starts, StartOrder{Worker: w.info, Start: order})
 	verb := "placed"
 	if !jobHadBegun {
+		c.measurePrediction(s.job, true, now)
 		verb = "first-placed"
 	}
 	c.recordDecision(Decision{Verb: verb, Job: s.job.id, Task: r.taskKey().String(), Queue: s.job.submission.Queue, Workspace: s.job.submission.Workspace, Worker: w.info.ID, Run: runNumber, Age: now.Sub(time.UnixMilli(s.job.submission.AcceptedAtMS))})
--- /dev/null
+++ b/internal/scheduler/prospects.go
@@ -0,0 +1,279 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/admission"
+	"github.com/yuccadrift/yuccadrift/internal/prospect"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// prospects are what the owner can tell of jobs that are not accepted yet. They are kept where a
+// configuration has workspaces.
+type prospects struct {
+	services     map[string]*prospect.Service
+	calibrations map[calibrationKey]*prospect.Calibration
+	gates        map[admission.Key]*admission.Gate
+	updatedAt    time.Time // zero before the first ranking
+	loggedAt     time.Time
+	incoming     map[string]incomingCores // by service
+}
+
+// calibrationKey names the jobs whose predictions are measured together.
+type calibrationKey struct {
+	queue string
+	class rankClass
+	size  jobSize
+}
+
+// incomingCores are the cores of the VMs that were on their way to a service.
+type incomingCores struct {
+	cores float64
+	asOf  time.Time
+}
+
+// incomingTTL is how long incoming cores count without word of the fleet's owner, which repeats it several
+// times a second. The VMs have joined by then.
+const incomingTTL = 5 * time.Second
+
+func newProspects() prospects {
+	return prospects{
+		services:     map[string]*prospect.Service{},
+		calibrations: map[calibrationKey]*prospect.Calibration{},
+		gates:        map[admission.Key]*admission.Gate{},
+		incoming:     map[string]incomingCores{},
+	}
+}
+
+// SetIncoming sets the capacity of the VMs that are on their way to a service.
+func (c *Core) SetIncoming(service string, milliCores int, now time.Time) {
+	c.prospects.incoming[service] = incomingCores{cores: float64(milliCores) / 1000, asOf: now}
+}
+
+func (p *prospects) incomingTo(service string, now time.Time) float64 {
+	if in := p.incoming[service]; now.Sub(in.asOf) <= incomingTTL {
+		return in.cores
+	}
+	return 0
+}
+
+// updateProspects takes stock of what waits. The ranking must be up to date.
+func (c *Core) updateProspects(now time.Time) {
+	p := &c.prospects
+	if c.config.Workspaces == nil {
+		return
+	}
+	p.updatedAt = now
+	for service, s := range p.services {
+		s.Reset()
+		s.Cores = p.incomingTo(service, now)
+	}
+	for i := range c.ranking.candidates {
+		cand := &c.ranking.candidates[i]
+		s := p.services[cand.job.submission.Service]
+		if s == nil {
+			s = &prospect.Service{Cores: p.incomingTo(cand.job.submission.Service, now)}
+			p.services[cand.job.submission.Service] = s
+		}
+		if cand.class == classExpired {
+			c.measurePrediction(cand.job, false, now)
+		}
+		if cand.class != classLongRunning && cand.class != classExpired {
+			workspace, weight := cand.job.submission.Workspace, 0.0
+			if a := cand.job.account; a != nil {
+				weight = a.weight
+			}
+			s.Add(cand.prospectRank(), workspace, weight, cand.remainingWork)
+		}
+	}
+	for _, w := range c.sortedWorkers {
+		if s := p.services[w.info.Service]; s != nil && w.canAcceptStarts(now) {
+			s.Cores += float64(max(0, w.info.Capacity.CPU-w.reservedByLongRunning().CPU)) / 1000
+			s.Free += float64(max(0, w.free().CPU)) / 1000
+		}
+	}
+	for _, s := range p.services {
+		s.Prepare()
+	}
+	c.updateGates(now)
+}
+
+func (cand *candidate) prospectRank() prospect.Rank {
+	return prospect.Rank{Class: int(cand.class), Priority: cand.priority}
+}
+
+// updateGates decides for which queues and workspaces jobs may be rejected: those with jobs that wait.
+func (c *Core) updateGates(now time.Time) {
+	p := &c.prospects
+	waiting := map[admission.Key]*job{} // one of the jobs
+	classOfWaiting := map[admission.Key]rankClass{}
+	for i := range c.ranking.candidates {
+		cand := &c.ranking.candidates[i]
+		j := cand.job
+		key := admission.Key{Queue: j.submission.Queue, Workspace: j.submission.Workspace}
+		if j.queue == nil || j.account == nil || j.account.weight <= 0 || cand.class != classOnTime && cand.class != classBeyondWeight {
+			continue
+		}
+		waiting[key] = j
+		classOfWaiting[key] = cand.class // candidates are sorted: the last class stays
+	}
+	for key, j := range waiting {
+		s := p.services[j.submission.Service]
+		limit := maxLateFactor * j.queue.Objective
+		if p.gates[key] == nil && s.LongestWait() <= limit {
+			continue
+		}
+		gate := p.gates[key]
+		if gate == nil {
+			gate = &admission.Gate{}
+			p.gates[key] = gate
+		}
+		gate.Update(c.prospectOf(s, j.queue, j.account, classOfWaiting[key]).Wait, limit, now)
+	}
+	for key, gate := range p.gates {
+		if waiting[key] == nil || gate.IsOpen() {
+			delete(p.gates, key)
+		}
+	}
+}
+
+// nextClass returns the class of the next job of a workspace.
+func nextClass(a *account, now time.Time) rankClass {
+	if a.jobAllowance.hasJob(a.weight, now) {
+		return classOnTime
+	}
+	return classBeyondWeight
+}
+
+// prospectOf returns the prospect of a job of a queue and workspace that would be of a class. It is of the
+// sizes of which nineteen of twenty jobs would wait longer than the limit, from the largest down: a full service starts
+// small jobs in what is left between large ones.
+func (c *Core) prospectOf(s *prospect.Service, q *workload.Queue, a *account, class rankClass) admission.Prospect {
+	shares := c.shares[q.Name]
+	if shares == nil || s.HasRoom() {
+		return admission.Prospect{}
+	}
+	wait := s.Wait(prospect.Rank{Class: int(class), Priority: q.Priority}, a.name, a.weight)
+	p := admission.Prospect{}
+	for size := sizeCount - 1; size >= 0; size-- {
+		calibration := c.measuredCalibration(calibrationKey{q.Name, class, size})
+		low := scale(wait, calibration.Low())
+		isHopeless := low > admission.LateFactor*q.Objective
+		if size == sizeCount-1 || isHopeless && low < p.Wait {
+			p.Wait, p.Expected = low, scale(wait, calibration.Median())
+		}
+		if !isHopeless {
+			break
+		}
+		p.MinWork = shares.leastWork(size)
+	}
+	return p
+}
+
+// measuredCalibration returns the calibration of a size, or that of the next smaller size that has enough
+// measurements: jobs start in the order of their work, so larger ones wait no less.
+func (c *Core) measuredCalibration(key calibrationKey) *prospect.Calibration {
+	own := c.calibrationOf(key)
+	for calibration := own; key.size > 0 && !calibration.IsMeasured(); calibration = c.calibrationOf(key) {
+		key.size--
+		if smaller := c.calibrationOf(key); smaller.IsMeasured() {
+			return smaller
+		}
+	}
+	return own
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
+func (c *Core) calibrationOf(key calibrationKey) *prospect.Calibration {
+	calibration := c.prospects.calibrations[key]
+	if calibration == nil {
+		calibration = &prospect.Calibration{}
+		c.prospects.calibrations[key] = calibration
+	}
+	return calibration
+}
+
+// maxProspectAge is the age from which the owner gives no prospects. A ranking takes place every 100 ms.
+const maxProspectAge = time.Second
+
+// Prospect returns the prospect of the next job of a queue and a workspace. It is zero unless jobs of them
+// have been waiting without hope for some time.
+func (c *Core) Prospect(queue, workspace string, now time.Time) admission.Prospect {
+	p := &c.prospects
+	gate, q, a := p.gates[admission.Key{Queue: queue, Workspace: workspace}], c.config.Queue(queue), c.accounts[workspace]
+	if gate == nil || !gate.IsClosed() || q == nil || a == nil || now.Sub(p.updatedAt) > maxProspectAge {
+		return admission.Prospect{}
+	}
+	s := p.services[q.Service]
+	if s == nil {
+		return admission.Prospect{}
+	}
+	return c.prospectOf(s, q, a, nextClass(a, now))
+}
+
+// predictWait records what is predicted for a job that is ranked for the first time.
+func (c *Core) predictWait(cand candidate, now time.Time) {
+	j := cand.job
+	s := c.prospects.services[j.submission.Service]
+	if s == nil || j.started || cand.steps[0].occurrence > 0 || j.account == nil || now.Sub(c.prospects.updatedAt) > maxProspectAge {
+		return
+	}
+	j.prediction = startPrediction{
+		wait: s.Wait(cand.prospectRank(), j.account.name, j.account.weight),
+		at:   now,
+		key:  calibrationKey{j.submission.Queue, cand.class, c.shares[j.submission.Queue].sizeOf(cand.remainingWork)},
+	}
+}
+
+// startPrediction is what was predicted of a job's first start when it was ranked first. The wait is 0 if
+// nothing was, or once it is measured.
+type startPrediction struct {
+	wait time.Duration
+	at   time.Time
+	key  calibrationKey
+}
+
+// measurePrediction compares the prediction with the real wait of a job that has started, or that can't be of
+// use any more.
+func (c *Core) measurePrediction(j *job, started bool, now time.Time) {
+	p := j.prediction
+	if p.wait <= 0 {
+		return
+	}
+	j.prediction = startPrediction{}
+	calibration := c.calibrationOf(p.key)
+	if started {
+		calibration.RecordStart(p.wait, now.Sub(p.at))
+	} else {
+		calibration.RecordExpiry(p.wait)
+	}
+}
+
+// prospectsLogInterval is the time between two log lines on the prospects of a queue and workspace.
+const prospectsLogInterval = time.Second
+
+// logProspects logs for which queues and workspaces jobs may be rejected, with the inputs.
+func (c *Core) logProspects(now time.Time) {
+	p := &c.prospects
+	if now.Before(p.loggedAt.Add(prospectsLogInterval)) {
+		return
+	}
+	p.loggedAt = now
+	for key, gate := range p.gates {
+		if !gate.IsClosed() {
+			continue
+		}
+		q, a := c.config.Queue(key.Queue), c.accounts[key.Workspace]
+		if q == nil || a == nil || p.services[q.Service] == nil {
+			continue
+		}
+		class := nextClass(a, now)
+		next, largest := c.prospectOf(p.services[q.Service], q, a, class), c.calibrationOf(calibrationKey{q.Name, class, sizeLargest})
+		reason := fmt.Sprintf("of the next jobs with %.0f core-seconds and more nineteen of twenty would wait %d ms and more; of the last %d largest ones nineteen of twenty waited more than %.2f times as long as predicted, half %.2f times", next.MinWork, next.Wait.Milliseconds(), largest.Count(), largest.Low(), largest.Median())
+		c.recordDecision(Decision{Verb: "no-prospect", Queue: key.Queue, Workspace: key.Workspace, Reason: reason})
+	}
+}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/admission"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
@@ -26,7 +27,7 @@
 )
 
 // maxLateFactor is the multiple of its target within which a job must be completed to earn credit.
-const maxLateFactor = 3
+const maxLateFactor = admission.LateFactor
 
 // starvationTimeout is how long a job that can no longer earn credit waits before it is ranked as
 // starved. No accepted job may wait forever.
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -119,6 +119,7 @@
 	}
 	slices.SortStableFunc(r.candidates, compareCandidates)
 	c.assignTurns(now)
+	c.updateProspects(now)
 }
 
 // assignServedRatio sets the served ratio of a candidate that can be completed in time.
@@ -139,7 +140,7 @@
 		c.ranking.services[j.submission.Service] = plan
 	}
 	cand.servicePlan = plan
-	c.countOccurrenceArrival(cand)
+	c.countOccurrenceArrival(cand, now)
 	for _, s := range cand.steps {
 		need := s.spec.Reservation()
 		plan.minDemand.CPU = min(plan.minDemand.CPU, need.CPU)
@@ -150,7 +151,7 @@
 }
 
 // countOccurrenceArrival counts an occurrence as arrived when it is first ranked.
-func (c *Core) countOccurrenceArrival(cand candidate) {
+func (c *Core) countOccurrenceArrival(cand candidate, now time.Time) {
 	if cand.steps[0].sizeStats != nil || cand.class == classLongRunning {
 		return
 	}
@@ -160,6 +161,7 @@
 	}
 	stats := c.shares[queue].addArrival(cand.remainingWork)
 	c.recordWorkArrival(cand)
+	c.predictWait(cand, now)
 	for _, s := range cand.steps {
 		s.sizeStats = stats
 	}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -67,6 +67,20 @@
 	}
 }
 
+// leastWork returns the least work of a size.
+func (q *queueShares) leastWork(size jobSize) float64 {
+	switch size {
+	case sizeSmall:
+		return 0
+	case sizeMedium:
+		return q.meanWork / 2
+	case sizeLarge:
+		return q.meanWork
+	default:
+		return 2 * q.meanWork
+	}
+}
+
 // decay reduces the weight of past work and resets rankedAhead for a new ranking.
 func (q *queueShares) decay(passed time.Duration) {
 	factor := math.Exp(-passed.Seconds() / shareDecayTime.Seconds())
--- a/internal/scheduler/weight.go
+++ b/internal/scheduler/weight.go
@@ -40,6 +40,12 @@
 	return true
 }
 
+// hasJob reports whether a job that is accepted now finds one left.
+func (b *jobAllowance) hasJob(weight float64, now time.Time) bool {
+	next := *b
+	return next.take(weight, now)
+}
+
 // checkWeight records whether a new job is beyond its workspace's weight.
 func (c *Core) checkWeight(j *job) {
 	if a := j.account; a != nil {
--- a/internal/scheduler/workshares_test.go
+++ b/internal/scheduler/workshares_test.go
@@ -17,8 +17,13 @@
 	size              int
 }
 
-// runWorkspaces plays 12 s of lookups of several workspaces. jobsOf returns the jobs by workspace.
+// runWorkspaces plays 10 s of lookups of several workspaces. jobsOf returns the jobs by workspace.
 func runWorkspaces(t *testing.T, seed uint64, workers int, loads []workspaceLoad, disturb func(w *world)) (w *world, jobsOf map[string][]*fakeJob) {
+	return runWorkspacesFor(t, 12*time.Second, seed, workers, loads, disturb)
+}
+
+// runWorkspacesFor is runWorkspaces until an offset from historyStart.
+func runWorkspacesFor(t *testing.T, length time.Duration, seed uint64, workers int, loads []workspaceLoad, disturb func(w *world)) (w *world, jobsOf map[string][]*fakeJob) {
 	fleet := newPartitionFleet(seed, 1, faults{}, nil)
 	w = fleet.worlds[0]
 	config := *w.visibleConfig
@@ -31,7 +36,6 @@
 		w.addWorker("worker-"+strconv.Itoa(1000+i), workload.Resources{CPU: 32000, MemoryMB: 64000})
 	}
 	w.takeOver()
-	const length = 12 * time.Second
 	const tick = 5 * time.Millisecond
 	jobsOf = map[string][]*fakeJob{}
 	for at := 2 * time.Second; at < length; at += tick {
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -84,7 +84,8 @@
 	// fleet has the other partitions, nil in a world of one partition.
 	fleet     *partitionFleet
 	partition int
-	service   string // of the partition
+	service   string         // of the partition
+	onSubmit  func(*fakeJob) // nil for nothing
 	// visibleConfig is the fleet's configuration as this partition's owner reads it.
 	visibleConfig *workload.Config
 }
@@ -240,6 +241,9 @@
 	}
 	job := &fakeJob{id: id, submission: submission, done: map[string]bool{}, acknowledged: map[string]bool{}, doneRuns: map[string][]int64{}, supersededDoneRuns: map[string]bool{}, failures: map[string]int{}, workerCrashes: map[string]int{}, workerExits: map[string]int{}, earlyWorkerExits: map[string]int{}, startsAfterThreeCrashes: map[string]int{}, stoppedNotRestarted: map[string]bool{}, lastRunningAt: map[string]time.Time{}}
 	w.jobs[id] = job
+	if w.onSubmit != nil {
+		w.onSubmit(job)
+	}
 	w.appendRecord(workload.Record{Job: id, Submission: submission})
 	return job
 }
