front: reject jobs that can't be done in any time of use to their caller

A job without hope was taken with a 2xx and ended late or never. Its caller learnt of that by asking.

Owners now tell the prospect of the next job of the same queue and workspace with the state of a job, only while it gives a reason to reject. An entry node then asks again where that is older than 300 ms, once at a time, and rejects with 503 and a time to return before anything is stored. No answer, an old one or doubt admits; before a rejection the node judges whether an earlier attempt was taken. The fleet's owner tells the owners of the VMs on their way.

Ruled out: prospects sent to all nodes, which cost bytes on every link also while all is well. Costs: some 50 bytes an answer while there is no hope, some 120 bytes a question.

--- a/internal/fleetowner/actions_test.go
+++ b/internal/fleetowner/actions_test.go
@@ -114,7 +114,7 @@
 	return workload.Drained, true
 }
 
-func (slowService) LoadsOf(context.Context, string, []string) ([]workload.ServiceLoad, bool) {
+func (slowService) LoadsOf(context.Context, string, []string, workload.Resources) ([]workload.ServiceLoad, bool) {
 	return nil, false
 }
 
--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -61,7 +61,7 @@
 // Services calls the owners of the services' jobs. A service and its pool of VMs have the same name.
 type Services interface {
 	RequestDrain(ctx context.Context, service, worker string) (v workload.DrainState, ok bool)
-	LoadsOf(ctx context.Context, service string, leaving []string) ([]workload.ServiceLoad, bool)
+	LoadsOf(ctx context.Context, service string, leaving []string, incoming workload.Resources) ([]workload.ServiceLoad, bool)
 }
 
 // Store is the part of the platform's store that an Owner uses.
@@ -255,8 +255,8 @@
 	if !o.loadsInFlight && now.Sub(o.loadsSentAt) >= loadInterval {
 		o.loadsInFlight = true
 		o.loadsSentAt = now
-		workersDue := core.WorkersDueForMaintenance()
-		o.startCall(ctx, func(ctx context.Context) { o.readLoads(ctx, config, workersDue) })
+		workersDue, incoming := core.WorkersDueForMaintenance(), core.IncomingByPool()
+		o.startCall(ctx, func(ctx context.Context) { o.readLoads(ctx, config, workersDue, incoming) })
 	}
 }
 
@@ -295,14 +295,14 @@
 }
 
 // readLoads requests the load of each pool from the owners of its service's jobs, and tells them which of its
-// workers are due for maintenance.
-func (o *Owner) readLoads(ctx context.Context, config *workload.Config, workersDue fleet.WorkersByPool) {
+// workers are due for maintenance and what capacity is on its way.
+func (o *Owner) readLoads(ctx context.Context, config *workload.Config, workersDue fleet.WorkersByPool, incoming fleet.CapacityByPool) {
 	var all []workload.ServiceLoad
 	for _, s := range config.Services {
 		if s.Standby {
 			continue
 		}
-		loads, ok := o.deps.Services.LoadsOf(ctx, s.Name, workersDue[s.Name])
+		loads, ok := o.deps.Services.LoadsOf(ctx, s.Name, workersDue[s.Name], incoming[s.Name])
 		if !ok {
 			o.logger.Debug("load of a service is not known", "service", s.Name)
 		}
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -54,11 +54,13 @@
 
 // Handler serves callers.
 type Handler struct {
-	Config  ConfigFunc
-	Jobs    JobStore
-	Owners  Owners
-	Logger  hclog.Logger
-	Metrics *Metrics
+	Config ConfigFunc
+	Jobs   JobStore
+	Owners Owners
+	// Admission tells of jobs that can't be done in time. If it is nil, none are rejected.
+	Admission Admission
+	Logger    hclog.Logger
+	Metrics   *Metrics
 	// IsStopping reports whether the process is stopping. Connections are then closed after
 	// their response, so that callers go to other nodes.
 	IsStopping func() bool
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -10,6 +10,7 @@
 // Metrics are the metrics of callers' requests.
 type Metrics struct {
 	requests *prometheus.HistogramVec
+	hopeless *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -19,7 +20,11 @@
 		Help:    "Time from a caller's request to its answer, in seconds, by method and status.",
 		Buckets: []float64{0.003, 0.01, 0.03, 0.1, 0.3, 1, 3},
 	}, []string{"method", "status"})}
-	r.MustRegister(m.requests)
+	m.hopeless = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "yuccadrift_front_hopeless_jobs_total",
+		Help: "Submitted jobs that can't be done in time for their caller, by what became of them: rejected, accepted before, or admitted because an earlier attempt may be stored.",
+	}, []string{"outcome"})
+	r.MustRegister(m.requests, m.hopeless)
 	return m
 }
 
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -40,6 +40,9 @@
 	if err != nil {
 		return errorResponse(http.StatusBadRequest, err.Error())
 	}
+	if res, rejected := h.rejectHopeless(ctx, req, id, config, spec); rejected {
+		return res
+	}
 	sub := &workload.Submission{
 		Queue:        req.queue.Name,
 		Service:      req.queue.Service,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -207,6 +207,7 @@
 		Config:     n.published.Config,
 		Jobs:       n,
 		Owners:     n.owners,
+		Admission:  n.owners,
 		Logger:     n.logger.Named("front"),
 		Metrics:    front.NewMetrics(metrics),
 		IsStopping: n.front.IsStopping,
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/admission"
 	"github.com/yuccadrift/yuccadrift/internal/front"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
@@ -33,6 +34,7 @@
 	selfAddress string // this node's address for other nodes
 	clients     *nodepeer.Clients
 	manager     *ownership.Manager
+	prospects   prospectBook
 
 	mu      sync.Mutex
 	local   map[int]*owner.Owner         // by partition
@@ -88,7 +90,11 @@
 
 // Status returns the status of a job.
 func (o *ownerDirectory) Status(ctx context.Context, service string, id workload.JobID) (front.JobStatus, bool) {
+	sentAt := time.Now()
 	response, ok := o.call(ctx, nodepeer.MethodJobState, nodepeer.Request{Partition: o.partitionOf(service), Job: id})
+	if ok && response.Known {
+		o.prospects.put(admission.Key{Queue: response.JobQueue, Workspace: response.Workspace}, response.Prospect, sentAt)
+	}
 	return front.JobStatus{State: response.State, Known: response.Known, Workspace: response.Workspace, Queue: response.JobQueue}, ok
 }
 
@@ -113,10 +119,10 @@
 	return workload.Drained, true
 }
 
-// LoadsOf returns the loads of all services in the partition of service, and marks workers
-// of service as due for maintenance. It calls the owner once.
-func (o *ownerDirectory) LoadsOf(ctx context.Context, service string, dueForMaintenance []string) ([]workload.ServiceLoad, bool) {
-	response, ok := o.callOnce(ctx, nodepeer.MethodLoads, nodepeer.Request{Partition: o.partitionOf(service), Service: service, DueForMaintenance: dueForMaintenance}, false)
+// LoadsOf returns the loads of all services in the partition of service, marks workers of service
+// as due for maintenance, and tells what capacity is on its way to it. It calls the owner once.
+func (o *ownerDirectory) LoadsOf(ctx context.Context, service string, dueForMaintenance []string, incoming workload.Resources) ([]workload.ServiceLoad, bool) {
+	response, ok := o.callOnce(ctx, nodepeer.MethodLoads, nodepeer.Request{Partition: o.partitionOf(service), Service: service, DueForMaintenance: dueForMaintenance, IncomingMilliCores: incoming.CPU}, false)
 	return response.Loads, ok && response.IsOwner
 }
 
@@ -135,6 +141,8 @@
 		return o.ServeLoads(ctx, req)
 	case nodepeer.MethodLoan:
 		return o.ServeLoan(ctx, req)
+	case nodepeer.MethodProspect:
+		return o.ServeProspect(ctx, req)
 	default:
 		return o.ServeDrain(ctx, req)
 	}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -18,7 +18,7 @@
 		return nodepeer.Response{}, nil
 	}
 	s, ok := localOwner.State(ctx, req.Job)
-	return nodepeer.Response{IsOwner: ok, Known: s.Known, State: s.State, Workspace: s.Workspace, JobQueue: s.Queue}, nil
+	return nodepeer.Response{IsOwner: ok, Known: s.Known, State: s.State, Workspace: s.Workspace, JobQueue: s.Queue, Prospect: prospectToWire(s.Prospect)}, nil
 }
 
 // localWaitingJobs returns the response to MethodWaiting of an owner on this node.
@@ -47,7 +47,7 @@
 	if localOwner == nil {
 		return nodepeer.Response{}, nil
 	}
-	loads, ok := localOwner.Loads(ctx, req.Service, req.DueForMaintenance)
+	loads, ok := localOwner.Loads(ctx, req.Service, req.DueForMaintenance, req.IncomingMilliCores)
 	return nodepeer.Response{IsOwner: ok, Loads: loads}, nil
 }
 
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -46,6 +46,8 @@
 	// Service is the service of the workers in DueForMaintenance.
 	Service           string   `json:"sv,omitempty"`
 	DueForMaintenance []string `json:"lv,omitempty"`
+	// IncomingMilliCores are those of the VMs that are on their way to Service.
+	IncomingMilliCores int `json:"in,omitempty"`
 	// RecordKey and RecordValue are the record to be stored.
 	RecordKey      string `json:"rk,omitempty"`
 	RecordValue    []byte `json:"rv,omitempty"`
@@ -56,6 +58,7 @@
 	// ConfigVersion is the version of the requesting node's configuration, 0 if it has none.
 	ConfigVersion int64                 `json:"cv,omitempty"`
 	Loan          *workload.LoanRequest `json:"ln,omitempty"`
+	Workspace     string                `json:"ws,omitempty"` // of MethodProspect
 }
 
 // Response holds the results of all methods.
@@ -83,6 +86,15 @@
 	Config          *ConfigResult  `json:"cf,omitempty"`
 	// Loan is set if IsOwner is and the request was not refused.
 	Loan *workload.LoanResponse `json:"ln,omitempty"`
+	// Prospect is that of the next job of the same queue and workspace, nil if there is no reason to reject it.
+	Prospect *Prospect `json:"pr,omitempty"`
+}
+
+// Prospect is an admission.Prospect in milliseconds and core-seconds.
+type Prospect struct {
+	WaitMS     int64   `json:"w"`
+	ExpectedMS int64   `json:"e"`
+	MinWork    float64 `json:"m,omitempty"`
 }
 
 // ConfigResult is the configuration of a node and what it knows of other nodes.
@@ -126,6 +138,7 @@
 	ServeRelease(ctx context.Context, req Request) (Response, error)
 	ServeConfig(ctx context.Context, req Request) (Response, error)
 	ServeLoan(ctx context.Context, req Request) (Response, error)
+	ServeProspect(ctx context.Context, req Request) (Response, error)
 }
 
 // Method is the name of a gRPC method.
@@ -147,6 +160,8 @@
 	MethodConfig Method = "Config"
 	// MethodLoan asks the owner of a partition for allowances of workspaces.
 	MethodLoan Method = "Loan"
+	// MethodProspect returns the prospect of the next job of a queue and a workspace.
+	MethodProspect Method = "Prospect"
 )
 
 const serviceName = "yuccadrift.Node"
@@ -197,6 +212,7 @@
 			methodDesc(MethodRelease, onRequest, Handler.ServeRelease),
 			methodDesc(MethodConfig, onRequest, Handler.ServeConfig),
 			methodDesc(MethodLoan, onRequest, Handler.ServeLoan),
+			methodDesc(MethodProspect, onRequest, Handler.ServeProspect),
 		},
 	}, h)
 	ended := make(chan error, 1)
--- a/internal/owner/queries.go
+++ b/internal/owner/queries.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/admission"
 	"github.com/yuccadrift/yuccadrift/internal/scheduler"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
@@ -30,8 +31,9 @@
 type JobStatus struct {
 	State workload.JobState
 	Known bool // false if there is no such job
-	// Workspace and Queue are those of the job.
+	// Workspace and Queue are those of the job, Prospect is that of their next job.
 	Workspace, Queue string
+	Prospect         admission.Prospect
 	// Stale is set if the job is unknown and the last read of the partition is too old to
 	// rule out that it was accepted since.
 	Stale bool
@@ -55,7 +57,7 @@
 	s, ok := queryCore(ctx, o, func(c *scheduler.Core, now time.Time) JobStatus {
 		state, known := c.JobState(id)
 		workspace, queue := c.JobAccess(id)
-		return JobStatus{State: state, Known: known, Workspace: workspace, Queue: queue, Stale: !known && now.Sub(o.lastReadSentAt) > unknownJobMaxReadAge}
+		return JobStatus{State: state, Known: known, Workspace: workspace, Queue: queue, Prospect: c.Prospect(queue, workspace, now), Stale: !known && now.Sub(o.lastReadSentAt) > unknownJobMaxReadAge}
 	})
 	return s, ok && !s.Stale && (s.State.IsTerminal() || !o.mayHaveBeenReplaced())
 }
@@ -73,10 +75,18 @@
 }
 
 // Loads returns the load of the partition's services, and marks workers of service as due
-// for maintenance.
-func (o *Owner) Loads(ctx context.Context, service string, dueForMaintenance []string) ([]workload.ServiceLoad, bool) {
+// for maintenance. incomingMilliCores are on their way to service.
+func (o *Owner) Loads(ctx context.Context, service string, dueForMaintenance []string, incomingMilliCores int) ([]workload.ServiceLoad, bool) {
 	return queryCore(ctx, o, func(c *scheduler.Core, now time.Time) []workload.ServiceLoad {
 		c.SetDueForMaintenance(service, dueForMaintenance, now)
+		c.SetIncoming(service, incomingMilliCores, now)
 		return c.ServiceLoads(now)
 	})
 }
+
+// Prospect returns the prospect of the next job of a queue and a workspace. ok is false if the owner can't
+// tell because another one may own the partition.
+func (o *Owner) Prospect(ctx context.Context, queue, workspace string) (p admission.Prospect, ok bool) {
+	p, ok = queryCore(ctx, o, func(c *scheduler.Core, now time.Time) admission.Prospect { return c.Prospect(queue, workspace, now) })
+	return p, ok && !o.mayHaveBeenReplaced()
+}
--- a/internal/returntime/returntime.go
+++ b/internal/returntime/returntime.go
@@ -21,10 +21,17 @@
 // Refusal describes a refused request.
 type Refusal struct {
 	Cause Cause
+	// Delay is when the request may be of use again, if that is known, 0 otherwise.
+	Delay time.Duration
 }
 
 // defaultDelay is the delay after causes of which nothing further is known.
 const defaultDelay = time.Second
 
 // After returns how long the caller of a refused request should wait before it sends the request again.
-func After(Refusal) time.Duration { return defaultDelay }
+func After(r Refusal) time.Duration {
+	if r.Cause == NoCapacity && r.Delay > 0 {
+		return r.Delay
+	}
+	return defaultDelay
+}
