dayreport: who waited and was refused, by workspace

A team that complains that it gets nothing couldn't be answered from the report: it named services and causes only.

The report lists the workspaces with their jobs, refusals, late starts, what most of those waited for, and which workspaces asked for more than the others meanwhile. Without workspaces it is as before.

--- a/internal/dayreport/conditions.go
+++ b/internal/dayreport/conditions.go
@@ -15,6 +15,7 @@
 	NoConfiguration  Cause = "no configuration"
 	WorkspaceAtCap   Cause = "waits for its cap"
 	NoFreeCapacity   Cause = "no room"
+	NoProspect       Cause = "can't be done in time"
 	OtherCause       Cause = "other"
 )
 
--- a/internal/dayreport/dayreport_test.go
+++ b/internal/dayreport/dayreport_test.go
@@ -212,3 +212,27 @@
 		}
 	})
 }
+
+// Guards against a team that complains and of which the report doesn't say who waited, who was refused, and
+// beside whom.
+func TestWorkspacesAreSummarized(t *testing.T) {
+	answered := func(seconds float64, workspace, status, reason string) string {
+		return logLine(seconds, "n-1", "answered", `"method":"POST","status":`+status+`,"job":"j","queue":"q","service":"booking","workspace":"`+workspace+`","reason":"`+reason+`"`)
+	}
+	started := func(seconds float64, workspace, ageMS string) string {
+		return logLine(seconds, "n-1", "first-placed", `"job":"j","queue":"q","partition":3,"workspace":"`+workspace+`","age_ms":`+ageMS)
+	}
+	r := buildReport(t,
+		answered(0, "ward", "200", ""), answered(0, "clinic", "200", ""),
+		answered(0, "flood", "503", "the job can't be done in time: nineteen of twenty would wait 9000 ms"),
+		logLine(2, "n-1", "workspace-share", `"partition":3,"workspace":"flood","reason":"service booking is full, asks for more than the others true"`),
+		logLine(2, "n-1", "workspace-share", `"partition":3,"workspace":"clinic","reason":"service booking is full, asks for more than the others false"`),
+		started(0.1, "clinic", "100"), started(2.5, "ward", "2500"))
+	require.Len(t, r.Workspaces, 3)
+	assert.Equal(t, dayreport.WorkspaceDay{Workspace: "flood", Refused: 1, Hopeless: 1}, r.Workspaces[0])
+	ward := r.Workspaces[1]
+	assert.Equal(t, []any{"ward", 1, 1, dayreport.NoFreeCapacity, []string{"flood"}}, []any{ward.Workspace, ward.Accepted, ward.Slow, ward.Cause, ward.Beside})
+	assert.Zero(t, r.Workspaces[2].Slow)
+	assert.Equal(t, dayreport.NoProspect, r.Refusals[0].Cause)
+	assert.Empty(t, buildReport(t, acceptedJob(0, "a")).Workspaces)
+}
--- a/internal/dayreport/report.go
+++ b/internal/dayreport/report.go
@@ -22,7 +22,9 @@
 	Jobs       Jobs        `json:"jobs"`
 	Refusals   []Refusal   `json:"refusals"`
 	SlowStarts []SlowStart `json:"slow_starts"`
-	Orders     []VMOrder   `json:"orders"`
+	// Workspaces is empty if no line names one.
+	Workspaces []WorkspaceDay `json:"workspaces,omitempty"`
+	Orders     []VMOrder      `json:"orders"`
 	// Takeovers lists the takeovers of partitions of the jobs topic.
 	Takeovers []Takeover `json:"takeovers"`
 	Seconds   []Second   `json:"seconds"`
@@ -116,7 +118,8 @@
 		Nodes: countNodes(lines), Lines: len(lines),
 		Foreign: log.Foreign, Truncated: log.Truncated, Problems: log.Problems,
 		Jobs: countJobs(lines), Refusals: groupRefusals(lines), SlowStarts: groupSlowStarts(lines, c, slowAfter),
-		Orders: groupVMOrders(lines), Takeovers: takeovers,
+		Workspaces: groupByWorkspace(lines, c, slowAfter),
+		Orders:     groupVMOrders(lines), Takeovers: takeovers,
 	}
 	r.Seconds = groupBySecond(lines, takeovers)
 	return r, true
@@ -205,6 +208,8 @@
 		return OwnerUnavailable
 	case strings.HasPrefix(reason, "no configuration "):
 		return NoConfiguration
+	case strings.HasPrefix(reason, hopelessReason):
+		return NoProspect
 	}
 	return OtherCause
 }
@@ -233,12 +238,7 @@
 // groupSlowStarts counts the slow starts by cause and service. A line on a start names only the job's
 // queue; the queue's service is taken from the lines on answers.
 func groupSlowStarts(lines []Line, c *conditions, slowAfter time.Duration) []SlowStart {
-	services := map[string]string{}
-	for _, l := range lines {
-		if l.Message == "answered" && l.Queue != "" {
-			services[l.Queue] = l.Service
-		}
-	}
+	services := servicesByQueue(lines)
 	var all []SlowStart
 	for _, l := range lines {
 		if l.Message != "first-placed" || l.AgeMS < slowAfter.Milliseconds() {
--- a/internal/operatorcmd/report_day.go
+++ b/internal/operatorcmd/report_day.go
@@ -69,7 +69,12 @@
 			return err
 		}
 	}
-	return printResult(cmd.Root().Writer, f, r, dayTable(r), refusalTable(r), slowTable(r), orderTable(r), secondsTable(r), problemTable(r))
+	tables := []*table{dayTable(r), refusalTable(r), slowTable(r)}
+	if len(r.Workspaces) > 0 {
+		tables = append(tables, workspaceTable(r))
+	}
+	tables = append(tables, orderTable(r), secondsTable(r), problemTable(r))
+	return printResult(cmd.Root().Writer, f, r, tables...)
 }
 
 func readDayLogs(log *dayreport.Log, files []string, input io.Reader) error {
@@ -132,6 +137,14 @@
 	return t
 }
 
+func workspaceTable(r dayreport.Report) *table {
+	t := &table{title: "workspaces", header: []string{"WORKSPACE", "TAKEN", "REFUSED", "NO PROSPECT", "BEGAN LATE", "WAITED FOR", "BESIDE", "START MS 50/95/100"}}
+	for _, w := range r.Workspaces {
+		t.add(w.Workspace, fmt.Sprint(w.Accepted), fmt.Sprint(w.Refused), fmt.Sprint(w.Hopeless), fmt.Sprint(w.Slow), string(w.Cause), strings.Join(w.Beside, ", "), formatPercentiles(w.Started))
+	}
+	return t
+}
+
 func orderTable(r dayreport.Report) *table {
 	t := &table{title: "orders for VMs", header: []string{"ORDER", "TO POOL", "OUTCOME", "TIMES"}}
 	for _, o := range r.Orders {
