owner: log the error of predicted waits, count jobs that wait for their turn

Operators couldn't see how good predictions are while nothing is rejected, nor how many jobs wait for their workspace's turn. A line for each queue, class and size every 10 s, and one more kind of work in yuccadrift_plan_work_total; no label for each workspace, of which there may be hundreds. Nothing is decided by either.

--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -32,7 +32,7 @@
 		}, []string{"event"}),
 		planWork: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "yuccadrift_plan_work_total",
-			Help: "What deciding on starts took: plans, those cut short by starts without an answer, steps that wait for their workspace's cap, jobs ranked, workers and runs looked at.",
+			Help: "What deciding on starts took: plans, those cut short by starts without an answer, steps that wait for their workspace's cap, jobs ranked, those of them that wait for their workspace's turn, workers and runs looked at.",
 		}, []string{"work"}),
 		maxEventDelay: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "yuccadrift_owner_delay_seconds",
@@ -87,6 +87,7 @@
 	add("loan_granted", counts.LoansGranted, previous.LoansGranted)
 	add("loan_received", counts.LoansReceived, previous.LoansReceived)
 	m.planWork.WithLabelValues("cap_blocked").Add(float64(counts.CapBlockedSteps - previous.CapBlockedSteps))
+	m.planWork.WithLabelValues("held_back").Add(float64(counts.HeldBackJobs - previous.HeldBackJobs))
 	m.planWork.WithLabelValues("ranked").Add(float64(counts.RankedJobs - previous.RankedJobs))
 	m.planWork.WithLabelValues("looked_at").Add(float64(counts.PlacementChecks - previous.PlacementChecks))
 	m.planWork.WithLabelValues("plans").Add(float64(counts.Plans - previous.Plans))
--- a/internal/scheduler/counts.go
+++ b/internal/scheduler/counts.go
@@ -22,6 +22,8 @@
 	// Plans counts plans, TruncatedPlans those that ended before all free capacity was used
 	// because too many starts were unanswered.
 	Plans, TruncatedPlans int
+	// HeldBackJobs counts ranked jobs that wait for their workspace's turn.
+	HeldBackJobs int
 	// CapBlockedSteps counts the steps that a plan left idle because of their workspace's cap.
 	// LoansGranted and LoansReceived count loans of one workspace's cap to and from other owners.
 	CapBlockedSteps, LoansGranted, LoansReceived int
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -24,6 +24,7 @@
 	defer c.logBlocked(now)
 	defer c.logShares(now)
 	defer c.logProspects(now)
+	defer c.logPredictionErrors(now)
 	c.placeSuspects(pools, now)
 	for _, cand := range r.candidates {
 		if cand.class > classStarved && !r.canPlaceMore(cand.servicePlan) || cand.servicePlan.pool == nil || cand.job.finalState.IsTerminal() {
--- a/internal/scheduler/prospects.go
+++ b/internal/scheduler/prospects.go
@@ -17,6 +17,7 @@
 	gates        map[string]*admission.Gate // by queue
 	updatedAt    time.Time                  // zero before the first ranking
 	loggedAt     time.Time
+	errorsAt     time.Time                // last log lines on errors
 	incoming     map[string]incomingCores // by service
 }
 
@@ -272,3 +273,21 @@
 		}
 	}
 }
+
+// predictionErrorsInterval is the time between two log lines on the errors of predictions.
+const predictionErrorsInterval = 10 * time.Second
+
+// logPredictionErrors logs how far the predictions of waits were off, by queue, class and size.
+func (c *Core) logPredictionErrors(now time.Time) {
+	p := &c.prospects
+	if len(p.calibrations) == 0 || now.Before(p.errorsAt.Add(predictionErrorsInterval)) {
+		return
+	}
+	p.errorsAt = now
+	for key, calibration := range p.calibrations {
+		if calibration.IsMeasured() {
+			reason := fmt.Sprintf("class %d, size %d: a tenth of the last %d jobs waited up to %.2f times as long as predicted, half up to %.2f times, nine tenths up to %.2f times", key.class, key.size, calibration.Count(), calibration.Quantile(0.1), calibration.Quantile(0.5), calibration.Quantile(0.9))
+			c.recordDecision(Decision{Verb: "prediction-error", Queue: key.queue, Reason: reason})
+		}
+	}
+}
--- a/internal/scheduler/workshares.go
+++ b/internal/scheduler/workshares.go
@@ -119,7 +119,9 @@
 	}
 	if d := c.workShares[cand.job.submission.Service]; d != nil {
 		a := cand.job.account
-		cand.turn = d.Turn(a.name, a.weight, cand.remainingWork)
+		if cand.turn = d.Turn(a.name, a.weight, cand.remainingWork); cand.turn > 0 {
+			c.Counts.HeldBackJobs++
+		}
 	}
 }
 
