prospect: work that runs is ahead of nobody

Only tasks that have not started are ahead now, less what starts at once on free cores. At most 0.4 of a prediction speaks against a job, as before there are measurements.

--- a/internal/prospect/calibration.go
+++ b/internal/prospect/calibration.go
@@ -22,8 +22,8 @@
 	minMeasurements = 30
 	// minPredictedWait is the shortest prediction that is measured. Shorter waits depend on single runs.
 	minPredictedWait = 300 * time.Millisecond
-	// priorLow and priorMedian apply before. Estimates of run times are off by up to e^0.9, one way.
-	priorLow, priorMedian = 0.4, 1.0
+	// priorMedian applies before.
+	priorMedian = 1.0
 )
 
 // RecordStart records a job that has started.
@@ -68,7 +68,7 @@
 // Low returns the ratio that nineteen of twenty jobs exceed, at most MaxLow.
 func (c *Calibration) Low() float64 {
 	if !c.IsMeasured() {
-		return priorLow
+		return MaxLow
 	}
 	return min(c.Quantile(0.05), MaxLow)
 }
@@ -87,6 +87,7 @@
 // Count returns the number of jobs that the ratios are from.
 func (c *Calibration) Count() int { return int(c.count) }
 
-// MaxLow is the part of a predicted wait that is left if no more jobs come: those that come later no longer
-// delay it, and half of the jobs ahead expire before their turn.
-const MaxLow = 0.5
+// MaxLow is the most that Low returns, and what it returns before there are enough measurements. Estimates of
+// run times are off by up to e^0.9, jobs that come later may not come any more, and some of those ahead expire
+// before their turn.
+const MaxLow = 0.4
--- a/internal/prospect/prospect.go
+++ b/internal/prospect/prospect.go
@@ -51,17 +51,19 @@
 	flows []flow
 	index map[flowKey]int // in flows
 	work  float64
+	tasks float64 // cores that all tasks would use
 }
 
 // Reset forgets the work, and keeps the memory for the next.
 func (s *Service) Reset() {
-	s.Cores, s.Free, s.work = 0, 0, 0
+	s.Cores, s.Free, s.work, s.tasks = 0, 0, 0, 0
 	s.flows = s.flows[:0]
 	clear(s.index)
 }
 
-// Add adds work in core-seconds that waits.
-func (s *Service) Add(rank Rank, workspace string, weight, work float64) {
+// Add adds tasks that have not started: their work in core-seconds, and the cores that they would use.
+func (s *Service) Add(rank Rank, workspace string, weight, work, cores float64) {
+	s.tasks += cores
 	if s.index == nil {
 		s.index = map[flowKey]int{}
 	}
@@ -124,7 +126,10 @@
 		longer := begin + sort.Search(end-begin, func(i int) bool { return s.flows[begin+i].perWeight() > ownPerWeight })
 		ahead = s.workBefore(longer) + ownPerWeight*(s.weightBefore(end)-s.weightBefore(longer))
 	}
-	if ahead == 0 || ahead <= s.Free*minTaskSeconds {
+	if s.tasks > 0 {
+		ahead -= s.Free * s.work / s.tasks // what starts at once
+	}
+	if ahead <= 0 {
 		return 0
 	}
 	if s.Cores <= 0 {
@@ -142,10 +147,7 @@
 func (s *Service) HasRoom() bool { return s.Free > roomShare*s.Cores }
 
 const (
-	// minTaskSeconds is the time for which a task uses a core at least. Work of less than that for each
-	// free core starts at once.
-	minTaskSeconds = 0.5
-	maxWait        = time.Hour
+	maxWait = time.Hour
 	// roomShare is the free part of a service up to which it may be full for some of its tasks.
 	roomShare = 0.1
 )
--- a/internal/prospect/prospect_test.go
+++ b/internal/prospect/prospect_test.go
@@ -18,9 +18,9 @@
 func TestWaitFollowsRankAndWeight(t *testing.T) {
 	s := &Service{Cores: 100}
 	assert.Zero(t, s.Wait(onTime, "a", 1))
-	s.Add(onTime, "a", 1, 300)
-	s.Add(onTime, "b", 3, 1000)
-	s.Add(beyond, "a", 1, 500)
+	s.Add(onTime, "a", 1, 300, 300)
+	s.Add(onTime, "b", 3, 1000, 1000)
+	s.Add(beyond, "a", 1, 500, 500)
 	s.Prepare()
 	assert.Equal(t, 12*time.Second, s.Wait(onTime, "a", 1), "300 of its own, thrice as much of the other meanwhile")
 	assert.Equal(t, 13*time.Second, s.Wait(onTime, "b", 3), "1,000 of its own, all of the other's")
@@ -31,6 +31,8 @@
 	assert.Zero(t, s.Wait(Rank{Class: 2, Priority: -1}, "a", 1), "before all")
 	assert.Equal(t, 18*time.Second, s.LongestWait())
 	assert.False(t, s.HasRoom())
+	s.Free = 600
+	assert.Equal(t, 6*time.Second, s.Wait(onTime, "a", 1), "tasks of a second on the free cores start at once")
 	s.Free = 3000
 	assert.Zero(t, s.Wait(onTime, "a", 1), "free cores take all")
 	assert.True(t, s.HasRoom())
@@ -45,7 +47,7 @@
 func TestCalibrationLearnsTheError(t *testing.T) {
 	for _, factor := range []float64{1.0 / 3, 1, 3} {
 		var c Calibration
-		assert.Equal(t, []float64{priorLow, priorMedian}, []float64{c.Low(), c.Median()})
+		assert.Equal(t, []float64{MaxLow, priorMedian}, []float64{c.Low(), c.Median()})
 		for range 50 {
 			c.RecordStart(3*time.Second, time.Duration(3*factor*float64(time.Second)))
 		}
@@ -78,7 +80,7 @@
 		s.Reset()
 		s.Cores = 4000
 		for _, name := range names {
-			s.Add(onTime, name, 1, 100)
+			s.Add(onTime, name, 1, 100, 50)
 		}
 		s.Prepare()
 	}
@@ -87,7 +89,7 @@
 func BenchmarkWaitBeside640Workspaces(b *testing.B) {
 	s := &Service{Cores: 4000}
 	for i := range 640 {
-		s.Add(onTime, "workspace-"+strconv.Itoa(i), 1, 100)
+		s.Add(onTime, "workspace-"+strconv.Itoa(i), 1, 100, 50)
 	}
 	s.Prepare()
 	for b.Loop() {
--- a/internal/scheduler/prospects.go
+++ b/internal/scheduler/prospects.go
@@ -85,7 +85,8 @@
 			if a := cand.job.account; a != nil {
 				weight = a.weight
 			}
-			s.Add(cand.prospectRank(), workspace, weight, cand.remainingWork)
+			work, cores := idleWork(cand.steps)
+			s.Add(cand.prospectRank(), workspace, weight, work, cores)
 		}
 	}
 	for _, w := range c.sortedWorkers {
@@ -100,6 +101,17 @@
 	c.updateGates(now)
 }
 
+// idleWork returns the estimated core-seconds of the tasks that have not started, and the cores that they would
+// use. What runs is no longer ahead of anybody.
+func idleWork(steps []*step) (work, cores float64) {
+	for _, s := range steps {
+		n := float64(s.idleCount)
+		work += n * coreSeconds(s.spec, estimate(s.spec))
+		cores += n * float64(s.spec.Resources.CPU) / 1000
+	}
+	return work, cores
+}
+
 func (cand *candidate) prospectRank() prospect.Rank {
 	return prospect.Rank{Class: int(cand.class), Priority: cand.priority}
 }
