--- a/internal/front/admission_test.go
+++ b/internal/front/admission_test.go
@@ -31,6 +31,7 @@
 // newAdmissionRig returns a rig with weights whose queues have a target of 600 ms and 1.6 times the run time more.
 func newAdmissionRig(t *testing.T, p admission.Prospect) (*frontRig, *fakeAdmission) {
 	r := newFrontRig(t)
+	r.jobs.report = ruledOut()
 	for i := range r.config.Queues {
 		r.config.Queues[i].Objective, r.config.Queues[i].Stretch = 600*time.Millisecond, 1.6
 	}
--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -29,9 +31,20 @@
 	records      []workload.Record
 	status       JobStatus
 	ownerAnswers bool
+	outcomes     []platform.StoreStatus // of the next calls of Accept, StoreOK after them
+	outcomesTake time.Duration          // the time of a call of Accept with one of them
+	report       AcceptanceReport
+	reportTakes  time.Duration
+	reportedFrom time.Time // before that the owner doesn't answer
 }
 
 func (f *fakeJobs) Accept(_ context.Context, _ string, r workload.Record) (platform.StoreStatus, error) {
+	if len(f.outcomes) > 0 {
+		outcome := f.outcomes[0]
+		f.outcomes = f.outcomes[1:]
+		time.Sleep(f.outcomesTake)
+		return outcome, errors.New("store: " + outcome.String())
+	}
 	f.records = append(f.records, r)
 	return platform.StoreOK, nil
 }
@@ -43,6 +56,14 @@
 	return f.status, f.ownerAnswers
 }
 
+func (f *fakeJobs) Acceptance(context.Context, string, acceptance.Request, workload.Requester) AcceptanceReport {
+	time.Sleep(f.reportTakes)
+	if time.Now().Before(f.reportedFrom) {
+		return AcceptanceReport{}
+	}
+	return f.report
+}
+
 func (f *fakeJobs) WaitingJobs(context.Context, string, string) (int, bool) { return 3, f.ownerAnswers }
 
 func testConfig(t *testing.T, keys map[string]string) *workload.Config {
@@ -84,6 +105,10 @@
 }
 
 func (r *frontRig) send(method, path, authorization string) *http.Response {
+	return r.serve(r.newRequest(method, path, authorization))
+}
+
+func (r *frontRig) newRequest(method, path, authorization string) *http.Request {
 	body := ""
 	if method == http.MethodPost {
 		body = testJobBody
@@ -92,6 +117,10 @@
 	if authorization != "" {
 		req.Header.Set("Authorization", authorization)
 	}
+	return req
+}
+
+func (r *frontRig) serve(req *http.Request) *http.Response {
 	w := httptest.NewRecorder()
 	r.handler.ServeHTTP(w, req)
 	return w.Result()
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -11,6 +11,7 @@
 type Metrics struct {
 	requests *prometheus.HistogramVec
 	hopeless *prometheus.CounterVec
+	verdicts *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -24,7 +25,11 @@
 		Name: "yuccadrift_front_hopeless_jobs_total",
 		Help: "Submitted jobs that can't be done in time for their caller, by what became of them: rejected, accepted before, or admitted because an earlier attempt may be stored.",
 	}, []string{"outcome"})
-	r.MustRegister(m.requests, m.hopeless)
+	m.verdicts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "yuccadrift_front_verdicts_total",
+		Help: "What was known of jobs whose record was not stored when their owners were asked, by verdict.",
+	}, []string{"verdict"})
+	r.MustRegister(m.requests, m.hopeless, m.verdicts)
 	return m
 }
 
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -5,8 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/yuccadrift/yuccadrift/internal/admission"
 	"github.com/yuccadrift/yuccadrift/internal/front"
+	"github.com/yuccadrift/yuccadrift/internal/intake"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
 	"github.com/yuccadrift/yuccadrift/internal/owner"
@@ -35,6 +38,10 @@
 	clients     *nodepeer.Clients
 	manager     *ownership.Manager
 	prospects   prospectBook
+	logger      hclog.Logger
+	// checkStore returns an error if the store doesn't answer this node.
+	checkStore func() error
+	intake     *intake.Router
 
 	mu      sync.Mutex
 	local   map[int]*owner.Owner         // by partition
