front: admission asks only where time and an answer are left

A request with a short timeout spent up to 240 ms on the questions of admission, and its record was stored late or with an unknown outcome. While an owner was lost, each submission of a workspace without prospect waited 150 ms for five seconds. An owner that may have been replaced still told prospects with the states of jobs that have ended.

Requests with less than 700 ms left are admitted, a question without an answer is not repeated, and such an owner tells no prospects. Tests say which reports of an owner prevent a rejection.

--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"slices"
 	"time"
 
@@ -22,6 +21,10 @@
 // defaultStepEstimate applies to steps without an estimate.
 const defaultStepEstimate = time.Second
 
+// minTimeToAsk is the shortest time that a request must have left for questions on its admission. Both may
+// take 240 ms together, and the record of an admitted job still has to be stored.
+const minTimeToAsk = 700 * time.Millisecond
+
 // rejectHopeless returns the response to a job that can't be done in any time that is of use to its caller.
 // It returns false if the job is to be stored. Jobs of no workspace with a weight, long-running ones and those
 // that have a time of their own are not judged.
@@ -31,6 +34,9 @@
 		slices.ContainsFunc(spec.Steps, func(s workload.Step) bool { return s.LongRunning }) {
 		return response{}, false
 	}
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < minTimeToAsk {
+		return response{}, false
+	}
 	p, age, ok := h.Admission.Prospect(ctx, req.queue.Service, admission.Key{Queue: req.queue.Name, Workspace: req.workspace})
 	if !ok {
 		return response{}, false
@@ -43,10 +49,10 @@
 	switch h.judge(ctx, req, id) {
 	case acceptance.Accepted:
 		h.Metrics.hopeless.WithLabelValues("accepted_before").Inc()
-		return response{status: http.StatusOK, body: []byte("{}")}, true
+		return accepted(), true
 	case acceptance.NeverAccepted:
 		h.Metrics.hopeless.WithLabelValues("rejected").Inc()
-		res := retryableResponse(returntime.NoCapacity, fmt.Sprintf("the job can't be done in time: nineteen of twenty of its workspace would wait %d ms and more", p.Wait.Milliseconds()))
+		res := retryableResponse(returntime.NoCapacity, fmt.Sprintf("the job can't be done in time: nineteen of twenty of its workspace would wait %d ms and more; the request was not taken", p.Wait.Milliseconds()))
 		res.retryAfter = returntime.After(returntime.Refusal{Cause: returntime.NoCapacity, Delay: verdict.RetryAfter})
 		return res, true
 	default:
--- a/internal/front/admission_test.go
+++ b/internal/front/admission_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/admission"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
 )
 
 // fakeAdmission gives the same prospect to all jobs of one workspace.
@@ -65,6 +66,44 @@
 	assert.Equal(t, http.StatusOK, r.submit(jobPath, testJobBody, "ward-key").StatusCode, "the prospect is old")
 }
 
+// Guards against a job that was accepted, or may have been, and whose caller is told that it won't run.
+func TestHopelessJobsThatMayHaveBeenAcceptedAreNotRejected(t *testing.T) {
+	prospect := admission.Prospect{Wait: 5 * time.Second, Expected: 9 * time.Second}
+	for name, c := range map[string]struct {
+		weaken func(report *AcceptanceReport)
+		stored int
+	}{
+		"accepted before":                  {func(report *AcceptanceReport) { report.Stands = true }, 0},
+		"no answer of the owner":           {func(report *AcceptanceReport) { *report = AcceptanceReport{} }, 1},
+		"an owner that may be replaced":    {func(report *AcceptanceReport) { report.Owner.IsCurrent = false }, 1},
+		"records that were not read":       {func(report *AcceptanceReport) { report.Owner.ReadSinceAsked = false }, 1},
+		"an attempt that is in flight":     {func(report *AcceptanceReport) { report.Owner.HasOpenAttempt = true }, 1},
+		"an attempt of this node is open":  {func(report *AcceptanceReport) { report.HasOpenAttempt = true }, 1},
+		"an owner since the last attempts": {func(report *AcceptanceReport) { report.Owner.WatchedFor = time.Second }, 1},
+	} {
+		r, _ := newAdmissionRig(t, prospect)
+		c.weaken(&r.jobs.report)
+		assert.Equal(t, http.StatusOK, r.submit(jobPath, testJobBody, "ward-key").StatusCode, name)
+		assert.Len(t, r.jobs.records, c.stored, name)
+	}
+}
+
+// Guards against questions that take the time in which the record of a caller with a short timeout is stored.
+func TestJobsOfCallersWithShortTimeoutsAreAdmitted(t *testing.T) {
+	r, _ := newAdmissionRig(t, admission.Prospect{Wait: 5 * time.Second, Expected: 9 * time.Second})
+	for _, c := range []struct {
+		timeout time.Duration
+		status  int
+	}{{700 * time.Millisecond, http.StatusOK}, {3 * time.Second, http.StatusServiceUnavailable}} {
+		req := httptest.NewRequest(http.MethodPost, "http://"+testHost+jobPath, strings.NewReader(testJobBody))
+		req.Header.Set("Authorization", "Bearer ward-key")
+		platform.SetCallerTimeout(req, c.timeout)
+		w := httptest.NewRecorder()
+		r.handler.ServeHTTP(w, req)
+		assert.Equal(t, c.status, w.Code, "%s", c.timeout)
+	}
+}
+
 // Jobs that may wait, and those of others, are stored whatever the prospects of a workspace.
 func TestOtherJobsAreAdmittedBesideHopelessOnes(t *testing.T) {
 	r, _ := newAdmissionRig(t, admission.Prospect{Wait: 5 * time.Second, MinWork: 1})
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -27,6 +27,15 @@
 	b.book.Put(key, prospectFromWire(p), sentAt)
 }
 
+// putAnswer records the answer to a question. Without one the reason to ask is forgotten, so that the next
+// requests don't wait for the same owner.
+func (b *prospectBook) putAnswer(key admission.Key, response nodepeer.Response, called bool, sentAt time.Time) {
+	if !called || !response.IsOwner {
+		response.Prospect = nil
+	}
+	b.put(key, response.Prospect, sentAt)
+}
+
 func (b *prospectBook) get(key admission.Key) (p admission.Prospect, age time.Duration, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -74,9 +83,7 @@
 		defer o.prospects.end(key, answered)
 		sentAt := time.Now()
 		response, called := o.callOnce(ctx, nodepeer.MethodProspect, nodepeer.Request{Partition: o.partitionOf(service), Queue: key.Queue, Workspace: key.Workspace}, false)
-		if called && response.IsOwner {
-			o.prospects.put(key, response.Prospect, sentAt)
-		}
+		o.prospects.putAnswer(key, response, called, sentAt)
 	} else {
 		select {
 		case <-answered:
--- a/internal/node/admission_test.go
+++ b/internal/node/admission_test.go
@@ -39,6 +39,29 @@
 	assert.True(t, mustAsk, "the question is over")
 }
 
+// Guards against a lost owner for which every submission of some seconds waits.
+func TestAQuestionWithoutAnswerIsNotRepeated(t *testing.T) {
+	key := admission.Key{Queue: "quick", Workspace: "ward"}
+	hopeless := nodepeer.Response{IsOwner: true, Prospect: prospectToWire(admission.Prospect{Wait: 5 * time.Second})}
+	for name, c := range map[string]struct {
+		response        nodepeer.Response
+		called, isKnown bool
+	}{
+		"answer":               {hopeless, true, true},
+		"no reason any more":   {nodepeer.Response{IsOwner: true}, true, false},
+		"no answer":            {nodepeer.Response{}, false, false},
+		"not the owner":        {nodepeer.Response{Prospect: hopeless.Prospect}, true, false},
+		"answer after timeout": {hopeless, false, false},
+	} {
+		var b prospectBook
+		now := time.Now()
+		b.put(key, hopeless.Prospect, now)
+		b.putAnswer(key, c.response, c.called, now)
+		_, _, ok := b.get(key)
+		assert.Equal(t, c.isKnown, ok, name)
+	}
+}
+
 func TestProspectsOnTheWire(t *testing.T) {
 	assert.Nil(t, prospectToWire(admission.Prospect{}))
 	assert.True(t, prospectFromWire(nil).IsZero(), "also the answer of an earlier version")
--- a/internal/owner/queries.go
+++ b/internal/owner/queries.go
@@ -59,7 +59,11 @@
 		workspace, queue := c.JobAccess(id)
 		return JobStatus{State: state, Known: known, Workspace: workspace, Queue: queue, Prospect: c.Prospect(queue, workspace, now), Stale: !known && now.Sub(o.lastReadSentAt) > unknownJobMaxReadAge}
 	})
-	return s, ok && !s.Stale && (s.State.IsTerminal() || !o.mayHaveBeenReplaced())
+	mayHaveBeenReplaced := o.mayHaveBeenReplaced()
+	if mayHaveBeenReplaced {
+		s.Prospect = admission.Prospect{}
+	}
+	return s, ok && !s.Stale && (s.State.IsTerminal() || !mayHaveBeenReplaced)
 }
 
 // WaitingJobs returns the number of jobs of a queue that have not begun.
