--- a/internal/scheduler/backlog_test.go
+++ b/internal/scheduler/backlog_test.go
@@ -35,10 +35,12 @@
 	return f
 }
 
+const tasksPerJob = 16
+
 // submitJob submits a quick job of two steps.
 func (f *saturatedService) submitJob() {
 	f.jobCount++
-	first := batchStep(8, 1800)
+	first := batchStep(tasksPerJob/2, 1800)
 	second := first
 	second.DependsOn = []int{0}
 	f.submit(fmt.Sprintf("%016d", f.jobCount), first, second)
@@ -97,7 +99,10 @@
 		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
 			f := newSaturatedService(b, 100, waiting)
 			b.ResetTimer()
-			for range b.N {
+			for i := range b.N {
+				if i%tasksPerJob == 0 {
+					f.submitJob() // the backlog stays as long as it is
+				}
 				f.completeOldestRun()
 			}
 		})
