workshare: nothing is saved up while blocked, no charge outlives a reset

A workspace that waited for its cap fell up to four seconds of the service behind, and then took them at several times its share. Estimates of runs that began while the service wasn't full were taken back once it was, so a workspace with high estimates began ahead of the others, though nobody had paid.

A blocked workspace is never behind. A charge remembers the period it was made in, and is settled only in that.

--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/internal/workshare"
 )
 
 const (
@@ -51,7 +52,7 @@
 	// sent earlier doesn't list the run has no meaning.
 	stateChangedAt time.Time
 	orderedAt      time.Time
-	chargedWork    float64 // core-seconds that its workspace was charged with, 0 for none
+	charge         workshare.Charge // to its workspace
 
 	// Stop of the run.
 	lastStopAt      time.Time
--- a/internal/scheduler/workshares.go
+++ b/internal/scheduler/workshares.go
@@ -147,8 +147,7 @@
 	if a == nil || r.step.spec.LongRunning || c.config.Workspaces == nil {
 		return
 	}
-	r.chargedWork = coreSeconds(r.step.spec, estimate(r.step.spec))
-	c.workShares.of(r.step.job.submission.Service).Charge(a.name, a.weight, r.chargedWork)
+	r.charge = c.workShares.of(r.step.job.submission.Service).Charge(a.name, a.weight, coreSeconds(r.step.spec, estimate(r.step.spec)))
 }
 
 // recordWorkArrival records the work of an occurrence that is ranked for the first time.
@@ -161,7 +160,7 @@
 // settleCharge replaces the estimate that a run's workspace was charged with by the time that the run took.
 // Estimates may be wrong by more than a factor of two.
 func (c *Core) settleCharge(r *run) {
-	if r.chargedWork == 0 {
+	if r.charge == (workshare.Charge{}) {
 		return
 	}
 	taken := max(0, c.lastStepAt.Sub(r.orderedAt))
@@ -169,8 +168,8 @@
 		taken = 0 // it never ran
 	}
 	a := r.step.job.account
-	c.workShares.of(r.step.job.submission.Service).Charge(a.name, a.weight, coreSeconds(r.step.spec, taken)-r.chargedWork)
-	r.chargedWork = 0
+	c.workShares.of(r.step.job.submission.Service).Settle(a.name, a.weight, r.charge, coreSeconds(r.step.spec, taken))
+	r.charge = workshare.Charge{}
 }
 
 // maxLoggedShares bounds the log lines on the shares of one service, in each sharesLogInterval.
--- a/internal/workshare/workshare.go
+++ b/internal/workshare/workshare.go
@@ -42,6 +42,13 @@
 	flows       map[string]*flow
 	begunAt     time.Time // last round
 	arrivedJobs float64   // recently
+	period      int       // number of resets
+}
+
+// Charge is work in core-seconds that a workspace was charged with by an estimate. The zero value is none.
+type Charge struct {
+	work   float64
+	period int // of the division
 }
 
 // flow is the state of one workspace.
@@ -53,6 +60,7 @@
 	isActive bool    // it waits, or is ahead of the others
 	ahead    float64 // work of its jobs that were given a turn in this round
 	waits    bool
+	blocked  bool
 	hasMore  bool // it asks for more than the others
 }
 
@@ -62,7 +70,8 @@
 	d.decay(now)
 	for _, w := range waiting {
 		if w.Weight > 0 {
-			d.flow(w.Workspace, w.Weight).waits = true
+			f := d.flow(w.Workspace, w.Weight)
+			f.waits, f.blocked = true, w.Blocked
 		}
 	}
 	d.findExcess()
@@ -91,7 +100,7 @@
 	d.arrivedJobs *= factor
 	for name, f := range d.flows {
 		f.arrived *= factor
-		f.ahead, f.waits, f.hasMore = 0, false, false
+		f.ahead, f.waits, f.blocked, f.hasMore = 0, false, false, false
 		if !f.isActive && f.arrived < minArrived {
 			delete(d.flows, name)
 		}
@@ -143,14 +152,17 @@
 	}
 }
 
-// limitLeads limits how far the workspaces that wait are ahead or behind. The others are inactive unless
-// they are ahead.
+// limitLeads limits how far the workspaces that wait are ahead or behind. Blocked ones are not behind. The
+// others are inactive unless they are ahead.
 func (d *Division) limitLeads() {
 	lead := d.turn * maxLead.Seconds() / turnDuration.Seconds()
 	for _, f := range d.flows {
 		if !f.isActive || !f.waits && f.finish <= d.virtualTime {
 			f.finish, f.isActive = d.virtualTime, f.waits
 		}
+		if f.blocked {
+			f.finish = max(f.finish, d.virtualTime)
+		}
 		if d.turn > 0 {
 			f.finish = min(max(f.finish, d.virtualTime-lead), d.virtualTime+lead)
 		}
@@ -160,6 +172,7 @@
 // Reset forgets what workspaces have had. It is called while the service isn't full.
 func (d *Division) Reset(now time.Time) {
 	d.decay(now)
+	d.period++
 	d.virtualTime, d.turn = 0, 0
 	for _, f := range d.flows {
 		f.finish, f.isActive = 0, false
@@ -207,11 +220,24 @@
 	return int(start / d.turn)
 }
 
-// Charge adds work in core-seconds to what a workspace has had. Negative work takes an estimate back.
-func (d *Division) Charge(workspace string, weight, work float64) {
+// Charge adds the estimated work of a run, in core-seconds, to what a workspace has had.
+func (d *Division) Charge(workspace string, weight, work float64) Charge {
 	if weight <= 0 || work == 0 {
-		return
+		return Charge{}
 	}
+	d.add(workspace, weight, work)
+	return Charge{work: work, period: d.period}
+}
+
+// Settle replaces a charge by the work that the run took. A charge that a reset has forgotten stays so: the
+// difference would be credit for room that cost nothing, or a debt for it.
+func (d *Division) Settle(workspace string, weight float64, c Charge, work float64) {
+	if weight > 0 && c.work > 0 && c.period == d.period {
+		d.add(workspace, weight, work-c.work)
+	}
+}
+
+func (d *Division) add(workspace string, weight, work float64) {
 	f := d.flow(workspace, weight)
 	if !f.isActive {
 		f.finish, f.isActive = d.virtualTime, true
--- a/internal/workshare/workshare_test.go
+++ b/internal/workshare/workshare_test.go
@@ -201,6 +201,65 @@
 	}
 }
 
+// leadOf returns how far a workspace is ahead of the others.
+func leadOf(t *testing.T, d *Division, workspace string) time.Duration {
+	for _, s := range d.Shares() {
+		if s.Workspace == workspace {
+			return s.Lead
+		}
+	}
+	t.Fatalf("%s has no share", workspace)
+	return 0
+}
+
+// Guards against a workspace that waits for something else, such as its cap, and then takes much of the
+// service for the time that it has waited.
+func TestBlockedWorkspaceSavesUpNothing(t *testing.T) {
+	var d Division
+	demands := []Demand{{Workspace: "blocked", Weight: 1, Blocked: true}, {Workspace: "quiet", Weight: 1}}
+	round := func(i int) {
+		d.Arrive("blocked", 1, 50)
+		d.Arrive("quiet", 1, 5)
+		d.Begin(demands, 100, start.Add(time.Duration(i)*100*time.Millisecond))
+	}
+	for i := range 100 {
+		round(i)
+		d.Charge("quiet", 1, 5)
+	}
+	demands[0].Blocked = false
+	round(100)
+	assert.GreaterOrEqual(t, leadOf(t, &d, "blocked"), -turnDuration, "no more than the others had since the last round")
+	assert.Equal(t, []int{0, 1, 2}, []int{d.Turn("blocked", 1, 35), d.Turn("blocked", 1, 25), d.Turn("blocked", 1, 25)})
+}
+
+// Guards against estimates that are taken back after a time in which the service wasn't full and nobody paid:
+// a workspace with estimates that are too high would begin seconds ahead, one with low estimates behind.
+func TestForgottenChargesAreNotSettled(t *testing.T) {
+	demands := []Demand{{Workspace: "a", Weight: 1}, {Workspace: "b", Weight: 1}}
+	for _, isForgotten := range []bool{false, true} {
+		var d Division
+		d.Begin(demands, 100, start)
+		high, low := d.Charge("a", 1, 100), d.Charge("b", 1, 10)
+		if isForgotten {
+			d.Reset(start)
+		}
+		d.Settle("a", 1, high, 10)
+		d.Settle("b", 1, low, 100)
+		d.Begin(demands, 100, start)
+		ahead := leadOf(t, &d, "b") - leadOf(t, &d, "a")
+		if isForgotten {
+			assert.Zero(t, ahead)
+		} else {
+			assert.InDelta(t, 1.8, ahead.Seconds(), 0.001, "90 core-seconds of two workspaces that share 100 cores")
+		}
+	}
+	var d Division
+	assert.Equal(t, Charge{}, d.Charge("none", 0, 10))
+	d.Settle("none", 0, Charge{}, 10)
+	d.Settle("a", 1, Charge{}, 10)
+	assert.Empty(t, d.Shares(), "a run that wasn't charged")
+}
+
 // Guards against a small workspace that pays for one large job with many seconds without any.
 func TestLargeJobOfASmallWorkspaceIsForgiven(t *testing.T) {
 	var d Division
