scheduler: prospects of large jobs don't reject small ones

If the largest jobs of a queue could wait, their wait was still told, as that of all sizes. On a queue whose target grows little with the run time a job may wait less than the limit, so that small jobs were rejected for it.

Such a queue now has no prospect, which is also what is sent: nothing.

--- a/internal/scheduler/prospects.go
+++ b/internal/scheduler/prospects.go
@@ -151,9 +151,9 @@
 	return classBeyondWeight
 }
 
-// prospectOf returns the prospect of a job of a queue and workspace that would be of a class. It is of the
-// sizes of which nineteen of twenty jobs would wait longer than the limit, from the largest down: a full service starts
-// small jobs in what is left between large ones.
+// prospectOf returns the prospect of a job of a queue and workspace that would be of a class. It is of the sizes
+// of which nineteen of twenty jobs would wait longer than the limit, from the largest down, and zero if that
+// isn't so of the largest: a full service starts small jobs in what is left between large ones.
 func (c *Core) prospectOf(s *prospect.Service, q *workload.Queue, a *account, class rankClass) admission.Prospect {
 	shares := c.shares[q.Name]
 	if shares == nil || s.HasRoom() {
@@ -164,13 +164,12 @@
 	for size := sizeCount - 1; size >= 0; size-- {
 		calibration := c.measuredCalibration(calibrationKey{q.Name, class, size})
 		low := scale(wait, calibration.Low())
-		isHopeless := low > admission.LateFactor*q.Objective
-		if size == sizeCount-1 || isHopeless && low < p.Wait {
-			p.Wait, p.Expected = low, scale(wait, calibration.Median())
-		}
-		if !isHopeless {
+		if low <= admission.LateFactor*q.Objective {
 			break
 		}
+		if p.IsZero() || low < p.Wait {
+			p.Wait, p.Expected = low, scale(wait, calibration.Median())
+		}
 		p.MinWork = shares.leastWork(size)
 	}
 	return p
@@ -273,7 +272,7 @@
 		j := c.ranking.candidates[i].job
 		key := admission.Key{Queue: j.submission.Queue, Workspace: j.submission.Workspace}
 		next := c.Prospect(key.Queue, key.Workspace, now)
-		if next.IsZero() || logged[key] || next.Wait <= admission.LateFactor*j.queue.Objective {
+		if next.IsZero() || logged[key] {
 			continue
 		}
 		logged[key] = true
