scheduler: reject nothing while it isn't known what is on its way

Without word of the fleet's owner, or with one of an earlier version that doesn't tell, an owner took it that no VM was on its way and could reject jobs that these would have served. Not told and none are now distinct on the wire, and without word for 5 s there are no prospects.

--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -129,7 +129,7 @@
 // LoadsOf returns the loads of all services in the partition of service, marks workers of service
 // as due for maintenance, and tells what capacity is on its way to it. It calls the owner once.
 func (o *ownerDirectory) LoadsOf(ctx context.Context, service string, dueForMaintenance []string, incoming workload.Resources) ([]workload.ServiceLoad, bool) {
-	response, ok := o.callOnce(ctx, nodepeer.MethodLoads, nodepeer.Request{Partition: o.partitionOf(service), Service: service, DueForMaintenance: dueForMaintenance, IncomingMilliCores: incoming.CPU}, false)
+	response, ok := o.callOnce(ctx, nodepeer.MethodLoads, nodepeer.Request{Partition: o.partitionOf(service), Service: service, DueForMaintenance: dueForMaintenance, IncomingMilliCores: &incoming.CPU}, false)
 	return response.Loads, ok && response.IsOwner
 }
 
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -50,8 +50,9 @@
 	// Service is the service of the workers in DueForMaintenance.
 	Service           string   `json:"sv,omitempty"`
 	DueForMaintenance []string `json:"lv,omitempty"`
-	// IncomingMilliCores are those of the VMs that are on their way to Service.
-	IncomingMilliCores int `json:"in,omitempty"`
+	// IncomingMilliCores are those of the VMs that are on their way to Service, nil if the requesting node
+	// doesn't tell.
+	IncomingMilliCores *int `json:"in,omitempty"`
 	// RecordKey and RecordValue are the record to be stored.
 	RecordKey      string `json:"rk,omitempty"`
 	RecordValue    []byte `json:"rv,omitempty"`
--- a/internal/owner/queries.go
+++ b/internal/owner/queries.go
@@ -79,11 +79,13 @@
 }
 
 // Loads returns the load of the partition's services, and marks workers of service as due
-// for maintenance. incomingMilliCores are on their way to service.
-func (o *Owner) Loads(ctx context.Context, service string, dueForMaintenance []string, incomingMilliCores int) ([]workload.ServiceLoad, bool) {
+// for maintenance. incomingMilliCores are on their way to service, nil if that isn't known.
+func (o *Owner) Loads(ctx context.Context, service string, dueForMaintenance []string, incomingMilliCores *int) ([]workload.ServiceLoad, bool) {
 	return queryCore(ctx, o, func(c *scheduler.Core, now time.Time) []workload.ServiceLoad {
 		c.SetDueForMaintenance(service, dueForMaintenance, now)
-		c.SetIncoming(service, incomingMilliCores, now)
+		if incomingMilliCores != nil {
+			c.SetIncoming(service, *incomingMilliCores, now)
+		}
 		return c.ServiceLoads(now)
 	})
 }
--- a/internal/scheduler/prospects.go
+++ b/internal/scheduler/prospects.go
@@ -34,8 +34,8 @@
 	asOf  time.Time
 }
 
-// incomingTTL is how long incoming cores count without word of the fleet's owner, which repeats it several
-// times a second. The VMs have joined by then.
+// incomingTTL is how long incoming cores are known without word of the fleet's owner, which repeats it several
+// times a second.
 const incomingTTL = 5 * time.Second
 
 func newProspects() prospects {
@@ -53,12 +53,16 @@
 }
 
 func (p *prospects) incomingTo(service string, now time.Time) float64 {
-	if in := p.incoming[service]; now.Sub(in.asOf) <= incomingTTL {
-		return in.cores
+	if p.isIncomingKnown(service, now) {
+		return p.incoming[service].cores
 	}
 	return 0
 }
 
+func (p *prospects) isIncomingKnown(service string, now time.Time) bool {
+	return now.Sub(p.incoming[service].asOf) <= incomingTTL
+}
+
 // updateProspects takes stock of what waits. The ranking must be up to date.
 func (c *Core) updateProspects(now time.Time) {
 	p := &c.prospects
@@ -205,7 +209,7 @@
 const maxProspectAge = time.Second
 
 // Prospect returns the prospect of the next job of a queue and a workspace. It is zero unless jobs of the queue
-// have been waiting too long for some time.
+// have been waiting too long for some time, and it is known what capacity is on its way.
 func (c *Core) Prospect(queue, workspace string, now time.Time) admission.Prospect {
 	p := &c.prospects
 	gate, q, a := p.gates[queue], c.config.Queue(queue), c.accounts[workspace]
@@ -213,7 +217,7 @@
 		return admission.Prospect{}
 	}
 	s := p.services[q.Service]
-	if s == nil {
+	if s == nil || !p.isIncomingKnown(q.Service, now) {
 		return admission.Prospect{}
 	}
 	return c.prospectOf(s, q, a, nextClass(a, now))
--- a/internal/scheduler/prospects_internal_test.go
+++ b/internal/scheduler/prospects_internal_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,3 +44,24 @@
 		}
 	}
 }
+
+// Guards against jobs that are rejected although VMs for them may be on their way, because a node of an earlier
+// version owns the fleet, or none.
+func TestNothingIsRejectedWhileIncomingCapacityIsUnknown(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	core := New(Settings{Epoch: 1, JobRetention: time.Minute}, now, nil, false)
+	config := &workload.Config{Version: 1, Services: []workload.Service{{Name: "service"}}, Queues: []workload.Queue{{Name: "quick", Service: "service", Stretch: 1.6, Objective: 600 * time.Millisecond}}, Workspaces: workload.NewWorkspaces()}
+	assert.NoError(t, config.Workspaces.Add(workload.Workspace{Name: "ward", Weight: 100}, nil))
+	core.SetConfig(config)
+	for i := range 20 {
+		core.AddJob(workload.JobID(fmt.Sprintf("%016d", i)), &workload.Submission{Queue: "quick", Service: "service", Workspace: "ward", AcceptedAtMS: now.UnixMilli(), Spec: workload.Spec{Steps: []workload.Step{{Count: 8, EstimateMS: 1000, Resources: workload.Resources{CPU: 6000}}}}})
+	}
+	core.refreshRanking(now)
+	now = now.Add(admission.SettleTime)
+	core.updateProspects(now)
+	assert.True(t, core.Prospect("quick", "ward", now).IsZero(), "nobody has told")
+	core.SetIncoming("service", 0, now.Add(-incomingTTL-1))
+	assert.True(t, core.Prospect("quick", "ward", now).IsZero(), "told too long ago")
+	core.SetIncoming("service", 0, now)
+	assert.False(t, core.Prospect("quick", "ward", now).IsZero())
+}
--- a/internal/scheduler/prospects_test.go
+++ b/internal/scheduler/prospects_test.go
@@ -35,6 +35,7 @@
 				return
 			}
 			path, _, limit := limitOf(&j.submission.Spec)
+			w.owner.core.SetIncoming(j.submission.Service, 0, w.now)
 			p := w.owner.core.Prospect("quick", j.submission.Workspace, w.now)
 			hopeless[j] = admission.Judge(p, 0, admission.Job{Work: float64(coreMilliseconds(j.submission)) / 1e6, Path: path, Limit: limit}).Reject
 		}
