--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -50,6 +50,9 @@
 	// Service is the service of the workers in DueForMaintenance.
 	Service           string   `json:"sv,omitempty"`
 	DueForMaintenance []string `json:"lv,omitempty"`
+	// IncomingMilliCores are those of the VMs that are on their way to Service, nil if the requesting node
+	// doesn't tell.
+	IncomingMilliCores *int `json:"in,omitempty"`
 	// RecordKey and RecordValue are the record to be stored.
 	RecordKey      string `json:"rk,omitempty"`
 	RecordValue    []byte `json:"rv,omitempty"`
@@ -60,6 +63,7 @@
 	// ConfigVersion is the version of the requesting node's configuration, 0 if it has none.
 	ConfigVersion int64                 `json:"cv,omitempty"`
 	Loan          *workload.LoanRequest `json:"ln,omitempty"`
+	Workspace     string                `json:"ws,omitempty"` // of MethodProspect
 	// OpenAttempts are attempts of other nodes to store records, whose outcome is unknown.
 	OpenAttempts []acceptance.Request `json:"oa,omitempty"`
 }
@@ -93,6 +97,15 @@
 	Acceptance *acceptance.OwnerReport `json:"ac,omitempty"`
 	// Loan is set if IsOwner is and the request was not refused.
 	Loan *workload.LoanResponse `json:"ln,omitempty"`
+	// Prospect is that of the next job of the same queue and workspace, nil if there is no reason to reject it.
+	Prospect *Prospect `json:"pr,omitempty"`
+}
+
+// Prospect is an admission.Prospect in milliseconds and core-seconds.
+type Prospect struct {
+	WaitMS     int64   `json:"w"`
+	ExpectedMS int64   `json:"e"`
+	MinWork    float64 `json:"m,omitempty"`
 }
 
 // ConfigResult is the configuration of a node and what it knows of other nodes.
@@ -138,6 +151,7 @@
 	ServeRelease(ctx context.Context, req Request) (Response, error)
 	ServeConfig(ctx context.Context, req Request) (Response, error)
 	ServeLoan(ctx context.Context, req Request) (Response, error)
+	ServeProspect(ctx context.Context, req Request) (Response, error)
 	ServeAcceptance(ctx context.Context, req Request) (Response, error)
 	ServeOpenAttempts(ctx context.Context, req Request) (Response, error)
 }
@@ -161,6 +175,8 @@
 	MethodConfig Method = "Config"
 	// MethodLoan asks the owner of a partition for allowances of workspaces.
 	MethodLoan Method = "Loan"
+	// MethodProspect returns the prospect of the next job of a queue and a workspace.
+	MethodProspect Method = "Prospect"
 	// MethodAcceptance returns whether the owner of a partition knows a job, and what rules out that
 	// an unknown one was accepted.
 	MethodAcceptance Method = "Acceptance"
@@ -216,6 +232,7 @@
 			methodDesc(MethodRelease, onRequest, Handler.ServeRelease),
 			methodDesc(MethodConfig, onRequest, Handler.ServeConfig),
 			methodDesc(MethodLoan, onRequest, Handler.ServeLoan),
+			methodDesc(MethodProspect, onRequest, Handler.ServeProspect),
 			methodDesc(MethodAcceptance, onRequest, Handler.ServeAcceptance),
 			methodDesc(MethodOpenAttempts, onRequest, Handler.ServeOpenAttempts),
 		},
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/admission"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
@@ -26,7 +27,7 @@
 )
 
 // maxLateFactor is the multiple of its target within which a job must be completed to earn credit.
-const maxLateFactor = 3
+const maxLateFactor = admission.LateFactor
 
 // starvationTimeout is how long a job that can no longer earn credit waits before it is ranked as
 // starved. No accepted job may wait forever.
@@ -43,6 +44,7 @@
 	class          rankClass
 	priority       int
 	objectiveStart time.Time // when the time to its target began to count
+	turn           int       // of its workspace, 0 while the service isn't divided
 	servedRatio    float64   // of its job size, 0 if it can't be completed in time
 	remainingWork  float64   // estimated core-seconds
 }
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -81,6 +81,7 @@
 	slices.SortStableFunc(added, compareCandidates)
 	for _, cand := range added {
 		c.assignServedRatio(&cand)
+		c.assignTurn(&cand)
 		position, _ := slices.BinarySearchFunc(r.candidates, cand, compareCandidates)
 		r.candidates = slices.Insert(r.candidates, position, cand)
 	}
@@ -117,6 +118,8 @@
 		c.assignServedRatio(&r.candidates[i])
 	}
 	slices.SortStableFunc(r.candidates, compareCandidates)
+	c.assignTurns(now)
+	c.updateProspects(now)
 }
 
 // assignServedRatio sets the served ratio of a candidate that can be completed in time.
@@ -137,7 +140,7 @@
 		c.ranking.services[j.submission.Service] = plan
 	}
 	cand.servicePlan = plan
-	c.countOccurrenceArrival(cand)
+	c.countOccurrenceArrival(cand, now)
 	for _, s := range cand.steps {
 		need := s.spec.Reservation()
 		plan.minDemand.CPU = min(plan.minDemand.CPU, need.CPU)
@@ -148,7 +151,7 @@
 }
 
 // countOccurrenceArrival counts an occurrence as arrived when it is first ranked.
-func (c *Core) countOccurrenceArrival(cand candidate) {
+func (c *Core) countOccurrenceArrival(cand candidate, now time.Time) {
 	if cand.steps[0].sizeStats != nil || cand.class == classLongRunning {
 		return
 	}
@@ -157,6 +160,8 @@
 		c.shares[queue] = &queueShares{}
 	}
 	stats := c.shares[queue].addArrival(cand.remainingWork)
+	c.recordWorkArrival(cand)
+	c.predictWait(cand, now)
 	for _, s := range cand.steps {
 		s.sizeStats = stats
 	}
@@ -170,11 +175,13 @@
 	}
 }
 
-// compareCandidates orders candidates by class, priority, served ratio and remaining work.
+// compareCandidates orders candidates by class, priority, turn of the workspace, served ratio and remaining
+// work.
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.class, b.class),
 		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.turn, b.turn),
 		cmp.Compare(a.servedRatio, b.servedRatio),
 		cmp.Compare(a.remainingWork, b.remainingWork),
 	)
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
@@ -84,7 +85,10 @@
 	// fleet has the other partitions, nil in a world of one partition.
 	fleet     *partitionFleet
 	partition int
-	service   string // of the partition
+	service   string         // of the partition
+	onSubmit  func(*fakeJob) // nil for nothing
+	// onDecision is called with each decision of an owner, nil for nothing.
+	onDecision func(scheduler.Decision)
 	// visibleConfig is the fleet's configuration as this partition's owner reads it.
 	visibleConfig *workload.Config
 }
@@ -228,6 +232,9 @@
 // submit stores a job's submission, as a node does before it answers the caller.
 func (w *world) submit(spec workload.Spec, queue string) *fakeJob {
 	job := w.newJob(spec, queue)
+	if w.onSubmit != nil {
+		w.onSubmit(job)
+	}
 	w.appendRecord(workload.Record{Job: job.id, Submission: job.submission})
 	return job
 }
