--- a/internal/dayreport/conditions.go
+++ b/internal/dayreport/conditions.go
@@ -19,6 +19,7 @@
 	WorkspaceAtCap   Cause = "waits for its cap"
 	RunsUnknown      Cause = "silent workers after a takeover"
 	NoFreeCapacity   Cause = "no room"
+	NoProspect       Cause = "can't be done in time"
 	OtherCause       Cause = "other"
 )
 
--- a/internal/owner/tail.go
+++ b/internal/owner/tail.go
@@ -43,6 +43,17 @@
 	}
 }
 
+// applyRead applies records that were read from offset from up to next, before which all is known. It
+// returns false if not all of them were applied because a later owner has taken the partition over.
+func applyRead(core *scheduler.Core, records []workload.Record, from, next int64, now time.Time) bool {
+	applyRecords(core, records, core.AddLoggedJob, now)
+	if core.StepDownReason() != "" {
+		return false
+	}
+	core.ExtendLog(from, next)
+	return true
+}
+
 // unknownOffset is beyond all offsets.
 const unknownOffset = math.MaxInt64
 
@@ -97,16 +108,15 @@
 		next = batch.Next
 		records := o.decode(batch)
 		o.enqueue(ctx, func(c *scheduler.Core, now time.Time) {
-			applyRecords(c, records, c.AddLoggedJob, now)
-			switch {
-			case c.StepDownReason() != "":
-			case dropped:
-				c.SetLogEnd(batch.Next)
-			default:
-				c.ExtendLog(from, batch.Next)
+			appliedFrom := from
+			if dropped {
+				appliedFrom = 0
+			}
+			if applyRead(c, records, appliedFrom, batch.Next, now) {
+				o.lastReadSentAt = sentAt
 			}
-			o.lastReadSentAt = sentAt
 		})
+		o.tailPosition.Store(next)
 		if len(batch.Records) > 0 {
 			o.pauseTail(ctx)
 		}
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -326,6 +326,9 @@
 	w := o.world
 	orders := o.core.Step(w.now)
 	for _, d := range orders.Decisions {
+		if w.onDecision != nil {
+			w.onDecision(d)
+		}
 		switch j := w.jobs[d.Job]; {
 		case d.Verb == "given-up":
 			j.failedForCrashes = true
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -22,6 +22,7 @@
 	// logorder.go.
 	isOrdered, isNew, inSnapshot bool
 	logOffset                    int64
+	prediction                   startPrediction
 	// steps has one entry for each occurrence and step, ordered by occurrence, then step.
 	steps           []*step
 	remainingTasks  int  // tasks that are not done, long-running ones included
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -12,6 +12,7 @@
 		return
 	}
 	runsUnknown := c.mayHaveUnknownRuns(now)
+	c.ranking.onlyNew = runsUnknown
 	if runsUnknown && !c.settings.EarlierOwnersInLogOrder {
 		return
 	}
@@ -27,11 +28,14 @@
 	}
 	c.updateUnseen(runsUnknown, now)
 	defer c.logBlocked(now)
+	defer c.logShares(now)
+	defer c.logProspects(now)
+	defer c.logPredictionErrors(now)
 	if !runsUnknown {
 		c.placeSuspects(pools, now)
 	}
 	for _, cand := range r.candidates {
-		if !cand.job.isOrdered || runsUnknown && !cand.job.isNew {
+		if !r.mayStart(cand.job) {
 			continue
 		}
 		if cand.class > classStarved && !r.canPlaceMore(cand.servicePlan) || cand.servicePlan.pool == nil || cand.job.finalState.IsTerminal() {
@@ -181,6 +185,7 @@
 	w.addRun(r)
 	w.ordersInFlight++
 	c.startsInFlight.add(r)
+	c.chargeStart(r)
 	order := workload.Start{
 		Task:             r.taskKey(),
 		Run:              runNumber,
@@ -195,6 +200,7 @@
 	c.orders.Starts = append(c.orders.Starts, StartOrder{Worker: w.info, Start: order})
 	verb := "placed"
 	if !jobHadBegun {
+		c.measurePrediction(s.job, true, now)
 		verb = "first-placed"
 	}
 	c.recordDecision(Decision{Verb: verb, Job: s.job.id, Task: r.taskKey().String(), Queue: s.job.submission.Queue, Workspace: s.job.submission.Workspace, Worker: w.info.ID, Run: runNumber, Age: now.Sub(time.UnixMilli(s.job.submission.AcceptedAtMS))})
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/internal/workshare"
 )
 
 const (
@@ -51,6 +52,7 @@
 	// sent earlier doesn't list the run has no meaning.
 	stateChangedAt time.Time
 	orderedAt      time.Time
+	charge         workshare.Charge // to its workspace
 
 	// Stop of the run.
 	lastStopAt      time.Time
@@ -275,6 +277,7 @@
 	w.runs = slices.Delete(w.runs, i, i+1)
 	w.reservedResources = w.reservedResources.Sub(r.step.spec.Reservation())
 	r.step.removeRun(r.task(), r)
+	c.settleCharge(r)
 	c.endIsolatedRun(r)
 	if r.step.idleCount > 0 && !r.step.job.occurrenceSteps(r.step.occurrence)[0].occurrenceRanked {
 		c.requestRerank(r.step)
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
@@ -90,7 +91,10 @@
 	// fleet has the other partitions, nil in a world of one partition.
 	fleet     *partitionFleet
 	partition int
-	service   string // of the partition
+	service   string         // of the partition
+	onSubmit  func(*fakeJob) // nil for nothing
+	// onDecision is called with each decision of an owner, nil for nothing.
+	onDecision func(scheduler.Decision)
 	// visibleConfig is the fleet's configuration as this partition's owner reads it.
 	visibleConfig *workload.Config
 }
@@ -244,6 +248,20 @@
 
 // submit stores a job's submission, as a node does before it answers the caller.
 func (w *world) submit(spec workload.Spec, queue string) *fakeJob {
+	job := w.newJob(spec, queue)
+	if w.onSubmit != nil {
+		w.onSubmit(job)
+	}
+	record := workload.Record{Job: job.id, Submission: job.submission}
+	w.appendRecord(record)
+	if w.logRNG.IntN(8) == 0 { // its caller submits it again
+		w.after(time.Duration(w.logRNG.Int64N(int64(2*time.Second))), func() { w.appendRecord(record) })
+	}
+	return job
+}
+
+// newJob returns a new job, which is not stored yet.
+func (w *world) newJob(spec workload.Spec, queue string) *fakeJob {
 	w.lastJobNumber++
 	id := workload.JobID([]byte("0000000000000000"))
 	digits := []byte(id)
@@ -257,11 +275,6 @@
 	}
 	job := &fakeJob{id: id, submission: submission, done: map[string]bool{}, acknowledged: map[string]bool{}, doneRuns: map[string][]int64{}, supersededDoneRuns: map[string]bool{}, failures: map[string]int{}, workerCrashes: map[string]int{}, workerExits: map[string]int{}, earlyWorkerExits: map[string]int{}, startsAfterThreeCrashes: map[string]int{}, stoppedNotRestarted: map[string]bool{}, lastRunningAt: map[string]time.Time{}}
 	w.jobs[id] = job
-	record := workload.Record{Job: id, Submission: submission}
-	w.appendRecord(record)
-	if w.logRNG.IntN(8) == 0 { // its caller submits it again
-		w.after(time.Duration(w.logRNG.Int64N(int64(2*time.Second))), func() { w.appendRecord(record) })
-	}
 	return job
 }
 
