--- a/internal/owner/recheck_test.go
+++ b/internal/owner/recheck_test.go
@@ -135,3 +135,28 @@
 		}
 	})
 }
+
+// Guards against a job that counts as never accepted because its record lies behind a later owner's fence, where
+// this owner applies nothing, and against a partition that counts as read up to there.
+func TestARecheckFailsAtALaterOwnersRecord(t *testing.T) {
+	for _, record := range []workload.Record{{Fence: &workload.Fence{Epoch: 1 << 40}}, {Takeover: &workload.Takeover{Epoch: 1 << 40}}} {
+		synctest.Test(t, func(t *testing.T) {
+			o, store := newLaggingOwner(t)
+			store.put(t, record)
+			store.put(t, newSubmission(unknownJob))
+			assert.Error(t, o.Recheck(t.Context()))
+		})
+	}
+}
+
+// Guards against jobs that wait for the tail although a recheck has read up to them.
+func TestJobsThatARecheckHasReadAreOrdered(t *testing.T) {
+	core := scheduler.New(scheduler.Settings{Epoch: 7}, time.Unix(0, 0), nil, false)
+	core.SetLogEnd(3)
+	job := newSubmission(unknownJob)
+	job.Offset = 4
+	assert.True(t, applyRead(core, []workload.Record{job}, 4, 5, time.Unix(0, 0)))
+	assert.True(t, core.HasUnorderedJobs(), "the record at 3 is unknown")
+	assert.True(t, applyRead(core, nil, 3, 4, time.Unix(0, 0)))
+	assert.False(t, core.HasUnorderedJobs())
+}
