--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -324,6 +324,9 @@
 		return
 	}
 	w := o.world
+	if w.fleet != nil {
+		o.core.SetConfig(w.config()) // an owner applies a new configuration before each step
+	}
 	orders := o.core.Step(w.now)
 	for _, d := range orders.Decisions {
 		switch j := w.jobs[d.Job]; {
