fleetowner: store the progress of a wave one write at a time

Each change of a wave's progress was stored by a goroutine of its own, so two writes of one wave could overlap and the earlier progress be stored last: a completed wave stayed published as running until the fleet changed its owner.

Ruled out: a lock around storeWave, as a goroutine that waits for it may get it out of order. Progress that arrives during a write now waits for it; only the latest is kept.

TestLatestProgressOfAWaveIsStoredLast fails on the code before (running in place of completed).

--- a/internal/fleetowner/actions.go
+++ b/internal/fleetowner/actions.go
@@ -26,7 +26,7 @@
 	case fleet.MaintainVM, fleet.MoveVM:
 		go o.storeAndOrder(ctx, a) // at most one per VM
 	case fleet.StoreWave:
-		go o.storeWave(ctx, a) // few: one per change of a wave
+		o.queueWaveStore(ctx, a)
 	}
 }
 
@@ -155,6 +155,26 @@
 	}
 }
 
+// queueWaveStore stores the progress of a wave after the write of its earlier progress has ended. Of the progress
+// that arrives meanwhile, only the latest is stored.
+func (o *Owner) queueWaveStore(ctx context.Context, a fleet.Action) {
+	if o.waveStoresInFlight[a.Wave] {
+		o.nextWaveStores[a.Wave] = a
+		return
+	}
+	o.waveStoresInFlight[a.Wave] = true
+	go func() {
+		o.storeWave(ctx, a)
+		o.enqueue(ctx, func(*fleet.Core, time.Time) {
+			delete(o.waveStoresInFlight, a.Wave)
+			if next, ok := o.nextWaveStores[a.Wave]; ok {
+				delete(o.nextWaveStores, a.Wave)
+				o.queueWaveStore(ctx, next)
+			}
+		})
+	}()
+}
+
 // storeWave stores the progress of a wave for a later owner, and its state for operators.
 func (o *Owner) storeWave(ctx context.Context, a fleet.Action) {
 	value, err := json.Marshal(storedWave{DoneVMs: a.DoneVMs, FirstSeenAtMS: a.FirstSeenAt.UnixMilli()})
--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -98,6 +98,11 @@
 	writer         *writer
 	ownershipLost  chan error
 	drainsInFlight map[string]bool // workers with a drain request in flight
+	// waveStoresInFlight are the waves whose progress is being stored, nextWaveStores the later progress that waits
+	// for that.
+	waveStoresInFlight map[int64]bool
+	nextWaveStores     map[int64]fleet.Action
+
 	vmListInFlight bool
 	vmListSentAt   time.Time
 	loadsInFlight  bool
@@ -118,6 +123,9 @@
 		callSlots:      make(chan struct{}, maxCallsInFlight),
 		ownershipLost:  make(chan error, 1),
 		drainsInFlight: map[string]bool{},
+
+		waveStoresInFlight: map[int64]bool{},
+		nextWaveStores:     map[int64]fleet.Action{},
 	}
 }
 
