scheduler: log what a long drain waits for

A worker that is asked to drain for seconds gave no sign of what it waits for: runs, exits that aren't stored, a worker that doesn't answer. One line every 5 s of a drain now says so, with the first run and its state.

Ruled out: a log line for each request, as there are ten a second.

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/workload"
@@ -38,19 +39,43 @@
 	w := c.ensureWorker(id, now)
 	if !now.Before(w.drainUntil) {
 		c.recordDecision(Decision{Verb: "evacuating", Worker: id, Reason: "drain requested", AlwaysLogged: true})
+		w.drainBegunAt, w.drainWaitLoggedAt = now, now
 	}
 	w.drainUntil = now.Add(drainRequestTTL)
+	state, waitsFor := c.drainState(w, now)
+	if waitsFor != "" && now.Sub(w.drainWaitLoggedAt) >= drainWaitLogInterval {
+		w.drainWaitLoggedAt = now
+		if len(w.runs) > 0 {
+			r := w.runs[0]
+			waitsFor = fmt.Sprintf("%s: %d, the first of task %s in state %d for %s", waitsFor, len(w.runs), r.taskKey(), r.state, now.Sub(r.stateChangedAt))
+		}
+		c.recordDecision(Decision{Verb: "evacuation-waits", Worker: id, Reason: waitsFor, Age: now.Sub(w.drainBegunAt), AlwaysLogged: true})
+	}
+	return state
+}
+
+// drainWaitLogInterval is the time between two log lines on what a drain waits for.
+const drainWaitLogInterval = 5 * time.Second
+
+// drainState returns the drain state of a worker, and what its drain waits for, "" if it is drained.
+func (c *Core) drainState(w *worker, now time.Time) (state workload.DrainState, waitsFor string) {
 	switch {
-	case len(w.runs) > 0 || c.unresolvedWorkers[id]:
-		return workload.NotDrained
+	case len(w.runs) > 0:
+		return workload.NotDrained, "it has runs"
+	case c.unresolvedWorkers[w.info.ID]:
+		return workload.NotDrained, "it may run tasks of an earlier owner"
 	case w.unregistered && !w.synced:
-		return workload.DrainedUnconfirmed
-	case !w.synced || w.lastExitSeen != w.ackAllowed || c.isPlacementBlocked(now):
-		return workload.NotDrained
+		return workload.DrainedUnconfirmed, "it is not registered"
+	case !w.synced:
+		return workload.NotDrained, "it has not answered"
+	case w.lastExitSeen != w.ackAllowed:
+		return workload.NotDrained, "its exits are not stored"
+	case c.isPlacementBlocked(now):
+		return workload.NotDrained, "the runs of an earlier owner are not known"
 	case w.unregistered || w.unreachable || now.Sub(w.lastAnsweredPollSentAt) > drainedAnswerMaxAge:
-		return workload.DrainedUnconfirmed
+		return workload.DrainedUnconfirmed, "it has not answered lately"
 	}
-	return workload.Drained
+	return workload.Drained, ""
 }
 
 // isDrainingAndIdle reports whether a worker is draining and runs nothing. Its VM may leave at any
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -189,6 +189,8 @@
 
 	// Until drainUntil the worker is being drained. The requester renews the drain.
 	drainUntil             time.Time
+	drainBegunAt           time.Time
+	drainWaitLoggedAt      time.Time // when it was last logged what the drain waits for
 	maintenanceDueUntil    time.Time // until then its VM counts as due for maintenance
 	bestEffortSpeedPercent int       // speed of its best-effort tasks
 	speedChangedAt         time.Time
