fleet: order a spare VM only on a list requested after its last order

The VM had come up and ran tasks of one pool when the owner, on the list from before, took it for a spare VM and moved it to another pool. Spare VMs are ordered without a drain. An accepted order leads there as well, once its operation has expired without a list.

Ruled out: dropping the list after a failed read, as all other decisions would stand still; a longer wait after an unknown outcome, as it has no bound that a list would not give.

Now such a VM counts as spare only on a list requested after the order's answer was received or missed. Orders after a drain are unaffected, as a drain state names the worker.

TestSpareVMIsNotOrderedAgainOnAnEarlierList fails on the code before for both outcomes.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -29,6 +29,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -122,6 +123,9 @@
 	workerFirstListedAt map[string]time.Time
 	// earlierOrders are the orders of earlier owners, by VM.
 	earlierOrders map[string]earlierOrder
+	// unlistedOrders is when an order for a VM was accepted or its answer missed, by VM, until a list of
+	// VMs that was requested later.
+	unlistedOrders map[string]time.Time
 	// dirtyWaves are the waves whose progress must be stored.
 	dirtyWaves map[int64]bool
 }
@@ -166,6 +170,8 @@
 		poolLoads:     map[string]*poolLoad{},
 		dirtyWaves:    map[int64]bool{},
 		earlierOrders: map[string]earlierOrder{},
+
+		unlistedOrders: map[string]time.Time{},
 	}
 }
 
@@ -202,6 +208,7 @@
 	slices.SortFunc(vms, func(a, b workload.VM) int { return cmp.Compare(a.ID, b.ID) })
 	c.vms = vms
 	c.vmListRequestedAt = requestedAt
+	maps.DeleteFunc(c.unlistedOrders, func(_ string, at time.Time) bool { return requestedAt.After(at) })
 	clear(c.vmsByID)
 	firstListedAt := make(map[string]time.Time, len(vms))
 	for _, vm := range vms {
@@ -278,7 +285,7 @@
 		case op.wave == 0 && now.After(op.moveExpiresAt):
 			delete(c.operations, id)
 		case !c.canOrder(id, now):
-		case vm.Pool == c.sparePool || vm.Worker == op.worker && c.isDrained(op, now):
+		case c.isSpare(vm) || vm.Pool != c.sparePool && vm.Worker == op.worker && c.isDrained(op, now):
 			c.issueOrder(op, now) // spare VMs are off and run nothing
 		case vm.Worker == "":
 			// The VM's worker may already run tasks, and the list may not show it yet.
--- a/internal/fleet/drained_test.go
+++ b/internal/fleet/drained_test.go
@@ -84,3 +84,29 @@
 	require.Len(t, next, 1, "the wave must go on")
 	assert.Equal(t, "vm-2", next[0].VM)
 }
+
+// Guards against tasks being ended by an order: a spare VM's move was carried out while VMs can't be listed. Its answer
+// may be lost. The list still shows the VM in the spare pool, but tasks run on it.
+func TestSpareVMIsNotOrderedAgainOnAnEarlierList(t *testing.T) {
+	for _, result := range []fleet.OrderResult{fleet.OrderAccepted, fleet.OrderOutcomeUnknown} {
+		c := newCore()
+		c.SetVMs([]workload.VM{upVM("vm-1", "spare", "")}, startTime)
+		needVMs := func(now time.Time) {
+			for _, pool := range []string{"booking", "returns"} {
+				c.SetLoad(newLoad(pool, 0, 64, 0, nil), now)
+			}
+		}
+		needVMs(startTime)
+		require.Len(t, actionsWithVerb(c.Step(startTime), fleet.MoveVM), 1)
+		answeredAt := startTime.Add(2 * time.Second)
+		c.HandleOrderResult("vm-1", result, answeredAt)
+		now := answeredAt
+		for at := time.Duration(0); at < 8*time.Second; at += 100 * time.Millisecond {
+			now = answeredAt.Add(at)
+			needVMs(now)
+			require.Empty(t, actionsWithVerb(c.Step(now), fleet.MoveVM), "%s after result %d", at, result)
+		}
+		c.SetVMs([]workload.VM{upVM("vm-1", "spare", "")}, now)
+		assert.Len(t, actionsWithVerb(c.Step(now), fleet.MoveVM), 1, "a later list shows that it is in the spare pool")
+	}
+}
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -310,7 +310,7 @@
 // isAvailableSpare reports whether a VM is in the spare pool and can be ordered now.
 func (c *Core) isAvailableSpare(vm workload.VM, now time.Time) bool {
 	isUnavailable := vm.State == workload.VMMoving || vm.State == workload.VMMaintenance
-	return c.sparePool != "" && vm.Pool == c.sparePool && c.operations[vm.ID] == nil && !isUnavailable && c.canOrder(vm.ID, now)
+	return c.isSpare(vm) && c.operations[vm.ID] == nil && !isUnavailable && c.canOrder(vm.ID, now)
 }
 
 func (c *Core) availableSpares(now time.Time) int {
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -30,6 +30,13 @@
 	return !now.Before(c.earlierOrders[vm].quietUntil)
 }
 
+// isSpare reports whether a VM is known to be in the spare pool. After an order that was or may have been
+// carried out it may be in another pool and run tasks, until a later list shows where it is.
+func (c *Core) isSpare(vm workload.VM) bool {
+	_, unlisted := c.unlistedOrders[vm.ID]
+	return c.sparePool != "" && vm.Pool == c.sparePool && !unlisted
+}
+
 // isDrained reports whether the worker of a VM is known to run nothing. DrainedUnconfirmed means
 // that the worker's process has not answered lately. A replacement worker may already run tasks on
 // the VM, and the list may not show it yet. DrainedUnconfirmed therefore counts only with a recent
@@ -97,6 +104,9 @@
 		return
 	}
 	op.phaseSince = now
+	if result == OrderAccepted || result == OrderOutcomeUnknown {
+		c.unlistedOrders[vm] = now
+	}
 	switch result {
 	case OrderAccepted:
 		op.phase = phaseAwaitingReturn
