scheduler: suspect a rack whose workers fall silent together

When a rack goes dark, each of its workers was found silent by itself: until its poll had timed out it got starts, and these held the places of starts without an answer. Tasks on it wait for their leases in any case.

Package rackhealth decides from when workers were heard last: two silent ones cast doubt on the rack, so its other workers are polled at once; three or more, with hardly any that answers, make it suspect while most workers elsewhere answer. A suspect rack gets no starts, its unanswered starts hold no places, and its silent workers are reported as unusable, so that the fleet orders VMs before leases end. A worker is admitted again once it has answered for 250 ms, longer if its rack flaps; the rack is trusted once three quarters of its workers are. It takes two racks of four workers of one service; others are served as before.

--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -78,6 +78,7 @@
 	add("worker_crashed", counts.WorkerCrashes, previous.WorkerCrashes)
 	add("run_lost", counts.LostRuns, previous.LostRuns)
 	add("run_found_beside_another", counts.DuplicateRuns, previous.DuplicateRuns)
+	add("rack_suspect", counts.SuspectRacks, previous.SuspectRacks)
 	add("suspect_started", counts.IsolatedRuns, previous.IsolatedRuns)
 	add("suspect_cleared", counts.ClearedSuspects, previous.ClearedSuspects)
 	add("job_given_up", counts.CrashingJobs, previous.CrashingJobs)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -150,6 +150,9 @@
 	if decision.Task != "" {
 		args = append(args, "task", decision.Task, "run", decision.Run)
 	}
+	if decision.Rack != "" {
+		args = append(args, "rack", decision.Rack)
+	}
 	if decision.Worker != "" {
 		args = append(args, "worker", decision.Worker)
 	}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -149,6 +149,8 @@
 	settledCapsUnstored bool // the next owner would have to wait for all others
 	pendingLoanReplies  []pendingLoanReply
 
+	racks rackWatch
+
 	// planStale is set when something has changed that a plan depends on.
 	planStale bool
 	// Until stalledUntil this process counts as stalled, after a long pause between steps.
@@ -342,6 +344,7 @@
 		}
 		c.resolveProcessExit(w, now)
 	}
+	c.updateRacks()
 	c.planStale = true
 }
 
@@ -375,6 +378,7 @@
 	c.detectStall(now)
 	c.expireRuns(now)
 	c.pollOvertakenStarts(now)
+	c.watchRacks(now)
 	c.removeUnregisteredWorkers(now)
 	c.pollWorkers(now)
 	c.evictRuns(now)
--- a/internal/scheduler/counts.go
+++ b/internal/scheduler/counts.go
@@ -19,6 +19,8 @@
 	// RankedJobs counts jobs that were ranked, PlacementChecks the workers and runs that were
 	// examined to decide on starts. Together they are the cost of planning.
 	RankedJobs, PlacementChecks int
+	// SuspectRacks counts how often a rack became suspect.
+	SuspectRacks int
 	// Plans counts plans, TruncatedPlans those that ended before all free capacity was used
 	// because too many starts were unanswered.
 	Plans, TruncatedPlans int
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -60,7 +60,9 @@
 		}
 		l := loadOf(w.info.Service)
 		l.Reserved = l.Reserved.Add(w.reservedResources)
-		l.Workers[w.info.ID] = w.loadReport(now)
+		report := w.loadReport(now)
+		report.Usable = report.Usable && !c.isRackDark(w, now)
+		l.Workers[w.info.ID] = report
 		l.MeanWorkerCapacity = l.MeanWorkerCapacity.Add(w.info.Capacity)
 	}
 }
--- a/internal/scheduler/orderresult.go
+++ b/internal/scheduler/orderresult.go
@@ -31,6 +31,9 @@
 		return nil, false
 	}
 	w.ordersInFlight--
+	if isFromWorker(result.Answer.Status) {
+		w.lastHeardAt = now
+	}
 	if result.Token < w.token {
 		return w.findRun(result.Task, result.Run), true
 	}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -73,6 +73,7 @@
 	Queue        string
 	Workspace    string
 	Worker       string
+	Rack         string
 	Run          int64
 	Reason       string
 	Age          time.Duration // of the subject of the decision
--- a/internal/scheduler/placementpool.go
+++ b/internal/scheduler/placementpool.go
@@ -31,7 +31,7 @@
 func (c *Core) placementPoolsByService(now time.Time) map[string]*placementPool {
 	pools := map[string]*placementPool{}
 	for _, w := range c.sortedWorkers {
-		if !w.canAcceptStarts(now) {
+		if !w.canAcceptStarts(now) || !c.isRackAdmitted(w, now) {
 			continue
 		}
 		p := pools[w.info.Service]
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -113,6 +113,9 @@
 			continue
 		}
 		if w.pollInFlight {
+			if c.isRackProbed(w, now) && w.extraPollsInFlight == 0 {
+				w.pollAnswerDueAt = now // the poll in flight may wait long for an exit
+			}
 			c.sendExtraPoll(w, now)
 			continue
 		}
@@ -120,7 +123,7 @@
 		// has no runs and no exits.
 		mayHaveRuns := len(w.runs) > 0 || now.Before(w.lateStartUntil)
 		needed := !w.synced || w.unreachable || mayHaveRuns || w.lastExitSeen > w.ackAllowed || w.hasPendingAck() || w.entryMismatch ||
-			w.isDrainingAndIdle(now) && now.Sub(w.lastAnsweredPollSentAt) >= drainedPollInterval || now.Sub(w.clockReadAt) >= maxClockAge
+			w.isDrainingAndIdle(now) && now.Sub(w.lastAnsweredPollSentAt) >= drainedPollInterval || now.Sub(w.clockReadAt) >= maxClockAge || c.isRackProbed(w, now)
 		if !needed {
 			continue
 		}
@@ -141,6 +144,7 @@
 		poll.ShortTimeout = w.unreachable && w.synced
 		w.pollInFlight = true
 		w.pollAnswerDueAt = now.Add(poll.MaxWait + pollAnswerSlack)
+		w.firstPollDueAt = now.Add(poll.MaxWait)
 		c.orders.Polls = append(c.orders.Polls, PollOrder{Worker: w.info, Poll: poll})
 	}
 }
--- a/internal/scheduler/pollresult.go
+++ b/internal/scheduler/pollresult.go
@@ -31,6 +31,9 @@
 	if w == nil {
 		return
 	}
+	if isFromWorker(r.Answer.Status) {
+		w.lastHeardAt = now
+	}
 	// A report is stale if a poll that was sent later has already been answered: runs that it
 	// lists may have ended, and its exits will be reported again. The report of a poll that was
 	// sent before a restart of the worker was detected is stale, too.
--- /dev/null
+++ b/internal/scheduler/racks.go
@@ -0,0 +1,165 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/rackhealth"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+const (
+	// rackCheckInterval is the shortest time between two checks of the racks.
+	rackCheckInterval = 25 * time.Millisecond
+	// rackProbeInterval is the pause between polls of a worker whose rack is doubtful or suspect.
+	rackProbeInterval = 200 * time.Millisecond
+	// rackProbeTimeout is how long a suspect rack's workers may leave the first such poll unanswered
+	// before they are reported as unusable, so that the pool gets other VMs.
+	rackProbeTimeout = 150 * time.Millisecond
+	// minRackWorkers is the number of workers of one service from which a rack counts as a failure
+	// domain.
+	minRackWorkers = 4
+)
+
+// rackWatch watches the racks for a common failure of their workers (package rackhealth). It is
+// inactive unless at least two racks have minRackWorkers workers of one service.
+type rackWatch struct {
+	tracker     *rackhealth.Tracker
+	active      bool
+	lastCheckAt time.Time
+	// suspectSince is when a rack became suspect, by the rack's name. It has no entry for others.
+	suspectSince map[string]time.Time
+}
+
+// updateRacks decides from the list of workers whether racks are watched.
+func (c *Core) updateRacks() {
+	type rackOfService struct{ service, rack string }
+	sizes := map[rackOfService]int{}
+	large := map[string]bool{}
+	for _, w := range c.sortedWorkers {
+		rack := w.info.Rack()
+		if rack == "" || w.unregistered {
+			continue
+		}
+		key := rackOfService{w.info.Service, rack}
+		if sizes[key]++; sizes[key] >= minRackWorkers {
+			large[rack] = true
+		}
+	}
+	c.racks.active = len(large) > 1
+}
+
+// watchRacks updates which racks are suspect. Starts on a suspect rack that have no answer no longer
+// count as in flight.
+func (c *Core) watchRacks(now time.Time) {
+	r := &c.racks
+	if r.tracker == nil {
+		r.tracker, r.suspectSince = rackhealth.New(), map[string]time.Time{}
+	}
+	if !r.active && len(r.suspectSince) == 0 || now.Before(r.lastCheckAt.Add(rackCheckInterval)) || now.Before(c.stalledUntil) {
+		return
+	}
+	r.lastCheckAt = now
+	members := rackhealth.Racks{}
+	for _, w := range c.sortedWorkers {
+		if rack := w.info.Rack(); rack != "" && w.showsRackHealth(now) {
+			members[rack] = append(members[rack], rackhealth.Member{ID: w.info.ID, LastHeardAt: w.lastHeardAt, OverdueSince: w.updateOverdue(now)})
+		}
+	}
+	for _, change := range r.tracker.Observe(members, now) {
+		c.applyRackChange(change, now)
+	}
+}
+
+func (c *Core) applyRackChange(change rackhealth.Change, now time.Time) {
+	c.planStale = true
+	verb := "rack-trusted"
+	if change.State == rackhealth.Suspect {
+		verb = "rack-suspect"
+		c.Counts.SuspectRacks++
+		c.racks.suspectSince[change.Rack] = now
+	} else {
+		delete(c.racks.suspectSince, change.Rack)
+	}
+	released := 0
+	for _, w := range c.sortedWorkers {
+		if verb != "rack-suspect" || w.info.Rack() != change.Rack {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.state == runStarting && c.startsInFlight.release(r) {
+				released++
+			}
+		}
+	}
+	c.recordDecision(Decision{Verb: verb, Rack: change.Rack, Age: change.Lasted, AlwaysLogged: true,
+		Reason: fmt.Sprintf("%d of %d workers are silent, %d starts are unanswered", change.Silent, change.Members, released)})
+}
+
+// showsRackHealth reports whether the worker's silence may show a failure of its rack. A worker that
+// leaves with its VM, or has never answered, falls silent for reasons of its own.
+func (w *worker) showsRackHealth(now time.Time) bool {
+	return !w.lastHeardAt.IsZero() && !w.info.Leaving && !w.replaced && !now.Before(w.drainUntil) && !w.drainBegunAt.After(w.lastHeardAt)
+}
+
+// isFromWorker reports whether an outcome shows that the worker's own process has answered.
+func isFromWorker(s workload.WorkerStatus) bool {
+	switch s {
+	case workload.WorkerReplaced, workload.WorkerNotSent, workload.WorkerConnRefused, workload.WorkerOutcomeUnknown:
+		return false
+	}
+	return true
+}
+
+// updateOverdue records since when the worker has left an order or a poll unanswered and returns that
+// time, zero if it has answered since or nothing is due.
+func (w *worker) updateOverdue(now time.Time) time.Time {
+	since := w.overdueSince
+	if !since.After(w.lastHeardAt) {
+		since = time.Time{}
+	}
+	note := func(at time.Time) {
+		if at.After(w.lastHeardAt) && at.Before(now) && (since.IsZero() || at.Before(since)) {
+			since = at
+		}
+	}
+	for _, r := range w.runs {
+		if r.state == runStarting {
+			note(r.orderedAt)
+		}
+	}
+	if w.pollInFlight {
+		note(w.firstPollDueAt)
+	}
+	if w.unreachable {
+		note(w.unreachableSince)
+	}
+	w.overdueSince = since
+	return since
+}
+
+// isRackProbed reports whether a worker is polled because its rack is doubtful, or suspect and the
+// worker has no proof yet.
+func (c *Core) isRackProbed(w *worker, now time.Time) bool {
+	if !c.racks.active || now.Sub(w.lastAnsweredPollSentAt) < rackProbeInterval {
+		return false
+	}
+	switch c.racks.tracker.State(w.info.Rack()) {
+	case rackhealth.Doubtful:
+		return true
+	case rackhealth.Suspect:
+		return !c.isRackAdmitted(w, now)
+	}
+	return false
+}
+
+// isRackAdmitted reports whether a worker may get starts as far as its rack is concerned.
+func (c *Core) isRackAdmitted(w *worker, now time.Time) bool {
+	return len(c.racks.suspectSince) == 0 || c.racks.tracker.Admits(w.info.Rack(), w.info.ID, now)
+}
+
+// isRackDark reports whether a worker's rack is suspect and the worker has not answered since.
+func (c *Core) isRackDark(w *worker, now time.Time) bool {
+	since, suspect := c.racks.suspectSince[w.info.Rack()]
+	return suspect && now.Sub(since) >= rackProbeTimeout && !c.racks.tracker.Answers(w.info.Rack(), w.info.ID)
+}
--- /dev/null
+++ b/internal/scheduler/racks_test.go
@@ -0,0 +1,215 @@
+package scheduler_test
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
+
+// Load of a service whose workers are spread over racks, in a peak. A hold is a job of one or two steps
+// of eight tasks.
+const (
+	holdEstimateMS = 850
+	holdCPU        = 6200
+	holdTasks      = 8
+	rackPeakStart  = 2 * time.Second
+	rackPeakEnd    = 12 * time.Second
+)
+
+// rackLoss is a rack that is partitioned for a time, once or repeatedly.
+type rackLoss struct {
+	workers, size int  // of the service, and of the rack
+	dark          int  // index of the rack
+	crash         bool // the VMs of the rack are lost instead
+	holdsPerS     float64
+	periods       []time.Duration // lengths of the partitions and of the pauses between them, by turns
+	faults        faults
+}
+
+// lossStart is when the rack is partitioned first.
+const lossStart = 5 * time.Second
+
+// rackOutcome is what became of the jobs that arrived in the peak.
+type rackOutcome struct {
+	inTime     float64 // share of all jobs in time
+	afterLoss  float64 // share of those in time that arrived in the 6 s after the loss
+	suspicions int     // how often a rack became suspect
+}
+
+// runRackLoss runs a peak of holds in which the first rack of the service is lost.
+func runRackLoss(t *testing.T, seed uint64, l rackLoss) rackOutcome {
+	w := newWorld(seed, l.faults)
+	var rack []*fakeWorker
+	for i := range l.workers {
+		f := w.addWorker("worker-"+strconv.Itoa(1000+i), workload.Resources{CPU: 64000, MemoryMB: 256000})
+		f.info.Labels = []string{"a", "rack-" + strconv.Itoa(i%(l.workers/l.size))}
+		w.registry[i] = f.info
+		if i%(l.workers/l.size) == l.dark {
+			rack = append(rack, f)
+		}
+	}
+	w.takeOver()
+	at := lossStart
+	for i, d := range l.periods {
+		w.after(at, func() {
+			for _, f := range rack {
+				if l.crash {
+					labels := f.info.Labels
+					f.loseVM()
+					w.after(5*time.Second, func() {
+						f := w.workers[f.info.ID+"'"]
+						f.info.Labels = labels
+						w.registry[len(w.registry)-1].Labels = labels
+					})
+					continue
+				}
+				f.partitioned = i%2 == 0
+			}
+		})
+		at += d
+	}
+	w.after(at, func() {
+		for _, f := range rack {
+			f.partitioned = false
+		}
+	})
+	for at := rackPeakStart; at < rackPeakEnd; at += time.Millisecond {
+		if w.rng.Float64() < l.holdsPerS/1000 {
+			w.after(at, func() {
+				step := workload.Step{Count: holdTasks, Resources: workload.Resources{CPU: holdCPU, MemoryMB: 4000}, EstimateMS: holdEstimateMS}
+				spec := workload.Spec{Payload: "hold", Steps: []workload.Step{step}}
+				if w.rng.IntN(10) < 6 {
+					step.DependsOn = []int{0}
+					spec.Steps = append(spec.Steps, step)
+				}
+				w.submit(spec, "quick")
+			})
+		}
+	}
+	w.runUntil(rackPeakEnd + 15*time.Second)
+	assert.Empty(t, w.violations)
+	var all, late []*fakeJob
+	for _, j := range w.jobsBySize() {
+		all = append(all, j)
+		arrived := time.UnixMilli(j.submission.AcceptedAtMS).Sub(historyStart)
+		if arrived >= lossStart && arrived < lossStart+6*time.Second {
+			late = append(late, j)
+		}
+	}
+	return rackOutcome{inTime: shareInTimeOf(all), afterLoss: shareInTimeOf(late), suspicions: w.owner.core.Counts.SuspectRacks}
+}
+
+// shareInTimeOf returns the share of holds that were completed within their objective.
+func shareInTimeOf(jobs []*fakeJob) float64 {
+	n := 0
+	for _, j := range jobs {
+		criticalPath := time.Duration(len(j.submission.Spec.Steps)) * holdEstimateMS * time.Millisecond
+		deadline := testConfig.Queues[0].Objective + time.Duration(testConfig.Queues[0].Stretch*float64(criticalPath))
+		if j.shownState == workload.Completed && j.shownStateChangedAt.Sub(time.UnixMilli(j.submission.AcceptedAtMS)) <= deadline {
+			n++
+		}
+	}
+	return float64(n) / float64(len(jobs))
+}
+
+// A rack of a service goes dark in a peak. Without a common suspicion its workers get starts until each
+// of them has left a poll unanswered, and the starts without an answer hold places. Of the jobs that
+// arrive while the rack is dark, at most 3 in 100 may be late although the other racks have room.
+func TestDarkRackAtAPeakGetsNoStarts(t *testing.T) {
+	for name, l := range map[string]rackLoss{
+		"20 of 61, partitioned": {workers: 61, size: 20, holdsPerS: 33, periods: []time.Duration{6 * time.Second}},
+		"20 of 61, lost":        {workers: 61, size: 20, crash: true, holdsPerS: 33, periods: []time.Duration{6 * time.Second}},
+		"11 of 61, partitioned": {workers: 61, size: 11, holdsPerS: 40, periods: []time.Duration{6 * time.Second}},
+	} {
+		var inTime, afterLoss float64
+		const plays = 3
+		for seed := range uint64(plays) {
+			l.dark = int(seed)
+			o := runRackLoss(t, seed, l)
+			inTime += o.inTime / plays
+			afterLoss += o.afterLoss / plays
+			assert.LessOrEqual(t, o.suspicions, 1, "%s, seed %d", name, seed)
+		}
+		t.Logf("%s: %.3f in time, %.3f of those that arrived after the loss", name, inTime, afterLoss)
+		assert.GreaterOrEqual(t, afterLoss, 0.97, name)
+	}
+}
+
+// A rack that comes and goes must not take the work of each return with it.
+func TestFlappingRackIsTrustedByItsAnswers(t *testing.T) {
+	flaps := []time.Duration{time.Second, time.Second, time.Second, time.Second, time.Second}
+	o := runRackLoss(t, 1, rackLoss{workers: 61, size: 20, holdsPerS: 33, periods: flaps})
+	t.Logf("%.3f in time, %.3f of those that arrived after the loss", o.inTime, o.afterLoss)
+	assert.GreaterOrEqual(t, o.afterLoss, 0.95)
+	assert.Equal(t, 3, o.suspicions)
+}
+
+// Lost answers and late orders are spread over all racks. They must not make a rack suspect.
+func TestLostAnswersMakeNoRackSuspect(t *testing.T) {
+	for seed := range uint64(3) {
+		o := runRackLoss(t, seed, rackLoss{workers: 61, size: 20, holdsPerS: 33, faults: faults{lostAnswer: 0.15}})
+		assert.Zero(t, o.suspicions, "seed %d", seed)
+	}
+}
+
+// registerOnRacks registers a worker on each of the given racks and answers their first polls.
+func (r *rig) registerOnRacks(racks []int) {
+	var list []workload.Worker
+	for i, rack := range racks {
+		id := "w-" + strconv.Itoa(10+i)
+		list = append(list, workload.Worker{
+			ID: id, Service: "service", Address: id, Labels: []string{"a", "rack-" + strconv.Itoa(rack)},
+			Capacity: workload.Resources{CPU: 8000, MemoryMB: 16000},
+		})
+	}
+	r.core.SetWorkers(list, r.now)
+	r.step(0)
+	for _, w := range list {
+		r.answerPoll(w.ID, r.now, workload.PollReport{})
+	}
+}
+
+// startsByRack returns the number of starts on each rack.
+func startsByRack(starts []scheduler.StartOrder) map[string]int {
+	n := map[string]int{}
+	for _, s := range starts {
+		n[s.Worker.Rack()]++
+	}
+	return n
+}
+
+// A dark rack holds all starts that may be unanswered at once. Tasks must start elsewhere before these
+// starts time out, and the pool must be reported to have lost the rack's workers.
+func TestUnansweredStartsOnADarkRackDoNotBlockOthers(t *testing.T) {
+	r := newRig(t)
+	r.registerOnRacks(slices.Concat(slices.Repeat([]int{0}, 9), slices.Repeat([]int{1}, 9)))
+	r.submit("0000000000000001", batchStep(64, 1000)) // the bound on starts in flight
+	dark := r.step(30 * time.Millisecond).Starts
+	require.Equal(t, map[string]int{"rack-0": 64}, startsByRack(dark))
+	r.submit("0000000000000002", batchStep(8, 1000))
+	var elsewhere []scheduler.StartOrder
+	for range 20 {
+		orders := r.step(20 * time.Millisecond)
+		elsewhere = append(elsewhere, orders.Starts...)
+		for i := range 9 {
+			if id := "w-" + strconv.Itoa(19+i); r.latestPolls[id].Worker.ID != "" {
+				delete(r.latestPolls, id)
+				r.answerPoll(id, r.now, workload.PollReport{})
+			}
+		}
+	}
+	assert.Equal(t, map[string]int{"rack-1": 8}, startsByRack(elsewhere))
+	assert.Equal(t, 1, r.core.Counts.SuspectRacks)
+	usable := map[bool]int{}
+	for _, w := range r.core.ServiceLoads(r.now)[0].Workers {
+		usable[w.Usable]++
+	}
+	assert.Equal(t, map[bool]int{true: 9, false: 9}, usable)
+}
--- a/internal/scheduler/starttracker.go
+++ b/internal/scheduler/starttracker.go
@@ -74,6 +74,14 @@
 	}
 }
 
+// release stops counting a start whose answer is not expected any more, and reports whether it was
+// counted.
+func (f *startTracker) release(r *run) bool {
+	_, known := f.unanswered[r.startID()]
+	f.resolve(r.startID(), false)
+	return known
+}
+
 // isFull reports whether maxStartsInFlight is reached.
 func (f *startTracker) isFull() bool { return len(f.unanswered) >= maxStartsInFlight }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -136,7 +136,12 @@
 	// pollAnswerDueAt is when the answer to the latest poll is overdue. extraPollsInFlight is
 	// the number of extra polls in flight.
 	pollAnswerDueAt    time.Time
+	firstPollDueAt     time.Time // when the answer to the poll in flight was due first, without its extra polls
 	extraPollsInFlight int
+	// lastHeardAt is when the worker answered last, an order or a poll.
+	lastHeardAt time.Time
+	// overdueSince is since when an answer has been due, zero if none was at the last check of the racks.
+	overdueSince time.Time
 	// lastAnsweredPollSentAt is when the latest poll that got an answer was sent.
 	lastAnsweredPollSentAt time.Time
 	// lastReportClockMS is the worker's clock in the last report that was accepted.
