scheduler: keep a step's tasks on one rack, and replicas on different ones

A job needs all tasks of a step, and a dark rack of a third of the workers took a task of nearly each job at work. Lasting tasks with a bound on unavailable ones could all lie on one rack, and a speculative copy on that of its run.

So tasks that all must be done are kept together, by score: a limit would leave them waiting beside free workers. Tasks that replace each other are spread by score: long-running ones with a MaxUnavailable, and copies.

Without watched racks nothing changes.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -48,6 +48,7 @@
 	nextPreemptionSearchAt time.Time
 	lastRunSeq             int64          // of this epoch's run numbers
 	liveRunsByWorker       map[string]int // by worker ID
+	liveRunsByRack         map[string]int // by the rack of the worker when the run was added
 	checkpoint             string         // newest of any task; a gang restarts from it
 	advice                 *adviceState   // nil if no advice is needed: any worker may run it
 	occurrenceRanked       bool           // set on an occurrence's first step while the occurrence is ranked
@@ -91,6 +92,7 @@
 				tasks:            make([]task, spec.Count),
 				idleCount:        spec.Count,
 				liveRunsByWorker: map[string]int{},
+				liveRunsByRack:   map[string]int{},
 			}
 			j.steps = append(j.steps, newStep)
 			j.remainingTasks += spec.Count
@@ -157,6 +159,8 @@
 		a.reserved = a.reserved.Add(s.spec.Resources)
 	}
 	s.liveRunsByWorker[r.worker.info.ID]++
+	r.rack = r.worker.info.Rack()
+	s.liveRunsByRack[r.rack]++
 	s.job.liveRuns++
 	s.job.started = true
 }
@@ -175,6 +179,9 @@
 		a.reserved = a.reserved.Sub(s.spec.Resources)
 	}
 	s.job.liveRuns--
+	if s.liveRunsByRack[r.rack]--; s.liveRunsByRack[r.rack] == 0 {
+		delete(s.liveRunsByRack, r.rack)
+	}
 	if s.liveRunsByWorker[r.worker.info.ID]--; s.liveRunsByWorker[r.worker.info.ID] == 0 {
 		delete(s.liveRunsByWorker, r.worker.info.ID)
 	}
--- a/internal/scheduler/placementpool.go
+++ b/internal/scheduler/placementpool.go
@@ -16,6 +16,7 @@
 	busyUntil time.Time
 	// requiredLabels are the labels that jobs of the service have required so far.
 	requiredLabels     []string
+	hasRacks           bool // its workers are on racks that are watched
 	hasHeldWorker      bool // holdWorkerFor was called, whether or not it found a worker
 	preemptionSearches int  // of this plan for steps that are not long-running
 	// maxPreemptiblePriority is the highest priority number of any preemptible run, that of the
@@ -36,7 +37,7 @@
 		}
 		p := pools[w.info.Service]
 		if p == nil {
-			p = &placementPool{requiredLabels: c.requiredLabels[w.info.Service], maxPreemptiblePriority: unknownPriority, busyUntil: c.serviceBusyUntil[w.info.Service]}
+			p = &placementPool{requiredLabels: c.requiredLabels[w.info.Service], maxPreemptiblePriority: unknownPriority, busyUntil: c.serviceBusyUntil[w.info.Service], hasRacks: c.racks.active}
 			pools[w.info.Service] = p
 		}
 		if w.isReservedForSuspects(now) {
@@ -135,6 +136,9 @@
 			continue
 		}
 		score := s.score(w, now)
+		if p.hasRacks {
+			score += s.rackScore(w, t)
+		}
 		if s.spec.RequiredLabel == "" && p.hasRequiredLabel(w) {
 			score -= requiredLabelPenalty
 		}
--- a/internal/scheduler/racks.go
+++ b/internal/scheduler/racks.go
@@ -163,3 +163,35 @@
 	since, suspect := c.racks.suspectSince[w.info.Rack()]
 	return suspect && now.Sub(since) >= rackProbeTimeout && !c.racks.tracker.Answers(w.info.Rack(), w.info.ID)
 }
+
+// Weights of a worker's score for its rack.
+const (
+	// sameRackWeight draws a step's tasks to one rack, so that a lost rack takes the tasks of few jobs:
+	// a job needs all of them. It is as much as the largest difference in utilization.
+	sameRackWeight = 1.0
+	// sharedRackPenalty keeps tasks apart that replace each other: long-running tasks of a step with a
+	// MaxUnavailable and speculative copies. For one task it outweighs colocationWeight and utilization.
+	sharedRackPenalty = 2.2
+)
+
+// rackScore returns the part of a worker's score that its rack makes up.
+func (s *step) rackScore(w *worker, t *task) float64 {
+	rack := w.info.Rack()
+	switch {
+	case rack == "":
+		return 0
+	case s.spec.LongRunning:
+		if s.spec.MaxUnavailable == 0 {
+			return 0
+		}
+		return -sharedRackPenalty * float64(s.liveRunsByRack[rack])
+	case len(t.runs) > 0:
+		if t.runs[0].rack == rack {
+			return -sharedRackPenalty
+		}
+		return 0
+	case s.liveRunsByRack[rack] > 0:
+		return sameRackWeight
+	}
+	return 0
+}
--- a/internal/scheduler/racks_test.go
+++ b/internal/scheduler/racks_test.go
@@ -185,6 +185,43 @@
 	return n
 }
 
+// A lost rack must not take all long-running tasks of a step with a bound on its unavailable tasks. It
+// takes the tasks of few jobs if the tasks of other steps are kept together.
+func TestTasksOfAStepAreSpreadOverRacksOrKeptTogether(t *testing.T) {
+	longRunning := workload.Step{Count: 6, Resources: workload.Resources{CPU: 1000, MemoryMB: 1000}, LongRunning: true, MaxUnavailable: 1, MaxPerWorker: 2}
+	threeRacks := slices.Repeat([]int{0, 1, 2}, 4)
+	for name, c := range map[string]struct {
+		step  workload.Step
+		racks []int
+		want  map[string]int
+	}{
+		"long-running tasks":             {longRunning, threeRacks, map[string]int{"rack-0": 2, "rack-1": 2, "rack-2": 2}},
+		"a job's tasks":                  {batchStep(8, 2000), threeRacks, map[string]int{"rack-0": 8}},
+		"a rack has too little capacity": {batchStep(20, 2000), threeRacks, map[string]int{"rack-0": 16, "rack-1": 4}},
+		"one rack":                       {longRunning, slices.Repeat([]int{0}, 4), map[string]int{"rack-0": 6}},
+	} {
+		r := newRig(t)
+		r.registerOnRacks(c.racks)
+		r.submit("0000000000000001", c.step)
+		assert.Equal(t, c.want, startsByRack(r.step(30*time.Millisecond).Starts), name)
+	}
+}
+
+// A speculative copy on the rack of the slow run would be lost with it.
+func TestSpeculativeCopyStartsOnAnotherRack(t *testing.T) {
+	r := newRig(t)
+	r.registerOnRacks(slices.Repeat([]int{0, 1}, 4))
+	step := batchStep(1, 1000)
+	step.Speculative = true
+	first := r.startJob("0000000000000001", step)[0]
+	var copies []scheduler.StartOrder
+	for range 40 {
+		copies = append(copies, r.step(50*time.Millisecond).Starts...)
+	}
+	require.Len(t, copies, 1)
+	assert.NotEqual(t, first.Worker.Rack(), copies[0].Worker.Rack())
+}
+
 // A dark rack holds all starts that may be unanswered at once. Tasks must start elsewhere before these
 // starts time out, and the pool must be reported to have lost the rack's workers.
 func TestUnansweredStartsOnADarkRackDoNotBlockOthers(t *testing.T) {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -45,7 +45,8 @@
 	index       int // of the task in the step
 	number      int64
 	worker      *worker
-	incarnation int64 // of the worker that the run was ordered to; 0 if unknown
+	rack        string // of the worker when the run was ordered
+	incarnation int64  // of the worker that the run was ordered to; 0 if unknown
 	state       runState
 	// stateChangedAt is when state was set or confirmed last. That the report of a poll that was
 	// sent earlier doesn't list the run has no meaning.
