--- a/internal/dayreport/conditions.go
+++ b/internal/dayreport/conditions.go
@@ -14,6 +14,7 @@
 	VMsInTransit     Cause = "VMs on their way"
 	NoConfiguration  Cause = "no configuration"
 	WorkspaceAtCap   Cause = "waits for its cap"
+	RackDark         Cause = "rack dark"
 	NoFreeCapacity   Cause = "no room"
 	OtherCause       Cause = "other"
 )
@@ -67,6 +68,7 @@
 	ownerOverloaded  map[int][]period
 	vmsInTransit     map[string][]period // by pool
 	workspaceAtCap   map[capKey][]period
+	rackDark         map[int][]period // by partition
 }
 
 // capKey identifies a workspace's use of a partition.
@@ -92,7 +94,9 @@
 		ownerOverloaded:  map[int][]period{},
 		vmsInTransit:     map[string][]period{},
 		workspaceAtCap:   map[capKey][]period{},
+		rackDark:         map[int][]period{},
 	}
+	racks := rackTracker{}
 	ownership := &ownershipTracker{owner: map[int]string{}, leftAt: map[int]time.Time{}, lastLineAt: map[string]time.Time{}, firstLineAt: lines[0].At}
 	storeLostAt := map[string]time.Time{}
 	var takeovers []Takeover
@@ -101,6 +105,7 @@
 			c.storeUnavailable[l.Node] = append(c.storeUnavailable[l.Node], period{since, l.At})
 			delete(storeLostAt, l.Node)
 		}
+		racks.record(l, c)
 		switch l.Message {
 		case "started":
 			ownership.recordRestart(l.Node)
@@ -126,6 +131,7 @@
 		ownership.lastLineAt[l.Node] = l.At
 	}
 	last := lines[len(lines)-1].At
+	racks.finish(c, last)
 	for node, since := range storeLostAt {
 		c.storeUnavailable[node] = append(c.storeUnavailable[node], period{since, last})
 	}
@@ -181,6 +187,7 @@
 		{OwnerOverloaded, c.ownerOverloaded[l.Partition]},
 		{VMsInTransit, c.vmsInTransit[service]},
 		{WorkspaceAtCap, c.workspaceAtCap[capKey{l.Partition, l.Workspace}]},
+		{RackDark, c.rackDark[l.Partition]},
 	} {
 		if d := coveredDuration(waited, candidate.periods); d > longest {
 			cause, longest = candidate.cause, d
--- a/internal/dayreport/dayreport_test.go
+++ b/internal/dayreport/dayreport_test.go
@@ -116,6 +116,13 @@
 			logLine(19.2, "n-2", "waits-for-cap", `"partition":4,"workspace":"ward","age_ms":2000`),
 			logLine(20, "n-2", "first-placed", `"job":"a","queue":"q","partition":4,"age_ms":3000,"workspace":"ward"`),
 		}, dayreport.WorkspaceAtCap},
+		{"a rack was dark", []string{
+			owned, logLine(17, "n-2", "rack-suspect", `"partition":4,"rack":"r-1"`), logLine(17.5, "n-2", "rack-suspect", `"partition":4,"rack":"r-2"`),
+			logLine(18.5, "n-2", "rack-trusted", `"partition":4,"rack":"r-1","age_ms":1500`), firstPlaced(20, "3000"),
+		}, dayreport.RackDark},
+		{"a rack of another partition was dark", []string{
+			owned, logLine(17, "n-2", "rack-suspect", `"partition":3,"rack":"r-1"`), firstPlaced(20, "3000"),
+		}, dayreport.NoFreeCapacity},
 		{"another workspace waited for its cap", []string{
 			owned, logLine(19.2, "n-2", "waits-for-cap", `"partition":4,"workspace":"clinic","age_ms":2000`),
 			logLine(20, "n-2", "first-placed", `"job":"a","queue":"q","partition":4,"age_ms":3000,"workspace":"ward"`),
--- a/internal/dayreport/lines.go
+++ b/internal/dayreport/lines.go
@@ -40,6 +40,7 @@
 	HandedOver  bool      `json:"handed_over"` // the previous owner handed its runs over
 	VM          string    `json:"vm"`
 	Pool        string    `json:"pool"`
+	Rack        string    `json:"rack"`
 	Maintenance bool      `json:"maintain"`
 	Wave        int64     `json:"wave"`
 	Done        int       `json:"done"`
--- a/internal/dayreport/seconds.go
+++ b/internal/dayreport/seconds.go
@@ -80,6 +80,10 @@
 		} else {
 			m.vmsMoved++
 		}
+	case "rack-suspect":
+		m.otherEvents = append(m.otherEvents, fmt.Sprintf("rack %s suspect: %s", l.Rack, l.Reason))
+	case "rack-trusted":
+		m.otherEvents = append(m.otherEvents, fmt.Sprintf("rack %s trusted after %s", l.Rack, time.Duration(l.AgeMS)*time.Millisecond))
 	case "fleet taken over":
 		m.otherEvents = append(m.otherEvents, "fleet taken over by "+l.Node)
 	case "wave":
