scheduler: workers that left after a drain don't make their rack suspect

Their silence now counts only if they have answered since the drain ended.

Ruled out: only the drain's beginning as the mark, as it stood: a worker answers while it is drained.

TestWorkersThatLeaveAfterADrainMakeNoRackSuspect fails without it.

--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -134,6 +134,7 @@
 	if w.drainUntil.IsZero() {
 		return
 	}
+	w.drainEndedAt = w.drainUntil
 	w.drainUntil = time.Time{}
 	if len(w.runs) == 0 {
 		w.unreachable = true
--- a/internal/scheduler/racks.go
+++ b/internal/scheduler/racks.go
@@ -62,7 +62,7 @@
 	r.lastCheckAt = now
 	members := rackhealth.Racks{}
 	for _, w := range c.sortedWorkers {
-		if rack := w.info.Rack(); rack != "" && w.showsRackHealth(now) {
+		if rack := w.info.Rack(); rack != "" && w.showsRackHealth() {
 			members[rack] = append(members[rack], rackhealth.Member{ID: w.info.ID, LastHeardAt: w.lastHeardAt, OverdueSince: w.updateOverdue(now)})
 		}
 	}
@@ -98,8 +98,8 @@
 
 // showsRackHealth reports whether the worker's silence may show a failure of its rack. A worker that
 // leaves with its VM, or has never answered, falls silent for reasons of its own.
-func (w *worker) showsRackHealth(now time.Time) bool {
-	return !w.lastHeardAt.IsZero() && !w.info.Leaving && !w.replaced && !now.Before(w.drainUntil) && !w.drainBegunAt.After(w.lastHeardAt)
+func (w *worker) showsRackHealth() bool {
+	return !w.lastHeardAt.IsZero() && !w.info.Leaving && !w.replaced && w.drainUntil.IsZero() && !w.drainEndedAt.After(w.lastHeardAt)
 }
 
 // isFromWorker reports whether an outcome shows that the worker's own process has answered.
--- a/internal/scheduler/racks_test.go
+++ b/internal/scheduler/racks_test.go
@@ -250,3 +250,32 @@
 	}
 	assert.Equal(t, map[bool]int{true: 9, false: 9}, usable)
 }
+
+// VMs of one rack move to another pool at once. The workers that left with them must not make the rest of
+// their rack suspect.
+func TestWorkersThatLeaveAfterADrainMakeNoRackSuspect(t *testing.T) {
+	r := newRig(t)
+	r.registerOnRacks(slices.Concat(slices.Repeat([]int{0}, 6), slices.Repeat([]int{1}, 6)))
+	left := map[string]bool{"w-10": true, "w-11": true, "w-12": true, "w-13": true}
+	for id := range left {
+		r.core.DrainWorker(id, r.now)
+	}
+	running := map[string][]workload.ListedRun{} // by worker
+	for _, start := range r.startJob("0000000000000001", batchStep(32, 2000)) {
+		run := workload.ListedRun{Task: start.Start.Task, Run: start.Start.Run, SpeedPercent: 100}
+		running[start.Worker.ID] = append(running[start.Worker.ID], run)
+	}
+	for elapsed := time.Duration(0); elapsed < 5*time.Second; elapsed += 20 * time.Millisecond {
+		hasLeft := elapsed > 200*time.Millisecond
+		for id := range r.latestPolls {
+			delete(r.latestPolls, id)
+			if hasLeft && left[id] {
+				r.timeOutPoll(id)
+			} else {
+				r.answerPoll(id, r.now, workload.PollReport{Running: running[id]})
+			}
+		}
+		r.step(20 * time.Millisecond)
+	}
+	assert.Zero(t, r.core.Counts.SuspectRacks)
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -196,6 +196,7 @@
 	// Until drainUntil the worker is being drained. The requester renews the drain.
 	drainUntil             time.Time
 	drainBegunAt           time.Time
+	drainEndedAt           time.Time // end of the last drain
 	drainWaitLoggedAt      time.Time // when it was last logged what the drain waits for
 	maintenanceDueUntil    time.Time // until then its VM counts as due for maintenance
 	bestEffortSpeedPercent int       // speed of its best-effort tasks
