soak: log the VMs and the violations of a run that has failed early

A run that fails while it waits, such as for its wave, ended without the stand-in's violations or the state of its VMs, which a missing order may come from.

--- a/internal/proof/soak_faults_test.go
+++ b/internal/proof/soak_faults_test.go
@@ -147,6 +147,22 @@
 	s.cluster.Until("the wave is completed", func() bool { return s.cluster.Platform.IsWaveCompleted(1) })
 }
 
+// logPlatformOnFailure logs the VMs and the violations if the run has failed, also when it has failed
+// before the violations were checked.
+func (s *soak) logPlatformOnFailure() {
+	if !s.t.Failed() {
+		return
+	}
+	for _, vm := range s.cluster.Platform.VMs() {
+		worker := "no worker"
+		if vm.Worker != nil {
+			worker = vm.Worker.Info.ID
+		}
+		s.t.Logf("%s in pool %s: %s, %s", vm.ID, vm.Pool, vm.State, worker)
+	}
+	s.t.Logf("violations: %q", s.cluster.Platform.Violations())
+}
+
 // checkJobs checks the jobs' final states on all nodes, that no refused job ran, and that no
 // violation was recorded.
 func (s *soak) checkJobs() {
--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -97,6 +97,7 @@
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{t: t, seed: seed, faultRand: rand.New(rand.NewPCG(seed, 0)), faulty: map[string]bool{}, startedAt: time.Now()}
 	s.cluster = testkit.StartLinkedJobs(t, smallPlatform(), soakNodes)
+	t.Cleanup(s.logPlatformOnFailure)
 	var vms []string
 	for _, vm := range s.cluster.Platform.VMs() {
 		vms = append(vms, vm.ID)
