--- a/internal/rackhealth/rackhealth.go
+++ b/internal/rackhealth/rackhealth.go
@@ -8,7 +8,11 @@
 // workers have.
 package rackhealth
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// minMembers is the number of workers from which a rack is tracked. The silence of fewer shows
@@ -111,19 +115,21 @@
 		total.heard += n.heard
 	}
 	var changes []Change
-	for name, members := range racks {
-		n := byRack[name]
+	for _, name := range slices.Sorted(maps.Keys(racks)) {
+		n, members := byRack[name], racks[name]
 		elsewhere := counts{silent: total.silent - n.silent, heard: total.heard - n.heard}
 		if change, ok := t.observeRack(name, members, n, elsewhere, now); ok {
 			changes = append(changes, change)
 		}
 	}
-	for name, r := range t.racks {
-		if len(racks[name]) < minMembers {
-			delete(t.racks, name)
-			if r.state == Suspect {
-				changes = append(changes, Change{Rack: name, State: Trusted, Members: len(racks[name]), Lasted: now.Sub(r.since)})
-			}
+	for _, name := range slices.Sorted(maps.Keys(t.racks)) {
+		r, members := t.racks[name], len(racks[name])
+		if members >= minMembers {
+			continue
+		}
+		delete(t.racks, name)
+		if r.state == Suspect {
+			changes = append(changes, Change{Rack: name, State: Trusted, Silent: byRack[name].silent, Members: members, Lasted: now.Sub(r.since)})
 		}
 	}
 	return changes
--- a/internal/scheduler/racks.go
+++ b/internal/scheduler/racks.go
@@ -49,8 +49,7 @@
 	c.racks.active = len(large) > 1
 }
 
-// watchRacks updates which racks are suspect. Starts on a suspect rack that have no answer no longer
-// count as in flight.
+// watchRacks updates which racks are suspect.
 func (c *Core) watchRacks(now time.Time) {
 	r := &c.racks
 	if r.tracker == nil {
@@ -73,17 +72,25 @@
 
 func (c *Core) applyRackChange(change rackhealth.Change, now time.Time) {
 	c.planStale = true
-	verb := "rack-trusted"
-	if change.State == rackhealth.Suspect {
-		verb = "rack-suspect"
+	d := Decision{Verb: "rack-trusted", Rack: change.Rack, Age: change.Lasted, AlwaysLogged: true}
+	d.Reason = fmt.Sprintf("%d of %d workers are silent", change.Silent, change.Members)
+	if change.State == rackhealth.Trusted {
+		delete(c.racks.suspectSince, change.Rack)
+	} else {
 		c.Counts.SuspectRacks++
 		c.racks.suspectSince[change.Rack] = now
-	} else {
-		delete(c.racks.suspectSince, change.Rack)
+		d.Verb = "rack-suspect"
+		d.Reason += fmt.Sprintf(", %d starts are unanswered", c.releaseStartsOnRack(change.Rack))
 	}
+	c.recordDecision(d)
+}
+
+// releaseStartsOnRack stops counting the unanswered starts on a rack as in flight, and returns their
+// number.
+func (c *Core) releaseStartsOnRack(rack string) int {
 	released := 0
 	for _, w := range c.sortedWorkers {
-		if verb != "rack-suspect" || w.info.Rack() != change.Rack {
+		if w.info.Rack() != rack {
 			continue
 		}
 		for _, r := range w.runs {
@@ -92,8 +99,7 @@
 			}
 		}
 	}
-	c.recordDecision(Decision{Verb: verb, Rack: change.Rack, Age: change.Lasted, AlwaysLogged: true,
-		Reason: fmt.Sprintf("%d of %d workers are silent, %d starts are unanswered", change.Silent, change.Members, released)})
+	return released
 }
 
 // showsRackHealth reports whether the worker's silence may show a failure of its rack. A worker that
