--- a/internal/scheduler/racks.go
+++ b/internal/scheduler/racks.go
@@ -173,8 +173,9 @@
 // Weights of a worker's score for its rack.
 const (
 	// sameRackWeight draws a step's tasks to one rack, so that a lost rack takes the tasks of few jobs:
-	// a job needs all of them. It is as much as the largest difference in utilization.
-	sameRackWeight = 1.0
+	// a job needs all of them. It is small beside utilization, which leaves more workers idle, and so
+	// free to be moved to another pool.
+	sameRackWeight = 0.3
 	// sharedRackPenalty keeps tasks apart that replace each other: long-running tasks of a step with a
 	// MaxUnavailable and speculative copies. For one task it outweighs colocationWeight and utilization.
 	sharedRackPenalty = 2.2
