rackhealth: silence is judged by the usual delay of answers

An owner on a node that was slowed down found nine racks suspect within a second, as answers of a few workers each were late by more than 60 ms. A worker now counts as silent only if its answer is overdue by five times the moving average of answers' delays, 60 ms at least.

Ruled out: a higher threshold for all (the time to find a dark rack grows with it); the largest delay of late, as one slow worker would set it for all racks.

--- a/internal/rackhealth/rackhealth.go
+++ b/internal/rackhealth/rackhealth.go
@@ -18,9 +18,11 @@
 	// minMembers is the number of workers from which a rack is tracked. The silence of fewer shows
 	// no common cause.
 	minMembers = 4
-	// silenceThreshold is how long an answer must be overdue for its worker to count as silent: many
-	// times the round trip of an order.
-	silenceThreshold = 60 * time.Millisecond
+	// minSilence is the least time for which an answer must be overdue for its worker to count as
+	// silent: many times the round trip of an order. It is delayFactor times the usual delay of answers
+	// if that is more, as on an observer that is late itself.
+	minSilence  = 60 * time.Millisecond
+	delayFactor = 5
 	// commonCauseWindow is the longest time between the silences of workers that one cause explains:
 	// an idle answer may take a second, and its delay is noticed a little later.
 	commonCauseWindow = 1500 * time.Millisecond
@@ -67,8 +69,9 @@
 	OverdueSince time.Time
 }
 
-func (m Member) isSilent(now time.Time) bool {
-	return !m.OverdueSince.IsZero() && now.Sub(m.OverdueSince) >= silenceThreshold
+// isSilent reports whether an answer was due at or before the given time and has not come.
+func (m Member) isSilent(dueBefore time.Time) bool {
+	return !m.OverdueSince.IsZero() && !m.OverdueSince.After(dueBefore)
 }
 
 // Change is a change of a rack's state to Suspect or back to Trusted.
@@ -105,11 +108,13 @@
 type counts struct{ members, silent, together, heard int }
 
 // Observe updates the states of all racks and returns those that have become suspect or trusted.
-func (t *Tracker) Observe(racks Racks, now time.Time) []Change {
+// answerDelay is the usual time from an order to its answer.
+func (t *Tracker) Observe(racks Racks, answerDelay time.Duration, now time.Time) []Change {
+	dueBefore := now.Add(-max(minSilence, delayFactor*answerDelay))
 	var total counts
 	byRack := make(map[string]counts, len(racks))
 	for name, members := range racks {
-		n := countMembers(members, now)
+		n := countMembers(members, dueBefore, now)
 		byRack[name] = n
 		total.silent += n.silent
 		total.heard += n.heard
@@ -118,7 +123,7 @@
 	for _, name := range slices.Sorted(maps.Keys(racks)) {
 		n, members := byRack[name], racks[name]
 		elsewhere := counts{silent: total.silent - n.silent, heard: total.heard - n.heard}
-		if change, ok := t.observeRack(name, members, n, elsewhere, now); ok {
+		if change, ok := t.observeRack(name, members, n, elsewhere, dueBefore, now); ok {
 			changes = append(changes, change)
 		}
 	}
@@ -137,11 +142,11 @@
 
 // countMembers counts the silent members and those that were heard since the first of them fell
 // silent, or lately if none did.
-func countMembers(members []Member, now time.Time) counts {
+func countMembers(members []Member, dueBefore, now time.Time) counts {
 	n := counts{members: len(members)}
 	var last time.Time
 	for _, m := range members {
-		if m.isSilent(now) {
+		if m.isSilent(dueBefore) {
 			n.silent++
 			if m.OverdueSince.After(last) {
 				last = m.OverdueSince
@@ -150,7 +155,7 @@
 	}
 	first := now
 	for _, m := range members {
-		if m.isSilent(now) && last.Sub(m.OverdueSince) <= commonCauseWindow {
+		if m.isSilent(dueBefore) && last.Sub(m.OverdueSince) <= commonCauseWindow {
 			n.together++
 			if m.OverdueSince.Before(first) {
 				first = m.OverdueSince
@@ -162,7 +167,7 @@
 		heardFrom = first
 	}
 	for _, m := range members {
-		if !m.isSilent(now) && m.LastHeardAt.After(heardFrom) {
+		if !m.isSilent(dueBefore) && m.LastHeardAt.After(heardFrom) {
 			n.heard++
 		}
 	}
@@ -178,7 +183,7 @@
 	return elsewhere.heard > 0 && float64(elsewhere.silent) <= maxSilentElsewhere*float64(elsewhere.silent+elsewhere.heard)
 }
 
-func (t *Tracker) observeRack(name string, members []Member, n, elsewhere counts, now time.Time) (Change, bool) {
+func (t *Tracker) observeRack(name string, members []Member, n, elsewhere counts, dueBefore, now time.Time) (Change, bool) {
 	r := t.racks[name]
 	if r == nil {
 		if n.members < minMembers || n.silent < minDoubtful {
@@ -203,7 +208,7 @@
 			r.state = Trusted
 		}
 	case Suspect:
-		if r.collectProofs(members, now) {
+		if r.collectProofs(members, dueBefore, now) {
 			lasted := now.Sub(r.since)
 			r.state, r.lastTrustedAt, r.answeringSince = Trusted, now, nil
 			return Change{Rack: name, State: Trusted, Silent: n.silent, Members: n.members, Lasted: lasted}, true
@@ -223,12 +228,12 @@
 }
 
 // collectProofs records which members answer, and reports whether trustedShare of them have a proof.
-func (r *rack) collectProofs(members []Member, now time.Time) bool {
+func (r *rack) collectProofs(members []Member, dueBefore, now time.Time) bool {
 	proven := 0
 	for _, m := range members {
 		_, answers := r.answeringSince[m.ID]
 		switch {
-		case m.isSilent(now):
+		case m.isSilent(dueBefore):
 			delete(r.answeringSince, m.ID)
 		case !answers && m.LastHeardAt.After(r.since):
 			r.answeringSince[m.ID] = m.LastHeardAt
--- a/internal/scheduler/orderresult.go
+++ b/internal/scheduler/orderresult.go
@@ -60,6 +60,7 @@
 	switch result.Answer.Status {
 	case workload.WorkerOK:
 		c.Counts.StartedRuns++
+		c.racks.recordAnswerDelay(now.Sub(r.orderedAt))
 		r.startConfirmed = true
 		if r.state != runStopping {
 			r.state = runRunning
--- a/internal/scheduler/racks.go
+++ b/internal/scheduler/racks.go
@@ -27,10 +27,21 @@
 	tracker     *rackhealth.Tracker
 	active      bool
 	lastCheckAt time.Time
+	// answerDelay is the moving average of the time from a start to its answer.
+	answerDelay time.Duration
 	// suspectSince is when a rack became suspect, by the rack's name. It has no entry for others.
 	suspectSince map[string]time.Time
 }
 
+// answerDelayWindow is the number of starts over which their answers' delay is averaged: a twentieth of
+// a second in a peak.
+const answerDelayWindow = 32
+
+// recordAnswerDelay records the time from a start to its answer.
+func (r *rackWatch) recordAnswerDelay(delay time.Duration) {
+	r.answerDelay += (delay - r.answerDelay) / answerDelayWindow
+}
+
 // updateRacks decides from the list of workers whether racks are watched.
 func (c *Core) updateRacks() {
 	type rackOfService struct{ service, rack string }
@@ -65,7 +76,7 @@
 			members[rack] = append(members[rack], rackhealth.Member{ID: w.info.ID, LastHeardAt: w.lastHeardAt, OverdueSince: w.updateOverdue(now)})
 		}
 	}
-	for _, change := range r.tracker.Observe(members, now) {
+	for _, change := range r.tracker.Observe(members, r.answerDelay, now) {
 		c.applyRackChange(change, now)
 	}
 }
