--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -18,9 +18,11 @@
 const (
 	// storeRetryInterval is the pause before a refused record is tried again.
 	storeRetryInterval = 60 * time.Millisecond
-	// maxRefusalRetryTime is how long a refused record is retried. A caller that is refused
-	// early can try elsewhere.
-	maxRefusalRetryTime = 250 * time.Millisecond
+	// maxRetryTime is how long a refused record is retried. A caller that is told nothing certain
+	// comes back at once, whatever Retry-After says, and has few attempts: it loses less by waiting
+	// here, where its job is taken as soon as the store answers. If the job is ruled out then, its
+	// owner has just read the store, and the record is tried once more.
+	maxRetryTime        = 700 * time.Millisecond
 	defaultMaxBodyBytes = 256 << 10 // if the configuration sets no limit
 )
 
@@ -77,37 +79,68 @@
 // although its caller was told that it won't. h.Jobs.Accept retries an unknown outcome as
 // long as the caller waits.
 func (h *Handler) storeRecord(ctx context.Context, req *request, r workload.Record) response {
+	wasJudged, isLastTry := false, false
 	for {
 		status, err := h.Jobs.Accept(ctx, req.queue.Service, r)
 		switch status {
 		case platform.StoreOK:
-			return response{status: http.StatusOK, body: []byte("{}")}
+			return accepted()
 		case platform.StoreRefused:
-			if time.Since(req.startedAt) > maxRefusalRetryTime || wait.Sleep(ctx, storeRetryInterval) != nil {
-				return h.refuse(ctx, req, r.Job, returntime.StoreUnavailable, "the store is away, the request was not taken: "+err.Error())
+			reason := "the store is away: " + err.Error()
+			isOver := time.Since(req.startedAt) >= maxRetryTime
+			if !wasJudged || isOver {
+				verdict := h.judge(ctx, req, r.Job)
+				isFinal := verdict == acceptance.Accepted || isOver && (isLastTry || verdict != acceptance.NeverAccepted)
+				if isFinal || ctx.Err() != nil {
+					return respondUnstored(verdict, returntime.StoreUnavailable, reason)
+				}
+				wasJudged, isLastTry = true, isOver
+			}
+			if wait.Sleep(ctx, storeRetryInterval) != nil {
+				return h.refuse(ctx, req, r.Job, returntime.StoreUnavailable, reason)
 			}
 		case platform.StoreUnknown:
-			return errorResponse(http.StatusGatewayTimeout, "the store did not answer, the request may have been taken: "+err.Error())
+			return uncertainResponse(returntime.StoreUnavailable, "the store did not answer, the request may have been taken: "+err.Error())
 		default:
 			return errorResponse(http.StatusInternalServerError, "store: "+err.Error())
 		}
 	}
 }
 
-// judge returns what is known of a job whose record this attempt has not stored.
-func (h *Handler) judge(_ context.Context, _ *request, _ workload.JobID) acceptance.Verdict {
-	return acceptance.Judge(acceptance.Evidence{AttemptRefused: true})
+// evidenceTimeout bounds the call to the owner before a refusal. It fits into responseMargin.
+const evidenceTimeout = 90 * time.Millisecond
+
+// judge returns what is known of a job, or of its cancellation, whose record this attempt has certainly
+// not stored.
+func (h *Handler) judge(ctx context.Context, req *request, id workload.JobID) acceptance.Verdict {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), evidenceTimeout)
+	defer cancel()
+	r := acceptance.Request{Job: id, Cancels: req.http.Method == http.MethodDelete}
+	report := h.Owners.Acceptance(ctx, req.queue.Service, r, req.requester())
+	verdict := acceptance.Judge(acceptance.Evidence{
+		AttemptRefused: true,
+		HasOpenAttempt: report.HasOpenAttempt,
+		Known:          report.Stands,
+		Owner:          report.Owner,
+	})
+	h.Metrics.verdicts.WithLabelValues(verdict.String()).Inc()
+	return verdict
 }
 
 // refuse returns the response to a submission or cancellation whose record is certainly not stored.
-// The response promises that the request has no effect only if no earlier attempt can have one.
 func (h *Handler) refuse(ctx context.Context, req *request, id workload.JobID, cause returntime.Cause, reason string) response {
-	switch h.judge(ctx, req, id) {
+	return respondUnstored(h.judge(ctx, req, id), cause, reason)
+}
+
+// respondUnstored returns the response to a request whose record is certainly not stored. It promises
+// that the request has no effect only if no earlier attempt can have one.
+func respondUnstored(v acceptance.Verdict, cause returntime.Cause, reason string) response {
+	switch v {
 	case acceptance.Accepted:
-		return response{status: http.StatusOK, body: []byte("{}")}
+		return accepted()
 	case acceptance.NeverAccepted:
-		return retryableResponse(cause, reason)
+		return retryableResponse(cause, reason+"; the request was not taken")
 	default:
-		return errorResponse(http.StatusGatewayTimeout, "the request may have been taken before: "+reason)
+		return uncertainResponse(cause, reason+"; an earlier attempt may have been taken")
 	}
 }
