scheduler: tasks for a suspect rack wait at most for a proof

Workers of a suspect rack get starts only with a proof. Two states gave none: - an owner that makes a step every 400 ms or less often counts as stalled all the time, and a stalled owner didn't look at the racks; - after the list of workers had shrunk to one large rack, the others of the suspect rack were not polled any more.

Now a stalled owner collects proofs and judges no silence, and the racks are checked until all are trusted. Ruled out: admitting all workers of the rack while the owner is stalled, as the silent ones would get the starts, too.

False suspicions have tests with an owner whose answers are late by 40, 150 and 300 ms or unread for 1.5 s, a slow, a stalled and a cut-off one and one on a small VM, at 33 and 4 jobs a second: none in 16 histories.

watchRacks is called with the polls it leads to, which shortens core.go; an unused method of Tracker is gone.

--- a/internal/rackhealth/rackhealth.go
+++ b/internal/rackhealth/rackhealth.go
@@ -110,7 +110,17 @@
 // Observe updates the states of all racks and returns those that have become suspect or trusted.
 // answerDelay is the usual time from an order to its answer.
 func (t *Tracker) Observe(racks Racks, answerDelay time.Duration, now time.Time) []Change {
-	dueBefore := now.Add(-max(minSilence, delayFactor*answerDelay))
+	return t.observe(racks, now.Add(-max(minSilence, delayFactor*answerDelay)), now)
+}
+
+// ObserveAnswers is Observe for an observer that may have answers unread: no worker counts as silent, and
+// those that have answered get their proofs.
+func (t *Tracker) ObserveAnswers(racks Racks, now time.Time) []Change {
+	return t.observe(racks, time.Time{}, now)
+}
+
+// observe counts the workers as silent whose answers were due at or before dueBefore.
+func (t *Tracker) observe(racks Racks, dueBefore, now time.Time) []Change {
 	var total counts
 	byRack := make(map[string]counts, len(racks))
 	for name, members := range racks {
@@ -274,14 +284,3 @@
 	_, ok := r.answeringSince[id]
 	return ok
 }
-
-// Suspects returns the number of suspect racks.
-func (t *Tracker) Suspects() int {
-	n := 0
-	for _, r := range t.racks {
-		if r.state == Suspect {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -378,7 +378,6 @@
 	c.detectStall(now)
 	c.expireRuns(now)
 	c.pollOvertakenStarts(now)
-	c.watchRacks(now)
 	c.removeUnregisteredWorkers(now)
 	c.pollWorkers(now)
 	c.evictRuns(now)
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -20,6 +20,10 @@
 	// apart.
 	slowUntil      time.Time
 	lastDeliveryAt time.Time // when the latest delayed delivery is handled
+	// deliveryDelay is how late each answer is handled. Until stalledUntil the process handles none and makes
+	// no step.
+	deliveryDelay time.Duration
+	stalledUntil  time.Time
 	// links holds the faulty links to workers, by worker ID. storeUnreachable is set while this
 	// owner can't reach the store.
 	links            map[string]linkFault
@@ -37,7 +41,10 @@
 		o.processor.deliverAnswer(o, action)
 		return
 	}
-	deliverAt := w.now
+	deliverAt := w.now.Add(o.deliveryDelay)
+	if deliverAt.Before(o.stalledUntil) {
+		deliverAt = o.stalledUntil
+	}
 	if w.now.Before(o.slowUntil) {
 		deliverAt = w.now.Add(w.durationBetween(0, 1500*time.Millisecond))
 	}
@@ -266,7 +273,7 @@
 
 // step steps the core and executes the orders.
 func (o *fakeOwner) step() {
-	if o.stopped {
+	if o.stopped || o.world.now.Before(o.stalledUntil) {
 		return
 	}
 	w := o.world
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -108,6 +108,7 @@
 
 // pollWorkers orders polls of the workers that are due.
 func (c *Core) pollWorkers(now time.Time) {
+	c.watchRacks(now)
 	for _, w := range c.sortedWorkers {
 		if w.info.Address == "" || w.replaced || now.Before(w.nextPollAt) {
 			continue
--- a/internal/scheduler/racks.go
+++ b/internal/scheduler/racks.go
@@ -37,6 +37,10 @@
 // a second in a peak.
 const answerDelayWindow = 32
 
+// isWatching reports whether the racks are checked. If the list of workers shrinks while a rack is suspect,
+// they are checked until it is trusted, as its workers get no starts without a proof.
+func (r *rackWatch) isWatching() bool { return r.active || len(r.suspectSince) > 0 }
+
 // recordAnswerDelay records the time from a start to its answer.
 func (r *rackWatch) recordAnswerDelay(delay time.Duration) {
 	r.answerDelay += (delay - r.answerDelay) / answerDelayWindow
@@ -66,7 +70,7 @@
 	if r.tracker == nil {
 		r.tracker, r.suspectSince = rackhealth.New(), map[string]time.Time{}
 	}
-	if !r.active && len(r.suspectSince) == 0 || now.Before(r.lastCheckAt.Add(rackCheckInterval)) || now.Before(c.stalledUntil) {
+	if !r.isWatching() || now.Before(r.lastCheckAt.Add(rackCheckInterval)) {
 		return
 	}
 	r.lastCheckAt = now
@@ -76,7 +80,13 @@
 			members[rack] = append(members[rack], rackhealth.Member{ID: w.info.ID, LastHeardAt: w.lastHeardAt, OverdueSince: w.updateOverdue(now)})
 		}
 	}
-	for _, change := range r.tracker.Observe(members, r.answerDelay, now) {
+	var changes []rackhealth.Change
+	if now.Before(c.stalledUntil) {
+		changes = r.tracker.ObserveAnswers(members, now) // the answers of silent workers may be unread
+	} else {
+		changes = r.tracker.Observe(members, r.answerDelay, now)
+	}
+	for _, change := range changes {
 		c.applyRackChange(change, now)
 	}
 }
@@ -158,7 +168,7 @@
 // isRackProbed reports whether a worker is polled because its rack is doubtful, or suspect and the
 // worker has no proof yet.
 func (c *Core) isRackProbed(w *worker, now time.Time) bool {
-	if !c.racks.active || now.Sub(w.lastAnsweredPollSentAt) < rackProbeInterval {
+	if !c.racks.isWatching() || now.Sub(w.lastAnsweredPollSentAt) < rackProbeInterval {
 		return false
 	}
 	switch c.racks.tracker.State(w.info.Rack()) {
--- a/internal/scheduler/racks_test.go
+++ b/internal/scheduler/racks_test.go
@@ -31,6 +31,8 @@
 	holdsPerS     float64
 	periods       []time.Duration // lengths of the partitions and of the pauses between them, by turns
 	faults        faults
+	impair        func(w *world) // impairs the owner at lossStart; may be nil
+	processor     *processor     // of the owner; may be nil
 }
 
 // lossStart is when the rack is partitioned first.
@@ -46,6 +48,7 @@
 // runRackLoss runs a peak of holds in which the first rack of the service is lost.
 func runRackLoss(t *testing.T, seed uint64, l rackLoss) rackOutcome {
 	w := newWorld(seed, l.faults)
+	w.processor = l.processor
 	var rack []*fakeWorker
 	for i := range l.workers {
 		f := w.addWorker("worker-"+strconv.Itoa(1000+i), workload.Resources{CPU: 64000, MemoryMB: 256000})
@@ -56,6 +59,9 @@
 		}
 	}
 	w.takeOver()
+	if l.impair != nil {
+		w.after(lossStart, func() { l.impair(w) })
+	}
 	at := lossStart
 	for i, d := range l.periods {
 		w.after(at, func() {
@@ -159,6 +165,40 @@
 	}
 }
 
+// An owner that is late, stalls or is cut off from all workers hears of them late. No rack is to blame: a
+// suspicion would keep tasks from its workers and have VMs ordered for them.
+func TestImpairedOwnerSuspectsNoRack(t *testing.T) {
+	for name, l := range map[string]rackLoss{
+		"answers are late by 40 ms":  {impair: func(w *world) { w.owner.deliveryDelay = 40 * time.Millisecond }},
+		"answers are late by 150 ms": {impair: func(w *world) { w.owner.deliveryDelay = 150 * time.Millisecond }},
+		"answers are late by 300 ms": {impair: func(w *world) { w.owner.deliveryDelay = 300 * time.Millisecond }},
+		"a slow process":             {impair: func(w *world) { w.owner.slowUntil = w.now.Add(4 * time.Second) }},
+		"a stalled process":          {impair: func(w *world) { w.owner.stalledUntil = w.now.Add(1500 * time.Millisecond) }},
+		"a small VM":                 {processor: &processor{}},
+		"answers are unread for 1.5 s": {impair: func(w *world) {
+			w.owner.deliveryDelay = 1500 * time.Millisecond
+			w.after(1500*time.Millisecond, func() { w.owner.deliveryDelay = 0 })
+		}},
+		"cut off from all workers": {impair: func(w *world) {
+			for _, f := range w.workers {
+				f.partitioned = true
+				w.after(2*time.Second, func() { f.partitioned = false })
+			}
+		}},
+	} {
+		l.workers, l.size = 61, 20
+		for seed, holdsPerS := range []float64{33, 4} { // at 4 a second, nearly all starts are on one rack
+			l.holdsPerS = holdsPerS
+			if l.processor != nil {
+				l.processor = &processor{}
+			}
+			o := runRackLoss(t, uint64(seed), l)
+			t.Logf("%s, %.0f a second: %d suspicions, %.3f in time", name, holdsPerS, o.suspicions, o.inTime)
+			assert.Zero(t, o.suspicions, "%s, %.0f a second", name, holdsPerS)
+		}
+	}
+}
+
 // registerOnRacks registers a worker on each of the given racks and answers their first polls.
 func (r *rig) registerOnRacks(racks []int) {
 	var list []workload.Worker
@@ -279,3 +319,84 @@
 	}
 	assert.Zero(t, r.core.Counts.SuspectRacks)
 }
+
+// darkRackRig is a rig with a rack of eight workers, five of which fall silent, and another rack of four. Only
+// the three others of the first rack have the label "only".
+type darkRackRig struct {
+	*rig
+	workers []workload.Worker
+	running map[string][]workload.ListedRun // by worker
+}
+
+const silentOnDarkRack = 5
+
+// newDarkRackRig returns a rig whose first rack has just become suspect.
+func newDarkRackRig(t *testing.T) *darkRackRig {
+	r := &darkRackRig{rig: newRig(t), running: map[string][]workload.ListedRun{}}
+	for i := range 12 {
+		id, labels := "w-"+strconv.Itoa(10+i), []string{"a", "rack-" + strconv.Itoa(i/8)}
+		if i >= silentOnDarkRack && i < 8 {
+			labels = []string{"only", labels[1]}
+		}
+		r.workers = append(r.workers, workload.Worker{ID: id, Service: "service", Address: id, Labels: labels, Capacity: workload.Resources{CPU: 8000, MemoryMB: 16000}})
+	}
+	r.core.SetWorkers(r.workers, r.now)
+	r.run(100*time.Millisecond, 20*time.Millisecond, 0)
+	step := batchStep(9, 4000)
+	step.MaxPerWorker, step.RequiredLabel = 1, "a"
+	r.submit("0000000000000001", step)
+	for elapsed := time.Duration(0); r.core.Counts.SuspectRacks == 0; elapsed += 20 * time.Millisecond {
+		require.Less(t, elapsed, time.Second)
+		r.run(20*time.Millisecond, 20*time.Millisecond, silentOnDarkRack)
+	}
+	return r
+}
+
+// run steps for d, with the given time between steps, and returns the starts. All but the first silent workers
+// answer.
+func (r *darkRackRig) run(d, interval time.Duration, silent int) []scheduler.StartOrder {
+	var starts []scheduler.StartOrder
+	for until := r.now.Add(d); r.now.Before(until); {
+		ordered := r.step(interval).Starts
+		starts = append(starts, ordered...)
+		answers := map[string]bool{}
+		for _, w := range r.workers[silent:] {
+			answers[w.ID] = true
+		}
+		for _, s := range ordered {
+			if answers[s.Worker.ID] {
+				r.answerStart(s, workload.WorkerOK)
+				r.running[s.Worker.ID] = append(r.running[s.Worker.ID], workload.ListedRun{Task: s.Start.Task, Run: s.Start.Run, SpeedPercent: 100})
+			}
+		}
+		for id := range r.latestPolls {
+			if answers[id] {
+				delete(r.latestPolls, id)
+				r.answerPoll(id, r.now, workload.PollReport{Running: r.running[id]})
+			}
+		}
+	}
+	return starts
+}
+
+// Tasks that only a suspect rack can run must not wait for the rack: its workers that answer have their proof
+// soon, also if the owner makes few steps or the racks become too small to be watched.
+func TestTasksForASuspectRackStartOnItsAnsweringWorkers(t *testing.T) {
+	for name, c := range map[string]struct {
+		interval time.Duration // between steps
+		shrinks  bool          // the other rack has fewer workers than count as a failure domain
+	}{
+		"as ever":                 {interval: 20 * time.Millisecond},
+		"an owner that stalls":    {interval: 450 * time.Millisecond},
+		"the other rack is small": {interval: 20 * time.Millisecond, shrinks: true},
+	} {
+		r := newDarkRackRig(t)
+		if c.shrinks {
+			r.core.SetWorkers(r.workers[:11], r.now)
+		}
+		step := batchStep(3, 4000)
+		step.RequiredLabel = "only"
+		r.submit("0000000000000002", step)
+		assert.Len(t, r.run(2*time.Second, c.interval, silentOnDarkRack), 3, name)
+	}
+}
