rackhealth: suspect a rack only if workers elsewhere answer new orders

At a low rate of jobs nearly all starts can be on one rack. A false suspicion keeps tasks from the rack's workers and may have VMs ordered for them.

Now eight workers of trusted racks are polled during a doubt, and two workers elsewhere must have answered something that was sent after the first silence. Silence from before a time at which several racks were silent shows nothing. Racks that are suspect already don't count as silent elsewhere, so a second dark rack is found, too.

Ruled out: a longer doubt, which delays each true suspicion, and polling all workers elsewhere, 60 to 80 polls a doubt. Each of the three tests in rackhealth fails without its part of the change.

--- a/internal/rackhealth/rackhealth.go
+++ b/internal/rackhealth/rackhealth.go
@@ -33,6 +33,9 @@
 	// maxSilentElsewhere is the share of silent workers on other racks above which the cause is not
 	// the rack: the observer may be slow, or cut off itself.
 	maxSilentElsewhere = 0.25
+	// minWitnesses is the number of workers on other racks that must have answered what was sent after the
+	// first silence. Answers to earlier orders show nothing on an observer that has become late or is cut off.
+	minWitnesses = 2
 	// minDoubtTime is how long a rack is doubtful before it may become suspect, so that its other
 	// workers can answer.
 	minDoubtTime = 60 * time.Millisecond
@@ -64,6 +67,7 @@
 type Member struct {
 	ID          string
 	LastHeardAt time.Time // of its latest answer, zero if there was none
+	AnsweredAsk time.Time // when the latest of its answered orders and polls was sent
 	// OverdueSince is since when an answer has been due, zero if none is due or the worker has been
 	// heard since.
 	OverdueSince time.Time
@@ -85,6 +89,9 @@
 // Tracker holds the states of racks. It is not safe for concurrent use.
 type Tracker struct {
 	racks map[string]*rack
+	// unreliableAt is when several racks were silent last. Silence that began before shows nothing of a rack:
+	// after a partition of the observer, some workers are asked again earlier than others.
+	unreliableAt time.Time
 }
 
 type rack struct {
@@ -104,8 +111,13 @@
 type Racks map[string][]Member
 
 // counts are the members of a rack by what is known of them. together are the silent ones that fell
-// silent within commonCauseWindow of the last of them.
-type counts struct{ members, silent, together, heard int }
+// silent within commonCauseWindow of the last of them, the first at firstSilence.
+type counts struct {
+	members, silent, together, heard int
+	firstSilence                     time.Time
+	// witnesses are members of other racks that answered what was sent after firstSilence.
+	witnesses int
+}
 
 // Observe updates the states of all racks and returns those that have become suspect or trusted.
 // answerDelay is the usual time from an order to its answer.
@@ -122,16 +134,29 @@
 // observe counts the workers as silent whose answers were due at or before dueBefore.
 func (t *Tracker) observe(racks Racks, dueBefore, now time.Time) []Change {
 	var total counts
+	silentRacks := 0
 	byRack := make(map[string]counts, len(racks))
 	for name, members := range racks {
 		n := countMembers(members, dueBefore, now)
 		byRack[name] = n
+		if t.State(name) == Suspect {
+			continue // its silence is explained
+		}
 		total.silent += n.silent
 		total.heard += n.heard
+		if n.members >= minMembers && n.isMostlySilent(minDoubtful) {
+			silentRacks++
+		}
+	}
+	if silentRacks > 1 {
+		t.unreliableAt = now
 	}
 	var changes []Change
 	for _, name := range slices.Sorted(maps.Keys(racks)) {
 		n, members := byRack[name], racks[name]
+		if n.silent >= minDoubtful {
+			n.witnesses = countWitnesses(racks, name, n.firstSilence)
+		}
 		elsewhere := counts{silent: total.silent - n.silent, heard: total.heard - n.heard}
 		if change, ok := t.observeRack(name, members, n, elsewhere, dueBefore, now); ok {
 			changes = append(changes, change)
@@ -172,6 +197,7 @@
 			}
 		}
 	}
+	n.firstSilence = first
 	heardFrom := now.Add(-commonCauseWindow)
 	if n.silent > 0 && first.After(heardFrom) {
 		heardFrom = first
@@ -184,13 +210,32 @@
 	return n
 }
 
+// countWitnesses counts the members of other racks that answered what was sent after since.
+func countWitnesses(racks Racks, except string, since time.Time) int {
+	n := 0
+	for name, members := range racks {
+		if name == except {
+			continue
+		}
+		for _, m := range members {
+			if m.AnsweredAsk.After(since) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// isMostlySilent reports whether least members or more fell silent together and most of those that were asked
+// lately are silent.
+func (n counts) isMostlySilent(least int) bool {
+	return n.together >= least && float64(n.silent) >= minSilentShare*float64(n.silent+n.heard)
+}
+
 // hasCommonSilence reports whether least members or more fell silent together and most of those that
 // were asked lately are silent, while most workers elsewhere answer.
 func hasCommonSilence(n, elsewhere counts, least int) bool {
-	if n.together < least || float64(n.silent) < minSilentShare*float64(n.silent+n.heard) {
-		return false
-	}
-	return elsewhere.heard > 0 && float64(elsewhere.silent) <= maxSilentElsewhere*float64(elsewhere.silent+elsewhere.heard)
+	return n.isMostlySilent(least) && elsewhere.heard > 0 && float64(elsewhere.silent) <= maxSilentElsewhere*float64(elsewhere.silent+elsewhere.heard)
 }
 
 func (t *Tracker) observeRack(name string, members []Member, n, elsewhere counts, dueBefore, now time.Time) (Change, bool) {
@@ -209,7 +254,7 @@
 		}
 	case Doubtful:
 		switch {
-		case hasCommonSilence(n, elsewhere, minSuspect) && now.Sub(r.since) >= minDoubtTime:
+		case hasCommonSilence(n, elsewhere, minSuspect) && n.witnesses >= minWitnesses && n.firstSilence.After(t.unreliableAt) && now.Sub(r.since) >= minDoubtTime:
 			r.suspect(now)
 			return Change{Rack: name, State: Suspect, Silent: n.silent, Members: n.members}, true
 		case hasCommonSilence(n, elsewhere, minDoubtful):
@@ -268,6 +313,16 @@
 	return Trusted
 }
 
+// HasDoubt reports whether a rack is doubtful, so that workers of other racks should be asked, too.
+func (t *Tracker) HasDoubt() bool {
+	for _, r := range t.racks {
+		if r.state == Doubtful {
+			return true
+		}
+	}
+	return false
+}
+
 // Admits reports whether a worker of a rack may get work.
 func (t *Tracker) Admits(name, id string, now time.Time) bool {
 	r := t.racks[name]
--- a/internal/rackhealth/rackhealth_test.go
+++ b/internal/rackhealth/rackhealth_test.go
@@ -21,7 +21,9 @@
 	silentSince map[string]time.Time
 	size        int
 	answerDelay time.Duration
-	changes     []rackhealth.Change
+	// If onlyAnsweredAsk is set, all answers are to what was sent then.
+	onlyAnsweredAsk time.Time
+	changes         []rackhealth.Change
 }
 
 func newSite(size int) *site {
@@ -39,9 +41,13 @@
 		racks := rackhealth.Racks{}
 		for _, rack := range []string{"a", "b", "c"} {
 			for i := range s.size {
-				m := rackhealth.Member{ID: rack + strconv.Itoa(i), LastHeardAt: s.now}
+				m := rackhealth.Member{ID: rack + strconv.Itoa(i), LastHeardAt: s.now, AnsweredAsk: s.now.Add(-s.answerDelay)}
+				if !s.onlyAnsweredAsk.IsZero() {
+					m.AnsweredAsk = s.onlyAnsweredAsk
+				}
 				if i < s.silent[rack] {
 					m.LastHeardAt, m.OverdueSince = s.silentSince[rack], s.silentSince[rack].Add(time.Millisecond)
+					m.AnsweredAsk = m.LastHeardAt
 				}
 				racks[rack] = append(racks[rack], m)
 			}
@@ -148,3 +154,45 @@
 	assert.Equal(t, rackhealth.Trusted, s.tracker.State("a"))
 	assert.Len(t, s.changes, 2)
 }
+
+// Two racks go dark one after the other. The silence of the first must not hide that of the second.
+func TestSecondDarkRackIsSuspectedToo(t *testing.T) {
+	s := newSite(20)
+	s.run(time.Second)
+	s.lose("a", 20)
+	s.run(time.Second)
+	s.lose("b", 20)
+	s.run(200 * time.Millisecond)
+	assert.Equal(t, rackhealth.Suspect, s.tracker.State("a"))
+	assert.Equal(t, rackhealth.Suspect, s.tracker.State("b"))
+}
+
+// An observer is cut off and hears of the racks one after the other when it is back. The last of them must not
+// become suspect for its silence from before.
+func TestRackThatIsHeardLastAfterAPartitionIsNotSuspected(t *testing.T) {
+	s := newSite(20)
+	s.run(time.Second)
+	for _, rack := range []string{"a", "b", "c"} {
+		s.lose(rack, 20)
+	}
+	s.run(2 * time.Second)
+	for _, rack := range []string{"a", "b", "c"} {
+		s.lose(rack, 0)
+		s.run(300 * time.Millisecond)
+	}
+	assert.Empty(t, s.changes)
+}
+
+// An observer becomes late while only one rack is asked. Answers from elsewhere to earlier orders are no reason to
+// suspect that rack.
+func TestSilenceWithoutNewAnswersElsewhereMakesNoRackSuspect(t *testing.T) {
+	s := newSite(20)
+	s.run(time.Second)
+	s.onlyAnsweredAsk = s.now
+	s.lose("a", 20)
+	s.run(time.Second)
+	assert.Empty(t, s.changes)
+	s.onlyAnsweredAsk = time.Time{}
+	s.run(100 * time.Millisecond)
+	assert.Equal(t, rackhealth.Suspect, s.tracker.State("a"))
+}
--- a/internal/scheduler/orderresult.go
+++ b/internal/scheduler/orderresult.go
@@ -61,6 +61,7 @@
 	case workload.WorkerOK:
 		c.Counts.StartedRuns++
 		c.racks.recordAnswerDelay(now.Sub(r.orderedAt))
+		r.worker.recordHeard(r.orderedAt, now)
 		r.startConfirmed = true
 		if r.state != runStopping {
 			r.state = runRunning
--- a/internal/scheduler/pollresult.go
+++ b/internal/scheduler/pollresult.go
@@ -32,7 +32,7 @@
 		return
 	}
 	if isFromWorker(r.Answer.Status) {
-		w.lastHeardAt = now
+		w.recordHeard(r.SentAt, now)
 	}
 	// A report is stale if a poll that was sent later has already been answered: runs that it
 	// lists may have ended, and its exits will be reported again. The report of a poll that was
--- a/internal/scheduler/racks.go
+++ b/internal/scheduler/racks.go
@@ -16,6 +16,8 @@
 	// rackProbeTimeout is how long a suspect rack's workers may leave the first such poll unanswered
 	// before they are reported as unusable, so that the pool gets other VMs.
 	rackProbeTimeout = 150 * time.Millisecond
+	// maxWitnesses is how many workers of other racks are polled during a doubt.
+	maxWitnesses = 8
 	// minRackWorkers is the number of workers of one service from which a rack counts as a failure
 	// domain.
 	minRackWorkers = 4
@@ -29,6 +31,8 @@
 	lastCheckAt time.Time
 	// answerDelay is the moving average of the time from a start to its answer.
 	answerDelay time.Duration
+	// witnesses are workers of trusted racks that are polled while another rack is doubtful, by ID.
+	witnesses map[string]bool
 	// suspectSince is when a rack became suspect, by the rack's name. It has no entry for others.
 	suspectSince map[string]time.Time
 }
@@ -77,7 +81,7 @@
 	members := rackhealth.Racks{}
 	for _, w := range c.sortedWorkers {
 		if rack := w.info.Rack(); rack != "" && w.showsRackHealth() {
-			members[rack] = append(members[rack], rackhealth.Member{ID: w.info.ID, LastHeardAt: w.lastHeardAt, OverdueSince: w.updateOverdue(now)})
+			members[rack] = append(members[rack], rackhealth.Member{ID: w.info.ID, LastHeardAt: w.lastHeardAt, AnsweredAsk: w.answeredAsk, OverdueSince: w.updateOverdue(now)})
 		}
 	}
 	var changes []rackhealth.Change
@@ -89,6 +93,27 @@
 	for _, change := range changes {
 		c.applyRackChange(change, now)
 	}
+	c.chooseWitnesses()
+}
+
+// chooseWitnesses chooses workers of trusted racks that are polled while another rack is doubtful: if they
+// don't answer either, that rack is not to blame.
+func (c *Core) chooseWitnesses() {
+	r := &c.racks
+	r.witnesses = nil
+	if !r.tracker.HasDoubt() {
+		return
+	}
+	r.witnesses = map[string]bool{}
+	for _, w := range c.sortedWorkers {
+		rack := w.info.Rack()
+		if rack != "" && w.synced && !w.unreachable && w.showsRackHealth() && r.tracker.State(rack) == rackhealth.Trusted {
+			r.witnesses[w.info.ID] = true
+		}
+		if len(r.witnesses) == maxWitnesses {
+			return
+		}
+	}
 }
 
 func (c *Core) applyRackChange(change rackhealth.Change, now time.Time) {
@@ -129,6 +154,14 @@
 	return !w.lastHeardAt.IsZero() && !w.info.Leaving && !w.replaced && w.drainUntil.IsZero() && !w.drainEndedAt.After(w.lastHeardAt)
 }
 
+// recordHeard records that the worker has answered what was sent at sentAt.
+func (w *worker) recordHeard(sentAt, now time.Time) {
+	w.lastHeardAt = now
+	if sentAt.After(w.answeredAsk) {
+		w.answeredAsk = sentAt
+	}
+}
+
 // isFromWorker reports whether an outcome shows that the worker's own process has answered.
 func isFromWorker(s workload.WorkerStatus) bool {
 	switch s {
@@ -165,12 +198,15 @@
 	return since
 }
 
-// isRackProbed reports whether a worker is polled because its rack is doubtful, or suspect and the
-// worker has no proof yet.
+// isRackProbed reports whether a worker is polled because its rack is doubtful, because another is and it is a
+// witness, or because its rack is suspect and it has no proof yet.
 func (c *Core) isRackProbed(w *worker, now time.Time) bool {
 	if !c.racks.isWatching() || now.Sub(w.lastAnsweredPollSentAt) < rackProbeInterval {
 		return false
 	}
+	if c.racks.witnesses[w.info.ID] {
+		return true
+	}
 	switch c.racks.tracker.State(w.info.Rack()) {
 	case rackhealth.Doubtful:
 		return true
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -141,6 +141,8 @@
 	extraPollsInFlight int
 	// lastHeardAt is when the worker answered last, an order or a poll.
 	lastHeardAt time.Time
+	// answeredAsk is when the latest of its answered orders and polls was sent.
+	answeredAsk time.Time
 	// overdueSince is since when an answer has been due, zero if none was at the last check of the racks.
 	overdueSince time.Time
 	// lastAnsweredPollSentAt is when the latest poll that got an answer was sent.
