scheduler: tasks of a step are not drawn to one rack

The draw changed where each task starts on every fleet with two racks of four workers of one service, whether or not a rack is ever lost.

Ruled out: to keep it for fleets that have lost a rack before, as a rack that is lost once is lost before the draw begins; and a setting, which nobody has asked for. Long-running tasks with a MaxUnavailable and speculative copies are still spread over racks, by score.

--- a/internal/scheduler/racks.go
+++ b/internal/scheduler/racks.go
@@ -227,16 +227,9 @@
 	return suspect && now.Sub(since) >= rackProbeTimeout && !c.racks.tracker.Answers(w.info.Rack(), w.info.ID)
 }
 
-// Weights of a worker's score for its rack.
-const (
-	// sameRackWeight draws a step's tasks to one rack, so that a lost rack takes the tasks of few jobs:
-	// a job needs all of them. It is small beside utilization, which leaves more workers idle, and so
-	// free to be moved to another pool.
-	sameRackWeight = 0.3
-	// sharedRackPenalty keeps tasks apart that replace each other: long-running tasks of a step with a
-	// MaxUnavailable and speculative copies. For one task it outweighs colocationWeight and utilization.
-	sharedRackPenalty = 2.2
-)
+// sharedRackPenalty keeps tasks apart that replace each other: long-running tasks of a step with a
+// MaxUnavailable and speculative copies. For one task it outweighs colocationWeight and utilization.
+const sharedRackPenalty = 2.2
 
 // rackScore returns the part of a worker's score that its rack makes up.
 func (s *step) rackScore(w *worker, t *task) float64 {
@@ -244,18 +237,10 @@
 	switch {
 	case rack == "":
 		return 0
-	case s.spec.LongRunning:
-		if s.spec.MaxUnavailable == 0 {
-			return 0
-		}
+	case s.spec.LongRunning && s.spec.MaxUnavailable > 0:
 		return -sharedRackPenalty * float64(s.liveRunsByRack[rack])
-	case len(t.runs) > 0:
-		if t.runs[0].rack == rack {
-			return -sharedRackPenalty
-		}
-		return 0
-	case s.liveRunsByRack[rack] > 0:
-		return sameRackWeight
+	case !s.spec.LongRunning && len(t.runs) > 0 && t.runs[0].rack == rack:
+		return -sharedRackPenalty
 	}
 	return 0
 }
