--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -151,6 +151,8 @@
 	settledCapsUnstored bool // the next owner would have to wait for all others
 	pendingLoanReplies  []pendingLoanReply
 
+	racks rackWatch
+
 	// planStale is set when something has changed that a plan depends on.
 	planStale bool
 	// Until stalledUntil this process counts as stalled, after a long pause between steps.
@@ -346,6 +348,7 @@
 		}
 		c.resolveProcessExit(w, now)
 	}
+	c.updateRacks()
 	c.planStale = true
 }
 
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -108,11 +108,15 @@
 
 // pollWorkers orders polls of the workers that are due.
 func (c *Core) pollWorkers(now time.Time) {
+	c.watchRacks(now)
 	for _, w := range c.sortedWorkers {
 		if w.info.Address == "" || w.replaced || now.Before(w.nextPollAt) {
 			continue
 		}
 		if w.pollInFlight {
+			if c.isRackProbed(w, now) && w.extraPollsInFlight == 0 {
+				w.pollAnswerDueAt = now // the poll in flight may wait long for an exit
+			}
 			c.sendExtraPoll(w, now)
 			continue
 		}
@@ -120,7 +124,7 @@
 		// has no runs and no exits.
 		mayHaveRuns := len(w.runs) > 0 || now.Before(w.lateStartUntil)
 		needed := !w.synced || w.unreachable || mayHaveRuns || w.lastExitSeen > w.ackAllowed || w.hasPendingAck() || w.entryMismatch ||
-			w.isDrainingAndIdle(now) && now.Sub(w.lastAnsweredPollSentAt) >= drainedPollInterval || now.Sub(w.clockReadAt) >= maxClockAge
+			w.isDrainingAndIdle(now) && now.Sub(w.lastAnsweredPollSentAt) >= drainedPollInterval || now.Sub(w.clockReadAt) >= maxClockAge || c.isRackProbed(w, now)
 		if !needed {
 			continue
 		}
@@ -141,6 +145,7 @@
 		poll.ShortTimeout = w.unreachable && w.synced
 		w.pollInFlight = true
 		w.pollAnswerDueAt = now.Add(poll.MaxWait + pollAnswerSlack)
+		w.firstPollDueAt = now.Add(poll.MaxWait)
 		c.orders.Polls = append(c.orders.Polls, PollOrder{Worker: w.info, Poll: poll})
 	}
 }
