front: requests are held through a short outage of the store

While no node can store a request its caller was refused after 250 ms and told to return after 1 s. A caller returns within the time that it has in total, so those that come shortly before the store's return lose up to 1 s of it, and some all of it.

Ruled out: storing later what was promised before; holding until the caller's deadline, which keeps a caller from other nodes and is no answer.

The time to return grows with the outage's age. Nodes remember when a job was first handed in and tell the node of the partition's owner, so that the job is ranked by its true age.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -59,6 +59,11 @@
 	Owners  Owners
 	Logger  hclog.Logger
 	Metrics *Metrics
+	Holder  *Holder
+	// StoreSilence returns the time since the store last answered this node.
+	StoreSilence func() time.Duration
+	// StartedAt is when the process started.
+	StartedAt time.Time
 	// IsStopping reports whether the process is stopping. Connections are then closed after
 	// their response, so that callers go to other nodes.
 	IsStopping func() bool
@@ -75,6 +80,9 @@
 	// workspace is the workspace whose key the request carries, "" for a request to a public queue
 	// and in a deployment without workspaces.
 	workspace string
+	// timeout is how long the caller waits for the response.
+	timeout time.Duration
+	heldFor time.Duration
 }
 
 // requester returns who sent the request.
@@ -86,6 +94,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := &request{http: r, startedAt: time.Now()}
 	res := h.handle(req)
+	if res.cause != 0 {
+		res.retryAfter = h.returnTime(res.cause)
+	}
 	h.logRequest(req, res)
 	h.Metrics.observe(r.Method, res.status, time.Since(req.startedAt))
 	header := w.Header()
@@ -120,8 +131,8 @@
 		return res
 	}
 	req.pathSuffix = strings.TrimPrefix(req.http.URL.Path, req.queue.PathPrefix)
-	timeout := platform.CallerTimeout(req.http, defaultCallerTimeout)
-	ctx, cancel := context.WithTimeout(req.http.Context(), max(responseMargin, timeout-responseMargin))
+	req.timeout = platform.CallerTimeout(req.http, defaultCallerTimeout)
+	ctx, cancel := context.WithTimeout(req.http.Context(), max(responseMargin, req.timeout-responseMargin))
 	defer cancel()
 	if req.pathSuffix == "" {
 		return h.queueLength(ctx, req)
@@ -210,6 +221,12 @@
 	if req.workspace != "" {
 		args = append(args, "workspace", req.workspace)
 	}
+	if req.heldFor > 0 {
+		args = append(args, "held_ms", req.heldFor.Milliseconds())
+	}
+	if res.retryAfter > 0 {
+		args = append(args, "retry_after_s", wholeSeconds(res.retryAfter))
+	}
 	if res.reason != "" {
 		args = append(args, "reason", res.reason)
 	}
--- a/internal/front/handler_test.go
+++ b/internal/front/handler_test.go
@@ -45,6 +45,11 @@
 
 func (f *fakeJobs) WaitingJobs(context.Context, string, string) (int, bool) { return 3, f.ownerAnswers }
 
+// noAttempts implements FirstAttempts and knows none.
+type noAttempts struct{}
+
+func (noAttempts) FirstAttemptAt(_ workload.JobID, at time.Time) time.Time { return at }
+
 func testConfig(t *testing.T, keys map[string]string) *workload.Config {
 	c := &workload.Config{
 		Version: 1,
@@ -73,12 +78,15 @@
 	r := &frontRig{t: t, jobs: &fakeJobs{ownerAnswers: true}, log: &strings.Builder{}}
 	r.config = testConfig(t, map[string]string{"ward": "ward-key", "clinic": "clinic-key"})
 	r.handler = &Handler{
-		Config:     func() *workload.Config { return r.config },
-		Jobs:       r.jobs,
-		Owners:     r.jobs,
-		Logger:     hclog.New(&hclog.LoggerOptions{Output: r.log, Level: hclog.Debug}),
-		Metrics:    NewMetrics(prometheus.NewRegistry()),
-		IsStopping: func() bool { return false },
+		Config:       func() *workload.Config { return r.config },
+		Jobs:         r.jobs,
+		Owners:       r.jobs,
+		Logger:       hclog.New(&hclog.LoggerOptions{Output: r.log, Level: hclog.Debug}),
+		Metrics:      NewMetrics(prometheus.NewRegistry()),
+		IsStopping:   func() bool { return false },
+		Holder:       NewHolder(noAttempts{}, prometheus.NewRegistry(), hclog.NewNullLogger()),
+		StoreSilence: func() time.Duration { return 0 },
+		StartedAt:    time.Now(),
 	}
 	return r
 }
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -5,11 +5,14 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/yuccadrift/yuccadrift/internal/returntime"
 )
 
 // Metrics are the metrics of callers' requests.
 type Metrics struct {
 	requests *prometheus.HistogramVec
+	returns  *prometheus.HistogramVec
 }
 
 // NewMetrics registers the metrics.
@@ -19,10 +22,39 @@
 		Help:    "Time from a caller's request to its answer, in seconds, by method and status.",
 		Buckets: []float64{0.003, 0.01, 0.03, 0.1, 0.3, 1, 3},
 	}, []string{"method", "status"})}
-	r.MustRegister(m.requests)
+	m.returns = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "yuccadrift_front_return_seconds",
+		Help:    "After how long refused callers were told to return, in seconds, by the cause of the refusal.",
+		Buckets: []float64{1, 2, 3, 4},
+	}, []string{"cause"})
+	r.MustRegister(m.requests, m.returns)
 	return m
 }
 
+func (m *Metrics) observeReturn(cause returntime.Cause, delay time.Duration) {
+	m.returns.WithLabelValues(cause.String()).Observe(delay.Seconds())
+}
+
+// holdMetrics are the metrics of held requests.
+type holdMetrics struct{ held *prometheus.HistogramVec }
+
+func newHoldMetrics(r prometheus.Registerer, h *Holder) *holdMetrics {
+	m := &holdMetrics{held: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "yuccadrift_front_held_seconds",
+		Help:    "How long requests were held until they were stored or their callers were refused, in seconds, by result.",
+		Buckets: []float64{0.1, 0.3, 1, 3},
+	}, []string{"result"})}
+	r.MustRegister(m.held, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "yuccadrift_front_held_requests",
+		Help: "Requests that are held until they can be stored.",
+	}, func() float64 { return float64(h.count()) }))
+	return m
+}
+
+func (m *holdMetrics) observe(result holdResult, took time.Duration) {
+	m.held.WithLabelValues(string(result)).Observe(took.Seconds())
+}
+
 func (m *Metrics) observe(method string, status int, took time.Duration) {
 	switch method {
 	case "GET", "POST", "DELETE":
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -12,9 +12,10 @@
 type response struct {
 	status        int
 	body          []byte
-	reason        string        // for the log
-	retryAfter    time.Duration // 0 if the request should not be sent again
-	challengesKey bool          // the request needs a valid key
+	reason        string           // for the log
+	retryAfter    time.Duration    // 0 if the request should not be sent again
+	cause         returntime.Cause // of a refusal, 0 otherwise
+	challengesKey bool             // the request needs a valid key
 }
 
 // errorBody is the body of an error response.
@@ -33,7 +34,7 @@
 // retryableResponse returns a refusal that tells the caller when to send its request again.
 func retryableResponse(cause returntime.Cause, reason string) response {
 	res := errorResponse(http.StatusServiceUnavailable, reason)
-	res.retryAfter = returntime.After(returntime.Refusal{Cause: cause})
+	res.cause = cause
 	return res
 }
 
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -9,20 +9,12 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/returntime"
-	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
-// Timeouts and sizes of submissions and cancellations.
-const (
-	// storeRetryInterval is the pause before a refused record is tried again.
-	storeRetryInterval = 60 * time.Millisecond
-	// maxRefusalRetryTime is how long a refused record is retried. A caller that is refused
-	// early can try elsewhere.
-	maxRefusalRetryTime = 250 * time.Millisecond
-	defaultMaxBodyBytes = 256 << 10 // if the configuration sets no limit
-)
+// defaultMaxBodyBytes applies if the configuration sets no limit.
+const defaultMaxBodyBytes = 256 << 10
 
 func (h *Handler) submit(ctx context.Context, req *request, id workload.JobID, config *workload.Config) response {
 	maxBodyBytes := config.Limits.MaxBodyBytes
@@ -72,21 +64,25 @@
 }
 
 // storeRecord stores a record before the caller gets a response. If the record is certainly
-// not stored the response is a refusal, after which the caller can try elsewhere. If it may
-// still be stored the response is a gateway timeout: after a refusal the job could run
+// not stored it is held and tried again for a part of the time that the caller waits. The response
+// is then a refusal, after which the caller can try elsewhere. If it may still be stored the response is a gateway timeout: after a refusal the job could run
 // although its caller was told that it won't. h.Jobs.Accept retries an unknown outcome as
 // long as the caller waits.
 func (h *Handler) storeRecord(ctx context.Context, req *request, r workload.Record) response {
+	held := h.mayHold(req, r.Job)
+	defer func() { req.heldFor = held.leave() }()
 	for {
 		status, err := h.Jobs.Accept(ctx, req.queue.Service, r)
 		switch status {
 		case platform.StoreOK:
+			held.stored()
 			return response{status: http.StatusOK, body: []byte("{}")}
 		case platform.StoreRefused:
-			if time.Since(req.startedAt) > maxRefusalRetryTime || wait.Sleep(ctx, storeRetryInterval) != nil {
+			if !held.awaitTurn(ctx) {
 				return h.refuse(ctx, req, r.Job, returntime.StoreUnavailable, "the store is away, the request was not taken: "+err.Error())
 			}
 		case platform.StoreUnknown:
+			held.unknown()
 			return errorResponse(http.StatusGatewayTimeout, "the store did not answer, the request may have been taken: "+err.Error())
 		default:
 			return errorResponse(http.StatusInternalServerError, "store: "+err.Error())
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/yuccadrift/yuccadrift/internal/heldqueue"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -52,6 +53,8 @@
 	// submit 200 jobs a second at peak load: even a node that gets them all stays below the
 	// bound unless a relay takes over a second.
 	maxRelaysInFlight = 256
+	// maxNotesInFlight bounds the concurrent messages on attempts.
+	maxNotesInFlight = 16
 	// maxRoutesPerAttempt bounds the other nodes that are tried in one attempt. The store may
 	// reject a third of the nodes at the same time: one caller in a hundred then finds four
 	// such nodes. They are backed off, and the next attempt tries others.
@@ -96,6 +99,8 @@
 	// Store asks a node to store a record through its own connection to the store. If the
 	// request was certainly not sent, Store returns StoreRefused and an error.
 	Store(ctx context.Context, address string, q StoreRequest) (StoreResponse, error)
+	// NoteAttempt tells a node that a job was handed in a time ago and not stored.
+	NoteAttempt(ctx context.Context, address string, id workload.JobID, age time.Duration) error
 }
 
 // Router stores records. It is safe for concurrent use.
@@ -104,14 +109,16 @@
 	peers      Peers
 	logger     hclog.Logger
 	relaySlots chan struct{}
+	noteSlots  chan struct{}
 
 	mu             sync.Mutex
 	backedOffUntil map[string]time.Time // by address
+	attempts       *heldqueue.Attempts
 }
 
 // New returns a router.
 func New(local LocalStore, peers Peers, logger hclog.Logger) *Router {
-	return &Router{local: local, peers: peers, logger: logger, relaySlots: make(chan struct{}, maxRelaysInFlight), backedOffUntil: map[string]time.Time{}}
+	return &Router{local: local, peers: peers, logger: logger, relaySlots: make(chan struct{}, maxRelaysInFlight), noteSlots: make(chan struct{}, maxNotesInFlight), backedOffUntil: map[string]time.Time{}, attempts: heldqueue.NewAttempts()}
 }
 
 // outcome is the result of storing a record over one or more routes.
@@ -129,6 +136,7 @@
 // certainly is not and will not be stored. If the outcome is unknown, Accept stores the
 // record again until the outcome is known or ctx ends; it then returns StoreUnknown.
 func (r *Router) Accept(ctx context.Context, partition int, record workload.Record) (platform.StoreStatus, error) {
+	record = r.withFirstAttempt(record)
 	mayBeStored := false
 	for {
 		res := r.tryRoutes(ctx, partition, record)
@@ -136,6 +144,7 @@
 		case res.status != platform.StoreRefused && res.status != platform.StoreUnknown:
 			return res.status, res.err
 		case res.status == platform.StoreRefused && !mayBeStored:
+			r.rememberAttempt(partition, record)
 			return res.status, res.err
 		}
 		mayBeStored = true
@@ -305,7 +314,7 @@
 	}
 	pendingTimer := time.NewTimer(min(max(0, q.PendingAfter), slowRelayPendingAfter))
 	defer pendingTimer.Stop()
-	status, pending, err := r.local.Store(ctx, q.Partition, q.Record, pendingTimer.C)
+	status, pending, err := r.local.Store(ctx, q.Partition, r.withFirstAttempt(q.Record), pendingTimer.C)
 	response := StoreResponse{Status: status, Pending: pending}
 	if err != nil {
 		response.Reason = err.Error()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -121,6 +121,15 @@
 
 func (v peerView) Self() string { return v.self }
 
+func (v peerView) NoteAttempt(_ context.Context, address string, id workload.JobID, age time.Duration) error {
+	for i, n := range v.cluster.nodes {
+		if address == fmt.Sprint("node-", i) {
+			n.router.ServeAttempt(id, age)
+		}
+	}
+	return nil
+}
+
 func (v peerView) OtherOwners() []string {
 	var others []string
 	for i := range v.cluster.nodes {
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -82,6 +82,11 @@
 	return intake.StoreResponse{Status: s.Status, Pending: s.Pending, Unavailable: s.Unavailable, Reason: s.Reason}, nil
 }
 
+func (p storePeers) NoteAttempt(ctx context.Context, address string, id workload.JobID, age time.Duration) error {
+	_, err := p.owners.clients.Call(ctx, address, nodepeer.MethodAttempt, nodepeer.Request{Job: id, AgeMS: age.Milliseconds()})
+	return err
+}
+
 // Accept stores a record of a caller's request in the partition of its service.
 func (n *Node) Accept(ctx context.Context, service string, r workload.Record) (platform.StoreStatus, error) {
 	return n.intake.Accept(ctx, n.owners.partitionOf(service), r)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -203,13 +203,18 @@
 		return err
 	}
 	n.front = front.NewServer(callers, ready, n.checkReady, n.logger.Named("front"))
+	holder := front.NewHolder(n.intake, metrics, n.logger.Named("front"))
+	n.storeHealth.notifyOfReturn(holder.StoreAnswers)
 	n.front.SetHandler(&front.Handler{
-		Config:     n.published.Config,
-		Jobs:       n,
-		Owners:     n.owners,
-		Logger:     n.logger.Named("front"),
-		Metrics:    front.NewMetrics(metrics),
-		IsStopping: n.front.IsStopping,
+		Config:       n.published.Config,
+		Jobs:         n,
+		Owners:       n.owners,
+		Logger:       n.logger.Named("front"),
+		Metrics:      front.NewMetrics(metrics),
+		Holder:       holder,
+		StoreSilence: n.storeHealth.sinceLastAnswer,
+		StartedAt:    time.Now(),
+		IsStopping:   n.front.IsStopping,
 	})
 	n.admin = admin.New(admin.Config{Listener: metricsListener, Registry: metrics, Readiness: admin.NewReadiness(), Profiles: true, Logger: n.logger.Named("admin")})
 	return nil
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -69,6 +69,12 @@
 	return nodepeer.Response{StoreResult: &nodepeer.StoreResult{Status: response.Status, Pending: response.Pending, Unavailable: response.Unavailable, Reason: response.Reason}}, nil
 }
 
+// ServeAttempt serves MethodAttempt.
+func (p peerHandler) ServeAttempt(_ context.Context, req nodepeer.Request) (nodepeer.Response, error) {
+	p.intake.ServeAttempt(req.Job, time.Duration(req.AgeMS)*time.Millisecond)
+	return nodepeer.Response{}, nil
+}
+
 // ServeWaiting serves MethodWaiting.
 func (p peerHandler) ServeWaiting(ctx context.Context, req nodepeer.Request) (nodepeer.Response, error) {
 	return p.ownerDirectory.localWaitingJobs(ctx, req)
--- a/internal/node/storehealth.go
+++ b/internal/node/storehealth.go
@@ -26,10 +26,27 @@
 	mu           sync.Mutex
 	lastAnswerAt time.Time
 	isLost       bool
+	// onReturn is called when the store answers after a silence of more than failFastAfter.
+	onReturn func()
+}
+
+// notifyOfReturn sets the function that is called when the store answers after a silence of more than
+// failFastAfter.
+func (h *storeHealth) notifyOfReturn(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.onReturn = f
 }
 
 // record records whether a call to the store was answered.
 func (h *storeHealth) record(call platform.StoreCall) {
+	if onReturn := h.update(call); onReturn != nil {
+		onReturn()
+	}
+}
+
+// update applies a call and returns what is to be called then, nil for nothing.
+func (h *storeHealth) update(call platform.StoreCall) (onReturn func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
@@ -37,14 +54,18 @@
 		if h.isLost {
 			h.logger.Info("store answers again", "away_ms", now.Sub(h.lastAnswerAt).Milliseconds())
 		}
+		if now.Sub(h.lastAnswerAt) > failFastAfter {
+			onReturn = h.onReturn
+		}
 		h.lastAnswerAt = now
 		h.isLost = false
-		return
+		return onReturn
 	}
 	if !h.isLost && now.Sub(h.lastAnswerAt) > storeLostAfter {
 		h.isLost = true
 		h.logger.Warn("store does not answer", "since_ms", now.Sub(h.lastAnswerAt).Milliseconds())
 	}
+	return nil
 }
 
 // sinceLastAnswer returns the time since the store's last answer.
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -56,6 +56,8 @@
 	// ConfigVersion is the version of the requesting node's configuration, 0 if it has none.
 	ConfigVersion int64                 `json:"cv,omitempty"`
 	Loan          *workload.LoanRequest `json:"ln,omitempty"`
+	// AgeMS is the time since Job was handed in, in milliseconds.
+	AgeMS int64 `json:"ag,omitempty"`
 }
 
 // Response holds the results of all methods.
@@ -126,6 +128,7 @@
 	ServeRelease(ctx context.Context, req Request) (Response, error)
 	ServeConfig(ctx context.Context, req Request) (Response, error)
 	ServeLoan(ctx context.Context, req Request) (Response, error)
+	ServeAttempt(ctx context.Context, req Request) (Response, error)
 }
 
 // Method is the name of a gRPC method.
@@ -147,6 +150,8 @@
 	MethodConfig Method = "Config"
 	// MethodLoan asks the owner of a partition for allowances of workspaces.
 	MethodLoan Method = "Loan"
+	// MethodAttempt tells a node of a job that was handed in at another one and not stored.
+	MethodAttempt Method = "Attempt"
 )
 
 const serviceName = "yuccadrift.Node"
@@ -197,6 +202,7 @@
 			methodDesc(MethodRelease, onRequest, Handler.ServeRelease),
 			methodDesc(MethodConfig, onRequest, Handler.ServeConfig),
 			methodDesc(MethodLoan, onRequest, Handler.ServeLoan),
+			methodDesc(MethodAttempt, onRequest, Handler.ServeAttempt),
 		},
 	}, h)
 	ended := make(chan error, 1)
--- a/internal/returntime/returntime.go
+++ b/internal/returntime/returntime.go
@@ -18,13 +18,67 @@
 	NoCapacity
 )
 
+// String returns the cause as a label of metrics and a field of the log.
+func (c Cause) String() string {
+	switch c {
+	case NoConfiguration:
+		return "no_configuration"
+	case StoreUnavailable:
+		return "store"
+	case OwnerUnavailable:
+		return "owner"
+	case NoCapacity:
+		return "capacity"
+	default:
+		return "other"
+	}
+}
+
 // Refusal describes a refused request.
 type Refusal struct {
 	Cause Cause
+	// Age is how long the cause has lasted, as far as the node knows.
+	Age time.Duration
+	// Spread is a random number from 0 to less than 1. It keeps callers that are refused at the same time
+	// from returning at the same time.
+	Spread float64
 }
 
-// defaultDelay is the delay after causes of which nothing further is known.
-const defaultDelay = time.Second
+const (
+	// defaultDelay is the delay after causes of which nothing further is known, and the shortest one.
+	defaultDelay = time.Second
+	// maxDelay bounds the delay. Callers send a request some five times: at this delay the last three
+	// attempts span 8 s.
+	maxDelay = 4 * time.Second
+	// storeDelayPerAge is the delay in an outage of the store, relative to the outage's age. Nothing is
+	// known of its end; the longer it has lasted, the longer it is likely to last.
+	storeDelayPerAge = 0.35
+	// configurationLoadTime is how long a node that has just started usually takes to read the configuration.
+	// After that the store is likely to be away, and an attempt at another node that has just started would
+	// fail, too.
+	configurationLoadTime  = time.Second
+	lateConfigurationDelay = 2 * time.Second
+)
 
-// After returns how long the caller of a refused request should wait before it sends the request again.
-func After(Refusal) time.Duration { return defaultDelay }
+// After returns how long the caller of a refused request should wait before it sends the request again, in
+// whole seconds.
+func After(r Refusal) time.Duration {
+	switch r.Cause {
+	case StoreUnavailable:
+		return outageDelay(r.Age, r.Spread)
+	case NoConfiguration:
+		if r.Age > configurationLoadTime {
+			return lateConfigurationDelay
+		}
+		return defaultDelay
+	default:
+		return defaultDelay
+	}
+}
+
+// outageDelay returns the delay at an age of an outage. The fraction of a second is rounded up for that
+// share of the callers.
+func outageDelay(age time.Duration, spread float64) time.Duration {
+	seconds := storeDelayPerAge * age.Seconds()
+	return min(max(time.Duration(seconds+spread)*time.Second, defaultDelay), maxDelay)
+}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -103,12 +103,12 @@
 }
 
 // objectiveStart returns when the time of an occurrence begins to count: its due time, or the time
-// its job was accepted if it has none.
+// its job was first handed in if it has none.
 func (j *job) objectiveStart(occurrence int) time.Time {
 	if due := j.submission.Spec.DueAt(occurrence); !due.IsZero() {
 		return due
 	}
-	return time.UnixMilli(j.submission.AcceptedAtMS)
+	return j.submission.FirstHandedInAt()
 }
 
 func idleTaskCount(steps []*step) int {
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -13,7 +14,18 @@
 	Service      string `json:"v"`
 	Workspace    string `json:"w,omitempty"` // whose key handed the job in, "" for none
 	AcceptedAtMS int64  `json:"a"`           // Unix milliseconds, by the clock of the node that accepted the job
-	Spec         Spec   `json:"j"`
+	// FirstAttemptAtMS is when the caller first handed the job in, by the same clock, if earlier attempts could
+	// not be stored; 0 otherwise.
+	FirstAttemptAtMS int64 `json:"fa,omitempty"`
+	Spec             Spec  `json:"j"`
+}
+
+// FirstHandedInAt returns when the caller handed the job in for the first time, as far as known.
+func (s *Submission) FirstHandedInAt() time.Time {
+	if s.FirstAttemptAtMS > 0 {
+		return time.UnixMilli(s.FirstAttemptAtMS)
+	}
+	return time.UnixMilli(s.AcceptedAtMS)
 }
 
 // WithoutWork returns the submission without its payload, and with one empty step in place of its steps.
