--- a/internal/dayreport/dayreport_test.go
+++ b/internal/dayreport/dayreport_test.go
@@ -1,6 +1,7 @@
 package dayreport_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -212,3 +213,21 @@
 		}
 	})
 }
+
+// Guards against callers of an outage that count twice, or as refused although they were taken in the end.
+func TestOutageCountsTheCallersThatMetIt(t *testing.T) {
+	answered := func(seconds float64, node, job string, status int, fields string) string {
+		return logLine(seconds, node, "answered", fmt.Sprintf(`"method":"POST","job":%q,"status":%d`, job, status)+fields)
+	}
+	away := `,"reason":"the store is away, the request was not taken: x","retry_after_s":2,"held_ms":900`
+	r := buildReport(t,
+		logLine(10, "n-1", "store does not answer", `"since_ms":1500`), logLine(10.5, "n-2", "store does not answer", `"since_ms":1500`),
+		answered(11, "n-1", "a", 503, away), answered(12, "n-2", "a", 503, away),
+		answered(11, "n-1", "b", 503, away), answered(13.1, "n-2", "b", 200, ""),
+		answered(13.2, "n-2", "c", 200, `,"held_ms":300`), answered(13.2, "n-2", "d", 200, ""),
+		logLine(13, "n-1", "store answers again", ""), logLine(13, "n-2", "store answers again", ""),
+		logLine(30, "n-2", "store does not answer", `"since_ms":1000`), logLine(31, "n-2", "started", ""))
+	require.Len(t, r.Outages, 2)
+	assert.Equal(t, dayreport.Outage{From: noon.Add(8500 * time.Millisecond), To: noon.Add(13 * time.Second), Nodes: 2, Callers: 3, Accepted: 2, Held: 3, LongestReturn: 2 * time.Second}, r.Outages[0])
+	assert.Equal(t, 1, r.Outages[1].Nodes)
+}
--- a/internal/dayreport/lines.go
+++ b/internal/dayreport/lines.go
@@ -35,6 +35,8 @@
 	Reason      string    `json:"reason"`
 	AgeMS       int64     `json:"age_ms"`
 	SinceMS     int64     `json:"since_ms"`
+	HeldMS      int64     `json:"held_ms"` // how long a request waited for the store
+	RetryAfterS int64     `json:"retry_after_s"`
 	Partition   int       `json:"partition"`
 	Topic       string    `json:"topic"`
 	HandedOver  bool      `json:"handed_over"` // the previous owner handed its runs over
--- a/internal/dayreport/report.go
+++ b/internal/dayreport/report.go
@@ -21,6 +21,7 @@
 	Problems   []Problem   `json:"problems,omitempty"`
 	Jobs       Jobs        `json:"jobs"`
 	Refusals   []Refusal   `json:"refusals"`
+	Outages    []Outage    `json:"outages"` // of the store
 	SlowStarts []SlowStart `json:"slow_starts"`
 	Orders     []VMOrder   `json:"orders"`
 	// Takeovers lists the takeovers of partitions of the jobs topic.
@@ -115,7 +116,7 @@
 		From: lines[0].At, To: lines[len(lines)-1].At,
 		Nodes: countNodes(lines), Lines: len(lines),
 		Foreign: log.Foreign, Truncated: log.Truncated, Problems: log.Problems,
-		Jobs: countJobs(lines), Refusals: groupRefusals(lines), SlowStarts: groupSlowStarts(lines, c, slowAfter),
+		Jobs: countJobs(lines), Refusals: groupRefusals(lines), Outages: findOutages(lines, c), SlowStarts: groupSlowStarts(lines, c, slowAfter),
 		Orders: groupVMOrders(lines), Takeovers: takeovers,
 	}
 	r.Seconds = groupBySecond(lines, takeovers)
--- a/internal/front/hold.go
+++ b/internal/front/hold.go
@@ -18,6 +18,8 @@
 	// maxHoldShare is the share of a caller's timeout for which its request may be held. A caller is
 	// refused while it has time for two attempts at other nodes.
 	maxHoldShare = 0.3
+	// maxHoldWhileStopping is the most while the node stops: other nodes serve on.
+	maxHoldWhileStopping = 250 * time.Millisecond
 	// maxHeldRequests and maxHeldBytes bound the memory of held requests: a connection takes some 30 kB, so
 	// the requests take up to 12 MB.
 	maxHeldRequests = 256
@@ -27,9 +29,9 @@
 // mayHold returns the request in a form that can be held: for a part of its caller's timeout, or not at all
 // while the node stops.
 func (h *Handler) mayHold(req *request, id workload.JobID) *heldRequest {
-	share := maxHoldShare
+	limit := time.Duration(maxHoldShare * float64(req.timeout))
 	if h.IsStopping() {
-		share = 0
+		limit = min(limit, maxHoldWhileStopping)
 	}
 	bytes := int(req.http.ContentLength)
 	if bytes < 0 {
@@ -38,7 +40,7 @@
 	return &heldRequest{
 		holder:  h.Holder,
 		request: heldqueue.Request{Workspace: req.workspace, Bytes: bytes, FirstAttemptAt: h.Holder.firstAttempts.FirstAttemptAt(id, req.startedAt)},
-		until:   req.startedAt.Add(time.Duration(share * float64(req.timeout))),
+		until:   req.startedAt.Add(limit),
 		turns:   make(chan bool, 1),
 		result:  holdTimedOut,
 	}
@@ -102,7 +104,7 @@
 	result holdResult
 }
 
-// holdEpisode counts what was held since the queue was last empty.
+// holdEpisode counts what was held in an outage of the store.
 type holdEpisode struct {
 	beganAt time.Time
 	held    int
@@ -204,12 +206,14 @@
 func (h *Holder) StoreAnswers() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.queue.Len() == 0 {
-		return
-	}
 	now := time.Now()
-	h.queue.StoreAnswers(now)
-	h.wake(now)
+	if h.queue.Len() > 0 {
+		h.queue.StoreAnswers(now)
+		h.wake(now)
+	}
+	if len(h.held) == 0 {
+		h.logEpisode(now)
+	}
 }
 
 func (h *Holder) wakeNext() {
@@ -230,17 +234,24 @@
 	}
 }
 
-// recordEnd counts a request that is no longer held, and logs the counts once none is left. h.mu must be
-// held.
+// recordEnd counts a request that is no longer held, and logs the counts when the last one is stored. h.mu
+// must be held.
 func (h *Holder) recordEnd(result holdResult, took time.Duration, now time.Time) {
 	h.episode.results[result]++
 	h.episode.longest = max(h.episode.longest, took)
-	if len(h.held) > 0 {
-		return
+	if len(h.held) == 0 && result == holdStored {
+		h.logEpisode(now)
 	}
+}
+
+// logEpisode logs what was held since the last such line. h.mu must be held.
+func (h *Holder) logEpisode(now time.Time) {
 	e := h.episode
+	if e.held == 0 {
+		return
+	}
 	h.episode = holdEpisode{}
-	h.logger.Info("no request is held any more", "held", e.held, "stored", e.results[holdStored], "timed_out", e.results[holdTimedOut],
+	h.logger.Info("held requests let in", "held", e.held, "stored", e.results[holdStored], "timed_out", e.results[holdTimedOut],
 		"sent_away", e.results[holdSentAway], "unknown", e.results[holdUnknown],
 		"longest_ms", e.longest.Milliseconds(), "lasted_ms", now.Sub(e.beganAt).Milliseconds())
 }
--- a/internal/heldqueue/heldqueue.go
+++ b/internal/heldqueue/heldqueue.go
@@ -9,7 +9,7 @@
 	// minProbeInterval and maxProbeInterval bound the time between tries while none succeeds. A try costs
 	// a call to the store, or to other nodes.
 	minProbeInterval = 60 * time.Millisecond
-	maxProbeInterval = 480 * time.Millisecond
+	maxProbeInterval = 240 * time.Millisecond
 	// probeTimeout is the time after which a try without an outcome no longer keeps others waiting.
 	probeTimeout = 500 * time.Millisecond
 	// maxConcurrentTries bounds the tries at once after the store's return: what one append takes.
--- /dev/null
+++ b/internal/intake/attempts_test.go
@@ -0,0 +1,44 @@
+package intake_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/platform"
+)
+
+// Guards against a caller that loses its place among the others since its attempts reach different nodes.
+func TestFirstAttemptIsKnownToTheOwnersNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newSerialStore(4 * time.Millisecond)
+		c := newCluster(3, store, address(2))
+		var stored workload.Submission
+		c.nodes[2].acceptor = joblog.NewAcceptor(store, c.nodes[2].hedger, func(_ int, records []workload.Record) { stored = *records[0].Submission })
+		submission := func() workload.Record {
+			return workload.Record{Job: "aa", Submission: &workload.Submission{AcceptedAtMS: time.Now().UnixMilli()}}
+		}
+		for _, n := range c.nodes {
+			n.unavailable = errors.New("no answer of the store")
+		}
+		firstAt := time.Now()
+		status, err := c.nodes[0].router.Accept(context.Background(), 0, submission())
+		assert.Equal(t, platform.StoreRefused, status)
+		assert.Error(t, err)
+		for _, n := range c.nodes {
+			n.unavailable = nil
+		}
+		time.Sleep(2 * time.Second)
+		status, err = c.nodes[1].router.Accept(context.Background(), 0, submission())
+		assert.NoError(t, err)
+		assert.Equal(t, platform.StoreOK, status)
+		assert.Equal(t, firstAt.UnixMilli(), stored.FirstAttemptAtMS)
+		assert.Equal(t, firstAt.Add(2*time.Second).UnixMilli(), stored.AcceptedAtMS)
+	})
+}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -89,7 +89,24 @@
 
 // Accept stores a record of a caller's request in the partition of its service.
 func (n *Node) Accept(ctx context.Context, service string, r workload.Record) (platform.StoreStatus, error) {
-	return n.intake.Accept(ctx, n.owners.partitionOf(service), r)
+	partition := n.owners.partitionOf(service)
+	n.probeStore(ctx, partition)
+	return n.intake.Accept(ctx, partition, r)
+}
+
+// storeProbeTimeout bounds the read of probeStore. The store answers in some 5 ms.
+const storeProbeTimeout = 250 * time.Millisecond
+
+// probeStore makes a read if the store has been silent for so long that nothing is sent to it on behalf of
+// callers. Nodes without partitions otherwise notice the store's return up to 0.7 s late. A write in its place
+// could have an unknown outcome. Reads of all callers together are limited by the manager.
+func (n *Node) probeStore(ctx context.Context, partition int) {
+	if n.storeHealth.sinceLastAnswer() <= failFastAfter {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeProbeTimeout)
+	defer cancel()
+	n.manager.Owner(ctx, platform.Partition{Topic: joblog.JobsTopic, Part: partition}, true)
 }
 
 // onStored passes records that were just stored to the partition's owner if it is on this
--- a/internal/operatorcmd/report_day.go
+++ b/internal/operatorcmd/report_day.go
@@ -69,7 +69,7 @@
 			return err
 		}
 	}
-	return printResult(cmd.Root().Writer, f, r, dayTable(r), refusalTable(r), slowTable(r), orderTable(r), secondsTable(r), problemTable(r))
+	return printResult(cmd.Root().Writer, f, r, dayTable(r), refusalTable(r), outageTable(r), slowTable(r), orderTable(r), secondsTable(r), problemTable(r))
 }
 
 func readDayLogs(log *dayreport.Log, files []string, input io.Reader) error {
@@ -124,6 +124,15 @@
 	return t
 }
 
+func outageTable(r dayreport.Report) *table {
+	t := &table{title: "the store away", header: []string{"FROM", "SECONDS", "NODES", "CALLERS", "TAKEN IN THE END", "HELD", "LONGEST RETURN"}}
+	for _, o := range r.Outages {
+		t.add(formatTimeOfDay(o.From), fmt.Sprintf("%.1f", o.To.Sub(o.From).Seconds()), fmt.Sprint(o.Nodes), fmt.Sprint(o.Callers), fmt.Sprint(o.Accepted),
+			fmt.Sprint(o.Held), o.LongestReturn.String())
+	}
+	return t
+}
+
 func slowTable(r dayreport.Report) *table {
 	t := &table{title: "jobs that began late", header: []string{"WAITED FOR", "SERVICE", "JOBS", "LONGEST MS"}}
 	for _, s := range r.SlowStarts {
--- a/internal/returntime/returntime.go
+++ b/internal/returntime/returntime.go
@@ -50,9 +50,11 @@
 	// maxDelay bounds the delay. Callers send a request some five times: at this delay the last three
 	// attempts span 8 s.
 	maxDelay = 4 * time.Second
-	// storeDelayPerAge is the delay in an outage of the store, relative to the outage's age. Nothing is
-	// known of its end; the longer it has lasted, the longer it is likely to last.
-	storeDelayPerAge = 0.35
+	// shortOutage is the age up to which an outage of the store is expected to end soon.
+	shortOutage = 2 * time.Second
+	// delayPerAge is the delay relative to the outage's age beyond shortOutage: the longer an outage has
+	// lasted, the longer it is likely to last.
+	delayPerAge = 0.5
 	// configurationLoadTime is how long a node that has just started usually takes to read the configuration.
 	// After that the store is likely to be away, and an attempt at another node that has just started would
 	// fail, too.
@@ -79,6 +81,6 @@
 // outageDelay returns the delay at an age of an outage. The fraction of a second is rounded up for that
 // share of the callers.
 func outageDelay(age time.Duration, spread float64) time.Duration {
-	seconds := storeDelayPerAge * age.Seconds()
+	seconds := delayPerAge * max(0, age-shortOutage).Seconds()
 	return min(max(time.Duration(seconds+spread)*time.Second, defaultDelay), maxDelay)
 }
