intake: a caller with little time left is served beside a lost owner

A node whose owner's node is lost learns so from a relay that isn't answered within 450 ms.

The time to a pending response and the margin are now at most a quarter of the caller's time each, so half of it is left for this node's own connection. Ruled out: shorter times for all, which turn answers of a busy node into unknown outcomes. While the store is slow nothing changes.

--- a/internal/intake/attempts_test.go
+++ b/internal/intake/attempts_test.go
@@ -42,3 +42,16 @@
 		assert.Equal(t, firstAt.Add(2*time.Second).UnixMilli(), stored.AcceptedAtMS)
 	})
 }
+
+// Guards against a caller in its last attempt that is not served because the owner's node has just been lost.
+func TestCallerWithLittleTimeIsServedBesideALostOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(3, newSerialStore(4*time.Millisecond), address(2))
+		c.nodes[2].frozen = true
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		status, err := c.nodes[0].router.Accept(ctx, 0, cancelRecord(1))
+		assert.NoError(t, err)
+		assert.Equal(t, platform.StoreOK, status)
+	})
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -43,6 +43,9 @@
 	// relayTransferMargin is added for the round trip, some 6 ms between zones, and for a
 	// process that is busy for some 100 ms.
 	relayTransferMargin = 200 * time.Millisecond
+	// relayTimeShares is how many of the time to a pending response, and of the margin, fit into the time that
+	// the caller has left: after both, half of it is left for other routes.
+	relayTimeShares = 4
 	// peerBackoffTime is how long a node that did not answer is not asked again, so that not
 	// every caller waits for it. A lost owner is replaced in some 2 s.
 	peerBackoffTime = time.Second
@@ -268,10 +271,15 @@
 
 func (r *Router) relay(ctx context.Context, address string, partition int, record workload.Record) (StoreResponse, error) {
 	q := StoreRequest{Partition: partition, Record: record, PendingAfter: relayPendingAfter}
+	margin := relayTransferMargin
 	if r.local.IsSlow() {
 		q.PendingAfter = slowRelayPendingAfter
+	} else if deadline, ok := ctx.Deadline(); ok {
+		// A caller with little time left is still served if the node doesn't answer.
+		share := max(0, time.Until(deadline)/relayTimeShares)
+		q.PendingAfter, margin = min(q.PendingAfter, share), min(margin, share)
 	}
-	relayCtx, cancel := context.WithTimeout(ctx, q.PendingAfter+relayTransferMargin)
+	relayCtx, cancel := context.WithTimeout(ctx, q.PendingAfter+margin)
 	defer cancel()
 	response, err := r.peers.Store(relayCtx, address, q)
 	switch {
