--- a/internal/front/hold.go
+++ b/internal/front/hold.go
@@ -15,10 +15,8 @@
 )
 
 const (
-	// maxHoldShare is the share of a caller's timeout for which its request may be held. A caller is
-	// refused while it has time for two attempts at other nodes.
-	maxHoldShare = 0.3
-	// maxHoldWhileStopping is the most while the node stops: other nodes serve on.
+	// maxHoldWhileStopping bounds the time for which requests are held while the node stops: other nodes
+	// serve on.
 	maxHoldWhileStopping = 250 * time.Millisecond
 	// maxHeldRequests and maxHeldBytes bound the memory of held requests: a connection takes some 30 kB, so
 	// the requests take up to 12 MB.
@@ -26,10 +24,10 @@
 	maxHeldBytes    = 4 << 20
 )
 
-// mayHold returns the request in a form that can be held: for a part of its caller's timeout, or not at all
+// mayHold returns the request in a form that can be held: for a part of its caller's timeout, and for less
 // while the node stops.
 func (h *Handler) mayHold(req *request, id workload.JobID) *heldRequest {
-	limit := time.Duration(maxHoldShare * float64(req.timeout))
+	limit := heldqueue.MaxHold(req.timeout)
 	if h.IsStopping() {
 		limit = min(limit, maxHoldWhileStopping)
 	}
--- a/internal/heldqueue/heldqueue.go
+++ b/internal/heldqueue/heldqueue.go
@@ -14,8 +14,16 @@
 	probeTimeout = 500 * time.Millisecond
 	// maxConcurrentTries bounds the tries at once after the store's return: what one append takes.
 	maxConcurrentTries = 32
+	// maxHoldShare is the share of a caller's timeout for which its request may be held. A caller is
+	// refused while it has time for attempts at two other nodes.
+	maxHoldShare = 0.3
 )
 
+// MaxHold returns for how long the request of a caller with a timeout may be held.
+func MaxHold(timeout time.Duration) time.Duration {
+	return time.Duration(maxHoldShare * float64(timeout))
+}
+
 // ID identifies a held request in its node.
 type ID uint64
 
--- a/internal/heldqueue/outage_test.go
+++ b/internal/heldqueue/outage_test.go
@@ -13,27 +13,28 @@
 
 // Figures of the simulated nodes and callers.
 const (
-	tick         = 5 * time.Millisecond
-	storeTime    = 2 * tick               // of a record
-	noticeTime   = 100 * time.Millisecond // until a node notices that the store is back
-	maxAttempts  = 5
-	maxHoldShare = 0.3
-	callTimeout  = 3 * time.Second // of one attempt
+	tick        = 5 * time.Millisecond
+	storeTime   = 2 * tick               // of a record
+	noticeTime  = 100 * time.Millisecond // until a node notices that the store is back
+	maxAttempts = 5
+	callTimeout = 3 * time.Second // of one attempt
 )
 
 // policy is a way to treat requests that can't be stored.
 type policy struct {
-	hold  float64 // share of the caller's timeout
+	hold  func(timeout time.Duration) time.Duration
 	after func(age time.Duration, spread float64) time.Duration
 }
 
+func hold250ms(timeout time.Duration) time.Duration { return min(timeout, 250*time.Millisecond) }
+
 func fixed(d time.Duration) func(time.Duration, float64) time.Duration {
 	return func(time.Duration, float64) time.Duration { return d }
 }
 
 var (
-	standing = policy{hold: 0.08, after: fixed(time.Second)}
-	built    = policy{hold: maxHoldShare, after: func(age time.Duration, spread float64) time.Duration {
+	standing = policy{hold: hold250ms, after: fixed(time.Second)}
+	built    = policy{hold: heldqueue.MaxHold, after: func(age time.Duration, spread float64) time.Duration {
 		return returntime.After(returntime.Refusal{Cause: returntime.StoreUnavailable, Age: age, Spread: spread})
 	}}
 )
@@ -130,7 +131,7 @@
 	case !c.isHeld && w.now >= c.nextAt:
 		c.attempts++
 		c.node = w.rand.IntN(len(w.nodes))
-		c.heldUntil = w.now + time.Duration(w.policy.hold*float64(w.timeLeft(c)))
+		c.heldUntil = w.now + w.policy.hold(w.timeLeft(c))
 		if !w.isAway(c.node, w.now) {
 			w.inFlight[id] = w.now + storeTime
 			w.inFlightNodes[c.node]++
@@ -200,7 +201,7 @@
 		return w.outcome(w.outage[0], w.outage[1])
 	}
 	for _, length := range []time.Duration{2 * time.Second, 4 * time.Second, 6 * time.Second} {
-		before, fixed3s, after := play(standing, length), play(policy{hold: standing.hold, after: fixed(3 * time.Second)}, length), play(built, length)
+		before, fixed3s, after := play(standing, length), play(policy{hold: hold250ms, after: fixed(3 * time.Second)}, length), play(built, length)
 		t.Logf("away for %s: served %.3f, %.0f ms after the return; 3 s: %.3f, %.0f ms; built: %.3f, %.0f ms", length,
 			before.served, before.meanWait.Seconds()*1000, fixed3s.served, fixed3s.meanWait.Seconds()*1000, after.served, after.meanWait.Seconds()*1000)
 		assert.Equal(t, 1.0, after.served)
