heldqueue: callers with little time left are refused soon, the last attempt is held

Held for 0.3 of their time at each attempt, callers with 3 s for all attempts often had no time for their fourth.

--- a/internal/heldqueue/heldqueue.go
+++ b/internal/heldqueue/heldqueue.go
@@ -3,7 +3,11 @@
 // of memory.
 package heldqueue
 
-import "time"
+import (
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/returntime"
+)
 
 const (
 	// minProbeInterval and maxProbeInterval bound the time between tries while none succeeds. A try costs
@@ -14,14 +18,27 @@
 	probeTimeout = 500 * time.Millisecond
 	// maxConcurrentTries bounds the tries at once after the store's return: what one append takes.
 	maxConcurrentTries = 32
-	// maxHoldShare is the share of a caller's timeout for which its request may be held. A caller is
-	// refused while it has time for attempts at two other nodes.
-	maxHoldShare = 0.3
+	// maxHoldShare is the share of a caller's timeout for which its request may be held if the caller then has
+	// time to return twice. maxShortHoldShare is the share otherwise: the sooner it is refused, the more
+	// attempts it has.
+	maxHoldShare      = 0.3
+	maxShortHoldShare = 0.1
+	// lastAttemptTimeout is the timeout up to which a caller has no time for another attempt. Its request is
+	// held until responseMargin before its end.
+	lastAttemptTimeout = 350 * time.Millisecond
+	responseMargin     = 100 * time.Millisecond
 )
 
 // MaxHold returns for how long the request of a caller with a timeout may be held.
 func MaxHold(timeout time.Duration) time.Duration {
-	return time.Duration(maxHoldShare * float64(timeout))
+	limit := time.Duration(maxHoldShare * float64(timeout))
+	switch {
+	case timeout <= lastAttemptTimeout:
+		return max(0, timeout-responseMargin)
+	case timeout-limit < 2*returntime.MinDelay:
+		return time.Duration(maxShortHoldShare * float64(timeout))
+	}
+	return limit
 }
 
 // ID identifies a held request in its node.
--- a/internal/returntime/returntime.go
+++ b/internal/returntime/returntime.go
@@ -45,8 +45,9 @@
 }
 
 const (
-	// defaultDelay is the delay after causes of which nothing further is known, and the shortest one.
-	defaultDelay = time.Second
+	// MinDelay is the shortest delay, the unit of the header that states it. It applies to causes of which
+	// nothing further is known.
+	MinDelay = time.Second
 	// maxDelay bounds the delay. Callers send a request some five times: at this delay the last three
 	// attempts span 8 s.
 	maxDelay = 4 * time.Second
@@ -72,9 +73,9 @@
 		if r.Age > configurationLoadTime {
 			return lateConfigurationDelay
 		}
-		return defaultDelay
+		return MinDelay
 	default:
-		return defaultDelay
+		return MinDelay
 	}
 }
 
@@ -82,5 +83,5 @@
 // share of the callers.
 func outageDelay(age time.Duration, spread float64) time.Duration {
 	seconds := delayPerAge * max(0, age-shortOutage).Seconds()
-	return min(max(time.Duration(seconds+spread)*time.Second, defaultDelay), maxDelay)
+	return min(max(time.Duration(seconds+spread)*time.Second, MinDelay), maxDelay)
 }
