heldqueue: ages of first attempts, and a bound on tries beside other partitions

A first attempt was remembered by the time of day of the node that saw it; a step of a clock would have changed the rank of a job by as much. Ages are passed and kept now.

Each request that was stored at once made the next held one be tried at once, also if only its partition's records are refused: as many tries a second as requests are stored. They are 60 ms apart now.

--- a/internal/heldqueue/attempts.go
+++ b/internal/heldqueue/attempts.go
@@ -14,8 +14,9 @@
 	maxAttemptAge = 30 * time.Second
 )
 
-// Attempts remembers when jobs were first handed in that could not be stored then. The memory is bounded; a
-// job that is forgotten counts as handed in by its next attempt. It is not safe for concurrent use.
+// Attempts remembers when jobs were first handed in that could not be stored then. It takes and returns ages,
+// which hold although the clocks of nodes differ and are set. The memory is bounded; a job that is forgotten
+// counts as handed in by its next attempt. It is not safe for concurrent use.
 type Attempts struct {
 	first map[workload.JobID]time.Time
 	order []workload.JobID // by the time of their recording
@@ -24,9 +25,10 @@
 // NewAttempts returns an empty memory.
 func NewAttempts() *Attempts { return &Attempts{first: map[workload.JobID]time.Time{}} }
 
-// Record remembers an attempt. It reports whether the job was not known before.
-func (a *Attempts) Record(id workload.JobID, at, now time.Time) (isNew bool) {
+// Record remembers an attempt of some age. It reports whether the job was not known before.
+func (a *Attempts) Record(id workload.JobID, age time.Duration, now time.Time) (isNew bool) {
 	a.forget(now)
+	at := now.Add(-min(max(0, age), maxAttemptAge))
 	first, known := a.first[id]
 	if !known {
 		a.order = append(a.order, id)
@@ -37,12 +39,13 @@
 	return !known
 }
 
-// First returns the time of a job's first attempt, or at if none before it is known.
-func (a *Attempts) First(id workload.JobID, at time.Time) time.Time {
-	if first, known := a.first[id]; known && first.Before(at) {
-		return first
+// Age returns the time since a job's first attempt, 0 if none is known.
+func (a *Attempts) Age(id workload.JobID, now time.Time) time.Duration {
+	first, known := a.first[id]
+	if !known {
+		return 0
 	}
-	return at
+	return now.Sub(first)
 }
 
 // forget drops the oldest entries beyond the bounds.
--- a/internal/heldqueue/heldqueue.go
+++ b/internal/heldqueue/heldqueue.go
@@ -73,6 +73,7 @@
 	window        int
 	probeInterval time.Duration
 	nextProbeAt   time.Time
+	lastTryAt     time.Time
 }
 
 // New returns an empty queue.
@@ -173,7 +174,7 @@
 		e := &q.entries[i]
 		e.triedAt = now
 		q.tries[e.Workspace]++
-		q.nextProbeAt = now.Add(q.probeInterval)
+		q.lastTryAt, q.nextProbeAt = now, now.Add(q.probeInterval)
 		tries = append(tries, e.ID)
 	}
 }
@@ -236,9 +237,13 @@
 	q.Remove(id)
 }
 
-// StoreAnswers records that the store answers this node again: the next request is tried at once.
+// StoreAnswers records that the store answers this node: the next request is tried at once, unless one was
+// tried just before. Records of one partition may be stored while those of another are refused.
 func (q *Queue) StoreAnswers(now time.Time) {
 	q.probeInterval = minProbeInterval
+	if earliest := q.lastTryAt.Add(minProbeInterval); now.Before(earliest) {
+		now = earliest
+	}
 	if now.Before(q.nextProbeAt) {
 		q.nextProbeAt = now
 	}
--- a/internal/intake/attempts.go
+++ b/internal/intake/attempts.go
@@ -14,9 +14,14 @@
 // FirstAttemptAt returns when a job was first handed in that could not be stored then, or at if no earlier
 // attempt is known.
 func (r *Router) FirstAttemptAt(id workload.JobID, at time.Time) time.Time {
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.attempts.First(id, at)
+	age := r.attempts.Age(id, now)
+	if first := now.Add(-age); age > 0 && first.Before(at) {
+		return first
+	}
+	return at
 }
 
 // withFirstAttempt returns a submission's record with the time of the job's first attempt, if an earlier one
@@ -42,10 +47,10 @@
 	if record.Submission == nil {
 		return
 	}
-	at := record.Submission.FirstHandedInAt()
 	now := time.Now()
+	age := now.Sub(record.Submission.FirstHandedInAt())
 	r.mu.Lock()
-	isNew := r.attempts.Record(record.Job, at, now)
+	isNew := r.attempts.Record(record.Job, age, now)
 	r.mu.Unlock()
 	owner := r.peers.Owner(partition)
 	if !isNew || owner == "" {
@@ -60,7 +65,7 @@
 		defer func() { <-r.noteSlots }()
 		ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
 		defer cancel()
-		if err := r.peers.NoteAttempt(ctx, owner, record.Job, now.Sub(at)); err != nil {
+		if err := r.peers.NoteAttempt(ctx, owner, record.Job, age); err != nil {
 			r.logger.Debug("the owner's node was not told of a job that was not stored", "job", record.Job, "address", owner, "error", err)
 		}
 	}()
@@ -68,8 +73,7 @@
 
 // ServeAttempt remembers for another node that a job was handed in a time ago and not stored.
 func (r *Router) ServeAttempt(id workload.JobID, age time.Duration) {
-	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.attempts.Record(id, now.Add(-max(0, age)), now)
+	r.attempts.Record(id, age, time.Now())
 }
