--- a/internal/intake/attempts_test.go
+++ b/internal/intake/attempts_test.go
@@ -53,5 +53,12 @@
 		status, err := c.nodes[0].router.Accept(ctx, 0, cancelRecord(1))
 		assert.NoError(t, err)
 		assert.Equal(t, platform.StoreOK, status)
+
+		c.nodes[1].hedger.RecordAnswer(time.Now().Add(-time.Second), false) // the store seems slow after an outage
+		ctx, cancelSlow := context.WithTimeout(context.Background(), 700*time.Millisecond)
+		defer cancelSlow()
+		status, err = c.nodes[1].router.Accept(ctx, 0, cancelRecord(2))
+		assert.NoError(t, err)
+		assert.Equal(t, platform.StoreOK, status)
 	})
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -46,6 +46,8 @@
 	// relayTimeShares is how many of the time to a pending response, and of the margin, fit into the time that
 	// the caller has left: after both, half of it is left for other routes.
 	relayTimeShares = 4
+	// slowRelayTimeShares replaces relayTimeShares for the time to a pending response while the store is slow.
+	slowRelayTimeShares = 2
 	// peerBackoffTime is how long a node that did not answer is not asked again, so that not
 	// every caller waits for it. A lost owner is replaced in some 2 s.
 	peerBackoffTime = time.Second
@@ -271,13 +273,14 @@
 
 func (r *Router) relay(ctx context.Context, address string, partition int, record workload.Record) (StoreResponse, error) {
 	q := StoreRequest{Partition: partition, Record: record, PendingAfter: relayPendingAfter}
-	margin := relayTransferMargin
+	margin, timeShares := relayTransferMargin, time.Duration(relayTimeShares)
 	if r.local.IsSlow() {
-		q.PendingAfter = slowRelayPendingAfter
-	} else if deadline, ok := ctx.Deadline(); ok {
+		q.PendingAfter, timeShares = slowRelayPendingAfter, slowRelayTimeShares
+	}
+	if deadline, ok := ctx.Deadline(); ok {
 		// A caller with little time left is still served if the node doesn't answer.
-		share := max(0, time.Until(deadline)/relayTimeShares)
-		q.PendingAfter, margin = min(q.PendingAfter, share), min(margin, share)
+		timeLeft := max(0, time.Until(deadline))
+		q.PendingAfter, margin = min(q.PendingAfter, timeLeft/timeShares), min(margin, timeLeft/relayTimeShares)
 	}
 	relayCtx, cancel := context.WithTimeout(ctx, q.PendingAfter+margin)
 	defer cancel()
