--- a/internal/dayreport/lines.go
+++ b/internal/dayreport/lines.go
@@ -31,12 +31,14 @@
 	Service     string    `json:"service"`
 	Workspace   string    `json:"workspace"`
 	Method      string    `json:"method"`
+	Path        string    `json:"path"`
 	Status      int       `json:"status"` // HTTP status of an answer; a string in other lines
 	Reason      string    `json:"reason"`
 	AgeMS       int64     `json:"age_ms"`
 	SinceMS     int64     `json:"since_ms"`
 	HeldMS      int64     `json:"held_ms"` // how long a request waited for the store
 	RetryAfterS int64     `json:"retry_after_s"`
+	TookMS      int64     `json:"took_ms"` // of an answer, from the call to it
 	Partition   int       `json:"partition"`
 	Topic       string    `json:"topic"`
 	HandedOver  bool      `json:"handed_over"` // the previous owner handed its runs over
--- a/internal/front/hold.go
+++ b/internal/front/hold.go
@@ -64,7 +64,7 @@
 // The results of holding a request.
 const (
 	holdStored   holdResult = "stored"
-	holdTimedOut holdResult = "timed_out"
+	holdTimedOut holdResult = "timed_out" // whatever was known of its job then
 	holdSentAway holdResult = "sent_away" // others needed the memory
 	holdUnknown  holdResult = "unknown"   // its last try has no known outcome
 )
@@ -143,6 +143,7 @@
 	case <-deadline.C:
 	case <-ctx.Done():
 	}
+	r.holder.withdraw(r)
 	return false
 }
 
@@ -200,6 +201,14 @@
 	h.wake(now)
 }
 
+// withdraw removes r from the queue: the tries of others don't wait for it while its response is decided.
+func (h *Holder) withdraw(r *heldRequest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.queue.Remove(r.request.ID)
+	h.wake(time.Now())
+}
+
 // StoreAnswers tells the holder that the store answers this node again.
 func (h *Holder) StoreAnswers() {
 	h.mu.Lock()
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -13,6 +13,7 @@
 type Metrics struct {
 	requests *prometheus.HistogramVec
 	returns  *prometheus.HistogramVec
+	verdicts *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -27,7 +28,11 @@
 		Help:    "After how long refused callers were told to return, in seconds, by the cause of the refusal.",
 		Buckets: []float64{1, 2, 3, 4},
 	}, []string{"cause"})
-	r.MustRegister(m.requests, m.returns)
+	m.verdicts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "yuccadrift_front_verdicts_total",
+		Help: "What was known of jobs whose record was not stored when their owners were asked, by verdict.",
+	}, []string{"verdict"})
+	r.MustRegister(m.requests, m.returns, m.verdicts)
 	return m
 }
 
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -63,47 +63,82 @@
 	return h.storeRecord(ctx, req, record)
 }
 
-// storeRecord stores a record before the caller gets a response. If the record is certainly
-// not stored it is held and tried again for a part of the time that the caller waits. The response
-// is then a refusal, after which the caller can try elsewhere. If it may still be stored the response is a gateway timeout: after a refusal the job could run
-// although its caller was told that it won't. h.Jobs.Accept retries an unknown outcome as
-// long as the caller waits.
+// storeRecord stores a record before the caller gets a response. If the record is certainly not stored it is
+// held and tried again for a part of the time that the caller waits. A job that its owner knows is acknowledged
+// at the first refused try. When the time is over, the response says what is known of the job: nothing, if it may
+// still be stored, since after a refusal the job could run although its caller was told that it won't.
+// h.Jobs.Accept retries an unknown outcome as long as the caller waits.
 func (h *Handler) storeRecord(ctx context.Context, req *request, r workload.Record) response {
 	held := h.mayHold(req, r.Job)
 	defer func() { req.heldFor = held.leave() }()
+	wasJudged, isLastTry := false, false
 	for {
 		status, err := h.Jobs.Accept(ctx, req.queue.Service, r)
 		switch status {
 		case platform.StoreOK:
 			held.stored()
-			return response{status: http.StatusOK, body: []byte("{}")}
+			return accepted()
 		case platform.StoreRefused:
-			if !held.awaitTurn(ctx) {
-				return h.refuse(ctx, req, r.Job, returntime.StoreUnavailable, "the store is away, the request was not taken: "+err.Error())
+			verdict := acceptance.Uncertain
+			if !wasJudged {
+				verdict = h.judge(ctx, req, r.Job)
 			}
+			if verdict != acceptance.Accepted && !isLastTry && held.awaitTurn(ctx) {
+				wasJudged = true
+				continue
+			}
+			if wasJudged {
+				verdict = h.judge(ctx, req, r.Job)
+			}
+			if verdict == acceptance.NeverAccepted && !isLastTry && ctx.Err() == nil {
+				// The owner has just read the store.
+				wasJudged, isLastTry = true, true
+				continue
+			}
+			return respondUnstored(verdict, returntime.StoreUnavailable, "the store is away: "+err.Error())
 		case platform.StoreUnknown:
 			held.unknown()
-			return errorResponse(http.StatusGatewayTimeout, "the store did not answer, the request may have been taken: "+err.Error())
+			return uncertainResponse(returntime.StoreUnavailable, "the store did not answer, the request may have been taken: "+err.Error())
 		default:
 			return errorResponse(http.StatusInternalServerError, "store: "+err.Error())
 		}
 	}
 }
 
-// judge returns what is known of a job whose record this attempt has not stored.
-func (h *Handler) judge(_ context.Context, _ *request, _ workload.JobID) acceptance.Verdict {
-	return acceptance.Judge(acceptance.Evidence{AttemptRefused: true})
+// evidenceTimeout bounds the call to the owner before a refusal. It fits into responseMargin.
+const evidenceTimeout = 90 * time.Millisecond
+
+// judge returns what is known of a job, or of its cancellation, whose record this attempt has certainly
+// not stored.
+func (h *Handler) judge(ctx context.Context, req *request, id workload.JobID) acceptance.Verdict {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), evidenceTimeout)
+	defer cancel()
+	r := acceptance.Request{Job: id, Cancels: req.http.Method == http.MethodDelete}
+	report := h.Owners.Acceptance(ctx, req.queue.Service, r, req.requester())
+	verdict := acceptance.Judge(acceptance.Evidence{
+		AttemptRefused: true,
+		HasOpenAttempt: report.HasOpenAttempt,
+		Known:          report.Stands,
+		Owner:          report.Owner,
+	})
+	h.Metrics.verdicts.WithLabelValues(verdict.String()).Inc()
+	return verdict
 }
 
 // refuse returns the response to a submission or cancellation whose record is certainly not stored.
-// The response promises that the request has no effect only if no earlier attempt can have one.
 func (h *Handler) refuse(ctx context.Context, req *request, id workload.JobID, cause returntime.Cause, reason string) response {
-	switch h.judge(ctx, req, id) {
+	return respondUnstored(h.judge(ctx, req, id), cause, reason)
+}
+
+// respondUnstored returns the response to a request whose record is certainly not stored. It promises
+// that the request has no effect only if no earlier attempt can have one.
+func respondUnstored(v acceptance.Verdict, cause returntime.Cause, reason string) response {
+	switch v {
 	case acceptance.Accepted:
-		return response{status: http.StatusOK, body: []byte("{}")}
+		return accepted()
 	case acceptance.NeverAccepted:
-		return retryableResponse(cause, reason)
+		return retryableResponse(cause, reason+"; the request was not taken")
 	default:
-		return errorResponse(http.StatusGatewayTimeout, "the request may have been taken before: "+reason)
+		return uncertainResponse(cause, reason+"; an earlier attempt may have been taken")
 	}
 }
--- a/internal/heldqueue/heldqueue.go
+++ b/internal/heldqueue/heldqueue.go
@@ -3,11 +3,7 @@
 // of memory.
 package heldqueue
 
-import (
-	"time"
-
-	"github.com/yuccadrift/yuccadrift/internal/returntime"
-)
+import "time"
 
 const (
 	// minProbeInterval and maxProbeInterval bound the time between tries while none succeeds. A try costs
@@ -18,27 +14,16 @@
 	probeTimeout = 500 * time.Millisecond
 	// maxConcurrentTries bounds the tries at once after the store's return: what one append takes.
 	maxConcurrentTries = 32
-	// maxHoldShare is the share of a caller's timeout for which its request may be held if the caller then has
-	// time to return twice. maxShortHoldShare is the share otherwise: the sooner it is refused, the more
-	// attempts it has.
-	maxHoldShare      = 0.3
-	maxShortHoldShare = 0.1
-	// lastAttemptTimeout is the timeout up to which a caller has no time for another attempt. Its request is
-	// held until responseMargin before its end.
-	lastAttemptTimeout = 350 * time.Millisecond
-	responseMargin     = 100 * time.Millisecond
+	// maxHoldTime is for how long a request may be held. A caller that is told nothing certain comes back at
+	// once, whatever Retry-After says, and has some five attempts: together they have to span its time.
+	maxHoldTime = 700 * time.Millisecond
+	// responseMargin is the part of a caller's timeout that is reserved for its response.
+	responseMargin = 100 * time.Millisecond
 )
 
 // MaxHold returns for how long the request of a caller with a timeout may be held.
 func MaxHold(timeout time.Duration) time.Duration {
-	limit := time.Duration(maxHoldShare * float64(timeout))
-	switch {
-	case timeout <= lastAttemptTimeout:
-		return max(0, timeout-responseMargin)
-	case timeout-limit < 2*returntime.MinDelay:
-		return time.Duration(maxShortHoldShare * float64(timeout))
-	}
-	return limit
+	return max(0, min(maxHoldTime, timeout-responseMargin))
 }
 
 // ID identifies a held request in its node.
--- a/internal/heldqueue/outage_test.go
+++ b/internal/heldqueue/outage_test.go
@@ -56,6 +56,7 @@
 	outage        [2]time.Duration
 	cutNodes      int           // only these nodes lose the store, all if 0
 	totalTime     time.Duration // that a caller has for all attempts, 0 for no bound
+	returnsAtOnce bool          // callers are told nothing certain and come back at once
 	nodes         []*heldqueue.Queue
 	callers       []*caller
 	now           time.Duration
@@ -169,6 +170,9 @@
 	if w.totalTime > 0 {
 		wait = min(wait, time.Duration((0.8+0.4*w.rand.Float64())*shareOfTimeLeft[c.attempts-1]*float64(w.timeLeft(c))))
 	}
+	if w.returnsAtOnce {
+		wait = 2 * tick
+	}
 	c.nextAt = w.now + wait
 	c.isRefused = c.attempts == maxAttempts || w.totalTime > 0 && c.firstAt+w.totalTime-c.nextAt < minAttemptTime
 }
@@ -236,6 +240,18 @@
 	assert.Less(t, after.meanWait, before.meanWait)
 }
 
+// Guards against callers that are told nothing certain, come back at once and have no attempt left when the store
+// returns.
+func TestStoreAwayWithCallersThatReturnAtOnce(t *testing.T) {
+	w := newWorld(t, 12, built, 4*time.Second)
+	w.totalTime, w.returnsAtOnce = 3*time.Second, true
+	w.addCallers(6000, 0, 10*time.Second)
+	w.run(20 * time.Second)
+	o := w.outcome(w.outage[1]-w.totalTime, w.outage[1])
+	t.Logf("served %.3f, %.0f ms after the return", o.served, o.meanWait.Seconds()*1000)
+	assert.GreaterOrEqual(t, o.served, 0.9)
+}
+
 // Guards against an outage's callers that come back as one wave, exhaust a node's memory or hold up those that
 // come later.
 func TestReturnOf5000Callers(t *testing.T) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,6 +23,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/heldqueue"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
@@ -106,6 +107,8 @@
 	Store(ctx context.Context, address string, q StoreRequest) (StoreResponse, error)
 	// NoteAttempt tells a node that a job was handed in a time ago and not stored.
 	NoteAttempt(ctx context.Context, address string, id workload.JobID, age time.Duration) error
+	// ReportOpen tells the node of the partition's owner of attempts whose outcome is unknown.
+	ReportOpen(ctx context.Context, partition int, requests []acceptance.Request) error
 }
 
 // Router stores records. It is safe for concurrent use.
@@ -114,16 +117,26 @@
 	peers      Peers
 	logger     hclog.Logger
 	relaySlots chan struct{}
+	attempts   *attemptLog
 	noteSlots  chan struct{}
 
 	mu             sync.Mutex
 	backedOffUntil map[string]time.Time // by address
-	attempts       *heldqueue.Attempts
+	firstAttempts  *heldqueue.Attempts
 }
 
 // New returns a router.
 func New(local LocalStore, peers Peers, logger hclog.Logger) *Router {
-	return &Router{local: local, peers: peers, logger: logger, relaySlots: make(chan struct{}, maxRelaysInFlight), noteSlots: make(chan struct{}, maxNotesInFlight), backedOffUntil: map[string]time.Time{}, attempts: heldqueue.NewAttempts()}
+	return &Router{
+		local:          local,
+		peers:          peers,
+		logger:         logger,
+		relaySlots:     make(chan struct{}, maxRelaysInFlight),
+		attempts:       newAttemptLog(peers, logger),
+		noteSlots:      make(chan struct{}, maxNotesInFlight),
+		backedOffUntil: map[string]time.Time{},
+		firstAttempts:  heldqueue.NewAttempts(),
+	}
 }
 
 // outcome is the result of storing a record over one or more routes.
@@ -139,8 +152,13 @@
 
 // Accept stores a record. It returns StoreRefused as soon as no route is left and the record
 // certainly is not and will not be stored. If the outcome is unknown, Accept stores the
-// record again until the outcome is known or ctx ends; it then returns StoreUnknown.
-func (r *Router) Accept(ctx context.Context, partition int, record workload.Record) (platform.StoreStatus, error) {
+// record again until the outcome is known or ctx ends; it then returns StoreUnknown. A record that this
+// node has stored or relayed lately is not stored again.
+func (r *Router) Accept(ctx context.Context, partition int, record workload.Record) (status platform.StoreStatus, err error) {
+	if r.attempts.begin(partition, record) {
+		return platform.StoreOK, nil
+	}
+	defer func() { r.attempts.end(partition, record, status) }()
 	record = r.withFirstAttempt(record)
 	mayBeStored := false
 	for {
@@ -152,7 +170,10 @@
 			r.rememberAttempt(partition, record)
 			return res.status, res.err
 		}
-		mayBeStored = true
+		if !mayBeStored {
+			mayBeStored = true
+			r.attempts.reportOpen(partition, record)
+		}
 		if wait.Sleep(ctx, retryInterval) != nil {
 			return platform.StoreUnknown, errors.Wrap(res.err, "the outcome stayed open")
 		}
@@ -224,6 +245,7 @@
 	if err := r.local.CheckAvailable(); err != nil {
 		return outcome{status: platform.StoreRefused, err: err}
 	}
+	r.reportInFlight(partition, record)
 	status, _, err := r.local.Store(ctx, partition, record, nil)
 	return outcome{status: status, err: err, skipOtherRoutes: true}
 }
@@ -300,6 +322,13 @@
 	return !time.Now().Before(r.backedOffUntil[address])
 }
 
+// EndBackoff returns a node to the routes, since it has just reached the store.
+func (r *Router) EndBackoff(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.backedOffUntil, address)
+}
+
 // backOff excludes a node from the routes for peerBackoffTime. It logs when a backoff begins
 // but not when it is extended.
 func (r *Router) backOff(address string, reason error) {
@@ -323,9 +352,17 @@
 	if err := r.local.CheckAvailable(); err != nil {
 		return StoreResponse{Status: platform.StoreRefused, Unavailable: true, Reason: err.Error()}
 	}
+	if r.attempts.begin(q.Partition, q.Record) {
+		return StoreResponse{Status: platform.StoreOK}
+	}
+	r.reportInFlight(q.Partition, q.Record)
 	pendingTimer := time.NewTimer(min(max(0, q.PendingAfter), slowRelayPendingAfter))
 	defer pendingTimer.Stop()
 	status, pending, err := r.local.Store(ctx, q.Partition, r.withFirstAttempt(q.Record), pendingTimer.C)
+	r.attempts.end(q.Partition, q.Record, status)
+	if status == platform.StoreUnknown {
+		r.attempts.reportOpen(q.Partition, q.Record)
+	}
 	response := StoreResponse{Status: status, Pending: pending}
 	if err != nil {
 		response.Reason = err.Error()
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/yuccadrift/yuccadrift/internal/front"
+	"github.com/yuccadrift/yuccadrift/internal/intake"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
 	"github.com/yuccadrift/yuccadrift/internal/owner"
@@ -33,6 +36,10 @@
 	selfAddress string // this node's address for other nodes
 	clients     *nodepeer.Clients
 	manager     *ownership.Manager
+	logger      hclog.Logger
+	// checkStore returns an error if the store doesn't answer this node.
+	checkStore func() error
+	intake     *intake.Router
 
 	mu      sync.Mutex
 	local   map[int]*owner.Owner         // by partition
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/peer"
 
+	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -41,8 +42,11 @@
 type Request struct {
 	Partition int            `json:"p"`
 	Job       workload.JobID `json:"j,omitempty"`
-	Queue     string         `json:"q,omitempty"`
-	Worker    string         `json:"w,omitempty"`
+	Cancels   bool           `json:"cx,omitempty"` // asks for the job's cancellation, not its submission
+	// Requester asks whether its job was accepted or its cancellation stands.
+	Requester *workload.Requester `json:"rq,omitempty"`
+	Queue     string              `json:"q,omitempty"`
+	Worker    string              `json:"w,omitempty"`
 	// Service is the service of the workers in DueForMaintenance.
 	Service           string   `json:"sv,omitempty"`
 	DueForMaintenance []string `json:"lv,omitempty"`
@@ -58,6 +62,8 @@
 	Loan          *workload.LoanRequest `json:"ln,omitempty"`
 	// AgeMS is the time since Job was handed in, in milliseconds.
 	AgeMS int64 `json:"ag,omitempty"`
+	// OpenAttempts are attempts of other nodes to store records, whose outcome is unknown.
+	OpenAttempts []acceptance.Request `json:"oa,omitempty"`
 }
 
 // Response holds the results of all methods.
@@ -83,6 +89,10 @@
 	// store, nil if the node has none.
 	HandoverRecords []StoredRecord `json:"rp,omitempty"`
 	Config          *ConfigResult  `json:"cf,omitempty"`
+	// Stands is set if the owner knows the requester's job, or its cancellation if that was asked for.
+	Stands bool `json:"sd,omitempty"`
+	// Acceptance is set if the node runs an owner of the partition.
+	Acceptance *acceptance.OwnerReport `json:"ac,omitempty"`
 	// Loan is set if IsOwner is and the request was not refused.
 	Loan *workload.LoanResponse `json:"ln,omitempty"`
 }
@@ -107,6 +117,8 @@
 	AgeMS int64 `json:"a"` // time since the answer
 	// Owned are the partitions that the membership group has assigned to the process.
 	Owned []platform.Partition `json:"h,omitempty"`
+	// Slowed is set if the node's VM is slower than usual.
+	Slowed bool `json:"sl,omitempty"`
 }
 
 // StoreResult is the outcome of storing a record.
@@ -129,6 +141,8 @@
 	ServeConfig(ctx context.Context, req Request) (Response, error)
 	ServeLoan(ctx context.Context, req Request) (Response, error)
 	ServeAttempt(ctx context.Context, req Request) (Response, error)
+	ServeAcceptance(ctx context.Context, req Request) (Response, error)
+	ServeOpenAttempts(ctx context.Context, req Request) (Response, error)
 }
 
 // Method is the name of a gRPC method.
@@ -152,6 +166,11 @@
 	MethodLoan Method = "Loan"
 	// MethodAttempt tells a node of a job that was handed in at another one and not stored.
 	MethodAttempt Method = "Attempt"
+	// MethodAcceptance returns whether the owner of a partition knows a job, and what rules out that
+	// an unknown one was accepted.
+	MethodAcceptance Method = "Acceptance"
+	// MethodOpenAttempts tells the owner's node of open attempts of another node.
+	MethodOpenAttempts Method = "OpenAttempts"
 )
 
 const serviceName = "yuccadrift.Node"
@@ -203,6 +222,8 @@
 			methodDesc(MethodConfig, onRequest, Handler.ServeConfig),
 			methodDesc(MethodLoan, onRequest, Handler.ServeLoan),
 			methodDesc(MethodAttempt, onRequest, Handler.ServeAttempt),
+			methodDesc(MethodAcceptance, onRequest, Handler.ServeAcceptance),
+			methodDesc(MethodOpenAttempts, onRequest, Handler.ServeOpenAttempts),
 		},
 	}, h)
 	ended := make(chan error, 1)
