intake: a caller with little time left doesn't exclude a node from the routes

A relay that is cut short for its caller was taken for a node that doesn't answer: a healthy node that was busy for some 10 ms was not used for a second by any caller. Nodes are now backed off only after the full time of a relay, or if the call fails before its time is over. After a pending response the usual times apply: the node is alive, and shorter and shorter repeats would only load it while the store is slow.

A first attempt of more than 30 s ago counted as long as nothing else was recorded, so that a job handed in anew was ranked as expired. Its age is now 0.

The new test fails without the change (refused instead of stored), as does the added check of ages.

--- a/internal/heldqueue/attempts.go
+++ b/internal/heldqueue/attempts.go
@@ -39,13 +39,15 @@
 	return !known
 }
 
-// Age returns the time since a job's first attempt, 0 if none is known.
+// Age returns the time since a job's first attempt, 0 if none is known or it is too long ago to be one of the same
+// caller's.
 func (a *Attempts) Age(id workload.JobID, now time.Time) time.Duration {
 	first, known := a.first[id]
-	if !known {
+	age := now.Sub(first)
+	if !known || age > maxAttemptAge {
 		return 0
 	}
-	return now.Sub(first)
+	return age
 }
 
 // forget drops the oldest entries beyond the bounds.
--- a/internal/heldqueue/heldqueue_test.go
+++ b/internal/heldqueue/heldqueue_test.go
@@ -106,6 +106,7 @@
 	assert.False(t, a.Record("a", 4*time.Second, began.Add(2*time.Second)))
 	assert.Equal(t, 4*time.Second, a.Age("a", began.Add(2*time.Second)), "another node saw it earlier")
 	assert.Zero(t, a.Age("b", began))
+	assert.Zero(t, a.Age("a", began.Add(time.Minute)), "too long ago, also if nothing was recorded since")
 	for i := range 10000 {
 		a.Record(workload.JobID(time.Duration(i).String()), 0, began.Add(2*time.Second))
 	}
--- a/internal/intake/firstattempts_test.go
+++ b/internal/intake/firstattempts_test.go
@@ -62,3 +62,20 @@
 		assert.Equal(t, platform.StoreOK, status)
 	})
 }
+
+// Guards against an owner's node that is not used for a second by all callers because it didn't answer one with
+// little time left.
+func TestACallerWithLittleTimeDoesNotExcludeTheOwnersNode(t *testing.T) {
+	runInVirtualTime(t, func(t *testing.T) {
+		c := newCluster(2, newSerialStore(4*time.Millisecond), address(0))
+		c.nodes[0].frozen.Store(true)
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		status, _ := c.nodes[1].router.Accept(ctx, 4, cancelRecord(1))
+		assert.Equal(t, platform.StoreOK, status)
+		c.nodes[0].frozen.Store(false)
+		c.nodes[1].unavailable = errors.New("the store rejects this node")
+		status, _ = c.nodes[1].router.Accept(t.Context(), 4, cancelRecord(2))
+		assert.Equal(t, platform.StoreOK, status)
+	})
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -262,7 +262,7 @@
 		}
 		wasPending := false
 		for {
-			response, err := r.relay(ctx, address, partition, record)
+			response, err := r.relay(ctx, address, partition, record, wasPending)
 			if err == nil && response.Pending {
 				wasPending = true
 				continue
@@ -293,22 +293,27 @@
 	return res
 }
 
-func (r *Router) relay(ctx context.Context, address string, partition int, record workload.Record) (StoreResponse, error) {
+// relay asks a node once to store a record. A caller with little time left doesn't wait for a node that has not
+// answered it yet as long as others do, since other routes remain. A node that has answered that the outcome is
+// pending is alive; it is asked as seldom as by others.
+func (r *Router) relay(ctx context.Context, address string, partition int, record workload.Record, wasPending bool) (StoreResponse, error) {
 	q := StoreRequest{Partition: partition, Record: record, PendingAfter: relayPendingAfter}
 	margin, timeShares := relayTransferMargin, time.Duration(relayTimeShares)
 	if r.local.IsSlow() {
 		q.PendingAfter, timeShares = slowRelayPendingAfter, slowRelayTimeShares
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		// A caller with little time left is still served if the node doesn't answer.
+	fullTime := q.PendingAfter + margin
+	if deadline, ok := ctx.Deadline(); ok && !wasPending {
 		timeLeft := max(0, time.Until(deadline))
 		q.PendingAfter, margin = min(q.PendingAfter, timeLeft/timeShares), min(margin, timeLeft/relayTimeShares)
 	}
 	relayCtx, cancel := context.WithTimeout(ctx, q.PendingAfter+margin)
 	defer cancel()
 	response, err := r.peers.Store(relayCtx, address, q)
+	// A node that doesn't answer in a shorter time may just be busy.
+	hadTime := q.PendingAfter+margin == fullTime || relayCtx.Err() == nil
 	switch {
-	case err != nil && ctx.Err() == nil:
+	case err != nil && ctx.Err() == nil && hadTime:
 		r.backOff(address, err)
 	case err == nil && response.Unavailable:
 		r.backOff(address, errors.New(response.Reason))
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -14,8 +14,8 @@
 	Service      string `json:"v"`
 	Workspace    string `json:"w,omitempty"` // whose key handed the job in, "" for none
 	AcceptedAtMS int64  `json:"a"`           // Unix milliseconds, by the clock of the node that accepted the job
-	// FirstAttemptAtMS is when the caller first handed the job in, by the same clock, if earlier attempts could
-	// not be stored; 0 otherwise.
+	// FirstAttemptAtMS is when the caller first handed the job in, by the clock of the node that stored the job,
+	// if earlier attempts could not be stored; 0 otherwise.
 	FirstAttemptAtMS int64 `json:"fa,omitempty"`
 	Spec             Spec  `json:"j"`
 }
