--- a/internal/front/hold_test.go
+++ b/internal/front/hold_test.go
@@ -103,3 +103,26 @@
 		assert.Empty(t, store.order, "what was refused is never stored")
 	})
 }
+
+// Guards against held requests that wait for one whose time is over and whose owner is being asked.
+func TestARequestWhoseTimeIsOverHoldsUpNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFrontRig(t)
+		req := &request{startedAt: time.Now(), http: httptest.NewRequest(http.MethodPost, "/", nil), timeout: 3 * time.Second}
+		first, second := r.handler.mayHold(req, "01"), r.handler.mayHold(req, "02")
+		second.request.FirstAttemptAt = req.startedAt.Add(time.Millisecond)
+		first.until = req.startedAt.Add(100 * time.Millisecond)
+		go func() {
+			assert.True(t, first.awaitTurn(t.Context()))
+			assert.False(t, first.awaitTurn(t.Context()))
+			time.Sleep(time.Second)
+			first.leave()
+		}()
+		synctest.Wait()
+		assert.True(t, second.awaitTurn(t.Context()))
+		assert.Less(t, time.Since(req.startedAt), 300*time.Millisecond)
+		second.leave()
+		time.Sleep(2 * time.Second)
+		assert.Zero(t, r.handler.Holder.count())
+	})
+}
