--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -125,11 +125,6 @@
 	return verdict
 }
 
-// refuse returns the response to a submission or cancellation whose record is certainly not stored.
-func (h *Handler) refuse(ctx context.Context, req *request, id workload.JobID, cause returntime.Cause, reason string) response {
-	return respondUnstored(h.judge(ctx, req, id), cause, reason)
-}
-
 // respondUnstored returns the response to a request whose record is certainly not stored. It promises
 // that the request has no effect only if no earlier attempt can have one.
 func respondUnstored(v acceptance.Verdict, cause returntime.Cause, reason string) response {
--- a/internal/front/submit_test.go
+++ b/internal/front/submit_test.go
@@ -148,3 +148,18 @@
 		})
 	}
 }
+
+// Guards against callers of a long outage that are told to return at once, whether they are refused or told
+// nothing certain.
+func TestTheTimeToReturnGrowsWithTheOutage(t *testing.T) {
+	for status, report := range map[int]AcceptanceReport{http.StatusGatewayTimeout: {}, http.StatusServiceUnavailable: ruledOut()} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newFrontRig(t)
+			r.jobs.outcomes, r.jobs.report = storeAway(), report
+			r.handler.StoreSilence = func() time.Duration { return 12 * time.Second }
+			res := r.send(http.MethodPost, jobPath, "Bearer ward-key")
+			assert.Equal(t, status, res.StatusCode)
+			assert.Equal(t, "4", res.Header.Get("Retry-After"))
+		})
+	}
+}
