--- a/internal/front/hold.go
+++ b/internal/front/hold.go
@@ -24,9 +24,9 @@
 	maxHeldBytes    = 4 << 20
 )
 
-// mayHold returns the request in a form that can be held: for a part of its caller's timeout, and for less
+// newHeldRequest returns a request that can be held for a part of its caller's timeout, and for less
 // while the node stops.
-func (h *Handler) mayHold(req *request, id workload.JobID) *heldRequest {
+func (h *Handler) newHeldRequest(req *request, id workload.JobID) *heldRequest {
 	limit := heldqueue.MaxHold(req.timeout)
 	if h.IsStopping() {
 		limit = min(limit, maxHoldWhileStopping)
--- a/internal/front/hold_test.go
+++ b/internal/front/hold_test.go
@@ -109,7 +109,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newFrontRig(t)
 		req := &request{startedAt: time.Now(), http: httptest.NewRequest(http.MethodPost, "/", nil), timeout: 3 * time.Second}
-		first, second := r.handler.mayHold(req, "01"), r.handler.mayHold(req, "02")
+		first, second := r.handler.newHeldRequest(req, "01"), r.handler.newHeldRequest(req, "02")
 		second.request.FirstAttemptAt = req.startedAt.Add(time.Millisecond)
 		first.until = req.startedAt.Add(100 * time.Millisecond)
 		go func() {
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -69,7 +69,7 @@
 // still be stored, since after a refusal the job could run although its caller was told that it won't.
 // h.Jobs.Accept retries an unknown outcome as long as the caller waits.
 func (h *Handler) storeRecord(ctx context.Context, req *request, r workload.Record) response {
-	held := h.mayHold(req, r.Job)
+	held := h.newHeldRequest(req, r.Job)
 	defer func() { req.heldFor = held.leave() }()
 	wasJudged, isLastTry := false, false
 	for {
