--- a/internal/front/admission.go
+++ b/internal/front/admission.go
@@ -53,7 +53,7 @@
 	case acceptance.NeverAccepted:
 		h.Metrics.hopeless.WithLabelValues("rejected").Inc()
 		res := retryableResponse(returntime.NoCapacity, fmt.Sprintf("the job can't be done in time: nineteen of twenty of its workspace would wait %d ms and more; the request was not taken", p.Wait.Milliseconds()))
-		res.retryAfter = returntime.After(returntime.Refusal{Cause: returntime.NoCapacity, Delay: verdict.RetryAfter})
+		res.delay = verdict.RetryAfter
 		return res, true
 	default:
 		h.Metrics.hopeless.WithLabelValues("uncertain").Inc()
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -12,9 +12,11 @@
 type response struct {
 	status        int
 	body          []byte
-	reason        string        // for the log
-	retryAfter    time.Duration // 0 if the request should not be sent again
-	challengesKey bool          // the request needs a valid key
+	reason        string           // for the log
+	retryAfter    time.Duration    // 0 if the request should not be sent again
+	cause         returntime.Cause // of a refusal, 0 otherwise
+	delay         time.Duration    // when a refused request may be of use again, 0 if that is unknown
+	challengesKey bool             // the request needs a valid key
 }
 
 // errorBody is the body of an error response.
@@ -33,7 +35,7 @@
 // retryableResponse returns a refusal that tells the caller when to send its request again.
 func retryableResponse(cause returntime.Cause, reason string) response {
 	res := errorResponse(http.StatusServiceUnavailable, reason)
-	res.retryAfter = returntime.After(returntime.Refusal{Cause: cause})
+	res.cause = cause
 	return res
 }
 
@@ -41,7 +43,7 @@
 // to send it again.
 func uncertainResponse(cause returntime.Cause, reason string) response {
 	res := errorResponse(http.StatusGatewayTimeout, reason)
-	res.retryAfter = returntime.After(returntime.Refusal{Cause: cause})
+	res.cause = cause
 	return res
 }
 
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -9,22 +9,12 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/returntime"
-	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
-// Timeouts and sizes of submissions and cancellations.
-const (
-	// storeRetryInterval is the pause before a refused record is tried again.
-	storeRetryInterval = 60 * time.Millisecond
-	// maxRetryTime is how long a refused record is retried. A caller that is told nothing certain
-	// comes back at once, whatever Retry-After says, and has few attempts: it loses less by waiting
-	// here, where its job is taken as soon as the store answers. If the job is ruled out then, its
-	// owner has just read the store, and the record is tried once more.
-	maxRetryTime        = 700 * time.Millisecond
-	defaultMaxBodyBytes = 256 << 10 // if the configuration sets no limit
-)
+// defaultMaxBodyBytes applies if the configuration sets no limit.
+const defaultMaxBodyBytes = 256 << 10
 
 func (h *Handler) submit(ctx context.Context, req *request, id workload.JobID, config *workload.Config) response {
 	maxBodyBytes := config.Limits.MaxBodyBytes
@@ -76,33 +66,41 @@
 	return h.storeRecord(ctx, req, record)
 }
 
-// storeRecord stores a record before the caller gets a response. If the record is certainly
-// not stored the response is a refusal, after which the caller can try elsewhere. If it may
-// still be stored the response is a gateway timeout: after a refusal the job could run
-// although its caller was told that it won't. h.Jobs.Accept retries an unknown outcome as
-// long as the caller waits.
+// storeRecord stores a record before the caller gets a response. If the record is certainly not stored it is
+// held and tried again for a part of the time that the caller waits. A job that its owner knows is acknowledged
+// at the first refused try. When the time is over, the response says what is known of the job: nothing, if it may
+// still be stored, since after a refusal the job could run although its caller was told that it won't.
+// h.Jobs.Accept retries an unknown outcome as long as the caller waits.
 func (h *Handler) storeRecord(ctx context.Context, req *request, r workload.Record) response {
+	held := h.newHeldRequest(req, r.Job)
+	defer func() { req.heldFor = held.leave() }()
 	wasJudged, isLastTry := false, false
 	for {
 		status, err := h.Jobs.Accept(ctx, req.queue.Service, r)
 		switch status {
 		case platform.StoreOK:
+			held.stored()
 			return accepted()
 		case platform.StoreRefused:
-			reason := "the store is away: " + err.Error()
-			isOver := time.Since(req.startedAt) >= maxRetryTime
-			if !wasJudged || isOver {
-				verdict := h.judge(ctx, req, r.Job)
-				isFinal := verdict == acceptance.Accepted || isOver && (isLastTry || verdict != acceptance.NeverAccepted)
-				if isFinal || ctx.Err() != nil {
-					return respondUnstored(verdict, returntime.StoreUnavailable, reason)
-				}
-				wasJudged, isLastTry = true, isOver
+			verdict := acceptance.Uncertain
+			if !wasJudged {
+				verdict = h.judge(ctx, req, r.Job)
+			}
+			if verdict != acceptance.Accepted && !isLastTry && held.awaitTurn(ctx) {
+				wasJudged = true
+				continue
+			}
+			if wasJudged {
+				verdict = h.judge(ctx, req, r.Job)
 			}
-			if wait.Sleep(ctx, storeRetryInterval) != nil {
-				return h.refuse(ctx, req, r.Job, returntime.StoreUnavailable, reason)
+			if verdict == acceptance.NeverAccepted && !isLastTry && ctx.Err() == nil {
+				// The owner has just read the store.
+				wasJudged, isLastTry = true, true
+				continue
 			}
+			return respondUnstored(verdict, returntime.StoreUnavailable, "the store is away: "+err.Error())
 		case platform.StoreUnknown:
+			held.unknown()
 			return uncertainResponse(returntime.StoreUnavailable, "the store did not answer, the request may have been taken: "+err.Error())
 		default:
 			return errorResponse(http.StatusInternalServerError, "store: "+err.Error())
@@ -130,11 +128,6 @@
 	return verdict
 }
 
-// refuse returns the response to a submission or cancellation whose record is certainly not stored.
-func (h *Handler) refuse(ctx context.Context, req *request, id workload.JobID, cause returntime.Cause, reason string) response {
-	return respondUnstored(h.judge(ctx, req, id), cause, reason)
-}
-
 // respondUnstored returns the response to a request whose record is certainly not stored. It promises
 // that the request has no effect only if no earlier attempt can have one.
 func respondUnstored(v acceptance.Verdict, cause returntime.Cause, reason string) response {
