--- a/internal/dayreport/conditions.go
+++ b/internal/dayreport/conditions.go
@@ -18,6 +18,7 @@
 	NoConfiguration  Cause = "no configuration"
 	WorkspaceAtCap   Cause = "waits for its cap"
 	RunsUnknown      Cause = "silent workers after a takeover"
+	RackDark         Cause = "rack dark"
 	NoFreeCapacity   Cause = "no room"
 	NoProspect       Cause = "can't be done in time"
 	OtherCause       Cause = "other"
@@ -75,6 +76,7 @@
 	// runsUnknown are the times from takeovers until all runs of earlier owners were known. Only jobs that
 	// were accepted before such a time wait until its end.
 	runsUnknown map[int][]period
+	rackDark    map[int][]period // by partition
 }
 
 // capKey identifies a workspace's use of a partition.
@@ -91,17 +93,23 @@
 	firstLineAt time.Time
 }
 
-// collectConditions returns the conditions and the takeovers that lines report. The lines must
-// be sorted by time and must not be empty.
-func collectConditions(lines []Line) (*conditions, []Takeover) {
-	c := &conditions{
+func newConditions() *conditions {
+	return &conditions{
 		storeUnavailable: map[string][]period{},
 		ownerUnavailable: map[int][]period{},
 		ownerOverloaded:  map[int][]period{},
 		vmsInTransit:     map[string][]period{},
 		workspaceAtCap:   map[capKey][]period{},
 		runsUnknown:      map[int][]period{},
+		rackDark:         map[int][]period{},
 	}
+}
+
+// collectConditions returns the conditions and the takeovers that lines report. The lines must
+// be sorted by time and must not be empty.
+func collectConditions(lines []Line) (*conditions, []Takeover) {
+	c := newConditions()
+	racks := rackTracker{}
 	ownership := &ownershipTracker{owner: map[int]string{}, leftAt: map[int]time.Time{}, lastLineAt: map[string]time.Time{}, firstLineAt: lines[0].At}
 	storeLostAt := map[string]time.Time{}
 	var takeovers []Takeover
@@ -110,6 +118,7 @@
 			c.storeUnavailable[l.Node] = append(c.storeUnavailable[l.Node], period{since, l.At})
 			delete(storeLostAt, l.Node)
 		}
+		racks.record(l, c)
 		switch l.Message {
 		case "started":
 			ownership.recordRestart(l.Node)
@@ -137,6 +146,7 @@
 		ownership.lastLineAt[l.Node] = l.At
 	}
 	last := lines[len(lines)-1].At
+	racks.finish(c, last)
 	for node, since := range storeLostAt {
 		c.storeUnavailable[node] = append(c.storeUnavailable[node], period{since, last})
 	}
@@ -215,6 +225,7 @@
 		{VMsInTransit, c.vmsInTransit[service]},
 		{WorkspaceAtCap, c.workspaceAtCap[capKey{l.Partition, l.Workspace}]},
 		{RunsUnknown, waitedThrough(waited, c.runsUnknown[l.Partition])},
+		{RackDark, c.rackDark[l.Partition]},
 	} {
 		if d := coveredDuration(waited, candidate.periods); d > longest {
 			cause, longest = candidate.cause, d
--- a/internal/dayreport/dayreport_test.go
+++ b/internal/dayreport/dayreport_test.go
@@ -1,6 +1,7 @@
 package dayreport_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -116,6 +117,13 @@
 			logLine(19.2, "n-2", "waits-for-cap", `"partition":4,"workspace":"ward","age_ms":2000`),
 			logLine(20, "n-2", "first-placed", `"job":"a","queue":"q","partition":4,"age_ms":3000,"workspace":"ward"`),
 		}, dayreport.WorkspaceAtCap},
+		{"a rack was dark", []string{
+			owned, logLine(17, "n-2", "rack-suspect", `"partition":4,"rack":"r-1"`), logLine(17.5, "n-2", "rack-suspect", `"partition":4,"rack":"r-2"`),
+			logLine(18.5, "n-2", "rack-trusted", `"partition":4,"rack":"r-1","age_ms":1500`), firstPlaced(20, "3000"),
+		}, dayreport.RackDark},
+		{"a rack of another partition was dark", []string{
+			owned, logLine(17, "n-2", "rack-suspect", `"partition":3,"rack":"r-1"`), firstPlaced(20, "3000"),
+		}, dayreport.NoFreeCapacity},
 		{"another workspace waited for its cap", []string{
 			owned, logLine(19.2, "n-2", "waits-for-cap", `"partition":4,"workspace":"clinic","age_ms":2000`),
 			logLine(20, "n-2", "first-placed", `"job":"a","queue":"q","partition":4,"age_ms":3000,"workspace":"ward"`),
@@ -245,3 +253,21 @@
 	assert.Equal(t, dayreport.NoProspect, r.Refusals[0].Cause)
 	assert.Empty(t, buildReport(t, acceptedJob(0, "a")).Workspaces)
 }
+
+// Guards against callers of an outage that count twice, or as refused although they were taken in the end.
+func TestOutageCountsTheCallersThatMetIt(t *testing.T) {
+	answered := func(seconds float64, node, job string, status int, fields string) string {
+		return logLine(seconds, node, "answered", fmt.Sprintf(`"method":"POST","job":%q,"status":%d`, job, status)+fields)
+	}
+	away := `,"reason":"the store is away, the request was not taken: x","retry_after_s":2,"held_ms":900`
+	r := buildReport(t,
+		logLine(10, "n-1", "store does not answer", `"since_ms":1500`), logLine(10.5, "n-2", "store does not answer", `"since_ms":1500`),
+		answered(11, "n-1", "a", 503, away), answered(12, "n-2", "a", 503, away),
+		answered(11, "n-1", "b", 503, away), answered(13.1, "n-2", "b", 200, ""),
+		answered(13.2, "n-2", "c", 200, `,"held_ms":300`), answered(13.2, "n-2", "d", 200, ""),
+		logLine(13, "n-1", "store answers again", ""), logLine(13, "n-2", "store answers again", ""),
+		logLine(30, "n-2", "store does not answer", `"since_ms":1000`), logLine(31, "n-2", "started", ""))
+	require.Len(t, r.Outages, 2)
+	assert.Equal(t, dayreport.Outage{From: noon.Add(8500 * time.Millisecond), To: noon.Add(13 * time.Second), Nodes: 2, Callers: 3, Accepted: 2, Held: 3, LongestReturn: 2 * time.Second}, r.Outages[0])
+	assert.Equal(t, 1, r.Outages[1].Nodes)
+}
--- a/internal/front/submit_test.go
+++ b/internal/front/submit_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
+	"github.com/yuccadrift/yuccadrift/internal/heldqueue"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -84,8 +85,13 @@
 func TestAJobIsTriedOnceMoreIfItsOwnerReachesTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newFrontRig(t)
-		r.jobs.outcomes = storeAway()[:int(maxRetryTime/storeRetryInterval)+2]
-		r.jobs.report, r.jobs.reportedFrom = ruledOut(), time.Now().Add(maxRetryTime)
+		r.jobs.outcomes = storeAway()
+		assert.Equal(t, http.StatusGatewayTimeout, r.send(http.MethodPost, jobPath, "Bearer ward-key").StatusCode)
+		triesWhileHeld := len(storeAway()) - len(r.jobs.outcomes)
+		assert.Greater(t, triesWhileHeld, 1)
+
+		r.jobs.outcomes = storeAway()[:triesWhileHeld]
+		r.jobs.report, r.jobs.reportedFrom = ruledOut(), time.Now().Add(heldqueue.MaxHold(defaultCallerTimeout))
 		assert.Equal(t, http.StatusOK, r.send(http.MethodPost, jobPath, "Bearer ward-key").StatusCode)
 		assert.Len(t, r.jobs.records, 1)
 	})
@@ -142,3 +148,18 @@
 		})
 	}
 }
+
+// Guards against callers of a long outage that are told to return at once, whether they are refused or told
+// nothing certain.
+func TestTheTimeToReturnGrowsWithTheOutage(t *testing.T) {
+	for status, report := range map[int]AcceptanceReport{http.StatusGatewayTimeout: {}, http.StatusServiceUnavailable: ruledOut()} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newFrontRig(t)
+			r.jobs.outcomes, r.jobs.report = storeAway(), report
+			r.handler.StoreSilence = func() time.Duration { return 12 * time.Second }
+			res := r.send(http.MethodPost, jobPath, "Bearer ward-key")
+			assert.Equal(t, status, res.StatusCode)
+			assert.Equal(t, "4", res.Header.Get("Retry-After"))
+		})
+	}
+}
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -64,6 +64,8 @@
 	ConfigVersion int64                 `json:"cv,omitempty"`
 	Loan          *workload.LoanRequest `json:"ln,omitempty"`
 	Workspace     string                `json:"ws,omitempty"` // of MethodProspect
+	// AgeMS is the time since Job was handed in, in milliseconds.
+	AgeMS int64 `json:"ag,omitempty"`
 	// OpenAttempts are attempts of other nodes to store records, whose outcome is unknown.
 	OpenAttempts []acceptance.Request `json:"oa,omitempty"`
 }
@@ -152,6 +154,7 @@
 	ServeConfig(ctx context.Context, req Request) (Response, error)
 	ServeLoan(ctx context.Context, req Request) (Response, error)
 	ServeProspect(ctx context.Context, req Request) (Response, error)
+	ServeAttempt(ctx context.Context, req Request) (Response, error)
 	ServeAcceptance(ctx context.Context, req Request) (Response, error)
 	ServeOpenAttempts(ctx context.Context, req Request) (Response, error)
 }
@@ -177,6 +180,8 @@
 	MethodLoan Method = "Loan"
 	// MethodProspect returns the prospect of the next job of a queue and a workspace.
 	MethodProspect Method = "Prospect"
+	// MethodAttempt tells a node of a job that was handed in at another one and not stored.
+	MethodAttempt Method = "Attempt"
 	// MethodAcceptance returns whether the owner of a partition knows a job, and what rules out that
 	// an unknown one was accepted.
 	MethodAcceptance Method = "Acceptance"
@@ -233,6 +238,7 @@
 			methodDesc(MethodConfig, onRequest, Handler.ServeConfig),
 			methodDesc(MethodLoan, onRequest, Handler.ServeLoan),
 			methodDesc(MethodProspect, onRequest, Handler.ServeProspect),
+			methodDesc(MethodAttempt, onRequest, Handler.ServeAttempt),
 			methodDesc(MethodAcceptance, onRequest, Handler.ServeAcceptance),
 			methodDesc(MethodOpenAttempts, onRequest, Handler.ServeOpenAttempts),
 		},
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -76,6 +76,7 @@
 	workShares    workShares
 	prospects     prospects
 	log           logPosition // of the partition
+	racks         rackWatch
 	workers       map[string]*worker
 	sortedWorkers []*worker // by ID
 	// removedWorkerTokens are the last tokens of removed workers, by ID. A worker may come
@@ -94,9 +95,8 @@
 	earlierLeasesExpireAt time.Time
 	// unresolvedWorkers are the IDs of workers that may run tasks of an earlier owner and have
 	// not answered this owner yet. It is empty if the earlier owner left a handover.
-	unresolvedWorkers map[string]bool
-	// unresolvedCapacity is the most that the tasks of each may reserve, as far as it is known.
-	unresolvedCapacity map[string]workload.Resources
+	unresolvedWorkers  map[string]bool
+	unresolvedCapacity map[string]workload.Resources // the most that the tasks of each may reserve, where known
 	// workerListIncomplete is set if unresolvedWorkers may lack some workers.
 	workerListIncomplete bool
 
@@ -129,9 +129,8 @@
 	// stepsWithCrashes are the steps whose tasks have or had crash records.
 	stepsWithCrashes []*step
 	// serviceBusyUntil is until when a service counts as busy with tasks that are no suspects.
-	serviceBusyUntil map[string]time.Time
-	// crashWritePending is set while changed crash records are not stored.
-	crashWritePending bool
+	serviceBusyUntil  map[string]time.Time
+	crashWritePending bool // changed crash records are not stored
 
 	// Workspaces, see allowance.go and loans.go.
 
@@ -351,6 +350,7 @@
 		}
 		c.resolveProcessExit(w, now)
 	}
+	c.updateRacks()
 	c.planStale = true
 }
 
--- a/internal/scheduler/orderresult.go
+++ b/internal/scheduler/orderresult.go
@@ -31,6 +31,9 @@
 		return nil, false
 	}
 	w.ordersInFlight--
+	if isFromWorker(result.Answer.Status) {
+		w.lastHeardAt = now
+	}
 	if result.Token < w.token {
 		return w.findRun(result.Task, result.Run), true
 	}
@@ -57,6 +60,8 @@
 	switch result.Answer.Status {
 	case workload.WorkerOK:
 		c.Counts.StartedRuns++
+		c.racks.recordAnswerDelay(now.Sub(r.orderedAt))
+		r.worker.recordHeard(r.orderedAt, now)
 		r.startConfirmed = true
 		if r.state != runStopping {
 			r.state = runRunning
