--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -45,7 +45,10 @@
 
 const (
 	// MaxAge is the greatest age of a prospect that may reject a job.
-	MaxAge        = 300 * time.Millisecond
+	MaxAge = 300 * time.Millisecond
+	// doubtFactor is how many times longer than is useful the predicted wait must be: jobs of several
+	// sizes share a prospect, and the smallest of them wait less.
+	doubtFactor   = 1.25
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
 )
@@ -53,7 +56,7 @@
 // Judge decides on a job by a prospect of the given age.
 func Judge(p Prospect, age time.Duration, j Job) Verdict {
 	usefulWait := j.Limit - j.Path
-	if p.IsZero() || age < 0 || age > MaxAge || usefulWait <= 0 || j.Work < p.MinWork || p.Wait <= usefulWait {
+	if p.IsZero() || age < 0 || age > MaxAge || usefulWait <= 0 || j.Work < p.MinWork || float64(p.Wait) <= doubtFactor*float64(usefulWait) {
 		return Verdict{}
 	}
 	return Verdict{Reject: true, RetryAfter: min(max(p.Expected-usefulWait, minRetryAfter), maxRetryAfter)}
