--- a/internal/dayreport/dayreport_test.go
+++ b/internal/dayreport/dayreport_test.go
@@ -1,6 +1,7 @@
 package dayreport_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -116,10 +117,26 @@
 			logLine(19.2, "n-2", "waits-for-cap", `"partition":4,"workspace":"ward","age_ms":2000`),
 			logLine(20, "n-2", "first-placed", `"job":"a","queue":"q","partition":4,"age_ms":3000,"workspace":"ward"`),
 		}, dayreport.WorkspaceAtCap},
+		{"a rack was dark", []string{
+			owned, logLine(17, "n-2", "rack-suspect", `"partition":4,"rack":"r-1"`), logLine(17.5, "n-2", "rack-suspect", `"partition":4,"rack":"r-2"`),
+			logLine(18.5, "n-2", "rack-trusted", `"partition":4,"rack":"r-1","age_ms":1500`), firstPlaced(20, "3000"),
+		}, dayreport.RackDark},
+		{"a rack of another partition was dark", []string{
+			owned, logLine(17, "n-2", "rack-suspect", `"partition":3,"rack":"r-1"`), firstPlaced(20, "3000"),
+		}, dayreport.NoFreeCapacity},
 		{"another workspace waited for its cap", []string{
 			owned, logLine(19.2, "n-2", "waits-for-cap", `"partition":4,"workspace":"clinic","age_ms":2000`),
 			logLine(20, "n-2", "first-placed", `"job":"a","queue":"q","partition":4,"age_ms":3000,"workspace":"ward"`),
 		}, dayreport.NoFreeCapacity},
+		{"a worker was silent after a takeover", []string{
+			logLine(17.1, "n-2", "partition taken over", `"partition":4`),
+			logLine(19.9, "n-2", "takeover-complete", `"partition":4,"age_ms":2900`), firstPlaced(20, "3000"),
+		}, dayreport.RunsUnknown},
+		{"a worker was silent after a takeover, and the job was accepted later", []string{
+			logLine(17.1, "n-2", "partition taken over", `"partition":4`),
+			logLine(19.9, "n-2", "takeover-complete", `"partition":4,"age_ms":2900`),
+			logLine(20.4, "n-2", "first-placed", `"job":"a","queue":"q","partition":4,"age_ms":3000`),
+		}, dayreport.NoFreeCapacity},
 	} {
 		r := buildReport(t, append([]string{acceptedJob(0.5, "a")}, c.lines...)...)
 		require.Len(t, r.SlowStarts, 1, c.name)
@@ -212,3 +229,45 @@
 		}
 	})
 }
+
+// Guards against a team that complains and of which the report doesn't say who waited, who was refused, and
+// beside whom.
+func TestWorkspacesAreSummarized(t *testing.T) {
+	answered := func(seconds float64, workspace, status, reason string) string {
+		return logLine(seconds, "n-1", "answered", `"method":"POST","status":`+status+`,"job":"j","queue":"q","service":"booking","workspace":"`+workspace+`","reason":"`+reason+`"`)
+	}
+	started := func(seconds float64, workspace, ageMS string) string {
+		return logLine(seconds, "n-1", "first-placed", `"job":"j","queue":"q","partition":3,"workspace":"`+workspace+`","age_ms":`+ageMS)
+	}
+	r := buildReport(t,
+		answered(0, "ward", "200", ""), answered(0, "clinic", "200", ""),
+		answered(0, "flood", "503", "the job can't be done in time: nineteen of twenty would wait 9000 ms"),
+		logLine(2, "n-1", "workspace-share", `"partition":3,"workspace":"flood","reason":"service booking is full, asks for more than the others true"`),
+		logLine(2, "n-1", "workspace-share", `"partition":3,"workspace":"clinic","reason":"service booking is full, asks for more than the others false"`),
+		started(0.1, "clinic", "100"), started(2.5, "ward", "2500"))
+	require.Len(t, r.Workspaces, 3)
+	assert.Equal(t, dayreport.WorkspaceDay{Workspace: "flood", Refused: 1, Hopeless: 1}, r.Workspaces[0])
+	ward := r.Workspaces[1]
+	assert.Equal(t, []any{"ward", 1, 1, dayreport.NoFreeCapacity, []string{"flood"}}, []any{ward.Workspace, ward.Accepted, ward.Slow, ward.Cause, ward.Beside})
+	assert.Zero(t, r.Workspaces[2].Slow)
+	assert.Equal(t, dayreport.NoProspect, r.Refusals[0].Cause)
+	assert.Empty(t, buildReport(t, acceptedJob(0, "a")).Workspaces)
+}
+
+// Guards against callers of an outage that count twice, or as refused although they were taken in the end.
+func TestOutageCountsTheCallersThatMetIt(t *testing.T) {
+	answered := func(seconds float64, node, job string, status int, fields string) string {
+		return logLine(seconds, node, "answered", fmt.Sprintf(`"method":"POST","job":%q,"status":%d`, job, status)+fields)
+	}
+	away := `,"reason":"the store is away, the request was not taken: x","retry_after_s":2,"held_ms":900`
+	r := buildReport(t,
+		logLine(10, "n-1", "store does not answer", `"since_ms":1500`), logLine(10.5, "n-2", "store does not answer", `"since_ms":1500`),
+		answered(11, "n-1", "a", 503, away), answered(12, "n-2", "a", 503, away),
+		answered(11, "n-1", "b", 503, away), answered(13.1, "n-2", "b", 200, ""),
+		answered(13.2, "n-2", "c", 200, `,"held_ms":300`), answered(13.2, "n-2", "d", 200, ""),
+		logLine(13, "n-1", "store answers again", ""), logLine(13, "n-2", "store answers again", ""),
+		logLine(30, "n-2", "store does not answer", `"since_ms":1000`), logLine(31, "n-2", "started", ""))
+	require.Len(t, r.Outages, 2)
+	assert.Equal(t, dayreport.Outage{From: noon.Add(8500 * time.Millisecond), To: noon.Add(13 * time.Second), Nodes: 2, Callers: 3, Accepted: 2, Held: 3, LongestReturn: 2 * time.Second}, r.Outages[0])
+	assert.Equal(t, 1, r.Outages[1].Nodes)
+}
--- a/internal/dayreport/lines.go
+++ b/internal/dayreport/lines.go
@@ -36,12 +36,15 @@
 	Reason      string    `json:"reason"`
 	AgeMS       int64     `json:"age_ms"`
 	SinceMS     int64     `json:"since_ms"`
+	HeldMS      int64     `json:"held_ms"` // how long a request waited for the store
+	RetryAfterS int64     `json:"retry_after_s"`
 	TookMS      int64     `json:"took_ms"` // of an answer, from the call to it
 	Partition   int       `json:"partition"`
 	Topic       string    `json:"topic"`
 	HandedOver  bool      `json:"handed_over"` // the previous owner handed its runs over
 	VM          string    `json:"vm"`
 	Pool        string    `json:"pool"`
+	Rack        string    `json:"rack"`
 	Maintenance bool      `json:"maintain"`
 	Wave        int64     `json:"wave"`
 	Done        int       `json:"done"`
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -24,8 +24,8 @@
 	hedgeDelayFactor = 3
 	// hedgeDelayGrowth is the factor between the delays of successive calls.
 	hedgeDelayGrowth = 2.5
-	// maxCalls bounds the calls for one write.
-	maxCalls = 4
+	// MaxCalls bounds the calls for one write.
+	MaxCalls = 4
 	// latencyDecay is the share of the difference by which a shorter latency lowers the
 	// estimate. A longer latency replaces the estimate.
 	latencyDecay = 0.1
@@ -42,6 +42,9 @@
 	// answered some call within this time before the latest call was sent. Otherwise its
 	// silence says nothing about its latency. A node makes several calls a second.
 	recentAnswerWindow = time.Second
+	// minSilence is the time without any answer of the store after which calls that were sent before
+	// the next answer count as lost: much longer than between two answers to a node that is in touch.
+	minSilence = time.Second
 	// slowLatency is the latency above which the store counts as slow: ten times the longest
 	// of the usual 4 to 10 ms.
 	slowLatency = 100 * time.Millisecond
@@ -54,6 +57,8 @@
 	// lastAnswerAt is when the store last answered a call, lastAnsweredSentAt when the latest
 	// answered call was sent.
 	lastAnswerAt, lastAnsweredSentAt time.Time
+	// silenceEndedAt is when the store answered again after the latest silence of minSilence.
+	silenceEndedAt time.Time
 	// callLatency is the latency of calls of all kinds except long polls.
 	callLatency time.Duration
 }
@@ -73,7 +78,11 @@
 func (h *Hedger) RecordAnswer(sentAt time.Time, wasLongPoll bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lastAnswerAt = time.Now()
+	now := time.Now()
+	if !h.lastAnswerAt.IsZero() && now.Sub(h.lastAnswerAt) > minSilence {
+		h.silenceEndedAt = now
+	}
+	h.lastAnswerAt = now
 	if !wasLongPoll {
 		h.callLatency = updateLatency(h.callLatency, h.lastAnswerAt.Sub(sentAt))
 	}
@@ -82,6 +91,14 @@
 	}
 }
 
+// IsPresumedLost reports whether a call that was sent at sentAt and has no answer is probably lost: the
+// store was silent after it, and has answered another call since.
+func (h *Hedger) IsPresumedLost(sentAt time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return sentAt.Before(h.silenceEndedAt)
+}
+
 // IsSlow reports whether the store is slow to answer. Other calls than writes count as well,
 // so nodes that write nothing can detect it.
 func (h *Hedger) IsSlow() bool {
@@ -135,12 +152,12 @@
 // Call is one call of a write.
 type Call func(ctx context.Context) (platform.StoreStatus, error)
 
-// Write repeats call, up to maxCalls calls in all, until the outcome is known or all calls
+// Write repeats call, up to MaxCalls calls in all, until the outcome is known or all calls
 // have ended. It returns StoreRefused only if no call had or can still have an effect.
 func (h *Hedger) Write(ctx context.Context, call Call) (platform.StoreStatus, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan callResult, maxCalls)
+	results := make(chan callResult, MaxCalls)
 	var latestSentAt time.Time // of the latest call
 	send := func() {
 		latestSentAt = time.Now()
@@ -168,7 +185,7 @@
 			switch {
 			case h.isHedgeDeferred(latestSentAt):
 				timer.Reset(deferralCheckInterval)
-			case sent < maxCalls:
+			case sent < MaxCalls:
 				send()
 				sent++
 				delay = time.Duration(hedgeDelayGrowth * float64(delay))
--- a/internal/intake/attempts_test.go
+++ b/internal/intake/attempts_test.go
@@ -21,12 +21,12 @@
 	delay time.Duration
 }
 
-func (s *lateStore) Append(_ context.Context, p platform.Partition, producer *platform.Producer, records ...platform.KeyedRecord) (platform.StoreStatus, error) {
+func (s *lateStore) AppendSpan(_ context.Context, p platform.Partition, producer *platform.Producer, records ...platform.KeyedRecord) (platform.Span, platform.StoreStatus, error) {
 	time.AfterFunc(s.delay, func() {
-		_, _ = s.serialStore.Append(context.Background(), p, producer, records...)
+		_, _, _ = s.serialStore.AppendSpan(context.Background(), p, producer, records...)
 	})
 	time.Sleep(callTimeout)
-	return platform.StoreUnknown, errors.New("no answer")
+	return platform.Span{}, platform.StoreUnknown, errors.New("no answer")
 }
 
 func requestOf(partition int, r workload.Record) acceptance.Request {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -24,6 +24,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
+	"github.com/yuccadrift/yuccadrift/internal/heldqueue"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -43,6 +44,11 @@
 	// relayTransferMargin is added for the round trip, some 6 ms between zones, and for a
 	// process that is busy for some 100 ms.
 	relayTransferMargin = 200 * time.Millisecond
+	// relayTimeShares is how many of the time to a pending response, and of the margin, fit into the time that
+	// the caller has left: after both, half of it is left for other routes.
+	relayTimeShares = 4
+	// slowRelayTimeShares replaces relayTimeShares for the time to a pending response while the store is slow.
+	slowRelayTimeShares = 2
 	// peerBackoffTime is how long a node that did not answer is not asked again, so that not
 	// every caller waits for it. A lost owner is replaced in some 2 s.
 	peerBackoffTime = time.Second
@@ -53,6 +59,8 @@
 	// submit 200 jobs a second at peak load: even a node that gets them all stays below the
 	// bound unless a relay takes over a second.
 	maxRelaysInFlight = 256
+	// maxNotesInFlight bounds the concurrent messages on attempts.
+	maxNotesInFlight = 16
 	// maxRoutesPerAttempt bounds the other nodes that are tried in one attempt. The store may
 	// reject a third of the nodes at the same time: one caller in a hundred then finds four
 	// such nodes. They are backed off, and the next attempt tries others.
@@ -97,6 +105,8 @@
 	// Store asks a node to store a record through its own connection to the store. If the
 	// request was certainly not sent, Store returns StoreRefused and an error.
 	Store(ctx context.Context, address string, q StoreRequest) (StoreResponse, error)
+	// NoteAttempt tells a node that a job was handed in a time ago and not stored.
+	NoteAttempt(ctx context.Context, address string, id workload.JobID, age time.Duration) error
 	// ReportOpen tells the node of the partition's owner of attempts whose outcome is unknown.
 	ReportOpen(ctx context.Context, partition int, requests []acceptance.Request) error
 }
@@ -108,14 +118,25 @@
 	logger     hclog.Logger
 	relaySlots chan struct{}
 	attempts   *attemptLog
+	noteSlots  chan struct{}
 
 	mu             sync.Mutex
 	backedOffUntil map[string]time.Time // by address
+	firstAttempts  *heldqueue.Attempts
 }
 
 // New returns a router.
 func New(local LocalStore, peers Peers, logger hclog.Logger) *Router {
-	return &Router{local: local, peers: peers, logger: logger, relaySlots: make(chan struct{}, maxRelaysInFlight), attempts: newAttemptLog(peers, logger), backedOffUntil: map[string]time.Time{}}
+	return &Router{
+		local:          local,
+		peers:          peers,
+		logger:         logger,
+		relaySlots:     make(chan struct{}, maxRelaysInFlight),
+		attempts:       newAttemptLog(peers, logger),
+		noteSlots:      make(chan struct{}, maxNotesInFlight),
+		backedOffUntil: map[string]time.Time{},
+		firstAttempts:  heldqueue.NewAttempts(),
+	}
 }
 
 // outcome is the result of storing a record over one or more routes.
@@ -138,6 +159,7 @@
 		return platform.StoreOK, nil
 	}
 	defer func() { r.attempts.end(partition, record, status) }()
+	record = r.withFirstAttempt(record)
 	mayBeStored := false
 	for {
 		res := r.tryRoutes(ctx, partition, record)
@@ -145,6 +167,7 @@
 		case res.status != platform.StoreRefused && res.status != platform.StoreUnknown:
 			return res.status, res.err
 		case res.status == platform.StoreRefused && !mayBeStored:
+			r.rememberAttempt(partition, record)
 			return res.status, res.err
 		}
 		if !mayBeStored {
@@ -239,7 +262,7 @@
 		}
 		wasPending := false
 		for {
-			response, err := r.relay(ctx, address, partition, record)
+			response, err := r.relay(ctx, address, partition, record, wasPending)
 			if err == nil && response.Pending {
 				wasPending = true
 				continue
@@ -270,16 +293,27 @@
 	return res
 }
 
-func (r *Router) relay(ctx context.Context, address string, partition int, record workload.Record) (StoreResponse, error) {
+// relay asks a node once to store a record. A caller with little time left doesn't wait for a node that has not
+// answered it yet as long as others do, since other routes remain. A node that has answered that the outcome is
+// pending is alive; it is asked as seldom as by others.
+func (r *Router) relay(ctx context.Context, address string, partition int, record workload.Record, wasPending bool) (StoreResponse, error) {
 	q := StoreRequest{Partition: partition, Record: record, PendingAfter: relayPendingAfter}
+	margin, timeShares := relayTransferMargin, time.Duration(relayTimeShares)
 	if r.local.IsSlow() {
-		q.PendingAfter = slowRelayPendingAfter
+		q.PendingAfter, timeShares = slowRelayPendingAfter, slowRelayTimeShares
+	}
+	fullTime := q.PendingAfter + margin
+	if deadline, ok := ctx.Deadline(); ok && !wasPending {
+		timeLeft := max(0, time.Until(deadline))
+		q.PendingAfter, margin = min(q.PendingAfter, timeLeft/timeShares), min(margin, timeLeft/relayTimeShares)
 	}
-	relayCtx, cancel := context.WithTimeout(ctx, q.PendingAfter+relayTransferMargin)
+	relayCtx, cancel := context.WithTimeout(ctx, q.PendingAfter+margin)
 	defer cancel()
 	response, err := r.peers.Store(relayCtx, address, q)
+	// A node that doesn't answer in a shorter time may just be busy.
+	hadTime := q.PendingAfter+margin == fullTime || relayCtx.Err() == nil
 	switch {
-	case err != nil && ctx.Err() == nil:
+	case err != nil && ctx.Err() == nil && hadTime:
 		r.backOff(address, err)
 	case err == nil && response.Unavailable:
 		r.backOff(address, errors.New(response.Reason))
@@ -329,7 +363,7 @@
 	r.reportInFlight(q.Partition, q.Record)
 	pendingTimer := time.NewTimer(min(max(0, q.PendingAfter), slowRelayPendingAfter))
 	defer pendingTimer.Stop()
-	status, pending, err := r.local.Store(ctx, q.Partition, q.Record, pendingTimer.C)
+	status, pending, err := r.local.Store(ctx, q.Partition, r.withFirstAttempt(q.Record), pendingTimer.C)
 	r.attempts.end(q.Partition, q.Record, status)
 	if status == platform.StoreUnknown {
 		r.attempts.reportOpen(q.Partition, q.Record)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -130,6 +130,7 @@
 	log       *joblog.Log
 	logger    hclog.Logger
 	inbox     chan event
+	tailWake  chan struct{}
 	executor  *executor
 	// loaded is closed once the core knows all stored records.
 	loaded            chan struct{}
@@ -165,6 +166,7 @@
 		log:       joblog.New(deps.Store, deps.Hedger, joblog.JobsTopic, partition),
 		logger:    deps.Logger.With("partition", partition, "epoch", epoch),
 		inbox:     make(chan event, inboxSize),
+		tailWake:  make(chan struct{}),
 		executor:  newExecutor(),
 		loaded:    make(chan struct{}),
 
@@ -187,14 +189,18 @@
 	if err != nil {
 		return err
 	}
-	core := o.newCore(ctx, fencedAt, predecessor.handover != nil, o.allowancesFrom(batch, fencedAt))
+	core := o.newCore(ctx, fencedAt, batch, predecessor.handover != nil)
 	if config := o.deps.Published.Config(); config != nil {
 		o.config = config
 		core.SetConfig(config) // the weights of workspaces count when jobs are added
 	}
 	records := o.decode(batch)
 	restoreLoans(core, records)
-	applyRecords(core, records, time.Now())
+	core.SetLogEnd(batch.Next)
+	applyRecords(core, records, core.AddSnapshotJob, time.Now())
+	if reason := core.StepDownReason(); reason != "" {
+		return errors.Wrap(ErrOwnershipLost, reason)
+	}
 	restoreProgress(core, records, predecessor.unstoredProgress)
 	predecessor.apply(core, time.Now())
 	o.tailPosition.Store(batch.Next)
@@ -203,6 +209,7 @@
 	close(o.loaded)
 	o.logger.Info("partition taken over", "records", len(batch.Records), "took", time.Since(beganAt).String(), "handed_over", predecessor.handover != nil, "reported_jobs", len(predecessor.unstoredProgress))
 	err = o.loop(ctx, core)
+	o.deps.Metrics.observeHeldBack(o.partition, 0)
 	o.preserveHandover(ctx, core)
 	return err
 }
@@ -210,9 +217,13 @@
 // fence rejects further writes of earlier owners. It must precede the snapshot, which then
 // has all that they stored.
 func (o *Owner) fence(ctx context.Context) error {
+	records, err := joblog.Encode([]workload.Record{{Fence: &workload.Fence{Epoch: o.epoch}}}, nil)
+	if err != nil {
+		return err
+	}
 	deadline := time.Now().Add(fenceTimeout)
 	for ctx.Err() == nil {
-		status, err := o.log.Fence(ctx, o.epoch)
+		status, err := o.log.Fence(ctx, o.epoch, records...)
 		switch status {
 		case platform.StoreOK:
 			return nil
@@ -240,9 +251,10 @@
 	return platform.Batch{}, ctx.Err()
 }
 
-// newCore returns the scheduler core. Without a handover the core starts with the unresolved
-// workers, which may run tasks of an earlier owner.
-func (o *Owner) newCore(ctx context.Context, fencedAt time.Time, hasHandover bool, allowancesFrom time.Time) *scheduler.Core {
+// newCore returns the scheduler core for a partition that was read as batch. Without a handover the
+// core starts with the unresolved workers, which may run tasks of an earlier owner.
+func (o *Owner) newCore(ctx context.Context, fencedAt time.Time, batch platform.Batch, hasHandover bool) *scheduler.Core {
+	_, lastTakeover := predecessorHandover(batch)
 	cfg := scheduler.Settings{
 		Address:            o.deps.Address,
 		Epoch:              o.epoch,
@@ -256,7 +268,9 @@
 		Partition:          o.partition,
 		PartitionOf:        func(service string) int { return joblog.PartitionOf(service, o.deps.Partitions) },
 		ConfigApplyTime:    o.deps.Bounds.MaxConfigApplyTime,
-		AllowancesFrom:     allowancesFrom,
+		AllowancesFrom:     o.allowancesFrom(lastTakeover, fencedAt),
+
+		EarlierOwnersInLogOrder: hasHandover || lastTakeover == nil || lastTakeover.InLogOrder,
 	}
 	if hasHandover {
 		return scheduler.New(cfg, fencedAt, nil, false)
@@ -269,23 +283,16 @@
 	} else {
 		mayBeIncomplete = false
 	}
-	unresolved := unresolvedWorkers(snap.Workers, vms, o.sparePool(), o.ownsService)
-	return scheduler.New(cfg, fencedAt, unresolved, mayBeIncomplete)
-}
-
-// sparePool returns the name of the spare pool, "" if there is none. The VMs of a service
-// form the pool of the same name; those of the standby service are the spare pool.
-func (o *Owner) sparePool() string {
-	config := o.deps.Published.Config()
-	if config == nil {
-		return ""
+	unresolved := unresolvedWorkers(snap.Workers, vms, o.ownsService)
+	var ids []string
+	for _, u := range unresolved {
+		ids = append(ids, u.id)
 	}
-	for _, s := range config.Services {
-		if s.Standby {
-			return s.Name
-		}
+	core := scheduler.New(cfg, fencedAt, ids, mayBeIncomplete)
+	for _, u := range unresolved {
+		core.SetUnresolvedCapacity(u.id, u.capacity)
 	}
-	return ""
+	return core
 }
 
 func (o *Owner) awaitWorkerList(ctx context.Context, since time.Time) registry.Snapshot {
@@ -341,6 +348,7 @@
 			return errors.Wrap(ErrOwnershipLost, reason)
 		}
 		o.execute(ctx, orders)
+		o.wakeTail(core)
 		o.deps.Metrics.observeCounts(core.Counts, &o.observedCounts)
 		o.logOverload(core)
 		wait.Pause(ctx, stepPause)
--- a/internal/owner/recheck.go
+++ b/internal/owner/recheck.go
@@ -100,7 +100,8 @@
 	}
 }
 
-// recheckNow reads from the tail's position to the end of the partition and applies what it finds.
+// recheckNow reads from the tail's position to the end of the partition and applies what it finds. It fails
+// at a later owner's record, as what lies behind it is not applied.
 // The tail reads the same records again, which has no effect.
 func (o *Owner) recheckNow(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, recheckTimeout)
@@ -111,9 +112,14 @@
 			return errors.Errorf("recheck the partition: %s: %v", status, err)
 		}
 		records := o.decode(batch)
-		o.enqueue(ctx, func(c *scheduler.Core, now time.Time) { applyRecords(c, records, now) })
-		if ctx.Err() != nil {
-			return errors.Wrap(ctx.Err(), "recheck the partition")
+		isOwner, ok := queryCore(ctx, o, func(c *scheduler.Core, now time.Time) bool {
+			return applyRead(c, records, from, batch.Next, now)
+		})
+		switch {
+		case !ok:
+			return errors.New("recheck the partition: the owner doesn't apply what was read")
+		case !isOwner:
+			return errors.New("recheck the partition: a later owner has taken it over")
 		}
 		if batch.Next >= batch.End {
 			return nil
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -73,6 +73,10 @@
 	activeJobs    []*job // jobs whose end is not stored or that have live runs, in order of arrival
 	ranking       ranking
 	shares        map[string]*queueShares // by queue
+	workShares    workShares
+	prospects     prospects
+	log           logPosition // of the partition
+	racks         rackWatch
 	workers       map[string]*worker
 	sortedWorkers []*worker // by ID
 	// removedWorkerTokens are the last tokens of removed workers, by ID. A worker may come
@@ -91,7 +95,8 @@
 	earlierLeasesExpireAt time.Time
 	// unresolvedWorkers are the IDs of workers that may run tasks of an earlier owner and have
 	// not answered this owner yet. It is empty if the earlier owner left a handover.
-	unresolvedWorkers map[string]bool
+	unresolvedWorkers  map[string]bool
+	unresolvedCapacity map[string]workload.Resources // the most that the tasks of each may reserve, where known
 	// workerListIncomplete is set if unresolvedWorkers may lack some workers.
 	workerListIncomplete bool
 
@@ -124,9 +129,8 @@
 	// stepsWithCrashes are the steps whose tasks have or had crash records.
 	stepsWithCrashes []*step
 	// serviceBusyUntil is until when a service counts as busy with tasks that are no suspects.
-	serviceBusyUntil map[string]time.Time
-	// crashWritePending is set while changed crash records are not stored.
-	crashWritePending bool
+	serviceBusyUntil  map[string]time.Time
+	crashWritePending bool // changed crash records are not stored
 
 	// Workspaces, see allowance.go and loans.go.
 
@@ -157,7 +161,7 @@
 	takeoverComplete bool // starts no longer wait for the runs of an earlier owner
 
 	// Times of the last actions.
-	tookOverAt, lastStepAt, lastJobSweepAt, lastPlanAt, lastSpeculationAt, lastWriteAt, suspectsLoggedAt, lastLoanUpdateAt, blockedLoggedAt time.Time
+	tookOverAt, lastStepAt, lastJobSweepAt, lastPlanAt, lastSpeculationAt, lastWriteAt, suspectsLoggedAt, lastLoanUpdateAt, blockedLoggedAt, workSharesLoggedAt, unseenUpdatedAt, waitsLoggedAt time.Time
 
 	stepDownReason string // why the ownership is lost, "" while it is held
 	orders         Orders // of the step in progress
@@ -183,10 +187,13 @@
 		serviceBusyUntil:      map[string]time.Time{},
 		dirtyJobs:             map[workload.JobID]*job{},
 		unresolvedWorkers:     map[string]bool{},
+		unresolvedCapacity:    map[string]workload.Resources{},
 		foreignAddresses:      map[string]bool{},
 		arrivedWork:           map[string]workload.Work{},
 		requiredLabels:        map[string][]string{},
 		shares:                map[string]*queueShares{},
+		workShares:            workShares{},
+		prospects:             newProspects(),
 		accounts:              map[string]*account{},
 		counterparties:        map[int]*counterparty{},
 		dirtyLoans:            map[string]*account{},
@@ -230,12 +237,13 @@
 	c.planStale = true
 }
 
-// AddJob adds a stored job. Only the first record of an ID counts.
+// AddJob adds a job that was stored before this owner's takeover. Only the first record of an ID counts.
 func (c *Core) AddJob(id workload.JobID, submission *workload.Submission) {
 	j := c.ensureJob(id)
 	if j.submission != nil {
 		return
 	}
+	j.isOrdered = true
 	j.createSteps(submission)
 	j.account = c.accountOf(submission.Workspace)
 	c.checkWeight(j)
@@ -342,6 +350,7 @@
 		}
 		c.resolveProcessExit(w, now)
 	}
+	c.updateRacks()
 	c.planStale = true
 }
 
--- a/internal/scheduler/counts.go
+++ b/internal/scheduler/counts.go
@@ -19,10 +19,17 @@
 	// RankedJobs counts jobs that were ranked, PlacementChecks the workers and runs that were
 	// examined to decide on starts. Together they are the cost of planning.
 	RankedJobs, PlacementChecks int
+	// SuspectRacks counts how often a rack became suspect.
+	SuspectRacks int
 	// Plans counts plans, TruncatedPlans those that ended before all free capacity was used
 	// because too many starts were unanswered.
 	Plans, TruncatedPlans int
+	// HeldBackJobs counts ranked jobs that wait for their workspace's turn.
+	HeldBackJobs int
 	// CapBlockedSteps counts the steps that a plan left idle because of their workspace's cap.
 	// LoansGranted and LoansReceived count loans of one workspace's cap to and from other owners.
 	CapBlockedSteps, LoansGranted, LoansReceived int
+	// EarlyStarts counts starts while runs of earlier owners on workers that had not answered were
+	// unknown.
+	EarlyStarts int
 }
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"math"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/scheduler"
@@ -20,14 +21,22 @@
 	// apart.
 	slowUntil      time.Time
 	lastDeliveryAt time.Time // when the latest delayed delivery is handled
+	// deliveryDelay is how late each answer is handled. Until stalledUntil the process handles none and makes
+	// no step.
+	deliveryDelay time.Duration
+	stalledUntil  time.Time
 	// links holds the faulty links to workers, by worker ID. storeUnreachable is set while this
 	// owner can't reach the store.
 	links            map[string]linkFault
 	storeUnreachable bool
+	config           *workload.Config // the last one that was applied in step
 	// confirmedAt is when the members last confirmed its ownership of the partition.
 	confirmedAt time.Time
 	// processor models the CPU time of the owner's work. If nil, the work takes no time.
 	processor *processor
+	readUpTo  int64 // offset from which it reads on
+	// takeoverStoredAt is when the record of its takeover was stored.
+	takeoverStoredAt time.Time
 }
 
 // deliver delivers an answer to the owner's process, which handles answers in order.
@@ -37,7 +46,10 @@
 		o.processor.deliverAnswer(o, action)
 		return
 	}
-	deliverAt := w.now
+	deliverAt := w.now.Add(o.deliveryDelay)
+	if deliverAt.Before(o.stalledUntil) {
+		deliverAt = o.stalledUntil
+	}
 	if w.now.Before(o.slowUntil) {
 		deliverAt = w.now.Add(w.durationBetween(0, 1500*time.Millisecond))
 	}
@@ -80,6 +92,8 @@
 		w.after(100*time.Millisecond, o.fence)
 		return
 	}
+	w.store.put(workload.Record{Fence: &workload.Fence{Epoch: o.epoch}})
+	w.wakeReaders()
 	w.after(w.durationBetween(5*time.Millisecond, 30*time.Millisecond), o.load)
 }
 
@@ -89,6 +103,7 @@
 		return
 	}
 	records := w.store.records()
+	o.readUpTo = int64(len(w.store.log))
 	if handover, lastEpoch := lastHandover(records); handover == nil && lastEpoch > 0 && w.previousOwnerReachableProbability > 0 {
 		w.after(w.durationBetween(2*time.Millisecond, 40*time.Millisecond), func() { o.startCore(records) })
 		return
@@ -109,6 +124,7 @@
 		if fromPrevious = w.requestHandover(lastEpoch); fromPrevious != nil {
 			handover, _ = lastHandover(append([]workload.Record{{Takeover: &workload.Takeover{Epoch: lastEpoch}}}, fromPrevious...))
 			records = w.store.records()
+			o.readUpTo = int64(len(w.store.log))
 		}
 	}
 	var unresolvedWorkers []string
@@ -119,16 +135,22 @@
 	}
 	settings := testSettings(o.epoch)
 	settings.MaxOwnerOverlap = membershipTTL
+	settings.EarlierOwnersInLogOrder = true
 	if w.fleet != nil {
 		w.fleet.setPartition(&settings, w)
 	}
 	o.core = scheduler.New(settings, w.now, unresolvedWorkers, false)
 	o.confirmOwnership()
 	o.core.SetConfig(w.config())
+	o.core.SetLogEnd(o.readUpTo)
 	for _, r := range records {
 		if r.Loans != nil {
 			o.core.RestoreLoans(r.Loans)
 		}
+		if r.Submission != nil {
+			o.core.AddSnapshotJob(r.Job, r.Submission, r.Offset)
+			continue
+		}
 		o.applyRecord(r)
 	}
 	newerProgress := map[workload.JobID]*workload.Progress{}
@@ -150,10 +172,8 @@
 	if handover != nil {
 		o.core.RestoreHandover(handover, w.now)
 	}
-	for _, r := range w.store.records() {
-		o.applyRecord(r) // also those stored since the read, as the owner follows the log
-	}
 	o.coreStarted = true
+	o.readLog() // what was stored since the first read
 	o.processor = w.processor
 	o.tick()
 }
@@ -198,9 +218,13 @@
 func (o *fakeOwner) applyRecord(r workload.Record) {
 	switch {
 	case r.Submission != nil:
-		o.core.AddJob(r.Job, r.Submission)
+		o.core.AddLoggedJob(r.Job, r.Submission, r.Offset)
 	case r.Cancel:
 		o.core.CancelJob(r.Job, r.CancelledBy, o.world.now)
+	case r.Takeover != nil && (r.Takeover.Epoch == o.epoch || !o.world.replacedIgnoreTakeovers):
+		o.core.HandleTakeoverRecord(r.Takeover.Epoch, r.Offset)
+	case r.Fence != nil && (r.Fence.Epoch == o.epoch || !o.world.replacedIgnoreTakeovers):
+		o.core.HandleFenceRecord(r.Fence.Epoch, r.Offset)
 	}
 }
 
@@ -214,14 +238,52 @@
 	o.core.SetAuthority(o.confirmedAt.Add(membershipTTL))
 }
 
-// receiveRecord applies a stored record once the owner can reach the store.
-func (o *fakeOwner) receiveRecord(r workload.Record) {
+// readLog reads the log on from where the last read ended, once the owner can reach the store. It stops
+// at the takeover of a later owner.
+func (o *fakeOwner) readLog() {
+	w := o.world
 	switch {
 	case !o.coreStarted || o.stopped:
+		return
 	case o.storeUnreachable:
-		o.world.after(100*time.Millisecond, func() { o.receiveRecord(r) })
+		w.after(100*time.Millisecond, o.readLog)
+		return
+	}
+	from, end := o.readUpTo, int64(len(w.store.log))
+	o.readUpTo = end
+	o.deliverLog(func() {
+		for _, r := range w.store.log[from:end] {
+			if o.applyRecord(r); o.core.StepDownReason() != "" {
+				return
+			}
+		}
+		o.core.ExtendLog(from, end)
+	})
+}
+
+// handleStored applies a record that this owner's node has stored.
+func (o *fakeOwner) handleStored(r workload.Record, isLocated bool) {
+	located := r
+	if !isLocated {
+		located.Offset = math.MaxInt64
+	}
+	if o.world.replacedIgnoreGaps && o.world.owner != o && r.Submission != nil {
+		o.core.AddJob(r.Job, r.Submission)
+	}
+	o.applyRecord(located)
+	if isLocated {
+		o.core.ExtendLog(r.Offset, r.Offset+1)
+	}
+}
+
+// deliverLog passes records to the owner's process, in order with the answers that wait there.
+func (o *fakeOwner) deliverLog(apply func()) {
+	switch {
+	case !o.coreStarted || o.stopped:
+	case o.processor != nil:
+		apply()
 	default:
-		o.applyRecord(r)
+		o.deliver(apply)
 	}
 }
 
@@ -266,14 +328,24 @@
 
 // step steps the core and executes the orders.
 func (o *fakeOwner) step() {
-	if o.stopped {
+	if o.stopped || o.world.now.Before(o.stalledUntil) {
 		return
 	}
 	w := o.world
+	if config := w.config(); w.fleet != nil && config != o.config {
+		o.config = config
+		o.core.SetConfig(config)
+	}
 	orders := o.core.Step(w.now)
 	for _, d := range orders.Decisions {
-		if d.Verb == "given-up" {
-			w.jobs[d.Job].failedForCrashes = true
+		if w.onDecision != nil {
+			w.onDecision(d)
+		}
+		switch j := w.jobs[d.Job]; {
+		case d.Verb == "given-up":
+			j.failedForCrashes = true
+		case d.Verb == "first-placed" && j.firstOrderedAt.IsZero():
+			j.firstOrderedAt = w.now
 		}
 	}
 	if o.core.StepDownReason() != "" {
@@ -326,17 +398,25 @@
 		}
 		if o.pendingWrite.Sequence > w.store.lastSequence {
 			w.store.lastSequence = o.pendingWrite.Sequence
+			w.store.lastOffset = int64(len(w.store.log))
 			for _, r := range o.pendingWrite.Records {
 				w.store.put(r)
 			}
+			if o.pendingWrite.Sequence == 1 {
+				o.takeoverStoredAt = w.now
+			}
+			w.wakeReaders()
 		}
 		if w.chance(w.faults.lostWriteAnswer) {
 			w.after(time.Second, o.write)
 			return
 		}
+		from := w.store.lastOffset
 		o.deliverNow(func() {
+			order := *o.pendingWrite
 			o.pendingWrite = nil
 			o.core.HandleWriteResult()
+			o.core.HandleWrittenSpan(order, from, from+int64(len(order.Records)))
 			w.checkShownStates()
 		})
 	})
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -73,6 +73,7 @@
 	Queue        string
 	Workspace    string
 	Worker       string
+	Rack         string
 	Run          int64
 	Reason       string
 	Age          time.Duration // of the subject of the decision
@@ -121,9 +122,9 @@
 	order := &WriteOrder{Sequence: c.lastWriteSeq, DeleteJobs: c.jobsToDelete}
 	if c.lastWriteSeq == 1 {
 		// Once this owner starts tasks the handover of the previous owner is incomplete.
-		order.Records = append(order.Records, workload.Record{Takeover: &workload.Takeover{Epoch: c.settings.Epoch, Address: c.settings.Address}})
+		order.Records = append(order.Records, workload.Record{Takeover: &workload.Takeover{Epoch: c.settings.Epoch, Address: c.settings.Address, InLogOrder: c.settings.EarlierOwnersInLogOrder}})
 	}
-	order.Records = append(order.Records, c.unstoredProgressRecords()...)
+	order.Records = append(order.Records, c.unstoredProgressRecords(now)...)
 	order.Records = append(order.Records, c.loanRecords(order.Sequence)...)
 	for id, j := range c.dirtyJobs {
 		c.pendingWrite.finalStates[id] = j.finalState
--- a/internal/scheduler/pollresult.go
+++ b/internal/scheduler/pollresult.go
@@ -12,6 +12,10 @@
 // acknowledged.
 const maxExitsPerReport = 500
 
+// unreadJobPollInterval is the pause after a report that names a job which was not read yet: about as long
+// as a read of the partition takes.
+const unreadJobPollInterval = 20 * time.Millisecond
+
 // PollResult is the outcome of a PollOrder.
 type PollResult struct {
 	Worker string
@@ -31,6 +35,9 @@
 	if w == nil {
 		return
 	}
+	if isFromWorker(r.Answer.Status) {
+		w.recordHeard(r.SentAt, now)
+	}
 	// A report is stale if a poll that was sent later has already been answered: runs that it
 	// lists may have ended, and its exits will be reported again. The report of a poll that was
 	// sent before a restart of the worker was detected is stale, too.
@@ -106,8 +113,13 @@
 	c.handleProcessExit(w, w.runs, now)
 }
 
-// handlePollReport handles the report of an answered poll.
+// handlePollReport handles the report of an answered poll. It leaves a report that names an unread job,
+// whose run would be stopped and whose exit dropped, to the next poll.
 func (c *Core) handlePollReport(w *worker, r PollResult, now time.Time) {
+	if c.namesUnreadJob(r.Report) {
+		w.nextPollAt = now.Add(unreadJobPollInterval)
+		return
+	}
 	c.recordIncarnation(w, r.Report)
 	if w.incarnationUnresolved {
 		c.resolveIncarnation(w, r.Report, now)
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -35,6 +35,8 @@
 	rankedAt   time.Time
 	stale      bool // the configuration has changed
 	tryAll     bool // the next plan tries all candidates
+	// onlyNew is set while runs of earlier owners may be unknown: only new jobs may start.
+	onlyNew bool
 	// toInsert are steps whose occurrence is not in candidates or is at an outdated position.
 	toInsert []*step
 }
@@ -81,6 +83,7 @@
 	slices.SortStableFunc(added, compareCandidates)
 	for _, cand := range added {
 		c.assignServedRatio(&cand)
+		c.assignTurn(&cand)
 		position, _ := slices.BinarySearchFunc(r.candidates, cand, compareCandidates)
 		r.candidates = slices.Insert(r.candidates, position, cand)
 	}
@@ -97,7 +100,7 @@
 		q.decay(now.Sub(r.rankedAt))
 	}
 	clear(r.candidates) // don't retain jobs that have ended
-	*r = ranking{candidates: r.candidates[:0], services: map[string]*servicePlan{}, rankedAt: now, tryAll: true, toInsert: r.toInsert[:0]}
+	*r = ranking{candidates: r.candidates[:0], services: map[string]*servicePlan{}, rankedAt: now, tryAll: true, onlyNew: r.onlyNew, toInsert: r.toInsert[:0]}
 	for _, j := range c.activeJobs {
 		if j.finalState.IsTerminal() {
 			continue
@@ -117,6 +120,8 @@
 		c.assignServedRatio(&r.candidates[i])
 	}
 	slices.SortStableFunc(r.candidates, compareCandidates)
+	c.assignTurns(now)
+	c.updateProspects(now)
 }
 
 // assignServedRatio sets the served ratio of a candidate that can be completed in time.
@@ -137,7 +142,7 @@
 		c.ranking.services[j.submission.Service] = plan
 	}
 	cand.servicePlan = plan
-	c.countOccurrenceArrival(cand)
+	c.countOccurrenceArrival(cand, now)
 	for _, s := range cand.steps {
 		need := s.spec.Reservation()
 		plan.minDemand.CPU = min(plan.minDemand.CPU, need.CPU)
@@ -148,7 +153,7 @@
 }
 
 // countOccurrenceArrival counts an occurrence as arrived when it is first ranked.
-func (c *Core) countOccurrenceArrival(cand candidate) {
+func (c *Core) countOccurrenceArrival(cand candidate, now time.Time) {
 	if cand.steps[0].sizeStats != nil || cand.class == classLongRunning {
 		return
 	}
@@ -157,6 +162,8 @@
 		c.shares[queue] = &queueShares{}
 	}
 	stats := c.shares[queue].addArrival(cand.remainingWork)
+	c.recordWorkArrival(cand)
+	c.predictWait(cand, now)
 	for _, s := range cand.steps {
 		s.sizeStats = stats
 	}
@@ -170,11 +177,13 @@
 	}
 }
 
-// compareCandidates orders candidates by class, priority, served ratio and remaining work.
+// compareCandidates orders candidates by class, priority, turn of the workspace, served ratio and remaining
+// work.
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.class, b.class),
 		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.turn, b.turn),
 		cmp.Compare(a.servedRatio, b.servedRatio),
 		cmp.Compare(a.remainingWork, b.remainingWork),
 	)
@@ -186,6 +195,13 @@
 	c.ranking.toInsert = append(c.ranking.toInsert, s)
 }
 
+// mayStart reports whether a job may start now.
+func (r *ranking) mayStart(j *job) bool { return j.isOrdered && (j.isNew || !r.onlyNew) }
+
+// waitsForWorkers reports whether a job waits until the runs of earlier owners are known. Jobs whose records
+// are not read in order yet wait for some milliseconds only and keep their place.
+func (r *ranking) waitsForWorkers(j *job) bool { return r.onlyNew && j.isOrdered && !j.isNew }
+
 // beginPlan sets the services' placement pools for a new plan.
 func (r *ranking) beginPlan(pools map[string]*placementPool) {
 	for service, plan := range r.services {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/workload"
+	"github.com/yuccadrift/yuccadrift/internal/workshare"
 )
 
 const (
@@ -45,12 +46,14 @@
 	index       int // of the task in the step
 	number      int64
 	worker      *worker
-	incarnation int64 // of the worker that the run was ordered to; 0 if unknown
+	rack        string // of the worker when the run was ordered
+	incarnation int64  // of the worker that the run was ordered to; 0 if unknown
 	state       runState
 	// stateChangedAt is when state was set or confirmed last. That the report of a poll that was
 	// sent earlier doesn't list the run has no meaning.
 	stateChangedAt time.Time
 	orderedAt      time.Time
+	charge         workshare.Charge // to its workspace
 
 	// Stop of the run.
 	lastStopAt      time.Time
@@ -136,7 +139,14 @@
 	// pollAnswerDueAt is when the answer to the latest poll is overdue. extraPollsInFlight is
 	// the number of extra polls in flight.
 	pollAnswerDueAt    time.Time
+	firstPollDueAt     time.Time // when the answer to the poll in flight was due first, without its extra polls
 	extraPollsInFlight int
+	// lastHeardAt is when the worker answered last, an order or a poll.
+	lastHeardAt time.Time
+	// answeredAsk is when the latest of its answered orders and polls was sent.
+	answeredAsk time.Time
+	// overdueSince is since when an answer has been due, zero if none was at the last check of the racks.
+	overdueSince time.Time
 	// lastAnsweredPollSentAt is when the latest poll that got an answer was sent.
 	lastAnsweredPollSentAt time.Time
 	// lastReportClockMS is the worker's clock in the last report that was accepted.
@@ -189,6 +199,9 @@
 
 	// Until drainUntil the worker is being drained. The requester renews the drain.
 	drainUntil             time.Time
+	drainBegunAt           time.Time
+	drainEndedAt           time.Time // end of the last drain
+	drainWaitLoggedAt      time.Time // when it was last logged what the drain waits for
 	maintenanceDueUntil    time.Time // until then its VM counts as due for maintenance
 	bestEffortSpeedPercent int       // speed of its best-effort tasks
 	speedChangedAt         time.Time
@@ -275,6 +288,7 @@
 	w.runs = slices.Delete(w.runs, i, i+1)
 	w.reservedResources = w.reservedResources.Sub(r.step.spec.Reservation())
 	r.step.removeRun(r.task(), r)
+	c.settleCharge(r)
 	c.endIsolatedRun(r)
 	if r.step.idleCount > 0 && !r.step.job.occurrenceSteps(r.step.occurrence)[0].occurrenceRanked {
 		c.requestRerank(r.step)
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -13,7 +14,18 @@
 	Service      string `json:"v"`
 	Workspace    string `json:"w,omitempty"` // whose key handed the job in, "" for none
 	AcceptedAtMS int64  `json:"a"`           // Unix milliseconds, by the clock of the node that accepted the job
-	Spec         Spec   `json:"j"`
+	// FirstAttemptAtMS is when the caller first handed the job in, by the clock of the node that stored the job,
+	// if earlier attempts could not be stored; 0 otherwise.
+	FirstAttemptAtMS int64 `json:"fa,omitempty"`
+	Spec             Spec  `json:"j"`
+}
+
+// FirstHandedInAt returns when the caller handed the job in for the first time, as far as known.
+func (s *Submission) FirstHandedInAt() time.Time {
+	if s.FirstAttemptAtMS > 0 {
+		return time.UnixMilli(s.FirstAttemptAtMS)
+	}
+	return time.UnixMilli(s.AcceptedAtMS)
 }
 
 // WithoutWork returns the submission without its payload, and with one empty step in place of its steps.
@@ -55,6 +67,7 @@
 	ownerPrefix = "owner/"
 	handoverKey = ownerPrefix + "left"
 	takeoverKey = ownerPrefix + "last"
+	fenceKey    = ownerPrefix + "fence"
 )
 
 // IsOwnerKey reports whether a record with the key is one of an owner of the partition.
@@ -91,11 +104,22 @@
 	// Address is where the owner's node answers other nodes. Earlier versions did not
 	// store it.
 	Address string `json:"a,omitempty"`
+	// InLogOrder is set if this owner, and each earlier one that may still act, starts a job only once
+	// it has read the partition up to the job's record and found no later takeover before it.
+	InLogOrder bool `json:"o,omitempty"`
+}
+
+// Fence names the owner that fenced the earlier ones last. Its record lies before all that the owner reads
+// and writes.
+type Fence struct {
+	Epoch int64 `json:"e"`
 }
 
 // Record is a stored record of a job or of an owner of the partition. Exactly one of
-// Submission, Progress, Cancel, Handover, Takeover and Loans is set.
+// Submission, Progress, Cancel, Handover, Takeover, Fence and Loans is set.
 type Record struct {
+	// Offset is the record's place in its partition. It is set on records that were read.
+	Offset     int64
 	Job        JobID
 	Submission *Submission
 	Progress   *Progress
@@ -104,6 +128,7 @@
 	CancelledBy *Requester
 	Handover    *Handover
 	Takeover    *Takeover
+	Fence       *Fence
 	Loans       *Loans
 }
 
@@ -122,6 +147,9 @@
 	case r.Takeover != nil:
 		value, err = json.Marshal(r.Takeover)
 		return takeoverKey, value, errors.Wrap(err, "takeover")
+	case r.Fence != nil:
+		value, err = json.Marshal(r.Fence)
+		return fenceKey, value, errors.Wrap(err, "fence")
 	case r.Loans != nil:
 		value, err = json.Marshal(r.Loans)
 		return loansPrefix + r.Loans.Workspace, value, errors.Wrap(err, "loans")
@@ -154,6 +182,9 @@
 	case key == takeoverKey:
 		r.Takeover = &Takeover{}
 		err = json.Unmarshal(value, r.Takeover)
+	case key == fenceKey:
+		r.Fence = &Fence{}
+		err = json.Unmarshal(value, r.Fence)
 	case strings.HasPrefix(key, loansPrefix):
 		r.Loans = &Loans{}
 		err = json.Unmarshal(value, r.Loans)
