scheduler: a suspect waits for the confirmation of the crash that would prove it

Ruled out: progress of the task (none), an unstored crash (all were stored before the next start), the age of the run that the next owner found (it can't know when the process ended).

Change: a suspect isn't started while unconfirmed crashes of the last 8 s would prove it, if they were confirmed. The wait is bounded, because a partitioned worker may refuse connections too, and a long-running task must run again.

--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		for i := range s.tasks {
-			if t := &s.tasks[i]; c.isTaskStartable(t, now) && t.isSuspect() {
+			if t := &s.tasks[i]; c.isTaskStartable(s, t, now) && t.isSuspect() {
 				service := s.job.submission.Service
 				byService[service] = append(byService[service], suspect{s, i, t.suspectRank(now)})
 			}
@@ -142,10 +142,11 @@
 	}
 }
 
-// isTaskStartable reports whether a task is idle, may be started now and has all its recorded
-// crashes stored.
-func (c *Core) isTaskStartable(t *task, now time.Time) bool {
-	return !t.done && len(t.runs) == 0 && !now.Before(t.notBefore) && t.crashesStoredInWrite <= c.storedWriteSeq
+// isTaskStartable reports whether a task is idle, may be started now, has all its recorded crashes
+// stored and awaits no proof.
+func (c *Core) isTaskStartable(s *step, t *task, now time.Time) bool {
+	return !t.done && len(t.runs) == 0 && !now.Before(t.notBefore) && t.crashesStoredInWrite <= c.storedWriteSeq &&
+		(len(t.crashes) == 0 || !t.awaitsProof(s.spec.LongRunning, now))
 }
 
 // canStartPlanned reports whether the worker of a planned isolated run is still available for it.
@@ -330,7 +331,7 @@
 	var suspects, others []int
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if !c.isTaskStartable(t, now) {
+		if !c.isTaskStartable(s, t, now) {
 			return
 		}
 		if t.isSuspect() {
--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -46,6 +46,9 @@
 	// longest that may be required, because only suspects may start on the worker meanwhile.
 	minIsolatedRunTime = 500 * time.Millisecond
 	maxIsolatedRunTime = 5 * time.Second
+	// maxProofWait is how long a suspect waits for the confirmation of the crash that would prove it
+	// to crash its workers. A long-running task must run again some 9 s after its last run.
+	maxProofWait = 8 * time.Second
 )
 
 // isSuspect reports whether the task may crash its workers: it was a likely cause of an uncleared
@@ -68,12 +71,27 @@
 // isProvenCause reports whether the recorded crashes prove that the task crashes its workers. Only
 // confirmed, uncleared crashes that only the task can have caused count.
 func (t *task) isProvenCause(longRunning bool) bool {
+	return t.isProvenBy(longRunning, func(crash workload.Crash) bool { return !crash.Unconfirmed })
+}
+
+// awaitsProof reports whether unconfirmed crashes of the last maxProofWait would prove, if they were
+// confirmed, that the task crashes its workers. Another start would then most likely crash one more
+// worker.
+func (t *task) awaitsProof(longRunning bool, now time.Time) bool {
+	oldestMS := now.Add(-maxProofWait).UnixMilli()
+	return t.isProvenBy(longRunning, func(crash workload.Crash) bool {
+		return !crash.Unconfirmed || crash.DetectedAtMS > oldestMS
+	})
+}
+
+// isProvenBy is isProvenCause based on the crashes for which counts returns true.
+func (t *task) isProvenBy(longRunning bool, counts func(workload.Crash) bool) bool {
 	early, later, silent := 0, 0, 0
 	progressed := t.madeProgress
 	for _, crash := range t.crashes {
 		progressed = progressed || !crash.SoleCause && !crash.StartUnanswered && !crash.WorkerWentSilent && crash.RunAgeMS >= minProgressTime.Milliseconds()
 		switch {
-		case !crash.SoleCause || crash.Cleared || crash.Unconfirmed:
+		case !crash.SoleCause || crash.Cleared || !counts(crash):
 		case crash.WorkerWentSilent:
 			silent++
 		case crash.RunAgeMS < minIsolatedRunTime.Milliseconds() && !crash.StartUnanswered && !crash.Inherited:
