front: the log tells what a refusal is based on, and what left a doubt

By the code it can't have been forgotten: a verdict 'never accepted' needs an owner that has read its partition after the question and has heard of all open attempts for 20 s, longer than a caller comes back. A 504 without a doubt of its own attempt (the record was certainly not stored, the owner couldn't be read) leaves nothing open.

Change: acceptance.DoubtOf names the first gap in the evidence; the line of each refused or uncertain answer has it, with the read and the time watched; a counter tells the doubts apart. Verdicts are as before.

--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -79,13 +79,50 @@
 
 // Judge returns the verdict on a job.
 func Judge(e Evidence) Verdict {
-	o := e.Owner
 	switch {
 	case e.Known:
 		return Accepted
-	case e.AttemptRefused && !e.HasOpenAttempt && !o.HasOpenAttempt && o.IsCurrent && o.ReadSinceAsked && o.WatchedFor >= AttemptMemory:
+	case DoubtOf(e) == NoDoubt:
 		return NeverAccepted
 	default:
 		return Uncertain
 	}
 }
+
+// Doubt is why a job that its owner doesn't know may have been accepted all the same. Its text is for logs and
+// metrics.
+type Doubt string
+
+// The doubts.
+const (
+	NoDoubt              Doubt = ""
+	ThisAttemptOpen      Doubt = "this_attempt_open"
+	EarlierAttemptHere   Doubt = "earlier_attempt_open_here"
+	EarlierAttemptOwner  Doubt = "earlier_attempt_open_at_owner"
+	OwnerSilent          Doubt = "owner_silent"
+	OwnerReplaced        Doubt = "owner_may_be_replaced"
+	OwnerHasNotRead      Doubt = "owner_has_not_read"
+	OwnerWatchesTooShort Doubt = "owner_watches_too_short"
+)
+
+// DoubtOf returns the first doubt that the evidence leaves, NoDoubt if it rules out that the job was accepted.
+func DoubtOf(e Evidence) Doubt {
+	o := e.Owner
+	switch {
+	case !e.AttemptRefused:
+		return ThisAttemptOpen
+	case e.HasOpenAttempt:
+		return EarlierAttemptHere
+	case o.HasOpenAttempt:
+		return EarlierAttemptOwner
+	case o == OwnerReport{}:
+		return OwnerSilent
+	case !o.IsCurrent:
+		return OwnerReplaced
+	case !o.ReadSinceAsked:
+		return OwnerHasNotRead
+	case o.WatchedFor < AttemptMemory:
+		return OwnerWatchesTooShort
+	}
+	return NoDoubt
+}
--- a/internal/acceptance/acceptance_test.go
+++ b/internal/acceptance/acceptance_test.go
@@ -16,6 +16,8 @@
 // to promise nothing.
 func TestARefusalNeedsAllEvidence(t *testing.T) {
 	assert.Equal(t, NeverAccepted, Judge(conclusive()))
+	assert.Equal(t, NoDoubt, DoubtOf(conclusive()))
+	doubts := map[Doubt]bool{}
 	for name, weaken := range map[string]func(e *Evidence){
 		"this attempt may be stored":                      func(e *Evidence) { e.AttemptRefused = false },
 		"an earlier attempt at this node is open":         func(e *Evidence) { e.HasOpenAttempt = true },
@@ -28,7 +30,10 @@
 		e := conclusive()
 		weaken(&e)
 		assert.Equal(t, Uncertain, Judge(e), name)
+		assert.NotEqual(t, NoDoubt, DoubtOf(e), name)
+		doubts[DoubtOf(e)] = true
 		e.Known = true
 		assert.Equal(t, Accepted, Judge(e), "%s, but the job is known", name)
 	}
+	assert.Len(t, doubts, 7, "each gap has a doubt of its own, so that logs tell them apart")
 }
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -105,6 +105,10 @@
 	// timeout is how long the caller waits for the response.
 	timeout time.Duration
 	heldFor time.Duration
+	// evidence is what the request was last judged by, nil if its record was stored at once. doubt is
+	// why the verdict on it was uncertain.
+	evidence *acceptance.Evidence
+	doubt    acceptance.Doubt
 }
 
 // requester returns who sent the request.
@@ -264,6 +268,9 @@
 	if res.reason != "" {
 		args = append(args, "reason", res.reason)
 	}
+	if res.status != http.StatusOK && req.evidence != nil {
+		args = append(args, "doubt", string(req.doubt), "owner_read", req.evidence.Owner.ReadSinceAsked, "owner_watched_ms", req.evidence.Owner.WatchedFor.Milliseconds())
+	}
 	switch {
 	case res.status >= http.StatusInternalServerError:
 		h.Logger.Warn("answered", args...)
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -15,6 +15,7 @@
 	hopeless *prometheus.CounterVec
 	returns  *prometheus.HistogramVec
 	verdicts *prometheus.CounterVec
+	doubts   *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -37,7 +38,11 @@
 		Name: "yuccadrift_front_verdicts_total",
 		Help: "What was known of jobs whose record was not stored when their owners were asked, by verdict.",
 	}, []string{"verdict"})
-	r.MustRegister(m.requests, m.hopeless, m.returns, m.verdicts)
+	m.doubts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "yuccadrift_front_doubts_total",
+		Help: "Uncertain verdicts on jobs whose record was not stored, by what left the doubt.",
+	}, []string{"doubt"})
+	r.MustRegister(m.requests, m.hopeless, m.returns, m.verdicts, m.doubts)
 	return m
 }
 
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -118,13 +118,19 @@
 	defer cancel()
 	r := acceptance.Request{Job: id, Cancels: req.http.Method == http.MethodDelete}
 	report := h.Owners.Acceptance(ctx, req.queue.Service, r, req.requester())
-	verdict := acceptance.Judge(acceptance.Evidence{
+	evidence := acceptance.Evidence{
 		AttemptRefused: true,
 		HasOpenAttempt: report.HasOpenAttempt,
 		Known:          report.Stands,
 		Owner:          report.Owner,
-	})
+	}
+	verdict := acceptance.Judge(evidence)
+	req.evidence, req.doubt = &evidence, acceptance.NoDoubt
 	h.Metrics.verdicts.WithLabelValues(verdict.String()).Inc()
+	if verdict == acceptance.Uncertain {
+		req.doubt = acceptance.DoubtOf(evidence)
+		h.Metrics.doubts.WithLabelValues(string(req.doubt)).Inc()
+	}
 	return verdict
 }
 
--- a/internal/front/submit_test.go
+++ b/internal/front/submit_test.go
@@ -81,6 +81,28 @@
 	})
 }
 
+// Guards against refusals after an uncertain answer whose log lines don't tell what has ruled the earlier
+// attempt out, and against uncertain answers that don't tell why.
+func TestTheLogTellsWhatARefusalIsBasedOn(t *testing.T) {
+	for wantLogged, weaken := range map[string]func(report *AcceptanceReport){
+		`doubt="" owner_read=true owner_watched_ms=20000`:                            func(*AcceptanceReport) {},
+		`doubt=owner_silent owner_read=false owner_watched_ms=0`:                     func(report *AcceptanceReport) { *report = AcceptanceReport{} },
+		`doubt=owner_has_not_read owner_read=false owner_watched_ms=20000`:           func(report *AcceptanceReport) { report.Owner.ReadSinceAsked = false },
+		`doubt=owner_watches_too_short owner_read=true owner_watched_ms=1000`:        func(report *AcceptanceReport) { report.Owner.WatchedFor = time.Second },
+		`doubt=earlier_attempt_open_here owner_read=true owner_watched_ms=20000`:     func(report *AcceptanceReport) { report.HasOpenAttempt = true },
+		`doubt=earlier_attempt_open_at_owner owner_read=true owner_watched_ms=20000`: func(report *AcceptanceReport) { report.Owner.HasOpenAttempt = true },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newFrontRig(t)
+			r.jobs.outcomes = storeAway()
+			r.jobs.report = ruledOut()
+			weaken(&r.jobs.report)
+			r.send(http.MethodPost, jobPath, "Bearer ward-key")
+			assert.Contains(t, r.log.String(), wantLogged)
+		})
+	}
+}
+
 // Guards against a job that is refused in the moment in which the store answers its owner again.
 func TestAJobIsTriedOnceMoreIfItsOwnerReachesTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
