Services get partitions of their own, from a stored table

Cause: a service's partition was a hash of its name, and a partition has one owner.

Weighed: the hash (standing); more partitions for the hash, which makes meetings rarer and moves them to the members, which are dealt several; probing over the configured services without a record, by which a service could move away from its stored jobs when another is added; a table on the store (chosen).

Change: the fleet's owner assigns partitions, fenced by its epoch, evenly by number; entries never change. Nodes read the table once, and get it from peers with the configuration. A service whose partition isn't known takes no job; a node that knows none isn't ready. Services of an earlier version that share a partition with stored jobs stay there.

--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -79,6 +79,10 @@
 	Services  Services
 	Published *published.Follower
 	Bounds    platform.Bounds
+	// Assignments are the known partitions of services; nil if services are assigned elsewhere.
+	Assignments Assignments
+	// Partitions is the number of partitions of the topic of jobs.
+	Partitions int
 	// OwnedUntil returns until when no other node can own the fleet; nil means no limit.
 	OwnedUntil func() time.Time
 	Logger     hclog.Logger
@@ -103,6 +107,9 @@
 	waveStoresInFlight map[int64]bool
 	nextWaveStores     map[int64]fleet.Action
 
+	assigner       *assigner
+	assignInFlight bool
+
 	vmListInFlight bool
 	vmListSentAt   time.Time
 	loadsInFlight  bool
@@ -122,6 +129,7 @@
 		inbox:          make(chan coreEvent, inboxSize),
 		callSlots:      make(chan struct{}, maxCallsInFlight),
 		ownershipLost:  make(chan error, 1),
+		assigner:       newAssigner(deps, epoch),
 		drainsInFlight: map[string]bool{},
 
 		waveStoresInFlight: map[int64]bool{},
@@ -241,6 +249,7 @@
 	if config == nil {
 		return
 	}
+	o.assignMissing(ctx, config)
 	core.SetConfig(config)
 	core.SetWaves(o.deps.Published.Waves(), now)
 	o.refresh(ctx, core, config, now)
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,19 +24,6 @@
 // requests have no producer and are not fenced.
 const ownerProducer = "owner"
 
-// PartitionOf returns the partition of a service's jobs. It depends on the service's name
-// and the number of partitions alone, so that all nodes agree at all times, whichever
-// services are added or removed.
-func PartitionOf(service string, partitions int) int {
-	h := fnv.New32a()
-	h.Write([]byte(service))
-	sum := h.Sum32()
-	sum ^= sum >> 15 // FNV hashes of short, similar names are close in their low bits
-	sum *= 0x2c1b3c6d
-	sum ^= sum >> 12
-	return int(sum % uint32(partitions))
-}
-
 // Store is the part of the platform's store that this package uses.
 type Store interface {
 	AppendSpan(ctx context.Context, p platform.Partition, producer *platform.Producer, records ...platform.KeyedRecord) (platform.Span, platform.StoreStatus, error)
--- a/internal/node/acceptance.go
+++ b/internal/node/acceptance.go
@@ -15,7 +15,11 @@
 // Acceptance returns what the owner of a service's jobs knows of a request. It calls the owner that
 // was known last, once: an answer that is late is no use to a caller that is to be refused.
 func (o *ownerDirectory) Acceptance(ctx context.Context, service string, r acceptance.Request, by workload.Requester) front.AcceptanceReport {
-	r.Partition = o.partitionOf(service)
+	partition, ok := o.assignments.PartitionOf(service)
+	if !ok {
+		return front.AcceptanceReport{}
+	}
+	r.Partition = partition
 	wasOpen := o.intake.HasOpenAttempt(r)
 	req := nodepeer.Request{Partition: r.Partition, Job: r.Job, Cancels: r.Cancels, Requester: &by}
 	var response nodepeer.Response
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -82,7 +82,7 @@
 	if mustAsk {
 		defer o.prospects.end(key, answered)
 		sentAt := time.Now()
-		response, called := o.callOnce(ctx, nodepeer.MethodProspect, nodepeer.Request{Partition: o.partitionOf(service), Queue: key.Queue, Workspace: key.Workspace}, false)
+		response, called := o.callOwnerOfOnce(ctx, service, nodepeer.MethodProspect, nodepeer.Request{Queue: key.Queue, Workspace: key.Workspace})
 		o.prospects.putAnswer(key, response, called, sentAt)
 	} else {
 		select {
--- a/internal/node/configpeers.go
+++ b/internal/node/configpeers.go
@@ -34,11 +34,12 @@
 		return published.PeerConfig{}, errors.Errorf("response of node %s has no configuration", address)
 	}
 	p.book.Add(response.Config.Nodes...)
+	p.owners.assignments.Add(response.Config.Partitions)
 	return published.PeerConfig{Record: response.Config.Record, ReadsStore: response.Config.ReadsStore}, nil
 }
 
 // ServeConfig serves MethodConfig.
 func (p peerHandler) ServeConfig(_ context.Context, req nodepeer.Request) (nodepeer.Response, error) {
 	answer := p.published.ConfigNewerThan(req.ConfigVersion)
-	return nodepeer.Response{Config: &nodepeer.ConfigResult{Record: answer.Record, ReadsStore: answer.ReadsStore, Nodes: p.peers.Sample(nodesPerConfigResult)}}, nil
+	return nodepeer.Response{Config: &nodepeer.ConfigResult{Record: answer.Record, ReadsStore: answer.ReadsStore, Nodes: p.peers.Sample(nodesPerConfigResult), Partitions: p.ownerDirectory.assignments.Table()}}, nil
 }
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -104,9 +104,13 @@
 	return err
 }
 
-// Accept stores a record of a caller's request in the partition of its service.
+// Accept stores a record of a caller's request in the partition of its service. Nothing is stored while
+// that partition isn't known.
 func (n *Node) Accept(ctx context.Context, service string, r workload.Record) (platform.StoreStatus, error) {
-	partition := n.owners.partitionOf(service)
+	partition, ok := n.assignments.PartitionOf(service)
+	if !ok {
+		return platform.StoreRefused, errors.Errorf("service %q has no known partition yet", service)
+	}
 	n.probeStore(ctx, partition)
 	return n.intake.Accept(ctx, partition, r)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/yuccadrift/yuccadrift/internal/admin"
+	"github.com/yuccadrift/yuccadrift/internal/assignments"
 	"github.com/yuccadrift/yuccadrift/internal/fleetowner"
 	"github.com/yuccadrift/yuccadrift/internal/front"
 	"github.com/yuccadrift/yuccadrift/internal/hedge"
@@ -57,6 +58,7 @@
 	suspendMeter *suspend.Meter
 	slowdown     prometheus.Gauge
 	published    *published.Follower
+	assignments  *assignments.Follower
 	registry     *registry.Follower
 	manager      *ownership.Manager
 	owners       *ownerDirectory
@@ -132,6 +134,7 @@
 		}
 	})
 	n.published = published.New(n.store, logger.Named("published"))
+	n.assignments = assignments.New(n.store, n.configuredServices, s.Store.Partitions, logger.Named("assignments"))
 	n.registry = registry.New(n.store, logger.Named("registry"))
 	n.vms = platform.NewVMClient(s.VMServiceAddress)
 	n.ownerDeps = owner.Deps{
@@ -145,7 +148,7 @@
 		Logger:        logger.Named("owner"),
 		Metrics:       owner.NewMetrics(metrics),
 		Bounds:        s.Bounds,
-		Partitions:    s.Store.Partitions,
+		Assignments:   n.assignments,
 		LeaseDuration: min(runLease, s.Bounds.MaxLeaseDuration),
 	}
 	n.initPeering(hedger)
@@ -156,7 +159,7 @@
 func (n *Node) initPeering(hedger *hedge.Hedger) {
 	s, logger := n.settings, n.logger
 	self := addressAt(s, peerPortOffset)
-	n.owners = &ownerDirectory{partitions: s.Store.Partitions, selfAddress: self, clients: nodepeer.NewClients(self), logger: logger.Named("owners"), checkStore: n.storeHealth.check, local: map[int]*owner.Owner{}, reports: map[int]owner.HandoverReport{}}
+	n.owners = &ownerDirectory{assignments: n.assignments, selfAddress: self, clients: nodepeer.NewClients(self), logger: logger.Named("owners"), checkStore: n.storeHealth.check, local: map[int]*owner.Owner{}, reports: map[int]owner.HandoverReport{}}
 	n.manager = ownership.New(n.store, ownership.Config{
 		Node:         s.Node,
 		Address:      self,
@@ -235,6 +238,9 @@
 	if n.published.Config() == nil {
 		return errors.New("no configuration was read yet")
 	}
+	if n.assignments.Count() == 0 && len(n.configuredServices()) > 0 {
+		return errors.New("no service has a known partition yet")
+	}
 	return n.storeHealth.check()
 }
 
@@ -274,6 +280,9 @@
 		Services:  n.owners,
 		Published: n.published,
 		Bounds:    n.settings.Bounds,
+
+		Assignments: n.assignments,
+		Partitions:  n.settings.Store.Partitions,
 		OwnedUntil: func() time.Time {
 			return n.manager.OwnedUntil(platform.Partition{Topic: joblog.FleetTopic, Part: partition})
 		},
@@ -291,10 +300,24 @@
 	}
 	c := n.published.Config()
 	return c != nil && slices.ContainsFunc(c.Services, func(s workload.Service) bool {
-		return n.owners.partitionOf(s.Name) == p.Part
+		partition, ok := n.assignments.PartitionOf(s.Name)
+		return ok && partition == p.Part
 	})
 }
 
+// configuredServices returns the names of the services in the configuration in force.
+func (n *Node) configuredServices() []string {
+	c := n.published.Config()
+	if c == nil {
+		return nil
+	}
+	names := make([]string, len(c.Services))
+	for i, s := range c.Services {
+		names[i] = s.Name
+	}
+	return names
+}
+
 // awaitWork waits until a partition has work. It returns false if ctx ends before.
 func (n *Node) awaitWork(ctx context.Context, p platform.Partition) bool {
 	for ctx.Err() == nil {
@@ -316,6 +339,7 @@
 		{Name: "front", Serve: n.serveFront, StopTimeout: n.settings.Bounds.ShutdownGrace},
 		{Name: "published", Serve: n.published.Run},
 		{Name: "published-by-peers", Serve: func(ctx context.Context) error { return n.published.RunPeerFetch(ctx, n.peers) }},
+		{Name: "assignments", Serve: n.assignments.Run},
 		{Name: "registry", Serve: n.registry.Run},
 		{Name: "ownership", Serve: n.manager.Run},
 		{Name: "speed", Serve: n.watchSpeed},
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/yuccadrift/yuccadrift/internal/admission"
+	"github.com/yuccadrift/yuccadrift/internal/assignments"
 	"github.com/yuccadrift/yuccadrift/internal/front"
 	"github.com/yuccadrift/yuccadrift/internal/intake"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
@@ -33,7 +34,7 @@
 // also serves such calls of other nodes to the owners on this node (serve.go), and keeps the
 // reports of stopped owners for their successors (release.go).
 type ownerDirectory struct {
-	partitions  int
+	assignments *assignments.Follower
 	selfAddress string // this node's address for other nodes
 	clients     *nodepeer.Clients
 	manager     *ownership.Manager
@@ -80,6 +81,29 @@
 	return nodepeer.Response{}, false
 }
 
+// callOwnerOf calls the owner of a service's partition until it answers or ctx ends.
+func (o *ownerDirectory) callOwnerOf(ctx context.Context, service string, m nodepeer.Method, req nodepeer.Request) (nodepeer.Response, bool) {
+	for ctx.Err() == nil {
+		if partition, ok := o.assignments.PartitionOf(service); ok {
+			req.Partition = partition
+			return o.call(ctx, m, req)
+		}
+		wait.Pause(ctx, ownerCallRetryInterval)
+	}
+	return nodepeer.Response{}, false
+}
+
+// callOwnerOfOnce is callOwnerOf with one call. The node that it reaches may not be the owner. It returns false
+// at once if the service's partition isn't known yet.
+func (o *ownerDirectory) callOwnerOfOnce(ctx context.Context, service string, m nodepeer.Method, req nodepeer.Request) (nodepeer.Response, bool) {
+	partition, ok := o.assignments.PartitionOf(service)
+	if !ok {
+		return nodepeer.Response{}, false
+	}
+	req.Partition = partition
+	return o.callOnce(ctx, m, req, false)
+}
+
 func (o *ownerDirectory) callOnce(ctx context.Context, m nodepeer.Method, req nodepeer.Request, refreshOwner bool) (nodepeer.Response, bool) {
 	ctx, cancel := context.WithTimeout(ctx, ownerCallTimeout)
 	defer cancel()
@@ -98,7 +122,7 @@
 // Status returns the status of a job.
 func (o *ownerDirectory) Status(ctx context.Context, service string, id workload.JobID) (front.JobStatus, bool) {
 	sentAt := time.Now()
-	response, ok := o.call(ctx, nodepeer.MethodJobState, nodepeer.Request{Partition: o.partitionOf(service), Job: id})
+	response, ok := o.callOwnerOf(ctx, service, nodepeer.MethodJobState, nodepeer.Request{Job: id})
 	if ok && response.Known {
 		o.prospects.put(admission.Key{Queue: response.JobQueue, Workspace: response.Workspace}, response.Prospect, sentAt)
 	}
@@ -107,14 +131,14 @@
 
 // WaitingJobs returns the number of jobs of a queue that have not begun.
 func (o *ownerDirectory) WaitingJobs(ctx context.Context, service, queue string) (int, bool) {
-	response, ok := o.call(ctx, nodepeer.MethodWaiting, nodepeer.Request{Partition: o.partitionOf(service), Queue: queue})
+	response, ok := o.callOwnerOf(ctx, service, nodepeer.MethodWaiting, nodepeer.Request{Queue: queue})
 	return response.Waiting, ok
 }
 
 // RequestDrain asks the owner of a service to drain a worker and returns the worker's drain
 // state. It calls the owner once.
 func (o *ownerDirectory) RequestDrain(ctx context.Context, service, worker string) (workload.DrainState, bool) {
-	response, ok := o.callOnce(ctx, nodepeer.MethodDrain, nodepeer.Request{Partition: o.partitionOf(service), Worker: worker}, false)
+	response, ok := o.callOwnerOfOnce(ctx, service, nodepeer.MethodDrain, nodepeer.Request{Worker: worker})
 	switch {
 	case !ok || !response.IsOwner:
 		return workload.NotDrained, false
@@ -129,14 +153,10 @@
 // LoadsOf returns the loads of all services in the partition of service, marks workers of service
 // as due for maintenance, and tells what capacity is on its way to it. It calls the owner once.
 func (o *ownerDirectory) LoadsOf(ctx context.Context, service string, dueForMaintenance []string, incoming workload.Resources) ([]workload.ServiceLoad, bool) {
-	response, ok := o.callOnce(ctx, nodepeer.MethodLoads, nodepeer.Request{Partition: o.partitionOf(service), Service: service, DueForMaintenance: dueForMaintenance, IncomingMilliCores: &incoming.CPU}, false)
+	response, ok := o.callOwnerOfOnce(ctx, service, nodepeer.MethodLoads, nodepeer.Request{Service: service, DueForMaintenance: dueForMaintenance, IncomingMilliCores: &incoming.CPU})
 	return response.Loads, ok && response.IsOwner
 }
 
-func (o *ownerDirectory) partitionOf(service string) int {
-	return joblog.PartitionOf(service, o.partitions)
-}
-
 // serveLocal serves a call of this node to an owner on this node.
 func (o *ownerDirectory) serveLocal(ctx context.Context, m nodepeer.Method, req nodepeer.Request) (nodepeer.Response, error) {
 	switch m {
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/peer"
 
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
+	"github.com/yuccadrift/yuccadrift/internal/partitioning"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -116,6 +117,8 @@
 	Record     []byte   `json:"r,omitempty"`
 	ReadsStore bool     `json:"s,omitempty"` // the node's reads of the store are in time
 	Nodes      []string `json:"n,omitempty"` // addresses of some other nodes
+	// Partitions are the known partitions of services. Nodes of earlier versions don't state them.
+	Partitions partitioning.Table `json:"p,omitempty"`
 }
 
 // StoredRecord is the key and value of a record.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -105,8 +105,7 @@
 	// RequestLoan sends a loan request to the owner of a partition. It returns nil if no owner has
 	// answered or the owner has refused it.
 	RequestLoan func(ctx context.Context, lender int, req workload.LoanRequest) *workload.LoanResponse
-	// Partitions is the number of partitions of the topic of jobs.
-	Partitions int
+	Assignments Assignments
 	// LeaseDuration is how long a run lives without a renewal of its lease.
 	LeaseDuration time.Duration
 }
@@ -133,9 +132,11 @@
 	tailWake  chan struct{}
 	executor  *executor
 	// loaded is closed once the core knows all stored records.
-	loaded            chan struct{}
-	workerList        confirmedWorkers
-	config            *workload.Config
+	loaded     chan struct{}
+	workerList confirmedWorkers
+	config     *workload.Config
+	// assignedServices is how many services had a known partition when the core got config.
+	assignedServices  int
 	observedCounts    scheduler.Counts
 	load              loadStats
 	countsAtLoadStart scheduler.Counts // when the interval of load began
@@ -190,6 +191,7 @@
 		return err
 	}
 	core := o.newCore(ctx, fencedAt, batch, predecessor.handover != nil)
+	o.assignedServices = o.deps.Assignments.Count()
 	if config := o.deps.Published.Config(); config != nil {
 		o.config = config
 		core.SetConfig(config) // the weights of workspaces count when jobs are added
@@ -266,7 +268,7 @@
 		MaxStopDuration:    o.deps.Bounds.MaxStopDuration,
 		GangTimeout:        o.deps.Bounds.GangTimeout,
 		Partition:          o.partition,
-		PartitionOf:        func(service string) int { return joblog.PartitionOf(service, o.deps.Partitions) },
+		PartitionOf:        o.deps.Assignments.PartitionOf,
 		ConfigApplyTime:    o.deps.Bounds.MaxConfigApplyTime,
 		AllowancesFrom:     o.allowancesFrom(lastTakeover, fencedAt),
 
@@ -306,16 +308,6 @@
 	}
 }
 
-// ownsService reports whether a service's jobs are in the partition. Services that are not
-// configured are not owned: the registry may have stray entries that name them, and waiting
-// for a worker that never answers would delay a takeover by a lease.
-func (o *Owner) ownsService(service string) bool {
-	if config := o.deps.Published.Config(); config != nil && !config.HasService(service) {
-		return false
-	}
-	return joblog.PartitionOf(service, o.deps.Partitions) == o.partition
-}
-
 // enqueue puts an event into the inbox. It blocks while the inbox is full, which slows
 // senders down to the rate of the loop.
 func (o *Owner) enqueue(ctx context.Context, apply func(c *scheduler.Core, now time.Time)) {
@@ -369,8 +361,9 @@
 
 // refreshInputs gives the core a new configuration or list of workers.
 func (o *Owner) refreshInputs(core *scheduler.Core) {
-	if config := o.deps.Published.Config(); config != nil && config != o.config {
-		o.config = config
+	assigned := o.deps.Assignments.Count()
+	if config := o.deps.Published.Config(); config != nil && (config != o.config || assigned != o.assignedServices) {
+		o.config, o.assignedServices = config, assigned
 		core.SetConfig(config)
 	}
 	now := time.Now()
@@ -384,16 +377,3 @@
 		o.deps.RequestJoin()
 	}
 }
-
-// splitWorkers returns the workers of the partition's services, and the addresses of all
-// other workers.
-func (o *Owner) splitWorkers(list []workload.Worker) (own []workload.Worker, otherAddresses []string) {
-	for _, w := range list {
-		if o.ownsService(w.Service) {
-			own = append(own, w)
-		} else {
-			otherAddresses = append(otherAddresses, w.Address)
-		}
-	}
-	return own, otherAddresses
-}
--- a/internal/proof/twoowners_test.go
+++ b/internal/proof/twoowners_test.go
@@ -7,7 +7,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/assignments"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/partitioning"
 	"github.com/yuccadrift/yuccadrift/internal/testkit"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform/standin"
@@ -28,7 +30,7 @@
 	worker := c.Platform.WorkerOf(task)
 	require.NotNil(t, worker)
 	worker.SetFault(standin.KnownOwnersOnly)
-	owner := isolateOwner(c, "booking")
+	owner := isolateOwner(t, c, "booking")
 	c.Until("the task runs on another worker", func() bool {
 		current := c.Platform.WorkerOf(task)
 		return current != nil && current != worker
@@ -43,9 +45,12 @@
 }
 
 // isolateOwner cuts the node that owns a service's jobs off from the store and returns the node.
-func isolateOwner(c *testkit.JobCluster, service string) (owner *testkit.JobNode) {
+func isolateOwner(t *testing.T, c *testkit.JobCluster, service string) (owner *testkit.JobNode) {
 	leaseHolder := func() string {
-		return c.Platform.Store.OwnerOf(joblog.JobsTopic, joblog.PartitionOf(service, smallPlatform().Partitions))
+		key := partitioning.KeyPrefix + service
+		_, partition, err := partitioning.Decode(key, c.Platform.Store.Value(assignments.Topic, key), smallPlatform().Partitions)
+		require.NoError(t, err)
+		return c.Platform.Store.OwnerOf(joblog.JobsTopic, partition)
 	}
 	c.Until("the owner of "+service+" is cut off from the store", func() bool {
 		name := leaseHolder()
--- a/internal/scheduler/allowance.go
+++ b/internal/scheduler/allowance.go
@@ -150,21 +150,27 @@
 	return bound
 }
 
-// setCapPartitions sets the partitions that share the caps: those of all services but the spare pool.
+// setCapPartitions sets the partitions that share the caps: those of all services but the spare pool. A
+// service whose partition isn't known yet counts as one more.
 //
 // Owners apply a change at different times. So a share that grows because there are fewer partitions
 // grows only once the configuration is in force everywhere.
 func (c *Core) setCapPartitions(now time.Time) {
 	var partitions []int
+	c.unassignedServices = 0
 	for _, s := range c.config.Services {
-		if p := c.settings.PartitionOf(s.Name); !s.Standby && !slices.Contains(partitions, p) {
+		switch p, ok := c.settings.PartitionOf(s.Name); {
+		case s.Standby:
+		case !ok:
+			c.unassignedServices++
+		case !slices.Contains(partitions, p):
 			partitions = append(partitions, p)
 		}
 	}
 	slices.Sort(partitions)
 	c.capPartitions = partitions
 	c.hasCaps = slices.ContainsFunc(c.config.Workspaces.List(), func(w workload.Workspace) bool { return w.Cap != workload.Resources{} })
-	if n := max(1, len(partitions)); n >= c.shareDivisor || c.shareDivisor == 0 {
+	if n := c.capSharers(); n >= c.shareDivisor || c.shareDivisor == 0 {
 		c.shareDivisor = n
 		c.shareDivisorFrom = time.Time{}
 	} else {
@@ -172,13 +178,16 @@
 	}
 }
 
+// capSharers returns into how many shares the caps are divided.
+func (c *Core) capSharers() int { return max(1, len(c.capPartitions)+c.unassignedServices) }
+
 // applyShareGrowth lets the shares grow once the configuration with fewer partitions is in force
 // everywhere.
 func (c *Core) applyShareGrowth(now time.Time) {
 	if c.shareDivisorFrom.IsZero() || now.Before(c.shareDivisorFrom) {
 		return
 	}
-	c.shareDivisor = max(1, len(c.capPartitions))
+	c.shareDivisor = c.capSharers()
 	c.shareDivisorFrom = time.Time{}
 	c.applyCaps()
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -136,12 +136,14 @@
 
 	accounts map[string]*account // by workspace
 	hasCaps  bool                // the configuration has a workspace with a cap
-	// capPartitions are the partitions that share the caps. shareDivisor is the number by which the
-	// caps are divided: theirs or, until shareDivisorFrom, that of an earlier configuration.
-	capPartitions    []int
-	shareDivisor     int
-	shareDivisorFrom time.Time // zero if shareDivisor is the current number
-	counterparties   map[int]*counterparty
+	// capPartitions are the partitions that share the caps, beside those of unassignedServices services.
+	// shareDivisor is the number by which the caps are divided: theirs or, until shareDivisorFrom, that
+	// of an earlier configuration.
+	capPartitions      []int
+	unassignedServices int
+	shareDivisor       int
+	shareDivisorFrom   time.Time // zero if shareDivisor is the current number
+	counterparties     map[int]*counterparty
 	// reportedUncovered and reportedVersion are what the other owners are told of this one.
 	reportedUncovered workload.AmountsByWorkspace
 	reportedVersion   int64
@@ -171,13 +173,7 @@
 // New returns a Core for an owner that takes over at now. unresolved are the IDs of workers that
 // may run tasks of an earlier owner. listIncomplete states that there may be more such workers.
 func New(settings Settings, now time.Time, unresolved []string, listIncomplete bool) *Core {
-	if settings.GangTimeout == 0 {
-		settings.GangTimeout = defaultGangTimeout
-	}
-	if settings.PartitionOf == nil {
-		settings.PartitionOf = func(string) int { return settings.Partition }
-	}
-	settings.MaxLeaseDuration = max(settings.MaxLeaseDuration, settings.LeaseDuration)
+	settings = settings.withDefaults()
 	c := &Core{
 		settings:              settings,
 		config:                &workload.Config{},
--- a/internal/scheduler/fakefleet_test.go
+++ b/internal/scheduler/fakefleet_test.go
@@ -128,12 +128,12 @@
 func (p *partitionFleet) setPartition(s *scheduler.Settings, w *world) {
 	s.Partition = w.partition
 	s.ConfigApplyTime = configApplyTime
-	s.PartitionOf = func(service string) int {
+	s.PartitionOf = func(service string) (int, bool) {
 		n, err := strconv.Atoi(service[len("service-"):])
 		if err != nil {
 			panic(err)
 		}
-		return n
+		return n, true
 	}
 }
 
--- a/internal/scheduler/loans_bench_test.go
+++ b/internal/scheduler/loans_bench_test.go
@@ -21,12 +21,12 @@
 			b.Fatal(err)
 		}
 	}
-	partitionOf := func(service string) int {
+	partitionOf := func(service string) (int, bool) {
 		n, err := strconv.Atoi(service)
 		if err != nil {
 			b.Fatal(err)
 		}
-		return n
+		return n, true
 	}
 	c := New(Settings{Epoch: 1, JobRetention: time.Minute, PartitionOf: partitionOf}, now, nil, false)
 	c.SetConfig(config)
--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -26,13 +26,25 @@
 	GangTimeout time.Duration
 	// RemoteDataSlowdown is the factor by which a task takes longer away from its data.
 	RemoteDataSlowdown float64
-	// Partition is the partition that the owner owns, PartitionOf returns the partition of a service;
-	// nil if all services are in this one.
+	// Partition is the partition that the owner owns, PartitionOf returns the partition of a service and
+	// whether it is known; nil if all services are in this one.
 	Partition   int
-	PartitionOf func(service string) int
+	PartitionOf func(service string) (partition int, ok bool)
 	// ConfigApplyTime is the time from the publication of a configuration until all owners use it.
 	ConfigApplyTime time.Duration
 	// AllowancesFrom is when this owner may begin to use its share of workspaces' caps: the first
 	// owner of a partition waits until the other owners know of the partition.
 	AllowancesFrom time.Time
 }
+
+// withDefaults returns the settings with defaults for what is not set.
+func (s Settings) withDefaults() Settings {
+	if s.GangTimeout == 0 {
+		s.GangTimeout = defaultGangTimeout
+	}
+	if s.PartitionOf == nil {
+		s.PartitionOf = func(string) (int, bool) { return s.Partition, true }
+	}
+	s.MaxLeaseDuration = max(s.MaxLeaseDuration, s.LeaseDuration)
+	return s
+}
