scheduler: a gang's other members don't count on the room that its suspects take

The worker was planned for the suspect member; the other member was assigned as if the suspect took nothing there. On workers that enforce their capacity the start is refused and the gang broken.

Ruled out: a reduced capacity (none in the seconds before), a late order (the scenario draws none for such workers).

Change: assignWorkers is told where the suspects will start.

--- a/internal/scheduler/crashseeds_test.go
+++ b/internal/scheduler/crashseeds_test.go
@@ -7,6 +7,17 @@
 	"github.com/stretchr/testify/assert"
 )
 
+// Guards against a gang whose members exceed the capacity of a worker: one of them is a suspect, and the others
+// were placed as if it took nothing on the worker that was planned for it.
+func TestVMLossHistoriesKeepWithinCapacity(t *testing.T) {
+	for _, seed := range []uint64{456} {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			w, _ := runVMLossHistory(seed)
+			assert.Empty(t, w.violations)
+		})
+	}
+}
+
 // Guards against tasks that crash their workers and start again after their last permitted attempt.
 func TestCrashHistoriesKeepTheBudget(t *testing.T) {
 	for _, seed := range []uint64{163} {
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -19,7 +19,7 @@
 	}
 	assigned := s.assignInOneRack(p, now)
 	if assigned == nil {
-		assigned = s.assignWorkers(p.workers, len(s.tasks), now)
+		assigned = s.assignWorkers(p.workers, len(s.tasks), nil, now)
 	}
 	if assigned == nil {
 		return
@@ -121,7 +121,7 @@
 	})
 	for _, rack := range racks {
 		members := slices.DeleteFunc(slices.Clone(p.workers), func(w *worker) bool { return w.info.Rack() != rack })
-		if assigned := s.assignWorkers(members, len(s.tasks), now); assigned != nil {
+		if assigned := s.assignWorkers(members, len(s.tasks), nil, now); assigned != nil {
 			return assigned
 		}
 		if !s.spec.SameRack {
@@ -131,13 +131,18 @@
 	return nil
 }
 
-// assignWorkers returns a worker for each of a number of tasks, nil if not all fit.
-func (s *step) assignWorkers(workers []*worker, tasks int, now time.Time) []*worker {
+// assignWorkers returns a worker for each of a number of tasks, nil if not all fit. Other tasks of the step
+// will start on the workers in taken, which has an entry for each task.
+func (s *step) assignWorkers(workers []*worker, tasks int, taken []*worker, now time.Time) []*worker {
 	free := map[*worker]workload.Resources{}
 	assignedCount := map[*worker]int{}
 	for _, w := range workers {
 		free[w] = w.free()
 	}
+	for _, w := range taken {
+		free[w] = free[w].Sub(s.spec.Reservation())
+		assignedCount[w]++
+	}
 	assigned := make([]*worker, 0, tasks)
 	for range tasks {
 		var best *worker
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -344,7 +344,11 @@
 		c.planGangSuspects(p, s, suspects, now)
 		return
 	}
-	otherWorkers := s.assignWorkers(p.workers, len(others), now)
+	planned := make([]*worker, len(suspects))
+	for k, i := range suspects {
+		planned[k] = s.tasks[i].plannedIsolatedRun.worker
+	}
+	otherWorkers := s.assignWorkers(p.workers, len(others), planned, now)
 	if otherWorkers == nil {
 		return
 	}
@@ -372,7 +376,7 @@
 			plannedWorkers = append(plannedWorkers, plan.worker)
 		}
 	}
-	return s.assignWorkers(plannedWorkers, len(suspects), now) != nil
+	return s.assignWorkers(plannedWorkers, len(suspects), nil, now) != nil
 }
 
 // planGangSuspects plans the workers for the suspects of a gang. Several suspects may share a
@@ -381,13 +385,13 @@
 	if s.waitingForIsolationSince.IsZero() {
 		s.waitingForIsolationSince = now
 	}
-	assigned := s.assignWorkers(p.readyReservedWorkers(now), len(suspects), now)
+	assigned := s.assignWorkers(p.readyReservedWorkers(now), len(suspects), nil, now)
 	if assigned == nil {
 		p.reserveForSuspects(s, now)
-		assigned = s.assignWorkers(p.readyReservedWorkers(now), len(suspects), now)
+		assigned = s.assignWorkers(p.readyReservedWorkers(now), len(suspects), nil, now)
 	}
 	if assigned == nil && !now.Before(s.waitingForIsolationSince.Add(gangReservationTimeout)) {
-		assigned = s.assignWorkers(p.workers, len(suspects), now)
+		assigned = s.assignWorkers(p.workers, len(suspects), nil, now)
 	}
 	if assigned == nil {
 		return
