fleet: the pipeline of VM orders admits what it finishes; drains in one call a pool

Drains, orders, lists and loads shared 32 calls, first come first served, and 0.7 of all VMs could be under way: each order was sent seconds after its drain had lapsed, and each drain was done again. The pools' owners polled the drained workers all the while.

Ruled out: the platform's rate (none of the 6 orders was turned away).

Weighed: 0.7 of all (standing), a fixed number, orders first, a window by what is finished in time (chosen), besides drains in one call a pool (chosen).

Change: fleet.pipeline; OrderLapsed and OrderTurnedAway; a drain request has many workers; VMs that may be moved are collected once a step, and counted in one pass instead of one for each pool; gauges, counters and one line a second in place of a line for each drain and lapsed order.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -88,6 +88,7 @@
 	reason         string // reason of a move, for the log
 	phase          operationPhase
 	phaseSince     time.Time // start of the phase
+	begunAt        time.Time // start of the operation
 	retryAt        time.Time
 	// drainState is the answer of the worker's owner to the drain request sent at drainRequestedAt.
 	// All requests since drainStateSince have had the same answer.
@@ -128,6 +129,9 @@
 	unlistedOrders map[string]time.Time
 	// dirtyWaves are the waves whose progress must be stored.
 	dirtyWaves map[int64]bool
+	pipeline   pipeline
+	// acceptedOrders, lapsedOrders and turnedAwayOrders count results of orders, see PipelineState.
+	acceptedOrders, lapsedOrders, turnedAwayOrders int
 }
 
 // Verb is the kind of an Action.
@@ -170,6 +174,7 @@
 		poolLoads:     map[string]*poolLoad{},
 		dirtyWaves:    map[int64]bool{},
 		earlierOrders: map[string]earlierOrder{},
+		pipeline:      newPipeline(),
 
 		unlistedOrders: map[string]time.Time{},
 	}
--- a/internal/fleet/labels.go
+++ b/internal/fleet/labels.go
@@ -91,23 +91,6 @@
 	return leastUsed, found
 }
 
-// bestSpareVM finds the spare VM for whose labels, such as its kind or its rack, the waiting tasks of
-// a pool ask for the most processor time. If they ask for no label, it returns any spare VM.
-func (c *Core) bestSpareVM(pool string, now time.Time) (workload.VM, bool) {
-	var best workload.VM
-	found := false
-	bestDemandedCPU := 0
-	for _, vm := range c.vms {
-		if !c.isAvailableSpare(vm, now) {
-			continue
-		}
-		if demandedCPU := c.demandedCPU(pool, vm); !found || demandedCPU > bestDemandedCPU {
-			best, bestDemandedCPU, found = vm, demandedCPU, true
-		}
-	}
-	return best, found
-}
-
 // demandedCPU returns how much processor time, in millicores, the waiting tasks of a pool ask for with
 // the labels of a VM.
 func (c *Core) demandedCPU(pool string, vm workload.VM) int {
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -32,8 +32,6 @@
 	// spreadReserveVMs is how many VMs a pool has beyond those over which its long-running tasks
 	// must be spread, so that one of them can be replaced at once.
 	spreadReserveVMs = 1
-	// maxMovesShare bounds the moves under way at once, as a share of all VMs.
-	maxMovesShare = 0.7
 	// moveDrainTimeout is how long a move may wait for its VM to be drained.
 	moveDrainTimeout = 1500 * time.Millisecond
 	// workerJoinTimeout is how long a worker may take from the first list that names it to its first
@@ -165,7 +163,7 @@
 // poolPlan is how many VMs a pool has, needs and keeps.
 type poolPlan struct {
 	pool               string
-	vms                int // VMs counted toward the pool, see countToward
+	vms                int // VMs counted toward the pool, see countedPool
 	needed             int // VMs that the pool needs by the forecast
 	minBeforeDonating  int // VMs needed in the last poolReleaseDelay; other pools get VMs beyond these
 	minBeforeReturning int // VMs needed in the last spareReleaseDelay; the spare pool gets VMs beyond these
@@ -190,42 +188,38 @@
 		}
 		return cmp.Or(cmp.Compare(b.needed-b.vms, a.needed-a.vms), cmp.Compare(a.pool, b.pool))
 	})
-	moves := 0
-	maxMoves := int(math.Ceil(maxMovesShare * float64(len(c.vms))))
-	for _, op := range c.operations {
-		if op.wave == 0 {
-			moves++
-		}
-	}
-	moves += c.startMovesForUnmetRequirements(plans, maxMoves-moves, now)
-	for _, p := range plans {
-		for missing := p.needed - p.vms; missing > 0 && moves < maxMoves; missing-- {
-			vm, ok := c.findVMFor(plans, p.pool, now)
+	inside := c.inPipeline()
+	candidates := &moveCandidates{}
+	inside += c.startMovesForUnmetRequirements(plans, c.pipeline.room(inside), now)
+	for i := range plans {
+		p := &plans[i]
+		for missing := p.needed - p.vms; missing > 0 && c.pipeline.room(inside) > 0; missing-- {
+			vm, ok := c.findVMFor(candidates, plans, p.pool, now)
 			if !ok {
 				break
 			}
 			c.startMove(vm, p.pool, plans, now, fmt.Sprintf("%s counts %d VMs and needs %d", p.pool, p.vms, p.needed))
-			moves++
+			inside++
 		}
 	}
 	if c.sparePool == "" {
 		return
 	}
 	for i := range plans {
-		for plans[i].vms > plans[i].minBeforeReturning && moves < maxMoves {
-			vm, ok := c.leastUsedVM(plans[i].pool, true, now)
+		p := &plans[i]
+		for p.vms > p.minBeforeReturning && c.pipeline.reliefRoom(inside) > 0 {
+			vm, ok := c.leastUsedVM(candidates, p.pool, true, now)
 			if !ok {
 				break
 			}
-			p := plans[i]
 			c.startMove(vm, c.sparePool, plans, now, fmt.Sprintf("%s counts %d VMs and has needed %d for a while", p.pool, p.vms, p.minBeforeReturning))
-			moves++
+			inside++
 		}
 	}
 }
 
 func (c *Core) startMove(vm workload.VM, targetPool string, plans []poolPlan, now time.Time, reason string) {
-	c.operations[vm.ID] = &operation{vm: vm.ID, reason: reason, sourcePool: vm.Pool, worker: vm.Worker, targetPool: targetPool, phaseSince: now, moveExpiresAt: now.Add(moveDrainTimeout)}
+	c.operations[vm.ID] = &operation{vm: vm.ID, reason: reason, sourcePool: vm.Pool, worker: vm.Worker, targetPool: targetPool, phaseSince: now, begunAt: now, moveExpiresAt: now.Add(moveDrainTimeout)}
 	for i := range plans {
 		if plans[i].pool == vm.Pool {
 			plans[i].vms--
@@ -238,22 +232,16 @@
 
 // poolPlans returns the plans of all pools with a recent load, except the spare pool.
 func (c *Core) poolPlans(now time.Time) []poolPlan {
+	counts := c.countVMs(now)
 	var list []poolPlan
 	for pool, l := range c.poolLoads {
 		if pool == c.sparePool || now.Sub(l.receivedAt) > maxLoadAge {
 			continue
 		}
-		p := poolPlan{pool: pool, minVMs: l.minVMs()}
-		for _, vm := range c.vms {
-			n := c.countToward(vm, pool, now)
-			p.vms += n
-			if op := c.operations[vm.ID]; n > 0 && op != nil && op.wave != 0 && op.hadLongRunning {
-				// This VM is or will soon be under maintenance, and its long-running tasks need another VM
-				// for seconds. With only minVMs, the tasks of two such VMs would wait for each other, and
-				// the wave's next VMs would wait for them.
-				p.minVMs++
-			}
-		}
+		// A VM with long-running tasks in a wave is or will soon be under maintenance, and its tasks need
+		// another VM for seconds. With only minVMs, the tasks of two such VMs would wait for each other, and
+		// the wave's next VMs would wait for them.
+		p := poolPlan{pool: pool, vms: counts[pool].vms, minVMs: l.minVMs() + counts[pool].longRunningInWave}
 		p.needed, p.minBeforeDonating, p.minBeforeReturning = max(l.forecastNeed, p.minVMs), p.minVMs, p.minVMs
 		for _, n := range l.needHistory {
 			p.minBeforeReturning = max(p.minBeforeReturning, n.vms)
@@ -270,30 +258,47 @@
 	return list
 }
 
-// countToward returns 1 if a VM counts toward a pool, 0 otherwise. A VM that is being moved counts
-// toward the target pool. Other VMs count toward their own pool, also under maintenance, except those
-// that have been draining for longer than drainGracePeriod and those without a usable worker.
-func (c *Core) countToward(vm workload.VM, pool string, now time.Time) int {
-	op := c.operations[vm.ID]
-	if op != nil && op.wave == 0 {
-		if op.targetPool == pool {
-			return 1
+// poolCount is how many VMs count toward a pool, and how many of them had long-running tasks when their wave
+// took them.
+type poolCount struct{ vms, longRunningInWave int }
+
+// poolCounts are the counts of all pools.
+type poolCounts map[string]poolCount
+
+// countVMs counts the VMs of all pools in one pass.
+func (c *Core) countVMs(now time.Time) poolCounts {
+	counts := poolCounts{}
+	for _, vm := range c.vms {
+		op := c.operations[vm.ID]
+		pool, ok := c.countedPool(vm, op, now)
+		if !ok {
+			continue
+		}
+		count := counts[pool]
+		count.vms++
+		if op != nil && op.wave != 0 && op.hadLongRunning {
+			count.longRunningInWave++
 		}
-		return 0
+		counts[pool] = count
 	}
-	if vm.Pool != pool {
-		return 0
+	return counts
+}
+
+// countedPool returns the pool toward which a VM counts, and false if it counts toward none. A VM that is being
+// moved counts toward the target pool. Other VMs count toward their own pool, also under maintenance, except those
+// that have been draining for longer than drainGracePeriod and those without a usable worker.
+func (c *Core) countedPool(vm workload.VM, op *operation, now time.Time) (pool string, ok bool) {
+	if op != nil && op.wave == 0 {
+		return op.targetPool, true
 	}
 	switch vm.State {
 	case workload.VMMaintenance, workload.VMMoving:
-		return 1
+		return vm.Pool, true
 	case workload.VMUp:
 		isSlowDrain := op != nil && op.phase == phaseDraining && now.Sub(op.phaseSince) > drainGracePeriod
-		if !isSlowDrain && (op != nil || c.hasUsableWorker(vm, now)) {
-			return 1
-		}
+		return vm.Pool, !isSlowDrain && (op != nil || c.hasUsableWorker(vm, now))
 	}
-	return 0
+	return "", false
 }
 
 // hasUsableWorker reports whether the worker of a VM is usable according to its pool's load, or was
@@ -323,24 +328,6 @@
 	return n
 }
 
-// findVMFor finds a VM for a pool: a spare VM, otherwise the least used VM of a pool that has more than
-// its minBeforeDonating.
-func (c *Core) findVMFor(plans []poolPlan, targetPool string, now time.Time) (workload.VM, bool) {
-	if vm, ok := c.bestSpareVM(targetPool, now); ok {
-		return vm, true
-	}
-	for i := len(plans) - 1; i >= 0; i-- {
-		p := plans[i]
-		if p.pool == targetPool || p.vms <= p.minBeforeDonating {
-			continue
-		}
-		if vm, ok := c.leastUsedVM(p.pool, false, now); ok {
-			return vm, true
-		}
-	}
-	return workload.VM{}, false
-}
-
 // isMovable reports whether a VM may be taken from its pool, whose load is l. Its worker must be usable
 // and have no long-running task, which a move would stop.
 func (c *Core) isMovable(vm workload.VM, l *poolLoad, now time.Time) bool {
@@ -350,25 +337,3 @@
 	load, known := l.load.Workers[vm.Worker]
 	return known && load.Usable && load.LongRunningRuns == 0
 }
-
-// leastUsedVM finds the movable VM of a pool with the lowest utilization, which takes the least time to
-// drain. With onlyIdle, it considers only VMs on which nothing runs.
-func (c *Core) leastUsedVM(pool string, onlyIdle bool, now time.Time) (workload.VM, bool) {
-	l := c.poolLoads[pool]
-	if l == nil || now.Sub(l.receivedAt) > maxLoadAge {
-		return workload.VM{}, false
-	}
-	best, leastUse := -1, 0.0
-	for i, vm := range c.vms {
-		if vm.Pool != pool || !c.isMovable(vm, l, now) || onlyIdle && l.load.Workers[vm.Worker].Runs > 0 {
-			continue
-		}
-		if use := l.utilization(vm); best < 0 || use < leastUse {
-			best, leastUse = i, use
-		}
-	}
-	if best < 0 {
-		return workload.VM{}, false
-	}
-	return c.vms[best], true
-}
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -92,29 +92,45 @@
 const (
 	OrderAccepted       OrderResult = iota
 	OrderRefused                    // not carried out, may be retried
+	OrderTurnedAway                 // not carried out, as the platform is busy; may be retried
+	OrderLapsed                     // not sent, as the drain state had lapsed; may be retried
 	OrderInvalid                    // no longer applicable, or never was
 	OrderOutcomeUnknown             // may have been carried out
 )
 
-// HandleOrderResult records the outcome of a MaintainVM or MoveVM. A refused order, or one with an
-// unknown outcome, is repeated after another drain request.
+// HandleOrderResult records the outcome of a MaintainVM or MoveVM. An order that was not carried out,
+// or one with an unknown outcome, is repeated after another drain request.
 func (c *Core) HandleOrderResult(vm string, result OrderResult, now time.Time) {
 	op := c.operations[vm]
 	if op == nil || op.phase != phaseOrderInFlight {
 		return
 	}
+	age := now.Sub(op.phaseSince)
+	if op.drainState != workload.NotDrained {
+		age = now.Sub(op.drainRequestedAt)
+	}
 	op.phaseSince = now
 	if result == OrderAccepted || result == OrderOutcomeUnknown {
 		c.unlistedOrders[vm] = now
 	}
 	switch result {
+	case OrderLapsed:
+		c.lapsedOrders++
+		c.pipeline.recordOverload(now)
+	case OrderTurnedAway:
+		c.turnedAwayOrders++
+		c.pipeline.recordOverload(now)
+	}
+	switch result {
 	case OrderAccepted:
+		c.acceptedOrders++
+		c.pipeline.recordOrdered(age, now)
 		op.phase = phaseAwaitingReturn
 		if s := c.waves[op.wave]; s != nil {
 			s.doneVMs[vm] = true
 			c.dirtyWaves[op.wave] = true
 		}
-	case OrderRefused, OrderOutcomeUnknown:
+	case OrderRefused, OrderTurnedAway, OrderLapsed, OrderOutcomeUnknown:
 		// If the order was carried out, its repetition is answered as accepted.
 		op.phase = phaseDraining
 		op.drainState = workload.NotDrained
--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -35,7 +35,7 @@
 func (c *Core) startMaintenance(s *waveProgress, vm workload.VM, now time.Time) {
 	l := c.poolLoads[vm.Pool]
 	hasLongRunning := l != nil && l.load.Workers[vm.Worker].LongRunningRuns > 0
-	c.operations[vm.ID] = &operation{vm: vm.ID, sourcePool: vm.Pool, worker: vm.Worker, wave: s.wave.Number, hadLongRunning: hasLongRunning, phaseSince: now}
+	c.operations[vm.ID] = &operation{vm: vm.ID, sourcePool: vm.Pool, worker: vm.Worker, wave: s.wave.Number, hadLongRunning: hasLongRunning, phaseSince: now, begunAt: now}
 }
 
 // maxLongRunningDrainsPerPool is how many VMs with long-running tasks are drained at once in each pool.
--- a/internal/fleetowner/actions.go
+++ b/internal/fleetowner/actions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,49 +15,90 @@
 	"github.com/yuccadrift/yuccadrift/platform"
 )
 
-// execute starts an action.
-func (o *Owner) execute(ctx context.Context, a fleet.Action) {
-	switch a.Verb {
-	case fleet.DrainWorker:
-		if o.drainsInFlight[a.Worker] {
-			return
+// execute starts the actions of a step. The drains of a pool are requested in one call.
+func (o *Owner) execute(ctx context.Context, actions []fleet.Action) {
+	drains := drainsByPool{}
+	for _, a := range actions {
+		switch a.Verb {
+		case fleet.DrainWorker:
+			drains[a.Pool] = append(drains[a.Pool], a)
+		case fleet.MaintainVM, fleet.MoveVM:
+			go o.storeAndOrder(ctx, a) // at most one per VM
+		case fleet.StoreWave:
+			o.queueWaveStore(ctx, a)
 		}
-		o.drainsInFlight[a.Worker] = true
-		o.startCall(ctx, func(ctx context.Context) { o.drainWorker(ctx, a) })
-	case fleet.MaintainVM, fleet.MoveVM:
-		go o.storeAndOrder(ctx, a) // at most one per VM
-	case fleet.StoreWave:
-		o.queueWaveStore(ctx, a)
 	}
+	for pool, list := range drains {
+		o.startDrains(ctx, pool, list)
+	}
+}
+
+// drainsByPool are the DrainWorker actions of a step by pool.
+type drainsByPool map[string][]fleet.Action
+
+// startDrains requests drains of a pool's workers, unless a request for the pool is in flight. Then the next
+// step requests them: an owner that is behind is not asked again before it has answered.
+func (o *Owner) startDrains(ctx context.Context, pool string, drains []fleet.Action) {
+	if o.drainsInFlight[pool] {
+		return
+	}
+	o.drainsInFlight[pool] = true
+	go func() {
+		results := o.drainWorkers(ctx, pool, drains)
+		o.enqueue(ctx, func(c *fleet.Core, _ time.Time) {
+			delete(o.drainsInFlight, pool)
+			for _, r := range results {
+				c.HandleDrainResult(r.action.VM, r.action.Worker, r.state, r.requestedAt)
+			}
+		})
+	}()
+}
+
+// drainResult is the answer to a DrainWorker that was requested at requestedAt.
+type drainResult struct {
+	action      fleet.Action
+	state       workload.DrainState
+	requestedAt time.Time
 }
 
 // unconfirmedDrainRetryDelay is how long an idle worker takes to answer its owner, which polls it only
 // once it is being drained.
 const unconfirmedDrainRetryDelay = 30 * time.Millisecond
 
-// drainWorker requests the drain of a worker, and once more if the worker's process has not answered
-// lately: at the next step, the repetition would delay a pool that waits for the VM.
-func (o *Owner) drainWorker(ctx context.Context, a fleet.Action) {
-	state, requestedAt := o.requestDrain(ctx, a)
-	if state == workload.DrainedUnconfirmed {
-		wait.Pause(ctx, unconfirmedDrainRetryDelay)
-		state, requestedAt = o.requestDrain(ctx, a)
-	}
-	o.enqueue(ctx, func(c *fleet.Core, _ time.Time) {
-		delete(o.drainsInFlight, a.Worker)
-		c.HandleDrainResult(a.VM, a.Worker, state, requestedAt)
-	})
+// drainWorkers requests the drains of a pool's workers, and once more those of workers whose process has not
+// answered lately: at the next step, the repetition would delay a pool that waits for the VM.
+func (o *Owner) drainWorkers(ctx context.Context, pool string, drains []fleet.Action) []drainResult {
+	results := o.requestDrains(ctx, pool, drains)
+	var unconfirmed []fleet.Action
+	for _, r := range results {
+		if r.state == workload.DrainedUnconfirmed {
+			unconfirmed = append(unconfirmed, r.action)
+		}
+	}
+	if len(unconfirmed) == 0 {
+		return results
+	}
+	wait.Pause(ctx, unconfirmedDrainRetryDelay)
+	results = slices.DeleteFunc(results, func(r drainResult) bool { return r.state == workload.DrainedUnconfirmed })
+	return append(results, o.requestDrains(ctx, pool, unconfirmed)...)
 }
 
-// requestDrain requests the drain of a worker from the worker's owner. It returns the owner's answer,
-// NotDrained if there is none, and the time of the request.
-func (o *Owner) requestDrain(ctx context.Context, a fleet.Action) (state workload.DrainState, requestedAt time.Time) {
-	requestedAt = time.Now()
-	state, ok := o.deps.Services.RequestDrain(ctx, a.Pool, a.Worker)
-	if !ok {
-		return workload.NotDrained, requestedAt
+// requestDrains requests drains from the owner of a pool's workers. Without an answer the states are NotDrained.
+func (o *Owner) requestDrains(ctx context.Context, pool string, drains []fleet.Action) []drainResult {
+	requestedAt := time.Now()
+	workers := make([]string, len(drains))
+	for i, a := range drains {
+		workers[i] = a.Worker
 	}
-	return state, requestedAt
+	states, ok := o.deps.Services.RequestDrains(ctx, pool, workers)
+	results := make([]drainResult, len(drains))
+	for i, a := range drains {
+		results[i] = drainResult{action: a, requestedAt: requestedAt}
+		if ok && i < len(states) {
+			results[i].state = states[i]
+		}
+	}
+	return results
 }
 
 // vmKeyPrefix begins the keys of stored orders.
@@ -84,16 +126,22 @@
 		}
 		return
 	}
-	o.startCall(ctx, func(ctx context.Context) { o.orderVM(ctx, a) })
+	select {
+	case o.orderSlots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-o.orderSlots }()
+	o.orderVM(ctx, a)
 }
 
-// orderVM orders a VM unless orderBlockedReason returns a reason. The store may have been unavailable while
+// orderVM orders a VM unless checkOrder returns a reason against it. The store may have been unavailable while
 // the order was being stored, or the call may have waited for a slot. By then the worker may accept tasks
 // again, and the order would end them.
 func (o *Owner) orderVM(ctx context.Context, a fleet.Action) {
-	if reason := o.orderBlockedReason(a, time.Now()); reason != "" {
-		o.logger.Info("VM not ordered", "vm", a.VM, "wave", a.Wave, "pool", a.Pool, "reason", reason)
-		o.enqueue(ctx, func(c *fleet.Core, now time.Time) { c.HandleOrderResult(a.VM, fleet.OrderRefused, now) })
+	if result, reason := o.checkOrder(a, time.Now()); reason != "" {
+		o.logger.Debug("VM not ordered", "vm", a.VM, "wave", a.Wave, "pool", a.Pool, "reason", reason)
+		o.enqueue(ctx, func(c *fleet.Core, now time.Time) { c.HandleOrderResult(a.VM, result, now) })
 		return
 	}
 	// The platform's protocol calls the owner the lease holder, and its epoch the fencing token.
@@ -115,17 +163,17 @@
 	o.enqueue(ctx, func(c *fleet.Core, now time.Time) { c.HandleOrderResult(a.VM, orderResultOf(status), now) })
 }
 
-// orderBlockedReason returns why an order must not be sent any more, "" if it may be sent. A later owner
-// counts the quiet period of the VM from the stored time of the order, and would not detect an order that
+// checkOrder returns why an order must not be sent any more and its result then, "" if it may be sent. A later
+// owner counts the quiet period of the VM from the stored time of the order, and would not detect an order that
 // is sent much later.
-func (o *Owner) orderBlockedReason(a fleet.Action, now time.Time) string {
+func (o *Owner) checkOrder(a fleet.Action, now time.Time) (result fleet.OrderResult, reason string) {
 	switch {
 	case !a.ValidUntil.IsZero() && hasPassed(a.ValidUntil, now):
-		return "the drain state has been invalid for " + now.Sub(a.ValidUntil).String()
+		return fleet.OrderLapsed, "the drain state has been invalid for " + now.Sub(a.ValidUntil).String()
 	case o.deps.OwnedUntil != nil && !now.Before(o.deps.OwnedUntil()):
-		return "another node may own the fleet"
+		return fleet.OrderRefused, "another node may own the fleet"
 	}
-	return ""
+	return fleet.OrderAccepted, ""
 }
 
 // hasPassed reports whether t has passed by the monotonic clock or by the wall clock. The monotonic clock
@@ -139,8 +187,10 @@
 	switch s {
 	case platform.VMOrderOK:
 		return fleet.OrderAccepted
-	case platform.VMOrderBusy, platform.VMOrderRefused:
+	case platform.VMOrderBusy:
 		return fleet.OrderRefused
+	case platform.VMOrderRefused:
+		return fleet.OrderTurnedAway
 	case platform.VMOrderNotDue, platform.VMOrderInvalid:
 		return fleet.OrderInvalid
 	default:
--- a/internal/fleetowner/actions_test.go
+++ b/internal/fleetowner/actions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -63,7 +64,7 @@
 		o := New(Deps{Store: &slowStore{latency: storeLatency}, Hedger: hedge.New(), VMs: machines, Logger: hclog.NewNullLogger()}, 0, 7)
 		ctx, cancel := context.WithCancel(t.Context())
 		go o.writer.run(ctx)
-		o.execute(ctx, fleet.Action{Verb: fleet.MoveVM, VM: "vm-1", Pool: "booking", ValidUntil: validUntil(time.Now())})
+		o.execute(ctx, []fleet.Action{{Verb: fleet.MoveVM, VM: "vm-1", Pool: "booking", ValidUntil: validUntil(time.Now())}})
 		time.Sleep(30 * time.Second)
 		cancel()
 		synctest.Wait()
@@ -97,7 +98,7 @@
 			o := New(Deps{Store: &slowStore{latency: latency}, Hedger: hedge.New(), VMs: machines, OwnedUntil: func() time.Time { return ownedUntil }, Logger: hclog.NewNullLogger()}, 0, 7)
 			ctx, cancel := context.WithCancel(t.Context())
 			go o.writer.run(ctx)
-			o.execute(ctx, fleet.Action{Verb: fleet.MoveVM, VM: "vm-1", Pool: "booking"})
+			o.execute(ctx, []fleet.Action{{Verb: fleet.MoveVM, VM: "vm-1", Pool: "booking"}})
 			time.Sleep(10 * time.Second)
 			cancel()
 			synctest.Wait()
@@ -109,9 +110,17 @@
 // slowService reports a worker as drained after a latency.
 type slowService struct{ latency time.Duration }
 
-func (s slowService) RequestDrain(context.Context, string, string) (workload.DrainState, bool) {
+func (s slowService) RequestDrains(_ context.Context, _ string, workers []string) ([]workload.DrainState, bool) {
 	time.Sleep(s.latency)
-	return workload.Drained, true
+	return sameState(workload.Drained, len(workers)), true
+}
+
+func sameState(state workload.DrainState, n int) []workload.DrainState {
+	states := make([]workload.DrainState, n)
+	for i := range states {
+		states[i] = state
+	}
+	return states
 }
 
 func (slowService) LoadsOf(context.Context, string, []string, workload.Resources) ([]workload.ServiceLoad, bool) {
@@ -130,7 +139,7 @@
 			orders := 0
 			for _, a := range core.Step(time.Now()) {
 				if a.Verb == fleet.DrainWorker {
-					o.execute(t.Context(), a)
+					o.execute(t.Context(), []fleet.Action{a})
 				}
 			}
 			e := <-o.inbox
@@ -160,14 +169,48 @@
 	answersFrom *time.Time
 }
 
-func (s idleService) RequestDrain(context.Context, string, string) (workload.DrainState, bool) {
+func (s idleService) RequestDrains(_ context.Context, _ string, workers []string) ([]workload.DrainState, bool) {
 	if s.answersFrom.IsZero() {
 		*s.answersFrom = time.Now().Add(10 * time.Millisecond)
 	}
 	if time.Now().Before(*s.answersFrom) {
-		return workload.DrainedUnconfirmed, true
+		return sameState(workload.DrainedUnconfirmed, len(workers)), true
 	}
-	return workload.Drained, true
+	return sameState(workload.Drained, len(workers)), true
+}
+
+// countingService counts drain requests, and answers each after a latency.
+type countingService struct {
+	slowService
+	calls, workers *int
+}
+
+func (s countingService) RequestDrains(ctx context.Context, service string, workers []string) ([]workload.DrainState, bool) {
+	*s.calls++
+	*s.workers += len(workers)
+	return s.slowService.RequestDrains(ctx, service, workers)
+}
+
+// Guards against drains that take up all calls of the fleet's owner: 1,000 VMs of two pools that are drained at
+// once, by owners that are slow to answer, cost a call a pool.
+func TestMoreDrainsThanCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls, workers := 0, 0
+		o := New(Deps{Services: countingService{slowService{300 * time.Millisecond}, &calls, &workers}, Logger: hclog.NewNullLogger()}, 0, 7)
+		var drains []fleet.Action
+		for i := range 1000 {
+			drains = append(drains, fleet.Action{Verb: fleet.DrainWorker, VM: strconv.Itoa(i), Worker: strconv.Itoa(i), Pool: []string{"booking", "returns"}[i%2]})
+		}
+		for range 3 { // further steps don't ask an owner again that has not answered
+			o.execute(t.Context(), drains)
+		}
+		for range 2 {
+			e := <-o.inbox
+			e(fleet.New(fleet.Settings{}, time.Now()), time.Now())
+		}
+		assert.Equal(t, 2, calls)
+		assert.Equal(t, 1000, workers)
+	})
 }
 
 // Guards against a pool waiting a step longer for each VM with an idle worker, which its owner polls only once the
@@ -181,7 +224,7 @@
 		began := time.Now()
 		for _, a := range core.Step(began) {
 			if a.Verb == fleet.DrainWorker {
-				o.execute(t.Context(), a)
+				o.execute(t.Context(), []fleet.Action{a})
 			}
 		}
 		e := <-o.inbox
--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -44,7 +44,7 @@
 	loadInterval          = 200 * time.Millisecond
 	takeoverRetryInterval = 200 * time.Millisecond
 	inboxSize             = 256
-	maxCallsInFlight      = 32
+	maxOrdersInFlight     = 32
 )
 
 // ErrOwnershipLost is returned by Run when the store or a VM has seen a later owner, or the owner's records
@@ -60,7 +60,8 @@
 
 // Services calls the owners of the services' jobs. A service and its pool of VMs have the same name.
 type Services interface {
-	RequestDrain(ctx context.Context, service, worker string) (v workload.DrainState, ok bool)
+	// RequestDrains requests drains of a service's workers and returns their states in the same order.
+	RequestDrains(ctx context.Context, service string, workers []string) (states []workload.DrainState, ok bool)
 	LoadsOf(ctx context.Context, service string, leaving []string, incoming workload.Resources) ([]workload.ServiceLoad, bool)
 }
 
@@ -86,22 +87,24 @@
 	// OwnedUntil returns until when no other node can own the fleet; nil means no limit.
 	OwnedUntil func() time.Time
 	Logger     hclog.Logger
+	Metrics    *Metrics
 }
 
 type coreEvent func(c *fleet.Core, now time.Time)
 
 // Owner owns the fleet while Run runs.
 type Owner struct {
-	deps      Deps
-	epoch     int64
-	log       *joblog.Log
-	logger    hclog.Logger
-	inbox     chan coreEvent
-	callSlots chan struct{}
+	deps   Deps
+	epoch  int64
+	log    *joblog.Log
+	logger hclog.Logger
+	inbox  chan coreEvent
+	// orderSlots has an entry for each order for a VM in flight.
+	orderSlots chan struct{}
 
 	writer         *writer
 	ownershipLost  chan error
-	drainsInFlight map[string]bool // workers with a drain request in flight
+	drainsInFlight map[string]bool // pools with a drain request in flight
 	// waveStoresInFlight are the waves whose progress is being stored, nextWaveStores the later progress that waits
 	// for that.
 	waveStoresInFlight map[int64]bool
@@ -110,6 +113,7 @@
 	assigner       *assigner
 	assignInFlight bool
 
+	pipelineReport pipelineReport
 	vmListInFlight bool
 	vmListSentAt   time.Time
 	loadsInFlight  bool
@@ -127,7 +131,7 @@
 		writer:         newWriter(log, epoch, deps.Logger),
 		logger:         deps.Logger.With("epoch", epoch),
 		inbox:          make(chan coreEvent, inboxSize),
-		callSlots:      make(chan struct{}, maxCallsInFlight),
+		orderSlots:     make(chan struct{}, maxOrdersInFlight),
 		ownershipLost:  make(chan error, 1),
 		assigner:       newAssigner(deps, epoch),
 		drainsInFlight: map[string]bool{},
@@ -253,9 +257,8 @@
 	core.SetConfig(config)
 	core.SetWaves(o.deps.Published.Waves(), now)
 	o.refresh(ctx, core, config, now)
-	for _, a := range core.Step(now) {
-		o.execute(ctx, a)
-	}
+	o.execute(ctx, core.Step(now))
+	o.reportPipeline(core.PipelineState(now), now)
 }
 
 // refresh requests the list of VMs and the loads of the pools when they are due.
@@ -267,29 +270,16 @@
 	if !o.vmListInFlight && now.Sub(o.vmListSentAt) >= listInterval {
 		o.vmListInFlight = true
 		o.vmListSentAt = now
-		o.startCall(ctx, o.listVMs)
+		go o.listVMs(ctx)
 	}
 	if !o.loadsInFlight && now.Sub(o.loadsSentAt) >= loadInterval {
 		o.loadsInFlight = true
 		o.loadsSentAt = now
 		workersDue, incoming := core.WorkersDueForMaintenance(), core.IncomingByPool()
-		o.startCall(ctx, func(ctx context.Context) { o.readLoads(ctx, config, workersDue, incoming) })
+		go o.readLoads(ctx, config, workersDue, incoming)
 	}
 }
 
-// startCall runs a call concurrently with the loop. At most maxCallsInFlight calls run at once.
-func (o *Owner) startCall(ctx context.Context, call func(ctx context.Context)) {
-	go func() {
-		select {
-		case o.callSlots <- struct{}{}:
-		case <-ctx.Done():
-			return
-		}
-		defer func() { <-o.callSlots }()
-		call(ctx)
-	}()
-}
-
 func (o *Owner) enqueue(ctx context.Context, e coreEvent) {
 	select {
 	case o.inbox <- e:
--- a/internal/fleetowner/wavestore_test.go
+++ b/internal/fleetowner/wavestore_test.go
@@ -38,9 +38,9 @@
 		o := New(Deps{Store: store, Hedger: hedge.New(), Logger: hclog.NewNullLogger()}, 0, 7)
 		ctx, cancel := context.WithCancel(t.Context())
 		go o.writer.run(ctx)
-		o.execute(ctx, fleet.Action{Verb: fleet.StoreWave, Wave: 1, State: workload.WaveRunning, DoneVMs: []string{"vm-1"}})
+		o.execute(ctx, []fleet.Action{fleet.Action{Verb: fleet.StoreWave, Wave: 1, State: workload.WaveRunning, DoneVMs: []string{"vm-1"}}})
 		time.Sleep(100 * time.Millisecond)
-		o.execute(ctx, fleet.Action{Verb: fleet.StoreWave, Wave: 1, State: workload.WaveCompleted, DoneVMs: []string{"vm-1", "vm-2"}})
+		o.execute(ctx, []fleet.Action{fleet.Action{Verb: fleet.StoreWave, Wave: 1, State: workload.WaveCompleted, DoneVMs: []string{"vm-1", "vm-2"}}})
 		for ended := time.Now().Add(10 * time.Second); time.Now().Before(ended); time.Sleep(10 * time.Millisecond) {
 			select {
 			case e := <-o.inbox:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,7 @@
 	vms          *platform.VMClient
 	intake       *intake.Router
 	ownerDeps    owner.Deps
+	fleetMetrics *fleetowner.Metrics
 	front        *front.Server
 	admin        *admin.Server
 	peerListener listen.Listener
@@ -151,6 +152,7 @@
 		Assignments:   n.assignments,
 		LeaseDuration: min(runLease, s.Bounds.MaxLeaseDuration),
 	}
+	n.fleetMetrics = fleetowner.NewMetrics(metrics)
 	n.initPeering(hedger)
 	return n, n.openListeners(ctx, metrics)
 }
@@ -286,7 +288,8 @@
 		OwnedUntil: func() time.Time {
 			return n.manager.OwnedUntil(platform.Partition{Topic: joblog.FleetTopic, Part: partition})
 		},
-		Logger: n.logger.Named("fleet"),
+		Logger:  n.logger.Named("fleet"),
+		Metrics: n.fleetMetrics,
 	}, partition, epoch).Run(ctx)
 }
 
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -135,19 +135,22 @@
 	return response.Waiting, ok
 }
 
-// RequestDrain asks the owner of a service to drain a worker and returns the worker's drain
-// state. It calls the owner once.
-func (o *ownerDirectory) RequestDrain(ctx context.Context, service, worker string) (workload.DrainState, bool) {
-	response, ok := o.callOwnerOfOnce(ctx, service, nodepeer.MethodDrain, nodepeer.Request{Worker: worker})
+// RequestDrains asks the owner of a service to drain workers and returns their drain states in the same
+// order. It calls the owner once. Owners of earlier versions drain only the first worker.
+func (o *ownerDirectory) RequestDrains(ctx context.Context, service string, workers []string) ([]workload.DrainState, bool) {
+	response, ok := o.callOwnerOfOnce(ctx, service, nodepeer.MethodDrain, nodepeer.Request{Worker: workers[0], MoreWorkers: workers[1:]})
+	if !ok || !response.IsOwner {
+		return nil, false
+	}
+	states := make([]workload.DrainState, len(workers))
 	switch {
-	case !ok || !response.IsOwner:
-		return workload.NotDrained, false
-	case !response.Drained:
-		return workload.NotDrained, true
-	case !response.DrainConfirmed:
-		return workload.DrainedUnconfirmed, true
+	case response.Drained && response.DrainConfirmed:
+		states[0] = workload.Drained
+	case response.Drained:
+		states[0] = workload.DrainedUnconfirmed
 	}
-	return workload.Drained, true
+	copy(states[1:], response.DrainStates)
+	return states, true
 }
 
 // LoadsOf returns the loads of all services in the partition of service, marks workers of service
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -37,8 +37,11 @@
 	if localOwner == nil {
 		return nodepeer.Response{}, nil
 	}
-	state, ok := localOwner.DrainWorker(ctx, req.Worker)
-	return nodepeer.Response{IsOwner: ok, Drained: state != workload.NotDrained, DrainConfirmed: state == workload.Drained}, nil
+	states, ok := localOwner.DrainWorkers(ctx, append([]string{req.Worker}, req.MoreWorkers...))
+	if !ok {
+		return nodepeer.Response{}, nil
+	}
+	return nodepeer.Response{IsOwner: true, Drained: states[0] != workload.NotDrained, DrainConfirmed: states[0] == workload.Drained, DrainStates: states[1:]}, nil
 }
 
 // ServeLoads serves MethodLoads.
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -48,6 +48,8 @@
 	Requester *workload.Requester `json:"rq,omitempty"`
 	Queue     string              `json:"q,omitempty"`
 	Worker    string              `json:"w,omitempty"`
+	// MoreWorkers are drained as well as Worker. Nodes of earlier versions drain Worker only.
+	MoreWorkers []string `json:"mw,omitempty"`
 	// Service is the service of the workers in DueForMaintenance.
 	Service           string   `json:"sv,omitempty"`
 	DueForMaintenance []string `json:"lv,omitempty"`
@@ -84,10 +86,12 @@
 	Waiting   int    `json:"w,omitempty"`
 	// Drained is set if the worker runs nothing. DrainConfirmed is set if in addition its
 	// process has just answered; nodes of earlier versions omit it.
-	Drained        bool                   `json:"e,omitempty"`
-	DrainConfirmed bool                   `json:"es,omitempty"`
-	Loads          []workload.ServiceLoad `json:"l,omitempty"`
-	StoreResult    *StoreResult           `json:"st,omitempty"`
+	Drained        bool `json:"e,omitempty"`
+	DrainConfirmed bool `json:"es,omitempty"`
+	// DrainStates are those of MoreWorkers, in their order.
+	DrainStates []workload.DrainState  `json:"ds,omitempty"`
+	Loads       []workload.ServiceLoad `json:"l,omitempty"`
+	StoreResult *StoreResult           `json:"st,omitempty"`
 	// LastJoin is the last join of the node's process, whatever the process owns.
 	LastJoin *LastJoin `json:"lj,omitempty"`
 	// HandoverRecords are the records that the node's stopped owner of the partition did not
--- a/internal/owner/queries.go
+++ b/internal/owner/queries.go
@@ -71,11 +71,17 @@
 	return queryCore(ctx, o, func(c *scheduler.Core, _ time.Time) int { return c.WaitingJobs(queue) })
 }
 
-// DrainWorker drains a worker and returns its drain state. ok is false if the state is
-// uncertain because another owner may have started tasks on the worker.
-func (o *Owner) DrainWorker(ctx context.Context, worker string) (state workload.DrainState, ok bool) {
-	state, ok = queryCore(ctx, o, func(c *scheduler.Core, now time.Time) workload.DrainState { return c.DrainWorker(worker, now) })
-	return state, ok && !o.mayHaveBeenReplaced()
+// DrainWorkers drains workers and returns their drain states in the same order. ok is false if the states
+// are uncertain because another owner may have started tasks on the workers.
+func (o *Owner) DrainWorkers(ctx context.Context, workers []string) (states []workload.DrainState, ok bool) {
+	states, ok = queryCore(ctx, o, func(c *scheduler.Core, now time.Time) []workload.DrainState {
+		states := make([]workload.DrainState, len(workers))
+		for i, id := range workers {
+			states[i] = c.DrainWorker(id, now)
+		}
+		return states
+	})
+	return states, ok && !o.mayHaveBeenReplaced()
 }
 
 // Loads returns the load of the partition's services, and marks workers of service as due
--- a/internal/owner/queries_test.go
+++ b/internal/owner/queries_test.go
@@ -89,10 +89,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		ownedUntil := time.Now().Add(time.Second)
 		o := newAnsweringOwner(t, &ownedUntil)
-		drainState, ok := o.DrainWorker(t.Context(), "w-1")
-		assert.True(t, ok && drainState != workload.NotDrained, "an unknown worker runs nothing")
+		drainStates, ok := o.DrainWorkers(t.Context(), []string{"w-1", "w-2"})
+		assert.True(t, ok)
+		assert.Len(t, drainStates, 2)
+		assert.NotContains(t, drainStates, workload.NotDrained, "unknown workers run nothing")
 		time.Sleep(time.Second)
-		_, ok = o.DrainWorker(t.Context(), "w-1")
+		_, ok = o.DrainWorkers(t.Context(), []string{"w-1", "w-2"})
 		assert.False(t, ok)
 	})
 }
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -38,7 +38,9 @@
 	// soon as it is.
 	w := c.ensureWorker(id, now)
 	if !now.Before(w.drainUntil) {
-		c.recordDecision(Decision{Verb: "evacuating", Worker: id, Reason: "drain requested", AlwaysLogged: true})
+		if len(w.runs) > 0 {
+			c.recordDecision(Decision{Verb: "evacuating", Worker: id, Reason: "drain requested", AlwaysLogged: true})
+		}
 		w.drainBegunAt, w.drainWaitLoggedAt = now, now
 	}
 	w.drainUntil = now.Add(drainRequestTTL)
