fleet: no VM is moved while workers or owners may not be known yet

Cause: 18 s before traffic six VMs were taken from pools of 1,000: "counts 0 VMs and needs 2". The owners had taken over 0.3 s before and had heard nobody, and a VM counts by its pool's load.

Change: an owner says for 3 s after its takeover that it is settling; then, and while the fleet's owner has begun less than 3 s ago, a worker that is missing in the load counts as usable. A worker that is lost counts no more once its owner has settled.

--- a/internal/fleet/candidates.go
+++ b/internal/fleet/candidates.go
@@ -12,8 +12,8 @@
 // hundreds of VMs out of thousands. A VM is a candidate until it has an operation.
 type moveCandidates struct {
 	isCollected bool
-	spares candidateList
-	byPool map[string]*candidateList // least used first
+	spares      candidateList
+	byPool      map[string]*candidateList // least used first
 }
 
 // candidateList is a list of candidates, of which the first few may have operations by now.
--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -303,13 +303,14 @@
 
 // hasUsableWorker reports whether the worker of a VM is usable according to its pool's load, or was
 // first listed less than workerJoinTimeout ago. The list alone is not enough: the platform lists VMs as
-// up whose worker has crashed or is cut off.
+// up whose worker has crashed or is cut off. While the pool's load or the list is not known to be whole, a
+// worker that is missing there counts as usable.
 func (c *Core) hasUsableWorker(vm workload.VM, now time.Time) bool {
-	if now.Sub(c.workerFirstListedAt[vm.Worker]) < workerJoinTimeout {
+	if now.Sub(c.startedAt) < workerJoinTimeout || now.Sub(c.workerFirstListedAt[vm.Worker]) < workerJoinTimeout {
 		return true
 	}
 	l := c.poolLoads[vm.Pool]
-	return l != nil && l.load.Workers[vm.Worker].Usable
+	return l != nil && (l.load.Settling || l.load.Workers[vm.Worker].Usable)
 }
 
 // isAvailableSpare reports whether a VM is in the spare pool and can be ordered now.
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -7,13 +7,17 @@
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
+// settlingTime is how long after the takeover workers may not have answered yet. On an owner of thousands of
+// workers the first answers take two seconds.
+const settlingTime = 3 * time.Second
+
 // ServiceLoads returns the load and the waiting demand of each service.
 func (c *Core) ServiceLoads(now time.Time) []workload.ServiceLoad {
 	byService := map[string]*workload.ServiceLoad{}
 	loadOf := func(service string) *workload.ServiceLoad {
 		l := byService[service]
 		if l == nil {
-			l = &workload.ServiceLoad{Service: service, Workers: map[string]workload.WorkerLoad{}}
+			l = &workload.ServiceLoad{Service: service, Settling: now.Sub(c.tookOverAt) < settlingTime, Workers: map[string]workload.WorkerLoad{}}
 			byService[service] = l
 		}
 		return l
--- a/internal/workload/load.go
+++ b/internal/workload/load.go
@@ -2,7 +2,10 @@
 
 // ServiceLoad is the load of a service's workers and the demand that waits for them.
 type ServiceLoad struct {
-	Service  string                `json:"s"`
+	Service string `json:"s"`
+	// Settling is set for a while after the owner's takeover: workers may not have answered it yet, and
+	// Workers is not whole.
+	Settling bool                  `json:"y,omitempty"`
 	Reserved Resources             `json:"u"`
 	Workers  map[string]WorkerLoad `json:"w,omitempty"` // by ID
 	// MeanWorkerCapacity is the mean of the current capacities of the service's workers.
