fleet: VMs are kept for peaks that come back, where the fleet holds all peaks

Weighed: 4 s (standing), 35 s for all, never, 35 s where the largest needs of all pools fit into the fleet together (chosen). The time is what a VM costs until it has cost its absence: 15 times moveLeadTime, by ADR 0045's figures.

--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -51,6 +51,8 @@
 	firstReceivedAt time.Time // when the first load was received
 	demand          demand
 	needHistory     []needSample // of the last spareReleaseDelay
+	peakNeeds       peakNeeds
+	initialVMs      int // when the first load was received
 	// forecastNeed is how many VMs the pool needs if demand goes on rising. The pool gets VMs for the
 	// forecast, but does not keep VMs for it.
 	forecastNeed int
@@ -102,6 +104,7 @@
 		l.needHistory = nil // the samples from before the fall are stale
 	}
 	l.needHistory = append(l.needHistory, needSample{at: now, vms: l.vmsNeeded(l.demand.rate, size)})
+	l.peakNeeds.add(l.needHistory[len(l.needHistory)-1].vms, now)
 	l.forecastNeed = max(l.needHistory[len(l.needHistory)-1].vms, l.vmsNeeded(l.demand.forecastRate(moveLeadTime), size))
 	l.needHistory = slices.DeleteFunc(l.needHistory, func(n needSample) bool { return now.Sub(n.at) > spareReleaseDelay })
 }
@@ -250,11 +253,15 @@
 			}
 		}
 		p.isBelowMin = p.vms < p.minVMs
+		if l.initialVMs == 0 {
+			l.initialVMs = p.vms
+		}
 		if now.Sub(l.firstReceivedAt) < spareReleaseDelay {
 			p.minBeforeReturning = max(p.minBeforeReturning, p.vms) // loads have not been received for long enough
 		}
 		list = append(list, p)
 	}
+	c.holdVMs(list, now)
 	return list
 }
 
