relay: nodes that own nothing follow one that reads the store

Weighed: each reads (standing), less often, gossip, a record for each takeover, one member that is asked and waits for a change (chosen).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/peerbook"
 	"github.com/yuccadrift/yuccadrift/internal/published"
 	"github.com/yuccadrift/yuccadrift/internal/registry"
+	"github.com/yuccadrift/yuccadrift/internal/relay"
 	"github.com/yuccadrift/yuccadrift/internal/settings"
 	"github.com/yuccadrift/yuccadrift/internal/supervise"
 	"github.com/yuccadrift/yuccadrift/internal/suspend"
@@ -59,6 +60,7 @@
 	slowdown     prometheus.Gauge
 	published    *published.Follower
 	assignments  *assignments.Follower
+	relay        *relay.Follower
 	registry     *registry.Follower
 	manager      *ownership.Manager
 	owners       *ownerDirectory
@@ -134,7 +136,8 @@
 			hedger.RecordAnswer(c.SentAt, c.IsLongPoll)
 		}
 	})
-	n.published = published.New(n.store, logger.Named("published"))
+	n.relay = n.newRelayFollower(logger.Named("relay"))
+	n.published = published.New(relayedChanges{n.store, n}, logger.Named("published"))
 	n.assignments = assignments.New(n.store, n.configuredServices, s.Store.Partitions, logger.Named("assignments"))
 	n.registry = registry.New(n.store, logger.Named("registry"))
 	n.vms = platform.NewVMClient(s.VMServiceAddress)
@@ -173,7 +176,9 @@
 		UniqueID:     func() string { return ulid.Make().String() },
 		MemberClient: memberClient{n.owners.clients},
 		SuspendedFor: n.suspendedFor,
-		Logger:       logger.Named("ownership"),
+
+		RelayedOwners: n.relay.Owners,
+		Logger:        logger.Named("ownership"),
 	}, n.runOwner)
 	n.owners.manager = n.manager
 	n.peers = configPeers{book: peerbook.New(self, rand.IntN), owners: n.owners}
@@ -343,6 +348,7 @@
 		{Name: "published", Serve: n.published.Run},
 		{Name: "published-by-peers", Serve: func(ctx context.Context) error { return n.published.RunPeerFetch(ctx, n.peers) }},
 		{Name: "assignments", Serve: n.assignments.Run},
+		{Name: "relay", Serve: n.relay.Run},
 		{Name: "registry", Serve: n.registry.Run},
 		{Name: "ownership", Serve: n.manager.Run},
 		{Name: "speed", Serve: n.watchSpeed},
--- a/internal/node/storehealth.go
+++ b/internal/node/storehealth.go
@@ -26,6 +26,7 @@
 	mu           sync.Mutex
 	lastAnswerAt time.Time
 	isLost       bool
+	isFailing    bool // the latest call was not answered
 	// onReturn is called when the store answers after a silence of more than failFastAfter.
 	onReturn func()
 }
@@ -50,6 +51,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	h.isFailing = !call.Served
 	if call.Served {
 		if h.isLost {
 			h.logger.Info("store answers again", "away_ms", now.Sub(h.lastAnswerAt).Milliseconds())
@@ -68,6 +70,23 @@
 	return nil
 }
 
+// recordRelayed records that the store answers a node that this one follows. Such a node makes no calls of its
+// own; once one has failed, only an answer to a later one counts.
+func (h *storeHealth) recordRelayed() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.isFailing {
+		h.lastAnswerAt = time.Now()
+	}
+}
+
+// mayRely reports whether this node's latest call to the store was answered.
+func (h *storeHealth) mayRely() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.isFailing
+}
+
 // sinceLastAnswer returns the time since the store's last answer.
 func (h *storeHealth) sinceLastAnswer() time.Duration {
 	h.mu.Lock()
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -71,6 +71,10 @@
 	AgeMS int64 `json:"ag,omitempty"`
 	// OpenAttempts are attempts of other nodes to store records, whose outcome is unknown.
 	OpenAttempts []acceptance.Request `json:"oa,omitempty"`
+	// OwnersVersion and Services are what the requesting node knows, WaitMS is how long to wait for more.
+	OwnersVersion uint64 `json:"ov,omitempty"`
+	Services      int    `json:"ns,omitempty"`
+	WaitMS        int64  `json:"wm,omitempty"`
 }
 
 // Response holds the results of all methods.
@@ -98,6 +102,8 @@
 	// store, nil if the node has none.
 	HandoverRecords []StoredRecord `json:"rp,omitempty"`
 	Config          *ConfigResult  `json:"cf,omitempty"`
+	// Follow is set if the node reads the store itself and in time.
+	Follow *FollowResult `json:"fo,omitempty"`
 	// Stands is set if the owner knows the requester's job, or its cancellation if that was asked for.
 	Stands bool `json:"sd,omitempty"`
 	// Acceptance is set if the node runs an owner of the partition.
@@ -108,6 +114,15 @@
 	Prospect *Prospect `json:"pr,omitempty"`
 }
 
+// FollowResult is a relay.Answer of a node that reads the store itself.
+type FollowResult struct {
+	Config        []byte             `json:"c,omitempty"`
+	OwnersVersion uint64             `json:"v"`
+	Owners        []platform.Owner   `json:"o,omitempty"`
+	OwnersAgeMS   int64              `json:"a"` // since the node has read them
+	Partitions    partitioning.Table `json:"p,omitempty"`
+}
+
 // Prospect is an admission.Prospect in milliseconds and core-seconds.
 type Prospect struct {
 	WaitMS     int64   `json:"w"`
@@ -164,6 +179,7 @@
 	ServeAttempt(ctx context.Context, req Request) (Response, error)
 	ServeAcceptance(ctx context.Context, req Request) (Response, error)
 	ServeOpenAttempts(ctx context.Context, req Request) (Response, error)
+	ServeFollow(ctx context.Context, req Request) (Response, error)
 }
 
 // Method is the name of a gRPC method.
@@ -194,6 +210,9 @@
 	MethodAcceptance Method = "Acceptance"
 	// MethodOpenAttempts tells the owner's node of open attempts of another node.
 	MethodOpenAttempts Method = "OpenAttempts"
+	// MethodFollow returns what the node has read from the store and the requesting node doesn't know. It
+	// waits for a change.
+	MethodFollow Method = "Follow"
 )
 
 const serviceName = "yuccadrift.Node"
@@ -248,6 +267,7 @@
 			methodDesc(MethodAttempt, onRequest, Handler.ServeAttempt),
 			methodDesc(MethodAcceptance, onRequest, Handler.ServeAcceptance),
 			methodDesc(MethodOpenAttempts, onRequest, Handler.ServeOpenAttempts),
+			methodDesc(MethodFollow, onRequest, Handler.ServeFollow),
 		},
 	}, h)
 	ended := make(chan error, 1)
--- a/internal/ownership/cluster_test.go
+++ b/internal/ownership/cluster_test.go
@@ -73,6 +73,8 @@
 	t     *testing.T
 	group *stickyGroup
 	nodes []*clusterNode
+	// hasRelays is set if nodes that yield learn of the owners from members.
+	hasRelays bool
 
 	mu               sync.Mutex
 	ownerByPartition map[platform.Partition]*clusterNode
@@ -90,6 +92,41 @@
 	isSilent       atomic.Bool  // the node does not answer other nodes
 	suspendedNanos atomic.Int64 // total time for which the machine was suspended
 	ended          chan struct{}
+	relayed        relayedRead
+}
+
+// relayedRead is what a node was last told of the owners.
+type relayedRead struct {
+	list       []platform.Owner
+	asOf       time.Time
+	freshUntil time.Time
+}
+
+// relayLapse is how long a node relies on its source after the source is gone.
+const relayLapse = 850 * time.Millisecond
+
+// relayedOwners returns the owners as a running member has read them last.
+func (c *cluster) relayedOwners(n *clusterNode) ([]platform.Owner, time.Time, bool) {
+	now := time.Now()
+	for _, source := range c.nodes {
+		if source == n || source.manager == nil || source.isCut.Load() || !source.isRunning() || source.manager.IsYielding() {
+			continue
+		}
+		if read, ok := source.manager.LastOwnersRead(); ok && read.Age < maxOwnersAge+300*time.Millisecond {
+			n.relayed = relayedRead{list: read.List, asOf: now.Add(-read.Age), freshUntil: now.Add(relayLapse)}
+			break
+		}
+	}
+	return n.relayed.list, n.relayed.asOf, now.Before(n.relayed.freshUntil)
+}
+
+func (n *clusterNode) isRunning() bool {
+	select {
+	case <-n.ended:
+		return false
+	default:
+		return true
+	}
 }
 
 func hasWork(p platform.Partition) bool { return p.Topic == "jobs" && p.Part < partitionsWithWork }
@@ -154,8 +191,14 @@
 		}
 		return ctx.Err()
 	}
+	n.relayed = relayedRead{}
+	var relayedOwners func() ([]platform.Owner, time.Time, bool)
+	if c.hasRelays {
+		relayedOwners = func() ([]platform.Owner, time.Time, bool) { return c.relayedOwners(n) }
+	}
 	m := New(storeLink{c.group, n.isCut}, Config{
-		Node: n.name, Address: n.name + ":1", MilliCores: n.milliCores,
+		RelayedOwners: relayedOwners,
+		Node:          n.name, Address: n.name + ":1", MilliCores: n.milliCores,
 		Topics: []string{"jobs", "fleet"}, Partitions: c.group.partitionsPerTopic, HasWork: hasWork,
 		MemberClient: clusterMemberClient{c},
 		SuspendedFor: func() time.Duration { return time.Duration(n.suspendedNanos.Load()) },
--- a/internal/ownership/owners.go
+++ b/internal/ownership/owners.go
@@ -1,7 +1,10 @@
 package ownership
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -55,6 +58,7 @@
 	isStale := time.Since(m.ownersReadSentAt) > maxAge
 	if isStale {
 		m.ownersReadSentAt = time.Now() // concurrent callers use the known owners
+		m.ownReadSentAt = m.ownersReadSentAt
 	}
 	m.mu.Unlock()
 	if !isStale {
@@ -67,15 +71,108 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.setOwners(list)
+	m.ownersRead.set(list, time.Now())
+	return true
+}
+
+// setOwners sets the owners of all partitions. It must be called with mu held.
+func (m *Manager) setOwners(list []platform.Owner) {
 	clear(m.owners) // a partition that isn't listed has no owner
 	for _, o := range list {
 		if info, ok := parseMemberName(o.Member); ok {
 			m.owners[o.Partition] = info
 		}
 	}
+}
+
+// useRelayedOwners uses the owners that another node has read, if this VM yields and one tells, unless this node has
+// read them itself since: a caller that has found an owner to be wrong reads at once. It returns false if no node
+// tells.
+func (m *Manager) useRelayedOwners() bool {
+	if m.relayed == nil || !m.IsYielding() {
+		return false
+	}
+	list, asOf, ok := m.relayed()
+	if !ok {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if asOf.After(m.ownReadSentAt) {
+		m.setOwners(list)
+		m.ownersReadSentAt = time.Now()
+	}
 	return true
 }
 
+// ownersRead is the latest answer of the store to a read of this node, for nodes that follow it.
+type ownersRead struct {
+	list       []platform.Owner
+	version    uint64 // changes with the list
+	answeredAt time.Time
+	changed    chan struct{} // closed when the version changes
+}
+
+func (r *ownersRead) set(list []platform.Owner, now time.Time) {
+	sorted := slices.Clone(list)
+	slices.SortFunc(sorted, func(a, b platform.Owner) int {
+		return cmp.Or(cmp.Compare(a.Partition.Topic, b.Partition.Topic), cmp.Compare(a.Partition.Part, b.Partition.Part))
+	})
+	h := fnv.New64a()
+	for _, o := range sorted {
+		fmt.Fprintf(h, "%s/%d=%s;", o.Partition.Topic, o.Partition.Part, o.Member)
+	}
+	r.list, r.answeredAt = sorted, now
+	if version := h.Sum64(); version != r.version {
+		r.version = version
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
+}
+
+// OwnersRead is what this node has last read of the owners from the store.
+type OwnersRead struct {
+	List    []platform.Owner
+	Version uint64        // changes with the list
+	Age     time.Duration // of the answer
+	// Changed is closed when the version changes.
+	Changed <-chan struct{}
+}
+
+// LastOwnersRead returns the last read of the owners that the store has answered. ok is false if there is none.
+func (m *Manager) LastOwnersRead() (read OwnersRead, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := m.ownersRead
+	return OwnersRead{List: r.list, Version: r.version, Age: time.Since(r.answeredAt), Changed: r.changed}, !r.answeredAt.IsZero()
+}
+
+// RelayCandidates returns the addresses of other nodes that own a partition: those without work, or all if fewer
+// than minRelays have none.
+func (m *Manager) RelayCandidates() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []string
+	var busy []string
+	for p, o := range m.owners {
+		if o.address != m.address && !slices.Contains(all, o.address) {
+			all = append(all, o.address)
+		}
+		if !isAnnouncement(p) && m.hasWork(p) {
+			busy = append(busy, o.address)
+		}
+	}
+	slices.Sort(all)
+	if idle := slices.DeleteFunc(slices.Clone(all), func(a string) bool { return slices.Contains(busy, a) }); len(idle) >= minRelays {
+		return idle
+	}
+	return all
+}
+
+// minRelays is the number of nodes without work below which nodes with work are followed as well.
+const minRelays = 2
+
 // owningMembers returns the members that own a partition of any topic, each once. It must be called with mu held.
 func (m *Manager) owningMembers() []memberInfo {
 	seen := map[string]bool{}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -87,8 +87,9 @@
 	address      string       // for other nodes
 	memberClient MemberClient // nil if other members can't be queried
 	suspendedFor func() time.Duration
-	milliCores   int     // usual processor time of this VM, 0 if unknown
-	checkJitter  float64 // from 0 to 1, differs between nodes
+	relayed      func() ([]platform.Owner, time.Time, bool) // see Config.RelayedOwners
+	milliCores   int                                        // usual processor time of this VM, 0 if unknown
+	checkJitter  float64                                    // from 0 to 1, differs between nodes
 	ttl          time.Duration
 
 	joinSlots     chan struct{} // one entry for each join in flight
@@ -110,7 +111,9 @@
 	supersededBelow        map[platform.Partition]int64           // epoch of the latest owner that has requested a stop
 	stoppingRunners        map[platform.Partition]*ownedPartition // runners that are being stopped
 	owners                 map[platform.Partition]memberInfo
-	ownersReadSentAt       time.Time
+	ownersReadSentAt       time.Time // also of relayed owners
+	ownReadSentAt          time.Time // of this node's own read of the owners
+	ownersRead             ownersRead
 	mustRejoin             bool // the node must join under a new name
 	yieldPolicy            yieldPolicy
 	slowdownFactor         float64             // see SetSlowdown
@@ -138,6 +141,9 @@
 	UniqueID func() string
 	// MemberClient queries other members; nil if they can't be queried.
 	MemberClient MemberClient
+	// RelayedOwners returns the owners as another node has read them lately, and when; false if none tells. A
+	// VM that yields uses these in place of reads of its own. Nil if no node tells.
+	RelayedOwners func() (owners []platform.Owner, asOf time.Time, ok bool)
 	// SuspendedFor returns the total time for which the machine has been suspended; nil if that is unknown.
 	SuspendedFor func() time.Duration
 	Logger       hclog.Logger
@@ -157,6 +163,8 @@
 		address:         c.Address,
 		memberClient:    c.MemberClient,
 		suspendedFor:    c.SuspendedFor,
+		relayed:         c.RelayedOwners,
+		ownersRead:      ownersRead{changed: make(chan struct{})},
 		milliCores:      c.MilliCores,
 		checkJitter:     checkJitterOf(c.Node),
 		ttl:             max(memberTTL, c.MinTTL),
@@ -202,7 +210,7 @@
 	isMember := false
 	for ctx.Err() == nil {
 		switch {
-		case !m.isYielding():
+		case !m.IsYielding():
 			isMember = true
 			m.rejoinIfFenced(ctx)
 			m.startJoin(ctx)
--- a/internal/ownership/scale_test.go
+++ b/internal/ownership/scale_test.go
@@ -104,6 +104,41 @@
 	})
 }
 
+// 600 and 1,200 nodes read who owns. Guards against calls to the store that grow with the nodes, and against takeovers
+// that are later because VMs that yield learn of owners from members, which may be gone: after the loss of all strong
+// VMs but one, their return, and a loss of all nodes.
+func TestYieldingVMsThatLearnOfOwnersFromMembers(t *testing.T) {
+	const lease = 3500 * time.Millisecond
+	for _, size := range []int{600, 1200} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			t.Parallel()
+			strong := int(strongShare * float64(size))
+			runCluster(t, strong, size-strong, func(c *cluster) {
+				c.hasRelays = true
+				c.start(allNodes)
+				assert.LessOrEqual(t, c.awaitOwned(true /* byStrong */), maxTimeToOwned, "first start")
+				time.Sleep(5 * time.Second)
+				calls := c.group.callWeight
+				time.Sleep(10 * time.Second)
+				perNode := (c.group.callWeight - calls) / float64(size) / 10
+				assert.Less(t, perNode, 0.5, "calls per node and second at rest")
+
+				lost := func(n *clusterNode) bool { return c.isStrong(n) && n != c.nodes[0] }
+				c.kill(lost)
+				assert.LessOrEqual(t, c.awaitOwned(false /* byStrong */), lease)
+				time.Sleep(6 * time.Second)
+				c.start(lost)
+				assert.LessOrEqual(t, c.awaitOwned(true /* byStrong */), memberTTL+yieldingCheckInterval)
+
+				c.kill(allNodes)
+				time.Sleep(outageTime)
+				c.start(allNodes)
+				assert.LessOrEqual(t, c.awaitOwned(true /* byStrong */), maxTimeToOwned)
+			})
+		})
+	}
+}
+
 // In a fleet of VMs of one size, no VM may wait for stronger ones after a loss of all nodes. At the first start nothing
 // is known of previous owners, and a VM may wait for maxInitialWait.
 func TestVMsOfOneSizeOwnAtOnceAfterALossOfAllNodes(t *testing.T) {
--- a/internal/ownership/watch.go
+++ b/internal/ownership/watch.go
@@ -57,7 +57,7 @@
 		m.storeCapacityHint(ctx, now)
 		pause := m.nextCheckDelay(now)
 		m.awaitCheck(ctx, pause)
-		for ctx.Err() == nil && !m.readOwners(ctx, pause/2) {
+		for ctx.Err() == nil && !m.useRelayedOwners() && !m.readOwners(ctx, pause/2) {
 			wait.Pause(ctx, pause)
 		}
 	}
@@ -97,7 +97,8 @@
 	}
 }
 
-func (m *Manager) isYielding() bool {
+// IsYielding reports whether this node stays out of the group.
+func (m *Manager) IsYielding() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.yieldPolicy.isYielding
--- a/internal/published/peers.go
+++ b/internal/published/peers.go
@@ -96,7 +96,7 @@
 // askPeers asks some nodes for a newer configuration, among them lastReader unless it is "". It returns one that
 // could read the store, "" if none could, and whether one of them could or had a newer configuration.
 func (f *Follower) askPeers(ctx context.Context, peers Peers, lastReader string) (reader string, anyCurrent bool) {
-	version := f.version()
+	version := f.Version()
 	var mu sync.Mutex
 	var asked sync.WaitGroup
 	for _, address := range withReader(peers.Sample(peersPerRound), lastReader) {
@@ -109,7 +109,7 @@
 				return
 			}
 			if answer.Record != nil {
-				f.applyFromPeer(address, answer.Record)
+				f.ApplyFromPeer(address, answer.Record)
 			}
 			mu.Lock()
 			defer mu.Unlock()
@@ -136,8 +136,8 @@
 	return sample
 }
 
-// version returns the version of the configuration in force, 0 before the first.
-func (f *Follower) version() int64 {
+// Version returns the version of the configuration in force, 0 before the first.
+func (f *Follower) Version() int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.config == nil {
@@ -146,7 +146,15 @@
 	return f.config.Version
 }
 
-func (f *Follower) applyFromPeer(address string, record []byte) {
+// Changed returns a channel that is closed once a newer configuration is in force.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// ApplyFromPeer puts a configuration in force that the node at address has read, unless a newer one is.
+func (f *Follower) ApplyFromPeer(address string, record []byte) {
 	config, err := platform.DecodeConfig(record)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/published/peers_test.go
+++ b/internal/published/peers_test.go
@@ -165,7 +165,7 @@
 func (f *fleet) versions() map[int64]int {
 	count := map[int64]int{}
 	for _, node := range f.nodes {
-		count[node.version()]++
+		count[node.Version()]++
 	}
 	return count
 }
@@ -223,11 +223,11 @@
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	f := New(nil, hclog.NewNullLogger())
 	f.apply(platform.Batch{Records: []platform.KeyedRecord{configRecord(5)}})
-	f.applyFromPeer("node-1", configRecord(8).Value)
-	assert.Equal(t, int64(8), f.version())
-	f.applyFromPeer("node-2", configRecord(6).Value)
+	f.ApplyFromPeer("node-1", configRecord(8).Value)
+	assert.Equal(t, int64(8), f.Version())
+	f.ApplyFromPeer("node-2", configRecord(6).Value)
 	f.apply(platform.Batch{Records: []platform.KeyedRecord{configRecord(7)}})
-	assert.Equal(t, int64(8), f.version())
+	assert.Equal(t, int64(8), f.Version())
 	assert.Nil(t, f.ConfigNewerThan(8).Record)
 	assert.Equal(t, configRecord(8).Value, f.ConfigNewerThan(5).Record)
 }
@@ -238,6 +238,6 @@
 	f.apply(platform.Batch{Records: []platform.KeyedRecord{configRecord(5)}})
 	invalid := []byte(`{"version":6,"tenants":[{"name":"a","api_keys":["k"]},{"name":"b","api_keys":["k"]}]}`)
 	f.apply(platform.Batch{Records: []platform.KeyedRecord{{Key: configKey, Value: invalid}}})
-	f.applyFromPeer("node-1", invalid)
-	assert.Equal(t, int64(5), f.version())
+	f.ApplyFromPeer("node-1", invalid)
+	assert.Equal(t, int64(5), f.Version())
 }
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -40,12 +40,13 @@
 	// configRecord is the configuration as published, for other nodes.
 	configRecord []byte
 	waves        map[int64]workload.Wave
-	lastReadAt   time.Time // when the latest successful read was applied, initially when New was called
+	changed      chan struct{} // closed when a newer configuration is in force
+	lastReadAt   time.Time     // when the latest successful read was applied, initially when New was called
 }
 
 // New returns a follower that has read nothing yet.
 func New(source Source, logger hclog.Logger) *Follower {
-	return &Follower{source: source, logger: logger, waves: map[int64]workload.Wave{}, lastReadAt: time.Now()}
+	return &Follower{source: source, logger: logger, waves: map[int64]workload.Wave{}, changed: make(chan struct{}), lastReadAt: time.Now()}
 }
 
 // Config returns the configuration in force, nil before the first was read.
@@ -134,6 +135,8 @@
 	}
 	f.config = config
 	f.configRecord = record
+	close(f.changed)
+	f.changed = make(chan struct{})
 	f.logger.Info("configuration in force", "version", config.Version, "queues", len(config.Queues), "services", len(config.Services), "workspaces", len(config.Workspaces.List()), "source", source)
 	if unknown := platform.UnknownWorkspaceFields(record); len(unknown) > 0 {
 		f.logger.Error("fields of workspaces are unknown and have no effect", "version", config.Version, "fields", unknown)
