--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -52,7 +52,7 @@
 	demand          demand
 	needHistory     []needSample // of the last spareReleaseDelay
 	peakNeeds       peakNeeds
-	initialVMs      int // when the first load was received
+	initialVMs      int // the most VMs within spareReleaseDelay after the first load
 	// forecastNeed is how many VMs the pool needs if demand goes on rising. The pool gets VMs for the
 	// forecast, but does not keep VMs for it.
 	forecastNeed int
@@ -253,10 +253,8 @@
 			}
 		}
 		p.isBelowMin = p.vms < p.minVMs
-		if l.initialVMs == 0 {
-			l.initialVMs = p.vms
-		}
 		if now.Sub(l.firstReceivedAt) < spareReleaseDelay {
+			l.initialVMs = max(l.initialVMs, p.vms)
 			p.minBeforeReturning = max(p.minBeforeReturning, p.vms) // loads have not been received for long enough
 		}
 		list = append(list, p)
@@ -301,6 +299,8 @@
 	switch vm.State {
 	case workload.VMMaintenance, workload.VMMoving:
 		return vm.Pool, true
+	case workload.VMDown:
+		return vm.Pool, c.isSettling(now) // it may be about to start, with all others
 	case workload.VMUp:
 		isSlowDrain := op != nil && op.phase == phaseDraining && now.Sub(op.phaseSince) > drainGracePeriod
 		return vm.Pool, !isSlowDrain && (op != nil || c.hasUsableWorker(vm, now))
@@ -308,12 +308,15 @@
 	return "", false
 }
 
+// isSettling reports whether this owner of the fleet has begun so lately that VMs and workers may not be known yet.
+func (c *Core) isSettling(now time.Time) bool { return now.Sub(c.startedAt) < workerJoinTimeout }
+
 // hasUsableWorker reports whether the worker of a VM is usable according to its pool's load, or was
 // first listed less than workerJoinTimeout ago. The list alone is not enough: the platform lists VMs as
 // up whose worker has crashed or is cut off. While the pool's load or the list is not known to be whole, a
 // worker that is missing there counts as usable.
 func (c *Core) hasUsableWorker(vm workload.VM, now time.Time) bool {
-	if now.Sub(c.startedAt) < workerJoinTimeout || now.Sub(c.workerFirstListedAt[vm.Worker]) < workerJoinTimeout {
+	if c.isSettling(now) || now.Sub(c.workerFirstListedAt[vm.Worker]) < workerJoinTimeout {
 		return true
 	}
 	l := c.poolLoads[vm.Pool]
--- a/internal/fleet/pipeline_test.go
+++ b/internal/fleet/pipeline_test.go
@@ -54,6 +54,16 @@
 	return f
 }
 
+// addSpares adds VMs to the spare pool.
+func (f *fakeFleet) addSpares(n int) {
+	for i := range n {
+		id := fmt.Sprintf("vm-spare-%03d", i)
+		f.index[id] = len(f.vms)
+		f.vms = append(f.vms, upVM(id, "spare", ""))
+	}
+	f.list()
+}
+
 func newCoreOf(pools ...string) *fleet.Core {
 	c := fleet.New(fleet.Settings{MigrationTime: migrationTime, MaintenanceTime: maintenanceTime, EarlierOrderQuietPeriod: quietPeriod}, startTime)
 	config := &workload.Config{Services: []workload.Service{{Name: "spare", Standby: true}}}
--- a/internal/fleet/settling_test.go
+++ b/internal/fleet/settling_test.go
@@ -10,24 +10,35 @@
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
-// The fleet's list arrives before workers are known: first VMs without workers, then loads of owners that have
+// The fleet's list arrives before workers are known: first VMs that are down, then VMs without workers, and loads of owners that have
 // taken over and have heard a few workers. Guards against moves to pools that count as empty because nobody has
 // counted them yet.
 func TestNoMovesOnAHalfReadFleet(t *testing.T) {
 	f := newFakeFleet(2000, 300, "booking", "returns")
+	f.addSpares(100)
 	whole := f.loads
-	for i := range f.vms {
-		f.vms[i].Worker = ""
+	unheard := func(isSettling bool) (loads []workload.ServiceLoad) {
+		for _, l := range whole {
+			loads = append(loads, workload.ServiceLoad{Service: l.Service, Settling: isSettling, Workers: map[string]workload.WorkerLoad{}})
+		}
+		return loads
 	}
-	f.loads = nil
-	f.run(500 * time.Millisecond)
-	for _, l := range whole {
-		f.loads = append(f.loads, workload.ServiceLoad{Service: l.Service, Settling: true, Workers: map[string]workload.WorkerLoad{}})
+	setVMs := func(state workload.VMState, hasWorker bool) {
+		for i := range f.vms {
+			f.vms[i].State, f.vms[i].Worker = state, ""
+			if hasWorker && f.vms[i].Pool != "spare" {
+				f.vms[i].Worker = "w-" + f.vms[i].ID
+			}
+		}
+		f.list()
 	}
+	setVMs(workload.VMDown, false)
+	f.loads = unheard(false)
+	f.run(500 * time.Millisecond)
+	setVMs(workload.VMUp, false)
+	f.loads = unheard(true)
 	f.run(time.Second)
-	for i := range f.vms {
-		f.vms[i].Worker = "w-" + f.vms[i].ID
-	}
+	setVMs(workload.VMUp, true)
 	f.run(1900 * time.Millisecond)
 	f.loads = whole
 	f.run(500 * time.Millisecond)
