--- a/internal/assignments/assignments.go
+++ b/internal/assignments/assignments.go
@@ -21,8 +21,6 @@
 
 // Times of reads.
 const (
-	// checkInterval is the pause between checks whether a service lacks a partition.
-	checkInterval = 100 * time.Millisecond
 	// entryWait is how long a read waits for an entry.
 	entryWait         = time.Second
 	readRetryInterval = 200 * time.Millisecond
@@ -34,11 +32,19 @@
 	Newest(ctx context.Context, p platform.Partition) (platform.Batch, platform.StoreStatus, error)
 }
 
+// Config is the configuration in force.
+type Config interface {
+	// Services returns the names of the configured services.
+	Services() []string
+	// Changed returns a channel that is closed once a newer configuration is in force.
+	Changed() <-chan struct{}
+}
+
 // Follower holds the known partitions of services. Entries never change, so a node that knows an entry
 // needs no further read. It is safe for concurrent use.
 type Follower struct {
 	source     Source
-	services   func() []string
+	config     Config
 	partitions int
 	logger     hclog.Logger
 
@@ -46,10 +52,9 @@
 	table partitioning.Table
 }
 
-// New returns a follower that knows no entry. services returns the names of the configured services,
-// partitions is the number of partitions.
-func New(source Source, services func() []string, partitions int, logger hclog.Logger) *Follower {
-	return &Follower{source: source, services: services, partitions: partitions, logger: logger, table: partitioning.Table{}}
+// New returns a follower that knows no entry. partitions is the number of partitions.
+func New(source Source, config Config, partitions int, logger hclog.Logger) *Follower {
+	return &Follower{source: source, config: config, partitions: partitions, logger: logger, table: partitioning.Table{}}
 }
 
 // PartitionOf returns the partition of a service's jobs. ok is false if it isn't known.
@@ -84,15 +89,19 @@
 }
 
 // missing returns the configured services whose partition isn't known.
-func (f *Follower) missing() []string { return f.Table().Missing(f.services()) }
+func (f *Follower) missing() []string { return f.Table().Missing(f.config.Services()) }
 
 // Run reads entries while a configured service has none, until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		changed := f.config.Changed()
 		if len(f.missing()) > 0 {
 			f.readMissing(ctx)
 		}
-		wait.Pause(ctx, checkInterval)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
 	}
 	return ctx.Err()
 }
--- a/internal/fleetowner/assign_test.go
+++ b/internal/fleetowner/assign_test.go
@@ -83,6 +83,13 @@
 	return config
 }
 
+// fixedConfig is a configuration that doesn't change.
+type fixedConfig []string
+
+func (c fixedConfig) Services() []string { return c }
+
+func (fixedConfig) Changed() <-chan struct{} { return nil }
+
 // assignRig is a store, and a node with the known partitions.
 type assignRig struct {
 	store *fencedStore
@@ -91,7 +98,7 @@
 
 func newAssignRig(services []string) *assignRig {
 	store := newFencedStore()
-	return &assignRig{store: store, known: assignments.New(store, func() []string { return services }, 12, hclog.NewNullLogger())}
+	return &assignRig{store: store, known: assignments.New(store, fixedConfig(services), 12, hclog.NewNullLogger())}
 }
 
 func (r *assignRig) assigner(epoch int64) *assigner {
@@ -129,7 +136,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newAssignRig(fiveServices)
 		ctx, cancel := context.WithCancel(t.Context())
-		other := assignments.New(r.store, func() []string { return fiveServices }, 12, hclog.NewNullLogger())
+		other := assignments.New(r.store, fixedConfig(fiveServices), 12, hclog.NewNullLogger())
 		go func() { assert.ErrorIs(t, other.Run(ctx), context.Canceled) }()
 		time.Sleep(3 * time.Second)
 		_, ok := other.PartitionOf("booking")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -129,7 +129,7 @@
 	})
 	n.relay = n.newRelayFollower(logger.Named("relay"))
 	n.published = published.New(relayedChanges{n.store, n}, logger.Named("published"))
-	n.assignments = assignments.New(n.store, n.configuredServices, s.Store.Partitions, logger.Named("assignments"))
+	n.assignments = assignments.New(n.store, n.published, s.Store.Partitions, logger.Named("assignments"))
 	n.registry = registry.New(n.store, logger.Named("registry"))
 	n.vms = platform.NewVMClient(s.VMServiceAddress)
 	n.ownerDeps = owner.Deps{
@@ -235,7 +235,7 @@
 	if n.published.Config() == nil {
 		return errors.New("no configuration was read yet")
 	}
-	if n.assignments.Count() == 0 && len(n.configuredServices()) > 0 {
+	if n.assignments.Count() == 0 && len(n.published.Services()) > 0 {
 		return errors.New("no service has a known partition yet")
 	}
 	return n.storeHealth.check()
@@ -303,19 +303,6 @@
 	})
 }
 
-// configuredServices returns the names of the services in the configuration in force.
-func (n *Node) configuredServices() []string {
-	c := n.published.Config()
-	if c == nil {
-		return nil
-	}
-	names := make([]string, len(c.Services))
-	for i, s := range c.Services {
-		names[i] = s.Name
-	}
-	return names
-}
-
 // awaitWork waits until a partition has work. It returns false if ctx ends before.
 func (n *Node) awaitWork(ctx context.Context, p platform.Partition) bool {
 	for ctx.Err() == nil {
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -56,6 +56,19 @@
 	return f.config
 }
 
+// Services returns the names of the services in the configuration in force.
+func (f *Follower) Services() []string {
+	config := f.Config()
+	if config == nil {
+		return nil
+	}
+	names := make([]string, len(config.Services))
+	for i, s := range config.Services {
+		names[i] = s.Name
+	}
+	return names
+}
+
 // Waves returns all waves that operators have published.
 func (f *Follower) Waves() []workload.Wave {
 	f.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,7 +28,7 @@
 	answerMargin = 250 * time.Millisecond
 	// retryInterval is the pause before another source is asked.
 	retryInterval = 100 * time.Millisecond
-	checkInterval = 100 * time.Millisecond
+	checkInterval = 500 * time.Millisecond
 	// MaxSourceAge is the age up to which what a source has read counts.
 	MaxSourceAge = 1300 * time.Millisecond
 )
