--- a/internal/scheduler/crashseeds_test.go
+++ b/internal/scheduler/crashseeds_test.go
@@ -27,3 +27,16 @@
 		})
 	}
 }
+
+// Guards against tasks that crash their workers and start three more times after three crashes, because most of the
+// crashes were found by a later owner, or their starts had no answer: such a crash counts a third.
+func TestCrashesFoundByLaterOwnersProveTheirCauseInTime(t *testing.T) {
+	for _, seed := range []uint64{415, 543, 889} {
+		w, _ := runCrashHistory(seed)
+		assert.Empty(t, w.violations, "seed %d", seed)
+	}
+	for _, seed := range []uint64{489, 505, 653, 805, 890, 945} {
+		w, _ := runCrashRestartHistory(seed)
+		assert.Empty(t, w.violations, "seed %d, workers that restart", seed)
+	}
+}
