partitioning: services that prefer one partition are not put beside each other

But the place was chosen without a reason: a neighbour is the likeliest to be lost with the shared one.

Change: of the partitions with the fewest services, the one farthest from those in use.

--- a/internal/partitioning/partitioning.go
+++ b/internal/partitioning/partitioning.go
@@ -75,28 +75,56 @@
 		}
 	}
 	added := Table{}
+	var others []string // services that don't get the partition that they prefer
 	for _, s := range table.Missing(services) {
 		p := preferred(s, partitions)
-		if !slices.Contains(holdsJobs, p) {
-			p = leastUsedFrom(counts, p)
+		if !slices.Contains(holdsJobs, p) && counts[p] > slices.Min(counts) {
+			others = append(others, s)
+			continue
 		}
 		added[s] = p
 		counts[p]++
 	}
+	for _, s := range others {
+		p := leastUsed(counts, preferred(s, partitions))
+		added[s] = p
+		counts[p]++
+	}
 	return added
 }
 
-// leastUsedFrom returns the partition with the lowest count, the first one at or after start.
-func leastUsedFrom(counts []int, start int) int {
-	best := start
+// leastUsed returns the preferred partition if no other has a lower count. Otherwise it returns, of those with the
+// lowest count, the one that is the farthest from any with a higher count: neighbours may be stored by one
+// broker, whose loss should take as few services as possible.
+func leastUsed(counts []int, preferred int) int {
+	lowest := slices.Min(counts)
+	if counts[preferred] == lowest {
+		return preferred
+	}
+	best, farthest := preferred, 0
 	for i := range counts {
-		if p := (start + i) % len(counts); counts[p] < counts[best] {
-			best = p
+		p := (preferred + i) % len(counts)
+		if counts[p] > lowest {
+			continue
+		}
+		if d := distanceToUsed(counts, p, lowest); d > farthest {
+			best, farthest = p, d
 		}
 	}
 	return best
 }
 
+// distanceToUsed returns how far a partition is from the nearest with a higher count than lowest, in a ring.
+func distanceToUsed(counts []int, p, lowest int) int {
+	n := len(counts)
+	for d := 1; d < n; d++ {
+		if counts[(p+d)%n] > lowest || counts[(p-d+n)%n] > lowest {
+			return d
+		}
+	}
+	return n
+}
+
 // entry is the stored form of an entry of a table.
 type entry struct {
 	Partition int `json:"partition"`
--- a/internal/partitioning/partitioning_test.go
+++ b/internal/partitioning/partitioning_test.go
@@ -38,6 +38,27 @@
 	}
 }
 
+// Guards against services that lie beside each other because they prefer one partition: the loss of a run of
+// neighbours should take as few as possible.
+func TestServicesThatPreferOnePartitionAreNotNeighbours(t *testing.T) {
+	for seed := range 200 {
+		services := serviceNames(4, seed)
+		if len(Shared(services, 24)) == 0 {
+			continue
+		}
+		table := Assign(nil, services, 24, nil)
+		for _, s := range services {
+			if table[s] == preferred(s, 24) {
+				continue
+			}
+			for _, other := range services {
+				d := (table[s] - table[other] + 24) % 24
+				assert.False(t, other != s && min(d, 24-d) < 3, "%s: %v", s, table)
+			}
+		}
+	}
+}
+
 // Guards against jobs that are looked for in another partition than the one that stores them: a service
 // keeps its partition whatever services are added or removed.
 func TestAServiceKeepsItsPartition(t *testing.T) {
