--- a/internal/fleet/retention.go
+++ b/internal/fleet/retention.go
@@ -60,17 +60,24 @@
 	return max(l.peakNeeds.largest(), int(left*float64(l.initialVMs)))
 }
 
-// holdVMs raises what the pools keep to what they may need again, if the fleet holds that for all of them.
+// currentNeed is how many VMs the pool needs at the latest load, without a forecast.
+func (l *poolLoad) currentNeed() int { return l.needHistory[len(l.needHistory)-1].vms }
+
+// holdVMs raises what the pools keep to what they may need again, if the fleet holds that for all of them. What is
+// kept then takes the place of forecasts: of a few large jobs a forecast is several times too high as often as
+// not, and the fair share that bounds it in a scarce fleet doesn't in an ample one.
 func (c *Core) holdVMs(plans []poolPlan, now time.Time) {
 	total := 0
 	for _, p := range plans {
-		total += max(p.needed, p.minBeforeReturning, c.poolLoads[p.pool].heldVMs(now))
+		l := c.poolLoads[p.pool]
+		total += max(l.currentNeed(), p.minBeforeReturning, l.heldVMs(now))
 	}
 	if total > len(c.vms) {
 		return
 	}
 	for i := range plans {
-		p := &plans[i]
-		p.minBeforeReturning = max(p.minBeforeReturning, c.poolLoads[p.pool].heldVMs(now))
+		p, l := &plans[i], c.poolLoads[plans[i].pool]
+		p.minBeforeReturning = max(p.minBeforeReturning, l.heldVMs(now))
+		p.needed = max(p.minVMs, min(p.needed, max(l.currentNeed(), l.heldVMs(now))))
 	}
 }
--- a/internal/fleet/retention_test.go
+++ b/internal/fleet/retention_test.go
@@ -55,6 +55,21 @@
 	}
 }
 
+// A few large jobs come at once to a pool of an ample fleet, which holds more VMs than they need. Guards against moves
+// for a rise that is forecast from a handful of jobs.
+func TestAFewLargeJobsMoveNoVMsToAPoolThatHoldsEnough(t *testing.T) {
+	f := newFakeFleet(2000, 300, "booking", "returns")
+	f.runWithKnownWorkers(10 * time.Second)
+	size, before := f.poolSize("booking"), f.orderedToPool["booking"]
+	for i := range 12 {
+		f.loads[0].ArrivedWork.Jobs += int64(i % 4)
+		f.loads[0].ArrivedWork.CoreMS += int64(i%4) * 20 * int64(vmSize.CPU)
+		f.runWithKnownWorkers(2 * fakeStep)
+	}
+	assert.Greater(t, size, 300)
+	assert.Zero(t, f.orderedToPool["booking"]-before)
+}
+
 // Peaks by turns, each of more VMs than a pool holds, in a fleet that can't hold them all: guards against VMs that
 // are kept although the next peak, elsewhere, takes them.
 func TestAScarceFleetKeepsNoVMsForLater(t *testing.T) {
