--- a/internal/fleet/moves.go
+++ b/internal/fleet/moves.go
@@ -211,7 +211,7 @@
 	}
 	for i := range plans {
 		p := &plans[i]
-		for p.vms > p.minBeforeReturning && c.pipeline.reliefRoom(inside) > 0 {
+		for p.vms > p.minBeforeReturning && c.pipeline.returnRoom(inside) > 0 {
 			vm, ok := c.leastUsedVM(candidates, p.pool, true, now)
 			if !ok {
 				break
--- a/internal/fleet/pipeline.go
+++ b/internal/fleet/pipeline.go
@@ -17,9 +17,9 @@
 	// probingGrowth is by how much the limit grows with a VM ordered soon, until the first halving.
 	probingGrowth = 0.5
 	lateOrdered   = drainStateValidity / 2
-	// reliefShare is the part of the limit up to which VMs that no pool needs are returned. The rest is
+	// returnShare is the part of the limit up to which VMs that no pool needs are returned. The rest is
 	// for pools that are short of VMs.
-	reliefShare = 0.5
+	returnShare = 0.5
 )
 
 // pipeline bounds the VMs that are being drained or ordered at once. Its zero value is not usable.
@@ -61,8 +61,8 @@
 // room returns how many more VMs may enter the pipeline beside those that are in it.
 func (p *pipeline) room(inside int) int { return max(0, int(p.limit)-inside) }
 
-// reliefRoom is room for VMs that no pool needs.
-func (p *pipeline) reliefRoom(inside int) int { return max(0, int(p.limit*reliefShare)-inside) }
+// returnRoom returns how many more VMs that no pool needs may enter it.
+func (p *pipeline) returnRoom(inside int) int { return max(0, int(p.limit*returnShare)-inside) }
 
 // PipelineState tells how the pipeline of VM orders keeps up.
 type PipelineState struct {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,7 +57,7 @@
 
 // Sources are the nodes that may be asked.
 type Sources interface {
-	// Candidates returns the addresses of nodes that may be sources, the best ones first.
+	// Candidates returns the addresses of nodes that may be sources.
 	Candidates() []string
 	Follow(ctx context.Context, address string, q Question) (Answer, error)
 }
