--- a/internal/scheduler/crashseeds_test.go
+++ b/internal/scheduler/crashseeds_test.go
@@ -40,3 +40,13 @@
 		assert.Empty(t, w.violations, "seed %d, workers that restart", seed)
 	}
 }
+
+// Guards against tasks that lose their VMs and are started again without end.
+func TestVMLossHistoriesKeepTheBudget(t *testing.T) {
+	for _, seed := range []uint64{821} {
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			w, _ := runVMLossHistory(seed)
+			assert.Empty(t, w.violations)
+		})
+	}
+}
