owner: tasks of workers that no list names wait for their leases

Callers saw lasting tasks run on two workers at a time for one to three seconds (TWICE): a worker is cut off from the store, its registry entry goes, VMs can't be listed, and the owner is killed.

Cause: Owner.newCore listed the VMs once and, if that failed, took the registered workers for all workers. The registry doesn't show a worker that can't reach the store. So takeover-complete came 0.31 s after the fence, and the tasks of the cut worker started elsewhere beside its leases, which last 4.9 s.

Change (ADR 0087): a core without a handover begins with "workers may be missing"; the owner lists the VMs beside its loop, again at growing pauses, until each VM of its services has a worker or is changing. Until then jobs of before the fence wait, and no worker that has not answered passes for drained. Empty lists and VMs without a worker passed for complete, too.

--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -102,6 +102,7 @@
 	add("job_failed", counts.FailedJobs, previous.FailedJobs)
 	add("job_cancelled", counts.CancelledJobs, previous.CancelledJobs)
 	add("run_started_early", counts.EarlyStarts, previous.EarlyStarts)
+	add("job_held_by_unknown_workers", counts.JobsHeldByUnknownWorkers, previous.JobsHeldByUnknownWorkers)
 	add("loan_granted", counts.LoansGranted, previous.LoansGranted)
 	add("loan_received", counts.LoansReceived, previous.LoansReceived)
 	m.planWork.WithLabelValues("cap_blocked").Add(float64(counts.CapBlockedSteps - previous.CapBlockedSteps))
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -43,10 +43,7 @@
 	tailReadPause = 100 * time.Millisecond
 	// writeRetryInterval is the pause before a write is sent again.
 	writeRetryInterval = 100 * time.Millisecond
-	// workerListTimeout bounds how long a new owner without a handover waits for a list of
-	// workers that was read after the owner fenced earlier owners.
-	workerListTimeout = 3 * time.Second
-	fenceTimeout      = 10 * time.Second
+	fenceTimeout       = 10 * time.Second
 )
 
 // ErrOwnershipLost is returned by Run if a later owner has fenced this one or the owner has
@@ -190,7 +187,10 @@
 	if err != nil {
 		return err
 	}
-	core := o.newCore(ctx, fencedAt, batch, predecessor.handover != nil)
+	core := o.newCore(fencedAt, batch, predecessor.handover != nil)
+	if predecessor.handover == nil {
+		go o.findUnresolvedWorkers(ctx, core.EarlierLeasesExpireAt())
+	}
 	o.assignedServices = o.deps.Assignments.Count()
 	if config := o.deps.Published.Config(); config != nil {
 		o.config = config
@@ -253,9 +253,9 @@
 	return platform.Batch{}, ctx.Err()
 }
 
-// newCore returns the scheduler core for a partition that was read as batch. Without a handover the
-// core starts with the unresolved workers, which may run tasks of an earlier owner.
-func (o *Owner) newCore(ctx context.Context, fencedAt time.Time, batch platform.Batch, hasHandover bool) *scheduler.Core {
+// newCore returns the scheduler core for a partition that was read as batch. Without a handover any
+// worker may run tasks of an earlier owner until findUnresolvedWorkers has found those that do.
+func (o *Owner) newCore(fencedAt time.Time, batch platform.Batch, hasHandover bool) *scheduler.Core {
 	_, lastTakeover := predecessorHandover(batch)
 	cfg := scheduler.Settings{
 		Address:            o.deps.Address,
@@ -274,38 +274,7 @@
 
 		EarlierOwnersInLogOrder: hasHandover || lastTakeover == nil || lastTakeover.InLogOrder,
 	}
-	if hasHandover {
-		return scheduler.New(cfg, fencedAt, nil, false)
-	}
-	snap := o.awaitWorkerList(ctx, fencedAt)
-	mayBeIncomplete := !snap.IsComplete || snap.ReadSentAt.Before(fencedAt)
-	vms, err := o.deps.VMs.List(ctx)
-	if err != nil {
-		o.logger.Warn("VMs can't be listed at takeover, all registered workers count as unresolved", "error", err)
-	} else {
-		mayBeIncomplete = false
-	}
-	unresolved := unresolvedWorkers(snap.Workers, vms, o.ownsService)
-	var ids []string
-	for _, u := range unresolved {
-		ids = append(ids, u.id)
-	}
-	core := scheduler.New(cfg, fencedAt, ids, mayBeIncomplete)
-	for _, u := range unresolved {
-		core.SetUnresolvedCapacity(u.id, u.capacity)
-	}
-	return core
-}
-
-func (o *Owner) awaitWorkerList(ctx context.Context, since time.Time) registry.Snapshot {
-	deadline := since.Add(workerListTimeout)
-	for {
-		snap := o.deps.Registry.Snapshot(time.Now())
-		if !snap.ReadSentAt.Before(since) || ctx.Err() != nil || time.Now().After(deadline) {
-			return snap
-		}
-		wait.Pause(ctx, readRetryInterval/4)
-	}
+	return scheduler.New(cfg, fencedAt, nil, !hasHandover)
 }
 
 // enqueue puts an event into the inbox. It blocks while the inbox is full, which slows
--- a/internal/owner/services.go
+++ b/internal/owner/services.go
@@ -21,6 +21,13 @@
 	return ok && partition == o.partition
 }
 
+// mayRunTasks reports whether workers of a service may run tasks of the partition's jobs. The VMs of a
+// standby service are switched off.
+func (o *Owner) mayRunTasks(service string) bool {
+	config := o.deps.Published.Config()
+	return o.ownsService(service) && (config == nil || !config.IsStandby(service))
+}
+
 // splitWorkers returns the workers of the partition's services, and the addresses of all
 // other workers.
 func (o *Owner) splitWorkers(list []workload.Worker) (own []workload.Worker, otherAddresses []string) {
--- a/internal/owner/unresolved.go
+++ b/internal/owner/unresolved.go
@@ -1,16 +1,38 @@
 package owner
 
 import (
+	"context"
 	"slices"
+	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
+	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
-// unresolvedWorker is a worker that may run tasks of an earlier owner.
-type unresolvedWorker struct {
-	id string
-	// capacity is the most that its tasks may reserve, zero if it is unknown.
-	capacity workload.Resources
+// vmListRetryInterval is the pause before VMs are listed again after a takeover. It grows by half each time: all
+// owners of a system may take over at once, and the service that lists VMs limits the rate of calls.
+const vmListRetryInterval = 300 * time.Millisecond
+
+// findUnresolvedWorkers finds the workers that may run tasks of an earlier owner and tells the core. A worker
+// that is partitioned from the platform may have no registry entry and still run tasks, so only the list of
+// VMs shows whether all workers are known. It is read again until it does or until all earlier leases have
+// expired. The list must be requested after the fence.
+func (o *Owner) findUnresolvedWorkers(ctx context.Context, until time.Time) {
+	for pause := vmListRetryInterval; ctx.Err() == nil && time.Now().Before(until); pause += pause / 2 {
+		vms, err := o.deps.VMs.List(ctx)
+		if err != nil {
+			o.logger.Warn("VMs can't be listed at takeover, jobs of earlier owners wait", "error", err)
+		} else {
+			registered := o.deps.Registry.Snapshot(time.Now()).Workers
+			workers, isComplete := unresolvedWorkers(registered, vms, o.mayRunTasks), areWorkersKnown(vms, o.mayRunTasks)
+			o.enqueue(ctx, func(c *scheduler.Core, _ time.Time) { c.SetUnresolvedWorkers(workers, isComplete) })
+			if isComplete {
+				return
+			}
+		}
+		wait.Pause(ctx, min(pause, time.Until(until)))
+	}
 }
 
 // unresolvedWorkers returns the workers that may run tasks of an earlier owner: those that a VM lists,
@@ -21,7 +43,7 @@
 // maintained. Such a worker never answers, and waiting for it would delay jobs by a lease. A registered
 // worker that no VM lists is stale unless a VM is left that it could run on: one of its pool and its rack.
 // A move to another pool ends the VM's worker, and a VM keeps its rack.
-func unresolvedWorkers(registered []workload.Worker, vms []workload.VM, ownsService func(service string) bool) []unresolvedWorker {
+func unresolvedWorkers(registered []workload.Worker, vms []workload.VM, ownsService func(service string) bool) []scheduler.UnresolvedWorker {
 	listed := map[string]*workload.VM{} // by worker
 	var unaccounted []workload.VM
 	for i := range vms {
@@ -33,10 +55,10 @@
 			unaccounted = append(unaccounted, *vm)
 		}
 	}
-	var unresolved []unresolvedWorker
+	var unresolved []scheduler.UnresolvedWorker
 	for i := range vms {
 		if vm := &vms[i]; vm.Worker != "" && ownsService(vm.Pool) {
-			unresolved = append(unresolved, unresolvedWorker{vm.Worker, vm.Capacity})
+			unresolved = append(unresolved, scheduler.UnresolvedWorker{ID: vm.Worker, Capacity: vm.Capacity})
 		}
 	}
 	for _, w := range registered {
@@ -44,9 +66,9 @@
 			continue
 		}
 		if vm := listed[w.ID]; vm != nil {
-			i := slices.IndexFunc(unresolved, func(u unresolvedWorker) bool { return u.id == w.ID })
+			i := slices.IndexFunc(unresolved, func(u scheduler.UnresolvedWorker) bool { return u.ID == w.ID })
 			if i >= 0 {
-				unresolved[i].capacity = unresolved[i].capacity.Max(w.Capacity)
+				unresolved[i].Capacity = unresolved[i].Capacity.Max(w.Capacity)
 			}
 			continue
 		}
@@ -54,12 +76,18 @@
 			return vm.Pool == w.Service && (!isRackKnown(w, vms) || len(vm.Labels) == 0 || slices.Contains(vm.Labels, w.Rack()))
 		}
 		if len(vms) == 0 || slices.ContainsFunc(unaccounted, mayRunOn) {
-			unresolved = append(unresolved, unresolvedWorker{w.ID, w.Capacity})
+			unresolved = append(unresolved, scheduler.UnresolvedWorker{ID: w.ID, Capacity: w.Capacity})
 		}
 	}
 	return unresolved
 }
 
+// areWorkersKnown reports whether it is known which workers run on the VMs of the partition's services. An
+// empty list shows nothing.
+func areWorkersKnown(vms []workload.VM, ownsService func(service string) bool) bool {
+	return len(vms) > 0 && !slices.ContainsFunc(vms, func(vm workload.VM) bool { return ownsService(vm.Pool) && !isAccountedFor(&vm) })
+}
+
 // isAccountedFor reports whether it is known which worker runs on a VM, if any. A VM that is down may be
 // partitioned from the platform and still run the worker that it had.
 func isAccountedFor(vm *workload.VM) bool {
--- a/internal/owner/unresolved_test.go
+++ b/internal/owner/unresolved_test.go
@@ -22,7 +22,7 @@
 func unresolvedIDs(registered []workload.Worker, vms []workload.VM) []string {
 	var ids []string
 	for _, u := range unresolvedWorkers(registered, vms, ownsBooking) {
-		ids = append(ids, u.id)
+		ids = append(ids, u.ID)
 	}
 	return ids
 }
@@ -70,5 +70,5 @@
 		{ID: "w-5", Service: "booking", Labels: []string{"a", "rack-9"}}, // no VM names its rack
 	}
 	assert.Equal(t, []string{"w-1", "w-2", "w-4", "w-5"}, unresolvedIDs(registered, vms))
-	assert.Equal(t, capacity, unresolvedWorkers(registered, vms, ownsBooking)[0].capacity)
+	assert.Equal(t, capacity, unresolvedWorkers(registered, vms, ownsBooking)[0].Capacity)
 }
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -70,14 +70,13 @@
 	ReadSentAt time.Time // zero before the first read
 	// ReadAnsweredAt is when that read was answered.
 	ReadAnsweredAt time.Time
-	IsComplete     bool // see View.IsComplete
 }
 
 // Snapshot returns the list of workers at now.
 func (f *Follower) Snapshot(now time.Time) Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return Snapshot{Workers: f.view.List(now), Version: f.version, ReadSentAt: f.lastReadSentAt, ReadAnsweredAt: f.lastReadAnsweredAt, IsComplete: f.view.IsComplete(now)}
+	return Snapshot{Workers: f.view.List(now), Version: f.version, ReadSentAt: f.lastReadSentAt, ReadAnsweredAt: f.lastReadAnsweredAt}
 }
 
 // Run reads the list until ctx ends, while it is in use. AddUser triggers an immediate read,
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -93,12 +93,7 @@
 	// earlierLeasesExpireAt is when the last lease of an earlier owner has expired. Until
 	// then a worker that has not answered this owner may run any task.
 	earlierLeasesExpireAt time.Time
-	// unresolvedWorkers are the IDs of workers that may run tasks of an earlier owner and have
-	// not answered this owner yet. It is empty if the earlier owner left a handover.
-	unresolvedWorkers  map[string]bool
-	unresolvedCapacity map[string]workload.Resources // the most that the tasks of each may reserve, where known
-	// workerListIncomplete is set if unresolvedWorkers may lack some workers.
-	workerListIncomplete bool
+	unresolved            unresolvedWorkers
 
 	// Records that must be stored, and the write in flight.
 	dirtyJobs map[workload.JobID]*job // their progress has changed
@@ -184,8 +179,7 @@
 		removedWorkerTokens:   map[string]int64{},
 		serviceBusyUntil:      map[string]time.Time{},
 		dirtyJobs:             map[workload.JobID]*job{},
-		unresolvedWorkers:     map[string]bool{},
-		unresolvedCapacity:    map[string]workload.Resources{},
+		unresolved:            newUnresolvedWorkers(unresolved, listIncomplete),
 		foreignAddresses:      map[string]bool{},
 		arrivedWork:           map[string]workload.Work{},
 		requiredLabels:        map[string][]string{},
@@ -197,12 +191,8 @@
 		dirtyLoans:            map[string]*account{},
 		shareDivisor:          1,
 		earlierLeasesExpireAt: earlierLeaseExpiry(settings, now),
-		workerListIncomplete:  listIncomplete,
 		tookOverAt:            now,
 	}
-	for _, id := range unresolved {
-		c.unresolvedWorkers[id] = true
-	}
 	return c
 }
 
--- a/internal/scheduler/counts.go
+++ b/internal/scheduler/counts.go
@@ -32,4 +32,7 @@
 	// EarlyStarts counts starts while runs of earlier owners on workers that had not answered were
 	// unknown.
 	EarlyStarts int
+	// JobsHeldByUnknownWorkers counts jobs whose starts waited after a takeover until all leases of earlier
+	// owners had expired, because it was not known which workers might run them.
+	JobsHeldByUnknownWorkers int
 }
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -16,7 +16,7 @@
 // when another process answers in its place: the next incarnation of the worker, or a replacement at
 // its address. It records a crash unless another reason for the end is known.
 func (c *Core) handleProcessExit(w *worker, runs []*run, now time.Time) {
-	delete(c.unresolvedWorkers, w.info.ID)
+	c.unresolved.resolve(w.info.ID)
 	reason := "another process answers"
 	nonCrashReason := c.nonCrashReason(w, runs, now)
 	switch {
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -64,7 +64,7 @@
 	switch {
 	case len(w.runs) > 0:
 		return workload.NotDrained, "it has runs"
-	case c.unresolvedWorkers[w.info.ID]:
+	case c.isUnresolved(w, now):
 		return workload.NotDrained, "it may run tasks of an earlier owner"
 	case w.unregistered && !w.synced:
 		return workload.DrainedUnconfirmed, "it is not registered"
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -144,13 +142,13 @@
 	if n := c.Counts.EarlyStarts; n > 0 {
 		reason += fmt.Sprintf("; %d tasks of new jobs started before", n)
 	}
-	if ids := c.unresolvedWorkerIDs(); len(ids) > 0 {
+	if ids := c.unresolved.ids(); len(ids) > 0 {
 		reason = "the leases of an earlier owner have expired on workers that never answered: " + strings.Join(ids, " ")
 	}
+	if c.unresolved.mayLackWorkers {
+		jobs := c.readyEarlierJobs(now)
+		c.Counts.JobsHeldByUnknownWorkers += jobs
+		reason = fmt.Sprintf("the leases of an earlier owner have expired; its workers were not known, and %d jobs have waited", jobs)
+	}
 	c.recordDecision(Decision{Verb: "takeover-complete", Reason: reason, Age: now.Sub(c.tookOverAt)})
 }
-
-// unresolvedWorkerIDs returns the IDs of unresolvedWorkers, sorted.
-func (c *Core) unresolvedWorkerIDs() []string {
-	return slices.Sorted(maps.Keys(c.unresolvedWorkers))
-}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -101,23 +101,6 @@
 	return !c.takeoverStored || c.hasUnresolvedWorkers(now)
 }
 
-// hasUnresolvedWorkers reports whether workers that have not answered this owner may have runs of earlier
-// owners.
-func (c *Core) hasUnresolvedWorkers(now time.Time) bool {
-	if !now.Before(c.earlierLeasesExpireAt) {
-		return false
-	}
-	if c.workerListIncomplete {
-		return true
-	}
-	for id := range c.unresolvedWorkers {
-		if w := c.workers[id]; w == nil || !w.synced {
-			return true
-		}
-	}
-	return false
-}
-
 // placeStep starts the idle tasks of a step as far as there is free capacity. A gang starts as a
 // whole or not at all. Suspects that are not in a gang are left to placeSuspects.
 func (c *Core) placeStep(p *placementPool, s *step, now time.Time) {
--- a/internal/scheduler/pollresult.go
+++ b/internal/scheduler/pollresult.go
@@ -153,7 +153,7 @@
 	}
 	if !w.synced {
 		w.synced = true
-		delete(c.unresolvedWorkers, w.info.ID)
+		c.unresolved.resolve(w.info.ID)
 		c.retractSilentLosses(w)
 		c.recordDecision(Decision{Verb: "worker-synced", Worker: w.info.ID, Reason: "answered under the owner's token", Age: now.Sub(w.incarnationFirstSeenAt)})
 	}
--- a/internal/scheduler/sweep.go
+++ b/internal/scheduler/sweep.go
@@ -14,11 +14,11 @@
 		if !w.unregistered || len(w.runs) > 0 || now.Before(w.drainUntil) || now.Before(w.crashUnconfirmedUntil) {
 			return false
 		}
-		if c.unresolvedWorkers[w.info.ID] && now.Before(c.earlierLeasesExpireAt) {
+		if c.isUnresolved(w, now) {
 			return false // it may be partitioned from the store and run tasks of an earlier owner
 		}
 		delete(c.workers, w.info.ID)
-		delete(c.unresolvedWorkers, w.info.ID)
+		c.unresolved.resolve(w.info.ID)
 		c.removedWorkerTokens[w.info.ID] = w.token
 		return true
 	})
--- a/internal/scheduler/takeoverwait_test.go
+++ b/internal/scheduler/takeoverwait_test.go
@@ -94,3 +94,16 @@
 	assert.Empty(t, r.step(30*time.Millisecond).Starts)
 	assert.Equal(t, 1, r.core.JobsWaitingForWorkers(r.now))
 }
+
+// Guards against a VM that is moved while its tasks run: its worker has no registry entry and no list has
+// named it, and it passed for gone.
+func TestWorkersThatNoListNamesAreNotDrained(t *testing.T) {
+	r := newRig(t)
+	r.core = scheduler.New(testSettings(r.epoch), r.now, nil, true)
+	r.core.SetConfig(testConfig)
+	r.syncWorkers("w-1")
+	assert.Equal(t, workload.NotDrained, r.core.DrainWorker("w-cut", r.now))
+	r.core.SetUnresolvedWorkers([]scheduler.UnresolvedWorker{{ID: "w-1"}}, true)
+	assert.Equal(t, workload.DrainedUnconfirmed, r.core.DrainWorker("w-cut", r.now))
+	assert.Zero(t, r.core.JobsWaitingForWorkers(r.now), "w-1 has answered before it was listed")
+}
--- a/internal/scheduler/unseen.go
+++ b/internal/scheduler/unseen.go
@@ -9,11 +9,6 @@
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
-// SetUnresolvedCapacity sets the most that the tasks on an unresolved worker may reserve.
-func (c *Core) SetUnresolvedCapacity(id string, capacity workload.Resources) {
-	c.unresolvedCapacity[id] = capacity
-}
-
 // updateUnseen bounds, for each workspace, what runs of earlier owners reserve that this owner may not
 // know yet: no more than each task that may have such a run, and no more than the workers hold on which
 // they would be. Best-effort tasks reserve no processor on their worker and count against a cap all the
@@ -55,15 +50,11 @@
 // unresolvedCapacitySum returns what all workers together hold that may have unknown runs. ok is false if
 // not all of them, or their capacities, are known.
 func (c *Core) unresolvedCapacitySum() (sum workload.Resources, ok bool) {
-	if c.workerListIncomplete {
+	if c.unresolved.mayLackWorkers {
 		return workload.Resources{}, false
 	}
-	for id := range c.unresolvedWorkers {
-		capacity := c.unresolvedCapacity[id]
+	for id, capacity := range c.unresolved.capacities {
 		if w := c.workers[id]; w != nil {
-			if w.synced {
-				continue
-			}
 			capacity = capacity.Max(w.maxCapacity)
 		}
 		if capacity.CPU == 0 || capacity.MemoryMB == 0 {
@@ -111,14 +102,13 @@
 	if jobs == 0 {
 		return
 	}
-	var silent []string
-	for _, id := range c.unresolvedWorkerIDs() {
-		if w := c.workers[id]; w == nil || !w.synced {
-			silent = append(silent, id)
-		}
-	}
+	silent := c.unresolved.ids()
 	named := strings.Join(silent[:min(len(silent), maxLoggedWorkers)], " ")
-	c.recordDecision(Decision{Verb: "waits-for-workers", Age: now.Sub(c.tookOverAt), Reason: fmt.Sprintf("%d jobs wait until %d workers have answered or their leases have expired in %d ms: %s", jobs, len(silent), c.earlierLeasesExpireAt.Sub(now).Milliseconds(), named)})
+	reason := fmt.Sprintf("%d jobs wait until %d workers have answered or their leases have expired in %d ms: %s", jobs, len(silent), c.earlierLeasesExpireAt.Sub(now).Milliseconds(), named)
+	if c.unresolved.mayLackWorkers {
+		reason = fmt.Sprintf("%d jobs wait until the workers of earlier owners are known or their leases have expired in %d ms", jobs, c.earlierLeasesExpireAt.Sub(now).Milliseconds())
+	}
+	c.recordDecision(Decision{Verb: "waits-for-workers", Age: now.Sub(c.tookOverAt), Reason: reason})
 }
 
 // JobsWaitingForWorkers returns the number of jobs with ready tasks that don't start because a worker
@@ -127,6 +117,11 @@
 	if !c.hasUnresolvedWorkers(now) {
 		return 0
 	}
+	return c.readyEarlierJobs(now)
+}
+
+// readyEarlierJobs returns the number of jobs with ready tasks that an earlier owner may have started.
+func (c *Core) readyEarlierJobs(now time.Time) int {
 	n := 0
 	for _, j := range c.activeJobs {
 		if j.finalState.IsTerminal() || c.settings.EarlierOwnersInLogOrder && j.isNew {
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -64,6 +64,11 @@
 	return slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == name })
 }
 
+// IsStandby reports whether a service is the spare pool.
+func (c *Config) IsStandby(name string) bool {
+	return slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == name && s.Standby })
+}
+
 // Queue returns the queue of that name, nil if there is none.
 func (c *Config) Queue(name string) *Queue {
 	for i := range c.Queues {
