front: jobs are found where their path led before

Callers saw accepted jobs run a second time on another service's workers (TWICE) and a GET for running jobs answered 410 (LOST), after a configuration had replaced their route by one of the same path to another service.

Cause: where a job lies was found by the service of the route that a request takes now. The other service's partition and owner know nothing of the job.

Ruled out: nodes with different versions, and the queue's name.

Change (ADR 0088): package routehistory knows for each path (host and prefix) all services that its routes have led to. The fleet's owner stores that, a record for each path; all nodes read it after a configuration with a new route and add what they see. GET and DELETE go on to the former services; a POST is stored only once the former owners have ruled out that they have the job or may still get it, else it is answered 504. Paths that never led elsewhere are handled as before.

--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -113,6 +113,10 @@
 	assigner       *assigner
 	assignInFlight bool
 
+	routeRecorder  *routeRecorder
+	recordsRoutes  bool             // a record of routes is under way
+	routesRecorded *workload.Config // the configuration whose routes were stored last
+
 	pipelineReport pipelineReport
 	overdueReasons overdueReasons
 	vmListInFlight bool
@@ -135,6 +139,7 @@
 		orderSlots:     make(chan struct{}, maxOrdersInFlight),
 		ownershipLost:  make(chan error, 1),
 		assigner:       newAssigner(deps, epoch),
+		routeRecorder:  newRouteRecorder(deps, epoch),
 		drainsInFlight: map[string]bool{},
 
 		waveStoresInFlight: map[int64]bool{},
@@ -255,6 +260,7 @@
 		return
 	}
 	o.assignMissing(ctx, config)
+	o.recordRoutes(ctx, config)
 	core.SetConfig(config)
 	core.SetWaves(o.deps.Published.Waves(), now)
 	o.refresh(ctx, core, config, now)
--- a/internal/fleetowner/writer.go
+++ b/internal/fleetowner/writer.go
@@ -40,12 +40,26 @@
 
 // put stores a record and waits until it is stored or ctx ends.
 func (w *writer) put(ctx context.Context, key string, value []byte) error {
+	p, err := w.enqueue(ctx, key, value)
+	if err != nil {
+		return err
+	}
+	return p.wait(ctx)
+}
+
+// enqueue adds a record to the pending writes.
+func (w *writer) enqueue(ctx context.Context, key string, value []byte) (pendingWrite, error) {
 	p := pendingWrite{record: platform.KeyedRecord{Key: key, Value: value}, done: make(chan error, 1)}
 	select {
 	case w.queue <- p:
+		return p, nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return pendingWrite{}, ctx.Err()
 	}
+}
+
+// wait waits until the record is stored or ctx ends.
+func (p pendingWrite) wait(ctx context.Context) error {
 	select {
 	case err := <-p.done:
 		return err
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -77,9 +77,11 @@
 	Owners Owners
 	// Admission tells of jobs that can't be done in time. If it is nil, none are rejected.
 	Admission Admission
-	Logger    hclog.Logger
-	Metrics   *Metrics
-	Holder    *Holder
+	// Routes tells where jobs may lie whose route was replaced. If it is nil, no route ever was.
+	Routes  Routes
+	Logger  hclog.Logger
+	Metrics *Metrics
+	Holder  *Holder
 	// StoreSilence returns the time since the store last answered this node.
 	StoreSilence func() time.Duration
 	// StartedAt is when the process started.
@@ -95,6 +97,7 @@
 type request struct {
 	http       *http.Request
 	queue      *workload.Queue
+	service    string // whose owner has the job, or gets it
 	pathSuffix string // the path after the queue's prefix
 	startedAt  time.Time
 	// configVersion is the version of the configuration that routed the request.
@@ -157,6 +160,7 @@
 	if res, ok := req.authenticate(config); !ok {
 		return res
 	}
+	req.service = req.queue.Service
 	req.pathSuffix = strings.TrimPrefix(req.http.URL.Path, req.queue.PathPrefix)
 	req.timeout = timeout
 	waited := time.Since(req.startedAt)
@@ -173,7 +177,7 @@
 	case http.MethodPost:
 		return h.submit(ctx, req, id, config)
 	case http.MethodGet:
-		return h.jobState(ctx, req, id)
+		return h.jobState(ctx, req, id, config)
 	case http.MethodDelete:
 		return h.cancel(ctx, req, id, config)
 	default:
@@ -232,8 +236,8 @@
 // two are not distinguished, so that no workspace learns of the jobs of another.
 func noSuchJob() response { return errorResponse(http.StatusGone, "no such job") }
 
-func (h *Handler) jobState(ctx context.Context, req *request, id workload.JobID) response {
-	status, ok := h.Owners.Status(ctx, req.queue.Service, id)
+func (h *Handler) jobState(ctx context.Context, req *request, id workload.JobID, config *workload.Config) response {
+	status, ok := h.findJob(ctx, req, id, config)
 	if !ok {
 		return retryableResponse(returntime.OwnerUnavailable, "the owner of the service can't be asked")
 	}
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -32,6 +32,9 @@
 	if err != nil {
 		return errorResponse(http.StatusBadRequest, err.Error())
 	}
+	if res, ok := h.submittedBefore(ctx, req, id, config); ok {
+		return res
+	}
 	if res, rejected := h.rejectHopeless(ctx, req, id, config, spec); rejected {
 		return res
 	}
@@ -54,12 +57,17 @@
 // response true, and is skipped if the owner doesn't answer.
 func (h *Handler) cancel(ctx context.Context, req *request, id workload.JobID, config *workload.Config) response {
 	record := workload.Record{Job: id, Cancel: true}
+	if h.mayLieElsewhere(req, config) {
+		if _, ok := h.findJob(ctx, req, id, config); !ok {
+			return retryableResponse(returntime.OwnerUnavailable, "the owner of the service can't be asked")
+		}
+	}
 	if config.Workspaces != nil {
 		requester := req.requester()
 		record.CancelledBy = &requester
 		checkCtx, cancelCheck := context.WithTimeout(ctx, accessCheckTimeout)
 		defer cancelCheck()
-		if status, ok := h.Owners.Status(checkCtx, req.queue.Service, id); ok && status.Known && !status.isVisibleTo(requester) {
+		if status, ok := h.Owners.Status(checkCtx, req.service, id); ok && status.Known && !status.isVisibleTo(requester) {
 			return noSuchJob()
 		}
 	}
@@ -76,7 +84,7 @@
 	defer func() { req.heldFor = held.leave() }()
 	wasJudged, isLastTry := false, false
 	for {
-		status, err := h.Jobs.Accept(ctx, req.queue.Service, r)
+		status, err := h.Jobs.Accept(ctx, req.service, r)
 		switch status {
 		case platform.StoreOK:
 			held.stored()
@@ -117,7 +125,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), evidenceTimeout)
 	defer cancel()
 	r := acceptance.Request{Job: id, Cancels: req.http.Method == http.MethodDelete}
-	report := h.Owners.Acceptance(ctx, req.queue.Service, r, req.requester())
+	report := h.Owners.Acceptance(ctx, req.service, r, req.requester())
 	evidence := acceptance.Evidence{
 		AttemptRefused: true,
 		HasOpenAttempt: report.HasOpenAttempt,
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -19,6 +19,7 @@
 		{Name: "published", Serve: n.published.Run},
 		{Name: "published-by-peers", Serve: func(ctx context.Context) error { return n.published.RunPeerFetch(ctx, n.peers) }},
 		{Name: "assignments", Serve: n.assignments.Run},
+		{Name: "routes", Serve: n.routes.Run},
 		{Name: "relay", Serve: n.relay.Run},
 		{Name: "registry", Serve: n.registry.Run},
 		{Name: "ownership", Serve: n.manager.Run},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/published"
 	"github.com/yuccadrift/yuccadrift/internal/registry"
 	"github.com/yuccadrift/yuccadrift/internal/relay"
+	"github.com/yuccadrift/yuccadrift/internal/routehistory"
 	"github.com/yuccadrift/yuccadrift/internal/settings"
 	"github.com/yuccadrift/yuccadrift/internal/supervise"
 	"github.com/yuccadrift/yuccadrift/internal/suspend"
@@ -58,6 +59,7 @@
 	slowdown     prometheus.Gauge
 	published    *published.Follower
 	assignments  *assignments.Follower
+	routes       *routehistory.Follower
 	relay        *relay.Follower
 	registry     *registry.Follower
 	manager      *ownership.Manager
@@ -130,6 +132,7 @@
 	n.relay = n.newRelayFollower(logger.Named("relay"))
 	n.published = published.New(relayedChanges{n.store, n}, logger.Named("published"))
 	n.assignments = assignments.New(n.store, n.published, s.Store.Partitions, logger.Named("assignments"))
+	n.routes = routehistory.New(n.store, n.published, logger.Named("routes"))
 	n.registry = registry.New(n.store, logger.Named("registry"))
 	n.vms = platform.NewVMClient(s.VMServiceAddress)
 	n.ownerDeps = owner.Deps{
@@ -218,6 +221,7 @@
 		Jobs:         n,
 		Owners:       n.owners,
 		Admission:    n.owners,
+		Routes:       formerRoutes{n},
 		Logger:       n.logger.Named("front"),
 		Metrics:      front.NewMetrics(metrics),
 		Holder:       holder,
