owner: records and writes stay within the store's limits

Callers saw a whole service stand still (LOST) after a schedule of 95,040 tasks was accepted: no job shown as ended, starts late or never, all nodes changing owners three times a second.

Cause: the progress of a job had a bitmap for each step of each occurrence, 285 kB here; nothing compared a record or a call with the store's limits; and a write that the store rejects as invalid counted as lost ownership, so that the node left the group with all its partitions, and the next owner wrote the same.

Ruled out: an owner too busy with the occurrences (its events wait milliseconds), and a store that fails (all other partitions are written).

Callers' batches leave too large records out, and a rejected batch is stored record by record. A job that the store can't keep is answered 413 with the reason.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/returntime"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
@@ -78,10 +79,12 @@
 	// Admission tells of jobs that can't be done in time. If it is nil, none are rejected.
 	Admission Admission
 	// Routes tells where jobs may lie whose route was replaced. If it is nil, no route ever was.
-	Routes  Routes
-	Logger  hclog.Logger
-	Metrics *Metrics
-	Holder  *Holder
+	Routes Routes
+	// StoreLimits are the limits of the record of a job.
+	StoreLimits joblog.Limits
+	Logger      hclog.Logger
+	Metrics     *Metrics
+	Holder      *Holder
 	// StoreSilence returns the time since the store last answered this node.
 	StoreSilence func() time.Duration
 	// StartedAt is when the process started.
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -45,7 +46,36 @@
 		AcceptedAtMS: req.startedAt.UnixMilli(),
 		Spec:         spec,
 	}
-	return h.storeRecord(ctx, req, workload.Record{Job: id, Submission: sub})
+	record := workload.Record{Job: id, Submission: sub}
+	if res, ok := h.rejectUnstorable(record, len(body)); ok {
+		return res
+	}
+	return h.storeRecord(ctx, req, record)
+}
+
+// maxBodyShare is the part of the store's limit of a record up to which a body's job certainly fits: its record
+// has several times the bytes if it has many steps of few bytes.
+const maxBodyShare = 8
+
+// rejectUnstorable returns the response to a job that the store can't keep: its submission, or the bitmap of
+// its tasks that are done, is larger than a record. It returns false if the job can be stored.
+func (h *Handler) rejectUnstorable(r workload.Record, bodyBytes int) (response, bool) {
+	limit := h.StoreLimits.Record
+	progressBytes := r.Submission.Spec.MaxProgressBytes()
+	if limit == 0 || bodyBytes <= limit/maxBodyShare && progressBytes <= limit {
+		return response{}, false
+	}
+	key, value, err := r.Encode()
+	switch {
+	case err != nil:
+		return errorResponse(http.StatusBadRequest, err.Error()), true
+	case h.StoreLimits.IsTooLarge(platform.KeyedRecord{Key: key, Value: value}):
+		return errorResponse(http.StatusRequestEntityTooLarge, fmt.Sprintf("the job has too many or too large steps: its record has %d bytes, the store's limit is %d", len(value), limit)), true
+	case progressBytes > limit:
+		return errorResponse(http.StatusRequestEntityTooLarge, fmt.Sprintf("the job has too many tasks: the record of its progress may have %d bytes, the store's limit is %d", progressBytes, limit)), true
+	default:
+		return response{}, false
+	}
 }
 
 // accessCheckTimeout bounds the check whether a caller may cancel a job. An owner answers within
--- a/internal/front/submit_test.go
+++ b/internal/front/submit_test.go
@@ -1,7 +1,10 @@
 package front
 
 import (
+	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +13,7 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/heldqueue"
+	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -185,3 +189,30 @@
 		})
 	}
 }
+
+// Guards against a job that is accepted although the store can't keep it or its progress, and against a refusal
+// that gives no reason.
+func TestAJobThatTheStoreCannotKeepIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFrontRig(t)
+		r.handler.StoreLimits = joblog.Limits{Record: 2000, Call: 100_000}
+		var random strings.Builder
+		for i := range 600 {
+			fmt.Fprintf(&random, "%x", i*i*7919)
+		}
+		for name, body := range map[string]string{
+			"submission": `{"spec":"` + random.String()[:2500] + `","steps":[{"count":1,"cpu":1,"mem_mb":1}]}`,
+			"progress":   `{"spec":"p","steps":[{"count":30000,"cpu":1,"mem_mb":1}]}`,
+		} {
+			req := httptest.NewRequest(http.MethodPost, jobPath, strings.NewReader(body))
+			req.Host = testHost
+			req.Header.Set("Authorization", "Bearer ward-key")
+			recorder := httptest.NewRecorder()
+			r.handler.ServeHTTP(recorder, req)
+			assert.Equal(t, http.StatusRequestEntityTooLarge, recorder.Code, name)
+			assert.Contains(t, recorder.Body.String(), "the store's limit is 2000", name)
+		}
+		assert.Empty(t, r.jobs.records)
+		assert.Equal(t, http.StatusOK, r.send(http.MethodPost, jobPath, "Bearer ward-key").StatusCode)
+	})
+}
--- a/internal/intake/firstattempts_test.go
+++ b/internal/intake/firstattempts_test.go
@@ -20,7 +20,7 @@
 		store := newSerialStore(4 * time.Millisecond)
 		c := newCluster(3, store, address(2))
 		var stored workload.Submission
-		c.nodes[2].acceptor = joblog.NewAcceptor(store, c.nodes[2].hedger, func(_ int, _ platform.Span, records []workload.Record) { stored = *records[0].Submission })
+		c.nodes[2].acceptor = joblog.NewAcceptor(store, c.nodes[2].hedger, joblog.Limits{}, func(_ int, _ platform.Span, records []workload.Record) { stored = *records[0].Submission })
 		submission := func() workload.Record {
 			return workload.Record{Job: "aa", Submission: &workload.Submission{AcceptedAtMS: time.Now().UnixMilli()}}
 		}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -170,7 +170,7 @@
 	c := &cluster{owner: owner}
 	for i := range size {
 		hedger := hedge.New()
-		n := &node{acceptor: joblog.NewAcceptor(store, hedger, nil), hedger: hedger}
+		n := &node{acceptor: joblog.NewAcceptor(store, hedger, joblog.Limits{}, nil), hedger: hedger}
 		n.router = intake.New(n, peerView{c, address(i)}, hclog.NewNullLogger())
 		c.nodes = append(c.nodes, n)
 	}
--- a/internal/joblog/acceptor.go
+++ b/internal/joblog/acceptor.go
@@ -16,9 +16,8 @@
 	// maxBatchRecords bounds the records of one append: more than arrive while a slow store
 	// carries one append out, some 200 jobs a second for half a second.
 	maxBatchRecords = 256
-	// maxBatchBytes bounds the bytes of keys and values of one append: half of the 2 MB that
-	// the store accepts in one call. The store refuses a larger call as a whole, and a single
-	// job may have a quarter of a MB.
+	// maxBatchBytes bounds the bytes of one append, beside the store's own limit: a slow store is busy with
+	// a larger one for longer than callers wait.
 	maxBatchBytes = 1 << 20
 	// maxAppendsInFlight bounds the concurrent appends to a partition. The round trip takes
 	// about as long as the append, so a second append in flight keeps the store busy and halves
@@ -40,6 +39,7 @@
 type Acceptor struct {
 	store    Store
 	hedger   *hedge.Hedger
+	limits   Limits
 	onStored OnStored
 
 	mu     sync.Mutex
@@ -65,11 +65,14 @@
 }
 
 // NewAcceptor returns an acceptor. onStored may be nil.
-func NewAcceptor(store Store, hedger *hedge.Hedger, onStored OnStored) *Acceptor {
+func NewAcceptor(store Store, hedger *hedge.Hedger, limits Limits, onStored OnStored) *Acceptor {
 	if onStored == nil {
 		onStored = func(int, platform.Span, []workload.Record) {}
 	}
-	return &Acceptor{store: store, hedger: hedger, onStored: onStored, queues: map[int]*partitionQueue{}}
+	if limits.Call == 0 || limits.Call > maxBatchBytes {
+		limits.Call = max(maxBatchBytes, limits.Record+recordOverhead)
+	}
+	return &Acceptor{store: store, hedger: hedger, limits: limits, onStored: onStored, queues: map[int]*partitionQueue{}}
 }
 
 // Store stores a record of a caller's request. Storing it twice is harmless: the first
@@ -82,7 +85,11 @@
 	if err != nil {
 		return platform.StoreInvalid, false, err
 	}
-	req, err := a.enqueue(partition, r, platform.KeyedRecord{Key: key, Value: value})
+	encoded := platform.KeyedRecord{Key: key, Value: value}
+	if a.limits.IsTooLarge(encoded) {
+		return platform.StoreInvalid, false, errors.Errorf("the record has %d bytes, the store accepts %d", sizeOf(encoded), a.limits.Record)
+	}
+	req, err := a.enqueue(partition, r, encoded)
 	if err != nil {
 		return platform.StoreRefused, false, err
 	}
@@ -158,23 +165,37 @@
 		if batch == nil {
 			return
 		}
-		encoded := make([]platform.KeyedRecord, len(batch))
-		records := make([]workload.Record, len(batch))
-		for i, req := range batch {
-			encoded[i] = req.encoded
-			records[i] = req.record
-		}
-		part := platform.Partition{Topic: JobsTopic, Part: partition}
-		// The calls have their own timeouts. A waiter that gives up must not cancel the append,
-		// which has records of others.
-		span, status, err := appendHedged(context.Background(), a.store, a.hedger, part, nil, encoded)
-		if status == platform.StoreOK {
-			a.onStored(partition, span, records)
+		status, err := a.append(partition, batch)
+		if status == platform.StoreInvalid && len(batch) > 1 {
+			// One of the records is invalid. The others must not share its outcome.
+			for i := range batch {
+				status, err = a.append(partition, batch[i:i+1])
+				a.completeBatch(q, batch[i:i+1], status, err)
+			}
+			continue
 		}
 		a.completeBatch(q, batch, status, err)
 	}
 }
 
+// append appends the records of a batch once.
+func (a *Acceptor) append(partition int, batch []*storeRequest) (platform.StoreStatus, error) {
+	encoded := make([]platform.KeyedRecord, len(batch))
+	records := make([]workload.Record, len(batch))
+	for i, req := range batch {
+		encoded[i] = req.encoded
+		records[i] = req.record
+	}
+	part := platform.Partition{Topic: JobsTopic, Part: partition}
+	// The calls have their own timeouts. A waiter that gives up must not cancel the append,
+	// which has records of others.
+	span, status, err := appendHedged(context.Background(), a.store, a.hedger, part, nil, encoded)
+	if status == platform.StoreOK {
+		a.onStored(partition, span, records)
+	}
+	return status, err
+}
+
 // completeBatch sets the outcome of a batch and wakes its waiters.
 func (a *Acceptor) completeBatch(q *partitionQueue, batch []*storeRequest, status platform.StoreStatus, err error) {
 	a.mu.Lock()
@@ -194,18 +215,18 @@
 		q.appendsInFlight--
 		return nil
 	}
-	n := batchSize(q.waiting)
+	n := batchSize(q.waiting, a.limits.Call)
 	batch := q.waiting[:n:n]
 	q.waiting = append([]*storeRequest(nil), q.waiting[n:]...)
 	return batch
 }
 
-// batchSize returns how many of the waiting records go into one append, at least one.
-func batchSize(waiting []*storeRequest) int {
+// batchSize returns how many of the waiting records go into one append of at most maxBytes, at least one.
+func batchSize(waiting []*storeRequest, maxBytes int) int {
 	bytes := 0
 	for i, req := range waiting {
-		bytes += len(req.encoded.Key) + len(req.encoded.Value)
-		if i == maxBatchRecords || i > 0 && bytes > maxBatchBytes {
+		bytes += sizeOf(req.encoded)
+		if i == maxBatchRecords || i > 0 && bytes > maxBytes {
 			return i
 		}
 	}
--- a/internal/joblog/acceptor_test.go
+++ b/internal/joblog/acceptor_test.go
@@ -78,7 +78,7 @@
 func TestConcurrentRecordsAreBatched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &slowStore{appendTime: 80 * time.Millisecond}
-		a := joblog.NewAcceptor(store, hedge.New(), nil)
+		a := joblog.NewAcceptor(store, hedge.New(), joblog.Limits{}, nil)
 		began := time.Now()
 		var all sync.WaitGroup
 		for i := range 40 {
@@ -100,7 +100,7 @@
 func TestOnlyUnsentRecordsAreRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &slowStore{appendTime: 10 * time.Second, appendErr: errors.New("no answer")}
-		a := joblog.NewAcceptor(store, hedge.New(), nil)
+		a := joblog.NewAcceptor(store, hedge.New(), joblog.Limits{}, nil)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		inFlight := make(chan platform.StoreStatus, 2) // as many as maxAppendsInFlight
@@ -128,7 +128,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const maxCallBytes = 2 << 20
 		store := &slowStore{appendTime: 150 * time.Millisecond}
-		a := joblog.NewAcceptor(store, hedge.New(), nil)
+		a := joblog.NewAcceptor(store, hedge.New(), joblog.Limits{}, nil)
 		large := &workload.Submission{Spec: workload.Spec{Payload: strings.Repeat("x", 250<<10)}}
 		var all sync.WaitGroup
 		for i := range 30 {
@@ -144,3 +144,47 @@
 		assert.Less(t, store.maxAppendBytes, maxCallBytes)
 	})
 }
+
+// pickyStore rejects an append with a record of the key of a job as a whole.
+type pickyStore struct {
+	slowStore
+	rejected string
+}
+
+func (s *pickyStore) AppendSpan(ctx context.Context, p platform.Partition, producer *platform.Producer, records ...platform.KeyedRecord) (platform.Span, platform.StoreStatus, error) {
+	span, status, err := s.slowStore.AppendSpan(ctx, p, producer, records...)
+	for _, r := range records {
+		if strings.Contains(r.Key, s.rejected) {
+			return platform.Span{}, platform.StoreInvalid, errors.New("rejected")
+		}
+	}
+	return span, status, err
+}
+
+// Guards against jobs that are refused because a job of another caller in the same append is larger than a record of
+// the store, or is rejected by it.
+func TestOneCallersJobFailsNoOthers(t *testing.T) {
+	for name, large := range map[string]int{"rejected": 10, "too large": 5000} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &pickyStore{slowStore: slowStore{appendTime: 50 * time.Millisecond}, rejected: "00000000000000bad"[1:]}
+			a := joblog.NewAcceptor(store, hedge.New(), joblog.Limits{Record: 1000, Call: 100_000}, nil)
+			var stored sync.WaitGroup
+			for i := range 20 {
+				id, payload := workload.JobID("00000000000001"+strconv.Itoa(10+i)), "p"
+				if i == 10 {
+					id, payload = workload.JobID(store.rejected), strings.Repeat("p", large)
+				}
+				stored.Go(func() {
+					status, _, err := a.Store(t.Context(), 0, workload.Record{Job: id, Submission: &workload.Submission{Spec: workload.Spec{Payload: payload}}}, nil)
+					if string(id) == store.rejected {
+						assert.Equal(t, platform.StoreInvalid, status, name)
+						assert.Error(t, err, name)
+						return
+					}
+					assert.Equal(t, platform.StoreOK, status, name)
+				})
+			}
+			stored.Wait()
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -147,6 +147,7 @@
 		Metrics:       owner.NewMetrics(metrics),
 		Bounds:        s.Bounds,
 		Assignments:   n.assignments,
+		StoreLimits:   joblog.LimitsOf(s.Store),
 		LeaseDuration: min(runLease, s.Bounds.MaxLeaseDuration),
 	}
 	n.initPeering(hedger)
@@ -175,7 +176,7 @@
 	}, n.runOwner)
 	n.owners.manager = n.manager
 	n.peers = configPeers{book: peerbook.New(self, rand.IntN), owners: n.owners}
-	local := localStore{acceptor: joblog.NewAcceptor(n.store, hedger, n.onStored), health: n.storeHealth, hedger: hedger}
+	local := localStore{acceptor: joblog.NewAcceptor(n.store, hedger, joblog.LimitsOf(s.Store), n.onStored), health: n.storeHealth, hedger: hedger}
 	n.intake = intake.New(local, storePeers{n.owners}, logger.Named("intake"))
 	n.owners.intake = n.intake
 	n.ownerDeps.RequestJoin = n.manager.RequestJoin
@@ -222,6 +223,7 @@
 		Owners:       n.owners,
 		Admission:    n.owners,
 		Routes:       formerRoutes{n},
+		StoreLimits:  joblog.LimitsOf(s.Store),
 		Logger:       n.logger.Named("front"),
 		Metrics:      front.NewMetrics(metrics),
 		Holder:       holder,
--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -60,6 +60,8 @@
 func (o *Owner) storeHandover(core *scheduler.Core) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), handoverWriteTimeout)
 	defer cancel()
+	o.writer.mu.Lock()
+	defer o.writer.mu.Unlock()
 	if !core.NoWriteInFlight() && !o.completeLastWrite(ctx) {
 		return false
 	}
@@ -67,15 +69,15 @@
 	if len(handover) == 0 {
 		return true
 	}
-	records, err := joblog.Encode(handover, nil)
+	leftOut, err := o.writer.begin(core.NextWriteSequence(), handover, nil)
 	if err != nil {
 		o.logger.Error("handover can't be encoded", "error", err)
 		return false
 	}
-	_, status, err := o.log.Write(ctx, o.epoch, core.NextWriteSequence(), records)
+	status, err := o.writer.storeAll(ctx)
 	// The line is logged for a failed write, too; status shows whether the records are stored.
-	o.logger.Info("partition left", "records", len(records), "status", status.String(), "error", err)
-	return status == platform.StoreOK
+	o.logger.Info("partition left", "records", len(handover), "status", status.String(), "error", err)
+	return status == platform.StoreOK && leftOut == 0
 }
 
 // predecessorState is the state that the predecessor left. It is empty if unknown.
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -18,6 +18,7 @@
 	maxEventDelay prometheus.Histogram
 	maxStepTime   prometheus.Histogram
 	heldBack      *prometheus.GaugeVec
+	rejected      *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -51,7 +52,11 @@
 			Help: "Jobs that don't start because a worker that has not answered since the takeover may run them, by partition.",
 		}, []string{"partition"}),
 	}
-	r.MustRegister(m.orders, m.events, m.planWork, m.maxEventDelay, m.maxStepTime, m.heldBack)
+	m.rejected = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "yuccadrift_owner_records_rejected_total",
+		Help: "Records of owners that are larger than the store accepts (too_large), and writes that the store rejects as invalid, by partition.",
+	}, []string{"partition", "reason"})
+	r.MustRegister(m.orders, m.events, m.planWork, m.maxEventDelay, m.maxStepTime, m.heldBack, m.rejected)
 	return m
 }
 
@@ -64,6 +69,10 @@
 	m.maxStepTime.Observe(l.maxStepTime.Seconds())
 }
 
+func (m *Metrics) observeRejected(partition int, reason string) {
+	m.rejected.WithLabelValues(strconv.Itoa(partition), reason).Inc()
+}
+
 // observeHeldBack sets how many jobs of a partition wait for workers; 0 removes the partition.
 func (m *Metrics) observeHeldBack(partition, jobs int) {
 	label := strconv.Itoa(partition)
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -4,10 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/scheduler"
-	"github.com/yuccadrift/yuccadrift/internal/wait"
-	"github.com/yuccadrift/yuccadrift/platform"
 )
 
 // execute logs the decisions and carries out the orders of a step of the core without
@@ -90,50 +87,6 @@
 	o.enqueue(ctx, func(c *scheduler.Core, now time.Time) { c.HandleAdviceResult(result, now) })
 }
 
-// write stores records and retries until the outcome is known. A write whose answer was
-// lost is sent again under the same sequence, which has no second effect.
-func (o *Owner) write(ctx context.Context, w scheduler.WriteOrder) {
-	records, err := joblog.Encode(w.Records, w.DeleteJobs)
-	if err != nil {
-		o.logger.Error("records can't be encoded", "error", err)
-		o.enqueue(ctx, func(c *scheduler.Core, _ time.Time) { c.StepDown("records can't be encoded") })
-		return
-	}
-	for ctx.Err() == nil {
-		span, status, err := o.log.Write(ctx, o.epoch, w.Sequence, records)
-		switch status {
-		case platform.StoreOK:
-			o.enqueue(ctx, func(c *scheduler.Core, _ time.Time) {
-				c.HandleWriteResult()
-				c.HandleWrittenSpan(w, span.From, span.To)
-			})
-			return
-		case platform.StoreFenced, platform.StoreOutOfSequence, platform.StoreInvalid:
-			reason := "write " + status.String() + ": " + err.Error()
-			o.enqueue(ctx, func(c *scheduler.Core, _ time.Time) { c.StepDown(reason) })
-			return
-		}
-		o.logger.Debug("records can't be stored yet", "sequence", w.Sequence, "status", status.String(), "error", err)
-		wait.Pause(ctx, writeRetryInterval)
-	}
-}
-
-// completeLastWrite repeats the write that was in flight when the owner was stopped, since
-// the sequence of the handover's write must follow it. Storing it twice has no second
-// effect. completeLastWrite reports whether the write is stored.
-func (o *Owner) completeLastWrite(ctx context.Context) bool {
-	records, err := joblog.Encode(o.lastWrite.Records, o.lastWrite.DeleteJobs)
-	if err != nil {
-		o.logger.Error("records can't be encoded", "error", err)
-		return false
-	}
-	_, status, err := o.log.Write(ctx, o.epoch, o.lastWrite.Sequence, records)
-	if status != platform.StoreOK {
-		o.logger.Warn("last write did not complete, no handover is stored", "status", status.String(), "error", err)
-	}
-	return status == platform.StoreOK
-}
-
 // logDecision logs a decision. Placements other than a job's first are logged at level
 // debug: there are thousands a second, so their fields are built only if they are written.
 func (o *Owner) logDecision(decision scheduler.Decision) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -41,9 +41,7 @@
 	// delay rarely matters, since most jobs are stored through this node, which applies them
 	// directly.
 	tailReadPause = 100 * time.Millisecond
-	// writeRetryInterval is the pause before a write is sent again.
-	writeRetryInterval = 100 * time.Millisecond
-	fenceTimeout       = 10 * time.Second
+	fenceTimeout  = 10 * time.Second
 )
 
 // ErrOwnershipLost is returned by Run if a later owner has fenced this one or the owner has
@@ -103,6 +101,8 @@
 	// answered or the owner has refused it.
 	RequestLoan func(ctx context.Context, lender int, req workload.LoanRequest) *workload.LoanResponse
 	Assignments Assignments
+	// StoreLimits are the store's limits of the owners' writes.
+	StoreLimits joblog.Limits
 	// LeaseDuration is how long a run lives without a renewal of its lease.
 	LeaseDuration time.Duration
 }
@@ -128,6 +128,7 @@
 	inbox     chan event
 	tailWake  chan struct{}
 	executor  *executor
+	writer    *logWriter
 	// loaded is closed once the core knows all stored records.
 	loaded     chan struct{}
 	workerList confirmedWorkers
@@ -157,12 +158,15 @@
 // New returns the owner of a partition. epoch must be greater than the epochs of all earlier
 // owners.
 func New(deps Deps, partition int, epoch int64) *Owner {
+	log := joblog.New(deps.Store, deps.Hedger, joblog.JobsTopic, partition)
+	logger := deps.Logger.With("partition", partition, "epoch", epoch)
 	return &Owner{
 		deps:      deps,
 		partition: partition,
 		epoch:     epoch,
-		log:       joblog.New(deps.Store, deps.Hedger, joblog.JobsTopic, partition),
-		logger:    deps.Logger.With("partition", partition, "epoch", epoch),
+		log:       log,
+		writer:    &logWriter{log: log, epoch: epoch, partition: partition, limits: deps.StoreLimits, logger: logger, metrics: deps.Metrics},
+		logger:    logger,
 		inbox:     make(chan event, inboxSize),
 		tailWake:  make(chan struct{}),
 		executor:  newExecutor(),
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -209,16 +209,7 @@
 // applyStoredProgress applies the stored progress of a job.
 func (c *Core) applyStoredProgress(j *job) {
 	progress := j.restoredProgress
-	for i, s := range j.steps {
-		if i >= len(progress.DoneBitmaps) {
-			break
-		}
-		for k := range s.tasks {
-			if k/8 < len(progress.DoneBitmaps[i]) && progress.DoneBitmaps[i][k/8]&(1<<(k%8)) != 0 {
-				s.markDone(&s.tasks[k])
-			}
-		}
-	}
+	j.markStoredDone(progress)
 	for name, runs := range progress.FailedRuns {
 		if s, i := c.findStoredTask(j, name); s != nil {
 			s.tasks[i].failedRuns = runs
@@ -307,38 +298,3 @@
 		c.Counts.CancelledJobs++
 	}
 }
-
-// progressToStore returns the record of a job's current progress.
-func (j *job) progressToStore() *workload.Progress {
-	progress := &workload.Progress{FinalState: j.finalState, EndedAtMS: j.endedAtMS, Started: j.started}
-	if j.finalState.IsTerminal() {
-		return progress // the tasks of an ended job are no longer needed
-	}
-	for _, s := range j.steps {
-		bits := []byte{}
-		if s.doneCount > 0 {
-			bits = make([]byte, (len(s.tasks)+7)/8)
-		}
-		for i := range s.tasks {
-			t := &s.tasks[i]
-			if t.done {
-				bits[i/8] |= 1 << (i % 8)
-			}
-			name := s.taskKey(i).String()[len(j.id)+1:]
-			if len(t.failedRuns) > 0 {
-				if progress.FailedRuns == nil {
-					progress.FailedRuns = map[string][]int64{}
-				}
-				progress.FailedRuns[name] = slices.Clone(t.failedRuns)
-			}
-			if len(t.crashes) > 0 && !t.done {
-				if progress.Crashes == nil {
-					progress.Crashes = map[string][]workload.Crash{}
-				}
-				progress.Crashes[name] = slices.Clone(t.crashes)
-			}
-		}
-		progress.DoneBitmaps = append(progress.DoneBitmaps, bits)
-	}
-	return progress
-}
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -1,7 +1,6 @@
 package workload
 
 import (
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -50,8 +49,11 @@
 // failed runs and crashes.
 type Progress struct {
 	// DoneBitmaps has a bitmap of the tasks that are done, by index, for each occurrence
-	// and step in order.
+	// and step in order. It is empty if DoneTasks is set.
 	DoneBitmaps [][]byte `json:"d,omitempty"`
+	// DoneTasks has a bitmap of the tasks that are done, of all occurrences and steps in order. It replaces
+	// DoneBitmaps for jobs of many steps.
+	DoneTasks []byte `json:"dt,omitempty"`
 	// FailedRuns has the numbers of runs that failed by the task's own fault, by task
 	// (OCCURRENCE.STEP.INDEX). It has numbers rather than a count: a later owner may read
 	// an exit again whose acknowledgement was lost, and must not count it twice.
@@ -66,6 +68,13 @@
 	Started bool `json:"b,omitempty"`
 }
 
+// WithoutFailures returns the progress without the tasks' failed runs and crashes.
+func (p *Progress) WithoutFailures() *Progress {
+	brief := *p
+	brief.FailedRuns, brief.Crashes = nil, nil
+	return &brief
+}
+
 // Prefixes of the keys of a job's records, and keys of the owners' records.
 const (
 	submissionPrefix = "s/"
@@ -145,27 +154,27 @@
 func (r Record) Encode() (key string, value []byte, err error) {
 	switch {
 	case r.Submission != nil:
-		value, err = json.Marshal(r.Submission)
+		value, err = encodeValue(r.Submission)
 		return submissionPrefix + string(r.Job), value, errors.Wrap(err, "submission")
 	case r.Progress != nil:
-		value, err = json.Marshal(r.Progress)
+		value, err = encodeValue(r.Progress)
 		return progressPrefix + string(r.Job), value, errors.Wrap(err, "progress")
 	case r.Handover != nil:
-		value, err = json.Marshal(r.Handover)
+		value, err = encodeValue(r.Handover)
 		return handoverKey, value, errors.Wrap(err, "handover")
 	case r.Takeover != nil:
-		value, err = json.Marshal(r.Takeover)
+		value, err = encodeValue(r.Takeover)
 		return takeoverKey, value, errors.Wrap(err, "takeover")
 	case r.Fence != nil:
-		value, err = json.Marshal(r.Fence)
+		value, err = encodeValue(r.Fence)
 		return fenceKey, value, errors.Wrap(err, "fence")
 	case r.Loans != nil:
-		value, err = json.Marshal(r.Loans)
+		value, err = encodeValue(r.Loans)
 		return loansPrefix + r.Loans.Workspace, value, errors.Wrap(err, "loans")
 	case r.Cancel && r.CancelledBy == nil:
 		return cancelPrefix + string(r.Job), []byte(anonymousCancel), nil
 	case r.Cancel:
-		value, err = json.Marshal(r.CancelledBy)
+		value, err = encodeValue(r.CancelledBy)
 		return cancelPrefix + string(r.Job), value, errors.Wrap(err, "cancellation")
 	default:
 		return "", nil, errors.New("record without content")
@@ -187,27 +196,27 @@
 	switch {
 	case key == handoverKey:
 		r.Handover = &Handover{}
-		err = json.Unmarshal(value, r.Handover)
+		err = decodeValue(value, r.Handover)
 	case key == takeoverKey:
 		r.Takeover = &Takeover{}
-		err = json.Unmarshal(value, r.Takeover)
+		err = decodeValue(value, r.Takeover)
 	case key == fenceKey:
 		r.Fence = &Fence{}
-		err = json.Unmarshal(value, r.Fence)
+		err = decodeValue(value, r.Fence)
 	case strings.HasPrefix(key, loansPrefix):
 		r.Loans = &Loans{}
-		err = json.Unmarshal(value, r.Loans)
+		err = decodeValue(value, r.Loans)
 	case strings.HasPrefix(key, submissionPrefix):
 		r.Submission = &Submission{}
-		err = json.Unmarshal(value, r.Submission)
+		err = decodeValue(value, r.Submission)
 	case strings.HasPrefix(key, progressPrefix):
 		r.Progress = &Progress{}
-		err = json.Unmarshal(value, r.Progress)
+		err = decodeValue(value, r.Progress)
 	case strings.HasPrefix(key, cancelPrefix):
 		r.Cancel = true
 		if string(value) != anonymousCancel {
 			r.CancelledBy = &Requester{}
-			err = json.Unmarshal(value, r.CancelledBy)
+			err = decodeValue(value, r.CancelledBy)
 		}
 	default:
 		return Record{}, false, nil
--- a/internal/workload/workload.go
+++ b/internal/workload/workload.go
@@ -141,6 +141,19 @@
 // Occurrences returns how many times the steps run.
 func (s *Spec) Occurrences() int { return max(1, s.Repeat) }
 
+// progressOverheadBytes is what the record of a job's progress takes beside the bitmap of its tasks.
+const progressOverheadBytes = 200
+
+// MaxProgressBytes returns how large the record of the job's progress may become, without failed runs and crashes:
+// a bit for each task, in base64.
+func (s *Spec) MaxProgressBytes() int {
+	tasks := 0
+	for _, step := range s.Steps {
+		tasks += step.Count
+	}
+	return tasks*s.Occurrences()/6 + progressOverheadBytes
+}
+
 // DueAt returns when an occurrence may start. The zero time means immediately.
 func (s *Spec) DueAt(occurrence int) time.Time {
 	if s.Repeat == 0 {
