scheduler: a gang starts whatever its size

Callers saw gangs of more than ten members for each worker of their service never start (LOST), however small their tasks: a quiet service keeps two workers, so 21 members wait for ever.

Cause: step.assignWorkers counted the bound of ten orders in flight to a worker against the members of the gang, which start together.

Change: the bound only decides which workers are preferred. Gangs that fitted before are placed as before. The new test gets no start for 21 members on the code before.

--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -145,16 +145,19 @@
 	}
 	assigned := make([]*worker, 0, tasks)
 	for range tasks {
+		// The members start together. So the bound of orders in flight only decides which workers are preferred.
 		var best *worker
+		bestIsFull := false
 		for _, w := range workers {
-			if !s.fitsOn(w, now) || !s.spec.Reservation().FitsIn(free[w]) || w.ordersInFlight+assignedCount[w] >= maxOrdersPerWorker {
+			if !s.fitsOn(w, now) || !s.spec.Reservation().FitsIn(free[w]) {
 				continue
 			}
 			if s.spec.MaxPerWorker > 0 && s.liveRunsByWorker[w.info.ID]+assignedCount[w] >= s.spec.MaxPerWorker {
 				continue
 			}
-			if best == nil || free[w].CPU < free[best].CPU {
-				best = w
+			isFull := w.ordersInFlight+assignedCount[w] >= maxOrdersPerWorker
+			if best == nil || bestIsFull && !isFull || bestIsFull == isFull && free[w].CPU < free[best].CPU {
+				best, bestIsFull = w, isFull
 			}
 		}
 		if best == nil {
--- a/internal/scheduler/gang_test.go
+++ b/internal/scheduler/gang_test.go
@@ -96,3 +96,24 @@
 	r.answerPoll("w-1", r.now, workload.PollReport{})
 	assert.Len(t, r.step(20*time.Millisecond).Starts, 1)
 }
+
+// Guards against a gang that never starts since it has more members than the orders that may be in flight to the
+// workers of a quiet service.
+func TestGangStartsWhateverItsSize(t *testing.T) {
+	for _, members := range []int{10, 21, 24, 64} {
+		r := newRig(t)
+		r.syncWorkers("w-1", "w-2")
+		gang := batchStep(members, 200)
+		gang.Gang = true
+		r.submit("0000000000000001", gang)
+		starts := r.step(20 * time.Millisecond).Starts
+		require.Len(t, starts, members)
+		byWorker := map[string]int{}
+		for _, s := range starts {
+			byWorker[s.Worker.ID]++
+		}
+		for worker, n := range byWorker {
+			assert.LessOrEqual(t, n, max(10, members-10), "%s: workers below the bound come first", worker)
+		}
+	}
+}
