scheduler: ranking a due occurrence looks at its job's steps once

Cause, by profile: hasLongRunningTask looked at the steps of all occurrences of the job for each due occurrence, 99% of the time of a step. Ruled out as main costs: sorting and placing, together under a tenth of a millisecond a thousand.

Change: it looks at the steps of the spec, which all occurrences share; maps of runs are made with a step's first run. BenchmarkDueOccurrences, a step and a look at the loads with 86, 864 and 8,640 due: 0.08, 9.5 and 1,546 ms before, 0.07, 0.66 and 6.4 ms now.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -53,8 +53,8 @@
 	// nextPreemptionSearchAt is when the step may search for preemptible runs again.
 	nextPreemptionSearchAt time.Time
 	lastRunSeq             int64          // of this epoch's run numbers
-	liveRunsByWorker       map[string]int // by worker ID
-	liveRunsByRack         map[string]int // by the rack of the worker when the run was added
+	liveRunsByWorker       map[string]int // by worker ID; nil before the first run
+	liveRunsByRack         map[string]int // by the rack of the worker when the run was added; nil before the first run
 	checkpoint             string         // newest of any task; a gang restarts from it
 	advice                 *adviceState   // nil if no advice is needed: any worker may run it
 	occurrenceRanked       bool           // set on an occurrence's first step while the occurrence is ranked
@@ -91,14 +91,12 @@
 		for i := range submission.Spec.Steps {
 			spec := &submission.Spec.Steps[i]
 			newStep := &step{
-				job:              j,
-				spec:             spec,
-				occurrence:       o,
-				number:           i,
-				tasks:            make([]task, spec.Count),
-				idleCount:        spec.Count,
-				liveRunsByWorker: map[string]int{},
-				liveRunsByRack:   map[string]int{},
+				job:        j,
+				spec:       spec,
+				occurrence: o,
+				number:     i,
+				tasks:      make([]task, spec.Count),
+				idleCount:  spec.Count,
 			}
 			j.steps = append(j.steps, newStep)
 			j.remainingTasks += spec.Count
@@ -164,6 +162,9 @@
 	if a := s.job.account; a != nil {
 		a.reserved = a.reserved.Add(s.spec.Resources)
 	}
+	if s.liveRunsByWorker == nil {
+		s.liveRunsByWorker, s.liveRunsByRack = map[string]int{}, map[string]int{}
+	}
 	s.liveRunsByWorker[r.worker.info.ID]++
 	r.rack = r.worker.info.Rack()
 	s.liveRunsByRack[r.rack]++
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -122,7 +122,7 @@
 }
 
 func (j *job) hasLongRunningTask() bool {
-	return slices.ContainsFunc(j.steps, func(s *step) bool { return s.spec.LongRunning })
+	return slices.ContainsFunc(j.submission.Spec.Steps, func(s workload.Step) bool { return s.LongRunning })
 }
 
 // remainingWork returns the estimated processor time of all tasks that are not done, in
