scheduler: jobs keep their attempts and tickets when their route is removed

A job whose route is removed had two attempts, whatever its route had: with four it would fail too early (LOST), with one start once too often (BUDGET). A step whose tickets have expired asked for no others then. And tickets whose answer takes longer than they are valid were never used, so that no task of the step started.

Cause: the limit and the need for tickets were read from the route in force; tickets count from the request.

Change: the submission states the attempts; a step that has needed tickets asks on; tickets of such a late answer are tried.

--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -44,6 +44,7 @@
 		Service:      req.queue.Service,
 		Workspace:    req.workspace,
 		AcceptedAtMS: req.startedAt.UnixMilli(),
+		MaxAttempts:  req.queue.MaxAttempts,
 		Spec:         spec,
 	}
 	record := workload.Record{Job: id, Submission: sub}
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -41,13 +41,13 @@
 }
 
 // ensureAdvice reports whether the step may be placed, and requests advice if its queue requires it
-// and no worker that the step fits on has a valid ticket.
+// and no worker that the step fits on has a valid ticket. A step that has once needed tickets needs them also after
+// its queue was removed.
 func (c *Core) ensureAdvice(p *placementPool, s *step, now time.Time) bool {
-	q := s.job.queue
-	if q == nil || q.Advice == nil {
-		return true
-	}
 	if s.advice == nil {
+		if q := s.job.queue; q == nil || q.Advice == nil {
+			return true
+		}
 		s.advice = &adviceState{ticketsByWorker: map[string]ticket{}, refusedWorkers: map[string]bool{}}
 	}
 	fits := func(w *worker) bool { return s.fitsOn(w, now) }
@@ -100,11 +100,22 @@
 			s.advice.refusedWorkers[id] = true
 			continue
 		}
-		s.advice.ticketsByWorker[id] = ticket{text: text, validUntil: r.SentAt.Add(r.ValidFor)}
+		s.advice.ticketsByWorker[id] = ticket{text: text, validUntil: r.validUntil(now)}
 	}
 	c.planStale = true
 }
 
+// validUntil returns until when the tickets of an answer that arrives at now are used. They count from the request,
+// as the answer may have been delayed on its way. An answer that is later than that was prepared for as long: its
+// tickets are tried, and one that has expired is refused and dropped.
+func (r AdviceResult) validUntil(now time.Time) time.Time {
+	until := r.SentAt.Add(r.ValidFor)
+	if now.Before(until.Add(-ticketExpiryMargin)) {
+		return until
+	}
+	return now.Add(r.ValidFor)
+}
+
 // validTicket returns the ticket for a worker if it is valid for longer than ticketExpiryMargin,
 // nil otherwise.
 func (s *step) validTicket(worker string, now time.Time) *ticket {
--- a/internal/scheduler/pollresult.go
+++ b/internal/scheduler/pollresult.go
@@ -330,11 +330,7 @@
 	}
 	t.failedRuns = append(t.failedRuns, exit.Run)
 	c.dirtyJobs[s.job.id] = s.job
-	q := s.job.queue
-	maxAttempts := defaultMaxAttempts
-	if q != nil && q.MaxAttempts > 0 {
-		maxAttempts = q.MaxAttempts
-	}
+	maxAttempts := s.job.maxAttempts()
 	if s.failedRunCount() >= maxAttempts && s.spec.Gang || len(t.failedRuns) >= maxAttempts {
 		c.endJob(s.job, workload.Failed, now)
 	}
@@ -344,9 +340,22 @@
 // it is long-running. After that it may start there again, because the failure may be the task's own fault.
 const avoidWorkerDuration = time.Second
 
-// defaultMaxAttempts applies if the queue sets no limit or was removed while its jobs run.
+// defaultMaxAttempts applies if the queue sets no limit.
 const defaultMaxAttempts = 2
 
+// maxAttempts returns how often a task of the job may fail. If its queue was removed, the limit stays as it was when
+// the job was accepted.
+func (j *job) maxAttempts() int {
+	limit := j.submission.MaxAttempts
+	if j.queue != nil {
+		limit = j.queue.MaxAttempts
+	}
+	if limit <= 0 {
+		return defaultMaxAttempts
+	}
+	return limit
+}
+
 // failedRunCount returns the number of failed runs of a gang. Its members share a run number
 // and count once.
 func (s *step) failedRunCount() int {
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -16,7 +16,10 @@
 	// FirstAttemptAtMS is when the caller first handed the job in, by the clock of the node that stored the job,
 	// if earlier attempts could not be stored; 0 otherwise.
 	FirstAttemptAtMS int64 `json:"fa,omitempty"`
-	Spec             Spec  `json:"j"`
+	// MaxAttempts is how often a task may fail by the queue's configuration when the job was accepted, for the time
+	// after the queue was removed; 0 if it sets no limit, and in records of earlier versions.
+	MaxAttempts int  `json:"ma,omitempty"`
+	Spec        Spec `json:"j"`
 }
 
 // FirstHandedInAt returns when the caller handed the job in for the first time, as far as known.
