fleet: a wave of VMs that are not listed yet is not completed

Cause: VMs that the list in force doesn't show don't count as pending, also if the list is older than the wave.

Change: with unlisted VMs a wave is completed only by a list that was requested after an owner learned of the wave. The new test fails on the code before.

--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -192,7 +192,7 @@
 			continue // only an earlier owner's record of the wave has been read so far
 		}
 		state := workload.WaveRunning
-		if len(c.vms) > 0 && len(c.pendingVMs(s)) == 0 && !c.hasOrderInFlight(n) {
+		if len(c.vms) > 0 && len(c.pendingVMs(s)) == 0 && !c.hasOrderInFlight(n) && !c.mayListMoreVMs(s) {
 			state = workload.WaveCompleted
 		}
 		if state == s.reportedState && !c.dirtyWaves[n] {
@@ -209,6 +209,18 @@
 	}
 }
 
+// mayListMoreVMs reports whether VMs of a wave are not listed and may exist all the same: the list was requested
+// before an owner learned of the wave, and VMs may have been added since.
+func (c *Core) mayListMoreVMs(s *waveProgress) bool {
+	if !c.vmListRequestedAt.Before(s.firstSeenAt) {
+		return false
+	}
+	return slices.ContainsFunc(s.wave.VMs, func(id string) bool {
+		_, isListed := c.vmsByID[id]
+		return !isListed && !s.doneVMs[id]
+	})
+}
+
 // hasOrderInFlight reports whether an order of a wave is in flight.
 func (c *Core) hasOrderInFlight(wave int64) bool {
 	for _, op := range c.operations {
--- a/internal/fleet/waves_test.go
+++ b/internal/fleet/waves_test.go
@@ -226,3 +226,34 @@
 	assert.Equal(t, fleet.HeldByRefusedOrder, reasonAt(14500*time.Millisecond, func(now time.Time) { c.HandleOrderResult("vm-1", fleet.OrderRefused, now) })["vm-1"])
 	assert.Equal(t, fleet.HeldByTurn, reasonAt(31*time.Second, answerDrain(workload.NotDrained))["vm-2"], "the window is over")
 }
+
+// storedState returns the state of the last wave that the actions store, "" if they store none.
+func storedState(actions []fleet.Action) workload.WaveState {
+	state := workload.WaveState("")
+	for _, a := range actionsWithVerb(actions, fleet.StoreWave) {
+		state = a.State
+	}
+	return state
+}
+
+// Guards against a wave that is published as completed though a VM of it was never maintained: the VM was added just
+// before its wave, and the owner's list of VMs is older.
+func TestAWaveOfVMsThatAreNotListedYetIsNotCompleted(t *testing.T) {
+	c := newCore()
+	others := []workload.VM{upVM("vm-1", "booking", "w-1")}
+	c.SetVMs(others, startTime.Add(-300*time.Millisecond))
+	c.SetWaves([]workload.Wave{{Number: 1, VMs: []string{"vm-new"}, Window: 20 * time.Second, MaxConcurrent: 1}}, startTime)
+	assert.Equal(t, workload.WaveRunning, storedState(c.Step(startTime.Add(100*time.Millisecond))))
+	c.SetVMs(append(others, upVM("vm-new", "booking", "w-2")), startTime.Add(400*time.Millisecond))
+	actions := c.Step(startTime.Add(500 * time.Millisecond))
+	assert.NotEqual(t, workload.WaveCompleted, storedState(actions))
+	assert.Len(t, actionsWithVerb(actions, fleet.DrainWorker), 1)
+}
+
+// Guards against a wave that is never completed since it names a VM that doesn't exist any more.
+func TestAWaveOfVMsThatDoNotExistIsCompleted(t *testing.T) {
+	c := newCore()
+	c.SetWaves([]workload.Wave{{Number: 1, VMs: []string{"vm-gone"}, Window: 20 * time.Second, MaxConcurrent: 1}}, startTime)
+	c.SetVMs([]workload.VM{upVM("vm-1", "booking", "w-1")}, startTime.Add(400*time.Millisecond))
+	assert.Equal(t, workload.WaveCompleted, storedState(c.Step(startTime.Add(500*time.Millisecond))))
+}
