node: an owner's node stores no record that an outdated configuration sent there

Cause: a node with an earlier configuration can't know that its path leads elsewhere by now.

Change: a node states its version with the records that it asks an owner's node to store. One with a newer configuration, by which the record would not come to it, stores nothing and answers with that configuration; the caller is told 504. 410 needs an owner's node that uses no newer version. Other changes of the configuration cost a look at the queue's service.

Tests fail on the code before, which has no such check. Left: a node that owns the former service itself, or stores past its owner (ADR 0088).

--- a/internal/front/formerroutes.go
+++ b/internal/front/formerroutes.go
@@ -122,3 +122,9 @@
 	a.isCertain = o.IsCurrent && o.ReadSinceAsked && !o.HasOpenAttempt && !report.HasOpenAttempt && (!isRecent || o.WatchedFor >= acceptance.AttemptMemory)
 	return a
 }
+
+// isRerouted reports whether the request's path leads to another service, or nowhere, since the request was routed.
+func (h *Handler) isRerouted(req *request) bool {
+	q := h.Config().Route(hostOf(req.http), req.http.URL.Path)
+	return q == nil || q.Service != req.queue.Service
+}
--- a/internal/front/formerroutes_test.go
+++ b/internal/front/formerroutes_test.go
@@ -116,3 +116,26 @@
 		})
 	}
 }
+
+// Guards against a job that runs twice because a node that uses an earlier configuration stores a repeated submission
+// with the service that the path led to before.
+func TestASubmissionUnderAnOutdatedConfigurationIsNotStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFrontRig(t)
+		newer := testConfig(t, map[string]string{"ward": "ward-key", "clinic": "clinic-key"})
+		newer.Queues[0].Service = "later"
+		older := r.config
+		asked := 0
+		r.handler.Config = func() *workload.Config { // the owner's node rejects the record and sends the newer one
+			if asked++; asked > 1 {
+				return newer
+			}
+			return older
+		}
+		r.jobs.outcomes = []platform.StoreStatus{platform.StoreInvalid}
+		res := r.send(http.MethodPost, jobPath, "Bearer ward-key")
+		assert.Equal(t, http.StatusGatewayTimeout, res.StatusCode)
+		assert.NotEmpty(t, res.Header.Get("Retry-After"))
+		assert.Empty(t, r.jobs.records)
+	})
+}
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -142,6 +142,9 @@
 			held.unknown()
 			return uncertainResponse(returntime.StoreUnavailable, "the store did not answer, the request may have been taken: "+err.Error())
 		default:
+			if h.isRerouted(req) {
+				return uncertainResponse(returntime.NoConfiguration, "the path leads to another service by a newer configuration; an earlier attempt may have been taken")
+			}
 			return errorResponse(http.StatusInternalServerError, "store: "+err.Error())
 		}
 	}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -70,7 +70,10 @@
 	if err != nil {
 		return intake.StoreResponse{Status: platform.StoreInvalid, Reason: err.Error()}, nil
 	}
-	response, err := p.owners.clients.Call(ctx, address, nodepeer.MethodStore, nodepeer.Request{Partition: q.Partition, RecordKey: key, RecordValue: value, PendingAfterMS: q.PendingAfter.Milliseconds()})
+	response, err := p.owners.clients.Call(ctx, address, nodepeer.MethodStore, nodepeer.Request{Partition: q.Partition, RecordKey: key, RecordValue: value, PendingAfterMS: q.PendingAfter.Milliseconds(), ConfigVersion: p.owners.published.Version()})
+	if err == nil && response.Config != nil {
+		p.owners.published.ApplyFromPeer(address, response.Config.Record)
+	}
 	switch {
 	case errors.Is(err, nodepeer.ErrNotSent):
 		return intake.StoreResponse{Status: platform.StoreRefused}, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,7 +158,7 @@
 func (n *Node) initPeering(hedger *hedge.Hedger) {
 	s, logger := n.settings, n.logger
 	self := addressAt(s, peerPortOffset)
-	n.owners = &ownerDirectory{assignments: n.assignments, selfAddress: self, clients: nodepeer.NewClients(self), logger: logger.Named("owners"), checkStore: n.storeHealth.check, local: map[int]*owner.Owner{}, reports: map[int]owner.HandoverReport{}}
+	n.owners = &ownerDirectory{assignments: n.assignments, selfAddress: self, clients: nodepeer.NewClients(self), logger: logger.Named("owners"), checkStore: n.storeHealth.check, published: n.published, local: map[int]*owner.Owner{}, reports: map[int]owner.HandoverReport{}}
 	n.manager = ownership.New(n.store, ownership.Config{
 		Node:         s.Node,
 		Address:      self,
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -15,6 +15,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
 	"github.com/yuccadrift/yuccadrift/internal/owner"
 	"github.com/yuccadrift/yuccadrift/internal/ownership"
+	"github.com/yuccadrift/yuccadrift/internal/published"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -43,6 +44,7 @@
 	// checkStore returns an error if the store doesn't answer this node.
 	checkStore func() error
 	intake     *intake.Router
+	published  *published.Follower
 
 	mu      sync.Mutex
 	local   map[int]*owner.Owner         // by partition
@@ -119,10 +121,14 @@
 	return response, err == nil
 }
 
-// Status returns the status of a job.
+// Status returns the status of a job. ok is false also if an owner that doesn't know the job uses a newer
+// configuration than this node.
 func (o *ownerDirectory) Status(ctx context.Context, service string, id workload.JobID) (front.JobStatus, bool) {
 	sentAt := time.Now()
 	response, ok := o.callOwnerOf(ctx, service, nodepeer.MethodJobState, nodepeer.Request{Job: id})
+	if ok && !response.Known && response.ConfigVersion > o.published.Version() {
+		return front.JobStatus{}, false // the path may lead to another service by now
+	}
 	if ok && response.Known {
 		o.prospects.put(admission.Key{Queue: response.JobQueue, Workspace: response.Workspace}, response.Prospect, sentAt)
 	}
--- a/internal/node/routes.go
+++ b/internal/node/routes.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"context"
 	"slices"
 	"time"
 
+	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
@@ -41,3 +43,23 @@
 	isRecent = !former.ChangedAt.IsZero() && time.Since(former.ChangedAt) < formerAttemptsTime
 	return services, isRecent
 }
+
+// newerConfig returns this node's configuration if the node that asks to store a caller's record uses an older one,
+// by which the record goes to a service that it wouldn't go to by the newer one; nil otherwise. The caller's job may
+// have been submitted to the later service already. A cancellation doesn't state its queue: it goes where its job is.
+func (p peerHandler) newerConfig(ctx context.Context, req nodepeer.Request, record workload.Record) *nodepeer.ConfigResult {
+	config := p.published.Config()
+	if config == nil || req.ConfigVersion == 0 || req.ConfigVersion >= config.Version {
+		return nil
+	}
+	if record.Submission != nil {
+		if q := config.Queue(record.Submission.Queue); q != nil && q.Service == record.Submission.Service {
+			return nil
+		}
+	} else if localOwner := p.localOwner(req.Partition); localOwner != nil {
+		if s, ok := localOwner.State(ctx, record.Job); !ok || s.Known {
+			return nil
+		}
+	}
+	return &nodepeer.ConfigResult{Record: p.published.ConfigNewerThan(req.ConfigVersion).Record}
+}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -18,7 +18,7 @@
 		return nodepeer.Response{}, nil
 	}
 	s, ok := localOwner.State(ctx, req.Job)
-	return nodepeer.Response{IsOwner: ok, Known: s.Known, State: s.State, Workspace: s.Workspace, JobQueue: s.Queue, Prospect: prospectToWire(s.Prospect)}, nil
+	return nodepeer.Response{ConfigVersion: o.published.Version(), IsOwner: ok, Known: s.Known, State: s.State, Workspace: s.Workspace, JobQueue: s.Queue, Prospect: prospectToWire(s.Prospect)}, nil
 }
 
 // localWaitingJobs returns the response to MethodWaiting of an owner on this node.
@@ -68,6 +68,9 @@
 	if err != nil || !ok || record.Submission == nil && !record.Cancel {
 		return nodepeer.Response{StoreResult: &nodepeer.StoreResult{Status: platform.StoreInvalid, Reason: "no record of a caller"}}, nil
 	}
+	if newer := p.newerConfig(ctx, req, record); newer != nil {
+		return nodepeer.Response{StoreResult: &nodepeer.StoreResult{Status: platform.StoreInvalid, Reason: "the path leads to another service by a newer configuration"}, Config: newer}, nil
+	}
 	response := p.intake.Serve(ctx, intake.StoreRequest{Partition: req.Partition, Record: record, PendingAfter: time.Duration(req.PendingAfterMS) * time.Millisecond})
 	return nodepeer.Response{StoreResult: &nodepeer.StoreResult{Status: response.Status, Pending: response.Pending, Unavailable: response.Unavailable, Reason: response.Reason}}, nil
 }
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -102,6 +102,8 @@
 	// store, nil if the node has none.
 	HandoverRecords []StoredRecord `json:"rp,omitempty"`
 	Config          *ConfigResult  `json:"cf,omitempty"`
+	// ConfigVersion is the version of the node's configuration, with the state of a job that it doesn't know.
+	ConfigVersion int64 `json:"cv,omitempty"`
 	// Follow is set if the node reads the store itself and in time.
 	Follow *FollowResult `json:"fo,omitempty"`
 	// Stands is set if the owner knows the requester's job, or its cancellation if that was asked for.
