front: a record that is rejected for the node's outdated version alone is stored

Cause: the owner's node can't tell from a cancellation where its path leads.

Change: once this node uses the newer configuration, which comes with the rejection, the record is sent again if the path leads where it did.

--- a/internal/front/formerroutes_test.go
+++ b/internal/front/formerroutes_test.go
@@ -139,3 +139,27 @@
 		assert.Empty(t, r.jobs.records)
 	})
 }
+
+// Guards against a request that fails because a change of the configuration that doesn't concern it has reached the
+// owner's node first.
+func TestARecordThatIsRejectedForTheVersionAloneIsStored(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodDelete} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newFrontRig(t)
+			newer, older := *r.config, r.config
+			newer.Version++
+			asked := 0
+			r.handler.Config = func() *workload.Config {
+				if asked++; asked > 1 {
+					return &newer
+				}
+				return older
+			}
+			r.jobs.outcomes = []platform.StoreStatus{platform.StoreInvalid}
+			assert.Equal(t, http.StatusOK, r.send(method, jobPath, "Bearer ward-key").StatusCode, method)
+			assert.Len(t, r.jobs.records, 1, method)
+			r.jobs.outcomes = []platform.StoreStatus{platform.StoreInvalid}
+			assert.Equal(t, http.StatusInternalServerError, r.send(method, jobPath, "Bearer ward-key").StatusCode, "the version is the newest")
+		})
+	}
+}
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -145,6 +145,10 @@
 			if h.isRerouted(req) {
 				return uncertainResponse(returntime.NoConfiguration, "the path leads to another service by a newer configuration; an earlier attempt may have been taken")
 			}
+			if version := h.Config().Version; version > req.configVersion {
+				req.configVersion = version // the record may have been rejected for the version alone
+				continue
+			}
 			return errorResponse(http.StatusInternalServerError, "store: "+err.Error())
 		}
 	}
