standin: settings state the store's limits only where that is asked for

Change: NodeSettings.StatesStoreLimits; the tests and the demo set it. Without it the settings are as before.

--- a/cmd/yuccadrift-platform-standin/main.go
+++ b/cmd/yuccadrift-platform-standin/main.go
@@ -68,6 +68,8 @@
 	for i := range cmd.Int("nodes") {
 		first := cmd.Int("port") + portsPerNode*i
 		place := standin.NodeSettings{
+			StatesStoreLimits: true,
+
 			Name: "entry-" + strconv.Itoa(i), Zone: "zone-" + strconv.Itoa(i%2), IP: "127.0.0.1",
 			Caller: first, Ready: first + 1, FirstPeer: first + 2, LastPeer: first + 3,
 		}
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -102,7 +102,7 @@
 	// store, nil if the node has none.
 	HandoverRecords []StoredRecord `json:"rp,omitempty"`
 	Config          *ConfigResult  `json:"cf,omitempty"`
-	// ConfigVersion is the version of the node's configuration, with the state of a job that it doesn't know.
+	// ConfigVersion is the version of the node's configuration, stated with the state of a job.
 	ConfigVersion int64 `json:"cv,omitempty"`
 	// Follow is set if the node reads the store itself and in time.
 	Follow *FollowResult `json:"fo,omitempty"`
--- a/internal/testkit/jobs.go
+++ b/internal/testkit/jobs.go
@@ -100,6 +100,8 @@
 // configure assigns ports to a node, writes its settings file and creates its process.
 func (c *JobCluster) configure(n *JobNode, dir, ip string, i, firstPort int) {
 	settings := standin.NodeSettings{
+		StatesStoreLimits: true,
+
 		Name: nodeName(i), Zone: "zone-" + strconv.Itoa(i%2), IP: ip,
 		Caller: firstPort, Ready: firstPort + 1, FirstPeer: firstPort + 2, LastPeer: firstPort + 3,
 	}
