--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -124,7 +124,12 @@
 // worker is no longer available.
 func (c *Core) placeSuspect(p *placementPool, x suspect, now time.Time) {
 	s, t := x.step, x.task()
-	if !c.admitSuspect(s, now) || !c.ensureAdvice(p, s, now) {
+	if !c.admitSuspect(s, now) {
+		return
+	}
+	if !c.ensureAdvice(p, s, now) {
+		c.requestAdviceFor(p, s, now)
+		p.reserveForSuspects(s, now)
 		return
 	}
 	if t.plannedIsolatedRun != nil && p.canStartPlanned(s, t.plannedIsolatedRun, now) {
@@ -137,8 +142,12 @@
 		p.reserveForSuspects(s, now)
 		w = p.bestReservedWorker(s, now)
 	}
-	if w != nil {
+	switch {
+	case w != nil:
 		c.planIsolatedRun(w, s, t, s.nextRunNumber(c.settings.Epoch), now)
+	case s.needsAdvice():
+		// Only other workers than the reserved ones may have a valid ticket.
+		c.requestAdvice(p, s, true, now)
 	}
 }
 
@@ -243,14 +252,17 @@
 	return slices.Contains(p.reservedForSuspects, w) || slices.Contains(p.workers, w)
 }
 
-// reserveForSuspects renews the reservations of workers that could run the step's suspects and
-// reserves one more worker up to maxReservedForSuspects. If no reserved worker could run them, for
+// reserveForSuspects renews the reservations of workers that can run the step's suspects within a known time and
+// reserves one more worker up to maxReservedForSuspects. If no reserved worker can run them, for
 // example because none has the required label, it exceeds the bound. Otherwise the suspects would
-// wait forever.
+// wait forever. It reserves nothing for a step that can't be placed.
 func (p *placementPool) reserveForSuspects(s *step, now time.Time) {
+	if s.coveringWorkers(slices.DeleteFunc(slices.Concat(p.reservedForSuspects, p.workers), func(w *worker) bool { return !s.mayRunOn(w) }), now) == nil {
+		return
+	}
 	capable := 0
 	for _, w := range p.reservedForSuspects {
-		if s.canEventuallyRunOn(w) {
+		if s.placesOn(w, now) > 0 {
 			w.reservedForSuspectsUntil = now.Add(suspectReservationTTL)
 			capable++
 		}
@@ -258,7 +270,7 @@
 	if capable > 0 && len(p.reservedForSuspects) >= p.maxReservedForSuspects(now) {
 		return
 	}
-	i := p.leastLoadedIndex(s)
+	i := p.leastLoadedIndex(s, now)
 	if i < 0 {
 		return
 	}
--- a/internal/scheduler/placementpool.go
+++ b/internal/scheduler/placementpool.go
@@ -63,12 +63,12 @@
 	}
 }
 
-// leastLoadedIndex returns the index of the least loaded worker that could run a task of the step
-// once all runs there that are not long-running have ended, -1 if there is none.
-func (p *placementPool) leastLoadedIndex(s *step) int {
+// leastLoadedIndex returns the index of the least loaded worker that can run a task of the step within a known time,
+// -1 if there is none.
+func (p *placementPool) leastLoadedIndex(s *step, now time.Time) int {
 	best := -1
 	for i, w := range p.workers {
-		if !s.canEventuallyRunOn(w) {
+		if s.placesOn(w, now) == 0 {
 			continue
 		}
 		if best < 0 || w.utilization() < p.workers[best].utilization() {
@@ -78,15 +78,6 @@
 	return best
 }
 
-// canEventuallyRunOn reports whether a worker could run a task of the step once all runs there that
-// are not long-running have ended.
-func (s *step) canEventuallyRunOn(w *worker) bool {
-	if !s.spec.Reservation().FitsIn(w.info.Capacity.Sub(w.reservedByLongRunning())) || !w.info.HasLabel(s.spec.RequiredLabel) {
-		return false
-	}
-	return s.spec.MaxPerWorker == 0 || s.liveRunsByWorker[w.info.ID] < s.spec.MaxPerWorker
-}
-
 // removeAt excludes a worker from the starts of this plan.
 func (p *placementPool) removeAt(i int) {
 	p.workers = slices.Delete(p.workers, i, i+1)
