scheduler: preemption stops runs only where the urgent task may run

Cause: placementLimit looked at the label and the spread of a worker, not at advice. A step on a full service had no tickets at all, as those are requested for workers with room only.

Change: placementLimit asks mayRunOn, and advice is requested for busy workers before runs are stopped.

Evidence: TestPreemptionStopsRunsOnApprovedWorkersOnly, with one approved worker of two, stops a run on the other one on the code before.

--- a/internal/scheduler/preempt.go
+++ b/internal/scheduler/preempt.go
@@ -55,6 +55,7 @@
 	if !s.spec.LongRunning {
 		p.preemptionSearches++
 	}
+	c.requestAdviceFor(p, s, now)
 	c.Counts.PlacementChecks += len(p.workers)
 	if p.tasksFittingAfterStops(s) >= s.idleCount {
 		return // the stops in progress free enough capacity
@@ -175,7 +176,7 @@
 // placementLimit returns how many of the step's idle tasks a worker may get, regardless of its free
 // capacity.
 func (s *step) placementLimit(w *worker) int {
-	if !w.info.HasLabel(s.spec.RequiredLabel) {
+	if !s.mayRunOn(w) {
 		return 0
 	}
 	if s.spec.MaxPerWorker == 0 {
