scheduler: a gang requests the tickets that it lacks

Cause: advice was requested only while no worker with a valid ticket had room for one task, and only for workers with room at that moment. A gang with one ticket never asked about the others. Conversely a gang that can never fit renewed its tickets at each expiry.

Change: a step whose startable tasks wait requests the tickets that it lacks; for a gang also of busy workers that were never asked about, and renewals only while the whole gang fits on workers that were not refused.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/feasibility"
 )
 
 // Limits of advice requests.
@@ -50,7 +52,7 @@
 	fits := func(w *worker) bool { return s.fitsOn(w, now) }
 	usable := slices.ContainsFunc(p.workers, fits) || slices.ContainsFunc(p.reservedForSuspects, fits)
 	if !usable {
-		c.requestAdvice(p, s, false, now)
+		c.requestAdvice(p, s, s.spec.Gang, now)
 	}
 	return usable
 }
@@ -81,20 +83,29 @@
 	return w.info.HasLabel(s.spec.RequiredLabel) && !s.mayRunOn(w) && !s.advice.refusedWorkers[w.info.ID]
 }
 
+// requestMissingTickets requests advice for a step whose tasks wait although it may be placed: the workers with valid
+// tickets have too little room, and others may have more.
+func (c *Core) requestMissingTickets(p *placementPool, s *step, now time.Time) {
+	if s.needsAdvice() && s.hasStartableTask(now) {
+		c.requestAdvice(p, s, s.spec.Gang, now)
+	}
+}
+
 // requestAdvice requests tickets for workers with enough free capacity, unless a request is in flight. Workers that
 // were approved before are named first. With includeBusy, workers of which nothing is known yet follow, although they
-// have too little free capacity now.
+// have too little free capacity now. Tickets of a gang are not renewed while it does not fit as a whole.
 func (c *Core) requestAdvice(p *placementPool, s *step, includeBusy bool, now time.Time) {
 	if s.advice.requestInFlight || now.Before(s.advice.nextRequestAt) {
 		return
 	}
 	workers := slices.Concat(p.workers, p.reservedForSuspects)
+	hasRoom := !s.spec.Gang || s.fitsNowIfApproved(workers)
 	var known, unknown, busy []string
 	for _, w := range workers {
 		if s.validTicket(w.info.ID, now) != nil {
 			continue
 		}
-		fits := s.spec.Reservation().FitsIn(w.free())
+		fits := hasRoom && s.spec.Reservation().FitsIn(w.free())
 		switch {
 		case fits && s.advice.isApproved(w):
 			known = append(known, w.info.ID)
@@ -112,6 +123,18 @@
 	c.orders.AdviceRequests = append(c.orders.AdviceRequests, AdviceOrder{Step: s.taskKey(0), Workers: workerIDs[:min(len(workerIDs), maxAdviceWorkers)]})
 }
 
+// fitsNowIfApproved reports whether the tasks of the step that start together fit on workers that were not refused.
+func (s *step) fitsNowIfApproved(workers []*worker) bool {
+	var rooms []feasibility.Room
+	for _, w := range workers {
+		if w.info.HasLabel(s.spec.RequiredLabel) && !s.advice.refusedWorkers[w.info.ID] {
+			rooms = append(rooms, feasibility.Room{Free: w.free(), TasksOfStep: s.liveRunsByWorker[w.info.ID]})
+		}
+	}
+	_, ok := s.startRequest().Cover(rooms)
+	return ok
+}
+
 // isApproved reports whether the worker has got a ticket, be it valid or not.
 func (a *adviceState) isApproved(w *worker) bool {
 	_, ok := a.ticketsByWorker[w.info.ID]
--- a/internal/scheduler/adviceplaces_test.go
+++ b/internal/scheduler/adviceplaces_test.go
@@ -7,9 +7,63 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
+// Guards against a gang that waits for the expiry of its tickets beside idle workers: it holds one ticket, and requested
+// none for workers that were busy at that moment.
+func TestGangRequestsTicketsOfWorkersThatWereBusy(t *testing.T) {
+	r := newRig(t)
+	config := adviceConfig()
+	r.core.SetConfig(config)
+	r.syncWorkers("w-1", "w-2", "w-3")
+	busy := r.startJob("0000000000000001", batchStep(2, 7000))
+	gang := batchStep(2, 7000)
+	gang.Gang = true
+	r.submitToQueue("advised", "0000000000000002", gang)
+	approveAll := func() {
+		for _, request := range r.adviceRequests {
+			tickets := map[string]string{}
+			for _, id := range request.Workers {
+				tickets[id] = "ticket"
+			}
+			r.core.HandleAdviceResult(scheduler.AdviceResult{Order: request, SentAt: r.now, OK: true, ValidFor: 30 * time.Second, Tickets: tickets}, r.now)
+		}
+		r.adviceRequests = nil
+	}
+	for range 10 {
+		assert.Empty(t, r.step(50*time.Millisecond).Starts)
+		approveAll()
+	}
+	for _, s := range busy {
+		r.answerPoll(s.Worker.ID, r.now.Add(time.Millisecond), exitReport(1, s, workload.ExitDone))
+	}
+	var starts []scheduler.StartOrder
+	for range 6 {
+		starts = append(starts, r.step(50*time.Millisecond).Starts...)
+		approveAll()
+	}
+	assert.Len(t, starts, 2)
+}
+
+// Guards against advice that is requested again and again for a gang that does not fit.
+func TestGangThatDoesNotFitRenewsNoTickets(t *testing.T) {
+	r := newRig(t)
+	r.core.SetConfig(adviceConfig())
+	r.syncWorkers("w-1", "w-2")
+	gang := batchStep(3, 7000)
+	gang.Gang = true
+	r.submitToQueue("advised", "0000000000000001", gang)
+	requests := 0
+	for range 200 {
+		r.step(50 * time.Millisecond)
+		requests += len(r.adviceRequests)
+		r.answerAdvice("w-1", "w-2")
+	}
+	assert.LessOrEqual(t, requests, 1)
+}
+
 // Guards against runs that are stopped for an urgent task on workers that may not run it.
 func TestPreemptionStopsRunsOnApprovedWorkersOnly(t *testing.T) {
 	r := newRig(t)
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -63,6 +63,7 @@
 		c.Counts.PlacementChecks++
 		idleBefore := s.idleCount
 		c.placeStep(pool, s, now)
+		c.requestMissingTickets(pool, s, now)
 		waiting := s.idleCount - s.idleSuspectCount()
 		isBlockedByCap := waiting > 0 && !c.isWithinCap(s, s.minTasksPerStart(), now)
 		if isBlockedByCap {
