--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -57,6 +57,7 @@
 	liveRunsByWorker       map[string]int // by worker ID; nil before the first run
 	liveRunsByRack         map[string]int // by the rack of the worker when the run was added; nil before the first run
 	checkpoint             string         // newest of any task; a gang restarts from it
+	failedOn               []string       // IDs of the workers that its runs failed on since one succeeded, at most maxWorkersBlamed
 	advice                 *adviceState   // nil if no advice is needed: any worker may run it
 	occurrenceRanked       bool           // set on an occurrence's first step while the occurrence is ranked
 	// sizeStats is the record of the occurrence's job size in its queue, nil before the
@@ -83,6 +84,7 @@
 	avoidWorker        string    // ID of the worker where it failed last
 	avoidUntil         time.Time // until then it does not start on avoidWorker
 	notBefore          time.Time // earliest time of the next start
+	earlyFailures      int       // in a row, of a long-running task
 }
 
 // createSteps creates the steps of all occurrences.
--- a/internal/scheduler/pollresult.go
+++ b/internal/scheduler/pollresult.go
@@ -271,13 +271,13 @@
 		t.checkpoint = exit.Checkpoint
 		s.checkpoint = exit.Checkpoint
 	}
-	w.failures.recordExit(exit.Reason, s, runDuration, now)
+	w.recordExit(exit.Reason, s, runDuration, now)
 	switch {
 	case s.job.finalState.IsTerminal() || t.done:
 	case exit.Reason == workload.ExitDone && !s.spec.LongRunning:
 		c.completeTask(s, exit.Task.Index, now)
 	case exit.Reason == workload.ExitFailed:
-		c.recordFailedRun(w, s, t, exit, now)
+		c.recordFailedRun(w, s, t, exit, runDuration, now)
 	case exit.Reason == workload.ExitLeaseExpired:
 		c.Counts.ExpiredRuns++
 	}
@@ -318,11 +318,12 @@
 
 // recordFailedRun records a run that failed by its task's own fault, and fails the job once the
 // task, or the gang as a whole, has failed MaxAttempts times. Long-running tasks have no limit.
-func (c *Core) recordFailedRun(w *worker, s *step, t *task, exit workload.RunExit, now time.Time) {
+func (c *Core) recordFailedRun(w *worker, s *step, t *task, exit workload.RunExit, runDuration time.Duration, now time.Time) {
 	c.Counts.FailedRuns++
 	t.avoidWorker = w.info.ID
 	t.avoidUntil = now.Add(avoidWorkerDuration)
 	if s.spec.LongRunning {
+		t.delayRestart(s, runDuration, now)
 		return // its attempts are not limited
 	}
 	if slices.Contains(t.failedRuns, exit.Run) {
