scheduler: a task that is larger than any worker is no demand for more of them

A long-running task that no worker of its service can run counts as demand for good, so the pool gets VMs of other pools that can't run it either.

Cause: addStepDemand added the tasks of each ready step, whatever their size.

Change: such tasks are reported as an unmet requirement alone, which asks for one VM that is large enough. The largest capacity in a worker's incarnation counts, so that a reduced one suppresses no demand.

Evidence: TestTasksLargerThanAnyWorkerAreNoDemand sees a demand of 36 cores for four tasks of 9 cores on a worker of 8 on the code before, 0 now. Not measured: what such jobs cost on a deployment.

--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -22,7 +22,7 @@
 		}
 		return l
 	}
-	c.addWorkerLoads(loadOf, now)
+	largest := c.addWorkerLoads(loadOf, now)
 	for _, l := range byService {
 		l.MeanWorkerCapacity = l.MeanWorkerCapacity.DividedBy(len(l.Workers))
 	}
@@ -41,7 +41,10 @@
 			}
 			cand := c.rankOccurrence(j, o, now)
 			for _, s := range cand.steps {
-				budgets.addStepDemand(l, s, cand.class, now)
+				// More workers like these would not run a task that is larger than any of them.
+				if capacity, ok := largest[l.Service]; !ok || s.spec.Reservation().FitsIn(capacity) {
+					budgets.addStepDemand(l, s, cand.class, now)
+				}
 				c.addUnmetRequirement(l, s, now)
 			}
 		}
@@ -56,8 +59,10 @@
 	return list
 }
 
-// addWorkerLoads adds the registered workers and their capacities to the loads of their services.
-func (c *Core) addWorkerLoads(loadOf func(service string) *workload.ServiceLoad, now time.Time) {
+// addWorkerLoads adds the registered workers and their capacities to the loads of their services. It returns the
+// largest capacity of each resource that a worker of a service has, by service.
+func (c *Core) addWorkerLoads(loadOf func(service string) *workload.ServiceLoad, now time.Time) map[string]workload.Resources {
+	largest := map[string]workload.Resources{}
 	for _, w := range c.sortedWorkers {
 		if w.unregistered {
 			continue
@@ -68,7 +73,9 @@
 		report.Usable = report.Usable && !c.isRackDark(w, now)
 		l.Workers[w.info.ID] = report
 		l.MeanWorkerCapacity = l.MeanWorkerCapacity.Add(w.info.Capacity)
+		largest[w.info.Service] = largest[w.info.Service].Max(w.maxCapacity)
 	}
+	return largest
 }
 
 // suspectsPerVM is the number of suspects waiting for an isolated run for which a service
--- a/internal/scheduler/step_test.go
+++ b/internal/scheduler/step_test.go
@@ -145,6 +145,21 @@
 	assert.Equal(t, 8000, loads[0].DemandByLabel["rack-7"].CPU)
 }
 
+// Guards against a pool that gets VMs of other pools for tasks that none of them can run.
+func TestTasksLargerThanAnyWorkerAreNoDemand(t *testing.T) {
+	r := newRig(t)
+	r.syncWorkers("w-1")
+	tooLarge := batchStep(4, 9000)
+	tooLarge.LongRunning = true
+	r.submit("0000000000000001", tooLarge)
+	r.step(20 * time.Millisecond)
+	load := r.core.ServiceLoads(r.now)[0]
+	assert.Zero(t, load.PendingDemand)
+	assert.Len(t, load.UnmetRequirements, 1)
+	r.submit("0000000000000002", batchStep(1, 8000))
+	assert.Equal(t, 8000, r.core.ServiceLoads(r.now)[0].PendingDemand.CPU)
+}
+
 // After a takeover no worker has answered yet. No unmet requirement may be reported then, as VMs would
 // be moved needlessly.
 func TestNoUnmetRequirementsBeforeWorkersAnswer(t *testing.T) {
