scripts: KNOWN-RED.txt lists scripts, too

The bound of three lines stays for tests.

Evidence: TestKnownRedPrintsScripts; the code before takes such a line for a malformed one and fails the run.

--- a/scripts/scripts_test.go
+++ b/scripts/scripts_test.go
@@ -72,3 +72,16 @@
 		assert.Contains(t, output, complaint)
 	}
 }
+
+// A listed script that is gone may not stay on the list unnoticed, and one that is there is printed.
+func TestKnownRedPrintsScripts(t *testing.T) {
+	red := "./a TestRed | same | issue 4\n./a TestRedAlso | same | issue 4\n./a TestSeeds/seed_1 | same | issue 4\n"
+	output, passed := run(t, red+"script scripts/test.sh | not mended yet | issue 4\n")
+	assert.True(t, passed, output)
+	assert.Contains(t, output, "known red, not run: script scripts/test.sh | not mended yet | issue 4")
+	for _, line := range []string{"script scripts/gone.sh | not mended yet | issue 4\n", "script go.mod\n", "script a | a folder | issue 4\n"} {
+		output, passed = run(t, red+line)
+		assert.False(t, passed, line)
+		assert.Contains(t, output, "KNOWN-RED.txt: no", line)
+	}
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,8 +3,10 @@
 # A line of that file is "PACKAGE TEST | cause | issue", as in
 #   ./internal/claim TestOwnerPausedPastLease | lease read before the pause | issue 4
 # or, for one subtest of a test, "PACKAGE TEST/SUBTEST | cause | issue".
-# Empty lines and lines that start with # are left out. Three lines at most; a
+# Empty lines and lines that start with # are left out. Three tests at most; a
 # line whose test does not exist is an error, so that stale ones do not stay.
+# Scripts that no test runs are listed as "script PATH | cause | issue". They are
+# printed; a path that is no executable file is an error.
 # Arguments are handed to `go test`.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -17,14 +19,24 @@
 	exit 1
 }
 
-red=()
+red=() red_scripts=()
 if [[ -f $red_file ]]; then
 	while IFS= read -r line || [[ -n $line ]]; do
-		[[ -z $line || $line == \#* ]] || red+=("$line")
+		case $line in
+		'' | \#*) ;;
+		script\ *) red_scripts+=("$line") ;;
+		*) red+=("$line") ;;
+		esac
 	done <"$red_file"
 fi
 ((${#red[@]} <= max_red)) || fail "${#red[@]} tests are listed, at most $max_red may be"
 
+for line in "${red_scripts[@]+"${red_scripts[@]}"}"; do
+	[[ $line =~ ^script\ ([^ |]+)\ \|\ [^|]+\ \|\ [^|]+$ ]] || fail "not 'script PATH | cause | issue': $line"
+	[[ -f ${BASH_REMATCH[1]} && -x ${BASH_REMATCH[1]} ]] || fail "no such script: ${BASH_REMATCH[1]}"
+	echo "known red, not run: $line"
+done
+
 packages=$($go list ./...)
 declare -A skip=()
 for line in "${red[@]+"${red[@]}"}"; do
