scheduler: steps that can't be placed cost a plan little

Cause: each such step looked at all runs of the service in each plan.

Change: what a worker offers is computed once in a plan, and a step that can't be placed is looked at again after 0.5 s.

--- a/internal/scheduler/feasible.go
+++ b/internal/scheduler/feasible.go
@@ -54,13 +54,23 @@
 // roomOn returns what a worker offers to the step once the runs there that end on their own have ended, without
 // what it is held for.
 func (s *step) roomOn(w *worker, now time.Time) feasibility.Room {
-	free := w.info.Capacity.Sub(w.hold.claimed)
+	return feasibility.Room{Free: w.roomWithoutEndingRuns(now).Sub(w.hold.claimed), TasksOfStep: s.liveRunsByWorker[w.info.ID]}
+}
+
+// roomWithoutEndingRuns returns a worker's capacity without what its runs keep that don't end on their own. It is
+// computed once in each plan, and again after a start there.
+func (w *worker) roomWithoutEndingRuns(now time.Time) workload.Resources {
+	if w.hold.roomKnown {
+		return w.hold.room
+	}
+	room := w.info.Capacity
 	for _, r := range w.runs {
 		if _, ends := r.remainingTime(now); !ends {
-			free = free.Sub(r.step.spec.Reservation())
+			room = room.Sub(r.step.spec.Reservation())
 		}
 	}
-	return feasibility.Room{Free: free, TasksOfStep: s.liveRunsByWorker[w.info.ID]}
+	w.hold.room, w.hold.roomKnown = room, true
+	return room
 }
 
 // placesOn returns how many of the tasks that start together a worker can run within a known time.
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -29,24 +29,29 @@
 	wideHoldPauseFactor = 4
 	// backfillFactor is how many times the estimate of a task must fit in the time that its worker is held for.
 	backfillFactor = 2
-	// infeasibleRecheckInterval is how long a step that can't be placed does not count as starved, so that others do.
-	infeasibleRecheckInterval = 5 * time.Second
+	// infeasibleRecheckInterval is how often a step that can't be placed is looked at again. For infeasibleDuration it
+	// does not count as starved, so that others do.
+	infeasibleRecheckInterval = 500 * time.Millisecond
+	infeasibleDuration        = 5 * time.Second
 	// unplaceableLogInterval is the shortest time between two series of log lines on steps that can't be placed.
 	unplaceableLogInterval = 10 * time.Second
 )
 
 // workerHold is what the current plan holds a worker for.
 type workerHold struct {
-	readyAt time.Time          // when the room is expected, zero if the worker is not held
-	claimed workload.Resources // by the steps that it is held for
+	readyAt   time.Time          // when the room is expected, zero if the worker is not held
+	claimed   workload.Resources // by the steps that it is held for
+	room      workload.Resources // roomWithoutEndingRuns, if roomKnown
+	roomKnown bool
 }
 
 // stepHold is the state of a step that holds workers until it starts.
 type stepHold struct {
 	since, until time.Time // zero if it holds none
 	pausedUntil  time.Time
-	// infeasibleUntil is until when the step counts as one that can't be placed.
-	infeasibleUntil time.Time
+	// infeasibleUntil is until when the step counts as one that can't be placed, and recheckAt when it is looked at
+	// again.
+	infeasibleUntil, recheckAt time.Time
 }
 
 // wideHold is the last hold of a service's gang that needed more workers than may be held.
@@ -84,9 +89,13 @@
 	if !s.hasStartableTask(now) || !s.spec.LongRunning && p.heldCount() > 0 {
 		return
 	}
+	if now.Before(s.hold.recheckAt) {
+		p.unplaceable = append(p.unplaceable, s)
+		return
+	}
 	c.requestAdviceFor(p, s, now)
 	if !p.holdWorkersFor(s, now) && !s.awaitsAdvice(p) {
-		s.hold = stepHold{infeasibleUntil: now.Add(infeasibleRecheckInterval)}
+		s.hold = stepHold{infeasibleUntil: now.Add(infeasibleDuration), recheckAt: now.Add(infeasibleRecheckInterval)}
 		p.unplaceable = append(p.unplaceable, s)
 	}
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -276,6 +276,7 @@
 func (w *worker) addRun(r *run) {
 	w.runs = append(w.runs, r)
 	w.reservedResources = w.reservedResources.Add(r.step.spec.Reservation())
+	w.hold.roomKnown = false
 	r.step.addRun(r.task(), r)
 }
 
