scheduler: tasks beyond their workspace's cap request no tickets

What callers saw: nothing; found while reading the diff.

Change: tickets are requested only for a step that lacks room.

Evidence: TestTasksBeyondTheirCapRequestNoTickets sees a request on the code before.

--- a/internal/scheduler/adviceplaces_test.go
+++ b/internal/scheduler/adviceplaces_test.go
@@ -88,3 +88,21 @@
 	}
 	assert.Equal(t, []string{"w-2"}, stopped)
 }
+
+// Guards against advice that is requested for tasks that wait for their workspace's cap.
+func TestTasksBeyondTheirCapRequestNoTickets(t *testing.T) {
+	r := newRig(t)
+	config := adviceConfig()
+	config.Workspaces = workload.NewWorkspaces()
+	require.NoError(t, config.Workspaces.Add(workload.Workspace{Name: "ward", Cap: workload.Resources{CPU: 500, MemoryMB: 1000}}, []string{"key"}))
+	r.core.SetConfig(config)
+	r.syncWorkers("w-1", "w-2")
+	gang := batchStep(2, 400)
+	gang.Gang = true
+	r.core.AddJob("0000000000000001", &workload.Submission{Queue: "advised", Service: "service", Workspace: "ward", AcceptedAtMS: r.now.UnixMilli(), Spec: workload.Spec{Steps: []workload.Step{gang}}})
+	for range 20 {
+		assert.Empty(t, r.step(50*time.Millisecond).Starts)
+	}
+	assert.Positive(t, r.core.Counts.CapBlockedSteps)
+	assert.Empty(t, r.adviceRequests)
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -63,13 +63,15 @@
 		c.Counts.PlacementChecks++
 		idleBefore := s.idleCount
 		c.placeStep(pool, s, now)
-		c.requestMissingTickets(pool, s, now)
 		waiting := s.idleCount - s.idleSuspectCount()
 		isBlockedByCap := waiting > 0 && !c.isWithinCap(s, s.minTasksPerStart(), now)
 		if isBlockedByCap {
 			c.recordBlocked(s, waiting, now)
 		}
 		lacksCapacity := waiting > 0 && !isBlockedByCap
+		if lacksCapacity {
+			c.requestMissingTickets(pool, s, now)
+		}
 		if lacksCapacity || s.idleCount < idleBefore {
 			c.serviceBusyUntil[s.job.submission.Service] = now.Add(serviceBusyDuration)
 		}
