scheduler: log starts without an answer at restarts, and exits beside other runs

The logs could not tell whether a run that was dropped as lapsed had been answered, whether the registry entry already named another process, nor that a run ended after its task had started again. worker-restarted now says how many starts had no answer, lapsed says what was not known, exit-beside-run is new.

--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -77,6 +77,9 @@
 // previous process. Its runs are kept until the first report of the new incarnation.
 func (c *Core) handleRestart(w *worker, incarnation int64, reason string, now time.Time) {
 	c.Counts.WorkerRestarts++
+	if n := w.unansweredStarts(); n > 0 {
+		reason += fmt.Sprintf("; %d starts were not answered", n)
+	}
 	c.recordDecision(Decision{Verb: "worker-restarted", Worker: w.info.ID, Reason: reason, Age: now.Sub(w.lastReportHandledAt), AlwaysLogged: true})
 	c.raiseToken(w)
 	w.incarnation = incarnation
@@ -100,6 +103,18 @@
 	c.planStale = true
 }
 
+// unansweredStarts returns how many of the worker's runs are not known to have started. The next incarnation may
+// carry their starts out.
+func (w *worker) unansweredStarts() int {
+	n := 0
+	for _, r := range w.runs {
+		if !r.startConfirmed {
+			n++
+		}
+	}
+	return n
+}
+
 // restartReason returns why a report with another incarnation counts as a restart.
 func restartReason(previous, incarnation int64) string {
 	switch {
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -98,7 +99,7 @@
 	blamed := c.recordSilentLosses(w, expired, now)
 	for _, r := range expired {
 		c.Counts.ExpiredRuns++
-		c.recordDecision(Decision{Verb: "lapsed", Job: r.step.job.id, Task: r.taskKey().String(), Worker: w.info.ID, Run: r.number, Reason: "no answer, lease is over", Age: now.Sub(w.lastReportHandledAt)})
+		c.recordDecision(Decision{Verb: "lapsed", Job: r.step.job.id, Task: r.taskKey().String(), Worker: w.info.ID, Run: r.number, Reason: r.lapseReason(), Age: now.Sub(w.lastReportHandledAt)})
 		c.removeRun(r)
 	}
 	for _, r := range blamed {
@@ -106,6 +107,18 @@
 	}
 }
 
+// lapseReason returns why a run counts as ended, and what is not known of it.
+func (r *run) lapseReason() string {
+	reason := "no answer, lease is over"
+	if !r.startConfirmed {
+		reason += "; its start was not answered"
+	}
+	if entry := r.worker.info.Incarnation; entry != 0 && r.incarnation != 0 && entry != r.incarnation {
+		reason += fmt.Sprintf("; it was ordered to the process of %d, the worker's entry is that of %d", r.incarnation, entry)
+	}
+	return reason
+}
+
 // pollWorkers orders polls of the workers that are due.
 func (c *Core) pollWorkers(now time.Time) {
 	c.watchRacks(now)
--- a/internal/scheduler/pollresult.go
+++ b/internal/scheduler/pollresult.go
@@ -259,7 +259,8 @@
 // handleExit handles the exit of a run.
 func (c *Core) handleExit(w *worker, exit workload.RunExit, now time.Time) {
 	runDuration := time.Duration(0)
-	if r := w.findRun(exit.Task, exit.Run); r != nil {
+	r := w.findRun(exit.Task, exit.Run)
+	if r != nil {
 		runDuration = now.Sub(r.orderedAt)
 		c.removeRun(r)
 	}
@@ -267,6 +268,9 @@
 	if s == nil || s.job.submission == nil {
 		return
 	}
+	if r == nil && len(t.runs) > 0 && !s.spec.Speculative {
+		c.recordDecision(Decision{Verb: "exit-beside-run", Job: s.job.id, Task: exit.Task.String(), Worker: w.info.ID, Run: exit.Run, Reason: fmt.Sprintf("ended as %s; run %d of the task is on %s", exit.Reason, t.runs[0].number, t.runs[0].worker.info.ID), AlwaysLogged: true})
+	}
 	if exit.Checkpoint != "" {
 		t.checkpoint = exit.Checkpoint
 		s.checkpoint = exit.Checkpoint
