scheduler: a start that the next process of its worker carries out lasts longer

Cause: a lease ends at a time on the worker's clock, which starts over with each process. A start that hangs while its worker is down is carried out by the next process; its lease, reckoned on the earlier clock, ends far in the future there, and the worker shortens it to the longest that it gives, 10 s. The owner took the answer for one of the earlier process, or had none as the worker was cut off, reckoned 3.8 s, and started the task elsewhere after 4.5 to 9 s.

Ruled out: two owners that renew (impossible within one epoch), a run that passes for lost with the earlier process (no run-lost line names it).

Change: an answer to an order whose clock is below the lower bound from which the run's lease was computed counts as a restart; the comparison needs no tolerance, as a clock only goes forward within one process. A start without an answer counts as live until a lease that the next process gave it has expired: for the time of late orders if the worker is known to have restarted, for that of an order otherwise. A long-running task whose worker is only lost starts again as soon as before: it must not be down that long. The rigs' workers answer with a running clock now, not with 1,000 ms for ever, which no process shows.

--- a/internal/scheduler/core_test.go
+++ b/internal/scheduler/core_test.go
@@ -77,7 +77,7 @@
 	require.Len(t, orders.Stops, 1)
 	assert.Equal(t, start.Start.Run, orders.Stops[0].Run)
 	assert.Empty(t, orders.Starts)
-	r.core.HandleStopResult(scheduler.OrderResult{Worker: start.Worker.ID, Task: start.Start.Task, Run: start.Start.Run, Token: start.Start.Token, Answer: workload.WorkerAnswer{ClockMS: 1000}}, r.now)
+	r.core.HandleStopResult(scheduler.OrderResult{Worker: start.Worker.ID, Task: start.Start.Task, Run: start.Start.Run, Token: start.Start.Token, Answer: workload.WorkerAnswer{ClockMS: r.clockMS(start.Worker.ID)}}, r.now)
 	sentBeforeStopAnswer := r.now.Add(-time.Millisecond)
 	r.answerPoll(start.Worker.ID, sentBeforeStopAnswer, workload.PollReport{})
 	assert.Empty(t, r.step(20*time.Millisecond).Starts, "the poll was sent before the stop was answered")
@@ -208,7 +208,7 @@
 	next.setWorkers("w-1", "w-2")
 	next.step(0)
 	next.core.HandlePollResult(scheduler.PollResult{Worker: "w-1", Token: 4 << 10, SentAt: next.now, Answer: workload.WorkerAnswer{Status: workload.WorkerOutcomeUnknown}}, next.now)
-	next.core.HandlePollResult(scheduler.PollResult{Worker: "w-2", Token: 4 << 10, SentAt: next.now, Answer: workload.WorkerAnswer{ClockMS: 1000}}, next.now)
+	next.core.HandlePollResult(scheduler.PollResult{Worker: "w-2", Token: 4 << 10, SentAt: next.now, Answer: workload.WorkerAnswer{ClockMS: next.clockMS("w-2")}}, next.now)
 	var started []workload.JobID
 	stepN := func(steps int) {
 		for range steps {
@@ -332,7 +332,7 @@
 	next.setWorkers("w-1")
 	next.step(0)
 	report := workload.PollReport{Running: []workload.ListedRun{{Task: start.Start.Task, Run: start.Start.Run, SpeedPercent: 100}}}
-	next.core.HandlePollResult(scheduler.PollResult{Worker: "w-1", Token: 4 << 10, SentAt: next.now, Report: report, Answer: workload.WorkerAnswer{ClockMS: 1000}}, next.now)
+	next.core.HandlePollResult(scheduler.PollResult{Worker: "w-1", Token: 4 << 10, SentAt: next.now, Report: report, Answer: workload.WorkerAnswer{ClockMS: next.clockMS("w-1")}}, next.now)
 	stops := next.step(20 * time.Millisecond).Stops
 	require.Len(t, stops, 1)
 	assert.Equal(t, start.Start.Run, stops[0].Run)
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/scheduler"
@@ -132,6 +133,11 @@
 		for _, info := range w.registry {
 			unresolvedWorkers = append(unresolvedWorkers, info.ID)
 		}
+		for _, id := range w.workerIDs() { // their VMs still name them
+			if f := w.workers[id]; f.partitioned && !f.terminated && !slices.Contains(unresolvedWorkers, id) {
+				unresolvedWorkers = append(unresolvedWorkers, id)
+			}
+		}
 	}
 	settings := testSettings(o.epoch)
 	settings.MaxOwnerOverlap = membershipTTL
@@ -441,6 +447,15 @@
 		deliverAnswer(unanswered, time.Second)
 	case f.processDown || f.refusesConnections:
 		deliverAnswer(f.refusalAnswer(), 2*latency)
+	case !f.partitioned && o.links[worker] == linkHealthy && f.hang(time.Second, func() {
+		w.after(latency, func() {
+			if a, ok := f.execute(order); ok {
+				deliverAnswer(a, latency)
+			} else {
+				deliverAnswer(unanswered, time.Second)
+			}
+		})
+	}, func() { deliverAnswer(unanswered, 0) }):
 	case f.partitioned || f.terminated || o.links[worker] == linkDown:
 		deliverAnswer(unanswered, time.Second)
 	case o.links[worker] == linkAnswersLost:
@@ -465,8 +480,12 @@
 // sendPoll sends a poll, subject to the faults of the history. The answer waits for an exit, at most
 // for the poll's MaxWait.
 func (o *fakeOwner) sendPoll(order scheduler.PollOrder) {
+	o.deliverPoll(order, o.world.now)
+}
+
+// deliverPoll carries out a poll that was sent at sentAt.
+func (o *fakeOwner) deliverPoll(order scheduler.PollOrder, sentAt time.Time) {
 	w := o.world
-	sentAt := w.now
 	f := w.workers[order.Worker.ID]
 	deliverReport := func(report workload.PollReport, a workload.WorkerAnswer) {
 		o.deliver(func() {
@@ -484,6 +503,14 @@
 		return
 	}
 	link := o.links[order.Worker.ID]
+	if !f.partitioned && link == linkHealthy && f.hang(timeout, func() {
+		if !w.acksOutliveProcesses {
+			order.Poll.AckedUpTo = 0
+		}
+		o.deliverPoll(order, sentAt)
+	}, func() { deliverReport(workload.PollReport{}, unanswered) }) {
+		return
+	}
 	if f.partitioned || f.terminated || link != linkHealthy || w.chance(w.faults.lostAnswer) {
 		if !f.partitioned && !f.terminated && link != linkDown {
 			w.after(latency, func() { f.execute(func(f *fakeWorker) workload.WorkerAnswer { return f.poll(order.Poll) }) })
--- a/internal/scheduler/fakeworker_test.go
+++ b/internal/scheduler/fakeworker_test.go
@@ -22,8 +22,11 @@
 	terminated         bool // the process has ended
 	// processDown is set while the process has ended and its VM is up. Connections are then refused
 	// until hasReplacement is set, and answered by another worker from then on.
-	processDown       bool
-	hasReplacement    bool
+	processDown    bool
+	hasReplacement bool
+	// silent is set while the process has ended and calls hang. The next process carries hangingCalls out.
+	silent            bool
+	hangingCalls      []func()
 	capacityReducedAt time.Time // when the capacity was last reduced
 
 	highestToken          int64
@@ -67,7 +70,7 @@
 }
 
 func (f *fakeWorker) clockMillis() int64 {
-	return int64(float64(f.world.now.Sub(f.clockStartedAt).Milliseconds()) * f.clockRate)
+	return 1 + int64(float64(f.world.now.Sub(f.clockStartedAt).Milliseconds())*f.clockRate) // 0 means unknown
 }
 
 // execute executes an order unless the process has ended. It returns false if no answer can reach
@@ -82,9 +85,9 @@
 }
 
 // executeLate executes an order seconds after it was sent. The order is lost if the worker has
-// restarted since.
+// restarted since, unless orders outlive processes.
 func (f *fakeWorker) executeLate(restartCountWhenSent int, order func(f *fakeWorker) workload.WorkerAnswer) {
-	if f.restartCount == restartCountWhenSent {
+	if f.restartCount == restartCountWhenSent || f.world.ordersOutliveProcesses {
 		f.execute(order)
 	}
 }
--- a/internal/scheduler/gang_test.go
+++ b/internal/scheduler/gang_test.go
@@ -47,7 +47,7 @@
 	lastExitSequence := map[string]int64{}
 	for _, s := range stops {
 		lastExitSequence[s.Worker.ID]++
-		r.core.HandleStopResult(scheduler.OrderResult{Worker: s.Worker.ID, Task: s.Task, Run: s.Run, Token: s.Token, Answer: workload.WorkerAnswer{ClockMS: 1000}}, r.now)
+		r.core.HandleStopResult(scheduler.OrderResult{Worker: s.Worker.ID, Task: s.Task, Run: s.Run, Token: s.Token, Answer: workload.WorkerAnswer{ClockMS: r.clockMS(s.Worker.ID)}}, r.now)
 		r.answerPoll(s.Worker.ID, r.now.Add(time.Millisecond), workload.PollReport{Exited: []workload.RunExit{{Sequence: lastExitSequence[s.Worker.ID], Task: s.Task, Run: s.Run, Reason: workload.ExitStopped}}})
 	}
 	restarts := r.stepFor(time.Second).Starts
--- a/internal/scheduler/lease_test.go
+++ b/internal/scheduler/lease_test.go
@@ -85,7 +85,7 @@
 			return
 		}
 		for _, p := range orders.Polls {
-			result := scheduler.PollResult{Worker: p.Worker.ID, Token: r.token(), SentAt: r.now, Extra: p.Extra, Answer: workload.WorkerAnswer{ClockMS: 1000}}
+			result := scheduler.PollResult{Worker: p.Worker.ID, Token: r.token(), SentAt: r.now, Extra: p.Extra, Answer: workload.WorkerAnswer{ClockMS: r.clockMS(p.Worker.ID)}}
 			if p.Worker.ID == s.Worker.ID {
 				result.Answer.Status = workload.WorkerInvalidOrder
 				if p.Poll.LeaseExpiresAtMS > 0 {
--- a/internal/scheduler/longrunning_test.go
+++ b/internal/scheduler/longrunning_test.go
@@ -99,7 +99,7 @@
 		r.answerPoll("w-1", r.now.Add(time.Millisecond), workload.PollReport{Running: listedRuns})
 		throttles := r.step(600 * time.Millisecond).Throttles
 		for _, p := range throttles {
-			r.core.HandleThrottleResult(scheduler.OrderResult{Worker: "w-1", Task: p.Task, Run: p.Run, Token: p.Token, Answer: workload.WorkerAnswer{ClockMS: 1000}}, r.now)
+			r.core.HandleThrottleResult(scheduler.OrderResult{Worker: "w-1", Task: p.Task, Run: p.Run, Token: p.Token, Answer: workload.WorkerAnswer{ClockMS: r.clockMS("w-1")}}, r.now)
 		}
 		return throttles
 	}
--- a/internal/scheduler/orderresult.go
+++ b/internal/scheduler/orderresult.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/workload"
@@ -24,7 +25,8 @@
 
 // applyAnswer applies what an answer states about the worker itself, and returns the run of
 // the order, nil if the run is no longer on the worker. stale is set for an order that was
-// sent before a restart of the worker was detected: either incarnation may have answered.
+// sent before a restart of the worker was detected: either incarnation may have answered. An answer
+// with a clock below that of the run's lease shows such a restart.
 func (c *Core) applyAnswer(result OrderResult, now time.Time) (r *run, stale bool) {
 	w := c.workers[result.Worker]
 	if w == nil {
@@ -37,6 +39,11 @@
 	if result.Token < w.token {
 		return w.findRun(result.Task, result.Run), true
 	}
+	r = w.findRun(result.Task, result.Run)
+	if r != nil && result.Answer.ClockMS != 0 && result.Answer.ClockMS < r.minClockMS {
+		c.handleRestart(w, 0, fmt.Sprintf("its clock went backwards, from %d to %d ms or less", r.minClockMS, result.Answer.ClockMS), now)
+		return r, true
+	}
 	w.recordClock(result.Answer.ClockMS, now)
 	switch result.Answer.Status {
 	case workload.WorkerFenced:
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -164,7 +164,7 @@
 
 // startRun adds a run to a worker and orders its start.
 func (c *Core) startRun(w *worker, s *step, index int, runNumber int64, checkpoint string, now time.Time) *run {
-	r := &run{step: s, index: index, number: runNumber, worker: w, incarnation: w.incarnation, state: runStarting, stateChangedAt: now, orderedAt: now, orderedSpeedPercent: fullSpeedPercent, checkpoint: checkpoint}
+	r := &run{step: s, index: index, number: runNumber, worker: w, incarnation: w.incarnation, state: runStarting, stateChangedAt: now, orderedAt: now, orderedSpeedPercent: fullSpeedPercent, checkpoint: checkpoint, minClockMS: w.minClockMS(now)}
 	jobHadBegun := s.job.started
 	if c.hasUnresolvedWorkers(now) {
 		c.Counts.EarlyStarts++
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -89,12 +89,12 @@
 	}
 }
 
-// dropExpiredRuns drops the runs on a worker whose leases have expired. On a registered worker
-// it keeps runs of which neither the start nor a stop is confirmed: the start may still be
-// carried out until maxOrderDelay after it was ordered, and its lease may count from then.
+// dropExpiredRuns drops the runs on a worker whose leases have expired. It keeps runs of which neither the
+// start nor a stop is confirmed while the start may still be carried out, or its lease may last longer than
+// it was granted.
 func (c *Core) dropExpiredRuns(w *worker, now time.Time) {
 	expired := slices.DeleteFunc(slices.Clone(w.runs), func(r *run) bool {
-		return !r.startConfirmed && !r.stopConfirmed && !w.unregistered && now.Before(r.orderedAt.Add(maxOrderDelay+leaseExpiryDelay(c.settings.LeaseDuration)))
+		return c.mayOutliveLease(r, now)
 	})
 	blamed := c.recordSilentLosses(w, expired, now)
 	for _, r := range expired {
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -21,6 +21,7 @@
 	latestPolls map[string]scheduler.PollOrder
 	// adviceRequests are the requests for advice that answerAdvice has not answered yet.
 	adviceRequests []scheduler.AdviceOrder
+	incarnations   map[string]int64 // of the workers that answered polls as one
 }
 
 // token returns the first fencing token that this owner gives a worker.
@@ -90,7 +91,16 @@
 
 // answerPoll answers a poll with a report.
 func (r *rig) answerPoll(worker string, sentAt time.Time, report workload.PollReport) {
-	r.core.HandlePollResult(scheduler.PollResult{Worker: worker, Token: r.token(), SentAt: sentAt, Report: report, Answer: workload.WorkerAnswer{ClockMS: 1000}}, r.now)
+	r.core.HandlePollResult(scheduler.PollResult{Worker: worker, Token: r.token(), SentAt: sentAt, Report: report, Answer: workload.WorkerAnswer{ClockMS: r.clockMS(worker)}}, r.now)
+}
+
+// clockMS returns a worker's clock. It reads the age of the incarnation that answerPollAs set last, and 1 s at the
+// beginning of the test if there was none.
+func (r *rig) clockMS(worker string) int64 {
+	if incarnation, ok := r.incarnations[worker]; ok {
+		return r.now.UnixMilli() - incarnation
+	}
+	return 1000 + r.now.Sub(historyStart).Milliseconds()
 }
 
 // answerPollReplaced answers a poll as a replacement at the worker's address does.
@@ -101,7 +111,7 @@
 func (r *rig) answerStart(s scheduler.StartOrder, status workload.WorkerStatus) {
 	r.core.HandleStartResult(scheduler.OrderResult{
 		Worker: s.Worker.ID, Task: s.Start.Task, Run: s.Start.Run, Token: s.Start.Token,
-		Answer: workload.WorkerAnswer{Status: status, ClockMS: 1000},
+		Answer: workload.WorkerAnswer{Status: status, ClockMS: r.clockMS(s.Worker.ID)},
 	}, r.now)
 }
 
@@ -132,6 +142,10 @@
 // answerPollAs answers a poll as the given incarnation of the worker.
 func (r *rig) answerPollAs(poll scheduler.PollOrder, incarnation int64, report workload.PollReport) {
 	report.Incarnation = incarnation
+	if r.incarnations == nil {
+		r.incarnations = map[string]int64{}
+	}
+	r.incarnations[poll.Worker.ID] = incarnation
 	r.core.HandlePollResult(scheduler.PollResult{Worker: poll.Worker.ID, Token: poll.Poll.Token, SentAt: r.now, Extra: poll.Extra, Report: report, Answer: workload.WorkerAnswer{ClockMS: r.now.UnixMilli() - incarnation}}, r.now)
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -53,7 +53,10 @@
 	// sent earlier doesn't list the run has no meaning.
 	stateChangedAt time.Time
 	orderedAt      time.Time
-	charge         workshare.Charge // to its workspace
+	// minClockMS is the lower bound of the worker's clock from which the lease of the start was computed, in
+	// milliseconds; 0 for inherited runs. Only another incarnation can show a lower clock later.
+	minClockMS int64
+	charge     workshare.Charge // to its workspace
 
 	// Stop of the run.
 	lastStopAt      time.Time
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -72,6 +72,10 @@
 	// crashedWorkersRestart is set if a worker that a task crashes restarts under the same ID,
 	// crashesLoseVM if its VM is lost with it.
 	crashedWorkersRestart, crashesLoseVM bool
+	// ordersOutliveProcesses is set if an order that is carried out late may reach the next process of its worker.
+	ordersOutliveProcesses bool
+	// acksOutliveProcesses is set if the acknowledgement of a hanging poll reaches the next process, too.
+	acksOutliveProcesses bool
 	// lostRunsOfOtherJobs counts the runs that such crashes ended, without those of the jobs that
 	// caused them.
 	lostRunsOfOtherJobs int
