scheduler: later owners know of leases on an earlier process's clock

An owner that saw the restart counted with it, but only in its memory: a successor, with or without a handover, and the owner itself after it had removed the worker and added it again, reckoned 3.8 s. Class: what an owner learns dies with it.

Workers with such leases are stored before the first start there and handed on; a worker that may have restarted under its ID shortly before a takeover counts as one (the follower of the registry tells which IDs are new); a takeover waits for a silent one until 11.6 s, only with the tasks that it may run. Ruled out: waiting that long in each takeover, which all jobs beside a dark rack would pay.

An exit-beside-run line leaves out lapses, which are the rule there.

--- a/internal/owner/handover.go
+++ b/internal/owner/handover.go
@@ -83,7 +83,8 @@
 // predecessorState is the state that the predecessor left. It is empty if unknown.
 type predecessorState struct {
 	handover *workload.Handover
-	// unstoredProgress is the progress of jobs that the predecessor did not store.
+	unstored []workload.Record // what the predecessor did not store
+	// unstoredProgress is the progress of jobs among it.
 	unstoredProgress map[workload.JobID]*workload.Progress
 }
 
@@ -173,7 +174,7 @@
 		o.logger.Info("node has no handover of the previous owner", "address", lastTakeover.Address, "previous", lastTakeover.Epoch)
 		return predecessorState{}, false
 	}
-	predecessor := predecessorState{handover: handover, unstoredProgress: map[workload.JobID]*workload.Progress{}}
+	predecessor := predecessorState{handover: handover, unstored: records, unstoredProgress: map[workload.JobID]*workload.Progress{}}
 	for _, r := range records {
 		if r.Progress != nil {
 			predecessor.unstoredProgress[r.Job] = r.Progress
@@ -192,6 +193,15 @@
 	return nil
 }
 
+// restoreLongLeases passes the long leases to the core that earlier owners stored or reported.
+func restoreLongLeases(core *scheduler.Core, records []workload.Record) {
+	for _, r := range records {
+		if r.LongLeases != nil {
+			core.RestoreLongLeases(r.LongLeases)
+		}
+	}
+}
+
 // predecessorHandover returns the predecessor's handover and its takeover record, nil if
 // there is none. A handover of any earlier owner doesn't count: later owners have started
 // more runs.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -202,6 +202,7 @@
 	}
 	records := o.decode(batch)
 	restoreLoans(core, records)
+	restoreLongLeases(core, append(records, predecessor.unstored...))
 	core.SetLogEnd(batch.Next)
 	applyRecords(core, records, core.AddSnapshotJob, time.Now())
 	if reason := core.StepDownReason(); reason != "" {
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	takeoverLease   = 3500 * time.Millisecond
-	takeoverOverlap = 1200 * time.Millisecond
+	takeoverLease     = 3500 * time.Millisecond
+	takeoverLongLease = 10 * time.Second
+	takeoverOverlap   = 1200 * time.Millisecond
 	// takeoverListing is longer than a list of VMs takes that is answered.
 	takeoverListing = 100 * time.Millisecond
 )
@@ -106,13 +107,15 @@
 
 // firstStartAfterTakeover returns how long after a takeover the first task of a job starts that an earlier
 // owner has accepted. The earlier owner left no handover. Worker w-2 is registered and answers, the entry of
-// w-1 has been removed. list answers the new owner's requests for the VMs.
-func firstStartAfterTakeover(t *testing.T, list vmListerFunc) time.Duration {
+// w-1 has been removed. list answers the new owner's requests for the VMs. The store has the given records of the
+// earlier owner, too.
+func firstStartAfterTakeover(t *testing.T, list vmListerFunc, records ...workload.Record) time.Duration {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	const entry = `{"service":"booking","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"ready","sequence":4,"capacity":{"cpu":16000,"mem_mb":65536},"labels":["a"]}`
 	store := &takeoverStore{entries: []platform.KeyedRecord{{Key: "w-2", Value: []byte(entry)}}}
 	store.put(t, workload.Record{Takeover: &workload.Takeover{Epoch: 7, InLogOrder: true}}, newSubmission(waitingJob))
+	store.put(t, records...)
 	logger := hclog.NewNullLogger()
 	workers := &takeoverWorkers{}
 	configs, entries := published.New(store, logger), registry.New(store, logger)
@@ -126,7 +129,7 @@
 	o := New(Deps{
 		Store: store, Hedger: hedge.New(), Workers: workers, VMs: list, Published: configs, Registry: entries,
 		Logger: logger, Metrics: NewMetrics(prometheus.NewRegistry()), Assignments: onePartition{},
-		Bounds:               platform.Bounds{JobRetention: time.Minute, MaxLeaseDuration: 10 * time.Second},
+		Bounds:               platform.Bounds{JobRetention: time.Minute, MaxLeaseDuration: takeoverLongLease},
 		ConfirmingJoinSentAt: func(int) time.Time { return time.Now() },
 		OwnedUntil:           func(int) time.Time { return farFuture },
 		AuthorityUntil:       func(int) time.Time { return farFuture },
@@ -136,7 +139,7 @@
 	}, 0, 9)
 	beganAt := time.Now()
 	running.Go(func() { assert.Error(t, o.Run(ctx)) })
-	time.Sleep(takeoverLease + takeoverOverlap + 2*time.Second)
+	time.Sleep(takeoverLongLease + takeoverOverlap + 2*time.Second)
 	cancel()
 	running.Wait()
 	time.Sleep(time.Second) // for calls in flight
@@ -173,6 +176,20 @@
 	}
 }
 
+// Guards against a task that runs twice: its worker has restarted under an earlier owner, which has stored that the task
+// may run there for a long lease.
+func TestTasksOfWorkersWithLongLeasesAreNotStartedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		wait := firstStartAfterTakeover(t, func(context.Context) ([]workload.VM, error) {
+			return []workload.VM{
+				{ID: "vm-1", Pool: "booking", State: workload.VMUp, Worker: "w-1"},
+				{ID: "vm-2", Pool: "booking", State: workload.VMUp, Worker: "w-2"},
+			}, nil
+		}, workload.Record{LongLeases: &workload.LongLeases{Workers: []string{"w-1"}}})
+		assert.GreaterOrEqual(t, wait, takeoverOverlap+takeoverLongLease)
+	})
+}
+
 // Guards against jobs that wait for all leases though the list of VMs, which was away at the takeover, shows
 // that all workers have answered.
 func TestJobsWaitForTheVMListNoLongerThanItIsAway(t *testing.T) {
--- a/internal/owner/unresolved.go
+++ b/internal/owner/unresolved.go
@@ -58,7 +58,7 @@
 	var unresolved []scheduler.UnresolvedWorker
 	for i := range vms {
 		if vm := &vms[i]; vm.Worker != "" && ownsService(vm.Pool) {
-			unresolved = append(unresolved, scheduler.UnresolvedWorker{ID: vm.Worker, Capacity: vm.Capacity})
+			unresolved = append(unresolved, scheduler.UnresolvedWorker{ID: vm.Worker, Service: vm.Pool, Capacity: vm.Capacity})
 		}
 	}
 	for _, w := range registered {
@@ -76,7 +76,7 @@
 			return vm.Pool == w.Service && (!isRackKnown(w, vms) || len(vm.Labels) == 0 || slices.Contains(vm.Labels, w.Rack()))
 		}
 		if len(vms) == 0 || slices.ContainsFunc(unaccounted, mayRunOn) {
-			unresolved = append(unresolved, scheduler.UnresolvedWorker{ID: w.ID, Capacity: w.Capacity})
+			unresolved = append(unresolved, scheduler.UnresolvedWorker{ID: w.ID, Service: w.Service, Capacity: w.Capacity})
 		}
 	}
 	return unresolved
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -16,9 +16,26 @@
 // store did not answer, or the follower did not read because the list was not in use.
 const minReadGap = 500 * time.Millisecond
 
+// historyTime is for how long an ID must have been unknown for a worker to count as new. It is longer than the 13 s
+// after which orders to an earlier process have no effect any more, and its new entry may follow late.
+const historyTime = 16 * time.Second
+
+// maxHistoryGap is the time between successful reads beyond which a worker may have started and restarted unseen.
+const maxHistoryGap = 3 * time.Second
+
+// sighting is when a process of a worker was last registered.
+type sighting struct {
+	incarnation      int64
+	mayHaveRestarted bool
+	seenAt           time.Time
+}
+
 // View holds the registered workers. All times are passed in by the caller.
 type View struct {
 	workers map[string]workload.Worker
+	// sightings has the workers that were registered within historyTime, by ID. It is complete since historySince.
+	sightings    map[string]sighting
+	historySince time.Time
 	// removed holds the IDs of workers whose entries are gone and may come back.
 	removed        map[string]bool
 	lastReadAt     time.Time
@@ -27,7 +44,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{workers: map[string]workload.Worker{}, removed: map[string]bool{}}
+	return &View{workers: map[string]workload.Worker{}, removed: map[string]bool{}, sightings: map[string]sighting{}}
 }
 
 // RecordSuccessfulRead records that a read succeeded at now.
@@ -35,15 +52,43 @@
 	if !v.lastReadAt.IsZero() && now.Sub(v.lastReadAt) > minReadGap {
 		v.readGapEndedAt = now
 	}
+	if v.lastReadAt.IsZero() || now.Sub(v.lastReadAt) > maxHistoryGap {
+		v.historySince = now
+	}
 	v.lastReadAt = now
 }
 
 // Set adds or replaces a worker.
 func (v *View) Set(w workload.Worker) {
+	w.MayHaveRestarted = v.recordSighting(w)
 	v.workers[w.ID] = w
 	delete(v.removed, w.ID)
 }
 
+// recordSighting records that a process is registered, and reports whether another one may have had its ID shortly
+// before.
+func (v *View) recordSighting(w workload.Worker) bool {
+	s, isKnown := v.sightings[w.ID]
+	switch {
+	case !isKnown:
+		s.mayHaveRestarted = v.lastReadAt.Sub(v.historySince) < historyTime
+	case s.incarnation != w.Incarnation:
+		s.mayHaveRestarted = true
+	}
+	s.incarnation, s.seenAt = w.Incarnation, v.lastReadAt
+	v.sightings[w.ID] = s
+	return s.mayHaveRestarted
+}
+
+// dropOldSightings drops the sightings of workers that have not been registered for historyTime.
+func (v *View) dropOldSightings(now time.Time) {
+	for id, s := range v.sightings {
+		if _, ok := v.workers[id]; !ok && now.Sub(s.seenAt) > historyTime {
+			delete(v.sightings, id)
+		}
+	}
+}
+
 // Remove marks a worker as removed. List drops it unless the view is incomplete.
 func (v *View) Remove(id string) {
 	if _, ok := v.workers[id]; ok {
@@ -82,11 +127,15 @@
 // List returns the workers that count as registered at now. Removed workers count until the
 // view is complete; List then deletes them.
 func (v *View) List(now time.Time) []workload.Worker {
-	if v.IsComplete(now) {
+	if v.IsComplete(now) && len(v.removed) > 0 {
 		for id := range v.removed {
+			s := v.sightings[id]
+			s.seenAt = now
+			v.sightings[id] = s
 			delete(v.workers, id)
 			delete(v.removed, id)
 		}
+		v.dropOldSightings(now)
 	}
 	list := make([]workload.Worker, 0, len(v.workers))
 	for _, w := range v.workers {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -94,6 +94,7 @@
 	// then a worker that has not answered this owner may run any task.
 	earlierLeasesExpireAt time.Time
 	unresolved            unresolvedWorkers
+	longLeases            longLeases
 
 	// Records that must be stored, and the write in flight.
 	dirtyJobs map[workload.JobID]*job // their progress has changed
@@ -179,6 +180,7 @@
 		jobs:                  map[workload.JobID]*job{},
 		workers:               map[string]*worker{},
 		removedWorkerTokens:   map[string]int64{},
+		longLeases:            longLeases{byWorker: map[string]*longLease{}},
 		serviceBusyUntil:      map[string]time.Time{},
 		wideHolds:             map[string]*wideHold{},
 		dirtyJobs:             map[workload.JobID]*job{},
@@ -334,6 +336,7 @@
 		present[info.ID] = true
 		w := c.ensureWorker(info.ID, now)
 		c.updateEntry(w, info, now)
+		c.expectLongLease(w, now)
 		w.unregistered = false
 	}
 	for _, w := range c.sortedWorkers {
@@ -363,6 +366,7 @@
 	w := &worker{info: workload.Worker{ID: id}, token: c.settings.Epoch * tokensPerEpoch, bestEffortSpeedPercent: fullSpeedPercent, incarnationFirstSeenAt: now, unreachable: true, unregistered: true, incarnationUnresolved: true}
 	if last, ok := c.removedWorkerTokens[id]; ok {
 		w.token = last
+		w.wasRemoved = true
 		c.raiseToken(w)
 	}
 	c.workers[id] = w
@@ -374,6 +378,8 @@
 // Step advances the state to now and returns the orders that are due.
 func (c *Core) Step(now time.Time) Orders {
 	c.detectStall(now)
+	c.dropExpiredLongLeases(now)
+	c.updateLongLeaseWorkers(now)
 	c.expireRuns(now)
 	c.pollOvertakenStarts(now)
 	c.removeUnregisteredWorkers(now)
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -153,12 +153,20 @@
 		if r.Loans != nil {
 			o.core.RestoreLoans(r.Loans)
 		}
+		if r.LongLeases != nil {
+			o.core.RestoreLongLeases(r.LongLeases)
+		}
 		if r.Submission != nil {
 			o.core.AddSnapshotJob(r.Job, r.Submission, r.Offset)
 			continue
 		}
 		o.applyRecord(r)
 	}
+	for _, r := range fromPrevious {
+		if r.LongLeases != nil {
+			o.core.RestoreLongLeases(r.LongLeases)
+		}
+	}
 	newerProgress := map[workload.JobID]*workload.Progress{}
 	for _, r := range fromPrevious {
 		if r.Progress != nil {
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -20,7 +20,8 @@
 func (c *Core) HandoverRecords(now time.Time) []workload.Record {
 	records := append(c.overwrittenSubmissions(), c.unstoredProgressRecords(now)...)
 	records = append(records, c.loanRecords(c.NextWriteSequence())...)
-	if c.mayHaveUnknownRuns(now) {
+	records = append(records, c.longLeaseRecords()...)
+	if c.mayHaveAnyUnknownRuns(now) {
 		return records
 	}
 	h := &workload.Handover{Epoch: c.settings.Epoch}
@@ -70,7 +71,7 @@
 // owner needs the whole submission, to know what they reserve.
 func (c *Core) unstoredProgressRecords(now time.Time) []workload.Record {
 	var records []workload.Record
-	runsUnknown := c.hasUnresolvedWorkers(now)
+	runsUnknown := c.hasUnresolvedWorkers(now) || c.hasLongLeaseWorkers(now)
 	for _, j := range c.activeJobs {
 		if c.dirtyJobs[j.id] != nil {
 			records = append(records, workload.Record{Job: j.id, Progress: j.progressToStore()})
@@ -134,7 +135,7 @@
 // logTakeoverComplete logs, once, how long starts had to wait because runs of earlier owners might
 // be unknown.
 func (c *Core) logTakeoverComplete(now time.Time) {
-	if c.takeoverComplete || c.mayHaveUnknownRuns(now) {
+	if c.takeoverComplete || c.mayHaveAnyUnknownRuns(now) {
 		return
 	}
 	c.takeoverComplete = true
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -172,9 +172,8 @@
 	if len(lost) > 0 || w.hasUnconfirmedCrashOfEarlierIncarnation() {
 		c.handleProcessExit(w, lost, now)
 	}
-	if !w.restartDetectedAt.IsZero() {
-		// An order with a lease on the previous process's clock may have reached the new process.
-		w.extendLease(now.Add(leaseExpiryDelay(c.settings.MaxLeaseDuration)))
+	if c.mayHaveLongLease(w, now) {
+		c.recordLongLease(w, now.Add(leaseExpiryDelay(c.settings.MaxLeaseDuration)))
 	}
 }
 
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -104,7 +104,7 @@
 	byService := map[string][]suspect{}
 	c.stepsWithCrashes = slices.DeleteFunc(c.stepsWithCrashes, func(s *step) bool { return s.job.finalState.IsTerminal() })
 	for _, s := range c.stepsWithCrashes {
-		if s.idleCount == 0 || s.spec.Gang || !s.isReady(now) {
+		if s.idleCount == 0 || s.spec.Gang || !s.isReady(now) || c.mayRunOnLongLease(s, now) {
 			continue
 		}
 		for i := range s.tasks {
--- a/internal/scheduler/lender.go
+++ b/internal/scheduler/lender.go
@@ -36,7 +36,7 @@
 func (c *Core) HandleLoanRequest(id int64, req workload.LoanRequest, now time.Time) {
 	p := c.counterparty(req.Borrower)
 	isOvertaken := req.BorrowerEpoch < p.borrowerEpoch || req.BorrowerEpoch == p.borrowerEpoch && req.Sequence <= p.borrowerSequence
-	if isOvertaken || c.mayHaveUnknownRuns(now) || now.Before(c.settings.AllowancesFrom) {
+	if isOvertaken || c.mayHaveAnyUnknownRuns(now) || now.Before(c.settings.AllowancesFrom) {
 		c.orders.LoanReplies = append(c.orders.LoanReplies, LoanReply{ID: id})
 		return
 	}
--- a/internal/scheduler/loans.go
+++ b/internal/scheduler/loans.go
@@ -95,7 +95,7 @@
 
 // updateLoans gives back what lenders want back or nobody uses here, and requests what is lacking.
 func (c *Core) updateLoans(now time.Time) {
-	if !c.hasCaps || now.Before(c.lastLoanUpdateAt.Add(loanUpdateInterval)) || c.mayHaveUnknownRuns(now) {
+	if !c.hasCaps || now.Before(c.lastLoanUpdateAt.Add(loanUpdateInterval)) || c.mayHaveAnyUnknownRuns(now) {
 		return
 	}
 	c.lastLoanUpdateAt = now
--- a/internal/scheduler/longlease.go
+++ b/internal/scheduler/longlease.go
@@ -1,6 +1,11 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/yuccadrift/yuccadrift/internal/workload"
+)
 
 // A lease ends at a time on the worker's clock, which starts over with each incarnation. An order that was sent to
 // an earlier incarnation and reaches a later one therefore grants a lease that ends only MaxLeaseDuration after it was
@@ -10,10 +15,17 @@
 //   - A start without an answer may have reached another incarnation of its worker (mayOutliveLease).
 //   - An incarnation may have been granted a long lease before its first report under the owner's token. All its runs
 //     may last until MaxLeaseDuration after that report (resolveIncarnation).
+//   - An earlier owner may have granted it, or started tasks under it. Owners store which workers have long leases
+//     before they start a task there, and a worker that has started shortly before a takeover counts as one of them.
+//     If such a worker does not answer, the tasks that it may run wait until the long lease has expired.
 
-// maxOrderTimeout is the longest time until an order is answered or given up. A given-up order is carried out
-// later only if the worker has it already.
-const maxOrderTimeout = 1500 * time.Millisecond
+const (
+	// maxOrderTimeout is the longest time until an order is answered or given up. A given-up order is carried out
+	// later only if the worker has it already.
+	maxOrderTimeout = 1500 * time.Millisecond
+	// maxWallClockSkew is the largest difference between the times of day of a worker and of this process.
+	maxWallClockSkew = 5 * time.Second
+)
 
 // mayOutliveLease reports whether a run without a known start may still live although the leases on its worker, as
 // they were granted, have expired.
@@ -40,3 +52,144 @@
 	w := r.worker
 	return r.incarnation != 0 && (w.incarnation != r.incarnation && !w.restartDetectedAt.IsZero() || w.info.Incarnation != 0 && w.info.Incarnation != r.incarnation)
 }
+
+// mayHaveLongLease reports whether a worker's incarnation may have been granted a long lease before this owner's
+// first poll: it has restarted, or it is young and an owner may have ordered something to an earlier incarnation.
+func (c *Core) mayHaveLongLease(w *worker, now time.Time) bool {
+	if !w.restartDetectedAt.IsZero() || c.longLeases.byWorker[w.info.ID] != nil {
+		return true
+	}
+	mayHaveRestarted := w.info.MayHaveRestarted || !w.entryMatchesReports()
+	return (w.wasRemoved || mayHaveRestarted && c.mayHaveEarlierOrders(now)) && c.isYoung(w.incarnation, now)
+}
+
+// mayHaveEarlierOrders reports whether orders of earlier owners, or the leases that they granted, may still have an
+// effect.
+func (c *Core) mayHaveEarlierOrders(now time.Time) bool {
+	return now.Before(c.tookOverAt.Add(c.settings.MaxOwnerOverlap + maxOrderDelay + leaseExpiryDelay(c.settings.MaxLeaseDuration)))
+}
+
+// isYoung reports whether an order to an earlier incarnation may have granted the given one a lease that has not
+// expired. An unknown incarnation counts as young.
+func (c *Core) isYoung(incarnation int64, now time.Time) bool {
+	age := time.Duration(now.UnixMilli()-incarnation) * time.Millisecond
+	return incarnation == 0 || age < maxWallClockSkew+maxOrderDelay+leaseExpiryDelay(c.settings.MaxLeaseDuration)
+}
+
+// longLeases are the long leases that workers may have.
+type longLeases struct {
+	byWorker map[string]*longLease
+	// added is set until a new one is in a write, ended until the end of one is.
+	added, ended bool
+	// silentWorkers are the workers that may run tasks of earlier owners and have not answered yet.
+	silentWorkers []*worker
+}
+
+// longLease is a long lease that a worker may have.
+type longLease struct {
+	expiresAt time.Time
+	isStored  bool
+}
+
+// recordLongLease records that a worker may have a long lease. Unless that is stored already, the worker gets no start
+// until it is.
+func (c *Core) recordLongLease(w *worker, expiresAt time.Time) {
+	w.extendLease(expiresAt)
+	l := c.longLeases.byWorker[w.info.ID]
+	if l == nil {
+		l = &longLease{}
+		c.longLeases.byWorker[w.info.ID] = l
+		c.longLeases.added = true
+	}
+	l.expiresAt = expiresAt
+}
+
+// awaitsLongLeaseWrite reports whether a worker's long lease is not stored yet.
+func (c *Core) awaitsLongLeaseWrite(w *worker) bool {
+	l := c.longLeases.byWorker[w.info.ID]
+	return l != nil && !l.isStored
+}
+
+// dropExpiredLongLeases drops the long leases that have expired. The next write stores that.
+func (c *Core) dropExpiredLongLeases(now time.Time) {
+	for id, l := range c.longLeases.byWorker {
+		if !now.Before(l.expiresAt) {
+			delete(c.longLeases.byWorker, id)
+			c.longLeases.ended = true
+		}
+	}
+}
+
+// longLeaseRecords returns the record of the long leases if it differs from the stored one.
+func (c *Core) longLeaseRecords() []workload.Record {
+	if !c.longLeases.added && !c.longLeases.ended {
+		return nil
+	}
+	leases := &workload.LongLeases{}
+	for id := range c.longLeases.byWorker {
+		leases.Workers = append(leases.Workers, id)
+	}
+	slices.Sort(leases.Workers)
+	return []workload.Record{{LongLeases: leases}}
+}
+
+// RestoreLongLeases applies the long leases that an earlier owner stored. It must precede SetWorkers and
+// RestoreHandover.
+func (c *Core) RestoreLongLeases(leases *workload.LongLeases) {
+	for _, id := range leases.Workers {
+		c.longLeases.byWorker[id] = &longLease{expiresAt: c.earlierLongLeaseExpiry(), isStored: true}
+		c.ensureWorker(id, c.tookOverAt).extendLease(c.earlierLongLeaseExpiry())
+	}
+}
+
+// earlierLongLeaseExpiry returns when long leases under which earlier owners have started tasks have expired.
+func (c *Core) earlierLongLeaseExpiry() time.Time {
+	return c.tookOverAt.Add(c.settings.MaxOwnerOverlap + leaseExpiryDelay(c.settings.MaxLeaseDuration))
+}
+
+// expectLongLease extends the leases of a worker that has not answered this owner if its entry shows that earlier
+// owners may have started tasks there under a long lease.
+func (c *Core) expectLongLease(w *worker, now time.Time) {
+	if !w.synced && w.restartDetectedAt.IsZero() && w.info.MayHaveRestarted && c.mayHaveEarlierOrders(now) && c.isYoung(w.info.Incarnation, now) && now.Before(c.earlierLongLeaseExpiry()) {
+		c.recordLongLease(w, c.earlierLongLeaseExpiry())
+	}
+}
+
+// hasLongLeaseWorkers reports whether there are workers that may run tasks of earlier owners under long leases.
+func (c *Core) hasLongLeaseWorkers(now time.Time) bool {
+	return slices.ContainsFunc(c.longLeases.silentWorkers, func(w *worker) bool { return c.isUnresolved(w, now) })
+}
+
+// mayRunOnLongLease reports whether a worker that has not answered may run a task of the step on the order of an
+// earlier owner, after all ordinary leases of such owners have expired.
+func (c *Core) mayRunOnLongLease(s *step, now time.Time) bool {
+	if s.spec.Speculative || s.job.isNew && c.settings.EarlierOwnersInLogOrder {
+		return false
+	}
+	return slices.ContainsFunc(c.longLeases.silentWorkers, func(w *worker) bool {
+		return c.isUnresolved(w, now) && c.mayHaveStarted(w, s)
+	})
+}
+
+// mayHaveStarted reports whether a step's tasks may have started on the worker, by its entry or, without one, by
+// its VM.
+func (c *Core) mayHaveStarted(w *worker, s *step) bool {
+	if w.info.Address == "" {
+		service := c.unresolved.services[w.info.ID]
+		return service == "" || service == s.job.submission.Service
+	}
+	return w.info.Service == s.job.submission.Service && (s.spec.RequiredLabel == "" || slices.Contains(w.info.Labels, s.spec.RequiredLabel)) && s.spec.Reservation().FitsIn(w.maxCapacity)
+}
+
+// updateLongLeaseWorkers finds the workers that may run tasks of earlier owners under long leases.
+func (c *Core) updateLongLeaseWorkers(now time.Time) {
+	c.longLeases.silentWorkers = c.longLeases.silentWorkers[:0]
+	if !now.Before(c.earlierLongLeaseExpiry()) || c.unresolved.isEmpty() {
+		return
+	}
+	for _, w := range c.sortedWorkers {
+		if c.isUnresolved(w, now) {
+			c.longLeases.silentWorkers = append(c.longLeases.silentWorkers, w)
+		}
+	}
+}
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -86,6 +86,7 @@
 type pendingWrite struct {
 	finalStates map[workload.JobID]workload.JobState
 	exitMarks   []exitMark
+	longLeases  []string // workers
 }
 
 // exitMark is the last exit of one incarnation of a worker that a write covers.
@@ -106,10 +107,10 @@
 	if c.pendingWrite != nil {
 		return
 	}
-	if now.Before(c.lastWriteAt.Add(minWriteInterval)) && !c.hasUnstoredJobEnd() && !c.loansGrown {
+	if now.Before(c.lastWriteAt.Add(minWriteInterval)) && !c.hasUnstoredJobEnd() && !c.loansGrown && !c.longLeases.added {
 		return
 	}
-	if len(c.dirtyJobs) == 0 && len(c.overwrittenJobs) == 0 && len(c.jobsToDelete) == 0 && !c.loansGrown && !c.settledCapsUnstored && c.lastWriteSeq > 0 {
+	if len(c.dirtyJobs) == 0 && len(c.overwrittenJobs) == 0 && len(c.jobsToDelete) == 0 && !c.loansGrown && !c.settledCapsUnstored && !c.longLeases.added && c.lastWriteSeq > 0 {
 		// Exits that changed no job need no record.
 		for _, w := range c.sortedWorkers {
 			w.allowAck(w.lastExitSeen)
@@ -127,6 +128,11 @@
 	order.Records = append(order.Records, c.overwrittenSubmissions()...)
 	order.Records = append(order.Records, c.unstoredProgressRecords(now)...)
 	order.Records = append(order.Records, c.loanRecords(order.Sequence)...)
+	order.Records = append(order.Records, c.longLeaseRecords()...)
+	c.longLeases.added, c.longLeases.ended = false, false
+	for id := range c.longLeases.byWorker {
+		c.pendingWrite.longLeases = append(c.pendingWrite.longLeases, id)
+	}
 	for id, j := range c.dirtyJobs {
 		c.pendingWrite.finalStates[id] = j.finalState
 	}
@@ -170,6 +176,12 @@
 			mark.worker.allowAck(mark.lastExitSeen)
 		}
 	}
+	for _, id := range c.pendingWrite.longLeases {
+		if l := c.longLeases.byWorker[id]; l != nil && !l.isStored {
+			l.isStored = true
+			c.planStale = true
+		}
+	}
 	c.pendingWrite = nil
 	c.storedWriteSeq = c.lastWriteSeq
 	if c.crashWritePending {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -26,7 +26,7 @@
 	for _, a := range c.accounts {
 		a.beginPlan()
 	}
-	c.updateUnseen(runsUnknown, now)
+	c.updateUnseen(c.mayHaveAnyUnknownRuns(now), now)
 	defer c.logBlocked(now)
 	defer c.logShares(now)
 	defer c.logProspects(now)
@@ -57,7 +57,7 @@
 func (c *Core) placeCandidate(cand candidate, now time.Time) {
 	pool := cand.servicePlan.pool
 	for _, s := range cand.steps {
-		if s.idleCount == 0 || !s.isReady(now) {
+		if s.idleCount == 0 || !s.isReady(now) || c.mayRunOnLongLease(s, now) {
 			continue
 		}
 		c.Counts.PlacementChecks++
@@ -75,7 +75,7 @@
 		if lacksCapacity || s.idleCount < idleBefore {
 			c.serviceBusyUntil[s.job.submission.Service] = now.Add(serviceBusyDuration)
 		}
-		if lacksCapacity && !c.mayHaveUnknownRuns(now) { // a stopped task of an earlier owner could not start again yet
+		if lacksCapacity && !c.mayHaveAnyUnknownRuns(now) { // a stopped task of an earlier owner could not start again yet
 			c.preempt(pool, cand, s, now)
 		}
 		if cand.class <= classStarved {
@@ -98,13 +98,19 @@
 // reached and backoffs end without an event.
 const maxPlanInterval = 100 * time.Millisecond
 
-// mayHaveUnknownRuns reports whether runs of an earlier owner may still be unknown. Starting a task of
-// a job that such an owner may have known could run it twice.
+// mayHaveUnknownRuns reports whether runs of an earlier owner may still be unknown on any worker. Starting
+// a task of a job that such an owner may have known could run it twice.
 func (c *Core) mayHaveUnknownRuns(now time.Time) bool {
 	// Until the takeover is stored, a later owner would treat an earlier owner's handover as complete.
 	return !c.takeoverStored || c.hasUnresolvedWorkers(now)
 }
 
+// mayHaveAnyUnknownRuns reports whether runs of an earlier owner may still be unknown, be it only on workers
+// with long leases.
+func (c *Core) mayHaveAnyUnknownRuns(now time.Time) bool {
+	return c.mayHaveUnknownRuns(now) || c.hasLongLeaseWorkers(now)
+}
+
 // placeStep starts the idle tasks of a step as far as there is free capacity. A gang starts as a
 // whole or not at all. Suspects that are not in a gang are left to placeSuspects.
 func (c *Core) placeStep(p *placementPool, s *step, now time.Time) {
--- a/internal/scheduler/placementpool.go
+++ b/internal/scheduler/placementpool.go
@@ -36,7 +36,7 @@
 	pools := map[string]*placementPool{}
 	for _, w := range c.sortedWorkers {
 		w.hold = workerHold{}
-		if !w.canAcceptStarts(now) || !c.isRackAdmitted(w, now) {
+		if !w.canAcceptStarts(now) || !c.isRackAdmitted(w, now) || c.awaitsLongLeaseWrite(w) {
 			continue
 		}
 		p := pools[w.info.Service]
--- a/internal/scheduler/pollresult.go
+++ b/internal/scheduler/pollresult.go
@@ -268,7 +268,7 @@
 	if s == nil || s.job.submission == nil {
 		return
 	}
-	if r == nil && len(t.runs) > 0 && !s.spec.Speculative {
+	if r == nil && len(t.runs) > 0 && !s.spec.Speculative && exit.Reason != workload.ExitLeaseExpired {
 		c.recordDecision(Decision{Verb: "exit-beside-run", Job: s.job.id, Task: exit.Task.String(), Worker: w.info.ID, Run: exit.Run, Reason: fmt.Sprintf("ended as %s; run %d of the task is on %s", exit.Reason, t.runs[0].number, t.runs[0].worker.info.ID), AlwaysLogged: true})
 	}
 	if exit.Checkpoint != "" {
--- /dev/null
+++ b/internal/scheduler/recutowners_test.go
@@ -0,0 +1,18 @@
+package scheduler_test
+
+import "testing"
+
+// The same while owners change: a later owner must know of leases that an earlier one granted, or took, on a worker
+// that had restarted.
+func TestNoTaskRunsTwiceBesideWorkersThatRestartAndAreCutOffFromChangingOwners(t *testing.T) {
+	t.Run("no other faults", func(t *testing.T) { checkRecutHistories(t, faults{}, true) })
+	t.Run("answers lost", func(t *testing.T) {
+		checkRecutHistories(t, faults{lostAnswer: 0.02, lostWriteAnswer: 0.02}, true)
+	})
+}
+
+// A start that is carried out seconds late by the next process of its worker, which no owner has reached yet, must not
+// run a task that runs elsewhere or is done.
+func TestLateStartsBesideWorkersThatRestartAndAreCutOff(t *testing.T) {
+	checkRecutHistories(t, faults{lateOrder: 0.02, lostWriteAnswer: 0.02}, true)
+}
--- a/internal/scheduler/unresolved.go
+++ b/internal/scheduler/unresolved.go
@@ -10,7 +10,8 @@
 
 // UnresolvedWorker is a worker that may run tasks of an earlier owner.
 type UnresolvedWorker struct {
-	ID string
+	ID      string
+	Service string // "" if it is unknown
 	// Capacity is the most that its tasks may reserve, zero if it is unknown.
 	Capacity workload.Resources
 }
@@ -19,6 +20,7 @@
 // yet. There are none if the earlier owner left a handover.
 type unresolvedWorkers struct {
 	capacities map[string]workload.Resources // by worker
+	services   map[string]string             // by worker, as far as known
 	// mayLackWorkers is set while it is not known which workers there are.
 	mayLackWorkers bool
 	// resolved are the workers that have answered this owner, or whose processes have ended.
@@ -26,7 +28,7 @@
 }
 
 func newUnresolvedWorkers(ids []string, mayLackWorkers bool) unresolvedWorkers {
-	u := unresolvedWorkers{capacities: map[string]workload.Resources{}, mayLackWorkers: mayLackWorkers, resolved: map[string]bool{}}
+	u := unresolvedWorkers{capacities: map[string]workload.Resources{}, services: map[string]string{}, mayLackWorkers: mayLackWorkers, resolved: map[string]bool{}}
 	for _, id := range ids {
 		u.capacities[id] = workload.Resources{}
 	}
@@ -56,6 +58,7 @@
 	for _, w := range workers {
 		if !c.unresolved.resolved[w.ID] {
 			c.unresolved.capacities[w.ID] = w.Capacity
+			c.unresolved.services[w.ID] = w.Service
 		}
 	}
 	c.unresolved.mayLackWorkers = !isComplete
@@ -73,5 +76,5 @@
 
 // isUnresolved reports whether a worker may have runs of earlier owners that this owner does not know.
 func (c *Core) isUnresolved(w *worker, now time.Time) bool {
-	return c.unresolved.has(w.info.ID) && now.Before(c.earlierLeasesExpireAt)
+	return c.unresolved.has(w.info.ID) && (now.Before(c.earlierLeasesExpireAt) || now.Before(w.leasesExpireAt))
 }
--- a/internal/scheduler/unseen.go
+++ b/internal/scheduler/unseen.go
@@ -94,7 +94,7 @@
 // logWaitingForWorkers logs, while jobs of before the takeover wait for workers that have not answered,
 // how many jobs there are and for which workers they wait.
 func (c *Core) logWaitingForWorkers(now time.Time) {
-	if now.Before(c.tookOverAt.Add(waitsLogInterval)) || now.Before(c.waitsLoggedAt.Add(waitsLogInterval)) || !c.hasUnresolvedWorkers(now) {
+	if now.Before(c.tookOverAt.Add(waitsLogInterval)) || now.Before(c.waitsLoggedAt.Add(waitsLogInterval)) || !c.hasUnresolvedWorkers(now) && !c.hasLongLeaseWorkers(now) {
 		return
 	}
 	c.waitsLoggedAt = now
@@ -105,6 +105,9 @@
 	silent := c.unresolved.ids()
 	named := strings.Join(silent[:min(len(silent), maxLoggedWorkers)], " ")
 	reason := fmt.Sprintf("%d jobs wait until %d workers have answered or their leases have expired in %d ms: %s", jobs, len(silent), c.earlierLeasesExpireAt.Sub(now).Milliseconds(), named)
+	if !c.hasUnresolvedWorkers(now) {
+		reason = fmt.Sprintf("%d jobs wait until %d workers have answered that may have restarted, or their long leases have expired in %d ms, the first of them %s", jobs, len(c.longLeases.silentWorkers), c.earlierLongLeaseExpiry().Sub(now).Milliseconds(), c.longLeases.silentWorkers[0].info.ID)
+	}
 	if c.unresolved.mayLackWorkers {
 		reason = fmt.Sprintf("%d jobs wait until the workers of earlier owners are known or their leases have expired in %d ms", jobs, c.earlierLeasesExpireAt.Sub(now).Milliseconds())
 	}
@@ -114,7 +117,7 @@
 // JobsWaitingForWorkers returns the number of jobs with ready tasks that don't start because a worker
 // that has not answered may run them on the order of an earlier owner.
 func (c *Core) JobsWaitingForWorkers(now time.Time) int {
-	if !c.hasUnresolvedWorkers(now) {
+	if !c.hasUnresolvedWorkers(now) && !c.hasLongLeaseWorkers(now) {
 		return 0
 	}
 	return c.readyEarlierJobs(now)
@@ -122,12 +125,14 @@
 
 // readyEarlierJobs returns the number of jobs with ready tasks that an earlier owner may have started.
 func (c *Core) readyEarlierJobs(now time.Time) int {
-	n := 0
+	n, isBlanket := 0, c.hasUnresolvedWorkers(now)
 	for _, j := range c.activeJobs {
 		if j.finalState.IsTerminal() || c.settings.EarlierOwnersInLogOrder && j.isNew {
 			continue
 		}
-		if slices.ContainsFunc(j.steps, func(s *step) bool { return s.idleCount > 0 && s.isReady(now) }) {
+		if slices.ContainsFunc(j.steps, func(s *step) bool {
+			return s.idleCount > 0 && s.isReady(now) && (isBlanket || c.mayRunOnLongLease(s, now))
+		}) {
 			n++
 		}
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -127,6 +127,8 @@
 	// are dropped because it is unreachable.
 	synced       bool
 	unregistered bool // it has no entry in the registry
+	// wasRemoved is set if this owner had removed the worker before and has added it again.
+	wasRemoved bool
 
 	// Clock and leases.
 
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -85,10 +85,11 @@
 	progressPrefix   = "p/"
 	loansPrefix      = "l/" // followed by a workspace
 
-	ownerPrefix = "owner/"
-	handoverKey = ownerPrefix + "left"
-	takeoverKey = ownerPrefix + "last"
-	fenceKey    = ownerPrefix + "fence"
+	ownerPrefix   = "owner/"
+	handoverKey   = ownerPrefix + "left"
+	takeoverKey   = ownerPrefix + "last"
+	fenceKey      = ownerPrefix + "fence"
+	longLeasesKey = ownerPrefix + "leases"
 )
 
 // IsOwnerKey reports whether a record with the key is one of an owner of the partition.
@@ -136,8 +137,14 @@
 	Epoch int64 `json:"e"`
 }
 
+// LongLeases names the workers on which runs may last longer than the leases that owners have granted, as an order to
+// an earlier process of the worker may have reached its present one. Later owners count with it.
+type LongLeases struct {
+	Workers []string `json:"w,omitempty"`
+}
+
 // Record is a stored record of a job or of an owner of the partition. Exactly one of
-// Submission, Progress, Cancel, Handover, Takeover, Fence and Loans is set.
+// Submission, Progress, Cancel, Handover, Takeover, Fence, Loans and LongLeases is set.
 type Record struct {
 	// Offset is the record's place in its partition. It is set on records that were read.
 	Offset     int64
@@ -151,6 +158,7 @@
 	Takeover    *Takeover
 	Fence       *Fence
 	Loans       *Loans
+	LongLeases  *LongLeases
 }
 
 // Encode returns the key and value of the record in the store.
@@ -174,6 +182,9 @@
 	case r.Loans != nil:
 		value, err = encodeValue(r.Loans)
 		return loansPrefix + r.Loans.Workspace, value, errors.Wrap(err, "loans")
+	case r.LongLeases != nil:
+		value, err = encodeValue(r.LongLeases)
+		return longLeasesKey, value, errors.Wrap(err, "long leases")
 	case r.Cancel && r.CancelledBy == nil:
 		return cancelPrefix + string(r.Job), []byte(anonymousCancel), nil
 	case r.Cancel:
@@ -206,6 +217,9 @@
 	case key == fenceKey:
 		r.Fence = &Fence{}
 		err = decodeValue(value, r.Fence)
+	case key == longLeasesKey:
+		r.LongLeases = &LongLeases{}
+		err = decodeValue(value, r.LongLeases)
 	case strings.HasPrefix(key, loansPrefix):
 		r.Loans = &Loans{}
 		err = decodeValue(value, r.Loans)
