--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -512,7 +512,7 @@
 	}
 	link := o.links[order.Worker.ID]
 	if !f.partitioned && link == linkHealthy && f.hang(timeout, func() {
-		if !w.acksOutliveProcesses {
+		if !w.faults.hangingAck {
 			order.Poll.AckedUpTo = 0
 		}
 		o.deliverPoll(order, sentAt)
--- a/internal/scheduler/recutowners_test.go
+++ b/internal/scheduler/recutowners_test.go
@@ -16,3 +16,9 @@
 func TestLateStartsBesideWorkersThatRestartAndAreCutOff(t *testing.T) {
 	checkRecutHistories(t, faults{lateOrder: 0.02, lostWriteAnswer: 0.02}, true)
 }
+
+// An acknowledgement that hangs while its worker restarts reaches the next process, which then drops its first exits
+// unread: their tasks must neither run again nor fail their jobs.
+func TestHangingAcknowledgementsBesideWorkersThatRestart(t *testing.T) {
+	checkRecutHistories(t, faults{hangingAck: true}, false)
+}
--- a/internal/scheduler/world_test.go
+++ b/internal/scheduler/world_test.go
@@ -74,8 +74,6 @@
 	crashedWorkersRestart, crashesLoseVM bool
 	// ordersOutliveProcesses is set if an order that is carried out late may reach the next process of its worker.
 	ordersOutliveProcesses bool
-	// acksOutliveProcesses is set if the acknowledgement of a hanging poll reaches the next process, too.
-	acksOutliveProcesses bool
 	// lostRunsOfOtherJobs counts the runs that such crashes ended, without those of the jobs that
 	// caused them.
 	lostRunsOfOtherJobs int
@@ -103,12 +101,13 @@
 	visibleConfig *workload.Config
 }
 
-// faults holds the probabilities of faults, each between 0 and 1.
+// faults holds the probabilities of faults, each between 0 and 1, and which others are possible.
 type faults struct {
 	lostAnswer      float64 // an order is executed and its answer is lost
 	lateOrder       float64 // an order gets no answer and may be executed seconds later
 	failedTask      float64
 	lostWriteAnswer float64 // a write is stored and its answer is lost
+	hangingAck      bool    // the acknowledgement of a poll that hangs reaches the next process of its worker
 }
 
 // fakeJob records what a job's caller and its workers observe. The maps are keyed by task.
