front: the memory and descriptors of clients are bounded

What callers saw: a node ends for want of memory. Clients that announce a body of legal size, or send it in chunks, and stop just short of its end keep all of it in memory as long as they like; idle connections take a descriptor each.

Cause: bodies were read with io.ReadAll whatever else was in memory and without a limit of time, and no listener of a node had a bound of connections.

Change: internal/membudget counts what clients take, connections and the buffers of bodies as bytes arrive, in one budget derived from memory_mb and max_fds. When it is short, the connections without progress for longest are closed. A request that has arrived whole keeps its connection until it is answered, so nothing is cut off that may have been stored. If none can give way, the request is refused as any other: 503 only if its owner rules out that the job was accepted, else 504. A body must arrive within 20 s.

Ruled out: a semaphore that is acquired for the announced length, as internal/caller has it: a crowd that stays open keeps ordinary callers out until its deadline. Only a deadline: a crowd is faster than any that a slow client bears.

--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -29,7 +29,7 @@
 // pure packages decide without I/O: time and randomness come in as arguments.
 var pure = []string{
 	"record", "document", "ledger", "pool", "maintenance", "placement", "usage", "quarantine", "claim", "routing", "measure", "tomlfile", "invariant", "forecast",
-	"workload", "scheduler", "fleet", "returntime", "acceptance", "workshare", "prospect", "admission", "slowdown", "rackhealth", "heldqueue", "logorder", "partitioning", "feasibility",
+	"workload", "scheduler", "fleet", "returntime", "acceptance", "workshare", "prospect", "admission", "slowdown", "rackhealth", "heldqueue", "logorder", "partitioning", "feasibility", "membudget",
 }
 
 // peers are the packages that may open connections: one for each peer that the
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -13,6 +13,8 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
+	"github.com/yuccadrift/yuccadrift/internal/listen"
+	"github.com/yuccadrift/yuccadrift/internal/membudget"
 	"github.com/yuccadrift/yuccadrift/internal/returntime"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
@@ -111,6 +113,9 @@
 	// timeout is how long the caller waits for the response.
 	timeout time.Duration
 	heldFor time.Duration
+	// conn is the connection's claim on memory. bodyArrived ends the time limit of the body.
+	conn        *membudget.Conn
+	bodyArrived func()
 	// evidence is what the request was last judged by, nil if its record was stored at once. doubt is
 	// why the verdict on it was uncertain.
 	evidence *acceptance.Evidence
@@ -124,8 +129,20 @@
 
 // ServeHTTP serves one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	req := &request{http: r, startedAt: time.Now()}
+	req := &request{http: r, startedAt: time.Now(), conn: listen.Claim(r.Context())}
+	defer req.conn.Finish()
+	req.conn.Progress()
+	if hasBody(r) {
+		h.setBodyDeadline(w, req.startedAt.Add(bodyTimeout))
+		req.bodyArrived = func() { h.setBodyDeadline(w, time.Time{}) }
+	} else {
+		req.conn.Hold()
+	}
 	res := h.handle(req)
+	if res.aborted {
+		h.Metrics.aborted.Inc()
+		panic(http.ErrAbortHandler)
+	}
 	if res.cause != 0 {
 		res.retryAfter = h.returnTime(res.cause, res.delay)
 	}
--- a/internal/front/metrics.go
+++ b/internal/front/metrics.go
@@ -16,6 +16,7 @@
 	returns  *prometheus.HistogramVec
 	verdicts *prometheus.CounterVec
 	doubts   *prometheus.CounterVec
+	aborted  prometheus.Counter
 }
 
 // NewMetrics registers the metrics.
@@ -42,7 +43,11 @@
 		Name: "yuccadrift_front_doubts_total",
 		Help: "Uncertain verdicts on jobs whose record was not stored, by what left the doubt.",
 	}, []string{"doubt"})
-	r.MustRegister(m.requests, m.hopeless, m.returns, m.verdicts, m.doubts)
+	m.aborted = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "yuccadrift_front_aborted_requests_total",
+		Help: "Requests whose connection was closed for others before they had arrived.",
+	})
+	r.MustRegister(m.requests, m.hopeless, m.returns, m.verdicts, m.doubts, m.aborted)
 	return m
 }
 
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -17,6 +17,7 @@
 	cause         returntime.Cause // of a refusal, 0 otherwise
 	delay         time.Duration    // when a refused request may be of use again, 0 if that is unknown
 	challengesKey bool             // the request needs a valid key
+	aborted       bool             // there is no response, the connection was closed for others
 }
 
 // errorBody is the body of an error response.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/yuccadrift/yuccadrift/internal/listen"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -81,6 +82,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       listen.WithClaim,
 		ErrorLog:          s.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 }
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/returntime"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
@@ -22,16 +23,9 @@
 	if maxBodyBytes <= 0 {
 		maxBodyBytes = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(req.http.Body, int64(maxBodyBytes)+1))
-	if err != nil {
-		return errorResponse(http.StatusBadRequest, "the body can't be read: "+err.Error())
-	}
-	if len(body) > maxBodyBytes {
-		return errorResponse(http.StatusRequestEntityTooLarge, "the body has more than "+strconv.Itoa(maxBodyBytes)+" bytes")
-	}
-	spec, err := platform.DecodeJob(body)
-	if err != nil {
-		return errorResponse(http.StatusBadRequest, err.Error())
+	body, spec, res, ok := h.receiveJob(ctx, req, id, maxBodyBytes)
+	if !ok {
+		return res
 	}
 	if res, ok := h.submittedBefore(ctx, req, id, config); ok {
 		return res
@@ -54,6 +48,35 @@
 	return h.storeRecord(ctx, req, record)
 }
 
+// receiveJob reads and decodes the body of a submission. It returns a response and false if that fails. The
+// connection may be closed for others until the body has arrived, since nothing is stored before.
+func (h *Handler) receiveJob(ctx context.Context, req *request, id workload.JobID, maxBytes int) ([]byte, workload.Spec, response, bool) {
+	body, err := readBody(req.http.Body, maxBytes, req.conn)
+	if err == nil && req.bodyArrived != nil {
+		req.bodyArrived()
+	}
+	if !req.conn.Hold() {
+		return nil, workload.Spec{}, response{aborted: true}, false
+	}
+	var spec workload.Spec
+	invalid := ""
+	if err != nil {
+		invalid = "the body can't be read: "
+	} else {
+		spec, err = platform.DecodeJob(body)
+	}
+	switch {
+	case err == nil:
+		return body, spec, response{}, true
+	case errors.Is(err, errNoMemory):
+		return nil, spec, respondUnstored(h.judge(ctx, req, id), returntime.NoMemory, "the node has no memory for the request"), false
+	case errors.Is(err, errBodyTooLarge):
+		return nil, spec, errorResponse(http.StatusRequestEntityTooLarge, "the body has more than "+strconv.Itoa(maxBytes)+" bytes"), false
+	default:
+		return nil, spec, errorResponse(http.StatusBadRequest, invalid+err.Error()), false
+	}
+}
+
 // maxBodyShare is the part of the store's limit of a record up to which a body's job certainly fits: its record
 // has several times the bytes if it has many steps of few bytes.
 const maxBodyShare = 8
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -214,7 +214,11 @@
 	if err != nil {
 		return err
 	}
-	n.front = front.NewServer(callers, ready, n.checkReady, n.logger.Named("front"))
+	groups := newClientGroups(s)
+	registerClientMetrics(metrics, groups.budget)
+	n.peerListener = listen.Bounded(n.peerListener, groups.peers)
+	metricsListener = listen.Bounded(metricsListener, groups.metrics)
+	n.front = front.NewServer(listen.Bounded(callers, groups.callers), listen.Bounded(ready, groups.readiness), n.checkReady, n.logger.Named("front"))
 	holder := front.NewHolder(n.intake, metrics, n.logger.Named("front"))
 	n.storeHealth.notifyOfReturn(holder.StoreAnswers)
 	n.front.SetHandler(&front.Handler{
--- a/internal/returntime/returntime.go
+++ b/internal/returntime/returntime.go
@@ -16,6 +16,8 @@
 	OwnerUnavailable
 	// NoCapacity: the job can't be done in time for its caller.
 	NoCapacity
+	// NoMemory: the node has no memory for the request. Callers return to any node.
+	NoMemory
 )
 
 // String returns the cause as a label of metrics and a field of the log.
@@ -29,6 +31,8 @@
 		return "owner"
 	case NoCapacity:
 		return "capacity"
+	case NoMemory:
+		return "memory"
 	default:
 		return "other"
 	}
--- a/internal/testkit/jobs.go
+++ b/internal/testkit/jobs.go
@@ -44,6 +44,8 @@
 type JobNode struct {
 	*Process
 	callerURL, readyURL string
+	// Callers, Readiness and Peers are the addresses that serve callers, readiness probes and other nodes.
+	Callers, Readiness, Peers string
 	// Metrics is the address that serves the node's metrics and profiles.
 	Metrics string
 	// Store and VMService are the node's links to the platform, nil in a cluster without links.
@@ -112,9 +114,11 @@
 	if err := os.WriteFile(file, []byte(c.Platform.Settings(settings)), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
-	n.callerURL = "http://" + net.JoinHostPort(ip, strconv.Itoa(settings.Caller))
+	n.Callers = net.JoinHostPort(ip, strconv.Itoa(settings.Caller))
+	n.Readiness = net.JoinHostPort(ip, strconv.Itoa(settings.Ready))
 	n.Metrics = net.JoinHostPort(ip, strconv.Itoa(settings.FirstPeer))
-	n.readyURL = "http://" + net.JoinHostPort(ip, strconv.Itoa(settings.Ready))
+	n.Peers = net.JoinHostPort(ip, strconv.Itoa(settings.LastPeer))
+	n.callerURL, n.readyURL = "http://"+n.Callers, "http://"+n.Readiness
 	n.Process = newProcess(c.t, dir, settings.Name, binaryPath(c.t, binNode), settingsFlag, file)
 }
 
