platform: a job is decoded within the memory that is reserved for it

What callers saw: a node ends for want of memory although no body is larger than the configuration allows. 256 kB of `{"steps":[{},{},...]}` are 87,000 steps, which took some 60 MB a request; the steps and records of short valid steps take dozens of times their bytes, too.

Cause: json.Unmarshal decoded all steps, and they were copied, before the first was validated, and nothing counted them.

Change: steps are decoded one by one, into a buffer that is reserved in the clients' memory as it grows, and only up to the first without a task, which makes the job invalid whatever follows. What is accepted and the errors stay, but for a body with the key of the steps twice: the last list counts alone, its steps were merged with the earlier ones' before.

Left: the owner's state of jobs that were accepted is not bounded: 30 jobs of 21,800 steps each, one after another, take 474 MB on a node of 96 MB.

--- a/internal/front/body_test.go
+++ b/internal/front/body_test.go
@@ -45,15 +45,17 @@
 	for status, report := range map[int]AcceptanceReport{
 		http.StatusServiceUnavailable: ruledOut(), http.StatusGatewayTimeout: {}, http.StatusOK: {Stands: true},
 	} {
-		r := newFrontRig(t)
-		r.jobs.report = report
-		claim := testClaim(t, firstBodyBuffer-1)
-		require.True(t, claim.Hold())
-		req := r.newRequest(http.MethodPost, jobPath, "Bearer ward-key")
-		res := r.serve(req.WithContext(listen.ContextWithClaim(req.Context(), claim)))
-		assert.Equal(t, status, res.StatusCode)
-		assert.Equal(t, status != http.StatusOK, res.Header.Get("Retry-After") != "")
-		assert.Empty(t, r.jobs.records)
+		for _, memory := range []int{firstBodyBuffer - 1, firstBodyBuffer} {
+			r := newFrontRig(t)
+			r.jobs.report = report
+			claim := testClaim(t, memory)
+			require.True(t, claim.Hold())
+			req := r.newRequest(http.MethodPost, jobPath, "Bearer ward-key")
+			res := r.serve(req.WithContext(listen.ContextWithClaim(req.Context(), claim)))
+			assert.Equal(t, status, res.StatusCode, "%d bytes", memory)
+			assert.Equal(t, status != http.StatusOK, res.Header.Get("Retry-After") != "")
+			assert.Empty(t, r.jobs.records)
+		}
 	}
 }
 
--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -63,12 +63,12 @@
 	if err != nil {
 		invalid = "the body can't be read: "
 	} else {
-		spec, err = platform.DecodeJob(body)
+		spec, err = platform.DecodeJobWithin(body, req.conn.Reserve)
 	}
 	switch {
 	case err == nil:
 		return body, spec, response{}, true
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, errNoMemory) || errors.Is(err, platform.ErrNoMemory):
 		return nil, spec, respondUnstored(h.judge(ctx, req, id), returntime.NoMemory, "the node has no memory for the request"), false
 	case errors.Is(err, errBodyTooLarge):
 		return nil, spec, errorResponse(http.StatusRequestEntityTooLarge, "the body has more than "+strconv.Itoa(maxBytes)+" bytes"), false
