nodepeer: unread messages of other nodes are bounded

Calls to the port for other nodes whose message stops short of its end keep it in memory without a limit of time.

Cause: the gRPC server takes 4 MB a message, any number of calls a connection, and buffers them before a handler is called.

Change: what is read from a connection is reserved in the budget of the clients until a message has arrived whole; connections without a whole message for longest give way. A message has at most 2 MB, a connection 1,024 calls. A claim reaches the handler by the connection's credentials, so that no call costs more than that.

Left: a connection that completes small messages regularly can keep larger ones open beside them, 2 MB each.

--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -239,6 +239,7 @@
 			if err := decode(&req); err != nil {
 				return nil, err
 			}
+			claimOf(ctx).Finish()
 			if req.From != "" {
 				onRequest(req.From)
 			}
@@ -251,7 +252,8 @@
 // Serve serves other nodes on a listener until ctx ends. onRequest is called with the address of each
 // requesting node that states it.
 func Serve(ctx context.Context, listener net.Listener, h Handler, onRequest func(from string)) error {
-	server := grpc.NewServer(grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}))
+	server := grpc.NewServer(grpc.Creds(newClaimCredentials()), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxConcurrentStreams(maxCalls),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}))
 	server.RegisterService(&grpc.ServiceDesc{
 		ServiceName: serviceName,
 		HandlerType: (*Handler)(nil),
