intake: an owner's node admits jobs as far as it has memory

What callers saw: a node ends for want of memory while it serves single requests in calm. A body of legal size has room for 21,800 steps, and the owner keeps some 14 MB for them until the job is forgotten: 30 such jobs, one after another, 514 MB on a node of 96 MB.

Cause: nothing bounded what is kept of jobs once they are accepted.

Change: the node of a partition's owner refuses a job whose steps would take its own live memory, without that of clients, over three eighths of memory_mb. The memory is that of the last collection; before a refusal it is collected again, at most once a second, so that a peak that is over refuses nobody. What was admitted within the last second counts besides. Large jobs leave room for small ones. Other nodes don't store such a job past the owner, and it isn't held, as waiting doesn't help it. The answer is true of the job as for any other refusal: 200 if the owner knows it, 503 only if an earlier acceptance is ruled out, else 504. Cancellations are always taken.

--- a/internal/front/submit.go
+++ b/internal/front/submit.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
+	"github.com/yuccadrift/yuccadrift/internal/membudget"
 	"github.com/yuccadrift/yuccadrift/internal/returntime"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -144,6 +145,9 @@
 			held.stored()
 			return accepted()
 		case platform.StoreRefused:
+			if errors.Is(err, membudget.ErrNoRoom) {
+				return respondUnstored(h.judge(ctx, req, r.Job), returntime.NoMemory, "the owner's node: "+err.Error())
+			}
 			verdict := acceptance.Uncertain
 			if !wasJudged {
 				verdict = h.judge(ctx, req, r.Job)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -25,6 +25,7 @@
 
 	"github.com/yuccadrift/yuccadrift/internal/acceptance"
 	"github.com/yuccadrift/yuccadrift/internal/heldqueue"
+	"github.com/yuccadrift/yuccadrift/internal/membudget"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -90,6 +91,7 @@
 	Status      platform.StoreStatus
 	Pending     bool // the record still waits for the store; the request may be repeated
 	Unavailable bool // the node does not reach the store
+	NoRoom      bool // the owner's node has no memory for the record's job
 	Reason      string
 }
 
@@ -119,6 +121,7 @@
 	relaySlots chan struct{}
 	attempts   *attemptLog
 	noteSlots  chan struct{}
+	admit      func(workload.Record) error // nil if all records are
 
 	mu             sync.Mutex
 	backedOffUntil map[string]time.Time // by address
@@ -248,6 +251,9 @@
 	if err := r.local.CheckAvailable(); err != nil {
 		return outcome{status: platform.StoreRefused, err: err}
 	}
+	if err := r.checkRoom(partition, record); err != nil {
+		return outcome{status: platform.StoreRefused, err: err, skipOtherRoutes: true}
+	}
 	r.reportInFlight(partition, record)
 	status, _, err := r.local.Store(ctx, partition, record, nil)
 	return outcome{status: status, err: err, skipOtherRoutes: true}
@@ -281,7 +287,10 @@
 // other routes are tried, since the store may reject that node and serve this one.
 func (r *Router) relayOutcome(response StoreResponse, err error, wasPending bool) outcome {
 	res := outcome{status: response.Status, err: err, skipOtherRoutes: err == nil && !response.Unavailable}
-	if err == nil && response.Status != platform.StoreOK {
+	switch {
+	case response.NoRoom:
+		res.err = membudget.ErrNoRoom
+	case err == nil && response.Status != platform.StoreOK:
 		res.err = errors.New(response.Reason)
 	}
 	if err != nil && response.Status != platform.StoreRefused {
@@ -289,7 +298,7 @@
 	}
 	isRefused := res.status == platform.StoreRefused
 	if isRefused {
-		res.skipOtherRoutes = res.skipOtherRoutes && r.local.IsSlow()
+		res.skipOtherRoutes = res.skipOtherRoutes && (r.local.IsSlow() || response.NoRoom)
 	}
 	if wasPending && (isRefused || res.status == platform.StoreInvalid) {
 		res.status = platform.StoreUnknown
@@ -364,6 +373,10 @@
 	if r.attempts.begin(q.Partition, q.Record) {
 		return StoreResponse{Status: platform.StoreOK}
 	}
+	if err := r.checkRoom(q.Partition, q.Record); err != nil {
+		r.attempts.end(q.Partition, q.Record, platform.StoreRefused)
+		return noRoom(err)
+	}
 	r.reportInFlight(q.Partition, q.Record)
 	pendingTimer := time.NewTimer(min(max(0, q.PendingAfter), slowRelayPendingAfter))
 	defer pendingTimer.Stop()
--- a/internal/node/clientlimits.go
+++ b/internal/node/clientlimits.go
@@ -34,12 +34,17 @@
 	callers, readiness, metrics, peers *membudget.Group
 }
 
+// memoryOf returns the memory of the process in megabytes.
+func memoryOf(s platform.Settings) int {
+	if s.MemoryMB <= 0 {
+		return defaultMemoryMB
+	}
+	return s.MemoryMB
+}
+
 // newClientGroups divides the memory and descriptors of a process.
 func newClientGroups(s platform.Settings) clientGroups {
-	megabytes := s.MemoryMB
-	if megabytes <= 0 {
-		megabytes = defaultMemoryMB
-	}
+	megabytes := memoryOf(s)
 	callers := membudget.Limits{Bytes: megabytes << 20 / callerMemoryShare, ConnBytes: connBytes}
 	callers.Connections = callers.Bytes / callerConnectionShare / connBytes
 	peers := membudget.Limits{Bytes: megabytes << 20 / peerMemoryShare, ConnBytes: peerConnBytes}
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -83,7 +83,7 @@
 		return intake.StoreResponse{Status: platform.StoreUnknown}, errors.Errorf("node %s gave no outcome", address)
 	}
 	s := response.StoreResult
-	return intake.StoreResponse{Status: s.Status, Pending: s.Pending, Unavailable: s.Unavailable, Reason: s.Reason}, nil
+	return intake.StoreResponse{Status: s.Status, Pending: s.Pending, Unavailable: s.Unavailable, NoRoom: s.NoRoom, Reason: s.Reason}, nil
 }
 
 func (p storePeers) NoteAttempt(ctx context.Context, address string, id workload.JobID, age time.Duration) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -216,6 +216,7 @@
 	}
 	groups := newClientGroups(s)
 	registerClientMetrics(metrics, groups.budget)
+	n.intake.LimitJobs(newJobRoom(memoryOf(s), groups.budget, metrics).admit)
 	n.peerListener = listen.BoundedReads(n.peerListener, groups.peers)
 	metricsListener = listen.Bounded(metricsListener, groups.metrics)
 	n.front = front.NewServer(listen.Bounded(callers, groups.callers), listen.Bounded(ready, groups.readiness), n.checkReady, n.logger.Named("front"))
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -72,7 +72,7 @@
 		return nodepeer.Response{StoreResult: &nodepeer.StoreResult{Status: platform.StoreInvalid, Reason: "the path leads to another service by a newer configuration"}, Config: newer}, nil
 	}
 	response := p.intake.Serve(ctx, intake.StoreRequest{Partition: req.Partition, Record: record, PendingAfter: time.Duration(req.PendingAfterMS) * time.Millisecond})
-	return nodepeer.Response{StoreResult: &nodepeer.StoreResult{Status: response.Status, Pending: response.Pending, Unavailable: response.Unavailable, Reason: response.Reason}}, nil
+	return nodepeer.Response{StoreResult: &nodepeer.StoreResult{Status: response.Status, Pending: response.Pending, Unavailable: response.Unavailable, NoRoom: response.NoRoom, Reason: response.Reason}}, nil
 }
 
 // ServeAttempt serves MethodAttempt.
--- a/internal/nodepeer/nodepeer.go
+++ b/internal/nodepeer/nodepeer.go
@@ -163,6 +163,7 @@
 	Status      platform.StoreStatus `json:"s"`
 	Pending     bool                 `json:"p,omitempty"`
 	Unavailable bool                 `json:"a,omitempty"` // the node does not reach the store
+	NoRoom      bool                 `json:"n,omitempty"` // the owner's node has no memory for the job
 	Reason      string               `json:"r,omitempty"`
 }
 
--- a/internal/proof/crowds_test.go
+++ b/internal/proof/crowds_test.go
@@ -103,6 +103,19 @@
 // checkSurvival checks that a node that met a crowd is the process that was started, has stayed within its
 // memory and descriptors, and serves an ordinary caller.
 func checkSurvival(t *testing.T, c *testkit.JobCluster, n *testkit.JobNode, pid int) {
+	t.Helper()
+	require.True(t, n.Running(), "the node has ended")
+	c.Submit("booking", c.NewID(), testkit.Chain(50*time.Millisecond, 1))
+	assert.True(t, n.Running())
+	assert.Equal(t, pid, n.PID())
+	checkMemory(t, n)
+	sockets := n.Sockets()
+	t.Logf("sockets %d", sockets)
+	assert.LessOrEqual(t, sockets, crowdDescriptors-fileDescriptors, "sockets")
+}
+
+// checkMemory checks that a node has stayed within its memory, to which unread bytes count.
+func checkMemory(t *testing.T, n *testkit.JobNode) {
 	t.Helper()
 	unread := 0
 	for _, address := range []string{n.Callers, n.Readiness, n.Metrics, n.Peers} {
@@ -110,16 +123,11 @@
 		require.NoError(t, err)
 		unread += bytes
 	}
-	require.True(t, n.Running(), "the node has ended")
-	c.Submit("booking", c.NewID(), testkit.Chain(50*time.Millisecond, 1))
-	assert.True(t, n.Running())
-	assert.Equal(t, pid, n.PID())
-	peak, sockets := n.PeakMemoryMB(), n.Sockets()
-	t.Logf("peak %d MB, unread %d kB, sockets %d", peak, unread>>10, sockets)
+	peak := n.PeakMemoryMB()
+	t.Logf("peak %d MB, unread %d kB", peak, unread>>10)
 	if !testkit.RaceEnabled {
 		assert.Less(t, peak+unread>>20, crowdMemoryMB, "memory in MB")
 	}
-	assert.LessOrEqual(t, sockets, crowdDescriptors-fileDescriptors, "sockets")
 }
 
 // awaitRead waits until a node has read what a crowd has sent or has closed its connections. A node that
@@ -231,9 +239,7 @@
 // machine.
 func TestLargeBodiesAreServedInCalm(t *testing.T) {
 	c, n := startCrowdedNode(t)
-	const step = `,{"count":1}`
-	manySteps := `{"steps":[{"count":1}` + strings.Repeat(step, (legalBodyBytes-100)/len(step)) + `]}`
-	for _, body := range []string{legalBody(), manySteps} {
+	for _, body := range []string{legalBody(), manySteps()} {
 		status, answer := c.Call(n, http.MethodPost, standin.QueuePrefix("booking")+string(c.NewID()), body)
 		assert.Equal(t, http.StatusOK, status, answer)
 	}
--- a/internal/proof/peercrowd_test.go
+++ b/internal/proof/peercrowd_test.go
@@ -3,15 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
 	"encoding/binary"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"testing"
-
-	"golang.org/x/net/http2"
 )
 
 // Guards against peers' port as a way to end a node by memory: messages that stop just short of their end.
@@ -19,10 +15,8 @@
 	const messageBytes, unfinishedMessages = 900_000, 120
 	c, n := startCrowdedNode(t)
 	pid := n.PID()
-	transport := &http2.Transport{AllowHTTP: true, DialTLSContext: func(ctx context.Context, network, address string, _ *tls.Config) (net.Conn, error) {
-		var d net.Dialer
-		return d.DialContext(ctx, network, address)
-	}}
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
 	var sent, ended sync.WaitGroup
 	ctx, cancel := context.WithCancel(t.Context())
 	defer ended.Wait()
@@ -39,15 +33,10 @@
 			}
 			req.Header.Set("Content-Type", "application/grpc+json")
 			req.Header.Set("Te", "trailers")
-			conn, err := transport.DialTLSContext(ctx, "tcp", n.Peers, nil)
-			if err == nil {
-				defer conn.Close()
-				var client *http2.ClientConn
-				if client, err = transport.NewClientConn(conn); err == nil {
-					if resp, err := client.RoundTrip(req); err == nil {
-						_ = resp.Body.Close()
-					}
-				}
+			transport := &http.Transport{Protocols: &protocols} // one connection each
+			defer transport.CloseIdleConnections()
+			if resp, err := transport.RoundTrip(req); err == nil {
+				_ = resp.Body.Close()
 			}
 			body.atEnd() // the node may close the connection before
 		})
