--- a/internal/node/clientlimits.go
+++ b/internal/node/clientlimits.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"context"
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/yuccadrift/yuccadrift/internal/membudget"
@@ -59,6 +62,28 @@
 	return clientGroups{budget: b, callers: b.NewGroup(callers), readiness: b.NewGroup(probes), metrics: b.NewGroup(probes), peers: b.NewGroup(peers)}
 }
 
+// clientLogInterval is the time between two lines on clients that were closed or refused.
+const clientLogInterval = 5 * time.Second
+
+// watchClients logs that clients were closed or refused.
+func (n *Node) watchClients(ctx context.Context) error {
+	ticker := time.NewTicker(clientLogInterval)
+	defer ticker.Stop()
+	last := n.clients.Usage()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		u := n.clients.Usage()
+		if u.Closed > last.Closed || u.Refused > last.Refused {
+			n.logger.Warn("clients were closed or refused for want of memory or descriptors", "closed", u.Closed-last.Closed, "refused", u.Refused-last.Refused, "reserved_kb", u.Reserved>>10, "limit_kb", u.Limit>>10)
+		}
+		last = u
+	}
+}
+
 // registerClientMetrics registers the metrics of a budget.
 func registerClientMetrics(r prometheus.Registerer, b *membudget.Budget) {
 	gauge := func(name, help string, value func(membudget.Usage) int) {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -26,6 +26,7 @@
 		{Name: "speed", Serve: n.watchSpeed},
 		{Name: "peers", Serve: n.servePeers, StopTimeout: n.settings.Bounds.ShutdownGrace},
 		{Name: "admin", Serve: n.admin.Serve},
+		{Name: "clients", Serve: n.watchClients},
 		{Name: "reload", Serve: func(ctx context.Context) error { return n.checkSettingsOnHangup(ctx, path, hangups) }},
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/listen"
 	"github.com/yuccadrift/yuccadrift/internal/logging"
+	"github.com/yuccadrift/yuccadrift/internal/membudget"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
 	"github.com/yuccadrift/yuccadrift/internal/owner"
 	"github.com/yuccadrift/yuccadrift/internal/ownership"
@@ -73,6 +74,7 @@
 	front        *front.Server
 	admin        *admin.Server
 	peerListener listen.Listener
+	clients      *membudget.Budget
 	// frontCtx ends once the front, the HTTP server for callers, has stopped.
 	frontCtx       context.Context
 	cancelFrontCtx context.CancelFunc
@@ -215,8 +217,9 @@
 		return err
 	}
 	groups := newClientGroups(s)
-	registerClientMetrics(metrics, groups.budget)
-	n.intake.LimitJobs(newJobRoom(memoryOf(s), groups.budget, metrics).admit)
+	n.clients = groups.budget
+	registerClientMetrics(metrics, n.clients)
+	n.intake.LimitJobs(newJobRoom(memoryOf(s), n.clients, metrics).admit)
 	n.peerListener = listen.BoundedReads(n.peerListener, groups.peers)
 	metricsListener = listen.Bounded(metricsListener, groups.metrics)
 	n.front = front.NewServer(listen.Bounded(callers, groups.callers), listen.Bounded(ready, groups.readiness), n.checkReady, n.logger.Named("front"))
