membudget: memory is released once a closed connection has ended

What callers saw: nothing; a test came close to its bound. A connection that was closed for others released its memory at once, while its goroutine, with the buffer of a body, may not have run yet. Beside other load TestCallersAreServedBesideACrowd, which ends at 96 MB, peaked at 90 MB once in 8 runs.

Change: the memory stays reserved until the connection has ended. Requests wait for it; whoever has to give way meanwhile stops waiting. A listener accepts no more while a quarter of its memory is held by closed connections. Only bodies that are read before the answer leave their connection open to being closed, so that none takes long to end.

Ruled out: requests that wait alone.

TestMemoryIsReservedOnceItIsFree, TestAWaitingRequestGivesWay, TestConnectionsWaitForThoseThatWereClosed. TestNodeSurvivesIdleConnections now also requests an answer on the port for other nodes. The tests of the budget let connections end when they are closed, and that of the listener closes the first one itself before it expects its memory back.

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -135,8 +135,9 @@
 	if hasBody(r) {
 		h.setBodyDeadline(w, req.startedAt.Add(bodyTimeout))
 		req.bodyArrived = func() { h.setBodyDeadline(w, time.Time{}) }
-	} else {
-		req.conn.Hold()
+	}
+	if r.Method != http.MethodPost {
+		req.conn.Hold() // bodies of other methods are not read before the response
 	}
 	res := h.handle(req)
 	if res.aborted {
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -39,6 +39,9 @@
 	connections int
 	// yielding are the connections that may be closed, those without progress for longest first.
 	yielding *list.List
+	// closing is the part of reserved whose connections were closed for others and have not ended yet.
+	closing int
+	ended   *sync.Cond // a connection ended or was closed for others
 }
 
 // Limits are those of a group.
@@ -53,7 +56,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.usage.Limit += l.Bytes
-	return &Group{budget: b, limits: l, yielding: list.New()}
+	return &Group{budget: b, limits: l, yielding: list.New(), ended: sync.NewCond(&b.mu)}
 }
 
 // add adds bytes to what is reserved. It must be called with the budget locked.
@@ -62,99 +65,104 @@
 	g.budget.usage.Reserved += bytes
 }
 
+// makeRoom takes connections out of the group until bytes for c fit once those have ended. It returns false if
+// they never do or c is itself one of them. It must be called with the budget locked.
+func (g *Group) makeRoom(bytes int, c *Conn) (victims []*Conn, ok bool) {
+	for g.reserved-g.closing+bytes > g.limits.Bytes {
+		if g.yielding.Len() == 0 || c != nil && c.yielded {
+			return victims, false
+		}
+		victims = append(victims, g.yieldFirst())
+	}
+	return victims, true
+}
+
+// yieldFirst takes the connection without progress for longest out of the group. Its memory stays reserved until it
+// ends. It must be called with the budget locked.
+func (g *Group) yieldFirst() *Conn {
+	c := g.yielding.Front().Value.(*Conn)
+	c.yielded = true
+	c.hold()
+	g.connections--
+	g.closing += c.bytes
+	g.budget.usage.Closed++
+	g.ended.Broadcast()
+	return c
+}
+
+// maxClosingShare is the part of a group's memory that connections may take that were closed and have not ended.
+const maxClosingShare = 4
+
 // Conn is a connection of a group. A nil Conn has no bounds.
 type Conn struct {
 	group    *Group
 	bytes    int
 	closeFn  func()
 	position *list.Element // in group.yielding, nil while the connection must not be closed
-	isClosed bool          // it has left the group
 	yielded  bool          // it was closed for others
+	hasEnded bool
 }
 
 // Open adds a connection. It returns nil if the group has no room and none of its connections may be closed.
-// closeConn closes the connection and may be called at any time, by other connections' goroutines.
+// closeConn closes the connection and may be called at any time, by other connections' goroutines; Close must
+// follow once nothing of the connection is in memory. Open waits while too many connections were closed and have
+// not ended yet.
 func (g *Group) Open(closeConn func()) *Conn {
 	b := g.budget
 	b.mu.Lock()
+	for g.closing > g.limits.Bytes/maxClosingShare {
+		g.ended.Wait()
+	}
 	var victims []*Conn
 	for g.connections >= g.limits.Connections && g.yielding.Len() > 0 {
-		victims = append(victims, g.closeFirst())
-	}
-	c := &Conn{group: g, closeFn: closeConn}
-	victims, ok := c.reserve(g.limits.ConnBytes, victims)
-	if ok = ok && g.connections < g.limits.Connections; ok {
+		victims = append(victims, g.yieldFirst())
+	}
+	more, ok := g.makeRoom(g.limits.ConnBytes, nil)
+	victims = append(victims, more...)
+	var c *Conn
+	if ok && g.connections < g.limits.Connections {
+		c = &Conn{group: g, closeFn: closeConn, bytes: g.limits.ConnBytes}
+		g.add(c.bytes)
 		g.connections++
 		c.position = g.yielding.PushBack(c)
 	} else {
-		g.add(-c.bytes)
 		b.usage.Refused++
-		c = nil
 	}
 	b.mu.Unlock()
 	closeAll(victims)
 	return c
 }
 
-// Reserve reserves bytes for a request on the connection. It returns false if there is no room even if all
-// others give way, or if the connection itself was the next to give way; see Yielded.
+// Reserve reserves bytes for a request on the connection, and waits until connections that give way for it have
+// ended. It returns false if there is no room even if all others give way, or if the connection itself gives way;
+// see Yielded.
 func (c *Conn) Reserve(bytes int) bool {
 	if c == nil {
 		return true
 	}
-	b := c.group.budget
-	b.mu.Lock()
-	if c.isClosed {
-		b.mu.Unlock()
-		return false
-	}
-	victims, ok := c.reserve(bytes, nil)
-	if !ok && !c.isClosed {
-		b.usage.Refused++
-	}
-	b.mu.Unlock()
-	closeAll(victims)
-	return ok
-}
-
-// reserve reserves bytes and returns the connections that are to be closed for them, added to victims. It must
-// be called with the budget locked.
-func (c *Conn) reserve(bytes int, victims []*Conn) (_ []*Conn, ok bool) {
 	g := c.group
-	for g.reserved+bytes > g.limits.Bytes {
-		if c.isClosed || g.yielding.Len() == 0 {
-			return victims, false
+	g.budget.mu.Lock()
+	defer g.budget.mu.Unlock()
+	for !c.yielded && !c.hasEnded {
+		victims, ok := g.makeRoom(bytes, c)
+		if len(victims) > 0 {
+			g.budget.mu.Unlock()
+			closeAll(victims)
+			g.budget.mu.Lock()
+			continue
 		}
-		victims = append(victims, g.closeFirst())
-	}
-	if c.isClosed {
-		return victims, false
-	}
-	g.add(bytes)
-	c.bytes += bytes
-	return victims, true
-}
-
-// closeFirst takes the connection without progress for longest out of the group. It must be called with the
-// budget locked.
-func (g *Group) closeFirst() *Conn {
-	c := g.yielding.Front().Value.(*Conn)
-	c.yielded = true
-	c.leave()
-	g.budget.usage.Closed++
-	return c
-}
-
-// leave releases all of the connection. It must be called with the budget locked.
-func (c *Conn) leave() {
-	if c.isClosed {
-		return
+		switch {
+		case !ok:
+			g.budget.usage.Refused++
+			return false
+		case g.reserved+bytes <= g.limits.Bytes:
+			g.add(bytes)
+			c.bytes += bytes
+			return true
+		}
+		g.ended.Wait()
 	}
-	c.isClosed = true
-	c.hold()
-	c.group.connections--
-	c.group.add(-c.bytes)
-	c.bytes = 0
+	return false
 }
 
 // hold keeps the connection from being closed. It must be called with the budget locked.
@@ -200,15 +208,17 @@
 	if c == nil {
 		return
 	}
-	c.group.budget.mu.Lock()
-	defer c.group.budget.mu.Unlock()
-	if c.isClosed {
+	g := c.group
+	g.budget.mu.Lock()
+	defer g.budget.mu.Unlock()
+	if c.yielded || c.hasEnded {
 		return
 	}
-	c.group.add(c.group.limits.ConnBytes - c.bytes)
-	c.bytes = c.group.limits.ConnBytes
+	g.add(g.limits.ConnBytes - c.bytes)
+	c.bytes = g.limits.ConnBytes
 	c.hold()
-	c.position = c.group.yielding.PushBack(c)
+	c.position = g.yielding.PushBack(c)
+	g.ended.Broadcast()
 }
 
 // Close removes a connection that has ended. It may be called more than once.
@@ -216,9 +226,22 @@
 	if c == nil {
 		return
 	}
-	c.group.budget.mu.Lock()
-	defer c.group.budget.mu.Unlock()
-	c.leave()
+	g := c.group
+	g.budget.mu.Lock()
+	defer g.budget.mu.Unlock()
+	if c.hasEnded {
+		return
+	}
+	c.hasEnded = true
+	c.hold()
+	if c.yielded {
+		g.closing -= c.bytes
+	} else {
+		g.connections--
+	}
+	g.add(-c.bytes)
+	c.bytes = 0
+	g.ended.Broadcast()
 }
 
 // Yielded reports whether the connection was closed for others.
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -16,8 +17,16 @@
 	closed []int
 }
 
-func (c *clients) open(number int) *membudget.Conn {
-	return c.group.Open(func() { c.closed = append(c.closed, number) })
+func (c *clients) open(number int) (conn *membudget.Conn) {
+	return c.openUntil(number, func() { conn.Close() })
+}
+
+// openUntil opens a connection that calls end when it is closed for others.
+func (c *clients) openUntil(number int, end func()) *membudget.Conn {
+	return c.group.Open(func() {
+		c.closed = append(c.closed, number)
+		end()
+	})
 }
 
 func newClients(l membudget.Limits) (*clients, *membudget.Budget) {
@@ -53,6 +62,66 @@
 	assert.Equal(t, 50, budget.Usage().Reserved)
 }
 
+// Guards against memory that is given away before the request that has to give way is gone.
+func TestMemoryIsReservedOnceItIsFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, budget := newClients(membudget.Limits{Bytes: 100, Connections: 10, ConnBytes: 10})
+		first := c.openUntil(1, func() {})
+		require.True(t, first.Reserve(70))
+		second, third := c.open(2), c.open(3)
+		reserved := make(chan bool, 2)
+		go func() { reserved <- third.Reserve(50) }()
+		synctest.Wait()
+		assert.Empty(t, reserved)
+		assert.Equal(t, []int{1}, c.closed)
+		assert.Equal(t, 100, budget.Usage().Reserved)
+		go func() { reserved <- second.Reserve(60) }()
+		synctest.Wait()
+		assert.Empty(t, reserved, "both wait, as there is room for one of them")
+		first.Close()
+		synctest.Wait()
+		assert.Len(t, reserved, 2)
+		assert.Len(t, c.closed, 2, "one of them gives way to the other")
+		assert.LessOrEqual(t, budget.Usage().Reserved, 100)
+	})
+}
+
+// Guards against requests that wait for memory after they have given way themselves.
+func TestAWaitingRequestGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, _ := newClients(membudget.Limits{Bytes: 100, Connections: 3, ConnBytes: 10})
+		first, second, third := c.openUntil(1, func() {}), c.openUntil(2, func() {}), c.open(3)
+		require.True(t, first.Reserve(70))
+		reserved, reservedLater := make(chan bool, 1), make(chan bool, 1)
+		go func() { reserved <- second.Reserve(30) }()
+		synctest.Wait()
+		go func() { reservedLater <- third.Reserve(85) }()
+		synctest.Wait()
+		assert.False(t, <-reserved)
+		assert.Equal(t, []int{1, 2}, c.closed)
+		first.Close()
+		second.Close()
+		assert.True(t, <-reservedLater)
+	})
+}
+
+// Guards against connections that are accepted faster than those that were closed for them end.
+func TestConnectionsWaitForThoseThatWereClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, budget := newClients(membudget.Limits{Bytes: 100, Connections: 1, ConnBytes: 10})
+		first := c.openUntil(1, func() {})
+		require.True(t, first.Reserve(20))
+		require.NotNil(t, c.open(2))
+		opened := make(chan *membudget.Conn, 1)
+		go func() { opened <- c.open(3) }()
+		synctest.Wait()
+		assert.Empty(t, opened)
+		first.Close()
+		assert.NotNil(t, <-opened)
+		assert.Equal(t, 10, budget.Usage().Reserved)
+	})
+}
+
 // Guards against requests that are cut off after they may have had an effect.
 func TestHeldConnectionsDoNotGiveWay(t *testing.T) {
 	c, budget := newClients(membudget.Limits{Bytes: 100, Connections: 2, ConnBytes: 10})
--- a/internal/proof/crowds_test.go
+++ b/internal/proof/crowds_test.go
@@ -185,15 +185,28 @@
 			pid := n.PID()
 			crowd(t, kind.address(n), idleCrowd, func(int, net.Conn) error { return nil })
 			c.AwaitReady()
-			resp, err := http.Get("http://" + n.Metrics + "/metrics")
-			require.NoError(t, err)
-			defer resp.Body.Close()
-			assert.Equal(t, http.StatusOK, resp.StatusCode)
+			assert.Equal(t, http.StatusOK, answerOf(t, n.Metrics, http.MethodGet, "/metrics", nil))
+			var http2 http.Protocols
+			http2.SetUnencryptedHTTP2(true)
+			assert.NotZero(t, answerOf(t, n.Peers, http.MethodPost, "/", &http2), "a node that calls gets an answer")
 			checkSurvival(t, c, n, pid)
 		})
 	}
 }
 
+// answerOf returns the status of the answer to a request on a new connection.
+func answerOf(t *testing.T, address, method, path string, protocols *http.Protocols) int {
+	t.Helper()
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+address+path, nil)
+	require.NoError(t, err)
+	resp, err := (&http.Client{Transport: transport, Timeout: 30 * time.Second}).Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
 // Guards against crowds that keep ordinary callers out: connections come back as fast as the node closes them.
 func TestCallersAreServedBesideACrowd(t *testing.T) {
 	c, n := startCrowdedNode(t)
