--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/listen"
 	"github.com/yuccadrift/yuccadrift/internal/logging"
+	"github.com/yuccadrift/yuccadrift/internal/membudget"
 	"github.com/yuccadrift/yuccadrift/internal/nodepeer"
 	"github.com/yuccadrift/yuccadrift/internal/owner"
 	"github.com/yuccadrift/yuccadrift/internal/ownership"
@@ -73,6 +74,7 @@
 	front        *front.Server
 	admin        *admin.Server
 	peerListener listen.Listener
+	clients      *membudget.Budget
 	// frontCtx ends once the front, the HTTP server for callers, has stopped.
 	frontCtx       context.Context
 	cancelFrontCtx context.CancelFunc
@@ -214,7 +216,13 @@
 	if err != nil {
 		return err
 	}
-	n.front = front.NewServer(callers, ready, n.checkReady, n.logger.Named("front"))
+	groups := newClientGroups(s)
+	n.clients = groups.budget
+	registerClientMetrics(metrics, n.clients)
+	n.intake.LimitJobs(newJobRoom(memoryOf(s), n.clients, metrics).admit)
+	n.peerListener = listen.BoundedReads(n.peerListener, groups.peers)
+	metricsListener = listen.Bounded(metricsListener, groups.metrics)
+	n.front = front.NewServer(listen.Bounded(callers, groups.callers), listen.Bounded(ready, groups.readiness), n.checkReady, n.logger.Named("front"))
 	holder := front.NewHolder(n.intake, metrics, n.logger.Named("front"))
 	n.storeHealth.notifyOfReturn(holder.StoreAnswers)
 	n.front.SetHandler(&front.Handler{
