Node: a status of a later version no longer ends the process

While nodes are updated, another node may answer a request to store a record with a status that this version doesn't have. StoreStatus.String indexed an array with it: the first log line about the outcome would panic and end the process, at each such answer. Such a status also counted neither as refused nor as unknown.

Other statuses with names (VMOrderStatus, Outcome, WorkerStatus) never come from another process.

--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -82,8 +82,16 @@
 	case response.StoreResult == nil:
 		return intake.StoreResponse{Status: platform.StoreUnknown}, errors.Errorf("node %s gave no outcome", address)
 	}
-	s := response.StoreResult
-	return intake.StoreResponse{Status: s.Status, Pending: s.Pending, Unavailable: s.Unavailable, Reason: s.Reason}, nil
+	return storeResponseOf(*response.StoreResult), nil
+}
+
+// storeResponseOf returns the outcome that another node states. A status that this version doesn't know is unknown.
+func storeResponseOf(s nodepeer.StoreResult) intake.StoreResponse {
+	status := s.Status
+	if !status.IsKnown() {
+		status = platform.StoreUnknown
+	}
+	return intake.StoreResponse{Status: status, Pending: s.Pending, Unavailable: s.Unavailable, Reason: s.Reason}
 }
 
 func (p storePeers) NoteAttempt(ctx context.Context, address string, id workload.JobID, age time.Duration) error {
