Partitioning: an entry without a partition no longer assigns partition 0

An entry {} or null of a service was decoded as partition 0. Entries never change and the first known one stays, so each node that read it would look for the service's jobs in partition 0 and store new ones there, while its jobs are elsewhere: they would be answered as unknown. Such an entry is now refused like one with a partition that doesn't exist.

--- a/internal/partitioning/partitioning.go
+++ b/internal/partitioning/partitioning.go
@@ -127,7 +127,7 @@
 
 // entry is the stored form of an entry of a table.
 type entry struct {
-	Partition int `json:"partition"`
+	Partition *int `json:"partition"`
 }
 
 // KeyPrefix begins the keys of stored entries.
@@ -135,7 +135,7 @@
 
 // Encode returns the stored form of an entry.
 func Encode(service string, partition int) (key string, value []byte, err error) {
-	value, err = json.Marshal(entry{Partition: partition})
+	value, err = json.Marshal(entry{Partition: &partition})
 	return KeyPrefix + service, value, errors.Wrap(err, "partition of a service")
 }
 
@@ -144,12 +144,16 @@
 	if len(key) <= len(KeyPrefix) || key[:len(KeyPrefix)] != KeyPrefix {
 		return "", 0, errors.Errorf("key %q names no service", key)
 	}
+	service = key[len(KeyPrefix):]
 	var e entry
 	if err := json.Unmarshal(value, &e); err != nil {
-		return "", 0, errors.Wrapf(err, "partition of service %q", key[len(KeyPrefix):])
+		return "", 0, errors.Wrapf(err, "partition of service %q", service)
 	}
-	if e.Partition < 0 || e.Partition >= partitions {
-		return "", 0, errors.Errorf("service %q has partition %d of %d", key[len(KeyPrefix):], e.Partition, partitions)
+	if e.Partition == nil {
+		return "", 0, errors.Errorf("service %q has no partition", service)
 	}
-	return key[len(KeyPrefix):], e.Partition, nil
+	if *e.Partition < 0 || *e.Partition >= partitions {
+		return "", 0, errors.Errorf("service %q has partition %d of %d", service, *e.Partition, partitions)
+	}
+	return service, *e.Partition, nil
 }
