Rejected entries are logged once, and briefly

An unusable worker's entry of 200 kB was quoted whole in the log (a state of 200 kB: a line of 200,133 bytes). Entries of the services' partitions and of the paths' histories that can't be decoded were logged again at each read, those of paths at each configuration with a new route; a configuration of another node that this one can't decode was logged each 0.2 s while the store was away.

The list of workers, published changes, partitions of services and histories of paths use it.

--- a/internal/assignments/assignments.go
+++ b/internal/assignments/assignments.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/yuccadrift/yuccadrift/internal/partitioning"
+	"github.com/yuccadrift/yuccadrift/internal/rejections"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -47,6 +48,7 @@
 	config     Config
 	partitions int
 	logger     hclog.Logger
+	rejections *rejections.Log
 
 	mu    sync.Mutex
 	table partitioning.Table
@@ -54,7 +56,7 @@
 
 // New returns a follower that knows no entry. partitions is the number of partitions.
 func New(source Source, config Config, partitions int, logger hclog.Logger) *Follower {
-	return &Follower{source: source, config: config, partitions: partitions, logger: logger, table: partitioning.Table{}}
+	return &Follower{source: source, config: config, partitions: partitions, logger: logger, rejections: rejections.New(logger, "entry of a service can't be decoded and is left out"), table: partitioning.Table{}}
 }
 
 // PartitionOf returns the partition of a service's jobs. ok is false if it isn't known.
@@ -135,7 +137,7 @@
 	}
 }
 
-// decode returns the entries of a batch. An entry that can't be decoded is logged and left out.
+// decode returns the entries of a batch. An entry that can't be decoded is logged once and left out.
 func (f *Follower) decode(batch platform.Batch) partitioning.Table {
 	table := partitioning.Table{}
 	for _, r := range batch.Records {
@@ -144,9 +146,10 @@
 		}
 		service, partition, err := partitioning.Decode(r.Key, r.Value, f.partitions)
 		if err != nil {
-			f.logger.Error("entry of a service can't be decoded and is left out", "key", r.Key, "error", err)
+			f.rejections.Reject(r.Key, err)
 			continue
 		}
+		f.rejections.Accept(r.Key)
 		table[service] = partition
 	}
 	return table
--- a/internal/fleetowner/routes.go
+++ b/internal/fleetowner/routes.go
@@ -101,6 +101,6 @@
 	if status != platform.StoreOK {
 		return errors.Wrap(err, "read the histories of paths")
 	}
-	r.stored = routehistory.DecodeBatch(batch, r.deps.Logger)
+	r.stored = routehistory.DecodeBatch(batch, routehistory.NewRejections(r.deps.Logger))
 	return nil
 }
--- a/internal/fleetowner/routes_test.go
+++ b/internal/fleetowner/routes_test.go
@@ -30,7 +30,7 @@
 		require.ErrorIs(t, first.record(t.Context(), leadingTo("c")), ErrOwnershipLost)
 		batch, _, err := store.Newest(t.Context(), platform.Partition{Topic: routehistory.Topic})
 		require.NoError(t, err)
-		entry := routehistory.DecodeBatch(batch, hclog.NewNullLogger())[routehistory.Path{Host: "h", Prefix: "/jobs/"}]
+		entry := routehistory.DecodeBatch(batch, routehistory.NewRejections(hclog.NewNullLogger()))[routehistory.Path{Host: "h", Prefix: "/jobs/"}]
 		assert.Equal(t, []string{"a", "b"}, entry.Services)
 	})
 }
--- a/internal/published/peers.go
+++ b/internal/published/peers.go
@@ -159,8 +159,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil {
-		f.logger.Error("configuration of another node can't be read, the last good state stays", "address", address, "error", err)
+		f.rejections.Reject("configuration of node "+address, err)
 		return
 	}
+	f.rejections.Accept("configuration of node " + address)
 	f.applyConfig(config, record, address)
 }
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/yuccadrift/yuccadrift/internal/rejections"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -34,6 +36,8 @@
 type Follower struct {
 	source Source
 	logger hclog.Logger
+	// rejections are the published changes and the answers of other nodes that can't be used.
+	rejections *rejections.Log
 
 	mu     sync.Mutex
 	config *workload.Config
@@ -46,7 +50,7 @@
 
 // New returns a follower that has read nothing yet.
 func New(source Source, logger hclog.Logger) *Follower {
-	return &Follower{source: source, logger: logger, waves: map[int64]workload.Wave{}, changed: make(chan struct{}), lastReadAt: time.Now()}
+	return &Follower{source: source, logger: logger, rejections: rejections.New(logger, "published change can't be read, the last good state stays"), waves: map[int64]workload.Wave{}, changed: make(chan struct{}), lastReadAt: time.Now()}
 }
 
 // Config returns the configuration in force, nil before the first was read.
@@ -129,7 +133,7 @@
 		change, ok, err := platform.DecodeOperatorChange(r)
 		switch {
 		case err != nil:
-			f.logger.Error("published change can't be read, the last good state stays", "key", r.Key, "error", err)
+			f.rejections.Reject(r.Key+" at offset "+strconv.FormatInt(r.Offset, 10), err)
 		case !ok:
 		case change.Wave != nil:
 			f.waves[change.Wave.Number] = *change.Wave
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/yuccadrift/yuccadrift/internal/rejections"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
 )
@@ -37,13 +38,12 @@
 	users              int           // of the list; it is in use while there are any
 	wake               chan struct{} // triggers an immediate read
 	nextOffset         int64
-	// rejected holds the IDs of unusable entries, each of which is logged once.
-	rejected map[string]bool
+	rejections         *rejections.Log
 }
 
 // New returns a follower.
 func New(source Source, logger hclog.Logger) *Follower {
-	return &Follower{source: source, logger: logger, view: NewView(), nextOffset: -1, rejected: map[string]bool{}, wake: make(chan struct{}, 1)}
+	return &Follower{source: source, logger: logger, view: NewView(), nextOffset: -1, rejections: rejections.New(logger, "entry names no usable worker and is skipped"), wake: make(chan struct{}, 1)}
 }
 
 // AddUser adds a user of the list until removeUser is called. The list is read only while it
@@ -140,10 +140,11 @@
 	for _, r := range batch.Records {
 		w, ok, err := platform.DecodeWorker(r)
 		if err != nil {
-			f.reject(r.Key, err)
+			f.view.Reject(r.Key)
+			f.rejections.Reject(r.Key, err)
 			continue
 		}
-		delete(f.rejected, r.Key)
+		f.rejections.Accept(r.Key)
 		switch {
 		case ok && isFull:
 			list = append(list, w)
@@ -157,18 +158,3 @@
 		f.view.Replace(list)
 	}
 }
-
-// reject removes a worker whose entry is unusable. The entry's writer may repeat it each
-// second, so it is logged once.
-func (f *Follower) reject(id string, reason error) {
-	f.view.Reject(id)
-	if f.rejected[id] || len(f.rejected) >= maxLoggedRejections {
-		return
-	}
-	f.rejected[id] = true
-	f.logger.Error("entry names no usable worker and is skipped", "worker", id, "reason", reason)
-}
-
-// maxLoggedRejections bounds the unusable entries that are logged and remembered: enough to
-// find their writer, at some 20 kB of memory.
-const maxLoggedRejections = 200
--- a/internal/registry/follower_test.go
+++ b/internal/registry/follower_test.go
@@ -1,7 +1,9 @@
 package registry
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
@@ -80,3 +82,19 @@
 	require.Len(t, list, 1)
 	assert.Zero(t, list[0].Capacity)
 }
+
+// Guards against a log that another writer fills: an unusable entry is repeated each second, and may be long.
+func TestUnusableEntryIsLoggedOnceAndBriefly(t *testing.T) {
+	var out bytes.Buffer
+	bad := strings.Replace(goodEntry, `"ready"`, `"`+strings.Repeat("x", 200_000)+`"`, 1)
+	source := &fakeSource{
+		newest: platform.Batch{Records: []platform.KeyedRecord{entry("w-1", goodEntry), entry("other", bad)}},
+		next:   platform.Batch{Records: []platform.KeyedRecord{entry("other", bad)}},
+	}
+	f := New(source, hclog.New(&hclog.LoggerOptions{Output: &out}))
+	for range 100 {
+		f.read(t.Context())
+	}
+	assert.Equal(t, 1, strings.Count(out.String(), "\n"))
+	assert.Less(t, out.Len(), 1000)
+}
--- a/internal/routehistory/follower.go
+++ b/internal/routehistory/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/yuccadrift/yuccadrift/internal/rejections"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -49,6 +50,8 @@
 	configs Configs
 	logger  hclog.Logger
 
+	rejections *rejections.Log
+
 	mu              sync.Mutex
 	table           Table
 	observedVersion int64
@@ -58,7 +61,7 @@
 
 // New returns a follower that knows nothing.
 func New(source Source, configs Configs, logger hclog.Logger) *Follower {
-	return &Follower{source: source, configs: configs, logger: logger, table: Table{}, unread: map[Path]bool{}}
+	return &Follower{source: source, configs: configs, logger: logger, rejections: NewRejections(logger), table: Table{}, unread: map[Path]bool{}}
 }
 
 // Former returns the services that the path of a queue of config has led to before.
@@ -122,7 +125,7 @@
 		f.logger.Debug("histories of paths can't be read, retrying", "status", status.String(), "error", err)
 		return false
 	}
-	stored := DecodeBatch(batch, f.logger)
+	stored := DecodeBatch(batch, f.rejections)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.table.Merge(stored)
@@ -132,8 +135,13 @@
 	return true
 }
 
-// DecodeBatch returns the stored entries of a batch. One that can't be decoded is logged and left out.
-func DecodeBatch(batch platform.Batch, logger hclog.Logger) Table {
+// NewRejections returns the log of entries that DecodeBatch leaves out.
+func NewRejections(logger hclog.Logger) *rejections.Log {
+	return rejections.New(logger, "history of a path can't be decoded and is left out")
+}
+
+// DecodeBatch returns the stored entries of a batch. One that can't be decoded is rejected and left out.
+func DecodeBatch(batch platform.Batch, rejected *rejections.Log) Table {
 	table := Table{}
 	for _, r := range batch.Records {
 		if len(r.Value) == 0 {
@@ -141,9 +149,10 @@
 		}
 		e, err := Decode(r.Value)
 		if err != nil {
-			logger.Error("history of a path can't be decoded and is left out", "key", r.Key, "error", err)
+			rejected.Reject(r.Key, err)
 			continue
 		}
+		rejected.Accept(r.Key)
 		table[Path{e.Host, e.Prefix}] = e
 	}
 	return table
