Fleet owner: an odd entry in the services' topic no longer blocks all services

One record in keyed.services that can't be decoded (another writer's note, an empty key, a damaged entry of any service, also one that isn't configured) made each assignment fail: 'partitions can't be assigned to services, retrying' each 0.2 s, and no service that is added from then on ever gets a partition. Jobs for it are refused for good. The check was meant for one case: the service of the damaged entry may have jobs in a partition that isn't known.

What remains: a service whose damaged entry no node of the fleet's owners has known before waits until somebody mends the entry.

--- a/internal/fleetowner/assign_test.go
+++ b/internal/fleetowner/assign_test.go
@@ -186,3 +186,55 @@
 		})
 	}
 }
+
+// Guards against services that never get a partition because another writer left an entry in the topic, or damaged the
+// entry of another service.
+func TestOddEntriesDoNotBlockOtherAssignments(t *testing.T) {
+	for name, odd := range map[string]platform.KeyedRecord{
+		"foreign key":               {Key: "note", Value: []byte("by another writer")},
+		"empty key":                 {Key: "", Value: []byte(`{"partition":1}`)},
+		"service not configured":    {Key: partitioning.KeyPrefix + "other", Value: []byte(`{"partition":1e300}`)},
+		"entry of a service":        {Key: partitioning.KeyPrefix + "booking", Value: []byte(`{"partition":99999}`)},
+		"entry of a service, empty": {Key: partitioning.KeyPrefix + "booking", Value: []byte(`{}`)},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newAssignRig(fiveServices)
+			topic := platform.Partition{Topic: assignments.Topic}
+			r.store.records[topic] = []platform.KeyedRecord{odd}
+			ctx, cancel := context.WithCancel(t.Context())
+			err := r.assigner(7).assign(ctx, fiveServices)
+			if odd.Key == partitioning.KeyPrefix+"booking" {
+				assert.ErrorIs(t, err, errUnusableEntries, name)
+				assert.Equal(t, []string{"booking"}, r.known.Table().Missing(fiveServices), "its jobs may be in any partition")
+			} else {
+				require.NoError(t, err, name)
+				assert.Empty(t, r.known.Table().Missing(fiveServices), name)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
+// Guards against a service that is lost with its entry although its partition is known.
+func TestDamagedEntryOfAKnownServiceIsStoredAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newAssignRig(fiveServices)
+		topic := platform.Partition{Topic: assignments.Topic}
+		r.store.records[topic] = []platform.KeyedRecord{{Key: partitioning.KeyPrefix + "booking", Value: []byte("?")}}
+		r.known.Add(partitioning.Table{"booking": 7})
+		ctx, cancel := context.WithCancel(t.Context())
+		require.NoError(t, r.assigner(7).assign(ctx, fiveServices))
+		assert.Empty(t, r.known.Table().Missing(fiveServices))
+		newest := map[string]int{}
+		for _, record := range r.store.records[topic][1:] {
+			service, partition, err := partitioning.Decode(record.Key, record.Value, 12)
+			require.NoError(t, err)
+			newest[service] = partition
+		}
+		assert.Equal(t, map[string]int(r.known.Table()), newest)
+		assert.Equal(t, 7, newest["booking"])
+		cancel()
+		synctest.Wait()
+	})
+}
