Fleet: one odd entry no longer stops the use of the whole list of VMs

One entry with a field of the wrong type (labels a text, a capacity of 1.5 or 1e300, an ID that is a number) made the client refuse the whole list: 'VMs can't be listed' at each read, and the fleet's owner began no maintenance and no move as long as the entry was there.

VMs whose entries are usable are used, the others are logged once. In the fleet's waves a VM that is named and isn't listed then counts as possibly under maintenance, and the wave isn't completed.

What remains: an entry nested more than 10,000 deep still refuses the whole page (encoding/json), with a warning at each read; the list read before stays in use. A wave whose limit is 1 waits while a VM of it has an odd entry.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -117,9 +117,11 @@
 	vms               []workload.VM
 	vmsByID           map[string]workload.VM
 	vmListRequestedAt time.Time // when vms was requested
-	poolLoads         map[string]*poolLoad
-	sparePool         string
-	actions           []Action
+	// lacksVMs is set if the latest list has entries that can't be used.
+	lacksVMs  bool
+	poolLoads map[string]*poolLoad
+	sparePool string
+	actions   []Action
 	// workerFirstListedAt is when the first list that named a worker was requested.
 	workerFirstListedAt map[string]time.Time
 	// workerMissingSince is when the first of the latest lists was requested that show a VM as up without
@@ -233,6 +235,9 @@
 	c.recordMissingWorkers(requestedAt)
 }
 
+// SetListLacksVMs records whether the latest list lacks VMs because their entries can't be used.
+func (c *Core) SetListLacksVMs(lacksVMs bool) { c.lacksVMs = lacksVMs }
+
 // SetConfig sets the spare pool from the configuration. There may be none.
 func (c *Core) SetConfig(config *workload.Config) {
 	c.sparePool = ""
--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -126,13 +126,14 @@
 // an earlier owner ordered for the wave count as well: by the list, or, if the order is too recent for the
 // list, by the record stored before the order. An earlier owner's moves don't count: at a peak it may just
 // have moved more VMs than MaxConcurrent, and the wave would make no progress for seconds after each change
-// of owner.
+// of owner. While the list lacks VMs, those that aren't listed may be under maintenance.
 func (c *Core) vmsUnderMaintenance(s *waveProgress, now time.Time) int {
 	n, count := s.wave.Number, 0
 	for _, id := range s.wave.VMs {
 		op := c.operations[id]
 		isOurs := op != nil && op.wave == n
-		if isOurs || c.vmsByID[id].State == workload.VMMaintenance || op == nil && c.earlierOrders[id].canBelongTo(n) && !c.canOrder(id, now) {
+		vm, isListed := c.vmsByID[id]
+		if isOurs || c.lacksVMs && !isListed || vm.State == workload.VMMaintenance || op == nil && c.earlierOrders[id].canBelongTo(n) && !c.canOrder(id, now) {
 			count++
 		}
 	}
@@ -209,10 +210,10 @@
 	}
 }
 
-// mayListMoreVMs reports whether VMs of a wave are not listed and may exist all the same: the list was requested
-// before an owner learned of the wave, and VMs may have been added since.
+// mayListMoreVMs reports whether VMs of a wave are not listed and may exist all the same: the list lacks VMs, or was
+// requested before an owner learned of the wave, and VMs may have been added since.
 func (c *Core) mayListMoreVMs(s *waveProgress) bool {
-	if !c.vmListRequestedAt.Before(s.firstSeenAt) {
+	if !c.lacksVMs && !c.vmListRequestedAt.Before(s.firstSeenAt) {
 		return false
 	}
 	return slices.ContainsFunc(s.wave.VMs, func(id string) bool {
--- a/internal/fleetowner/fleetowner.go
+++ b/internal/fleetowner/fleetowner.go
@@ -28,6 +28,7 @@
 	"github.com/yuccadrift/yuccadrift/internal/hedge"
 	"github.com/yuccadrift/yuccadrift/internal/joblog"
 	"github.com/yuccadrift/yuccadrift/internal/published"
+	"github.com/yuccadrift/yuccadrift/internal/rejections"
 	"github.com/yuccadrift/yuccadrift/internal/wait"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 	"github.com/yuccadrift/yuccadrift/platform"
@@ -53,6 +54,7 @@
 
 // VMs lists VMs and sends orders for them.
 type VMs interface {
+	// List returns all VMs. With a platform.PartialListError it returns those whose entries are usable.
 	List(ctx context.Context) ([]workload.VM, error)
 	Move(ctx context.Context, h platform.OrderIssuer, vm, pool string) (platform.VMOrderStatus, error)
 	Maintain(ctx context.Context, h platform.OrderIssuer, vm string, wave int64) (platform.VMOrderStatus, error)
@@ -119,6 +121,7 @@
 
 	pipelineReport pipelineReport
 	overdueReasons overdueReasons
+	unusableVMs    *rejections.Log
 	vmListInFlight bool
 	vmListSentAt   time.Time
 	loadsInFlight  bool
@@ -141,6 +144,7 @@
 		assigner:       newAssigner(deps, epoch),
 		routeRecorder:  newRouteRecorder(deps, epoch),
 		drainsInFlight: map[string]bool{},
+		unusableVMs:    rejections.New(deps.Logger, "entry of the list of VMs can't be used and is left out"),
 
 		waveStoresInFlight: map[int64]bool{},
 		nextWaveStores:     map[int64]fleet.Action{},
@@ -298,13 +302,21 @@
 func (o *Owner) listVMs(ctx context.Context) {
 	requestedAt := time.Now()
 	vms, err := o.deps.VMs.List(ctx)
-	if err != nil {
+	var partial *platform.PartialListError
+	lacksVMs := errors.As(err, &partial)
+	isUsable := err == nil || lacksVMs
+	if lacksVMs {
+		for _, entry := range partial.Unusable {
+			o.unusableVMs.Reject(entry.Name, entry.Reason)
+		}
+	} else if err != nil {
 		o.logger.Warn("VMs can't be listed", "error", err)
 	}
 	o.enqueue(ctx, func(c *fleet.Core, _ time.Time) {
 		o.vmListInFlight = false
-		if err == nil {
+		if isUsable {
 			c.SetVMs(vms, requestedAt)
+			c.SetListLacksVMs(lacksVMs)
 		}
 	})
 }
