Job log: a stored record of another writer no longer ends the owners

A record in a partition of jobs that another writer has left ended each process that took the partition over, one after another: a step that depends on one that doesn't exist or on number -1 (index out of range, nil pointer), a count of -5 or 1e9 and 1e9 occurrences (memory), loans null (nil pointer in RestoreLoans). All jobs of the partition are lost until somebody deletes the record. Two more stalled it: a takeover by epoch 2^63-1, before which every owner takes itself for an earlier one, and a job whose ID has a dot, since the worker's list of runs can't be parsed any more and is refused as a whole.

DecodeRecord only decodes. Callers' jobs are validated before they are stored, stored ones weren't again. joblog.Decode, through which owners read the log, now checks each record: the job's ID, its spec by the same rules as at its submission, that loans name their key's workspace and aren't negative, and epochs. An unusable record is left out with the line that undecodable ones have.

What remains: estimates, start times and intervals up to 2^63-1 and resources up to 2^63-1 are still accepted, as at a submission (no stall was seen); a foreign progress record of a known job takes the place of its own.

--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -120,10 +120,13 @@
 }
 
 // Decode decodes the records of a batch. It returns an error for each record that can't be
-// decoded, besides the other records.
+// decoded or used, besides the other records.
 func Decode(batch platform.Batch) (records []workload.Record, errs []error) {
 	for _, r := range batch.Records {
 		record, ok, err := workload.DecodeRecord(r.Key, r.Value)
+		if ok && err == nil {
+			err = check(r.Key, record)
+		}
 		switch {
 		case err != nil:
 			errs = append(errs, errors.Wrap(err, "stored record"))
