Published changes, assignments: reads of dropped records are paced

After 410 to a read, both followers read the newest records at once, and then from the offset that this answer names. If that read is answered by 410 again, because the store trims in between or its answers contradict each other, they went on without a pause, limited only by the node's share of the store's reads. They pause now like after other failed reads. The test of published changes did not end within 8 s before.

--- a/internal/assignments/assignments.go
+++ b/internal/assignments/assignments.go
@@ -126,6 +126,7 @@
 			f.Add(f.decode(batch))
 		case platform.StoreDropped:
 			next = -1
+			wait.Pause(ctx, readRetryInterval)
 		default:
 			f.logger.Debug("partitions of services can't be read, retrying", "status", status.String(), "error", err)
 			next = -1
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -101,6 +101,7 @@
 		if status == platform.StoreDropped {
 			f.logger.Warn("published changes were dropped before they were read, reading the newest", "from", next)
 			next = -1
+			wait.Pause(ctx, minRetryInterval)
 			continue
 		}
 		if status != platform.StoreOK {
