scheduler: long leases are known, not supposed, and end where they end

Cause: a follower of the registry that has not read for 16 s took each worker for one that may have restarted; after a rolling restart all followers are such, and where VMs move half of the workers are young. Besides, each handover counted a stored long lease from its own beginning again.

Change: only an ID under which the follower has seen another process counts as restarted. The stored record has the time at which each lease expires; a later owner adds 3 s for the difference of clocks and extends nothing. A handover needs no guess: it has all runs. A stored lease that grows is stored again before the next start; a direct handover repeats what its write in flight has.

--- a/internal/joblog/check.go
+++ b/internal/joblog/check.go
@@ -1,8 +1,6 @@
 package joblog
 
 import (
-	"slices"
-
 	"github.com/pkg/errors"
 
 	"github.com/yuccadrift/yuccadrift/internal/workload"
@@ -22,7 +20,7 @@
 		return errors.Wrap(r.Submission.Spec.Validate(), key)
 	case r.Loans != nil:
 		return errors.Wrap(checkLoans(key, r.Loans), key)
-	case r.LongLeases != nil && slices.Contains(r.LongLeases.Workers, ""):
+	case r.LongLeases != nil && r.LongLeases.ExpiresAtMS[""] != 0:
 		return errors.Errorf("%s: a worker without an ID", key)
 	case r.Handover != nil:
 		return errors.Wrap(checkEpoch(r.Handover.Epoch), key)
--- a/internal/registry/view.go
+++ b/internal/registry/view.go
@@ -16,26 +16,22 @@
 // store did not answer, or the follower did not read because the list was not in use.
 const minReadGap = 500 * time.Millisecond
 
-// historyTime is for how long an ID must have been unknown for a worker to count as new. It is longer than the 13 s
-// after which orders to an earlier process have no effect any more, and its new entry may follow late.
-const historyTime = 16 * time.Second
+// sightingTime is for how long the process of a worker is remembered that is not registered any more. It is longer
+// than the 13 s after which orders to it have no effect any more, and the entry of the next one may follow late.
+const sightingTime = 16 * time.Second
 
-// maxHistoryGap is the time between successful reads beyond which a worker may have started and restarted unseen.
-const maxHistoryGap = 3 * time.Second
-
-// sighting is when a process of a worker was last registered.
+// sighting is the process of a worker that was registered last.
 type sighting struct {
-	incarnation      int64
-	mayHaveRestarted bool
-	seenAt           time.Time
+	incarnation int64
+	restarted   bool
+	seenAt      time.Time
 }
 
 // View holds the registered workers. All times are passed in by the caller.
 type View struct {
 	workers map[string]workload.Worker
-	// sightings has the workers that were registered within historyTime, by ID. It is complete since historySince.
-	sightings    map[string]sighting
-	historySince time.Time
+	// sightings has the workers that were registered within sightingTime, by ID.
+	sightings map[string]sighting
 	// removed holds the IDs of workers whose entries are gone and may come back.
 	removed        map[string]bool
 	lastReadAt     time.Time
@@ -52,38 +48,32 @@
 	if !v.lastReadAt.IsZero() && now.Sub(v.lastReadAt) > minReadGap {
 		v.readGapEndedAt = now
 	}
-	if v.lastReadAt.IsZero() || now.Sub(v.lastReadAt) > maxHistoryGap {
-		v.historySince = now
-	}
 	v.lastReadAt = now
 }
 
 // Set adds or replaces a worker.
 func (v *View) Set(w workload.Worker) {
-	w.MayHaveRestarted = v.recordSighting(w)
+	w.Restarted = v.recordSighting(w)
 	v.workers[w.ID] = w
 	delete(v.removed, w.ID)
 }
 
-// recordSighting records that a process is registered, and reports whether another one may have had its ID shortly
-// before.
+// recordSighting records that a process is registered, and reports whether another one had its ID shortly before.
 func (v *View) recordSighting(w workload.Worker) bool {
 	s, isKnown := v.sightings[w.ID]
-	switch {
-	case !isKnown:
-		s.mayHaveRestarted = v.lastReadAt.Sub(v.historySince) < historyTime
-	case s.incarnation != w.Incarnation:
-		s.mayHaveRestarted = true
+	if _, isRegistered := v.workers[w.ID]; !isRegistered && v.lastReadAt.Sub(s.seenAt) > sightingTime {
+		s, isKnown = sighting{}, false
 	}
+	s.restarted = s.restarted || isKnown && s.incarnation != w.Incarnation
 	s.incarnation, s.seenAt = w.Incarnation, v.lastReadAt
 	v.sightings[w.ID] = s
-	return s.mayHaveRestarted
+	return s.restarted
 }
 
-// dropOldSightings drops the sightings of workers that have not been registered for historyTime.
+// dropOldSightings drops the sightings of workers that have not been registered for sightingTime.
 func (v *View) dropOldSightings(now time.Time) {
 	for id, s := range v.sightings {
-		if _, ok := v.workers[id]; !ok && now.Sub(s.seenAt) > historyTime {
+		if _, ok := v.workers[id]; !ok && now.Sub(s.seenAt) > sightingTime {
 			delete(v.sightings, id)
 		}
 	}
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -47,6 +47,7 @@
 // be missing from the store, too.
 func (c *Core) HandoverRecordsForNextOwner(now time.Time) []workload.Record {
 	if c.pendingWrite != nil {
+		c.longLeases.added = true
 		for id := range c.pendingWrite.finalStates {
 			if j := c.jobs[id]; j != nil {
 				c.dirtyJobs[id] = j
--- a/internal/scheduler/longlease.go
+++ b/internal/scheduler/longlease.go
@@ -23,8 +23,8 @@
 	// maxOrderTimeout is the longest time until an order is answered or given up. A given-up order is carried out
 	// later only if the worker has it already.
 	maxOrderTimeout = 1500 * time.Millisecond
-	// maxWallClockSkew is the largest difference between the times of day of a worker and of this process.
-	maxWallClockSkew = 5 * time.Second
+	// maxWallClockSkew is the largest difference between the times of day of two machines.
+	maxWallClockSkew = 3 * time.Second
 )
 
 // mayOutliveLease reports whether a run without a known start may still live although the leases on its worker, as
@@ -59,8 +59,8 @@
 	if !w.restartDetectedAt.IsZero() || c.longLeases.byWorker[w.info.ID] != nil {
 		return true
 	}
-	mayHaveRestarted := w.info.MayHaveRestarted || !w.entryMatchesReports()
-	return (w.wasRemoved || mayHaveRestarted && c.mayHaveEarlierOrders(now)) && c.isYoung(w.incarnation, now)
+	restarted := w.info.Restarted || !w.entryMatchesReports()
+	return (w.wasRemoved || restarted && c.mayHaveEarlierOrders(now)) && c.isYoung(w.incarnation, now)
 }
 
 // mayHaveEarlierOrders reports whether orders of earlier owners, or the leases that they granted, may still have an
@@ -91,17 +91,14 @@
 	isStored  bool
 }
 
-// recordLongLease records that a worker may have a long lease. Unless that is stored already, the worker gets no start
-// until it is.
+// recordLongLease records that a worker may have a long lease. Unless that is stored already, with its expiry, the
+// worker gets no start until it is.
 func (c *Core) recordLongLease(w *worker, expiresAt time.Time) {
 	w.extendLease(expiresAt)
-	l := c.longLeases.byWorker[w.info.ID]
-	if l == nil {
-		l = &longLease{}
-		c.longLeases.byWorker[w.info.ID] = l
+	if l := c.longLeases.byWorker[w.info.ID]; l == nil || expiresAt.After(l.expiresAt) {
+		c.longLeases.byWorker[w.info.ID] = &longLease{expiresAt: expiresAt}
 		c.longLeases.added = true
 	}
-	l.expiresAt = expiresAt
 }
 
 // awaitsLongLeaseWrite reports whether a worker's long lease is not stored yet.
@@ -125,20 +122,26 @@
 	if !c.longLeases.added && !c.longLeases.ended {
 		return nil
 	}
-	leases := &workload.LongLeases{}
-	for id := range c.longLeases.byWorker {
-		leases.Workers = append(leases.Workers, id)
+	leases := &workload.LongLeases{ExpiresAtMS: map[string]int64{}}
+	for id, l := range c.longLeases.byWorker {
+		leases.ExpiresAtMS[id] = l.expiresAt.UnixMilli()
 	}
-	slices.Sort(leases.Workers)
 	return []workload.Record{{LongLeases: leases}}
 }
 
 // RestoreLongLeases applies the long leases that an earlier owner stored. It must precede SetWorkers and
 // RestoreHandover.
 func (c *Core) RestoreLongLeases(leases *workload.LongLeases) {
-	for _, id := range leases.Workers {
-		c.longLeases.byWorker[id] = &longLease{expiresAt: c.earlierLongLeaseExpiry(), isStored: true}
-		c.ensureWorker(id, c.tookOverAt).extendLease(c.earlierLongLeaseExpiry())
+	for id, expiresAtMS := range leases.ExpiresAtMS {
+		expiresAt := time.UnixMilli(expiresAtMS).Add(maxWallClockSkew)
+		if !expiresAt.After(c.tookOverAt) {
+			continue
+		}
+		if latest := c.earlierLongLeaseExpiry(); expiresAt.After(latest) {
+			expiresAt = latest
+		}
+		c.longLeases.byWorker[id] = &longLease{expiresAt: expiresAt, isStored: true}
+		c.ensureWorker(id, c.tookOverAt).extendLease(expiresAt)
 	}
 }
 
@@ -147,10 +150,10 @@
 	return c.tookOverAt.Add(c.settings.MaxOwnerOverlap + leaseExpiryDelay(c.settings.MaxLeaseDuration))
 }
 
-// expectLongLease extends the leases of a worker that has not answered this owner if its entry shows that earlier
-// owners may have started tasks there under a long lease.
+// expectLongLease extends the leases of a worker that has not answered this owner if it has restarted shortly before
+// the takeover, so that unknown runs of earlier owners may have a long lease there.
 func (c *Core) expectLongLease(w *worker, now time.Time) {
-	if !w.synced && w.restartDetectedAt.IsZero() && w.info.MayHaveRestarted && c.mayHaveEarlierOrders(now) && c.isYoung(w.info.Incarnation, now) && now.Before(c.earlierLongLeaseExpiry()) {
+	if c.unresolved.has(w.info.ID) && !w.synced && w.restartDetectedAt.IsZero() && w.info.Restarted && c.mayHaveEarlierOrders(now) && c.isYoung(w.info.Incarnation, now) && now.Before(c.earlierLongLeaseExpiry()) {
 		c.recordLongLease(w, c.earlierLongLeaseExpiry())
 	}
 }
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -86,7 +86,7 @@
 type pendingWrite struct {
 	finalStates map[workload.JobID]workload.JobState
 	exitMarks   []exitMark
-	longLeases  []string // workers
+	longLeases  []*longLease
 }
 
 // exitMark is the last exit of one incarnation of a worker that a write covers.
@@ -130,8 +130,8 @@
 	order.Records = append(order.Records, c.loanRecords(order.Sequence)...)
 	order.Records = append(order.Records, c.longLeaseRecords()...)
 	c.longLeases.added, c.longLeases.ended = false, false
-	for id := range c.longLeases.byWorker {
-		c.pendingWrite.longLeases = append(c.pendingWrite.longLeases, id)
+	for _, l := range c.longLeases.byWorker {
+		c.pendingWrite.longLeases = append(c.pendingWrite.longLeases, l)
 	}
 	for id, j := range c.dirtyJobs {
 		c.pendingWrite.finalStates[id] = j.finalState
@@ -176,8 +176,8 @@
 			mark.worker.allowAck(mark.lastExitSeen)
 		}
 	}
-	for _, id := range c.pendingWrite.longLeases {
-		if l := c.longLeases.byWorker[id]; l != nil && !l.isStored {
+	for _, l := range c.pendingWrite.longLeases {
+		if !l.isStored {
 			l.isStored = true
 			c.planStale = true
 		}
--- a/internal/workload/fleet.go
+++ b/internal/workload/fleet.go
@@ -106,8 +106,8 @@
 	Labels      []string // the VM's kind, then its rack
 	Capacity    Resources
 	Leaving     bool // the worker announces that it will stop
-	// MayHaveRestarted is set if another process may have had the ID shortly before this one.
-	MayHaveRestarted bool
+	// Restarted is set if another process is known to have had the ID shortly before this one.
+	Restarted bool
 }
 
 // HasLabel reports whether the worker has a label. It is true for "".
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -140,7 +140,8 @@
 // LongLeases names the workers on which runs may last longer than the leases that owners have granted, as an order to
 // an earlier process of the worker may have reached its present one. Later owners count with it.
 type LongLeases struct {
-	Workers []string `json:"w,omitempty"`
+	// ExpiresAtMS is when they have expired, by worker, in Unix milliseconds by the clock of the owner that stored them.
+	ExpiresAtMS map[string]int64 `json:"w,omitempty"`
 }
 
 // Record is a stored record of a job or of an owner of the partition. Exactly one of
