--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -72,7 +72,7 @@
 		return workload.NotDrained, "it has not answered"
 	case w.lastExitSeen != w.ackAllowed:
 		return workload.NotDrained, "its exits are not stored"
-	case c.mayHaveAnyUnknownRuns(now):
+	case c.mayHaveUnknownRunsOf(w.info.Service, now):
 		return workload.NotDrained, "the runs of an earlier owner are not known"
 	case w.unregistered || w.unreachable || now.Sub(w.lastAnsweredPollSentAt) > drainedAnswerMaxAge:
 		return workload.DrainedUnconfirmed, "it has not answered lately"
--- a/internal/scheduler/fakecrash_test.go
+++ b/internal/scheduler/fakecrash_test.go
@@ -113,7 +113,7 @@
 
 // register writes the worker's registry entry.
 func (f *fakeWorker) register() {
-	if f.terminated {
+	if f.terminated || f.cutFromRegistry {
 		return
 	}
 	f.unregister()
--- a/internal/scheduler/fakeworker_test.go
+++ b/internal/scheduler/fakeworker_test.go
@@ -20,6 +20,7 @@
 	// refusesConnections is set while connections to the worker are refused. Its tasks continue.
 	refusesConnections bool
 	terminated         bool // the process has ended
+	cutFromRegistry    bool // it can't write its entry
 	// processDown is set while the process has ended and its VM is up. Connections are then refused
 	// until hasReplacement is set, and answered by another worker from then on.
 	processDown    bool
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -104,6 +104,7 @@
 		}
 		w := c.ensureWorker(handedOver.Worker, now)
 		if r := w.findRun(key, handedOver.Run); r != nil {
+			r.handedOver = true
 			r.startConfirmed = handedOver.StartConfirmed // an isolated run, restored from its crash record
 			continue
 		}
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -99,6 +99,7 @@
 	for _, r := range w.runs {
 		r.stopInFlight, r.stopConfirmed = false, false // only the previous process had the stop
 	}
+	c.recordLongLease(w, now.Add(leaseExpiryDelay(c.settings.MaxLeaseDuration)))
 	c.forgetAdvice(w.info.ID)
 	c.planStale = true
 }
--- a/internal/scheduler/longlease.go
+++ b/internal/scheduler/longlease.go
@@ -42,7 +42,7 @@
 		return now.Before(r.orderedAt.Add(maxOrderDelay + lease))
 	default:
 		// The worker may have restarted unseen. A long-running task must not be down for that long.
-		return !r.step.spec.LongRunning && !r.fromCrashRecord && now.Before(r.orderedAt.Add(maxOrderTimeout+longLease))
+		return !r.step.spec.LongRunning && (!r.fromCrashRecord || r.handedOver) && now.Before(r.orderedAt.Add(maxOrderTimeout+longLease))
 	}
 }
 
--- a/internal/scheduler/longleasetakeover_test.go
+++ b/internal/scheduler/longleasetakeover_test.go
@@ -135,13 +135,19 @@
 // Guards against a successor that does not know of a long lease: it must be stored before the first start under it.
 func TestNoStartBeforeALongLeaseIsStored(t *testing.T) {
 	r := newIncarnationRig(t)
-	r.startJob("0000000000000001", batchStep(1, 1000))
 	r.registerWorker("w-1", nextIncarnation)
-	for range 2 {
-		poll, _ := r.awaitPoll("w-1")
-		r.answerPollAs(poll, nextIncarnation, workload.PollReport{})
-	}
+	poll, _ := r.awaitPoll("w-1")
+	r.answerPollAs(poll, nextIncarnation, workload.PollReport{})
+	r.now = r.now.Add(20 * time.Millisecond)
 	orders := r.core.Step(r.now)
+	require.NotNil(t, orders.Write, "a restart is stored once it is detected")
+	r.core.HandleWriteResult()
+	r.recordPolls(orders)
+	poll, _ = r.awaitPoll("w-1")
+	r.now = r.now.Add(5 * time.Second)
+	r.answerPollAs(poll, nextIncarnation, workload.PollReport{})
+	r.submit("0000000000000001", batchStep(1, 1000))
+	orders = r.core.Step(r.now)
 	require.NotNil(t, orders.Write)
 	var stored *workload.LongLeases
 	for _, record := range orders.Write.Records {
@@ -234,6 +240,7 @@
 // order from before may have granted it a long lease.
 func TestWorkerThatIsBackAfterARestartMayHaveALongLease(t *testing.T) {
 	r := newPairRig(t)
+	r.now = r.now.Add(30 * time.Second) // orders of earlier owners have no effect any more
 	r.core.SetWorkers([]workload.Worker{r.entry("w-2", firstIncarnation)}, r.now)
 	r.step(10 * time.Millisecond)
 	delete(r.latestPolls, "w-1")
@@ -249,3 +256,25 @@
 	require.Len(t, starts, 1, "the task on w-1 must start again")
 	assert.GreaterOrEqual(t, r.now.Sub(answeredAt), longLeaseEnd)
 }
+
+// Guards against a long-running task that runs twice: its owner knows that its worker has restarted, but not whether the
+// task is there, and hands over or is lost.
+func TestDetectedRestartIsToldToTheSuccessor(t *testing.T) {
+	r := newPairRig(t)
+	s := r.startOnFirst("0000000000000001", workload.Step{Count: 1, Resources: workload.Resources{CPU: 1000, MemoryMB: 100}, LongRunning: true})
+	r.now = r.now.Add(700 * time.Millisecond)
+	r.core.HandleStartResult(scheduler.OrderResult{Worker: "w-1", Task: s.Start.Task, Run: s.Start.Run, Token: s.Start.Token, Answer: workload.WorkerAnswer{ClockMS: 120}}, r.now)
+	want := r.now.Add(longLeaseEnd).UnixMilli()
+	written := r.core.Step(r.now).Write
+	require.NotNil(t, written)
+	for _, records := range [][]workload.Record{written.Records, r.core.HandoverRecordsForNextOwner(r.now)} {
+		var stored *workload.LongLeases
+		for _, record := range records {
+			if record.LongLeases != nil {
+				stored = record.LongLeases
+			}
+		}
+		require.NotNil(t, stored)
+		assert.GreaterOrEqual(t, stored.ExpiresAtMS["w-1"], want)
+	}
+}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccadrift/yuccadrift/internal/workload"
@@ -75,7 +76,7 @@
 		if lacksCapacity || s.idleCount < idleBefore {
 			c.serviceBusyUntil[s.job.submission.Service] = now.Add(serviceBusyDuration)
 		}
-		if lacksCapacity && !c.mayHaveAnyUnknownRuns(now) { // a stopped task of an earlier owner could not start again yet
+		if lacksCapacity && !c.mayHaveUnknownRunsOf(s.job.submission.Service, now) { // a stopped task of an earlier owner could not start again yet
 			c.preempt(pool, cand, s, now)
 		}
 		if cand.class <= classStarved {
@@ -111,6 +112,13 @@
 	return c.mayHaveUnknownRuns(now) || c.hasLongLeaseWorkers(now)
 }
 
+// mayHaveUnknownRunsOf is mayHaveAnyUnknownRuns for the tasks of one service.
+func (c *Core) mayHaveUnknownRunsOf(service string, now time.Time) bool {
+	return c.mayHaveUnknownRuns(now) || slices.ContainsFunc(c.longLeases.silentWorkers, func(w *worker) bool {
+		return c.isUnresolved(w, now) && (w.info.Service == "" || w.info.Service == service)
+	})
+}
+
 // placeStep starts the idle tasks of a step as far as there is free capacity. A gang starts as a
 // whole or not at all. Suspects that are not in a gang are left to placeSuspects.
 func (c *Core) placeStep(p *placementPool, s *step, now time.Time) {
--- a/internal/scheduler/recut_test.go
+++ b/internal/scheduler/recut_test.go
@@ -52,14 +52,14 @@
 
 // cutOff partitions the worker from all owners, and from the registry, for the given duration.
 func (f *fakeWorker) cutOff(duration time.Duration) {
-	f.partitioned = true
+	f.partitioned, f.cutFromRegistry = true, true
 	f.world.after(registryEntryTTL, func() {
 		if f.partitioned {
 			f.unregister()
 		}
 	})
 	f.world.after(duration, func() {
-		f.partitioned = false
+		f.partitioned, f.cutFromRegistry = false, false
 		f.register()
 	})
 }
--- a/internal/scheduler/unseen.go
+++ b/internal/scheduler/unseen.go
@@ -27,11 +27,15 @@
 		return
 	}
 	c.unseenUpdatedAt = now
+	isBlanket := c.mayHaveUnknownRuns(now)
 	for _, j := range c.jobs {
 		if j.account == nil || !j.account.isCapped || j.isNew {
 			continue
 		}
 		for _, s := range j.steps {
+			if !isBlanket && !c.mayRunOnLongLease(s, now) {
+				continue
+			}
 			n := s.maxUnseenRuns()
 			reservation := s.spec.Reservation()
 			j.account.unseen = j.account.unseen.Add(reservation.Times(n))
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -85,6 +85,7 @@
 
 	// fromCrashRecord is set if the run was restored from a stored crash record of its task.
 	fromCrashRecord bool
+	handedOver      bool // a handover has the run
 	// isolationPlannedAt is when an earlier owner planned the run as an isolated run, zero for
 	// other runs. The run started later than that.
 	isolationPlannedAt time.Time
