--- a/internal/scheduler/longlease.go
+++ b/internal/scheduler/longlease.go
@@ -16,8 +16,8 @@
 //   - An incarnation may have been granted a long lease before its first report under the owner's token. All its runs
 //     may last until MaxLeaseDuration after that report (resolveIncarnation).
 //   - An earlier owner may have granted it, or started tasks under it. Owners store which workers have long leases
-//     before they start a task there, and a worker that has started shortly before a takeover counts as one of them.
-//     If such a worker does not answer, the tasks that it may run wait until the long lease has expired.
+//     before they start a task there, and a worker that has restarted shortly before a takeover counts as one of
+//     them. If such a worker does not answer, the tasks that it may run wait until the long lease has expired.
 
 const (
 	// maxOrderTimeout is the longest time until an order is answered or given up. A given-up order is carried out
