Tests keep the platform's names in its folder, too

What was seen: a test of odd records named two of the platform's topics and fields of its entries outside platform/ (oddentries_test.go, three literals).

Cause: the structure test of those names looked at product files only. Ruled out: a gap in the list of names; it has both topics.

Change: the test looks at test files as well (TestTestsKeepNamesOfTheWireInTheirFolder); before: three literals found, all in that file, after: none.

--- a/internal/archtest/archtest_test.go
+++ b/internal/archtest/archtest_test.go
@@ -156,18 +156,7 @@
 		}
 		return broken
 	},
-	"names of the wire stay in their folder": func(s source) (broken []string) {
-		if strings.HasPrefix(s.path, adapter) {
-			return nil
-		}
-		ast.Inspect(s.file, func(node ast.Node) bool {
-			if literal, ok := node.(*ast.BasicLit); ok && wireNames.MatchString(literal.Value) {
-				broken = append(broken, s.at(literal)+": "+literal.Value+" is a name of the wire")
-			}
-			return true
-		})
-		return broken
-	},
+	"names of the wire stay in their folder": wireNamesOutside,
 	"mains only wire": func(s source) (broken []string) {
 		if !s.isMain() {
 			return nil
@@ -307,6 +296,29 @@
 	assert.Len(t, rules, 8, "a new rule needs an example above")
 }
 
+// wireNamesOutside returns the names of the wire in a file outside the adapter's folder.
+func wireNamesOutside(s source) (broken []string) {
+	if strings.HasPrefix(s.path, adapter) {
+		return nil
+	}
+	ast.Inspect(s.file, func(node ast.Node) bool {
+		if literal, ok := node.(*ast.BasicLit); ok && wireNames.MatchString(literal.Value) {
+			broken = append(broken, s.at(literal)+": "+literal.Value+" is a name of the wire")
+		}
+		return true
+	})
+	return broken
+}
+
+// Guards against tests that write the platform's names down a second time.
+func TestTestsKeepNamesOfTheWireInTheirFolder(t *testing.T) {
+	for _, s := range parsedFiles(t, filepath.Join("..", "..")) {
+		if strings.HasSuffix(s.path, "_test.go") {
+			assert.Empty(t, wireNamesOutside(s))
+		}
+	}
+}
+
 // The list of the wire's names holds none that the adapter doesn't use: such a name
 // would be looked for in vain, and its present spelling not at all.
 func TestNamesOfTheWireAreInUse(t *testing.T) {
--- a/internal/proof/oddentries_test.go
+++ b/internal/proof/oddentries_test.go
@@ -18,8 +18,6 @@
 	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
 	values := []string{"", "null", "{}", "[1]", "1e300", "\xff\x00", deep, `"` + strings.Repeat("x", 200_000) + `"`}
 	for topic, keys := range map[string][]string{
-		"keyed.op":       {"wave/7", "wave/x", "other", ""},
-		"keyed.servers":  {"w-odd", "", "a/b"},
 		"keyed.services": {"service/other", "service/", "note"},
 		"keyed.paths":    {"path/x", ""},
 		"keyed.fleet":    {"vm/odd", "wave/1", "wave/x", "vm/"},
@@ -30,13 +28,7 @@
 			}
 		}
 	}
-	for _, entry := range []string{
-		`{"service":"booking","address":"10.0.0.9:99999","zone":"z","state":"ready","capacity":{"cpu":1,"mem_mb":1}}`,
-		`{"service":"booking","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{"cpu":9223372036854775807,"mem_mb":9223372036854775807}}`,
-		`{"service":"booking","address":"10.0.0.9:80","zone":"z","state":"ready","capacity":{"cpu":1e300,"mem_mb":1}}`,
-	} {
-		s.PutRaw("keyed.servers", 0, "w-odd", []byte(entry))
-	}
+	s.PutOddRecords(values)
 	for part, step := range []string{`{"n":1,"d":[99]}`, `{"n":-5}`, `{"n":1000000000}`, `{"n":1,"d":[-1]}`} {
 		s.PutRaw(joblog.JobsTopic, part, "s/00000000000000aa", []byte(`{"q":"queue-booking","v":"booking","a":1,"j":{"p":"","s":[`+step+`]}}`))
 		s.PutRaw(joblog.JobsTopic, part, "l/workspace", []byte(`null`))
