--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and clients of the cases 9 to 13 into target/review/N/case. The sources are copied there only
+# for the build.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+for n in 9 10 11 12 13; do
+	source=review/$n/case.go.txt
+	[[ -e $source ]] || continue
+	dir=target/review/$n
+	mkdir -p "$dir"
+	trap 'rm -f "$dir"/*.go' EXIT
+	cp "$source" "$dir/main.go"
+	cp review/common-3.go.txt "$dir/common.go"
+	cp review/worker-3.go.txt "$dir/worker.go"
+	cp review/memory-3.go.txt "$dir/memory.go"
+	go build -trimpath -o "$dir/case" "./$dir"
+	rm -f "$dir"/*.go
+done
