Review case 12: a lasting task runs twice when a late start reaches a worker that began again

Seen: the start of a lasting task gets no answer, as its worker is cut off. Behind the cut the worker crashes and starts again under its ID; the new process carries the start out 5 s late. The task was started on another worker 0.3 s before, so that two runs are at work for 0.7 to 0.8 s (TWICE).

Cause: mayOutliveLease (internal/scheduler/longlease.go) counts a start without an answer as live for as long as it may be late, but not for a lasting task on a worker whose entry is gone.

With this one comes a proxy between the nodes and a worker, and the stand-in of a worker can tell when it was born.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -13,6 +13,7 @@
 	cp review/common-3.go.txt "$dir/common.go"
 	cp review/worker-3.go.txt "$dir/worker.go"
 	cp review/memory-3.go.txt "$dir/memory.go"
+	cp review/link-3.go.txt "$dir/link.go"
 	go build -trimpath -o "$dir/case" "./$dir"
 	rm -f "$dir"/*.go
 done
