--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,10 +10,10 @@
 	mkdir -p "$dir"
 	trap 'rm -f "$dir"/*.go' EXIT
 	cp "$source" "$dir/main.go"
-	cp review/common-3.go.txt "$dir/common.go"
-	cp review/worker-3.go.txt "$dir/worker.go"
-	cp review/memory-3.go.txt "$dir/memory.go"
-	cp review/link-3.go.txt "$dir/link.go"
+	cp review/9/common.go.txt "$dir/common.go"
+	cp review/9/worker.go.txt "$dir/worker.go"
+	cp review/9/memory.go.txt "$dir/memory.go"
+	cp review/9/link.go.txt "$dir/link.go"
 	go build -trimpath -o "$dir/case" "./$dir"
 	rm -f "$dir"/*.go
 done
