scheduler: a start without an answer counts as live as long as it can be carried out

What callers saw: a long-running task ran on two workers at once (TWICE).

Cause: a start without an answer on a worker that has no registry entry counted as live for 12 s after the order, and not at all for long-running tasks, as these must not be down for long. A next process can carry it out up to 13 s after the order, and its run may then last for the longest lease. One rule was traded for another. Both hold if it is known whether the worker has a next process.

Ruled out: a start that the owner has forgotten (its line `lapsed` names it), a second owner (one epoch throughout).

Change: such a start counts as live for 23.5 s, whatever the task, unless the list of VMs shows that its worker has ended for good: no VM lists it, and each VM of its pool and rack that is left has another worker. A VM that is only down may start the same worker again. The owner reads the list at most once a second, and only while such a start holds a task back.

--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -34,6 +34,9 @@
 	for _, r := range orders.LoanReplies {
 		o.answerLoan(r)
 	}
+	if orders.WorkerCheck != nil {
+		o.executor.run(ctx, func() { o.checkWorkers(ctx, *orders.WorkerCheck) })
+	}
 	if orders.Write != nil {
 		o.lastWrite = *orders.Write
 		o.executor.run(ctx, func() { o.write(ctx, *orders.Write) })
@@ -87,6 +90,16 @@
 	o.enqueue(ctx, func(c *scheduler.Core, now time.Time) { c.HandleAdviceResult(result, now) })
 }
 
+func (o *Owner) checkWorkers(ctx context.Context, order scheduler.WorkerCheckOrder) {
+	vms, err := o.deps.VMs.List(ctx)
+	if err != nil {
+		o.logger.Warn("VMs can't be listed, tasks of lost workers wait", "error", err)
+		vms = nil // also a partial list, which may lack a worker's VM
+	}
+	ended := endedWorkers(order.Workers, vms)
+	o.enqueue(ctx, func(c *scheduler.Core, now time.Time) { c.HandleWorkerCheck(ended, now) })
+}
+
 // logDecision logs a decision. Placements other than a job's first are logged at level
 // debug: there are thousands a second, so their fields are built only if they are written.
 func (o *Owner) logDecision(decision scheduler.Decision) {
--- a/internal/owner/unresolved.go
+++ b/internal/owner/unresolved.go
@@ -45,15 +45,10 @@
 // A move to another pool ends the VM's worker, and a VM keeps its rack.
 func unresolvedWorkers(registered []workload.Worker, vms []workload.VM, ownsService func(service string) bool) []scheduler.UnresolvedWorker {
 	listed := map[string]*workload.VM{} // by worker
-	var unaccounted []workload.VM
 	for i := range vms {
-		vm := &vms[i]
-		if vm.Worker != "" {
+		if vm := &vms[i]; vm.Worker != "" {
 			listed[vm.Worker] = vm
 		}
-		if !isAccountedFor(vm) {
-			unaccounted = append(unaccounted, *vm)
-		}
 	}
 	var unresolved []scheduler.UnresolvedWorker
 	for i := range vms {
@@ -72,16 +67,34 @@
 			}
 			continue
 		}
-		mayRunOn := func(vm workload.VM) bool {
-			return vm.Pool == w.Service && (!isRackKnown(w, vms) || len(vm.Labels) == 0 || slices.Contains(vm.Labels, w.Rack()))
-		}
-		if len(vms) == 0 || slices.ContainsFunc(unaccounted, mayRunOn) {
+		if mayHaveVM(w, vms) {
 			unresolved = append(unresolved, scheduler.UnresolvedWorker{ID: w.ID, Service: w.Service, Capacity: w.Capacity})
 		}
 	}
 	return unresolved
 }
 
+// mayHaveVM reports whether a worker that no VM lists may have one of the VMs: one of its pool and its rack of which
+// it isn't known which worker it runs. An empty list shows nothing.
+func mayHaveVM(w workload.Worker, vms []workload.VM) bool {
+	return len(vms) == 0 || slices.ContainsFunc(vms, func(vm workload.VM) bool {
+		return !isAccountedFor(&vm) && (w.Service == "" || vm.Pool == w.Service) && (!isRackKnown(w, vms) || len(vm.Labels) == 0 || slices.Contains(vm.Labels, w.Rack()))
+	})
+}
+
+// endedWorkers returns the IDs of the workers whose processes have ended for good by the list of VMs: no VM lists them
+// or may have them. A VM that is down may start its worker again under the same ID.
+func endedWorkers(workers []workload.Worker, vms []workload.VM) []string {
+	var ended []string
+	for _, w := range workers {
+		isListed := slices.ContainsFunc(vms, func(vm workload.VM) bool { return vm.Worker == w.ID })
+		if !isListed && !mayHaveVM(w, vms) {
+			ended = append(ended, w.ID)
+		}
+	}
+	return ended
+}
+
 // areWorkersKnown reports whether it is known which workers run on the VMs of the partition's services. An
 // empty list shows nothing.
 func areWorkersKnown(vms []workload.VM, ownsService func(service string) bool) bool {
--- a/internal/owner/unresolved_test.go
+++ b/internal/owner/unresolved_test.go
@@ -72,3 +72,23 @@
 	assert.Equal(t, []string{"w-1", "w-2", "w-4", "w-5"}, unresolvedIDs(registered, vms))
 	assert.Equal(t, capacity, unresolvedWorkers(registered, vms, ownsBooking)[0].Capacity)
 }
+
+// Guards against a task that starts again while a next process of its worker may carry its first start out, and against
+// one that waits for a worker whose VM is gone or has another one.
+func TestWorkersHaveEndedOnceNoVMMayHaveThem(t *testing.T) {
+	up := workload.VM{ID: "vm-1", Pool: "booking", State: workload.VMUp, Worker: "w-1"}
+	for _, c := range []struct {
+		name  string
+		vms   []workload.VM
+		ended []string
+	}{
+		{"no list", nil, nil},
+		{"a listed VM is down", []workload.VM{{ID: "vm-1", Pool: "booking", State: workload.VMDown, Worker: "w-1"}}, nil},
+		{"another VM is down", []workload.VM{up, {ID: "vm-2", Pool: "booking", State: workload.VMDown}}, nil},
+		{"a VM of another pool is down", []workload.VM{up, {ID: "vm-2", Pool: "returns", State: workload.VMDown}}, []string{"w-2"}},
+		{"its VM has another worker", []workload.VM{up, {ID: "vm-2", Pool: "booking", State: workload.VMUp, Worker: "w-3"}}, []string{"w-2"}},
+		{"its VM is gone", []workload.VM{up}, []string{"w-2"}},
+	} {
+		assert.Equal(t, c.ended, endedWorkers(workersWithIDs("w-1", "w-2"), c.vms), c.name)
+	}
+}
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -95,6 +95,7 @@
 	earlierLeasesExpireAt time.Time
 	unresolved            unresolvedWorkers
 	longLeases            longLeases
+	workerCheck           workerCheck
 
 	// Records that must be stored, and the write in flight.
 	dirtyJobs map[workload.JobID]*job // their progress has changed
@@ -337,7 +338,7 @@
 		w := c.ensureWorker(info.ID, now)
 		c.updateEntry(w, info, now)
 		c.expectLongLease(w, now)
-		w.unregistered = false
+		w.unregistered, w.processEnded = false, false
 	}
 	for _, w := range c.sortedWorkers {
 		if !present[w.info.ID] {
@@ -381,6 +382,7 @@
 	c.dropExpiredLongLeases(now)
 	c.updateLongLeaseWorkers(now)
 	c.expireRuns(now)
+	c.checkLostWorkers(now)
 	c.pollOvertakenStarts(now)
 	c.removeUnregisteredWorkers(now)
 	c.pollWorkers(now)
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -382,6 +382,17 @@
 			o.core.HandleStartResult(scheduler.OrderResult{Worker: s.Worker.ID, Task: s.Start.Task, Run: s.Start.Run, Token: s.Start.Token, Answer: a}, w.now)
 		})
 	}
+	if orders.WorkerCheck != nil {
+		w.after(50*time.Millisecond, func() {
+			var ended []string
+			for _, info := range orders.WorkerCheck.Workers {
+				if w.isReplaced(info.ID) {
+					ended = append(ended, info.ID)
+				}
+			}
+			o.deliver(func() { o.core.HandleWorkerCheck(ended, w.now) })
+		})
+	}
 	for _, l := range orders.LoanRequests {
 		w.fleet.sendLoanRequest(o, l)
 	}
--- a/internal/scheduler/fakeworker_test.go
+++ b/internal/scheduler/fakeworker_test.go
@@ -306,6 +306,11 @@
 	f.world.after(5*time.Second, func() { f.world.addWorker(f.info.ID+"'", f.info.Capacity) })
 }
 
+// isReplaced reports whether a worker's VM has another worker.
+func (w *world) isReplaced(id string) bool {
+	return w.workers[id+"'"] != nil || w.workers[id+"+"] != nil
+}
+
 func (f *fakeWorker) unregister() {
 	f.world.registry = slices.DeleteFunc(f.world.registry, func(i workload.Worker) bool { return i.ID == f.info.ID })
 }
--- a/internal/scheduler/longlease.go
+++ b/internal/scheduler/longlease.go
@@ -19,31 +19,21 @@
 //     before they start a task there, and a worker that has restarted shortly before a takeover counts as one of
 //     them. If such a worker does not answer, the tasks that it may run wait until the long lease has expired.
 
-const (
-	// maxOrderTimeout is the longest time until an order is answered or given up. A given-up order is carried out
-	// later only if the worker has it already.
-	maxOrderTimeout = 1500 * time.Millisecond
-	// maxWallClockSkew is the largest difference between the times of day of two machines.
-	maxWallClockSkew = 3 * time.Second
-)
+// maxWallClockSkew is the largest difference between the times of day of two machines.
+const maxWallClockSkew = 3 * time.Second
 
 // mayOutliveLease reports whether a run without a known start may still live although the leases on its worker, as
-// they were granted, have expired.
+// they were granted, have expired: the worker may have restarted unseen, and the next process may carry the start out
+// as long as an order can be late.
 func (c *Core) mayOutliveLease(r *run, now time.Time) bool {
-	if r.startConfirmed || r.stopConfirmed {
+	w := r.worker
+	if r.startConfirmed || r.stopConfirmed || w.processEnded {
 		return false
 	}
-	lease := leaseExpiryDelay(c.settings.LeaseDuration)
-	longLease := leaseExpiryDelay(c.settings.MaxLeaseDuration)
-	switch {
-	case r.isFromEarlierIncarnation():
-		return now.Before(r.orderedAt.Add(maxOrderDelay + longLease))
-	case !r.worker.unregistered:
-		return now.Before(r.orderedAt.Add(maxOrderDelay + lease))
-	default:
-		// The worker may have restarted unseen. A long-running task must not be down for that long.
-		return !r.step.spec.LongRunning && (!r.fromCrashRecord || r.handedOver) && now.Before(r.orderedAt.Add(maxOrderTimeout+longLease))
+	if w.unregistered && r.fromCrashRecord && !r.handedOver && !r.isFromEarlierIncarnation() {
+		return false
 	}
+	return now.Before(r.orderedAt.Add(maxOrderDelay + leaseExpiryDelay(c.settings.MaxLeaseDuration)))
 }
 
 // isFromEarlierIncarnation reports whether the run was ordered to an earlier incarnation of its worker than its
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -15,7 +15,8 @@
 	AdviceRequests []AdviceOrder
 	LoanRequests   []LoanOrder
 	LoanReplies    []LoanReply
-	Write          *WriteOrder // nil if nothing must be stored
+	WorkerCheck    *WorkerCheckOrder // nil if none is due
+	Write          *WriteOrder       // nil if nothing must be stored
 	Decisions      []Decision
 }
 
@@ -57,6 +58,12 @@
 	Workers []string
 }
 
+// WorkerCheckOrder asks the list of VMs which of the workers, none of them registered, have ended. Its outcome goes to
+// HandleWorkerCheck.
+type WorkerCheckOrder struct {
+	Workers []workload.Worker
+}
+
 // WriteOrder stores records. The owner must retry it until its outcome is known, then call
 // HandleWriteResult. No other write is ordered before.
 type WriteOrder struct {
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -22,6 +22,9 @@
 	// adviceRequests are the requests for advice that answerAdvice has not answered yet.
 	adviceRequests []scheduler.AdviceOrder
 	incarnations   map[string]int64 // of the workers that answered polls as one
+	// endedWorkers are those that the list of VMs shows to have ended. workerChecks counts the checks.
+	endedWorkers []string
+	workerChecks int
 }
 
 // token returns the first fencing token that this owner gives a worker.
@@ -73,6 +76,10 @@
 		orders.AdviceRequests = append(orders.AdviceRequests, afterWrite.AdviceRequests...)
 	}
 	r.recordPolls(orders)
+	if orders.WorkerCheck != nil {
+		r.workerChecks++
+		r.core.HandleWorkerCheck(r.endedWorkers, r.now)
+	}
 	r.adviceRequests = append(r.adviceRequests, orders.AdviceRequests...)
 	return orders
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -128,6 +128,9 @@
 	// are dropped because it is unreachable.
 	synced       bool
 	unregistered bool // it has no entry in the registry
+	// processEnded is set once the list of VMs shows that the worker's process has ended and that none can follow under
+	// its ID, until it has an entry again.
+	processEnded bool
 	// wasRemoved is set if this owner had removed the worker before and has added it again.
 	wasRemoved bool
 
