scheduler: answers on a kept start are no restarts of its worker

What was seen: histories with workers that restart under their ID log `worker-restarted`, "its clock went backwards", for one process up to 40 times in 30 s. Each time what is known of the worker is reset, its token rises and its starts wait for a poll and a write. No caller has reported it.

Cause: a run keeps a lower bound of its worker's clock from when it was ordered, and an answer below it shows another process. A start that the next process has carried out is kept as its run, with the bound of the earlier process's clock.

The bound is dropped when the run is kept.

--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -166,6 +166,7 @@
 		case r.incarnation == 0 || r.incarnation == w.incarnation:
 		case isListed(report.Running, r) || hasExited(report.Exited, r):
 			r.incarnation = w.incarnation // its start reached the new process
+			r.minClockMS = 0              // a bound of the previous process's clock
 		default:
 			lost = append(lost, r)
 		}
--- a/internal/scheduler/incarnation_test.go
+++ b/internal/scheduler/incarnation_test.go
@@ -154,6 +154,25 @@
 	}
 }
 
+// A start of the previous process has reached the new one. The bound of the previous process's clock must not make each
+// later answer on that run look like another restart, which would reset what is known of the worker.
+func TestAnswersOnAKeptStartAreNoRestarts(t *testing.T) {
+	r := newIncarnationRig(t)
+	r.submit("0000000000000001", batchStep(1, 1000))
+	s := r.stepFor(100 * time.Millisecond).Starts[0]
+	r.answerStart(s, workload.WorkerOutcomeUnknown)
+	poll, _ := r.awaitPoll("w-1")
+	r.registerWorker("w-1", nextIncarnation)
+	r.answerPollAs(poll, nextIncarnation, workload.PollReport{})
+	fencingPoll, _ := r.awaitPoll("w-1")
+	r.answerPollAs(fencingPoll, nextIncarnation, workload.PollReport{Running: []workload.ListedRun{{Task: s.Start.Task, Run: s.Start.Run, SpeedPercent: 100}}})
+	r.core.CancelJob(s.Start.Task.Job, nil, r.now)
+	stops := r.stepFor(100 * time.Millisecond).Stops
+	require.NotEmpty(t, stops)
+	r.core.HandleStopResult(scheduler.OrderResult{Worker: "w-1", Task: stops[0].Task, Run: stops[0].Run, Token: stops[0].Token, Answer: workload.WorkerAnswer{ClockMS: r.clockMS("w-1")}}, r.now)
+	assert.Equal(t, 1, r.core.Counts.WorkerRestarts)
+}
+
 // The clock of a new incarnation starts over. A lease on the previous clock would end far in the
 // future, so the worker would shorten it to the longest lease that it accepts, and its runs would
 // outlive the lease that the owner assumes.
