scheduler: a process that may have carried out a late acknowledgement runs no batch tasks

An acknowledgement of ends got no answer, its worker's process ended behind a cut and started again under its ID, and carried the acknowledgement out: it dropped its first ends, which were yet to come. Their runs vanished, and their jobs failed.

Cause: an acknowledgement is sent only shortly after a report of the same process; nothing held for when it is carried out.

Ruled out: an acknowledgement that the owner sends to the new process (none is sent after the restart).

Change: an acknowledgement without an answer is open for as long as an order can be late. While one is open, polls of a worker that does not answer are probes, with a token below all others. A process that accepts a probe has carried nothing out, and the poll that follows fences the acknowledgement. Another process that refuses it may have: it runs only tasks that may start again, until it lists an end that it would have dropped, and its service counts it as not usable. To find out, a task of at least ten times the longest stop is started there and stopped at once. Later owners learn from `owner/leases` which processes were checked, and probe workers that are known to have restarted. `worker-restarted` tells how many acknowledgements had no answer, `exits-may-be-dropped` names such a process.

--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -49,7 +49,7 @@
 	if order.Poll.MaxWait == 0 {
 		o.deps.Metrics.observeOrder("hold", answer, sentAt)
 	}
-	result := scheduler.PollResult{Worker: order.Worker.ID, Token: order.Poll.Token, SentAt: sentAt, Extra: order.Extra, Report: report, Answer: answer}
+	result := scheduler.PollResult{Worker: order.Worker.ID, Token: order.Poll.Token, SentAt: sentAt, Extra: order.Extra, Probe: order.Probe, AckedUpTo: order.Poll.AckedUpTo, Report: report, Answer: answer}
 	o.enqueue(ctx, func(c *scheduler.Core, now time.Time) { c.HandlePollResult(result, now) })
 }
 
--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -80,7 +80,7 @@
 
 // isAdviceUnknown reports whether a worker has the required label and was neither approved nor refused.
 func (s *step) isAdviceUnknown(w *worker) bool {
-	return w.info.HasLabel(s.spec.RequiredLabel) && !s.mayRunOn(w) && !s.advice.refusedWorkers[w.info.ID]
+	return s.isSuitable(w) && !s.mayRunOn(w) && !s.advice.refusedWorkers[w.info.ID]
 }
 
 // requestMissingTickets requests advice for a step whose tasks wait although it may be placed: the workers with valid
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -69,19 +69,18 @@
 	config   *workload.Config
 
 	// Jobs, their ranking and the workers.
-	jobs          map[workload.JobID]*job
-	activeJobs    []*job // jobs whose end is not stored or that have live runs, in order of arrival
-	ranking       ranking
-	shares        map[string]*queueShares // by queue
-	workShares    workShares
-	prospects     prospects
-	log           logPosition // of the partition
-	racks         rackWatch
-	workers       map[string]*worker
-	sortedWorkers []*worker // by ID
-	// removedWorkerTokens are the last tokens of removed workers, by ID. A worker may come
-	// back under its ID.
-	removedWorkerTokens map[string]int64
+	jobs           map[workload.JobID]*job
+	activeJobs     []*job // jobs whose end is not stored or that have live runs, in order of arrival
+	ranking        ranking
+	shares         map[string]*queueShares // by queue
+	workShares     workShares
+	prospects      prospects
+	log            logPosition // of the partition
+	racks          rackWatch
+	workers        map[string]*worker
+	sortedWorkers  []*worker                // by ID
+	removedWorkers map[string]removedWorker // by ID; a worker may come back under its ID
+	storedAcks     map[string]ackState      // what an earlier owner has found out, by worker
 
 	// Authority. Tasks may be started and leases renewed until authorityUntil if
 	// authorityBounded is set, and without a bound otherwise.
@@ -180,7 +179,8 @@
 		config:                &workload.Config{},
 		jobs:                  map[workload.JobID]*job{},
 		workers:               map[string]*worker{},
-		removedWorkerTokens:   map[string]int64{},
+		removedWorkers:        map[string]removedWorker{},
+		storedAcks:            map[string]ackState{},
 		longLeases:            longLeases{byWorker: map[string]*longLease{}},
 		serviceBusyUntil:      map[string]time.Time{},
 		wideHolds:             map[string]*wideHold{},
@@ -364,9 +364,9 @@
 	if w, ok := c.workers[id]; ok {
 		return w
 	}
-	w := &worker{info: workload.Worker{ID: id}, token: c.settings.Epoch * tokensPerEpoch, bestEffortSpeedPercent: fullSpeedPercent, incarnationFirstSeenAt: now, unreachable: true, unregistered: true, incarnationUnresolved: true}
-	if last, ok := c.removedWorkerTokens[id]; ok {
-		w.token = last
+	w := &worker{info: workload.Worker{ID: id}, acks: c.storedAcks[id], token: c.settings.Epoch * tokensPerEpoch, bestEffortSpeedPercent: fullSpeedPercent, incarnationFirstSeenAt: now, unreachable: true, unregistered: true, incarnationUnresolved: true}
+	if last, ok := c.removedWorkers[id]; ok {
+		w.token, w.acks = last.token, last.acks
 		w.wasRemoved = true
 		c.raiseToken(w)
 	}
--- a/internal/scheduler/fakeowner_test.go
+++ b/internal/scheduler/fakeowner_test.go
@@ -508,7 +508,7 @@
 	f := w.workers[order.Worker.ID]
 	deliverReport := func(report workload.PollReport, a workload.WorkerAnswer) {
 		o.deliver(func() {
-			o.core.HandlePollResult(scheduler.PollResult{Worker: order.Worker.ID, Token: order.Poll.Token, SentAt: sentAt, Extra: order.Extra, Report: report, Answer: a}, w.now)
+			o.core.HandlePollResult(scheduler.PollResult{Worker: order.Worker.ID, Token: order.Poll.Token, SentAt: sentAt, Extra: order.Extra, Probe: order.Probe, AckedUpTo: order.Poll.AckedUpTo, Report: report, Answer: a}, w.now)
 		})
 	}
 	unanswered := workload.WorkerAnswer{Status: workload.WorkerOutcomeUnknown}
--- a/internal/scheduler/feasible.go
+++ b/internal/scheduler/feasible.go
@@ -25,10 +25,16 @@
 	return feasibility.Request{Tasks: s.minTasksPerStart(), Each: s.spec.Reservation(), MaxPerWorker: s.spec.MaxPerWorker}
 }
 
-// mayRunOn reports whether a worker may run the step's tasks, however full it is: it has the required label and, if
-// the step needs advice, was approved.
+// mayRunOn reports whether a worker may run the step's tasks, however full it is: it is suitable and, if the step needs
+// advice, was approved.
 func (s *step) mayRunOn(w *worker) bool {
-	return w.info.HasLabel(s.spec.RequiredLabel) && (!s.needsAdvice() || s.advice.isApproved(w))
+	return s.isSuitable(w) && (!s.needsAdvice() || s.advice.isApproved(w))
+}
+
+// isSuitable reports whether a worker has the label that the step requires and tells how the step's runs end. A step that
+// can't be placed on other workers does without the latter, or it would wait for ever.
+func (s *step) isSuitable(w *worker) bool {
+	return w.info.HasLabel(s.spec.RequiredLabel) && (w.acks.mayDropExitsUpTo == 0 || s.mayStartAgain() || s.acceptsDroppedExits)
 }
 
 // remainingTime returns how long a run is estimated to take yet, and false if it does not end on its own within
--- a/internal/scheduler/incarnation.go
+++ b/internal/scheduler/incarnation.go
@@ -80,6 +80,9 @@
 	if n := w.unansweredStarts(); n > 0 {
 		reason += fmt.Sprintf("; %d starts were not answered", n)
 	}
+	if w.acks.hasOpen(now) {
+		reason += fmt.Sprintf("; %d acknowledgements were not answered", len(w.acks.open))
+	}
 	c.recordDecision(Decision{Verb: "worker-restarted", Worker: w.info.ID, Reason: reason, Age: now.Sub(w.lastReportHandledAt), AlwaysLogged: true})
 	c.raiseToken(w)
 	w.incarnation = incarnation
@@ -88,11 +91,15 @@
 	w.incarnationFirstSeenAt = now
 	w.lastReportHandledAt = now
 	w.synced = false
-	w.pollInFlight = false
+	w.pollInFlight, w.acks.probeInFlight = false, false
 	w.nextPollAt = now
 	w.clockMS = 0
 	w.lastReportClockMS = 0
 	w.lastExitSeen, w.ackAllowed, w.ackSent, w.ackConfirmed = 0, 0, 0, 0
+	c.setMayDropExits(w, 0)
+	if !w.acks.hasOpen(now) && !c.mayHaveEarlierAck(w, now) {
+		w.acks.checkedIncarnation = incarnation
+	}
 	w.bestEffortSpeedPercent, w.speedChangedAt = fullSpeedPercent, time.Time{}
 	w.failures = failureTracker{}
 	w.startBackoffUntil = time.Time{}
@@ -217,7 +224,11 @@
 	c.Counts.UnreadExits++
 	c.recordDecision(Decision{Verb: "end-unread", Job: r.step.job.id, Task: r.taskKey().String(), Worker: r.worker.info.ID, Run: r.number, Reason: "the worker lists neither the run nor its end", Age: now.Sub(r.orderedAt), AlwaysLogged: true})
 	c.removeRun(r)
-	if r.step.spec.LongRunning || r.step.spec.Speculative || r.task().done {
+	if r.isExitTrial {
+		r.worker.acks.dropsExits = true
+		return
+	}
+	if r.step.mayStartAgain() || r.task().done {
 		return
 	}
 	c.endJob(r.step.job, workload.Failed, now)
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -51,6 +51,7 @@
 	// waitingForIsolationSince is since when a gang waits for workers for its suspects.
 	waitingForIsolationSince time.Time
 	hold                     stepHold
+	acceptsDroppedExits      bool // it can't be placed without workers that may drop their exits
 	// nextPreemptionSearchAt is when the step may search for preemptible runs again.
 	nextPreemptionSearchAt time.Time
 	lastRunSeq             int64          // of this epoch's run numbers
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -103,7 +103,7 @@
 
 // isUsable reports whether the worker answers and may get starts now or soon.
 func (w *worker) isUsable(now time.Time) bool {
-	return w.synced && !w.unreachable && !w.info.Leaving && !now.Before(w.failures.suspendedUntil)
+	return w.synced && !w.unreachable && !w.info.Leaving && w.acks.mayDropExitsUpTo == 0 && !now.Before(w.failures.suspendedUntil)
 }
 
 // loadReport returns the worker's load. Runs of long-running tasks are also counted separately,
--- a/internal/scheduler/longlease.go
+++ b/internal/scheduler/longlease.go
@@ -112,7 +112,7 @@
 	if !c.longLeases.added && !c.longLeases.ended {
 		return nil
 	}
-	leases := &workload.LongLeases{ExpiresAtMS: map[string]int64{}}
+	leases := &workload.LongLeases{ExpiresAtMS: map[string]int64{}, CheckedAcks: c.checkedAcks()}
 	for id, l := range c.longLeases.byWorker {
 		leases.ExpiresAtMS[id] = l.expiresAt.UnixMilli()
 	}
@@ -122,6 +122,9 @@
 // RestoreLongLeases applies the long leases that an earlier owner stored. It must precede SetWorkers and
 // RestoreHandover.
 func (c *Core) RestoreLongLeases(leases *workload.LongLeases) {
+	for id, checked := range leases.CheckedAcks {
+		c.storedAcks[id] = ackState{checkedIncarnation: checked.Incarnation, mayDropExitsUpTo: checked.MayDropExitsUpTo}
+	}
 	for id, expiresAtMS := range leases.ExpiresAtMS {
 		expiresAt := time.UnixMilli(expiresAtMS).Add(maxWallClockSkew)
 		if !expiresAt.After(c.tookOverAt) {
--- a/internal/scheduler/longlease_test.go
+++ b/internal/scheduler/longlease_test.go
@@ -52,7 +52,7 @@
 				r.answerPollAs(p, firstIncarnation, workload.PollReport{})
 				continue
 			}
-			r.core.HandlePollResult(scheduler.PollResult{Worker: id, Token: p.Poll.Token, SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerOutcomeUnknown}}, r.now)
+			r.handlePollResult(scheduler.PollResult{Worker: id, Token: p.Poll.Token, SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerOutcomeUnknown}})
 		}
 		if orders := r.step(20 * time.Millisecond); len(orders.Starts) > 0 {
 			return r.now.Sub(beganAt), orders.Starts
--- a/internal/scheduler/longleasetakeover_test.go
+++ b/internal/scheduler/longleasetakeover_test.go
@@ -109,6 +109,7 @@
 // of the predecessor has granted it a long lease before.
 func TestWorkerThatAnswersAfterATakeoverMayHaveALongLease(t *testing.T) {
 	r := newTakeoverRig(t, (&rig{}).entry("w-1", historyStart.Add(-2*time.Second).UnixMilli()))
+	r.acceptProbe(r.awaitProbe(), historyStart.Add(-2*time.Second).UnixMilli())
 	poll, _ := r.awaitPoll("w-1")
 	r.answerPollAs(poll, historyStart.Add(-2*time.Second).UnixMilli(), workload.PollReport{})
 	answeredAt := r.now
--- a/internal/scheduler/orderresult.go
+++ b/internal/scheduler/orderresult.go
@@ -74,6 +74,7 @@
 			r.state = runRunning
 		}
 		r.stateChangedAt = now
+		c.endExitTrial(r)
 	case workload.WorkerOutcomeUnknown:
 		switch r.state {
 		case runStarting:
--- a/internal/scheduler/orders.go
+++ b/internal/scheduler/orders.go
@@ -26,6 +26,8 @@
 	Poll   workload.Poll
 	// Extra is set for a poll that is sent while the answer of another is overdue.
 	Extra bool
+	// Probe is set for a poll with a lower token than the worker's.
+	Probe bool
 }
 
 // StartOrder starts a run. Its outcome goes to HandleStartResult.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -51,6 +51,9 @@
 		}
 	}
 	r.tryAll = false
+	if !runsUnknown {
+		c.startExitTrials(now)
+	}
 }
 
 // placeCandidate places the tasks of a candidate's ready steps as far as they fit. For tasks that
@@ -62,6 +65,7 @@
 			continue
 		}
 		c.Counts.PlacementChecks++
+		s.acceptsDroppedExits = now.Before(s.hold.infeasibleUntil)
 		idleBefore := s.idleCount
 		c.placeStep(pool, s, now)
 		waiting := s.idleCount - s.idleSuspectCount()
--- a/internal/scheduler/placementpool.go
+++ b/internal/scheduler/placementpool.go
@@ -147,7 +147,7 @@
 // fitsOn reports whether a worker may run a task of the step now. A step without placement advice may
 // run on any worker; one with advice needs a valid ticket.
 func (s *step) fitsOn(w *worker, now time.Time) bool {
-	if w.ordersInFlight >= maxOrdersPerWorker || !s.spec.Reservation().FitsIn(w.free()) || !w.info.HasLabel(s.spec.RequiredLabel) {
+	if w.ordersInFlight >= maxOrdersPerWorker || !s.spec.Reservation().FitsIn(w.free()) || !s.isSuitable(w) {
 		return false
 	}
 	if s.spec.MaxPerWorker > 0 && s.liveRunsByWorker[w.info.ID] >= s.spec.MaxPerWorker {
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -141,18 +141,23 @@
 		if !needed {
 			continue
 		}
+		if c.needsProbe(w, now) {
+			c.sendProbe(w, now)
+			continue
+		}
 		poll := workload.Poll{Token: w.token}
 		if c.canAcknowledge(w, now) {
 			poll.AckedUpTo = w.ackAllowed
 		}
 		w.ackSent = poll.AckedUpTo
+		w.acks.record(openAck{upTo: poll.AckedUpTo, token: w.token, incarnation: w.incarnation, sentAt: now})
 		// A worker that is unreachable or may have restarted gets no renewal. Otherwise its tasks
 		// would have to wait until the renewed lease expires before they start elsewhere.
 		inSync := w.synced && !w.unreachable && !w.entryMismatch
 		if len(w.runs) > 0 && inSync && c.hasAuthority(now) {
 			poll.LeaseExpiresAtMS = c.grantLease(w, now)
 		}
-		if mayHaveRuns && inSync && w.lastExitSeen == w.ackAllowed && (poll.AckedUpTo > 0 || !w.hasPendingAck()) {
+		if mayHaveRuns && inSync && w.acks.mayDropExitsUpTo == 0 && w.lastExitSeen == w.ackAllowed && (poll.AckedUpTo > 0 || !w.hasPendingAck()) {
 			poll.MaxWait = c.pollWait(w, now)
 		}
 		poll.ShortTimeout = w.unreachable && w.synced
@@ -175,8 +180,11 @@
 	c.extraPollsInFlight++
 	c.Counts.ExtraPolls++
 	w.pollAnswerDueAt = now.Add(2 * pollAnswerSlack)
-	poll := workload.Poll{Token: w.token, ShortTimeout: true}
-	c.orders.Polls = append(c.orders.Polls, PollOrder{Worker: w.info, Poll: poll, Extra: true})
+	order := PollOrder{Worker: w.info, Poll: workload.Poll{Token: w.token, ShortTimeout: true}, Extra: true, Probe: w.acks.probeInFlight}
+	if order.Probe {
+		order.Poll.Token = probeToken // no other poll may reach the process before a probe
+	}
+	c.orders.Polls = append(c.orders.Polls, order)
 }
 
 // pollWait returns how long a poll may wait for an exit. The wait is shorter if a run is
--- a/internal/scheduler/pollresult.go
+++ b/internal/scheduler/pollresult.go
@@ -22,8 +22,11 @@
 	Token  int64
 	SentAt time.Time
 	Extra  bool // as ordered
-	Report workload.PollReport
-	Answer workload.WorkerAnswer
+	// Probe and AckedUpTo are as ordered.
+	Probe     bool
+	AckedUpTo int64
+	Report    workload.PollReport
+	Answer    workload.WorkerAnswer
 }
 
 // HandlePollResult handles the outcome of a poll.
@@ -38,6 +41,11 @@
 	if isFromWorker(r.Answer.Status) {
 		w.recordHeard(r.SentAt, now)
 	}
+	if r.Probe {
+		c.handleProbeResult(w, r, now)
+		return
+	}
+	w.acks.close(r)
 	// A report is stale if a poll that was sent later has already been answered: runs that it
 	// lists may have ended, and its exits will be reported again. The report of a poll that was
 	// sent before a restart of the worker was detected is stale, too.
@@ -121,6 +129,7 @@
 		return
 	}
 	c.recordIncarnation(w, r.Report)
+	c.checkOpenAcks(w, r.Report.Incarnation, now)
 	if w.incarnationUnresolved {
 		c.resolveIncarnation(w, r.Report, now)
 	}
@@ -134,6 +143,9 @@
 	c.retractUnconfirmedCrash(w)
 	w.nextPollAt = now.Add(minPollInterval + time.Duration(len(c.sortedWorkers))*pollIntervalPerWorker)
 	for _, e := range r.Report.Exited {
+		if w.acks.mayDropExitsUpTo > 0 {
+			c.setMayDropExits(w, 0) // it would have dropped this one, or drops none from here on
+		}
 		if e.Sequence > w.lastExitSeen {
 			w.lastExitSeen = e.Sequence
 			c.handleExit(w, e, now)
@@ -142,7 +154,7 @@
 	switch {
 	case w.hasPendingAck() && w.lastExitSeen == w.ackAllowed:
 		w.nextPollAt = now
-	case len(r.Report.Exited) > 0:
+	case len(r.Report.Exited) > 0 || w.acks.mayDropExitsUpTo > 0:
 		w.nextPollAt = now.Add(unackedPollInterval)
 	}
 	for _, listed := range r.Report.Running {
@@ -175,6 +187,7 @@
 		r.stateChangedAt = now
 	}
 	r.startConfirmed = true
+	c.endExitTrial(r)
 	r.confirmedRunning = !sentAt.Before(r.mayBeStoppingUntil)
 	r.speedPercent = listed.SpeedPercent
 	r.latencyOrCPU = listed.LatencyOrCPU
--- a/internal/scheduler/rig_test.go
+++ b/internal/scheduler/rig_test.go
@@ -25,6 +25,8 @@
 	// endedWorkers are those that the list of VMs shows to have ended. workerChecks counts the checks.
 	endedWorkers []string
 	workerChecks int
+	// sentPolls holds the latest poll of each worker, extra polls left out.
+	sentPolls map[string]scheduler.PollOrder
 }
 
 // token returns the first fencing token that this owner gives a worker.
@@ -87,18 +89,28 @@
 // recordPolls records the polls in orders for tests that answer them.
 func (r *rig) recordPolls(orders scheduler.Orders) {
 	if r.latestPolls == nil {
-		r.latestPolls = map[string]scheduler.PollOrder{}
+		r.latestPolls, r.sentPolls = map[string]scheduler.PollOrder{}, map[string]scheduler.PollOrder{}
 	}
 	for _, p := range orders.Polls {
 		if !p.Extra {
-			r.latestPolls[p.Worker.ID] = p
+			r.latestPolls[p.Worker.ID], r.sentPolls[p.Worker.ID] = p, p
 		}
 	}
 }
 
+// handlePollResult passes the outcome of a worker's latest poll on. A probe is refused rather than answered.
+func (r *rig) handlePollResult(result scheduler.PollResult) {
+	sent := r.sentPolls[result.Worker]
+	result.AckedUpTo, result.Probe = sent.Poll.AckedUpTo, sent.Probe
+	if result.Probe && result.Answer.Status == workload.WorkerOK {
+		result.Report, result.Answer.Status = workload.PollReport{}, workload.WorkerFenced
+	}
+	r.core.HandlePollResult(result, r.now)
+}
+
 // answerPoll answers a poll with a report.
 func (r *rig) answerPoll(worker string, sentAt time.Time, report workload.PollReport) {
-	r.core.HandlePollResult(scheduler.PollResult{Worker: worker, Token: r.token(), SentAt: sentAt, Report: report, Answer: workload.WorkerAnswer{ClockMS: r.clockMS(worker)}}, r.now)
+	r.handlePollResult(scheduler.PollResult{Worker: worker, Token: r.token(), SentAt: sentAt, Report: report, Answer: workload.WorkerAnswer{ClockMS: r.clockMS(worker)}})
 }
 
 // clockMS returns a worker's clock. It reads the age of the incarnation that answerPollAs set last, and 1 s at the
@@ -112,7 +124,7 @@
 
 // answerPollReplaced answers a poll as a replacement at the worker's address does.
 func (r *rig) answerPollReplaced(worker string) {
-	r.core.HandlePollResult(scheduler.PollResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerReplaced}}, r.now)
+	r.handlePollResult(scheduler.PollResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerReplaced}})
 }
 
 func (r *rig) answerStart(s scheduler.StartOrder, status workload.WorkerStatus) {
@@ -153,7 +165,7 @@
 		r.incarnations = map[string]int64{}
 	}
 	r.incarnations[poll.Worker.ID] = incarnation
-	r.core.HandlePollResult(scheduler.PollResult{Worker: poll.Worker.ID, Token: poll.Poll.Token, SentAt: r.now, Extra: poll.Extra, Report: report, Answer: workload.WorkerAnswer{ClockMS: r.now.UnixMilli() - incarnation}}, r.now)
+	r.handlePollResult(scheduler.PollResult{Worker: poll.Worker.ID, Token: poll.Poll.Token, SentAt: r.now, Extra: poll.Extra, Report: report, Answer: workload.WorkerAnswer{ClockMS: r.now.UnixMilli() - incarnation}})
 }
 
 // registerWorker registers one worker with the given incarnation.
@@ -162,8 +174,19 @@
 }
 
 // awaitPoll steps until a poll of a worker awaits its answer. It returns the poll and the starts that
-// were ordered meanwhile.
+// were ordered meanwhile. Probes are refused, as by a process that has carried out an order.
 func (r *rig) awaitPoll(id string) (poll scheduler.PollOrder, starts []scheduler.StartOrder) {
+	for {
+		poll, more := r.awaitPollOrProbe(id)
+		starts = append(starts, more...)
+		if !poll.Probe {
+			return poll, starts
+		}
+		r.refuseProbe(poll)
+	}
+}
+
+func (r *rig) awaitPollOrProbe(id string) (poll scheduler.PollOrder, starts []scheduler.StartOrder) {
 	for range 100 {
 		if poll, ok := r.latestPolls[id]; ok {
 			delete(r.latestPolls, id)
@@ -177,12 +200,12 @@
 
 // answerPollRefused answers a poll with a refused connection, as after the end of the process.
 func (r *rig) answerPollRefused(worker string) {
-	r.core.HandlePollResult(scheduler.PollResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerConnRefused}}, r.now)
+	r.handlePollResult(scheduler.PollResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerConnRefused}})
 }
 
 // timeOutPoll answers a poll with a timeout: its outcome is unknown.
 func (r *rig) timeOutPoll(worker string) {
-	r.core.HandlePollResult(scheduler.PollResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerOutcomeUnknown}}, r.now)
+	r.handlePollResult(scheduler.PollResult{Worker: worker, Token: r.token(), SentAt: r.now, Answer: workload.WorkerAnswer{Status: workload.WorkerOutcomeUnknown}})
 }
 
 // crashWorker simulates the crash of a worker's process: two polls are refused, then a replacement
--- a/internal/scheduler/sweep.go
+++ b/internal/scheduler/sweep.go
@@ -5,6 +5,12 @@
 	"time"
 )
 
+// removedWorker is what is kept of a removed worker.
+type removedWorker struct {
+	token int64
+	acks  ackState
+}
+
 // removeUnregisteredWorkers removes workers that are not registered and run nothing, and keeps
 // their tokens. A worker that is being drained is not removed: it may not be registered yet, and
 // without its drain it would get starts as soon as it is. Neither is a worker with an unconfirmed
@@ -19,7 +25,7 @@
 		}
 		delete(c.workers, w.info.ID)
 		c.unresolved.resolve(w.info.ID)
-		c.removedWorkerTokens[w.info.ID] = w.token
+		c.removedWorkers[w.info.ID] = removedWorker{token: w.token, acks: w.acks.afterRemoval()}
 		return true
 	})
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -78,6 +78,7 @@
 	latencyOrCPU        float64 // as in workload.ListedRun
 	checkpoint          string
 
+	isExitTrial bool // it is to show whether its worker drops exits
 	// isolated is set for an isolated run of a suspect until the run makes progress or ends.
 	isolated bool
 
@@ -196,6 +197,7 @@
 	// acknowledged, and the highest whose acknowledgement was sent and answered.
 	lastExitSeen, ackAllowed int64
 	ackSent, ackConfirmed    int64
+	acks                     ackState
 
 	// Runs.
 
--- a/internal/workload/stored.go
+++ b/internal/workload/stored.go
@@ -142,6 +142,16 @@
 type LongLeases struct {
 	// ExpiresAtMS is when they have expired, by worker, in Unix milliseconds by the clock of the owner that stored them.
 	ExpiresAtMS map[string]int64 `json:"w,omitempty"`
+	// CheckedAcks tells of workers that have restarted, by ID, which process has been checked for acknowledgements to an
+	// earlier one.
+	CheckedAcks map[string]CheckedAcks `json:"a,omitempty"`
+}
+
+// CheckedAcks states that a process of a worker, which started at Incarnation in Unix milliseconds, may drop its exits
+// up to a sequence number unread, 0 for none.
+type CheckedAcks struct {
+	Incarnation      int64 `json:"i"`
+	MayDropExitsUpTo int64 `json:"n,omitempty"`
 }
 
 // Record is a stored record of a job or of an owner of the partition. Exactly one of
