scheduler: occurrences of a job take memory only once they are due

Cause: an owner made the steps and tasks of all occurrences of a job when it read it, some 600 bytes each. A job that repeats 10,000 times from tomorrow on took as much as 10,000 at work. What a node accepts is bounded, what it takes over is not.

Ruled out: that reading a partition takes the memory (a partition has some kilobytes).

Change: an occurrence is open, with steps and tasks in memory, from 3 s before it is due until all its tasks are done; a worker that names one of its tasks opens it, too. Of the others one bit is kept. The stored progress is as before.

--- a/internal/scheduler/advice.go
+++ b/internal/scheduler/advice.go
@@ -194,7 +194,7 @@
 // incarnation, and the next one may be of another kind.
 func (c *Core) forgetAdvice(worker string) {
 	for _, j := range c.activeJobs {
-		for _, s := range j.steps {
+		for s := range j.openSteps() {
 			if s.advice != nil {
 				delete(s.advice.ticketsByWorker, worker)
 				delete(s.advice.refusedWorkers, worker)
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -239,7 +239,7 @@
 		return
 	}
 	j.isOrdered = true
-	j.createSteps(submission)
+	j.setSubmission(submission)
 	j.account = c.accountOf(submission.Workspace)
 	c.checkWeight(j)
 	j.queue = c.config.Queue(submission.Queue)
@@ -250,8 +250,8 @@
 	c.recordArrivedWork(j)
 	c.recordRequiredLabels(submission)
 	c.activeJobs = append(c.activeJobs, j)
-	if len(j.steps) > 0 {
-		c.requestRerank(j.steps[0])
+	if j.openDue(c.lastStepAt.Add(upcomingWindow)); len(j.open) > 0 {
+		c.requestRerank(j.open[0].steps[0])
 	}
 	c.planStale = true
 }
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -289,7 +289,7 @@
 // have crashed one worker.
 func (c *Core) retractUnlikelyCrashes(crashes []workload.Crash) {
 	for _, j := range c.activeJobs {
-		for _, s := range j.steps {
+		for s := range j.openSteps() {
 			if !s.hasCrashes || j.finalState.IsTerminal() {
 				continue
 			}
@@ -307,6 +307,9 @@
 // queues the change to be stored.
 func (c *Core) retractCrashes(s *step, t *task, shouldRetract func(workload.Crash) bool) {
 	countBefore := len(t.crashes)
+	if countBefore == 0 {
+		return
+	}
 	t.crashes = slices.DeleteFunc(t.crashes, shouldRetract)
 	if len(t.crashes) < countBefore {
 		c.queueCrashWrite(s, t)
@@ -327,7 +330,9 @@
 // clears the task once the run has lasted for requiredRunTime.
 func (c *Core) recordRunProgress(r *run, pollSentAt, now time.Time) {
 	t := r.task()
-	t.madeProgress = t.madeProgress || !pollSentAt.Before(r.orderedAt.Add(minProgressTime))
+	if !t.madeProgress && !pollSentAt.Before(r.orderedAt.Add(minProgressTime)) {
+		t.madeProgress = true
+	}
 	if len(t.crashes) == 0 || pollSentAt.Before(r.orderedAt.Add(t.requiredRunTime())) {
 		return
 	}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -23,8 +23,11 @@
 	isOrdered, isNew, inSnapshot bool
 	logOffset                    int64
 	prediction                   startPrediction
-	// steps has one entry for each occurrence and step, ordered by occurrence, then step.
-	steps           []*step
+	open                         []openOccurrence // ordered by number
+	// doneOccurrences is a bitmap of the closed occurrences that are done, nil if there is none; all before firstUndone
+	// are.
+	doneOccurrences []byte
+	firstUndone     int
 	remainingTasks  int  // tasks that are not done, long-running ones included
 	liveRuns        int  // runs that are not known to have ended
 	started         bool // one of its tasks has been started
@@ -88,40 +91,6 @@
 	earlyFailures      int       // in a row, of a long-running task
 }
 
-// createSteps creates the steps of all occurrences.
-func (j *job) createSteps(submission *workload.Submission) {
-	j.submission = submission
-	for o := range submission.Spec.Occurrences() {
-		for i := range submission.Spec.Steps {
-			spec := &submission.Spec.Steps[i]
-			newStep := &step{
-				job:        j,
-				spec:       spec,
-				occurrence: o,
-				number:     i,
-				tasks:      make([]task, spec.Count),
-				idleCount:  spec.Count,
-			}
-			j.steps = append(j.steps, newStep)
-			j.remainingTasks += spec.Count
-		}
-	}
-}
-
-// occurrenceSteps returns the steps of one occurrence.
-func (j *job) occurrenceSteps(o int) []*step {
-	n := len(j.submission.Spec.Steps)
-	return j.steps[o*n : (o+1)*n]
-}
-
-// step returns a step by occurrence and number, nil if there is none.
-func (j *job) step(occurrence, number int) *step {
-	if j.submission == nil || number >= len(j.submission.Spec.Steps) || occurrence >= j.submission.Spec.Occurrences() {
-		return nil
-	}
-	return j.steps[occurrence*len(j.submission.Spec.Steps)+number]
-}
-
 // findTask returns the step and task of a key, nil if there is no such task.
 func (c *Core) findTask(k workload.TaskKey) (*step, *task) {
 	j, ok := c.jobs[k.Job]
@@ -284,7 +253,7 @@
 	c.dirtyJobs[j.id] = j
 	c.countFinalState(final)
 	c.recordDecision(Decision{Verb: "ended", Job: j.id, Queue: j.submission.Queue, Reason: string(final), Age: now.Sub(time.UnixMilli(j.submission.AcceptedAtMS))})
-	for _, s := range j.steps {
+	for s := range j.openSteps() {
 		for i := range s.tasks {
 			for _, r := range s.tasks[i].runs {
 				c.stopRun(r, "job "+string(final))
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -35,11 +35,8 @@
 			continue
 		}
 		l := loadOf(j.submission.Service)
-		for o := range j.submission.Spec.Occurrences() {
-			if now.Add(upcomingWindow).Before(j.submission.Spec.DueAt(o)) {
-				break // occurrences are in order of their due time
-			}
-			cand := c.rankOccurrence(j, o, now)
+		for _, o := range j.openDue(now.Add(upcomingWindow)) {
+			cand := c.rankOccurrence(j, o.number, now)
 			for _, s := range cand.steps {
 				// More workers like these would not run a task that is larger than any of them.
 				if capacity, ok := largest[l.Service]; !ok || s.spec.Reservation().FitsIn(capacity) {
@@ -226,13 +223,14 @@
 	}
 	work := c.arrivedWork[j.submission.Service]
 	work.Jobs++
-	for _, s := range j.steps {
-		if s.spec.LongRunning {
+	for i := range j.submission.Spec.Steps {
+		s := &j.submission.Spec.Steps[i]
+		if s.LongRunning {
 			continue
 		}
-		ms := int64(len(s.tasks)) * estimate(s.spec).Milliseconds()
-		work.CoreMS += ms * int64(s.spec.Resources.CPU) / 1000
-		work.MBMS += ms * int64(s.spec.Resources.MemoryMB)
+		ms := int64(s.Count) * estimate(s).Milliseconds()
+		work.CoreMS += ms * int64(s.Resources.CPU) / 1000
+		work.MBMS += ms * int64(s.Resources.MemoryMB)
 	}
 	c.arrivedWork[j.submission.Service] = work
 }
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -16,22 +16,25 @@
 	if j.finalState.IsTerminal() {
 		return progress // the tasks of an ended job are no longer needed
 	}
-	for _, s := range j.steps {
+	for s := range j.openSteps() {
 		for i := range s.tasks {
 			s.addTaskProgress(i, progress)
 		}
 	}
-	if len(j.steps) > maxStepsWithBitmaps {
+	specs, occurrences := j.submission.Spec.Steps, j.submission.Spec.Occurrences()
+	if len(specs)*occurrences > maxStepsWithBitmaps {
 		progress.DoneTasks = j.doneTasks()
 		return progress
 	}
-	for _, s := range j.steps {
-		bits := []byte{}
-		if s.doneCount > 0 {
-			bits = make([]byte, (len(s.tasks)+7)/8)
-			s.setDoneBits(bits, 0)
+	for o := range occurrences {
+		for n := range specs {
+			bits := []byte{}
+			if j.hasDoneTasks(o, n) {
+				bits = make([]byte, (specs[n].Count+7)/8)
+				j.setDoneBits(bits, 0, o, n)
+			}
+			progress.DoneBitmaps = append(progress.DoneBitmaps, bits)
 		}
-		progress.DoneBitmaps = append(progress.DoneBitmaps, bits)
 	}
 	return progress
 }
@@ -57,49 +60,82 @@
 	}
 }
 
-// setDoneBits sets the bits of the tasks that are done, from bit first on.
-func (s *step) setDoneBits(bits []byte, first int) {
-	for i := range s.tasks {
-		if s.tasks[i].done {
+// hasDoneTasks reports whether tasks of a step of an occurrence are done.
+func (j *job) hasDoneTasks(occurrence, number int) bool {
+	if steps := j.occurrenceSteps(occurrence); steps != nil {
+		return steps[number].doneCount > 0
+	}
+	return j.isOccurrenceDone(occurrence)
+}
+
+// setDoneBits sets the bits of the tasks of a step of an occurrence that are done, from bit first on.
+func (j *job) setDoneBits(bits []byte, first, occurrence, number int) {
+	steps := j.occurrenceSteps(occurrence)
+	for i := range j.submission.Spec.Steps[number].Count {
+		if steps == nil || steps[number].tasks[i].done {
 			bits[(first+i)/8] |= 1 << ((first + i) % 8)
 		}
 	}
 }
 
-// doneTasks returns the bitmap of the tasks of all steps that are done.
+// doneTasks returns the bitmap of the tasks of all occurrences that are done.
 func (j *job) doneTasks() []byte {
-	tasks := 0
-	for _, s := range j.steps {
-		tasks += len(s.tasks)
-	}
-	bits := make([]byte, (tasks+7)/8)
+	specs, occurrences := j.submission.Spec.Steps, j.submission.Spec.Occurrences()
+	bits := make([]byte, (j.tasksPerOccurrence()*occurrences+7)/8)
 	first := 0
-	for _, s := range j.steps {
-		if s.doneCount > 0 {
-			s.setDoneBits(bits, first)
+	for o := range occurrences {
+		for n := range specs {
+			if j.hasDoneTasks(o, n) {
+				j.setDoneBits(bits, first, o, n)
+			}
+			first += specs[n].Count
 		}
-		first += len(s.tasks)
 	}
 	return bits
 }
 
-// markStoredDone marks the tasks as done that are so in stored progress.
+// markStoredDone marks the tasks as done that are so in stored progress. Occurrences of which all tasks are done, or none,
+// stay closed.
 func (j *job) markStoredDone(progress *workload.Progress) {
-	first := 0
-	for i, s := range j.steps {
-		bits, offset := progress.DoneTasks, first
-		if len(bits) == 0 {
-			if i >= len(progress.DoneBitmaps) {
-				return
+	specs, first := j.submission.Spec.Steps, 0
+	for o := range j.submission.Spec.Occurrences() {
+		done := make([][]int, len(specs))
+		total := 0
+		for n := range specs {
+			bits, offset := progress.DoneTasks, first
+			if len(bits) == 0 {
+				if i := o*len(specs) + n; i < len(progress.DoneBitmaps) {
+					bits, offset = progress.DoneBitmaps[i], 0
+				}
 			}
-			bits, offset = progress.DoneBitmaps[i], 0
+			done[n] = setBits(bits, offset, specs[n].Count)
+			total += len(done[n])
+			first += specs[n].Count
 		}
-		for k := range s.tasks {
-			bit := offset + k
-			if bit/8 < len(bits) && bits[bit/8]&(1<<(bit%8)) != 0 {
-				s.markDone(&s.tasks[k])
+		switch {
+		case total == 0:
+		case j.submission.Spec.Repeat > 0 && total == j.tasksPerOccurrence() && j.occurrenceSteps(o) == nil:
+			if !j.isOccurrenceDone(o) {
+				j.setOccurrenceDone(o)
+				j.remainingTasks -= total
+			}
+		default:
+			for n, s := range j.openOccurrence(o) {
+				for _, i := range done[n] {
+					s.markDone(&s.tasks[i])
+				}
 			}
 		}
-		first += len(s.tasks)
 	}
 }
+
+// setBits returns which of count bits, from bit first on, are set.
+func setBits(bits []byte, first, count int) []int {
+	var set []int
+	for i := range count {
+		if bit := first + i; bit/8 < len(bits) && bits[bit/8]&(1<<(bit%8)) != 0 {
+			set = append(set, i)
+		}
+	}
+	return set
+}
--- a/internal/scheduler/ranking.go
+++ b/internal/scheduler/ranking.go
@@ -105,12 +105,10 @@
 		if j.finalState.IsTerminal() {
 			continue
 		}
-		for o := range j.submission.Spec.Occurrences() {
-			if now.Before(j.submission.Spec.DueAt(o)) {
-				break // later ones are due later
-			}
-			if idleTaskCount(j.occurrenceSteps(o)) > 0 {
-				r.candidates = append(r.candidates, c.newCandidate(j, o, now))
+		j.closeDoneOccurrences()
+		for _, o := range j.openDue(now) {
+			if idleTaskCount(o.steps) > 0 {
+				r.candidates = append(r.candidates, c.newCandidate(j, o.number, now))
 			}
 		}
 	}
--- a/internal/scheduler/speculation.go
+++ b/internal/scheduler/speculation.go
@@ -22,7 +22,7 @@
 		if j.finalState.IsTerminal() || j.liveRuns == 0 {
 			continue
 		}
-		for _, s := range j.steps {
+		for s := range j.openSteps() {
 			if !s.spec.Speculative || s.spec.LongRunning || s.spec.Gang || s.advice != nil {
 				continue
 			}
--- a/internal/scheduler/unseen.go
+++ b/internal/scheduler/unseen.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -32,14 +31,16 @@
 		if j.account == nil || !j.account.isCapped || j.isNew {
 			continue
 		}
-		for _, s := range j.steps {
+		for s := range j.openSteps() {
 			if !isBlanket && !c.mayRunOnLongLease(s, now) {
 				continue
 			}
-			n := s.maxUnseenRuns()
-			reservation := s.spec.Reservation()
-			j.account.unseen = j.account.unseen.Add(reservation.Times(n))
-			j.account.unseenBestEffort = j.account.unseenBestEffort.Add(s.spec.Resources.Sub(reservation).Times(n))
+			j.account.addUnseen(s.spec, s.maxUnseenRuns())
+		}
+		closed := j.closedDueOccurrences(now)
+		for i := range j.submission.Spec.Steps {
+			spec := &j.submission.Spec.Steps[i]
+			j.account.addUnseen(spec, closed*spec.Count)
 		}
 	}
 	capacity, isKnown := c.unresolvedCapacitySum()
@@ -51,6 +52,13 @@
 	}
 }
 
+// addUnseen adds the reservations of runs of a step that may be unknown.
+func (a *account) addUnseen(spec *workload.Step, runs int) {
+	reservation := spec.Reservation()
+	a.unseen = a.unseen.Add(reservation.Times(runs))
+	a.unseenBestEffort = a.unseenBestEffort.Add(spec.Resources.Sub(reservation).Times(runs))
+}
+
 // unresolvedCapacitySum returns what all workers together hold that may have unknown runs. ok is false if
 // not all of them, or their capacities, are known.
 func (c *Core) unresolvedCapacitySum() (sum workload.Resources, ok bool) {
@@ -134,10 +142,11 @@
 		if j.finalState.IsTerminal() || c.settings.EarlierOwnersInLogOrder && j.isNew {
 			continue
 		}
-		if slices.ContainsFunc(j.steps, func(s *step) bool {
-			return s.idleCount > 0 && s.isReady(now) && (isBlanket || c.mayRunOnLongLease(s, now))
-		}) {
-			n++
+		for s := range j.openSteps() {
+			if s.idleCount > 0 && s.isReady(now) && (isBlanket || c.mayRunOnLongLease(s, now)) {
+				n++
+				break
+			}
 		}
 	}
 	return n
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -303,7 +303,7 @@
 	r.step.removeRun(r.task(), r)
 	c.settleCharge(r)
 	c.endIsolatedRun(r)
-	if r.step.idleCount > 0 && !r.step.job.occurrenceSteps(r.step.occurrence)[0].occurrenceRanked {
+	if r.step.idleCount > 0 && !r.step.job.openOccurrence(r.step.occurrence)[0].occurrenceRanked {
 		c.requestRerank(r.step)
 	}
 	c.planStale = true
