node: a job is reckoned by its tasks and occurrences, which take less memory

Jobs that come together are all admitted by what was measured before them: thirty of 100,000 tasks in one step were reckoned at 24 kB and could take 576 MB once their tasks ran.

Change: a step keeps nothing of a task to which nothing has happened, nor of one that is done: 8 bytes in place of 192. The bound reckons all steps and tasks of the occurrences that are due.

--- a/internal/node/jobroom.go
+++ b/internal/node/jobroom.go
@@ -9,12 +9,15 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/yuccadrift/yuccadrift/internal/membudget"
+	"github.com/yuccadrift/yuccadrift/internal/scheduler"
 	"github.com/yuccadrift/yuccadrift/internal/workload"
 )
 
 const (
-	// jobStepBytes is what an owner keeps of a step until its job is forgotten, at least.
+	// jobStepBytes is what an owner keeps of a step of each open occurrence until its job is forgotten, at least, and
+	// jobTaskBytes of each task that waits.
 	jobStepBytes = 800
+	jobTaskBytes = 9
 	// jobMemoryNumerator/jobMemoryDenominator of the memory are for the node's own state, most of which are
 	// jobs. With what clients may take, a quarter is left.
 	jobMemoryNumerator, jobMemoryDenominator = 3, 8
@@ -48,7 +51,7 @@
 	if r.Submission == nil {
 		return nil
 	}
-	bytes := jobStepBytes * len(r.Submission.Spec.Steps)
+	bytes := jobBytes(&r.Submission.Spec, time.Now())
 	if j.state.Admit(bytes, j.measure(false), time.Now()) || j.state.Admit(bytes, j.measure(true), time.Now()) {
 		return nil
 	}
@@ -56,6 +59,15 @@
 	return membudget.ErrNoRoom
 }
 
+// jobBytes returns what an owner keeps of a job as soon as it is accepted.
+func jobBytes(spec *workload.Spec, now time.Time) int {
+	bytes := 0
+	for i := range spec.Steps {
+		bytes += jobStepBytes + jobTaskBytes*spec.Steps[i].Count
+	}
+	return bytes * max(1, scheduler.MaxWaitingOccurrences(spec, now))
+}
+
 // measure returns the memory that the node keeps beside that of clients, as of the last collection. It collects
 // if exact is set, since the last one may have been at a peak that is over.
 func (j *jobRoom) measure(exact bool) int {
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -270,7 +270,7 @@
 // failJobIfProvenCause fails the job of a task if the task is proven to crash its workers. The
 // logged number counts all recorded crashes of the task, also those that don't count as proof.
 func (c *Core) failJobIfProvenCause(s *step, index int, now time.Time) {
-	t, j := &s.tasks[index], s.job
+	t, j := s.peek(index), s.job
 	if j.finalState.IsTerminal() || !t.isProvenCause(s.spec.LongRunning) {
 		return
 	}
@@ -294,7 +294,7 @@
 				continue
 			}
 			for i := range s.tasks {
-				c.retractCrashes(s, &s.tasks[i], func(own workload.Crash) bool {
+				c.retractCrashes(s, s.peek(i), func(own workload.Crash) bool {
 					return !own.LikelyCause && slices.ContainsFunc(crashes, own.IsSameProcess)
 				})
 			}
--- a/internal/scheduler/drain.go
+++ b/internal/scheduler/drain.go
@@ -178,7 +178,7 @@
 	}
 	unavailable := 0
 	for i := range s.tasks {
-		if i != index && !s.tasks[i].isFullyAvailable() {
+		if i != index && !s.peek(i).isFullyAvailable() {
 			unavailable++
 		}
 	}
--- a/internal/scheduler/exittrial.go
+++ b/internal/scheduler/exittrial.go
@@ -41,7 +41,7 @@
 				continue
 			}
 			for i := range s.tasks {
-				if t := &s.tasks[i]; !t.done && len(t.runs) == 0 && !now.Before(t.notBefore) && !t.isSuspect() {
+				if t := s.peek(i); !t.done && len(t.runs) == 0 && !now.Before(t.notBefore) && !t.isSuspect() {
 					c.startRun(w, s, i, s.nextRunNumber(c.settings.Epoch), t.checkpoint, now).isExitTrial = true
 					return
 				}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -12,7 +12,7 @@
 // which counts as aborted work.
 func (c *Core) placeGang(p *placementPool, s *step, now time.Time) {
 	for i := range s.tasks {
-		t := &s.tasks[i]
+		t := s.peek(i)
 		if len(t.runs) > 0 || now.Before(t.notBefore) {
 			return
 		}
@@ -58,7 +58,7 @@
 			}
 		}
 		for i := range g.step.tasks {
-			for _, r := range g.step.tasks[i].runs {
+			for _, r := range g.step.peek(i).runs {
 				if r.number == g.runNumber {
 					c.stopRun(r, "its gang is not complete")
 				}
@@ -82,7 +82,7 @@
 func (s *step) gangStatus(runNumber int64) gangStatus {
 	status := gangComplete
 	for i := range s.tasks {
-		t := &s.tasks[i]
+		t := s.peek(i)
 		if t.done {
 			return gangComplete
 		}
--- a/internal/scheduler/handover.go
+++ b/internal/scheduler/handover.go
@@ -113,7 +113,7 @@
 			w.lateStartUntil = now.Add(maxOrderDelay)
 		}
 		state := runUnconfirmed
-		if s.job.finalState.IsTerminal() || s.tasks[key.Index].done {
+		if s.job.finalState.IsTerminal() || s.peek(key.Index).done {
 			state = runStopping // the earlier owner's stop may not have reached the worker
 		}
 		w.addRun(&run{
--- a/internal/scheduler/hold.go
+++ b/internal/scheduler/hold.go
@@ -206,7 +206,7 @@
 func (s *step) hasStartableTask(now time.Time) bool {
 	count := 0
 	for i := range s.tasks {
-		t := &s.tasks[i]
+		t := s.peek(i)
 		if !t.done && len(t.runs) == 0 && !now.Before(t.notBefore) && !t.isSuspect() {
 			count++
 		}
--- a/internal/scheduler/isolatedgang.go
+++ b/internal/scheduler/isolatedgang.go
@@ -11,7 +11,7 @@
 func (c *Core) placeGangWithSuspects(p *placementPool, s *step, now time.Time) {
 	var suspects, others []int
 	for i := range s.tasks {
-		t := &s.tasks[i]
+		t := s.peek(i)
 		if !c.isTaskStartable(s, t, now) {
 			return
 		}
@@ -27,13 +27,13 @@
 	}
 	planned := make([]*worker, len(suspects))
 	for k, i := range suspects {
-		planned[k] = s.tasks[i].plannedIsolatedRun.worker
+		planned[k] = s.peek(i).plannedIsolatedRun.worker
 	}
 	otherWorkers := s.assignWorkers(p.workers, len(others), planned, now)
 	if otherWorkers == nil {
 		return
 	}
-	runNumber := s.tasks[suspects[0]].plannedIsolatedRun.runNumber
+	runNumber := s.peek(suspects[0]).plannedIsolatedRun.runNumber
 	for _, i := range suspects {
 		c.startIsolatedRun(s, i, s.checkpoint, now)
 	}
@@ -49,7 +49,7 @@
 func (p *placementPool) canStartPlannedGang(s *step, suspects []int, now time.Time) bool {
 	var plannedWorkers []*worker
 	for _, i := range suspects {
-		plan := s.tasks[i].plannedIsolatedRun
+		plan := s.peek(i).plannedIsolatedRun
 		if plan == nil || plan.incarnation != plan.worker.incarnation || !p.contains(plan.worker) || !plan.worker.hasNoCrashCandidate(now) {
 			return false
 		}
@@ -79,7 +79,7 @@
 	}
 	runNumber := s.nextRunNumber(c.settings.Epoch)
 	for k, i := range suspects {
-		c.dropIsolatedRunRecords(s, &s.tasks[i])
-		c.planIsolatedRun(assigned[k], s, &s.tasks[i], runNumber, now)
+		c.dropIsolatedRunRecords(s, s.task(i))
+		c.planIsolatedRun(assigned[k], s, s.task(i), runNumber, now)
 	}
 }
--- a/internal/scheduler/isolation.go
+++ b/internal/scheduler/isolation.go
@@ -73,7 +73,7 @@
 	rank  time.Duration
 }
 
-func (x suspect) task() *task { return &x.step.tasks[x.index] }
+func (x suspect) task() *task { return x.step.task(x.index) }
 
 // placeSuspects starts suspects, each on a worker where it is the only crash candidate. The planned
 // worker is stored before the start. If this owner is lost before it has recorded the outcome, the
@@ -108,7 +108,7 @@
 			continue
 		}
 		for i := range s.tasks {
-			if t := &s.tasks[i]; c.isTaskStartable(s, t, now) && t.isSuspect() {
+			if t := s.peek(i); c.isTaskStartable(s, t, now) && t.isSuspect() {
 				service := s.job.submission.Service
 				byService[service] = append(byService[service], suspect{s, i, t.suspectRank(now)})
 			}
@@ -178,7 +178,7 @@
 // startIsolatedRun starts the planned isolated run of a suspect.
 func (c *Core) startIsolatedRun(s *step, index int, checkpoint string, now time.Time) {
 	c.Counts.IsolatedRuns++
-	t := &s.tasks[index]
+	t := s.task(index)
 	planned := t.plannedIsolatedRun
 	t.plannedIsolatedRun = nil
 	planned.worker.isolatedRunPlannedUntil = time.Time{}
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -46,7 +46,7 @@
 	spec                    *workload.Step
 	occurrence              int
 	number                  int
-	tasks                   []task
+	tasks                   []*task // nil for those to which nothing has happened; see peek and task
 	doneCount               int
 	idleCount               int       // tasks that are not done and have no run
 	hasCrashes              bool      // its tasks have or had crash records
@@ -91,6 +91,36 @@
 	earlyFailures      int       // in a row, of a long-running task
 }
 
+// newTask and doneTask are what all tasks are to which nothing has happened, and those that are done and of which nothing
+// else matters any more. They are never written.
+var newTask, doneTask = &task{}, &task{done: true}
+
+// peek returns a task for reading.
+func (s *step) peek(index int) *task {
+	if s.tasks[index] == nil {
+		return newTask
+	}
+	return s.tasks[index]
+}
+
+// task returns a task for reading and writing.
+func (s *step) task(index int) *task {
+	switch s.tasks[index] {
+	case nil:
+		s.tasks[index] = &task{}
+	case doneTask:
+		s.tasks[index] = &task{done: true}
+	}
+	return s.tasks[index]
+}
+
+// releaseDone frees what is kept of a task that is done, unless something may still be asked of it.
+func (s *step) releaseDone(index int) {
+	if t := s.peek(index); t.done && len(t.runs) == 0 && len(t.crashes) == 0 && !s.spec.Gang {
+		s.tasks[index] = doneTask
+	}
+}
+
 // findTask returns the step and task of a key, nil if there is no such task.
 func (c *Core) findTask(k workload.TaskKey) (*step, *task) {
 	j, ok := c.jobs[k.Job]
@@ -101,7 +131,7 @@
 	if s == nil || k.Index >= len(s.tasks) {
 		return nil, nil
 	}
-	return s, &s.tasks[k.Index]
+	return s, s.task(k.Index)
 }
 
 func (s *step) taskKey(index int) workload.TaskKey {
@@ -187,7 +217,7 @@
 	j.markStoredDone(progress)
 	for name, runs := range progress.FailedRuns {
 		if s, i := c.findStoredTask(j, name); s != nil {
-			s.tasks[i].failedRuns = runs
+			s.task(i).failedRuns = runs
 		}
 	}
 	for name, crashes := range progress.Crashes {
@@ -206,7 +236,7 @@
 // restoreCrashes restores the stored crash records of a task.
 func (c *Core) restoreCrashes(s *step, index int, crashes []workload.Crash) {
 	c.trackStepWithCrashes(s)
-	s.tasks[index].crashes = crashes
+	s.task(index).crashes = crashes
 	for _, crash := range crashes {
 		if (crash.IsolatedRunPending || crash.Unconfirmed) && !s.job.restoredProgress.FinalState.IsTerminal() {
 			c.restoreRunFromCrashRecord(s, index, crash)
@@ -255,7 +285,7 @@
 	c.recordDecision(Decision{Verb: "ended", Job: j.id, Queue: j.submission.Queue, Reason: string(final), Age: now.Sub(time.UnixMilli(j.submission.AcceptedAtMS))})
 	for s := range j.openSteps() {
 		for i := range s.tasks {
-			for _, r := range s.tasks[i].runs {
+			for _, r := range s.peek(i).runs {
 				c.stopRun(r, "job "+string(final))
 			}
 		}
--- a/internal/scheduler/occurrence.go
+++ b/internal/scheduler/occurrence.go
@@ -75,11 +75,11 @@
 	o := openOccurrence{number: number}
 	for n := range j.submission.Spec.Steps {
 		spec := &j.submission.Spec.Steps[n]
-		s := &step{job: j, spec: spec, occurrence: number, number: n, tasks: make([]task, spec.Count), idleCount: spec.Count}
+		s := &step{job: j, spec: spec, occurrence: number, number: n, tasks: make([]*task, spec.Count), idleCount: spec.Count}
 		if j.isOccurrenceDone(number) {
 			s.idleCount, s.doneCount = 0, spec.Count
 			for i := range s.tasks {
-				s.tasks[i].done = true
+				s.tasks[i] = doneTask
 			}
 		}
 		o.steps = append(o.steps, s)
--- a/internal/scheduler/othercauses.go
+++ b/internal/scheduler/othercauses.go
@@ -49,7 +49,7 @@
 			continue
 		}
 		for i := range s.tasks {
-			if t := &s.tasks[i]; t.excludeCause(name, crashes) {
+			if t := s.peek(i); t.excludeCause(name, crashes) {
 				c.dirtyJobs[s.job.id] = s.job
 				c.failJobIfProvenCause(s, i, now)
 			}
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -145,7 +145,7 @@
 		return
 	}
 	for i := range s.tasks {
-		t := &s.tasks[i]
+		t := s.peek(i)
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.isSuspect() {
 			continue
 		}
--- a/internal/scheduler/pollresult.go
+++ b/internal/scheduler/pollresult.go
@@ -303,7 +303,7 @@
 
 // completeTask marks a task as done. In a gang one completed task completes all.
 func (c *Core) completeTask(s *step, index int, now time.Time) {
-	t := &s.tasks[index]
+	t := s.task(index)
 	c.Counts.DoneTasks++
 	if s.spec.Gang {
 		for i := range s.tasks {
@@ -326,11 +326,12 @@
 
 // markDone marks a task as done. A task that is done has caused none of the crashes that it was blamed for.
 func (c *Core) markDone(s *step, index int, now time.Time) {
-	t := &s.tasks[index]
+	t := s.task(index)
 	s.markDone(t)
 	if len(t.crashes) > 0 {
 		c.exonerate(s.taskKey(index), t.crashes, now)
 	}
+	s.releaseDone(index)
 }
 
 // recordFailedRun records a run that failed by its task's own fault, and fails the job once the
@@ -379,7 +380,7 @@
 func (s *step) failedRunCount() int {
 	seen := map[int64]bool{}
 	for i := range s.tasks {
-		for _, n := range s.tasks[i].failedRuns {
+		for _, n := range s.peek(i).failedRuns {
 			seen[n] = true
 		}
 	}
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -41,7 +41,7 @@
 
 // addTaskProgress adds what has happened to a task that is not done, or to a member of a gang, which fails as a whole.
 func (s *step) addTaskProgress(index int, progress *workload.Progress) {
-	t := &s.tasks[index]
+	t := s.peek(index)
 	if t.done && !s.spec.Gang || len(t.failedRuns) == 0 && len(t.crashes) == 0 {
 		return
 	}
@@ -72,7 +72,7 @@
 func (j *job) setDoneBits(bits []byte, first, occurrence, number int) {
 	steps := j.occurrenceSteps(occurrence)
 	for i := range j.submission.Spec.Steps[number].Count {
-		if steps == nil || steps[number].tasks[i].done {
+		if steps == nil || steps[number].peek(i).done {
 			bits[(first+i)/8] |= 1 << ((first + i) % 8)
 		}
 	}
@@ -122,7 +122,8 @@
 		default:
 			for n, s := range j.openOccurrence(o) {
 				for _, i := range done[n] {
-					s.markDone(&s.tasks[i])
+					s.markDone(s.task(i))
+					s.releaseDone(i)
 				}
 			}
 		}
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -58,7 +58,7 @@
 func (c *Core) retractSilentLosses(w *worker) {
 	for _, s := range c.stepsWithCrashes {
 		for i := range s.tasks {
-			c.retractCrashes(s, &s.tasks[i], func(own workload.Crash) bool {
+			c.retractCrashes(s, s.peek(i), func(own workload.Crash) bool {
 				return own.WorkerWentSilent && own.Worker == w.info.ID && own.Incarnation == w.incarnation
 			})
 		}
--- a/internal/scheduler/speculation.go
+++ b/internal/scheduler/speculation.go
@@ -50,7 +50,7 @@
 func (c *Core) startSpeculativeCopiesOf(p *placementPool, s *step, now time.Time) {
 	stragglerAge := time.Duration(float64(estimate(s.spec)) * speculativeCopyFactor)
 	for i := range s.tasks {
-		t := &s.tasks[i]
+		t := s.peek(i)
 		if t.done || t.isSuspect() || len(t.runs) != 1 || now.Sub(t.runs[0].orderedAt) < stragglerAge {
 			continue
 		}
--- a/internal/scheduler/suspect.go
+++ b/internal/scheduler/suspect.go
@@ -192,7 +192,7 @@
 	}
 	n := 0
 	for i := range s.tasks {
-		t := &s.tasks[i]
+		t := s.peek(i)
 		if !t.done && len(t.runs) == 0 && t.isSuspect() {
 			n++
 		}
--- a/internal/scheduler/unseen.go
+++ b/internal/scheduler/unseen.go
@@ -83,7 +83,7 @@
 func (s *step) maxUnseenRuns() int {
 	n := 0
 	for i := range s.tasks {
-		t := &s.tasks[i]
+		t := s.peek(i)
 		limit := 1
 		if s.spec.Speculative {
 			limit = 2
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -98,7 +98,7 @@
 }
 
 func (r *run) taskKey() workload.TaskKey { return r.step.taskKey(r.index) }
-func (r *run) task() *task               { return &r.step.tasks[r.index] }
+func (r *run) task() *task               { return r.step.task(r.index) }
 
 // worker is what the owner knows of a worker: the process at its address, the leases that the
 // worker may have got, its polls and its runs. Fields of type time.Time are on the owner's clock.
@@ -301,6 +301,7 @@
 	w.runs = slices.Delete(w.runs, i, i+1)
 	w.reservedResources = w.reservedResources.Sub(r.step.spec.Reservation())
 	r.step.removeRun(r.task(), r)
+	r.step.releaseDone(r.index)
 	c.settleCharge(r)
 	c.endIsolatedRun(r)
 	if r.step.idleCount > 0 && !r.step.job.openOccurrence(r.step.occurrence)[0].occurrenceRanked {
