--- a/internal/scheduler/exittrial.go
+++ b/internal/scheduler/exittrial.go
@@ -1,14 +1,16 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 )
 
 // minTrialEstimate is how often the longest duration of a stop a task must be estimated to last for an exit trial.
 const minTrialEstimate = 10
 
-// startExitTrials starts a task on each worker that may drop its exits and stops it at once. If the worker lists the
-// exit, it drops none and gets other tasks again. Otherwise nothing is lost: the task had no time to be done.
+// startExitTrials starts an exit trial on each worker that may drop its exits: a task that is stopped as soon as it has
+// started. If the worker lists its exit, it drops none and gets other tasks again. Otherwise the task starts elsewhere, as
+// it had no time to be done.
 func (c *Core) startExitTrials(now time.Time) {
 	for _, w := range c.sortedWorkers {
 		if w.acks.mayDropExitsUpTo == 0 || w.acks.dropsExits || w.hasExitTrial() || c.startsInFlight.isFull() ||
@@ -20,12 +22,7 @@
 }
 
 func (w *worker) hasExitTrial() bool {
-	for _, r := range w.runs {
-		if r.isExitTrial {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.isExitTrial })
 }
 
 // startExitTrial starts a waiting task on a worker for an exit trial, if there is one that may take part in it.
--- a/internal/scheduler/openack.go
+++ b/internal/scheduler/openack.go
@@ -25,7 +25,6 @@
 // openAck is an acknowledgement without an answer.
 type openAck struct {
 	upTo        int64
-	token       int64
 	incarnation int64 // of the process that it was sent to
 	sentAt      time.Time
 }
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -150,7 +150,7 @@
 			poll.AckedUpTo = w.ackAllowed
 		}
 		w.ackSent = poll.AckedUpTo
-		w.acks.record(openAck{upTo: poll.AckedUpTo, token: w.token, incarnation: w.incarnation, sentAt: now})
+		w.acks.record(openAck{upTo: poll.AckedUpTo, incarnation: w.incarnation, sentAt: now})
 		// A worker that is unreachable or may have restarted gets no renewal. Otherwise its tasks
 		// would have to wait until the renewed lease expires before they start elsewhere.
 		inSync := w.synced && !w.unreachable && !w.entryMismatch
